--- a/choice/example_test.go
+++ b/choice/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"wheatdrum/choice"
+	"ashstand/choice"
 )
 
 // A router asks where a write goes, carries the answer back, and is done.
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"strings"
 
-	"wheatdrum/choice"
-	"wheatdrum/internal/wire"
+	"ashstand/choice"
+	"ashstand/internal/wire"
 )
 
 func main() {
--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -4,8 +4,8 @@
 	"strings"
 	"testing"
 
-	"wheatdrum/choice"
-	"wheatdrum/internal/wire"
+	"ashstand/choice"
+	"ashstand/internal/wire"
 )
 
 const start = `SYNC wall_ms=5000 seq=1
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"wheatdrum/choice"
+	"ashstand/choice"
 )
 
 // Item is one message of a batch for one instance: its start, its end, or an event.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"wheatdrum/choice"
+	"ashstand/choice"
 )
 
 const open = `OPEN_INSTANCE who=3 nonce64=9 info={"balancers":2,"index":1,"unknown":7,"discovery":"automatic",` +
