--- a/choice/choice.go
+++ b/choice/choice.go
@@ -469,10 +469,10 @@
 	}
 	// A further attempt costs what the last one took: quick failures are cheap, late ones add to an overload.
 	price := min(1, extraLeast+2*e.Elapsed.Seconds()/r.class.Aim.Seconds())
-	if e.Code == Miss || r.class.Read == Write && e.Code.NeverRan() {
-		price = 0
+	if e.Code == Miss || e.Code == NotSent || r.class.Read == Write && e.Code.NeverRan() {
+		price = 0 // it cost no host anything; what came too late to be sent is chosen for anew
 	}
-	if e.Code == NotSent || !c.repeatable(r) || c.budget < price {
+	if !c.repeatable(r) || c.budget < price {
 		c.end(r)
 		return
 	}
@@ -794,6 +794,30 @@
 	c.send(r, next)
 }
 
+// Still says whether an attempt that was chosen a while ago may go out now: a router on sockets dials and
+// waits in between, and the age of data, drains and deadlines count at the write. If not, it is NotSent.
+func (c *Choice) Still(now time.Duration, id string, attempt int) bool {
+	c.now = max(now, c.now)
+	r := c.reqs[id]
+	if r == nil || r.over || attempt < 0 || attempt >= len(r.attempts) || c.now >= r.deadline-endGuard {
+		return false
+	}
+	m, p := r.attempts[attempt].to, r.group.primary()
+	switch {
+	case !m.listed:
+		return false
+	case r.class.Read >= Fresh:
+		return m == p || p == nil && r.class.Read == Write // a write may search, a fresh read must know
+	}
+	return m == p || c.fresh(m, r) || c.nearly(m, r)
+}
+
+// Listed says whether new work, probes included, may go to a host.
+func (c *Choice) Listed(host string) bool {
+	m := c.members[host]
+	return m != nil && m.listed
+}
+
 func (c *Choice) send(r *request, m *member) {
 	var timeout time.Duration
 	if r.class.LateShare == 0 {
--- /dev/null
+++ b/cmd/ashstand/config.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"os"
+	"strconv"
+	"syscall"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"ashstand/internal/net/discovery"
+	"ashstand/internal/net/pg"
+	"ashstand/internal/settings"
+)
+
+var json = jsoniter.ConfigCompatibleWithStandardLibrary
+
+// config is what the platform tells a pooler.
+type config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    *discovery.List     `json:"known"`
+	Settings jsoniter.RawMessage `json:"settings"`
+
+	site *settings.Parsed
+	seed uint64
+}
+
+// load reads the file that EDGE_CONFIG names; the other variables go before what stands in it.
+func load(env func(string) string) (*config, error) {
+	path := env("EDGE_CONFIG")
+	if path == "" {
+		return nil, errors.New("EDGE_CONFIG names no file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	var c config
+	if err := json.Unmarshal(text, &c); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	for _, v := range []struct {
+		name string
+		to   *string
+	}{{"EDGE_NAME", &c.Name}, {"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Discovery}} {
+		if s := env(v.name); s != "" {
+			*v.to = s
+		}
+	}
+	for _, a := range []struct{ name, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, _, err := net.SplitHostPort(a.address); err != nil {
+			return nil, fmt.Errorf("%s: %s: %w", path, a.name, err)
+		}
+	}
+	if len(c.Settings) == 0 {
+		return nil, fmt.Errorf("%s: it holds no settings", path)
+	}
+	if c.site, err = settings.Parse(c.Settings); err != nil {
+		return nil, fmt.Errorf("%s: settings: %w", path, err)
+	}
+	if c.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
+		h := fnv.New64a() // any word will do for a seed
+		h.Write([]byte(c.Seed + c.Name))
+		c.seed = h.Sum64()
+	}
+	if c.Limits.Sockets < 0 || c.Limits.MemoryMB < 0 {
+		return nil, fmt.Errorf("%s: limits: a limit is below 0", path)
+	}
+	return &c, nil
+}
+
+// descriptors shares out what the process may hold, or fails where that is too little to work with. An event
+// loop that can't accept for want of a descriptor ends, so both shares must hold at every moment.
+func descriptors(sockets int) (clients, hosts int, err error) {
+	var r syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil && (sockets == 0 || r.Cur < uint64(sockets)) {
+		sockets = int(min(r.Cur, 1<<20))
+	}
+	free := sockets - spareDescriptors - pg.MaxDials // a connection that is dialled holds two for a moment
+	if free < 16 {
+		return 0, 0, fmt.Errorf("limits: %d descriptors are too few, %d are the least", sockets,
+			spareDescriptors+pg.MaxDials+16)
+	}
+	clients = free * 3 / 5
+	return clients, free - clients, nil
+}
--- /dev/null
+++ b/internal/decide/decide.go
@@ -0,0 +1,359 @@
+// Package decide is the blocking face of the decision module: a request picks its next attempt or final
+// answer, reports what came of an attempt, and timers tick. Network code sees nothing of the module's events
+// and actions, and the module nothing of goroutines.
+package decide
+
+import (
+	"context"
+	"errors"
+	"math"
+	"strconv"
+	"sync"
+	"time"
+
+	"ashstand/choice"
+	"ashstand/internal/clock"
+	"ashstand/internal/settings"
+)
+
+// Code is how an attempt or a probe ended; the names are the module's.
+type Code = choice.Code
+
+// The endings that a network can tell apart.
+const (
+	OK             = choice.OK
+	Error          = choice.Error
+	Full           = choice.Full
+	NoAnswer       = choice.NoAnswer
+	NoConnection   = choice.NoConnection
+	ConnectionLost = choice.ConnectionLost
+	Cancelled      = choice.Cancelled
+	NotSent        = choice.NotSent
+	Miss           = choice.Miss
+)
+
+// Role is what a host said of itself.
+type Role = choice.Role
+
+// The roles.
+const (
+	Unknown = choice.Unknown
+	Primary = choice.Primary
+	Replica = choice.Replica
+)
+
+// guard is what a final answer needs at the least to reach its client before that gives up, in milliseconds.
+const guard = 4.0
+
+// ErrClass is returned for a class that the settings do not name.
+var ErrClass = errors.New("the settings name no such class")
+
+// Request is what the module has to know of a request. Times are in milliseconds.
+type Request struct {
+	Class    string
+	Group    uint64
+	Session  string // names the session; "": none
+	Retry    bool   // marked as a repeat by its client
+	Arrived  float64
+	TimeLeft float64 // from Arrived, that the client will wait
+	After    float64 // position that a read must see; 0: none
+}
+
+// Verdict is what a request has to do next.
+type Verdict uint8
+
+// The verdicts. All but Send are final.
+const (
+	Send   Verdict = iota
+	Refuse         // trying again is harmless
+	Fail           // it may have run, or can't be said not to
+	Left           // the client has gone: nobody waits for an answer
+)
+
+// Next is a verdict with what it needs.
+type Next struct {
+	Verdict Verdict
+	Host    string
+	Attempt int
+	Until   float64 // Send: when to stop waiting for the answer
+	After   float64 // Refuse: come again after so many milliseconds; 0: no advice
+}
+
+// Outcome is what came of an attempt or a probe. Positions are Unix milliseconds, 0 where none was given.
+type Outcome struct {
+	Code     Code
+	Role     Role
+	Position float64 // of the data or, for a write that went through, its commit
+	Report   Report
+}
+
+// Report is what a load report says of role and position.
+type Report struct {
+	Role     Role
+	Position float64
+}
+
+// Member is an entry of the list of hosts.
+type Member struct {
+	Host     string
+	Group    uint64
+	Draining bool
+	Gone     bool
+	Primary  bool
+	Started  float64 // Unix milliseconds; 0: long ago
+}
+
+// Facade holds the module. It is safe for concurrent use.
+type Facade struct {
+	clock   clock.Clock
+	site    *settings.Parsed
+	probe   func(host string)
+	closing func(host string)
+
+	mu     sync.Mutex
+	module *choice.Choice
+	calls  map[string]*Call
+	last   uint64
+	due    float64 // next timer; 0: none
+	listed bool
+	wake   chan struct{}
+}
+
+// New returns a facade. probe is started on a goroutine of its own for each probe that the module wants and
+// must end in Probed; closing closes the idle connections to a host. Either may be nil.
+func New(site *settings.Parsed, seed uint64, c clock.Clock, probe, closing func(host string)) (*Facade, error) {
+	m, err := choice.New(site.Settings, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Facade{clock: c, site: site, probe: probe, closing: closing, module: m, calls: map[string]*Call{},
+		wake: make(chan struct{}, 1)}, nil
+}
+
+// Call is one request from its arrival to its final answer.
+type Call struct {
+	f       *Facade
+	id      string
+	class   *choice.Class
+	last    float64 // when to stop waiting for any attempt
+	next    chan Next
+	tries   int     // guarded by f.mu, as are the next three
+	attempt int     // the one that is out
+	sent    float64 // when it was chosen
+	over    bool    // no more attempts: the final verdict was queued or is not needed
+}
+
+// Begin takes a request. The caller owes it Pick until a final verdict, or until a Report of OK.
+func (f *Facade) Begin(r Request) (*Call, error) {
+	class, ok := f.site.Classes[r.Class]
+	if !ok {
+		return nil, ErrClass
+	}
+	e := choice.Event{Kind: choice.EvRequest, Class: class, Group: r.Group, Retry: r.Retry,
+		HasKey: r.Session != "", Key: key(r.Session)}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	e.TimeLeft = clock.Duration(max(0, r.Arrived+r.TimeLeft-now))
+	if r.After > 0 { // a token from the present or later is no reason to take it for none
+		e.Token = max(1, clock.Duration(now)-duration(r.After, math.Ceil))
+	}
+	f.last++
+	// Ids of the program's own: two clients that send the same one must not share an answer.
+	e.ID = strconv.FormatUint(f.last, 36)
+	// The module has one attempt of a request out at a time, so a send and a final verdict are all that can wait.
+	c := &Call{f: f, id: e.ID, class: &f.site.Settings.Classes[class], last: r.Arrived + r.TimeLeft - guard,
+		next: make(chan Next, f.site.MaxAttempts+2)}
+	f.calls[c.id] = c
+	f.step(now, e)
+	return c, nil
+}
+
+// key makes a number of a session's name.
+func key(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return h
+}
+
+// duration converts a position, rounded to the microsecond by round.
+func duration(ms float64, round func(float64) float64) time.Duration {
+	return time.Duration(round(ms*1e3)) * time.Microsecond
+}
+
+// Pick blocks until there is an attempt to make or a final verdict.
+func (c *Call) Pick() Next { return <-c.next }
+
+// Still asks again just before an attempt is written. If it is false, report NotSent and pick again.
+func (c *Call) Still() bool {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	now := c.f.clock.Now()
+	return !c.over && c.f.module.Still(clock.Duration(now), c.id, c.attempt)
+}
+
+// Report gives the outcome of the attempt picked last. OK is the final answer; anything else asks for Pick.
+func (c *Call) Report(o Outcome) {
+	f := c.f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	round := math.Floor
+	if c.class.Read == choice.Write && o.Code == OK {
+		round = math.Ceil
+	}
+	e := choice.Event{Kind: choice.EvOutcome, ID: c.id, Attempt: c.attempt, Code: o.Code, Role: o.Role,
+		Final: o.Code == OK || c.over, Elapsed: clock.Duration(now - c.sent)}
+	if o.Position > 0 {
+		e.Position = duration(o.Position, round)
+	}
+	e.Report = report(o.Report)
+	if o.Code == OK {
+		c.end()
+	}
+	f.step(now, e)
+}
+
+func report(r Report) choice.Report {
+	if r.Position <= 0 {
+		return choice.Report{Role: r.Role}
+	}
+	return choice.Report{Role: r.Role, Position: duration(r.Position, math.Floor)}
+}
+
+// Leave says that the client has gone. An attempt that is out must still be reported.
+func (c *Call) Leave() {
+	f := c.f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.over {
+		return
+	}
+	c.end()
+	c.next <- Next{Verdict: Left}
+	f.step(f.clock.Now(), choice.Event{Kind: choice.EvLeft, ID: c.id})
+}
+
+// end is called with the lock held.
+func (c *Call) end() {
+	c.over = true
+	delete(c.f.calls, c.id)
+}
+
+// Tick runs what is due.
+func (f *Facade) Tick() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.step(f.clock.Now(), choice.Event{Kind: choice.EvTimer})
+}
+
+// Run ticks when timers fall due, until ctx ends.
+func (f *Facade) Run(ctx context.Context) {
+	t := time.NewTimer(time.Hour)
+	defer t.Stop()
+	for {
+		f.mu.Lock()
+		due := f.due
+		f.mu.Unlock()
+		wait := time.Hour
+		if due > 0 {
+			wait = clock.Duration(max(0, due-f.clock.Now()))
+		}
+		t.Reset(wait)
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.wake:
+		case <-t.C:
+			if due > 0 {
+				f.Tick()
+			}
+		}
+	}
+}
+
+// Members takes the list of hosts, or the changes to it.
+func (f *Facade) Members(full bool, ms []Member) {
+	e := choice.Event{Kind: choice.EvTargets, Full: full}
+	for _, m := range ms {
+		e.Targets = append(e.Targets, choice.Target{Host: m.Host, Group: m.Group, Draining: m.Draining, Gone: m.Gone,
+			Primary: m.Primary, Started: duration(m.Started, math.Floor)})
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = f.listed || full
+	f.step(f.clock.Now(), e)
+}
+
+// Ready says whether a list is held.
+func (f *Facade) Ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed
+}
+
+// Listed says whether new work, probes included, may go to a host.
+func (f *Facade) Listed(host string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.module.Listed(host)
+}
+
+// Probed gives the outcome of a probe.
+func (f *Facade) Probed(host string, o Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.step(f.clock.Now(), choice.Event{Kind: choice.EvProbe, Host: host, Code: o.Code, Report: report(o.Report)})
+}
+
+// step is called with the lock held.
+func (f *Facade) step(now float64, e choice.Event) {
+	if f.due > 0 && now >= f.due {
+		f.due = 0
+	}
+	for _, a := range f.module.Step(clock.Duration(now), []choice.Event{e}) {
+		switch a.Kind {
+		case choice.ActSend:
+			c := f.calls[a.ID]
+			if c == nil {
+				continue
+			}
+			until := c.last
+			if a.Timeout > 0 {
+				until = min(until, now+clock.Millis(a.Timeout))
+			}
+			c.attempt, c.sent = c.tries, now
+			c.tries++
+			c.next <- Next{Verdict: Send, Host: a.Host, Attempt: c.attempt, Until: until}
+		case choice.ActRefuse, choice.ActFail:
+			if c := f.calls[a.ID]; c != nil {
+				n := Next{Verdict: Refuse, After: clock.Millis(a.After)}
+				if a.Kind == choice.ActFail {
+					n = Next{Verdict: Fail}
+				}
+				c.end()
+				c.next <- n
+			}
+		case choice.ActTimer:
+			if at := clock.Millis(a.At); f.due == 0 || at < f.due {
+				f.due = at
+				select {
+				case f.wake <- struct{}{}:
+				default:
+				}
+			}
+		case choice.ActProbe:
+			if f.probe != nil {
+				go f.probe(a.Host)
+			}
+		case choice.ActClose:
+			if f.closing != nil {
+				go f.closing(a.Host)
+			}
+		}
+		// ActCancel comes only with Leave here, which ends the exchange by its context; ActSubscribe and
+		// ActFetch have no meaning where discovery is watched all the time.
+	}
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,191 @@
+// Package edge is the core of the pooler: it takes a request from any front, asks the decisions where it goes,
+// and exchanges it over any backend. It knows no wire.
+package edge
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"ashstand/internal/clock"
+	"ashstand/internal/decide"
+	"ashstand/internal/statement"
+)
+
+// Answer is what a host served: one value, with what the host said beside it.
+type Answer struct {
+	Column   string // name of the value's column
+	Type     uint32 // PostgreSQL's object id of the column's type; every front knows bytea and text
+	Binary   bool   // the form of Value
+	Null     bool
+	Value    []byte
+	Tag      string  // what the command did, such as "SELECT 1"
+	Role     string  // as the host words it; "": not said
+	Position float64 // Unix milliseconds; 0: not said
+	Gauges   string  // load report; "": none
+}
+
+// Reply is what came of one exchange. With OK it holds an answer.
+type Reply struct {
+	decide.Outcome
+	Answer Answer
+	Detail string // for the client, where the request fails
+}
+
+// Backend reaches hosts over one wire.
+type Backend interface {
+	// Acquire returns a connection that is up, from its pool or by dialling. An error proves that nothing ran.
+	Acquire(ctx context.Context, host string) (Conn, error)
+	// CloseIdle closes the connections to a host on which nothing is due.
+	CloseIdle(host string)
+}
+
+// Conn is a connection that one request owns until the exchange ends.
+type Conn interface {
+	// Exchange writes a request once and waits for the whole answer, or until ctx ends. The connection goes
+	// back to its pool, or is closed where an answer is still due.
+	Exchange(ctx context.Context, s *statement.Statement, wait float64) Reply
+	// Release gives back a connection that was not used.
+	Release()
+}
+
+// ErrTurnedAway is what Acquire returns where the host itself turned the connection away: it is full, not dead.
+var ErrTurnedAway = errors.New("the host turns connections away")
+
+// Result is the one final answer to a request.
+type Result struct {
+	Verdict Verdict
+	Answer  Answer
+	After   float64 // Refused: come again after so many milliseconds; 0: no advice
+	Detail  string
+}
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+// The kinds.
+const (
+	Served   Verdict = iota
+	Refused          // nothing that matters ran: trying again is harmless
+	TimedOut         // failed since no answer came in time; it may have run
+	Failed           // it may have run
+	Invalid          // nothing was tried: the request itself is at fault
+	Left             // the client has gone: nobody to answer
+)
+
+// Edge is the core.
+type Edge struct {
+	facade  *decide.Facade
+	clock   clock.Clock
+	backend Backend
+
+	mu       sync.Mutex
+	open     int
+	draining bool
+	idle     chan struct{} // closed when draining and nothing is open
+}
+
+// New returns a core that asks facade and sends over backend.
+func New(facade *decide.Facade, c clock.Clock, backend Backend) *Edge {
+	return &Edge{facade: facade, clock: c, backend: backend, idle: make(chan struct{})}
+}
+
+// Ready says whether requests can be taken: a list of hosts is held.
+func (e *Edge) Ready() bool { return e.facade.Ready() }
+
+// Now is the time that requests are dated by.
+func (e *Edge) Now() float64 { return e.clock.Now() }
+
+// Drain returns a channel that is closed once no request is open; later ones are still served.
+func (e *Edge) Drain() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.draining {
+		e.draining = true
+		if e.open == 0 {
+			close(e.idle)
+		}
+	}
+	return e.idle
+}
+
+// Begin and end count a request from the moment it is read until its answer is written.
+func (e *Edge) Begin() {
+	e.mu.Lock()
+	e.open++
+	e.mu.Unlock()
+}
+
+// End says that the answer of a request that was begun is out.
+func (e *Edge) End() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.open--
+	if e.draining && e.open == 0 {
+		select {
+		case <-e.idle:
+		default:
+			close(e.idle)
+		}
+	}
+}
+
+// Do brings a request from its arrival to its final answer. ctx ends when the client goes away.
+func (e *Edge) Do(ctx context.Context, s *statement.Statement, arrived float64) Result {
+	call, err := e.facade.Begin(decide.Request{Class: s.Class, Group: s.Group, Session: s.Session, Retry: s.Retry,
+		Arrived: arrived, TimeLeft: s.Wait, After: s.After})
+	if err != nil {
+		return Result{Verdict: Invalid, Detail: "class " + s.Class + ": " + err.Error()}
+	}
+	defer context.AfterFunc(ctx, call.Leave)()
+	detail, verdict := "no host answered in time", TimedOut
+	for {
+		next := call.Pick()
+		switch next.Verdict {
+		case decide.Refuse:
+			return Result{Verdict: Refused, After: next.After, Detail: "no host can serve this now"}
+		case decide.Fail:
+			return Result{Verdict: verdict, Detail: detail}
+		case decide.Left:
+			return Result{Verdict: Left}
+		}
+		reply := e.attempt(ctx, call, next, s)
+		call.Report(reply.Outcome)
+		if reply.Code == decide.OK {
+			return Result{Verdict: Served, Answer: reply.Answer}
+		}
+		verdict = Failed
+		if reply.Code == decide.NoAnswer {
+			verdict = TimedOut
+		}
+		if reply.Detail != "" {
+			detail = reply.Detail
+		}
+	}
+}
+
+// attempt sends a request to a host, unless it is too late for that once a connection is there.
+func (e *Edge) attempt(ctx context.Context, call *decide.Call, next decide.Next, s *statement.Statement) Reply {
+	left := next.Until - e.clock.Now()
+	if left <= 0 {
+		return Reply{Outcome: decide.Outcome{Code: decide.NotSent}}
+	}
+	ctx, cancel := context.WithTimeout(ctx, clock.Duration(left))
+	defer cancel()
+	conn, err := e.backend.Acquire(ctx, next.Host)
+	switch {
+	case err == nil:
+	case errors.Is(err, ErrTurnedAway):
+		return Reply{Outcome: decide.Outcome{Code: decide.Full}, Detail: err.Error()}
+	case ctx.Err() != nil: // the client left or this attempt's time ran out: no evidence against the host
+		return Reply{Outcome: decide.Outcome{Code: decide.NotSent}}
+	default:
+		return Reply{Outcome: decide.Outcome{Code: decide.NoConnection}, Detail: err.Error()}
+	}
+	// Data age and drains count at the write: what held when the host was chosen may not hold after a dial.
+	if left = next.Until - e.clock.Now(); left <= 0 || !call.Still() {
+		conn.Release()
+		return Reply{Outcome: decide.Outcome{Code: decide.NotSent}}
+	}
+	return conn.Exchange(ctx, s, left)
+}
--- /dev/null
+++ b/internal/net/discovery/discovery.go
@@ -0,0 +1,336 @@
+// Package discovery keeps the list of db hosts: it fetches the whole list, watches for changes over HTTP/1.1,
+// and starts again when a watch ends.
+package discovery
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+	"github.com/panjf2000/gnet/v2"
+
+	"ashstand/internal/net/loop"
+)
+
+var json = jsoniter.ConfigCompatibleWithStandardLibrary
+
+// Entry is a db host as discovery words it.
+type Entry struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Type    string  `json:"type"`
+	Group   uint64  `json:"group"`
+	Status  string  `json:"status"`
+	SinceMS float64 `json:"since_ms"`
+	Part    string  `json:"part"` // where the list shows roles
+}
+
+// List is the whole list, or the entries that changed.
+type List struct {
+	Index     uint64  `json:"index"`
+	Snapshot  bool    `json:"snapshot"`
+	Endpoints []Entry `json:"endpoints"`
+}
+
+// The words of Entry.Status.
+const (
+	Active  = "active"
+	Leaving = "leaving"
+	Left    = "left"
+)
+
+const (
+	path    = "/registry/instances"
+	maxHead = 16 << 10
+	maxLine = 4 << 20                 // one list
+	quiet   = 4500 * time.Millisecond // an idle watch sends a line every 2 s
+	answer  = 3 * time.Second         // for the whole list
+	retry   = 250 * time.Millisecond
+)
+
+// Watcher follows one discovery service.
+type Watcher struct {
+	engine  *loop.Engine
+	address string
+	apply   func(List)
+	index   uint64
+	held    bool
+}
+
+// New returns a watcher; apply gets each list and change, in order. known is the list already held, if any.
+func New(engine *loop.Engine, address string, known *List, apply func(List)) *Watcher {
+	w := &Watcher{engine: engine, address: address, apply: apply}
+	if known != nil {
+		w.index, w.held = known.Index, true
+	}
+	return w
+}
+
+// Run follows discovery until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	said := false
+	for ctx.Err() == nil {
+		err := w.round(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if !said {
+			log.Printf("discovery: the watch ended: %v; going on with the list held", err)
+		}
+		said = err != nil && !errors.Is(err, errEnded) // a service that is down is told once
+		select {
+		case <-ctx.Done():
+		case <-time.After(retry + rand.N(retry)):
+		}
+	}
+}
+
+// round fetches the list where none was ever fetched or a watch could not go on, then watches.
+func (w *Watcher) round(ctx context.Context) error {
+	if !w.held {
+		if err := w.get(ctx, path, answer, true); err != nil {
+			return err
+		}
+	}
+	err := w.get(ctx, path+"?follow=1&since="+strconv.FormatUint(w.index, 10), quiet, false)
+	if err != nil && !errors.Is(err, errEnded) && !errors.Is(err, errQuiet) {
+		w.held = false // whatever is wrong with going on from there, the whole list puts it right
+	}
+	return err
+}
+
+var (
+	errEnded = errors.New("the service closed the connection")
+	errQuiet = errors.New("the service fell silent")
+)
+
+// get asks for a path and applies each list that comes. once: the answer is one list. A quiet time of more
+// than patience ends it.
+func (w *Watcher) get(ctx context.Context, path string, patience time.Duration, once bool) error {
+	s := &stream{whole: once, signal: make(chan struct{}, 1), lists: make(chan List, 64), failed: make(chan error, 1)}
+	dialing, cancel := context.WithTimeout(ctx, answer)
+	c, err := w.engine.Dial(dialing, w.address, s)
+	cancel()
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if err := c.AsyncWrite([]byte("GET "+path+" HTTP/1.1\r\nHost: "+w.address+"\r\nAccept: application/json\r\n\r\n"), nil); err != nil {
+		return err
+	}
+	t := time.NewTimer(patience)
+	defer t.Stop()
+	for {
+		t.Reset(patience)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case l := <-s.lists:
+			w.take(l)
+			if once {
+				return nil
+			}
+		case err := <-s.failed:
+			for { // what came before the end counts
+				select {
+				case l := <-s.lists:
+					if w.take(l); once {
+						return nil
+					}
+					continue
+				default:
+				}
+				return err
+			}
+		case <-s.signal:
+		case <-t.C:
+			return errQuiet
+		}
+	}
+}
+
+func (w *Watcher) take(l List) {
+	w.index = l.Index
+	w.held = w.held || l.Snapshot
+	w.apply(l)
+}
+
+// stream parses an HTTP answer on the event loop, as it arrives.
+type stream struct {
+	whole   bool // the answer is one object, however many lines it has
+	head    bool // it was read
+	chunked bool
+	left    int // of the chunk or the body; -1: a chunk's size comes next, -2: an empty line after a chunk
+	line    []byte
+	lists   chan List
+	signal  chan struct{} // something came
+	failed  chan error
+}
+
+// Traffic is called on the loop.
+func (s *stream) Traffic(c gnet.Conn) gnet.Action {
+	select {
+	case s.signal <- struct{}{}:
+	default:
+	}
+	b, err := c.Peek(c.InboundBuffered())
+	if err == nil {
+		var used int
+		if used, err = s.parse(b); used > 0 {
+			_, _ = c.Discard(used)
+		}
+	}
+	if err != nil {
+		s.fail(err)
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+// Closed is called on the loop.
+func (s *stream) Closed(gnet.Conn, error) { s.fail(errEnded) }
+
+func (s *stream) fail(err error) {
+	select {
+	case s.failed <- err:
+	default:
+	}
+}
+
+var errHTTP = errors.New("the answer is no HTTP that is understood")
+
+// parse takes as much of b as is whole and returns how much that was.
+func (s *stream) parse(b []byte) (used int, err error) {
+	if !s.head {
+		end := bytes.Index(b, []byte("\r\n\r\n"))
+		if end < 0 {
+			if len(b) > maxHead {
+				return 0, errHTTP
+			}
+			return 0, nil
+		}
+		if err := s.header(string(b[:end])); err != nil {
+			return 0, err
+		}
+		used = end + 4
+	}
+	for used < len(b) {
+		rest := b[used:]
+		if s.left < 0 { // a line of the chunked coding
+			end := bytes.IndexByte(rest, '\n')
+			if end < 0 {
+				if len(rest) > maxHead {
+					return used, errHTTP
+				}
+				return used, nil
+			}
+			text := strings.TrimSpace(string(rest[:end]))
+			used += end + 1
+			if s.left == -2 {
+				s.left = -1
+				continue
+			}
+			text, _, _ = strings.Cut(text, ";")
+			n, err := strconv.ParseUint(strings.TrimSpace(text), 16, 31)
+			if err != nil {
+				return used, errHTTP
+			}
+			if n == 0 {
+				return used, cmp.Or(s.flush(), errEnded)
+			}
+			s.left = int(n)
+			continue
+		}
+		n := min(len(rest), s.left)
+		if err := s.body(rest[:n]); err != nil {
+			return used, err
+		}
+		used += n
+		if s.left -= n; s.left == 0 {
+			if !s.chunked {
+				return used, s.flush()
+			}
+			s.left = -2
+		}
+	}
+	return used, nil
+}
+
+func (s *stream) header(head string) error {
+	lines := strings.Split(head, "\r\n")
+	words := strings.Fields(lines[0])
+	if len(words) < 2 || !strings.HasPrefix(words[0], "HTTP/1.") {
+		return errHTTP
+	}
+	if words[1] != "200" {
+		return fmt.Errorf("the service answered %s", strings.Join(words[1:], " "))
+	}
+	s.head, s.left = true, maxLine
+	for _, l := range lines[1:] {
+		name, value, _ := strings.Cut(l, ":")
+		value = strings.TrimSpace(value)
+		switch strings.ToLower(strings.TrimSpace(name)) {
+		case "transfer-encoding":
+			if strings.EqualFold(value, "chunked") {
+				s.chunked, s.left = true, -1
+			}
+		case "content-length":
+			n, err := strconv.ParseUint(value, 10, 31)
+			if err != nil {
+				return errHTTP
+			}
+			if !s.chunked {
+				s.left = int(n)
+			}
+		}
+	}
+	return nil
+}
+
+// body takes a piece of the answer: JSON objects, one a line. A list may be longer than a chunk, and a chunk
+// than the ring buffer should hold, so pieces of a line are gathered here and bounded.
+func (s *stream) body(b []byte) error {
+	for len(b) > 0 {
+		end := bytes.IndexByte(b, '\n')
+		if end < 0 || s.whole {
+			if len(s.line)+len(b) > maxLine {
+				return errHTTP
+			}
+			s.line = append(s.line, b...)
+			return nil
+		}
+		s.line = append(s.line, b[:end]...)
+		b = b[end+1:]
+		if err := s.flush(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// flush ends a line.
+func (s *stream) flush() error {
+	text := bytes.TrimSpace(s.line)
+	defer func() { s.line = s.line[:0] }()
+	if len(text) == 0 {
+		return nil
+	}
+	var l List
+	if err := json.Unmarshal(text, &l); err != nil {
+		return fmt.Errorf("a list that can't be read: %w", err)
+	}
+	select {
+	case s.lists <- l:
+		return nil
+	default:
+		return errors.New("lists come faster than they are taken")
+	}
+}
--- /dev/null
+++ b/internal/net/loop/loop.go
@@ -0,0 +1,128 @@
+// Package loop runs the event loops that serve every socket but gRPC's: client connections that are accepted,
+// and connections to db hosts and discovery that are dialled elsewhere and enrolled here.
+package loop
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+)
+
+// Handler owns one connection. Its methods run on the event loop and must not block.
+type Handler interface {
+	Traffic(c gnet.Conn) gnet.Action
+	Closed(c gnet.Conn, err error)
+}
+
+// Engine is a listener and its event loop.
+type Engine struct {
+	gnet.BuiltinEventEngine
+	accept func(c gnet.Conn) (Handler, []byte, gnet.Action)
+	engine gnet.Engine
+	booted chan struct{}
+	ended  chan error
+}
+
+// quiet keeps the library's chatter to what on-call staff can use.
+type quiet struct{}
+
+func (quiet) Debugf(string, ...any)     {}
+func (quiet) Infof(string, ...any)      {}
+func (quiet) Warnf(string, ...any)      {}
+func (quiet) Errorf(f string, a ...any) { log.Printf("sockets: "+f, a...) }
+func (quiet) Fatalf(f string, a ...any) { log.Fatalf("sockets: "+f, a...) }
+
+// New returns an engine that does not run yet.
+func New() *Engine { return &Engine{booted: make(chan struct{}), ended: make(chan error, 1)} }
+
+// Start listens at address, a TCP host:port. accept makes the handler of each connection that comes in; nil
+// turns the connection away.
+func (e *Engine) Start(address string, accept func(c gnet.Conn) (Handler, []byte, gnet.Action)) error {
+	e.accept = accept
+	go func() {
+		e.ended <- gnet.Run(e, "tcp://"+address,
+			gnet.WithNumEventLoop(1),                    // one core; and what handlers share then needs no locks
+			gnet.WithReuseAddr(true),                    // a restart finds the last process's connections in TIME_WAIT
+			gnet.WithLoadBalancing(gnet.SourceAddrHash), // the default may not be used from several goroutines
+			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+			gnet.WithReadBufferCap(64<<10),
+			gnet.WithWriteBufferCap(16<<10),
+			gnet.WithLogger(quiet{}))
+	}()
+	select {
+	case <-e.booted:
+		return nil
+	case err := <-e.ended:
+		if err == nil {
+			err = errors.New("the event loop ended")
+		}
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+}
+
+// Ended reports a loop that stopped by itself.
+func (e *Engine) Ended() <-chan error { return e.ended }
+
+// Stop ends the loop and closes its connections.
+func (e *Engine) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = e.engine.Stop(ctx)
+}
+
+// Dial opens a connection on the calling goroutine and hands it to the loop, where h owns it.
+func (e *Engine) Dial(ctx context.Context, address string, h Handler) (gnet.Conn, error) {
+	var d net.Dialer
+	d.KeepAlive = -1
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	done, err := e.engine.Register(gnet.NewNetConnContext(gnet.NewContext(context.Background(), h), c))
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	r := <-done // the loop never blocks, so this comes at once
+	return r.Conn, r.Err
+}
+
+// OnBoot is called by gnet.
+func (e *Engine) OnBoot(engine gnet.Engine) gnet.Action {
+	e.engine = engine
+	close(e.booted)
+	return gnet.None
+}
+
+// OnOpen is called by gnet for accepted and enrolled connections alike; the latter have their handler.
+func (e *Engine) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if c.Context() != nil {
+		return nil, gnet.None
+	}
+	h, out, action := e.accept(c)
+	if h != nil {
+		c.SetContext(h)
+	}
+	return out, action
+}
+
+// OnTraffic is called by gnet.
+func (e *Engine) OnTraffic(c gnet.Conn) gnet.Action {
+	if h, ok := c.Context().(Handler); ok {
+		return h.Traffic(c)
+	}
+	return gnet.Close
+}
+
+// OnClose is called by gnet.
+func (e *Engine) OnClose(c gnet.Conn, err error) gnet.Action {
+	if h, ok := c.Context().(Handler); ok {
+		h.Closed(c, err)
+	}
+	return gnet.None
+}
--- /dev/null
+++ b/internal/net/pg/message.go
@@ -0,0 +1,265 @@
+// Package pg speaks version 3 of PostgreSQL's protocol: a front for clients and a pool of connections to db
+// hosts, simple queries only.
+package pg
+
+import (
+	"encoding/binary"
+	"errors"
+	"strconv"
+	"strings"
+
+	"ashstand/internal/edge"
+)
+
+// Bounds on what a peer may send before it is cut off.
+const (
+	maxStartup = 10000
+	maxQuery   = 192 << 10 // a statement and its header
+	maxAnswer  = 256 << 10 // a whole answer of a db host
+)
+
+const (
+	protocol3  = 3 << 16
+	codeCancel = 80877102
+	codeSSL    = 80877103
+	codeGSS    = 80877104
+)
+
+// Codes of ErrorResponse that have a meaning here.
+const (
+	stateRefused  = "53300"
+	stateStarting = "57P03"
+	stateReplica  = "25006"
+	stateBehind   = "72000"
+	stateTimeout  = "57014"
+	stateFailed   = "08006"
+	stateInvalid  = "08P01"
+	stateUnknown  = "0A000"
+	stateInternal = "XX000"
+)
+
+var errLength = errors.New("a message's length is out of bounds")
+
+// next cuts one message off b. ok is false while it is not whole; most bounds its length.
+func next(b []byte, most int) (kind byte, body, rest []byte, ok bool, err error) {
+	if len(b) < 5 {
+		return 0, nil, b, false, nil
+	}
+	n := int(binary.BigEndian.Uint32(b[1:]))
+	if n < 4 || n > most {
+		return 0, nil, b, false, errLength
+	}
+	if len(b) < n+1 {
+		return 0, nil, b, false, nil
+	}
+	return b[0], b[5 : n+1], b[n+1:], true, nil
+}
+
+// message appends a message whose body is written by fill.
+func message(b []byte, kind byte, fill func(b []byte) []byte) []byte {
+	b = append(b, kind, 0, 0, 0, 0)
+	at := len(b)
+	b = fill(b)
+	binary.BigEndian.PutUint32(b[at-4:], uint32(len(b)-at+4))
+	return b
+}
+
+func cstring(b []byte, s string) []byte { return append(append(b, s...), 0) }
+
+func ready(b []byte) []byte { return append(b, 'Z', 0, 0, 0, 5, 'I') }
+
+func status(b []byte, name, value string) []byte {
+	return message(b, 'S', func(b []byte) []byte { return cstring(cstring(b, name), value) })
+}
+
+func complete(b []byte, tag string) []byte {
+	return message(b, 'C', func(b []byte) []byte { return cstring(b, tag) })
+}
+
+// failure appends an ErrorResponse; detail goes to the field D and may be empty.
+func failure(b []byte, severity, state, text, detail string) []byte {
+	return message(b, 'E', func(b []byte) []byte {
+		for _, f := range [...]struct {
+			kind byte
+			text string
+		}{{'S', severity}, {'V', severity}, {'C', state}, {'M', text}, {'D', detail}} {
+			if f.text != "" {
+				b = cstring(append(b, f.kind), f.text)
+			}
+		}
+		return append(b, 0)
+	})
+}
+
+// startup appends a startup message.
+func startup(b []byte, user, database string) []byte {
+	at := len(b)
+	b = binary.BigEndian.AppendUint32(append(b, 0, 0, 0, 0), protocol3)
+	b = cstring(cstring(cstring(cstring(b, "user"), user), "database"), database)
+	b = append(b, 0)
+	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at))
+	return b
+}
+
+// query appends a simple query whose text is written by fill.
+func query(b []byte, fill func(b []byte) []byte) []byte {
+	return message(b, 'Q', func(b []byte) []byte { return append(fill(b), 0) })
+}
+
+// row appends a value as the one row of its column, and what the host told of positions.
+func row(b []byte, a *edge.Answer) []byte {
+	b = message(b, 'T', func(b []byte) []byte {
+		b = cstring(append(b, 0, 1), a.Column)
+		b = append(b, 0, 0, 0, 0, 0, 0)
+		b = binary.BigEndian.AppendUint32(b, a.Type)
+		b = append(b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 0)
+		if a.Binary {
+			b[len(b)-1] = 1
+		}
+		return b
+	})
+	b = message(b, 'D', func(b []byte) []byte {
+		b = append(b, 0, 1)
+		if a.Null {
+			return append(b, 0xff, 0xff, 0xff, 0xff)
+		}
+		b = binary.BigEndian.AppendUint32(b, uint32(len(a.Value)))
+		return append(b, a.Value...)
+	})
+	return complete(b, a.Tag)
+}
+
+// response is a db host's answer to one command, up to ReadyForQuery or a fatal error.
+type response struct {
+	answer edge.Answer
+	rows   int
+	state  string // of an ErrorResponse; "": none
+	text   string
+	done   bool // CommandComplete came
+}
+
+var errShape = errors.New("an answer of a form that no request asks for")
+
+// find returns the length of the first whole response in b, or 0 while it is not whole. from is where to go
+// on looking; the second result is where to go on next time.
+func find(b []byte, from int) (end, at int, err error) {
+	at = from
+	for {
+		kind, body, rest, ok, err := next(b[at:], maxAnswer)
+		if err != nil || !ok {
+			return 0, at, err
+		}
+		at = len(b) - len(rest)
+		if kind == 'Z' || kind == 'E' && fatal(body) {
+			return at, at, nil
+		}
+	}
+}
+
+func fatal(body []byte) bool {
+	_, _, severity, _ := fields(body)
+	return severity == "FATAL" || severity == "PANIC"
+}
+
+// fields reads an ErrorResponse.
+func fields(body []byte) (state, text, severity, detail string) {
+	for len(body) > 1 {
+		value, rest, ok := strings.Cut(string(body[1:]), "\x00")
+		if !ok {
+			break
+		}
+		switch body[0] {
+		case 'C':
+			state = value
+		case 'M':
+			text = value
+		case 'V':
+			severity = value
+		case 'S':
+			if severity == "" {
+				severity = value
+			}
+		case 'D':
+			detail = value
+		}
+		body = []byte(rest)
+	}
+	return state, text, severity, detail
+}
+
+// parse reads a whole response. Values are copied: b belongs to the event loop.
+func parse(b []byte, names Names) (r response, err error) {
+	for len(b) > 0 {
+		kind, body, rest, ok, err := next(b, maxAnswer)
+		if err != nil {
+			return r, err
+		}
+		if !ok {
+			return r, errShape
+		}
+		b = rest
+		switch kind {
+		case 'T':
+			if err := r.column(body); err != nil {
+				return r, err
+			}
+		case 'D':
+			if err := r.value(body); err != nil {
+				return r, err
+			}
+		case 'C':
+			tag, _, _ := strings.Cut(string(body), "\x00")
+			r.answer.Tag, r.done = tag, true
+		case 'E':
+			r.state, r.text, _, _ = fields(body)
+			if r.state == "" {
+				r.state = stateInternal
+			}
+		case 'S':
+			name, value, _ := strings.Cut(string(body), "\x00")
+			value = strings.TrimRight(value, "\x00")
+			switch name {
+			case names.Role:
+				r.answer.Role = value
+			case names.Position:
+				if x, err := strconv.ParseFloat(value, 64); err == nil && x > 0 && x < 1<<52 {
+					r.answer.Position = x
+				}
+			case names.Gauges:
+				r.answer.Gauges = value
+			}
+		}
+	}
+	return r, nil
+}
+
+func (r *response) column(body []byte) error {
+	if len(body) < 2 || binary.BigEndian.Uint16(body) != 1 {
+		return errShape
+	}
+	name, rest, ok := strings.Cut(string(body[2:]), "\x00")
+	if !ok || len(rest) != 18 {
+		return errShape
+	}
+	r.answer.Column = name
+	r.answer.Type = binary.BigEndian.Uint32([]byte(rest[6:10]))
+	r.answer.Binary = rest[17] == 1
+	return nil
+}
+
+func (r *response) value(body []byte) error {
+	if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
+		return errShape
+	}
+	r.rows++
+	n := int(int32(binary.BigEndian.Uint32(body[2:])))
+	if n == -1 && len(body) == 6 {
+		r.answer.Null = true
+		return nil
+	}
+	if n < 0 || n != len(body)-6 {
+		return errShape
+	}
+	r.answer.Value = append([]byte{}, body[6:]...)
+	return nil
+}
--- /dev/null
+++ b/internal/net/pg/pool.go
@@ -0,0 +1,497 @@
+package pg
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"ashstand/internal/clock"
+	"ashstand/internal/decide"
+	"ashstand/internal/edge"
+	"ashstand/internal/net/loop"
+	"ashstand/internal/statement"
+)
+
+// Names are the operators' words on the sockets.
+type Names struct {
+	User, Database         string
+	Role, Position, Gauges string // parameters that a db host reports
+	Primary, Replica       string // values of Role
+}
+
+// Platform holds the names that the platform uses.
+var Platform = Names{User: "web", Database: "orders", Role: "part", Position: "caught_up_to", Gauges: "gauges",
+	Primary: "master", Replica: "replica"}
+
+// MaxDials is how many connections may be in the making at once.
+const MaxDials = 64
+
+// Limits bound the pool.
+type Limits struct {
+	Connections int           // that may be open or being opened, to all hosts together
+	Connect     time.Duration // a connection not up by then counts as none
+	Idle        time.Duration // a db host closes a connection that was idle for so long
+}
+
+// Pool holds the connections to db hosts.
+type Pool struct {
+	engine *loop.Engine
+	clock  clock.Clock
+	names  Names
+	limits Limits
+
+	dials chan struct{} // bounds them: a dialled connection takes two descriptors while it is enrolled
+
+	mu    sync.Mutex
+	hosts map[string]*host
+	open  int
+}
+
+type host struct {
+	address string
+	idle    []*conn // the one used last is at the end
+}
+
+// NewPool returns a pool whose connections are served by engine.
+func NewPool(engine *loop.Engine, c clock.Clock, names Names, limits Limits) *Pool {
+	return &Pool{engine: engine, clock: c, names: names, limits: limits, hosts: map[string]*host{},
+		dials: make(chan struct{}, MaxDials)}
+}
+
+// SetAddress tells where a host is. "" forgets it. Connections to an old address are closed.
+func (p *Pool) SetAddress(name, address string) {
+	p.mu.Lock()
+	h := p.hosts[name]
+	if h != nil && h.address == address {
+		p.mu.Unlock()
+		return
+	}
+	if address == "" {
+		delete(p.hosts, name)
+	} else {
+		p.hosts[name] = &host{address: address}
+	}
+	p.mu.Unlock()
+	if h != nil {
+		p.closeAll(h)
+	}
+}
+
+// CloseIdle closes the connections to a host on which nothing is due.
+func (p *Pool) CloseIdle(name string) {
+	p.mu.Lock()
+	h := p.hosts[name]
+	p.mu.Unlock()
+	if h != nil {
+		p.closeAll(h)
+	}
+}
+
+func (p *Pool) closeAll(h *host) {
+	p.mu.Lock()
+	idle := h.idle
+	h.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.close()
+	}
+}
+
+// Sweep closes what has been idle for too long; call it every second or so.
+func (p *Pool) Sweep() {
+	var old []*conn
+	p.mu.Lock()
+	for _, h := range p.hosts {
+		n := 0
+		for n < len(h.idle) && !p.usable(h.idle[n]) { // the oldest come first
+			n++
+		}
+		old = append(old, h.idle[:n]...)
+		h.idle = append([]*conn(nil), h.idle[n:]...)
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		c.close()
+	}
+}
+
+// usable keeps a good distance from the moment at which the host closes a connection: a request written to it
+// from then on may have run for all one can tell.
+func (p *Pool) usable(c *conn) bool {
+	return p.limits.Idle <= 0 || p.clock.Now()-c.since < clock.Millis(p.limits.Idle)*0.7
+}
+
+// conn is a connection to a db host. One request owns it, or it lies in the pool.
+type conn struct {
+	pool *Pool
+	host *host
+	name string
+	gnet gnet.Conn
+	used bool // it carried a request before
+	from int  // on the loop: where to go on looking for the end of the response
+
+	mu     sync.Mutex
+	due    chan event // of the exchange under way; nil: none
+	wrote  bool       // its last byte was handed to the kernel
+	closed bool
+	since  float64 // idle since
+}
+
+// event is what an exchange waits for.
+type event struct {
+	response response
+	err      error // the connection broke or what came makes no sense
+}
+
+var errUnasked = errors.New("the db host spoke unasked")
+
+// Traffic is called on the loop. A response stays in the connection's ring buffer until it is whole.
+func (c *conn) Traffic(g gnet.Conn) gnet.Action {
+	n := g.InboundBuffered()
+	if n > maxAnswer {
+		return c.spoilt(errLength)
+	}
+	b, err := g.Peek(n)
+	if err != nil {
+		return c.spoilt(err)
+	}
+	c.mu.Lock()
+	due := c.due
+	c.mu.Unlock()
+	if due == nil { // notices and farewells come unasked; the latter end in a close
+		if kind, _, rest, ok, err := next(b, maxAnswer); err == nil && (!ok || len(rest) == 0 && (kind == 'N' || kind == 'S')) {
+			if ok {
+				_, _ = g.Discard(n)
+			}
+			return gnet.None
+		}
+		return c.spoilt(errUnasked)
+	}
+	end, at, err := find(b, c.from)
+	if err != nil {
+		return c.spoilt(err)
+	}
+	if c.from = at; end == 0 {
+		return gnet.None
+	}
+	r, err := parse(b[:end], c.pool.names)
+	extra := end < n
+	_, _ = g.Discard(end)
+	c.from = 0
+	if err == nil && extra {
+		err = errUnasked
+	}
+	c.deliver(event{r, err})
+	if err != nil {
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+func (c *conn) spoilt(err error) gnet.Action {
+	c.deliver(event{err: err})
+	return gnet.Close
+}
+
+// Closed is called on the loop.
+func (c *conn) Closed(g gnet.Conn, err error) {
+	c.mu.Lock()
+	if g.OutboundBuffered() > 0 { // it broke before the last byte was written
+		c.wrote = false
+	}
+	c.closed = true
+	c.mu.Unlock()
+	if err == nil {
+		err = errors.New("the connection was closed")
+	}
+	c.deliver(event{err: err})
+	p := c.pool
+	p.mu.Lock()
+	p.open--
+	for i, o := range c.host.idle {
+		if o == c {
+			c.host.idle = append(c.host.idle[:i], c.host.idle[i+1:]...)
+			break
+		}
+	}
+	p.mu.Unlock()
+}
+
+func (c *conn) deliver(e event) {
+	c.mu.Lock()
+	due := c.due
+	c.due = nil
+	c.mu.Unlock()
+	if due != nil {
+		due <- e
+	}
+}
+
+func (c *conn) close() { _ = c.gnet.Close() }
+
+// command writes b once and waits for the response. The second result tells whether the host may have got
+// all of b; if not, nothing ran.
+func (c *conn) command(ctx context.Context, b []byte) (e event, wrote bool) {
+	due := make(chan event, 1)
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return event{err: errors.New("the connection was closed")}, false
+	}
+	c.due, c.wrote = due, false
+	c.mu.Unlock()
+	err := c.gnet.AsyncWrite(b, func(_ gnet.Conn, err error) error {
+		c.mu.Lock()
+		if err == nil && !c.closed {
+			c.wrote = true // or what is left lies in the ring buffer, which Closed looks at
+		}
+		c.mu.Unlock()
+		if err != nil {
+			c.deliver(event{err: err})
+		}
+		return nil
+	})
+	if err != nil {
+		c.close()
+		return event{err: err}, false
+	}
+	select {
+	case e = <-due:
+	case <-ctx.Done():
+		c.mu.Lock()
+		if c.due != due {
+			c.mu.Unlock()
+			e = <-due // it came at the same moment
+			break
+		}
+		c.due = nil
+		c.mu.Unlock()
+		c.close()
+		return event{err: ctx.Err()}, true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return e, c.wrote
+}
+
+var errUnknownHost = errors.New("discovery has given no address for this host")
+var errBudget = errors.New("all connections that this pooler may hold are in use")
+
+// Acquire takes a connection from the pool, or dials one and waits until the host is ready for a query.
+func (p *Pool) Acquire(ctx context.Context, name string) (edge.Conn, error) {
+	c, err := p.acquire(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (p *Pool) acquire(ctx context.Context, name string) (*conn, error) {
+	var old []*conn
+	defer func() {
+		for _, c := range old {
+			c.close()
+		}
+	}()
+	p.mu.Lock()
+	h := p.hosts[name]
+	if h == nil {
+		p.mu.Unlock()
+		return nil, errUnknownHost
+	}
+	for len(h.idle) > 0 {
+		c := h.idle[len(h.idle)-1]
+		h.idle = h.idle[:len(h.idle)-1]
+		if p.usable(c) {
+			p.mu.Unlock()
+			c.used = true
+			return c, nil
+		}
+		old = append(old, c)
+	}
+	if p.open >= p.limits.Connections {
+		if c := p.spare(); c != nil { // its place is free once it is closed, which comes before the next dial
+			old = append(old, c)
+		} else {
+			p.mu.Unlock()
+			return nil, errBudget
+		}
+	}
+	p.open++
+	p.mu.Unlock()
+	return p.dial(ctx, name, h)
+}
+
+// spare takes the connection that has been idle for longest, to make room. Called with the lock held.
+func (p *Pool) spare() *conn {
+	var from *host
+	for _, h := range p.hosts {
+		if len(h.idle) > 0 && (from == nil || h.idle[0].since < from.idle[0].since) {
+			from = h
+		}
+	}
+	if from == nil {
+		return nil
+	}
+	c := from.idle[0]
+	from.idle = from.idle[1:]
+	return c
+}
+
+func (p *Pool) dial(ctx context.Context, name string, h *host) (*conn, error) {
+	if p.limits.Connect > 0 {
+		// A cause of its own: a context that ran out for this reason says something of the host.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, p.limits.Connect)
+		defer cancel()
+	}
+	c := &conn{pool: p, host: h, name: name}
+	var g gnet.Conn
+	var err error
+	select {
+	case p.dials <- struct{}{}:
+		g, err = p.engine.Dial(ctx, h.address, c)
+		<-p.dials
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	c.gnet = g
+	e, _ := c.command(ctx, startup(nil, p.names.User, p.names.Database))
+	if e.err == nil && e.response.state == "" {
+		return c, nil
+	}
+	c.close()
+	if e.err != nil {
+		return nil, e.err
+	}
+	if e.response.state == stateRefused {
+		return nil, fmt.Errorf("%w: %s", edge.ErrTurnedAway, e.response.text)
+	}
+	return nil, fmt.Errorf("the db host turned the connection away: %s %s", e.response.state, e.response.text)
+}
+
+// Release gives the connection back.
+func (c *conn) Release() {
+	p := c.pool
+	c.mu.Lock()
+	c.since = p.clock.Now()
+	p.mu.Lock()
+	keep := !c.closed && p.hosts[c.name] == c.host // else the host moved or is forgotten
+	if keep {
+		c.host.idle = append(c.host.idle, c)
+	}
+	p.mu.Unlock()
+	c.mu.Unlock()
+	if !keep {
+		c.close()
+	}
+}
+
+// Exchange is described at edge.Conn.
+func (c *conn) Exchange(ctx context.Context, s *statement.Statement, wait float64) edge.Reply {
+	b := query(make([]byte, 0, len(s.Text)+16), func(b []byte) []byte { return s.WithWait(b, wait) })
+	e, wrote := c.command(ctx, b)
+	if e.err != nil {
+		code := decide.ConnectionLost
+		switch {
+		case !wrote && c.used: // it was closed while it lay in the pool, which says nothing against the host
+			code = decide.NotSent
+		case !wrote:
+			code = decide.NoConnection
+		case errors.Is(e.err, context.DeadlineExceeded):
+			code = decide.NoAnswer
+		case errors.Is(e.err, context.Canceled):
+			code = decide.Cancelled
+		}
+		return edge.Reply{Outcome: decide.Outcome{Code: code}, Detail: e.err.Error()}
+	}
+	r := &e.response
+	reply := edge.Reply{Outcome: decide.Outcome{Code: outcome(r), Role: c.pool.role(r.answer.Role),
+		Position: r.answer.Position, Report: c.pool.report(r.answer.Gauges)}, Answer: r.answer}
+	if reply.Code != decide.OK {
+		reply.Detail = r.state + " " + r.text
+	}
+	c.Release()
+	return reply
+}
+
+func outcome(r *response) decide.Code {
+	switch {
+	case r.state == stateReplica || r.state == stateBehind:
+		return decide.Miss
+	case r.state == stateRefused:
+		return decide.Full
+	case r.state != "" || !r.done || r.rows != 1:
+		return decide.Error
+	}
+	return decide.OK
+}
+
+func (p *Pool) role(word string) decide.Role {
+	switch word {
+	case p.names.Primary:
+		return decide.Primary
+	case p.names.Replica:
+		return decide.Replica
+	}
+	return decide.Unknown
+}
+
+// report reads name=value pairs; a position stands there in seconds.
+func (p *Pool) report(gauges string) (r decide.Report) {
+	for _, item := range strings.Split(gauges, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(item), "=")
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(x >= 0 && x < 1<<40) {
+			continue
+		}
+		switch name {
+		case "x0":
+			r.Position = x * 1e3
+		case "x1":
+			if r.Role = decide.Replica; x >= 0.5 {
+				r.Role = decide.Primary
+			}
+		}
+	}
+	return r
+}
+
+// Probe asks a host for its load report and gives what came of it. listed is asked again before the write:
+// nothing goes to a host that drains or is gone.
+func (p *Pool) Probe(ctx context.Context, name string, listed func(name string) bool) decide.Outcome {
+	if !listed(name) {
+		return decide.Outcome{Code: decide.NotSent}
+	}
+	c, err := p.acquire(ctx, name)
+	if err != nil {
+		return decide.Outcome{Code: decide.NoConnection}
+	}
+	if !listed(name) {
+		c.Release()
+		return decide.Outcome{Code: decide.NotSent}
+	}
+	e, _ := c.command(ctx, query(nil, func(b []byte) []byte { return append(append(b, "SHOW "...), p.names.Gauges...) }))
+	if e.err != nil {
+		return decide.Outcome{Code: decide.NoAnswer}
+	}
+	defer c.Release()
+	if code := outcome(&e.response); code != decide.OK {
+		log.Printf("probe of %s: %s %s", name, e.response.state, e.response.text)
+		return decide.Outcome{Code: code}
+	}
+	return decide.Outcome{Code: decide.OK, Report: p.report(string(e.response.answer.Value))}
+}
