Add the Flight SQL front and backend on the same core; off unless deploy/flightsql.toml says

The core now asks the facade again at each wait before a write (edge.Gate), and reaches each host over the wire that its type in the list names (edge.Split).

--- a/cmd/ashstand/config.go
+++ b/cmd/ashstand/config.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"syscall"
 
+	"github.com/BurntSushi/toml"
 	jsoniter "github.com/json-iterator/go"
 
 	"ashstand/internal/net/discovery"
@@ -82,12 +83,15 @@
 
 // descriptors shares out what the process may hold, or fails where that is too little to work with. An event
 // loop that can't accept for want of a descriptor ends, so both shares must hold at every moment.
-func descriptors(sockets int) (clients, hosts int, err error) {
+func descriptors(sockets int, second flightConfig) (clients, hosts int, err error) {
 	var r syscall.Rlimit
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil && (sockets == 0 || r.Cur < uint64(sockets)) {
 		sockets = int(min(r.Cur, 1<<20))
 	}
 	free := sockets - spareDescriptors - pg.MaxDials // a connection that is dialled holds two for a moment
+	if second.Listen != "" {
+		free -= second.Connections + 1
+	}
 	if free < 16 {
 		return 0, 0, fmt.Errorf("limits: %d descriptors are too few, %d are the least", sockets,
 			spareDescriptors+pg.MaxDials+16)
@@ -95,3 +99,35 @@
 	clients = free * 3 / 5
 	return clients, free - clients, nil
 }
+
+// flightFile says where the Flight SQL front listens, from the root of the repository.
+const flightFile = "deploy/flightsql.toml"
+
+// flightConfig is what that file holds. Without it, or without an address, the front is off.
+type flightConfig struct {
+	Listen      string   `toml:"listen"`
+	Connections int      `toml:"connections"`
+	HostTypes   []string `toml:"host_types"`
+}
+
+func loadFlight(path string) (flightConfig, error) {
+	c := flightConfig{Connections: 64}
+	meta, err := toml.DecodeFile(path, &c)
+	if errors.Is(err, os.ErrNotExist) {
+		return c, nil
+	} else if err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return c, fmt.Errorf("%s: key %s is unknown", path, unknown[0])
+	}
+	if c.Listen != "" {
+		if _, _, err := net.SplitHostPort(c.Listen); err != nil {
+			return c, fmt.Errorf("%s: listen: %w", path, err)
+		}
+	}
+	if c.Connections < 1 {
+		return c, fmt.Errorf("%s: connections: %d is below 1", path, c.Connections)
+	}
+	return c, nil
+}
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -4,13 +4,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -18,6 +19,7 @@
 	"ashstand/internal/decide"
 	"ashstand/internal/edge"
 	"ashstand/internal/net/discovery"
+	"ashstand/internal/net/flight"
 	"ashstand/internal/net/loop"
 	"ashstand/internal/net/pg"
 )
@@ -48,7 +50,11 @@
 	if cfg.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 7 / 10)
 	}
-	clients, hosts, err := descriptors(cfg.Limits.Sockets)
+	second, err := loadFlight(flightFile)
+	if err != nil {
+		return err
+	}
+	clients, hosts, err := descriptors(cfg.Limits.Sockets, second)
 	if err != nil {
 		return err
 	}
@@ -61,22 +67,42 @@
 	engine := loop.New()
 	pool := pg.NewPool(engine, now, pg.Platform, pg.Limits{Connections: hosts, Connect: cfg.site.Connect,
 		Idle: cfg.site.ConnIdle})
+	flights := flight.NewHosts(cfg.site.Connect)
+	defer flights.Close()
+	backend := new(edge.Split)
 	var facade *decide.Facade
 	probe := func(host string) {
 		ctx, cancel := context.WithTimeout(ctx, cfg.site.Connect)
 		defer cancel()
-		facade.Probed(host, pool.Probe(ctx, host, facade.Listed))
+		facade.Probed(host, backend.Probe(ctx, host, facade.Listed))
 	}
-	if facade, err = decide.New(cfg.site, cfg.seed, now, probe, pool.CloseIdle); err != nil {
+	if facade, err = decide.New(cfg.site, cfg.seed, now, probe, backend.CloseIdle); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	apply := members(facade, pool)
+	apply := discovery.Apply(facade.Members, backend, func(e discovery.Entry) edge.Backend {
+		if slices.Contains(second.HostTypes, e.Type) {
+			return flights
+		}
+		return pool
+	}, pg.Platform.Primary)
 	if cfg.Known != nil {
 		cfg.Known.Snapshot = true
 		apply(*cfg.Known)
 	}
-	core := edge.New(facade, now, pool)
+	core := edge.New(facade, now, backend)
 	front := pg.NewFront(core, clients)
+	ended := make(chan error, 1)
+	var flightFront *flight.Front
+	if second.Listen != "" {
+		l, err := net.Listen("tcp", second.Listen)
+		if err != nil {
+			return fmt.Errorf("%s: %w", flightFile, err)
+		}
+		flightFront = flight.NewFront(core)
+		defer flightFront.Stop()
+		go func() { ended <- flightFront.Serve(l, second.Connections) }()
+		log.Printf("%s listens for Flight SQL on %s; at most %d connections", cfg.Name, l.Addr(), second.Connections)
+	}
 	if err := engine.Start(cfg.Listen, front.Accept); err != nil {
 		return err
 	}
@@ -87,12 +113,17 @@
 
 	select {
 	case err := <-engine.Ended():
-		return fmt.Errorf("the event loop ended: %w", errors.Join(err, errors.New("nothing is served any more")))
+		return fmt.Errorf("the event loop ended by itself: %v", err)
+	case err := <-ended:
+		return fmt.Errorf("the Flight SQL front ended by itself: %v", err)
 	case s := <-stop:
 		log.Printf("%v: going on for %v, then closing client connections between requests", s, tail)
 	}
 	time.Sleep(tail)
 	front.Drain()
+	if flightFront != nil {
+		go flightFront.Drain()
+	}
 	longest := 3 * time.Second
 	for _, c := range cfg.site.Settings.Classes {
 		longest = max(longest, c.Deadline)
@@ -107,37 +138,6 @@
 	return nil
 }
 
-// members brings discovery's lists to the pool first: a host that is chosen must have its address.
-func members(facade *decide.Facade, pool *pg.Pool) func(discovery.List) {
-	known := map[string]bool{}
-	return func(l discovery.List) {
-		named := map[string]bool{}
-		var ms []decide.Member
-		for _, e := range l.Endpoints {
-			named[e.Name] = true
-			if e.Status != discovery.Left && e.Address != "" {
-				known[e.Name] = true
-				pool.SetAddress(e.Name, e.Address)
-			}
-			ms = append(ms, decide.Member{Host: e.Name, Group: e.Group, Draining: e.Status == discovery.Leaving,
-				Gone: e.Status == discovery.Left, Primary: e.Part == pg.Platform.Primary, Started: e.SinceMS})
-		}
-		facade.Members(l.Snapshot, ms)
-		for name := range known { // what left may still answer what it has; no new connection is wanted
-			if l.Snapshot && !named[name] {
-				pool.SetAddress(name, "")
-				delete(known, name)
-			}
-		}
-		for _, e := range l.Endpoints {
-			if e.Status == discovery.Left {
-				pool.SetAddress(e.Name, "")
-				delete(known, e.Name)
-			}
-		}
-	}
-}
-
 func every(ctx context.Context, d time.Duration, do func()) {
 	t := time.NewTicker(d)
 	defer t.Stop()
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -294,6 +294,12 @@
 	return f.listed
 }
 
+// Writes says whether a class is one of writes.
+func (f *Facade) Writes(class string) bool {
+	i, ok := f.site.Classes[class]
+	return ok && f.site.Settings.Classes[i].Read == choice.Write
+}
+
 // Listed says whether new work, probes included, may go to a host.
 func (f *Facade) Listed(host string) bool {
 	f.mu.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -38,17 +38,27 @@
 	Acquire(ctx context.Context, host string) (Conn, error)
 	// CloseIdle closes the connections to a host on which nothing is due.
 	CloseIdle(host string)
+	// SetAddress tells where a host is. "" forgets it.
+	SetAddress(host, address string)
+	// Probe asks a host for its load report. listed is asked again just before the write: nothing new goes to a
+	// host that drains or is gone.
+	Probe(ctx context.Context, host string, listed func(host string) bool) decide.Outcome
 }
 
+// Gate is asked just before a request is written, as often as there was a wait since: how long may the host
+// take, in milliseconds, and may the request go out at all?
+type Gate func() (wait float64, ok bool)
+
 // Conn is a connection that one request owns until the exchange ends.
 type Conn interface {
-	// Exchange writes a request once and waits for the whole answer, or until ctx ends. The connection goes
-	// back to its pool, or is closed where an answer is still due.
-	Exchange(ctx context.Context, s *statement.Statement, wait float64) Reply
-	// Release gives back a connection that was not used.
-	Release()
+	// Exchange writes a request once, if the gate lets it, and waits for the whole answer, or until ctx ends.
+	// The connection goes back to its pool, or is closed where an answer is still due.
+	Exchange(ctx context.Context, s *statement.Statement, gate Gate) Reply
 }
 
+// NotSent is the reply where the gate did not open.
+func NotSent() Reply { return Reply{Outcome: decide.Outcome{Code: decide.NotSent}} }
+
 // ErrTurnedAway is what Acquire returns where the host itself turned the connection away: it is full, not dead.
 var ErrTurnedAway = errors.New("the host turns connections away")
 
@@ -96,6 +106,9 @@
 // Now is the time that requests are dated by.
 func (e *Edge) Now() float64 { return e.clock.Now() }
 
+// Writes says whether a class is one of writes.
+func (e *Edge) Writes(class string) bool { return e.facade.Writes(class) }
+
 // Drain returns a channel that is closed once no request is open; later ones are still served.
 func (e *Edge) Drain() <-chan struct{} {
 	e.mu.Lock()
@@ -138,6 +151,7 @@
 		return Result{Verdict: Invalid, Detail: "class " + s.Class + ": " + err.Error()}
 	}
 	defer context.AfterFunc(ctx, call.Leave)()
+	s.Write = e.facade.Writes(s.Class)
 	detail, verdict := "no host answered in time", TimedOut
 	for {
 		next := call.Pick()
@@ -168,7 +182,7 @@
 func (e *Edge) attempt(ctx context.Context, call *decide.Call, next decide.Next, s *statement.Statement) Reply {
 	left := next.Until - e.clock.Now()
 	if left <= 0 {
-		return Reply{Outcome: decide.Outcome{Code: decide.NotSent}}
+		return NotSent()
 	}
 	ctx, cancel := context.WithTimeout(ctx, clock.Duration(left))
 	defer cancel()
@@ -178,14 +192,78 @@
 	case errors.Is(err, ErrTurnedAway):
 		return Reply{Outcome: decide.Outcome{Code: decide.Full}, Detail: err.Error()}
 	case ctx.Err() != nil: // the client left or this attempt's time ran out: no evidence against the host
-		return Reply{Outcome: decide.Outcome{Code: decide.NotSent}}
+		return NotSent()
 	default:
 		return Reply{Outcome: decide.Outcome{Code: decide.NoConnection}, Detail: err.Error()}
 	}
-	// Data age and drains count at the write: what held when the host was chosen may not hold after a dial.
-	if left = next.Until - e.clock.Now(); left <= 0 || !call.Still() {
-		conn.Release()
-		return Reply{Outcome: decide.Outcome{Code: decide.NotSent}}
+	return conn.Exchange(ctx, s, func() (float64, bool) {
+		// Data age and drains count at the write: what held when the host was chosen may not hold after a dial.
+		left := next.Until - e.clock.Now()
+		return left, left > 0 && call.Still()
+	})
+}
+
+// Split reaches each host over the wire that it speaks.
+type Split struct {
+	mu    sync.Mutex
+	wires map[string]Backend
+}
+
+// Use says over which backend a host is reached, and where. A host that was reached over another is forgotten
+// there.
+func (s *Split) Use(host string, b Backend, address string) {
+	s.mu.Lock()
+	if s.wires == nil {
+		s.wires = map[string]Backend{}
+	}
+	old := s.wires[host]
+	s.wires[host] = b
+	s.mu.Unlock()
+	if old != nil && old != b {
+		old.SetAddress(host, "")
+	}
+	b.SetAddress(host, address)
+}
+
+func (s *Split) of(host string) Backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.wires[host]
+}
+
+var errNoWire = errors.New("discovery has given no address for this host")
+
+// Acquire is Backend's.
+func (s *Split) Acquire(ctx context.Context, host string) (Conn, error) {
+	if b := s.of(host); b != nil {
+		return b.Acquire(ctx, host)
+	}
+	return nil, errNoWire
+}
+
+// CloseIdle is Backend's.
+func (s *Split) CloseIdle(host string) {
+	if b := s.of(host); b != nil {
+		b.CloseIdle(host)
+	}
+}
+
+// SetAddress is Backend's: it moves a host that is known, or forgets it.
+func (s *Split) SetAddress(host, address string) {
+	if b := s.of(host); b != nil {
+		b.SetAddress(host, address)
+	}
+	if address == "" {
+		s.mu.Lock()
+		delete(s.wires, host)
+		s.mu.Unlock()
+	}
+}
+
+// Probe is Backend's.
+func (s *Split) Probe(ctx context.Context, host string, listed func(string) bool) decide.Outcome {
+	if b := s.of(host); b != nil {
+		return b.Probe(ctx, host, listed)
 	}
-	return conn.Exchange(ctx, s, left)
+	return decide.Outcome{Code: decide.NoConnection}
 }
--- /dev/null
+++ b/internal/edge/gauges.go
@@ -0,0 +1,29 @@
+package edge
+
+import (
+	"strconv"
+	"strings"
+
+	"ashstand/internal/decide"
+)
+
+// Gauges reads a load report as hosts word it on every wire: name=value pairs with commas between them. The
+// position x0 stands there in seconds. What can't be read says nothing.
+func Gauges(report string) (r decide.Report) {
+	for _, item := range strings.Split(report, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(item), "=")
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(x >= 0 && x < 1<<40) {
+			continue
+		}
+		switch name {
+		case "x0":
+			r.Position = x * 1e3
+		case "x1":
+			if r.Role = decide.Replica; x >= 0.5 {
+				r.Role = decide.Primary
+			}
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/net/flight/hosts.go
@@ -0,0 +1,284 @@
+package flight
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	pb "github.com/apache/arrow-go/v18/arrow/flight/gen/flight"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/anypb"
+
+	"ashstand/internal/decide"
+	"ashstand/internal/edge"
+	"ashstand/internal/statement"
+)
+
+// Hosts reaches db hosts that speak Flight SQL, over one HTTP/2 connection to each.
+type Hosts struct {
+	connect time.Duration
+
+	mu    sync.Mutex
+	hosts map[string]*host
+}
+
+type host struct {
+	address string
+	cc      *grpc.ClientConn // nil: none was needed yet
+}
+
+// NewHosts returns a backend; a connection that is not up after connect counts as none.
+func NewHosts(connect time.Duration) *Hosts {
+	return &Hosts{connect: connect, hosts: map[string]*host{}}
+}
+
+// SetAddress is edge.Backend's.
+func (h *Hosts) SetAddress(name, address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.hosts[name]
+	if old != nil && old.address == address {
+		return
+	}
+	if old != nil && old.cc != nil {
+		cc := old.cc
+		// What is under way still gets its answer; the longest class decides how long that may take.
+		time.AfterFunc(15*time.Second, func() { cc.Close() })
+	}
+	if delete(h.hosts, name); address != "" {
+		h.hosts[name] = &host{address: address}
+	}
+}
+
+// CloseIdle is edge.Backend's. One connection carries all requests to a host: there is none to spare.
+func (h *Hosts) CloseIdle(string) {}
+
+// Close ends all connections.
+func (h *Hosts) Close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, o := range h.hosts {
+		if o.cc != nil {
+			o.cc.Close()
+		}
+	}
+}
+
+// once lets a call open one stream and no more. gRPC opens a second one by itself when a server or a broken
+// connection says that it did not process the first, whatever WithDisableRetry says; a request that is sent
+// again is the decisions' business alone. gRPC asks for credentials once for each stream that it opens, and a
+// call whose credentials fail ends there.
+type once struct{}
+
+type onceKey struct{}
+
+func (once) RequireTransportSecurity() bool { return false }
+
+func (once) GetRequestMetadata(ctx context.Context, _ ...string) (map[string]string, error) {
+	if opened, ok := ctx.Value(onceKey{}).(*atomic.Bool); ok && opened.Swap(true) {
+		return nil, status.Error(codes.Unavailable, "gRPC would have sent this request again")
+	}
+	return nil, nil
+}
+
+func singly(ctx context.Context) context.Context {
+	return context.WithValue(ctx, onceKey{}, new(atomic.Bool))
+}
+
+func (h *Hosts) dial(name string) (*grpc.ClientConn, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	o := h.hosts[name]
+	if o == nil {
+		return nil, errors.New("discovery has given no address for this host")
+	}
+	if o.cc != nil {
+		return o.cc, nil
+	}
+	cc, err := grpc.NewClient("passthrough:///"+o.address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithPerRPCCredentials(once{}),
+		grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithNoProxy(), grpc.WithIdleTimeout(0),
+		grpc.WithReadBufferSize(8<<10), grpc.WithWriteBufferSize(8<<10),
+		grpc.WithInitialWindowSize(64<<10), grpc.WithInitialConnWindowSize(256<<10),
+		grpc.WithMaxHeaderListSize(maxHeaders),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxAnswer), grpc.WaitForReady(false)),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{Timeout: h.connect}).DialContext(ctx, "tcp", address)
+		}))
+	o.cc = cc
+	return cc, err
+}
+
+// Acquire waits until the connection is up: what is sent before can fail in ways that prove nothing.
+func (h *Hosts) Acquire(ctx context.Context, name string) (edge.Conn, error) {
+	cc, err := h.dial(name)
+	if err != nil {
+		return nil, err
+	}
+	if h.connect > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, h.connect)
+		defer cancel()
+	}
+	for tried := false; ; {
+		state := cc.GetState()
+		switch state {
+		case connectivity.Ready:
+			return &conn{flight.NewClientFromConn(cc, nil)}, nil
+		case connectivity.Idle:
+			cc.Connect()
+		case connectivity.TransientFailure:
+			if tried { // a new try, not what is left of an old one
+				return nil, fmt.Errorf("%s does not take connections", name)
+			}
+			cc.ResetConnectBackoff()
+		case connectivity.Shutdown:
+			return nil, errors.New("the connection is closed")
+		case connectivity.Connecting:
+			tried = true
+		}
+		if !cc.WaitForStateChange(ctx, state) {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// conn is one request's use of a host's connection.
+type conn struct{ client flight.Client }
+
+// Exchange is edge.Conn's.
+func (c *conn) Exchange(ctx context.Context, s *statement.Statement, gate edge.Gate) edge.Reply {
+	wait, ok := gate()
+	if !ok {
+		return edge.NotSent()
+	}
+	text := string(s.WithWait(make([]byte, 0, len(s.Text)+8), wait))
+	if s.Write {
+		return c.update(ctx, text)
+	}
+	return c.query(ctx, text, gate)
+}
+
+func describe(command proto.Message) (*flight.FlightDescriptor, error) {
+	var any anypb.Any
+	if err := any.MarshalFrom(command); err != nil {
+		return nil, err
+	}
+	b, err := proto.Marshal(&any)
+	return &flight.FlightDescriptor{Type: flight.DescriptorCMD, Cmd: b}, err
+}
+
+func lost(err error, trailer metadata.MD) edge.Reply {
+	r := edge.Reply{Detail: err.Error()}
+	r.Outcome = told(trailer, &r.Answer)
+	r.Code = outcome(err)
+	return r
+}
+
+// query reads. The ticket costs a round trip in which nothing runs, so the gate is asked again after it.
+func (c *conn) query(ctx context.Context, text string, gate edge.Gate) edge.Reply {
+	d, err := describe(&pb.CommandStatementQuery{Query: text})
+	if err != nil {
+		return edge.Reply{Outcome: decide.Outcome{Code: decide.Error}, Detail: err.Error()}
+	}
+	info, err := c.client.GetFlightInfo(singly(ctx), d)
+	if err != nil {
+		return lost(err, nil)
+	}
+	if len(info.Endpoint) != 1 || info.Endpoint[0].Ticket == nil {
+		return edge.Reply{Outcome: decide.Outcome{Code: decide.Error}, Detail: errShape.Error()}
+	}
+	if _, ok := gate(); !ok {
+		return edge.NotSent()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // a stream that is not read to its end is given up
+	var trailer metadata.MD
+	stream, err := c.client.DoGet(singly(ctx), info.Endpoint[0].Ticket, grpc.Trailer(&trailer))
+	if err != nil {
+		return lost(err, trailer)
+	}
+	var r edge.Reply
+	if err := gather(stream, &r.Answer); err != nil {
+		return lost(err, stream.Trailer())
+	}
+	r.Outcome = told(stream.Trailer(), &r.Answer)
+	return r
+}
+
+// update writes.
+func (c *conn) update(ctx context.Context, text string) edge.Reply {
+	d, err := describe(&pb.CommandStatementUpdate{Query: text})
+	if err != nil {
+		return edge.Reply{Outcome: decide.Outcome{Code: decide.Error}, Detail: err.Error()}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := c.client.DoPut(singly(ctx))
+	if ctx.Err() != nil {
+		return edge.NotSent()
+	} else if err != nil { // the stream did not open, and the statement is not yet written
+		return edge.Reply{Outcome: decide.Outcome{Code: decide.NoConnection}, Detail: err.Error()}
+	}
+	// From here on the host may have it, whatever an error says of the connection.
+	_ = stream.Send(&flight.FlightData{FlightDescriptor: d}) // its error comes from Recv, with the status
+	_ = stream.CloseSend()
+	var result pb.DoPutUpdateResult
+	put, err := stream.Recv()
+	if err == nil {
+		err = proto.Unmarshal(put.GetAppMetadata(), &result)
+	}
+	if err == nil { // up to the end: only the trailer says that the write went through
+		if _, end := stream.Recv(); end == nil {
+			err = errShape
+		} else if !errors.Is(end, io.EOF) {
+			err = end
+		}
+	}
+	if errors.Is(err, io.EOF) {
+		err = errShape
+	}
+	trailer := stream.Trailer()
+	if err != nil {
+		return lost(err, trailer)
+	}
+	r := edge.Reply{Answer: edge.Answer{Column: "payload", Type: oidBytea, Binary: true, Null: true,
+		Tag: fmt.Sprintf("INSERT 0 %d", result.RecordCount)}}
+	r.Outcome = told(trailer, &r.Answer)
+	if v := trailer.Get(metaReturning); len(v) == 1 {
+		r.Answer.Value, r.Answer.Null = []byte(v[0]), false
+	}
+	return r
+}
+
+// Probe is edge.Backend's.
+func (h *Hosts) Probe(ctx context.Context, name string, listed func(string) bool) decide.Outcome {
+	if !listed(name) {
+		return decide.Outcome{Code: decide.NotSent}
+	}
+	c, err := h.Acquire(ctx, name)
+	if err != nil {
+		return decide.Outcome{Code: decide.NoConnection}
+	}
+	gate := func() (float64, bool) { return 0, listed(name) }
+	if _, ok := gate(); !ok {
+		return decide.Outcome{Code: decide.NotSent}
+	}
+	r := c.(*conn).query(ctx, "SHOW "+metaGauges, gate)
+	if r.Code != decide.OK {
+		return decide.Outcome{Code: r.Code}
+	}
+	return decide.Outcome{Code: decide.OK, Report: edge.Gauges(string(r.Answer.Value))}
+}
--- /dev/null
+++ b/internal/net/flight/record.go
@@ -0,0 +1,112 @@
+package flight
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/apache/arrow-go/v18/arrow"
+	"github.com/apache/arrow-go/v18/arrow/array"
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/apache/arrow-go/v18/arrow/memory"
+
+	"ashstand/internal/edge"
+)
+
+// PostgreSQL's object ids of the two types that a value can have here.
+const (
+	oidBytea = 17
+	oidText  = 25
+)
+
+// record makes the one row of an answer.
+func record(a *edge.Answer) (*arrow.Schema, arrow.RecordBatch) {
+	text := a.Type != oidBytea && !a.Binary // text of any other type stays text
+	kind := arrow.DataType(arrow.BinaryTypes.Binary)
+	if text {
+		kind = arrow.BinaryTypes.String
+	}
+	schema := arrow.NewSchema([]arrow.Field{{Name: a.Column, Type: kind, Nullable: true}}, nil)
+	b := array.NewRecordBuilder(memory.DefaultAllocator, schema)
+	defer b.Release()
+	switch f := b.Field(0).(type) {
+	case *array.StringBuilder:
+		if a.Null {
+			f.AppendNull()
+		} else {
+			f.BinaryBuilder.Append(a.Value)
+		}
+	case *array.BinaryBuilder:
+		if a.Null {
+			f.AppendNull()
+		} else {
+			f.Append(a.Value)
+		}
+	}
+	return schema, b.NewRecordBatch()
+}
+
+// limited ends a stream that grows beyond an answer's bound.
+type limited struct {
+	flight.DataStreamReader
+	left int
+}
+
+func (l *limited) Recv() (*flight.FlightData, error) {
+	d, err := l.DataStreamReader.Recv()
+	if err == nil {
+		if l.left -= len(d.DataBody) + len(d.DataHeader) + len(d.AppMetadata); l.left < 0 {
+			return nil, errors.New("the answer is too long")
+		}
+	}
+	return d, err
+}
+
+// gather reads a stream to its end before anything of it is passed on: one that is cut off half-way is a reset,
+// not a short answer.
+func gather(stream flight.DataStreamReader, a *edge.Answer) (err error) {
+	defer func() { // the library trusts some lengths of its input
+		if p := recover(); p != nil {
+			err = fmt.Errorf("the answer can't be read: %v", p)
+		}
+	}()
+	r, err := flight.NewRecordReader(&limited{stream, maxAnswer})
+	if err != nil {
+		return err
+	}
+	defer r.Release()
+	fields := r.Schema().Fields()
+	if len(fields) != 1 {
+		return errShape
+	}
+	a.Column = fields[0].Name
+	rows := 0
+	for {
+		b, err := r.Read()
+		if errors.Is(err, io.EOF) {
+			break
+		} else if err != nil {
+			return err
+		}
+		if b.NumRows() == 0 {
+			continue
+		}
+		if rows += int(b.NumRows()); rows > 1 {
+			return errShape
+		}
+		a.Null = b.Column(0).IsNull(0)
+		switch c := b.Column(0).(type) {
+		case *array.Binary:
+			a.Type, a.Binary, a.Value = oidBytea, true, append([]byte{}, c.Value(0)...)
+		case *array.String:
+			a.Type, a.Value = oidText, []byte(c.Value(0))
+		default:
+			return errShape
+		}
+	}
+	if rows != 1 {
+		return errShape
+	}
+	a.Tag = "SELECT 1"
+	return nil
+}
--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"log"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -383,8 +381,8 @@
 	return nil, fmt.Errorf("the db host turned the connection away: %s %s", e.response.state, e.response.text)
 }
 
-// Release gives the connection back.
-func (c *conn) Release() {
+// release gives the connection back.
+func (c *conn) release() {
 	p := c.pool
 	c.mu.Lock()
 	c.since = p.clock.Now()
@@ -401,7 +399,12 @@
 }
 
 // Exchange is described at edge.Conn.
-func (c *conn) Exchange(ctx context.Context, s *statement.Statement, wait float64) edge.Reply {
+func (c *conn) Exchange(ctx context.Context, s *statement.Statement, gate edge.Gate) edge.Reply {
+	wait, ok := gate()
+	if !ok {
+		c.release()
+		return edge.NotSent()
+	}
 	b := query(make([]byte, 0, len(s.Text)+16), func(b []byte) []byte { return s.WithWait(b, wait) })
 	e, wrote := c.command(ctx, b)
 	if e.err != nil {
@@ -420,11 +423,11 @@
 	}
 	r := &e.response
 	reply := edge.Reply{Outcome: decide.Outcome{Code: outcome(r), Role: c.pool.role(r.answer.Role),
-		Position: r.answer.Position, Report: c.pool.report(r.answer.Gauges)}, Answer: r.answer}
+		Position: r.answer.Position, Report: edge.Gauges(r.answer.Gauges)}, Answer: r.answer}
 	if reply.Code != decide.OK {
 		reply.Detail = r.state + " " + r.text
 	}
-	c.Release()
+	c.release()
 	return reply
 }
 
@@ -450,26 +453,6 @@
 	return decide.Unknown
 }
 
-// report reads name=value pairs; a position stands there in seconds.
-func (p *Pool) report(gauges string) (r decide.Report) {
-	for _, item := range strings.Split(gauges, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(item), "=")
-		x, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(x >= 0 && x < 1<<40) {
-			continue
-		}
-		switch name {
-		case "x0":
-			r.Position = x * 1e3
-		case "x1":
-			if r.Role = decide.Replica; x >= 0.5 {
-				r.Role = decide.Primary
-			}
-		}
-	}
-	return r
-}
-
 // Probe asks a host for its load report and gives what came of it. listed is asked again before the write:
 // nothing goes to a host that drains or is gone.
 func (p *Pool) Probe(ctx context.Context, name string, listed func(name string) bool) decide.Outcome {
@@ -481,17 +464,17 @@
 		return decide.Outcome{Code: decide.NoConnection}
 	}
 	if !listed(name) {
-		c.Release()
+		c.release()
 		return decide.Outcome{Code: decide.NotSent}
 	}
 	e, _ := c.command(ctx, query(nil, func(b []byte) []byte { return append(append(b, "SHOW "...), p.names.Gauges...) }))
 	if e.err != nil {
 		return decide.Outcome{Code: decide.NoAnswer}
 	}
-	defer c.Release()
+	defer c.release()
 	if code := outcome(&e.response); code != decide.OK {
 		log.Printf("probe of %s: %s %s", name, e.response.state, e.response.text)
 		return decide.Outcome{Code: code}
 	}
-	return decide.Outcome{Code: decide.OK, Report: p.report(string(e.response.answer.Value))}
+	return decide.Outcome{Code: decide.OK, Report: edge.Gauges(string(e.response.answer.Value))}
 }
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -23,6 +23,7 @@
 	Wait    float64 // d: milliseconds that the client will wait
 	After   float64 // position that the read must see; 0: none
 	Retry   bool
+	Write   bool   // its class writes; the core says so, not the text
 	Session string // the first quoted literal, which names the session; "": none
 	from    int    // where the value of d stands in Text
 	to      int
