--- a/cmd/ashstand/config.go
+++ b/cmd/ashstand/config.go
@@ -33,8 +33,9 @@
 	Known    *discovery.List     `json:"known"`
 	Settings jsoniter.RawMessage `json:"settings"`
 
-	site *settings.Parsed
-	seed uint64
+	site   *settings.Parsed
+	seed   uint64
+	flight flightConfig
 }
 
 // load reads the file that EDGE_CONFIG names; the other variables go before what stands in it.
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -44,44 +44,73 @@
 	if err != nil {
 		return err
 	}
+	if cfg.flight, err = loadFlight(flightFile); err != nil {
+		return err
+	}
 	// Two, though there is one core: the event loop sleeps inside a system call and keeps its place while it
 	// does; with one place, timers and requests would wait until the runtime takes it away.
 	runtime.GOMAXPROCS(2)
 	if cfg.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 7 / 10)
 	}
-	second, err := loadFlight(flightFile)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	n, err := start(cfg)
 	if err != nil {
 		return err
 	}
-	clients, hosts, err := descriptors(cfg.Limits.Sockets, second)
-	if err != nil {
+	defer n.stop()
+	select {
+	case err := <-n.ended:
 		return err
+	case s := <-stop:
+		log.Printf("%v: going on for %v, then closing client connections between requests", s, tail)
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	time.Sleep(tail)
+	n.drain()
+	return nil
+}
 
+// node is a pooler that runs.
+type node struct {
+	facade  *decide.Facade
+	core    *edge.Edge
+	engine  *loop.Engine
+	front   *pg.Front
+	flight  *flight.Front // nil: off
+	hosts   *flight.Hosts
+	longest time.Duration // that a request may take
+	cancel  context.CancelFunc
+	ended   chan error // something ended by itself
+}
+
+// start wires the parts together and opens the fronts.
+func start(cfg *config) (*node, error) {
+	clients, connections, err := descriptors(cfg.Limits.Sockets, cfg.flight)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{engine: loop.New(), hosts: flight.NewHosts(cfg.site.Connect), cancel: cancel, ended: make(chan error, 2),
+		longest: 3 * time.Second}
+	for _, c := range cfg.site.Settings.Classes {
+		n.longest = max(n.longest, c.Deadline)
+	}
 	now := clock.System()
-	engine := loop.New()
-	pool := pg.NewPool(engine, now, pg.Platform, pg.Limits{Connections: hosts, Connect: cfg.site.Connect,
+	pool := pg.NewPool(n.engine, now, pg.Platform, pg.Limits{Connections: connections, Connect: cfg.site.Connect,
 		Idle: cfg.site.ConnIdle})
-	flights := flight.NewHosts(cfg.site.Connect)
-	defer flights.Close()
 	backend := new(edge.Split)
-	var facade *decide.Facade
 	probe := func(host string) {
 		ctx, cancel := context.WithTimeout(ctx, cfg.site.Connect)
 		defer cancel()
-		facade.Probed(host, backend.Probe(ctx, host, facade.Listed))
+		n.facade.Probed(host, backend.Probe(ctx, host, n.facade.Listed))
 	}
-	if facade, err = decide.New(cfg.site, cfg.seed, now, probe, backend.CloseIdle); err != nil {
-		return fmt.Errorf("settings: %w", err)
+	if n.facade, err = decide.New(cfg.site, cfg.seed, now, probe, backend.CloseIdle); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
 	}
-	apply := discovery.Apply(facade.Members, backend, func(e discovery.Entry) edge.Backend {
-		if slices.Contains(second.HostTypes, e.Type) {
-			return flights
+	apply := discovery.Apply(n.facade.Members, backend, func(e discovery.Entry) edge.Backend {
+		if slices.Contains(cfg.flight.HostTypes, e.Type) {
+			return n.hosts
 		}
 		return pool
 	}, pg.Platform.Primary)
@@ -89,53 +118,57 @@
 		cfg.Known.Snapshot = true
 		apply(*cfg.Known)
 	}
-	core := edge.New(facade, now, backend)
-	front := pg.NewFront(core, clients)
-	ended := make(chan error, 1)
-	var flightFront *flight.Front
-	if second.Listen != "" {
-		l, err := net.Listen("tcp", second.Listen)
+	n.core = edge.New(n.facade, now, backend)
+	n.front = pg.NewFront(n.core, clients)
+	if cfg.flight.Listen != "" {
+		l, err := net.Listen("tcp", cfg.flight.Listen)
 		if err != nil {
-			return fmt.Errorf("%s: %w", flightFile, err)
+			return nil, fmt.Errorf("%s: %w", flightFile, err)
 		}
-		flightFront = flight.NewFront(core)
-		defer flightFront.Stop()
-		go func() { ended <- flightFront.Serve(l, second.Connections) }()
-		log.Printf("%s listens for Flight SQL on %s; at most %d connections", cfg.Name, l.Addr(), second.Connections)
+		n.flight = flight.NewFront(n.core)
+		go func() {
+			n.ended <- fmt.Errorf("the Flight SQL front ended: %v", n.flight.Serve(l, cfg.flight.Connections))
+		}()
+		log.Printf("%s listens for Flight SQL on %s; at most %d connections", cfg.Name, l.Addr(), cfg.flight.Connections)
 	}
-	if err := engine.Start(cfg.Listen, front.Accept); err != nil {
-		return err
+	if err := n.engine.Start(cfg.Listen, n.front.Accept); err != nil {
+		n.stop()
+		return nil, err
 	}
-	go facade.Run(ctx)
-	go discovery.New(engine, cfg.Discovery, cfg.Known, apply).Run(ctx)
+	go func() { n.ended <- fmt.Errorf("the event loop ended: %v", <-n.engine.Ended()) }()
+	go n.facade.Run(ctx)
+	go discovery.New(n.engine, cfg.Discovery, cfg.Known, apply).Run(ctx)
 	go every(ctx, time.Second, pool.Sweep)
-	log.Printf("%s listens on %s; at most %d clients and %d connections to hosts", cfg.Name, cfg.Listen, clients, hosts)
+	log.Printf("%s listens on %s; at most %d clients and %d connections to hosts", cfg.Name, cfg.Listen, clients, connections)
+	return n, nil
+}
 
+// drain closes client connections between requests and waits for the answers that are due.
+func (n *node) drain() {
+	n.front.Drain()
+	idle := make(chan struct{})
+	go func() {
+		if n.flight != nil { // first: a request ends there before the last of its answer is written
+			n.flight.Drain()
+		}
+		<-n.core.Drain()
+		close(idle)
+	}()
 	select {
-	case err := <-engine.Ended():
-		return fmt.Errorf("the event loop ended by itself: %v", err)
-	case err := <-ended:
-		return fmt.Errorf("the Flight SQL front ended by itself: %v", err)
-	case s := <-stop:
-		log.Printf("%v: going on for %v, then closing client connections between requests", s, tail)
-	}
-	time.Sleep(tail)
-	front.Drain()
-	if flightFront != nil {
-		go flightFront.Drain()
-	}
-	longest := 3 * time.Second
-	for _, c := range cfg.site.Settings.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	select {
-	case <-core.Drain():
+	case <-idle:
 		log.Printf("drained: every request has its answer")
-	case <-time.After(longest + time.Second):
+	case <-time.After(n.longest + time.Second):
 		log.Printf("drained: time is up")
 	}
-	engine.Stop()
-	return nil
+}
+
+func (n *node) stop() {
+	n.cancel()
+	if n.flight != nil {
+		n.flight.Stop()
+	}
+	n.engine.Stop()
+	n.hosts.Close()
 }
 
 func every(ctx context.Context, d time.Duration, do func()) {
