Wait for gnet's loops before the first dial: OnBoot comes before they are made

Seen: the race detector on the loopback suite, a read of gnet's list of loops in Engine.Register (load_balancer.go:100) against its filling in activateReactors (engine_unix.go:150). Cause: internal/net/loop took OnBoot for the start; gnet calls it first. A dial at that moment could also find no loop at all. The first OnTick comes after the loops are registered, so that is what Start waits for now. The suite under the race detector is the test: it failed, it passes.

--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -120,9 +120,15 @@
 	}
 	n.core = edge.New(n.facade, now, backend)
 	n.front = pg.NewFront(n.core, clients)
+	if err := n.engine.Start(cfg.Listen, n.front.Accept); err != nil {
+		n.stop()
+		return nil, err
+	}
+	go func() { n.ended <- fmt.Errorf("the event loop ended: %v", <-n.engine.Ended()) }()
 	if cfg.flight.Listen != "" {
 		l, err := net.Listen("tcp", cfg.flight.Listen)
 		if err != nil {
+			n.stop()
 			return nil, fmt.Errorf("%s: %w", flightFile, err)
 		}
 		n.flight = flight.NewFront(n.core)
@@ -131,11 +137,6 @@
 		}()
 		log.Printf("%s listens for Flight SQL on %s; at most %d connections", cfg.Name, l.Addr(), cfg.flight.Connections)
 	}
-	if err := n.engine.Start(cfg.Listen, n.front.Accept); err != nil {
-		n.stop()
-		return nil, err
-	}
-	go func() { n.ended <- fmt.Errorf("the event loop ended: %v", <-n.engine.Ended()) }()
 	go n.facade.Run(ctx)
 	go discovery.New(n.engine, cfg.Discovery, cfg.Known, apply).Run(ctx)
 	go every(ctx, time.Second, pool.Sweep)
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -25,6 +26,7 @@
 	accept func(c gnet.Conn) (Handler, []byte, gnet.Action)
 	engine gnet.Engine
 	booted chan struct{}
+	once   sync.Once
 	ended  chan error
 }
 
@@ -52,6 +54,7 @@
 			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 			gnet.WithReadBufferCap(64<<10),
 			gnet.WithWriteBufferCap(16<<10),
+			gnet.WithTicker(true),
 			gnet.WithLogger(quiet{}))
 	}()
 	select {
@@ -92,13 +95,19 @@
 	return r.Conn, r.Err
 }
 
-// OnBoot is called by gnet.
+// OnBoot is called by gnet before it has made its event loops.
 func (e *Engine) OnBoot(engine gnet.Engine) gnet.Action {
 	e.engine = engine
-	close(e.booted)
 	return gnet.None
 }
 
+// OnTick is called by gnet once the loops run. Only from here on is it safe to enrol connections: a dial that
+// came right after OnBoot read the list of loops while gnet was filling it.
+func (e *Engine) OnTick() (time.Duration, gnet.Action) {
+	e.once.Do(func() { close(e.booted) })
+	return time.Hour, gnet.None
+}
+
 // OnOpen is called by gnet for accepted and enrolled connections alike; the latter have their handler.
 func (e *Engine) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
 	if c.Context() != nil {
