--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -139,7 +139,7 @@
 	}
 	go n.facade.Run(ctx)
 	go discovery.New(n.engine, cfg.Discovery, cfg.Known, apply).Run(ctx)
-	go every(ctx, time.Second, pool.Sweep)
+	go every(ctx, time.Second, func() { pool.Sweep(); n.front.Sweep() })
 	log.Printf("%s listens on %s; at most %d clients and %d connections to hosts", cfg.Name, cfg.Listen, clients, connections)
 	return n, nil
 }
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"fmt"
 	"log"
 	"strconv"
 	"strings"
@@ -19,10 +18,10 @@
 
 // Bounds of the front.
 const (
-	maxAhead    = maxQuery + 64<<10 // unread bytes of one client: a query, and what it sends ahead
-	maxUnread   = 32 << 20          // unread bytes of all clients
-	maxUntaken  = 20 * time.Second  // for which a client may leave its answer in our buffer
-	backendName = "ashstand"
+	maxAhead   = maxQuery + 64<<10 // unread bytes of one client: a query, and what it sends ahead
+	maxUnread  = 32 << 20          // unread bytes of all clients
+	maxSilent  = 10 * time.Second  // that a client may take for its startup message
+	maxUntaken = 20 * time.Second  // for which a client may leave its answer in our buffer
 )
 
 // Front serves clients. Its connections' state belongs to the event loop; requests run on goroutines.
@@ -49,7 +48,7 @@
 	}
 	f.loop.CompareAndSwap(nil, c.EventLoop())
 	f.last++
-	h := &client{front: f, number: f.last}
+	h := &client{front: f, number: f.last, opened: time.Now()}
 	h.ctx, h.leave = context.WithCancel(context.Background())
 	f.conns[h] = c
 	return h, nil, gnet.None
@@ -72,17 +71,33 @@
 	}))
 }
 
+// Sweep closes connections that did not say a whole startup message in time; call it every second or so.
+func (f *Front) Sweep() {
+	l, ok := f.loop.Load().(gnet.EventLoop)
+	if !ok {
+		return
+	}
+	_ = l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		for h, c := range f.conns {
+			if !h.parser.started && time.Since(h.opened) > maxSilent {
+				_ = c.Close()
+			}
+		}
+		return nil
+	}))
+}
+
 // client is one connection. A request at a time is under way; what is sent ahead of its answer waits in the
 // connection's ring buffer, so answers come in the order of the commands.
 type client struct {
-	front   *Front
-	number  uint32
-	started bool
-	busy    bool
-	skip    bool // until Sync, after a message of the extended protocol
-	unread  int
-	ctx     context.Context // ends when the client goes away
-	leave   context.CancelFunc
+	front  *Front
+	number uint32
+	opened time.Time
+	parser Parser
+	busy   bool
+	unread int
+	ctx    context.Context // ends when the client goes away
+	leave  context.CancelFunc
 }
 
 // Traffic is called on the loop.
@@ -117,28 +132,16 @@
 		if err != nil {
 			return gnet.Close
 		}
-		if !h.started {
-			used, action := h.startup(c, b)
-			if used == 0 || action == gnet.Close {
-				return action
-			}
-			_, _ = c.Discard(used)
-			continue
-		}
-		kind, body, rest, ok, err := next(b, maxQuery)
-		if err != nil {
-			h.write(c, failure(nil, "FATAL", stateInvalid, "a message's length is out of bounds", ""))
-			return gnet.Close
-		}
-		if !ok {
+		command := h.parser.Next(b)
+		if command.Kind == Incomplete {
 			return gnet.None
 		}
-		action := h.message(c, kind, body)
-		if c.OutboundBuffered() > maxAhead { // short errors to a client that does not read
+		action := h.handle(c, &command)
+		if action == gnet.Close || c.OutboundBuffered() > maxAhead { // or short errors to one that does not read
 			return gnet.Close
 		}
-		_, _ = c.Discard(n - len(rest))
-		if action == gnet.Close || !h.busy && h.front.drain.Load() && c.InboundBuffered() == 0 {
+		_, _ = c.Discard(command.Used)
+		if !h.busy && h.front.drain.Load() && c.InboundBuffered() == 0 {
 			return gnet.Close
 		}
 	}
@@ -147,77 +150,48 @@
 
 func (h *client) write(c gnet.Conn, b []byte) { _, _ = c.Write(b) }
 
-// startup reads the first message; 0 bytes used: it is not whole yet.
-func (h *client) startup(c gnet.Conn, b []byte) (int, gnet.Action) {
-	if len(b) < 8 {
-		return 0, gnet.None
-	}
-	n, code := int(binary.BigEndian.Uint32(b)), binary.BigEndian.Uint32(b[4:])
-	if n < 8 || n > maxStartup {
-		return 0, gnet.Close
-	}
-	if len(b) < n {
-		return 0, gnet.None
-	}
-	switch {
-	case code == codeSSL || code == codeGSS:
+// handle answers a command at once, or starts a request.
+func (h *client) handle(c gnet.Conn, command *Command) gnet.Action {
+	switch command.Kind {
+	case Encrypt:
 		h.write(c, []byte{'N'}) // as it is, in plain text
-		return n, gnet.None
-	case code == codeCancel: // a query ends when its connection does
-		return n, gnet.Close
-	case code>>16 != 3:
-		h.write(c, failure(nil, "FATAL", stateInvalid, "protocol version 3 is spoken here", ""))
-		return n, gnet.Close
+	case Startup:
+		h.write(c, h.welcome(command.Minor))
+	case Sync:
+		h.write(c, ready(nil))
+	case Extended:
+		h.write(c, failure(nil, "ERROR", stateUnknown, "simple queries only", ""))
+	case Function:
+		h.write(c, ready(failure(nil, "ERROR", stateUnknown, "simple queries only", "")))
+	case Query:
+		h.query(c, command.Text)
+	case End, Cancel: // a query ends when its connection does
+		return gnet.Close
+	case Broken:
+		h.write(c, failure(nil, "FATAL", stateInvalid, command.Text, ""))
+		return gnet.Close
 	}
-	h.started = true
+	return gnet.None
+}
+
+func (h *client) welcome(minor bool) []byte {
 	var out []byte
-	if code != protocol3 { // a later minor version: say that 3.0 is what there is
+	if minor { // a later minor version: say that 3.0 is what there is
 		out = message(out, 'v', func(b []byte) []byte { return append(b, 0, 3, 0, 0, 0, 0, 0, 0) })
 	}
 	out = message(out, 'R', func(b []byte) []byte { return append(b, 0, 0, 0, 0) })
-	out = status(out, "server_version", "15.0 ("+backendName+")")
-	out = status(out, "server_encoding", "UTF8")
-	out = status(out, "client_encoding", "UTF8")
-	out = status(out, "integer_datetimes", "on")
-	out = status(out, "standard_conforming_strings", "on")
+	for _, s := range [...][2]string{{"server_version", "15.0 (ashstand)"}, {"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"}, {"integer_datetimes", "on"}, {"standard_conforming_strings", "on"}} {
+		out = status(out, s[0], s[1])
+	}
 	out = message(out, 'K', func(b []byte) []byte {
 		return binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(b, h.number), 0)
 	})
-	h.write(c, ready(out))
-	return n, gnet.None
-}
-
-// message handles one message of a client that has started.
-func (h *client) message(c gnet.Conn, kind byte, body []byte) gnet.Action {
-	switch {
-	case kind == 'X':
-		return gnet.Close
-	case kind == 'S':
-		h.skip = false
-		h.write(c, ready(nil))
-		return gnet.None
-	case h.skip || kind == 'H':
-		return gnet.None
-	case kind == 'P' || kind == 'B' || kind == 'D' || kind == 'E' || kind == 'C' || kind == 'F':
-		h.skip = kind != 'F'
-		out := failure(nil, "ERROR", stateUnknown, "simple queries only", "")
-		if kind == 'F' {
-			out = ready(out)
-		}
-		h.write(c, out)
-		return gnet.None
-	case kind != 'Q':
-		h.write(c, failure(nil, "FATAL", stateInvalid, fmt.Sprintf("message %q is unknown", kind), ""))
-		return gnet.Close
-	case len(body) == 0 || body[len(body)-1] != 0:
-		h.write(c, failure(nil, "FATAL", stateInvalid, "a query without its end", ""))
-		return gnet.Close
-	}
-	return h.query(c, string(body[:len(body)-1]))
+	return ready(out)
 }
 
 // query starts a request, or answers at once what is none.
-func (h *client) query(c gnet.Conn, text string) gnet.Action {
+func (h *client) query(c gnet.Conn, text string) {
 	f := h.front
 	word, _, _ := strings.Cut(strings.Trim(text, " \t\r\n;"), " ")
 	var out []byte
@@ -234,12 +208,11 @@
 			h.busy = true
 			f.edge.Begin()
 			go h.serve(c, s, f.edge.Now())
-			return gnet.None
+			return
 		}
 		out = failure(out, "ERROR", stateInvalid, err.Error(), "")
 	}
 	h.write(c, ready(out))
-	return gnet.None
 }
 
 // serve runs on a goroutine of its own.
--- /dev/null
+++ b/internal/net/pg/message_test.go
@@ -0,0 +1,113 @@
+package pg
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/decide"
+	"ashstand/internal/edge"
+)
+
+func whole() []byte {
+	b := row(nil, &edge.Answer{Column: "payload", Type: 17, Binary: true, Value: []byte("\x00v"), Tag: "SELECT 1"})
+	b = status(status(status(b, "part", "replica"), "caught_up_to", "1767225600123"), "gauges", "x0=1767225600.123,x1=0")
+	return ready(b)
+}
+
+// Guards against half an answer taken for a whole one: it ends with ReadyForQuery and nowhere before.
+func TestResponseIsWholeOrNothing(t *testing.T) {
+	b := whole()
+	from := 0
+	for n := range len(b) {
+		end, at, err := find(b[:n], from)
+		require.NoError(t, err)
+		require.Zero(t, end, "%d of %d bytes", n, len(b))
+		from = at
+	}
+	end, _, err := find(append(b, 'x'), from)
+	require.NoError(t, err)
+	require.Equal(t, len(b), end)
+	r, err := parse(b, Platform)
+	require.NoError(t, err)
+	require.Equal(t, decide.OK, outcome(&r))
+	require.Equal(t, edge.Answer{Column: "payload", Type: 17, Binary: true, Value: []byte("\x00v"), Tag: "SELECT 1",
+		Role: "replica", Position: 1767225600123, Gauges: "x0=1767225600.123,x1=0"}, r.answer)
+}
+
+func TestOutcomes(t *testing.T) {
+	for state, want := range map[string]decide.Code{"25006": decide.Miss, "72000": decide.Miss, "53300": decide.Full,
+		"XX000": decide.Error, "08P01": decide.Error} {
+		r, err := parse(ready(failure(nil, "ERROR", state, "no", "")), Platform)
+		require.NoError(t, err)
+		require.Equal(t, want, outcome(&r), state)
+	}
+	r, err := parse(ready(complete(nil, "SELECT 0")), Platform)
+	require.NoError(t, err)
+	require.Equal(t, decide.Error, outcome(&r), "no row is no answer")
+	fatal := failure(nil, "FATAL", "53300", "too many connections", "")
+	end, _, err := find(fatal, 0)
+	require.NoError(t, err)
+	require.Equal(t, len(fatal), end, "a fatal error needs no ReadyForQuery")
+}
+
+// A refusal's D is when to come back, rounded up; nothing else has one.
+func TestReplies(t *testing.T) {
+	for _, k := range []struct {
+		result edge.Result
+		state  string
+		detail string
+	}{
+		{edge.Result{Verdict: edge.Refused, After: 120.2, Detail: "x"}, "53300", "121"},
+		{edge.Result{Verdict: edge.Refused, Detail: "x"}, "53300", ""},
+		{edge.Result{Verdict: edge.TimedOut, Detail: "x"}, "57014", ""},
+		{edge.Result{Verdict: edge.Failed, Detail: "x"}, "08006", ""},
+		{edge.Result{Verdict: edge.Invalid, Detail: "x"}, "08P01", ""},
+	} {
+		_, body, rest, ok, err := next(reply(&k.result), 1000)
+		require.True(t, ok && err == nil && len(rest) == 0)
+		state, _, _, detail := fields(body)
+		require.Equal(t, [2]string{k.state, k.detail}, [2]string{state, detail})
+	}
+}
+
+// FuzzResponse checks that no bytes of a db host panic, and that a response is found in one piece or in two.
+func FuzzResponse(f *testing.F) {
+	f.Add(whole(), 9)
+	f.Add(failure(nil, "FATAL", "53300", "x", "y"), 3)
+	f.Add([]byte("T\x00\x00\x00\x06\x00\x01Z\x00\x00\x00\x05I"), 1)
+	f.Fuzz(func(t *testing.T, b []byte, cut int) {
+		end, _, err := find(b, 0)
+		if cut > 0 && cut < len(b) && err == nil {
+			if first, at, e := find(b[:cut], 0); e == nil && first == 0 {
+				end2, _, _ := find(b, at)
+				require.Equal(t, end, end2)
+			}
+		}
+		if err == nil && end > 0 {
+			_, _ = parse(b[:end], Platform)
+		}
+	})
+}
+
+// FuzzCommands checks that no bytes of a client panic, and that each command takes bytes or waits for more.
+func FuzzCommands(f *testing.F) {
+	good := query(startup(nil, "web", "orders"), func(b []byte) []byte { return append(b, "SELECT 1"...) })
+	f.Add(good)
+	f.Add(append(append([]byte{}, good...), 'P', 0, 0, 0, 4, 'S', 0, 0, 0, 4, 'X', 0, 0, 0, 4))
+	f.Add([]byte{0, 0, 0, 8, 4, 210, 22, 47})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var p Parser
+		for rest := b; ; {
+			c := p.Next(rest)
+			if c.Kind == Incomplete || c.Kind == Broken {
+				return
+			}
+			require.Greater(t, c.Used, 0)
+			require.LessOrEqual(t, c.Used, len(rest))
+			require.False(t, bytes.ContainsRune([]byte(c.Text), 0) && c.Kind != Query)
+			rest = rest[c.Used:]
+		}
+	})
+}
