--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -33,7 +33,16 @@
 
 func main() {
 	log.SetFlags(log.Lmicroseconds)
-	if err := run(); err != nil {
+	do := run
+	if len(os.Args) > 1 {
+		do = func() error {
+			if os.Args[1] != "replay" {
+				return fmt.Errorf("%q is no command; there is replay, and without one the pooler runs", os.Args[1])
+			}
+			return replay(os.Args[2:])
+		}
+	}
+	if err := do(); err != nil {
 		fmt.Fprintln(os.Stderr, "ashstand:", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/cmd/ashstand/program_test.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/pcap"
+)
+
+// dial opens a client connection that has started.
+func dial(t *testing.T, address string) (net.Conn, *pgproto3.Frontend) {
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(30 * time.Second))
+	f := pgproto3.NewFrontend(c, c)
+	f.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "web"}})
+	require.NoError(t, f.Flush())
+	until(t, f)
+	return c, f
+}
+
+// until reads up to ReadyForQuery and names what came, values included.
+func until(t *testing.T, f *pgproto3.Frontend) (got []string) {
+	for {
+		m, err := f.Receive()
+		require.NoError(t, err)
+		switch m := m.(type) {
+		case *pgproto3.DataRow:
+			got = append(got, string(m.Values[0]))
+		case *pgproto3.ErrorResponse:
+			got = append(got, m.Code)
+		case *pgproto3.EmptyQueryResponse:
+			got = append(got, "empty")
+		case *pgproto3.ReadyForQuery:
+			return got
+		}
+	}
+}
+
+func ask(t *testing.T, f *pgproto3.Frontend, text string) []string {
+	f.Send(&pgproto3.Query{String: text})
+	require.NoError(t, f.Flush())
+	return until(t, f)
+}
+
+// The program itself: it takes work until SIGTERM and a little longer, finishes it, and ends with 0.
+func TestProgramServesAndDrains(t *testing.T) {
+	h := &host{name: "p", wire: "postgresql", primary: true}
+	release, entered := make(chan struct{}), make(chan struct{}, 1)
+	h.do = func(text string) act {
+		if strings.Contains(text, "slow") {
+			h.mu.Unlock() // others go on meanwhile
+			entered <- struct{}{}
+			<-release
+			h.mu.Lock()
+		}
+		return serve
+	}
+	h.serve(t)
+	w := &world{}
+	dir := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer dir.CloseClientConnections()
+	program := filepath.Join(t.TempDir(), "ashstand")
+	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
+	require.NoError(t, err, string(out))
+	listen := free(t)
+	file := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(file, fmt.Appendf(nil, `{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`,
+		listen, dir.Listener.Addr(), w.list(1, true, w.entry(h, "active")), site), 0o600))
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+file)
+	var logged bytes.Buffer
+	cmd.Stderr = &logged
+	require.NoError(t, cmd.Start())
+	defer cmd.Process.Kill()
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", listen)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	}, 20*time.Second, 10*time.Millisecond)
+	idle, f := dial(t, listen)
+	require.Equal(t, []string{"empty"}, ask(t, f, ""), "ready with the list that was known")
+	require.Equal(t, []string{value}, ask(t, f, fmt.Sprintf(donate, 1, 9000)))
+	_, slow := dial(t, listen)
+	slow.Send(&pgproto3.Query{String: "/* id=s,c=report,d=14000,cluster=1 */ SELECT payload FROM entries WHERE ref = 'slow'"})
+	require.NoError(t, slow.Flush())
+	<-entered
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	_, late := dial(t, listen) // in the tail connections still come
+	require.Equal(t, []string{value}, ask(t, late, fmt.Sprintf(donate, 2, 9000)))
+	_, err = io.ReadAll(idle)
+	require.NoError(t, err, "an idle connection is closed, not reset")
+	close(release)
+	require.Equal(t, []string{value}, until(t, slow))
+	require.NoError(t, cmd.Wait(), "%s", &logged)
+	require.Contains(t, logged.String(), "drained: every request has its answer")
+}
+
+func TestBadConfigurationIsOneClearLine(t *testing.T) {
+	good := `{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":` + site + `}`
+	for want, text := range map[string]string{
+		"config.json: ":    `{"listen":`,
+		"listen: ":         strings.Replace(good, "127.0.0.1:1", "nowhere", 1),
+		"discovery: ":      strings.Replace(good, "127.0.0.1:2", "", 1),
+		"no settings":      `{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2"}`,
+		"when_behind: ":    strings.Replace(good, `"when_behind":"off"`, `"when_behind":"maybe"`, 1),
+		"class_read: 1 en": strings.Replace(good, `["bounded","session","any","write"]`, `["bounded"]`, 1),
+	} {
+		file := filepath.Join(t.TempDir(), "config.json")
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		_, err := load(func(name string) string { return map[string]string{"EDGE_CONFIG": file}[name] })
+		require.ErrorContains(t, err, want)
+		require.NotContains(t, err.Error(), "\n")
+	}
+	_, _, err := descriptors(100, flightConfig{})
+	require.ErrorContains(t, err, "too few")
+	off, err := loadFlight("../../" + flightFile)
+	require.NoError(t, err)
+	require.Empty(t, off.Listen, "the second front is off on the platform")
+}
+
+// Guards against an answer that reaches another request: a client sends ahead, and one leaves early.
+func TestClientsThatPipelineLeaveOrSendNonsense(t *testing.T) {
+	w := build(t, "postgresql", "postgresql", "postgresql")
+	listen := w.listen
+	var held atomic.Int32
+	gate := make(chan struct{})
+	for _, h := range w.hosts {
+		h.do = func(text string) act {
+			if strings.Contains(text, "id=leaver") {
+				h.mu.Unlock()
+				held.Add(1)
+				<-gate
+				h.mu.Lock()
+			}
+			if strings.Contains(text, "INSERT") && !h.primary {
+				return notPrimary
+			}
+			return serve
+		}
+	}
+	_, f := dial(t, listen)
+	for i := range 20 { // ahead of any answer
+		f.Send(&pgproto3.Query{String: []string{"", "SELECT 1", fmt.Sprintf(donate, i, 9000), "DISCARD ALL"}[i%4]})
+	}
+	require.NoError(t, f.Flush())
+	for i := range 20 {
+		require.Equal(t, [][]string{{"empty"}, {"08P01"}, {value}, nil}[i%4], until(t, f))
+	}
+	leaver, g := dial(t, listen)
+	g.Send(&pgproto3.Query{String: strings.Replace(fmt.Sprintf(report, 1), "id=r1", "id=leaver", 1)})
+	require.NoError(t, g.Flush())
+	require.Eventually(t, func() bool { return held.Load() == 1 }, 10*time.Second, time.Millisecond)
+	leaver.Close()
+	require.Equal(t, []string{value}, ask(t, f, fmt.Sprintf(report, 2)), "a client that left holds up nobody")
+	close(gate)
+	for _, junk := range [][]byte{{0, 0, 0, 0}, {0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0}, []byte("GET / HTTP/1.1\r\n\r\n"),
+		append(startupBytes(), 'Q', 0x7f, 0xff, 0xff, 0xff), append(startupBytes(), '?', 0, 0, 0, 4), append(startupBytes(), 'Q', 0, 0, 0, 6, 'a', 'b')} {
+		c, err := net.Dial("tcp", listen)
+		require.NoError(t, err)
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		c.Write(junk)
+		c.(*net.TCPConn).CloseWrite()
+		_, _ = io.Copy(io.Discard, c) // it ends: closed or answered with an error
+		c.Close()
+	}
+	require.Equal(t, []string{value}, ask(t, f, fmt.Sprintf(report, 3)))
+}
+
+func startupBytes() []byte {
+	b, _ := (&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "web"}}).Encode(nil)
+	return b
+}
+
+// A capture's queries go through the front's parser into the core, and what comes is written as a conversation.
+func TestReplayOfACapture(t *testing.T) {
+	w := build(t, "postgresql", "flightsql")
+	at := time.Date(2026, 3, 1, 18, 0, 0, 0, time.UTC)
+	q := func(text string) []byte { b, _ := (&pgproto3.Query{String: text}).Encode(nil); return b }
+	donated, odd := q(fmt.Sprintf(donate, 1, 9000)), q("SELECT 1")
+	var file bytes.Buffer
+	require.NoError(t, pcap.Write(&file, []*pcap.Conversation{{Client: netip.MustParseAddrPort("127.0.0.1:4000"),
+		Server: netip.MustParseAddrPort("127.0.0.1:5433"), Pieces: []pcap.Piece{{At: at, FromClient: true, Data: startupBytes()},
+			{At: at.Add(time.Millisecond), FromClient: true, Data: donated[:9]},
+			{At: at.Add(2 * time.Millisecond), FromClient: true, Data: append(donated[9:], odd...)}}}}))
+	cs, err := pcap.Read(&file)
+	require.NoError(t, err)
+	out, sum := w.replay(context.Background(), cs)
+	require.Equal(t, tally{served: 1, invalid: 1}, sum)
+	require.Equal(t, 1, w.hosts[0].count())
+	require.NoError(t, pcap.Write(&file, out))
+	again, err := pcap.Read(&file)
+	require.NoError(t, err)
+	var said []byte
+	for _, p := range again[0].Pieces {
+		if !p.FromClient {
+			said = append(said, p.Data...)
+		}
+	}
+	f := pgproto3.NewFrontend(bytes.NewReader(said), io.Discard)
+	require.Empty(t, until(t, f))
+	require.Equal(t, []string{value}, until(t, f))
+	require.Equal(t, []string{"08P01"}, until(t, f))
+	_, err = readCapture("program_test.go")
+	require.ErrorContains(t, err, "no capture")
+}
--- a/cmd/ashstand/standin_test.go
+++ b/cmd/ashstand/standin_test.go
@@ -394,6 +394,7 @@
 	hosts  []*host
 	ask    map[string]client // by wire
 	change chan string       // entries for the watch
+	listen string
 }
 
 const site = `{"balancers":1,"index":0,"period_ms":5,"deductions":{"probe":0.001},
@@ -460,6 +461,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { w.node.stop(); close(done); dir.Close() })
 	require.Eventually(t, w.core.Ready, 10*time.Second, time.Millisecond)
+	w.listen = cfg.Listen
 	w.ask = map[string]client{"postgresql": pgClient(cfg.Listen), "flightsql": flightClient(t, cfg.flight.Listen)}
 	return w
 }
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -156,7 +156,7 @@
 	case Encrypt:
 		h.write(c, []byte{'N'}) // as it is, in plain text
 	case Startup:
-		h.write(c, h.welcome(command.Minor))
+		h.write(c, Welcome(h.number, command.Minor))
 	case Sync:
 		h.write(c, ready(nil))
 	case Extended:
@@ -174,7 +174,8 @@
 	return gnet.None
 }
 
-func (h *client) welcome(minor bool) []byte {
+// Welcome answers a startup message; number names the connection.
+func Welcome(number uint32, minor bool) []byte {
 	var out []byte
 	if minor { // a later minor version: say that 3.0 is what there is
 		out = message(out, 'v', func(b []byte) []byte { return append(b, 0, 3, 0, 0, 0, 0, 0, 0) })
@@ -185,7 +186,7 @@
 		out = status(out, s[0], s[1])
 	}
 	out = message(out, 'K', func(b []byte) []byte {
-		return binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(b, h.number), 0)
+		return binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(b, number), 0)
 	})
 	return ready(out)
 }
@@ -224,7 +225,7 @@
 	}
 	// The next command waits until this answer is out, so a client that does not read holds up itself alone
 	// and an answer is not cut by a close.
-	if left, err := h.put(c, ready(reply(&result))); err != nil || left > 0 && !h.flushed(c) {
+	if left, err := h.put(c, Reply(&result)); err != nil || left > 0 && !h.flushed(c) {
 		_ = c.Close()
 		return
 	}
@@ -285,7 +286,9 @@
 	return false
 }
 
-// reply words a final answer.
+// Reply words a final answer, up to ReadyForQuery.
+func Reply(r *edge.Result) []byte { return ready(reply(r)) }
+
 func reply(r *edge.Result) []byte {
 	switch r.Verdict {
 	case edge.Served:
