Check a capture's lengths before the library makes room for them

Seen: fuzzing of pcap.Read slowed to a stop; a CPU profile of one flipped byte showed all time in makeslice under NgReader.ReadPacketData, clearing 2 GiB that a packet's length claimed. Both formats' lengths are now walked first, and a file is bounded. Test: files that claim more than they hold are refused with a clear error.

--- a/internal/pcap/pcap.go
+++ b/internal/pcap/pcap.go
@@ -3,7 +3,7 @@
 package pcap
 
 import (
-	"bufio"
+	"bytes"
 	"cmp"
 	"encoding/binary"
 	"errors"
@@ -35,9 +35,11 @@
 
 // Bounds: a capture that holds more is refused, not half read.
 const (
-	maxData  = 64 << 20 // payload of all conversations
-	maxPages = 1 << 12  // payload that waits for a gap to be filled, in pages of 1900 bytes
-	segment  = 1400     // payload of a packet that is written
+	maxFile   = 256 << 20
+	maxPacket = 256 << 10
+	maxData   = 64 << 20 // payload of all conversations
+	maxPages  = 1 << 12  // payload that waits for a gap to be filled, in pages of 1900 bytes
+	segment   = 1400     // payload of a packet that is written
 )
 
 var byteOrder = binary.BigEndian
@@ -49,15 +51,65 @@
 }
 
 func open(r io.Reader) (source, error) {
-	b := bufio.NewReader(r)
-	magic, err := b.Peek(4)
-	if err != nil {
+	file, err := io.ReadAll(io.LimitReader(r, maxFile+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(file) > maxFile:
+		return nil, fmt.Errorf("the file has over %d bytes", maxFile)
+	case len(file) < 4:
 		return nil, errors.New("the file is too short for a capture")
 	}
-	if byteOrder.Uint32(magic) == 0x0a0d0d0a {
-		return pcapgo.NewNgReader(b, pcapgo.DefaultNgReaderOptions)
+	if byteOrder.Uint32(file) == 0x0a0d0d0a {
+		if err := checkNg(file); err != nil {
+			return nil, err
+		}
+		return pcapgo.NewNgReader(bytes.NewReader(file), pcapgo.DefaultNgReaderOptions)
+	}
+	if err := checkClassic(file); err != nil {
+		return nil, err
+	}
+	return pcapgo.NewReader(bytes.NewReader(file))
+}
+
+// checkClassic and checkNg walk the packets' lengths before the library does: it makes room for whatever
+// length a file claims, gigabytes of it in a file of a few bytes.
+func checkClassic(b []byte) error {
+	order := binary.ByteOrder(binary.LittleEndian)
+	if m := byteOrder.Uint32(b); m == 0xa1b2c3d4 || m == 0xa1b23c4d {
+		order = byteOrder
+	}
+	for at, n := 24, 1; at+16 <= len(b); n++ {
+		length := order.Uint32(b[at+8:])
+		if length > maxPacket {
+			return fmt.Errorf("packet %d claims %d bytes", n, length)
+		}
+		at += 16 + int(length)
+	}
+	return nil
+}
+
+func checkNg(b []byte) error {
+	order := binary.ByteOrder(binary.LittleEndian)
+	for at, n := 0, 1; at+12 <= len(b); n++ {
+		if byteOrder.Uint32(b[at:]) == 0x0a0d0d0a { // a section says in which order it is written
+			if order = binary.LittleEndian; byteOrder.Uint32(b[at+8:]) == 0x1a2b3c4d {
+				order = byteOrder
+			}
+		}
+		kind, length := order.Uint32(b[at:]), int(order.Uint32(b[at+4:]))
+		if length < 12 || length%4 != 0 || length > len(b)-at {
+			return fmt.Errorf("block %d claims %d bytes", n, length)
+		}
+		if (kind == 6 || kind == 2) && (length < 32 || int(order.Uint32(b[at+20:])) > length-32) {
+			return fmt.Errorf("block %d claims a packet longer than itself", n)
+		}
+		if kind == 3 && (length < 16 || order.Uint32(b[at+8:]) > maxPacket) {
+			return fmt.Errorf("block %d claims a packet that is too long", n)
+		}
+		at += length
 	}
-	return pcapgo.NewReader(b)
+	return nil
 }
 
 // Read returns the conversations of a capture in the order in which they begin.
--- a/internal/pcap/pcap_test.go
+++ b/internal/pcap/pcap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"net/netip"
 	"strings"
 	"testing"
@@ -64,17 +65,32 @@
 func TestBadFilesAreRefused(t *testing.T) {
 	whole := classic(t, func(ps []packet) []packet { return ps }).Bytes()
 	for want, file := range map[string][]byte{
-		"too short":          {0xd4},
-		"no capture":         []byte("not a capture at all, but long enough"),
-		"packet":             whole[:len(whole)-7],
-		"missing":            classic(t, func(ps []packet) []packet { return append(ps[:6:6], ps[7:]...) }).Bytes(),
-		"bytes were capture": cutShort(t),
+		"too short":           {0xd4},
+		"no capture":          []byte("not a capture at all, but long enough"),
+		"packet":              whole[:len(whole)-7],
+		"missing":             classic(t, func(ps []packet) []packet { return append(ps[:6:6], ps[7:]...) }).Bytes(),
+		"bytes were capture":  cutShort(t),
+		"claims 4294967295 b": append(append([]byte{}, whole[:32]...), bytes.Repeat([]byte{0xff}, 40)...),
+		"longer than itself":  claims(t),
 	} {
 		_, err := Read(bytes.NewReader(file))
 		require.ErrorContains(t, err, want)
 	}
 }
 
+// claims is a pcapng whose first packet says that it is longer than the file; the library made room for it.
+func claims(t *testing.T) []byte {
+	var file bytes.Buffer
+	require.NoError(t, Write(&file, talk()))
+	b := file.Bytes()
+	for at := 0; ; at += int(binary.LittleEndian.Uint32(b[at+4:])) {
+		if binary.LittleEndian.Uint32(b[at:]) == 6 {
+			binary.LittleEndian.PutUint32(b[at+20:], 0x7fffffff)
+			return b
+		}
+	}
+}
+
 func cutShort(t *testing.T) []byte {
 	ps, err := talk()[0].packets()
 	require.NoError(t, err)
