--- /dev/null
+++ b/internal/net/flight/hosts_test.go
@@ -0,0 +1,78 @@
+package flight
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
+
+	"ashstand/internal/decide"
+	"ashstand/internal/statement"
+)
+
+// refuser is a server that refuses every stream, which tells gRPC that it may open another by itself.
+func refuser(t *testing.T) (address string, streams *atomic.Int32) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	streams = new(atomic.Int32)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := io.ReadFull(c, make([]byte, len(http2.ClientPreface))); err != nil {
+					return
+				}
+				f := http2.NewFramer(c, c)
+				f.WriteSettings()
+				for {
+					frame, err := f.ReadFrame()
+					if err != nil {
+						return
+					}
+					switch frame := frame.(type) {
+					case *http2.HeadersFrame:
+						streams.Add(1)
+						f.WriteRSTStream(frame.StreamID, http2.ErrCodeRefusedStream)
+					case *http2.SettingsFrame:
+						if !frame.IsAck() {
+							f.WriteSettingsAck()
+						}
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), streams
+}
+
+// Guards against gRPC's transparent retry, which no option turns off: a donate would be sent twice.
+func TestGRPCSendsNothingAgainByItself(t *testing.T) {
+	address, streams := refuser(t)
+	h := NewHosts(5 * time.Second)
+	defer h.Close()
+	h.SetAddress("h", address)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	c, err := h.Acquire(ctx, "h")
+	require.NoError(t, err)
+	s, err := statement.Parse("/* id=1,c=donate,d=900,cluster=1 */ INSERT INTO entries (ref) VALUES ('k')")
+	require.NoError(t, err)
+	s.Write = true
+	r := c.Exchange(ctx, &s, func() (float64, bool) { return 900, true })
+	require.EqualValues(t, 1, streams.Load())
+	require.NotContains(t, []decide.Code{decide.OK, decide.NotSent, decide.Full, decide.Miss}, r.Code, "%+v", r)
+	s.Write = false
+	r = c.Exchange(ctx, &s, func() (float64, bool) { return 900, true })
+	require.EqualValues(t, 2, streams.Load(), "a read's first call was refused, and nothing came after it")
+	require.NotEqual(t, decide.OK, r.Code)
+}
