Give each test's pooler a loopback address of its own, not a port that may be taken again

Seen once, in the last whole test run: the suite failed with 'bind: address already in use'. Cause: free() let the kernel deal out a port and closed it; another connection could be given it before the front listened. Ports are now below the dealt-out range, on addresses of the test process alone, which removes the cause.

--- a/cmd/ashstand/standin_test.go
+++ b/cmd/ashstand/standin_test.go
@@ -8,10 +8,12 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"regexp"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -466,12 +468,14 @@
 	return w
 }
 
-// free finds an address that nobody listens on.
+var frees atomic.Int32
+
+// free names an address that nobody listens on: a loopback address of this process's own, and a port below those
+// that the kernel deals out. One that was dealt out and closed again may be taken before it is listened on.
 func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	n, pid := int(frees.Add(1)), os.Getpid()
+	require.Less(t, n, 250)
+	return fmt.Sprintf("127.%d.%d.%d:5433", 1+pid%250, pid/250%250, n)
 }
 
 var waiting = regexp.MustCompile(`d=\d+`)
