--- a/cmd/ashstand/config.go
+++ b/cmd/ashstand/config.go
@@ -36,10 +36,13 @@
 	site   *settings.Parsed
 	seed   uint64
 	flight flightConfig
+	said   string // Discovery as the file words it
 }
 
-// load reads the file that EDGE_CONFIG names; the other variables go before what stands in it.
-func load(env func(string) string) (*config, error) {
+// load reads the file that EDGE_CONFIG names; the other variables go before what stands in it. held is the
+// configuration in force, nil at the start. The environment is as old as the process, so from then on an address
+// that the file has changed since goes before the variable.
+func load(env func(string) string, held *config) (*config, error) {
 	path := env("EDGE_CONFIG")
 	if path == "" {
 		return nil, errors.New("EDGE_CONFIG names no file")
@@ -52,6 +55,7 @@
 	if err := json.Unmarshal(text, &c); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	c.said = c.Discovery
 	for _, v := range []struct {
 		name string
 		to   *string
@@ -60,6 +64,11 @@
 			*v.to = s
 		}
 	}
+	if held != nil {
+		if c.Discovery = held.Discovery; c.said != "" && c.said != held.said {
+			c.Discovery = c.said
+		}
+	}
 	for _, a := range []struct{ name, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if _, _, err := net.SplitHostPort(a.address); err != nil {
 			return nil, fmt.Errorf("%s: %s: %w", path, a.name, err)
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -9,9 +9,11 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -49,7 +51,10 @@
 }
 
 func run() error {
-	cfg, err := load(os.Getenv)
+	// From the first moment: unhandled, SIGHUP ends the process.
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	cfg, err := load(os.Getenv, nil)
 	if err != nil {
 		return err
 	}
@@ -59,9 +64,6 @@
 	// Two, though there is one core: the event loop sleeps inside a system call and keeps its place while it
 	// does. Measured on a calm day, medians: from the answer to the client 152 us with one place, 107 us with two.
 	runtime.GOMAXPROCS(2)
-	if cfg.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 7 / 10)
-	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	n, err := start(cfg)
@@ -69,6 +71,17 @@
 		return err
 	}
 	defer n.stop()
+	go func() { // while it drains, too: what it still sends needs the list
+		for range again {
+			next, err := load(os.Getenv, cfg)
+			if err != nil {
+				log.Printf("reload: %v; going on with the configuration held", err)
+				continue
+			}
+			n.reload(cfg, next)
+			cfg = next
+		}
+	}()
 	select {
 	case err := <-n.ended:
 		return err
@@ -88,6 +101,7 @@
 	front   *pg.Front
 	flight  *flight.Front // nil: off
 	hosts   *flight.Hosts
+	watch   *discovery.Watcher
 	longest time.Duration // that a request may take
 	cancel  context.CancelFunc
 	ended   chan error // something ended by itself
@@ -99,6 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
+	limitMemory(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{engine: loop.New(), hosts: flight.NewHosts(cfg.site.Connect), cancel: cancel, ended: make(chan error, 2),
 		longest: 3 * time.Second}
@@ -147,12 +162,40 @@
 		log.Printf("%s listens for Flight SQL on %s; at most %d connections", cfg.Name, l.Addr(), cfg.flight.Connections)
 	}
 	go n.facade.Run(ctx)
-	go discovery.New(n.engine, cfg.Discovery, cfg.Known, apply).Run(ctx)
+	n.watch = discovery.New(n.engine, cfg.Discovery, cfg.Known, apply)
+	go n.watch.Run(ctx)
 	go every(ctx, time.Second, func() { pool.Sweep(); n.front.Sweep() })
 	log.Printf("%s listens on %s; at most %d clients and %d connections to hosts", cfg.Name, cfg.Listen, clients, connections)
 	return n, nil
 }
 
+func limitMemory(cfg *config) {
+	if cfg.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 7 / 10)
+	}
+}
+
+// reload takes from a new configuration what can change while requests are under way, and names what can't.
+func (n *node) reload(old, next *config) {
+	n.watch.Move(next.Discovery)
+	limitMemory(next)
+	var wait []string
+	for _, k := range []struct {
+		name    string
+		changed bool
+	}{{"name", next.Name != old.Name}, {"listen", next.Listen != old.Listen},
+		{"limits.sockets", next.Limits.Sockets != old.Limits.Sockets},
+		{"settings", !reflect.DeepEqual(next.site, old.site)}} {
+		if k.changed {
+			wait = append(wait, k.name)
+		}
+	}
+	log.Printf("reload: discovery at %s, memory %d MB", next.Discovery, next.Limits.MemoryMB)
+	if len(wait) > 0 {
+		log.Printf("reload: changed, but in force only after a restart: %s", strings.Join(wait, ", "))
+	}
+}
+
 // drain closes client connections between requests and waits for the answers that are due.
 func (n *node) drain() {
 	n.front.Drain()
--- a/cmd/ashstand/program_test.go
+++ b/cmd/ashstand/program_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -61,6 +62,95 @@
 	return until(t, f)
 }
 
+// record is what a program wrote so far.
+type record struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (r *record) Write(b []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.b.Write(b)
+}
+
+func (r *record) String() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.b.String()
+}
+
+// launch builds the program and starts it; configure writes its configuration file anew.
+func launch(t *testing.T, discovery, known string) (listen string, cmd *exec.Cmd, logged *record, configure func(text string)) {
+	program := filepath.Join(t.TempDir(), "ashstand")
+	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
+	require.NoError(t, err, string(out))
+	listen, file := free(t), filepath.Join(t.TempDir(), "config.json")
+	configure = func(text string) { require.NoError(t, os.WriteFile(file, []byte(text), 0o600)) }
+	configure(fmt.Sprintf(configuration, listen, discovery, known, site))
+	cmd, logged = exec.Command(program), new(record)
+	// The platform gives the address both ways, and a reload changes the file alone.
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+file, "EDGE_DISCOVERY="+discovery)
+	cmd.Stderr = logged
+	require.NoError(t, cmd.Start())
+	t.Cleanup(func() { cmd.Process.Kill() })
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", listen)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	}, 20*time.Second, 10*time.Millisecond)
+	return listen, cmd, logged, configure
+}
+
+const configuration = `{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`
+
+// Guards against a pooler that ends on SIGHUP, and one that goes on at the old service: the list held stays in
+// force until the new service has sent its whole one, and a file that can't be read changes nothing.
+func TestReloadMovesDiscovery(t *testing.T) {
+	w := &world{}
+	p, q := &host{name: "p", wire: "postgresql", primary: true}, &host{name: "q", wire: "postgresql", primary: true}
+	p.serve(t)
+	q.serve(t)
+	ended := make(chan struct{})
+	old := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+		close(ended)
+	}))
+	defer old.Close()
+	asked, tell := make(chan string, 8), make(chan struct{})
+	next := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if asked <- r.URL.RequestURI(); r.URL.Query().Get("follow") == "" {
+			<-tell
+			io.WriteString(rw, w.list(3, true, w.entry(q, "active")))
+			return
+		}
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer next.Close()
+	defer next.CloseClientConnections()
+	listen, cmd, logged, configure := launch(t, old.Listener.Addr().String(), w.list(41, true, w.entry(p, "active")))
+	_, f := dial(t, listen)
+	require.Equal(t, []string{value}, ask(t, f, fmt.Sprintf(donate, 1, 9000)))
+	configure(`{"listen":`)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+	require.Eventually(t, func() bool { return strings.Contains(logged.String(), "going on with the configuration held") }, 10*time.Second, time.Millisecond)
+	require.Equal(t, 1, strings.Count(logged.String(), "reload"))
+	configure(fmt.Sprintf(configuration, listen, next.Listener.Addr(), "null", site))
+	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+	<-ended
+	require.Equal(t, "/registry/instances", <-asked, "an index of the old service means nothing to the new one")
+	require.Equal(t, []string{value}, ask(t, f, fmt.Sprintf(donate, 2, 9000)))
+	require.Equal(t, [2]int{2, 0}, [2]int{p.count(), q.count()}, "the list held is in force")
+	close(tell)
+	require.Equal(t, "/registry/instances?follow=1&since=3", <-asked)
+	require.Equal(t, []string{value}, ask(t, f, fmt.Sprintf(donate, 3, 9000)), "on the same client connection")
+	require.Equal(t, [2]int{2, 1}, [2]int{p.count(), q.count()})
+}
+
 // The program itself: it takes work until SIGTERM and a little longer, finishes it, and ends with 0.
 func TestProgramServesAndDrains(t *testing.T) {
 	h := &host{name: "p", wire: "postgresql", primary: true}
@@ -81,26 +171,7 @@
 		<-r.Context().Done()
 	}))
 	defer dir.CloseClientConnections()
-	program := filepath.Join(t.TempDir(), "ashstand")
-	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
-	require.NoError(t, err, string(out))
-	listen := free(t)
-	file := filepath.Join(t.TempDir(), "config.json")
-	require.NoError(t, os.WriteFile(file, fmt.Appendf(nil, `{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`,
-		listen, dir.Listener.Addr(), w.list(1, true, w.entry(h, "active")), site), 0o600))
-	cmd := exec.Command(program)
-	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+file)
-	var logged bytes.Buffer
-	cmd.Stderr = &logged
-	require.NoError(t, cmd.Start())
-	defer cmd.Process.Kill()
-	require.Eventually(t, func() bool {
-		c, err := net.Dial("tcp", listen)
-		if err == nil {
-			c.Close()
-		}
-		return err == nil
-	}, 20*time.Second, 10*time.Millisecond)
+	listen, cmd, logged, _ := launch(t, dir.Listener.Addr().String(), w.list(1, true, w.entry(h, "active")))
 	idle, f := dial(t, listen)
 	require.Equal(t, []string{"empty"}, ask(t, f, ""), "ready with the list that was known")
 	require.Equal(t, []string{value}, ask(t, f, fmt.Sprintf(donate, 1, 9000)))
@@ -111,11 +182,11 @@
 	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
 	_, late := dial(t, listen) // in the tail connections still come
 	require.Equal(t, []string{value}, ask(t, late, fmt.Sprintf(donate, 2, 9000)))
-	_, err = io.ReadAll(idle)
+	_, err := io.ReadAll(idle)
 	require.NoError(t, err, "an idle connection is closed, not reset")
 	close(release)
 	require.Equal(t, []string{value}, until(t, slow))
-	require.NoError(t, cmd.Wait(), "%s", &logged)
+	require.NoError(t, cmd.Wait(), "%s", logged)
 	require.Contains(t, logged.String(), "drained: every request has its answer")
 }
 
@@ -131,7 +202,7 @@
 	} {
 		file := filepath.Join(t.TempDir(), "config.json")
 		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
-		_, err := load(func(name string) string { return map[string]string{"EDGE_CONFIG": file}[name] })
+		_, err := load(func(name string) string { return map[string]string{"EDGE_CONFIG": file}[name] }, nil)
 		require.ErrorContains(t, err, want)
 		require.NotContains(t, err.Error(), "\n")
 	}
--- a/cmd/ashstand/replay.go
+++ b/cmd/ashstand/replay.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	cfg, err := load(os.Getenv)
+	cfg, err := load(os.Getenv, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
@@ -56,13 +57,17 @@
 	retry   = 250 * time.Millisecond
 )
 
-// Watcher follows one discovery service.
+// Watcher follows one discovery service at a time.
 type Watcher struct {
-	engine  *loop.Engine
+	engine *loop.Engine
+	apply  func(List)
+	index  uint64
+	held   bool
+
+	mu      sync.Mutex
 	address string
-	apply   func(List)
-	index   uint64
-	held    bool
+	cut     context.CancelFunc // ends the round under way; nil before the first
+	moved   bool               // since the last round began
 }
 
 // New returns a watcher; apply gets each list and change, in order. known is the list already held, if any.
@@ -74,14 +79,47 @@
 	return w
 }
 
+// Move follows the service at another address from now on. The watch at the old one is dropped at once; the list
+// that it gave stays in force until the new service has sent its whole one.
+func (w *Watcher) Move(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if address == w.address {
+		return
+	}
+	w.address, w.moved = address, true
+	if w.cut != nil {
+		w.cut()
+	}
+}
+
+// begin starts a round. A service that was never asked counts in its own way, so there the whole list comes first.
+func (w *Watcher) begin(ctx context.Context) (context.Context, context.CancelFunc, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.moved {
+		w.moved, w.held = false, false
+	}
+	ctx, w.cut = context.WithCancel(ctx)
+	return ctx, w.cut, w.address
+}
+
 // Run follows discovery until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	said := false
 	for ctx.Err() == nil {
-		err := w.round(ctx)
+		round, cut, address := w.begin(ctx)
+		err := w.round(round, address)
+		moved := round.Err() != nil
+		cut()
 		if ctx.Err() != nil {
 			return
 		}
+		if moved {
+			log.Printf("discovery: moved away from %s", address)
+			said = false
+			continue
+		}
 		if !said {
 			log.Printf("discovery: the watch ended: %v; going on with the list held", err)
 		}
@@ -94,13 +132,13 @@
 }
 
 // round fetches the list where none was ever fetched or a watch could not go on, then watches.
-func (w *Watcher) round(ctx context.Context) error {
+func (w *Watcher) round(ctx context.Context, address string) error {
 	if !w.held {
-		if err := w.get(ctx, path, answer, true); err != nil {
+		if err := w.get(ctx, address, path, answer, true); err != nil {
 			return err
 		}
 	}
-	err := w.get(ctx, path+"?follow=1&since="+strconv.FormatUint(w.index, 10), quiet, false)
+	err := w.get(ctx, address, path+"?follow=1&since="+strconv.FormatUint(w.index, 10), quiet, false)
 	if err != nil && !errors.Is(err, errEnded) && !errors.Is(err, errQuiet) {
 		w.held = false // whatever is wrong with going on from there, the whole list puts it right
 	}
@@ -114,16 +152,16 @@
 
 // get asks for a path and applies each list that comes. once: the answer is one list. A quiet time of more
 // than patience ends it.
-func (w *Watcher) get(ctx context.Context, path string, patience time.Duration, once bool) error {
+func (w *Watcher) get(ctx context.Context, address, path string, patience time.Duration, once bool) error {
 	s := &stream{whole: once, signal: make(chan struct{}, 1), lists: make(chan List, 64), failed: make(chan error, 1)}
 	dialing, cancel := context.WithTimeout(ctx, answer)
-	c, err := w.engine.Dial(dialing, w.address, s)
+	c, err := w.engine.Dial(dialing, address, s)
 	cancel()
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	if err := c.AsyncWrite([]byte("GET "+path+" HTTP/1.1\r\nHost: "+w.address+"\r\nAccept: application/json\r\n\r\n"), nil); err != nil {
+	if err := c.AsyncWrite([]byte("GET "+path+" HTTP/1.1\r\nHost: "+address+"\r\nAccept: application/json\r\n\r\n"), nil); err != nil {
 		return err
 	}
 	t := time.NewTimer(patience)
@@ -134,14 +172,15 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case l := <-s.lists:
-			w.take(l)
-			if once {
+			l.Snapshot = l.Snapshot || once
+			if w.take(l); once {
 				return nil
 			}
 		case err := <-s.failed:
 			for { // what came before the end counts
 				select {
 				case l := <-s.lists:
+					l.Snapshot = l.Snapshot || once
 					if w.take(l); once {
 						return nil
 					}
