--- a/cmd/ashstand/config.go
+++ b/cmd/ashstand/config.go
@@ -13,7 +13,7 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"ashstand/internal/net/discovery"
-	"ashstand/internal/net/pg"
+	"ashstand/internal/net/loop"
 	"ashstand/internal/settings"
 )
 
@@ -98,18 +98,26 @@
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil && (sockets == 0 || r.Cur < uint64(sockets)) {
 		sockets = int(min(r.Cur, 1<<20))
 	}
-	free := sockets - spareDescriptors - pg.MaxDials // a connection that is dialled holds two for a moment
+	free := sockets - spareDescriptors - loop.Enrolling
 	if second.Listen != "" {
 		free -= second.Connections + 1
 	}
 	if free < 16 {
 		return 0, 0, fmt.Errorf("limits: %d descriptors are too few, %d are the least", sockets,
-			spareDescriptors+pg.MaxDials+16)
+			spareDescriptors+loop.Enrolling+16)
 	}
 	clients = free * 3 / 5
 	return clients, free - clients, nil
 }
 
+// memory is what the process may use. Without a limit it takes what the smallest pooler has.
+func (c *config) memory() int {
+	if c.Limits.MemoryMB == 0 {
+		return 32 << 20
+	}
+	return c.Limits.MemoryMB << 20
+}
+
 // flightFile says where the Flight SQL front listens, from the root of the repository.
 const flightFile = "deploy/flightsql.toml"
 
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -30,7 +30,9 @@
 	// tail is for how long connections may still come after SIGTERM: the platform's 0.2 to 0.4 s and some slack.
 	tail = 450 * time.Millisecond
 	// spareDescriptors are for the listener, pollers, discovery, the log and what the runtime opens.
-	spareDescriptors = 40
+	spareDescriptors = 28
+	// busyAfter is when, in milliseconds, a client may come again that found the table or the memory full.
+	busyAfter = 300
 )
 
 func main() {
@@ -143,7 +145,8 @@
 		apply(*cfg.Known)
 	}
 	n.core = edge.New(n.facade, now, backend)
-	n.front = pg.NewFront(n.core, clients)
+	n.front = pg.NewFront(n.core, pg.FrontLimits{Clients: clients, Bytes: cfg.memory() / 10,
+		After: min(clock.Millis(cfg.site.MaxRetryAfter), busyAfter)})
 	if err := n.engine.Start(cfg.Listen, n.front.Accept); err != nil {
 		n.stop()
 		return nil, err
@@ -164,8 +167,10 @@
 	go n.facade.Run(ctx)
 	n.watch = discovery.New(n.engine, cfg.Discovery, cfg.Known, apply)
 	go n.watch.Run(ctx)
-	go every(ctx, time.Second, func() { pool.Sweep(); n.front.Sweep() })
-	log.Printf("%s listens on %s; at most %d clients and %d connections to hosts", cfg.Name, cfg.Listen, clients, connections)
+	go every(ctx, time.Second, pool.Sweep)
+	go every(ctx, pg.SweepEvery, n.front.Sweep)
+	log.Printf("%s listens on %s; at most %d clients and %d connections to hosts, idle for %v at most", cfg.Name, cfg.Listen, clients,
+		connections, cfg.site.ConnIdle)
 	return n, nil
 }
 
--- a/cmd/ashstand/program_test.go
+++ b/cmd/ashstand/program_test.go
@@ -206,7 +206,7 @@
 		require.ErrorContains(t, err, want)
 		require.NotContains(t, err.Error(), "\n")
 	}
-	_, _, err := descriptors(100, flightConfig{})
+	_, _, err := descriptors(40, flightConfig{})
 	require.ErrorContains(t, err, "too few")
 	off, err := loadFlight("../../" + flightFile)
 	require.NoError(t, err)
--- a/cmd/ashstand/suite_test.go
+++ b/cmd/ashstand/suite_test.go
@@ -36,6 +36,7 @@
 				{"a refusal says when to come back", refusal},
 				{"a deadline ends the wait", deadline},
 				{"a report cut half-way is asked for again, whole", cutReport},
+				{"the id of an open request is not another's", openID},
 				{"a request that makes no sense is tried nowhere", nonsense},
 			} {
 				t.Run(front+" to "+hosts+": "+s.name, func(t *testing.T) {
@@ -120,9 +121,34 @@
 	require.EqualValues(t, 2, cuts.Load())
 }
 
+// Guards against two requests that a host would take for one: an id counts once while it is open.
+func openID(t *testing.T, w *world, ask client) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	p := w.hosts[0]
+	p.set(func() {
+		p.do = func(string) act {
+			p.mu.Unlock()
+			entered <- struct{}{}
+			<-release
+			p.mu.Lock()
+			return serve
+		}
+	})
+	first := make(chan verdict)
+	go func() { first <- ask(t, fmt.Sprintf(donate, 1, 9000)) }()
+	<-entered
+	require.Equal(t, verdict{kind: "invalid"}, ask(t, fmt.Sprintf(donate, 1, 9000)))
+	close(release)
+	require.Equal(t, served, <-first)
+	require.Equal(t, 1, p.count())
+	go func() { <-entered }()
+	require.Equal(t, served, ask(t, fmt.Sprintf(donate, 1, 9000)), "once answered, it is free again")
+}
+
 func nonsense(t *testing.T, w *world, ask client) {
 	for _, text := range []string{"SELECT 1", "/* id=1,c=listen,d=100,cluster=1 */ SELECT payload FROM entries WHERE ref = 'k'",
-		"/* id=1,c=browse,d=x,cluster=1 */ SELECT 1", "/* id=1,c=browse,cluster=1 */ SELECT 1"} {
+		"/* id=1,c=browse,d=x,cluster=1 */ SELECT 1", "/* c=browse,d=900,cluster=1 */ SELECT 1", "/* id=,c=browse,d=900,cluster=1 */ SELECT 1",
+		"/* id=1,c=browse,cluster=1 */ SELECT 1"} {
 		require.Equal(t, "invalid", ask(t, text).kind, text)
 	}
 	require.Equal(t, "refused", ask(t, "/* id=1,c=browse,d=500,cluster=77 */ SELECT 1").kind, "a group of which no list tells")
@@ -142,9 +168,10 @@
 		for n := range 4 {
 			group.Go(func() {
 				for k := 0; !stop.Load(); k++ {
-					text := fmt.Sprintf(report, n*1000000+k)
+					id := (i*4+n)*1000000 + k // an id is open once, on whichever wire
+					text := fmt.Sprintf(report, id)
 					if k%4 == 0 {
-						text = fmt.Sprintf(donate, n*1000000+k, 9000)
+						text = fmt.Sprintf(donate, id, 9000)
 					}
 					if v := w.ask[front](t, text); v != served {
 						t.Errorf("%s: %s: %+v", front, text, v)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -91,13 +91,14 @@
 
 	mu       sync.Mutex
 	open     int
+	ids      map[string]struct{} // of the requests that are open
 	draining bool
 	idle     chan struct{} // closed when draining and nothing is open
 }
 
 // New returns a core that asks facade and sends over backend.
 func New(facade *decide.Facade, c clock.Clock, backend Backend) *Edge {
-	return &Edge{facade: facade, clock: c, backend: backend, idle: make(chan struct{})}
+	return &Edge{facade: facade, clock: c, backend: backend, ids: map[string]struct{}{}, idle: make(chan struct{})}
 }
 
 // Ready says whether requests can be taken: a list of hosts is held.
@@ -143,8 +144,28 @@
 	}
 }
 
+// enter notes a request's id. An id that is open belongs to another request, whoever sends it: a host would take
+// the two for one.
+func (e *Edge) enter(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, open := e.ids[id]
+	e.ids[id] = struct{}{}
+	return !open
+}
+
+func (e *Edge) exit(id string) {
+	e.mu.Lock()
+	delete(e.ids, id)
+	e.mu.Unlock()
+}
+
 // Do brings a request from its arrival to its final answer. ctx ends when the client goes away.
 func (e *Edge) Do(ctx context.Context, s *statement.Statement, arrived float64) Result {
+	if !e.enter(s.ID) {
+		return Result{Verdict: Invalid, Detail: "id " + s.ID + " is that of a request that is open"}
+	}
+	defer e.exit(s.ID)
 	call, err := e.facade.Begin(decide.Request{Class: s.Class, Group: s.Group, Session: s.Session, Retry: s.Retry,
 		Arrived: arrived, TimeLeft: s.Wait, After: s.After})
 	if err != nil {
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -28,8 +28,12 @@
 	booted chan struct{}
 	once   sync.Once
 	ended  chan error
+	enrol  chan struct{} // bounds what is being enrolled
 }
 
+// Enrolling is how many connections hold two descriptors for a moment, at the most.
+const Enrolling = 4
+
 // quiet keeps the library's chatter to what on-call staff can use.
 type quiet struct{}
 
@@ -40,16 +44,24 @@
 func (quiet) Fatalf(f string, a ...any) { log.Fatalf("sockets: "+f, a...) }
 
 // New returns an engine that does not run yet.
-func New() *Engine { return &Engine{booted: make(chan struct{}), ended: make(chan error, 1)} }
+func New() *Engine {
+	return &Engine{booted: make(chan struct{}), ended: make(chan error, 1), enrol: make(chan struct{}, Enrolling)}
+}
 
 // Start listens at address, a TCP host:port. accept makes the handler of each connection that comes in; nil
 // turns the connection away.
 func (e *Engine) Start(address string, accept func(c gnet.Conn) (Handler, []byte, gnet.Action)) error {
 	e.accept = accept
+	if err := vacant(address); err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
 	go func() {
 		e.ended <- gnet.Run(e, "tcp://"+address,
-			gnet.WithNumEventLoop(1),                    // one core; and what handlers share then needs no locks
-			gnet.WithReuseAddr(true),                    // a restart finds the last process's connections in TIME_WAIT
+			gnet.WithNumEventLoop(1), // one core; and what handlers share then needs no locks
+			gnet.WithReuseAddr(true), // a restart finds the last process's connections in TIME_WAIT
+			// The loop that serves connections accepts them too, one at a time. Otherwise a thread of its own takes all
+			// that wait, before accept is asked once: a burst of hundreds takes the last descriptor and ends the process.
+			gnet.WithReusePort(true),
 			gnet.WithLoadBalancing(gnet.SourceAddrHash), // the default may not be used from several goroutines
 			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 			gnet.WithReadBufferCap(64<<10),
@@ -78,6 +90,19 @@
 	_ = e.engine.Stop(ctx)
 }
 
+// vacant says whether an address can be listened on. Sharing ports, the loop would not notice another program there.
+func vacant(address string) error {
+	a, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil || a.Port == 0 {
+		return err
+	}
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return err
+	}
+	return l.Close()
+}
+
 // Dial opens a connection on the calling goroutine and hands it to the loop, where h owns it.
 func (e *Engine) Dial(ctx context.Context, address string, h Handler) (gnet.Conn, error) {
 	var d net.Dialer
@@ -86,12 +111,14 @@
 	if err != nil {
 		return nil, err
 	}
+	e.enrol <- struct{}{} // a loop that never blocks gives it back at once
+	defer func() { <-e.enrol }()
 	done, err := e.engine.Register(gnet.NewNetConnContext(gnet.NewContext(context.Background(), h), c))
 	if err != nil {
 		c.Close()
 		return nil, err
 	}
-	r := <-done // the loop never blocks, so this comes at once
+	r := <-done
 	return r.Conn, r.Err
 }
 
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"encoding/binary"
-	"log"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -16,100 +16,213 @@
 	"ashstand/internal/statement"
 )
 
-// Bounds of the front.
+// Bounds of the front, in bytes and milliseconds.
 const (
 	maxAhead   = maxQuery + 64<<10 // unread bytes of one client: a query, and what it sends ahead
-	maxUnread  = 32 << 20          // unread bytes of all clients
-	maxSilent  = 10 * time.Second  // that a client may take for its startup message
-	maxUntaken = 20 * time.Second  // for which a client may leave its answer in our buffer
+	maxUntaken = 20e3              // for which a client may leave its answer in our buffer
+	maxSilent  = 2200              // for which it may keep us waiting for a whole message, or for its first request
+	minIdle    = 2000              // after its answer a connection may be closed
+	minSilent  = 100               // a client that has not started may be closed to make room
+	maxStrikes = 16                // requests in a row that make no sense
+	maxLinger  = 500               // for which a client that was sent away may go on sending
+	lingerMost = 256 << 10         // and how much of that is read
+	sweepEvery = 250 * time.Millisecond
 )
 
+// FrontLimits bound the front.
+type FrontLimits struct {
+	Clients int     // connections; an eighth of them is kept for telling others that there is no room
+	Bytes   int     // of all clients' unread bytes, and of the statements under way
+	After   float64 // what is refused here may come again after so long; 0: no advice
+}
+
 // Front serves clients. Its connections' state belongs to the event loop; requests run on goroutines.
 type Front struct {
 	edge    *edge.Edge
-	clients int // most connections
+	limits  FrontLimits
 	conns   map[*client]gnet.Conn
 	unread  int
+	held    int // bytes of the statements under way
 	drain   atomic.Bool
 	loop    atomic.Value // gnet.EventLoop, once somebody came
 	last    uint32
+	full    loop.Rarely
+	cutOff  loop.Rarely
+	untaken loop.Rarely
 }
 
-// NewFront returns a front that brings requests to e and holds up to so many connections.
-func NewFront(e *edge.Edge, clients int) *Front {
-	return &Front{edge: e, clients: clients, conns: map[*client]gnet.Conn{}}
+// NewFront returns a front that brings requests to e.
+func NewFront(e *edge.Edge, limits FrontLimits) *Front {
+	return &Front{edge: e, limits: limits, conns: map[*client]gnet.Conn{}}
 }
 
 // Accept makes the handler of a connection; it is called on the event loop.
 func (f *Front) Accept(c gnet.Conn) (loop.Handler, []byte, gnet.Action) {
-	if len(f.conns) >= f.clients {
-		log.Printf("front: %d client connections are open, one more is closed", len(f.conns))
-		return nil, nil, gnet.Close
-	}
 	f.loop.CompareAndSwap(nil, c.EventLoop())
 	f.last++
-	h := &client{front: f, number: f.last, opened: time.Now()}
+	h := &client{front: f, number: f.last, since: f.edge.Now()}
+	served := f.limits.Clients * 7 / 8
+	for len(f.conns) >= served && f.makeRoom(h.since) {
+	}
+	room := len(f.conns) < served
+	if !room && len(f.conns) >= f.limits.Clients {
+		f.full.Printf("front: %d client connections are open, one more is closed", len(f.conns))
+		return nil, nil, gnet.Close
+	}
 	h.ctx, h.leave = context.WithCancel(context.Background())
 	f.conns[h] = c
-	return h, nil, gnet.None
+	if room {
+		return h, nil, gnet.None
+	}
+	f.full.Printf("front: %d client connections are open and in use, one more is sent away", len(f.conns))
+	return h, nil, h.farewell(c, stateRefused, "too many connections", f.after())
+}
+
+func (f *Front) after() string {
+	if f.limits.After <= 0 {
+		return ""
+	}
+	return strconv.Itoa(int(f.limits.After))
+}
+
+// makeRoom closes the connection that is missed least: one that was sent away, else one on which nothing ever
+// came, else the one that was idle for longest. Connections that asked once and stayed would else fill the table
+// for good.
+func (f *Front) makeRoom(now float64) bool {
+	var least *client
+	rank := 0
+	for h, c := range f.conns {
+		r, age := 0, now-h.since
+		switch {
+		case h.farewelled:
+			r = 3
+		case !h.parser.started && age >= minSilent && c.InboundBuffered() == 0:
+			r = 2
+		case !h.busy && h.parser.started && age >= minIdle && c.InboundBuffered() == 0:
+			r = 1
+		}
+		if r > rank || r > 0 && r == rank && h.since < least.since {
+			if r < 3 && waiting(c) {
+				continue
+			}
+			least, rank = h, r
+		}
+	}
+	if least == nil {
+		return false
+	}
+	c := f.conns[least]
+	_ = c.EventLoop().Close(c)
+	return true
+}
+
+// waiting says whether the kernel holds bytes that were not read yet.
+func waiting(c gnet.Conn) bool {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(c.Fd(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == nil && n > 0
 }
 
 // Drain closes client connections between requests, now and from now on.
 func (f *Front) Drain() {
 	f.drain.Store(true)
+	f.each(func(h *client, c gnet.Conn) {
+		if !h.busy && c.InboundBuffered() == 0 && !waiting(c) {
+			_ = c.EventLoop().Close(c)
+		}
+	})
+}
+
+// each does something on the loop for every connection.
+func (f *Front) each(do func(h *client, c gnet.Conn)) {
 	l, ok := f.loop.Load().(gnet.EventLoop)
 	if !ok {
 		return // nobody ever came
 	}
 	_ = l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		for h, c := range f.conns {
-			if !h.busy && c.InboundBuffered() == 0 {
-				_ = c.Close()
-			}
+			do(h, c)
 		}
 		return nil
 	}))
 }
 
-// Sweep closes connections that did not say a whole startup message in time; call it every second or so.
+// Sweep sends away clients that keep us waiting; call it every SweepEvery.
 func (f *Front) Sweep() {
-	l, ok := f.loop.Load().(gnet.EventLoop)
-	if !ok {
-		return
-	}
-	_ = l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
-		for h, c := range f.conns {
-			if !h.parser.started && time.Since(h.opened) > maxSilent {
-				_ = c.Close()
+	now := f.edge.Now()
+	f.each(func(h *client, c gnet.Conn) {
+		switch {
+		case h.farewelled:
+			if now-h.since > maxLinger {
+				_ = c.EventLoop().Close(c)
+			}
+		case h.busy:
+		case !h.asked && now-h.since > maxSilent, h.partial > 0 && now-h.partial > maxSilent:
+			if !waiting(c) && h.farewell(c, stateInvalid, "no whole message came in time", "") == gnet.Close {
+				_ = c.EventLoop().Close(c)
 			}
 		}
-		return nil
-	}))
+	})
 }
 
+// SweepEvery is the pace of Sweep.
+const SweepEvery = sweepEvery
+
 // client is one connection. A request at a time is under way; what is sent ahead of its answer waits in the
 // connection's ring buffer, so answers come in the order of the commands.
 type client struct {
-	front  *Front
-	number uint32
-	opened time.Time
-	parser Parser
-	busy   bool
-	unread int
-	ctx    context.Context // ends when the client goes away
-	leave  context.CancelFunc
+	front      *Front
+	number     uint32
+	since      float64 // it was opened, answered or sent away
+	partial    float64 // since when a message is not whole; 0: none is
+	parser     Parser
+	asked      bool // it had a request
+	busy       bool
+	farewelled bool // it was told to go: what it still sends is not read
+	strikes    int
+	unread     int
+	lingered   int
+	ctx        context.Context // ends when the client goes away
+	leave      context.CancelFunc
 }
 
 // Traffic is called on the loop.
 func (h *client) Traffic(c gnet.Conn) gnet.Action {
+	if h.farewelled {
+		h.lingered += c.InboundBuffered()
+		if _, _ = c.Discard(-1); h.lingered > lingerMost {
+			return gnet.Close
+		}
+		return gnet.None
+	}
 	action := h.read(c)
 	f := h.front
 	f.unread += c.InboundBuffered() - h.unread
 	h.unread = c.InboundBuffered()
-	if h.unread > maxAhead || f.unread > maxUnread && h.unread > 0 {
-		log.Printf("front: a client is cut off with %d bytes unread, %d of all clients", h.unread, f.unread)
+	if h.unread > maxAhead {
+		f.cutOff.Printf("front: a client is cut off with %d bytes unread", h.unread)
+		return gnet.Close
+	}
+	if f.unread > f.limits.Bytes {
+		return f.cutLongest(h, action)
+	}
+	return action
+}
+
+// cutLongest cuts off whoever has most unread: the client that happens to speak may have a small part in it.
+func (f *Front) cutLongest(speaker *client, action gnet.Action) gnet.Action {
+	most := speaker
+	for h := range f.conns {
+		if h.unread > most.unread {
+			most = h
+		}
+	}
+	f.cutOff.Printf("front: a client is cut off with %d bytes unread, %d of all clients", most.unread, f.unread)
+	if most == speaker {
 		return gnet.Close
 	}
+	c := f.conns[most]
+	_ = c.EventLoop().Close(c)
 	return action
 }
 
@@ -121,11 +234,24 @@
 	delete(h.front.conns, h)
 }
 
+// farewell tells a client why it has to go and ends our side. The connection stays for a moment, in which what
+// the client still sends is thrown away: closed at once, it would be reset, and a reset can eat the error.
+func (h *client) farewell(c gnet.Conn, state, text, detail string) gnet.Action {
+	h.write(c, failure(nil, "FATAL", state, text, detail))
+	if c.OutboundBuffered() > 0 || syscall.Shutdown(c.Fd(), syscall.SHUT_WR) != nil {
+		return gnet.Close
+	}
+	h.farewelled, h.since = true, h.front.edge.Now()
+	_, _ = c.Discard(-1)
+	return gnet.None
+}
+
 // read takes messages until one starts a request or no whole one is left.
 func (h *client) read(c gnet.Conn) gnet.Action {
-	for !h.busy {
+	for !h.busy && !h.farewelled {
 		n := c.InboundBuffered()
 		if n == 0 {
+			h.partial = 0
 			return gnet.None
 		}
 		b, err := c.Peek(n)
@@ -134,13 +260,23 @@
 		}
 		command := h.parser.Next(b)
 		if command.Kind == Incomplete {
+			if h.partial == 0 {
+				h.partial = h.front.edge.Now()
+			}
 			return gnet.None
 		}
+		h.partial = 0
 		action := h.handle(c, &command)
 		if action == gnet.Close || c.OutboundBuffered() > maxAhead { // or short errors to one that does not read
 			return gnet.Close
 		}
+		if h.farewelled {
+			return gnet.None
+		}
 		_, _ = c.Discard(command.Used)
+		if h.strikes > maxStrikes {
+			return h.farewell(c, stateInvalid, "too many requests that make no sense", "")
+		}
 		if !h.busy && h.front.drain.Load() && c.InboundBuffered() == 0 {
 			return gnet.Close
 		}
@@ -154,22 +290,24 @@
 func (h *client) handle(c gnet.Conn, command *Command) gnet.Action {
 	switch command.Kind {
 	case Encrypt:
+		h.strikes++
 		h.write(c, []byte{'N'}) // as it is, in plain text
 	case Startup:
 		h.write(c, Welcome(h.number, command.Minor))
 	case Sync:
 		h.write(c, ready(nil))
 	case Extended:
+		h.strikes++
 		h.write(c, failure(nil, "ERROR", stateUnknown, "simple queries only", ""))
 	case Function:
+		h.strikes++
 		h.write(c, ready(failure(nil, "ERROR", stateUnknown, "simple queries only", "")))
 	case Query:
 		h.query(c, command.Text)
 	case End, Cancel: // a query ends when its connection does
 		return gnet.Close
 	case Broken:
-		h.write(c, failure(nil, "FATAL", stateInvalid, command.Text, ""))
-		return gnet.Close
+		return h.farewell(c, stateInvalid, command.Text, "")
 	}
 	return gnet.None
 }
@@ -194,6 +332,8 @@
 // query starts a request, or answers at once what is none.
 func (h *client) query(c gnet.Conn, text string) {
 	f := h.front
+	h.asked = true
+	h.since = f.edge.Now()
 	word, _, _ := strings.Cut(strings.Trim(text, " \t\r\n;"), " ")
 	var out []byte
 	switch word = strings.ToUpper(word); {
@@ -205,13 +345,19 @@
 		out = complete(out, word)
 	default:
 		s, err := statement.Parse(text)
-		if err == nil {
+		switch {
+		case err != nil:
+			h.strikes++
+			out = failure(out, "ERROR", stateInvalid, err.Error(), "")
+		case f.held+len(text) > f.limits.Bytes:
+			out = failure(out, "ERROR", stateRefused, "the statements under way leave no memory for one more", f.after())
+		default:
 			h.busy = true
+			f.held += len(text)
 			f.edge.Begin()
-			go h.serve(c, s, f.edge.Now())
+			go h.serve(c, s, h.since)
 			return
 		}
-		out = failure(out, "ERROR", stateInvalid, err.Error(), "")
 	}
 	h.write(c, ready(out))
 }
@@ -220,6 +366,7 @@
 func (h *client) serve(c gnet.Conn, s statement.Statement, arrived float64) {
 	defer h.front.edge.End()
 	result := h.front.edge.Do(h.ctx, &s, arrived)
+	defer h.front.onLoop(func() { h.front.held -= len(s.Text) })
 	if result.Verdict == edge.Left {
 		return
 	}
@@ -230,7 +377,10 @@
 		return
 	}
 	_ = h.run(c, func() {
-		h.busy = false
+		h.busy, h.since = false, h.front.edge.Now()
+		if h.strikes++; result.Verdict != edge.Invalid {
+			h.strikes = 0
+		}
 		if h.unread > 0 { // what was sent ahead is waiting, and was taken
 			_ = c.Wake(nil)
 		} else if h.front.drain.Load() {
@@ -254,6 +404,14 @@
 	return left, err
 }
 
+// onLoop does something on the loop, some time.
+func (f *Front) onLoop(do func()) {
+	_ = f.loop.Load().(gnet.EventLoop).Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		do()
+		return nil
+	}))
+}
+
 // run does something on the loop and waits for it; nothing once the client has gone.
 func (h *client) run(c gnet.Conn, do func()) error {
 	done := make(chan struct{})
@@ -272,7 +430,7 @@
 
 // flushed waits until the client has taken its answer. false: it does not, or has gone.
 func (h *client) flushed(c gnet.Conn) bool {
-	for t := time.Now(); time.Since(t) < maxUntaken; {
+	for t := h.front.edge.Now(); h.front.edge.Now()-t < maxUntaken; {
 		left := 0
 		if h.ctx.Err() != nil || h.run(c, func() { left = c.OutboundBuffered() }) != nil {
 			return false
@@ -282,7 +440,7 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	log.Printf("front: a client that does not take its answer is cut off")
+	h.front.untaken.Printf("front: a client that does not take its answer is cut off")
 	return false
 }
 
--- /dev/null
+++ b/internal/net/pg/front_test.go
@@ -0,0 +1,193 @@
+package pg
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	"ashstand/choice"
+	"ashstand/internal/clock"
+	"ashstand/internal/decide"
+	"ashstand/internal/edge"
+	"ashstand/internal/net/loop"
+	"ashstand/internal/settings"
+)
+
+// nowhere is a backend that reaches no host.
+type nowhere struct{ edge.Backend }
+
+func (nowhere) Acquire(ctx context.Context, _ string) (edge.Conn, error) {
+	<-ctx.Done()
+	return nil, errors.New("nowhere")
+}
+
+type door struct {
+	*Front
+	clock   *clock.Manual
+	address string
+}
+
+func listen(t *testing.T, limits FrontLimits) *door {
+	class := choice.Class{Name: "report", Aim: time.Minute, Deadline: time.Minute, Worth: 1, LateShare: 1}
+	d := &door{clock: clock.NewManual(1e12)}
+	f, err := decide.New(&settings.Parsed{Settings: choice.Settings{Routers: 1, MaxAttempts: 8, Classes: []choice.Class{class}},
+		Classes: map[string]int{"report": 0}}, 1, d.clock, nil, nil)
+	require.NoError(t, err)
+	f.Members(true, []decide.Member{{Host: "h", Group: 1}})
+	d.Front = NewFront(edge.New(f, d.clock, nowhere{}), limits)
+	l, err := net.Listen("tcp", "127.0.0.1:0") // a port that was free a moment ago
+	require.NoError(t, err)
+	d.address = l.Addr().String()
+	l.Close()
+	e := loop.New()
+	require.NoError(t, e.Start(d.address, d.Accept))
+	t.Cleanup(e.Stop)
+	return d
+}
+
+// call opens a connection, starts it and sends queries, all at once; nothing else if there are none.
+func (d *door) call(t *testing.T, queries ...string) net.Conn {
+	c, err := net.Dial("tcp", d.address)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	if len(queries) == 0 {
+		return c
+	}
+	b := startup(nil, "web", "orders")
+	for _, q := range queries {
+		b = query(b, func(b []byte) []byte { return append(b, q...) })
+	}
+	_, err = c.Write(b)
+	require.NoError(t, err)
+	return c
+}
+
+// errorsOf reads errors up to n of them, or up to the end of the connection if n is 0.
+func errorsOf(t *testing.T, c net.Conn, n int) (got []string) {
+	f := pgproto3.NewFrontend(c, io.Discard)
+	for n == 0 || len(got) < n {
+		m, err := f.Receive()
+		if n == 0 && errors.Is(err, io.ErrUnexpectedEOF) {
+			return got
+		}
+		require.NoError(t, err)
+		switch m := m.(type) {
+		case *pgproto3.ErrorResponse:
+			got = append(got, m.Severity+" "+m.Code+" "+m.Detail)
+		case *pgproto3.EmptyQueryResponse:
+			got = append(got, "empty")
+		}
+	}
+	return got
+}
+
+// Guards against a table that clients fill which asked once and stayed, or which never say a word.
+func TestConnectionsInNoUseMakeRoom(t *testing.T) {
+	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20, After: 300})
+	var stayed []net.Conn
+	for i := range 14 {
+		c := d.call(t, "")
+		require.Equal(t, []string{"empty"}, errorsOf(t, c, 1), i)
+		d.clock.Advance(1)
+		stayed = append(stayed, c)
+	}
+	require.Equal(t, []string{"FATAL 53300 300"}, errorsOf(t, d.call(t, ""), 0), "none may be closed yet: told, and when to come back")
+	d.clock.Advance(minIdle)
+	require.Equal(t, []string{"empty"}, errorsOf(t, d.call(t, ""), 1))
+	_, err := io.ReadAll(stayed[0])
+	require.NoError(t, err, "the one idle for longest has gone")
+	silent := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20})
+	for range 14 {
+		silent.call(t)
+	}
+	require.Equal(t, []string{"FATAL 53300 "}, errorsOf(t, silent.call(t, ""), 0))
+	silent.clock.Advance(minSilent)
+	require.Equal(t, []string{"empty"}, errorsOf(t, silent.call(t, ""), 1))
+}
+
+// Guards against clients that keep us waiting: an error and a close are due 3 s after they connected.
+func TestWhoKeepsUsWaitingIsSentAway(t *testing.T) {
+	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20})
+	good := d.call(t, "")
+	errorsOf(t, good, 1)
+	silent, half, dumb := d.call(t), d.call(t, ""), d.call(t, "")
+	errorsOf(t, dumb, 1)
+	errorsOf(t, half, 1)
+	half.Write([]byte{'Q', 0, 0, 1, 0, 'S'})
+	half.Write(nil)
+	require.Eventually(t, func() bool {
+		seen := make(chan bool, 1)
+		d.onLoop(func() {
+			n := 0
+			for h := range d.conns {
+				if h.partial > 0 {
+					n++
+				}
+			}
+			seen <- n == 1 && len(d.conns) == 4
+		})
+		return <-seen
+	}, 10*time.Second, time.Millisecond)
+	d.Sweep()
+	d.clock.Advance(maxSilent + 1)
+	d.Sweep()
+	require.Equal(t, []string{"FATAL 08P01 "}, errorsOf(t, silent, 0))
+	require.Equal(t, []string{"FATAL 08P01 "}, errorsOf(t, half, 0))
+	_, err := good.Write(query(nil, func(b []byte) []byte { return b }))
+	require.NoError(t, err)
+	require.Equal(t, []string{"empty"}, errorsOf(t, good, 1), "who asked and is idle keeps its connection while there is room")
+}
+
+// Guards against a reset that eats the error written just before it, and against rubbish without end.
+func TestRubbishGetsItsErrorAndAnEnd(t *testing.T) {
+	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20})
+	huge := d.call(t, "")
+	_, err := huge.Write(append([]byte{'Q', 3, 0x93, 0x87, 0}, make([]byte, 100<<10)...)) // 60 MB are announced
+	require.NoError(t, err)
+	require.Equal(t, []string{"empty", "FATAL 08P01 "}, errorsOf(t, huge, 0), "read to its end, without a reset")
+	again := make([]string, 3*maxStrikes)
+	for i := range again {
+		again[i] = "SELECT 1"
+	}
+	got := errorsOf(t, d.call(t, again...), 0)
+	require.Len(t, got, maxStrikes+2)
+	require.Equal(t, "FATAL 08P01 ", got[len(got)-1])
+}
+
+// Guards against clients that together hold more than the process has; who holds most goes.
+func TestMemoryOfAllClientsIsBounded(t *testing.T) {
+	d := listen(t, FrontLimits{Clients: 16, Bytes: 100 << 10, After: 300})
+	long := func(id byte) string {
+		return "/* id=" + string(id) + ",c=report,d=20000,cluster=1 */ SELECT '" + string(bytes.Repeat([]byte{'x'}, 60<<10))
+	}
+	d.call(t, long('a'))
+	require.Eventually(t, func() bool {
+		held := make(chan int, 1)
+		d.onLoop(func() { held <- d.held })
+		return <-held > 60<<10
+	}, 10*time.Second, time.Millisecond)
+	require.Equal(t, []string{"ERROR 53300 300"}, errorsOf(t, d.call(t, long('b')), 1))
+	hog, small := d.call(t, ""), d.call(t, "")
+	errorsOf(t, hog, 1)
+	errorsOf(t, small, 1)
+	part := func(n int) []byte { return append([]byte{'Q', 0, 2, 0, 0}, make([]byte, n)...) }
+	hog.Write(part(90 << 10))
+	small.Write(part(30 << 10))
+	_, err := io.ReadAll(hog)
+	require.True(t, err == nil || !errors.Is(err, context.DeadlineExceeded) && !isTimeout(err), "%v", err)
+	small.Write(make([]byte, 128<<10-4-30<<10))
+	require.Equal(t, []string{"ERROR 08P01 "}, errorsOf(t, small, 1)[:1])
+}
+
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -28,9 +28,6 @@
 var Platform = Names{User: "web", Database: "orders", Role: "part", Position: "caught_up_to", Gauges: "gauges",
 	Primary: "master", Replica: "replica"}
 
-// MaxDials is how many connections may be in the making at once.
-const MaxDials = 64
-
 // Limits bound the pool.
 type Limits struct {
 	Connections int           // that may be open or being opened, to all hosts together
@@ -45,8 +42,6 @@
 	names  Names
 	limits Limits
 
-	dials chan struct{} // bounds them: a dialled connection takes two descriptors while it is enrolled
-
 	mu    sync.Mutex
 	hosts map[string]*host
 	open  int
@@ -59,8 +54,7 @@
 
 // NewPool returns a pool whose connections are served by engine.
 func NewPool(engine *loop.Engine, c clock.Clock, names Names, limits Limits) *Pool {
-	return &Pool{engine: engine, clock: c, names: names, limits: limits, hosts: map[string]*host{},
-		dials: make(chan struct{}, MaxDials)}
+	return &Pool{engine: engine, clock: c, names: names, limits: limits, hosts: map[string]*host{}}
 }
 
 // SetAddress tells where a host is. "" forgets it. Connections to an old address are closed.
@@ -351,15 +345,7 @@
 		defer cancel()
 	}
 	c := &conn{pool: p, host: h, name: name}
-	var g gnet.Conn
-	var err error
-	select {
-	case p.dials <- struct{}{}:
-		g, err = p.engine.Dial(ctx, h.address, c)
-		<-p.dials
-	case <-ctx.Done():
-		err = ctx.Err()
-	}
+	g, err := p.engine.Dial(ctx, h.address, c)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -18,6 +18,7 @@
 // Statement is a request as its client worded it.
 type Statement struct {
 	Text    string
+	ID      string // names the request among those that are open
 	Class   string
 	Group   uint64
 	Wait    float64 // d: milliseconds that the client will wait
@@ -30,7 +31,7 @@
 }
 
 // ErrNoComment is returned for a statement that does not begin with a request's comment.
-var ErrNoComment = errors.New("the statement does not begin with a comment /* id=…,c=…,d=… */")
+var ErrNoComment = errors.New("the statement does not begin with a whole comment /* id=…,c=…,d=… */")
 
 // Parse reads a statement. The result shares the text's memory.
 func Parse(text string) (Statement, error) {
@@ -63,6 +64,8 @@
 		value = strings.TrimSpace(value)
 		var err error
 		switch strings.TrimSpace(name) {
+		case "id":
+			s.ID = value
 		case "c":
 			s.Class, class = value, true
 		case "d":
@@ -83,7 +86,7 @@
 		}
 		at = stop + 1
 	}
-	if !class || !wait {
+	if !class || !wait || s.ID == "" {
 		return s, ErrNoComment
 	}
 	s.Session = literal(text[end+2:])
