--- a/choice/types.go
+++ b/choice/types.go
@@ -118,6 +118,7 @@
 	Cancelled
 	NotSent
 	Miss
+	Spoilt // an answer came that can't be read: it ran
 )
 
 // NeverRan says whether the ending proves that nothing ran.
--- a/cmd/ashstand/suite_test.go
+++ b/cmd/ashstand/suite_test.go
@@ -36,6 +36,8 @@
 				{"a refusal says when to come back", refusal},
 				{"a deadline ends the wait", deadline},
 				{"a report cut half-way is asked for again, whole", cutReport},
+				{"a spoilt answer has run and teaches nothing", spoiltAnswer},
+				{"a load report that can't be read spoils nothing", oddReport},
 				{"the id of an open request is not another's", openID},
 				{"a request that makes no sense is tried nowhere", nonsense},
 			} {
@@ -121,6 +123,36 @@
 	require.EqualValues(t, 2, cuts.Load())
 }
 
+// Guards against noise taken for an answer, and a donate sent again after one: whatever came, it has run.
+func spoiltAnswer(t *testing.T, w *world, ask client) {
+	var spoilt atomic.Int32
+	for _, h := range w.hosts {
+		h.set(func() {
+			h.do = func(text string) act {
+				if spoilt.Add(1) <= 1 {
+					return noise
+				}
+				return serve
+			}
+		})
+	}
+	require.Equal(t, verdict{kind: "failed"}, ask(t, fmt.Sprintf(donate, 1, 3000)))
+	require.EqualValues(t, 1, spoilt.Load())
+	spoilt.Store(0)
+	require.Equal(t, served, ask(t, fmt.Sprintf(report, 2)))
+	require.EqualValues(t, 2, spoilt.Load())
+}
+
+// Guards against a good answer that is thrown away for a bad report beside it.
+func oddReport(t *testing.T, w *world, ask client) {
+	for _, h := range w.hosts {
+		h.set(func() { h.odd = true })
+	}
+	for i, text := range []string{fmt.Sprintf(donate, 1, 9000), fmt.Sprintf(report, 2), fmt.Sprintf(browse, 3)} {
+		require.Equal(t, served, ask(t, text), i)
+	}
+}
+
 // Guards against two requests that a host would take for one: an id counts once while it is open.
 func openID(t *testing.T, w *world, ask client) {
 	entered, release := make(chan struct{}), make(chan struct{})
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -30,6 +30,7 @@
 	Cancelled      = choice.Cancelled
 	NotSent        = choice.NotSent
 	Miss           = choice.Miss
+	Spoilt         = choice.Spoilt
 )
 
 // Role is what a host said of itself.
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -8,13 +8,17 @@
 )
 
 // Gauges reads a load report as hosts word it on every wire: name=value pairs with commas between them. The
-// position x0 stands there in seconds. What can't be read says nothing.
+// position x0 stands there in seconds. A report of which a part can't be read says nothing: noise may look like a
+// number.
 func Gauges(report string) (r decide.Report) {
+	if report == "" {
+		return r
+	}
 	for _, item := range strings.Split(report, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(item), "=")
 		x, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(x >= 0 && x < 1<<40) {
-			continue
+		if err != nil || name == "" || !(x >= 0 && x < 1<<40) {
+			return decide.Report{}
 		}
 		switch name {
 		case "x0":
--- a/internal/net/flight/hosts.go
+++ b/internal/net/flight/hosts.go
@@ -182,8 +182,11 @@
 
 func lost(err error, trailer metadata.MD) edge.Reply {
 	r := edge.Reply{Detail: err.Error()}
-	r.Outcome = told(trailer, &r.Answer)
-	r.Code = outcome(err)
+	code := outcome(err)
+	if code != decide.Spoilt { // which teaches nothing
+		r.Outcome = told(trailer, &r.Answer)
+	}
+	r.Code = code
 	return r
 }
 
@@ -198,7 +201,7 @@
 		return lost(err, nil)
 	}
 	if len(info.Endpoint) != 1 || info.Endpoint[0].Ticket == nil {
-		return edge.Reply{Outcome: decide.Outcome{Code: decide.Error}, Detail: errShape.Error()}
+		return lost(errShape, nil)
 	}
 	if _, ok := gate(); !ok {
 		return edge.NotSent()
@@ -257,8 +260,12 @@
 	r := edge.Reply{Answer: edge.Answer{Column: "payload", Type: oidBytea, Binary: true, Null: true,
 		Tag: fmt.Sprintf("INSERT 0 %d", result.RecordCount)}}
 	r.Outcome = told(trailer, &r.Answer)
-	if v := trailer.Get(metaReturning); len(v) == 1 {
+	switch v := trailer.Get(metaReturning); len(v) {
+	case 0:
+	case 1:
 		r.Answer.Value, r.Answer.Null = []byte(v[0]), false
+	default:
+		return lost(errShape, nil)
 	}
 	return r
 }
--- a/internal/net/flight/status.go
+++ b/internal/net/flight/status.go
@@ -89,12 +89,9 @@
 
 // outcome reads what a host's error proves, once the request was sent.
 func outcome(err error) decide.Code {
-	if errors.Is(err, errShape) {
-		return decide.Error
-	}
 	s, ok := status.FromError(err)
-	if !ok {
-		return decide.ConnectionLost
+	if errors.Is(err, errShape) || !ok { // what gRPC delivered was no answer
+		return decide.Spoilt
 	}
 	for _, d := range s.Details() {
 		info, ok := d.(*errdetails.ErrorInfo)
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -118,9 +118,20 @@
 
 // waiting says whether the kernel holds bytes that were not read yet.
 func waiting(c gnet.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n > 0
+}
+
+// pending says whether the kernel holds bytes, or an end, that were not read yet.
+func pending(c gnet.Conn) bool {
+	_, err := peek(c)
+	return err != syscall.EAGAIN && err != syscall.EINTR
+}
+
+func peek(c gnet.Conn) (int, error) {
 	var b [1]byte
 	n, _, err := syscall.Recvfrom(c.Fd(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err == nil && n > 0
+	return n, err
 }
 
 // Drain closes client connections between requests, now and from now on.
--- a/internal/net/pg/message.go
+++ b/internal/net/pg/message.go
@@ -15,7 +15,8 @@
 const (
 	maxStartup = 10000
 	maxQuery   = 192 << 10 // a statement and its header
-	maxAnswer  = 256 << 10 // a whole answer of a db host
+	maxMessage = 66 << 10  // a message of a db host: a value of 64 KiB and what frames it
+	maxAnswer  = 80 << 10  // a whole answer of one
 )
 
 const (
@@ -145,7 +146,7 @@
 func find(b []byte, from int) (end, at int, err error) {
 	at = from
 	for {
-		kind, body, rest, ok, err := next(b[at:], maxAnswer)
+		kind, body, rest, ok, err := next(b[at:], maxMessage)
 		if err != nil || !ok {
 			return 0, at, err
 		}
@@ -187,10 +188,12 @@
 	return state, text, severity, detail
 }
 
-// parse reads a whole response. Values are copied: b belongs to the event loop.
+// parse reads a whole response, strictly: what is not what a host says to a query has been spoilt. Values are
+// copied: b belongs to the event loop.
 func parse(b []byte, names Names) (r response, err error) {
+	described, first := false, true
 	for len(b) > 0 {
-		kind, body, rest, ok, err := next(b, maxAnswer)
+		kind, body, rest, ok, err := next(b, maxMessage)
 		if err != nil {
 			return r, err
 		}
@@ -200,66 +203,84 @@
 		b = rest
 		switch kind {
 		case 'T':
-			if err := r.column(body); err != nil {
-				return r, err
-			}
+			ok = !described && r.state == "" && r.column(body)
+			described = true
 		case 'D':
-			if err := r.value(body); err != nil {
-				return r, err
-			}
+			ok = described && !r.done && r.value(body)
 		case 'C':
-			tag, _, _ := strings.Cut(string(body), "\x00")
+			tag, end, _ := strings.Cut(string(body), "\x00")
+			ok = end == "" && len(tag) == len(body)-1 && !r.done && r.state == ""
 			r.answer.Tag, r.done = tag, true
 		case 'E':
-			r.state, r.text, _, _ = fields(body)
-			if r.state == "" {
+			ok = r.state == "" && len(body) > 0 && body[len(body)-1] == 0
+			if r.state, r.text, _, _ = fields(body); r.state == "" {
 				r.state = stateInternal
 			}
 		case 'S':
-			name, value, _ := strings.Cut(string(body), "\x00")
-			value = strings.TrimRight(value, "\x00")
-			switch name {
-			case names.Role:
-				r.answer.Role = value
-			case names.Position:
-				if x, err := strconv.ParseFloat(value, 64); err == nil && x > 0 && x < 1<<52 {
-					r.answer.Position = x
-				}
-			case names.Gauges:
-				r.answer.Gauges = value
-			}
+			ok = r.status(body, names)
+		case 'Z':
+			ok = len(body) == 1 && strings.IndexByte("ITE", body[0]) >= 0 && len(b) == 0
+		case 'R': // the answer to a startup message
+			ok = first && string(body) == "\x00\x00\x00\x00"
+		case 'N', 'K', 'v', 'I':
+		default:
+			ok = false
+		}
+		if !ok {
+			return r, errShape
 		}
+		first = false
 	}
 	return r, nil
 }
 
-func (r *response) column(body []byte) error {
+// status takes a parameter. A position or a report that can't be read says nothing and spoils nothing.
+func (r *response) status(body []byte, names Names) bool {
+	name, value, ok := strings.Cut(string(body), "\x00")
+	value, rest, end := strings.Cut(value, "\x00")
+	if !ok || !end || rest != "" {
+		return false
+	}
+	switch name {
+	case names.Role:
+		r.answer.Role = value
+	case names.Position:
+		if x, err := strconv.ParseFloat(value, 64); err == nil && x > 0 && x < 1<<52 {
+			r.answer.Position = x
+		}
+	case names.Gauges:
+		r.answer.Gauges = value
+	}
+	return true
+}
+
+func (r *response) column(body []byte) bool {
 	if len(body) < 2 || binary.BigEndian.Uint16(body) != 1 {
-		return errShape
+		return false
 	}
 	name, rest, ok := strings.Cut(string(body[2:]), "\x00")
 	if !ok || len(rest) != 18 {
-		return errShape
+		return false
 	}
 	r.answer.Column = name
 	r.answer.Type = binary.BigEndian.Uint32([]byte(rest[6:10]))
 	r.answer.Binary = rest[17] == 1
-	return nil
+	return true
 }
 
-func (r *response) value(body []byte) error {
+func (r *response) value(body []byte) bool {
 	if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
-		return errShape
+		return false
 	}
 	r.rows++
 	n := int(int32(binary.BigEndian.Uint32(body[2:])))
 	if n == -1 && len(body) == 6 {
 		r.answer.Null = true
-		return nil
+		return true
 	}
 	if n < 0 || n != len(body)-6 {
-		return errShape
+		return false
 	}
 	r.answer.Value = append([]byte{}, body[6:]...)
-	return nil
+	return true
 }
--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
 	"sync"
 	"time"
 
@@ -42,6 +41,8 @@
 	names  Names
 	limits Limits
 
+	refused loop.Rarely
+
 	mu    sync.Mutex
 	hosts map[string]*host
 	open  int
@@ -142,14 +143,15 @@
 	err      error // the connection broke or what came makes no sense
 }
 
-var errUnasked = errors.New("the db host spoke unasked")
+// errSpoilt marks an answer that can't be read. Its request has run, and nothing else on its connection can be told
+// from what is left of it.
+var errSpoilt = errors.New("spoilt")
+
+var errUnasked = fmt.Errorf("%w: the db host spoke unasked", errSpoilt)
 
 // Traffic is called on the loop. A response stays in the connection's ring buffer until it is whole.
 func (c *conn) Traffic(g gnet.Conn) gnet.Action {
 	n := g.InboundBuffered()
-	if n > maxAnswer {
-		return c.spoilt(errLength)
-	}
 	b, err := g.Peek(n)
 	if err != nil {
 		return c.spoilt(err)
@@ -158,7 +160,7 @@
 	due := c.due
 	c.mu.Unlock()
 	if due == nil { // notices and farewells come unasked; the latter end in a close
-		if kind, _, rest, ok, err := next(b, maxAnswer); err == nil && (!ok || len(rest) == 0 && (kind == 'N' || kind == 'S')) {
+		if kind, _, rest, ok, err := next(b, maxMessage); err == nil && (!ok || len(rest) == 0 && (kind == 'N' || kind == 'S')) {
 			if ok {
 				_, _ = g.Discard(n)
 			}
@@ -167,6 +169,9 @@
 		return c.spoilt(errUnasked)
 	}
 	end, at, err := find(b, c.from)
+	if err == nil && end == 0 && n > maxAnswer {
+		err = errLength
+	}
 	if err != nil {
 		return c.spoilt(err)
 	}
@@ -174,20 +179,27 @@
 		return gnet.None
 	}
 	r, err := parse(b[:end], c.pool.names)
-	extra := end < n
+	if err != nil {
+		return c.spoilt(err)
+	}
 	_, _ = g.Discard(end)
 	c.from = 0
-	if err == nil && extra {
-		err = errUnasked
-	}
-	c.deliver(event{r, err})
-	if err != nil {
-		return gnet.Close
+	if end == n {
+		c.deliver(event{response: r})
+		return gnet.None
 	}
-	return gnet.None
+	// The answer is whole and good, but what came behind it belongs to no request: the connection ends here.
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.deliver(event{response: r})
+	return gnet.Close
 }
 
 func (c *conn) spoilt(err error) gnet.Action {
+	if !errors.Is(err, errSpoilt) {
+		err = fmt.Errorf("%w: %w", errSpoilt, err)
+	}
 	c.deliver(event{err: err})
 	return gnet.Close
 }
@@ -201,7 +213,7 @@
 	c.closed = true
 	c.mu.Unlock()
 	if err == nil {
-		err = errors.New("the connection was closed")
+		err = errClosed
 	}
 	c.deliver(event{err: err})
 	p := c.pool
@@ -235,22 +247,14 @@
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
-		return event{err: errors.New("the connection was closed")}, false
+		return event{err: errClosed}, false
 	}
 	c.due, c.wrote = due, false
 	c.mu.Unlock()
-	err := c.gnet.AsyncWrite(b, func(_ gnet.Conn, err error) error {
-		c.mu.Lock()
-		if err == nil && !c.closed {
-			c.wrote = true // or what is left lies in the ring buffer, which Closed looks at
-		}
-		c.mu.Unlock()
-		if err != nil {
-			c.deliver(event{err: err})
-		}
+	if err := c.gnet.EventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		c.send(b, due)
 		return nil
-	})
-	if err != nil {
+	})); err != nil {
 		c.close()
 		return event{err: err}, false
 	}
@@ -273,6 +277,31 @@
 	return e, c.wrote
 }
 
+// send runs on the loop. What was already there when the request went out can't be its answer: a second copy of the
+// last one, noise, or the end of the connection, which then says nothing of the request.
+func (c *conn) send(b []byte, due chan event) {
+	c.mu.Lock()
+	late := c.closed || c.due != due // or given up since
+	c.mu.Unlock()
+	if late {
+		c.deliver(event{err: errClosed})
+		return
+	}
+	if c.gnet.InboundBuffered() > 0 || pending(c.gnet) {
+		c.deliver(event{err: errClosed})
+		_ = c.gnet.EventLoop().Close(c.gnet)
+		return
+	}
+	if _, err := c.gnet.Write(b); err != nil {
+		c.deliver(event{err: err}) // and gnet closes the connection
+		return
+	}
+	c.mu.Lock()
+	c.wrote = !c.closed // what is left of it lies in the ring buffer, which Closed looks at
+	c.mu.Unlock()
+}
+
+var errClosed = errors.New("the connection was closed")
 var errUnknownHost = errors.New("discovery has given no address for this host")
 var errBudget = errors.New("all connections that this pooler may hold are in use")
 
@@ -400,6 +429,8 @@
 			code = decide.NotSent
 		case !wrote:
 			code = decide.NoConnection
+		case errors.Is(e.err, errSpoilt):
+			code = decide.Spoilt
 		case errors.Is(e.err, context.DeadlineExceeded):
 			code = decide.NoAnswer
 		case errors.Is(e.err, context.Canceled):
@@ -408,6 +439,10 @@
 		return edge.Reply{Outcome: decide.Outcome{Code: code}, Detail: e.err.Error()}
 	}
 	r := &e.response
+	if outcome(r) == decide.Spoilt { // it teaches nothing, its position least of all
+		c.close()
+		return edge.Reply{Outcome: decide.Outcome{Code: decide.Spoilt}, Detail: errShape.Error()}
+	}
 	reply := edge.Reply{Outcome: decide.Outcome{Code: outcome(r), Role: c.pool.role(r.answer.Role),
 		Position: r.answer.Position, Report: edge.Gauges(r.answer.Gauges)}, Answer: r.answer}
 	if reply.Code != decide.OK {
@@ -423,8 +458,10 @@
 		return decide.Miss
 	case r.state == stateRefused:
 		return decide.Full
-	case r.state != "" || !r.done || r.rows != 1:
+	case r.state != "":
 		return decide.Error
+	case !r.done || r.rows != 1:
+		return decide.Spoilt
 	}
 	return decide.OK
 }
@@ -457,9 +494,14 @@
 	if e.err != nil {
 		return decide.Outcome{Code: decide.NoAnswer}
 	}
-	defer c.release()
-	if code := outcome(&e.response); code != decide.OK {
-		log.Printf("probe of %s: %s %s", name, e.response.state, e.response.text)
+	code := outcome(&e.response)
+	if code == decide.Spoilt {
+		c.close()
+		return decide.Outcome{Code: code}
+	}
+	c.release()
+	if code != decide.OK {
+		p.refused.Printf("probe of %s: %s %s", name, e.response.state, e.response.text)
 		return decide.Outcome{Code: code}
 	}
 	return decide.Outcome{Code: decide.OK, Report: edge.Gauges(string(e.response.answer.Value))}
