--- a/choice/choice.go
+++ b/choice/choice.go
@@ -160,6 +160,7 @@
 	tickAt, timerAt time.Duration // next upkeep, and next timer
 	latency         time.Duration
 	classes         []class
+	tightest        time.Duration // the least bound of a Bounded class
 	meanTook        float64
 	crowded         float64       // smoothed share of the attempts that failed to connect at once
 	probes          float64       // probes that the requests so far have earned
@@ -177,15 +178,18 @@
 	case s.MaxAttempts < 1:
 		return nil, fmt.Errorf("choice: at most %d attempts a request", s.MaxAttempts)
 	}
-	classes := make([]class, len(s.Classes))
+	classes, tightest := make([]class, len(s.Classes)), time.Second
 	for i, k := range s.Classes {
 		classes[i].Class = k
+		if k.Read == Bounded {
+			tightest = min(tightest, k.Bound)
+		}
 		if k.Aim <= 0 || k.Deadline <= 0 || k.Read > Write || k.Effect > Unsafe {
 			return nil, fmt.Errorf("choice: class %q: aim %v, deadline %v", k.Name, k.Aim, k.Deadline)
 		}
 	}
-	return &Choice{cfg: s, classes: classes, tenants: make([]tenant, len(s.Tenants)), probes: askMost,
-		rng: rand.New(rand.NewPCG(seed, uint64(s.Index))), members: map[string]*member{},
+	return &Choice{cfg: s, classes: classes, tightest: tightest, tenants: make([]tenant, len(s.Tenants)),
+		probes: askMost, rng: rand.New(rand.NewPCG(seed, uint64(s.Index))), members: map[string]*member{},
 		groups: map[uint64]*group{}, reqs: map[string]*request{},
 		budget: 0.5 * max(1, budgetCap/float64(s.Routers))}, nil
 }
@@ -606,6 +610,11 @@
 	return false
 }
 
+// current says whether a member was within the tightest bound when its position was last heard of.
+func (c *Choice) current(m *member) bool {
+	return m.heard-m.position < c.tightest
+}
+
 // nearly says that a read is worth a try at a member which checks for itself: its position is unknown, or
 // its lag when last heard of leaves the need within what it waits.
 func (c *Choice) nearly(m *member, r *request) bool {
@@ -721,6 +730,11 @@
 			doubtful = append(doubtful, m)
 		}
 	}
+	if r.class.Read == Any { // a long query stops the log: run it where newer data isn't to be had anyway
+		if behind := slices.DeleteFunc(slices.Clone(good), c.current); len(behind) > 0 {
+			good = behind
+		}
+	}
 	part := r.group.part()
 	for _, ms := range []*[]*member{&good, &near, &bad} {
 		n := float64(len(*ms))
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -713,3 +713,69 @@
 		t.Errorf("asked %d times after a failure", len(asked))
 	}
 }
+
+// Guards against long queries that stop the log on every replica: they go where newer data isn't to be had anyway,
+// and to all while no replica lags.
+func TestReadsOfAnyAgeSpareCurrentReplicas(t *testing.T) {
+	g := start(t, settings(), shard()...)
+	went := func() map[string]int {
+		hosts := map[string]int{}
+		for range 40 {
+			id, as := g.request(anyRead, Event{})
+			_, host := of(ActSend, as)
+			hosts[host]++
+			g.outcome(id, 0, OK, Unknown)
+		}
+		return hosts
+	}
+	g.reports(Replica, 10*ms, "a", "b", "c")
+	if hosts := went(); len(hosts) != 3 || hosts["p"] > 0 {
+		t.Errorf("none lags: %v", hosts)
+	}
+	g.now += time.Second
+	g.reports(Replica, 10*ms, "a", "b")
+	g.reports(Replica, 900*ms, "c")
+	if hosts := went(); hosts["c"] != 40 {
+		t.Errorf("c lags: %v", hosts)
+	}
+	for range limitStart { // it has no room: the others serve
+		g.request(anyRead, Event{})
+	}
+	if _, as := g.request(anyRead, Event{}); len(as) == 0 || as[0].Kind != ActSend || as[0].Host == "c" {
+		t.Errorf("c is full: %v", as)
+	}
+}
+
+// Guards against replicas left out for seconds since some answers of theirs were spoilt, as any host's may be; and
+// against a spoilt answer taken for proof that nothing ran.
+func TestOneSpoiltAnswerLeavesNoHostOut(t *testing.T) {
+	g := start(t, settings(), shard()...)
+	for range 4 {
+		g.now += 4 * time.Second // long enough ago for the next attempt to weigh most
+		g.reports(Replica, 10*ms, "a", "b", "c")
+		for range 8 {
+			id, _ := g.request(boundedRead, Event{})
+			g.outcome(id, 0, OK, Unknown)
+		}
+		g.now += 4 * time.Second
+		g.reports(Replica, 10*ms, "a", "b", "c")
+		id, as := g.request(boundedRead, Event{})
+		_, host := of(ActSend, as)
+		as = g.outcome(id, 0, Spoilt, Unknown)
+		if again, other := of(ActSend, as); len(again) != 1 || other == host {
+			t.Errorf("it is safe to repeat: %v", as)
+		}
+		g.outcome(id, 1, OK, Unknown)
+		if m := g.c.members[host]; !g.c.sound(m) {
+			t.Errorf("%s is left out at a cost of %.2f", host, g.c.cost(m))
+		}
+	}
+	id, as := g.request(unsafeWrite, Event{})
+	if _, host := of(ActSend, as); host != "p" {
+		t.Fatal(as)
+	}
+	as = g.outcome(id, 0, Spoilt, Unknown)
+	if fails, _ := of(ActFail, as); len(fails) != 1 || len(as) != 1 {
+		t.Errorf("it may have run: %v", as)
+	}
+}
