--- a/choice/choice.go
+++ b/choice/choice.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	upkeep       = 10 * time.Millisecond  // pace of held requests: far below any aim
+	upkeep       = 5 * time.Millisecond   // pace of held requests: far below any aim
 	margin       = time.Millisecond       // checking margin: positions come in whole milliseconds
 	askWait      = 25 * time.Millisecond  // a read waits so long for a probe: above a round trip
 	askAgain     = 60 * time.Millisecond  // before that a member's report is hardly newer
@@ -54,7 +54,7 @@
 	farLess      = 0.1                   // in aims; known members would else crowd out the unknown
 	crowdAt      = 0.1                   // share of quick failures to connect that tells of full hosts
 	keepMost     = 150                   // connections that all routers then keep at a host, below its limit
-	primaryShare = 0.5                   // part of the primary's in-flight limit that reads may fill
+	primaryShare = 0.9                   // part of the primary's in-flight limit that reads may fill
 	endGuard     = 15 * time.Millisecond // a final answer leaves this long before its time, at the latest
 	sessionKeep  = 10 * time.Second      // commits older than this are folded into the group's floor
 	sessionMax   = 20000
@@ -72,6 +72,7 @@
 	primaryAt, otherAt   time.Duration // latest evidence of being primary, and of not being it
 	inflight             int
 	quiet                time.Duration // since when work lies there and nothing came back
+	out                  []int         // of that, by class
 	lastAnswer, lastSent time.Duration
 	took                 float64 // what attempts took, in aims of their class
 	tookAt               time.Duration
@@ -113,6 +114,7 @@
 
 type class struct {
 	Class
+	index   int
 	latency time.Duration // smoothed, of answers
 	work    time.Duration // near the least that an answer takes: what is not waiting
 	usual   time.Duration // time that most clients leave at their first try, and how sure that is
@@ -180,7 +182,7 @@
 	}
 	classes, tightest := make([]class, len(s.Classes)), time.Second
 	for i, k := range s.Classes {
-		classes[i].Class = k
+		classes[i].Class, classes[i].index = k, i
 		if k.Read == Bounded {
 			tightest = min(tightest, k.Bound)
 		}
@@ -287,7 +289,8 @@
 					sides: [2]side{{quick: quickStart}, {quick: quickStart}}}
 				c.groups[t.Group] = g
 			}
-			m = &member{host: t.Host, group: g, limit: limitStart, left: c.now}
+			m = &member{host: t.Host, group: g, limit: limitStart, left: c.now,
+				out: make([]int, len(c.classes))}
 			c.members[t.Host] = m
 			g.members = append(g.members, m)
 			slices.SortFunc(g.members, func(a, b *member) int { return cmp.Compare(a.host, b.host) })
@@ -443,6 +446,7 @@
 	r.live--
 	m := a.to
 	m.inflight--
+	m.out[r.class.index]--
 	m.quiet = c.now
 	if e.Role != Unknown {
 		position := e.Position
@@ -628,10 +632,19 @@
 	return m.position == 0 || m.position+(c.now-m.heard)+c.cfg.CatchUp/2 >= need
 }
 
-// silent: work lies there and nothing has come back for far longer than usual. Covers hangs, pauses and cut
-// links; harms a member with one very long request, until that ends.
+// silent: work lies there and nothing has come back for far longer than is usual for the shortest of it. It
+// covers hangs, pauses and cut links; a member with long work alone gets the time that this takes.
 func (c *Choice) silent(m *member) bool {
-	return m.inflight > 0 && c.now-m.quiet > max(silentFloor, 4*max(c.latency, lateFloor))
+	if m.inflight == 0 || c.now-m.quiet <= silentFloor {
+		return false
+	}
+	usual := time.Duration(math.MaxInt64) / 8
+	for i, n := range m.out {
+		if n > 0 {
+			usual = min(usual, max(c.latency, c.classes[i].latency, lateFloor))
+		}
+	}
+	return c.now-m.quiet > 4*usual
 }
 
 // sound says whether a member gets work as usual: not while it is silent, nor while its last attempts failed.
@@ -759,6 +772,10 @@
 func (c *Choice) dispatch(r *request) {
 	late := c.now >= r.deadline-endGuard || // or not to be had in time, and worth nothing late:
 		r.class.LateShare == 0 && c.now+min(r.class.latency, (r.aim-r.arrived)*3/4) >= r.aim
+	// A read that never went out and is past its aim: over half its time the answer is of little use, and a
+	// refusal with when to come back leaves its client the rest.
+	half := r.arrived + (r.deadline-r.arrived)/2 - endGuard
+	late = late || r.class.Read != Write && len(r.attempts) == 0 && c.now >= max(r.aim, half)
 	if late || len(r.attempts) >= c.cfg.MaxAttempts || !c.repeatable(r) {
 		c.end(r)
 		return
@@ -848,6 +865,7 @@
 	}
 	m.lastSent = c.now
 	m.inflight++
+	m.out[r.class.index]++
 	r.attempts = append(r.attempts, attempt{to: m, sent: c.now, live: true})
 	r.live++
 	c.out = append(c.out, Action{Kind: ActSend, ID: r.id, Host: m.host, Timeout: timeout})
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -779,3 +779,68 @@
 		t.Errorf("it may have run: %v", as)
 	}
 }
+
+// Guards against a read that is held to the end of its time and refused then: by half of it, if it never went out
+// and its aim is past, its client is told when to come back.
+func TestReadsThatNeverWentOutAreRefusedAtHalfTime(t *testing.T) {
+	hosts := shard()
+	hosts[0].Primary = false // nobody knows the primary, so fresh reads wait
+	g := start(t, settings(), hosts...)
+	id, _ := g.request(freshRead, Event{})
+	var refused []Action
+	for waited := time.Duration(0); len(refused) == 0 && waited < 2*time.Second; waited += 10 * ms {
+		refused, _ = of(ActRefuse, g.after(10*ms))
+	}
+	if took := g.now - zero; len(refused) != 1 || refused[0].ID != id || refused[0].After == 0 || took < 950*ms || took > time.Second {
+		t.Errorf("after %v: %v", took, refused)
+	}
+	id, _ = g.request(unsafeWrite, Event{}) // a write is held for as long as there is no primary
+	for range 300 {
+		if ends, _ := of(ActRefuse, g.after(10*ms)); len(ends) > 0 {
+			t.Fatalf("%s is refused at %v: %v", id, g.now-zero, ends)
+		}
+		g.outcome(id, 0, Miss, Replica)
+	}
+}
+
+// Guards against a replica that counts as silent while all it has is a long query: it answers others as ever.
+func TestLongWorkIsNoSilence(t *testing.T) {
+	g := start(t, settings(), shard()...)
+	g.reports(Replica, 10*ms, "a", "b", "c")
+	for range 30 {
+		id, _ := g.request(anyRead, Event{})
+		g.step(Event{Kind: EvOutcome, ID: id, Code: OK, Final: true, Elapsed: 350 * ms})
+		id, _ = g.request(sessionRead, Event{})
+		g.outcome(id, 0, OK, Unknown)
+	}
+	_, as := g.request(anyRead, Event{})
+	_, host := of(ActSend, as)
+	m := g.c.members[host]
+	if g.now += 3 * g.c.classes[anyRead].latency; g.c.silent(m) {
+		t.Errorf("silent after %v, while such work takes %v", g.now-m.quiet, g.c.classes[anyRead].latency)
+	}
+	for m.out[sessionRead] == 0 {
+		g.request(sessionRead, Event{})
+	}
+	if !g.c.silent(m) {
+		t.Error("short work lies there too")
+	}
+	if g.now += 2 * g.c.classes[anyRead].latency; !g.c.silent(m) {
+		t.Error("even for long work it is too long")
+	}
+}
+
+// Guards against reads that are refused beside a primary with room: they may take most of it, not all.
+func TestReadsMayTakeMostOfThePrimary(t *testing.T) {
+	g := start(t, settings(), Target{Host: "p", Group: 1, Primary: true})
+	g.c.members["p"].limit = 20
+	for range 30 {
+		g.request(sessionRead, Event{Token: ms})
+	}
+	if n := g.c.members["p"].inflight; n != 18 {
+		t.Errorf("%d reads are there, 18 of 20 may be", n)
+	}
+	if _, as := g.request(unsafeWrite, Event{}); len(as) == 0 || as[0].Kind != ActSend {
+		t.Errorf("a write finds no room: %v", as)
+	}
+}
