--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,7 +28,7 @@
 	probeWait    = 300 * time.Millisecond // a probe unanswered for so long no longer counts as under way
 	probeSpend   = 0.016                  // share of the result that probes may cost, about what they free
 	failure      = 3                      // what a failed attempt counts for, in aims
-	spoilt       = 1.5                    // one whose answer was spoilt: any host may do that now and then
+	mishap       = 1.5                    // one that was reset or spoilt: any host may do that
 	avoidAt      = 1                      // the mean, in aims, from which a member is avoided
 	silentFloor  = 150 * time.Millisecond // below this a quiet member is no news
 	searchPause  = 500 * time.Millisecond // wait after a round of misses
@@ -506,10 +506,12 @@
 	switch e.Code {
 	case OK, Miss:
 		m.lastAnswer = c.now
-	case Error, NoConnection, ConnectionLost:
+	case Error, NoConnection:
 		aims, m.open = failure, e.Code == Error
+	case ConnectionLost: // if the host is dead, the next will not even connect
+		aims, m.open = mishap, false
 	case Spoilt:
-		aims, m.lastAnswer = spoilt, c.now
+		aims, m.lastAnswer = mishap, c.now
 	case NoAnswer:
 		if aims = max(1, aims); m.lastAnswer <= a.sent { // else it answered others meanwhile: busy, not dead
 			aims = failure
--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -46,6 +46,7 @@
 	mu    sync.Mutex
 	hosts map[string]*host
 	open  int
+	wear  wear
 }
 
 type host struct {
@@ -115,10 +116,11 @@
 	}
 }
 
-// usable keeps a good distance from the moment at which the host closes a connection: a request written to it
-// from then on may have run for all one can tell.
+// usable keeps a good distance from the moment at which the host closes a connection, or from which it was seen to be
+// dropped: a request written to it from then on may have run for all one can tell. Called with the lock held.
 func (p *Pool) usable(c *conn) bool {
-	return p.limits.Idle <= 0 || p.clock.Now()-c.since < clock.Millis(p.limits.Idle)*0.7
+	idle := p.clock.Now() - c.since
+	return (p.limits.Idle <= 0 || idle < clock.Millis(p.limits.Idle)*0.7) && idle < p.wear.limit()
 }
 
 // conn is a connection to a db host. One request owns it, or it lies in the pool.
@@ -421,7 +423,14 @@
 		return edge.NotSent()
 	}
 	b := query(make([]byte, 0, len(s.Text)+16), func(b []byte) []byte { return s.WithWait(b, wait) })
+	sent := c.pool.clock.Now()
 	e, wrote := c.command(ctx, b)
+	if c.used && wrote {
+		lost := e.err != nil && !errors.Is(e.err, errSpoilt) && ctx.Err() == nil
+		c.pool.mu.Lock()
+		c.pool.wear.note(sent, sent-c.since, lost)
+		c.pool.mu.Unlock()
+	}
 	if e.err != nil {
 		code := decide.ConnectionLost
 		switch {
