--- a/choice/choice.go
+++ b/choice/choice.go
@@ -745,9 +745,10 @@
 			doubtful = append(doubtful, m)
 		}
 	}
-	if r.class.Read == Any { // a long query stops the log: run it where newer data isn't to be had anyway
-		if behind := slices.DeleteFunc(slices.Clone(good), c.current); len(behind) > 0 {
-			good = behind
+	if r.class.Read == Any { // a long query stops the log: run it where that costs least, the furthest behind
+		slices.SortStableFunc(good, func(a, b *member) int { return cmp.Compare(a.position, b.position) })
+		if len(good) > 0 && !c.current(good[0]) {
+			good = good[:1]
 		}
 	}
 	part := r.group.part()
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -27,8 +27,12 @@
 )
 
 const (
-	// tail is for how long connections may still come after SIGTERM: the platform's 0.2 to 0.4 s and some slack.
-	tail = 450 * time.Millisecond
+	// killSlack is what the platform adds to the longest deadline, 3 s at the most, before it may send SIGKILL.
+	killSlack = 700 * time.Millisecond
+	// serveRest is what is left of that time when clients are sent elsewhere, for the answers that are due then.
+	serveRest = 900 * time.Millisecond
+	// lastWords is what is left of it when those get a final answer that have none yet.
+	lastWords = 150 * time.Millisecond
 	// spareDescriptors are for the listener, pollers, discovery, the log and what the runtime opens.
 	spareDescriptors = 28
 	// busyAfter is when, in milliseconds, a client may come again that found the table or the memory full.
@@ -72,7 +76,6 @@
 	if err != nil {
 		return err
 	}
-	defer n.stop()
 	go func() { // while it drains, too: what it still sends needs the list
 		for range again {
 			next, err := load(os.Getenv, cfg)
@@ -88,25 +91,27 @@
 	case err := <-n.ended:
 		return err
 	case s := <-stop:
-		log.Printf("%v: going on for %v, then closing client connections between requests", s, tail)
+		// New connections come for 0.4 s yet, and clients use those they have while they are open: until the
+		// platform starts the next process, this one serves them best.
+		log.Printf("%v: going on for %v, then closing client connections between requests", s, n.grace-serveRest)
+		time.Sleep(n.grace - serveRest)
 	}
-	time.Sleep(tail)
 	n.drain()
 	return nil
 }
 
 // node is a pooler that runs.
 type node struct {
-	facade  *decide.Facade
-	core    *edge.Edge
-	engine  *loop.Engine
-	front   *pg.Front
-	flight  *flight.Front // nil: off
-	hosts   *flight.Hosts
-	watch   *discovery.Watcher
-	longest time.Duration // that a request may take
-	cancel  context.CancelFunc
-	ended   chan error // something ended by itself
+	facade *decide.Facade
+	core   *edge.Edge
+	engine *loop.Engine
+	front  *pg.Front
+	flight *flight.Front // nil: off
+	hosts  *flight.Hosts
+	watch  *discovery.Watcher
+	grace  time.Duration // from SIGTERM to SIGKILL, at the least
+	cancel context.CancelFunc
+	ended  chan error // something ended by itself
 }
 
 // start wires the parts together and opens the fronts.
@@ -117,11 +122,11 @@
 	}
 	limitMemory(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &node{engine: loop.New(), hosts: flight.NewHosts(cfg.site.Connect), cancel: cancel, ended: make(chan error, 2),
-		longest: 3 * time.Second}
+	n := &node{engine: loop.New(), hosts: flight.NewHosts(cfg.site.Connect), cancel: cancel, ended: make(chan error, 2)}
 	for _, c := range cfg.site.Settings.Classes {
-		n.longest = max(n.longest, c.Deadline)
+		n.grace = max(n.grace, min(c.Deadline, 3*time.Second))
 	}
+	n.grace = max(n.grace+killSlack, serveRest+500*time.Millisecond)
 	now := clock.System()
 	pool := pg.NewPool(n.engine, now, pg.Platform, pg.Limits{Connections: connections, Connect: cfg.site.Connect,
 		Idle: cfg.site.ConnIdle})
@@ -215,8 +220,10 @@
 	select {
 	case <-idle:
 		log.Printf("drained: every request has its answer")
-	case <-time.After(n.longest + time.Second):
-		log.Printf("drained: time is up")
+	case <-time.After(serveRest - lastWords):
+		log.Printf("drained: time is up; what is open gets an error")
+		n.front.Cut()
+		time.Sleep(lastWords / 3) // the loop writes them
 	}
 }
 
--- a/cmd/ashstand/program_test.go
+++ b/cmd/ashstand/program_test.go
@@ -190,6 +190,45 @@
 	require.Contains(t, logged.String(), "drained: every request has its answer")
 }
 
+// Guards against a request that SIGKILL finds without an answer, and against clients that are sent away while this
+// process could still serve them.
+func TestProgramServesOnAndEndsInTime(t *testing.T) {
+	h := &host{name: "p", wire: "postgresql", primary: true}
+	entered, end := make(chan struct{}, 1), make(chan struct{})
+	h.do = func(text string) act {
+		if strings.Contains(text, "stuck") {
+			h.mu.Unlock()
+			entered <- struct{}{}
+			<-end
+			h.mu.Lock()
+		}
+		return serve
+	}
+	h.serve(t)
+	t.Cleanup(func() { close(end) })
+	dir := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer dir.CloseClientConnections()
+	w := &world{}
+	listen, cmd, logged, _ := launch(t, dir.Listener.Addr().String(), w.list(1, true, w.entry(h, "active")))
+	_, kept := dial(t, listen)
+	_, stuck := dial(t, listen)
+	stuck.Send(&pgproto3.Query{String: "/* id=s,c=report,d=14000,cluster=1 */ SELECT payload FROM entries WHERE ref = 'stuck'"})
+	require.NoError(t, stuck.Flush())
+	<-entered
+	begun := time.Now()
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	for i := 0; time.Since(begun) < 1500*time.Millisecond; i++ { // far past the tail, and a second before it closes
+		require.Equal(t, []string{value}, ask(t, kept, fmt.Sprintf(donate, i, 9000)))
+		time.Sleep(20 * time.Millisecond)
+	}
+	m, err := stuck.Receive()
+	require.NoError(t, err)
+	require.Equal(t, "57P01", m.(*pgproto3.ErrorResponse).Code)
+	require.NoError(t, cmd.Wait())
+	require.Less(t, time.Since(begun), 3700*time.Millisecond, "SIGKILL may come then")
+	require.Contains(t, logged.String(), "time is up")
+}
+
 func TestBadConfigurationIsOneClearLine(t *testing.T) {
 	good := `{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":` + site + `}`
 	for want, text := range map[string]string{
--- a/internal/net/flight/hosts.go
+++ b/internal/net/flight/hosts.go
@@ -190,6 +190,15 @@
 	return r
 }
 
+// ended words a stream that brought no answer. Only one that gRPC itself ended has its trailer: what was given up for
+// what it held may still be arriving.
+func ended(err error, stream grpc.ClientStream) edge.Reply {
+	if outcome(err) == decide.Spoilt {
+		return lost(err, nil)
+	}
+	return lost(err, stream.Trailer())
+}
+
 // query reads. The ticket costs a round trip in which nothing runs, so the gate is asked again after it.
 func (c *conn) query(ctx context.Context, text string, gate edge.Gate) edge.Reply {
 	d, err := describe(&pb.CommandStatementQuery{Query: text})
@@ -215,7 +224,7 @@
 	}
 	var r edge.Reply
 	if err := gather(stream, &r.Answer); err != nil {
-		return lost(err, stream.Trailer())
+		return ended(err, stream)
 	}
 	r.Outcome = told(stream.Trailer(), &r.Answer)
 	return r
@@ -253,10 +262,10 @@
 	if errors.Is(err, io.EOF) {
 		err = errShape
 	}
-	trailer := stream.Trailer()
 	if err != nil {
-		return lost(err, trailer)
+		return ended(err, stream)
 	}
+	trailer := stream.Trailer()
 	r := edge.Reply{Answer: edge.Answer{Column: "payload", Type: oidBytea, Binary: true, Null: true,
 		Tag: fmt.Sprintf("INSERT 0 %d", result.RecordCount)}}
 	r.Outcome = told(trailer, &r.Answer)
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -144,6 +144,19 @@
 	})
 }
 
+// Cut gives every request that is open its final answer, an error: the process is about to end.
+func (f *Front) Cut() {
+	f.each(func(h *client, c gnet.Conn) {
+		if h.busy {
+			h.busy = false
+			h.leave() // what came of the request now is written no more
+			if h.farewell(c, stateShutdown, "the pooler restarts; the request may have run", "") == gnet.Close {
+				_ = c.EventLoop().Close(c)
+			}
+		}
+	})
+}
+
 // each does something on the loop for every connection.
 func (f *Front) each(do func(h *client, c gnet.Conn)) {
 	l, ok := f.loop.Load().(gnet.EventLoop)
--- a/internal/net/pg/message.go
+++ b/internal/net/pg/message.go
@@ -36,6 +36,7 @@
 	stateFailed   = "08006"
 	stateInvalid  = "08P01"
 	stateUnknown  = "0A000"
+	stateShutdown = "57P01"
 	stateInternal = "XX000"
 )
 
