Take settings and byte bounds live; only what follows a write can be its answer

Seen: a test of late second copies failed one time in twelve. Checked: between an exchange's begin and its write on the loop, what came from the host counted as the answer. At fault: read() in pg/pool.go asked whether an exchange waits, not whether its request was written. Now the loop notes the write itself. Also: SIGHUP takes settings and limits; statements of both fronts, and unfinished answers, are bounded by the memory; a bound of our own counts as a full host, not as a dead one; discovery that moves under load is a story on both wires.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -196,6 +196,26 @@
 		budget: 0.5 * max(1, budgetCap/float64(s.Routers))}, nil
 }
 
+// Configure takes other settings while requests are under way. What tells one class from another has to stay.
+func (c *Choice) Configure(s Settings) error {
+	n, err := New(s, 0)
+	if err != nil {
+		return err
+	}
+	same := func(a, b Class) bool { return a.Name == b.Name && a.Read == b.Read && a.Effect == b.Effect }
+	if !slices.EqualFunc(s.Classes, c.cfg.Classes, same) {
+		return errors.New("choice: the classes are others")
+	}
+	for i := range c.classes {
+		c.classes[i].Class = s.Classes[i]
+	}
+	if len(s.Tenants) != len(c.tenants) {
+		c.tenants = n.tenants
+	}
+	c.cfg, c.tightest = s, n.tightest
+	return nil
+}
+
 // Step takes the events of one moment and returns what to do. The actions are valid until the next call.
 func (c *Choice) Step(now time.Duration, events []Event) []Action {
 	c.now, c.out = max(now, c.now), c.out[:0]
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -845,3 +845,24 @@
 		t.Errorf("a write finds no room: %v", as)
 	}
 }
+
+// Guards against other settings that pull the classes from under the requests that are under way.
+func TestConfigure(t *testing.T) {
+	g := start(t, settings(), shard()...)
+	id, _ := g.request(unsafeWrite, Event{})
+	s := settings()
+	s.Classes[unsafeWrite].Aim, s.MaxRetryAfter = 300*ms, 70*ms
+	if err := g.c.Configure(s); err != nil {
+		t.Fatal(err)
+	}
+	g.outcome(id, 0, OK, Primary)
+	g.ids++
+	as := g.step(Event{Kind: EvRequest, ID: "odd", Class: unsafeWrite, Group: 9, TimeLeft: time.Second})
+	if refused, _ := of(ActRefuse, as); len(refused) != 1 || refused[0].After != 70*ms || g.c.classes[unsafeWrite].Aim != 300*ms {
+		t.Errorf("%v", as)
+	}
+	s.Classes = s.Classes[1:]
+	if err := g.c.Configure(s); err == nil {
+		t.Error("other classes were taken")
+	}
+}
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -9,11 +9,11 @@
 	"net"
 	"os"
 	"os/signal"
-	"reflect"
 	"runtime"
 	"runtime/debug"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -93,8 +93,8 @@
 	case s := <-stop:
 		// New connections come for 0.4 s yet, and clients use those they have while they are open: until the
 		// platform starts the next process, this one serves them best.
-		log.Printf("%v: going on for %v, then closing client connections between requests", s, n.grace-serveRest)
-		time.Sleep(n.grace - serveRest)
+		log.Printf("%v: going on for %v, then closing client connections between requests", s, n.bounds.Load().grace-serveRest)
+		time.Sleep(n.bounds.Load().grace - serveRest)
 	}
 	n.drain()
 	return nil
@@ -109,30 +109,53 @@
 	flight *flight.Front // nil: off
 	hosts  *flight.Hosts
 	watch  *discovery.Watcher
-	grace  time.Duration // from SIGTERM to SIGKILL, at the least
+	pool   *pg.Pool
+	bounds atomic.Pointer[bounds]
 	cancel context.CancelFunc
 	ended  chan error // something ended by itself
 }
 
+// bounds are what follows from a configuration for the parts around the decisions; a reload may change them.
+type bounds struct {
+	core    edge.Limits
+	front   pg.FrontLimits
+	pool    pg.Limits
+	connect time.Duration // for a probe
+	grace   time.Duration // from SIGTERM to SIGKILL, at the least
+}
+
+func derive(cfg *config) (*bounds, error) {
+	clients, connections, err := descriptors(cfg.Limits.Sockets, cfg.flight)
+	if err != nil {
+		return nil, err
+	}
+	share, after := cfg.memory()/10, min(clock.Millis(cfg.site.MaxRetryAfter), busyAfter)
+	b := &bounds{connect: cfg.site.Connect,
+		core:  edge.Limits{Bytes: share, After: after},
+		front: pg.FrontLimits{Clients: clients, Bytes: share, After: after},
+		pool:  pg.Limits{Connections: connections, Bytes: share, Connect: cfg.site.Connect, Idle: cfg.site.ConnIdle}}
+	for _, c := range cfg.site.Settings.Classes {
+		b.grace = max(b.grace, min(c.Deadline, 3*time.Second))
+	}
+	b.grace = max(b.grace+killSlack, serveRest+500*time.Millisecond)
+	return b, nil
+}
+
 // start wires the parts together and opens the fronts.
 func start(cfg *config) (*node, error) {
-	clients, connections, err := descriptors(cfg.Limits.Sockets, cfg.flight)
+	b, err := derive(cfg)
 	if err != nil {
 		return nil, err
 	}
 	limitMemory(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{engine: loop.New(), hosts: flight.NewHosts(cfg.site.Connect), cancel: cancel, ended: make(chan error, 2)}
-	for _, c := range cfg.site.Settings.Classes {
-		n.grace = max(n.grace, min(c.Deadline, 3*time.Second))
-	}
-	n.grace = max(n.grace+killSlack, serveRest+500*time.Millisecond)
+	n.bounds.Store(b)
 	now := clock.System()
-	pool := pg.NewPool(n.engine, now, pg.Platform, pg.Limits{Connections: connections, Connect: cfg.site.Connect,
-		Idle: cfg.site.ConnIdle})
+	n.pool = pg.NewPool(n.engine, now, pg.Platform, b.pool)
 	backend := new(edge.Split)
 	probe := func(host string) {
-		ctx, cancel := context.WithTimeout(ctx, cfg.site.Connect)
+		ctx, cancel := context.WithTimeout(ctx, n.bounds.Load().connect)
 		defer cancel()
 		n.facade.Probed(host, backend.Probe(ctx, host, n.facade.Listed))
 	}
@@ -143,15 +166,15 @@
 		if slices.Contains(cfg.flight.HostTypes, e.Type) {
 			return n.hosts
 		}
-		return pool
+		return n.pool
 	}, pg.Platform.Primary)
 	if cfg.Known != nil {
 		cfg.Known.Snapshot = true
 		apply(*cfg.Known)
 	}
 	n.core = edge.New(n.facade, now, backend)
-	n.front = pg.NewFront(n.core, pg.FrontLimits{Clients: clients, Bytes: cfg.memory() / 10,
-		After: min(clock.Millis(cfg.site.MaxRetryAfter), busyAfter)})
+	n.core.SetLimits(b.core)
+	n.front = pg.NewFront(n.core, b.front)
 	if err := n.engine.Start(cfg.Listen, n.front.Accept); err != nil {
 		n.stop()
 		return nil, err
@@ -172,10 +195,10 @@
 	go n.facade.Run(ctx)
 	n.watch = discovery.New(n.engine, cfg.Discovery, cfg.Known, apply)
 	go n.watch.Run(ctx)
-	go every(ctx, time.Second, pool.Sweep)
+	go every(ctx, time.Second, n.pool.Sweep)
 	go every(ctx, pg.SweepEvery, n.front.Sweep)
-	log.Printf("%s listens on %s; at most %d clients and %d connections to hosts, idle for %v at most", cfg.Name, cfg.Listen, clients,
-		connections, cfg.site.ConnIdle)
+	log.Printf("%s listens on %s; at most %d clients and %d connections to hosts, idle for %v at most", cfg.Name, cfg.Listen,
+		b.front.Clients, b.pool.Connections, b.pool.Idle)
 	return n, nil
 }
 
@@ -187,19 +210,25 @@
 
 // reload takes from a new configuration what can change while requests are under way, and names what can't.
 func (n *node) reload(old, next *config) {
-	n.watch.Move(next.Discovery)
-	limitMemory(next)
 	var wait []string
-	for _, k := range []struct {
-		name    string
-		changed bool
-	}{{"name", next.Name != old.Name}, {"listen", next.Listen != old.Listen},
-		{"limits.sockets", next.Limits.Sockets != old.Limits.Sockets},
-		{"settings", !reflect.DeepEqual(next.site, old.site)}} {
-		if k.changed {
-			wait = append(wait, k.name)
-		}
+	if next.Name != old.Name {
+		wait = append(wait, "name")
+	}
+	if next.Listen != old.Listen {
+		wait = append(wait, "listen")
+	}
+	if b, err := derive(next); err != nil {
+		wait = append(wait, err.Error())
+	} else if err := n.facade.Configure(next.site); err != nil {
+		wait = append(wait, "settings: "+err.Error())
+	} else {
+		n.bounds.Store(b)
+		n.core.SetLimits(b.core)
+		n.front.SetLimits(b.front)
+		n.pool.SetLimits(b.pool)
 	}
+	limitMemory(next)
+	n.watch.Move(next.Discovery)
 	log.Printf("reload: discovery at %s, memory %d MB", next.Discovery, next.Limits.MemoryMB)
 	if len(wait) > 0 {
 		log.Printf("reload: changed, but in force only after a restart: %s", strings.Join(wait, ", "))
--- a/cmd/ashstand/program_test.go
+++ b/cmd/ashstand/program_test.go
@@ -139,7 +139,8 @@
 	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
 	require.Eventually(t, func() bool { return strings.Contains(logged.String(), "going on with the configuration held") }, 10*time.Second, time.Millisecond)
 	require.Equal(t, 1, strings.Count(logged.String(), "reload"))
-	configure(fmt.Sprintf(configuration, listen, next.Listener.Addr(), "null", site))
+	other := strings.Replace(site, `"max_retry_after_ms":2000`, `"max_retry_after_ms":700`, 1)
+	configure(fmt.Sprintf(configuration, listen, next.Listener.Addr(), "null", other))
 	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
 	<-ended
 	require.Equal(t, "/registry/instances", <-asked, "an index of the old service means nothing to the new one")
@@ -149,6 +150,12 @@
 	require.Equal(t, "/registry/instances?follow=1&since=3", <-asked)
 	require.Equal(t, []string{value}, ask(t, f, fmt.Sprintf(donate, 3, 9000)), "on the same client connection")
 	require.Equal(t, [2]int{2, 1}, [2]int{p.count(), q.count()})
+	f.Send(&pgproto3.Query{String: "/* id=1,c=browse,d=500,cluster=77 */ SELECT 1"})
+	require.NoError(t, f.Flush())
+	m, err := f.Receive()
+	require.NoError(t, err)
+	require.Equal(t, "700", m.(*pgproto3.ErrorResponse).Detail, "the settings are the new ones")
+	require.NotContains(t, logged.String(), "only after a restart")
 }
 
 // The program itself: it takes work until SIGTERM and a little longer, finishes it, and ends with 0.
--- a/cmd/ashstand/suite_test.go
+++ b/cmd/ashstand/suite_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -9,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"ashstand/internal/edge"
 	"ashstand/internal/net/discovery"
 )
 
@@ -39,6 +43,7 @@
 				{"a spoilt answer has run and teaches nothing", spoiltAnswer},
 				{"a load report that can't be read spoils nothing", oddReport},
 				{"the id of an open request is not another's", openID},
+				{"statements that the memory has no room for are refused", noRoom},
 				{"a request that makes no sense is tried nowhere", nonsense},
 			} {
 				t.Run(front+" to "+hosts+": "+s.name, func(t *testing.T) {
@@ -153,6 +158,18 @@
 	}
 }
 
+// Guards against clients that together send more than the process can hold.
+func noRoom(t *testing.T, w *world, ask client) {
+	w.core.SetLimits(edge.Limits{Bytes: 40, After: 300})
+	require.Equal(t, verdict{kind: "refused", advice: true}, ask(t, fmt.Sprintf(donate, 1, 9000)))
+	require.Equal(t, verdict{kind: "refused", advice: true}, ask(t, fmt.Sprintf(report, 2)))
+	for _, h := range w.hosts {
+		require.Zero(t, h.count())
+	}
+	w.core.SetLimits(edge.Limits{Bytes: 1 << 20})
+	require.Equal(t, served, ask(t, fmt.Sprintf(donate, 1, 9000)))
+}
+
 // Guards against two requests that a host would take for one: an id counts once while it is open.
 func openID(t *testing.T, w *world, ask client) {
 	entered, release := make(chan struct{}), make(chan struct{})
@@ -189,17 +206,15 @@
 	}
 }
 
-// A drain is announced while both wires carry load, on both sides: from then on neither gets anything new, and
-// no request is lost over it.
-func TestDrainUnderLoadOnBothWires(t *testing.T) {
-	w := build(t, "postgresql", "postgresql", "flightsql", "postgresql", "flightsql")
-	var stop atomic.Bool
+// carry has four clients on each wire ask without a pause. more waits until each wire had n answers more; stop ends it.
+func carry(t *testing.T, w *world) (more func(n int32), stop func()) {
+	var over atomic.Bool
 	var group sync.WaitGroup
 	var answers [2]atomic.Int32
 	for i, front := range []string{"postgresql", "flightsql"} {
 		for n := range 4 {
 			group.Go(func() {
-				for k := 0; !stop.Load(); k++ {
+				for k := 0; !over.Load(); k++ {
 					id := (i*4+n)*1000000 + k // an id is open once, on whichever wire
 					text := fmt.Sprintf(report, id)
 					if k%4 == 0 {
@@ -214,24 +229,66 @@
 			})
 		}
 	}
-	more := func(n int32) {
-		from := [2]int32{answers[0].Load(), answers[1].Load()}
-		require.Eventually(t, func() bool {
-			return t.Failed() || answers[0].Load() >= from[0]+n && answers[1].Load() >= from[1]+n
-		}, 30*time.Second, time.Millisecond)
-	}
-	more(20)
-	leaving := w.hosts[1:3] // one on each wire
-	w.change <- w.list(2, false, w.entry(leaving[0], discovery.Leaving), w.entry(leaving[1], discovery.Leaving))
+	return func(n int32) {
+			from := [2]int32{answers[0].Load(), answers[1].Load()}
+			require.Eventually(t, func() bool {
+				return t.Failed() || answers[0].Load() >= from[0]+n && answers[1].Load() >= from[1]+n
+			}, 30*time.Second, time.Millisecond)
+		}, func() {
+			over.Store(true)
+			group.Wait()
+		}
+}
+
+// without says that hosts get nothing new once the list no longer lets them have any.
+func without(t *testing.T, w *world, hosts []*host, more func(n int32)) {
 	require.Eventually(t, func() bool {
-		return !w.facade.Listed(leaving[0].name) && !w.facade.Listed(leaving[1].name)
+		return !w.facade.Listed(hosts[0].name) && !w.facade.Listed(hosts[1].name)
 	}, 10*time.Second, time.Millisecond)
 	more(8) // what had passed the gate before has arrived: each client has had answers since
-	before := [2]int{leaving[0].count(), leaving[1].count()}
+	before := [2]int{hosts[0].count(), hosts[1].count()}
 	require.NotZero(t, before[0])
 	require.NotZero(t, before[1])
 	more(40)
-	require.Equal(t, before, [2]int{leaving[0].count(), leaving[1].count()})
-	stop.Store(true)
-	group.Wait()
+	require.Equal(t, before, [2]int{hosts[0].count(), hosts[1].count()})
+}
+
+// A drain is announced while both wires carry load, on both sides: from then on neither gets anything new, and
+// no request is lost over it.
+func TestDrainUnderLoadOnBothWires(t *testing.T) {
+	w := build(t, "postgresql", "postgresql", "flightsql", "postgresql", "flightsql")
+	more, stop := carry(t, w)
+	more(20)
+	leaving := w.hosts[1:3] // one on each wire
+	w.change <- w.list(2, false, w.entry(leaving[0], discovery.Leaving), w.entry(leaving[1], discovery.Leaving))
+	without(t, w, leaving, more)
+	stop()
+}
+
+// Discovery moves while both wires carry load: the list held is in force until the new service has sent its own, what
+// that leaves out is gone, and no request is lost over it.
+func TestDiscoveryMovesUnderLoadOnBothWires(t *testing.T) {
+	w := build(t, "postgresql", "postgresql", "flightsql", "postgresql", "flightsql")
+	more, stop := carry(t, w)
+	more(20)
+	asked, tell := make(chan struct{}), make(chan struct{})
+	next := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("follow") == "" {
+			close(asked)
+			<-tell
+			io.WriteString(rw, w.list(1, true, w.entry(w.hosts[0], discovery.Active), w.entry(w.hosts[3], discovery.Active),
+				w.entry(w.hosts[4], discovery.Active)))
+			return
+		}
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(func() { w.watch.Move("127.0.0.1:1"); next.CloseClientConnections(); next.Close() })
+	w.watch.Move(next.Listener.Addr().String())
+	<-asked
+	more(20)
+	require.True(t, w.facade.Listed(w.hosts[1].name))
+	close(tell)
+	without(t, w, w.hosts[1:3], more)
+	stop()
 }
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -131,6 +131,17 @@
 		wake: make(chan struct{}, 1)}, nil
 }
 
+// Configure takes other settings for what is decided from now on, or fails and changes nothing.
+func (f *Facade) Configure(site *settings.Parsed) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.module.Configure(site.Settings); err != nil {
+		return err
+	}
+	f.site = site
+	return nil
+}
+
 // Call is one request from its arrival to its final answer.
 type Call struct {
 	f       *Facade
@@ -146,14 +157,14 @@
 
 // Begin takes a request. The caller owes it Pick until a final verdict, or until a Report of OK.
 func (f *Facade) Begin(r Request) (*Call, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	class, ok := f.site.Classes[r.Class]
 	if !ok {
 		return nil, ErrClass
 	}
 	e := choice.Event{Kind: choice.EvRequest, Class: class, Group: r.Group, Retry: r.Retry,
 		HasKey: r.Session != "", Key: key(r.Session)}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	now := f.clock.Now()
 	e.TimeLeft = clock.Duration(max(0, r.Arrived+r.TimeLeft-now))
 	if r.After > 0 { // a token from the present or later is no reason to take it for none
@@ -297,6 +308,8 @@
 
 // Writes says whether a class is one of writes.
 func (f *Facade) Writes(class string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	i, ok := f.site.Classes[class]
 	return ok && f.site.Settings.Classes[i].Read == choice.Write
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -62,6 +62,10 @@
 // ErrTurnedAway is what Acquire returns where the host itself turned the connection away: it is full, not dead.
 var ErrTurnedAway = errors.New("the host turns connections away")
 
+// ErrNoRoom is what Acquire returns where this process's own bounds allow no connection more. It says nothing against
+// the host, and a while has to pass before the next try, as with a host that is full.
+var ErrNoRoom = errors.New("all connections that this pooler may hold are in use")
+
 // Result is the one final answer to a request.
 type Result struct {
 	Verdict Verdict
@@ -90,12 +94,27 @@
 	backend Backend
 
 	mu       sync.Mutex
+	limits   Limits
+	held     int // bytes of the statements that are open
 	open     int
 	ids      map[string]struct{} // of the requests that are open
 	draining bool
 	idle     chan struct{} // closed when draining and nothing is open
 }
 
+// Limits bound what all fronts together may have under way.
+type Limits struct {
+	Bytes int     // of statements; 0: no bound
+	After float64 // what is refused over it may come again after so many milliseconds; 0: no advice
+}
+
+// SetLimits takes bounds for the requests to come.
+func (e *Edge) SetLimits(limits Limits) {
+	e.mu.Lock()
+	e.limits = limits
+	e.mu.Unlock()
+}
+
 // New returns a core that asks facade and sends over backend.
 func New(facade *decide.Facade, c clock.Clock, backend Backend) *Edge {
 	return &Edge{facade: facade, clock: c, backend: backend, ids: map[string]struct{}{}, idle: make(chan struct{})}
@@ -123,17 +142,24 @@
 	return e.idle
 }
 
-// Begin and end count a request from the moment it is read until its answer is written.
-func (e *Edge) Begin() {
+// Begin counts a request from the moment it is read until End says that its answer is out. Where the statements that
+// are open leave no memory for it, it gives the final answer instead.
+func (e *Edge) Begin(s *statement.Statement) (refused *Result) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.limits.Bytes > 0 && e.held+len(s.Text) > e.limits.Bytes {
+		return &Result{Verdict: Refused, After: e.limits.After, Detail: "the statements under way leave no memory for one more"}
+	}
 	e.open++
-	e.mu.Unlock()
+	e.held += len(s.Text)
+	return nil
 }
 
 // End says that the answer of a request that was begun is out.
-func (e *Edge) End() {
+func (e *Edge) End(s *statement.Statement) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.held -= len(s.Text)
 	e.open--
 	if e.draining && e.open == 0 {
 		select {
@@ -210,7 +236,7 @@
 	conn, err := e.backend.Acquire(ctx, next.Host)
 	switch {
 	case err == nil:
-	case errors.Is(err, ErrTurnedAway):
+	case errors.Is(err, ErrTurnedAway), errors.Is(err, ErrNoRoom):
 		return Reply{Outcome: decide.Outcome{Code: decide.Full}, Detail: err.Error()}
 	case ctx.Err() != nil: // the client left or this attempt's time ran out: no evidence against the host
 		return NotSent()
--- a/internal/net/flight/front.go
+++ b/internal/net/flight/front.go
@@ -37,7 +37,7 @@
 		// turns off their growth by the estimated bandwidth.
 		grpc.ReadBufferSize(8<<10), grpc.WriteBufferSize(8<<10),
 		grpc.InitialWindowSize(64<<10), grpc.InitialConnWindowSize(256<<10),
-		grpc.ConnectionTimeout(5*time.Second),
+		grpc.ConnectionTimeout(2200*time.Millisecond), // as the other front,
 		// Devices on poor links vanish without a word.
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 5 * time.Minute, Time: 30 * time.Second,
 			Timeout: 10 * time.Second}),
@@ -142,8 +142,10 @@
 	if !f.edge.Ready() {
 		return nil, failure(codes.Unavailable, "no list of hosts is held yet", reasonRefused, 0)
 	}
-	f.edge.Begin()
-	defer f.edge.End()
+	if refused := f.edge.Begin(s); refused != nil {
+		return nil, final(refused)
+	}
+	defer f.edge.End(s)
 	arrived := f.edge.Now()
 	if at, ok := ctx.Deadline(); ok {
 		s.Wait = min(s.Wait, float64(time.Until(at))/1e6)
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -32,17 +32,16 @@
 // FrontLimits bound the front.
 type FrontLimits struct {
 	Clients int     // connections; an eighth of them is kept for telling others that there is no room
-	Bytes   int     // of all clients' unread bytes, and of the statements under way
+	Bytes   int     // of all clients that are unread
 	After   float64 // what is refused here may come again after so long; 0: no advice
 }
 
 // Front serves clients. Its connections' state belongs to the event loop; requests run on goroutines.
 type Front struct {
 	edge    *edge.Edge
-	limits  FrontLimits
+	limits  atomic.Pointer[FrontLimits]
 	conns   map[*client]gnet.Conn
 	unread  int
-	held    int // bytes of the statements under way
 	drain   atomic.Bool
 	loop    atomic.Value // gnet.EventLoop, once somebody came
 	last    uint32
@@ -53,19 +52,24 @@
 
 // NewFront returns a front that brings requests to e.
 func NewFront(e *edge.Edge, limits FrontLimits) *Front {
-	return &Front{edge: e, limits: limits, conns: map[*client]gnet.Conn{}}
+	f := &Front{edge: e, conns: map[*client]gnet.Conn{}}
+	f.SetLimits(limits)
+	return f
 }
 
+// SetLimits takes other bounds for the connections and bytes to come.
+func (f *Front) SetLimits(limits FrontLimits) { f.limits.Store(&limits) }
+
 // Accept makes the handler of a connection; it is called on the event loop.
 func (f *Front) Accept(c gnet.Conn) (loop.Handler, []byte, gnet.Action) {
 	f.loop.CompareAndSwap(nil, c.EventLoop())
 	f.last++
 	h := &client{front: f, number: f.last, since: f.edge.Now()}
-	served := f.limits.Clients * 7 / 8
+	served := f.limits.Load().Clients * 7 / 8
 	for len(f.conns) >= served && f.makeRoom(h.since) {
 	}
 	room := len(f.conns) < served
-	if !room && len(f.conns) >= f.limits.Clients {
+	if !room && len(f.conns) >= f.limits.Load().Clients {
 		f.full.Printf("front: %d client connections are open, one more is closed", len(f.conns))
 		return nil, nil, gnet.Close
 	}
@@ -79,10 +83,11 @@
 }
 
 func (f *Front) after() string {
-	if f.limits.After <= 0 {
+	after := f.limits.Load().After
+	if after <= 0 {
 		return ""
 	}
-	return strconv.Itoa(int(f.limits.After))
+	return strconv.Itoa(int(after))
 }
 
 // makeRoom closes the connection that is missed least: one that was sent away, else one on which nothing ever
@@ -227,7 +232,7 @@
 		f.cutOff.Printf("front: a client is cut off with %d bytes unread", h.unread)
 		return gnet.Close
 	}
-	if f.unread > f.limits.Bytes {
+	if f.unread > f.limits.Load().Bytes {
 		return f.cutLongest(h, action)
 	}
 	return action
@@ -373,14 +378,14 @@
 		case err != nil:
 			h.strikes++
 			out = failure(out, "ERROR", stateInvalid, err.Error(), "")
-		case f.held+len(text) > f.limits.Bytes:
-			out = failure(out, "ERROR", stateRefused, "the statements under way leave no memory for one more", f.after())
 		default:
-			h.busy = true
-			f.held += len(text)
-			f.edge.Begin()
-			go h.serve(c, s, h.since)
-			return
+			refused := f.edge.Begin(&s)
+			if refused == nil {
+				h.busy = true
+				go h.serve(c, s, h.since)
+				return
+			}
+			out = reply(refused)
 		}
 	}
 	h.write(c, ready(out))
@@ -388,9 +393,8 @@
 
 // serve runs on a goroutine of its own.
 func (h *client) serve(c gnet.Conn, s statement.Statement, arrived float64) {
-	defer h.front.edge.End()
+	defer h.front.edge.End(&s)
 	result := h.front.edge.Do(h.ctx, &s, arrived)
-	defer h.front.onLoop(func() { h.front.held -= len(s.Text) })
 	if result.Verdict == edge.Left {
 		return
 	}
@@ -428,14 +432,6 @@
 	return left, err
 }
 
-// onLoop does something on the loop, some time.
-func (f *Front) onLoop(do func()) {
-	_ = f.loop.Load().(gnet.EventLoop).Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
-		do()
-		return nil
-	}))
-}
-
 // run does something on the loop and waits for it; nothing once the client has gone.
 func (h *client) run(c gnet.Conn, do func()) error {
 	done := make(chan struct{})
--- a/internal/net/pg/front_test.go
+++ b/internal/net/pg/front_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/panjf2000/gnet/v2"
 	"github.com/stretchr/testify/require"
 
 	"ashstand/choice"
@@ -41,7 +42,9 @@
 		Classes: map[string]int{"report": 0}}, 1, d.clock, nil, nil)
 	require.NoError(t, err)
 	f.Members(true, []decide.Member{{Host: "h", Group: 1}})
-	d.Front = NewFront(edge.New(f, d.clock, nowhere{}), limits)
+	core := edge.New(f, d.clock, nowhere{})
+	core.SetLimits(edge.Limits{Bytes: limits.Bytes, After: limits.After})
+	d.Front = NewFront(core, limits)
 	l, err := net.Listen("tcp", "127.0.0.1:0") // a port that was free a moment ago
 	require.NoError(t, err)
 	d.address = l.Addr().String()
@@ -52,6 +55,25 @@
 	return d
 }
 
+// count counts clients on the loop.
+func (d *door) count(which func(*client) bool) int {
+	n := make(chan int, 1)
+	if d.loop.Load() == nil {
+		return 0
+	}
+	_ = d.loop.Load().(gnet.EventLoop).Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		sum := 0
+		for h := range d.conns {
+			if which(h) {
+				sum++
+			}
+		}
+		n <- sum
+		return nil
+	}))
+	return <-n
+}
+
 // call opens a connection, starts it and sends queries, all at once; nothing else if there are none.
 func (d *door) call(t *testing.T, queries ...string) net.Conn {
 	c, err := net.Dial("tcp", d.address)
@@ -124,17 +146,7 @@
 	half.Write([]byte{'Q', 0, 0, 1, 0, 'S'})
 	half.Write(nil)
 	require.Eventually(t, func() bool {
-		seen := make(chan bool, 1)
-		d.onLoop(func() {
-			n := 0
-			for h := range d.conns {
-				if h.partial > 0 {
-					n++
-				}
-			}
-			seen <- n == 1 && len(d.conns) == 4
-		})
-		return <-seen
+		return d.count(func(h *client) bool { return h.partial > 0 }) == 1 && d.count(func(*client) bool { return true }) == 4
 	}, 10*time.Second, time.Millisecond)
 	d.Sweep()
 	d.clock.Advance(maxSilent + 1)
@@ -169,11 +181,7 @@
 		return "/* id=" + string(id) + ",c=report,d=20000,cluster=1 */ SELECT '" + string(bytes.Repeat([]byte{'x'}, 60<<10))
 	}
 	d.call(t, long('a'))
-	require.Eventually(t, func() bool {
-		held := make(chan int, 1)
-		d.onLoop(func() { held <- d.held })
-		return <-held > 60<<10
-	}, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return d.count(func(h *client) bool { return h.busy }) == 1 }, 10*time.Second, time.Millisecond)
 	require.Equal(t, []string{"ERROR 53300 300"}, errorsOf(t, d.call(t, long('b')), 1))
 	hog, small := d.call(t, ""), d.call(t, "")
 	errorsOf(t, hog, 1)
--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -30,6 +30,7 @@
 // Limits bound the pool.
 type Limits struct {
 	Connections int           // that may be open or being opened, to all hosts together
+	Bytes       int           // of answers that are not whole yet, on all connections together
 	Connect     time.Duration // a connection not up by then counts as none
 	Idle        time.Duration // a db host closes a connection that was idle for so long
 }
@@ -39,14 +40,15 @@
 	engine *loop.Engine
 	clock  clock.Clock
 	names  Names
-	limits Limits
 
 	refused loop.Rarely
+	unread  int // on the loop: bytes of answers that are not whole yet
 
-	mu    sync.Mutex
-	hosts map[string]*host
-	open  int
-	wear  wear
+	mu     sync.Mutex
+	limits Limits
+	hosts  map[string]*host
+	open   int
+	wear   wear
 }
 
 type host struct {
@@ -59,6 +61,13 @@
 	return &Pool{engine: engine, clock: c, names: names, limits: limits, hosts: map[string]*host{}}
 }
 
+// SetLimits takes other bounds for what is opened and kept from now on.
+func (p *Pool) SetLimits(limits Limits) {
+	p.mu.Lock()
+	p.limits = limits
+	p.mu.Unlock()
+}
+
 // SetAddress tells where a host is. "" forgets it. Connections to an old address are closed.
 func (p *Pool) SetAddress(name, address string) {
 	p.mu.Lock()
@@ -131,6 +140,10 @@
 	gnet gnet.Conn
 	used bool // it carried a request before
 	from int  // on the loop: where to go on looking for the end of the response
+	// on the loop: a request was written, so what comes is its answer. That an exchange waits is not enough: its request
+	// may still be on the way to the loop, and what comes then belongs to the last one.
+	awaiting bool
+	held     int // on the loop: what of the pool's unread bytes lies here
 
 	mu     sync.Mutex
 	due    chan event // of the exchange under way; nil: none
@@ -153,15 +166,30 @@
 
 // Traffic is called on the loop. A response stays in the connection's ring buffer until it is whole.
 func (c *conn) Traffic(g gnet.Conn) gnet.Action {
+	action := c.read(g)
+	p := c.pool
+	c.hold(g.InboundBuffered())
+	p.mu.Lock()
+	most := p.limits.Bytes
+	p.mu.Unlock()
+	if most > 0 && p.unread > most && c.held > 0 {
+		return c.spoilt(errLength)
+	}
+	return action
+}
+
+func (c *conn) hold(n int) {
+	c.pool.unread += n - c.held
+	c.held = n
+}
+
+func (c *conn) read(g gnet.Conn) gnet.Action {
 	n := g.InboundBuffered()
 	b, err := g.Peek(n)
 	if err != nil {
 		return c.spoilt(err)
 	}
-	c.mu.Lock()
-	due := c.due
-	c.mu.Unlock()
-	if due == nil { // notices and farewells come unasked; the latter end in a close
+	if !c.awaiting { // notices and farewells come unasked; the latter end in a close
 		if kind, _, rest, ok, err := next(b, maxMessage); err == nil && (!ok || len(rest) == 0 && (kind == 'N' || kind == 'S')) {
 			if ok {
 				_, _ = g.Discard(n)
@@ -185,7 +213,7 @@
 		return c.spoilt(err)
 	}
 	_, _ = g.Discard(end)
-	c.from = 0
+	c.from, c.awaiting = 0, false
 	if end == n {
 		c.deliver(event{response: r})
 		return gnet.None
@@ -208,6 +236,7 @@
 
 // Closed is called on the loop.
 func (c *conn) Closed(g gnet.Conn, err error) {
+	c.hold(0)
 	c.mu.Lock()
 	if g.OutboundBuffered() > 0 { // it broke before the last byte was written
 		c.wrote = false
@@ -294,6 +323,7 @@
 		_ = c.gnet.EventLoop().Close(c.gnet)
 		return
 	}
+	c.awaiting = true
 	if _, err := c.gnet.Write(b); err != nil {
 		c.deliver(event{err: err}) // and gnet closes the connection
 		return
@@ -305,7 +335,6 @@
 
 var errClosed = errors.New("the connection was closed")
 var errUnknownHost = errors.New("discovery has given no address for this host")
-var errBudget = errors.New("all connections that this pooler may hold are in use")
 
 // Acquire takes a connection from the pool, or dials one and waits until the host is ready for a query.
 func (p *Pool) Acquire(ctx context.Context, name string) (edge.Conn, error) {
@@ -344,7 +373,7 @@
 			old = append(old, c)
 		} else {
 			p.mu.Unlock()
-			return nil, errBudget
+			return nil, edge.ErrNoRoom
 		}
 	}
 	p.open++
@@ -369,10 +398,13 @@
 }
 
 func (p *Pool) dial(ctx context.Context, name string, h *host) (*conn, error) {
-	if p.limits.Connect > 0 {
+	p.mu.Lock()
+	connect := p.limits.Connect
+	p.mu.Unlock()
+	if connect > 0 {
 		// A cause of its own: a context that ran out for this reason says something of the host.
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, p.limits.Connect)
+		ctx, cancel = context.WithTimeout(ctx, connect)
 		defer cancel()
 	}
 	c := &conn{pool: p, host: h, name: name}
--- a/internal/net/pg/pool_test.go
+++ b/internal/net/pg/pool_test.go
@@ -166,6 +166,27 @@
 	}
 }
 
+// Guards against hosts that together fill the memory with answers that never end, and against bounds of our own that
+// are taken for a fault of the host.
+func TestOurOwnBounds(t *testing.T) {
+	r := start(t, func(c net.Conn, b *pgproto3.Backend) {
+		welcome(b)
+		b.Receive()
+		c.Write(append([]byte{'D', 0, 0, 0xff, 0}, make([]byte, 30<<10)...)) // and the rest never comes
+		b.Receive()
+	})
+	r.SetLimits(Limits{Connections: 3, Bytes: 50 << 10, Connect: 300 * time.Millisecond, Idle: 15 * time.Second})
+	codes := make(chan decide.Code, 3)
+	for range 2 {
+		go func() { codes <- r.exchange(t, open).Code }()
+	}
+	require.Equal(t, decide.Spoilt, <-codes, "what passes the bound goes at once")
+	require.Equal(t, decide.NoAnswer, <-codes, "the other is waited for")
+	r.SetLimits(Limits{})
+	_, err := r.Acquire(context.Background(), "h")
+	require.ErrorIs(t, err, edge.ErrNoRoom)
+}
+
 // A closed gate writes nothing, and the connection is good for the next.
 func TestAClosedGateWritesNothing(t *testing.T) {
 	r := start(t, good)
