--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -251,9 +251,9 @@
 		log.Printf("drained: every request has its answer")
 	case <-time.After(serveRest - lastWords):
 		log.Printf("drained: time is up; what is open gets an error")
-		n.front.Cut()
-		time.Sleep(lastWords / 3) // the loop writes them
 	}
+	n.front.Cut()
+	time.Sleep(lastWords / 3) // the loop writes what is still to be said
 }
 
 func (n *node) stop() {
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -21,12 +21,14 @@
 	maxAhead   = maxQuery + 64<<10 // unread bytes of one client: a query, and what it sends ahead
 	maxUntaken = 20e3              // for which a client may leave its answer in our buffer
 	maxSilent  = 2200              // for which it may keep us waiting for a whole message, or for its first request
-	minIdle    = 2000              // after its answer a connection may be closed
-	minSilent  = 100               // a client that has not started may be closed to make room
+	minIdle    = 100               // after its answer a connection may be closed to make room
+	minSilent  = 100               // and one on which nothing ever came
+	minStay    = 1000              // while a third of the places is taken, no connection stays idle for longer
+	minOnce    = 50                // and none that was used once
 	maxStrikes = 16                // requests in a row that make no sense
 	maxLinger  = 500               // for which a client that was sent away may go on sending
 	lingerMost = 256 << 10         // and how much of that is read
-	sweepEvery = 250 * time.Millisecond
+	sweepEvery = 50 * time.Millisecond
 )
 
 // FrontLimits bound the front.
@@ -43,6 +45,7 @@
 	conns   map[*client]gnet.Conn
 	unread  int
 	drain   atomic.Bool
+	over    atomic.Bool  // the process is about to end
 	loop    atomic.Value // gnet.EventLoop, once somebody came
 	last    uint32
 	full    loop.Rarely
@@ -75,6 +78,9 @@
 	}
 	h.ctx, h.leave = context.WithCancel(context.Background())
 	f.conns[h] = c
+	if f.over.Load() {
+		return h, nil, h.farewell(c, stateStarting, "the pooler restarts", "")
+	}
 	if room {
 		return h, nil, gnet.None
 	}
@@ -92,7 +98,8 @@
 
 // makeRoom closes the connection that is missed least: one that was sent away, else one on which nothing ever
 // came, else the one that was idle for longest. Connections that asked once and stayed would else fill the table
-// for good.
+// for good, or for the 2 s that are usual: clients that open one for each request do that within a second. A client
+// whose next request crosses the close sends it once more; one that finds no room has lost its request.
 func (f *Front) makeRoom(now float64) bool {
 	var least *client
 	rank := 0
@@ -149,9 +156,13 @@
 	})
 }
 
-// Cut gives every request that is open its final answer, an error: the process is about to end.
+// Cut gives every request that is open its final answer, an error, and lets no other in: the process is about to end.
 func (f *Front) Cut() {
+	f.over.Store(true)
 	f.each(func(h *client, c gnet.Conn) {
+		if !h.busy && !h.farewelled && h.farewell(c, stateStarting, "the pooler restarts", "") == gnet.Close {
+			_ = c.EventLoop().Close(c)
+		}
 		if h.busy {
 			h.busy = false
 			h.leave() // what came of the request now is written no more
@@ -179,8 +190,15 @@
 // Sweep sends away clients that keep us waiting; call it every SweepEvery.
 func (f *Front) Sweep() {
 	now := f.edge.Now()
+	many := f.limits.Load().Clients / 5
 	f.each(func(h *client, c gnet.Conn) {
+		idle := now - h.since
 		switch {
+		case !h.busy && h.asked && len(f.conns) > many && c.InboundBuffered() == 0 &&
+			(idle >= minStay || h.requests == 1 && idle >= minOnce):
+			if !waiting(c) {
+				_ = c.EventLoop().Close(c)
+			}
 		case h.farewelled:
 			if now-h.since > maxLinger {
 				_ = c.EventLoop().Close(c)
@@ -206,6 +224,7 @@
 	partial    float64 // since when a message is not whole; 0: none is
 	parser     Parser
 	asked      bool // it had a request
+	requests   int  // how many
 	busy       bool
 	farewelled bool // it was told to go: what it still sends is not read
 	strikes    int
@@ -362,6 +381,7 @@
 func (h *client) query(c gnet.Conn, text string) {
 	f := h.front
 	h.asked = true
+	h.requests++
 	h.since = f.edge.Now()
 	word, _, _ := strings.Cut(strings.Trim(text, " \t\r\n;"), " ")
 	var out []byte
