--- /dev/null
+++ b/internal/session/scan_test.go
@@ -0,0 +1,118 @@
+package session
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestScanKinds(t *testing.T) {
+	for text, want := range map[string][]Statement{
+		"":         nil,
+		" ; ;":     nil,
+		"SELECT 1": {{Kind: Select}},
+		"select 1; -- two\n /* a /* b */ c */ BEGIN":                {{Kind: Select}, {Kind: Begin}},
+		"SELECT ';' , $$;$$, $a$;$$;$a$, E'\\';', \";\"":            {{Kind: Select}},
+		"START TRANSACTION ISOLATION LEVEL SERIALIZABLE, READ ONLY": {{Kind: Begin, ReadOnly: true}},
+		"begin read write":                {{Kind: Begin, Writable: true}},
+		"END":                             {{Kind: Commit}},
+		"COMMIT PREPARED 'x'":             {{}},
+		"ABORT WORK":                      {{Kind: Rollback}},
+		"ROLLBACK":                        {{Kind: Rollback}},
+		"savepoint S1":                    {{Kind: Savepoint, Name: "s1"}},
+		`ROLLBACK WORK TO SAVEPOINT "S1"`: {{Kind: RollbackTo, Name: "S1"}},
+		"rollback to savepoint":           {{Kind: RollbackTo, Name: "savepoint"}},
+		"RELEASE a":                       {{Kind: Release, Name: "a"}},
+		"SET search_path = a, \"B c\"":    {{Kind: Set, Name: "search_path", Render: "SET search_path TO a, \"B c\""}},
+		"SET SESSION Work_Mem TO '4MB'":   {{Kind: Set, Name: "work_mem", Render: "SET Work_Mem TO '4MB'"}},
+		"SET app.user = 'o''b\\'":         {{Kind: Set, Name: "app.user", Render: "SET app.user TO 'o''b\\'"}},
+		"SET x TO E'a\\'b\nc;'":           {{Kind: Set, Name: "x", Render: "SET x TO E'a\\'b\nc;'"}},
+		"SET LOCAL x = 1":                 {{Kind: SetLocal, Name: "x"}},
+		"SET x TO DEFAULT":                {{Kind: Reset, Name: "x"}},
+		"SET x FROM CURRENT":              {{Kind: Pins, Cause: CauseUnreadable}},
+		"SET TIME ZONE 'Asia/Muscat'":     {{Kind: Set, Name: "timezone", Render: "SET TIME ZONE 'Asia/Muscat'"}},
+		"SET TIME ZONE LOCAL":             {{Kind: Reset, Name: "timezone"}},
+		"SET NAMES 'utf8'":                {{Kind: Set, Name: "client_encoding", Render: "SET NAMES 'utf8'"}},
+		"SET ROLE none":                   {{Kind: Reset, Name: "role"}},
+		"SET ROLE editor":                 {{Kind: Set, Name: "role", Render: "SET ROLE editor"}},
+		"SET SESSION AUTHORIZATION bob":   {{Kind: Set, Name: "session_authorization", Render: "SET SESSION AUTHORIZATION bob"}},
+		"SET TRANSACTION READ ONLY":       {{Kind: SetLocal}},
+		"SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY": {{Kind: Set, Name: "default_transaction_read_only", Render: "SET default_transaction_read_only TO on"}},
+		"RESET ALL":                               {{Kind: ResetAll}},
+		"RESET TIME ZONE":                         {{Kind: Reset, Name: "timezone"}},
+		"DISCARD ALL":                             {{Kind: DiscardAll}},
+		"DEALLOCATE PREPARE p":                    {{Kind: Deallocate, Name: "p"}},
+		"DEALLOCATE ALL":                          {{Kind: DeallocateAll}},
+		"PREPARE p AS SELECT 1":                   {{Kind: Pins, Cause: CausePrepare}},
+		"PREPARE TRANSACTION 'x'":                 {{Kind: Commit}},
+		"LISTEN a":                                {{Kind: Pins, Cause: CauseListen}},
+		"CREATE TEMP TABLE x (a int)":             {{Kind: Pins, Cause: CauseTemporary}},
+		"CREATE LOCAL TEMPORARY TABLE x (a int)":  {{Kind: Pins, Cause: CauseTemporary}},
+		"SELECT 1 INTO TEMP x":                    {{Kind: Pins, Cause: CauseTemporary}},
+		"SELECT a FROM b FOR UPDATE":              {{}},
+		"SELECT pg_advisory_lock(1)":              {{Kind: Pins, Cause: CauseLock}},
+		"SELECT pg_try_advisory_lock_shared(1)":   {{Kind: Pins, Cause: CauseLock}},
+		"SELECT pg_advisory_xact_lock(1)":         {{Kind: Select}},
+		"SELECT set_config('a', f(1), false)":     {{Kind: Pins, Cause: CauseUnreadable}},
+		"SELECT set_config('a', f(1), true)":      {{Kind: Select}},
+		"SELECT 'set_config(1)'":                  {{Kind: Select}},
+		"DECLARE c CURSOR WITH HOLD FOR SELECT 1": {{Kind: Pins, Cause: CauseCursor}},
+		"DECLARE c CURSOR FOR SELECT 1":           {{}},
+		"INSERT INTO a VALUES ('x''; BEGIN')":     {{}},
+		"SELECT 'open":                            {{Kind: Pins, Cause: CauseUnreadable}},
+		"SELECT 1 /* open":                        {{Kind: Pins, Cause: CauseUnreadable}},
+		"SAVEPOINT":                               {{Kind: Pins, Cause: CauseUnreadable}},
+		"BEGIN; SET été TO 'ü'; COMMIT":           {{Kind: Begin}, {Kind: Set, Name: "été", Render: "SET été TO 'ü'"}, {Kind: Commit}},
+	} {
+		got := Scan(text).Statements
+		for i := range got {
+			got[i].from, got[i].to = 0, 0
+		}
+		require.Equal(t, want, got, "%s", text)
+	}
+	require.Equal(t, " c=browse,d=5 ", Scan("  /* c=browse,d=5 */ SELECT 1").Comment)
+	require.Len(t, Scan("SELECT "+strings.Repeat("1,", 100000)+"1; BEGIN").Statements, 2)
+}
+
+func FuzzScan(f *testing.F) {
+	for _, s := range []string{"SET a TO E'\\", "$a$", "u&'x", "SELECT set_config(", "/*/*", "ROLLBACK TO", "SET LOCAL", "SET a.b.", "RESET \"\""} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		for _, s := range Scan(text).Statements {
+			// What is replayed elsewhere must be one statement again, of the same meaning.
+			if s.Kind == Set {
+				again := Scan(s.Render).Statements
+				require.Len(t, again, 1, "%q", s.Render)
+				require.Equal(t, s.Name, again[0].Name, "%q", s.Render)
+				require.Equal(t, Set, again[0].Kind, "%q", s.Render)
+			}
+		}
+	})
+}
+
+func TestRoute(t *testing.T) {
+	d := Defaults{ReadOnly: "browse", ReadWrite: "donate"}
+	decide := func(text string, byDefault bool) Route {
+		q := Scan(text)
+		r, err := d.Decide(&q, byDefault)
+		require.NoError(t, err)
+		return r
+	}
+	require.Equal(t, Route{Class: "browse", ReadOnly: true}, decide("BEGIN READ ONLY", false))
+	require.Equal(t, Route{Class: "donate"}, decide("BEGIN", false))
+	require.Equal(t, Route{Class: "donate"}, decide("BEGIN READ WRITE", true))
+	require.Equal(t, Route{Class: "browse", ReadOnly: true}, decide("SELECT 1", true))
+	require.Equal(t, Route{Class: "donate"}, decide("SELECT 1", false))
+	d.SelectsAsRead = true
+	require.Equal(t, Route{Class: "browse", ReadOnly: true}, decide("SELECT 1", false))
+	require.Equal(t, Route{Class: "donate"}, decide("SELECT 1; DELETE FROM a", false))
+	require.Equal(t, Route{Class: "report", Group: 3, Wait: 250, After: 12.5}, decide("/* c=report,cluster=3, d=250,after=12.5 */ BEGIN", false))
+	require.Equal(t, Route{Class: "donate"}, decide("/* mind the gap = wide */ BEGIN", false))
+	for _, bad := range []string{"d=x", "after=-1", "cluster=1e9", "d=1e999"} {
+		q := Scan("/* " + bad + " */ BEGIN")
+		_, err := d.Decide(&q, false)
+		require.ErrorContains(t, err, "no number that fits")
+	}
+}
