--- /dev/null
+++ b/lab/host/cluster.go
@@ -0,0 +1,362 @@
+// Package host is a stand-in for a group of PostgreSQL db hosts: a primary and its replicas with a log, positions and
+// lag, and on each connection true session state. It speaks the protocol through pgproto3, not through the pooler's
+// parsers, and reads SQL with a small reader of its own, so that a fault there is not tested against itself.
+package host
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Cluster is one group: its data and its members.
+type Cluster struct {
+	Group uint64
+
+	mu       sync.Mutex
+	rows     map[string][]version // by schema and ref, in the order of commits
+	last     float64              // position of the last commit
+	hosts    []*Host
+	primary  *Host
+	tables   map[string]bool
+	commits  int
+	rng      *rand.Rand
+	prunedAt float64
+}
+
+// version is a row as of a commit.
+type version struct {
+	at      float64 // Unix milliseconds
+	payload string
+}
+
+// NewCluster returns an empty group.
+func NewCluster(group, seed uint64) *Cluster {
+	return &Cluster{Group: group, rows: map[string][]version{}, tables: map[string]bool{"entries": true},
+		rng: rand.New(rand.NewPCG(seed, group))}
+}
+
+// Faults is what goes wrong on a host: each a chance by statement or connection, from 0 to 1.
+type Faults struct {
+	CutBefore float64       // the connection breaks before a commit takes effect
+	CutAfter  float64       // and after it did, before the answer
+	CutAnswer float64       // in the middle of an answer, at any byte
+	CutIdle   float64       // between two requests
+	CutCopy   float64       // in the middle of COPY data
+	Stall     float64       // nothing is said for StallFor
+	StallFor  time.Duration //
+	Slow      float64       // an answer takes SlowFor
+	SlowFor   time.Duration //
+	Refuse    float64       // a new connection is closed at once
+}
+
+// Counts says how often each thing occurred.
+type Counts struct {
+	mu sync.Mutex
+	of map[string]int
+}
+
+// Add counts one.
+func (c *Counts) Add(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.of == nil {
+		c.of = map[string]int{}
+	}
+	c.of[name]++
+}
+
+// All returns a copy.
+func (c *Counts) All() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[string]int{}
+	for k, v := range c.of {
+		out[k] = v
+	}
+	return out
+}
+
+// Host is one member.
+type Host struct {
+	Name    string
+	Address string
+	Counts  Counts
+
+	cluster *Cluster
+	listen  net.Listener
+	conns   sync.Map // *conn to nothing
+	open    atomic.Int64
+	cancels sync.Map // key data to *conn
+	pid     atomic.Uint32
+
+	mu       sync.Mutex
+	lag      time.Duration
+	position float64 // of a replica: never goes back
+	faults   Faults
+	draining time.Time // since when; zero: it is not
+	down     bool
+	since    float64 // Unix milliseconds of its last start
+	most     int
+}
+
+// Now is the time by which positions are told, in Unix milliseconds.
+func Now() float64 { return float64(time.Now().UnixMicro()) / 1e3 }
+
+// Add starts a member that listens at address ("127.0.0.1:0" for any port). The first one is the primary.
+func (c *Cluster) Add(name, address string) (*Host, error) {
+	h := &Host{Name: name, cluster: c, most: 4000}
+	if err := h.start(address); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hosts = append(c.hosts, h)
+	if c.primary == nil {
+		c.primary = h
+	}
+	return h, nil
+}
+
+func (h *Host) start(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("host %s: %w", h.Name, err)
+	}
+	h.listen, h.Address = l, l.Addr().String()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			h.accept(c)
+		}
+	}()
+	return nil
+}
+
+func (h *Host) accept(c net.Conn) {
+	h.mu.Lock()
+	refuse := h.down || h.chance(h.faults.Refuse)
+	h.mu.Unlock()
+	if refuse {
+		h.Counts.Add("refused_dial")
+		abort(c)
+		return
+	}
+	s := newConn(h, c)
+	h.conns.Store(s, nil)
+	h.open.Add(1)
+	go func() {
+		defer func() {
+			h.conns.Delete(s)
+			h.open.Add(-1)
+		}()
+		s.serve()
+	}()
+}
+
+func abort(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// chance is called with no lock on the cluster held.
+func (h *Host) chance(p float64) bool {
+	if p <= 0 {
+		return false
+	}
+	h.cluster.mu.Lock()
+	defer h.cluster.mu.Unlock()
+	return h.cluster.rng.Float64() < p
+}
+
+func (h *Host) fault() Faults {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.faults
+}
+
+// SetFaults changes what goes wrong from now on.
+func (h *Host) SetFaults(f Faults) {
+	h.mu.Lock()
+	h.faults = f
+	h.mu.Unlock()
+}
+
+// SetLag says how far behind the host is as a replica.
+func (h *Host) SetLag(d time.Duration) {
+	h.mu.Lock()
+	h.lag = d
+	h.mu.Unlock()
+}
+
+// Drain says that the host was told to finish what it has, or, with false, that it serves again.
+func (h *Host) Drain(on bool) {
+	h.mu.Lock()
+	if h.draining = (time.Time{}); on {
+		h.draining = time.Now()
+	}
+	h.mu.Unlock()
+}
+
+// Primary says whether the host takes writes.
+func (h *Host) Primary() bool {
+	h.cluster.mu.Lock()
+	defer h.cluster.mu.Unlock()
+	return h.cluster.primary == h
+}
+
+// Open is how many connections it has.
+func (h *Host) Open() int { return int(h.open.Load()) }
+
+// Cut resets every connection.
+func (h *Host) Cut() {
+	h.conns.Range(func(s, _ any) bool {
+		abort(s.(*conn).net)
+		return true
+	})
+}
+
+// Stop ends the host: connections are reset, new ones refused.
+func (h *Host) Stop() {
+	h.mu.Lock()
+	h.down = true
+	h.mu.Unlock()
+	_ = h.listen.Close()
+	h.Cut()
+}
+
+// Restart starts a host that was stopped, at the same address.
+func (h *Host) Restart() error {
+	h.mu.Lock()
+	h.down, h.since, h.draining = false, math.Floor(Now()), time.Time{}
+	h.mu.Unlock()
+	return h.start(h.Address)
+}
+
+// Since is its last start in Unix milliseconds; 0: with the group.
+func (h *Host) Since() float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.since
+}
+
+// Fail takes the primary's role from its holder; its connections are reset where cut is set. After gap the member to
+// takes it with all that was committed.
+func (c *Cluster) Fail(to *Host, gap time.Duration, cut bool) {
+	c.mu.Lock()
+	old := c.primary
+	c.primary = nil
+	c.mu.Unlock()
+	if cut && old != nil {
+		old.Cut()
+	}
+	time.Sleep(gap)
+	c.mu.Lock()
+	c.primary = to
+	c.mu.Unlock()
+}
+
+// Hosts are the members.
+func (c *Cluster) Hosts() []*Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*Host(nil), c.hosts...)
+}
+
+// Leader is the primary; nil: there is none.
+func (c *Cluster) Leader() *Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.primary
+}
+
+// stand is the host's position: what it has applied.
+func (h *Host) stand() (position float64, primary bool) {
+	h.cluster.mu.Lock()
+	primary = h.cluster.primary == h
+	none := h.cluster.primary == nil
+	last := h.cluster.last
+	h.cluster.mu.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := Now()
+	at := now - float64(h.lag)/1e6
+	switch {
+	case primary:
+		at = max(now, last)
+	case none: // positions stand still
+		at = min(at, max(h.position, last))
+	}
+	h.position = max(h.position, at)
+	return h.position, primary
+}
+
+// tells is what the host says beside an answer.
+func (h *Host) tells() (part string, position int64, gauges string) {
+	at, primary := h.stand()
+	part, x1 := "replica", 0
+	if primary {
+		part, x1 = "master", 1
+	}
+	return part, int64(at), fmt.Sprintf("x0=%.3f,x1=%d,inflight=%d,util=0.1", math.Floor(at)/1e3, x1, h.Open())
+}
+
+// write is one row that a transaction has written.
+type write struct{ key, payload string }
+
+// commit makes writes permanent and returns their position. ok is false where the host may not write any more.
+func (c *Cluster) commit(h *Host, ws []write) (at float64, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(ws) == 0 {
+		return 0, true
+	}
+	if c.primary != h {
+		return 0, false
+	}
+	at = max(Now(), c.last+0.001)
+	c.last = at
+	c.commits++
+	for _, w := range ws {
+		c.rows[w.key] = append(c.rows[w.key], version{at, w.payload})
+	}
+	return at, true
+}
+
+// read returns a row as of a position.
+func (c *Cluster) read(key string, at float64) (payload string, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	vs := c.rows[key]
+	i := sort.Search(len(vs), func(i int) bool { return vs[i].at > at })
+	if i == 0 {
+		return "", false
+	}
+	return vs[i-1].payload, true
+}
+
+// Versions is how often a row was written: more than once for one request is a duplicate.
+func (c *Cluster) Versions(schema, table, ref string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.rows[rowKey(schema, table, ref)])
+}
+
+// Rows is how many rows there are.
+func (c *Cluster) Rows() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.rows)
+}
+
+func rowKey(schema, table, ref string) string { return schema + "\x00" + table + "\x00" + ref }
--- /dev/null
+++ b/lab/host/conn.go
@@ -0,0 +1,465 @@
+package host
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"math"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// maxMessage bounds what a client may send in one message.
+const maxMessage = 16 << 20
+
+type prepared struct {
+	text   string
+	of     []lexeme
+	params []uint32
+}
+
+type portal struct {
+	p      *prepared
+	params []param
+	format []int16
+	rows   *rows // once it was executed and not run to its end
+}
+
+// conn is one connection with the state of its session.
+type conn struct {
+	host     *Host
+	net      net.Conn
+	out      *bufio.Writer
+	in       *pgproto3.Backend
+	pid, key uint32
+
+	set       settings
+	told      map[string]string
+	tx        *transaction
+	prepared  map[string]*prepared
+	portals   map[string]*portal
+	temp      map[string]bool
+	rows      map[string]string // of temporary tables
+	listens   map[string]bool
+	committed float64
+	skip      bool // to Sync
+	dead      bool
+	cancelled atomic.Bool
+	running   atomic.Bool
+	served    int
+}
+
+func newConn(h *Host, c net.Conn) *conn {
+	return &conn{host: h, net: c, prepared: map[string]*prepared{}, portals: map[string]*portal{}, told: map[string]string{},
+		temp: map[string]bool{}, rows: map[string]string{}, listens: map[string]bool{},
+		set: settings{start: map[string]string{}, now: map[string]string{}}}
+}
+
+func (c *conn) send(m pgproto3.BackendMessage) {
+	if c.dead {
+		return
+	}
+	b, err := m.Encode(nil)
+	if err == nil {
+		_, err = c.out.Write(b)
+	}
+	if err != nil {
+		c.dead = true
+	}
+}
+
+func (c *conn) flush() {
+	if !c.dead && c.out.Flush() != nil {
+		c.dead = true
+	}
+}
+
+// cut breaks the connection as a dying machine does.
+func (c *conn) cut(why string) {
+	if !c.dead {
+		c.host.Counts.Add(why)
+	}
+	c.dead = true
+	abort(c.net)
+}
+
+func (c *conn) fail(f *fault) {
+	if c.tx != nil {
+		c.tx.failed = true
+	}
+	severity := "ERROR"
+	c.send(&pgproto3.ErrorResponse{Severity: severity, SeverityUnlocalized: severity, Code: f.state, Message: f.text})
+}
+
+// report tells the client what changed of the settings that are reported.
+func (c *conn) report() {
+	for name, word := range reported {
+		v, _ := c.set.get(name)
+		if c.told[name] != v {
+			c.told[name] = v
+			c.send(&pgproto3.ParameterStatus{Name: word, Value: v})
+		}
+	}
+}
+
+func (c *conn) ready() {
+	part, position, gauges := c.host.tells()
+	if c.committed > 0 {
+		position = int64(math.Ceil(c.committed))
+		c.committed = 0
+	}
+	for _, s := range [][2]string{{"part", part}, {"caught_up_to", strconv.FormatInt(position, 10)}, {"gauges", gauges}} {
+		c.send(&pgproto3.ParameterStatus{Name: s[0], Value: s[1]})
+	}
+	c.send(&pgproto3.ReadyForQuery{TxStatus: c.status()})
+	c.flush()
+}
+
+// serve runs the connection to its end.
+func (c *conn) serve() {
+	defer func() {
+		c.rollback()
+		c.host.cancels.Delete(uint64(c.pid)<<32 | uint64(c.key))
+		_ = c.net.Close()
+	}()
+	c.out = bufio.NewWriterSize(&cutting{c}, 16<<10)
+	c.in = pgproto3.NewBackend(c.net, nil)
+	c.in.SetMaxBodyLen(maxMessage)
+	if !c.startup() {
+		return
+	}
+	for !c.dead {
+		f := c.host.fault()
+		if c.served > 0 && c.tx == nil && !c.skip && c.host.chance(f.CutIdle) {
+			c.cut("cut_idle")
+			return
+		}
+		m, err := c.in.Receive()
+		if err != nil {
+			return
+		}
+		c.served++
+		if !c.handle(m) {
+			return
+		}
+	}
+}
+
+func (c *conn) startup() bool {
+	for {
+		m, err := c.in.ReceiveStartupMessage()
+		if err != nil {
+			return false
+		}
+		switch m := m.(type) {
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := c.net.Write([]byte{'N'}); err != nil {
+				return false
+			}
+		case *pgproto3.CancelRequest:
+			if len(m.SecretKey) == 4 {
+				key := uint64(m.ProcessID)<<32 | uint64(binary.BigEndian.Uint32(m.SecretKey))
+				if other, ok := c.host.cancels.Load(key); ok {
+					c.host.Counts.Add("cancel")
+					if o := other.(*conn); o.running.Load() {
+						o.cancelled.Store(true)
+					}
+				}
+			}
+			return false
+		case *pgproto3.StartupMessage:
+			if c.host.Open() > c.host.most {
+				c.send(&pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: "53300", Message: "too many connections"})
+				c.flush()
+				return false
+			}
+			for name, value := range m.Parameters {
+				if name = strings.ToLower(name); known(name) {
+					c.set.start[name] = value
+				}
+			}
+			c.pid = c.host.pid.Add(1)
+			c.key = c.pid * 2654435761
+			c.host.cancels.Store(uint64(c.pid)<<32|uint64(c.key), c)
+			c.send(&pgproto3.AuthenticationOk{})
+			c.report()
+			c.send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: binary.BigEndian.AppendUint32(nil, c.key)})
+			c.ready()
+			return !c.dead
+		}
+	}
+}
+
+// cutting writes to the network and now and then breaks the connection at some byte.
+type cutting struct{ c *conn }
+
+func (w *cutting) Write(b []byte) (int, error) {
+	c := w.c
+	if c.served > 0 && c.host.chance(c.host.fault().CutAnswer) {
+		c.host.cluster.mu.Lock()
+		n := c.host.cluster.rng.IntN(len(b))
+		c.host.cluster.mu.Unlock()
+		_, _ = c.net.Write(b[:n])
+		time.Sleep(time.Millisecond) // a reset would take back what was written
+		c.cut("cut_answer")
+		return n, net.ErrClosed
+	}
+	return c.net.Write(b)
+}
+
+func (c *conn) handle(m pgproto3.FrontendMessage) bool {
+	if c.skip {
+		switch m.(type) {
+		case *pgproto3.Sync:
+			c.skip = false
+			c.sync()
+		case *pgproto3.Terminate:
+			return false
+		}
+		return !c.dead
+	}
+	switch m := m.(type) {
+	case *pgproto3.Query:
+		c.query(m.String)
+	case *pgproto3.Parse:
+		if f := c.parse(m); f != nil {
+			c.stumble(f)
+		} else {
+			c.send(&pgproto3.ParseComplete{})
+		}
+	case *pgproto3.Bind:
+		if f := c.bind(m); f != nil {
+			c.stumble(f)
+		} else {
+			c.send(&pgproto3.BindComplete{})
+		}
+	case *pgproto3.Describe:
+		c.describe(m)
+	case *pgproto3.Execute:
+		c.execute(m)
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			delete(c.prepared, m.Name)
+		} else {
+			delete(c.portals, m.Name)
+		}
+		c.send(&pgproto3.CloseComplete{})
+	case *pgproto3.Sync:
+		c.sync()
+	case *pgproto3.Flush:
+		c.flush()
+	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail: // of a COPY that failed
+	case *pgproto3.Terminate:
+		return false
+	default:
+		c.stumble(&fault{"08P01", fmt.Sprintf("%T is not known here", m)})
+	}
+	return !c.dead
+}
+
+// stumble is an error in a pipeline: what follows is skipped up to Sync.
+func (c *conn) stumble(f *fault) {
+	c.fail(f)
+	c.skip = true
+}
+
+// sync ends the implicit transaction.
+func (c *conn) sync() {
+	if c.tx != nil && !c.tx.explicit {
+		if _, f := c.commit(); f != nil {
+			c.fail(f)
+		}
+	}
+	if !c.dead {
+		c.ready()
+	}
+}
+
+func (c *conn) query(text string) {
+	c.prepared[""] = nil
+	delete(c.prepared, "")
+	statements, texts, f := read(text)
+	if f != nil {
+		c.fail(f)
+	} else if len(statements) == 0 {
+		c.send(&pgproto3.EmptyQueryResponse{})
+	}
+	for i, s := range statements {
+		if f = c.statement(s, texts[i], nil, nil, 0, nil, true); f != nil || c.dead {
+			break
+		}
+	}
+	if f != nil {
+		if c.tx != nil {
+			c.tx.failed = true
+		}
+		c.send(&pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: f.state, Message: f.text})
+	}
+	c.sync()
+}
+
+func (c *conn) parse(m *pgproto3.Parse) *fault {
+	statements, texts, f := read(m.Query)
+	if f != nil {
+		return f
+	}
+	if len(statements) > 1 {
+		return syntax("cannot insert multiple commands into a prepared statement")
+	}
+	if _, ok := c.prepared[m.Name]; ok && m.Name != "" {
+		return &fault{"42P05", fmt.Sprintf("prepared statement %q already exists", m.Name)}
+	}
+	p := &prepared{params: m.ParameterOIDs}
+	if len(statements) == 1 {
+		p.of, p.text = statements[0], texts[0]
+	}
+	if c.tx != nil && c.tx.failed && !ends(p.of) {
+		return &fault{"25P02", "current transaction is aborted"}
+	}
+	for n := parameters(p.of); len(p.params) < n; {
+		p.params = append(p.params, 25)
+	}
+	for i, oid := range p.params {
+		if oid == 0 {
+			p.params[i] = 25
+		}
+	}
+	c.prepared[m.Name] = p
+	return nil
+}
+
+func (c *conn) bind(m *pgproto3.Bind) *fault {
+	p, ok := c.prepared[m.PreparedStatement]
+	if !ok {
+		return missing(m.PreparedStatement)
+	}
+	if c.tx != nil && c.tx.failed && !ends(p.of) {
+		return &fault{"25P02", "current transaction is aborted"}
+	}
+	if len(m.Parameters) != len(p.params) {
+		return &fault{"08P01", fmt.Sprintf("bind message supplies %d parameters, but prepared statement %q requires %d", len(m.Parameters), m.PreparedStatement, len(p.params))}
+	}
+	t := &portal{p: p, format: m.ResultFormatCodes}
+	for i, v := range m.Parameters {
+		binaryForm := len(m.ParameterFormatCodes) == 1 && m.ParameterFormatCodes[0] == 1 ||
+			i < len(m.ParameterFormatCodes) && m.ParameterFormatCodes[i] == 1
+		s := string(v)
+		if binaryForm && v != nil {
+			switch oid := p.params[i]; {
+			case oid == 20 && len(v) == 8:
+				s = strconv.FormatInt(int64(binary.BigEndian.Uint64(v)), 10)
+			case oid == 23 && len(v) == 4:
+				s = strconv.FormatInt(int64(int32(binary.BigEndian.Uint32(v))), 10)
+			}
+		}
+		t.params = append(t.params, param{s, v == nil})
+	}
+	c.portals[m.DestinationPortal] = t
+	return nil
+}
+
+func missing(name string) *fault {
+	return &fault{"26000", fmt.Sprintf("prepared statement %q does not exist", name)}
+}
+
+func (c *conn) describe(m *pgproto3.Describe) {
+	var p *prepared
+	var format []int16
+	if m.ObjectType == 'S' {
+		if p = c.prepared[m.Name]; p == nil {
+			c.stumble(missing(m.Name))
+			return
+		}
+		c.send(&pgproto3.ParameterDescription{ParameterOIDs: p.params})
+	} else {
+		t := c.portals[m.Name]
+		if t == nil {
+			c.stumble(&fault{"34000", fmt.Sprintf("portal %q does not exist", m.Name)})
+			return
+		}
+		p, format = t.p, t.format
+	}
+	if fields := c.columns(p.of); fields != nil {
+		c.send(description(fields, format))
+	} else {
+		c.send(&pgproto3.NoData{})
+	}
+}
+
+func description(names []string, format []int16) *pgproto3.RowDescription {
+	d := &pgproto3.RowDescription{}
+	for _, n := range names {
+		f := int16(0)
+		if len(format) > 0 {
+			f = format[0]
+		}
+		d.Fields = append(d.Fields, pgproto3.FieldDescription{Name: []byte(n), DataTypeOID: 25, DataTypeSize: -1, TypeModifier: -1, Format: f})
+	}
+	return d
+}
+
+func (c *conn) execute(m *pgproto3.Execute) {
+	t := c.portals[m.Portal]
+	if t == nil {
+		c.stumble(&fault{"34000", fmt.Sprintf("portal %q does not exist", m.Portal)})
+		return
+	}
+	if len(t.p.of) == 0 {
+		c.send(&pgproto3.EmptyQueryResponse{})
+		return
+	}
+	if f := c.statement(t.p.of, t.p.text, t.params, t.format, int(m.MaxRows), t, false); f != nil {
+		c.stumble(f)
+	}
+}
+
+func ends(s []lexeme) bool {
+	if len(s) == 0 {
+		return true
+	}
+	switch s[0].text {
+	case "rollback", "commit", "end", "abort":
+		return true
+	}
+	return false
+}
+
+// pause waits as the host's faults have it; a cancel ends it.
+func (c *conn) pause() *fault {
+	f := c.host.fault()
+	switch {
+	case c.host.chance(f.Stall):
+		c.host.Counts.Add("stall")
+		return c.wait(f.StallFor)
+	case c.host.chance(f.Slow):
+		c.host.Counts.Add("slow")
+		return c.wait(f.SlowFor)
+	}
+	return nil
+}
+
+func (c *conn) wait(d time.Duration) *fault {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		if c.cancelled.Load() {
+			return &fault{"57014", "canceling statement due to user request"}
+		}
+		time.Sleep(min(5*time.Millisecond, time.Until(end)))
+	}
+	return nil
+}
+
+// noteTransaction counts a new transaction, and whether one came long after the host was told to drain.
+func (h *Host) noteTransaction() {
+	h.mu.Lock()
+	late := !h.draining.IsZero() && time.Since(h.draining) > 1050*time.Millisecond
+	h.mu.Unlock()
+	h.Counts.Add("transactions")
+	if late {
+		h.Counts.Add("sent_to_draining")
+	}
+}
