--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -198,6 +198,39 @@
 // Pick blocks until there is an attempt to make or a final verdict.
 func (c *Call) Pick() Next { return <-c.next }
 
+// TryPick is Pick without the wait. ok is false where nothing is decided yet: Pick then blocks, on a goroutine.
+func (c *Call) TryPick() (n Next, ok bool) {
+	select {
+	case n = <-c.next:
+		return n, true
+	default:
+		return Next{}, false
+	}
+}
+
+// Conclude gives the outcome of the attempt picked last and ends the call with it: there is no further attempt,
+// whatever the outcome is.
+func (c *Call) Conclude(o Outcome) {
+	f := c.f
+	f.mu.Lock()
+	if !c.over {
+		c.end()
+	}
+	f.mu.Unlock()
+	c.Report(o)
+}
+
+// Deadline is how long clients of a class wait, in milliseconds; ok is false for a class that the settings do not name.
+func (f *Facade) Deadline(class string) (ms float64, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i, ok := f.site.Classes[class]
+	if !ok {
+		return 0, false
+	}
+	return clock.Millis(f.site.Settings.Classes[i].Deadline), true
+}
+
 // Still asks again just before an attempt is written. If it is false, report NotSent and pick again.
 func (c *Call) Still() bool {
 	c.f.mu.Lock()
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -20,10 +20,14 @@
 	Closed(c gnet.Conn, err error)
 }
 
-// Engine is a listener and its event loop.
+// Accept makes the handler of a connection that came in; nil turns the connection away. It runs on the event loop.
+type Accept = func(c gnet.Conn) (Handler, []byte, gnet.Action)
+
+// Engine is the listeners and their event loop.
 type Engine struct {
 	gnet.BuiltinEventEngine
-	accept func(c gnet.Conn) (Handler, []byte, gnet.Action)
+	accept Accept
+	others map[string]Accept // by address
 	engine gnet.Engine
 	booted chan struct{}
 	once   sync.Once
@@ -48,15 +52,34 @@
 	return &Engine{booted: make(chan struct{}), ended: make(chan error, 1), enrol: make(chan struct{}, Enrolling)}
 }
 
-// Start listens at address, a TCP host:port. accept makes the handler of each connection that comes in; nil
-// turns the connection away.
-func (e *Engine) Start(address string, accept func(c gnet.Conn) (Handler, []byte, gnet.Action)) error {
+// Also names a further address to listen at, before Start. It is served by the same loop.
+func (e *Engine) Also(address string, accept Accept) error {
+	a, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return err
+	}
+	if e.others == nil {
+		e.others = map[string]Accept{}
+	}
+	e.others[a.String()] = accept
+	return nil
+}
+
+// Start listens at address, a TCP host:port, and at those that Also named.
+func (e *Engine) Start(address string, accept Accept) error {
 	e.accept = accept
+	all := []string{"tcp://" + address}
 	if err := vacant(address); err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
+	for other := range e.others {
+		if err := vacant(other); err != nil {
+			return fmt.Errorf("listen on %s: %w", other, err)
+		}
+		all = append(all, "tcp://"+other)
+	}
 	go func() {
-		e.ended <- gnet.Run(e, "tcp://"+address,
+		e.ended <- gnet.Rotate(e, all,
 			gnet.WithNumEventLoop(1), // one core; and what handlers share then needs no locks
 			gnet.WithReuseAddr(true), // a restart finds the last process's connections in TIME_WAIT
 			// The loop that serves connections accepts them too, one at a time. Otherwise a thread of its own takes all
@@ -111,6 +134,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return e.Enrol(c, h)
+}
+
+// Enrol hands a connection to the loop, where h owns it. It blocks until the loop has it.
+func (e *Engine) Enrol(c net.Conn, h Handler) (gnet.Conn, error) {
 	e.enrol <- struct{}{} // a loop that never blocks gives it back at once
 	defer func() { <-e.enrol }()
 	done, err := e.engine.Register(gnet.NewNetConnContext(gnet.NewContext(context.Background(), h), c))
@@ -140,7 +168,13 @@
 	if c.Context() != nil {
 		return nil, gnet.None
 	}
-	h, out, action := e.accept(c)
+	accept := e.accept
+	if len(e.others) > 0 && c.LocalAddr() != nil {
+		if other := e.others[c.LocalAddr().String()]; other != nil {
+			accept = other
+		}
+	}
+	h, out, action := accept(c)
 	if h != nil {
 		c.SetContext(h)
 	}
--- /dev/null
+++ b/internal/net/pg/sclient.go
@@ -0,0 +1,1066 @@
+package pg
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"ashstand/internal/decide"
+	"ashstand/internal/net/loop"
+	"ashstand/internal/session"
+)
+
+// phase is what a client waits for.
+type phase uint8
+
+const (
+	phaseStarting phase = iota // its startup message, or its proof of a password
+	phaseFree                  // nothing: it has no server connection
+	phaseRouting               // a decision where its transaction goes
+	phaseQueued                // a server connection
+	phaseSyncing               // the server connection to have the session's settings
+	phaseLinked                // nothing: it has one
+)
+
+// sclient is one client with its session.
+type sclient struct {
+	front  *Sessions
+	wire   loop.Wire
+	number uint32
+	key    uint64
+	since  float64 // last heard, or told something
+	phase  phase
+	pool   *PoolSettings
+	names  poolKey
+	proof  *proof // of a password, while it is under way
+	pipe   *session.Pipeline
+	told   *params
+
+	server    *server
+	waiter    session.Waiter
+	call      *decide.Call
+	query     *session.Query // what the transaction is routed by, until it is sent
+	readOnly  bool
+	after     float64 // position that the session's reads must see
+	blocked   bool    // a message waits for what is under way
+	flushed   bool    // and the server was asked to say what it has
+	misplaced bool    // a write reached a host that takes none
+	kept      bool    // counted as one that keeps its connection
+	pin       session.Cause
+	trouble   string           // what a host said to the session's settings
+	pending   *session.Refusal // to be given to the next statement
+	endBlock  map[string]bool  // portals of a lost block that end it
+	unread    int
+	gone      bool    // told to go, or closed
+	asked     byte    // the kind of the message that waits to be routed
+	inMessage bool    // that message is being taken: whoever took it goes on with it
+	left      float64 // when it was told to go
+}
+
+// greeting are the parameters that a client is told before it has a server connection.
+var greeting = [...][2]string{{"server_version", "16.0 (ashstand)"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
+	{"DateStyle", "ISO, MDY"}, {"TimeZone", "UTC"}, {"integer_datetimes", "on"}, {"standard_conforming_strings", "on"}}
+
+// Closed is called on the loop.
+func (c *sclient) Closed(gnet.Conn, error) {
+	if !c.wire.Ended() {
+		return
+	}
+	f := c.front
+	delete(f.clients, c)
+	delete(f.keys, c.key)
+	delete(f.paused, &c.wire)
+	f.unread -= c.unread
+	c.unread, c.gone = 0, true
+	c.abandon()
+	if c.pipe != nil {
+		c.pipe.Close()
+	}
+}
+
+// abandon lets go of whatever the client has or waits for. A connection on which something is open or due ends, and the
+// host rolls back what is not committed.
+func (c *sclient) abandon() {
+	c.waiter.Leave()
+	if s := c.server; s != nil {
+		clean := c.pipe.Idle() && c.phase == phaseLinked && c.pipe.Pinned() == "" && !c.pipe.Strange()
+		c.unlink(s)
+		if clean {
+			s.rest()
+		} else {
+			s.worn = true
+			s.wire.Close()
+		}
+	}
+	if c.call != nil {
+		call := c.call
+		c.call = nil
+		call.Conclude(decide.Outcome{Code: decide.Cancelled})
+	}
+}
+
+// unlink parts the client from its server connection.
+func (c *sclient) unlink(s *server) {
+	s.have = c.pipe.OnServer()
+	s.client, c.server = nil, nil
+	c.pipe.Restored()
+	c.pipe.Unlink()
+	c.unkeep(s)
+}
+
+// keep counts a session that does not give its connection back.
+func (c *sclient) keep(s *server) {
+	cause := c.pipe.Pinned()
+	if cause != "" && c.pin == "" {
+		c.pin = cause
+		c.front.pinned[cause]++
+	}
+	if (cause != "" || c.pool.Mode == Session) && !c.kept {
+		c.kept = true
+		s.pool.kept++
+	}
+}
+
+func (c *sclient) unkeep(s *server) {
+	if c.kept {
+		c.kept = false
+		s.pool.kept--
+	}
+	if c.pin != "" {
+		c.front.pinned[c.pin]--
+		c.pin = ""
+	}
+}
+
+// farewell tells the client why it has to go and ends our side; it is closed a moment later.
+func (c *sclient) farewell(state, text, detail string) gnet.Action {
+	if c.gone {
+		return gnet.None
+	}
+	c.gone = true
+	c.abandon()
+	if c.wire.Conn == nil {
+		return gnet.Close
+	}
+	c.wire.Write(failure(nil, "FATAL", state, text, detail))
+	if c.wire.Unsent() > 0 || shutdown(c.wire.Conn) != nil {
+		return gnet.Close
+	}
+	c.left = c.front.clock.Now()
+	c.wire.Discard(c.wire.Buffered())
+	return gnet.None
+}
+
+// Traffic is called on the loop.
+func (c *sclient) Traffic(g gnet.Conn) gnet.Action {
+	if c.gone {
+		c.wire.Discard(c.wire.Buffered())
+		return gnet.None
+	}
+	action := c.read()
+	f := c.front
+	n := c.wire.Buffered()
+	f.unread += n - c.unread
+	c.unread = n
+	l := f.limits.Load()
+	if n > 0 && (n > l.Message+highWater || f.unread > l.Bytes) && !c.gone {
+		if n >= l.Message+highWater || c.phase != phaseLinked && c.phase != phaseFree || c.blocked {
+			f.watch(&c.wire, func() bool { return c.gone || !c.busy() })
+		}
+	}
+	return action
+}
+
+// busy says whether a message of the client's can't be taken now.
+func (c *sclient) busy() bool {
+	switch c.phase {
+	case phaseRouting, phaseQueued, phaseSyncing:
+		return true
+	}
+	return c.blocked || c.server != nil && (c.server.wire.Paused() || c.server.wire.Unsent() > lowWater)
+}
+
+// proceed goes on with what the client sent, from outside of its own Traffic.
+func (c *sclient) proceed() {
+	c.blocked = false
+	if c.gone {
+		return
+	}
+	if c.read() == gnet.Close {
+		c.wire.Close()
+		return
+	}
+	n := c.wire.Buffered()
+	c.front.unread += n - c.unread
+	c.unread = n
+}
+
+// read takes messages until one has to wait or no whole one is left. What goes to the server is gathered and written
+// at once: a pipeline of five messages is one system call.
+func (c *sclient) read() gnet.Action {
+	f := c.front
+	var out []byte
+	if n := len(f.buffers); n > 0 {
+		out, f.buffers = f.buffers[n-1][:0], f.buffers[:n-1]
+	}
+	action := gnet.None
+	for !c.gone && action == gnet.None {
+		switch c.phase {
+		case phaseRouting, phaseQueued, phaseSyncing:
+			action = gnet.Shutdown // only out of the loop
+			continue
+		}
+		if s := c.server; s != nil && (s.wire.Paused() || s.wire.Unsent()+len(out) > highWater) {
+			out = c.send(out)
+			if s.wire.Paused() || s.wire.Unsent() > highWater {
+				f.watch(&c.wire, func() bool { return c.gone || !c.busy() })
+				break
+			}
+		}
+		b := c.wire.Peek()
+		if c.phase == phaseStarting {
+			used, act := c.start(b)
+			if used == 0 || act == gnet.Close {
+				action = act
+				break
+			}
+			c.wire.Discard(used)
+			continue
+		}
+		kind, body, rest, ok, err := next(b, f.limits.Load().Message)
+		if err != nil {
+			out = c.send(out)
+			action = c.farewell(stateInvalid, fmt.Sprintf("a message's length is out of bounds; %d bytes are allowed", f.limits.Load().Message), "")
+			break
+		}
+		if !ok {
+			break
+		}
+		used := len(b) - len(rest)
+		c.since = f.clock.Now()
+		var wait bool
+		if out, wait, action = c.message(out, kind, body, b[:used]); wait {
+			break
+		}
+		if !c.gone {
+			c.wire.Discard(used)
+		}
+	}
+	out = c.send(out)
+	if cap(out) > 0 && cap(out) <= 256<<10 && len(f.buffers) < 8 {
+		f.buffers = append(f.buffers, out)
+	}
+	if action == gnet.Shutdown {
+		action = gnet.None
+	}
+	return action
+}
+
+// send writes what was gathered to the server.
+func (c *sclient) send(out []byte) []byte {
+	if len(out) > 0 && c.server != nil {
+		c.server.sent = true
+		c.server.wire.Write(out)
+	}
+	return out[:0]
+}
+
+// answer writes to the client.
+func (c *sclient) answer(b []byte) {
+	if len(b) > 0 && !c.gone {
+		c.since = c.front.clock.Now()
+		c.wire.Write(b)
+	}
+}
+
+// start takes the startup message and what belongs to it.
+func (c *sclient) start(b []byte) (used int, action gnet.Action) {
+	if c.proof != nil {
+		return c.prove(b)
+	}
+	if len(b) < 8 {
+		return 0, gnet.None
+	}
+	n, code := int(binary.BigEndian.Uint32(b)), binary.BigEndian.Uint32(b[4:])
+	switch {
+	case n < 8 || n > maxStartup:
+		return 0, c.farewell(stateInvalid, errLength.Error(), "")
+	case len(b) < n:
+		return 0, gnet.None
+	case code == codeSSL || code == codeGSS:
+		c.answer([]byte{'N'})
+		return n, gnet.None
+	case code == codeCancel:
+		if n == 16 {
+			c.front.cancel(binary.BigEndian.Uint64(b[8:]))
+		}
+		return 0, gnet.Close
+	case code>>16 != 3:
+		return 0, c.farewell(stateInvalid, "protocol version 3 is spoken here", "")
+	}
+	ps := map[string]string{}
+	words := strings.Split(string(b[8:n]), "\x00")
+	for i := 0; i+1 < len(words) && words[i] != ""; i += 2 {
+		ps[words[i]] = words[i+1]
+	}
+	if act := c.begin(ps, code != protocol3); act == gnet.Close || c.gone {
+		return 0, act
+	}
+	return n, gnet.None
+}
+
+// begin opens the session.
+func (c *sclient) begin(ps map[string]string, minor bool) gnet.Action {
+	f := c.front
+	user, database := ps["user"], ps["database"]
+	if database == "" {
+		database = user
+	}
+	l := f.limits.Load()
+	switch {
+	case user == "":
+		return c.farewell("28000", "the startup message names no user", "")
+	case ps["replication"] != "" && ps["replication"] != "false" && ps["replication"] != "off":
+		return c.farewell(stateUnknown, "replication connections are not pooled", "")
+	case !f.facade.Ready():
+		return c.farewell(stateStarting, "no list of hosts is held yet", f.after())
+	}
+	c.names = poolKey{database, user}
+	if c.pool = l.poolFor(database, user); c.pool == nil {
+		return c.farewell("3D000", fmt.Sprintf("no pool is set for database %q and user %q", database, user), "")
+	}
+	values, err := startupValues(ps)
+	if err != nil {
+		return c.farewell("22023", err.Error(), "")
+	}
+	c.pipe = session.NewPipeline(values, f.catalogue)
+	var out []byte
+	if minor {
+		out = message(out, 'v', func(b []byte) []byte { return append(b, 0, 3, 0, 0, 0, 0, 0, 0) })
+	}
+	if len(l.Users) > 0 {
+		v, ok := l.Users[user]
+		if c.proof = newProof(user, v, ok); c.proof == nil {
+			return c.farewell("28P01", "password authentication failed for user "+strconv.Quote(user), "")
+		}
+		c.answer(append(out, saslOffer...))
+		return gnet.None
+	}
+	c.answer(out)
+	c.open()
+	return gnet.None
+}
+
+// startupValues are the settings that a startup message asks for.
+func startupValues(ps map[string]string) (*session.Values, error) {
+	v := session.None
+	set := func(name, value string) {
+		if name = strings.ToLower(name); name != "" {
+			v = v.With(name, session.Startup(name, value))
+		}
+	}
+	for name, value := range ps {
+		switch name {
+		case "user", "database", "replication", "options":
+		default:
+			if !strings.HasPrefix(name, "_pq_.") {
+				set(name, value)
+			}
+		}
+	}
+	words := strings.Fields(strings.ReplaceAll(ps["options"], `\ `, "\x00"))
+	for i := 0; i < len(words); i++ {
+		w := words[i]
+		switch {
+		case w == "-c" && i+1 < len(words):
+			i++
+			w = words[i]
+		case strings.HasPrefix(w, "--"):
+			w = strings.ReplaceAll(w[2:], "-", "_")
+		case strings.HasPrefix(w, "-c"):
+			w = w[2:]
+		default:
+			return nil, fmt.Errorf("the startup message's options hold %q, which is no -c name=value", w)
+		}
+		name, value, ok := strings.Cut(strings.ReplaceAll(w, "\x00", " "), "=")
+		if !ok {
+			return nil, fmt.Errorf("the startup message's options hold %q, which is no name=value", w)
+		}
+		set(name, value)
+	}
+	return v, nil
+}
+
+// open welcomes a client that may come in.
+func (c *sclient) open() {
+	f := c.front
+	f.secret(c)
+	out := message(nil, 'R', func(b []byte) []byte { return append(b, 0, 0, 0, 0) })
+	if f.welcome == nil {
+		f.welcome = &params{of: map[string]string{}}
+		for _, p := range greeting {
+			f.welcome = f.welcome.with(f, p[0], p[1])
+		}
+	}
+	c.told = f.welcome
+	for _, p := range greeting {
+		out = status(out, p[0], p[1])
+	}
+	out = message(out, 'K', func(b []byte) []byte { return binary.BigEndian.AppendUint64(b, c.key) })
+	c.phase = phaseFree
+	c.answer(ready(out))
+}
+
+// message takes one message. wait: it stays where it is until something that is under way is done.
+func (c *sclient) message(out []byte, kind byte, body, whole []byte) (_ []byte, wait bool, _ gnet.Action) {
+	if strings.IndexByte("XQPBDECSHFdcfp", kind) < 0 {
+		out = c.send(out)
+		return out, false, c.farewell(stateInvalid, fmt.Sprintf("message %q is unknown", kind), "")
+	}
+	if kind == 'X' {
+		c.send(out)
+		return out[:0], false, gnet.Close
+	}
+	if c.server == nil {
+		switch c.unlinked(kind, body) {
+		case done:
+			return out, false, gnet.None
+		case broken:
+			return out, false, c.farewell(stateInvalid, fmt.Sprintf("message %q is not in its form", kind), "")
+		case waits:
+			return out, true, gnet.None
+		}
+	}
+	// The settings that RESET took from the session are put right before anything else runs.
+	if c.pipe.Behind() && kind != 'S' && kind != 'H' && c.pipe.Due() == 0 && !c.pipe.CopyIn() {
+		out = c.send(out)
+		c.sync(c.server)
+		return out, true, gnet.None
+	}
+	before := len(out)
+	out, ok := c.forward(out, kind, body, whole)
+	if !ok {
+		out = c.send(out[:before])
+		return out, false, c.farewell(stateInvalid, fmt.Sprintf("message %q is not in its form", kind), "")
+	}
+	for k := c.pipe.Local(); k != 0; k = c.pipe.Local() {
+		c.answer([]byte{k, 0, 0, 0, 4})
+	}
+	return out, false, gnet.None
+}
+
+// what became of a message where there is no server connection.
+type fate uint8
+
+const (
+	done   fate = iota // it was answered here
+	waits              // it waits for a connection
+	broken             // it can't be read
+	go_on              // the connection is there by now
+)
+
+// text is the first string of a body, and what follows.
+func text(body []byte) (s string, rest []byte, ok bool) {
+	for i, b := range body {
+		if b == 0 {
+			return string(body[:i]), body[i+1:], true
+		}
+	}
+	return "", nil, false
+}
+
+// unlinked takes a message of a client that has no server connection.
+func (c *sclient) unlinked(kind byte, body []byte) fate {
+	switch kind {
+	case 'S':
+		c.pipe.LocalSync()
+		c.answer([]byte{'Z', 0, 0, 0, 5, c.pipe.Status()})
+		return done
+	case 'H', 'd', 'c', 'f', 'p':
+		return done
+	}
+	if c.pipe.Skipping() {
+		return done
+	}
+	if c.pipe.LostBlock() || c.pending != nil {
+		return c.inLostBlock(kind, body)
+	}
+	q := &session.Query{}
+	switch kind {
+	case 'Q':
+		s, rest, ok := text(body)
+		if !ok || len(rest) > 0 {
+			return broken
+		}
+		*q = session.Scan(s)
+		if c.local(q) {
+			return done
+		}
+	case 'P':
+		_, rest, ok := text(body)
+		s, _, ok2 := text(rest)
+		if !ok || !ok2 {
+			return broken
+		}
+		*q = session.Scan(s)
+	case 'B':
+		_, rest, ok := text(body)
+		name, _, ok2 := text(rest)
+		if !ok || !ok2 {
+			return broken
+		}
+		if p := c.pipe.Find(name); p != nil {
+			q = &p.Query
+		}
+	case 'D':
+		if len(body) < 2 {
+			return broken
+		}
+		if name, _, ok := text(body[1:]); ok && body[0] == 'S' {
+			if p := c.pipe.Find(name); p != nil {
+				q = &p.Query
+			}
+		}
+	case 'C':
+		if len(body) < 2 {
+			return broken
+		}
+		if name, _, ok := text(body[1:]); ok && body[0] == 'S' {
+			c.pipe.Ask(name, nil)
+			c.pipe.Made()
+		}
+		c.answer([]byte{'3', 0, 0, 0, 4})
+		return done
+	}
+	c.inMessage = true
+	c.route(q, kind)
+	c.inMessage = false
+	switch {
+	case c.server != nil && c.phase == phaseLinked:
+		return go_on
+	case c.gone || c.phase == phaseFree: // it was refused at once
+		return done
+	}
+	return waits
+}
+
+// local answers a query that needs no server.
+func (c *sclient) local(q *session.Query) bool {
+	var out []byte
+	switch {
+	case len(q.Statements) == 0:
+		out = message(out, 'I', func(b []byte) []byte { return b })
+	case len(q.Statements) > 1:
+		return false
+	default:
+		switch s := &q.Statements[0]; {
+		case s.Kind == session.Deallocate && c.pipe.Find(s.Name) != nil:
+			c.pipe.Forget(s.Name, false)
+			out = complete(out, "DEALLOCATE")
+		case s.Kind == session.DeallocateAll:
+			c.pipe.Forget("", true)
+			out = complete(out, "DEALLOCATE ALL")
+		case s.Kind == session.DiscardAll:
+			c.pipe.DiscardAll()
+			out = complete(out, "DISCARD ALL")
+		default:
+			return false
+		}
+	}
+	c.answer(ready(out))
+	return true
+}
+
+// inLostBlock takes a message where the connection was lost in a block, or with state that can't be carried: the first
+// statement learns of it, and a block has failed until its end.
+func (c *sclient) inLostBlock(kind byte, body []byte) fate {
+	ends := func(q *session.Query) bool {
+		return len(q.Statements) > 0 && (q.Statements[0].Kind == session.Commit || q.Statements[0].Kind == session.Rollback)
+	}
+	fail := func() {
+		r := c.pending
+		if c.pending = nil; r == nil {
+			r = &session.Refusal{State: session.StateInBlock, Text: "current transaction is aborted, commands ignored until end of transaction block"}
+		}
+		c.answer(failure(nil, "ERROR", r.State, r.Text, ""))
+	}
+	switch kind {
+	case 'Q':
+		s, _, ok := text(body)
+		if !ok {
+			return broken
+		}
+		q := session.Scan(s)
+		if c.pipe.LostBlock() && ends(&q) {
+			c.pending = nil
+			c.pipe.LocalEnd()
+			c.answer(ready(complete(nil, "ROLLBACK")))
+			return done
+		}
+		fail()
+		c.answer([]byte{'Z', 0, 0, 0, 5, c.pipe.Status()})
+		return done
+	case 'P':
+		name, rest, ok := text(body)
+		s, types, ok2 := text(rest)
+		if !ok || !ok2 {
+			return broken
+		}
+		if q := session.Scan(s); c.pipe.LostBlock() && ends(&q) {
+			if p := c.front.catalogue.Take(s, types, c.pipe.Now()); p != nil {
+				c.pipe.Ask(name, p)
+				c.pipe.Made()
+				c.answer([]byte{'1', 0, 0, 0, 4})
+				return done
+			}
+		}
+	case 'B':
+		portal, rest, ok := text(body)
+		name, _, ok2 := text(rest)
+		if !ok || !ok2 {
+			return broken
+		}
+		if p := c.pipe.Find(name); p != nil && c.pipe.LostBlock() && ends(&p.Query) {
+			c.endBlock = map[string]bool{portal: true}
+			c.answer([]byte{'2', 0, 0, 0, 4})
+			return done
+		}
+	case 'D':
+		if len(body) > 1 && body[0] == 'S' {
+			c.answer(message(nil, 't', func(b []byte) []byte { return append(b, 0, 0) }))
+		}
+		c.answer([]byte{'n', 0, 0, 0, 4})
+		return done
+	case 'E':
+		if portal, _, ok := text(body); ok && c.endBlock[portal] {
+			c.endBlock, c.pending = nil, nil
+			c.pipe.LocalEnd()
+			c.answer(complete(nil, "ROLLBACK"))
+			return done
+		}
+	case 'C':
+		c.answer([]byte{'3', 0, 0, 0, 4})
+		return done
+	}
+	fail()
+	if kind != 'F' {
+		c.pipe.Skip()
+	} else {
+		c.answer([]byte{'Z', 0, 0, 0, 5, c.pipe.Status()})
+	}
+	return done
+}
+
+// refuse gives an error to the message under way, where there is no server connection: nothing of it ran.
+func (c *sclient) refuse(state, text, detail string) {
+	c.phase = phaseFree
+	c.query = nil
+	c.front.stats.Refused++
+	c.answer(failure(nil, "ERROR", state, text, detail))
+}
+
+// consumed ends a message that was refused: a query has its ReadyForQuery, a pipeline is skipped up to Sync.
+func (c *sclient) consumed(kind byte) {
+	if kind == 'Q' || kind == 'F' {
+		c.answer([]byte{'Z', 0, 0, 0, 5, c.pipe.Status()})
+	} else {
+		c.pipe.Skip()
+	}
+}
+
+// route asks where a transaction goes.
+func (c *sclient) route(q *session.Query, kind byte) {
+	f := c.front
+	ro := c.pipe.Now().Of("default_transaction_read_only")
+	r, err := c.pool.Defaults.Decide(q, strings.HasSuffix(ro, "TO on") || strings.HasSuffix(ro, "TO true") || strings.HasSuffix(ro, "'on', false)"))
+	if err != nil {
+		c.refuse(stateInvalid, err.Error(), "")
+		c.consumed(kind)
+		return
+	}
+	now := f.clock.Now()
+	deadline, ok := f.facade.Deadline(r.Class)
+	if !ok {
+		c.refuse(stateInvalid, "class "+strconv.Quote(r.Class)+": "+decide.ErrClass.Error(), "")
+		c.consumed(kind)
+		return
+	}
+	if r.Wait > 0 {
+		deadline = r.Wait
+	}
+	patience := session.Patience(r.Wait, c.pool.Patience, answerGuard)
+	key := r.Session
+	if key == "" {
+		key = "#" + strconv.FormatUint(uint64(c.number), 36)
+	}
+	c.readOnly = r.ReadOnly
+	c.waiter.Deadline = now + patience
+	c.query = q
+	c.phase = phaseRouting
+	c.asked = kind
+	call, err := f.facade.Begin(decide.Request{Class: r.Class, Group: r.Group, Session: key, Arrived: now, TimeLeft: max(deadline, patience),
+		After: max(r.After, c.after)})
+	if err != nil {
+		c.refuse(stateInvalid, err.Error(), "")
+		c.consumed(kind)
+		return
+	}
+	c.call = call
+	c.pick()
+}
+
+// pick takes the next decision; where there is none yet, a goroutine waits for it.
+func (c *sclient) pick() {
+	call := c.call
+	if n, ok := call.TryPick(); ok {
+		c.picked(n)
+		return
+	}
+	f := c.front
+	go func() {
+		n := call.Pick()
+		f.onLoop(func() {
+			if c.call == call && !c.gone {
+				c.picked(n)
+				if c.phase == phaseLinked || c.phase == phaseFree {
+					c.proceed()
+				}
+			}
+		})
+	}()
+}
+
+// picked does what was decided. Where it is refused here, the message under way has its answer.
+func (c *sclient) picked(n decide.Next) {
+	f := c.front
+	switch n.Verdict {
+	case decide.Send:
+	case decide.Refuse:
+		c.over("no host can serve this now", n.After)
+		return
+	default:
+		c.over("no host answered in time", f.limits.Load().After)
+		return
+	}
+	address := f.address(n.Host)
+	if address == "" {
+		c.call.Report(decide.Outcome{Code: decide.NoConnection})
+		c.pick()
+		return
+	}
+	p := f.pool(n.Host, address, c.names)
+	now := f.clock.Now()
+	c.phase = phaseQueued
+	if p.queue.Len() == 0 {
+		if s := p.take(c, now); s != nil {
+			c.attach(s)
+			return
+		}
+	}
+	if !p.queue.Add(&c.waiter, c.pool.Sizes.Waiting) {
+		c.call.Conclude(decide.Outcome{Code: decide.Full})
+		c.over("all server connections are in use, and as many sessions wait as may", f.limits.Load().After)
+		return
+	}
+	p.grow(f)
+}
+
+// over refuses the transaction that is being routed: nothing of it ran.
+func (c *sclient) over(text string, after float64) {
+	detail := ""
+	if after > 0 {
+		detail = strconv.Itoa(int(after + 0.999))
+	}
+	if call := c.call; call != nil {
+		c.call = nil
+		call.Leave()
+	}
+	c.refuse(stateRefused, text, detail)
+	c.drop()
+}
+
+// drop consumes the message that was refused.
+func (c *sclient) drop() {
+	if _, _, rest, ok, err := next(c.wire.Peek(), c.front.limits.Load().Message); ok && err == nil && c.asked != 0 {
+		if b := c.wire.Peek(); !c.inMessage {
+			c.wire.Discard(len(b) - len(rest))
+		}
+		c.consumed(c.asked)
+	}
+	c.asked = 0
+}
+
+// late says that the client's patience is over while it waits for a server connection.
+func (c *sclient) late() {
+	if c.gone || c.call == nil {
+		return
+	}
+	call := c.call
+	c.call = nil
+	call.Conclude(decide.Outcome{Code: decide.NotSent})
+	c.over("no server connection was free in time", c.front.limits.Load().After)
+	c.proceed()
+}
+
+// again reports what came of an attempt that never ran and chooses anew.
+func (c *sclient) again(o decide.Outcome) {
+	c.waiter.Leave()
+	if c.gone || c.call == nil {
+		return
+	}
+	c.phase = phaseRouting
+	c.call.Report(o)
+	c.pick()
+	if !c.inMessage && (c.phase == phaseLinked || c.phase == phaseFree) {
+		c.proceed()
+	}
+}
+
+// attach links the client to a server connection, unless what held when its host was chosen holds no more.
+func (c *sclient) attach(s *server) {
+	if c.call != nil && !c.call.Still() {
+		s.rest()
+		c.again(decide.Outcome{Code: decide.NotSent})
+		return
+	}
+	c.server, s.client = s, c
+	s.sent, s.position, s.role = false, 0, ""
+	c.misplaced, c.flushed = false, false
+	c.pipe.Link(s.prepared, c.readOnly)
+	c.front.stats.Transactions++
+	c.keep(s)
+	if !s.have.Same(c.pipe.Now()) {
+		c.sync(s)
+		return
+	}
+	c.linked(s)
+	if !c.inMessage {
+		c.proceed()
+	}
+}
+
+// sync brings the connection to the session's settings, in one round trip.
+func (c *sclient) sync(s *server) {
+	have := s.have
+	if c.pipe.Behind() {
+		have = c.pipe.OnServer()
+	}
+	changes := session.Changes(have, c.pipe.Now())
+	c.phase = phaseSyncing
+	c.blocked = true
+	c.front.stats.Restored++
+	c.pipe.Settings()
+	s.wire.Write(query(nil, func(b []byte) []byte { return append(b, changes...) }))
+}
+
+// restored says that the settings hold on the connection, or that a host would not have them.
+func (c *sclient) restored(s *server, failed bool) error {
+	if failed {
+		// Of a startup parameter the client learns as from a server; all others a host took once.
+		text := c.trouble
+		if c.trouble = ""; text == "" {
+			text = "22023 the session's settings can't be restored"
+		}
+		s.client, c.server = nil, nil
+		c.pipe.Unlink()
+		c.unkeep(s)
+		s.worn = true
+		state, words, _ := strings.Cut(text, " ")
+		if c.farewell(state, words, "") == gnet.Close {
+			c.wire.Close()
+		}
+		return errFarewell
+	}
+	s.have = c.pipe.Now()
+	c.pipe.Restored()
+	if c.call != nil && !c.call.Still() { // nothing of the client's was sent
+		c.unlink(s)
+		s.rest()
+		c.again(decide.Outcome{Code: decide.NotSent})
+		return nil
+	}
+	c.linked(s)
+	c.proceed()
+	return nil
+}
+
+// linked tells the client what is reported otherwise on this connection.
+func (c *sclient) linked(s *server) {
+	c.phase = phaseLinked
+	if c.told == s.reported || c.told.sum == s.reported.sum {
+		c.told = s.reported
+		return
+	}
+	var out []byte
+	for name, value := range s.reported.of {
+		if c.told.of[name] != value {
+			out = status(out, name, value)
+		}
+	}
+	c.told = s.reported
+	c.answer(out)
+}
+
+// turn takes a ReadyForQuery: what the first of a transaction tells the decisions, and how far a commit has come.
+func (c *sclient) turn(s *server, status byte) {
+	c.told = s.reported
+	if call := c.call; call != nil {
+		c.call = nil
+		code := decide.OK
+		if c.misplaced {
+			code = decide.Miss
+		}
+		call.Conclude(s.outcome(code))
+	}
+	if status == 'I' && !c.readOnly {
+		at := s.position
+		if at == 0 { // the host does not say: a commit is no younger than its answer
+			at = c.front.clock.Now()
+		}
+		c.after = max(c.after, math.Ceil(at))
+	}
+	s.position, s.role = 0, ""
+}
+
+// release gives the connection back after a transaction, unless the session keeps it.
+func (c *sclient) release(s *server) {
+	f := c.front
+	if c.pipe.Strange() { // nobody knows what holds there
+		c.unlink(s)
+		c.pipe.Lost()
+		s.worn = true
+		s.wire.Close()
+		c.phase = phaseFree
+		c.proceed()
+		return
+	}
+	c.keep(s)
+	c.flushed = false
+	listed := s.pool.host.address != "" && f.facade.Listed(s.pool.host.name)
+	pinned := c.pipe.Pinned() != ""
+	switch {
+	case f.drain:
+		c.leaveIfIdle()
+		if c.gone {
+			return
+		}
+	case pinned && !listed: // nothing new goes there, and what it holds can't be carried
+		c.pending = &session.Refusal{State: stateFailed, Text: "the db host drains; the session's " + string(c.pipe.Pinned()) + " is lost with its connection"}
+		c.unlink(s)
+		c.pipe.Lose(false)
+		s.worn = true
+		s.wire.Close()
+		c.phase = phaseFree
+		c.proceed()
+		return
+	case pinned, c.pool.Mode == Session && listed && !c.misplaced:
+		if c.blocked || c.wire.Buffered() > 0 {
+			c.proceed()
+		}
+		return
+	}
+	c.unlink(s)
+	c.phase = phaseFree
+	more := c.wire.Buffered() > 0
+	s.rest()
+	if more || c.blocked {
+		c.proceed()
+	}
+}
+
+// lost says that the server connection is gone. The client stays.
+func (c *sclient) lost(s *server) {
+	f := c.front
+	c.server = nil
+	c.unkeep(s)
+	partly := s.left > 0 && !s.dropping
+	pin := c.pipe.Pinned()
+	syncing := c.phase == phaseSyncing
+	c.phase = phaseFree
+	if syncing && !c.pipe.Explicit() && c.call != nil { // nothing of the client's was sent: choose anew
+		c.pipe.Lose(false)
+		c.call.Report(decide.Outcome{Code: decide.NotSent})
+		c.phase = phaseRouting
+		c.pick()
+		if c.phase == phaseFree || c.phase == phaseLinked {
+			c.proceed()
+		}
+		return
+	}
+	l := c.pipe.Lose(s.sent)
+	if call := c.call; call != nil {
+		c.call = nil
+		call.Conclude(decide.Outcome{Code: decide.ConnectionLost})
+	}
+	switch {
+	case l.Silent:
+		f.stats.LostSilent++
+	case l.State == session.StateDoubt:
+		f.stats.LostDoubt++
+	default:
+		f.stats.LostSafe++
+	}
+	if partly { // a value was cut in the middle: the client can't be told within it
+		c.gone = true
+		c.wire.Close()
+		return
+	}
+	var out []byte
+	switch {
+	case l.Cycles > 0:
+		for range l.Cycles {
+			out = failure(out, "ERROR", l.State, l.Text, "")
+			out = append(out, 'Z', 0, 0, 0, 5, c.pipe.Status())
+		}
+	case c.pipe.Skipping():
+		out = failure(out, "ERROR", l.State, l.Text, "")
+	case c.pipe.LostBlock():
+		c.pending = &session.Refusal{State: l.State, Text: l.Text}
+	case pin != "":
+		c.pending = &session.Refusal{State: stateFailed, Text: "the connection to the db host was lost, and with it the session's " + string(pin)}
+	}
+	if !l.Silent { // what of the settings it was told may have been rolled back: tell it all again
+		c.told = &params{}
+	}
+	c.answer(out)
+	c.proceed()
+}
+
+// leaveIfIdle sends the client away if nothing of it is open: the process is to end.
+func (c *sclient) leaveIfIdle() {
+	if c.gone || c.phase != phaseFree && c.phase != phaseLinked && c.phase != phaseStarting || c.wire.Buffered() > 0 ||
+		c.phase != phaseStarting && (!c.pipe.Idle() || c.pipe.LostBlock()) {
+		return
+	}
+	if c.farewell(stateShutdown, "the pooler restarts", "") == gnet.Close {
+		c.wire.Close()
+	}
+}
+
+// sweep does what is due by time.
+func (c *sclient) sweep(now float64) {
+	switch {
+	case c.gone:
+		if now-c.left > maxLinger {
+			c.wire.Close()
+		}
+	case c.phase == phaseStarting && now-c.since > maxSilent:
+		if c.farewell(stateInvalid, "no whole message came in time", "") == gnet.Close {
+			c.wire.Close()
+		}
+	case c.wire.Unsent() > 0 && now-c.since > maxUntaken && c.server != nil:
+		c.wire.Close()
+	case c.phase == phaseLinked && c.server != nil && c.pipe.Due() == 0 && c.pipe.Status() != 'I' && c.pool.IdleInBlock > 0 && now-c.since > c.pool.IdleInBlock:
+		c.front.stats.TimedOut++
+		s := c.server
+		s.worn = true
+		s.wire.Close() // the host rolls back; the session goes on
+		if c.pending != nil {
+			c.pending = &session.Refusal{State: "25P03", Text: "the transaction was idle for too long and was rolled back"}
+		}
+	}
+}
--- /dev/null
+++ b/internal/net/pg/sessions_test.go
@@ -0,0 +1,430 @@
+package pg
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/clock"
+	"ashstand/internal/decide"
+	"ashstand/internal/net/loop"
+	"ashstand/internal/session"
+	"ashstand/internal/settings"
+	lab "ashstand/lab/host"
+)
+
+const poolSite = `{"balancers":1,"index":0,"period_ms":5,"deductions":{"probe":0.001},
+ "domain":{"class_read":["bounded","session","any","write"],"role_in_list":"late","staleness_bound_ms":[200,0,0,0],"token_mode":"carried","when_behind":"off"},
+ "obligations":{"cold_from":0.24,"ramp_time_ms":15000,"overload_factor":3},
+ "policy_limits":{"conn_idle_ms":15000,"connect_timeout_ms":1000,"max_retry_after_ms":2000,"may_cancel":true,"most_tries":8,"probes":true,"retry_after":true},
+ "report":{"fields":["x0","x1","inflight","util"],"how":"on_probe"},
+ "request_classes":[
+  {"name":"browse","aim_ms":1000,"deadline_ms":3000,"worth":1,"late_share":0.2,"effect":"idempotent"},
+  {"name":"my-library","aim_ms":1000,"deadline_ms":3000,"worth":3,"late_share":0,"effect":"idempotent"},
+  {"name":"report","aim_ms":7500,"deadline_ms":15000,"worth":4,"late_share":0.2,"effect":"idempotent"},
+  {"name":"donate","aim_ms":1000,"deadline_ms":3000,"worth":3,"late_share":0.3,"effect":"at_most_once"}]}`
+
+// pooled is a front in transaction mode before a primary and a replica.
+type pooled struct {
+	t       *testing.T
+	address string
+	front   *Sessions
+	facade  *decide.Facade
+	cluster *lab.Cluster
+	a, b    *lab.Host
+}
+
+func (w *pooled) members(drain ...string) {
+	var ms []decide.Member
+	for _, h := range []*lab.Host{w.a, w.b} {
+		ms = append(ms, decide.Member{Host: h.Name, Group: 1, Primary: h.Primary(), Draining: strings.Contains(strings.Join(drain, ","), h.Name)})
+	}
+	w.facade.Members(true, ms)
+}
+
+// pool starts all of it; change may alter the limits.
+func pool(t *testing.T, change func(l *SessionLimits)) *pooled {
+	l := SessionLimits{Clients: 100, Servers: 20, Bytes: 4 << 20, Message: 1 << 20, After: 50, Connect: time.Second,
+		Pools: []PoolSettings{{Database: "*", User: "*", Mode: Transaction, Sizes: session.Sizes{Most: 4, Waiting: 50}, Patience: 2000,
+			Statements: 50, Pins: 2, Defaults: session.Defaults{ReadOnly: "my-library", ReadWrite: "donate", Group: 1}}}}
+	if change != nil {
+		change(&l)
+	}
+	w := &pooled{t: t, cluster: lab.NewCluster(1, 1)}
+	var err error
+	w.a, err = w.cluster.Add("a", "127.0.0.1:0")
+	require.NoError(t, err)
+	w.b, err = w.cluster.Add("b", "127.0.0.1:0")
+	require.NoError(t, err)
+	site, err := settings.Parse([]byte(poolSite))
+	require.NoError(t, err)
+	e := loop.New()
+	p := NewPool(e, clock.System(), Platform, Limits{Connections: 10, Bytes: 1 << 20, Connect: time.Second})
+	w.facade, err = decide.New(site, 1, clock.System(), func(name string) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		w.facade.Probed(name, p.Probe(ctx, name, w.facade.Listed))
+	}, nil)
+	require.NoError(t, err)
+	w.front = NewSessions(e, w.facade, clock.System(), Platform, l)
+	for _, h := range []*lab.Host{w.a, w.b} {
+		p.SetAddress(h.Name, h.Address)
+		w.front.SetAddress(h.Name, h.Address)
+	}
+	w.members()
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	w.address = probe.Addr().String()
+	probe.Close()
+	require.NoError(t, e.Start(w.address, w.front.Accept))
+	ctx, cancel := context.WithCancel(context.Background())
+	go w.facade.Run(ctx)
+	go func() {
+		for ctx.Err() == nil {
+			w.front.Sweep()
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	t.Cleanup(func() { cancel(); e.Stop(); w.a.Stop(); w.b.Stop() })
+	return w
+}
+
+func (w *pooled) connect(params string) *pgx.Conn {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	c, err := pgx.Connect(ctx, "postgres://web@"+w.address+"/orders?sslmode=disable"+params)
+	require.NoError(w.t, err)
+	w.t.Cleanup(func() { c.PgConn().Conn().Close() })
+	return c
+}
+
+func patient(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func (w *pooled) exec(c *pgx.Conn, text string, args ...any) string {
+	w.t.Helper()
+	tag, err := c.Exec(patient(w.t), text, args...)
+	require.NoError(w.t, err, text)
+	return tag.String()
+}
+
+func (w *pooled) one(c *pgx.Conn, text string, args ...any) (v string) {
+	w.t.Helper()
+	require.NoError(w.t, c.QueryRow(patient(w.t), text, args...).Scan(&v), text)
+	return v
+}
+
+// state of an error, or "".
+func state(err error) string {
+	if err == nil {
+		return ""
+	}
+	if pe, ok := err.(*pgconn.PgError); ok {
+		return pe.Code
+	}
+	return err.Error()
+}
+
+func (w *pooled) fails(c *pgx.Conn, code, text string, args ...any) {
+	w.t.Helper()
+	_, err := c.Exec(patient(w.t), text, args...)
+	require.Equal(w.t, code, state(err), text)
+}
+
+func TestSessionsShareServerConnections(t *testing.T) {
+	w := pool(t, func(l *SessionLimits) { l.Pools[0].Sizes.Most = 1 })
+	x, y := w.connect("&application_name=x"), w.connect("")
+	w.exec(x, "SET app.who TO 'x''s'")
+	w.exec(y, "SET app.who TO E'y\\n'")
+	for range 3 { // both through the one connection
+		require.Equal(t, "x's", w.one(x, "SELECT current_setting('app.who')"))
+		require.Equal(t, "y\n", w.one(y, "SELECT current_setting('app.who')"))
+		require.Equal(t, "x", w.one(x, "SHOW application_name"))
+		require.Equal(t, "", w.one(y, "SHOW application_name"))
+		require.Equal(t, "7", w.one(x, "SELECT $1", "7"))
+		require.Equal(t, "8", w.one(y, "SELECT $1", "8"))
+	}
+	// A setting changed in a transaction that is rolled back, and after a savepoint that is.
+	w.exec(x, "BEGIN")
+	w.exec(x, "SET app.who TO 1")
+	w.exec(x, "SAVEPOINT s")
+	w.exec(x, "SET app.who TO 2")
+	w.exec(x, "ROLLBACK TO s")
+	require.Equal(t, "1", w.one(x, "SHOW app.who"))
+	w.exec(x, "ROLLBACK")
+	require.Equal(t, "y\n", w.one(y, "SHOW app.who"))
+	require.Equal(t, "x's", w.one(x, "SHOW app.who"))
+	// RESET goes back to what the client connected with, also within the block.
+	w.exec(x, "SET application_name TO other")
+	w.exec(x, "BEGIN")
+	w.exec(x, "RESET application_name")
+	require.Equal(t, "x", w.one(x, "SHOW application_name"))
+	w.exec(x, "COMMIT")
+	require.Equal(t, "x", x.PgConn().ParameterStatus("application_name"))
+	// COMMIT of a failed transaction.
+	w.exec(x, "BEGIN")
+	w.exec(x, "SET app.who TO 3")
+	w.fails(x, "22012", "SELECT 1/0")
+	w.fails(x, "25P02", "SELECT 1")
+	require.Equal(t, "ROLLBACK", w.exec(x, "COMMIT"))
+	require.Equal(t, "x's", w.one(x, "SHOW app.who"))
+	w.exec(x, "SET application_name TO other")
+	w.exec(x, "DISCARD ALL") // and so of pgx's statements, which it does not know
+	w.fails(x, "42704", "SELECT current_setting('app.who')")
+	require.Equal(t, "x", x.PgConn().ParameterStatus("application_name"))
+	require.LessOrEqual(t, w.a.Open(), 2, "one, and the probes'")
+}
+
+func TestSessionsSurviveLostConnections(t *testing.T) {
+	w := pool(t, nil)
+	c := w.connect("&application_name=c")
+	w.exec(c, "SET app.who TO me")
+	require.Equal(t, "1", w.one(c, "SELECT $1", "1"))
+	w.a.Cut() // outside of a transaction: nobody learns of it
+	time.Sleep(20 * time.Millisecond)
+	require.Equal(t, "2", w.one(c, "SELECT $1", "2"))
+	require.Equal(t, "me", w.one(c, "SHOW app.who"))
+	// In a block: rolled back, and the client may run it again on the same connection of its own.
+	w.exec(c, "BEGIN")
+	w.exec(c, "INSERT INTO entries (ref, payload) VALUES ('lost', '1')")
+	w.a.Cut()
+	time.Sleep(20 * time.Millisecond)
+	w.fails(c, "40001", "INSERT INTO entries (ref, payload) VALUES ('lost', '2')")
+	w.fails(c, "25P02", "SELECT 1")
+	w.exec(c, "ROLLBACK")
+	require.Zero(t, w.cluster.Versions("public", "entries", "lost"))
+	require.Equal(t, "me", w.one(c, "SHOW app.who"))
+	// Before and after the commit took effect: in doubt both times, and never run again by us.
+	for name, f := range map[string]lab.Faults{"before": {CutBefore: 1}, "after": {CutAfter: 1}} {
+		w.a.SetFaults(f)
+		w.exec(c, "BEGIN")
+		w.exec(c, "INSERT INTO entries (ref, payload) VALUES ($1, '1')", name)
+		w.fails(c, "08007", "COMMIT")
+		w.fails(c, "08007", "INSERT INTO entries (ref, payload) VALUES ($1, '1')", name+"2")
+		w.a.SetFaults(lab.Faults{})
+		require.Equal(t, len(name)%2, w.cluster.Versions("public", "entries", name)) // "after" has five letters
+		require.Equal(t, len(name)%2, w.cluster.Versions("public", "entries", name+"2"))
+	}
+	// A statement prepared just before its connection is lost.
+	_, err := c.Prepare(patient(t), "mine", "SELECT $1")
+	require.NoError(t, err)
+	w.a.Cut()
+	time.Sleep(20 * time.Millisecond)
+	require.Equal(t, "3", w.one(c, "mine", "3"))
+	// A failover: the next transaction goes to the new primary, with all that the session has.
+	w.cluster.Fail(w.b, 0, true)
+	w.members()
+	require.Eventually(t, func() bool {
+		_, err := c.Exec(patient(t), "INSERT INTO entries (ref, payload) VALUES ('moved', '1')")
+		return err == nil
+	}, 10*time.Second, 20*time.Millisecond)
+	require.Equal(t, "me", w.one(c, "SHOW app.who"))
+	require.Equal(t, "4", w.one(c, "mine", "4"))
+}
+
+func TestSessionsPinWhatCanNotBeCarried(t *testing.T) {
+	w := pool(t, nil)
+	c, d, e := w.connect(""), w.connect(""), w.connect("")
+	for _, p := range []*pgx.Conn{c, d} {
+		w.exec(p, "CREATE TEMP TABLE mine (a int)")
+	}
+	w.exec(c, "INSERT INTO mine (ref, payload) VALUES ('k', 'c')")
+	w.exec(d, "INSERT INTO mine (ref, payload) VALUES ('k', 'd')")
+	require.Equal(t, "c", w.one(c, "SELECT payload FROM mine WHERE ref = 'k'"))
+	require.Equal(t, "d", w.one(d, "SELECT payload FROM mine WHERE ref = 'k'"))
+	w.fails(e, "53300", "LISTEN x") // two are the most
+	require.Equal(t, "1", w.one(e, "SELECT $1", "1"))
+	// An error in mid-pipeline, here one of ours, and what is behind it: the transaction fails as a whole.
+	_, err := e.PgConn().ExecParams(patient(t), "LISTEN x", nil, nil, nil, nil).Close()
+	require.Equal(t, "53300", state(err))
+	require.Equal(t, map[session.Cause]int{session.CauseTemporary: 2}, w.front.Stats().Pinned)
+	w.a.Cut()
+	time.Sleep(20 * time.Millisecond)
+	w.fails(c, "08006", "SELECT payload FROM mine WHERE ref = 'k'")
+	w.fails(c, "42P01", "SELECT payload FROM mine WHERE ref = 'k'")
+	w.exec(e, "LISTEN x")
+	require.Equal(t, 0, w.front.Stats().Pinned[session.CauseTemporary])
+	w.exec(e, "DISCARD ALL")
+	require.Equal(t, 0, w.front.Stats().Pinned[session.CauseListen])
+}
+
+func TestSessionsCancelHitsOnlyItsQuery(t *testing.T) {
+	w := pool(t, func(l *SessionLimits) { l.Pools[0].Sizes.Most = 1 })
+	c, d := w.connect(""), w.connect("")
+	for i := range 20 {
+		wait := time.Duration(i) * time.Millisecond
+		go func() {
+			time.Sleep(wait)
+			_ = c.PgConn().CancelRequest(patient(t))
+		}()
+		_, err := c.Exec(patient(t), "SELECT pg_sleep(0.01)") // some cancels arrive as it ends
+		require.Contains(t, []string{"", "57014"}, state(err))
+		_, err = d.Exec(patient(t), "SELECT pg_sleep(0.02)")
+		require.NoError(t, err, "the next session's query on the same connection")
+	}
+}
+
+func TestSessionsStreamToSlowReaders(t *testing.T) {
+	w := pool(t, func(l *SessionLimits) { l.Pools[0].Sizes.Most = 2 })
+	slow, quick := w.connect(""), w.connect("")
+	rows, err := slow.Query(patient(t), "SELECT generate_series(1, 300), repeat('x', 200000)") // 60 MB
+	require.NoError(t, err)
+	require.True(t, rows.Next())
+	require.Eventually(t, func() bool { return w.front.Stats().Paused > 0 }, 10*time.Second, 5*time.Millisecond)
+	for i := range 50 { // nobody else waits for it
+		require.Equal(t, fmt.Sprint(i), w.one(quick, "SELECT $1", fmt.Sprint(i)))
+	}
+	n := 1
+	for rows.Next() {
+		n++
+	}
+	require.NoError(t, rows.Err())
+	require.Equal(t, 300, n)
+	require.Equal(t, "1", w.one(slow, "SELECT $1", "1"))
+}
+
+func TestSessionsCopyAndPipelines(t *testing.T) {
+	w := pool(t, nil)
+	c := w.connect("")
+	in := make([][]any, 5000)
+	for i := range in {
+		in[i] = []any{fmt.Sprint("r", i), strings.Repeat("v", 1000)}
+	}
+	n, err := c.CopyFrom(patient(t), pgx.Identifier{"entries"}, []string{"ref", "payload"}, pgx.CopyFromRows(in))
+	require.NoError(t, err)
+	require.EqualValues(t, len(in), n)
+	w.a.SetFaults(lab.Faults{CutCopy: 0.02})
+	_, err = c.CopyFrom(patient(t), pgx.Identifier{"entries"}, []string{"ref", "payload"}, pgx.CopyFromRows(in))
+	require.Contains(t, []string{"40001", "08007"}, state(err))
+	w.a.SetFaults(lab.Faults{})
+	require.Equal(t, "1", w.one(c, "SELECT $1", "1"))
+	// A pipeline with an error in the middle and Parses behind it.
+	p := c.PgConn().StartPipeline(patient(t))
+	p.SendPrepare("one", "SELECT 1", nil)
+	p.SendQueryParams("SELECT 1/0", nil, nil, nil, nil)
+	p.SendPrepare("two", "SELECT 2", nil)
+	require.NoError(t, p.Sync())
+	p.SendPrepare("three", "SELECT 3", nil)
+	p.SendQueryPrepared("one", nil, nil, nil)
+	require.NoError(t, p.Sync())
+	failed, synced := "", 0
+	for synced < 2 {
+		r, err := p.GetResults()
+		if err != nil {
+			failed += state(err)
+			continue
+		}
+		switch r := r.(type) {
+		case *pgconn.ResultReader:
+			if _, err := r.Close(); err != nil {
+				failed += state(err)
+			}
+		case *pgconn.PipelineSync:
+			synced++
+		}
+	}
+	require.NoError(t, p.Close())
+	require.Equal(t, "22012", failed)
+	w.fails(c, "26000", "EXECUTE two")
+	require.Equal(t, "SELECT 1", w.exec(c, "EXECUTE three"))
+	var wg sync.WaitGroup
+	for i := range 8 { // one name, different texts
+		wg.Go(func() {
+			c, err := pgx.Connect(patient(t), "postgres://web@"+w.address+"/orders?sslmode=disable")
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close(context.Background())
+			_, _ = c.Prepare(patient(t), "same", fmt.Sprintf("SELECT 'of %d'", i))
+			for range 50 {
+				var v string
+				if err := c.QueryRow(patient(t), "same").Scan(&v); err != nil || v != fmt.Sprintf("of %d", i) {
+					t.Errorf("%q, %v", v, err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func TestSessionsQueueAndLimits(t *testing.T) {
+	w := pool(t, func(l *SessionLimits) {
+		l.Clients = 8
+		l.Pools[0].Sizes = session.Sizes{Most: 1, Waiting: 1}
+		l.Pools[0].Patience = 200
+		l.Pools[0].IdleInBlock = 400
+	})
+	c, d, e := w.connect(""), w.connect(""), w.connect("")
+	w.exec(c, "BEGIN")
+	waited := make(chan string, 1)
+	go func() {
+		_, err := d.Exec(context.Background(), "SELECT 1")
+		waited <- state(err)
+	}()
+	require.Eventually(t, func() bool { return w.front.Stats().Waiting == 1 }, 5*time.Second, time.Millisecond)
+	begun := time.Now()
+	_, err := e.Exec(patient(t), "SELECT 1") // no room to wait: refused at once
+	require.Equal(t, "53300", state(err))
+	require.Equal(t, "50", err.(*pgconn.PgError).Detail)
+	require.Less(t, time.Since(begun), 100*time.Millisecond)
+	require.Equal(t, "53300", <-waited, "its patience is over")
+	time.Sleep(500 * time.Millisecond)
+	w.fails(c, "25P03", "SELECT 1") // idle in its transaction for too long
+	w.exec(c, "ROLLBACK")
+	require.Equal(t, "1", w.one(d, "SELECT $1", "1"))
+	// A drain: nothing new goes there, and what is in a transaction finishes.
+	w.exec(c, "BEGIN")
+	w.exec(c, "INSERT INTO entries (ref, payload) VALUES ('d', '1')")
+	w.a.Drain(true)
+	w.members("a")
+	w.exec(c, "COMMIT")
+	require.Eventually(t, func() bool { return w.a.Open() <= 1 }, 5*time.Second, 5*time.Millisecond)
+	require.Equal(t, 1, w.cluster.Versions("public", "entries", "d"))
+}
+
+func TestSessionsTakeBadMessages(t *testing.T) {
+	w := pool(t, nil)
+	c := w.connect("")
+	startup := startup(nil, "web", "orders")
+	for name, b := range map[string][]byte{
+		"a length below 4":        {'Q', 0, 0, 0, 3},
+		"a length beyond all":     {'Q', 0xff, 0xff, 0xff, 0xff},
+		"an unknown kind":         {'?', 0, 0, 0, 4},
+		"a query without end":     {'Q', 0, 0, 0, 6, 'a', 'b'},
+		"a bind that lies":        message(nil, 'B', func(b []byte) []byte { return append(b, 0, 0, 0, 0, 0, 1, 0, 0, 9, 9, 'x') }),
+		"a bind too short":        message(nil, 'B', func(b []byte) []byte { return append(b, 0, 0, 0) }),
+		"a parse that lies":       message(nil, 'P', func(b []byte) []byte { return append(b, 0, 'S', 0, 0, 9) }),
+		"a describe of nothing":   message(nil, 'D', func(b []byte) []byte { return append(b, 'X', 0) }),
+		"an execute without rows": message(nil, 'E', func(b []byte) []byte { return append(b, 0, 0) }),
+		"a close without a name":  message(nil, 'C', func(b []byte) []byte { return append(b, 'S') }),
+	} {
+		g, err := net.Dial("tcp", w.address)
+		require.NoError(t, err)
+		g.SetDeadline(time.Now().Add(5 * time.Second))
+		g.Write(append(append([]byte{}, startup...), b...))
+		var got []byte
+		buf := make([]byte, 4096)
+		for n, err := g.Read(buf); err == nil; n, err = g.Read(buf) {
+			got = append(got, buf[:n]...)
+		}
+		require.Contains(t, string(got), "FATAL", name)
+		require.Contains(t, string(got), "08P01", name)
+		g.Close()
+	}
+	require.Equal(t, "1", w.one(c, "SELECT $1", "1"))
+	require.Eventually(t, func() bool { return w.front.Stats().Clients == 1 }, 5*time.Second, 5*time.Millisecond)
+	_, err := pgx.Connect(patient(t), "postgres://web@"+w.address+"/orders?sslmode=disable&options=-c%20statement_timeout%3Dsoon")
+	require.NoError(t, err, "the session has no connection yet")
+}
--- a/internal/session/pipeline.go
+++ b/internal/session/pipeline.go
@@ -23,9 +23,20 @@
 	named  bool      // Names.Ask was told of it
 	p      *Prepared // Parse: what is being prepared; Bind, Execute: what runs
 	run    []Statement
-	next   int // the first of run that is not done
+	next   int      // the first of run that is not done
+	refuse *Refusal // the server was sent something that fails in its place
 }
 
+// Refusal is an error of ours. Where a connection is linked, the server is sent something that fails at that point, so
+// that its transaction has failed too, and its error is replaced by this one.
+type Refusal struct{ State, Text string }
+
+// What is sent to make a server fail: a query that is no SQL, and the name of a statement that nobody prepares.
+const (
+	RefusedQuery     = "ashstand refuses"
+	RefusedStatement = "as_refused"
+)
+
 // Inject is a message of ours that goes before the client's.
 type Inject struct {
 	Close   Key // of the server's statement; where Parse is nil
@@ -48,6 +59,7 @@
 	Bad   bool // nothing that is due is answered so: the two sides are out of step
 	// Injected says that an answer to something of ours is complete; Failed with it, that it was an error.
 	Injected, Failed bool
+	Refusal          *Refusal // an ErrorResponse is to be replaced by this
 }
 
 // Pipeline is one session between its client and its server connection, message by message. It decides what goes to
@@ -66,6 +78,7 @@
 	lost     bool // the client is in a block whose connection is lost: it has failed, and only its end can follow
 	stale    map[Key]bool
 	readOnly bool
+	pinned   Cause // why the session can't leave its connection; "": it can
 }
 
 // NewPipeline returns the pipeline of a session that connected with these settings.
@@ -87,6 +100,20 @@
 	return p.head == len(p.due) && !p.skipping && p.status == 'I' && !p.copyIn
 }
 
+// Pinned is why the session can't leave its connection; "": it can.
+func (p *Pipeline) Pinned() Cause { return p.pinned }
+
+// Behind says whether the connection has to be brought to the session's settings again: RESET gave it its own.
+func (p *Pipeline) Behind() bool { return len(p.resets) > 0 && p.status != 'E' && !p.failed }
+
+// DiscardAll takes a DISCARD ALL that is answered here, where the session has no connection.
+func (p *Pipeline) DiscardAll() {
+	p.Forget("", true)
+	p.Done(&Statement{Kind: DiscardAll}, "")
+	p.Ready('I')
+	p.Restored()
+}
+
 // Due is how many answers are.
 func (p *Pipeline) Due() int { return len(p.due) - p.head }
 
@@ -292,6 +319,19 @@
 	return out
 }
 
+// Refuse says that RefusedQuery, or a Bind of RefusedStatement, was sent in place of the client's message.
+func (p *Pipeline) Refuse(query bool, r Refusal) (drop bool) {
+	if p.skipping {
+		return true
+	}
+	e := entry{kind: askBind, refuse: &r}
+	if query {
+		e.kind = askQuery
+	}
+	p.push(e)
+	return false
+}
+
 // Function takes a function call.
 func (p *Pipeline) Function() Send {
 	if p.skipping {
@@ -395,9 +435,16 @@
 func (p *Pipeline) completed(s *Statement, tag string) {
 	p.Done(s, tag)
 	switch s.Kind {
+	case Pins:
+		if p.pinned == "" {
+			p.pinned = s.Cause
+		}
 	case Deallocate:
 		p.Forget(s.Name, false)
 	case DeallocateAll, DiscardAll:
+		if s.Kind == DiscardAll || p.pinned == CausePrepare {
+			p.pinned = ""
+		}
 		p.Forget("", true)
 		if p.server != nil {
 			p.server.Clear()
@@ -442,11 +489,12 @@
 	}
 	p.Failed()
 	p.copyIn = false
+	out := Pass{Refusal: e.refuse}
 	switch e.kind {
 	case askSettings:
 		return Pass{Drop: true, Failed: true}
 	case askQuery, askFunction, askSync:
-		return Pass{}
+		return out
 	}
 	// The statement's result is not what it was when it was prepared, or the server has it no more: prepare it anew.
 	if e.p != nil && (code == "0A000" || code == "26000") && e.kind != askParse && p.server != nil && p.server.Has(e.p.Key) {
@@ -481,7 +529,7 @@
 		p.failed = false // ours, before a query that runs EXECUTE, which will fail by itself
 		return Pass{Drop: true}
 	}
-	return Pass{}
+	return out
 }
 
 // skippedFirst takes back the first k that were asked for.
@@ -561,7 +609,7 @@
 	}
 	l.Silent = l.Cycles == 0 && !open && !block && !p.skipping
 	p.Skipped(len(p.asked))
-	p.due, p.head, p.portals, p.server, p.copyIn, p.stale = nil, 0, nil, nil, false, nil
+	p.due, p.head, p.portals, p.server, p.copyIn, p.stale, p.pinned = nil, 0, nil, nil, false, nil, ""
 	p.skipping = open || p.skipping
 	p.Tracker.Lost()
 	if p.status = 'I'; block {
--- a/internal/session/queue.go
+++ b/internal/session/queue.go
@@ -12,6 +12,7 @@
 // served first is fair between sessions.
 type Waiter struct {
 	Deadline float64 // clock milliseconds; then it is told to come again
+	Of       any     // whose it is
 	place    *list.Element
 	in       *Queue
 }
--- a/lab/host/exec.go
+++ b/lab/host/exec.go
@@ -111,9 +111,11 @@
 		if f != nil || c.dead {
 			return f
 		}
-		if c.complete("COMMIT"); !ok {
+		if !ok { // it had failed
+			c.complete("ROLLBACK")
 			return nil
 		}
+		c.complete("COMMIT")
 		if chain {
 			c.begin(true)
 		}
