Operator's file in HCL, sub-commands, levelled log, an admin socket; sessions can be switched on

The session front needs settings that the platform knows nothing of, and operators could ask a running pooler nothing. The operator's file (deploy/ashstand.hcl) is HCL, checked as a whole: a fault names file, line, key, value and what is allowed. It takes in flightsql.toml, which is still read, with a line that says so. ashstand has serve, check, config show, hosts, sessions, replay and version on cobra; the bare name serves as before. The log is slog, text or JSON. All of it is off on the platform.

--- a/cmd/ashstand/config.go
+++ b/cmd/ashstand/config.go
@@ -4,16 +4,23 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"log/slog"
 	"net"
 	"os"
 	"strconv"
 	"syscall"
+	"time"
 
 	"github.com/BurntSushi/toml"
 	jsoniter "github.com/json-iterator/go"
 
+	"ashstand/choice"
+	"ashstand/internal/clock"
 	"ashstand/internal/net/discovery"
 	"ashstand/internal/net/loop"
+	"ashstand/internal/net/pg"
+	"ashstand/internal/operator"
+	"ashstand/internal/session"
 	"ashstand/internal/settings"
 )
 
@@ -33,10 +40,12 @@
 	Known    *discovery.List     `json:"known"`
 	Settings jsoniter.RawMessage `json:"settings"`
 
-	site   *settings.Parsed
-	seed   uint64
-	flight flightConfig
-	said   string // Discovery as the file words it
+	site     *settings.Parsed
+	seed     uint64
+	operator *operator.File
+	flight   flightConfig
+	old      bool   // the old file of the Flight SQL front was read
+	said     string // Discovery as the file words it
 }
 
 // load reads the file that EDGE_CONFIG names; the other variables go before what stands in it. held is the
@@ -93,18 +102,15 @@
 
 // descriptors shares out what the process may hold, or fails where that is too little to work with. An event
 // loop that can't accept for want of a descriptor ends, so both shares must hold at every moment.
-func descriptors(sockets int, second flightConfig) (clients, hosts int, err error) {
+func descriptors(sockets int, reserved int) (clients, hosts int, err error) {
 	var r syscall.Rlimit
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil && (sockets == 0 || r.Cur < uint64(sockets)) {
 		sockets = int(min(r.Cur, 1<<20))
 	}
-	free := sockets - spareDescriptors - loop.Enrolling
-	if second.Listen != "" {
-		free -= second.Connections + 1
-	}
+	free := sockets - spareDescriptors - loop.Enrolling - reserved
 	if free < 16 {
 		return 0, 0, fmt.Errorf("limits: %d descriptors are too few, %d are the least", sockets,
-			spareDescriptors+loop.Enrolling+16)
+			spareDescriptors+loop.Enrolling+reserved+16)
 	}
 	clients = free * 3 / 5
 	return clients, free - clients, nil
@@ -118,34 +124,135 @@
 	return c.Limits.MemoryMB << 20
 }
 
-// flightFile says where the Flight SQL front listens, from the root of the repository.
-const flightFile = "deploy/flightsql.toml"
+// operatorFile is the operator's own file, from the root of the repository; oldFlightFile is what it has taken in.
+const (
+	operatorFile  = "deploy/ashstand.hcl"
+	oldFlightFile = "deploy/flightsql.toml"
+)
 
-// flightConfig is what that file holds. Without it, or without an address, the front is off.
+// flightConfig is what the operator's file says of the Flight SQL front. Without an address it is off.
 type flightConfig struct {
 	Listen      string   `toml:"listen"`
 	Connections int      `toml:"connections"`
 	HostTypes   []string `toml:"host_types"`
 }
 
-func loadFlight(path string) (flightConfig, error) {
-	c := flightConfig{Connections: 64}
+// loadFlight reads the file in which the Flight SQL front was set before the operator's file was there.
+func loadFlight(path string) (c flightConfig, there bool, err error) {
+	c = flightConfig{Connections: 64}
 	meta, err := toml.DecodeFile(path, &c)
 	if errors.Is(err, os.ErrNotExist) {
-		return c, nil
+		return c, false, nil
 	} else if err != nil {
-		return c, fmt.Errorf("%s: %w", path, err)
+		return c, true, fmt.Errorf("%s: %w", path, err)
 	}
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return c, fmt.Errorf("%s: key %s is unknown", path, unknown[0])
+		return c, true, fmt.Errorf("%s: key %s is unknown", path, unknown[0])
 	}
 	if c.Listen != "" {
 		if _, _, err := net.SplitHostPort(c.Listen); err != nil {
-			return c, fmt.Errorf("%s: listen: %w", path, err)
+			return c, true, fmt.Errorf("%s: listen: %w", path, err)
 		}
 	}
 	if c.Connections < 1 {
-		return c, fmt.Errorf("%s: connections: %d is below 1", path, c.Connections)
+		return c, true, fmt.Errorf("%s: connections: %d is below 1", path, c.Connections)
+	}
+	return c, true, nil
+}
+
+// operate reads the operator's file and takes it into the configuration.
+func (c *config) operate(path string, must bool) (err error) {
+	if c.operator, err = operator.Load(path, must); err != nil {
+		return err
+	}
+	if f := c.operator.Flight; f != nil {
+		c.flight = flightConfig{Listen: f.Listen, Connections: f.Connections, HostTypes: f.HostTypes}
+	} else if c.flight, c.old, err = loadFlight(oldFlightFile); err != nil {
+		return err
+	}
+	return c.operator.Classes(c.class)
+}
+
+// class says whether the settings name a class, and whether it writes.
+func (c *config) class(name string) (writes, ok bool) {
+	i, ok := c.site.Classes[name]
+	return ok && c.site.Settings.Classes[i].Read == choice.Write, ok
+}
+
+// tellOld says that the old file was read.
+func (c *config) tellOld() {
+	if c.old {
+		slog.Warn(oldFlightFile + " is read, since " + operatorFile + " has no flight block; move it there")
+	}
+}
+
+// moved names what a reload can't change.
+func (c *config) moved(old *config) (wait []string) {
+	listen := func(c *config) string {
+		if s := c.operator.Sessions; s != nil {
+			return s.Listen
+		}
+		return ""
+	}
+	if listen(c) != listen(old) {
+		wait = append(wait, "sessions.listen")
+	}
+	if c.operator.Admin != old.operator.Admin {
+		wait = append(wait, "admin.listen")
+	}
+	if c.flight.Listen != old.flight.Listen || c.flight.Connections != old.flight.Connections {
+		wait = append(wait, "flight")
+	}
+	return wait
+}
+
+// reserved is how many descriptors the fronts need that are not the platform's.
+func (c *config) reserved() int {
+	n := 0
+	if c.flight.Listen != "" {
+		n += c.flight.Connections + 1
+	}
+	if s := c.operator.Sessions; s != nil && s.Listen != "" {
+		n += s.Clients + s.Clients/8 + 2 + s.ServerConnections + 2*loop.Enrolling
+	}
+	if c.operator.Admin.Listen != "" {
+		n += 9
+	}
+	return n
+}
+
+// sessionLimits are what the operator's file says of the session front, within a share of the memory.
+func (c *config) sessionLimits(share int, after float64) (l pg.SessionLimits, err error) {
+	s := c.operator.Sessions
+	if s == nil {
+		return l, nil
+	}
+	l = pg.SessionLimits{Clients: s.Clients, Servers: s.ServerConnections, Bytes: share, Message: min(s.MaxMessage, max(64<<10, share/2)),
+		After: after, Connect: c.site.Connect, Users: map[string]pg.Verifier{}}
+	if l.Connect <= 0 {
+		l.Connect = 2 * time.Second
+	}
+	for name, text := range s.Users {
+		if l.Users[name], err = pg.ParseVerifier(text); err != nil {
+			return l, fmt.Errorf("%s: sessions.user %q: %w", c.operator.Path, name, err)
+		}
+	}
+	for _, p := range s.Pools {
+		l.Pools = append(l.Pools, pg.PoolSettings{Database: p.Database, User: p.User, Mode: pg.Mode(p.Mode),
+			Sizes: session.Sizes{Most: p.Size, Waiting: p.Waiting}, Reserve: p.Reserve,
+			Defaults:    session.Defaults{ReadOnly: p.ReadOnly, ReadWrite: p.ReadWrite, SelectsAsRead: p.SelectsReadOnly, Group: p.Group},
+			Patience:    clock.Millis(p.Patience),
+			IdleInBlock: clock.Millis(p.IdleInTransaction), ServerLife: clock.Millis(p.ServerLife),
+			ServerIdle: c.serverIdle(p.ServerIdle), Statements: p.Statements, Pins: p.Pins})
+	}
+	return l, nil
+}
+
+// serverIdle keeps a good distance from the moment at which a host closes a connection.
+func (c *config) serverIdle(set time.Duration) float64 {
+	idle, host := clock.Millis(set), clock.Millis(c.site.ConnIdle)*0.7
+	if host > 0 && (idle == 0 || idle > host) {
+		return host
 	}
-	return c, nil
+	return idle
 }
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -1,11 +1,10 @@
-// Command ashstand is the pooler: it takes requests from clients, asks the decision module where each goes,
-// and exchanges it with a db host.
 package main
 
 import (
 	"context"
 	"fmt"
 	"log"
+	"log/slog"
 	"net"
 	"os"
 	"os/signal"
@@ -17,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"ashstand/internal/admin"
 	"ashstand/internal/clock"
 	"ashstand/internal/decide"
 	"ashstand/internal/edge"
@@ -39,24 +39,8 @@
 	busyAfter = 300
 )
 
-func main() {
-	log.SetFlags(log.Lmicroseconds)
-	do := run
-	if len(os.Args) > 1 {
-		do = func() error {
-			if os.Args[1] != "replay" {
-				return fmt.Errorf("%q is no command; there is replay, and without one the pooler runs", os.Args[1])
-			}
-			return replay(os.Args[2:])
-		}
-	}
-	if err := do(); err != nil {
-		fmt.Fprintln(os.Stderr, "ashstand:", err)
-		os.Exit(1)
-	}
-}
-
-func run() error {
+// runPooler runs the pooler until a signal ends it. file is the operator's.
+func runPooler(file string, must bool) error {
 	// From the first moment: unhandled, SIGHUP ends the process.
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
@@ -64,9 +48,11 @@
 	if err != nil {
 		return err
 	}
-	if cfg.flight, err = loadFlight(flightFile); err != nil {
+	if err = cfg.operate(file, must); err != nil {
 		return err
 	}
+	logTo(os.Stderr, cfg.operator.Log)
+	cfg.tellOld()
 	// Two, though there is one core: the event loop sleeps inside a system call and keeps its place while it
 	// does. Measured on a calm day, medians: from the answer to the client 152 us with one place, 107 us with two.
 	runtime.GOMAXPROCS(2)
@@ -79,8 +65,11 @@
 	go func() { // while it drains, too: what it still sends needs the list
 		for range again {
 			next, err := load(os.Getenv, cfg)
+			if err == nil {
+				err = next.operate(file, must)
+			}
 			if err != nil {
-				log.Printf("reload: %v; going on with the configuration held", err)
+				slog.Error(fmt.Sprintf("reload: %s; going on with the configuration held", strings.ReplaceAll(err.Error(), "\n", "; ")))
 				continue
 			}
 			n.reload(cfg, next)
@@ -109,6 +98,10 @@
 	flight *flight.Front // nil: off
 	hosts  *flight.Hosts
 	watch  *discovery.Watcher
+	pooled *pg.Sessions  // nil: off
+	admin  *admin.Server // nil: off
+	cfg    atomic.Pointer[config]
+	list   atomic.Pointer[map[string]discovery.Entry]
 	pool   *pg.Pool
 	bounds atomic.Pointer[bounds]
 	cancel context.CancelFunc
@@ -122,10 +115,11 @@
 	pool    pg.Limits
 	connect time.Duration // for a probe
 	grace   time.Duration // from SIGTERM to SIGKILL, at the least
+	pooled  pg.SessionLimits
 }
 
 func derive(cfg *config) (*bounds, error) {
-	clients, connections, err := descriptors(cfg.Limits.Sockets, cfg.flight)
+	clients, connections, err := descriptors(cfg.Limits.Sockets, cfg.reserved())
 	if err != nil {
 		return nil, err
 	}
@@ -138,6 +132,9 @@
 		b.grace = max(b.grace, min(c.Deadline, 3*time.Second))
 	}
 	b.grace = max(b.grace+killSlack, serveRest+500*time.Millisecond)
+	if b.pooled, err = cfg.sessionLimits(share, after); err != nil {
+		return nil, err
+	}
 	return b, nil
 }
 
@@ -168,6 +165,16 @@
 		}
 		return n.pool
 	}, pg.Platform.Primary)
+	if s := cfg.operator.Sessions; s != nil && s.Listen != "" {
+		n.pooled = pg.NewSessions(n.engine, n.facade, now, pg.Platform, b.pooled)
+		if err := n.engine.Also(s.Listen, n.pooled.Accept); err != nil {
+			return nil, fmt.Errorf("sessions: listen on %s: %w", s.Listen, err)
+		}
+	}
+	n.cfg.Store(cfg)
+	n.list.Store(&map[string]discovery.Entry{})
+	told := apply
+	apply = func(l discovery.List) { n.listed(l, told) }
 	if cfg.Known != nil {
 		cfg.Known.Snapshot = true
 		apply(*cfg.Known)
@@ -184,7 +191,7 @@
 		l, err := net.Listen("tcp", cfg.flight.Listen)
 		if err != nil {
 			n.stop()
-			return nil, fmt.Errorf("%s: %w", flightFile, err)
+			return nil, fmt.Errorf("flight: %w", err)
 		}
 		n.flight = flight.NewFront(n.core)
 		go func() {
@@ -192,6 +199,18 @@
 		}()
 		log.Printf("%s listens for Flight SQL on %s; at most %d connections", cfg.Name, l.Addr(), cfg.flight.Connections)
 	}
+	if listen := cfg.operator.Admin.Listen; listen != "" {
+		if n.admin, err = admin.Start(listen, n.views()); err != nil {
+			n.stop()
+			return nil, err
+		}
+		log.Printf("%s answers operators at %s", cfg.Name, listen)
+	}
+	if n.pooled != nil {
+		go every(ctx, pg.SweepEvery, n.pooled.Sweep)
+		log.Printf("%s pools sessions on %s; at most %d clients and %d server connections", cfg.Name, cfg.operator.Sessions.Listen,
+			b.pooled.Clients, b.pooled.Servers)
+	}
 	go n.facade.Run(ctx)
 	n.watch = discovery.New(n.engine, cfg.Discovery, cfg.Known, apply)
 	go n.watch.Run(ctx)
@@ -217,6 +236,7 @@
 	if next.Listen != old.Listen {
 		wait = append(wait, "listen")
 	}
+	wait = append(wait, next.moved(old)...)
 	if b, err := derive(next); err != nil {
 		wait = append(wait, err.Error())
 	} else if err := n.facade.Configure(next.site); err != nil {
@@ -226,6 +246,11 @@
 		n.core.SetLimits(b.core)
 		n.front.SetLimits(b.front)
 		n.pool.SetLimits(b.pool)
+		if n.pooled != nil {
+			n.pooled.SetLimits(b.pooled)
+		}
+		n.cfg.Store(next)
+		logTo(os.Stderr, next.operator.Log)
 	}
 	limitMemory(next)
 	n.watch.Move(next.Discovery)
@@ -238,12 +263,18 @@
 // drain closes client connections between requests and waits for the answers that are due.
 func (n *node) drain() {
 	n.front.Drain()
+	if n.pooled != nil {
+		n.pooled.Drain()
+	}
 	idle := make(chan struct{})
 	go func() {
 		if n.flight != nil { // first: a request ends there before the last of its answer is written
 			n.flight.Drain()
 		}
 		<-n.core.Drain()
+		for n.pooled != nil && n.pooled.Stats().Linked > 0 { // transactions finish, if they can in time
+			time.Sleep(5 * time.Millisecond)
+		}
 		close(idle)
 	}()
 	select {
@@ -253,11 +284,20 @@
 		log.Printf("drained: time is up; what is open gets an error")
 	}
 	n.front.Cut()
+	if n.pooled != nil {
+		n.pooled.Cut()
+	}
+	if n.admin != nil {
+		n.admin.Stop()
+	}
 	time.Sleep(lastWords / 3) // the loop writes what is still to be said
 }
 
 func (n *node) stop() {
 	n.cancel()
+	if n.admin != nil {
+		n.admin.Stop()
+	}
 	if n.flight != nil {
 		n.flight.Stop()
 	}
--- a/cmd/ashstand/program_test.go
+++ b/cmd/ashstand/program_test.go
@@ -22,6 +22,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 
+	"ashstand/internal/operator"
 	"ashstand/internal/pcap"
 )
 
@@ -252,11 +253,11 @@
 		require.ErrorContains(t, err, want)
 		require.NotContains(t, err.Error(), "\n")
 	}
-	_, _, err := descriptors(40, flightConfig{})
+	_, _, err := descriptors(40, 0)
 	require.ErrorContains(t, err, "too few")
-	off, err := loadFlight("../../" + flightFile)
+	off, err := operator.Load("../../"+operatorFile, true)
 	require.NoError(t, err)
-	require.Empty(t, off.Listen, "the second front is off on the platform")
+	require.Empty(t, off.Flight.Listen+off.Sessions.Listen+off.Admin.Listen, "what is new is off on the platform: the second front is off on the platform")
 }
 
 // Guards against an answer that reaches another request: a client sends ahead, and one leaves early.
--- a/cmd/ashstand/replay.go
+++ b/cmd/ashstand/replay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"log"
 	"os"
@@ -17,16 +16,8 @@
 )
 
 // replay brings the queries of a capture to the core, at the pace at which they were sent.
-func replay(args []string) error {
-	flags := flag.NewFlagSet("replay", flag.ContinueOnError)
-	out := flags.String("out", "", "write the conversations with this time's answers, as pcapng")
-	if err := flags.Parse(args); err != nil {
-		return err
-	}
-	if flags.NArg() != 1 {
-		return errors.New("replay: name one capture file")
-	}
-	conversations, err := readCapture(flags.Arg(0))
+func replay(capture, out, file string, must bool) error {
+	conversations, err := readCapture(capture)
 	if err != nil {
 		return err
 	}
@@ -34,6 +25,10 @@
 	if err != nil {
 		return err
 	}
+	if err = cfg.operate(file, must); err != nil {
+		return err
+	}
+	logTo(os.Stderr, cfg.operator.Log)
 	n, err := start(cfg)
 	if err != nil {
 		return err
@@ -46,10 +41,10 @@
 	}
 	answered, tally := n.replay(context.Background(), conversations)
 	log.Printf("replay: %d conversations: %v", len(conversations), tally)
-	if *out == "" {
+	if out == "" {
 		return nil
 	}
-	f, err := os.Create(*out)
+	f, err := os.Create(out)
 	if err != nil {
 		return err
 	}
--- a/cmd/ashstand/standin_test.go
+++ b/cmd/ashstand/standin_test.go
@@ -35,6 +35,7 @@
 	"google.golang.org/protobuf/types/known/anypb"
 
 	"ashstand/internal/net/discovery"
+	"ashstand/internal/operator"
 	"ashstand/internal/settings"
 )
 
@@ -471,7 +472,7 @@
 	}))
 	p, err := settings.Parse([]byte(site))
 	require.NoError(t, err)
-	cfg := &config{Name: "n1", Listen: free(t), Discovery: dir.Listener.Addr().String(), site: p, seed: 7,
+	cfg := &config{operator: operator.New(), Name: "n1", Listen: free(t), Discovery: dir.Listener.Addr().String(), site: p, seed: 7,
 		flight: flightConfig{Listen: free(t), Connections: 16, HostTypes: []string{"flightsql"}}}
 	w.node, err = start(cfg)
 	require.NoError(t, err)
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -8,7 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -116,12 +116,12 @@
 			return
 		}
 		if moved {
-			log.Printf("discovery: moved away from %s", address)
+			slog.Info("discovery: moved away from " + address)
 			said = false
 			continue
 		}
 		if !said {
-			log.Printf("discovery: the watch ended: %v; going on with the list held", err)
+			slog.Warn(fmt.Sprintf("discovery: the watch ended: %v; going on with the list held", err))
 		}
 		said = err != nil && !errors.Is(err, errEnded) // a service that is down is told once
 		select {
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
@@ -44,7 +45,7 @@
 func (quiet) Debugf(string, ...any)     {}
 func (quiet) Infof(string, ...any)      {}
 func (quiet) Warnf(string, ...any)      {}
-func (quiet) Errorf(f string, a ...any) { log.Printf("sockets: "+f, a...) }
+func (quiet) Errorf(f string, a ...any) { slog.Error(fmt.Sprintf("sockets: "+f, a...)) }
 func (quiet) Fatalf(f string, a ...any) { log.Fatalf("sockets: "+f, a...) }
 
 // New returns an engine that does not run yet.
--- a/internal/net/loop/rarely.go
+++ b/internal/net/loop/rarely.go
@@ -1,7 +1,8 @@
 package loop
 
 import (
-	"log"
+	"fmt"
+	"log/slog"
 	"sync"
 	"time"
 )
@@ -25,6 +26,6 @@
 	if r.added > 0 {
 		format, args = format+" (and %d more like it)", append(args, r.added)
 	}
-	log.Printf(format, args...)
+	slog.Warn(fmt.Sprintf(format, args...))
 	r.next, r.added = now.Add(time.Second), 0
 }
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,392 @@
+// Package operator reads the operator's own file: what the platform's configuration knows nothing of. It is HCL, checked
+// as a whole before any of it counts; a fault names file, line, key, the value that stands there and what is allowed.
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+)
+
+// File is the operator's file. What is left out has the value that New gives it.
+type File struct {
+	Path     string    `json:"path"`
+	Log      Log       `json:"log"`
+	Admin    Admin     `json:"admin"`
+	Flight   *Flight   `json:"flight,omitempty"` // nil: the file says nothing of it
+	Sessions *Sessions `json:"sessions,omitempty"`
+}
+
+// Log says how the log is written.
+type Log struct {
+	Level  string `json:"level"`  // debug, info, warn or error
+	Format string `json:"format"` // text (key=value) or json
+}
+
+// Admin says where the pooler answers its operators.
+type Admin struct {
+	Listen string `json:"listen"` // unix:PATH or a loopback host:port; "": nowhere
+}
+
+// Flight is the Flight SQL front.
+type Flight struct {
+	Listen      string   `json:"listen"`
+	Connections int      `json:"connections"`
+	HostTypes   []string `json:"host_types"`
+}
+
+// Sessions is the front for transaction and session pooling.
+type Sessions struct {
+	Listen            string            `json:"listen"`
+	Clients           int               `json:"clients"`
+	ServerConnections int               `json:"server_connections"`
+	MaxMessage        int               `json:"max_message"` // bytes
+	Pools             []Pool            `json:"pools"`
+	Users             map[string]string `json:"-"` // SCRAM verifiers: not to be shown
+}
+
+// Pool is how the sessions of a database and user are served.
+type Pool struct {
+	Name              string        `json:"name"`
+	Database          string        `json:"database"`
+	User              string        `json:"user"`
+	Mode              string        `json:"mode"`
+	Size              int           `json:"size"`
+	Reserve           int           `json:"reserve"`
+	Waiting           int           `json:"waiting"`
+	Patience          time.Duration `json:"patience"`
+	IdleInTransaction time.Duration `json:"idle_in_transaction"`
+	ServerIdle        time.Duration `json:"server_idle"`
+	ServerLife        time.Duration `json:"server_life"`
+	Statements        int           `json:"statements"`
+	Pins              int           `json:"pins"`
+	ReadOnly          string        `json:"read_only"`
+	ReadWrite         string        `json:"read_write"`
+	SelectsReadOnly   bool          `json:"selects_read_only"`
+	Group             uint64        `json:"group"`
+}
+
+// The file as HCL has it. Pointers tell what is left out from what is zero.
+type (
+	fileBody struct {
+		Log      *logBody      `hcl:"log,block"`
+		Admin    *adminBody    `hcl:"admin,block"`
+		Flight   *flightBody   `hcl:"flight,block"`
+		Sessions *sessionsBody `hcl:"sessions,block"`
+	}
+	logBody struct {
+		Level  *string  `hcl:"level"`
+		Format *string  `hcl:"format"`
+		Body   hcl.Body `hcl:",body"`
+	}
+	adminBody struct {
+		Listen *string  `hcl:"listen"`
+		Body   hcl.Body `hcl:",body"`
+	}
+	flightBody struct {
+		Listen      *string  `hcl:"listen"`
+		Connections *int     `hcl:"connections"`
+		HostTypes   []string `hcl:"host_types,optional"`
+		Body        hcl.Body `hcl:",body"`
+	}
+	sessionsBody struct {
+		Listen            *string    `hcl:"listen"`
+		Clients           *int       `hcl:"clients"`
+		ServerConnections *int       `hcl:"server_connections"`
+		MaxMessage        *string    `hcl:"max_message"`
+		Pools             []poolBody `hcl:"pool,block"`
+		Users             []userBody `hcl:"user,block"`
+		Body              hcl.Body   `hcl:",body"`
+	}
+	poolBody struct {
+		Name              string   `hcl:"name,label"`
+		Database          *string  `hcl:"database"`
+		User              *string  `hcl:"user"`
+		Mode              *string  `hcl:"mode"`
+		Size              *int     `hcl:"size"`
+		Reserve           *int     `hcl:"reserve"`
+		Waiting           *int     `hcl:"waiting"`
+		Patience          *string  `hcl:"patience"`
+		IdleInTransaction *string  `hcl:"idle_in_transaction"`
+		ServerIdle        *string  `hcl:"server_idle"`
+		ServerLife        *string  `hcl:"server_life"`
+		Statements        *int     `hcl:"statements"`
+		Pins              *int     `hcl:"pins"`
+		ReadOnly          *string  `hcl:"read_only"`
+		ReadWrite         *string  `hcl:"read_write"`
+		SelectsReadOnly   *bool    `hcl:"selects_read_only"`
+		Group             *int     `hcl:"group"`
+		Body              hcl.Body `hcl:",body"`
+	}
+	userBody struct {
+		Name  string   `hcl:"name,label"`
+		Scram string   `hcl:"scram"`
+		Body  hcl.Body `hcl:",body"`
+	}
+)
+
+// New is the file that says nothing: all that is new is off.
+func New() *File { return &File{Log: Log{Level: "info", Format: "text"}} }
+
+// Load reads a file. One that is not there is like one that says nothing, unless it must be there.
+func Load(path string, must bool) (*File, error) {
+	text, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) && !must {
+		return New(), nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text)
+}
+
+// Parse reads the text of a file; path names it in faults. All faults found are reported, a line each.
+func Parse(path string, text []byte) (*File, error) {
+	parsed, diags := hclparse.NewParser().ParseHCL(text, path)
+	c := checker{path: path}
+	if diags.HasErrors() {
+		c.diagnostics(diags)
+		return nil, c.err()
+	}
+	var b fileBody
+	if diags = gohcl.DecodeBody(parsed.Body, nil, &b); diags.HasErrors() {
+		c.diagnostics(diags)
+		return nil, c.err()
+	}
+	f := New()
+	f.Path = path
+	if l := b.Log; l != nil {
+		c.block = "log"
+		c.word(l.Body, "level", l.Level, &f.Log.Level, "debug", "info", "warn", "error")
+		c.word(l.Body, "format", l.Format, &f.Log.Format, "text", "json")
+	}
+	if a := b.Admin; a != nil {
+		c.block = "admin"
+		if set(a.Listen, &f.Admin.Listen); f.Admin.Listen != "" && !strings.HasPrefix(f.Admin.Listen, "unix:/") {
+			c.address(a.Body, "listen", f.Admin.Listen, true)
+		}
+	}
+	if l := b.Flight; l != nil {
+		c.block = "flight"
+		f.Flight = &Flight{Connections: 64, HostTypes: l.HostTypes}
+		if set(l.Listen, &f.Flight.Listen); f.Flight.Listen != "" {
+			c.address(l.Body, "listen", f.Flight.Listen, false)
+		}
+		c.count(l.Body, "connections", l.Connections, &f.Flight.Connections, 1, 1<<20)
+	}
+	if s := b.Sessions; s != nil {
+		c.sessions(f, s)
+	}
+	return f, c.err()
+}
+
+func (c *checker) sessions(f *File, s *sessionsBody) {
+	c.block = "sessions"
+	out := &Sessions{Clients: 100, ServerConnections: 32, MaxMessage: 1 << 20, Users: map[string]string{}}
+	f.Sessions = out
+	if set(s.Listen, &out.Listen); out.Listen != "" {
+		c.address(s.Body, "listen", out.Listen, false)
+	}
+	c.count(s.Body, "clients", s.Clients, &out.Clients, 1, 1<<20)
+	c.count(s.Body, "server_connections", s.ServerConnections, &out.ServerConnections, 1, 1<<20)
+	if s.MaxMessage != nil {
+		n, err := size(*s.MaxMessage)
+		if out.MaxMessage = n; err != nil || n < 64<<10 || n > 64<<20 {
+			c.fail(s.Body, "max_message", strconv.Quote(*s.MaxMessage), "a size from 64KiB to 64MiB, such as \"1MiB\"")
+		}
+	}
+	for i := range s.Pools {
+		c.pool(out, &s.Pools[i])
+	}
+	if len(out.Pools) == 0 && out.Listen != "" {
+		c.fail(s.Body, "pool", "not there", "at least one pool \"NAME\" { } block")
+	}
+	for _, u := range s.Users {
+		c.block = "sessions.user " + strconv.Quote(u.Name)
+		if out.Users[u.Name] != "" {
+			c.fail(u.Body, "scram", "given twice for this user", "one user block a name")
+		}
+		if out.Users[u.Name] = u.Scram; !strings.HasPrefix(u.Scram, "SCRAM-SHA-256$") || strings.Count(u.Scram, "$") != 2 {
+			c.fail(u.Body, "scram", "no verifier", "SCRAM-SHA-256$iterations:salt$StoredKey:ServerKey, as a server keeps it")
+		}
+	}
+}
+
+func (c *checker) pool(out *Sessions, b *poolBody) {
+	c.block = "sessions.pool " + strconv.Quote(b.Name)
+	p := Pool{Name: b.Name, Database: "*", User: "*", Mode: "transaction", Size: 8, Waiting: 100, Patience: 2 * time.Second,
+		IdleInTransaction: time.Minute, ServerIdle: 10 * time.Second, ServerLife: time.Hour, Statements: 200, Pins: 4,
+		ReadOnly: "", ReadWrite: ""}
+	set(b.Database, &p.Database)
+	set(b.User, &p.User)
+	c.word(b.Body, "mode", b.Mode, &p.Mode, "transaction", "session")
+	c.count(b.Body, "size", b.Size, &p.Size, 1, 1<<20)
+	c.count(b.Body, "reserve", b.Reserve, &p.Reserve, 0, p.Size-1)
+	c.count(b.Body, "waiting", b.Waiting, &p.Waiting, 0, 1<<20)
+	c.time(b.Body, "patience", b.Patience, &p.Patience, time.Millisecond, time.Hour, false)
+	c.time(b.Body, "idle_in_transaction", b.IdleInTransaction, &p.IdleInTransaction, 100*time.Millisecond, 24*time.Hour, true)
+	c.time(b.Body, "server_idle", b.ServerIdle, &p.ServerIdle, 100*time.Millisecond, 24*time.Hour, true)
+	c.time(b.Body, "server_life", b.ServerLife, &p.ServerLife, time.Second, 7*24*time.Hour, true)
+	c.count(b.Body, "statements", b.Statements, &p.Statements, 1, 100000)
+	c.count(b.Body, "pins", b.Pins, &p.Pins, 0, p.Size)
+	set(b.ReadOnly, &p.ReadOnly)
+	set(b.ReadWrite, &p.ReadWrite)
+	if p.ReadOnly == "" {
+		c.fail(b.Body, "read_only", "not there", "the class of the settings by which read-only transactions are routed")
+	}
+	if p.ReadWrite == "" {
+		c.fail(b.Body, "read_write", "not there", "the class of the settings by which all other transactions are routed")
+	}
+	if b.SelectsReadOnly != nil {
+		p.SelectsReadOnly = *b.SelectsReadOnly
+	}
+	group := 0
+	c.count(b.Body, "group", b.Group, &group, 0, 1<<31-1)
+	p.Group = uint64(group)
+	for _, o := range out.Pools {
+		if o.Database == p.Database && o.User == p.User {
+			c.fail(b.Body, "database", fmt.Sprintf("%q with user %q, as in pool %q", p.Database, p.User, o.Name), "each pair of database and user once; the first pool that fits counts")
+		}
+		if (o.Database == "*" || o.Database == p.Database) && (o.User == "*" || o.User == p.User) && !(o.Database == p.Database && o.User == p.User) {
+			c.fail(b.Body, "database", fmt.Sprintf("never reached: pool %q before it takes all of its sessions", o.Name), "the narrower pool first")
+		}
+	}
+	out.Pools = append(out.Pools, p)
+}
+
+// Classes checks the pools' classes against those of the platform's settings.
+func (f *File) Classes(known func(class string) (writes, ok bool)) error {
+	if f.Sessions == nil || f.Sessions.Listen == "" {
+		return nil
+	}
+	for _, p := range f.Sessions.Pools {
+		for _, k := range []struct {
+			key, class string
+			writes     bool
+		}{{"read_only", p.ReadOnly, false}, {"read_write", p.ReadWrite, true}} {
+			writes, ok := known(k.class)
+			if !ok {
+				return fmt.Errorf("%s: sessions.pool %q: %s = %q: the settings name no such class", f.Path, p.Name, k.key, k.class)
+			}
+			if writes != k.writes {
+				return fmt.Errorf("%s: sessions.pool %q: %s = %q: it takes a class of %s", f.Path, p.Name, k.key, k.class,
+					map[bool]string{true: "writes, which the primary serves", false: "reads"}[k.writes])
+			}
+		}
+	}
+	return nil
+}
+
+func set[T any](from, to *T) {
+	if from != nil {
+		*to = *from
+	}
+}
+
+// size reads a number of bytes, with KiB or MiB behind it or nothing.
+func size(s string) (int, error) {
+	unit := 1
+	for suffix, n := range map[string]int{"KiB": 1 << 10, "MiB": 1 << 20} {
+		if rest, ok := strings.CutSuffix(s, suffix); ok {
+			s, unit = rest, n
+		}
+	}
+	n, err := strconv.Atoi(strings.TrimSpace(s))
+	if n > 1<<31/unit {
+		return 0, strconv.ErrRange
+	}
+	return n * unit, err
+}
+
+// checker gathers faults, each with its place.
+type checker struct {
+	path   string
+	block  string
+	faults []string
+}
+
+func (c *checker) err() error {
+	if len(c.faults) == 0 {
+		return nil
+	}
+	return errors.New(strings.Join(c.faults, "\n"))
+}
+
+func (c *checker) diagnostics(ds hcl.Diagnostics) {
+	for _, d := range ds {
+		at := c.path
+		if d.Subject != nil {
+			at = fmt.Sprintf("%s:%d", c.path, d.Subject.Start.Line)
+		}
+		c.faults = append(c.faults, fmt.Sprintf("%s: %s: %s", at, d.Summary, strings.ReplaceAll(d.Detail, "\n", " ")))
+	}
+}
+
+// fail notes a fault of a key in the block under way.
+func (c *checker) fail(b hcl.Body, key, value, allowed string) {
+	line := b.MissingItemRange().Start.Line
+	if body, ok := b.(*hclsyntax.Body); ok {
+		line = body.SrcRange.Start.Line
+		if a := body.Attributes[key]; a != nil {
+			line = a.SrcRange.Start.Line
+		}
+	}
+	c.faults = append(c.faults, fmt.Sprintf("%s:%d: %s: %s is %s; allowed is %s", c.path, line, c.block, key, value, allowed))
+}
+
+func (c *checker) word(b hcl.Body, key string, from, to *string, allowed ...string) {
+	if from == nil {
+		return
+	}
+	for _, a := range allowed {
+		if *from == a {
+			*to = a
+			return
+		}
+	}
+	c.fail(b, key, strconv.Quote(*from), strings.Join(allowed, ", "))
+}
+
+func (c *checker) count(b hcl.Body, key string, from, to *int, least, most int) {
+	if from == nil {
+		return
+	}
+	if *to = *from; *from < least || *from > most {
+		c.fail(b, key, strconv.Itoa(*from), fmt.Sprintf("a whole number from %d to %d", least, most))
+	}
+}
+
+func (c *checker) time(b hcl.Body, key string, from *string, to *time.Duration, least, most time.Duration, off bool) {
+	if from == nil {
+		return
+	}
+	d, err := time.ParseDuration(*from)
+	if *to = d; err == nil && (off && d == 0 || d >= least && d <= most) {
+		return
+	}
+	allowed := fmt.Sprintf("a time from %v to %v, such as \"2s\"", least, most)
+	if off {
+		allowed += ", or \"0s\" for none"
+	}
+	c.fail(b, key, strconv.Quote(*from), allowed)
+}
+
+func (c *checker) address(b hcl.Body, key, address string, loopback bool) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		c.fail(b, key, strconv.Quote(address), "host:port")
+		return
+	}
+	if ip := net.ParseIP(host); loopback && (ip == nil || !ip.IsLoopback()) {
+		c.fail(b, key, strconv.Quote(address), "unix:PATH or a loopback address with a port: whoever reaches it may read what the pooler holds")
+	}
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,93 @@
+package operator
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const whole = `
+log {
+  level  = "warn"
+  format = "json"
+}
+admin { listen = "unix:/tmp/a.sock" }
+flight {
+  listen     = "127.0.0.1:1"
+  host_types = ["f"]
+}
+sessions {
+  listen      = "127.0.0.1:2"
+  max_message = "2MiB"
+  pool "reports" {
+    database   = "orders"
+    user       = "reporter"
+    mode       = "session"
+    patience   = "250ms"
+    read_only  = "report"
+    read_write = "donate"
+  }
+  pool "rest" {
+    size        = 3
+    server_life = "0s"
+    read_only   = "browse"
+    read_write  = "donate"
+    group       = 7
+  }
+  user "app" { scram = "SCRAM-SHA-256$4096:c2FsdA==$c3RvcmVk:c2VydmVy" }
+}
+`
+
+func TestFileIsRead(t *testing.T) {
+	f, err := Parse("x.hcl", []byte(whole))
+	require.NoError(t, err)
+	require.Equal(t, Log{"warn", "json"}, f.Log)
+	require.Equal(t, &Flight{"127.0.0.1:1", 64, []string{"f"}}, f.Flight)
+	require.Equal(t, 2<<20, f.Sessions.MaxMessage)
+	require.Equal(t, "session", f.Sessions.Pools[0].Mode)
+	require.Equal(t, 250*time.Millisecond, f.Sessions.Pools[0].Patience)
+	require.Equal(t, Pool{Name: "rest", Database: "*", User: "*", Mode: "transaction", Size: 3, Waiting: 100, Patience: 2 * time.Second,
+		IdleInTransaction: time.Minute, ServerIdle: 10 * time.Second, Statements: 200, Pins: 4, ReadOnly: "browse", ReadWrite: "donate", Group: 7},
+		f.Sessions.Pools[1])
+	none, err := Load(filepath.Join(t.TempDir(), "none"), false)
+	require.NoError(t, err)
+	require.Equal(t, New(), none)
+	_, err = Load(filepath.Join(t.TempDir(), "none"), true)
+	require.ErrorIs(t, err, os.ErrNotExist)
+	require.ErrorContains(t, f.Classes(func(c string) (bool, bool) { return c == "donate", c != "report" }), `pool "reports": read_only = "report": the settings name no such class`)
+	require.ErrorContains(t, f.Classes(func(string) (bool, bool) { return true, true }), `read_only = "report": it takes a class of reads`)
+	require.NoError(t, f.Classes(func(c string) (bool, bool) { return c == "donate", true }))
+}
+
+func TestFaultsNameTheirPlace(t *testing.T) {
+	for change, want := range map[string]string{
+		`"warn"|"loud"`:               `x.hcl:3: log: level is "loud"; allowed is debug, info, warn, error`,
+		`unix:/tmp/a.sock|10.0.0.1:4`: `x.hcl:6: admin: listen is "10.0.0.1:4"; allowed is unix:PATH or a loopback address`,
+		`127.0.0.1:2"|nowhere"`:       `x.hcl:12: sessions: listen is "nowhere"; allowed is host:port`,
+		`2MiB|3`:                      `x.hcl:13: sessions: max_message is "3"; allowed is a size from 64KiB to 64MiB`,
+		`"session"|"statement"`:       `x.hcl:17: sessions.pool "reports": mode is "statement"; allowed is transaction, session`,
+		`250ms|soon`:                  `x.hcl:18: sessions.pool "reports": patience is "soon"; allowed is a time from 1ms to 1h0m0s, such as "2s"`,
+		`size        = 3|size = 0`:    `x.hcl:23: sessions.pool "rest": size is 0; allowed is a whole number from 1 to 1048576`,
+		`size        = 3|size = "x"`:  `x.hcl:23: Unsuitable value type`,
+		`size        = 3|sise = 3`:    `x.hcl:23: Unsupported argument: An argument named "sise" is not expected here. Did you mean "size"?`,
+		`size        = 3|reserve = 8`: `x.hcl:23: sessions.pool "rest": reserve is 8; allowed is a whole number from 0 to 7`,
+		`    read_only   = "browse"|`: `sessions.pool "rest": read_only is not there; allowed is the class`,
+		`"reporter"|"*"|"orders"|"*"`: `sessions.pool "rest": database is "*" with user "*", as in pool "reports"`,
+		`"rest" {|"rest" {` + "\n database = \"orders\"\n user = \"reporter\"" + `|"reporter"|"*"`: `never reached: pool "reports" before it`,
+		`SCRAM-SHA-256$4096|md5$4096`: `x.hcl:29: sessions.user "app": scram is no verifier; allowed is SCRAM-SHA-256$iterations`,
+		`sessions {|sessions { {`:     `x.hcl:11: `,
+	} {
+		text, words := whole, strings.Split(change, "|")
+		for i := 0; i+1 < len(words); i += 2 {
+			require.Contains(t, text, words[i])
+			text = strings.Replace(text, words[i], words[i+1], 1)
+		}
+		_, err := Parse("x.hcl", []byte(text))
+		require.ErrorContains(t, err, want, change)
+		require.NotContains(t, err.Error(), "c2FsdA", "no verifier is shown")
+	}
+}
