ashlab: try, up and sessions, measurements that check every answer

The pooler can be told by ASHSTAND_BREAK to switch one guarantee off, so that each checker is seen to fail.

--- /dev/null
+++ b/cmd/ashlab/main.go
@@ -0,0 +1,105 @@
+// Command ashlab tries, loads and measures the pooler against stand-ins on loopback addresses. Nothing of it is linked
+// into the pooler.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ashstand/lab/load"
+	"ashstand/lab/report"
+)
+
+// errBroken is a guarantee that did not hold: exit code 1. Anything else that fails is 2: it could not run.
+var errBroken = errors.New("a guarantee did not hold")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	switch err := command().ExecuteContext(ctx); {
+	case err == nil:
+	case errors.Is(err, errBroken):
+		fmt.Fprintln(os.Stderr, "ashlab:", err)
+		os.Exit(1)
+	default:
+		fmt.Fprintln(os.Stderr, "ashlab:", err)
+		os.Exit(2)
+	}
+}
+
+// common are the flags that every measurement has.
+type common struct {
+	seed     uint64
+	duration time.Duration
+	json     string
+	breaks   string
+	pooler   string
+	log      bool
+}
+
+func (m *common) flags(c *cobra.Command, duration time.Duration, breakable []string) *cobra.Command {
+	c.Flags().Uint64Var(&m.seed, "seed", 1, "draws the plan; sockets still vary")
+	c.Flags().DurationVar(&m.duration, "duration", duration, "how long")
+	c.Flags().StringVar(&m.json, "json", "", "write the result to this file as JSON; - is standard output")
+	c.Flags().StringVar(&m.pooler, "pooler", "", "the pooler's program (default: ashstand beside this one)")
+	c.Flags().BoolVar(&m.log, "log", false, "show the pooler's log")
+	if len(breakable) > 0 {
+		c.Flags().StringVar(&m.breaks, "break", "", "switch a guarantee off, so that its checker is seen to go red: "+strings.Join(breakable, ", "))
+	}
+	return c
+}
+
+// finish writes a result and says whether all held.
+func (m *common) finish(r *report.Result, err error) error {
+	if err != nil {
+		return err
+	}
+	if m.json != "-" {
+		r.Table(os.Stdout)
+	}
+	if err := r.Write(m.json); err != nil {
+		return err
+	}
+	if !r.Held() {
+		return errBroken
+	}
+	return nil
+}
+
+func command() *cobra.Command {
+	root := &cobra.Command{Use: "ashlab", Short: "try, load and measure the pooler against stand-ins", SilenceUsage: true, SilenceErrors: true,
+		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
+	root.AddCommand(sessions(), try(), up())
+	return root
+}
+
+func sessions() *cobra.Command {
+	var m common
+	o := load.SessionOptions{}
+	faults := "none"
+	c := &cobra.Command{Use: "sessions", Short: "many sessions over few server connections, with failures", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if m.breaks != "" && !slices.Contains(load.Breakable, m.breaks) {
+				return fmt.Errorf("--break %s: it can be %s", m.breaks, strings.Join(load.Breakable, ", "))
+			}
+			if faults != "all" && faults != "none" {
+				return fmt.Errorf("--faults %s: it can be all or none", faults)
+			}
+			o.Duration, o.Seed, o.Break, o.Pooler, o.Log, o.Faults = m.duration, m.seed, m.breaks, m.pooler, m.log, faults == "all"
+			return m.finish(load.Sessions(c.Context(), o))
+		}}
+	c.Flags().IntVar(&o.Sessions, "sessions", 500, "clients")
+	c.Flags().IntVar(&o.Servers, "server-connections", 64, "that the pooler may have")
+	c.Flags().Float64Var(&o.Rate, "rate", 3000, "requests a second, about")
+	c.Flags().StringVar(&faults, "faults", "none", "all: every kind of failure; none")
+	return m.flags(c, 20*time.Second, load.Breakable)
+}
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -167,6 +167,10 @@
 	}, pg.Platform.Primary)
 	if s := cfg.operator.Sessions; s != nil && s.Listen != "" {
 		n.pooled = pg.NewSessions(n.engine, n.facade, now, pg.Platform, b.pooled)
+		if what := os.Getenv("ASHSTAND_BREAK"); what != "" {
+			slog.Error("a guarantee is switched off, to see its checker fail: " + what)
+			n.pooled.Break(what)
+		}
 		if err := n.engine.Also(s.Listen, n.pooled.Accept); err != nil {
 			return nil, fmt.Errorf("sessions: listen on %s: %w", s.Listen, err)
 		}
--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -831,9 +831,12 @@
 	s.sent, s.position, s.role = false, 0, ""
 	c.misplaced, c.flushed = false, false
 	c.pipe.Link(s.prepared, c.readOnly)
+	if c.front.broken == "statements" {
+		c.pipe.Assume()
+	}
 	c.front.stats.Transactions++
 	c.keep(s)
-	if !s.have.Same(c.pipe.Now()) {
+	if !s.have.Same(c.pipe.Now()) && c.front.broken != "settings" {
 		c.sync(s)
 		return
 	}
@@ -916,7 +919,7 @@
 		}
 		call.Conclude(s.outcome(code))
 	}
-	if status == 'I' && !c.readOnly {
+	if status == 'I' && !c.readOnly && c.front.broken != "position" {
 		at := s.position
 		if at == 0 { // the host does not say: a commit is no younger than its answer
 			at = c.front.clock.Now()
--- a/internal/session/pipeline.go
+++ b/internal/session/pipeline.go
@@ -89,6 +89,14 @@
 // Link says that the session has a server connection from now on, for a transaction that is routed as read-only or not.
 func (p *Pipeline) Link(s *Server, readOnly bool) { p.server, p.readOnly = s, readOnly }
 
+// Assume makes the pipeline believe that whatever the session prepared is prepared on every connection. It is there so
+// that what checks statements can be seen to fail.
+func (p *Pipeline) Assume() {
+	for _, s := range p.held {
+		p.server.Add(s.Key, nil)
+	}
+}
+
 // Unlink says that it has none.
 func (p *Pipeline) Unlink() { p.server = nil }
 
--- /dev/null
+++ b/lab/fleet/fleet.go
@@ -0,0 +1,372 @@
+// Package fleet starts stand-in hosts, discovery and poolers on loopback addresses, and makes failures happen to them.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"ashstand/lab/discovery"
+	"ashstand/lab/host"
+)
+
+// Options are what a fleet is to be.
+type Options struct {
+	Pooler   string // the program; "": ashstand beside this one
+	Replicas int
+	Lag      time.Duration // of the replicas
+	Seed     uint64
+	MemoryMB int
+	Sockets  int
+	Sessions string   // the operator's sessions block; "": one pool in transaction mode with these sizes
+	Clients  int      // session clients
+	Servers  int      // session server connections
+	Env      []string // for the pooler
+	Log      bool     // pass the pooler's log on to standard error
+	Plain    bool     // a version that knows neither commands nor the operator's file
+}
+
+// Fleet is what runs.
+type Fleet struct {
+	Cluster  *host.Cluster
+	Registry *discovery.Registry
+	Hosts    []*host.Host
+	Pooler   *Pooler
+	Options  Options
+	dir      string
+
+	mu       sync.Mutex
+	draining map[string]bool
+}
+
+// Pooler is a process.
+type Pooler struct {
+	Statement string // where it takes the platform's requests
+	Sessions  string // and sessions
+	Admin     string
+	cmd       *exec.Cmd
+	log       *tail
+	ended     chan struct{}
+	err       error
+}
+
+// tail keeps the end of a log.
+type tail struct {
+	mu   sync.Mutex
+	b    bytes.Buffer
+	pass bool
+}
+
+func (t *tail) Write(b []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.b.Len() > 1<<20 {
+		t.b.Reset()
+	}
+	if t.pass {
+		os.Stderr.Write(b)
+	}
+	return t.b.Write(b)
+}
+
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.b.String()
+}
+
+// Free names a loopback address on which nobody listens.
+func Free() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// Beside is a program in the folder of this one.
+func Beside(name string) (string, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(filepath.Dir(self), name)
+	if _, err := os.Stat(path); err != nil {
+		return "", fmt.Errorf("%s is not there; build both programs into one folder, or name it with --pooler", path)
+	}
+	return path, nil
+}
+
+// Start brings up hosts and discovery, then one pooler, and waits until it serves.
+func Start(o Options) (*Fleet, error) {
+	f := &Fleet{Cluster: host.NewCluster(1, o.Seed), Options: o, draining: map[string]bool{}}
+	var err error
+	if f.dir, err = os.MkdirTemp("", "ashlab-"); err != nil {
+		return nil, err
+	}
+	f.Cluster.Seed(1000)
+	for i := range o.Replicas + 1 {
+		h, err := f.Cluster.Add("host-"+strconv.Itoa(i), "127.0.0.1:0")
+		if err != nil {
+			f.Stop()
+			return nil, err
+		}
+		h.SetLag(o.Lag)
+		f.Hosts = append(f.Hosts, h)
+	}
+	if f.Registry, err = discovery.Start("127.0.0.1:0"); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	f.Publish()
+	if f.Pooler, err = f.StartPooler("n1"); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+// Publish brings the hosts as they are now to discovery.
+func (f *Fleet) Publish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var es []discovery.Entry
+	for _, h := range f.Hosts {
+		e := discovery.Entry{Name: h.Name, Address: h.Address, Zone: "a", Type: "std-4core", Group: 1, Status: "active", Weight: 1,
+			SinceMS: h.Since(), Part: "replica"}
+		if h.Primary() {
+			e.Part = "master"
+		}
+		if f.draining[h.Name] {
+			e.Status = "leaving"
+		}
+		es = append(es, e)
+	}
+	f.Registry.Set(es...)
+}
+
+// Drain tells discovery, and the host itself, that it is to take nothing new, or that it may again.
+func (f *Fleet) Drain(h *host.Host, on bool) {
+	f.mu.Lock()
+	f.draining[h.Name] = on
+	f.mu.Unlock()
+	if !on {
+		h.Drain(false)
+	}
+	f.Publish()
+	if on {
+		h.Drain(true)
+	}
+}
+
+// settings are the platform's, as on the scored days but for wider deadlines.
+func settings() map[string]any {
+	class := func(name, effect string, aim, deadline, worth, late float64) map[string]any {
+		return map[string]any{"name": name, "aim_ms": aim, "deadline_ms": deadline, "worth": worth, "late_share": late, "effect": effect}
+	}
+	return map[string]any{"balancers": 1, "index": 0, "period_ms": 5, "deductions": map[string]any{"probe": 0.04},
+		"domain": map[string]any{"class_read": []string{"bounded", "session", "any", "write"}, "role_in_list": "late",
+			"staleness_bound_ms": []float64{200, 0, 0, 0}, "token_mode": "carried", "when_behind": "off", "answers_stamped": true},
+		"obligations": map[string]any{"cold_from": 0.24, "ramp_time_ms": 15000, "overload_factor": 3, "fall_ms": 1500, "stop_sending_within_ms": 1000},
+		"policy_limits": map[string]any{"conn_idle_ms": 15000, "connect_timeout_ms": 1000, "max_retry_after_ms": 2000, "may_cancel": true,
+			"most_tries": 8, "probes": true, "retry_after": true, "max_open": 10000},
+		"report": map[string]any{"fields": []string{"x0", "x1", "inflight", "util"}, "how": "on_probe"},
+		"request_classes": []any{class("browse", "idempotent", 300, 1000, 1, 0.2), class("my-library", "idempotent", 300, 2000, 3, 0),
+			class("report", "idempotent", 7500, 15000, 4, 0.2), class("donate", "at_most_once", 1000, 3000, 3, 0.3)}}
+}
+
+// StartPooler starts one more pooler of the fleet.
+func (f *Fleet) StartPooler(name string) (*Pooler, error) {
+	o := f.Options
+	program := o.Pooler
+	var err error
+	if program == "" {
+		if program, err = Beside("ashstand"); err != nil {
+			return nil, err
+		}
+	}
+	if program, err = filepath.Abs(program); err != nil {
+		return nil, err
+	}
+	p := &Pooler{log: &tail{pass: o.Log}, ended: make(chan struct{}), Admin: "unix:" + filepath.Join(f.dir, name+".sock")}
+	for _, a := range []*string{&p.Statement, &p.Sessions} {
+		if *a, err = Free(); err != nil {
+			return nil, err
+		}
+	}
+	memory, sockets := o.MemoryMB, o.Sockets
+	if memory == 0 {
+		memory = 192
+	}
+	if sockets == 0 {
+		sockets = 1024
+	}
+	config, err := json.Marshal(map[string]any{"name": name, "listen": p.Statement, "discovery": f.Registry.Address, "seed": strconv.FormatUint(o.Seed+1, 16),
+		"limits": map[string]any{"cores": 1, "memory_mb": memory, "sockets": sockets}, "settings": settings()})
+	if err != nil {
+		return nil, err
+	}
+	path, file := filepath.Join(f.dir, name+".json"), filepath.Join(f.dir, name+".hcl")
+	block := o.Sessions
+	if block == "" {
+		block = Pool(o.Clients, o.Servers, o.Servers)
+	}
+	text := fmt.Sprintf("admin {\n  listen = %q\n}\n", p.Admin) + strings.ReplaceAll(block, "LISTEN", p.Sessions)
+	if err := errors.Join(os.WriteFile(path, config, 0o600), os.WriteFile(file, []byte(text), 0o600)); err != nil {
+		return nil, err
+	}
+	args := []string{"serve", "--file", file}
+	if o.Plain {
+		args = nil // an earlier version knows no commands
+	}
+	p.cmd = exec.Command(program, args...)
+	p.cmd.Env = append(append(os.Environ(), "EDGE_CONFIG="+path, "EDGE_NAME=", "EDGE_LISTEN=", "EDGE_DISCOVERY="), o.Env...)
+	p.cmd.Dir = f.dir
+	p.cmd.Stderr, p.cmd.Stdout = p.log, p.log
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.ended)
+	}()
+	return p, p.wait()
+}
+
+// Pool words a sessions block with one pool of so many connections a host.
+func Pool(clients, servers, size int) string {
+	return fmt.Sprintf(`sessions {
+  listen             = "LISTEN"
+  clients            = %d
+  server_connections = %d
+  pool "all" {
+    size                = %d
+    waiting             = %d
+    patience            = "5s"
+    idle_in_transaction = "20s"
+    pins                = %d
+    reserve             = 0
+    read_only           = "my-library"
+    read_write          = "donate"
+    group               = 1
+  }
+}
+`, max(1, clients), max(1, servers), max(1, size), max(100, clients), max(1, size/8))
+}
+
+// wait until the pooler answers an empty query, as the platform's front does.
+func (p *Pooler) wait() error {
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); {
+		select {
+		case <-p.ended:
+			return fmt.Errorf("the pooler ended: %v\n%s", p.err, p.log)
+		default:
+		}
+		if ready(p.Statement) {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("the pooler does not serve\n%s", p.log)
+}
+
+func ready(address string) bool {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	start := "\x00\x03\x00\x00user\x00web\x00database\x00orders\x00\x00"
+	_, _ = c.Write(append([]byte{0, 0, 0, byte(len(start) + 4)}, start+"Q\x00\x00\x00\x05\x00"...))
+	var got []byte
+	b := make([]byte, 4096)
+	for !bytes.Contains(got, []byte("I\x00\x00\x00\x04")) {
+		n, err := c.Read(b)
+		if err != nil || bytes.Contains(b[:n], []byte("57P03")) {
+			return false
+		}
+		got = append(got, b[:n]...)
+	}
+	return true
+}
+
+// Signal sends one to the pooler.
+func (p *Pooler) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Ended is closed once the pooler has; Err says how.
+func (p *Pooler) Ended() <-chan struct{} { return p.ended }
+
+// Err is how it ended.
+func (p *Pooler) Err() error { return p.err }
+
+// Log is the end of its log.
+func (p *Pooler) Log() string { return p.log.String() }
+
+// Usage is what the process has used: CPU in seconds, and memory in MB now.
+func (p *Pooler) Usage() (cpu, rss float64) { return Usage(p.cmd.Process.Pid) }
+
+// Usage of a process.
+func Usage(pid int) (cpu, rss float64) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, 0
+	}
+	_, rest, _ := strings.Cut(string(b), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 22 {
+		return 0, 0
+	}
+	n := func(i int) float64 {
+		x, _ := strconv.ParseFloat(fields[i], 64)
+		return x
+	}
+	return (n(11) + n(12)) / 100, n(21) * float64(os.Getpagesize()) / (1 << 20)
+}
+
+// Stop ends everything that was started.
+func (f *Fleet) Stop() {
+	if f.Pooler != nil {
+		f.Pooler.Stop()
+	}
+	if f.Registry != nil {
+		f.Registry.Stop()
+	}
+	for _, h := range f.Hosts {
+		h.Stop()
+	}
+	_ = os.RemoveAll(f.dir)
+}
+
+// Stop ends a pooler at once.
+func (p *Pooler) Stop() {
+	if p.cmd != nil && p.cmd.Process != nil {
+		_ = p.cmd.Process.Kill()
+		<-p.ended
+	}
+}
+
+// Terminate asks a pooler to end and waits for it.
+func (p *Pooler) Terminate(ctx context.Context) error {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-p.ended:
+		return p.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/lab/host/cluster.go
+++ b/lab/host/cluster.go
@@ -360,3 +360,24 @@
 }
 
 func rowKey(schema, table, ref string) string { return schema + "\x00" + table + "\x00" + ref }
+
+// Seed puts so many rows there from the beginning, with the refs seed-0, seed-1 and so on.
+func (c *Cluster) Seed(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range n {
+		c.rows[rowKey("public", "entries", fmt.Sprint("seed-", i))] = []version{{1, fmt.Sprint("payload of ", i)}}
+	}
+}
+
+// Duplicates is how many of the rows whose ref fits were written more than once.
+func (c *Cluster) Duplicates(fits func(ref string) bool) (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, vs := range c.rows {
+		if len(vs) > 1 && fits(key) {
+			n++
+		}
+	}
+	return n
+}
