--- a/cmd/ashlab/main.go
+++ b/cmd/ashlab/main.go
@@ -78,7 +78,7 @@
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "ashlab", Short: "try, load and measure the pooler against stand-ins", SilenceUsage: true, SilenceErrors: true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
-	root.AddCommand(sessions(), try(), up())
+	root.AddCommand(sessions(), try(), up(), relay())
 	return root
 }
 
@@ -86,6 +86,8 @@
 	var m common
 	o := load.SessionOptions{}
 	faults := "none"
+	cost := false
+	costs := load.CostOptions{}
 	c := &cobra.Command{Use: "sessions", Short: "many sessions over few server connections, with failures", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if m.breaks != "" && !slices.Contains(load.Breakable, m.breaks) {
@@ -94,6 +96,10 @@
 			if faults != "all" && faults != "none" {
 				return fmt.Errorf("--faults %s: it can be all or none", faults)
 			}
+			if cost {
+				costs.Pooler, costs.Seed, costs.Log = m.pooler, m.seed, m.log
+				return m.finish(load.Cost(c.Context(), costs))
+			}
 			o.Duration, o.Seed, o.Break, o.Pooler, o.Log, o.Faults = m.duration, m.seed, m.breaks, m.pooler, m.log, faults == "all"
 			return m.finish(load.Sessions(c.Context(), o))
 		}}
@@ -101,5 +107,20 @@
 	c.Flags().IntVar(&o.Servers, "server-connections", 64, "that the pooler may have")
 	c.Flags().Float64Var(&o.Rate, "rate", 3000, "requests a second, about")
 	c.Flags().StringVar(&faults, "faults", "none", "all: every kind of failure; none")
+	c.Flags().BoolVar(&cost, "cost", false, "measure what the pooler costs instead: against an earlier version, a bare relay and the host")
+	c.Flags().StringVar(&costs.Before, "before", "", "with --cost: an earlier version's ashstand")
+	c.Flags().IntSliceVar(&costs.Clients, "clients", []int{1, 16, 256, 4096}, "with --cost: how many clients ask at once")
+	c.Flags().IntVar(&costs.Servers, "cost-connections", 16, "with --cost: server connections of the pooler")
+	c.Flags().DurationVar(&costs.Each, "each", 3*time.Second, "with --cost: how long each load lasts")
 	return m.flags(c, 20*time.Second, load.Breakable)
 }
+
+// relay is what sessions --cost measures against, as a process of its own.
+func relay() *cobra.Command {
+	var listen, to string
+	c := &cobra.Command{Use: "relay", Short: "copy bytes between clients and one host, the floor for any pooler", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return load.Relay(c.Context(), listen, to) }}
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "where clients come")
+	c.Flags().StringVar(&to, "to", "", "where the host listens")
+	return c
+}
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -411,45 +411,58 @@
 	h.write(c, ready(out))
 }
 
-// serve runs on a goroutine of its own.
+// serve runs on a goroutine of its own, which ends as soon as the answer is on its way to the loop: writing it and
+// taking the next command are one visit there.
 func (h *client) serve(c gnet.Conn, s statement.Statement, arrived float64) {
-	defer h.front.edge.End(&s)
-	result := h.front.edge.Do(h.ctx, &s, arrived)
+	e := h.front.edge
+	result := e.Do(h.ctx, &s, arrived)
 	if result.Verdict == edge.Left {
+		e.End(&s)
 		return
 	}
-	// The next command waits until this answer is out, so a client that does not read holds up itself alone
-	// and an answer is not cut by a close.
-	if left, err := h.put(c, Reply(&result)); err != nil || left > 0 && !h.flushed(c) {
-		_ = c.Close()
-		return
-	}
-	_ = h.run(c, func() {
-		h.busy, h.since = false, h.front.edge.Now()
-		if h.strikes++; result.Verdict != edge.Invalid {
-			h.strikes = 0
+	reply := Reply(&result)
+	if h.front.loop.Load().(gnet.EventLoop).Execute(h.ctx, gnet.RunnableFunc(func(context.Context) error {
+		if h.ctx.Err() != nil {
+			e.End(&s)
+			return nil
 		}
-		if h.unread > 0 { // what was sent ahead is waiting, and was taken
-			_ = c.Wake(nil)
-		} else if h.front.drain.Load() {
-			_ = c.Close()
+		h.write(c, reply)
+		if h.ctx.Err() != nil || c.OutboundBuffered() == 0 {
+			e.End(&s)
+			h.next(c, result.Verdict)
+			return nil
 		}
-	})
+		// The next command waits until this answer is out, so a client that does not read holds up itself alone
+		// and an answer is not cut by a close.
+		go func() {
+			defer e.End(&s)
+			if !h.flushed(c) {
+				_ = c.Close()
+				return
+			}
+			_ = h.run(c, func() { h.next(c, result.Verdict) })
+		}()
+		return nil
+	})) != nil {
+		e.End(&s)
+		_ = c.Close()
+	}
 }
 
-// put writes b and returns how much of it is not with the kernel yet.
-func (h *client) put(c gnet.Conn, b []byte) (left int, err error) {
-	done := make(chan error, 1)
-	if err = c.AsyncWrite(b, func(c gnet.Conn, err error) error {
-		if err == nil && h.ctx.Err() == nil {
-			left = c.OutboundBuffered()
-		}
-		done <- err
-		return nil
-	}); err == nil {
-		err = <-done
+// next takes the next command, once the answer to the last one is out. It runs on the loop.
+func (h *client) next(c gnet.Conn, verdict edge.Verdict) {
+	if h.ctx.Err() != nil {
+		return
+	}
+	h.busy, h.since = false, h.front.edge.Now()
+	if h.strikes++; verdict != edge.Invalid {
+		h.strikes = 0
+	}
+	if h.unread > 0 { // what was sent ahead is waiting, and was taken
+		_ = c.Wake(nil)
+	} else if h.front.drain.Load() {
+		_ = c.Close()
 	}
-	return left, err
 }
 
 // run does something on the loop and waits for it; nothing once the client has gone.
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -336,6 +336,9 @@
 	return (n(11) + n(12)) / 100, n(21) * float64(os.Getpagesize()) / (1 << 20)
 }
 
+// PID is the process's.
+func (p *Pooler) PID() int { return p.cmd.Process.Pid }
+
 // Stop ends everything that was started.
 func (f *Fleet) Stop() {
 	if f.Pooler != nil {
--- a/lab/load/worker.go
+++ b/lab/load/worker.go
@@ -31,7 +31,7 @@
 	named    map[string]string // prepared statements: what each returns
 	prepared int
 	last     string // the payload of its own row, as it was committed last
-	doubt    bool   // whether the last write went through is not known
+	doubt    bool   // whether the last write went through, or is known to the pooler, is not known
 	writes   int
 	pins     bool
 	misled   bool // it asked for a cancel
@@ -51,7 +51,8 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	w.named, w.setting = map[string]string{}, ""
+	// A new session has nothing of the old one, and the pooler does not know what that has committed.
+	w.named, w.setting, w.doubt = map[string]string{}, "", true
 	return err
 }
 
