Sessions: reads move no position, doubt does; kept connections leave draining hosts

Tests for the remaining hard cases found three faults. A lone read routed by a class of reads moved the session's position to the present, so that no replica ever qualified again; only what may write moves it now. After a commit in doubt the position did not move, so a replica could have shown the state before it. A session that keeps its connection began a new transaction on a host that drains; it now moves, or is told what it lost.

--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -45,6 +45,7 @@
 	call      *decide.Call
 	query     *session.Query // what the transaction is routed by, until it is sent
 	readOnly  bool
+	writes    bool    // by a class of writes
 	after     float64 // position that the session's reads must see
 	blocked   bool    // a message waits for what is under way
 	flushed   bool    // and the server was asked to say what it has
@@ -426,6 +427,10 @@
 		c.send(out)
 		return out[:0], false, gnet.Close
 	}
+	if s := c.server; s != nil && c.call == nil && c.pipe.Idle() && kind != 'S' && kind != 'H' && !c.listed(s) {
+		out = c.send(out)
+		c.forsake(s) // a new transaction does not begin on a host that drains
+	}
 	if c.server == nil {
 		switch c.unlinked(kind, body) {
 		case done:
@@ -714,7 +719,7 @@
 	if key == "" {
 		key = "#" + strconv.FormatUint(uint64(c.number), 36)
 	}
-	c.readOnly = r.ReadOnly
+	c.readOnly, c.writes = r.ReadOnly, f.facade.Writes(r.Class)
 	c.waiter.Deadline = now + patience
 	c.query = q
 	c.phase = phaseRouting
@@ -958,7 +963,8 @@
 		}
 		call.Conclude(s.outcome(code))
 	}
-	if status == 'I' && !c.readOnly && c.front.broken != "position" {
+	// A read by a class of reads moves nothing: else each would ask the next one's replica for the present.
+	if status == 'I' && (c.pipe.Wrote() || c.writes) && !c.readOnly && c.front.broken != "position" {
 		at := s.position
 		if at == 0 { // the host does not say: a commit is no younger than its answer
 			at = c.front.clock.Now()
@@ -982,7 +988,7 @@
 	}
 	c.keep(s)
 	c.flushed = false
-	listed := s.pool.host.address != "" && f.facade.Listed(s.pool.host.name)
+	listed := c.listed(s)
 	pinned := c.pipe.Pinned() != ""
 	switch {
 	case f.drain:
@@ -990,13 +996,8 @@
 		if c.gone {
 			return
 		}
-	case pinned && !listed: // nothing new goes there, and what it holds can't be carried
-		c.pending = &session.Refusal{State: stateFailed, Text: "the db host drains; the session's " + string(c.pipe.Pinned()) + " is lost with its connection"}
-		c.unlink(s)
-		c.pipe.Lose(false)
-		s.worn = true
-		s.wire.Close()
-		c.phase = phaseFree
+	case pinned && !listed:
+		c.forsake(s)
 		c.proceed()
 		return
 	case pinned, c.pool.Mode == Session && listed && !c.misplaced:
@@ -1014,6 +1015,26 @@
 	}
 }
 
+// listed says whether new work may go to a connection's host.
+func (c *sclient) listed(s *server) bool {
+	return s.pool.host.address != "" && c.front.facade.Listed(s.pool.host.name)
+}
+
+// forsake leaves a connection that was kept, between transactions, since its host drains. What binds the session to it
+// can't be carried; the next statement is told so.
+func (c *sclient) forsake(s *server) {
+	if cause := c.pipe.Pinned(); cause != "" {
+		c.pending = &session.Refusal{State: stateFailed, Text: "the db host drains; the session's " + string(cause) + " is lost with its connection"}
+		c.unlink(s)
+		c.pipe.Lose(false)
+		s.worn = true
+	} else {
+		c.unlink(s)
+	}
+	c.phase = phaseFree
+	s.rest()
+}
+
 // lost says that the server connection is gone. The client stays.
 func (c *sclient) lost(s *server) {
 	f := c.front
@@ -1043,6 +1064,8 @@
 		f.stats.LostSilent++
 	case l.State == session.StateDoubt:
 		f.stats.LostDoubt++
+		// Whoever looks whether it happened must not be shown an older state: it is no younger than now.
+		c.after = max(c.after, math.Ceil(f.clock.Now()))
 	default:
 		f.stats.LostSafe++
 	}
--- a/internal/net/pg/sessions_test.go
+++ b/internal/net/pg/sessions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"net"
@@ -13,6 +14,7 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/stretchr/testify/require"
+	"github.com/xdg-go/scram"
 
 	"ashstand/internal/clock"
 	"ashstand/internal/decide"
@@ -430,3 +432,125 @@
 	_, err := pgx.Connect(patient(t), "postgres://web@"+w.address+"/orders?sslmode=disable&options=-c%20statement_timeout%3Dsoon")
 	require.NoError(t, err, "the session has no connection yet")
 }
+
+func TestSessionsAreLetGoOf(t *testing.T) {
+	w := pool(t, nil)
+	c, d := w.connect(""), w.connect("")
+	w.exec(c, "BEGIN")
+	w.exec(c, "INSERT INTO entries (ref, payload) VALUES ('vanished', '1')")
+	c.PgConn().Conn().(*net.TCPConn).SetLinger(0)
+	c.PgConn().Conn().Close() // without a word, in a transaction
+	require.Eventually(t, func() bool { return w.front.Stats().Clients == 1 }, 5*time.Second, time.Millisecond)
+	require.Equal(t, "1", w.one(d, "SELECT $1", "1"))
+	require.Zero(t, w.cluster.Versions("public", "entries", "vanished"))
+	// Ten thousand statements of one client: a server connection holds 50 of them, the pooler no more than its memory.
+	for i := range 10000 {
+		if _, err := d.Prepare(patient(t), fmt.Sprint("s", i), fmt.Sprintf("SELECT 'number %d'", i)); err != nil {
+			t.Fatal(i, err)
+		}
+	}
+	for _, i := range []int{0, 9999, 5000, 1} {
+		require.Equal(t, fmt.Sprint("number ", i), w.one(d, fmt.Sprint("s", i)))
+	}
+	s := w.front.Stats()
+	require.Equal(t, 10000+1, s.Statements, "and pgx's own")
+	d.Close(patient(t))
+	require.Eventually(t, func() bool { return w.front.Stats().Statements == 0 }, 5*time.Second, time.Millisecond)
+	// The bound on memory is an error to one Parse, not to the session.
+	w.front.SetLimits(SessionLimits{Clients: 10, Servers: 5, Bytes: 20000, Message: 1 << 20, Connect: time.Second, Pools: w.front.limits.Load().Pools})
+	e := w.connect("")
+	var err error
+	for i := 0; err == nil && i < 1000; i++ {
+		_, err = e.Prepare(patient(t), fmt.Sprint("s", i), fmt.Sprintf("SELECT 'number %d'", i))
+	}
+	require.Equal(t, "53200", state(err))
+	require.Equal(t, "number 3", w.one(e, "s3"))
+}
+
+func TestSessionsProveTheirPassword(t *testing.T) {
+	client, err := scram.SHA256.NewClient("web", "right", "")
+	require.NoError(t, err)
+	stored := client.GetStoredCredentials(scram.KeyFactors{Salt: "salt of sixteen.", Iters: 4096})
+	b64 := base64.StdEncoding.EncodeToString
+	v, err := ParseVerifier(fmt.Sprintf("SCRAM-SHA-256$4096:%s$%s:%s", b64([]byte(stored.Salt)), b64(stored.StoredKey), b64(stored.ServerKey)))
+	require.NoError(t, err)
+	w := pool(t, func(l *SessionLimits) { l.Users = map[string]Verifier{"web": v} })
+	for url, want := range map[string]string{"web:right": "", "web:wrong": "28P01", "nobody:right": "28P01", "web": "no password"} {
+		c, err := pgx.Connect(patient(t), "postgres://"+url+"@"+w.address+"/orders?sslmode=disable")
+		if want == "" {
+			require.NoError(t, err)
+			require.Equal(t, "1", w.one(c, "SELECT $1", "1"))
+			c.Close(patient(t))
+		} else if want == "no password" {
+			require.Error(t, err)
+		} else {
+			require.Equal(t, want, state(err), url)
+		}
+	}
+	for _, bad := range []string{"", "md5abc", "SCRAM-SHA-256$1:c2FsdA==$x:y", "SCRAM-SHA-256$4096:$x:y", "SCRAM-SHA-256$4096:c2FsdA==$x:y"} {
+		_, err := ParseVerifier(bad)
+		require.Error(t, err, bad)
+	}
+}
+
+func TestSessionsInSessionMode(t *testing.T) {
+	w := pool(t, func(l *SessionLimits) {
+		p := l.Pools[0]
+		p.User, p.Mode = "keeper", Session
+		p.Sizes.Most, p.Reserve = 3, 1
+		l.Pools = append([]PoolSettings{p}, l.Pools...)
+	})
+	connect := func() *pgx.Conn {
+		c, err := pgx.Connect(patient(t), "postgres://keeper@"+w.address+"/orders?sslmode=disable")
+		require.NoError(t, err)
+		t.Cleanup(func() { c.PgConn().Conn().Close() })
+		return c
+	}
+	c := connect()
+	pid := w.one(c, "SELECT pg_backend_pid()")
+	w.exec(c, "SET app.mode TO session")
+	w.exec(c, "CREATE TEMP TABLE mine (a int)") // binds nothing that is not bound
+	for range 5 {
+		require.Equal(t, pid, w.one(c, "SELECT pg_backend_pid()"))
+	}
+	d := connect()
+	require.NotEqual(t, pid, w.one(d, "SELECT pg_backend_pid()"))
+	// The connection of one who leaves serves the next, who finds nothing of his.
+	d.Close(patient(t))
+	e := connect()
+	require.Equal(t, "1", w.one(e, "SELECT $1", "1"))
+	w.fails(e, "42704", "SELECT current_setting('app.mode')")
+	// A drain moves whoever is bound to nothing; what is bound is told.
+	w.cluster.Fail(w.b, 0, false)
+	w.a.Drain(true)
+	w.members("a")
+	require.Eventually(t, func() bool {
+		_, err := e.Exec(patient(t), "INSERT INTO entries (ref, payload) VALUES ('e', '1')")
+		return err == nil
+	}, 10*time.Second, 20*time.Millisecond)
+	time.Sleep(1100 * time.Millisecond)
+	w.fails(c, "08006", "SELECT 1") // of its temporary table
+	require.Equal(t, "session", w.one(c, "SELECT current_setting('app.mode')"), "the settings go with it")
+	require.Zero(t, w.a.Counts.All()["sent_to_draining"])
+}
+
+func TestSessionsKeepToWhatASessionHasCommitted(t *testing.T) {
+	w := pool(t, nil)
+	w.b.SetLag(400 * time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	c := w.connect("")
+	for i := range 10 {
+		w.exec(c, "INSERT INTO entries (ref, payload) VALUES ('mine', $1)", fmt.Sprint(i))
+		require.Equal(t, fmt.Sprint(i), w.one(c, "/* c=my-library */ SELECT payload FROM entries WHERE ref = 'mine'"))
+		tx, err := c.BeginTx(patient(t), pgx.TxOptions{AccessMode: pgx.ReadOnly})
+		require.NoError(t, err)
+		var v string
+		require.NoError(t, tx.QueryRow(patient(t), "SELECT payload FROM entries WHERE ref = $1", "mine").Scan(&v))
+		require.Equal(t, fmt.Sprint(i), v)
+		require.NoError(t, tx.Commit(patient(t)))
+	}
+	// Once the replica has it, it serves.
+	require.Eventually(t, func() bool { return w.one(c, "/* c=my-library */ SELECT pg_is_in_recovery()") == "t" }, 10*time.Second, 50*time.Millisecond)
+	w.fails(c, "08P01", "/* c=nonsense */ SELECT 1")
+	w.fails(c, "08P01", "/* c=browse,d=soon */ SELECT 1")
+}
--- a/internal/session/pipeline.go
+++ b/internal/session/pipeline.go
@@ -81,6 +81,7 @@
 	readOnly bool
 	work     bool  // statements ran outside a block whose implicit transaction no ReadyForQuery has ended yet
 	ended    bool  // and a COMMIT went through
+	wrote    bool  // a statement that may write ran since Wrote was asked
 	pinned   Cause // why the session can't leave its connection; "": it can
 }
 
@@ -111,6 +112,13 @@
 	return p.head == len(p.due) && !p.skipping && p.status == 'I' && !p.copyIn
 }
 
+// Wrote says whether a statement that may write ran since it was asked last.
+func (p *Pipeline) Wrote() bool {
+	w := p.wrote
+	p.wrote = false
+	return w
+}
+
 // Pinned is why the session can't leave its connection; "": it can.
 func (p *Pipeline) Pinned() Cause { return p.pinned }
 
@@ -431,7 +439,7 @@
 		case kind == 'C' && e.next < len(e.run):
 			p.completed(&e.run[e.next], word)
 		case kind != 'I':
-			p.work = p.work || !p.explicit
+			p.work, p.wrote = p.work || !p.explicit, true
 		}
 		if e.next++; e.kind == askQuery || e.kind == askSettings {
 			return out
@@ -455,6 +463,7 @@
 	switch s.Kind {
 	case Other, Select, Execute, Pins:
 		p.work = p.work || !block
+		p.wrote = p.wrote || s.Kind != Select
 	case Commit:
 		p.ended = p.ended || tag != "ROLLBACK"
 	}
@@ -645,7 +654,7 @@
 	}
 	l.Silent = l.Cycles == 0 && !open && !block && !p.skipping
 	p.Skipped(len(p.asked))
-	p.work, p.ended = false, false
+	p.work, p.ended, p.wrote = false, false, false
 	p.due, p.head, p.portals, p.server, p.copyIn, p.stale, p.pinned = nil, 0, nil, nil, false, nil, ""
 	p.skipping = open || p.skipping
 	p.Tracker.Lost()
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -373,3 +373,13 @@
 		return ctx.Err()
 	}
 }
+
+// Rewrite changes a pooler's operator's file.
+func (f *Fleet) Rewrite(name string, change func(string) string) error {
+	path := filepath.Join(f.dir, name+".hcl")
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, []byte(change(string(b))), 0o600)
+}
