Learned state: what is kept, how it grows old, and a file that no crash spoils

After a restart a pooler forgot which hosts fail or lag, what they stand and what is usual. choice offers its state and takes it back by a small face: careful at once (a low limit, failures, a start that was seen), less careful by proof alone, and a position never qualifies a replica. Each fact has its own law of ageing; the clock running back, a restart of the host, another pooler or site void it. The file is versioned, each part with its checksum and the directory twice; written under another name, synced, renamed. A stand-in for the file system stops or fails at every call in turn: what is found is always whole. Off on the platform. ashstand state show, verify and export look at a file.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -82,6 +82,9 @@
 	open                 bool          // a connection was made, and not lost since
 	probed               time.Duration // when the last probe was sent
 	probing              bool          // it is unanswered
+	hope                 float64       // kept from before the start, as are the next two: a limit,
+	lagged               time.Duration // how far behind it was,
+	wasPrimary           bool          // and its role; they prove nothing, see state.go
 }
 
 type group struct {
@@ -168,6 +171,7 @@
 	probes          float64       // probes that the requests so far have earned
 	worth           [2]float64    // smoothed, of requests for replicas and for the primary
 	retryAt         time.Duration // when to ask discovery again; 0: no need
+	past            recall
 }
 
 // New returns the decisions of one router, or an error for settings that can't be served.
@@ -329,6 +333,7 @@
 			m.started = at
 		}
 		m.listed = true
+		c.recall(m)
 	}
 }
 
@@ -577,6 +582,9 @@
 // aim, so queues stay with the routers. Could harm a class whose work alone takes half of its aim.
 func (c *Choice) adjust(m *member, by float64) {
 	m.limit = max(1, m.limit+by, m.limit*(1+min(0, by)))
+	if m.hope *= max(0, 1+min(0, 2*by)); by > 0 { // what held before the start is taken up again by proof
+		m.limit = max(m.limit, min(m.hope, 2*m.limit))
+	}
 }
 
 // press moves the part of a group's requests that is shed: up when answers come late, or not at all while
@@ -839,7 +847,7 @@
 		if !m.listed || c.silent(m) || !c.room(m) || !c.admits(m, r, g.part()) {
 			continue
 		}
-		if next == nil || m.otherAt < next.otherAt {
+		if next == nil || m.otherAt < next.otherAt || m.otherAt == next.otherAt && m.wasPrimary {
 			next = m
 		}
 	}
@@ -968,7 +976,7 @@
 	ms = slices.DeleteFunc(ms, func(m *member) bool {
 		return m == r.asked || !m.probing && c.now-m.probed < askAgain
 	})
-	m := c.draw(ms)
+	m := c.draw(c.likely(ms))
 	if m == nil || !m.probing && c.probes < 1 {
 		return false
 	}
--- a/cmd/ashstand/commands.go
+++ b/cmd/ashstand/commands.go
@@ -112,6 +112,7 @@
 		ask(&cobra.Command{Use: "sessions", Short: "show the sessions that the pooler carries, and what became of lost ones", Args: cobra.NoArgs,
 			RunE: view("sessions", &sessions, func(w io.Writer) { sessionTable(w, &sessions) })}),
 		play,
+		stateCommands(),
 		&cobra.Command{Use: "version", Short: "print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
 			fmt.Fprintln(c.OutOrStdout(), version())
 		}},
@@ -230,6 +231,12 @@
 			slices.SortFunc(out, func(a, b hostView) int { return strings.Compare(a.Name, b.Name) })
 			return out
 		},
+		"state": func() any {
+			if n.keeper == nil {
+				return keeperView{}
+			}
+			return n.keeper.view()
+		},
 		"config": func() any {
 			c := n.cfg.Load()
 			return map[string]any{"name": c.Name, "listen": c.Listen, "discovery": c.Discovery, "limits": c.Limits,
--- a/cmd/ashstand/config.go
+++ b/cmd/ashstand/config.go
@@ -200,6 +200,9 @@
 	if c.operator.Admin != old.operator.Admin {
 		wait = append(wait, "admin.listen")
 	}
+	if c.operator.State != old.operator.State {
+		wait = append(wait, "state")
+	}
 	if c.flight.Listen != old.flight.Listen || c.flight.Connections != old.flight.Connections {
 		wait = append(wait, "flight")
 	}
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -100,6 +100,7 @@
 	watch  *discovery.Watcher
 	pooled *pg.Sessions  // nil: off
 	admin  *admin.Server // nil: off
+	keeper *keeper       // nil: nothing is kept
 	cfg    atomic.Pointer[config]
 	list   atomic.Pointer[map[string]discovery.Entry]
 	pool   *pg.Pool
@@ -179,6 +180,9 @@
 	n.list.Store(&map[string]discovery.Entry{})
 	told := apply
 	apply = func(l discovery.List) { n.listed(l, told) }
+	if n.keeper, err = keep(cfg, n); err != nil {
+		return nil, err
+	}
 	if cfg.Known != nil {
 		cfg.Known.Snapshot = true
 		apply(*cfg.Known)
@@ -215,6 +219,9 @@
 		log.Printf("%s pools sessions on %s; at most %d clients and %d server connections", cfg.Name, cfg.operator.Sessions.Listen,
 			b.pooled.Clients, b.pooled.Servers)
 	}
+	if n.keeper != nil {
+		go n.keeper.run(ctx)
+	}
 	go n.facade.Run(ctx)
 	n.watch = discovery.New(n.engine, cfg.Discovery, cfg.Known, apply)
 	go n.watch.Run(ctx)
@@ -294,6 +301,9 @@
 	if n.admin != nil {
 		n.admin.Stop()
 	}
+	if n.keeper != nil {
+		n.keeper.last()
+	}
 	time.Sleep(lastWords / 3) // the loop writes what is still to be said
 }
 
@@ -305,6 +315,9 @@
 	if n.flight != nil {
 		n.flight.Stop()
 	}
+	if n.keeper != nil {
+		n.keeper.store.Close()
+	}
 	n.engine.Stop()
 	n.hosts.Close()
 }
--- a/deploy/ashstand.hcl
+++ b/deploy/ashstand.hcl
@@ -19,3 +19,8 @@
 sessions {
   listen = "" # such as "127.0.0.1:6432"
 }
+
+# What was learned, kept across restarts. The platform has no disk that outlives a pooler.
+state {
+  folder = "" # the absolute path of a folder
+}
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -410,3 +410,17 @@
 		// ActFetch have no meaning where discovery is watched all the time.
 	}
 }
+
+// Keep returns what the module has learned and is worth keeping across a restart.
+func (f *Facade) Keep() choice.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.module.Export(clock.Duration(f.clock.Now()))
+}
+
+// Recall gives the module what was kept, weighed by its age. It counts for hosts as the list names them.
+func (f *Facade) Recall(s choice.State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.module.Import(clock.Duration(f.clock.Now()), s)
+}
--- /dev/null
+++ b/internal/learned/learned_test.go
@@ -0,0 +1,352 @@
+package learned
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ashstand/choice"
+)
+
+// whole is a snapshot with everything in it, of the moment 1e12.
+func whole() *Snapshot {
+	return &Snapshot{Head: Head{"n1", "site", 1e12},
+		Hosts:   []Host{{Name: "a", Group: 1, Since: 5, Limit: 40, Took: 2, Lag: 30, Heard: 10, Proof: 20}, {Name: "p", Group: 1, Limit: 2, Lag: -1, Primary: true, Proof: 20}},
+		Classes: []Class{{"browse", 20, 12, 950, 8}}, Wear: &Wear{[]float64{9, 4}, []float64{0, 3}}, List: &List{At: 1e12, JSON: []byte(`{"index":3}`)}}
+}
+
+func TestFileIsReadAsItWasWritten(t *testing.T) {
+	b, err := Encode(whole())
+	require.NoError(t, err)
+	s, lost, err := Decode(b)
+	require.NoError(t, err)
+	require.Empty(t, lost)
+	require.Equal(t, whole(), s)
+	// A truncated file, at every byte: an error, or what is whole of it, and never anything else.
+	for n := range b {
+		s, _, err := Decode(b[:n])
+		if err == nil {
+			require.Equal(t, whole().Head, s.Head)
+			require.Subset(t, whole().Hosts, s.Hosts)
+		}
+	}
+	// A flipped bit, anywhere: it costs the part that it is in.
+	usable := 0
+	for i := range b {
+		c := append([]byte{}, b...)
+		c[i] ^= 1 << (i % 8)
+		s, lost, err := Decode(c)
+		if err != nil {
+			continue
+		}
+		usable++
+		require.LessOrEqual(t, len(lost), 1, i)
+		for _, part := range []struct {
+			tag       string
+			got, want any
+		}{{"host", s.Hosts, whole().Hosts}, {"clas", s.Classes, whole().Classes}, {"wear", s.Wear, whole().Wear}, {"list", s.List, whole().List}} {
+			if !has(lost, part.tag) {
+				require.Equal(t, part.want, part.got, "byte %d", i)
+			}
+		}
+	}
+	require.Greater(t, usable, len(b)*3/4)
+}
+
+func TestVersions(t *testing.T) {
+	for version, file := range map[uint16]string{1: "testdata/version1.ash", 2: "testdata/version2.ash"} {
+		if os.Getenv("WRITE_GOLDEN") != "" {
+			b, err := encode(whole(), version)
+			require.NoError(t, err)
+			require.NoError(t, os.WriteFile(file, b, 0o644))
+		}
+		b, err := os.ReadFile(file)
+		require.NoError(t, err)
+		s, lost, err := Decode(b)
+		require.NoError(t, err)
+		require.Empty(t, lost)
+		want := whole()
+		if version == 1 {
+			want.Wear, want.List = nil, nil
+			for i := range want.Hosts {
+				want.Hosts[i].Lag, want.Hosts[i].Primary, want.Hosts[i].Heard, want.Hosts[i].Proof = -1, false, maxAge, maxAge
+			}
+		}
+		require.Equal(t, want, s, file)
+	}
+	b, err := encode(whole(), Version+1)
+	require.NoError(t, err)
+	_, _, err = Decode(b)
+	require.ErrorIs(t, err, ErrNewer)
+	d := newDisk()
+	d.live["f/"+fileName] = b
+	s := On(d, "f")
+	_, _, err = s.Load()
+	require.ErrorIs(t, err, ErrNewer)
+	require.Error(t, s.Save([]byte("x")))
+	require.Equal(t, b, d.live["f/"+fileName], "it is left alone")
+}
+
+func TestOldFactsAreWorthLess(t *testing.T) {
+	const minute, hour = 60e3, 3600e3
+	at := func(now float64) Weighed { return Weigh(whole(), now, "n1", "site", false) }
+	fresh := at(1e12)
+	require.InDelta(t, 40, fresh.State.Members[0].Limit, 0.01)
+	require.Equal(t, 30*time.Millisecond, fresh.State.Members[0].Lag)
+	require.True(t, fresh.State.Members[1].Primary)
+	ten := at(1e12 + 10*minute)
+	require.InDelta(t, 3+37/2.718, ten.State.Members[0].Limit, 0.1)
+	require.Less(t, ten.State.Members[0].Took, 0.01, "failures are forgotten soon")
+	require.Negative(t, ten.State.Members[0].Lag)
+	require.True(t, ten.State.Members[1].Primary)
+	require.InDelta(t, 3-1/2.718, ten.State.Members[1].Limit, 0.01, "a low limit too nears the usual one")
+	day := at(1e12 + 3*hour)
+	require.Len(t, day.State.Members, 0)
+	require.Equal(t, 4, day.State.Classes[0].Sure)
+	// A day old, from the future, of another pooler or site: nothing counts, and it is said why.
+	for why, w := range map[string]Weighed{"older than a day": at(1e12 + 25*hour), "ran backwards": at(1e12 - hour), "year": at(1e12 + 365*24*hour),
+		`pooler "n1"`: Weigh(whole(), 1e12, "n2", "site", false), "another site": Weigh(whole(), 1e12, "n1", "other", false)} {
+		require.Empty(t, w.State.Members, why)
+		require.Empty(t, w.State.Classes, why)
+		require.Nil(t, w.Wear, why)
+		require.Len(t, w.Verdicts, 8, why)
+		for _, v := range w.Verdicts {
+			require.Zero(t, v.Weight)
+			if why != "year" {
+				require.Contains(t, v.Why, why)
+			}
+		}
+	}
+	require.NotEmpty(t, Weigh(whole(), 1e12+25*hour, "n1", "site", true).State.Members, "the switch for the checker")
+	// What the decisions give comes back the same.
+	s := choice.State{Members: []choice.Kept{{Host: "a", Group: 2, Started: time.Second, Limit: 7, Took: 0.5, Lag: 40 * time.Millisecond, Heard: time.Second}}}
+	got := Weigh(Take(Head{"n", "s", 5e5}, s, nil, nil), 5e5, "n", "s", false).State
+	s.Members[0].Heard = 0 // it is in the weight
+	require.Equal(t, s.Members, got.Members)
+}
+
+// disk is a file system that stops at the nth call and keeps only what was synced.
+type disk struct {
+	live, safe map[string][]byte
+	calls      int
+	stop       int  // the call at which it stops; 0: never
+	fail       bool // it fails there, and goes on
+}
+
+var errStopped = errors.New("the machine stopped")
+var errFull = errors.New("no space left on device")
+
+func newDisk() *disk { return &disk{live: map[string][]byte{}, safe: map[string][]byte{}} }
+
+func (d *disk) call() error {
+	d.calls++
+	if d.stop > 0 && d.calls == d.stop && d.fail {
+		return errFull
+	}
+	if d.stop > 0 && d.calls >= d.stop && !d.fail {
+		return errStopped
+	}
+	return nil
+}
+
+func (d *disk) ReadFile(path string, _ int) ([]byte, error) {
+	b, ok := d.live[path]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return b, nil
+}
+
+type file struct {
+	d    *disk
+	path string
+}
+
+func (d *disk) Create(path string) (File, error) {
+	if err := d.call(); err != nil {
+		return nil, err
+	}
+	d.live[path] = nil
+	return &file{d, path}, nil
+}
+
+func (f *file) Write(b []byte) (int, error) {
+	if err := f.d.call(); err != nil {
+		f.d.live[f.path] = append(f.d.live[f.path], b[:len(b)/2]...) // half of it got there
+		return len(b) / 2, err
+	}
+	f.d.live[f.path] = append(f.d.live[f.path], b...)
+	return len(b), nil
+}
+
+func (f *file) Sync() error {
+	if err := f.d.call(); err != nil {
+		return err
+	}
+	f.d.safe[f.path] = append([]byte{}, f.d.live[f.path]...)
+	return nil
+}
+
+func (f *file) Close() error { return f.d.call() }
+
+func (d *disk) Rename(from, to string) error {
+	if err := d.call(); err != nil {
+		return err
+	}
+	d.live[to] = d.live[from]
+	delete(d.live, from)
+	return nil
+}
+
+func (d *disk) Remove(path string) error {
+	if err := d.call(); err != nil {
+		return err
+	}
+	delete(d.live, path)
+	return nil
+}
+
+func (d *disk) SyncFolder(string) error {
+	if err := d.call(); err != nil {
+		return err
+	}
+	for path := range d.safe { // names are safe from here on, with what was synced of their data
+		if _, ok := d.live[path]; !ok {
+			delete(d.safe, path)
+		}
+	}
+	for path, b := range d.live {
+		d.safe[path] = b
+	}
+	return nil
+}
+
+func (d *disk) Names(string) (names []string, err error) {
+	for path := range d.live {
+		names = append(names, filepath.Base(path))
+	}
+	return names, d.call()
+}
+
+func TestAStopAtAnyCallLeavesAWholeFile(t *testing.T) {
+	first, second := whole(), whole()
+	second.Head.At++
+	for range 200 {
+		second.Hosts = append(second.Hosts, Host{Name: fmt.Sprint("h", len(second.Hosts)), Limit: 5, Lag: -1})
+	}
+	a, err := Encode(first)
+	require.NoError(t, err)
+	b, err := Encode(second)
+	require.NoError(t, err)
+	for _, fail := range []bool{false, true} {
+		for stop := 1; ; stop++ {
+			d := newDisk()
+			require.NoError(t, On(d, "f").Save(a))
+			d.calls, d.stop, d.fail = 0, stop, fail
+			err := On(d, "f").Save(b)
+			for what, files := range map[string]map[string][]byte{"what was written": d.live, "what was synced": d.safe} {
+				s, lost, derr := Decode(files["f/"+fileName])
+				require.NoError(t, derr, "%s, stopped at call %d", what, stop)
+				require.Empty(t, lost)
+				require.Contains(t, []float64{first.Head.At, second.Head.At}, s.Head.At)
+				if err == nil {
+					require.Equal(t, second.Head.At, s.Head.At, what)
+				}
+			}
+			if err == nil && d.calls < stop {
+				require.Greater(t, stop, 8, "every write, sync and rename was one")
+				break
+			}
+			if fail && err != nil { // a full disk: the next attempt finds room
+				d.stop = 0
+				require.NoError(t, On(d, "f").Save(b))
+			}
+		}
+	}
+	// Written in place, a stop leaves a part: the test can fail.
+	d := newDisk()
+	require.NoError(t, On(d, "f").Save(a))
+	d.calls, d.stop = 0, 3
+	s := On(d, "f")
+	s.Tear()
+	require.Error(t, s.Save(b))
+	_, lost, err := Decode(d.live["f/"+fileName])
+	require.True(t, err != nil || len(lost) > 0)
+}
+
+func TestASpoiltFileIsMovedAside(t *testing.T) {
+	folder := t.TempDir()
+	s, err := Open(folder)
+	require.NoError(t, err)
+	_, err = Open(folder)
+	require.ErrorContains(t, err, "another pooler has it")
+	got, _, err := s.Load()
+	require.NoError(t, err)
+	require.Nil(t, got)
+	for range 6 {
+		require.NoError(t, os.WriteFile(s.Path(), []byte("ASHLEARN and then nothing"), 0o600))
+		_, _, err = s.Load()
+		require.ErrorIs(t, err, ErrSpoilt)
+		require.NoFileExists(t, s.Path())
+	}
+	names, err := Real{}.Names(folder)
+	require.NoError(t, err)
+	require.Equal(t, 3, strings.Count(strings.Join(names, " "), asideIs), "the last few are kept for a look")
+	b, err := Encode(whole())
+	require.NoError(t, err)
+	require.NoError(t, s.Save(b))
+	got, _, err = s.Load()
+	require.NoError(t, err)
+	require.Equal(t, whole(), got)
+	s.Close()
+	s, err = Open(folder)
+	require.NoError(t, err)
+	s.Close()
+	_, err = Open(filepath.Join(folder, "none"))
+	require.ErrorIs(t, err, fs.ErrNotExist)
+}
+
+func TestALargeFleetIsBounded(t *testing.T) {
+	s := whole()
+	for i := range 5000 {
+		s.Hosts = append(s.Hosts, Host{Name: fmt.Sprintf("host-%d", i), Group: uint64(i / 4), Limit: 12, Lag: 8, Heard: 100})
+	}
+	b, err := Encode(s)
+	require.NoError(t, err)
+	require.Less(t, len(b), 1<<20)
+	got, _, err := Decode(b)
+	require.NoError(t, err)
+	require.Len(t, got.Hosts, 5002)
+	s.Hosts = make([]Host, maxHosts+1)
+	_, err = Encode(s)
+	require.Error(t, err)
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, v := range []uint16{1, 2, 3} {
+		b, _ := encode(whole(), v)
+		f.Add(b)
+		f.Add(b[:len(b)/2])
+		f.Add(b[len(b)/2:])
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, _, err := Decode(b)
+		if err != nil {
+			return
+		}
+		w := Weigh(s, s.Head.At, s.Head.Name, s.Head.Site, false)
+		for _, m := range w.State.Members {
+			require.GreaterOrEqual(t, m.Limit, 1.0)
+		}
+		if _, err := Encode(s); err != nil {
+			require.ErrorContains(t, err, "more than")
+		}
+	})
+}
--- a/internal/net/pg/wear.go
+++ b/internal/net/pg/wear.go
@@ -52,3 +52,25 @@
 	}
 	return math.Inf(1)
 }
+
+// Wear is what the pool has learned of idle connections: requests and resets by how long the connection had been idle.
+func (p *Pool) Wear() (requests, resets []float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range p.wear.ages {
+		requests, resets = append(requests, a.requests), append(resets, a.resets)
+	}
+	return requests, resets
+}
+
+// SetWear takes what an earlier process learned. More resets retire connections sooner, which is the careful side.
+func (p *Pool) SetWear(requests, resets []float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wear.at = p.clock.Now()
+	for i := range p.wear.ages {
+		if i < len(requests) && i < len(resets) {
+			p.wear.ages[i] = age{requests[i], resets[i]}
+		}
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -22,6 +23,7 @@
 	Path     string    `json:"path"`
 	Log      Log       `json:"log"`
 	Admin    Admin     `json:"admin"`
+	State    State     `json:"state"`
 	Flight   *Flight   `json:"flight,omitempty"` // nil: the file says nothing of it
 	Sessions *Sessions `json:"sessions,omitempty"`
 }
@@ -37,6 +39,12 @@
 	Listen string `json:"listen"` // unix:PATH or a loopback host:port; "": nowhere
 }
 
+// State says where what was learned is kept across restarts.
+type State struct {
+	Folder string        `json:"folder"` // "": nowhere
+	Pace   time.Duration `json:"pace"`
+}
+
 // Flight is the Flight SQL front.
 type Flight struct {
 	Listen      string   `json:"listen"`
@@ -80,6 +88,7 @@
 	fileBody struct {
 		Log      *logBody      `hcl:"log,block"`
 		Admin    *adminBody    `hcl:"admin,block"`
+		State    *stateBody    `hcl:"state,block"`
 		Flight   *flightBody   `hcl:"flight,block"`
 		Sessions *sessionsBody `hcl:"sessions,block"`
 	}
@@ -92,6 +101,11 @@
 		Listen *string  `hcl:"listen"`
 		Body   hcl.Body `hcl:",body"`
 	}
+	stateBody struct {
+		Folder *string  `hcl:"folder"`
+		Pace   *string  `hcl:"pace"`
+		Body   hcl.Body `hcl:",body"`
+	}
 	flightBody struct {
 		Listen      *string  `hcl:"listen"`
 		Connections *int     `hcl:"connections"`
@@ -135,7 +149,9 @@
 )
 
 // New is the file that says nothing: all that is new is off.
-func New() *File { return &File{Log: Log{Level: "info", Format: "text"}} }
+func New() *File {
+	return &File{Log: Log{Level: "info", Format: "text"}, State: State{Pace: 2 * time.Second}}
+}
 
 // Load reads a file. One that is not there is like one that says nothing, unless it must be there.
 func Load(path string, must bool) (*File, error) {
@@ -175,6 +191,13 @@
 			c.address(a.Body, "listen", f.Admin.Listen, true)
 		}
 	}
+	if s := b.State; s != nil {
+		c.block = "state"
+		if set(s.Folder, &f.State.Folder); f.State.Folder != "" && !filepath.IsAbs(f.State.Folder) {
+			c.fail(s.Body, "folder", strconv.Quote(f.State.Folder), "the absolute path of a folder that outlives the process")
+		}
+		c.time(s.Body, "pace", s.Pace, &f.State.Pace, time.Millisecond, time.Hour, false)
+	}
 	if l := b.Flight; l != nil {
 		c.block = "flight"
 		f.Flight = &Flight{Connections: 64, HostTypes: l.HostTypes}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -16,6 +16,7 @@
   format = "json"
 }
 admin { listen = "unix:/tmp/a.sock" }
+state { folder = "/var/lib/ashstand" }
 flight {
   listen     = "127.0.0.1:1"
   host_types = ["f"]
@@ -67,19 +68,20 @@
 	for change, want := range map[string]string{
 		`"warn"|"loud"`:               `x.hcl:3: log: level is "loud"; allowed is debug, info, warn, error`,
 		`unix:/tmp/a.sock|10.0.0.1:4`: `x.hcl:6: admin: listen is "10.0.0.1:4"; allowed is unix:PATH or a loopback address`,
-		`127.0.0.1:2"|nowhere"`:       `x.hcl:12: sessions: listen is "nowhere"; allowed is host:port`,
-		`2MiB|3`:                      `x.hcl:13: sessions: max_message is "3"; allowed is a size from 64KiB to 64MiB`,
-		`"session"|"statement"`:       `x.hcl:17: sessions.pool "reports": mode is "statement"; allowed is transaction, session`,
-		`250ms|soon`:                  `x.hcl:18: sessions.pool "reports": patience is "soon"; allowed is a time from 1ms to 1h0m0s, such as "2s"`,
-		`size        = 3|size = 0`:    `x.hcl:23: sessions.pool "rest": size is 0; allowed is a whole number from 1 to 1048576`,
-		`size        = 3|size = "x"`:  `x.hcl:23: Unsuitable value type`,
-		`size        = 3|sise = 3`:    `x.hcl:23: Unsupported argument: An argument named "sise" is not expected here. Did you mean "size"?`,
-		`size        = 3|reserve = 8`: `x.hcl:23: sessions.pool "rest": reserve is 8; allowed is a whole number from 0 to 7`,
+		`127.0.0.1:2"|nowhere"`:       `x.hcl:13: sessions: listen is "nowhere"; allowed is host:port`,
+		`2MiB|3`:                      `x.hcl:14: sessions: max_message is "3"; allowed is a size from 64KiB to 64MiB`,
+		`"session"|"statement"`:       `x.hcl:18: sessions.pool "reports": mode is "statement"; allowed is transaction, session`,
+		`250ms|soon`:                  `x.hcl:19: sessions.pool "reports": patience is "soon"; allowed is a time from 1ms to 1h0m0s, such as "2s"`,
+		`size        = 3|size = 0`:    `x.hcl:24: sessions.pool "rest": size is 0; allowed is a whole number from 1 to 1048576`,
+		`size        = 3|size = "x"`:  `x.hcl:24: Unsuitable value type`,
+		`size        = 3|sise = 3`:    `x.hcl:24: Unsupported argument: An argument named "sise" is not expected here. Did you mean "size"?`,
+		`size        = 3|reserve = 8`: `x.hcl:24: sessions.pool "rest": reserve is 8; allowed is a whole number from 0 to 7`,
 		`    read_only   = "browse"|`: `sessions.pool "rest": read_only is not there; allowed is the class`,
 		`"reporter"|"*"|"orders"|"*"`: `sessions.pool "rest": database is "*" with user "*", as in pool "reports"`,
 		`"rest" {|"rest" {` + "\n database = \"orders\"\n user = \"reporter\"" + `|"reporter"|"*"`: `never reached: pool "reports" before it`,
-		`SCRAM-SHA-256$4096|md5$4096`: `x.hcl:29: sessions.user "app": scram is no verifier; allowed is SCRAM-SHA-256$iterations`,
-		`sessions {|sessions { {`:     `x.hcl:11: `,
+		`SCRAM-SHA-256$4096|md5$4096`: `x.hcl:30: sessions.user "app": scram is no verifier; allowed is SCRAM-SHA-256$iterations`,
+		`/var/lib/ashstand|state`:     `x.hcl:7: state: folder is "state"; allowed is the absolute path`,
+		`sessions {|sessions { {`:     `x.hcl:12: `,
 	} {
 		text, words := whole, strings.Split(change, "|")
 		for i := 0; i+1 < len(words); i += 2 {
