ashlab restart: kills while state is written, and restarts with the file and without

Whether the file can be trusted shows only when the real program is killed while it writes. The command does that, reads what is left, starts it on files that are too old, from the future or another pooler's, checks own writes and drains all along, and then compares restarts before a fleet with a slow, a lagging and a cold host.

--- a/cmd/ashlab/main.go
+++ b/cmd/ashlab/main.go
@@ -78,7 +78,7 @@
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "ashlab", Short: "try, load and measure the pooler against stand-ins", SilenceUsage: true, SilenceErrors: true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
-	root.AddCommand(sessions(), try(), up(), relay())
+	root.AddCommand(sessions(), try(), up(), relay(), restart())
 	return root
 }
 
@@ -124,3 +124,21 @@
 	c.Flags().StringVar(&to, "to", "", "where the host listens")
 	return c
 }
+
+func restart() *cobra.Command {
+	var m common
+	o := load.RestartOptions{}
+	c := &cobra.Command{Use: "restart", Short: "kill the pooler while it writes what it learned, then compare restarts with and without it", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if m.breaks != "" && !slices.Contains(load.RestartBreakable, m.breaks) {
+				return fmt.Errorf("--break %s: it can be %s", m.breaks, strings.Join(load.RestartBreakable, ", "))
+			}
+			o.Seed, o.Break, o.Pooler, o.Log = m.seed, m.breaks, m.pooler, m.log
+			return m.finish(load.Restart(c.Context(), o))
+		}}
+	c.Flags().IntVar(&o.Kills, "kills", 100, "how often it is killed while it writes")
+	c.Flags().IntVar(&o.Rounds, "rounds", 2, "restarts with the file, and as many without, that are compared")
+	m.flags(c, 0, load.RestartBreakable)
+	_ = c.Flags().MarkHidden("duration") // kills and rounds say how long
+	return c
+}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -34,7 +34,9 @@
 	Servers  int      // session server connections
 	Env      []string // for the pooler
 	Log      bool     // pass the pooler's log on to standard error
-	Plain    bool     // a version that knows neither commands nor the operator's file
+	State    string   // a folder in which the pooler keeps what it learned; "": none
+	Pace     time.Duration
+	Plain    bool // a version that knows neither commands nor the operator's file
 }
 
 // Fleet is what runs.
@@ -48,6 +50,8 @@
 
 	mu       sync.Mutex
 	draining map[string]bool
+
+	addresses map[string][2]string // of poolers
 }
 
 // Pooler is a process.
@@ -111,7 +115,7 @@
 
 // Start brings up hosts and discovery, then one pooler, and waits until it serves.
 func Start(o Options) (*Fleet, error) {
-	f := &Fleet{Cluster: host.NewCluster(1, o.Seed), Options: o, draining: map[string]bool{}}
+	f := &Fleet{Cluster: host.NewCluster(1, o.Seed), Options: o, draining: map[string]bool{}, addresses: map[string][2]string{}}
 	var err error
 	if f.dir, err = os.MkdirTemp("", "ashlab-"); err != nil {
 		return nil, err
@@ -201,10 +205,18 @@
 		return nil, err
 	}
 	p := &Pooler{log: &tail{pass: o.Log}, ended: make(chan struct{}), Admin: "unix:" + filepath.Join(f.dir, name+".sock")}
-	for _, a := range []*string{&p.Statement, &p.Sessions} {
-		if *a, err = Free(); err != nil {
-			return nil, err
+	f.mu.Lock()
+	held, again := f.addresses[name]
+	f.mu.Unlock()
+	if p.Statement, p.Sessions = held[0], held[1]; !again { // one that starts again has its addresses
+		for _, a := range []*string{&p.Statement, &p.Sessions} {
+			if *a, err = Free(); err != nil {
+				return nil, err
+			}
 		}
+		f.mu.Lock()
+		f.addresses[name] = [2]string{p.Statement, p.Sessions}
+		f.mu.Unlock()
 	}
 	memory, sockets := o.MemoryMB, o.Sockets
 	if memory == 0 {
@@ -224,6 +236,9 @@
 		block = Pool(o.Clients, o.Servers, o.Servers)
 	}
 	text := fmt.Sprintf("admin {\n  listen = %q\n}\n", p.Admin) + strings.ReplaceAll(block, "LISTEN", p.Sessions)
+	if o.State != "" {
+		text += fmt.Sprintf("state {\n  folder = %q\n  pace = %q\n}\n", o.State, o.Pace)
+	}
 	if err := errors.Join(os.WriteFile(path, config, 0o600), os.WriteFile(file, []byte(text), 0o600)); err != nil {
 		return nil, err
 	}
--- a/lab/host/cluster.go
+++ b/lab/host/cluster.go
@@ -103,6 +103,73 @@
 	down     bool
 	since    float64 // Unix milliseconds of its last start
 	most     int
+	capacity float64 // statements a second when warm; 0: no bound
+	free     time.Time
+	coldest  float64     // the most of what it stands that was sent to it
+	recent   []time.Time // of what was sent to it while it was cold
+}
+
+// Cold is how a host starts: from this share of its capacity, warm after so long, and overloaded by so many times what
+// it stands over such a span, as the rules have it.
+const (
+	coldFrom   = 0.24
+	coldFor    = 15 * time.Second
+	coldFactor = 3
+	coldSpan   = 1500 * time.Millisecond
+)
+
+// SetCapacity bounds what the host can do in a second; what comes beyond waits.
+func (h *Host) SetCapacity(perSecond float64) {
+	h.mu.Lock()
+	h.capacity = perSecond
+	h.mu.Unlock()
+}
+
+// Share is the part of its capacity that a host which started a while ago has.
+func Share(age time.Duration) float64 {
+	return coldFrom + (1-coldFrom)*min(1, max(0, float64(age)/float64(coldFor)))
+}
+
+// work takes a statement's turn on the host: how long it waits, and whether the host takes it at all.
+func (h *Host) work() (wait time.Duration, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.capacity <= 0 {
+		return 0, true
+	}
+	now := time.Now()
+	able := h.capacity
+	if h.since > 0 {
+		if age := time.Duration((Now() - h.since) * 1e6); age < coldFor {
+			able *= Share(age)
+			h.recent = append(h.recent, now)
+			for len(h.recent) > 0 && now.Sub(h.recent[0]) > coldSpan {
+				h.recent = h.recent[1:]
+			}
+			used := float64(len(h.recent)) / (coldFactor * able * coldSpan.Seconds())
+			h.coldest = max(h.coldest, used)
+			if used > 1 {
+				h.Counts.Add("cold_overload")
+			}
+		}
+	}
+	if h.free.Before(now) {
+		h.free = now
+	}
+	if wait = h.free.Sub(now); wait > time.Second {
+		return 0, false
+	}
+	h.free = h.free.Add(time.Duration(1e9 / able))
+	return h.free.Sub(now), true
+}
+
+// ColdLoad is the most work sent to the host while it was cold, as a share of what it stands, since it was asked last.
+func (h *Host) ColdLoad() float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.coldest
+	h.coldest = 0
+	return c
 }
 
 // Now is the time by which positions are told, in Unix milliseconds.
--- a/lab/host/conn.go
+++ b/lab/host/conn.go
@@ -451,6 +451,9 @@
 }
 
 func (c *conn) wait(d time.Duration) *fault {
+	if d <= 0 {
+		return nil
+	}
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		if c.cancelled.Load() {
 			return &fault{"57014", "canceling statement due to user request"}
--- a/lab/host/exec.go
+++ b/lab/host/exec.go
@@ -137,6 +137,18 @@
 	if f := c.pause(); f != nil {
 		return f
 	}
+	if s[0].text == "select" || s[0].text == "insert" {
+		wait, ok := c.host.work()
+		if !ok {
+			return &fault{"53300", "the queue is full"}
+		}
+		if s[0].text == "select" {
+			c.host.Counts.Add("reads")
+		}
+		if f := c.wait(wait); f != nil {
+			return f
+		}
+	}
 	switch {
 	case w.take("savepoint"):
 		name, ok := w.identifier()
--- /dev/null
+++ b/lab/load/restart.go
@@ -0,0 +1,313 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ashstand/internal/admin"
+	"ashstand/internal/learned"
+	"ashstand/lab/fleet"
+	"ashstand/lab/report"
+)
+
+// RestartOptions are those of the measurement of restarts.
+type RestartOptions struct {
+	Kills  int
+	Rounds int // restarts with the file and as many without it
+	Seed   uint64
+	Break  string
+	Pooler string
+	Log    bool
+}
+
+// RestartBreakable are the guarantees that restart can see broken.
+var RestartBreakable = []string{"ageing", "sync", "position"}
+
+// oldest is the age from which nothing may count; it is said here again, so that the pooler's own word is not what
+// judges it.
+const oldest = 24 * time.Hour
+
+// Restart kills the real program while it writes what it learned, over and over, and then compares restarts with the
+// file and without it.
+func Restart(ctx context.Context, o RestartOptions) (*report.Result, error) {
+	g := report.New("restart", o.Seed, "unreadable_file", "trusted_past_age", "stale_read", "missed_own_write", "sent_to_draining", "cold_overload", "lost_commit")
+	folder, err := os.MkdirTemp("", "ashlab-state-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(folder)
+	var env []string
+	if o.Break != "" {
+		env = append(env, "ASHSTAND_BREAK="+o.Break)
+	}
+	f, err := fleet.Start(fleet.Options{Pooler: o.Pooler, Replicas: 4, Lag: 20 * time.Millisecond, Seed: o.Seed, Clients: 10, Servers: 8, Env: env,
+		Log: o.Log, State: folder, Pace: 2 * time.Millisecond})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { f.Stop() }()
+	begun := time.Now()
+	if err := kills(ctx, o, f, g, folder); err != nil {
+		return nil, err
+	}
+	if err := tooOld(ctx, o, f, g, folder); err != nil {
+		return nil, err
+	}
+	if err := compare(ctx, o, f, g, folder); err != nil {
+		return nil, err
+	}
+	_, rss := f.Pooler.Usage()
+	g.Do(func(r *report.Result) {
+		for _, h := range f.Hosts {
+			c := h.Counts.All()
+			r.Broken["sent_to_draining"] += c["sent_to_draining"]
+			r.Broken["cold_overload"] += c["cold_overload"]
+		}
+		r.Broken["stale_read"] = r.Broken["missed_own_write"]
+		r.Memory.RSS = rss
+	})
+	return g.Result(time.Since(begun).Seconds()), nil
+}
+
+// crowd is the load: listeners that outlive the pooler.
+func crowd(ctx context.Context, f *fleet.Fleet, g *report.Gather, seed uint64, n int, mean time.Duration, observed func(string, time.Duration, bool)) *sync.WaitGroup {
+	var all sync.WaitGroup
+	var done atomic.Int64
+	for i := range n {
+		l := &listener{name: fmt.Sprintf("k%d-%d", seed, i), g: g, fleet: f, rng: rand.New(rand.NewPCG(seed, uint64(i))), done: &done, killed: true, observed: observed}
+		all.Go(func() {
+			defer l.close()
+			for ctx.Err() == nil {
+				l.step(f.Pooler.Statement)
+				if !sleep(ctx, time.Duration(l.rng.ExpFloat64()*float64(mean))) {
+					return
+				}
+			}
+		})
+	}
+	return &all
+}
+
+// again kills the pooler and starts it at the same addresses.
+func again(f *fleet.Fleet) error {
+	f.Pooler.Stop()
+	p, err := f.StartPooler("n1")
+	if err == nil {
+		f.Pooler = p
+	}
+	return err
+}
+
+// kills ends the pooler at random moments while it writes all the time, and reads what it left.
+func kills(ctx context.Context, o RestartOptions, f *fleet.Fleet, g *report.Gather, folder string) error {
+	rng := rand.New(rand.NewPCG(o.Seed, 77))
+	run, stop := context.WithCancel(ctx)
+	defer stop()
+	all := crowd(run, f, g, o.Seed, 10, 20*time.Millisecond, nil)
+	defer func() { stop(); all.Wait() }()
+	lagging := f.Hosts[2]
+	for i := range o.Kills {
+		if !sleep(ctx, time.Duration(10+rng.IntN(60))*time.Millisecond) {
+			return ctx.Err()
+		}
+		f.Pooler.Stop()
+		b, err := os.ReadFile(filepath.Join(folder, "learned.ash"))
+		switch {
+		case errors.Is(err, fs.ErrNotExist):
+		case err != nil:
+			return err
+		default:
+			if _, lost, err := learned.Decode(b); err != nil || len(lost) > 0 {
+				g.Break("unreadable_file", "kill %d left %d bytes: %v, lost %v", i, len(b), err, lost)
+			}
+		}
+		switch i % 10 { // what was learned is not what holds now
+		case 3:
+			lagging.SetLag(3 * time.Second)
+		case 6:
+			lagging.SetLag(20 * time.Millisecond)
+			f.Drain(f.Hosts[3], i%20 == 6)
+		case 9:
+			h := f.Hosts[4]
+			h.Stop()
+			if err := h.Restart(); err != nil {
+				return err
+			}
+			f.Publish()
+		}
+		g.Do(func(r *report.Result) { r.Faults["kill"]++ })
+		if err := again(f); err != nil {
+			return err
+		}
+	}
+	f.Drain(f.Hosts[3], false)
+	lagging.SetLag(20 * time.Millisecond)
+	return nil
+}
+
+// tooOld starts the pooler with files that are too old, from the future, or another's, and asks what it made of them.
+func tooOld(ctx context.Context, o RestartOptions, f *fleet.Fleet, g *report.Gather, folder string) error {
+	path := filepath.Join(folder, "learned.ash")
+	for name, change := range map[string]func(h *learned.Head){
+		"two days old":    func(h *learned.Head) { h.At -= float64((2 * oldest).Milliseconds()) },
+		"from the future": func(h *learned.Head) { h.At += float64(time.Hour.Milliseconds()) },
+		"another's":       func(h *learned.Head) { h.Name = "n2" },
+	} {
+		if !sleep(ctx, 300*time.Millisecond) {
+			return ctx.Err()
+		}
+		f.Pooler.Stop()
+		b, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		s, _, err := learned.Decode(b)
+		if err != nil {
+			continue // it was counted
+		}
+		change(&s.Head)
+		if b, err = learned.Encode(s); err != nil {
+			return err
+		}
+		if err := os.WriteFile(path, b, 0o600); err != nil {
+			return err
+		}
+		if err := again(f); err != nil {
+			return err
+		}
+		var view struct{ Taken []learned.Verdict }
+		if err := admin.Get(f.Pooler.Admin, "state", &view); err != nil {
+			return err
+		}
+		if len(view.Taken) == 0 {
+			return fmt.Errorf("the pooler tells nothing of a file that is %s", name)
+		}
+		for _, v := range view.Taken {
+			if v.Weight > 0 {
+				g.Break("trusted_past_age", "a file that is %s counts for %.2f: %s", name, v.Weight, v.What)
+			}
+		}
+		g.Do(func(r *report.Result) { r.Faults["file "+name]++ })
+	}
+	return nil
+}
+
+// side is what was seen of restarts with the file, or without it.
+type side struct {
+	recovery, primary, cold []float64
+}
+
+const (
+	steadyFor = 5 * time.Second
+	watchFor  = 5 * time.Second
+	slot      = 100 * time.Millisecond
+)
+
+// compare restarts the pooler before a fleet with a slow, a lagging and a cold host, with the file and without it.
+func compare(ctx context.Context, o RestartOptions, f *fleet.Fleet, g *report.Gather, folder string) error {
+	if o.Rounds == 0 {
+		return nil
+	}
+	for i, h := range f.Hosts {
+		h.SetCapacity([]float64{700, 500, 60, 500, 500}[i]) // the primary, a usual one, a slow one, one that lags, one that is cold
+	}
+	f.Hosts[3].SetLag(1500 * time.Millisecond)
+	var mu sync.Mutex
+	good, asked := map[int64]int{}, map[int64]int{}
+	observed := func(_ string, took time.Duration, ok bool) {
+		at := time.Now().Add(-took).UnixMilli() / slot.Milliseconds() // by when it was asked
+		mu.Lock()
+		defer mu.Unlock()
+		if asked[at]++; ok && took < 300*time.Millisecond {
+			good[at]++
+		}
+	}
+	run, stop := context.WithCancel(ctx)
+	defer stop()
+	all := crowd(run, f, g, o.Seed+1, 50, 60*time.Millisecond, observed)
+	defer func() { stop(); all.Wait() }()
+	share := func(from, to time.Time) float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		a, b := 0, 0
+		for s := from.UnixMilli() / slot.Milliseconds(); s < to.UnixMilli()/slot.Milliseconds(); s++ {
+			a, b = a+good[s], b+asked[s]
+		}
+		if b == 0 {
+			return 0
+		}
+		return float64(a) / float64(b)
+	}
+	var sides [2]side
+	for i := range 2 * o.Rounds {
+		with := i%2 == 0
+		cold := f.Hosts[4]
+		if !sleep(ctx, steadyFor) {
+			return ctx.Err()
+		}
+		steady := share(time.Now().Add(-steadyFor/2), time.Now())
+		cold.Stop() // it starts just before the pooler does
+		if err := cold.Restart(); err != nil {
+			return err
+		}
+		f.Publish()
+		if !sleep(ctx, 700*time.Millisecond) {
+			return ctx.Err()
+		}
+		f.Pooler.Stop()
+		if !with {
+			_ = os.Remove(filepath.Join(folder, "learned.ash"))
+		}
+		before := f.Hosts[0].Counts.All()["reads"]
+		for _, h := range f.Hosts {
+			h.ColdLoad()
+		}
+		p, err := f.StartPooler("n1")
+		if err != nil {
+			return err
+		}
+		f.Pooler = p
+		up := time.Now()
+		if !sleep(ctx, watchFor+slot) {
+			return ctx.Err()
+		}
+		recovered := watchFor
+		for d := time.Duration(0); d+3*slot <= watchFor; d += slot {
+			if share(up.Add(d), up.Add(d+3*slot)) >= 0.95*steady {
+				recovered = d
+				break
+			}
+		}
+		s := &sides[i%2]
+		s.recovery = append(s.recovery, max(0.05, recovered.Seconds()))
+		s.primary = append(s.primary, float64(f.Hosts[0].Counts.All()["reads"]-before))
+		s.cold = append(s.cold, cold.ColdLoad())
+	}
+	g.Do(func(r *report.Result) {
+		for name, of := range map[string]func(s *side) []float64{"seconds to 95 % of the steady share": func(s *side) []float64 { return s.recovery },
+			"reads at the primary in 5 s":       func(s *side) []float64 { return s.primary },
+			"work sent to the cold host in 5 s": func(s *side) []float64 { return s.cold }} {
+			with, without := median(of(&sides[0])), median(of(&sides[1]))
+			r.Baseline[name], r.Ratio[name] = without, with/max(1e-9, without)
+			r.Notes = append(r.Notes, fmt.Sprintf("%s: with the file %.2f, without %.2f (medians of %d)", name, with, without, o.Rounds))
+		}
+	})
+	return nil
+}
+
+func median(xs []float64) float64 {
+	s := slices.Sorted(slices.Values(xs))
+	if len(s) == 0 {
+		return 0
+	}
+	return (s[(len(s)-1)/2] + s[len(s)/2]) / 2
+}
--- a/lab/load/try.go
+++ b/lab/load/try.go
@@ -37,6 +37,9 @@
 	after string // position of its last commit
 	n     int
 	done  *atomic.Int64
+
+	killed   bool                                            // the pooler may be killed: a request that it takes along is no breach
+	observed func(class string, took time.Duration, ok bool) // told of each request; nil: nobody
 }
 
 // classes of the mixed load: deadline in milliseconds, and how many of a hundred.
@@ -196,6 +199,9 @@
 			r.Requests.Refused++
 		case isSQL:
 			r.Requests.Failed++
+		case l.killed:
+			r.Requests.Failed++
+			r.Errors["killed"]++
 		default:
 			r.Requests.Unanswered++
 		}
@@ -206,6 +212,9 @@
 			r.Requests.Late++
 		}
 	})
+	if l.observed != nil {
+		l.observed(class.name, took, err == nil)
+	}
 	if class.name == "donate" && ref == l.name {
 		if err == nil {
 			l.last, l.after = fmt.Sprint(l.n), l.c.ParameterStatus("caught_up_to")
