--- a/cmd/ashlab/main.go
+++ b/cmd/ashlab/main.go
@@ -128,15 +128,20 @@
 func restart() *cobra.Command {
 	var m common
 	o := load.RestartOptions{}
+	cost := false
 	c := &cobra.Command{Use: "restart", Short: "kill the pooler while it writes what it learned, then compare restarts with and without it", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if m.breaks != "" && !slices.Contains(load.RestartBreakable, m.breaks) {
 				return fmt.Errorf("--break %s: it can be %s", m.breaks, strings.Join(load.RestartBreakable, ", "))
 			}
+			if cost {
+				return m.finish(load.SnapshotCost(c.Context(), m.pooler, m.seed, []int{10, 500, 5000}, 3*time.Second))
+			}
 			o.Seed, o.Break, o.Pooler, o.Log = m.seed, m.breaks, m.pooler, m.log
 			return m.finish(load.Restart(c.Context(), o))
 		}}
 	c.Flags().IntVar(&o.Kills, "kills", 100, "how often it is killed while it writes")
+	c.Flags().BoolVar(&cost, "cost", false, "measure what keeping state costs instead")
 	c.Flags().IntVar(&o.Rounds, "rounds", 2, "restarts with the file, and as many without, that are compared")
 	m.flags(c, 0, load.RestartBreakable)
 	_ = c.Flags().MarkHidden("duration") // kills and rounds say how long
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -398,3 +398,6 @@
 	}
 	return os.WriteFile(path, []byte(change(string(b))), 0o600)
 }
+
+// SettingsJSON are the platform's settings that poolers of a fleet have.
+func SettingsJSON() ([]byte, error) { return json.Marshal(settings()) }
