--- a/cmd/ashlab/main.go
+++ b/cmd/ashlab/main.go
@@ -142,6 +142,7 @@
 		}}
 	c.Flags().IntVar(&o.Kills, "kills", 100, "how often it is killed while it writes")
 	c.Flags().BoolVar(&cost, "cost", false, "measure what keeping state costs instead")
+	c.Flags().IntVar(&o.Replicas, "replicas", 40, "of the primary, in the comparison")
 	c.Flags().IntVar(&o.Rounds, "rounds", 2, "restarts with the file, and as many without, that are compared")
 	m.flags(c, 0, load.RestartBreakable)
 	_ = c.Flags().MarkHidden("duration") // kills and rounds say how long
--- a/cmd/ashstand/state_test.go
+++ b/cmd/ashstand/state_test.go
@@ -68,14 +68,6 @@
 	require.False(t, k.view().Failing)
 
 	// What was written is what the commands show.
-	run := func(args ...string) (string, error) {
-		var out bytes.Buffer
-		c := command()
-		c.SetArgs(args)
-		c.SetOut(&out)
-		err := c.Execute()
-		return out.String(), err
-	}
 	out, err := run("state", "show", k.store.Path())
 	require.NoError(t, err)
 	require.Contains(t, out, "p limit")
@@ -96,15 +88,17 @@
 	require.ErrorIs(t, err, os.ErrNotExist)
 }
 
+// run runs a command of the program.
+func run(args ...string) (string, error) {
+	var out bytes.Buffer
+	c := command()
+	c.SetArgs(args)
+	c.SetOut(&out)
+	err := c.Execute()
+	return out.String(), err
+}
+
 func TestCommands(t *testing.T) {
-	run := func(args ...string) (string, error) {
-		var out bytes.Buffer
-		c := command()
-		c.SetArgs(args)
-		c.SetOut(&out)
-		err := c.Execute()
-		return out.String(), err
-	}
 	t.Setenv("EDGE_CONFIG", "")
 	out, err := run("check", "../../"+operatorFile)
 	require.NoError(t, err)
--- a/internal/net/pg/forward.go
+++ b/internal/net/pg/forward.go
@@ -61,9 +61,8 @@
 	case 'P':
 		return c.parse(out, body, whole)
 	case 'B':
-		portal, rest, ok := text(body)
-		name, tail, ok2 := text(rest)
-		if !ok || !ok2 || !bindForm(tail) {
+		portal, name, tail, ok := two(body)
+		if !ok || !bindForm(tail) {
 			return out, false
 		}
 		if send = p.Bind(portal, name); send.Drop {
@@ -151,9 +150,8 @@
 }
 
 func (c *sclient) parse(out, body, whole []byte) (_ []byte, ok bool) {
-	name, rest, ok := text(body)
-	s, types, ok2 := text(rest)
-	if !ok || !ok2 || len(types) < 2 || len(types) != 2+4*int(binary.BigEndian.Uint16(types)) {
+	name, s, types, ok := two(body)
+	if !ok || len(types) < 2 || len(types) != 2+4*int(binary.BigEndian.Uint16(types)) {
 		return out, false
 	}
 	p := c.pipe
--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -479,6 +479,15 @@
 	return "", nil, false
 }
 
+// two are the strings that a Parse (its name, its text) and a Bind (its portal, its statement) begin with.
+func two(body []byte) (first, second string, rest []byte, ok bool) {
+	first, rest, ok = text(body)
+	if ok {
+		second, rest, ok = text(rest)
+	}
+	return first, second, rest, ok
+}
+
 // unlinked takes a message of a client that has no server connection.
 func (c *sclient) unlinked(kind byte, body []byte) fate {
 	switch kind {
@@ -507,16 +516,14 @@
 			return done
 		}
 	case 'P':
-		_, rest, ok := text(body)
-		s, _, ok2 := text(rest)
-		if !ok || !ok2 {
+		_, s, _, ok := two(body)
+		if !ok {
 			return broken
 		}
 		*q = session.Scan(s)
 	case 'B':
-		_, rest, ok := text(body)
-		name, _, ok2 := text(rest)
-		if !ok || !ok2 {
+		_, name, _, ok := two(body)
+		if !ok {
 			return broken
 		}
 		if p := c.pipe.Find(name); p != nil {
@@ -615,9 +622,8 @@
 		c.answer([]byte{'Z', 0, 0, 0, 5, c.pipe.Status()})
 		return done
 	case 'P':
-		name, rest, ok := text(body)
-		s, types, ok2 := text(rest)
-		if !ok || !ok2 {
+		name, s, types, ok := two(body)
+		if !ok {
 			return broken
 		}
 		if q := session.Scan(s); c.pipe.LostBlock() && (ends(&q) || len(q.Statements) == 0) {
@@ -629,9 +635,8 @@
 			}
 		}
 	case 'B':
-		portal, rest, ok := text(body)
-		name, _, ok2 := text(rest)
-		if !ok || !ok2 {
+		portal, name, _, ok := two(body)
+		if !ok {
 			return broken
 		}
 		p := c.pipe.Find(name)
--- a/lab/host/exec.go
+++ b/lab/host/exec.go
@@ -134,8 +134,10 @@
 		return nil
 	}
 	c.begin(false)
-	if f := c.pause(); f != nil {
-		return f
+	if s[0].text != "show" { // reports are answered beside the queue
+		if f := c.pause(); f != nil {
+			return f
+		}
 	}
 	if s[0].text == "select" || s[0].text == "insert" {
 		wait, ok := c.host.work()
--- a/lab/load/restart.go
+++ b/lab/load/restart.go
@@ -16,17 +16,19 @@
 	"ashstand/internal/admin"
 	"ashstand/internal/learned"
 	"ashstand/lab/fleet"
+	"ashstand/lab/host"
 	"ashstand/lab/report"
 )
 
 // RestartOptions are those of the measurement of restarts.
 type RestartOptions struct {
-	Kills  int
-	Rounds int // restarts with the file and as many without it
-	Seed   uint64
-	Break  string
-	Pooler string
-	Log    bool
+	Kills    int
+	Replicas int // of the primary; half of those beyond the first six take reads and say nothing
+	Rounds   int // restarts with the file and as many without it
+	Seed     uint64
+	Break    string
+	Pooler   string
+	Log      bool
 }
 
 // RestartBreakable are the guarantees that restart can see broken.
@@ -49,7 +51,7 @@
 	if o.Break != "" {
 		env = append(env, "ASHSTAND_BREAK="+o.Break)
 	}
-	f, err := fleet.Start(fleet.Options{Pooler: o.Pooler, Replicas: 4, Lag: 20 * time.Millisecond, Seed: o.Seed, Clients: 10, Servers: 8, Env: env,
+	f, err := fleet.Start(fleet.Options{Pooler: o.Pooler, Replicas: max(7, o.Replicas), Lag: 20 * time.Millisecond, Seed: o.Seed, Clients: 10, Servers: 8, Env: env,
 		Log: o.Log, State: folder, Pace: 2 * time.Millisecond})
 	if err != nil {
 		return nil, err
@@ -209,7 +211,8 @@
 const (
 	steadyFor = 5 * time.Second
 	watchFor  = 5 * time.Second
-	slot      = 100 * time.Millisecond
+	slot      = 20 * time.Millisecond
+	window    = 20 // slots over which a share is taken
 )
 
 // compare restarts the pooler before a fleet with a slow, a lagging and a cold host, with the file and without it.
@@ -217,10 +220,18 @@
 	if o.Rounds == 0 {
 		return nil
 	}
+	// The primary, a usual one, a slow one, one that lags, one that is cold, a usual one, and two that take reads and say
+	// nothing for seconds while their reports look well.
 	for i, h := range f.Hosts {
-		h.SetCapacity([]float64{700, 500, 60, 500, 500}[i]) // the primary, a usual one, a slow one, one that lags, one that is cold
+		h.SetCapacity(500)
+		if i < 3 {
+			h.SetCapacity([]float64{700, 500, 8}[i])
+		}
 	}
 	f.Hosts[3].SetLag(1500 * time.Millisecond)
+	for _, h := range f.Hosts[6+(len(f.Hosts)-6)/2:] {
+		h.SetFaults(host.Faults{Stall: 0.9, StallFor: 3 * time.Second})
+	}
 	var mu sync.Mutex
 	good, asked := map[int64]int{}, map[int64]int{}
 	observed := func(_ string, took time.Duration, ok bool) {
@@ -233,7 +244,7 @@
 	}
 	run, stop := context.WithCancel(ctx)
 	defer stop()
-	all := crowd(run, f, g, o.Seed+1, 50, 60*time.Millisecond, observed)
+	all := crowd(run, f, g, o.Seed+1, 20, 150*time.Millisecond, observed)
 	defer func() { stop(); all.Wait() }()
 	share := func(from, to time.Time) float64 {
 		mu.Lock()
@@ -281,14 +292,16 @@
 			return ctx.Err()
 		}
 		recovered := watchFor
-		for d := time.Duration(0); d+3*slot <= watchFor; d += slot {
-			if share(up.Add(d), up.Add(d+3*slot)) >= 0.95*steady {
+		for d := time.Duration(0); d+window*slot <= watchFor; d += slot {
+			if share(up.Add(d), up.Add(d+window*slot)) >= 0.95*steady {
 				recovered = d
 				break
 			}
 		}
+		s0 := steady
+		g.Do(func(r *report.Result) { r.Baseline[fmt.Sprintf("steady share before restart %d", i)] = s0 })
 		s := &sides[i%2]
-		s.recovery = append(s.recovery, max(0.05, recovered.Seconds()))
+		s.recovery = append(s.recovery, max(slot.Seconds(), recovered.Seconds()))
 		s.primary = append(s.primary, float64(f.Hosts[0].Counts.All()["reads"]-before))
 		s.cold = append(s.cold, cold.ColdLoad())
 	}
--- a/lab/load/try.go
+++ b/lab/load/try.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -187,38 +186,14 @@
 	rs, err := l.c.Exec(ctx, sql).ReadAll()
 	took := time.Since(begun)
 	l.done.Add(1)
-	l.g.Took(class.name, took)
-	var pe *pgconn.PgError
-	isSQL := errors.As(err, &pe)
-	l.g.Do(func(r *report.Result) {
-		r.Requests.Taken++
-		switch {
-		case err == nil:
-			r.Requests.Served++
-		case isSQL && (pe.Code == "53300" || pe.Code == "57P03"):
-			r.Requests.Refused++
-		case isSQL:
-			r.Requests.Failed++
-		case l.killed:
-			r.Requests.Failed++
-			r.Errors["killed"]++
-		default:
-			r.Requests.Unanswered++
-		}
-		if isSQL {
-			r.Errors[pe.Code]++
-		}
-		if took > time.Duration(class.d)*time.Millisecond+50*time.Millisecond {
-			r.Requests.Late++
-		}
-	})
+	pe := l.g.Answered(class.name, took, time.Duration(class.d)*time.Millisecond+50*time.Millisecond, err, l.killed)
 	if l.observed != nil {
 		l.observed(class.name, took, err == nil)
 	}
 	if class.name == "donate" && ref == l.name {
 		if err == nil {
 			l.last, l.after = fmt.Sprint(l.n), l.c.ParameterStatus("caught_up_to")
-		} else if !isSQL || pe.Code != "53300" {
+		} else if pe == nil || pe.Code != "53300" {
 			l.last = "" // in doubt: nothing is expected until the next one that is known
 		}
 		return
--- a/lab/load/worker.go
+++ b/lab/load/worker.go
@@ -66,33 +66,12 @@
 
 func (w *worker) count(class string, begun time.Time, err error) (a answer, gone bool) {
 	took := time.Since(begun)
-	w.g.Took(class, took)
-	var pe *pgconn.PgError
-	isSQL := errors.As(err, &pe)
-	if isSQL {
+	pe := w.g.Answered(class, took, patience/3, err, false)
+	if pe != nil {
 		a.state, a.text = pe.Code, pe.Message
 	}
 	closed := w.c.IsClosed()
-	w.g.Do(func(r *report.Result) {
-		r.Requests.Taken++
-		switch {
-		case err == nil:
-			r.Requests.Served++
-		case isSQL && (pe.Code == "53300" || pe.Code == "57P03"):
-			r.Requests.Refused++
-		case isSQL:
-			r.Requests.Failed++
-		default:
-			r.Requests.Unanswered++
-		}
-		if isSQL {
-			r.Errors[pe.Code]++
-		}
-		if took > patience/3 {
-			r.Requests.Late++
-		}
-	})
-	if err != nil && !isSQL {
+	if err != nil && pe == nil {
 		a.state = "gone"
 		if len(err.Error()) < 400 {
 			a.text = err.Error()
--- a/lab/report/report.go
+++ b/lab/report/report.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jackc/pgx/v5/pgconn"
 )
 
 // Result is one measurement.
@@ -86,6 +88,37 @@
 	_ = h.RecordValue(max(1, d.Microseconds()))
 }
 
+// Answered counts a request by its final answer and returns the error that a server worded; nil: it worded none. late
+// is when an answer counts as such; killed says that the pooler may have been killed, which breaks no promise.
+func (g *Gather) Answered(class string, took, late time.Duration, err error, killed bool) *pgconn.PgError {
+	g.Took(class, took)
+	var pe *pgconn.PgError
+	worded := errors.As(err, &pe)
+	g.Do(func(r *Result) {
+		r.Requests.Taken++
+		if took > late {
+			r.Requests.Late++
+		}
+		switch {
+		case err == nil:
+			r.Requests.Served++
+		case worded && (pe.Code == "53300" || pe.Code == "57P03"):
+			r.Requests.Refused++
+		case worded:
+			r.Requests.Failed++
+		case killed:
+			r.Requests.Failed++
+			r.Errors["killed"]++
+		default:
+			r.Requests.Unanswered++
+		}
+		if worded {
+			r.Errors[pe.Code]++
+		}
+	})
+	return pe
+}
+
 // Do changes the result under its lock.
 func (g *Gather) Do(change func(r *Result)) {
 	g.mu.Lock()
