--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,44 @@
+package admin
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestAdminAnswersOnASocketOfItsOwn(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "a.sock")
+	left, err := net.Listen("unix", path) // what a process that was killed leaves behind
+	require.NoError(t, err)
+	left.(*net.UnixListener).SetUnlinkOnClose(false)
+	left.Close()
+	views := map[string]func() any{"sessions": func() any { return map[string]int{"clients": 3} }, "bad": func() any { return make(chan int) }}
+	s, err := Start("unix:"+path, views)
+	require.NoError(t, err)
+	info, err := os.Stat(path)
+	require.NoError(t, err)
+	require.Equal(t, os.FileMode(0o600), info.Mode().Perm(), "nobody else reads it")
+	_, err = Start("unix:"+path, views)
+	require.ErrorContains(t, err, "another process answers")
+	var got map[string]int
+	require.NoError(t, Get("unix:"+path, "sessions", &got))
+	require.Equal(t, map[string]int{"clients": 3}, got)
+	var raw []byte
+	require.NoError(t, Get("unix:"+path, "sessions", &raw))
+	require.Contains(t, string(raw), `"clients": 3`)
+	require.ErrorContains(t, Get("unix:"+path, "none", &got), "404")
+	require.ErrorContains(t, Get("unix:"+path, "bad", &got), "500")
+	s.Stop()
+	require.NoFileExists(t, path)
+	require.ErrorContains(t, Get("unix:"+path, "sessions", &got), "no pooler answers")
+	tcp, err := Start("127.0.0.1:0", views)
+	require.NoError(t, err)
+	tcp.Stop()
+	require.NoError(t, os.WriteFile(path, []byte("a file of somebody's"), 0o600))
+	_, err = Start("unix:"+path, views)
+	require.Error(t, err)
+	require.FileExists(t, path, "which is no socket, and stays")
+}
