--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -864,12 +864,12 @@
 	s.sent, s.position, s.role = false, 0, ""
 	c.misplaced, c.flushed = false, false
 	c.pipe.Link(s.prepared, c.readOnly)
-	if c.front.broken == "statements" {
+	if c.front.broken.Load() == "statements" {
 		c.pipe.Assume()
 	}
 	c.front.stats.Transactions++
 	c.keep(s)
-	if !s.have.Same(c.pipe.Now()) && c.front.broken != "settings" {
+	if !s.have.Same(c.pipe.Now()) && c.front.broken.Load() != "settings" {
 		c.sync(s)
 		return
 	}
@@ -969,7 +969,7 @@
 		call.Conclude(s.outcome(code))
 	}
 	// A read by a class of reads moves nothing: else each would ask the next one's replica for the present.
-	if status == 'I' && (c.pipe.Wrote() || c.writes) && !c.readOnly && c.front.broken != "position" {
+	if status == 'I' && (c.pipe.Wrote() || c.writes) && !c.readOnly && c.front.broken.Load() != "position" {
 		at := s.position
 		if at == 0 { // the host does not say: a commit is no younger than its answer
 			at = c.front.clock.Now()
--- a/internal/net/pg/sessions.go
+++ b/internal/net/pg/sessions.go
@@ -93,7 +93,7 @@
 	drain     bool
 	over      bool
 
-	broken    string // a guarantee that is switched off
+	broken    atomic.Value // string: a guarantee that is switched off
 	addresses chan map[string]string
 	stats     SessionStats
 	full      loop.Rarely
@@ -164,9 +164,9 @@
 	return s
 }
 
-// Break switches a guarantee off, before the front serves: settings, statements, cancel or position. It is there so
+// Break switches a guarantee off: settings, statements, cancel or position. It is there so
 // that what checks the guarantee can be seen to fail.
-func (f *Sessions) Break(guarantee string) { f.broken = guarantee }
+func (f *Sessions) Break(guarantee string) { f.broken.Store(guarantee) }
 
 // SetLimits takes other bounds and pools for what comes from now on.
 func (f *Sessions) SetLimits(l SessionLimits) {
@@ -498,7 +498,7 @@
 	s := c.server
 	f.stats.Cancels++
 	s.cancels++
-	if f.broken == "cancel" {
+	if f.broken.Load() == "cancel" {
 		s.cancels = -1 << 30
 	}
 	address, connect := s.pool.host.address, f.limits.Load().Connect
@@ -508,7 +508,7 @@
 	binary.BigEndian.PutUint32(b[8:], s.pid)
 	binary.BigEndian.PutUint32(b[12:], s.key)
 	go func() {
-		if f.broken == "cancel" {
+		if f.broken.Load() == "cancel" {
 			time.Sleep(10 * time.Millisecond)
 		}
 		err := deliver(address, b, connect)
