A connection whose client resets as it is answered is given to nobody else; held calls end

An answer written to a client that had reset ended the client within the connection's own Traffic: the connection went back to its pool, and then once more, so that two sessions could share it (one read another's rows). A client that left while its transaction was held by the decisions left a request that was sent later for nobody and counted as under way for good: hosts seemed full. And a write that fails no longer reads the same message twice. The test plays 8 clients that reset as their answers come beside 6 that check every row.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -215,9 +215,17 @@
 	f.mu.Lock()
 	if !c.over {
 		c.end()
+		select {
+		case c.next <- Next{Verdict: Left}: // for whoever waits in Pick
+		default:
+		}
 	}
 	f.mu.Unlock()
 	c.Report(o)
+	// Where no attempt was out yet the module still holds the request, and would send it later for nobody.
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.step(f.clock.Now(), choice.Event{Kind: choice.EvLeft, ID: c.id})
 }
 
 // Deadline is how long clients of a class wait, in milliseconds; ok is false for a class that the settings do not name.
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -142,3 +142,33 @@
 		t.Errorf("%d calls are left", len(f.calls))
 	}
 }
+
+// Guards against a request that was given up while it was held: the module would send it later, for nobody, and count
+// it as under way for good. And against a goroutine that waits for its decision for ever.
+func TestAConcludedCallLeavesNothingBehind(t *testing.T) {
+	f, c := facade(t)
+	f.Members(false, []Member{{Host: "p", Group: 1, Gone: true}, {Host: "a", Group: 1, Gone: true}})
+	var held []*Call
+	for range 20 {
+		held = append(held, begin(t, f, "donate", 0))
+	}
+	woken := make(chan Next, 1)
+	go func() { woken <- held[0].Pick() }()
+	for _, h := range held {
+		if _, ok := h.TryPick(); ok {
+			t.Fatal("there is nobody to send it to")
+		}
+		h.Conclude(Outcome{Code: Cancelled})
+	}
+	if n := <-woken; n.Verdict != Left {
+		t.Fatalf("%+v", n)
+	}
+	f.Members(true, []Member{{Host: "p", Group: 1, Primary: true}})
+	c.Advance(50)
+	f.Tick()
+	for i := range 3 { // the whole of the first limit is there
+		if n, ok := begin(t, f, "donate", 0).TryPick(); !ok || n.Verdict != Send {
+			t.Fatalf("%d: %+v", i, n)
+		}
+	}
+}
--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -47,6 +47,8 @@
 	readOnly  bool
 	writes    bool    // by a class of writes
 	after     float64 // position that the session's reads must see
+	reading   bool    // messages are being taken
+	renew     bool    // and are to be once more
 	blocked   bool    // a message waits for what is under way
 	flushed   bool    // and the server was asked to say what it has
 	misplaced bool    // a write reached a host that takes none
@@ -89,11 +91,14 @@
 func (c *sclient) abandon() {
 	c.waiter.Leave()
 	if s := c.server; s != nil {
-		clean := c.pipe.Idle() && c.phase == phaseLinked && c.pipe.Pinned() == "" && !c.pipe.Strange()
+		clean := c.pipe.Idle() && c.phase == phaseLinked && c.pipe.Pinned() == "" && !c.pipe.Strange() && !s.reading
 		c.unlink(s)
-		if clean {
+		switch {
+		case clean:
 			s.rest()
-		} else {
+		case s.reading: // from within the connection's own Traffic, which ends it
+			s.worn = true
+		default:
 			s.worn = true
 			s.wire.Close()
 		}
@@ -192,6 +197,10 @@
 	if c.gone {
 		return
 	}
+	if c.reading { // a write that failed led here: the loop that wrote goes on
+		c.renew = true
+		return
+	}
 	if c.read() == gnet.Close {
 		c.wire.Close()
 		return
@@ -201,9 +210,20 @@
 	c.unread = n
 }
 
-// read takes messages until one has to wait or no whole one is left. What goes to the server is gathered and written
-// at once: a pipeline of five messages is one system call.
-func (c *sclient) read() gnet.Action {
+// read takes messages until one has to wait or no whole one is left.
+func (c *sclient) read() (action gnet.Action) {
+	c.reading = true
+	for again := true; again && action == gnet.None; again = c.renew && !c.gone {
+		c.renew = false
+		action = c.take()
+	}
+	c.reading = false
+	return action
+}
+
+// take is one round of read. What goes to the server is gathered and written at once: a pipeline of five messages is
+// one system call.
+func (c *sclient) take() gnet.Action {
 	f := c.front
 	var out []byte
 	if n := len(f.buffers); n > 0 {
@@ -443,8 +463,9 @@
 	}
 	// The settings that RESET took from the session are put right before anything else runs.
 	if c.pipe.Behind() && kind != 'S' && kind != 'H' && c.pipe.Due() == 0 && !c.pipe.CopyIn() {
-		out = c.send(out)
-		c.sync(c.server)
+		if out = c.send(out); c.server != nil { // else the write has failed, and what that means was said
+			c.sync(c.server)
+		}
 		return out, true, gnet.None
 	}
 	before := len(out)
--- a/internal/net/pg/server.go
+++ b/internal/net/pg/server.go
@@ -52,6 +52,7 @@
 	since    float64 // unused since
 	born     float64
 	starting bool
+	reading  bool // Traffic is under way
 	worn     bool // not to be used again
 	dead     bool
 	cancels  int // cancel requests on their way to it
@@ -265,6 +266,8 @@
 	if s.wire.Conn == nil { // it spoke before it was spoken to
 		return gnet.Close
 	}
+	s.reading = true
+	defer func() { s.reading = false }()
 	var err error
 	switch {
 	case s.starting:
@@ -278,6 +281,9 @@
 		}
 		return gnet.Close
 	}
+	if s.worn && s.client == nil && !s.starting { // whoever had it went meanwhile
+		return gnet.Close
+	}
 	return gnet.None
 }
 
@@ -440,6 +446,9 @@
 			from = at
 			c.answer(out)
 			s.wire.Discard(at)
+			if s.client != c {
+				return errFarewell
+			}
 			return c.restored(s, p.Failed)
 		case kind == 'S' && c.phase == phaseSyncing:
 			p.Drop = true // what differs in the end is told once all is set
@@ -492,6 +501,9 @@
 	if err != nil {
 		return err
 	}
+	if s.client != c { // it went while its answer was written: what is due here is nobody's
+		return errFarewell
+	}
 	if c.wire.Unsent() > highWater {
 		f.watch(&s.wire, func() bool { return c.gone || c.wire.Unsent() < lowWater })
 	}
--- a/internal/net/pg/sessions_test.go
+++ b/internal/net/pg/sessions_test.go
@@ -554,3 +554,42 @@
 	w.fails(c, "08P01", "/* c=nonsense */ SELECT 1")
 	w.fails(c, "08P01", "/* c=browse,d=soon */ SELECT 1")
 }
+
+// Guards against a connection that is given away twice: its client resets as the answer is written to it.
+func TestSessionsVanishAsTheirAnswersCome(t *testing.T) {
+	w := pool(t, func(l *SessionLimits) { l.Pools[0].Sizes.Most = 2 })
+	end := time.Now().Add(1500 * time.Millisecond)
+	var all sync.WaitGroup
+	for i := range 8 {
+		all.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				c, err := net.Dial("tcp", w.address)
+				if err != nil {
+					continue
+				}
+				q := query(startup(nil, "web", "orders"), func(b []byte) []byte { return append(b, "SELECT 'of one who leaves'"...) })
+				_, _ = c.Write(q)
+				time.Sleep(time.Duration((n*37+i*101)%900) * time.Microsecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+			}
+		})
+	}
+	for i := range 6 {
+		c := w.connect("")
+		all.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				want, got := fmt.Sprintf("%d-%d", i, n), ""
+				if err := c.QueryRow(context.Background(), "SELECT $1", want).Scan(&got); err != nil || got != want {
+					t.Errorf("%q, not %q: %v", got, want, err)
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+	require.Eventually(t, func() bool {
+		s := w.front.Stats()
+		return s.Clients == 6 && s.Linked == 0 && s.Servers == s.Idle && s.Servers <= 4
+	}, 5*time.Second, 10*time.Millisecond, "nothing is lost count of: %+v", w.front.Stats())
+}
