--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -165,6 +165,7 @@
 	}
 	f.Members(true, []Member{{Host: "p", Group: 1, Primary: true}})
 	c.Advance(50)
+	f.Probed("p", Outcome{Code: OK, Report: Report{Role: Primary, Position: c.Now() - 1}})
 	f.Tick()
 	for i := range 3 { // the whole of the first limit is there
 		if n, ok := begin(t, f, "donate", 0).TryPick(); !ok || n.Verdict != Send {
