Answers that session clients do not take are bounded together

Each source is paused for its own slow reader, but thousands of clients that ask once and never read could have kept 0.3 MB each.

--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -1143,7 +1143,7 @@
 		if c.farewell(stateInvalid, "no whole message came in time", "") == gnet.Close {
 			c.wire.Close()
 		}
-	case c.wire.Unsent() > 0 && now-c.since > maxUntaken && c.server != nil:
+	case c.wire.Unsent() > 0 && now-c.since > maxUntaken:
 		c.wire.Close()
 	case c.phase == phaseLinked && c.server != nil && c.pipe.Due() == 0 && c.pipe.Status() != 'I' && c.pool.IdleInBlock > 0 && now-c.since > c.pool.IdleInBlock:
 		c.front.stats.TimedOut++
--- a/internal/net/pg/sessions.go
+++ b/internal/net/pg/sessions.go
@@ -354,8 +354,27 @@
 			f.sweepIdle(p, now)
 		}
 	}
+	unsent := 0
 	for c := range f.clients {
 		c.sweep(now)
+		unsent += c.wire.Unsent()
+	}
+	// Answers that clients do not take are bounded together: a source is paused for each, but one whose transaction has
+	// ended keeps what it has not read.
+	for most := f.limits.Load().Bytes; most > 0 && unsent > most; {
+		var slowest *sclient
+		for c := range f.clients {
+			if slowest == nil || c.wire.Unsent() > slowest.wire.Unsent() {
+				slowest = c
+			}
+		}
+		if slowest == nil || slowest.wire.Unsent() == 0 {
+			return
+		}
+		unsent -= slowest.wire.Unsent()
+		f.full.Printf("sessions: a client is cut off with %d bytes that it does not take, %d of all clients", slowest.wire.Unsent(), unsent)
+		slowest.gone = true
+		slowest.wire.Close()
 	}
 }
 
--- a/internal/net/pg/sessions_test.go
+++ b/internal/net/pg/sessions_test.go
@@ -298,6 +298,23 @@
 	require.Equal(t, "1", w.one(slow, "SELECT $1", "1"))
 }
 
+// Guards against clients that ask and never read, each within its own bound.
+func TestSessionsThatTakeNoAnswersAreBoundedTogether(t *testing.T) {
+	w := pool(t, func(l *SessionLimits) { l.Bytes = 1 << 20 })
+	ask := query(startup(nil, "web", "orders"), func(b []byte) []byte { return append(b, "SELECT generate_series(1, 30), repeat('x', 200000)"...) })
+	for range 30 {
+		c, err := net.Dial("tcp", w.address)
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		require.NoError(t, c.(*net.TCPConn).SetReadBuffer(4096))
+		_, err = c.Write(ask)
+		require.NoError(t, err)
+	}
+	reader := w.connect("")
+	require.Eventually(t, func() bool { return w.front.Stats().Clients <= 30 }, 10*time.Second, 10*time.Millisecond, "the slowest goes")
+	require.Equal(t, "1", w.one(reader, "SELECT $1", "1"))
+}
+
 func TestSessionsCopyAndPipelines(t *testing.T) {
 	w := pool(t, nil)
 	c := w.connect("")
