--- a/internal/net/pg/sessions_test.go
+++ b/internal/net/pg/sessions_test.go
@@ -300,7 +300,7 @@
 
 // Guards against clients that ask and never read, each within its own bound.
 func TestSessionsThatTakeNoAnswersAreBoundedTogether(t *testing.T) {
-	w := pool(t, func(l *SessionLimits) { l.Bytes = 1 << 20 })
+	w := pool(t, func(l *SessionLimits) { l.Bytes = 400 << 10 })
 	ask := query(startup(nil, "web", "orders"), func(b []byte) []byte { return append(b, "SELECT generate_series(1, 30), repeat('x', 200000)"...) })
 	for range 30 {
 		c, err := net.Dial("tcp", w.address)
