--- a/cmd/ashlab/main.go
+++ b/cmd/ashlab/main.go
@@ -134,6 +134,9 @@
 			if m.breaks != "" && !slices.Contains(load.RestartBreakable, m.breaks) {
 				return fmt.Errorf("--break %s: it can be %s", m.breaks, strings.Join(load.RestartBreakable, ", "))
 			}
+			if o.Only != "" && !slices.Contains(load.Facts, o.Only) {
+				return fmt.Errorf("--only %s: it can be %s", o.Only, strings.Join(load.Facts, ", "))
+			}
 			if cost {
 				return m.finish(load.SnapshotCost(c.Context(), m.pooler, m.seed, []int{10, 500, 5000}, 3*time.Second))
 			}
@@ -142,6 +145,7 @@
 		}}
 	c.Flags().IntVar(&o.Kills, "kills", 100, "how often it is killed while it writes")
 	c.Flags().BoolVar(&cost, "cost", false, "measure what keeping state costs instead")
+	c.Flags().StringVar(&o.Only, "only", "", "in the comparison, keep one kind of fact alone: "+strings.Join(load.Facts, ", "))
 	c.Flags().IntVar(&o.Replicas, "replicas", 40, "of the primary, in the comparison")
 	c.Flags().IntVar(&o.Rounds, "rounds", 2, "restarts with the file, and as many without, that are compared")
 	m.flags(c, 0, load.RestartBreakable)
