--- a/lab/load/sessions.go
+++ b/lab/load/sessions.go
@@ -48,7 +48,8 @@
 	begun := time.Now()
 	var all sync.WaitGroup
 	for i := range o.Sessions {
-		w := &worker{name: fmt.Sprintf("w%d", i), address: f.Pooler.Sessions, g: g, fleet: f, rng: rand.New(rand.NewPCG(o.Seed, uint64(i)))}
+		w := &worker{name: fmt.Sprintf("w%d", i), address: f.Pooler.Sessions, g: g, fleet: f, rng: rand.New(rand.NewPCG(o.Seed, uint64(i))),
+			sleepy: o.Break == "cancel"}
 		all.Go(func() {
 			time.Sleep(time.Duration(w.rng.Int64N(int64(min(o.Duration/4, 5*time.Second)))))
 			if w.connect(run) != nil {
--- a/lab/load/worker.go
+++ b/lab/load/worker.go
@@ -35,6 +35,7 @@
 	writes   int
 	pins     bool
 	misled   bool // it asked for a cancel
+	sleepy   bool // half of what it does are long queries and cancels: to see a cancel hit the wrong one
 }
 
 func (w *worker) connect(ctx context.Context) error {
@@ -170,6 +171,10 @@
 }
 
 func (w *worker) step() {
+	if w.sleepy && w.rng.IntN(2) == 0 {
+		w.do(w.rng.IntN(2) == 0)
+		return
+	}
 	n := w.rng.IntN(100)
 	for _, o := range operations {
 		if n -= o.share; n < 0 {
@@ -397,6 +402,15 @@
 	w.simple("cancelled", "SELECT 1")
 }
 
+// do has a query running long enough to be hit by somebody else's cancel, or asks for one.
+func (w *worker) do(cancel bool) {
+	if cancel {
+		w.cancel()
+	} else {
+		w.sleep()
+	}
+}
+
 func (w *worker) sleep() { w.simple("sleep", "SELECT pg_sleep(0.02)") }
 
 // pipeline has an error in the middle, and a statement behind it that must not be there.
