--- a/lab/load/sessions.go
+++ b/lab/load/sessions.go
@@ -94,7 +94,7 @@
 		for _, h := range f.Hosts {
 			for name, n := range h.Counts.All() {
 				switch name {
-				case "transactions":
+				case "transactions", "reads":
 				case "sent_to_draining":
 					r.Broken[name] += n
 				default:
