Members that left no longer shrink the part open at cold replacements

Ruled out: time-outs and queues at the new hosts (none in the trace). To blame: group.part divided by all members that are remembered, and those that left are kept for a minute, so a group of three had parts of a sixth. It counts those listed now.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -405,7 +405,16 @@
 	return in + c.cfg.OverShare*(1-in)
 }
 
-func (g *group) part() float64 { return 1 / float64(max(1, len(g.members)-1)) }
+// part is a replica's share of the group's reads. Members that left are kept for a while, and take none.
+func (g *group) part() float64 {
+	n := -1
+	for _, m := range g.members {
+		if m.listed {
+			n++
+		}
+	}
+	return 1 / float64(max(1, n))
+}
 
 func (g *group) primary() *member {
 	var p *member
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -109,6 +109,24 @@
 	}
 }
 
+// Hosts that were replaced leave their part to those that came: members that are remembered, though gone, take none.
+func TestFleetSlowStartAfterReplacement(t *testing.T) {
+	for _, routers := range []int{1, 80} {
+		f := newFleet(t, routers, shard())
+		f.answers = quickly
+		f.list(Target{Host: "x", Group: 1, Started: zero}, Target{Host: "y", Group: 1, Started: zero},
+			Target{Host: "z", Group: 1, Started: zero}, Target{Host: "a", Group: 1, Gone: true},
+			Target{Host: "b", Group: 1, Gone: true}, Target{Host: "c", Group: 1, Gone: true})
+		f.play(1000, anyRead, ms)
+		expected := 1000.0 / 3 * coldShare * 2.5 * 0.24 // a third of the reads, at the sure share's mean over a second
+		for _, h := range []string{"x", "y", "z"} {
+			if got := float64(f.sends[h]); got < 0.6*expected || got > 1.4*expected {
+				t.Errorf("%d routers: %.0f sends to cold %s in a second, want about %.0f", routers, got, h, expected)
+			}
+		}
+	}
+}
+
 // Writes that every router held while the group was down don't reach a restarted member at a stroke, neither those
 // that search for the primary nor those that know it.
 func TestFleetReleasesHeldWritesSlowly(t *testing.T) {
