Discovery: back off with jitter, and ask an overbooked service for changes only

To blame: each asked again every 250 to 500 ms, about 150 calls a second together, and dropped its index at a 503, so that it asked for the whole list. Now the wait doubles to 4 s, half of it drawn, Retry-After is followed up to that, and only an answer that can't be gone on from (a 4xx but 429, no HTTP, no list) leads to the whole list.

--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
@@ -54,7 +55,13 @@
 	maxLine = 4 << 20                 // one list
 	quiet   = 4500 * time.Millisecond // an idle watch sends a line every 2 s
 	answer  = 3 * time.Second         // for the whole list
-	retry   = 250 * time.Millisecond
+
+	// A round that failed is followed by the next after retryFirst, doubled with each failure in a row up to retryMost;
+	// half of that time is drawn. All poolers lose their watch at the same moment, and a service that is overbooked
+	// stays so while each of them asks several times a second. The most is below the 6 s after which the platform
+	// counts what discovery has to tell as told.
+	retryFirst = 250 * time.Millisecond
+	retryMost  = 4 * time.Second
 )
 
 // Watcher follows one discovery service at a time.
@@ -64,6 +71,9 @@
 	index  uint64
 	held   bool
 
+	failed  int // rounds in a row that brought nothing
+	brought atomic.Bool
+
 	mu      sync.Mutex
 	address string
 	cut     context.CancelFunc // ends the round under way; nil before the first
@@ -111,6 +121,9 @@
 		round, cut, address := w.begin(ctx)
 		err := w.round(round, address)
 		moved := round.Err() != nil
+		if w.failed++; w.brought.Swap(false) {
+			w.failed = 0
+		}
 		cut()
 		if ctx.Err() != nil {
 			return
@@ -124,13 +137,24 @@
 			slog.Warn(fmt.Sprintf("discovery: the watch ended: %v; going on with the list held", err))
 		}
 		said = err != nil && !errors.Is(err, errEnded) // a service that is down is told once
+		var status statusError
+		wait := pause(w.failed, rand.Float64())
+		if errors.As(err, &status) {
+			wait = max(wait, status.after)
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(retry + rand.N(retry)):
+		case <-time.After(wait):
 		}
 	}
 }
 
+// pause is how long to wait after so many rounds in a row that brought nothing; lot is drawn from [0, 1).
+func pause(failed int, lot float64) time.Duration {
+	most := min(retryMost, retryFirst<<min(failed, 10))
+	return most/2 + time.Duration(lot*float64(most/2))
+}
+
 // round fetches the list where none was ever fetched or a watch could not go on, then watches.
 func (w *Watcher) round(ctx context.Context, address string) error {
 	if !w.held {
@@ -139,9 +163,10 @@
 		}
 	}
 	err := w.get(ctx, address, path+"?follow=1&since="+strconv.FormatUint(w.index, 10), quiet, false)
-	if err != nil && !errors.Is(err, errEnded) && !errors.Is(err, errQuiet) {
-		w.held = false // whatever is wrong with going on from there, the whole list puts it right
-	}
+	var status statusError
+	if errors.As(err, &status) && status.code < 500 && status.code != 429 || errors.Is(err, errHTTP) || errors.Is(err, errList) {
+		w.held = false // going on from there is no use: the whole list puts it right
+	} // A service that is down or overbooked wants the cheaper question again: changes are a few lines, the list is all.
 	return err
 }
 
@@ -153,7 +178,7 @@
 // get asks for a path and applies each list that comes. once: the answer is one list. A quiet time of more
 // than patience ends it.
 func (w *Watcher) get(ctx context.Context, address, path string, patience time.Duration, once bool) error {
-	s := &stream{whole: once, signal: make(chan struct{}, 1), lists: make(chan List, 64), failed: make(chan error, 1)}
+	s := &stream{whole: once, brought: &w.brought, signal: make(chan struct{}, 1), lists: make(chan List, 64), failed: make(chan error, 1)}
 	dialing, cancel := context.WithTimeout(ctx, answer)
 	c, err := w.engine.Dial(dialing, address, s)
 	cancel()
@@ -204,8 +229,9 @@
 
 // stream parses an HTTP answer on the event loop, as it arrives.
 type stream struct {
-	whole   bool // the answer is one object, however many lines it has
-	head    bool // it was read
+	brought *atomic.Bool // set when something of an answer came, if only an empty line
+	whole   bool         // the answer is one object, however many lines it has
+	head    bool         // it was read
 	chunked bool
 	left    int // of the chunk or the body; -1: a chunk's size comes next, -2: an empty line after a chunk
 	line    []byte
@@ -244,7 +270,19 @@
 	}
 }
 
-var errHTTP = errors.New("the answer is no HTTP that is understood")
+var (
+	errHTTP = errors.New("the answer is no HTTP that is understood")
+	errList = errors.New("a list that can't be read")
+)
+
+// statusError is an answer with a status other than 200.
+type statusError struct {
+	code  int
+	text  string
+	after time.Duration // the service's own word of when to come back, as far as it is followed
+}
+
+func (e statusError) Error() string { return "the service answered " + e.text }
 
 // parse takes as much of b as is whole and returns how much that was.
 func (s *stream) parse(b []byte) (used int, err error) {
@@ -309,10 +347,9 @@
 	if len(words) < 2 || !strings.HasPrefix(words[0], "HTTP/1.") {
 		return errHTTP
 	}
-	if words[1] != "200" {
-		return fmt.Errorf("the service answered %s", strings.Join(words[1:], " "))
-	}
-	s.head, s.left = true, maxLine
+	refused := statusError{text: strings.Join(words[1:], " ")}
+	refused.code, _ = strconv.Atoi(words[1])
+	s.left = maxLine
 	for _, l := range lines[1:] {
 		name, value, _ := strings.Cut(l, ":")
 		value = strings.TrimSpace(value)
@@ -321,6 +358,10 @@
 			if strings.EqualFold(value, "chunked") {
 				s.chunked, s.left = true, -1
 			}
+		case "retry-after":
+			if n, err := strconv.ParseUint(value, 10, 31); err == nil {
+				refused.after = min(time.Duration(n)*time.Second, retryMost)
+			}
 		case "content-length":
 			n, err := strconv.ParseUint(value, 10, 31)
 			if err != nil {
@@ -331,12 +372,19 @@
 			}
 		}
 	}
+	if refused.code != 200 {
+		return refused
+	}
+	s.head = true
 	return nil
 }
 
 // body takes a piece of the answer: JSON objects, one a line. A list may be longer than a chunk, and a chunk
 // than the ring buffer should hold, so pieces of a line are gathered here and bounded.
 func (s *stream) body(b []byte) error {
+	if s.brought != nil {
+		s.brought.Store(true)
+	}
 	for len(b) > 0 {
 		end := bytes.IndexByte(b, '\n')
 		if end < 0 || s.whole {
@@ -364,7 +412,7 @@
 	}
 	var l List
 	if err := json.Unmarshal(text, &l); err != nil {
-		return fmt.Errorf("a list that can't be read: %w", err)
+		return fmt.Errorf("%w: %w", errList, err)
 	}
 	select {
 	case s.lists <- l:
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -1,10 +1,18 @@
 package discovery
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/net/loop"
 )
 
 func fresh(whole bool) *stream {
@@ -44,6 +52,77 @@
 	require.Len(t, s.lists, 1, "a list that is printed over lines")
 }
 
+// All poolers lose their watch at the same moment. A service that takes few calls a second has to come to all of them:
+// they ask less often from failure to failure, not in step, and never wait longer than the platform grants.
+func TestAFleetBacksOffFromAnOverbookedService(t *testing.T) {
+	const poolers, step, capacity = 80, 50.0, 1 // one call in 50 ms is answered
+	lots := rand.New(rand.NewPCG(1, 2))
+	failed, due := make([]int, poolers), make([]float64, poolers)
+	up, most, calls := 0, 0, 0
+	for now := 0.0; now < 15000; now += step {
+		asked := 0
+		for i := range due {
+			if due[i] < 0 || due[i] > now {
+				continue
+			}
+			if asked++; asked <= capacity {
+				due[i] = -1
+				up++
+				continue
+			}
+			failed[i]++
+			wait := pause(failed[i], lots.Float64())
+			require.LessOrEqual(t, wait, retryMost)
+			due[i] = now + float64(wait.Milliseconds())
+		}
+		calls += asked
+		if now >= 2000 {
+			most = max(most, asked)
+		}
+	}
+	require.Equal(t, poolers, up, "poolers with a watch after 15 s")
+	require.LessOrEqual(t, most, 12, "calls in 50 ms, once the first burst is over")
+	require.LessOrEqual(t, calls, 8*poolers)
+}
+
+// A service that is overbooked or down is asked for changes again, not for its whole list, which costs it more.
+func TestAnOverbookedServiceIsNotAskedForTheWholeList(t *testing.T) {
+	for status, whole := range map[string]bool{"503 Service Unavailable": false, "429 Too Many Requests": false, "410 Gone": true} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		asked := make(chan string, 16)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				line, _ := bufio.NewReader(c).ReadString('\n')
+				asked <- line
+				fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", status)
+				_ = c.Close()
+			}
+		}()
+		engine := loop.New()
+		require.NoError(t, engine.Start("127.0.0.1:0", nil))
+		ctx, cancel := context.WithCancel(context.Background())
+		go New(engine, l.Addr().String(), &List{Index: 41}, func(List) {}).Run(ctx)
+		require.Contains(t, <-asked, "since=41", status)
+		next := <-asked
+		require.Equal(t, whole, !strings.Contains(next, "since=41"), "%s, then %s", status, next)
+		cancel()
+		_ = l.Close()
+		engine.Stop()
+	}
+}
+
+func TestRetryAfterOfTheServiceIsRead(t *testing.T) {
+	_, err := fresh(false).parse([]byte("HTTP/1.1 503 Busy\r\nRetry-After: 2\r\n\r\n"))
+	require.Equal(t, statusError{code: 503, text: "503 Busy", after: 2 * time.Second}, err)
+	_, err = fresh(false).parse([]byte("HTTP/1.1 503 Busy\r\nRetry-After: 4000000\r\n\r\n"))
+	require.Equal(t, retryMost, err.(statusError).after)
+}
+
 // FuzzStream checks that no bytes of the service panic.
 func FuzzStream(f *testing.F) {
 	f.Add([]byte(watch))
