Reads go to a suspect primary where nobody else can serve; cold hosts stand more

A router of 80 sees one request a second and group, so one error or time-out leaves a suspicion that lasts ten seconds; writes go there all the same, reads were held until half of their time and refused. Now they go there too, unless it is silent or a replica can serve, within the same limits. To blame: the end of replica().

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,7 +39,7 @@
 	limitStart   = 3                      // in-flight limit per member: start
 	limitStep    = 0.1                    // a timely answer opens the limit; a slow or lost one closes it
 	limitCut     = 0.5
-	coldShare    = 0.4             // part of the overload that a cold member stands which is used
+	coldShare    = 0.7             // part of the overload that a cold member stands which is used
 	lotPace      = 2 * time.Second // how often a held request draws its lot for cold members again
 	shedStep     = 0.02            // a timely answer opens a group again; late and lost ones close it
 	shedCut      = 0.3
@@ -800,12 +800,14 @@
 	if c.ask(r, unknown) || !sound && len(bad) == 0 && c.ask(r, doubtful) {
 		return nil
 	}
-	if sound && c.admits(p, r, part) && float64(p.inflight) < primaryShare*p.limit && !tried(r, p) {
+	m := c.draw(bad)
+	if p != nil && !c.silent(p) && c.admits(p, r, part) && float64(p.inflight) < primaryShare*p.limit &&
+		!tried(r, p) && (sound || m == nil && !busy) { // suspect or not: there may be no other
 		return p
 	} else if sound || busy {
 		return nil // held: going on by the draw is for when all look bad
 	}
-	return c.draw(bad)
+	return m
 }
 
 // dispatch sends a request on, or leaves it held for the next upkeep, or ends it.
