The list's word for a new primary counts; probes find one past their ration

Ruled out: failed connects (none). To blame: targets() took a role from the list for new hosts only, and ask() was rationed though a probe costs a twentieth of the read that waits.

A role that the list newly gives is dated 5 s back, the list's lateness, so that it goes before nothing seen since. With no primary known, or a suspect one, a read may ask past the ration, two probes at the most as ever.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,6 +53,7 @@
 	explore      = 0.15                  // part of the draws that is not among open connections alone
 	farLess      = 0.1                   // in aims; known members would else crowd out the unknown
 	crowdAt      = 0.1                   // share of quick failures to connect that tells of full hosts
+	listLate     = 5 * time.Second       // a list names a new primary no later
 	keepMost     = 150                   // connections that all routers then keep at a host, below its limit
 	primaryShare = 0.9                   // part of the primary's in-flight limit that reads may fill
 	endGuard     = 15 * time.Millisecond // a final answer leaves this long before its time, at the latest
@@ -65,7 +66,7 @@
 type member struct {
 	host                 string
 	group                *group
-	listed               bool
+	listed, named        bool // named: as the primary, by the list
 	started              time.Duration
 	position             time.Duration // proven; never goes back
 	heard                time.Duration // when position was last renewed
@@ -318,10 +319,11 @@
 			c.members[t.Host] = m
 			g.members = append(g.members, m)
 			slices.SortFunc(g.members, func(a, b *member) int { return cmp.Compare(a.host, b.host) })
-			if t.Primary && c.cfg.ListRole {
-				m.primaryAt = max(1, c.now-time.Minute) // weaker than anything seen since
-			}
 		}
+		if t.Primary && c.cfg.ListRole && !m.named { // weaker than anything seen since
+			m.primaryAt = max(m.primaryAt, c.now-listLate, 1)
+		}
+		m.named = t.Primary
 		if t.Draining || t.Gone && !c.cfg.DrainBindsAlone { // there a list proves nothing of what runs
 			c.drain(m)
 		}
@@ -988,7 +990,8 @@
 		return m == r.asked || !m.probing && c.now-m.probed < askAgain
 	})
 	m := c.draw(c.likely(ms))
-	if m == nil || !m.probing && c.probes < 1 {
+	p := r.group.primary() // with none to fall back on, a read that waits costs more than a probe
+	if m == nil || !m.probing && c.probes < 1 && p != nil && c.sound(p) {
 		return false
 	}
 	r.asks, r.asked, r.askedAt = r.asks+1, m, c.now
--- a/choice/size_test.go
+++ b/choice/size_test.go
@@ -38,3 +38,50 @@
 	id, as = g.request(boundedRead, Event{})
 	require.Equal(t, "a", as[0].Host, id)
 }
+
+// A router that sees a write of a group every few seconds would search for its new primary for as long. The list's
+// word is older than it comes: it goes before nothing that was seen in the meantime.
+func TestTheListNamesANewPrimary(t *testing.T) {
+	named := []Target{{Host: "a", Group: 1, Primary: true}}
+	g := start(t, settings(), shard()...)
+	id, _ := g.request(unsafeWrite, Event{})
+	g.outcome(id, 0, OK, Primary)
+	g.now += 20 * second
+	g.step(Event{Kind: EvTargets, Targets: []Target{{Host: "p", Group: 1, Primary: true, Draining: true}}})
+	require.Nil(t, g.c.groups[1].primary())
+	g.step(Event{Kind: EvTargets, Targets: named})
+	_, as := g.request(unsafeWrite, Event{})
+	require.Equal(t, "a", as[0].Host)
+
+	g = start(t, settings(), shard()...)
+	g.now += 20 * second
+	g.reports(Replica, 0, "a")
+	g.now += listLate - second
+	g.step(Event{Kind: EvTargets, Targets: named})
+	require.Equal(t, "p", g.c.groups[1].primary().host, "a was seen as a replica since")
+	g.now += 20 * second // nor does the same word count as new when the entry changes for another reason
+	g.reports(Replica, 0, "a")
+	g.now += 20 * second
+	g.step(Event{Kind: EvTargets, Targets: named})
+	require.Equal(t, "p", g.c.groups[1].primary().host)
+}
+
+// Probes are rationed by what they cost where the primary can step in. Where it is unknown or suspect a read that
+// waits in vain costs more, and the answers find the new primary.
+func TestReadsAskPastTheRationWhereThereIsNoPrimary(t *testing.T) {
+	s := settings()
+	s.Routers, s.ProbePrice = 80, 0.04
+	g := start(t, s, shard()...)
+	g.c.probes = 0
+	_, as := g.request(boundedRead, Event{})
+	require.Equal(t, ActSend, as[0].Kind, "the primary steps in")
+	g.step(Event{Kind: EvTargets, Targets: []Target{{Host: "p", Group: 1, Draining: true}}})
+	g.c.probes = 0
+	id, as := g.request(boundedRead, Event{})
+	require.Equal(t, ActProbe, as[0].Kind)
+	as = g.reports(Primary, 0, as[0].Host)
+	sends, host := of(ActSend, as)
+	require.Len(t, sends, 1)
+	require.Equal(t, id, sends[0].ID)
+	require.Equal(t, g.c.groups[1].primary().host, host)
+}
