Reads that never went out are refused at half of their time, whatever their aim

Clients that leave 368 ms, less than twice the aim of 300, were held to 211 ms or later: the line waited for the aim as well as for half.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -816,10 +816,10 @@
 func (c *Choice) dispatch(r *request) {
 	late := c.now >= r.deadline-endGuard || // or not to be had in time, and worth nothing late:
 		r.class.LateShare == 0 && c.now+min(r.class.latency, (r.aim-r.arrived)*3/4) >= r.aim
-	// A read that never went out and is past its aim: over half its time the answer is of little use, and a
-	// refusal with when to come back leaves its client the rest.
+	// A read that never went out by half of its time: a refusal with when to come back leaves its client the
+	// rest for elsewhere, and holding it on would cost more than it mostly brings.
 	half := r.arrived + (r.deadline-r.arrived)/2 - endGuard
-	late = late || r.class.Read != Write && len(r.attempts) == 0 && c.now >= max(r.aim, half)
+	late = late || r.class.Read != Write && len(r.attempts) == 0 && c.now >= half
 	if late || len(r.attempts) >= c.cfg.MaxAttempts || !c.repeatable(r) {
 		c.end(r)
 		return
--- a/choice/size_test.go
+++ b/choice/size_test.go
@@ -85,3 +85,22 @@
 	require.Equal(t, id, sends[0].ID)
 	require.Equal(t, g.c.groups[1].primary().host, host)
 }
+
+// A client that leaves less than twice the aim is told at half of its time too: what is held beyond that without one
+// attempt costs a part of its worth, and few are served yet.
+func TestShortReadsAreRefusedAtHalfTimeThoughTheirAimIsLater(t *testing.T) {
+	s := settings()
+	s.Probes = false
+	g := start(t, s, Target{Host: "p", Group: 1, Primary: true, Draining: true}, Target{Host: "a", Group: 1})
+	for _, class := range []int{boundedRead, sessionRead} {
+		from := g.now
+		id, as := g.request(class, Event{TimeLeft: 400 * ms, Token: ms})
+		as, _ = of(ActRefuse, as)
+		for len(as) == 0 && g.now < from+400*ms {
+			as, _ = of(ActRefuse, g.after(5*ms))
+		}
+		require.Len(t, as, 1)
+		require.Equal(t, id, as[0].ID)
+		require.LessOrEqual(t, g.now-from, 200*ms)
+	}
+}
