--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -532,25 +532,3 @@
 		t.Errorf("group 3 led to %v", as)
 	}
 }
-
-// A request costs the same before 8 groups of 7 as before one: only its own group is looked at.
-func BenchmarkStep(b *testing.B) {
-	for _, groups := range []int{1, 8, 64} {
-		b.Run(fmt.Sprint(groups*7, "members"), func(b *testing.B) {
-			var hosts []Target
-			for i := range groups * 7 {
-				hosts = append(hosts, Target{Host: fmt.Sprint("h", i), Group: uint64(i / 7), Primary: i%7 == 0})
-			}
-			s := settings()
-			s.Routers, s.Index = 530, 7
-			g := start(b, s, hosts...)
-			b.ReportAllocs()
-			for i := 0; b.Loop(); i++ {
-				g.now += 400 * ms
-				id := fmt.Sprint(i)
-				g.c.Step(g.now, []Event{{Kind: EvRequest, ID: id, Class: anyRead, Group: uint64(i % groups), TimeLeft: time.Second}})
-				g.c.Step(g.now, []Event{{Kind: EvOutcome, ID: id, Code: OK, Role: Replica, Final: true, Elapsed: 50 * ms}})
-			}
-		})
-	}
-}
--- a/choice/size_test.go
+++ b/choice/size_test.go
@@ -1,7 +1,9 @@
 package choice
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -104,3 +106,63 @@
 		require.LessOrEqual(t, g.now-from, 200*ms)
 	}
 }
+
+// big is a router that knows so many hosts, in groups of four, with all positions known.
+func big(b testing.TB, hosts int) (*rig, []Target) {
+	s := settings()
+	s.Routers = 80
+	var list []Target
+	for i := range hosts {
+		list = append(list, Target{Host: fmt.Sprint("h", i), Group: uint64(i / 4), Primary: i%4 == 0})
+	}
+	return start(b, s, list...), list
+}
+
+// One read from its arrival to its answer costs the same however many hosts there are beside its group.
+func BenchmarkDecision(b *testing.B) {
+	for _, hosts := range []int{12, 60, 1000} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			g, _ := big(b, hosts)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				g.now += 400 * ms
+				id := fmt.Sprint(i)
+				g.step(Event{Kind: EvRequest, ID: id, Class: anyRead, Group: uint64(i % (hosts / 4)), TimeLeft: second})
+				g.step(Event{Kind: EvOutcome, ID: id, Code: OK, Role: Replica, Final: true, Elapsed: 50 * ms})
+			}
+		})
+	}
+}
+
+// One round of upkeep with ten requests held, for want of anybody to serve them.
+func BenchmarkTick(b *testing.B) {
+	for _, hosts := range []int{12, 60, 1000} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			g, list := big(b, hosts)
+			for i := 4; i < 8; i++ { // group 1
+				list[i].Draining = true
+			}
+			g.step(Event{Kind: EvTargets, Targets: list[4:8]})
+			for range 10 {
+				g.request(unsafeWrite, Event{TimeLeft: 10000 * time.Hour})
+			}
+			for b.Loop() {
+				g.after(5 * ms)
+			}
+		})
+	}
+}
+
+// One update of the list that changes one host.
+func BenchmarkListUpdate(b *testing.B) {
+	for _, hosts := range []int{12, 60, 1000} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			g, list := big(b, hosts)
+			for b.Loop() {
+				g.now += ms
+				list[1].Draining = !list[1].Draining
+				g.step(Event{Kind: EvTargets, Targets: list[1:2]})
+			}
+		})
+	}
+}
