A Retry-After told to a whole fleet no longer brings it into step; pauses come from the seed

Seen: discovery's Retry-After counted as the pause itself as soon as it was longer than the drawn one (discovery.go, `wait = max(wait, status.after)`). A service that is back and overbooked tells all poolers the same at the same moment, so they come back at the same moment: in a test with 300 poolers, a service that answers one call in 20 ms and a word of 1 s, 299 calls fell within 100 ms, again every second.

Checked and ruled out: the pause without a word spreads well (the older test with 80 poolers); the pauses were drawn from the process's own source, so a run could not be played again, and that says nothing of the step.

Now: the pause is the word and a drawn part on top, as wide as the word, within the 6 s after which the platform counts discovery's news as told.

--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -218,7 +218,7 @@
 		go n.keeper.run(ctx)
 	}
 	go n.facade.Run(ctx)
-	n.watch = discovery.New(n.engine, cfg.Discovery, cfg.Known, apply)
+	n.watch = discovery.New(n.engine, cfg.Discovery, cfg.Known, cfg.seed, apply)
 	go n.watch.Run(ctx)
 	go every(ctx, time.Second, n.pool.Sweep)
 	go every(ctx, pg.SweepEvery, n.front.Sweep)
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"strconv"
 	"strings"
 	"sync"
@@ -55,13 +54,6 @@
 	maxLine = 4 << 20                 // one list
 	quiet   = 4500 * time.Millisecond // an idle watch sends a line every 2 s
 	answer  = 3 * time.Second         // for the whole list
-
-	// A round that failed is followed by the next after retryFirst, doubled with each failure in a row up to retryMost;
-	// half of that time is drawn. All poolers lose their watch at the same moment, and a service that is overbooked
-	// stays so while each of them asks several times a second. The most is below the 6 s after which the platform
-	// counts what discovery has to tell as told.
-	retryFirst = 250 * time.Millisecond
-	retryMost  = 4 * time.Second
 )
 
 // Watcher follows one discovery service at a time.
@@ -71,7 +63,7 @@
 	index  uint64
 	held   bool
 
-	failed  int // rounds in a row that brought nothing
+	pace    pace
 	brought atomic.Bool
 
 	mu      sync.Mutex
@@ -80,9 +72,10 @@
 	moved   bool               // since the last round began
 }
 
-// New returns a watcher; apply gets each list and change, in order. known is the list already held, if any.
-func New(engine *loop.Engine, address string, known *List, apply func(List)) *Watcher {
-	w := &Watcher{engine: engine, address: address, apply: apply}
+// New returns a watcher; apply gets each list and change, in order. known is the list already held, if any. The pauses
+// after rounds that fail are drawn from seed.
+func New(engine *loop.Engine, address string, known *List, seed uint64, apply func(List)) *Watcher {
+	w := &Watcher{engine: engine, address: address, apply: apply, pace: newPace(seed)}
 	if known != nil {
 		w.index, w.held = known.Index, true
 	}
@@ -121,9 +114,9 @@
 		round, cut, address := w.begin(ctx)
 		err := w.round(round, address)
 		moved := round.Err() != nil
-		if w.failed++; w.brought.Swap(false) {
-			w.failed = 0
-		}
+		var status statusError
+		_ = errors.As(err, &status)
+		wait := w.pace.next(w.brought.Swap(false), status.after)
 		cut()
 		if ctx.Err() != nil {
 			return
@@ -137,11 +130,6 @@
 			slog.Warn(fmt.Sprintf("discovery: the watch ended: %v; going on with the list held", err))
 		}
 		said = err != nil && !errors.Is(err, errEnded) // a service that is down is told once
-		var status statusError
-		wait := pause(w.failed, rand.Float64())
-		if errors.As(err, &status) {
-			wait = max(wait, status.after)
-		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
@@ -149,12 +137,6 @@
 	}
 }
 
-// pause is how long to wait after so many rounds in a row that brought nothing; lot is drawn from [0, 1).
-func pause(failed int, lot float64) time.Duration {
-	most := min(retryMost, retryFirst<<min(failed, 10))
-	return most/2 + time.Duration(lot*float64(most/2))
-}
-
 // round fetches the list where none was ever fetched or a watch could not go on, then watches.
 func (w *Watcher) round(ctx context.Context, address string) error {
 	if !w.held {
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"strings"
 	"testing"
@@ -56,8 +55,10 @@
 // they ask less often from failure to failure, not in step, and never wait longer than the platform grants.
 func TestAFleetBacksOffFromAnOverbookedService(t *testing.T) {
 	const poolers, step, capacity = 80, 50.0, 1 // one call in 50 ms is answered
-	lots := rand.New(rand.NewPCG(1, 2))
-	failed, due := make([]int, poolers), make([]float64, poolers)
+	paces, due := make([]pace, poolers), make([]float64, poolers)
+	for i := range paces {
+		paces[i] = newPace(uint64(i))
+	}
 	up, most, calls := 0, 0, 0
 	for now := 0.0; now < 15000; now += step {
 		asked := 0
@@ -70,8 +71,7 @@
 				up++
 				continue
 			}
-			failed[i]++
-			wait := pause(failed[i], lots.Float64())
+			wait := paces[i].next(false, 0)
 			require.LessOrEqual(t, wait, retryMost)
 			due[i] = now + float64(wait.Milliseconds())
 		}
@@ -85,6 +85,62 @@
 	require.LessOrEqual(t, calls, 8*poolers)
 }
 
+// A service that is back answers one call in 20 ms and tells all others alike when to come again. The fleet must not
+// keep that step: with pauses that follow the word to the letter all 300 call within the same moment, once a second.
+func TestARetryAfterToldToAllDoesNotBringAFleetIntoStep(t *testing.T) {
+	const poolers, step, capacity = 300, 20.0, 1
+	for _, word := range []time.Duration{time.Second, 3 * time.Second, time.Hour} {
+		paces, due := make([]pace, poolers), make([]float64, poolers)
+		for i := range paces {
+			paces[i] = newPace(uint64(i))
+		}
+		up, most, asked := 0, 0, make([]int, 1500)
+		for i := range asked {
+			now := float64(i) * step
+			for j := range due {
+				if due[j] < 0 || due[j] > now {
+					continue
+				}
+				if asked[i]++; asked[i] <= capacity {
+					due[j] = -1
+					up++
+					continue
+				}
+				wait := paces[j].next(false, word)
+				require.GreaterOrEqual(t, wait, min(word, retryMost), "never before the service's word")
+				require.LessOrEqual(t, wait, told)
+				due[j] = now + float64(wait.Microseconds())/1000
+			}
+			if i >= 5 { // behind the first moment, at which all start
+				hundred := 0
+				for _, n := range asked[i-4 : i+1] {
+					hundred += n
+				}
+				most = max(most, hundred)
+			}
+		}
+		// 300 poolers over a second at the least are 30 in 100 ms; half as much again for chance.
+		require.LessOrEqual(t, most, 45, "calls in any 100 ms, told to come back after %v", word)
+		require.GreaterOrEqual(t, up, poolers*9/10, "poolers with a watch after 30 s, told %v", word)
+	}
+}
+
+// Equal seeds pause alike, so that a run can be played again; others do not, so that a fleet is not in step.
+func TestPausesComeFromTheSeed(t *testing.T) {
+	a, b, other := newPace(7), newPace(7), newPace(8)
+	same := 0
+	for range 20 {
+		wait := a.next(false, 0)
+		require.Equal(t, wait, b.next(false, 0))
+		if wait == other.next(false, 0) {
+			same++
+		}
+	}
+	require.Less(t, same, 3)
+	a.next(true, 0)
+	require.LessOrEqual(t, a.next(true, 0), retryFirst, "a round that brought something starts anew")
+}
+
 // A service that is overbooked or down is asked for changes again, not for its whole list, which costs it more.
 func TestAnOverbookedServiceIsNotAskedForTheWholeList(t *testing.T) {
 	for status, whole := range map[string]bool{"503 Service Unavailable": false, "429 Too Many Requests": false, "410 Gone": true} {
@@ -106,7 +162,7 @@
 		engine := loop.New()
 		require.NoError(t, engine.Start("127.0.0.1:0", nil))
 		ctx, cancel := context.WithCancel(context.Background())
-		go New(engine, l.Addr().String(), &List{Index: 41}, func(List) {}).Run(ctx)
+		go New(engine, l.Addr().String(), &List{Index: 41}, 1, func(List) {}).Run(ctx)
 		require.Contains(t, <-asked, "since=41", status)
 		next := <-asked
 		require.Equal(t, whole, !strings.Contains(next, "since=41"), "%s, then %s", status, next)
