--- a/choice/size_test.go
+++ b/choice/size_test.go
@@ -120,7 +120,7 @@
 
 // One read from its arrival to its answer costs the same however many hosts there are beside its group.
 func BenchmarkDecision(b *testing.B) {
-	for _, hosts := range []int{12, 60, 1000} {
+	for _, hosts := range []int{12, 120, 1000} {
 		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
 			g, _ := big(b, hosts)
 			b.ReportAllocs()
@@ -136,7 +136,7 @@
 
 // One round of upkeep with ten requests held, for want of anybody to serve them.
 func BenchmarkTick(b *testing.B) {
-	for _, hosts := range []int{12, 60, 1000} {
+	for _, hosts := range []int{12, 120, 1000} {
 		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
 			g, list := big(b, hosts)
 			for i := 4; i < 8; i++ { // group 1
@@ -155,7 +155,7 @@
 
 // One update of the list that changes one host.
 func BenchmarkListUpdate(b *testing.B) {
-	for _, hosts := range []int{12, 60, 1000} {
+	for _, hosts := range []int{12, 120, 1000} {
 		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
 			g, list := big(b, hosts)
 			for b.Loop() {
