--- /dev/null
+++ b/cmd/ashlab/cluster.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ashstand/internal/cluster/member"
+	"ashstand/lab/cluster"
+)
+
+// clusters are the measurements of many processes together.
+func clusters() *cobra.Command {
+	root := &cobra.Command{Use: "cluster", Short: "many poolers with faults between them"}
+	root.AddCommand(clusterMembers(), clusterShrink())
+	return root
+}
+
+// clusterFlags are those of a run of many processes.
+type clusterFlags struct {
+	common
+	poolers, clients int
+	probe            time.Duration
+	faults           string
+	plan, keep, page string
+	lines            bool
+}
+
+func (m *clusterFlags) add(c *cobra.Command) {
+	c.Flags().IntVar(&m.poolers, "poolers", 5, "processes")
+	c.Flags().IntVar(&m.clients, "clients", 4, "of each pooler")
+	c.Flags().DurationVar(&m.probe, "probe", 100*time.Millisecond, "how often a pooler asks one other whether it is there")
+	c.Flags().StringVar(&m.faults, "faults", "none", "all, none, or kinds with commas between: "+strings.Join(cluster.AllKinds(), ", "))
+	c.Flags().StringVar(&m.plan, "plan", "", "play this file instead of drawing from the seed")
+	c.Flags().StringVar(&m.keep, "keep", "failed-plan.json", "where the plan of a run that fails goes")
+	c.Flags().StringVar(&m.page, "page", "", "write the timeline as one HTML page")
+	c.Flags().BoolVar(&m.lines, "timeline", false, "print the timeline, also when all held")
+}
+
+// draw is the plan that the flags ask for.
+func (m *clusterFlags) draw() (cluster.Plan, error) {
+	if m.plan != "" {
+		return cluster.Load(m.plan)
+	}
+	if m.poolers < 2 || m.poolers > 64 {
+		return cluster.Plan{}, fmt.Errorf("--poolers %d: allowed is 2 to 64", m.poolers)
+	}
+	var kinds []string
+	switch m.faults {
+	case "none":
+	case "all":
+		kinds = slices.DeleteFunc(cluster.AllKinds(), func(k string) bool { return k == "drain" }) // that one waits for agreed lists
+	default:
+		for _, k := range strings.Split(m.faults, ",") {
+			if k = strings.TrimSpace(k); !slices.Contains(cluster.AllKinds(), k) {
+				return cluster.Plan{}, fmt.Errorf("--faults %s: %q is no kind; there are %s", m.faults, k, strings.Join(cluster.AllKinds(), ", "))
+			}
+			kinds = append(kinds, k)
+		}
+	}
+	rest := time.Duration(member.Bound(m.poolers, m.probe)*1e6) + 3*time.Second
+	if len(kinds) > 0 && m.duration < rest+3*time.Second {
+		return cluster.Plan{}, fmt.Errorf("--duration %v: with faults it takes at least %v, so that what is seen at the end can be judged", m.duration, rest+3*time.Second)
+	}
+	p := cluster.Draw(m.seed, m.poolers, m.duration, m.probe, rest, kinds)
+	p.Break = m.breaks
+	return p, nil
+}
+
+func (m *clusterFlags) play(ctx context.Context, p cluster.Plan) (*cluster.Outcome, error) {
+	return cluster.Members(ctx, cluster.Options{Plan: p, Pooler: m.pooler, Clients: m.clients, Log: m.log})
+}
+
+// done writes what a run leaves.
+func (m *clusterFlags) done(out *cluster.Outcome, w io.Writer) error {
+	failed := !out.Result.Held()
+	if failed || m.lines {
+		out.Print(w)
+	}
+	if m.page != "" {
+		if err := out.Page(m.page); err != nil {
+			return err
+		}
+	}
+	if failed && m.keep != "" {
+		if err := out.Plan.Save(m.keep); err != nil {
+			return err
+		}
+		fmt.Fprintf(w, "seed %d; play it again with --plan %s\n", out.Plan.Seed, m.keep)
+	}
+	return m.finish(out.Result, nil)
+}
+
+func clusterMembers() *cobra.Command {
+	var m clusterFlags
+	c := &cobra.Command{Use: "members", Short: "who the poolers believe to be there, through dropped links, stalls, crashes and partitions", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if m.breaks != "" && !slices.Contains(member.Breakable, m.breaks) {
+				return fmt.Errorf("--break %s: it can be %s", m.breaks, strings.Join(member.Breakable, ", "))
+			}
+			p, err := m.draw()
+			if err != nil {
+				return err
+			}
+			out, err := m.play(c.Context(), p)
+			if err != nil {
+				return err
+			}
+			return m.done(out, os.Stderr)
+		}}
+	m.add(c)
+	return m.flags(c, 60*time.Second, member.Breakable)
+}
+
+func clusterShrink() *cobra.Command {
+	var m clusterFlags
+	tries := 30
+	c := &cobra.Command{Use: "shrink PLAN", Short: "take faults out of a plan for as long as it still fails", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			p, err := cluster.Load(args[0])
+			if err != nil {
+				return err
+			}
+			var last *cluster.Outcome
+			failed := func(p cluster.Plan) (bool, error) {
+				out, err := m.play(c.Context(), p)
+				if err != nil {
+					return false, err
+				}
+				bad := !out.Result.Held()
+				fmt.Fprintf(os.Stderr, "%d faults: failed %v\n", len(p.Faults), bad)
+				if bad {
+					last = out
+				}
+				return bad, nil
+			}
+			if bad, err := failed(p); err != nil {
+				return err
+			} else if !bad {
+				return errors.New("the plan does not fail; real sockets vary, so try again")
+			}
+			if p, err = cluster.Shrink(p, tries, failed); err != nil {
+				return err
+			}
+			last.Plan = p
+			return m.done(last, os.Stderr)
+		}}
+	c.Flags().IntVar(&tries, "tries", tries, "plays at the most")
+	c.Flags().IntVar(&m.clients, "clients", 4, "of each pooler")
+	c.Flags().StringVar(&m.keep, "keep", "small-plan.json", "where the smaller plan goes")
+	c.Flags().StringVar(&m.page, "page", "", "write the timeline as one HTML page")
+	c.Flags().StringVar(&m.pooler, "pooler", "", "the pooler's program (default: ashstand beside this one)")
+	c.Flags().StringVar(&m.json, "json", "", "write the result to this file as JSON; - is standard output")
+	return c
+}
--- /dev/null
+++ b/cmd/ashstand/cluster.go
@@ -0,0 +1,261 @@
+package main
+
+import (
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ashstand/internal/clock"
+	"ashstand/internal/cluster/member"
+	"ashstand/internal/net/discovery"
+)
+
+// The formats between poolers that this program reads, and the one that it writes.
+const (
+	oldestFormat = 1
+	newestFormat = 1
+)
+
+// fellows is what a pooler has to do with the others.
+type fellows struct {
+	gossip *member.Gossip
+	trace  *trace
+	state  member.State
+	mu     sync.Mutex
+}
+
+// meet starts it; nil where the operator's file has no cluster: then nothing of it is opened, started or allocated.
+func meet(cfg *config, now clock.Clock) (*fellows, error) {
+	o := cfg.operator.Cluster
+	if o == nil || o.Listen == "" {
+		return nil, nil
+	}
+	keys, err := member.ReadKeys(o.Keys)
+	if err != nil {
+		return nil, fmt.Errorf("cluster.keys: %w", err)
+	}
+	var drawn [8]byte
+	if _, err := rand.Read(drawn[:]); err != nil {
+		return nil, err
+	}
+	name := o.Name
+	if name == "" {
+		name = cfg.Name
+	}
+	if _, own := o.Peers[name]; own {
+		return nil, fmt.Errorf("%s: cluster.peer %q: that is this pooler's own name", cfg.operator.Path, name)
+	}
+	f := &fellows{state: member.Starting}
+	if l := cfg.operator.Lab; l != nil && l.Trace != "" {
+		if f.trace, err = openTrace(l.Trace, name); err != nil {
+			return nil, err
+		}
+	}
+	broken := ""
+	if what, ok := strings.CutPrefix(os.Getenv("ASHSTAND_BREAK"), "cluster-"); ok && cfg.operator.Lab != nil {
+		slog.Error("a guarantee is switched off, to see its checker fail: " + what)
+		broken = what
+	}
+	self := member.Info{Name: name, Instance: binary.BigEndian.Uint64(drawn[:]) | 1, Started: now.Now(), Version: version(), Oldest: oldestFormat,
+		Newest: newestFormat, Zone: o.Zone, State: member.Starting}
+	f.gossip, err = member.Start(member.Options{Self: self, Listen: o.Listen, Peers: o.Peers, Keys: keys, Most: o.Members, Probe: o.Probe,
+		Seed: cfg.seed, Clock: now, Changed: f.changed, Break: broken})
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// changed is told of each change of view.
+func (f *fellows) changed(changes []member.Change) {
+	for _, c := range changes {
+		slog.Info(fmt.Sprintf("cluster: %s is %s, it was %s", c.Name, orWord(c.To, "forgotten"), orWord(c.From, "unknown")))
+	}
+	f.trace.views(changes)
+}
+
+func orWord(s member.State, none string) string {
+	if s == "" {
+		return none
+	}
+	return string(s)
+}
+
+// now tells the others what this pooler is.
+func (f *fellows) now(s member.State) {
+	if f == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state != member.Draining { // there is no way back
+		f.state = s
+		f.gossip.Self(s)
+	}
+}
+
+// reload takes other keys and addresses; the rest needs a restart.
+func (f *fellows) reload(old, next *config) (wait []string) {
+	o, n := old.operator.Cluster, next.operator.Cluster
+	if o == nil || n == nil || f == nil {
+		if (o == nil || o.Listen == "") != (n == nil || n.Listen == "") {
+			return []string{"cluster"}
+		}
+		return nil
+	}
+	if o.Name != n.Name || o.Listen != n.Listen || o.Zone != n.Zone || o.Members != n.Members || o.Probe != n.Probe {
+		wait = append(wait, "cluster: name, listen, zone, members or probe")
+	}
+	keys, err := member.ReadKeys(n.Keys)
+	if err == nil {
+		err = f.gossip.Rekey(keys)
+	}
+	if err != nil {
+		slog.Error("reload: cluster.keys: " + err.Error() + "; going on with those held")
+	}
+	f.gossip.SetPeers(n.Peers)
+	return wait
+}
+
+func (f *fellows) stop() {
+	if f == nil {
+		return
+	}
+	f.gossip.Stop()
+	f.trace.close()
+}
+
+// holds tells the others that this pooler serves once it has a list.
+func (f *fellows) holds(l discovery.List) {
+	if f != nil && len(l.Endpoints) > 0 {
+		f.now(member.Serving)
+	}
+}
+
+// view is what operators see of the cluster.
+type clusterView struct {
+	On bool `json:"on"`
+	member.View
+}
+
+func (f *fellows) view() any {
+	if f == nil {
+		return clusterView{}
+	}
+	return clusterView{true, f.gossip.View()}
+}
+
+// trace is the file in which a process of the laboratory writes what it acted on.
+type trace struct {
+	mu   sync.Mutex
+	file *os.File
+	name string
+}
+
+func openTrace(path, name string) (*trace, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("lab.trace: %w", err)
+	}
+	t := &trace{file: f, name: name}
+	t.line(map[string]any{"event": "start", "pid": os.Getpid()})
+	return t, nil
+}
+
+// line writes one event. The time is the machine's, which all processes of a laboratory share, whatever their own
+// clocks are set to.
+func (t *trace) line(of map[string]any) {
+	if t == nil {
+		return
+	}
+	of["at"], of["name"] = float64(time.Now().UnixMicro())/1e3, t.name
+	b, err := json.Marshal(of)
+	if err != nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, _ = t.file.Write(append(b, '\n'))
+}
+
+func (t *trace) views(changes []member.Change) {
+	for _, c := range changes {
+		t.line(map[string]any{"event": "view", "of": c.Name, "from": c.From, "to": c.To, "before": fmt.Sprintf("%016x", c.Before), "instance": fmt.Sprintf("%016x", c.Now)})
+	}
+}
+
+func (t *trace) close() {
+	if t != nil {
+		_ = t.file.Close()
+	}
+}
+
+// clusterCommands ask a running pooler about the others.
+func clusterCommands(ask func(*cobra.Command) *cobra.Command, view func(string, any, func(io.Writer)) func(*cobra.Command, []string) error) *cobra.Command {
+	var v clusterView
+	root := &cobra.Command{Use: "cluster", Short: "what a pooler knows of the others"}
+	key := &cobra.Command{Use: "key", Short: "print a new key for the file that cluster.keys names", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+		b := make([]byte, 32)
+		if _, err := rand.Read(b); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintln(c.OutOrStdout(), base64.StdEncoding.EncodeToString(b))
+		return err
+	}}
+	root.AddCommand(key,
+		ask(&cobra.Command{Use: "members", Short: "list the poolers that this one knows, with what it believes of each", Args: cobra.NoArgs,
+			RunE: view("cluster", &v, func(w io.Writer) { memberTable(w, &v) })}),
+		ask(&cobra.Command{Use: "status", Short: "show where this pooler stands in its cluster, and what it has dropped", Args: cobra.NoArgs,
+			RunE: view("cluster", &v, func(w io.Writer) { statusTable(w, &v) })}))
+	return root
+}
+
+func memberTable(w io.Writer, v *clusterView) {
+	if !v.On {
+		fmt.Fprintln(w, "the operator's file has no cluster block with an address: this pooler knows of no others")
+		return
+	}
+	fmt.Fprintln(w, "NAME\tSTATE\tFOR\tADDRESS\tINSTANCE\tSTARTED\tZONE\tFORMATS\tVERSION")
+	now := clock.System().Now()
+	for _, m := range v.Members {
+		fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%016x\t%s\t%s\t%d-%d\t%s\n", m.Name, m.State, clock.Duration(now-m.Since).Round(time.Second), m.Address,
+			m.Instance, time.UnixMilli(int64(m.Started)).UTC().Format(time.DateTime), m.Zone, m.Oldest, m.Newest, m.Version)
+	}
+}
+
+func statusTable(w io.Writer, v *clusterView) {
+	if !v.On {
+		memberTable(w, v)
+		return
+	}
+	count := map[member.State]int{}
+	for _, m := range v.Members {
+		count[m.State]++
+	}
+	fmt.Fprintf(w, "name\t%s, instance %016x at %s\n", v.Self.Name, v.Self.Instance, v.Self.Address)
+	if v.Refused != nil {
+		fmt.Fprintf(w, "refused\tthe name is held by instance %016x at %s, which started first\n", v.Refused.Instance, v.Refused.Address)
+	}
+	fmt.Fprintf(w, "members\t%d serving, %d starting, %d draining, %d suspect, %d gone\n", count[member.Serving], count[member.Starting],
+		count[member.Draining], count[member.Suspect], count[member.Gone])
+	fmt.Fprintf(w, "known to all within\t%v, where they reach each other\n", clock.Duration(v.Bound).Round(100*time.Millisecond))
+	fmt.Fprintf(w, "formats that all read\t%d to %d\n", v.Formats[0], v.Formats[1])
+	if len(v.Apart) > 0 {
+		fmt.Fprintf(w, "no format in common with\t%s\n", strings.Join(v.Apart, ", "))
+	}
+	for _, t := range v.Twins {
+		fmt.Fprintf(w, "name that came twice\t%s: %016x at %s holds it, %016x at %s is refused\n", t.Name, t.Kept.Instance, t.Kept.Address, t.Sent.Instance, t.Sent.Address)
+	}
+	for _, k := range []string{"packets", "sent", "streams", "dialed", "huge", "twice", "overrun", "busy", "unreached", "garbage", "foreign", "calls", "joins"} {
+		fmt.Fprintf(w, "%s\t%d\n", k, v.Counters[k])
+	}
+}
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -18,6 +18,7 @@
 
 	"ashstand/internal/admin"
 	"ashstand/internal/clock"
+	"ashstand/internal/cluster/member"
 	"ashstand/internal/decide"
 	"ashstand/internal/edge"
 	"ashstand/internal/net/discovery"
@@ -78,6 +79,7 @@
 		// New connections come for 0.4 s yet, and clients use those they have while they are open: until the
 		// platform starts the next process, this one serves them best.
 		log.Printf("%v: going on for %v, then closing client connections between requests", s, n.bounds.Load().grace-serveRest)
+		n.others.now(member.Draining)
 		time.Sleep(n.bounds.Load().grace - serveRest)
 	}
 	n.drain()
@@ -96,6 +98,7 @@
 	pooled *pg.Sessions  // nil: off
 	admin  *admin.Server // nil: off
 	keeper *keeper       // nil: nothing is kept
+	others *fellows      // nil: it knows of no other poolers
 	cfg    atomic.Pointer[config]
 	list   atomic.Pointer[map[string]discovery.Entry]
 	pool   *pg.Pool
@@ -145,6 +148,9 @@
 	n := &node{engine: loop.New(), hosts: flight.NewHosts(cfg.site.Connect), cancel: cancel, ended: make(chan error, 2)}
 	n.bounds.Store(b)
 	now := clock.System()
+	if l := cfg.operator.Lab; l != nil {
+		now = clock.Skewed(now, clock.Millis(l.Offset), l.Rate)
+	}
 	n.pool = pg.NewPool(n.engine, now, pg.Platform, b.pool)
 	backend := new(edge.Split)
 	probe := func(host string) {
@@ -174,10 +180,16 @@
 	n.cfg.Store(cfg)
 	n.list.Store(&map[string]discovery.Entry{})
 	told := apply
-	apply = func(l discovery.List) { n.listed(l, told) }
+	apply = func(l discovery.List) {
+		n.listed(l, told)
+		n.others.holds(l)
+	}
 	if n.keeper, err = keep(cfg, n); err != nil {
 		return nil, err
 	}
+	if n.others, err = meet(cfg, now); err != nil {
+		return nil, err
+	}
 	if cfg.Known != nil {
 		cfg.Known.Snapshot = true
 		apply(*cfg.Known)
@@ -243,6 +255,7 @@
 		wait = append(wait, "listen")
 	}
 	wait = append(wait, next.moved(old)...)
+	wait = append(wait, n.others.reload(old, next)...)
 	if b, err := derive(next); err != nil {
 		wait = append(wait, err.Error())
 	} else if err := n.facade.Configure(next.site); err != nil {
@@ -299,11 +312,13 @@
 	if n.keeper != nil {
 		n.keeper.last()
 	}
+	n.others.stop()
 	time.Sleep(lastWords / 3) // the loop writes what is still to be said
 }
 
 func (n *node) stop() {
 	n.cancel()
+	n.others.stop()
 	if n.admin != nil {
 		n.admin.Stop()
 	}
--- a/deploy/ashstand.hcl
+++ b/deploy/ashstand.hcl
@@ -24,3 +24,8 @@
 state {
   folder = "" # the absolute path of a folder
 }
+
+# The other poolers. The platform's may not talk to each other.
+cluster {
+  listen = "" # such as "10.0.0.4:7946"
+}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -25,6 +25,18 @@
 
 func (s *system) Now() float64 { return s.unix + float64(time.Since(s.anchor))/1e6 }
 
+// Skewed is a clock that stands offset milliseconds away from another and runs rate times as fast from now on: how a
+// machine's clock that was set wrong looks. For the laboratory.
+func Skewed(of Clock, offset, rate float64) Clock { return &skewed{of, of.Now(), offset, rate} }
+
+type skewed struct {
+	of           Clock
+	from         float64
+	offset, rate float64
+}
+
+func (s *skewed) Now() float64 { return s.from + s.offset + (s.of.Now()-s.from)*s.rate }
+
 // Manual is a clock that tests set.
 type Manual struct {
 	mu  sync.Mutex
--- /dev/null
+++ b/internal/cluster/member/gossip_test.go
@@ -0,0 +1,184 @@
+package member
+
+import (
+	"crypto/rand"
+	"encoding/base64"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/clock"
+	"ashstand/lab/fleet"
+)
+
+const probe = 50 * time.Millisecond
+
+// port is a free address for streams and datagrams alike.
+func port(t *testing.T) string {
+	a, err := fleet.Free()
+	require.NoError(t, err)
+	return a
+}
+
+func key() []byte {
+	b := make([]byte, 32)
+	_, _ = rand.Read(b)
+	return b
+}
+
+// few starts so many members that know all of each other.
+func few(t *testing.T, n int, keys [][]byte) (out []*Gossip, at map[string]string) {
+	at = map[string]string{}
+	for i := range n {
+		at[fmt.Sprint("n", i)] = port(t)
+	}
+	for i := range n {
+		out = append(out, one(t, fmt.Sprint("n", i), at[fmt.Sprint("n", i)], uint64(100+i), at, keys))
+	}
+	return out, at
+}
+
+func one(t *testing.T, name, listen string, instance uint64, at map[string]string, keys [][]byte) *Gossip {
+	peers := map[string]string{}
+	for k, v := range at {
+		if k != name {
+			peers[k] = v
+		}
+	}
+	self := Info{Name: name, Instance: instance, Started: clock.System().Now(), Version: "test", Oldest: 1, Newest: 1, Zone: "a", State: Serving}
+	g, err := Start(Options{Self: self, Listen: listen, Peers: peers, Keys: keys, Most: 16, Probe: probe, Seed: instance})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		select {
+		case <-g.ended:
+		default:
+			g.Stop()
+		}
+	})
+	return g
+}
+
+func sees(g *Gossip, name string) State {
+	for _, m := range g.View().Members {
+		if m.Name == name {
+			return m.State
+		}
+	}
+	return ""
+}
+
+func eventually(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	within := clock.Duration(Bound(4, probe)) + 2*time.Second
+	require.Eventually(t, is, within, 10*time.Millisecond, what)
+}
+
+func TestMembersMeetLeaveAndAreMissed(t *testing.T) {
+	gs, at := few(t, 3, [][]byte{key()})
+	for _, g := range gs {
+		for _, name := range []string{"n0", "n1", "n2"} {
+			eventually(t, name, func() bool { return sees(g, name) == Serving })
+		}
+	}
+	gs[1].Self(Draining)
+	eventually(t, "its own word", func() bool { return sees(gs[0], "n1") == Draining && sees(gs[2], "n1") == Draining })
+	gs[1].Stop()
+	require.Eventually(t, func() bool { return sees(gs[0], "n1") == Gone && sees(gs[2], "n1") == Gone }, time.Second, 5*time.Millisecond,
+		"one that leaves says so; nobody has to find out")
+	gs[1] = one(t, "n1", at["n1"], 200, at, [][]byte{gs[0].o.Keys[0]})
+	eventually(t, "it is back", func() bool { return sees(gs[0], "n1") == Serving && sees(gs[2], "n1") == Serving })
+	for _, m := range gs[0].View().Members {
+		if m.Name == "n1" {
+			require.Equal(t, uint64(200), m.Instance)
+		}
+	}
+}
+
+// Two processes of one name: the one that started first keeps it, the other stays out, both are told, and the third is
+// not led astray. When the holder has gone the other may have the name.
+func TestASecondProcessOfANameIsRefused(t *testing.T) {
+	keys := [][]byte{key()}
+	gs, at := few(t, 3, keys)
+	eventually(t, "all there", func() bool { return sees(gs[0], "n1") == Serving && sees(gs[2], "n1") == Serving })
+	twin := one(t, "n1", port(t), 900, at, keys)
+	eventually(t, "the second is out", func() bool { return twin.View().Refused != nil })
+	require.Equal(t, uint64(101), twin.View().Refused.Instance)
+	eventually(t, "the holder is told", func() bool { return len(gs[1].View().Twins) > 0 })
+	require.Nil(t, gs[1].View().Refused)
+	for _, i := range []int{0, 2} {
+		for _, m := range gs[i].View().Members {
+			if m.Name == "n1" {
+				require.Equal(t, uint64(101), m.Instance)
+				require.NotEqual(t, Gone, m.State)
+			}
+		}
+	}
+}
+
+// What no member says is dropped and counted, and holds nobody up.
+func TestGarbageIsCounted(t *testing.T) {
+	gs, at := few(t, 2, [][]byte{key()})
+	eventually(t, "all there", func() bool { return sees(gs[0], "n1") == Serving })
+	u, err := net.Dial("udp", at["n0"])
+	require.NoError(t, err)
+	defer u.Close()
+	b := make([]byte, 9000)
+	for range 50 {
+		_, _ = rand.Read(b)
+		_, _ = u.Write(b[:500])
+		_, _ = u.Write(b[:500]) // the same again
+		_, _ = u.Write(b)
+	}
+	for range 200 { // more streams than may be open
+		c, err := net.Dial("tcp", at["n0"])
+		require.NoError(t, err)
+		defer c.Close()
+	}
+	eventually(t, "counted", func() bool {
+		c := gs[0].View().Counters
+		return c["garbage"] > 0 && c["huge"] > 0 && c["twice"] > 0 && c["busy"] > 0
+	})
+	require.Equal(t, Serving, sees(gs[0], "n1"))
+	require.Equal(t, Serving, sees(gs[1], "n0"))
+}
+
+// A member with another key hears nothing; keys are changed without a break.
+func TestKeys(t *testing.T) {
+	old, fresh := key(), key()
+	gs, at := few(t, 2, [][]byte{old})
+	eventually(t, "all there", func() bool { return sees(gs[0], "n1") == Serving && sees(gs[1], "n0") == Serving })
+	stranger := one(t, "n9", port(t), 9, at, [][]byte{key()})
+	time.Sleep(20 * probe)
+	require.Equal(t, State(""), sees(gs[0], "n9"))
+	require.Len(t, stranger.View().Members, 1)
+	for _, keys := range [][][]byte{{old, fresh}, {fresh, old}, {fresh}} {
+		for _, g := range gs {
+			require.NoError(t, g.Rekey(keys))
+		}
+		time.Sleep(4 * probe)
+	}
+	require.Equal(t, Serving, sees(gs[0], "n1"))
+	require.Equal(t, Serving, sees(gs[1], "n0"))
+	require.Len(t, gs[0].keys.GetKeys(), 1)
+}
+
+func TestKeyFiles(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "keys")
+	good := base64.StdEncoding.EncodeToString(key())
+	for text, want := range map[string]string{good: "", "# first\n\n" + good + "\n" + good: "", "": "holds no key", good + "\nxyz": ":2: no key", "AAAA": ":1: no key"} {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		keys, err := ReadKeys(path)
+		if want == "" {
+			require.NoError(t, err)
+			require.NotEmpty(t, keys)
+		} else {
+			require.ErrorContains(t, err, want)
+			require.ErrorContains(t, err, path)
+		}
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -26,6 +26,26 @@
 	State    State     `json:"state"`
 	Flight   *Flight   `json:"flight,omitempty"` // nil: the file says nothing of it
 	Sessions *Sessions `json:"sessions,omitempty"`
+	Cluster  *Cluster  `json:"cluster,omitempty"` // nil: the pooler knows of no others
+	Lab      *Lab      `json:"lab,omitempty"`     // nil: as in service
+}
+
+// Cluster says who the other poolers are.
+type Cluster struct {
+	Name    string            `json:"name"`   // "": the platform's
+	Listen  string            `json:"listen"` // "": off
+	Zone    string            `json:"zone"`
+	Keys    string            `json:"keys"`    // the file of the keys between poolers
+	Members int               `json:"members"` // the most that are known
+	Probe   time.Duration     `json:"probe"`
+	Peers   map[string]string `json:"peers"` // address by name, as this pooler reaches them
+}
+
+// Lab is for the laboratory alone: a process in service refuses it.
+type Lab struct {
+	Trace  string        `json:"trace"`  // a file to which the process writes what it acted on
+	Offset time.Duration `json:"offset"` // of its clock
+	Rate   float64       `json:"rate"`   // of its clock: 1 is true
 }
 
 // Log says how the log is written.
@@ -91,6 +111,29 @@
 		State    *stateBody    `hcl:"state,block"`
 		Flight   *flightBody   `hcl:"flight,block"`
 		Sessions *sessionsBody `hcl:"sessions,block"`
+		Cluster  *clusterBody  `hcl:"cluster,block"`
+		Lab      *labBody      `hcl:"lab,block"`
+	}
+	clusterBody struct {
+		Name    *string    `hcl:"name"`
+		Listen  *string    `hcl:"listen"`
+		Zone    *string    `hcl:"zone"`
+		Keys    *string    `hcl:"keys"`
+		Members *int       `hcl:"members"`
+		Probe   *string    `hcl:"probe"`
+		Peers   []peerBody `hcl:"peer,block"`
+		Body    hcl.Body   `hcl:",body"`
+	}
+	peerBody struct {
+		Name    string   `hcl:"name,label"`
+		Address string   `hcl:"address"`
+		Body    hcl.Body `hcl:",body"`
+	}
+	labBody struct {
+		Trace  *string  `hcl:"trace"`
+		Offset *string  `hcl:"clock_offset"`
+		Rate   *float64 `hcl:"clock_rate"`
+		Body   hcl.Body `hcl:",body"`
 	}
 	logBody struct {
 		Level  *string  `hcl:"level"`
@@ -209,9 +252,71 @@
 	if s := b.Sessions; s != nil {
 		c.sessions(f, s)
 	}
+	if l := b.Cluster; l != nil {
+		c.cluster(f, l)
+	}
+	if l := b.Lab; l != nil {
+		c.block = "lab"
+		f.Lab = &Lab{Rate: 1}
+		if set(l.Trace, &f.Lab.Trace); f.Lab.Trace != "" && !filepath.IsAbs(f.Lab.Trace) {
+			c.fail(l.Body, "trace", strconv.Quote(f.Lab.Trace), "the absolute path of a file")
+		}
+		c.time(l.Body, "clock_offset", l.Offset, &f.Lab.Offset, -time.Hour, time.Hour, true)
+		if set(l.Rate, &f.Lab.Rate); f.Lab.Rate < 0.5 || f.Lab.Rate > 2 {
+			c.fail(l.Body, "clock_rate", strconv.FormatFloat(f.Lab.Rate, 'g', -1, 64), "a number from 0.5 to 2")
+		}
+		if os.Getenv(LabEnv) == "" {
+			c.fail(l.Body, "lab", "set", "nothing of it in service; the laboratory sets "+LabEnv)
+		}
+	}
 	return f, c.err()
 }
 
+// LabEnv is the variable without which a process refuses the lab block.
+const LabEnv = "ASHSTAND_LAB"
+
+func (c *checker) cluster(f *File, b *clusterBody) {
+	c.block = "cluster"
+	out := &Cluster{Members: 64, Probe: time.Second, Peers: map[string]string{}}
+	f.Cluster = out
+	set(b.Name, &out.Name)
+	set(b.Zone, &out.Zone)
+	for _, k := range []struct{ key, word string }{{"name", out.Name}, {"zone", out.Zone}} {
+		if len(k.word) > 64 || strings.ContainsAny(k.word, "/\"\n ") {
+			c.fail(b.Body, k.key, strconv.Quote(k.word), "a word of at most 64 bytes, without spaces, quotes and slashes")
+		}
+	}
+	if set(b.Listen, &out.Listen); out.Listen != "" {
+		c.address(b.Body, "listen", out.Listen, false)
+		if host, _, err := net.SplitHostPort(out.Listen); err == nil && (net.ParseIP(host) == nil || net.ParseIP(host).IsUnspecified()) {
+			c.fail(b.Body, "listen", strconv.Quote(out.Listen), "the IP address at which the others reach this pooler, and a port")
+		}
+		if b.Keys == nil || *b.Keys == "" {
+			c.fail(b.Body, "keys", "not there", "the path of a file with the keys between poolers, a base64 key a line; ashstand cluster key prints one")
+		}
+	}
+	set(b.Keys, &out.Keys)
+	c.count(b.Body, "members", b.Members, &out.Members, 2, 2000)
+	c.time(b.Body, "probe", b.Probe, &out.Probe, 50*time.Millisecond, time.Minute, false)
+	for _, p := range b.Peers {
+		c.block = "cluster.peer " + strconv.Quote(p.Name)
+		if _, twice := out.Peers[p.Name]; twice {
+			c.fail(p.Body, "address", "given twice for this name", "one peer block a name")
+		}
+		c.address(p.Body, "address", p.Address, false)
+		if p.Name == "" || len(p.Name) > 64 || strings.ContainsAny(p.Name, "/\"\n ") {
+			c.fail(p.Body, "name", strconv.Quote(p.Name), "a word of at most 64 bytes, without spaces, quotes and slashes")
+		}
+		if p.Name == out.Name {
+			c.fail(p.Body, "name", strconv.Quote(p.Name), "the name of another pooler; this is its own")
+		}
+		out.Peers[p.Name] = p.Address
+	}
+	if c.block = "cluster"; len(out.Peers) >= out.Members {
+		c.fail(b.Body, "members", strconv.Itoa(out.Members), fmt.Sprintf("at least %d: this pooler and its peers", len(out.Peers)+1))
+	}
+}
+
 func (c *checker) sessions(f *File, s *sessionsBody) {
 	c.block = "sessions"
 	out := &Sessions{Clients: 100, ServerConnections: 32, MaxMessage: 1 << 20, Users: map[string]string{}}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -93,3 +93,44 @@
 		require.NotContains(t, err.Error(), "c2FsdA", "no verifier is shown")
 	}
 }
+
+const others = `
+cluster {
+  name   = "n1"
+  listen = "127.0.0.1:7946"
+  keys   = "/keys"
+  probe  = "200ms"
+  peer "n2" { address = "127.0.0.1:1" }
+}
+`
+
+func TestClusterBlock(t *testing.T) {
+	f, err := Parse("x.hcl", []byte(others))
+	require.NoError(t, err)
+	require.Equal(t, &Cluster{Name: "n1", Listen: "127.0.0.1:7946", Keys: "/keys", Members: 64, Probe: 200 * time.Millisecond,
+		Peers: map[string]string{"n2": "127.0.0.1:1"}}, f.Cluster)
+	for change, want := range map[string]string{
+		`"n1"|"n 1"`:                   `x.hcl:3: cluster: name is "n 1"; allowed is a word`,
+		`127.0.0.1:7946|0.0.0.0:7946`:  `x.hcl:4: cluster: listen is "0.0.0.0:7946"; allowed is the IP address at which the others reach`,
+		`127.0.0.1:7946|here`:          `x.hcl:4: cluster: listen is "here"; allowed is host:port`,
+		`keys   = "/keys"|`:            `x.hcl:2: cluster: keys is not there`,
+		`200ms|1ms`:                    `x.hcl:6: cluster: probe is "1ms"`,
+		`127.0.0.1:1"|nowhere"`:        `x.hcl:7: cluster.peer "n2": address is "nowhere"`,
+		`peer "n2"|peer "n1"`:          `x.hcl:7: cluster.peer "n1": name is "n1"; allowed is the name of another pooler`,
+		`probe  = "200ms"|members = 1`: `x.hcl:6: cluster: members is 1`,
+		`peer "n2"|peer "n2" { address = "127.0.0.1:2" }` + "\n  peer \"n2\"": `x.hcl:8: cluster.peer "n2": address is given twice`,
+		`}` + "\n" + `|lab { clock_offset = "2s" }` + "\n}":                   `lab: lab is set; allowed is nothing of it in service`,
+	} {
+		from, to, _ := strings.Cut(change, "|")
+		text := strings.Replace(others, from, to, 1)
+		if strings.Contains(to, "lab {") {
+			text = others + "lab { clock_offset = \"2s\" }\n"
+		}
+		_, err := Parse("x.hcl", []byte(text))
+		require.ErrorContains(t, err, want, text)
+	}
+	t.Setenv(LabEnv, "1")
+	f, err = Parse("x.hcl", []byte(others+"lab {\n  clock_offset = \"2s\"\n  clock_rate = 1.01\n  trace = \"/t\"\n}\n"))
+	require.NoError(t, err)
+	require.Equal(t, &Lab{Trace: "/t", Offset: 2 * time.Second, Rate: 1.01}, f.Lab)
+}
--- /dev/null
+++ b/lab/cluster/judge.go
@@ -0,0 +1,152 @@
+package cluster
+
+import (
+	"time"
+
+	"ashstand/lab/fleet"
+)
+
+// poll is a pooler's view at a moment, and how things were then.
+type poll struct {
+	at    time.Time
+	of    string
+	view  seen
+	truth map[string]place
+}
+
+// place is what was true of a node.
+type place struct {
+	up       bool
+	instance uint64
+}
+
+// stamp notes how things are beside the views that were read last.
+func (r *rig) stamp() {
+	truth := map[string]place{}
+	for _, n := range r.nodes {
+		n.mu.Lock()
+		truth[n.name] = place{up: n.pooler != nil && !n.paused && n.started, instance: n.instance}
+		n.mu.Unlock()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := len(r.polls) - 1; i >= 0 && r.polls[i].truth == nil; i-- {
+		r.polls[i].truth = truth
+	}
+}
+
+// settled says whether nothing touched a pair for so long before a moment.
+func (r *rig) settled(a, b string, at time.Time, bound time.Duration) bool {
+	for _, s := range r.spans {
+		if s.touches(a, b) && !s.from.After(at) && (s.till.IsZero() || s.till.Add(bound).After(at)) {
+			return false
+		}
+	}
+	return at.Sub(r.begun) > bound
+}
+
+// calm says whether nothing was wrong anywhere.
+func (r *rig) calm(at time.Time, bound time.Duration) bool {
+	for _, s := range r.spans {
+		if !s.harmless() && !s.from.After(at) && (s.till.IsZero() || s.till.Add(bound).After(at)) {
+			return false
+		}
+	}
+	return at.Sub(r.begun) > bound
+}
+
+// judge holds each view to what was true: of a pair that nothing touched for the stated time, each sees the other as it
+// is; and while nothing at all was wrong for as long, nobody doubts anybody.
+func (r *rig) judge() {
+	bound := r.bound()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.polls) == 0 {
+		r.g.Break("wrong_view", "no pooler's view could be read")
+		return
+	}
+	checked := 0
+	for _, p := range r.polls {
+		for name, is := range p.truth {
+			if name == p.of || !r.settled(p.of, name, p.at, bound) {
+				continue
+			}
+			checked++
+			state, instance := "", uint64(0)
+			for _, m := range p.view.Members {
+				if m.Name == name {
+					state, instance = m.State, m.Instance
+				}
+			}
+			there := state != "" && state != "gone"
+			if there != is.up || there && is.instance != 0 && instance != is.instance {
+				r.g.Break("wrong_view", "at %.1f s %s sees %s as %q (%016x); it is up: %v (%016x)", p.at.Sub(r.begun).Seconds(), p.of, name, state, instance, is.up, is.instance)
+			} else if state == "suspect" && r.calm(p.at, bound) {
+				r.g.Break("false_doubt", "at %.1f s %s doubts %s", p.at.Sub(r.begun).Seconds(), p.of, name)
+			}
+		}
+	}
+	if checked == 0 {
+		r.g.Break("wrong_view", "nothing could be judged: no pair was left alone for the stated %v", bound)
+	}
+	r.garbage()
+}
+
+// garbage holds the counters to what was spilt at processes that still run.
+func (r *rig) garbage() {
+	for _, s := range r.spans {
+		if s.Kind != "garbage" {
+			continue
+		}
+		later := false
+		for _, o := range r.spans {
+			later = later || o.A == s.A && !o.harmless() && Kinds[o.Kind] == "process" && (o.till.IsZero() || o.till.After(s.from))
+		}
+		var v *seen
+		for i := range r.polls {
+			if r.polls[i].of == s.A {
+				v = &r.polls[i].view
+			}
+		}
+		if !later && v != nil && (v.Counters["garbage"] == 0 || v.Counters["huge"] == 0) {
+			r.g.Break("garbage_uncounted", "%s counted %v", s.A, v.Counters)
+		}
+	}
+}
+
+// judgeTwin looks at a second process of a name before it ends: by the stated time it must be out and both must know.
+func (r *rig) judgeTwin(n *node, p *fleet.Pooler, begun time.Time) {
+	bound := r.bound()
+	if time.Since(begun) < bound {
+		return
+	}
+	r.mu.Lock()
+	settled := true
+	for _, s := range r.spans {
+		if s.touches(n.name, n.name) && (s.till.IsZero() || s.till.Add(bound).After(time.Now())) {
+			settled = false
+		}
+	}
+	r.mu.Unlock()
+	n.mu.Lock()
+	first := n.pooler
+	n.mu.Unlock()
+	if !settled || first == nil {
+		return
+	}
+	twin, err := look(p.Admin)
+	if err != nil {
+		r.g.Break("crashed", "the second process of %s: %v", n.name, err)
+		return
+	}
+	holder, err := look(first.Admin)
+	if err != nil {
+		return
+	}
+	if (twin.Refused == nil) == (holder.Refused == nil) || holder.Refused != nil {
+		r.g.Break("name_twice", "%s: the first process is refused: %v, the second: %v", n.name, holder.Refused != nil, twin.Refused != nil)
+	}
+	if len(twin.Twins) == 0 || len(holder.Twins) == 0 {
+		r.g.Break("twin_untold", "%s: the first process knows of %d, the second of %d", n.name, len(holder.Twins), len(twin.Twins))
+	}
+}
--- /dev/null
+++ b/lab/cluster/plan.go
@@ -0,0 +1,187 @@
+package cluster
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Fault is one thing that goes wrong, from a moment of the run on, for a while.
+type Fault struct {
+	At    Millis     `json:"at_ms"`
+	For   Millis     `json:"for_ms"`
+	Kind  string     `json:"kind"`
+	A     string     `json:"a,omitempty"`
+	B     string     `json:"b,omitempty"`     // of a link
+	Parts [][]string `json:"parts,omitempty"` // of a partition; members of two parts belong to both
+}
+
+// Millis is a time in milliseconds.
+type Millis int
+
+// D is the same for the standard library.
+func (m Millis) D() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// Plan is all that goes wrong in a run.
+type Plan struct {
+	Seed    uint64   `json:"seed"`
+	Poolers int      `json:"poolers"`
+	Length  Millis   `json:"length_ms"`
+	Probe   Millis   `json:"probe_ms"`
+	Faults  []Fault  `json:"faults"`
+	Break   string   `json:"break,omitempty"`
+	Names   []string `json:"-"`
+}
+
+// Kinds are the faults that a plan may hold, with what each needs: a process, a link between poolers, parts of them, a
+// link to discovery or to a host.
+var Kinds = map[string]string{
+	"drop one way": "link", "cut": "link", "delay": "link", "jitter": "link", "slow": "link", "reset": "link", "stall": "link",
+	"loss": "link", "double": "link", "reorder": "link", "flap": "link",
+	"kill": "process", "pause": "process", "long pause": "process", "restart": "process", "twin": "process", "garbage": "process",
+	"clock ahead": "process", "clock fast": "process",
+	"partition": "parts", "three parts": "parts", "overlap": "parts",
+	"no discovery": "discovery", "no host": "host", "failover": "", "drain": "",
+}
+
+// Draw makes a plan from its seed: faults in every kind's turn, overlapping at times, with a quiet end of at least rest.
+func Draw(seed uint64, poolers int, length, probe, rest time.Duration, kinds []string) Plan {
+	lots := rand.New(rand.NewPCG(seed, 0xfa17))
+	p := Plan{Seed: seed, Poolers: poolers, Length: Millis(length.Milliseconds()), Probe: Millis(probe.Milliseconds()), Names: names(poolers)}
+	last := int((length - rest).Milliseconds())
+	if last < 1000 || len(kinds) == 0 {
+		return p
+	}
+	order := slices.Clone(kinds)
+	lots.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	for i, k := range order {
+		// Spread over the time that there is, each within its slot and for up to two of them, so that neighbours overlap.
+		slot := last / len(order)
+		f := Fault{Kind: k, At: Millis(500 + i*slot + lots.IntN(max(1, slot))), For: Millis(max(300, slot/2+lots.IntN(max(1, 3*slot/2))))}
+		f.For = min(f.For, Millis(last)+500-f.At)
+		who := lots.Perm(poolers)
+		switch Kinds[k] {
+		case "link":
+			f.A, f.B = p.Names[who[0]], p.Names[who[1]]
+		case "process", "discovery":
+			f.A = p.Names[who[0]]
+		case "host":
+			f.A, f.B = p.Names[who[0]], fmt.Sprint("host-", lots.IntN(3))
+		case "parts":
+			f.Parts = parts(k, who, p.Names)
+		}
+		if k == "twin" { // through the quiet end, at which it can be judged
+			f.At, f.For = Millis(last), Millis((rest - 1500*time.Millisecond).Milliseconds())
+		}
+		if f.For >= 200 {
+			p.Faults = append(p.Faults, f)
+		}
+	}
+	return p
+}
+
+func parts(kind string, who []int, names []string) [][]string {
+	var out [][]string
+	n := 2
+	if kind == "three parts" {
+		n = 3
+	}
+	out = make([][]string, n)
+	for i, w := range who {
+		out[i%n] = append(out[i%n], names[w])
+	}
+	if kind == "overlap" { // one belongs to both sides, and is the only one that sees all
+		out[0] = append(out[0], out[1][0])
+	}
+	return out
+}
+
+func names(n int) (out []string) {
+	for i := range n {
+		out = append(out, fmt.Sprint("n", i+1))
+	}
+	return out
+}
+
+// Load reads a plan; an error names what is wrong in it.
+func Load(path string) (Plan, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Plan{}, err
+	}
+	var p Plan
+	if err := json.Unmarshal(b, &p); err != nil {
+		return Plan{}, fmt.Errorf("%s: %w", path, err)
+	}
+	if p.Poolers < 2 || p.Poolers > 64 {
+		return Plan{}, fmt.Errorf("%s: poolers: %d; allowed is 2 to 64", path, p.Poolers)
+	}
+	p.Names = names(p.Poolers)
+	for i, f := range p.Faults {
+		needs, ok := Kinds[f.Kind]
+		known := func(n string) bool { return slices.Contains(p.Names, n) }
+		switch {
+		case !ok:
+			return Plan{}, fmt.Errorf("%s: faults[%d]: kind %q is unknown; there are %s", path, i, f.Kind, strings.Join(AllKinds(), ", "))
+		case needs == "link" && (!known(f.A) || !known(f.B) || f.A == f.B):
+			return Plan{}, fmt.Errorf("%s: faults[%d]: %s takes two poolers, a and b", path, i, f.Kind)
+		case (needs == "process" || needs == "discovery" || needs == "host") && !known(f.A):
+			return Plan{}, fmt.Errorf("%s: faults[%d]: %s takes a pooler, a", path, i, f.Kind)
+		case needs == "parts" && len(f.Parts) < 2:
+			return Plan{}, fmt.Errorf("%s: faults[%d]: %s takes at least two parts", path, i, f.Kind)
+		}
+	}
+	return p, nil
+}
+
+// Save writes it so that Load plays it again.
+func (p Plan) Save(path string) error {
+	b, err := json.MarshalIndent(p, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(b, '\n'), 0o644)
+}
+
+// AllKinds are the kinds in order.
+func AllKinds() (out []string) {
+	for k := range Kinds {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// apart says whether two poolers are on no common side of a partition.
+func apart(parts [][]string, a, b string) bool {
+	for _, p := range parts {
+		if slices.Contains(p, a) && slices.Contains(p, b) {
+			return false
+		}
+	}
+	return true
+}
+
+// touches says whether a fault may keep news of one pooler from another, or make it not be there. A partition does so to
+// all: who is on which side decides who carries news for whom. Garbage and a second process of a name may do nothing.
+func (f Fault) touches(a, b string) bool {
+	if f.harmless() {
+		return false
+	}
+	switch Kinds[f.Kind] {
+	case "link":
+		return f.A == a || f.A == b || f.B == a || f.B == b
+	case "process":
+		return f.A == a || f.A == b
+	case "parts":
+		return true
+	}
+	return false
+}
+
+// harmless are faults that must change nothing for anybody.
+func (f Fault) harmless() bool { return f.Kind == "twin" || f.Kind == "garbage" }
--- /dev/null
+++ b/lab/cluster/run.go
@@ -0,0 +1,691 @@
+package cluster
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"ashstand/internal/admin"
+	"ashstand/lab/discovery"
+	"ashstand/lab/fleet"
+	"ashstand/lab/load"
+	"ashstand/lab/report"
+)
+
+// Options are those of a run.
+type Options struct {
+	Plan    Plan
+	Pooler  string // the program; "": ashstand beside this one
+	Clients int    // of each pooler
+	Log     bool
+}
+
+// node is a place of the fleet, with the process that runs there.
+type node struct {
+	name   string
+	listen string // its cluster address
+	trace  string
+
+	mu       sync.Mutex
+	pooler   *fleet.Pooler // nil: it is down
+	address  string        // of its front, also while it is down
+	paused   bool
+	offset   string // of its clock, as the file has it
+	rate     float64
+	instance uint64 // as it says itself; 0: not known yet
+	started  bool   // it said that it serves
+}
+
+// rig is a run.
+type rig struct {
+	o     Options
+	g     *report.Gather
+	mesh  *Mesh
+	fleet *fleet.Fleet
+	dir   string
+	keys  string
+	nodes []*node
+	begun time.Time
+
+	mu     sync.Mutex
+	spans  []*span // what went wrong, as it did
+	polls  []poll
+	told   []Line
+	agents map[string]string
+}
+
+// span is a fault as it came about; till is zero while it lasts.
+type span struct {
+	Fault
+	from, till time.Time
+}
+
+// Line is a line of the timeline.
+type Line struct {
+	At    time.Duration
+	Who   string
+	Text  string
+	Until time.Duration // of a fault; 0: a moment
+}
+
+func (r *rig) at() time.Duration { return time.Since(r.begun) }
+
+func (r *rig) tell(who, format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.told = append(r.told, Line{At: r.at(), Who: who, Text: fmt.Sprintf(format, args...)})
+}
+
+// setup starts all; whatever was started ends with Close, also after an error.
+func (r *rig) setup() error {
+	p := r.o.Plan
+	var err error
+	if r.dir, err = os.MkdirTemp("", "ashlab-cluster-"); err != nil {
+		return err
+	}
+	key := make([]byte, 32)
+	if _, err := rand.Read(key); err != nil {
+		return err
+	}
+	r.keys = filepath.Join(r.dir, "keys")
+	if err := os.WriteFile(r.keys, []byte("# of this run alone\n"+base64.StdEncoding.EncodeToString(key)+"\n"), 0o600); err != nil {
+		return err
+	}
+	r.mesh, r.agents = NewMesh(), map[string]string{}
+	for _, name := range p.Names {
+		n := &node{name: name, trace: filepath.Join(r.dir, name+".trace"), rate: 1}
+		if n.listen, err = fleet.Free(); err != nil {
+			return err
+		}
+		r.nodes = append(r.nodes, n)
+	}
+	for _, a := range r.nodes {
+		for _, b := range r.nodes {
+			if a == b {
+				continue
+			}
+			l, err := NewLink(a.name, b.name, func() string { return b.listen }, true, p.Seed)
+			if err != nil {
+				return err
+			}
+			r.mesh.Add(l)
+		}
+	}
+	env := []string{"ASHSTAND_LAB=1"}
+	if p.Break != "" {
+		env = append(env, "ASHSTAND_BREAK=cluster-"+p.Break)
+	}
+	r.fleet, err = fleet.Start(fleet.Options{Pooler: r.o.Pooler, Replicas: 2, Lag: 20 * time.Millisecond, Seed: p.Seed, Clients: 10, Servers: 8, Log: r.o.Log,
+		Names: p.Names, Extra: r.extra, Agent: r.agent, Env: env})
+	if err != nil {
+		return err
+	}
+	var all sync.WaitGroup
+	var failed = make([]error, len(r.nodes))
+	for i, n := range r.nodes {
+		all.Go(func() { failed[i] = r.up(n) })
+	}
+	all.Wait()
+	return errors.Join(failed...)
+}
+
+// extra is what a pooler's file says of the others. A twin is named like a node of which it is the second process.
+func (r *rig) extra(name string) string {
+	own, twin := strings.CutSuffix(name, "-twin")
+	n := r.node(own)
+	n.mu.Lock()
+	listen, trace, offset, rate := n.listen, n.trace, n.offset, n.rate
+	n.mu.Unlock()
+	if twin {
+		listen, _ = fleet.Free()
+		trace += "-twin"
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "cluster {\n  name = %q\n  listen = %q\n  keys = %q\n  probe = \"%dms\"\n  zone = \"hall-%c\"\n", own, listen, r.keys, r.o.Plan.Probe, 'a'+len(own)%3)
+	for _, o := range r.nodes {
+		if o != n {
+			fmt.Fprintf(&b, "  peer %q {\n    address = %q\n  }\n", o.name, r.mesh.Link(own, o.name).Address)
+		}
+	}
+	b.WriteString("}\nlab {\n")
+	fmt.Fprintf(&b, "  trace = %q\n", trace)
+	if offset != "" {
+		fmt.Fprintf(&b, "  clock_offset = %q\n", offset)
+	}
+	fmt.Fprintf(&b, "  clock_rate = %v\n}\n", rate)
+	return b.String()
+}
+
+// agent is where a pooler asks for the list: its own agent, behind a link, with the hosts behind links too.
+func (r *rig) agent(name string, of *discovery.Registry) (string, error) {
+	name, _ = strings.CutSuffix(name, "-twin")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a, ok := r.agents[name]; ok {
+		return a, nil
+	}
+	for _, h := range r.fleet.Hosts {
+		l, err := NewLink(name, h.Name, func() string { return h.Address }, false, r.o.Plan.Seed)
+		if err != nil {
+			return "", err
+		}
+		r.mesh.Add(l)
+	}
+	at, err := of.Agent(func(e discovery.Entry) discovery.Entry {
+		if l := r.mesh.Link(name, e.Name); l != nil {
+			e.Address = l.Address
+		}
+		return e
+	})
+	if err != nil {
+		return "", err
+	}
+	l, err := NewLink(name, "discovery", func() string { return at }, false, r.o.Plan.Seed)
+	if err != nil {
+		return "", err
+	}
+	r.mesh.Add(l)
+	r.agents[name] = l.Address
+	return l.Address, nil
+}
+
+func (r *rig) node(name string) *node {
+	for _, n := range r.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// up starts a node's process.
+func (r *rig) up(n *node) error {
+	p, err := r.fleet.StartPooler(n.name)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if p != nil {
+		n.pooler, n.address, n.paused, n.instance, n.started = p, p.Statement, false, 0, false
+	}
+	return err
+}
+
+// down kills it.
+func (r *rig) down(n *node) {
+	n.mu.Lock()
+	p := n.pooler
+	n.pooler = nil
+	n.mu.Unlock()
+	if p != nil {
+		p.Stop()
+	}
+}
+
+func (r *rig) close() {
+	for _, n := range r.nodes {
+		r.down(n)
+	}
+	if r.fleet != nil {
+		r.fleet.Stop()
+	}
+	if r.mesh != nil {
+		r.mesh.Close()
+	}
+	_ = os.RemoveAll(r.dir)
+}
+
+// play carries one fault out, begin to end.
+func (r *rig) play(ctx context.Context, f Fault) {
+	if !sleep(ctx, time.Until(r.begun.Add(f.At.D()))) {
+		return
+	}
+	r.mu.Lock()
+	s := &span{Fault: f, from: time.Now()} // from here on: a process that is told to end is touched at once
+	r.spans = append(r.spans, s)
+	r.mu.Unlock()
+	end, err := r.begin(ctx, f)
+	if err != nil {
+		r.tell(f.A, "%s could not be done: %v", f.Kind, err)
+		r.mu.Lock()
+		r.spans = slices.DeleteFunc(r.spans, func(o *span) bool { return o == s })
+		r.mu.Unlock()
+		return
+	}
+	r.g.Do(func(q *report.Result) { q.Faults[f.Kind]++ })
+	sleep(ctx, f.For.D())
+	if end != nil {
+		end()
+	}
+	r.mu.Lock()
+	s.till = time.Now()
+	r.mu.Unlock()
+}
+
+// begin makes a fault come about and returns what ends it.
+func (r *rig) begin(ctx context.Context, f Fault) (end func(), err error) {
+	both := func(set, clear func(*Trouble)) func() {
+		r.mesh.Both(f.A, f.B, set)
+		return func() { r.mesh.Both(f.A, f.B, clear) }
+	}
+	n := r.node(f.A)
+	switch f.Kind {
+	case "drop one way":
+		r.mesh.One(f.A, f.B, func(t *Trouble) { t.Drop = true })
+		return func() { r.mesh.One(f.A, f.B, func(t *Trouble) { t.Drop = false }) }, nil
+	case "cut":
+		return both(func(t *Trouble) { t.Drop = true }, func(t *Trouble) { t.Drop = false }), nil
+	case "stall":
+		return both(func(t *Trouble) { t.Stall = true }, func(t *Trouble) { t.Stall = false }), nil
+	case "delay":
+		return both(func(t *Trouble) { t.Delay = 30 * time.Millisecond }, func(t *Trouble) { t.Delay = 0 }), nil
+	case "jitter":
+		return both(func(t *Trouble) { t.Jitter = 60 * time.Millisecond }, func(t *Trouble) { t.Jitter = 0 }), nil
+	case "slow":
+		return both(func(t *Trouble) { t.Rate = 2000 }, func(t *Trouble) { t.Rate = 0 }), nil
+	case "loss":
+		return both(func(t *Trouble) { t.Loss = 0.4 }, func(t *Trouble) { t.Loss = 0 }), nil
+	case "double":
+		return both(func(t *Trouble) { t.Double = 0.5 }, func(t *Trouble) { t.Double = 0 }), nil
+	case "reorder":
+		return both(func(t *Trouble) { t.Reorder = 0.4 }, func(t *Trouble) { t.Reorder = 0 }), nil
+	case "reset":
+		r.mesh.Reset(f.A, f.B)
+		return nil, nil
+	case "flap":
+		stop := make(chan struct{})
+		var done sync.WaitGroup
+		done.Go(func() {
+			for on := true; ; on = !on {
+				r.mesh.Both(f.A, f.B, func(t *Trouble) { t.Drop = on })
+				select {
+				case <-stop:
+					r.mesh.Both(f.A, f.B, func(t *Trouble) { t.Drop = false })
+					return
+				case <-time.After(150 * time.Millisecond):
+				}
+			}
+		})
+		return func() { close(stop); done.Wait() }, nil
+	case "partition", "three parts", "overlap":
+		set := func(on bool) {
+			for i, a := range r.nodes {
+				for _, b := range r.nodes[:i] {
+					if apart(f.Parts, a.name, b.name) {
+						r.mesh.Both(a.name, b.name, func(t *Trouble) { t.Drop = on })
+					}
+				}
+			}
+		}
+		set(true)
+		return func() { set(false) }, nil
+	case "no discovery":
+		r.mesh.Both(f.A, "discovery", func(t *Trouble) { t.Drop = true })
+		return func() { r.mesh.Both(f.A, "discovery", func(t *Trouble) { t.Drop = false }) }, nil
+	case "no host":
+		return both(func(t *Trouble) { t.Drop = true }, func(t *Trouble) { t.Drop = false }), nil
+	case "failover":
+		lead := r.fleet.Cluster.Leader()
+		for _, h := range r.fleet.Hosts {
+			if h != lead {
+				r.fleet.Cluster.Fail(h, 300*time.Millisecond, true)
+				break
+			}
+		}
+		r.fleet.Publish()
+		return nil, nil
+	case "kill":
+		r.down(n)
+		return r.again(n), nil
+	case "restart":
+		n.mu.Lock()
+		p := n.pooler
+		n.mu.Unlock()
+		if p == nil {
+			return nil, errors.New("it is down")
+		}
+		wait, cancel := context.WithTimeout(ctx, 10*time.Second)
+		defer cancel()
+		err := p.Terminate(wait)
+		r.down(n)
+		if err != nil {
+			r.g.Break("bad_exit", "%s ended with %v", n.name, err)
+		}
+		return r.again(n), nil
+	case "pause", "long pause":
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.pooler == nil || n.paused {
+			return nil, errors.New("it is down")
+		}
+		if err := n.pooler.Signal(syscall.SIGSTOP); err != nil {
+			return nil, err
+		}
+		n.paused = true
+		p := n.pooler
+		return func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			_ = p.Signal(syscall.SIGCONT)
+			if n.pooler == p {
+				n.paused = false
+			}
+		}, nil
+	case "clock ahead", "clock fast":
+		n.mu.Lock()
+		if n.offset = "2s"; f.Kind == "clock fast" {
+			n.offset, n.rate = "", 1.01
+		}
+		n.mu.Unlock()
+		r.down(n)
+		if err := r.up(n); err != nil {
+			return nil, err
+		}
+		return func() {
+			n.mu.Lock()
+			n.offset, n.rate = "", 1
+			n.mu.Unlock()
+			r.down(n)
+			r.again(n)()
+		}, nil
+	case "twin":
+		p, err := r.fleet.StartPooler(n.name + "-twin")
+		if err != nil {
+			if p != nil {
+				p.Stop()
+			}
+			return nil, err
+		}
+		begun := time.Now()
+		return func() {
+			r.judgeTwin(n, p, begun)
+			p.Stop()
+		}, nil
+	case "garbage":
+		return nil, spill(n.listen)
+	}
+	return nil, fmt.Errorf("there is no kind %q", f.Kind)
+}
+
+// again starts a node's process once more.
+func (r *rig) again(n *node) func() {
+	return func() {
+		n.mu.Lock()
+		there := n.pooler != nil
+		n.mu.Unlock()
+		if there {
+			return
+		}
+		if err := r.up(n); err != nil {
+			r.g.Break("failed_start", "%s: %v", n.name, err)
+		}
+	}
+}
+
+// spill sends what no member would: noise, long datagrams, streams of noise and one that never ends.
+func spill(to string) error {
+	u, err := net.Dial("udp", to)
+	if err != nil {
+		return err
+	}
+	defer u.Close()
+	b := make([]byte, 9000)
+	for i := range 200 {
+		_, _ = rand.Read(b)
+		_, _ = u.Write(b[:1+(i*37)%1400])
+		_, _ = u.Write(b)
+	}
+	for i := range 8 {
+		c, err := net.DialTimeout("tcp", to, time.Second)
+		if err != nil {
+			return err
+		}
+		_ = c.SetDeadline(time.Now().Add(2 * time.Second))
+		for range 1 + 300*(i%2) {
+			if _, err := c.Write(b); err != nil {
+				break
+			}
+		}
+		c.Close()
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(max(0, d))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// disturbed says whether a process fault touched a pooler since a moment: then a request of it may go unanswered.
+func (r *rig) disturbed(name string) func(since time.Time) bool {
+	return func(since time.Time) bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, s := range r.spans {
+			if s.A == name && Kinds[s.Kind] == "process" && !s.harmless() && (s.till.IsZero() || s.till.Add(time.Second).After(since)) {
+				return true
+			}
+		}
+		n := r.node(name)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.pooler == nil || n.paused
+	}
+}
+
+// Outcome is what a run came to.
+type Outcome struct {
+	Result *report.Result
+	Lines  []Line
+	Plan   Plan
+	Bound  time.Duration
+}
+
+// Members plays a plan and judges what the poolers believe of each other, and what clients get meanwhile.
+func Members(ctx context.Context, o Options) (*Outcome, error) {
+	g := report.New("cluster members", o.Plan.Seed, "wrong_view", "false_doubt", "name_twice", "twin_untold", "garbage_uncounted", "failed_start", "bad_exit", "crashed",
+		"duplicate_write", "lost_commit", "missed_own_write", "sent_to_draining")
+	r := &rig{o: o, g: g, begun: time.Now()}
+	defer r.close()
+	if err := r.setup(); err != nil {
+		return nil, err
+	}
+	r.begun = time.Now()
+	run, stop := context.WithTimeout(ctx, o.Plan.Length.D())
+	defer stop()
+	var all sync.WaitGroup
+	for i, n := range r.nodes {
+		l := load.Crowd(run, r.fleet, g, load.Listeners{Name: "c" + n.name, Seed: o.Plan.Seed + uint64(i), Count: o.Clients, Mean: 80 * time.Millisecond, Open: true,
+			Address: func() string {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				return n.address
+			}, Killed: r.disturbed(n.name)})
+		all.Go(l.Wait)
+	}
+	all.Go(func() { r.watch(run) })
+	for _, f := range o.Plan.Faults {
+		all.Go(func() { r.play(run, f) })
+	}
+	all.Wait()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	r.judge()
+	g.Do(func(q *report.Result) {
+		q.Broken["duplicate_write"] += r.fleet.Cluster.Duplicates(func(ref string) bool { return strings.Contains(ref, "/") })
+		for _, h := range r.fleet.Hosts {
+			q.Broken["sent_to_draining"] += h.Counts.All()["sent_to_draining"]
+		}
+		for _, n := range r.nodes {
+			if n.pooler != nil {
+				_, rss := n.pooler.Usage()
+				q.Memory.RSS = max(q.Memory.RSS, rss)
+			}
+		}
+	})
+	out := &Outcome{Result: g.Result(time.Since(r.begun).Seconds()), Plan: o.Plan, Bound: r.bound(), Lines: r.timeline()}
+	return out, nil
+}
+
+// watch reads every pooler's view at a pace.
+func (r *rig) watch(ctx context.Context) {
+	for sleep(ctx, 200*time.Millisecond) {
+		var all sync.WaitGroup
+		for _, n := range r.nodes {
+			n.mu.Lock()
+			p, paused := n.pooler, n.paused
+			n.mu.Unlock()
+			if p == nil || paused {
+				continue
+			}
+			select {
+			case <-p.Ended():
+				n.mu.Lock()
+				crashed := n.pooler == p
+				if crashed {
+					n.pooler = nil
+				}
+				n.mu.Unlock()
+				if crashed {
+					r.g.Break("crashed", "%s: %v\n%s", n.name, p.Err(), last(p.Log(), 2000))
+				}
+				continue
+			default:
+			}
+			all.Go(func() {
+				at := time.Now()
+				v, err := look(p.Admin)
+				if err != nil || time.Since(at) > 500*time.Millisecond {
+					return // it is being stopped or was paused; what it believes now can't be dated
+				}
+				n.mu.Lock()
+				if n.pooler == p {
+					n.instance = v.Self.Instance
+					n.started = n.started || v.Self.State == "serving"
+				}
+				n.mu.Unlock()
+				r.mu.Lock()
+				r.polls = append(r.polls, poll{at: at, of: n.name, view: v, truth: nil})
+				r.mu.Unlock()
+			})
+		}
+		all.Wait()
+		r.stamp()
+	}
+}
+
+func last(s string, n int) string { return s[max(0, len(s)-n):] }
+
+// seen is what the judge reads of a pooler's view: declared here again, so that the pooler's own types don't judge it.
+type seen struct {
+	On   bool `json:"on"`
+	Self struct {
+		Name     string `json:"name"`
+		Instance uint64 `json:"instance"`
+		State    string `json:"state"`
+	} `json:"self"`
+	Refused *struct {
+		Instance uint64 `json:"instance"`
+	} `json:"refused"`
+	Members []struct {
+		Name     string `json:"name"`
+		Instance uint64 `json:"instance"`
+		State    string `json:"state"`
+	} `json:"members"`
+	Twins []struct {
+		Name string `json:"name"`
+	} `json:"twins"`
+	Bound    float64          `json:"bound_ms"`
+	Counters map[string]int64 `json:"counters"`
+}
+
+func look(address string) (v seen, err error) {
+	var raw []byte
+	if err := admin.Get(address, "cluster", &raw); err != nil {
+		return v, err
+	}
+	err = json.Unmarshal(raw, &v)
+	if err == nil && !v.On {
+		err = errors.New("the pooler knows of no cluster")
+	}
+	return v, err
+}
+
+// timeline is what happened, in order: faults with their length, and each process's own changes of view.
+func (r *rig) timeline() []Line {
+	r.mu.Lock()
+	lines := slices.Clone(r.told)
+	for _, s := range r.spans {
+		who := s.A
+		if who == "" {
+			who = "all"
+		}
+		text := s.Kind
+		if s.B != "" {
+			text += " " + s.A + "-" + s.B
+		}
+		for _, p := range s.Parts {
+			text += " [" + strings.Join(p, " ") + "]"
+		}
+		l := Line{At: s.from.Sub(r.begun), Who: who, Text: text}
+		if !s.till.IsZero() {
+			l.Until = s.till.Sub(r.begun)
+		}
+		lines = append(lines, l)
+	}
+	r.mu.Unlock()
+	for _, n := range r.nodes {
+		b, err := os.ReadFile(n.trace)
+		if err != nil {
+			continue
+		}
+		for _, text := range strings.Split(string(b), "\n") {
+			var e struct {
+				At                  float64
+				Event, Of, From, To string
+			}
+			if json.Unmarshal([]byte(text), &e) != nil {
+				continue
+			}
+			l := Line{At: time.UnixMicro(int64(e.At * 1e3)).Sub(r.begun), Who: n.name, Text: e.Event}
+			if e.Event == "view" {
+				l.Text = "sees " + e.Of + " " + cmpOr(e.To, "forgotten") + ", it was " + cmpOr(e.From, "unknown")
+			}
+			lines = append(lines, l)
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b Line) int { return int(a.At - b.At) })
+	return lines
+}
+
+func cmpOr(s, none string) string {
+	if s == "" {
+		return none
+	}
+	return s
+}
+
+func (r *rig) bound() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.polls {
+		return time.Duration(p.view.Bound * 1e6)
+	}
+	return 0
+}
--- a/lab/discovery/discovery.go
+++ b/lab/discovery/discovery.go
@@ -36,6 +36,7 @@
 
 	server  *http.Server
 	mu      sync.Mutex
+	agents  []*http.Server
 	index   int
 	of      map[string]Entry
 	order   []string
@@ -49,15 +50,40 @@
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	r := &Registry{Address: l.Addr().String(), of: map[string]Entry{}, changed: make(chan struct{}), index: 1}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /registry/instances", r.serve)
-	r.server = &http.Server{Handler: mux}
-	go func() { _ = r.server.Serve(l) }()
+	r.server = r.answer(l, func(e Entry) Entry { return e })
 	return r, nil
 }
 
+func (r *Registry) answer(l net.Listener, seen func(Entry) Entry) *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /registry/instances", func(w http.ResponseWriter, q *http.Request) { r.serve(w, q, seen) })
+	s := &http.Server{Handler: mux}
+	go func() { _ = s.Serve(l) }()
+	return s
+}
+
+// Agent answers at one more address for one pooler, with the hosts as that pooler reaches them.
+func (r *Registry) Agent(seen func(Entry) Entry) (address string, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("discovery: %w", err)
+	}
+	s := r.answer(l, seen)
+	r.mu.Lock()
+	r.agents = append(r.agents, s)
+	r.mu.Unlock()
+	return l.Addr().String(), nil
+}
+
 // Stop ends it and its watches.
-func (r *Registry) Stop() { _ = r.server.Close() }
+func (r *Registry) Stop() {
+	_ = r.server.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.agents {
+		_ = s.Close()
+	}
+}
 
 // Set changes entries, all in one change.
 func (r *Registry) Set(entries ...Entry) {
@@ -74,20 +100,20 @@
 	r.changed = make(chan struct{})
 }
 
-func (r *Registry) now() (list, chan struct{}) {
+func (r *Registry) now(seen func(Entry) Entry) (list, chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := list{Index: r.index, Snapshot: true, Endpoints: []Entry{}}
 	for _, name := range r.order {
 		if e := r.of[name]; e.Status != "left" {
-			l.Endpoints = append(l.Endpoints, e)
+			l.Endpoints = append(l.Endpoints, seen(e))
 		}
 	}
 	return l, r.changed
 }
 
-func (r *Registry) serve(w http.ResponseWriter, q *http.Request) {
-	l, changed := r.now()
+func (r *Registry) serve(w http.ResponseWriter, q *http.Request, seen func(Entry) Entry) {
+	l, changed := r.now(seen)
 	out := json.NewEncoder(w)
 	if q.URL.Query().Get("follow") == "" {
 		_ = out.Encode(l)
@@ -103,7 +129,7 @@
 	for {
 		select {
 		case <-changed: // each change is told as the whole list, which a watch may do
-			l, changed = r.now()
+			l, changed = r.now(seen)
 			if out.Encode(l) != nil {
 				return
 			}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -7,10 +7,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +39,11 @@
 	State    string   // a folder in which the pooler keeps what it learned; "": none
 	Pace     time.Duration
 	Plain    bool // a version that knows neither commands nor the operator's file
+
+	// Of a fleet of several poolers; nil: it has one.
+	Names []string                                                 // of all, in the order of their numbers
+	Extra func(name string) string                                 // more of a pooler's operator's file
+	Agent func(name string, r *discovery.Registry) (string, error) // where a pooler asks for the list
 }
 
 // Fleet is what runs.
@@ -90,14 +97,37 @@
 	return t.b.String()
 }
 
-// Free names a loopback address on which nobody listens.
+// The ports that Free names lie below those that systems give to outgoing connections: one of these could take a port
+// between the moment at which it is found free and that at which a process listens there.
+const (
+	lowPort  = 12000
+	highPort = 32000
+)
+
+var given sync.Map // ports that Free has named
+
+// Free names a loopback address on which nobody listens, neither for streams nor for datagrams.
 func Free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range 200 {
+		port := lowPort + rand.IntN(highPort-lowPort)
+		if _, twice := given.LoadOrStore(port, nil); twice {
+			continue
+		}
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		var l net.Listener
+		if l, err = net.Listen("tcp", address); err != nil {
+			continue
+		}
+		l.Close()
+		var u net.PacketConn
+		if u, err = net.ListenPacket("udp", address); err != nil {
+			continue
+		}
+		u.Close()
+		return address, nil
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("no free port: %w", err)
 }
 
 // Beside is a program in the folder of this one.
@@ -135,6 +165,9 @@
 		return nil, err
 	}
 	f.Publish()
+	if o.Names != nil { // whoever wants several starts each
+		return f, nil
+	}
 	if f.Pooler, err = f.StartPooler("n1"); err != nil {
 		f.Stop()
 		return nil, err
@@ -175,12 +208,12 @@
 	}
 }
 
-// settings are the platform's, as on the scored days but for wider deadlines.
-func settings() map[string]any {
+// settings are the platform's for one of so many poolers, as on the scored days but for wider deadlines.
+func settings(poolers, index int) map[string]any {
 	class := func(name, effect string, aim, deadline, worth, late float64) map[string]any {
 		return map[string]any{"name": name, "aim_ms": aim, "deadline_ms": deadline, "worth": worth, "late_share": late, "effect": effect}
 	}
-	return map[string]any{"balancers": 1, "index": 0, "period_ms": 5, "deductions": map[string]any{"probe": 0.04},
+	return map[string]any{"balancers": poolers, "index": index, "period_ms": 5, "deductions": map[string]any{"probe": 0.04},
 		"domain": map[string]any{"class_read": []string{"bounded", "session", "any", "write"}, "role_in_list": "late",
 			"staleness_bound_ms": []float64{200, 0, 0, 0}, "token_mode": "carried", "when_behind": "off", "answers_stamped": true},
 		"obligations": map[string]any{"cold_from": 0.24, "ramp_time_ms": 15000, "overload_factor": 3, "fall_ms": 1500, "stop_sending_within_ms": 1000},
@@ -225,8 +258,16 @@
 	if sockets == 0 {
 		sockets = 1024
 	}
-	config, err := json.Marshal(map[string]any{"name": name, "listen": p.Statement, "discovery": f.Registry.Address, "seed": strconv.FormatUint(o.Seed+1, 16),
-		"limits": map[string]any{"cores": 1, "memory_mb": memory, "sockets": sockets}, "settings": settings()})
+	index := max(0, slices.Index(o.Names, name))
+	agent := f.Registry.Address
+	if o.Agent != nil {
+		if agent, err = o.Agent(name, f.Registry); err != nil {
+			return nil, err
+		}
+	}
+	config, err := json.Marshal(map[string]any{"name": name, "listen": p.Statement, "discovery": agent, "seed": strconv.FormatUint(o.Seed+1+uint64(index), 16),
+		"limits":   map[string]any{"cores": 1, "memory_mb": memory, "sockets": sockets},
+		"settings": settings(max(1, len(o.Names)), index)})
 	if err != nil {
 		return nil, err
 	}
@@ -239,6 +280,9 @@
 	if o.State != "" {
 		text += fmt.Sprintf("state {\n  folder = %q\n  pace = %q\n}\n", o.State, o.Pace)
 	}
+	if o.Extra != nil {
+		text += o.Extra(name)
+	}
 	if err := errors.Join(os.WriteFile(path, config, 0o600), os.WriteFile(file, []byte(text), 0o600)); err != nil {
 		return nil, err
 	}
@@ -250,6 +294,7 @@
 	p.cmd.Env = append(append(os.Environ(), "EDGE_CONFIG="+path, "EDGE_NAME=", "EDGE_LISTEN=", "EDGE_DISCOVERY="), o.Env...)
 	p.cmd.Dir = f.dir
 	p.cmd.Stderr, p.cmd.Stdout = p.log, p.log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with the lab, also when that is killed
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
 	}
@@ -400,4 +445,4 @@
 }
 
 // SettingsJSON are the platform's settings that poolers of a fleet have.
-func SettingsJSON() ([]byte, error) { return json.Marshal(settings()) }
+func SettingsJSON() ([]byte, error) { return json.Marshal(settings(1, 0)) }
--- a/lab/load/restart.go
+++ b/lab/load/restart.go
@@ -118,17 +118,39 @@
 	return g.Result(time.Since(begun).Seconds()), nil
 }
 
-// crowd is the load: listeners that outlive the pooler.
+// crowd is the load on a fleet's one pooler, which may be killed at any moment.
 func crowd(ctx context.Context, f *fleet.Fleet, g *report.Gather, seed uint64, n int, mean time.Duration, observed func(string, time.Duration, bool)) *sync.WaitGroup {
+	return Crowd(ctx, f, g, Listeners{Name: fmt.Sprint("k", seed), Seed: seed, Count: n, Mean: mean, Address: func() string { return f.Pooler.Statement },
+		Killed: func(time.Time) bool { return true }, Observed: observed})
+}
+
+// Listeners are clients of one pooler that outlive it.
+type Listeners struct {
+	Name     string // of all; each has a number behind it
+	Seed     uint64
+	Count    int
+	Mean     time.Duration // between two requests of one
+	Open     bool          // a request is due when it is, however long the one before took
+	Address  func() string
+	Killed   func(since time.Time) bool
+	Observed func(class string, took time.Duration, ok bool) // nil: nobody
+}
+
+// Crowd plays them until ctx ends.
+func Crowd(ctx context.Context, f *fleet.Fleet, g *report.Gather, o Listeners) *sync.WaitGroup {
 	var all sync.WaitGroup
 	var done atomic.Int64
-	for i := range n {
-		l := &listener{name: fmt.Sprintf("k%d-%d", seed, i), g: g, fleet: f, rng: rand.New(rand.NewPCG(seed, uint64(i))), done: &done, killed: true, observed: observed}
+	for i := range o.Count {
+		l := &listener{name: fmt.Sprintf("%s-%d", o.Name, i), g: g, fleet: f, rng: rand.New(rand.NewPCG(o.Seed, uint64(i))), done: &done, killed: o.Killed, observed: o.Observed}
 		all.Go(func() {
 			defer l.close()
+			due := time.Now()
 			for ctx.Err() == nil {
-				l.step(f.Pooler.Statement)
-				if !sleep(ctx, time.Duration(l.rng.ExpFloat64()*float64(mean))) {
+				l.step(o.Address())
+				if due = due.Add(time.Duration(l.rng.ExpFloat64() * float64(o.Mean))); !o.Open {
+					due = time.Now().Add(time.Duration(l.rng.ExpFloat64() * float64(o.Mean)))
+				}
+				if !sleep(ctx, time.Until(due)) {
 					return
 				}
 			}
--- a/lab/load/try.go
+++ b/lab/load/try.go
@@ -37,7 +37,7 @@
 	n     int
 	done  *atomic.Int64
 
-	killed   bool                                            // the pooler may be killed: a request that it takes along is no breach
+	killed   func(since time.Time) bool                      // the pooler may have been killed: a request that it took along is no breach
 	observed func(class string, took time.Duration, ok bool) // told of each request; nil: nobody
 }
 
@@ -186,7 +186,7 @@
 	rs, err := l.c.Exec(ctx, sql).ReadAll()
 	took := time.Since(begun)
 	l.done.Add(1)
-	pe := l.g.Answered(class.name, took, time.Duration(class.d)*time.Millisecond+50*time.Millisecond, err, l.killed)
+	pe := l.g.Answered(class.name, took, time.Duration(class.d)*time.Millisecond+50*time.Millisecond, err, l.killed != nil && l.killed(begun))
 	if l.observed != nil {
 		l.observed(class.name, took, err == nil)
 	}
--- a/lab/report/report.go
+++ b/lab/report/report.go
@@ -110,7 +110,9 @@
 			r.Requests.Failed++
 			r.Errors["killed"]++
 		default:
-			r.Requests.Unanswered++
+			if r.Requests.Unanswered++; len(r.Notes) < 20 {
+				r.Notes = append(r.Notes, fmt.Sprintf("unanswered: %s after %v: %v", class, took.Round(time.Millisecond), err))
+			}
 		}
 		if worded {
 			r.Errors[pe.Code]++
