Probes go to replicas that can have kept up; reads stay on the one connection that is open

Checked and ruled out: more probes. So it is whom, not how many.

Cause: ask() drew among all members without a known position that meets the need (choice.go), however far behind they had just been.

A member's new word is gossiped without anybody waiting for it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -10,8 +10,6 @@
 
 import (
 	"cmp"
-	"errors"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -25,6 +23,8 @@
 	askAgain     = 60 * time.Millisecond  // before that a member's report is hardly newer
 	askMost      = 2                      // probes that one read may wait for
 	pause        = time.Second            // before a failed probe or call is tried again
+	paceKnown    = 3 * time.Second        // after that a member's position tells no more of it than none
+	hopeless     = 3                      // the last rank of members to probe
 	probeWait    = 300 * time.Millisecond // a probe unanswered for so long no longer counts as under way
 	probeSpend   = 0.016                  // share of the result that probes may cost, about what they free
 	failure      = 3                      // what a failed attempt counts for, in aims
@@ -50,7 +50,7 @@
 	tookKeep     = 10                    // seconds for which an attempt says something of its member
 	sameLeft     = 5 * time.Millisecond  // first tries of clients differ by no more in their time left
 	surest       = 10                    // tries in a row that settle what is usual; half of that is enough
-	explore      = 0.15                  // part of the draws that is not among open connections alone
+	explore      = 0.15                  // part of the draws that is not among the known alone
 	farLess      = 0.1                   // in aims; known members would else crowd out the unknown
 	crowdAt      = 0.1                   // share of quick failures to connect that tells of full hosts
 	listLate     = 5 * time.Second       // a list names a new primary no later
@@ -175,52 +175,6 @@
 	past            recall
 }
 
-// New returns the decisions of one router, or an error for settings that can't be served.
-func New(s Settings, seed uint64) (*Choice, error) {
-	switch {
-	case len(s.Classes) == 0:
-		return nil, errors.New("choice: settings name no request class")
-	case s.Routers < 1 || s.Index < 0 || s.Index >= s.Routers:
-		return nil, fmt.Errorf("choice: router %d of %d", s.Index, s.Routers)
-	case s.MaxAttempts < 1:
-		return nil, fmt.Errorf("choice: at most %d attempts a request", s.MaxAttempts)
-	}
-	classes, tightest := make([]class, len(s.Classes)), time.Second
-	for i, k := range s.Classes {
-		classes[i].Class, classes[i].index = k, i
-		if k.Read == Bounded {
-			tightest = min(tightest, k.Bound)
-		}
-		if k.Aim <= 0 || k.Deadline <= 0 || k.Read > Write || k.Effect > Unsafe {
-			return nil, fmt.Errorf("choice: class %q: aim %v, deadline %v", k.Name, k.Aim, k.Deadline)
-		}
-	}
-	return &Choice{cfg: s, classes: classes, tightest: tightest, tenants: make([]tenant, len(s.Tenants)),
-		probes: askMost, rng: rand.New(rand.NewPCG(seed, uint64(s.Index))), members: map[string]*member{},
-		groups: map[uint64]*group{}, reqs: map[string]*request{},
-		budget: 0.5 * max(1, budgetCap/float64(s.Routers))}, nil
-}
-
-// Configure takes other settings while requests are under way. What tells one class from another has to stay.
-func (c *Choice) Configure(s Settings) error {
-	n, err := New(s, 0)
-	if err != nil {
-		return err
-	}
-	same := func(a, b Class) bool { return a.Name == b.Name && a.Read == b.Read && a.Effect == b.Effect }
-	if !slices.EqualFunc(s.Classes, c.cfg.Classes, same) {
-		return errors.New("choice: the classes are others")
-	}
-	for i := range c.classes {
-		c.classes[i].Class = s.Classes[i]
-	}
-	if len(s.Tenants) != len(c.tenants) {
-		c.tenants = n.tenants
-	}
-	c.cfg, c.tightest = s, n.tightest
-	return nil
-}
-
 // Step takes the events of one moment and returns what to do. The actions are valid until the next call.
 func (c *Choice) Step(now time.Duration, events []Event) []Action {
 	c.now, c.out = max(now, c.now), c.out[:0]
@@ -666,11 +620,15 @@
 	if c.cfg.Checks == NoChecks {
 		return false
 	}
-	need := r.need
+	return m.position == 0 || m.position+(c.now-m.heard)+c.cfg.CatchUp/2 >= c.need(r)
+}
+
+// need is the position that a read wants of a replica now.
+func (c *Choice) need(r *request) time.Duration {
 	if r.class.Read == Bounded {
-		need = c.now - r.class.Bound
+		return c.now - r.class.Bound
 	}
-	return m.position == 0 || m.position+(c.now-m.heard)+c.cfg.CatchUp/2 >= need
+	return r.need
 }
 
 // silent: work lies there and nothing has come back for far longer than is usual for the shortest of it. It
@@ -740,7 +698,7 @@
 				open = append(open, m)
 			}
 		}
-		if len(open) > 1 {
+		if len(open) > 0 {
 			ms = open
 		}
 	}
@@ -986,11 +944,22 @@
 	if !c.cfg.Probes || !c.cfg.ReportX0 || c.cfg.Checks != NoChecks || r.asks >= askMost {
 		return false
 	}
-	ms = slices.DeleteFunc(ms, func(m *member) bool {
-		return m == r.asked || !m.probing && c.now-m.probed < askAgain
-	})
-	m := c.draw(c.likely(ms))
 	p := r.group.primary() // with none to fall back on, a read that waits costs more than a probe
+	var ranks [hopeless + 1][]*member
+	for _, m := range ms {
+		if m != r.asked && (m.probing || c.now-m.probed >= askAgain) {
+			k := c.behind(m, r)
+			ranks[k] = append(ranks[k], m)
+		}
+	}
+	likely := ranks[0]
+	if c.rng.Float64() < explore { // else those that are known would keep the others unknown
+		likely = append(likely, ranks[1]...)
+	}
+	for k := 1; len(likely) == 0 && k <= hopeless && (k < hopeless || p == nil); k++ {
+		likely = ranks[k]
+	}
+	m := c.draw(likely)
 	if m == nil || !m.probing && c.probes < 1 && p != nil && c.sound(p) {
 		return false
 	}
@@ -999,6 +968,22 @@
 	return true
 }
 
+// behind ranks members by how likely a probe shows that they qualify: lately heard of and on pace for it; not
+// known; far behind before this router's start; too far behind since to have caught up, though it applied the
+// log twice as fast as it comes. Harms one that is faster still: it is asked a little late.
+func (c *Choice) behind(m *member, r *request) int {
+	since, need := c.now-m.heard, c.need(r)
+	switch {
+	case m.position == 0 && m.lagged > c.tightest:
+		return 2
+	case m.position > 0 && m.position+2*since < need:
+		return hopeless
+	case m.position > 0 && since < paceKnown && m.position+since >= need:
+		return 0
+	}
+	return 1
+}
+
 func (c *Choice) ping(m *member) {
 	if !m.probing || c.now-m.probed >= probeWait {
 		c.probes = max(0, c.probes-1)
--- a/choice/size_test.go
+++ b/choice/size_test.go
@@ -88,6 +88,50 @@
 	require.Equal(t, g.c.groups[1].primary().host, host)
 }
 
+// A probe of a replica that was seconds behind a moment ago buys nothing: it goes to one that kept pace, or the primary
+// serves at once. One that may have caught up is asked again, and so are all where there is no primary to fall back on.
+func TestReplicasThatCannotHaveCaughtUpAreNotProbed(t *testing.T) {
+	s := settings()
+	s.Routers = 80
+	probed := func(g *rig) (hosts []string) {
+		g.c.probes = 10
+		_, as := g.request(boundedRead, Event{})
+		for _, a := range as {
+			if a.Kind == ActProbe {
+				hosts = append(hosts, a.Host)
+			}
+		}
+		return hosts
+	}
+	g := start(t, s, shard()...)
+	g.reports(Replica, 5*second, "a", "b", "c")
+	g.now += second
+	require.Empty(t, probed(g), "all were 5 s behind a second ago")
+	g.now += 5 * second
+	require.Len(t, probed(g), 1, "at twice the pace they may have caught up")
+
+	g = start(t, s, shard()...)
+	asked := map[string]int{}
+	for range 200 {
+		g.now += 10 * second
+		g.reports(Replica, 5*second, "a")
+		g.reports(Replica, 0, "b")
+		g.c.members["c"].position = 0
+		g.now += second
+		for _, h := range probed(g) {
+			asked[h]++
+		}
+	}
+	require.Zero(t, asked["a"], "it was 5 s behind")
+	require.Greater(t, asked["b"], 160, "it kept pace")
+	require.Greater(t, asked["c"], 5, "nothing is known of it; asked now and then, or it would stay so")
+	g = start(t, s, shard()...)
+	g.reports(Replica, 5*second, "a", "b", "c")
+	g.step(Event{Kind: EvTargets, Targets: []Target{{Host: "p", Group: 1, Draining: true}}})
+	g.now += second
+	require.Len(t, probed(g), 1, "no primary: whoever answers may name it")
+}
+
 // A client that leaves less than twice the aim is told at half of its time too: what is held beyond that without one
 // attempt costs a part of its worth, and few are served yet.
 func TestShortReadsAreRefusedAtHalfTimeThoughTheirAimIsLater(t *testing.T) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -106,13 +106,3 @@
 		m.position, m.heard = c.now-k.Lag, c.now
 	}
 }
-
-// likely leaves out the members that lagged far when they were last heard of, unless all did: those that may qualify
-// are probed first.
-func (c *Choice) likely(ms []*member) []*member {
-	behind := func(m *member) bool { return m.position == 0 && m.lagged > c.tightest }
-	if slices.ContainsFunc(ms, behind) && slices.ContainsFunc(ms, func(m *member) bool { return !behind(m) }) {
-		return slices.DeleteFunc(ms, behind)
-	}
-	return ms
-}
--- a/choice/state_test.go
+++ b/choice/state_test.go
@@ -63,8 +63,8 @@
 	c.adjust(b, -limitCut)
 	c.adjust(b, limitStep)
 	require.Less(t, b.limit, 3.0, "one that does not stand it any more is not pushed")
-	require.Equal(t, []*member{b}, c.likely([]*member{a, b}), "the one that lagged is not probed first")
-	require.Equal(t, []*member{a}, c.likely([]*member{a}))
+	bounded := &request{class: &class{Class: Class{Read: Bounded, Bound: 100 * ms}}}
+	require.Less(t, c.behind(b, bounded), c.behind(a, bounded), "the one that lagged is not probed first")
 	c.Step(now+6*second, []Event{{Kind: EvTargets, Full: true, Targets: []Target{{Host: "p", Group: 1}, {Host: "a", Group: 1}, {Host: "b", Group: 1}}}})
 	require.NotEqual(t, 1.0, a.limit)
 }
--- a/internal/cluster/member/gossip.go
+++ b/internal/cluster/member/gossip.go
@@ -161,7 +161,7 @@
 	list := g.list
 	g.mu.Unlock()
 	if list != nil {
-		_ = list.UpdateNode(0) // it is gossiped; nothing waits for it
+		go func() { _ = list.UpdateNode(g.o.Probe) }() // it waits until that is sent on; whoever calls need not
 	}
 	g.tell()
 }
