--- a/cmd/ashlab/cluster.go
+++ b/cmd/ashlab/cluster.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"ashstand/internal/cluster/agree"
 	"ashstand/internal/cluster/member"
 	"ashstand/lab/cluster"
 )
@@ -19,7 +21,7 @@
 // clusters are the measurements of many processes together.
 func clusters() *cobra.Command {
 	root := &cobra.Command{Use: "cluster", Short: "many poolers with faults between them"}
-	root.AddCommand(clusterMembers(), clusterShrink())
+	root.AddCommand(clusterMembers(), clusterShrink(), clusterSimulate())
 	return root
 }
 
@@ -160,3 +162,24 @@
 	c.Flags().StringVar(&m.json, "json", "", "write the result to this file as JSON; - is standard output")
 	return c
 }
+
+func clusterSimulate() *cobra.Command {
+	var m common
+	schedules, length, cores := 1000, 3500*time.Millisecond, runtime.NumCPU()
+	c := &cobra.Command{Use: "simulate", Short: "the agreement on versions through drawn messages, crashes and clocks, without sockets", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if m.breaks != "" && !slices.Contains(agree.Breakable, m.breaks) {
+				return fmt.Errorf("--break %s: it can be %s", m.breaks, strings.Join(agree.Breakable, ", "))
+			}
+			if schedules < 1 || length < 3*time.Second || cores < 1 {
+				return errors.New("--schedules and --cores take at least 1, --length at least 3s")
+			}
+			return m.finish(cluster.SimulateMany(c.Context(), m.seed, schedules, float64(length.Milliseconds()), m.breaks, cores), nil)
+		}}
+	c.Flags().IntVar(&schedules, "schedules", schedules, "how many, from the seed on; each is a seed of its own")
+	c.Flags().DurationVar(&length, "length", length, "of one, in its own time")
+	c.Flags().IntVar(&cores, "cores", cores, "that play schedules side by side")
+	m.flags(c, 0, agree.Breakable)
+	_ = c.Flags().MarkHidden("duration") // schedules and length say how long
+	return c
+}
--- /dev/null
+++ b/internal/cluster/agree/rules.go
@@ -0,0 +1,188 @@
+// Package agree decides on which version of the rules a pooler acts, so that no two act on rules that contradict each
+// other. It has no I/O, clock or logger: node.go takes messages and the time and says what to save and send. Versions
+// stand in a log among named voters, kept in order by etcd's raft library; all poolers act on them under leases.
+// docs/agreement.md derives the times and names what each key means.
+package agree
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+)
+
+// Rules are what one version holds: values by key. A key that is not there leaves the platform's own setting in force,
+// than which no agreed value is looser. Values are bool, float64 or string.
+type Rules map[string]any
+
+// order says which of two values is the stricter.
+type order uint8
+
+const (
+	lower   order = iota // the lower number
+	higher               // the higher number
+	isFalse              // what forbids
+	isTrue               // what closes
+	none                 // neither: while two values meet, what the key governs is refused
+)
+
+// key is a line of the table; a part of its name that varies is written *.
+type key struct {
+	name        string
+	order       order
+	least, most float64
+	means       string
+}
+
+var keys = []key{
+	{"class.*.repeat", isFalse, 0, 0, "whether an attempt of this class may be made again"},
+	{"class.*.bound_ms", lower, 1, 60000, "how old the data of a bounded read may be"},
+	{"class.*.primary", isTrue, 0, 0, "all of the class's reads go to the primary"},
+	{"host.*.closed", isTrue, 0, 0, "nothing new goes to this db host"},
+	{"tries", lower, 1, 16, "attempts of a request"},
+	{"cold.factor", lower, 1, 10, "by how much more than it stands a cold host is sent"},
+	{"cold.from", lower, 0.01, 1, "share of its capacity that a host is sure to start with"},
+	{"cold.ramp_ms", higher, 0, 600000, "how long a host counts as cold"},
+	{"host.*.connections", lower, 1, 10000, "of one pooler to a host"},
+	{"database.*.group", none, 0, math.MaxInt32, "the group of hosts that holds a database"},
+}
+
+// fence is the value of a key without an order while two values meet: what it governs is refused.
+type fence struct{}
+
+// MarshalJSON shows it to operators.
+func (fence) MarshalJSON() ([]byte, error) { return []byte(`"fenced"`), nil }
+
+// Fenced says whether what a key governs is refused for now.
+func (r Rules) Fenced(name string) bool {
+	_, is := r[name].(fence)
+	return is
+}
+
+func find(name string) (key, bool) {
+	parts := strings.Split(name, ".")
+	for _, k := range keys {
+		want := strings.Split(k.name, ".")
+		if len(parts) >= len(want) && len(want) > 1 && want[1] == "*" {
+			// A name of a class, host or database may hold dots itself: the first and the last part are the key's.
+			if parts[0] == want[0] && parts[len(parts)-1] == want[len(want)-1] && len(strings.Join(parts[1:len(parts)-1], ".")) > 0 {
+				return k, true
+			}
+		} else if name == k.name {
+			return k, true
+		}
+	}
+	return key{}, false
+}
+
+// Bounds of what a version may hold.
+const (
+	maxKeys  = 4096
+	maxBytes = 256 << 10
+)
+
+// Parse reads rules as JSON, one object of keys. All faults are named, a line each.
+func Parse(text []byte) (Rules, error) {
+	if len(text) > maxBytes {
+		return nil, fmt.Errorf("the rules take %d bytes, %d are the most", len(text), maxBytes)
+	}
+	var r Rules
+	if err := json.Unmarshal(text, &r); err != nil {
+		return nil, err
+	}
+	return r, r.Check()
+}
+
+// Check says what is wrong with rules; nil: nothing.
+func (r Rules) Check() error {
+	var faults []error
+	if len(r) > maxKeys {
+		faults = append(faults, fmt.Errorf("%d keys, %d are the most", len(r), maxKeys))
+	}
+	for _, name := range slices.Sorted(maps.Keys(r)) {
+		k, ok := find(name)
+		if !ok {
+			faults = append(faults, fmt.Errorf("%s: there is no such key", name))
+			continue
+		}
+		switch v := r[name].(type) {
+		case bool:
+			if k.order != isTrue && k.order != isFalse {
+				faults = append(faults, fmt.Errorf("%s is %v; it takes a number from %v to %v", name, v, k.least, k.most))
+			}
+		case float64:
+			if k.order == isTrue || k.order == isFalse {
+				faults = append(faults, fmt.Errorf("%s is %v; it takes true or false", name, v))
+			} else if !(v >= k.least && v <= k.most) {
+				faults = append(faults, fmt.Errorf("%s is %v; allowed is %v to %v", name, v, k.least, k.most))
+			}
+		default:
+			faults = append(faults, fmt.Errorf("%s is %v; it takes a number, true or false", name, v))
+		}
+	}
+	return errors.Join(faults...)
+}
+
+// stricter returns the stricter of two values of a key, either of which may be missing (nil).
+func (k key) stricter(a, b any) any {
+	switch {
+	case k.order == none:
+		if a == b {
+			return a
+		}
+		return fence{}
+	case a == nil:
+		return b
+	case b == nil:
+		return a
+	}
+	switch k.order {
+	case lower:
+		return min(a.(float64), b.(float64))
+	case higher:
+		return max(a.(float64), b.(float64))
+	case isFalse:
+		return a.(bool) && b.(bool)
+	}
+	return a.(bool) || b.(bool)
+}
+
+// Meet returns the rules that are, key by key, the stricter of both. It is commutative, associative and idempotent.
+func Meet(a, b Rules) Rules {
+	out := make(Rules, max(len(a), len(b)))
+	for _, from := range []Rules{a, b} {
+		for name := range from {
+			if k, ok := find(name); ok {
+				if v := k.stricter(a[name], b[name]); v != nil {
+					out[name] = v
+				}
+			}
+		}
+	}
+	return out
+}
+
+// Permits says whether a, at some key, allows what b forbids, and names the first such key. Values without an order
+// permit something else wherever they differ; a fence permits nothing.
+func Permits(a, b Rules) (name string, does bool) {
+	for _, from := range []Rules{a, b} {
+		for _, name := range slices.Sorted(maps.Keys(from)) {
+			k, ok := find(name)
+			if !ok {
+				continue
+			}
+			x, y := a[name], b[name]
+			if k.order == none {
+				if !a.Fenced(name) && !b.Fenced(name) && x != y {
+					return name, true
+				}
+			} else if k.stricter(x, y) != x {
+				return name, true
+			}
+		}
+	}
+	return "", false
+}
--- a/lab/cluster/cluster_test.go
+++ b/lab/cluster/cluster_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -14,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"ashstand/internal/cluster/agree"
 	"ashstand/internal/cluster/member"
 )
 
@@ -191,3 +193,26 @@
 		})
 	}
 }
+
+// Drawn schedules of messages, crashes and clocks hold every guarantee, a seed is the same twice, and each guarantee that
+// is switched off is seen to be missing.
+func TestAgreementInSimulation(t *testing.T) {
+	for _, broken := range append([]string{""}, agree.Breakable...) {
+		schedules := 300
+		if broken != "" {
+			schedules = 30
+		}
+		r := SimulateMany(context.Background(), 1, schedules, 3500, broken, runtime.NumCPU())
+		if broken != "" {
+			require.False(t, r.Held(), "without %s", broken)
+			continue
+		}
+		require.True(t, r.Held(), "%v\n%s", r.Broken, strings.Join(r.Notes, "\n"))
+		require.Greater(t, r.Baseline["versions in force"], float64(2*schedules))
+		for _, f := range []string{"killed", "killed, folder lost", "killed before a save", "killed after a save", "stopped", "partition", "cut one way", "loss"} {
+			require.Positive(t, r.Faults[f], f)
+		}
+	}
+	require.Equal(t, Simulate(4, 5, 3500, ""), Simulate(4, 5, 3500, ""))
+	require.NotEqual(t, Simulate(4, 5, 3500, "").Trace, Simulate(5, 5, 3500, "").Trace)
+}
--- /dev/null
+++ b/lab/cluster/simulate.go
@@ -0,0 +1,556 @@
+package cluster
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ashstand/internal/cluster/agree"
+	"ashstand/lab/report"
+)
+
+// Simulated is what one schedule of the simulation came to. There are no sockets, and no clock but its own: equal seeds
+// give equal traces.
+type Simulated struct {
+	Seed     uint64
+	Broken   map[string]int
+	Notes    []string
+	Faults   map[string]int
+	InForce  int     // versions
+	Longest  float64 // from the log to in force, ms
+	Bound    float64
+	Trace    uint64 // a hash of all that happened
+	Messages int
+}
+
+// SimulatedChecks are the guarantees that the simulation judges.
+var SimulatedChecks = []string{"contradiction", "version_went_back", "two_values_one_version", "acted_without_lease", "order", "stuck"}
+
+const (
+	simLease    = 200.0
+	simElection = 50.0
+	simPace     = 30.0
+	simDrift    = 0.01
+	simTick     = 5.0
+	simRest     = 1500.0 // without faults, at the end
+)
+
+// simNode is a pooler of the simulation.
+type simNode struct {
+	cfg      agree.Config
+	node     *agree.Node
+	disk     *agree.Disk
+	offset   float64 // of its clock, and how fast that runs
+	rate     float64
+	stopped  bool
+	backlog  []agree.Message // that came while it was stopped
+	instance uint64
+	sent     map[uint64]float64 // when each renewal was sent, in true time
+	lease    float64            // the latest of those that were answered
+	least    int                // the lowest version that it has acted on with a lease
+	acts     *agree.Acting      // what it acted on when something happened to it last
+	read     int                // versions of its log that were looked at
+}
+
+func (n *simNode) clock(t float64) float64 { return n.offset + t*n.rate }
+
+type simEvent struct {
+	at   float64
+	turn int
+	do   func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].turn < q[j].turn
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	x := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return x
+}
+
+type simulation struct {
+	out     *Simulated
+	lots    *rand.Rand
+	now     float64
+	turn    int
+	queue   simQueue
+	nodes   []*simNode
+	names   []string
+	voters  int
+	cut     map[[2]string]int
+	loss    float64
+	quiet   float64 // from then on nothing goes wrong
+	values  map[int]string
+	loose   int // voters without their folder, not yet taken in
+	calls   map[uint64]float64
+	ends    []simEnd
+	touched []*simNode      // by what happens now
+	logged  map[int]float64 // when a version was seen first, by whomever
+	trace   interface{ Write([]byte) (int, error) }
+}
+
+type simEnd struct {
+	begun, ended float64
+	n            int
+}
+
+// Simulate plays one schedule: so many poolers, three or five of them voters, for length milliseconds.
+func Simulate(seed uint64, poolers int, length float64, broken string) *Simulated {
+	h := fnv.New64a()
+	s := &simulation{out: &Simulated{Seed: seed, Broken: map[string]int{}, Faults: map[string]int{}}, lots: rand.New(rand.NewPCG(seed, 0x51)),
+		cut: map[[2]string]int{}, values: map[int]string{}, calls: map[uint64]float64{}, logged: map[int]float64{}, trace: h}
+	for _, c := range SimulatedChecks {
+		s.out.Broken[c] = 0
+	}
+	s.names = names(poolers)
+	if s.voters = 3; poolers >= 5 && seed%2 == 0 {
+		s.voters = 5
+	}
+	for i, name := range s.names {
+		cfg := agree.Config{Name: name, Voters: s.names[:s.voters], Lease: simLease, Drift: simDrift, Pace: simPace, Election: simElection, Format: 1,
+			Limits: agree.Rules{"class.a.bound_ms": 100.0, "class.a.repeat": false, "tries": 1.0, "database.d.group": 0.0}, Seed: seed, Break: broken}
+		n := &simNode{cfg: cfg, offset: s.lots.Float64() * 1e6, rate: 1 + simDrift*(2*s.lots.Float64()-1)}
+		if i < s.voters {
+			n.disk = agree.Found(name, s.names[:s.voters])
+		}
+		s.nodes = append(s.nodes, n)
+		s.start(n)
+		s.tick(n)
+	}
+	_, change := s.nodes[0].cfg.Bound()
+	s.out.Bound = change
+	s.quiet = length - simRest
+	for at := 100.0; at < s.quiet; at += 60 + s.lots.Float64()*300 {
+		s.after(at, s.fault)
+	}
+	for at := 150.0; at < length-2*change; at += 100 + s.lots.Float64()*400 {
+		s.after(at, s.propose)
+	}
+	for len(s.queue) > 0 && s.queue[0].at < length {
+		e := heap.Pop(&s.queue).(simEvent)
+		s.now = e.at
+		e.do()
+		s.judge()
+	}
+	s.now = length
+	s.end()
+	s.out.Trace = h.Sum64()
+	return s.out
+}
+
+func (s *simulation) after(d float64, do func()) {
+	s.turn++
+	heap.Push(&s.queue, simEvent{s.now + d, s.turn, do})
+}
+
+func (s *simulation) note(format string, args ...any) {
+	fmt.Fprintf(s.trace, "%.6f "+format+"\n", append([]any{s.now}, args...)...)
+}
+
+func (s *simulation) breach(what, format string, args ...any) {
+	if s.out.Broken[what]++; len(s.out.Notes) < 8 {
+		s.out.Notes = append(s.out.Notes, fmt.Sprintf("seed %d at %.1f ms: %s: ", s.out.Seed, s.now, what)+fmt.Sprintf(format, args...))
+	}
+}
+
+// start gives a node a process, on the folder that it has.
+func (s *simulation) start(n *simNode) {
+	n.instance = s.lots.Uint64()
+	n.cfg.Instance, n.sent, n.lease, n.stopped, n.backlog = n.instance, map[uint64]float64{}, -1e9, false, nil
+	n.acts, n.read = nil, 0
+	node, err := agree.New(n.cfg, n.disk, n.clock(s.now))
+	if err != nil {
+		s.breach("stuck", "%s does not start: %v", n.cfg.Name, err)
+		return
+	}
+	n.node = node
+	s.carry(n)
+}
+
+func (s *simulation) tick(n *simNode) {
+	if n.node != nil && !n.stopped {
+		n.node.Tick(n.clock(s.now))
+		s.carry(n)
+	}
+	s.after(simTick*(0.9+0.2*s.lots.Float64()), func() { s.tick(n) })
+}
+
+// carry does what a node wants done. Now and then its process ends before what it wants saved is, or with that saved and
+// a part of the messages sent.
+func (s *simulation) carry(n *simNode) {
+	s.touched = append(s.touched, n)
+	out := n.node.Output()
+	crash := out.Save != nil && s.now < s.quiet && s.lots.IntN(200) == 0
+	if crash && s.lots.IntN(2) == 0 {
+		s.crash(n, "killed before a save")
+		return
+	}
+	if out.Save != nil {
+		n.disk = out.Save
+	}
+	if crash {
+		out.Messages, out.Answers = out.Messages[:s.lots.IntN(len(out.Messages)+1)], nil
+		defer s.crash(n, "killed after a save")
+	}
+	for _, m := range out.Messages {
+		s.out.Messages++
+		s.note("%s>%s %d %d %d", m.From, m.To, m.Kind, m.Nonce, m.Known)
+		if m.Kind == agree.MsgRenew {
+			n.sent[m.Nonce] = s.now
+		}
+		s.pass(m)
+	}
+	for _, a := range out.Answers {
+		if begun, ok := s.calls[a.ID]; ok && a.OK {
+			s.ends = append(s.ends, simEnd{begun, s.now, a.Version.N})
+			delete(s.calls, a.ID)
+		}
+	}
+}
+
+// crash ends a node's process; it starts again on what was saved.
+func (s *simulation) crash(n *simNode, what string) {
+	s.out.Faults[what]++
+	s.note("%s %s", n.cfg.Name, what)
+	n.node = nil
+	s.after(min(20+s.lots.ExpFloat64()*150, 4*simLease), func() {
+		if n.node == nil {
+			s.start(n)
+		}
+	})
+}
+
+func (s *simulation) pass(m agree.Message) {
+	if m.From == m.To {
+		s.after(0, func() { s.deliver(m) })
+		return
+	}
+	if s.cut[[2]string{m.From, m.To}] > 0 || s.lots.Float64() < s.loss {
+		return
+	}
+	copies := 1
+	if s.lots.Float64() < 0.02 {
+		copies = 2
+	}
+	for range copies {
+		c := m
+		if c.Raft != nil {
+			c.Raft = proto.CloneOf(c.Raft)
+		}
+		d := 0.5 + s.lots.Float64()*4
+		if s.lots.Float64() < 0.01 {
+			d += s.lots.Float64() * 2 * simLease // very late: what it says may no longer hold
+		}
+		s.after(d, func() { s.deliver(c) })
+	}
+}
+
+func (s *simulation) deliver(m agree.Message) {
+	i := slices.Index(s.names, m.To)
+	if i < 0 || s.nodes[i].node == nil {
+		return
+	}
+	n := s.nodes[i]
+	if n.stopped {
+		if len(n.backlog) < 200 {
+			n.backlog = append(n.backlog, m)
+		}
+		return
+	}
+	if m.Kind == agree.MsgGrant {
+		if at, ok := n.sent[m.Nonce]; ok {
+			n.lease = max(n.lease, at)
+		}
+	}
+	n.node.Receive(n.clock(s.now), m)
+	s.carry(n)
+}
+
+// propose brings new rules in somewhere.
+func (s *simulation) propose() {
+	n := s.nodes[s.lots.IntN(len(s.nodes))]
+	r := agree.Rules{}
+	if s.lots.IntN(4) > 0 {
+		r["class.a.bound_ms"] = float64(100 * (1 + s.lots.IntN(5)))
+	}
+	if s.lots.IntN(2) > 0 {
+		r["class.a.repeat"] = s.lots.IntN(2) == 0
+	}
+	if s.lots.IntN(2) > 0 {
+		r["tries"] = float64(1 + s.lots.IntN(4))
+	}
+	if s.lots.IntN(4) > 0 {
+		r["database.d.group"] = float64(1 + s.lots.IntN(3))
+	}
+	id := s.lots.Uint64()
+	if n.node == nil || n.stopped {
+		return
+	}
+	s.calls[id] = s.now
+	if err := n.node.Propose(n.clock(s.now), id, r); err != nil {
+		s.breach("order", "good rules are refused: %v", err)
+	}
+	s.carry(n)
+}
+
+// fault makes one thing go wrong for a while.
+func (s *simulation) fault() {
+	n := s.nodes[s.lots.IntN(len(s.nodes))]
+	voter := slices.Contains(n.cfg.Voters, n.cfg.Name)
+	d := 20 + s.lots.ExpFloat64()*150
+	d = min(d, 4*simLease)
+	switch k := s.lots.IntN(8); k {
+	case 0, 1, 2: // killed; it comes back with its folder, without it, or with an old copy that it must not use
+		if n.node == nil {
+			return
+		}
+		what := []string{"killed", "killed", "killed, folder lost"}[k]
+		if k == 2 && voter {
+			if s.loose > 0 || !s.whole() {
+				what = "killed" // a second one at once would be a majority that is lost, or near it
+			} else {
+				n.disk = nil
+				s.loose++
+			}
+		}
+		s.crash(n, what)
+	case 3, 4:
+		if n.node == nil || n.stopped {
+			return
+		}
+		s.out.Faults["stopped"]++
+		n.stopped = true
+		s.after(d+float64(k-3)*3*simLease, func() {
+			if n.node == nil || !n.stopped {
+				return
+			}
+			n.stopped = false
+			late := n.backlog
+			n.backlog = nil
+			for _, m := range late {
+				s.deliver(m)
+			}
+		})
+	case 5:
+		s.out.Faults["partition"]++
+		var pairs [][2]string
+		side := map[string]bool{}
+		for _, x := range s.names {
+			side[x] = s.lots.IntN(2) == 0
+		}
+		both := s.names[s.lots.IntN(len(s.names))] // seen by either side, every other time
+		overlap := s.lots.IntN(2) == 0
+		for _, a := range s.names {
+			for _, b := range s.names {
+				if side[a] != side[b] && !(overlap && (a == both || b == both)) {
+					pairs = append(pairs, [2]string{a, b})
+				}
+			}
+		}
+		s.sever(pairs, 2*d)
+	case 6:
+		s.out.Faults["cut one way"]++
+		s.sever([][2]string{{n.cfg.Name, s.names[s.lots.IntN(len(s.names))]}}, 2*d)
+	case 7:
+		s.out.Faults["loss"]++
+		s.loss = 0.3
+		s.after(d, func() { s.loss = 0 })
+	}
+}
+
+func (s *simulation) sever(pairs [][2]string, d float64) {
+	for _, p := range pairs {
+		s.cut[p]++
+	}
+	s.after(min(d, 4*simLease), func() {
+		for _, p := range pairs {
+			s.cut[p]--
+		}
+	})
+}
+
+// whole says whether every voter that runs counts every voter's present identity, and all run.
+func (s *simulation) whole() bool {
+	ids := map[uint64]bool{}
+	for _, n := range s.nodes[:s.voters] {
+		if n.node == nil || n.disk == nil {
+			return false
+		}
+		ids[n.disk.ID] = true
+	}
+	for _, n := range s.nodes[:s.voters] {
+		if !maps.EqualFunc(n.node.Voters(), ids, func(string, bool) bool { return true }) {
+			return false
+		}
+	}
+	return true
+}
+
+// judge holds what all act on at this moment against each other. What is stricter is said here again, by hand, so that
+// the program's own table does not judge it. What nothing happened to acts as before, until its lease runs out.
+func (s *simulation) judge() {
+	if s.loose > 0 && s.whole() {
+		s.loose = 0
+	}
+	changed := s.touched
+	s.touched = nil
+	for _, n := range s.nodes {
+		if n.node == nil || n.stopped {
+			continue
+		}
+		if !n.node.Lapsed(n.clock(s.now)) && s.now > n.lease+simLease*(1+2*simDrift) {
+			s.breach("acted_without_lease", "%s asked for the last one that it got %.1f ms ago", n.cfg.Name, s.now-n.lease)
+		}
+	}
+	for _, n := range changed {
+		if n.node == nil || n.stopped {
+			continue
+		}
+		s.versions(n)
+		a := n.node.Acting(n.clock(s.now))
+		same := n.acts != nil && n.acts.Lapsed == a.Lapsed && slices.Equal(n.acts.Versions, a.Versions)
+		n.acts = &a
+		if same {
+			continue
+		}
+		if !a.Lapsed {
+			low := slices.Min(a.Versions)
+			if low < n.least {
+				s.breach("version_went_back", "%s acts on %v, it was at %d", n.cfg.Name, a.Versions, n.least)
+			}
+			if len(a.Versions) == 1 && low > s.out.InForce {
+				s.out.InForce = low
+				s.out.Longest = max(s.out.Longest, s.now-s.logged[low])
+			}
+			n.least = max(n.least, low)
+		}
+		for _, o := range s.nodes {
+			if o != n && o.node != nil && !o.stopped && o.acts != nil {
+				b := o.node.Acting(o.clock(s.now))
+				s.compare(n, o, a, b)
+				s.compare(o, n, b, a)
+			}
+		}
+	}
+}
+
+// versions looks at what is new in a node's log.
+func (s *simulation) versions(n *simNode) {
+	for _, v := range n.node.Versions() {
+		if v.N <= n.read {
+			continue
+		}
+		n.read = v.N
+		if _, ok := s.logged[v.N]; !ok {
+			s.logged[v.N] = s.now
+		}
+		text := fmt.Sprint(v.Rules)
+		if was, ok := s.values[v.N]; ok && was != text {
+			s.breach("two_values_one_version", "version %d is %s and %s", v.N, was, text)
+		}
+		s.values[v.N] = text
+	}
+}
+
+// compare says whether a permits itself what b's version in force forbids though b has not heard of anything else.
+func (s *simulation) compare(x, y *simNode, a, b agree.Acting) {
+	const group = "database.d.group"
+	if v, w := a.Rules[group], b.Rules[group]; !a.Rules.Fenced(group) && !b.Rules.Fenced(group) && v != w {
+		s.breach("contradiction", "%s %v has %s %v, %s %v has %v", x.cfg.Name, a.Versions, group, v, y.cfg.Name, b.Versions, w)
+	}
+	if a.Lapsed || b.Lapsed || slices.Min(a.Versions) <= slices.Max(b.Versions) {
+		return // without a lease a pooler claims nothing of others; who knows of the version that a has in force has made room for it
+	}
+	for _, k := range []string{"class.a.bound_ms", "tries"} {
+		v, given := a.Rules[k].(float64)
+		if w, limited := b.Rules[k].(float64); limited && (!given || v > w) {
+			s.breach("contradiction", "%s %v has %s %v, %s %v has %v", x.cfg.Name, a.Versions, k, a.Rules[k], y.cfg.Name, b.Versions, w)
+		}
+	}
+	if v, given := a.Rules["class.a.repeat"].(bool); !given || v {
+		if w, limited := b.Rules["class.a.repeat"].(bool); limited && !w {
+			s.breach("contradiction", "%s %v repeats, %s %v does not", x.cfg.Name, a.Versions, y.cfg.Name, b.Versions)
+		}
+	}
+}
+
+// end holds the order of answers against that of calls, and what all act on after the quiet end.
+func (s *simulation) end() {
+	for _, a := range s.ends {
+		for _, b := range s.ends {
+			if a.ended < b.begun && a.n >= b.n {
+				s.breach("order", "version %d was told before %d was proposed", a.n, b.n)
+			}
+		}
+	}
+	want := 0
+	for _, n := range s.nodes {
+		want = max(want, n.least)
+	}
+	for _, n := range s.nodes {
+		if n.node == nil || n.stopped {
+			s.breach("stuck", "%s does not run", n.cfg.Name)
+			continue
+		}
+		if a := n.node.Acting(n.clock(s.now)); a.Lapsed || len(a.Versions) != 1 || a.Versions[0] != want {
+			s.breach("stuck", "%s acts on %v, lapsed %v; %d is in force", n.cfg.Name, a.Versions, a.Lapsed, want)
+		}
+	}
+}
+
+// SimulateMany plays schedules seed, seed+1 and so on, on so many cores, until ctx ends. Schedule i has 3 to 7 poolers.
+func SimulateMany(ctx context.Context, seed uint64, schedules int, length float64, broken string, cores int) *report.Result {
+	g := report.New("cluster simulate", seed, SimulatedChecks...)
+	begun := time.Now()
+	var next atomic.Int64
+	var all sync.WaitGroup
+	var longest, over float64
+	var versions, messages int
+	for range max(1, cores) {
+		all.Go(func() {
+			for ctx.Err() == nil {
+				i := next.Add(1) - 1
+				if i >= int64(schedules) {
+					return
+				}
+				o := Simulate(seed+uint64(i), 3+int((seed+uint64(i))%5), length, broken)
+				g.Do(func(r *report.Result) {
+					for k, n := range o.Broken {
+						r.Broken[k] += n
+					}
+					for k, n := range o.Faults {
+						r.Faults[k] += n
+					}
+					r.Notes = append(r.Notes, o.Notes...)
+					r.Notes = r.Notes[:min(20, len(r.Notes))]
+					r.Faults["schedules"]++
+					versions, messages = versions+o.InForce, messages+o.Messages
+					if longest = max(longest, o.Longest); o.Longest > o.Bound {
+						over++
+					}
+				})
+			}
+		})
+	}
+	all.Wait()
+	g.Do(func(r *report.Result) {
+		r.Baseline["versions in force"], r.Baseline["messages"] = float64(versions), float64(messages)
+		r.Baseline["longest from log to force, ms"], r.Baseline["schedules over the stated time"] = longest, over
+	})
+	return g.Result(time.Since(begun).Seconds())
+}
