--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -1,20 +1,27 @@
 package main
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/base64"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"os"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"ashstand/internal/admin"
 	"ashstand/internal/clock"
+	"ashstand/internal/cluster/agree"
+	"ashstand/internal/cluster/agree/runner"
 	"ashstand/internal/cluster/member"
 	"ashstand/internal/net/discovery"
 )
@@ -28,7 +35,9 @@
 // fellows is what a pooler has to do with the others.
 type fellows struct {
 	gossip *member.Gossip
+	agreed *runner.Runner // nil: nothing is agreed on
 	trace  *trace
+	open   chan struct{} // closed once the gossip is up
 	state  member.State
 	mu     sync.Mutex
 }
@@ -54,7 +63,7 @@
 	if _, own := o.Peers[name]; own {
 		return nil, fmt.Errorf("%s: cluster.peer %q: that is this pooler's own name", cfg.operator.Path, name)
 	}
-	f := &fellows{state: member.Starting}
+	f := &fellows{state: member.Starting, open: make(chan struct{})}
 	if l := cfg.operator.Lab; l != nil && l.Trace != "" {
 		if f.trace, err = openTrace(l.Trace, name); err != nil {
 			return nil, err
@@ -67,14 +76,79 @@
 	}
 	self := member.Info{Name: name, Instance: binary.BigEndian.Uint64(drawn[:]) | 1, Started: now.Now(), Version: version(), Oldest: oldestFormat,
 		Newest: newestFormat, Zone: o.Zone, State: member.Starting}
+	if o.Agree != nil {
+		if err := f.agree(cfg, self, now, broken); err != nil {
+			return nil, err
+		}
+	}
 	f.gossip, err = member.Start(member.Options{Self: self, Listen: o.Listen, Peers: o.Peers, Keys: keys, Most: o.Members, Probe: o.Probe,
-		Seed: cfg.seed, Clock: now, Changed: f.changed, Break: broken})
+		Seed: cfg.seed, Clock: now, Changed: f.changed, Break: broken, Message: f.message})
 	if err != nil {
+		f.stop()
 		return nil, err
 	}
+	close(f.open)
 	return f, nil
 }
 
+// agree starts this pooler's part in the agreement on rules.
+func (f *fellows) agree(cfg *config, self member.Info, now clock.Clock, broken string) error {
+	a := cfg.operator.Cluster.Agree
+	var limits agree.Rules
+	if a.Limits != "" {
+		text, err := os.ReadFile(a.Limits)
+		if err == nil {
+			limits, err = agree.Parse(text)
+		}
+		if err != nil {
+			return fmt.Errorf("cluster.agreement.limits: %s: %w", a.Limits, err)
+		}
+	}
+	c := agree.Config{Name: self.Name, Instance: self.Instance, Voters: a.Voters, Lease: clock.Millis(a.Lease), Drift: a.Drift, Pace: clock.Millis(a.Renew),
+		Election: clock.Millis(a.Election), Limits: limits, Format: newestFormat, Seed: cfg.seed, Break: broken}
+	var err error
+	o := runner.Options{Config: c, Folder: a.Folder, Clock: now, Send: f.send, Changed: f.acts}
+	if f.trace != nil {
+		o.Leased = func(left float64) { f.trace.line(map[string]any{"event": "lease", "left": left}) }
+	}
+	f.agreed, err = runner.Start(o)
+	if err != nil {
+		return fmt.Errorf("cluster.agreement: %w", err)
+	}
+	steady, change := c.Bound()
+	slog.Info(fmt.Sprintf("cluster: rules that are agreed on are in force everywhere within %v, with a new leader within %v", clock.Duration(steady).Round(time.Millisecond),
+		clock.Duration(change).Round(time.Millisecond)))
+	return nil
+}
+
+// send brings a message to another pooler; before the gossip is up nobody is reached.
+func (f *fellows) send(to string, b []byte) {
+	select {
+	case <-f.open:
+		f.gossip.Send(to, b)
+	default:
+	}
+}
+
+func (f *fellows) message(b []byte) {
+	if f.agreed != nil {
+		f.agreed.Receive(b)
+	}
+}
+
+// acts is told of each change of what is acted on.
+func (f *fellows) acts(a agree.Acting) {
+	text := fmt.Sprintf("cluster: acting on version %d", a.Versions[0])
+	if len(a.Versions) > 1 {
+		text += fmt.Sprintf(" and, where it is stricter, %d", a.Versions[1])
+	}
+	if a.Lapsed {
+		text += ", within the limits: without a lease"
+	}
+	slog.Info(text)
+	f.trace.line(map[string]any{"event": "acts", "versions": a.Versions, "rules": a.Rules, "lapsed": a.Lapsed})
+}
+
 // changed is told of each change of view.
 func (f *fellows) changed(changes []member.Change) {
 	for _, c := range changes {
@@ -130,7 +204,12 @@
 	if f == nil {
 		return
 	}
-	f.gossip.Stop()
+	if f.agreed != nil {
+		f.agreed.Stop()
+	}
+	if f.gossip != nil {
+		f.gossip.Stop()
+	}
 	f.trace.close()
 }
 
@@ -154,6 +233,31 @@
 	return clusterView{true, f.gossip.View()}
 }
 
+// agreement is what operators see of the rules.
+func (f *fellows) agreement() any {
+	if f == nil || f.agreed == nil {
+		return runner.View{}
+	}
+	return f.agreed.View()
+}
+
+// deeds are what operators can have done.
+func (n *node) deeds() map[string]admin.Deed {
+	return map[string]admin.Deed{"propose": func(ctx context.Context, body []byte) (any, error) {
+		if n.others == nil || n.others.agreed == nil {
+			return nil, errors.New("this pooler's file has no cluster.agreement block")
+		}
+		rules, err := agree.Parse(body)
+		if err != nil {
+			return nil, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
+		defer cancel()
+		v, err := n.others.agreed.Propose(ctx, rules)
+		return map[string]int{"version": v}, err
+	}}
+}
+
 // trace is the file in which a process of the laboratory writes what it acted on.
 type trace struct {
 	mu   sync.Mutex
@@ -200,8 +304,10 @@
 }
 
 // clusterCommands ask a running pooler about the others.
-func clusterCommands(ask func(*cobra.Command) *cobra.Command, view func(string, any, func(io.Writer)) func(*cobra.Command, []string) error) *cobra.Command {
+func clusterCommands(ask func(*cobra.Command) *cobra.Command, view func(string, any, func(io.Writer)) func(*cobra.Command, []string) error,
+	address func() (string, error)) *cobra.Command {
 	var v clusterView
+	var rules runner.View
 	root := &cobra.Command{Use: "cluster", Short: "what a pooler knows of the others"}
 	key := &cobra.Command{Use: "key", Short: "print a new key for the file that cluster.keys names", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 		b := make([]byte, 32)
@@ -211,7 +317,87 @@
 		_, err := fmt.Fprintln(c.OutOrStdout(), base64.StdEncoding.EncodeToString(b))
 		return err
 	}}
-	root.AddCommand(key,
+	propose := func(text []byte, w io.Writer) error {
+		if _, err := agree.Parse(text); err != nil {
+			return err
+		}
+		a, err := address()
+		if err != nil {
+			return err
+		}
+		var out struct{ Version int }
+		if err := admin.Do(a, "propose", text, &out); err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(w, "version %d is in the log; ashstand cluster versions says when it is in force\n", out.Version)
+		return err
+	}
+	version := func(word string) (agree.Version, error) {
+		a, err := address()
+		if err != nil {
+			return agree.Version{}, err
+		}
+		if err := admin.Get(a, "agreement", &rules); err != nil {
+			return agree.Version{}, err
+		}
+		for _, v := range rules.Versions {
+			if word == strconv.Itoa(v.N) {
+				return v, nil
+			}
+		}
+		return agree.Version{}, fmt.Errorf("version %q is not among the %d that this pooler's log has", word, len(rules.Versions))
+	}
+	var folder string
+	var voters []string
+	found := &cobra.Command{Use: "found NAME", Short: "write a voter's first folder, once for each voter of a new cluster", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			if folder == "" || !slices.Contains(voters, args[0]) {
+				return errors.New("--folder names where, --voters all voters, this one among them, alike for each")
+			}
+			return runner.Found(folder, args[0], voters)
+		}}
+	found.Flags().StringVar(&folder, "folder", "", "as cluster.agreement.folder has it")
+	found.Flags().StringSliceVar(&voters, "voters", nil, "the names of all voters")
+	root.AddCommand(key, found,
+		ask(&cobra.Command{Use: "versions", Short: "show the rules that this pooler acts on, and the versions in its log", Args: cobra.NoArgs,
+			RunE: view("agreement", &rules, func(w io.Writer) { versionTable(w, &rules) })}),
+		ask(&cobra.Command{Use: "diff V W", Short: "show in which keys two versions differ", Args: cobra.ExactArgs(2), RunE: func(c *cobra.Command, args []string) error {
+			a, err := version(args[0])
+			if err != nil {
+				return err
+			}
+			b, err := version(args[1])
+			if err != nil {
+				return err
+			}
+			for _, line := range agree.Diff(a.Rules, b.Rules) {
+				fmt.Fprintln(c.OutOrStdout(), line)
+			}
+			return nil
+		}}),
+		ask(&cobra.Command{Use: "propose FILE", Short: "bring rules in for all poolers; FILE holds one JSON object of keys", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				text, err := os.ReadFile(args[0])
+				if err != nil {
+					return err
+				}
+				if err = propose(text, c.OutOrStdout()); err != nil {
+					return fmt.Errorf("%s: %w", args[0], err)
+				}
+				return nil
+			}}),
+		ask(&cobra.Command{Use: "rollback V", Short: "bring the rules of an earlier version in again, as a new version", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				v, err := version(args[0])
+				if err != nil {
+					return err
+				}
+				text, err := json.Marshal(v.Rules)
+				if err != nil {
+					return err
+				}
+				return propose(text, c.OutOrStdout())
+			}}),
 		ask(&cobra.Command{Use: "members", Short: "list the poolers that this one knows, with what it believes of each", Args: cobra.NoArgs,
 			RunE: view("cluster", &v, func(w io.Writer) { memberTable(w, &v) })}),
 		ask(&cobra.Command{Use: "status", Short: "show where this pooler stands in its cluster, and what it has dropped", Args: cobra.NoArgs,
@@ -219,6 +405,33 @@
 	return root
 }
 
+func versionTable(w io.Writer, v *runner.View) {
+	if !v.On {
+		fmt.Fprintln(w, "the operator's file has no cluster.agreement block: this pooler acts on its own files alone")
+		return
+	}
+	fmt.Fprintf(w, "acting on\t%v\n", v.Acting.Versions)
+	if v.Acting.Lapsed {
+		fmt.Fprintln(w, "lease\tnone: the limits count")
+	} else {
+		fmt.Fprintf(w, "lease\t%v left\n", clock.Duration(v.Lease).Round(time.Millisecond))
+	}
+	fmt.Fprintf(w, "in force everywhere within\t%v; with a new leader %v\n", clock.Duration(v.Steady).Round(time.Millisecond), clock.Duration(v.Change).Round(time.Millisecond))
+	if v.Leading {
+		fmt.Fprintln(w, "leads\tyes")
+	}
+	for _, line := range agree.Diff(nil, v.Acting.Rules) {
+		fmt.Fprintf(w, "rule\t%s\n", line)
+	}
+	for id, name := range v.Voters {
+		fmt.Fprintf(w, "voter\t%s as %016x\n", name, id)
+	}
+	for _, x := range v.Versions {
+		b, _ := json.Marshal(x.Rules)
+		fmt.Fprintf(w, "version %d\tby %s: %s\n", x.N, x.By, b)
+	}
+}
+
 func memberTable(w io.Writer, v *clusterView) {
 	if !v.On {
 		fmt.Fprintln(w, "the operator's file has no cluster block with an address: this pooler knows of no others")
--- a/cmd/ashstand/commands.go
+++ b/cmd/ashstand/commands.go
@@ -113,7 +113,7 @@
 			RunE: view("sessions", &sessions, func(w io.Writer) { sessionTable(w, &sessions) })}),
 		play,
 		stateCommands(),
-		clusterCommands(ask, view),
+		clusterCommands(ask, view, address),
 		&cobra.Command{Use: "version", Short: "print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
 			fmt.Fprintln(c.OutOrStdout(), version())
 		}},
@@ -238,7 +238,8 @@
 			}
 			return n.keeper.view()
 		},
-		"cluster": func() any { return n.others.view() },
+		"cluster":   func() any { return n.others.view() },
+		"agreement": func() any { return n.others.agreement() },
 		"config": func() any {
 			c := n.cfg.Load()
 			return map[string]any{"name": c.Name, "listen": c.Listen, "discovery": c.Discovery, "limits": c.Limits,
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -215,7 +215,7 @@
 		log.Printf("%s listens for Flight SQL on %s; at most %d connections", cfg.Name, l.Addr(), cfg.flight.Connections)
 	}
 	if listen := cfg.operator.Admin.Listen; listen != "" {
-		if n.admin, err = admin.Start(listen, n.views()); err != nil {
+		if n.admin, err = admin.Start(listen, n.views(), n.deeds()); err != nil {
 			n.stop()
 			return nil, err
 		}
--- a/internal/cluster/agree/node.go
+++ b/internal/cluster/agree/node.go
@@ -146,6 +146,7 @@
 	ticks float64 // when the next tick is due
 	heard float64 // from a leader
 	dare  float64 // how long it waits for one
+	slow  float64 // how long a save takes, the slowest of late
 
 	leading  bool
 	safe     float64            // from then on no lease of an earlier leader runs
@@ -271,45 +272,52 @@
 
 // daring draws how long a silent leader is waited for. The library's own draw can't be played again from a seed, so it
 // is never asked to stand by itself.
-func (n *Node) daring() { n.dare = n.cfg.Election * (1 + n.lots.Float64()) }
+func (n *Node) daring() { n.dare = n.election() * (1 + n.lots.Float64()) }
+
+// Saved tells how long it took to keep what an Output wanted kept. A voter says nothing meanwhile, so nobody may be
+// replaced for being silent for as long as that.
+func (n *Node) Saved(took float64) { n.slow = max(took, n.slow-n.slow/8) }
+
+// election is how long a leader may be silent, as the file has it, or four of the slowest saves of late.
+func (n *Node) election() float64 { return max(n.cfg.Election, 4*n.slow) }
 
 // Acting is what a pooler goes by at a moment.
 type Acting struct {
-	Versions []int // one, or the two that meet; without a lease those that it knows of
-	Rules    Rules
-	Lapsed   bool // without a lease
-}
-
-// Acting returns it. Whoever takes a decision asks at that moment: a process that was stopped may have lost its lease
-// since it asked last.
-func (n *Node) Acting(now float64) Acting {
-	a := Acting{Versions: []int{n.held.Force.N}, Rules: n.held.Force.Rules}
-	meet := Meet
-	if n.cfg.Break == "fence" {
-		meet = func(a, b Rules) Rules { // the newer where there is no order
-			m := Meet(a, b)
-			for k := range m {
-				if m.Fenced(k) {
-					if m[k] = b[k]; b[k] == nil {
-						delete(m, k)
-					}
-				}
-			}
-			return m
-		}
-	}
-	if p := n.held.Pending; p != nil {
-		a.Versions = append(a.Versions, p.N)
-		if n.cfg.Break == "meet" {
+	Versions []int `json:"versions"` // one, or the two that meet; without a lease those that it knows of
+	Rules    Rules `json:"rules"`
+	Lapsed   bool  `json:"lapsed"` // without a lease
+}
+
+// Grip is what a pooler holds on to: a value, so that decisions can ask it without waiting for the node. Its zero value
+// holds nothing.
+type Grip struct {
+	Held   Held
+	Until  float64 // of the lease, by the node's clock
+	limits Rules
+	broken string
+}
+
+// Grip returns what is held now. It may be acted on once what Output wanted saved is.
+func (n *Node) Grip() Grip { return Grip{n.held, n.until, n.cfg.Limits, n.cfg.Break} }
+
+// Lapsed says whether a pooler is without a lease.
+func (g *Grip) Lapsed(now float64) bool { return now >= g.Until && g.broken != "lease" }
+
+// Acting returns what to go by. Whoever takes a decision asks at that moment: a process that was stopped may have lost
+// its lease since it asked last.
+func (g *Grip) Acting(now float64) Acting {
+	a := Acting{Versions: []int{g.Held.Force.N}, Rules: g.Held.Force.Rules}
+	if p := g.Held.Pending; p != nil {
+		if a.Versions = append(a.Versions, p.N); g.broken == "meet" {
 			a.Versions, a.Rules = a.Versions[1:], p.Rules
 		} else {
-			a.Rules = meet(a.Rules, p.Rules)
+			a.Rules = g.meet(a.Rules, p.Rules)
 		}
 	}
-	if n.Lapsed(now) {
-		a.Lapsed, a.Rules = true, Meet(a.Rules, n.cfg.Limits)
-		for name := range n.cfg.Limits { // what has no order may by now be anything
-			if k, ok := find(name); ok && k.order == none && n.cfg.Break != "fence" {
+	if g.Lapsed(now) {
+		a.Lapsed, a.Rules = true, Meet(a.Rules, g.limits)
+		for name := range g.limits { // what has no order may by now be anything
+			if k, ok := find(name); ok && k.order == none && g.broken != "fence" {
 				a.Rules[name] = fence{}
 			}
 		}
@@ -317,8 +325,23 @@
 	return a
 }
 
-// Lapsed says whether this pooler is without a lease.
-func (n *Node) Lapsed(now float64) bool { return now >= n.until && n.cfg.Break != "lease" }
+func (g *Grip) meet(a, b Rules) Rules {
+	m := Meet(a, b)
+	for name := range m {
+		if g.broken == "fence" && m.Fenced(name) { // the newer, though there is no order
+			if m[name] = b[name]; b[name] == nil {
+				delete(m, name)
+			}
+		}
+	}
+	return m
+}
+
+// Acting is Grip's at a moment.
+func (n *Node) Acting(now float64) Acting { g := n.Grip(); return g.Acting(now) }
+
+// Lapsed is Grip's at a moment.
+func (n *Node) Lapsed(now float64) bool { g := n.Grip(); return g.Lapsed(now) }
 
 // Leading says whether this node believes to lead.
 func (n *Node) Leading() bool { return n.leading }
@@ -476,8 +499,8 @@
 func (n *Node) Tick(now float64) {
 	n.now = max(n.now, now)
 	if n.rn != nil {
-		step := n.cfg.Election / tickShare
-		if n.now-n.ticks > n.cfg.Election { // it was stopped: those ticks did not happen
+		step := n.election() / tickShare
+		if n.now-n.ticks > n.election() { // it was stopped: those ticks did not happen
 			n.ticks = n.now - step
 		}
 		for ; n.ticks+step <= n.now; n.ticks += step {
@@ -584,7 +607,8 @@
 		}
 		if !raft.IsEmptyHardState(rd.HardState) {
 			_ = n.store.SetHardState(rd.HardState)
-			n.disk.Hard, n.dirty = rd.HardState, true
+			n.disk.Hard = rd.HardState
+			n.dirty = n.dirty || rd.MustSync // how far the log is decided need not be kept: it is told again
 		}
 		for _, m := range rd.Messages {
 			n.send(Message{To: n.nameOf(m.GetTo()), Kind: MsgRaft, Raft: m})
@@ -652,7 +676,6 @@
 			n.fold() // the library takes no snapshot from before it was in, so one that learns needs this one
 		}
 	}
-	n.dirty = true
 }
 
 // decide is what each line of the log means; it must come out alike everywhere.
@@ -693,7 +716,7 @@
 			delete(n.holders, k)
 		}
 	}
-	if p := n.st.Held.Pending; p != nil && n.now-n.proposed > n.cfg.Election && n.confirmed(p.N) {
+	if p := n.st.Held.Pending; p != nil && n.now-n.proposed > n.election() && n.confirmed(p.N) {
 		if b, err := json.Marshal(entry{Force: p.N}); err == nil && n.rn.Propose(b) == nil {
 			n.proposed = n.now
 		}
@@ -725,7 +748,7 @@
 		}
 		n.asked = nil
 	}
-	if n.asked != nil && n.now-n.askedAt > n.cfg.Election {
+	if n.asked != nil && n.now-n.askedAt > n.election() {
 		n.asked = nil // the word got lost; who waited asks again
 	}
 	if n.asked == nil && len(n.waiting) > 0 {
--- a/internal/cluster/agree/rules.go
+++ b/internal/cluster/agree/rules.go
@@ -119,6 +119,8 @@
 			} else if !(v >= k.least && v <= k.most) {
 				faults = append(faults, fmt.Errorf("%s is %v; allowed is %v to %v", name, v, k.least, k.most))
 			}
+		case fence:
+			faults = append(faults, fmt.Errorf("%s is fenced, which no version can ask for", name))
 		default:
 			faults = append(faults, fmt.Errorf("%s is %v; it takes a number, true or false", name, v))
 		}
@@ -186,3 +188,40 @@
 	}
 	return "", false
 }
+
+// Diff words in which keys two sets of rules differ, a line each.
+func Diff(a, b Rules) (lines []string) {
+	word := func(r Rules, name string) string {
+		v, ok := r[name]
+		switch {
+		case r.Fenced(name):
+			return "fenced"
+		case !ok:
+			return "the platform's"
+		}
+		return fmt.Sprint(v)
+	}
+	all := slices.Concat(slices.Collect(maps.Keys(a)), slices.Collect(maps.Keys(b)))
+	slices.Sort(all)
+	for _, name := range slices.Compact(all) {
+		if x, y := word(a, name), word(b, name); x != y {
+			lines = append(lines, fmt.Sprintf("%s: %s, then %s", name, x, y))
+		}
+	}
+	return lines
+}
+
+// UnmarshalJSON reads rules back as operators are shown them, fences included.
+func (r *Rules) UnmarshalJSON(b []byte) error {
+	var m map[string]any
+	if err := json.Unmarshal(b, &m); err != nil {
+		return err
+	}
+	for name, v := range m {
+		if v == "fenced" {
+			m[name] = fence{}
+		}
+	}
+	*r = m
+	return nil
+}
--- /dev/null
+++ b/internal/cluster/agree/runner/runner.go
@@ -0,0 +1,335 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"ashstand/internal/clock"
+	"ashstand/internal/cluster/agree"
+)
+
+// Options are what a runner needs.
+type Options struct {
+	Config  agree.Config
+	Folder  string // "": nothing is kept; such a pooler can't vote
+	Clock   clock.Clock
+	Send    func(to string, b []byte) // never waits; what can't be sent is lost
+	Changed func(agree.Acting)        // told whenever what is acted on changes; nil: nobody
+	Leased  func(left float64)        // told of each lease, and of going on without one; for the laboratory; nil: nobody
+}
+
+const (
+	inboxMost  = 1024
+	maxMessage = 1 << 20
+	// diskPause is how long a node whose folder can't be written stays away.
+	diskPause = 2 * time.Second
+)
+
+// Runner runs one node. Its methods are safe for concurrent use.
+type Runner struct {
+	o      Options
+	folder *Folder
+	grip   atomic.Pointer[agree.Grip]
+	inbox  chan agree.Message
+	calls  chan call
+	views  chan chan View
+	ended  chan struct{}
+	done   sync.WaitGroup
+
+	lost, foreign, failed atomic.Int64
+}
+
+type call struct {
+	id    uint64
+	rules agree.Rules
+	reply chan agree.Message
+}
+
+// View is what operators see.
+type View struct {
+	On       bool              `json:"on"`
+	Acting   agree.Acting      `json:"acting"`
+	Lease    float64           `json:"lease_left_ms"`
+	Leading  bool              `json:"leading"`
+	Voters   map[uint64]string `json:"voters"`
+	Versions []agree.Version   `json:"versions"`
+	Steady   float64           `json:"bound_ms"`
+	Change   float64           `json:"bound_with_new_leader_ms"`
+	Lost     int64             `json:"messages_lost"`
+	Foreign  int64             `json:"messages_unread"`
+	Failed   int64             `json:"saves_failed"`
+}
+
+// Start runs a node on what its folder holds.
+func Start(o Options) (*Runner, error) {
+	r := &Runner{o: o, inbox: make(chan agree.Message, inboxMost), calls: make(chan call), views: make(chan chan View), ended: make(chan struct{})}
+	if o.Folder == "" && slices.Contains(o.Config.Voters, o.Config.Name) {
+		return nil, errors.New("a voter needs a folder that outlives its process")
+	}
+	var disk *agree.Disk
+	if o.Folder != "" {
+		var err error
+		if r.folder, err = Open(o.Folder); err != nil {
+			return nil, err
+		}
+		disk, err = r.folder.Load()
+		if errors.Is(err, ErrCopy) || errors.Is(err, ErrSpoilt) {
+			slog.Error("cluster: " + err.Error() + "; this pooler comes under a new identity")
+		} else if err != nil {
+			r.folder.Close()
+			return nil, err
+		}
+	}
+	n, err := agree.New(o.Config, disk, o.Clock.Now())
+	if err != nil {
+		return nil, err
+	}
+	g := n.Grip()
+	r.grip.Store(&g)
+	r.done.Go(func() { r.run(n) })
+	return r, nil
+}
+
+// Stop ends it.
+func (r *Runner) Stop() {
+	close(r.ended)
+	r.done.Wait()
+	if r.folder != nil {
+		r.folder.Close()
+	}
+}
+
+// Acting is what to go by now.
+func (r *Runner) Acting() agree.Acting { return r.grip.Load().Acting(r.o.Clock.Now()) }
+
+// Receive takes a message from another pooler. It never waits.
+func (r *Runner) Receive(b []byte) {
+	m, err := Decode(b)
+	if err != nil {
+		r.foreign.Add(1)
+		return
+	}
+	select {
+	case r.inbox <- m:
+	default:
+		r.lost.Add(1)
+	}
+}
+
+// Propose brings rules in and waits until they stand in the log, or are refused.
+func (r *Runner) Propose(ctx context.Context, rules agree.Rules) (version int, err error) {
+	if err := rules.Check(); err != nil {
+		return 0, err
+	}
+	c := call{rand.Uint64(), rules, make(chan agree.Message, 1)}
+	select {
+	case r.calls <- c:
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	case <-r.ended:
+		return 0, errors.New("the pooler ends")
+	}
+	select {
+	case a := <-c.reply:
+		if !a.OK {
+			return 0, errors.New("refused: " + a.Why)
+		}
+		return a.Version.N, nil
+	case <-ctx.Done():
+		return 0, fmt.Errorf("no leader took it in time: %w; it may still come into force", ctx.Err())
+	case <-r.ended:
+		return 0, errors.New("the pooler ends; it may still come into force")
+	}
+}
+
+// View returns it.
+func (r *Runner) View() View {
+	c := make(chan View, 1)
+	select {
+	case r.views <- c:
+		return <-c
+	case <-r.ended:
+		return View{}
+	}
+}
+
+// run is the only goroutine that touches the node.
+func (r *Runner) run(n *agree.Node) {
+	tick := time.NewTicker(clock.Duration(r.o.Config.Election / 20))
+	defer tick.Stop()
+	open := map[uint64]chan agree.Message{}
+	var last agree.Acting
+	var until, warned float64
+	var away time.Time // since its folder could not be written
+	for {
+		var now float64
+		select {
+		case <-r.ended:
+			return
+		case <-tick.C:
+			if now = r.o.Clock.Now(); n != nil {
+				n.Tick(now)
+			} else if time.Since(away) > diskPause {
+				n = r.again()
+			}
+		case m := <-r.inbox:
+			if now = r.o.Clock.Now(); n != nil {
+				n.Receive(now, m)
+			}
+		case c := <-r.calls:
+			if now = r.o.Clock.Now(); n == nil {
+				c.reply <- agree.Message{Why: "this pooler's folder can't be written"}
+				continue
+			}
+			open[c.id] = c.reply
+			if err := n.Propose(now, c.id, c.rules); err != nil {
+				c.reply <- agree.Message{Why: err.Error()}
+				delete(open, c.id)
+			}
+		case c := <-r.views:
+			c <- r.view(n)
+			continue
+		}
+		if n != nil && !r.carry(n, open) {
+			n, away = nil, time.Now()
+		}
+		if a := r.grip.Load().Acting(now); r.o.Changed != nil && (a.Lapsed != last.Lapsed || !slices.Equal(a.Versions, last.Versions)) {
+			last = a
+			r.o.Changed(a)
+		}
+		if g := r.grip.Load(); r.o.Leased != nil {
+			// A grant that came too late for its lease is none; to go on without one is a fault, told every 100 ms.
+			if fresh := g.Until != until && now < g.Until; fresh || !g.Lapsed(now) && now >= g.Until && now >= warned {
+				until, warned = g.Until, now+100
+				r.o.Leased(max(g.Until-now, -1e9))
+			}
+		}
+	}
+}
+
+// carry does what the node wants done; false: it could not be saved, so nothing of it has happened, and the node ends as
+// if its process had.
+func (r *Runner) carry(n *agree.Node, open map[uint64]chan agree.Message) bool {
+	out := n.Output()
+	if out.Save != nil && r.folder != nil {
+		begun := time.Now()
+		err := r.folder.Save(out.Save)
+		n.Saved(clock.Millis(time.Since(begun)))
+		if err != nil {
+			if r.failed.Add(1) == 1 {
+				slog.Error("cluster: what was agreed can't be kept: " + err.Error() + "; this pooler goes on with what it holds, until its lease ends")
+			}
+			return false
+		}
+	}
+	g := n.Grip()
+	r.grip.Store(&g)
+	for _, m := range out.Messages {
+		if m.To == r.o.Config.Name {
+			select {
+			case r.inbox <- m:
+			default:
+				r.lost.Add(1)
+			}
+			continue
+		}
+		b, err := Encode(m)
+		if err != nil {
+			slog.Error("cluster: a message can't be written: " + err.Error())
+			continue
+		}
+		r.o.Send(m.To, b)
+	}
+	for _, a := range out.Answers {
+		if c, ok := open[a.ID]; ok {
+			c <- a
+			delete(open, a.ID)
+		}
+	}
+	return true
+}
+
+// again starts the node once more on what its folder holds.
+func (r *Runner) again() *agree.Node {
+	disk, err := r.folder.Load()
+	if err != nil && !errors.Is(err, ErrCopy) && !errors.Is(err, ErrSpoilt) {
+		return nil
+	}
+	n, err := agree.New(r.o.Config, disk, r.o.Clock.Now())
+	if err != nil {
+		slog.Error("cluster: " + err.Error())
+		return nil
+	}
+	slog.Info("cluster: trying the folder again")
+	return n
+}
+
+func (r *Runner) view(n *agree.Node) View {
+	now := r.o.Clock.Now()
+	g := r.grip.Load()
+	v := View{On: true, Acting: g.Acting(now), Lease: max(0, g.Until-now), Lost: r.lost.Load(), Foreign: r.foreign.Load(), Failed: r.failed.Load()}
+	v.Steady, v.Change = r.o.Config.Bound()
+	if n != nil {
+		v.Leading, v.Voters, v.Versions = n.Leading(), n.Voters(), slices.Clone(n.Versions())
+	}
+	return v
+}
+
+// wire is a message as it travels.
+type wire struct {
+	agree.Message
+	Raft []byte `json:"Raft,omitempty"`
+}
+
+// Encode writes a message.
+func Encode(m agree.Message) ([]byte, error) {
+	w := wire{Message: m}
+	if m.Raft != nil {
+		b, err := proto.Marshal(m.Raft)
+		if err != nil {
+			return nil, err
+		}
+		w.Raft, w.Message.Raft = b, nil
+	}
+	return json.Marshal(w)
+}
+
+// Decode reads one. What no node would send is an error.
+func Decode(b []byte) (agree.Message, error) {
+	var w wire
+	if len(b) > maxMessage {
+		return agree.Message{}, fmt.Errorf("a message of %d bytes", len(b))
+	}
+	if err := json.Unmarshal(b, &w); err != nil {
+		return agree.Message{}, err
+	}
+	m := w.Message
+	if m.Raft = nil; w.Raft != nil {
+		m.Raft = &pb.Message{}
+		if err := proto.Unmarshal(w.Raft, m.Raft); err != nil {
+			return agree.Message{}, err
+		}
+	}
+	if (m.Kind == agree.MsgRaft) != (m.Raft != nil) || m.From == "" || m.Kind > agree.MsgNoLeader {
+		return agree.Message{}, fmt.Errorf("a message of kind %d that lacks a part", m.Kind)
+	}
+	for _, held := range []*agree.Version{&m.Version, &m.Held.Force, m.Held.Pending} {
+		if held != nil {
+			if err := held.Rules.Check(); err != nil {
+				return agree.Message{}, err
+			}
+		}
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/cluster/agree/runner/runner_test.go
@@ -0,0 +1,233 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/clock"
+	"ashstand/internal/cluster/agree"
+)
+
+func TestFolder(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "a")
+	require.NoError(t, Found(path, "n1", []string{"n1", "n2", "n3"}))
+	require.ErrorContains(t, Found(path, "n1", []string{"n1"}), "something is kept there already")
+	f, err := Open(path)
+	require.NoError(t, err)
+	_, err = Open(path)
+	require.ErrorIs(t, err, ErrThere)
+	d, err := f.Load()
+	require.NoError(t, err)
+	require.Equal(t, agree.Found("n1", []string{"n1", "n2", "n3"}).ID, d.ID)
+	d.Held.Force = agree.Version{N: 3, Rules: agree.Rules{"tries": 2.0}}
+	require.NoError(t, f.Save(d))
+	again, err := f.Load()
+	require.NoError(t, err)
+	require.Equal(t, 3, again.Held.Force.N)
+	require.Equal(t, d.Snap.GetData(), again.Snap.GetData())
+
+	name := filepath.Join(path, fileName)
+	b, err := os.ReadFile(name)
+	require.NoError(t, err)
+	require.NoError(t, f.Save(d))
+	require.NoError(t, f.Save(d))
+	for _, put := range []func() error{
+		func() error { return os.WriteFile(name, b, 0o600) }, // written over the file that is there
+		func() error { return errors.Join(os.WriteFile(name+".copy", b, 0o600), os.Rename(name+".copy", name)) },
+	} {
+		require.NoError(t, put())
+		d, err = f.Load()
+		require.ErrorIs(t, err, ErrCopy, "put back from a backup")
+		require.Equal(t, []any{uint64(0), 3}, []any{d.ID, d.Held.Force.N}, "what was acted on stays known, who it was does not")
+	}
+
+	for cut := range len(b) {
+		if cut%37 > 0 {
+			continue
+		}
+		require.NoError(t, os.WriteFile(name, b[:cut], 0o600))
+		_, err = f.Load()
+		require.ErrorIs(t, err, ErrSpoilt)
+	}
+	d, err = f.Load()
+	require.Nil(t, d)
+	require.NoError(t, err, "it was moved aside")
+	f.Close()
+	f, err = Open(path)
+	require.NoError(t, err)
+	f.Close()
+}
+
+// net carries messages between runners of one test, through Encode and Decode.
+type net struct {
+	mu   sync.Mutex
+	of   map[string]*Runner
+	down map[string]bool
+}
+
+func (n *net) send(from string) func(string, []byte) {
+	return func(to string, b []byte) {
+		n.mu.Lock()
+		r := n.of[to]
+		if n.down[from] || n.down[to] {
+			r = nil
+		}
+		n.mu.Unlock()
+		if r != nil {
+			r.Receive(b)
+		}
+	}
+}
+
+func (n *net) cut(name string, down bool) {
+	n.mu.Lock()
+	n.down[name] = down
+	n.mu.Unlock()
+}
+
+func TestRunnersAgree(t *testing.T) {
+	voters := []string{"n1", "n2", "n3"}
+	w := &net{of: map[string]*Runner{}, down: map[string]bool{}}
+	folders := map[string]string{}
+	start := func(name string, instance uint64) {
+		r, err := Start(Options{Folder: folders[name], Clock: clock.System(), Send: w.send(name), Config: agree.Config{Name: name, Instance: instance, Voters: voters,
+			Lease: 600, Drift: 0.05, Pace: 60, Election: 150, Format: 1, Limits: agree.Rules{"tries": 1.0}, Seed: instance}})
+		require.NoError(t, err)
+		w.mu.Lock()
+		w.of[name] = r
+		w.mu.Unlock()
+	}
+	for i, name := range []string{"n1", "n2", "n3", "n4"} {
+		folders[name] = filepath.Join(t.TempDir(), name)
+		if name != "n4" {
+			require.NoError(t, Found(folders[name], name, voters))
+		}
+		start(name, uint64(i+1))
+	}
+	defer func() {
+		for _, r := range w.of {
+			r.Stop()
+		}
+	}()
+	inForce := func(v int, names ...string) {
+		t.Helper()
+		for _, name := range names {
+			require.Eventually(t, func() bool {
+				a := w.of[name].Acting()
+				return !a.Lapsed && len(a.Versions) == 1 && a.Versions[0] == v
+			}, 10*time.Second, 5*time.Millisecond, "%s: version %d", name, v)
+		}
+	}
+	propose := func(at string, tries float64) (int, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+		defer cancel()
+		return w.of[at].Propose(ctx, agree.Rules{"tries": tries})
+	}
+	inForce(0, "n1", "n2", "n3", "n4")
+	v, err := propose("n4", 5)
+	require.NoError(t, err)
+	require.Equal(t, 1, v)
+	inForce(1, "n1", "n2", "n3", "n4")
+	require.Equal(t, 5.0, w.of["n2"].Acting().Rules["tries"])
+	_, err = w.of["n1"].Propose(context.Background(), agree.Rules{"tries": 0.0})
+	require.ErrorContains(t, err, "allowed is 1 to 16")
+	_, err = w.of["n1"].Propose(context.Background(), agree.Rules{"class.a.bound_ms": 5.0})
+	require.ErrorContains(t, err, "stands in none", "nobody without a lease would keep to it")
+
+	// One that is cut off acts by its limits once its lease has run out, and the others go on without it.
+	w.cut("n4", true)
+	require.Eventually(t, func() bool { a := w.of["n4"].Acting(); return a.Lapsed && a.Rules["tries"] == 1.0 }, 5*time.Second, 5*time.Millisecond)
+	v, err = propose("n1", 7)
+	require.NoError(t, err)
+	inForce(v, "n1", "n2", "n3")
+	w.cut("n4", false)
+	inForce(v, "n4")
+
+	// A voter comes back without its folder: another identity, and it is taken in.
+	w.of["n3"].Stop()
+	require.NoError(t, os.RemoveAll(folders["n3"]))
+	start("n3", 30)
+	inForce(v, "n3")
+	require.Eventually(t, func() bool {
+		x := w.of["n1"].View()
+		return len(x.Voters) == 3 && x.Voters[agree.Found("n3", voters).ID] == ""
+	}, 10*time.Second, 10*time.Millisecond, "its new identity has the old one's place")
+
+	// The majority gone: nothing can be changed, and the last one goes on by its limits.
+	w.cut("n1", true)
+	w.cut("n2", true)
+	require.Eventually(t, func() bool { return w.of["n3"].Acting().Lapsed }, 10*time.Second, 5*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	_, err = w.of["n3"].Propose(ctx, agree.Rules{"tries": 2.0})
+	require.ErrorContains(t, err, "no leader took it in time")
+	w.cut("n1", false)
+	w.cut("n2", false)
+	require.Eventually(t, func() bool { return !w.of["n3"].Acting().Lapsed }, 10*time.Second, 5*time.Millisecond)
+}
+
+// A folder that can't be written is like a process that ended: nothing is sent or acted on that is not kept.
+func TestAFullDisk(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "a")
+	require.NoError(t, Found(path, "n1", []string{"n1"}))
+	r, err := Start(Options{Folder: path, Clock: clock.System(), Send: func(string, []byte) {}, Config: agree.Config{Name: "n1", Voters: []string{"n1"}, Lease: 300,
+		Pace: 30, Election: 60, Format: 1, Limits: agree.Rules{"tries": 1.0}}})
+	require.NoError(t, err)
+	defer r.Stop()
+	require.Eventually(t, func() bool { return !r.Acting().Lapsed }, 5*time.Second, 5*time.Millisecond)
+	require.NoError(t, os.MkdirAll(filepath.Join(path, fileName+".new", "x"), 0o700)) // no file can be made there
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err = r.Propose(ctx, agree.Rules{"tries": 2.0})
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return r.Acting().Lapsed && r.View().Failed > 0 }, 5*time.Second, 5*time.Millisecond)
+	require.Equal(t, []int{0}, r.Acting().Versions)
+	require.NoError(t, os.RemoveAll(filepath.Join(path, fileName+".new")))
+	require.Eventually(t, func() bool { return !r.Acting().Lapsed }, 10*time.Second, 10*time.Millisecond)
+}
+
+func TestMessagesThatMakeNoSense(t *testing.T) {
+	b, err := Encode(agree.Message{From: "n1", To: "n2", Kind: agree.MsgRenew, Nonce: 1<<63 + 1, Known: 3})
+	require.NoError(t, err)
+	m, err := Decode(b)
+	require.NoError(t, err)
+	require.Equal(t, uint64(1<<63+1), m.Nonce)
+	for i, bad := range []string{"", "{}", `{"From":"n1","Kind":0}`, `{"From":"n1","Kind":99}`, `{"From":"n1","Kind":3,"Raft":"AAAA"}`,
+		`{"From":"n1","Kind":3,"Held":{"force":{"n":1,"rules":{"tries":"fenced"}}}}`, `{"From":"n1","Kind":3,"Held":{"force":{"n":1,"rules":{"x":1}}}}`,
+		fmt.Sprintf(`{"From":"n1","Kind":2,"Why":%q}`, make([]byte, maxMessage))} {
+		_, err := Decode([]byte(bad))
+		require.Error(t, err, i)
+	}
+}
+
+// A voter whose disk takes long for each save says nothing meanwhile: nobody may be replaced for that, or elections end in
+// nothing for as long as the disk is slow.
+func TestASlowDiskSlowsElections(t *testing.T) {
+	at := 1000.0
+	n, err := agree.New(agree.Config{Name: "n1", Voters: []string{"n1", "n2", "n3"}, Lease: 600, Pace: 60, Election: 100, Seed: 1}, agree.Found("n1", []string{"n1", "n2", "n3"}), at)
+	require.NoError(t, err)
+	stands := func(within float64) bool {
+		for end := at + within; at < end; at += 10 {
+			n.Tick(at)
+			for _, m := range n.Output().Messages {
+				if m.Kind == agree.MsgRaft {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	require.True(t, stands(250), "a quick disk: within twice the election's time")
+	n.Saved(500)
+	stands(250) // what was drawn before
+	require.False(t, stands(1900), "500 ms for a save: not before 2 s")
+	require.True(t, stands(4100))
+}
--- a/internal/cluster/member/gossip.go
+++ b/internal/cluster/member/gossip.go
@@ -36,6 +36,7 @@
 	Seed    uint64
 	Clock   clock.Clock
 	Changed func([]Change) // told of each change of view, in order; nil: nobody
+	Message func(b []byte) // takes what another member sends by Send; it must not wait; nil: nobody
 	Break   string         // what is switched off to see a checker fail; "": nothing
 }
 
@@ -52,6 +53,10 @@
 	refusedPause = 10 * time.Second
 	// streamTimeout bounds one exchange of the whole state.
 	streamTimeout = 3 * time.Second
+	// datagramMost is the longest message that goes as a datagram, in bytes: with what encryption adds it stays under the
+	// usual path's limit. streamsOut is how many longer ones may be on their way at once.
+	datagramMost = 1200
+	streamsOut   = 16
 	// waiting is how many datagrams may wait to be read; more are dropped, as a socket would.
 	waiting = 512
 )
@@ -89,6 +94,7 @@
 	garbage atomic.Int64 // messages that could not be read
 	foreign atomic.Int64 // words of members that make no sense
 	joins   atomic.Int64
+	streams atomic.Int64 // that bring messages of ours out now
 	heal    atomic.Int64
 }
 
@@ -208,6 +214,31 @@
 	}
 }
 
+// Send brings bytes to a member at its address in the file, whether it is believed to be there or not. Short ones go as
+// datagrams and may get lost, come twice or late; longer ones by a stream of their own. It does not wait.
+func (g *Gossip) Send(name string, b []byte) {
+	g.mu.Lock()
+	list, address := g.list, g.o.Peers[name]
+	g.mu.Unlock()
+	if list == nil || address == "" {
+		return
+	}
+	text := append([]byte{wordMessage}, b...)
+	if len(text) <= datagramMost {
+		_ = list.SendToAddress(memberlist.Address{Addr: address, Name: name}, text)
+		return
+	}
+	at, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil || g.streams.Add(1) > streamsOut {
+		g.streams.Add(-1)
+		return
+	}
+	go func() {
+		defer g.streams.Add(-1)
+		_ = list.SendReliable(&memberlist.Node{Name: name, Addr: at.IP, Port: uint16(at.Port)}, text)
+	}()
+}
+
 // View is what operators see.
 type View struct {
 	Self     Info             `json:"self"`
@@ -414,8 +445,11 @@
 // delegate is the side of Gossip that the library calls.
 type delegate Gossip
 
-// word is the kind of a message of our own between members, its first byte.
-const wordTwin = 1
+// The kinds of messages of our own between members: the first byte.
+const (
+	wordTwin    = 1
+	wordMessage = 2
+)
 
 // NodeMeta is what this member says of itself.
 func (d *delegate) NodeMeta(limit int) []byte {
@@ -485,6 +519,10 @@
 
 // NotifyMsg takes a message of our own.
 func (d *delegate) NotifyMsg(b []byte) {
+	if len(b) > 1 && b[0] == wordMessage && d.o.Message != nil {
+		d.o.Message(bytes.Clone(b[1:]))
+		return
+	}
 	if len(b) < 2 || b[0] != wordTwin {
 		d.foreign.Add(1)
 		return
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -39,6 +39,18 @@
 	Members int               `json:"members"` // the most that are known
 	Probe   time.Duration     `json:"probe"`
 	Peers   map[string]string `json:"peers"` // address by name, as this pooler reaches them
+	Agree   *Agreement        `json:"agreement,omitempty"`
+}
+
+// Agreement is on rules that all poolers act on.
+type Agreement struct {
+	Voters   []string      `json:"voters"`
+	Folder   string        `json:"folder"` // "": nothing is kept; such a pooler can't vote
+	Lease    time.Duration `json:"lease"`
+	Renew    time.Duration `json:"renew"`
+	Election time.Duration `json:"election"`
+	Drift    float64       `json:"drift"`
+	Limits   string        `json:"limits"` // a file
 }
 
 // Lab is for the laboratory alone: a process in service refuses it.
@@ -122,8 +134,19 @@
 		Members *int       `hcl:"members"`
 		Probe   *string    `hcl:"probe"`
 		Peers   []peerBody `hcl:"peer,block"`
+		Agree   *agreeBody `hcl:"agreement,block"`
 		Body    hcl.Body   `hcl:",body"`
 	}
+	agreeBody struct {
+		Voters   []string `hcl:"voters,optional"`
+		Folder   *string  `hcl:"folder"`
+		Lease    *string  `hcl:"lease"`
+		Renew    *string  `hcl:"renew"`
+		Election *string  `hcl:"election"`
+		Drift    *float64 `hcl:"drift"`
+		Limits   *string  `hcl:"limits"`
+		Body     hcl.Body `hcl:",body"`
+	}
 	peerBody struct {
 		Name    string   `hcl:"name,label"`
 		Address string   `hcl:"address"`
@@ -312,11 +335,48 @@
 		}
 		out.Peers[p.Name] = p.Address
 	}
+	if b.Agree != nil {
+		c.agreement(out, b.Agree)
+	}
 	if c.block = "cluster"; len(out.Peers) >= out.Members {
 		c.fail(b.Body, "members", strconv.Itoa(out.Members), fmt.Sprintf("at least %d: this pooler and its peers", len(out.Peers)+1))
 	}
 }
 
+func (c *checker) agreement(of *Cluster, b *agreeBody) {
+	c.block = "cluster.agreement"
+	a := &Agreement{Voters: b.Voters, Lease: 2 * time.Second, Renew: 300 * time.Millisecond, Election: 500 * time.Millisecond, Drift: 0.01}
+	of.Agree = a
+	c.time(b.Body, "lease", b.Lease, &a.Lease, 100*time.Millisecond, time.Minute, false)
+	c.time(b.Body, "renew", b.Renew, &a.Renew, 10*time.Millisecond, time.Minute, false)
+	c.time(b.Body, "election", b.Election, &a.Election, 50*time.Millisecond, time.Minute, false)
+	if a.Renew*4 > a.Lease {
+		c.fail(b.Body, "renew", strconv.Quote(a.Renew.String()), fmt.Sprintf("at most a quarter of lease, which is %v: a renewal that is lost must not cost it", a.Lease))
+	}
+	if set(b.Drift, &a.Drift); a.Drift < 0 || a.Drift > 0.2 {
+		c.fail(b.Body, "drift", strconv.FormatFloat(a.Drift, 'g', -1, 64), "a share from 0 to 0.2: by how much a clock may run fast or slow")
+	}
+	if set(b.Folder, &a.Folder); a.Folder != "" && !filepath.IsAbs(a.Folder) {
+		c.fail(b.Body, "folder", strconv.Quote(a.Folder), "the absolute path of a folder that outlives the process")
+	}
+	if set(b.Limits, &a.Limits); a.Limits != "" && !filepath.IsAbs(a.Limits) {
+		c.fail(b.Body, "limits", strconv.Quote(a.Limits), "the absolute path of a file")
+	}
+	if n := len(a.Voters); n != 1 && n != 3 && n != 5 && n != 7 {
+		c.fail(b.Body, "voters", fmt.Sprint(n, " names"), "three or five names of poolers; one for a trial")
+	}
+	seen := map[string]bool{}
+	for _, v := range a.Voters {
+		if seen[v] {
+			c.fail(b.Body, "voters", strconv.Quote(v), "each name once")
+		}
+		seen[v] = true
+		if _, peer := of.Peers[v]; !peer && of.Name != "" && v != of.Name {
+			c.fail(b.Body, "voters", strconv.Quote(v), "this pooler's name, or that of a peer block")
+		}
+	}
+}
+
 func (c *checker) sessions(f *File, s *sessionsBody) {
 	c.block = "sessions"
 	out := &Sessions{Clients: 100, ServerConnections: 32, MaxMessage: 1 << 20, Users: map[string]string{}}
