--- a/internal/cluster/agree/runner/runner.go
+++ b/internal/cluster/agree/runner/runner.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -281,7 +282,7 @@
 	v := View{On: true, Acting: g.Acting(now), Lease: max(0, g.Until-now), Lost: r.lost.Load(), Foreign: r.foreign.Load(), Failed: r.failed.Load()}
 	v.Steady, v.Change = r.o.Config.Bound()
 	if n != nil {
-		v.Leading, v.Voters, v.Versions = n.Leading(), n.Voters(), slices.Clone(n.Versions())
+		v.Leading, v.Voters, v.Versions = n.Leading(), maps.Clone(n.Voters()), slices.Clone(n.Versions()) // they change while this is read
 	}
 	return v
 }
--- a/lab/cluster/run.go
+++ b/lab/cluster/run.go
@@ -370,8 +370,11 @@
 		wait, cancel := context.WithTimeout(ctx, 10*time.Second)
 		defer cancel()
 		err := p.Terminate(wait)
+		n.mu.Lock()
+		mine := n.pooler == p // else another fault has killed it meanwhile
+		n.mu.Unlock()
 		r.down(n)
-		if err != nil {
+		if err != nil && mine {
 			r.g.Break("bad_exit", "%s ended with %v", n.name, err)
 		}
 		return r.again(n), nil
@@ -412,6 +415,14 @@
 			r.again(n)()
 		}, nil
 	case "twin":
+		for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			n.mu.Lock()
+			there := n.pooler != nil && n.started
+			n.mu.Unlock()
+			if there {
+				break // a second process that starts before the first is the first
+			}
+		}
 		p, err := r.fleet.StartPooler(n.name + "-twin")
 		if err != nil {
 			if p != nil {
