--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -94,6 +95,11 @@
 // agree starts this pooler's part in the agreement on rules.
 func (f *fellows) agree(cfg *config, self member.Info, now clock.Clock, broken string) error {
 	a := cfg.operator.Cluster.Agree
+	for _, v := range a.Voters {
+		if _, peer := cfg.operator.Cluster.Peers[v]; !peer && v != self.Name {
+			return fmt.Errorf("%s: cluster.agreement: voters has %q, which is neither this pooler (%q) nor a peer block", cfg.operator.Path, v, self.Name)
+		}
+	}
 	var limits agree.Rules
 	if a.Limits != "" {
 		text, err := os.ReadFile(a.Limits)
@@ -186,6 +192,9 @@
 		}
 		return nil
 	}
+	if !reflect.DeepEqual(o.Agree, n.Agree) {
+		wait = append(wait, "cluster.agreement")
+	}
 	if o.Name != n.Name || o.Listen != n.Listen || o.Zone != n.Zone || o.Members != n.Members || o.Probe != n.Probe {
 		wait = append(wait, "cluster: name, listen, zone, members or probe")
 	}
--- a/internal/cluster/member/gossip.go
+++ b/internal/cluster/member/gossip.go
@@ -229,7 +229,10 @@
 		return
 	}
 	at, err := net.ResolveTCPAddr("tcp", address)
-	if err != nil || g.streams.Add(1) > streamsOut {
+	if err != nil {
+		return
+	}
+	if g.streams.Add(1) > streamsOut {
 		g.streams.Add(-1)
 		return
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -129,6 +129,23 @@
 		_, err := Parse("x.hcl", []byte(text))
 		require.ErrorContains(t, err, want, text)
 	}
+	agreed := strings.Replace(others, "  peer", "  agreement {\n    voters = [\"n1\", \"n2\", \"n3\"]\n    folder = \"/f\"\n    lease = \"1200ms\"\n  }\n  peer \"n3\" { address = \"127.0.0.1:3\" }\n  peer", 1)
+	f, err = Parse("x.hcl", []byte(agreed))
+	require.NoError(t, err)
+	require.Equal(t, &Agreement{Voters: []string{"n1", "n2", "n3"}, Folder: "/f", Lease: 1200 * time.Millisecond, Renew: 300 * time.Millisecond,
+		Election: 500 * time.Millisecond, Drift: 0.01}, f.Cluster.Agree)
+	for change, want := range map[string]string{
+		`"n2", "n3"]|"n2"]`:                  `x.hcl:8: cluster.agreement: voters is 2 names; allowed is three or five names`,
+		`"n3"]|"n1"]`:                        `voters is "n1"; allowed is each name once`,
+		`"n3"]|"n9"]`:                        `voters is "n9"; allowed is this pooler's name, or that of a peer block`,
+		`"/f"|"f"`:                           `x.hcl:9: cluster.agreement: folder is "f"`,
+		`"1200ms"|"900ms"`:                   `renew is "300ms"; allowed is at most a quarter of lease, which is 900ms`,
+		`"1200ms"|"1200ms"` + "\n drift = 2": `drift is 2; allowed is a share from 0 to 0.2`,
+	} {
+		from, to, _ := strings.Cut(change, "|")
+		_, err := Parse("x.hcl", []byte(strings.Replace(agreed, from, to, 1)))
+		require.ErrorContains(t, err, want, change)
+	}
 	t.Setenv(LabEnv, "1")
 	f, err = Parse("x.hcl", []byte(others+"lab {\n  clock_offset = \"2s\"\n  clock_rate = 1.01\n  trace = \"/t\"\n}\n"))
 	require.NoError(t, err)
