--- a/internal/cluster/agree/runner/runner_test.go
+++ b/internal/cluster/agree/runner/runner_test.go
@@ -66,6 +66,16 @@
 	f.Close()
 }
 
+// quick is a folder in memory where there is such a place: how long a disk takes for a sync decides nothing here.
+func quick(t *testing.T) string {
+	path, err := os.MkdirTemp("/dev/shm", "ashstand-test-")
+	if err != nil {
+		return t.TempDir()
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(path) })
+	return path
+}
+
 // net carries messages between runners of one test, through Encode and Decode.
 type net struct {
 	mu   sync.Mutex
@@ -106,7 +116,7 @@
 		w.mu.Unlock()
 	}
 	for i, name := range []string{"n1", "n2", "n3", "n4"} {
-		folders[name] = filepath.Join(t.TempDir(), name)
+		folders[name] = filepath.Join(quick(t), name)
 		if name != "n4" {
 			require.NoError(t, Found(folders[name], name, voters))
 		}
@@ -176,7 +186,7 @@
 
 // A folder that can't be written is like a process that ended: nothing is sent or acted on that is not kept.
 func TestAFullDisk(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "a")
+	path := filepath.Join(quick(t), "a")
 	require.NoError(t, Found(path, "n1", []string{"n1"}))
 	r, err := Start(Options{Folder: path, Clock: clock.System(), Send: func(string, []byte) {}, Config: agree.Config{Name: "n1", Voters: []string{"n1"}, Lease: 300,
 		Pace: 30, Election: 60, Format: 1, Limits: agree.Rules{"tries": 1.0}}})
