--- a/internal/cluster/agree/node.go
+++ b/internal/cluster/agree/node.go
@@ -853,7 +853,7 @@
 		return
 	}
 	if s, err := n.store.CreateSnapshot(n.done, n.conf, data); err == nil {
-		n.disk.Snap = s
+		n.disk.Snap, n.dirty = s, true // who starts again must not fall back to voters that are gone by now
 		_ = n.store.Compact(n.done)
 	}
 }
--- a/lab/cluster/cluster_test.go
+++ b/lab/cluster/cluster_test.go
@@ -220,6 +220,9 @@
 			require.Positive(t, r.Faults[f], f)
 		}
 	}
+	// A change of voters that was applied and not kept: two of three started again between the old voters and the new, and the
+	// one whose word both majorities needed had lost its folder since.
+	require.Zero(t, Simulate(48470, 3, 3500, "").Broken["stuck"])
 	require.Equal(t, Simulate(4, 5, 3500, ""), Simulate(4, 5, 3500, ""))
 	require.NotEqual(t, Simulate(4, 5, 3500, "").Trace, Simulate(5, 5, 3500, "").Trace)
 }
--- a/lab/cluster/simulate.go
+++ b/lab/cluster/simulate.go
@@ -228,7 +228,7 @@
 	s.out.Faults[what]++
 	s.note("%s %s", n.cfg.Name, what)
 	n.node = nil
-	s.after(min(20+s.lots.ExpFloat64()*150, 4*simLease), func() {
+	s.after(s.lasting(min(20+s.lots.ExpFloat64()*150, 4*simLease)), func() {
 		if n.node == nil {
 			s.start(n)
 		}
@@ -335,7 +335,7 @@
 		}
 		s.out.Faults["stopped"]++
 		n.stopped = true
-		s.after(d+float64(k-3)*3*simLease, func() {
+		s.after(s.lasting(d+float64(k-3)*3*simLease), func() {
 			if n.node == nil || !n.stopped {
 				return
 			}
@@ -373,11 +373,14 @@
 	}
 }
 
+// lasting is how long a fault lasts: none reaches into the quiet end, by which all has to be well.
+func (s *simulation) lasting(d float64) float64 { return min(d, max(10, s.quiet-s.now)) }
+
 func (s *simulation) sever(pairs [][2]string, d float64) {
 	for _, p := range pairs {
 		s.cut[p]++
 	}
-	s.after(min(d, 4*simLease), func() {
+	s.after(s.lasting(min(d, 4*simLease)), func() {
 		for _, p := range pairs {
 			s.cut[p]--
 		}
