One lost answer leaves no host out, and what is late gives way to what can be in time

Its work takes 130 to 220 ms and some of it 8 to 24 times that, so one request lost alone at a host is common; judge counted it as 3 aims, which alone put the host out. Now 1.5, as for a reset: it takes three in a row. A host that is dead is told by silence or by not connecting, as before.

Second: held requests were ordered by worth, and a write past its aim kept its whole worth, so it went before reads that could be in time. It brings its LateShare.

TestOneLostAnswerLeavesNoHostOut and TestWhatIsLateGivesWayToWhatCanBeInTime fail without.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,7 +28,7 @@
 	probeWait    = 300 * time.Millisecond // a probe unanswered for so long no longer counts as under way
 	probeSpend   = 0.016                  // share of the result that probes may cost, about what they free
 	failure      = 3                      // what a failed attempt counts for, in aims
-	mishap       = 1.5                    // one that was reset or spoilt: any host may do that
+	mishap       = 1.5                    // one that was reset, spoilt or lost alone: any host may do that
 	avoidAt      = 1                      // the mean, in aims, from which a member is avoided
 	silentFloor  = 150 * time.Millisecond // below this a quiet member is no news
 	searchPause  = 500 * time.Millisecond // wait after a round of misses
@@ -503,8 +503,9 @@
 	case Spoilt:
 		aims, m.lastAnswer = mishap, c.now
 	case NoAnswer:
-		if aims = max(1, aims); m.lastAnswer <= a.sent { // else it answered others meanwhile: busy, not dead
-			aims = failure
+		// One alone may be a costly request, at a slow host often; a dead one is silent, or refuses the next.
+		if aims = max(1, aims); m.lastAnswer <= a.sent { // else it answered others meanwhile: busy
+			aims = mishap
 		}
 		c.adjust(m, -limitCut)
 		c.lost(s)
@@ -911,7 +912,14 @@
 	c.close(r)
 }
 
-func (r *request) value() float64 { return r.worth / max(r.class.work, time.Millisecond).Seconds() }
+// value is what a second of work on a request brings: less once its answer would come after its aim.
+func (c *Choice) value(r *request) float64 {
+	worth := r.worth
+	if c.now+r.class.latency > r.aim {
+		worth *= r.class.LateShare
+	}
+	return worth / max(r.class.work, time.Millisecond).Seconds()
+}
 
 func (c *Choice) upkeep() {
 	c.tickAt = c.now + max(upkeep, c.cfg.Tick)
@@ -921,7 +929,7 @@
 	})
 	// By value, then newest first: under overload the old ones are the least likely to be in time.
 	slices.SortStableFunc(c.held, func(a, b *request) int {
-		return cmp.Or(cmp.Compare(b.value(), a.value()), cmp.Compare(b.arrived, a.arrived))
+		return cmp.Or(cmp.Compare(c.value(b), c.value(a)), cmp.Compare(b.arrived, a.arrived))
 	})
 	for _, r := range c.held {
 		if c.rng.Float64() < float64(c.tickAt-c.now)/float64(lotPace) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -805,6 +805,52 @@
 }
 
 // Guards against a replica that counts as silent while all it has is a long query: it answers others as ever.
+// A costly request is lost at any host, and at a slow one often: a single one must not leave the host idle for
+// seconds while others queue. Three in a row do.
+func TestOneLostAnswerLeavesNoHostOut(t *testing.T) {
+	g := start(t, settings(), shard()[:2]...)
+	g.reports(Primary, 0, "p")
+	a := g.c.members["a"]
+	for lost := 1; lost <= 3; lost++ {
+		g.reports(Replica, 10*ms, "a")
+		id, as := g.request(boundedRead, Event{})
+		if _, host := of(ActSend, as); host != "a" {
+			t.Fatalf("after %d lost answers a read went to %q: cost %.2f", lost-1, host, g.c.cost(a))
+		}
+		g.now += 585 * ms
+		g.step(Event{Kind: EvOutcome, ID: id, Code: NoAnswer, Final: true, Elapsed: 585 * ms})
+		if want := lost < 3; g.c.sound(a) != want {
+			t.Errorf("sound after %d lost answers: %v, cost %.2f", lost, !want, g.c.cost(a))
+		}
+	}
+}
+
+// A write whose aim has passed still brings a part of its worth: less than a read that can be in time.
+func TestWhatIsLateGivesWayToWhatCanBeInTime(t *testing.T) {
+	s := settings()
+	s.Classes[unsafeWrite].Worth, s.Classes[freshRead].Worth = 5, 2
+	g := start(t, s, Target{Host: "p", Group: 1, Primary: true})
+	g.reports(Primary, 0, "p")
+	p := g.c.members["p"]
+	p.limit = 1
+	first, _ := g.request(unsafeWrite, Event{}) // it takes the only place
+	late, _ := g.request(unsafeWrite, Event{})
+	g.now += 700 * ms // past the aim of the second
+	read, as := g.request(freshRead, Event{})
+	if sent, _ := of(ActSend, as); len(sent) > 0 {
+		t.Fatal("there was no room")
+	}
+	fresh, _ := g.request(unsafeWrite, Event{})
+	for i, want := range []string{fresh, read, late} {
+		g.step(Event{Kind: EvOutcome, ID: first, Code: OK, Role: Primary, Final: true, Elapsed: 400 * ms}) // no room for two
+		sent, _ := of(ActSend, g.after(10*ms))
+		if len(sent) != 1 || sent[0].ID != want {
+			t.Fatalf("place %d: %v, want %s", i, sent, want)
+		}
+		first = want
+	}
+}
+
 func TestLongWorkIsNoSilence(t *testing.T) {
 	g := start(t, settings(), shard()...)
 	g.reports(Replica, 10*ms, "a", "b", "c")
