The worst-served class counts once more by itself in who goes first

Nothing changes while every class is served, or where the site sets no such goal.

Files of learned state are read as before, the two keys in them are ignored.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,8 +48,8 @@
 	shedMost     = 0.8
 	tenantSpan   = 8.0                   // seconds over which a tenant's requests are counted
 	tookKeep     = 10                    // seconds for which an attempt says something of its member
-	sameLeft     = 5 * time.Millisecond  // first tries of clients differ by no more in their time left
-	surest       = 10                    // tries in a row that settle what is usual; half of that is enough
+	keptStart    = 10                    // first tries that all classes are taken to begin with, kept
+	keptSpan     = 2048                  // first tries after which the oldest count less in that: minutes
 	explore      = 0.15                  // part of the draws that is not among the known alone
 	farLess      = 0.1                   // in aims; known members would else crowd out the unknown
 	crowdAt      = 0.1                   // share of quick failures to connect that tells of full hosts
@@ -121,8 +121,9 @@
 	index   int
 	latency time.Duration // smoothed, of answers
 	work    time.Duration // near the least that an answer takes: what is not waiting
-	usual   time.Duration // time that most clients leave at their first try, and how sure that is
-	sure    int
+	asked   float64       // worth of its first tries so far
+	kept    float64       // share of them that was answered inside their aim, of the last few thousand
+	tries   float64       // over which that is taken
 }
 
 type tenant struct {
@@ -142,11 +143,11 @@
 	live                   int
 	ran                    bool          // some attempt may have run
 	ranAt                  time.Duration // sending of the first such
-	over, held             bool
-	worth                  float64 // expected, with what its tenant's share leaves of it
-	luck                   float64 // below a cold member's part: it may go there
-	asks                   int     // probes it has waited for
-	asked                  *member // the last member asked
+	over, held, again      bool          // again: its client says that it is a repeat
+	worth                  float64       // expected, with what its tenant's share leaves of it
+	luck                   float64       // below a cold member's part: it may go there
+	asks                   int           // probes it has waited for
+	asked                  *member       // the last member asked
 	askedAt                time.Duration
 }
 
@@ -170,6 +171,8 @@
 	meanTook        float64
 	crowded         float64       // smoothed share of the attempts that failed to connect at once
 	probes          float64       // probes that the requests so far have earned
+	worst           *class        // the one that is served worst
+	asked           float64       // worth of all first tries so far
 	worth           [2]float64    // smoothed, of requests for replicas and for the primary
 	retryAt         time.Duration // when to ask discovery again; 0: no need
 	past            recall
@@ -213,7 +216,7 @@
 					c.lost(r.side(a.to))
 				}
 			}
-			c.close(r)
+			c.close(r, false)
 		}
 	case EvProbe:
 		if m := c.members[e.Host]; m != nil {
@@ -337,20 +340,6 @@
 	c.learn(m, r.Position, r.Role, at)
 }
 
-// repeats tells whether a client asks again: it says so, or has not the time left that most come with but
-// what an earlier try left of it. The aim went with that one, so under overload such tries crowd out
-// those that count. Could harm clients with a patience of their own, where requests are shed.
-func (k *class) repeats(e *Event) bool {
-	if (e.TimeLeft - k.usual).Abs() <= sameLeft {
-		k.sure = min(k.sure+1, surest)
-		return e.Retry
-	}
-	if k.sure--; k.sure < 0 {
-		k.usual, k.sure = e.TimeLeft, 0
-	}
-	return e.Retry || k.sure >= surest/2
-}
-
 // inShare is what a tenant's request is expected to count for: little beyond its quota. All routers are taken
 // to see as much of the tenant as this one, which holds on average.
 func (c *Choice) inShare(i int) float64 {
@@ -394,7 +383,7 @@
 	}
 	r := &request{id: e.ID, class: k, group: g, key: e.Key, hasKey: e.HasKey, arrived: c.now,
 		aim: c.now + min(k.Aim, e.TimeLeft), deadline: c.now + e.TimeLeft,
-		luck: c.rng.Float64(), worth: k.Worth}
+		luck: c.rng.Float64(), worth: k.Worth, again: e.Retry}
 	if k.Read == Session {
 		if !c.cfg.Remembered && e.Token > 0 {
 			r.need = c.now - e.Token + margin
@@ -406,8 +395,11 @@
 	if e.Tenant > 0 && e.Tenant <= len(c.tenants) {
 		r.worth *= c.inShare(e.Tenant - 1)
 	}
-	if gone := k.Deadline - e.TimeLeft; k.repeats(e) && (e.Retry || gone > k.Aim) {
+	if r.again { // the aim went with the try before; under overload such tries crowd out those that count
 		r.worth *= k.LateShare
+	} else {
+		k.asked += k.Worth
+		c.asked += k.Worth
 	}
 	side := 0
 	if k.Read >= Fresh {
@@ -457,7 +449,7 @@
 		r.ran, r.ranAt = true, a.sent
 	}
 	if e.Final {
-		c.close(r)
+		c.close(r, e.Code == OK && c.now <= r.aim)
 	}
 	if r.live > 0 {
 		return
@@ -885,8 +877,18 @@
 }
 
 // close ends a request and calls off what is still out.
-func (c *Choice) close(r *request) {
+func (c *Choice) close(r *request, kept bool) {
 	r.over = true
+	if k := r.class; !r.again {
+		k.tries = min(k.tries+1, keptSpan)
+		k.kept -= k.kept / k.tries
+		if kept {
+			k.kept += 1 / k.tries
+		}
+		if !kept && (c.worst == nil || k.kept < c.worst.kept) {
+			c.worst = k
+		}
+	}
 	for i, a := range r.attempts {
 		if a.live && c.cfg.Cancel && r.class.Effect == Safe {
 			c.out = append(c.out, Action{Kind: ActCancel, ID: r.id, Attempt: i})
@@ -909,12 +911,16 @@
 	} else {
 		c.out = append(c.out, Action{Kind: ActFail, ID: r.id})
 	}
-	c.close(r)
+	c.close(r, false)
 }
 
-// value is what a second of work on a request brings: less once its answer would come after its aim.
+// value is what a second of work on a request brings: less once its answer would come after its aim, and more
+// in the class that is served worst, which counts once more by itself, the more the less of the worth is its.
 func (c *Choice) value(r *request) float64 {
 	worth := r.worth
+	if r.class == c.worst && !r.again {
+		worth *= 1 + c.cfg.WorstClass*c.asked/r.class.asked
+	}
 	if c.now+r.class.latency > r.aim {
 		worth *= r.class.LateShare
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -851,6 +851,48 @@
 	}
 }
 
+// The class that is served worst counts once more by itself, so where there is room for one of two it goes first; its
+// clients' repeats don't, and without that weight the dearer class does.
+func TestTheWorstServedClassGoesFirst(t *testing.T) {
+	for _, k := range []struct {
+		name        string
+		weight      float64
+		served      int  // of ten reads of the cheap class before
+		again, want bool // a repeat; whether the cheap class goes first
+	}{
+		{"it is served worst", 0.4, 0, false, true},
+		{"it is served as well as the other", 0.4, 10, false, false},
+		{"a repeat", 0.4, 0, true, false},
+		{"the worst class does not count by itself", 0, 0, false, false},
+	} {
+		s := settings()
+		s.WorstClass = k.weight
+		s.Classes[boundedRead].Worth, s.Classes[sessionRead].Worth, s.Classes[boundedRead].LateShare = 1, 2, 0.5
+		g := start(t, s, Target{Host: "p", Group: 1, Primary: true})
+		p := g.c.members["p"]
+		for i := range 20 {
+			id, _ := g.request([]int{boundedRead, sessionRead}[i%2], Event{})
+			g.now += 20 * ms
+			if i%2 == 1 || i/2 < k.served {
+				g.outcome(id, 0, OK, Primary)
+			} else {
+				g.step(Event{Kind: EvLeft, ID: id})
+				g.step(Event{Kind: EvOutcome, ID: id, Code: Cancelled, Final: true})
+			}
+		}
+		p.limit = 1 // room for one read, and both are the same work
+		g.c.classes[boundedRead].work, g.c.classes[sessionRead].work = 20*ms, 20*ms
+		first, _ := g.request(sessionRead, Event{})
+		cheap, _ := g.request(boundedRead, Event{Retry: k.again})
+		dear, _ := g.request(sessionRead, Event{})
+		g.step(Event{Kind: EvOutcome, ID: first, Code: OK, Role: Primary, Final: true, Elapsed: 320 * ms}) // no room for two
+		sent, _ := of(ActSend, g.after(10*ms))
+		if len(sent) == 0 || (sent[0].ID == cheap) != k.want {
+			t.Errorf("%s: %v was sent of the cheap %s and the dear %s", k.name, sent, cheap, dear)
+		}
+	}
+}
+
 func TestLongWorkIsNoSilence(t *testing.T) {
 	g := start(t, settings(), shard()...)
 	g.reports(Replica, 10*ms, "a", "b", "c")
--- a/choice/configure.go
+++ b/choice/configure.go
@@ -20,7 +20,7 @@
 	}
 	classes, tightest := make([]class, len(s.Classes)), time.Second
 	for i, k := range s.Classes {
-		classes[i].Class, classes[i].index = k, i
+		classes[i].Class, classes[i].index, classes[i].kept, classes[i].tries = k, i, 1, keptStart
 		if k.Read == Bounded {
 			tightest = min(tightest, k.Bound)
 		}
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -425,14 +425,14 @@
 	}
 }
 
-// Repeats by clients are told by the time they have left, and go first when anything is shed.
+// Repeats that clients mark go first when anything is shed.
 func TestRepeatsAreShedFirst(t *testing.T) {
 	s := settings()
 	s.Routers = 400
 	g := start(t, s, shard()...)
 	g.reports(Replica, 0, "a", "b", "c")
-	refused := func(left time.Duration) bool {
-		id, as := g.request(anyRead, Event{TimeLeft: left})
+	refused := func(again bool) bool {
+		id, as := g.request(anyRead, Event{TimeLeft: 1300 * ms, Retry: again})
 		if r := g.c.reqs[id]; r != nil && r.live > 0 {
 			g.step(Event{Kind: EvOutcome, ID: id, Code: OK, Role: Replica, Final: true, Elapsed: 50 * ms})
 		}
@@ -440,27 +440,27 @@
 		return len(found) > 0
 	}
 	for range 20 {
-		if refused(1300 * ms) {
+		if refused(false) {
 			t.Fatal("a first try was refused")
 		}
 	}
-	if refused(700 * ms) {
+	if refused(true) {
 		t.Error("a repeat was refused though nothing is shed")
 	}
 	s.Classes[anyRead].LateShare = 0 // the rig shares the classes' settings, not their values: take a new one
 	g = start(t, s, shard()...)
 	for range 20 {
-		refused(1300 * ms)
+		refused(false)
 	}
 	g.c.groups[1].sides[0].shed = 0.1
 	repeats, firsts := 0, 0
 	for range 30 {
 		g.c.groups[1].sides[0].shed = 0.1
-		if refused(700 * ms) {
+		if refused(true) {
 			repeats++
 		}
 		for range 3 {
-			if refused(1300 * ms) {
+			if refused(false) {
 				firsts++
 			}
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -22,9 +22,8 @@
 
 // KeptClass is what is usual for a class.
 type KeptClass struct {
-	Name                 string
-	Latency, Work, Usual time.Duration
-	Sure                 int
+	Name          string
+	Latency, Work time.Duration
 }
 
 // State is what a router can give to its next start.
@@ -57,7 +56,7 @@
 	slices.SortFunc(s.Members, func(a, b Kept) int { return cmp.Compare(a.Host, b.Host) })
 	for i := range c.classes {
 		k := &c.classes[i]
-		s.Classes = append(s.Classes, KeptClass{k.Name, k.latency, k.work, k.usual, k.sure})
+		s.Classes = append(s.Classes, KeptClass{k.Name, k.latency, k.work})
 	}
 	return s
 }
@@ -78,7 +77,7 @@
 	for _, k := range s.Classes {
 		for i := range c.classes {
 			if o := &c.classes[i]; o.Name == k.Name && o.latency == 0 {
-				o.latency, o.work, o.usual, o.sure = k.Latency, k.Work, k.Usual, min(max(0, k.Sure), surest)
+				o.latency, o.work = k.Latency, k.Work
 			}
 		}
 	}
--- a/choice/types.go
+++ b/choice/types.go
@@ -85,6 +85,7 @@
 	ColdRamp           time.Duration
 	FallFactor         float64       // a cold member falls over beyond this multiple of its capacity
 	ProbePrice         float64       // cost of one probe a request, as a share of the result
+	WorstClass         float64       // weight of the worst-served class in the result, as a share of the whole's
 	Tick               time.Duration // shortest time between two steps
 }
 
--- a/internal/learned/age.go
+++ b/internal/learned/age.go
@@ -84,8 +84,7 @@
 	}
 	for _, c := range s.Classes {
 		if x := weigh("class "+c.Name, 0, classSpan); x > 0 {
-			// How sure it is fades; how long it takes does not.
-			w.State.Classes = append(w.State.Classes, choice.KeptClass{Name: c.Name, Latency: ms(c.Latency), Work: ms(c.Work), Usual: ms(c.Usual), Sure: int(float64(c.Sure) * x)})
+			w.State.Classes = append(w.State.Classes, choice.KeptClass{Name: c.Name, Latency: ms(c.Latency), Work: ms(c.Work)})
 		}
 	}
 	if s.Wear != nil {
@@ -113,7 +112,7 @@
 			Took: math.Round(m.Took*1000) / 1000, Lag: max(-1, ms(m.Lag)), Heard: ms(m.Heard), Primary: m.Primary, Proof: min(ms(m.Proof), maxAge)})
 	}
 	for _, c := range s.Classes {
-		out.Classes = append(out.Classes, Class{c.Name, ms(c.Latency), ms(c.Work), ms(c.Usual), c.Sure})
+		out.Classes = append(out.Classes, Class{c.Name, ms(c.Latency), ms(c.Work)})
 	}
 	return out
 }
--- a/internal/learned/learned_test.go
+++ b/internal/learned/learned_test.go
@@ -19,7 +19,7 @@
 func whole() *Snapshot {
 	return &Snapshot{Head: Head{"n1", "site", 1e12},
 		Hosts:   []Host{{Name: "a", Group: 1, Since: 5, Limit: 40, Took: 2, Lag: 30, Heard: 10, Proof: 20}, {Name: "p", Group: 1, Limit: 2, Lag: -1, Primary: true, Proof: 20}},
-		Classes: []Class{{"browse", 20, 12, 950, 8}}, Wear: &Wear{[]float64{9, 4}, []float64{0, 3}}, List: &List{At: 1e12, JSON: []byte(`{"index":3}`)}}
+		Classes: []Class{{"browse", 20, 12}}, Wear: &Wear{[]float64{9, 4}, []float64{0, 3}}, List: &List{At: 1e12, JSON: []byte(`{"index":3}`)}}
 }
 
 func TestFileIsReadAsItWasWritten(t *testing.T) {
@@ -109,7 +109,7 @@
 	require.InDelta(t, 3-1/2.718, ten.State.Members[1].Limit, 0.01, "a low limit too nears the usual one")
 	day := at(1e12 + 3*hour)
 	require.Len(t, day.State.Members, 0)
-	require.Equal(t, 4, day.State.Classes[0].Sure)
+	require.Len(t, day.State.Classes, 1, "how long a class takes stays true for longer")
 	// A day old, from the future, of another pooler or site: nothing counts, and it is said why.
 	for why, w := range map[string]Weighed{"older than a day": at(1e12 + 25*hour), "ran backwards": at(1e12 - hour), "year": at(1e12 + 365*24*hour),
 		`pooler "n1"`: Weigh(whole(), 1e12, "n2", "site", false), "another site": Weigh(whole(), 1e12, "n1", "other", false)} {
--- a/internal/learned/snapshot.go
+++ b/internal/learned/snapshot.go
@@ -50,8 +50,6 @@
 	Name    string  `json:"name"`
 	Latency float64 `json:"latency_ms"`
 	Work    float64 `json:"work_ms"`
-	Usual   float64 `json:"usual_ms"`
-	Sure    int     `json:"sure"`
 }
 
 // Wear is the pool's count of requests and resets by how long their connection had lain idle.
@@ -267,7 +265,7 @@
 	s.Hosts = hosts
 	classes := s.Classes[:0]
 	for _, c := range s.Classes {
-		if c.Name != "" && sane(c.Latency, c.Work, c.Usual) && c.Sure >= 0 {
+		if c.Name != "" && sane(c.Latency, c.Work) {
 			classes = append(classes, c)
 		}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,7 +39,11 @@
 		WhenBehind string    `json:"when_behind"`
 	} `json:"domain"`
 	Deductions map[string]float64 `json:"deductions"`
-	Rules      struct {
+	Goal       struct {
+		Whole      float64 `json:"whole"`
+		WorstClass float64 `json:"worst_class"`
+	} `json:"goal"`
+	Rules struct {
 		ColdFrom   float64 `json:"cold_from"`
 		Ramp       float64 `json:"ramp_time_ms"`
 		DrainAlone bool    `json:"drain_binds_alone"`
@@ -127,6 +131,9 @@
 		ColdRamp: Millis(f.Rules.Ramp), FallFactor: f.Rules.FallFactor, ProbePrice: f.Deductions["probe"],
 		ConnIdle: Millis(f.Limits.ConnIdle), Tick: Millis(f.Period), OverShare: f.OverShare}
 	s := &in.Settings
+	if g := f.Goal; g.Whole > 0 && g.WorstClass > 0 {
+		s.WorstClass = g.WorstClass / g.Whole
+	}
 	if f.Limits.RetryAfter {
 		s.MaxRetryAfter = Millis(f.Limits.MaxRetryAfter)
 	}
