--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -867,7 +867,7 @@
 	} {
 		s := settings()
 		s.WorstClass = k.weight
-		s.Classes[boundedRead].Worth, s.Classes[sessionRead].Worth, s.Classes[boundedRead].LateShare = 1, 2, 0.5
+		s.Classes[boundedRead].Worth, s.Classes[sessionRead].Worth, s.Classes[boundedRead].LateShare = 1, 2, 1
 		g := start(t, s, Target{Host: "p", Group: 1, Primary: true})
 		p := g.c.members["p"]
 		for i := range 20 {
