A request whose client left is counted once in what its class was served

Seen on rereading: close runs again for a request that is over when the outcome of its called-off attempt arrives (outcome, Final), so each client that left counted as two first tries lost. TestTheWorstServedClassGoesFirst counts them: 20 of ten before, ten now.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -878,8 +878,7 @@
 
 // close ends a request and calls off what is still out.
 func (c *Choice) close(r *request, kept bool) {
-	r.over = true
-	if k := r.class; !r.again {
+	if k := r.class; !r.again && !r.over {
 		k.tries = min(k.tries+1, keptSpan)
 		k.kept -= k.kept / k.tries
 		if kept {
@@ -889,6 +888,7 @@
 			c.worst = k
 		}
 	}
+	r.over = true
 	for i, a := range r.attempts {
 		if a.live && c.cfg.Cancel && r.class.Effect == Safe {
 			c.out = append(c.out, Action{Kind: ActCancel, ID: r.id, Attempt: i})
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -880,6 +880,9 @@
 				g.step(Event{Kind: EvOutcome, ID: id, Code: Cancelled, Final: true})
 			}
 		}
+		if got := g.c.classes[boundedRead].tries; got != keptStart+10 {
+			t.Errorf("%s: of ten first tries %.0f were counted", k.name, got-keptStart)
+		}
 		p.limit = 1 // room for one read, and both are the same work
 		g.c.classes[boundedRead].work, g.c.classes[sessionRead].work = 20*ms, 20*ms
 		first, _ := g.request(sessionRead, Event{})
