A leader that is gone for good is left: the others ask the next one and have leases again

Seen on rereading: renew (node.go) kept the numbers of its last 32 renewals in a slice and left a silent leader at each third of that slice's length. Once the slice was full its length stayed 32, so that never came again: whoever had renewed 32 times asked a dead leader for ever, unless it came back and said who leads. Three voters and a follower, the leader taken away after 5 s: the three that remain had no lease 3 s later; now all have (TestALeaderThatIsGoneForGoodIsLeft, red before).

The numbers follow each other, so the slice is gone and the last number alone says which one is too old.

--- a/internal/cluster/agree/node.go
+++ b/internal/cluster/agree/node.go
@@ -162,10 +162,9 @@
 	seen     map[uint64]string // names of identities that have spoken: one that learns the log knows none
 
 	held    Held
-	until   float64 // of the own lease
-	nonces  map[uint64]float64
-	order   []uint64
-	nonce   uint64
+	until   float64            // of the own lease
+	nonces  map[uint64]float64 // when the last few renewals were sent
+	nonce   uint64             // of the last one; each has the next number
 	renewAt float64
 	leader  string
 	turn    int
@@ -541,16 +540,12 @@
 func (n *Node) renew() {
 	n.nonce++
 	n.nonces[n.nonce] = n.now
-	n.order = append(n.order, n.nonce)
-	if len(n.order) > noncesKept {
-		delete(n.nonces, n.order[0])
-		n.order = n.order[1:]
-	}
+	delete(n.nonces, n.nonce-noncesKept)
 	known := n.held.Force.N
 	if p := n.held.Pending; p != nil {
 		known = p.N
 	}
-	if n.now >= n.until && len(n.order)%3 == 0 {
+	if n.now >= n.until && n.nonce%3 == 0 {
 		n.leader = "" // whoever was thought to lead does not answer
 	}
 	n.ask(Message{Kind: MsgRenew, Nonce: n.nonce, Known: known, Format: n.cfg.Format})
