Reread: one predicate of contradiction, one reading of traces, one check of names and paths

In the wrong place or twice: a folder's file was opened a second time by its path to be read, after its birth was taken from the first; cluster diff fetched the log for each of its two versions; the crowd's closed loop drew two pauses a request and used one; a name held twice was looked for among sorted copies of all members. A folder's lock stayed taken when its node did not start.

--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -335,20 +335,22 @@
 		_, err = fmt.Fprintf(w, "version %d is in the log; ashstand cluster versions says when it is in force\n", out.Version)
 		return err
 	}
-	version := func(word string) (agree.Version, error) {
+	versions := func(words ...string) (found []agree.Version, err error) {
 		a, err := address()
 		if err != nil {
-			return agree.Version{}, err
+			return nil, err
 		}
 		if err := admin.Get(a, "agreement", &rules); err != nil {
-			return agree.Version{}, err
+			return nil, err
 		}
-		for _, v := range rules.Versions {
-			if word == strconv.Itoa(v.N) {
-				return v, nil
+		for _, word := range words {
+			i := slices.IndexFunc(rules.Versions, func(v agree.Version) bool { return word == strconv.Itoa(v.N) })
+			if i < 0 {
+				return nil, fmt.Errorf("version %q is not among the %d that this pooler's log has", word, len(rules.Versions))
 			}
+			found = append(found, rules.Versions[i])
 		}
-		return agree.Version{}, fmt.Errorf("version %q is not among the %d that this pooler's log has", word, len(rules.Versions))
+		return found, nil
 	}
 	var folder string
 	var voters []string
@@ -365,15 +367,11 @@
 		ask(&cobra.Command{Use: "versions", Short: "show the rules that this pooler acts on, and the versions in its log", Args: cobra.NoArgs,
 			RunE: view("agreement", &rules, func(w io.Writer) { versionTable(w, &rules) })}),
 		ask(&cobra.Command{Use: "diff V W", Short: "show in which keys two versions differ", Args: cobra.ExactArgs(2), RunE: func(c *cobra.Command, args []string) error {
-			a, err := version(args[0])
-			if err != nil {
-				return err
-			}
-			b, err := version(args[1])
+			v, err := versions(args...)
 			if err != nil {
 				return err
 			}
-			for _, line := range agree.Diff(a.Rules, b.Rules) {
+			for _, line := range agree.Diff(v[0].Rules, v[1].Rules) {
 				fmt.Fprintln(c.OutOrStdout(), line)
 			}
 			return nil
@@ -391,11 +389,11 @@
 			}}),
 		ask(&cobra.Command{Use: "rollback V", Short: "bring the rules of an earlier version in again, as a new version", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
-				v, err := version(args[0])
+				v, err := versions(args...)
 				if err != nil {
 					return err
 				}
-				text, err := json.Marshal(v.Rules)
+				text, err := json.Marshal(v[0].Rules)
 				if err != nil {
 					return err
 				}
--- a/internal/cluster/agree/node.go
+++ b/internal/cluster/agree/node.go
@@ -13,6 +13,7 @@
 
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
 )
 
 // Config is what a pooler's own file says. Times are in milliseconds.
@@ -657,7 +658,7 @@
 		}
 	case pb.EntryType_EntryConfChangeV2:
 		cc := &pb.ConfChangeV2{}
-		if err := unmarshal(e.GetData(), cc); err == nil {
+		if err := proto.Unmarshal(e.GetData(), cc); err == nil {
 			n.conf = n.rn.ApplyConfChange(cc)
 			var who struct {
 				Name string
--- a/internal/cluster/agree/runner/folder.go
+++ b/internal/cluster/agree/runner/folder.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -92,7 +93,7 @@
 	if info.Size() > maxFolder {
 		return nil, fmt.Errorf("%s: %w: %d bytes", path, ErrSpoilt, info.Size())
 	}
-	b, err := os.ReadFile(path)
+	b, err := io.ReadAll(in)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cluster/agree/runner/runner.go
+++ b/internal/cluster/agree/runner/runner.go
@@ -84,16 +84,16 @@
 		if r.folder, err = Open(o.Folder); err != nil {
 			return nil, err
 		}
-		disk, err = r.folder.Load()
-		if errors.Is(err, ErrCopy) || errors.Is(err, ErrSpoilt) {
-			slog.Error("cluster: " + err.Error() + "; this pooler comes under a new identity")
-		} else if err != nil {
+		if disk, err = r.load(); err != nil {
 			r.folder.Close()
 			return nil, err
 		}
 	}
 	n, err := agree.New(o.Config, disk, o.Clock.Now())
 	if err != nil {
+		if r.folder != nil {
+			r.folder.Close()
+		}
 		return nil, err
 	}
 	g := n.Grip()
@@ -261,10 +261,20 @@
 	return true
 }
 
+// load reads the folder; with one that is a copy or spoilt the node goes on under a new identity.
+func (r *Runner) load() (*agree.Disk, error) {
+	disk, err := r.folder.Load()
+	if errors.Is(err, ErrCopy) || errors.Is(err, ErrSpoilt) {
+		slog.Error("cluster: " + err.Error() + "; this pooler comes under a new identity")
+		return disk, nil
+	}
+	return disk, err
+}
+
 // again starts the node once more on what its folder holds.
 func (r *Runner) again() *agree.Node {
-	disk, err := r.folder.Load()
-	if err != nil && !errors.Is(err, ErrCopy) && !errors.Is(err, ErrSpoilt) {
+	disk, err := r.load()
+	if err != nil {
 		return nil
 	}
 	n, err := agree.New(r.o.Config, disk, r.o.Clock.Now())
--- a/internal/cluster/agree/silent.go
+++ b/internal/cluster/agree/silent.go
@@ -1,12 +1,6 @@
 package agree
 
-import (
-	"fmt"
-
-	"google.golang.org/protobuf/proto"
-)
-
-func unmarshal(b []byte, m proto.Message) error { return proto.Unmarshal(b, m) }
+import "fmt"
 
 // silent is the library's log: nothing of it is for operators, and what it calls fatal is a fault of ours.
 type silent struct{}
--- a/internal/cluster/member/gossip.go
+++ b/internal/cluster/member/gossip.go
@@ -497,10 +497,8 @@
 	if first {
 		slog.Warn("cluster: " + err.Error())
 	}
-	for _, m := range d.table.Members() {
-		if m.Name == i.Name {
-			held = m.Info
-		}
+	if m := d.table.members[i.Name]; m != nil {
+		held = m.Info
 	}
 	return held, due, err
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -259,9 +259,7 @@
 	}
 	if s := b.State; s != nil {
 		c.block = "state"
-		if set(s.Folder, &f.State.Folder); f.State.Folder != "" && !filepath.IsAbs(f.State.Folder) {
-			c.fail(s.Body, "folder", strconv.Quote(f.State.Folder), "the absolute path of a folder that outlives the process")
-		}
+		c.place(s.Body, "folder", s.Folder, &f.State.Folder, "a folder that outlives the process")
 		c.time(s.Body, "pace", s.Pace, &f.State.Pace, time.Millisecond, time.Hour, false)
 	}
 	if l := b.Flight; l != nil {
@@ -281,9 +279,7 @@
 	if l := b.Lab; l != nil {
 		c.block = "lab"
 		f.Lab = &Lab{Rate: 1}
-		if set(l.Trace, &f.Lab.Trace); f.Lab.Trace != "" && !filepath.IsAbs(f.Lab.Trace) {
-			c.fail(l.Body, "trace", strconv.Quote(f.Lab.Trace), "the absolute path of a file")
-		}
+		c.place(l.Body, "trace", l.Trace, &f.Lab.Trace, "a file")
 		c.time(l.Body, "clock_offset", l.Offset, &f.Lab.Offset, -time.Hour, time.Hour, true)
 		if set(l.Rate, &f.Lab.Rate); f.Lab.Rate < 0.5 || f.Lab.Rate > 2 {
 			c.fail(l.Body, "clock_rate", strconv.FormatFloat(f.Lab.Rate, 'g', -1, 64), "a number from 0.5 to 2")
@@ -304,11 +300,8 @@
 	f.Cluster = out
 	set(b.Name, &out.Name)
 	set(b.Zone, &out.Zone)
-	for _, k := range []struct{ key, word string }{{"name", out.Name}, {"zone", out.Zone}} {
-		if len(k.word) > 64 || strings.ContainsAny(k.word, "/\"\n ") {
-			c.fail(b.Body, k.key, strconv.Quote(k.word), "a word of at most 64 bytes, without spaces, quotes and slashes")
-		}
-	}
+	c.name(b.Body, "name", out.Name, true)
+	c.name(b.Body, "zone", out.Zone, true)
 	if set(b.Listen, &out.Listen); out.Listen != "" {
 		c.address(b.Body, "listen", out.Listen, false)
 		if host, _, err := net.SplitHostPort(out.Listen); err == nil && (net.ParseIP(host) == nil || net.ParseIP(host).IsUnspecified()) {
@@ -327,9 +320,7 @@
 			c.fail(p.Body, "address", "given twice for this name", "one peer block a name")
 		}
 		c.address(p.Body, "address", p.Address, false)
-		if p.Name == "" || len(p.Name) > 64 || strings.ContainsAny(p.Name, "/\"\n ") {
-			c.fail(p.Body, "name", strconv.Quote(p.Name), "a word of at most 64 bytes, without spaces, quotes and slashes")
-		}
+		c.name(p.Body, "name", p.Name, false)
 		if p.Name == out.Name {
 			c.fail(p.Body, "name", strconv.Quote(p.Name), "the name of another pooler; this is its own")
 		}
@@ -356,12 +347,8 @@
 	if set(b.Drift, &a.Drift); a.Drift < 0 || a.Drift > 0.2 {
 		c.fail(b.Body, "drift", strconv.FormatFloat(a.Drift, 'g', -1, 64), "a share from 0 to 0.2: by how much a clock may run fast or slow")
 	}
-	if set(b.Folder, &a.Folder); a.Folder != "" && !filepath.IsAbs(a.Folder) {
-		c.fail(b.Body, "folder", strconv.Quote(a.Folder), "the absolute path of a folder that outlives the process")
-	}
-	if set(b.Limits, &a.Limits); a.Limits != "" && !filepath.IsAbs(a.Limits) {
-		c.fail(b.Body, "limits", strconv.Quote(a.Limits), "the absolute path of a file")
-	}
+	c.place(b.Body, "folder", b.Folder, &a.Folder, "a folder that outlives the process")
+	c.place(b.Body, "limits", b.Limits, &a.Limits, "a file")
 	if n := len(a.Voters); n != 1 && n != 3 && n != 5 && n != 7 {
 		c.fail(b.Body, "voters", fmt.Sprint(n, " names"), "three or five names of poolers; one for a trial")
 	}
@@ -531,6 +518,20 @@
 	c.faults = append(c.faults, fmt.Sprintf("%s:%d: %s: %s is %s; allowed is %s", c.path, line, c.block, key, value, allowed))
 }
 
+// place takes the absolute path of what is named; "" stands for none.
+func (c *checker) place(b hcl.Body, key string, from, to *string, what string) {
+	if set(from, to); *to != "" && !filepath.IsAbs(*to) {
+		c.fail(b, key, strconv.Quote(*to), "the absolute path of "+what)
+	}
+}
+
+// name checks what other poolers are told, and what stands in their log lines.
+func (c *checker) name(b hcl.Body, key, name string, optional bool) {
+	if name == "" && !optional || len(name) > 64 || strings.ContainsAny(name, "/\"\n ") {
+		c.fail(b, key, strconv.Quote(name), "a word of at most 64 bytes, without spaces, quotes and slashes")
+	}
+}
+
 func (c *checker) word(b hcl.Body, key string, from, to *string, allowed ...string) {
 	if from == nil {
 		return
--- a/lab/cluster/agree.go
+++ b/lab/cluster/agree.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"ashstand/internal/admin"
+	"ashstand/internal/cluster/agree"
 	"ashstand/lab/fleet"
 	"ashstand/lab/report"
 )
@@ -100,9 +101,7 @@
 			rules["database.orders.group"] = 1 + lots.IntN(3)
 		}
 		n := r.nodes[lots.IntN(len(r.nodes))]
-		n.mu.Lock()
-		p, paused := n.pooler, n.paused
-		n.mu.Unlock()
+		p, paused := n.process()
 		if p == nil || paused {
 			continue
 		}
@@ -121,19 +120,13 @@
 
 // stretch of time in which a process acted on something.
 type stretch struct {
+	acted
 	who        string
 	from, till float64
-	versions   []int
-	rules      map[string]any
-	lapsed     bool
 }
 
 // read makes stretches of a process's trace. Under a lease one ends when the lease does, whatever the trace says.
 func (r *rig) read(n *node) (out []stretch) {
-	b, err := os.ReadFile(n.trace)
-	if err != nil {
-		return nil
-	}
 	var at stretch
 	until := 0.0
 	end := func(t float64) {
@@ -147,17 +140,7 @@
 			out = append(out, at)
 		}
 	}
-	for _, text := range strings.Split(string(b), "\n") {
-		var e struct {
-			At, Left float64
-			Event    string
-			Versions []int
-			Rules    map[string]any
-			Lapsed   bool
-		}
-		if json.Unmarshal([]byte(text), &e) != nil {
-			continue
-		}
+	for _, e := range n.events() {
 		switch e.Event {
 		case "start":
 			end(e.At)
@@ -169,37 +152,54 @@
 			until = max(until, e.At+e.Left)
 		case "acts":
 			end(e.At)
-			at = stretch{who: n.name, from: e.At, versions: e.Versions, rules: e.Rules, lapsed: e.Lapsed}
+			at = stretch{acted{e.Versions, e.Rules, e.Lapsed}, n.name, e.At, 0}
 		}
 	}
 	end(float64(time.Now().UnixMilli()))
 	return out
 }
 
-// contradicts says whether a permits what b forbids though b has not heard of what a has in force. What is stricter is
-// said here by hand, so that the program's own table does not judge it.
-func contradicts(a, b stretch) (key string) {
-	const group = "database.orders.group"
-	if x, y := a.rules[group], b.rules[group]; x != "fenced" && y != "fenced" && x != y {
-		return group
+// acted is what a pooler goes by.
+type acted struct {
+	versions []int
+	rules    map[string]any
+	lapsed   bool
+}
+
+// proposed are the keys that are brought in, by what is stricter.
+type proposed struct {
+	lower []string // of two numbers
+	no    string   // what forbids
+	fence string   // neither
+}
+
+// contradicts names the keys at which a permits what b forbids though b has not heard of what a has in force. What is
+// stricter is said here by hand, so that the program's own table does not judge it.
+func (p proposed) contradicts(a, b acted) (keys []string) {
+	fenced := func(r map[string]any) bool { return r[p.fence] == "fenced" || agree.Rules(r).Fenced(p.fence) } // as shown, or held
+	if !fenced(a.rules) && !fenced(b.rules) && a.rules[p.fence] != b.rules[p.fence] {
+		keys = append(keys, p.fence)
 	}
 	if a.lapsed || b.lapsed || slices.Min(a.versions) <= slices.Max(b.versions) {
-		return ""
+		return keys // without a lease a pooler claims nothing of others; who knows of the version that a has in force has made room for it
 	}
-	for _, k := range []string{"class.browse.bound_ms", "tries"} {
+	for _, k := range p.lower {
 		x, given := a.rules[k].(float64)
 		if y, limited := b.rules[k].(float64); limited && (!given || x > y) {
-			return k
+			keys = append(keys, k)
 		}
 	}
-	if x, given := a.rules["class.my-library.repeat"].(bool); !given || x {
-		if y, limited := b.rules["class.my-library.repeat"].(bool); limited && !y {
-			return "class.my-library.repeat"
+	if x, given := a.rules[p.no].(bool); !given || x {
+		if y, limited := b.rules[p.no].(bool); limited && !y {
+			keys = append(keys, p.no)
 		}
 	}
-	return ""
+	return keys
 }
 
+// runKeys are those of a run.
+var runKeys = proposed{[]string{"class.browse.bound_ms", "tries"}, "class.my-library.repeat", "database.orders.group"}
+
 // grace is how far two processes' traces may be apart: an event is written when its process next has a turn.
 const grace = 30.0
 
@@ -219,16 +219,13 @@
 			if till <= from {
 				continue
 			}
-			key := contradicts(a, b)
-			if key == "" {
-				key = contradicts(b, a)
-			}
-			if key == "" {
+			keys := append(runKeys.contradicts(a.acted, b.acted), runKeys.contradicts(b.acted, a.acted)...)
+			if len(keys) == 0 {
 				continue
 			}
 			if longest = max(longest, till-from); till-from > grace {
 				r.g.Break("contradiction_past_bound", "at %.2f s for %.0f ms: %s on %v and %s on %v, by %s", from/1e3-float64(r.begun.UnixMilli())/1e3, till-from, a.who,
-					a.versions, b.who, b.versions, key)
+					a.versions, b.who, b.versions, keys[0])
 			}
 		}
 		if a.lapsed {
--- a/lab/cluster/judge.go
+++ b/lab/cluster/judge.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"slices"
 	"time"
 
 	"ashstand/lab/fleet"
@@ -35,24 +36,21 @@
 	}
 }
 
+// quiet says whether none of the faults that are asked for was there at a moment, nor for so long before it.
+func (r *rig) quiet(at time.Time, bound time.Duration, asked func(*span) bool) bool {
+	return at.Sub(r.begun) > bound && !slices.ContainsFunc(r.spans, func(s *span) bool {
+		return asked(s) && !s.from.After(at) && s.lasts(at.Add(-bound))
+	})
+}
+
 // settled says whether nothing touched a pair for so long before a moment.
 func (r *rig) settled(a, b string, at time.Time, bound time.Duration) bool {
-	for _, s := range r.spans {
-		if s.touches(a, b) && !s.from.After(at) && (s.till.IsZero() || s.till.Add(bound).After(at)) {
-			return false
-		}
-	}
-	return at.Sub(r.begun) > bound
+	return r.quiet(at, bound, func(s *span) bool { return s.touches(a, b) })
 }
 
 // calm says whether nothing was wrong anywhere.
 func (r *rig) calm(at time.Time, bound time.Duration) bool {
-	for _, s := range r.spans {
-		if !s.harmless() && !s.from.After(at) && (s.till.IsZero() || s.till.Add(bound).After(at)) {
-			return false
-		}
-	}
-	return at.Sub(r.begun) > bound
+	return r.quiet(at, bound, func(s *span) bool { return !s.harmless() })
 }
 
 // judge holds each view to what was true: of a pair that nothing touched for the stated time, each sees the other as it
@@ -100,7 +98,7 @@
 		}
 		later := false
 		for _, o := range r.spans {
-			later = later || o.A == s.A && !o.harmless() && Kinds[o.Kind] == "process" && (o.till.IsZero() || o.till.After(s.from))
+			later = later || o.A == s.A && !o.harmless() && Kinds[o.Kind] == "process" && o.lasts(s.from)
 		}
 		var v *seen
 		for i := range r.polls {
@@ -121,16 +119,9 @@
 		return
 	}
 	r.mu.Lock()
-	settled := true
-	for _, s := range r.spans {
-		if s.touches(n.name, n.name) && (s.till.IsZero() || s.till.Add(bound).After(time.Now())) {
-			settled = false
-		}
-	}
+	settled := r.settled(n.name, n.name, time.Now(), bound)
 	r.mu.Unlock()
-	n.mu.Lock()
-	first := n.pooler
-	n.mu.Unlock()
+	first, _ := n.process()
 	if !settled || first == nil {
 		return
 	}
--- a/lab/cluster/page.go
+++ b/lab/cluster/page.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"cmp"
 	"fmt"
 	"html/template"
 	"io"
@@ -63,25 +64,12 @@
 		}
 		rows[i].Marks = append(rows[i].Marks, m)
 	}
-	slices.SortFunc(rows, func(a, b row) int {
-		switch {
-		case a.Who < b.Who:
-			return -1
-		case a.Who > b.Who:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(rows, func(a, b row) int { return cmp.Compare(a.Who, b.Who) })
 	var list []broken
 	for name, n := range o.Result.Broken {
 		list = append(list, broken{name, n})
 	}
-	slices.SortFunc(list, func(a, b broken) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b broken) int { return cmp.Compare(a.Name, b.Name) })
 	f, err := os.Create(path)
 	if err != nil {
 		return err
--- a/lab/cluster/proxy.go
+++ b/lab/cluster/proxy.go
@@ -165,16 +165,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for a, b := range l.conns {
-		for _, c := range []net.Conn{a, b} {
-			if t, ok := c.(*net.TCPConn); ok {
-				_ = t.SetLinger(0)
-				_ = t.Close()
-			}
-		}
+		reset(a)
+		reset(b)
 	}
 	clear(l.conns)
 }
 
+// reset closes a stream so that its other end sees a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 func (l *Link) accept() {
 	for {
 		c, err := l.tcp.Accept()
@@ -192,9 +196,7 @@
 	}
 	b, err := net.DialTimeout("tcp", l.to(), 2*time.Second)
 	if err != nil {
-		if t, ok := a.(*net.TCPConn); ok {
-			_ = t.SetLinger(0) // refused there, so reset here
-		}
+		reset(a) // refused there, so reset here
 		return
 	}
 	defer b.Close()
--- a/lab/cluster/run.go
+++ b/lab/cluster/run.go
@@ -49,6 +49,13 @@
 	started  bool   // it said that it serves
 }
 
+// process is what runs there, if anything does, and whether it stands still.
+func (n *node) process() (p *fleet.Pooler, paused bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.pooler, n.paused
+}
+
 // rig is a run.
 type rig struct {
 	o     Options
@@ -73,6 +80,9 @@
 	from, till time.Time
 }
 
+// lasts says whether it goes on beyond a moment.
+func (s *span) lasts(beyond time.Time) bool { return s.till.IsZero() || s.till.After(beyond) }
+
 // Line is a line of the timeline.
 type Line struct {
 	At    time.Duration
@@ -297,7 +307,7 @@
 	case "drop one way":
 		r.mesh.One(f.A, f.B, func(t *Trouble) { t.Drop = true })
 		return func() { r.mesh.One(f.A, f.B, func(t *Trouble) { t.Drop = false }) }, nil
-	case "cut":
+	case "cut", "no host":
 		return both(func(t *Trouble) { t.Drop = true }, func(t *Trouble) { t.Drop = false }), nil
 	case "stall":
 		return both(func(t *Trouble) { t.Stall = true }, func(t *Trouble) { t.Stall = false }), nil
@@ -346,8 +356,6 @@
 	case "no discovery":
 		r.mesh.Both(f.A, "discovery", func(t *Trouble) { t.Drop = true })
 		return func() { r.mesh.Both(f.A, "discovery", func(t *Trouble) { t.Drop = false }) }, nil
-	case "no host":
-		return both(func(t *Trouble) { t.Drop = true }, func(t *Trouble) { t.Drop = false }), nil
 	case "failover":
 		lead := r.fleet.Cluster.Leader()
 		for _, h := range r.fleet.Hosts {
@@ -362,20 +370,16 @@
 		r.down(n)
 		return r.again(n), nil
 	case "restart":
-		n.mu.Lock()
-		p := n.pooler
-		n.mu.Unlock()
+		p, _ := n.process()
 		if p == nil {
 			return nil, errors.New("it is down")
 		}
 		wait, cancel := context.WithTimeout(ctx, 10*time.Second)
 		defer cancel()
 		err := p.Terminate(wait)
-		n.mu.Lock()
-		mine := n.pooler == p // else another fault has killed it meanwhile
-		n.mu.Unlock()
+		still, _ := n.process()
 		r.down(n)
-		if err != nil && mine {
+		if err != nil && still == p { // else another fault has killed it meanwhile
 			r.g.Break("bad_exit", "%s ended with %v", n.name, err)
 		}
 		return r.again(n), nil
@@ -467,10 +471,7 @@
 // again starts a node's process once more.
 func (r *rig) again(n *node) func() {
 	return func() {
-		n.mu.Lock()
-		there := n.pooler != nil
-		n.mu.Unlock()
-		if there {
+		if p, _ := n.process(); p != nil {
 			return
 		}
 		if err := r.up(n); err != nil {
@@ -525,14 +526,12 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		for _, s := range r.spans {
-			if (s.A == name && slices.Contains([]string{"process", "voter"}, Kinds[s.Kind]) || Kinds[s.Kind] == "voters") && !s.harmless() && (s.till.IsZero() || s.till.Add(time.Second).After(since)) {
+			if (s.A == name && slices.Contains([]string{"process", "voter"}, Kinds[s.Kind]) || Kinds[s.Kind] == "voters") && !s.harmless() && s.lasts(since.Add(-time.Second)) {
 				return true
 			}
 		}
-		n := r.node(name)
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		return n.pooler == nil || n.paused
+		p, paused := r.node(name).process()
+		return p == nil || paused
 	}
 }
 
@@ -604,9 +603,7 @@
 	for sleep(ctx, 200*time.Millisecond) {
 		var all sync.WaitGroup
 		for _, n := range r.nodes {
-			n.mu.Lock()
-			p, paused := n.pooler, n.paused
-			n.mu.Unlock()
+			p, paused := n.process()
 			if p == nil || paused {
 				continue
 			}
@@ -683,6 +680,30 @@
 	return v, err
 }
 
+// event is a line of a process's trace.
+type event struct {
+	At, Left            float64
+	Event, Of, From, To string
+	Versions            []int
+	Rules               map[string]any
+	Lapsed              bool
+}
+
+// events are those of all the processes that ran at a place. What can't be read was cut off by the end of one.
+func (n *node) events() (out []event) {
+	b, err := os.ReadFile(n.trace)
+	if err != nil {
+		return nil
+	}
+	for _, text := range strings.Split(string(b), "\n") {
+		var e event
+		if json.Unmarshal([]byte(text), &e) == nil {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // timeline is what happened, in order: faults with their length, and each process's own changes of view.
 func (r *rig) timeline() []Line {
 	r.mu.Lock()
@@ -707,18 +728,8 @@
 	}
 	r.mu.Unlock()
 	for _, n := range r.nodes {
-		b, err := os.ReadFile(n.trace)
-		if err != nil {
-			continue
-		}
-		for _, text := range strings.Split(string(b), "\n") {
-			var e struct {
-				At                  float64
-				Event, Of, From, To string
-				Versions            []int
-				Lapsed              bool
-			}
-			if json.Unmarshal([]byte(text), &e) != nil || e.Event == "lease" {
+		for _, e := range n.events() {
+			if e.Event == "lease" {
 				continue
 			}
 			l := Line{At: time.UnixMicro(int64(e.At * 1e3)).Sub(r.begun), Who: n.name, Text: e.Event}
@@ -741,8 +752,8 @@
 func (r *rig) bound() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, p := range r.polls {
-		return time.Duration(p.view.Bound * 1e6)
+	if len(r.polls) == 0 {
+		return 0
 	}
-	return 0
+	return time.Duration(r.polls[0].view.Bound * 1e6)
 }
--- a/lab/cluster/simulate.go
+++ b/lab/cluster/simulate.go
@@ -470,25 +470,13 @@
 	}
 }
 
-// compare says whether a permits itself what b's version in force forbids though b has not heard of anything else.
+// simKeys are those of the simulation.
+var simKeys = proposed{[]string{"class.a.bound_ms", "tries"}, "class.a.repeat", "database.d.group"}
+
+// compare holds what x permits itself against what y's version in force forbids.
 func (s *simulation) compare(x, y *simNode, a, b agree.Acting) {
-	const group = "database.d.group"
-	if v, w := a.Rules[group], b.Rules[group]; !a.Rules.Fenced(group) && !b.Rules.Fenced(group) && v != w {
-		s.breach("contradiction", "%s %v has %s %v, %s %v has %v", x.cfg.Name, a.Versions, group, v, y.cfg.Name, b.Versions, w)
-	}
-	if a.Lapsed || b.Lapsed || slices.Min(a.Versions) <= slices.Max(b.Versions) {
-		return // without a lease a pooler claims nothing of others; who knows of the version that a has in force has made room for it
-	}
-	for _, k := range []string{"class.a.bound_ms", "tries"} {
-		v, given := a.Rules[k].(float64)
-		if w, limited := b.Rules[k].(float64); limited && (!given || v > w) {
-			s.breach("contradiction", "%s %v has %s %v, %s %v has %v", x.cfg.Name, a.Versions, k, a.Rules[k], y.cfg.Name, b.Versions, w)
-		}
-	}
-	if v, given := a.Rules["class.a.repeat"].(bool); !given || v {
-		if w, limited := b.Rules["class.a.repeat"].(bool); limited && !w {
-			s.breach("contradiction", "%s %v repeats, %s %v does not", x.cfg.Name, a.Versions, y.cfg.Name, b.Versions)
-		}
+	for _, k := range simKeys.contradicts(acted{a.Versions, a.Rules, a.Lapsed}, acted{b.Versions, b.Rules, b.Lapsed}) {
+		s.breach("contradiction", "%s %v has %s %v, %s %v has %v", x.cfg.Name, a.Versions, k, a.Rules[k], y.cfg.Name, b.Versions, b.Rules[k])
 	}
 }
 
--- a/lab/load/restart.go
+++ b/lab/load/restart.go
@@ -147,9 +147,10 @@
 			due := time.Now()
 			for ctx.Err() == nil {
 				l.step(o.Address())
-				if due = due.Add(time.Duration(l.rng.ExpFloat64() * float64(o.Mean))); !o.Open {
-					due = time.Now().Add(time.Duration(l.rng.ExpFloat64() * float64(o.Mean)))
+				if !o.Open {
+					due = time.Now()
 				}
+				due = due.Add(time.Duration(l.rng.ExpFloat64() * float64(o.Mean)))
 				if !sleep(ctx, time.Until(due)) {
 					return
 				}
