Discovery: one clock for silence, counted in whole lines, and lists that come indented

Seen, with stand-ins for a service on loopback and the program as it was: a watch behind whose head nothing came, followed by one call without an answer, left what it missed unknown for 10.4 s; one that dripped, for good; after SIGHUP the new service's list came after 4.1 s to 11.9 s where the old one had been overbooked or had reset calls; a list printed over lines on a watch was no list at all. Ruled out: the dial, which was bounded, and the event loop.

Cause: get in discovery.go reset its timer at any byte, of a head or within a line too (t.Reset at the top of its loop, s.signal in Traffic); a call without an answer was waited for as long as a silent watch (4.5 s) and followed by a pause of up to 4 s (pace.go, retryMost); Run cut the round before its pause, so that Move found nothing to end and the pause went on, and the new service inherited the old one's failures; stream.body ended a list at a line end.

Change: what counts is a whole head, a whole list or a line outside of lists. A move ends a pause and starts them anew. Where an object ends follows from its braces, strings left out, bounded in bytes as before. A service's own word of when to come back is followed as far as before.

--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
@@ -51,9 +50,7 @@
 const (
 	path    = "/registry/instances"
 	maxHead = 16 << 10
-	maxLine = 4 << 20                 // one list
-	quiet   = 4500 * time.Millisecond // an idle watch sends a line every 2 s
-	answer  = 3 * time.Second         // for the whole list
+	maxList = 4 << 20 // bytes of one list
 )
 
 // Watcher follows one discovery service at a time.
@@ -64,7 +61,8 @@
 	held   bool
 
 	pace    pace
-	brought atomic.Bool
+	brought bool      // the watch of the round under way got something whole, if only an empty line
+	heard   time.Time // the round did, or began
 
 	mu      sync.Mutex
 	address string
@@ -101,8 +99,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.moved {
-		w.moved, w.held = false, false
+		w.moved, w.held, w.pace.failed = false, false, 0
 	}
+	w.brought, w.heard = false, time.Now()
 	ctx, w.cut = context.WithCancel(ctx)
 	return ctx, w.cut, w.address
 }
@@ -113,38 +112,34 @@
 	for ctx.Err() == nil {
 		round, cut, address := w.begin(ctx)
 		err := w.round(round, address)
-		moved := round.Err() != nil
-		var status statusError
-		_ = errors.As(err, &status)
-		wait := w.pace.next(w.brought.Swap(false), status.after)
-		cut()
-		if ctx.Err() != nil {
-			return
+		if round.Err() == nil {
+			if !said {
+				slog.Warn(fmt.Sprintf("discovery: the watch ended: %v; going on with the list held", err))
+			}
+			said = err != nil && !errors.Is(err, errEnded) // a service that is down is told once
+			var status statusError
+			_ = errors.As(err, &status)
+			select {
+			case <-round.Done(): // a move goes before the rest of a pause, too
+			case <-time.After(w.pace.next(w.brought, status.after, time.Since(w.heard))):
+			}
 		}
-		if moved {
+		if round.Err() != nil && ctx.Err() == nil {
 			slog.Info("discovery: moved away from " + address)
 			said = false
-			continue
-		}
-		if !said {
-			slog.Warn(fmt.Sprintf("discovery: the watch ended: %v; going on with the list held", err))
-		}
-		said = err != nil && !errors.Is(err, errEnded) // a service that is down is told once
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
 		}
+		cut()
 	}
 }
 
 // round fetches the list where none was ever fetched or a watch could not go on, then watches.
 func (w *Watcher) round(ctx context.Context, address string) error {
 	if !w.held {
-		if err := w.get(ctx, address, path, answer, true); err != nil {
+		if err := w.get(ctx, address, path, true); err != nil {
 			return err
 		}
 	}
-	err := w.get(ctx, address, path+"?follow=1&since="+strconv.FormatUint(w.index, 10), quiet, false)
+	err := w.get(ctx, address, path+"?follow=1&since="+strconv.FormatUint(w.index, 10), false)
 	var status statusError
 	if errors.As(err, &status) && status.code < 500 && status.code != 429 || errors.Is(err, errHTTP) || errors.Is(err, errList) {
 		w.held = false // going on from there is no use: the whole list puts it right
@@ -157,11 +152,14 @@
 	errQuiet = errors.New("the service fell silent")
 )
 
-// get asks for a path and applies each list that comes. once: the answer is one list. A quiet time of more
-// than patience ends it.
-func (w *Watcher) get(ctx context.Context, address, path string, patience time.Duration, once bool) error {
-	s := &stream{whole: once, brought: &w.brought, signal: make(chan struct{}, 1), lists: make(chan List, 64), failed: make(chan error, 1)}
-	dialing, cancel := context.WithTimeout(ctx, answer)
+// get asks for a path and applies each list that comes. once: the answer is one list. The head of the answer, and once
+// the one list, have to be whole within the answer time of the pace, dial included; a watch is dropped once nothing
+// whole came for quiet. Single bytes are no sign of life: a list that drips in is never there in time.
+func (w *Watcher) get(ctx context.Context, address, path string, once bool) error {
+	s := &stream{head: make(chan struct{}, 1), signal: make(chan struct{}, 1), lists: make(chan List, 64), failed: make(chan error, 1)}
+	t := time.NewTimer(w.pace.answer())
+	defer t.Stop()
+	dialing, cancel := context.WithTimeout(ctx, w.pace.answer())
 	c, err := w.engine.Dial(dialing, address, s)
 	cancel()
 	if err != nil {
@@ -171,38 +169,48 @@
 	if err := c.AsyncWrite([]byte("GET "+path+" HTTP/1.1\r\nHost: "+address+"\r\nAccept: application/json\r\n\r\n"), nil); err != nil {
 		return err
 	}
-	t := time.NewTimer(patience)
-	defer t.Stop()
 	for {
-		t.Reset(patience)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case l := <-s.lists:
-			l.Snapshot = l.Snapshot || once
-			if w.take(l); once {
+		case <-s.head:
+			if !once {
+				t.Reset(quiet)
+			}
+		case <-s.signal:
+			if !once {
+				w.brought, w.heard = true, time.Now()
+				t.Reset(quiet)
+			}
+			if w.takeAll(s.lists, once) && once {
 				return nil
 			}
 		case err := <-s.failed:
-			for { // what came before the end counts
-				select {
-				case l := <-s.lists:
-					l.Snapshot = l.Snapshot || once
-					if w.take(l); once {
-						return nil
-					}
-					continue
-				default:
-				}
-				return err
+			if w.takeAll(s.lists, once) && once { // what came before the end counts
+				return nil
 			}
-		case <-s.signal:
+			return err
 		case <-t.C:
 			return errQuiet
 		}
 	}
 }
 
+// takeAll takes what lists holds and says whether that was anything. once: the first is the whole list, and all.
+func (w *Watcher) takeAll(lists <-chan List, once bool) (any bool) {
+	for !any || !once {
+		select {
+		case l := <-lists:
+			w.heard, any = time.Now(), true
+			l.Snapshot = l.Snapshot || once
+			w.take(l)
+		default:
+			return any
+		}
+	}
+	return any
+}
+
 func (w *Watcher) take(l List) {
 	w.index = l.Index
 	w.held = w.held || l.Snapshot
@@ -211,23 +219,23 @@
 
 // stream parses an HTTP answer on the event loop, as it arrives.
 type stream struct {
-	brought *atomic.Bool // set when something of an answer came, if only an empty line
-	whole   bool         // the answer is one object, however many lines it has
-	head    bool         // it was read
+	begun   bool // the head was read
 	chunked bool
 	left    int // of the chunk or the body; -1: a chunk's size comes next, -2: an empty line after a chunk
-	line    []byte
-	lists   chan List
-	signal  chan struct{} // something came
-	failed  chan error
+
+	object []byte // what came of the one under way
+	depth  int    // of its braces and brackets that are open; 0: none is under way
+	quoted bool   // within a string
+	escape bool   // behind a backslash there
+
+	head   chan struct{} // it is whole
+	signal chan struct{} // a list, or a line outside of lists, is whole
+	lists  chan List
+	failed chan error
 }
 
 // Traffic is called on the loop.
 func (s *stream) Traffic(c gnet.Conn) gnet.Action {
-	select {
-	case s.signal <- struct{}{}:
-	default:
-	}
 	b, err := c.Peek(c.InboundBuffered())
 	if err == nil {
 		var used int
@@ -268,7 +276,7 @@
 
 // parse takes as much of b as is whole and returns how much that was.
 func (s *stream) parse(b []byte) (used int, err error) {
-	if !s.head {
+	if !s.begun {
 		end := bytes.Index(b, []byte("\r\n\r\n"))
 		if end < 0 {
 			if len(b) > maxHead {
@@ -303,7 +311,7 @@
 				return used, errHTTP
 			}
 			if n == 0 {
-				return used, cmp.Or(s.flush(), errEnded)
+				return used, cmp.Or(s.end(), errEnded)
 			}
 			s.left = int(n)
 			continue
@@ -315,7 +323,7 @@
 		used += n
 		if s.left -= n; s.left == 0 {
 			if !s.chunked {
-				return used, s.flush()
+				return used, s.end()
 			}
 			s.left = -2
 		}
@@ -331,7 +339,7 @@
 	}
 	refused := statusError{text: strings.Join(words[1:], " ")}
 	refused.code, _ = strconv.Atoi(words[1])
-	s.left = maxLine
+	s.left = maxList
 	for _, l := range lines[1:] {
 		name, value, _ := strings.Cut(l, ":")
 		value = strings.TrimSpace(value)
@@ -342,7 +350,7 @@
 			}
 		case "retry-after":
 			if n, err := strconv.ParseUint(value, 10, 31); err == nil {
-				refused.after = min(time.Duration(n)*time.Second, retryMost)
+				refused.after = min(time.Duration(n)*time.Second, wordMost)
 			}
 		case "content-length":
 			n, err := strconv.ParseUint(value, 10, 31)
@@ -357,49 +365,91 @@
 	if refused.code != 200 {
 		return refused
 	}
-	s.head = true
+	s.begun = true
+	raise(s.head)
 	return nil
 }
 
-// body takes a piece of the answer: JSON objects, one a line. A list may be longer than a chunk, and a chunk
-// than the ring buffer should hold, so pieces of a line are gathered here and bounded.
+// body takes a piece of the answer: JSON objects, each on a line or printed over many, with lines of no text between
+// them. Where an object ends follows from its braces, so neither chunks nor lines matter; what is gathered is bounded.
 func (s *stream) body(b []byte) error {
-	if s.brought != nil {
-		s.brought.Store(true)
-	}
-	for len(b) > 0 {
-		end := bytes.IndexByte(b, '\n')
-		if end < 0 || s.whole {
-			if len(s.line)+len(b) > maxLine {
-				return errHTTP
+	from := 0 // of the object under way, in b
+	for i, x := range b {
+		switch {
+		case s.escape:
+			s.escape = false
+		case s.quoted:
+			s.escape, s.quoted = x == '\\', x != '"'
+		case x == '{' || x == '[' && s.depth > 0:
+			if s.depth++; s.depth == 1 {
+				from = i
+			}
+		case s.depth == 0:
+			switch x {
+			case '\n':
+				raise(s.signal)
+			case ' ', '\t', '\r':
+			default:
+				return fmt.Errorf("%w: %q outside of an object", errList, x)
+			}
+		case x == '"':
+			s.quoted = true
+		case x == '}' || x == ']':
+			if s.depth--; s.depth > 0 {
+				continue
+			}
+			if err := s.gather(b[from : i+1]); err != nil {
+				return err
+			}
+			if err := s.flush(); err != nil {
+				return err
 			}
-			s.line = append(s.line, b...)
-			return nil
-		}
-		s.line = append(s.line, b[:end]...)
-		b = b[end+1:]
-		if err := s.flush(); err != nil {
-			return err
 		}
 	}
+	if s.depth > 0 {
+		return s.gather(b[from:])
+	}
 	return nil
 }
 
-// flush ends a line.
-func (s *stream) flush() error {
-	text := bytes.TrimSpace(s.line)
-	defer func() { s.line = s.line[:0] }()
-	if len(text) == 0 {
-		return nil
+// gather keeps a piece of the object under way.
+func (s *stream) gather(b []byte) error {
+	if len(s.object)+len(b) > maxList {
+		return errHTTP
 	}
+	s.object = append(s.object, b...)
+	return nil
+}
+
+// flush ends an object.
+func (s *stream) flush() error {
 	var l List
-	if err := json.Unmarshal(text, &l); err != nil {
+	err := json.Unmarshal(s.object, &l)
+	s.object = s.object[:0]
+	if err != nil {
 		return fmt.Errorf("%w: %w", errList, err)
 	}
 	select {
 	case s.lists <- l:
+		raise(s.signal)
 		return nil
 	default:
 		return errors.New("lists come faster than they are taken")
 	}
 }
+
+// end ends the body.
+func (s *stream) end() error {
+	if s.depth > 0 {
+		return fmt.Errorf("%w: it ends within an object", errList)
+	}
+	return nil
+}
+
+// raise leaves a mark that one reader takes up when it comes to it.
+func raise(mark chan struct{}) {
+	select {
+	case mark <- struct{}{}:
+	default:
+	}
+}
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -14,8 +14,8 @@
 	"ashstand/internal/net/loop"
 )
 
-func fresh(whole bool) *stream {
-	return &stream{whole: whole, signal: make(chan struct{}, 1), lists: make(chan List, 64), failed: make(chan error, 1)}
+func fresh() *stream {
+	return &stream{head: make(chan struct{}, 1), signal: make(chan struct{}, 1), lists: make(chan List, 64), failed: make(chan error, 1)}
 }
 
 func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
@@ -24,29 +24,43 @@
 	chunk("{\"index\":43,\"snapshot\":false,\"endpoints\":[{\"name\":\"s-1\",\"addr") + chunk("ess\":\"127.0.0.9:1\",\"group\":3,\"status\":\"leaving\"}]}\n\n") +
 	chunk("\n") + chunk("{\"index\":44,\"snapshot\":true,\"endpoints\":[]}\n")
 
+// indented is the same over many lines, with blank ones, and with braces, quotes and backslashes in a field that is not read.
+var indented = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+	chunk("{\r\n  \"index\": 43,\n\n  \"note\": \"}]\\\"{\\\\\",\n  \"snapshot\": false,\n  \"endpoints\": [\n    {\n      \"name\": \"s-1\",\n      \"addr") +
+	chunk("ess\": \"127.0.0.9:1\",\n      \"group\": 3,\n      \"status\": \"leaving\"\n    }\n  ]\n}\n\n") +
+	chunk("\n") + chunk("{\n  \"index\": 44,\n  \"snapshot\": true,\n  \"endpoints\": []\n}")
+
 // Guards against a list that is lost or doubled where the network cuts the stream.
 func TestWatchCutAnywhere(t *testing.T) {
-	for cut := range len(watch) {
-		s := fresh(false)
-		used, err := s.parse([]byte(watch[:cut]))
-		require.NoError(t, err)
-		_, err = s.parse([]byte(watch[used:]))
-		require.NoError(t, err)
-		require.Len(t, s.lists, 2, "cut at %d", cut)
-		l := <-s.lists
-		require.Equal(t, List{Index: 43, Endpoints: []Entry{{Name: "s-1", Address: "127.0.0.9:1", Group: 3, Status: Leaving}}}, l)
-		require.True(t, (<-s.lists).Snapshot)
+	for _, watch := range []string{watch, indented} {
+		for cut := range len(watch) {
+			s := fresh()
+			used, err := s.parse([]byte(watch[:cut]))
+			require.NoError(t, err)
+			_, err = s.parse([]byte(watch[used:]))
+			require.NoError(t, err)
+			require.Len(t, s.lists, 2, "cut at %d", cut)
+			l := <-s.lists
+			require.Equal(t, List{Index: 43, Endpoints: []Entry{{Name: "s-1", Address: "127.0.0.9:1", Group: 3, Status: Leaving}}}, l)
+			require.True(t, (<-s.lists).Snapshot)
+		}
 	}
 }
 
 func TestAnswersThatMakeNoSense(t *testing.T) {
 	for _, text := range []string{"SSH-2.0\r\n\r\n", "HTTP/1.1 503 Down\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{]"} {
-		_, err := fresh(true).parse([]byte(text))
+		_, err := fresh().parse([]byte(text))
 		require.Error(t, err, text)
 	}
-	s := fresh(true)
-	_, err := s.parse([]byte("HTTP/1.1 200 OK\r\nContent-Length: 34\r\n\r\n{\"index\":7,\n\"snapshot\":true      }"))
+	for text, want := range map[string]error{"null\n": errList, "{\"index\":[]}\n": errList, "{\"note\":\"" + strings.Repeat("x", maxList) + "\"}": errHTTP} {
+		_, err := fresh().parse([]byte(chunkedHead + chunk(text)))
+		require.ErrorIs(t, err, want)
+	}
+	_, err := fresh().parse([]byte(chunkedHead + chunk("{\n") + "0\r\n\r\n"))
+	require.ErrorIs(t, err, errList, "it ends within an object")
+	s := fresh()
+	_, err = s.parse([]byte("HTTP/1.1 200 OK\r\nContent-Length: 34\r\n\r\n{\"index\":7,\n\"snapshot\":true      }"))
 	require.NoError(t, err)
 	require.Len(t, s.lists, 1, "a list that is printed over lines")
 }
@@ -71,7 +85,7 @@
 				up++
 				continue
 			}
-			wait := paces[i].next(false, 0)
+			wait := paces[i].next(false, 0, 0)
 			require.LessOrEqual(t, wait, retryMost)
 			due[i] = now + float64(wait.Milliseconds())
 		}
@@ -106,8 +120,8 @@
 					up++
 					continue
 				}
-				wait := paces[j].next(false, word)
-				require.GreaterOrEqual(t, wait, min(word, retryMost), "never before the service's word")
+				wait := paces[j].next(false, word, 0)
+				require.GreaterOrEqual(t, wait, min(word, wordMost), "never before the service's word")
 				require.LessOrEqual(t, wait, told)
 				due[j] = now + float64(wait.Microseconds())/1000
 			}
@@ -130,15 +144,15 @@
 	a, b, other := newPace(7), newPace(7), newPace(8)
 	same := 0
 	for range 20 {
-		wait := a.next(false, 0)
-		require.Equal(t, wait, b.next(false, 0))
-		if wait == other.next(false, 0) {
+		wait := a.next(false, 0, 0)
+		require.Equal(t, wait, b.next(false, 0, 0))
+		if wait == other.next(false, 0, 0) {
 			same++
 		}
 	}
 	require.Less(t, same, 3)
-	a.next(true, 0)
-	require.LessOrEqual(t, a.next(true, 0), retryFirst, "a round that brought something starts anew")
+	a.next(true, 0, 0)
+	require.LessOrEqual(t, a.next(true, 0, 0), retryFirst, "a round that brought something starts anew")
 }
 
 // A service that is overbooked or down is asked for changes again, not for its whole list, which costs it more.
@@ -173,17 +187,17 @@
 }
 
 func TestRetryAfterOfTheServiceIsRead(t *testing.T) {
-	_, err := fresh(false).parse([]byte("HTTP/1.1 503 Busy\r\nRetry-After: 2\r\n\r\n"))
+	_, err := fresh().parse([]byte("HTTP/1.1 503 Busy\r\nRetry-After: 2\r\n\r\n"))
 	require.Equal(t, statusError{code: 503, text: "503 Busy", after: 2 * time.Second}, err)
-	_, err = fresh(false).parse([]byte("HTTP/1.1 503 Busy\r\nRetry-After: 4000000\r\n\r\n"))
-	require.Equal(t, retryMost, err.(statusError).after)
+	_, err = fresh().parse([]byte("HTTP/1.1 503 Busy\r\nRetry-After: 4000000\r\n\r\n"))
+	require.Equal(t, wordMost, err.(statusError).after)
 }
 
 // FuzzStream checks that no bytes of the service panic.
 func FuzzStream(f *testing.F) {
 	f.Add([]byte(watch))
 	f.Fuzz(func(_ *testing.T, b []byte) {
-		s := fresh(false)
+		s := fresh()
 		if used, err := s.parse(b); err == nil {
 			_, _ = s.parse(b[used:])
 		}
