Stand-in hosts: databases with tables, row locks, the fence row and its guard, and replication's code

A tenant's move between groups needs more of the stand-in than one table of all clients: several databases in a group, UPDATE and DELETE, locks of rows, catalogue and logical replication. Databases are made by Cluster.Database; what names none of these goes on as before.

--- a/lab/host/cluster.go
+++ b/lab/host/cluster.go
@@ -27,6 +27,19 @@
 	commits  int
 	rng      *rand.Rand
 	prunedAt float64
+
+	databases   map[string]*Database
+	strict      bool
+	oids        uint32
+	xids        uint32
+	epoch       int // counts the primaries
+	locks       map[lockKey]map[*transaction]lockMode
+	freed       chan struct{}         // closed when locks are let go
+	committed   chan struct{}         // closed when there is a commit
+	writers     map[*transaction]bool // of databases, that have written and not ended
+	recent      []*logged             // the last commits
+	lost        []*logged
+	replication Replication
 }
 
 // version is a row as of a commit.
@@ -38,7 +51,9 @@
 // NewCluster returns an empty group.
 func NewCluster(group, seed uint64) *Cluster {
 	return &Cluster{Group: group, rows: map[string][]version{}, tables: map[string]bool{"entries": true},
-		rng: rand.New(rand.NewPCG(seed, group))}
+		rng: rand.New(rand.NewPCG(seed, group)), databases: map[string]*Database{}, locks: map[lockKey]map[*transaction]lockMode{},
+		freed: make(chan struct{}), committed: make(chan struct{}), writers: map[*transaction]bool{},
+		replication: Replication{Retry: 5 * time.Second, Timeout: time.Minute, ConnectTime: 10 * time.Second}}
 }
 
 // Faults is what goes wrong on a host: each a chance by statement or connection, from 0 to 1.
@@ -94,6 +109,9 @@
 	open    atomic.Int64
 	cancels sync.Map // key data to *conn
 	pid     atomic.Uint32
+	off     atomic.Bool        // as down
+	slots   map[string]*slot   // under the cluster's lock
+	senders map[uint32]*sender // by pid, under the cluster's lock
 
 	mu       sync.Mutex
 	lag      time.Duration
@@ -177,7 +195,7 @@
 
 // Add starts a member that listens at address ("127.0.0.1:0" for any port). The first one is the primary.
 func (c *Cluster) Add(name, address string) (*Host, error) {
-	h := &Host{Name: name, cluster: c, most: 20000}
+	h := &Host{Name: name, cluster: c, most: 20000, slots: map[string]*slot{}, senders: map[uint32]*sender{}}
 	if err := h.start(address); err != nil {
 		return nil, err
 	}
@@ -298,6 +316,7 @@
 	h.mu.Lock()
 	h.down = true
 	h.mu.Unlock()
+	h.off.Store(true)
 	_ = h.listen.Close()
 	h.Cut()
 }
@@ -307,9 +326,12 @@
 	h.mu.Lock()
 	h.down, h.since, h.draining = false, math.Floor(Now()), time.Time{}
 	h.mu.Unlock()
+	h.off.Store(false)
 	return h.start(h.Address)
 }
 
+func (h *Host) isDown() bool { return h.off.Load() }
+
 // Since is its last start in Unix milliseconds; 0: with the group.
 func (h *Host) Since() float64 {
 	h.mu.Lock()
@@ -318,19 +340,70 @@
 }
 
 // Fail takes the primary's role from its holder; its connections are reset where cut is set. After gap the member to
-// takes it with all that was committed.
-func (c *Cluster) Fail(to *Host, gap time.Duration, cut bool) {
+// takes it with all that was committed. The slots of the old primary die with its role, unlogged tables are empty on the
+// new one, and transactions that are open on the old one can not commit.
+func (c *Cluster) Fail(to *Host, gap time.Duration, cut bool) { c.FailLosing(to, 0, gap, cut) }
+
+// FailLosing is Fail where the new primary lacks the last n commits that the old one had acknowledged, of at most
+// 4096. It gives how many were lost; Lost has them.
+func (c *Cluster) FailLosing(to *Host, n int, gap time.Duration, cut bool) (lost int) {
 	c.mu.Lock()
 	old := c.primary
 	c.primary = nil
+	c.epoch++
+	c.locks = map[lockKey]map[*transaction]lockMode{}
+	c.writers = map[*transaction]bool{}
+	close(c.freed)
+	c.freed = make(chan struct{})
+	for _, db := range c.databases {
+		for _, s := range db.subscriptions {
+			s.kick()
+		}
+		db.wal, db.walChanges = nil, 0
+	}
+	if old != nil {
+		old.slots = map[string]*slot{}
+	}
 	c.mu.Unlock()
 	if cut && old != nil {
 		old.Cut()
 	}
 	time.Sleep(gap)
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	lost = c.lose(n)
+	for _, db := range c.databases {
+		for _, t := range db.tables {
+			if t.unlogged {
+				t.rows = newRows()
+			}
+		}
+		for _, s := range db.subscriptions {
+			s.kick()
+		}
+	}
+	to.slots = map[string]*slot{}
 	c.primary = to
+	return lost
+}
+
+// Close ends all hosts and subscriptions.
+func (c *Cluster) Close() {
+	c.mu.Lock()
+	hosts := append([]*Host(nil), c.hosts...)
+	var subs []*subscription
+	for _, db := range c.databases {
+		for _, s := range db.subscriptions {
+			subs = append(subs, s)
+		}
+	}
 	c.mu.Unlock()
+	for _, s := range subs {
+		s.end()
+	}
+	for _, h := range hosts {
+		h.Stop()
+	}
 }
 
 // Hosts are the members.
@@ -391,12 +464,13 @@
 	if c.primary != h {
 		return 0, false
 	}
-	at = max(Now(), c.last+0.001)
-	c.last = at
-	c.commits++
+	at = c.advance()
 	for _, w := range ws {
 		c.rows[w.key] = append(c.rows[w.key], version{at, w.payload})
 	}
+	r := &logged{at: at, writes: ws, host: h.Name}
+	c.remember(r)
+	c.decode(r)
 	return at, true
 }
 
--- a/lab/host/conn.go
+++ b/lab/host/conn.go
@@ -52,6 +52,44 @@
 	cancelled atomic.Bool
 	running   atomic.Bool
 	served    int
+
+	// Of a client that named a database:
+	db          *Database
+	user        string
+	party       *party
+	session     *transaction // holds what pg_advisory_lock took
+	at          float64      // what the statement reads
+	given       []uint32     // the types of its parameters that are known
+	several     bool         // the query string has more than one statement
+	replication bool
+	slots       []string // temporary ones
+	terminated  atomic.Bool
+	doing       atomic.Pointer[activity]
+}
+
+// activity is a session as pg_stat_activity shows it.
+type activity struct {
+	state, query string
+	began        time.Time // its transaction
+	changed      time.Time
+	xid          uint32
+}
+
+// note tells what the session does now.
+func (c *conn) note(state, query string) {
+	if c.db == nil {
+		return
+	}
+	a := &activity{state: state, query: query, changed: time.Now()}
+	if query == "" {
+		if was := c.doing.Load(); was != nil {
+			a.query = was.query
+		}
+	}
+	if c.tx != nil && (state != "idle") {
+		a.began, a.xid = c.tx.began, c.tx.xid
+	}
+	c.doing.Store(a)
 }
 
 func newConn(h *Host, c net.Conn) *conn {
@@ -108,6 +146,10 @@
 }
 
 func (c *conn) ready() {
+	if c.terminated.Load() {
+		c.farewell()
+		return
+	}
 	part, position, gauges := c.host.tells()
 	if c.committed > 0 {
 		position = int64(math.Ceil(c.committed))
@@ -117,13 +159,24 @@
 		c.send(&pgproto3.ParameterStatus{Name: s[0], Value: s[1]})
 	}
 	c.send(&pgproto3.ReadyForQuery{TxStatus: c.status()})
+	if c.db != nil {
+		c.note(map[byte]string{'I': "idle", 'T': "idle in transaction", 'E': "idle in transaction (aborted)"}[c.status()], "")
+	}
 	c.flush()
 }
 
+// farewell ends a session that pg_terminate_backend ended.
+func (c *conn) farewell() {
+	c.send(&pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: "57P01", Message: "terminating connection due to administrator command"})
+	c.flush()
+	c.dead = true
+}
+
 // serve runs the connection to its end.
 func (c *conn) serve() {
 	defer func() {
 		c.rollback()
+		c.depart()
 		c.host.cancels.Delete(uint64(c.pid)<<32 | uint64(c.key))
 		_ = c.net.Close()
 	}()
@@ -140,6 +193,10 @@
 			return
 		}
 		m, err := c.in.Receive()
+		if c.terminated.Load() {
+			c.farewell()
+			return
+		}
 		if err != nil {
 			return
 		}
@@ -183,6 +240,9 @@
 					c.set.start[name] = value
 				}
 			}
+			if !c.enter(m.Parameters) {
+				return false
+			}
 			c.pid = c.host.pid.Add(1)
 			c.key = c.pid * 2654435761
 			c.host.cancels.Store(uint64(c.pid)<<32|uint64(c.key), c)
@@ -283,12 +343,16 @@
 func (c *conn) query(text string) {
 	c.prepared[""] = nil
 	delete(c.prepared, "")
+	if c.replication && c.replicationCommand(text) {
+		return
+	}
 	statements, texts, f := read(text)
 	if f != nil {
 		c.fail(f)
 	} else if len(statements) == 0 {
 		c.send(&pgproto3.EmptyQueryResponse{})
 	}
+	c.several = len(statements) > 1
 	for i, s := range statements {
 		if f = c.statement(s, texts[i], nil, nil, 0, nil, true); f != nil || c.dead {
 			break
@@ -318,6 +382,12 @@
 	if c.tx != nil && c.tx.failed && !ends(p.of) {
 		return &fault{"25P02", "current transaction is aborted"}
 	}
+	c.several = false
+	if c.db != nil && len(p.of) > 0 {
+		if f := c.infer(p); f != nil {
+			return f
+		}
+	}
 	if _, ok := c.prepared[m.Name]; ok && m.Name != "" {
 		return &fault{"42P05", fmt.Sprintf("prepared statement %q already exists", m.Name)}
 	}
@@ -350,12 +420,7 @@
 			i < len(m.ParameterFormatCodes) && m.ParameterFormatCodes[i] == 1
 		s := string(v)
 		if binaryForm && v != nil {
-			switch oid := p.params[i]; {
-			case oid == 20 && len(v) == 8:
-				s = strconv.FormatInt(int64(binary.BigEndian.Uint64(v)), 10)
-			case oid == 23 && len(v) == 4:
-				s = strconv.FormatInt(int64(int32(binary.BigEndian.Uint32(v))), 10)
-			}
+			s = fromWire(p.params[i], v)
 		}
 		t.params = append(t.params, param{s, v == nil})
 	}
@@ -375,7 +440,7 @@
 			c.stumble(missing(m.Name))
 			return
 		}
-		if c.tx == nil || !c.tx.failed || c.columns(p.of) == nil {
+		if c.tx == nil || !c.tx.failed || c.shape(p) == nil {
 			c.send(&pgproto3.ParameterDescription{ParameterOIDs: p.params})
 		}
 	} else {
@@ -386,7 +451,7 @@
 		}
 		p, format = t.p, t.format
 	}
-	fields := c.columns(p.of)
+	fields := c.shape(p)
 	if fields != nil && c.tx != nil && c.tx.failed {
 		c.stumble(&fault{"25P02", "current transaction is aborted"})
 		return
@@ -398,18 +463,116 @@
 	}
 }
 
-func description(names []string, format []int16) *pgproto3.RowDescription {
-	d := &pgproto3.RowDescription{}
-	for _, n := range names {
-		f := int16(0)
-		if len(format) > 0 {
-			f = format[0]
+// shape is the columns of a statement's result; nil: it has none.
+func (c *conn) shape(p *prepared) (out []field) {
+	if len(p.of) == 0 {
+		return nil
+	}
+	if c.db != nil && (c.tx == nil || !c.tx.failed) {
+		at := p
+		if w := (&words{of: p.of}); w.take("execute") {
+			if name, ok := w.identifier(); ok && c.prepared[name] != nil {
+				at = c.prepared[name]
+			}
+		}
+		c.given = append([]uint32(nil), at.params...)
+		if st, f := c.plan(at.of); f == nil && st != nil {
+			return st.fields
 		}
-		d.Fields = append(d.Fields, pgproto3.FieldDescription{Name: []byte(n), DataTypeOID: 25, DataTypeSize: -1, TypeModifier: -1, Format: f})
+	}
+	for _, n := range c.columns(p.of) {
+		out = append(out, field{n, typeText})
+	}
+	return out
+}
+
+// infer finds the types of a statement's parameters that the client has not told.
+func (c *conn) infer(p *prepared) *fault {
+	c.given = append([]uint32(nil), p.params...)
+	st, f := c.plan(p.of)
+	if f != nil || st == nil {
+		return f
+	}
+	for len(p.params) < len(st.params) {
+		p.params = append(p.params, 0)
+	}
+	for i, t := range st.params {
+		if p.params[i] == 0 && t != typeUnknown {
+			p.params[i] = t
+		}
+	}
+	return nil
+}
+
+// formOf is the form of a column of a result.
+func formOf(format []int16, i int) int16 {
+	switch {
+	case len(format) == 0:
+		return 0
+	case len(format) == 1:
+		return format[0]
+	case i < len(format):
+		return format[i]
+	}
+	return 0
+}
+
+func description(fields []field, format []int16) *pgproto3.RowDescription {
+	d := &pgproto3.RowDescription{}
+	for i, n := range fields {
+		d.Fields = append(d.Fields, pgproto3.FieldDescription{Name: []byte(n.name), DataTypeOID: n.typ, DataTypeSize: sizes[n.typ] - 1, TypeModifier: -1,
+			Format: formOf(format, i)})
 	}
 	return d
 }
 
+// sizes are the types' sizes in bytes and one more; the others have any.
+var sizes = map[uint32]int16{typeBool: 2, typeInt8: 9, typeInt4: 5, typeOid: 5, typeXid: 5, typeFloat8: 9, typeTimestamptz: 9, typeRegclass: 5, typeLSN: 9}
+
+// enter takes the database that a client names.
+func (c *conn) enter(parameters map[string]string) bool {
+	c.user = parameters["user"]
+	name := parameters["database"]
+	if name == "" {
+		name = c.user
+	}
+	cl := c.host.cluster
+	cl.mu.Lock()
+	db, strict := cl.databases[name], cl.strict
+	cl.mu.Unlock()
+	refuse := func(state, text string) bool {
+		c.send(&pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: state, Message: text})
+		c.flush()
+		return false
+	}
+	if db == nil && strict {
+		return refuse("3D000", fmt.Sprintf("database %q does not exist", name))
+	}
+	if c.db = db; db != nil {
+		c.party = &party{}
+		c.session = &transaction{db: db, by: c.party}
+		c.replication = parameters["replication"] == "database"
+	}
+	return true
+}
+
+// depart lets go what the session held beyond its transactions.
+func (c *conn) depart() {
+	if c.db == nil {
+		return
+	}
+	cl := c.host.cluster
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.release(c.session)
+	for _, name := range c.slots {
+		if s := c.host.slots[name]; s != nil && s.temporary && s.pid == c.pid {
+			delete(c.host.slots, name)
+			cl.trim(s.db)
+		}
+	}
+}
+
 func (c *conn) execute(m *pgproto3.Execute) {
 	t := c.portals[m.Portal]
 	if t == nil {
@@ -458,6 +621,9 @@
 		if c.cancelled.Load() {
 			return &fault{"57014", "canceling statement due to user request"}
 		}
+		if c.terminated.Load() {
+			return &fault{"57P01", "terminating connection due to administrator command"}
+		}
 		time.Sleep(min(5*time.Millisecond, time.Until(end)))
 	}
 	return nil
--- a/lab/host/exec.go
+++ b/lab/host/exec.go
@@ -11,10 +11,23 @@
 
 // rows are a result, made one by one so that a large one needs no memory.
 type rows struct {
-	names []string
-	next  func() (row []any, ok bool) // a string, or nil for NULL
-	sent  int
-	tag   string // with %d for the count of rows
+	names  []string
+	fields []field                     // in place of names, where there are types
+	next   func() (row []any, ok bool) // a string, a value, or nil for NULL
+	sent   int
+	tag    string // with %d for the count of rows
+}
+
+// columns are a result's, of text where nothing else is told.
+func (r *rows) columns() []field {
+	if r.fields != nil {
+		return r.fields
+	}
+	out := make([]field, 0, len(r.names))
+	for _, n := range r.names {
+		out = append(out, field{n, typeText})
+	}
+	return out
 }
 
 func one(name string, v any) *rows {
@@ -100,6 +113,9 @@
 			} else if w.take("read", "write") {
 				c.tx.readOnly = false
 				w.at--
+			} else if w.take("repeatable", "read") || w.take("serializable") {
+				c.tx.repeatable = true
+				w.at--
 			}
 		}
 		c.complete("BEGIN")
@@ -151,6 +167,12 @@
 			return f
 		}
 	}
+	if c.db != nil {
+		c.note("active", text)
+		if done, f := c.database(s, text, params, format, most, p, simple); done {
+			return f
+		}
+	}
 	switch {
 	case w.take("savepoint"):
 		name, ok := w.identifier()
@@ -303,6 +325,7 @@
 	l := c.tx.layers[i]
 	c.tx.layers = c.tx.layers[:i+1]
 	c.tx.writes = c.tx.writes[:l.writes]
+	c.tx.backTo(l.changes)
 	c.tx.failed = false
 	c.restore(l)
 	c.complete("ROLLBACK")
@@ -336,6 +359,9 @@
 			if w.take("read", "only") {
 				c.tx.readOnly = true
 				w.at--
+			} else if w.take("repeatable", "read") || w.take("serializable") {
+				c.tx.repeatable = true
+				w.at--
 			}
 		}
 		c.complete("SET")
@@ -744,7 +770,7 @@
 // put sends rows, up to most of them (0: all).
 func (c *conn) put(r *rows, format []int16, most int, p *portal, simple bool) *fault {
 	if simple {
-		c.send(description(r.names, nil))
+		c.send(description(r.columns(), nil))
 	}
 	for n := 0; ; n++ {
 		if most > 0 && n == most {
@@ -763,10 +789,16 @@
 		}
 		r.sent++
 		m := &pgproto3.DataRow{}
-		for _, v := range row {
-			if s, ok := v.(string); ok {
-				m.Values = append(m.Values, []byte(s))
-			} else {
+		for i, v := range row {
+			switch v := v.(type) {
+			case string:
+				m.Values = append(m.Values, []byte(v))
+			case value:
+				if i < len(r.fields) {
+					v.typ = r.fields[i].typ
+				}
+				m.Values = append(m.Values, v.wire(formOf(format, i)))
+			default:
 				m.Values = append(m.Values, nil)
 			}
 		}
@@ -824,39 +856,52 @@
 	if f := c.writable(); f != nil {
 		return f
 	}
+	data, f := c.copyIn(2, binaryForm)
+	if f != nil || c.dead {
+		return f
+	}
+	n, f := c.copied(name, data, binaryForm)
+	if f == nil {
+		c.complete(fmt.Sprintf("COPY %d", n))
+	}
+	return f
+}
+
+// copyIn takes what a client sends for COPY FROM STDIN.
+func (c *conn) copyIn(width int, binaryForm bool) (string, *fault) {
 	code := uint16(0)
 	if binaryForm {
 		code = 1
 	}
-	c.send(&pgproto3.CopyInResponse{OverallFormat: byte(code), ColumnFormatCodes: []uint16{code, code}})
+	codes := make([]uint16, width)
+	for i := range codes {
+		codes[i] = code
+	}
+	c.send(&pgproto3.CopyInResponse{OverallFormat: byte(code), ColumnFormatCodes: codes})
 	c.flush()
 	var data strings.Builder
 	for {
 		m, err := c.in.Receive()
 		if err != nil {
 			c.dead = true
-			return nil
+			return "", nil
 		}
 		switch m := m.(type) {
 		case *pgproto3.CopyData:
 			if c.host.chance(c.host.fault().CutCopy) {
 				c.cut("cut_copy")
-				return nil
+				return "", nil
 			}
 			if data.Len() < 64<<20 {
 				data.Write(m.Data)
 			}
 		case *pgproto3.CopyDone:
-			n, f := c.copied(name, data.String(), binaryForm)
-			if f == nil {
-				c.complete(fmt.Sprintf("COPY %d", n))
-			}
-			return f
+			return data.String(), nil
 		case *pgproto3.CopyFail:
-			return &fault{"57014", "COPY from stdin failed: " + m.Message}
+			return "", &fault{"57014", "COPY from stdin failed: " + m.Message}
 		case *pgproto3.Sync, *pgproto3.Flush: // part of the data
 		default:
-			return &fault{"08P01", fmt.Sprintf("%T in the middle of COPY", m)}
+			return "", &fault{"08P01", fmt.Sprintf("%T in the middle of COPY", m)}
 		}
 	}
 }
--- a/lab/host/state.go
+++ b/lab/host/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 )
 
 // defaults are the settings that a connection starts with. Those in reported are told to the client when they change.
@@ -11,6 +12,7 @@
 	"standard_conforming_strings": "on", "default_transaction_read_only": "off", "transaction_read_only": "off", "role": "none",
 	"session_authorization": "default", "bytea_output": "hex", "idle_in_transaction_session_timeout": "0", "server_version": "16.0 (stand-in)",
 	"transaction_isolation": "read committed", "default_transaction_isolation": "read committed", "is_superuser": "off", "jit": "off",
+	"session_replication_role": "origin", "wal_level": "logical", "max_replication_slots": "10", "server_version_num": "160000",
 }
 
 var reported = map[string]string{"application_name": "application_name", "client_encoding": "client_encoding", "datestyle": "DateStyle",
@@ -52,6 +54,7 @@
 	name       string
 	now, local map[string]string
 	writes     int
+	changes    int
 }
 
 // transaction is a block, or the implicit one of a query string or a pipeline.
@@ -62,6 +65,21 @@
 	layers   []layer // the first is its begin
 	writes   []write
 	locks    []string
+
+	// Of a database:
+	db         *Database
+	changes    []change
+	over       map[*Table]map[string][]value // rows as it sees them; no values: deleted
+	held       []lockKey
+	by         *party
+	epoch      int
+	xid        uint32  // 0: it has written nothing
+	repeatable bool    // REPEATABLE READ
+	snap       float64 // what it reads then
+	origin     string  // of a subscription's apply
+	remote     uint64
+	done       func(at float64) // runs with its commit, under the cluster's lock
+	began      time.Time
 }
 
 // begin opens a transaction, unless one is open.
@@ -70,13 +88,16 @@
 		ro, _ := c.set.get("default_transaction_read_only")
 		c.tx = &transaction{readOnly: ro == "on"}
 		c.tx.layers = []layer{{now: copied(c.set.now), local: copied(c.set.local)}}
+		if c.db != nil {
+			c.join()
+		}
 		c.host.noteTransaction()
 	}
 	c.tx.explicit = c.tx.explicit || explicit
 }
 
 func (c *conn) savepoint(name string) {
-	c.tx.layers = append(c.tx.layers, layer{name, copied(c.set.now), copied(c.set.local), len(c.tx.writes)})
+	c.tx.layers = append(c.tx.layers, layer{name, copied(c.set.now), copied(c.set.local), len(c.tx.writes), len(c.tx.changes)})
 }
 
 func (c *conn) layer(name string) int {
@@ -99,6 +120,7 @@
 		return
 	}
 	first := c.tx.layers[0]
+	c.leave()
 	c.tx = nil
 	c.restore(first)
 	c.set.local = nil
@@ -117,11 +139,16 @@
 	}
 	tx := c.tx
 	f := c.host.fault()
-	if len(tx.writes) > 0 && c.host.chance(f.CutBefore) {
+	writes := len(tx.writes)+len(tx.changes) > 0
+	if writes && c.host.chance(f.CutBefore) {
 		c.cut("cut_before_commit")
 		return false, nil
 	}
 	at, ok := c.host.cluster.commit(c.host, tx.writes)
+	if ok && c.db != nil {
+		at, err = c.host.cluster.commitChanges(c.host, tx)
+		ok = err == nil
+	}
 	if !ok {
 		c.rollback()
 		return false, &fault{"25006", "cannot commit: this server is no primary any more"}
@@ -130,7 +157,7 @@
 	c.portals = map[string]*portal{}
 	c.committed = max(c.committed, at)
 	c.report()
-	if len(tx.writes) > 0 && c.host.chance(f.CutAfter) {
+	if writes && c.host.chance(f.CutAfter) {
 		c.cut("cut_after_commit")
 	}
 	return true, nil
@@ -145,3 +172,25 @@
 	}
 	return 'T'
 }
+
+// join makes a new transaction one of the database's.
+func (c *conn) join() {
+	cl := c.host.cluster
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	c.tx.db, c.tx.by, c.tx.epoch, c.tx.began = c.db, c.party, cl.epoch, time.Now()
+	if v, _ := c.set.get("default_transaction_isolation"); v == "repeatable read" || v == "serializable" {
+		c.tx.repeatable = true
+	}
+}
+
+// leave lets go what the transaction holds.
+func (c *conn) leave() {
+	if c.db == nil {
+		return
+	}
+	cl := c.host.cluster
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.release(c.tx)
+}
