--- a/lab/host/database_test.go
+++ b/lab/host/database_test.go
@@ -95,15 +95,18 @@
 	return strings.Join(rows, ";")
 }
 
+// becomes waits until a query gives what is wanted.
 func (c *client) becomes(want, sql string) {
 	c.t.Helper()
-	require.Eventually(c.t, func() bool { return c.text(sql) == want }, 10*time.Second, 5*time.Millisecond, "%s: %s", sql, lazily(func() string { return c.text(sql) }))
+	got := ""
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if got = c.text(sql); got == want {
+			return
+		}
+	}
+	require.Equal(c.t, want, got, sql)
 }
 
-type lazily func() string
-
-func (f lazily) String() string { return f() }
-
 func TestDatabasesAreApart(t *testing.T) {
 	r := newRig(t, 1, 1)
 	r.Database("other")
--- a/lab/host/expr.go
+++ b/lab/host/expr.go
@@ -539,7 +539,11 @@
 	case "all":
 		return syntax("* does not stand here")
 	case "cast":
-		sc.demand(e.args[0], e.typ)
+		t := e.typ
+		if t == typeRegclass {
+			t = typeText // a name is looked up
+		}
+		sc.demand(e.args[0], t)
 	case "and", "or", "not", "exists", "isnull", "istrue", "isfalse":
 		e.typ = typeBool
 	case "=", "<>", "<", ">", "<=", ">=", "distinct":
--- a/lab/host/publish.go
+++ b/lab/host/publish.go
@@ -129,7 +129,7 @@
 		}
 		return nil
 	}
-	f := check()
+	f, stop := check(), c.actor().stop
 	older := map[*transaction]bool{}
 	for tx := range cl.writers {
 		if tx != c.tx {
@@ -147,7 +147,7 @@
 		}
 		cl.mu.Unlock()
 		time.Sleep(2 * time.Millisecond) // until they have ended
-		f = c.actor().stop()
+		f = stop()
 		cl.mu.Lock()
 		if f == nil {
 			f = check()
