Stand-in hosts: an apply of nothing is no commit, waits for locks show in pg_stat_activity

A failover that lost one commit of a subscriber lost an empty one: apply and copy made commits without rows. They make none now, and note the origin's progress beside the last commit. Tests wait for a lock by wait_event_type in place of sleeps.

--- a/lab/host/catalogue.go
+++ b/lab/host/catalogue.go
@@ -274,10 +274,18 @@
 }
 
 func activityRows(c *conn) (out [][]value) {
+	cl := c.host.cluster
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	waits := func(p *party) value {
+		v := text("Lock")
+		v.null = len(p.waits) == 0
+		return v
+	}
 	c.host.conns.Range(func(o, _ any) bool {
 		s := o.(*conn)
 		a := s.doing.Load()
-		if a == nil || s.db == nil {
+		if a == nil {
 			return true
 		}
 		kind := "client backend"
@@ -286,9 +294,20 @@
 		}
 		xid := value{s: strconv.Itoa(int(a.xid)), typ: typeXid, null: a.xid == 0}
 		out = append(out, []value{oid(s.db.oid), text(s.db.Name), pidOf(s.pid), text(s.user), text(s.set.start["application_name"]), text("127.0.0.1"), moment(a.changed), moment(a.began),
-			moment(a.changed), moment(a.changed), nothing(typeText), text(a.state), xid, text(a.query), text(kind)})
+			moment(a.changed), moment(a.changed), waits(s.party), text(a.state), xid, text(a.query), text(kind)})
 		return true
 	})
+	if cl.primary != c.host {
+		return out
+	}
+	for _, name := range sortedNames(cl.databases) {
+		for _, n := range sortedNames(cl.databases[name].subscriptions) {
+			if s := cl.databases[name].subscriptions[n]; s.pid != 0 {
+				out = append(out, []value{oid(s.db.oid), text(name), pidOf(s.pid), text("postgres"), text(""), nothing(typeText), nothing(typeTimestamptz), nothing(typeTimestamptz),
+					nothing(typeTimestamptz), nothing(typeTimestamptz), waits(s.by), nothing(typeText), nothing(typeXid), text(""), text("logical replication apply worker")})
+			}
+		}
+	}
 	return out
 }
 
--- a/lab/host/database_test.go
+++ b/lab/host/database_test.go
@@ -160,6 +160,12 @@
 	require.True(t, now.Equal(at))
 	require.NoError(t, c.QueryRow(c.ctx, "SELECT count(*) FROM app.lines WHERE shop = ANY($1)", []string{"a", "q"}).Scan(&n))
 	require.EqualValues(t, 2, n)
+	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec, pgx.QueryExecModeCacheDescribe, pgx.QueryExecModeDescribeExec} {
+		require.NoError(t, c.QueryRow(c.ctx, "UPDATE app.lines SET open = $1, at = $2 WHERE shop = $3 AND n = $4 RETURNING n", mode, false, now, "a", int64(2)).Scan(&n))
+		require.EqualValues(t, 2, n)
+		require.NoError(t, c.QueryRow(c.ctx, "SELECT n FROM app.lines WHERE n > $1 ORDER BY n LIMIT $2", mode, 2, 1).Scan(&n))
+		require.EqualValues(t, 10, n)
+	}
 	// A transaction sees what it has written, others do not; savepoints take back.
 	other := r.dial(r.hosts[0])
 	c.do("BEGIN")
@@ -253,7 +259,8 @@
 
 func TestRowLocksWait(t *testing.T) {
 	r := newRig(t, 1, 1)
-	a, b := r.dial(r.hosts[0]), r.dial(r.hosts[0])
+	a, b, eye := r.dial(r.hosts[0]), r.dial(r.hosts[0]), r.dial(r.hosts[0])
+	waits := func() { eye.becomes("1", "SELECT count(*) FROM pg_stat_activity WHERE wait_event_type = 'Lock'") }
 	a.script(fenceTable)
 	a.do("BEGIN")
 	a.do("SELECT token FROM ashstand.fence WHERE work = 'shop' FOR SHARE")
@@ -268,12 +275,7 @@
 	go func() { // it waits, and reads the row as it is then
 		done <- b.text("UPDATE ashstand.fence SET token = token + 10 WHERE work = 'shop' RETURNING token")
 	}()
-	time.Sleep(30 * time.Millisecond)
-	select {
-	case <-done:
-		t.Fatal("an UPDATE went past a lock")
-	default:
-	}
+	waits()
 	a.do("UPDATE ashstand.fence SET token = 5 WHERE work = 'shop'")
 	a.do("COMMIT")
 	require.Equal(t, "15", <-done)
@@ -285,7 +287,7 @@
 	b.do("UPDATE entries SET payload = 'b' WHERE ref = '2'")
 	failed := make(chan string, 1)
 	go func() { failed <- a.code("UPDATE entries SET payload = 'a' WHERE ref = '2'") }()
-	time.Sleep(30 * time.Millisecond)
+	waits()
 	second := b.code("UPDATE entries SET payload = 'b' WHERE ref = '1'")
 	b.do("ROLLBACK")
 	require.Equal(t, "40P01", second)
@@ -296,7 +298,7 @@
 	a.do("BEGIN")
 	a.do("INSERT INTO entries VALUES ('new', '')")
 	go func() { failed <- b.code("INSERT INTO entries VALUES ('new', '')") }()
-	time.Sleep(20 * time.Millisecond)
+	waits()
 	a.do("COMMIT")
 	require.Equal(t, "23505", <-failed)
 	// The locks of a connection that breaks are free.
--- a/lab/host/replicate_test.go
+++ b/lab/host/replicate_test.go
@@ -238,6 +238,27 @@
 	}
 }
 
+// A primary that starts again has its slots and what they hold back.
+func TestSlotSurvivesARestart(t *testing.T) {
+	p := newPair(t)
+	p.a.do("CREATE PUBLICATION all_tables FOR ALL TABLES")
+	p.subscribe("copy_data = false")
+	p.b.do("ALTER SUBSCRIPTION move DISABLE")
+	p.a.becomes("f", "SELECT active FROM pg_replication_slots")
+	p.a.do("INSERT INTO entries VALUES ('1', '')")
+	p.from.hosts[0].Stop()
+	p.b.do("ALTER SUBSCRIPTION move ENABLE")
+	p.b.becomes("t", "SELECT pid IS NULL FROM pg_stat_subscription")
+	require.NoError(t, p.from.hosts[0].Restart())
+	p.b.becomes("1", "SELECT ref FROM entries")
+	p.to.hosts[0].Stop() // the worker ends with its host
+	a := p.from.dial(p.from.hosts[0])
+	a.becomes("f", "SELECT active FROM pg_replication_slots")
+	a.do("INSERT INTO entries VALUES ('2', '')")
+	require.NoError(t, p.to.hosts[0].Restart())
+	p.to.dial(p.to.hosts[0]).becomes("1;2", "SELECT ref FROM entries ORDER BY ref")
+}
+
 func TestDuplicateKeyStopsApply(t *testing.T) {
 	p := newPair(t)
 	p.a.do("CREATE PUBLICATION all_tables FOR ALL TABLES")
@@ -306,7 +327,7 @@
 	p.b.do("BEGIN")
 	p.b.do("SELECT 1 FROM entries WHERE ref = 'seed-0000001' FOR UPDATE")
 	p.a.do("UPDATE entries SET payload = 'newer' WHERE ref = 'seed-0000001'")
-	time.Sleep(50 * time.Millisecond)
+	p.b.becomes("logical replication apply worker", "SELECT backend_type FROM pg_stat_activity WHERE wait_event_type = 'Lock'")
 	require.Equal(t, "new", p.b.text("SELECT payload FROM entries WHERE ref = 'seed-0000001'"))
 	p.b.do("COMMIT")
 	p.b.becomes("newer", "SELECT payload FROM entries WHERE ref = 'seed-0000001'")
@@ -399,7 +420,11 @@
 	require.NoError(t, c.QueryRow(c.ctx, "SELECT pg_current_wal_lsn() - $1::pg_lsn, pg_current_wal_lsn() > $1::pg_lsn", at).Scan(&ahead, &later))
 	require.Positive(t, ahead)
 	require.True(t, later)
+	r.hosts[1].SetLag(time.Hour)
 	replica := r.dial(r.hosts[1])
+	require.Empty(t, replica.text("SELECT ref FROM entries"))
+	require.Equal(t, "f", replica.text("SELECT pg_last_wal_replay_lsn() > '"+at+"'"))
+	r.hosts[1].SetLag(0)
 	require.Equal(t, "t", replica.text("SELECT pg_is_in_recovery()"))
 	replica.becomes("t", "SELECT pg_last_wal_replay_lsn() > '"+at+"'")
 	require.Equal(t, "25006", replica.code("INSERT INTO entries VALUES ('2', '')"))
@@ -425,6 +450,7 @@
 	a := p.a
 	a.do("CREATE PUBLICATION all_tables FOR ALL TABLES")
 	p.subscribe("")
+	p.b.becomes("r", "SELECT srsubstate FROM pg_subscription_rel")
 	p.from.db.Table("quiet", Traits{Unlogged: true})
 	a.do("INSERT INTO quiet VALUES ('1', '')")
 	a.do("INSERT INTO entries VALUES ('1', 'kept')")
--- a/lab/host/subscribe.go
+++ b/lab/host/subscribe.go
@@ -37,6 +37,7 @@
 	skipLSN      uint64
 	tables       map[*Table]*relation
 	progress     []progress
+	by           *party
 
 	pid                             uint32 // of the worker; 0: none runs
 	received, latestEnd             uint64
@@ -147,7 +148,7 @@
 }
 
 func (c *conn) createSubscription(p *parser) *fault {
-	s := &subscription{db: c.db, enabled: true, origin: "any", tables: map[*Table]*relation{}, wake: make(chan struct{}, 1), gone: make(chan struct{}), over: make(chan struct{})}
+	s := &subscription{db: c.db, enabled: true, origin: "any", tables: map[*Table]*relation{}, by: &party{}, wake: make(chan struct{}, 1), gone: make(chan struct{}), over: make(chan struct{})}
 	var ok bool
 	if s.name, ok = p.identifier(); !ok {
 		return p.wrong()
@@ -714,7 +715,7 @@
 
 // applying is an actor of the subscription's worker.
 func (s *subscription) applying(ctx context.Context, h *Host, epoch int, remote uint64) *actor {
-	tx := &transaction{db: s.db, by: &party{}, origin: s.originName(), epoch: epoch, remote: remote}
+	tx := &transaction{db: s.db, by: s.by, origin: s.originName(), epoch: epoch, remote: remote}
 	return &actor{cluster: s.db.cluster, host: h, tx: tx, role: "replica", stop: func() *fault {
 		if err := s.standing(ctx, h, epoch); err != nil {
 			return &fault{"57P01", err.Error()}
--- a/lab/host/table.go
+++ b/lab/host/table.go
@@ -675,6 +675,12 @@
 	if c.primary != h || tx.epoch != c.epoch {
 		return 0, demoted()
 	}
+	if len(tx.changes) == 0 { // an apply of nothing: no commit of its own
+		if tx.done != nil {
+			tx.done(c.last)
+		}
+		return c.last, nil
+	}
 	at = c.advance()
 	for _, ch := range tx.changes {
 		if ch.op == 'T' {
