Rig: one process at a place, ports held from their draw on, files written whole

Cause, in the rig: of a place nothing was known while its process got ready. `up` (lab/cluster/run.go:238) set `pooler` only after StartPooler had returned, up to 15 s later, and `again` (489) looked at `pooler` alone.

Also the rig's: `Free` (fleet.go:86) named a port that it had let go of, so that a second rig could draw it before the first listened, or while its process was killed (the start that failed). `restart` reported `bad_exit` when the run's end cut its wait short, or when a pause had the process stand still; the watch could take a process that had just drained for a crash; a twin that started where no first process was became the first.

Now: a place has a count of the faults that hold it down; whoever takes it kills what is there, also what is about to serve, and the last that lets go starts the next (lab/cluster/node.go). fleet.Launch refuses a second process of a name. Ports are held by a bound socket that does not listen: bound alone, then shared, which net.Listen and the event loop ask for. Weighed against it: a lock file for each port, which binds only rigs that look at it and no outgoing connection. Its datagrams can't be held so, therefore ports are drawn beside the range that the system gives to outgoing connections, read from the system. Files of a pooler are written beside and renamed.

--- a/lab/cluster/judge.go
+++ b/lab/cluster/judge.go
@@ -26,7 +26,7 @@
 	truth := map[string]place{}
 	for _, n := range r.nodes {
 		n.mu.Lock()
-		truth[n.name] = place{up: n.pooler != nil && !n.paused && n.started, instance: n.instance}
+		truth[n.name] = place{up: n.serves && !n.paused && n.started, instance: n.instance}
 		n.mu.Unlock()
 	}
 	r.mu.Lock()
@@ -112,8 +112,9 @@
 	}
 }
 
-// judgeTwin looks at a second process of a name before it ends: by the stated time it must be out and both must know.
-func (r *rig) judgeTwin(n *node, p *fleet.Pooler, begun time.Time) {
+// judgeTwin looks at a second process of a name before it ends: by the stated time it must be out and both must know. Where
+// the first is no longer the one that was there before it, the second is the first.
+func (r *rig) judgeTwin(n *node, first, p *fleet.Pooler, begun time.Time) {
 	bound := r.bound()
 	if time.Since(begun) < bound {
 		return
@@ -121,8 +122,7 @@
 	r.mu.Lock()
 	settled := r.settled(n.name, n.name, time.Now(), bound)
 	r.mu.Unlock()
-	first, _ := n.process()
-	if !settled || first == nil {
+	if still, _ := n.process(); !settled || still != first {
 		return
 	}
 	twin, err := look(p.Admin)
--- /dev/null
+++ b/lab/cluster/node_test.go
@@ -0,0 +1,147 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ashstand/lab/report"
+)
+
+// TestMain lets this program stand in for the pooler: it reads its file, listens, answers an empty query and ends when it is
+// told to. A second process of its place can't listen.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "serve" {
+		if err := standIn(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func standIn() error {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM)
+	b, err := os.ReadFile(os.Getenv("EDGE_CONFIG"))
+	if err != nil {
+		return err
+	}
+	var c struct{ Listen string }
+	if err := json.Unmarshal(b, &c); err != nil {
+		return err
+	}
+	time.Sleep(20 * time.Millisecond) // as a start takes
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = c.Read(make([]byte, 100))
+				_, _ = c.Write([]byte("I\x00\x00\x00\x04"))
+				_, _ = io.Copy(io.Discard, c)
+				c.Close()
+			}()
+		}
+	}()
+	<-told
+	time.Sleep(10 * time.Millisecond)
+	return nil
+}
+
+// standIns is a rig whose poolers are stand-ins.
+func standIns(t *testing.T, poolers int) *rig {
+	program, err := filepath.Abs(os.Args[0])
+	require.NoError(t, err)
+	r := &rig{o: Options{Pooler: program, Plan: Plan{Seed: 1, Poolers: poolers, Probe: 100, Names: names(poolers)}}, g: report.New("test", 1), begun: time.Now()}
+	t.Cleanup(r.close)
+	require.NoError(t, r.setup())
+	return r
+}
+
+// Faults that end and start one process, however they overlap, leave one process there: none starts a second one, whose
+// port or file would be the first one's, and none takes what another did for a crash or a bad exit.
+func TestFaultsThatOverlapOnAProcessStartOne(t *testing.T) {
+	r := standIns(t, 2)
+	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+	defer stop()
+	var watch sync.WaitGroup
+	watch.Go(func() { r.watch(ctx) })
+	kinds := []string{"kill", "kill", "restart", "clock ahead", "clock fast", "clock ahead", "pause"}
+	for round := range 8 {
+		var all sync.WaitGroup
+		for i, k := range kinds {
+			all.Go(func() {
+				sleep(ctx, time.Duration((round*7+i*11)%40)*time.Millisecond)
+				end, err := r.begin(ctx, Fault{Kind: k, A: "n1"})
+				if err != nil {
+					return // there was nothing to restart or to stop
+				}
+				sleep(ctx, 50*time.Millisecond)
+				end()
+			})
+		}
+		all.Wait()
+		n := r.node("n1")
+		p, paused := n.process()
+		require.NotNil(t, p)
+		require.False(t, paused)
+		require.Zero(t, n.held)
+		require.Zero(t, n.ahead+n.fast)
+		_, err := r.fleet.Launch("n1")
+		require.ErrorContains(t, err, "runs already")
+		for _, c := range []string{"failed_start", "bad_exit", "crashed"} {
+			require.Zero(t, r.g.Result(1).Broken[c], "%s: %v", c, r.g.Result(1).Notes)
+		}
+	}
+	stop()
+	watch.Wait()
+	p, _ := r.node("n1").process()
+	require.NotNil(t, p, "it did not crash")
+}
+
+// A process that ends by itself is a crash, once, and the place can be taken by faults as before. One that was told to end
+// is none.
+func TestACrashIsSeen(t *testing.T) {
+	r := standIns(t, 2)
+	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+	defer stop()
+	n := r.node("n2")
+	p, _ := n.process()
+	require.NoError(t, p.Signal(syscall.SIGTERM)) // nobody whom the rig knows of
+	<-p.Ended()
+	require.True(t, n.crashed(p))
+	require.False(t, n.crashed(p))
+	p, _ = n.process()
+	require.Nil(t, p)
+	end, err := r.begin(ctx, Fault{Kind: "kill", A: "n2"})
+	require.NoError(t, err)
+	end()
+	p, _ = n.process()
+	require.NotNil(t, p)
+	n.mu.Lock()
+	n.drains = true // as a restart has it until it takes the process away
+	n.mu.Unlock()
+	require.NoError(t, p.Signal(syscall.SIGTERM))
+	<-p.Ended()
+	require.False(t, n.crashed(p))
+	require.Empty(t, r.g.Result(1).Notes)
+}
--- a/lab/cluster/run.go
+++ b/lab/cluster/run.go
@@ -14,7 +14,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"ashstand/internal/admin"
@@ -33,29 +32,6 @@
 	Agree   bool // on versions of rules, which are proposed all along
 }
 
-// node is a place of the fleet, with the process that runs there.
-type node struct {
-	name   string
-	listen string // its cluster address
-	trace  string
-
-	mu       sync.Mutex
-	pooler   *fleet.Pooler // nil: it is down
-	address  string        // of its front, also while it is down
-	paused   bool
-	offset   string // of its clock, as the file has it
-	rate     float64
-	instance uint64 // as it says itself; 0: not known yet
-	started  bool   // it said that it serves
-}
-
-// process is what runs there, if anything does, and whether it stands still.
-func (n *node) process() (p *fleet.Pooler, paused bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.pooler, n.paused
-}
-
 // rig is a run.
 type rig struct {
 	o     Options
@@ -72,6 +48,7 @@
 	polls  []poll
 	told   []Line
 	agents map[string]string
+	ports  []*fleet.Port // of the members, held to the end
 }
 
 // span is a fault as it came about; till is zero while it lasts.
@@ -121,8 +98,8 @@
 	}
 	r.mesh, r.agents = NewMesh(), map[string]string{}
 	for _, name := range p.Names {
-		n := &node{name: name, trace: filepath.Join(r.dir, name+".trace"), rate: 1}
-		if n.listen, err = fleet.Free(); err != nil {
+		n := &node{name: name, trace: filepath.Join(r.dir, name+".trace"), held: 1}
+		if n.listen, err = r.port(); err != nil {
 			return err
 		}
 		r.nodes = append(r.nodes, n)
@@ -156,23 +133,34 @@
 	var all sync.WaitGroup
 	var failed = make([]error, len(r.nodes))
 	for i, n := range r.nodes {
-		all.Go(func() { failed[i] = r.up(n) })
+		all.Go(func() { failed[i] = r.let(n) })
 	}
 	all.Wait()
 	return errors.Join(failed...)
 }
 
+// port is an address that this run holds to its end.
+func (r *rig) port() (string, error) {
+	p, err := fleet.Hold()
+	if err != nil {
+		return "", err
+	}
+	r.mu.Lock()
+	r.ports = append(r.ports, p)
+	r.mu.Unlock()
+	return p.Address, nil
+}
+
 // extra is what a pooler's file says of the others. A twin is named like a node of which it is the second process.
 func (r *rig) extra(name string) string {
 	own, twin := strings.CutSuffix(name, "-twin")
 	n := r.node(own)
 	n.mu.Lock()
-	listen, trace, offset, rate := n.listen, n.trace, n.offset, n.rate
-	n.mu.Unlock()
+	listen, trace, ahead, fast := n.listen, n.trace, n.ahead > 0, n.fast > 0
 	if twin {
-		listen, _ = fleet.Free()
-		trace += "-twin"
+		listen, trace = n.twin, trace+"-twin"
 	}
+	n.mu.Unlock()
 	var b strings.Builder
 	fmt.Fprintf(&b, "cluster {\n  name = %q\n  listen = %q\n  keys = %q\n  probe = \"%dms\"\n  zone = \"hall-%c\"\n", own, listen, r.keys, r.o.Plan.Probe, 'a'+len(own)%3)
 	for _, o := range r.nodes {
@@ -185,10 +173,13 @@
 	}
 	b.WriteString("}\nlab {\n")
 	fmt.Fprintf(&b, "  trace = %q\n", trace)
-	if offset != "" {
-		fmt.Fprintf(&b, "  clock_offset = %q\n", offset)
+	if ahead {
+		b.WriteString("  clock_offset = \"2s\"\n")
+	}
+	if fast {
+		b.WriteString("  clock_rate = 1.01\n")
 	}
-	fmt.Fprintf(&b, "  clock_rate = %v\n}\n", rate)
+	b.WriteString("}\n")
 	return b.String()
 }
 
@@ -234,35 +225,13 @@
 	return nil
 }
 
-// up starts a node's process.
-func (r *rig) up(n *node) error {
-	p, err := r.fleet.StartPooler(n.name)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if p != nil {
-		n.pooler, n.address, n.paused, n.instance, n.started = p, p.Statement, false, 0, false
-	}
-	return err
-}
-
-// down kills it.
-func (r *rig) down(n *node) {
-	n.mu.Lock()
-	p := n.pooler
-	n.pooler = nil
-	n.mu.Unlock()
-	if p != nil {
-		p.Stop()
-	}
-}
-
 func (r *rig) close() {
-	for _, n := range r.nodes {
-		r.down(n)
-	}
 	if r.fleet != nil {
 		r.fleet.Stop()
 	}
+	for _, p := range r.ports {
+		p.Release()
+	}
 	if r.mesh != nil {
 		r.mesh.Close()
 	}
@@ -367,100 +336,40 @@
 		r.fleet.Publish()
 		return nil, nil
 	case "kill":
-		r.down(n)
-		return r.again(n), nil
+		return r.away(n, nil)
 	case "restart":
-		p, _ := n.process()
-		if p == nil {
-			return nil, errors.New("it is down")
-		}
-		wait, cancel := context.WithTimeout(ctx, 10*time.Second)
-		defer cancel()
-		err := p.Terminate(wait)
-		still, _ := n.process()
-		r.down(n)
-		if err != nil && still == p { // else another fault has killed it meanwhile
-			r.g.Break("bad_exit", "%s ended with %v", n.name, err)
-		}
-		return r.again(n), nil
+		return r.restart(n)
 	case "pause", "long pause":
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		if n.pooler == nil || n.paused {
-			return nil, errors.New("it is down")
-		}
-		if err := n.pooler.Signal(syscall.SIGSTOP); err != nil {
-			return nil, err
-		}
-		n.paused = true
-		p := n.pooler
-		return func() {
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			_ = p.Signal(syscall.SIGCONT)
-			if n.pooler == p {
-				n.paused = false
-			}
-		}, nil
+		return n.pause()
 	case "clock ahead", "clock fast":
-		n.mu.Lock()
-		if n.offset = "2s"; f.Kind == "clock fast" {
-			n.offset, n.rate = "", 1.01
-		}
-		n.mu.Unlock()
-		r.down(n)
-		if err := r.up(n); err != nil {
-			return nil, err
+		of := &n.ahead
+		if f.Kind == "clock fast" {
+			of = &n.fast
 		}
-		return func() {
-			n.mu.Lock()
-			n.offset, n.rate = "", 1
-			n.mu.Unlock()
-			r.down(n)
-			r.again(n)()
-		}, nil
+		return r.clock(n, of)
 	case "twin":
-		for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-			n.mu.Lock()
-			there := n.pooler != nil && n.started
-			n.mu.Unlock()
-			if there {
-				break // a second process that starts before the first is the first
-			}
-		}
-		p, err := r.fleet.StartPooler(n.name + "-twin")
-		if err != nil {
-			if p != nil {
-				p.Stop()
-			}
-			return nil, err
-		}
-		begun := time.Now()
-		return func() {
-			r.judgeTwin(n, p, begun)
-			p.Stop()
-		}, nil
+		return r.twin(ctx, n)
 	case "garbage":
 		return nil, spill(n.listen)
 	case "lost folder", "old folder":
-		r.down(n)
-		if err := r.spoil(n, f.Kind == "old folder"); err != nil {
-			return nil, err
-		}
-		return r.again(n), nil
+		return r.away(n, func() error { return r.spoil(n, f.Kind == "old folder") })
 	case "all killed":
-		for _, n := range r.nodes {
-			r.down(n)
-		}
-		for _, n := range r.nodes[:(Voters(len(r.nodes))-1)/2] { // of the voters, fewer than half lose what they had
-			if err := r.spoil(n, false); err != nil {
+		var ends []func()
+		for i, n := range r.nodes {
+			var spoil func() error
+			if i < (Voters(len(r.nodes))-1)/2 { // of the voters, fewer than half lose what they had
+				spoil = func() error { return r.spoil(n, false) }
+			}
+			end, err := r.away(n, spoil)
+			if err != nil {
 				return nil, err
 			}
+			ends = append(ends, end)
 		}
 		return func() {
 			var all sync.WaitGroup
-			for _, n := range r.nodes {
-				all.Go(r.again(n))
+			for _, end := range ends {
+				all.Go(end)
 			}
 			all.Wait()
 		}, nil
@@ -468,18 +377,6 @@
 	return nil, fmt.Errorf("there is no kind %q", f.Kind)
 }
 
-// again starts a node's process once more.
-func (r *rig) again(n *node) func() {
-	return func() {
-		if p, _ := n.process(); p != nil {
-			return
-		}
-		if err := r.up(n); err != nil {
-			r.g.Break("failed_start", "%s: %v", n.name, err)
-		}
-	}
-}
-
 // spill sends what no member would: noise, long datagrams, streams of noise and one that never ends.
 func spill(to string) error {
 	u, err := net.Dial("udp", to)
@@ -589,8 +486,8 @@
 			q.Broken["sent_to_draining"] += h.Counts.All()["sent_to_draining"]
 		}
 		for _, n := range r.nodes {
-			if n.pooler != nil {
-				_, rss := n.pooler.Usage()
+			if p, _ := n.process(); p != nil {
+				_, rss := p.Usage()
 				q.Memory.RSS = max(q.Memory.RSS, rss)
 			}
 		}
@@ -609,13 +506,7 @@
 			}
 			select {
 			case <-p.Ended():
-				n.mu.Lock()
-				crashed := n.pooler == p
-				if crashed {
-					n.pooler = nil
-				}
-				n.mu.Unlock()
-				if crashed {
+				if n.crashed(p) {
 					r.g.Break("crashed", "%s: %v\n%s", n.name, p.Err(), last(p.Log(), 2000))
 				}
 				continue
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -7,7 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
+	"maps"
 	"net"
 	"os"
 	"os/exec"
@@ -58,7 +58,9 @@
 	mu       sync.Mutex
 	draining map[string]bool
 
+	poolers   map[string]*Pooler   // the latest of each name
 	addresses map[string][2]string // of poolers
+	ports     []*Port              // held until the fleet stops
 }
 
 // Pooler is a process.
@@ -97,39 +99,6 @@
 	return t.b.String()
 }
 
-// The ports that Free names lie below those that systems give to outgoing connections: one of these could take a port
-// between the moment at which it is found free and that at which a process listens there.
-const (
-	lowPort  = 12000
-	highPort = 32000
-)
-
-var given sync.Map // ports that Free has named
-
-// Free names a loopback address on which nobody listens, neither for streams nor for datagrams.
-func Free() (string, error) {
-	var err error
-	for range 200 {
-		port := lowPort + rand.IntN(highPort-lowPort)
-		if _, twice := given.LoadOrStore(port, nil); twice {
-			continue
-		}
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
-		var l net.Listener
-		if l, err = net.Listen("tcp", address); err != nil {
-			continue
-		}
-		l.Close()
-		var u net.PacketConn
-		if u, err = net.ListenPacket("udp", address); err != nil {
-			continue
-		}
-		u.Close()
-		return address, nil
-	}
-	return "", fmt.Errorf("no free port: %w", err)
-}
-
 // Beside is a program in the folder of this one.
 func Beside(name string) (string, error) {
 	self, err := os.Executable()
@@ -145,7 +114,8 @@
 
 // Start brings up hosts and discovery, then one pooler, and waits until it serves.
 func Start(o Options) (*Fleet, error) {
-	f := &Fleet{Cluster: host.NewCluster(1, o.Seed), Options: o, draining: map[string]bool{}, addresses: map[string][2]string{}}
+	f := &Fleet{Cluster: host.NewCluster(1, o.Seed), Options: o, draining: map[string]bool{}, poolers: map[string]*Pooler{},
+		addresses: map[string][2]string{}}
 	var err error
 	if f.dir, err = os.MkdirTemp("", "ashlab-"); err != nil {
 		return nil, err
@@ -224,32 +194,72 @@
 			class("report", "idempotent", 7500, 15000, 4, 0.2), class("donate", "at_most_once", 1000, 3000, 3, 0.3)}}
 }
 
-// StartPooler starts one more pooler of the fleet.
+// StartPooler starts one more pooler of the fleet and waits until it serves. After an error it may still run.
 func (f *Fleet) StartPooler(name string) (*Pooler, error) {
+	p, err := f.Launch(name)
+	if err != nil {
+		return nil, err
+	}
+	return p, p.Ready()
+}
+
+// Launch starts a pooler's process, at the addresses that it had before if there was one of its name. While one of that
+// name runs there is no second: both would write one file and listen at one port.
+func (f *Fleet) Launch(name string) (p *Pooler, err error) {
+	p = &Pooler{log: &tail{pass: f.Options.Log}, ended: make(chan struct{}), Admin: "unix:" + filepath.Join(f.dir, name+".sock")}
+	f.mu.Lock()
+	was := f.poolers[name]
+	if was != nil {
+		select {
+		case <-was.ended:
+		default:
+			f.mu.Unlock()
+			return nil, fmt.Errorf("%s runs already", name)
+		}
+	}
+	f.poolers[name] = p
+	f.mu.Unlock()
+	defer func() {
+		if err != nil {
+			close(p.ended) // it never ran
+		}
+	}()
+	if p.Statement, p.Sessions, err = f.address(name); err != nil {
+		return nil, err
+	}
+	return p, f.launch(name, p)
+}
+
+// address is where a pooler takes statements and sessions: held from its first start until the fleet stops.
+func (f *Fleet) address(name string) (statement, sessions string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, again := f.addresses[name]
+	if again {
+		return at[0], at[1], nil
+	}
+	for i := range at {
+		port, err := Hold()
+		if err != nil {
+			return "", "", err
+		}
+		f.ports, at[i] = append(f.ports, port), port.Address
+	}
+	f.addresses[name] = at
+	return at[0], at[1], nil
+}
+
+func (f *Fleet) launch(name string, p *Pooler) error {
 	o := f.Options
 	program := o.Pooler
 	var err error
 	if program == "" {
 		if program, err = Beside("ashstand"); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	if program, err = filepath.Abs(program); err != nil {
-		return nil, err
-	}
-	p := &Pooler{log: &tail{pass: o.Log}, ended: make(chan struct{}), Admin: "unix:" + filepath.Join(f.dir, name+".sock")}
-	f.mu.Lock()
-	held, again := f.addresses[name]
-	f.mu.Unlock()
-	if p.Statement, p.Sessions = held[0], held[1]; !again { // one that starts again has its addresses
-		for _, a := range []*string{&p.Statement, &p.Sessions} {
-			if *a, err = Free(); err != nil {
-				return nil, err
-			}
-		}
-		f.mu.Lock()
-		f.addresses[name] = [2]string{p.Statement, p.Sessions}
-		f.mu.Unlock()
+		return err
 	}
 	memory, sockets := o.MemoryMB, o.Sockets
 	if memory == 0 {
@@ -262,14 +272,14 @@
 	agent := f.Registry.Address
 	if o.Agent != nil {
 		if agent, err = o.Agent(name, f.Registry); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	config, err := json.Marshal(map[string]any{"name": name, "listen": p.Statement, "discovery": agent, "seed": strconv.FormatUint(o.Seed+1+uint64(index), 16),
 		"limits":   map[string]any{"cores": 1, "memory_mb": memory, "sockets": sockets},
 		"settings": settings(max(1, len(o.Names)), index)})
 	if err != nil {
-		return nil, err
+		return err
 	}
 	path, file := filepath.Join(f.dir, name+".json"), filepath.Join(f.dir, name+".hcl")
 	block := o.Sessions
@@ -283,8 +293,8 @@
 	if o.Extra != nil {
 		text += o.Extra(name)
 	}
-	if err := errors.Join(os.WriteFile(path, config, 0o600), os.WriteFile(file, []byte(text), 0o600)); err != nil {
-		return nil, err
+	if err := errors.Join(write(path, config), write(file, []byte(text))); err != nil {
+		return err
 	}
 	args := []string{"serve", "--file", file}
 	if o.Plain {
@@ -296,13 +306,29 @@
 	p.cmd.Stderr, p.cmd.Stdout = p.log, p.log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with the lab, also when that is killed
 	if err := p.cmd.Start(); err != nil {
-		return nil, err
+		return err
 	}
 	go func() {
 		p.err = p.cmd.Wait()
 		close(p.ended)
 	}()
-	return p, p.wait()
+	return nil
+}
+
+// write puts a file there whole: whoever reads it meanwhile gets what was there before.
+func write(path string, b []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".new-")
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(b)
+	if err = errors.Join(err, f.Close()); err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		_ = os.Remove(f.Name())
+	}
+	return err
 }
 
 // Pool words a sessions block with one pool of so many connections a host.
@@ -326,8 +352,8 @@
 `, max(1, clients), max(1, servers), max(1, size), max(100, clients), max(1, size/8))
 }
 
-// wait until the pooler answers an empty query, as the platform's front does.
-func (p *Pooler) wait() error {
+// Ready waits until the pooler answers an empty query, as the platform's front does.
+func (p *Pooler) Ready() error {
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); {
 		select {
 		case <-p.ended:
@@ -401,8 +427,12 @@
 
 // Stop ends everything that was started.
 func (f *Fleet) Stop() {
-	if f.Pooler != nil {
-		f.Pooler.Stop()
+	f.mu.Lock()
+	poolers, ports := slices.Collect(maps.Values(f.poolers)), f.ports
+	f.ports = nil
+	f.mu.Unlock()
+	for _, p := range poolers {
+		p.Stop()
 	}
 	if f.Registry != nil {
 		f.Registry.Stop()
@@ -410,6 +440,9 @@
 	for _, h := range f.Hosts {
 		h.Stop()
 	}
+	for _, p := range ports {
+		p.Release()
+	}
 	_ = os.RemoveAll(f.dir)
 }
 
@@ -441,7 +474,7 @@
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(path, []byte(change(string(b))), 0o600)
+	return write(path, []byte(change(string(b))))
 }
 
 // SettingsJSON are the platform's settings that poolers of a fleet have.
