Processes that are gone for good among the faults of rig and simulation; link faults as a table

Now in every third schedule of the simulation one process, or as many as are a minority of the voters, goes for good; the other schedules are what they were, since who leaves is drawn from lots of its own.

In the rig the kind is `gone`: the place stays held, other faults of that process are refused, a plan draws no later one for it. Of the voters a minority goes or loses its folder at any time: before such a fault the rig asks each voter whether all present identities are counted, waits up to 3 s for that, and else refuses. "all killed" takes as many folders as are left to take. The judges know of it: from the moment it is gone the others must see it so within the stated time, it is not asked for the version in force, and what a process did ends when it did (a trace's last entry was held to last on to the next start). `garbage_uncounted` leaves out processes that lost their folder or were killed with all others meanwhile.

The faults of links are a table (`troubles` in plan.go). Troubles are laid and lifted each by itself: when a cut ended within a partition, it opened the link that the partition had closed.

--- a/lab/cluster/agree.go
+++ b/lab/cluster/agree.go
@@ -125,7 +125,8 @@
 	from, till float64
 }
 
-// read makes stretches of a process's trace. Under a lease one ends when the lease does, whatever the trace says.
+// read makes stretches of a process's trace. Under a lease one ends when the lease does, and each when the process does,
+// whatever the trace says.
 func (r *rig) read(n *node) (out []stretch) {
 	var at stretch
 	until := 0.0
@@ -133,6 +134,12 @@
 		if at.versions == nil {
 			return
 		}
+		for _, e := range n.ends {
+			if e := float64(e.UnixMicro()) / 1e3; e >= at.from {
+				t = min(t, e)
+				break
+			}
+		}
 		if at.till = t; !at.lapsed && until < t {
 			at.till = until
 		}
@@ -257,6 +264,9 @@
 			}
 			low = max(low, slices.Min(a.versions))
 		}
+		if n.gone {
+			continue
+		}
 		if end.lapsed || len(end.versions) != 1 || end.versions[0] != versions {
 			r.g.Break("stuck", "%s ends on %v, lapsed %v; version %d is in force", n.name, end.versions, end.lapsed, versions)
 		}
--- a/lab/cluster/cluster_test.go
+++ b/lab/cluster/cluster_test.go
@@ -84,35 +84,39 @@
 	require.True(t, ok)
 	require.Len(t, heard(3), 3)
 
-	m.One("a", "b", func(t *Trouble) { t.Delay = 50 * time.Millisecond })
+	lift := m.One("a", "b", Trouble{Delay: 50 * time.Millisecond})
 	took, ok := ask(time.Second)
 	require.True(t, ok)
 	require.GreaterOrEqual(t, took, 50*time.Millisecond)
-	m.One("a", "b", func(t *Trouble) { t.Delay, t.Loss = 0, 1 })
+	lift()
+	lift = m.One("a", "b", Trouble{Loss: 1})
 	require.Empty(t, heard(2))
-	m.One("a", "b", func(t *Trouble) { t.Loss, t.Double = 0, 1 })
+	lift()
+	lift = m.One("a", "b", Trouble{Double: 1})
 	require.Len(t, heard(1), 1)
 	require.Equal(t, "a", <-got, "the second copy")
-	m.One("a", "b", func(t *Trouble) { t.Double, t.Drop = 0, true })
+	lift()
+	lift = m.One("a", "b", Trouble{Drop: true})
+	m.Both("a", "b", Trouble{Drop: true})() // another that ends sooner takes nothing away
 	require.Empty(t, heard(1))
 	_, ok = ask(100 * time.Millisecond)
 	require.False(t, ok)
-	m.One("a", "b", func(t *Trouble) { t.Drop = false })
+	lift()
 	_, err = io.ReadFull(c, make([]byte, 1))
 	require.Error(t, err, "its deadline is over")
 	_ = c.SetDeadline(time.Now().Add(time.Second))
 	_, err = io.ReadFull(c, make([]byte, 1))
 	require.NoError(t, err, "a stream goes on where it stood")
 
-	m.One("a", "b", func(t *Trouble) { t.Stall = true })
+	lift = m.One("a", "b", Trouble{Stall: true})
 	require.Empty(t, heard(2))
-	m.One("a", "b", func(t *Trouble) { t.Stall = false })
+	lift()
 	require.Equal(t, []string{"a", "a"}, []string{<-got, <-got}, "let go again")
-	m.One("b", "a", func(t *Trouble) { t.Drop = true }) // the way back
+	lift = m.One("b", "a", Trouble{Drop: true}) // the way back
 	_, ok = ask(100 * time.Millisecond)
 	require.False(t, ok)
 	require.Len(t, heard(1), 1, "the way forth is as it was")
-	m.One("b", "a", func(t *Trouble) { t.Drop = false })
+	lift()
 	m.Reset("a", "b")
 	require.Eventually(t, func() bool { _, ok := ask(50 * time.Millisecond); return !ok }, time.Second, time.Millisecond)
 }
@@ -216,7 +220,7 @@
 		}
 		require.True(t, r.Held(), "%v\n%s", r.Broken, strings.Join(r.Notes, "\n"))
 		require.Greater(t, r.Baseline["versions in force"], float64(2*schedules))
-		for _, f := range []string{"killed", "killed, folder lost", "killed before a save", "killed after a save", "stopped", "partition", "cut one way", "loss"} {
+		for _, f := range []string{"killed", "killed, folder lost", "killed before a save", "killed after a save", "stopped", "partition", "cut one way", "loss", "gone for good"} {
 			require.Positive(t, r.Faults[f], f)
 		}
 	}
--- a/lab/cluster/judge.go
+++ b/lab/cluster/judge.go
@@ -98,7 +98,7 @@
 		}
 		later := false
 		for _, o := range r.spans {
-			later = later || o.A == s.A && !o.harmless() && Kinds[o.Kind] == "process" && o.lasts(s.from)
+			later = later || o.ends(s.A) && o.lasts(s.from)
 		}
 		var v *seen
 		for i := range r.polls {
--- a/lab/cluster/node.go
+++ b/lab/cluster/node.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"os"
+	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"ashstand/internal/admin"
 	"ashstand/lab/fleet"
 )
 
@@ -21,17 +26,19 @@
 	turn sync.Mutex // of whoever starts or stops a process here, not while that gets ready or drains
 
 	mu       sync.Mutex    // may be taken within turn, not the other way round
-	held     int           // faults that hold the place down, and the rig until it starts it
+	held     int           // faults that hold the place down, and the rig until it starts it; one that is gone stays held
 	pooler   *fleet.Pooler // nil: there is none; always so while the place is held, but for one that drains
 	serves   bool          // the process got ready
 	drains   bool          // it was told to end by itself
 	paused   bool
-	address  string // of its front, also while it is down
-	ahead    int    // faults that have its clock ahead
-	fast     int    // or fast
-	instance uint64 // as it says itself; 0: not known yet
-	started  bool   // it said that it serves
-	twin     string // the cluster address of a second process of its name; "": there is none
+	address  string      // of its front, also while it is down
+	ahead    int         // faults that have its clock ahead
+	fast     int         // or fast
+	instance uint64      // as it says itself; 0: not known yet
+	started  bool        // it said that it serves
+	gone     bool        // for good
+	ends     []time.Time // of its processes, the last few as many as faults took
+	twin     string      // the cluster address of a second process of its name; "": there is none
 }
 
 // process is what serves there, if anything does, and whether it stands still.
@@ -56,24 +63,43 @@
 	return p
 }
 
+// errGone is what faults of a process get that is gone for good.
+var errGone = errors.New("it is gone for good")
+
 // crashed says whether a process that ended did so by itself, and takes it out of its place.
 func (n *node) crashed(p *fleet.Pooler) bool {
 	n.mu.Lock()
 	told := n.drains
 	n.mu.Unlock()
-	return !told && n.take(p) == p
+	if told || n.take(p) != p {
+		return false
+	}
+	n.ended()
+	return true
+}
+
+// ended notes that a process is no longer there.
+func (n *node) ended() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ends = append(n.ends, time.Now())
 }
 
 // hold keeps a place down until let is called as often, kills what runs there, also what is about to, and does something
-// before anything runs there again.
+// before anything runs there again. A place that is gone for good is not held: let must not follow.
 func (r *rig) hold(n *node, do func() error) error {
 	n.turn.Lock()
 	defer n.turn.Unlock()
 	n.mu.Lock()
+	if n.gone {
+		n.mu.Unlock()
+		return errGone
+	}
 	n.held++
 	n.mu.Unlock()
 	if p := n.take(nil); p != nil {
 		p.Stop()
+		n.ended()
 	}
 	if do == nil {
 		return nil
@@ -98,6 +124,7 @@
 		return nil
 	}
 	p.Stop()
+	n.ended()
 	return err
 }
 
@@ -133,7 +160,9 @@
 
 // away holds a place down as a fault.
 func (r *rig) away(n *node, do func() error) (end func(), err error) {
-	if err := r.hold(n, do); err != nil {
+	if err := r.hold(n, do); errors.Is(err, errGone) {
+		return nil, err
+	} else if err != nil {
 		r.again(n)()
 		return nil, err
 	}
@@ -158,6 +187,7 @@
 	defer n.turn.Unlock()
 	if n.take(p) == p { // else another fault has killed it meanwhile
 		p.Stop()
+		n.ended()
 		if err != nil {
 			r.g.Break("bad_exit", "%s ended with %v", n.name, err)
 		}
@@ -189,17 +219,114 @@
 
 // clock starts a place's process once more with its clock wrong, and in the end once more without that.
 func (r *rig) clock(n *node, of *int) (end func(), err error) {
-	turn := func(by int) {
-		_ = r.hold(n, func() error {
+	turn := func(by int) error {
+		err := r.hold(n, func() error {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			*of += by
 			return nil
 		})
-		r.again(n)()
+		if err == nil {
+			r.again(n)()
+		}
+		return err
+	}
+	if err := turn(1); err != nil {
+		return nil, err
+	}
+	return func() { _ = turn(-1) }, nil // it may be gone meanwhile
+}
+
+// leave ends a process for good. Of the voters a minority at most goes, counting those that have lost their folder.
+func (r *rig) leave(ctx context.Context, n *node) error {
+	r.losing.Lock()
+	defer r.losing.Unlock()
+	if slices.Contains(r.nodes[:Voters(len(r.nodes))], n) && len(r.lose(ctx, 1, n)) == 0 {
+		return errors.New("a majority of the voters could be lost")
+	}
+	return r.hold(n, func() error {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.gone = true
+		return nil
+	})
+}
+
+// lose takes up to so many of some voters that may lose their folder now, or go, so that a majority keeps what it has. Where
+// earlier losses are in the way, it waits for a while until these are healed. The caller has r.losing until the loss is there.
+func (r *rig) lose(ctx context.Context, most int, of ...*node) (took []*node) {
+	for until := time.Now().Add(healing); ; {
+		if len(r.spent) > 0 && r.healed() {
+			clear(r.spent)
+		}
+		out, heals := 0, false
+		for _, n := range r.nodes[:Voters(len(r.nodes))] {
+			if r.spent[n.name] || n.left() {
+				out++
+				heals = heals || !n.left()
+			}
+		}
+		for _, n := range of {
+			switch {
+			case n.left() || len(took) == most:
+			case r.spent[n.name]: // it has nothing to lose that counts
+				took = append(took, n)
+			case out < Minority(len(r.nodes)):
+				out++
+				r.spent[n.name] = true
+				took = append(took, n)
+			}
+		}
+		if len(took) > 0 || !heals || time.Now().After(until) || !sleep(ctx, 100*time.Millisecond) {
+			return took
+		}
+	}
+}
+
+// healing is for how long a loss waits for an earlier one to heal: a start, a few elections, a change of voters.
+const healing = 3 * time.Second
+
+func (n *node) left() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.gone
+}
+
+// healed says whether each voter that is not gone serves, and all of these count each other's present identity, and nobody
+// else but those that are gone.
+func (r *rig) healed() bool {
+	voters := r.nodes[:Voters(len(r.nodes))]
+	ids := map[uint64]bool{}
+	var views []map[uint64]string
+	for _, n := range voters {
+		if n.left() {
+			continue
+		}
+		p, paused := n.process()
+		var kept struct {
+			ID uint64 `json:"id"`
+		}
+		var v struct {
+			Voters map[uint64]string `json:"voters"`
+		}
+		b, err := os.ReadFile(filepath.Join(r.folder(n.name), "agreed.json"))
+		if p == nil || paused || err != nil || json.Unmarshal(b, &kept) != nil || admin.Get(p.Admin, "agreement", &v) != nil {
+			return false
+		}
+		ids[kept.ID] = true
+		views = append(views, v.Voters)
+	}
+	for _, v := range views {
+		if len(v) != len(voters) {
+			return false
+		}
+		for id := range ids {
+			if v[id] == "" {
+				return false
+			}
+		}
 	}
-	turn(1)
-	return func() { turn(-1) }, nil
+	return true
 }
 
 // twin starts a second process of a node's name, once the first is known to be there: one that starts before is the first.
--- a/lab/cluster/node_test.go
+++ b/lab/cluster/node_test.go
@@ -145,3 +145,33 @@
 	require.False(t, n.crashed(p))
 	require.Empty(t, r.g.Result(1).Notes)
 }
+
+// A process that is gone for good stays away whatever other faults do, and of the voters a minority goes.
+func TestGoneForGood(t *testing.T) {
+	r := standIns(t, 4)
+	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+	defer stop()
+	begin := func(kind, a string) (end func(), err error) { return r.begin(ctx, Fault{Kind: kind, A: a}) }
+	end, err := begin("kill", "n2")
+	require.NoError(t, err)
+	r.play(ctx, Fault{Kind: "gone", A: "n2", For: 60000})
+	require.Equal(t, 1, r.g.Result(1).Faults["gone"])
+	require.False(t, r.spans[0].till.IsZero(), "from then on it is to be seen as it is")
+	end()
+	for _, k := range []string{"kill", "restart", "clock ahead", "pause", "gone"} {
+		_, err := begin(k, "n2")
+		require.Error(t, err, k)
+	}
+	_, err = begin("gone", "n1")
+	require.ErrorContains(t, err, "a majority of the voters")
+	end, err = begin("all killed", "")
+	require.NoError(t, err, "the one voter that may lose its folder is gone")
+	end()
+	_, err = begin("gone", "n4")
+	require.NoError(t, err, "that one has no vote")
+	for name, there := range map[string]bool{"n1": true, "n2": false, "n3": true, "n4": false} {
+		p, _ := r.node(name).process()
+		require.Equal(t, there, p != nil, name)
+	}
+	require.Empty(t, r.g.Result(1).Notes)
+}
--- a/lab/cluster/plan.go
+++ b/lab/cluster/plan.go
@@ -37,18 +37,42 @@
 	Names   []string `json:"-"`
 }
 
-// Kinds are the faults that a plan may hold, with what each needs: a process, a link between poolers, parts of them, a
-// link to discovery or to a host.
+// Kinds are the faults that a plan may hold, with what each needs: a process, one that never comes back, a link between
+// poolers, parts of them, a link to discovery or to a host.
 var Kinds = map[string]string{
 	"drop one way": "link", "cut": "link", "delay": "link", "jitter": "link", "slow": "link", "reset": "link", "stall": "link",
 	"loss": "link", "double": "link", "reorder": "link", "flap": "link",
 	"kill": "process", "pause": "process", "long pause": "process", "restart": "process", "twin": "process", "garbage": "process",
 	"clock ahead": "process", "clock fast": "process",
 	"partition": "parts", "three parts": "parts", "overlap": "parts",
-	"lost folder": "voter", "old folder": "voter", "all killed": "voters",
+	"lost folder": "voter", "old folder": "voter", "all killed": "voters", "gone": "leaver",
 	"no discovery": "discovery", "no host": "host", "failover": "", "drain": "",
 }
 
+// troubles are the kinds that are a trouble of a link and nothing else, both ways or as far as it goes from A.
+var troubles = map[string]struct {
+	Trouble
+	oneWay bool
+}{
+	"drop one way": {Trouble{Drop: true}, true},
+	"cut":          {Trouble: Trouble{Drop: true}},
+	"no host":      {Trouble: Trouble{Drop: true}},
+	"no discovery": {Trouble: Trouble{Drop: true}},
+	"stall":        {Trouble: Trouble{Stall: true}},
+	"delay":        {Trouble: Trouble{Delay: 30 * time.Millisecond}},
+	"jitter":       {Trouble: Trouble{Jitter: 60 * time.Millisecond}},
+	"slow":         {Trouble: Trouble{Rate: 2000}},
+	"loss":         {Trouble: Trouble{Loss: 0.4}},
+	"double":       {Trouble: Trouble{Double: 0.5}},
+	"reorder":      {Trouble: Trouble{Reorder: 0.4}},
+}
+
+// flapEach is for how long a link that flaps is there, and then not.
+const flapEach = 150 * time.Millisecond
+
+// leastFor is the shortest that a drawn fault lasts: a few probes and renewals.
+const leastFor = Millis(200)
+
 // Draw makes a plan from its seed: faults in every kind's turn, overlapping at times, with a quiet end of at least rest.
 func Draw(seed uint64, poolers int, length, probe, rest time.Duration, kinds []string) Plan {
 	lots := rand.New(rand.NewPCG(seed, 0xfa17))
@@ -60,20 +84,33 @@
 	order := slices.Clone(kinds)
 	lots.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 	order = spread(order)
+	gone := map[string]bool{}
 	for i, k := range order {
 		// Spread over the time that there is, each within its slot and for up to two of them, so that neighbours overlap.
 		slot := last / len(order)
 		f := Fault{Kind: k, At: Millis(500 + i*slot + lots.IntN(max(1, slot))), For: Millis(max(300, slot/2+lots.IntN(max(1, 3*slot/2))))}
 		f.At = min(f.At, Millis(last-300))
 		f.For = min(f.For, Millis(last)+500-f.At)
-		who := lots.Perm(poolers)
+		who := slices.DeleteFunc(lots.Perm(poolers), func(w int) bool { return gone[p.Names[w]] })
 		switch Kinds[k] {
 		case "link":
 			f.A, f.B = p.Names[who[0]], p.Names[who[1]]
 		case "process", "discovery":
 			f.A = p.Names[who[0]]
+		case "leaver":
+			if Minority(poolers) == 0 {
+				continue
+			}
+			// It is not the one of which there will be a twin.
+			who = slices.DeleteFunc(who, func(w int) bool {
+				return slices.ContainsFunc(p.Faults, func(o Fault) bool { return o.Kind == "twin" && o.A == p.Names[w] })
+			})
+			f.A, f.For = p.Names[who[0]], leastFor
+			gone[f.A] = true
 		case "voter":
-			f.A = p.Names[lots.IntN(Voters(poolers))]
+			for f.A = p.Names[lots.IntN(Voters(poolers))]; gone[f.A]; {
+				f.A = p.Names[lots.IntN(Voters(poolers))]
+			}
 		case "host":
 			f.A, f.B = p.Names[who[0]], fmt.Sprint("host-", lots.IntN(3))
 		case "parts":
@@ -82,7 +119,7 @@
 		if k == "twin" { // through the quiet end, at which it can be judged
 			f.At, f.For = Millis(last+2500), Millis((rest - 4*time.Second).Milliseconds())
 		}
-		if f.For >= 200 {
+		if f.For >= leastFor {
 			p.Faults = append(p.Faults, f)
 		}
 	}
@@ -151,7 +188,7 @@
 			return Plan{}, fmt.Errorf("%s: faults[%d]: kind %q is unknown; there are %s", path, i, f.Kind, strings.Join(AllKinds(true), ", "))
 		case needs == "link" && (!known(f.A) || !known(f.B) || f.A == f.B):
 			return Plan{}, fmt.Errorf("%s: faults[%d]: %s takes two poolers, a and b", path, i, f.Kind)
-		case (needs == "process" || needs == "voter" || needs == "discovery" || needs == "host") && !known(f.A):
+		case (needs == "process" || needs == "voter" || needs == "leaver" || needs == "discovery" || needs == "host") && !known(f.A):
 			return Plan{}, fmt.Errorf("%s: faults[%d]: %s takes a pooler, a", path, i, f.Kind)
 		case needs == "parts" && len(f.Parts) < 2:
 			return Plan{}, fmt.Errorf("%s: faults[%d]: %s takes at least two parts", path, i, f.Kind)
@@ -177,6 +214,9 @@
 	return 5
 }
 
+// Minority is how many of the voters may be gone, or without their folder, at once.
+func Minority(poolers int) int { return (Voters(poolers) - 1) / 2 }
+
 // AllKinds are the kinds in order, those that take an agreement only with one.
 func AllKinds(agreement bool) (out []string) {
 	for k, needs := range Kinds {
@@ -207,7 +247,7 @@
 	switch Kinds[f.Kind] {
 	case "link":
 		return f.A == a || f.A == b || f.B == a || f.B == b
-	case "process", "voter":
+	case "process", "voter", "leaver":
 		return f.A == a || f.A == b
 	case "parts", "voters":
 		return true
@@ -215,5 +255,10 @@
 	return false
 }
 
+// ends says whether a fault may end a pooler's process, or have it stand still.
+func (f Fault) ends(name string) bool {
+	return Kinds[f.Kind] != "parts" && Kinds[f.Kind] != "link" && f.touches(name, name)
+}
+
 // harmless are faults that must change nothing for anybody.
 func (f Fault) harmless() bool { return f.Kind == "twin" || f.Kind == "garbage" }
--- a/lab/cluster/proxy.go
+++ b/lab/cluster/proxy.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -23,10 +24,23 @@
 	Reorder float64
 }
 
+// with is what two troubles come to that are there at once.
+func (t Trouble) with(o Trouble) Trouble {
+	either := func(a, b float64) float64 { return 1 - (1-a)*(1-b) }
+	t.Drop, t.Stall = t.Drop || o.Drop, t.Stall || o.Stall
+	t.Delay, t.Jitter = t.Delay+o.Delay, t.Jitter+o.Jitter
+	if t.Rate == 0 || o.Rate > 0 && o.Rate < t.Rate {
+		t.Rate = o.Rate
+	}
+	t.Loss, t.Double, t.Reorder = either(t.Loss, o.Loss), either(t.Double, o.Double), either(t.Reorder, o.Reorder)
+	return t
+}
+
 // way is one direction of a link.
 type way struct {
 	mu      sync.Mutex
-	t       Trouble
+	laid    []*Trouble    // by whoever made it, until that lifts it
+	t       Trouble       // all of them
 	changed chan struct{} // closed when t changes
 	lots    *rand.Rand
 }
@@ -35,11 +49,23 @@
 	return &way{changed: make(chan struct{}), lots: rand.New(rand.NewPCG(seed, of))}
 }
 
-// set changes the trouble.
-func (w *way) set(change func(*Trouble)) {
+// lay adds a trouble; lift takes that one away again.
+func (w *way) lay(t Trouble) (lift func()) {
+	own := &t
+	w.change(func() { w.laid = append(w.laid, own) })
+	return func() {
+		w.change(func() { w.laid = slices.DeleteFunc(w.laid, func(o *Trouble) bool { return o == own }) })
+	}
+}
+
+func (w *way) change(do func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	change(&w.t)
+	do()
+	w.t = Trouble{}
+	for _, t := range w.laid {
+		w.t = w.t.with(*t)
+	}
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -350,20 +376,30 @@
 	return m.links[[2]string{from, to}]
 }
 
-// One changes what happens to all that goes from one process to another: on streams of either side, and datagrams.
-func (m *Mesh) One(from, to string, change func(*Trouble)) {
+// One lays a trouble on all that goes from one process to another: on streams of either side, and datagrams. What others
+// have laid there stays, also when this one is lifted.
+func (m *Mesh) One(from, to string, t Trouble) (lift func()) {
+	var lifts []func()
 	if l := m.Link(from, to); l != nil {
-		l.forth.set(change)
+		lifts = append(lifts, l.forth.lay(t))
 	}
 	if l := m.Link(to, from); l != nil {
-		l.back.set(change)
+		lifts = append(lifts, l.back.lay(t))
 	}
+	return together(lifts)
+}
+
+// Both lays it both ways.
+func (m *Mesh) Both(a, b string, t Trouble) (lift func()) {
+	return together([]func(){m.One(a, b, t), m.One(b, a, t)})
 }
 
-// Both changes it both ways.
-func (m *Mesh) Both(a, b string, change func(*Trouble)) {
-	m.One(a, b, change)
-	m.One(b, a, change)
+func together(do []func()) func() {
+	return func() {
+		for _, f := range do {
+			f()
+		}
+	}
 }
 
 // Reset breaks the streams of a pair, whoever opened them.
--- a/lab/cluster/run.go
+++ b/lab/cluster/run.go
@@ -49,6 +49,9 @@
 	told   []Line
 	agents map[string]string
 	ports  []*fleet.Port // of the members, held to the end
+
+	losing sync.Mutex      // of who takes a folder, or a voter for good
+	spent  map[string]bool // voters that lost their folder and were not seen to be taken in since
 }
 
 // span is a fault as it came about; till is zero while it lasts.
@@ -109,6 +112,7 @@
 			return err
 		}
 	}
+	r.spent = map[string]bool{}
 	for _, a := range r.nodes {
 		for _, b := range r.nodes {
 			if a == b {
@@ -256,6 +260,12 @@
 		return
 	}
 	r.g.Do(func(q *report.Result) { q.Faults[f.Kind]++ })
+	if f.Kind == "gone" { // from now on it is to be seen as it is
+		r.mu.Lock()
+		s.till = time.Now()
+		r.mu.Unlock()
+		return
+	}
 	sleep(ctx, f.For.D())
 	if end != nil {
 		end()
@@ -267,31 +277,18 @@
 
 // begin makes a fault come about and returns what ends it.
 func (r *rig) begin(ctx context.Context, f Fault) (end func(), err error) {
-	both := func(set, clear func(*Trouble)) func() {
-		r.mesh.Both(f.A, f.B, set)
-		return func() { r.mesh.Both(f.A, f.B, clear) }
+	if t, ok := troubles[f.Kind]; ok {
+		to := f.B
+		if Kinds[f.Kind] == "discovery" {
+			to = "discovery"
+		}
+		if t.oneWay {
+			return r.mesh.One(f.A, to, t.Trouble), nil
+		}
+		return r.mesh.Both(f.A, to, t.Trouble), nil
 	}
 	n := r.node(f.A)
 	switch f.Kind {
-	case "drop one way":
-		r.mesh.One(f.A, f.B, func(t *Trouble) { t.Drop = true })
-		return func() { r.mesh.One(f.A, f.B, func(t *Trouble) { t.Drop = false }) }, nil
-	case "cut", "no host":
-		return both(func(t *Trouble) { t.Drop = true }, func(t *Trouble) { t.Drop = false }), nil
-	case "stall":
-		return both(func(t *Trouble) { t.Stall = true }, func(t *Trouble) { t.Stall = false }), nil
-	case "delay":
-		return both(func(t *Trouble) { t.Delay = 30 * time.Millisecond }, func(t *Trouble) { t.Delay = 0 }), nil
-	case "jitter":
-		return both(func(t *Trouble) { t.Jitter = 60 * time.Millisecond }, func(t *Trouble) { t.Jitter = 0 }), nil
-	case "slow":
-		return both(func(t *Trouble) { t.Rate = 2000 }, func(t *Trouble) { t.Rate = 0 }), nil
-	case "loss":
-		return both(func(t *Trouble) { t.Loss = 0.4 }, func(t *Trouble) { t.Loss = 0 }), nil
-	case "double":
-		return both(func(t *Trouble) { t.Double = 0.5 }, func(t *Trouble) { t.Double = 0 }), nil
-	case "reorder":
-		return both(func(t *Trouble) { t.Reorder = 0.4 }, func(t *Trouble) { t.Reorder = 0 }), nil
 	case "reset":
 		r.mesh.Reset(f.A, f.B)
 		return nil, nil
@@ -299,32 +296,30 @@
 		stop := make(chan struct{})
 		var done sync.WaitGroup
 		done.Go(func() {
-			for on := true; ; on = !on {
-				r.mesh.Both(f.A, f.B, func(t *Trouble) { t.Drop = on })
-				select {
-				case <-stop:
-					r.mesh.Both(f.A, f.B, func(t *Trouble) { t.Drop = false })
-					return
-				case <-time.After(150 * time.Millisecond):
+			for {
+				lift := r.mesh.Both(f.A, f.B, Trouble{Drop: true})
+				for range 2 { // as long without as with
+					select {
+					case <-stop:
+						lift()
+						return
+					case <-time.After(flapEach):
+						lift()
+					}
 				}
 			}
 		})
 		return func() { close(stop); done.Wait() }, nil
 	case "partition", "three parts", "overlap":
-		set := func(on bool) {
-			for i, a := range r.nodes {
-				for _, b := range r.nodes[:i] {
-					if apart(f.Parts, a.name, b.name) {
-						r.mesh.Both(a.name, b.name, func(t *Trouble) { t.Drop = on })
-					}
+		var lifts []func()
+		for i, a := range r.nodes {
+			for _, b := range r.nodes[:i] {
+				if apart(f.Parts, a.name, b.name) {
+					lifts = append(lifts, r.mesh.Both(a.name, b.name, Trouble{Drop: true}))
 				}
 			}
 		}
-		set(true)
-		return func() { set(false) }, nil
-	case "no discovery":
-		r.mesh.Both(f.A, "discovery", func(t *Trouble) { t.Drop = true })
-		return func() { r.mesh.Both(f.A, "discovery", func(t *Trouble) { t.Drop = false }) }, nil
+		return together(lifts), nil
 	case "failover":
 		lead := r.fleet.Cluster.Leader()
 		for _, h := range r.fleet.Hosts {
@@ -352,19 +347,29 @@
 	case "garbage":
 		return nil, spill(n.listen)
 	case "lost folder", "old folder":
+		r.losing.Lock()
+		defer r.losing.Unlock()
+		if took := r.lose(ctx, 1, n); len(took) == 0 {
+			return nil, errors.New("a majority of the voters' folders could be lost")
+		}
 		return r.away(n, func() error { return r.spoil(n, f.Kind == "old folder") })
 	case "all killed":
+		// Of the voters, fewer than half lose what they had, those that are gone among them.
+		r.losing.Lock()
+		defer r.losing.Unlock()
+		took := r.lose(ctx, Minority(len(r.nodes)), r.nodes[:Voters(len(r.nodes))]...)
 		var ends []func()
-		for i, n := range r.nodes {
+		for _, n := range r.nodes {
 			var spoil func() error
-			if i < (Voters(len(r.nodes))-1)/2 { // of the voters, fewer than half lose what they had
+			if slices.Contains(took, n) {
 				spoil = func() error { return r.spoil(n, false) }
 			}
-			end, err := r.away(n, spoil)
-			if err != nil {
+			if end, err := r.away(n, spoil); err == nil {
+				ends = append(ends, end)
+			} else if !errors.Is(err, errGone) {
+				together(ends)()
 				return nil, err
 			}
-			ends = append(ends, end)
 		}
 		return func() {
 			var all sync.WaitGroup
@@ -373,6 +378,8 @@
 			}
 			all.Wait()
 		}, nil
+	case "gone":
+		return nil, r.leave(ctx, n)
 	}
 	return nil, fmt.Errorf("there is no kind %q", f.Kind)
 }
@@ -423,7 +430,7 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		for _, s := range r.spans {
-			if (s.A == name && slices.Contains([]string{"process", "voter"}, Kinds[s.Kind]) || Kinds[s.Kind] == "voters") && !s.harmless() && s.lasts(since.Add(-time.Second)) {
+			if s.ends(name) && s.lasts(since.Add(-time.Second)) {
 				return true
 			}
 		}
--- a/lab/cluster/simulate.go
+++ b/lab/cluster/simulate.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"hash/fnv"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -52,6 +51,7 @@
 	offset   float64 // of its clock, and how fast that runs
 	rate     float64
 	stopped  bool
+	gone     bool            // for good
 	backlog  []agree.Message // that came while it was stopped
 	instance uint64
 	sent     map[uint64]float64 // when each renewal was sent, in true time
@@ -138,6 +138,7 @@
 	for at := 100.0; at < s.quiet; at += 60 + s.lots.Float64()*300 {
 		s.after(at, s.fault)
 	}
+	s.leavers(seed)
 	for at := 150.0; at < length-2*change; at += 100 + s.lots.Float64()*400 {
 		s.after(at, s.propose)
 	}
@@ -229,7 +230,7 @@
 	s.note("%s %s", n.cfg.Name, what)
 	n.node = nil
 	s.after(s.lasting(min(20+s.lots.ExpFloat64()*150, 4*simLease)), func() {
-		if n.node == nil {
+		if n.node == nil && !n.gone {
 			s.start(n)
 		}
 	})
@@ -308,6 +309,47 @@
 	s.carry(n)
 }
 
+// leavers has processes go for good in every third schedule, one or as many as are a minority of the voters. What else
+// befalls a schedule is drawn as if they stayed, so that the other schedules are what they were.
+func (s *simulation) leavers(seed uint64) {
+	lots := rand.New(rand.NewPCG(seed, 0x60))
+	if lots.IntN(3) > 0 {
+		return
+	}
+	for range 1 + lots.IntN(s.minority()) {
+		n := s.nodes[lots.IntN(len(s.nodes))]
+		s.after(100+lots.Float64()*(s.quiet-100), func() { s.leave(n) })
+	}
+}
+
+// minority is how many voters may be gone, or without their folder, at once.
+func (s *simulation) minority() int { return (s.voters - 1) / 2 }
+
+// left is how many voters are gone for good.
+func (s *simulation) left() (n int) {
+	for _, v := range s.nodes[:s.voters] {
+		if v.gone {
+			n++
+		}
+	}
+	return n
+}
+
+// leave ends a node's process for good, as soon as no voter is without its folder: with that one it could be a majority.
+func (s *simulation) leave(n *simNode) {
+	voter := slices.Contains(n.cfg.Voters, n.cfg.Name)
+	switch {
+	case n.gone || s.now >= s.quiet || voter && s.left() == s.minority():
+		return
+	case voter && s.loose > 0:
+		s.after(10*simTick, func() { s.leave(n) })
+		return
+	}
+	s.out.Faults["gone for good"]++
+	s.note("%s gone", n.cfg.Name)
+	n.gone, n.node, n.stopped, n.backlog = true, nil, false, nil
+}
+
 // fault makes one thing go wrong for a while.
 func (s *simulation) fault() {
 	n := s.nodes[s.lots.IntN(len(s.nodes))]
@@ -321,7 +363,7 @@
 		}
 		what := []string{"killed", "killed", "killed, folder lost"}[k]
 		if k == 2 && voter {
-			if s.loose > 0 || !s.whole() {
+			if s.loose > 0 || s.left() == s.minority() || !s.whole() {
 				what = "killed" // a second one at once would be a majority that is lost, or near it
 			} else {
 				n.disk = nil
@@ -387,18 +429,23 @@
 	})
 }
 
-// whole says whether every voter that runs counts every voter's present identity, and all run.
+// whole says whether every voter that is not gone runs, and counts the present identity of each of these, and no more
+// than there are voters.
 func (s *simulation) whole() bool {
-	ids := map[uint64]bool{}
 	for _, n := range s.nodes[:s.voters] {
-		if n.node == nil || n.disk == nil {
+		switch {
+		case n.gone:
+			continue
+		case n.node == nil || n.disk == nil || len(n.node.Voters()) != s.voters:
 			return false
 		}
-		ids[n.disk.ID] = true
-	}
-	for _, n := range s.nodes[:s.voters] {
-		if !maps.EqualFunc(n.node.Voters(), ids, func(string, bool) bool { return true }) {
-			return false
+		for _, o := range s.nodes[:s.voters] {
+			if o.gone {
+				continue
+			}
+			if o.disk == nil || n.node.Voters()[o.disk.ID] == "" {
+				return false
+			}
 		}
 	}
 	return true
@@ -494,6 +541,9 @@
 		want = max(want, n.least)
 	}
 	for _, n := range s.nodes {
+		if n.gone {
+			continue
+		}
 		if n.node == nil || n.stopped {
 			s.breach("stuck", "%s does not run", n.cfg.Name)
 			continue
