Test of the program: a moved discovery is acted on 4 s after SIGHUP

A host that drains at the new service alone must get nothing from 4 s after SIGHUP on, with an old watch that is silent or an old service that is overbooked, and a new one that leaves its first calls without an answer.

--- a/cmd/ashstand/program_test.go
+++ b/cmd/ashstand/program_test.go
@@ -159,6 +159,71 @@
 	require.NotContains(t, logged.String(), "only after a restart")
 }
 
+// After SIGHUP the new service's word counts 4 s later, whatever the old one does and also if the new one leaves its
+// first calls without an answer: a host that drains there alone gets nothing more from then on.
+func TestAMovedDiscoveryIsActedOnInTime(t *testing.T) {
+	overbooked := func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Retry-After", "60")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	}
+	silent := func(rw http.ResponseWriter, r *http.Request) {
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}
+	for name, c := range map[string]struct {
+		old    http.HandlerFunc
+		stalls int32 // calls at the new service without an answer
+	}{
+		"the old one is silent":                             {silent, 0},
+		"the old one is silent, the new one stalls twice":   {silent, 2},
+		"the old one is overbooked":                         {overbooked, 0},
+		"the old one is overbooked, the new stalls a while": {overbooked, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := &world{}
+			p, q := &host{name: "p", wire: "postgresql", primary: true}, &host{name: "q", wire: "postgresql", primary: true}
+			p.serve(t)
+			q.serve(t)
+			old := httptest.NewServer(c.old)
+			t.Cleanup(old.Close)
+			t.Cleanup(old.CloseClientConnections)
+			var calls atomic.Int32
+			next := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+				switch {
+				case calls.Add(1) <= c.stalls:
+					<-r.Context().Done()
+				case r.URL.Query().Get("follow") == "":
+					io.WriteString(rw, w.list(3, true, w.entry(p, "leaving"), w.entry(q, "active")))
+				default:
+					silent(rw, r)
+				}
+			}))
+			t.Cleanup(next.Close)
+			t.Cleanup(next.CloseClientConnections)
+			listen, cmd, logged, configure := launch(t, old.Listener.Addr().String(), w.list(41, true, w.entry(p, "active")))
+			_, f := dial(t, listen)
+			sent := 0
+			send := func(d time.Duration) {
+				for begun := time.Now(); time.Since(begun) < d; sent++ {
+					require.Equal(t, []string{value}, ask(t, f, fmt.Sprintf(donate, sent, 9000)))
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+			send(1700 * time.Millisecond) // in which an overbooked service has earned long pauses
+			configure(fmt.Sprintf(configuration, listen, next.Listener.Addr(), "null", site))
+			begun := time.Now()
+			require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+			send(time.Until(begun.Add(4 * time.Second)))
+			before := [2]int{p.count(), q.count()}
+			send(time.Second)
+			require.Equal(t, before[0], p.count(), "it drains, and was sent work 4 s after SIGHUP:\n%s", logged)
+			require.Greater(t, q.count(), before[1]+50)
+			require.Equal(t, sent, p.count()+q.count())
+		})
+	}
+}
+
 // The program itself: it takes work until SIGTERM and a little longer, finishes it, and ends with 0.
 func TestProgramServesAndDrains(t *testing.T) {
 	h := &host{name: "p", wire: "postgresql", primary: true}
