Fleets of several groups with databases that have a home, for tenants' moves

fleet.Options takes Groups, Databases and Homes (a database without an entry goes to the group that its turn gives it); Fleet.Groups are the stand-in groups, each with its own log and primary, Fleet.Cluster is the first as before. Hosts of group 2 are host-2-0 and so on and are listed with their group; with one group names stay as they were. With databases the default sessions block has a pool for each, which goes to its home; without any it is the block of before. Hosts listen at ports that are held, so that one which starts again finds its own free.

Test: two groups, three databases, through the real program, rows at their homes alone; red with every pool at group 1.

--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -25,20 +25,25 @@
 
 // Options are what a fleet is to be.
 type Options struct {
-	Pooler   string // the program; "": ashstand beside this one
-	Replicas int
+	Pooler   string        // the program; "": ashstand beside this one
+	Replicas int           // of each group
 	Lag      time.Duration // of the replicas
-	Seed     uint64
-	MemoryMB int
-	Sockets  int
-	Sessions string   // the operator's sessions block; "": one pool in transaction mode with these sizes
-	Clients  int      // session clients
-	Servers  int      // session server connections
-	Env      []string // for the pooler
-	Log      bool     // pass the pooler's log on to standard error
-	State    string   // a folder in which the pooler keeps what it learned; "": none
-	Pace     time.Duration
-	Plain    bool // a version that knows neither commands nor the operator's file
+	Groups   int           // of hosts, each with a primary; 0: one
+	// Databases of the groups, with tables of their own, each at one group, its home; none: clients may name any, and share
+	// one table a group.
+	Databases []string
+	Homes     map[string]int // the home of a database, from 1; one that is not there has the group that its turn gives it
+	Seed      uint64
+	MemoryMB  int
+	Sockets   int
+	Sessions  string   // the operator's sessions block; "": one pool in transaction mode with these sizes
+	Clients   int      // session clients
+	Servers   int      // session server connections
+	Env       []string // for the pooler
+	Log       bool     // pass the pooler's log on to standard error
+	State     string   // a folder in which the pooler keeps what it learned; "": none
+	Pace      time.Duration
+	Plain     bool // a version that knows neither commands nor the operator's file
 
 	// Of a fleet of several poolers; nil: it has one.
 	Names []string                                                 // of all, in the order of their numbers
@@ -48,9 +53,10 @@
 
 // Fleet is what runs.
 type Fleet struct {
-	Cluster  *host.Cluster
+	Cluster  *host.Cluster   // the first group
+	Groups   []*host.Cluster // group g stands at g-1
 	Registry *discovery.Registry
-	Hosts    []*host.Host
+	Hosts    []*host.Host // of all groups, one after the other
 	Pooler   *Pooler
 	Options  Options
 	dir      string
@@ -112,24 +118,45 @@
 	return path, nil
 }
 
+// Home is the group that a database of the fleet has in the beginning; 0: there is no such database.
+func (o Options) Home(database string) int {
+	i := slices.Index(o.Databases, database)
+	if i < 0 {
+		return 0
+	}
+	if g, named := o.Homes[database]; named {
+		return g
+	}
+	return 1 + i%max(1, o.Groups)
+}
+
+// check refuses what can't be built.
+func (o Options) check() error {
+	for name, g := range o.Homes {
+		if !slices.Contains(o.Databases, name) || g < 1 || g > max(1, o.Groups) {
+			return fmt.Errorf("home of database %q: group %d; there are the databases %v in groups 1 to %d", name, g, o.Databases, max(1, o.Groups))
+		}
+	}
+	return nil
+}
+
 // Start brings up hosts and discovery, then one pooler, and waits until it serves.
 func Start(o Options) (*Fleet, error) {
-	f := &Fleet{Cluster: host.NewCluster(1, o.Seed), Options: o, draining: map[string]bool{}, poolers: map[string]*Pooler{},
-		addresses: map[string][2]string{}}
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	f := &Fleet{Options: o, draining: map[string]bool{}, poolers: map[string]*Pooler{}, addresses: map[string][2]string{}}
 	var err error
 	if f.dir, err = os.MkdirTemp("", "ashlab-"); err != nil {
 		return nil, err
 	}
-	f.Cluster.Seed(1000)
-	for i := range o.Replicas + 1 {
-		h, err := f.Cluster.Add("host-"+strconv.Itoa(i), "127.0.0.1:0")
-		if err != nil {
+	for g := range max(1, o.Groups) {
+		if err := f.group(g + 1); err != nil {
 			f.Stop()
 			return nil, err
 		}
-		h.SetLag(o.Lag)
-		f.Hosts = append(f.Hosts, h)
 	}
+	f.Cluster = f.Groups[0]
 	if f.Registry, err = discovery.Start("127.0.0.1:0"); err != nil {
 		f.Stop()
 		return nil, err
@@ -145,21 +172,64 @@
 	return f, nil
 }
 
+// group brings up the hosts of one group and the databases whose home it is. Their names have the group's number where
+// there are several.
+func (f *Fleet) group(g int) error {
+	c, prefix := host.NewCluster(uint64(g), f.Options.Seed), "host-"
+	if f.Options.Groups > 1 {
+		prefix += strconv.Itoa(g) + "-"
+	}
+	f.Groups = append(f.Groups, c)
+	c.Seed(1000)
+	for _, name := range f.Options.Databases {
+		if f.Options.Home(name) == g {
+			c.Database(name)
+		}
+	}
+	for i := range f.Options.Replicas + 1 {
+		at, err := f.port() // it starts again at the same one
+		if err != nil {
+			return err
+		}
+		h, err := c.Add(prefix+strconv.Itoa(i), at)
+		if err != nil {
+			return err
+		}
+		h.SetLag(f.Options.Lag)
+		f.Hosts = append(f.Hosts, h)
+	}
+	return nil
+}
+
+// port is an address that is held until the fleet stops.
+func (f *Fleet) port() (string, error) {
+	p, err := Hold()
+	if err != nil {
+		return "", err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ports = append(f.ports, p)
+	return p.Address, nil
+}
+
 // Publish brings the hosts as they are now to discovery.
 func (f *Fleet) Publish() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var es []discovery.Entry
-	for _, h := range f.Hosts {
-		e := discovery.Entry{Name: h.Name, Address: h.Address, Zone: "a", Type: "std-4core", Group: 1, Status: "active", Weight: 1,
-			SinceMS: h.Since(), Part: "replica"}
-		if h.Primary() {
-			e.Part = "master"
-		}
-		if f.draining[h.Name] {
-			e.Status = "leaving"
+	for _, c := range f.Groups {
+		for _, h := range c.Hosts() {
+			e := discovery.Entry{Name: h.Name, Address: h.Address, Zone: "a", Type: "std-4core", Group: c.Group, Status: "active", Weight: 1,
+				SinceMS: h.Since(), Part: "replica"}
+			if h.Primary() {
+				e.Part = "master"
+			}
+			if f.draining[h.Name] {
+				e.Status = "leaving"
+			}
+			es = append(es, e)
 		}
-		es = append(es, e)
 	}
 	f.Registry.Set(es...)
 }
@@ -231,21 +301,21 @@
 }
 
 // address is where a pooler takes statements and sessions: held from its first start until the fleet stops.
-func (f *Fleet) address(name string) (statement, sessions string, err error) {
+func (f *Fleet) address(name string) (statement, sessions string, err error) { // Launch has one call of a name at a time
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	at, again := f.addresses[name]
+	f.mu.Unlock()
 	if again {
 		return at[0], at[1], nil
 	}
 	for i := range at {
-		port, err := Hold()
-		if err != nil {
+		if at[i], err = f.port(); err != nil {
 			return "", "", err
 		}
-		f.ports, at[i] = append(f.ports, port), port.Address
 	}
+	f.mu.Lock()
 	f.addresses[name] = at
+	f.mu.Unlock()
 	return at[0], at[1], nil
 }
 
@@ -284,7 +354,7 @@
 	path, file := filepath.Join(f.dir, name+".json"), filepath.Join(f.dir, name+".hcl")
 	block := o.Sessions
 	if block == "" {
-		block = Pool(o.Clients, o.Servers, o.Servers)
+		block = o.pools(o.Clients, o.Servers, o.Servers)
 	}
 	text := fmt.Sprintf("admin {\n  listen = %q\n}\n", p.Admin) + strings.ReplaceAll(block, "LISTEN", p.Sessions)
 	if o.State != "" {
@@ -332,13 +402,16 @@
 }
 
 // Pool words a sessions block with one pool of so many connections a host.
-func Pool(clients, servers, size int) string {
-	return fmt.Sprintf(`sessions {
-  listen             = "LISTEN"
-  clients            = %d
-  server_connections = %d
-  pool "all" {
-    size                = %d
+func Pool(clients, servers, size int) string { return Options{}.pools(clients, servers, size) }
+
+// pools words a sessions block with a pool of so many connections a host for each database, which goes to its home; where
+// none is named, with one for all.
+func (o Options) pools(clients, servers, size int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "sessions {\n  listen             = \"LISTEN\"\n  clients            = %d\n  server_connections = %d\n", max(1, clients), max(1, servers))
+	pool := func(name, database string, group int) {
+		fmt.Fprintf(&b, `  pool %q {
+%s    size                = %d
     waiting             = %d
     patience            = "5s"
     idle_in_transaction = "20s"
@@ -346,10 +419,18 @@
     reserve             = 0
     read_only           = "my-library"
     read_write          = "donate"
-    group               = 1
+    group               = %d
   }
-}
-`, max(1, clients), max(1, servers), max(1, size), max(100, clients), max(1, size/8))
+`, name, database, max(1, size), max(100, clients), max(1, size/8), group)
+	}
+	for _, d := range o.Databases {
+		pool(d, fmt.Sprintf("    database            = %q\n", d), o.Home(d))
+	}
+	if len(o.Databases) == 0 {
+		pool("all", "", 1)
+	}
+	b.WriteString("}\n")
+	return b.String()
 }
 
 // Ready waits until the pooler answers an empty query, as the platform's front does.
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -13,11 +13,45 @@
 	"github.com/stretchr/testify/require"
 )
 
-// The program with sessions: a bad operator's file changes nothing on SIGHUP, and on SIGTERM a transaction finishes.
-func TestProgramReloadsAndDrainsSessions(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "ashstand")
+func build(t *testing.T) (program string) {
+	program = filepath.Join(t.TempDir(), "ashstand")
 	out, err := exec.Command("go", "build", "-o", program, "ashstand/cmd/ashstand").CombinedOutput()
 	require.NoError(t, err, "%s", out)
+	return program
+}
+
+// A fleet of two groups: hosts, lists and databases of each, and sessions that reach the group that is their database's home.
+func TestGroupsAndTheirDatabases(t *testing.T) {
+	for _, bad := range []map[string]int{{"a": 3}, {"a": 0}, {"x": 1}} {
+		_, err := Start(Options{Groups: 2, Databases: []string{"a", "b"}, Homes: bad})
+		require.ErrorContains(t, err, "home of database")
+	}
+	f, err := Start(Options{Pooler: build(t), Groups: 2, Replicas: 1, Databases: []string{"a", "b", "c"}, Homes: map[string]int{"c": 2}, Clients: 10, Servers: 4})
+	require.NoError(t, err)
+	defer f.Stop()
+	var names []string
+	for _, h := range f.Hosts {
+		names = append(names, h.Name)
+	}
+	require.Equal(t, []string{"host-1-0", "host-1-1", "host-2-0", "host-2-1"}, names)
+	require.Equal(t, []string{"a"}, f.Groups[0].Databases())
+	require.Equal(t, []string{"b", "c"}, f.Groups[1].Databases())
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	for db, g := range map[string]int{"a": 1, "b": 2, "c": 2} {
+		c, err := pgx.Connect(ctx, "postgres://web@"+f.Pooler.Sessions+"/"+db+"?sslmode=disable")
+		require.NoError(t, err)
+		_, err = c.Exec(ctx, "INSERT INTO entries (ref, payload) VALUES ($1, $1)", "of-"+db)
+		require.NoError(t, err, db)
+		require.NoError(t, c.Close(ctx))
+		require.Equal(t, []map[string]string{{"ref": "of-" + db, "payload": "of-" + db}}, f.Groups[g-1].Database(db).Dump("entries"))
+	}
+	require.NoError(t, func() error { f.Hosts[1].Stop(); return f.Hosts[1].Restart() }(), "at the address that it had")
+}
+
+// The program with sessions: a bad operator's file changes nothing on SIGHUP, and on SIGTERM a transaction finishes.
+func TestProgramReloadsAndDrainsSessions(t *testing.T) {
+	program := build(t)
 	f, err := Start(Options{Pooler: program, Replicas: 1, Clients: 20, Servers: 4})
 	require.NoError(t, err)
 	defer f.Stop()
