Rig: a voter's loss counts as healed once the others count its new identity

It reads that now, and a voter whose old folder was put back is not taken for healed by the identity that it had before. Test: a folder written by the program's own code.

--- a/lab/cluster/node.go
+++ b/lab/cluster/node.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -261,19 +262,23 @@
 		}
 		out, heals := 0, false
 		for _, n := range r.nodes[:Voters(len(r.nodes))] {
-			if r.spent[n.name] || n.left() {
+			if _, lost := r.spent[n.name]; lost || n.left() {
 				out++
 				heals = heals || !n.left()
 			}
 		}
 		for _, n := range of {
+			_, lost := r.spent[n.name]
 			switch {
 			case n.left() || len(took) == most:
-			case r.spent[n.name]: // it has nothing to lose that counts
+			case lost: // it has nothing to lose that counts
+				if id := r.identity(n); id != 0 {
+					r.spent[n.name] = id
+				}
 				took = append(took, n)
 			case out < Minority(len(r.nodes)):
 				out++
-				r.spent[n.name] = true
+				r.spent[n.name] = r.identity(n)
 				took = append(took, n)
 			}
 		}
@@ -292,8 +297,22 @@
 	return n.gone
 }
 
-// healed says whether each voter that is not gone serves, and all of these count each other's present identity, and nobody
-// else but those that are gone.
+// identity is what a voter's folder names itself by; 0: there is none to be read. Its file has a line with its sum before
+// the rest.
+func (r *rig) identity(n *node) uint64 {
+	b, err := os.ReadFile(filepath.Join(r.folder(n.name), "agreed.json"))
+	_, b, _ = bytes.Cut(b, []byte("\n"))
+	var kept struct {
+		ID uint64 `json:"id"`
+	}
+	if err != nil || json.Unmarshal(b, &kept) != nil {
+		return 0
+	}
+	return kept.ID
+}
+
+// healed says whether each voter that is not gone serves, and all of these count each other's present identity, which is
+// another than before a loss, and nobody else but those that are gone.
 func (r *rig) healed() bool {
 	voters := r.nodes[:Voters(len(r.nodes))]
 	ids := map[uint64]bool{}
@@ -303,17 +322,14 @@
 			continue
 		}
 		p, paused := n.process()
-		var kept struct {
-			ID uint64 `json:"id"`
-		}
 		var v struct {
 			Voters map[uint64]string `json:"voters"`
 		}
-		b, err := os.ReadFile(filepath.Join(r.folder(n.name), "agreed.json"))
-		if p == nil || paused || err != nil || json.Unmarshal(b, &kept) != nil || admin.Get(p.Admin, "agreement", &v) != nil {
+		id := r.identity(n)
+		if was, lost := r.spent[n.name]; id == 0 || lost && id == was || p == nil || paused || admin.Get(p.Admin, "agreement", &v) != nil {
 			return false
 		}
-		ids[kept.ID] = true
+		ids[id] = true
 		views = append(views, v.Voters)
 	}
 	for _, v := range views {
--- a/lab/cluster/node_test.go
+++ b/lab/cluster/node_test.go
@@ -16,6 +16,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"ashstand/internal/cluster/agree"
+	"ashstand/internal/cluster/agree/runner"
 	"ashstand/lab/report"
 )
 
@@ -175,3 +177,17 @@
 	}
 	require.Empty(t, r.g.Result(1).Notes)
 }
+
+// A voter's identity is read from the folder that the program keeps.
+func TestAVotersIdentityIsRead(t *testing.T) {
+	r := &rig{dir: t.TempDir()}
+	n := &node{name: "n1"}
+	require.Zero(t, r.identity(n))
+	disk := agree.Found("n1", []string{"n1", "n2", "n3"})
+	f, err := runner.Open(r.folder("n1"))
+	require.NoError(t, err)
+	defer f.Close()
+	require.NoError(t, f.Save(disk))
+	require.NotZero(t, disk.ID)
+	require.Equal(t, disk.ID, r.identity(n))
+}
--- a/lab/cluster/run.go
+++ b/lab/cluster/run.go
@@ -50,8 +50,8 @@
 	agents map[string]string
 	ports  []*fleet.Port // of the members, held to the end
 
-	losing sync.Mutex      // of who takes a folder, or a voter for good
-	spent  map[string]bool // voters that lost their folder and were not seen to be taken in since
+	losing sync.Mutex        // of who takes a folder, or a voter for good
+	spent  map[string]uint64 // voters that lost their folder and were not seen to be taken in since, with the identity that is lost
 }
 
 // span is a fault as it came about; till is zero while it lasts.
@@ -112,7 +112,7 @@
 			return err
 		}
 	}
-	r.spent = map[string]bool{}
+	r.spent = map[string]uint64{}
 	for _, a := range r.nodes {
 		for _, b := range r.nodes {
 			if a == b {
