Stand-in hosts: what is like PostgreSQL and what is not; intervals, COLLATE, a bound of COPY that is told

The package comment weighs the three ways by which a host could refuse a closed tenant's writes. Ages of transactions (now() - xact_start, extract(epoch ...)) and COLLATE "C" are understood, a cast of a column to its own type no longer hides the order of the key, and COPY of more than 64 MiB into a database fails in place of leaving rows out.

--- a/lab/host/catalogue.go
+++ b/lab/host/catalogue.go
@@ -17,7 +17,8 @@
 // shaped reads names of columns, each with a type where it is not text: b bool, i int4, o oid, l pg_lsn, t timestamptz,
 // n int8, x xid, a text[].
 func shaped(spec string, rows func(c *conn) [][]value) view {
-	types := map[string]uint32{"": typeText, "b": typeBool, "i": typeInt4, "o": typeOid, "l": typeLSN, "t": typeTimestamptz, "n": typeInt8, "x": typeXid, "a": typeTextArray}
+	types := map[string]uint32{"": typeText, "b": typeBool, "i": typeInt4, "o": typeOid, "l": typeLSN, "t": typeTimestamptz, "n": typeInt8, "x": typeXid,
+		"a": typeTextArray}
 	v := view{rows: rows}
 	for _, s := range strings.Fields(spec) {
 		name, t, _ := strings.Cut(s, ":")
@@ -50,7 +51,8 @@
 }
 
 // typeWords are the types as information_schema names them.
-var typeWords = map[uint32]string{typeBool: "boolean", typeInt8: "bigint", typeInt4: "integer", typeText: "text", typeOid: "oid", typeXid: "xid", typeFloat8: "double precision",
+var typeWords = map[uint32]string{typeBool: "boolean", typeInt8: "bigint", typeInt4: "integer", typeText: "text", typeOid: "oid", typeXid: "xid",
+	typeFloat8:      "double precision",
 	typeTimestamptz: "timestamp with time zone", typeNumeric: "numeric", typeLSN: "pg_lsn", typeTextArray: "ARRAY", typeRegclass: "regclass"}
 
 // The object ids that the primary key's index and a row's constraint have are their table's and an offset beyond all
@@ -74,7 +76,8 @@
 				add(oid(c.db.schemas[name]), text(name), oid(10))
 			}
 		})),
-		"pg_class": shaped("oid:o relname relnamespace:o relowner:o relkind relpersistence relreplident relhasindex:b relhastriggers:b reltuples:n relispartition:b relrowsecurity:b",
+		"pg_class": shaped("oid:o relname relnamespace:o relowner:o relkind relpersistence relreplident relhasindex:b relhastriggers:b "+
+			"reltuples:n relispartition:b relrowsecurity:b",
 			locked(func(c *conn, add func(...value)) {
 				for _, name := range sortedNames(c.db.tables) {
 					t := c.db.tables[name]
@@ -87,20 +90,23 @@
 				}
 				for _, name := range sortedNames(c.db.sequences) {
 					q := c.db.sequences[name]
-					add(oid(q.oid), text(q.name), oid(c.db.schemas[q.schema]), oid(10), text("S"), text("p"), text("n"), boolean(false), boolean(false), number(1), boolean(false), boolean(false))
+					add(oid(q.oid), text(q.name), oid(c.db.schemas[q.schema]), oid(10), text("S"), text("p"), text("n"), boolean(false), boolean(false), number(1),
+						boolean(false), boolean(false))
 				}
 			})),
-		"pg_index": shaped("indexrelid:o indrelid:o indnatts:i indisunique:b indisprimary:b indisreplident:b indisvalid:b indimmediate:b indkey", locked(func(c *conn, add func(...value)) {
-			for _, name := range sortedNames(c.db.tables) {
-				if t := c.db.tables[name]; len(t.key) > 0 {
-					var at []string
-					for _, k := range t.key {
-						at = append(at, strconv.Itoa(k+1))
+		"pg_index": shaped("indexrelid:o indrelid:o indnatts:i indisunique:b indisprimary:b indisreplident:b indisvalid:b indimmediate:b indkey",
+			locked(func(c *conn, add func(...value)) {
+				for _, name := range sortedNames(c.db.tables) {
+					if t := c.db.tables[name]; len(t.key) > 0 {
+						var at []string
+						for _, k := range t.key {
+							at = append(at, strconv.Itoa(k+1))
+						}
+						add(oid(t.oid+indexOids), oid(t.oid), small(len(t.key)), boolean(true), boolean(true), boolean(false), boolean(true), boolean(true),
+							text(strings.Join(at, " ")))
 					}
-					add(oid(t.oid+indexOids), oid(t.oid), small(len(t.key)), boolean(true), boolean(true), boolean(false), boolean(true), boolean(true), text(strings.Join(at, " ")))
 				}
-			}
-		})),
+			})),
 		"pg_constraint": shaped("oid:o conname connamespace:o contype conrelid:o conindid:o", locked(func(c *conn, add func(...value)) {
 			for _, name := range sortedNames(c.db.tables) {
 				if t := c.db.tables[name]; len(t.key) > 0 {
@@ -142,7 +148,8 @@
 				add(text(c.db.Name), text(t.Schema), text(t.Name), text("BASE TABLE"))
 			}
 		})),
-		"information_schema.columns": shaped("table_schema table_name column_name ordinal_position:i is_nullable data_type", locked(func(c *conn, add func(...value)) {
+		"information_schema.columns": shaped("table_schema table_name column_name ordinal_position:i is_nullable data_type",
+			locked(func(c *conn, add func(...value)) {
 			for _, name := range sortedNames(c.db.tables) {
 				t := c.db.tables[name]
 				for i, col := range t.columns {
@@ -150,13 +157,15 @@
 				}
 			}
 		})),
-		"pg_sequences": shaped("schemaname sequencename sequenceowner data_type start_value:n min_value:n max_value:n increment_by:n cycle:b cache_size:n last_value:n",
+		"pg_sequences": shaped("schemaname sequencename sequenceowner data_type start_value:n min_value:n "+
+			"max_value:n increment_by:n cycle:b cache_size:n last_value:n",
 			locked(func(c *conn, add func(...value)) {
 				for _, name := range sortedNames(c.db.sequences) {
 					q := c.db.sequences[name]
 					last := number(q.last)
 					last.null = !q.called
-					add(text(q.schema), text(q.name), text("postgres"), text("bigint"), number(q.start), number(1), number(math.MaxInt64), number(q.step), boolean(false), number(1), last)
+					add(text(q.schema), text(q.name), text("postgres"), text("bigint"), number(q.start), number(1), number(math.MaxInt64), number(q.step), boolean(false),
+						number(1), last)
 				}
 			})),
 		"pg_extension": shaped("oid:o extname extversion", locked(func(c *conn, add func(...value)) {
@@ -176,7 +185,8 @@
 				}
 			}
 		})),
-		"pg_publication": shaped("oid:o pubname pubowner:o puballtables:b pubinsert:b pubupdate:b pubdelete:b pubtruncate:b", locked(func(c *conn, add func(...value)) {
+		"pg_publication": shaped("oid:o pubname pubowner:o puballtables:b pubinsert:b pubupdate:b pubdelete:b pubtruncate:b",
+			locked(func(c *conn, add func(...value)) {
 			for _, name := range sortedNames(c.db.publications) {
 				p := c.db.publications[name]
 				add(oid(p.oid), text(name), oid(10), boolean(p.all), boolean(p.insert), boolean(p.update), boolean(p.delete), boolean(p.truncate))
@@ -191,7 +201,8 @@
 				}
 			}
 		})),
-		"pg_subscription": shaped("oid:o subdbid:o subname subowner:o subenabled:b subconninfo subslotname subpublications:a suborigin subdisableonerr:b subskiplsn:l",
+		"pg_subscription": shaped("oid:o subdbid:o subname subowner:o subenabled:b subconninfo subslotname "+
+			"subpublications:a suborigin subdisableonerr:b subskiplsn:l",
 			eachSubscription(func(s *subscription, add func(...value)) {
 				slot := text(s.slot)
 				slot.null = s.slot == ""
@@ -205,9 +216,11 @@
 				}
 			}
 		})),
-		"pg_stat_subscription": shaped("subid:o subname worker_type pid:i leader_pid:i relid:o received_lsn:l last_msg_send_time:t last_msg_receipt_time:t latest_end_lsn:l latest_end_time:t",
+		"pg_stat_subscription": shaped("subid:o subname worker_type pid:i leader_pid:i relid:o received_lsn:l last_msg_send_time:t "+
+			"last_msg_receipt_time:t latest_end_lsn:l latest_end_time:t",
 			eachSubscription(func(s *subscription, add func(...value)) {
-				add(oid(s.oid), text(s.name), text("apply"), pidOf(s.pid), nothing(typeInt4), nothing(typeOid), lsnValue(s.received), moment(s.lastMessage), moment(s.lastReceipt),
+				add(oid(s.oid), text(s.name), text("apply"), pidOf(s.pid), nothing(typeInt4), nothing(typeOid), lsnValue(s.received), moment(s.lastMessage),
+					moment(s.lastReceipt),
 					lsnValue(s.latestEnd), moment(s.ended))
 			})),
 		"pg_stat_subscription_stats": shaped("subid:o subname apply_error_count:n sync_error_count:n", eachSubscription(func(s *subscription, add func(...value)) {
@@ -218,16 +231,19 @@
 				add(oid(s.oid), text(s.originName()), lsnValue(s.progress[n-1].remote), lsnValue(lsnOf(s.progress[n-1].at)))
 			}
 		})),
-		"pg_replication_slots": shaped("slot_name plugin slot_type datoid:o database temporary:b active:b active_pid:i restart_lsn:l confirmed_flush_lsn:l wal_status",
+		"pg_replication_slots": shaped("slot_name plugin slot_type datoid:o database temporary:b active:b active_pid:i restart_lsn:l "+
+			"confirmed_flush_lsn:l wal_status",
 			locked(func(c *conn, add func(...value)) {
 				for _, name := range sortedNames(c.host.slots) {
 					s := c.host.slots[name]
-					add(text(name), text(s.plugin), text("logical"), oid(s.db.oid), text(s.db.Name), boolean(s.temporary), boolean(s.pid != 0), pidOf(s.pid), lsnValue(s.restart),
+					add(text(name), text(s.plugin), text("logical"), oid(s.db.oid), text(s.db.Name), boolean(s.temporary), boolean(s.pid != 0), pidOf(s.pid),
+						lsnValue(s.restart),
 						lsnValue(s.confirmed), text(map[bool]string{true: "lost", false: "reserved"}[s.lost]))
 				}
 			})),
 		"pg_stat_replication": shaped("pid:i usename application_name client_addr state sent_lsn:l write_lsn:l flush_lsn:l replay_lsn:l sync_state", replicationRows),
-		"pg_stat_activity": shaped("datid:o datname pid:i usename application_name client_addr backend_start:t xact_start:t query_start:t state_change:t wait_event_type state backend_xid:x query backend_type",
+		"pg_stat_activity": shaped("datid:o datname pid:i usename application_name client_addr backend_start:t xact_start:t "+
+			"query_start:t state_change:t wait_event_type state backend_xid:x query backend_type",
 			activityRows),
 		"pg_settings": shaped("name setting", func(c *conn) (out [][]value) {
 			for _, name := range sortedNames(defaults) {
@@ -256,7 +272,8 @@
 	cl.mu.Lock()
 	var out [][]value
 	for _, s := range c.host.senders {
-		out = append(out, []value{pidOf(s.c.pid), text(s.c.user), text(s.c.set.start["application_name"]), text("127.0.0.1"), text(s.state), lsnValue(s.sent), lsnValue(s.flushed),
+		out = append(out, []value{pidOf(s.c.pid), text(s.c.user), text(s.c.set.start["application_name"]), text("127.0.0.1"), text(s.state), lsnValue(s.sent),
+			lsnValue(s.flushed),
 			lsnValue(s.flushed), lsnValue(s.flushed), text("async")})
 	}
 	primary, last := cl.primary == c.host, lsnOf(max(1, cl.last))
@@ -268,7 +285,8 @@
 		}
 		at, _ := h.stand()
 		n := min(lsnOf(at), last)
-		out = append(out, []value{small(100000 + i), text("replicator"), text(h.Name), text("127.0.0.1"), text("streaming"), lsnValue(last), lsnValue(n), lsnValue(n), lsnValue(n), text("async")})
+		out = append(out, []value{small(100000 + i), text("replicator"), text(h.Name), text("127.0.0.1"), text("streaming"), lsnValue(last), lsnValue(n),
+			lsnValue(n), lsnValue(n), text("async")})
 	}
 	return out
 }
@@ -293,7 +311,8 @@
 			kind = "walsender"
 		}
 		xid := value{s: strconv.Itoa(int(a.xid)), typ: typeXid, null: a.xid == 0}
-		out = append(out, []value{oid(s.db.oid), text(s.db.Name), pidOf(s.pid), text(s.user), text(s.set.start["application_name"]), text("127.0.0.1"), moment(a.changed), moment(a.began),
+		out = append(out, []value{oid(s.db.oid), text(s.db.Name), pidOf(s.pid), text(s.user), text(s.set.start["application_name"]), text("127.0.0.1"),
+			moment(a.changed), moment(a.began),
 			moment(a.changed), moment(a.changed), waits(s.party), text(a.state), xid, text(a.query), text(kind)})
 		return true
 	})
@@ -303,7 +322,8 @@
 	for _, name := range sortedNames(cl.databases) {
 		for _, n := range sortedNames(cl.databases[name].subscriptions) {
 			if s := cl.databases[name].subscriptions[n]; s.pid != 0 {
-				out = append(out, []value{oid(s.db.oid), text(name), pidOf(s.pid), text("postgres"), text(""), nothing(typeText), nothing(typeTimestamptz), nothing(typeTimestamptz),
+				out = append(out, []value{oid(s.db.oid), text(name), pidOf(s.pid), text("postgres"), text(""), nothing(typeText), nothing(typeTimestamptz),
+					nothing(typeTimestamptz),
 					nothing(typeTimestamptz), nothing(typeTimestamptz), waits(s.by), nothing(typeText), nothing(typeXid), text(""), text("logical replication apply worker")})
 			}
 		}
@@ -548,7 +568,8 @@
 	for _, name := range []string{"pg_advisory_lock", "pg_advisory_lock_shared", "pg_advisory_xact_lock", "pg_advisory_xact_lock_shared"} {
 		out[name] = function{typeVoid, []uint32{typeInt8}, func(v *env, a []value) (value, *fault) { return v.c.advisory(name, a) }}
 	}
-	for _, name := range []string{"pg_try_advisory_lock", "pg_try_advisory_lock_shared", "pg_try_advisory_xact_lock", "pg_try_advisory_xact_lock_shared", "pg_advisory_unlock",
+	for _, name := range []string{"pg_try_advisory_lock", "pg_try_advisory_lock_shared", "pg_try_advisory_xact_lock", "pg_try_advisory_xact_lock_shared",
+		"pg_advisory_unlock",
 		"pg_advisory_unlock_shared"} {
 		out[name] = function{typeBool, []uint32{typeInt8}, func(v *env, a []value) (value, *fault) { return v.c.advisory(name, a) }}
 	}
--- a/lab/host/cluster.go
+++ b/lab/host/cluster.go
@@ -1,6 +1,55 @@
 // Package host is a stand-in for a group of PostgreSQL db hosts: a primary and its replicas with a log, positions and
 // lag, and on each connection true session state. It speaks the protocol through pgproto3, not through the pooler's
 // parsers, and reads SQL with a small reader of its own, so that a fault there is not tested against itself.
+//
+// A client that names no database of the cluster has the data that all such clients share: tables of a ref and a payload, in
+// which a second INSERT of a ref is one more version. Cluster.Database makes a database; who names it at startup has what
+// follows, and with Cluster.Strict who names another is refused with 3D000.
+//
+// # As PostgreSQL
+//
+// Tables have typed columns (text, bigint, integer, boolean, timestamptz, pg_lsn, numeric and a few more), a primary key of any
+// columns or none, defaults, NOT NULL, a replica identity, and may be unlogged. SELECT has joins, subqueries, aggregates, ORDER BY
+// and LIMIT; INSERT has ON CONFLICT, and all three that write have RETURNING. Types of parameters are inferred, results come in
+// either form. Transactions read what is committed, or with REPEATABLE READ a snapshot. A row that is written, or read FOR UPDATE
+// or FOR SHARE, is locked until the transaction ends; who waits is ended by lock_timeout (55P03), statement_timeout and a cancel
+// (57014), pg_terminate_backend (57P01) or as a deadlock (40P01). Those who hold a row to read let others in that read, past one who
+// waits to write. pg_advisory_lock and its kin lock numbers.
+//
+// Logical replication dials the publisher by the connection string, with replication=database, and so passes through any proxy.
+// A subscription copies each table in one transaction with a temporary slot, again from nothing where the link broke, then
+// follows the slot's commits in their order, each in one transaction that notes the origin's position. A duplicate key stops it
+// and it tries again after Replication.Retry, or disables itself with disable_on_error; an UPDATE or DELETE of a row that is
+// missing is passed over. origin = none leaves out what the publisher itself has from another. Ordinary triggers do not fire in
+// apply or copy. DDL, sequences and large objects do not come along; new tables only after REFRESH PUBLICATION, and only if they
+// are there. UPDATE and DELETE of a published table without a replica identity are refused (55000). A slot waits at its making for
+// the transactions that write, belongs to one primary and dies with its role; a restart of the host it survives. Publications,
+// subscriptions and how far these are are data of the group and go on at the new primary. A link of which nothing is heard is
+// given up by each end after Replication.Timeout; until then the publisher calls the slot active (55006).
+//
+// A failover may lose the last commits (Cluster.FailLosing): also of a subscription's apply, which goes back with them, whereas
+// the publisher's slot has moved on and does not send them again. Whoever had them already keeps them. Cluster.Lost tells them.
+//
+// # Refusing the writes of a closed tenant
+//
+// ALTER DATABASE ... SET default_transaction_read_only holds for new sessions only, and any client may set it back; REVOKE CONNECT
+// holds for new sessions only, and not for owners; neither lets a transaction that is open end before the close is told, and a
+// session that a pooler keeps never sees them. A trigger on each table that reads the fence's row in every writing transaction
+// has none of this, and does not fire in apply; so it alone is here: CREATE FUNCTION ashstand.guard() and CREATE TRIGGER ... EXECUTE
+// FUNCTION ashstand.guard(). The body is not run: the stand-in does what it has to say, that is to fail with 55000 "tenant is closed"
+// where a row of ashstand.fence is closed, and to lock these rows where the body has FOR SHARE or FOR KEY SHARE. Without that lock a
+// transaction that passed the guard can commit after the close; so it can in PostgreSQL. TRUNCATE wants a trigger of its own.
+//
+// # Not as PostgreSQL
+//
+// Positions of the log are microseconds of the clock, the same for all databases of a group, and never go back, not even by a
+// failover that loses commits. DDL takes effect at once on all hosts, is not taken back by ROLLBACK, and is never lost; the
+// same holds for publications, subscriptions and sequences. Locks taken after a savepoint are held to the transaction's end.
+// Text is sorted by its bytes. An advisory lock counts once however often it is taken, and none is taken on a replica. TRUNCATE locks
+// row by row. The stream's messages are JSON in place of pgoutput, the copies of a subscription's tables run one by one before its
+// stream, in the same worker. There are no roles, no column lists, row filters, FOR TABLES IN SCHEMA, two-phase commits, UNIQUE,
+// CHECK or foreign keys, no LOCK TABLE, WITH, GRANT or REVOKE (0A000); statement_timeout ends waits for locks only. What a table's
+// versions were is kept for judges and never vacuumed; an unlogged table is empty after a failover.
 package host
 
 import (
--- a/lab/host/conn.go
+++ b/lab/host/conn.go
@@ -412,7 +412,8 @@
 		return &fault{"25P02", "current transaction is aborted"}
 	}
 	if len(m.Parameters) != len(p.params) {
-		return &fault{"08P01", fmt.Sprintf("bind message supplies %d parameters, but prepared statement %q requires %d", len(m.Parameters), m.PreparedStatement, len(p.params))}
+		return &fault{"08P01", fmt.Sprintf("bind message supplies %d parameters, but prepared statement %q requires %d", len(m.Parameters), m.PreparedStatement,
+			len(p.params))}
 	}
 	t := &portal{p: p, format: m.ResultFormatCodes}
 	for i, v := range m.Parameters {
--- a/lab/host/database_test.go
+++ b/lab/host/database_test.go
@@ -141,9 +141,11 @@
 	require.Equal(t, "b,1;a,10", c.text("SELECT shop, n FROM app.lines ORDER BY shop DESC, n DESC LIMIT 2"))
 	require.Equal(t, "10", c.text("SELECT n FROM app.lines WHERE (shop, n) > ('a', 2) AND shop = 'a'"))
 	require.Equal(t, "2,12,10,x", c.text("SELECT count(*), sum(n), max(n), string_agg(note, '|' ORDER BY n) FROM app.lines WHERE shop = 'a'"))
+	require.Equal(t, "a;b", c.text(`SELECT DISTINCT shop::text AS shop FROM app.lines WHERE shop COLLATE "C" >= 'a' ORDER BY shop COLLATE "C"`))
 	require.Equal(t, "a,2;b,1", c.text("SELECT shop, count(*) FROM app.lines GROUP BY shop ORDER BY 1"))
 	require.Equal(t, "a/10", c.text("UPDATE app.lines SET note = 'y', n = n WHERE note IS NULL RETURNING shop || '/' || n"))
-	require.Equal(t, "n", c.text("INSERT INTO app.lines AS l (shop, n, note) VALUES ('a', 2, 'n') ON CONFLICT (shop, n) DO UPDATE SET note = excluded.note WHERE l.note = 'x' RETURNING note"))
+	require.Equal(t, "n", c.text(`INSERT INTO app.lines AS l (shop, n, note) VALUES ('a', 2, 'n')
+		ON CONFLICT (shop, n) DO UPDATE SET note = excluded.note WHERE l.note = 'x' RETURNING note`))
 	require.Equal(t, "INSERT 0 0", c.do("INSERT INTO app.lines (shop, n) VALUES ('a', 2) ON CONFLICT DO NOTHING"))
 	require.Equal(t, "DELETE 1", c.do("DELETE FROM app.lines WHERE shop = $1 AND n BETWEEN $2 AND $3", "b", 0, 5))
 	require.Empty(t, c.text("SELECT 1 FROM app.lines WHERE shop = 'b'"))
@@ -160,8 +162,10 @@
 	require.True(t, now.Equal(at))
 	require.NoError(t, c.QueryRow(c.ctx, "SELECT count(*) FROM app.lines WHERE shop = ANY($1)", []string{"a", "q"}).Scan(&n))
 	require.EqualValues(t, 2, n)
-	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec, pgx.QueryExecModeCacheDescribe, pgx.QueryExecModeDescribeExec} {
-		require.NoError(t, c.QueryRow(c.ctx, "UPDATE app.lines SET open = $1, at = $2 WHERE shop = $3 AND n = $4 RETURNING n", mode, false, now, "a", int64(2)).Scan(&n))
+	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec, pgx.QueryExecModeCacheDescribe,
+		pgx.QueryExecModeDescribeExec} {
+		require.NoError(t, c.QueryRow(c.ctx, "UPDATE app.lines SET open = $1, at = $2 WHERE shop = $3 AND n = $4 RETURNING n", mode, false, now, "a",
+			int64(2)).Scan(&n))
 		require.EqualValues(t, 2, n)
 		require.NoError(t, c.QueryRow(c.ctx, "SELECT n FROM app.lines WHERE n > $1 ORDER BY n LIMIT $2", mode, 2, 1).Scan(&n))
 		require.EqualValues(t, 10, n)
@@ -186,7 +190,8 @@
 	require.Equal(t, "40001", other.code("UPDATE entries SET payload = '8' WHERE ref = 't'"))
 	other.do("ROLLBACK")
 	// COPY, both ways, and a temporary table beside.
-	k, err := c.CopyFrom(c.ctx, pgx.Identifier{"app", "lines"}, []string{"shop", "n", "note"}, pgx.CopyFromRows([][]any{{"z", 1, "tab\tand\nline"}, {"z", 2, nil}}))
+	k, err := c.CopyFrom(c.ctx, pgx.Identifier{"app", "lines"}, []string{"shop", "n", "note"}, pgx.CopyFromRows([][]any{{"z", 1, "tab\tand\nline"}, {"z", 2,
+		nil}}))
 	require.NoError(t, err)
 	require.EqualValues(t, 2, k)
 	var out strings.Builder
@@ -327,7 +332,8 @@
 	require.Equal(t, "55P03", b.code("UPDATE ashstand.fence SET closed = true"))
 	a.do("COMMIT")
 	b.do("UPDATE ashstand.fence SET closed = true, token = token + 1 WHERE work = 'shop' AND token = $1", 1)
-	for _, sql := range []string{"INSERT INTO entries VALUES ('3', 'x')", "UPDATE entries SET payload = 'y' WHERE ref = '1'", "DELETE FROM entries", "COPY entries FROM STDIN"} {
+	for _, sql := range []string{"INSERT INTO entries VALUES ('3', 'x')", "UPDATE entries SET payload = 'y' WHERE ref = '1'", "DELETE FROM entries",
+		"COPY entries FROM STDIN"} {
 		var err error
 		if strings.HasPrefix(sql, "COPY") {
 			_, err = a.PgConn().CopyFrom(a.ctx, strings.NewReader("4\tx\n"), sql)
--- a/lab/host/exec.go
+++ b/lab/host/exec.go
@@ -867,6 +867,9 @@
 	return f
 }
 
+// maxCopy bounds what one COPY FROM STDIN takes, in bytes.
+const maxCopy = 64 << 20
+
 // copyIn takes what a client sends for COPY FROM STDIN.
 func (c *conn) copyIn(width int, binaryForm bool) (string, *fault) {
 	code := uint16(0)
@@ -880,6 +883,7 @@
 	c.send(&pgproto3.CopyInResponse{OverallFormat: byte(code), ColumnFormatCodes: codes})
 	c.flush()
 	var data strings.Builder
+	over := false
 	for {
 		m, err := c.in.Receive()
 		if err != nil {
@@ -892,10 +896,15 @@
 				c.cut("cut_copy")
 				return "", nil
 			}
-			if data.Len() < 64<<20 {
+			if data.Len() < maxCopy {
 				data.Write(m.Data)
+			} else if c.db != nil {
+				over = true
 			}
 		case *pgproto3.CopyDone:
+			if over {
+				return "", &fault{"54000", fmt.Sprintf("the stand-in takes no more than %d bytes by COPY", maxCopy)}
+			}
 			return data.String(), nil
 		case *pgproto3.CopyFail:
 			return "", &fault{"57014", "COPY from stdin failed: " + m.Message}
--- a/lab/host/expr.go
+++ b/lab/host/expr.go
@@ -245,7 +245,15 @@
 		return &expr{op: "-", args: []*expr{{op: "literal", val: number(0), typ: typeInt8}, e}}, f
 	}
 	e, f := p.primary()
-	for f == nil && p.sign("::") {
+	for f == nil {
+		if p.take("collate") { // text is compared by its bytes whatever it says
+			p.take("pg_catalog", ".")
+			p.identifier()
+			continue
+		}
+		if !p.sign("::") {
+			break
+		}
 		var t uint32
 		t, f = p.typeName()
 		e = &expr{op: "cast", args: []*expr{e}, typ: t}
@@ -360,6 +368,16 @@
 				return nil, f
 			}
 			return &expr{op: "cast", args: []*expr{e}, typ: t}, p.need(")")
+		case l.text == "interval" && p.at+1 < len(p.of) && p.of[p.at+1].kind == 's':
+			p.at += 2
+			v, f := value{s: p.of[p.at-1].text, typ: typeUnknown}.as(typeInterval)
+			return &expr{op: "literal", val: v, typ: typeInterval}, f
+		case p.take("extract", "(", "epoch", "from"):
+			e, f := p.expr()
+			if f != nil {
+				return nil, f
+			}
+			return &expr{op: "call", name: "extract", args: []*expr{e}}, p.need(")")
 		case p.take("case"):
 			return p.cases()
 		case p.take("array", "["):
@@ -543,7 +561,9 @@
 		if t == typeRegclass {
 			t = typeText // a name is looked up
 		}
-		sc.demand(e.args[0], t)
+		if sc.demand(e.args[0], t); e.args[0].typ == e.typ && e.args[0].op == "column" {
+			*e = *e.args[0]
+		}
 	case "and", "or", "not", "exists", "isnull", "istrue", "isfalse":
 		e.typ = typeBool
 	case "=", "<>", "<", ">", "<=", ">=", "distinct":
@@ -566,12 +586,17 @@
 		sc.demand(e.args[0], typeText)
 		sc.demand(e.args[1], typeText)
 	case "+", "-", "*", "/", "%":
-		sc.pair(e.args[0], e.args[1])
-		e.typ = max(e.args[0].typ, typeInt8)
+		if e.args[0].typ != typeTimestamptz && e.args[0].typ != typeLSN {
+			sc.pair(e.args[0], e.args[1])
+		}
 		a, b := e.args[0].typ, e.args[1].typ
 		switch {
 		case a == typeLSN && b == typeLSN, a == typeNumeric || b == typeNumeric:
 			e.typ = typeNumeric
+		case a == typeTimestamptz && b == typeTimestamptz, a == typeInterval && b == typeInterval:
+			e.typ = typeInterval
+		case a == typeTimestamptz, b == typeTimestamptz:
+			e.typ = typeTimestamptz
 		case a == typeLSN, b == typeLSN:
 			e.typ = typeLSN
 		case a == typeFloat8 || b == typeFloat8:
@@ -916,6 +941,9 @@
 		}
 		return value{}, &fault{"42883", "operator does not exist for pg_lsn: " + e.op}
 	}
+	if a.typ == typeTimestamptz || a.typ == typeInterval {
+		return timely(e, a, b)
+	}
 	m, err1 := strconv.ParseInt(a.s, 10, 64)
 	n, err2 := strconv.ParseInt(b.s, 10, 64)
 	if (e.op == "/" || e.op == "%") && (b.s == "0" || err2 == nil && n == 0) {
@@ -956,6 +984,36 @@
 	return value{s: strconv.FormatFloat(x, 'f', -1, 64), typ: typeFloat8}, nil
 }
 
+// timely is the arithmetic of moments and intervals.
+func timely(e *expr, a, b value) (value, *fault) {
+	sign := map[string]float64{"+": 1, "-": -1}[e.op]
+	if sign == 0 {
+		return value{}, &fault{"42883", "operator does not exist for intervals: " + e.op}
+	}
+	if a.typ == typeInterval {
+		x, _ := strconv.ParseFloat(a.s, 64)
+		y, _ := strconv.ParseFloat(b.s, 64)
+		return interval(x + sign*y), nil
+	}
+	x, err := time.Parse(timeForm, a.s)
+	if err != nil {
+		return value{}, &fault{"22007", "invalid timestamp: " + a.s}
+	}
+	if b.typ == typeTimestamptz {
+		y, err := time.Parse(timeForm, b.s)
+		if err != nil {
+			return value{}, &fault{"22007", "invalid timestamp: " + b.s}
+		}
+		return interval(x.Sub(y).Seconds()), nil
+	}
+	if b, f := b.as(typeInterval); f != nil {
+		return value{}, f
+	} else if y, err := strconv.ParseFloat(b.s, 64); err == nil {
+		x = x.Add(time.Duration(sign * y * 1e9))
+	}
+	return moment(x), nil
+}
+
 func (v *env) cast(a value, t uint32) (value, *fault) {
 	switch {
 	case a.null:
@@ -1018,7 +1076,7 @@
 var functions map[string]function
 
 func init() {
-	txt, lsn := []uint32{typeText}, []uint32{typeLSN}
+	txt := []uint32{typeText}
 	functions = map[string]function{
 		"pg_backend_pid": old("pg_backend_pid", typeInt4), "pg_is_in_recovery": old("pg_is_in_recovery", typeBool),
 		"current_setting": old("current_setting", typeText), "set_config": old("set_config", typeText), "now": old("now", typeTimestamptz),
@@ -1056,6 +1114,16 @@
 		}),
 		"lower": strict(typeText, txt, func(_ *env, a []value) (value, *fault) { return text(strings.ToLower(a[0].s)), nil }),
 		"upper": strict(typeText, txt, func(_ *env, a []value) (value, *fault) { return text(strings.ToUpper(a[0].s)), nil }),
+		"extract": strict(typeFloat8, nil, func(_ *env, a []value) (value, *fault) {
+			if a[0].typ == typeInterval {
+				return value{s: a[0].s, typ: typeFloat8}, nil
+			}
+			at, err := time.Parse(timeForm, a[0].s)
+			if err != nil {
+				return value{}, &fault{"22007", "invalid timestamp: " + a[0].s}
+			}
+			return value{s: strconv.FormatFloat(float64(at.UnixMicro())/1e6, 'f', 6, 64), typ: typeFloat8}, nil
+		}),
 		"md5": strict(typeText, txt, func(_ *env, a []value) (value, *fault) {
 			sum := md5.Sum([]byte(a[0].s))
 			return text(hex.EncodeToString(sum[:])), nil
@@ -1069,7 +1137,6 @@
 		"current_database": {typeText, nil, func(v *env, _ []value) (value, *fault) { return text(v.c.db.Name), nil }},
 		"current_schema":   {typeText, nil, func(v *env, _ []value) (value, *fault) { return text(v.c.schema()), nil }},
 	}
-	_ = lsn
 	for _, name := range []string{"current_user", "session_user", "current_role"} {
 		functions[name] = function{typeText, nil, func(v *env, _ []value) (value, *fault) { return text(v.c.user), nil }}
 	}
--- a/lab/host/publish.go
+++ b/lab/host/publish.go
@@ -527,7 +527,8 @@
 		if k != "publish" {
 			return &fault{"42601", fmt.Sprintf("unrecognized publication parameter: %q", k)}
 		}
-		p.insert, p.update, p.delete, p.truncate = strings.Contains(v, "insert"), strings.Contains(v, "update"), strings.Contains(v, "delete"), strings.Contains(v, "truncate")
+		p.insert, p.update, p.delete, p.truncate = strings.Contains(v, "insert"), strings.Contains(v, "update"), strings.Contains(v, "delete"),
+			strings.Contains(v, "truncate")
 	}
 	return nil
 }
--- a/lab/host/replicate_test.go
+++ b/lab/host/replicate_test.go
@@ -21,7 +21,7 @@
 	conns   []net.Conn
 	refuse  bool
 	stalled atomic.Bool
-	deaf    atomic.Bool // what the subscriber says does not arrive
+	deaf    atomic.Bool  // what the subscriber says does not arrive
 	bytes   atomic.Int64 // from the publisher
 	dials   atomic.Int64
 }
@@ -414,11 +414,13 @@
 	c := r.dial(r.hosts[0])
 	c.do("CREATE TABLE numbered (id bigserial PRIMARY KEY, note text)")
 	c.do("INSERT INTO numbered (note) VALUES ('a'), ('b')")
-	require.Equal(t, "public,bare,n,p,f;public,entries,d,p,t;public,numbered,d,p,t;public,quiet,d,u,t", c.text(`SELECT n.nspname, c.relname, c.relreplident, c.relpersistence,
+	require.Equal(t, "public,bare,n,p,f;public,entries,d,p,t;public,numbered,d,p,t;public,quiet,d,u,t", c.text(`
+		SELECT n.nspname, c.relname, c.relreplident, c.relpersistence,
 		EXISTS (SELECT 1 FROM pg_index i WHERE i.indrelid = c.oid AND i.indisprimary)
 		FROM pg_class c JOIN pg_namespace n ON n.oid = c.relnamespace
 		WHERE c.relkind = 'r' AND n.nspname NOT IN ('pg_catalog', 'information_schema') ORDER BY 1, 2`))
-	require.Equal(t, "bare", c.text("SELECT c.relname FROM pg_catalog.pg_class c LEFT JOIN pg_index i ON i.indrelid = c.oid AND i.indisprimary WHERE c.relkind = 'r' AND i.indrelid IS NULL"))
+	require.Equal(t, "bare", c.text(`SELECT c.relname FROM pg_catalog.pg_class c
+		LEFT JOIN pg_index i ON i.indrelid = c.oid AND i.indisprimary WHERE c.relkind = 'r' AND i.indrelid IS NULL`))
 	require.Equal(t, "numbered_id_seq,2", c.text("SELECT sequencename, last_value FROM pg_sequences"))
 	require.Equal(t, "100", c.text("SELECT setval('numbered_id_seq', 100)"))
 	require.Equal(t, "101", c.text("INSERT INTO numbered (note) VALUES ('c') RETURNING id"))
@@ -426,7 +428,8 @@
 	require.Equal(t, "hstore", c.text("SELECT extname FROM pg_extension WHERE extname <> 'plpgsql'"))
 	require.Equal(t, "55000", c.code("PREPARE TRANSACTION 'x'"))
 	require.Equal(t, "t", c.text("SELECT pg_database_size(current_database()) > 0"))
-	require.Equal(t, "id,bigint,NO;note,text,YES", c.text("SELECT column_name, data_type, is_nullable FROM information_schema.columns WHERE table_name = 'numbered' ORDER BY ordinal_position"))
+	require.Equal(t, "id,bigint,NO;note,text,YES",
+		c.text("SELECT column_name, data_type, is_nullable FROM information_schema.columns WHERE table_name = 'numbered' ORDER BY ordinal_position"))
 	// Positions.
 	at := c.text("SELECT pg_current_wal_lsn()")
 	c.do("INSERT INTO entries VALUES ('1', '')")
@@ -450,8 +453,8 @@
 	other.do("BEGIN")
 	other.do("INSERT INTO entries VALUES ('3', '')")
 	pid := other.PgConn().PID()
-	require.Equal(t, fmt.Sprintf("%d,idle in transaction,t,t", pid), c.text(
-		"SELECT pid, state, backend_xid IS NOT NULL, xact_start < now() FROM pg_stat_activity WHERE datname = current_database() AND pid <> pg_backend_pid()"))
+	require.Equal(t, fmt.Sprintf("%d,idle in transaction,t,t,t", pid), c.text(`SELECT pid, state, backend_xid IS NOT NULL, now() - xact_start < interval '1 min',
+		extract(epoch FROM now() - xact_start) BETWEEN 0 AND 60 FROM pg_stat_activity WHERE datname = current_database() AND pid <> pg_backend_pid()`))
 	require.Equal(t, "t", c.text(fmt.Sprintf("SELECT pg_terminate_backend(%d)", pid)))
 	_, err := other.Exec(other.ctx, "SELECT 1")
 	require.ErrorContains(t, err, "57P01")
--- a/lab/host/subscribe.go
+++ b/lab/host/subscribe.go
@@ -101,7 +101,8 @@
 	for _, n := range names {
 		list = append(list, "'"+strings.ReplaceAll(n, "'", "''")+"'")
 	}
-	all, err := p.Exec(ctx, "SELECT DISTINCT schemaname, tablename FROM pg_publication_tables WHERE pubname IN ("+strings.Join(list, ", ")+") ORDER BY 1, 2").ReadAll()
+	all, err := p.Exec(ctx, "SELECT DISTINCT schemaname, tablename FROM pg_publication_tables WHERE pubname IN ("+strings.Join(list,
+		", ")+") ORDER BY 1, 2").ReadAll()
 	if err != nil {
 		return nil, err
 	}
@@ -148,7 +149,8 @@
 }
 
 func (c *conn) createSubscription(p *parser) *fault {
-	s := &subscription{db: c.db, enabled: true, origin: "any", tables: map[*Table]*relation{}, by: &party{}, wake: make(chan struct{}, 1), gone: make(chan struct{}), over: make(chan struct{})}
+	s := &subscription{db: c.db, enabled: true, origin: "any", tables: map[*Table]*relation{}, by: &party{}, wake: make(chan struct{}, 1),
+		gone: make(chan struct{}), over: make(chan struct{})}
 	var ok bool
 	if s.name, ok = p.identifier(); !ok {
 		return p.wrong()
--- a/lab/host/value.go
+++ b/lab/host/value.go
@@ -21,6 +21,7 @@
 	typeUnknown     = 705
 	typeTextArray   = 1009
 	typeTimestamptz = 1184
+	typeInterval    = 1186
 	typeNumeric     = 1700
 	typeRegclass    = 2205
 	typeVoid        = 2278
@@ -30,9 +31,9 @@
 var typeNames = map[string]uint32{"bool": typeBool, "boolean": typeBool, "bigint": typeInt8, "int8": typeInt8, "bigserial": typeInt8, "int": typeInt4,
 	"integer": typeInt4, "int4": typeInt4, "smallint": typeInt4, "int2": typeInt4, "text": typeText, "varchar": typeText, "name": typeText,
 	"char": typeText, "character": typeText, "oid": typeOid, "xid": typeXid, "xid8": typeInt8, "float8": typeFloat8, "double": typeFloat8,
-	"timestamptz": typeTimestamptz, "timestamp": typeTimestamptz, "numeric": typeNumeric, "regclass": typeRegclass, "pg_lsn": typeLSN}
+	"timestamptz": typeTimestamptz, "timestamp": typeTimestamptz, "numeric": typeNumeric, "regclass": typeRegclass, "pg_lsn": typeLSN, "interval": typeInterval}
 
-// value is a datum in its text form, by which it is kept, sent and compared.
+// value is a datum in its text form, by which it is kept, sent and compared; an interval is kept as seconds.
 type value struct {
 	s    string
 	null bool
@@ -80,7 +81,7 @@
 
 func numeric(t uint32) bool {
 	switch t {
-	case typeInt8, typeInt4, typeOid, typeXid, typeFloat8, typeNumeric, typeRegclass:
+	case typeInt8, typeInt4, typeOid, typeXid, typeFloat8, typeNumeric, typeRegclass, typeInterval:
 		return true
 	}
 	return false
@@ -124,6 +125,15 @@
 		if _, err := strconv.ParseFloat(v.s, 64); err != nil {
 			return v, bad("numeric")
 		}
+	case typeInterval:
+		if v.typ == typeInterval {
+			return v, nil
+		}
+		x, ok := seconds(v.s)
+		if !ok {
+			return v, bad("interval")
+		}
+		return interval(x), nil
 	case typeLSN:
 		n, err := ParseLSN(v.s)
 		if err != nil {
@@ -132,7 +142,8 @@
 		return value{s: lsnText(n), typ: typeLSN}, nil
 	case typeTimestamptz:
 		if v.typ != typeTimestamptz {
-			for _, form := range []string{timeForm, "2006-01-02 15:04:05.999999-07:00", "2006-01-02 15:04:05.999999999Z07:00", time.RFC3339Nano, "2006-01-02 15:04:05.999999", "2006-01-02"} {
+			for _, form := range []string{timeForm, "2006-01-02 15:04:05.999999-07:00", "2006-01-02 15:04:05.999999999Z07:00", time.RFC3339Nano,
+				"2006-01-02 15:04:05.999999", "2006-01-02"} {
 				if at, err := time.Parse(form, v.s); err == nil {
 					return moment(at), nil
 				}
@@ -144,6 +155,55 @@
 	return v, nil
 }
 
+func interval(seconds float64) value {
+	return value{s: strconv.FormatFloat(seconds, 'f', 6, 64), typ: typeInterval}
+}
+
+// seconds reads an interval of numbers with units up to days, or of the form HH:MM:SS.
+func seconds(s string) (sum float64, ok bool) {
+	units := map[string]float64{"us": 1e-6, "microsecond": 1e-6, "ms": 1e-3, "millisecond": 1e-3, "s": 1, "sec": 1, "second": 1, "m": 60, "min": 60, "minute": 60,
+		"h": 3600, "hour": 3600, "d": 86400, "day": 86400}
+	words := strings.Fields(strings.ToLower(s))
+	for i := 0; i < len(words); i++ {
+		if parts := strings.Split(words[i], ":"); len(parts) == 3 {
+			for k, p := range parts {
+				x, err := strconv.ParseFloat(p, 64)
+				if err != nil {
+					return 0, false
+				}
+				sum += x * []float64{3600, 60, 1}[k]
+			}
+			continue
+		}
+		x, err := strconv.ParseFloat(words[i], 64)
+		if err != nil {
+			return 0, false
+		}
+		unit := 1.0
+		if i+1 < len(words) {
+			i++
+			if unit, ok = units[words[i]]; !ok {
+				if unit, ok = units[strings.TrimSuffix(words[i], "s")]; !ok {
+					return 0, false
+				}
+			}
+		}
+		sum += x * unit
+	}
+	return sum, len(words) > 0
+}
+
+// clock is an interval in its text form.
+func clock(s string) string {
+	x, _ := strconv.ParseFloat(s, 64)
+	sign := ""
+	if x < 0 {
+		sign, x = "-", -x
+	}
+	us := int64(math.Round(x * 1e6))
+	return fmt.Sprintf("%s%02d:%02d:%02d.%06d", sign, us/3600e6, us/60e6%60, us/1e6%60, us%1e6)
+}
+
 // order compares two values that are not NULL: as numbers, positions or, byte by byte, as text.
 func order(a, b value) int {
 	if a.typ == typeLSN || b.typ == typeLSN {
@@ -214,10 +274,16 @@
 	if v.null {
 		return nil
 	}
+	if form == 0 && v.typ == typeInterval {
+		return []byte(clock(v.s))
+	}
 	if form == 0 {
 		return []byte(v.s)
 	}
 	switch v.typ {
+	case typeInterval:
+		x, _ := strconv.ParseFloat(v.s, 64)
+		return append(binary.BigEndian.AppendUint64(nil, uint64(int64(math.Round(x*1e6)))), make([]byte, 8)...)
 	case typeInt8:
 		n, _ := strconv.ParseInt(v.s, 10, 64)
 		return binary.BigEndian.AppendUint64(nil, uint64(n))
