Tail: what clients send ahead or in pieces gets its answer up to the end of the process

Cause, front.go: Cut answered the request under way with a fatal error and threw away what waited behind it (farewell, Discard(-1)); drain in main.go took the core's idleness for the end, although a request of which half had come, or one sent ahead whose turn came next, was not begun yet, and cut it; next closed a connection without asking the kernel, and with bytes unread a close is a reset; a connection that was new in the drain was closed before its first request.

Change: Cut reads what the kernel holds, gives the request under way its error and refuses each whole one behind it (57P03: it was sent on to nobody); the drain goes on while any request has begun to arrive; a close between requests looks into the kernel's buffer first; a connection on which nothing was asked stays until it has asked once.

--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -294,6 +294,9 @@
 			n.flight.Drain()
 		}
 		<-n.core.Drain()
+		for !n.front.Idle() { // of what clients send ahead or in pieces, some is still to begin
+			time.Sleep(5 * time.Millisecond)
+		}
 		for n.pooled != nil && n.pooled.Stats().Linked > 0 { // transactions finish, if they can in time
 			time.Sleep(5 * time.Millisecond)
 		}
--- a/cmd/ashstand/program_test.go
+++ b/cmd/ashstand/program_test.go
@@ -248,17 +248,25 @@
 	idle, f := dial(t, listen)
 	require.Equal(t, []string{"empty"}, ask(t, f, ""), "ready with the list that was known")
 	require.Equal(t, []string{value}, ask(t, f, fmt.Sprintf(donate, 1, 9000)))
-	_, slow := dial(t, listen)
+	ahead, slow := dial(t, listen)
 	slow.Send(&pgproto3.Query{String: "/* id=s,c=report,d=14000,cluster=1 */ SELECT payload FROM entries WHERE ref = 'slow'"})
 	require.NoError(t, slow.Flush())
 	<-entered
+	b, err := (&pgproto3.Query{String: fmt.Sprintf(donate, 3, 9000)}).Encode(nil)
+	require.NoError(t, err)
+	_, err = ahead.Write(b[:40])
+	require.NoError(t, err)
 	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
 	_, late := dial(t, listen) // in the tail connections still come
 	require.Equal(t, []string{value}, ask(t, late, fmt.Sprintf(donate, 2, 9000)))
-	_, err := io.ReadAll(idle)
+	_, err = io.ReadAll(idle)
 	require.NoError(t, err, "an idle connection is closed, not reset")
 	close(release)
 	require.Equal(t, []string{value}, until(t, slow))
+	time.Sleep(100 * time.Millisecond) // the rest takes its time
+	_, err = ahead.Write(b[40:])
+	require.NoError(t, err)
+	require.Equal(t, []string{value}, until(t, slow), "half of it had come")
 	require.NoError(t, cmd.Wait(), "%s", logged)
 	require.Contains(t, logged.String(), "drained: every request has its answer")
 }
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -146,33 +146,94 @@
 	return n, err
 }
 
-// Drain closes client connections between requests, now and from now on.
+// Drain closes client connections between requests, now and from now on. One on which nothing was asked yet stays: its
+// client has nowhere else to send its first request, and a close would count as an answer to that.
 func (f *Front) Drain() {
 	f.drain.Store(true)
 	f.each(func(h *client, c gnet.Conn) {
-		if !h.busy && c.InboundBuffered() == 0 && !waiting(c) {
+		if h.asked && h.between(c) {
 			_ = c.EventLoop().Close(c)
 		}
 	})
 }
 
+// Idle says whether no request is under way or has begun to arrive.
+func (f *Front) Idle() bool {
+	l, ok := f.loop.Load().(gnet.EventLoop)
+	if !ok {
+		return true
+	}
+	idle := make(chan bool, 1)
+	if l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		all := true
+		for h, c := range f.conns {
+			all = all && (h.farewelled || h.between(c))
+		}
+		idle <- all
+		return nil
+	})) != nil {
+		return true
+	}
+	return <-idle
+}
+
 // Cut gives every request that is open its final answer, an error, and lets no other in: the process is about to end.
+// What a client sent ahead was sent on to nobody, so it is refused: without a word it would be lost.
 func (f *Front) Cut() {
 	f.over.Store(true)
 	f.each(func(h *client, c gnet.Conn) {
-		if !h.busy && !h.farewelled && h.farewell(c, stateStarting, "the pooler restarts", "") == gnet.Close {
-			_ = c.EventLoop().Close(c)
+		if h.farewelled {
+			return
+		}
+		codes := make([]string, h.ahead(c))
+		for i := range codes {
+			codes[i] = stateStarting
 		}
 		if h.busy {
 			h.busy = false
 			h.leave() // what came of the request now is written no more
-			if h.farewell(c, stateShutdown, "the pooler restarts; the request may have run", "") == gnet.Close {
-				_ = c.EventLoop().Close(c)
-			}
+			codes = append([]string{stateShutdown}, codes...)
+		}
+		if len(codes) == 0 { // the next request may be on its way
+			codes = append(codes, stateStarting)
+		}
+		text := map[string]string{stateStarting: "the pooler restarts", stateShutdown: "the pooler restarts; the request may have run"}
+		last := len(codes) - 1
+		for _, code := range codes[:last] {
+			h.write(c, ready(failure(nil, "ERROR", code, text[code], "")))
+		}
+		if h.farewell(c, codes[last], text[codes[last]], "") == gnet.Close {
+			_ = c.EventLoop().Close(c)
 		}
 	})
 }
 
+// between says whether the client's last request has its answer and nothing of another has come, to the kernel either.
+func (h *client) between(c gnet.Conn) bool { return !h.busy && c.InboundBuffered() == 0 && !waiting(c) }
+
+// ahead is how many commands wait whole for an answer, behind the one under way; what only the kernel has is read.
+func (h *client) ahead(c gnet.Conn) (n int) {
+	held, _ := c.Peek(c.InboundBuffered())
+	b := append([]byte(nil), held...)
+	for more := make([]byte, 16<<10); len(b) <= maxAhead; {
+		n, err := syscall.Read(c.Fd(), more)
+		if err != nil || n <= 0 {
+			break
+		}
+		b = append(b, more[:n]...)
+	}
+	for p := h.parser; ; {
+		command := p.Next(b)
+		switch command.Kind {
+		case Incomplete, End, Cancel, Broken:
+			return n
+		case Query, Sync, Function:
+			n++
+		}
+		b = b[command.Used:]
+	}
+}
+
 // each does something on the loop for every connection.
 func (f *Front) each(do func(h *client, c gnet.Conn)) {
 	l, ok := f.loop.Load().(gnet.EventLoop)
@@ -325,7 +386,7 @@
 		if h.strikes > maxStrikes {
 			return h.farewell(c, stateInvalid, "too many requests that make no sense", "")
 		}
-		if !h.busy && h.front.drain.Load() && c.InboundBuffered() == 0 {
+		if h.front.drain.Load() && h.asked && h.between(c) {
 			return gnet.Close
 		}
 	}
@@ -460,7 +521,7 @@
 	}
 	if h.unread > 0 { // what was sent ahead is waiting, and was taken
 		_ = c.Wake(nil)
-	} else if h.front.drain.Load() {
+	} else if h.front.drain.Load() && !waiting(c) { // closed with bytes unread, it would be reset
 		_ = c.Close()
 	}
 }
--- a/internal/net/pg/front_test.go
+++ b/internal/net/pg/front_test.go
@@ -219,3 +219,36 @@
 	var e net.Error
 	return errors.As(err, &e) && e.Timeout()
 }
+
+// Guards against requests that are lost at the end of the process: one is under way, two were sent ahead of its answer and
+// half of one more, another client has sent half a request, a third has asked nothing yet.
+func TestAtTheEndEachRequestGetsAnAnswer(t *testing.T) {
+	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20})
+	text := func(id string) string { return "/* id=" + id + ",c=report,d=20000,cluster=1 */ SELECT 'k'" }
+	asked, fresh, half, busy := d.call(t, ""), d.call(t), d.call(t, ""), d.call(t, text("a"), text("b"), text("c"))
+	_, err := fresh.Write(startup(nil, "web", "orders"))
+	require.NoError(t, err)
+	errorsOf(t, asked, 1)
+	errorsOf(t, half, 1)
+	part := []byte{'Q', 0, 0, 1, 0, 'S'}
+	for _, c := range []net.Conn{half, busy} {
+		_, err := c.Write(part)
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool {
+		return d.count(func(h *client) bool {
+			return h.parser.started && (h.partial > 0 || h.busy && h.unread > len(part) || !h.asked)
+		}) == 3
+	}, 10*time.Second, time.Millisecond)
+	d.Drain()
+	_, err = io.ReadAll(asked)
+	require.NoError(t, err, "closed between requests")
+	require.False(t, d.Idle(), "half a request is one that comes")
+	_, err = fresh.Write(query(nil, func(b []byte) []byte { return b }))
+	require.NoError(t, err)
+	require.Equal(t, []string{"empty"}, errorsOf(t, fresh, 0), "its first request is answered, then it is closed")
+	d.Cut()
+	require.Equal(t, []string{"FATAL 57P03 "}, errorsOf(t, half, 0))
+	require.Equal(t, []string{"ERROR 57P01 ", "ERROR 57P03 ", "FATAL 57P03 "}, errorsOf(t, busy, 0))
+	require.True(t, d.Idle())
+}
