--- a/cmd/ashlab/main.go
+++ b/cmd/ashlab/main.go
@@ -78,7 +78,7 @@
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "ashlab", Short: "try, load and measure the pooler against stand-ins", SilenceUsage: true, SilenceErrors: true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
-	root.AddCommand(sessions(), try(), up(), relay(), restart(), clusters())
+	root.AddCommand(sessions(), try(), up(), relay(), restart(), clusters(), costs())
 	return root
 }
 
--- a/internal/cost/estimate.go
+++ b/internal/cost/estimate.go
@@ -133,7 +133,6 @@
 	if now < v.At {
 		e.v.At = now
 	}
-	e.full = newFit(v.Cells, v.broken)
 	e.waits = append(e.waits, lines(v.Waits, -1))
 	if e.robust = v.Blocks >= 3 && v.broken != "false"; e.robust {
 		for b := range v.Blocks {
@@ -143,10 +142,11 @@
 					cells = append(cells, c)
 				}
 			}
-			e.blocks = append(e.blocks, newFit(cells, v.broken))
+			e.blocks = append(e.blocks, newFit(cells, v.broken, nil))
 			e.waits = append(e.waits, lines(v.Waits, b))
 		}
 	}
+	e.full = newFit(v.Cells, v.broken, e.blocks)
 	return e
 }
 
--- a/internal/cost/fit.go
+++ b/internal/cost/fit.go
@@ -59,8 +59,9 @@
 	statement Fingerprint
 }
 
-// newFit fits cells; nil: there are none.
-func newFit(cells []Cell, broken string) *fit {
+// newFit fits cells; nil: there are none. Spreads are estimated from the cells, or taken from the middle of other fits,
+// where these are three or more.
+func newFit(cells []Cell, broken string, others []*fit) *fit {
 	f := &fit{classes: map[string]int{}, kinds: map[string]int{}, items: map[stmt]*item{},
 		statement: priorStatement * priorStatement, pair: priorPair * priorPair, slope: priorSlope * priorSlope}
 	n, sizes := 0.0, 0.0
@@ -103,16 +104,52 @@
 	if broken == "shrink" { // every effect stands alone, as if nothing were alike
 		f.statement, f.pair, f.slope = vague*vague, vague*vague, 1
 	}
-	for range rounds {
+	most := rounds
+	if len(others) > 2 {
+		most = 1 // for classes that too few of the others know
+	}
+	for range most {
 		f.solve()
 		if f.spreads(broken == "shrink") < settled {
 			break
 		}
 	}
+	f.take(others)
 	f.solve()
 	return f
 }
 
+// take replaces the spreads by the middle of what other fits found: no one source then moves them further than to the
+// next one's.
+func (f *fit) take(others []*fit) {
+	if len(others) < 3 || slices.Contains(others, nil) {
+		return
+	}
+	middle := func(of func(o *fit) (float64, bool), v *float64) {
+		var xs []float64
+		for _, o := range others {
+			if x, ok := of(o); ok {
+				xs = append(xs, x)
+			}
+		}
+		if slices.Sort(xs); len(xs) > 2 {
+			*v = xs[len(xs)/2]
+		}
+	}
+	middle(func(o *fit) (float64, bool) { return o.statement, true }, &f.statement)
+	middle(func(o *fit) (float64, bool) { return o.pair, true }, &f.pair)
+	middle(func(o *fit) (float64, bool) { return o.slope, true }, &f.slope)
+	for name, i := range f.classes {
+		middle(func(o *fit) (float64, bool) {
+			j, ok := o.classes[name]
+			if !ok {
+				return 0, false
+			}
+			return o.noise[j], true
+		}, &f.noise[i])
+	}
+}
+
 // centre moves the origin of sizes.
 func (m *Moments) centre(by float64) {
 	old := *m
--- a/internal/cost/place.go
+++ b/internal/cost/place.go
@@ -79,6 +79,33 @@
 	return &drawn{e: e, age: max(0, now-e.v.At), effects: map[pairKey]*effect{}, byBlock: map[pairKey][]effect{}}, nil
 }
 
+// Work is the mean work of a statement at a kind of host with others there, in milliseconds, and how far one source's
+// false evidence can have moved the logarithm of its median; -1: no bound.
+func (e *Estimator) Work(now float64, class, kind string, s Fingerprint, rows, bytes, inflight float64) (mean Figure, moved float64, err error) {
+	d, err := e.ready(now)
+	if err != nil {
+		return Figure{}, 0, err
+	}
+	if mean, _, err = d.expect(class, kind, s, rows, bytes, inflight); err != nil {
+		return Figure{}, 0, err
+	}
+	k := pairKey{e.full.classes[class], e.full.kinds[kind], s}
+	_, moved = d.hold(k, class, kind, [4]float64{1, sizeOf(rows, bytes), math.Log1p(inflight), 0})
+	return mean, moved, nil
+}
+
+// Noise is the factor by which a class's work varies from run to run, one standard deviation of its logarithm.
+func (e *Estimator) Noise(class string) float64 {
+	if e.full == nil {
+		return math.NaN()
+	}
+	c, ok := e.full.classes[class]
+	if !ok {
+		return math.NaN()
+	}
+	return math.Sqrt(e.full.noise[c])
+}
+
 // Fits says whether hosts, one group's, can bear a tenant's load beside what they have: the upper end of what it needs
 // must be within nine tenths of a host's capacity, less what is taken. Its reads are spread over the replicas evenly.
 func (e *Estimator) Fits(now float64, t Tenant, hosts []Host) (Verdict, error) {
