Stand-in hosts: a slot moves by what was applied, not by what was sent; positions tested faster than the clock

Two mutations stayed green before: a slot confirmed by what had been sent, and positions without their step of a microsecond. Both are red now.

--- a/lab/host/replicate_test.go
+++ b/lab/host/replicate_test.go
@@ -23,6 +23,7 @@
 	refuse  bool
 	stalled atomic.Bool
 	deaf    atomic.Bool  // what the subscriber says does not arrive
+	mute    atomic.Bool  // nor what the publisher says
 	bytes   atomic.Int64 // from the publisher
 	dials   atomic.Int64
 }
@@ -67,7 +68,7 @@
 	b := make([]byte, 4096)
 	for {
 		n, err := from.Read(b)
-		for k.stalled.Load() || k.deaf.Load() && count == nil {
+		for k.stalled.Load() || k.deaf.Load() && count == nil || k.mute.Load() && count != nil {
 			time.Sleep(time.Millisecond)
 		}
 		if n > 0 {
@@ -324,6 +325,30 @@
 	}
 }
 
+// What was sent and did not arrive is not confirmed by the answer to what came before it.
+func TestSlotMovesByWhatWasApplied(t *testing.T) {
+	p := newPair(t)
+	p.a.do("CREATE PUBLICATION all_tables FOR ALL TABLES")
+	p.subscribe("copy_data = false")
+	insert := func(ref string) (lsn string) {
+		p.a.do("INSERT INTO entries VALUES ($1, '')", ref)
+		return p.a.text("SELECT pg_current_wal_lsn()")
+	}
+	insert("1")
+	p.b.becomes("1", "SELECT count(*) FROM entries")
+	p.link.deaf.Store(true)
+	second := insert("2")
+	p.b.becomes("2", "SELECT count(*) FROM entries")
+	p.link.mute.Store(true)
+	third := insert("3")
+	p.a.becomes("t", "SELECT sent_lsn >= '"+third+"' FROM pg_stat_replication WHERE application_name = 'move'")
+	p.link.deaf.Store(false)
+	p.a.becomes("t,t", "SELECT confirmed_flush_lsn >= '"+second+"', confirmed_flush_lsn < '"+third+"' FROM pg_replication_slots")
+	p.link.cut(false)
+	p.link.mute.Store(false)
+	p.b.becomes("1;2;3", "SELECT ref FROM entries ORDER BY ref")
+}
+
 func TestDuplicateKeyStopsApply(t *testing.T) {
 	p := newPair(t)
 	p.a.do("CREATE PUBLICATION all_tables FOR ALL TABLES")
--- a/lab/host/value_test.go
+++ b/lab/host/value_test.go
@@ -46,9 +46,12 @@
 
 func TestPositionsAreApart(t *testing.T) {
 	c := NewCluster(1, 1)
-	was := uint64(0)
+	var all []uint64
 	for range 20000 { // faster than the clock's microseconds
-		at := lsnOf(c.advance())
+		all = append(all, lsnOf(c.advance()))
+	}
+	was := uint64(0)
+	for _, at := range all {
 		require.Greater(t, at, was)
 		was = at
 		back, err := ParseLSN(lsnText(at))
