Bounds of a fleet: what a cold host is sent over its fall time stays under what it stands

The bounds held what cold hosts were sent together in 100 ms; the rule counts each host over the time that the settings name. Added: in any 1.5 s, begun at any 10 ms of the ramp, all 300 poolers together send a cold host less than N + 3 roots of N + 3 requests of mean work, those that it turns away included; N is the multiple allowed, times the share of its capacity that it is sure to have when that time begins, times the load that warm hosts bear then. Started hosts are known from the test's own list, not from what a pooler takes for cold.

No fault found in the module.

--- a/choice/bounds_test.go
+++ b/choice/bounds_test.go
@@ -43,6 +43,7 @@
 	probeTime    = 2 * ms
 	window       = 100 * ms
 	slot         = 10 * ms
+	fall         = 1500 * ms // for which a cold host stands more than it can bear, as settings name it
 )
 
 // crowd is a whole fleet on one test clock: it plays requests, hosts that answer after a while and the connections that
@@ -62,10 +63,11 @@
 	counted map[string]map[time.Duration]int // what, by slot
 	refused int
 	taken   int
+	rate    float64 // requests a second
 }
 
 func newCrowd(t testing.TB) *crowd {
-	w := &crowd{t: t, now: zero, lots: rand.New(rand.NewPCG(3, 4)), list: map[string]Target{}, down: map[string]bool{},
+	w := &crowd{t: t, now: zero, rate: crowdRate, lots: rand.New(rand.NewPCG(3, 4)), list: map[string]Target{}, down: map[string]bool{},
 		idle: map[[2]string]int{}, tries: map[string]int{}, counted: map[string]map[time.Duration]int{}}
 	s := settings()
 	s.Routers, s.FallFactor, s.ConnIdle, s.ProbePrice = crowdRouters, 2.5, 30*time.Second, 0.04
@@ -122,7 +124,7 @@
 // play lets requests come, drawn over routers, groups and two classes of reads, with one write in ten.
 func (w *crowd) play(d time.Duration) {
 	end := w.now + d
-	for at := w.now; at < end; at += time.Duration(w.lots.ExpFloat64() / crowdRate * float64(time.Second)) {
+	for at := w.now; at < end; at += time.Duration(w.lots.ExpFloat64() / w.rate * float64(time.Second)) {
 		class := []int{anyRead, boundedRead}[w.lots.IntN(2)]
 		if w.lots.IntN(10) == 0 {
 			class = unsafeWrite
@@ -162,6 +164,7 @@
 	case ActSend:
 		m := w.list[a.Host]
 		require.False(w.t, m.Gone || m.Draining, "work for %s, which has left", a.Host)
+		w.count("work "+a.Host, 1)
 		if cold := w.routers[router].cold(w.routers[router].members[a.Host]); cold < 1 {
 			w.count("cold", 1)
 			w.count("cold "+a.Host, 1)
@@ -226,6 +229,34 @@
 	}
 }
 
+// stands holds what each host that started since a moment was sent to what it stands: in any fall time, whatever of it it
+// turned away, N requests of mean work, three times their root for chance, and three. N is the multiple that the settings
+// allow, of the capacity that it is sure to have when that time begins; a warm host's is no less than the load that such
+// hosts bear at that time, a third of a group's requests.
+func (w *crowd) stands(what string, since time.Duration) {
+	w.t.Helper()
+	s, worst, n := &w.routers[0].cfg, 0.0, 0
+	for h, e := range w.list {
+		if e.Started < since || e.Gone {
+			continue
+		}
+		for at := e.Started / slot; at*slot < min(w.now, e.Started+s.ColdRamp); at++ {
+			sum := 0
+			for i := range fall / slot {
+				sum += w.counted["work "+h][at+i]
+			}
+			share := s.ColdFrom + (1-s.ColdFrom)*float64(max(at*slot-e.Started, 0))/float64(s.ColdRamp)
+			allowed := s.FallFactor * share * w.rate / crowdGroups / 3 * fall.Seconds()
+			most := allowed + 3*math.Sqrt(allowed) + 3
+			worst, n = max(worst, float64(sum)/most), n+1
+			require.LessOrEqual(w.t, float64(sum), most, "%s: work at %s in %v, %v after its start", what, h, fall, at*slot-e.Started)
+		}
+	}
+	require.Positive(w.t, n, "%s: hosts started", what)
+	require.Positive(w.t, worst, "%s: cold hosts take their part", what)
+	w.t.Logf("%s: a cold host was sent %.0f%% of what it stands in %v, at the most", what, 100*worst, fall)
+}
+
 // What each of 300 poolers does is harmless; what all do at once has to be, too. 120 hosts, a start of all poolers, six
 // in ten hosts replaced, a third of the groups lost and back cold, lists that come to each pooler at another time.
 func TestBoundsOfAWholeFleet(t *testing.T) {
@@ -250,24 +281,37 @@
 	require.Positive(t, w.most("cold", from), "cold hosts take their part")
 
 	w.play(6 * time.Second) // they are warm
-	var back []Target
-	for h, e := range w.list {
-		if e.Group%3 == 0 && !e.Gone {
-			w.down[h] = true
-			back = append(back, e)
+	w.stands("six in ten replaced", from)
+	lose := func(third uint64) (back []Target) {
+		for h, e := range w.list {
+			if e.Group%3 == third && !e.Gone {
+				w.down[h] = true
+				back = append(back, e)
+			}
 		}
+		slices.SortFunc(back, func(a, b Target) int { return cmp.Compare(a.Host, b.Host) })
+		w.play(5 * time.Second)
+		return back
 	}
-	slices.SortFunc(back, func(a, b Target) int { return cmp.Compare(a.Host, b.Host) })
-	from = w.now
-	w.play(5 * time.Second)
-	w.within("a third is lost", from, 0, false)
-	clear(w.down)
-	for i := range back {
-		back[i].Started = w.now
+	comes := func(back []Target) {
+		clear(w.down)
+		for i := range back {
+			back[i].Started = w.now
+		}
+		from = w.now
+		w.told(back...)
+		w.play(6 * time.Second)
 	}
 	from = w.now
-	w.told(back...)
-	w.play(6 * time.Second)
+	back := lose(0)
+	w.within("a third is lost", from, 0, false)
+	comes(back)
 	w.within("it is back", from, len(back), false)
+	w.stands("it is back", from)
 	require.Less(t, w.refused, w.taken/10)
+
+	back = lose(1)
+	w.rate *= 1.5
+	comes(back)
+	w.stands("another is back in a burst", from)
 }
