Discovery: an answer with an end is no silence, and a watch that ends at once is asked for less often

Seen with a stand-in that answers a watch with a list of a known length, or with none, and keeps the connection: the next call came 3.8 s later, when the watch counted as silent. Cause: parse returned no error where a body of known length was whole, and never came to its end where it was empty. Both now end the watch, as the last chunk does.

That alone would let a service that ends each watch with its list be asked five times a second by every pooler, since such a round counted as one that brought something: only a watch that lasted a second begins the pauses anew. Nine calls take more than 6 s now. Both tests were seen red.

--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -111,6 +111,7 @@
 	said := false
 	for ctx.Err() == nil {
 		round, cut, address := w.begin(ctx)
+		begun := time.Now()
 		err := w.round(round, address)
 		if round.Err() == nil {
 			if !said {
@@ -119,9 +120,10 @@
 			said = err != nil && !errors.Is(err, errEnded) // a service that is down is told once
 			var status statusError
 			_ = errors.As(err, &status)
+			lasted := w.brought && time.Since(begun) >= answerFirst // a service that ends each watch at once is asked less often
 			select {
 			case <-round.Done(): // a move goes before the rest of a pause, too
-			case <-time.After(w.pace.next(w.brought, status.after, time.Since(w.heard))):
+			case <-time.After(w.pace.next(lasted, status.after, time.Since(w.heard))):
 			}
 		}
 		if round.Err() != nil && ctx.Err() == nil {
@@ -287,7 +289,9 @@
 		if err := s.header(string(b[:end])); err != nil {
 			return 0, err
 		}
-		used = end + 4
+		if used = end + 4; s.left == 0 { // a body of no length
+			return used, errEnded
+		}
 	}
 	for used < len(b) {
 		rest := b[used:]
@@ -323,7 +327,7 @@
 		used += n
 		if s.left -= n; s.left == 0 {
 			if !s.chunked {
-				return used, s.end()
+				return used, cmp.Or(s.end(), errEnded)
 			}
 			s.left = -2
 		}
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -61,7 +61,7 @@
 	require.ErrorIs(t, err, errList, "it ends within an object")
 	s := fresh()
 	_, err = s.parse([]byte("HTTP/1.1 200 OK\r\nContent-Length: 34\r\n\r\n{\"index\":7,\n\"snapshot\":true      }"))
-	require.NoError(t, err)
+	require.ErrorIs(t, err, errEnded)
 	require.Len(t, s.lists, 1, "a list that is printed over lines")
 }
 
--- a/internal/net/discovery/pace.go
+++ b/internal/net/discovery/pace.go
@@ -49,7 +49,7 @@
 	return min(answerMost, answerFirst<<min(max(p.failed-1, 0), 10))
 }
 
-// next is how long to wait after a round. brought: something whole came, if only an empty line. after is the service's
+// next is how long to wait after a round. brought: its watch lasted, and brought something whole, if only an empty line. after is the service's
 // own word of when to come back, 0 if it gave none: never sooner than that, but a whole fleet is told the same at the
 // same moment, so what goes on top is drawn, as wide as the word itself or the pause without it. silent is for how long
 // nothing whole had come when the round ended: that and the pause leave answerFirst of told to the next call.
--- a/internal/net/discovery/silence_test.go
+++ b/internal/net/discovery/silence_test.go
@@ -235,6 +235,40 @@
 	require.Len(t, calls, 1)
 }
 
+// A service may answer a watch with lists that have an end, and keep the connection: it wants to be asked again at once, not
+// when the watch would count as silent.
+func TestAnAnswerThatIsWholeIsNoSilence(t *testing.T) {
+	t.Parallel()
+	for name, answer := range map[string]string{
+		"of a length":      fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(line(49, true)), line(49, true)),
+		"empty":            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"of chunks, ended": chunkedHead + chunk(line(49, true)) + "0\r\n\r\n",
+	} {
+		_, lists, calls := follow(t, &List{Index: 41}, func(call int, p *peer) {
+			if call > 0 {
+				p.well()
+				return
+			}
+			p.write(answer)
+			p.silent()
+		})
+		at := arrives(t, lists)
+		require.Less(t, at.Sub(<-calls), quiet-time.Second, name)
+	}
+}
+
+// A service that ends each watch with its list must not be asked several times a second by each of a fleet.
+func TestAServiceThatEndsEachWatchIsAskedLessOften(t *testing.T) {
+	t.Parallel()
+	at := time.Now()
+	_, lists, calls := follow(t, &List{Index: 41}, func(call int, p *peer) {
+		l := line(42+call, false) // the ninth call brings 50
+		p.write(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(l), l))
+	})
+	require.Greater(t, arrives(t, lists).Sub(at), 6*time.Second)
+	require.Len(t, calls, 9)
+}
+
 // A move must not wait for the pause that the old service's failures have earned, nor for calls that nobody answers.
 func TestAMoveIsFollowedInTime(t *testing.T) {
 	t.Parallel()
