Test of the program: a new process acts on what the service holds at once

With an old list given and a first call that is reset, a host that the service calls leaving gets nothing from 1 s after the start on.

--- a/cmd/ashstand/program_test.go
+++ b/cmd/ashstand/program_test.go
@@ -224,6 +224,42 @@
 	}
 }
 
+// What the service holds counts as told from the first moment of a new process, however old the list is that it was given.
+func TestANewProcessActsOnTheListAtOnce(t *testing.T) {
+	w := &world{}
+	p, q := &host{name: "p", wire: "postgresql", primary: true}, &host{name: "q", wire: "postgresql", primary: true}
+	p.serve(t)
+	q.serve(t)
+	var calls atomic.Int32
+	dir := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 { // and the first call is reset
+			c, _, err := rw.(http.Hijacker).Hijack()
+			if err == nil {
+				c.Close()
+			}
+			return
+		}
+		io.WriteString(rw, w.list(43, false, w.entry(p, "leaving"), w.entry(q, "active"))+"\n")
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer dir.Close()
+	defer dir.CloseClientConnections()
+	listen, _, logged, _ := launch(t, dir.Listener.Addr().String(), w.list(41, true, w.entry(p, "active")))
+	ready := time.Now()
+	_, f := dial(t, listen)
+	at := [2]int{}
+	for i := 0; time.Since(ready) < 2*time.Second; i++ {
+		require.Equal(t, []string{value}, ask(t, f, fmt.Sprintf(donate, i, 9000)))
+		if time.Since(ready) < time.Second {
+			at = [2]int{p.count(), q.count()}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	require.Equal(t, at[0], p.count(), "it drains, and was sent work 1 s after the start:\n%s", logged)
+	require.Greater(t, q.count(), at[1])
+}
+
 // The program itself: it takes work until SIGTERM and a little longer, finishes it, and ends with 0.
 func TestProgramServesAndDrains(t *testing.T) {
 	h := &host{name: "p", wire: "postgresql", primary: true}
