--- a/internal/cluster/agree/rules.go
+++ b/internal/cluster/agree/rules.go
@@ -48,6 +48,7 @@
 	{"cold.ramp_ms", higher, 0, 600000, "how long a host counts as cold"},
 	{"host.*.connections", lower, 1, 10000, "of one pooler to a host"},
 	{"database.*.group", none, 0, math.MaxInt32, "the group of hosts that holds a database"},
+	{"database.*.paused", isTrue, 0, 0, "new transactions of this database wait, or are refused with when to come back"},
 }
 
 // fence is the value of a key without an order while two values meet: what it governs is refused.
--- a/internal/cluster/agree/rules_test.go
+++ b/internal/cluster/agree/rules_test.go
@@ -9,9 +9,9 @@
 )
 
 func TestRulesAreChecked(t *testing.T) {
-	r, err := Parse([]byte(`{"class.browse.bound_ms": 200, "class.donate.repeat": false, "host.s-1.x.closed": true, "tries": 3, "database.orders.group": 7}`))
+	r, err := Parse([]byte(`{"class.browse.bound_ms": 200, "class.donate.repeat": false, "host.s-1.x.closed": true, "tries": 3, "database.orders.group": 7, "database.a.b.paused": true}`))
 	require.NoError(t, err)
-	require.Len(t, r, 5)
+	require.Len(t, r, 6)
 	for text, want := range map[string]string{
 		`{"class.browse.bound": 1}`: "class.browse.bound: there is no such key", `{"class..repeat": true}`: "no such key",
 		`{"tries": 0}`: "tries is 0; allowed is 1 to 16", `{"tries": true}`: "it takes a number from 1 to 16",
@@ -28,7 +28,7 @@
 // drawn are rules over few keys, so that they meet.
 func drawn(t *rapid.T, label string) Rules {
 	r := Rules{}
-	for _, k := range []string{"class.a.repeat", "class.a.bound_ms", "host.h.closed", "cold.ramp_ms", "database.d.group", "tries"} {
+	for _, k := range []string{"class.a.repeat", "class.a.bound_ms", "host.h.closed", "cold.ramp_ms", "database.d.group", "database.d.paused", "tries"} {
 		switch rapid.IntRange(0, 2).Draw(t, label+k) {
 		case 1:
 			r[k] = map[order]any{isFalse: true, isTrue: true}[must(k).order]
--- a/internal/session/route.go
+++ b/internal/session/route.go
@@ -9,6 +9,7 @@
 type Route struct {
 	Class    string
 	Group    uint64
+	Grouped  bool    // the comment names it
 	Wait     float64 // milliseconds that the client waits for a server connection; 0: not said
 	After    float64 // Unix milliseconds that a read must see; 0: not said
 	Session  string
@@ -45,6 +46,7 @@
 			r.Class = value
 		case "cluster":
 			r.Group, err = strconv.ParseUint(value, 10, 64)
+			r.Grouped = true
 		case "d":
 			r.Wait, err = millis(value)
 		case "after":
--- a/internal/session/scan_test.go
+++ b/internal/session/scan_test.go
@@ -108,7 +108,7 @@
 	d.SelectsAsRead = true
 	require.Equal(t, Route{Class: "browse", ReadOnly: true}, decide("SELECT 1", false))
 	require.Equal(t, Route{Class: "donate"}, decide("SELECT 1; DELETE FROM a", false))
-	require.Equal(t, Route{Class: "report", Group: 3, Wait: 250, After: 12.5}, decide("/* c=report,cluster=3, d=250,after=12.5 */ BEGIN", false))
+	require.Equal(t, Route{Class: "report", Group: 3, Grouped: true, Wait: 250, After: 12.5}, decide("/* c=report,cluster=3, d=250,after=12.5 */ BEGIN", false))
 	require.Equal(t, Route{Class: "donate"}, decide("/* mind the gap = wide */ BEGIN", false))
 	for _, bad := range []string{"d=x", "after=-1", "cluster=1e9", "d=1e999"} {
 		q := Scan("/* " + bad + " */ BEGIN")
