--- /dev/null
+++ b/internal/net/pg/homes_test.go
@@ -0,0 +1,506 @@
+package pg
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/clock"
+	"ashstand/internal/decide"
+	"ashstand/internal/session"
+	lab "ashstand/lab/host"
+)
+
+// told are homes as a test sets them.
+type told struct {
+	of    atomic.Pointer[map[string]session.Home]
+	front *Sessions
+}
+
+func (h *told) Home(database string, _ float64) session.Home {
+	if m := h.of.Load(); m != nil {
+		return (*m)[database]
+	}
+	return session.Home{}
+}
+
+func (h *told) set(database string, to session.Home) {
+	m := map[string]session.Home{}
+	if old := h.of.Load(); old != nil {
+		for k, v := range *old {
+			m[k] = v
+		}
+	}
+	if to.Paused && to.Since == 0 {
+		to.Since = clock.System().Now()
+	}
+	m[database] = to
+	h.of.Store(&m)
+	if h.front != nil {
+		h.front.Rehome()
+	}
+}
+
+func at(group uint64) session.Home     { return session.Home{Named: true, Group: group} }
+func paused(group uint64) session.Home { return session.Home{Named: true, Group: group, Paused: true} }
+
+// moving is a front before two groups, with orders at the first.
+type moving struct {
+	*pooled
+	homes *told
+	other *lab.Cluster
+	c     *lab.Host // the primary of group 2
+	gate  *gate     // before a, the primary of group 1
+}
+
+func housed(t *testing.T, change func(l *SessionLimits)) *moving {
+	h := &told{}
+	h.set("orders", at(1))
+	w := &moving{homes: h, other: lab.NewCluster(2, 2)}
+	w.pooled = pool(t, func(l *SessionLimits) {
+		l.Held = 5000
+		l.Pools[0].Held, l.Pools[0].Hold = 1000, 5000
+		if change != nil {
+			change(l)
+		}
+	}, h)
+	h.front = w.front
+	var err error
+	w.c, err = w.other.Add("c", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(w.c.Stop)
+	w.gate = newGate(t, w.a.Address)
+	w.front.SetAddress("a", w.gate.address)
+	w.front.SetAddress("c", w.c.Address)
+	w.facade.Members(false, []decide.Member{{Host: "c", Group: 2, Primary: true}})
+	return w
+}
+
+func (w *moving) home() HomeStats {
+	for _, h := range w.front.Homes() {
+		if h.Database == "orders" {
+			return h
+		}
+	}
+	return HomeStats{}
+}
+
+func (w *moving) held(n int) {
+	w.t.Helper()
+	require.Eventually(w.t, func() bool { return w.home().Held == n }, 10*time.Second, time.Millisecond, "%d, not %d are held", w.home().Held, n)
+}
+
+// later runs a statement on a connection and tells what came of it.
+func later(c *pgx.Conn, text string, args ...any) chan error {
+	out := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), text, args...)
+		out <- err
+	}()
+	return out
+}
+
+func (w *moving) insert(ref string) string {
+	return "INSERT INTO entries (ref, payload) VALUES ('" + ref + "', '1')"
+}
+
+// gate stands before a host and, while it is shut, refuses writes as the guard of a closed tenant does.
+type gate struct {
+	address string
+	shut    atomic.Bool
+	early   atomic.Bool // it says something before it refuses
+	refused atomic.Int64
+}
+
+func newGate(t *testing.T, host string) *gate {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	g := &gate{address: l.Addr().String()}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go g.serve(c, host)
+		}
+	}()
+	return g
+}
+
+func (g *gate) serve(c net.Conn, host string) {
+	defer c.Close()
+	s, err := net.Dial("tcp", host)
+	if err != nil {
+		return
+	}
+	defer s.Close()
+	status := atomic.Int32{}
+	status.Store('I')
+	go func() { // what the host says, of which the status is kept
+		defer c.Close()
+		head := make([]byte, 5)
+		for {
+			if _, err := io.ReadFull(s, head); err != nil {
+				return
+			}
+			body := make([]byte, binary.BigEndian.Uint32(head[1:])-4)
+			if _, err := io.ReadFull(s, body); err != nil {
+				return
+			}
+			if head[0] == 'Z' {
+				status.Store(int32(body[0]))
+			}
+			if _, err := c.Write(append(append([]byte{}, head...), body...)); err != nil {
+				return
+			}
+		}
+	}()
+	first := make([]byte, 4)
+	if _, err := io.ReadFull(c, first); err != nil {
+		return
+	}
+	if _, err := io.CopyN(io.MultiWriter(s), io.MultiReader(strings.NewReader(string(first)), c), int64(binary.BigEndian.Uint32(first))); err != nil {
+		return
+	}
+	var batch []byte // of an extended query
+	inserts, writes := map[string]bool{}, false
+	for {
+		head := make([]byte, 5)
+		if _, err := io.ReadFull(c, head); err != nil {
+			return
+		}
+		body := make([]byte, binary.BigEndian.Uint32(head[1:])-4)
+		if _, err := io.ReadFull(c, body); err != nil {
+			return
+		}
+		whole := append(head, body...)
+		switch head[0] {
+		case 'Q':
+			writes = strings.Contains(string(body), "INSERT")
+		case 'P':
+			name, text, _, _ := two(body)
+			inserts[name] = strings.Contains(text, "INSERT")
+		case 'B':
+			_, name, _, _ := two(body)
+			writes = inserts[name]
+		}
+		if batch = append(batch, whole...); head[0] != 'Q' && head[0] != 'S' && head[0] != 'X' {
+			continue
+		}
+		if g.shut.Load() && writes {
+			g.refused.Add(1)
+			var out []byte
+			if g.early.Load() {
+				out = message(nil, 'N', func(b []byte) []byte { return append(b, "SNOTICE\x00C00000\x00Msoon\x00\x00"...) })
+			}
+			out = failure(out, "ERROR", "55000", "tenant is closed", "")
+			st := byte('I')
+			if status.Load() != 'I' {
+				st = 'E'
+			}
+			_, err = c.Write(append(out, 'Z', 0, 0, 0, 5, st))
+		} else {
+			_, err = s.Write(batch)
+		}
+		if batch, writes = nil, false; err != nil {
+			return
+		}
+	}
+}
+
+func TestHomesHoldWhilePausedAndLetGoInOrder(t *testing.T) {
+	w := housed(t, func(l *SessionLimits) { l.Pools[0].Sizes.Most = 1 })
+	first := w.connect("")
+	w.exec(first, w.insert("before"))
+	require.Equal(t, 1, w.cluster.Versions("public", "entries", "before"))
+	running := w.connect("")
+	w.exec(running, "BEGIN")
+	w.exec(running, w.insert("running"))
+	w.homes.set("orders", paused(1))
+	var waits []chan error
+	for i := range 6 {
+		c := w.connect("")
+		if i == 3 { // the extended protocol
+			waits = append(waits, later(c, "INSERT INTO entries (ref, payload) VALUES ($1, $2)", pgx.QueryExecModeExec, "held", fmt.Sprint(i)))
+		} else {
+			waits = append(waits, later(c, fmt.Sprintf("INSERT INTO entries (ref, payload) VALUES ('held', '%d')", i)))
+		}
+		w.held(i + 1)
+	}
+	require.Equal(t, "paused", w.home().State)
+	require.NotZero(t, w.home().Since)
+	w.exec(running, w.insert("running2")) // what runs goes on to its end
+	w.exec(running, "COMMIT")
+	require.Equal(t, 1, w.cluster.Versions("public", "entries", "running2"))
+	w.homes.set("orders", session.Home{Named: true, Paused: true, Fenced: true, Since: w.home().Since}) // while two versions meet
+	require.Equal(t, 6, w.home().Held)
+	w.homes.set("orders", paused(2))
+	require.Equal(t, 6, w.home().Held)
+	w.homes.set("orders", at(2))
+	for i, wait := range waits {
+		require.NoError(t, <-wait, i)
+	}
+	require.Zero(t, w.cluster.Versions("public", "entries", "held"))
+	require.Equal(t, 6, w.other.Versions("public", "entries", "held"))
+	require.Equal(t, "5", w.one(first, "SELECT payload FROM entries WHERE ref = 'held'"), "the last that came is the last that went")
+	require.EqualValues(t, 6, w.home().Passed)
+	require.EqualValues(t, 2, *w.home().Home)
+	require.Zero(t, w.home().Held+w.home().Running)
+}
+
+func TestHomesRefuse(t *testing.T) {
+	w := housed(t, func(l *SessionLimits) {
+		l.Pools[0].Held, l.Pools[0].Hold, l.Pools[0].Patience = 2, 600, 2000
+		l.Bytes = 1 << 20
+	})
+	c, d, e, g := w.connect(""), w.connect(""), w.connect(""), w.connect("")
+	refused := func(err error, text string) {
+		t.Helper()
+		var pe *pgconn.PgError
+		require.ErrorAs(t, err, &pe)
+		require.Equal(t, "53300", pe.Code)
+		require.Equal(t, "50", pe.Detail, "when to come back")
+		require.Contains(t, err.Error(), text)
+	}
+	// The client's own deadline, in time for it.
+	w.homes.set("orders", paused(1))
+	begun := time.Now()
+	_, err := c.Exec(patient(t), "/* d=200 */ SELECT 1")
+	refused(err, "paused for longer")
+	require.InDelta(t, 0.2, time.Since(begun).Seconds(), 0.06)
+	require.LessOrEqual(t, time.Since(begun), 200*time.Millisecond, "it learns it before it gives up")
+	// As many as may.
+	x, y := later(c, "SELECT 1"), later(d, w.insert("y"))
+	w.held(2)
+	_, err = e.Exec(patient(t), "SELECT 1")
+	refused(err, "as many transactions wait as may")
+	// A client that leaves makes room.
+	d.PgConn().Conn().Close()
+	w.held(1)
+	<-y
+	// The pause's own longest time, for who waits and who comes.
+	refused(<-x, "paused for longer")
+	_, err = c.Exec(patient(t), "SELECT 1")
+	refused(err, "paused for longer")
+	// Bytes: a quarter of what all clients may have waiting here.
+	w.homes.set("orders", paused(1))
+	z := later(c, "SELECT '"+strings.Repeat("x", 200<<10)+"'")
+	w.held(1)
+	_, err = e.Exec(patient(t), "SELECT '"+strings.Repeat("x", 100<<10)+"'")
+	refused(err, "memory")
+	w.homes.set("orders", at(1))
+	require.NoError(t, <-z)
+	// Fenced: at once, and a block that runs goes on.
+	w.exec(g, "BEGIN")
+	w.homes.set("orders", session.Home{Named: true, Fenced: true})
+	begun = time.Now()
+	_, err = c.Exec(patient(t), "SELECT $1", "1")
+	refused(err, "no home that is agreed on")
+	require.Less(t, time.Since(begun), 100*time.Millisecond)
+	w.exec(g, w.insert("in a block"))
+	w.exec(g, "COMMIT")
+	require.Zero(t, w.cluster.Versions("public", "entries", "y"), "whose client left")
+	require.EqualValues(t, 6, w.home().Refused)
+	// A comment that says otherwise.
+	w.homes.set("orders", at(2))
+	w.fails(c, "08P01", "/* cluster=1 */ "+w.insert("astray"))
+	w.exec(c, "/* cluster=2 */ "+w.insert("home"))
+	require.Zero(t, w.cluster.Versions("public", "entries", "astray"))
+	require.Equal(t, 1, w.other.Versions("public", "entries", "home"))
+	// A cancel.
+	w.homes.set("orders", paused(2))
+	z = later(c, "SELECT 1")
+	w.held(1)
+	require.NoError(t, c.PgConn().CancelRequest(patient(t)))
+	require.Equal(t, "57014", state(<-z))
+	w.homes.set("orders", at(2))
+	require.Equal(t, "1", w.one(c, "SELECT $1", "1"))
+}
+
+// Guards against a transaction that was chosen for the old home and waits there for a connection.
+func TestHomesAreAskedAgainBeforeTheWrite(t *testing.T) {
+	for _, silent := range []bool{false, true} { // whether anybody says that the rules changed
+		w := housed(t, func(l *SessionLimits) { l.Pools[0].Sizes.Most = 1 })
+		c, d := w.connect(""), w.connect("")
+		w.exec(c, "BEGIN")
+		w.exec(c, w.insert("c"))
+		wait := later(d, w.insert("d"))
+		require.Eventually(t, func() bool { return w.front.Stats().Waiting == 1 }, 5*time.Second, time.Millisecond)
+		if silent {
+			w.homes.front = nil
+		}
+		w.homes.set("orders", at(2))
+		if !silent {
+			require.NoError(t, <-wait, "it need not wait for a connection to the old home")
+		}
+		w.exec(c, "COMMIT")
+		if silent {
+			require.NoError(t, <-wait)
+		}
+		require.Equal(t, 1, w.cluster.Versions("public", "entries", "c"))
+		require.Zero(t, w.cluster.Versions("public", "entries", "d"))
+		require.Equal(t, 1, w.other.Versions("public", "entries", "d"))
+	}
+}
+
+func TestHomesRunAgainWhatAGuardTurnedAway(t *testing.T) {
+	w := housed(t, nil)
+	c, d := w.connect(""), w.connect("")
+	_, err := c.Prepare(patient(t), "mine", "INSERT INTO entries (ref, payload) VALUES ($1, $2)")
+	require.NoError(t, err)
+	w.gate.shut.Store(true)
+	// Closed at the host before the rules say so: both forms of the protocol wait for the word, once each.
+	waits := []chan error{later(c, "mine", "turned", "1"), later(d, w.insert("turned"))}
+	w.held(2)
+	require.EqualValues(t, 2, w.gate.refused.Load())
+	e := w.connect("")
+	require.Equal(t, "1", w.one(e, "SELECT $1", "1"), "reads go on meanwhile")
+	w.homes.set("orders", paused(1))
+	w.homes.set("orders", at(2))
+	for _, wait := range waits {
+		require.NoError(t, <-wait)
+	}
+	require.EqualValues(t, 2, w.gate.refused.Load())
+	require.Equal(t, 2, w.other.Versions("public", "entries", "turned"))
+	require.Zero(t, w.cluster.Versions("public", "entries", "turned"))
+	require.EqualValues(t, 2, w.front.Stats().Turned)
+	// A pause that ends where it began, with the tenant still closed: told the second time.
+	w.homes.set("orders", at(1))
+	x := later(d, w.insert("twice"))
+	w.held(1)
+	w.homes.set("orders", paused(1))
+	require.Equal(t, 1, w.home().Held) // asked on the loop, so it has seen the pause
+	w.homes.set("orders", at(1))
+	require.Equal(t, "55000", state(<-x))
+	// In a block it goes to the client as it is, and so where the client has heard something already.
+	w.exec(d, "BEGIN")
+	w.fails(d, "55000", w.insert("block"))
+	w.exec(d, "ROLLBACK")
+	w.gate.early.Store(true)
+	w.fails(d, "55000", w.insert("early")+"; "+w.insert("early"))
+	w.gate.early.Store(false)
+	// A client that leaves meanwhile, and one whose patience ends.
+	x = later(c, "/* d=150 */ "+w.insert("late"))
+	err = <-x
+	require.Equal(t, "53300", state(err))
+	require.Contains(t, err.Error(), "closed at its host")
+	_ = later(d, w.insert("left"))
+	w.held(1)
+	d.PgConn().Conn().Close()
+	w.held(0)
+	w.homes.set("orders", at(2))
+	require.Equal(t, "1", w.one(c, "SELECT $1", "1"))
+	for _, ref := range []string{"twice", "block", "early", "late", "left"} {
+		require.Zero(t, w.cluster.Versions("public", "entries", ref)+w.other.Versions("public", "entries", ref), ref)
+	}
+	require.Eventually(t, func() bool { s := w.front.Stats(); return s.Linked == 0 && s.Servers == s.Idle }, 5*time.Second, 5*time.Millisecond)
+}
+
+func TestHomesPartSessionsFromConnections(t *testing.T) {
+	w := housed(t, func(l *SessionLimits) {
+		p := l.Pools[0]
+		p.Name, p.User, p.Mode = "keepers", "keeper", Session
+		l.Pools[0].Name = "webs"
+		l.Pools = append([]PoolSettings{p}, l.Pools...)
+	})
+	c := w.connect("")
+	w.exec(c, "CREATE TEMP TABLE mine (a int)")
+	busy := w.connect("")
+	w.exec(busy, "LISTEN x")
+	w.exec(busy, "BEGIN")
+	k, err := pgx.Connect(patient(t), "postgres://keeper@"+w.address+"/orders?sslmode=disable")
+	require.NoError(t, err)
+	t.Cleanup(func() { k.PgConn().Conn().Close() })
+	w.exec(k, "SET app.who TO me")
+	require.Equal(t, []BoundStats{{"keepers", "a", "session mode", 1}, {"webs", "a", string(session.CauseListen), 1}, {"webs", "a", string(session.CauseTemporary), 1}}, w.home().Bound)
+	w.homes.set("orders", paused(1))
+	wait := later(k, w.insert("k")) // on a connection that it keeps
+	w.held(1)
+	w.homes.set("orders", at(1)) // and nothing moved
+	require.NoError(t, <-wait)
+	require.Equal(t, 1, w.cluster.Versions("public", "entries", "k"))
+	w.homes.set("orders", paused(1))
+	wait, waitC := later(k, w.insert("k")), later(c, "SELECT 1")
+	w.held(2)
+	w.homes.set("orders", at(2))
+	require.NoError(t, <-wait, "what is bound to nothing goes along")
+	require.Equal(t, 1, w.other.Versions("public", "entries", "k"))
+	require.Equal(t, "me", w.one(k, "SHOW app.who"))
+	err = <-waitC
+	require.Equal(t, "57P01", state(err))
+	require.Contains(t, err.Error(), string(session.CauseTemporary))
+	w.exec(busy, w.insert("busy"))
+	w.exec(busy, "COMMIT")
+	require.Equal(t, 1, w.cluster.Versions("public", "entries", "busy"))
+	require.Eventually(t, func() bool { return w.front.Stats().Clients == 1 }, 5*time.Second, time.Millisecond, "who listens is ended between transactions, without a word of his own")
+	require.Equal(t, []BoundStats{{"keepers", "c", "session mode", 1}}, w.home().Bound)
+}
+
+// Guards against one tenant's pause that takes from others what they need.
+func TestHomesHoldThousandsBesideOthers(t *testing.T) {
+	const many = 2000
+	w := housed(t, func(l *SessionLimits) {
+		l.Clients, l.Bytes = many+100, 16<<20
+		l.Pools[0].Held, l.Pools[0].Hold, l.Pools[0].Patience = many, 60000, 60000
+		l.Pools[0].Sizes.Waiting = 10
+	})
+	other, err := pgx.Connect(patient(t), "postgres://web@"+w.address+"/stock?sslmode=disable")
+	require.NoError(t, err)
+	t.Cleanup(func() { other.PgConn().Conn().Close() })
+	w.homes.set("orders", paused(1))
+	ask := query(startup(nil, "web", "orders"), func(b []byte) []byte { return append(b, w.insert("many")...) })
+	conns := make([]net.Conn, many)
+	for i := range conns {
+		conns[i], err = net.Dial("tcp", w.address)
+		require.NoError(t, err)
+		t.Cleanup(func() { conns[i].Close() })
+		_, err = conns[i].Write(ask)
+		require.NoError(t, err)
+	}
+	w.held(many)
+	slow := time.Duration(0)
+	rows := func(for_ time.Duration) {
+		for end := time.Now().Add(for_); time.Now().Before(end); {
+			begun := time.Now()
+			require.Equal(t, "1", w.one(other, "SELECT $1", "1"))
+			slow = max(slow, time.Since(begun))
+		}
+	}
+	rows(300 * time.Millisecond)
+	w.homes.set("orders", at(2))
+	var all sync.WaitGroup
+	var failed atomic.Int64
+	for _, c := range conns {
+		all.Go(func() {
+			c.SetReadDeadline(time.Now().Add(30 * time.Second))
+			var got []byte
+			buf := make([]byte, 4096)
+			for !strings.Contains(string(got), "INSERT 0 1") {
+				n, err := c.Read(buf)
+				if got = append(got, buf[:n]...); err != nil || strings.Contains(string(got), "53300") {
+					failed.Add(1)
+					return
+				}
+			}
+		})
+	}
+	rows(300 * time.Millisecond)
+	all.Wait()
+	require.Zero(t, failed.Load(), "none is refused: no more are on their way than there are connections")
+	require.Equal(t, many, w.other.Versions("public", "entries", "many"))
+	require.Less(t, slow, 500*time.Millisecond)
+	t.Logf("the slowest answer to the other tenant took %v", slow)
+}
--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -24,6 +24,8 @@
 	phaseQueued                // a server connection
 	phaseSyncing               // the server connection to have the session's settings
 	phaseLinked                // nothing: it has one
+	phaseHeld                  // its tenant's home: it is paused
+	phaseTurned                // the end of what a host turned away, so that it can go elsewhere
 )
 
 // sclient is one client with its session.
@@ -57,10 +59,21 @@
 	pending   *session.Refusal // to be given to the next statement
 	endBlock  map[string]bool  // a portal of a lost block: whether it ends it; else it is empty
 	unread    int
-	gone      bool    // told to go, or closed
-	hit       bool    // it was cancelled while its settings were being restored
-	asked     byte    // the kind of the message that waits to be routed
-	inMessage bool    // that message is being taken: whoever took it goes on with it
+	gone      bool // told to go, or closed
+	hit       bool // it was cancelled while its settings were being restored
+	asked     byte // the kind of the message that waits to be routed
+	inMessage bool // that message is being taken: whoever took it goes on with it
+
+	tenant    *session.Tenant // nil: nothing is agreed on
+	held      session.Held
+	routed    session.Route
+	request   decide.Request
+	home      session.Home // by which its host was chosen
+	recording bool         // the first statement is being kept, in record
+	quiet     bool         // and the client was told nothing of it
+	record    []byte
+	runs      int     // statements in it
+	resend    []byte  // what a host turned away, to be taken before anything else
 	left      float64 // when it was told to go
 }
 
@@ -80,6 +93,10 @@
 	f.unread -= c.unread
 	c.unread, c.gone = 0, true
 	c.abandon()
+	if c.tenant != nil {
+		c.unrecord()
+		f.tenants.Gone(c.tenant)
+	}
 	if c.pipe != nil {
 		c.pipe.Close()
 	}
@@ -89,6 +106,7 @@
 // host rolls back what is not committed.
 func (c *sclient) abandon() {
 	c.waiter.Leave()
+	c.unhold()
 	if s := c.server; s != nil {
 		clean := c.pipe.Idle() && c.phase == phaseLinked && c.pipe.Pinned() == "" && !c.pipe.Strange() && !s.reading
 		c.unlink(s)
@@ -171,6 +189,9 @@
 	f := c.front
 	n := c.account()
 	l := f.limits.Load()
+	if c.phase == phaseHeld && !c.gone && !f.tenants.Grow(&c.held, c.waiting(), f.holdBounds(c.pool)) {
+		f.watch(&c.wire, func() bool { return c.gone || !c.busy() })
+	}
 	if n > 0 && (n > l.Message+highWater || f.unread > l.Bytes) && !c.gone {
 		if n >= l.Message+highWater || c.phase != phaseLinked && c.phase != phaseFree || c.blocked {
 			f.watch(&c.wire, func() bool { return c.gone || !c.busy() })
@@ -182,7 +203,7 @@
 // busy says whether a message of the client's can't be taken now.
 func (c *sclient) busy() bool {
 	switch c.phase {
-	case phaseRouting, phaseQueued, phaseSyncing:
+	case phaseRouting, phaseQueued, phaseSyncing, phaseHeld, phaseTurned:
 		return true
 	}
 	return c.blocked || c.server != nil && (c.server.wire.Paused() || c.server.wire.Unsent() > lowWater)
@@ -235,7 +256,7 @@
 	action := gnet.None
 	for !c.gone && action == gnet.None {
 		switch c.phase {
-		case phaseRouting, phaseQueued, phaseSyncing:
+		case phaseRouting, phaseQueued, phaseSyncing, phaseHeld, phaseTurned:
 			action = gnet.Shutdown // only out of the loop
 			continue
 		}
@@ -246,7 +267,7 @@
 				break
 			}
 		}
-		b := c.wire.Peek()
+		b := c.peek()
 		if c.phase == phaseStarting {
 			used, act := c.start(b)
 			if used == 0 || act == gnet.Close {
@@ -272,7 +293,7 @@
 			break
 		}
 		if !c.gone {
-			c.wire.Discard(used)
+			c.discard(used)
 		}
 	}
 	out = c.send(out)
@@ -297,6 +318,7 @@
 // answer writes to the client.
 func (c *sclient) answer(b []byte) {
 	if len(b) > 0 && !c.gone {
+		c.quiet = false
 		c.since = c.front.clock.Now()
 		c.wire.Write(b)
 	}
@@ -363,6 +385,10 @@
 		return c.farewell("22023", err.Error(), "")
 	}
 	c.pipe = session.NewPipeline(values, f.catalogue)
+	if f.homes != nil {
+		c.tenant = f.tenants.Come(database)
+		c.held.Of = c
+	}
 	var out []byte
 	if minor {
 		out = message(out, 'v', func(b []byte) []byte { return append(b, 0, 3, 0, 0, 0, 0, 0, 0) })
@@ -454,6 +480,15 @@
 		out = c.send(out)
 		c.forsake(s) // a new transaction does not begin on a host that drains
 	}
+	if c.tenant != nil && c.server != nil && c.call == nil && c.pipe.Idle() && kind != 'S' && kind != 'H' {
+		out = c.send(out)
+		switch fate, action := c.stays(kind); fate {
+		case done:
+			return out, false, action
+		case waits:
+			return out, true, gnet.None
+		}
+	}
 	if c.server == nil {
 		switch c.unlinked(kind, body) {
 		case done:
@@ -471,6 +506,9 @@
 		}
 		return out, true, gnet.None
 	}
+	if c.recording {
+		c.note(kind, body, whole)
+	}
 	before := len(out)
 	out, ok := c.forward(out, kind, body, whole)
 	if !ok {
@@ -705,7 +743,9 @@
 
 // refuse gives an error to the message under way, where there is no server connection: nothing of it ran.
 func (c *sclient) refuse(state, text, detail string) {
-	c.phase = phaseFree
+	if c.phase = phaseFree; c.server != nil { // it keeps its connection
+		c.phase = phaseLinked
+	}
 	c.query = nil
 	c.front.stats.Refused++
 	c.answer(failure(nil, "ERROR", state, text, detail))
@@ -746,19 +786,19 @@
 		key = "#" + strconv.FormatUint(uint64(c.number), 36)
 	}
 	c.readOnly, c.writes = r.ReadOnly, f.facade.Writes(r.Class)
+	if len(c.resend) > 0 { // a host turned it away: its time goes on
+		now = c.request.Arrived
+	} else {
+		c.held.Fresh()
+	}
 	c.waiter.Deadline = now + patience
+	c.held.Deadline = c.waiter.Deadline
 	c.query = q
 	c.phase = phaseRouting
 	c.asked = kind
-	call, err := f.facade.Begin(decide.Request{Class: r.Class, Group: r.Group, Session: key, Arrived: now, TimeLeft: max(deadline, patience),
-		After: max(r.After, c.after)})
-	if err != nil {
-		c.refuse(stateInvalid, err.Error(), "")
-		c.consumed(kind)
-		return
-	}
-	c.call = call
-	c.pick()
+	c.routed = r
+	c.request = decide.Request{Class: r.Class, Group: r.Group, Session: key, Arrived: now, TimeLeft: max(deadline, patience), After: max(r.After, c.after)}
+	c.settle()
 }
 
 // pick takes the next decision; where there is none yet, a goroutine waits for it.
@@ -823,6 +863,7 @@
 		c.call = nil
 		call.Leave()
 	}
+	c.land()
 	c.refuse(stateRefused, text, advice(after))
 	c.drop()
 }
@@ -835,10 +876,10 @@
 
 // drop consumes the message that was refused.
 func (c *sclient) drop() {
-	b := c.wire.Peek()
+	b := c.peek()
 	if _, _, rest, ok, err := next(b, c.front.limits.Load().Message); ok && err == nil && c.asked != 0 {
 		if !c.inMessage {
-			c.wire.Discard(len(b) - len(rest))
+			c.discard(len(b) - len(rest))
 		}
 		c.consumed(c.asked)
 	}
@@ -878,6 +919,11 @@
 		c.again(decide.Outcome{Code: decide.NotSent})
 		return
 	}
+	if !c.atHome() {
+		s.rest()
+		c.anew()
+		return
+	}
 	c.server, s.client = s, c
 	s.sent, s.position, s.role = false, 0, ""
 	c.misplaced = false
@@ -940,10 +986,17 @@
 		c.again(decide.Outcome{Code: decide.NotSent})
 		return nil
 	}
+	if c.call != nil && !c.atHome() {
+		c.unlink(s)
+		s.rest()
+		c.anew()
+		return nil
+	}
 	if c.hit && c.call != nil {
 		call := c.call
 		c.hit, c.call = false, nil
 		call.Conclude(decide.Outcome{Code: decide.NotSent})
+		c.land()
 		c.unlink(s)
 		c.cancelled()
 		s.rest()
@@ -983,6 +1036,10 @@
 			code = decide.Miss
 		}
 		call.Conclude(s.outcome(code))
+		if c.tenant != nil {
+			c.unrecord()
+			c.land()
+		}
 	}
 	// A read by a class of reads moves nothing: else each would ask the next one's replica for the present.
 	if status == 'I' && (c.pipe.Wrote() || c.writes) && !c.readOnly && c.front.broken.Load() != "position" {
@@ -1010,17 +1067,23 @@
 	c.keep(s)
 	listed := c.listed(s)
 	pinned := c.pipe.Pinned() != ""
+	moved := c.tenant != nil && c.kept && c.moved()
 	switch {
 	case f.drain:
 		c.leaveIfIdle()
 		if c.gone {
 			return
 		}
+	case pinned && moved:
+		if c.part(s) == gnet.Close {
+			c.wire.Close()
+		}
+		return
 	case pinned && !listed:
 		c.forsake(s)
 		c.proceed()
 		return
-	case pinned, c.pool.Mode == Session && listed && !c.misplaced:
+	case pinned, c.pool.Mode == Session && listed && !c.misplaced && !moved:
 		if c.blocked || c.wire.Buffered() > 0 {
 			c.proceed()
 		}
@@ -1060,6 +1123,12 @@
 	f := c.front
 	c.server = nil
 	c.unkeep(s)
+	if c.phase == phaseTurned { // nothing of it ran
+		c.pipe.Lose(false)
+		c.rerun(nil)
+		return
+	}
+	c.unhold()
 	partly := s.left > 0 && !s.dropping
 	pin := c.pipe.Pinned()
 	syncing := c.phase == phaseSyncing
--- a/internal/net/pg/server.go
+++ b/internal/net/pg/server.go
@@ -436,8 +436,21 @@
 		if err != nil {
 			break
 		}
+		guarded := kind == 'E' && c.recording && c.guarded(state, text)
 		p := c.pipe.Answer(kind, word)
 		switch {
+		case guarded && c.pipe.Due() == 1 && !p.Drop && p.Refusal == nil: // nothing ran, and nobody was told anything
+			at += total
+			out, from = out[:0], at
+			c.phase = phaseTurned
+			continue
+		case p.Ready && c.phase == phaseTurned:
+			s.wire.Discard(at + total)
+			c.rerun(s)
+			if s.client == nil && !s.dead && s.wire.Buffered() > 0 {
+				return s.unasked(s.wire.Peek())
+			}
+			return nil
 		case p.Bad:
 			err = fmt.Errorf("%w: %q", errShape, kind)
 		case p.Injected:
--- a/internal/net/pg/sessions.go
+++ b/internal/net/pg/sessions.go
@@ -30,6 +30,7 @@
 
 // PoolSettings are what the operator's file says of the sessions of a database and user.
 type PoolSettings struct {
+	Name           string // for operators
 	Database, User string // "*": any
 	Mode           Mode
 	Sizes          session.Sizes // for each host
@@ -41,6 +42,8 @@
 	ServerLife     float64 // and how old it may get; 0: no bound
 	Statements     int     // prepared on one server connection at the most
 	Pins           int     // sessions that may be pinned; 0: a statement that pins is refused
+	Held           int     // transactions of one database that may wait while it is paused
+	Hold           float64 // milliseconds after a pause began from which on none waits for it
 }
 
 // SessionLimits bound the whole front.
@@ -49,6 +52,7 @@
 	Servers int // open or being opened, to all hosts together
 	Bytes   int // that clients sent and that wait here; as much again for prepared statements
 	Message int // one message of a client
+	Held    int // transactions of paused databases that may wait, of all
 	After   float64
 	Connect time.Duration
 	Pools   []PoolSettings // the first that fits counts
@@ -92,6 +96,13 @@
 	drain     bool
 	over      bool
 
+	homes    Homes // nil: nothing is agreed on, and each pool's own group counts
+	tenants  *session.Tenants
+	roused   map[*session.Tenant]bool
+	recorded int // bytes kept of first statements
+	alarm    *time.Timer
+	waking   float64 // when it goes off; 0: it does not
+
 	broken    atomic.Value // string: a guarantee that is switched off
 	addresses chan map[string]string
 	stats     SessionStats
@@ -117,6 +128,8 @@
 	Paused       uint64                `json:"paused"`
 	TimedOut     uint64                `json:"idle_in_transaction"`
 	Discarded    uint64                `json:"servers_discarded"`
+	Held         int                   `json:"held"`
+	Turned       uint64                `json:"turned_away"`
 	Pinned       map[session.Cause]int `json:"pinned"`
 	Statements   int                   `json:"statements"`
 	StatementMem int                   `json:"statement_bytes"`
@@ -461,6 +474,9 @@
 			}
 			return slices.Compare([]byte(a.Database+"\x00"+a.User), []byte(b.Database+"\x00"+b.User))
 		})
+		if f.homes != nil {
+			s.Held = f.tenants.Held()
+		}
 		s.Statements, s.StatementMem = f.catalogue.Len(), f.catalogue.Bytes()
 		out <- s
 	})
@@ -506,6 +522,12 @@
 		call := c.call
 		c.call = nil
 		call.Conclude(decide.Outcome{Code: decide.NotSent})
+		c.unhold()
+		c.cancelled()
+		c.proceed()
+		return
+	case phaseHeld:
+		c.unhold()
 		c.cancelled()
 		c.proceed()
 		return
--- a/internal/net/pg/sessions_test.go
+++ b/internal/net/pg/sessions_test.go
@@ -54,7 +54,7 @@
 }
 
 // pool starts all of it; change may alter the limits.
-func pool(t *testing.T, change func(l *SessionLimits)) *pooled {
+func pool(t *testing.T, change func(l *SessionLimits), homes ...Homes) *pooled {
 	l := SessionLimits{Clients: 100, Servers: 20, Bytes: 4 << 20, Message: 1 << 20, After: 50, Connect: time.Second,
 		Pools: []PoolSettings{{Database: "*", User: "*", Mode: Transaction, Sizes: session.Sizes{Most: 4, Waiting: 50}, Patience: 2000,
 			Statements: 50, Pins: 2, Defaults: session.Defaults{ReadOnly: "my-library", ReadWrite: "donate", Group: 1}}}}
@@ -78,6 +78,9 @@
 	}, nil)
 	require.NoError(t, err)
 	w.front = NewSessions(e, w.facade, clock.System(), Platform, l)
+	if len(homes) > 0 {
+		w.front.SetHomes(homes[0])
+	}
 	for _, h := range []*lab.Host{w.a, w.b} {
 		p.SetAddress(h.Name, h.Address)
 		w.front.SetAddress(h.Name, h.Address)
--- a/internal/session/home.go
+++ b/internal/session/home.go
@@ -128,6 +128,9 @@
 // Turned notes that a host turned the transaction away unrun, since the tenant is closed there, while the rules said h.
 func (x *Held) Turned(h Home) { x.turned, x.from = true, h }
 
+// Passed says whether it was let go and has not landed.
+func (x *Held) Passed() bool { return x.flying }
+
 // Fresh makes it ready for another transaction.
 func (x *Held) Fresh() { x.order, x.turned = 0, false }
 
@@ -220,6 +223,7 @@
 		return false, t.refuse(WhyBytes)
 	}
 	ts.Land(t, x)
+	x.turned = x.turned && !h.Paused // the rules have said something since
 	x.tenant = t
 	t.bytes += x.Bytes
 	ts.bytes += x.Bytes
@@ -292,6 +296,7 @@
 		x, next := e.Value.(*Held), e.Next()
 		if h.Paused || !x.from.Same(h) {
 			x.in.Remove(x.place)
+			x.turned = false
 			ts.place(x, &t.queue)
 		}
 		e = next
