ashstand cluster homes: where each database is, what waits, which sessions are bound

They are met once for each change of versions or lease, so a transaction costs a look into a table and no allocation; the front is told of each change. Keys sessions.held, pool.held and pool.hold bound what waits. The admin view homes and cluster homes list database, home, paused since, sessions, running, held, let go, refused, and the sessions that are bound to connections, by pool, host and cause.

--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -38,6 +38,7 @@
 type fellows struct {
 	gossip *member.Gossip
 	agreed *runner.Runner // nil: nothing is agreed on
+	homes  *homes         // nil as well then
 	trace  *trace
 	open   chan struct{} // closed once the gossip is up
 	state  member.State
@@ -124,10 +125,11 @@
 	if f.trace != nil {
 		o.Leased = func(left float64) { f.trace.line(map[string]any{"event": "lease", "left": left}) }
 	}
-	f.agreed, err = runner.Start(o)
-	if err != nil {
+	f.homes = &homes{}
+	if f.agreed, err = runner.Start(o); err != nil {
 		return fmt.Errorf("cluster.agreement: %w", err)
 	}
+	f.homes.agreed = f.agreed
 	steady, change := c.Bound()
 	slog.Info(fmt.Sprintf("cluster: rules that are agreed on are in force everywhere within %v, with a new leader within %v", clock.Duration(steady).Round(time.Millisecond),
 		clock.Duration(change).Round(time.Millisecond)))
@@ -159,6 +161,7 @@
 		text += ", within the limits: without a lease"
 	}
 	slog.Info(text)
+	f.homes.changed()
 	f.trace.line(map[string]any{"event": "acts", "versions": a.Versions, "rules": a.Rules, "lapsed": a.Lapsed})
 }
 
@@ -325,6 +328,7 @@
 	address func() (string, error)) *cobra.Command {
 	var v clusterView
 	var rules runner.View
+	var places homesView
 	root := &cobra.Command{Use: "cluster", Short: "what a pooler knows of the others"}
 	key := &cobra.Command{Use: "key", Short: "print a new key for the file that cluster.keys names", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 		b := make([]byte, 32)
@@ -413,6 +417,8 @@
 				}
 				return propose(text, c.OutOrStdout())
 			}}),
+		ask(&cobra.Command{Use: "homes", Short: "list the databases with the group that each is at, and what waits for those that are paused", Args: cobra.NoArgs,
+			RunE: view("homes", &places, func(w io.Writer) { homesTable(w, &places) })}),
 		ask(&cobra.Command{Use: "members", Short: "list the poolers that this one knows, with what it believes of each", Args: cobra.NoArgs,
 			RunE: view("cluster", &v, func(w io.Writer) { memberTable(w, &v) })}),
 		ask(&cobra.Command{Use: "status", Short: "show where this pooler stands in its cluster, and what it has dropped", Args: cobra.NoArgs,
--- a/cmd/ashstand/commands.go
+++ b/cmd/ashstand/commands.go
@@ -196,7 +196,8 @@
 		{"of these unused", s.Idle}, {"transactions", s.Transactions}, {"settings restored", s.Restored}, {"statements prepared again", s.Prepared},
 		{"statements held", fmt.Sprintf("%d (%d bytes)", s.Statements, s.StatementMem)}, {"refused", s.Refused}, {"cancels", s.Cancels},
 		{"lost, rolled back", s.LostSafe}, {"lost, in doubt", s.LostDoubt}, {"lost, unnoticed", s.LostSilent},
-		{"idle in a transaction for too long", s.TimedOut}, {"paused for slow peers", s.Paused}} {
+		{"idle in a transaction for too long", s.TimedOut}, {"paused for slow peers", s.Paused},
+		{"held, since their database is paused", s.Held}, {"turned away by a host and run again", s.Turned}} {
 		fmt.Fprintf(w, "%s\t%v\n", r.name, r.value)
 	}
 	causes := make([]string, 0, len(s.Pinned))
@@ -246,6 +247,7 @@
 			}
 			return n.costs.evidence()
 		},
+		"homes":     n.homesView,
 		"cluster":   func() any { return n.others.view() },
 		"agreement": func() any { return n.others.agreement() },
 		"works":     func() any { return n.others.workViews() },
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -102,6 +102,7 @@
 	keeper *keeper       // nil: nothing is kept
 	others *fellows      // nil: it knows of no other poolers
 	costs  *estimates    // nil: nothing is observed
+	clock  clock.Clock
 	cfg    atomic.Pointer[config]
 	list   atomic.Pointer[map[string]discovery.Entry]
 	pool   *pg.Pool
@@ -154,6 +155,7 @@
 	if l := cfg.operator.Lab; l != nil {
 		now = clock.Skewed(now, clock.Millis(l.Offset), l.Rate)
 	}
+	n.clock = now
 	n.pool = pg.NewPool(n.engine, now, pg.Platform, b.pool)
 	backend := new(edge.Split)
 	probe := func(host string) {
@@ -193,6 +195,10 @@
 	if n.others, err = meet(cfg, now); err != nil {
 		return nil, err
 	}
+	if n.pooled != nil && n.others != nil && n.others.homes != nil {
+		n.pooled.SetHomes(n.others.homes)
+		n.others.homes.front.Store(n.pooled)
+	}
 	if cfg.Known != nil {
 		cfg.Known.Snapshot = true
 		apply(*cfg.Known)
--- a/internal/net/pg/homes.go
+++ b/internal/net/pg/homes.go
@@ -356,8 +356,9 @@
 // HomeStats are of one database that has sessions here.
 type HomeStats struct {
 	Database string       `json:"database"`
-	Home     *uint64      `json:"home,omitempty"` // nil: each pool's own group
-	State    string       `json:"state"`          // open, paused or fenced
+	Home     *uint64      `json:"home,omitempty"` // nil: each pool's own group, or none that is agreed on
+	Fenced   bool         `json:"fenced,omitempty"`
+	State    string       `json:"state"` // open, paused or fenced
 	Since    float64      `json:"paused_since,omitempty"`
 	Sessions int          `json:"sessions"`
 	Running  int          `json:"running"` // transactions
@@ -382,7 +383,7 @@
 	} else if of.Fenced {
 		h.State = "fenced"
 	}
-	if of.Named && !of.Fenced {
+	if h.Fenced = of.Fenced; of.Named && !of.Fenced {
 		h.Home = &of.Group
 	}
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -111,6 +111,7 @@
 	Clients           int               `json:"clients"`
 	ServerConnections int               `json:"server_connections"`
 	MaxMessage        int               `json:"max_message"` // bytes
+	Held              int               `json:"held"`
 	Pools             []Pool            `json:"pools"`
 	Users             map[string]string `json:"-"` // SCRAM verifiers: not to be shown
 }
@@ -130,6 +131,8 @@
 	ServerLife        time.Duration `json:"server_life"`
 	Statements        int           `json:"statements"`
 	Pins              int           `json:"pins"`
+	Held              int           `json:"held"`
+	Hold              time.Duration `json:"hold"`
 	ReadOnly          string        `json:"read_only"`
 	ReadWrite         string        `json:"read_write"`
 	SelectsReadOnly   bool          `json:"selects_read_only"`
@@ -228,6 +231,7 @@
 		Clients           *int       `hcl:"clients"`
 		ServerConnections *int       `hcl:"server_connections"`
 		MaxMessage        *string    `hcl:"max_message"`
+		Held              *int       `hcl:"held"`
 		Pools             []poolBody `hcl:"pool,block"`
 		Users             []userBody `hcl:"user,block"`
 		Body              hcl.Body   `hcl:",body"`
@@ -246,6 +250,8 @@
 		ServerLife        *string  `hcl:"server_life"`
 		Statements        *int     `hcl:"statements"`
 		Pins              *int     `hcl:"pins"`
+		Held              *int     `hcl:"held"`
+		Hold              *string  `hcl:"hold"`
 		ReadOnly          *string  `hcl:"read_only"`
 		ReadWrite         *string  `hcl:"read_write"`
 		SelectsReadOnly   *bool    `hcl:"selects_read_only"`
@@ -464,13 +470,14 @@
 
 func (c *checker) sessions(f *File, s *sessionsBody) {
 	c.block = "sessions"
-	out := &Sessions{Clients: 100, ServerConnections: 32, MaxMessage: 1 << 20, Users: map[string]string{}}
+	out := &Sessions{Clients: 100, ServerConnections: 32, MaxMessage: 1 << 20, Held: 1000, Users: map[string]string{}}
 	f.Sessions = out
 	if set(s.Listen, &out.Listen); out.Listen != "" {
 		c.address(s.Body, "listen", out.Listen, false)
 	}
 	c.count(s.Body, "clients", s.Clients, &out.Clients, 1, 1<<20)
 	c.count(s.Body, "server_connections", s.ServerConnections, &out.ServerConnections, 1, 1<<20)
+	c.count(s.Body, "held", s.Held, &out.Held, 0, 1<<20)
 	if s.MaxMessage != nil {
 		n, err := size(*s.MaxMessage)
 		if out.MaxMessage = n; err != nil || n < 64<<10 || n > 64<<20 {
@@ -497,7 +504,7 @@
 func (c *checker) pool(out *Sessions, b *poolBody) {
 	c.block = "sessions.pool " + strconv.Quote(b.Name)
 	p := Pool{Name: b.Name, Database: "*", User: "*", Mode: "transaction", Size: 8, Waiting: 100, Patience: 2 * time.Second,
-		IdleInTransaction: time.Minute, ServerIdle: 10 * time.Second, ServerLife: time.Hour, Statements: 200, Pins: 4,
+		IdleInTransaction: time.Minute, ServerIdle: 10 * time.Second, ServerLife: time.Hour, Statements: 200, Pins: 4, Held: 100, Hold: 5 * time.Second,
 		ReadOnly: "", ReadWrite: ""}
 	set(b.Database, &p.Database)
 	set(b.User, &p.User)
@@ -511,6 +518,8 @@
 	c.time(b.Body, "server_life", b.ServerLife, &p.ServerLife, time.Second, 7*24*time.Hour, true)
 	c.count(b.Body, "statements", b.Statements, &p.Statements, 1, 100000)
 	c.count(b.Body, "pins", b.Pins, &p.Pins, 0, p.Size)
+	c.count(b.Body, "held", b.Held, &p.Held, 0, 1<<20)
+	c.time(b.Body, "hold", b.Hold, &p.Hold, time.Millisecond, time.Hour, true)
 	set(b.ReadOnly, &p.ReadOnly)
 	set(b.ReadWrite, &p.ReadWrite)
 	if p.ReadOnly == "" {
