--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -125,7 +125,7 @@
 	if f.trace != nil {
 		o.Leased = func(left float64) { f.trace.line(map[string]any{"event": "lease", "left": left}) }
 	}
-	f.homes = &homes{}
+	f.homes = &homes{clock: now}
 	if f.agreed, err = runner.Start(o); err != nil {
 		return fmt.Errorf("cluster.agreement: %w", err)
 	}
--- a/cmd/ashstand/homes.go
+++ b/cmd/ashstand/homes.go
@@ -20,6 +20,7 @@
 // versions or of the lease, so that a transaction costs a look into a table.
 type homes struct {
 	agreed *runner.Runner
+	clock  clock.Clock
 	mu     sync.Mutex // who makes the next table
 	table  atomic.Pointer[homeTable]
 	front  atomic.Pointer[pg.Sessions] // to be told of changes; nil: nobody
@@ -95,9 +96,11 @@
 	return of
 }
 
-// changed tells the front that the rules, or the lease, are others by now.
+// changed tells the front that the rules, or the lease, are others by now. The table is made here rather than on the
+// front's event loop.
 func (h *homes) changed() {
 	if f := h.front.Load(); f != nil {
+		h.at(h.clock.Now())
 		f.Rehome()
 	}
 }
--- a/cmd/ashstand/homes_test.go
+++ b/cmd/ashstand/homes_test.go
@@ -2,11 +2,18 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5"
 	"github.com/stretchr/testify/require"
 
 	"ashstand/internal/clock"
@@ -14,6 +21,7 @@
 	"ashstand/internal/cluster/agree/runner"
 	"ashstand/internal/net/pg"
 	"ashstand/internal/session"
+	lab "ashstand/lab/host"
 )
 
 func TestHomesFollowTheRules(t *testing.T) {
@@ -74,3 +82,148 @@
 		require.Contains(t, out.String(), want)
 	}
 }
+
+// The whole program: a database is paused, moved and opened by what its poolers agree on, and its clients see a wait.
+func TestProgramMovesADatabase(t *testing.T) {
+	var hosts []*lab.Host
+	var clusters []*lab.Cluster
+	var entries []string
+	for group := uint64(1); group <= 2; group++ {
+		c := lab.NewCluster(group, group)
+		h, err := c.Add(fmt.Sprint("h", group), "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(h.Stop)
+		hosts, clusters = append(hosts, h), append(clusters, c)
+		entries = append(entries, fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":"postgresql","group":%d,"status":"active","weight":1,"since_ms":0,"part":"master"}`, h.Name, h.Address, group))
+	}
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	program := filepath.Join(dir, "ashstand")
+	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
+	require.NoError(t, err, string(out))
+	require.NoError(t, runner.Found(filepath.Join(dir, "agreed"), "n1", []string{"n1"}))
+	discovery := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(func() { discovery.CloseClientConnections(); discovery.Close() })
+	pooled, admin := free(t), "unix:"+filepath.Join(dir, "admin.sock")
+	file := write("ashstand.hcl", fmt.Sprintf(`admin { listen = %q }
+sessions {
+  listen = %q
+  pool "main" {
+    read_only  = "my-library"
+    read_write = "donate"
+    group      = 1
+    hold       = "30s"
+    patience   = "30s"
+  }
+}
+cluster {
+  name   = "n1"
+  listen = %q
+  keys   = %q
+  agreement {
+    voters = ["n1"]
+    folder = %q
+    limits = %q
+    lease  = "600ms"
+    renew  = "50ms"
+  }
+}`, admin, pooled, free(t), write("keys", base64.StdEncoding.EncodeToString(make([]byte, 32))+"\n"), filepath.Join(dir, "agreed"),
+		write("limits.json", `{"database.orders.group": 1, "database.orders.paused": true}`)))
+	cmd, logged := exec.Command(program, "serve", "--file", file), new(record)
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+write("config.json", fmt.Sprintf(configuration, free(t), discovery.Listener.Addr().String(),
+		fmt.Sprintf(`{"index":1,"snapshot":true,"endpoints":[%s]}`, strings.Join(entries, ",")), site)))
+	cmd.Stderr = logged
+	require.NoError(t, cmd.Start())
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		if t.Failed() {
+			t.Log(logged.String())
+		}
+	})
+	run := func(words ...string) (string, error) {
+		out, err := exec.Command(program, append(words, "--admin", admin)...).CombinedOutput()
+		return string(out), err
+	}
+	propose := func(text string) {
+		t.Helper()
+		path := write("rules.json", text)
+		last := ""
+		require.Eventually(t, func() bool {
+			var err error
+			last, err = run("cluster", "propose", path)
+			return err == nil
+		}, 20*time.Second, 20*time.Millisecond, "%s", &last)
+	}
+	var seen homesView
+	shows := func(what string, is func(h pg.HomeStats) bool) {
+		t.Helper()
+		require.Eventually(t, func() bool {
+			out, err := run("cluster", "homes", "--json")
+			seen = homesView{}
+			return err == nil && json.Unmarshal([]byte(out), &seen) == nil && len(seen.Homes) > 0 && is(seen.Homes[0])
+		}, 20*time.Second, 10*time.Millisecond, what)
+	}
+	propose(`{"database.orders.group": 1}`)
+	shows("at 1", func(h pg.HomeStats) bool { return h.State == "open" && h.Home != nil && *h.Home == 1 })
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var c *pgx.Conn
+	require.Eventually(t, func() bool {
+		c, err = pgx.Connect(ctx, "postgres://web@"+pooled+"/orders?sslmode=disable")
+		return err == nil
+	}, 20*time.Second, 20*time.Millisecond)
+	insert := func(ref string) error {
+		_, err := c.Exec(ctx, "INSERT INTO entries (ref, payload) VALUES ('"+ref+"', '1')")
+		return err
+	}
+	require.NoError(t, insert("before"))
+	propose(`{"database.orders.group": 1, "database.orders.paused": true}`)
+	shows("paused", func(h pg.HomeStats) bool { return h.State == "paused" && h.Since > 0 })
+	done := make(chan error, 1)
+	go func() { done <- insert("moved") }()
+	shows("held", func(h pg.HomeStats) bool { return h.Held == 1 && h.Sessions == 1 })
+	propose(`{"database.orders.group": 2, "database.orders.paused": true}`)
+	shows("moved, and still held", func(h pg.HomeStats) bool { return h.Held == 1 && h.Home != nil && *h.Home == 2 })
+	propose(`{"database.orders.group": 2}`)
+	require.NoError(t, <-done)
+	table, err := run("cluster", "homes")
+	require.NoError(t, err)
+	require.Regexp(t, `orders +2 +open +- +1 +0 +0 +1 +0 +-`, table)
+	for i, want := range [][2]int{{1, 0}, {0, 1}} {
+		require.Equal(t, want, [2]int{clusters[i].Versions("public", "entries", "before"), clusters[i].Versions("public", "entries", "moved")}, hosts[i].Name)
+	}
+}
+
+// A look into the table, and what a change of the rules costs once: the meeting of two versions with 1000 databases each.
+func BenchmarkHomes(b *testing.B) {
+	r, err := runner.Start(runner.Options{Config: agree.Config{Name: "n4", Instance: 1, Voters: []string{"n1"}, Lease: 600, Drift: 0.01, Pace: 40, Election: 50,
+		Format: 1, Seed: 1}, Clock: clock.System(), Send: func(string, []byte) {}})
+	require.NoError(b, err)
+	defer r.Stop()
+	h := &homes{agreed: r}
+	b.Run("look", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			h.Home("orders", 1)
+		}
+	})
+	one, two := agree.Rules{}, agree.Rules{}
+	for i := range 1000 {
+		one[fmt.Sprintf("database.d%d.group", i)], two[fmt.Sprintf("database.d%d.group", i)] = 1.0, 1.0
+		two[fmt.Sprintf("database.d%d.paused", i)] = true
+	}
+	b.Run("change", func(b *testing.B) {
+		for b.Loop() {
+			if len(homesOf(agree.Meet(one, two))) != 1000 {
+				b.Fatal("databases are missing")
+			}
+		}
+	})
+}
--- a/internal/net/pg/homes_test.go
+++ b/internal/net/pg/homes_test.go
@@ -305,8 +305,10 @@
 	<-y
 	// The pause's own longest time, for who waits and who comes.
 	refused(<-x, "paused for longer")
+	begun = time.Now()
 	_, err = c.Exec(patient(t), "SELECT 1")
 	refused(err, "paused for longer")
+	require.Less(t, time.Since(begun), 500*time.Millisecond, "at once")
 	// Bytes: a quarter of what all clients may have waiting here.
 	w.homes.set("orders", paused(1))
 	z := later(c, "SELECT '"+strings.Repeat("x", 200<<10)+"'")
--- a/internal/net/pg/sessions.go
+++ b/internal/net/pg/sessions.go
@@ -340,7 +340,11 @@
 	f.onLoop(func() {
 		f.over = true
 		for c := range f.clients {
-			if !c.gone && c.farewell(stateShutdown, "the pooler restarts; what was under way may have run", "") == gnet.Close {
+			text := "the pooler restarts; what was under way may have run"
+			if c.phase == phaseHeld {
+				text = "the pooler restarts; what waited did not run"
+			}
+			if !c.gone && c.farewell(stateShutdown, text, "") == gnet.Close {
 				c.wire.Close()
 			}
 		}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -52,7 +52,7 @@
 	require.Equal(t, "session", f.Sessions.Pools[0].Mode)
 	require.Equal(t, 250*time.Millisecond, f.Sessions.Pools[0].Patience)
 	require.Equal(t, Pool{Name: "rest", Database: "*", User: "*", Mode: "transaction", Size: 3, Waiting: 100, Patience: 2 * time.Second,
-		IdleInTransaction: time.Minute, ServerIdle: 10 * time.Second, Statements: 200, Pins: 4, ReadOnly: "browse", ReadWrite: "donate", Group: 7},
+		IdleInTransaction: time.Minute, ServerIdle: 10 * time.Second, Statements: 200, Pins: 4, Held: 100, Hold: 5 * time.Second, ReadOnly: "browse", ReadWrite: "donate", Group: 7},
 		f.Sessions.Pools[1])
 	none, err := Load(filepath.Join(t.TempDir(), "none"), false)
 	require.NoError(t, err)
