--- a/internal/net/pg/homes.go
+++ b/internal/net/pg/homes.go
@@ -363,6 +363,7 @@
 	Sessions int          `json:"sessions"`
 	Running  int          `json:"running"` // transactions
 	Held     int          `json:"held"`
+	Going    int          `json:"going"` // let go, and not at a host yet
 	Passed   uint64       `json:"let_go"`
 	Refused  uint64       `json:"refused"`
 	Bound    []BoundStats `json:"bound,omitempty"`
@@ -407,7 +408,7 @@
 	at := map[string]int{}
 	now := f.clock.Now()
 	for _, t := range f.tenants.All() {
-		h := HomeStats{Database: t.Database, Sessions: t.Sessions(), Held: t.Held(), Passed: t.Passed, Refused: t.Refused}
+		h := HomeStats{Database: t.Database, Sessions: t.Sessions(), Held: t.Held(), Going: t.Going(), Passed: t.Passed, Refused: t.Refused}
 		h.Describe(f.homes.Home(t.Database, now))
 		all = append(all, h)
 	}
--- a/internal/net/pg/homes_test.go
+++ b/internal/net/pg/homes_test.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -571,6 +572,116 @@
 	t.Logf("the slowest answer to the other tenant took %v", slow)
 }
 
+// Random turns of the rules and of the guard under clients that write, pipeline, bind themselves and leave: what was
+// answered is there once, nothing is there twice, and nothing is lost count of.
+func TestHomesThroughRandomTurns(t *testing.T) {
+	w := housed(t, func(l *SessionLimits) {
+		p := l.Pools[0]
+		p.User, p.Mode, p.Name = "keeper", Session, "keepers"
+		l.Pools[0].Pins, l.Pools[0].Sizes.Most, p.Sizes.Most = 4, 3, 3
+		l.Pools = []PoolSettings{p, l.Pools[0]}
+		for i := range l.Pools {
+			l.Pools[i].Patience, l.Pools[i].Held = 300, 6
+		}
+	})
+	const writers = 10
+	end := time.Now().Add(2500 * time.Millisecond)
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	written := map[string]bool{} // whether it was answered so
+	codes := map[string]int{}
+	for i := range writers {
+		all.Go(func() {
+			lots := rand.New(rand.NewPCG(7, uint64(i)))
+			var c *pgx.Conn
+			defer func() {
+				if c != nil {
+					c.PgConn().Conn().Close()
+				}
+			}()
+			for n := 0; time.Now().Before(end); n++ {
+				if c == nil || c.IsClosed() {
+					user := []string{"web", "web", "keeper"}[lots.IntN(3)]
+					var err error
+					if c, err = pgx.Connect(context.Background(), "postgres://"+user+"@"+w.address+"/orders?sslmode=disable"); err != nil {
+						c = nil
+						continue
+					}
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				ref := fmt.Sprintf("w%d-%d", i, n)
+				var err error
+				switch lots.IntN(8) {
+				case 0:
+					_, err = c.Exec(ctx, "INSERT INTO entries (ref, payload) VALUES ($1, $2)", ref, "1")
+				case 1:
+					var tx pgx.Tx
+					if tx, err = c.Begin(ctx); err == nil {
+						if _, err = tx.Exec(ctx, w.insert(ref)); err == nil {
+							err = tx.Commit(ctx)
+						} else {
+							_ = tx.Rollback(ctx)
+						}
+					}
+				case 2:
+					_, err = c.Exec(ctx, "LISTEN x")
+					ref = ""
+				case 3:
+					time.AfterFunc(time.Duration(lots.IntN(3000))*time.Microsecond, cancel) // it leaves
+					_, err = c.Exec(ctx, w.insert(ref))
+				default:
+					_, err = c.Exec(ctx, w.insert(ref))
+				}
+				cancel()
+				code := state(err)
+				if len(code) > 5 {
+					code = "left"
+				}
+				mu.Lock()
+				if codes[code]++; ref != "" {
+					written[ref] = code == ""
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	lots := rand.New(rand.NewPCG(3, 4))
+	for time.Now().Before(end) {
+		h := at(uint64(1 + lots.IntN(2)))
+		h.Paused, h.Fenced = lots.IntN(2) == 0, lots.IntN(5) == 0
+		w.homes.set("orders", h)
+		w.gate.shut.Store(lots.IntN(3) == 0)
+		time.Sleep(time.Duration(lots.IntN(60)) * time.Millisecond)
+	}
+	w.gate.shut.Store(false)
+	w.homes.set("orders", at(2))
+	all.Wait()
+	require.Eventually(t, func() bool {
+		s, h := w.front.Stats(), w.home()
+		return s.Clients == 0 && s.Held == 0 && s.Linked == 0 && s.Servers == s.Idle && s.Pinned[session.CauseListen] == 0 && h.Sessions == 0
+	}, 10*time.Second, 10*time.Millisecond, "nothing is lost count of")
+	for ref, answered := range written {
+		n := w.cluster.Versions("public", "entries", ref) + w.other.Versions("public", "entries", ref)
+		require.LessOrEqual(t, n, 1, ref)
+		if answered {
+			require.Equal(t, 1, n, ref)
+		}
+	}
+	for code := range codes {
+		require.Contains(t, []string{"", "53300", "55000", "57P01", "left"}, code)
+	}
+	require.NotZero(t, codes[""])
+	t.Log(codes, w.front.Stats().Turned)
+	// Whoever comes then is held and let go as ever.
+	c := w.connect("")
+	w.homes.set("orders", paused(2))
+	wait := later(c, w.insert("last"))
+	w.held(1)
+	require.Zero(t, w.home().Going)
+	w.homes.set("orders", at(2))
+	require.NoError(t, <-wait)
+}
+
 // What the homes cost a transaction: without them, with a database that no rule names, and with one that is named, of
 // which the first statement is kept.
 func BenchmarkSessionsTransaction(b *testing.B) {
