A guard's refusal is run again only for what is undone as a whole: no CALL, DO, EXECUTE or lock

Seen on reading: a lone CALL may have committed a part before the guard raised, and pg_advisory_lock outlives its statement; both would have been run again. Cause: any lone statement was taken (note in internal/net/pg/homes.go). Change: session.Rerunnable names what may be: INSERT, UPDATE, DELETE, MERGE, WITH, SELECT without what binds a session. It is asked when a guard refuses, not for each statement.

--- a/internal/net/pg/homes.go
+++ b/internal/net/pg/homes.go
@@ -274,18 +274,15 @@
 }
 
 // note keeps a copy of what is sent of a transaction's first statement, for the case that the host turns it away since the
-// tenant is closed there. Only what is sure to be one statement outside a block is kept.
+// tenant is closed there.
 func (c *sclient) note(kind byte, body, whole []byte) {
 	f := c.front
 	ok := true
 	switch kind {
-	case 'Q':
-		ok = c.query != nil && len(c.query.Statements) == 1 && c.query.Statements[0].Kind != session.Begin
+	case 'Q', 'E':
 		c.runs++
 	case 'P':
 		ok = len(body) > 0 && body[0] == 0
-	case 'E':
-		c.runs++
 	case 'B', 'D', 'S':
 	default:
 		ok = false
@@ -312,8 +309,29 @@
 // guarded says whether an error is the guard's refusal of a statement that may be run again: it raised before anything was
 // written, the statement's transaction is its own, and the client has heard nothing of it.
 func (c *sclient) guarded(state, text string) bool {
-	return c.recording && c.quiet && len(c.record) > 0 && c.call != nil && state == stateGuard && text == textGuard && c.pipe.Status() == 'I' &&
-		!c.pipe.Explicit()
+	return c.recording && c.quiet && c.call != nil && state == stateGuard && text == textGuard && c.pipe.Status() == 'I' && !c.pipe.Explicit() &&
+		c.whole()
+}
+
+// whole says whether what is kept runs as a whole or not at all.
+func (c *sclient) whole() bool {
+	for b := c.record; len(b) > 0; {
+		kind, body, rest, ok, err := next(b, mostWhole)
+		if err != nil || !ok {
+			return false
+		}
+		switch kind {
+		case 'Q':
+			s, _, ok := text(body)
+			return ok && session.Rerunnable(s)
+		case 'B':
+			_, name, _, ok := two(body)
+			p := c.pipe.Find(name)
+			return ok && p != nil && session.Rerunnable(p.Text)
+		}
+		b = rest
+	}
+	return false
 }
 
 // rerun brings a transaction that a host turned away back to where it was before it was chosen for: it goes where the rules
--- a/internal/session/home.go
+++ b/internal/session/home.go
@@ -52,6 +52,24 @@
 	return "leave cluster= out of the comment: the pooler knows where the database is"
 }
 
+// Rerunnable says whether a text is one statement that is undone as a whole by its error and leaves nothing on its
+// connection, so that it can be run again elsewhere. A procedure or a DO block may have committed a part of its own.
+func Rerunnable(text string) bool {
+	s := scanner{text: text}
+	tokens, more, ok := s.statement()
+	if !ok || len(tokens) == 0 || tokens[0].literal {
+		return false
+	}
+	if more && len(Scan(text[s.at:]).Statements) > 0 {
+		return false
+	}
+	switch tokens[0].word {
+	case "insert", "update", "delete", "merge", "with", "select":
+		return classify(text, tokens).Kind != Pins
+	}
+	return false
+}
+
 // Why is the reason for which a transaction of a tenant is not let through.
 type Why string
 
--- a/internal/session/home_test.go
+++ b/internal/session/home_test.go
@@ -36,6 +36,17 @@
 	}
 }
 
+func TestWhatCanBeRunAgain(t *testing.T) {
+	for text, want := range map[string]bool{
+		"INSERT INTO a VALUES (1)": true, " /* c=donate */ update a SET b = 1;": true, "-- why\nDELETE FROM a": true, "SELECT f(1)": true, "WITH x AS (DELETE FROM a RETURNING *) SELECT * FROM x": true,
+		"MERGE INTO a USING b ON c WHEN MATCHED THEN DELETE ; ; ": true, "": false, "INSERT INTO a VALUES (1); INSERT INTO a VALUES (2)": false,
+		"CALL f()": false, "DO $$ BEGIN COMMIT; END $$": false, "EXECUTE a": false, "BEGIN": false, "COPY a FROM STDIN": false, "SELECT pg_advisory_lock(1)": false,
+		"INSERT INTO a SELECT pg_advisory_lock(1)": false, "TRUNCATE a": false, "CREATE TABLE a (b int)": false, "INSERT INTO a VALUES ('": false, "'insert'": false,
+	} {
+		require.Equal(t, want, Rerunnable(text), text)
+	}
+}
+
 var room = HoldBounds{Most: 10, All: 20, Bytes: 1000, AllBytes: 1500, Longest: 1000}
 
 func TestTenantsHoldWithinBounds(t *testing.T) {
