A transaction on a kept connection is asked for its home at its first message alone

Seen: the random turns once answered 42P05 to a client that prepared anew. Ruled out: the guard's rerun (named statements are not kept for it). Cause: a Parse that was answered here leaves nothing due, so the Describe behind it, in the same pipeline, was taken for the begin of another transaction and refused, while the statement stood (message in sclient.go). Change: what began stays begun until its ReadyForQuery. On reading: bringing a connection to its settings in the middle of a transaction, after RESET, could choose another host though a part had been sent; it chooses only where nothing was. Tests: a Describe behind a Parse that was answered here, under a fence that fell between; red without it.

--- a/internal/net/pg/homes.go
+++ b/internal/net/pg/homes.go
@@ -48,7 +48,7 @@
 		case c.gone || c.tenant == nil:
 		case (c.phase == phaseRouting || c.phase == phaseQueued) && !c.atHome():
 			anew = append(anew, c)
-		case c.phase == phaseLinked && c.server != nil && c.kept && c.call == nil && c.pipe.Idle() && c.wire.Buffered() == 0 && c.moved():
+		case c.phase == phaseLinked && c.server != nil && c.kept && c.call == nil && !c.begun && c.pipe.Idle() && c.wire.Buffered() == 0 && c.moved():
 			if c.part(c.server) == gnet.Close {
 				c.wire.Close()
 			}
--- a/internal/net/pg/homes_test.go
+++ b/internal/net/pg/homes_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 
 	"ashstand/internal/clock"
@@ -505,6 +506,26 @@
 	w.homes.set("orders", at(1)) // and nothing moved
 	require.NoError(t, <-wait)
 	require.Equal(t, 1, w.cluster.Versions("public", "entries", "k"))
+	// A pipeline of which a part was answered here goes on, whatever the rules say meanwhile.
+	_, err = k.Prepare(patient(t), "both", "SELECT 'both'")
+	require.NoError(t, err)
+	p := k.PgConn().Frontend()
+	p.SendParse(&pgproto3.Parse{Name: "other", Query: "SELECT 'both'"})
+	require.NoError(t, p.Flush())
+	m, err := p.Receive()
+	require.NoError(t, err)
+	require.IsType(t, &pgproto3.ParseComplete{}, m)
+	w.homes.set("orders", session.Home{Fenced: true})
+	p.SendDescribe(&pgproto3.Describe{ObjectType: 'S', Name: "other"})
+	p.SendSync(&pgproto3.Sync{})
+	require.NoError(t, p.Flush())
+	for done := false; !done; {
+		m, err := p.Receive()
+		require.NoError(t, err)
+		_, failed := m.(*pgproto3.ErrorResponse)
+		require.False(t, failed, "%+v", m)
+		_, done = m.(*pgproto3.ReadyForQuery)
+	}
 	w.homes.set("orders", paused(1))
 	wait, waitC := later(k, w.insert("k")), later(c, "SELECT 1")
 	w.held(2)
--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -66,6 +66,7 @@
 
 	tenant    *session.Tenant // nil: nothing is agreed on
 	held      session.Held
+	begun     bool // a transaction on the connection that it keeps, though nothing of it may be due yet
 	routed    session.Route
 	request   decide.Request
 	home      session.Home // by which its host was chosen
@@ -480,7 +481,7 @@
 		out = c.send(out)
 		c.forsake(s) // a new transaction does not begin on a host that drains
 	}
-	if c.tenant != nil && c.server != nil && c.call == nil && c.pipe.Idle() && kind != 'S' && kind != 'H' {
+	if c.tenant != nil && c.server != nil && c.call == nil && !c.begun && c.pipe.Idle() && kind != 'S' && kind != 'H' {
 		out = c.send(out)
 		switch fate, action := c.stays(kind); fate {
 		case done:
@@ -488,6 +489,7 @@
 		case waits:
 			return out, true, gnet.None
 		}
+		c.begun = c.server != nil
 	}
 	if c.server == nil {
 		switch c.unlinked(kind, body) {
@@ -980,13 +982,13 @@
 	}
 	s.have = c.pipe.Now()
 	c.pipe.Restored()
-	if c.call != nil && !c.call.Still() { // nothing of the client's was sent
+	if c.call != nil && !s.sent && !c.call.Still() { // nothing of the client's was sent
 		c.unlink(s)
 		s.rest()
 		c.again(decide.Outcome{Code: decide.NotSent})
 		return nil
 	}
-	if c.call != nil && !c.atHome() {
+	if c.call != nil && !s.sent && !c.atHome() {
 		c.unlink(s)
 		s.rest()
 		c.anew()
@@ -1029,6 +1031,7 @@
 // turn takes a ReadyForQuery: what the first of a transaction tells the decisions, and how far a commit has come.
 func (c *sclient) turn(s *server, status byte) {
 	c.told = s.reported
+	c.begun = false
 	if call := c.call; call != nil {
 		c.call = nil
 		code := decide.OK
@@ -1128,6 +1131,7 @@
 		c.rerun(nil)
 		return
 	}
+	c.begun = false
 	c.unhold()
 	partly := s.left > 0 && !s.dropping
 	pin := c.pipe.Pinned()
