Cost: sums at the edge of rounding are made firm, and a fit that fails tells nothing instead of panicking

With sums of products that contradict each other, and only means and squares checked, the fit panicked (invalid Cholesky factorization): one source could have stopped a pooler. The earlier check refuses them; what passes within rounding is now made firm, and a factorisation that fails ends in can't tell.

--- a/internal/cost/cost_test.go
+++ b/internal/cost/cost_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"gonum.org/v1/gonum/mat"
 	"pgregory.net/rapid"
 )
 
@@ -352,6 +353,23 @@
 	require.Empty(t, m.others)
 }
 
+// Guards against one source's sums, just within what rounding may do, that stop everybody's fit.
+func TestSumsAtTheEdgeOfRoundingAreMadeFirm(t *testing.T) {
+	var m Moments
+	m.add(&[places]float64{1, 3, 0, 0, 2}, 50)
+	m[at(size, size)] -= 0.9 * rounding * 50 * limits[size] * limits[size]
+	least := func() float64 {
+		s := mat.NewSymDense(2, []float64{m.of(one, one), m.of(one, size), m.of(one, size), m.of(size, size)})
+		var e mat.EigenSym
+		require.True(t, e.Factorize(s, false))
+		return slices.Min(e.Values(nil))
+	}
+	require.True(t, m.possible())
+	require.Negative(t, least())
+	m.firm()
+	require.Positive(t, least())
+}
+
 func TestATenantThatDoesNotFitIsRefusedWithTheFigures(t *testing.T) {
 	tr := newTruth(9, 6)
 	e := Load(tr.model("a", 60).Publish(1, 1000), 1000)
--- a/internal/cost/estimate.go
+++ b/internal/cost/estimate.go
@@ -461,17 +461,15 @@
 		own: map[stmt]*[unknowns][2]float64{}, parts: map[stmt]*[unknowns][]float64{}, pairs: map[pairKey]*[unknowns]float64{},
 		effects: map[pairKey]*effect{}, byBlock: map[pairKey][]effect{}}
 	f := e.full
-	var chol mat.Cholesky
-	chol.Factorize(f.cover)
-	var l mat.TriDense
-	chol.LTo(&l)
+	var root mat.TriDense // of the precision: its inverse brings the covariance
+	f.chol.UTo(&root)
 	z, x := mat.NewVecDense(f.dim, nil), mat.NewVecDense(f.dim, nil)
 	lots := d.lots(f.dim)
 	for p := range unknowns {
 		for i := range f.dim {
 			z.SetVec(i, lots[i][p])
 		}
-		x.MulVec(&l, z)
+		_ = x.SolveVec(&root, z) // an error warns of a poor condition alone
 		d.common[p] = make([]float64, f.dim)
 		for i := range f.dim {
 			d.common[p][i] = f.mean[i] + x.AtVec(i)
--- a/internal/cost/evidence.go
+++ b/internal/cost/evidence.go
@@ -524,7 +524,18 @@
 		}
 	}
 	var eigen mat.EigenSym
-	return n == 0 || eigen.Factorize(all, false) && slices.Min(eigen.Values(nil)) > -1e-9
+	return n == 0 || eigen.Factorize(all, false) && slices.Min(eigen.Values(nil)) > -rounding
+}
+
+// rounding is how far below 0, as a share of the limits, a spread may come out of sums that were added up and faded: far
+// above what float64 loses, far below what a fit could see.
+const rounding = 1e-9
+
+// firm adds as much to all spreads as rounding may have taken, so that a fit of what is possible never fails.
+func (m *Moments) firm() {
+	for i := range places {
+		m[at(i, i)] += 2 * rounding * m[0] * limits[i] * limits[i]
+	}
 }
 
 // sum adds cells with the same names, at the later of their times. They come in the order of time for the same result.
--- a/internal/cost/fit.go
+++ b/internal/cost/fit.go
@@ -45,6 +45,7 @@
 	items          map[stmt]*item
 	order          []stmt // as items were added: sums come out the same each time
 	dim            int
+	failed         bool      // a matrix had no factors: nothing can be told
 	mean           []float64 // of what is common: classes, kinds, b, c, d
 	chol           mat.Cholesky
 	cover          *mat.SymDense // its covariance
@@ -60,7 +61,7 @@
 	statement Fingerprint
 }
 
-// newFit fits cells; nil: there are none. Spreads are estimated from the cells, or taken from the middle of other fits,
+// newFit fits cells; nil: there are none, or they can't be fitted. Spreads are estimated from the cells, or taken from the middle of other fits,
 // where these are three or more.
 func newFit(cells []Cell, broken string, others []*fit) *fit {
 	f := &fit{classes: map[string]int{}, kinds: map[string]int{}, items: map[stmt]*item{},
@@ -89,6 +90,7 @@
 			f.order = append(f.order, s)
 		}
 		m, kind := c.Moments, f.kinds[c.Kind]
+		m.firm()
 		m.centre(f.centre)
 		if i := slices.IndexFunc(it.parts, func(p part) bool { return p.kind == kind }); i >= 0 {
 			it.parts[i].m.plus(&m, 1) // another block's
@@ -110,13 +112,14 @@
 		most = 1 // for classes that too few of the others know
 	}
 	for range most {
-		f.solve()
-		if f.spreads(broken == "shrink") < settled {
+		if f.solve(); f.failed || f.spreads(broken == "shrink") < settled {
 			break
 		}
 	}
 	f.take(others)
-	f.solve()
+	if f.solve(); f.failed {
+		return nil
+	}
 	return f
 }
 
@@ -212,7 +215,10 @@
 			}
 		}
 	}
-	l.chol.Factorize(a)
+	if !l.chol.Factorize(a) {
+		f.failed = true
+		return b
+	}
 	l.own, l.lean = new(mat.VecDense), new(mat.Dense)
 	_ = l.chol.SolveVecTo(l.own, y)
 	_ = l.chol.SolveTo(l.lean, b)
@@ -254,6 +260,9 @@
 		}
 		if !it.only {
 			b := f.alone(it)
+			if f.failed {
+				return
+			}
 			var less mat.Dense
 			less.Mul(b.T(), it.local.lean)
 			sums.Sub(sums, &less)
@@ -270,7 +279,10 @@
 			}
 		}
 	}
-	f.chol.Factorize(g)
+	if !f.chol.Factorize(g) {
+		f.failed = true
+		return
+	}
 	var mean mat.VecDense
 	_ = f.chol.SolveVecTo(&mean, y)
 	f.mean = mean.RawVector().Data
