Rig: a second process of a name is judged over its whole stay, not by its last moment

The second process was refused 1 s after it came, stayed out for 10 s as it should, came back, and was not refused again by the moment at which the judge looked, 5.4 s later: with n3 gone for good its pause between calls is at 4 s, and the stated 14.4 s count from the comeback. So the judge was wrong. It now hears the second process five times a second: it may not be in for longer than the stated time at a stretch, and must have been told of the first.

--- a/lab/cluster/judge.go
+++ b/lab/cluster/judge.go
@@ -112,9 +112,27 @@
 	}
 }
 
-// judgeTwin looks at a second process of a name before it ends: by the stated time it must be out and both must know. Where
-// the first is no longer the one that was there before it, the second is the first.
-func (r *rig) judgeTwin(n *node, first, p *fleet.Pooler, begun time.Time) {
+// double is what a second process of a name said of itself while it ran. It stays out for a while once it is refused, then
+// comes back and has to be refused again.
+type double struct {
+	in    time.Time // since when it has not been refused
+	long  time.Duration
+	ever  bool // it was refused
+	told  bool // it knew of the first
+}
+
+// hear takes its view at a moment.
+func (d *double) hear(v seen, at time.Time) {
+	if v.Refused != nil {
+		d.ever, d.in = true, at
+	}
+	d.long = max(d.long, at.Sub(d.in))
+	d.told = d.told || len(v.Twins) > 0
+}
+
+// judgeTwin looks at a second process of a name before it ends: within the stated time of each coming it must be out, and
+// both must know. Where the first is no longer the one that was there before it, the second is the first.
+func (r *rig) judgeTwin(n *node, first *fleet.Pooler, d *double, begun time.Time) {
 	bound := r.bound()
 	if time.Since(begun) < bound {
 		return
@@ -125,19 +143,15 @@
 	if still, _ := n.process(); !settled || still != first {
 		return
 	}
-	twin, err := look(p.Admin)
-	if err != nil {
-		r.g.Break("crashed", "the second process of %s: %v", n.name, err)
-		return
-	}
 	holder, err := look(first.Admin)
 	if err != nil {
 		return
 	}
-	if (twin.Refused == nil) == (holder.Refused == nil) || holder.Refused != nil {
-		r.g.Break("name_twice", "%s: the first process is refused: %v, the second: %v", n.name, holder.Refused != nil, twin.Refused != nil)
+	if d.long > bound || holder.Refused != nil {
+		r.g.Break("name_twice", "%s: the first process is refused: %v, the second was in for %v, ever refused: %v", n.name, holder.Refused != nil,
+			d.long.Round(time.Millisecond), d.ever)
 	}
-	if len(twin.Twins) == 0 || len(holder.Twins) == 0 {
-		r.g.Break("twin_untold", "%s: the first process knows of %d, the second of %d", n.name, len(holder.Twins), len(twin.Twins))
+	if !d.told || len(holder.Twins) == 0 {
+		r.g.Break("twin_untold", "%s: the first process knows of %d, the second was told: %v", n.name, len(holder.Twins), d.told)
 	}
 }
--- a/lab/cluster/node.go
+++ b/lab/cluster/node.go
@@ -381,8 +381,32 @@
 		return nil, err
 	}
 	begun := time.Now()
+	d := &double{in: begun}
+	stop := make(chan struct{})
+	var done sync.WaitGroup
+	done.Go(func() {
+		pace := time.NewTicker(200 * time.Millisecond)
+		defer pace.Stop()
+		for {
+			if v, err := look(p.Admin); err == nil {
+				d.hear(v, time.Now())
+			}
+			select {
+			case <-stop:
+				return
+			case <-pace.C:
+			}
+		}
+	})
 	return func() {
-		r.judgeTwin(n, first, p, begun)
+		close(stop)
+		done.Wait()
+		select {
+		case <-p.Ended():
+			r.g.Break("crashed", "the second process of %s: %v\n%s", n.name, p.Err(), last(p.Log(), 2000))
+		default:
+			r.judgeTwin(n, first, d, begun)
+		}
 		gone()
 	}, nil
 }
--- a/lab/cluster/node_test.go
+++ b/lab/cluster/node_test.go
@@ -191,3 +191,27 @@
 	require.NotZero(t, disk.ID)
 	require.Equal(t, disk.ID, r.identity(n))
 }
+
+// A second process of a name that comes back after its pause is not in yet for long; one that is never refused is.
+func TestTheStayOfASecondProcess(t *testing.T) {
+	begun := time.Unix(0, 0)
+	refused, in := seen{}, seen{}
+	refused.Refused = &struct {
+		Instance uint64 `json:"instance"`
+	}{1}
+	for _, c := range []struct {
+		out  func(second int) bool
+		long time.Duration
+	}{{func(int) bool { return false }, 16 * time.Second}, {func(s int) bool { return s%12 >= 1 && s%12 < 11 }, 2 * time.Second},
+		{func(s int) bool { return s >= 9 }, 9 * time.Second}} {
+		d := &double{in: begun}
+		for s := range 17 {
+			v := in
+			if c.out(s) {
+				v = refused
+			}
+			d.hear(v, begun.Add(time.Duration(s)*time.Second))
+		}
+		require.InDelta(t, c.long.Seconds(), d.long.Seconds(), 1)
+	}
+}
