--- a/lab/cluster/judge.go
+++ b/lab/cluster/judge.go
@@ -115,10 +115,10 @@
 // double is what a second process of a name said of itself while it ran. It stays out for a while once it is refused, then
 // comes back and has to be refused again.
 type double struct {
-	in    time.Time // since when it has not been refused
-	long  time.Duration
-	ever  bool // it was refused
-	told  bool // it knew of the first
+	in   time.Time // since when it has not been refused
+	long time.Duration
+	ever bool // it was refused
+	told bool // it knew of the first
 }
 
 // hear takes its view at a moment.
