--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -921,7 +921,7 @@
 		c.again(decide.Outcome{Code: decide.NotSent})
 		return
 	}
-	if !c.atHome() {
+	if c.call != nil && !c.atHome() {
 		s.rest()
 		c.anew()
 		return
