--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -59,10 +59,11 @@
 	pending   *session.Refusal // to be given to the next statement
 	endBlock  map[string]bool  // a portal of a lost block: whether it ends it; else it is empty
 	unread    int
-	gone      bool // told to go, or closed
-	hit       bool // it was cancelled while its settings were being restored
-	asked     byte // the kind of the message that waits to be routed
-	inMessage bool // that message is being taken: whoever took it goes on with it
+	gone      bool    // told to go, or closed
+	hit       bool    // it was cancelled while its settings were being restored
+	asked     byte    // the kind of the message that waits to be routed
+	inMessage bool    // that message is being taken: whoever took it goes on with it
+	left      float64 // when it was told to go
 
 	tenant    *session.Tenant // nil: nothing is agreed on
 	held      session.Held
@@ -73,9 +74,8 @@
 	recording bool         // the first statement is being kept, in record
 	quiet     bool         // and the client was told nothing of it
 	record    []byte
-	runs      int     // statements in it
-	resend    []byte  // what a host turned away, to be taken before anything else
-	left      float64 // when it was told to go
+	runs      int    // statements in it
+	resend    []byte // what a host turned away, to be taken before anything else
 }
 
 // greeting are the parameters that a client is told before it has a server connection.
