Homes against the guard as it stands in a database: simple, prepared and in one round

Seen: a gate that passes each message of a host by itself made a client hear BindComplete before the refusal, which then goes to the client, as it must; servers send both together, and so does the gate now. Tests: a database with fence row and trigger at the old home; three forms of a write are turned away and run at the new one.

--- a/internal/net/pg/homes_test.go
+++ b/internal/net/pg/homes_test.go
@@ -1,6 +1,7 @@
 package pg
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/binary"
@@ -157,21 +158,26 @@
 	status.Store('I')
 	go func() { // what the host says, of which the status is kept
 		defer c.Close()
-		head := make([]byte, 5)
+		head, from := make([]byte, 5), bufio.NewReader(s)
+		var out []byte // what came together goes on together
 		for {
-			if _, err := io.ReadFull(s, head); err != nil {
+			if _, err := io.ReadFull(from, head); err != nil {
 				return
 			}
 			body := make([]byte, binary.BigEndian.Uint32(head[1:])-4)
-			if _, err := io.ReadFull(s, body); err != nil {
+			if _, err := io.ReadFull(from, body); err != nil {
 				return
 			}
 			if head[0] == 'Z' {
 				status.Store(int32(body[0]))
 			}
-			if _, err := c.Write(append(append([]byte{}, head...), body...)); err != nil {
+			if out = append(append(out, head...), body...); from.Buffered() > 0 {
+				continue
+			}
+			if _, err := c.Write(out); err != nil {
 				return
 			}
+			out = out[:0]
 		}
 	}()
 	first := make([]byte, 4)
@@ -481,6 +487,49 @@
 	require.Eventually(t, func() bool { s := w.front.Stats(); return s.Linked == 0 && s.Servers == s.Idle }, 5*time.Second, 5*time.Millisecond)
 }
 
+// The guard as it stands in a database, in each form in which drivers ask: simple, prepared, and all in one round.
+func TestHomesRunAgainWhatTheDatabasesGuardTurnedAway(t *testing.T) {
+	w := housed(t, nil)
+	for _, c := range []*lab.Cluster{w.cluster, w.other} {
+		c.Database("orders")
+	}
+	direct, err := pgx.Connect(patient(t), "postgres://web@"+w.a.Address+"/orders?sslmode=disable")
+	require.NoError(t, err)
+	t.Cleanup(func() { direct.PgConn().Conn().Close() })
+	_, err = direct.PgConn().Exec(patient(t), `CREATE SCHEMA ashstand;
+CREATE TABLE ashstand.fence (work text PRIMARY KEY, token bigint NOT NULL, closed boolean NOT NULL, home bigint);
+INSERT INTO ashstand.fence VALUES ('orders', 1, false, 1);
+CREATE FUNCTION ashstand.guard() RETURNS trigger LANGUAGE plpgsql AS $$
+BEGIN
+  IF (SELECT closed FROM ashstand.fence WHERE work = current_database() FOR SHARE) THEN
+    RAISE EXCEPTION 'tenant is closed' USING ERRCODE = '55000';
+  END IF;
+  RETURN CASE TG_OP WHEN 'DELETE' THEN OLD ELSE NEW END;
+END $$;
+CREATE TRIGGER fence BEFORE INSERT OR UPDATE OR DELETE ON entries FOR EACH ROW EXECUTE FUNCTION ashstand.guard();`).ReadAll()
+	require.NoError(t, err)
+	a, b, c := w.connect(""), w.connect(""), w.connect("")
+	_, err = b.Prepare(patient(t), "mine", "INSERT INTO entries VALUES ($1, $2)")
+	require.NoError(t, err)
+	w.exec(a, "INSERT INTO entries VALUES ('before', 'x')")
+	w.exec(direct, "UPDATE ashstand.fence SET closed = true, token = token + 1")
+	w.fails(c, "55000", "BEGIN; DELETE FROM entries; COMMIT")
+	w.exec(c, "ROLLBACK")
+	waits := []chan error{later(a, "INSERT INTO entries VALUES ('a', 'x')"), later(b, "mine", "b", "x"),
+		later(c, "INSERT INTO entries VALUES ($1, $2)", pgx.QueryExecModeExec, "c", "x")}
+	w.held(3)
+	w.homes.set("orders", paused(2))
+	w.homes.set("orders", at(2))
+	for i, wait := range waits {
+		require.NoError(t, <-wait, i)
+	}
+	require.EqualValues(t, 3, w.front.Stats().Turned)
+	require.Equal(t, "3", w.one(a, "SELECT count(*) FROM entries"), "all three are at the new home")
+	var left string
+	require.NoError(t, direct.QueryRow(patient(t), "SELECT count(*) FROM entries").Scan(&left))
+	require.Equal(t, "1", left)
+}
+
 func TestHomesPartSessionsFromConnections(t *testing.T) {
 	w := housed(t, func(l *SessionLimits) {
 		p := l.Pools[0]
