--- a/cmd/ashstand/program_test.go
+++ b/cmd/ashstand/program_test.go
@@ -81,11 +81,33 @@
 	return r.b.String()
 }
 
-// launch builds the program and starts it; configure writes its configuration file anew.
-func launch(t *testing.T, discovery, known string) (listen string, cmd *exec.Cmd, logged *record, configure func(text string)) {
-	program := filepath.Join(t.TempDir(), "ashstand")
+var folder string // of the program, once it is built
+
+// built is the program, built once for all tests that start it.
+var built = sync.OnceValues(func() (program string, err error) {
+	if folder, err = os.MkdirTemp("", "ashstand"); err != nil {
+		return "", err
+	}
+	program = filepath.Join(folder, "ashstand")
 	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
-	require.NoError(t, err, string(out))
+	if err != nil {
+		err = fmt.Errorf("%w: %s", err, out)
+	}
+	return program, err
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if folder != "" {
+		os.RemoveAll(folder)
+	}
+	os.Exit(code)
+}
+
+// launch starts the program; configure writes its configuration file anew.
+func launch(t *testing.T, discovery, known string) (listen string, cmd *exec.Cmd, logged *record, configure func(text string)) {
+	program, err := built()
+	require.NoError(t, err)
 	listen, file := free(t), filepath.Join(t.TempDir(), "config.json")
 	configure = func(text string) { require.NoError(t, os.WriteFile(file, []byte(text), 0o600)) }
 	configure(fmt.Sprintf(configuration, listen, discovery, known, site))
