A tenant's move: plan, states, what back means in each, what comes next

Next is pure: from the proven state, what was seen since and the operator's word to the next deed. A switch and a reopening are announced as the one open deed of a step and each is one version in the log, so the first excludes the other; the fence opens after the version. A pause is taken back once what is left of its bound is no more than a change of owner and a reopening take, and at once by an owner that did not begin it, since nobody can tell how long it has lasted. The agreed rules get the key database.NAME.paused (true is stricter).

--- /dev/null
+++ b/internal/cluster/move/move_test.go
@@ -0,0 +1,320 @@
+package move
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/cluster/owner"
+)
+
+var testCosts = Costs{Log: 10, InForce: 100, Owner: 500, Place: 20}
+
+const testPlan = `{"tenant": "orders", "from": 1, "to": 2, "pause_ms": 3000, "lock_ms": 200, "rest_ms": 1000}`
+
+func TestPlansAreCheckedWhole(t *testing.T) {
+	p, err := Parse([]byte(testPlan), testCosts)
+	require.NoError(t, err)
+	require.Equal(t, checkpoints, p.Checkpoints)
+	require.Equal(t, "wait", p.Stragglers)
+	for text, want := range map[string][]string{
+		`{"tenant": "a/b", "from": 1, "to": 1, "pause_ms": 100, "checkpoints": ["closing", "closing", "x"], "stragglers": "kill", "pace": -1}`: {
+			"tenant", "to", "pause_ms", "checkpoints", "checkpoints", "checkpoints", "stragglers", "pace"},
+		`{"tenant": "a", "from": "1"}`: {"from"}, `{"tenant": "a", "form": 1}`: {"form"}, `[]`: {"plan"}, `{} {}`: {"plan"},
+		`{"tenant": "a", "from": 1, "to": 2, "pause_ms": 3000, "checkpoints": []}`: {"checkpoints"},
+	} {
+		_, err := Parse([]byte(text), testCosts)
+		require.Error(t, err, text)
+		all := []error{err}
+		if many, ok := err.(interface{ Unwrap() []error }); ok {
+			all = many.Unwrap()
+		}
+		var keys []string
+		for _, e := range all {
+			var f *PlanFault
+			require.ErrorAs(t, e, &f)
+			require.NotEmpty(t, f.Advice())
+			keys = append(keys, f.Key)
+		}
+		require.ElementsMatch(t, want, keys, text)
+	}
+}
+
+func TestEachPhaseHasAWayBackAndEachFindingItsAdvice(t *testing.T) {
+	for _, p := range Phases {
+		require.NotEmpty(t, Back[p], p)
+	}
+	require.Len(t, Back, len(Phases))
+	for _, code := range []string{NoIdentity, Unlogged, LargeObjects, Prepared, NoExtension, NoRoom, SchemaDiffers, NotEmpty, Sequences, HomeDiffers, NotLimited, NoSlots} {
+		f := &Finding{Reason: code, Name: "public.a"}
+		require.NotEmpty(t, f.Advice(), code)
+		require.NotEqual(t, "public.a: "+code, f.Error())
+		require.Equal(t, code, f.Code())
+	}
+	require.Len(t, findings, 12)
+}
+
+// A state that is as full as it gets is kept by the ledger.
+func TestAStateFitsIntoTheLog(t *testing.T) {
+	long := strings.Repeat("\x00<é", 1000)
+	a := Act{Name: DeedVerify, State: State{Phase: Verifying, Pause: &Pause{Closed: &Closed{Line: 1}}, Copy: Copy{After: strings.Repeat("x", mostCursor)}}}
+	var r result
+	for range 100 {
+		r.findings = append(r.findings, Finding{Reason: NoIdentity, Name: long, Detail: long})
+		r.verified.Differ = append(r.verified.Differ, Difference{long, long, long, long, long})
+		r.held = append(r.held, Straggler{1 << 40, long, long, long})
+		a.State.Lost = keep(append(a.State.Lost, clip(long)))
+		a.State.note("%s", long)
+	}
+	a.State.Findings, a.State.Stragglers = r.findings.bounded(), straggling(r.held)
+	r.verified.Line = 1
+	p, err := after(a, r)
+	require.NoError(t, err)
+	l := owner.Ledger{}
+	require.Nil(t, l.Apply(owner.Entry{Op: owner.Create, Work: "w", Kind: "move", State: p.State}))
+	require.Greater(t, len(p.State), 8<<10, "it is full")
+	a.Name = DeedCopy
+	r.Copied.After = strings.Repeat("x", mostCursor+1)
+	_, err = after(a, r)
+	var u *Unreadable
+	require.ErrorAs(t, err, &u)
+}
+
+// at is a work in a state, owned under token 5 at step 9.
+func at(t *testing.T, s State, w *owner.Word) *owner.Work {
+	b, err := json.Marshal(s)
+	require.NoError(t, err)
+	return &owner.Work{Name: "w", Kind: "move", Spec: json.RawMessage(testPlan), Token: 5, Step: 9, State: b, Word: w}
+}
+
+func said(word string) *owner.Word {
+	return &owner.Word{Say: word, Step: 9, Lasting: word == Rollback}
+}
+
+// good is what is seen when all is well.
+func good() *Seen {
+	return &Seen{Step: 9, Version: 3, InForce: true, Paused: true, Group: 1, Turn: true, Pace: 1000,
+		Progress: Progress{Reached: true, HomeLine: 1, Line: 1, HomePos: 500, Applied: 500, Ready: true}}
+}
+
+func pausing(at float64, token owner.Token) *Pause {
+	return &Pause{Begun: Begun{at, token}, Version: 3}
+}
+
+func closed(p *Pause, verified bool) *Pause {
+	p.Closed, p.Verified = &Closed{Line: 1, Position: 500}, verified
+	return p
+}
+
+func TestWhatComesNext(t *testing.T) {
+	m := &Mover{Costs: testCosts}
+	cutoff := testCosts.Cutoff(Plan{Pause: 3000})
+	all := Compare{All: true}
+	for name, c := range map[string]struct {
+		s    State
+		word *owner.Word
+		see  func(*Seen)
+		deed string // or "", and why
+		why  string
+	}{
+		"not its turn":              {s: State{Phase: Planned}, see: func(s *Seen) { s.Turn, s.Turns = false, "group 2 has its moves" }, why: "group 2 has its moves"},
+		"its turn":                  {s: State{Phase: Planned}, deed: DeedCheck},
+		"refused by the check":      {s: State{Phase: Planned, Held: "the check refuses"}, why: "held"},
+		"checked again":             {s: State{Phase: Planned, Held: "the check refuses"}, word: said(Resume), deed: DeedResume},
+		"checked waits":             {s: State{Phase: Checked}, why: "waits for go"},
+		"checked goes":              {s: State{Phase: Checked}, word: said(Go), deed: DeedPublish},
+		"a word of another step":    {s: State{Phase: Checked}, word: &owner.Word{Say: Go, Step: 8}, why: "waits for go"},
+		"published":                 {s: State{Phase: Checked, Published: true}, deed: DeedSubscribe},
+		"copies":                    {s: State{Phase: Copying, Line: 1}, deed: DeedCopy},
+		"paced":                     {s: State{Phase: Copying, Line: 1, Copy: Copy{Rows: 5000, Begun: Begun{999_000, 5}}}, why: "paced"},
+		"another's clock":           {s: State{Phase: Copying, Line: 1, Copy: Copy{Rows: 5000, Begun: Begun{999_000, 4}}}, deed: DeedCopy},
+		"tables under way":          {s: State{Phase: Copying, Line: 1}, see: func(s *Seen) { s.Ready = false }, why: "being copied"},
+		"loaded":                    {s: State{Phase: Copying, Line: 1}, see: func(s *Seen) { s.Pace = 0 }, why: "loaded"},
+		"target drains":             {s: State{Phase: Copying, Line: 1}, see: func(s *Seen) { s.Unfit = "draining" }, why: "draining"},
+		"slot died":                 {s: State{Phase: Copying, Line: 1}, see: func(s *Seen) { s.SlotLost = true }, deed: DeedSubscribe},
+		"all copied":                {s: State{Phase: Copying, Line: 1, Copy: Copy{All: true}}, deed: DeedMark},
+		"compares":                  {s: State{Phase: CatchingUp, Line: 1}, deed: DeedCompare},
+		"home failed over":          {s: State{Phase: CatchingUp, Line: 1, Compare: all}, see: func(s *Seen) { s.HomeLine = 2 }, deed: DeedMark},
+		"target is ahead":           {s: State{Phase: CatchingUp, Line: 1, Compare: all}, see: func(s *Seen) { s.HomeLine, s.Ahead = 2, true }, deed: DeedSubscribe},
+		"explained difference":      {s: State{Phase: CatchingUp, Line: 1, Again: true}, deed: DeedSubscribe},
+		"waits to close":            {s: State{Phase: CatchingUp, Line: 1, Compare: all}, why: "waits for go"},
+		"closes":                    {s: State{Phase: CatchingUp, Line: 1, Compare: all}, word: said(Go), deed: DeedPause},
+		"too far behind":            {s: State{Phase: CatchingUp, Line: 1, Compare: all}, word: said(Go), see: func(s *Seen) { s.Behind = cutoff }, why: "would need"},
+		"too much touched":          {s: State{Phase: CatchingUp, Line: 1, Compare: all}, word: said(Go), see: func(s *Seen) { s.Verify = cutoff }, deed: DeedMark},
+		"target cold":               {s: State{Phase: CatchingUp, Line: 1, Compare: all}, word: said(Go), see: func(s *Seen) { s.Unfit = "cold" }, why: "cold"},
+		"rests":                     {s: State{Phase: CatchingUp, Line: 1, Compare: all, Tries: 1, Rested: Begun{999_500, 5}}, word: said(Go), why: "rests"},
+		"not in force":              {s: State{Phase: Closing, Line: 1, Pause: pausing(1e6, 5)}, see: func(s *Seen) { s.InForce = false }, why: "every pooler"},
+		"an older version in force": {s: State{Phase: Closing, Line: 1, Pause: pausing(1e6, 5)}, see: func(s *Seen) { s.Version = 2 }, why: "every pooler"},
+		"fences":                    {s: State{Phase: Closing, Line: 1, Pause: pausing(1e6, 5)}, deed: DeedClose},
+		"time is up":                {s: State{Phase: Closing, Line: 1, Pause: pausing(1e6-cutoff, 5)}, deed: DeedReopen},
+		"time is nearly up":         {s: State{Phase: Closing, Line: 1, Pause: pausing(1e6-cutoff+1, 5)}, deed: DeedClose},
+		"another owner's pause":     {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 4), true)}, word: said(Go), deed: DeedReopen},
+		"drains":                    {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), false)}, see: func(s *Seen) { s.Applied = 499 }, why: "taken in"},
+		"verifies":                  {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), false)}, deed: DeedVerify},
+		"home failed over, paused":  {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), false)}, see: func(s *Seen) { s.HomeLine = 2 }, deed: DeedClose},
+		"slot died, paused":         {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), false)}, see: func(s *Seen) { s.SlotLost = true }, deed: DeedReopen},
+		"differs": {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), false), Differ: []Difference{{Table: "a"}}},
+			deed: DeedReopen},
+		"waits to switch":       {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), true)}, why: "waits for go"},
+		"switches":              {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), true)}, word: said(Go), deed: DeedSwitch},
+		"switches back at once": {s: State{Phase: Verifying, Line: 1, Reverse: true, Back: "x", Pause: closed(pausing(1e6, 5), true)}, deed: DeedSwitch},
+		"held in a pause":       {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), true)}, word: said(Hold), deed: DeedReopen},
+		"feeds":                 {s: State{Phase: Switched}, deed: DeedFeed},
+		"old home's fence":      {s: State{Phase: Switched, Line: 1, Fed: true, Compare: all}, see: func(s *Seen) { s.FenceOff = true }, deed: DeedFeed},
+		"new home failed over":  {s: State{Phase: Switched, Line: 1, Fed: true, Compare: all}, see: func(s *Seen) { s.HomeLine = 2 }, deed: DeedMark},
+		"its slot died":         {s: State{Phase: Switched, Line: 1, Fed: true, Compare: all}, see: func(s *Seen) { s.HomeLine, s.SlotLost = 2, true }, deed: DeedFeed},
+		"waits for acceptance":  {s: State{Phase: Switched, Line: 1, Fed: true, Compare: all}, why: "accept or rollback"},
+		"accepts":               {s: State{Phase: Switched, Line: 1, Fed: true, Compare: all}, word: said(Accept), deed: DeedAccept},
+		"go does not accept":    {s: State{Phase: Switched, Line: 1, Fed: true, Compare: all}, word: said(Go), why: "accept or rollback"},
+		"goes back":             {s: State{Phase: Switched, Line: 1, Fed: true, Compare: all, Back: "x"}, deed: DeedPause},
+		"back waits for copy":   {s: State{Phase: Switched, Line: 1, Fed: true, Back: "x"}, see: func(s *Seen) { s.Ready = false }, why: "copied"},
+		"accepted":              {s: State{Phase: Accepted}, deed: DeedFinish},
+		"clears":                {s: State{Phase: Clearing, Back: "x"}, deed: DeedClear},
+
+		"back from planned":     {s: State{Phase: Planned, Held: "the check refuses"}, word: said(Rollback), deed: DeedEnd},
+		"back from checked":     {s: State{Phase: Checked}, word: said(Rollback), deed: DeedEnd},
+		"back from published":   {s: State{Phase: Checked, Published: true}, word: said(Rollback), deed: DeedClear},
+		"back from copying":     {s: State{Phase: Copying, Held: "x"}, word: said(Rollback), deed: DeedClear},
+		"back from catching up": {s: State{Phase: CatchingUp, Line: 1, Compare: all}, word: said(Rollback), deed: DeedClear},
+		"back from closing":     {s: State{Phase: Closing, Pause: pausing(1e6, 5)}, word: said(Rollback), deed: DeedReopen},
+		"back from verifying":   {s: State{Phase: Verifying, Pause: closed(pausing(1e6, 5), true)}, word: said(Rollback), deed: DeedReopen},
+		"back from switched":    {s: State{Phase: Switched}, word: &owner.Word{Say: Rollback, Step: 3, Lasting: true}, deed: DeedBack},
+		"no back once accepted": {s: State{Phase: Accepted}, word: said(Rollback), deed: DeedFinish},
+	} {
+		see := good()
+		if c.see != nil {
+			c.see(see)
+		}
+		w := at(t, c.s, c.word)
+		step := m.Next(1e6, w, see)
+		require.Equal(t, c.deed, step.Deed, "%s: %s", name, step.Why)
+		require.Contains(t, step.Why, c.why, name)
+		if c.deed != "" {
+			require.True(t, json.Valid(step.Data), name)
+		} else {
+			require.Nil(t, step.Took, name)
+		}
+		if c.word != nil && c.deed != "" && c.s.Phase != Accepted {
+			require.Equal(t, c.word.Say == Go || step.Took != nil, true, name)
+		}
+		see.Step = 8
+		if stale := m.Next(1e6, w, see); stale.Deed != step.Deed {
+			require.Empty(t, stale.Deed, "%s: what was seen before the last deed counts for nothing", name)
+		}
+		require.NotPanics(t, func() { m.Next(1e6, w, nil) })
+	}
+}
+
+func TestWordsAreOfferedWhereTheyAreTaken(t *testing.T) {
+	m := &Mover{Costs: testCosts}
+	pauses := func(p Phase) *Pause {
+		switch p {
+		case Closing:
+			return pausing(1e6, 5)
+		case Verifying:
+			return closed(pausing(1e6, 5), true)
+		}
+		return nil
+	}
+	for _, held := range []string{"", "x"} {
+		for _, phase := range Phases {
+			s := State{Phase: phase, Held: held, Line: 1, Fed: true, Compare: Compare{All: true}, Pause: pauses(phase)}
+			if held != "" && pauses(phase) != nil {
+				continue // it is never held there
+			}
+			offered := map[string]bool{}
+			for _, o := range m.Next(1e6, at(t, s, nil), good()).Says {
+				offered[o.Say] = true
+				require.NotEmpty(t, o.Does)
+				require.Equal(t, o.Say == Rollback, o.Lasting)
+			}
+			for _, word := range []string{Go, Hold, Resume, Rollback, Accept} {
+				step := m.Next(1e6, at(t, s, said(word)), good())
+				require.Equal(t, offered[word], step.Took != nil, "%s %q in %s", word, held, phase)
+			}
+		}
+	}
+}
+
+// fakes answer as they are told.
+type fakeRules struct {
+	rules map[string]any
+	err   error
+	calls int
+}
+
+func (f *fakeRules) Now() (map[string]any, int, bool) { return f.rules, 7, true }
+func (f *fakeRules) Limited(string) bool              { return true }
+func (f *fakeRules) Change(_ context.Context, _ string, _ owner.Token, c map[string]any) (int, error) {
+	if f.calls++; f.err != nil {
+		return 0, f.err
+	}
+	for k, v := range c {
+		f.rules[k] = v
+	}
+	return 7, nil
+}
+
+type fakePlaces struct {
+	Places
+	opened []Group
+	closed bool
+	line   int
+	err    error
+}
+
+func (f *fakePlaces) Open(_ context.Context, _ Act, at Group) error {
+	f.opened = append(f.opened, at)
+	return f.err
+}
+func (f *fakePlaces) Fenced(context.Context, Act, Group) (bool, int, error) {
+	return f.closed, f.line, f.err
+}
+
+func TestTheLogDecidesBetweenSwitchAndReopening(t *testing.T) {
+	s := State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), true)}
+	rules := &fakeRules{rules: map[string]any{"database.orders.group": 1.0, "database.orders.paused": true}}
+	places := &fakePlaces{closed: true, line: 1}
+	m := &Mover{Places: places, Rules: rules, Costs: testCosts}
+	w := at(t, s, nil)
+	deed := func(name string) *owner.Deed {
+		return &owner.Deed{Number: 10, Name: name, Token: 5, Data: json.RawMessage(`{"at": 1000000}`)}
+	}
+
+	done, _, err := m.Look(context.Background(), w, deed(DeedSwitch))
+	require.NoError(t, err)
+	require.False(t, done, "no version says so")
+	require.Empty(t, places.opened)
+
+	places.closed = false // the home failed over and its new primary lacks the fence
+	p, err := m.Do(context.Background(), w, deed(DeedSwitch))
+	require.NoError(t, err)
+	require.Zero(t, rules.calls)
+	require.Contains(t, string(p.State), `"phase":"closing"`)
+
+	places.closed = true
+	rules.err = &owner.Refusal{Reason: owner.TokenOld}
+	_, err = m.Do(context.Background(), w, deed(DeedSwitch))
+	var r *owner.Refusal
+	require.True(t, errors.As(err, &r))
+	require.Empty(t, places.opened, "an owner that was replaced opens nothing")
+
+	rules.err, places.closed = nil, true
+	_, err = m.Do(context.Background(), w, deed(DeedSwitch))
+	require.NoError(t, err)
+	require.Equal(t, []Group{2}, places.opened)
+
+	places.opened = nil // whoever comes next finds the version in the log and goes on
+	done, p, err = m.Look(context.Background(), w, deed(DeedSwitch))
+	require.NoError(t, err)
+	require.True(t, done)
+	require.Contains(t, string(p.State), `"phase":"switched"`)
+	require.Equal(t, []Group{2}, places.opened)
+	done, _, err = m.Look(context.Background(), at(t, s, nil), deed(DeedPause))
+	require.NoError(t, err)
+	require.False(t, done)
+}
