Moves: digests of ranges, whose turn it is, a failover at either side puts all in doubt

Thinking a failover of the new home through: its standby may lack what the old home's slot counts as passed on, and once the apply goes on nothing shows it. So the timelines of both sides stand in the state, and any other one has all compared again. Changes of rules wait while another version is not in force: the bound counts that once for the pause and once for the reopening.

--- a/internal/cluster/move/after.go
+++ b/internal/cluster/move/after.go
@@ -40,15 +40,15 @@
 			s.note("copied anew: the slot or what had been passed on died with a failover, or the copy differed")
 		}
 		s.Phase, s.Copy = Copying, Copy{Again: again}
-		s.anew(r.Line)
+		s.anew(r.Lines)
 	case DeedCopy:
 		s.Copy.After, s.Copy.All, s.Copy.Rows, s.Copy.Begun = r.Copied.After, r.Copied.All, r.Copied.Rows, begun
 	case DeedMark:
 		if s.Phase != Switched {
 			s.Phase = CatchingUp
 		}
-		s.Doubt = s.Doubt || d.Lost != ""
-		s.Line, s.Compare = r.Line, Compare{Begun: begun}
+		s.Doubt = s.Doubt || d.Doubt
+		s.Lines, s.Compare = r.Lines, Compare{Begun: begun}
 	case DeedCompare:
 		c := &s.Compare
 		c.After, c.All, c.Ranges, c.Hot = r.Compared.After, r.Compared.All, c.Ranges+r.Compared.Equal, c.Hot+r.Compared.Hot
@@ -69,11 +69,11 @@
 		pause := *s.Pause
 		pause.Ranges, pause.Reads = r.verified.Ranges, r.verified.Reads
 		switch {
-		case r.verified.Line != pause.Closed.Line:
+		case r.verified.Lines.Home != pause.Closed.Line:
 			pause.Closed, s.Phase = nil, Closing
 			s.note("the home failed over while it was verified: it is closed again")
 		case len(r.verified.Differ) > 0:
-			s.Doubt = s.Doubt || pause.Closed.Line != s.Line
+			s.Doubt = s.Doubt || r.verified.Lines != s.Lines
 			s.Differ = differing(r.verified.Differ)
 		case !r.verified.Late:
 			pause.Verified = true
@@ -121,7 +121,7 @@
 		if s.Fed = true; d.Again {
 			s.note("the old home is copied anew from the new one")
 		}
-		s.anew(r.Line)
+		s.anew(r.Lines)
 	case DeedAccept:
 		s.Phase = Accepted
 	case DeedFinish:
@@ -152,8 +152,8 @@
 }
 
 // anew is what a copy that begins, or a feeding back, makes of what rested on the one before.
-func (s *State) anew(line int) {
-	s.Line, s.Doubt, s.Again, s.Differ, s.Compare = line, false, false, nil, Compare{}
+func (s *State) anew(lines Lines) {
+	s.Lines, s.Doubt, s.Again, s.Differ, s.Compare = lines, false, false, nil, Compare{}
 }
 
 // differ takes what was found. After a failover the copy is begun anew; otherwise an operator has to say so.
--- a/internal/cluster/move/move_test.go
+++ b/internal/cluster/move/move_test.go
@@ -14,7 +14,7 @@
 
 var testCosts = Costs{Log: 10, InForce: 100, Owner: 500, Place: 20}
 
-const testPlan = `{"tenant": "orders", "from": 1, "to": 2, "pause_ms": 3000, "lock_ms": 200, "rest_ms": 1000}`
+const testPlan = `{"tenant": "orders", "from": 1, "to": 2, "pause_ms": 4000, "lock_ms": 200, "rest_ms": 1000}`
 
 func TestPlansAreCheckedWhole(t *testing.T) {
 	p, err := Parse([]byte(testPlan), testCosts)
@@ -25,7 +25,7 @@
 		`{"tenant": "a/b", "from": 1, "to": 1, "pause_ms": 100, "checkpoints": ["closing", "closing", "x"], "stragglers": "kill", "pace": -1}`: {
 			"tenant", "to", "pause_ms", "checkpoints", "checkpoints", "checkpoints", "stragglers", "pace"},
 		`{"tenant": "a", "from": "1"}`: {"from"}, `{"tenant": "a", "form": 1}`: {"form"}, `[]`: {"plan"}, `{} {}`: {"plan"},
-		`{"tenant": "a", "from": 1, "to": 2, "pause_ms": 3000, "checkpoints": []}`: {"checkpoints"},
+		`{"tenant": "a", "from": 1, "to": 2, "pause_ms": 4000, "checkpoints": []}`: {"checkpoints"},
 	} {
 		_, err := Parse([]byte(text), testCosts)
 		require.Error(t, err, text)
@@ -71,7 +71,7 @@
 		a.State.note("%s", long)
 	}
 	a.State.Findings, a.State.Stragglers = r.findings.bounded(), straggling(r.held)
-	r.verified.Line = 1
+	r.verified.Lines.Home = 1
 	p, err := after(a, r)
 	require.NoError(t, err)
 	l := owner.Ledger{}
@@ -84,6 +84,8 @@
 	require.ErrorAs(t, err, &u)
 }
 
+var one = Lines{1, 1}
+
 // at is a work in a state, owned under token 5 at step 9.
 func at(t *testing.T, s State, w *owner.Word) *owner.Work {
 	b, err := json.Marshal(s)
@@ -98,7 +100,7 @@
 // good is what is seen when all is well.
 func good() *Seen {
 	return &Seen{Step: 9, Version: 3, InForce: true, Paused: true, Group: 1, Turn: true, Pace: 1000,
-		Progress: Progress{Reached: true, HomeLine: 1, Line: 1, HomePos: 500, Applied: 500, Ready: true}}
+		Progress: Progress{Reached: true, Lines: one, HomePos: 500, Applied: 500, Ready: true}}
 }
 
 func pausing(at float64, token owner.Token) *Pause {
@@ -112,7 +114,7 @@
 
 func TestWhatComesNext(t *testing.T) {
 	m := &Mover{Costs: testCosts}
-	cutoff := testCosts.Cutoff(Plan{Pause: 3000})
+	cutoff := testCosts.Cutoff(Plan{Pause: 4000})
 	all := Compare{All: true}
 	for name, c := range map[string]struct {
 		s    State
@@ -129,49 +131,50 @@
 		"checked goes":              {s: State{Phase: Checked}, word: said(Go), deed: DeedPublish},
 		"a word of another step":    {s: State{Phase: Checked}, word: &owner.Word{Say: Go, Step: 8}, why: "waits for go"},
 		"published":                 {s: State{Phase: Checked, Published: true}, deed: DeedSubscribe},
-		"copies":                    {s: State{Phase: Copying, Line: 1}, deed: DeedCopy},
-		"paced":                     {s: State{Phase: Copying, Line: 1, Copy: Copy{Rows: 5000, Begun: Begun{999_000, 5}}}, why: "paced"},
-		"another's clock":           {s: State{Phase: Copying, Line: 1, Copy: Copy{Rows: 5000, Begun: Begun{999_000, 4}}}, deed: DeedCopy},
-		"tables under way":          {s: State{Phase: Copying, Line: 1}, see: func(s *Seen) { s.Ready = false }, why: "being copied"},
-		"loaded":                    {s: State{Phase: Copying, Line: 1}, see: func(s *Seen) { s.Pace = 0 }, why: "loaded"},
-		"target drains":             {s: State{Phase: Copying, Line: 1}, see: func(s *Seen) { s.Unfit = "draining" }, why: "draining"},
-		"slot died":                 {s: State{Phase: Copying, Line: 1}, see: func(s *Seen) { s.SlotLost = true }, deed: DeedSubscribe},
-		"all copied":                {s: State{Phase: Copying, Line: 1, Copy: Copy{All: true}}, deed: DeedMark},
-		"compares":                  {s: State{Phase: CatchingUp, Line: 1}, deed: DeedCompare},
-		"home failed over":          {s: State{Phase: CatchingUp, Line: 1, Compare: all}, see: func(s *Seen) { s.HomeLine = 2 }, deed: DeedMark},
-		"target is ahead":           {s: State{Phase: CatchingUp, Line: 1, Compare: all}, see: func(s *Seen) { s.HomeLine, s.Ahead = 2, true }, deed: DeedSubscribe},
-		"explained difference":      {s: State{Phase: CatchingUp, Line: 1, Again: true}, deed: DeedSubscribe},
-		"waits to close":            {s: State{Phase: CatchingUp, Line: 1, Compare: all}, why: "waits for go"},
-		"closes":                    {s: State{Phase: CatchingUp, Line: 1, Compare: all}, word: said(Go), deed: DeedPause},
-		"too far behind":            {s: State{Phase: CatchingUp, Line: 1, Compare: all}, word: said(Go), see: func(s *Seen) { s.Behind = cutoff }, why: "would need"},
-		"too much touched":          {s: State{Phase: CatchingUp, Line: 1, Compare: all}, word: said(Go), see: func(s *Seen) { s.Verify = cutoff }, deed: DeedMark},
-		"target cold":               {s: State{Phase: CatchingUp, Line: 1, Compare: all}, word: said(Go), see: func(s *Seen) { s.Unfit = "cold" }, why: "cold"},
-		"rests":                     {s: State{Phase: CatchingUp, Line: 1, Compare: all, Tries: 1, Rested: Begun{999_500, 5}}, word: said(Go), why: "rests"},
-		"not in force":              {s: State{Phase: Closing, Line: 1, Pause: pausing(1e6, 5)}, see: func(s *Seen) { s.InForce = false }, why: "every pooler"},
-		"an older version in force": {s: State{Phase: Closing, Line: 1, Pause: pausing(1e6, 5)}, see: func(s *Seen) { s.Version = 2 }, why: "every pooler"},
-		"fences":                    {s: State{Phase: Closing, Line: 1, Pause: pausing(1e6, 5)}, deed: DeedClose},
-		"time is up":                {s: State{Phase: Closing, Line: 1, Pause: pausing(1e6-cutoff, 5)}, deed: DeedReopen},
-		"time is nearly up":         {s: State{Phase: Closing, Line: 1, Pause: pausing(1e6-cutoff+1, 5)}, deed: DeedClose},
-		"another owner's pause":     {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 4), true)}, word: said(Go), deed: DeedReopen},
-		"drains":                    {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), false)}, see: func(s *Seen) { s.Applied = 499 }, why: "taken in"},
-		"verifies":                  {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), false)}, deed: DeedVerify},
-		"home failed over, paused":  {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), false)}, see: func(s *Seen) { s.HomeLine = 2 }, deed: DeedClose},
-		"slot died, paused":         {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), false)}, see: func(s *Seen) { s.SlotLost = true }, deed: DeedReopen},
-		"differs": {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), false), Differ: []Difference{{Table: "a"}}},
+		"copies":                    {s: State{Phase: Copying, Lines: one}, deed: DeedCopy},
+		"paced":                     {s: State{Phase: Copying, Lines: one, Copy: Copy{Rows: 5000, Begun: Begun{999_000, 5}}}, why: "paced"},
+		"another's clock":           {s: State{Phase: Copying, Lines: one, Copy: Copy{Rows: 5000, Begun: Begun{999_000, 4}}}, deed: DeedCopy},
+		"tables under way":          {s: State{Phase: Copying, Lines: one}, see: func(s *Seen) { s.Ready = false }, why: "being copied"},
+		"loaded":                    {s: State{Phase: Copying, Lines: one}, see: func(s *Seen) { s.Pace = 0 }, why: "loaded"},
+		"target drains":             {s: State{Phase: Copying, Lines: one}, see: func(s *Seen) { s.Unfit = "draining" }, why: "draining"},
+		"slot died":                 {s: State{Phase: Copying, Lines: one}, see: func(s *Seen) { s.SlotLost = true }, deed: DeedSubscribe},
+		"all copied":                {s: State{Phase: Copying, Lines: one, Copy: Copy{All: true}}, deed: DeedMark},
+		"compares":                  {s: State{Phase: CatchingUp, Lines: one}, deed: DeedCompare},
+		"home failed over":          {s: State{Phase: CatchingUp, Lines: one, Compare: all}, see: func(s *Seen) { s.Lines.Home = 2 }, deed: DeedMark},
+		"target failed over":        {s: State{Phase: CatchingUp, Lines: one, Compare: all}, see: func(s *Seen) { s.Lines.Other = 2 }, deed: DeedMark},
+		"target is ahead":           {s: State{Phase: CatchingUp, Lines: one, Compare: all}, see: func(s *Seen) { s.Lines.Home, s.Ahead = 2, true }, deed: DeedSubscribe},
+		"explained difference":      {s: State{Phase: CatchingUp, Lines: one, Again: true}, deed: DeedSubscribe},
+		"waits to close":            {s: State{Phase: CatchingUp, Lines: one, Compare: all}, why: "waits for go"},
+		"closes":                    {s: State{Phase: CatchingUp, Lines: one, Compare: all}, word: said(Go), deed: DeedPause},
+		"too far behind":            {s: State{Phase: CatchingUp, Lines: one, Compare: all}, word: said(Go), see: func(s *Seen) { s.Behind = cutoff }, why: "would need"},
+		"too much touched":          {s: State{Phase: CatchingUp, Lines: one, Compare: all}, word: said(Go), see: func(s *Seen) { s.Verify = cutoff }, deed: DeedMark},
+		"target cold":               {s: State{Phase: CatchingUp, Lines: one, Compare: all}, word: said(Go), see: func(s *Seen) { s.Unfit = "cold" }, why: "cold"},
+		"rests":                     {s: State{Phase: CatchingUp, Lines: one, Compare: all, Tries: 1, Rested: Begun{999_500, 5}}, word: said(Go), why: "rests"},
+		"not in force":              {s: State{Phase: Closing, Lines: one, Pause: pausing(1e6, 5)}, see: func(s *Seen) { s.InForce = false }, why: "every pooler"},
+		"an older version in force": {s: State{Phase: Closing, Lines: one, Pause: pausing(1e6, 5)}, see: func(s *Seen) { s.Version = 2 }, why: "every pooler"},
+		"fences":                    {s: State{Phase: Closing, Lines: one, Pause: pausing(1e6, 5)}, deed: DeedClose},
+		"time is up":                {s: State{Phase: Closing, Lines: one, Pause: pausing(1e6-cutoff, 5)}, deed: DeedReopen},
+		"time is nearly up":         {s: State{Phase: Closing, Lines: one, Pause: pausing(1e6-cutoff+1, 5)}, deed: DeedClose},
+		"another owner's pause":     {s: State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 4), true)}, word: said(Go), deed: DeedReopen},
+		"drains":                    {s: State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), false)}, see: func(s *Seen) { s.Applied = 499 }, why: "taken in"},
+		"verifies":                  {s: State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), false)}, deed: DeedVerify},
+		"home failed over, paused":  {s: State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), false)}, see: func(s *Seen) { s.Lines.Home = 2 }, deed: DeedClose},
+		"slot died, paused":         {s: State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), false)}, see: func(s *Seen) { s.SlotLost = true }, deed: DeedReopen},
+		"differs": {s: State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), false), Differ: []Difference{{Table: "a"}}},
 			deed: DeedReopen},
-		"waits to switch":       {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), true)}, why: "waits for go"},
-		"switches":              {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), true)}, word: said(Go), deed: DeedSwitch},
-		"switches back at once": {s: State{Phase: Verifying, Line: 1, Reverse: true, Back: "x", Pause: closed(pausing(1e6, 5), true)}, deed: DeedSwitch},
-		"held in a pause":       {s: State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), true)}, word: said(Hold), deed: DeedReopen},
+		"waits to switch":       {s: State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), true)}, why: "waits for go"},
+		"switches":              {s: State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), true)}, word: said(Go), deed: DeedSwitch},
+		"switches back at once": {s: State{Phase: Verifying, Lines: one, Reverse: true, Back: "x", Pause: closed(pausing(1e6, 5), true)}, deed: DeedSwitch},
+		"held in a pause":       {s: State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), true)}, word: said(Hold), deed: DeedReopen},
 		"feeds":                 {s: State{Phase: Switched}, deed: DeedFeed},
-		"old home's fence":      {s: State{Phase: Switched, Line: 1, Fed: true, Compare: all}, see: func(s *Seen) { s.FenceOff = true }, deed: DeedFeed},
-		"new home failed over":  {s: State{Phase: Switched, Line: 1, Fed: true, Compare: all}, see: func(s *Seen) { s.HomeLine = 2 }, deed: DeedMark},
-		"its slot died":         {s: State{Phase: Switched, Line: 1, Fed: true, Compare: all}, see: func(s *Seen) { s.HomeLine, s.SlotLost = 2, true }, deed: DeedFeed},
-		"waits for acceptance":  {s: State{Phase: Switched, Line: 1, Fed: true, Compare: all}, why: "accept or rollback"},
-		"accepts":               {s: State{Phase: Switched, Line: 1, Fed: true, Compare: all}, word: said(Accept), deed: DeedAccept},
-		"go does not accept":    {s: State{Phase: Switched, Line: 1, Fed: true, Compare: all}, word: said(Go), why: "accept or rollback"},
-		"goes back":             {s: State{Phase: Switched, Line: 1, Fed: true, Compare: all, Back: "x"}, deed: DeedPause},
-		"back waits for copy":   {s: State{Phase: Switched, Line: 1, Fed: true, Back: "x"}, see: func(s *Seen) { s.Ready = false }, why: "copied"},
+		"old home's fence":      {s: State{Phase: Switched, Lines: one, Fed: true, Compare: all}, see: func(s *Seen) { s.FenceOff = true }, deed: DeedFeed},
+		"new home failed over":  {s: State{Phase: Switched, Lines: one, Fed: true, Compare: all}, see: func(s *Seen) { s.Lines.Home = 2 }, deed: DeedMark},
+		"its slot died":         {s: State{Phase: Switched, Lines: one, Fed: true, Compare: all}, see: func(s *Seen) { s.Lines.Home, s.SlotLost = 2, true }, deed: DeedFeed},
+		"waits for acceptance":  {s: State{Phase: Switched, Lines: one, Fed: true, Compare: all}, why: "accept or rollback"},
+		"accepts":               {s: State{Phase: Switched, Lines: one, Fed: true, Compare: all}, word: said(Accept), deed: DeedAccept},
+		"go does not accept":    {s: State{Phase: Switched, Lines: one, Fed: true, Compare: all}, word: said(Go), why: "accept or rollback"},
+		"goes back":             {s: State{Phase: Switched, Lines: one, Fed: true, Compare: all, Back: "x"}, deed: DeedPause},
+		"back waits for copy":   {s: State{Phase: Switched, Lines: one, Fed: true, Back: "x"}, see: func(s *Seen) { s.Ready = false }, why: "copied"},
 		"accepted":              {s: State{Phase: Accepted}, deed: DeedFinish},
 		"clears":                {s: State{Phase: Clearing, Back: "x"}, deed: DeedClear},
 
@@ -179,7 +182,7 @@
 		"back from checked":     {s: State{Phase: Checked}, word: said(Rollback), deed: DeedEnd},
 		"back from published":   {s: State{Phase: Checked, Published: true}, word: said(Rollback), deed: DeedClear},
 		"back from copying":     {s: State{Phase: Copying, Held: "x"}, word: said(Rollback), deed: DeedClear},
-		"back from catching up": {s: State{Phase: CatchingUp, Line: 1, Compare: all}, word: said(Rollback), deed: DeedClear},
+		"back from catching up": {s: State{Phase: CatchingUp, Lines: one, Compare: all}, word: said(Rollback), deed: DeedClear},
 		"back from closing":     {s: State{Phase: Closing, Pause: pausing(1e6, 5)}, word: said(Rollback), deed: DeedReopen},
 		"back from verifying":   {s: State{Phase: Verifying, Pause: closed(pausing(1e6, 5), true)}, word: said(Rollback), deed: DeedReopen},
 		"back from switched":    {s: State{Phase: Switched}, word: &owner.Word{Say: Rollback, Step: 3, Lasting: true}, deed: DeedBack},
@@ -222,7 +225,7 @@
 	}
 	for _, held := range []string{"", "x"} {
 		for _, phase := range Phases {
-			s := State{Phase: phase, Held: held, Line: 1, Fed: true, Compare: Compare{All: true}, Pause: pauses(phase)}
+			s := State{Phase: phase, Held: held, Lines: one, Fed: true, Compare: Compare{All: true}, Pause: pauses(phase)}
 			if held != "" && pauses(phase) != nil {
 				continue // it is never held there
 			}
@@ -276,7 +279,7 @@
 }
 
 func TestTheLogDecidesBetweenSwitchAndReopening(t *testing.T) {
-	s := State{Phase: Verifying, Line: 1, Pause: closed(pausing(1e6, 5), true)}
+	s := State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), true)}
 	rules := &fakeRules{rules: map[string]any{"database.orders.group": 1.0, "database.orders.paused": true}}
 	places := &fakePlaces{closed: true, line: 1}
 	m := &Mover{Places: places, Rules: rules, Costs: testCosts}
--- a/internal/cluster/move/mover.go
+++ b/internal/cluster/move/mover.go
@@ -28,17 +28,17 @@
 	// Check looks for all that is in the way, at both homes, and changes nothing.
 	Check(ctx context.Context, a Act) (Findings, error)
 	// Publish makes the fence with its triggers at both homes, open at From and closed at To, and a publication without
-	// tables at From.
+	// tables at From. Where the fence is another work's that has not given it up, it returns *Taken.
 	Publish(ctx context.Context, a Act) error
 	// Subscribe makes the subscription at To, with a slot that outlives a failover where the release has these, origin =
-	// none. With Data.Again what is there is dropped and To's tables are emptied first. It returns From's timeline.
-	Subscribe(ctx context.Context, a Act) (line int, err error)
+	// none. With Data.Again what is there is dropped and To's tables are emptied first.
+	Subscribe(ctx context.Context, a Act) (Lines, error)
 	// Copy hands over the tables that follow State.Copy.After in the order of names, one at least, up to about Data.Rows
 	// rows, and has the subscription begin their initial copy.
 	Copy(ctx context.Context, a Act) (Copied, error)
 	// Mark begins to note which ranges are touched, at both homes, and makes the slot at other from which home can be fed
-	// after a switch. What was noted before is forgotten; other's fence is closed. It returns home's timeline.
-	Mark(ctx context.Context, a Act, home, other Group) (line int, err error)
+	// after a switch. What was noted before is forgotten; other's fence is closed.
+	Mark(ctx context.Context, a Act, home, other Group) (Lines, error)
 	// Compare holds the ranges that follow State.Compare.After against each other, some at a time, each at a position
 	// of home that other has reached.
 	Compare(ctx context.Context, a Act, home, other Group) (Compared, error)
@@ -48,14 +48,15 @@
 	// Fenced says whether the fence of a group is closed at its present primary, under this token, and its timeline.
 	Fenced(ctx context.Context, a Act, at Group) (closed bool, line int, err error)
 	// Verify sets the sequences at other as they stand at home, and holds all that was touched since it was found equal,
-	// counts, sequences and a sample of reads against each other. Both are still; home is fenced.
+	// counts, sequences and a sample of reads against each other. Both are still; home is fenced. All counts as touched
+	// where the notes are gone or the timelines are not State.Lines.
 	Verify(ctx context.Context, a Act, home, other Group) (Verified, error)
 	// Open opens the fence of a group. Until then each write there is refused.
 	Open(ctx context.Context, a Act, at Group) error
 	// Feed ends To's subscription and gives From one to To, from the slot that Mark made, origin = none, with From
-	// fenced; notes of touched ranges begin anew. With Data.Again, or if that slot is gone, From's tables are emptied and
-	// copied anew. It returns To's timeline.
-	Feed(ctx context.Context, a Act) (line int, err error)
+	// fenced; nothing counts as noted until Mark. With Data.Again, or if that slot is gone or was made on another timeline,
+	// From's tables are emptied and copied anew.
+	Feed(ctx context.Context, a Act) (Lines, error)
 	// Clear removes what the move built at both homes and empties To's tables. The rows of the fences stay, From's open,
 	// so that who comes late with an old token is refused; the tenant's next move takes them over.
 	Clear(ctx context.Context, a Act) error
@@ -90,14 +91,14 @@
 	Ranges int          `json:"ranges"` // that were read
 	Reads  int          `json:"reads"`  // that were played at both
 	Differ []Difference `json:"differ,omitempty"`
-	Line   int          `json:"line"` // the home's timeline, throughout
-	Late   bool         `json:"late"` // it was not through in its time
+	Lines  Lines        `json:"lines"` // throughout; one that changed meanwhile is 0
+	Late   bool         `json:"late"`  // it was not through in its time
 }
 
 // Found is what Look found.
 type Found struct {
 	Done     bool
-	Line     int
+	Lines    Lines
 	Copied   Copied
 	Compared Compared
 	Closed   *Closed
@@ -109,7 +110,8 @@
 	// lease may still run acts on them alone.
 	Now() (rules map[string]any, version int, inForce bool)
 	// Change brings keys in, in one version, by the log, which refuses it if the work has a later token by then. It
-	// returns when that is in the log.
+	// returns when that is in the log. While another version is not in force yet it waits; all that wait come in together,
+	// each under its own token, so that nobody waits for more than one.
 	Change(ctx context.Context, work string, token owner.Token, change map[string]any) (version int, err error)
 	// Limited says whether the limits name a key: then a pooler without a lease keeps to it.
 	Limited(key string) bool
@@ -228,11 +230,11 @@
 	case DeedPublish:
 		err = m.Places.Publish(ctx, a)
 	case DeedSubscribe:
-		r.Line, err = m.Places.Subscribe(ctx, a)
+		r.Lines, err = m.Places.Subscribe(ctx, a)
 	case DeedCopy:
 		r.Copied, err = m.Places.Copy(ctx, a)
 	case DeedMark:
-		r.Line, err = m.Places.Mark(ctx, a, home, other)
+		r.Lines, err = m.Places.Mark(ctx, a, home, other)
 	case DeedCompare:
 		r.Compared, err = m.Places.Compare(ctx, a, home, other)
 	case DeedPause:
@@ -262,7 +264,7 @@
 		}
 		err = m.Places.Open(ctx, a, home)
 	case DeedFeed:
-		r.Line, err = m.Places.Feed(ctx, a)
+		r.Lines, err = m.Places.Feed(ctx, a)
 	case DeedFinish:
 		err = m.Places.Finish(ctx, a)
 	case DeedClear:
@@ -327,6 +329,22 @@
 	return err == nil, p, err
 }
 
+// Taken is a tenant that another work moves.
+type Taken struct {
+	Tenant string
+	By     string // the other work
+}
+
+func (t *Taken) Error() string { return "tenant " + t.Tenant + " is being moved by " + t.By }
+
+// Code is the reason in a word.
+func (t *Taken) Code() string { return "tenant_taken" }
+
+// Advice says what an operator can do.
+func (t *Taken) Advice() string {
+	return "let " + t.By + " end, or take it back; then resume or order this one anew"
+}
+
 // Unreadable is a work whose spec, state or data this program can't read: a newer one wrote it.
 type Unreadable struct {
 	Work string
--- a/internal/cluster/move/next.go
+++ b/internal/cluster/move/next.go
@@ -42,6 +42,7 @@
 	Back    string  `json:"back,omitempty"`    // reopen, clear, pause: why the move is taken back
 	Held    string  `json:"held,omitempty"`    // hold, reopen: why it waits then
 	Why     string  `json:"why,omitempty"`     // reopen
+	Doubt   bool    `json:"doubt,omitempty"`   // mark: a side failed over
 	Lost    string  `json:"lost,omitempty"`    // what a failover left behind
 }
 
@@ -61,10 +62,9 @@
 // Progress is how far the new home follows the old one, or the other way round once it is fed back.
 type Progress struct {
 	Reached  bool     // both sides answered
-	HomeLine int      // timelines
-	Line     int      // of the other one
+	Lines    Lines    // of now
 	HomePos  Position // past the home's last write
-	Applied  Position // that the other has taken in
+	Applied  Position // that the other has taken in, and has on those of its standbys that may take over
 	Behind   float64  // ms that the other needs to take in what is missing, by its pace of late
 	Ready    bool     // every table that was handed over is copied
 	SlotLost bool     // the home holds no slot for it any more, or one that is past what the other has: copy anew
@@ -216,7 +216,7 @@
 		return wait("the new home is draining")
 	}
 	if n.s.Copy.All {
-		return n.do(DeedMark, Data{Lost: n.failover()})
+		return n.do(DeedMark, Data{Lost: n.failover(), Doubt: see.Lines != n.s.Lines})
 	}
 	pace := see.Pace
 	if n.p.Pace > 0 {
@@ -238,11 +238,12 @@
 
 // failover words what a failover of the home left behind, "" if it had none.
 func (n *next) failover() string {
-	if n.seen.HomeLine == n.s.Line || n.s.Line == 0 {
+	is, was := n.seen.Lines.Home, n.s.Lines.Home
+	if is == was || was == 0 {
 		return ""
 	}
 	home, _ := n.s.home(n.p)
-	return fmt.Sprintf("group %d failed over from timeline %d to %d: what was acknowledged there and not passed on is lost", home, n.s.Line, n.seen.HomeLine)
+	return fmt.Sprintf("group %d failed over from timeline %d to %d: what was acknowledged there and not passed on is lost", home, was, is)
 }
 
 // follow sees to it that the other home can follow this one: it is copied anew where that can't be had otherwise.
@@ -263,10 +264,11 @@
 	return owner.Step{}, false
 }
 
-// compared sees to it that all has been found equal since the home failed over last.
+// compared sees to it that all has been found equal since either side failed over last: the home may have lost what the
+// other has taken in, and the other may have lost what the home holds for passed on.
 func (n *next) compared() (owner.Step, bool) {
-	if lost := n.failover(); lost != "" || n.seen.Unmarked {
-		return n.do(DeedMark, Data{Lost: lost}), true
+	if n.seen.Unmarked || n.seen.Lines != n.s.Lines {
+		return n.do(DeedMark, Data{Lost: n.failover(), Doubt: n.seen.Lines != n.s.Lines}), true
 	}
 	if !n.s.Compare.All {
 		return n.do(DeedCompare, Data{}), true
@@ -376,7 +378,7 @@
 	if see == nil || !see.Reached {
 		return wait("the homes can't be reached")
 	}
-	if see.HomeLine != s.Pause.Closed.Line { // the new primary may lack the fence, and positions mean something else
+	if see.Lines.Home != s.Pause.Closed.Line { // the new primary may lack the fence, and positions mean something else
 		return n.do(DeedClose, Data{Within: max(1, min(n.p.Lock, left))})
 	}
 	if see.SlotLost || see.Ahead {
--- a/internal/cluster/move/plan.go
+++ b/internal/cluster/move/plan.go
@@ -194,14 +194,12 @@
 }
 
 // Reopen is how long it takes to open a tenant again: an open deed is looked for and voided, the reopening announced and
-// logged, the fence opened, and the version has to be in force.
-func (c Costs) Reopen() float64 { return 3*c.Log + 2*c.Place + c.InForce }
+// logged, the fence opened, and the version has to be in force; before it is logged, another's version may have to be.
+func (c Costs) Reopen() float64 { return 3*c.Log + 2*c.Place + 2*c.InForce }
 
-// Forward is the least that a pause takes until the switch can be announced: the pause announced, logged and in force;
-// the closing announced, done and proven; the same for the verification.
-func (c Costs) Forward(lock float64) float64 {
-	return 2*c.Log + c.InForce + 2*c.Log + lock + c.Place + 2*c.Log + c.Place
-}
+// Forward is the least that a pause takes until the switch can be announced: the pause announced, logged once another's
+// version is in force, proven and in force; the closing announced, done and proven; the same for the verification.
+func (c Costs) Forward(lock float64) float64 { return 7*c.Log + 2*c.InForce + lock + 2*c.Place }
 
 // settle is the longest that a deed which was announced in time holds a reopening up: it is logged, ends where it acts,
 // and its proof is logged.
--- a/internal/cluster/move/state.go
+++ b/internal/cluster/move/state.go
@@ -75,8 +75,8 @@
 	Published bool    `json:"published,omitempty"`
 	Copy      Copy    `json:"copy"`
 	Compare   Compare `json:"compare"`
-	Line      int     `json:"line,omitempty"`  // the home's timeline that the copy and its marks rest on
-	Doubt     bool    `json:"doubt,omitempty"` // the home failed over since it was copied: a difference would not surprise
+	Lines     Lines   `json:"lines"`           // that the copy and the marks of touched ranges rest on
+	Doubt     bool    `json:"doubt,omitempty"` // a home failed over since it was copied: a difference would not surprise
 	Again     bool    `json:"again,omitempty"` // it has to be copied anew
 	Pause     *Pause  `json:"pause,omitempty"`
 	Tries     int     `json:"tries,omitempty"` // pauses that were taken back since an operator spoke
@@ -84,6 +84,12 @@
 	Fed       bool    `json:"fed,omitempty"`   // the old home has its subscription to the new one
 }
 
+// Lines are timelines: of the home, and of the other one.
+type Lines struct {
+	Home  int `json:"home,omitempty"`
+	Other int `json:"other,omitempty"`
+}
+
 // Copy is how far the first copy is.
 type Copy struct {
 	After string  `json:"after,omitempty"` // the last table that was handed over, in the order of names
--- /dev/null
+++ b/internal/cluster/move/turns_test.go
@@ -0,0 +1,115 @@
+package move
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"ashstand/internal/cluster/owner"
+)
+
+func TestWhoMayStart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Candidate
+		for i := range rapid.IntRange(1, 12).Draw(t, "moves") {
+			n := func(what string, most int) int { return rapid.IntRange(1, most).Draw(t, what) }
+			all = append(all, Candidate{Work: fmt.Sprint("w", i), Tenant: fmt.Sprint("t", n("tenant", 6)), Need: float64(n("need", 3)),
+				Groups: []Group{Group(n("from", 3)), Group(n("to", 3) + 3)}, Hosts: []string{fmt.Sprint(n("host", 4))}, Zones: []string{fmt.Sprint(n("zone", 2))}})
+		}
+		l := Limits{All: rapid.IntRange(0, 4).Draw(t, "all"), Group: rapid.IntRange(0, 2).Draw(t, "group"), Host: rapid.IntRange(0, 2).Draw(t, "host"),
+			Zone: rapid.IntRange(0, 3).Draw(t, "zone")}
+		begun := 0
+		for round := 0; begun < len(all); round++ {
+			require.Less(t, round, 100, "each has its turn")
+			may := May(all, l)
+			tenants, groups, hosts, zones, running := map[string]int{}, map[Group]int{}, map[string]int{}, map[string]int{}, 0
+			for i, c := range all {
+				if may[c.Work] != "" {
+					continue
+				}
+				begun++
+				all[i].Running = true
+				tenants[c.Tenant]++
+				groups[c.Groups[0]]++
+				groups[c.Groups[1]]++
+				hosts[c.Hosts[0]]++
+				zones[c.Zones[0]]++
+				running++
+			}
+			require.NotZero(t, running, "nobody runs and nobody may start: %v", may)
+			over := func(n, most int) bool { return most > 0 && n > most }
+			require.False(t, over(running, l.All))
+			for _, n := range tenants {
+				require.Equal(t, 1, n)
+			}
+			for _, n := range groups {
+				require.False(t, over(n, l.Group))
+			}
+			for _, n := range hosts {
+				require.False(t, over(n, l.Host))
+			}
+			for _, n := range zones {
+				require.False(t, over(n, l.Zone))
+			}
+			var left []Candidate // all that ran have ended
+			for _, c := range all {
+				if !c.Running {
+					left = append(left, c)
+				}
+			}
+			all, begun = left, 0
+			if len(all) == 0 {
+				return
+			}
+		}
+	})
+	may := May([]Candidate{{Work: "a", Tenant: "x", Groups: []Group{1, 2}, Running: true}, {Work: "b", Tenant: "y", Groups: []Group{1, 3}, Need: 2},
+		{Work: "c", Tenant: "z", Groups: []Group{3, 4}, Need: 1}, {Work: "d", Tenant: "x", Groups: []Group{5, 6}}}, Limits{Group: 1})
+	require.Equal(t, map[string]string{"b": "group 1 has 1 of 1 moves", "c": "group 3 has 1 of 1 moves", "d": "tenant x is moved by a"}, may)
+}
+
+func TestCandidatesAreTheOpenMoves(t *testing.T) {
+	var l owner.Ledger
+	for _, name := range []string{"a", "b"} {
+		require.Nil(t, l.Apply(owner.Entry{Op: owner.Create, Work: name, Kind: "move", Spec: json.RawMessage(testPlan)}))
+	}
+	require.Nil(t, l.Apply(owner.Entry{Op: owner.Create, Work: "c", Kind: "other"}))
+	require.Nil(t, l.Apply(owner.Entry{Op: owner.Assign, Work: "b", To: "n1"}))
+	require.Nil(t, l.Apply(owner.Entry{Op: owner.Announce, Work: "b", Token: 1, Deed: &owner.Deed{Number: 1, Name: DeedCheck}}))
+	got := Candidates(&l, "move", func(g Group) (h, z []string) { return []string{fmt.Sprint("h", g)}, []string{"z"} })
+	require.Equal(t, []Candidate{{Work: "a", Tenant: "orders", Groups: []Group{1, 2}, Hosts: []string{"h1", "h2"}, Zones: []string{"z", "z"}},
+		{Work: "b", Tenant: "orders", Groups: []Group{1, 2}, Hosts: []string{"h1", "h2"}, Zones: []string{"z", "z"}, Running: true}}, got)
+}
+
+func TestDigestsTellRowsApart(t *testing.T) {
+	sum := func(rows ...[]string) (s Sum) {
+		for _, r := range rows {
+			var cols [][]byte
+			for _, c := range r {
+				if c == "NULL" {
+					cols = append(cols, nil)
+				} else {
+					cols = append(cols, []byte(c))
+				}
+			}
+			s.Row(cols...)
+		}
+		return s
+	}
+	a, b := []string{"1", "x"}, []string{"2", "y"}
+	require.Equal(t, sum(a, b), sum(b, a), "the order of rows is the host's own")
+	for _, other := range []Sum{sum(a), sum(a, b, b), sum(a, a), sum(a, []string{"2", "z"}), sum([]string{"1x"}, b), sum([]string{"", "1x"}, b), {}} {
+		require.NotEqual(t, sum(a, b), other)
+	}
+	require.NotEqual(t, sum([]string{"NULL"}), sum([]string{""}))
+	require.NotEqual(t, sum(a, a, b, b).Digest, sum().Digest)
+	x, y := Range{"t", "", "5"}, Range{"t", "5", ""}
+	got := Differ(map[Range]Sum{x: sum(a), y: sum(b)}, map[Range]Sum{x: sum(a), y: sum(a)})
+	require.Len(t, got, 1)
+	require.Equal(t, "5 to the end", got[0].Range)
+	require.Contains(t, got[0].Error(), "rows of t 5 to the end differ")
+	require.Len(t, Differ(map[Range]Sum{x: sum(a)}, nil), 1, "a range that one side lacks")
+}
