--- a/internal/cluster/move/after.go
+++ b/internal/cluster/move/after.go
@@ -13,6 +13,7 @@
 	held     []Straggler
 	verified Verified
 	version  int
+	taken    *Taken
 	unfenced bool // the home had failed over since it was fenced
 }
 
@@ -32,7 +33,9 @@
 			s.Phase, s.Held = Checked, ""
 		}
 	case DeedPublish:
-		s.Published = true
+		if s.Published = r.taken == nil; r.taken != nil {
+			s.Held = clip(r.taken.Error())
+		}
 	case DeedSubscribe:
 		again := s.Copy.Again
 		if d.Again {
--- a/internal/cluster/move/mover.go
+++ b/internal/cluster/move/mover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 
 	"ashstand/internal/cluster/owner"
@@ -51,7 +52,8 @@
 	// counts, sequences and a sample of reads against each other. Both are still; home is fenced. All counts as touched
 	// where the notes are gone or the timelines are not State.Lines.
 	Verify(ctx context.Context, a Act, home, other Group) (Verified, error)
-	// Open opens the fence of a group. Until then each write there is refused.
+	// Open opens the fence of a group. Until then each write there is refused. A subscription by which the group followed
+	// the other one ends first: what is changed by hand where the tenant is no longer served must not come over.
 	Open(ctx context.Context, a Act, at Group) error
 	// Feed ends To's subscription and gives From one to To, from the slot that Mark made, origin = none, with From
 	// fenced; nothing counts as noted until Mark. With Data.Again, or if that slot is gone or was made on another timeline,
@@ -228,7 +230,10 @@
 			r.findings = append(m.ruled(a.Plan), r.findings...)
 		}
 	case DeedPublish:
-		err = m.Places.Publish(ctx, a)
+		var by *Taken
+		if err = m.Places.Publish(ctx, a); errors.As(err, &by) {
+			r.taken, err = by, nil
+		}
 	case DeedSubscribe:
 		r.Lines, err = m.Places.Subscribe(ctx, a)
 	case DeedCopy:
--- a/internal/cluster/move/next.go
+++ b/internal/cluster/move/next.go
@@ -67,7 +67,7 @@
 	Applied  Position // that the other has taken in, and has on those of its standbys that may take over
 	Behind   float64  // ms that the other needs to take in what is missing, by its pace of late
 	Ready    bool     // every table that was handed over is copied
-	SlotLost bool     // the home holds no slot for it any more, or one that is past what the other has: copy anew
+	SlotLost bool     // the home holds no slot for it any more: copy anew
 	Ahead    bool     // the other is known to hold what the home has lost by a failover: copy anew
 	Unmarked bool     // what was noted of touched ranges, or the slot for the way back, is lost
 	Verify   float64  // ms that reading these again takes, by the pace of late
--- a/internal/cluster/move/plan.go
+++ b/internal/cluster/move/plan.go
@@ -202,8 +202,8 @@
 func (c Costs) Forward(lock float64) float64 { return 7*c.Log + 2*c.InForce + lock + 2*c.Place }
 
 // settle is the longest that a deed which was announced in time holds a reopening up: it is logged, ends where it acts,
-// and its proof is logged.
-func (c Costs) settle() float64 { return 2*c.Log + c.Place }
+// its proof is logged, and the homes are looked at once more.
+func (c Costs) settle() float64 { return 2*c.Log + 2*c.Place }
 
 // Least is the shortest bound that can be kept whatever moment an owner dies at, and that leaves time to switch.
 func (c Costs) Least(lock float64) float64 {
