--- a/internal/cluster/move/after.go
+++ b/internal/cluster/move/after.go
@@ -140,6 +140,8 @@
 		s.Held = d.Held
 	case DeedBack:
 		s.Back, s.Held = d.Back, ""
+	case DeedDrop:
+		s.note("%s means nothing while it is %s", d.Why, s.Phase)
 	case DeedResume:
 		s.Held, s.Tries = "", 0
 		s.Again = s.Again || len(s.Differ) > 0
--- a/internal/cluster/move/mover.go
+++ b/internal/cluster/move/mover.go
@@ -320,7 +320,7 @@
 		if done = !paused; done {
 			err = m.Places.Open(ctx, a, home)
 		}
-	case DeedAccept, DeedEnd, DeedHold, DeedResume, DeedBack: // they are what the log says of them
+	case DeedAccept, DeedEnd, DeedHold, DeedResume, DeedBack, DeedDrop: // they are what the log says of them
 	case DeedCheck, DeedVerify: // done again: nothing rests on them but their proof
 		done = false
 	default:
--- a/internal/cluster/move/next.go
+++ b/internal/cluster/move/next.go
@@ -29,6 +29,7 @@
 	DeedHold      = "hold"
 	DeedResume    = "resume"
 	DeedBack      = "back"
+	DeedDrop      = "drop"
 )
 
 // Data are what a deed was announced with.
@@ -41,7 +42,7 @@
 	Reverse bool    `json:"reverse,omitempty"` // pause: back to the old home
 	Back    string  `json:"back,omitempty"`    // reopen, clear, pause: why the move is taken back
 	Held    string  `json:"held,omitempty"`    // hold, reopen: why it waits then
-	Why     string  `json:"why,omitempty"`     // reopen
+	Why     string  `json:"why,omitempty"`     // reopen: what for; drop: the word
 	Doubt   bool    `json:"doubt,omitempty"`   // mark: a side failed over
 	Lost    string  `json:"lost,omitempty"`    // what a failover left behind
 }
@@ -67,7 +68,7 @@
 	Applied  Position // that the other has taken in, and has on those of its standbys that may take over
 	Behind   float64  // ms that the other needs to take in what is missing, by its pace of late
 	Ready    bool     // every table that was handed over is copied
-	SlotLost bool     // the home holds no slot for it any more: copy anew
+	SlotLost bool     // the other has no subscription, or the home no slot for it any more: copy anew
 	Ahead    bool     // the other is known to hold what the home has lost by a failover: copy anew
 	Unmarked bool     // what was noted of touched ranges, or the slot for the way back, is lost
 	Verify   float64  // ms that reading these again takes, by the pace of late
@@ -91,10 +92,12 @@
 	}
 	n := &next{p: p, c: m.Costs, s: s, w: w, now: now, seen: look, broken: m.Break}
 	step := n.step()
-	if step.Deed != "" && step.Data == nil {
-		step = n.do(step.Deed, Data{})
-	}
 	step.Says = n.says()
+	if word := w.Word; step.Deed == "" && word != nil && (word.Step == w.Step || word.Lasting) &&
+		!slices.ContainsFunc(step.Says, func(o owner.Option) bool { return o.Say == word.Say }) {
+		n.took = word // it means nothing here, and no other can be given while it stands
+		return n.do(DeedDrop, Data{Why: word.Say})
+	}
 	return step
 }
 
--- a/internal/cluster/owner/ledger.go
+++ b/internal/cluster/owner/ledger.go
@@ -363,8 +363,8 @@
 		w.Deed = nil
 		if e.Op == Void {
 			w.Voided++
-			if w.Word == nil {
-				w.Word = word // it was not taken up after all
+			if word != nil && (w.Word == nil || word.Lasting && !w.Word.Lasting) {
+				w.Word = word // it was not taken up after all; a lasting one goes before what was said meanwhile
 			}
 			return nil
 		}
