--- a/internal/cluster/move/move_test.go
+++ b/internal/cluster/move/move_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"os"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"ashstand/internal/cluster/owner"
 )
@@ -323,3 +325,119 @@
 	require.NoError(t, err)
 	require.False(t, done)
 }
+
+func TestThePageSaysAllOfIt(t *testing.T) {
+	b, err := os.ReadFile("../../../docs/moves.md")
+	require.NoError(t, err)
+	page := string(b)
+	for _, p := range Phases {
+		require.Contains(t, page, string(p))
+		require.Contains(t, page, Back[p])
+	}
+	for code := range findings {
+		require.Contains(t, page, "`"+code+"`")
+	}
+	for _, word := range []string{Go, Hold, Resume, Rollback, Accept} {
+		require.Contains(t, page, "| "+word+" | ")
+	}
+}
+
+// Whatever a state and what is seen come to, a decision is one: no panic, data that can be read back, and a word that was given
+// for this step.
+func TestAnyStateHasANext(t *testing.T) {
+	m := &Mover{Costs: testCosts}
+	rapid.Check(t, func(t *rapid.T) {
+		yes := func(what string) bool { return rapid.Bool().Draw(t, what) }
+		n := func(what string, most int) int { return rapid.IntRange(0, most).Draw(t, what) }
+		s := State{Phase: rapid.SampledFrom(Phases).Draw(t, "phase"), Published: yes("published"), Fed: yes("fed"), Again: yes("again"), Doubt: yes("doubt"),
+			Lines: Lines{n("line", 2), n("other line", 2)}, Compare: Compare{All: yes("compared")}, Copy: Copy{All: yes("copied")}, Tries: n("tries", 3)}
+		if yes("back") {
+			s.Back = "x"
+		}
+		if s.Phase == Closing || s.Phase == Verifying {
+			s.Reverse, s.Pause = yes("reverse"), &Pause{Begun: Begun{1e6 - float64(n("ago", 4000)), owner.Token(4 + n("token", 1))}, Version: 3}
+			if s.Phase == Verifying {
+				closed(s.Pause, yes("verified"))
+			}
+		} else if yes("held") {
+			s.Held = "x"
+		}
+		var w *owner.Word
+		if yes("word") {
+			w = &owner.Word{Say: rapid.SampledFrom([]string{Go, Hold, Resume, Rollback, Accept, "other"}).Draw(t, "says"), Step: uint64(8 + n("step", 1)), Lasting: yes("lasting")}
+		}
+		var seen any
+		if yes("seen") {
+			seen = &Seen{Step: uint64(8 + n("seen at", 1)), Version: n("version", 4), InForce: yes("in force"), Paused: yes("paused"), Turn: yes("turn"), Pace: float64(n("pace", 2)),
+				Progress: Progress{Reached: yes("reached"), Lines: Lines{n("l", 2), n("o", 2)}, Applied: Position(499 + n("applied", 1)), Ready: yes("ready"),
+					SlotLost: yes("slot"), Ahead: yes("ahead"), Unmarked: yes("unmarked"), FenceOff: yes("fence"), Behind: float64(n("behind", 5000)), Verify: float64(n("verify", 5000))}}
+		}
+		b, err := json.Marshal(s)
+		require.NoError(t, err)
+		work := &owner.Work{Name: "w", Kind: "move", Spec: json.RawMessage(testPlan), Token: 5, Step: 9, State: b, Word: w}
+		step := m.Next(1e6, work, seen)
+		if step.Deed == "" {
+			require.Nil(t, step.Took)
+			require.NotEmpty(t, step.Why)
+			require.GreaterOrEqual(t, step.Wait, 0.0)
+			return
+		}
+		var d Data
+		require.NoError(t, json.Unmarshal(step.Data, &d))
+		require.Equal(t, 1e6, d.At)
+		if step.Took != nil {
+			require.Equal(t, w, step.Took)
+			require.True(t, w.Step == 9 || w.Lasting)
+		}
+		if s.Pause != nil && (s.Pause.Begun.Token != 5 || 1e6-s.Pause.Begun.At >= testCosts.Cutoff(Plan{Pause: 4000})) {
+			require.Equal(t, DeedReopen, step.Deed, "no pause goes on past its cutoff, nor another owner's")
+		}
+		if step.Deed == DeedSwitch {
+			require.True(t, s.Pause.Verified)
+		}
+	})
+}
+
+func TestWhatADeedLeaves(t *testing.T) {
+	left := func(s State, name string, d Data, r result) (out State) {
+		p, err := after(Act{Name: name, State: s, Data: d, Told: 3, Token: 5, Plan: Plan{Tries: 2}}, r)
+		require.NoError(t, err)
+		require.NoError(t, json.Unmarshal(p.State, &out))
+		return out
+	}
+	v := State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), false)}
+	require.Equal(t, Begun{7, 3}, left(State{Phase: CatchingUp}, DeedPause, Data{At: 7}, result{version: 4}).Pause.Begun, "by the clock of who announced it")
+	s := left(State{Phase: Checked}, DeedPublish, Data{}, result{taken: &Taken{"orders", "other"}})
+	require.False(t, s.Published)
+	require.Contains(t, s.Held, "moved by other")
+	s = left(State{Phase: Planned}, DeedCheck, Data{}, result{findings: Findings{{Reason: Sequences, Name: "s", Told: true}}})
+	require.Equal(t, Checked, s.Phase)
+	s = left(State{Phase: Planned}, DeedCheck, Data{}, result{findings: Findings{{Reason: Unlogged, Name: "t"}}})
+	require.Equal(t, Planned, s.Phase)
+	require.NotEmpty(t, s.Held)
+
+	s = left(v, DeedVerify, Data{}, result{verified: Verified{Lines: Lines{2, 1}}})
+	require.Equal(t, Closing, s.Phase, "another primary may lack the fence")
+	require.Nil(t, s.Pause.Closed)
+	require.False(t, left(v, DeedVerify, Data{}, result{verified: Verified{Lines: one, Late: true}}).Pause.Verified)
+	require.True(t, left(v, DeedVerify, Data{}, result{verified: Verified{Lines: one}}).Pause.Verified)
+	require.False(t, v.Pause.Verified, "the state before is left as it was")
+	different := []Difference{{Kind: "rows", Table: "t", Range: "1 to 2"}}
+	s = left(v, DeedVerify, Data{}, result{verified: Verified{Lines: one, Differ: different}})
+	s = left(s, DeedReopen, Data{Why: "x"}, result{})
+	require.Equal(t, CatchingUp, s.Phase)
+	require.Contains(t, s.Held, "rows of t 1 to 2 differ", "somebody has to look")
+	require.True(t, left(s, DeedResume, Data{}, result{}).Again)
+	s = left(v, DeedVerify, Data{}, result{verified: Verified{Lines: Lines{1, 2}, Differ: different}})
+	s = left(s, DeedReopen, Data{Why: "x"}, result{})
+	require.Empty(t, s.Held, "a failover explains it")
+	require.True(t, s.Again)
+
+	s = left(v, DeedReopen, Data{Why: "x"}, result{})
+	require.Empty(t, s.Held)
+	require.NotEmpty(t, left(s, DeedReopen, Data{Why: "x"}, result{}).Held, "as often as the plan allows")
+	require.Equal(t, Clearing, left(v, DeedReopen, Data{Why: "x", Back: "x"}, result{}).Phase)
+	v.Reverse, v.Back = true, "x"
+	require.Equal(t, Switched, left(v, DeedReopen, Data{Why: "x"}, result{}).Phase)
+	require.Equal(t, Clearing, left(v, DeedSwitch, Data{}, result{}).Phase)
+}
--- a/lab/cluster/simmove.go
+++ b/lab/cluster/simmove.go
@@ -843,6 +843,10 @@
 		if l.dies(40) {
 			m.out.Faults["killed before "+d.Name]++
 			l.killed()
+		} else if l.dies(25) { // and wakes with its old token
+			m.out.Faults["stopped before "+d.Name]++
+			m.stall(l.o, 100+m.lots.Float64()*1500)
+			l.sleep(0)
 		}
 		proof, err := k.Do(ctx, w, w.Deed)
 		if l.dies(25) {
--- a/lab/cluster/simmove_test.go
+++ b/lab/cluster/simmove_test.go
@@ -35,6 +35,8 @@
 		r := SimulateManyMoves(context.Background(), 1, schedules[broken], broken, runtime.NumCPU())
 		require.NotZero(t, r.Broken[red[broken]], "%s: %v", broken, r.Broken)
 	}
+	r := SimulateManyMoves(context.Background(), 120, 20, "token", runtime.NumCPU()) // places that look at no token: an owner wakes late and empties the home
+	require.NotZero(t, r.Broken["lost_write"])
 }
 
 func TestSchedulesOfMovesCanBePlayedAgain(t *testing.T) {
