Moves in simulation: sequences, failovers in a pause and right after a switch

Verify now returns once they are on the standbys that may take over. Places that look at no token and sequences that are not set are seen too.

--- a/internal/cluster/move/mover.go
+++ b/internal/cluster/move/mover.go
@@ -50,7 +50,8 @@
 	Fenced(ctx context.Context, a Act, at Group) (closed bool, line int, err error)
 	// Verify sets the sequences at other as they stand at home, and holds all that was touched since it was found equal,
 	// counts, sequences and a sample of reads against each other. Both are still; home is fenced. All counts as touched
-	// where the notes are gone or the timelines are not State.Lines.
+	// where the notes are gone or the timelines are not State.Lines. It returns once what it set is on those of other's
+	// standbys that may take over, or Late.
 	Verify(ctx context.Context, a Act, home, other Group) (Verified, error)
 	// Open opens the fence of a group. Until then each write there is refused. A subscription by which the group followed
 	// the other one ends first: what is changed by hand where the tenant is no longer served must not come over.
--- a/lab/cluster/simmove.go
+++ b/lab/cluster/simmove.go
@@ -389,10 +389,18 @@
 	for _, t := range m.tenants {
 		if g := rules["database."+t.name+".group"]; g != was["database."+t.name+".group"] {
 			m.out.Ends["switches"]++
-			m.holds(t, m.groups[int(g.(float64))-1])
+			to := m.groups[int(g.(float64))-1]
+			if m.holds(t, to); m.faulty && m.lots.IntN(8) == 0 {
+				m.out.Faults["failover right after a switch"]++
+				m.after(m.lots.Float64()*60, func() { m.failover(to) })
+			}
 		}
 		if paused := rules["database."+t.name+".paused"] == true; paused && t.paused < 0 {
 			t.paused, t.excuse, t.told, t.owners, t.allow, t.out, t.lostOne = m.now, false, false, m.ledger.Works[t.work].Owners, 0, false, false
+			if g := m.groups[int(rules["database."+t.name+".group"].(float64))-1]; m.faulty && m.now < mvQuiet && m.lots.IntN(8) == 0 {
+				m.out.Faults["failover in a pause"]++
+				m.after(m.lots.Float64()*200, func() { m.failover(g) })
+			}
 		}
 	}
 }
@@ -552,7 +560,8 @@
 			if m.lots.IntN(2) == 0 {
 				w.id, w.insert = m.lots.IntN(t.rows), false
 			} else {
-				t.rows++
+				w.id = g.dbs[t.n].seq
+				t.rows = max(t.rows, w.id+1)
 			}
 			if _, is := g.dbs[t.n].rows[w.id]; !is && !w.insert {
 				return // a row that was lost, or removed by hand
@@ -567,7 +576,11 @@
 }
 
 func (m *moves) commit(t *mvTenant, g *mvGroup, w mvWrite) {
-	g.log(mvRec{tenant: t.n, local: true, write: &w, do: w.on})
+	g.log(mvRec{tenant: t.n, local: true, write: &w, do: func(d *mvDB) {
+		if w.on(d); w.insert {
+			d.seq = max(d.seq, w.id+1)
+		}
+	}})
 	t.truth = append(t.truth, mvTrue{w: w, g: g, pos: len(g.wal)})
 	m.out.Writes++
 }
--- a/lab/cluster/simmove_test.go
+++ b/lab/cluster/simmove_test.go
@@ -7,8 +7,6 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
-
-	"ashstand/internal/cluster/move"
 )
 
 func TestMovesKeepWhatTheyPromise(t *testing.T) {
@@ -29,14 +27,15 @@
 
 // Each guarantee that is switched off is seen.
 func TestMovesThatBreakAreSeen(t *testing.T) {
-	red := map[string]string{"fence": "lost_write", "verify": "verified_wrong", "pause": "paused_past_bound", "back": "rollback_lost", "word": "stepped_without_word"}
-	schedules := map[string]int{"fence": 40, "verify": 40, "pause": 80, "back": 10, "word": 10}
-	for _, broken := range move.Breakable {
-		r := SimulateManyMoves(context.Background(), 1, schedules[broken], broken, runtime.NumCPU())
-		require.NotZero(t, r.Broken[red[broken]], "%s: %v", broken, r.Broken)
+	for broken, what := range map[string]struct {
+		schedules int
+		red       string
+	}{"fence": {40, "lost_write"}, "verify": {40, "verified_wrong"}, "pause": {80, "paused_past_bound"}, "back": {10, "rollback_lost"}, "word": {10, "stepped_without_word"},
+		"token":    {40, "lost_write"}, // an owner that wakes late empties what has become the home
+		"sequence": {10, "duplicate_write"}} {
+		r := SimulateManyMoves(context.Background(), 1, what.schedules, broken, runtime.NumCPU())
+		require.NotZero(t, r.Broken[what.red], "%s: %v", broken, r.Broken)
 	}
-	r := SimulateManyMoves(context.Background(), 120, 20, "token", runtime.NumCPU()) // places that look at no token: an owner wakes late and empties the home
-	require.NotZero(t, r.Broken["lost_write"])
 }
 
 func TestSchedulesOfMovesCanBePlayedAgain(t *testing.T) {
--- a/lab/cluster/simplaces.go
+++ b/lab/cluster/simplaces.go
@@ -38,6 +38,7 @@
 // mvDB is a tenant's database in a group, as its present primary has it.
 type mvDB struct {
 	rows   map[int]mvRow
+	seq    int  // the next row's number; nothing publishes it
 	there  bool // the fence is
 	closed bool
 	token  owner.Token
@@ -502,6 +503,10 @@
 			read[i] = here[i] || there[i] || y.hot[i]
 		}
 	}
+	if seq := g.dbs[t].seq; p.m.broken != "sequence" {
+		o.log(mvRec{tenant: t, do: func(d *mvDB) { d.seq = max(d.seq, seq) }})
+	}
+	set := len(o.wal)
 	x, y := map[move.Range]move.Sum{}, map[move.Range]move.Sum{}
 	for i, is := range read {
 		if !is {
@@ -516,7 +521,12 @@
 		}
 		y[r] = o.dbs[t].sum(i)
 	}
-	v.Lines, v.Late, v.Differ = lines, p.m.now-begun > a.Data.Within, move.Differ(x, y)
+	for o.standby < set && p.m.now-begun <= a.Data.Within {
+		if p.sleep(2); !g.up || !o.up || lines != p.lines(home, other) {
+			return v, errDown
+		}
+	}
+	v.Lines, v.Late, v.Differ = lines, o.standby < set || p.m.now-begun > a.Data.Within, move.Differ(x, y)
 	return v, nil
 }
 
