--- a/internal/cluster/move/mover.go
+++ b/internal/cluster/move/mover.go
@@ -24,12 +24,13 @@
 
 // Places are the tenant's two homes. Each method is a deed; each may be done again after it was done in part or whole, by
 // whoever holds a higher token, and comes out the same. What acts on a group acts on its present primary. Data.Within
-// bounds how long a place may take: as lock_timeout or statement_timeout.
+// bounds how long a place may take: as lock_timeout or statement_timeout. The fence is the work's row in ashstand.fence (see
+// package place), in the tenant's database: the triggers take it FOR SHARE and refuse with 55000, tenant is closed, while it is.
 type Places interface {
 	// Check looks for all that is in the way, at both homes, and changes nothing.
 	Check(ctx context.Context, a Act) (Findings, error)
 	// Publish makes the fence with its triggers at both homes, open at From and closed at To, and a publication without
-	// tables at From. Where the fence is another work's that has not given it up, it returns *Taken.
+	// tables at From. Where another work's fence is there and not given up, it returns *Taken; those given up are opened.
 	Publish(ctx context.Context, a Act) error
 	// Subscribe makes the subscription at To, with a slot that outlives a failover where the release has these, origin =
 	// none. With Data.Again what is there is dropped and To's tables are emptied first.
@@ -113,8 +114,8 @@
 	// lease may still run acts on them alone.
 	Now() (rules map[string]any, version int, inForce bool)
 	// Change brings keys in, in one version, by the log, which refuses it if the work has a later token by then. It
-	// returns when that is in the log. While another version is not in force yet it waits; all that wait come in together,
-	// each under its own token, so that nobody waits for more than one.
+	// returns when that is in the log. While another version is not in force yet it waits. Costs count one such wait: it
+	// takes that changes which wait come in together, or that nothing else changes the rules.
 	Change(ctx context.Context, work string, token owner.Token, change map[string]any) (version int, err error)
 	// Limited says whether the limits name a key: then a pooler without a lease keeps to it.
 	Limited(key string) bool
