What an owner has given up arrives all the same: deeds are fenced by their number too

Ruled out: a later owner (the token was the same). Cause: the log took a change by the owner's token alone, and places did.

--- a/internal/cluster/move/move_test.go
+++ b/internal/cluster/move/move_test.go
@@ -256,7 +256,7 @@
 
 func (f *fakeRules) Now() (map[string]any, int, bool) { return f.rules, 7, true }
 func (f *fakeRules) Limited(string) bool              { return true }
-func (f *fakeRules) Change(_ context.Context, _ string, _ owner.Token, c map[string]any) (int, error) {
+func (f *fakeRules) Change(_ context.Context, _ string, _ owner.Token, _ *owner.Deed, c map[string]any) (int, error) {
 	if f.calls++; f.err != nil {
 		return 0, f.err
 	}
--- a/internal/cluster/move/mover.go
+++ b/internal/cluster/move/mover.go
@@ -9,17 +9,20 @@
 	"ashstand/internal/cluster/owner"
 )
 
-// Act is what a deed at the homes is done under. Each place refuses a token that is lower than one it has seen for the
-// work, with an *owner.Fenced, in the same transaction as what it is asked to do.
+// Act is what a deed at the homes is done under. Token and Number only rise: each place refuses, in the same transaction as
+// what it is asked to do, a token that is lower than one it has seen for the work, with an *owner.Fenced, and under the same
+// token a lower number. The number is for what its own owner has given up and what arrives all the same.
 type Act struct {
 	Plan  Plan
 	Work  string
 	Token owner.Token
-	Deed  string      // its identity, see owner.Deed.ID
-	Name  string      // of the deed
-	Told  owner.Token // under which it was announced
-	State State       // before it
-	Data  Data
+	// Number is the deed's.
+	Number uint64
+	Deed   string      // its identity, see owner.Deed.ID
+	Name   string      // of the deed
+	Told   owner.Token // under which it was announced
+	State  State       // before it
+	Data   Data
 }
 
 // Places are the tenant's two homes. Each method is a deed; each may be done again after it was done in part or whole, by
@@ -67,8 +70,8 @@
 	// Finish removes what the move built at both homes but for the tables, with From fenced for good; with Plan.Old =
 	// drop From's tables go too.
 	Finish(ctx context.Context, a Act) error
-	// Look raises the token at each place that the deed acts on, so that no earlier owner's act counts there any more,
-	// and says whether the deed was done, with what it returned. What is left of one that was not is cleared.
+	// Look raises the token at each place that the deed acts on, and the number past the deed's, so that neither an earlier
+	// owner's act counts there any more nor one of this deed that is still on its way, and says whether the deed was done, with what it returned. What is left of one that was not is cleared.
 	Look(ctx context.Context, a Act) (Found, error)
 	// Progress changes nothing.
 	Progress(ctx context.Context, a Act, home, other Group) (Progress, error)
@@ -113,10 +116,10 @@
 	// Now are the newest rules in the log: as far as the caller's own assignment at least. inForce: every pooler whose
 	// lease may still run acts on them alone.
 	Now() (rules map[string]any, version int, inForce bool)
-	// Change brings keys in, in one version, by the log, which refuses it if the work has a later token by then. It
-	// returns when that is in the log. While another version is not in force yet it waits. Costs count one such wait: it
+	// Change brings keys in, in one version, by the log, which refuses it if the work has a later token by then, or if the
+	// deed is not open: it was looked for and found not done. It returns when that is in the log. While another version is not in force yet it waits. Costs count one such wait: it
 	// takes that changes which wait come in together, or that nothing else changes the rules.
-	Change(ctx context.Context, work string, token owner.Token, change map[string]any) (version int, err error)
+	Change(ctx context.Context, work string, token owner.Token, deed *owner.Deed, change map[string]any) (version int, err error)
 	// Limited says whether the limits name a key: then a pooler without a lease keeps to it.
 	Limited(key string) bool
 }
@@ -161,7 +164,7 @@
 	}
 	a := Act{Plan: p, Work: w.Name, Token: w.Token, State: s}
 	if d != nil {
-		a.Deed, a.Name, a.Told = d.ID(w.Name), d.Name, d.Token
+		a.Deed, a.Name, a.Told, a.Number = d.ID(w.Name), d.Name, d.Token, d.Number
 		if err := json.Unmarshal(d.Data, &a.Data); len(d.Data) > 0 && err != nil {
 			return a, &Unreadable{Work: w.Name, Err: err}
 		}
@@ -245,7 +248,7 @@
 	case DeedCompare:
 		r.Compared, err = m.Places.Compare(ctx, a, home, other)
 	case DeedPause:
-		r.version, err = m.Rules.Change(ctx, a.Work, a.Token, map[string]any{a.Plan.pausedKey(): true})
+		r.version, err = m.Rules.Change(ctx, a.Work, a.Token, &owner.Deed{Number: a.Number, Name: a.Name}, map[string]any{a.Plan.pausedKey(): true})
 	case DeedClose:
 		r.Closed, r.held, err = m.Places.Close(ctx, a, home)
 	case DeedVerify:
@@ -261,12 +264,12 @@
 			r.unfenced = true
 			return r, nil
 		}
-		if r.version, err = m.Rules.Change(ctx, a.Work, a.Token, m.served(a, other)); err != nil {
+		if r.version, err = m.Rules.Change(ctx, a.Work, a.Token, &owner.Deed{Number: a.Number, Name: a.Name}, m.served(a, other)); err != nil {
 			return r, err
 		}
 		return r, m.Places.Open(ctx, a, other)
 	case DeedReopen:
-		if r.version, err = m.Rules.Change(ctx, a.Work, a.Token, m.served(a, home)); err != nil {
+		if r.version, err = m.Rules.Change(ctx, a.Work, a.Token, &owner.Deed{Number: a.Number, Name: a.Name}, m.served(a, home)); err != nil {
 			return r, err
 		}
 		err = m.Places.Open(ctx, a, home)
--- a/internal/cluster/owner/ledger.go
+++ b/internal/cluster/owner/ledger.go
@@ -78,7 +78,7 @@
 	Void     Op = "void"     // it was looked for and is not done; what was left of it is cleared
 	Say      Op = "say"      // an operator's word for a step
 	Raise    Op = "raise"    // a place knows a higher token than the log
-	Act      Op = "act"      // its owner acts on the log itself, such as on the rules: refused unless it is the owner
+	Act      Op = "act"      // its owner acts on the log itself, such as on the rules: refused unless it is the owner, and Deed, if named, is open
 )
 
 // Entry is one line of the log about a work.
@@ -335,6 +335,9 @@
 	}
 	switch e.Op {
 	case Act:
+		if d := e.Deed; d != nil && (w.Deed == nil || w.Deed.Number != d.Number || w.Deed.Name != d.Name) {
+			return refuse(NoDeed, e.Work, d.Number, w.next()-1) // it was found not done, and comes late
+		}
 	case Resign: // its process ends, so it is not asked again
 		w.Owner = ""
 	case Announce:
--- a/internal/cluster/owner/void_test.go
+++ b/internal/cluster/owner/void_test.go
@@ -20,3 +20,20 @@
 	}
 	require.Equal(t, &Word{Say: "rollback", Lasting: true}, l.Works["w"].Word)
 }
+
+// A change that arrives after its deed was found not done changes nothing, though its owner is still the owner.
+func TestAnActUnderADeedCountsWhileThatIsOpen(t *testing.T) {
+	var l Ledger
+	act := Entry{Op: Act, Work: "w", Token: 1, Deed: &Deed{Number: 1, Name: "switch"}}
+	for _, e := range []Entry{
+		{Op: Create, Work: "w", Kind: "k"}, {Op: Assign, Work: "w", To: "n"},
+		{Op: Announce, Work: "w", Token: 1, Deed: &Deed{Number: 1, Name: "switch"}}, act,
+		{Op: Void, Work: "w", Token: 1, Deed: &Deed{Number: 1, Name: "switch"}},
+	} {
+		require.Nil(t, l.Apply(e))
+	}
+	require.Equal(t, NoDeed, l.Apply(act).Reason)
+	require.Nil(t, l.Apply(Entry{Op: Announce, Work: "w", Token: 1, Deed: &Deed{Number: 2, Name: "reopen"}}))
+	require.Equal(t, NoDeed, l.Apply(act).Reason)
+	require.Nil(t, l.Apply(Entry{Op: Act, Work: "w", Token: 1}), "one that names no deed")
+}
--- a/lab/cluster/simmove.go
+++ b/lab/cluster/simmove.go
@@ -97,6 +97,7 @@
 type mvChange struct {
 	work  string
 	token owner.Token
+	deed  *owner.Deed
 	keys  map[string]any
 	done  bool
 	n     int
@@ -371,8 +372,12 @@
 	counts := false
 	for _, c := range m.changes {
 		c.done = true
-		if w := m.ledger.Works[c.work]; w == nil || w.Ended || w.Owner == "" || w.Token != c.token {
-			c.err = &owner.Refusal{Reason: owner.TokenOld, Work: c.work, Given: uint64(c.token)}
+		e := owner.Entry{Op: owner.Act, Work: c.work, Token: c.token, Deed: c.deed}
+		if m.broken == "number" {
+			e.Deed = nil
+		}
+		if r := m.ledger.Apply(e); r != nil {
+			c.err = r
 			continue
 		}
 		counts, c.n = true, n
@@ -724,6 +729,7 @@
 	o     *mvOwner
 	t     *mvTenant
 	sleep func(float64)
+	late  float64 // a change of the rules is on its way for so much longer
 }
 
 var errLost = errors.New("no answer came")
@@ -772,9 +778,9 @@
 	return l.m.versions[n].rules, n, l.m.versions[n].force
 }
 
-func (l *mvLoop) Change(_ context.Context, work string, token owner.Token, keys map[string]any) (int, error) {
-	c := &mvChange{work: work, token: token, keys: keys}
-	l.m.after(l.m.way(), func() { l.m.changes = append(l.m.changes, c) })
+func (l *mvLoop) Change(_ context.Context, work string, token owner.Token, deed *owner.Deed, keys map[string]any) (int, error) {
+	c := &mvChange{work: work, token: token, deed: deed, keys: keys}
+	l.m.after(l.m.way()+l.late, func() { l.m.changes = append(l.m.changes, c) })
 	for !c.done {
 		l.sleep(1)
 	}
@@ -861,7 +867,13 @@
 			m.stall(l.o, 100+m.lots.Float64()*1500)
 			l.sleep(0)
 		}
-		proof, err := k.Do(ctx, w, w.Deed)
+		var proof owner.Proof
+		var err error
+		if l.m.faulty && m.now < mvQuiet && m.lots.IntN(20) == 0 {
+			proof, err = l.lateDo(k, w)
+		} else {
+			proof, err = k.Do(ctx, w, w.Deed)
+		}
 		if l.dies(25) {
 			m.out.Faults["killed after "+d.Name]++
 			l.killed()
@@ -878,6 +890,40 @@
 	}
 }
 
+// lateDo does a deed of which one call takes long. The owner gives it up meanwhile; the call arrives all the same.
+func (l *mvLoop) lateDo(k *move.Mover, w *owner.Work) (proof owner.Proof, err error) {
+	m, done := l.m, false
+	m.out.Faults["late "+w.Deed.Name]++
+	late := 30 + m.lots.Float64()*300
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	m.spawn(func(sleep func(float64)) {
+		rules := &mvLoop{m: m, o: l.o, t: l.t, sleep: sleep, late: late}
+		slow := *k
+		slow.Places, slow.Rules = &mvPlaces{m: m, o: l.o, sleep: sleep, late: late}, rules
+		proof, err = slow.Do(ctx, w, w.Deed)
+		done = true
+	})
+	for range 25 {
+		if l.sleep(1); done {
+			return proof, err
+		}
+	}
+	return owner.Proof{}, errLost
+}
+
+// spawn runs what sleeps in the schedule's own time.
+func (m *moves) spawn(body func(sleep func(float64))) {
+	next, _ := iter.Pull(func(yield func(float64) bool) { body(func(ms float64) { yield(ms) }) })
+	var step func()
+	step = func() {
+		if d, ok := next(); ok {
+			m.after(d, step)
+		}
+	}
+	m.after(0, step)
+}
+
 // failed tells the log of a higher token.
 func (l *mvLoop) failed(err error) {
 	var f *owner.Fenced
--- a/lab/cluster/simplaces.go
+++ b/lab/cluster/simplaces.go
@@ -42,6 +42,7 @@
 	there  bool // the fence is
 	closed bool
 	token  owner.Token
+	number uint64 // of the deed that acted last, or was looked for
 	work   string // whose the fence is
 	deed   string // done last under it
 	found  move.Found
@@ -258,6 +259,8 @@
 	})
 }
 
+var errLate = errors.New("the deed was looked for meanwhile")
+
 var errDown = errors.New("no primary answers")
 
 // mvPlaces are the homes as one owner's process reaches them.
@@ -265,11 +268,20 @@
 	m     *moves
 	o     *mvOwner
 	sleep func(ms float64)
+	late  float64 // one call takes so much longer, and whoever made it may have given up by then
 }
 
 // at reaches a group's primary and shows it the token.
-func (p *mvPlaces) at(a move.Act, n move.Group) (*mvGroup, *mvDB, int, error) {
+func (p *mvPlaces) at(ctx context.Context, a move.Act, n move.Group) (*mvGroup, *mvDB, int, error) {
 	m := p.m
+	if ctx.Err() != nil {
+		return nil, nil, 0, ctx.Err()
+	}
+	if p.late > 0 && m.lots.IntN(2) == 0 {
+		d := p.late
+		p.late = 0
+		p.sleep(d)
+	}
 	p.sleep(0.3 + 2*m.lots.Float64())
 	g, t := m.groups[n-1], m.tenant(a.Plan.Tenant)
 	if !g.up {
@@ -280,8 +292,11 @@
 	if d.token > a.Token && m.broken != "token" {
 		return nil, nil, t, &owner.Fenced{Place: fmt.Sprint("group ", n), Given: a.Token, Holds: d.token}
 	}
-	if d.there && d.token < a.Token && d.work == a.Work {
-		g.log(mvRec{tenant: t, local: true, do: func(d *mvDB) { d.token = a.Token }})
+	if d.there && d.work == a.Work && d.token == a.Token && d.number > a.Number && m.broken != "number" {
+		return nil, nil, t, errLate
+	}
+	if d.there && d.work == a.Work && (d.token < a.Token || d.token == a.Token && d.number < a.Number) {
+		g.log(mvRec{tenant: t, local: true, do: func(d *mvDB) { d.token, d.number = a.Token, a.Number }})
 	}
 	return g, g.dbs[t], t, nil
 }
@@ -308,9 +323,9 @@
 	return nil, nil
 }
 
-func (p *mvPlaces) Publish(_ context.Context, a move.Act) error {
+func (p *mvPlaces) Publish(ctx context.Context, a move.Act) error {
 	for _, n := range []move.Group{a.Plan.From, a.Plan.To} {
-		g, d, t, err := p.at(a, n)
+		g, d, t, err := p.at(ctx, a, n)
 		if err != nil {
 			return err
 		}
@@ -318,7 +333,7 @@
 			return &move.Taken{Tenant: a.Plan.Tenant, By: d.work}
 		}
 		shut := n == a.Plan.To
-		g.deed(t, a, move.Found{Done: true}, func(d *mvDB) { d.there, d.closed, d.token, d.work = true, shut, a.Token, a.Work })
+		g.deed(t, a, move.Found{Done: true}, func(d *mvDB) { d.there, d.closed, d.token, d.number, d.work = true, shut, a.Token, a.Number, a.Work })
 	}
 	return nil
 }
@@ -327,20 +342,20 @@
 	return move.Lines{Home: p.m.groups[home-1].line, Other: p.m.groups[other-1].line}
 }
 
-func (p *mvPlaces) Subscribe(_ context.Context, a move.Act) (move.Lines, error) {
-	g, _, t, err := p.at(a, a.Plan.To)
+func (p *mvPlaces) Subscribe(ctx context.Context, a move.Act) (move.Lines, error) {
+	g, _, t, err := p.at(ctx, a, a.Plan.To)
 	if err != nil {
 		return move.Lines{}, err
 	}
 	g.deed(t, a, move.Found{}, func(d *mvDB) { d.sub, d.rows = mvSub{}, map[int]mvRow{} })
-	from, _, _, err := p.at(a, a.Plan.From)
+	from, _, _, err := p.at(ctx, a, a.Plan.From)
 	if err != nil {
 		return move.Lines{}, err
 	}
 	slot := mvSlotName("move", t)
 	from.slots[slot] = &mvSlot{pos: len(from.wal), lasts: p.m.lots.IntN(2) == 0}
 	origin, line := len(from.wal), from.line
-	if g, _, _, err = p.at(a, a.Plan.To); err != nil {
+	if g, _, _, err = p.at(ctx, a, a.Plan.To); err != nil {
 		return move.Lines{}, err
 	}
 	lines := move.Lines{Home: line, Other: g.line}
@@ -349,8 +364,8 @@
 	return lines, nil
 }
 
-func (p *mvPlaces) Copy(_ context.Context, a move.Act) (move.Copied, error) {
-	g, _, t, err := p.at(a, a.Plan.To)
+func (p *mvPlaces) Copy(ctx context.Context, a move.Act) (move.Copied, error) {
+	g, _, t, err := p.at(ctx, a, a.Plan.To)
 	if err != nil {
 		return move.Copied{}, err
 	}
@@ -368,14 +383,14 @@
 	return c, nil
 }
 
-func (p *mvPlaces) Mark(_ context.Context, a move.Act, home, other move.Group) (move.Lines, error) {
-	g, _, t, err := p.at(a, home)
+func (p *mvPlaces) Mark(ctx context.Context, a move.Act, home, other move.Group) (move.Lines, error) {
+	g, _, t, err := p.at(ctx, a, home)
 	if err != nil {
 		return move.Lines{}, err
 	}
 	g.marks[t] = &mvMark{pos: len(g.wal), lasts: p.m.lots.IntN(2) == 0}
 	line := g.line
-	o, _, _, err := p.at(a, other)
+	o, _, _, err := p.at(ctx, a, other)
 	if err != nil {
 		return move.Lines{}, err
 	}
@@ -390,32 +405,32 @@
 	return move.Lines{Home: line, Other: o.line}, nil
 }
 
-func (p *mvPlaces) Compare(_ context.Context, a move.Act, home, other move.Group) (c move.Compared, err error) {
+func (p *mvPlaces) Compare(ctx context.Context, a move.Act, home, other move.Group) (c move.Compared, err error) {
 	i := 0
 	if a.State.Compare.After != "" {
 		i, _ = strconv.Atoi(a.State.Compare.After)
 		i++
 	}
 	for n := 0; n < 3 && i < mvRanges; n, i = n+1, i+1 {
-		g, d, t, err := p.at(a, home)
+		g, d, t, err := p.at(ctx, a, home)
 		if err != nil {
 			return c, err
 		}
 		r, at, line := mvRange(i), len(g.wal), g.line
 		was := d.sum(i)
-		o, _, _, err := p.at(a, other)
+		o, _, _, err := p.at(ctx, a, other)
 		for tries := 0; err == nil && o.reported[t] < at && tries < 8; tries++ {
 			p.sleep(2)
 		}
 		if err != nil {
 			return c, err
 		}
-		o, od, _, err := p.at(a, other)
+		o, od, _, err := p.at(ctx, a, other)
 		if err != nil {
 			return c, err
 		}
 		reached, there, k, oline := o.reported[t] >= at, od.sum(i), o.marks[t], o.line
-		if g, _, _, err = p.at(a, home); err != nil {
+		if g, _, _, err = p.at(ctx, a, home); err != nil {
 			return c, err
 		}
 		if g.line != line || o.line != oline || k == nil {
@@ -435,8 +450,8 @@
 	return c, nil
 }
 
-func (p *mvPlaces) Close(_ context.Context, a move.Act, at move.Group) (*move.Closed, []move.Straggler, error) {
-	g, _, t, err := p.at(a, at)
+func (p *mvPlaces) Close(ctx context.Context, a move.Act, at move.Group) (*move.Closed, []move.Straggler, error) {
+	g, _, t, err := p.at(ctx, a, at)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -462,7 +477,9 @@
 		if p.sleep(1); !g.up || g.line != line {
 			return nil, nil, errDown
 		}
-		if d := g.dbs[t]; d.token > a.Token && p.m.broken != "token" {
+		if d := g.dbs[t]; d.token == a.Token && d.number > a.Number && p.m.broken != "number" {
+			return nil, nil, errLate
+		} else if d.token > a.Token && p.m.broken != "token" {
 			return nil, nil, &owner.Fenced{Place: fmt.Sprint("group ", at), Given: a.Token, Holds: d.token}
 		}
 	}
@@ -473,21 +490,21 @@
 	return &c, nil, nil
 }
 
-func (p *mvPlaces) Fenced(_ context.Context, a move.Act, at move.Group) (bool, int, error) {
-	g, d, _, err := p.at(a, at)
+func (p *mvPlaces) Fenced(ctx context.Context, a move.Act, at move.Group) (bool, int, error) {
+	g, d, _, err := p.at(ctx, a, at)
 	if err != nil {
 		return false, 0, err
 	}
 	return d.closed, g.line, nil
 }
 
-func (p *mvPlaces) Verify(_ context.Context, a move.Act, home, other move.Group) (v move.Verified, err error) {
+func (p *mvPlaces) Verify(ctx context.Context, a move.Act, home, other move.Group) (v move.Verified, err error) {
 	begun := p.m.now
-	g, _, t, err := p.at(a, home)
+	g, _, t, err := p.at(ctx, a, home)
 	if err != nil {
 		return v, err
 	}
-	o, _, _, err := p.at(a, other)
+	o, _, _, err := p.at(ctx, a, other)
 	if err != nil {
 		return v, err
 	}
@@ -530,8 +547,8 @@
 	return v, nil
 }
 
-func (p *mvPlaces) Open(_ context.Context, a move.Act, at move.Group) error {
-	g, _, t, err := p.at(a, at)
+func (p *mvPlaces) Open(ctx context.Context, a move.Act, at move.Group) error {
+	g, _, t, err := p.at(ctx, a, at)
 	if err == nil {
 		g.deed(t, a, move.Found{Done: true}, func(d *mvDB) { d.closed, d.sub = false, mvSub{} })
 		p.sleep(0.5)
@@ -539,15 +556,15 @@
 	return err
 }
 
-func (p *mvPlaces) Feed(_ context.Context, a move.Act) (move.Lines, error) {
-	from, d, t, err := p.at(a, a.Plan.From)
+func (p *mvPlaces) Feed(ctx context.Context, a move.Act) (move.Lines, error) {
+	from, d, t, err := p.at(ctx, a, a.Plan.From)
 	if err != nil {
 		return move.Lines{}, err
 	}
 	from.deed(t, a, move.Found{}, func(d *mvDB) { d.closed = true })
 	there := d.sub.there
 	delete(from.slots, mvSlotName("move", t))
-	to, _, _, err := p.at(a, a.Plan.To)
+	to, _, _, err := p.at(ctx, a, a.Plan.To)
 	if err != nil {
 		return move.Lines{}, err
 	}
@@ -560,7 +577,7 @@
 		to.slots[name] = slot
 	}
 	origin, line := slot.pos, to.line
-	if from, d, _, err = p.at(a, a.Plan.From); err != nil {
+	if from, d, _, err = p.at(ctx, a, a.Plan.From); err != nil {
 		return move.Lines{}, err
 	}
 	lines := move.Lines{Home: line, Other: from.line}
@@ -585,15 +602,15 @@
 	return lines, nil
 }
 
-func (p *mvPlaces) Clear(_ context.Context, a move.Act) error {
-	to, _, t, err := p.at(a, a.Plan.To)
+func (p *mvPlaces) Clear(ctx context.Context, a move.Act) error {
+	to, _, t, err := p.at(ctx, a, a.Plan.To)
 	if err != nil {
 		return err
 	}
 	to.deed(t, a, move.Found{Done: true}, func(d *mvDB) { d.sub, d.rows, d.closed, d.work = mvSub{}, map[int]mvRow{}, true, "" })
 	delete(to.slots, mvSlotName("feed", t))
 	delete(to.marks, t)
-	from, _, _, err := p.at(a, a.Plan.From)
+	from, _, _, err := p.at(ctx, a, a.Plan.From)
 	if err != nil {
 		return err
 	}
@@ -603,8 +620,8 @@
 	return nil
 }
 
-func (p *mvPlaces) Finish(_ context.Context, a move.Act) error {
-	from, _, t, err := p.at(a, a.Plan.From)
+func (p *mvPlaces) Finish(ctx context.Context, a move.Act) error {
+	from, _, t, err := p.at(ctx, a, a.Plan.From)
 	if err != nil {
 		return err
 	}
@@ -614,7 +631,7 @@
 		}
 	})
 	delete(from.marks, t)
-	to, _, _, err := p.at(a, a.Plan.To)
+	to, _, _, err := p.at(ctx, a, a.Plan.To)
 	if err != nil {
 		return err
 	}
@@ -625,7 +642,7 @@
 }
 
 // Look: what can be done again is, unless one transaction holds all of it.
-func (p *mvPlaces) Look(_ context.Context, a move.Act) (move.Found, error) {
+func (p *mvPlaces) Look(ctx context.Context, a move.Act) (move.Found, error) {
 	home := a.Plan.From
 	if a.State.Reverse {
 		home = a.Plan.To
@@ -635,8 +652,9 @@
 		of = []move.Group{a.Plan.From, a.Plan.To}
 	}
 	var f move.Found
+	a.Number++ // what is still on its way comes too late from here on
 	for i, n := range of {
-		_, d, _, err := p.at(a, n)
+		_, d, _, err := p.at(ctx, a, n)
 		if err != nil {
 			return move.Found{}, err
 		}
