--- a/internal/cluster/move/finding.go
+++ b/internal/cluster/move/finding.go
@@ -44,7 +44,7 @@
 	NotEmpty:      {"the table holds rows at the new home already", "empty it there, or drop the database and bring the schema over again"},
 	Sequences:     {"the sequence is not published: the move sets it itself when the tenant is paused", "nothing"},
 	HomeDiffers:   {"the agreed rules name another home, or none", "propose database.NAME.group for where the tenant is, then resume"},
-	NotLimited:    {"the limits don't name the tenant: a pooler without a lease would go on serving it", "put database.NAME.group and .paused = true into every limits file"},
+	NotLimited:    {"the limits don't name the tenant: a pooler without a lease would serve it on", "put database.NAME.group and .paused = true into every limits file"},
 	NoSlots:       {"there is no replication slot or sender left", "raise max_replication_slots and max_wal_senders, or drop unused slots"},
 }
 
--- a/internal/cluster/move/mover.go
+++ b/internal/cluster/move/mover.go
@@ -71,7 +71,8 @@
 	// drop From's tables go too.
 	Finish(ctx context.Context, a Act) error
 	// Look raises the token at each place that the deed acts on, and the number past the deed's, so that neither an earlier
-	// owner's act counts there any more nor one of this deed that is still on its way, and says whether the deed was done, with what it returned. What is left of one that was not is cleared.
+	// owner's act counts there any more nor one of this deed that is still on its way, and says whether the deed was done,
+	// with what it returned. What is left of one that was not is cleared.
 	Look(ctx context.Context, a Act) (Found, error)
 	// Progress changes nothing.
 	Progress(ctx context.Context, a Act, home, other Group) (Progress, error)
@@ -117,8 +118,9 @@
 	// lease may still run acts on them alone.
 	Now() (rules map[string]any, version int, inForce bool)
 	// Change brings keys in, in one version, by the log, which refuses it if the work has a later token by then, or if the
-	// deed is not open: it was looked for and found not done. It returns when that is in the log. While another version is not in force yet it waits. Costs count one such wait: it
-	// takes that changes which wait come in together, or that nothing else changes the rules.
+	// deed is not open: it was looked for and found not done. It returns when that is in the log. While another version is
+	// not in force yet it waits. Costs count one such wait: it takes that changes which wait come in together, or that
+	// nothing else changes the rules.
 	Change(ctx context.Context, work string, token owner.Token, deed *owner.Deed, change map[string]any) (version int, err error)
 	// Limited says whether the limits name a key: then a pooler without a lease keeps to it.
 	Limited(key string) bool
--- a/internal/cluster/move/plan.go
+++ b/internal/cluster/move/plan.go
@@ -14,6 +14,9 @@
 	"strings"
 )
 
+// Name is the kind's.
+const Name = "move"
+
 // Group is a group of db hosts, by its number in the agreed rules.
 type Group = uint64
 
--- a/lab/cluster/simmove.go
+++ b/lab/cluster/simmove.go
@@ -254,7 +254,7 @@
 		if err != nil {
 			m.breach("stuck", "a good plan is refused: %v", err)
 		}
-		m.after(m.lots.Float64()*200, func() { m.apply(owner.Entry{Op: owner.Create, Work: t.work, Kind: "move", Spec: spec}) })
+		m.after(m.lots.Float64()*200, func() { m.apply(owner.Entry{Op: owner.Create, Work: t.work, Kind: move.Name, Spec: spec}) })
 	}
 }
 
@@ -307,7 +307,8 @@
 	s, _ := move.StateOf(&was)
 	switch e.Op {
 	case owner.Announce:
-		at := map[string]string{move.DeedPublish: move.AtChecked, move.DeedPause: move.AtClosing, move.DeedSwitch: move.AtSwitching, move.DeedAccept: move.AtAccepting}[e.Deed.Name]
+		at := map[string]string{move.DeedPublish: move.AtChecked, move.DeedPause: move.AtClosing, move.DeedSwitch: move.AtSwitching,
+			move.DeedAccept: move.AtAccepting}[e.Deed.Name]
 		reverse := s.Reverse || e.Deed.Name == move.DeedPause && s.Phase == move.Switched
 		if at != "" && slices.Contains(t.plan.Checkpoints, at) && !reverse {
 			want := move.Go
@@ -324,8 +325,12 @@
 		}
 	case owner.Prove:
 		m.out.Ends[e.Deed.Name]++
-		if n, _ := move.StateOf(w); n.Copy.Again > s.Copy.Again || len(n.Differ) > 0 && len(s.Differ) == 0 || e.Deed.Name == move.DeedReopen && n.Reverse != s.Reverse {
-			m.out.Ends[map[bool]string{true: "found different", false: "copied again"}[len(n.Differ) > 0]]++
+		n, _ := move.StateOf(w)
+		if len(n.Differ) > 0 && len(s.Differ) == 0 {
+			m.out.Ends["found different"]++
+		}
+		if n.Copy.Again > s.Copy.Again {
+			m.out.Ends["copied again"]++
 		}
 		if w.Ended {
 			t.ended = true
@@ -796,7 +801,7 @@
 
 // Turn, Unfit and Pace are the rest of what a move asks.
 func (l *mvLoop) Turn(work string) (bool, string) {
-	all := move.Candidates(&l.m.ledger, "move", func(g move.Group) ([]string, []string) { return nil, nil })
+	all := move.Candidates(&l.m.ledger, move.Name, func(g move.Group) ([]string, []string) { return nil, nil })
 	why := move.May(all, move.Limits{Group: 2})[work]
 	return why == "", why
 }
