--- a/internal/cluster/move/mover.go
+++ b/internal/cluster/move/mover.go
@@ -65,7 +65,7 @@
 	// From's tables are emptied and copied anew.
 	Feed(ctx context.Context, a Act) (Lines, error)
 	// Clear removes what the move built at both homes and empties To's tables. The rows of the fences stay, From's open,
-	// so that who comes late with an old token is refused; the tenant's next move takes them over.
+	// so that who comes late with an old token or number is refused; the tenant's next move takes them over.
 	Clear(ctx context.Context, a Act) error
 	// Finish removes what the move built at both homes but for the tables, with From fenced for good; with Plan.Old =
 	// drop From's tables go too.
--- a/lab/cluster/simplaces.go
+++ b/lab/cluster/simplaces.go
@@ -43,7 +43,8 @@
 	closed bool
 	token  owner.Token
 	number uint64 // of the deed that acted last, or was looked for
-	work   string // whose the fence is
+	work   string // whose the fence is, or was
+	given  bool   // up
 	deed   string // done last under it
 	found  move.Found
 	sub    mvSub
@@ -329,11 +330,13 @@
 		if err != nil {
 			return err
 		}
-		if d.there && d.work != "" && d.work != a.Work {
+		if d.there && !d.given && d.work != a.Work {
 			return &move.Taken{Tenant: a.Plan.Tenant, By: d.work}
 		}
 		shut := n == a.Plan.To
-		g.deed(t, a, move.Found{Done: true}, func(d *mvDB) { d.there, d.closed, d.token, d.number, d.work = true, shut, a.Token, a.Number, a.Work })
+		g.deed(t, a, move.Found{Done: true}, func(d *mvDB) {
+			d.there, d.closed, d.token, d.number, d.work, d.given = true, shut, a.Token, a.Number, a.Work, false
+		})
 	}
 	return nil
 }
@@ -607,14 +610,14 @@
 	if err != nil {
 		return err
 	}
-	to.deed(t, a, move.Found{Done: true}, func(d *mvDB) { d.sub, d.rows, d.closed, d.work = mvSub{}, map[int]mvRow{}, true, "" })
+	to.deed(t, a, move.Found{Done: true}, func(d *mvDB) { d.sub, d.rows, d.closed, d.given = mvSub{}, map[int]mvRow{}, true, true })
 	delete(to.slots, mvSlotName("feed", t))
 	delete(to.marks, t)
 	from, _, _, err := p.at(ctx, a, a.Plan.From)
 	if err != nil {
 		return err
 	}
-	from.deed(t, a, move.Found{Done: true}, func(d *mvDB) { d.sub, d.closed, d.work = mvSub{}, false, "" })
+	from.deed(t, a, move.Found{Done: true}, func(d *mvDB) { d.sub, d.closed, d.given = mvSub{}, false, true })
 	delete(from.slots, mvSlotName("move", t))
 	delete(from.marks, t)
 	return nil
@@ -626,7 +629,7 @@
 		return err
 	}
 	from.deed(t, a, move.Found{Done: true}, func(d *mvDB) {
-		if d.sub, d.closed, d.work = (mvSub{}), true, ""; a.Plan.Old == "drop" {
+		if d.sub, d.closed, d.given = (mvSub{}), true, true; a.Plan.Old == "drop" {
 			d.rows = map[int]mvRow{}
 		}
 	})
@@ -635,7 +638,7 @@
 	if err != nil {
 		return err
 	}
-	to.deed(t, a, move.Found{Done: true}, func(d *mvDB) { d.closed, d.work = false, "" })
+	to.deed(t, a, move.Found{Done: true}, func(d *mvDB) { d.closed, d.given = false, true })
 	delete(to.slots, mvSlotName("feed", t))
 	delete(to.marks, t)
 	return nil
