Stand-in hosts: idle transactions end, the timeline in WAL file names, a trigger that notes keys

A fence row's lock that a dead owner's open transaction holds was held for ever: idle_in_transaction_session_timeout was kept and not enforced. Now it is (25P03). Added as well what a move needs and PostgreSQL has: pg_walfile_name, whose first eight digits are the timeline, pg_current_wal_insert_lsn, AFTER row triggers for ashstand.mark(), and the table that the body of ashstand.guard() reads. SHOW transaction_read_only says on at a replica, as target_session_attrs needs.

--- a/lab/host/catalogue.go
+++ b/lab/host/catalogue.go
@@ -460,6 +460,19 @@
 			defer cl.mu.Unlock()
 			return lsnValue(lsnOf(max(1, cl.last))), nil
 		}},
+		"pg_walfile_name": strict(typeText, []uint32{typeLSN}, func(v *env, a []value) (value, *fault) {
+			if !v.c.host.Primary() {
+				return value{}, &fault{"55000", "recovery is in progress"}
+			}
+			at, err := ParseLSN(a[0].s)
+			if err != nil {
+				return value{}, &fault{"22P02", err.Error()}
+			}
+			cl := v.c.host.cluster
+			cl.mu.Lock()
+			defer cl.mu.Unlock()
+			return text(fmt.Sprintf("%08X%08X%08X", cl.epoch+1, at>>32, uint32(at)>>24)), nil // the timeline rises with each failover
+		}),
 		"pg_last_wal_replay_lsn": {typeLSN, nil, func(v *env, _ []value) (value, *fault) {
 			at, primary := v.c.host.stand()
 			if primary {
@@ -564,6 +577,7 @@
 			return number(int64(v.c.tx.xid)), nil
 		}},
 	}
+	out["pg_current_wal_insert_lsn"] = out["pg_current_wal_lsn"]
 	out["txid_current"] = out["pg_current_xact_id"]
 	for _, name := range []string{"pg_advisory_lock", "pg_advisory_lock_shared", "pg_advisory_xact_lock", "pg_advisory_xact_lock_shared"} {
 		out[name] = function{typeVoid, []uint32{typeInt8}, func(v *env, a []value) (value, *fault) { return v.c.advisory(name, a) }}
--- a/lab/host/cluster.go
+++ b/lab/host/cluster.go
@@ -46,7 +46,8 @@
 // failover that loses commits. DDL takes effect at once on all hosts, is not taken back by ROLLBACK, and is never lost; the
 // same holds for publications, subscriptions and sequences. Locks taken after a savepoint are held to the transaction's end.
 // Text is sorted by its bytes. An advisory lock counts once however often it is taken, and none is taken on a replica. TRUNCATE locks
-// row by row. The stream's messages are JSON in place of pgoutput, the copies of a subscription's tables run one by one before its
+// row by row. ashstand.mark() is, as ashstand.guard(), not run but done: AFTER INSERT OR UPDATE OR DELETE ... FOR EACH ROW it notes
+// changed keys in ashstand.touched. The stream's messages are JSON in place of pgoutput, the copies of a subscription's tables run one by one before its
 // stream, in the same worker. There are no roles, no column lists, row filters, FOR TABLES IN SCHEMA, two-phase commits, UNIQUE,
 // CHECK or foreign keys, no LOCK TABLE, WITH, GRANT or REVOKE (0A000); statement_timeout ends waits for locks only. What a table's
 // versions were is kept for judges and never vacuumed; an unlogged table is empty after a failover.
--- a/lab/host/conn.go
+++ b/lab/host/conn.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"math"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -192,7 +194,18 @@
 			c.cut("cut_idle")
 			return
 		}
+		limit := c.idleLimit()
 		m, err := c.in.Receive()
+		if limit > 0 && err != nil && errors.Is(err, os.ErrDeadlineExceeded) && !c.terminated.Load() {
+			c.host.Counts.Add("idle_in_transaction")
+			c.send(&pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: "25P03",
+				Message: "terminating connection due to idle-in-transaction timeout"})
+			c.flush()
+			return
+		}
+		if limit > 0 {
+			_ = c.net.SetReadDeadline(time.Time{})
+		}
 		if c.terminated.Load() {
 			c.farewell()
 			return
@@ -207,6 +220,22 @@
 	}
 }
 
+// idleLimit sets for how long the next message may be waited for; 0: without end.
+func (c *conn) idleLimit() time.Duration {
+	if c.tx == nil || !c.tx.explicit {
+		return 0
+	}
+	v, _ := c.set.get("idle_in_transaction_session_timeout")
+	limit := duration(v)
+	if limit > 0 {
+		_ = c.net.SetReadDeadline(time.Now().Add(limit))
+		if c.terminated.Load() { // signal's deadline was just overwritten
+			_ = c.net.SetReadDeadline(time.Now())
+		}
+	}
+	return limit
+}
+
 func (c *conn) startup() bool {
 	for {
 		m, err := c.in.ReceiveStartupMessage()
--- a/lab/host/ddl.go
+++ b/lab/host/ddl.go
@@ -324,8 +324,8 @@
 	if f != nil {
 		return f
 	}
-	if schema+"."+name != "ashstand.guard" {
-		return unsupported("a function other than ashstand.guard()")
+	if schema+"."+name != "ashstand.guard" && schema+"."+name != "ashstand.mark" {
+		return unsupported("a function other than ashstand.guard() and ashstand.mark()")
 	}
 	if f = p.need("(", ")"); f != nil {
 		return f
@@ -347,10 +347,10 @@
 	if !ok {
 		return p.wrong()
 	}
-	if f := p.need("before"); f != nil {
-		return unsupported("a trigger that does not run before")
-	}
 	tr := &trigger{enabled: 'O', once: true}
+	if tr.after = p.take("after"); !tr.after && !p.take("before") {
+		return unsupported("a trigger that runs neither before nor after")
+	}
 	for {
 		l := p.peek()
 		if !p.take("insert") && !p.take("update") && !p.take("delete") && !p.take("truncate") {
@@ -385,12 +385,23 @@
 	_ = p.take("function") || p.take("procedure")
 	schema, fn, f := p.relation()
 	if f == nil {
-		f = p.need("(", ")")
+		f = p.need("(")
+	}
+	for f == nil && !p.take(")") {
+		if p.peek().kind != 's' {
+			return p.wrong()
+		}
+		tr.args = append(tr.args, p.peek().text)
+		p.at++
+		p.take(",")
 	}
 	if f != nil {
 		return f
 	}
 	tr.function = schema + "." + fn
+	if tr.after != (tr.function == "ashstand.mark") {
+		return unsupported("ashstand.guard() after, or ashstand.mark() before")
+	}
 	cl := c.host.cluster
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
@@ -630,10 +641,14 @@
 				return f
 			}
 			if old := a.current(t, k); old != nil {
-				a.write(change{op: 'X', table: t, key: k, was: k, old: old})
+				if f = a.write(change{op: 'X', table: t, key: k, was: k, old: old}); f != nil {
+					return f
+				}
 			}
 		}
-		a.write(change{op: 'T', table: t})
+		if f = a.write(change{op: 'T', table: t}); f != nil {
+			return f
+		}
 		if !p.take(",") {
 			break
 		}
--- a/lab/host/exec.go
+++ b/lab/host/exec.go
@@ -441,7 +441,7 @@
 
 func valid(name, value string) *fault {
 	switch name {
-	case "statement_timeout", "lock_timeout", "extra_float_digits":
+	case "statement_timeout", "lock_timeout", "idle_in_transaction_session_timeout", "extra_float_digits":
 		if _, err := strconv.Atoi(strings.TrimRight(value, "ms ")); err != nil {
 			return &fault{"22023", fmt.Sprintf("invalid value for parameter %q: %q", name, value)}
 		}
@@ -481,6 +481,9 @@
 	if !ok {
 		return nil, &fault{"42704", fmt.Sprintf("unrecognized configuration parameter %q", name)}
 	}
+	if name == "transaction_read_only" && (c.tx != nil && c.tx.readOnly || !c.host.Primary()) {
+		v = "on"
+	}
 	r := one(name, v)
 	r.tag = "SHOW"
 	return r, nil
--- a/lab/host/query.go
+++ b/lab/host/query.go
@@ -1232,7 +1232,9 @@
 			n++
 			old := s.row
 			if verb == "DELETE" {
-				a.write(change{op: 'D', table: s.table, key: h.key, was: h.key, old: old})
+				if f = a.write(change{op: 'D', table: s.table, key: h.key, was: h.key, old: old}); f != nil {
+					return nil, "", f
+				}
 			} else {
 				vs, f := v.assigned(s.table, old, list)
 				if f == nil {
--- a/lab/host/subscribe.go
+++ b/lab/host/subscribe.go
@@ -837,10 +837,11 @@
 			if f = a.lock(lockKey{t, h.key}, exclusive, false); f != nil {
 				return f
 			}
-			a.write(change{op: 'X', table: t, key: h.key, was: h.key, old: h.values})
+			if f = a.write(change{op: 'X', table: t, key: h.key, was: h.key, old: h.values}); f != nil {
+				return f
+			}
 		}
-		a.write(change{op: 'T', table: t})
-		return nil
+		return a.write(change{op: 'T', table: t})
 	}
 	key, found := "", true
 	if len(t.key) > 0 {
@@ -859,8 +860,7 @@
 		return nil
 	}
 	if row.Op == "D" {
-		a.write(change{op: 'D', table: t, key: key, was: key, old: before})
-		return nil
+		return a.write(change{op: 'D', table: t, key: key, was: key, old: before})
 	}
 	return a.update(t, key, before, now)
 }
--- a/lab/host/table.go
+++ b/lab/host/table.go
@@ -1,8 +1,10 @@
 package host
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
+	"regexp"
 	"slices"
 	"sort"
 	"strings"
@@ -67,12 +69,14 @@
 	origin string // of which subscription's apply; none: an ordinary transaction
 }
 
-// trigger runs before INSERT, UPDATE or DELETE.
+// trigger runs before INSERT, UPDATE, DELETE or TRUNCATE, or, that of ashstand.mark(), after it.
 type trigger struct {
 	events   string // of i, u, d, t
 	function string
 	enabled  byte // as pg_trigger.tgenabled: O, D, R, A
 	once     bool // FOR EACH STATEMENT
+	after    bool
+	args     []string // TG_ARGV
 }
 
 type sequence struct {
@@ -518,8 +522,8 @@
 	return t.get(key, math.Inf(1))
 }
 
-// write notes a change and makes the transaction one that writes.
-func (a *actor) write(ch change) {
+// write notes a change and makes the transaction one that writes; then triggers that run after it do.
+func (a *actor) write(ch change) *fault {
 	a.tx.put(ch)
 	if a.tx.xid == 0 {
 		a.cluster.mu.Lock()
@@ -528,6 +532,59 @@
 		a.cluster.writers[a.tx] = true
 		a.cluster.mu.Unlock()
 	}
+	return a.mark(ch)
+}
+
+// on says whether a trigger runs for this actor.
+func (tr *trigger) on(role string) bool {
+	return tr.enabled == 'A' || tr.enabled == 'O' && role != "replica" || tr.enabled == 'R' && role == "replica"
+}
+
+// mark is the function ashstand.mark(): it notes in ashstand.touched (tab, key) which row was changed, once each. The key is
+// that of the columns which the trigger names, as a JSON array of their texts; without columns, and of a TRUNCATE, it is empty.
+func (a *actor) mark(ch change) *fault {
+	db, event := ch.table.db, strings.ToLower(string(ch.op))
+	a.cluster.mu.Lock()
+	touched := db.tables["ashstand.touched"]
+	var keys []string
+	for _, tr := range ch.table.triggers {
+		if tr.function != "ashstand.mark" || !tr.on(a.role) || !strings.Contains(tr.events, event) {
+			continue
+		}
+		if ch.op == 'T' {
+			keys = append(keys, "")
+			continue
+		}
+		for _, vs := range [][]value{ch.old, ch.new} {
+			if vs != nil {
+				keys = append(keys, ch.table.jsonKey(vs, tr.args))
+			}
+		}
+	}
+	a.cluster.mu.Unlock()
+	for _, k := range keys {
+		if touched == nil {
+			return &fault{"42P01", `relation "ashstand.touched" does not exist`}
+		}
+		if _, _, f := a.insert(touched, []value{text(ch.table.Schema + "." + ch.table.Name), text(k)}); f != nil {
+			return f
+		}
+	}
+	return nil
+}
+
+func (t *Table) jsonKey(vs []value, columns []string) string {
+	var key []string
+	for _, c := range columns {
+		if i := t.column(c); i >= 0 {
+			key = append(key, vs[i].s)
+		}
+	}
+	if key == nil {
+		return ""
+	}
+	b, _ := json.Marshal(key)
+	return string(b)
 }
 
 // insert adds a row. taken: one of that key is there.
@@ -554,11 +611,9 @@
 		if !t.overwrite {
 			return true, key, nil
 		}
-		a.write(change{op: 'U', table: t, key: key, was: key, old: old, new: vs})
-		return false, key, nil
+		return false, key, a.write(change{op: 'U', table: t, key: key, was: key, old: old, new: vs})
 	}
-	a.write(change{op: 'I', table: t, key: key, was: key, new: vs})
-	return false, key, nil
+	return false, key, a.write(change{op: 'I', table: t, key: key, was: key, new: vs})
 }
 
 func (t *Table) duplicate(vs []value) *fault {
@@ -592,8 +647,7 @@
 			return t.duplicate(vs)
 		}
 	}
-	a.write(change{op: 'U', table: t, key: to, was: key, old: old, new: vs})
-	return nil
+	return a.write(change{op: 'U', table: t, key: to, was: key, old: old, new: vs})
 }
 
 // fires runs the triggers before a change of a table: those for each statement (once) or for each row.
@@ -601,8 +655,7 @@
 	a.cluster.mu.Lock()
 	var run []string
 	for _, tr := range t.triggers {
-		on := tr.enabled == 'A' || tr.enabled == 'O' && a.role != "replica" || tr.enabled == 'R' && a.role == "replica"
-		if on && tr.once == once && strings.Contains(tr.events, event) {
+		if !tr.after && tr.on(a.role) && tr.once == once && strings.Contains(tr.events, event) {
 			run = append(run, tr.function)
 		}
 	}
@@ -617,15 +670,23 @@
 	return nil
 }
 
+// guardReads finds the table that the body of ashstand.guard() reads; ashstand.fence where it names none.
+var guardReads = regexp.MustCompile(`from\s+(ashstand\.\w+)`)
+
 // guard is the function ashstand.guard(): it refuses while a row of the fence says that the tenant is closed. Where its
 // body has FOR SHARE or FOR KEY SHARE it locks these rows, so that who closes waits for who writes; without it a
 // transaction that was past the guard may commit after the tenant was closed.
 func (a *actor) guard(db *Database) *fault {
 	a.cluster.mu.Lock()
-	fence, body := db.tables["ashstand.fence"], strings.ToLower(db.functions["ashstand.guard"])
+	body := strings.ToLower(db.functions["ashstand.guard"])
+	name := "ashstand.fence"
+	if m := guardReads.FindStringSubmatch(body); m != nil {
+		name = m[1]
+	}
+	fence := db.tables[name]
 	a.cluster.mu.Unlock()
 	if fence == nil {
-		return &fault{"42P01", `relation "ashstand.fence" does not exist`}
+		return &fault{"42P01", fmt.Sprintf("relation %q does not exist", name)}
 	}
 	closed := fence.column("closed")
 	locks := strings.Contains(body, "for share") || strings.Contains(body, "for key share")
