Moves by SQL alone: check, publish, subscribe, copy, marks, comparison, gate, ways back

The first implementation of move.Places. Each act takes the tenant's token row first; the gate that writers read FOR SHARE is a row of its own, since an UPDATE of one row for both would have had every deed wait for writers and hold them up. A deed that was settled is refused by its number, also when it comes late under the token that is still the highest. What SQL allows in no transaction carries kind, token and deed in its name, and follows only a publication of that name made behind the fence. Test: a whole move under 200 writes a second, and one taken back after the switch, against stand-in hosts.

--- /dev/null
+++ b/internal/cluster/move/sql/gate.go
@@ -0,0 +1,140 @@
+package sql
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"ashstand/internal/cluster/move"
+	"ashstand/internal/cluster/place"
+)
+
+// Close closes the gate at the group that serves the tenant.
+func (p *Places) Close(ctx context.Context, a move.Act, at move.Group) (*move.Closed, []move.Straggler, error) {
+	until := time.Now().Add(p.within(a))
+	wait := p.within(a)
+	if a.Data.End { // once for those who are about to end, once for those who were ended
+		wait /= 2
+	}
+	closed, held, err := p.close(ctx, a, at, wait)
+	if code(err) != "55P03" || !a.Data.End || len(held) == 0 {
+		return closed, held, late(err)
+	}
+	if err = p.act(ctx, a, at, "end stragglers", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
+		for _, s := range held {
+			if _, err := place.One(ctx, conn, "SELECT pg_terminate_backend("+strconv.Itoa(s.PID)+")"); err != nil {
+				return err
+			}
+		}
+		return nil
+	}); err != nil {
+		return nil, held, err
+	}
+	closed, held, err = p.close(ctx, a, at, max(wait, time.Until(until)))
+	return closed, held, late(err)
+}
+
+// late passes over a wait that came to its end: that is an answer.
+func late(err error) error {
+	if code(err) == "55P03" {
+		return nil
+	}
+	return err
+}
+
+// close tries once.
+func (p *Places) close(ctx context.Context, a move.Act, at move.Group, wait time.Duration) (*move.Closed, []move.Straggler, error) {
+	bounds := p.bounds(a)
+	bounds.Lock, bounds.Statement = max(wait, time.Millisecond), wait+p.within(a)
+	var closed *move.Closed
+	err := p.actWithin(ctx, bounds, a, at, "close", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
+		if err := shut(ctx, conn, true); err != nil {
+			return err
+		}
+		n, err := line(ctx, conn)
+		if err != nil {
+			return err
+		}
+		// Nobody who writes is past the gate any more: what is to come in the log is this transaction's own commit.
+		pos, err := standing(ctx, conn)
+		if err != nil {
+			return err
+		}
+		closed = &move.Closed{Line: n, Position: pos}
+		return write(ctx, conn, book{"closed": fmt.Sprintf("%s %d %d", a.Deed, n, uint64(pos))})
+	})
+	if err == nil {
+		return closed, nil, nil
+	}
+	if code(err) != "55P03" {
+		return nil, nil, err
+	}
+	var held []move.Straggler
+	if look := p.on(ctx, a, at, "stragglers", func(ctx context.Context, conn *pgconn.PgConn) (err error) {
+		held, err = stragglers(ctx, conn)
+		return err
+	}); look != nil {
+		return nil, nil, look
+	}
+	return nil, held, err
+}
+
+// stragglers are the sessions that have written in a transaction which is open; or, where there is none, those whose
+// transaction is.
+func stragglers(ctx context.Context, conn *pgconn.PgConn) ([]move.Straggler, error) {
+	rows, _, err := place.Exec(ctx, conn, "SELECT pid, usename, state, backend_xid, extract(epoch FROM clock_timestamp() - xact_start) FROM pg_stat_activity "+
+		"WHERE datname = current_database() AND pid <> pg_backend_pid() AND backend_type = 'client backend' AND xact_start IS NOT NULL "+
+		"AND application_name <> 'ashstand works' ORDER BY xact_start")
+	if err != nil {
+		return nil, err
+	}
+	var writing, open []move.Straggler
+	for _, r := range rows {
+		pid, _ := strconv.Atoi(r[0])
+		age, _ := strconv.ParseFloat(r[4], 64)
+		s := move.Straggler{PID: pid, User: r[1], Age: fmt.Sprintf("%.3f s", age)}
+		if r[3] != "" {
+			s.Kind = "writing, " + r[2]
+			writing = append(writing, s)
+		} else if r[2] != "idle" {
+			s.Kind = "in a transaction, " + r[2]
+			open = append(open, s)
+		}
+	}
+	if len(writing) > 0 {
+		return writing, nil
+	}
+	return open, nil
+}
+
+// Fenced says whether the gate is closed, under this token.
+func (p *Places) Fenced(ctx context.Context, a move.Act, at move.Group) (closed bool, n int, err error) {
+	err = p.act(ctx, a, at, "fenced", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
+		shut, err := place.One(ctx, conn, "SELECT closed FROM ashstand.gate WHERE id = 1")
+		if err != nil {
+			return err
+		}
+		closed = shut == "t"
+		n, err = line(ctx, conn)
+		return err
+	})
+	return closed, n, err
+}
+
+// Open opens the gate of a group, once it follows nobody.
+func (p *Places) Open(ctx context.Context, a move.Act, at move.Group) error {
+	if err := p.act(ctx, a, at, "open", ours, func(context.Context, *pgconn.PgConn, book) error { return nil }); err != nil {
+		return err
+	}
+	if err := p.on(ctx, a, at, "drop subscriptions", func(ctx context.Context, conn *pgconn.PgConn) error {
+		return dropSubscriptions(ctx, conn, a, "")
+	}); err != nil {
+		return err
+	}
+	return p.act(ctx, a, at, "open", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
+		return shut(ctx, conn, false)
+	})
+}
--- a/internal/cluster/place/place.go
+++ b/internal/cluster/place/place.go
@@ -199,9 +199,29 @@
 	return &owner.Fenced{Place: at, Given: token}
 }
 
+// Bounds are how long a host lets a connection wait or hold on; 0: as long as it takes.
+type Bounds struct {
+	Lock      time.Duration // lock_timeout
+	Statement time.Duration // statement_timeout
+	Idle      time.Duration // idle_in_transaction_session_timeout: then the host takes the transaction back and lets go its locks
+}
+
+// Bound sets them for a connection.
+func Bound(ctx context.Context, conn *pgconn.PgConn, b Bounds) error {
+	ms := func(d time.Duration) int64 { return max(0, (d + time.Millisecond - 1).Milliseconds()) }
+	_, err := conn.Exec(ctx, fmt.Sprintf("SET lock_timeout = %d; SET statement_timeout = %d; SET idle_in_transaction_session_timeout = %d",
+		ms(b.Lock), ms(b.Statement), ms(b.Idle))).ReadAll()
+	return err
+}
+
 // Act does something at a group's primary in one transaction whose first act takes the fence. An error that the host did
 // not word is an *Unreached: the transaction may have been committed.
 func (c *Client) Act(ctx context.Context, group uint64, database, work string, token owner.Token, what string, do func(ctx context.Context, conn *pgconn.PgConn) error) error {
+	return c.ActWithin(ctx, Bounds{}, group, database, work, token, what, do)
+}
+
+// ActWithin is Act within bounds that the host keeps, also where who acts has died or can't be reached any more.
+func (c *Client) ActWithin(ctx context.Context, b Bounds, group uint64, database, work string, token owner.Token, what string, do func(ctx context.Context, conn *pgconn.PgConn) error) error {
 	conn, h, err := c.Primary(ctx, group, database)
 	if err != nil {
 		return err
@@ -214,16 +234,38 @@
 		}
 		return &Unreached{Host: h.Name, What: what, Err: err}
 	}
+	if b != (Bounds{}) {
+		if err = Bound(ctx, conn, b); err != nil {
+			return step(err)
+		}
+	}
 	if _, _, err = Exec(ctx, conn, "BEGIN"); err != nil {
 		return step(err)
 	}
-	if err = c.Take(ctx, conn, h.Name, work, token); err != nil {
-		return step(err)
+	if err = c.Take(ctx, conn, h.Name, work, token); err == nil {
+		err = do(ctx, conn)
 	}
-	if err = do(ctx, conn); err != nil {
-		return step(err)
+	if err != nil {
+		if conn.IsClosed() {
+			return step(err)
+		}
+		_, _, _ = Exec(ctx, conn, "ROLLBACK")
+		return Decided(err, step)
+	}
+	out, err := conn.Exec(ctx, "COMMIT").ReadAll()
+	if err == nil && (len(out) != 1 || out[0].CommandTag.String() != "COMMIT") {
+		err = &pgconn.PgError{Code: "25P02", Message: "the transaction was taken back: a statement in it had failed"}
+	}
+	return step(err)
+}
+
+// Decided words an error of what was done in a transaction that was rolled back: one that has a Code of its own stays as it
+// is, another is as step has it.
+func Decided(err error, step func(error) error) error {
+	var own interface{ Code() string }
+	if errors.As(err, &own) {
+		return err
 	}
-	_, _, err = Exec(ctx, conn, "COMMIT")
 	return step(err)
 }
 
