--- a/internal/cluster/move/sql/gate.go
+++ b/internal/cluster/move/sql/gate.go
@@ -87,7 +87,7 @@
 func stragglers(ctx context.Context, conn *pgconn.PgConn) ([]move.Straggler, error) {
 	rows, _, err := place.Exec(ctx, conn, "SELECT pid, usename, state, backend_xid, extract(epoch FROM clock_timestamp() - xact_start) FROM pg_stat_activity "+
 		"WHERE datname = current_database() AND pid <> pg_backend_pid() AND backend_type = 'client backend' AND xact_start IS NOT NULL "+
-		"AND application_name <> 'ashstand works' ORDER BY xact_start")
+		"ORDER BY xact_start")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cluster/move/sql/look.go
+++ b/internal/cluster/move/sql/look.go
@@ -106,7 +106,15 @@
 	out.Reached = true
 	out.SlotLost = !followedThere || !slotThere || slot == ""
 	out.Ready = followedThere && tabs == ready && strconv.Itoa(tabs) == published
-	out.Ahead = remote > out.HomePos
+	if remote > out.HomePos { // it may have been written since the home was asked
+		if err := p.on(ctx, a, home, "position", func(ctx context.Context, conn *pgconn.PgConn) error {
+			now, err := standing(ctx, conn)
+			out.Ahead = remote > now
+			return err
+		}); err != nil {
+			return out, err
+		}
+	}
 	out.Unmarked = marked == "" || !backThere
 	p.learn(a.Work, func(x *pace) {
 		if x.lines != out.Lines {
