--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -48,7 +48,8 @@
 	name     string
 	instance uint64
 	broken   string
-	works    *works // nil: off
+	config   agree.Config // of the agreement
+	works    *works       // nil: off
 }
 
 // meet starts it; nil where the operator's file has no cluster: then nothing of it is opened, started or allocated.
@@ -121,6 +122,7 @@
 	}
 	c := agree.Config{Name: self.Name, Instance: self.Instance, Voters: a.Voters, Lease: clock.Millis(a.Lease), Drift: a.Drift, Pace: clock.Millis(a.Renew),
 		Election: clock.Millis(a.Election), Limits: limits, Format: newestFormat, Seed: cfg.seed, Desk: desk(cfg), Break: broken}
+	f.config = c
 	var err error
 	o := runner.Options{Config: c, Folder: a.Folder, Clock: now, Send: f.send, Changed: f.acts}
 	if f.trace != nil {
@@ -264,7 +266,7 @@
 
 // deeds are what operators can have done.
 func (n *node) deeds() map[string]admin.Deed {
-	return map[string]admin.Deed{"cost": n.costs.answer, "work": n.enter, "propose": func(ctx context.Context, body []byte) (any, error) {
+	return map[string]admin.Deed{"cost": n.costs.answer, "work": n.enter, "move-plan": n.plan, "propose": func(ctx context.Context, body []byte) (any, error) {
 		if n.others == nil || n.others.agreed == nil {
 			return nil, errors.New("this pooler's file has no cluster.agreement block")
 		}
--- a/cmd/ashstand/commands.go
+++ b/cmd/ashstand/commands.go
@@ -115,6 +115,7 @@
 		stateCommands(),
 		clusterCommands(ask, view, address),
 		workCommands(ask, view, address),
+		moveCommands(ask, func() bool { return asJSON }, address),
 		costCommands(ask, func() bool { return asJSON }, address),
 		&cobra.Command{Use: "version", Short: "print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
 			fmt.Fprintln(c.OutOrStdout(), version())
@@ -251,6 +252,7 @@
 		"cluster":   func() any { return n.others.view() },
 		"agreement": func() any { return n.others.agreement() },
 		"works":     func() any { return n.others.workViews() },
+		"moves":     func() any { return n.others.moveViews() },
 		"config": func() any {
 			c := n.cfg.Load()
 			return map[string]any{"name": c.Name, "listen": c.Listen, "discovery": c.Discovery, "limits": c.Limits,
--- /dev/null
+++ b/cmd/ashstand/moves.go
@@ -0,0 +1,445 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ashstand/internal/admin"
+	"ashstand/internal/clock"
+	"ashstand/internal/cluster/agree"
+	"ashstand/internal/cluster/agree/runner"
+	"ashstand/internal/cluster/move"
+	movesql "ashstand/internal/cluster/move/sql"
+	"ashstand/internal/cluster/owner"
+)
+
+// kindMove is the name of that kind of work.
+const kindMove = "move"
+
+// movesAtOnce is how many may run in the fleet: then a change of the rules waits for one other's at the most, which is what
+// the bound of a pause has room for (move.Costs).
+const movesAtOnce = 2
+
+// movesRules are the agreed rules as moves need them.
+type movesRules struct {
+	agreed *runner.Runner
+	clock  clock.Clock
+	limits agree.Rules
+}
+
+// Now is move.Rules'.
+func (r *movesRules) Now() (rules map[string]any, version int, inForce bool) {
+	g := r.agreed.Grip()
+	if p := g.Held.Pending; p != nil {
+		return p.Rules, p.N, false
+	}
+	return g.Held.Force.Rules, g.Held.Force.N, !g.Lapsed(r.clock.Now())
+}
+
+// Change is move.Rules'. An answer that says that another version is not in force yet is no refusal: it is asked again.
+func (r *movesRules) Change(ctx context.Context, work string, token owner.Token, change map[string]any) (int, error) {
+	for {
+		n, err := r.agreed.Enter(ctx, owner.Entry{Op: owner.Act, Work: work, Token: token}, agree.Rules(change))
+		var refused *agree.Refused
+		if err == nil || !errors.As(err, &refused) {
+			return n, err
+		}
+		select {
+		case <-ctx.Done():
+			return 0, err
+		case <-time.After(changeAgain):
+		}
+	}
+}
+
+// changeAgain is short against the time in which a version comes into force, and long against a line of the log.
+const changeAgain = 20 * time.Millisecond
+
+// Limited is move.Rules'. A pause that the limits don't set would not hold for a pooler without a lease.
+func (r *movesRules) Limited(key string) bool {
+	v, named := r.limits[key]
+	return named && (!strings.HasSuffix(key, ".paused") || v == true)
+}
+
+// turns say which planned moves may start, by this pooler's copy of the ledger. Two owners whose copies differ may start
+// one too many; nothing but the bound's margin rests on that.
+type turns struct{ w *works }
+
+// Turn is move.Turns'.
+func (t turns) Turn(work string) (bool, string) {
+	l := t.w.ledger()
+	why, waits := move.May(move.Candidates(l, kindMove, func(move.Group) (hosts, zones []string) { return nil, nil }), move.Limits{All: movesAtOnce})[work]
+	return waits && why == "", why
+}
+
+// ledger is this pooler's copy.
+func (w *works) ledger() *owner.Ledger {
+	of, _ := w.log.Works()
+	l := &owner.Ledger{Works: map[string]*owner.Work{}}
+	for name, x := range of {
+		l.Works[name] = &x
+	}
+	return l
+}
+
+// moves makes the kind of work that moves are.
+func (f *fellows) moves(w *works, cfg *config, c agree.Config, now clock.Clock) *move.Mover {
+	deed := cfg.operator.Cluster.Agree.Works.Deed
+	_, force := c.Bound()
+	_, takeover := c.Takeover() // whoever dies may have led the log as well
+	m := &move.Mover{Places: &movesql.Places{Client: w.client, Within: deed}, Rules: &movesRules{f.agreed, now, c.Limits}, Turns: turns{w},
+		// A line of the log takes two round trips and two savings: less than a heartbeat each, or the leader would be taken for gone.
+		Costs: move.Costs{Log: c.Election / 5, InForce: force, Owner: takeover, Place: clock.Millis(deed)}}
+	if slices.Contains(move.Breakable, f.broken) {
+		m.Break = f.broken
+	}
+	return m
+}
+
+// ordered checks a move whole before it goes into the log.
+func (w *works) ordered(e *owner.Entry) error {
+	p, err := move.Parse(e.Spec, w.mover.Costs)
+	if err != nil {
+		return err
+	}
+	for _, x := range w.ledger().Works {
+		if other, err := move.Parse(x.Spec, w.mover.Costs); x.Kind == kindMove && !x.Ended && x.Name != e.Work && err == nil && other.Tenant == p.Tenant {
+			return &move.Taken{Tenant: p.Tenant, By: x.Name}
+		}
+	}
+	e.Needs = []uint64{p.From, p.To}
+	return nil
+}
+
+// planView is what a plan comes to where it would run. Times are in milliseconds.
+type planView struct {
+	Plan   move.Plan     `json:"plan"`
+	Least  float64       `json:"least_pause_ms"`  // that could be asked for
+	Cutoff float64       `json:"cutoff_ms"`       // a pause that has lasted so long without its switch is taken back
+	Found  move.Findings `json:"found,omitempty"` // in the agreed rules and at both homes
+}
+
+// plan checks a move, as its first deed would, and enters nothing.
+func (n *node) plan(ctx context.Context, body []byte) (any, error) {
+	if n.others == nil || n.others.works == nil {
+		return nil, noWorks{}
+	}
+	w := n.others.works
+	p, err := move.Parse(body, w.mover.Costs)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wordTime)
+	defer cancel()
+	proof, err := w.mover.Do(ctx, &owner.Work{Spec: body}, &owner.Deed{Number: 1, Name: move.DeedCheck})
+	if err != nil {
+		return nil, err
+	}
+	s, err := move.StateOf(&owner.Work{State: proof.State})
+	return planView{Plan: p, Least: w.mover.Costs.Least(p.Lock), Cutoff: w.mover.Costs.Cutoff(p), Found: s.Findings}, err
+}
+
+// moveView is what operators see of one move.
+type moveView struct {
+	Name    string         `json:"name"`
+	Plan    move.Plan      `json:"plan"`
+	State   move.State     `json:"state"`
+	Step    uint64         `json:"step"` // what a word is given for
+	Since   float64        `json:"since_ms"`
+	Deed    string         `json:"deed,omitempty"` // announced and not settled
+	Owner   string         `json:"owner,omitempty"`
+	Token   owner.Token    `json:"token"`
+	Owners  int            `json:"owners"`
+	Wait    string         `json:"waits_for,omitempty"`
+	Words   []owner.Option `json:"words,omitempty"`
+	Given   *owner.Word    `json:"word,omitempty"` // and not taken up
+	Back    string         `json:"back"`           // what taking it back means now
+	Ended   bool           `json:"ended,omitempty"`
+	Why     string         `json:"why,omitempty"`
+	Code    string         `json:"code,omitempty"` // of what goes wrong
+	Message string         `json:"message,omitempty"`
+	Advice  string         `json:"advice,omitempty"`
+}
+
+type movesView struct {
+	On    bool       `json:"on"`
+	Moves []moveView `json:"moves"`
+}
+
+// phases are since when this pooler has seen each move in its state.
+type phases map[string]phaseSeen
+
+type phaseSeen struct {
+	phase move.Phase
+	at    float64
+}
+
+// see brings phases up to date.
+func (p phases) see(l *owner.Ledger, now float64) {
+	for name, w := range l.Works {
+		s, err := move.StateOf(w)
+		if was, known := p[name]; err == nil && w.Kind == kindMove && (!known || was.phase != s.Phase) {
+			p[name] = phaseSeen{s.Phase, now}
+		}
+	}
+	maps.DeleteFunc(p, func(name string, _ phaseSeen) bool { return l.Works[name] == nil })
+}
+
+// moveViews are what operators see of all moves.
+func (f *fellows) moveViews() any {
+	if f == nil || f.works == nil {
+		return movesView{}
+	}
+	w := f.works
+	v := movesView{On: true, Moves: []moveView{}}
+	l, now, here := w.ledger(), w.clock.Now(), w.doer.Views()
+	w.mu.Lock()
+	w.phases.see(l, now)
+	since := maps.Clone(w.phases)
+	w.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(l.Works)) {
+		x := l.Works[name]
+		if x.Kind != kindMove {
+			continue
+		}
+		m := moveView{Name: name, Step: x.Step, Since: since[name].at, Owner: x.Owner, Token: x.Token, Owners: x.Owners, Given: x.Word, Ended: x.Ended, Why: x.Why}
+		m.Plan, _ = move.Parse(x.Spec, w.mover.Costs) // it was judged when it came in
+		var err error
+		if m.State, err = move.StateOf(x); err != nil {
+			m.Code, m.Message, m.Advice = "work_unreadable", err.Error(), (&move.Unreadable{}).Advice()
+		}
+		if m.Back = move.Back[m.State.Phase]; x.Deed != nil {
+			m.Deed = x.Deed.Name
+		}
+		if h, own := here[name]; own {
+			m.Wait, m.Words, m.Code, m.Message, m.Advice = h.Wait, h.Says, h.Code, h.Err, h.Do
+		} else if !x.Ended {
+			// The words hang on what is proven alone; what is waited for only its owner knows.
+			m.Words = w.mover.Next(now, x, nil).Says
+			m.Wait = "ask " + cmp.Or(x.Owner, "again: it has no owner yet")
+		}
+		for _, finding := range m.State.Findings.Refusing() {
+			if m.Code == "" {
+				m.Code, m.Message, m.Advice = finding.Code(), finding.Error(), finding.Advice()
+			}
+		}
+		if len(m.State.Differ) > 0 && m.Code == "" {
+			d := &m.State.Differ[0]
+			m.Code, m.Message, m.Advice = d.Code(), d.Error(), d.Advice()
+		}
+		v.Moves = append(v.Moves, m)
+	}
+	return v
+}
+
+// moveCommands order moves, show them and bring words in.
+func moveCommands(ask func(*cobra.Command) *cobra.Command, asJSON func() bool, address func() (string, error)) *cobra.Command {
+	root := &cobra.Command{Use: "move", Short: "take a database from one group of db hosts to another while it is in use"}
+	do := func(c *cobra.Command, what string, body []byte, out any, table func(io.Writer)) error {
+		a, err := address()
+		if err != nil {
+			return err
+		}
+		if err := admin.Do(a, what, body, out); err != nil {
+			return err
+		}
+		if asJSON() {
+			b, err := json.MarshalIndent(out, "", "  ")
+			if err == nil {
+				_, err = fmt.Fprintf(c.OutOrStdout(), "%s\n", b)
+			}
+			return err
+		}
+		table(c.OutOrStdout())
+		return nil
+	}
+	enter := func(c *cobra.Command, e owner.Entry, say string) error {
+		body, err := json.Marshal(e)
+		if err != nil {
+			return err
+		}
+		out := struct {
+			Work string `json:"work"`
+		}{}
+		return do(c, "work", body, &out, func(w io.Writer) { fmt.Fprintln(w, say) })
+	}
+	root.AddCommand(ask(&cobra.Command{Use: "plan FILE", Short: "say whether a plan can be kept here, and what is wrong with it; nothing is begun", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			var v planView
+			return do(c, "move-plan", text, &v, func(w io.Writer) { planTable(w, &v) })
+		}}))
+	var name string
+	start := &cobra.Command{Use: "start FILE", Short: "order the move of a plan", Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+		text, err := os.ReadFile(args[0])
+		if err != nil {
+			return err
+		}
+		called := name
+		if called == "" {
+			var p move.Plan
+			_ = json.Unmarshal(text, &p) // what is wrong with it is said by who checks it
+			called = fmt.Sprintf("%s-to-%d", p.Tenant, p.To)
+		}
+		return enter(c, owner.Entry{Op: owner.Create, Work: called, Kind: kindMove, Spec: text}, "the move "+called+" is in the log; ashstand move status "+called+" shows it")
+	}}
+	start.Flags().StringVar(&name, "name", "", "of the move (default: TENANT-to-GROUP)")
+	root.AddCommand(ask(start))
+	root.AddCommand(ask(&cobra.Command{Use: "status [NAME]", Short: "show moves: their state, what each waits for, and what each word would do", Args: cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			a, err := address()
+			if err != nil {
+				return err
+			}
+			var v movesView
+			if err := admin.Get(a, "moves", &v); err != nil {
+				return err
+			}
+			if !v.On {
+				return noWorks{}
+			}
+			if len(args) > 0 {
+				if v.Moves = slices.DeleteFunc(v.Moves, func(m moveView) bool { return m.Name != args[0] }); len(v.Moves) == 0 {
+					return &owner.Refusal{Reason: owner.NoWork, Work: args[0]}
+				}
+			}
+			if asJSON() {
+				b, err := json.MarshalIndent(&v, "", "  ")
+				if err == nil {
+					_, err = fmt.Fprintf(c.OutOrStdout(), "%s\n", b)
+				}
+				return err
+			}
+			moveTable(c.OutOrStdout(), &v)
+			return nil
+		}}))
+	for _, w := range []struct{ say, short string }{{move.Go, "let a move pass the checkpoint that it waits at"}, {move.Hold, "begin nothing further until resume; a tenant that is paused opens where it was"},
+		{move.Resume, "go on with a move that is held"}, {move.Rollback, "take a move back"}, {move.Accept, "end the way back of a move that has switched"}} {
+		var step uint64
+		word := &cobra.Command{Use: w.say + " NAME --step N", Short: w.short, Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			if !c.Flags().Changed("step") {
+				return errors.New("--step names the step that the word is given for, as ashstand move status shows it")
+			}
+			return enter(c, owner.Entry{Op: owner.Say, Work: args[0], Word: &owner.Word{Say: w.say, By: os.Getenv("USER"), Step: step, Lasting: w.say == move.Rollback}},
+				"the word is in the log; ashstand move status "+args[0]+" shows what becomes of it")
+		}}
+		word.Flags().Uint64Var(&step, "step", 0, "that the word is given for")
+		root.AddCommand(ask(word))
+	}
+	return root
+}
+
+func planTable(w io.Writer, v *planView) {
+	p := v.Plan
+	fmt.Fprintf(w, "tenant %s from group %d to group %d\n", p.Tenant, p.From, p.To)
+	fmt.Fprintf(w, "no pause is longer than %.0f ms; here %.0f could be kept at the least; one without its switch after %.0f ms is taken back\n", p.Pause, v.Least, v.Cutoff)
+	fmt.Fprintf(w, "writers are waited for %.0f ms, then they %s; %d pauses may be taken back, %.0f ms apart\n", p.Lock, map[string]string{"end": "are ended", "wait": "are waited for again"}[p.Stragglers],
+		p.Tries, p.Rest)
+	fmt.Fprintf(w, "waits for a word at: %s; the old copy: %s\n", strings.Join(p.Checkpoints, ", "), p.Old)
+	for i := range v.Found {
+		how := "in the way"
+		if v.Found[i].Told {
+			how = "to be known"
+		}
+		fmt.Fprintf(w, "%s: %s; what to do: %s\n", how, v.Found[i].Error(), v.Found[i].Advice())
+	}
+}
+
+func moveTable(w io.Writer, v *movesView) {
+	if len(v.Moves) == 0 {
+		fmt.Fprintln(w, "there are no moves")
+	}
+	for i := range v.Moves {
+		m := &v.Moves[i]
+		s := m.State
+		fmt.Fprintf(w, "%s: tenant %s from group %d to group %d\n", m.Name, m.Plan.Tenant, m.Plan.From, m.Plan.To)
+		fmt.Fprintf(w, "  state    %s", s.Phase)
+		if s.Reverse {
+			fmt.Fprint(w, ", on the way back")
+		}
+		if s.Held != "" {
+			fmt.Fprintf(w, ", held: %s", s.Held)
+		}
+		fmt.Fprintf(w, "; seen here since %s\n", time.UnixMilli(int64(m.Since)).UTC().Format(time.DateTime))
+		fmt.Fprintf(w, "  step     %d", m.Step)
+		if m.Deed != "" {
+			fmt.Fprintf(w, ", %s under way", m.Deed)
+		}
+		fmt.Fprintf(w, "; owner %s under token %d, the %d. so far\n", cmp.Or(m.Owner, "-"), m.Token, m.Owners)
+		for _, line := range shown(s) {
+			fmt.Fprintf(w, "  shown    %s\n", line)
+		}
+		if m.Ended {
+			fmt.Fprintf(w, "  ended    %s\n", cmp.Or(m.Why, string(s.Phase)))
+			continue
+		}
+		if m.Wait != "" {
+			fmt.Fprintf(w, "  waits    %s\n", m.Wait)
+		}
+		if m.Message != "" {
+			fmt.Fprintf(w, "  trouble  %s (%s); what to do: %s\n", m.Message, m.Code, m.Advice)
+		}
+		if m.Given != nil {
+			fmt.Fprintf(w, "  given    %s by %s for step %d\n", m.Given.Say, cmp.Or(m.Given.By, "-"), m.Given.Step)
+		}
+		for _, o := range m.Words {
+			fmt.Fprintf(w, "  word     %s: %s\n", o.Say, o.Does)
+		}
+		fmt.Fprintf(w, "  back     %s\n", m.Back)
+	}
+}
+
+// shown says what a state rests on.
+func shown(s move.State) (out []string) {
+	add := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
+	if s.Published {
+		all := ""
+		if s.Copy.All {
+			all = ", all tables"
+		}
+		add("copied up to %q%s; begun anew %d times", s.Copy.After, all, s.Copy.Again)
+	}
+	if s.Compare.Ranges+s.Compare.Hot > 0 {
+		add("%d ranges found equal, %d left for the pause since they changed meanwhile", s.Compare.Ranges, s.Compare.Hot)
+	}
+	if p := s.Pause; p != nil {
+		if p.Closed != nil {
+			add("the home is fenced on timeline %d at %v", p.Closed.Line, p.Closed.Position)
+		}
+		if p.Verified {
+			add("%d ranges and %d reads held against each other in the pause: equal", p.Ranges, p.Reads)
+		}
+	}
+	for i := range s.Stragglers {
+		add("%s", s.Stragglers[i].Error())
+	}
+	for i := range s.Differ {
+		add("%s", s.Differ[i].Error())
+	}
+	for _, x := range s.Lost {
+		add("lost: %s", x)
+	}
+	for _, x := range s.Notes {
+		add("%s", x)
+	}
+	if s.Fed {
+		add("the old home is fed from the new one")
+	}
+	if s.Back != "" {
+		add("taken back: %s", s.Back)
+	}
+	return out
+}
--- a/cmd/ashstand/works.go
+++ b/cmd/ashstand/works.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -18,6 +19,7 @@
 	"ashstand/internal/admin"
 	"ashstand/internal/clock"
 	"ashstand/internal/cluster/agree/runner"
+	"ashstand/internal/cluster/move"
 	"ashstand/internal/cluster/owner"
 	"ashstand/internal/cluster/owner/doing"
 	"ashstand/internal/cluster/owner/drill"
@@ -35,9 +37,11 @@
 	clock  clock.Clock
 	stop   context.CancelFunc
 	done   sync.WaitGroup
+	mover  *move.Mover
 
-	mu    sync.Mutex
-	reach map[uint64]float64 // when a group's primary answered last
+	mu     sync.Mutex
+	reach  map[uint64]float64 // when a group's primary answered last
+	phases phases
 }
 
 // agreedLog is the log as doing wants it.
@@ -68,7 +72,7 @@
 		return
 	}
 	o := cfg.operator.Cluster.Agree.Works
-	w := &works{log: &agreedLog{f.agreed}, clock: now, reach: map[uint64]float64{}}
+	w := &works{log: &agreedLog{f.agreed}, clock: now, reach: map[uint64]float64{}, phases: phases{}}
 	w.client = &place.Client{User: o.User, Unsafe: f.broken, Hosts: func(group uint64) (out []place.Host) {
 		for _, e := range *n.list.Load() {
 			if e.Group == group && e.Status == discovery.Active {
@@ -78,7 +82,8 @@
 		slices.SortFunc(out, func(a, b place.Host) int { return strings.Compare(a.Name, b.Name) })
 		return out
 	}}
-	w.kinds = map[string]owner.Kind{drill.Name: &drill.Kind{Client: w.client, Now: now.Now, Unsafe: f.broken}}
+	w.mover = f.moves(w, cfg, f.config, now)
+	w.kinds = map[string]owner.Kind{drill.Name: &drill.Kind{Client: w.client, Now: now.Now, Unsafe: f.broken}, kindMove: w.mover}
 	opts := doing.Options{Name: f.name, Instance: f.instance, Zone: cfg.operator.Cluster.Zone, Kinds: w.kinds, Log: w.log, Clock: now,
 		Pace: clock.Millis(o.Pace), Deed: clock.Millis(o.Deed), Reach: w.reached, Sound: f.agreed.Sound}
 	if f.trace != nil {
@@ -102,13 +107,16 @@
 // look asks the primaries of the groups that open works need whether they answer.
 func (w *works) look(ctx context.Context) {
 	of, _ := w.log.Works()
+	w.mu.Lock()
+	w.phases.see(w.ledger(), w.clock.Now())
+	w.mu.Unlock()
 	groups := map[uint64]string{}
 	for _, x := range of {
 		if !x.Ended {
-			var spec struct{ Database string }
+			var spec struct{ Database, Tenant string }
 			_ = json.Unmarshal(x.Spec, &spec)
 			for _, g := range x.Needs {
-				groups[g] = spec.Database
+				groups[g] = cmp.Or(spec.Database, spec.Tenant)
 			}
 		}
 	}
@@ -229,6 +237,11 @@
 		}
 		e.Needs = s.Groups
 	}
+	if e.Op == owner.Create && e.Kind == kindMove {
+		if err := n.others.works.ordered(&e); err != nil {
+			return nil, err
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, wordTime)
 	defer cancel()
 	_, err := n.others.agreed.Enter(ctx, e, nil)
--- a/internal/cluster/agree/node.go
+++ b/internal/cluster/agree/node.go
@@ -90,7 +90,7 @@
 	Known    int    // MsgRenew: the highest version that it acts on, met or alone
 	Format   int    // MsgRenew: that its program reads
 	For      float64
-	Held     Held // MsgGrant: in force, and pending
+	Held     Held // MsgGrant, and whatever else brings works: in force, and pending
 	Version  Version
 	OK       bool
 	Why      string
@@ -449,6 +449,7 @@
 	case MsgGrant:
 		n.granted(m)
 	case MsgWorks:
+		n.hear(m)
 		n.works.take(m)
 	case MsgNoLeader:
 		if n.leader == m.From || n.leader == "" {
@@ -465,6 +466,7 @@
 	case MsgAnswer:
 		if _, ok := n.mine[m.ID]; ok {
 			delete(n.mine, m.ID)
+			n.hear(m)
 			n.works.take(m)
 			n.out.Answers = append(n.out.Answers, m)
 		}
@@ -610,6 +612,13 @@
 		return
 	}
 	n.leader = m.From
+	n.hear(m)
+	n.until = max(n.until, sent+m.For)
+	n.works.take(m)
+}
+
+// hear takes the versions that a message brings. What it says of works is no newer than these.
+func (n *Node) hear(m Message) {
 	h := n.held
 	if m.Held.Force.N > h.Force.N {
 		h.Force = m.Held.Force
@@ -631,8 +640,6 @@
 		n.held, n.dirty = h, true
 		n.renewAt = n.now // confirm at once
 	}
-	n.until = max(n.until, sent+m.For)
-	n.works.take(m)
 }
 
 // drain does what the library asks for until it asks for no more.
--- a/internal/cluster/agree/works.go
+++ b/internal/cluster/agree/works.go
@@ -197,7 +197,7 @@
 func (n *Node) answer(to string, d done) Message {
 	a := Message{To: to, Kind: MsgAnswer, ID: d.ID, OK: d.N > 0 || d.Work && d.Refused == nil, Why: d.Why, Refused: d.Refused}
 	if a.Version.N = d.N; d.Work {
-		a.Epoch = n.st.Epoch
+		a.Epoch, a.Held = n.st.Epoch, n.st.Held
 		if w := n.st.Ledger.Works[d.Name]; w != nil {
 			a.Works = []owner.Work{*w}
 		}
@@ -229,7 +229,7 @@
 // named tells a work's new owner at once, rather than with its next lease.
 func (n *Node) named(e *owner.Entry) {
 	if w := n.st.Ledger.Works[e.Work]; n.leading && e.Op == owner.Assign && w != nil && w.Owner == e.To && w.Instance == e.Instance {
-		n.send(Message{To: e.To, Kind: MsgWorks, Epoch: n.st.Epoch, Works: []owner.Work{*w}})
+		n.send(Message{To: e.To, Kind: MsgWorks, Epoch: n.st.Epoch, Held: n.st.Held, Works: []owner.Work{*w}})
 	}
 }
 
