ashlab cluster move: tenants move between groups on real processes, judged by what the groups hold

Sessions of each tenant at each pooler write and read all along, two operators give words, moves are taken back before and after the switch, a writer that knows nothing of the move goes on at the old home.

--- a/cmd/ashlab/cluster.go
+++ b/cmd/ashlab/cluster.go
@@ -21,7 +21,7 @@
 // clusters are the measurements of many processes together.
 func clusters() *cobra.Command {
 	root := &cobra.Command{Use: "cluster", Short: "many poolers with faults between them"}
-	root.AddCommand(clusterMembers(), clusterAgree(), clusterOwner(), clusterShrink(), clusterSimulate(), clusterMoves())
+	root.AddCommand(clusterMembers(), clusterAgree(), clusterOwner(), clusterShrink(), clusterSimulate(), clusterMoves(), clusterMove())
 	return root
 }
 
--- a/cmd/ashstand/works.go
+++ b/cmd/ashstand/works.go
@@ -93,7 +93,7 @@
 			if of.Deed != nil {
 				deed = of.Deed.Name
 			}
-			f.trace.line(map[string]any{"event": "work", "work": of.Name, "token": of.Token, "text": event, "deed": deed})
+			f.trace.line(map[string]any{"event": "work", "work": of.Name, "token": of.Token, "text": event, "deed": deed, "step": of.Step})
 			f.trace.trap(event, deed)
 		}
 	}
--- a/lab/cluster/agree.go
+++ b/lab/cluster/agree.go
@@ -30,6 +30,15 @@
 // strictest are the limits of every pooler of a run.
 const strictest = `{"class.browse.bound_ms": 50, "class.my-library.repeat": false, "tries": 1, "database.orders.group": 0}`
 
+// limits are strictest and, of each tenant, that nobody serves it who does not know where it is.
+func (r *rig) limits() string {
+	text := strings.TrimSuffix(strictest, "}")
+	for _, t := range r.o.tenants() {
+		text += fmt.Sprintf(`, "database.%s.group": 0, "database.%s.paused": true`, t, t)
+	}
+	return text + "}"
+}
+
 // found writes each voter's first folder, by the program's own command, and keeps a copy for later.
 func (r *rig) found() error {
 	program := r.o.Pooler
@@ -49,7 +58,7 @@
 			return err
 		}
 	}
-	return os.WriteFile(filepath.Join(r.dir, "limits.json"), []byte(strictest), 0o600)
+	return os.WriteFile(filepath.Join(r.dir, "limits.json"), []byte(r.limits()), 0o600)
 }
 
 func (r *rig) folder(name string) string { return filepath.Join(r.dir, name+"-agreed") }
--- a/lab/cluster/run.go
+++ b/lab/cluster/run.go
@@ -31,6 +31,17 @@
 	Log     bool
 	Agree   bool // on versions of rules, which are proposed all along
 	Works   bool // are done by one owner at a time
+
+	Groups  int // of hosts; 0: one
+	Tenants int // databases that move between them
+}
+
+// tenants are the names of the databases.
+func (o Options) tenants() (out []string) {
+	for i := range o.Tenants {
+		out = append(out, fmt.Sprint("t", i+1))
+	}
+	return out
 }
 
 // rig is a run.
@@ -130,8 +141,12 @@
 	if p.Break != "" {
 		env = append(env, "ASHSTAND_BREAK=cluster-"+p.Break)
 	}
-	r.fleet, err = fleet.Start(fleet.Options{Pooler: r.o.Pooler, Replicas: 2, Lag: 20 * time.Millisecond, Seed: p.Seed, Clients: 10, Servers: 8, Log: r.o.Log,
-		Names: p.Names, Extra: r.extra, Agent: r.agent, Env: env})
+	opts := fleet.Options{Pooler: r.o.Pooler, Replicas: 2, Lag: 20 * time.Millisecond, Seed: p.Seed, Clients: 10, Servers: 8, Log: r.o.Log,
+		Names: p.Names, Extra: r.extra, Agent: r.agent, Env: env}
+	if r.o.Tenants > 0 {
+		opts.Groups, opts.Databases, opts.Clients, opts.Servers = r.o.Groups, r.o.tenants(), 4*r.o.Tenants, 8*r.o.Tenants
+	}
+	r.fleet, err = fleet.Start(opts)
 	if err != nil {
 		return err
 	}
@@ -584,6 +599,7 @@
 	At, Left            float64
 	Event, Of, From, To string
 	Work, Text, Deed    string
+	Token, Step         uint64
 	Versions            []int
 	Rules               map[string]any
 	Lapsed              bool
