A move that waits in a pause looks at the homes and rules at a pace, not once its time is up

Cause: paused (move/next.go) returned all the time that was left as Step.Wait, so the owner did not look again before the cutoff. That it was then replaced as stalled is likely and was not traced.

Nothing with faults has been run to its end.

--- a/internal/cluster/move/next.go
+++ b/internal/cluster/move/next.go
@@ -237,6 +237,9 @@
 	return n.do(DeedCopy, Data{Rows: pace * batch})
 }
 
+// pausedLook is how often it is looked while a tenant is paused, in ms: short against any pause.
+const pausedLook = 20
+
 const batch = 10 // seconds' worth of rows handed over at once: short against a change of load, long against a deed in the log
 
 // failover words what a failover of the home left behind, "" if it had none.
@@ -341,7 +344,7 @@
 	}
 	step := n.forward(see, left)
 	if step.Deed == "" && n.broken != "pause" {
-		step.Wait = max(1, left)
+		step.Wait = max(1, min(left, pausedLook)) // what it waits for shows at the places and in the rules, and has to be looked for
 	}
 	return step
 }
