--- a/cmd/ashstand/moves.go
+++ b/cmd/ashstand/moves.go
@@ -47,9 +47,9 @@
 }
 
 // Change is move.Rules'. An answer that says that another version is not in force yet is no refusal: it is asked again.
-func (r *movesRules) Change(ctx context.Context, work string, token owner.Token, change map[string]any) (int, error) {
+func (r *movesRules) Change(ctx context.Context, work string, token owner.Token, deed *owner.Deed, change map[string]any) (int, error) {
 	for {
-		n, err := r.agreed.Enter(ctx, owner.Entry{Op: owner.Act, Work: work, Token: token}, agree.Rules(change))
+		n, err := r.agreed.Enter(ctx, owner.Entry{Op: owner.Act, Work: work, Token: token, Deed: deed}, agree.Rules(change))
 		var refused *agree.Refused
 		if err == nil || !errors.As(err, &refused) {
 			return n, err
--- a/cmd/ashstand/works.go
+++ b/cmd/ashstand/works.go
@@ -83,7 +83,10 @@
 		return out
 	}}
 	w.mover = f.moves(w, cfg, f.config, now)
-	w.kinds = map[string]owner.Kind{drill.Name: &drill.Kind{Client: w.client, Now: now.Now, Unsafe: f.broken}, kindMove: w.mover}
+	w.kinds = map[string]owner.Kind{drill.Name: &drill.Kind{Client: w.client, Now: now.Now, Unsafe: f.broken}}
+	if f.trace != nil { // of its faults on real processes too little has been played for service: see docs/moves.md
+		w.kinds[kindMove] = w.mover
+	}
 	opts := doing.Options{Name: f.name, Instance: f.instance, Zone: cfg.operator.Cluster.Zone, Kinds: w.kinds, Log: w.log, Clock: now,
 		Pace: clock.Millis(o.Pace), Deed: clock.Millis(o.Deed), Reach: w.reached, Sound: f.agreed.Sound}
 	if f.trace != nil {
@@ -212,6 +215,19 @@
 // Advice says what an operator can do.
 func (noWorks) Advice() string { return "ask a pooler that has one, or add the block and restart" }
 
+// movesOff is asked of a pooler in service.
+type movesOff struct{}
+
+func (movesOff) Error() string { return "tenants are not moved in service yet" }
+
+// Code is the reason in a word.
+func (movesOff) Code() string { return "moves_off" }
+
+// Advice says what an operator can do.
+func (movesOff) Advice() string {
+	return "try them in the laboratory (ashlab cluster move); docs/moves.md says what has not been proven with faults"
+}
+
 // enter is what operators bring into the log about works.
 func (n *node) enter(ctx context.Context, body []byte) (any, error) {
 	if n.others == nil || n.others.works == nil {
@@ -224,6 +240,9 @@
 	if e.Op != owner.Create && e.Op != owner.Say {
 		return nil, &owner.Refusal{Reason: owner.Malformed, Work: e.Work, Detail: "operators create works and give words; the rest is their owner's"}
 	}
+	if e.Op == owner.Create && e.Kind == kindMove && n.others.works.kinds[kindMove] == nil {
+		return nil, movesOff{}
+	}
 	if e.Op == owner.Create && n.others.works.kinds[e.Kind] == nil {
 		return nil, &owner.Refusal{Reason: owner.Malformed, Work: e.Work, Detail: "there is no kind " + strconv.Quote(e.Kind)}
 	}
--- a/internal/cluster/agree/runner/runner.go
+++ b/internal/cluster/agree/runner/runner.go
@@ -400,7 +400,7 @@
 			return agree.Message{}, err
 		}
 	}
-	if (m.Kind == agree.MsgRaft) != (m.Raft != nil) || m.From == "" || m.Kind > agree.MsgNoLeader {
+	if (m.Kind == agree.MsgRaft) != (m.Raft != nil) || m.From == "" || m.Kind > agree.MsgWorks {
 		return agree.Message{}, fmt.Errorf("a message of kind %d that lacks a part", m.Kind)
 	}
 	for _, held := range []*agree.Version{&m.Version, &m.Held.Force, m.Held.Pending} {
--- a/internal/cluster/agree/runner/runner_test.go
+++ b/internal/cluster/agree/runner/runner_test.go
@@ -11,9 +11,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	pb "go.etcd.io/raft/v3/raftpb"
 
 	"ashstand/internal/clock"
 	"ashstand/internal/cluster/agree"
+	"ashstand/internal/cluster/owner"
 )
 
 func TestFolder(t *testing.T) {
@@ -243,3 +245,22 @@
 	require.False(t, stands(1900), "500 ms for a save: not before 2 s")
 	require.True(t, stands(4100))
 }
+
+// Whatever a node sends is read where it arrives, of every kind.
+func TestMessagesOfEveryKindAreRead(t *testing.T) {
+	for kind := agree.MsgRaft; kind <= agree.MsgWorks; kind++ {
+		m := agree.Message{From: "a", To: "b", Kind: kind}
+		if kind == agree.MsgRaft {
+			to := uint64(3)
+			m.Raft = &pb.Message{To: &to}
+		}
+		if kind == agree.MsgWorks {
+			m.Epoch, m.Works = 3, []owner.Work{{Name: "w", Kind: "k", Owner: "b", Token: 7}}
+		}
+		b, err := Encode(m)
+		require.NoError(t, err)
+		got, err := Decode(b)
+		require.NoError(t, err, "kind %d", kind)
+		require.Equal(t, m.Works, got.Works)
+	}
+}
--- a/internal/cluster/move/sql/look.go
+++ b/internal/cluster/move/sql/look.go
@@ -105,7 +105,10 @@
 	}
 	out.Reached = true
 	out.SlotLost = !followedThere || !slotThere || slot == ""
-	out.Ready = followedThere && tabs == ready && strconv.Itoa(tabs) == published
+	out.Ready = followedThere && tabs == ready
+	if followedThere && a.State.Phase != move.Copying && strconv.Itoa(tabs) != published { // a failover has lost that they were handed over
+		out.SlotLost = true
+	}
 	if remote > out.HomePos { // it may have been written since the home was asked
 		if err := p.on(ctx, a, home, "position", func(ctx context.Context, conn *pgconn.PgConn) error {
 			now, err := standing(ctx, conn)
