One disk under what is agreed and learned; a failed sync is never trusted later

The agreement's folder and the learned file each wrote a file aside, synced and renamed it, in code of their own.

Seen while joining them: after a sync that failed, the runner stayed away for 2 s and went on with what it read back. A kernel marks pages that it could not write as clean, so that read proves nothing, and what the node then said it held could be gone with the power. The same after a restart: nothing tells whether the process before was told of a failed sync.

internal/disk has the interface, the real file system, errors with a code and advice, and Replace, which both use. A new file each time: the learned file's temporary one was truncated and written on. Folder.Load writes what it read once more, whole, unless this process has done so and nothing failed since; if it can't (ErrUnkept), the pooler starts without the voter's part, says so in Sound, and tries again each 2 s.

TestWhatIsFoundIsWrittenAgainOrNotUsed is red without the writing again (no ErrUnkept where the disk's syncs fail) and without the runner's part (Start fails).

--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -26,6 +26,7 @@
 	"ashstand/internal/cluster/agree"
 	"ashstand/internal/cluster/agree/runner"
 	"ashstand/internal/cluster/member"
+	"ashstand/internal/disk"
 	"ashstand/internal/net/discovery"
 )
 
@@ -400,7 +401,7 @@
 			if folder == "" || !slices.Contains(voters, args[0]) {
 				return errors.New("--folder names where, --voters all voters, this one among them, alike for each")
 			}
-			return runner.Found(folder, args[0], voters)
+			return runner.Found(disk.Real{}, folder, args[0], voters)
 		}}
 	found.Flags().StringVar(&folder, "folder", "", "as cluster.agreement.folder has it")
 	found.Flags().StringSliceVar(&voters, "voters", nil, "the names of all voters")
--- a/cmd/ashstand/homes_test.go
+++ b/cmd/ashstand/homes_test.go
@@ -19,6 +19,7 @@
 	"ashstand/internal/clock"
 	"ashstand/internal/cluster/agree"
 	"ashstand/internal/cluster/agree/runner"
+	"ashstand/internal/disk"
 	"ashstand/internal/net/pg"
 	"ashstand/internal/session"
 	lab "ashstand/lab/host"
@@ -26,7 +27,7 @@
 
 func TestHomesFollowTheRules(t *testing.T) {
 	folder := filepath.Join(t.TempDir(), "agreed")
-	require.NoError(t, runner.Found(folder, "n1", []string{"n1"}))
+	require.NoError(t, runner.Found(disk.Real{}, folder, "n1", []string{"n1"}))
 	limits := agree.Rules{"database.orders.group": 1.0, "database.orders.paused": true, "database.a.b.group": 1.0, "tries": 1.0}
 	r, err := runner.Start(runner.Options{Config: agree.Config{Name: "n1", Instance: 1, Voters: []string{"n1"}, Lease: 600, Drift: 0.01, Pace: 40,
 		Election: 50, Limits: limits, Format: 1, Seed: 1}, Folder: folder, Clock: clock.System(), Send: func(string, []byte) {}})
@@ -105,7 +106,7 @@
 	program := filepath.Join(dir, "ashstand")
 	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
 	require.NoError(t, err, string(out))
-	require.NoError(t, runner.Found(filepath.Join(dir, "agreed"), "n1", []string{"n1"}))
+	require.NoError(t, runner.Found(disk.Real{}, filepath.Join(dir, "agreed"), "n1", []string{"n1"}))
 	discovery := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		rw.(http.Flusher).Flush()
 		<-r.Context().Done()
--- a/cmd/ashstand/state.go
+++ b/cmd/ashstand/state.go
@@ -18,6 +18,7 @@
 	"github.com/zeebo/blake3"
 
 	"ashstand/internal/clock"
+	"ashstand/internal/disk"
 	"ashstand/internal/learned"
 	"ashstand/internal/net/discovery"
 )
@@ -59,7 +60,7 @@
 	if s.Folder == "" {
 		return nil, nil
 	}
-	store, err := learned.Open(s.Folder)
+	store, err := learned.Open(disk.Real{}, s.Folder)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/ashstand/state_test.go
+++ b/cmd/ashstand/state_test.go
@@ -12,19 +12,20 @@
 	"github.com/stretchr/testify/require"
 
 	"ashstand/internal/clock"
+	"ashstand/internal/disk"
 	"ashstand/internal/learned"
 )
 
 // stuck is a disk whose writes hang until it is let go.
 type stuck struct {
-	learned.Real
+	disk.Real
 	release chan struct{}
 	mu      sync.Mutex
 	creates int
 	full    bool
 }
 
-func (d *stuck) Create(path string) (learned.File, error) {
+func (d *stuck) Create(path string) (disk.File, error) {
 	d.mu.Lock()
 	d.creates++
 	full := d.full
--- a/internal/cluster/agree/runner/folder.go
+++ b/internal/cluster/agree/runner/folder.go
@@ -7,17 +7,16 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
+	"io/fs"
 	"path/filepath"
 	"strconv"
-	"syscall"
 
 	"github.com/cespare/xxhash/v2"
 	pb "go.etcd.io/raft/v3/raftpb"
-	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 
 	"ashstand/internal/cluster/agree"
+	"ashstand/internal/disk"
 )
 
 const (
@@ -32,6 +31,7 @@
 	ErrCopy   = errors.New("the folder is a copy")
 	ErrSpoilt = errors.New("the folder can't be read")
 	ErrThere  = errors.New("the folder is in use")
+	ErrUnkept = errors.New("what the folder holds can't be written again, so it may not be there later")
 )
 
 // file is the folder's one file: a line with its checksum, then this. Birth says which file it was written as: a copy has
@@ -48,121 +48,71 @@
 
 // Folder is where a node keeps what it must not forget. One process has it at a time.
 type Folder struct {
+	disk disk.Disk
 	path string
-	lock *os.File
+	lock io.Closer
+	sure bool // what is there was written and synced by this process, and nothing has failed since
 }
 
 // Open takes a folder, made if it is not there.
-func Open(path string) (*Folder, error) {
-	if err := os.MkdirAll(path, 0o700); err != nil {
+func Open(d disk.Disk, path string) (*Folder, error) {
+	if err := d.MakeFolder(path); err != nil {
 		return nil, err
 	}
-	l, err := os.OpenFile(filepath.Join(path, lockName), os.O_CREATE|os.O_RDWR, 0o600)
-	if err != nil {
+	l, err := d.Lock(filepath.Join(path, lockName))
+	if errors.Is(err, disk.ErrHeld) {
+		return nil, fmt.Errorf("%s: %w by another process: %w", path, ErrThere, err)
+	} else if err != nil {
 		return nil, err
 	}
-	if err := syscall.Flock(int(l.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		l.Close()
-		return nil, fmt.Errorf("%s: %w by another process", path, ErrThere)
-	}
-	return &Folder{path, l}, nil
+	return &Folder{disk: d, path: path, lock: l}, nil
 }
 
 // Close lets it go.
-func (f *Folder) Close() { f.lock.Close() }
+func (f *Folder) Close() { _ = f.lock.Close() }
 
 // Load reads what was kept; nil: nothing is there. With ErrCopy what was held is returned, but no identity: the true
-// folder may have voted since. A spoilt file is moved aside.
+// folder may have voted since. A spoilt file is moved aside. What is returned with an identity is surely kept: unless this
+// process has written it, it is written once more, since who wrote it may have been told that it was not synced
+// (disk.Replace says why reading it back does not show that). With ErrUnkept that failed, and no node may run on it.
 func (f *Folder) Load() (*agree.Disk, error) {
 	path := filepath.Join(f.path, fileName)
-	in, err := os.Open(path)
-	if errors.Is(err, os.ErrNotExist) {
+	b, is, err := f.disk.ReadFile(path, maxFolder)
+	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	} else if err != nil {
 		return nil, err
 	}
-	defer in.Close()
-	info, err := in.Stat()
-	if err != nil {
-		return nil, err
-	}
-	is, err := birth(in)
-	if err != nil {
-		return nil, err
+	if is == "" {
+		return nil, fmt.Errorf("%s: the file system does not tell which file it is", path)
 	}
-	if info.Size() > maxFolder {
-		return nil, fmt.Errorf("%s: %w: %d bytes", path, ErrSpoilt, info.Size())
-	}
-	b, err := io.ReadAll(in)
-	if err != nil {
-		return nil, err
+	if len(b) > maxFolder {
+		return nil, fmt.Errorf("%s: %w: more than %d bytes", path, ErrSpoilt, maxFolder)
 	}
 	d, was, err := decode(b)
 	if err != nil {
-		_ = os.Rename(path, path+".spoilt")
+		f.sure = false
+		_ = f.disk.Rename(path, path+".spoilt")
 		return nil, fmt.Errorf("%s: %w: %w; it is moved aside", path, ErrSpoilt, err)
 	}
 	if was != is {
 		return &agree.Disk{Held: d.Held}, fmt.Errorf("%s: %w: it was written as file %s and is %s", path, ErrCopy, was, is)
 	}
-	return d, nil
-}
-
-// birth names a file: its number, and when that was given to it, which no tool can set. A file system that does not tell
-// the time leaves the number, which may be given again.
-func birth(f *os.File) (string, error) {
-	var s unix.Statx_t
-	if err := unix.Statx(int(f.Fd()), "", unix.AT_EMPTY_PATH, unix.STATX_INO|unix.STATX_BTIME, &s); err != nil {
-		return "", fmt.Errorf("%s: %w", f.Name(), err)
-	}
-	if s.Mask&unix.STATX_BTIME == 0 {
-		return fmt.Sprint(s.Ino), nil
+	if !f.sure {
+		if err := f.Save(d); err != nil {
+			return d, fmt.Errorf("%s: %w: %w", path, ErrUnkept, err)
+		}
 	}
-	return fmt.Sprintf("%d born %d.%09d", s.Ino, s.Btime.Sec, s.Btime.Nsec), nil
+	return d, nil
 }
 
-// Save writes a node's state so that a stop at any moment leaves the old one or the new one, whole.
-func (f *Folder) Save(d *agree.Disk) (err error) {
-	path := filepath.Join(f.path, fileName)
-	if err = os.Remove(path + ".new"); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return err // what a stop left there would have the birth of that time
-	}
-	out, err := os.OpenFile(path+".new", os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	defer func() {
-		if err != nil {
-			out.Close()
-			_ = os.Remove(path + ".new")
-		}
-	}()
-	is, err := birth(out)
-	if err != nil {
-		return err
-	}
-	b, err := encode(d, is)
-	if err != nil {
-		return err
-	}
-	if _, err = out.Write(b); err != nil {
-		return err
-	}
-	if err = out.Sync(); err != nil {
-		return err
-	}
-	if err = out.Close(); err != nil {
-		return err
-	}
-	if err = os.Rename(path+".new", path); err != nil {
-		return err
-	}
-	dir, err := os.Open(f.path)
-	if err != nil {
-		return err
-	}
-	defer dir.Close()
-	return dir.Sync()
+// Save writes a node's state so that a stop at any moment leaves the old one or the new one, whole. After an error nobody
+// knows which.
+func (f *Folder) Save(d *agree.Disk) error {
+	f.sure = false
+	err := disk.Replace(f.disk, filepath.Join(f.path, fileName), func(birth string) ([]byte, error) { return encode(d, birth) })
+	f.sure = err == nil
+	return err
 }
 
 func encode(d *agree.Disk, birth string) ([]byte, error) {
@@ -224,8 +174,8 @@
 }
 
 // Found writes a voter's first folder. One that holds something is left alone.
-func Found(path, name string, voters []string) error {
-	f, err := Open(path)
+func Found(on disk.Disk, path, name string, voters []string) error {
+	f, err := Open(on, path)
 	if err != nil {
 		return err
 	}
--- a/internal/cluster/agree/runner/runner.go
+++ b/internal/cluster/agree/runner/runner.go
@@ -19,12 +19,14 @@
 	"ashstand/internal/clock"
 	"ashstand/internal/cluster/agree"
 	"ashstand/internal/cluster/owner"
+	"ashstand/internal/disk"
 )
 
 // Options are what a runner needs.
 type Options struct {
 	Config  agree.Config
-	Folder  string // "": nothing is kept; such a pooler can't vote
+	Folder  string    // "": nothing is kept; such a pooler can't vote
+	Disk    disk.Disk // nil: the operating system's
 	Clock   clock.Clock
 	Send    func(to string, b []byte) // never waits; what can't be sent is lost
 	Changed func(agree.Acting)        // told whenever what is acted on changes; nil: nobody
@@ -84,18 +86,24 @@
 	if o.Folder == "" && slices.Contains(o.Config.Voters, o.Config.Name) {
 		return nil, &agree.NoFolder{Name: o.Config.Name}
 	}
-	var disk *agree.Disk
+	var kept *agree.Disk
+	var unkept error
 	if o.Folder != "" {
 		var err error
-		if r.folder, err = Open(o.Folder); err != nil {
+		if o.Disk == nil {
+			o.Disk = disk.Real{}
+		}
+		if r.folder, err = Open(o.Disk, o.Folder); err != nil {
 			return nil, err
 		}
-		if disk, err = r.load(); err != nil {
+		if kept, err = r.load(); errors.Is(err, ErrUnkept) {
+			unkept = err
+		} else if err != nil {
 			r.folder.Close()
 			return nil, err
 		}
 	}
-	n, err := agree.New(o.Config, disk, o.Clock.Now())
+	n, err := agree.New(o.Config, kept, o.Clock.Now())
 	if err != nil {
 		if r.folder != nil {
 			r.folder.Close()
@@ -104,6 +112,12 @@
 	}
 	g := n.Grip()
 	r.grip.Store(&g)
+	if unkept != nil { // it goes by its limits meanwhile
+		r.failed.Add(1)
+		r.away.Store(true)
+		slog.Error("cluster: " + unkept.Error())
+		n = nil
+	}
 	r.done.Go(func() { r.run(n) })
 	return r, nil
 }
@@ -230,7 +244,9 @@
 			if now = r.o.Clock.Now(); n != nil {
 				n.Tick(now)
 			} else if time.Since(away) > diskPause {
-				n = r.again()
+				if n = r.again(); n == nil {
+					away = time.Now()
+				}
 			}
 		case m := <-r.inbox:
 			if now = r.o.Clock.Now(); n != nil {
@@ -331,21 +347,21 @@
 
 // load reads the folder; with one that is a copy or spoilt the node goes on under a new identity.
 func (r *Runner) load() (*agree.Disk, error) {
-	disk, err := r.folder.Load()
+	kept, err := r.folder.Load()
 	if errors.Is(err, ErrCopy) || errors.Is(err, ErrSpoilt) {
 		slog.Error("cluster: " + err.Error() + "; this pooler comes under a new identity")
-		return disk, nil
+		return kept, nil
 	}
-	return disk, err
+	return kept, err
 }
 
 // again starts the node once more on what its folder holds.
 func (r *Runner) again() *agree.Node {
-	disk, err := r.load()
+	kept, err := r.load()
 	if err != nil {
 		return nil
 	}
-	n, err := agree.New(r.o.Config, disk, r.o.Clock.Now())
+	n, err := agree.New(r.o.Config, kept, r.o.Clock.Now())
 	if err != nil {
 		slog.Error("cluster: " + err.Error())
 		return nil
--- a/internal/cluster/agree/runner/runner_test.go
+++ b/internal/cluster/agree/runner/runner_test.go
@@ -7,6 +7,8 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -16,15 +18,16 @@
 	"ashstand/internal/clock"
 	"ashstand/internal/cluster/agree"
 	"ashstand/internal/cluster/owner"
+	"ashstand/internal/disk"
 )
 
 func TestFolder(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "a")
-	require.NoError(t, Found(path, "n1", []string{"n1", "n2", "n3"}))
-	require.ErrorContains(t, Found(path, "n1", []string{"n1"}), "something is kept there already")
-	f, err := Open(path)
+	require.NoError(t, Found(disk.Real{}, path, "n1", []string{"n1", "n2", "n3"}))
+	require.ErrorContains(t, Found(disk.Real{}, path, "n1", []string{"n1"}), "something is kept there already")
+	f, err := Open(disk.Real{}, path)
 	require.NoError(t, err)
-	_, err = Open(path)
+	_, err = Open(disk.Real{}, path)
 	require.ErrorIs(t, err, ErrThere)
 	d, err := f.Load()
 	require.NoError(t, err)
@@ -63,7 +66,7 @@
 	require.Nil(t, d)
 	require.NoError(t, err, "it was moved aside")
 	f.Close()
-	f, err = Open(path)
+	f, err = Open(disk.Real{}, path)
 	require.NoError(t, err)
 	f.Close()
 }
@@ -120,7 +123,7 @@
 	for i, name := range []string{"n1", "n2", "n3", "n4"} {
 		folders[name] = filepath.Join(quick(t), name)
 		if name != "n4" {
-			require.NoError(t, Found(folders[name], name, voters))
+			require.NoError(t, Found(disk.Real{}, folders[name], name, voters))
 		}
 		start(name, uint64(i+1))
 	}
@@ -191,7 +194,7 @@
 // A folder that can't be written is like a process that ended: nothing is sent or acted on that is not kept.
 func TestAFullDisk(t *testing.T) {
 	path := filepath.Join(quick(t), "a")
-	require.NoError(t, Found(path, "n1", []string{"n1"}))
+	require.NoError(t, Found(disk.Real{}, path, "n1", []string{"n1"}))
 	r, err := Start(Options{Folder: path, Clock: clock.System(), Send: func(string, []byte) {}, Config: agree.Config{Name: "n1", Voters: []string{"n1"}, Lease: 300,
 		Pace: 30, Election: 60, Format: 1, Limits: agree.Rules{"tries": 1.0}}})
 	require.NoError(t, err)
@@ -208,6 +211,68 @@
 	require.Eventually(t, func() bool { return !r.Acting().Lapsed }, 10*time.Second, 10*time.Millisecond)
 }
 
+// unsynced is a disk whose syncs fail while it is told so: what is written can be read, but may be gone later.
+type unsynced struct {
+	disk.Real
+	fails atomic.Bool
+}
+
+type unsyncedFile struct {
+	disk.File
+	on *unsynced
+}
+
+func (d *unsynced) Create(path string) (disk.File, error) {
+	f, err := d.Real.Create(path)
+	return unsyncedFile{f, d}, err
+}
+
+func (f unsyncedFile) Sync() error {
+	if f.on.fails.Load() {
+		return &disk.Error{Op: "sync", Path: "f", Err: syscall.EIO}
+	}
+	return f.File.Sync()
+}
+
+// The process before may have been told that its last save was not synced: what is read back is written again, or not used.
+func TestWhatIsFoundIsWrittenAgainOrNotUsed(t *testing.T) {
+	on, path := &unsynced{}, filepath.Join(quick(t), "a")
+	require.NoError(t, Found(on, path, "n1", []string{"n1"}))
+	born := func() string {
+		_, is, err := on.ReadFile(filepath.Join(path, fileName), maxFolder)
+		require.NoError(t, err)
+		return is
+	}
+	f, err := Open(on, path)
+	require.NoError(t, err)
+	was := born()
+	on.fails.Store(true)
+	_, err = f.Load()
+	require.ErrorIs(t, err, ErrUnkept)
+	on.fails.Store(false)
+	d, err := f.Load()
+	require.NoError(t, err)
+	is := born()
+	require.NotEqual(t, was, is, "another file")
+	_, err = f.Load()
+	require.NoError(t, err)
+	require.Equal(t, is, born(), "this process has written it")
+	on.fails.Store(true)
+	require.Error(t, f.Save(d))
+	_, err = f.Load()
+	require.ErrorIs(t, err, ErrUnkept, "a save has failed since")
+	f.Close()
+
+	r, err := Start(Options{Folder: path, Disk: on, Clock: clock.System(), Send: func(string, []byte) {}, Config: agree.Config{Name: "n1", Voters: []string{"n1"}, Lease: 300,
+		Pace: 30, Election: 60, Format: 1, Limits: agree.Rules{"tries": 1.0}}})
+	require.NoError(t, err, "the pooler starts without the voter's part")
+	defer r.Stop()
+	v := r.View()
+	require.Equal(t, []any{false, true, false, true}, []any{v.Leading, v.Failed > 0, r.Sound(), r.Acting().Lapsed})
+	on.fails.Store(false)
+	require.Eventually(t, func() bool { return r.Sound() && !r.Acting().Lapsed }, 10*time.Second, 10*time.Millisecond)
+}
+
 func TestMessagesThatMakeNoSense(t *testing.T) {
 	b, err := Encode(agree.Message{From: "n1", To: "n2", Kind: agree.MsgRenew, Nonce: 1<<63 + 1, Known: 3})
 	require.NoError(t, err)
--- a/internal/learned/learned_test.go
+++ b/internal/learned/learned_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ashstand/choice"
+	"ashstand/internal/disk"
 )
 
 // whole is a snapshot with everything in it, of the moment 1e12.
@@ -132,8 +134,8 @@
 	require.Equal(t, s.Members, got.Members)
 }
 
-// disk is a file system that stops at the nth call and keeps only what was synced.
-type disk struct {
+// stops is a file system that stops at the nth call and keeps only what was synced.
+type stops struct {
 	live, safe map[string][]byte
 	calls      int
 	stop       int  // the call at which it stops; 0: never
@@ -143,9 +145,9 @@
 var errStopped = errors.New("the machine stopped")
 var errFull = errors.New("no space left on device")
 
-func newDisk() *disk { return &disk{live: map[string][]byte{}, safe: map[string][]byte{}} }
+func newDisk() *stops { return &stops{live: map[string][]byte{}, safe: map[string][]byte{}} }
 
-func (d *disk) call() error {
+func (d *stops) call() error {
 	d.calls++
 	if d.stop > 0 && d.calls == d.stop && d.fail {
 		return errFull
@@ -156,23 +158,30 @@
 	return nil
 }
 
-func (d *disk) ReadFile(path string, _ int) ([]byte, error) {
+func (d *stops) ReadFile(path string, _ int) ([]byte, string, error) {
 	b, ok := d.live[path]
 	if !ok {
-		return nil, fs.ErrNotExist
+		return nil, "", fs.ErrNotExist
 	}
-	return b, nil
+	return b, "", nil
 }
 
+func (d *stops) MakeFolder(string) error        { return d.call() }
+func (d *stops) Lock(string) (io.Closer, error) { return nil, d.call() }
+func (f *file) Birth() (string, error)          { return "", nil }
+
 type file struct {
-	d    *disk
+	d    *stops
 	path string
 }
 
-func (d *disk) Create(path string) (File, error) {
+func (d *stops) Create(path string) (disk.File, error) {
 	if err := d.call(); err != nil {
 		return nil, err
 	}
+	if _, there := d.live[path]; there {
+		return nil, fs.ErrExist
+	}
 	d.live[path] = nil
 	return &file{d, path}, nil
 }
@@ -196,7 +205,7 @@
 
 func (f *file) Close() error { return f.d.call() }
 
-func (d *disk) Rename(from, to string) error {
+func (d *stops) Rename(from, to string) error {
 	if err := d.call(); err != nil {
 		return err
 	}
@@ -205,15 +214,18 @@
 	return nil
 }
 
-func (d *disk) Remove(path string) error {
+func (d *stops) Remove(path string) error {
 	if err := d.call(); err != nil {
 		return err
 	}
+	if _, there := d.live[path]; !there {
+		return fs.ErrNotExist
+	}
 	delete(d.live, path)
 	return nil
 }
 
-func (d *disk) SyncFolder(string) error {
+func (d *stops) SyncFolder(string) error {
 	if err := d.call(); err != nil {
 		return err
 	}
@@ -228,7 +240,7 @@
 	return nil
 }
 
-func (d *disk) Names(string) (names []string, err error) {
+func (d *stops) Names(string) (names []string, err error) {
 	for path := range d.live {
 		names = append(names, filepath.Base(path))
 	}
@@ -273,7 +285,7 @@
 	// Written in place, a stop leaves a part: the test can fail.
 	d := newDisk()
 	require.NoError(t, On(d, "f").Save(a))
-	d.calls, d.stop = 0, 3
+	d.calls, d.stop = 0, 4
 	s := On(d, "f")
 	s.Tear()
 	require.Error(t, s.Save(b))
@@ -283,9 +295,9 @@
 
 func TestASpoiltFileIsMovedAside(t *testing.T) {
 	folder := t.TempDir()
-	s, err := Open(folder)
+	s, err := Open(disk.Real{}, folder)
 	require.NoError(t, err)
-	_, err = Open(folder)
+	_, err = Open(disk.Real{}, folder)
 	require.ErrorContains(t, err, "another pooler has it")
 	got, _, err := s.Load()
 	require.NoError(t, err)
@@ -296,7 +308,7 @@
 		require.ErrorIs(t, err, ErrSpoilt)
 		require.NoFileExists(t, s.Path())
 	}
-	names, err := Real{}.Names(folder)
+	names, err := disk.Real{}.Names(folder)
 	require.NoError(t, err)
 	require.Equal(t, 3, strings.Count(strings.Join(names, " "), asideIs), "the last few are kept for a look")
 	b, err := Encode(whole())
@@ -306,10 +318,10 @@
 	require.NoError(t, err)
 	require.Equal(t, whole(), got)
 	s.Close()
-	s, err = Open(folder)
+	s, err = Open(disk.Real{}, folder)
 	require.NoError(t, err)
 	s.Close()
-	_, err = Open(filepath.Join(folder, "none"))
+	_, err = Open(disk.Real{}, filepath.Join(folder, "none"))
 	require.ErrorIs(t, err, fs.ErrNotExist)
 }
 
--- a/internal/learned/store.go
+++ b/internal/learned/store.go
@@ -5,106 +5,43 @@
 	"fmt"
 	"io"
 	"io/fs"
-	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"syscall"
+
+	"ashstand/internal/disk"
 )
 
 // File names in the folder.
 const (
 	fileName = "learned.ash"
-	tempName = "learned.ash.new"
 	lockName = "learned.lock"
 	asideIs  = "learned.ash.bad-"
-	mostBad  = 3    // spoilt files that are kept for a look
-	piece    = 4096 // bytes of one write
+	mostBad  = 3 // spoilt files that are kept for a look
 )
 
-// Disk is the file system calls that a store makes, each of which can fail or be the last: a stand-in counts them.
-type Disk interface {
-	ReadFile(path string, most int) ([]byte, error)
-	Create(path string) (File, error)
-	Rename(from, to string) error
-	Remove(path string) error
-	SyncFolder(path string) error
-	Names(folder string) ([]string, error)
-}
-
-// File is one that is being written.
-type File interface {
-	io.Writer
-	Sync() error
-	Close() error
-}
-
-// Real is the operating system's file system.
-type Real struct{}
-
-// ReadFile is Disk's.
-func (Real) ReadFile(path string, most int) ([]byte, error) {
-	f, err := os.Open(path)
-	if err != nil {
-		return nil, err
-	}
-	defer f.Close()
-	return io.ReadAll(io.LimitReader(f, int64(most)+1))
-}
-
-// Create is Disk's.
-func (Real) Create(path string) (File, error) {
-	return os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
-}
-
-// Rename is Disk's.
-func (Real) Rename(from, to string) error { return os.Rename(from, to) }
-
-// Remove is Disk's.
-func (Real) Remove(path string) error { return os.Remove(path) }
-
-// SyncFolder is Disk's.
-func (Real) SyncFolder(path string) error {
-	f, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	return errors.Join(f.Sync(), f.Close())
-}
-
-// Names is Disk's.
-func (Real) Names(folder string) (names []string, err error) {
-	es, err := os.ReadDir(folder)
-	for _, e := range es {
-		names = append(names, e.Name())
-	}
-	return names, err
-}
-
 // Store is the folder in which one pooler keeps its file.
 type Store struct {
-	disk   Disk
+	disk   disk.Disk
 	folder string
-	lock   *os.File
+	lock   io.Closer
 	torn   bool // only for seeing the checker fail: write in place
 	newer  bool // there is a file of a newer version, which is left alone
 }
 
 // Open takes the folder for this process: another pooler that has it is an error.
-func Open(folder string) (*Store, error) {
-	f, err := os.OpenFile(filepath.Join(folder, lockName), os.O_CREATE|os.O_RDWR, 0o600)
-	if err != nil {
+func Open(d disk.Disk, folder string) (*Store, error) {
+	l, err := d.Lock(filepath.Join(folder, lockName))
+	if errors.Is(err, disk.ErrHeld) {
+		return nil, fmt.Errorf("state folder %s: another pooler has it: %w", folder, err)
+	} else if err != nil {
 		return nil, fmt.Errorf("state folder: %w", err)
 	}
-	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		f.Close()
-		return nil, fmt.Errorf("state folder %s: another pooler has it", folder)
-	}
-	return &Store{disk: Real{}, folder: folder, lock: f}, nil
+	return &Store{disk: d, folder: folder, lock: l}, nil
 }
 
-// On returns a store on another file system, without a lock.
-func On(d Disk, folder string) *Store { return &Store{disk: d, folder: folder} }
+// On returns a store without a lock.
+func On(d disk.Disk, folder string) *Store { return &Store{disk: d, folder: folder} }
 
 // Tear makes Save write in place, so that what checks half-written files is seen to fail.
 func (s *Store) Tear() { s.torn = true }
@@ -122,7 +59,7 @@
 // Load reads the file. nil without an error: there is none. A spoilt one is moved aside and said so in the error; one
 // of a newer version stays, and nothing is saved over it.
 func (s *Store) Load() (*Snapshot, []string, error) {
-	b, err := s.disk.ReadFile(s.Path(), MaxFile)
+	b, _, err := s.disk.ReadFile(s.Path(), MaxFile)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil, nil
 	}
@@ -171,40 +108,19 @@
 	return to, s.disk.Rename(s.Path(), to)
 }
 
-// Save writes a file so that whoever reads finds the old one or the new one, whole, whatever stops in between: under
-// another name, synced, renamed, and the folder synced.
+// Save writes a file so that whoever reads finds the old one or the new one, whole, whatever stops in between. After an
+// error nobody knows which, and the next Save writes another one.
 func (s *Store) Save(b []byte) error {
 	if s.newer {
 		return fmt.Errorf("%s is of a newer version and is not written over", s.Path())
 	}
-	path := filepath.Join(s.folder, tempName)
-	if s.torn {
-		path = s.Path()
+	if !s.torn {
+		return disk.Replace(s.disk, s.Path(), func(string) ([]byte, error) { return b, nil })
 	}
-	f, err := s.disk.Create(path)
+	_ = s.disk.Remove(s.Path())
+	f, err := s.disk.Create(s.Path())
 	if err != nil {
 		return err
 	}
-	for at := 0; at < len(b) && err == nil; at += piece {
-		_, err = f.Write(b[at:min(at+piece, len(b))])
-	}
-	if err == nil && !s.torn {
-		err = f.Sync()
-	}
-	if cerr := f.Close(); err == nil {
-		err = cerr
-	}
-	if err != nil {
-		if !s.torn {
-			_ = s.disk.Remove(path)
-		}
-		return err
-	}
-	if s.torn {
-		return nil
-	}
-	if err = s.disk.Rename(path, s.Path()); err != nil {
-		return err
-	}
-	return s.disk.SyncFolder(s.folder)
+	return errors.Join(disk.Write(f, b), f.Close())
 }
--- a/lab/cluster/node_test.go
+++ b/lab/cluster/node_test.go
@@ -18,6 +18,7 @@
 
 	"ashstand/internal/cluster/agree"
 	"ashstand/internal/cluster/agree/runner"
+	"ashstand/internal/disk"
 	"ashstand/lab/report"
 )
 
@@ -183,13 +184,13 @@
 	r := &rig{dir: t.TempDir()}
 	n := &node{name: "n1"}
 	require.Zero(t, r.identity(n))
-	disk := agree.Found("n1", []string{"n1", "n2", "n3"})
-	f, err := runner.Open(r.folder("n1"))
+	kept := agree.Found("n1", []string{"n1", "n2", "n3"})
+	f, err := runner.Open(disk.Real{}, r.folder("n1"))
 	require.NoError(t, err)
 	defer f.Close()
-	require.NoError(t, f.Save(disk))
-	require.NotZero(t, disk.ID)
-	require.Equal(t, disk.ID, r.identity(n))
+	require.NoError(t, f.Save(kept))
+	require.NotZero(t, kept.ID)
+	require.Equal(t, kept.ID, r.identity(n))
 }
 
 // A second process of a name that comes back after its pause is not in yet for long; one that is never refused is.
--- a/lab/load/snapshot.go
+++ b/lab/load/snapshot.go
@@ -8,6 +8,7 @@
 
 	"ashstand/internal/clock"
 	"ashstand/internal/decide"
+	"ashstand/internal/disk"
 	"ashstand/internal/learned"
 	"ashstand/internal/settings"
 	"ashstand/lab/fleet"
@@ -75,7 +76,7 @@
 	for _, m := range ms {
 		f.Probed(m.Host, decide.Outcome{Code: decide.OK, Report: decide.Report{Role: decide.Replica, Position: clock.System().Now() - 20}})
 	}
-	store := learned.On(learned.Real{}, folder)
+	store := learned.On(disk.Real{}, folder)
 	const rounds = 20
 	var pause, whole, most time.Duration
 	size := 0
