Reread: one reading of advice, rules met only when they change, one loop over processes, one JSON print

Done twice: the runner met two versions' rules at each tick and message to see whether they had changed; Grip.Basis compares what they rest on, and homes compares by it too. Works that changed were sorted by name, then by change. More than it needs: latestLocked gave its lock up and took it again; act in doing had two branches alike; the stand-in's find had one; its binary operators were two loops, its tables found in six places, its comparisons by hand.

Behaviour stays but for that doubled advice. Tests of cluster, admin, cost, lab/host and cmd/ashstand pass, their assertions as they were.

--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -275,7 +275,7 @@
 		if err != nil {
 			return nil, err
 		}
-		ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
+		ctx, cancel := context.WithTimeout(ctx, wordTime)
 		defer cancel()
 		v, err := n.others.agreed.Propose(ctx, rules)
 		return map[string]int{"version": v}, err
--- a/cmd/ashstand/commands.go
+++ b/cmd/ashstand/commands.go
@@ -124,6 +124,15 @@
 	return root
 }
 
+// printJSON is what commands print where --json is given.
+func printJSON(w io.Writer, v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err == nil {
+		_, err = fmt.Fprintf(w, "%s\n", b)
+	}
+	return err
+}
+
 // check reads an operator's file as a start would; with EDGE_CONFIG it looks at the classes and limits too.
 func check(w io.Writer, path string) error {
 	f, err := operator.Load(path, true)
--- a/cmd/ashstand/cost.go
+++ b/cmd/ashstand/cost.go
@@ -163,8 +163,7 @@
 	e.mu.Lock()
 	v := e.model.Publish(0, now)
 	e.mu.Unlock()
-	a, err := cost.Load(v, now).Estimate(now, p, f)
-	return a, worded(err)
+	return cost.Load(v, now).Estimate(now, p, f) // the admin socket says what can be done about an error
 }
 
 // worded puts what can be done behind an error.
@@ -230,11 +229,7 @@
 				return err
 			}
 			if asJSON() {
-				b, err := stdjson.MarshalIndent(a, "", "  ")
-				if err == nil {
-					_, err = fmt.Fprintln(c.OutOrStdout(), string(b))
-				}
-				return err
+				return printJSON(c.OutOrStdout(), a)
 			}
 			return costTable(c.OutOrStdout(), &a)
 		}})
--- a/cmd/ashstand/homes.go
+++ b/cmd/ashstand/homes.go
@@ -28,9 +28,8 @@
 
 // homeTable is what the rules say under one set of versions.
 type homeTable struct {
-	force, pending int
-	lapsed         bool
-	of             map[string]session.Home
+	basis agree.Basis
+	of    map[string]session.Home
 }
 
 // Home is what the rules say of a database now.
@@ -46,10 +45,7 @@
 	if before.fits(g, now) {
 		return before
 	}
-	t := &homeTable{force: g.Held.Force.N, lapsed: g.Lapsed(now), of: homesOf(g.Acting(now).Rules)}
-	if p := g.Held.Pending; p != nil {
-		t.pending = p.N
-	}
+	t := &homeTable{basis: g.Basis(now), of: homesOf(g.Acting(now).Rules)}
 	for name, home := range t.of {
 		if home.Paused {
 			home.Since = now
@@ -65,13 +61,7 @@
 
 // fits says whether the table is of the versions and the lease that are held.
 func (t *homeTable) fits(g *agree.Grip, now float64) bool {
-	if t == nil || t.force != g.Held.Force.N || t.lapsed != g.Lapsed(now) {
-		return false
-	}
-	if p := g.Held.Pending; p != nil {
-		return t.pending == p.N
-	}
-	return t.pending == 0
+	return t != nil && t.basis == g.Basis(now)
 }
 
 // homesOf are the databases that rules name.
--- a/cmd/ashstand/moves.go
+++ b/cmd/ashstand/moves.go
@@ -254,11 +254,7 @@
 			return err
 		}
 		if asJSON() {
-			b, err := json.MarshalIndent(out, "", "  ")
-			if err == nil {
-				_, err = fmt.Fprintf(c.OutOrStdout(), "%s\n", b)
-			}
-			return err
+			return printJSON(c.OutOrStdout(), out)
 		}
 		table(c.OutOrStdout())
 		return nil
@@ -317,11 +313,7 @@
 				}
 			}
 			if asJSON() {
-				b, err := json.MarshalIndent(&v, "", "  ")
-				if err == nil {
-					_, err = fmt.Fprintf(c.OutOrStdout(), "%s\n", b)
-				}
-				return err
+				return printJSON(c.OutOrStdout(), &v)
 			}
 			moveTable(c.OutOrStdout(), &v)
 			return nil
--- a/cmd/ashstand/state.go
+++ b/cmd/ashstand/state.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/hex"
 	"errors"
@@ -205,11 +204,7 @@
 			}
 			w := learned.Weigh(s, clock.System().Now(), s.Head.Name, s.Head.Site, false)
 			if asJSON {
-				b, err := json.MarshalIndent(map[string]any{"head": s.Head, "lost": lost, "facts": w.Verdicts}, "", "  ")
-				if err == nil {
-					_, err = fmt.Fprintln(c.OutOrStdout(), string(b))
-				}
-				return err
+				return printJSON(c.OutOrStdout(), map[string]any{"head": s.Head, "lost": lost, "facts": w.Verdicts})
 			}
 			return stateTable(c.OutOrStdout(), s, lost, w.Verdicts)
 		}}
@@ -232,11 +227,7 @@
 				if err != nil {
 					return err
 				}
-				b, err := json.MarshalIndent(s, "", "  ")
-				if err == nil {
-					_, err = c.OutOrStdout().Write(append(bytes.TrimSpace(b), '\n'))
-				}
-				return err
+				return printJSON(c.OutOrStdout(), s)
 			}})
 	return root
 }
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -17,6 +17,8 @@
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
+
+	"ashstand/internal/advice"
 )
 
 var json = jsoniter.ConfigCompatibleWithStandardLibrary
@@ -48,12 +50,8 @@
 // FaultOf takes code and advice from whatever error of the chain has them.
 func FaultOf(err error) *Fault {
 	f := &Fault{Word: "failed", Text: err.Error()}
-	var advised interface {
-		Code() string
-		Advice() string
-	}
-	if errors.As(err, &advised) {
-		f.Word, f.Do = advised.Code(), advised.Advice()
+	if a := advice.Of(err); a != nil {
+		f.Word, f.Do = a.Code(), a.Advice()
 	}
 	return f
 }
--- a/internal/cluster/agree/node.go
+++ b/internal/cluster/agree/node.go
@@ -333,6 +333,21 @@
 // Grip returns what is held now. It may be acted on once what Output wanted saved is.
 func (n *Node) Grip() Grip { return Grip{n.held, n.until, n.works.of, n.cfg.Limits, n.cfg.Break} }
 
+// Basis is what a Grip's rules rest on at a moment: as long as it stays, so do they.
+type Basis struct {
+	Force, Pending int // Pending 0: none
+	Lapsed         bool
+}
+
+// Basis returns it, without meeting any rules.
+func (g *Grip) Basis(now float64) Basis {
+	b := Basis{Force: g.Held.Force.N, Lapsed: g.Lapsed(now)}
+	if p := g.Held.Pending; p != nil {
+		b.Pending = p.N
+	}
+	return b
+}
+
 // Lapsed says whether a pooler is without a lease.
 func (g *Grip) Lapsed(now float64) bool { return now >= g.Until && g.broken != "lease" }
 
--- a/internal/cluster/agree/runner/runner.go
+++ b/internal/cluster/agree/runner/runner.go
@@ -232,7 +232,7 @@
 	tick := time.NewTicker(clock.Duration(r.o.Config.Election / 20))
 	defer tick.Stop()
 	open := map[uint64]chan agree.Message{}
-	var last agree.Acting
+	var last *agree.Basis // that Changed was told of; nil: none yet
 	var until, warned float64
 	var away time.Time // since its folder could not be written
 	for {
@@ -289,11 +289,12 @@
 		} else if n != nil {
 			r.away.Store(false)
 		}
-		if a := r.grip.Load().Acting(now); r.o.Changed != nil && (a.Lapsed != last.Lapsed || !slices.Equal(a.Versions, last.Versions)) {
-			last = a
-			r.o.Changed(a)
+		g := r.grip.Load()
+		if b := g.Basis(now); r.o.Changed != nil && (last == nil || b != *last) {
+			last = &b
+			r.o.Changed(g.Acting(now))
 		}
-		if g := r.grip.Load(); r.o.Leased != nil {
+		if r.o.Leased != nil {
 			// A grant that came too late for its lease is none; to go on without one is a fault, told every 100 ms.
 			if fresh := g.Until != until && now < g.Until; fresh || !g.Lapsed(now) && now >= g.Until && now >= warned {
 				until, warned = g.Until, now+100
--- a/internal/cluster/agree/works.go
+++ b/internal/cluster/agree/works.go
@@ -74,7 +74,6 @@
 		return
 	}
 	h.told = n.now
-	slices.SortFunc(list, func(a, b owner.Work) int { return int(int64(a.Changed) - int64(b.Changed)) })
 	to.Count = since
 	size := 0
 	for _, w := range list {
--- a/internal/cluster/owner/doing/doing.go
+++ b/internal/cluster/owner/doing/doing.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"ashstand/internal/advice"
 	"ashstand/internal/clock"
 	"ashstand/internal/cluster/owner"
 )
@@ -298,11 +299,7 @@
 func (d *Doer) act(ctx context.Context, w *owner.Work, step owner.Step, a *at, k owner.Kind) error {
 	deed := owner.Deed{Number: w.Next(), Name: step.Deed, Data: step.Data}
 	err := d.enter(ctx, owner.Entry{Op: owner.Announce, Work: w.Name, Token: a.token, Step: w.Step, Deed: &deed, Word: step.Took})
-	var f *owner.Refusal
-	if err != nil && !errors.As(err, &f) { // in doubt: it may come into the log, and is settled then
-		d.known(ctx, w.Name, func(now owner.Work) bool { return now.Changed > w.Changed })
-		return err
-	} else if err != nil {
+	if err != nil { // unless it was refused it may yet come into the log, and is settled then
 		d.known(ctx, w.Name, func(now owner.Work) bool { return now.Changed > w.Changed })
 		return err
 	}
@@ -410,12 +407,8 @@
 		v := View{Wait: a.wait, Says: a.says, Seen: a.seen}
 		if a.err != nil {
 			v.Err = a.err.Error()
-			var advised interface {
-				Code() string
-				Advice() string
-			}
-			if errors.As(a.err, &advised) {
-				v.Code, v.Do = advised.Code(), advised.Advice()
+			if known := advice.Of(a.err); known != nil {
+				v.Code, v.Do = known.Code(), known.Advice()
 			}
 		}
 		out[name] = v
--- a/internal/cluster/owner/ledger.go
+++ b/internal/cluster/owner/ledger.go
@@ -6,9 +6,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 )
@@ -271,7 +271,7 @@
 		return refuse(TooMuch, e.Work, uint64(len(open)+1), mostOpen)
 	}
 	if len(ended) >= mostEnded { // the one that ended first goes
-		slices.SortFunc(ended, func(a, b *Work) int { return int(int64(a.Changed) - int64(b.Changed)) })
+		slices.SortFunc(ended, func(a, b *Work) int { return cmp.Compare(a.Changed, b.Changed) })
 		delete(l.Works, ended[0].Name)
 	}
 	if l.Works == nil {
@@ -400,12 +400,13 @@
 	return names
 }
 
-// Since are the works that changed after a count, by name.
+// Since are the works that changed after a count, as they did.
 func (l *Ledger) Since(count uint64) (out []Work) {
-	for _, name := range slices.Sorted(maps.Keys(l.Works)) {
-		if w := l.Works[name]; w.Changed > count {
+	for _, w := range l.Works {
+		if w.Changed > count {
 			out = append(out, *w)
 		}
 	}
+	slices.SortFunc(out, func(a, b Work) int { return cmp.Compare(a.Changed, b.Changed) })
 	return out
 }
--- a/lab/cluster/move.go
+++ b/lab/cluster/move.go
@@ -13,6 +13,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"ashstand/internal/admin"
+	"ashstand/lab/fleet"
 	"ashstand/lab/host"
 	"ashstand/lab/report"
 )
@@ -30,9 +31,6 @@
 	MoveRest = 8 * time.Second
 )
 
-// MoveBreakable are the guarantees of moves that can be switched off.
-var MoveBreakable = []string{"fence", "verify", "pause", "back", "word"}
-
 // moveSeen is what the judge reads of a move: declared here again, so that the program's own types don't judge it.
 type moveSeen struct {
 	Name string
@@ -228,23 +226,15 @@
 // watchMoves reads every pooler's view of the moves at a pace.
 func (r *movers) watchMoves(ctx context.Context) {
 	for sleep(ctx, 60*time.Millisecond) {
-		var all sync.WaitGroup
-		for _, n := range r.nodes {
-			p, paused := n.process()
-			if p == nil || paused {
-				continue
+		r.each(func(n *node, p *fleet.Pooler) {
+			var v struct{ Moves []moveSeen }
+			if admin.Get(p.Admin, "moves", &v) != nil {
+				return
 			}
-			all.Go(func() {
-				var v struct{ Moves []moveSeen }
-				if admin.Get(p.Admin, "moves", &v) != nil {
-					return
-				}
-				for _, m := range v.Moves {
-					r.see(ctx, m, n.name)
-				}
-			})
-		}
-		all.Wait()
+			for _, m := range v.Moves {
+				r.see(ctx, m, n.name)
+			}
+		})
 	}
 }
 
--- a/lab/cluster/owner.go
+++ b/lab/cluster/owner.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"ashstand/internal/admin"
+	"ashstand/lab/fleet"
 	"ashstand/lab/report"
 )
 
@@ -66,7 +67,7 @@
 	*rig
 	mu    sync.Mutex
 	polls []workPoll
-	kills []handing // in calm
+	kills []handing // in calm; of disturb alone until that has ended
 	words map[string]bool
 }
 
@@ -125,23 +126,15 @@
 // watchWorks reads every pooler's copy of the ledger at a pace.
 func (r *owners) watchWorks(ctx context.Context) {
 	for sleep(ctx, 100*time.Millisecond) {
-		var all sync.WaitGroup
-		for _, n := range r.nodes {
-			p, paused := n.process()
-			if p == nil || paused {
-				continue
+		r.each(func(n *node, p *fleet.Pooler) {
+			at := time.Now()
+			var v struct{ Works []workSeen }
+			if admin.Get(p.Admin, "works", &v) == nil && time.Since(at) < 500*time.Millisecond {
+				r.mu.Lock()
+				r.polls = append(r.polls, workPoll{at, n.name, v.Works})
+				r.mu.Unlock()
 			}
-			all.Go(func() {
-				at := time.Now()
-				var v struct{ Works []workSeen }
-				if admin.Get(p.Admin, "works", &v) == nil && time.Since(at) < 500*time.Millisecond {
-					r.mu.Lock()
-					r.polls = append(r.polls, workPoll{at, n.name, v.Works})
-					r.mu.Unlock()
-				}
-			})
-		}
-		all.Wait()
+		})
 	}
 }
 
@@ -196,13 +189,11 @@
 			p, _ := n.process()
 			var v struct{ Leading bool }
 			if p != nil && admin.Get(p.Admin, "agreement", &v) == nil {
-				r.mu.Lock()
 				for j := range runDrills { // all that it owns
-					if x := r.latestLocked(fmt.Sprint("drill-", j+1)); x.Owner == n.name {
+					if x := r.latest(fmt.Sprint("drill-", j+1)); x.Owner == n.name {
 						r.kills = append(r.kills, handing{x.Name, kind, x.Token, time.Now(), v.Leading})
 					}
 				}
-				r.mu.Unlock()
 			}
 		}
 		r.play(ctx, Fault{Kind: kind, A: n.name, At: Millis(at.Milliseconds()), For: Millis(d)})
@@ -265,12 +256,6 @@
 	r.rig.mu.Unlock()
 }
 
-func (r *owners) latestLocked(work string) (w workSeen) {
-	r.mu.Unlock()
-	defer r.mu.Lock()
-	return r.latest(work)
-}
-
 // act is a row that a drill wrote.
 type act struct {
 	at    float64 // commit
--- a/lab/cluster/run.go
+++ b/lab/cluster/run.go
@@ -518,41 +518,44 @@
 	return &Outcome{Result: g.Result(time.Since(r.begun).Seconds()), Plan: o.Plan, Bound: r.bound(), Lines: r.timeline()}, nil
 }
 
+// each does something with every process that runs and does not stand still, side by side, and waits for all.
+func (r *rig) each(do func(n *node, p *fleet.Pooler)) {
+	var all sync.WaitGroup
+	for _, n := range r.nodes {
+		if p, paused := n.process(); p != nil && !paused {
+			all.Go(func() { do(n, p) })
+		}
+	}
+	all.Wait()
+}
+
 // watch reads every pooler's view at a pace.
 func (r *rig) watch(ctx context.Context) {
 	for sleep(ctx, 200*time.Millisecond) {
-		var all sync.WaitGroup
-		for _, n := range r.nodes {
-			p, paused := n.process()
-			if p == nil || paused {
-				continue
-			}
+		r.each(func(n *node, p *fleet.Pooler) {
 			select {
 			case <-p.Ended():
 				if n.crashed(p) {
 					r.g.Break("crashed", "%s: %v\n%s", n.name, p.Err(), last(p.Log(), 2000))
 				}
-				continue
+				return
 			default:
 			}
-			all.Go(func() {
-				at := time.Now()
-				v, err := look(p.Admin)
-				if err != nil || time.Since(at) > 500*time.Millisecond {
-					return // it is being stopped or was paused; what it believes now can't be dated
-				}
-				n.mu.Lock()
-				if n.pooler == p {
-					n.instance = v.Self.Instance
-					n.started = n.started || v.Self.State == "serving"
-				}
-				n.mu.Unlock()
-				r.mu.Lock()
-				r.polls = append(r.polls, poll{at: at, of: n.name, view: v, truth: nil})
-				r.mu.Unlock()
-			})
-		}
-		all.Wait()
+			at := time.Now()
+			v, err := look(p.Admin)
+			if err != nil || time.Since(at) > 500*time.Millisecond {
+				return // it is being stopped or was paused; what it believes now can't be dated
+			}
+			n.mu.Lock()
+			if n.pooler == p {
+				n.instance = v.Self.Instance
+				n.started = n.started || v.Self.State == "serving"
+			}
+			n.mu.Unlock()
+			r.mu.Lock()
+			r.polls = append(r.polls, poll{at: at, of: n.name, view: v, truth: nil})
+			r.mu.Unlock()
+		})
 		r.stamp()
 	}
 }
--- a/lab/host/ddl.go
+++ b/lab/host/ddl.go
@@ -363,11 +363,7 @@
 	if f := p.need("on"); f != nil {
 		return f
 	}
-	schema, rel, f := p.relation()
-	if f != nil {
-		return f
-	}
-	t, f := c.find(schema, rel)
+	t, _, f := p.table(c)
 	if f != nil {
 		return f
 	}
@@ -418,11 +414,7 @@
 func (c *conn) alterTable(p *parser) *fault {
 	p.take("if", "exists")
 	p.take("only")
-	schema, name, f := p.relation()
-	if f != nil {
-		return f
-	}
-	t, f := c.find(schema, name)
+	t, _, f := p.table(c)
 	if f != nil {
 		return f
 	}
@@ -616,11 +608,7 @@
 	p.take("table")
 	p.take("only")
 	for {
-		schema, name, f := p.relation()
-		if f != nil {
-			return f
-		}
-		t, f := c.find(schema, name)
+		t, _, f := p.table(c)
 		if f != nil {
 			return f
 		}
@@ -733,11 +721,7 @@
 			return nil
 		})
 	}
-	schema, name, f := p.relation()
-	if f != nil {
-		return f
-	}
-	t, f := c.find(schema, name)
+	t, _, f := p.table(c)
 	if f != nil {
 		return f
 	}
--- a/lab/host/expr.go
+++ b/lab/host/expr.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -199,42 +200,21 @@
 	return l, f
 }
 
-func (p *parser) additive() (*expr, *fault) {
-	l, f := p.multiplied()
-	for f == nil {
-		op := ""
-		for _, s := range []string{"||", "+", "-"} {
-			if p.sign(s) {
-				op = s
-				break
-			}
-		}
-		if op == "" {
-			break
-		}
-		var r *expr
-		r, f = p.multiplied()
-		l = &expr{op: op, args: []*expr{l, r}}
-	}
-	return l, f
-}
+func (p *parser) additive() (*expr, *fault) { return p.chain(p.multiplied, "||", "+", "-") }
 
-func (p *parser) multiplied() (*expr, *fault) {
-	l, f := p.unary()
+func (p *parser) multiplied() (*expr, *fault) { return p.chain(p.unary, "*", "/", "%") }
+
+// chain reads operands with signs of one strength between them.
+func (p *parser) chain(operand func() (*expr, *fault), signs ...string) (*expr, *fault) {
+	l, f := operand()
 	for f == nil {
-		op := ""
-		for _, s := range []string{"*", "/", "%"} {
-			if p.sign(s) {
-				op = s
-				break
-			}
-		}
-		if op == "" {
+		i := slices.IndexFunc(signs, p.sign)
+		if i < 0 {
 			break
 		}
 		var r *expr
-		r, f = p.unary()
-		l = &expr{op: op, args: []*expr{l, r}}
+		r, f = operand()
+		l = &expr{op: signs[i], args: []*expr{l, r}}
 	}
 	return l, f
 }
--- a/lab/host/publish.go
+++ b/lab/host/publish.go
@@ -565,11 +565,7 @@
 	for {
 		p.take("table")
 		p.take("only")
-		schema, name, f := p.relation()
-		if f != nil {
-			return nil, f
-		}
-		t, f := c.find(schema, name)
+		t, name, f := p.table(c)
 		if f != nil {
 			return nil, f
 		}
--- a/lab/host/query.go
+++ b/lab/host/query.go
@@ -283,6 +283,15 @@
 	return schema, name, nil
 }
 
+// table reads a relation's name and finds the table; name is the one without its schema.
+func (p *parser) table(c *conn) (t *Table, name string, f *fault) {
+	schema, name, f := p.relation()
+	if f == nil {
+		t, f = c.find(schema, name)
+	}
+	return t, name, f
+}
+
 // find is the table that a name leads to.
 func (c *conn) find(schema, name string) (*Table, *fault) {
 	c.host.cluster.mu.Lock()
@@ -291,9 +300,6 @@
 		if t := c.db.tables[schema+"."+name]; t != nil {
 			return t, nil
 		}
-		if _, ok := c.db.schemas[schema]; !ok {
-			return nil, &fault{"42P01", fmt.Sprintf("relation %q does not exist", schema+"."+name)}
-		}
 		return nil, &fault{"42P01", fmt.Sprintf("relation %q does not exist", schema+"."+name)}
 	}
 	for _, s := range c.path() {
@@ -1071,11 +1077,7 @@
 // target reads a table that a statement changes and its alias.
 func (p *parser) target(c *conn) (*source, *fault) {
 	p.take("only")
-	schema, name, f := p.relation()
-	if f != nil {
-		return nil, f
-	}
-	t, f := c.find(schema, name)
+	t, name, f := p.table(c)
 	if f != nil {
 		return nil, f
 	}
--- a/lab/host/value.go
+++ b/lab/host/value.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"math"
@@ -209,25 +210,13 @@
 	if a.typ == typeLSN || b.typ == typeLSN {
 		x, _ := ParseLSN(a.s)
 		y, _ := ParseLSN(b.s)
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return 0
+		return cmp.Compare(x, y)
 	}
 	if numeric(a.typ) || numeric(b.typ) {
 		x, err1 := strconv.ParseInt(a.s, 10, 64)
 		y, err2 := strconv.ParseInt(b.s, 10, 64)
 		if err1 == nil && err2 == nil {
-			switch {
-			case x < y:
-				return -1
-			case x > y:
-				return 1
-			}
-			return 0
+			return cmp.Compare(x, y)
 		}
 		p, err1 := strconv.ParseFloat(a.s, 64)
 		q, err2 := strconv.ParseFloat(b.s, 64)
