Moves by SQL: an error is worded by the piece that place has for it

worded read the Code of an error by hand where place.Decided does, and both kept a group of one goroutine by hand. Behaviour stays; the package's tests pass as they were.

--- a/internal/cluster/move/sql/places.go
+++ b/internal/cluster/move/sql/places.go
@@ -13,8 +13,8 @@
 package sql
 
 import (
+	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"maps"
@@ -241,17 +241,15 @@
 }
 
 func (p *Places) worded(err error, at move.Group, what string) error {
-	var own interface{ Code() string }
-	if errors.As(err, &own) {
-		return err
-	}
-	if _, ok := place.Worded(err); ok {
-		return &Refused{Group: at, What: what, Err: err}
-	}
 	if err == nil {
 		return nil
 	}
-	return &place.Unreached{Host: fmt.Sprint("group ", at), What: what, Err: err}
+	return place.Decided(err, func(err error) error {
+		if _, ok := place.Worded(err); ok {
+			return &Refused{Group: at, What: what, Err: err}
+		}
+		return &place.Unreached{Host: fmt.Sprint("group ", at), What: what, Err: err}
+	})
 }
 
 // on does something on a connection to a group's primary that no transaction holds: to look, or what SQL allows in none.
@@ -272,18 +270,11 @@
 // both does two things at once.
 func both(one, other func() error) error {
 	var wg sync.WaitGroup
-	var err error
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		err = other()
-	}()
+	var second error
+	wg.Go(func() { second = other() })
 	first := one()
 	wg.Wait()
-	if first != nil {
-		return first
-	}
-	return err
+	return cmp.Or(first, second)
 }
 
 // line is a primary's timeline.
