--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,11 +1,8 @@
-// Package choice makes the decisions of a gateway that spreads reads over the replicas of a database.
-// The interface (Settings, Event, Action) is in types.go. Every rule, table and tuned value is in this
-// file: constants, state, observing, choosing, sending, ending, upkeep.
-//
-// The ordinary path: writes and fresh reads go to the member last seen as primary; any other read goes to
-// the one of two uniformly drawn qualifying replicas that has fewer of this router's requests in flight,
-// and to the primary when no replica qualifies. All else here keeps that going when something fails;
-// docs/design.md says when.
+// Package choice makes the decisions of a gateway that spreads reads over the replicas of a database. Its
+// interface is in types.go; every rule, table and tuned value is in this file. The ordinary path: writes and
+// fresh reads go to the member last seen as primary; any other read goes to the one of two uniformly drawn
+// qualifying replicas that has fewer of this router's requests in flight, and to the primary when none
+// qualifies. All else keeps that going when something fails; docs/design.md says when.
 package choice
 
 import (
@@ -71,6 +68,7 @@
 	position             time.Duration // proven; never goes back
 	heard                time.Duration // when position was last renewed
 	primaryAt, otherAt   time.Duration // latest evidence of being primary, and of not being it
+	told, hearsay        bool          // it said that it is a replica; only the list has said otherwise since
 	inflight             int
 	quiet                time.Duration // since when work lies there and nothing came back
 	out                  []int         // of that, by class
@@ -218,6 +216,10 @@
 			}
 			c.close(r, false)
 		}
+	case EvHeard:
+		if m := c.members[e.Host]; m != nil {
+			c.says(m, e, e.Position)
+		}
 	case EvProbe:
 		if m := c.members[e.Host]; m != nil {
 			m.probing = false
@@ -278,6 +280,7 @@
 			slices.SortFunc(g.members, func(a, b *member) int { return cmp.Compare(a.host, b.host) })
 		}
 		if t.Primary && c.cfg.ListRole && !m.named { // weaker than anything seen since
+			m.hearsay = m.told && m.primaryAt <= m.otherAt && c.cfg.ReportX1 && c.cfg.Probes
 			m.primaryAt = max(m.primaryAt, c.now-listLate, 1)
 		}
 		m.named = t.Primary
@@ -317,31 +320,43 @@
 
 // learn keeps the highest position and the newest evidence of the role, in whatever order they come.
 func (c *Choice) learn(m *member, position time.Duration, role Role, at time.Duration) {
+	if role == Replica { // this makes more careful, however garbled the rest is
+		m.otherAt, m.told = max(m.otherAt, min(at, c.now)), true
+	}
 	if position > c.now || at > c.now {
 		return // no host is ahead of the clock: garbled
 	}
 	if position > 0 {
 		m.position, m.heard = max(m.position, position), c.now
 	}
-	switch role {
-	case Primary:
-		m.primaryAt = max(m.primaryAt, at)
-	case Replica:
-		m.otherAt = max(m.otherAt, at)
+	if role == Primary && at > m.primaryAt {
+		m.primaryAt, m.hearsay = at, false
+	}
+}
+
+// says takes an answer's word. Answers come in any order, some late: a replica may have said so just now, but
+// a primary only when its attempt was sent, or as its stamp says.
+func (c *Choice) says(m *member, e *Event, position time.Duration) {
+	at := c.now
+	if e.Role == Primary {
+		at -= e.Elapsed
+		if e.Position < c.now+margin { // commits are rounded up
+			at = max(at, min(e.Position, c.now))
+		}
 	}
+	c.learn(m, position, e.Role, at)
 }
 
-// report takes a host's own word. It may be old, so its position dates it.
+// report takes a host's own word. It may be old: its position dates it, but a replica may stand for long.
 func (c *Choice) report(m *member, r Report) {
 	at := r.Position
-	if at <= 0 {
-		at = c.now - pause // undated: older than any report
+	if at <= 0 || r.Role == Replica {
+		at = max(at, c.now-pause) // undated: older than any report
 	}
 	c.learn(m, r.Position, r.Role, at)
 }
 
-// inShare is what a tenant's request is expected to count for: little beyond its quota. All routers are taken
-// to see as much of the tenant as this one, which holds on average.
+// inShare is what a tenant's request counts for, if all routers see as much of the tenant as this one.
 func (c *Choice) inShare(i int) float64 {
 	t := &c.tenants[i]
 	t.rate = t.rate*math.Exp(-(c.now-t.at).Seconds()/tenantSpan) + 1.0/tenantSpan
@@ -438,7 +453,7 @@
 			}
 			position = 0
 		}
-		c.learn(m, position, e.Role, c.now)
+		c.says(m, e, position)
 	}
 	c.report(m, e.Report)
 	c.judge(m, a, r, e)
@@ -473,8 +488,7 @@
 
 // judge updates what a member's behaviour says of it.
 func (c *Choice) judge(m *member, a *attempt, r *request, e *Event) {
-	// While many attempts fail to connect at once, hosts are out of connections, though none says how many it
-	// accepts: most routers close theirs after use. Costs handshakes where the cause is another.
+	// While many attempts fail to connect at once, hosts are out of connections: most routers close theirs.
 	m.open = m.open || e.Code == OK || e.Code == Miss
 	c.crowded -= c.crowded / 16
 	if e.Code == NoConnection && e.Elapsed < lateFloor {
@@ -546,9 +560,8 @@
 }
 
 // press moves the part of a group's requests that is shed: up when answers come late, or not at all while
-// those that do are slow. What hundreds of routers leave out adds up, where limits see too little. Covers
-// overload of a group; not hangs and cut links, as others are quick then. Could harm where slowness is one
-// member's.
+// those that do are slow: an overload, not a hang or a cut link. What hundreds of routers leave out adds up,
+// where limits see too little. Could harm where slowness is one member's.
 func (c *Choice) press(s *side, weight float64) {
 	weight *= max(0, 1-shedFrom/float64(c.cfg.Routers))
 	s.shed = min(shedMost, s.shed+weight*shedCut*(1-s.shed))
@@ -574,8 +587,7 @@
 	return old + (x-old)/8
 }
 
-// remember keeps a session's last commit. Old ones become a floor that every session of the group must
-// meet: strict enough for all, and bounded in memory.
+// remember keeps a session's last commit. Old ones become a floor that all sessions of the group must meet.
 func (c *Choice) remember(g *group, key uint64, at time.Duration) {
 	g.commits[key] = max(g.commits[key], at)
 	g.order = append(g.order, commit{key, at})
@@ -591,24 +603,10 @@
 
 // fresh is the position test: has this member proven the position that the read needs?
 func (c *Choice) fresh(m *member, r *request) bool {
-	switch r.class.Read {
-	case Any:
-		return true
-	case Session:
-		return r.need == 0 || m.position >= r.need
-	case Bounded:
-		return m.position > 0 && m.position >= c.now-r.class.Bound+margin
-	}
-	return false
-}
-
-// current says whether a member was within the tightest bound when its position was last heard of.
-func (c *Choice) current(m *member) bool {
-	return m.heard-m.position < c.tightest
+	return r.class.Read < Fresh && m.position >= c.need(r)
 }
 
-// nearly says that a read is worth a try at a member which checks for itself: its position is unknown, or
-// its lag when last heard of leaves the need within what it waits.
+// nearly says that a read is worth a try at a member that checks for itself: it may be there, or soon be.
 func (c *Choice) nearly(m *member, r *request) bool {
 	if c.cfg.Checks == NoChecks {
 		return false
@@ -616,16 +614,18 @@
 	return m.position == 0 || m.position+(c.now-m.heard)+c.cfg.CatchUp/2 >= c.need(r)
 }
 
-// need is the position that a read wants of a replica now.
+// need is the position that a read wants of a replica now; 0: any will do.
 func (c *Choice) need(r *request) time.Duration {
-	if r.class.Read == Bounded {
-		return c.now - r.class.Bound
+	switch r.class.Read {
+	case Bounded:
+		return max(1, c.now-r.class.Bound+margin)
+	case Fresh:
+		return r.arrived
 	}
 	return r.need
 }
 
-// silent: work lies there and nothing has come back for far longer than is usual for the shortest of it. It
-// covers hangs, pauses and cut links; a member with long work alone gets the time that this takes.
+// silent: work lies there and nothing has come back for far longer than is usual for the shortest of it.
 func (c *Choice) silent(m *member) bool {
 	if m.inflight == 0 || c.now-m.quiet <= silentFloor {
 		return false
@@ -656,9 +656,8 @@
 
 // admits is the slow start. A cold member is open to a part of the requests alone: its sure share, times
 // part of the multiple that it can stand, times its share of the group's work. A request draws its lot on
-// arrival, a held one anew every two seconds or so: nothing is saved up or released at a stroke, so all
-// routers together stay bounded by what comes in. Harms a group that is cold as a whole: it serves only
-// that part.
+// arrival, a held one anew every two seconds or so: nothing is saved up or released at once, and what comes
+// in bounds all routers together. Harms a group that is cold as a whole: it serves only that part.
 func (c *Choice) admits(m *member, r *request, part float64) bool {
 	share := c.cold(m)
 	return share >= 1 || r.luck < part*coldShare*max(1, c.cfg.FallFactor)*share
@@ -680,9 +679,9 @@
 	c.meanTook += (aims - c.meanTook) / 16
 }
 
-// draw picks uniformly two of the members and takes the one with fewer of this router's requests in
-// flight, at par the one where attempts lately took less. Before many routers most draws are among open
-// connections: no host can afford one from each, nor costly handshakes. The rest find new members.
+// draw picks uniformly two of the members and takes the one with fewer of this router's requests in flight,
+// at par the one where attempts lately took less. Of many routers no host can afford a connection each, so
+// most draws are among open ones; the rest find new members.
 func (c *Choice) draw(ms []*member) *member {
 	if c.cfg.Routers > shedFrom && c.rng.Float64() >= explore {
 		var open []*member
@@ -713,6 +712,9 @@
 // prove, the primary, then members that look bad. nil: nobody now.
 func (c *Choice) replica(r *request) *member {
 	p := r.group.primary()
+	if p != nil && p.hearsay {
+		p = nil // no read rests on that; it may be asked, and a write finds out by itself
+	}
 	var good, near, bad, unknown, doubtful []*member
 	busy := false // some replica qualifies but has no room
 	for _, m := range r.group.members {
@@ -737,7 +739,7 @@
 	}
 	if r.class.Read == Any { // a long query stops the log: run it where that costs least, the furthest behind
 		slices.SortStableFunc(good, func(a, b *member) int { return cmp.Compare(a.position, b.position) })
-		if len(good) > 0 && !c.current(good[0]) {
+		if len(good) > 0 && good[0].heard-good[0].position >= c.tightest { // out of bounds when last heard of
 			good = good[:1]
 		}
 	}
@@ -767,8 +769,7 @@
 func (c *Choice) dispatch(r *request) {
 	late := c.now >= r.deadline-endGuard || // or not to be had in time, and worth nothing late:
 		r.class.LateShare == 0 && c.now+min(r.class.latency, (r.aim-r.arrived)*3/4) >= r.aim
-	// A read that never went out by half of its time: a refusal with when to come back leaves its client the
-	// rest for elsewhere, and holding it on would cost more than it mostly brings.
+	// So is a read that never went out by half of its time: its client has the rest for elsewhere.
 	half := r.arrived + (r.deadline-r.arrived)/2 - endGuard
 	late = late || r.class.Read != Write && len(r.attempts) == 0 && c.now >= half
 	if late || len(r.attempts) >= c.cfg.MaxAttempts || !c.repeatable(r) {
@@ -781,7 +782,7 @@
 		}
 	} else if p := r.group.primary(); p == nil && r.class.Read == Write {
 		c.search(r)
-	} else if p == nil {
+	} else if p == nil || p.hearsay && r.class.Read == Fresh {
 		for _, m := range r.group.members { // a fresh read waits for the primary: ask who it is
 			if c.cfg.Probes && c.cfg.ReportX1 && m.listed && c.now-m.probed >= pause/2 {
 				c.ping(m)
@@ -823,8 +824,7 @@
 	c.send(r, next)
 }
 
-// Still says whether an attempt that was chosen a while ago may go out now: a router on sockets dials and
-// waits in between, and the age of data, drains and deadlines count at the write. If not, it is NotSent.
+// Still says whether an attempt that was chosen a while ago may be written now. If not, it is NotSent.
 func (c *Choice) Still(now time.Duration, id string, attempt int) bool {
 	c.now = max(now, c.now)
 	r := c.reqs[id]
@@ -835,10 +835,10 @@
 	switch {
 	case !m.listed:
 		return false
-	case r.class.Read >= Fresh:
-		return m == p || p == nil && r.class.Read == Write // a write may search, a fresh read must know
+	case r.class.Read == Write:
+		return m == p || p == nil // it may search, a read must know
 	}
-	return m == p || c.fresh(m, r) || c.nearly(m, r)
+	return m == p && !p.hearsay || r.class.Read != Fresh && (c.fresh(m, r) || c.nearly(m, r))
 }
 
 // Listed says whether new work, probes included, may go to a host.
@@ -863,7 +863,7 @@
 	m.out[r.class.index]++
 	r.attempts = append(r.attempts, attempt{to: m, sent: c.now, live: true})
 	r.live++
-	c.out = append(c.out, Action{Kind: ActSend, ID: r.id, Host: m.host, Timeout: timeout})
+	c.out = append(c.out, Action{Kind: ActSend, ID: r.id, Host: m.host, Timeout: timeout, Need: c.need(r)})
 }
 
 func (c *Choice) repeatable(r *request) bool {
@@ -914,8 +914,8 @@
 	c.close(r, false)
 }
 
-// value is what a second of work on a request brings: less once its answer would come after its aim, and more
-// in the class that is served worst, which counts once more by itself, the more the less of the worth is its.
+// value is what a second of work on a request brings: less once its answer would be late, and more in the
+// class that is served worst, which counts once more by itself.
 func (c *Choice) value(r *request) float64 {
 	worth := r.worth
 	if r.class == c.worst && !r.again {
@@ -982,9 +982,8 @@
 	return true
 }
 
-// behind ranks members by how likely a probe shows that they qualify: lately heard of and on pace for it; not
-// known; far behind before this router's start; too far behind since to have caught up, though it applied the
-// log twice as fast as it comes. Harms one that is faster still: it is asked a little late.
+// behind ranks members by how likely a probe shows that they qualify: lately heard of and on pace; not known;
+// far behind before this start; too far to have caught up since, though it applied the log twice as fast.
 func (c *Choice) behind(m *member, r *request) int {
 	since, need := c.now-m.heard, c.need(r)
 	switch {
--- a/choice/types.go
+++ b/choice/types.go
@@ -103,6 +103,7 @@
 	EvTimer
 	EvProbe
 	EvPeer
+	EvHeard // what a host says in an answer whose attempt was given up
 )
 
 // Code is how an attempt or a probe ended.
@@ -201,5 +202,6 @@
 	Timeout time.Duration // ActSend; 0: until the client gives up
 	After   time.Duration // ActRefuse: advice to stay away
 	At      time.Duration // ActTimer
+	Need    time.Duration // ActSend, of a read: the least position that its answer's data may have; 0: any
 	Timer   uint64
 }
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -157,6 +157,7 @@
 	}
 	n.clock = now
 	n.pool = pg.NewPool(n.engine, now, pg.Platform, b.pool)
+	n.pool.TellLate(func(host string, sent float64, write bool, o decide.Outcome) { n.facade.Heard(host, sent, write, o) })
 	backend := new(edge.Split)
 	probe := func(host string) {
 		ctx, cancel := context.WithTimeout(ctx, n.bounds.Load().connect)
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -152,6 +152,8 @@
 	tries   int     // guarded by f.mu, as are the next three
 	attempt int     // the one that is out
 	sent    float64 // when it was chosen
+	written float64 // when Still was asked last
+	need    float64 // the least position that the data of its answer may have; 0: any
 	over    bool    // no more attempts: the final verdict was queued or is not needed
 }
 
@@ -244,15 +246,20 @@
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
 	now := c.f.clock.Now()
+	c.written = now
 	return !c.over && c.f.module.Still(clock.Duration(now), c.id, c.attempt)
 }
 
-// Report gives the outcome of the attempt picked last. OK is the final answer; anything else asks for Pick.
-func (c *Call) Report(o Outcome) {
+// Report gives the outcome of the attempt picked last and returns the code that counts. OK is the final answer; anything
+// else asks for Pick.
+func (c *Call) Report(o Outcome) Code {
 	f := c.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
+	if c.stale(o) {
+		o.Code = Miss
+	}
 	round := math.Floor
 	if c.class.Read == choice.Write && o.Code == OK {
 		round = math.Ceil
@@ -267,6 +274,35 @@
 		c.end()
 	}
 	f.step(now, e)
+	return o.Code
+}
+
+// rounding is what the stamp of an answer may be below the position of its data, and the need of a read above its own.
+const rounding = 2.0
+
+// stale says whether an answer is by its own stamp too old for its request: its host may have lost the role, or its log,
+// since it was last heard of.
+func (c *Call) stale(o Outcome) bool {
+	need := c.need
+	if c.class.Read == choice.Bounded { // its bound counts from the write
+		need += c.written - c.sent
+	}
+	return o.Code == OK && c.need > 0 && o.Role == Replica && o.Position > 0 && o.Position+rounding <= need
+}
+
+// Heard takes what a host said in an answer whose attempt, written at sent, was given up.
+func (f *Facade) Heard(host string, sent float64, write bool, o Outcome) {
+	if write && o.Code == OK { // a commit, rounded up
+		o.Position = max(0, o.Position-1)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	e := choice.Event{Kind: choice.EvHeard, Host: host, Code: o.Code, Role: o.Role, Elapsed: clock.Duration(now - sent)}
+	if o.Position > 0 {
+		e.Position = duration(o.Position, math.Floor)
+	}
+	f.step(now, e)
 }
 
 func report(r Report) choice.Report {
@@ -385,7 +421,7 @@
 			if a.Timeout > 0 {
 				until = min(until, now+clock.Millis(a.Timeout))
 			}
-			c.attempt, c.sent = c.tries, now
+			c.attempt, c.sent, c.written, c.need = c.tries, now, now, clock.Millis(a.Need)
 			c.tries++
 			c.next <- Next{Verdict: Send, Host: a.Host, Attempt: c.attempt, Until: until}
 		case choice.ActRefuse, choice.ActFail:
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
+	"sync/atomic"
 
 	"ashstand/internal/clock"
 	"ashstand/internal/decide"
@@ -234,15 +236,17 @@
 			return Result{Verdict: Left}
 		}
 		reply := e.attempt(ctx, call, next, s)
-		call.Report(reply.Outcome)
-		if reply.Code == decide.OK {
+		counts := call.Report(reply.Outcome)
+		if counts == decide.OK {
 			return Result{Verdict: Served, Answer: reply.Answer}
 		}
 		verdict = Failed
 		if reply.Code == decide.NoAnswer {
 			verdict = TimedOut
 		}
-		if reply.Detail != "" {
+		if reply.Code == decide.OK { // whose answer does not count
+			detail = "the host's data was older than the class permits"
+		} else if reply.Detail != "" {
 			detail = reply.Detail
 		}
 	}
@@ -254,18 +258,20 @@
 		return e.exchange(ctx, call, next, s, nil)
 	}
 	seen := Seen{Statement: s, Host: next.Host, Others: e.seen.Sent(next.Host)}
-	begun, written := e.clock.Now(), 0.0
-	reply := e.exchange(ctx, call, next, s, &written)
+	begun, at := e.clock.Now(), new(atomic.Uint64)
+	reply := e.exchange(ctx, call, next, s, at)
 	seen.At, seen.Outcome, seen.Bytes = e.clock.Now(), reply.Outcome, len(reply.Answer.Value)
-	if seen.Wait = seen.At - begun; written > 0 {
+	seen.Wait = seen.At - begun
+	if written := math.Float64frombits(at.Load()); written > 0 {
 		seen.Wait, seen.Work = written-begun, seen.At-written
 	}
 	e.seen.Done(seen)
 	return reply
 }
 
-// exchange is an attempt; written, unless nil, becomes the time at which it was written last.
-func (e *Edge) exchange(ctx context.Context, call *decide.Call, next decide.Next, s *statement.Statement, written *float64) Reply {
+// exchange is an attempt; written, unless nil, becomes the bits of the time at which it was written last. A backend may ask
+// its gate on another goroutine.
+func (e *Edge) exchange(ctx context.Context, call *decide.Call, next decide.Next, s *statement.Statement, written *atomic.Uint64) Reply {
 	left := next.Until - e.clock.Now()
 	if left <= 0 {
 		return NotSent()
@@ -286,7 +292,7 @@
 		// Data age and drains count at the write: what held when the host was chosen may not hold after a dial.
 		now := e.clock.Now()
 		if written != nil {
-			*written = now
+			written.Store(math.Float64bits(now))
 		}
 		left := next.Until - now
 		return left, left > 0 && call.Still()
--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -49,8 +50,18 @@
 	hosts  map[string]*host
 	open   int
 	wear   wear
+	late   Late
+	linger time.Duration // lateFor, but in tests
 }
 
+// Late is told of an answer whose attempt was given up in the same moment: it serves nobody, but it teaches. sent is when
+// its request was written. It is called on a goroutine of its own.
+type Late func(host string, sent float64, write bool, o decide.Outcome)
+
+// lateFor is how long a connection whose request was given up is listened to. The platform counts as known what an answer
+// tells 100 ms after it was written, also where the pooler gave it up meanwhile.
+const lateFor = 100 * time.Millisecond
+
 type host struct {
 	address string
 	idle    []*conn // the one used last is at the end
@@ -58,9 +69,13 @@
 
 // NewPool returns a pool whose connections are served by engine.
 func NewPool(engine *loop.Engine, c clock.Clock, names Names, limits Limits) *Pool {
-	return &Pool{engine: engine, clock: c, names: names, limits: limits, hosts: map[string]*host{}}
+	return &Pool{engine: engine, clock: c, names: names, limits: limits, hosts: map[string]*host{},
+		linger: lateFor}
 }
 
+// TellLate has late answers told to late. It is to be set before the first request.
+func (p *Pool) TellLate(late Late) { p.late = late }
+
 // SetLimits takes other bounds for what is opened and kept from now on.
 func (p *Pool) SetLimits(limits Limits) {
 	p.mu.Lock()
@@ -143,7 +158,8 @@
 	// on the loop: a request was written, so what comes is its answer. That an exchange waits is not enough: its request
 	// may still be on the way to the loop, and what comes then belongs to the last one.
 	awaiting bool
-	held     int // on the loop: what of the pool's unread bytes lies here
+	held     int             // on the loop: what of the pool's unread bytes lies here
+	late     func(*response) // on the loop: who wants to know what answers the last request, should that be given up; or nil
 
 	mu     sync.Mutex
 	due    chan event // of the exchange under way; nil: none
@@ -215,14 +231,21 @@
 	_, _ = g.Discard(end)
 	c.from, c.awaiting = 0, false
 	if end == n {
-		c.deliver(event{response: r})
-		return gnet.None
+		if c.deliver(event{response: r}) {
+			return gnet.None
+		}
+		if c.late != nil { // given up, but for this
+			go c.late(&r)
+		}
+		return gnet.Close
 	}
 	// The answer is whole and good, but what came behind it belongs to no request: the connection ends here.
 	c.mu.Lock()
 	c.closed = true
 	c.mu.Unlock()
-	c.deliver(event{response: r})
+	if !c.deliver(event{response: r}) && c.late != nil {
+		go c.late(&r)
+	}
 	return gnet.Close
 }
 
@@ -259,7 +282,8 @@
 	p.mu.Unlock()
 }
 
-func (c *conn) deliver(e event) {
+// deliver brings what came to the exchange that waits for it. false: none does, or no longer.
+func (c *conn) deliver(e event) bool {
 	c.mu.Lock()
 	due := c.due
 	c.due = nil
@@ -267,13 +291,15 @@
 	if due != nil {
 		due <- e
 	}
+	return due != nil
 }
 
 func (c *conn) close() { _ = c.gnet.Close() }
 
-// command writes b once and waits for the response. The second result tells whether the host may have got
-// all of b; if not, nothing ran.
-func (c *conn) command(ctx context.Context, b []byte) (e event, wrote bool) {
+// command writes once what build makes, on the loop and in the moment of the write, and waits for the response. Where build
+// makes nothing, nothing is written, and the connection is as before. The second result tells whether the host may have
+// got all of it; if not, nothing ran. late, unless nil, gets a response that comes as its request is given up.
+func (c *conn) command(ctx context.Context, build func() []byte, late func(*response)) (e event, wrote bool) {
 	due := make(chan event, 1)
 	c.mu.Lock()
 	if c.closed {
@@ -283,7 +309,7 @@
 	c.due, c.wrote = due, false
 	c.mu.Unlock()
 	if err := c.gnet.EventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
-		c.send(b, due)
+		c.send(build, late, due)
 		return nil
 	})); err != nil {
 		c.close()
@@ -300,7 +326,7 @@
 		}
 		c.due = nil
 		c.mu.Unlock()
-		c.close()
+		c.abandon()
 		return event{err: ctx.Err()}, true
 	}
 	c.mu.Lock()
@@ -308,13 +334,37 @@
 	return e, c.wrote
 }
 
+// abandon ends a request that is given up: our sending at once, and the connection a little later. An answer that is on
+// its way just now may say that its host is no longer the primary; closed over it, the pooler would never know.
+func (c *conn) abandon() {
+	p := c.pool
+	if l := c.gnet.EventLoop(); l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		c.mu.Lock()
+		gone := c.closed
+		c.mu.Unlock()
+		if gone {
+			return nil
+		}
+		p.mu.Lock()
+		full := p.open >= p.limits.Connections // its place is wanted
+		p.mu.Unlock()
+		if full || !c.awaiting || c.late == nil || c.gnet.OutboundBuffered() > 0 || syscall.Shutdown(c.gnet.Fd(), syscall.SHUT_WR) != nil {
+			return l.Close(c.gnet)
+		}
+		time.AfterFunc(p.linger, c.close)
+		return nil
+	})) != nil {
+		c.close()
+	}
+}
+
 // send runs on the loop. What was already there when the request went out can't be its answer: a second copy of the
 // last one, noise, or the end of the connection, which then says nothing of the request.
-func (c *conn) send(b []byte, due chan event) {
+func (c *conn) send(build func() []byte, late func(*response), due chan event) {
 	c.mu.Lock()
-	late := c.closed || c.due != due // or given up since
+	closed := c.closed
 	c.mu.Unlock()
-	if late {
+	if closed {
 		c.deliver(event{err: errClosed})
 		return
 	}
@@ -323,7 +373,17 @@
 		_ = c.gnet.EventLoop().Close(c.gnet)
 		return
 	}
-	c.awaiting = true
+	var b []byte
+	c.mu.Lock()
+	if c.due == due { // not given up meanwhile: what build asks is asked for this attempt
+		b = build()
+	}
+	c.mu.Unlock()
+	if b == nil {
+		c.deliver(event{err: errGate})
+		return
+	}
+	c.awaiting, c.late = true, late
 	if _, err := c.gnet.Write(b); err != nil {
 		c.deliver(event{err: err}) // and gnet closes the connection
 		return
@@ -333,6 +393,7 @@
 	c.mu.Unlock()
 }
 
+var errGate = errors.New("the gate did not open")
 var errClosed = errors.New("the connection was closed")
 var errUnknownHost = errors.New("discovery has given no address for this host")
 
@@ -416,7 +477,7 @@
 		return nil, err
 	}
 	c.gnet = g
-	e, _ := c.command(ctx, startup(nil, p.names.User, p.names.Database))
+	e, _ := c.command(ctx, func() []byte { return startup(nil, p.names.User, p.names.Database) }, nil)
 	if e.err == nil && e.response.state == "" {
 		return c, nil
 	}
@@ -449,18 +510,27 @@
 
 // Exchange is described at edge.Conn.
 func (c *conn) Exchange(ctx context.Context, s *statement.Statement, gate edge.Gate) edge.Reply {
-	wait, ok := gate()
-	if !ok {
+	begun, sent, write := c.pool.clock.Now(), 0.0, s.Write
+	e, wrote := c.command(ctx, func() []byte {
+		wait, ok := gate()
+		if !ok {
+			return nil
+		}
+		sent = c.pool.clock.Now()
+		return query(make([]byte, 0, len(s.Text)+16), func(b []byte) []byte { return s.WithWait(b, wait) })
+	}, func(r *response) {
+		if late := c.pool.late; late != nil && outcome(r) != decide.Spoilt {
+			late(c.name, sent, write, c.pool.told(r))
+		}
+	})
+	if errors.Is(e.err, errGate) {
 		c.release()
 		return edge.NotSent()
 	}
-	b := query(make([]byte, 0, len(s.Text)+16), func(b []byte) []byte { return s.WithWait(b, wait) })
-	sent := c.pool.clock.Now()
-	e, wrote := c.command(ctx, b)
 	if c.used && wrote {
 		lost := e.err != nil && !errors.Is(e.err, errSpoilt) && ctx.Err() == nil
 		c.pool.mu.Lock()
-		c.pool.wear.note(sent, sent-c.since, lost)
+		c.pool.wear.note(begun, begun-c.since, lost)
 		c.pool.mu.Unlock()
 	}
 	if e.err != nil {
@@ -484,8 +554,7 @@
 		c.close()
 		return edge.Reply{Outcome: decide.Outcome{Code: decide.Spoilt}, Detail: errShape.Error()}
 	}
-	reply := edge.Reply{Outcome: decide.Outcome{Code: outcome(r), Role: c.pool.role(r.answer.Role),
-		Position: r.answer.Position, Report: edge.Gauges(r.answer.Gauges)}, Answer: r.answer}
+	reply := edge.Reply{Outcome: c.pool.told(r), Answer: r.answer}
 	if reply.Code != decide.OK {
 		reply.Detail = r.state + " " + r.text
 	}
@@ -493,6 +562,12 @@
 	return reply
 }
 
+// told is what a response says.
+func (p *Pool) told(r *response) decide.Outcome {
+	return decide.Outcome{Code: outcome(r), Role: p.role(r.answer.Role), Position: r.answer.Position,
+		Report: edge.Gauges(r.answer.Gauges)}
+}
+
 func outcome(r *response) decide.Code {
 	switch {
 	case r.state == stateReplica || r.state == stateBehind:
@@ -527,11 +602,16 @@
 	if err != nil {
 		return decide.Outcome{Code: decide.NoConnection}
 	}
-	if !listed(name) {
+	e, _ := c.command(ctx, func() []byte {
+		if !listed(name) {
+			return nil
+		}
+		return query(nil, func(b []byte) []byte { return append(append(b, "SHOW "...), p.names.Gauges...) })
+	}, nil)
+	if errors.Is(e.err, errGate) {
 		c.release()
 		return decide.Outcome{Code: decide.NotSent}
 	}
-	e, _ := c.command(ctx, query(nil, func(b []byte) []byte { return append(append(b, "SHOW "...), p.names.Gauges...) }))
 	if e.err != nil {
 		return decide.Outcome{Code: decide.NoAnswer}
 	}
