Accept without a free descriptor turns clients away instead of ending the process

Seen, on real sockets with RLIMIT_NOFILE lowered until accept got EMFILE: the process ends with 'the event loop ended' and every request with it. Cause: gnet's accept gives ErrAcceptSocket (acceptor_unix.go:92) and its poller ends the loop on that (poller_epoll_default.go:138); no option changes it. What comes in counts only while every share of descriptors() holds, and it cannot see what the machine lowers.

internal/net/loop/reserve.go: the library compares with its own exported variable, which is set to an error that equals nothing, so the loop goes on; its logger tells us of the failed accept on the loop itself. There the client that is missed least is closed (Front.Room), else one of four descriptors held in reserve is given up and who comes on it gets 53300. A listener that is gone still ends the engine. Dial takes half of the reserve.

Enrol gave its place to the next before the doubled descriptor was closed; it waits for both now (loop.go). A dial to a name tried two addresses at once.

Tests, each seen red with its part taken out: without the variable, without the reserve, without the wait, without the check of what came on the reserve, without the second try of a dial, without the wait in Enrol, with a probe that has no room told as no connection, with an unsent probe counted. TestIdleClientsFillTheDescriptorsWhileDiscoveryIsDown passes without the mend too: the shares hold there, 87 descriptors of 160 at the most. TestFewerDescriptorsThanConfigured was not run with the mend taken out. -race: five runs of the package, one of the two program tests.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -221,10 +221,10 @@
 	case EvProbe:
 		if m := c.members[e.Host]; m != nil {
 			m.probing = false
-			if e.Code != OK {
-				c.took(m, failure)
-			} else {
+			if e.Code == OK {
 				c.report(m, e.Report)
+			} else if e.Code != NotSent { // which says nothing of the host
+				c.took(m, failure)
 			}
 			for _, r := range c.held {
 				if r.group == m.group && !r.over && r.live == 0 {
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -34,7 +34,7 @@
 	serveRest = 900 * time.Millisecond
 	// lastWords is what is left of it when those get a final answer that have none yet.
 	lastWords = 150 * time.Millisecond
-	// spareDescriptors are for the listener, pollers, discovery, the log and what the runtime opens.
+	// spareDescriptors are for the listener, pollers, discovery, the log, the loop's reserve and what the runtime opens.
 	spareDescriptors = 28
 	// busyAfter is when, in milliseconds, a client may come again that found the table or the memory full.
 	busyAfter = 300
@@ -210,6 +210,7 @@
 	}
 	n.core.SetLimits(b.core)
 	n.front = pg.NewFront(n.core, b.front)
+	n.engine.Scarce = loop.Scarce{Room: n.front.Room, TurnAway: n.front.TurnAway}
 	if err := n.engine.Start(cfg.Listen, n.front.Accept); err != nil {
 		n.stop()
 		return nil, err
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -34,6 +34,11 @@
 	once   sync.Once
 	ended  chan error
 	enrol  chan struct{} // bounds what is being enrolled
+
+	Scarce  Scarce // set before Start
+	reserve reserve
+	scarce  Rarely
+	gone    sync.Once // the listener is
 }
 
 // Enrolling is how many connections hold two descriptors for a moment, at the most.
@@ -79,19 +84,21 @@
 		}
 		all = append(all, "tcp://"+other)
 	}
+	e.reserve.fill()
 	go func() {
+		defer e.reserve.empty()
 		e.ended <- gnet.Rotate(e, all,
 			gnet.WithNumEventLoop(1), // one core; and what handlers share then needs no locks
 			gnet.WithReuseAddr(true), // a restart finds the last process's connections in TIME_WAIT
 			// The loop that serves connections accepts them too, one at a time. Otherwise a thread of its own takes all
-			// that wait, before accept is asked once: a burst of hundreds takes the last descriptor and ends the process.
+			// that wait, before accept is asked once: a burst of hundreds takes the last descriptor.
 			gnet.WithReusePort(true),
 			gnet.WithLoadBalancing(gnet.SourceAddrHash), // the default may not be used from several goroutines
 			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 			gnet.WithReadBufferCap(64<<10),
 			gnet.WithWriteBufferCap(16<<10),
 			gnet.WithTicker(true),
-			gnet.WithLogger(quiet{}))
+			gnet.WithLogger(logger{engine: e}))
 	}()
 	select {
 	case <-e.booted:
@@ -127,10 +134,20 @@
 	return l.Close()
 }
 
-// Dial opens a connection on the calling goroutine and hands it to the loop, where h owns it.
-func (e *Engine) Dial(ctx context.Context, address string, h Handler) (gnet.Conn, error) {
+// Dial opens a connection on the calling goroutine and hands it to the loop, where h owns it. Where no descriptor is
+// free it takes one of the reserve: the next client that comes, not discovery or a host, has to make room.
+func (e *Engine) Dial(ctx context.Context, address string, h Handler) (c gnet.Conn, err error) {
+	for range Reserve {
+		if c, err = e.dial(ctx, address, h); !OutOfDescriptors(err) || !e.reserve.give(Reserve/2) {
+			break
+		}
+	}
+	return c, err
+}
+
+func (e *Engine) dial(ctx context.Context, address string, h Handler) (gnet.Conn, error) {
 	var d net.Dialer
-	d.KeepAlive = -1
+	d.KeepAlive, d.FallbackDelay = -1, -1 // one descriptor at a time, also for a name with addresses of two kinds
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -147,10 +164,17 @@
 		c.Close()
 		return nil, err
 	}
-	r := <-done
+	r := enrolled(done)
 	return r.Conn, r.Err
 }
 
+// enrolled waits for what came of it, and until the descriptor that was doubled is closed: then the channel is.
+func enrolled(done <-chan gnet.RegisteredResult) gnet.RegisteredResult {
+	r := <-done
+	<-done
+	return r
+}
+
 // OnBoot is called by gnet before it has made its event loops.
 func (e *Engine) OnBoot(engine gnet.Engine) gnet.Action {
 	e.engine = engine
@@ -169,6 +193,9 @@
 	if c.Context() != nil {
 		return nil, gnet.None
 	}
+	if words, ok := e.admit(c); !ok {
+		return words, gnet.Close
+	}
 	accept := e.accept
 	if len(e.others) > 0 && c.LocalAddr() != nil {
 		if other := e.others[c.LocalAddr().String()]; other != nil {
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -128,6 +128,16 @@
 	return true
 }
 
+// Room is loop.Scarce's.
+func (f *Front) Room() bool { return f.makeRoom(f.edge.Now()) }
+
+// TurnAway is loop.Scarce's. What the client has sent is read first: a close over unread bytes is a reset.
+func (f *Front) TurnAway(c gnet.Conn) []byte {
+	b := make([]byte, 4<<10)
+	_, _ = syscall.Read(c.Fd(), b)
+	return failure(nil, "FATAL", stateRefused, "too many connections", f.after())
+}
+
 // waiting says whether the kernel holds bytes that were not read yet.
 func waiting(c gnet.Conn) bool {
 	n, err := peek(c)
--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -413,6 +413,9 @@
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
+		if loop.OutOfDescriptors(err) {
+			err = fmt.Errorf("%w: %w", edge.ErrNoRoom, err)
+		}
 		return nil, err
 	}
 	c.gnet = g
@@ -524,7 +527,9 @@
 		return decide.Outcome{Code: decide.NotSent}
 	}
 	c, err := p.acquire(ctx, name)
-	if err != nil {
+	if errors.Is(err, edge.ErrNoRoom) {
+		return decide.Outcome{Code: decide.NotSent}
+	} else if err != nil {
 		return decide.Outcome{Code: decide.NoConnection}
 	}
 	if !listed(name) {
--- a/internal/net/pg/server.go
+++ b/internal/net/pg/server.go
@@ -123,7 +123,7 @@
 // failed says that a connection for the pool did not come up: who has waited longest chooses anew.
 func (p *spool) failed(err error) {
 	code := decide.NoConnection
-	if errors.Is(err, errTurnedAway) {
+	if errors.Is(err, errTurnedAway) || loop.OutOfDescriptors(err) {
 		code = decide.Full
 	}
 	if w := p.queue.Next(0, nil); w != nil {
