--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -474,6 +474,9 @@
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
+		if loop.OutOfDescriptors(err) {
+			err = fmt.Errorf("%w: %w", edge.ErrNoRoom, err)
+		}
 		return nil, err
 	}
 	c.gnet = g
@@ -599,7 +602,9 @@
 		return decide.Outcome{Code: decide.NotSent}
 	}
 	c, err := p.acquire(ctx, name)
-	if err != nil {
+	if errors.Is(err, edge.ErrNoRoom) {
+		return decide.Outcome{Code: decide.NotSent}
+	} else if err != nil {
 		return decide.Outcome{Code: decide.NoConnection}
 	}
 	e, _ := c.command(ctx, func() []byte {
