Repeats: begun only if they can end inside the class's window, asked at the write too

Seen by reading: a repeat of a deduplicated class was chosen up to 15 ms before its window ended (choice.go, repeatable) and the window was not asked again at the write (Still), with a dial of a connect time-out in between; a repeat's time-out was eight mean answers or its aim, whatever was left of the window. So a repeat could be written, or be run from a host's queue, after the host had forgotten the first attempt.

Changed: the end of the window stands on the request once an attempt may have run, counted from its choice, which is earlier than its write. A repeat begins only if a usual answer of its class (50 ms before any was seen) fits before it, Still asks the same at the write, and the attempt's time-out, which the host is told as d, ends with the window. repeatable no longer looks at the attempts that are out: its callers have none out, and Still has the one it asks for. Ruled out: a refusal of a class that repeats by cell, a repeat by zone, anything after an at-most-once attempt in doubt.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -142,7 +142,7 @@
 	attempts               []attempt
 	live                   int
 	ran                    bool          // some attempt may have run
-	ranAt                  time.Duration // sending of the first such
+	window                 time.Duration // from the choice of the first such: when a repeat must have ended
 	over, held, again      bool          // again: its client says that it is a repeat
 	worth                  float64       // expected, with what its tenant's share leaves of it
 	luck                   float64       // below a cold member's part: it may go there
@@ -383,7 +383,7 @@
 	}
 	r := &request{id: e.ID, class: k, group: g, key: e.Key, hasKey: e.HasKey, arrived: c.now,
 		aim: c.now + min(k.Aim, e.TimeLeft), deadline: c.now + e.TimeLeft,
-		luck: c.rng.Float64(), worth: k.Worth, again: e.Retry}
+		luck: c.rng.Float64(), worth: k.Worth, again: e.Retry, window: math.MaxInt64}
 	if k.Read == Session {
 		if !c.cfg.Remembered && e.Token > 0 {
 			r.need = c.now - e.Token + margin
@@ -446,7 +446,7 @@
 		m.otherAt = c.now
 	}
 	if !e.Code.NeverRan() && !r.ran {
-		r.ran, r.ranAt = true, a.sent
+		r.ran, r.window = true, a.sent+r.class.Window-endGuard
 	}
 	if e.Final {
 		c.close(r, e.Code == OK && c.now <= r.aim)
@@ -833,7 +833,7 @@
 	}
 	m, p := r.attempts[attempt].to, r.group.primary()
 	switch {
-	case !m.listed:
+	case !m.listed || !c.repeatable(r):
 		return false
 	case r.class.Read >= Fresh:
 		return m == p || p == nil && r.class.Read == Write // a write may search, a fresh read must know
@@ -853,7 +853,7 @@
 		timeout = max(r.aim-c.now-endGuard, endGuard)
 	}
 	if r.class.Effect == Keyed {
-		timeout = max(8*c.latency, r.class.Aim)
+		timeout = min(max(8*c.latency, r.class.Aim), r.window-c.now) // what is still queued then must not run
 	}
 	if m.inflight == 0 {
 		m.quiet = c.now
@@ -871,9 +871,9 @@
 	case Safe:
 		return true
 	case Keyed:
-		return !r.ran || r.class.Scope != ScopeZone && c.now < r.ranAt+r.class.Window-endGuard
+		return !r.ran || r.class.Scope != ScopeZone && c.now+max(r.class.latency, lateFloor) < r.window
 	}
-	return !r.ran && r.live == 0
+	return !r.ran
 }
 
 // close ends a request and calls off what is still out.
