Dials: kept when they come up late, counted once, and no handshake to a host that drains or moved

Now one dial for each host goes on up to connect_timeout and its connection goes to the pool; a second one is ended; where there is no room, such a dial goes first. - The handshake was written whatever had become of the host meanwhile, and a connection to a host's old address was handed out (pool.go dial; flight/hosts.go; server.go dial). Now each wire asks before the dial, before the handshake and after it: nothing for a host that drains (edge.ErrUnlisted: not sent, no evidence), the new address for one that moved. The session front no longer dials for a host that drains, and a dial and its handshake share one time-out. - Room for a connection was made once the new one was up, since the closes were deferred past the dial (acquire). - A db host could report parameters without end to the session front; 256 is the bound. Ruled out: a place counted twice or leaked where the loop hears of the end before the dialler, where it does not take the connection, or where the host resets at once. Harmless: a dial that gRPC goes on with is one for a host by itself.

--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -166,6 +166,7 @@
 	if n.facade, err = decide.New(cfg.site, cfg.seed, now, probe, backend.CloseIdle); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	n.pool.Listed, n.hosts.Listed = n.facade.Listed, n.facade.Listed
 	apply := discovery.Apply(n.facade.Members, backend, func(e discovery.Entry) edge.Backend {
 		if slices.Contains(cfg.flight.HostTypes, e.Type) {
 			return n.hosts
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -66,6 +66,10 @@
 // the host, and a while has to pass before the next try, as with a host that is full.
 var ErrNoRoom = errors.New("all connections that this pooler may hold are in use")
 
+// ErrUnlisted is what Acquire returns where the host has begun to drain, or is gone, since it was chosen: nothing was
+// sent, and another host is to be chosen.
+var ErrUnlisted = errors.New("the host takes nothing new")
+
 // Result is the one final answer to a request.
 type Result struct {
 	Verdict Verdict
@@ -277,6 +281,8 @@
 	case err == nil:
 	case errors.Is(err, ErrTurnedAway), errors.Is(err, ErrNoRoom):
 		return Reply{Outcome: decide.Outcome{Code: decide.Full}, Detail: err.Error()}
+	case errors.Is(err, ErrUnlisted):
+		return NotSent()
 	case ctx.Err() != nil: // the client left or this attempt's time ran out: no evidence against the host
 		return NotSent()
 	default:
--- a/internal/net/flight/hosts.go
+++ b/internal/net/flight/hosts.go
@@ -28,6 +28,10 @@
 
 // Hosts reaches db hosts that speak Flight SQL, over one HTTP/2 connection to each.
 type Hosts struct {
+	// Listed says whether anything new, a handshake included, may go to a host. It is to be set before the first use;
+	// nil: to every host.
+	Listed func(name string) bool
+
 	connect time.Duration
 
 	mu    sync.Mutex
@@ -97,12 +101,28 @@
 	return context.WithValue(ctx, onceKey{}, new(atomic.Bool))
 }
 
+// wanted says why a connection to an address is not to be made any more. gRPC dials by itself, too, as long as it failed.
+func (h *Hosts) wanted(name, address string) error {
+	if h.Listed != nil && !h.Listed(name) {
+		return edge.ErrUnlisted
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if o := h.hosts[name]; o == nil || o.address != address {
+		return errMoved
+	}
+	return nil
+}
+
+var errMoved = errors.New("the host is at another address now")
+var errNoAddress = errors.New("discovery has given no address for this host")
+
 func (h *Hosts) dial(name string) (*grpc.ClientConn, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	o := h.hosts[name]
 	if o == nil {
-		return nil, errors.New("discovery has given no address for this host")
+		return nil, errNoAddress
 	}
 	if o.cc != nil {
 		return o.cc, nil
@@ -115,7 +135,18 @@
 		grpc.WithMaxHeaderListSize(maxHeaders),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxAnswer), grpc.WaitForReady(false)),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			return (&net.Dialer{Timeout: h.connect}).DialContext(ctx, "tcp", address)
+			if err := h.wanted(name, address); err != nil {
+				return nil, err
+			}
+			c, err := (&net.Dialer{Timeout: h.connect}).DialContext(ctx, "tcp", address)
+			if err != nil {
+				return nil, err
+			}
+			if err := h.wanted(name, address); err != nil {
+				c.Close()
+				return nil, err
+			}
+			return c, nil
 		}))
 	o.cc = cc
 	return cc, err
@@ -133,6 +164,13 @@
 		defer cancel()
 	}
 	for tried := false; ; {
+		now, err := h.dial(name)
+		if err != nil {
+			return nil, err
+		}
+		if now != cc { // it moved meanwhile
+			cc, tried = now, false
+		}
 		state := cc.GetState()
 		switch state {
 		case connectivity.Ready:
@@ -140,6 +178,9 @@
 		case connectivity.Idle:
 			cc.Connect()
 		case connectivity.TransientFailure:
+			if h.Listed != nil && !h.Listed(name) {
+				return nil, edge.ErrUnlisted
+			}
 			if tried { // a new try, not what is left of an old one
 				return nil, fmt.Errorf("%s does not take connections", name)
 			}
--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -37,6 +37,10 @@
 
 // Pool holds the connections to db hosts.
 type Pool struct {
+	// Listed says whether anything new, a handshake included, may go to a host. It is to be set before the first use;
+	// nil: to every host.
+	Listed func(name string) bool
+
 	engine *loop.Engine
 	clock  clock.Clock
 	names  Names
@@ -54,8 +58,12 @@
 type host struct {
 	address string
 	idle    []*conn // the one used last is at the end
+	late    *late   // nil: there is none
 }
 
+// late is a dial that goes on though its attempt was given up.
+type late struct{ end func() }
+
 // NewPool returns a pool whose connections are served by engine.
 func NewPool(engine *loop.Engine, c clock.Clock, names Names, limits Limits) *Pool {
 	return &Pool{engine: engine, clock: c, names: names, limits: limits, hosts: map[string]*host{}}
@@ -335,6 +343,7 @@
 
 var errClosed = errors.New("the connection was closed")
 var errUnknownHost = errors.New("discovery has given no address for this host")
+var errMoved = errors.New("the host is at another address now")
 
 // Acquire takes a connection from the pool, or dials one and waits until the host is ready for a query.
 func (p *Pool) Acquire(ctx context.Context, name string) (edge.Conn, error) {
@@ -345,46 +354,60 @@
 	return c, nil
 }
 
-func (p *Pool) acquire(ctx context.Context, name string) (*conn, error) {
-	var old []*conn
-	defer func() {
-		for _, c := range old {
-			c.close()
-		}
-	}()
+func (p *Pool) acquire(ctx context.Context, name string) (c *conn, err error) {
+	for err = errMoved; err == errMoved; { // the host moved while it was dialled: it is to be had elsewhere
+		c, err = p.take(ctx, name)
+	}
+	return c, err
+}
+
+func (p *Pool) take(ctx context.Context, name string) (*conn, error) {
+	c, h, old, err := p.place(name)
+	for _, end := range old { // before the dial: it is their place that the new one has
+		end()
+	}
+	if c != nil || err != nil {
+		return c, err
+	}
+	return p.dial(ctx, name, h)
+}
+
+// place takes a connection from the pool, or a place for a new one. old ends those that are not to be used again.
+func (p *Pool) place(name string) (c *conn, h *host, old []func(), err error) {
 	p.mu.Lock()
-	h := p.hosts[name]
-	if h == nil {
-		p.mu.Unlock()
-		return nil, errUnknownHost
+	defer p.mu.Unlock()
+	if h = p.hosts[name]; h == nil {
+		return nil, nil, nil, errUnknownHost
 	}
 	for len(h.idle) > 0 {
-		c := h.idle[len(h.idle)-1]
+		c = h.idle[len(h.idle)-1]
 		h.idle = h.idle[:len(h.idle)-1]
 		if p.usable(c) {
-			p.mu.Unlock()
 			c.used = true
-			return c, nil
+			return c, h, old, nil
 		}
-		old = append(old, c)
+		old = append(old, c.close)
 	}
 	if p.open >= p.limits.Connections {
-		if c := p.spare(); c != nil { // its place is free once it is closed, which comes before the next dial
-			old = append(old, c)
-		} else {
-			p.mu.Unlock()
-			return nil, edge.ErrNoRoom
+		end := p.spare()
+		if end == nil {
+			return nil, h, old, edge.ErrNoRoom
 		}
+		old = append(old, end)
 	}
 	p.open++
-	p.mu.Unlock()
-	return p.dial(ctx, name, h)
+	return nil, h, old, nil
 }
 
-// spare takes the connection that has been idle for longest, to make room. Called with the lock held.
-func (p *Pool) spare() *conn {
+// spare makes room: it takes a dial that nobody waits for, else the connection that has been idle for longest, and
+// returns what ends it. Called with the lock held.
+func (p *Pool) spare() (end func()) {
 	var from *host
 	for _, h := range p.hosts {
+		if h.late != nil {
+			end, h.late = h.late.end, nil
+			return end
+		}
 		if len(h.idle) > 0 && (from == nil || h.idle[0].since < from.idle[0].since) {
 			from = h
 		}
@@ -394,31 +417,81 @@
 	}
 	c := from.idle[0]
 	from.idle = from.idle[1:]
-	return c
+	return c.close
 }
 
+// dial waits for a new connection, up to the time in the settings and as long as the attempt is not given up. A dial
+// that is given up goes on up to that time, one for each host, and its connection goes to the pool: the host has paid
+// for it, and the next attempt would have it pay once more.
 func (p *Pool) dial(ctx context.Context, name string, h *host) (*conn, error) {
 	p.mu.Lock()
 	connect := p.limits.Connect
 	p.mu.Unlock()
-	if connect > 0 {
-		// A cause of its own: a context that ran out for this reason says something of the host.
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, connect)
+	if connect <= 0 {
+		return p.connect(ctx, name, h)
+	}
+	// A time of its own: a dial that ran out of it says something of the host, an attempt that was given up nothing.
+	own, cancel := context.WithTimeout(context.WithoutCancel(ctx), connect)
+	type result struct {
+		conn *conn
+		err  error
+	}
+	up := make(chan result, 1)
+	go func() {
 		defer cancel()
+		c, err := p.connect(own, name, h)
+		up <- result{c, err}
+	}()
+	select {
+	case r := <-up:
+		return r.conn, r.err
+	case <-ctx.Done():
 	}
+	this := &late{cancel}
+	p.mu.Lock()
+	if h.late == nil && p.hosts[name] == h {
+		h.late = this
+	} else {
+		cancel()
+	}
+	p.mu.Unlock()
+	go func() {
+		r := <-up
+		p.mu.Lock()
+		if h.late == this {
+			h.late = nil
+		}
+		p.mu.Unlock()
+		if r.err == nil {
+			r.conn.release()
+		}
+	}()
+	return nil, ctx.Err()
+}
+
+// connect dials and greets a host. Its place among the open connections is free again when it fails: at once where the
+// loop never had it, else once it is closed.
+func (p *Pool) connect(ctx context.Context, name string, h *host) (*conn, error) {
 	c := &conn{pool: p, host: h, name: name}
-	g, err := p.engine.Dial(ctx, h.address, c)
+	err := p.wanted(c)
+	if err == nil {
+		c.gnet, err = p.engine.Dial(ctx, h.address, c)
+	}
 	if err != nil {
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
 		return nil, err
 	}
-	c.gnet = g
+	if err := p.wanted(c); err != nil { // a handshake is work too
+		c.close()
+		return nil, err
+	}
 	e, _ := c.command(ctx, startup(nil, p.names.User, p.names.Database))
 	if e.err == nil && e.response.state == "" {
-		return c, nil
+		if e.err = p.wanted(c); e.err == nil {
+			return c, nil
+		}
 	}
 	c.close()
 	if e.err != nil {
@@ -430,6 +503,19 @@
 	return nil, fmt.Errorf("the db host turned the connection away: %s %s", e.response.state, e.response.text)
 }
 
+// wanted says why a connection is not to be used, or made, any more: its host takes nothing new, or is elsewhere now.
+func (p *Pool) wanted(c *conn) error {
+	if p.Listed != nil && !p.Listed(c.name) {
+		return edge.ErrUnlisted
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.hosts[c.name] != c.host {
+		return errMoved
+	}
+	return nil
+}
+
 // release gives the connection back.
 func (c *conn) release() {
 	p := c.pool
--- a/internal/net/pg/server.go
+++ b/internal/net/pg/server.go
@@ -77,7 +77,7 @@
 		most = ps.Statements
 	}
 	s.prepared = session.NewServer(most)
-	address := p.host.address
+	address, begun := p.host.address, time.Now()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), l.Connect)
 		defer cancel()
@@ -90,8 +90,14 @@
 			case s.dead:
 			default:
 				s.wire = loop.NewWire(f.engine, g, s)
+				if p.host.address != address || !f.facade.Listed(p.host.name) { // a handshake is work too
+					s.ended()
+					s.wire.Close()
+					p.failed(errUnlisted)
+					return
+				}
 				s.wire.Write(startup(nil, p.key.user, p.key.database))
-				time.AfterFunc(l.Connect, func() {
+				time.AfterFunc(l.Connect-time.Since(begun), func() { // a connection not up by then counts as none
 					f.onLoop(func() {
 						if s.starting && !s.dead {
 							s.wire.Close()
@@ -123,8 +129,11 @@
 // failed says that a connection for the pool did not come up: who has waited longest chooses anew.
 func (p *spool) failed(err error) {
 	code := decide.NoConnection
-	if errors.Is(err, errTurnedAway) {
+	switch {
+	case errors.Is(err, errTurnedAway):
 		code = decide.Full
+	case errors.Is(err, errUnlisted):
+		code = decide.NotSent
 	}
 	if w := p.queue.Next(0, nil); w != nil {
 		w.Of.(*sclient).again(decide.Outcome{Code: code})
@@ -132,6 +141,7 @@
 }
 
 var errTurnedAway = errors.New("the db host turns connections away")
+var errUnlisted = errors.New("the db host takes nothing new, or is elsewhere now")
 
 // ended takes a connection off the books.
 func (s *server) ended() {
@@ -245,7 +255,7 @@
 func (p *spool) grow(f *Sessions) {
 	l := f.limits.Load()
 	ps := l.poolFor(p.key.database, p.key.user)
-	if ps == nil || p.host.address == "" {
+	if ps == nil || p.host.address == "" || !f.facade.Listed(p.host.name) { // the sweep sends those that wait elsewhere
 		return
 	}
 	for n := p.queue.Len() - p.dialing; n > 0 && p.open < p.room(ps); n-- {
@@ -307,7 +317,9 @@
 				return errors.New("the db host asks for a password, which is not supported")
 			}
 		case 'S':
-			s.status(body)
+			if _, ok := s.status(body); !ok {
+				return errShape
+			}
 		case 'K':
 			if len(body) >= 8 {
 				s.pid, s.key = binary.BigEndian.Uint32(body), binary.BigEndian.Uint32(body[4:])
@@ -356,6 +368,9 @@
 	case n.Gauges:
 		s.gauges = value
 	default:
+		if _, had := s.reported.of[name]; !had && len(s.reported.of) >= mostReported {
+			return false, false
+		}
 		s.reported = s.reported.with(s.front, name, value)
 		return false, true
 	}
@@ -540,7 +555,9 @@
 		}
 		switch kind {
 		case 'S':
-			s.status(body)
+			if _, ok := s.status(body); !ok {
+				return errShape
+			}
 		case 'N':
 		case 'A': // nobody listens any more
 		case 'E':
--- a/internal/net/pg/sessions.go
+++ b/internal/net/pg/sessions.go
@@ -61,11 +61,12 @@
 
 // Bounds of the session front that need no setting.
 const (
-	mostWhole   = 64 << 10  // a server's message is gathered up to this, and streamed beyond
-	highWater   = 256 << 10 // unsent to a peer, from which on its source is paused
-	lowWater    = 64 << 10
-	resumeEvery = 5 * time.Millisecond
-	answerGuard = 4.0 // what a refusal needs at the least to reach its client in time
+	mostWhole    = 64 << 10  // a server's message is gathered up to this, and streamed beyond
+	highWater    = 256 << 10 // unsent to a peer, from which on its source is paused
+	lowWater     = 64 << 10
+	resumeEvery  = 5 * time.Millisecond
+	mostReported = 256 // parameters that a host may report: one that goes on without end would fill the memory
+	answerGuard  = 4.0 // what a refusal needs at the least to reach its client in time
 )
 
 // Sessions is the front of a listener in transaction or session mode. All of its state belongs to the event loop: a
