Front: what is answered at once goes out in one write, so that a flood holds up itself alone

Cause: front.go, read and write: a system call for each command, up to 13000 in one read of 64 KiB, and a look at the whole rest of what was sent ahead for each, which is a copy where the ring buffer has come round. Now one look at what is there, one write for each 16 KiB of answers. What bounds it: one read of 64 KiB, or maxAhead, for each turn.

TestCommandsSentAheadAreAnsweredTogether counts the writes of one visit to the loop: 8000 before, 3 at the most now. TestAFloodDelaysNobodyElse prints the figures; its bound is loose.

--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -28,6 +28,7 @@
 	maxStrikes = 16                // requests in a row that make no sense
 	maxLinger  = 500               // for which a client that was sent away may go on sending
 	lingerMost = 256 << 10         // and how much of that is read
+	gathered   = 16 << 10          // of what is answered at once, that is kept for one write
 	sweepEvery = 50 * time.Millisecond
 )
 
@@ -291,6 +292,8 @@
 	strikes    int
 	unread     int
 	lingered   int
+	gathers    bool // answers wait in out, to go together
+	out        []byte
 	ctx        context.Context // ends when the client goes away
 	leave      context.CancelFunc
 }
@@ -347,6 +350,7 @@
 // the client still sends is thrown away: closed at once, it would be reset, and a reset can eat the error.
 func (h *client) farewell(c gnet.Conn, state, text, detail string) gnet.Action {
 	h.write(c, failure(nil, "FATAL", state, text, detail))
+	h.flush(c)
 	if c.OutboundBuffered() > 0 || syscall.Shutdown(c.Fd(), syscall.SHUT_WR) != nil {
 		return gnet.Close
 	}
@@ -355,45 +359,71 @@
 	return gnet.None
 }
 
-// read takes messages until one starts a request or no whole one is left.
+// read takes messages until one starts a request or no whole one is left. What is answered at once goes out together:
+// with a system call for each, a client that sends thousands ahead would hold the loop, and every other client with it.
 func (h *client) read(c gnet.Conn) gnet.Action {
-	for !h.busy && !h.farewelled {
-		n := c.InboundBuffered()
-		if n == 0 {
-			h.partial = 0
-			return gnet.None
-		}
-		b, err := c.Peek(n)
-		if err != nil {
-			return gnet.Close
-		}
+	all, err := c.Peek(c.InboundBuffered())
+	if err != nil {
+		return gnet.Close
+	}
+	h.gathers = true
+	b, action := all, gnet.None
+	for action == gnet.None && !h.busy && !h.farewelled && len(b) > 0 {
 		command := h.parser.Next(b)
 		if command.Kind == Incomplete {
-			if h.partial == 0 {
-				h.partial = h.front.edge.Now()
-			}
-			return gnet.None
-		}
-		h.partial = 0
-		action := h.handle(c, &command)
-		if action == gnet.Close || c.OutboundBuffered() > maxAhead { // or short errors to one that does not read
-			return gnet.Close
-		}
-		if h.farewelled {
-			return gnet.None
+			break
 		}
-		_, _ = c.Discard(command.Used)
-		if h.strikes > maxStrikes {
-			return h.farewell(c, stateInvalid, "too many requests that make no sense", "")
+		b = b[command.Used:]
+		if action = h.handle(c, &command); h.strikes > maxStrikes && action == gnet.None && !h.farewelled {
+			action = h.farewell(c, stateInvalid, "too many requests that make no sense", "")
 		}
-		if h.front.drain.Load() && h.asked && h.between(c) {
-			return gnet.Close
+		if len(h.out) > gathered {
+			if h.flush(c); h.ctx.Err() != nil { // it has gone, and its buffers with it
+				return gnet.None
+			}
+			if h.gathers = true; c.OutboundBuffered() > maxAhead { // short answers to one that does not read
+				action = gnet.Close
+			}
 		}
 	}
+	if h.flush(c); h.ctx.Err() != nil || h.farewelled || action == gnet.Close {
+		return action
+	}
+	if c.OutboundBuffered() > maxAhead {
+		return gnet.Close
+	}
+	used := len(all) - len(b)
+	if used > 0 {
+		_, _ = c.Discard(used)
+	}
+	switch {
+	case h.busy || len(b) == 0:
+		h.partial = 0
+	case h.partial == 0 || len(b) < len(all): // another message than the one that was not whole
+		h.partial = h.front.edge.Now()
+	}
+	if used > 0 && h.front.drain.Load() && h.asked && h.between(c) {
+		return gnet.Close
+	}
 	return gnet.None
 }
 
-func (h *client) write(c gnet.Conn, b []byte) { _, _ = c.Write(b) }
+func (h *client) write(c gnet.Conn, b []byte) {
+	if h.gathers {
+		h.out = append(h.out, b...)
+		return
+	}
+	_, _ = c.Write(b)
+}
+
+// flush ends the gathering of what is answered at once.
+func (h *client) flush(c gnet.Conn) {
+	out := h.out
+	h.gathers, h.out = false, nil
+	if len(out) > 0 {
+		_, _ = c.Write(out)
+	}
+}
 
 // handle answers a command at once, or starts a request.
 func (h *client) handle(c gnet.Conn, command *Command) gnet.Action {
