Discovery: a change is acted on within 6 s behind each two calls that fail

Seen: pace and watcher were read against "told 6 s after discovery had it and could be reached". On a clock that tests set: - a Retry-After was followed to 4 s with up to 5 s in all, from the refusal on, whenever that came, and one refusal behind another left no time for a third call (discovery.go header, pace.go next); - a call without an answer (2.5 s) and the pause behind it (2.5 s) left time for one more call, not for a second that failed; - behind a silent watch a slow answer (1 to 2 s) was given up twice and came 8 s behind; - a head started the clock of silence anew (get: t.Reset(quiet) on head), up to 6 s from the call's begin, and a whole list that took its time counted from its arrival, not from when it was asked for (takeAll: heard); - more than 64 lists in one piece ended the watch, and a pause that grew to 2.5 s came behind each 64 (Run: lasted); - a line and the end of its connection raced in the select: the same watch did or did not count as one that spoke.

Ruled out: a list of the old service behind a move (one goroutine; begin forgets the index); blank lines within an object (no sign of life); `left` and back in one list (the later entry stands).

The pause counts from the begin of a call; age, that of the round before, holds pause and answer so that a third call begins 5 s behind the first at the latest, over the service's word where it has to; that is followed to 2 s and 1 s drawn. The first two calls of a row that get no answer are made a second time beside the first, which goes on: the first to bring something whole is kept. The watcher's clock and dial are seams for tests.

--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -55,14 +55,16 @@
 
 // Watcher follows one discovery service at a time.
 type Watcher struct {
-	engine *loop.Engine
+	engine dialer
 	apply  func(List)
 	index  uint64
 	held   bool
 
+	clock   clock
 	pace    pace
 	brought bool      // the watch of the round under way got something whole, if only an empty line
-	heard   time.Time // the round did, or began
+	since   time.Time // a change that the round under way may have missed is no older: its begin, or what it got last
+	before  time.Time // the same of the round before it
 
 	mu      sync.Mutex
 	address string
@@ -70,10 +72,15 @@
 	moved   bool               // since the last round began
 }
 
+// dialer is a loop.Engine, or a test's.
+type dialer interface {
+	Dial(ctx context.Context, address string, h loop.Handler) (gnet.Conn, error)
+}
+
 // New returns a watcher; apply gets each list and change, in order. known is the list already held, if any. The pauses
 // after rounds that fail are drawn from seed.
 func New(engine *loop.Engine, address string, known *List, seed uint64, apply func(List)) *Watcher {
-	w := &Watcher{engine: engine, address: address, apply: apply, pace: newPace(seed)}
+	w := &Watcher{engine: engine, address: address, apply: apply, pace: newPace(seed), clock: system{}}
 	if known != nil {
 		w.index, w.held = known.Index, true
 	}
@@ -99,9 +106,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.moved {
-		w.moved, w.held, w.pace.failed = false, false, 0
+		w.moved, w.held, w.pace.failed, w.since = false, false, 0, time.Time{}
+	}
+	w.before, w.brought, w.since = w.since, false, w.clock.Now()
+	if w.before.IsZero() { // none, or at another service
+		w.before = w.since
 	}
-	w.brought, w.heard = false, time.Now()
+	w.pace.age = w.since.Sub(w.before)
 	ctx, w.cut = context.WithCancel(ctx)
 	return ctx, w.cut, w.address
 }
@@ -111,7 +122,7 @@
 	said := false
 	for ctx.Err() == nil {
 		round, cut, address := w.begin(ctx)
-		begun := time.Now()
+		begun := w.clock.Now()
 		err := w.round(round, address)
 		if round.Err() == nil {
 			if !said {
@@ -120,11 +131,11 @@
 			said = err != nil && !errors.Is(err, errEnded) // a service that is down is told once
 			var status statusError
 			_ = errors.As(err, &status)
-			lasted := w.brought && time.Since(begun) >= answerFirst // a service that ends each watch at once is asked less often
-			select {
-			case <-round.Done(): // a move goes before the rest of a pause, too
-			case <-time.After(w.pace.next(lasted, status.after, time.Since(w.heard))):
-			}
+			now := w.clock.Now()
+			// A service that ends each watch at once is asked less often, unless it has more to tell than was taken.
+			lasted := w.brought && (now.Sub(begun) >= answerFirst || errors.Is(err, errBurst))
+			w.pace.age = now.Sub(w.before)
+			w.clock.Pause(round, w.pace.next(lasted, status.after, now.Sub(w.since))) // a move goes before the rest of it, too
 		}
 		if round.Err() != nil && ctx.Err() == nil {
 			slog.Info("discovery: moved away from " + address)
@@ -155,55 +166,154 @@
 )
 
 // get asks for a path and applies each list that comes. once: the answer is one list. The head of the answer, and once
-// the one list, have to be whole within the answer time of the pace, dial included; a watch is dropped once nothing
-// whole came for quiet. Single bytes are no sign of life: a list that drips in is never there in time.
+// the one list, have to be whole within the answer time of the pace, dial included. Where the pace says so, the same is asked a second
+// time meanwhile, on a connection of its own: the first that brings something whole is kept. A watch is dropped once
+// nothing whole came for quiet. Single bytes are no sign of life: a list that drips in is never there in time.
 func (w *Watcher) get(ctx context.Context, address, path string, once bool) error {
-	s := &stream{head: make(chan struct{}, 1), signal: make(chan struct{}, 1), lists: make(chan List, 64), failed: make(chan error, 1)}
-	t := time.NewTimer(w.pace.answer())
+	none := &stream{cancel: func() {}} // nothing comes from it
+	first, second := w.open(ctx, address, path), none
+	defer func() { first.cancel(); second.cancel() }()
+	first.limit = first.begun.Add(w.pace.answer())
+	var again time.Time // when the second is begun; zero: not at all
+	if d := w.pace.second(); d > 0 {
+		again = first.begun.Add(d)
+	}
+	t := w.clock.Timer(until(first.begun, again, first.limit))
 	defer t.Stop()
-	dialing, cancel := context.WithTimeout(ctx, w.pace.answer())
-	c, err := w.engine.Dial(dialing, address, s)
-	cancel()
-	if err != nil {
-		return err
+	arm := func() { t.Reset(until(w.clock.Now(), again, latest(first.limit, second.limit))) }
+	headed := func(s *stream) {
+		if once {
+			return
+		}
+		now := w.clock.Now()
+		open := latest(s.begun.Add(quiet), now.Add(idle))
+		if most := w.since.Add(opening); open.After(most) {
+			open = most
+		}
+		again, s.limit = time.Time{}, latest(s.limit, open)
+		arm()
 	}
-	defer c.Close()
-	if err := c.AsyncWrite([]byte("GET "+path+" HTTP/1.1\r\nHost: "+address+"\r\nAccept: application/json\r\n\r\n"), nil); err != nil {
-		return err
+	whole := func(s *stream) (done bool) {
+		if s == first {
+			second.cancel()
+		} else {
+			first.cancel()
+		}
+		first, second = s, none
+		if any := w.takeAll(s.lists, s.begun, once); once {
+			return any
+		}
+		now := w.clock.Now()
+		w.brought, w.since = true, now
+		again, s.limit = time.Time{}, now.Add(quiet)
+		arm()
+		return false
+	}
+	failed := func(s *stream, err error) (done bool, _ error) {
+		select {
+		case <-s.signal: // what came before the end counts
+			if whole(s) {
+				return true, nil
+			}
+			return true, err
+		default:
+		}
+		s.cancel()
+		switch {
+		case second == none:
+			return true, err
+		case s == first:
+			first = second
+		}
+		second = none
+		arm()
+		return false, nil
 	}
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-s.head:
-			if !once {
-				t.Reset(quiet)
-			}
-		case <-s.signal:
-			if !once {
-				w.brought, w.heard = true, time.Now()
-				t.Reset(quiet)
-			}
-			if w.takeAll(s.lists, once) && once {
+		case <-first.head:
+			headed(first)
+		case <-second.head:
+			headed(second)
+		case <-first.signal:
+			if whole(first) {
 				return nil
 			}
-		case err := <-s.failed:
-			if w.takeAll(s.lists, once) && once { // what came before the end counts
+		case <-second.signal:
+			if whole(second) {
 				return nil
 			}
-			return err
-		case <-t.C:
-			return errQuiet
+		case err := <-first.failed:
+			if done, err := failed(first, err); done {
+				return err
+			}
+		case err := <-second.failed:
+			if done, err := failed(second, err); done {
+				return err
+			}
+		case <-t.C():
+			now := w.clock.Now()
+			if again.IsZero() {
+				return errQuiet
+			}
+			again, second = time.Time{}, w.open(ctx, address, path)
+			second.limit = now.Add(answerFirst)
+			arm()
 		}
 	}
 }
 
-// takeAll takes what lists holds and says whether that was anything. once: the first is the whole list, and all.
-func (w *Watcher) takeAll(lists <-chan List, once bool) (any bool) {
+// until is how long it is from now to the earlier of two moments; the first may be none.
+func until(now, first, second time.Time) time.Duration {
+	if !first.IsZero() && first.Before(second) {
+		second = first
+	}
+	return second.Sub(now)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// open begins a call; dialling does not hold up what else the watcher waits for. cancel of what it returns ends it.
+func (w *Watcher) open(ctx context.Context, address, path string) *stream {
+	s := newStream()
+	ctx, s.cancel = context.WithCancel(ctx)
+	s.begun = w.clock.Now()
+	go func() {
+		c, err := w.engine.Dial(ctx, address, s)
+		if err != nil {
+			s.fail(err)
+			return
+		}
+		defer c.Close()
+		if ctx.Err() != nil {
+			return
+		}
+		if err := c.AsyncWrite([]byte("GET "+path+" HTTP/1.1\r\nHost: "+address+"\r\nAccept: application/json\r\n\r\n"), nil); err != nil {
+			s.fail(err)
+			return
+		}
+		<-ctx.Done()
+	}()
+	return s
+}
+
+// takeAll takes what lists holds and says whether that was anything. once: the first is the whole list, and all. That
+// one may have taken its time, so it is as old as the call.
+func (w *Watcher) takeAll(lists <-chan List, begun time.Time, once bool) (any bool) {
 	for !any || !once {
 		select {
 		case l := <-lists:
-			w.heard, any = time.Now(), true
+			any = true
+			if once {
+				w.since = begun
+			}
 			l.Snapshot = l.Snapshot || once
 			w.take(l)
 		default:
@@ -221,7 +331,7 @@
 
 // stream parses an HTTP answer on the event loop, as it arrives.
 type stream struct {
-	begun   bool // the head was read
+	headed  bool // the head was read
 	chunked bool
 	left    int // of the chunk or the body; -1: a chunk's size comes next, -2: an empty line after a chunk
 
@@ -234,6 +344,17 @@
 	signal chan struct{} // a list, or a line outside of lists, is whole
 	lists  chan List
 	failed chan error
+
+	begun  time.Time // the call was
+	limit  time.Time // when it is given up
+	cancel context.CancelFunc
+}
+
+// waiting is how many lists may wait to be taken.
+const waiting = 256
+
+func newStream() *stream {
+	return &stream{head: make(chan struct{}, 1), signal: make(chan struct{}, 1), lists: make(chan List, waiting), failed: make(chan error, 1)}
 }
 
 // Traffic is called on the loop.
@@ -265,6 +386,8 @@
 var (
 	errHTTP = errors.New("the answer is no HTTP that is understood")
 	errList = errors.New("a list that can't be read")
+	// errBurst loses nothing: the next watch goes on behind the last list that was taken.
+	errBurst = errors.New("lists come faster than they are taken")
 )
 
 // statusError is an answer with a status other than 200.
@@ -278,7 +401,7 @@
 
 // parse takes as much of b as is whole and returns how much that was.
 func (s *stream) parse(b []byte) (used int, err error) {
-	if !s.begun {
+	if !s.headed {
 		end := bytes.Index(b, []byte("\r\n\r\n"))
 		if end < 0 {
 			if len(b) > maxHead {
@@ -369,7 +492,7 @@
 	if refused.code != 200 {
 		return refused
 	}
-	s.begun = true
+	s.headed = true
 	raise(s.head)
 	return nil
 }
@@ -438,7 +561,7 @@
 		raise(s.signal)
 		return nil
 	default:
-		return errors.New("lists come faster than they are taken")
+		return errBurst
 	}
 }
 
