Pool: the look for an end that came goes behind the gate, both in the visit that writes

Now the gate comes first and the look right before the write. Red before, green after, with the tests of dials, give-ups and gates beside it.

--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -376,11 +376,6 @@
 		c.deliver(event{err: errClosed})
 		return
 	}
-	if c.gnet.InboundBuffered() > 0 || pending(c.gnet) {
-		c.deliver(event{err: errClosed})
-		_ = c.gnet.EventLoop().Close(c.gnet)
-		return
-	}
 	var b []byte
 	c.mu.Lock()
 	if c.due == due { // not given up meanwhile: what build asks is asked for this attempt
@@ -391,6 +386,11 @@
 		c.deliver(event{err: errGate})
 		return
 	}
+	if c.gnet.InboundBuffered() > 0 || pending(c.gnet) {
+		c.deliver(event{err: errClosed})
+		_ = c.gnet.EventLoop().Close(c.gnet)
+		return
+	}
 	c.awaiting, c.late = true, late
 	if _, err := c.gnet.Write(b); err != nil {
 		c.deliver(event{err: err}) // and gnet closes the connection
