--- a/internal/net/pg/close_test.go
+++ b/internal/net/pg/close_test.go
@@ -267,7 +267,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := answers(t, 2, 60<<10)
-			c := narrow(t, d.address)
+					c := narrow(t, d.address)
 			_, err := c.Write(append(startup(nil, "web", "orders"), asked("a")...))
 			require.NoError(t, err)
 			require.Eventually(t, func() bool { return d.host.sent.Load() == 1 }, 10*time.Second, time.Millisecond)
