--- a/internal/net/pg/close_test.go
+++ b/internal/net/pg/close_test.go
@@ -74,20 +74,6 @@
 	return d
 }
 
-// acknowledged waits until each client's machine has all that was written to it.
-func (d *desk) acknowledged(t *testing.T) {
-	require.Eventually(t, func() bool {
-		return onLoop(d.loop.Load(), func() bool {
-			for _, c := range d.conns {
-				if unacknowledged(c) {
-					return false
-				}
-			}
-			return true
-		}, time.Now().Add(time.Second))
-	}, 10*time.Second, time.Millisecond)
-}
-
 func asked(id string) []byte {
 	return query(nil, func(b []byte) []byte { return append(b, "/* id="+id+",c=report,d=20000,cluster=1 */ SELECT 'k'"...) })
 }
@@ -217,7 +203,6 @@
 	later := func(do func()) {
 		require.NoError(t, l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error { do(); return nil })))
 	}
-	d.acknowledged(t)
 	d.drain.Store(true)
 	let := hold(l, always)
 	looked := make(chan struct{})
@@ -267,7 +252,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := answers(t, 2, 60<<10)
-					c := narrow(t, d.address)
+			c := narrow(t, d.address)
 			_, err := c.Write(append(startup(nil, "web", "orders"), asked("a")...))
 			require.NoError(t, err)
 			require.Eventually(t, func() bool { return d.host.sent.Load() == 1 }, 10*time.Second, time.Millisecond)
@@ -277,7 +262,7 @@
 			}
 			end.by(t, d)
 			require.Eventually(t, func() bool {
-				return d.count(func(h *client) bool { return h.busy }) == 0
+				return d.count(func(h *client) bool { return h.busy || d.drain.Load() && !h.farewelled }) == 0
 			}, 10*time.Second, time.Millisecond)
 			_, err = c.Write(asked("b")) // it crosses the close, if there was one
 			require.NoError(t, err)
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -31,8 +31,7 @@
 	lingerMost = 256 << 10         // and how much of that is read
 	gathered   = 16 << 10          // of what is answered at once, that is kept for one write
 	sweepEvery = 50 * time.Millisecond
-	mostBusy   = time.Second          // that the loop may be with others when it is asked
-	lookAgain  = 5 * time.Millisecond // whether a client's machine has its answers
+	mostBusy   = time.Second // that the loop may be with others when it is asked
 )
 
 // FrontLimits bound the front.
@@ -165,8 +164,8 @@
 func (f *Front) Drain() {
 	f.drain.Store(true)
 	f.each(func(h *client, c gnet.Conn) {
-		if h.leaves(c) {
-			_ = c.EventLoop().Close(c)
+		if h.asked && !h.farewelled && h.between(c) {
+			h.finish(c)
 		}
 	})
 }
@@ -282,29 +281,6 @@
 	return h.between(c) && c.OutboundBuffered() == 0 && (idle > maxSilent || !unacknowledged(c))
 }
 
-// leaves says whether a connection between requests goes now, at shutdown. One whose client's machine has not all of its
-// answers stays open and is served, for what is read is taken: a request that is read and thrown away would be lost. It is
-// looked at again a little later.
-func (h *client) leaves(c gnet.Conn) bool {
-	if !h.front.drain.Load() || !h.asked || h.farewelled || h.closed || !h.between(c) {
-		return false
-	}
-	if h.resting(c, h.front.edge.Now()-h.since) {
-		return true
-	}
-	if !h.again {
-		h.again = true
-		time.AfterFunc(lookAgain, func() {
-			_ = h.run(c, func() {
-				if h.again = false; h.leaves(c) {
-					_ = c.EventLoop().Close(c)
-				}
-			})
-		})
-	}
-	return false
-}
-
 // unacknowledged says whether something that was written is not yet with the peer's machine.
 func unacknowledged(c gnet.Conn) bool {
 	n, err := unix.IoctlGetInt(c.Fd(), unix.SIOCOUTQ)
@@ -387,7 +363,6 @@
 	asked      bool // it had a request
 	requests   int  // how many
 	busy       bool
-	again      bool // it is looked at again, at shutdown
 	answering  bool // busy, and the answer is written whole; some of it has not left
 	farewelled bool // it has to go: what it still sends is thrown away
 	shutdown   bool // and our side has ended
@@ -523,8 +498,8 @@
 	case h.partial == 0 || len(b) < len(all): // another message than the one that was not whole
 		h.partial = h.front.edge.Now()
 	}
-	if used > 0 && h.leaves(c) {
-		return gnet.Close
+	if used > 0 && h.front.drain.Load() && h.asked && !h.closed && h.between(c) {
+		return h.finish(c)
 	}
 	return gnet.None
 }
@@ -679,7 +654,7 @@
 	}
 	if h.unread > 0 { // what was sent ahead is waiting, and was taken
 		_ = c.Wake(nil)
-	} else if h.leaves(c) { // in this visit: a later one may find a request begun
+	} else if h.front.drain.Load() && h.between(c) && h.finish(c) == gnet.Close { // in this visit: a later one may find a request begun
 		_ = c.EventLoop().Close(c)
 	}
 }
