--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -32,10 +32,7 @@
 	killSlack = 700 * time.Millisecond
 	// serveRest is what is left of that time when clients are sent elsewhere, for the answers that are due then.
 	serveRest = 900 * time.Millisecond
-	// newcomers is for how long after SIGTERM new connections may still come.
-	newcomers = 450 * time.Millisecond
-	// lastWords is what is left of it when those get a final answer that have none yet; half of it is for what is
-	// kept, and for the process to end.
+	// lastWords is what is left of it when those get a final answer that have none yet.
 	lastWords = 150 * time.Millisecond
 	// spareDescriptors are for the listener, pollers, discovery, the log, the loop's reserve and what the runtime opens.
 	spareDescriptors = 28
@@ -48,7 +45,6 @@
 	// From the first moment: unhandled, SIGHUP ends the process.
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
-	terminated := termination()
 	cfg, err := prepare(file, must)
 	if err != nil {
 		return err
@@ -56,11 +52,8 @@
 	// Two, though there is one core: the event loop sleeps inside a system call and keeps its place while it
 	// does. Measured on a calm day, medians: from the answer to the client 152 us with one place, 107 us with two.
 	runtime.GOMAXPROCS(2)
-	select {
-	case <-terminated: // nobody could come yet
-		return nil
-	default:
-	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	n, err := start(cfg)
 	if err != nil {
 		return err
@@ -82,35 +75,17 @@
 	select {
 	case err := <-n.ended:
 		return err
-	case s := <-terminated:
+	case s := <-stop:
 		// New connections come for 0.4 s yet, and clients use those they have while they are open: until the
 		// platform starts the next process, this one serves them best.
-		tail, end := n.bounds.Load().after(s.at)
-		log.Printf("%v: going on for %v, then closing client connections between requests", s.what, tail.Sub(s.at))
+		log.Printf("%v: going on for %v, then closing client connections between requests", s, n.bounds.Load().grace-serveRest)
 		n.others.now(member.Draining)
+		tail := time.Now().Add(n.bounds.Load().grace - serveRest)
 		n.others.leave(time.Until(tail))
-		select {
-		case <-time.After(time.Until(tail)):
-		case err := <-n.ended:
-			return err
-		}
-		n.drain(end)
-		return nil
+		time.Sleep(time.Until(tail))
 	}
-}
-
-// signalled is the signal that ends the process, and when it came: the platform counts from then.
-type signalled struct {
-	what os.Signal
-	at   time.Time
-}
-
-// termination tells of the first such signal. Those that follow change nothing.
-func termination() <-chan signalled {
-	stop, came := make(chan os.Signal, 1), make(chan signalled, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	go func() { came <- signalled{<-stop, time.Now()} }()
-	return came
+	n.drain()
+	return nil
 }
 
 // node is a pooler that runs.
@@ -159,20 +134,13 @@
 	for _, c := range cfg.site.Settings.Classes {
 		b.grace = max(b.grace, min(c.Deadline, 3*time.Second))
 	}
-	b.grace += killSlack
+	b.grace = max(b.grace+killSlack, serveRest+500*time.Millisecond)
 	if b.pooled, err = cfg.sessionLimits(share, after); err != nil {
 		return nil, err
 	}
 	return b, nil
 }
 
-// after are the times at which client connections are closed between requests, and at which SIGKILL may come, after
-// SIGTERM at a time. Where deadlines are short, the rest is, too: what is due then is due sooner.
-func (b *bounds) after(at time.Time) (tail, end time.Time) {
-	end = at.Add(b.grace)
-	return at.Add(max(b.grace-serveRest, min(newcomers, b.grace-2*lastWords))), end
-}
-
 // start wires the parts together and opens the fronts.
 func start(cfg *config) (*node, error) {
 	b, err := derive(cfg)
@@ -327,22 +295,22 @@
 	}
 }
 
-// drain closes client connections between requests and waits for the answers that are due. SIGKILL may come at end.
-func (n *node) drain(end time.Time) {
+// drain closes client connections between requests and waits for the answers that are due.
+func (n *node) drain() {
 	n.front.Drain()
 	if n.pooled != nil {
 		n.pooled.Drain()
 	}
-	calls, idle := make(chan struct{}), make(chan struct{})
+	idle := make(chan struct{})
 	go func() {
 		if n.flight != nil { // first: a request ends there before the last of its answer is written
 			n.flight.Drain()
 		}
-		close(calls)
 		<-n.core.Drain()
-		// Of what clients send ahead or in pieces, some is still to begin, and transactions finish, if they can in time.
-		// Nobody comes to the session front any more, so the other one is asked last; it ends in the same visit.
-		for n.pooled != nil && !n.pooled.Idle() || !n.front.Finish() {
+		for !n.front.Idle() { // of what clients send ahead or in pieces, some is still to begin
+			time.Sleep(5 * time.Millisecond)
+		}
+		for n.pooled != nil && n.pooled.Stats().Linked > 0 { // transactions finish, if they can in time
 			time.Sleep(5 * time.Millisecond)
 		}
 		close(idle)
@@ -350,28 +318,13 @@
 	select {
 	case <-idle:
 		log.Printf("drained: every request has its answer")
-	case <-time.After(time.Until(end) - lastWords):
+	case <-time.After(serveRest - lastWords):
 		log.Printf("drained: time is up; what is open gets an error")
 	}
 	n.front.Cut()
 	if n.pooled != nil {
 		n.pooled.Cut()
 	}
-	if n.flight != nil {
-		n.flight.Cut()
-	}
-	said := end.Add(-lastWords / 2)
-	n.front.Settle(said)
-	if n.pooled != nil {
-		n.pooled.Settle(said)
-	}
-	if n.flight != nil {
-		select {
-		case <-calls:
-		case <-time.After(time.Until(said)):
-		}
-		n.flight.Stop()
-	}
 	if n.admin != nil {
 		n.admin.Stop()
 	}
@@ -379,6 +332,7 @@
 		n.keeper.last()
 	}
 	n.others.stop()
+	time.Sleep(lastWords / 3) // the loop writes what is still to be said
 }
 
 func (n *node) stop() {
--- a/internal/net/flight/front.go
+++ b/internal/net/flight/front.go
@@ -24,8 +24,6 @@
 	flightsql.BaseServer
 	edge   *edge.Edge
 	server *grpc.Server
-	over   context.Context // ends when the process is about to
-	cut    context.CancelFunc
 }
 
 const maxStreams = 64 // requests under way on one connection
@@ -33,7 +31,6 @@
 // NewFront returns a front that brings requests to e.
 func NewFront(e *edge.Edge) *Front {
 	f := &Front{edge: e}
-	f.over, f.cut = context.WithCancel(context.Background())
 	f.server = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxRequest), grpc.MaxHeaderListSize(16<<10), grpc.MaxConcurrentStreams(maxStreams),
 		// Fixed and small: one core and little memory, shared with the other front. Setting the windows also
@@ -57,10 +54,6 @@
 // Drain takes no new connection, tells clients to go elsewhere, and returns when every request has its answer.
 func (f *Front) Drain() { f.server.GracefulStop() }
 
-// Cut gives every call that is open its final status, and refuses what still comes: the process is about to end. Without a
-// word gRPC would make a bare Unavailable of it, which proves nothing and which some clients take for a refusal.
-func (f *Front) Cut() { f.cut() }
-
 // Stop cuts off what is left.
 func (f *Front) Stop() { f.server.Stop() }
 
@@ -153,21 +146,12 @@
 		return nil, final(refused)
 	}
 	defer f.edge.End(s)
-	if f.over.Err() != nil {
-		return nil, failure(codes.Unavailable, "the pooler restarts", reasonRefused, 0)
-	}
-	ctx, leave := context.WithCancel(ctx)
-	defer leave()
-	defer context.AfterFunc(f.over, leave)()
 	arrived := f.edge.Now()
 	if at, ok := ctx.Deadline(); ok {
 		s.Wait = min(s.Wait, float64(time.Until(at))/1e6)
 	}
 	r := f.edge.Do(ctx, s, arrived)
-	switch {
-	case r.Verdict == edge.Left && f.over.Err() != nil:
-		return nil, failure(codes.Unknown, "the pooler restarts; the request may have run", "", 0)
-	case r.Verdict != edge.Served:
+	if r.Verdict != edge.Served {
 		return nil, final(&r)
 	}
 	_ = grpc.SetTrailer(ctx, tell(&r.Answer))
--- a/internal/net/loop/wire.go
+++ b/internal/net/loop/wire.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"os"
-	"syscall"
 
 	"github.com/panjf2000/gnet/v2"
 )
@@ -22,7 +21,6 @@
 	carry  []byte // what was read before the pause and is not consumed
 	out    []byte // written during it
 	closed bool
-	shut   bool // our side has ended
 }
 
 // NewWire wraps a connection that is on the loop and owned by h.
@@ -102,19 +100,6 @@
 	return n
 }
 
-// Shut ends our side, once what was written has left. done: it has, or the connection is closed; a paused one is not.
-func (w *Wire) Shut() (done bool) {
-	if w.closed || w.shut {
-		return true
-	}
-	if w.Conn == nil || w.Conn.OutboundBuffered() > 0 {
-		return false
-	}
-	w.shut = true
-	_ = syscall.Shutdown(w.Conn.Fd(), syscall.SHUT_WR)
-	return true
-}
-
 // Close ends the connection.
 func (w *Wire) Close() {
 	if w.closed {
--- a/internal/net/pg/forward.go
+++ b/internal/net/pg/forward.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/binary"
 	"strconv"
+	"syscall"
+
+	"github.com/panjf2000/gnet/v2"
 
 	"ashstand/internal/session"
 )
@@ -231,3 +234,6 @@
 	}
 	return nil
 }
+
+// shutdown ends our side of a connection.
+func shutdown(g gnet.Conn) error { return syscall.Shutdown(g.Fd(), syscall.SHUT_WR) }
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"golang.org/x/sys/unix"
 
 	"ashstand/internal/edge"
 	"ashstand/internal/net/loop"
@@ -31,7 +30,6 @@
 	lingerMost = 256 << 10         // and how much of that is read
 	gathered   = 16 << 10          // of what is answered at once, that is kept for one write
 	sweepEvery = 50 * time.Millisecond
-	mostBusy   = time.Second // that the loop may be with others when it is asked
 )
 
 // FrontLimits bound the front.
@@ -117,7 +115,7 @@
 			r = 1
 		}
 		if r > rank || r > 0 && r == rank && h.since < least.since {
-			if r < 3 && !h.resting(c, age) {
+			if r < 3 && waiting(c) {
 				continue
 			}
 			least, rank = h, r
@@ -164,129 +162,66 @@
 func (f *Front) Drain() {
 	f.drain.Store(true)
 	f.each(func(h *client, c gnet.Conn) {
-		if h.asked && !h.farewelled && h.between(c) {
-			h.finish(c)
+		if h.asked && h.between(c) {
+			_ = c.EventLoop().Close(c)
 		}
 	})
 }
 
 // Idle says whether no request is under way or has begun to arrive.
-func (f *Front) Idle() bool { return onLoop(f.loop.Load(), f.idle, time.Now().Add(mostBusy)) }
-
-func (f *Front) idle() bool {
-	for h, c := range f.conns {
-		if !h.farewelled && !h.between(c) {
-			return false
-		}
+func (f *Front) Idle() bool {
+	l, ok := f.loop.Load().(gnet.EventLoop)
+	if !ok {
+		return true
 	}
-	return true
-}
-
-// Finish is Cut if no request is under way or has begun to arrive, else it does nothing: one visit to the loop, so that
-// none begins in between. It says whether the front has ended.
-func (f *Front) Finish() bool {
-	return onLoop(f.loop.Load(), func() bool {
-		if !f.idle() {
-			return false
-		}
-		f.over.Store(true)
+	idle := make(chan bool, 1)
+	if l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		all := true
 		for h, c := range f.conns {
-			h.cut(c)
+			all = all && (h.farewelled || h.between(c))
 		}
-		return true
-	}, time.Now().Add(mostBusy))
-}
-
-// Settle waits after Cut until the loop has done it and all that was written is with the clients' machines.
-func (f *Front) Settle(until time.Time) {
-	settle(f.loop.Load(), func() bool {
-		for h, c := range f.conns {
-			if h.shut(c); c.OutboundBuffered() > 0 || unacknowledged(c) {
-				return false
-			}
-		}
-		return true
-	}, until)
-}
-
-// onLoop asks on the loop; false if that has not answered at until, true where there is no loop, or no more.
-func onLoop(l any, ask func() bool, until time.Time) bool {
-	on, ok := l.(gnet.EventLoop)
-	if !ok {
-		return true // nobody ever came
-	}
-	said := make(chan bool, 1)
-	if on.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
-		said <- ask()
+		idle <- all
 		return nil
 	})) != nil {
 		return true
 	}
-	select {
-	case yes := <-said:
-		return yes
-	case <-time.After(time.Until(until)):
-		return false
-	}
-}
-
-// settle asks on the loop until the answer is yes, or the time is over.
-func settle(l any, done func() bool, until time.Time) {
-	for !onLoop(l, done, until) && time.Now().Before(until) {
-		time.Sleep(2 * time.Millisecond)
-	}
+	return <-idle
 }
 
 // Cut gives every request that is open its final answer, an error, and lets no other in: the process is about to end.
 // What a client sent ahead was sent on to nobody, so it is refused: without a word it would be lost.
 func (f *Front) Cut() {
 	f.over.Store(true)
-	f.each(func(h *client, c gnet.Conn) { h.cut(c) })
-}
-
-func (h *client) cut(c gnet.Conn) {
-	if h.farewelled {
-		return
-	}
-	codes := make([]string, h.ahead(c))
-	for i := range codes {
-		codes[i] = stateStarting
-	}
-	if h.busy {
-		h.busy = false
-		h.leave()         // what came of the request now is written no more
-		if !h.answering { // else its answer is written whole, though not all of it has left
+	f.each(func(h *client, c gnet.Conn) {
+		if h.farewelled {
+			return
+		}
+		codes := make([]string, h.ahead(c))
+		for i := range codes {
+			codes[i] = stateStarting
+		}
+		if h.busy {
+			h.busy = false
+			h.leave() // what came of the request now is written no more
 			codes = append([]string{stateShutdown}, codes...)
 		}
-	}
-	if len(codes) == 0 { // the next request may be on its way
-		codes = append(codes, stateStarting)
-	}
-	text := map[string]string{stateStarting: "the pooler restarts", stateShutdown: "the pooler restarts; the request may have run"}
-	last := len(codes) - 1
-	for _, code := range codes[:last] {
-		h.write(c, ready(failure(nil, "ERROR", code, text[code], "")))
-	}
-	if h.farewell(c, codes[last], text[codes[last]], "") == gnet.Close {
-		_ = c.EventLoop().Close(c)
-	}
+		if len(codes) == 0 { // the next request may be on its way
+			codes = append(codes, stateStarting)
+		}
+		text := map[string]string{stateStarting: "the pooler restarts", stateShutdown: "the pooler restarts; the request may have run"}
+		last := len(codes) - 1
+		for _, code := range codes[:last] {
+			h.write(c, ready(failure(nil, "ERROR", code, text[code], "")))
+		}
+		if h.farewell(c, codes[last], text[codes[last]], "") == gnet.Close {
+			_ = c.EventLoop().Close(c)
+		}
+	})
 }
 
 // between says whether the client's last request has its answer and nothing of another has come, to the kernel either.
 func (h *client) between(c gnet.Conn) bool { return !h.busy && c.InboundBuffered() == 0 && !waiting(c) }
 
-// resting says whether a connection that was idle for so long may be closed at once: its client's machine has all its
-// answers, too. Bytes that come after a close reset the connection, and take with them what has not arrived by then.
-func (h *client) resting(c gnet.Conn, idle float64) bool {
-	return h.between(c) && c.OutboundBuffered() == 0 && (idle > maxSilent || !unacknowledged(c))
-}
-
-// unacknowledged says whether something that was written is not yet with the peer's machine.
-func unacknowledged(c gnet.Conn) bool {
-	n, err := unix.IoctlGetInt(c.Fd(), unix.SIOCOUTQ)
-	return err == nil && n > 0
-}
-
 // ahead is how many commands wait whole for an answer, behind the one under way; what only the kernel has is read.
 func (h *client) ahead(c gnet.Conn) (n int) {
 	held, _ := c.Peek(c.InboundBuffered())
@@ -331,13 +266,13 @@
 	f.each(func(h *client, c gnet.Conn) {
 		idle := now - h.since
 		switch {
-		case !h.busy && !h.farewelled && h.asked && len(f.conns) > many && c.InboundBuffered() == 0 &&
+		case !h.busy && h.asked && len(f.conns) > many && c.InboundBuffered() == 0 &&
 			(idle >= minStay || h.requests == 1 && idle >= minOnce):
-			if h.resting(c, idle) {
+			if !waiting(c) {
 				_ = c.EventLoop().Close(c)
 			}
 		case h.farewelled:
-			if h.shut(c) == gnet.Close || idle > maxLinger {
+			if now-h.since > maxLinger {
 				_ = c.EventLoop().Close(c)
 			}
 		case h.busy:
@@ -363,10 +298,7 @@
 	asked      bool // it had a request
 	requests   int  // how many
 	busy       bool
-	answering  bool // busy, and the answer is written whole; some of it has not left
-	farewelled bool // it has to go: what it still sends is thrown away
-	shutdown   bool // and our side has ended
-	closed     bool // its descriptor may be another connection's by now
+	farewelled bool // it was told to go: what it still sends is not read
 	strikes    int
 	unread     int
 	lingered   int
@@ -419,39 +351,21 @@
 // Closed is called on the loop.
 func (h *client) Closed(gnet.Conn, error) {
 	h.leave()
-	h.closed = true
 	h.front.unread -= h.unread
 	h.unread = 0
 	delete(h.front.conns, h)
 }
 
-// farewell tells a client why it has to go and ends our side.
+// farewell tells a client why it has to go and ends our side. The connection stays for a moment, in which what
+// the client still sends is thrown away: closed at once, it would be reset, and a reset can eat the error.
 func (h *client) farewell(c gnet.Conn, state, text, detail string) gnet.Action {
 	h.write(c, failure(nil, "FATAL", state, text, detail))
 	h.flush(c)
-	return h.finish(c)
-}
-
-// finish ends our side of a connection, once what was written has left. The connection stays for a moment, in which what
-// the client still sends is thrown away: closed at once, it would be reset, and a reset can eat the last answer.
-func (h *client) finish(c gnet.Conn) gnet.Action {
-	if h.closed {
-		return gnet.None
+	if c.OutboundBuffered() > 0 || syscall.Shutdown(c.Fd(), syscall.SHUT_WR) != nil {
+		return gnet.Close
 	}
 	h.farewelled, h.since = true, h.front.edge.Now()
 	_, _ = c.Discard(-1)
-	return h.shut(c)
-}
-
-// shut ends our side, unless something written is still to leave: Sweep and Settle come back to it then.
-func (h *client) shut(c gnet.Conn) gnet.Action {
-	if h.closed || h.shutdown || !h.farewelled || c.OutboundBuffered() > 0 {
-		return gnet.None
-	}
-	h.shutdown = true
-	if syscall.Shutdown(c.Fd(), syscall.SHUT_WR) != nil {
-		return gnet.Close
-	}
 	return gnet.None
 }
 
@@ -464,7 +378,7 @@
 	}
 	h.gathers = true
 	b, action := all, gnet.None
-	for action == gnet.None && !h.busy && !h.farewelled && !h.closed && len(b) > 0 {
+	for action == gnet.None && !h.busy && !h.farewelled && len(b) > 0 {
 		command := h.parser.Next(b)
 		if command.Kind == Incomplete {
 			break
@@ -498,29 +412,25 @@
 	case h.partial == 0 || len(b) < len(all): // another message than the one that was not whole
 		h.partial = h.front.edge.Now()
 	}
-	if used > 0 && h.front.drain.Load() && h.asked && !h.closed && h.between(c) {
-		return h.finish(c)
+	if used > 0 && h.front.drain.Load() && h.asked && h.between(c) {
+		return gnet.Close
 	}
 	return gnet.None
 }
 
-// write does nothing once the connection is closed: gnet closes one that can't be written to, and would write the rest to
-// whatever has its descriptor by then.
 func (h *client) write(c gnet.Conn, b []byte) {
-	switch {
-	case h.closed:
-	case h.gathers:
+	if h.gathers {
 		h.out = append(h.out, b...)
-	default:
-		_, _ = c.Write(b)
+		return
 	}
+	_, _ = c.Write(b)
 }
 
 // flush ends the gathering of what is answered at once.
 func (h *client) flush(c gnet.Conn) {
 	out := h.out
 	h.gathers, h.out = false, nil
-	if len(out) > 0 && !h.closed {
+	if len(out) > 0 {
 		_, _ = c.Write(out)
 	}
 }
@@ -625,13 +535,10 @@
 		}
 		// The next command waits until this answer is out, so a client that does not read holds up itself alone
 		// and an answer is not cut by a close.
-		h.answering = true
 		go func() {
 			defer e.End(&s)
 			if !h.flushed(c) {
-				if h.ctx.Err() == nil { // else it is closed, or the end of the process waits for the rest to leave
-					_ = c.Close()
-				}
+				_ = c.Close()
 				return
 			}
 			_ = h.run(c, func() { h.next(c, result.Verdict) })
@@ -648,14 +555,14 @@
 	if h.ctx.Err() != nil {
 		return
 	}
-	h.busy, h.answering, h.since = false, false, h.front.edge.Now()
+	h.busy, h.since = false, h.front.edge.Now()
 	if h.strikes++; verdict != edge.Invalid {
 		h.strikes = 0
 	}
 	if h.unread > 0 { // what was sent ahead is waiting, and was taken
 		_ = c.Wake(nil)
-	} else if h.front.drain.Load() && h.between(c) && h.finish(c) == gnet.Close { // in this visit: a later one may find a request begun
-		_ = c.EventLoop().Close(c)
+	} else if h.front.drain.Load() && !waiting(c) { // closed with bytes unread, it would be reset
+		_ = c.Close()
 	}
 }
 
--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -167,15 +167,16 @@
 		return gnet.None
 	}
 	c.gone = true
-	partly := c.server != nil && c.server.left > 0 && !c.server.dropping // a value is cut: words would be read as the rest of it
 	c.abandon()
-	if c.wire.Conn == nil || partly {
+	if c.wire.Conn == nil {
 		return gnet.Close
 	}
 	c.wire.Write(failure(nil, "FATAL", state, text, detail))
+	if c.wire.Unsent() > 0 || shutdown(c.wire.Conn) != nil {
+		return gnet.Close
+	}
 	c.left = c.front.clock.Now()
 	c.wire.Discard(c.wire.Buffered())
-	c.wire.Shut()
 	return gnet.None
 }
 
@@ -1070,12 +1071,12 @@
 	listed := c.listed(s)
 	pinned := c.pipe.Pinned() != ""
 	moved := c.tenant != nil && c.kept && c.moved()
-	if f.drain {
-		if c.leaveIfIdle(); c.gone {
+	switch {
+	case f.drain:
+		c.leaveIfIdle()
+		if c.gone {
 			return
 		}
-	}
-	switch {
 	case pinned && moved:
 		if c.part(s) == gnet.Close {
 			c.wire.Close()
@@ -1187,36 +1188,25 @@
 	c.proceed()
 }
 
-// leaveIfIdle sends the client away if nothing of it is open: the process is to end. What it sent may be with the kernel
-// alone, and not all of its last answer may have left.
+// leaveIfIdle sends the client away if nothing of it is open: the process is to end.
 func (c *sclient) leaveIfIdle() {
 	if c.gone || c.phase != phaseFree && c.phase != phaseLinked && c.phase != phaseStarting || c.wire.Buffered() > 0 ||
-		c.phase != phaseStarting && (!c.pipe.Idle() || c.pipe.LostBlock()) ||
-		c.wire.Conn == nil || c.wire.Unsent() > 0 || waiting(c.wire.Conn) {
+		c.phase != phaseStarting && (!c.pipe.Idle() || c.pipe.LostBlock()) {
 		return
 	}
-	state := stateShutdown
-	if c.phase == phaseStarting { // as one that comes now
-		state = stateStarting
-	}
-	if c.farewell(state, "the pooler restarts", "") == gnet.Close {
+	if c.farewell(stateShutdown, "the pooler restarts", "") == gnet.Close {
 		c.wire.Close()
 	}
 }
 
-// unfinished says whether the end of the process would cut something of the client's off.
-func (c *sclient) unfinished() bool {
-	return !c.gone && (c.phase != phaseFree || !c.pipe.LostBlock() || c.wire.Buffered() > 0)
-}
-
 // sweep does what is due by time.
 func (c *sclient) sweep(now float64) {
 	switch {
 	case c.gone:
-		if c.wire.Shut(); now-c.left > maxLinger {
+		if now-c.left > maxLinger {
 			c.wire.Close()
 		}
-	case c.phase == phaseStarting && now-c.since > maxSilent && (c.wire.Conn == nil || !waiting(c.wire.Conn)):
+	case c.phase == phaseStarting && now-c.since > maxSilent:
 		if c.farewell(stateInvalid, "no whole message came in time", "") == gnet.Close {
 			c.wire.Close()
 		}
--- a/internal/net/pg/sessions.go
+++ b/internal/net/pg/sessions.go
@@ -342,8 +342,7 @@
 		f.over = true
 		for c := range f.clients {
 			text := "the pooler restarts; what was under way may have run"
-			switch c.phase {
-			case phaseHeld, phaseRouting, phaseQueued:
+			if c.phase == phaseHeld {
 				text = "the pooler restarts; what waited did not run"
 			}
 			if !c.gone && c.farewell(stateShutdown, text, "") == gnet.Close {
@@ -353,31 +352,6 @@
 	})
 }
 
-// Idle says whether Cut would end nothing that is under way: a transaction, one that waits for a decision, a server
-// connection or its tenant's home, or an answer that has not left.
-func (f *Sessions) Idle() bool {
-	return onLoop(f.loop.Load(), func() bool {
-		for c := range f.clients {
-			if c.unfinished() {
-				return false
-			}
-		}
-		return true
-	}, time.Now().Add(mostBusy))
-}
-
-// Settle waits after Cut until the loop has done it and all that was written is with the clients' machines.
-func (f *Sessions) Settle(until time.Time) {
-	settle(f.loop.Load(), func() bool {
-		for c := range f.clients {
-			if g := c.wire.Conn; g != nil && (!c.wire.Shut() || unacknowledged(g)) {
-				return false
-			}
-		}
-		return true
-	}, until)
-}
-
 // Sweep does what is due by time; call it every SweepEvery.
 func (f *Sessions) Sweep() { f.onLoop(f.sweep) }
 
@@ -402,9 +376,7 @@
 	}
 	unsent := 0
 	for c := range f.clients {
-		if c.sweep(now); f.drain {
-			c.leaveIfIdle()
-		}
+		c.sweep(now)
 		unsent += c.wire.Unsent()
 	}
 	// Answers that clients do not take are bounded together: a source is paused for each, but one whose transaction has
