Nothing is written for a client whose context has ended, whoever hears of it first

Seen: between the end of a request's context and call.Leave lies a goroutine's turn (edge.go, context.AfterFunc). In that turn the gate asked the decisions alone, which still held the request, and a failed attempt's report chose a further one. Ruled out: the decisions themselves (EvLeft before EvOutcome ends the request, choice.go close and outcome), Conclude and TryPick, what Leave does to an attempt that was queued and not picked (Still is false, it is reported as not sent). Cause: edge.go, the gate in exchange, and Do, which reported before it looked whether anybody waits. Change: the gate asks the client's context too, and Do tells the decisions of the end before the attempt's outcome.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -234,6 +234,9 @@
 			return Result{Verdict: Left}
 		}
 		reply := e.attempt(ctx, call, next, s)
+		if ctx.Err() != nil { // before the report, which would choose a further attempt for nobody
+			call.Leave()
+		}
 		call.Report(reply.Outcome)
 		if reply.Code == decide.OK {
 			return Result{Verdict: Served, Answer: reply.Answer}
@@ -267,9 +270,10 @@
 // exchange is an attempt; written, unless nil, becomes the time at which it was written last.
 func (e *Edge) exchange(ctx context.Context, call *decide.Call, next decide.Next, s *statement.Statement, written *float64) Reply {
 	left := next.Until - e.clock.Now()
-	if left <= 0 {
+	if left <= 0 || ctx.Err() != nil {
 		return NotSent()
 	}
+	client := ctx
 	ctx, cancel := context.WithTimeout(ctx, clock.Duration(left))
 	defer cancel()
 	conn, err := e.backend.Acquire(ctx, next.Host)
@@ -289,7 +293,8 @@
 			*written = now
 		}
 		left := next.Until - now
-		return left, left > 0 && call.Still()
+		// That the client has gone stands in its context before the decisions hear of it, which takes a goroutine's turn.
+		return left, left > 0 && client.Err() == nil && call.Still()
 	})
 }
 
