A goodbye, a cancel request, an end behind unread bytes: the request is given up

Seen, each by a test that failed first: - Statement front: Terminate behind a request lay unread in the ring buffer, and the request went on (front.go, Traffic reads nothing while busy). Change: one look at what waits behind a request (command.go, behind), for both fronts; a context of its own for each request, which a cancel with the right number and secret ends; a poll of paused connections that wait; struck, asked before a transaction is chosen for again. Half-closed counts as closed on both fronts, as before. Seen red: each mend taken out alone; leave, abandon and the call's context taken out likewise.

--- a/cmd/ashstand/standin_test.go
+++ b/cmd/ashstand/standin_test.go
@@ -56,6 +56,7 @@
 type host struct {
 	name, wire, address string
 	kill                func() // resets every connection
+	door                *cutter
 
 	mu      sync.Mutex
 	primary bool
@@ -113,6 +114,7 @@
 	require.NoError(t, err)
 	h.address = l.Addr().String()
 	cut := &cutter{Listener: l}
+	h.door = cut
 	h.kill = cut.kill
 	if h.wire == "flightsql" {
 		s := grpc.NewServer()
@@ -138,10 +140,14 @@
 	net.Listener
 	mu    sync.Mutex
 	conns []net.Conn
+	shut  atomic.Pointer[chan struct{}] // nothing is accepted until it is closed
 }
 
 func (c *cutter) Accept() (net.Conn, error) {
 	conn, err := c.Listener.Accept()
+	if shut := c.shut.Load(); shut != nil {
+		<-*shut
+	}
 	if err == nil {
 		c.mu.Lock()
 		c.conns = append(c.conns, conn)
@@ -408,10 +414,12 @@
 // world is a pooler with its hosts, discovery and a client.
 type world struct {
 	*node
-	hosts  []*host
-	ask    map[string]client // by wire
-	change chan string       // entries for the watch
-	listen string
+	hosts            []*host
+	ask              map[string]client // by wire
+	change           chan string       // entries for the watch
+	listen           string
+	sessions, flight string // where the other fronts listen, of world3
+	index            int    // of the lists sent
 }
 
 const site = `{"balancers":1,"index":0,"period_ms":5,"deductions":{"probe":0.001},
@@ -441,6 +449,11 @@
 
 // build starts a primary p and replicas, each on the wire named, and a pooler with both fronts.
 func build(t *testing.T, wires ...string) *world {
+	return buildWith(t, func(*config) {}, wires...)
+}
+
+// buildWith has change alter the configuration first.
+func buildWith(t *testing.T, change func(*config), wires ...string) *world {
 	w := &world{change: make(chan string, 8)}
 	for i, wire := range wires {
 		h := &host{name: string(rune('p' + i)), wire: wire, primary: i == 0}
@@ -474,6 +487,7 @@
 	require.NoError(t, err)
 	cfg := &config{operator: operator.New(), Name: "n1", Listen: free(t), Discovery: dir.Listener.Addr().String(), site: p, seed: 7,
 		flight: flightConfig{Listen: free(t), Connections: 16, HostTypes: []string{"flightsql"}}}
+	change(cfg)
 	w.node, err = start(cfg)
 	require.NoError(t, err)
 	t.Cleanup(func() { w.node.stop(); close(done); dir.Close() })
--- a/internal/net/loop/wire.go
+++ b/internal/net/loop/wire.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 )
 
 // Wire is a connection on the loop that can be paused: while it is, nothing is read from it, so that the kernel holds
@@ -143,6 +144,20 @@
 	return true
 }
 
+// HungUp says whether the peer has ended or reset a connection that is paused, though what it sent before is not read.
+func (w *Wire) HungUp() (yes bool) {
+	if c, ok := w.parked.(*net.TCPConn); ok {
+		if raw, err := c.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) {
+				p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+				n, err := unix.Poll(p, 0)
+				yes = err == nil && n > 0
+			})
+		}
+	}
+	return yes
+}
+
 // Resume reads again. The connection is back some time later, when Traffic is called.
 func (w *Wire) Resume(on gnet.EventLoop) {
 	if w.parked == nil || w.moving {
--- a/internal/net/pg/command.go
+++ b/internal/net/pg/command.go
@@ -27,8 +27,9 @@
 type Command struct {
 	Kind  Kind
 	Text  string
-	Used  int  // bytes that it took
-	Minor bool // Startup: a later minor version was asked for
+	Used  int    // bytes that it took
+	Minor bool   // Startup: a later minor version was asked for
+	Key   uint64 // Cancel: of the connection whose query is meant, as it was given out; 0: it makes no sense
 }
 
 // Parser cuts what a client sends into commands. The front uses it on live connections, the replay on captures.
@@ -91,10 +92,46 @@
 	case code == codeSSL || code == codeGSS:
 		return Command{Kind: Encrypt, Used: n}
 	case code == codeCancel:
-		return Command{Kind: Cancel, Used: n}
+		c := Command{Kind: Cancel, Used: n}
+		if n == 16 {
+			c.Key = binary.BigEndian.Uint64(b[8:])
+		}
+		return c
 	case code>>16 != 3:
 		return Command{Kind: Broken, Text: "protocol version 3 is spoken here"}
 	}
 	p.started = true
 	return Command{Kind: Startup, Used: n, Minor: code != protocol3}
 }
+
+// behind is a look at what a client sent behind a request that is not answered yet.
+type behind struct {
+	seen int // bytes that were looked through
+	need int // less than this holds no whole message more
+}
+
+// goodbye says whether the client has ended its session there. A client sends that last and closes its connection, so it
+// waits for no answer any more. n bytes are held, of which peek returns all.
+func (l *behind) goodbye(n int, peek func(int) ([]byte, error), most int) bool {
+	if n < max(l.need, l.seen+5) {
+		return false
+	}
+	b, err := peek(n)
+	if err != nil {
+		return false
+	}
+	for len(b)-l.seen >= 5 {
+		kind, _, rest, ok, err := next(b[l.seen:], most)
+		switch {
+		case err != nil: // it is told so when its turn comes
+			return false
+		case !ok:
+			l.need = l.seen + 1 + int(binary.BigEndian.Uint32(b[l.seen+1:]))
+			return false
+		case kind == 'X':
+			return true
+		}
+		l.seen = len(b) - len(rest)
+	}
+	return false
+}
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -43,6 +43,7 @@
 	edge    *edge.Edge
 	limits  atomic.Pointer[FrontLimits]
 	conns   map[*client]gnet.Conn
+	keys    map[uint64]*client // by what a cancel request names
 	unread  int
 	drain   atomic.Bool
 	over    atomic.Bool  // the process is about to end
@@ -55,7 +56,7 @@
 
 // NewFront returns a front that brings requests to e.
 func NewFront(e *edge.Edge, limits FrontLimits) *Front {
-	f := &Front{edge: e, conns: map[*client]gnet.Conn{}}
+	f := &Front{edge: e, conns: map[*client]gnet.Conn{}, keys: map[uint64]*client{}}
 	f.SetLimits(limits)
 	return f
 }
@@ -140,6 +141,12 @@
 	return err != syscall.EAGAIN && err != syscall.EINTR
 }
 
+// ended says whether the client's end is the next that the kernel holds.
+func ended(c gnet.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+}
+
 func peek(c gnet.Conn) (int, error) {
 	var b [1]byte
 	n, _, err := syscall.Recvfrom(c.Fd(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
@@ -293,11 +300,17 @@
 	lingered   int
 	ctx        context.Context // ends when the client goes away
 	leave      context.CancelFunc
+	key        uint64             // for cancel requests; 0: none was given out
+	giveUp     context.CancelFunc // ends the request under way alone
+	behind     behind             // what waits behind it
 }
 
 // Traffic is called on the loop.
 func (h *client) Traffic(c gnet.Conn) gnet.Action {
 	if h.farewelled {
+		if !h.parser.started { // who found no room may still cancel what is under way elsewhere
+			h.cancel(c)
+		}
 		h.lingered += c.InboundBuffered()
 		if _, _ = c.Discard(-1); h.lingered > lingerMost {
 			return gnet.Close
@@ -305,6 +318,9 @@
 		return gnet.None
 	}
 	action := h.read(c)
+	if action == gnet.None && h.busy && h.behind.goodbye(c.InboundBuffered(), c.Peek, maxQuery) {
+		return gnet.Close
+	}
 	f := h.front
 	f.unread += c.InboundBuffered() - h.unread
 	h.unread = c.InboundBuffered()
@@ -338,6 +354,7 @@
 // Closed is called on the loop.
 func (h *client) Closed(gnet.Conn, error) {
 	h.leave()
+	delete(h.front.keys, h.key)
 	h.front.unread -= h.unread
 	h.unread = 0
 	delete(h.front.conns, h)
@@ -402,7 +419,9 @@
 		h.strikes++
 		h.write(c, []byte{'N'}) // as it is, in plain text
 	case Startup:
-		h.write(c, Welcome(h.number, command.Minor))
+		h.key = cancelKey(h.number)
+		h.front.keys[h.key] = h
+		h.write(c, Welcome(h.key, command.Minor))
 	case Sync:
 		h.write(c, ready(nil))
 	case Extended:
@@ -412,8 +431,14 @@
 		h.strikes++
 		h.write(c, ready(failure(nil, "ERROR", stateUnknown, "simple queries only", "")))
 	case Query:
+		if ended(c) { // it came with its client's end: nobody waits for it
+			return gnet.Close
+		}
 		h.query(c, command.Text)
-	case End, Cancel: // a query ends when its connection does
+	case End:
+		return gnet.Close
+	case Cancel:
+		h.front.cancel(command.Key)
 		return gnet.Close
 	case Broken:
 		return h.farewell(c, stateInvalid, command.Text, "")
@@ -421,8 +446,8 @@
 	return gnet.None
 }
 
-// Welcome answers a startup message; number names the connection.
-func Welcome(number uint32, minor bool) []byte {
+// Welcome answers a startup message; key is what a cancel request has to name.
+func Welcome(key uint64, minor bool) []byte {
 	var out []byte
 	if minor { // a later minor version: say that 3.0 is what there is
 		out = message(out, 'v', func(b []byte) []byte { return append(b, 0, 3, 0, 0, 0, 0, 0, 0) })
@@ -433,11 +458,28 @@
 		out = status(out, s[0], s[1])
 	}
 	out = message(out, 'K', func(b []byte) []byte {
-		return binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(b, number), 0)
+		return binary.BigEndian.AppendUint64(b, key)
 	})
 	return ready(out)
 }
 
+// cancel takes a cancel request on a connection that is served no more.
+func (h *client) cancel(c gnet.Conn) {
+	if b, err := c.Peek(c.InboundBuffered()); err == nil {
+		if command := new(Parser).Next(b); command.Kind == Cancel {
+			h.front.cancel(command.Key)
+		}
+	}
+}
+
+// cancel gives up the request that is under way on the connection with this key. Its client gets an error, and what it
+// sent ahead is served. A key that was not given out here does nothing: it may be another pooler's.
+func (f *Front) cancel(key uint64) {
+	if h := f.keys[key]; h != nil && h.busy {
+		h.giveUp()
+	}
+}
+
 // query starts a request, or answers at once what is none.
 func (h *client) query(c gnet.Conn, text string) {
 	f := h.front
@@ -462,8 +504,10 @@
 		default:
 			refused := f.edge.Begin(&s)
 			if refused == nil {
-				h.busy = true
-				go h.serve(c, s, h.since)
+				var ctx context.Context
+				ctx, h.giveUp = context.WithCancel(h.ctx)
+				h.busy, h.behind = true, behind{}
+				go h.serve(ctx, c, s, h.since)
 				return
 			}
 			out = reply(refused)
@@ -474,12 +518,15 @@
 
 // serve runs on a goroutine of its own, which ends as soon as the answer is on its way to the loop: writing it and
 // taking the next command are one visit there.
-func (h *client) serve(c gnet.Conn, s statement.Statement, arrived float64) {
+func (h *client) serve(ctx context.Context, c gnet.Conn, s statement.Statement, arrived float64) {
 	e := h.front.edge
-	result := e.Do(h.ctx, &s, arrived)
+	result := e.Do(ctx, &s, arrived)
 	if result.Verdict == edge.Left {
-		e.End(&s)
-		return
+		if h.ctx.Err() != nil {
+			e.End(&s)
+			return
+		}
+		result = edge.Result{Verdict: edge.TimedOut, Detail: "canceling statement due to user request"}
 	}
 	reply := Reply(&result)
 	if h.front.loop.Load().(gnet.EventLoop).Execute(h.ctx, gnet.RunnableFunc(func(context.Context) error {
@@ -515,6 +562,7 @@
 	if h.ctx.Err() != nil {
 		return
 	}
+	h.giveUp()
 	h.busy, h.since = false, h.front.edge.Now()
 	if h.strikes++; verdict != edge.Invalid {
 		h.strikes = 0
--- a/internal/net/pg/front_test.go
+++ b/internal/net/pg/front_test.go
@@ -31,6 +31,7 @@
 
 type door struct {
 	*Front
+	facade  *decide.Facade
 	clock   *clock.Manual
 	address string
 }
@@ -42,6 +43,7 @@
 		Classes: map[string]int{"report": 0}}, 1, d.clock, nil, nil)
 	require.NoError(t, err)
 	f.Members(true, []decide.Member{{Host: "h", Group: 1}})
+	d.facade = f
 	core := edge.New(f, d.clock, nowhere{})
 	core.SetLimits(edge.Limits{Bytes: limits.Bytes, After: limits.After})
 	d.Front = NewFront(core, limits)
--- /dev/null
+++ b/internal/net/pg/gone_test.go
@@ -0,0 +1,320 @@
+package pg
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/panjf2000/gnet/v2"
+	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/decide"
+	"ashstand/internal/edge"
+	"ashstand/internal/session"
+)
+
+// tried is a backend that reaches no host and counts the attempts.
+type tried struct {
+	nowhere
+	n atomic.Int64
+}
+
+func (b *tried) Acquire(ctx context.Context, host string) (edge.Conn, error) {
+	b.n.Add(1)
+	return b.nowhere.Acquire(ctx, host)
+}
+
+func (d *door) on(do func()) {
+	done := make(chan struct{})
+	_ = d.loop.Load().(gnet.EventLoop).Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		defer close(done)
+		do()
+		return nil
+	}))
+	<-done
+}
+
+func report(id string) string { return "/* id=" + id + ",c=report,d=20000,cluster=1 */ SELECT 'k'" }
+
+func (d *door) busy(t *testing.T, n int) {
+	t.Helper()
+	require.Eventually(t, func() bool { return d.count(func(h *client) bool { return h.busy }) == n }, 10*time.Second, time.Millisecond)
+}
+
+// The loop is held while a client sends a request and goes: request and end lie in the kernel together, and no attempt
+// may begin for it, however the loop and the request's goroutine take turns after that.
+func TestARequestThatComesWithItsClientsEndIsNotBegun(t *testing.T) {
+	d := listen(t, FrontLimits{Clients: 100, Bytes: 1 << 20})
+	b := &tried{}
+	errorsOf(t, d.call(t, ""), 1)
+	d.on(func() { d.edge = edge.New(d.facade, d.clock, b) })
+	for _, how := range []string{"closes", "shuts its sending", "resets"} {
+		var all []net.Conn
+		for range 20 {
+			c := d.call(t, "")
+			require.Equal(t, []string{"empty"}, errorsOf(t, c, 1))
+			all = append(all, c)
+		}
+		d.on(func() {
+			for i, c := range all {
+				_, err := c.Write(query(nil, func(b []byte) []byte { return append(b, report(fmt.Sprint(how, i))...) }))
+				require.NoError(t, err)
+				switch how {
+				case "closes":
+					c.Close()
+				case "shuts its sending":
+					c.(*net.TCPConn).CloseWrite()
+				default:
+					c.(*net.TCPConn).SetLinger(0)
+					c.Close()
+				}
+			}
+		})
+		require.Eventually(t, func() bool { return d.count(func(*client) bool { return true }) == 1 }, 10*time.Second, time.Millisecond)
+		require.Zero(t, b.n.Load(), how)
+	}
+	d.call(t, report("stays")) // in the other order: the request is begun, then the end comes
+	require.Eventually(t, func() bool { return b.n.Load() == 1 }, 10*time.Second, time.Millisecond)
+}
+
+// A goodbye behind a request ends it, wherever its bytes are cut; half of one, or what only looks like one, does not.
+func TestAGoodbyeBehindARequestEndsIt(t *testing.T) {
+	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20})
+	c := d.call(t, report("a"), report("b"), "X\x00\x00\x00\x04")
+	d.busy(t, 1)
+	for i, b := range []byte{'X', 0, 0, 0} {
+		_, err := c.Write([]byte{b})
+		require.NoError(t, err)
+		want := len(query(nil, func(b []byte) []byte { return append(b, report("b")...) })) + 11 + i + 1
+		require.Eventually(t, func() bool { return d.count(func(h *client) bool { return h.busy && h.unread == want }) == 1 }, 10*time.Second, time.Millisecond)
+	}
+	_, err := c.Write([]byte{4})
+	require.NoError(t, err)
+	_, err = io.ReadAll(c)
+	require.NoError(t, err)
+	require.Zero(t, d.count(func(*client) bool { return true }))
+}
+
+// cancelled sends a cancel request and waits until it was dealt with.
+func (d *door) cancelled(t *testing.T, key uint64) {
+	c, err := net.Dial("tcp", d.address)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write(binary.BigEndian.AppendUint64([]byte{0, 0, 0, 16, 4, 0xd2, 0x16, 0x2e}, key))
+	require.NoError(t, err)
+	c.(*net.TCPConn).CloseWrite() // where it found no room it may not say more
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	_, _ = io.Copy(io.Discard, c)
+}
+
+// A cancel request gives up the request that is under way on the connection it names, and nothing else: not another
+// client's, not for a key that was not given out, not what was sent ahead. It needs no place in a full table.
+func TestACancelRequestGivesUpItsRequestAlone(t *testing.T) {
+	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20})
+	read := func(c net.Conn) (key uint64) {
+		f := pgproto3.NewFrontend(c, io.Discard)
+		for {
+			m, err := f.Receive()
+			require.NoError(t, err)
+			switch m := m.(type) {
+			case *pgproto3.BackendKeyData:
+				key = uint64(m.ProcessID)<<32 | uint64(binary.BigEndian.Uint32(m.SecretKey))
+			case *pgproto3.ReadyForQuery:
+				return key
+			}
+		}
+	}
+	send := func(c net.Conn, texts ...string) {
+		var b []byte
+		for _, text := range texts {
+			b = query(b, func(b []byte) []byte { return append(b, text...) })
+		}
+		_, err := c.Write(b)
+		require.NoError(t, err)
+	}
+	open := func() (net.Conn, uint64) {
+		c := d.call(t)
+		_, err := c.Write(startup(nil, "web", "orders"))
+		require.NoError(t, err)
+		return c, read(c)
+	}
+	x, keyX := open()
+	y, keyY := open()
+	require.NotEqual(t, uint32(keyX), uint32(keyY), "the secret is drawn")
+	require.NotZero(t, uint32(keyX)|uint32(keyY))
+	send(x, report("x1"), report("x2"))
+	send(y, report("y"))
+	d.busy(t, 2)
+	for _, wrong := range []uint64{keyX + 1, keyX &^ 0xffffffff, 0, keyY ^ 1<<32} {
+		d.cancelled(t, wrong)
+	}
+	d.busy(t, 2)
+	for range 14 {
+		d.call(t)
+	}
+	require.Eventually(t, func() bool { return d.count(func(*client) bool { return true }) >= 14 }, 10*time.Second, time.Millisecond)
+	d.cancelled(t, keyX)
+	require.Equal(t, []string{"ERROR 57014 "}, errorsOf(t, x, 1))
+	d.busy(t, 2) // what it sent ahead is served now
+	d.cancelled(t, keyX)
+	require.Equal(t, []string{"ERROR 57014 "}, errorsOf(t, x, 1))
+	d.busy(t, 1)
+	d.cancelled(t, keyX) // nothing is under way: it hits nothing
+	send(x, "")
+	require.Equal(t, []string{"empty"}, errorsOf(t, x, 1))
+	x.Close()
+	require.Eventually(t, func() bool { n := 0; d.on(func() { n = len(d.keys) }); return n == 1 }, 10*time.Second, time.Millisecond, "its key went with it")
+	d.busy(t, 1)
+}
+
+// 500 clients leave at once, each with a request under way, while others flood the loop with short requests that are
+// refused. Asserts the bound of the rule, 100 ms, from the last close to the last request that is given up.
+func TestABurstOfClientsThatLeaveIsHeardInTime(t *testing.T) {
+	for _, flood := range []int{0, 40} {
+		d := listen(t, FrontLimits{Clients: 700, Bytes: 64 << 20})
+		var all []net.Conn
+		for i := range 500 {
+			all = append(all, d.call(t, report(fmt.Sprint("a", i)), report(fmt.Sprint("b", i))))
+		}
+		d.busy(t, 500)
+		for i := range flood {
+			var texts []string
+			for k := range 1000 {
+				texts = append(texts, fmt.Sprintf("/* id=f%d-%d,c=report,d=20000,cluster=77 */ SELECT 'k'", i, k))
+			}
+			c := d.call(t, texts...)
+			go io.Copy(io.Discard, c)
+		}
+		begun := time.Now()
+		for _, c := range all {
+			c.Close()
+		}
+		closed := time.Now()
+		if flood == 0 { // up to the last one's place in the decisions
+			<-d.edge.Drain()
+		}
+		require.Eventually(t, func() bool { return d.count(func(h *client) bool { return h.number <= 500 }) == 0 }, 5*time.Second, 100*time.Microsecond)
+		t.Logf("%d floods: 500 closed in %v, the last one heard %v after that", flood, closed.Sub(begun), time.Since(closed))
+		require.Less(t, time.Since(closed), 100*time.Millisecond)
+	}
+}
+
+// A session that waits sends so much that it is not read any more, and goes. Its place in the queue is free, and its
+// transaction is not sent when a connection is.
+func TestAPausedSessionThatHasGoneIsHeard(t *testing.T) {
+	for _, how := range []string{"closes", "resets"} {
+		w := pool(t, func(l *SessionLimits) {
+			l.Pools[0].Sizes.Most, l.Pools[0].Patience, l.Message = 1, 20000, 64<<10
+		})
+		first := w.connect("")
+		w.exec(first, "BEGIN")
+		w.exec(first, "INSERT INTO entries (ref, payload) VALUES ('k', '1')")
+		c, err := net.Dial("tcp", w.address)
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		b := query(startup(nil, "web", "orders"), func(b []byte) []byte {
+			return append(b, "INSERT INTO entries (ref, payload) VALUES ('gone', '1')"...)
+		})
+		for range 8 {
+			b = query(b, func(b []byte) []byte { return append(append(b, "SELECT '"...), append(make([]byte, 60<<10), '\'')...) })
+		}
+		_, err = c.Write(b)
+		require.NoError(t, err)
+		paused := func() int {
+			n := make(chan int, 1)
+			w.front.onLoop(func() { n <- len(w.front.paused) })
+			return <-n
+		}
+		require.Eventually(t, func() bool { return paused() == 1 }, 10*time.Second, time.Millisecond)
+		require.Equal(t, 1, w.front.Stats().Waiting)
+		if how == "resets" {
+			c.(*net.TCPConn).SetLinger(0)
+		}
+		c.Close()
+		begun := time.Now()
+		require.Eventually(t, func() bool { s := w.front.Stats(); return s.Waiting == 0 && s.Clients == 1 }, 5*time.Second, time.Millisecond, how)
+		t.Logf("a paused session that %s: heard after %v", how, time.Since(begun))
+		w.exec(first, "COMMIT")
+		w.exec(first, "INSERT INTO entries (ref, payload) VALUES ('after', '1')")
+		require.Zero(t, w.cluster.Versions("public", "entries", "gone"))
+	}
+}
+
+// A session cancels while its connection is brought to its settings. Whatever happens to that connection next, the
+// transaction is not sent on: here it breaks, or its host begins to drain.
+func TestACancelWhileSettingsAreRestoredHoldsOnTheNextConnection(t *testing.T) {
+	for _, then := range []string{"it is ready", "it breaks", "it drains"} {
+		w := housed(t, nil)
+		c := w.connect("")
+		other := w.connect("")
+		w.exec(other, "SET app.slow TO 1") // which c's transaction has to find gone, but on a new connection
+		release := make(chan struct{})
+		w.gate.slow.Store(&release)
+		slowed := w.gate.slowed.Load()
+		out := later(c, w.insert("cancelled"))
+		require.Eventually(t, func() bool { return w.gate.slowed.Load() > slowed }, 10*time.Second, time.Millisecond)
+		require.NoError(t, c.PgConn().CancelRequest(patient(t))) // it returns once it was dealt with
+		switch then {
+		case "it breaks":
+			broken := make(chan int, 1)
+			w.front.onLoop(func() {
+				n := 0
+				for x := range w.front.clients {
+					if x.phase == phaseSyncing {
+						x.server.wire.Close()
+						n++
+					}
+				}
+				broken <- n
+			})
+			require.Equal(t, 1, <-broken)
+		case "it drains":
+			w.facade.Members(false, []decide.Member{{Host: "a", Group: 1, Primary: true, Draining: true}})
+		}
+		close(release)
+		require.Equal(t, "57014", state(<-out), then)
+		w.gate.slow.Store(nil)
+		w.members()
+		require.Eventually(t, func() bool { // who is the primary is looked for again
+			_, err := c.Exec(patient(t), w.insert("next"))
+			return err == nil
+		}, 10*time.Second, 10*time.Millisecond, then)
+		require.Zero(t, w.cluster.Versions("public", "entries", "cancelled"), then)
+	}
+}
+
+// A session cancels while a host that turned its transaction away has not yet said all: it does not go elsewhere.
+func TestACancelWhileAHostTurnsATransactionAwayHolds(t *testing.T) {
+	w := housed(t, nil)
+	c := w.connect("")
+	w.exec(c, w.insert("before"))
+	w.gate.shut.Store(true)
+	hold := make(chan struct{})
+	w.gate.turned.Store(&hold)
+	out := later(c, w.insert("cancelled"))
+	turned := func() (yes bool) {
+		n := make(chan bool, 1)
+		w.front.onLoop(func() {
+			for x := range w.front.clients {
+				yes = yes || x.phase == phaseTurned
+			}
+			n <- yes
+		})
+		return <-n
+	}
+	require.Eventually(t, turned, 10*time.Second, time.Millisecond)
+	require.NoError(t, c.PgConn().CancelRequest(patient(t)))
+	w.gate.shut.Store(false)
+	w.homes.set("orders", session.Home{Named: true, Group: 2})
+	close(hold)
+	require.Equal(t, "57014", state(<-out))
+	require.Zero(t, w.other.Versions("public", "entries", "cancelled")+w.cluster.Versions("public", "entries", "cancelled"))
+	require.Equal(t, "INSERT 0 1", w.exec(c, w.insert("next")))
+	require.Equal(t, 1, w.other.Versions("public", "entries", "next"))
+}
--- a/internal/net/pg/homes.go
+++ b/internal/net/pg/homes.go
@@ -351,6 +351,10 @@
 		c.unlink(s)
 		s.rest()
 	}
+	if c.hit { // it was cancelled before its host had said all
+		c.hit, c.asked = false, c.resend[0]
+		c.cancelled()
+	}
 	c.proceed()
 }
 
@@ -364,6 +368,7 @@
 
 // discard takes n bytes of what peek returned.
 func (c *sclient) discard(n int) {
+	c.behind = behind{}
 	if len(c.resend) == 0 {
 		c.wire.Discard(n)
 	} else if c.resend = c.resend[n:]; len(c.resend) == 0 {
--- a/internal/net/pg/homes_test.go
+++ b/internal/net/pg/homes_test.go
@@ -128,6 +128,7 @@
 	slow    atomic.Pointer[chan struct{}] // what brings a connection to a session's settings waits
 	slowed  atomic.Int64
 	refused atomic.Int64
+	turned  atomic.Pointer[chan struct{}] // between the refusal and ReadyForQuery it waits
 }
 
 func newGate(t testing.TB, host string) *gate {
@@ -227,9 +228,14 @@
 			if status.Load() != 'I' {
 				st = 'E'
 			}
+			if wait := g.turned.Swap(nil); wait != nil {
+				_, _ = c.Write(out)
+				out = nil
+				<-*wait
+			}
 			_, err = c.Write(append(out, 'Z', 0, 0, 0, 5, st))
 		} else {
-			if wait := g.slow.Load(); wait != nil && head[0] == 'Q' && strings.Contains(string(body), "app.slow") {
+			if wait := g.slow.Load(); wait != nil && head[0] == 'Q' && strings.Contains(string(body), "slow") {
 				g.slowed.Add(1)
 				<-*wait
 			}
--- a/internal/net/pg/message.go
+++ b/internal/net/pg/message.go
@@ -3,6 +3,7 @@
 package pg
 
 import (
+	"crypto/rand"
 	"encoding/binary"
 	"errors"
 	"strconv"
@@ -93,6 +94,13 @@
 	})
 }
 
+// cancelKey is what a client has to name to cancel its query from another connection: the number of its own, and a secret.
+func cancelKey(number uint32) uint64 {
+	var secret [4]byte
+	_, _ = rand.Read(secret[:]) // never fails
+	return uint64(number)<<32 | uint64(binary.BigEndian.Uint32(secret[:]))
+}
+
 // startup appends a startup message.
 func startup(b []byte, user, database string) []byte {
 	at := len(b)
--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -60,7 +60,8 @@
 	endBlock  map[string]bool  // a portal of a lost block: whether it ends it; else it is empty
 	unread    int
 	gone      bool    // told to go, or closed
-	hit       bool    // it was cancelled while its settings were being restored
+	hit       bool    // it was cancelled where that can't be answered at once
+	behind    behind  // what it sent that waits
 	asked     byte    // the kind of the message that waits to be routed
 	inMessage bool    // that message is being taken: whoever took it goes on with it
 	left      float64 // when it was told to go
@@ -187,20 +188,42 @@
 		return gnet.None
 	}
 	action := c.read()
+	if action == gnet.None && c.waits() && c.behind.goodbye(c.wire.Buffered(), func(int) ([]byte, error) { return c.wire.Peek(), nil }, c.front.limits.Load().Message) {
+		return gnet.Close
+	}
 	f := c.front
 	n := c.account()
 	l := f.limits.Load()
 	if c.phase == phaseHeld && !c.gone && !f.tenants.Grow(&c.held, c.waiting(), f.holdBounds(c.pool)) {
-		f.watch(&c.wire, func() bool { return c.gone || !c.busy() })
+		f.watch(&c.wire, c.goesOn)
 	}
 	if n > 0 && (n > l.Message+highWater || f.unread > l.Bytes) && !c.gone {
 		if n >= l.Message+highWater || c.phase != phaseLinked && c.phase != phaseFree || c.blocked {
-			f.watch(&c.wire, func() bool { return c.gone || !c.busy() })
+			f.watch(&c.wire, c.goesOn)
 		}
 	}
 	return action
 }
 
+// goesOn says whether a client that was paused is to be read again. While it is paused nobody else sees its end.
+func (c *sclient) goesOn() bool {
+	if c.waits() && c.wire.HungUp() {
+		c.wire.Close()
+	}
+	return c.gone || !c.busy()
+}
+
+// waits says whether a transaction of which nothing was sent waits here.
+func (c *sclient) waits() bool {
+	switch c.phase {
+	case phaseRouting, phaseQueued, phaseHeld, phaseTurned:
+		return !c.gone
+	case phaseSyncing:
+		return !c.gone && c.server != nil && !c.server.sent
+	}
+	return false
+}
+
 // busy says whether a message of the client's can't be taken now.
 func (c *sclient) busy() bool {
 	switch c.phase {
@@ -876,6 +899,19 @@
 	c.drop()
 }
 
+// struck ends a transaction of which nothing was sent, if it was cancelled meanwhile.
+func (c *sclient) struck() bool {
+	if !c.hit || c.call == nil {
+		return false
+	}
+	call := c.call
+	c.hit, c.call = false, nil
+	call.Conclude(decide.Outcome{Code: decide.NotSent})
+	c.land()
+	c.cancelled()
+	return true
+}
+
 // drop consumes the message that was refused.
 func (c *sclient) drop() {
 	b := c.peek()
@@ -982,27 +1018,23 @@
 	}
 	s.have = c.pipe.Now()
 	c.pipe.Restored()
-	if c.call != nil && !s.sent && !c.call.Still() { // nothing of the client's was sent
+	if c.hit && c.call != nil && !s.sent { // before anything that would choose again
 		c.unlink(s)
+		c.struck()
 		s.rest()
-		c.again(decide.Outcome{Code: decide.NotSent})
+		c.proceed()
 		return nil
 	}
-	if c.call != nil && !s.sent && !c.atHome() {
+	if c.call != nil && !s.sent && !c.call.Still() { // nothing of the client's was sent
 		c.unlink(s)
 		s.rest()
-		c.anew()
+		c.again(decide.Outcome{Code: decide.NotSent})
 		return nil
 	}
-	if c.hit && c.call != nil {
-		call := c.call
-		c.hit, c.call = false, nil
-		call.Conclude(decide.Outcome{Code: decide.NotSent})
-		c.land()
+	if c.call != nil && !s.sent && !c.atHome() {
 		c.unlink(s)
-		c.cancelled()
 		s.rest()
-		c.proceed()
+		c.anew()
 		return nil
 	}
 	c.hit = false
@@ -1139,6 +1171,10 @@
 	c.phase = phaseFree
 	if syncing && !c.pipe.Explicit() && c.call != nil { // nothing of the client's was sent: choose anew
 		c.pipe.Lose(false)
+		if c.struck() {
+			c.proceed()
+			return
+		}
 		c.call.Report(decide.Outcome{Code: decide.NotSent})
 		c.phase = phaseRouting
 		c.pick()
@@ -1147,6 +1183,7 @@
 		}
 		return
 	}
+	c.hit = false
 	l := c.pipe.Lose(s.sent)
 	if call := c.call; call != nil {
 		c.call = nil
--- a/internal/net/pg/sessions.go
+++ b/internal/net/pg/sessions.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"hash/maphash"
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -505,7 +504,7 @@
 // secret draws a key for cancel requests that no client has.
 func (f *Sessions) secret(c *sclient) {
 	for {
-		c.key = uint64(c.number)<<32 | uint64(rand.Uint32())
+		c.key = cancelKey(c.number)
 		if f.keys[c.key] == nil {
 			f.keys[c.key] = c
 			return
@@ -535,7 +534,7 @@
 		c.cancelled()
 		c.proceed()
 		return
-	case phaseSyncing: // once the connection is the session's own again
+	case phaseSyncing, phaseTurned: // once the connection is the session's own again, or nobody's
 		c.hit = true
 		return
 	}
