Merge: clients that have gone

The gate asks the client's context beside the decisions, in the visit that writes; Do tells the decisions of the end before the attempt's outcome, whose code counts as Report says.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -240,6 +240,9 @@
 			return Result{Verdict: Left}
 		}
 		reply := e.attempt(ctx, call, next, s)
+		if ctx.Err() != nil { // before the report, which would choose a further attempt for nobody
+			call.Leave()
+		}
 		counts := call.Report(reply.Outcome)
 		if counts == decide.OK {
 			return Result{Verdict: Served, Answer: reply.Answer}
@@ -277,9 +280,10 @@
 // its gate on another goroutine.
 func (e *Edge) exchange(ctx context.Context, call *decide.Call, next decide.Next, s *statement.Statement, written *atomic.Uint64) Reply {
 	left := next.Until - e.clock.Now()
-	if left <= 0 {
+	if left <= 0 || ctx.Err() != nil {
 		return NotSent()
 	}
+	client := ctx
 	ctx, cancel := context.WithTimeout(ctx, clock.Duration(left))
 	defer cancel()
 	conn, err := e.backend.Acquire(ctx, next.Host)
@@ -301,7 +305,8 @@
 			written.Store(math.Float64bits(now))
 		}
 		left := next.Until - now
-		return left, left > 0 && call.Still()
+		// That the client has gone stands in its context before the decisions hear of it, which takes a goroutine's turn.
+		return left, left > 0 && client.Err() == nil && call.Still()
 	})
 }
 
