--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -79,6 +79,7 @@
 		return nil, nil, gnet.Close
 	}
 	h.ctx, h.leave = context.WithCancel(context.Background())
+	h.giveUp = func() {} // until it has a request
 	f.conns[h] = c
 	if f.over.Load() {
 		return h, nil, h.farewell(c, stateStarting, "the pooler restarts", "")
