--- /dev/null
+++ b/internal/learned/golden_test.go
@@ -0,0 +1,86 @@
+package learned
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+var updateGolden = flag.Bool("update-golden", false, "write the golden files instead of comparing with them")
+
+// golden compares bytes with a committed file and returns what the file holds.
+func golden(t *testing.T, name string, got []byte) []byte {
+	t.Helper()
+	path := filepath.Join("testdata", "golden", name)
+	if *updateGolden {
+		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
+		require.NoError(t, os.WriteFile(path, got, 0o644))
+	}
+	want, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Equal(t, string(want), string(got), name)
+	return want
+}
+
+// everyFact is a snapshot with each kind of fact and no field that is zero.
+func everyFact() *Snapshot {
+	return &Snapshot{Head: Head{Name: "n1", Site: "0123456789abcdef", At: 1767225600123.25},
+		Hosts: []Host{{Name: "s-1", Group: 3, Since: 1767225500000.5, Limit: 41.25, Took: 2.125, Lag: 30.5, Heard: 10.25, Primary: true, Proof: 20.75},
+			{Name: "s-2", Group: 18446744073709551615, Since: 1767225400000, Limit: 1, Took: 0.001, Lag: -1, Heard: 0.001, Primary: true, Proof: maxAge}},
+		Classes: []Class{{Name: "browse", Latency: 20.5, Work: 12.25}, {Name: "basket", Latency: 0.001, Work: 9}},
+		Wear:    &Wear{Requests: []float64{9.5, 4, 1}, Resets: []float64{0.25, 3, 1}},
+		List:    &List{At: 1767225600000.5, JSON: []byte(`{"index":3,"endpoints":[{"host":"s-1"}]}`)}}
+}
+
+// A file of the present version keeps its bytes.
+func TestGoldenFile(t *testing.T) {
+	b, err := Encode(everyFact())
+	require.NoError(t, err)
+	stored := golden(t, "version2.ash", b)
+	s, lost, err := Decode(stored)
+	require.NoError(t, err)
+	require.Empty(t, lost)
+	require.Equal(t, everyFact(), s)
+	again, err := Encode(s)
+	require.NoError(t, err)
+	require.Equal(t, stored, again)
+}
+
+// Files of every version are read as they always were, shown as JSON with the keys that operators know.
+func TestGoldenDecode(t *testing.T) {
+	for _, name := range []string{"version1", "version2"} {
+		b, err := os.ReadFile(filepath.Join("testdata", name+".ash"))
+		require.NoError(t, err)
+		s, lost, err := Decode(b)
+		require.NoError(t, err)
+		require.Empty(t, lost)
+		shown, err := json.MarshalIndent(s, "", "  ")
+		require.NoError(t, err)
+		stored := golden(t, name+".json", shown)
+		var read Snapshot
+		require.NoError(t, json.Unmarshal(stored, &read))
+		again, err := json.MarshalIndent(&read, "", "  ")
+		require.NoError(t, err)
+		require.Equal(t, string(stored), string(again))
+	}
+}
+
+// What operators see of a fact keeps its keys.
+func TestGoldenVerdict(t *testing.T) {
+	b, err := json.Marshal([]Verdict{{What: "s-1 limit", Age: 12.5, Weight: 0.25, Why: "too old"}})
+	require.NoError(t, err)
+	stored := golden(t, "facts.json", b)
+	var read []Verdict
+	require.NoError(t, json.Unmarshal(stored, &read))
+	again, err := json.Marshal(read)
+	require.NoError(t, err)
+	require.Equal(t, string(stored), string(again))
+}
+
+// The names of the files in a state folder stay.
+func TestGoldenFileNames(t *testing.T) {
+	golden(t, "names.txt", []byte(fileName+"\n"+lockName+"\n"+asideIs+"1\n"))
+}
