--- /dev/null
+++ b/internal/cluster/owner/drill/golden_test.go
@@ -0,0 +1,102 @@
+package drill
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/place"
+	"ashstand/lab/host"
+)
+
+var updateGolden = flag.Bool("update-golden", false, "write the golden files anew")
+
+func golden(t *testing.T, name, got string) string {
+	path := filepath.Join("testdata", "golden", name)
+	if *updateGolden {
+		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
+		require.NoError(t, os.WriteFile(path, []byte(got), 0o644))
+	}
+	want, err := os.ReadFile(path)
+	require.NoError(t, err)
+	return string(want)
+}
+
+// What the log holds of such a work: its kind, its spec, and its state.
+func TestGoldenEncodings(t *testing.T) {
+	spec := Spec{Database: "orders", Groups: []uint64{1, 2}, Deeds: 20, Every: 500.5}
+	st := state{Prepared: 2, Done: 7, At: 1234.5}
+	a, err := json.Marshal(spec)
+	require.NoError(t, err)
+	b, err := json.Marshal(st)
+	require.NoError(t, err)
+	text := Name + "\n" + string(a) + "\n" + string(b) + "\n"
+	want := golden(t, "encodings.txt", text)
+	require.Equal(t, want, text)
+	lines := strings.Split(want, "\n")
+	p, s, err := read(&owner.Work{Spec: []byte(lines[1]), State: []byte(lines[2])})
+	require.NoError(t, err)
+	require.Equal(t, spec, p)
+	require.Equal(t, st, s)
+}
+
+// A whole run: what is announced, the states that are proven, and the rows that a db host holds then. Each try's row has a
+// part of its own behind its deed's identity, which is left out.
+func TestGoldenRun(t *testing.T) {
+	c := host.NewCluster(1, 1)
+	t.Cleanup(c.Close)
+	h, err := c.Add("h1", "127.0.0.1:0")
+	require.NoError(t, err)
+	c.Database("orders")
+	client := &place.Client{User: "ashstand", Hosts: func(uint64) []place.Host {
+		return []place.Host{{Name: "h1", Address: h.Address, Group: 1, Primary: true}}
+	}}
+	k := &Kind{Client: client, Now: func() float64 { return 1000 }}
+	spec, err := json.Marshal(Spec{Database: "orders", Groups: []uint64{1}, Deeds: 3, Every: 10})
+	require.NoError(t, err)
+	w := &owner.Work{Name: "d1", Kind: Name, Spec: spec, Token: 17}
+	var out bytes.Buffer
+	for !w.Ended {
+		if w.Step == 3 {
+			w.Word = &owner.Word{Say: "stop", Step: 3, Lasting: true}
+		}
+		step := k.Next(1000, w, nil)
+		fmt.Fprintf(&out, "next %q wait %v word %v", step.Deed, step.Wait, step.Took)
+		for _, o := range step.Says {
+			fmt.Fprintf(&out, " option %q lasting %v", o.Say, o.Lasting)
+		}
+		fmt.Fprintln(&out)
+		if step.Deed == "" {
+			step = k.Next(1000+step.Wait, w, nil)
+		}
+		d := &owner.Deed{Number: w.Next(), Name: step.Deed, Token: 17}
+		p, err := k.Do(t.Context(), w, d)
+		require.NoError(t, err)
+		done, found, err := k.Look(t.Context(), w, d)
+		require.NoError(t, err)
+		fmt.Fprintf(&out, "%s: state %s ended %v %q; found %v %s\n", d.ID(w.Name), p.State, p.Ended, p.Why, done, found.State)
+		w.State, w.Ended, w.Step = p.State, p.Ended, w.Step+1
+	}
+	conn, _, err := client.Primary(t.Context(), 1, "orders")
+	require.NoError(t, err)
+	defer place.Close(conn)
+	rows, _, err := place.Exec(t.Context(), conn, "SELECT ref, payload FROM ashstand.acts ORDER BY ref")
+	require.NoError(t, err)
+	for _, r := range rows {
+		id, drawn, _ := strings.Cut(r[0], "#")
+		require.Len(t, drawn, 16)
+		fmt.Fprintf(&out, "row %q by token %s\n", id, r[1])
+	}
+	rows, _, err = place.Exec(t.Context(), conn, "SELECT work, token, closed, home FROM ashstand.fence")
+	require.NoError(t, err)
+	fmt.Fprintf(&out, "fence %q\n", rows)
+	require.Equal(t, golden(t, "run.txt", out.String()), out.String())
+}
--- /dev/null
+++ b/internal/cluster/place/golden_test.go
@@ -0,0 +1,238 @@
+package place
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/cluster/owner"
+	"ashstand/lab/host"
+)
+
+var updateGolden = flag.Bool("update-golden", false, "write the golden files anew")
+
+func requireGolden(t *testing.T, name, got string) {
+	path := filepath.Join("testdata", "golden", name)
+	if *updateGolden {
+		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
+		require.NoError(t, os.WriteFile(path, []byte(got), 0o644))
+	}
+	want, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Equal(t, string(want), got)
+}
+
+// reply is what a recorder answers a statement with.
+type reply struct {
+	rows [][]byte
+	tag  string
+	code string // of an error
+}
+
+// recorder is a db host that writes down all that it is sent.
+type recorder struct {
+	mu      sync.Mutex
+	lines   []string
+	replies map[string][]reply // by the first words of a statement, in order; the last one stays
+}
+
+func (r *recorder) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines = append(r.lines, fmt.Sprintf(format, args...))
+}
+
+func (r *recorder) next(sql string) reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for prefix, list := range r.replies {
+		if strings.HasPrefix(sql, prefix) {
+			if len(list) > 1 {
+				r.replies[prefix] = list[1:]
+			}
+			return list[0]
+		}
+	}
+	word, _, _ := strings.Cut(sql, " ")
+	return reply{tag: word}
+}
+
+func (r *recorder) listen(t *testing.T) (address string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var open sync.WaitGroup
+	open.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			open.Go(func() { defer conn.Close(); r.serve(conn) })
+		}
+	})
+	t.Cleanup(func() { l.Close(); open.Wait() })
+	return l.Addr().String()
+}
+
+func (r *recorder) serve(conn net.Conn) {
+	b := pgproto3.NewBackend(conn, conn)
+	first, err := b.ReceiveStartupMessage()
+	start, ok := first.(*pgproto3.StartupMessage)
+	if err != nil || !ok {
+		return
+	}
+	var of []string
+	for _, k := range slices.Sorted(maps.Keys(start.Parameters)) {
+		of = append(of, k+"="+start.Parameters[k])
+	}
+	r.note("startup %s", strings.Join(of, " "))
+	b.Send(&pgproto3.AuthenticationOk{})
+	status := byte('I')
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	answer := func(sql string) {
+		a := r.next(sql)
+		if a.code != "" {
+			b.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: a.code, Message: "as the test has it"})
+			return
+		}
+		for _, v := range a.rows {
+			b.Send(&pgproto3.DataRow{Values: [][]byte{v}})
+		}
+		b.Send(&pgproto3.CommandComplete{CommandTag: []byte(a.tag)})
+	}
+	var sql string
+	var args []string
+	for b.Flush() == nil {
+		m, err := b.Receive()
+		if err != nil {
+			return
+		}
+		switch m := m.(type) {
+		case *pgproto3.Query:
+			r.note("simple %s", m.String)
+			for _, s := range strings.Split(m.String, "; ") {
+				answer(s)
+			}
+			b.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+		case *pgproto3.Parse:
+			sql = m.Query
+			b.Send(&pgproto3.ParseComplete{})
+		case *pgproto3.Bind:
+			args = nil
+			for _, p := range m.Parameters {
+				args = append(args, string(p))
+			}
+			b.Send(&pgproto3.BindComplete{})
+		case *pgproto3.Describe:
+			b.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v"), DataTypeOID: 25, DataTypeSize: -1, TypeModifier: -1}}})
+		case *pgproto3.Execute:
+			r.note("extended %s %q", sql, args)
+			answer(sql)
+		case *pgproto3.Sync:
+			b.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+		case *pgproto3.Terminate:
+			return
+		}
+	}
+}
+
+func (r *recorder) text() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return strings.Join(r.lines, "\n") + "\n"
+}
+
+// What is sent to a db host, statement by statement: a fence row that is there, one that is not yet, one that holds a
+// higher token, and a transaction that is taken back.
+func TestGoldenStatements(t *testing.T) {
+	text := FenceTable + "\n"
+	primary := map[string][]reply{"SELECT pg_is_in_recovery()": {{rows: [][]byte{[]byte("f")}, tag: "SELECT 1"}}}
+	for _, c := range []struct {
+		name    string
+		replies map[string][]reply
+		bounds  Bounds
+		unsafe  string
+		do      error
+		want    error
+	}{
+		{name: "row there", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 1"}}}},
+		{name: "row not there", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 0"}, {tag: "UPDATE 1"}}, "SELECT token": {{tag: "SELECT 0"}}, "INSERT": {{tag: "INSERT 0 1"}}}},
+		{name: "higher token", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 0"}}, "SELECT token": {{rows: [][]byte{[]byte("18")}, tag: "SELECT 1"}}},
+			want: &owner.Fenced{Place: "h1", Given: 17, Holds: 18}},
+		{name: "bounds", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 1"}}},
+			bounds: Bounds{Lock: 1500 * time.Microsecond, Statement: 2 * time.Second, Idle: 3 * time.Second}},
+		{name: "without the fence", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 1"}}}, unsafe: "fence"},
+		{name: "taken back", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 1"}}}, do: &pgconn.PgError{Code: "23505"}, want: &pgconn.PgError{Code: "23505"}},
+		{name: "replica", replies: map[string][]reply{"SELECT pg_is_in_recovery()": {{rows: [][]byte{[]byte("t")}, tag: "SELECT 1"}}}, want: &NoPrimary{}},
+	} {
+		r := &recorder{replies: maps.Clone(primary)}
+		maps.Copy(r.replies, c.replies)
+		address := r.listen(t)
+		client := &Client{User: "ashstand", Unsafe: c.unsafe, Hosts: func(uint64) []Host { return []Host{{Name: "h1", Address: address, Group: 3, Primary: true}} }}
+		err := client.ActWithin(t.Context(), c.bounds, 3, "orders", "d1", 17, "write", func(ctx context.Context, conn *pgconn.PgConn) error {
+			if c.do != nil {
+				return c.do
+			}
+			_, _, err := Exec(ctx, conn, "INSERT INTO t VALUES ($1)", "x")
+			return err
+		})
+		switch want := c.want.(type) {
+		case nil:
+			require.NoError(t, err, c.name)
+		case *NoPrimary:
+			var no *NoPrimary
+			require.True(t, errors.As(err, &no), c.name)
+			require.Equal(t, []string{"h1: it is a replica"}, no.Asked)
+		default:
+			require.Equal(t, want, err, c.name)
+		}
+		text += "-- " + c.name + "\n" + r.text()
+	}
+	requireGolden(t, "statements.txt", text)
+}
+
+// The fence's table and row at a db host, once tokens have been taken.
+func TestGoldenFenceRow(t *testing.T) {
+	c := host.NewCluster(1, 1)
+	t.Cleanup(c.Close)
+	h, err := c.Add("h1", "127.0.0.1:0")
+	require.NoError(t, err)
+	c.Database("orders")
+	client := &Client{User: "ashstand", Hosts: func(uint64) []Host { return []Host{{Name: "h1", Address: h.Address, Group: 1, Primary: true}} }}
+	conn, _, err := client.Primary(t.Context(), 1, "orders")
+	require.NoError(t, err)
+	defer Close(conn)
+	for _, sql := range []string{"CREATE SCHEMA IF NOT EXISTS ashstand", FenceTable} {
+		_, _, err = Exec(t.Context(), conn, sql)
+		require.NoError(t, err)
+	}
+	var out bytes.Buffer
+	take := func(token owner.Token) {
+		err := client.Act(t.Context(), 1, "orders", "d1", token, "write", func(context.Context, *pgconn.PgConn) error { return nil })
+		fmt.Fprintf(&out, "token %d: %v\n", token, err)
+		rows, _, err := Exec(t.Context(), conn, "SELECT work, token, closed, home FROM ashstand.fence")
+		require.NoError(t, err)
+		for _, r := range rows {
+			fmt.Fprintf(&out, "row %q\n", r)
+		}
+	}
+	for _, token := range []owner.Token{3, 3, 7, 5} {
+		take(token)
+	}
+	requireGolden(t, "fence-row.txt", out.String())
+}
