--- /dev/null
+++ b/internal/cluster/agree/golden_test.go
@@ -0,0 +1,115 @@
+package agree
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/cluster/owner"
+)
+
+var updateGolden = flag.Bool("update-golden", false, "write testdata/golden anew from this program")
+
+// golden compares bytes with those of a committed file and returns the latter.
+func golden(t *testing.T, name string, got []byte) []byte {
+	t.Helper()
+	path := filepath.Join("testdata", "golden", name)
+	if *updateGolden {
+		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
+		require.NoError(t, os.WriteFile(path, got, 0o644))
+	}
+	want, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Equal(t, string(want), string(got), path)
+	return want
+}
+
+// goldenRules hold a value of each type.
+func goldenRules() Rules {
+	return Rules{"tries": 3.0, "class.browse.bound_ms": 250.5, "class.browse.repeat": false, "host.s-1.x.closed": true, "database.orders.group": 7.0}
+}
+
+func goldenVersion(n int) Version {
+	return Version{N: n, Rules: goldenRules(), By: "pooler-a", Format: 1}
+}
+
+func goldenDeed() *owner.Deed {
+	return &owner.Deed{Number: 3, Name: "copy", Token: 9, Data: json.RawMessage(`{"from":1}`), Word: &owner.Word{Say: "go", By: "op", Step: 2, Lasting: true}}
+}
+
+// goldenOperation has no field of its zero value.
+func goldenOperation() *owner.Entry {
+	return &owner.Entry{Op: owner.Announce, Work: "move-orders", Token: 9, To: "pooler-b", Instance: 1 << 63, Kind: "move", Spec: json.RawMessage(`{"to":2}`),
+		Needs: []uint64{1, 2}, Step: 2, Deed: goldenDeed(), State: json.RawMessage(`{"phase":"copy"}`), Word: &owner.Word{Say: "go", By: "op", Step: 2, Lasting: true},
+		Ended: true, Why: "finished"}
+}
+
+func goldenJob(name string) *owner.Work {
+	return &owner.Work{Name: name, Kind: "move", Spec: json.RawMessage(`{"to":2}`), Needs: []uint64{1, 2}, Owner: "pooler-b", Instance: 1<<63 + 1, Token: 9, Step: 2,
+		State: json.RawMessage(`{"phase":"copy"}`), Deed: goldenDeed(), Word: &owner.Word{Say: "hold", By: "op", Step: 2, Lasting: true}, Owners: 4, Voided: 1, Ended: true,
+		Why: "finished", Changed: 11}
+}
+
+func goldenState() state {
+	pending := goldenVersion(5)
+	return state{Last: 5, Held: Held{Force: goldenVersion(4), Pending: &pending, Seen: 9}, Versions: []Version{goldenVersion(4), goldenVersion(5)},
+		Names: map[uint64]string{3: "pooler-a", 1<<63 + 5: "pooler-b"},
+		Done: []done{{ID: 1 << 62, N: 4}, {ID: 18, Why: "version 4 came first and is not in force yet"},
+			{ID: 19, N: 5, Why: "why", Work: true, Name: "move-orders", Refused: &owner.Refusal{Reason: owner.TokenOld, Work: "move-orders", Given: 8, Holds: 9, Detail: "late"}}},
+		Epoch: 77, Ledger: owner.Ledger{High: 9, Works: map[string]*owner.Work{"move-orders": goldenJob("move-orders"), "a": goldenJob("a")}, Count: 12}}
+}
+
+// Entries of the log are stored by voters and sent between them: what an earlier program wrote is read, and written alike.
+func TestGoldenLogEntries(t *testing.T) {
+	version := goldenVersion(4)
+	for name, x := range map[string]entry{
+		"propose":       {Propose: &version, ID: 1<<63 + 3},
+		"force":         {Force: 4},
+		"work":          {ID: 1<<63 + 4, Work: goldenOperation()},
+		"work-change":   {ID: 1<<63 + 5, Work: goldenOperation(), Change: Rules{"tries": 2.0, "class.a.repeat": nil}},
+		"work-raise":    {ID: 6, Work: &owner.Entry{Op: owner.Raise, Token: 70}},
+		"propose-empty": {Propose: &Version{}, ID: 7},
+	} {
+		b, err := json.Marshal(x)
+		require.NoError(t, err)
+		stored := golden(t, filepath.Join("entries", name+".json"), b)
+		var read entry
+		require.NoError(t, json.Unmarshal(stored, &read))
+		require.Equal(t, x, read, name)
+		again, err := json.Marshal(read)
+		require.NoError(t, err)
+		require.Equal(t, string(stored), string(again), name)
+	}
+}
+
+// A snapshot holds what the log came to.
+func TestGoldenSnapshot(t *testing.T) {
+	b, err := json.Marshal(goldenState())
+	require.NoError(t, err)
+	stored := golden(t, "snapshot.json", b)
+	disk := Found("pooler-a", []string{"pooler-a"})
+	disk.Snap.Data = stored
+	n, err := New(Config{Name: "pooler-a", Voters: []string{"pooler-a"}, Lease: 200, Pace: 30, Election: 50}, disk, 0)
+	require.NoError(t, err)
+	require.Equal(t, goldenState(), n.st)
+	again, err := json.Marshal(n.st)
+	require.NoError(t, err)
+	require.Equal(t, string(stored), string(again))
+
+	first, err := json.Marshal(state{Names: map[uint64]string{1: "n1"}})
+	require.NoError(t, err)
+	golden(t, "snapshot-first.json", first)
+}
+
+// The first snapshot of a voter, and the identities that it gives, are alike for all voters of a cluster.
+func TestGoldenFirstState(t *testing.T) {
+	disk := Found("n2", []string{"n3", "n1", "n2"})
+	text, err := json.Marshal(map[string]any{"id": disk.ID, "voters": disk.Snap.Metadata.GetConfState().GetVoters(), "state": string(disk.Snap.GetData()),
+		"term": disk.Hard.GetTerm(), "commit": disk.Hard.GetCommit(), "index": disk.Snap.Metadata.GetIndex(), "snapshot_term": disk.Snap.Metadata.GetTerm()})
+	require.NoError(t, err)
+	golden(t, "first.json", text)
+}
