--- a/internal/cluster/place/golden_test.go
+++ b/internal/cluster/place/golden_test.go
@@ -224,7 +224,13 @@
 	var out bytes.Buffer
 	take := func(token owner.Token) {
 		err := client.Act(t.Context(), 1, "orders", "d1", token, "write", func(context.Context, *pgconn.PgConn) error { return nil })
-		fmt.Fprintf(&out, "token %d: %v\n", token, err)
+		var fenced *owner.Fenced
+		if errors.As(err, &fenced) {
+			fmt.Fprintf(&out, "token %d: fenced at %s by %d\n", fenced.Given, fenced.Place, fenced.Holds)
+		} else {
+			require.NoError(t, err)
+			fmt.Fprintf(&out, "token %d: taken\n", token)
+		}
 		rows, _, err := Exec(t.Context(), conn, "SELECT work, token, closed, home FROM ashstand.fence")
 		require.NoError(t, err)
 		for _, r := range rows {
