--- /dev/null
+++ b/internal/cluster/move/sql/golden_test.go
@@ -0,0 +1,552 @@
+package sql
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/cluster/move"
+	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/place"
+	"ashstand/lab/host"
+)
+
+var updateGolden = flag.Bool("update-golden", false, "write the golden files anew")
+
+// requireGolden compares text with a committed file, byte for byte.
+func requireGolden(t *testing.T, file, text string) {
+	t.Helper()
+	path := filepath.Join("testdata", "golden", file)
+	if *updateGolden {
+		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o644))
+	}
+	want, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Equal(t, string(want), text)
+}
+
+// statementLog holds, by group, what migrations sent to the database hosts of the group.
+type statementLog struct {
+	mu    sync.Mutex
+	lines map[move.Group][]string
+}
+
+func (l *statementLog) add(group move.Group, line string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines[group] = append(l.lines[group], line)
+}
+
+// take returns the lines of a group and forgets them.
+func (l *statementLog) take(group move.Group) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lines := l.lines[group]
+	delete(l.lines, group)
+	return lines
+}
+
+// listen starts a proxy in front of a host, which logs the statements of each connection that a migration opens itself.
+func (l *statementLog) listen(t *testing.T, group move.Group, host string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			client, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { l.proxy(group, client, host) })
+		}
+	})
+	t.Cleanup(func() { _ = listener.Close(); wg.Wait() })
+	return listener.Addr().String()
+}
+
+func (l *statementLog) proxy(group move.Group, client net.Conn, address string) {
+	defer func() { _ = client.Close() }()
+	server, err := net.Dial("tcp", address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = server.Close() }()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() {
+		_, _ = io.Copy(client, server)
+		_ = client.Close()
+	})
+	defer func() { _ = server.Close() }()
+	start := make([]byte, 4)
+	if _, err = io.ReadFull(client, start); err != nil {
+		return
+	}
+	start = append(start, make([]byte, binary.BigEndian.Uint32(start)-4)...)
+	if _, err = io.ReadFull(client, start[4:]); err != nil {
+		return
+	}
+	if _, err = server.Write(start); err != nil {
+		return
+	}
+	var startup pgproto3.StartupMessage
+	logged := startup.Decode(start[4:]) == nil && startup.Parameters["application_name"] == "ashstand works"
+	if logged {
+		l.add(group, fmt.Sprintf("connect: user=%s database=%s", startup.Parameters["user"], startup.Parameters["database"]))
+	}
+	for {
+		message := make([]byte, 5)
+		if _, err = io.ReadFull(client, message); err != nil {
+			return
+		}
+		message = append(message, make([]byte, binary.BigEndian.Uint32(message[1:])-4)...)
+		if _, err = io.ReadFull(client, message[5:]); err != nil {
+			return
+		}
+		if line := frontendLine(message[0], message[5:]); logged && line != "" {
+			l.add(group, line)
+		}
+		if _, err = server.Write(message); err != nil {
+			return
+		}
+	}
+}
+
+// frontendLine is a message that carries a statement or its arguments as a line of text; "": another one.
+func frontendLine(kind byte, body []byte) string {
+	switch kind {
+	case 'Q':
+		var query pgproto3.Query
+		if query.Decode(body) == nil {
+			return "query: " + oneLine(query.String)
+		}
+	case 'P':
+		var parse pgproto3.Parse
+		if parse.Decode(body) == nil {
+			return strings.TrimSpace("parse "+parse.Name) + ": " + oneLine(parse.Query)
+		}
+	case 'B':
+		var bind pgproto3.Bind
+		if bind.Decode(body) == nil && len(bind.Parameters) > 0 {
+			line := strings.TrimSpace("bind "+bind.PreparedStatement) + ":"
+			for _, value := range bind.Parameters {
+				line += fmt.Sprintf(" %q", value)
+			}
+			return line
+		}
+	}
+	return ""
+}
+
+func oneLine(text string) string {
+	if strings.ContainsAny(text, "\n\t") {
+		return strconv.Quote(text)
+	}
+	return text
+}
+
+// What differs from run to run: ports, process ids and positions in a log.
+var masks = []struct {
+	found *regexp.Regexp
+	shown string
+}{
+	{regexp.MustCompile(`port=[0-9,]+`), "port=PORTS"},
+	{regexp.MustCompile(`pg_terminate_backend\([0-9]+\)`), "pg_terminate_backend(PID)"},
+	{regexp.MustCompile(`("closed" "m[0-9]+/[0-9]+ [0-9]+) [0-9]+"`), `$1 POSITION"`},
+	{regexp.MustCompile(`(closed = m[0-9]+/[0-9]+ [0-9]+) [0-9]+`), `$1 POSITION`},
+}
+
+func masked(line string) string {
+	for _, m := range masks {
+		line = m.found.ReplaceAllString(line, m.shown)
+	}
+	return line
+}
+
+const terminate = "parse: SELECT pg_terminate_backend(PID)"
+
+// steady makes lines the same from run to run: how often a wait asked, and the order of what a map held, does not count.
+func steady(lines []string, keepTerminate bool) (out []string) {
+	for _, line := range lines {
+		if line = masked(line); keepTerminate || line != terminate {
+			out = append(out, line)
+		}
+	}
+	for from := 0; from < len(out); from++ {
+		to := from
+		for to < len(out) && (strings.HasPrefix(out[to], "bind ashstand_key:") || strings.HasPrefix(out[to], "parse: SELECT pg_drop_replication_slot(")) {
+			to++
+		}
+		slices.Sort(out[from:to])
+		from = max(from, to-1)
+	}
+	for again := true; again; {
+		again = false
+		for length := 1; length <= 6; length++ {
+			for i := 0; i+2*length <= len(out); i++ {
+				block := out[i : i+length]
+				if slices.Equal(block, out[i+length:i+2*length]) && slices.ContainsFunc(block, polled) && !slices.ContainsFunc(block, writes) {
+					out, again = slices.Delete(out, i, i+length), true
+				}
+			}
+		}
+	}
+	return out
+}
+
+func polled(line string) bool {
+	return strings.HasPrefix(line, "parse: SELECT pid, ") || strings.HasPrefix(line, "parse: SELECT slot_name, ") || strings.HasPrefix(line, "parse: SELECT pubname ")
+}
+
+func writes(line string) bool {
+	return !strings.HasPrefix(line, "parse: SELECT ") && !strings.HasPrefix(line, "bind: ")
+}
+
+// goldenRun plays deeds with fixed inputs against two groups and writes down what was sent and what is stored then.
+type goldenRun struct {
+	*rig
+	log    *statementLog
+	out    strings.Builder
+	plan   move.Plan
+	state  move.State
+	token  owner.Token
+	number uint64
+}
+
+func newGoldenRun(t *testing.T, plan move.Plan) *goldenRun {
+	g := &goldenRun{rig: newRig(t, 2, plan), log: &statementLog{lines: map[move.Group][]string{}}, plan: plan, token: 5, number: 10}
+	g.plan.Tenant = tenant
+	g.state.Phase = move.Planned
+	addresses := map[string]string{}
+	for group := range g.groups {
+		for _, h := range g.hosts(group) {
+			addresses[h.Name] = g.log.listen(t, group, h.Address)
+		}
+	}
+	g.places = &Places{Rows: 10, Client: &place.Client{User: "works", Hosts: func(group uint64) []place.Host {
+		list := g.hosts(group)
+		for i := range list {
+			list[i].Address = addresses[list[i].Name]
+		}
+		return list
+	}}, Reads: func(string, int) []string { return []string{"SELECT count(*) FROM entries"} }}
+	return g
+}
+
+// act is the next deed.
+func (g *goldenRun) act(name string) move.Act {
+	g.number++
+	return g.present(name)
+}
+
+// present is the deed that was announced last, under another name.
+func (g *goldenRun) present(name string) move.Act {
+	return move.Act{Plan: g.plan, Work: "m1", Token: g.token, Told: g.token, Number: g.number, Deed: fmt.Sprintf("m1/%d", g.number), Name: name,
+		State: g.state, Data: move.Data{Within: 20000}}
+}
+
+// step does something and writes down what it sent.
+func (g *goldenRun) step(title string, do func() (any, error)) {
+	g.t.Helper()
+	for group := range g.groups {
+		g.log.take(group)
+	}
+	result, err := do()
+	require.NoError(g.t, err, title)
+	fmt.Fprintf(&g.out, "== %s\n", title)
+	if result != nil {
+		text, err := json.Marshal(result)
+		require.NoError(g.t, err)
+		fmt.Fprintf(&g.out, "-- result: %s\n", regexp.MustCompile(`"(pid|position)":[0-9]+|"age":"[^"]*"`).ReplaceAllString(string(text), `"VARIES"`))
+	}
+	for _, group := range []move.Group{1, 2} {
+		fmt.Fprintf(&g.out, "-- sent to group %d\n", group)
+		for _, line := range steady(g.log.take(group), strings.HasPrefix(title, "close")) {
+			fmt.Fprintln(&g.out, line)
+		}
+	}
+	for _, group := range []move.Group{1, 2} {
+		g.stored(group)
+	}
+}
+
+// stored writes down what a migration keeps in a group.
+func (g *goldenRun) stored(group move.Group) {
+	fmt.Fprintf(&g.out, "-- stored in group %d\n", group)
+	for _, row := range g.db(group).Dump("ashstand.book") {
+		fmt.Fprintln(&g.out, masked("book: "+row["item"]+" = "+row["value"]))
+	}
+	for _, row := range g.db(group).Dump("ashstand.gate") {
+		fmt.Fprintln(&g.out, "gate: id", row["id"], "closed", row["closed"])
+	}
+	for _, row := range g.db(group).Dump("ashstand.fence") {
+		fmt.Fprintln(&g.out, "fence:", row["work"], "token", row["token"])
+	}
+	for _, row := range g.db(group).Dump("ashstand.touched") {
+		fmt.Fprintln(&g.out, "touched:", row["tab"], row["key"])
+	}
+}
+
+// look plays a new owner that finds out about a deed.
+func (g *goldenRun) look(a move.Act) {
+	g.t.Helper()
+	g.token++
+	a.Token = g.token
+	g.step("look for "+a.Name, func() (any, error) {
+		f, err := g.places.Look(g.ctx, a)
+		return []any{f.Done, f.Lines, f.Closed}, err
+	})
+}
+
+// ready waits until the copy of all tables has come to its end.
+func (g *goldenRun) ready(home, other move.Group) {
+	g.t.Helper()
+	require.Eventually(g.t, func() bool {
+		p, err := g.places.Progress(g.ctx, g.present(""), home, other)
+		return err == nil && p.Ready && !p.SlotLost && p.Applied >= p.HomePos
+	}, 20*time.Second, 20*time.Millisecond)
+}
+
+func (g *goldenRun) progress(home, other move.Group) {
+	g.t.Helper()
+	a := g.present("")
+	a.Deed = ""
+	g.step("progress, "+string(g.state.Phase), func() (any, error) {
+		p, err := g.places.Progress(g.ctx, a, home, other)
+		return []bool{p.Reached, p.Ready, p.SlotLost, p.FenceOff, p.Unmarked, p.Ahead}, err
+	})
+}
+
+func (g *goldenRun) publish() move.Act {
+	a := g.act(move.DeedPublish)
+	g.step("publish", func() (any, error) { return nil, g.places.Publish(g.ctx, a) })
+	return a
+}
+
+func (g *goldenRun) subscribe() move.Act {
+	a := g.act(move.DeedSubscribe)
+	g.step("subscribe", func() (any, error) { return g.places.Subscribe(g.ctx, a) })
+	g.state.Phase = move.Copying
+	return a
+}
+
+// copyTables hands over one table, and then the others.
+func (g *goldenRun) copyTables() {
+	for _, rows := range []float64{0, 1e6} {
+		a := g.act(move.DeedCopy)
+		a.Data.Rows = rows
+		g.step(fmt.Sprintf("copy, %v rows", rows), func() (any, error) {
+			out, err := g.places.Copy(g.ctx, a)
+			g.state.Copy.After, g.state.Copy.All = out.After, out.All
+			return out, err
+		})
+	}
+	g.ready(1, 2)
+}
+
+func (g *goldenRun) mark(home, other move.Group) move.Act {
+	a := g.act(move.DeedMark)
+	g.step("mark", func() (any, error) {
+		lines, err := g.places.Mark(g.ctx, a, home, other)
+		g.state.Lines = lines
+		return lines, err
+	})
+	return a
+}
+
+func (g *goldenRun) compare(title string, home, other move.Group) {
+	a := g.act(move.DeedCompare)
+	g.step(title, func() (any, error) {
+		out, err := g.places.Compare(g.ctx, a, home, other)
+		g.state.Compare = move.Compare{After: out.After, All: out.All}
+		return out, err
+	})
+}
+
+func (g *goldenRun) seed() {
+	for group := range g.groups {
+		c := g.dial(group)
+		g.exec(c, "CREATE TABLE pairs (a bigint, b text, v text, PRIMARY KEY (a, b))")
+		g.exec(c, "CREATE TABLE bare (v text)")
+		g.exec(c, "ALTER TABLE bare REPLICA IDENTITY FULL")
+		g.exec(c, "CREATE SEQUENCE numbers")
+	}
+	g.db(1).Table("entries", host.Traits{}).Seed(25)
+	c := g.dial(1)
+	for i := range 13 {
+		g.exec(c, fmt.Sprintf("INSERT INTO pairs VALUES (%d, 'k''%d', '')", i%3, i))
+	}
+	g.exec(c, "INSERT INTO bare VALUES ('x'), ('x'), (NULL)")
+	g.exec(c, "SELECT setval('numbers', 41)")
+}
+
+// The statements of each deed, what it returns and what it leaves stored, of a migration that is accepted.
+func TestGoldenStatementsOfAnAcceptedMigration(t *testing.T) {
+	g := newGoldenRun(t, move.Plan{From: 1, To: 2, Lock: 1000, Old: "drop", Reads: 1, Pause: 5000})
+	g.seed()
+	g.step("check", func() (any, error) { return g.places.Check(g.ctx, g.act(move.DeedCheck)) })
+	g.look(g.act(move.DeedPublish))
+	g.look(g.publish())
+	g.look(g.act(move.DeedSubscribe))
+	g.look(g.subscribe())
+	g.copyTables()
+	g.progress(1, 2)
+	g.state.Phase = move.CatchingUp
+	g.look(g.act(move.DeedMark))
+	g.look(g.mark(1, 2))
+	g.progress(1, 2)
+	g.compare("compare", 1, 2)
+	g.exec(g.dial(1), "UPDATE entries SET payload = 'touched' WHERE ref = 'seed-0000014'")
+	g.compare("compare, to the end already", 1, 2)
+	g.state.Compare = move.Compare{After: `["public.entries","seed-0000009"]`}
+	byHand := g.dial(2)
+	g.exec(byHand, "SET session_replication_role = replica")
+	g.exec(byHand, "UPDATE entries SET payload = 'by hand' WHERE ref = 'seed-0000022'")
+	g.compare("compare, one row differs", 1, 2)
+	g.exec(byHand, "DELETE FROM entries WHERE ref = 'seed-0000022'")
+	values := g.exec(g.dial(1), "SELECT payload FROM entries WHERE ref = 'seed-0000022'")
+	g.exec(byHand, "INSERT INTO entries (ref, payload) VALUES ('seed-0000022', '"+values[0][0]+"')")
+	g.close()
+	g.verify()
+	a := g.act(move.DeedSwitch)
+	g.step("fenced", func() (any, error) {
+		closed, line, err := g.places.Fenced(g.ctx, a, 1)
+		return []any{closed, line}, err
+	})
+	g.step("open", func() (any, error) { return nil, g.places.Open(g.ctx, a, 2) })
+	g.state.Phase = move.Switched
+	g.way()
+	a = g.act(move.DeedFinish)
+	g.step("finish", func() (any, error) { return nil, g.places.Finish(g.ctx, a) })
+	g.state.Phase = move.Accepted
+	g.look(a)
+	requireGolden(t, "statements-accepted.txt", g.out.String())
+}
+
+// close plays a closing that has to end a session, and finds out about it.
+func (g *goldenRun) close() {
+	straggler := g.dial(1)
+	g.exec(straggler, "BEGIN")
+	g.exec(straggler, "INSERT INTO entries (ref, payload) VALUES ('straggler', '')")
+	a := g.act(move.DeedClose)
+	a.Data.Within, a.Data.End = 1000, true
+	g.state.Phase = move.Closing
+	a.State.Phase = move.Closing
+	g.look(g.act(move.DeedClose))
+	a.Token, a.Told, a.Deed = g.token, g.token, fmt.Sprintf("m1/%d", g.number+1)
+	g.number++
+	g.step("close, and end a session", func() (any, error) {
+		closed, held, err := g.places.Close(g.ctx, a, 1)
+		return []any{closed, held}, err
+	})
+	g.look(a)
+}
+
+func (g *goldenRun) verify() {
+	g.state.Phase = move.Verifying
+	require.Eventually(g.t, func() bool {
+		p, err := g.places.Progress(g.ctx, g.present(""), 1, 2)
+		return err == nil && p.Applied >= p.HomePos
+	}, 20*time.Second, 20*time.Millisecond)
+	a := g.act(move.DeedVerify)
+	g.step("verify what was touched", func() (any, error) { return g.places.Verify(g.ctx, a, 1, 2) })
+	a = g.act(move.DeedVerify)
+	a.State.Lines = move.Lines{}
+	g.step("verify everything", func() (any, error) { return g.places.Verify(g.ctx, a, 1, 2) })
+}
+
+// way plays the way back: the old home follows the new one, by the slot that was made for it and then by another.
+func (g *goldenRun) way() {
+	g.look(g.act(move.DeedFeed))
+	a := g.act(move.DeedFeed)
+	g.step("feed", func() (any, error) { return g.places.Feed(g.ctx, a) })
+	g.look(a)
+	a = g.act(move.DeedFeed)
+	g.step("feed, it follows already", func() (any, error) { return g.places.Feed(g.ctx, a) })
+	g.mark(2, 1)
+	g.state.Compare = move.Compare{}
+	g.ready(2, 1)
+	g.progress(2, 1)
+	g.compare("compare on the way back", 2, 1)
+	a = g.act(move.DeedFeed)
+	a.Data.Again = true
+	g.step("feed, anew", func() (any, error) { return g.places.Feed(g.ctx, a) })
+	g.ready(2, 1)
+}
+
+// The statements of each deed of a migration that is rolled back before its switch.
+func TestGoldenStatementsOfAMigrationRolledBack(t *testing.T) {
+	g := newGoldenRun(t, move.Plan{From: 1, To: 2, Lock: 1000, Pause: 5000})
+	g.seed()
+	g.publish()
+	g.subscribe()
+	g.copyTables()
+	a := g.act(move.DeedSubscribe)
+	a.Data.Again = true
+	g.step("subscribe anew", func() (any, error) { return g.places.Subscribe(g.ctx, a) })
+	g.state.Copy = move.Copy{}
+	g.copyTables()
+	g.mark(1, 2)
+	g.look(g.act(move.DeedClear))
+	a = g.act(move.DeedClear)
+	g.step("clear", func() (any, error) { return nil, g.places.Clear(g.ctx, a) })
+	g.look(a)
+	requireGolden(t, "statements-rolled-back.txt", g.out.String())
+}
+
+// The digests of rows, the cursors and the names that are stored or compared between two programs.
+func TestGoldenDigestsAndNames(t *testing.T) {
+	var out strings.Builder
+	shop := &table{schema: "public", name: "pa\"irs", columns: []string{"a", "b", "v"}, types: []string{"bigint", "text", "bytea"}, key: []int{0, 1}}
+	bare := &table{schema: "public", name: "bare", columns: []string{"v"}, types: []string{"text"}}
+	rows := [][][]byte{{[]byte("1"), []byte("k'1\"<&>é"), nil}, {[]byte("2"), []byte(""), []byte(`\x00ff`)}, {[]byte("-3"), []byte("a,b"), []byte{}}}
+	var all slice
+	for _, values := range rows {
+		all.take(shop, values)
+	}
+	for _, r := range all.rows {
+		fmt.Fprintf(&out, "row %s: %d %016x\n", r.key, r.sum.Rows, r.sum.Digest)
+		list := decode(r.key)
+		require.Equal(t, r.key, encode(list))
+		text := cursor(shop, list)
+		fmt.Fprintf(&out, "cursor %s\n", text)
+		require.Equal(t, text, encode(decode(text)))
+	}
+	fmt.Fprintf(&out, "range: %d %016x, shown as %s\n", all.sum.Rows, all.sum.Digest, all.sum)
+	var keyless slice
+	keyless.take(bare, [][]byte{nil})
+	keyless.take(bare, [][]byte{[]byte("x")})
+	fmt.Fprintf(&out, "no key: %d rows listed, %d %016x\n", len(keyless.rows), keyless.sum.Rows, keyless.sum.Digest)
+	fmt.Fprintf(&out, "cursor past a table: %s\n", cursor(bare, nil))
+	for _, tab := range []*table{shop, bare} {
+		fmt.Fprintf(&out, "table %s, shape %s\n", tab.sql(), shape(tab))
+		for _, statement := range append(tab.guards(), tab.marks()...) {
+			fmt.Fprintln(&out, statement)
+		}
+	}
+	a := move.Act{Work: "shop-to-2", Token: 9, Told: 7, Deed: "shop-to-2/31"}
+	for _, kind := range []string{"f", "b", "r"} {
+		fmt.Fprintf(&out, "name of kind %s: %s\n", kind, name(a, kind))
+	}
+	for _, text := range []string{name(a, "f"), "ash_01234567_f_9_31", "ash_01234567_f_9_32", "ash_01234567_f_10_1", "ash_01234567_f_x_1", "other", "ash_a_b"} {
+		fmt.Fprintf(&out, "removable %s: %v\n", text, old(text, a))
+	}
+	fmt.Fprintln(&out, "codes:", (&Refused{}).Code(), (&Passed{}).Code(), (&Waited{}).Code(), (&Behind{}).Code())
+	requireGolden(t, "digests.txt", out.String())
+}
