--- /dev/null
+++ b/internal/net/flight/golden_test.go
@@ -0,0 +1,194 @@
+package flight
+
+import (
+	"bytes"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	arrowflight "github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
+	"github.com/apache/arrow-go/v18/arrow/ipc"
+	"github.com/stretchr/testify/require"
+	spb "google.golang.org/genproto/googleapis/rpc/status"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"ashstand/internal/decide"
+	"ashstand/internal/edge"
+)
+
+var updateGolden = flag.Bool("update-golden", false, "rewrite the files of testdata/golden with what the program writes now")
+
+// golden compares what the program writes with the committed file, which it returns.
+func golden(t *testing.T, name string, got []byte) []byte {
+	t.Helper()
+	path := filepath.Join("testdata", "golden", name)
+	if *updateGolden {
+		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
+		require.NoError(t, os.WriteFile(path, got, 0o600))
+	}
+	want, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Equal(t, string(want), string(got), name)
+	return want
+}
+
+// statusLine is an error as it goes over the wire: its code, and the encoded status.
+func statusLine(t *testing.T, name string, err error) string {
+	t.Helper()
+	s, ok := status.FromError(err)
+	require.True(t, ok, name)
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(s.Proto())
+	require.NoError(t, err)
+	return fmt.Sprintf("%s %v %s\n", name, s.Code(), hex.EncodeToString(b))
+}
+
+// readStatus decodes a committed status and checks that it encodes to the same bytes.
+func readStatus(t *testing.T, encoded string) error {
+	t.Helper()
+	b, err := hex.DecodeString(encoded)
+	require.NoError(t, err)
+	var p spb.Status
+	require.NoError(t, proto.Unmarshal(b, &p))
+	again, err := proto.MarshalOptions{Deterministic: true}.Marshal(&p)
+	require.NoError(t, err)
+	require.Equal(t, encoded, hex.EncodeToString(again))
+	return status.ErrorProto(&p)
+}
+
+// TestGoldenFinalStatus holds the statuses of all final answers that are errors, and what a pooler reads in each.
+func TestGoldenFinalStatus(t *testing.T) {
+	results := []struct {
+		name   string
+		result edge.Result
+		read   decide.Code
+	}{
+		{"refused", edge.Result{Verdict: edge.Refused, Detail: "no host", After: 250.5}, decide.Full},
+		{"refused-without-advice", edge.Result{Verdict: edge.Refused, Detail: "no host"}, decide.Full},
+		{"timed-out", edge.Result{Verdict: edge.TimedOut, Detail: "no answer"}, decide.NoAnswer},
+		{"invalid", edge.Result{Verdict: edge.Invalid, Detail: "no class"}, decide.Error},
+		{"left", edge.Result{Verdict: edge.Left, Detail: "unused"}, decide.Cancelled},
+		{"failed", edge.Result{Verdict: edge.Failed, Detail: "it broke"}, decide.Error},
+	}
+	var out bytes.Buffer
+	for _, r := range results {
+		out.WriteString(statusLine(t, r.name, final(&r.result)))
+	}
+	lines := strings.Split(strings.TrimSpace(string(golden(t, "final-status.txt", out.Bytes()))), "\n")
+	require.Len(t, lines, len(results))
+	for i, line := range lines {
+		fields := strings.Fields(line)
+		require.Len(t, fields, 3, line)
+		require.Equal(t, results[i].read, outcome(readStatus(t, fields[2])), results[i].name)
+	}
+}
+
+// TestGoldenHostStatus holds the statuses by which a host says that nothing ran, and what is read in them.
+func TestGoldenHostStatus(t *testing.T) {
+	errs := []struct {
+		name string
+		err  error
+		read decide.Code
+	}{
+		{"not-primary", failure(codes.FailedPrecondition, "a replica", reasonNotPrimary, 0), decide.Miss},
+		{"behind", failure(codes.FailedPrecondition, "too old", reasonBehind, 0), decide.Miss},
+		{"full", failure(codes.ResourceExhausted, "full", reasonTurnedAway, 10), decide.Full},
+		{"draining", failure(codes.Unavailable, "draining", reasonTurnedAway, 0), decide.Full},
+		{"bare-unavailable", failure(codes.Unavailable, "reset", "", 0), decide.ConnectionLost},
+	}
+	var out bytes.Buffer
+	for _, e := range errs {
+		out.WriteString(statusLine(t, e.name, e.err))
+	}
+	lines := strings.Split(strings.TrimSpace(string(golden(t, "host-status.txt", out.Bytes()))), "\n")
+	require.Len(t, lines, len(errs))
+	for i, line := range lines {
+		fields := strings.Fields(line)
+		require.Len(t, fields, 3, line)
+		require.Equal(t, errs[i].read, outcome(readStatus(t, fields[2])), errs[i].name)
+	}
+}
+
+// TestGoldenTrailer holds the names and forms of the trailing metadata, both ways.
+func TestGoldenTrailer(t *testing.T) {
+	answer := edge.Answer{Role: rolePrimary, Position: 1.7e12 + 0.25, Gauges: "x0=1700000000.25,x1=1"}
+	var out bytes.Buffer
+	md := tell(&answer)
+	md.Set(metaReturning, "four")
+	var names []string
+	for name := range md {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Fprintf(&out, "%s: %s\n", name, strings.Join(md[name], "|"))
+	}
+	committed := metadata.MD{}
+	for _, line := range strings.Split(strings.TrimSpace(string(golden(t, "trailer.txt", out.Bytes()))), "\n") {
+		name, value, _ := strings.Cut(line, ": ")
+		committed.Append(name, value)
+	}
+	var read edge.Answer
+	o := told(committed, &read)
+	require.Equal(t, answer, read)
+	require.Equal(t, decide.Primary, o.Role)
+	require.Equal(t, answer.Position, o.Position)
+	require.Equal(t, edge.Gauges(answer.Gauges), o.Report)
+	committed.Delete(metaReturning)
+	require.Equal(t, committed, tell(&read))
+}
+
+// TestGoldenStatementErrors holds the statuses of statements that are not run: of a front that has no list of hosts yet.
+func TestGoldenStatementErrors(t *testing.T) {
+	f := &Front{}
+	var out bytes.Buffer
+	for _, text := range []string{"", "SELECT 1", "/* c=browse */ SELECT 1", "/* id=1,c=browse,d=x,cluster=1 */ SELECT 1"} {
+		_, err := f.parse(text, nil)
+		require.Error(t, err, text)
+		out.WriteString(statusLine(t, fmt.Sprintf("%q", strings.ReplaceAll(text, " ", "_")), err))
+	}
+	_, err := f.parse("/* id=1,c=browse,d=900,cluster=1 */ SELECT 1", []byte("t"))
+	out.WriteString(statusLine(t, "transaction", err))
+	golden(t, "statement-errors.txt", out.Bytes())
+}
+
+// TestGoldenTicket holds the ticket, which clients bring back and another pooler may get.
+func TestGoldenTicket(t *testing.T) {
+	b, err := flightsql.CreateStatementQueryTicket([]byte("/* id=1,c=browse,d=900,cluster=1 */ SELECT 1"))
+	require.NoError(t, err)
+	committed := golden(t, "ticket.txt", []byte(hex.EncodeToString(b)+"\n"))
+	decoded, err := hex.DecodeString(strings.TrimSpace(string(committed)))
+	require.NoError(t, err)
+	ticket, err := flightsql.GetStatementQueryTicket(&arrowflight.Ticket{Ticket: decoded})
+	require.NoError(t, err)
+	require.Equal(t, "/* id=1,c=browse,d=900,cluster=1 */ SELECT 1", string(ticket.GetStatementHandle()))
+}
+
+// TestGoldenRecords holds an answer's row in Arrow's stream form.
+func TestGoldenRecords(t *testing.T) {
+	var out bytes.Buffer
+	for _, a := range []edge.Answer{
+		{Column: "payload", Type: oidBytea, Binary: true, Value: []byte{0, 1, 255}},
+		{Column: "name", Type: oidText, Value: []byte("four")},
+		{Column: "count", Type: 23, Value: []byte("4")},
+		{Column: "payload", Type: oidBytea, Null: true},
+		{Column: "name", Type: oidText, Null: true},
+	} {
+		schema, b := record(&a)
+		var stream bytes.Buffer
+		w := ipc.NewWriter(&stream, ipc.WithSchema(schema))
+		require.NoError(t, w.Write(b))
+		require.NoError(t, w.Close())
+		b.Release()
+		fmt.Fprintf(&out, "%s %d null=%t: %s\n", a.Column, a.Type, a.Null, hex.EncodeToString(stream.Bytes()))
+	}
+	golden(t, "records.txt", out.Bytes())
+}
