--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -23,11 +23,11 @@
 
 	"ashstand/internal/admin"
 	"ashstand/internal/clock"
-	"ashstand/internal/cluster/agree"
-	"ashstand/internal/cluster/agree/runner"
-	"ashstand/internal/cluster/member"
-	"ashstand/internal/disk"
+	"ashstand/internal/cluster/consensus"
+	"ashstand/internal/cluster/consensus/runner"
+	"ashstand/internal/cluster/membership"
 	"ashstand/internal/net/discovery"
+	"ashstand/internal/vfs"
 )
 
 // The formats between poolers that this program reads, and the one that it writes.
@@ -38,19 +38,19 @@
 
 // fellows is what a pooler has to do with the others.
 type fellows struct {
-	gossip *member.Gossip
+	gossip *membership.Gossip
 	agreed *runner.Runner // nil: nothing is agreed on
 	homes  *homes         // nil as well then
 	trace  *trace
 	open   chan struct{} // closed once the gossip is up
-	state  member.State
+	state  membership.State
 	mu     sync.Mutex
 
 	name     string
 	instance uint64
 	broken   string
-	config   agree.Config // of the agreement
-	works    *works       // nil: off
+	config   consensus.Config // of the agreement
+	works    *works           // nil: off
 }
 
 // meet starts it; nil where the operator's file has no cluster: then nothing of it is opened, started or allocated.
@@ -59,7 +59,7 @@
 	if o == nil || o.Listen == "" {
 		return nil, nil
 	}
-	keys, err := member.ReadKeys(o.Keys)
+	keys, err := membership.ReadKeys(o.Keys)
 	if err != nil {
 		return nil, fmt.Errorf("cluster.keys: %w", err)
 	}
@@ -74,7 +74,7 @@
 	if _, own := o.Peers[name]; own {
 		return nil, fmt.Errorf("%s: cluster.peer %q: that is this pooler's own name", cfg.operator.Path, name)
 	}
-	f := &fellows{state: member.Starting, open: make(chan struct{})}
+	f := &fellows{state: membership.Starting, open: make(chan struct{})}
 	if l := cfg.operator.Lab; l != nil && l.Trace != "" {
 		if f.trace, err = openTrace(l.Trace, name); err != nil {
 			return nil, err
@@ -86,14 +86,14 @@
 		broken = what
 	}
 	f.name, f.instance, f.broken = name, binary.BigEndian.Uint64(drawn[:])|1, broken
-	self := member.Info{Name: name, Instance: f.instance, Started: now.Now(), Version: version(), Oldest: oldestFormat,
-		Newest: newestFormat, Zone: o.Zone, State: member.Starting}
+	self := membership.Info{Name: name, Instance: f.instance, Started: now.Now(), Version: version(), Oldest: oldestFormat,
+		Newest: newestFormat, Zone: o.Zone, State: membership.Starting}
 	if o.Agree != nil {
 		if err := f.agree(cfg, self, now, broken); err != nil {
 			return nil, err
 		}
 	}
-	f.gossip, err = member.Start(member.Options{Self: self, Listen: o.Listen, Peers: o.Peers, Keys: keys, Most: o.Members, Probe: o.Probe,
+	f.gossip, err = membership.Start(membership.Options{Self: self, Listen: o.Listen, Peers: o.Peers, Keys: keys, Most: o.Members, Probe: o.Probe,
 		Seed: cfg.seed, Clock: now, Changed: f.changed, Break: broken, Message: f.message})
 	if err != nil {
 		f.stop()
@@ -104,24 +104,24 @@
 }
 
 // agree starts this pooler's part in the agreement on rules.
-func (f *fellows) agree(cfg *config, self member.Info, now clock.Clock, broken string) error {
+func (f *fellows) agree(cfg *config, self membership.Info, now clock.Clock, broken string) error {
 	a := cfg.operator.Cluster.Agree
 	for _, v := range a.Voters {
 		if _, peer := cfg.operator.Cluster.Peers[v]; !peer && v != self.Name {
 			return fmt.Errorf("%s: cluster.agreement: voters has %q, which is neither this pooler (%q) nor a peer block", cfg.operator.Path, v, self.Name)
 		}
 	}
-	var limits agree.Rules
+	var limits consensus.Rules
 	if a.Limits != "" {
 		text, err := os.ReadFile(a.Limits)
 		if err == nil {
-			limits, err = agree.Parse(text)
+			limits, err = consensus.Parse(text)
 		}
 		if err != nil {
 			return fmt.Errorf("cluster.agreement.limits: %s: %w", a.Limits, err)
 		}
 	}
-	c := agree.Config{Name: self.Name, Instance: self.Instance, Voters: a.Voters, Lease: clock.Millis(a.Lease), Drift: a.Drift, Pace: clock.Millis(a.Renew),
+	c := consensus.Config{Name: self.Name, Instance: self.Instance, Voters: a.Voters, Lease: clock.Millis(a.Lease), Drift: a.Drift, Pace: clock.Millis(a.Renew),
 		Election: clock.Millis(a.Election), Limits: limits, Format: newestFormat, Seed: cfg.seed, Desk: desk(cfg), Break: broken}
 	f.config = c
 	var err error
@@ -156,7 +156,7 @@
 }
 
 // acts is told of each change of what is acted on.
-func (f *fellows) acts(a agree.Acting) {
+func (f *fellows) acts(a consensus.Acting) {
 	text := fmt.Sprintf("cluster: acting on version %d", a.Versions[0])
 	if len(a.Versions) > 1 {
 		text += fmt.Sprintf(" and, where it is stricter, %d", a.Versions[1])
@@ -170,7 +170,7 @@
 }
 
 // changed is told of each change of view.
-func (f *fellows) changed(changes []member.Change) {
+func (f *fellows) changed(changes []membership.Change) {
 	for _, c := range changes {
 		slog.Info(fmt.Sprintf("cluster: %s is %s, it was %s", c.Name, cmp.Or(c.To, "forgotten"), cmp.Or(c.From, "unknown")))
 	}
@@ -178,13 +178,13 @@
 }
 
 // now tells the others what this pooler is.
-func (f *fellows) now(s member.State) {
+func (f *fellows) now(s membership.State) {
 	if f == nil {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.state != member.Draining { // there is no way back
+	if f.state != membership.Draining { // there is no way back
 		f.state = s
 		f.gossip.Self(s)
 	}
@@ -205,7 +205,7 @@
 	if o.Name != n.Name || o.Listen != n.Listen || o.Zone != n.Zone || o.Members != n.Members || o.Probe != n.Probe {
 		wait = append(wait, "cluster: name, listen, zone, members or probe")
 	}
-	keys, err := member.ReadKeys(n.Keys)
+	keys, err := membership.ReadKeys(n.Keys)
 	if err == nil {
 		err = f.gossip.Rekey(keys)
 	}
@@ -240,14 +240,14 @@
 // holds tells the others that this pooler serves once it has a list.
 func (f *fellows) holds(l discovery.List) {
 	if f != nil && len(l.Endpoints) > 0 {
-		f.now(member.Serving)
+		f.now(membership.Serving)
 	}
 }
 
 // view is what operators see of the cluster.
 type clusterView struct {
 	On bool `json:"on"`
-	member.View
+	membership.View
 }
 
 func (f *fellows) view() any {
@@ -271,7 +271,7 @@
 		if n.others == nil || n.others.agreed == nil {
 			return nil, errors.New("this pooler's file has no cluster.agreement block")
 		}
-		rules, err := agree.Parse(body)
+		rules, err := consensus.Parse(body)
 		if err != nil {
 			return nil, err
 		}
@@ -315,7 +315,7 @@
 	_, _ = t.file.Write(append(b, '\n'))
 }
 
-func (t *trace) views(changes []member.Change) {
+func (t *trace) views(changes []membership.Change) {
 	for _, c := range changes {
 		t.line(map[string]any{"event": "view", "of": c.Name, "from": c.From, "to": c.To, "before": fmt.Sprintf("%016x", c.Before), "instance": fmt.Sprintf("%016x", c.Now)})
 	}
@@ -363,7 +363,7 @@
 		return err
 	}}
 	propose := func(text []byte, w io.Writer) error {
-		if _, err := agree.Parse(text); err != nil {
+		if _, err := consensus.Parse(text); err != nil {
 			return err
 		}
 		a, err := address()
@@ -377,7 +377,7 @@
 		_, err = fmt.Fprintf(w, "version %d is in the log; ashstand cluster versions says when it is in force\n", out.Version)
 		return err
 	}
-	versions := func(words ...string) (found []agree.Version, err error) {
+	versions := func(words ...string) (found []consensus.Version, err error) {
 		a, err := address()
 		if err != nil {
 			return nil, err
@@ -386,7 +386,7 @@
 			return nil, err
 		}
 		for _, word := range words {
-			i := slices.IndexFunc(rules.Versions, func(v agree.Version) bool { return word == strconv.Itoa(v.N) })
+			i := slices.IndexFunc(rules.Versions, func(v consensus.Version) bool { return word == strconv.Itoa(v.N) })
 			if i < 0 {
 				return nil, fmt.Errorf("version %q is not among the %d that this pooler's log has", word, len(rules.Versions))
 			}
@@ -401,7 +401,7 @@
 			if folder == "" || !slices.Contains(voters, args[0]) {
 				return errors.New("--folder names where, --voters all voters, this one among them, alike for each")
 			}
-			return runner.Found(disk.Real{}, folder, args[0], voters)
+			return runner.Found(vfs.Real{}, folder, args[0], voters)
 		}}
 	found.Flags().StringVar(&folder, "folder", "", "as cluster.agreement.folder has it")
 	found.Flags().StringSliceVar(&voters, "voters", nil, "the names of all voters")
@@ -413,7 +413,7 @@
 			if err != nil {
 				return err
 			}
-			for _, line := range agree.Diff(v[0].Rules, v[1].Rules) {
+			for _, line := range consensus.Diff(v[0].Rules, v[1].Rules) {
 				fmt.Fprintln(c.OutOrStdout(), line)
 			}
 			return nil
@@ -465,7 +465,7 @@
 	if v.Leading {
 		fmt.Fprintln(w, "leads\tyes")
 	}
-	for _, line := range agree.Diff(nil, v.Acting.Rules) {
+	for _, line := range consensus.Diff(nil, v.Acting.Rules) {
 		fmt.Fprintf(w, "rule\t%s\n", line)
 	}
 	for id, name := range v.Voters {
@@ -495,7 +495,7 @@
 		memberTable(w, v)
 		return
 	}
-	count := map[member.State]int{}
+	count := map[membership.State]int{}
 	for _, m := range v.Members {
 		count[m.State]++
 	}
@@ -503,8 +503,8 @@
 	if v.Refused != nil {
 		fmt.Fprintf(w, "refused\tthe name is held by instance %016x at %s, which started first\n", v.Refused.Instance, v.Refused.Address)
 	}
-	fmt.Fprintf(w, "members\t%d serving, %d starting, %d draining, %d suspect, %d gone\n", count[member.Serving], count[member.Starting],
-		count[member.Draining], count[member.Suspect], count[member.Gone])
+	fmt.Fprintf(w, "members\t%d serving, %d starting, %d draining, %d suspect, %d gone\n", count[membership.Serving], count[membership.Starting],
+		count[membership.Draining], count[membership.Suspect], count[membership.Gone])
 	fmt.Fprintf(w, "known to all within\t%v, where they reach each other\n", clock.Duration(v.Bound).Round(100*time.Millisecond))
 	fmt.Fprintf(w, "formats that all read\t%d to %d\n", v.Formats[0], v.Formats[1])
 	if len(v.Apart) > 0 {
--- a/cmd/ashstand/config.go
+++ b/cmd/ashstand/config.go
@@ -15,7 +15,6 @@
 	"github.com/BurntSushi/toml"
 	jsoniter "github.com/json-iterator/go"
 
-	"ashstand/choice"
 	"ashstand/internal/clock"
 	"ashstand/internal/net/discovery"
 	"ashstand/internal/net/loop"
@@ -23,6 +22,7 @@
 	"ashstand/internal/operator"
 	"ashstand/internal/session"
 	"ashstand/internal/settings"
+	"ashstand/routing"
 )
 
 var json = jsoniter.ConfigCompatibleWithStandardLibrary
@@ -177,7 +177,7 @@
 // class says whether the settings name a class, and whether it writes.
 func (c *config) class(name string) (writes, ok bool) {
 	i, ok := c.site.Classes[name]
-	return ok && c.site.Settings.Classes[i].Read == choice.Write, ok
+	return ok && c.site.Settings.Classes[i].Read == routing.Write, ok
 }
 
 // prepare reads both files, as every start does, and sets the log up.
--- a/cmd/ashstand/cost.go
+++ b/cmd/ashstand/cost.go
@@ -19,7 +19,7 @@
 	"ashstand/internal/admin"
 	"ashstand/internal/clock"
 	"ashstand/internal/cost"
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
 	"ashstand/internal/net/discovery"
 )
@@ -65,7 +65,7 @@
 func (e *estimates) Done(s edge.Seen) {
 	entry := (*e.node.list.Load())[s.Host]
 	kind := e.kind(&entry, s.Host)
-	ok := s.Outcome.Code == decide.OK && s.Work > 0
+	ok := s.Outcome.Code == dispatch.OK && s.Work > 0
 	var print cost.Fingerprint
 	if ok {
 		print = cost.Print(s.Statement.Text)
@@ -79,7 +79,7 @@
 		return
 	}
 	e.model.Observe(cost.Observation{Statement: print, Class: s.Statement.Class, Host: s.Host, Kind: kind, Group: entry.Group, Rows: 1, Bytes: float64(s.Bytes),
-		Work: s.Work, Wait: s.Wait, Inflight: s.Others, Primary: s.Outcome.Role == decide.Primary, Cold: e.cold(&entry, s.At), At: s.At})
+		Work: s.Work, Wait: s.Wait, Inflight: s.Others, Primary: s.Outcome.Role == dispatch.Primary, Cold: e.cold(&entry, s.At), At: s.At})
 	c := e.served[s.Statement.Class]
 	if c == nil {
 		c = &rate{at: s.At}
--- a/cmd/ashstand/golden_test.go
+++ b/cmd/ashstand/golden_test.go
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ashstand/internal/admin"
-	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/jobs"
 	"ashstand/internal/cost"
 	"ashstand/internal/net/discovery"
 	"ashstand/internal/operator"
@@ -196,7 +196,7 @@
 // TestGoldenAdminRequests holds what commands send, and what they read as the result.
 func TestGoldenAdminRequests(t *testing.T) {
 	for name, of := range map[string]reflect.Type{
-		"request-work": reflect.TypeFor[owner.Entry](),
+		"request-work": reflect.TypeFor[jobs.Entry](),
 		"request-cost": reflect.TypeFor[cost.Step](),
 		"result-cost":  reflect.TypeFor[cost.Answer](),
 	} {
@@ -212,7 +212,7 @@
 // advice.
 func TestGoldenAdminRefusals(t *testing.T) {
 	bare, withWorks := idleNode(), idleNode()
-	withWorks.others = &fellows{works: &works{kinds: map[string]owner.Kind{}}}
+	withWorks.others = &fellows{works: &works{kinds: map[string]jobs.Kind{}}}
 	withWorks.costs = &estimates{}
 	var out bytes.Buffer
 	for _, n := range []*node{bare, withWorks} {
--- a/cmd/ashstand/gone_test.go
+++ b/cmd/ashstand/gone_test.go
@@ -23,7 +23,7 @@
 	"ashstand/internal/edge"
 	"ashstand/internal/net/discovery"
 	"ashstand/internal/operator"
-	"ashstand/internal/statement"
+	"ashstand/internal/sqlcomment"
 )
 
 // asking is a client with a request under way. leave ends it in one of the ways that its front knows and returns once the
@@ -38,7 +38,7 @@
 func left(t *testing.T, w *world, id string) {
 	t.Helper()
 	require.Eventually(t, func() bool {
-		r := w.core.Do(context.Background(), &statement.Statement{ID: id, Class: "none"}, w.core.Now())
+		r := w.core.Do(context.Background(), &sqlcomment.Statement{ID: id, Class: "none"}, w.core.Now())
 		return r.Verdict == edge.Invalid && strings.HasPrefix(r.Detail, "class")
 	}, 3*time.Second, time.Millisecond)
 }
@@ -146,7 +146,7 @@
 		}
 	}()
 	open := func() bool { // the front has it
-		r := w.core.Do(context.Background(), &statement.Statement{ID: id, Class: "none"}, w.core.Now())
+		r := w.core.Do(context.Background(), &sqlcomment.Statement{ID: id, Class: "none"}, w.core.Now())
 		return strings.HasPrefix(r.Detail, "id")
 	}
 	require.Eventually(t, open, 10*time.Second, time.Millisecond)
--- a/cmd/ashstand/homes.go
+++ b/cmd/ashstand/homes.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/cluster/agree"
-	"ashstand/internal/cluster/agree/runner"
+	"ashstand/internal/cluster/consensus"
+	"ashstand/internal/cluster/consensus/runner"
 	"ashstand/internal/net/pg"
 	"ashstand/internal/session"
 )
@@ -28,7 +28,7 @@
 
 // homeTable is what the rules say under one set of versions.
 type homeTable struct {
-	basis agree.Basis
+	basis consensus.Basis
 	of    map[string]session.Home
 }
 
@@ -60,12 +60,12 @@
 }
 
 // fits says whether the table is of the versions and the lease that are held.
-func (t *homeTable) fits(g *agree.Grip, now float64) bool {
+func (t *homeTable) fits(g *consensus.Grip, now float64) bool {
 	return t != nil && t.basis == g.Basis(now)
 }
 
 // homesOf are the databases that rules name.
-func homesOf(rules agree.Rules) map[string]session.Home {
+func homesOf(rules consensus.Rules) map[string]session.Home {
 	of := map[string]session.Home{}
 	for key, value := range rules {
 		name, ours := strings.CutPrefix(key, "database.")
--- a/cmd/ashstand/homes_test.go
+++ b/cmd/ashstand/homes_test.go
@@ -17,19 +17,19 @@
 	"github.com/stretchr/testify/require"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/cluster/agree"
-	"ashstand/internal/cluster/agree/runner"
-	"ashstand/internal/disk"
+	"ashstand/internal/cluster/consensus"
+	"ashstand/internal/cluster/consensus/runner"
 	"ashstand/internal/net/pg"
 	"ashstand/internal/session"
-	lab "ashstand/lab/host"
+	"ashstand/internal/vfs"
+	lab "ashstand/testbed/host"
 )
 
 func TestHomesFollowTheRules(t *testing.T) {
 	folder := filepath.Join(t.TempDir(), "agreed")
-	require.NoError(t, runner.Found(disk.Real{}, folder, "n1", []string{"n1"}))
-	limits := agree.Rules{"database.orders.group": 1.0, "database.orders.paused": true, "database.a.b.group": 1.0, "tries": 1.0}
-	r, err := runner.Start(runner.Options{Config: agree.Config{Name: "n1", Instance: 1, Voters: []string{"n1"}, Lease: 600, Drift: 0.01, Pace: 40,
+	require.NoError(t, runner.Found(vfs.Real{}, folder, "n1", []string{"n1"}))
+	limits := consensus.Rules{"database.orders.group": 1.0, "database.orders.paused": true, "database.a.b.group": 1.0, "tries": 1.0}
+	r, err := runner.Start(runner.Options{Config: consensus.Config{Name: "n1", Instance: 1, Voters: []string{"n1"}, Lease: 600, Drift: 0.01, Pace: 40,
 		Election: 50, Limits: limits, Format: 1, Seed: 1}, Folder: folder, Clock: clock.System(), Send: func(string, []byte) {}})
 	require.NoError(t, err)
 	defer r.Stop()
@@ -37,7 +37,7 @@
 	now := func() float64 { return clock.System().Now() }
 	propose := func(text string) {
 		t.Helper()
-		rules, err := agree.Parse([]byte(text))
+		rules, err := consensus.Parse([]byte(text))
 		require.NoError(t, err)
 		var n int
 		require.Eventually(t, func() bool {
@@ -64,8 +64,8 @@
 	propose(`{"database.orders.group": 2}`)
 	require.Equal(t, session.Home{Named: true, Group: 2}, h.Home("orders", now()))
 	// Two versions that name different groups.
-	one, two := agree.Rules{"database.orders.group": 1.0}, agree.Rules{"database.orders.group": 2.0, "database.orders.paused": true}
-	require.Equal(t, map[string]session.Home{"orders": {Fenced: true, Paused: true}}, homesOf(agree.Meet(one, two)))
+	one, two := consensus.Rules{"database.orders.group": 1.0}, consensus.Rules{"database.orders.group": 2.0, "database.orders.paused": true}
+	require.Equal(t, map[string]session.Home{"orders": {Fenced: true, Paused: true}}, homesOf(consensus.Meet(one, two)))
 }
 
 func TestHomesAreShown(t *testing.T) {
@@ -106,7 +106,7 @@
 	program := filepath.Join(dir, "ashstand")
 	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
 	require.NoError(t, err, string(out))
-	require.NoError(t, runner.Found(disk.Real{}, filepath.Join(dir, "agreed"), "n1", []string{"n1"}))
+	require.NoError(t, runner.Found(vfs.Real{}, filepath.Join(dir, "agreed"), "n1", []string{"n1"}))
 	discovery := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		rw.(http.Flusher).Flush()
 		<-r.Context().Done()
@@ -204,7 +204,7 @@
 
 // A look into the table, and what a change of the rules costs once: the meeting of two versions with 1000 databases each.
 func BenchmarkHomes(b *testing.B) {
-	r, err := runner.Start(runner.Options{Config: agree.Config{Name: "n4", Instance: 1, Voters: []string{"n1"}, Lease: 600, Drift: 0.01, Pace: 40, Election: 50,
+	r, err := runner.Start(runner.Options{Config: consensus.Config{Name: "n4", Instance: 1, Voters: []string{"n1"}, Lease: 600, Drift: 0.01, Pace: 40, Election: 50,
 		Format: 1, Seed: 1}, Clock: clock.System(), Send: func(string, []byte) {}})
 	require.NoError(b, err)
 	defer r.Stop()
@@ -215,14 +215,14 @@
 			h.Home("orders", 1)
 		}
 	})
-	one, two := agree.Rules{}, agree.Rules{}
+	one, two := consensus.Rules{}, consensus.Rules{}
 	for i := range 1000 {
 		one[fmt.Sprintf("database.d%d.group", i)], two[fmt.Sprintf("database.d%d.group", i)] = 1.0, 1.0
 		two[fmt.Sprintf("database.d%d.paused", i)] = true
 	}
 	b.Run("change", func(b *testing.B) {
 		for b.Loop() {
-			if len(homesOf(agree.Meet(one, two))) != 1000 {
+			if len(homesOf(consensus.Meet(one, two))) != 1000 {
 				b.Fatal("databases are missing")
 			}
 		}
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -18,8 +18,8 @@
 
 	"ashstand/internal/admin"
 	"ashstand/internal/clock"
-	"ashstand/internal/cluster/member"
-	"ashstand/internal/decide"
+	"ashstand/internal/cluster/membership"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
 	"ashstand/internal/net/discovery"
 	"ashstand/internal/net/flight"
@@ -79,7 +79,7 @@
 		// New connections come for 0.4 s yet, and clients use those they have while they are open: until the
 		// platform starts the next process, this one serves them best.
 		log.Printf("%v: going on for %v, then closing client connections between requests", s, n.bounds.Load().grace-serveRest)
-		n.others.now(member.Draining)
+		n.others.now(membership.Draining)
 		tail := time.Now().Add(n.bounds.Load().grace - serveRest)
 		n.others.leave(time.Until(tail))
 		time.Sleep(time.Until(tail))
@@ -90,7 +90,7 @@
 
 // node is a pooler that runs.
 type node struct {
-	facade *decide.Facade
+	facade *dispatch.Facade
 	core   *edge.Edge
 	engine *loop.Engine
 	front  *pg.Front
@@ -157,14 +157,14 @@
 	}
 	n.clock = now
 	n.pool = pg.NewPool(n.engine, now, pg.Platform, b.pool)
-	n.pool.TellLate(func(host string, sent float64, write bool, o decide.Outcome) { n.facade.Heard(host, sent, write, o) })
+	n.pool.TellLate(func(host string, sent float64, write bool, o dispatch.Outcome) { n.facade.Heard(host, sent, write, o) })
 	backend := new(edge.Split)
 	probe := func(host string) {
 		ctx, cancel := context.WithTimeout(ctx, n.bounds.Load().connect)
 		defer cancel()
 		n.facade.Probed(host, backend.Probe(ctx, host, n.facade.Listed))
 	}
-	if n.facade, err = decide.New(cfg.site, cfg.seed, now, probe, backend.CloseIdle); err != nil {
+	if n.facade, err = dispatch.New(cfg.site, cfg.seed, now, probe, backend.CloseIdle); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	n.pool.Listed, n.hosts.Listed = n.facade.Listed, n.facade.Listed
--- a/cmd/ashstand/moves.go
+++ b/cmd/ashstand/moves.go
@@ -16,11 +16,11 @@
 
 	"ashstand/internal/admin"
 	"ashstand/internal/clock"
-	"ashstand/internal/cluster/agree"
-	"ashstand/internal/cluster/agree/runner"
-	"ashstand/internal/cluster/move"
-	movesql "ashstand/internal/cluster/move/sql"
-	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/consensus"
+	"ashstand/internal/cluster/consensus/runner"
+	"ashstand/internal/cluster/jobs"
+	"ashstand/internal/cluster/migration"
+	movesql "ashstand/internal/cluster/migration/sql"
 )
 
 // kindMove is the name of that kind of work.
@@ -34,7 +34,7 @@
 type movesRules struct {
 	agreed *runner.Runner
 	clock  clock.Clock
-	limits agree.Rules
+	limits consensus.Rules
 }
 
 // Now is move.Rules'.
@@ -47,10 +47,10 @@
 }
 
 // Change is move.Rules'. An answer that says that another version is not in force yet is no refusal: it is asked again.
-func (r *movesRules) Change(ctx context.Context, work string, token owner.Token, deed *owner.Deed, change map[string]any) (int, error) {
+func (r *movesRules) Change(ctx context.Context, work string, token jobs.Token, deed *jobs.Deed, change map[string]any) (int, error) {
 	for {
-		n, err := r.agreed.Enter(ctx, owner.Entry{Op: owner.Act, Work: work, Token: token, Deed: deed}, agree.Rules(change))
-		var refused *agree.Refused
+		n, err := r.agreed.Enter(ctx, jobs.Entry{Op: jobs.Act, Work: work, Token: token, Deed: deed}, consensus.Rules(change))
+		var refused *consensus.Refused
 		if err == nil || !errors.As(err, &refused) {
 			return n, err
 		}
@@ -78,14 +78,14 @@
 // Turn is move.Turns'.
 func (t turns) Turn(work string) (bool, string) {
 	l := t.w.ledger()
-	why, waits := move.May(move.Candidates(l, kindMove, func(move.Group) (hosts, zones []string) { return nil, nil }), move.Limits{All: movesAtOnce})[work]
+	why, waits := migration.May(migration.Candidates(l, kindMove, func(migration.Group) (hosts, zones []string) { return nil, nil }), migration.Limits{All: movesAtOnce})[work]
 	return waits && why == "", why
 }
 
 // ledger is this pooler's copy.
-func (w *works) ledger() *owner.Ledger {
+func (w *works) ledger() *jobs.Ledger {
 	of, _ := w.log.Works()
-	l := &owner.Ledger{Works: map[string]*owner.Work{}}
+	l := &jobs.Ledger{Works: map[string]*jobs.Work{}}
 	for name, x := range of {
 		l.Works[name] = &x
 	}
@@ -93,28 +93,28 @@
 }
 
 // moves makes the kind of work that moves are.
-func (f *fellows) moves(w *works, cfg *config, c agree.Config, now clock.Clock) *move.Mover {
+func (f *fellows) moves(w *works, cfg *config, c consensus.Config, now clock.Clock) *migration.Mover {
 	deed := cfg.operator.Cluster.Agree.Works.Deed
 	_, force := c.Bound()
 	_, takeover := c.Takeover() // whoever dies may have led the log as well
-	m := &move.Mover{Places: &movesql.Places{Client: w.client, Within: deed}, Rules: &movesRules{f.agreed, now, c.Limits}, Turns: turns{w},
+	m := &migration.Mover{Places: &movesql.Places{Client: w.client, Within: deed}, Rules: &movesRules{f.agreed, now, c.Limits}, Turns: turns{w},
 		// A line of the log takes two round trips and two savings: less than a heartbeat each, or the leader would be taken for gone.
-		Costs: move.Costs{Log: c.Election / 5, InForce: force, Owner: takeover, Place: clock.Millis(deed)}}
-	if slices.Contains(move.Breakable, f.broken) {
+		Costs: migration.Costs{Log: c.Election / 5, InForce: force, Owner: takeover, Place: clock.Millis(deed)}}
+	if slices.Contains(migration.Breakable, f.broken) {
 		m.Break = f.broken
 	}
 	return m
 }
 
 // ordered checks a move whole before it goes into the log.
-func (w *works) ordered(e *owner.Entry) error {
-	p, err := move.Parse(e.Spec, w.mover.Costs)
+func (w *works) ordered(e *jobs.Entry) error {
+	p, err := migration.Parse(e.Spec, w.mover.Costs)
 	if err != nil {
 		return err
 	}
 	for _, x := range w.ledger().Works {
-		if other, err := move.Parse(x.Spec, w.mover.Costs); x.Kind == kindMove && !x.Ended && x.Name != e.Work && err == nil && other.Tenant == p.Tenant {
-			return &move.Taken{Tenant: p.Tenant, By: x.Name}
+		if other, err := migration.Parse(x.Spec, w.mover.Costs); x.Kind == kindMove && !x.Ended && x.Name != e.Work && err == nil && other.Tenant == p.Tenant {
+			return &migration.Taken{Tenant: p.Tenant, By: x.Name}
 		}
 	}
 	e.Needs = []uint64{p.From, p.To}
@@ -123,10 +123,10 @@
 
 // planView is what a plan comes to where it would run. Times are in milliseconds.
 type planView struct {
-	Plan   move.Plan     `json:"plan"`
-	Least  float64       `json:"least_pause_ms"`  // that could be asked for
-	Cutoff float64       `json:"cutoff_ms"`       // a pause that has lasted so long without its switch is taken back
-	Found  move.Findings `json:"found,omitempty"` // in the agreed rules and at both homes
+	Plan   migration.Plan     `json:"plan"`
+	Least  float64            `json:"least_pause_ms"`  // that could be asked for
+	Cutoff float64            `json:"cutoff_ms"`       // a pause that has lasted so long without its switch is taken back
+	Found  migration.Findings `json:"found,omitempty"` // in the agreed rules and at both homes
 }
 
 // plan checks a move, as its first deed would, and enters nothing.
@@ -135,40 +135,40 @@
 		return nil, noWorks{}
 	}
 	w := n.others.works
-	p, err := move.Parse(body, w.mover.Costs)
+	p, err := migration.Parse(body, w.mover.Costs)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, wordTime)
 	defer cancel()
-	proof, err := w.mover.Do(ctx, &owner.Work{Spec: body}, &owner.Deed{Number: 1, Name: move.DeedCheck})
+	proof, err := w.mover.Do(ctx, &jobs.Work{Spec: body}, &jobs.Deed{Number: 1, Name: migration.DeedCheck})
 	if err != nil {
 		return nil, err
 	}
-	s, err := move.StateOf(&owner.Work{State: proof.State})
+	s, err := migration.StateOf(&jobs.Work{State: proof.State})
 	return planView{Plan: p, Least: w.mover.Costs.Least(p.Lock), Cutoff: w.mover.Costs.Cutoff(p), Found: s.Findings}, err
 }
 
 // moveView is what operators see of one move.
 type moveView struct {
-	Name    string         `json:"name"`
-	Plan    move.Plan      `json:"plan"`
-	State   move.State     `json:"state"`
-	Step    uint64         `json:"step"` // what a word is given for
-	Since   float64        `json:"since_ms"`
-	Deed    string         `json:"deed,omitempty"` // announced and not settled
-	Owner   string         `json:"owner,omitempty"`
-	Token   owner.Token    `json:"token"`
-	Owners  int            `json:"owners"`
-	Wait    string         `json:"waits_for,omitempty"`
-	Words   []owner.Option `json:"words,omitempty"`
-	Given   *owner.Word    `json:"word,omitempty"` // and not taken up
-	Back    string         `json:"back"`           // what taking it back means now
-	Ended   bool           `json:"ended,omitempty"`
-	Why     string         `json:"why,omitempty"`
-	Code    string         `json:"code,omitempty"` // of what goes wrong
-	Message string         `json:"message,omitempty"`
-	Advice  string         `json:"advice,omitempty"`
+	Name    string          `json:"name"`
+	Plan    migration.Plan  `json:"plan"`
+	State   migration.State `json:"state"`
+	Step    uint64          `json:"step"` // what a word is given for
+	Since   float64         `json:"since_ms"`
+	Deed    string          `json:"deed,omitempty"` // announced and not settled
+	Owner   string          `json:"owner,omitempty"`
+	Token   jobs.Token      `json:"token"`
+	Owners  int             `json:"owners"`
+	Wait    string          `json:"waits_for,omitempty"`
+	Words   []jobs.Option   `json:"words,omitempty"`
+	Given   *jobs.Word      `json:"word,omitempty"` // and not taken up
+	Back    string          `json:"back"`           // what taking it back means now
+	Ended   bool            `json:"ended,omitempty"`
+	Why     string          `json:"why,omitempty"`
+	Code    string          `json:"code,omitempty"` // of what goes wrong
+	Message string          `json:"message,omitempty"`
+	Advice  string          `json:"advice,omitempty"`
 }
 
 type movesView struct {
@@ -180,14 +180,14 @@
 type phases map[string]phaseSeen
 
 type phaseSeen struct {
-	phase move.Phase
+	phase migration.Phase
 	at    float64
 }
 
 // see brings phases up to date.
-func (p phases) see(l *owner.Ledger, now float64) {
+func (p phases) see(l *jobs.Ledger, now float64) {
 	for name, w := range l.Works {
-		s, err := move.StateOf(w)
+		s, err := migration.StateOf(w)
 		if was, known := p[name]; err == nil && w.Kind == kindMove && (!known || was.phase != s.Phase) {
 			p[name] = phaseSeen{s.Phase, now}
 		}
@@ -213,12 +213,12 @@
 			continue
 		}
 		m := moveView{Name: name, Step: x.Step, Since: since[name].at, Owner: x.Owner, Token: x.Token, Owners: x.Owners, Given: x.Word, Ended: x.Ended, Why: x.Why}
-		m.Plan, _ = move.Parse(x.Spec, w.mover.Costs) // it was judged when it came in
+		m.Plan, _ = migration.Parse(x.Spec, w.mover.Costs) // it was judged when it came in
 		var err error
-		if m.State, err = move.StateOf(x); err != nil {
-			m.Code, m.Message, m.Advice = "work_unreadable", err.Error(), (&move.Unreadable{}).Advice()
+		if m.State, err = migration.StateOf(x); err != nil {
+			m.Code, m.Message, m.Advice = "work_unreadable", err.Error(), (&migration.Unreadable{}).Advice()
 		}
-		if m.Back = move.Back[m.State.Phase]; x.Deed != nil {
+		if m.Back = migration.Back[m.State.Phase]; x.Deed != nil {
 			m.Deed = x.Deed.Name
 		}
 		if h, own := here[name]; own {
@@ -259,7 +259,7 @@
 		table(c.OutOrStdout())
 		return nil
 	}
-	enter := func(c *cobra.Command, e owner.Entry, say string) error {
+	enter := func(c *cobra.Command, e jobs.Entry, say string) error {
 		body, err := json.Marshal(e)
 		if err != nil {
 			return err
@@ -286,11 +286,11 @@
 		}
 		called := name
 		if called == "" {
-			var p move.Plan
+			var p migration.Plan
 			_ = json.Unmarshal(text, &p) // what is wrong with it is said by who checks it
 			called = fmt.Sprintf("%s-to-%d", p.Tenant, p.To)
 		}
-		return enter(c, owner.Entry{Op: owner.Create, Work: called, Kind: kindMove, Spec: text}, "the move "+called+" is in the log; ashstand move status "+called+" shows it")
+		return enter(c, jobs.Entry{Op: jobs.Create, Work: called, Kind: kindMove, Spec: text}, "the move "+called+" is in the log; ashstand move status "+called+" shows it")
 	}}
 	start.Flags().StringVar(&name, "name", "", "of the move (default: TENANT-to-GROUP)")
 	root.AddCommand(ask(start))
@@ -309,7 +309,7 @@
 			}
 			if len(args) > 0 {
 				if v.Moves = slices.DeleteFunc(v.Moves, func(m moveView) bool { return m.Name != args[0] }); len(v.Moves) == 0 {
-					return &owner.Refusal{Reason: owner.NoWork, Work: args[0]}
+					return &jobs.Refusal{Reason: jobs.NoWork, Work: args[0]}
 				}
 			}
 			if asJSON() {
@@ -318,14 +318,14 @@
 			moveTable(c.OutOrStdout(), &v)
 			return nil
 		}}))
-	for _, w := range []struct{ say, short string }{{move.Go, "let a move pass the checkpoint that it waits at"}, {move.Hold, "begin nothing further until resume; a tenant that is paused opens where it was"},
-		{move.Resume, "go on with a move that is held"}, {move.Rollback, "take a move back"}, {move.Accept, "end the way back of a move that has switched"}} {
+	for _, w := range []struct{ say, short string }{{migration.Go, "let a move pass the checkpoint that it waits at"}, {migration.Hold, "begin nothing further until resume; a tenant that is paused opens where it was"},
+		{migration.Resume, "go on with a move that is held"}, {migration.Rollback, "take a move back"}, {migration.Accept, "end the way back of a move that has switched"}} {
 		var step uint64
 		word := &cobra.Command{Use: w.say + " NAME --step N", Short: w.short, Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
 			if !c.Flags().Changed("step") {
 				return errors.New("--step names the step that the word is given for, as ashstand move status shows it")
 			}
-			return enter(c, owner.Entry{Op: owner.Say, Work: args[0], Word: &owner.Word{Say: w.say, By: os.Getenv("USER"), Step: step, Lasting: w.say == move.Rollback}},
+			return enter(c, jobs.Entry{Op: jobs.Say, Work: args[0], Word: &jobs.Word{Say: w.say, By: os.Getenv("USER"), Step: step, Lasting: w.say == migration.Rollback}},
 				"the word is in the log; ashstand move status "+args[0]+" shows what becomes of it")
 		}}
 		word.Flags().Uint64Var(&step, "step", 0, "that the word is given for")
@@ -395,7 +395,7 @@
 }
 
 // shown says what a state rests on.
-func shown(s move.State) (out []string) {
+func shown(s migration.State) (out []string) {
 	add := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
 	if s.Published {
 		all := ""
--- a/cmd/ashstand/names_test.go
+++ b/cmd/ashstand/names_test.go
@@ -75,7 +75,7 @@
 		}
 	}
 	read := 0
-	for _, folder := range []string{"choice", "internal", "cmd"} {
+	for _, folder := range []string{"routing", "internal", "cmd"} {
 		require.NoError(t, filepath.WalkDir("../../"+folder, func(path string, d os.DirEntry, err error) error {
 			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
--- a/cmd/ashstand/replay.go
+++ b/cmd/ashstand/replay.go
@@ -12,7 +12,7 @@
 	"ashstand/internal/edge"
 	"ashstand/internal/net/pg"
 	"ashstand/internal/pcap"
-	"ashstand/internal/statement"
+	"ashstand/internal/sqlcomment"
 )
 
 // replay brings the queries of a capture to the core, at the pace at which they were sent.
@@ -138,7 +138,7 @@
 			switch command.Kind {
 			case pg.Incomplete:
 			case pg.Query:
-				s, err := statement.Parse(command.Text)
+				s, err := sqlcomment.Parse(command.Text)
 				if err != nil {
 					t.invalid++
 					say(false, pg.Reply(&edge.Result{Verdict: edge.Invalid, Detail: err.Error()}))
--- a/cmd/ashstand/state.go
+++ b/cmd/ashstand/state.go
@@ -17,9 +17,9 @@
 	"github.com/zeebo/blake3"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/disk"
-	"ashstand/internal/learned"
 	"ashstand/internal/net/discovery"
+	"ashstand/internal/vfs"
+	"ashstand/internal/warmstate"
 )
 
 // lastSave is what the final write may take of the time that is left after SIGTERM.
@@ -28,14 +28,14 @@
 // keeper writes what the pooler has learned, off the event loop, and gives what an earlier process left to this one.
 type keeper struct {
 	node  *node
-	store *learned.Store
-	head  learned.Head
+	store *warmstate.Store
+	head  warmstate.Head
 	pace  time.Duration
 	clock clock.Clock
 
 	mu       sync.Mutex
 	writing  bool // a write is under way; a slow disk may hold it for long
-	taken    []learned.Verdict
+	taken    []warmstate.Verdict
 	saves    int
 	failures int
 	failing  bool
@@ -59,11 +59,11 @@
 	if s.Folder == "" {
 		return nil, nil
 	}
-	store, err := learned.Open(disk.Real{}, s.Folder)
+	store, err := warmstate.Open(vfs.Real{}, s.Folder)
 	if err != nil {
 		return nil, err
 	}
-	k := &keeper{node: n, store: store, head: learned.Head{Name: cfg.Name, Site: siteOf(cfg)}, pace: s.Pace, clock: clock.System()}
+	k := &keeper{node: n, store: store, head: warmstate.Head{Name: cfg.Name, Site: siteOf(cfg)}, pace: s.Pace, clock: clock.System()}
 	if os.Getenv("ASHSTAND_BREAK") == "sync" {
 		store.Tear()
 	}
@@ -78,7 +78,7 @@
 		return k, nil
 	}
 	broken := os.Getenv("ASHSTAND_BREAK")
-	w := learned.Weigh(snapshot, k.clock.Now(), k.head.Name, k.head.Site, broken == "ageing")
+	w := warmstate.Weigh(snapshot, k.clock.Now(), k.head.Name, k.head.Site, broken == "ageing")
 	w.State.Unsafe = broken == "position"
 	k.taken = w.Verdicts
 	n.facade.Recall(w.State)
@@ -109,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return learned.Encode(learned.Take(head, k.node.facade.Keep(), &learned.Wear{Requests: requests, Resets: resets}, &learned.List{At: head.At, JSON: raw}))
+	return warmstate.Encode(warmstate.Take(head, k.node.facade.Keep(), &warmstate.Wear{Requests: requests, Resets: resets}, &warmstate.List{At: head.At, JSON: raw}))
 }
 
 // run saves at the pace that is set, until ctx ends.
@@ -165,14 +165,14 @@
 
 // keeperView is what operators see of it.
 type keeperView struct {
-	File     string            `json:"file"`
-	Saves    int               `json:"saves"`
-	Failures int               `json:"failures"`
-	Failing  bool              `json:"failing"`
-	Writing  bool              `json:"writing"`
-	Bytes    int               `json:"bytes"`
-	TookMS   float64           `json:"took_ms"`
-	Taken    []learned.Verdict `json:"taken"` // at the start
+	File     string              `json:"file"`
+	Saves    int                 `json:"saves"`
+	Failures int                 `json:"failures"`
+	Failing  bool                `json:"failing"`
+	Writing  bool                `json:"writing"`
+	Bytes    int                 `json:"bytes"`
+	TookMS   float64             `json:"took_ms"`
+	Taken    []warmstate.Verdict `json:"taken"` // at the start
 }
 
 func (k *keeper) view() keeperView {
@@ -185,12 +185,12 @@
 func stateCommands() *cobra.Command {
 	root := &cobra.Command{Use: "state", Short: "look at a file of learned state"}
 	var asJSON bool
-	read := func(path string) (*learned.Snapshot, []string, error) {
+	read := func(path string) (*warmstate.Snapshot, []string, error) {
 		b, err := os.ReadFile(path)
 		if err != nil {
 			return nil, nil, err
 		}
-		s, lost, err := learned.Decode(b)
+		s, lost, err := warmstate.Decode(b)
 		if err != nil {
 			return nil, nil, fmt.Errorf("%s: %w", path, err)
 		}
@@ -202,7 +202,7 @@
 			if err != nil {
 				return err
 			}
-			w := learned.Weigh(s, clock.System().Now(), s.Head.Name, s.Head.Site, false)
+			w := warmstate.Weigh(s, clock.System().Now(), s.Head.Name, s.Head.Site, false)
 			if asJSON {
 				return printJSON(c.OutOrStdout(), map[string]any{"head": s.Head, "lost": lost, "facts": w.Verdicts})
 			}
@@ -232,7 +232,7 @@
 	return root
 }
 
-func stateTable(out io.Writer, s *learned.Snapshot, lost []string, facts []learned.Verdict) error {
+func stateTable(out io.Writer, s *warmstate.Snapshot, lost []string, facts []warmstate.Verdict) error {
 	fmt.Fprintf(out, "pooler %s, site %s, written %v\n", s.Head.Name, s.Head.Site, time.UnixMilli(int64(s.Head.At)).UTC().Format(time.RFC3339))
 	if len(lost) > 0 {
 		fmt.Fprintf(out, "these parts can't be read: %s\n", strings.Join(lost, ", "))
--- a/cmd/ashstand/state_test.go
+++ b/cmd/ashstand/state_test.go
@@ -12,20 +12,20 @@
 	"github.com/stretchr/testify/require"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/disk"
-	"ashstand/internal/learned"
+	"ashstand/internal/vfs"
+	"ashstand/internal/warmstate"
 )
 
 // stuck is a disk whose writes hang until it is let go.
 type stuck struct {
-	disk.Real
+	vfs.Real
 	release chan struct{}
 	mu      sync.Mutex
 	creates int
 	full    bool
 }
 
-func (d *stuck) Create(path string) (disk.File, error) {
+func (d *stuck) Create(path string) (vfs.File, error) {
 	d.mu.Lock()
 	d.creates++
 	full := d.full
@@ -47,7 +47,7 @@
 func TestADiskThatHangsHoldsUpNothing(t *testing.T) {
 	w := build(t, "postgresql")
 	d := &stuck{release: make(chan struct{}), full: true}
-	k := &keeper{node: w.node, store: learned.On(d, t.TempDir()), head: learned.Head{Name: "n1", Site: "s"}, clock: clock.System()}
+	k := &keeper{node: w.node, store: warmstate.On(d, t.TempDir()), head: warmstate.Head{Name: "n1", Site: "s"}, clock: clock.System()}
 	<-k.save()
 	<-k.save()
 	require.Equal(t, keeperView{File: k.store.Path(), Failures: 2, Failing: true, TookMS: k.view().TookMS}, k.view())
--- a/cmd/ashstand/works.go
+++ b/cmd/ashstand/works.go
@@ -18,12 +18,12 @@
 
 	"ashstand/internal/admin"
 	"ashstand/internal/clock"
-	"ashstand/internal/cluster/agree/runner"
-	"ashstand/internal/cluster/move"
-	"ashstand/internal/cluster/owner"
-	"ashstand/internal/cluster/owner/doing"
-	"ashstand/internal/cluster/owner/drill"
-	"ashstand/internal/cluster/place"
+	"ashstand/internal/cluster/consensus/runner"
+	"ashstand/internal/cluster/fencing"
+	"ashstand/internal/cluster/jobs"
+	"ashstand/internal/cluster/jobs/executor"
+	"ashstand/internal/cluster/jobs/noop"
+	"ashstand/internal/cluster/migration"
 	"ashstand/internal/net/discovery"
 	"ashstand/internal/net/pg"
 )
@@ -31,13 +31,13 @@
 // works are this pooler's part in what one owner does for all.
 type works struct {
 	log    *agreedLog
-	doer   *doing.Doer
-	client *place.Client
-	kinds  map[string]owner.Kind
+	doer   *executor.Doer
+	client *fencing.Client
+	kinds  map[string]jobs.Kind
 	clock  clock.Clock
 	stop   context.CancelFunc
 	done   sync.WaitGroup
-	mover  *move.Mover
+	mover  *migration.Mover
 
 	mu     sync.Mutex
 	reach  map[uint64]float64 // when a group's primary answered last
@@ -48,13 +48,13 @@
 type agreedLog struct{ *runner.Runner }
 
 // Works is doing.Log's.
-func (l agreedLog) Works() (map[string]owner.Work, float64) {
+func (l agreedLog) Works() (map[string]jobs.Work, float64) {
 	g := l.Grip()
 	return g.Works, g.Until
 }
 
 // Enter is doing.Log's.
-func (l agreedLog) Enter(ctx context.Context, e owner.Entry) error {
+func (l agreedLog) Enter(ctx context.Context, e jobs.Entry) error {
 	_, err := l.Runner.Enter(ctx, e, nil)
 	return err
 }
@@ -73,25 +73,25 @@
 	}
 	o := cfg.operator.Cluster.Agree.Works
 	w := &works{log: &agreedLog{f.agreed}, clock: now, reach: map[uint64]float64{}, phases: phases{}}
-	w.client = &place.Client{User: o.User, Unsafe: f.broken, Hosts: func(group uint64) (out []place.Host) {
+	w.client = &fencing.Client{User: o.User, Unsafe: f.broken, Hosts: func(group uint64) (out []fencing.Host) {
 		for _, e := range *n.list.Load() {
 			if e.Group == group && e.Status == discovery.Active {
-				out = append(out, place.Host{Name: e.Name, Address: e.Address, Group: e.Group, Primary: e.Part == pg.Platform.Primary})
+				out = append(out, fencing.Host{Name: e.Name, Address: e.Address, Group: e.Group, Primary: e.Part == pg.Platform.Primary})
 			}
 		}
-		slices.SortFunc(out, func(a, b place.Host) int { return strings.Compare(a.Name, b.Name) })
+		slices.SortFunc(out, func(a, b fencing.Host) int { return strings.Compare(a.Name, b.Name) })
 		return out
 	}}
 	w.mover = f.moves(w, cfg, f.config, now)
-	w.kinds = map[string]owner.Kind{drill.Name: &drill.Kind{Client: w.client, Now: now.Now, Unsafe: f.broken}}
+	w.kinds = map[string]jobs.Kind{noop.Name: &noop.Kind{Client: w.client, Now: now.Now, Unsafe: f.broken}}
 	if f.trace != nil { // of its faults on real processes too little has been played for service: see docs/moves.md
 		w.kinds[kindMove] = w.mover
 	}
-	opts := doing.Options{Name: f.name, Instance: f.instance, Zone: cfg.operator.Cluster.Zone, Kinds: w.kinds, Log: w.log, Clock: now,
+	opts := executor.Options{Name: f.name, Instance: f.instance, Zone: cfg.operator.Cluster.Zone, Kinds: w.kinds, Log: w.log, Clock: now,
 		Pace: clock.Millis(o.Pace), Deed: clock.Millis(o.Deed), Reach: w.reached, Sound: f.agreed.Sound}
 	if f.trace != nil {
 		opts.Deaf = true
-		opts.Trace = func(event string, of owner.Work) {
+		opts.Trace = func(event string, of jobs.Work) {
 			deed := ""
 			if of.Deed != nil {
 				deed = of.Deed.Name
@@ -103,7 +103,7 @@
 	var ctx context.Context
 	ctx, w.stop = context.WithCancel(context.Background())
 	w.done.Go(func() { every(ctx, reachEvery, func() { w.look(ctx) }) })
-	w.doer = doing.Start(opts)
+	w.doer = executor.Start(opts)
 	f.works = w
 }
 
@@ -132,7 +132,7 @@
 			if err != nil {
 				return
 			}
-			place.Close(conn)
+			fencing.Close(conn)
 			w.mu.Lock()
 			w.reach[g] = w.clock.Now()
 			w.mu.Unlock()
@@ -177,8 +177,8 @@
 
 // workView is what operators see of one work.
 type workView struct {
-	owner.Work
-	Here *doing.View `json:"here,omitempty"` // of the owner alone
+	jobs.Work
+	Here *executor.View `json:"here,omitempty"` // of the owner alone
 }
 
 type worksView struct {
@@ -225,7 +225,7 @@
 
 // Advice says what an operator can do.
 func (movesOff) Advice() string {
-	return "try them in the laboratory (ashlab cluster move); docs/moves.md says what has not been proven with faults"
+	return "try them in the laboratory (testbed cluster move); docs/moves.md says what has not been proven with faults"
 }
 
 // enter is what operators bring into the log about works.
@@ -233,30 +233,30 @@
 	if n.others == nil || n.others.works == nil {
 		return nil, noWorks{}
 	}
-	var e owner.Entry
+	var e jobs.Entry
 	if err := json.Unmarshal(body, &e); err != nil {
-		return nil, &owner.Refusal{Reason: owner.Malformed, Detail: err.Error()}
+		return nil, &jobs.Refusal{Reason: jobs.Malformed, Detail: err.Error()}
 	}
-	if e.Op != owner.Create && e.Op != owner.Say {
-		return nil, &owner.Refusal{Reason: owner.Malformed, Work: e.Work, Detail: "operators create works and give words; the rest is their owner's"}
+	if e.Op != jobs.Create && e.Op != jobs.Say {
+		return nil, &jobs.Refusal{Reason: jobs.Malformed, Work: e.Work, Detail: "operators create works and give words; the rest is their owner's"}
 	}
-	if e.Op == owner.Create && e.Kind == kindMove && n.others.works.kinds[kindMove] == nil {
+	if e.Op == jobs.Create && e.Kind == kindMove && n.others.works.kinds[kindMove] == nil {
 		return nil, movesOff{}
 	}
-	if e.Op == owner.Create && n.others.works.kinds[e.Kind] == nil {
-		return nil, &owner.Refusal{Reason: owner.Malformed, Work: e.Work, Detail: "there is no kind " + strconv.Quote(e.Kind)}
+	if e.Op == jobs.Create && n.others.works.kinds[e.Kind] == nil {
+		return nil, &jobs.Refusal{Reason: jobs.Malformed, Work: e.Work, Detail: "there is no kind " + strconv.Quote(e.Kind)}
 	}
-	if e.Op == owner.Create && e.Kind == drill.Name {
-		var s drill.Spec
+	if e.Op == jobs.Create && e.Kind == noop.Name {
+		var s noop.Spec
 		if err := json.Unmarshal(e.Spec, &s); err != nil {
-			return nil, &owner.Refusal{Reason: owner.Malformed, Work: e.Work, Detail: err.Error()}
+			return nil, &jobs.Refusal{Reason: jobs.Malformed, Work: e.Work, Detail: err.Error()}
 		}
 		if err := s.Check(); err != nil {
 			return nil, err
 		}
 		e.Needs = s.Groups
 	}
-	if e.Op == owner.Create && e.Kind == kindMove {
+	if e.Op == jobs.Create && e.Kind == kindMove {
 		if err := n.others.works.ordered(&e); err != nil {
 			return nil, err
 		}
@@ -272,7 +272,7 @@
 	address func() (string, error)) *cobra.Command {
 	var v worksView
 	root := &cobra.Command{Use: "works", Short: "what one pooler at a time does for all"}
-	bring := func(e owner.Entry) error {
+	bring := func(e jobs.Entry) error {
 		a, err := address()
 		if err != nil {
 			return err
@@ -284,7 +284,7 @@
 		var out struct{ Work string }
 		return admin.Do(a, "work", body, &out)
 	}
-	var s drill.Spec
+	var s noop.Spec
 	var groups []uint
 	drills := &cobra.Command{Use: "drill NAME", Short: "have one owner at a time write rows behind the fence of each group, to see that works get done", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
@@ -298,7 +298,7 @@
 			if err != nil {
 				return err
 			}
-			if err := bring(owner.Entry{Op: owner.Create, Work: args[0], Kind: drill.Name, Spec: spec}); err != nil {
+			if err := bring(jobs.Entry{Op: jobs.Create, Work: args[0], Kind: noop.Name, Spec: spec}); err != nil {
 				return err
 			}
 			fmt.Fprintf(c.OutOrStdout(), "the drill %s is in the log; ashstand works list shows it\n", args[0])
@@ -313,7 +313,7 @@
 		if !c.Flags().Changed("step") {
 			return errors.New("--step names the step that the word is given for, as ashstand works list shows it")
 		}
-		return bring(owner.Entry{Op: owner.Say, Work: args[0], Word: &owner.Word{Say: args[1], By: os.Getenv("USER"), Step: step, Lasting: args[1] == "stop" || args[1] == "rollback"}})
+		return bring(jobs.Entry{Op: jobs.Say, Work: args[0], Word: &jobs.Word{Say: args[1], By: os.Getenv("USER"), Step: step, Lasting: args[1] == "stop" || args[1] == "rollback"}})
 	}}
 	say.Flags().Uint64Var(&step, "step", 0, "that the word is given for")
 	root.AddCommand(ask(drills), ask(say), ask(&cobra.Command{Use: "list", Short: "list works with their owners, tokens and what they wait for", Args: cobra.NoArgs,
@@ -352,12 +352,12 @@
 }
 
 // desk are the times by which owners are watched.
-func desk(cfg *config) owner.DeskConfig {
+func desk(cfg *config) jobs.DeskConfig {
 	a := cfg.operator.Cluster.Agree
 	if a.Works == nil {
-		return owner.DeskConfig{}
+		return jobs.DeskConfig{}
 	}
 	w := a.Works
-	return owner.DeskConfig{Stall: clock.Millis(w.Stall), Tenure: clock.Millis(w.Tenure), Back: clock.Millis(w.Back), Young: 10 * clock.Millis(a.Lease),
+	return jobs.DeskConfig{Stall: clock.Millis(w.Stall), Tenure: clock.Millis(w.Tenure), Back: clock.Millis(w.Back), Young: 10 * clock.Millis(a.Lease),
 		Again: clock.Millis(a.Election)}
 }
--- a/cmd/ashstand/works_golden_test.go
+++ b/cmd/ashstand/works_golden_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ashstand/internal/cluster/owner"
-	"ashstand/internal/cluster/owner/doing"
+	"ashstand/internal/cluster/jobs"
+	"ashstand/internal/cluster/jobs/executor"
 )
 
 var updateWorksGolden = flag.Bool("update-golden-jobs", false, "write the golden files of the admin socket's views of jobs anew")
@@ -39,12 +39,12 @@
 
 // Whoever reads the admin socket's JSON finds each key that was there before, with its value; new ones may stand beside.
 func TestGoldenAdminViewOfJobs(t *testing.T) {
-	word := &owner.Word{Say: "stop", By: "ann", Step: 4, Lasting: true}
-	deed := &owner.Deed{Number: 6, Name: "write", Token: 17, Data: stdjson.RawMessage(`{"n":1}`), Word: word}
-	x := owner.Work{Name: "d1", Kind: "drill", Spec: stdjson.RawMessage(`{"database":"orders"}`), Needs: []uint64{1}, Owner: "n1", Instance: 9007199254740993, Token: 17,
+	word := &jobs.Word{Say: "stop", By: "ann", Step: 4, Lasting: true}
+	deed := &jobs.Deed{Number: 6, Name: "write", Token: 17, Data: stdjson.RawMessage(`{"n":1}`), Word: word}
+	x := jobs.Work{Name: "d1", Kind: "drill", Spec: stdjson.RawMessage(`{"database":"orders"}`), Needs: []uint64{1}, Owner: "n1", Instance: 9007199254740993, Token: 17,
 		Step: 4, State: stdjson.RawMessage(`{"done":3}`), Deed: deed, Word: word, Owners: 5, Voided: 1, Ended: true, Why: "stopped", Changed: 41}
-	v := worksView{On: true, Works: []workView{{Work: x, Here: &doing.View{Wait: "the pace", Says: []owner.Option{{Say: "stop", Does: "it ends", Lasting: true}},
-		Err: "broken", Code: "in_doubt", Do: "nothing", Seen: 12.5}}, {Work: owner.Work{Name: "d2", Kind: "drill"}}}}
+	v := worksView{On: true, Works: []workView{{Work: x, Here: &executor.View{Wait: "the pace", Says: []jobs.Option{{Say: "stop", Does: "it ends", Lasting: true}},
+		Err: "broken", Code: "in_doubt", Do: "nothing", Seen: 12.5}}, {Work: jobs.Work{Name: "d2", Kind: "drill"}}}}
 	got, err := json.MarshalIndent(v, "", "  ")
 	require.NoError(t, err)
 	path := filepath.Join("testdata", "golden", "admin-works.json")
--- a/cmd/adapter/main.go
+++ b/cmd/simadapter/main.go
@@ -9,13 +9,13 @@
 	"os"
 	"strings"
 
-	"ashstand/choice"
 	"ashstand/internal/wire"
+	"ashstand/routing"
 )
 
 func main() {
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "adapter:", err)
+		fmt.Fprintln(os.Stderr, "simadapter:", err)
 		os.Exit(1)
 	}
 }
@@ -23,7 +23,7 @@
 // run answers batches until the input ends.
 func run(in io.Reader, out io.Writer) error {
 	d, w := wire.NewDecoder(in), bufio.NewWriterSize(out, 1<<16)
-	instances := map[int]*choice.Choice{}
+	instances := map[int]*routing.Choice{}
 	var reply []byte
 	for {
 		b, err := d.Next()
@@ -43,16 +43,16 @@
 
 // answer gives each instance its events of the batch in one step. What an instance was sent before it was stopped
 // goes with it.
-func answer(reply []byte, instances map[int]*choice.Choice, b *wire.Batch) []byte {
+func answer(reply []byte, instances map[int]*routing.Choice, b *wire.Batch) []byte {
 	var order []int
-	events := map[int][]choice.Event{}
+	events := map[int][]routing.Event{}
 	for _, it := range b.Items {
 		switch {
 		case it.Stop:
 			delete(instances, it.Who)
 			delete(events, it.Who)
 		case it.Open:
-			c, err := choice.New(it.Settings, it.Seed)
+			c, err := routing.New(it.Settings, it.Seed)
 			if err != nil {
 				reply = bug(reply, it.Who, err)
 				continue
@@ -76,7 +76,7 @@
 }
 
 // step reports a panic of the module instead of dying of it.
-func step(reply []byte, who int, c *choice.Choice, b *wire.Batch, events []choice.Event) (out []byte) {
+func step(reply []byte, who int, c *routing.Choice, b *wire.Batch, events []routing.Event) (out []byte) {
 	defer func() {
 		if p := recover(); p != nil {
 			out = bug(reply, who, p)
--- a/cmd/adapter/main_test.go
+++ b/cmd/simadapter/main_test.go
@@ -4,8 +4,8 @@
 	"strings"
 	"testing"
 
-	"ashstand/choice"
 	"ashstand/internal/wire"
+	"ashstand/routing"
 )
 
 const start = `SYNC wall_ms=5000 seq=1
@@ -48,8 +48,8 @@
 }
 
 func TestPanicBecomesBug(t *testing.T) {
-	c := new(choice.Choice) // not made by New: its maps are nil
-	got := step(nil, 4, c, &wire.Batch{Now: 1}, []choice.Event{{Kind: choice.EvTargets, Targets: []choice.Target{{Host: "h", Group: 1}}}})
+	c := new(routing.Choice) // not made by New: its maps are nil
+	got := step(nil, 4, c, &wire.Batch{Now: 1}, []routing.Event{{Kind: routing.EvTargets, Targets: []routing.Target{{Host: "h", Group: 1}}}})
 	if !strings.HasPrefix(string(got), "BUG who=4 body_text=") || strings.Count(string(got), "\n") != 1 {
 		t.Errorf("got %q", got)
 	}
--- a/cmd/ashlab/cluster.go
+++ b/cmd/testbed/cluster.go
@@ -13,9 +13,9 @@
 
 	"github.com/spf13/cobra"
 
-	"ashstand/internal/cluster/agree"
-	"ashstand/internal/cluster/member"
-	"ashstand/lab/cluster"
+	"ashstand/internal/cluster/consensus"
+	"ashstand/internal/cluster/membership"
+	"ashstand/testbed/cluster"
 )
 
 // clusters are the measurements of many processes together.
@@ -68,7 +68,7 @@
 			kinds = append(kinds, k)
 		}
 	}
-	rest := time.Duration(member.Bound(m.poolers, m.probe)*1e6) + 6*time.Second
+	rest := time.Duration(membership.Bound(m.poolers, m.probe)*1e6) + 6*time.Second
 	if len(kinds) > 0 && m.duration < rest+3*time.Second {
 		return cluster.Plan{}, fmt.Errorf("--duration %v: with faults it takes at least %v, so that what is seen at the end can be judged", m.duration, rest+3*time.Second)
 	}
@@ -117,11 +117,11 @@
 }
 
 func clusterMembers() *cobra.Command {
-	return clusterRun("members", "who the poolers believe to be there, through dropped links, stalls, crashes and partitions", false, member.Breakable)
+	return clusterRun("members", "who the poolers believe to be there, through dropped links, stalls, crashes and partitions", false, membership.Breakable)
 }
 
 func clusterAgree() *cobra.Command {
-	return clusterRun("agree", "rules that the poolers agree on, proposed all along while links, processes and folders fail", true, agree.Breakable)
+	return clusterRun("agree", "rules that the poolers agree on, proposed all along while links, processes and folders fail", true, consensus.Breakable)
 }
 
 func clusterOwner() *cobra.Command {
@@ -198,8 +198,8 @@
 	schedules, length, cores := 1000, 3500*time.Millisecond, runtime.NumCPU()
 	c := &cobra.Command{Use: "simulate", Short: "the agreement on versions through drawn messages, crashes and clocks, without sockets", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			if m.breaks != "" && !slices.Contains(agree.Breakable, m.breaks) {
-				return fmt.Errorf("--break %s: it can be %s", m.breaks, strings.Join(agree.Breakable, ", "))
+			if m.breaks != "" && !slices.Contains(consensus.Breakable, m.breaks) {
+				return fmt.Errorf("--break %s: it can be %s", m.breaks, strings.Join(consensus.Breakable, ", "))
 			}
 			if schedules < 1 || length < 3*time.Second || cores < 1 {
 				return errors.New("--schedules and --cores take at least 1, --length at least 3s")
@@ -209,7 +209,7 @@
 	c.Flags().IntVar(&schedules, "schedules", schedules, "how many, from the seed on; each is a seed of its own")
 	c.Flags().DurationVar(&length, "length", length, "of one, in its own time")
 	c.Flags().IntVar(&cores, "cores", cores, "that play schedules side by side")
-	m.flags(c, 0, agree.Breakable)
+	m.flags(c, 0, consensus.Breakable)
 	_ = c.Flags().MarkHidden("duration") // schedules and length say how long
 	return c
 }
--- a/cmd/ashlab/cost.go
+++ b/cmd/testbed/cost.go
@@ -8,7 +8,7 @@
 
 	"github.com/spf13/cobra"
 
-	"ashstand/lab/cost"
+	"ashstand/testbed/cost"
 )
 
 // costs measures the estimates of what plans cost.
--- a/cmd/ashlab/main.go
+++ b/cmd/testbed/main.go
@@ -1,4 +1,4 @@
-// Command ashlab tries, loads and measures the pooler against stand-ins on loopback addresses. Nothing of it is linked
+// Command testbed tries, loads and measures the pooler against stand-ins on loopback addresses. Nothing of it is linked
 // into the pooler.
 package main
 
@@ -15,8 +15,8 @@
 
 	"github.com/spf13/cobra"
 
-	"ashstand/lab/load"
-	"ashstand/lab/report"
+	"ashstand/testbed/load"
+	"ashstand/testbed/report"
 )
 
 // errBroken is a guarantee that did not hold: exit code 1. Anything else that fails is 2: it could not run.
@@ -28,10 +28,10 @@
 	switch err := command().ExecuteContext(ctx); {
 	case err == nil:
 	case errors.Is(err, errBroken):
-		fmt.Fprintln(os.Stderr, "ashlab:", err)
+		fmt.Fprintln(os.Stderr, "testbed:", err)
 		os.Exit(1)
 	default:
-		fmt.Fprintln(os.Stderr, "ashlab:", err)
+		fmt.Fprintln(os.Stderr, "testbed:", err)
 		os.Exit(2)
 	}
 }
@@ -76,7 +76,7 @@
 }
 
 func command() *cobra.Command {
-	root := &cobra.Command{Use: "ashlab", Short: "try, load and measure the pooler against stand-ins", SilenceUsage: true, SilenceErrors: true,
+	root := &cobra.Command{Use: "testbed", Short: "try, load and measure the pooler against stand-ins", SilenceUsage: true, SilenceErrors: true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
 	root.AddCommand(sessions(), try(), up(), relay(), restart(), clusters(), costs())
 	return root
--- a/cmd/ashlab/moves.go
+++ b/cmd/testbed/moves.go
@@ -9,14 +9,14 @@
 
 	"github.com/spf13/cobra"
 
-	"ashstand/internal/cluster/move"
-	"ashstand/lab/cluster"
+	"ashstand/internal/cluster/migration"
+	"ashstand/testbed/cluster"
 )
 
 func clusterMoves() *cobra.Command {
 	var m common
 	schedules, cores := 1000, runtime.NumCPU()
-	breakable := append(slices.Clone(move.Breakable), "token", "number", "sequence")
+	breakable := append(slices.Clone(migration.Breakable), "token", "number", "sequence")
 	c := &cobra.Command{Use: "moves", Short: "moves of tenants through failovers, owners that die or come late, and operators, without sockets", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if m.breaks != "" && !slices.Contains(breakable, m.breaks) {
--- a/cmd/ashlab/try.go
+++ b/cmd/testbed/try.go
@@ -8,8 +8,8 @@
 
 	"github.com/spf13/cobra"
 
-	"ashstand/lab/fleet"
-	"ashstand/lab/load"
+	"ashstand/testbed/fleet"
+	"ashstand/testbed/load"
 )
 
 func try() *cobra.Command {
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ashstand/lab/fleet"
+	"ashstand/testbed/fleet"
 )
 
 func TestExamplesRunThroughThePooler(t *testing.T) {
--- a/examples/pgx/main.go
+++ b/examples/pgx/main.go
@@ -1,6 +1,6 @@
 // Command pgx shows pgx in its default mode through the pooler: prepared statements behind the scenes, a transaction
 // with savepoints, COPY and a query that is cancelled. It needs nothing but the address of a pooler's session front,
-// such as the one that "ashlab up" prints:
+// such as the one that "testbed up" prints:
 //
 //	go run ./examples/pgx postgres://web@127.0.0.1:6432/orders
 package main
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -18,7 +18,7 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"ashstand/internal/advice"
+	"ashstand/internal/remedy"
 )
 
 var json = jsoniter.ConfigCompatibleWithStandardLibrary
@@ -50,7 +50,7 @@
 // FaultOf takes code and advice from whatever error of the chain has them.
 func FaultOf(err error) *Fault {
 	f := &Fault{Word: "failed", Text: err.Error()}
-	if a := advice.Of(err); a != nil {
+	if a := remedy.Of(err); a != nil {
 		f.Word, f.Do = a.Code(), a.Advice()
 	}
 	return f
--- a/internal/cluster/agree/golden_test.go
+++ b/internal/cluster/consensus/golden_test.go
@@ -1,4 +1,4 @@
-package agree
+package consensus
 
 import (
 	"encoding/json"
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/jobs"
 )
 
 var updateGolden = flag.Bool("update-golden", false, "write testdata/golden anew from this program")
@@ -37,20 +37,20 @@
 	return Version{N: n, Rules: goldenRules(), By: "pooler-a", Format: 1}
 }
 
-func goldenDeed() *owner.Deed {
-	return &owner.Deed{Number: 3, Name: "copy", Token: 9, Data: json.RawMessage(`{"from":1}`), Word: &owner.Word{Say: "go", By: "op", Step: 2, Lasting: true}}
+func goldenDeed() *jobs.Deed {
+	return &jobs.Deed{Number: 3, Name: "copy", Token: 9, Data: json.RawMessage(`{"from":1}`), Word: &jobs.Word{Say: "go", By: "op", Step: 2, Lasting: true}}
 }
 
 // goldenOperation has no field of its zero value.
-func goldenOperation() *owner.Entry {
-	return &owner.Entry{Op: owner.Announce, Work: "move-orders", Token: 9, To: "pooler-b", Instance: 1 << 63, Kind: "move", Spec: json.RawMessage(`{"to":2}`),
-		Needs: []uint64{1, 2}, Step: 2, Deed: goldenDeed(), State: json.RawMessage(`{"phase":"copy"}`), Word: &owner.Word{Say: "go", By: "op", Step: 2, Lasting: true},
+func goldenOperation() *jobs.Entry {
+	return &jobs.Entry{Op: jobs.Announce, Work: "move-orders", Token: 9, To: "pooler-b", Instance: 1 << 63, Kind: "move", Spec: json.RawMessage(`{"to":2}`),
+		Needs: []uint64{1, 2}, Step: 2, Deed: goldenDeed(), State: json.RawMessage(`{"phase":"copy"}`), Word: &jobs.Word{Say: "go", By: "op", Step: 2, Lasting: true},
 		Ended: true, Why: "finished"}
 }
 
-func goldenJob(name string) *owner.Work {
-	return &owner.Work{Name: name, Kind: "move", Spec: json.RawMessage(`{"to":2}`), Needs: []uint64{1, 2}, Owner: "pooler-b", Instance: 1<<63 + 1, Token: 9, Step: 2,
-		State: json.RawMessage(`{"phase":"copy"}`), Deed: goldenDeed(), Word: &owner.Word{Say: "hold", By: "op", Step: 2, Lasting: true}, Owners: 4, Voided: 1, Ended: true,
+func goldenJob(name string) *jobs.Work {
+	return &jobs.Work{Name: name, Kind: "move", Spec: json.RawMessage(`{"to":2}`), Needs: []uint64{1, 2}, Owner: "pooler-b", Instance: 1<<63 + 1, Token: 9, Step: 2,
+		State: json.RawMessage(`{"phase":"copy"}`), Deed: goldenDeed(), Word: &jobs.Word{Say: "hold", By: "op", Step: 2, Lasting: true}, Owners: 4, Voided: 1, Ended: true,
 		Why: "finished", Changed: 11}
 }
 
@@ -59,8 +59,8 @@
 	return state{Last: 5, Held: Held{Force: goldenVersion(4), Pending: &pending, Seen: 9}, Versions: []Version{goldenVersion(4), goldenVersion(5)},
 		Names: map[uint64]string{3: "pooler-a", 1<<63 + 5: "pooler-b"},
 		Done: []done{{ID: 1 << 62, N: 4}, {ID: 18, Why: "version 4 came first and is not in force yet"},
-			{ID: 19, N: 5, Why: "why", Work: true, Name: "move-orders", Refused: &owner.Refusal{Reason: owner.TokenOld, Work: "move-orders", Given: 8, Holds: 9, Detail: "late"}}},
-		Epoch: 77, Ledger: owner.Ledger{High: 9, Works: map[string]*owner.Work{"move-orders": goldenJob("move-orders"), "a": goldenJob("a")}, Count: 12}}
+			{ID: 19, N: 5, Why: "why", Work: true, Name: "move-orders", Refused: &jobs.Refusal{Reason: jobs.TokenOld, Work: "move-orders", Given: 8, Holds: 9, Detail: "late"}}},
+		Epoch: 77, Ledger: jobs.Ledger{High: 9, Works: map[string]*jobs.Work{"move-orders": goldenJob("move-orders"), "a": goldenJob("a")}, Count: 12}}
 }
 
 // Entries of the log are stored by voters and sent between them: what an earlier program wrote is read, and written alike.
@@ -71,7 +71,7 @@
 		"force":         {Force: 4},
 		"work":          {ID: 1<<63 + 4, Work: goldenOperation()},
 		"work-change":   {ID: 1<<63 + 5, Work: goldenOperation(), Change: Rules{"tries": 2.0, "class.a.repeat": nil}},
-		"work-raise":    {ID: 6, Work: &owner.Entry{Op: owner.Raise, Token: 70}},
+		"work-raise":    {ID: 6, Work: &jobs.Entry{Op: jobs.Raise, Token: 70}},
 		"propose-empty": {Propose: &Version{}, ID: 7},
 	} {
 		b, err := json.Marshal(x)
--- a/internal/cluster/agree/node_test.go
+++ b/internal/cluster/consensus/node_test.go
@@ -1,11 +1,11 @@
-package agree
+package consensus
 
 import (
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/jobs"
 )
 
 // small is a cluster of three voters and one that follows, whose messages all arrive at once.
@@ -28,9 +28,9 @@
 			disk = Found(name, voters)
 		}
 		n, err := New(Config{Name: name, Instance: uint64(i + 1), Voters: voters, Lease: 200, Drift: 0.01, Pace: 30, Election: 50, Format: 1, Seed: 7,
-			Desk: owner.DeskConfig{Stall: 1e6, Tenure: 200, Back: 2000, Young: 500, Again: 50}}, disk, 0)
+			Desk: jobs.DeskConfig{Stall: 1e6, Tenure: 200, Back: 2000, Young: 500, Again: 50}}, disk, 0)
 		require.NoError(t, err)
-		n.SetReport(owner.Report{Kinds: []string{"k"}, Willing: true, Sound: true, Reach: []uint64{1}, Up: 1000})
+		n.SetReport(jobs.Report{Kinds: []string{"k"}, Willing: true, Sound: true, Reach: []uint64{1}, Up: 1000})
 		w.nodes[name] = n
 	}
 	return w
@@ -67,7 +67,7 @@
 }
 
 // enter brings an entry in at a node and returns what came of it.
-func (w *small) enter(at string, id uint64, e owner.Entry, change Rules) Message {
+func (w *small) enter(at string, id uint64, e jobs.Entry, change Rules) Message {
 	n := w.nodes[at]
 	require.NoError(w.t, n.Enter(w.now, id, e, change))
 	w.deliver(n.Output().Messages)
@@ -92,7 +92,7 @@
 }
 
 // work is a work as the leader's log has it.
-func (w *small) work(name string) owner.Work { return *w.nodes[w.leader()].st.Ledger.Works[name] }
+func (w *small) work(name string) jobs.Work { return *w.nodes[w.leader()].st.Ledger.Works[name] }
 
 // A leader that is gone for good, after it has lent to all for long: the others find the next one and have leases again.
 func TestALeaderThatIsGoneForGoodIsLeft(t *testing.T) {
@@ -114,15 +114,15 @@
 func TestAnOwnerThatWakesLateIsRefused(t *testing.T) {
 	w := newSmall(t)
 	w.run(500)
-	require.True(t, w.enter("n4", 1, owner.Entry{Op: owner.Create, Work: "w", Kind: "k", Needs: []uint64{1}}, nil).OK)
+	require.True(t, w.enter("n4", 1, jobs.Entry{Op: jobs.Create, Work: "w", Kind: "k", Needs: []uint64{1}}, nil).OK)
 	w.run(300)
 	first := w.work("w")
 	require.NotEmpty(t, first.Owner)
 	for name, n := range w.nodes { // all know who owns it
 		require.Equal(t, first.Owner, n.Grip().Works["w"].Owner, name)
 	}
-	deed := &owner.Deed{Number: 1, Name: "d"}
-	require.True(t, w.enter(first.Owner, 2, owner.Entry{Op: owner.Announce, Work: "w", Token: first.Token, Deed: deed}, nil).OK)
+	deed := &jobs.Deed{Number: 1, Name: "d"}
+	require.True(t, w.enter(first.Owner, 2, jobs.Entry{Op: jobs.Announce, Work: "w", Token: first.Token, Deed: deed}, nil).OK)
 	w.asleep[first.Owner] = true
 	slept := w.now
 	w.run(3000)
@@ -135,17 +135,17 @@
 	late := w.mail
 	w.mail = nil
 	w.deliver(late)
-	a := w.enter(first.Owner, 3, owner.Entry{Op: owner.Prove, Work: "w", Token: first.Token, Deed: deed}, nil)
+	a := w.enter(first.Owner, 3, jobs.Entry{Op: jobs.Prove, Work: "w", Token: first.Token, Deed: deed}, nil)
 	require.False(t, a.OK)
-	require.Equal(t, owner.TokenOld, a.Refused.Reason)
+	require.Equal(t, jobs.TokenOld, a.Refused.Reason)
 	// Nor does it change rules under its old token; the present owner does, and what it changed stands beside what was there.
-	a = w.enter(first.Owner, 4, owner.Entry{Op: owner.Act, Work: "w", Token: first.Token}, Rules{"tries": 2.0})
+	a = w.enter(first.Owner, 4, jobs.Entry{Op: jobs.Act, Work: "w", Token: first.Token}, Rules{"tries": 2.0})
 	require.False(t, a.OK)
 	for _, n := range w.nodes {
 		n.cfg.Limits = Rules{"tries": 1.0, "class.a.bound_ms": 50.0}
 	}
 	for i, change := range []Rules{{"class.a.bound_ms": 100.0}, {"tries": 2.0}, {"class.a.bound_ms": nil}} {
-		a = w.enter(second.Owner, uint64(10+i), owner.Entry{Op: owner.Act, Work: "w", Token: second.Token}, change)
+		a = w.enter(second.Owner, uint64(10+i), jobs.Entry{Op: jobs.Act, Work: "w", Token: second.Token}, change)
 		require.True(t, a.OK, a.Why)
 		w.run(500)
 	}
@@ -160,16 +160,16 @@
 	w := newSmall(t)
 	w.nodes["n4"].held.Seen = 40
 	w.run(500)
-	require.True(t, w.enter("n1", 1, owner.Entry{Op: owner.Create, Work: "w", Kind: "k"}, nil).OK)
+	require.True(t, w.enter("n1", 1, jobs.Entry{Op: jobs.Create, Work: "w", Kind: "k"}, nil).OK)
 	w.run(300)
-	require.Greater(t, w.work("w").Token, owner.Token(40))
+	require.Greater(t, w.work("w").Token, jobs.Token(40))
 }
 
 // The time without an owner, from its end to another's first turn, against what is stated.
 func TestTakeoverIsWithinItsBound(t *testing.T) {
 	w := newSmall(t)
 	w.run(500)
-	require.True(t, w.enter("n4", 1, owner.Entry{Op: owner.Create, Work: "w", Kind: "k"}, nil).OK)
+	require.True(t, w.enter("n4", 1, jobs.Entry{Op: jobs.Create, Work: "w", Kind: "k"}, nil).OK)
 	w.run(300)
 	for range 3 {
 		was := w.work("w")
--- a/internal/cluster/agree/rules.go
+++ b/internal/cluster/consensus/rules.go
@@ -2,7 +2,7 @@
 // other. It has no I/O, clock or logger: node.go takes messages and the time and says what to save and send. Versions
 // stand in a log among named voters, kept in order by etcd's raft library; all poolers act on them under leases.
 // docs/agreement.md derives the times and names what each key means.
-package agree
+package consensus
 
 import (
 	"encoding/json"
--- a/internal/cluster/agree/rules_test.go
+++ b/internal/cluster/consensus/rules_test.go
@@ -1,4 +1,4 @@
-package agree
+package consensus
 
 import (
 	"fmt"
--- a/internal/cluster/agree/runner/folder.go
+++ b/internal/cluster/consensus/runner/folder.go
@@ -15,8 +15,8 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"ashstand/internal/cluster/agree"
-	"ashstand/internal/disk"
+	"ashstand/internal/cluster/consensus"
+	"ashstand/internal/vfs"
 )
 
 const (
@@ -37,30 +37,30 @@
 // file is the folder's one file: a line with its checksum, then this. Birth says which file it was written as: a copy has
 // another, whatever put it there, also one that was written over the file that is there.
 type file struct {
-	Format  int        `json:"format"`
-	Birth   string     `json:"birth"`
-	ID      uint64     `json:"id"`
-	Hard    []byte     `json:"hard,omitempty"`
-	Snap    []byte     `json:"snap,omitempty"`
-	Entries [][]byte   `json:"entries,omitempty"`
-	Held    agree.Held `json:"held"`
+	Format  int            `json:"format"`
+	Birth   string         `json:"birth"`
+	ID      uint64         `json:"id"`
+	Hard    []byte         `json:"hard,omitempty"`
+	Snap    []byte         `json:"snap,omitempty"`
+	Entries [][]byte       `json:"entries,omitempty"`
+	Held    consensus.Held `json:"held"`
 }
 
 // Folder is where a node keeps what it must not forget. One process has it at a time.
 type Folder struct {
-	disk disk.Disk
+	disk vfs.Disk
 	path string
 	lock io.Closer
 	sure bool // what is there was written and synced by this process, and nothing has failed since
 }
 
 // Open takes a folder, made if it is not there.
-func Open(d disk.Disk, path string) (*Folder, error) {
+func Open(d vfs.Disk, path string) (*Folder, error) {
 	if err := d.MakeFolder(path); err != nil {
 		return nil, err
 	}
 	l, err := d.Lock(filepath.Join(path, lockName))
-	if errors.Is(err, disk.ErrHeld) {
+	if errors.Is(err, vfs.ErrHeld) {
 		return nil, fmt.Errorf("%s: %w by another process: %w", path, ErrThere, err)
 	} else if err != nil {
 		return nil, err
@@ -75,7 +75,7 @@
 // folder may have voted since. A spoilt file is moved aside. What is returned with an identity is surely kept: unless this
 // process has written it, it is written once more, since who wrote it may have been told that it was not synced
 // (disk.Replace says why reading it back does not show that). With ErrUnkept that failed, and no node may run on it.
-func (f *Folder) Load() (*agree.Disk, error) {
+func (f *Folder) Load() (*consensus.Disk, error) {
 	path := filepath.Join(f.path, fileName)
 	b, is, err := f.disk.ReadFile(path, maxFolder)
 	if errors.Is(err, fs.ErrNotExist) {
@@ -96,7 +96,7 @@
 		return nil, fmt.Errorf("%s: %w: %w; it is moved aside", path, ErrSpoilt, err)
 	}
 	if was != is {
-		return &agree.Disk{Held: d.Held}, fmt.Errorf("%s: %w: it was written as file %s and is %s", path, ErrCopy, was, is)
+		return &consensus.Disk{Held: d.Held}, fmt.Errorf("%s: %w: it was written as file %s and is %s", path, ErrCopy, was, is)
 	}
 	if !f.sure {
 		if err := f.Save(d); err != nil {
@@ -108,14 +108,14 @@
 
 // Save writes a node's state so that a stop at any moment leaves the old one or the new one, whole. After an error nobody
 // knows which.
-func (f *Folder) Save(d *agree.Disk) error {
+func (f *Folder) Save(d *consensus.Disk) error {
 	f.sure = false
-	err := disk.Replace(f.disk, filepath.Join(f.path, fileName), func(birth string) ([]byte, error) { return encode(d, birth) })
+	err := vfs.Replace(f.disk, filepath.Join(f.path, fileName), func(birth string) ([]byte, error) { return encode(d, birth) })
 	f.sure = err == nil
 	return err
 }
 
-func encode(d *agree.Disk, birth string) ([]byte, error) {
+func encode(d *consensus.Disk, birth string) ([]byte, error) {
 	x := file{Format: format, Birth: birth, ID: d.ID, Held: d.Held}
 	var err error
 	put := func(m proto.Message) (b []byte) {
@@ -138,7 +138,7 @@
 	return append([]byte(strconv.FormatUint(xxhash.Sum64(b), 16)+"\n"), b...), nil
 }
 
-func decode(b []byte) (*agree.Disk, string, error) {
+func decode(b []byte) (*consensus.Disk, string, error) {
 	sum, rest, ok := bytes.Cut(b, []byte("\n"))
 	if !ok || string(sum) != strconv.FormatUint(xxhash.Sum64(rest), 16) {
 		return nil, "", errors.New("its checksum is another")
@@ -150,7 +150,7 @@
 	if x.Format != format {
 		return nil, "", fmt.Errorf("format %d; this program reads %d", x.Format, format)
 	}
-	d := &agree.Disk{ID: x.ID, Held: x.Held}
+	d := &consensus.Disk{ID: x.ID, Held: x.Held}
 	if x.Hard != nil {
 		d.Hard = &pb.HardState{}
 		if err := proto.Unmarshal(x.Hard, d.Hard); err != nil {
@@ -174,7 +174,7 @@
 }
 
 // Found writes a voter's first folder. One that holds something is left alone.
-func Found(on disk.Disk, path, name string, voters []string) error {
+func Found(on vfs.Disk, path, name string, voters []string) error {
 	f, err := Open(on, path)
 	if err != nil {
 		return err
@@ -183,5 +183,5 @@
 	if d, err := f.Load(); d != nil || err != nil {
 		return fmt.Errorf("%s: something is kept there already; a voter that lost its folder starts without one and is taken in by the others", path)
 	}
-	return f.Save(agree.Found(name, voters))
+	return f.Save(consensus.Found(name, voters))
 }
--- a/internal/cluster/agree/runner/golden_test.go
+++ b/internal/cluster/consensus/runner/golden_test.go
@@ -15,9 +15,9 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"ashstand/internal/cluster/agree"
-	"ashstand/internal/cluster/owner"
-	"ashstand/internal/disk"
+	"ashstand/internal/cluster/consensus"
+	"ashstand/internal/cluster/jobs"
+	"ashstand/internal/vfs"
 )
 
 var updateGolden = flag.Bool("update-golden", false, "write testdata/golden anew from this program")
@@ -36,34 +36,34 @@
 	return want
 }
 
-func goldenVersion(n int) agree.Version {
-	return agree.Version{N: n, By: "pooler-a", Format: 1, Rules: agree.Rules{"tries": 3.0, "class.browse.bound_ms": 250.5, "class.browse.repeat": false,
+func goldenVersion(n int) consensus.Version {
+	return consensus.Version{N: n, By: "pooler-a", Format: 1, Rules: consensus.Rules{"tries": 3.0, "class.browse.bound_ms": 250.5, "class.browse.repeat": false,
 		"host.s-1.x.closed": true, "database.orders.group": 7.0}}
 }
 
-func goldenHeld() agree.Held {
+func goldenHeld() consensus.Held {
 	pending := goldenVersion(5)
-	return agree.Held{Force: goldenVersion(4), Pending: &pending, Seen: 9}
+	return consensus.Held{Force: goldenVersion(4), Pending: &pending, Seen: 9}
 }
 
-func goldenWord() *owner.Word { return &owner.Word{Say: "go", By: "op", Step: 2, Lasting: true} }
+func goldenWord() *jobs.Word { return &jobs.Word{Say: "go", By: "op", Step: 2, Lasting: true} }
 
-func goldenDeed() *owner.Deed {
-	return &owner.Deed{Number: 3, Name: "copy", Token: 9, Data: json.RawMessage(`{"from":1}`), Word: goldenWord()}
+func goldenDeed() *jobs.Deed {
+	return &jobs.Deed{Number: 3, Name: "copy", Token: 9, Data: json.RawMessage(`{"from":1}`), Word: goldenWord()}
 }
 
-func goldenOperation() *owner.Entry {
-	return &owner.Entry{Op: owner.Announce, Work: "move-orders", Token: 9, To: "pooler-b", Instance: 1 << 63, Kind: "move", Spec: json.RawMessage(`{"to":2}`),
+func goldenOperation() *jobs.Entry {
+	return &jobs.Entry{Op: jobs.Announce, Work: "move-orders", Token: 9, To: "pooler-b", Instance: 1 << 63, Kind: "move", Spec: json.RawMessage(`{"to":2}`),
 		Needs: []uint64{1, 2}, Step: 2, Deed: goldenDeed(), State: json.RawMessage(`{"phase":"copy"}`), Word: goldenWord(), Ended: true, Why: "finished"}
 }
 
-func goldenJob() owner.Work {
-	return owner.Work{Name: "move-orders", Kind: "move", Spec: json.RawMessage(`{"to":2}`), Needs: []uint64{1, 2}, Owner: "pooler-b", Instance: 1<<63 + 1, Token: 9, Step: 2,
+func goldenJob() jobs.Work {
+	return jobs.Work{Name: "move-orders", Kind: "move", Spec: json.RawMessage(`{"to":2}`), Needs: []uint64{1, 2}, Owner: "pooler-b", Instance: 1<<63 + 1, Token: 9, Step: 2,
 		State: json.RawMessage(`{"phase":"copy"}`), Deed: goldenDeed(), Word: goldenWord(), Owners: 4, Voided: 1, Ended: true, Why: "finished", Changed: 11}
 }
 
-func goldenReport() *owner.Report {
-	return &owner.Report{Kinds: []string{"move"}, Willing: true, Sound: true, Zone: "a", Up: 1500.5, Load: 0.25, Reach: []uint64{1, 2}, Near: []uint64{1},
+func goldenReport() *jobs.Report {
+	return &jobs.Report{Kinds: []string{"move"}, Willing: true, Sound: true, Zone: "a", Up: 1500.5, Load: 0.25, Reach: []uint64{1, 2}, Near: []uint64{1},
 		Progress: map[string]uint64{"move-orders": 4, "a": 5}, Seen: 9}
 }
 
@@ -85,27 +85,27 @@
 }
 
 // goldenMessages are messages of every kind, with all that its kind carries.
-func goldenMessages() map[string]agree.Message {
+func goldenMessages() map[string]consensus.Message {
 	const nonce, id, instance, epoch = 1<<63 + 1, 1<<63 + 2, 1<<63 + 3, 1<<63 + 4
-	refused := &owner.Refusal{Reason: owner.TokenOld, Work: "move-orders", Given: 8, Holds: 9, Detail: "late"}
-	of := map[string]agree.Message{
-		"raft":  {Kind: agree.MsgRaft, Raft: goldenRaft()},
-		"hello": {Kind: agree.MsgHello, ID: id},
-		"renew": {Kind: agree.MsgRenew, Nonce: nonce, Known: 4, Format: 1, Report: goldenReport(), Epoch: epoch, Count: 12},
-		"grant": {Kind: agree.MsgGrant, Nonce: nonce, For: 200.5, Held: goldenHeld(), Epoch: epoch, Count: 12, Works: []owner.Work{goldenJob()}},
+	refused := &jobs.Refusal{Reason: jobs.TokenOld, Work: "move-orders", Given: 8, Holds: 9, Detail: "late"}
+	of := map[string]consensus.Message{
+		"raft":  {Kind: consensus.MsgRaft, Raft: goldenRaft()},
+		"hello": {Kind: consensus.MsgHello, ID: id},
+		"renew": {Kind: consensus.MsgRenew, Nonce: nonce, Known: 4, Format: 1, Report: goldenReport(), Epoch: epoch, Count: 12},
+		"grant": {Kind: consensus.MsgGrant, Nonce: nonce, For: 200.5, Held: goldenHeld(), Epoch: epoch, Count: 12, Works: []jobs.Work{goldenJob()}},
 		// An empty one: no job is known, and no version.
-		"grant-empty":           {Kind: agree.MsgGrant, Nonce: nonce, For: 200.5},
-		"propose-version":       {Kind: agree.MsgPropose, ID: id, Version: goldenVersion(0)},
-		"propose-entry":         {Kind: agree.MsgPropose, ID: id, Entry: goldenOperation()},
-		"propose-change":        {Kind: agree.MsgPropose, ID: id, Entry: goldenOperation(), Change: agree.Rules{"tries": 2.0, "class.a.repeat": nil}, Version: agree.Version{Format: 1}},
-		"answer-version":        {Kind: agree.MsgAnswer, ID: id, OK: true, Version: agree.Version{N: 5}},
-		"answer-refused":        {Kind: agree.MsgAnswer, ID: id, Why: "version 4 is not in force yet"},
-		"answer-entry":          {Kind: agree.MsgAnswer, ID: id, OK: true, Version: agree.Version{N: 5}, Held: goldenHeld(), Epoch: epoch, Works: []owner.Work{goldenJob()}},
-		"answer-entry-refused":  {Kind: agree.MsgAnswer, ID: id, Why: refused.Error(), Refused: refused, Held: goldenHeld(), Epoch: epoch, Works: []owner.Work{goldenJob()}},
-		"no-leader":             {Kind: agree.MsgNoLeader, Leader: "pooler-c"},
-		"no-leader-unknown":     {Kind: agree.MsgNoLeader},
-		"works":                 {Kind: agree.MsgWorks, Epoch: epoch, Held: goldenHeld(), Works: []owner.Work{goldenJob(), goldenJob()}},
-		"renew-without-a-count": {Kind: agree.MsgRenew, Nonce: nonce, Report: &owner.Report{}},
+		"grant-empty":           {Kind: consensus.MsgGrant, Nonce: nonce, For: 200.5},
+		"propose-version":       {Kind: consensus.MsgPropose, ID: id, Version: goldenVersion(0)},
+		"propose-entry":         {Kind: consensus.MsgPropose, ID: id, Entry: goldenOperation()},
+		"propose-change":        {Kind: consensus.MsgPropose, ID: id, Entry: goldenOperation(), Change: consensus.Rules{"tries": 2.0, "class.a.repeat": nil}, Version: consensus.Version{Format: 1}},
+		"answer-version":        {Kind: consensus.MsgAnswer, ID: id, OK: true, Version: consensus.Version{N: 5}},
+		"answer-refused":        {Kind: consensus.MsgAnswer, ID: id, Why: "version 4 is not in force yet"},
+		"answer-entry":          {Kind: consensus.MsgAnswer, ID: id, OK: true, Version: consensus.Version{N: 5}, Held: goldenHeld(), Epoch: epoch, Works: []jobs.Work{goldenJob()}},
+		"answer-entry-refused":  {Kind: consensus.MsgAnswer, ID: id, Why: refused.Error(), Refused: refused, Held: goldenHeld(), Epoch: epoch, Works: []jobs.Work{goldenJob()}},
+		"no-leader":             {Kind: consensus.MsgNoLeader, Leader: "pooler-c"},
+		"no-leader-unknown":     {Kind: consensus.MsgNoLeader},
+		"works":                 {Kind: consensus.MsgWorks, Epoch: epoch, Held: goldenHeld(), Works: []jobs.Work{goldenJob(), goldenJob()}},
+		"renew-without-a-count": {Kind: consensus.MsgRenew, Nonce: nonce, Report: &jobs.Report{}},
 	}
 	for name, m := range of {
 		m.From, m.To, m.Instance = "pooler-a", "pooler-b", instance
@@ -116,7 +116,7 @@
 
 // What an earlier program sends is read, and the same is sent.
 func TestGoldenMessages(t *testing.T) {
-	kinds := map[agree.Kind]bool{}
+	kinds := map[consensus.Kind]bool{}
 	for name, m := range goldenMessages() {
 		b, err := Encode(m)
 		require.NoError(t, err)
@@ -137,15 +137,15 @@
 }
 
 // fixedBirth is a file system that gives all files one birth, so that a folder comes out alike each time.
-type fixedBirth struct{ disk.Real }
+type fixedBirth struct{ vfs.Real }
 
-type fixedFile struct{ disk.File }
+type fixedFile struct{ vfs.File }
 
 const goldenBirth = "12 born 34.000000056"
 
 func (fixedFile) Birth() (string, error) { return goldenBirth, nil }
 
-func (d fixedBirth) Create(path string) (disk.File, error) {
+func (d fixedBirth) Create(path string) (vfs.File, error) {
 	f, err := d.Real.Create(path)
 	return fixedFile{f}, err
 }
@@ -159,10 +159,10 @@
 func TestGoldenFolder(t *testing.T) {
 	one := uint64(1)
 	vote, commit, term := uint64(5), uint64(41), uint64(4)
-	for name, d := range map[string]*agree.Disk{
+	for name, d := range map[string]*consensus.Disk{
 		"voter":    {ID: 1<<63 + 9, Hard: &pb.HardState{Term: &term, Vote: &vote, Commit: &commit}, Snap: goldenSnapshot(), Entries: []*pb.Entry{goldenEntry(41), goldenEntry(42)}, Held: goldenHeld()},
 		"follower": {Held: goldenHeld()},
-		"first":    agree.Found("n1", []string{"n1", "n2", "n3"}),
+		"first":    consensus.Found("n1", []string{"n1", "n2", "n3"}),
 		"log-only": {ID: 7, Hard: &pb.HardState{Term: &one}, Entries: []*pb.Entry{goldenEntry(1)}},
 	} {
 		path := filepath.Join(t.TempDir(), name)
@@ -191,7 +191,7 @@
 		b, err = os.ReadFile(filepath.Join(path, "agreed.json"))
 		require.NoError(t, err)
 		require.Equal(t, string(stored), string(b), name)
-		names, err := disk.Real{}.Names(path)
+		names, err := vfs.Real{}.Names(path)
 		require.NoError(t, err)
 		require.Equal(t, []string{"agreed.json", "agreed.lock"}, names)
 		f.Close()
@@ -203,18 +203,18 @@
 	t     *testing.T
 	now   float64
 	names []string
-	nodes map[string]*agree.Node
-	kept  map[string]*agree.Disk
+	nodes map[string]*consensus.Node
+	kept  map[string]*consensus.Disk
 	cut   map[string]bool
 	notes bytes.Buffer
 }
 
 func (c *goldenCluster) start(name string, instance uint64) {
-	n, err := agree.New(agree.Config{Name: name, Instance: instance, Voters: c.names[:3], Lease: 200, Drift: 0.01, Pace: 30, Election: 50, Format: 1, Seed: 7,
-		Limits: agree.Rules{"tries": 1.0, "class.a.bound_ms": 50.0, "database.d.group": 0.0},
-		Desk:   owner.DeskConfig{Stall: 400, Tenure: 200, Back: 2000, Young: 500, Again: 50}}, c.kept[name], c.now)
+	n, err := consensus.New(consensus.Config{Name: name, Instance: instance, Voters: c.names[:3], Lease: 200, Drift: 0.01, Pace: 30, Election: 50, Format: 1, Seed: 7,
+		Limits: consensus.Rules{"tries": 1.0, "class.a.bound_ms": 50.0, "database.d.group": 0.0},
+		Desk:   jobs.DeskConfig{Stall: 400, Tenure: 200, Back: 2000, Young: 500, Again: 50}}, c.kept[name], c.now)
 	require.NoError(c.t, err)
-	n.SetReport(owner.Report{Kinds: []string{"k"}, Willing: true, Sound: true, Zone: "z", Up: 1000, Reach: []uint64{1}})
+	n.SetReport(jobs.Report{Kinds: []string{"k"}, Willing: true, Sound: true, Zone: "z", Up: 1000, Reach: []uint64{1}})
 	c.nodes[name] = n
 }
 
@@ -225,7 +225,7 @@
 }
 
 // take notes what a node wants done and returns its messages.
-func (c *goldenCluster) take(name string) []agree.Message {
+func (c *goldenCluster) take(name string) []consensus.Message {
 	out := c.nodes[name].Output()
 	if out.Save != nil {
 		c.kept[name] = out.Save
@@ -244,7 +244,7 @@
 	return out.Messages
 }
 
-func (c *goldenCluster) deliver(mail []agree.Message) {
+func (c *goldenCluster) deliver(mail []consensus.Message) {
 	for ; len(mail) > 0; mail = mail[1:] {
 		m := mail[0]
 		if n := c.nodes[m.To]; n != nil && !c.cut[m.From] && !c.cut[m.To] {
@@ -256,7 +256,7 @@
 
 func (c *goldenCluster) run(till float64) {
 	for ; c.now < till; c.now += 5 {
-		var mail []agree.Message
+		var mail []consensus.Message
 		for _, name := range c.names {
 			if n := c.nodes[name]; n != nil {
 				n.Tick(c.now)
@@ -280,12 +280,12 @@
 	return c.names[i]
 }
 
-func (c *goldenCluster) propose(at string, id uint64, rules agree.Rules) {
+func (c *goldenCluster) propose(at string, id uint64, rules consensus.Rules) {
 	require.NoError(c.t, c.nodes[at].Propose(c.now, id, rules))
 	c.deliver(c.take(at))
 }
 
-func (c *goldenCluster) enter(at string, id uint64, e owner.Entry, change agree.Rules) {
+func (c *goldenCluster) enter(at string, id uint64, e jobs.Entry, change consensus.Rules) {
 	require.NoError(c.t, c.nodes[at].Enter(c.now, id, e, change))
 	c.deliver(c.take(at))
 }
@@ -293,27 +293,27 @@
 // With one seed, nodes send and save the same bytes in the same order as an earlier program did: through an election,
 // versions, a job and its owner, a change of rules by that, a leader that is cut off, and a voter that lost its folder.
 func TestGoldenConversation(t *testing.T) {
-	c := &goldenCluster{t: t, names: []string{"n1", "n2", "n3", "n4"}, nodes: map[string]*agree.Node{}, kept: map[string]*agree.Disk{}, cut: map[string]bool{}}
+	c := &goldenCluster{t: t, names: []string{"n1", "n2", "n3", "n4"}, nodes: map[string]*consensus.Node{}, kept: map[string]*consensus.Disk{}, cut: map[string]bool{}}
 	for i, name := range c.names {
 		if i < 3 {
-			c.kept[name] = agree.Found(name, c.names[:3])
+			c.kept[name] = consensus.Found(name, c.names[:3])
 		}
 		c.start(name, uint64(i+1))
 	}
 	c.run(400)
-	c.propose("n4", 11, agree.Rules{"tries": 3.0, "database.d.group": 1.0})
-	c.propose("n1", 12, agree.Rules{"tries": 4.0}) // before the first is in force
+	c.propose("n4", 11, consensus.Rules{"tries": 3.0, "database.d.group": 1.0})
+	c.propose("n1", 12, consensus.Rules{"tries": 4.0}) // before the first is in force
 	c.run(600)
-	c.propose("n4", 11, agree.Rules{"tries": 3.0, "database.d.group": 1.0}) // again: counted once
-	c.propose("n2", 13, agree.Rules{"host.h.closed": true})                 // beyond the limits
-	c.enter("n4", 21, owner.Entry{Op: owner.Create, Work: "w", Kind: "k", Needs: []uint64{1}}, nil)
+	c.propose("n4", 11, consensus.Rules{"tries": 3.0, "database.d.group": 1.0}) // again: counted once
+	c.propose("n2", 13, consensus.Rules{"host.h.closed": true})                 // beyond the limits
+	c.enter("n4", 21, jobs.Entry{Op: jobs.Create, Work: "w", Kind: "k", Needs: []uint64{1}}, nil)
 	c.run(900)
 	work := c.nodes[c.leader()].Grip().Works["w"]
 	require.NotEmpty(t, work.Owner)
-	c.enter(work.Owner, 22, owner.Entry{Op: owner.Announce, Work: "w", Token: work.Token, Deed: &owner.Deed{Number: 1, Name: "d"}}, nil)
+	c.enter(work.Owner, 22, jobs.Entry{Op: jobs.Announce, Work: "w", Token: work.Token, Deed: &jobs.Deed{Number: 1, Name: "d"}}, nil)
 	c.run(950)
-	c.enter(work.Owner, 23, owner.Entry{Op: owner.Act, Work: "w", Token: work.Token, Deed: &owner.Deed{Number: 1, Name: "d"}}, agree.Rules{"class.a.bound_ms": 100.0})
-	c.enter(work.Owner, 24, owner.Entry{Op: owner.Act, Work: "w", Token: work.Token + 1}, agree.Rules{"tries": 1.0})
+	c.enter(work.Owner, 23, jobs.Entry{Op: jobs.Act, Work: "w", Token: work.Token, Deed: &jobs.Deed{Number: 1, Name: "d"}}, consensus.Rules{"class.a.bound_ms": 100.0})
+	c.enter(work.Owner, 24, jobs.Entry{Op: jobs.Act, Work: "w", Token: work.Token + 1}, consensus.Rules{"tries": 1.0})
 	c.run(1300)
 	old := c.leader()
 	c.cut[old] = true
@@ -328,7 +328,7 @@
 	require.Len(t, c.nodes[c.leader()].Voters(), 3)
 	require.NotEmpty(t, c.nodes[c.leader()].Voters()[c.kept[lost].ID])
 	for i := range 300 { // more than is kept before a snapshot
-		c.enter("n4", uint64(1000+i), owner.Entry{Op: owner.Say, Work: "w", Word: &owner.Word{Say: "go", Step: 99}}, nil)
+		c.enter("n4", uint64(1000+i), jobs.Entry{Op: jobs.Say, Work: "w", Word: &jobs.Word{Say: "go", Step: 99}}, nil)
 	}
 	c.run(3300)
 	golden(t, "conversation.txt", c.notes.Bytes())
--- a/internal/cluster/agree/runner/runner.go
+++ b/internal/cluster/consensus/runner/runner.go
@@ -17,19 +17,19 @@
 	"google.golang.org/protobuf/proto"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/cluster/agree"
-	"ashstand/internal/cluster/owner"
-	"ashstand/internal/disk"
+	"ashstand/internal/cluster/consensus"
+	"ashstand/internal/cluster/jobs"
+	"ashstand/internal/vfs"
 )
 
 // Options are what a runner needs.
 type Options struct {
-	Config  agree.Config
-	Folder  string    // "": nothing is kept; such a pooler can't vote
-	Disk    disk.Disk // nil: the operating system's
+	Config  consensus.Config
+	Folder  string   // "": nothing is kept; such a pooler can't vote
+	Disk    vfs.Disk // nil: the operating system's
 	Clock   clock.Clock
 	Send    func(to string, b []byte) // never waits; what can't be sent is lost
-	Changed func(agree.Acting)        // told whenever what is acted on changes; nil: nobody
+	Changed func(consensus.Acting)    // told whenever what is acted on changes; nil: nobody
 	Leased  func(left float64)        // told of each lease, and of going on without one; for the laboratory; nil: nobody
 }
 
@@ -44,11 +44,11 @@
 type Runner struct {
 	o      Options
 	folder *Folder
-	grip   atomic.Pointer[agree.Grip]
-	inbox  chan agree.Message
+	grip   atomic.Pointer[consensus.Grip]
+	inbox  chan consensus.Message
 	calls  chan call
 	views  chan chan View
-	report chan owner.Report
+	report chan jobs.Report
 	ended  chan struct{}
 	done   sync.WaitGroup
 
@@ -58,40 +58,40 @@
 
 type call struct {
 	id     uint64
-	rules  agree.Rules  // a version
-	entry  *owner.Entry // or a line about a work
-	change agree.Rules
+	rules  consensus.Rules // a version
+	entry  *jobs.Entry     // or a line about a work
+	change consensus.Rules
 	drop   bool // nobody waits any more
-	reply  chan agree.Message
+	reply  chan consensus.Message
 }
 
 // View is what operators see.
 type View struct {
-	On       bool              `json:"on"`
-	Acting   agree.Acting      `json:"acting"`
-	Lease    float64           `json:"lease_left_ms"`
-	Leading  bool              `json:"leading"`
-	Voters   map[uint64]string `json:"voters"`
-	Versions []agree.Version   `json:"versions"`
-	Steady   float64           `json:"bound_ms"`
-	Change   float64           `json:"bound_with_new_leader_ms"`
-	Lost     int64             `json:"messages_lost"`
-	Foreign  int64             `json:"messages_unread"`
-	Failed   int64             `json:"saves_failed"`
+	On       bool                `json:"on"`
+	Acting   consensus.Acting    `json:"acting"`
+	Lease    float64             `json:"lease_left_ms"`
+	Leading  bool                `json:"leading"`
+	Voters   map[uint64]string   `json:"voters"`
+	Versions []consensus.Version `json:"versions"`
+	Steady   float64             `json:"bound_ms"`
+	Change   float64             `json:"bound_with_new_leader_ms"`
+	Lost     int64               `json:"messages_lost"`
+	Foreign  int64               `json:"messages_unread"`
+	Failed   int64               `json:"saves_failed"`
 }
 
 // Start runs a node on what its folder holds.
 func Start(o Options) (*Runner, error) {
-	r := &Runner{o: o, inbox: make(chan agree.Message, inboxMost), calls: make(chan call), views: make(chan chan View), report: make(chan owner.Report, 1), ended: make(chan struct{})}
+	r := &Runner{o: o, inbox: make(chan consensus.Message, inboxMost), calls: make(chan call), views: make(chan chan View), report: make(chan jobs.Report, 1), ended: make(chan struct{})}
 	if o.Folder == "" && slices.Contains(o.Config.Voters, o.Config.Name) {
-		return nil, &agree.NoFolder{Name: o.Config.Name}
+		return nil, &consensus.NoFolder{Name: o.Config.Name}
 	}
-	var kept *agree.Disk
+	var kept *consensus.Disk
 	var unkept error
 	if o.Folder != "" {
 		var err error
 		if o.Disk == nil {
-			o.Disk = disk.Real{}
+			o.Disk = vfs.Real{}
 		}
 		if r.folder, err = Open(o.Disk, o.Folder); err != nil {
 			return nil, err
@@ -103,7 +103,7 @@
 			return nil, err
 		}
 	}
-	n, err := agree.New(o.Config, kept, o.Clock.Now())
+	n, err := consensus.New(o.Config, kept, o.Clock.Now())
 	if err != nil {
 		if r.folder != nil {
 			r.folder.Close()
@@ -132,7 +132,7 @@
 }
 
 // Acting is what to go by now.
-func (r *Runner) Acting() agree.Acting { return r.grip.Load().Acting(r.o.Clock.Now()) }
+func (r *Runner) Acting() consensus.Acting { return r.grip.Load().Acting(r.o.Clock.Now()) }
 
 // Receive takes a message from another pooler. It never waits.
 func (r *Runner) Receive(b []byte) {
@@ -149,7 +149,7 @@
 }
 
 // Propose brings rules in and waits until they stand in the log, or are refused.
-func (r *Runner) Propose(ctx context.Context, rules agree.Rules) (version int, err error) {
+func (r *Runner) Propose(ctx context.Context, rules consensus.Rules) (version int, err error) {
 	if err := rules.Check(); err != nil {
 		return 0, err
 	}
@@ -159,7 +159,7 @@
 
 // Enter brings an entry about a work in and waits until it stands in the log, or is refused (*owner.Refusal). With change
 // it makes a version of the rules, whose number it returns. After any other error it may still come into the log.
-func (r *Runner) Enter(ctx context.Context, e owner.Entry, change agree.Rules) (version int, err error) {
+func (r *Runner) Enter(ctx context.Context, e jobs.Entry, change consensus.Rules) (version int, err error) {
 	if f := e.Check(); f != nil {
 		return 0, f
 	}
@@ -168,15 +168,15 @@
 }
 
 // ask has the node propose something and waits for what comes of it.
-func (r *Runner) ask(ctx context.Context, c call) (agree.Message, error) {
+func (r *Runner) ask(ctx context.Context, c call) (consensus.Message, error) {
 	begun := time.Now()
-	c.id, c.reply = rand.Uint64(), make(chan agree.Message, 1)
+	c.id, c.reply = rand.Uint64(), make(chan consensus.Message, 1)
 	select {
 	case r.calls <- c:
 	case <-ctx.Done():
-		return agree.Message{}, ctx.Err()
+		return consensus.Message{}, ctx.Err()
 	case <-r.ended:
-		return agree.Message{}, &agree.Ending{}
+		return consensus.Message{}, &consensus.Ending{}
 	}
 	select {
 	case a := <-c.reply:
@@ -184,7 +184,7 @@
 			return a, a.Refused
 		}
 		if !a.OK {
-			return a, &agree.Refused{Why: a.Why}
+			return a, &consensus.Refused{Why: a.Why}
 		}
 		return a, nil
 	case <-ctx.Done():
@@ -192,14 +192,14 @@
 		case r.calls <- call{id: c.id, drop: true}:
 		case <-r.ended:
 		}
-		return agree.Message{}, &agree.NoLeader{Waited: time.Since(begun), Err: ctx.Err()}
+		return consensus.Message{}, &consensus.NoLeader{Waited: time.Since(begun), Err: ctx.Err()}
 	case <-r.ended:
-		return agree.Message{}, &agree.Ending{Doubt: true}
+		return consensus.Message{}, &consensus.Ending{Doubt: true}
 	}
 }
 
 // Report tells the leader what this pooler says of itself, with the next renewals.
-func (r *Runner) Report(o owner.Report) {
+func (r *Runner) Report(o jobs.Report) {
 	select {
 	case <-r.report: // one that was not taken yet is out of date
 	default:
@@ -214,7 +214,7 @@
 func (r *Runner) Sound() bool { return !r.away.Load() }
 
 // Grip is what is held now.
-func (r *Runner) Grip() *agree.Grip { return r.grip.Load() }
+func (r *Runner) Grip() *consensus.Grip { return r.grip.Load() }
 
 // View returns it.
 func (r *Runner) View() View {
@@ -228,11 +228,11 @@
 }
 
 // run is the only goroutine that touches the node.
-func (r *Runner) run(n *agree.Node) {
+func (r *Runner) run(n *consensus.Node) {
 	tick := time.NewTicker(clock.Duration(r.o.Config.Election / 20))
 	defer tick.Stop()
-	open := map[uint64]chan agree.Message{}
-	var last *agree.Basis // that Changed was told of; nil: none yet
+	open := map[uint64]chan consensus.Message{}
+	var last *consensus.Basis // that Changed was told of; nil: none yet
 	var until, warned float64
 	var away time.Time // since its folder could not be written
 	for {
@@ -255,7 +255,7 @@
 		case c := <-r.calls:
 			if now = r.o.Clock.Now(); n == nil {
 				if !c.drop {
-					c.reply <- agree.Message{Why: (&agree.NoFolder{Name: r.o.Config.Name}).Error()}
+					c.reply <- consensus.Message{Why: (&consensus.NoFolder{Name: r.o.Config.Name}).Error()}
 				}
 				continue
 			}
@@ -272,7 +272,7 @@
 				err = n.Propose(now, c.id, c.rules)
 			}
 			if err != nil {
-				c.reply <- agree.Message{Why: err.Error()}
+				c.reply <- consensus.Message{Why: err.Error()}
 				delete(open, c.id)
 			}
 		case o := <-r.report:
@@ -306,7 +306,7 @@
 
 // carry does what the node wants done; false: it could not be saved, so nothing of it has happened, and the node ends as
 // if its process had.
-func (r *Runner) carry(n *agree.Node, open map[uint64]chan agree.Message) bool {
+func (r *Runner) carry(n *consensus.Node, open map[uint64]chan consensus.Message) bool {
 	out := n.Output()
 	if out.Save != nil && r.folder != nil {
 		begun := time.Now()
@@ -347,7 +347,7 @@
 }
 
 // load reads the folder; with one that is a copy or spoilt the node goes on under a new identity.
-func (r *Runner) load() (*agree.Disk, error) {
+func (r *Runner) load() (*consensus.Disk, error) {
 	kept, err := r.folder.Load()
 	if errors.Is(err, ErrCopy) || errors.Is(err, ErrSpoilt) {
 		slog.Error("cluster: " + err.Error() + "; this pooler comes under a new identity")
@@ -357,12 +357,12 @@
 }
 
 // again starts the node once more on what its folder holds.
-func (r *Runner) again() *agree.Node {
+func (r *Runner) again() *consensus.Node {
 	kept, err := r.load()
 	if err != nil {
 		return nil
 	}
-	n, err := agree.New(r.o.Config, kept, r.o.Clock.Now())
+	n, err := consensus.New(r.o.Config, kept, r.o.Clock.Now())
 	if err != nil {
 		slog.Error("cluster: " + err.Error())
 		return nil
@@ -371,7 +371,7 @@
 	return n
 }
 
-func (r *Runner) view(n *agree.Node) View {
+func (r *Runner) view(n *consensus.Node) View {
 	now := r.o.Clock.Now()
 	g := r.grip.Load()
 	v := View{On: true, Acting: g.Acting(now), Lease: max(0, g.Until-now), Lost: r.lost.Load(), Foreign: r.foreign.Load(), Failed: r.failed.Load()}
@@ -384,12 +384,12 @@
 
 // wire is a message as it travels.
 type wire struct {
-	agree.Message
+	consensus.Message
 	Raft []byte `json:"Raft,omitempty"`
 }
 
 // Encode writes a message.
-func Encode(m agree.Message) ([]byte, error) {
+func Encode(m consensus.Message) ([]byte, error) {
 	w := wire{Message: m}
 	if m.Raft != nil {
 		b, err := proto.Marshal(m.Raft)
@@ -402,28 +402,28 @@
 }
 
 // Decode reads one. What no node would send is an error.
-func Decode(b []byte) (agree.Message, error) {
+func Decode(b []byte) (consensus.Message, error) {
 	var w wire
 	if len(b) > maxMessage {
-		return agree.Message{}, fmt.Errorf("a message of %d bytes", len(b))
+		return consensus.Message{}, fmt.Errorf("a message of %d bytes", len(b))
 	}
 	if err := json.Unmarshal(b, &w); err != nil {
-		return agree.Message{}, err
+		return consensus.Message{}, err
 	}
 	m := w.Message
 	if m.Raft = nil; w.Raft != nil {
 		m.Raft = &pb.Message{}
 		if err := proto.Unmarshal(w.Raft, m.Raft); err != nil {
-			return agree.Message{}, err
+			return consensus.Message{}, err
 		}
 	}
-	if (m.Kind == agree.MsgRaft) != (m.Raft != nil) || m.From == "" || m.Kind > agree.MsgWorks {
-		return agree.Message{}, fmt.Errorf("a message of kind %d that lacks a part", m.Kind)
+	if (m.Kind == consensus.MsgRaft) != (m.Raft != nil) || m.From == "" || m.Kind > consensus.MsgWorks {
+		return consensus.Message{}, fmt.Errorf("a message of kind %d that lacks a part", m.Kind)
 	}
-	for _, held := range []*agree.Version{&m.Version, &m.Held.Force, m.Held.Pending} {
+	for _, held := range []*consensus.Version{&m.Version, &m.Held.Force, m.Held.Pending} {
 		if held != nil {
 			if err := held.Rules.Check(); err != nil {
-				return agree.Message{}, err
+				return consensus.Message{}, err
 			}
 		}
 	}
--- a/internal/cluster/agree/runner/runner_test.go
+++ b/internal/cluster/consensus/runner/runner_test.go
@@ -16,23 +16,23 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/cluster/agree"
-	"ashstand/internal/cluster/owner"
-	"ashstand/internal/disk"
+	"ashstand/internal/cluster/consensus"
+	"ashstand/internal/cluster/jobs"
+	"ashstand/internal/vfs"
 )
 
 func TestFolder(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "a")
-	require.NoError(t, Found(disk.Real{}, path, "n1", []string{"n1", "n2", "n3"}))
-	require.ErrorContains(t, Found(disk.Real{}, path, "n1", []string{"n1"}), "something is kept there already")
-	f, err := Open(disk.Real{}, path)
+	require.NoError(t, Found(vfs.Real{}, path, "n1", []string{"n1", "n2", "n3"}))
+	require.ErrorContains(t, Found(vfs.Real{}, path, "n1", []string{"n1"}), "something is kept there already")
+	f, err := Open(vfs.Real{}, path)
 	require.NoError(t, err)
-	_, err = Open(disk.Real{}, path)
+	_, err = Open(vfs.Real{}, path)
 	require.ErrorIs(t, err, ErrThere)
 	d, err := f.Load()
 	require.NoError(t, err)
-	require.Equal(t, agree.Found("n1", []string{"n1", "n2", "n3"}).ID, d.ID)
-	d.Held.Force = agree.Version{N: 3, Rules: agree.Rules{"tries": 2.0}}
+	require.Equal(t, consensus.Found("n1", []string{"n1", "n2", "n3"}).ID, d.ID)
+	d.Held.Force = consensus.Version{N: 3, Rules: consensus.Rules{"tries": 2.0}}
 	require.NoError(t, f.Save(d))
 	again, err := f.Load()
 	require.NoError(t, err)
@@ -66,7 +66,7 @@
 	require.Nil(t, d)
 	require.NoError(t, err, "it was moved aside")
 	f.Close()
-	f, err = Open(disk.Real{}, path)
+	f, err = Open(vfs.Real{}, path)
 	require.NoError(t, err)
 	f.Close()
 }
@@ -113,8 +113,8 @@
 	w := &net{of: map[string]*Runner{}, down: map[string]bool{}}
 	folders := map[string]string{}
 	start := func(name string, instance uint64) {
-		r, err := Start(Options{Folder: folders[name], Clock: clock.System(), Send: w.send(name), Config: agree.Config{Name: name, Instance: instance, Voters: voters,
-			Lease: 600, Drift: 0.05, Pace: 60, Election: 150, Format: 1, Limits: agree.Rules{"tries": 1.0}, Seed: instance}})
+		r, err := Start(Options{Folder: folders[name], Clock: clock.System(), Send: w.send(name), Config: consensus.Config{Name: name, Instance: instance, Voters: voters,
+			Lease: 600, Drift: 0.05, Pace: 60, Election: 150, Format: 1, Limits: consensus.Rules{"tries": 1.0}, Seed: instance}})
 		require.NoError(t, err)
 		w.mu.Lock()
 		w.of[name] = r
@@ -123,7 +123,7 @@
 	for i, name := range []string{"n1", "n2", "n3", "n4"} {
 		folders[name] = filepath.Join(quick(t), name)
 		if name != "n4" {
-			require.NoError(t, Found(disk.Real{}, folders[name], name, voters))
+			require.NoError(t, Found(vfs.Real{}, folders[name], name, voters))
 		}
 		start(name, uint64(i+1))
 	}
@@ -144,7 +144,7 @@
 	propose := func(at string, tries float64) (int, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
 		defer cancel()
-		return w.of[at].Propose(ctx, agree.Rules{"tries": tries})
+		return w.of[at].Propose(ctx, consensus.Rules{"tries": tries})
 	}
 	inForce(0, "n1", "n2", "n3", "n4")
 	v, err := propose("n4", 5)
@@ -152,9 +152,9 @@
 	require.Equal(t, 1, v)
 	inForce(1, "n1", "n2", "n3", "n4")
 	require.Equal(t, 5.0, w.of["n2"].Acting().Rules["tries"])
-	_, err = w.of["n1"].Propose(context.Background(), agree.Rules{"tries": 0.0})
+	_, err = w.of["n1"].Propose(context.Background(), consensus.Rules{"tries": 0.0})
 	require.ErrorContains(t, err, "allowed is 1 to 16")
-	_, err = w.of["n1"].Propose(context.Background(), agree.Rules{"class.a.bound_ms": 5.0})
+	_, err = w.of["n1"].Propose(context.Background(), consensus.Rules{"class.a.bound_ms": 5.0})
 	require.ErrorContains(t, err, "stands in none", "nobody without a lease would keep to it")
 
 	// One that is cut off acts by its limits once its lease has run out, and the others go on without it.
@@ -173,7 +173,7 @@
 	inForce(v, "n3")
 	require.Eventually(t, func() bool {
 		x := w.of["n1"].View()
-		return len(x.Voters) == 3 && x.Voters[agree.Found("n3", voters).ID] == ""
+		return len(x.Voters) == 3 && x.Voters[consensus.Found("n3", voters).ID] == ""
 	}, 10*time.Second, 10*time.Millisecond, "its new identity has the old one's place")
 
 	// The majority gone: nothing can be changed, and the last one goes on by its limits.
@@ -182,8 +182,8 @@
 	require.Eventually(t, func() bool { return w.of["n3"].Acting().Lapsed }, 10*time.Second, 5*time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
-	_, err = w.of["n3"].Propose(ctx, agree.Rules{"tries": 2.0})
-	var none *agree.NoLeader
+	_, err = w.of["n3"].Propose(ctx, consensus.Rules{"tries": 2.0})
+	var none *consensus.NoLeader
 	require.ErrorAs(t, err, &none)
 	require.NotEmpty(t, none.Advice())
 	w.cut("n1", false)
@@ -194,16 +194,16 @@
 // A folder that can't be written is like a process that ended: nothing is sent or acted on that is not kept.
 func TestAFullDisk(t *testing.T) {
 	path := filepath.Join(quick(t), "a")
-	require.NoError(t, Found(disk.Real{}, path, "n1", []string{"n1"}))
-	r, err := Start(Options{Folder: path, Clock: clock.System(), Send: func(string, []byte) {}, Config: agree.Config{Name: "n1", Voters: []string{"n1"}, Lease: 300,
-		Pace: 30, Election: 60, Format: 1, Limits: agree.Rules{"tries": 1.0}}})
+	require.NoError(t, Found(vfs.Real{}, path, "n1", []string{"n1"}))
+	r, err := Start(Options{Folder: path, Clock: clock.System(), Send: func(string, []byte) {}, Config: consensus.Config{Name: "n1", Voters: []string{"n1"}, Lease: 300,
+		Pace: 30, Election: 60, Format: 1, Limits: consensus.Rules{"tries": 1.0}}})
 	require.NoError(t, err)
 	defer r.Stop()
 	require.Eventually(t, func() bool { return !r.Acting().Lapsed }, 5*time.Second, 5*time.Millisecond)
 	require.NoError(t, os.MkdirAll(filepath.Join(path, fileName+".new", "x"), 0o700)) // no file can be made there
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
-	_, err = r.Propose(ctx, agree.Rules{"tries": 2.0})
+	_, err = r.Propose(ctx, consensus.Rules{"tries": 2.0})
 	require.Error(t, err)
 	require.Eventually(t, func() bool { return r.Acting().Lapsed && r.View().Failed > 0 }, 5*time.Second, 5*time.Millisecond)
 	require.Equal(t, []int{0}, r.Acting().Versions)
@@ -213,23 +213,23 @@
 
 // unsynced is a disk whose syncs fail while it is told so: what is written can be read, but may be gone later.
 type unsynced struct {
-	disk.Real
+	vfs.Real
 	fails atomic.Bool
 }
 
 type unsyncedFile struct {
-	disk.File
+	vfs.File
 	on *unsynced
 }
 
-func (d *unsynced) Create(path string) (disk.File, error) {
+func (d *unsynced) Create(path string) (vfs.File, error) {
 	f, err := d.Real.Create(path)
 	return unsyncedFile{f, d}, err
 }
 
 func (f unsyncedFile) Sync() error {
 	if f.on.fails.Load() {
-		return &disk.Error{Op: "sync", Path: "f", Err: syscall.EIO}
+		return &vfs.Error{Op: "sync", Path: "f", Err: syscall.EIO}
 	}
 	return f.File.Sync()
 }
@@ -263,8 +263,8 @@
 	require.ErrorIs(t, err, ErrUnkept, "a save has failed since")
 	f.Close()
 
-	r, err := Start(Options{Folder: path, Disk: on, Clock: clock.System(), Send: func(string, []byte) {}, Config: agree.Config{Name: "n1", Voters: []string{"n1"}, Lease: 300,
-		Pace: 30, Election: 60, Format: 1, Limits: agree.Rules{"tries": 1.0}}})
+	r, err := Start(Options{Folder: path, Disk: on, Clock: clock.System(), Send: func(string, []byte) {}, Config: consensus.Config{Name: "n1", Voters: []string{"n1"}, Lease: 300,
+		Pace: 30, Election: 60, Format: 1, Limits: consensus.Rules{"tries": 1.0}}})
 	require.NoError(t, err, "the pooler starts without the voter's part")
 	defer r.Stop()
 	v := r.View()
@@ -274,7 +274,7 @@
 }
 
 func TestMessagesThatMakeNoSense(t *testing.T) {
-	b, err := Encode(agree.Message{From: "n1", To: "n2", Kind: agree.MsgRenew, Nonce: 1<<63 + 1, Known: 3})
+	b, err := Encode(consensus.Message{From: "n1", To: "n2", Kind: consensus.MsgRenew, Nonce: 1<<63 + 1, Known: 3})
 	require.NoError(t, err)
 	m, err := Decode(b)
 	require.NoError(t, err)
@@ -291,13 +291,13 @@
 // nothing for as long as the disk is slow.
 func TestASlowDiskSlowsElections(t *testing.T) {
 	at := 1000.0
-	n, err := agree.New(agree.Config{Name: "n1", Voters: []string{"n1", "n2", "n3"}, Lease: 600, Pace: 60, Election: 100, Seed: 1}, agree.Found("n1", []string{"n1", "n2", "n3"}), at)
+	n, err := consensus.New(consensus.Config{Name: "n1", Voters: []string{"n1", "n2", "n3"}, Lease: 600, Pace: 60, Election: 100, Seed: 1}, consensus.Found("n1", []string{"n1", "n2", "n3"}), at)
 	require.NoError(t, err)
 	stands := func(within float64) bool {
 		for end := at + within; at < end; at += 10 {
 			n.Tick(at)
 			for _, m := range n.Output().Messages {
-				if m.Kind == agree.MsgRaft {
+				if m.Kind == consensus.MsgRaft {
 					return true
 				}
 			}
@@ -313,14 +313,14 @@
 
 // Whatever a node sends is read where it arrives, of every kind.
 func TestMessagesOfEveryKindAreRead(t *testing.T) {
-	for kind := agree.MsgRaft; kind <= agree.MsgWorks; kind++ {
-		m := agree.Message{From: "a", To: "b", Kind: kind}
-		if kind == agree.MsgRaft {
+	for kind := consensus.MsgRaft; kind <= consensus.MsgWorks; kind++ {
+		m := consensus.Message{From: "a", To: "b", Kind: kind}
+		if kind == consensus.MsgRaft {
 			to := uint64(3)
 			m.Raft = &pb.Message{To: &to}
 		}
-		if kind == agree.MsgWorks {
-			m.Epoch, m.Works = 3, []owner.Work{{Name: "w", Kind: "k", Owner: "b", Token: 7}}
+		if kind == consensus.MsgWorks {
+			m.Epoch, m.Works = 3, []jobs.Work{{Name: "w", Kind: "k", Owner: "b", Token: 7}}
 		}
 		b, err := Encode(m)
 		require.NoError(t, err)
--- a/internal/cluster/agree/works.go
+++ b/internal/cluster/consensus/works.go
@@ -1,4 +1,4 @@
-package agree
+package consensus
 
 import (
 	"encoding/json"
@@ -6,14 +6,14 @@
 	"maps"
 	"slices"
 
-	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/jobs"
 )
 
 // works are those of the ledger as a pooler was told of them: a copy that may be old, for its operators and for the works
 // that it owns itself. Nothing that is decided by it is safe without the token.
 type works struct {
 	epoch, count uint64
-	of           map[string]owner.Work // replaced, never changed
+	of           map[string]jobs.Work // replaced, never changed
 }
 
 const (
@@ -27,7 +27,7 @@
 	if m.Epoch == 0 || len(m.Works) == 0 && m.Epoch == w.epoch {
 		return
 	}
-	next := map[string]owner.Work{}
+	next := map[string]jobs.Work{}
 	if m.Epoch == w.epoch {
 		maps.Copy(next, w.of)
 	} else {
@@ -90,14 +90,14 @@
 }
 
 // SetReport tells what this pooler says of itself from now on.
-func (n *Node) SetReport(r owner.Report) { n.report = r }
+func (n *Node) SetReport(r jobs.Report) { n.report = r }
 
 // seenToken is the highest token that this pooler has seen, over its restarts.
-func (n *Node) seenToken() owner.Token { return n.held.Seen }
+func (n *Node) seenToken() jobs.Token { return n.held.Seen }
 
 // Enter brings an entry about a work in; the answer comes in some Output. With change, the entry's work, under its token,
 // makes a version of the rules in force with those keys changed.
-func (n *Node) Enter(now float64, id uint64, e owner.Entry, change Rules) error {
+func (n *Node) Enter(now float64, id uint64, e jobs.Entry, change Rules) error {
 	n.now = max(n.now, now)
 	if r := e.Check(); r != nil {
 		return r
@@ -165,8 +165,8 @@
 	if n.st.Epoch == 0 {
 		n.st.Epoch = x.ID | 1
 	}
-	if x.Change != nil && x.Work.Op != owner.Act {
-		d.Refused = &owner.Refusal{Reason: owner.Malformed, Work: x.Work.Work}
+	if x.Change != nil && x.Work.Op != jobs.Act {
+		d.Refused = &jobs.Refusal{Reason: jobs.Malformed, Work: x.Work.Work}
 		return d
 	}
 	n.st.Ledger.Loose = n.cfg.Break == "token"
@@ -198,7 +198,7 @@
 	if a.Version.N = d.N; d.Work {
 		a.Epoch, a.Held = n.st.Epoch, n.st.Held
 		if w := n.st.Ledger.Works[d.Name]; w != nil {
-			a.Works = []owner.Work{*w}
+			a.Works = []jobs.Work{*w}
 		}
 	}
 	if d.Refused != nil {
@@ -213,10 +213,10 @@
 		return
 	}
 	n.looked, n.counted = n.now, n.st.Ledger.Count
-	cands := make([]owner.Candidate, 0, len(n.holders))
+	cands := make([]jobs.Candidate, 0, len(n.holders))
 	for _, k := range slices.Sorted(maps.Keys(n.holders)) {
 		h := n.holders[k]
-		cands = append(cands, owner.Candidate{Name: h.name, Instance: h.instance, Until: h.until, Report: h.report})
+		cands = append(cands, jobs.Candidate{Name: h.name, Instance: h.instance, Until: h.until, Report: h.report})
 	}
 	for _, e := range n.desk.Tick(n.now, &n.st.Ledger, cands, n.now < n.safe) {
 		if b, err := json.Marshal(entry{ID: n.lots.Uint64(), Work: &e}); err == nil {
@@ -226,9 +226,9 @@
 }
 
 // named tells a work's new owner at once, rather than with its next lease.
-func (n *Node) named(e *owner.Entry) {
-	if w := n.st.Ledger.Works[e.Work]; n.leading && e.Op == owner.Assign && w != nil && w.Owner == e.To && w.Instance == e.Instance {
-		n.send(Message{To: e.To, Kind: MsgWorks, Epoch: n.st.Epoch, Held: n.st.Held, Works: []owner.Work{*w}})
+func (n *Node) named(e *jobs.Entry) {
+	if w := n.st.Ledger.Works[e.Work]; n.leading && e.Op == jobs.Assign && w != nil && w.Owner == e.To && w.Instance == e.Instance {
+		n.send(Message{To: e.To, Kind: MsgWorks, Epoch: n.st.Epoch, Held: n.st.Held, Works: []jobs.Work{*w}})
 	}
 }
 
--- a/internal/cluster/place/golden_test.go
+++ b/internal/cluster/fencing/golden_test.go
@@ -1,4 +1,4 @@
-package place
+package fencing
 
 import (
 	"bytes"
@@ -20,8 +20,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 
-	"ashstand/internal/cluster/owner"
-	"ashstand/lab/host"
+	"ashstand/internal/cluster/jobs"
+	"ashstand/testbed/host"
 )
 
 var updateGolden = flag.Bool("update-golden", false, "write the golden files anew")
@@ -173,7 +173,7 @@
 		{name: "row there", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 1"}}}},
 		{name: "row not there", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 0"}, {tag: "UPDATE 1"}}, "SELECT token": {{tag: "SELECT 0"}}, "INSERT": {{tag: "INSERT 0 1"}}}},
 		{name: "higher token", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 0"}}, "SELECT token": {{rows: [][]byte{[]byte("18")}, tag: "SELECT 1"}}},
-			want: &owner.Fenced{Place: "h1", Given: 17, Holds: 18}},
+			want: &jobs.Fenced{Place: "h1", Given: 17, Holds: 18}},
 		{name: "bounds", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 1"}}},
 			bounds: Bounds{Lock: 1500 * time.Microsecond, Statement: 2 * time.Second, Idle: 3 * time.Second}},
 		{name: "without the fence", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 1"}}}, unsafe: "fence"},
@@ -222,9 +222,9 @@
 		require.NoError(t, err)
 	}
 	var out bytes.Buffer
-	take := func(token owner.Token) {
+	take := func(token jobs.Token) {
 		err := client.Act(t.Context(), 1, "orders", "d1", token, "write", func(context.Context, *pgconn.PgConn) error { return nil })
-		var fenced *owner.Fenced
+		var fenced *jobs.Fenced
 		if errors.As(err, &fenced) {
 			fmt.Fprintf(&out, "token %d: fenced at %s by %d\n", fenced.Given, fenced.Place, fenced.Holds)
 		} else {
@@ -237,7 +237,7 @@
 			fmt.Fprintf(&out, "row %q\n", r)
 		}
 	}
-	for _, token := range []owner.Token{3, 3, 7, 5} {
+	for _, token := range []jobs.Token{3, 3, 7, 5} {
 		take(token)
 	}
 	requireGolden(t, "fence-row.txt", out.String())
--- a/internal/cluster/place/place.go
+++ b/internal/cluster/fencing/place.go
@@ -1,6 +1,6 @@
 // Package place is where works act on db hosts: a connection to a group's primary by SQL alone, and the fence row that
 // refuses the acts of an owner which has been replaced. It resends nothing by itself.
-package place
+package fencing
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/jobs"
 )
 
 // Host is a db host as discovery lists it.
@@ -173,7 +173,7 @@
 // Take makes a work's fence row hold a token, inside a transaction or by itself. A row with a higher one is a
 // *owner.Fenced. The row is locked until the transaction ends: an act of an older owner either was committed before, or
 // finds the higher token.
-func (c *Client) Take(ctx context.Context, conn *pgconn.PgConn, at, work string, token owner.Token) error {
+func (c *Client) Take(ctx context.Context, conn *pgconn.PgConn, at, work string, token jobs.Token) error {
 	t := strconv.FormatUint(uint64(token), 10)
 	for range 2 {
 		sql := "UPDATE ashstand.fence SET token = $2 WHERE work = $1 AND token <= $2"
@@ -188,15 +188,15 @@
 		if err != nil {
 			return err
 		}
-		if h, err := strconv.ParseUint(holds, 10, 64); err == nil && owner.Token(h) > token {
-			return &owner.Fenced{Place: at, Given: token, Holds: owner.Token(h)}
+		if h, err := strconv.ParseUint(holds, 10, 64); err == nil && jobs.Token(h) > token {
+			return &jobs.Fenced{Place: at, Given: token, Holds: jobs.Token(h)}
 		}
 		_, _, err = Exec(ctx, conn, "INSERT INTO ashstand.fence (work, token) VALUES ($1, $2) ON CONFLICT DO NOTHING", work, t)
 		if err != nil {
 			return err
 		}
 	}
-	return &owner.Fenced{Place: at, Given: token}
+	return &jobs.Fenced{Place: at, Given: token}
 }
 
 // Bounds are how long a host lets a connection wait or hold on; 0: as long as it takes.
@@ -216,19 +216,19 @@
 
 // Act does something at a group's primary in one transaction whose first act takes the fence. An error that the host did
 // not word is an *Unreached: the transaction may have been committed.
-func (c *Client) Act(ctx context.Context, group uint64, database, work string, token owner.Token, what string, do func(ctx context.Context, conn *pgconn.PgConn) error) error {
+func (c *Client) Act(ctx context.Context, group uint64, database, work string, token jobs.Token, what string, do func(ctx context.Context, conn *pgconn.PgConn) error) error {
 	return c.ActWithin(ctx, Bounds{}, group, database, work, token, what, do)
 }
 
 // ActWithin is Act within bounds that the host keeps, also where who acts has died or can't be reached any more.
-func (c *Client) ActWithin(ctx context.Context, b Bounds, group uint64, database, work string, token owner.Token, what string, do func(ctx context.Context, conn *pgconn.PgConn) error) error {
+func (c *Client) ActWithin(ctx context.Context, b Bounds, group uint64, database, work string, token jobs.Token, what string, do func(ctx context.Context, conn *pgconn.PgConn) error) error {
 	conn, h, err := c.Primary(ctx, group, database)
 	if err != nil {
 		return err
 	}
 	defer Close(conn)
 	step := func(err error) error {
-		var fenced *owner.Fenced
+		var fenced *jobs.Fenced
 		if _, worded := Worded(err); err == nil || worded || errors.As(err, &fenced) {
 			return err
 		}
--- a/internal/cluster/owner/doing/doing.go
+++ b/internal/cluster/jobs/executor/doing.go
@@ -1,6 +1,6 @@
 // Package doing carries out the works that this pooler owns: it announces a deed in the log, has it done, and proves it.
 // It acts only under a lease; what refuses an old owner is the token, at each place.
-package doing
+package executor
 
 import (
 	"context"
@@ -12,19 +12,19 @@
 	"sync/atomic"
 	"time"
 
-	"ashstand/internal/advice"
 	"ashstand/internal/clock"
-	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/jobs"
+	"ashstand/internal/remedy"
 )
 
 // Log is the agreed one, as a pooler sees it.
 type Log interface {
 	// Works are those of the ledger as they are known here, and until when, by the clock, this pooler may act.
-	Works() (of map[string]owner.Work, until float64)
+	Works() (of map[string]jobs.Work, until float64)
 	// Enter brings an entry in; a *owner.Refusal changed nothing, after any other error it may still come.
-	Enter(ctx context.Context, e owner.Entry) error
+	Enter(ctx context.Context, e jobs.Entry) error
 	// Report is told to whoever names owners.
-	Report(owner.Report)
+	Report(jobs.Report)
 }
 
 // Options are what a doer needs. Times are in milliseconds.
@@ -32,16 +32,16 @@
 	Name     string
 	Instance uint64
 	Zone     string
-	Kinds    map[string]owner.Kind
+	Kinds    map[string]jobs.Kind
 	Log      Log
 	Clock    clock.Clock
-	Pace     float64                          // between two looks
-	Deed     float64                          // a deed that takes longer is in doubt, and looked for
-	Reach    func() (reach, near []uint64)    // groups whose primary answers; nil: none
-	Load     func() float64                   // nil: 0
-	Sound    func() bool                      // nil: yes
-	Deaf     bool                             // an act that has begun is not cut short by the end of the lease: for the laboratory, as if the process were stopped in it
-	Trace    func(event string, w owner.Work) // for the laboratory; nil: nobody
+	Pace     float64                         // between two looks
+	Deed     float64                         // a deed that takes longer is in doubt, and looked for
+	Reach    func() (reach, near []uint64)   // groups whose primary answers; nil: none
+	Load     func() float64                  // nil: 0
+	Sound    func() bool                     // nil: yes
+	Deaf     bool                            // an act that has begun is not cut short by the end of the lease: for the laboratory, as if the process were stopped in it
+	Trace    func(event string, w jobs.Work) // for the laboratory; nil: nobody
 }
 
 // Doer is running. Its methods are safe for concurrent use.
@@ -60,13 +60,13 @@
 
 // at is a work that this process is at.
 type at struct {
-	token  owner.Token
+	token  jobs.Token
 	cancel context.CancelFunc
 	over   chan struct{}
-	wait   string         // what it waits for, for operators
-	says   []owner.Option // the words that could be given
-	err    error          // of the last try; nil: it went well
-	seen   float64        // when a place answered last
+	wait   string        // what it waits for, for operators
+	says   []jobs.Option // the words that could be given
+	err    error         // of the last try; nil: it went well
+	seen   float64       // when a place answered last
 }
 
 // Start looks for works that this process owns, until Stop.
@@ -131,7 +131,7 @@
 }
 
 // mine says whether a work is this process's, under a token.
-func (d *Doer) mine(w owner.Work) bool {
+func (d *Doer) mine(w jobs.Work) bool {
 	return !w.Ended && w.Owner == d.o.Name && w.Instance == d.o.Instance
 }
 
@@ -175,7 +175,7 @@
 // tell says what this pooler is, for whoever names owners.
 func (d *Doer) tell() {
 	o := &d.o
-	r := owner.Report{Kinds: slices.Sorted(maps.Keys(o.Kinds)), Willing: !d.leaving.Load(), Sound: o.Sound == nil || o.Sound(), Zone: o.Zone, Up: o.Clock.Now() - d.begun}
+	r := jobs.Report{Kinds: slices.Sorted(maps.Keys(o.Kinds)), Willing: !d.leaving.Load(), Sound: o.Sound == nil || o.Sound(), Zone: o.Zone, Up: o.Clock.Now() - d.begun}
 	if o.Load != nil {
 		r.Load = o.Load()
 	}
@@ -204,14 +204,14 @@
 	}
 }
 
-func (d *Doer) trace(event string, w owner.Work) {
+func (d *Doer) trace(event string, w jobs.Work) {
 	if d.o.Trace != nil {
 		d.o.Trace(event, w)
 	}
 }
 
 // enter brings an entry in within the time of a deed.
-func (d *Doer) enter(ctx context.Context, e owner.Entry) error {
+func (d *Doer) enter(ctx context.Context, e jobs.Entry) error {
 	ctx, cancel := context.WithTimeout(ctx, clock.Duration(d.o.Deed))
 	defer cancel()
 	return d.o.Log.Enter(ctx, e)
@@ -219,7 +219,7 @@
 
 // known waits until the copy of a work has got to a step beyond what was there, or ctx ends: what an entry came to may be
 // known to its answer before the copy has it.
-func (d *Doer) known(ctx context.Context, name string, past func(owner.Work) bool) {
+func (d *Doer) known(ctx context.Context, name string, past func(jobs.Work) bool) {
 	for end := d.o.Clock.Now() + 2*d.o.Deed; ctx.Err() == nil && d.o.Clock.Now() < end; {
 		works, _ := d.o.Log.Works()
 		if w, ok := works[name]; !ok || past(w) {
@@ -230,7 +230,7 @@
 }
 
 // serve does one work, until it is another's or the lease ends.
-func (d *Doer) serve(ctx context.Context, name string, a *at, k owner.Kind) {
+func (d *Doer) serve(ctx context.Context, name string, a *at, k jobs.Kind) {
 	slog.Info("cluster: this pooler owns the work "+name, "token", a.token)
 	defer func() { slog.Info("cluster: this pooler lets go of the work "+name, "token", a.token) }()
 	var seen any
@@ -253,8 +253,8 @@
 			continue
 		}
 		if d.leaving.Load() {
-			err := d.enter(ctx, owner.Entry{Op: owner.Resign, Work: name, Token: a.token})
-			var f *owner.Refusal
+			err := d.enter(ctx, jobs.Entry{Op: jobs.Resign, Work: name, Token: a.token})
+			var f *jobs.Refusal
 			if err == nil || errors.As(err, &f) {
 				return
 			}
@@ -296,11 +296,11 @@
 }
 
 // act announces a deed, does it, and proves it. An error leaves the deed to settle, if it was announced.
-func (d *Doer) act(ctx context.Context, w *owner.Work, step owner.Step, a *at, k owner.Kind) error {
-	deed := owner.Deed{Number: w.Next(), Name: step.Deed, Data: step.Data}
-	err := d.enter(ctx, owner.Entry{Op: owner.Announce, Work: w.Name, Token: a.token, Step: w.Step, Deed: &deed, Word: step.Took})
+func (d *Doer) act(ctx context.Context, w *jobs.Work, step jobs.Step, a *at, k jobs.Kind) error {
+	deed := jobs.Deed{Number: w.Next(), Name: step.Deed, Data: step.Data}
+	err := d.enter(ctx, jobs.Entry{Op: jobs.Announce, Work: w.Name, Token: a.token, Step: w.Step, Deed: &deed, Word: step.Took})
 	if err != nil { // unless it was refused it may yet come into the log, and is settled then
-		d.known(ctx, w.Name, func(now owner.Work) bool { return now.Changed > w.Changed })
+		d.known(ctx, w.Name, func(now jobs.Work) bool { return now.Changed > w.Changed })
 		return err
 	}
 	deed.Token = a.token
@@ -317,7 +317,7 @@
 	if err != nil {
 		d.trace("failed "+deed.ID(w.Name)+": "+err.Error(), announced)
 		d.raise(ctx, w, err)
-		d.known(ctx, w.Name, func(now owner.Work) bool { return now.Deed != nil || now.Step > w.Step })
+		d.known(ctx, w.Name, func(now jobs.Work) bool { return now.Deed != nil || now.Step > w.Step })
 		return err
 	}
 	d.trace("acted "+deed.ID(w.Name), announced)
@@ -325,7 +325,7 @@
 }
 
 // settle finds out whether a deed was done.
-func (d *Doer) settle(ctx context.Context, w *owner.Work, a *at, k owner.Kind) error {
+func (d *Doer) settle(ctx context.Context, w *jobs.Work, a *at, k jobs.Kind) error {
 	looking, cancel := context.WithTimeout(ctx, clock.Duration(d.o.Deed))
 	done, p, err := k.Look(looking, w, w.Deed)
 	cancel()
@@ -338,28 +338,28 @@
 		return d.prove(ctx, w, w.Deed, a, p)
 	}
 	d.trace("found not done "+w.Deed.ID(w.Name), *w)
-	err = d.enter(ctx, owner.Entry{Op: owner.Void, Work: w.Name, Token: a.token, Deed: &owner.Deed{Number: w.Deed.Number, Name: w.Deed.Name}})
-	d.known(ctx, w.Name, func(now owner.Work) bool { return now.Deed == nil || now.Deed.Number != w.Deed.Number })
+	err = d.enter(ctx, jobs.Entry{Op: jobs.Void, Work: w.Name, Token: a.token, Deed: &jobs.Deed{Number: w.Deed.Number, Name: w.Deed.Name}})
+	d.known(ctx, w.Name, func(now jobs.Work) bool { return now.Deed == nil || now.Deed.Number != w.Deed.Number })
 	return err
 }
 
 // prove says in the log that a deed is done.
-func (d *Doer) prove(ctx context.Context, w *owner.Work, deed *owner.Deed, a *at, p owner.Proof) error {
-	err := d.enter(ctx, owner.Entry{Op: owner.Prove, Work: w.Name, Token: a.token, Deed: &owner.Deed{Number: deed.Number, Name: deed.Name}, State: p.State,
+func (d *Doer) prove(ctx context.Context, w *jobs.Work, deed *jobs.Deed, a *at, p jobs.Proof) error {
+	err := d.enter(ctx, jobs.Entry{Op: jobs.Prove, Work: w.Name, Token: a.token, Deed: &jobs.Deed{Number: deed.Number, Name: deed.Name}, State: p.State,
 		Ended: p.Ended, Why: p.Why})
 	if err == nil {
 		d.trace("proved "+deed.ID(w.Name), *w)
 	}
-	d.known(ctx, w.Name, func(now owner.Work) bool { return now.Step > w.Step || now.Ended })
+	d.known(ctx, w.Name, func(now jobs.Work) bool { return now.Step > w.Step || now.Ended })
 	return err
 }
 
 // raise tells the log of a higher token that a place has seen.
-func (d *Doer) raise(ctx context.Context, w *owner.Work, err error) {
-	var f *owner.Fenced
+func (d *Doer) raise(ctx context.Context, w *jobs.Work, err error) {
+	var f *jobs.Fenced
 	if errors.As(err, &f) && f.Holds > w.Token {
 		d.trace("fenced at "+f.Place, *w)
-		_ = d.enter(ctx, owner.Entry{Op: owner.Raise, Work: w.Name, Token: f.Holds})
+		_ = d.enter(ctx, jobs.Entry{Op: jobs.Raise, Work: w.Name, Token: f.Holds})
 	}
 }
 
@@ -390,12 +390,12 @@
 
 // View is what operators see of a work that this process is at.
 type View struct {
-	Wait string         `json:"waits_for,omitempty"`
-	Says []owner.Option `json:"words,omitempty"`
-	Err  string         `json:"error,omitempty"`
-	Code string         `json:"code,omitempty"`
-	Do   string         `json:"advice,omitempty"`
-	Seen float64        `json:"answered_at_ms,omitempty"`
+	Wait string        `json:"waits_for,omitempty"`
+	Says []jobs.Option `json:"words,omitempty"`
+	Err  string        `json:"error,omitempty"`
+	Code string        `json:"code,omitempty"`
+	Do   string        `json:"advice,omitempty"`
+	Seen float64       `json:"answered_at_ms,omitempty"`
 }
 
 // Views are of all that this process is at, by name.
@@ -407,7 +407,7 @@
 		v := View{Wait: a.wait, Says: a.says, Seen: a.seen}
 		if a.err != nil {
 			v.Err = a.err.Error()
-			if known := advice.Of(a.err); known != nil {
+			if known := remedy.Of(a.err); known != nil {
 				v.Code, v.Do = known.Code(), known.Advice()
 			}
 		}
--- a/internal/cluster/owner/doing/doing_test.go
+++ b/internal/cluster/jobs/executor/doing_test.go
@@ -1,4 +1,4 @@
-package doing
+package executor
 
 import (
 	"context"
@@ -13,21 +13,21 @@
 	"github.com/stretchr/testify/require"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/jobs"
 )
 
 // world is a log that answers at once, and one place with a fence.
 type world struct {
 	mu     sync.Mutex
-	ledger owner.Ledger
+	ledger jobs.Ledger
 	until  map[string]float64 // of leases
-	fence  owner.Token
+	fence  jobs.Token
 	rows   []string // deeds that the place has taken
 	late   int
-	frozen map[string]map[string]owner.Work // what a process that sleeps knows
+	frozen map[string]map[string]jobs.Work // what a process that sleeps knows
 }
 
-func (w *world) enter(e owner.Entry) error {
+func (w *world) enter(e jobs.Entry) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if r := w.ledger.Apply(e); r != nil {
@@ -36,7 +36,7 @@
 	return nil
 }
 
-func (w *world) work() owner.Work {
+func (w *world) work() jobs.Work {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return *w.ledger.Works["w"]
@@ -48,42 +48,42 @@
 	name string
 }
 
-func (l log) Works() (map[string]owner.Work, float64) {
+func (l log) Works() (map[string]jobs.Work, float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if f := l.frozen[l.name]; f != nil {
 		return f, l.until[l.name]
 	}
-	out := map[string]owner.Work{}
+	out := map[string]jobs.Work{}
 	for n, w := range l.ledger.Works {
 		out[n] = *w
 	}
 	return out, l.until[l.name]
 }
 
-func (l log) Enter(_ context.Context, e owner.Entry) error { return l.enter(e) }
-func (l log) Report(owner.Report)                          {}
+func (l log) Enter(_ context.Context, e jobs.Entry) error { return l.enter(e) }
+func (l log) Report(jobs.Report)                          {}
 
 // count writes rows until there are as many as its spec says.
 type count struct {
 	*world
-	hold  func(d *owner.Deed)       // before the act
-	after func(d *owner.Deed) error // after it, before its answer
+	hold  func(d *jobs.Deed)       // before the act
+	after func(d *jobs.Deed) error // after it, before its answer
 }
 
-func (c *count) Next(_ float64, w *owner.Work, _ any) owner.Step { return owner.Step{Deed: "row"} }
+func (c *count) Next(_ float64, w *jobs.Work, _ any) jobs.Step { return jobs.Step{Deed: "row"} }
 
-func (c *count) Watch(context.Context, *owner.Work) (any, error) { return nil, nil }
+func (c *count) Watch(context.Context, *jobs.Work) (any, error) { return nil, nil }
 
-func (c *count) take(t owner.Token) error {
+func (c *count) take(t jobs.Token) error {
 	if c.fence > t {
-		return &owner.Fenced{Place: "p", Given: t, Holds: c.fence}
+		return &jobs.Fenced{Place: "p", Given: t, Holds: c.fence}
 	}
 	c.fence = t
 	return nil
 }
 
-func (c *count) Do(_ context.Context, w *owner.Work, d *owner.Deed) (owner.Proof, error) {
+func (c *count) Do(_ context.Context, w *jobs.Work, d *jobs.Deed) (jobs.Proof, error) {
 	if c.hold != nil {
 		c.hold(d)
 	}
@@ -91,50 +91,50 @@
 	if err := c.take(w.Token); err != nil {
 		c.late++
 		c.mu.Unlock()
-		return owner.Proof{}, err
+		return jobs.Proof{}, err
 	}
 	c.rows = append(c.rows, d.ID(w.Name))
 	c.mu.Unlock()
 	if c.after != nil {
 		if err := c.after(d); err != nil {
-			return owner.Proof{}, err
+			return jobs.Proof{}, err
 		}
 	}
 	return proof(w), nil
 }
 
-func proof(w *owner.Work) owner.Proof {
+func proof(w *jobs.Work) jobs.Proof {
 	var want, is int
 	_ = json.Unmarshal(w.Spec, &want)
 	_ = json.Unmarshal(w.State, &is)
-	return owner.Proof{State: []byte(fmt.Sprint(is + 1)), Ended: is+1 >= want}
+	return jobs.Proof{State: []byte(fmt.Sprint(is + 1)), Ended: is+1 >= want}
 }
 
-func (c *count) Look(_ context.Context, w *owner.Work, d *owner.Deed) (bool, owner.Proof, error) {
+func (c *count) Look(_ context.Context, w *jobs.Work, d *jobs.Deed) (bool, jobs.Proof, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err := c.take(w.Token); err != nil {
-		return false, owner.Proof{}, err
+		return false, jobs.Proof{}, err
 	}
 	for _, r := range c.rows {
 		if r == d.ID(w.Name) {
 			return true, proof(w), nil
 		}
 	}
-	return false, owner.Proof{}, nil
+	return false, jobs.Proof{}, nil
 }
 
-func begin(t *testing.T, w *world, name string, instance uint64, k owner.Kind) *Doer {
+func begin(t *testing.T, w *world, name string, instance uint64, k jobs.Kind) *Doer {
 	w.until[name] = 1e18
-	d := Start(Options{Name: name, Instance: instance, Kinds: map[string]owner.Kind{"k": k}, Log: log{w, name}, Clock: clock.System(), Pace: 4, Deed: 2000})
+	d := Start(Options{Name: name, Instance: instance, Kinds: map[string]jobs.Kind{"k": k}, Log: log{w, name}, Clock: clock.System(), Pace: 4, Deed: 2000})
 	t.Cleanup(d.Stop)
 	return d
 }
 
 func newWorld(t *testing.T, rows int) *world {
-	w := &world{until: map[string]float64{}, frozen: map[string]map[string]owner.Work{}}
-	require.NoError(t, w.enter(owner.Entry{Op: owner.Create, Work: "w", Kind: "k", Spec: []byte(fmt.Sprint(rows))}))
-	require.NoError(t, w.enter(owner.Entry{Op: owner.Assign, Work: "w", To: "a", Instance: 1}))
+	w := &world{until: map[string]float64{}, frozen: map[string]map[string]jobs.Work{}}
+	require.NoError(t, w.enter(jobs.Entry{Op: jobs.Create, Work: "w", Kind: "k", Spec: []byte(fmt.Sprint(rows))}))
+	require.NoError(t, w.enter(jobs.Entry{Op: jobs.Assign, Work: "w", To: "a", Instance: 1}))
 	return w
 }
 
@@ -155,7 +155,7 @@
 	w := newWorld(t, 40)
 	n := 0
 	k := &count{world: w}
-	k.after = func(*owner.Deed) error {
+	k.after = func(*jobs.Deed) error {
 		if n++; n%3 == 0 {
 			return errors.New("the link broke")
 		}
@@ -170,7 +170,7 @@
 func TestAnOwnerThatWakesInTheMiddleOfADeed(t *testing.T) {
 	w := newWorld(t, 20)
 	asleep, wake := make(chan struct{}), make(chan struct{})
-	k := &count{world: w, hold: func(d *owner.Deed) {
+	k := &count{world: w, hold: func(d *jobs.Deed) {
 		if d.Number == 5 {
 			close(asleep)
 			<-wake
@@ -183,7 +183,7 @@
 	w.mu.Lock()
 	w.frozen["a"] = maps.Clone(was)
 	w.mu.Unlock()
-	require.NoError(t, w.enter(owner.Entry{Op: owner.Assign, Work: "w", Token: 1, To: "b", Instance: 2}))
+	require.NoError(t, w.enter(jobs.Entry{Op: jobs.Assign, Work: "w", Token: 1, To: "b", Instance: 2}))
 	begin(t, w, "b", 2, &count{world: w})
 	require.Eventually(t, func() bool { return w.work().Step > 10 }, 10*time.Second, time.Millisecond)
 	close(wake)
@@ -230,7 +230,7 @@
 	w.fence = 50
 	begin(t, w, "a", 1, &count{world: w})
 	require.Eventually(t, func() bool { return w.work().Owner == "" }, 5*time.Second, time.Millisecond)
-	require.NoError(t, w.enter(owner.Entry{Op: owner.Assign, Work: "w", Token: 1, To: "a", Instance: 1}))
+	require.NoError(t, w.enter(jobs.Entry{Op: jobs.Assign, Work: "w", Token: 1, To: "a", Instance: 1}))
 	ends(t, w, 3)
-	require.Equal(t, owner.Token(51), w.work().Token)
+	require.Equal(t, jobs.Token(51), w.work().Token)
 }
--- a/internal/cluster/owner/ledger.go
+++ b/internal/cluster/jobs/ledger.go
@@ -2,7 +2,7 @@
 // is what the agreed log says of works, and comes out alike wherever the log is applied; desk.go is the log leader's choice
 // of an owner; part.go is the owner's own side. No safety rests on a clock: a lease says when to stop trying, the token is
 // what refuses. docs/owner.md derives the times.
-package owner
+package jobs
 
 import (
 	"bytes"
--- a/internal/cluster/owner/drill/drill.go
+++ b/internal/cluster/jobs/noop/drill.go
@@ -1,6 +1,6 @@
 // Package drill is a kind of work that does nothing but prove that works can be done: one owner at a time writes one row
 // after another behind the fence of each group. Operators play it before they trust the fleet with a move.
-package drill
+package noop
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"ashstand/internal/cluster/owner"
-	"ashstand/internal/cluster/place"
+	"ashstand/internal/cluster/fencing"
+	"ashstand/internal/cluster/jobs"
 )
 
 // Name is the kind's.
@@ -69,12 +69,12 @@
 
 // Kind is an owner.Kind.
 type Kind struct {
-	Client *place.Client
+	Client *fencing.Client
 	Now    func() float64
 	Unsafe string // a guarantee that is switched off, to see its checker fail: "resume"
 }
 
-func read(w *owner.Work) (p Spec, s state, err error) {
+func read(w *jobs.Work) (p Spec, s state, err error) {
 	if err = json.Unmarshal(w.Spec, &p); err == nil && len(w.State) > 0 {
 		err = json.Unmarshal(w.State, &s)
 	}
@@ -85,53 +85,53 @@
 }
 
 // Next is Kind's.
-func (k *Kind) Next(now float64, w *owner.Work, _ any) owner.Step {
+func (k *Kind) Next(now float64, w *jobs.Work, _ any) jobs.Step {
 	p, s, err := read(w)
 	if err != nil {
-		return owner.Step{Why: err.Error(), Wait: 1000}
+		return jobs.Step{Why: err.Error(), Wait: 1000}
 	}
-	stop := owner.Option{Say: "stop", Does: "the drill ends after the deed under way", Lasting: true}
+	stop := jobs.Option{Say: "stop", Does: "the drill ends after the deed under way", Lasting: true}
 	if w.Word != nil && w.Word.Say == "stop" {
-		return owner.Step{Deed: "stop", Took: w.Word}
+		return jobs.Step{Deed: "stop", Took: w.Word}
 	}
 	if s.Prepared < len(p.Groups) {
-		return owner.Step{Deed: "prepare", Says: []owner.Option{stop}}
+		return jobs.Step{Deed: "prepare", Says: []jobs.Option{stop}}
 	}
 	// Another owner's clock may differ: no wait is longer than the pace.
 	if wait := min(p.Every, s.At+p.Every-now); s.Done > 0 && wait > 0 {
-		return owner.Step{Wait: wait, Why: "the pace", Says: []owner.Option{stop}}
+		return jobs.Step{Wait: wait, Why: "the pace", Says: []jobs.Option{stop}}
 	}
-	return owner.Step{Deed: "write", Says: []owner.Option{stop}}
+	return jobs.Step{Deed: "write", Says: []jobs.Option{stop}}
 }
 
 // Watch is Kind's: a drill's owner reaches its next group, or has nothing to tell.
-func (k *Kind) Watch(ctx context.Context, w *owner.Work) (any, error) {
+func (k *Kind) Watch(ctx context.Context, w *jobs.Work) (any, error) {
 	p, s, err := read(w)
 	if err != nil {
 		return nil, err
 	}
 	conn, _, err := k.Client.Primary(ctx, p.Groups[s.Done%len(p.Groups)], p.Database)
 	if err == nil {
-		place.Close(conn)
+		fencing.Close(conn)
 	}
 	return nil, err
 }
 
 // Do is Kind's.
-func (k *Kind) Do(ctx context.Context, w *owner.Work, d *owner.Deed) (owner.Proof, error) {
+func (k *Kind) Do(ctx context.Context, w *jobs.Work, d *jobs.Deed) (jobs.Proof, error) {
 	p, s, err := read(w)
 	if err != nil {
-		return owner.Proof{}, err
+		return jobs.Proof{}, err
 	}
 	switch d.Name {
 	case "stop":
-		return owner.Proof{State: w.State, Ended: true, Why: "stopped"}, nil
+		return jobs.Proof{State: w.State, Ended: true, Why: "stopped"}, nil
 	case "prepare":
 		err = k.prepare(ctx, p.Groups[s.Prepared], p.Database)
 	default:
 		err = k.Client.Act(ctx, p.Groups[s.Done%len(p.Groups)], p.Database, w.Name, w.Token, d.ID(w.Name), func(ctx context.Context, c *pgconn.PgConn) error {
 			// Each try has a row of its own: a deed that was done twice is seen as two.
-			_, _, err := place.Exec(ctx, c, "INSERT INTO ashstand.acts (ref, payload) VALUES ($1, $2)", fmt.Sprintf("%s#%016x", d.ID(w.Name), rand.Uint64()),
+			_, _, err := fencing.Exec(ctx, c, "INSERT INTO ashstand.acts (ref, payload) VALUES ($1, $2)", fmt.Sprintf("%s#%016x", d.ID(w.Name), rand.Uint64()),
 				strconv.FormatUint(uint64(w.Token), 10))
 			return err
 		})
@@ -140,14 +140,14 @@
 }
 
 // proof is what a deed that was done leaves.
-func (k *Kind) proof(p Spec, s state, d *owner.Deed) owner.Proof {
+func (k *Kind) proof(p Spec, s state, d *jobs.Deed) jobs.Proof {
 	if d.Name == "prepare" {
 		s.Prepared++
 	} else {
 		s.Done, s.At = s.Done+1, k.Now()
 	}
 	b, _ := json.Marshal(s)
-	out := owner.Proof{State: b}
+	out := jobs.Proof{State: b}
 	if s.Done >= p.Deeds {
 		out.Ended, out.Why = true, "all deeds are done"
 	}
@@ -160,32 +160,32 @@
 	if err != nil {
 		return err
 	}
-	defer place.Close(conn)
-	for _, sql := range []string{"CREATE SCHEMA IF NOT EXISTS ashstand", place.FenceTable, "CREATE TABLE IF NOT EXISTS ashstand.acts (ref text PRIMARY KEY, payload text)"} {
-		if _, _, err := place.Exec(ctx, conn, sql); err != nil {
-			if _, worded := place.Worded(err); worded {
+	defer fencing.Close(conn)
+	for _, sql := range []string{"CREATE SCHEMA IF NOT EXISTS ashstand", fencing.FenceTable, "CREATE TABLE IF NOT EXISTS ashstand.acts (ref text PRIMARY KEY, payload text)"} {
+		if _, _, err := fencing.Exec(ctx, conn, sql); err != nil {
+			if _, worded := fencing.Worded(err); worded {
 				return err
 			}
-			return &place.Unreached{Host: h.Name, What: sql, Err: err}
+			return &fencing.Unreached{Host: h.Name, What: sql, Err: err}
 		}
 	}
 	return nil
 }
 
 // Look is Kind's. It takes the fence first: an act of an older owner was committed before, or never will be.
-func (k *Kind) Look(ctx context.Context, w *owner.Work, d *owner.Deed) (done bool, proof owner.Proof, err error) {
+func (k *Kind) Look(ctx context.Context, w *jobs.Work, d *jobs.Deed) (done bool, proof jobs.Proof, err error) {
 	p, s, err := read(w)
 	if err != nil || d.Name != "write" || k.Unsafe == "resume" {
-		return false, owner.Proof{}, err // stop changes nothing, and prepare can be done again
+		return false, jobs.Proof{}, err // stop changes nothing, and prepare can be done again
 	}
 	id := d.ID(w.Name)
 	var found string
 	err = k.Client.Act(ctx, p.Groups[s.Done%len(p.Groups)], p.Database, w.Name, w.Token, "look for "+id, func(ctx context.Context, c *pgconn.PgConn) (err error) {
-		found, err = place.One(ctx, c, "SELECT ref FROM ashstand.acts WHERE ref >= $1 AND ref < $2 ORDER BY ref LIMIT 1", id+"#", id+"$")
+		found, err = fencing.One(ctx, c, "SELECT ref FROM ashstand.acts WHERE ref >= $1 AND ref < $2 ORDER BY ref LIMIT 1", id+"#", id+"$")
 		return err
 	})
 	if err != nil || found == "" {
-		return false, owner.Proof{}, err
+		return false, jobs.Proof{}, err
 	}
 	return true, k.proof(p, s, d), nil
 }
--- a/internal/cluster/owner/drill/golden_test.go
+++ b/internal/cluster/jobs/noop/golden_test.go
@@ -1,4 +1,4 @@
-package drill
+package noop
 
 import (
 	"bytes"
@@ -12,9 +12,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ashstand/internal/cluster/owner"
-	"ashstand/internal/cluster/place"
-	"ashstand/lab/host"
+	"ashstand/internal/cluster/fencing"
+	"ashstand/internal/cluster/jobs"
+	"ashstand/testbed/host"
 )
 
 var updateGolden = flag.Bool("update-golden", false, "write the golden files anew")
@@ -42,7 +42,7 @@
 	want := golden(t, "encodings.txt", text)
 	require.Equal(t, want, text)
 	lines := strings.Split(want, "\n")
-	p, s, err := read(&owner.Work{Spec: []byte(lines[1]), State: []byte(lines[2])})
+	p, s, err := read(&jobs.Work{Spec: []byte(lines[1]), State: []byte(lines[2])})
 	require.NoError(t, err)
 	require.Equal(t, spec, p)
 	require.Equal(t, st, s)
@@ -56,17 +56,17 @@
 	h, err := c.Add("h1", "127.0.0.1:0")
 	require.NoError(t, err)
 	c.Database("orders")
-	client := &place.Client{User: "ashstand", Hosts: func(uint64) []place.Host {
-		return []place.Host{{Name: "h1", Address: h.Address, Group: 1, Primary: true}}
+	client := &fencing.Client{User: "ashstand", Hosts: func(uint64) []fencing.Host {
+		return []fencing.Host{{Name: "h1", Address: h.Address, Group: 1, Primary: true}}
 	}}
 	k := &Kind{Client: client, Now: func() float64 { return 1000 }}
 	spec, err := json.Marshal(Spec{Database: "orders", Groups: []uint64{1}, Deeds: 3, Every: 10})
 	require.NoError(t, err)
-	w := &owner.Work{Name: "d1", Kind: Name, Spec: spec, Token: 17}
+	w := &jobs.Work{Name: "d1", Kind: Name, Spec: spec, Token: 17}
 	var out bytes.Buffer
 	for !w.Ended {
 		if w.Step == 3 {
-			w.Word = &owner.Word{Say: "stop", Step: 3, Lasting: true}
+			w.Word = &jobs.Word{Say: "stop", Step: 3, Lasting: true}
 		}
 		step := k.Next(1000, w, nil)
 		fmt.Fprintf(&out, "next %q wait %v word %v", step.Deed, step.Wait, step.Took)
@@ -77,7 +77,7 @@
 		if step.Deed == "" {
 			step = k.Next(1000+step.Wait, w, nil)
 		}
-		d := &owner.Deed{Number: w.Next(), Name: step.Deed, Token: 17}
+		d := &jobs.Deed{Number: w.Next(), Name: step.Deed, Token: 17}
 		p, err := k.Do(t.Context(), w, d)
 		require.NoError(t, err)
 		done, found, err := k.Look(t.Context(), w, d)
@@ -87,15 +87,15 @@
 	}
 	conn, _, err := client.Primary(t.Context(), 1, "orders")
 	require.NoError(t, err)
-	defer place.Close(conn)
-	rows, _, err := place.Exec(t.Context(), conn, "SELECT ref, payload FROM ashstand.acts ORDER BY ref")
+	defer fencing.Close(conn)
+	rows, _, err := fencing.Exec(t.Context(), conn, "SELECT ref, payload FROM ashstand.acts ORDER BY ref")
 	require.NoError(t, err)
 	for _, r := range rows {
 		id, drawn, _ := strings.Cut(r[0], "#")
 		require.Len(t, drawn, 16)
 		fmt.Fprintf(&out, "row %q by token %s\n", id, r[1])
 	}
-	rows, _, err = place.Exec(t.Context(), conn, "SELECT work, token, closed, home FROM ashstand.fence")
+	rows, _, err = fencing.Exec(t.Context(), conn, "SELECT work, token, closed, home FROM ashstand.fence")
 	require.NoError(t, err)
 	fmt.Fprintf(&out, "fence %q\n", rows)
 	require.Equal(t, golden(t, "run.txt", out.String()), out.String())
--- a/internal/cluster/owner/part.go
+++ b/internal/cluster/jobs/part.go
@@ -1,4 +1,4 @@
-package owner
+package jobs
 
 import (
 	"context"
--- a/internal/cluster/member/gossip_test.go
+++ b/internal/cluster/membership/gossip_test.go
@@ -1,4 +1,4 @@
-package member
+package membership
 
 import (
 	"crypto/rand"
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ashstand/internal/clock"
-	"ashstand/lab/fleet"
+	"ashstand/testbed/fleet"
 )
 
 const probe = 50 * time.Millisecond
--- a/internal/cluster/member/table.go
+++ b/internal/cluster/membership/table.go
@@ -1,6 +1,6 @@
 // Package member knows who the poolers of a fleet are. The table in this file decides what is believed of each and takes
 // the time as an argument; gossip.go carries it over hashicorp/memberlist and is the only user of that library.
-package member
+package membership
 
 import (
 	"cmp"
--- a/internal/cluster/member/table_test.go
+++ b/internal/cluster/membership/table_test.go
@@ -1,4 +1,4 @@
-package member
+package membership
 
 import (
 	"fmt"
--- a/internal/cluster/move/after.go
+++ b/internal/cluster/migration/after.go
@@ -1,9 +1,9 @@
-package move
+package migration
 
 import (
 	"encoding/json"
 
-	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/jobs"
 )
 
 // result is what a deed returned.
@@ -18,10 +18,10 @@
 }
 
 // after is what a deed that was done leaves. The state holds no clock but that of the announcement.
-func after(a Act, r result) (owner.Proof, error) {
+func after(a Act, r result) (jobs.Proof, error) {
 	s, d := a.State, a.Data
 	begun := Begun{At: d.At, Token: a.Told}
-	p := owner.Proof{}
+	p := jobs.Proof{}
 	if d.Lost != "" {
 		s.Lost = keep(append(s.Lost, clip(d.Lost)))
 	}
--- a/internal/cluster/move/finding.go
+++ b/internal/cluster/migration/finding.go
@@ -1,4 +1,4 @@
-package move
+package migration
 
 import (
 	"fmt"
--- a/internal/cluster/move/golden_test.go
+++ b/internal/cluster/migration/golden_test.go
@@ -1,4 +1,4 @@
-package move
+package migration
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/jobs"
 )
 
 // The files under testdata/golden were written by the version before the renaming of issue 33. Later versions have to
@@ -176,12 +176,12 @@
 	var out bytes.Buffer
 	for range goldenCases {
 		s := State{Phase: Phases[random.IntN(len(Phases))], Published: yes(), Fed: yes(), Again: random.IntN(8) == 0, Doubt: yes(), Lines: Lines{1 + random.IntN(2), 1},
-			Compare: Compare{All: yes(), Begun: Begun{999_000, 5}}, Copy: Copy{All: yes(), Rows: 3000, Begun: Begun{998_000, owner.Token(4 + random.IntN(2))}}, Tries: random.IntN(3), Rested: Begun{999_500, 5}}
+			Compare: Compare{All: yes(), Begun: Begun{999_000, 5}}, Copy: Copy{All: yes(), Rows: 3000, Begun: Begun{998_000, jobs.Token(4 + random.IntN(2))}}, Tries: random.IntN(3), Rested: Begun{999_500, 5}}
 		if random.IntN(4) == 0 {
 			s.Back = "an operator said rollback"
 		}
 		if s.Phase == Closing || s.Phase == Verifying {
-			s.Reverse, s.Pause = yes(), &Pause{Begun: Begun{1e6 - float64(random.IntN(4000)), owner.Token(4 + min(1, random.IntN(4)))}, Version: 3, Closes: random.IntN(2)}
+			s.Reverse, s.Pause = yes(), &Pause{Begun: Begun{1e6 - float64(random.IntN(4000)), jobs.Token(4 + min(1, random.IntN(4)))}, Version: 3, Closes: random.IntN(2)}
 			if s.Phase == Verifying {
 				s.Pause.Closed, s.Pause.Verified = &Closed{Line: 1, Position: 500}, yes()
 			}
@@ -194,10 +194,10 @@
 		} else if random.IntN(4) == 0 {
 			s.Held = "the check refuses"
 		}
-		var word *owner.Word
+		var word *jobs.Word
 		if yes() {
 			say := []string{Go, Hold, Resume, Rollback, Accept, "other"}[random.IntN(6)]
-			word = &owner.Word{Say: say, By: "op", Step: uint64(8 + random.IntN(2)), Lasting: say == Rollback}
+			word = &jobs.Word{Say: say, By: "op", Step: uint64(8 + random.IntN(2)), Lasting: say == Rollback}
 		}
 		var seen any
 		if random.IntN(8) > 0 {
@@ -209,14 +209,14 @@
 		state, err := json.Marshal(s)
 		require.NoError(t, err)
 		m := &Mover{Costs: testCosts}
-		step := m.Next(1e6, &owner.Work{Name: "w", Kind: Name, Spec: json.RawMessage(testPlan), Token: 5, Step: 9, State: state, Word: word}, seen)
+		step := m.Next(1e6, &jobs.Work{Name: "w", Kind: Name, Spec: json.RawMessage(testPlan), Token: 5, Step: 9, State: state, Word: word}, seen)
 		line, err := json.Marshal(struct {
 			Operation string          `json:"operation"`
 			Data      json.RawMessage `json:"data"`
-			Word      *owner.Word     `json:"word"`
+			Word      *jobs.Word      `json:"word"`
 			Wait      float64         `json:"wait"`
 			Why       string          `json:"why"`
-			Says      []owner.Option  `json:"says"`
+			Says      []jobs.Option   `json:"says"`
 		}{step.Deed, step.Data, step.Took, step.Wait, step.Why, step.Says})
 		require.NoError(t, err)
 		out.Write(append(line, '\n'))
--- a/internal/cluster/move/move_test.go
+++ b/internal/cluster/migration/move_test.go
@@ -1,4 +1,4 @@
-package move
+package migration
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/jobs"
 )
 
 var testCosts = Costs{Log: 10, InForce: 100, Owner: 500, Place: 20}
@@ -76,8 +76,8 @@
 	r.verified.Lines.Home = 1
 	p, err := after(a, r)
 	require.NoError(t, err)
-	l := owner.Ledger{}
-	require.Nil(t, l.Apply(owner.Entry{Op: owner.Create, Work: "w", Kind: "move", State: p.State}))
+	l := jobs.Ledger{}
+	require.Nil(t, l.Apply(jobs.Entry{Op: jobs.Create, Work: "w", Kind: "move", State: p.State}))
 	require.Greater(t, len(p.State), 8<<10, "it is full")
 	a.Name = DeedCopy
 	r.Copied.After = strings.Repeat("x", mostCursor+1)
@@ -89,14 +89,14 @@
 var one = Lines{1, 1}
 
 // at is a work in a state, owned under token 5 at step 9.
-func at(t *testing.T, s State, w *owner.Word) *owner.Work {
+func at(t *testing.T, s State, w *jobs.Word) *jobs.Work {
 	b, err := json.Marshal(s)
 	require.NoError(t, err)
-	return &owner.Work{Name: "w", Kind: "move", Spec: json.RawMessage(testPlan), Token: 5, Step: 9, State: b, Word: w}
+	return &jobs.Work{Name: "w", Kind: "move", Spec: json.RawMessage(testPlan), Token: 5, Step: 9, State: b, Word: w}
 }
 
-func said(word string) *owner.Word {
-	return &owner.Word{Say: word, Step: 9, Lasting: word == Rollback}
+func said(word string) *jobs.Word {
+	return &jobs.Word{Say: word, Step: 9, Lasting: word == Rollback}
 }
 
 // good is what is seen when all is well.
@@ -105,7 +105,7 @@
 		Progress: Progress{Reached: true, Lines: one, HomePos: 500, Applied: 500, Ready: true}}
 }
 
-func pausing(at float64, token owner.Token) *Pause {
+func pausing(at float64, token jobs.Token) *Pause {
 	return &Pause{Begun: Begun{at, token}, Version: 3}
 }
 
@@ -120,7 +120,7 @@
 	all := Compare{All: true}
 	for name, c := range map[string]struct {
 		s    State
-		word *owner.Word
+		word *jobs.Word
 		see  func(*Seen)
 		deed string // or "", and why
 		why  string
@@ -131,7 +131,7 @@
 		"checked again":             {s: State{Phase: Planned, Held: "the check refuses"}, word: said(Resume), deed: DeedResume},
 		"checked waits":             {s: State{Phase: Checked}, why: "waits for go"},
 		"checked goes":              {s: State{Phase: Checked}, word: said(Go), deed: DeedPublish},
-		"a word of another step":    {s: State{Phase: Checked}, word: &owner.Word{Say: Go, Step: 8}, why: "waits for go"},
+		"a word of another step":    {s: State{Phase: Checked}, word: &jobs.Word{Say: Go, Step: 8}, why: "waits for go"},
 		"a word that is none":       {s: State{Phase: Checked}, word: said("og"), deed: DeedDrop},
 		"rollback said again":       {s: State{Phase: Switched, Lines: one, Fed: true, Compare: all, Back: "x", Held: "y"}, word: said(Rollback), deed: DeedDrop},
 		"published":                 {s: State{Phase: Checked, Published: true}, deed: DeedSubscribe},
@@ -189,7 +189,7 @@
 		"back from catching up": {s: State{Phase: CatchingUp, Lines: one, Compare: all}, word: said(Rollback), deed: DeedClear},
 		"back from closing":     {s: State{Phase: Closing, Pause: pausing(1e6, 5)}, word: said(Rollback), deed: DeedReopen},
 		"back from verifying":   {s: State{Phase: Verifying, Pause: closed(pausing(1e6, 5), true)}, word: said(Rollback), deed: DeedReopen},
-		"back from switched":    {s: State{Phase: Switched}, word: &owner.Word{Say: Rollback, Step: 3, Lasting: true}, deed: DeedBack},
+		"back from switched":    {s: State{Phase: Switched}, word: &jobs.Word{Say: Rollback, Step: 3, Lasting: true}, deed: DeedBack},
 		"no back once accepted": {s: State{Phase: Accepted}, word: said(Rollback), deed: DeedFinish},
 	} {
 		see := good()
@@ -256,7 +256,7 @@
 
 func (f *fakeRules) Now() (map[string]any, int, bool) { return f.rules, 7, true }
 func (f *fakeRules) Limited(string) bool              { return true }
-func (f *fakeRules) Change(_ context.Context, _ string, _ owner.Token, _ *owner.Deed, c map[string]any) (int, error) {
+func (f *fakeRules) Change(_ context.Context, _ string, _ jobs.Token, _ *jobs.Deed, c map[string]any) (int, error) {
 	if f.calls++; f.err != nil {
 		return 0, f.err
 	}
@@ -288,8 +288,8 @@
 	places := &fakePlaces{closed: true, line: 1}
 	m := &Mover{Places: places, Rules: rules, Costs: testCosts}
 	w := at(t, s, nil)
-	deed := func(name string) *owner.Deed {
-		return &owner.Deed{Number: 10, Name: name, Token: 5, Data: json.RawMessage(`{"at": 1000000}`)}
+	deed := func(name string) *jobs.Deed {
+		return &jobs.Deed{Number: 10, Name: name, Token: 5, Data: json.RawMessage(`{"at": 1000000}`)}
 	}
 
 	done, _, err := m.Look(context.Background(), w, deed(DeedSwitch))
@@ -304,9 +304,9 @@
 	require.Contains(t, string(p.State), `"phase":"closing"`)
 
 	places.closed = true
-	rules.err = &owner.Refusal{Reason: owner.TokenOld}
+	rules.err = &jobs.Refusal{Reason: jobs.TokenOld}
 	_, err = m.Do(context.Background(), w, deed(DeedSwitch))
-	var r *owner.Refusal
+	var r *jobs.Refusal
 	require.True(t, errors.As(err, &r))
 	require.Empty(t, places.opened, "an owner that was replaced opens nothing")
 
@@ -355,16 +355,16 @@
 			s.Back = "x"
 		}
 		if s.Phase == Closing || s.Phase == Verifying {
-			s.Reverse, s.Pause = yes("reverse"), &Pause{Begun: Begun{1e6 - float64(n("ago", 4000)), owner.Token(4 + n("token", 1))}, Version: 3}
+			s.Reverse, s.Pause = yes("reverse"), &Pause{Begun: Begun{1e6 - float64(n("ago", 4000)), jobs.Token(4 + n("token", 1))}, Version: 3}
 			if s.Phase == Verifying {
 				closed(s.Pause, yes("verified"))
 			}
 		} else if yes("held") {
 			s.Held = "x"
 		}
-		var w *owner.Word
+		var w *jobs.Word
 		if yes("word") {
-			w = &owner.Word{Say: rapid.SampledFrom([]string{Go, Hold, Resume, Rollback, Accept, "other"}).Draw(t, "says"), Step: uint64(8 + n("step", 1)), Lasting: yes("lasting")}
+			w = &jobs.Word{Say: rapid.SampledFrom([]string{Go, Hold, Resume, Rollback, Accept, "other"}).Draw(t, "says"), Step: uint64(8 + n("step", 1)), Lasting: yes("lasting")}
 		}
 		var seen any
 		if yes("seen") {
@@ -374,7 +374,7 @@
 		}
 		b, err := json.Marshal(s)
 		require.NoError(t, err)
-		work := &owner.Work{Name: "w", Kind: "move", Spec: json.RawMessage(testPlan), Token: 5, Step: 9, State: b, Word: w}
+		work := &jobs.Work{Name: "w", Kind: "move", Spec: json.RawMessage(testPlan), Token: 5, Step: 9, State: b, Word: w}
 		step := m.Next(1e6, work, seen)
 		if step.Deed == "" {
 			require.Nil(t, step.Took)
--- a/internal/cluster/move/next.go
+++ b/internal/cluster/migration/next.go
@@ -1,11 +1,11 @@
-package move
+package migration
 
 import (
 	"encoding/json"
 	"fmt"
 	"slices"
 
-	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/jobs"
 )
 
 // Deeds of a move.
@@ -77,14 +77,14 @@
 }
 
 // Next says what comes after what is proven.
-func (m *Mover) Next(now float64, w *owner.Work, seen any) owner.Step {
+func (m *Mover) Next(now float64, w *jobs.Work, seen any) jobs.Step {
 	p, err := read(w.Spec)
 	if err != nil {
-		return owner.Step{Why: "the plan can't be read: " + err.Error()}
+		return jobs.Step{Why: "the plan can't be read: " + err.Error()}
 	}
 	s, err := stateOf(w)
 	if err != nil {
-		return owner.Step{Why: "the state can't be read: " + err.Error()}
+		return jobs.Step{Why: "the state can't be read: " + err.Error()}
 	}
 	look, _ := seen.(*Seen)
 	if look != nil && look.Step != w.Step {
@@ -94,7 +94,7 @@
 	step := n.step()
 	step.Says = n.says()
 	if word := w.Word; step.Deed == "" && word != nil && (word.Step == w.Step || word.Lasting) &&
-		!slices.ContainsFunc(step.Says, func(o owner.Option) bool { return o.Say == word.Say }) {
+		!slices.ContainsFunc(step.Says, func(o jobs.Option) bool { return o.Say == word.Say }) {
 		n.took = word // it means nothing here, and no other can be given while it stands
 		return n.do(DeedDrop, Data{Why: word.Say})
 	}
@@ -106,10 +106,10 @@
 	p      Plan
 	c      Costs
 	s      State
-	w      *owner.Work
+	w      *jobs.Work
 	now    float64
 	seen   *Seen
-	took   *owner.Word
+	took   *jobs.Word
 	broken string
 }
 
@@ -123,15 +123,15 @@
 }
 
 // do announces a deed, with the word that was taken.
-func (n *next) do(deed string, d Data) owner.Step {
+func (n *next) do(deed string, d Data) jobs.Step {
 	d.At = n.now
 	b, _ := json.Marshal(d)
-	return owner.Step{Deed: deed, Data: b, Took: n.took}
+	return jobs.Step{Deed: deed, Data: b, Took: n.took}
 }
 
-func wait(why string, args ...any) owner.Step { return owner.Step{Why: fmt.Sprintf(why, args...)} }
+func wait(why string, args ...any) jobs.Step { return jobs.Step{Why: fmt.Sprintf(why, args...)} }
 
-func (n *next) step() owner.Step {
+func (n *next) step() jobs.Step {
 	if s, ok := n.rollback(); ok {
 		return s
 	}
@@ -185,10 +185,10 @@
 }
 
 // rollback is what an operator's rollback comes to, whatever else could be done.
-func (n *next) rollback() (owner.Step, bool) {
+func (n *next) rollback() (jobs.Step, bool) {
 	if n.broken == "back" || n.s.Back != "" || !n.word(Rollback) {
 		n.took = nil
-		return owner.Step{}, false
+		return jobs.Step{}, false
 	}
 	d := Data{Back: "an operator said rollback"}
 	switch n.s.Phase {
@@ -206,11 +206,11 @@
 		return n.do(DeedBack, d), true
 	}
 	n.took = nil
-	return owner.Step{}, false
+	return jobs.Step{}, false
 }
 
 // copying hands over tables at the pace that both sides have room for.
-func (n *next) copying() owner.Step {
+func (n *next) copying() jobs.Step {
 	see := n.seen
 	if s, wait := n.follow(); wait {
 		return s
@@ -253,7 +253,7 @@
 }
 
 // follow sees to it that the other home can follow this one: it is copied anew where that can't be had otherwise.
-func (n *next) follow() (owner.Step, bool) {
+func (n *next) follow() (jobs.Step, bool) {
 	see := n.seen
 	if see == nil || !see.Reached {
 		return wait("the homes can't be reached"), true
@@ -267,23 +267,23 @@
 	if !see.Ready {
 		return wait("tables are being copied"), true
 	}
-	return owner.Step{}, false
+	return jobs.Step{}, false
 }
 
 // compared sees to it that all has been found equal since either side failed over last: the home may have lost what the
 // other has taken in, and the other may have lost what the home holds for passed on.
-func (n *next) compared() (owner.Step, bool) {
+func (n *next) compared() (jobs.Step, bool) {
 	if n.seen.Unmarked || n.seen.Lines != n.s.Lines {
 		return n.do(DeedMark, Data{Lost: n.failover(), Doubt: n.seen.Lines != n.s.Lines}), true
 	}
 	if !n.s.Compare.All {
 		return n.do(DeedCompare, Data{}), true
 	}
-	return owner.Step{}, false
+	return jobs.Step{}, false
 }
 
 // soon sees to it that a pause which begins now can be expected to end in a switch.
-func (n *next) soon() (owner.Step, bool) {
+func (n *next) soon() (jobs.Step, bool) {
 	see := n.seen
 	if ago, known := n.s.Rested.since(n.now, n.w.Token); known && n.s.Tries > 0 && ago < n.p.Rest {
 		s := wait("rests after a pause that was taken back")
@@ -300,7 +300,7 @@
 		}
 		return wait("a pause now would need %.0f ms, %.0f are left of its bound", need, n.c.Cutoff(n.p)), true
 	}
-	return owner.Step{}, false
+	return jobs.Step{}, false
 }
 
 // fits says whether a pause begun now can be expected to end in a switch.
@@ -309,8 +309,8 @@
 	return need, need <= n.c.Cutoff(n.p)
 }
 
-func (n *next) catchingUp() owner.Step {
-	for _, first := range []func() (owner.Step, bool){n.follow, n.compared, n.soon} {
+func (n *next) catchingUp() jobs.Step {
+	for _, first := range []func() (jobs.Step, bool){n.follow, n.compared, n.soon} {
 		if s, is := first(); is {
 			return s
 		}
@@ -327,7 +327,7 @@
 }
 
 // paused goes on with a pause, or takes it back early enough.
-func (n *next) paused() owner.Step {
+func (n *next) paused() jobs.Step {
 	s, see := n.s, n.seen
 	if n.word(Hold) {
 		return n.do(DeedReopen, Data{Why: "an operator said pause", Held: "an operator said pause"})
@@ -364,7 +364,7 @@
 	return "nobody said go"
 }
 
-func (n *next) forward(see *Seen, left float64) owner.Step {
+func (n *next) forward(see *Seen, left float64) jobs.Step {
 	s := n.s
 	if s.Pause.Closed == nil {
 		if see == nil || !see.Paused || !see.InForce || see.Version < s.Pause.Version {
@@ -396,11 +396,11 @@
 	return n.do(DeedVerify, Data{Within: max(1, left)})
 }
 
-func (n *next) switched() owner.Step {
+func (n *next) switched() jobs.Step {
 	if !n.s.Fed || n.seen != nil && n.seen.Reached && n.seen.FenceOff {
 		return n.do(DeedFeed, Data{})
 	}
-	for _, first := range []func() (owner.Step, bool){n.follow, n.compared} {
+	for _, first := range []func() (jobs.Step, bool){n.follow, n.compared} {
 		if s, is := first(); is {
 			return s
 		}
@@ -422,9 +422,9 @@
 }
 
 // says are the words that could be given for this step.
-func (n *next) says() (out []owner.Option) {
+func (n *next) says() (out []jobs.Option) {
 	say := func(word, does string) {
-		out = append(out, owner.Option{Say: word, Does: does, Lasting: word == Rollback})
+		out = append(out, jobs.Option{Say: word, Does: does, Lasting: word == Rollback})
 	}
 	s := n.s
 	switch {
--- a/internal/cluster/move/plan.go
+++ b/internal/cluster/migration/plan.go
@@ -2,7 +2,7 @@
 // checkpoints and ways back. A tenant is a database as clients name it when they connect; its home is a group. The package
 // has no I/O, clock, goroutine or logger: next.go says what comes next, after.go what a deed leaves, mover.go joins both to
 // the places and the agreed rules behind interfaces. docs/moves.md derives the bound of a pause.
-package move
+package migration
 
 import (
 	"bytes"
--- a/internal/cluster/move/sql/build.go
+++ b/internal/cluster/migration/sql/build.go
@@ -9,14 +9,14 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"ashstand/internal/cluster/move"
-	"ashstand/internal/cluster/place"
+	"ashstand/internal/cluster/fencing"
+	"ashstand/internal/cluster/migration"
 )
 
 // base is what stands at both homes as long as the tenant was moved once. It is made by whoever comes first.
 var base = []string{
 	"CREATE SCHEMA IF NOT EXISTS ashstand",
-	place.FenceTable,
+	fencing.FenceTable,
 	"CREATE TABLE IF NOT EXISTS ashstand.gate (id integer PRIMARY KEY, closed boolean NOT NULL)",
 	"CREATE TABLE IF NOT EXISTS ashstand.book (item text PRIMARY KEY, value text NOT NULL)",
 	"CREATE TABLE IF NOT EXISTS ashstand.touched (tab text NOT NULL, key text NOT NULL, PRIMARY KEY (tab, key))",
@@ -90,7 +90,7 @@
 
 // dressed makes the triggers that tables lack, each table's in a transaction of its own: who has to wait for one table's
 // writers holds no other up.
-func (p *Places) dressed(ctx context.Context, a move.Act, at move.Group, of func(*table) []string) error {
+func (p *Places) dressed(ctx context.Context, a migration.Act, at migration.Group, of func(*table) []string) error {
 	var all []*table
 	if err := p.on(ctx, a, at, "tables", func(ctx context.Context, conn *pgconn.PgConn) (err error) {
 		all, err = tables(ctx, conn)
@@ -113,9 +113,9 @@
 }
 
 // founded makes the base where it is missing.
-func (p *Places) founded(ctx context.Context, a move.Act, at move.Group) error {
+func (p *Places) founded(ctx context.Context, a migration.Act, at migration.Group) error {
 	return p.on(ctx, a, at, "schema ashstand", func(ctx context.Context, conn *pgconn.PgConn) error {
-		there, err := place.One(ctx, conn, "SELECT count(*) FROM information_schema.tables WHERE table_schema = 'ashstand' AND table_name IN "+
+		there, err := fencing.One(ctx, conn, "SELECT count(*) FROM information_schema.tables WHERE table_schema = 'ashstand' AND table_name IN "+
 			"('fence', 'gate', 'book', 'touched')")
 		if err != nil || there == "4" {
 			return err
@@ -130,8 +130,8 @@
 }
 
 // Publish makes the fence, its triggers and a publication without tables.
-func (p *Places) Publish(ctx context.Context, a move.Act) error {
-	for _, at := range []move.Group{a.Plan.From, a.Plan.To} {
+func (p *Places) Publish(ctx context.Context, a migration.Act) error {
+	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.founded(ctx, a, at); err != nil {
 			return err
 		}
@@ -156,7 +156,7 @@
 			return err
 		}
 	}
-	for _, at := range []move.Group{a.Plan.From, a.Plan.To} { // last of all: it is done
+	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} { // last of all: it is done
 		if err := p.act(ctx, a, at, "publish", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
 			return write(ctx, conn, book{"published": a.Deed})
 		}); err != nil {
@@ -168,17 +168,17 @@
 
 // shut closes or opens a group's gate.
 func shut(ctx context.Context, conn *pgconn.PgConn, closed bool) error {
-	_, n, err := place.Exec(ctx, conn, fmt.Sprintf("UPDATE ashstand.gate SET closed = %v WHERE id = 1 AND closed <> %v", closed, closed))
+	_, n, err := fencing.Exec(ctx, conn, fmt.Sprintf("UPDATE ashstand.gate SET closed = %v WHERE id = 1 AND closed <> %v", closed, closed))
 	if err != nil || n == 1 {
 		return err
 	}
-	_, _, err = place.Exec(ctx, conn, fmt.Sprintf("INSERT INTO ashstand.gate (id, closed) VALUES (1, %v) ON CONFLICT DO NOTHING", closed))
+	_, _, err = fencing.Exec(ctx, conn, fmt.Sprintf("INSERT INTO ashstand.gate (id, closed) VALUES (1, %v) ON CONFLICT DO NOTHING", closed))
 	return err
 }
 
 // publication makes one and drops all others of moves, in the transaction that is open.
 func (p *Places) publication(ctx context.Context, conn *pgconn.PgConn, called string, of []*table) error {
-	rows, _, err := place.Exec(ctx, conn, "SELECT pubname FROM pg_publication")
+	rows, _, err := fencing.Exec(ctx, conn, "SELECT pubname FROM pg_publication")
 	if err != nil {
 		return err
 	}
@@ -202,7 +202,7 @@
 
 // slotsOf are the slots of moves at a group, with who streams from them ("": nobody).
 func slotsOf(ctx context.Context, conn *pgconn.PgConn) (map[string]string, error) {
-	rows, _, err := place.Exec(ctx, conn, "SELECT slot_name, coalesce(active_pid, 0) FROM pg_replication_slots "+
+	rows, _, err := fencing.Exec(ctx, conn, "SELECT slot_name, coalesce(active_pid, 0) FROM pg_replication_slots "+
 		"WHERE database = current_database() AND NOT temporary")
 	out := map[string]string{}
 	for _, r := range rows {
@@ -215,13 +215,13 @@
 
 // dropSlots drops the slots of moves but those that are to stay. Who still streams from one is ended: its subscription
 // is gone, or is to go.
-func (p *Places) dropSlots(ctx context.Context, a move.Act, at move.Group, stay ...string) error {
+func (p *Places) dropSlots(ctx context.Context, a migration.Act, at migration.Group, stay ...string) error {
 	return p.on(ctx, a, at, "drop slots", func(ctx context.Context, conn *pgconn.PgConn) error {
 		return freed(ctx, conn, a, stay)
 	})
 }
 
-func freed(ctx context.Context, conn *pgconn.PgConn, a move.Act, stay []string) error {
+func freed(ctx context.Context, conn *pgconn.PgConn, a migration.Act, stay []string) error {
 	for {
 		left, err := slotsOf(ctx, conn)
 		if err != nil {
@@ -233,11 +233,11 @@
 				continue
 			}
 			if pid != "" {
-				if _, err = place.One(ctx, conn, "SELECT pg_terminate_backend("+pid+")"); err != nil {
+				if _, err = fencing.One(ctx, conn, "SELECT pg_terminate_backend("+pid+")"); err != nil {
 					return err
 				}
 			}
-			_, _, err = place.Exec(ctx, conn, "SELECT pg_drop_replication_slot("+quote(slot)+")")
+			_, _, err = fencing.Exec(ctx, conn, "SELECT pg_drop_replication_slot("+quote(slot)+")")
 			switch code(err) {
 			case "55006":
 				busy = err
@@ -260,8 +260,8 @@
 }
 
 // dropSubscriptions drops those of moves at a group but one. Their slots stay with the publisher, which may be gone.
-func dropSubscriptions(ctx context.Context, conn *pgconn.PgConn, a move.Act, stay string) error {
-	rows, _, err := place.Exec(ctx, conn, "SELECT subname FROM pg_subscription WHERE subdbid = (SELECT oid FROM pg_database WHERE datname = current_database())")
+func dropSubscriptions(ctx context.Context, conn *pgconn.PgConn, a migration.Act, stay string) error {
+	rows, _, err := fencing.Exec(ctx, conn, "SELECT subname FROM pg_subscription WHERE subdbid = (SELECT oid FROM pg_database WHERE datname = current_database())")
 	if err != nil {
 		return err
 	}
@@ -279,7 +279,7 @@
 
 // subscribed says whether a group has a subscription.
 func subscribed(ctx context.Context, conn *pgconn.PgConn, called string) (bool, error) {
-	n, err := place.One(ctx, conn, "SELECT count(*) FROM pg_subscription WHERE subname = $1 AND subenabled", called)
+	n, err := fencing.One(ctx, conn, "SELECT count(*) FROM pg_subscription WHERE subname = $1 AND subenabled", called)
 	return n == "1", err
 }
 
@@ -301,7 +301,7 @@
 }
 
 // follow has one group follow another from now on by a new subscription, and drops what followed before.
-func (p *Places) follow(ctx context.Context, a move.Act, at, of move.Group, called, slot string, l move.Lines, again, copies bool, all func(*table) bool) error {
+func (p *Places) follow(ctx context.Context, a migration.Act, at, of migration.Group, called, slot string, l migration.Lines, again, copies bool, all func(*table) bool) error {
 	var stay []string
 	if err := p.act(ctx, a, of, "publication "+called, ours, func(ctx context.Context, conn *pgconn.PgConn, b book) error {
 		list, err := tables(ctx, conn)
@@ -342,7 +342,7 @@
 	}
 	return p.on(ctx, a, at, "subscription "+called, func(ctx context.Context, conn *pgconn.PgConn) error {
 		with := fmt.Sprintf("origin = none, slot_name = %s, create_slot = %v, copy_data = %v", quote(slot), slot == called, copies)
-		if version, err := place.One(ctx, conn, "SHOW server_version_num"); err != nil {
+		if version, err := fencing.One(ctx, conn, "SHOW server_version_num"); err != nil {
 			return err
 		} else if version >= "170000" && slot == called { // of six digits since release 10
 			with += ", failover = true"
@@ -352,7 +352,7 @@
 }
 
 // Subscribe makes the subscription at To.
-func (p *Places) Subscribe(ctx context.Context, a move.Act) (move.Lines, error) {
+func (p *Places) Subscribe(ctx context.Context, a migration.Act) (migration.Lines, error) {
 	before, err := p.lines(ctx, a, a.Plan.From, a.Plan.To)
 	if err != nil {
 		return before, err
@@ -368,8 +368,8 @@
 }
 
 // unmark forgets that touched ranges are noted: it is begun anew.
-func (p *Places) unmark(ctx context.Context, a move.Act) error {
-	for _, at := range []move.Group{a.Plan.From, a.Plan.To} {
+func (p *Places) unmark(ctx context.Context, a migration.Act) error {
+	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.act(ctx, a, at, "forget marks", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
 			return write(ctx, conn, book{"marked": "", "followed": ""})
 		}); err != nil {
@@ -380,8 +380,8 @@
 }
 
 // settled notes at both homes that a deed is done there, and at which timelines.
-func (p *Places) settled(ctx context.Context, a move.Act, item string, l move.Lines) error {
-	for _, at := range []move.Group{a.Plan.From, a.Plan.To} {
+func (p *Places) settled(ctx context.Context, a migration.Act, item string, l migration.Lines) error {
+	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.act(ctx, a, at, item, ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
 			return write(ctx, conn, book{item: a.Deed, "home line": fmt.Sprint(l.Home), "other line": fmt.Sprint(l.Other)})
 		}); err != nil {
@@ -392,19 +392,19 @@
 }
 
 // Copy hands over the next tables.
-func (p *Places) Copy(ctx context.Context, a move.Act) (move.Copied, error) {
-	out := move.Copied{After: a.State.Copy.After, All: true}
+func (p *Places) Copy(ctx context.Context, a migration.Act) (migration.Copied, error) {
+	out := migration.Copied{After: a.State.Copy.After, All: true}
 	var sub string
 	err := p.act(ctx, a, a.Plan.From, "hand over tables", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
 		all, err := tables(ctx, conn)
 		if err != nil {
 			return err
 		}
-		out = move.Copied{After: a.State.Copy.After, All: true}
+		out = migration.Copied{After: a.State.Copy.After, All: true}
 		if sub, err = published(ctx, conn); err != nil {
 			return err
 		}
-		rows, _, err := place.Exec(ctx, conn, "SELECT schemaname, tablename FROM pg_publication_tables WHERE pubname = $1", sub)
+		rows, _, err := fencing.Exec(ctx, conn, "SELECT schemaname, tablename FROM pg_publication_tables WHERE pubname = $1", sub)
 		if err != nil {
 			return err
 		}
@@ -443,7 +443,7 @@
 
 // published is the name of the move's publication at a group; "": there is none.
 func published(ctx context.Context, conn *pgconn.PgConn) (string, error) {
-	rows, _, err := place.Exec(ctx, conn, "SELECT pubname FROM pg_publication")
+	rows, _, err := fencing.Exec(ctx, conn, "SELECT pubname FROM pg_publication")
 	for _, r := range rows {
 		if strings.HasPrefix(r[0], anyPrefix) {
 			return r[0], nil
@@ -453,7 +453,7 @@
 }
 
 // Feed has the old home follow the new one.
-func (p *Places) Feed(ctx context.Context, a move.Act) (move.Lines, error) {
+func (p *Places) Feed(ctx context.Context, a migration.Act) (migration.Lines, error) {
 	l, err := p.lines(ctx, a, a.Plan.To, a.Plan.From)
 	if err != nil {
 		return l, err
@@ -514,7 +514,7 @@
 }
 
 // torn removes what a move built at a home but for the base.
-func (p *Places) torn(ctx context.Context, a move.Act, at move.Group, guards bool) error {
+func (p *Places) torn(ctx context.Context, a migration.Act, at migration.Group, guards bool) error {
 	if err := p.on(ctx, a, at, "drop subscriptions", func(ctx context.Context, conn *pgconn.PgConn) error {
 		return dropSubscriptions(ctx, conn, a, "")
 	}); err != nil {
@@ -553,14 +553,14 @@
 }
 
 // Clear removes what the move built and empties To's tables.
-func (p *Places) Clear(ctx context.Context, a move.Act) error {
-	for _, at := range []move.Group{a.Plan.From, a.Plan.To} {
+func (p *Places) Clear(ctx context.Context, a migration.Act) error {
+	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.founded(ctx, a, at); err != nil {
 			return err
 		}
 	}
 	// To stops to follow first, and is emptied behind its gate.
-	for _, at := range []move.Group{a.Plan.To, a.Plan.From} {
+	for _, at := range []migration.Group{a.Plan.To, a.Plan.From} {
 		if err := p.mine(ctx, a, at); err != nil {
 			return err
 		}
@@ -568,7 +568,7 @@
 			return err
 		}
 	}
-	for _, at := range []move.Group{a.Plan.From, a.Plan.To} {
+	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.dropSlots(ctx, a, at); err != nil {
 			return err
 		}
@@ -584,11 +584,11 @@
 	if err := p.torn(ctx, a, a.Plan.To, true); err != nil {
 		return err
 	}
-	return p.given(ctx, a, func(at move.Group) bool { return at == a.Plan.To })
+	return p.given(ctx, a, func(at migration.Group) bool { return at == a.Plan.To })
 }
 
 // mine makes a home the work's where it is nobody's: what is to be cleared may never have been built there.
-func (p *Places) mine(ctx context.Context, a move.Act, at move.Group) error {
+func (p *Places) mine(ctx context.Context, a migration.Act, at migration.Group) error {
 	return p.act(ctx, a, at, "clear", takes, func(ctx context.Context, conn *pgconn.PgConn, b book) error {
 		if b["work"] == "" {
 			return write(ctx, conn, book{"work": a.Work, "deed": fmt.Sprint(deedNumber(a))})
@@ -598,8 +598,8 @@
 }
 
 // given gives the tenant up at both homes, with their gates as they stay.
-func (p *Places) given(ctx context.Context, a move.Act, closed func(move.Group) bool) error {
-	for _, at := range []move.Group{a.Plan.From, a.Plan.To} {
+func (p *Places) given(ctx context.Context, a migration.Act, closed func(migration.Group) bool) error {
+	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.act(ctx, a, at, "give up", ends, func(ctx context.Context, conn *pgconn.PgConn, b book) error {
 			if b["given"] != "" {
 				return nil
@@ -607,7 +607,7 @@
 			if err := shut(ctx, conn, closed(at)); err != nil {
 				return err
 			}
-			if _, _, err := place.Exec(ctx, conn, "DELETE FROM ashstand.touched"); err != nil {
+			if _, _, err := fencing.Exec(ctx, conn, "DELETE FROM ashstand.touched"); err != nil {
 				return err
 			}
 			return write(ctx, conn, book{"given": a.Deed, "sub": "", "back": "", "marked": "", "followed": "", "published": ""})
@@ -619,7 +619,7 @@
 }
 
 // Finish removes what the move built, with From fenced for good.
-func (p *Places) Finish(ctx context.Context, a move.Act) error {
+func (p *Places) Finish(ctx context.Context, a migration.Act) error {
 	if err := p.act(ctx, a, a.Plan.From, "fence the old home", ends, func(ctx context.Context, conn *pgconn.PgConn, b book) error {
 		if b["given"] != "" {
 			return nil
@@ -628,12 +628,12 @@
 	}); err != nil {
 		return err
 	}
-	for _, at := range []move.Group{a.Plan.From, a.Plan.To} {
+	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.torn(ctx, a, at, at == a.Plan.To); err != nil {
 			return err
 		}
 	}
-	for _, at := range []move.Group{a.Plan.From, a.Plan.To} {
+	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.dropSlots(ctx, a, at); err != nil {
 			return err
 		}
@@ -654,5 +654,5 @@
 			return err
 		}
 	}
-	return p.given(ctx, a, func(at move.Group) bool { return at == a.Plan.From })
+	return p.given(ctx, a, func(at migration.Group) bool { return at == a.Plan.From })
 }
--- a/internal/cluster/move/sql/check.go
+++ b/internal/cluster/migration/sql/check.go
@@ -9,8 +9,8 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"ashstand/internal/cluster/move"
-	"ashstand/internal/cluster/place"
+	"ashstand/internal/cluster/fencing"
+	"ashstand/internal/cluster/migration"
 )
 
 // home is what a check reads of one.
@@ -33,7 +33,7 @@
 	ask := func(sql string, see func(r []string)) {
 		if err == nil {
 			var list [][]string
-			list, _, err = place.Exec(ctx, conn, sql)
+			list, _, err = fencing.Exec(ctx, conn, sql)
 			for _, r := range list {
 				see(r)
 			}
@@ -62,9 +62,9 @@
 }
 
 // Check looks for all that is in the way.
-func (p *Places) Check(ctx context.Context, a move.Act) (out move.Findings, err error) {
+func (p *Places) Check(ctx context.Context, a migration.Act) (out migration.Findings, err error) {
 	var from, to home
-	read := func(at move.Group, h *home, rows bool) func() error {
+	read := func(at migration.Group, h *home, rows bool) func() error {
 		return func() error {
 			return p.on(ctx, a, at, "check", func(ctx context.Context, conn *pgconn.PgConn) (err error) {
 				*h, err = readHome(ctx, conn, rows)
@@ -76,7 +76,7 @@
 		return nil, err
 	}
 	find := func(reason, name, detail string, args ...any) {
-		out = append(out, move.Finding{Reason: reason, Name: name, Detail: fmt.Sprintf(detail, args...)})
+		out = append(out, migration.Finding{Reason: reason, Name: name, Detail: fmt.Sprintf(detail, args...)})
 	}
 	there := map[string]*table{}
 	for _, t := range to.tables {
@@ -84,52 +84,52 @@
 	}
 	for _, t := range from.tables {
 		if !t.carried() {
-			find(move.Unlogged, t.full(), "")
+			find(migration.Unlogged, t.full(), "")
 			continue
 		}
 		if !t.identified() {
-			find(move.NoIdentity, t.full(), "")
+			find(migration.NoIdentity, t.full(), "")
 		}
 		if o := there[t.full()]; o == nil {
-			find(move.SchemaDiffers, t.full(), "it is not there")
+			find(migration.SchemaDiffers, t.full(), "it is not there")
 		} else if mine, other := shape(t), shape(o); mine != other {
-			find(move.SchemaDiffers, t.full(), "%s here, %s there", mine, other)
+			find(migration.SchemaDiffers, t.full(), "%s here, %s there", mine, other)
 		} else if to.holds[t.full()] {
-			find(move.NotEmpty, t.full(), "")
+			find(migration.NotEmpty, t.full(), "")
 		}
 	}
 	for ext, version := range from.extensions {
 		if to.extensions[ext] != version {
-			find(move.NoExtension, ext, "%s here, %q there", version, to.extensions[ext])
+			find(migration.NoExtension, ext, "%s here, %q there", version, to.extensions[ext])
 		}
 	}
 	if from.objects > 0 {
-		find(move.LargeObjects, "", "%d", from.objects)
+		find(migration.LargeObjects, "", "%d", from.objects)
 	}
 	for _, gid := range from.prepared {
-		find(move.Prepared, gid, "")
+		find(migration.Prepared, gid, "")
 	}
-	for g, h := range map[move.Group]home{a.Plan.From: from, a.Plan.To: to} {
+	for g, h := range map[migration.Group]home{a.Plan.From: from, a.Plan.To: to} {
 		if h.slots < 2 { // the stream's and one that a copy has, or the way back's
-			find(move.NoSlots, fmt.Sprint("group ", g), "%d left", max(0, h.slots))
+			find(migration.NoSlots, fmt.Sprint("group ", g), "%d left", max(0, h.slots))
 		}
 		if h.wal != "logical" {
-			find(move.NoSlots, fmt.Sprint("group ", g), "wal_level is %s", h.wal)
+			find(migration.NoSlots, fmt.Sprint("group ", g), "wal_level is %s", h.wal)
 		}
 	}
 	if p.Room != nil {
 		if room, known := p.Room(a.Plan.To); known && room < from.size {
-			find(move.NoRoom, a.Plan.Tenant, "%.0f bytes, %.0f are left", from.size, room)
+			find(migration.NoRoom, a.Plan.Tenant, "%.0f bytes, %.0f are left", from.size, room)
 		}
 	}
 	for _, s := range from.sequences {
 		if !slices.Contains(to.sequences, s) {
-			find(move.SchemaDiffers, s, "the sequence is not there")
+			find(migration.SchemaDiffers, s, "the sequence is not there")
 		} else {
-			out = append(out, move.Finding{Reason: move.Sequences, Name: s, Told: true})
+			out = append(out, migration.Finding{Reason: migration.Sequences, Name: s, Told: true})
 		}
 	}
-	slices.SortStableFunc(out, func(x, y move.Finding) int { return strings.Compare(x.Reason+x.Name, y.Reason+y.Name) })
+	slices.SortStableFunc(out, func(x, y migration.Finding) int { return strings.Compare(x.Reason+x.Name, y.Reason+y.Name) })
 	return out, nil
 }
 
