--- a/internal/cluster/move/sql/compare.go
+++ b/internal/cluster/migration/sql/compare.go
@@ -12,18 +12,18 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"ashstand/internal/cluster/move"
-	"ashstand/internal/cluster/place"
+	"ashstand/internal/cluster/fencing"
+	"ashstand/internal/cluster/migration"
 )
 
 // Mark begins to note which rows are touched, and makes the slot for the way back.
-func (p *Places) Mark(ctx context.Context, a move.Act, home, other move.Group) (move.Lines, error) {
+func (p *Places) Mark(ctx context.Context, a migration.Act, home, other migration.Group) (migration.Lines, error) {
 	l, err := p.lines(ctx, a, home, other)
 	if err != nil {
 		return l, err
 	}
 	back := name(a, "b")
-	for _, at := range []move.Group{home, other} {
+	for _, at := range []migration.Group{home, other} {
 		if err = p.act(ctx, a, at, "mark", ours, func(ctx context.Context, conn *pgconn.PgConn, b book) error {
 			if at == other {
 				if err := shut(ctx, conn, true); err != nil {
@@ -41,7 +41,7 @@
 			return l, err
 		}
 		if err = p.act(ctx, a, at, "mark", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
-			_, _, err := place.Exec(ctx, conn, "DELETE FROM ashstand.touched")
+			_, _, err := fencing.Exec(ctx, conn, "DELETE FROM ashstand.touched")
 			return err
 		}); err != nil {
 			return l, err
@@ -70,7 +70,7 @@
 		if _, there := have[back]; err != nil || there {
 			return err
 		}
-		_, _, err = place.Exec(ctx, conn, "SELECT pg_create_logical_replication_slot("+quote(back)+", 'pgoutput')")
+		_, _, err = fencing.Exec(ctx, conn, "SELECT pg_create_logical_replication_slot("+quote(back)+", 'pgoutput')")
 		return err
 	}); err != nil {
 		return l, err
@@ -79,10 +79,10 @@
 }
 
 // quiet waits until all who were writing when it began have ended.
-func (p *Places) quiet(ctx context.Context, a move.Act, at move.Group) error {
+func (p *Places) quiet(ctx context.Context, a migration.Act, at migration.Group) error {
 	return p.on(ctx, a, at, "wait for writers", func(ctx context.Context, conn *pgconn.PgConn) error {
 		const of = "FROM pg_stat_activity WHERE datname = current_database() AND pid <> pg_backend_pid() AND backend_xid IS NOT NULL"
-		rows, _, err := place.Exec(ctx, conn, "SELECT pid, backend_xid "+of)
+		rows, _, err := fencing.Exec(ctx, conn, "SELECT pid, backend_xid "+of)
 		if err != nil {
 			return err
 		}
@@ -103,7 +103,7 @@
 				return ctx.Err()
 			case <-time.After(5 * time.Millisecond):
 			}
-			if rows, _, err = place.Exec(ctx, conn, "SELECT pid, backend_xid "+of); err != nil {
+			if rows, _, err = fencing.Exec(ctx, conn, "SELECT pid, backend_xid "+of); err != nil {
 				return err
 			}
 			still := map[string]bool{}
@@ -119,7 +119,7 @@
 }
 
 // Waited is a wait for writers that took too long.
-type Waited struct{ Held []move.Straggler }
+type Waited struct{ Held []migration.Straggler }
 
 func (w *Waited) Error() string {
 	out := "writers did not end"
@@ -140,18 +140,18 @@
 // row is one as it was read.
 type row struct {
 	key string // as JSON of its key columns' texts; "": the table has no key
-	sum move.Sum
+	sum migration.Sum
 }
 
 // slice is what a read of a range gave.
 type slice struct {
 	rows []row
-	sum  move.Sum
+	sum  migration.Sum
 	full bool // as many rows as were asked for
 }
 
 func (s *slice) take(t *table, values [][]byte) {
-	var one move.Sum
+	var one migration.Sum
 	one.Row(values...)
 	s.sum = plus(s.sum, values)
 	key := ""
@@ -165,7 +165,7 @@
 	}
 }
 
-func plus(s move.Sum, values [][]byte) move.Sum {
+func plus(s migration.Sum, values [][]byte) migration.Sum {
 	s.Row(values...)
 	return s
 }
@@ -285,10 +285,10 @@
 }
 
 // Compare holds the ranges that follow against each other.
-func (p *Places) Compare(ctx context.Context, a move.Act, home, other move.Group) (out move.Compared, err error) {
+func (p *Places) Compare(ctx context.Context, a migration.Act, home, other migration.Group) (out migration.Compared, err error) {
 	began := time.Now()
 	var pieces []piece
-	var pos move.Position
+	var pos migration.Position
 	read := 0
 	from := decode(a.State.Compare.After)
 	if err = p.act(ctx, a, home, "compare", ours, func(context.Context, *pgconn.PgConn, book) error { return nil }); err != nil {
@@ -415,7 +415,7 @@
 	if len(x.t.key) == 0 {
 		return false
 	}
-	have := map[string]move.Sum{}
+	have := map[string]migration.Sum{}
 	for _, r := range x.rows {
 		have[r.key] = r.sum
 	}
@@ -433,18 +433,18 @@
 	return true
 }
 
-func unequal(x piece, o slice) move.Difference {
-	r := move.Range{Table: x.t.full(), From: strings.Join(x.after, ","), To: strings.Join(x.upTo, ",")}
-	return move.Difference{Kind: "rows", Table: r.Table, Range: r.String(), Home: x.sum.String(), Other: o.sum.String()}
+func unequal(x piece, o slice) migration.Difference {
+	r := migration.Range{Table: x.t.full(), From: strings.Join(x.after, ","), To: strings.Join(x.upTo, ",")}
+	return migration.Difference{Kind: "rows", Table: r.Table, Range: r.String(), Home: x.sum.String(), Other: o.sum.String()}
 }
 
 // noted are the keys that were touched at either home since the marks were made, by table.
-func (p *Places) noted(ctx context.Context, a move.Act, home, other move.Group) (map[string]map[string]bool, error) {
+func (p *Places) noted(ctx context.Context, a migration.Act, home, other migration.Group) (map[string]map[string]bool, error) {
 	var of [2][][]string
-	get := func(at move.Group, i int) func() error {
+	get := func(at migration.Group, i int) func() error {
 		return func() error {
 			return p.on(ctx, a, at, "touched rows", func(ctx context.Context, conn *pgconn.PgConn) (err error) {
-				of[i], _, err = place.Exec(ctx, conn, "SELECT tab, key FROM ashstand.touched")
+				of[i], _, err = fencing.Exec(ctx, conn, "SELECT tab, key FROM ashstand.touched")
 				return err
 			})
 		}
@@ -470,7 +470,7 @@
 
 // Behind is a home that did not take in in time what the other one holds.
 type Behind struct {
-	Want, Has move.Position
+	Want, Has migration.Position
 }
 
 func (b *Behind) Error() string {
@@ -486,7 +486,7 @@
 }
 
 // reached waits until the other home has taken in all up to a position.
-func (p *Places) reached(ctx context.Context, a move.Act, home, other move.Group, want move.Position) error {
+func (p *Places) reached(ctx context.Context, a migration.Act, home, other migration.Group, want migration.Position) error {
 	return p.on(ctx, a, home, "wait for the other home", func(ctx context.Context, conn *pgconn.PgConn) error {
 		until := time.Now().Add(p.within(a))
 		for {
@@ -510,12 +510,12 @@
 }
 
 // confirmed is what the one who follows this home has taken in and holds for good.
-func confirmed(ctx context.Context, conn *pgconn.PgConn) (pos move.Position, found bool, err error) {
+func confirmed(ctx context.Context, conn *pgconn.PgConn) (pos migration.Position, found bool, err error) {
 	slot, err := followedBy(ctx, conn)
 	if err != nil || slot == "" {
 		return 0, false, err
 	}
-	text, err := place.One(ctx, conn, "SELECT confirmed_flush_lsn FROM pg_replication_slots WHERE slot_name = $1 AND coalesce(wal_status, '') <> 'lost'", slot)
+	text, err := fencing.One(ctx, conn, "SELECT confirmed_flush_lsn FROM pg_replication_slots WHERE slot_name = $1 AND coalesce(wal_status, '') <> 'lost'", slot)
 	return position(text), text != "", err
 }
 
@@ -543,8 +543,8 @@
 }
 
 // followed is the move's subscription at a group and its slot; "": none.
-func followed(ctx context.Context, conn *pgconn.PgConn, a move.Act) (sub, slot string, err error) {
-	rows, _, err := place.Exec(ctx, conn, "SELECT subname, subslotname FROM pg_subscription "+
+func followed(ctx context.Context, conn *pgconn.PgConn, a migration.Act) (sub, slot string, err error) {
+	rows, _, err := fencing.Exec(ctx, conn, "SELECT subname, subslotname FROM pg_subscription "+
 		"WHERE subdbid = (SELECT oid FROM pg_database WHERE datname = current_database()) AND subenabled")
 	b, err2 := readBook(ctx, conn)
 	for _, r := range rows {
@@ -556,7 +556,7 @@
 }
 
 // Verify holds all that was touched, counts, sequences and reads against each other while both are still.
-func (p *Places) Verify(ctx context.Context, a move.Act, home, other move.Group) (out move.Verified, err error) {
+func (p *Places) Verify(ctx context.Context, a migration.Act, home, other migration.Group) (out migration.Verified, err error) {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, p.within(a))
 	defer cancel()
@@ -564,12 +564,12 @@
 	if err == nil {
 		err = p.verify(ctx, a, home, other, before, &out)
 	}
-	var after move.Lines
+	var after migration.Lines
 	if err == nil {
 		after, err = p.lines(ctx, a, home, other)
 	}
 	if ctx.Err() != nil && err != nil || code(err) == "57014" {
-		return move.Verified{Late: true, Lines: before}, nil
+		return migration.Verified{Late: true, Lines: before}, nil
 	}
 	if out.Lines = before; before.Home != after.Home {
 		out.Lines.Home = 0
@@ -583,7 +583,7 @@
 	return out, err
 }
 
-func (p *Places) verify(ctx context.Context, a move.Act, home, other move.Group, l move.Lines, out *move.Verified) error {
+func (p *Places) verify(ctx context.Context, a migration.Act, home, other migration.Group, l migration.Lines, out *migration.Verified) error {
 	var own, its []*table
 	var seqs [][]string
 	marks := [2]string{}
@@ -593,7 +593,7 @@
 				return err
 			}
 			marks[0] = b["marked"]
-			seqs, _, err = place.Exec(ctx, conn, "SELECT schemaname, sequencename, last_value, start_value FROM pg_sequences WHERE schemaname <> 'ashstand'")
+			seqs, _, err = fencing.Exec(ctx, conn, "SELECT schemaname, sequencename, last_value, start_value FROM pg_sequences WHERE schemaname <> 'ashstand'")
 			return err
 		})
 	}, func() error {
@@ -619,14 +619,14 @@
 				return err
 			}
 		}
-		is, _, err := place.Exec(ctx, conn, "SELECT schemaname, sequencename, last_value, start_value FROM pg_sequences WHERE schemaname <> 'ashstand'")
+		is, _, err := fencing.Exec(ctx, conn, "SELECT schemaname, sequencename, last_value, start_value FROM pg_sequences WHERE schemaname <> 'ashstand'")
 		have := map[string]string{}
 		for _, s := range is {
 			have[s[0]+"."+s[1]] = s[2]
 		}
 		for _, s := range seqs {
 			if n := s[0] + "." + s[1]; have[n] != s[2] {
-				out.Differ = append(out.Differ, move.Difference{Kind: "sequence", Table: n, Home: s[2], Other: have[n]})
+				out.Differ = append(out.Differ, migration.Difference{Kind: "sequence", Table: n, Home: s[2], Other: have[n]})
 			}
 		}
 		return err
@@ -644,14 +644,14 @@
 	}
 	for _, t := range own {
 		if t.carried() && shapes[t.full()] != shape(t) {
-			out.Differ = append(out.Differ, move.Difference{Kind: "count", Table: t.full(), Home: shape(t), Other: shapes[t.full()]})
+			out.Differ = append(out.Differ, migration.Difference{Kind: "count", Table: t.full(), Home: shape(t), Other: shapes[t.full()]})
 		}
 	}
 	if len(out.Differ) > 0 {
 		return nil
 	}
 	var got [2]*held
-	get := func(at move.Group, i int) func() error {
+	get := func(at migration.Group, i int) func() error {
 		return func() error {
 			return p.on(ctx, a, at, "verify", func(ctx context.Context, conn *pgconn.PgConn) (err error) {
 				got[i], err = p.held(ctx, conn, own, noted, every, p.played(a))
@@ -666,7 +666,7 @@
 	return nil
 }
 
-func (p *Places) played(a move.Act) []string {
+func (p *Places) played(a migration.Act) []string {
 	if p.Reads == nil || a.Plan.Reads == 0 {
 		return nil
 	}
@@ -676,13 +676,13 @@
 // held is what a home holds of what is verified.
 type held struct {
 	counts map[string]string
-	sums   map[move.Range]move.Sum
-	reads  map[string]move.Sum
+	sums   map[migration.Range]migration.Sum
+	reads  map[string]migration.Sum
 	ranges int
 }
 
 func (p *Places) held(ctx context.Context, conn *pgconn.PgConn, all []*table, noted map[string]map[string]bool, every bool, reads []string) (*held, error) {
-	h := &held{counts: map[string]string{}, sums: map[move.Range]move.Sum{}, reads: map[string]move.Sum{}}
+	h := &held{counts: map[string]string{}, sums: map[migration.Range]migration.Sum{}, reads: map[string]migration.Sum{}}
 	if _, err := conn.Exec(ctx, forms).ReadAll(); err != nil {
 		return nil, err
 	}
@@ -690,7 +690,7 @@
 		if !t.carried() {
 			continue
 		}
-		n, err := place.One(ctx, conn, "SELECT count(*) FROM "+t.sql())
+		n, err := fencing.One(ctx, conn, "SELECT count(*) FROM "+t.sql())
 		if err != nil {
 			return nil, err
 		}
@@ -712,13 +712,13 @@
 			}
 			for _, r := range s.rows {
 				k := strings.Join(decode(r.key), ",")
-				h.sums[move.Range{Table: t.full(), From: k, To: k}] = r.sum
+				h.sums[migration.Range{Table: t.full(), From: k, To: k}] = r.sum
 			}
 			h.ranges += len(keys)
 		}
 	}
 	for _, q := range reads {
-		var s move.Sum
+		var s migration.Sum
 		r := conn.ExecParams(ctx, q, nil, nil, nil, nil)
 		for r.NextRow() {
 			s.Row(r.Values()...)
@@ -740,7 +740,7 @@
 		if err != nil {
 			return err
 		}
-		r := move.Range{Table: t.full(), From: strings.Join(after, ",")}
+		r := migration.Range{Table: t.full(), From: strings.Join(after, ",")}
 		if s.full {
 			after = decode(s.rows[len(s.rows)-1].key)
 			r.To = strings.Join(after, ",")
@@ -753,18 +753,20 @@
 }
 
 // against names what differs.
-func (h *held) against(o *held, out *move.Verified) {
+func (h *held) against(o *held, out *migration.Verified) {
 	out.Ranges, out.Reads = h.ranges, len(h.reads)
 	for t, n := range h.counts {
 		if o.counts[t] != n {
-			out.Differ = append(out.Differ, move.Difference{Kind: "count", Table: t, Home: n, Other: o.counts[t]})
+			out.Differ = append(out.Differ, migration.Difference{Kind: "count", Table: t, Home: n, Other: o.counts[t]})
 		}
 	}
-	out.Differ = append(out.Differ, move.Differ(h.sums, o.sums)...)
+	out.Differ = append(out.Differ, migration.Differ(h.sums, o.sums)...)
 	for q, s := range h.reads {
 		if o.reads[q] != s {
-			out.Differ = append(out.Differ, move.Difference{Kind: "read", Range: q, Home: s.String(), Other: o.reads[q].String()})
+			out.Differ = append(out.Differ, migration.Difference{Kind: "read", Range: q, Home: s.String(), Other: o.reads[q].String()})
 		}
 	}
-	slices.SortStableFunc(out.Differ, func(a, b move.Difference) int { return cmp.Compare(a.Kind+a.Table+a.Range, b.Kind+b.Table+b.Range) })
+	slices.SortStableFunc(out.Differ, func(a, b migration.Difference) int {
+		return cmp.Compare(a.Kind+a.Table+a.Range, b.Kind+b.Table+b.Range)
+	})
 }
--- a/internal/cluster/move/sql/gate.go
+++ b/internal/cluster/migration/sql/gate.go
@@ -8,12 +8,12 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"ashstand/internal/cluster/move"
-	"ashstand/internal/cluster/place"
+	"ashstand/internal/cluster/fencing"
+	"ashstand/internal/cluster/migration"
 )
 
 // Close closes the gate at the group that serves the tenant.
-func (p *Places) Close(ctx context.Context, a move.Act, at move.Group) (*move.Closed, []move.Straggler, error) {
+func (p *Places) Close(ctx context.Context, a migration.Act, at migration.Group) (*migration.Closed, []migration.Straggler, error) {
 	until := time.Now().Add(p.within(a))
 	wait := p.within(a)
 	if a.Data.End { // once for those who are about to end, once for those who were ended
@@ -25,7 +25,7 @@
 	}
 	if err = p.act(ctx, a, at, "end stragglers", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
 		for _, s := range held {
-			if _, err := place.One(ctx, conn, "SELECT pg_terminate_backend("+strconv.Itoa(s.PID)+")"); err != nil {
+			if _, err := fencing.One(ctx, conn, "SELECT pg_terminate_backend("+strconv.Itoa(s.PID)+")"); err != nil {
 				return err
 			}
 		}
@@ -46,10 +46,10 @@
 }
 
 // close tries once.
-func (p *Places) close(ctx context.Context, a move.Act, at move.Group, wait time.Duration) (*move.Closed, []move.Straggler, error) {
+func (p *Places) close(ctx context.Context, a migration.Act, at migration.Group, wait time.Duration) (*migration.Closed, []migration.Straggler, error) {
 	bounds := p.bounds(a)
 	bounds.Lock, bounds.Statement = max(wait, time.Millisecond), wait+p.within(a)
-	var closed *move.Closed
+	var closed *migration.Closed
 	err := p.actWithin(ctx, bounds, a, at, "close", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
 		if err := shut(ctx, conn, true); err != nil {
 			return err
@@ -63,7 +63,7 @@
 		if err != nil {
 			return err
 		}
-		closed = &move.Closed{Line: n, Position: pos}
+		closed = &migration.Closed{Line: n, Position: pos}
 		return write(ctx, conn, book{"closed": fmt.Sprintf("%s %d %d", a.Deed, n, uint64(pos))})
 	})
 	if err == nil {
@@ -72,7 +72,7 @@
 	if code(err) != "55P03" {
 		return nil, nil, err
 	}
-	var held []move.Straggler
+	var held []migration.Straggler
 	if look := p.on(ctx, a, at, "stragglers", func(ctx context.Context, conn *pgconn.PgConn) (err error) {
 		held, err = stragglers(ctx, conn)
 		return err
@@ -84,18 +84,18 @@
 
 // stragglers are the sessions that have written in a transaction which is open; or, where there is none, those whose
 // transaction is.
-func stragglers(ctx context.Context, conn *pgconn.PgConn) ([]move.Straggler, error) {
-	rows, _, err := place.Exec(ctx, conn, "SELECT pid, usename, state, backend_xid, extract(epoch FROM clock_timestamp() - xact_start) FROM pg_stat_activity "+
+func stragglers(ctx context.Context, conn *pgconn.PgConn) ([]migration.Straggler, error) {
+	rows, _, err := fencing.Exec(ctx, conn, "SELECT pid, usename, state, backend_xid, extract(epoch FROM clock_timestamp() - xact_start) FROM pg_stat_activity "+
 		"WHERE datname = current_database() AND pid <> pg_backend_pid() AND backend_type = 'client backend' AND xact_start IS NOT NULL "+
 		"ORDER BY xact_start")
 	if err != nil {
 		return nil, err
 	}
-	var writing, open []move.Straggler
+	var writing, open []migration.Straggler
 	for _, r := range rows {
 		pid, _ := strconv.Atoi(r[0])
 		age, _ := strconv.ParseFloat(r[4], 64)
-		s := move.Straggler{PID: pid, User: r[1], Age: fmt.Sprintf("%.3f s", age)}
+		s := migration.Straggler{PID: pid, User: r[1], Age: fmt.Sprintf("%.3f s", age)}
 		if r[3] != "" {
 			s.Kind = "writing, " + r[2]
 			writing = append(writing, s)
@@ -111,9 +111,9 @@
 }
 
 // Fenced says whether the gate is closed, under this token.
-func (p *Places) Fenced(ctx context.Context, a move.Act, at move.Group) (closed bool, n int, err error) {
+func (p *Places) Fenced(ctx context.Context, a migration.Act, at migration.Group) (closed bool, n int, err error) {
 	err = p.act(ctx, a, at, "fenced", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
-		shut, err := place.One(ctx, conn, "SELECT closed FROM ashstand.gate WHERE id = 1")
+		shut, err := fencing.One(ctx, conn, "SELECT closed FROM ashstand.gate WHERE id = 1")
 		if err != nil {
 			return err
 		}
@@ -125,7 +125,7 @@
 }
 
 // Open opens the gate of a group, once it follows nobody.
-func (p *Places) Open(ctx context.Context, a move.Act, at move.Group) error {
+func (p *Places) Open(ctx context.Context, a migration.Act, at migration.Group) error {
 	if err := p.act(ctx, a, at, "open", ours, func(context.Context, *pgconn.PgConn, book) error { return nil }); err != nil {
 		return err
 	}
--- a/internal/cluster/move/sql/golden_test.go
+++ b/internal/cluster/migration/sql/golden_test.go
@@ -20,10 +20,10 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 
-	"ashstand/internal/cluster/move"
-	"ashstand/internal/cluster/owner"
-	"ashstand/internal/cluster/place"
-	"ashstand/lab/host"
+	"ashstand/internal/cluster/fencing"
+	"ashstand/internal/cluster/jobs"
+	"ashstand/internal/cluster/migration"
+	"ashstand/testbed/host"
 )
 
 var updateGolden = flag.Bool("update-golden", false, "write the golden files anew")
@@ -44,17 +44,17 @@
 // statementLog holds, by group, what migrations sent to the database hosts of the group.
 type statementLog struct {
 	mu    sync.Mutex
-	lines map[move.Group][]string
+	lines map[migration.Group][]string
 }
 
-func (l *statementLog) add(group move.Group, line string) {
+func (l *statementLog) add(group migration.Group, line string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lines[group] = append(l.lines[group], line)
 }
 
 // take returns the lines of a group and forgets them.
-func (l *statementLog) take(group move.Group) []string {
+func (l *statementLog) take(group migration.Group) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	lines := l.lines[group]
@@ -63,7 +63,7 @@
 }
 
 // listen starts a proxy in front of a host, which logs the statements of each connection that a migration opens itself.
-func (l *statementLog) listen(t *testing.T, group move.Group, host string) string {
+func (l *statementLog) listen(t *testing.T, group migration.Group, host string) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	var wg sync.WaitGroup
@@ -80,7 +80,7 @@
 	return listener.Addr().String()
 }
 
-func (l *statementLog) proxy(group move.Group, client net.Conn, address string) {
+func (l *statementLog) proxy(group migration.Group, client net.Conn, address string) {
 	defer func() { _ = client.Close() }()
 	server, err := net.Dial("tcp", address)
 	if err != nil {
@@ -223,23 +223,23 @@
 	*rig
 	log    *statementLog
 	out    strings.Builder
-	plan   move.Plan
-	state  move.State
-	token  owner.Token
+	plan   migration.Plan
+	state  migration.State
+	token  jobs.Token
 	number uint64
 }
 
-func newGoldenRun(t *testing.T, plan move.Plan) *goldenRun {
-	g := &goldenRun{rig: newRig(t, 2, plan), log: &statementLog{lines: map[move.Group][]string{}}, plan: plan, token: 5, number: 10}
+func newGoldenRun(t *testing.T, plan migration.Plan) *goldenRun {
+	g := &goldenRun{rig: newRig(t, 2, plan), log: &statementLog{lines: map[migration.Group][]string{}}, plan: plan, token: 5, number: 10}
 	g.plan.Tenant = tenant
-	g.state.Phase = move.Planned
+	g.state.Phase = migration.Planned
 	addresses := map[string]string{}
 	for group := range g.groups {
 		for _, h := range g.hosts(group) {
 			addresses[h.Name] = g.log.listen(t, group, h.Address)
 		}
 	}
-	g.places = &Places{Rows: 10, Client: &place.Client{User: "works", Hosts: func(group uint64) []place.Host {
+	g.places = &Places{Rows: 10, Client: &fencing.Client{User: "works", Hosts: func(group uint64) []fencing.Host {
 		list := g.hosts(group)
 		for i := range list {
 			list[i].Address = addresses[list[i].Name]
@@ -250,15 +250,15 @@
 }
 
 // act is the next deed.
-func (g *goldenRun) act(name string) move.Act {
+func (g *goldenRun) act(name string) migration.Act {
 	g.number++
 	return g.present(name)
 }
 
 // present is the deed that was announced last, under another name.
-func (g *goldenRun) present(name string) move.Act {
-	return move.Act{Plan: g.plan, Work: "m1", Token: g.token, Told: g.token, Number: g.number, Deed: fmt.Sprintf("m1/%d", g.number), Name: name,
-		State: g.state, Data: move.Data{Within: 20000}}
+func (g *goldenRun) present(name string) migration.Act {
+	return migration.Act{Plan: g.plan, Work: "m1", Token: g.token, Told: g.token, Number: g.number, Deed: fmt.Sprintf("m1/%d", g.number), Name: name,
+		State: g.state, Data: migration.Data{Within: 20000}}
 }
 
 // step does something and writes down what it sent.
@@ -275,19 +275,19 @@
 		require.NoError(g.t, err)
 		fmt.Fprintf(&g.out, "-- result: %s\n", regexp.MustCompile(`"(pid|position)":[0-9]+|"age":"[^"]*"`).ReplaceAllString(string(text), `"VARIES"`))
 	}
-	for _, group := range []move.Group{1, 2} {
+	for _, group := range []migration.Group{1, 2} {
 		fmt.Fprintf(&g.out, "-- sent to group %d\n", group)
 		for _, line := range steady(g.log.take(group), strings.HasPrefix(title, "close")) {
 			fmt.Fprintln(&g.out, line)
 		}
 	}
-	for _, group := range []move.Group{1, 2} {
+	for _, group := range []migration.Group{1, 2} {
 		g.stored(group)
 	}
 }
 
 // stored writes down what a migration keeps in a group.
-func (g *goldenRun) stored(group move.Group) {
+func (g *goldenRun) stored(group migration.Group) {
 	fmt.Fprintf(&g.out, "-- stored in group %d\n", group)
 	for _, row := range g.db(group).Dump("ashstand.book") {
 		fmt.Fprintln(&g.out, masked("book: "+row["item"]+" = "+row["value"]))
@@ -304,7 +304,7 @@
 }
 
 // look plays a new owner that finds out about a deed.
-func (g *goldenRun) look(a move.Act) {
+func (g *goldenRun) look(a migration.Act) {
 	g.t.Helper()
 	g.token++
 	a.Token = g.token
@@ -315,7 +315,7 @@
 }
 
 // ready waits until the copy of all tables has come to its end.
-func (g *goldenRun) ready(home, other move.Group) {
+func (g *goldenRun) ready(home, other migration.Group) {
 	g.t.Helper()
 	require.Eventually(g.t, func() bool {
 		p, err := g.places.Progress(g.ctx, g.present(""), home, other)
@@ -323,7 +323,7 @@
 	}, 20*time.Second, 20*time.Millisecond)
 }
 
-func (g *goldenRun) progress(home, other move.Group) {
+func (g *goldenRun) progress(home, other migration.Group) {
 	g.t.Helper()
 	a := g.present("")
 	a.Deed = ""
@@ -333,23 +333,23 @@
 	})
 }
 
-func (g *goldenRun) publish() move.Act {
-	a := g.act(move.DeedPublish)
+func (g *goldenRun) publish() migration.Act {
+	a := g.act(migration.DeedPublish)
 	g.step("publish", func() (any, error) { return nil, g.places.Publish(g.ctx, a) })
 	return a
 }
 
-func (g *goldenRun) subscribe() move.Act {
-	a := g.act(move.DeedSubscribe)
+func (g *goldenRun) subscribe() migration.Act {
+	a := g.act(migration.DeedSubscribe)
 	g.step("subscribe", func() (any, error) { return g.places.Subscribe(g.ctx, a) })
-	g.state.Phase = move.Copying
+	g.state.Phase = migration.Copying
 	return a
 }
 
 // copyTables hands over one table, and then the others.
 func (g *goldenRun) copyTables() {
 	for _, rows := range []float64{0, 1e6} {
-		a := g.act(move.DeedCopy)
+		a := g.act(migration.DeedCopy)
 		a.Data.Rows = rows
 		g.step(fmt.Sprintf("copy, %v rows", rows), func() (any, error) {
 			out, err := g.places.Copy(g.ctx, a)
@@ -360,8 +360,8 @@
 	g.ready(1, 2)
 }
 
-func (g *goldenRun) mark(home, other move.Group) move.Act {
-	a := g.act(move.DeedMark)
+func (g *goldenRun) mark(home, other migration.Group) migration.Act {
+	a := g.act(migration.DeedMark)
 	g.step("mark", func() (any, error) {
 		lines, err := g.places.Mark(g.ctx, a, home, other)
 		g.state.Lines = lines
@@ -370,11 +370,11 @@
 	return a
 }
 
-func (g *goldenRun) compare(title string, home, other move.Group) {
-	a := g.act(move.DeedCompare)
+func (g *goldenRun) compare(title string, home, other migration.Group) {
+	a := g.act(migration.DeedCompare)
 	g.step(title, func() (any, error) {
 		out, err := g.places.Compare(g.ctx, a, home, other)
-		g.state.Compare = move.Compare{After: out.After, All: out.All}
+		g.state.Compare = migration.Compare{After: out.After, All: out.All}
 		return out, err
 	})
 }
@@ -398,23 +398,23 @@
 
 // The statements of each deed, what it returns and what it leaves stored, of a migration that is accepted.
 func TestGoldenStatementsOfAnAcceptedMigration(t *testing.T) {
-	g := newGoldenRun(t, move.Plan{From: 1, To: 2, Lock: 1000, Old: "drop", Reads: 1, Pause: 5000})
+	g := newGoldenRun(t, migration.Plan{From: 1, To: 2, Lock: 1000, Old: "drop", Reads: 1, Pause: 5000})
 	g.seed()
-	g.step("check", func() (any, error) { return g.places.Check(g.ctx, g.act(move.DeedCheck)) })
-	g.look(g.act(move.DeedPublish))
+	g.step("check", func() (any, error) { return g.places.Check(g.ctx, g.act(migration.DeedCheck)) })
+	g.look(g.act(migration.DeedPublish))
 	g.look(g.publish())
-	g.look(g.act(move.DeedSubscribe))
+	g.look(g.act(migration.DeedSubscribe))
 	g.look(g.subscribe())
 	g.copyTables()
 	g.progress(1, 2)
-	g.state.Phase = move.CatchingUp
-	g.look(g.act(move.DeedMark))
+	g.state.Phase = migration.CatchingUp
+	g.look(g.act(migration.DeedMark))
 	g.look(g.mark(1, 2))
 	g.progress(1, 2)
 	g.compare("compare", 1, 2)
 	g.exec(g.dial(1), "UPDATE entries SET payload = 'touched' WHERE ref = 'seed-0000014'")
 	g.compare("compare, to the end already", 1, 2)
-	g.state.Compare = move.Compare{After: `["public.entries","seed-0000009"]`}
+	g.state.Compare = migration.Compare{After: `["public.entries","seed-0000009"]`}
 	byHand := g.dial(2)
 	g.exec(byHand, "SET session_replication_role = replica")
 	g.exec(byHand, "UPDATE entries SET payload = 'by hand' WHERE ref = 'seed-0000022'")
@@ -424,17 +424,17 @@
 	g.exec(byHand, "INSERT INTO entries (ref, payload) VALUES ('seed-0000022', '"+values[0][0]+"')")
 	g.close()
 	g.verify()
-	a := g.act(move.DeedSwitch)
+	a := g.act(migration.DeedSwitch)
 	g.step("fenced", func() (any, error) {
 		closed, line, err := g.places.Fenced(g.ctx, a, 1)
 		return []any{closed, line}, err
 	})
 	g.step("open", func() (any, error) { return nil, g.places.Open(g.ctx, a, 2) })
-	g.state.Phase = move.Switched
+	g.state.Phase = migration.Switched
 	g.way()
-	a = g.act(move.DeedFinish)
+	a = g.act(migration.DeedFinish)
 	g.step("finish", func() (any, error) { return nil, g.places.Finish(g.ctx, a) })
-	g.state.Phase = move.Accepted
+	g.state.Phase = migration.Accepted
 	g.look(a)
 	requireGolden(t, "statements-accepted.txt", g.out.String())
 }
@@ -444,11 +444,11 @@
 	straggler := g.dial(1)
 	g.exec(straggler, "BEGIN")
 	g.exec(straggler, "INSERT INTO entries (ref, payload) VALUES ('straggler', '')")
-	a := g.act(move.DeedClose)
+	a := g.act(migration.DeedClose)
 	a.Data.Within, a.Data.End = 1000, true
-	g.state.Phase = move.Closing
-	a.State.Phase = move.Closing
-	g.look(g.act(move.DeedClose))
+	g.state.Phase = migration.Closing
+	a.State.Phase = migration.Closing
+	g.look(g.act(migration.DeedClose))
 	a.Token, a.Told, a.Deed = g.token, g.token, fmt.Sprintf("m1/%d", g.number+1)
 	g.number++
 	g.step("close, and end a session", func() (any, error) {
@@ -459,32 +459,32 @@
 }
 
 func (g *goldenRun) verify() {
-	g.state.Phase = move.Verifying
+	g.state.Phase = migration.Verifying
 	require.Eventually(g.t, func() bool {
 		p, err := g.places.Progress(g.ctx, g.present(""), 1, 2)
 		return err == nil && p.Applied >= p.HomePos
 	}, 20*time.Second, 20*time.Millisecond)
-	a := g.act(move.DeedVerify)
+	a := g.act(migration.DeedVerify)
 	g.step("verify what was touched", func() (any, error) { return g.places.Verify(g.ctx, a, 1, 2) })
-	a = g.act(move.DeedVerify)
-	a.State.Lines = move.Lines{}
+	a = g.act(migration.DeedVerify)
+	a.State.Lines = migration.Lines{}
 	g.step("verify everything", func() (any, error) { return g.places.Verify(g.ctx, a, 1, 2) })
 }
 
 // way plays the way back: the old home follows the new one, by the slot that was made for it and then by another.
 func (g *goldenRun) way() {
-	g.look(g.act(move.DeedFeed))
-	a := g.act(move.DeedFeed)
+	g.look(g.act(migration.DeedFeed))
+	a := g.act(migration.DeedFeed)
 	g.step("feed", func() (any, error) { return g.places.Feed(g.ctx, a) })
 	g.look(a)
-	a = g.act(move.DeedFeed)
+	a = g.act(migration.DeedFeed)
 	g.step("feed, it follows already", func() (any, error) { return g.places.Feed(g.ctx, a) })
 	g.mark(2, 1)
-	g.state.Compare = move.Compare{}
+	g.state.Compare = migration.Compare{}
 	g.ready(2, 1)
 	g.progress(2, 1)
 	g.compare("compare on the way back", 2, 1)
-	a = g.act(move.DeedFeed)
+	a = g.act(migration.DeedFeed)
 	a.Data.Again = true
 	g.step("feed, anew", func() (any, error) { return g.places.Feed(g.ctx, a) })
 	g.ready(2, 1)
@@ -492,19 +492,19 @@
 
 // The statements of each deed of a migration that is rolled back before its switch.
 func TestGoldenStatementsOfAMigrationRolledBack(t *testing.T) {
-	g := newGoldenRun(t, move.Plan{From: 1, To: 2, Lock: 1000, Pause: 5000})
+	g := newGoldenRun(t, migration.Plan{From: 1, To: 2, Lock: 1000, Pause: 5000})
 	g.seed()
 	g.publish()
 	g.subscribe()
 	g.copyTables()
-	a := g.act(move.DeedSubscribe)
+	a := g.act(migration.DeedSubscribe)
 	a.Data.Again = true
 	g.step("subscribe anew", func() (any, error) { return g.places.Subscribe(g.ctx, a) })
-	g.state.Copy = move.Copy{}
+	g.state.Copy = migration.Copy{}
 	g.copyTables()
 	g.mark(1, 2)
-	g.look(g.act(move.DeedClear))
-	a = g.act(move.DeedClear)
+	g.look(g.act(migration.DeedClear))
+	a = g.act(migration.DeedClear)
 	g.step("clear", func() (any, error) { return nil, g.places.Clear(g.ctx, a) })
 	g.look(a)
 	requireGolden(t, "statements-rolled-back.txt", g.out.String())
@@ -540,7 +540,7 @@
 			fmt.Fprintln(&out, statement)
 		}
 	}
-	a := move.Act{Work: "shop-to-2", Token: 9, Told: 7, Deed: "shop-to-2/31"}
+	a := migration.Act{Work: "shop-to-2", Token: 9, Told: 7, Deed: "shop-to-2/31"}
 	for _, kind := range []string{"f", "b", "r"} {
 		fmt.Fprintf(&out, "name of kind %s: %s\n", kind, name(a, kind))
 	}
--- a/internal/cluster/move/sql/look.go
+++ b/internal/cluster/migration/sql/look.go
@@ -9,17 +9,17 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"ashstand/internal/cluster/move"
-	"ashstand/internal/cluster/place"
+	"ashstand/internal/cluster/fencing"
+	"ashstand/internal/cluster/migration"
 )
 
 // Progress says how far the other home follows this one.
-func (p *Places) Progress(ctx context.Context, a move.Act, home, other move.Group) (move.Progress, error) {
-	var out move.Progress
+func (p *Places) Progress(ctx context.Context, a migration.Act, home, other migration.Group) (migration.Progress, error) {
+	var out migration.Progress
 	var published, marked, back, sub, slot string
 	var tabs, ready, touched int
-	var remote move.Position
-	var has, durable move.Position
+	var remote migration.Position
+	var has, durable migration.Position
 	var slotThere, followedThere, backThere bool
 	seen := time.Now()
 	// What the slot says comes before what the other's standbys are asked for: these have then what it stands for.
@@ -38,7 +38,7 @@
 		if out.HomePos, err = standing(ctx, conn); err != nil {
 			return err
 		}
-		if published, err = place.One(ctx, conn, "SELECT count(*) FROM pg_publication_tables WHERE pubname LIKE 'ash\\_%'"); err != nil {
+		if published, err = fencing.One(ctx, conn, "SELECT count(*) FROM pg_publication_tables WHERE pubname LIKE 'ash\\_%'"); err != nil {
 			return err
 		}
 		touched, err = count(ctx, conn, "SELECT count(*) FROM ashstand.touched")
@@ -68,7 +68,7 @@
 			return err
 		}
 		if followedThere = sub != ""; followedThere {
-			rows, _, err := place.Exec(ctx, conn, "SELECT r.srsubstate, count(*) FROM pg_subscription_rel r JOIN pg_subscription s ON s.oid = r.srsubid "+
+			rows, _, err := fencing.Exec(ctx, conn, "SELECT r.srsubstate, count(*) FROM pg_subscription_rel r JOIN pg_subscription s ON s.oid = r.srsubid "+
 				"WHERE s.subname = $1 GROUP BY r.srsubstate", sub)
 			if err != nil {
 				return err
@@ -79,7 +79,7 @@
 					ready += n
 				}
 			}
-			text, err := place.One(ctx, conn, "SELECT o.remote_lsn FROM pg_replication_origin_status o JOIN pg_subscription s "+
+			text, err := fencing.One(ctx, conn, "SELECT o.remote_lsn FROM pg_replication_origin_status o JOIN pg_subscription s "+
 				"ON o.external_id = concat('pg_', s.oid) WHERE s.subname = $1", sub)
 			if err != nil {
 				return err
@@ -90,7 +90,7 @@
 		if touched += n; err != nil {
 			return err
 		}
-		shut, err := place.One(ctx, conn, "SELECT closed FROM ashstand.gate WHERE id = 1")
+		shut, err := fencing.One(ctx, conn, "SELECT closed FROM ashstand.gate WHERE id = 1")
 		if err != nil {
 			return err
 		}
@@ -106,7 +106,7 @@
 	out.Reached = true
 	out.SlotLost = !followedThere || !slotThere || slot == ""
 	out.Ready = followedThere && tabs == ready
-	if followedThere && a.State.Phase != move.Copying && strconv.Itoa(tabs) != published { // a failover has lost that they were handed over
+	if followedThere && a.State.Phase != migration.Copying && strconv.Itoa(tabs) != published { // a failover has lost that they were handed over
 		out.SlotLost = true
 	}
 	if remote > out.HomePos { // it may have been written since the home was asked
@@ -145,11 +145,11 @@
 }
 
 func one1(ctx context.Context, conn *pgconn.PgConn, sql string) (string, error) {
-	return place.One(ctx, conn, sql)
+	return fencing.One(ctx, conn, sql)
 }
 
 func count(ctx context.Context, conn *pgconn.PgConn, sql string) (int, error) {
-	text, err := place.One(ctx, conn, sql)
+	text, err := fencing.One(ctx, conn, sql)
 	n, _ := strconv.Atoi(text)
 	return n, err
 }
@@ -164,7 +164,7 @@
 		return false, err
 	}
 	for until := time.Now().Add(mostSpread * time.Millisecond); ; {
-		rows, _, err := place.Exec(ctx, conn, "SELECT pid, flush_lsn FROM pg_stat_replication WHERE pid NOT IN "+
+		rows, _, err := fencing.Exec(ctx, conn, "SELECT pid, flush_lsn FROM pg_stat_replication WHERE pid NOT IN "+
 			"(SELECT active_pid FROM pg_replication_slots WHERE slot_type = 'logical' AND active_pid IS NOT NULL)")
 		if err != nil {
 			return false, err
@@ -181,8 +181,8 @@
 }
 
 // homes are the group that serves the tenant and the other one, as move.State has it.
-func homes(a move.Act) (home, other move.Group) {
-	if s := a.State; s.Reverse || s.Phase == move.Switched || s.Phase == move.Accepted || s.Phase == move.Done {
+func homes(a migration.Act) (home, other migration.Group) {
+	if s := a.State; s.Reverse || s.Phase == migration.Switched || s.Phase == migration.Accepted || s.Phase == migration.Done {
 		return a.Plan.To, a.Plan.From
 	}
 	return a.Plan.From, a.Plan.To
@@ -190,20 +190,20 @@
 
 // Look finds out whether a deed that is in doubt was done. All places of the deed hold this owner's token then, and where it
 // was not done no act of it counts any more.
-func (p *Places) Look(ctx context.Context, a move.Act) (f move.Found, err error) {
+func (p *Places) Look(ctx context.Context, a migration.Act) (f migration.Found, err error) {
 	home, other := homes(a)
-	at := []move.Group{home, other}
-	if a.Name == move.DeedClose { // the other home may be out of reach: the tenant is to open again all the same
+	at := []migration.Group{home, other}
+	if a.Name == migration.DeedClose { // the other home may be out of reach: the tenant is to open again all the same
 		at = at[:1]
 	}
 	claim := ends
-	if a.Name == move.DeedPublish || a.Name == move.DeedClear {
+	if a.Name == migration.DeedPublish || a.Name == migration.DeedClear {
 		claim = takes
 	}
 	look := a
 	look.Deed = "" // it may have been settled by a look that nobody heard of
-	books := map[move.Group]book{}
-	lines := map[move.Group]int{}
+	books := map[migration.Group]book{}
+	lines := map[migration.Group]int{}
 	for _, g := range at {
 		if err = p.founded(ctx, a, g); err != nil {
 			return f, err
@@ -213,8 +213,8 @@
 			lines[g], err = line(ctx, conn)
 			return err
 		}); err != nil {
-			var by *move.Taken
-			if errors.As(err, &by) && a.Name == move.DeedPublish { // so it was not done, nor will it be
+			var by *migration.Taken
+			if errors.As(err, &by) && a.Name == migration.DeedPublish { // so it was not done, nor will it be
 				return f, nil
 			}
 			return f, err
@@ -229,21 +229,21 @@
 		return true
 	}
 	own := books[home]
-	f.Lines = move.Lines{Home: int(own.number("home line")), Other: int(own.number("other line"))}
+	f.Lines = migration.Lines{Home: int(own.number("home line")), Other: int(own.number("other line"))}
 	switch a.Name {
-	case move.DeedPublish:
+	case migration.DeedPublish:
 		f.Done = has("published")
-	case move.DeedMark:
+	case migration.DeedMark:
 		f.Done = has("marked")
-	case move.DeedClear, move.DeedFinish:
+	case migration.DeedClear, migration.DeedFinish:
 		f.Done = has("given")
-	case move.DeedClose:
+	case migration.DeedClose:
 		var n int
 		var pos uint64
 		if _, err := fmt.Sscanf(own["closed"], a.Deed+" %d %d", &n, &pos); err == nil && n == lines[home] {
-			f.Done, f.Closed = true, &move.Closed{Line: n, Position: move.Position(pos)}
+			f.Done, f.Closed = true, &migration.Closed{Line: n, Position: migration.Position(pos)}
 		}
-	case move.DeedSubscribe, move.DeedFeed:
+	case migration.DeedSubscribe, migration.DeedFeed:
 		if f.Done = has("followed"); !f.Done {
 			if f, err = p.lookFollowed(ctx, a, other, books[other]); err != nil {
 				return f, err
@@ -260,10 +260,10 @@
 			}
 			return nil
 		}); err != nil {
-			return move.Found{}, err
+			return migration.Found{}, err
 		}
 	}
-	if a.Name == move.DeedMark {
+	if a.Name == migration.DeedMark {
 		err = p.on(ctx, a, other, "drop slot", func(ctx context.Context, conn *pgconn.PgConn) error {
 			have, err := slotsOf(ctx, conn)
 			if _, there := have[name(a, "b")]; err != nil || !there {
@@ -272,19 +272,19 @@
 			return run(ctx, conn, "SELECT pg_drop_replication_slot("+quote(name(a, "b"))+")")
 		})
 	}
-	return move.Found{}, err
+	return migration.Found{}, err
 }
 
 // lookFollowed says whether the deed's subscription is there, which it makes last: then it stays. It may have taken in
 // commits that its slot does not know of yet, so that another one would get them again.
-func (p *Places) lookFollowed(ctx context.Context, a move.Act, at move.Group, b book) (f move.Found, err error) {
-	called := name(a, map[string]string{move.DeedSubscribe: "f", move.DeedFeed: "r"}[a.Name])
+func (p *Places) lookFollowed(ctx context.Context, a migration.Act, at migration.Group, b book) (f migration.Found, err error) {
+	called := name(a, map[string]string{migration.DeedSubscribe: "f", migration.DeedFeed: "r"}[a.Name])
 	if err = p.on(ctx, a, at, "look for "+called, func(ctx context.Context, conn *pgconn.PgConn) (err error) {
 		f.Done, err = subscribed(ctx, conn, called)
 		return err
 	}); err != nil || !f.Done || b["sub"] != called || b.number("deed") > deedNumber(a) {
-		return move.Found{}, err
+		return migration.Found{}, err
 	}
-	f.Lines = move.Lines{Home: int(b.number("sub home line")), Other: int(b.number("sub other line"))}
+	f.Lines = migration.Lines{Home: int(b.number("sub home line")), Other: int(b.number("sub other line"))}
 	return f, p.settled(ctx, a, "followed", f.Lines)
 }
--- a/internal/cluster/move/sql/places.go
+++ b/internal/cluster/migration/sql/places.go
@@ -27,19 +27,19 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"ashstand/internal/cluster/move"
-	"ashstand/internal/cluster/owner"
-	"ashstand/internal/cluster/place"
+	"ashstand/internal/cluster/fencing"
+	"ashstand/internal/cluster/jobs"
+	"ashstand/internal/cluster/migration"
 )
 
 // Places are the homes of tenants.
 type Places struct {
-	Client *place.Client
+	Client *fencing.Client
 	Within time.Duration // for a deed whose data say nothing; 0: 10 s
 	Idle   time.Duration // a transaction whose owner says nothing is ended by the host after so long; 0: 2 s
 	Rows   int           // of a range; 0: 1000
 	// Room says how many bytes a group has left, false: nobody knows. SQL does not tell it. nil: nobody.
-	Room func(group move.Group) (bytes float64, known bool)
+	Room func(group migration.Group) (bytes float64, known bool)
 	// Reads gives statements of the tenant's own that change nothing, to be played at both homes. nil: none.
 	Reads func(tenant string, n int) []string
 
@@ -50,10 +50,10 @@
 // pace is how fast things went of late at a work.
 type pace struct {
 	at       time.Time
-	lines    move.Lines
-	applied  move.Position // what was durable then
-	perMs    float64       // log bytes that the other takes in a millisecond
-	verifies float64       // ms a row that is read again
+	lines    migration.Lines
+	applied  migration.Position // what was durable then
+	perMs    float64            // log bytes that the other takes in a millisecond
+	verifies float64            // ms a row that is read again
 }
 
 // mostPaces bounds how many works' paces are known: as many as may be open.
@@ -78,7 +78,7 @@
 
 // Refused is an act that a home refused in its own words: it was not done.
 type Refused struct {
-	Group move.Group
+	Group migration.Group
 	What  string
 	Err   error
 }
@@ -112,7 +112,7 @@
 func (e *Passed) Advice() string { return "nothing: it came late and changed nothing" }
 
 // within is how long a deed's acts may take.
-func (p *Places) within(a move.Act) time.Duration {
+func (p *Places) within(a migration.Act) time.Duration {
 	if a.Data.Within > 0 {
 		return time.Duration(a.Data.Within * 1e6)
 	}
@@ -124,8 +124,8 @@
 
 // bounds are what a host keeps to for a deed's transaction. Who waits for a lock on a table lets nobody else have it
 // meanwhile, so that it is no longer than the plan has it for the closing.
-func (p *Places) bounds(a move.Act) place.Bounds {
-	b := place.Bounds{Lock: time.Duration(a.Plan.Lock * 1e6), Statement: p.within(a), Idle: p.Idle}
+func (p *Places) bounds(a migration.Act) fencing.Bounds {
+	b := fencing.Bounds{Lock: time.Duration(a.Plan.Lock * 1e6), Statement: p.within(a), Idle: p.Idle}
 	if b.Lock <= 0 || b.Lock > b.Statement {
 		b.Lock = min(time.Second, b.Statement)
 	}
@@ -153,7 +153,7 @@
 }
 
 func readBook(ctx context.Context, conn *pgconn.PgConn) (book, error) {
-	rows, _, err := place.Exec(ctx, conn, "SELECT item, value FROM ashstand.book")
+	rows, _, err := fencing.Exec(ctx, conn, "SELECT item, value FROM ashstand.book")
 	b := book{}
 	for _, r := range rows {
 		b[r[0]] = r[1]
@@ -163,7 +163,7 @@
 
 func write(ctx context.Context, conn *pgconn.PgConn, items book) error {
 	for _, item := range slices.Sorted(maps.Keys(items)) {
-		if _, _, err := place.Exec(ctx, conn, "INSERT INTO ashstand.book (item, value) VALUES ($1, $2) "+
+		if _, _, err := fencing.Exec(ctx, conn, "INSERT INTO ashstand.book (item, value) VALUES ($1, $2) "+
 			"ON CONFLICT (item) DO UPDATE SET value = excluded.value", item, items[item]); err != nil {
 			return err
 		}
@@ -171,20 +171,20 @@
 	return nil
 }
 
-func deedNumber(a move.Act) uint64 {
+func deedNumber(a migration.Act) uint64 {
 	n, _ := strconv.ParseUint(a.Deed[strings.LastIndexByte(a.Deed, '/')+1:], 10, 64)
 	return n
 }
 
 // name is what a deed calls what it builds.
-func name(a move.Act, kind string) string {
+func name(a migration.Act, kind string) string {
 	return fmt.Sprintf("%s%s_%d_%d", prefix(a), kind, a.Told, deedNumber(a))
 }
 
 const anyPrefix = "ash_"
 
 // old says whether something is a move's, and not of a later owner or deed than the one that would remove it.
-func old(called string, a move.Act) bool {
+func old(called string, a migration.Act) bool {
 	rest, ok := strings.CutPrefix(called, anyPrefix)
 	part := strings.Split(rest, "_")
 	if !ok || len(part) != 4 {
@@ -195,11 +195,11 @@
 	if err1 != nil || err2 != nil {
 		return false
 	}
-	t := owner.Token(token)
+	t := jobs.Token(token)
 	return t < a.Token || t == a.Token && deed <= deedNumber(a)
 }
 
-func prefix(a move.Act) string {
+func prefix(a migration.Act) string {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(a.Work))
 	return fmt.Sprintf("%s%08x_", anyPrefix, h.Sum32())
@@ -207,11 +207,11 @@
 
 // act does something at a group's primary in one transaction behind the tenant's token, once the book says that it is the
 // work's turn and the deed counts.
-func (p *Places) act(ctx context.Context, a move.Act, at move.Group, what string, c claim, do func(ctx context.Context, conn *pgconn.PgConn, b book) error) error {
+func (p *Places) act(ctx context.Context, a migration.Act, at migration.Group, what string, c claim, do func(ctx context.Context, conn *pgconn.PgConn, b book) error) error {
 	return p.actWithin(ctx, p.bounds(a), a, at, what, c, do)
 }
 
-func (p *Places) actWithin(ctx context.Context, bounds place.Bounds, a move.Act, at move.Group, what string, c claim,
+func (p *Places) actWithin(ctx context.Context, bounds fencing.Bounds, a migration.Act, at migration.Group, what string, c claim,
 	do func(ctx context.Context, conn *pgconn.PgConn, b book) error) error {
 	err := p.Client.ActWithin(ctx, bounds, at, a.Plan.Tenant, a.Plan.Tenant, a.Token, what, func(ctx context.Context, conn *pgconn.PgConn) error {
 		b, err := readBook(ctx, conn)
@@ -222,9 +222,9 @@
 		switch {
 		case c == takes && free:
 		case b["work"] != a.Work && !free:
-			return &move.Taken{Tenant: a.Plan.Tenant, By: b["work"]}
+			return &migration.Taken{Tenant: a.Plan.Tenant, By: b["work"]}
 		case b["work"] != a.Work, free && c != ends:
-			return &owner.Fenced{Place: fmt.Sprint("group ", at), Given: a.Token, Holds: a.Token}
+			return &jobs.Fenced{Place: fmt.Sprint("group ", at), Given: a.Token, Holds: a.Token}
 		}
 		if n := deedNumber(a); b["work"] == a.Work && a.Deed != "" {
 			if n < b.number("deed") {
@@ -240,28 +240,28 @@
 	return p.worded(err, at, what)
 }
 
-func (p *Places) worded(err error, at move.Group, what string) error {
+func (p *Places) worded(err error, at migration.Group, what string) error {
 	if err == nil {
 		return nil
 	}
-	return place.Decided(err, func(err error) error {
-		if _, ok := place.Worded(err); ok {
+	return fencing.Decided(err, func(err error) error {
+		if _, ok := fencing.Worded(err); ok {
 			return &Refused{Group: at, What: what, Err: err}
 		}
-		return &place.Unreached{Host: fmt.Sprint("group ", at), What: what, Err: err}
+		return &fencing.Unreached{Host: fmt.Sprint("group ", at), What: what, Err: err}
 	})
 }
 
 // on does something on a connection to a group's primary that no transaction holds: to look, or what SQL allows in none.
-func (p *Places) on(ctx context.Context, a move.Act, at move.Group, what string, do func(ctx context.Context, conn *pgconn.PgConn) error) error {
+func (p *Places) on(ctx context.Context, a migration.Act, at migration.Group, what string, do func(ctx context.Context, conn *pgconn.PgConn) error) error {
 	conn, _, err := p.Client.Primary(ctx, at, a.Plan.Tenant)
 	if err != nil {
 		return p.worded(err, at, what)
 	}
-	defer place.Close(conn)
+	defer fencing.Close(conn)
 	b := p.bounds(a)
 	b.Idle = b.Statement
-	if err = place.Bound(ctx, conn, b); err == nil {
+	if err = fencing.Bound(ctx, conn, b); err == nil {
 		err = do(ctx, conn)
 	}
 	return p.worded(err, at, what)
@@ -279,7 +279,7 @@
 
 // line is a primary's timeline.
 func line(ctx context.Context, conn *pgconn.PgConn) (int, error) {
-	file, err := place.One(ctx, conn, "SELECT pg_walfile_name(pg_current_wal_insert_lsn())")
+	file, err := fencing.One(ctx, conn, "SELECT pg_walfile_name(pg_current_wal_insert_lsn())")
 	if err != nil || len(file) < 8 {
 		return 0, err
 	}
@@ -287,22 +287,22 @@
 	return int(n), err
 }
 
-func position(text string) move.Position {
+func position(text string) migration.Position {
 	hi, lo, _ := strings.Cut(text, "/")
 	h, _ := strconv.ParseUint(hi, 16, 32)
 	l, _ := strconv.ParseUint(lo, 16, 32)
-	return move.Position(h<<32 | l)
+	return migration.Position(h<<32 | l)
 }
 
 // standing is the position past all that a statement before has seen, also of what was not waited for.
-func standing(ctx context.Context, conn *pgconn.PgConn) (move.Position, error) {
-	text, err := place.One(ctx, conn, "SELECT pg_current_wal_insert_lsn()")
+func standing(ctx context.Context, conn *pgconn.PgConn) (migration.Position, error) {
+	text, err := fencing.One(ctx, conn, "SELECT pg_current_wal_insert_lsn()")
 	return position(text), err
 }
 
 // lines are the timelines of both.
-func (p *Places) lines(ctx context.Context, a move.Act, home, other move.Group) (l move.Lines, err error) {
-	one := func(at move.Group, to *int) func() error {
+func (p *Places) lines(ctx context.Context, a migration.Act, home, other migration.Group) (l migration.Lines, err error) {
+	one := func(at migration.Group, to *int) func() error {
 		return func() error {
 			return p.on(ctx, a, at, "timeline", func(ctx context.Context, conn *pgconn.PgConn) (err error) {
 				*to, err = line(ctx, conn)
@@ -315,7 +315,7 @@
 }
 
 // reach is the connection string by which another group follows this one: all its hosts, of which one takes writes.
-func (p *Places) reach(a move.Act, at move.Group) string {
+func (p *Places) reach(a migration.Act, at migration.Group) string {
 	var hosts, ports []string
 	for _, h := range p.Client.Hosts(at) {
 		if host, port, err := net.SplitHostPort(h.Address); err == nil {
@@ -331,7 +331,7 @@
 
 // code is what a home's refusal has; "": it is none.
 func code(err error) string {
-	if pe, ok := place.Worded(err); ok {
+	if pe, ok := fencing.Worded(err); ok {
 		return pe.Code
 	}
 	return ""
@@ -340,7 +340,7 @@
 // run runs statements in their order.
 func run(ctx context.Context, conn *pgconn.PgConn, list ...string) error {
 	for _, s := range list {
-		if _, _, err := place.Exec(ctx, conn, s); err != nil {
+		if _, _, err := fencing.Exec(ctx, conn, s); err != nil {
 			return err
 		}
 	}
--- a/internal/cluster/move/sql/places_test.go
+++ b/internal/cluster/migration/sql/places_test.go
@@ -15,10 +15,10 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/stretchr/testify/require"
 
-	"ashstand/internal/cluster/move"
-	"ashstand/internal/cluster/owner"
-	"ashstand/internal/cluster/place"
-	"ashstand/lab/host"
+	"ashstand/internal/cluster/fencing"
+	"ashstand/internal/cluster/jobs"
+	"ashstand/internal/cluster/migration"
+	"ashstand/testbed/host"
 )
 
 const tenant = "shop"
@@ -27,10 +27,10 @@
 type rig struct {
 	t      testing.TB
 	ctx    context.Context
-	groups map[move.Group]*host.Cluster
+	groups map[migration.Group]*host.Cluster
 	places *Places
-	mover  *move.Mover
-	ledger owner.Ledger
+	mover  *migration.Mover
+	ledger jobs.Ledger
 	// instead, if it is set, does the deed that is announced.
 	instead func() error
 
@@ -39,11 +39,11 @@
 	version int
 }
 
-func newRig(t testing.TB, groups int, plan move.Plan) *rig {
+func newRig(t testing.TB, groups int, plan migration.Plan) *rig {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	t.Cleanup(cancel)
-	r := &rig{t: t, ctx: ctx, groups: map[move.Group]*host.Cluster{}, rules: map[string]any{"database.shop.group": float64(plan.From)}}
-	for g := range move.Group(groups) {
+	r := &rig{t: t, ctx: ctx, groups: map[migration.Group]*host.Cluster{}, rules: map[string]any{"database.shop.group": float64(plan.From)}}
+	for g := range migration.Group(groups) {
 		c := host.NewCluster(g+1, 1)
 		c.SetReplication(host.Replication{Retry: 20 * time.Millisecond, Timeout: 2 * time.Second, ConnectTime: 2 * time.Second})
 		c.Strict(true)
@@ -55,29 +55,29 @@
 		t.Cleanup(c.Close)
 		r.groups[g+1] = c
 	}
-	r.places = &Places{Client: &place.Client{User: "works", Hosts: r.hosts}, Idle: 300 * time.Millisecond, Rows: 100}
-	costs := move.Costs{Log: 1, InForce: 1, Owner: 10, Place: 50}
-	r.mover = &move.Mover{Places: r.places, Rules: r, Costs: costs}
+	r.places = &Places{Client: &fencing.Client{User: "works", Hosts: r.hosts}, Idle: 300 * time.Millisecond, Rows: 100}
+	costs := migration.Costs{Log: 1, InForce: 1, Owner: 10, Place: 50}
+	r.mover = &migration.Mover{Places: r.places, Rules: r, Costs: costs}
 	if plan.Checkpoints == nil {
-		plan.Checkpoints = []string{move.AtAccepting}
+		plan.Checkpoints = []string{migration.AtAccepting}
 	}
 	if plan.Pause == 0 {
 		plan.Pause = 3000
 	}
 	plan.Tenant = tenant
 	spec, _ := json.Marshal(plan)
-	if _, err := move.Parse(spec, costs); plan.Lock < plan.Pause {
+	if _, err := migration.Parse(spec, costs); plan.Lock < plan.Pause {
 		require.NoError(t, err)
 	}
-	r.enter(owner.Entry{Op: owner.Create, Work: "m1", Kind: "move", Spec: spec})
+	r.enter(jobs.Entry{Op: jobs.Create, Work: "m1", Kind: "move", Spec: spec})
 	r.owned()
 	return r
 }
 
-func (r *rig) hosts(g uint64) (out []place.Host) {
+func (r *rig) hosts(g uint64) (out []fencing.Host) {
 	c := r.groups[g]
 	for _, h := range c.Hosts() {
-		out = append(out, place.Host{Name: h.Name, Address: h.Address, Group: g, Primary: h == c.Leader()})
+		out = append(out, fencing.Host{Name: h.Name, Address: h.Address, Group: g, Primary: h == c.Leader()})
 	}
 	return out
 }
@@ -88,7 +88,7 @@
 	return maps.Clone(r.rules), r.version, true
 }
 
-func (r *rig) Change(_ context.Context, _ string, _ owner.Token, _ *owner.Deed, keys map[string]any) (int, error) {
+func (r *rig) Change(_ context.Context, _ string, _ jobs.Token, _ *jobs.Deed, keys map[string]any) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	maps.Copy(r.rules, keys)
@@ -98,32 +98,32 @@
 
 func (r *rig) Limited(string) bool { return true }
 
-func (r *rig) home() move.Group {
+func (r *rig) home() migration.Group {
 	rules, _, _ := r.Now()
-	return move.Group(rules["database.shop.group"].(float64))
+	return migration.Group(rules["database.shop.group"].(float64))
 }
 
-func (r *rig) enter(e owner.Entry) {
+func (r *rig) enter(e jobs.Entry) {
 	r.t.Helper()
 	refusal := r.ledger.Apply(e)
 	require.Nil(r.t, refusal, "%v", refusal)
 }
 
-func (r *rig) work() *owner.Work { return r.ledger.Works["m1"] }
+func (r *rig) work() *jobs.Work { return r.ledger.Works["m1"] }
 
-func (r *rig) state() move.State {
-	s, err := move.StateOf(r.work())
+func (r *rig) state() migration.State {
+	s, err := migration.StateOf(r.work())
 	require.NoError(r.t, err)
 	return s
 }
 
 // owned gives the work a new owner.
 func (r *rig) owned() {
-	r.enter(owner.Entry{Op: owner.Assign, Work: "m1", Token: r.work().Token, To: "n", Instance: 1})
+	r.enter(jobs.Entry{Op: jobs.Assign, Work: "m1", Token: r.work().Token, To: "n", Instance: 1})
 }
 
 func (r *rig) say(word string) {
-	r.enter(owner.Entry{Op: owner.Say, Work: "m1", Word: &owner.Word{Say: word, Step: r.work().Step, Lasting: word == move.Rollback}})
+	r.enter(jobs.Entry{Op: jobs.Say, Work: "m1", Word: &jobs.Word{Say: word, Step: r.work().Step, Lasting: word == migration.Rollback}})
 }
 
 // announce logs what comes next; false: nothing does now.
@@ -138,8 +138,8 @@
 	if s.Deed == "" {
 		return false
 	}
-	r.enter(owner.Entry{Op: owner.Announce, Work: "m1", Token: w.Token, Step: w.Step, Word: s.Took,
-		Deed: &owner.Deed{Number: w.Next(), Name: s.Deed, Data: s.Data}})
+	r.enter(jobs.Entry{Op: jobs.Announce, Work: "m1", Token: w.Token, Step: w.Step, Word: s.Took,
+		Deed: &jobs.Deed{Number: w.Next(), Name: s.Deed, Data: s.Data}})
 	return true
 }
 
@@ -160,7 +160,7 @@
 	r.t.Helper()
 	r.owned()
 	w := *r.work()
-	var p owner.Proof
+	var p jobs.Proof
 	var err error
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		if done, p, err = r.mover.Look(r.ctx, &w, w.Deed); err == nil {
@@ -171,20 +171,20 @@
 	if done {
 		r.prove(p)
 	} else {
-		r.enter(owner.Entry{Op: owner.Void, Work: "m1", Token: w.Token, Deed: w.Deed})
+		r.enter(jobs.Entry{Op: jobs.Void, Work: "m1", Token: w.Token, Deed: w.Deed})
 	}
 	return done
 }
 
-func (r *rig) prove(p owner.Proof) {
+func (r *rig) prove(p jobs.Proof) {
 	w := r.work()
-	r.enter(owner.Entry{Op: owner.Prove, Work: "m1", Token: w.Token, Deed: w.Deed, State: p.State, Ended: p.Ended, Why: p.Why})
+	r.enter(jobs.Entry{Op: jobs.Prove, Work: "m1", Token: w.Token, Deed: w.Deed, State: p.State, Ended: p.Ended, Why: p.Why})
 }
 
 // act is the deed that is announced, as its present owner would do it.
-func (r *rig) act() move.Act {
+func (r *rig) act() migration.Act {
 	w := r.work()
-	a := move.Act{Work: w.Name, Token: w.Token, State: r.state()}
+	a := migration.Act{Work: w.Name, Token: w.Token, State: r.state()}
 	require.NoError(r.t, json.Unmarshal(w.Spec, &a.Plan))
 	if d := w.Deed; d != nil {
 		a.Deed, a.Name, a.Told = d.ID(w.Name), d.Name, d.Token
@@ -194,7 +194,7 @@
 }
 
 // until goes on until a deed is announced, or with "" until the state is as asked for.
-func (r *rig) until(deed string, is func(move.State) bool) {
+func (r *rig) until(deed string, is func(migration.State) bool) {
 	r.t.Helper()
 	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); {
 		if w := r.work(); w.Ended || deed == "" && is(r.state()) {
@@ -212,27 +212,27 @@
 	require.Fail(r.t, "it does not come to that", "%s %+v", deed, r.state())
 }
 
-func (r *rig) phase(p move.Phase) {
+func (r *rig) phase(p migration.Phase) {
 	r.t.Helper()
-	r.until("", func(s move.State) bool { return s.Phase == p })
+	r.until("", func(s migration.State) bool { return s.Phase == p })
 	require.Equal(r.t, p, r.state().Phase, "%+v", r.state())
 }
 
-func (r *rig) dial(g move.Group) *pgconn.PgConn {
-	c, _, err := (&place.Client{User: "web", Hosts: r.hosts}).Primary(r.ctx, g, tenant)
+func (r *rig) dial(g migration.Group) *pgconn.PgConn {
+	c, _, err := (&fencing.Client{User: "web", Hosts: r.hosts}).Primary(r.ctx, g, tenant)
 	require.NoError(r.t, err)
-	r.t.Cleanup(func() { place.Close(c) })
+	r.t.Cleanup(func() { fencing.Close(c) })
 	return c
 }
 
 func (r *rig) exec(c *pgconn.PgConn, sql string) [][]string {
 	r.t.Helper()
-	rows, _, err := place.Exec(r.ctx, c, sql)
+	rows, _, err := fencing.Exec(r.ctx, c, sql)
 	require.NoError(r.t, err, sql)
 	return rows
 }
 
-func (r *rig) db(g move.Group) *host.Database { return r.groups[g].Database(tenant) }
+func (r *rig) db(g migration.Group) *host.Database { return r.groups[g].Database(tenant) }
 
 // writers insert and update rows of their own until they are stopped, each where the tenant is served: who is told that it
 // is closed there tries again. They know nothing of pauses.
@@ -253,7 +253,7 @@
 		go func() {
 			defer w.wg.Done()
 			var conn *pgconn.PgConn
-			at := move.Group(0)
+			at := migration.Group(0)
 			for k := 0; ; k++ {
 				key, value := fmt.Sprintf("w%d-%06d", i, k), fmt.Sprint(k)
 				sql := "INSERT INTO entries (ref, payload) VALUES ($1, $2)"
@@ -271,16 +271,16 @@
 					}
 					if home := r.home(); conn == nil || at != home {
 						if conn != nil {
-							place.Close(conn)
+							fencing.Close(conn)
 						}
 						var err error
-						if conn, _, err = (&place.Client{User: "web", Hosts: r.hosts}).Primary(r.ctx, home, tenant); err != nil {
+						if conn, _, err = (&fencing.Client{User: "web", Hosts: r.hosts}).Primary(r.ctx, home, tenant); err != nil {
 							conn = nil
 							continue
 						}
 						at = home
 					}
-					_, touched, err := place.Exec(r.ctx, conn, sql, key, value)
+					_, touched, err := fencing.Exec(r.ctx, conn, sql, key, value)
 					w.mu.Lock()
 					switch {
 					case err == nil && touched == 1:
@@ -292,7 +292,7 @@
 						w.shut++
 					default:
 						w.doubt[key], done = true, true
-						place.Close(conn)
+						fencing.Close(conn)
 						conn = nil
 					}
 					w.mu.Unlock()
@@ -320,7 +320,7 @@
 }
 
 // kept requires that a group holds what was acknowledged, each version once since it was copied.
-func (r *rig) kept(w *writers, g move.Group) {
+func (r *rig) kept(w *writers, g migration.Group) {
 	r.t.Helper()
 	rows := map[string]string{}
 	for _, row := range r.db(g).Dump("entries") {
@@ -342,25 +342,25 @@
 	}
 }
 
-func plan() move.Plan { return move.Plan{From: 1, To: 2, Lock: 200} }
+func plan() migration.Plan { return migration.Plan{From: 1, To: 2, Lock: 200} }
 
 func TestAMoveUnderWrites(t *testing.T) {
 	r := newRig(t, 2, plan())
 	r.db(1).Table("entries", host.Traits{}).Seed(500)
 	w := r.write(4, 200)
-	r.phase(move.Switched)
-	r.until("", func(s move.State) bool { return s.Fed && s.Compare.All })
-	require.Equal(t, move.Group(2), r.home())
+	r.phase(migration.Switched)
+	r.until("", func(s migration.State) bool { return s.Fed && s.Compare.All })
+	require.Equal(t, migration.Group(2), r.home())
 	at := w.count()
 	require.Eventually(t, func() bool { return w.count() > at+20 }, 5*time.Second, time.Millisecond)
-	r.say(move.Accept)
-	r.phase(move.Done)
+	r.say(migration.Accept)
+	r.phase(migration.Done)
 	w.end()
 	require.Positive(t, w.shut)
 	r.kept(w, 2)
 	require.Len(t, r.db(2).Dump("entries"), 500+len(inserted(w)))
 	// The old home stays fenced, and nothing of the move stands at either home but that.
-	_, _, err := place.Exec(r.ctx, r.dial(1), "INSERT INTO entries VALUES ('late', '')")
+	_, _, err := fencing.Exec(r.ctx, r.dial(1), "INSERT INTO entries VALUES ('late', '')")
 	require.Equal(t, "55000", code(err))
 	for g := range r.groups {
 		c := r.dial(g)
@@ -383,12 +383,12 @@
 	r := newRig(t, 2, plan())
 	r.db(1).Table("entries", host.Traits{}).Seed(300)
 	w := r.write(4, 200)
-	r.phase(move.Switched)
+	r.phase(migration.Switched)
 	at := w.count()
 	require.Eventually(t, func() bool { return w.count() > at+20 }, 5*time.Second, time.Millisecond)
-	r.say(move.Rollback)
-	r.phase(move.TakenBack)
-	require.Equal(t, move.Group(1), r.home())
+	r.say(migration.Rollback)
+	r.phase(migration.TakenBack)
+	require.Equal(t, migration.Group(1), r.home())
 	at = w.count()
 	require.Eventually(t, func() bool { return w.count() > at+20 }, 5*time.Second, time.Millisecond)
 	w.end()
@@ -408,57 +408,57 @@
 			"SELECT pubname, tablename FROM pg_publication_tables", "SELECT pubname FROM pg_publication", "SELECT tgrelid, tgname FROM pg_trigger"} {
 			out[fmt.Sprint(g, sql)] = r.exec(conn, sql)
 		}
-		place.Close(conn)
+		fencing.Close(conn)
 	}
 	return out
 }
 
 // at calls the place's method of a deed.
-func (r *rig) at(a move.Act) (err error) {
+func (r *rig) at(a migration.Act) (err error) {
 	home, other := homes(a)
 	switch a.Name {
-	case move.DeedPublish:
+	case migration.DeedPublish:
 		err = r.places.Publish(r.ctx, a)
-	case move.DeedSubscribe:
+	case migration.DeedSubscribe:
 		_, err = r.places.Subscribe(r.ctx, a)
-	case move.DeedCopy:
+	case migration.DeedCopy:
 		_, err = r.places.Copy(r.ctx, a)
-	case move.DeedMark:
+	case migration.DeedMark:
 		_, err = r.places.Mark(r.ctx, a, home, other)
-	case move.DeedCompare:
+	case migration.DeedCompare:
 		_, err = r.places.Compare(r.ctx, a, home, other)
-	case move.DeedClose:
+	case migration.DeedClose:
 		_, _, err = r.places.Close(r.ctx, a, home)
-	case move.DeedVerify:
+	case migration.DeedVerify:
 		_, err = r.places.Verify(r.ctx, a, home, other)
-	case move.DeedSwitch:
+	case migration.DeedSwitch:
 		err = r.places.Open(r.ctx, a, other)
-	case move.DeedFeed:
+	case migration.DeedFeed:
 		_, err = r.places.Feed(r.ctx, a)
-	case move.DeedClear:
+	case migration.DeedClear:
 		err = r.places.Clear(r.ctx, a)
-	case move.DeedFinish:
+	case migration.DeedFinish:
 		err = r.places.Finish(r.ctx, a)
 	}
 	return err
 }
 
-var deeds = []string{move.DeedPublish, move.DeedSubscribe, move.DeedCopy, move.DeedMark, move.DeedCompare, move.DeedClose, move.DeedVerify,
-	move.DeedSwitch, move.DeedFeed, move.DeedFinish, move.DeedClear}
+var deeds = []string{migration.DeedPublish, migration.DeedSubscribe, migration.DeedCopy, migration.DeedMark, migration.DeedCompare, migration.DeedClose, migration.DeedVerify,
+	migration.DeedSwitch, migration.DeedFeed, migration.DeedFinish, migration.DeedClear}
 
 // Each deed is done by an owner; a later one looks for it; then the first one comes late with it, and with all others.
 func TestAnOlderTokenChangesNothing(t *testing.T) {
-	for _, end := range []string{move.Accept, move.Rollback} {
-		r := newRig(t, 2, move.Plan{From: 1, To: 2, Lock: 200, Rest: 1, Tries: 10})
+	for _, end := range []string{migration.Accept, migration.Rollback} {
+		r := newRig(t, 2, migration.Plan{From: 1, To: 2, Lock: 200, Rest: 1, Tries: 10})
 		r.db(1).Table("entries", host.Traits{}).Seed(30)
 		seen := map[string]bool{}
 		r.instead = r.late(seen)
-		r.until("", func(s move.State) bool { return s.Phase == move.Switched && s.Fed && s.Compare.All })
+		r.until("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
 		r.say(end)
-		r.until("", func(s move.State) bool { return false })
-		require.Equal(t, map[string]move.Phase{move.Accept: move.Done, move.Rollback: move.TakenBack}[end], r.state().Phase)
+		r.until("", func(s migration.State) bool { return false })
+		require.Equal(t, map[string]migration.Phase{migration.Accept: migration.Done, migration.Rollback: migration.TakenBack}[end], r.state().Phase)
 		for _, name := range deeds {
-			if name != map[string]string{move.Accept: move.DeedClear, move.Rollback: move.DeedFinish}[end] {
+			if name != map[string]string{migration.Accept: migration.DeedClear, migration.Rollback: migration.DeedFinish}[end] {
 				require.True(t, seen[name], name)
 			}
 		}
@@ -489,14 +489,14 @@
 			return err
 		}
 		done := r.settle()
-		can := slices.Contains([]string{move.DeedCopy, move.DeedCompare, move.DeedVerify}, a.Name)
+		can := slices.Contains([]string{migration.DeedCopy, migration.DeedCompare, migration.DeedVerify}, a.Name)
 		require.True(r.t, done || can, "%s was done", a.Name)
-		if a.Name == move.DeedSwitch || a.Name == move.DeedVerify { // the switch raised one place's token, the verification none yet
+		if a.Name == migration.DeedSwitch || a.Name == migration.DeedVerify { // the switch raised one place's token, the verification none yet
 			return nil
 		}
 		before := r.stands()
 		for _, name := range deeds {
-			if a.Name == move.DeedClose && name != a.Name { // it was looked for at the home alone
+			if a.Name == migration.DeedClose && name != a.Name { // it was looked for at the home alone
 				continue
 			}
 			b := a
@@ -510,12 +510,12 @@
 }
 
 func fenced(err error) bool {
-	var f *owner.Fenced
+	var f *jobs.Fenced
 	return errors.As(err, &f)
 }
 
 func TestEachDeedDoneTwice(t *testing.T) {
-	for _, end := range []string{move.Accept, move.Rollback} {
+	for _, end := range []string{migration.Accept, migration.Rollback} {
 		r := newRig(t, 2, plan())
 		r.db(1).Table("entries", host.Traits{}).Seed(250)
 		w := r.write(3, 100)
@@ -530,19 +530,19 @@
 			}
 			return err
 		}
-		r.until("", func(s move.State) bool { return s.Phase == move.Switched && s.Fed && s.Compare.All })
+		r.until("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
 		r.say(end)
-		r.until("", func(s move.State) bool { return false })
+		r.until("", func(s migration.State) bool { return false })
 		w.end()
 		require.Empty(t, r.state().Differ)
-		r.kept(w, map[string]move.Group{move.Accept: 2, move.Rollback: 1}[end])
+		r.kept(w, map[string]migration.Group{migration.Accept: 2, migration.Rollback: 1}[end])
 	}
 }
 
 // Whatever breaks in the middle of whatever deed, the next owner finds out, and the move comes to its end.
 func TestDeedsCutInTheMiddle(t *testing.T) {
 	for seed := range int64(4) {
-		r := newRig(t, 2, move.Plan{From: 1, To: 2, Lock: 200, Pause: 60000, Tries: 100, Rest: 1})
+		r := newRig(t, 2, migration.Plan{From: 1, To: 2, Lock: 200, Pause: 60000, Tries: 100, Rest: 1})
 		r.db(1).Table("entries", host.Traits{}).Seed(250)
 		lots := rand.New(rand.NewPCG(uint64(seed), 7))
 		w := r.write(3, 60)
@@ -573,10 +573,10 @@
 			return nil
 		}
 		faults(1)
-		r.until("", func(s move.State) bool { return s.Phase == move.Switched && s.Fed && s.Compare.All })
+		r.until("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
 		require.Empty(t, r.state().Differ)
-		r.say([]string{move.Accept, move.Rollback}[seed%2])
-		r.until("", func(s move.State) bool { return false })
+		r.say([]string{migration.Accept, migration.Rollback}[seed%2])
+		r.until("", func(s migration.State) bool { return false })
 		faults(0)
 		w.end()
 		t.Logf("%d deeds cut, %d of them were done; %d rows written, %d refused, %v", cuts, did, len(w.acked), w.shut, r.state().Notes)
@@ -590,10 +590,10 @@
 		r := newRig(t, 2, plan())
 		r.db(1).Table("entries", host.Traits{}).Seed(300)
 		w := r.write(3, 100)
-		r.until("", func(s move.State) bool { return s.Phase == move.CatchingUp && s.Compare.All })
+		r.until("", func(s migration.State) bool { return s.Phase == migration.CatchingUp && s.Compare.All })
 		c := r.groups[1]
 		c.FailLosing(c.Hosts()[1], 5*lost, 20*time.Millisecond, true)
-		r.until("", func(s move.State) bool { return s.Phase == move.Switched && s.Fed && s.Compare.All })
+		r.until("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
 		require.Equal(t, 1, r.state().Copy.Again, "its slot died with the old primary")
 		w.end()
 		r.same(1, 2)
@@ -608,10 +608,10 @@
 		r := newRig(t, 2, plan())
 		r.db(1).Table("entries", host.Traits{}).Seed(300)
 		w := r.write(3, 100)
-		r.until("", func(s move.State) bool { return s.Phase == move.CatchingUp && s.Compare.All })
+		r.until("", func(s migration.State) bool { return s.Phase == migration.CatchingUp && s.Compare.All })
 		c := r.groups[2]
 		c.FailLosing(c.Hosts()[1], 5*lost, 20*time.Millisecond, true)
-		r.until("", func(s move.State) bool { return s.Phase == move.Switched && s.Fed && s.Compare.All })
+		r.until("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
 		require.Empty(t, r.state().Differ)
 		if lost == 1 {
 			require.Equal(t, 1, r.state().Copy.Again, "what it lost had been passed on")
@@ -623,9 +623,9 @@
 }
 
 // same waits until both homes hold the same rows.
-func (r *rig) same(a, b move.Group) {
+func (r *rig) same(a, b migration.Group) {
 	r.t.Helper()
-	rows := func(g move.Group) []map[string]string { return r.db(g).Dump("entries") }
+	rows := func(g migration.Group) []map[string]string { return r.db(g).Dump("entries") }
 	require.Eventually(r.t, func() bool { return fmt.Sprint(rows(a)) == fmt.Sprint(rows(b)) }, 5*time.Second, 5*time.Millisecond)
 }
 
@@ -633,7 +633,7 @@
 func TestARowChangedByHandIsFound(t *testing.T) {
 	r := newRig(t, 2, plan())
 	r.db(1).Table("entries", host.Traits{}).Seed(300)
-	r.until(move.DeedCompare, nil)
+	r.until(migration.DeedCompare, nil)
 	r.exec(r.dial(2), "SET session_replication_role = replica")
 	c := r.dial(2)
 	r.exec(c, "SET session_replication_role = replica")
@@ -644,8 +644,8 @@
 	require.Equal(t, "public.entries", s.Differ[0].Table)
 	require.Equal(t, "seed-0000099 to seed-0000199", s.Differ[0].Range)
 	require.Contains(t, s.Held, "differs")
-	r.say(move.Resume)
-	r.phase(move.Switched)
+	r.say(migration.Resume)
+	r.phase(migration.Switched)
 	require.Equal(t, 1, r.state().Copy.Again)
 	r.same(1, 2)
 }
@@ -654,9 +654,9 @@
 func TestVerifyReadsWhatWasTouched(t *testing.T) {
 	r := newRig(t, 2, plan())
 	r.db(1).Table("entries", host.Traits{}).Seed(300)
-	r.until(move.DeedPause, nil)
+	r.until(migration.DeedPause, nil)
 	r.exec(r.dial(1), "UPDATE entries SET payload = 'touched' WHERE ref = 'seed-0000142'")
-	r.until(move.DeedVerify, nil)
+	r.until(migration.DeedVerify, nil)
 	c := r.dial(2)
 	r.exec(c, "SET session_replication_role = replica")
 	r.exec(c, "UPDATE entries SET payload = 'by hand' WHERE ref = 'seed-0000142'")
@@ -672,19 +672,19 @@
 	p.Stragglers, p.Lock = "end", 100
 	r := newRig(t, 2, p)
 	r.db(1).Table("entries", host.Traits{}).Seed(30)
-	r.until(move.DeedClose, nil)
+	r.until(migration.DeedClose, nil)
 	c := r.dial(1)
 	r.exec(c, "BEGIN")
 	r.exec(c, "INSERT INTO entries VALUES ('straggler', '')")
 	pid := int(c.PID())
 	require.NoError(t, r.do())
 	s := r.state()
-	require.Equal(t, move.Closing, s.Phase)
+	require.Equal(t, migration.Closing, s.Phase)
 	require.Len(t, s.Stragglers, 1)
 	require.Equal(t, pid, s.Stragglers[0].PID)
 	require.Equal(t, "web", s.Stragglers[0].User)
-	r.phase(move.Switched)
-	_, _, err := place.Exec(r.ctx, c, "COMMIT")
+	r.phase(migration.Switched)
+	_, _, err := fencing.Exec(r.ctx, c, "COMMIT")
 	require.Error(t, err)
 	require.Empty(t, r.db(2).History("entries", "straggler"))
 }
@@ -693,10 +693,10 @@
 func TestADeadOwnersLockIsLetGo(t *testing.T) {
 	r := newRig(t, 2, plan())
 	r.db(1).Table("entries", host.Traits{}).Seed(30)
-	r.until(move.DeedClose, nil)
+	r.until(migration.DeedClose, nil)
 	a := r.act()
 	c := r.dial(1)
-	require.NoError(t, place.Bound(r.ctx, c, r.places.bounds(a)))
+	require.NoError(t, fencing.Bound(r.ctx, c, r.places.bounds(a)))
 	r.exec(c, "BEGIN")
 	require.NoError(t, r.places.Client.Take(r.ctx, c, "1", tenant, a.Token))
 	r.owned()
@@ -713,21 +713,21 @@
 
 func TestAnotherWorksTenantIsTaken(t *testing.T) {
 	r := newRig(t, 3, plan())
-	r.phase(move.CatchingUp)
+	r.phase(migration.CatchingUp)
 	before := r.stands()
 	a := r.act()
-	a.Work, a.Deed, a.Name, a.Token, a.Told, a.Plan.To = "m2", "m2/2", move.DeedPublish, 100, 100, 3
-	var by *move.Taken
+	a.Work, a.Deed, a.Name, a.Token, a.Told, a.Plan.To = "m2", "m2/2", migration.DeedPublish, 100, 100, 3
+	var by *migration.Taken
 	require.ErrorAs(t, r.places.Publish(r.ctx, a), &by)
 	require.Equal(t, "m1", by.By)
 	f, err := r.places.Look(r.ctx, a)
 	require.NoError(t, err)
 	require.False(t, f.Done)
 	require.Equal(t, before[fmt.Sprint(1, "ashstand.fence")], r.stands()[fmt.Sprint(1, "ashstand.fence")], "the first work's token counts on")
-	r.phase(move.Switched)
-	r.until("", func(s move.State) bool { return s.Fed && s.Compare.All })
-	r.say(move.Accept)
-	r.phase(move.Done)
+	r.phase(migration.Switched)
+	r.until("", func(s migration.State) bool { return s.Fed && s.Compare.All })
+	r.say(migration.Accept)
+	r.phase(migration.Done)
 	a.Plan.From = 2
 	require.NoError(t, r.places.Publish(r.ctx, a), "it was given up")
 }
@@ -750,7 +750,7 @@
 	r.exec(c, "CREATE TABLE wider (id bigint PRIMARY KEY, more text)")
 	r.exec(r.dial(2), "CREATE TABLE wider (id bigint PRIMARY KEY)")
 	r.exec(r.dial(2), "INSERT INTO entries VALUES ('there', '')")
-	r.places.Room = func(move.Group) (float64, bool) { return 1, true }
+	r.places.Room = func(migration.Group) (float64, bool) { return 1, true }
 	found, err := r.places.Check(r.ctx, a)
 	require.NoError(t, err)
 	var names []string
@@ -779,12 +779,12 @@
 	}
 	r.exec(c, "INSERT INTO bare VALUES ('x'), ('x'), (NULL)")
 	r.exec(c, "SELECT setval('used', 41)")
-	r.until(move.DeedPause, nil)
+	r.until(migration.DeedPause, nil)
 	require.Equal(t, 5, r.state().Compare.Ranges, "three of pairs, one of bare, one of entries")
 	r.exec(c, "DELETE FROM pairs WHERE b = 'k9'")
 	r.exec(c, "UPDATE bare SET v = 'y' WHERE v IS NULL")
 	r.exec(c, "SELECT nextval('used')")
-	r.phase(move.Switched)
+	r.phase(migration.Switched)
 	to := r.dial(2)
 	require.Equal(t, "43", r.exec(to, "SELECT nextval('used')")[0][0])
 	require.Equal(t, "7", r.exec(to, "SELECT nextval('fresh')")[0][0])
--- a/internal/cluster/move/sql/tables.go
+++ b/internal/cluster/migration/sql/tables.go
@@ -9,7 +9,7 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"ashstand/internal/cluster/place"
+	"ashstand/internal/cluster/fencing"
 )
 
 // table is one of a tenant's.
@@ -49,7 +49,7 @@
 // tables are the tenant's own, in the order of their names.
 func tables(ctx context.Context, conn *pgconn.PgConn) ([]*table, error) {
 	const of = "n.nspname NOT IN ('pg_catalog', 'information_schema', 'pg_toast', 'ashstand')"
-	rows, _, err := place.Exec(ctx, conn, "SELECT c.oid, n.nspname, c.relname, c.relreplident, c.relpersistence, c.reltuples FROM pg_class c "+
+	rows, _, err := fencing.Exec(ctx, conn, "SELECT c.oid, n.nspname, c.relname, c.relreplident, c.relpersistence, c.reltuples FROM pg_class c "+
 		"JOIN pg_namespace n ON n.oid = c.relnamespace WHERE c.relkind = 'r' AND "+of)
 	if err != nil {
 		return nil, err
@@ -62,7 +62,7 @@
 		out = append(out, t)
 		byOid[r[0]], byName[t.full()] = t, t
 	}
-	if rows, _, err = place.Exec(ctx, conn, "SELECT table_schema, table_name, column_name, data_type FROM information_schema.columns "+
+	if rows, _, err = fencing.Exec(ctx, conn, "SELECT table_schema, table_name, column_name, data_type FROM information_schema.columns "+
 		"WHERE table_schema NOT IN ('pg_catalog', 'information_schema', 'ashstand') ORDER BY table_schema, table_name, ordinal_position"); err != nil {
 		return nil, err
 	}
@@ -71,7 +71,7 @@
 			t.columns, t.types = append(t.columns, r[2]), append(t.types, r[3])
 		}
 	}
-	if rows, _, err = place.Exec(ctx, conn, "SELECT attrelid, attnum, attname FROM pg_attribute WHERE attnum > 0 AND NOT attisdropped"); err != nil {
+	if rows, _, err = fencing.Exec(ctx, conn, "SELECT attrelid, attnum, attname FROM pg_attribute WHERE attnum > 0 AND NOT attisdropped"); err != nil {
 		return nil, err
 	}
 	names := map[string]map[string]string{}
@@ -81,7 +81,7 @@
 		}
 		names[r[0]][r[1]] = r[2]
 	}
-	if rows, _, err = place.Exec(ctx, conn, "SELECT indrelid, indkey FROM pg_index WHERE indisprimary"); err != nil {
+	if rows, _, err = fencing.Exec(ctx, conn, "SELECT indrelid, indkey FROM pg_index WHERE indisprimary"); err != nil {
 		return nil, err
 	}
 	for _, r := range rows {
@@ -91,7 +91,7 @@
 			}
 		}
 	}
-	if rows, _, err = place.Exec(ctx, conn, "SELECT tgrelid, tgname FROM pg_trigger WHERE NOT tgisinternal"); err != nil {
+	if rows, _, err = fencing.Exec(ctx, conn, "SELECT tgrelid, tgname FROM pg_trigger WHERE NOT tgisinternal"); err != nil {
 		return nil, err
 	}
 	for _, r := range rows {
--- a/internal/cluster/move/turns.go
+++ b/internal/cluster/migration/turns.go
@@ -1,4 +1,4 @@
-package move
+package migration
 
 import (
 	"cmp"
@@ -6,7 +6,7 @@
 	"maps"
 	"slices"
 
-	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/jobs"
 )
 
 // Limits are how many moves may run at once where they meet; 0: any number.
@@ -87,7 +87,7 @@
 type Where func(Group) (hosts, zones []string)
 
 // Candidates are the open moves of a ledger. Whatever was begun runs, also while it waits for a word.
-func Candidates(l *owner.Ledger, kind string, where Where) (out []Candidate) {
+func Candidates(l *jobs.Ledger, kind string, where Where) (out []Candidate) {
 	for _, name := range l.Open() {
 		w := l.Works[name]
 		p, err := read(w.Spec)
--- a/internal/cluster/move/turns_test.go
+++ b/internal/cluster/migration/turns_test.go
@@ -1,4 +1,4 @@
-package move
+package migration
 
 import (
 	"encoding/json"
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/jobs"
 )
 
 func TestWhoMayStart(t *testing.T) {
@@ -72,13 +72,13 @@
 }
 
 func TestCandidatesAreTheOpenMoves(t *testing.T) {
-	var l owner.Ledger
+	var l jobs.Ledger
 	for _, name := range []string{"a", "b"} {
-		require.Nil(t, l.Apply(owner.Entry{Op: owner.Create, Work: name, Kind: "move", Spec: json.RawMessage(testPlan)}))
+		require.Nil(t, l.Apply(jobs.Entry{Op: jobs.Create, Work: name, Kind: "move", Spec: json.RawMessage(testPlan)}))
 	}
-	require.Nil(t, l.Apply(owner.Entry{Op: owner.Create, Work: "c", Kind: "other"}))
-	require.Nil(t, l.Apply(owner.Entry{Op: owner.Assign, Work: "b", To: "n1"}))
-	require.Nil(t, l.Apply(owner.Entry{Op: owner.Announce, Work: "b", Token: 1, Deed: &owner.Deed{Number: 1, Name: DeedCheck}}))
+	require.Nil(t, l.Apply(jobs.Entry{Op: jobs.Create, Work: "c", Kind: "other"}))
+	require.Nil(t, l.Apply(jobs.Entry{Op: jobs.Assign, Work: "b", To: "n1"}))
+	require.Nil(t, l.Apply(jobs.Entry{Op: jobs.Announce, Work: "b", Token: 1, Deed: &jobs.Deed{Number: 1, Name: DeedCheck}}))
 	got := Candidates(&l, "move", func(g Group) (h, z []string) { return []string{fmt.Sprint("h", g)}, []string{"z"} })
 	require.Equal(t, []Candidate{{Work: "a", Tenant: "orders", Groups: []Group{1, 2}, Hosts: []string{"h1", "h2"}, Zones: []string{"z", "z"}},
 		{Work: "b", Tenant: "orders", Groups: []Group{1, 2}, Hosts: []string{"h1", "h2"}, Zones: []string{"z", "z"}, Running: true}}, got)
--- a/internal/cost/evidence.go
+++ b/internal/cost/evidence.go
@@ -42,7 +42,7 @@
 	Break       string  // switches one guarantee off, for the laboratory: wait, shrink, age, false, merge
 }
 
-// The bounds of names, and what a cell takes in memory with its share of the map, in bytes (measured by ashlab cost).
+// The bounds of names, and what a cell takes in memory with its share of the map, in bytes (measured by testbed cost).
 const (
 	maxClasses = 64
 	maxKinds   = 16
--- a/internal/decide/decide.go
+++ b/internal/dispatch/decide.go
@@ -1,7 +1,7 @@
 // Package decide is the blocking face of the decision module: a request picks its next attempt or final
 // answer, reports what came of an attempt, and timers tick. Network code sees nothing of the module's events
 // and actions, and the module nothing of goroutines.
-package decide
+package dispatch
 
 import (
 	"context"
@@ -11,36 +11,36 @@
 	"sync"
 	"time"
 
-	"ashstand/choice"
 	"ashstand/internal/clock"
 	"ashstand/internal/settings"
+	"ashstand/routing"
 )
 
 // Code is how an attempt or a probe ended; the names are the module's.
-type Code = choice.Code
+type Code = routing.Code
 
 // The endings that a network can tell apart.
 const (
-	OK             = choice.OK
-	Error          = choice.Error
-	Full           = choice.Full
-	NoAnswer       = choice.NoAnswer
-	NoConnection   = choice.NoConnection
-	ConnectionLost = choice.ConnectionLost
-	Cancelled      = choice.Cancelled
-	NotSent        = choice.NotSent
-	Miss           = choice.Miss
-	Spoilt         = choice.Spoilt
+	OK             = routing.OK
+	Error          = routing.Error
+	Full           = routing.Full
+	NoAnswer       = routing.NoAnswer
+	NoConnection   = routing.NoConnection
+	ConnectionLost = routing.ConnectionLost
+	Cancelled      = routing.Cancelled
+	NotSent        = routing.NotSent
+	Miss           = routing.Miss
+	Spoilt         = routing.Spoilt
 )
 
 // Role is what a host said of itself.
-type Role = choice.Role
+type Role = routing.Role
 
 // The roles.
 const (
-	Unknown = choice.Unknown
-	Primary = choice.Primary
-	Replica = choice.Replica
+	Unknown = routing.Unknown
+	Primary = routing.Primary
+	Replica = routing.Replica
 )
 
 // guard is what a final answer needs at the least to reach its client before that gives up, in milliseconds.
@@ -112,7 +112,7 @@
 	closing func(host string)
 
 	mu     sync.Mutex
-	module *choice.Choice
+	module *routing.Choice
 	calls  map[string]*Call
 	last   uint64
 	due    float64 // next timer; 0: none
@@ -123,7 +123,7 @@
 // New returns a facade. probe is started on a goroutine of its own for each probe that the module wants and
 // must end in Probed; closing closes the idle connections to a host. Either may be nil.
 func New(site *settings.Parsed, seed uint64, c clock.Clock, probe, closing func(host string)) (*Facade, error) {
-	m, err := choice.New(site.Settings, seed)
+	m, err := routing.New(site.Settings, seed)
 	if err != nil {
 		return nil, err
 	}
@@ -146,7 +146,7 @@
 type Call struct {
 	f       *Facade
 	id      string
-	class   *choice.Class
+	class   *routing.Class
 	last    float64 // when to stop waiting for any attempt
 	next    chan Next
 	tries   int     // guarded by f.mu, as are the next three
@@ -165,7 +165,7 @@
 	if !ok {
 		return nil, ErrClass
 	}
-	e := choice.Event{Kind: choice.EvRequest, Class: class, Group: r.Group, Retry: r.Retry,
+	e := routing.Event{Kind: routing.EvRequest, Class: class, Group: r.Group, Retry: r.Retry,
 		HasKey: r.Session != "", Key: key(r.Session)}
 	now := f.clock.Now()
 	e.TimeLeft = clock.Duration(max(0, r.Arrived+r.TimeLeft-now))
@@ -227,7 +227,7 @@
 	// Where no attempt was out yet the module still holds the request, and would send it later for nobody.
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.step(f.clock.Now(), choice.Event{Kind: choice.EvLeft, ID: c.id})
+	f.step(f.clock.Now(), routing.Event{Kind: routing.EvLeft, ID: c.id})
 }
 
 // Deadline is how long clients of a class wait, in milliseconds; ok is false for a class that the settings do not name.
@@ -261,10 +261,10 @@
 		o.Code = Miss
 	}
 	round := math.Floor
-	if c.class.Read == choice.Write && o.Code == OK {
+	if c.class.Read == routing.Write && o.Code == OK {
 		round = math.Ceil
 	}
-	e := choice.Event{Kind: choice.EvOutcome, ID: c.id, Attempt: c.attempt, Code: o.Code, Role: o.Role,
+	e := routing.Event{Kind: routing.EvOutcome, ID: c.id, Attempt: c.attempt, Code: o.Code, Role: o.Role,
 		Final: o.Code == OK || c.over, Elapsed: clock.Duration(now - c.sent)}
 	if o.Position > 0 {
 		e.Position = duration(o.Position, round)
@@ -284,7 +284,7 @@
 // since it was last heard of.
 func (c *Call) stale(o Outcome) bool {
 	need := c.need
-	if c.class.Read == choice.Bounded { // its bound counts from the write
+	if c.class.Read == routing.Bounded { // its bound counts from the write
 		need += c.written - c.sent
 	}
 	return o.Code == OK && c.need > 0 && o.Role == Replica && o.Position > 0 && o.Position+rounding <= need
@@ -298,18 +298,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	e := choice.Event{Kind: choice.EvHeard, Host: host, Code: o.Code, Role: o.Role, Elapsed: clock.Duration(now - sent)}
+	e := routing.Event{Kind: routing.EvHeard, Host: host, Code: o.Code, Role: o.Role, Elapsed: clock.Duration(now - sent)}
 	if o.Position > 0 {
 		e.Position = duration(o.Position, math.Floor)
 	}
 	f.step(now, e)
 }
 
-func report(r Report) choice.Report {
+func report(r Report) routing.Report {
 	if r.Position <= 0 {
-		return choice.Report{Role: r.Role}
+		return routing.Report{Role: r.Role}
 	}
-	return choice.Report{Role: r.Role, Position: duration(r.Position, math.Floor)}
+	return routing.Report{Role: r.Role, Position: duration(r.Position, math.Floor)}
 }
 
 // Leave says that the client has gone. An attempt that is out must still be reported.
@@ -322,7 +322,7 @@
 	}
 	c.end()
 	c.next <- Next{Verdict: Left}
-	f.step(f.clock.Now(), choice.Event{Kind: choice.EvLeft, ID: c.id})
+	f.step(f.clock.Now(), routing.Event{Kind: routing.EvLeft, ID: c.id})
 }
 
 // end is called with the lock held.
@@ -335,7 +335,7 @@
 func (f *Facade) Tick() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.step(f.clock.Now(), choice.Event{Kind: choice.EvTimer})
+	f.step(f.clock.Now(), routing.Event{Kind: routing.EvTimer})
 }
 
 // Run ticks when timers fall due, until ctx ends.
@@ -365,9 +365,9 @@
 
 // Members takes the list of hosts, or the changes to it.
 func (f *Facade) Members(full bool, ms []Member) {
-	e := choice.Event{Kind: choice.EvTargets, Full: full}
+	e := routing.Event{Kind: routing.EvTargets, Full: full}
 	for _, m := range ms {
-		e.Targets = append(e.Targets, choice.Target{Host: m.Host, Group: m.Group, Draining: m.Draining, Gone: m.Gone,
+		e.Targets = append(e.Targets, routing.Target{Host: m.Host, Group: m.Group, Draining: m.Draining, Gone: m.Gone,
 			Primary: m.Primary, Started: duration(m.Started, math.Floor)})
 	}
 	f.mu.Lock()
@@ -388,7 +388,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	i, ok := f.site.Classes[class]
-	return ok && f.site.Settings.Classes[i].Read == choice.Write
+	return ok && f.site.Settings.Classes[i].Read == routing.Write
 }
 
 // Listed says whether new work, probes included, may go to a host.
@@ -402,17 +402,17 @@
 func (f *Facade) Probed(host string, o Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.step(f.clock.Now(), choice.Event{Kind: choice.EvProbe, Host: host, Code: o.Code, Report: report(o.Report)})
+	f.step(f.clock.Now(), routing.Event{Kind: routing.EvProbe, Host: host, Code: o.Code, Report: report(o.Report)})
 }
 
 // step is called with the lock held.
-func (f *Facade) step(now float64, e choice.Event) {
+func (f *Facade) step(now float64, e routing.Event) {
 	if f.due > 0 && now >= f.due {
 		f.due = 0
 	}
-	for _, a := range f.module.Step(clock.Duration(now), []choice.Event{e}) {
+	for _, a := range f.module.Step(clock.Duration(now), []routing.Event{e}) {
 		switch a.Kind {
-		case choice.ActSend:
+		case routing.ActSend:
 			c := f.calls[a.ID]
 			if c == nil {
 				continue
@@ -424,16 +424,16 @@
 			c.attempt, c.sent, c.written, c.need = c.tries, now, now, clock.Millis(a.Need)
 			c.tries++
 			c.next <- Next{Verdict: Send, Host: a.Host, Attempt: c.attempt, Until: until}
-		case choice.ActRefuse, choice.ActFail:
+		case routing.ActRefuse, routing.ActFail:
 			if c := f.calls[a.ID]; c != nil {
 				n := Next{Verdict: Refuse, After: clock.Millis(a.After)}
-				if a.Kind == choice.ActFail {
+				if a.Kind == routing.ActFail {
 					n = Next{Verdict: Fail}
 				}
 				c.end()
 				c.next <- n
 			}
-		case choice.ActTimer:
+		case routing.ActTimer:
 			if at := clock.Millis(a.At); f.due == 0 || at < f.due {
 				f.due = at
 				select {
@@ -441,11 +441,11 @@
 				default:
 				}
 			}
-		case choice.ActProbe:
+		case routing.ActProbe:
 			if f.probe != nil {
 				go f.probe(a.Host)
 			}
-		case choice.ActClose:
+		case routing.ActClose:
 			if f.closing != nil {
 				go f.closing(a.Host)
 			}
@@ -456,14 +456,14 @@
 }
 
 // Keep returns what the module has learned and is worth keeping across a restart.
-func (f *Facade) Keep() choice.State {
+func (f *Facade) Keep() routing.State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.module.Export(clock.Duration(f.clock.Now()))
 }
 
 // Recall gives the module what was kept, weighed by its age. It counts for hosts as the list names them.
-func (f *Facade) Recall(s choice.State) {
+func (f *Facade) Recall(s routing.State) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.module.Import(clock.Duration(f.clock.Now()), s)
--- a/internal/decide/decide_test.go
+++ b/internal/dispatch/decide_test.go
@@ -1,23 +1,23 @@
-package decide
+package dispatch
 
 import (
 	"testing"
 	"time"
 
-	"ashstand/choice"
 	"ashstand/internal/clock"
 	"ashstand/internal/settings"
+	"ashstand/routing"
 )
 
 const start = 1767225600000.0
 
 func site() *settings.Parsed {
-	return &settings.Parsed{Settings: choice.Settings{Routers: 1, MaxAttempts: 8, ListRole: true, Probes: true,
+	return &settings.Parsed{Settings: routing.Settings{Routers: 1, MaxAttempts: 8, ListRole: true, Probes: true,
 		ReportX0: true, ReportX1: true, MaxRetryAfter: 2 * time.Second, Tick: 5 * time.Millisecond, ProbePrice: 0.001,
-		Classes: []choice.Class{
-			{Name: "browse", Read: choice.Bounded, Bound: 200 * time.Millisecond, Aim: time.Second, Deadline: time.Second, Worth: 1, LateShare: 1},
-			{Name: "donate", Read: choice.Write, Effect: choice.Unsafe, Aim: time.Second, Deadline: 2 * time.Second, Worth: 3, LateShare: 1},
-			{Name: "library", Read: choice.Session, Aim: time.Second, Deadline: time.Second, Worth: 3, LateShare: 1}}},
+		Classes: []routing.Class{
+			{Name: "browse", Read: routing.Bounded, Bound: 200 * time.Millisecond, Aim: time.Second, Deadline: time.Second, Worth: 1, LateShare: 1},
+			{Name: "donate", Read: routing.Write, Effect: routing.Unsafe, Aim: time.Second, Deadline: 2 * time.Second, Worth: 3, LateShare: 1},
+			{Name: "library", Read: routing.Session, Aim: time.Second, Deadline: time.Second, Worth: 3, LateShare: 1}}},
 		Classes: map[string]int{"browse": 0, "donate": 1, "library": 2}}
 }
 
--- a/internal/decide/stale_test.go
+++ b/internal/dispatch/stale_test.go
@@ -1,4 +1,4 @@
-package decide
+package dispatch
 
 import (
 	"testing"
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,8 +10,8 @@
 	"sync/atomic"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/decide"
-	"ashstand/internal/statement"
+	"ashstand/internal/dispatch"
+	"ashstand/internal/sqlcomment"
 )
 
 // Answer is what a host served: one value, with what the host said beside it.
@@ -29,7 +29,7 @@
 
 // Reply is what came of one exchange. With OK it holds an answer.
 type Reply struct {
-	decide.Outcome
+	dispatch.Outcome
 	Answer Answer
 	Detail string // for the client, where the request fails
 }
@@ -44,7 +44,7 @@
 	SetAddress(host, address string)
 	// Probe asks a host for its load report. listed is asked again just before the write: nothing new goes to a
 	// host that drains or is gone.
-	Probe(ctx context.Context, host string, listed func(host string) bool) decide.Outcome
+	Probe(ctx context.Context, host string, listed func(host string) bool) dispatch.Outcome
 }
 
 // Gate is asked just before a request is written, as often as there was a wait since: how long may the host
@@ -55,11 +55,11 @@
 type Conn interface {
 	// Exchange writes a request once, if the gate lets it, and waits for the whole answer, or until ctx ends.
 	// The connection goes back to its pool, or is closed where an answer is still due.
-	Exchange(ctx context.Context, s *statement.Statement, gate Gate) Reply
+	Exchange(ctx context.Context, s *sqlcomment.Statement, gate Gate) Reply
 }
 
 // NotSent is the reply where the gate did not open.
-func NotSent() Reply { return Reply{Outcome: decide.Outcome{Code: decide.NotSent}} }
+func NotSent() Reply { return Reply{Outcome: dispatch.Outcome{Code: dispatch.NotSent}} }
 
 // ErrTurnedAway is what Acquire returns where the host itself turned the connection away: it is full, not dead.
 var ErrTurnedAway = errors.New("the host turns connections away")
@@ -102,10 +102,10 @@
 
 // Seen is what an observer learns of an attempt. Times are in milliseconds.
 type Seen struct {
-	Statement *statement.Statement // not to be kept
+	Statement *sqlcomment.Statement // not to be kept
 	Host      string
 	Others    int // at the host when it went out
-	Outcome   decide.Outcome
+	Outcome   dispatch.Outcome
 	Bytes     int     // of the answer's value
 	Wait      float64 // for a connection, until it was written
 	Work      float64 // from then until the answer; 0: it was not written
@@ -114,7 +114,7 @@
 
 // Edge is the core.
 type Edge struct {
-	facade  *decide.Facade
+	facade  *dispatch.Facade
 	clock   clock.Clock
 	backend Backend
 	seen    Observer // nil: nobody looks
@@ -142,7 +142,7 @@
 }
 
 // New returns a core that asks facade and sends over backend.
-func New(facade *decide.Facade, c clock.Clock, backend Backend) *Edge {
+func New(facade *dispatch.Facade, c clock.Clock, backend Backend) *Edge {
 	return &Edge{facade: facade, clock: c, backend: backend, ids: map[string]struct{}{}, idle: make(chan struct{})}
 }
 
@@ -173,7 +173,7 @@
 
 // Begin counts a request from the moment it is read until End says that its answer is out. Where the statements that
 // are open leave no memory for it, it gives the final answer instead.
-func (e *Edge) Begin(s *statement.Statement) (refused *Result) {
+func (e *Edge) Begin(s *sqlcomment.Statement) (refused *Result) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.limits.Bytes > 0 && e.held+len(s.Text) > e.limits.Bytes {
@@ -185,7 +185,7 @@
 }
 
 // End says that the answer of a request that was begun is out.
-func (e *Edge) End(s *statement.Statement) {
+func (e *Edge) End(s *sqlcomment.Statement) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.held -= len(s.Text)
@@ -216,12 +216,12 @@
 }
 
 // Do brings a request from its arrival to its final answer. ctx ends when the client goes away.
-func (e *Edge) Do(ctx context.Context, s *statement.Statement, arrived float64) Result {
+func (e *Edge) Do(ctx context.Context, s *sqlcomment.Statement, arrived float64) Result {
 	if !e.enter(s.ID) {
 		return Result{Verdict: Invalid, Detail: "id " + s.ID + " is that of a request that is open"}
 	}
 	defer e.exit(s.ID)
-	call, err := e.facade.Begin(decide.Request{Class: s.Class, Group: s.Group, Session: s.Session, Retry: s.Retry,
+	call, err := e.facade.Begin(dispatch.Request{Class: s.Class, Group: s.Group, Session: s.Session, Retry: s.Retry,
 		Arrived: arrived, TimeLeft: s.Wait, After: s.After})
 	if err != nil {
 		return Result{Verdict: Invalid, Detail: "class " + s.Class + ": " + err.Error()}
@@ -232,11 +232,11 @@
 	for {
 		next := call.Pick()
 		switch next.Verdict {
-		case decide.Refuse:
+		case dispatch.Refuse:
 			return Result{Verdict: Refused, After: next.After, Detail: "no host can serve this now"}
-		case decide.Fail:
+		case dispatch.Fail:
 			return Result{Verdict: verdict, Detail: detail}
-		case decide.Left:
+		case dispatch.Left:
 			return Result{Verdict: Left}
 		}
 		reply := e.attempt(ctx, call, next, s)
@@ -244,14 +244,14 @@
 			call.Leave()
 		}
 		counts := call.Report(reply.Outcome)
-		if counts == decide.OK {
+		if counts == dispatch.OK {
 			return Result{Verdict: Served, Answer: reply.Answer}
 		}
 		verdict = Failed
-		if reply.Code == decide.NoAnswer {
+		if reply.Code == dispatch.NoAnswer {
 			verdict = TimedOut
 		}
-		if reply.Code == decide.OK { // whose answer does not count
+		if reply.Code == dispatch.OK { // whose answer does not count
 			detail = "the host's data was older than the class permits"
 		} else if reply.Detail != "" {
 			detail = reply.Detail
@@ -260,7 +260,7 @@
 }
 
 // attempt sends a request to a host, unless it is too late for that once a connection is there.
-func (e *Edge) attempt(ctx context.Context, call *decide.Call, next decide.Next, s *statement.Statement) Reply {
+func (e *Edge) attempt(ctx context.Context, call *dispatch.Call, next dispatch.Next, s *sqlcomment.Statement) Reply {
 	if e.seen == nil {
 		return e.exchange(ctx, call, next, s, nil)
 	}
@@ -278,7 +278,7 @@
 
 // exchange is an attempt; written, unless nil, becomes the bits of the time at which it was written last. A backend may ask
 // its gate on another goroutine.
-func (e *Edge) exchange(ctx context.Context, call *decide.Call, next decide.Next, s *statement.Statement, written *atomic.Uint64) Reply {
+func (e *Edge) exchange(ctx context.Context, call *dispatch.Call, next dispatch.Next, s *sqlcomment.Statement, written *atomic.Uint64) Reply {
 	left := next.Until - e.clock.Now()
 	if left <= 0 || ctx.Err() != nil {
 		return NotSent()
@@ -290,13 +290,13 @@
 	switch {
 	case err == nil:
 	case errors.Is(err, ErrTurnedAway), errors.Is(err, ErrNoRoom):
-		return Reply{Outcome: decide.Outcome{Code: decide.Full}, Detail: err.Error()}
+		return Reply{Outcome: dispatch.Outcome{Code: dispatch.Full}, Detail: err.Error()}
 	case errors.Is(err, ErrUnlisted):
 		return NotSent()
 	case ctx.Err() != nil: // the client left or this attempt's time ran out: no evidence against the host
 		return NotSent()
 	default:
-		return Reply{Outcome: decide.Outcome{Code: decide.NoConnection}, Detail: err.Error()}
+		return Reply{Outcome: dispatch.Outcome{Code: dispatch.NoConnection}, Detail: err.Error()}
 	}
 	return conn.Exchange(ctx, s, func() (float64, bool) {
 		// Data age and drains count at the write: what held when the host was chosen may not hold after a dial.
@@ -368,9 +368,9 @@
 }
 
 // Probe is Backend's.
-func (s *Split) Probe(ctx context.Context, host string, listed func(string) bool) decide.Outcome {
+func (s *Split) Probe(ctx context.Context, host string, listed func(string) bool) dispatch.Outcome {
 	if b := s.of(host); b != nil {
 		return b.Probe(ctx, host, listed)
 	}
-	return decide.Outcome{Code: decide.NoConnection}
+	return dispatch.Outcome{Code: dispatch.NoConnection}
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -7,11 +7,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ashstand/choice"
 	"ashstand/internal/clock"
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/settings"
-	"ashstand/internal/statement"
+	"ashstand/internal/sqlcomment"
+	"ashstand/routing"
 )
 
 // taking is a backend of which a connection takes 3 ms and an answer 20.
@@ -28,18 +28,18 @@
 	return b, nil
 }
 
-func (b *taking) Exchange(_ context.Context, _ *statement.Statement, gate Gate) Reply {
+func (b *taking) Exchange(_ context.Context, _ *sqlcomment.Statement, gate Gate) Reply {
 	if _, ok := gate(); !ok {
 		return NotSent()
 	}
 	b.clock.Advance(20)
-	return Reply{Outcome: decide.Outcome{Code: decide.OK, Role: decide.Primary}, Answer: Answer{Value: []byte("four")}}
+	return Reply{Outcome: dispatch.Outcome{Code: dispatch.OK, Role: dispatch.Primary}, Answer: Answer{Value: []byte("four")}}
 }
 
 func (*taking) CloseIdle(string)          {}
 func (*taking) SetAddress(string, string) {}
-func (*taking) Probe(context.Context, string, func(string) bool) decide.Outcome {
-	return decide.Outcome{}
+func (*taking) Probe(context.Context, string, func(string) bool) dispatch.Outcome {
+	return dispatch.Outcome{}
 }
 
 // watcher notes what an observer is told.
@@ -51,15 +51,15 @@
 func (w *watcher) Sent(string) int { w.inside++; return w.inside - 1 }
 func (w *watcher) Done(s Seen)     { w.inside--; w.seen = append(w.seen, s) }
 
-func core(t require.TestingT, fail int) (*Edge, *statement.Statement) {
+func core(t require.TestingT, fail int) (*Edge, *sqlcomment.Statement) {
 	c := clock.NewManual(1e12)
-	site := &settings.Parsed{Settings: choice.Settings{Routers: 1, MaxAttempts: 8, ListRole: true, Tick: 5 * time.Millisecond,
-		Classes: []choice.Class{{Name: "browse", Read: choice.Any, Effect: choice.Safe, Aim: time.Second, Deadline: time.Second, Worth: 1, LateShare: 1}}},
+	site := &settings.Parsed{Settings: routing.Settings{Routers: 1, MaxAttempts: 8, ListRole: true, Tick: 5 * time.Millisecond,
+		Classes: []routing.Class{{Name: "browse", Read: routing.Any, Effect: routing.Safe, Aim: time.Second, Deadline: time.Second, Worth: 1, LateShare: 1}}},
 		Classes: map[string]int{"browse": 0}}
-	f, err := decide.New(site, 1, c, nil, nil)
+	f, err := dispatch.New(site, 1, c, nil, nil)
 	require.NoError(t, err)
-	f.Members(true, []decide.Member{{Host: "p", Group: 1, Primary: true}, {Host: "a", Group: 1}})
-	s, err := statement.Parse("/* id=1,c=browse,d=900,cluster=1 */ SELECT 1")
+	f.Members(true, []dispatch.Member{{Host: "p", Group: 1, Primary: true}, {Host: "a", Group: 1}})
+	s, err := sqlcomment.Parse("/* id=1,c=browse,d=900,cluster=1 */ SELECT 1")
 	require.NoError(t, err)
 	return New(f, c, &taking{clock: c, fail: fail}), &s
 }
@@ -71,9 +71,9 @@
 	require.Equal(t, Served, e.Do(context.Background(), s, e.Now()).Verdict)
 	require.Len(t, w.seen, 2)
 	require.Zero(t, w.inside)
-	require.Equal(t, decide.NoConnection, w.seen[0].Outcome.Code)
+	require.Equal(t, dispatch.NoConnection, w.seen[0].Outcome.Code)
 	require.Zero(t, w.seen[0].Work, "it was not written")
-	require.Equal(t, decide.OK, w.seen[1].Outcome.Code)
+	require.Equal(t, dispatch.OK, w.seen[1].Outcome.Code)
 	require.InDelta(t, 3, w.seen[1].Wait, 1e-3)
 	require.InDelta(t, 20, w.seen[1].Work, 1e-3)
 	require.Equal(t, 4, w.seen[1].Bytes)
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -4,13 +4,13 @@
 	"strconv"
 	"strings"
 
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 )
 
 // Gauges reads a load report as hosts word it on every wire: name=value pairs with commas between them. The
 // position x0 stands there in seconds. A report of which a part can't be read says nothing: noise may look like a
 // number.
-func Gauges(report string) (r decide.Report) {
+func Gauges(report string) (r dispatch.Report) {
 	if report == "" {
 		return r
 	}
@@ -18,14 +18,14 @@
 		name, value, _ := strings.Cut(strings.TrimSpace(item), "=")
 		x, err := strconv.ParseFloat(value, 64)
 		if err != nil || name == "" || !(x >= 0 && x < 1<<40) {
-			return decide.Report{}
+			return dispatch.Report{}
 		}
 		switch name {
 		case "x0":
 			r.Position = x * 1e3
 		case "x1":
-			if r.Role = decide.Replica; x >= 0.5 {
-				r.Role = decide.Primary
+			if r.Role = dispatch.Replica; x >= 0.5 {
+				r.Role = dispatch.Primary
 			}
 		}
 	}
--- a/internal/edge/gone_test.go
+++ b/internal/edge/gone_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ashstand/internal/decide"
-	"ashstand/internal/statement"
+	"ashstand/internal/dispatch"
+	"ashstand/internal/sqlcomment"
 )
 
 // leaving is the context of a client that has gone, of which nobody was told yet: Err says it, Done does not. It holds the
@@ -37,7 +37,7 @@
 type steps struct {
 	*taking
 	at      func(step string)
-	outcome decide.Code // of what is written
+	outcome dispatch.Code // of what is written
 	mu      sync.Mutex
 	written int
 }
@@ -49,7 +49,7 @@
 	return b, nil
 }
 
-func (b *steps) Exchange(_ context.Context, _ *statement.Statement, gate Gate) Reply {
+func (b *steps) Exchange(_ context.Context, _ *sqlcomment.Statement, gate Gate) Reply {
 	b.at("gate")
 	if _, ok := gate(); !ok {
 		return NotSent()
@@ -58,7 +58,7 @@
 	b.written++
 	b.mu.Unlock()
 	b.at("written")
-	return Reply{Outcome: decide.Outcome{Code: b.outcome}}
+	return Reply{Outcome: dispatch.Outcome{Code: b.outcome}}
 }
 
 // The client goes at each step of its request, and the decisions hear of it only at the very end: from then on nothing is
@@ -66,17 +66,17 @@
 func TestNothingIsWrittenForAClientThatHasGone(t *testing.T) {
 	for _, c := range []struct {
 		step    string
-		outcome decide.Code
+		outcome dispatch.Code
 		written int
 	}{
-		{"begin", decide.Full, 0},
-		{"dial", decide.Full, 0},
-		{"gate", decide.Full, 0},
-		{"written", decide.Full, 1}, // what has begun has begun, and is not begun again
-		{"written", decide.ConnectionLost, 1},
-		{"written", decide.Error, 1},
-		{"written", decide.NoConnection, 1},
-		{"written", decide.NotSent, 1},
+		{"begin", dispatch.Full, 0},
+		{"dial", dispatch.Full, 0},
+		{"gate", dispatch.Full, 0},
+		{"written", dispatch.Full, 1}, // what has begun has begun, and is not begun again
+		{"written", dispatch.ConnectionLost, 1},
+		{"written", dispatch.Error, 1},
+		{"written", dispatch.NoConnection, 1},
+		{"written", dispatch.NotSent, 1},
 	} {
 		e, s := core(t, 0)
 		client, once := newLeaving(), sync.Once{}
@@ -113,7 +113,7 @@
 	require.Eventually(t, func() bool { e.mu.Lock(); defer e.mu.Unlock(); return len(e.ids) == 1 }, 10*time.Second, time.Millisecond)
 	cancel()
 	require.Equal(t, Left, (<-result).Verdict)
-	e.facade.Members(true, []decide.Member{{Host: "p", Group: 1, Primary: true}})
+	e.facade.Members(true, []dispatch.Member{{Host: "p", Group: 1, Primary: true}})
 	e.facade.Tick()
 	require.Zero(t, b.count())
 }
--- a/internal/net/flight/front.go
+++ b/internal/net/flight/front.go
@@ -16,7 +16,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"ashstand/internal/edge"
-	"ashstand/internal/statement"
+	"ashstand/internal/sqlcomment"
 )
 
 // Front serves Flight SQL clients.
@@ -61,7 +61,7 @@
 
 // query reads a statement that is to be run as a query. A write is none: a ticket can be used twice, and would
 // run it twice.
-func (f *Front) query(text string, transaction []byte) (statement.Statement, error) {
+func (f *Front) query(text string, transaction []byte) (sqlcomment.Statement, error) {
 	s, err := f.parse(text, transaction)
 	if err == nil && f.edge.Writes(s.Class) {
 		err = invalid("class " + s.Class + " writes: use CommandStatementUpdate")
@@ -69,8 +69,8 @@
 	return s, err
 }
 
-func (f *Front) parse(text string, transaction []byte) (statement.Statement, error) {
-	s, err := statement.Parse(text)
+func (f *Front) parse(text string, transaction []byte) (sqlcomment.Statement, error) {
+	s, err := sqlcomment.Parse(text)
 	switch {
 	case err != nil:
 		return s, invalid(err.Error())
@@ -138,7 +138,7 @@
 }
 
 // run brings a statement to its final answer. The client waits until the earlier of d and its call's deadline.
-func (f *Front) run(ctx context.Context, s *statement.Statement) (*edge.Answer, error) {
+func (f *Front) run(ctx context.Context, s *sqlcomment.Statement) (*edge.Answer, error) {
 	if !f.edge.Ready() {
 		return nil, failure(codes.Unavailable, "no list of hosts is held yet", reasonRefused, 0)
 	}
--- a/internal/net/flight/golden_test.go
+++ b/internal/net/flight/golden_test.go
@@ -21,7 +21,7 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
 )
 
@@ -69,14 +69,14 @@
 	results := []struct {
 		name   string
 		result edge.Result
-		read   decide.Code
+		read   dispatch.Code
 	}{
-		{"refused", edge.Result{Verdict: edge.Refused, Detail: "no host", After: 250.5}, decide.Full},
-		{"refused-without-advice", edge.Result{Verdict: edge.Refused, Detail: "no host"}, decide.Full},
-		{"timed-out", edge.Result{Verdict: edge.TimedOut, Detail: "no answer"}, decide.NoAnswer},
-		{"invalid", edge.Result{Verdict: edge.Invalid, Detail: "no class"}, decide.Error},
-		{"left", edge.Result{Verdict: edge.Left, Detail: "unused"}, decide.Cancelled},
-		{"failed", edge.Result{Verdict: edge.Failed, Detail: "it broke"}, decide.Error},
+		{"refused", edge.Result{Verdict: edge.Refused, Detail: "no host", After: 250.5}, dispatch.Full},
+		{"refused-without-advice", edge.Result{Verdict: edge.Refused, Detail: "no host"}, dispatch.Full},
+		{"timed-out", edge.Result{Verdict: edge.TimedOut, Detail: "no answer"}, dispatch.NoAnswer},
+		{"invalid", edge.Result{Verdict: edge.Invalid, Detail: "no class"}, dispatch.Error},
+		{"left", edge.Result{Verdict: edge.Left, Detail: "unused"}, dispatch.Cancelled},
+		{"failed", edge.Result{Verdict: edge.Failed, Detail: "it broke"}, dispatch.Error},
 	}
 	var out bytes.Buffer
 	for _, r := range results {
@@ -96,13 +96,13 @@
 	errs := []struct {
 		name string
 		err  error
-		read decide.Code
+		read dispatch.Code
 	}{
-		{"not-primary", failure(codes.FailedPrecondition, "a replica", reasonNotPrimary, 0), decide.Miss},
-		{"behind", failure(codes.FailedPrecondition, "too old", reasonBehind, 0), decide.Miss},
-		{"full", failure(codes.ResourceExhausted, "full", reasonTurnedAway, 10), decide.Full},
-		{"draining", failure(codes.Unavailable, "draining", reasonTurnedAway, 0), decide.Full},
-		{"bare-unavailable", failure(codes.Unavailable, "reset", "", 0), decide.ConnectionLost},
+		{"not-primary", failure(codes.FailedPrecondition, "a replica", reasonNotPrimary, 0), dispatch.Miss},
+		{"behind", failure(codes.FailedPrecondition, "too old", reasonBehind, 0), dispatch.Miss},
+		{"full", failure(codes.ResourceExhausted, "full", reasonTurnedAway, 10), dispatch.Full},
+		{"draining", failure(codes.Unavailable, "draining", reasonTurnedAway, 0), dispatch.Full},
+		{"bare-unavailable", failure(codes.Unavailable, "reset", "", 0), dispatch.ConnectionLost},
 	}
 	var out bytes.Buffer
 	for _, e := range errs {
@@ -139,7 +139,7 @@
 	var read edge.Answer
 	o := told(committed, &read)
 	require.Equal(t, answer, read)
-	require.Equal(t, decide.Primary, o.Role)
+	require.Equal(t, dispatch.Primary, o.Role)
 	require.Equal(t, answer.Position, o.Position)
 	require.Equal(t, edge.Gauges(answer.Gauges), o.Report)
 	committed.Delete(metaReturning)
--- a/internal/net/flight/hosts.go
+++ b/internal/net/flight/hosts.go
@@ -21,9 +21,9 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
 
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
-	"ashstand/internal/statement"
+	"ashstand/internal/sqlcomment"
 )
 
 // Hosts reaches db hosts that speak Flight SQL, over one HTTP/2 connection to each.
@@ -200,7 +200,7 @@
 type conn struct{ client flight.Client }
 
 // Exchange is edge.Conn's.
-func (c *conn) Exchange(ctx context.Context, s *statement.Statement, gate edge.Gate) edge.Reply {
+func (c *conn) Exchange(ctx context.Context, s *sqlcomment.Statement, gate edge.Gate) edge.Reply {
 	wait, ok := gate()
 	if !ok {
 		return edge.NotSent()
@@ -224,7 +224,7 @@
 func lost(err error, trailer metadata.MD) edge.Reply {
 	r := edge.Reply{Detail: err.Error()}
 	code := outcome(err)
-	if code != decide.Spoilt { // which teaches nothing
+	if code != dispatch.Spoilt { // which teaches nothing
 		r.Outcome = told(trailer, &r.Answer)
 	}
 	r.Code = code
@@ -234,7 +234,7 @@
 // ended words a stream that brought no answer. Only one that gRPC itself ended has its trailer: what was given up for
 // what it held may still be arriving.
 func ended(err error, stream grpc.ClientStream) edge.Reply {
-	if outcome(err) == decide.Spoilt {
+	if outcome(err) == dispatch.Spoilt {
 		return lost(err, nil)
 	}
 	return lost(err, stream.Trailer())
@@ -244,7 +244,7 @@
 func (c *conn) query(ctx context.Context, text string, gate edge.Gate) edge.Reply {
 	d, err := describe(&pb.CommandStatementQuery{Query: text})
 	if err != nil {
-		return edge.Reply{Outcome: decide.Outcome{Code: decide.Error}, Detail: err.Error()}
+		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Error}, Detail: err.Error()}
 	}
 	info, err := c.client.GetFlightInfo(singly(ctx), d)
 	if err != nil {
@@ -275,7 +275,7 @@
 func (c *conn) update(ctx context.Context, text string) edge.Reply {
 	d, err := describe(&pb.CommandStatementUpdate{Query: text})
 	if err != nil {
-		return edge.Reply{Outcome: decide.Outcome{Code: decide.Error}, Detail: err.Error()}
+		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Error}, Detail: err.Error()}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -283,7 +283,7 @@
 	if ctx.Err() != nil {
 		return edge.NotSent()
 	} else if err != nil { // the stream did not open, and the statement is not yet written
-		return edge.Reply{Outcome: decide.Outcome{Code: decide.NoConnection}, Detail: err.Error()}
+		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.NoConnection}, Detail: err.Error()}
 	}
 	// From here on the host may have it, whatever an error says of the connection.
 	_ = stream.Send(&flight.FlightData{FlightDescriptor: d}) // its error comes from Recv, with the status
@@ -321,21 +321,21 @@
 }
 
 // Probe is edge.Backend's.
-func (h *Hosts) Probe(ctx context.Context, name string, listed func(string) bool) decide.Outcome {
+func (h *Hosts) Probe(ctx context.Context, name string, listed func(string) bool) dispatch.Outcome {
 	if !listed(name) {
-		return decide.Outcome{Code: decide.NotSent}
+		return dispatch.Outcome{Code: dispatch.NotSent}
 	}
 	c, err := h.Acquire(ctx, name)
 	if err != nil {
-		return decide.Outcome{Code: decide.NoConnection}
+		return dispatch.Outcome{Code: dispatch.NoConnection}
 	}
 	gate := func() (float64, bool) { return 0, listed(name) }
 	if _, ok := gate(); !ok {
-		return decide.Outcome{Code: decide.NotSent}
+		return dispatch.Outcome{Code: dispatch.NotSent}
 	}
 	r := c.(*conn).query(ctx, "SHOW "+metaGauges, gate)
-	if r.Code != decide.OK {
-		return decide.Outcome{Code: r.Code}
+	if r.Code != dispatch.OK {
+		return dispatch.Outcome{Code: r.Code}
 	}
-	return decide.Outcome{Code: decide.OK, Report: edge.Gauges(string(r.Answer.Value))}
+	return dispatch.Outcome{Code: dispatch.OK, Report: edge.Gauges(string(r.Answer.Value))}
 }
--- a/internal/net/flight/hosts_test.go
+++ b/internal/net/flight/hosts_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/net/http2"
 
-	"ashstand/internal/decide"
-	"ashstand/internal/statement"
+	"ashstand/internal/dispatch"
+	"ashstand/internal/sqlcomment"
 )
 
 // refuser is a server that refuses every stream, which tells gRPC that it may open another by itself.
@@ -65,14 +65,14 @@
 	defer cancel()
 	c, err := h.Acquire(ctx, "h")
 	require.NoError(t, err)
-	s, err := statement.Parse("/* id=1,c=donate,d=900,cluster=1 */ INSERT INTO entries (ref) VALUES ('k')")
+	s, err := sqlcomment.Parse("/* id=1,c=donate,d=900,cluster=1 */ INSERT INTO entries (ref) VALUES ('k')")
 	require.NoError(t, err)
 	s.Write = true
 	r := c.Exchange(ctx, &s, func() (float64, bool) { return 900, true })
 	require.EqualValues(t, 1, streams.Load())
-	require.NotContains(t, []decide.Code{decide.OK, decide.NotSent, decide.Full, decide.Miss}, r.Code, "%+v", r)
+	require.NotContains(t, []dispatch.Code{dispatch.OK, dispatch.NotSent, dispatch.Full, dispatch.Miss}, r.Code, "%+v", r)
 	s.Write = false
 	r = c.Exchange(ctx, &s, func() (float64, bool) { return 900, true })
 	require.EqualValues(t, 2, streams.Load(), "a read's first call was refused, and nothing came after it")
-	require.NotEqual(t, decide.OK, r.Code)
+	require.NotEqual(t, dispatch.OK, r.Code)
 }
--- a/internal/net/flight/status.go
+++ b/internal/net/flight/status.go
@@ -19,7 +19,7 @@
 	"google.golang.org/protobuf/protoadapt"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
 )
 
@@ -88,10 +88,10 @@
 }
 
 // outcome reads what a host's error proves, once the request was sent.
-func outcome(err error) decide.Code {
+func outcome(err error) dispatch.Code {
 	s, ok := status.FromError(err)
 	if errors.Is(err, errShape) || !ok { // what gRPC delivered was no answer
-		return decide.Spoilt
+		return dispatch.Spoilt
 	}
 	for _, d := range s.Details() {
 		info, ok := d.(*errdetails.ErrorInfo)
@@ -100,25 +100,25 @@
 		}
 		switch {
 		case s.Code() == codes.FailedPrecondition && (info.Reason == reasonNotPrimary || info.Reason == reasonBehind):
-			return decide.Miss
+			return dispatch.Miss
 		case (s.Code() == codes.Unavailable || s.Code() == codes.ResourceExhausted) &&
 			(info.Reason == reasonTurnedAway || info.Reason == reasonRefused):
-			return decide.Full
+			return dispatch.Full
 		}
 	}
 	switch s.Code() {
 	case codes.DeadlineExceeded:
-		return decide.NoAnswer
+		return dispatch.NoAnswer
 	case codes.Canceled:
-		return decide.Cancelled
+		return dispatch.Cancelled
 	case codes.Unavailable:
-		return decide.ConnectionLost
+		return dispatch.ConnectionLost
 	}
-	return decide.Error
+	return dispatch.Error
 }
 
 // told reads the trailing metadata.
-func told(md metadata.MD, a *edge.Answer) decide.Outcome {
+func told(md metadata.MD, a *edge.Answer) dispatch.Outcome {
 	get := func(name string) string {
 		if v := md.Get(name); len(v) > 0 {
 			return v[len(v)-1]
@@ -129,12 +129,12 @@
 	if x, err := strconv.ParseFloat(get(metaPosition), 64); err == nil && x > 0 && x < 1<<52 {
 		a.Position = x
 	}
-	o := decide.Outcome{Position: a.Position, Report: edge.Gauges(a.Gauges)}
+	o := dispatch.Outcome{Position: a.Position, Report: edge.Gauges(a.Gauges)}
 	switch a.Role {
 	case rolePrimary:
-		o.Role = decide.Primary
+		o.Role = dispatch.Primary
 	case roleReplica:
-		o.Role = decide.Replica
+		o.Role = dispatch.Replica
 	}
 	return o
 }
--- a/internal/net/pg/dial_test.go
+++ b/internal/net/pg/dial_test.go
@@ -12,7 +12,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/stretchr/testify/require"
 
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
 )
 
@@ -86,7 +86,7 @@
 	r.mu.Unlock()
 	close(up)
 	r.settled(t, 1)
-	require.Equal(t, decide.OK, r.exchange(t, open).Code)
+	require.Equal(t, dispatch.OK, r.exchange(t, open).Code)
 	require.Empty(t, r.conns, "the host was not asked for another")
 	r.settled(t, 1)
 }
@@ -213,7 +213,7 @@
 	other := start(t, slow(up))
 	r.SetLimits(Limits{Connections: 1, Connect: 20 * time.Second, Idle: 15 * time.Second})
 	r.SetAddress("o", other.hosts["h"].address)
-	require.Equal(t, decide.OK, r.exchange(t, open).Code)
+	require.Equal(t, dispatch.OK, r.exchange(t, open).Code)
 	got := make(chan edge.Conn, 1)
 	go func() {
 		c, _ := r.Acquire(context.Background(), "o")
@@ -268,12 +268,12 @@
 		name  string
 		first bool // the end comes before the write
 		half  bool // and half a line of the host with it
-		want  decide.Code
+		want  dispatch.Code
 	}{
-		{"end, write", true, false, decide.NotSent},
-		{"half a line, end, write", true, true, decide.NotSent},
-		{"write, end", false, false, decide.ConnectionLost},
-		{"write, half a line, end", false, true, decide.ConnectionLost},
+		{"end, write", true, false, dispatch.NotSent},
+		{"half a line, end, write", true, true, dispatch.NotSent},
+		{"write, end", false, false, dispatch.ConnectionLost},
+		{"write, half a line, end", false, true, dispatch.ConnectionLost},
 	} {
 		conns := make(chan net.Conn, 4)
 		r := start(t, func(c net.Conn, b *pgproto3.Backend) {
@@ -289,7 +289,7 @@
 				c.Close()
 			}
 		})
-		require.Equal(t, decide.OK, r.exchange(t, open).Code)
+		require.Equal(t, dispatch.OK, r.exchange(t, open).Code)
 		c := <-conns
 		r.mu.Lock()
 		lies := r.hosts["h"].idle[0]
--- a/internal/net/pg/differ_test.go
+++ b/internal/net/pg/differ_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	lab "ashstand/lab/host"
+	lab "ashstand/testbed/host"
 )
 
 // step is one thing that a client does; its text is how a failing script reads.
--- a/internal/net/pg/flood_test.go
+++ b/internal/net/pg/flood_test.go
@@ -17,9 +17,9 @@
 	"github.com/stretchr/testify/require"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
-	"ashstand/internal/statement"
+	"ashstand/internal/sqlcomment"
 )
 
 // visits counts what one visit of a client's handler to the loop writes.
@@ -184,15 +184,15 @@
 		name  string
 		first []byte
 		goes  []byte // said again and again until the connection ends; nil: the connection stays silent
-		code  decide.Code
+		code  dispatch.Code
 	}{
-		{"a message said to be 3 GB", join(told, column, []byte{'D', 0xb2, 0xd0, 0x5e, 0}), nil, decide.Spoilt},
-		{"a value said to be 3 GB", join(told, lies(3<<30)), ready(nil), decide.Spoilt},
-		{"parameters without end", told, status(nil, "part", "master"), decide.Spoilt},
-		{"notices without end", told, message(nil, 'N', func(b []byte) []byte { return append(b, make([]byte, 1000)...) }), decide.Spoilt},
-		{"rows without end", join(told, described), described[len(column):], decide.Spoilt},
-		{"two answers' halves", join(told, described, told, column), ready(nil), decide.Spoilt},
-		{"half an answer", join(told, described), nil, decide.NoAnswer},
+		{"a message said to be 3 GB", join(told, column, []byte{'D', 0xb2, 0xd0, 0x5e, 0}), nil, dispatch.Spoilt},
+		{"a value said to be 3 GB", join(told, lies(3<<30)), ready(nil), dispatch.Spoilt},
+		{"parameters without end", told, status(nil, "part", "master"), dispatch.Spoilt},
+		{"notices without end", told, message(nil, 'N', func(b []byte) []byte { return append(b, make([]byte, 1000)...) }), dispatch.Spoilt},
+		{"rows without end", join(told, described), described[len(column):], dispatch.Spoilt},
+		{"two answers' halves", join(told, described, told, column), ready(nil), dispatch.Spoilt},
+		{"half an answer", join(told, described), nil, dispatch.NoAnswer},
 	} {
 		ended := make(chan struct{}, 16)
 		r := start(t, func(c net.Conn, b *pgproto3.Backend) {
@@ -213,14 +213,14 @@
 			ended <- struct{}{}
 		})
 		reply := r.exchange(t, open)
-		require.Equal(t, edge.Reply{Outcome: decide.Outcome{Code: k.code}, Detail: reply.Detail}, reply, k.name)
+		require.Equal(t, edge.Reply{Outcome: dispatch.Outcome{Code: k.code}, Detail: reply.Detail}, reply, k.name)
 		select {
 		case <-ended:
 		case <-time.After(20 * time.Second):
 			t.Fatal(k.name + ": the connection stays")
 		}
 		r.settled(t, 0)
-		require.Equal(t, decide.OK, r.send(t, "/* id=2,c=a,d=900,cluster=1 */ SELECT payload FROM entries WHERE ref = 'after'", open).Code, k.name)
+		require.Equal(t, dispatch.OK, r.send(t, "/* id=2,c=a,d=900,cluster=1 */ SELECT payload FROM entries WHERE ref = 'after'", open).Code, k.name)
 	}
 }
 
@@ -241,22 +241,22 @@
 		ctx, giveUp := context.WithCancel(context.Background())
 		c, err := r.Acquire(ctx, "h")
 		require.NoError(t, err)
-		s, err := statement.Parse("/* id=1,c=a,d=900,cluster=1 */ SELECT payload")
+		s, err := sqlcomment.Parse("/* id=1,c=a,d=900,cluster=1 */ SELECT payload")
 		require.NoError(t, err)
 		replies := make(chan edge.Reply, 2)
 		go func() { replies <- c.Exchange(ctx, &s, open) }()
-		want := decide.Spoilt
+		want := dispatch.Spoilt
 		if spoiltFirst {
 			close(speak)
 			<-spoken
 			require.Equal(t, want, (<-replies).Code)
 			giveUp()
 		} else {
-			want = decide.Cancelled
+			want = dispatch.Cancelled
 			require.Eventually(t, func() bool { return r.held(t) > 0 }, 20*time.Second, time.Millisecond) // half of it is here
 			giveUp()
 			reply := <-replies
-			require.Equal(t, edge.Reply{Outcome: decide.Outcome{Code: want}, Detail: reply.Detail}, reply)
+			require.Equal(t, edge.Reply{Outcome: dispatch.Outcome{Code: want}, Detail: reply.Detail}, reply)
 			close(speak)
 			<-spoken
 		}
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -13,7 +13,7 @@
 
 	"ashstand/internal/edge"
 	"ashstand/internal/net/loop"
-	"ashstand/internal/statement"
+	"ashstand/internal/sqlcomment"
 )
 
 // Bounds of the front, in bytes and milliseconds.
@@ -537,7 +537,7 @@
 	case word == "SET" || word == "RESET" || word == "DISCARD":
 		out = complete(out, word)
 	default:
-		s, err := statement.Parse(text)
+		s, err := sqlcomment.Parse(text)
 		switch {
 		case err != nil:
 			h.strikes++
@@ -559,7 +559,7 @@
 
 // serve runs on a goroutine of its own, which ends as soon as the answer is on its way to the loop: writing it and
 // taking the next command are one visit there.
-func (h *client) serve(ctx context.Context, c gnet.Conn, s statement.Statement, arrived float64) {
+func (h *client) serve(ctx context.Context, c gnet.Conn, s sqlcomment.Statement, arrived float64) {
 	e := h.front.edge
 	result := e.Do(ctx, &s, arrived)
 	if result.Verdict == edge.Left {
--- a/internal/net/pg/front_test.go
+++ b/internal/net/pg/front_test.go
@@ -13,12 +13,12 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/stretchr/testify/require"
 
-	"ashstand/choice"
 	"ashstand/internal/clock"
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
 	"ashstand/internal/net/loop"
 	"ashstand/internal/settings"
+	"ashstand/routing"
 )
 
 // nowhere is a backend that reaches no host.
@@ -31,18 +31,18 @@
 
 type door struct {
 	*Front
-	facade  *decide.Facade
+	facade  *dispatch.Facade
 	clock   *clock.Manual
 	address string
 }
 
 func listen(t *testing.T, limits FrontLimits) *door {
-	class := choice.Class{Name: "report", Aim: time.Minute, Deadline: time.Minute, Worth: 1, LateShare: 1}
+	class := routing.Class{Name: "report", Aim: time.Minute, Deadline: time.Minute, Worth: 1, LateShare: 1}
 	d := &door{clock: clock.NewManual(1e12)}
-	f, err := decide.New(&settings.Parsed{Settings: choice.Settings{Routers: 1, MaxAttempts: 8, Classes: []choice.Class{class}},
+	f, err := dispatch.New(&settings.Parsed{Settings: routing.Settings{Routers: 1, MaxAttempts: 8, Classes: []routing.Class{class}},
 		Classes: map[string]int{"report": 0}}, 1, d.clock, nil, nil)
 	require.NoError(t, err)
-	f.Members(true, []decide.Member{{Host: "h", Group: 1}})
+	f.Members(true, []dispatch.Member{{Host: "h", Group: 1}})
 	d.facade = f
 	core := edge.New(f, d.clock, nowhere{})
 	core.SetLimits(edge.Limits{Bytes: limits.Bytes, After: limits.After})
--- a/internal/net/pg/golden_test.go
+++ b/internal/net/pg/golden_test.go
@@ -17,7 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
 	"ashstand/internal/net/loop"
 	"ashstand/internal/session"
@@ -251,10 +251,10 @@
 }
 
 // unready is a facade that has no list of hosts.
-func unready(t *testing.T) *decide.Facade {
+func unready(t *testing.T) *dispatch.Facade {
 	site, err := settings.Parse([]byte(poolSite))
 	require.NoError(t, err)
-	f, err := decide.New(site, 1, clock.System(), nil, nil)
+	f, err := dispatch.New(site, 1, clock.System(), nil, nil)
 	require.NoError(t, err)
 	return f
 }
@@ -288,8 +288,8 @@
 	r.SetLimits(Limits{Connections: 1, Connect: 20 * time.Second, Idle: 15 * time.Second})
 	c, err := r.Acquire(ctx, "h")
 	require.NoError(t, err)
-	require.Equal(t, decide.OK, c.Exchange(ctx, parsed(t, plain), open).Code)
-	require.Equal(t, decide.OK, r.Probe(ctx, "h", func(string) bool { return true }).Code)
+	require.Equal(t, dispatch.OK, c.Exchange(ctx, parsed(t, plain), open).Code)
+	require.Equal(t, dispatch.OK, r.Probe(ctx, "h", func(string) bool { return true }).Code)
 	s.scene("start-up, a request, a probe")
 	s.add("|", <-got, true)
 	s.add("|", <-got, false)
--- a/internal/net/pg/gone_test.go
+++ b/internal/net/pg/gone_test.go
@@ -14,7 +14,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/stretchr/testify/require"
 
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
 	"ashstand/internal/session"
 )
@@ -278,7 +278,7 @@
 			})
 			require.Equal(t, 1, <-broken)
 		case "it drains":
-			w.facade.Members(false, []decide.Member{{Host: "a", Group: 1, Primary: true, Draining: true}})
+			w.facade.Members(false, []dispatch.Member{{Host: "a", Group: 1, Primary: true, Draining: true}})
 		}
 		close(release)
 		require.Equal(t, "57014", state(<-out), then)
--- a/internal/net/pg/homes_test.go
+++ b/internal/net/pg/homes_test.go
@@ -21,9 +21,9 @@
 	"github.com/stretchr/testify/require"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/session"
-	lab "ashstand/lab/host"
+	lab "ashstand/testbed/host"
 )
 
 // told are homes as a test sets them.
@@ -87,7 +87,7 @@
 	w.gate = newGate(t, w.a.Address)
 	w.front.SetAddress("a", w.gate.address)
 	w.front.SetAddress("c", w.c.Address)
-	w.facade.Members(false, []decide.Member{{Host: "c", Group: 2, Primary: true}})
+	w.facade.Members(false, []dispatch.Member{{Host: "c", Group: 2, Primary: true}})
 	return w
 }
 
--- a/internal/net/pg/late_test.go
+++ b/internal/net/pg/late_test.go
@@ -11,8 +11,8 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/stretchr/testify/require"
 
-	"ashstand/internal/decide"
-	"ashstand/internal/statement"
+	"ashstand/internal/dispatch"
+	"ashstand/internal/sqlcomment"
 )
 
 // heard is what a pool told of late answers.
@@ -20,13 +20,13 @@
 	host  string
 	sent  float64
 	write bool
-	decide.Outcome
+	dispatch.Outcome
 }
 
 func (r *rig) listenLate() chan heard {
 	told := make(chan heard, 4)
 	r.linger = 30 * time.Second
-	r.TellLate(func(host string, sent float64, write bool, o decide.Outcome) { told <- heard{host, sent, write, o} })
+	r.TellLate(func(host string, sent float64, write bool, o dispatch.Outcome) { told <- heard{host, sent, write, o} })
 	return told
 }
 
@@ -59,8 +59,8 @@
 	return c
 }
 
-func parsed(t *testing.T, text string) *statement.Statement {
-	s, err := statement.Parse(text)
+func parsed(t *testing.T, text string) *sqlcomment.Statement {
+	s, err := sqlcomment.Parse(text)
 	require.NoError(t, err)
 	return &s
 }
@@ -92,14 +92,14 @@
 	})
 	told := r.listenLate()
 	ctx, giveUp := context.WithCancel(context.Background())
-	codes := make(chan decide.Code, 1)
+	codes := make(chan dispatch.Code, 1)
 	c := r.acquired(t)
 	go func() { codes <- c.Exchange(ctx, parsed(t, plain), open).Code }()
 	<-asked
 	giveUp()
-	require.Equal(t, decide.Cancelled, <-codes)
+	require.Equal(t, dispatch.Cancelled, <-codes)
 	<-ended
-	require.Equal(t, heard{"h", 1e12, false, decide.Outcome{Code: decide.OK, Role: decide.Replica, Position: 999999999000}}, first(t, told))
+	require.Equal(t, heard{"h", 1e12, false, dispatch.Outcome{Code: dispatch.OK, Role: dispatch.Replica, Position: 999999999000}}, first(t, told))
 	require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.open == 0 }, 10*time.Second, time.Millisecond)
 }
 
@@ -117,7 +117,7 @@
 	})
 	told := r.listenLate()
 	ctx, giveUp := context.WithCancel(context.Background())
-	codes := make(chan decide.Code, 1)
+	codes := make(chan dispatch.Code, 1)
 	c := r.acquired(t)
 	go func() { codes <- c.Exchange(ctx, parsed(t, plain), open).Code }()
 	<-asked
@@ -125,9 +125,9 @@
 	close(answer)
 	<-answered
 	giveUp()
-	require.Equal(t, decide.Cancelled, <-codes)
+	require.Equal(t, dispatch.Cancelled, <-codes)
 	resume()
-	require.Equal(t, decide.Replica, first(t, told).Role)
+	require.Equal(t, dispatch.Replica, first(t, told).Role)
 }
 
 // In the other order the answer is that of its attempt, and told once.
@@ -142,8 +142,8 @@
 	ctx, giveUp := context.WithCancel(context.Background())
 	reply := r.acquired(t).Exchange(ctx, parsed(t, plain), open)
 	giveUp()
-	require.Equal(t, decide.OK, reply.Code)
-	require.Equal(t, decide.Replica, reply.Role)
+	require.Equal(t, dispatch.OK, reply.Code)
+	require.Equal(t, dispatch.Replica, reply.Role)
 	require.Empty(t, told)
 	require.Len(t, r.hosts["h"].idle, 1)
 }
@@ -161,7 +161,7 @@
 	r.SetLimits(Limits{Connections: 1, Connect: 300 * time.Millisecond, Idle: 15 * time.Second})
 	ctx, giveUp := context.WithCancel(context.Background())
 	go func() { <-asked; giveUp() }()
-	require.Equal(t, decide.Cancelled, r.acquired(t).Exchange(ctx, parsed(t, plain), open).Code)
+	require.Equal(t, dispatch.Cancelled, r.acquired(t).Exchange(ctx, parsed(t, plain), open).Code)
 	require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.open == 0 }, 10*time.Second, time.Millisecond)
 	require.Empty(t, told)
 }
@@ -187,7 +187,7 @@
 		resume := r.stop(t, l)
 		var asks atomic.Int32
 		var closed atomic.Bool
-		codes := make(chan decide.Code, 1)
+		codes := make(chan dispatch.Code, 1)
 		if probe {
 			go func() {
 				codes <- r.Probe(context.Background(), "h", func(string) bool { asks.Add(1); return !closed.Load() }).Code
@@ -206,7 +206,7 @@
 		before := asks.Load()
 		closed.Store(true)
 		resume()
-		require.Equal(t, decide.NotSent, <-codes)
+		require.Equal(t, dispatch.NotSent, <-codes)
 		require.Greater(t, asks.Load(), before)
 		require.Zero(t, got.Load())
 		require.Len(t, r.hosts["h"].idle, 1, "the connection is as before")
--- a/internal/net/pg/message_test.go
+++ b/internal/net/pg/message_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
 )
 
@@ -31,21 +31,21 @@
 	require.Equal(t, len(b), end)
 	r, err := parse(b, Platform)
 	require.NoError(t, err)
-	require.Equal(t, decide.OK, outcome(&r))
+	require.Equal(t, dispatch.OK, outcome(&r))
 	require.Equal(t, edge.Answer{Column: "payload", Type: 17, Binary: true, Value: []byte("\x00v"), Tag: "SELECT 1",
 		Role: "replica", Position: 1767225600123, Gauges: "x0=1767225600.123,x1=0"}, r.answer)
 }
 
 func TestOutcomes(t *testing.T) {
-	for state, want := range map[string]decide.Code{"25006": decide.Miss, "72000": decide.Miss, "53300": decide.Full,
-		"XX000": decide.Error, "08P01": decide.Error} {
+	for state, want := range map[string]dispatch.Code{"25006": dispatch.Miss, "72000": dispatch.Miss, "53300": dispatch.Full,
+		"XX000": dispatch.Error, "08P01": dispatch.Error} {
 		r, err := parse(ready(failure(nil, "ERROR", state, "no", "")), Platform)
 		require.NoError(t, err)
 		require.Equal(t, want, outcome(&r), state)
 	}
 	r, err := parse(ready(complete(nil, "SELECT 0")), Platform)
 	require.NoError(t, err)
-	require.Equal(t, decide.Spoilt, outcome(&r), "no row is no answer")
+	require.Equal(t, dispatch.Spoilt, outcome(&r), "no row is no answer")
 	fatal := failure(nil, "FATAL", "53300", "too many connections", "")
 	end, _, err := find(fatal, 0)
 	require.NoError(t, err)
--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -11,10 +11,10 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
 	"ashstand/internal/net/loop"
-	"ashstand/internal/statement"
+	"ashstand/internal/sqlcomment"
 )
 
 // Names are the operators' words on the sockets.
@@ -60,7 +60,7 @@
 
 // Late is told of an answer whose attempt was given up in the same moment: it serves nobody, but it teaches. sent is when
 // its request was written. It is called on a goroutine of its own.
-type Late func(host string, sent float64, write bool, o decide.Outcome)
+type Late func(host string, sent float64, write bool, o dispatch.Outcome)
 
 // lateFor is how long a connection whose request was given up is listened to. The platform counts as known what an answer
 // tells 100 ms after it was written, also where the pooler gave it up meanwhile.
@@ -598,7 +598,7 @@
 }
 
 // Exchange is described at edge.Conn.
-func (c *conn) Exchange(ctx context.Context, s *statement.Statement, gate edge.Gate) edge.Reply {
+func (c *conn) Exchange(ctx context.Context, s *sqlcomment.Statement, gate edge.Gate) edge.Reply {
 	begun, sent, write := c.pool.clock.Now(), 0.0, s.Write
 	e, wrote := c.command(ctx, func() []byte {
 		wait, ok := gate()
@@ -608,7 +608,7 @@
 		sent = c.pool.clock.Now()
 		return query(make([]byte, 0, len(s.Text)+16), func(b []byte) []byte { return s.WithWait(b, wait) })
 	}, func(r *response) {
-		if late := c.pool.late; late != nil && outcome(r) != decide.Spoilt {
+		if late := c.pool.late; late != nil && outcome(r) != dispatch.Spoilt {
 			late(c.name, sent, write, c.pool.told(r))
 		}
 	})
@@ -623,28 +623,28 @@
 		c.pool.mu.Unlock()
 	}
 	if e.err != nil {
-		code := decide.ConnectionLost
+		code := dispatch.ConnectionLost
 		switch {
 		case !wrote && c.used: // it was closed while it lay in the pool, which says nothing against the host
-			code = decide.NotSent
+			code = dispatch.NotSent
 		case !wrote:
-			code = decide.NoConnection
+			code = dispatch.NoConnection
 		case errors.Is(e.err, errSpoilt):
-			code = decide.Spoilt
+			code = dispatch.Spoilt
 		case errors.Is(e.err, context.DeadlineExceeded):
-			code = decide.NoAnswer
+			code = dispatch.NoAnswer
 		case errors.Is(e.err, context.Canceled):
-			code = decide.Cancelled
+			code = dispatch.Cancelled
 		}
-		return edge.Reply{Outcome: decide.Outcome{Code: code}, Detail: e.err.Error()}
+		return edge.Reply{Outcome: dispatch.Outcome{Code: code}, Detail: e.err.Error()}
 	}
 	r := &e.response
-	if outcome(r) == decide.Spoilt { // it teaches nothing, its position least of all
+	if outcome(r) == dispatch.Spoilt { // it teaches nothing, its position least of all
 		c.close()
-		return edge.Reply{Outcome: decide.Outcome{Code: decide.Spoilt}, Detail: errShape.Error()}
+		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Spoilt}, Detail: errShape.Error()}
 	}
 	reply := edge.Reply{Outcome: c.pool.told(r), Answer: r.answer}
-	if reply.Code != decide.OK {
+	if reply.Code != dispatch.OK {
 		reply.Detail = r.state + " " + r.text
 	}
 	c.release()
@@ -652,46 +652,46 @@
 }
 
 // told is what a response says.
-func (p *Pool) told(r *response) decide.Outcome {
-	return decide.Outcome{Code: outcome(r), Role: p.role(r.answer.Role), Position: r.answer.Position,
+func (p *Pool) told(r *response) dispatch.Outcome {
+	return dispatch.Outcome{Code: outcome(r), Role: p.role(r.answer.Role), Position: r.answer.Position,
 		Report: edge.Gauges(r.answer.Gauges)}
 }
 
-func outcome(r *response) decide.Code {
+func outcome(r *response) dispatch.Code {
 	switch {
 	case r.state == stateReplica || r.state == stateBehind:
-		return decide.Miss
+		return dispatch.Miss
 	case r.state == stateRefused:
-		return decide.Full
+		return dispatch.Full
 	case r.state != "":
-		return decide.Error
+		return dispatch.Error
 	case !r.done || r.rows != 1:
-		return decide.Spoilt
+		return dispatch.Spoilt
 	}
-	return decide.OK
+	return dispatch.OK
 }
 
-func (p *Pool) role(word string) decide.Role {
+func (p *Pool) role(word string) dispatch.Role {
 	switch word {
 	case p.names.Primary:
-		return decide.Primary
+		return dispatch.Primary
 	case p.names.Replica:
-		return decide.Replica
+		return dispatch.Replica
 	}
-	return decide.Unknown
+	return dispatch.Unknown
 }
 
 // Probe asks a host for its load report and gives what came of it. listed is asked again before the write:
 // nothing goes to a host that drains or is gone.
-func (p *Pool) Probe(ctx context.Context, name string, listed func(name string) bool) decide.Outcome {
+func (p *Pool) Probe(ctx context.Context, name string, listed func(name string) bool) dispatch.Outcome {
 	if !listed(name) {
-		return decide.Outcome{Code: decide.NotSent}
+		return dispatch.Outcome{Code: dispatch.NotSent}
 	}
 	c, err := p.acquire(ctx, name)
 	if errors.Is(err, edge.ErrNoRoom) {
-		return decide.Outcome{Code: decide.NotSent}
+		return dispatch.Outcome{Code: dispatch.NotSent}
 	} else if err != nil {
-		return decide.Outcome{Code: decide.NoConnection}
+		return dispatch.Outcome{Code: dispatch.NoConnection}
 	}
 	e, _ := c.command(ctx, func() []byte {
 		if !listed(name) {
@@ -701,20 +701,20 @@
 	}, nil)
 	if errors.Is(e.err, errGate) {
 		c.release()
-		return decide.Outcome{Code: decide.NotSent}
+		return dispatch.Outcome{Code: dispatch.NotSent}
 	}
 	if e.err != nil {
-		return decide.Outcome{Code: decide.NoAnswer}
+		return dispatch.Outcome{Code: dispatch.NoAnswer}
 	}
 	code := outcome(&e.response)
-	if code == decide.Spoilt {
+	if code == dispatch.Spoilt {
 		c.close()
-		return decide.Outcome{Code: code}
+		return dispatch.Outcome{Code: code}
 	}
 	c.release()
-	if code != decide.OK {
+	if code != dispatch.OK {
 		p.refused.Printf("probe of %s: %s %s", name, e.response.state, e.response.text)
-		return decide.Outcome{Code: code}
+		return dispatch.Outcome{Code: code}
 	}
-	return decide.Outcome{Code: decide.OK, Report: edge.Gauges(string(e.response.answer.Value))}
+	return dispatch.Outcome{Code: dispatch.OK, Report: edge.Gauges(string(e.response.answer.Value))}
 }
--- a/internal/net/pg/pool_test.go
+++ b/internal/net/pg/pool_test.go
@@ -12,10 +12,10 @@
 	"github.com/stretchr/testify/require"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
 	"ashstand/internal/net/loop"
-	"ashstand/internal/statement"
+	"ashstand/internal/sqlcomment"
 )
 
 // rig is a pool with one stand-in host, whose connections the test is handed.
@@ -80,7 +80,7 @@
 	defer cancel()
 	c, err := r.Acquire(ctx, "h")
 	require.NoError(t, err)
-	s, err := statement.Parse(text)
+	s, err := sqlcomment.Parse(text)
 	require.NoError(t, err)
 	return c.Exchange(ctx, &s, gate)
 }
@@ -89,12 +89,12 @@
 // as a reset, and a donate is lost over it.
 func TestConnectionsRetireBeforeTheIdleLimit(t *testing.T) {
 	r := start(t, good)
-	require.Equal(t, decide.OK, r.exchange(t, open).Code)
+	require.Equal(t, dispatch.OK, r.exchange(t, open).Code)
 	r.clock.Advance(9000)
-	require.Equal(t, decide.OK, r.exchange(t, open).Code)
+	require.Equal(t, dispatch.OK, r.exchange(t, open).Code)
 	require.Len(t, r.conns, 1, "still good")
 	r.clock.Advance(12000)
-	require.Equal(t, decide.OK, r.exchange(t, open).Code)
+	require.Equal(t, dispatch.OK, r.exchange(t, open).Code)
 	require.Len(t, r.conns, 2, "retired")
 	r.clock.Advance(12000)
 	r.Sweep()
@@ -104,8 +104,8 @@
 // Guards against a late answer that reaches the next request on its connection.
 func TestAConnectionWithAnAnswerDueIsNotUsedAgain(t *testing.T) {
 	r := start(t, func(c net.Conn, b *pgproto3.Backend) { welcome(b) }) // answers nothing
-	require.Equal(t, decide.NoAnswer, r.exchange(t, open).Code)
-	require.Equal(t, decide.NoAnswer, r.exchange(t, open).Code)
+	require.Equal(t, dispatch.NoAnswer, r.exchange(t, open).Code)
+	require.Equal(t, dispatch.NoAnswer, r.exchange(t, open).Code)
 	require.Len(t, r.conns, 2)
 }
 
@@ -135,17 +135,17 @@
 		}
 	})
 	text := func(word string) string { return "/* id=1,c=a,d=900,cluster=1 */ SELECT '" + word + "'" }
-	require.Equal(t, decide.OK, r.send(t, text("twice"), open).Code)
-	require.Equal(t, decide.OK, r.send(t, text("once"), open).Code)
+	require.Equal(t, dispatch.OK, r.send(t, text("twice"), open).Code)
+	require.Equal(t, dispatch.OK, r.send(t, text("once"), open).Code)
 	require.Len(t, r.conns, 2, "the first is not used again")
-	require.Equal(t, decide.OK, r.send(t, text("later"), open).Code)
+	require.Equal(t, dispatch.OK, r.send(t, text("later"), open).Code)
 	<-second
-	require.Equal(t, decide.NotSent, func() decide.Code { // whichever comes first: it is seen, or has been
-		if code := r.send(t, text("once"), open).Code; code != decide.OK {
+	require.Equal(t, dispatch.NotSent, func() dispatch.Code { // whichever comes first: it is seen, or has been
+		if code := r.send(t, text("once"), open).Code; code != dispatch.OK {
 			return code
 		}
 		require.Len(t, r.conns, 3)
-		return decide.NotSent
+		return dispatch.NotSent
 	}())
 }
 
@@ -161,7 +161,7 @@
 			b.Receive()
 		})
 		reply := r.exchange(t, open)
-		require.Equal(t, edge.Reply{Outcome: decide.Outcome{Code: decide.Spoilt}, Detail: reply.Detail}, reply, i)
+		require.Equal(t, edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Spoilt}, Detail: reply.Detail}, reply, i)
 		require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.open == 0 }, 10*time.Second, time.Millisecond)
 	}
 }
@@ -176,12 +176,12 @@
 		b.Receive()
 	})
 	r.SetLimits(Limits{Connections: 3, Bytes: 50 << 10, Connect: 300 * time.Millisecond, Idle: 15 * time.Second})
-	codes := make(chan decide.Code, 3)
+	codes := make(chan dispatch.Code, 3)
 	for range 2 {
 		go func() { codes <- r.exchange(t, open).Code }()
 	}
-	require.Equal(t, decide.Spoilt, <-codes, "what passes the bound goes at once")
-	require.Equal(t, decide.NoAnswer, <-codes, "the other is waited for")
+	require.Equal(t, dispatch.Spoilt, <-codes, "what passes the bound goes at once")
+	require.Equal(t, dispatch.NoAnswer, <-codes, "the other is waited for")
 	r.SetLimits(Limits{})
 	_, err := r.Acquire(context.Background(), "h")
 	require.ErrorIs(t, err, edge.ErrNoRoom)
@@ -190,10 +190,10 @@
 // A closed gate writes nothing, and the connection is good for the next.
 func TestAClosedGateWritesNothing(t *testing.T) {
 	r := start(t, good)
-	require.Equal(t, decide.NotSent, r.exchange(t, func() (float64, bool) { return 0, false }).Code)
-	require.Equal(t, decide.OK, r.exchange(t, open).Code)
+	require.Equal(t, dispatch.NotSent, r.exchange(t, func() (float64, bool) { return 0, false }).Code)
+	require.Equal(t, dispatch.OK, r.exchange(t, open).Code)
 	require.Len(t, r.conns, 1)
-	require.Equal(t, decide.NotSent, r.Probe(context.Background(), "h", func(string) bool { return false }).Code)
+	require.Equal(t, dispatch.NotSent, r.Probe(context.Background(), "h", func(string) bool { return false }).Code)
 }
 
 // What a dial proves: a host that turns connections away is full, one that says nothing is not up.
--- a/internal/net/pg/room_test.go
+++ b/internal/net/pg/room_test.go
@@ -7,12 +7,12 @@
 	"github.com/stretchr/testify/require"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 )
 
 // A probe for which this process has no connection left says nothing of the host.
 func TestProbeWithoutRoomSaysNothingOfTheHost(t *testing.T) {
 	p := NewPool(nil, clock.System(), Platform, Limits{})
 	p.SetAddress("h", "127.0.0.1:1")
-	require.Equal(t, decide.NotSent, p.Probe(context.Background(), "h", func(string) bool { return true }).Code)
+	require.Equal(t, dispatch.NotSent, p.Probe(context.Background(), "h", func(string) bool { return true }).Code)
 }
--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -9,7 +9,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/net/loop"
 	"ashstand/internal/session"
 )
@@ -44,7 +44,7 @@
 
 	server    *server
 	waiter    session.Waiter
-	call      *decide.Call
+	call      *dispatch.Call
 	query     *session.Query // what the transaction is routed by, until it is sent
 	readOnly  bool
 	writes    bool    // by a class of writes
@@ -70,7 +70,7 @@
 	held      session.Held
 	begun     bool // a transaction on the connection that it keeps, though nothing of it may be due yet
 	routed    session.Route
-	request   decide.Request
+	request   dispatch.Request
 	home      session.Home // by which its host was chosen
 	recording bool         // the first statement is being kept, in record
 	quiet     bool         // and the client was told nothing of it
@@ -125,7 +125,7 @@
 	if c.call != nil {
 		call := c.call
 		c.call = nil
-		call.Conclude(decide.Outcome{Code: decide.Cancelled})
+		call.Conclude(dispatch.Outcome{Code: dispatch.Cancelled})
 	}
 }
 
@@ -798,7 +798,7 @@
 	now := f.clock.Now()
 	deadline, ok := f.facade.Deadline(r.Class)
 	if !ok {
-		c.refuse(stateInvalid, "class "+strconv.Quote(r.Class)+": "+decide.ErrClass.Error(), "")
+		c.refuse(stateInvalid, "class "+strconv.Quote(r.Class)+": "+dispatch.ErrClass.Error(), "")
 		c.consumed(kind)
 		return
 	}
@@ -822,7 +822,7 @@
 	c.phase = phaseRouting
 	c.asked = kind
 	c.routed = r
-	c.request = decide.Request{Class: r.Class, Group: r.Group, Session: key, Arrived: now, TimeLeft: max(deadline, patience), After: max(r.After, c.after)}
+	c.request = dispatch.Request{Class: r.Class, Group: r.Group, Session: key, Arrived: now, TimeLeft: max(deadline, patience), After: max(r.After, c.after)}
 	c.settle()
 }
 
@@ -848,11 +848,11 @@
 }
 
 // picked does what was decided. Where it is refused here, the message under way has its answer.
-func (c *sclient) picked(n decide.Next) {
+func (c *sclient) picked(n dispatch.Next) {
 	f := c.front
 	switch n.Verdict {
-	case decide.Send:
-	case decide.Refuse:
+	case dispatch.Send:
+	case dispatch.Refuse:
 		c.over("no host can serve this now", n.After)
 		return
 	default:
@@ -861,7 +861,7 @@
 	}
 	address := f.address(n.Host)
 	if address == "" {
-		c.call.Report(decide.Outcome{Code: decide.NoConnection})
+		c.call.Report(dispatch.Outcome{Code: dispatch.NoConnection})
 		c.pick()
 		return
 	}
@@ -875,7 +875,7 @@
 		}
 	}
 	if !p.queue.Add(&c.waiter, c.pool.Sizes.Waiting) {
-		c.call.Conclude(decide.Outcome{Code: decide.Full})
+		c.call.Conclude(dispatch.Outcome{Code: dispatch.Full})
 		c.over("all server connections are in use, and as many sessions wait as may", f.limits.Load().After)
 		return
 	}
@@ -906,7 +906,7 @@
 	}
 	call := c.call
 	c.hit, c.call = false, nil
-	call.Conclude(decide.Outcome{Code: decide.NotSent})
+	call.Conclude(dispatch.Outcome{Code: dispatch.NotSent})
 	c.land()
 	c.cancelled()
 	return true
@@ -931,13 +931,13 @@
 	}
 	call := c.call
 	c.call = nil
-	call.Conclude(decide.Outcome{Code: decide.NotSent})
+	call.Conclude(dispatch.Outcome{Code: dispatch.NotSent})
 	c.over("no server connection was free in time", c.front.limits.Load().After)
 	c.proceed()
 }
 
 // again reports what came of an attempt that never ran and chooses anew.
-func (c *sclient) again(o decide.Outcome) {
+func (c *sclient) again(o dispatch.Outcome) {
 	c.waiter.Leave()
 	if c.gone || c.call == nil {
 		return
@@ -954,7 +954,7 @@
 func (c *sclient) attach(s *server) {
 	if c.call != nil && !c.call.Still() {
 		s.rest()
-		c.again(decide.Outcome{Code: decide.NotSent})
+		c.again(dispatch.Outcome{Code: dispatch.NotSent})
 		return
 	}
 	if c.call != nil && !c.atHome() {
@@ -1028,7 +1028,7 @@
 	if c.call != nil && !s.sent && !c.call.Still() { // nothing of the client's was sent
 		c.unlink(s)
 		s.rest()
-		c.again(decide.Outcome{Code: decide.NotSent})
+		c.again(dispatch.Outcome{Code: dispatch.NotSent})
 		return nil
 	}
 	if c.call != nil && !s.sent && !c.atHome() {
@@ -1066,9 +1066,9 @@
 	c.begun = false
 	if call := c.call; call != nil {
 		c.call = nil
-		code := decide.OK
+		code := dispatch.OK
 		if c.misplaced {
-			code = decide.Miss
+			code = dispatch.Miss
 		}
 		call.Conclude(s.outcome(code))
 		if c.tenant != nil {
@@ -1175,7 +1175,7 @@
 			c.proceed()
 			return
 		}
-		c.call.Report(decide.Outcome{Code: decide.NotSent})
+		c.call.Report(dispatch.Outcome{Code: dispatch.NotSent})
 		c.phase = phaseRouting
 		c.pick()
 		if c.phase == phaseFree || c.phase == phaseLinked {
@@ -1187,7 +1187,7 @@
 	l := c.pipe.Lose(s.sent)
 	if call := c.call; call != nil {
 		c.call = nil
-		call.Conclude(decide.Outcome{Code: decide.ConnectionLost})
+		call.Conclude(dispatch.Outcome{Code: dispatch.ConnectionLost})
 	}
 	switch {
 	case l.Silent:
--- a/internal/net/pg/server.go
+++ b/internal/net/pg/server.go
@@ -14,7 +14,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/session"
 
 	"ashstand/internal/net/loop"
@@ -128,15 +128,15 @@
 
 // failed says that a connection for the pool did not come up: who has waited longest chooses anew.
 func (p *spool) failed(err error) {
-	code := decide.NoConnection
+	code := dispatch.NoConnection
 	switch {
 	case errors.Is(err, errTurnedAway), loop.OutOfDescriptors(err):
-		code = decide.Full
+		code = dispatch.Full
 	case errors.Is(err, errUnlisted):
-		code = decide.NotSent
+		code = dispatch.NotSent
 	}
 	if w := p.queue.Next(0, nil); w != nil {
-		w.Of.(*sclient).again(decide.Outcome{Code: code})
+		w.Of.(*sclient).again(dispatch.Outcome{Code: code})
 	}
 }
 
@@ -572,13 +572,13 @@
 }
 
 // outcome is what the answer to a transaction's first request tells the decisions.
-func (s *server) outcome(code decide.Code) decide.Outcome {
-	o := decide.Outcome{Code: code, Position: s.position}
+func (s *server) outcome(code dispatch.Code) dispatch.Outcome {
+	o := dispatch.Outcome{Code: code, Position: s.position}
 	switch s.role {
 	case s.front.names.Primary:
-		o.Role = decide.Primary
+		o.Role = dispatch.Primary
 	case s.front.names.Replica:
-		o.Role = decide.Replica
+		o.Role = dispatch.Replica
 	}
 	return o
 }
--- a/internal/net/pg/sessions.go
+++ b/internal/net/pg/sessions.go
@@ -13,7 +13,7 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/net/loop"
 	"ashstand/internal/session"
 )
@@ -73,7 +73,7 @@
 // that have to wait, and dials.
 type Sessions struct {
 	engine *loop.Engine
-	facade *decide.Facade
+	facade *dispatch.Facade
 	clock  clock.Clock
 	names  Names
 	limits atomic.Pointer[SessionLimits]
@@ -167,7 +167,7 @@
 }
 
 // NewSessions returns a front that asks facade where transactions go.
-func NewSessions(e *loop.Engine, f *decide.Facade, c clock.Clock, names Names, l SessionLimits) *Sessions {
+func NewSessions(e *loop.Engine, f *dispatch.Facade, c clock.Clock, names Names, l SessionLimits) *Sessions {
 	s := &Sessions{engine: e, facade: f, clock: c, names: names, clients: map[*sclient]struct{}{}, keys: map[uint64]*sclient{},
 		hosts: map[string]*shost{}, pinned: map[session.Cause]int{}, paused: map[*loop.Wire]func() bool{}, seed: maphash.MakeSeed(),
 		catalogue: session.NewCatalogue(l.Bytes), addresses: make(chan map[string]string, 1)}
@@ -234,7 +234,7 @@
 	f.closeIdle(h)
 	for _, p := range h.pools {
 		for w := p.queue.Next(0, nil); w != nil; w = p.queue.Next(0, nil) {
-			w.Of.(*sclient).again(decide.Outcome{Code: decide.NotSent})
+			w.Of.(*sclient).again(dispatch.Outcome{Code: dispatch.NotSent})
 		}
 	}
 }
@@ -363,7 +363,7 @@
 				p.queue.Late(now, func(w *session.Waiter) { w.Of.(*sclient).late() })
 				if listed = listed && f.facade.Listed(h.name); !listed { // it drains: who waits for it chooses anew
 					for w := p.queue.Next(0, nil); w != nil; w = p.queue.Next(0, nil) {
-						w.Of.(*sclient).again(decide.Outcome{Code: decide.NotSent})
+						w.Of.(*sclient).again(dispatch.Outcome{Code: dispatch.NotSent})
 					}
 				}
 			}
@@ -525,7 +525,7 @@
 		c.waiter.Leave()
 		call := c.call
 		c.call = nil
-		call.Conclude(decide.Outcome{Code: decide.NotSent})
+		call.Conclude(dispatch.Outcome{Code: dispatch.NotSent})
 		c.unhold()
 		c.cancelled()
 		c.proceed()
--- a/internal/net/pg/sessions_test.go
+++ b/internal/net/pg/sessions_test.go
@@ -17,11 +17,11 @@
 	"github.com/xdg-go/scram"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/decide"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/net/loop"
 	"ashstand/internal/session"
 	"ashstand/internal/settings"
-	lab "ashstand/lab/host"
+	lab "ashstand/testbed/host"
 )
 
 const poolSite = `{"balancers":1,"index":0,"period_ms":5,"deductions":{"probe":0.001},
@@ -40,15 +40,15 @@
 	t       testing.TB
 	address string
 	front   *Sessions
-	facade  *decide.Facade
+	facade  *dispatch.Facade
 	cluster *lab.Cluster
 	a, b    *lab.Host
 }
 
 func (w *pooled) members(drain ...string) {
-	var ms []decide.Member
+	var ms []dispatch.Member
 	for _, h := range []*lab.Host{w.a, w.b} {
-		ms = append(ms, decide.Member{Host: h.Name, Group: 1, Primary: h.Primary(), Draining: strings.Contains(strings.Join(drain, ","), h.Name)})
+		ms = append(ms, dispatch.Member{Host: h.Name, Group: 1, Primary: h.Primary(), Draining: strings.Contains(strings.Join(drain, ","), h.Name)})
 	}
 	w.facade.Members(true, ms)
 }
@@ -71,7 +71,7 @@
 	require.NoError(t, err)
 	e := loop.New()
 	p := NewPool(e, clock.System(), Platform, Limits{Connections: 10, Bytes: 1 << 20, Connect: time.Second})
-	w.facade, err = decide.New(site, 1, clock.System(), func(name string) {
+	w.facade, err = dispatch.New(site, 1, clock.System(), func(name string) {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		w.facade.Probed(name, p.Probe(ctx, name, w.facade.Listed))
--- a/internal/advice/advice.go
+++ b/internal/remedy/advice.go
@@ -1,5 +1,5 @@
 // Package advice is what errors that leave a package tell operators, read in one place.
-package advice
+package remedy
 
 import "errors"
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,14 +9,14 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"ashstand/choice"
+	"ashstand/routing"
 )
 
 var json = jsoniter.ConfigCompatibleWithStandardLibrary
 
 // Parsed is the module's settings with what the program around it needs to speak the operators' names.
 type Parsed struct {
-	choice.Settings
+	routing.Settings
 	Classes map[string]int // place of a class in Settings.Classes
 	Tenants map[string]int // from 1; none is 0
 	Zero    time.Duration  // from when the simulator counts positions
@@ -82,14 +82,14 @@
 }
 
 var (
-	reads = map[string]choice.ReadKind{"any": choice.Any, "bounded": choice.Bounded, "session": choice.Session,
-		"fresh": choice.Fresh, "write": choice.Write}
-	effects = map[string]choice.Effect{"idempotent": choice.Safe, "deduplicated": choice.Keyed,
-		"at_most_once": choice.Unsafe}
-	scopes = map[string]choice.Scope{"": choice.ScopeAll, "all": choice.ScopeAll, "zone": choice.ScopeZone,
-		"cell": choice.ScopeCell}
-	checks = map[string]choice.Checks{"": choice.NoChecks, "off": choice.NoChecks, "refuse": choice.Refuses,
-		"wait": choice.Waits}
+	reads = map[string]routing.ReadKind{"any": routing.Any, "bounded": routing.Bounded, "session": routing.Session,
+		"fresh": routing.Fresh, "write": routing.Write}
+	effects = map[string]routing.Effect{"idempotent": routing.Safe, "deduplicated": routing.Keyed,
+		"at_most_once": routing.Unsafe}
+	scopes = map[string]routing.Scope{"": routing.ScopeAll, "all": routing.ScopeAll, "zone": routing.ScopeZone,
+		"cell": routing.ScopeCell}
+	checks = map[string]routing.Checks{"": routing.NoChecks, "off": routing.NoChecks, "refuse": routing.Refuses,
+		"wait": routing.Waits}
 )
 
 // Millis converts milliseconds, whole to the microsecond.
@@ -123,7 +123,7 @@
 	var p parser
 	in := &Parsed{Zero: Millis(f.Domain.Zero), X0: -1, X1: -1, Connect: Millis(f.Limits.Connect),
 		Classes: map[string]int{}, Tenants: map[string]int{"": 0, "0": 0}}
-	in.Settings = choice.Settings{Index: f.Index, Routers: f.Balancers,
+	in.Settings = routing.Settings{Index: f.Index, Routers: f.Balancers,
 		Checks:  lookup(&p, checks, "domain.when_behind", f.Domain.WhenBehind),
 		CatchUp: Millis(f.Domain.CatchUp), Remembered: f.Domain.TokenMode == "remembered",
 		ListRole:  f.Domain.RoleInList == "late" || f.Domain.RoleInList == "start",
@@ -153,14 +153,14 @@
 			p.fail("projects.quota_per_s", "%v is below 0", t.Quota)
 		}
 		in.Tenants[t.Name] = i + 1
-		s.Tenants = append(s.Tenants, choice.Tenant{Name: t.Name, Quota: t.Quota})
+		s.Tenants = append(s.Tenants, routing.Tenant{Name: t.Name, Quota: t.Quota})
 	}
 	if len(f.Domain.ClassRead) != len(f.Classes) {
 		p.fail("domain.class_read", "%d entries for %d classes", len(f.Domain.ClassRead), len(f.Classes))
 		return nil, p.fault
 	}
 	for i, k := range f.Classes {
-		class := choice.Class{Name: k.Name, Read: lookup(&p, reads, "domain.class_read", f.Domain.ClassRead[i]),
+		class := routing.Class{Name: k.Name, Read: lookup(&p, reads, "domain.class_read", f.Domain.ClassRead[i]),
 			Effect: lookup(&p, effects, "request_classes.effect", k.Effect),
 			Scope:  lookup(&p, scopes, "request_classes.group", k.Group), Window: Millis(k.Window),
 			Aim: Millis(k.Aim), Deadline: Millis(k.Deadline), Worth: k.Worth, LateShare: k.LateShare}
--- a/internal/statement/statement.go
+++ b/internal/sqlcomment/statement.go
@@ -1,6 +1,6 @@
 // Package statement reads the form that a request has on every wire: one SQL statement behind a comment of
 // names and values. Only the comment's d is the pooler's to change; all else passes on byte for byte.
-package statement
+package sqlcomment
 
 import (
 	"errors"
--- a/internal/statement/statement_test.go
+++ b/internal/sqlcomment/statement_test.go
@@ -1,4 +1,4 @@
-package statement
+package sqlcomment
 
 import (
 	"strings"
--- a/internal/disk/disk.go
+++ b/internal/vfs/disk.go
@@ -1,6 +1,6 @@
 // Package disk is the file system under everything that a pooler keeps: what was agreed and what was learned. It has one
 // interface, so that the laboratory can put a disk that lies in its place, and one way of writing a file.
-package disk
+package vfs
 
 import (
 	"errors"
--- a/internal/disk/golden_test.go
+++ b/internal/vfs/golden_test.go
@@ -1,4 +1,4 @@
-package disk
+package vfs
 
 import (
 	"encoding/json"
--- a/internal/learned/age.go
+++ b/internal/warmstate/age.go
@@ -1,11 +1,11 @@
-package learned
+package warmstate
 
 import (
 	"fmt"
 	"math"
 	"time"
 
-	"ashstand/choice"
+	"ashstand/routing"
 )
 
 // How fast each kind of fact grows old, in milliseconds; docs/learned.md gives the reasons.
@@ -31,7 +31,7 @@
 
 // Weighed is what a snapshot still counts for.
 type Weighed struct {
-	State    choice.State
+	State    routing.State
 	Wear     *Wear
 	Verdicts []Verdict
 }
@@ -71,7 +71,7 @@
 	ms := func(x float64) time.Duration { return time.Duration(x * 1e6) }
 	for _, h := range s.Hosts {
 		limit, failing := weigh(h.Name+" limit", 0, limitSpan), weigh(h.Name+" failures", 0, failureSpan)
-		k := choice.Kept{Host: h.Name, Group: h.Group, Started: ms(h.Since), Limit: limitAnew + (h.Limit-limitAnew)*limit, Took: h.Took * failing, Lag: -1}
+		k := routing.Kept{Host: h.Name, Group: h.Group, Started: ms(h.Since), Limit: limitAnew + (h.Limit-limitAnew)*limit, Took: h.Took * failing, Lag: -1}
 		if h.Lag >= 0 && weigh(h.Name+" lag", h.Heard, lagSpan) > 0.01 {
 			k.Lag = ms(h.Lag)
 		}
@@ -84,7 +84,7 @@
 	}
 	for _, c := range s.Classes {
 		if x := weigh("class "+c.Name, 0, classSpan); x > 0 {
-			w.State.Classes = append(w.State.Classes, choice.KeptClass{Name: c.Name, Latency: ms(c.Latency), Work: ms(c.Work)})
+			w.State.Classes = append(w.State.Classes, routing.KeptClass{Name: c.Name, Latency: ms(c.Latency), Work: ms(c.Work)})
 		}
 	}
 	if s.Wear != nil {
@@ -104,7 +104,7 @@
 }
 
 // Take makes a snapshot of what the decisions hold.
-func Take(head Head, s choice.State, wear *Wear, list *List) *Snapshot {
+func Take(head Head, s routing.State, wear *Wear, list *List) *Snapshot {
 	ms := func(d time.Duration) float64 { return math.Round(float64(d)/1e3) / 1e3 }
 	out := &Snapshot{Head: head, Wear: wear, List: list, Hosts: []Host{}, Classes: []Class{}}
 	for _, m := range s.Members {
--- a/internal/learned/golden_test.go
+++ b/internal/warmstate/golden_test.go
@@ -1,4 +1,4 @@
-package learned
+package warmstate
 
 import (
 	"flag"
--- a/internal/learned/learned_test.go
+++ b/internal/warmstate/learned_test.go
@@ -1,4 +1,4 @@
-package learned
+package warmstate
 
 import (
 	"errors"
@@ -13,8 +13,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ashstand/choice"
-	"ashstand/internal/disk"
+	"ashstand/internal/vfs"
+	"ashstand/routing"
 )
 
 // whole is a snapshot with everything in it, of the moment 1e12.
@@ -128,7 +128,7 @@
 	}
 	require.NotEmpty(t, Weigh(whole(), 1e12+25*hour, "n1", "site", true).State.Members, "the switch for the checker")
 	// What the decisions give comes back the same.
-	s := choice.State{Members: []choice.Kept{{Host: "a", Group: 2, Started: time.Second, Limit: 7, Took: 0.5, Lag: 40 * time.Millisecond, Heard: time.Second}}}
+	s := routing.State{Members: []routing.Kept{{Host: "a", Group: 2, Started: time.Second, Limit: 7, Took: 0.5, Lag: 40 * time.Millisecond, Heard: time.Second}}}
 	got := Weigh(Take(Head{"n", "s", 5e5}, s, nil, nil), 5e5, "n", "s", false).State
 	s.Members[0].Heard = 0 // it is in the weight
 	require.Equal(t, s.Members, got.Members)
@@ -175,7 +175,7 @@
 	path string
 }
 
-func (d *stops) Create(path string) (disk.File, error) {
+func (d *stops) Create(path string) (vfs.File, error) {
 	if err := d.call(); err != nil {
 		return nil, err
 	}
@@ -295,9 +295,9 @@
 
 func TestASpoiltFileIsMovedAside(t *testing.T) {
 	folder := t.TempDir()
-	s, err := Open(disk.Real{}, folder)
+	s, err := Open(vfs.Real{}, folder)
 	require.NoError(t, err)
-	_, err = Open(disk.Real{}, folder)
+	_, err = Open(vfs.Real{}, folder)
 	require.ErrorContains(t, err, "another pooler has it")
 	got, _, err := s.Load()
 	require.NoError(t, err)
@@ -308,7 +308,7 @@
 		require.ErrorIs(t, err, ErrSpoilt)
 		require.NoFileExists(t, s.Path())
 	}
-	names, err := disk.Real{}.Names(folder)
+	names, err := vfs.Real{}.Names(folder)
 	require.NoError(t, err)
 	require.Equal(t, 3, strings.Count(strings.Join(names, " "), asideIs), "the last few are kept for a look")
 	b, err := Encode(whole())
@@ -318,10 +318,10 @@
 	require.NoError(t, err)
 	require.Equal(t, whole(), got)
 	s.Close()
-	s, err = Open(disk.Real{}, folder)
+	s, err = Open(vfs.Real{}, folder)
 	require.NoError(t, err)
 	s.Close()
-	_, err = Open(disk.Real{}, filepath.Join(folder, "none"))
+	_, err = Open(vfs.Real{}, filepath.Join(folder, "none"))
 	require.ErrorIs(t, err, fs.ErrNotExist)
 }
 
--- a/internal/learned/snapshot.go
+++ b/internal/warmstate/snapshot.go
@@ -1,6 +1,6 @@
 // Package learned keeps across a restart what a running pooler has learned: a versioned file that no crash can spoil,
 // and the laws by which what it holds grows old. Nothing in it makes a pooler less careful without new proof.
-package learned
+package warmstate
 
 import (
 	"bytes"
--- a/internal/learned/store.go
+++ b/internal/warmstate/store.go
@@ -1,4 +1,4 @@
-package learned
+package warmstate
 
 import (
 	"errors"
@@ -9,7 +9,7 @@
 	"strconv"
 	"strings"
 
-	"ashstand/internal/disk"
+	"ashstand/internal/vfs"
 )
 
 // File names in the folder.
@@ -22,7 +22,7 @@
 
 // Store is the folder in which one pooler keeps its file.
 type Store struct {
-	disk   disk.Disk
+	disk   vfs.Disk
 	folder string
 	lock   io.Closer
 	torn   bool // only for seeing the checker fail: write in place
@@ -30,9 +30,9 @@
 }
 
 // Open takes the folder for this process: another pooler that has it is an error.
-func Open(d disk.Disk, folder string) (*Store, error) {
+func Open(d vfs.Disk, folder string) (*Store, error) {
 	l, err := d.Lock(filepath.Join(folder, lockName))
-	if errors.Is(err, disk.ErrHeld) {
+	if errors.Is(err, vfs.ErrHeld) {
 		return nil, fmt.Errorf("state folder %s: another pooler has it: %w", folder, err)
 	} else if err != nil {
 		return nil, fmt.Errorf("state folder: %w", err)
@@ -41,7 +41,7 @@
 }
 
 // On returns a store without a lock.
-func On(d disk.Disk, folder string) *Store { return &Store{disk: d, folder: folder} }
+func On(d vfs.Disk, folder string) *Store { return &Store{disk: d, folder: folder} }
 
 // Tear makes Save write in place, so that what checks half-written files is seen to fail.
 func (s *Store) Tear() { s.torn = true }
@@ -115,12 +115,12 @@
 		return fmt.Errorf("%s is of a newer version and is not written over", s.Path())
 	}
 	if !s.torn {
-		return disk.Replace(s.disk, s.Path(), func(string) ([]byte, error) { return b, nil })
+		return vfs.Replace(s.disk, s.Path(), func(string) ([]byte, error) { return b, nil })
 	}
 	_ = s.disk.Remove(s.Path())
 	f, err := s.disk.Create(s.Path())
 	if err != nil {
 		return err
 	}
-	return errors.Join(disk.Write(f, b), f.Close())
+	return errors.Join(vfs.Write(f, b), f.Close())
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,18 +13,18 @@
 	"strings"
 	"time"
 
-	"ashstand/choice"
 	"ashstand/internal/settings"
+	"ashstand/routing"
 )
 
 // Item is one message of a batch for one instance: its start, its end, or an event.
 type Item struct {
 	Who      int
 	Open     bool
-	Settings choice.Settings // with Open
-	Seed     uint64          // with Open
+	Settings routing.Settings // with Open
+	Seed     uint64           // with Open
 	Stop     bool
-	Event    choice.Event
+	Event    routing.Event
 }
 
 // Batch is what happened at one moment, in order of arrival.
@@ -47,13 +47,13 @@
 type Decoder struct {
 	r         *bufio.Reader
 	line      int
-	lists     map[int][]choice.Target
+	lists     map[int][]routing.Target
 	instances map[int]*instance
 }
 
 // NewDecoder returns a decoder that reads from r.
 func NewDecoder(r io.Reader) *Decoder {
-	return &Decoder{r: bufio.NewReaderSize(r, 1<<16), lists: map[int][]choice.Target{}, instances: map[int]*instance{}}
+	return &Decoder{r: bufio.NewReaderSize(r, 1<<16), lists: map[int][]routing.Target{}, instances: map[int]*instance{}}
 }
 
 // message is one line cut into its fields. The first fault found is kept, with the name of its field.
@@ -198,7 +198,7 @@
 	if m.fault != nil {
 		return nil
 	}
-	var ts []choice.Target
+	var ts []routing.Target
 	for range rows {
 		e, err := d.next()
 		if errors.Is(err, io.EOF) {
@@ -209,7 +209,7 @@
 		if e.name != "ENTRY" {
 			return fmt.Errorf("line %d: %q inside a list of %d rows", d.line, e.name, rows)
 		}
-		t := choice.Target{Host: e.text("host"), Group: e.unsigned("db", true),
+		t := routing.Target{Host: e.text("host"), Group: e.unsigned("db", true),
 			Primary: e.flag("primary"), Started: e.millis("start_time_ms", false)}
 		switch s := e.text("availability"); s {
 		case "Ready":
@@ -230,11 +230,11 @@
 	return nil
 }
 
-var codes = map[string]choice.Code{"served": choice.OK, "server_error": choice.Error, "turned_away": choice.Full,
-	"no_answer": choice.NoAnswer, "no_connection": choice.NoConnection, "connection_lost": choice.ConnectionLost,
-	"called_off": choice.Cancelled, "not_sent": choice.NotSent, "not_stored": choice.Miss}
+var codes = map[string]routing.Code{"served": routing.OK, "server_error": routing.Error, "turned_away": routing.Full,
+	"no_answer": routing.NoAnswer, "no_connection": routing.NoConnection, "connection_lost": routing.ConnectionLost,
+	"called_off": routing.Cancelled, "not_sent": routing.NotSent, "not_stored": routing.Miss}
 
-func (m *message) code() choice.Code {
+func (m *message) code() routing.Code {
 	code, ok := codes[m.text("code")]
 	if !ok {
 		m.fail("code", "%q is unknown", m.fields["code"])
@@ -266,7 +266,7 @@
 	case "TARGETS":
 		switch s := m.text("scope"); s {
 		case "D", "F", "C":
-			e.Kind, e.Full = choice.EvTargets, s != "D"
+			e.Kind, e.Full = routing.EvTargets, s != "D"
 			list := m.integer("list", true)
 			ts, ok := d.lists[list]
 			if !ok {
@@ -274,12 +274,12 @@
 			}
 			e.Targets = ts
 		case "X":
-			e.Kind = choice.EvTargetsFailed
+			e.Kind = routing.EvTargetsFailed
 		default:
 			m.fail("scope", "%q is unknown", s)
 		}
 	case "REQUEST":
-		e.Kind, e.ID = choice.EvRequest, m.text("call")
+		e.Kind, e.ID = routing.EvRequest, m.text("call")
 		class, ok := in.classes[m.text("profile")]
 		if !ok {
 			m.fail("profile", "%q is no class of the settings", m.fields["profile"])
@@ -293,26 +293,26 @@
 		e.Retry = m.flag("retry")
 		e.TimeLeft, e.Token = m.millis("time_left_ms", true), m.millis("token_age_ms", false)
 	case "OUTCOME":
-		e.Kind, e.ID, e.Attempt, e.Host = choice.EvOutcome, m.text("call"), m.integer("hop", true), m.text("host")
+		e.Kind, e.ID, e.Attempt, e.Host = routing.EvOutcome, m.text("call"), m.integer("hop", true), m.text("host")
 		e.Code, e.Elapsed, e.Final = m.code(), m.millis("time_taken_ms", true), m.flag("final")
 		if mark := m.unsigned("mark", false); mark > 0 {
-			e.Role = choice.Role(min(mark%4, 2))
+			e.Role = routing.Role(min(mark%4, 2))
 			if mark/4 > 0 {
 				e.Position = in.zero + time.Duration(mark/4)*time.Millisecond
 			}
 		}
 		e.Report = m.report(in)
 	case "FIRST":
-		e.Kind, e.ID = choice.EvFirst, m.text("call")
+		e.Kind, e.ID = routing.EvFirst, m.text("call")
 	case "LEFT":
-		e.Kind, e.ID = choice.EvLeft, m.text("call")
+		e.Kind, e.ID = routing.EvLeft, m.text("call")
 	case "WAKEUP":
-		e.Kind, e.Timer = choice.EvTimer, m.unsigned("nonce", true)
+		e.Kind, e.Timer = routing.EvTimer, m.unsigned("nonce", true)
 	case "PROBE_DONE":
-		e.Kind, e.Host, e.Code, e.Report = choice.EvProbe, m.text("host"), m.code(), m.report(in)
+		e.Kind, e.Host, e.Code, e.Report = routing.EvProbe, m.text("host"), m.code(), m.report(in)
 		e.Elapsed = m.millis("time_taken_ms", true)
 	case "DATAGRAM":
-		e.Kind = choice.EvPeer
+		e.Kind = routing.EvPeer
 		if s := m.text("body"); s != "-" {
 			if _, err := hex.DecodeString(s); err != nil {
 				m.fail("body", "%q is not in hex digits", s)
@@ -325,10 +325,10 @@
 	return nil
 }
 
-func (m *message) report(in *instance) choice.Report {
+func (m *message) report(in *instance) routing.Report {
 	s := m.fields["telemetry"]
 	if s == "" || s == "-" {
-		return choice.Report{}
+		return routing.Report{}
 	}
 	values := strings.Split(s, ",")
 	number := func(i int) float64 {
@@ -342,24 +342,24 @@
 		}
 		return x
 	}
-	var r choice.Report
+	var r routing.Report
 	if in.x0 >= 0 { // rounded down, so that nothing unproven is claimed
 		r.Position = in.zero + time.Duration(math.Floor(number(in.x0)*1e6))*time.Microsecond
 	}
 	if in.x1 >= 0 {
-		r.Role = choice.Replica
+		r.Role = routing.Replica
 		if number(in.x1) >= 0.5 {
-			r.Role = choice.Primary
+			r.Role = routing.Primary
 		}
 	}
 	return r
 }
 
-func (m *message) settings(in *instance) choice.Settings {
+func (m *message) settings(in *instance) routing.Settings {
 	p, err := settings.Parse([]byte(m.text("info")))
 	if err != nil {
 		m.fail("info", "%v", err)
-		return choice.Settings{}
+		return routing.Settings{}
 	}
 	in.zero, in.x0, in.x1 = p.Zero, p.X0, p.X1
 	in.classes, in.tenants = p.Classes, p.Tenants
@@ -367,35 +367,35 @@
 }
 
 // Append adds the lines of an instance's actions to b.
-func Append(b []byte, who int, actions []choice.Action) []byte {
+func Append(b []byte, who int, actions []routing.Action) []byte {
 	for i := range actions {
 		a := &actions[i]
 		b = append(b, verbs[a.Kind]...)
 		b = append(b, " who="...)
 		b = strconv.AppendInt(b, int64(who), 10)
 		switch a.Kind {
-		case choice.ActSend:
+		case routing.ActSend:
 			b = append(append(b, " call="...), a.ID...)
 			b = append(append(b, " host="...), a.Host...)
 			if a.Timeout > 0 {
 				b = appendMillis(append(b, " max_wait_ms="...), a.Timeout)
 			}
-		case choice.ActCancel:
+		case routing.ActCancel:
 			b = append(append(b, " call="...), a.ID...)
 			b = strconv.AppendInt(append(b, " hop="...), int64(a.Attempt), 10)
-		case choice.ActRefuse:
+		case routing.ActRefuse:
 			b = append(append(b, " call="...), a.ID...)
 			if a.After > 0 {
 				b = appendMillis(append(b, " stay_away_ms="...), a.After)
 			}
-		case choice.ActFail:
+		case routing.ActFail:
 			b = append(append(b, " call="...), a.ID...)
-		case choice.ActTimer:
+		case routing.ActTimer:
 			b = appendMillis(append(b, " at_ms="...), a.At)
 			b = strconv.AppendUint(append(b, " nonce="...), a.Timer, 10)
-		case choice.ActProbe, choice.ActClose:
+		case routing.ActProbe, routing.ActClose:
 			b = append(append(b, " host="...), a.Host...)
-		case choice.ActSubscribe:
+		case routing.ActSubscribe:
 			b = append(b, " on=1"...)
 		}
 		b = append(b, '\n')
@@ -403,9 +403,9 @@
 	return b
 }
 
-var verbs = [...]string{choice.ActSend: "TRANSMIT", choice.ActCancel: "CANCEL", choice.ActRefuse: "REFUSE",
-	choice.ActFail: "FINISH_ERROR", choice.ActTimer: "NOTIFY_ME", choice.ActProbe: "ASK_LOAD",
-	choice.ActSubscribe: "KEEP_INFORMED", choice.ActFetch: "FETCH", choice.ActClose: "CLOSE"}
+var verbs = [...]string{routing.ActSend: "TRANSMIT", routing.ActCancel: "CANCEL", routing.ActRefuse: "REFUSE",
+	routing.ActFail: "FINISH_ERROR", routing.ActTimer: "NOTIFY_ME", routing.ActProbe: "ASK_LOAD",
+	routing.ActSubscribe: "KEEP_INFORMED", routing.ActFetch: "FETCH", routing.ActClose: "CLOSE"}
 
 func appendMillis(b []byte, d time.Duration) []byte {
 	return strconv.AppendFloat(b, float64(d.Microseconds())/1e3, 'f', 3, 64)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"ashstand/choice"
+	"ashstand/routing"
 )
 
 const open = `OPEN_INSTANCE who=3 nonce64=9 info={"balancers":2,"index":1,"unknown":7,"discovery":"automatic",` +
@@ -39,8 +39,8 @@
 		t.Fatalf("batch %v %q with %d items", b.Now, b.Seq, len(b.Items))
 	}
 	s := b.Items[0].Settings
-	if s.Index != 1 || s.Checks != choice.Waits || s.MaxRetryAfter != 500*time.Millisecond || len(s.Classes) != 2 ||
-		s.Classes[0].Bound != 300*time.Millisecond || s.Classes[1].Scope != choice.ScopeCell || !s.ReportX0 {
+	if s.Index != 1 || s.Checks != routing.Waits || s.MaxRetryAfter != 500*time.Millisecond || len(s.Classes) != 2 ||
+		s.Classes[0].Bound != 300*time.Millisecond || s.Classes[1].Scope != routing.ScopeCell || !s.ReportX0 {
 		t.Errorf("settings %+v", s)
 	}
 	ts := b.Items[1].Event
@@ -52,10 +52,10 @@
 		t.Errorf("request %+v", r)
 	}
 	o := b.Items[3].Event // 25486 = 4 x 6371 + 2
-	if o.Role != choice.Replica || o.Position != 7371*time.Millisecond || !o.Final || o.Code != choice.OK {
+	if o.Role != routing.Replica || o.Position != 7371*time.Millisecond || !o.Final || o.Code != routing.OK {
 		t.Errorf("outcome %+v", o)
 	}
-	if r := b.Items[4].Event.Report; r.Role != choice.Primary || r.Position != 3500*time.Millisecond {
+	if r := b.Items[4].Event.Report; r.Role != routing.Primary || r.Position != 3500*time.Millisecond {
 		t.Errorf("report %+v", r)
 	}
 	if !b.Items[6].Stop {
@@ -95,12 +95,12 @@
 }
 
 func TestAppend(t *testing.T) {
-	got := string(Append(nil, 3, []choice.Action{
-		{Kind: choice.ActSend, ID: "t/1", Host: "h:1", Timeout: 80500 * time.Microsecond},
-		{Kind: choice.ActSend, ID: "t/1", Host: "h:2"}, {Kind: choice.ActCancel, ID: "t/1", Attempt: 1},
-		{Kind: choice.ActRefuse, ID: "t/1", After: time.Second}, {Kind: choice.ActFail, ID: "t/2"},
-		{Kind: choice.ActTimer, At: 2 * time.Second, Timer: 5}, {Kind: choice.ActProbe, Host: "h:1"},
-		{Kind: choice.ActClose, Host: "h:1"}, {Kind: choice.ActSubscribe}, {Kind: choice.ActFetch}}))
+	got := string(Append(nil, 3, []routing.Action{
+		{Kind: routing.ActSend, ID: "t/1", Host: "h:1", Timeout: 80500 * time.Microsecond},
+		{Kind: routing.ActSend, ID: "t/1", Host: "h:2"}, {Kind: routing.ActCancel, ID: "t/1", Attempt: 1},
+		{Kind: routing.ActRefuse, ID: "t/1", After: time.Second}, {Kind: routing.ActFail, ID: "t/2"},
+		{Kind: routing.ActTimer, At: 2 * time.Second, Timer: 5}, {Kind: routing.ActProbe, Host: "h:1"},
+		{Kind: routing.ActClose, Host: "h:1"}, {Kind: routing.ActSubscribe}, {Kind: routing.ActFetch}}))
 	want := `TRANSMIT who=3 call=t/1 host=h:1 max_wait_ms=80.500
 TRANSMIT who=3 call=t/1 host=h:2
 CANCEL who=3 call=t/1 hop=1
--- a/choice/choice.go
+++ b/routing/choice.go
@@ -3,7 +3,7 @@
 // fresh reads go to the member last seen as primary; any other read goes to the one of two uniformly drawn
 // qualifying replicas that has fewer of this router's requests in flight, and to the primary when none
 // qualifies. All else keeps that going when something fails; docs/design.md says when.
-package choice
+package routing
 
 import (
 	"cmp"
--- a/choice/choice_test.go
+++ b/routing/choice_test.go
@@ -1,4 +1,4 @@
-package choice
+package routing
 
 import (
 	"fmt"
--- a/lab/cluster/agree.go
+++ b/testbed/cluster/agree.go
@@ -13,9 +13,9 @@
 	"time"
 
 	"ashstand/internal/admin"
-	"ashstand/internal/cluster/agree"
-	"ashstand/lab/fleet"
-	"ashstand/lab/report"
+	"ashstand/internal/cluster/consensus"
+	"ashstand/testbed/fleet"
+	"ashstand/testbed/report"
 )
 
 // The times of the agreement in a run: leases far above a renewal, elections far above a round trip on a busy machine.
@@ -196,7 +196,7 @@
 // contradicts names the keys at which a permits what b forbids though b has not heard of what a has in force. What is
 // stricter is said here by hand, so that the program's own table does not judge it.
 func (p proposed) contradicts(a, b acted) (keys []string) {
-	fenced := func(r map[string]any) bool { return r[p.fence] == "fenced" || agree.Rules(r).Fenced(p.fence) } // as shown, or held
+	fenced := func(r map[string]any) bool { return r[p.fence] == "fenced" || consensus.Rules(r).Fenced(p.fence) } // as shown, or held
 	if !fenced(a.rules) && !fenced(b.rules) && a.rules[p.fence] != b.rules[p.fence] {
 		keys = append(keys, p.fence)
 	}
--- a/lab/cluster/cluster_test.go
+++ b/testbed/cluster/cluster_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ashstand/internal/cluster/agree"
-	"ashstand/internal/cluster/member"
+	"ashstand/internal/cluster/consensus"
+	"ashstand/internal/cluster/membership"
 )
 
 // echo answers streams and datagrams with what it gets.
@@ -180,7 +180,7 @@
 	out, err := exec.Command("go", "build", "-o", program, "ashstand/cmd/ashstand").CombinedOutput()
 	require.NoError(t, err, "%s", out)
 	const probe = 50 * time.Millisecond
-	rest := time.Duration(member.Bound(3, probe)*1e6) + 3*time.Second
+	rest := time.Duration(membership.Bound(3, probe)*1e6) + 3*time.Second
 	for _, broken := range []string{"", "rejoin"} {
 		t.Run("break "+broken, func(t *testing.T) {
 			t.Parallel()
@@ -214,7 +214,7 @@
 // Drawn schedules of messages, crashes and clocks hold every guarantee, a seed is the same twice, and each guarantee that
 // is switched off is seen to be missing.
 func TestAgreementInSimulation(t *testing.T) {
-	for _, broken := range append([]string{""}, agree.Breakable...) {
+	for _, broken := range append([]string{""}, consensus.Breakable...) {
 		schedules := 300
 		if broken != "" {
 			schedules = 30
--- a/lab/cluster/judge.go
+++ b/testbed/cluster/judge.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"ashstand/lab/fleet"
+	"ashstand/testbed/fleet"
 )
 
 // poll is a pooler's view at a moment, and how things were then.
--- a/lab/cluster/move.go
+++ b/testbed/cluster/move.go
@@ -13,9 +13,9 @@
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"ashstand/internal/admin"
-	"ashstand/lab/fleet"
-	"ashstand/lab/host"
-	"ashstand/lab/report"
+	"ashstand/testbed/fleet"
+	"ashstand/testbed/host"
+	"ashstand/testbed/report"
 )
 
 // The times of moves in a run.
--- a/lab/cluster/movejudge.go
+++ b/testbed/cluster/movejudge.go
@@ -11,8 +11,8 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"ashstand/lab/host"
-	"ashstand/lab/report"
+	"ashstand/testbed/host"
+	"ashstand/testbed/report"
 )
 
 // judge holds what clients were told against what the groups hold, and what moved against what was said.
--- a/lab/cluster/node.go
+++ b/testbed/cluster/node.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"ashstand/internal/admin"
-	"ashstand/lab/fleet"
+	"ashstand/testbed/fleet"
 )
 
 // node is a place of the fleet, with the one process that runs there. Whatever wants that away for a while holds the place
--- a/lab/cluster/node_test.go
+++ b/testbed/cluster/node_test.go
@@ -16,10 +16,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ashstand/internal/cluster/agree"
-	"ashstand/internal/cluster/agree/runner"
-	"ashstand/internal/disk"
-	"ashstand/lab/report"
+	"ashstand/internal/cluster/consensus"
+	"ashstand/internal/cluster/consensus/runner"
+	"ashstand/internal/vfs"
+	"ashstand/testbed/report"
 )
 
 // TestMain lets this program stand in for the pooler: it reads its file, listens, answers an empty query and ends when it is
@@ -184,8 +184,8 @@
 	r := &rig{dir: t.TempDir()}
 	n := &node{name: "n1"}
 	require.Zero(t, r.identity(n))
-	kept := agree.Found("n1", []string{"n1", "n2", "n3"})
-	f, err := runner.Open(disk.Real{}, r.folder("n1"))
+	kept := consensus.Found("n1", []string{"n1", "n2", "n3"})
+	f, err := runner.Open(vfs.Real{}, r.folder("n1"))
 	require.NoError(t, err)
 	defer f.Close()
 	require.NoError(t, f.Save(kept))
--- a/lab/cluster/owner.go
+++ b/testbed/cluster/owner.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"ashstand/internal/admin"
-	"ashstand/lab/fleet"
-	"ashstand/lab/report"
+	"ashstand/testbed/fleet"
+	"ashstand/testbed/report"
 )
 
 // The times of works in a run. A deed of a drill takes a few milliseconds; one in doubt is looked for after a second.
--- a/lab/cluster/run.go
+++ b/testbed/cluster/run.go
@@ -17,10 +17,10 @@
 	"time"
 
 	"ashstand/internal/admin"
-	"ashstand/lab/discovery"
-	"ashstand/lab/fleet"
-	"ashstand/lab/load"
-	"ashstand/lab/report"
+	"ashstand/testbed/discovery"
+	"ashstand/testbed/fleet"
+	"ashstand/testbed/load"
+	"ashstand/testbed/report"
 )
 
 // Options are those of a run.
@@ -100,7 +100,7 @@
 	if info, err := os.Stat("/dev/shm"); err == nil && info.IsDir() {
 		under = "/dev/shm"
 	}
-	if r.dir, err = os.MkdirTemp(under, "ashlab-cluster-"); err != nil {
+	if r.dir, err = os.MkdirTemp(under, "testbed-cluster-"); err != nil {
 		return err
 	}
 	key := make([]byte, 32)
