--- a/lab/cluster/simmove.go
+++ b/testbed/cluster/simmove.go
@@ -16,9 +16,9 @@
 	"sync/atomic"
 	"time"
 
-	"ashstand/internal/cluster/move"
-	"ashstand/internal/cluster/owner"
-	"ashstand/lab/report"
+	"ashstand/internal/cluster/jobs"
+	"ashstand/internal/cluster/migration"
+	"ashstand/testbed/report"
 )
 
 // MoveChecks are the guarantees that the simulation of moves judges.
@@ -50,12 +50,12 @@
 )
 
 // mvCosts are what the simulation's times add up to: a lease with its drift, four renewals, and the log's ways.
-var mvCosts = move.Costs{Log: 10, InForce: mvLease*1.03 + 4*(mvRenew+6), Owner: mvDetect + 50, Place: 12}
+var mvCosts = migration.Costs{Log: 10, InForce: mvLease*1.03 + 4*(mvRenew+6), Owner: mvDetect + 50, Place: 12}
 
 type mvTenant struct {
 	name    string
 	n       int
-	plan    move.Plan
+	plan    migration.Plan
 	work    string
 	truth   []mvTrue
 	rows    int // that were ever inserted
@@ -96,8 +96,8 @@
 
 type mvChange struct {
 	work  string
-	token owner.Token
-	deed  *owner.Deed
+	token jobs.Token
+	deed  *jobs.Deed
 	keys  map[string]any
 	done  bool
 	n     int
@@ -106,7 +106,7 @@
 
 type mvSeen struct {
 	index int
-	w     *owner.Work
+	w     *jobs.Work
 }
 
 type mvOwner struct {
@@ -125,7 +125,7 @@
 	now      float64
 	turn     int
 	queue    simQueue
-	ledger   owner.Ledger
+	ledger   jobs.Ledger
 	index    int
 	history  map[string][]mvSeen
 	versions []mvVersion
@@ -214,7 +214,7 @@
 func (m *moves) found() {
 	tenants := 1 + m.lots.IntN(3)
 	for i := range 2 + m.lots.IntN(2) {
-		m.groups = append(m.groups, &mvGroup{n: move.Group(i + 1), line: 1, up: true, slots: map[string]*mvSlot{}, marks: map[int]*mvMark{},
+		m.groups = append(m.groups, &mvGroup{n: migration.Group(i + 1), line: 1, up: true, slots: map[string]*mvSlot{}, marks: map[int]*mvMark{},
 			reported: map[int]int{}, durable: map[int]int{}, last: map[int]int{}, running: map[*mvTx]bool{}, tells: m.lots.IntN(2) == 0})
 	}
 	for _, g := range m.groups {
@@ -225,10 +225,10 @@
 		t := &mvTenant{name: fmt.Sprint("t", i), n: i, work: fmt.Sprint("move", i), paused: -1, unready: m.lots.IntN(10) == 0}
 		from := m.lots.IntN(len(m.groups))
 		to := (from + 1 + m.lots.IntN(len(m.groups)-1)) % len(m.groups)
-		t.plan = move.Plan{Tenant: t.name, From: move.Group(from + 1), To: move.Group(to + 1), Lock: 60, Tries: 3, Rest: 200, Need: float64(m.lots.IntN(3)),
-			Pause: mvCosts.Least(60) * (1.1 + m.lots.Float64()), Checkpoints: []string{move.AtAccepting}, Stragglers: []string{"wait", "end"}[m.lots.IntN(2)],
+		t.plan = migration.Plan{Tenant: t.name, From: migration.Group(from + 1), To: migration.Group(to + 1), Lock: 60, Tries: 3, Rest: 200, Need: float64(m.lots.IntN(3)),
+			Pause: mvCosts.Least(60) * (1.1 + m.lots.Float64()), Checkpoints: []string{migration.AtAccepting}, Stragglers: []string{"wait", "end"}[m.lots.IntN(2)],
 			Old: []string{"keep", "drop"}[m.lots.IntN(2)]}
-		for _, c := range []string{move.AtChecked, move.AtClosing, move.AtSwitching} {
+		for _, c := range []string{migration.AtChecked, migration.AtClosing, migration.AtSwitching} {
 			if m.lots.IntN(2) == 0 {
 				t.plan.Checkpoints = append(t.plan.Checkpoints, c)
 			}
@@ -250,19 +250,19 @@
 	}
 	for _, t := range m.tenants {
 		spec, _ := json.Marshal(t.plan)
-		_, err := move.Parse(spec, mvCosts)
+		_, err := migration.Parse(spec, mvCosts)
 		if err != nil {
 			m.breach("stuck", "a good plan is refused: %v", err)
 		}
-		m.after(m.lots.Float64()*200, func() { m.apply(owner.Entry{Op: owner.Create, Work: t.work, Kind: move.Name, Spec: spec}) })
+		m.after(m.lots.Float64()*200, func() { m.apply(jobs.Entry{Op: jobs.Create, Work: t.work, Kind: migration.Name, Spec: spec}) })
 	}
 }
 
 // The log.
 
 // apply puts a line into the log, and everybody hears of it in time.
-func (m *moves) apply(e owner.Entry) *owner.Refusal {
-	var was owner.Work
+func (m *moves) apply(e jobs.Entry) *jobs.Refusal {
+	var was jobs.Work
 	if w := m.ledger.Works[e.Work]; w != nil {
 		was = *w
 	}
@@ -302,30 +302,30 @@
 }
 
 // logged judges a line that counted.
-func (m *moves) logged(e owner.Entry, was owner.Work, w *owner.Work) {
+func (m *moves) logged(e jobs.Entry, was jobs.Work, w *jobs.Work) {
 	t := m.tenants[slices.IndexFunc(m.tenants, func(t *mvTenant) bool { return t.work == e.Work })]
-	s, _ := move.StateOf(&was)
+	s, _ := migration.StateOf(&was)
 	switch e.Op {
-	case owner.Announce:
-		at := map[string]string{move.DeedPublish: move.AtChecked, move.DeedPause: move.AtClosing, move.DeedSwitch: move.AtSwitching,
-			move.DeedAccept: move.AtAccepting}[e.Deed.Name]
-		reverse := s.Reverse || e.Deed.Name == move.DeedPause && s.Phase == move.Switched
+	case jobs.Announce:
+		at := map[string]string{migration.DeedPublish: migration.AtChecked, migration.DeedPause: migration.AtClosing, migration.DeedSwitch: migration.AtSwitching,
+			migration.DeedAccept: migration.AtAccepting}[e.Deed.Name]
+		reverse := s.Reverse || e.Deed.Name == migration.DeedPause && s.Phase == migration.Switched
 		if at != "" && slices.Contains(t.plan.Checkpoints, at) && !reverse {
-			want := move.Go
-			if at == move.AtAccepting {
-				want = move.Accept
+			want := migration.Go
+			if at == migration.AtAccepting {
+				want = migration.Accept
 			}
 			if word := w.Deed.Word; word == nil || word.Say != want || word.Step != was.Step {
 				m.breach("stepped_without_word", "%s does %s", e.Work, e.Deed.Name)
 			}
 		}
-	case owner.Say:
-		if e.Word.Say == move.Rollback && t.backAt == 0 && s.Phase != move.Accepted && (was.Deed == nil || was.Deed.Name != move.DeedAccept) {
+	case jobs.Say:
+		if e.Word.Say == migration.Rollback && t.backAt == 0 && s.Phase != migration.Accepted && (was.Deed == nil || was.Deed.Name != migration.DeedAccept) {
 			t.backAt = m.now
 		}
-	case owner.Prove:
+	case jobs.Prove:
 		m.out.Ends[e.Deed.Name]++
-		n, _ := move.StateOf(w)
+		n, _ := migration.StateOf(w)
 		if len(n.Differ) > 0 && len(s.Differ) == 0 {
 			m.out.Ends["found different"]++
 		}
@@ -377,7 +377,7 @@
 	counts := false
 	for _, c := range m.changes {
 		c.done = true
-		e := owner.Entry{Op: owner.Act, Work: c.work, Token: c.token, Deed: c.deed}
+		e := jobs.Entry{Op: jobs.Act, Work: c.work, Token: c.token, Deed: c.deed}
 		if m.broken == "number" {
 			e.Deed = nil
 		}
@@ -429,7 +429,7 @@
 		gone := i < 0 || m.owners[i].instance != w.Instance && m.owners[i].up || m.owners[i].silent >= 0 && m.now-m.owners[i].silent > mvDetect
 		if gone && len(cands) > 0 {
 			o := cands[m.lots.IntN(len(cands))]
-			m.apply(owner.Entry{Op: owner.Assign, Work: name, Token: w.Token, To: o.name, Instance: o.instance})
+			m.apply(jobs.Entry{Op: jobs.Assign, Work: name, Token: w.Token, To: o.name, Instance: o.instance})
 		}
 	}
 }
@@ -740,7 +740,7 @@
 var errLost = errors.New("no answer came")
 
 // send has a line logged. It gets there also if whoever sent it ends meanwhile.
-func (l *mvLoop) send(e owner.Entry) (r *owner.Refusal, err error) {
+func (l *mvLoop) send(e jobs.Entry) (r *jobs.Refusal, err error) {
 	m, done, lost := l.m, false, l.m.faulty && l.m.now < mvQuiet && l.m.lots.IntN(50) == 0
 	var arrive func()
 	arrive = func() {
@@ -764,7 +764,7 @@
 }
 
 // work is as the owner knows it.
-func (l *mvLoop) work() *owner.Work {
+func (l *mvLoop) work() *jobs.Work {
 	h := l.m.history[l.t.work]
 	for i := len(h) - 1; i >= 0; i-- {
 		if h[i].index <= l.o.applied {
@@ -783,7 +783,7 @@
 	return l.m.versions[n].rules, n, l.m.versions[n].force
 }
 
-func (l *mvLoop) Change(_ context.Context, work string, token owner.Token, deed *owner.Deed, keys map[string]any) (int, error) {
+func (l *mvLoop) Change(_ context.Context, work string, token jobs.Token, deed *jobs.Deed, keys map[string]any) (int, error) {
 	c := &mvChange{work: work, token: token, deed: deed, keys: keys}
 	l.m.after(l.m.way()+l.late, func() { l.m.changes = append(l.m.changes, c) })
 	for !c.done {
@@ -801,25 +801,25 @@
 
 // Turn, Unfit and Pace are the rest of what a move asks.
 func (l *mvLoop) Turn(work string) (bool, string) {
-	all := move.Candidates(&l.m.ledger, move.Name, func(g move.Group) ([]string, []string) { return nil, nil })
-	why := move.May(all, move.Limits{Group: 2})[work]
+	all := migration.Candidates(&l.m.ledger, migration.Name, func(g migration.Group) ([]string, []string) { return nil, nil })
+	why := migration.May(all, migration.Limits{Group: 2})[work]
 	return why == "", why
 }
 
-func (l *mvLoop) Unfit(to move.Group, _ string) string { return l.m.groups[to-1].unfit }
-func (l *mvLoop) Pace(move.Group, move.Group) float64  { return 200 }
+func (l *mvLoop) Unfit(to migration.Group, _ string) string     { return l.m.groups[to-1].unfit }
+func (l *mvLoop) Pace(migration.Group, migration.Group) float64 { return 200 }
 func (l *mvLoop) dies(share int) bool {
 	return l.m.faulty && l.m.now < mvQuiet && l.m.lots.IntN(share) == 0
 }
 func (l *mvLoop) clock() float64 { return l.m.now + l.o.skew }
-func (l *mvLoop) own(w *owner.Work) bool {
+func (l *mvLoop) own(w *jobs.Work) bool {
 	return w != nil && !w.Ended && w.Owner == l.o.name && w.Instance == l.o.instance
 }
 func (l *mvLoop) killed() { l.m.kill(l.o); l.sleep(0); panic(mvGone{}) }
 
 func (l *mvLoop) run() {
 	m := l.m
-	k := &move.Mover{Places: &mvPlaces{m: m, o: l.o, sleep: l.sleep}, Rules: l, Pacer: l, Fitness: l, Turns: l, Costs: mvCosts, Break: m.broken}
+	k := &migration.Mover{Places: &mvPlaces{m: m, o: l.o, sleep: l.sleep}, Rules: l, Pacer: l, Fitness: l, Turns: l, Costs: mvCosts, Break: m.broken}
 	ctx := context.Background()
 	var seen any
 	for {
@@ -838,10 +838,10 @@
 				continue
 			}
 			if !done {
-				_, _ = l.send(owner.Entry{Op: owner.Void, Work: w.Name, Token: w.Token, Deed: w.Deed})
+				_, _ = l.send(jobs.Entry{Op: jobs.Void, Work: w.Name, Token: w.Token, Deed: w.Deed})
 				continue
 			}
-			_, _ = l.send(owner.Entry{Op: owner.Prove, Work: w.Name, Token: w.Token, Deed: w.Deed, State: proof.State, Ended: proof.Ended, Why: proof.Why})
+			_, _ = l.send(jobs.Entry{Op: jobs.Prove, Work: w.Name, Token: w.Token, Deed: w.Deed, State: proof.State, Ended: proof.Ended, Why: proof.Why})
 			continue
 		}
 		if now, err := k.Watch(ctx, w); err == nil {
@@ -856,8 +856,8 @@
 			l.sleep(d)
 			continue
 		}
-		d := &owner.Deed{Number: w.Next(), Name: step.Deed, Data: step.Data}
-		if r, err := l.send(owner.Entry{Op: owner.Announce, Work: w.Name, Token: w.Token, Step: w.Step, Deed: d, Word: step.Took}); err != nil || r != nil {
+		d := &jobs.Deed{Number: w.Next(), Name: step.Deed, Data: step.Data}
+		if r, err := l.send(jobs.Entry{Op: jobs.Announce, Work: w.Name, Token: w.Token, Step: w.Step, Deed: d, Word: step.Took}); err != nil || r != nil {
 			l.sleep(2)
 			continue
 		}
@@ -872,7 +872,7 @@
 			m.stall(l.o, 100+m.lots.Float64()*1500)
 			l.sleep(0)
 		}
-		var proof owner.Proof
+		var proof jobs.Proof
 		var err error
 		if l.m.faulty && m.now < mvQuiet && m.lots.IntN(20) == 0 {
 			proof, err = l.lateDo(k, w)
@@ -891,12 +891,12 @@
 			l.failed(err)
 			continue
 		}
-		_, _ = l.send(owner.Entry{Op: owner.Prove, Work: w.Name, Token: w.Token, Deed: w.Deed, State: proof.State, Ended: proof.Ended, Why: proof.Why})
+		_, _ = l.send(jobs.Entry{Op: jobs.Prove, Work: w.Name, Token: w.Token, Deed: w.Deed, State: proof.State, Ended: proof.Ended, Why: proof.Why})
 	}
 }
 
 // lateDo does a deed of which one call takes long. The owner gives it up meanwhile; the call arrives all the same.
-func (l *mvLoop) lateDo(k *move.Mover, w *owner.Work) (proof owner.Proof, err error) {
+func (l *mvLoop) lateDo(k *migration.Mover, w *jobs.Work) (proof jobs.Proof, err error) {
 	m, done := l.m, false
 	m.out.Faults["late "+w.Deed.Name]++
 	late := 30 + m.lots.Float64()*300
@@ -914,7 +914,7 @@
 			return proof, err
 		}
 	}
-	return owner.Proof{}, errLost
+	return jobs.Proof{}, errLost
 }
 
 // spawn runs what sleeps in the schedule's own time.
@@ -931,11 +931,11 @@
 
 // failed tells the log of a higher token.
 func (l *mvLoop) failed(err error) {
-	var f *owner.Fenced
+	var f *jobs.Fenced
 	if errors.As(err, &f) {
 		l.m.out.Faults["token refused"]++
 	}
-	var r *owner.Refusal
+	var r *jobs.Refusal
 	if errors.As(err, &r) {
 		l.m.out.Faults["change refused"]++
 	}
@@ -946,7 +946,7 @@
 
 func (m *moves) operate() {
 	m.after(20+m.lots.Float64()*20, m.operate)
-	k := &move.Mover{Costs: mvCosts}
+	k := &migration.Mover{Costs: mvCosts}
 	for _, name := range m.ledger.Open() {
 		w := m.ledger.Works[name]
 		if w.Deed != nil && m.now > mvQuiet {
@@ -955,29 +955,29 @@
 		for _, o := range k.Next(0, w, nil).Says {
 			share := m.eager
 			switch {
-			case o.Say == move.Rollback:
+			case o.Say == migration.Rollback:
 				share = 0.01
-			case o.Say == move.Hold:
+			case o.Say == migration.Hold:
 				share = 0.005
-			case o.Say == move.Go && strings.Contains(string(w.State), `"phase":"verifying"`) && m.now < mvQuiet+4000:
+			case o.Say == migration.Go && strings.Contains(string(w.State), `"phase":"verifying"`) && m.now < mvQuiet+4000:
 				share = m.late
 			case m.now > mvQuiet:
 				share = 0.9
 			}
-			if m.now > mvQuiet && (o.Say == move.Rollback || o.Say == move.Hold) || m.lots.Float64() >= share {
+			if m.now > mvQuiet && (o.Say == migration.Rollback || o.Say == migration.Hold) || m.lots.Float64() >= share {
 				continue
 			}
 			m.says(w, o)
-			if o.Say == move.Go && m.lots.IntN(15) == 0 { // two operators at the same moment
+			if o.Say == migration.Go && m.lots.IntN(15) == 0 { // two operators at the same moment
 				m.out.Faults["rollback beside go"]++
-				m.says(w, owner.Option{Say: move.Rollback, Lasting: true})
+				m.says(w, jobs.Option{Say: migration.Rollback, Lasting: true})
 			}
 		}
 	}
 }
 
-func (m *moves) says(w *owner.Work, o owner.Option) {
-	e := owner.Entry{Op: owner.Say, Work: w.Name, Word: &owner.Word{Say: o.Say, By: "op", Step: w.Step, Lasting: o.Lasting}}
+func (m *moves) says(w *jobs.Work, o jobs.Option) {
+	e := jobs.Entry{Op: jobs.Say, Work: w.Name, Word: &jobs.Word{Say: o.Say, By: "op", Step: w.Step, Lasting: o.Lasting}}
 	m.after(m.way(), func() {
 		if m.down == 0 {
 			m.apply(e)
@@ -1026,7 +1026,7 @@
 	case 12: // replaced though it lives
 		if w := m.ledger.Works[t.work]; w != nil && !w.Ended && m.down == 0 && o.up {
 			m.out.Faults["owner replaced"]++
-			m.apply(owner.Entry{Op: owner.Assign, Work: t.work, Token: w.Token, To: o.name, Instance: o.instance})
+			m.apply(jobs.Entry{Op: jobs.Assign, Work: t.work, Token: w.Token, To: o.name, Instance: o.instance})
 		}
 	}
 }
@@ -1038,8 +1038,8 @@
 	if w == nil {
 		return
 	}
-	s, _ := move.StateOf(w)
-	if s.Pause != nil && s.Pause.Verified || w.Deed != nil && (w.Deed.Name == move.DeedVerify || w.Deed.Name == move.DeedSwitch) {
+	s, _ := migration.StateOf(w)
+	if s.Pause != nil && s.Pause.Verified || w.Deed != nil && (w.Deed.Name == migration.DeedVerify || w.Deed.Name == migration.DeedSwitch) {
 		return
 	}
 	newest := m.versions[len(m.versions)-1].rules
@@ -1070,7 +1070,7 @@
 	for _, t := range m.tenants {
 		if !t.ended {
 			w := m.ledger.Works[t.work]
-			k := &move.Mover{Costs: mvCosts}
+			k := &migration.Mover{Costs: mvCosts}
 			check := "stuck"
 			if t.backAt > 0 {
 				check = "rollback_lost"
--- a/lab/cluster/simplaces.go
+++ b/testbed/cluster/simplaces.go
@@ -8,8 +8,8 @@
 	"slices"
 	"strconv"
 
-	"ashstand/internal/cluster/move"
-	"ashstand/internal/cluster/owner"
+	"ashstand/internal/cluster/jobs"
+	"ashstand/internal/cluster/migration"
 )
 
 // Ranges and tables of a tenant in the simulation of moves: rows are told apart by their number.
@@ -41,12 +41,12 @@
 	seq    int  // the next row's number; nothing publishes it
 	there  bool // the fence is
 	closed bool
-	token  owner.Token
+	token  jobs.Token
 	number uint64 // of the deed that acted last, or was looked for
 	work   string // whose the fence is, or was
 	given  bool   // up
 	deed   string // done last under it
-	found  move.Found
+	found  migration.Found
 	sub    mvSub
 }
 
@@ -82,7 +82,7 @@
 
 // mvGroup is a group of a primary and a standby.
 type mvGroup struct {
-	n        move.Group
+	n        migration.Group
 	line     int
 	up       bool
 	wal      []mvRec
@@ -146,7 +146,7 @@
 }
 
 // sum is the digest of one of a tenant's ranges.
-func (d *mvDB) sum(i int) (s move.Sum) {
+func (d *mvDB) sum(i int) (s migration.Sum) {
 	for id, row := range d.rows {
 		if id%mvRanges != i {
 			continue
@@ -158,8 +158,8 @@
 	return s
 }
 
-func mvRange(i int) move.Range {
-	return move.Range{Table: "t", From: strconv.Itoa(i), To: strconv.Itoa(i + 1)}
+func mvRange(i int) migration.Range {
+	return migration.Range{Table: "t", From: strconv.Itoa(i), To: strconv.Itoa(i + 1)}
 }
 
 // replicate has subscriptions take in what they can.
@@ -273,7 +273,7 @@
 }
 
 // at reaches a group's primary and shows it the token.
-func (p *mvPlaces) at(ctx context.Context, a move.Act, n move.Group) (*mvGroup, *mvDB, int, error) {
+func (p *mvPlaces) at(ctx context.Context, a migration.Act, n migration.Group) (*mvGroup, *mvDB, int, error) {
 	m := p.m
 	if ctx.Err() != nil {
 		return nil, nil, 0, ctx.Err()
@@ -291,7 +291,7 @@
 	}
 	d := g.dbs[t]
 	if d.token > a.Token && m.broken != "token" {
-		return nil, nil, t, &owner.Fenced{Place: fmt.Sprint("group ", n), Given: a.Token, Holds: d.token}
+		return nil, nil, t, &jobs.Fenced{Place: fmt.Sprint("group ", n), Given: a.Token, Holds: d.token}
 	}
 	if d.there && d.work == a.Work && d.token == a.Token && d.number > a.Number && m.broken != "number" {
 		return nil, nil, t, errLate
@@ -303,7 +303,7 @@
 }
 
 // deed writes what a deed does, and that it was done, in one transaction.
-func (g *mvGroup) deed(t int, a move.Act, f move.Found, do func(*mvDB)) {
+func (g *mvGroup) deed(t int, a migration.Act, f migration.Found, do func(*mvDB)) {
 	g.log(mvRec{tenant: t, local: true, do: func(d *mvDB) {
 		if do != nil {
 			do(d)
@@ -314,71 +314,71 @@
 
 func mvSlotName(kind string, t int) string { return kind + strconv.Itoa(t) }
 
-func (p *mvPlaces) Check(_ context.Context, a move.Act) (move.Findings, error) {
+func (p *mvPlaces) Check(_ context.Context, a migration.Act) (migration.Findings, error) {
 	p.sleep(1)
 	t := p.m.tenants[p.m.tenant(a.Plan.Tenant)]
 	if t.unready {
 		t.unready = false // an operator sees to it
-		return move.Findings{{Reason: move.NoIdentity, Name: "t"}}, nil
+		return migration.Findings{{Reason: migration.NoIdentity, Name: "t"}}, nil
 	}
 	return nil, nil
 }
 
-func (p *mvPlaces) Publish(ctx context.Context, a move.Act) error {
-	for _, n := range []move.Group{a.Plan.From, a.Plan.To} {
+func (p *mvPlaces) Publish(ctx context.Context, a migration.Act) error {
+	for _, n := range []migration.Group{a.Plan.From, a.Plan.To} {
 		g, d, t, err := p.at(ctx, a, n)
 		if err != nil {
 			return err
 		}
 		if d.there && !d.given && d.work != a.Work {
-			return &move.Taken{Tenant: a.Plan.Tenant, By: d.work}
+			return &migration.Taken{Tenant: a.Plan.Tenant, By: d.work}
 		}
 		shut := n == a.Plan.To
-		g.deed(t, a, move.Found{Done: true}, func(d *mvDB) {
+		g.deed(t, a, migration.Found{Done: true}, func(d *mvDB) {
 			d.there, d.closed, d.token, d.number, d.work, d.given = true, shut, a.Token, a.Number, a.Work, false
 		})
 	}
 	return nil
 }
 
-func (p *mvPlaces) lines(home, other move.Group) move.Lines {
-	return move.Lines{Home: p.m.groups[home-1].line, Other: p.m.groups[other-1].line}
+func (p *mvPlaces) lines(home, other migration.Group) migration.Lines {
+	return migration.Lines{Home: p.m.groups[home-1].line, Other: p.m.groups[other-1].line}
 }
 
-func (p *mvPlaces) Subscribe(ctx context.Context, a move.Act) (move.Lines, error) {
+func (p *mvPlaces) Subscribe(ctx context.Context, a migration.Act) (migration.Lines, error) {
 	g, _, t, err := p.at(ctx, a, a.Plan.To)
 	if err != nil {
-		return move.Lines{}, err
+		return migration.Lines{}, err
 	}
-	g.deed(t, a, move.Found{}, func(d *mvDB) { d.sub, d.rows = mvSub{}, map[int]mvRow{} })
+	g.deed(t, a, migration.Found{}, func(d *mvDB) { d.sub, d.rows = mvSub{}, map[int]mvRow{} })
 	from, _, _, err := p.at(ctx, a, a.Plan.From)
 	if err != nil {
-		return move.Lines{}, err
+		return migration.Lines{}, err
 	}
 	slot := mvSlotName("move", t)
 	from.slots[slot] = &mvSlot{pos: len(from.wal), lasts: p.m.lots.IntN(2) == 0}
 	origin, line := len(from.wal), from.line
 	if g, _, _, err = p.at(ctx, a, a.Plan.To); err != nil {
-		return move.Lines{}, err
+		return migration.Lines{}, err
 	}
-	lines := move.Lines{Home: line, Other: g.line}
-	g.deed(t, a, move.Found{Done: true, Lines: lines}, func(d *mvDB) { d.sub = mvSub{there: true, from: from, slot: slot, origin: origin} })
+	lines := migration.Lines{Home: line, Other: g.line}
+	g.deed(t, a, migration.Found{Done: true, Lines: lines}, func(d *mvDB) { d.sub = mvSub{there: true, from: from, slot: slot, origin: origin} })
 	g.reported[t], g.durable[t], g.last[t] = origin, origin, len(g.wal)
 	return lines, nil
 }
 
-func (p *mvPlaces) Copy(ctx context.Context, a move.Act) (move.Copied, error) {
+func (p *mvPlaces) Copy(ctx context.Context, a migration.Act) (migration.Copied, error) {
 	g, _, t, err := p.at(ctx, a, a.Plan.To)
 	if err != nil {
-		return move.Copied{}, err
+		return migration.Copied{}, err
 	}
 	k := 0
 	if a.State.Copy.After != "" {
 		k, _ = strconv.Atoi(a.State.Copy.After)
 		k++
 	}
-	c := move.Copied{After: strconv.Itoa(k), Rows: 1, All: k == mvTables-1}
-	g.deed(t, a, move.Found{Done: true, Copied: c}, func(d *mvDB) {
+	c := migration.Copied{After: strconv.Itoa(k), Rows: 1, All: k == mvTables-1}
+	g.deed(t, a, migration.Found{Done: true, Copied: c}, func(d *mvDB) {
 		if d.sub.tables[k] == mvNot {
 			d.sub.tables[k] = mvPending
 		}
@@ -386,18 +386,18 @@
 	return c, nil
 }
 
-func (p *mvPlaces) Mark(ctx context.Context, a move.Act, home, other move.Group) (move.Lines, error) {
+func (p *mvPlaces) Mark(ctx context.Context, a migration.Act, home, other migration.Group) (migration.Lines, error) {
 	g, _, t, err := p.at(ctx, a, home)
 	if err != nil {
-		return move.Lines{}, err
+		return migration.Lines{}, err
 	}
 	g.marks[t] = &mvMark{pos: len(g.wal), lasts: p.m.lots.IntN(2) == 0}
 	line := g.line
 	o, _, _, err := p.at(ctx, a, other)
 	if err != nil {
-		return move.Lines{}, err
+		return migration.Lines{}, err
 	}
-	o.deed(t, a, move.Found{}, func(d *mvDB) { d.closed = true })
+	o.deed(t, a, migration.Found{}, func(d *mvDB) { d.closed = true })
 	k := &mvMark{pos: len(o.wal), lasts: p.m.lots.IntN(2) == 0}
 	for i := range k.hot {
 		k.hot[i] = true
@@ -405,10 +405,10 @@
 	if o.marks[t] = k; home == a.Plan.From {
 		o.slots[mvSlotName("feed", t)] = &mvSlot{pos: len(o.wal), lasts: p.m.lots.IntN(2) == 0}
 	}
-	return move.Lines{Home: line, Other: o.line}, nil
+	return migration.Lines{Home: line, Other: o.line}, nil
 }
 
-func (p *mvPlaces) Compare(ctx context.Context, a move.Act, home, other move.Group) (c move.Compared, err error) {
+func (p *mvPlaces) Compare(ctx context.Context, a migration.Act, home, other migration.Group) (c migration.Compared, err error) {
 	i := 0
 	if a.State.Compare.After != "" {
 		i, _ = strconv.Atoi(a.State.Compare.After)
@@ -444,7 +444,7 @@
 		case !reached || touched[i]:
 			c.Hot++
 		case was != there:
-			c.Differ = append(c.Differ, move.Differ(map[move.Range]move.Sum{r: was}, map[move.Range]move.Sum{r: there})...)
+			c.Differ = append(c.Differ, migration.Differ(map[migration.Range]migration.Sum{r: was}, map[migration.Range]migration.Sum{r: there})...)
 		default:
 			c.Equal++
 			k.hot[i] = false
@@ -453,14 +453,14 @@
 	return c, nil
 }
 
-func (p *mvPlaces) Close(ctx context.Context, a move.Act, at move.Group) (*move.Closed, []move.Straggler, error) {
+func (p *mvPlaces) Close(ctx context.Context, a migration.Act, at migration.Group) (*migration.Closed, []migration.Straggler, error) {
 	g, _, t, err := p.at(ctx, a, at)
 	if err != nil {
 		return nil, nil, err
 	}
 	begun, line := p.m.now, g.line
 	for p.m.broken != "fence" {
-		var held []move.Straggler
+		var held []migration.Straggler
 		for tx := range g.running {
 			if tx.tenant != t || tx.ended {
 				continue
@@ -469,7 +469,7 @@
 				tx.ended = true
 				continue
 			}
-			held = append(held, move.Straggler{PID: 1, Kind: "writing"})
+			held = append(held, migration.Straggler{PID: 1, Kind: "writing"})
 		}
 		if len(held) == 0 {
 			break
@@ -483,17 +483,17 @@
 		if d := g.dbs[t]; d.token == a.Token && d.number > a.Number && p.m.broken != "number" {
 			return nil, nil, errLate
 		} else if d.token > a.Token && p.m.broken != "token" {
-			return nil, nil, &owner.Fenced{Place: fmt.Sprint("group ", at), Given: a.Token, Holds: d.token}
+			return nil, nil, &jobs.Fenced{Place: fmt.Sprint("group ", at), Given: a.Token, Holds: d.token}
 		}
 	}
-	c := move.Closed{Line: g.line, Position: move.Position(len(g.wal))}
+	c := migration.Closed{Line: g.line, Position: migration.Position(len(g.wal))}
 	shut := p.m.broken != "fence"
-	g.deed(t, a, move.Found{Done: true, Closed: &c}, func(d *mvDB) { d.closed = shut })
+	g.deed(t, a, migration.Found{Done: true, Closed: &c}, func(d *mvDB) { d.closed = shut })
 	p.sleep(0.5)
 	return &c, nil, nil
 }
 
-func (p *mvPlaces) Fenced(ctx context.Context, a move.Act, at move.Group) (bool, int, error) {
+func (p *mvPlaces) Fenced(ctx context.Context, a migration.Act, at migration.Group) (bool, int, error) {
 	g, d, _, err := p.at(ctx, a, at)
 	if err != nil {
 		return false, 0, err
@@ -501,7 +501,7 @@
 	return d.closed, g.line, nil
 }
 
-func (p *mvPlaces) Verify(ctx context.Context, a move.Act, home, other move.Group) (v move.Verified, err error) {
+func (p *mvPlaces) Verify(ctx context.Context, a migration.Act, home, other migration.Group) (v migration.Verified, err error) {
 	begun := p.m.now
 	g, _, t, err := p.at(ctx, a, home)
 	if err != nil {
@@ -527,7 +527,7 @@
 		o.log(mvRec{tenant: t, do: func(d *mvDB) { d.seq = max(d.seq, seq) }})
 	}
 	set := len(o.wal)
-	x, y := map[move.Range]move.Sum{}, map[move.Range]move.Sum{}
+	x, y := map[migration.Range]migration.Sum{}, map[migration.Range]migration.Sum{}
 	for i, is := range read {
 		if !is {
 			continue
@@ -546,32 +546,32 @@
 			return v, errDown
 		}
 	}
-	v.Lines, v.Late, v.Differ = lines, o.standby < set || p.m.now-begun > a.Data.Within, move.Differ(x, y)
+	v.Lines, v.Late, v.Differ = lines, o.standby < set || p.m.now-begun > a.Data.Within, migration.Differ(x, y)
 	return v, nil
 }
 
-func (p *mvPlaces) Open(ctx context.Context, a move.Act, at move.Group) error {
+func (p *mvPlaces) Open(ctx context.Context, a migration.Act, at migration.Group) error {
 	g, _, t, err := p.at(ctx, a, at)
 	if err == nil {
-		g.deed(t, a, move.Found{Done: true}, func(d *mvDB) { d.closed, d.sub = false, mvSub{} })
+		g.deed(t, a, migration.Found{Done: true}, func(d *mvDB) { d.closed, d.sub = false, mvSub{} })
 		p.sleep(0.5)
 	}
 	return err
 }
 
-func (p *mvPlaces) Feed(ctx context.Context, a move.Act) (move.Lines, error) {
+func (p *mvPlaces) Feed(ctx context.Context, a migration.Act) (migration.Lines, error) {
 	from, d, t, err := p.at(ctx, a, a.Plan.From)
 	if err != nil {
-		return move.Lines{}, err
+		return migration.Lines{}, err
 	}
-	from.deed(t, a, move.Found{}, func(d *mvDB) { d.closed = true })
+	from.deed(t, a, migration.Found{}, func(d *mvDB) { d.closed = true })
 	there := d.sub.there
 	delete(from.slots, mvSlotName("move", t))
 	to, _, _, err := p.at(ctx, a, a.Plan.To)
 	if err != nil {
-		return move.Lines{}, err
+		return migration.Lines{}, err
 	}
-	to.deed(t, a, move.Found{}, func(d *mvDB) { d.sub = mvSub{} })
+	to.deed(t, a, migration.Found{}, func(d *mvDB) { d.sub = mvSub{} })
 	name := mvSlotName("feed", t)
 	slot := to.slots[name]
 	anew := a.Data.Again || slot == nil
@@ -581,16 +581,16 @@
 	}
 	origin, line := slot.pos, to.line
 	if from, d, _, err = p.at(ctx, a, a.Plan.From); err != nil {
-		return move.Lines{}, err
+		return migration.Lines{}, err
 	}
-	lines := move.Lines{Home: line, Other: from.line}
+	lines := migration.Lines{Home: line, Other: from.line}
 	if there && d.sub.there && !anew {
-		from.deed(t, a, move.Found{Done: true, Lines: lines}, nil)
+		from.deed(t, a, migration.Found{Done: true, Lines: lines}, nil)
 		return lines, nil
 	}
 	delete(to.marks, t)
 	delete(from.marks, t)
-	from.deed(t, a, move.Found{Done: true, Lines: lines}, func(d *mvDB) {
+	from.deed(t, a, migration.Found{Done: true, Lines: lines}, func(d *mvDB) {
 		d.sub = mvSub{there: true, from: to, slot: name, origin: origin}
 		if anew {
 			d.rows = map[int]mvRow{}
@@ -605,30 +605,30 @@
 	return lines, nil
 }
 
-func (p *mvPlaces) Clear(ctx context.Context, a move.Act) error {
+func (p *mvPlaces) Clear(ctx context.Context, a migration.Act) error {
 	to, _, t, err := p.at(ctx, a, a.Plan.To)
 	if err != nil {
 		return err
 	}
-	to.deed(t, a, move.Found{Done: true}, func(d *mvDB) { d.sub, d.rows, d.closed, d.given = mvSub{}, map[int]mvRow{}, true, true })
+	to.deed(t, a, migration.Found{Done: true}, func(d *mvDB) { d.sub, d.rows, d.closed, d.given = mvSub{}, map[int]mvRow{}, true, true })
 	delete(to.slots, mvSlotName("feed", t))
 	delete(to.marks, t)
 	from, _, _, err := p.at(ctx, a, a.Plan.From)
 	if err != nil {
 		return err
 	}
-	from.deed(t, a, move.Found{Done: true}, func(d *mvDB) { d.sub, d.closed, d.given = mvSub{}, false, true })
+	from.deed(t, a, migration.Found{Done: true}, func(d *mvDB) { d.sub, d.closed, d.given = mvSub{}, false, true })
 	delete(from.slots, mvSlotName("move", t))
 	delete(from.marks, t)
 	return nil
 }
 
-func (p *mvPlaces) Finish(ctx context.Context, a move.Act) error {
+func (p *mvPlaces) Finish(ctx context.Context, a migration.Act) error {
 	from, _, t, err := p.at(ctx, a, a.Plan.From)
 	if err != nil {
 		return err
 	}
-	from.deed(t, a, move.Found{Done: true}, func(d *mvDB) {
+	from.deed(t, a, migration.Found{Done: true}, func(d *mvDB) {
 		if d.sub, d.closed, d.given = (mvSub{}), true, true; a.Plan.Old == "drop" {
 			d.rows = map[int]mvRow{}
 		}
@@ -638,28 +638,28 @@
 	if err != nil {
 		return err
 	}
-	to.deed(t, a, move.Found{Done: true}, func(d *mvDB) { d.closed, d.given = false, true })
+	to.deed(t, a, migration.Found{Done: true}, func(d *mvDB) { d.closed, d.given = false, true })
 	delete(to.slots, mvSlotName("feed", t))
 	delete(to.marks, t)
 	return nil
 }
 
 // Look: what can be done again is, unless one transaction holds all of it.
-func (p *mvPlaces) Look(ctx context.Context, a move.Act) (move.Found, error) {
+func (p *mvPlaces) Look(ctx context.Context, a migration.Act) (migration.Found, error) {
 	home := a.Plan.From
 	if a.State.Reverse {
 		home = a.Plan.To
 	}
-	of := map[string][]move.Group{move.DeedCopy: {a.Plan.To}, move.DeedClose: {home}}[a.Name]
+	of := map[string][]migration.Group{migration.DeedCopy: {a.Plan.To}, migration.DeedClose: {home}}[a.Name]
 	if of == nil {
-		of = []move.Group{a.Plan.From, a.Plan.To}
+		of = []migration.Group{a.Plan.From, a.Plan.To}
 	}
-	var f move.Found
+	var f migration.Found
 	a.Number++ // what is still on its way comes too late from here on
 	for i, n := range of {
 		_, d, _, err := p.at(ctx, a, n)
 		if err != nil {
-			return move.Found{}, err
+			return migration.Found{}, err
 		}
 		switch is := d.deed == a.Deed && d.found.Done; {
 		case !is:
@@ -669,13 +669,13 @@
 		}
 	}
 	switch a.Name {
-	case move.DeedSubscribe, move.DeedFeed, move.DeedMark, move.DeedCompare:
+	case migration.DeedSubscribe, migration.DeedFeed, migration.DeedMark, migration.DeedCompare:
 		f.Done = false
 	}
 	return f, nil
 }
 
-func (p *mvPlaces) Progress(_ context.Context, a move.Act, home, other move.Group) (s move.Progress, err error) {
+func (p *mvPlaces) Progress(_ context.Context, a migration.Act, home, other migration.Group) (s migration.Progress, err error) {
 	p.sleep(0.3 + 2*p.m.lots.Float64())
 	g, o, t := p.m.groups[home-1], p.m.groups[other-1], p.m.tenant(a.Plan.Tenant)
 	if !g.up || !o.up {
@@ -684,7 +684,7 @@
 	}
 	d := o.dbs[t]
 	slot := g.slots[d.sub.slot]
-	s = move.Progress{Reached: true, Lines: p.lines(home, other), HomePos: move.Position(len(g.wal)), Applied: move.Position(o.durable[t]), Ready: true}
+	s = migration.Progress{Reached: true, Lines: p.lines(home, other), HomePos: migration.Position(len(g.wal)), Applied: migration.Position(o.durable[t]), Ready: true}
 	for _, is := range d.sub.tables {
 		s.Ready = s.Ready && is != mvPending
 	}
--- a/lab/cluster/simulate.go
+++ b/testbed/cluster/simulate.go
@@ -13,8 +13,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"ashstand/internal/cluster/agree"
-	"ashstand/lab/report"
+	"ashstand/internal/cluster/consensus"
+	"ashstand/testbed/report"
 )
 
 // Simulated is what one schedule of the simulation came to. There are no sockets, and no clock but its own: equal seeds
@@ -45,19 +45,19 @@
 
 // simNode is a pooler of the simulation.
 type simNode struct {
-	cfg      agree.Config
-	node     *agree.Node
-	disk     *agree.Disk
+	cfg      consensus.Config
+	node     *consensus.Node
+	disk     *consensus.Disk
 	offset   float64 // of its clock, and how fast that runs
 	rate     float64
 	stopped  bool
-	gone     bool            // for good
-	backlog  []agree.Message // that came while it was stopped
+	gone     bool                // for good
+	backlog  []consensus.Message // that came while it was stopped
 	instance uint64
 	sent     map[uint64]float64 // when each renewal was sent, in true time
 	lease    float64            // the latest of those that were answered
 	least    int                // the lowest version that it has acted on with a lease
-	acts     *agree.Acting      // what it acted on when something happened to it last
+	acts     *consensus.Acting  // what it acted on when something happened to it last
 	read     int                // versions of its log that were looked at
 }
 
@@ -122,11 +122,11 @@
 		s.voters = 5
 	}
 	for i, name := range s.names {
-		cfg := agree.Config{Name: name, Voters: s.names[:s.voters], Lease: simLease, Drift: simDrift, Pace: simPace, Election: simElection, Format: 1,
-			Limits: agree.Rules{"class.a.bound_ms": 100.0, "class.a.repeat": false, "tries": 1.0, "database.d.group": 0.0}, Seed: seed, Break: broken}
+		cfg := consensus.Config{Name: name, Voters: s.names[:s.voters], Lease: simLease, Drift: simDrift, Pace: simPace, Election: simElection, Format: 1,
+			Limits: consensus.Rules{"class.a.bound_ms": 100.0, "class.a.repeat": false, "tries": 1.0, "database.d.group": 0.0}, Seed: seed, Break: broken}
 		n := &simNode{cfg: cfg, offset: s.lots.Float64() * 1e6, rate: 1 + simDrift*(2*s.lots.Float64()-1)}
 		if i < s.voters {
-			n.disk = agree.Found(name, s.names[:s.voters])
+			n.disk = consensus.Found(name, s.names[:s.voters])
 		}
 		s.nodes = append(s.nodes, n)
 		s.start(n)
@@ -174,7 +174,7 @@
 	n.instance = s.lots.Uint64()
 	n.cfg.Instance, n.sent, n.lease, n.stopped, n.backlog = n.instance, map[uint64]float64{}, -1e9, false, nil
 	n.acts, n.read = nil, 0
-	node, err := agree.New(n.cfg, n.disk, n.clock(s.now))
+	node, err := consensus.New(n.cfg, n.disk, n.clock(s.now))
 	if err != nil {
 		s.breach("stuck", "%s does not start: %v", n.cfg.Name, err)
 		return
@@ -211,7 +211,7 @@
 	for _, m := range out.Messages {
 		s.out.Messages++
 		s.note("%s>%s %d %d %d", m.From, m.To, m.Kind, m.Nonce, m.Known)
-		if m.Kind == agree.MsgRenew {
+		if m.Kind == consensus.MsgRenew {
 			n.sent[m.Nonce] = s.now
 		}
 		s.pass(m)
@@ -236,7 +236,7 @@
 	})
 }
 
-func (s *simulation) pass(m agree.Message) {
+func (s *simulation) pass(m consensus.Message) {
 	if m.From == m.To {
 		s.after(0, func() { s.deliver(m) })
 		return
@@ -261,7 +261,7 @@
 	}
 }
 
-func (s *simulation) deliver(m agree.Message) {
+func (s *simulation) deliver(m consensus.Message) {
 	i := slices.Index(s.names, m.To)
 	if i < 0 || s.nodes[i].node == nil {
 		return
@@ -273,7 +273,7 @@
 		}
 		return
 	}
-	if m.Kind == agree.MsgGrant {
+	if m.Kind == consensus.MsgGrant {
 		if at, ok := n.sent[m.Nonce]; ok {
 			n.lease = max(n.lease, at)
 		}
@@ -285,7 +285,7 @@
 // propose brings new rules in somewhere.
 func (s *simulation) propose() {
 	n := s.nodes[s.lots.IntN(len(s.nodes))]
-	r := agree.Rules{}
+	r := consensus.Rules{}
 	if s.lots.IntN(4) > 0 {
 		r["class.a.bound_ms"] = float64(100 * (1 + s.lots.IntN(5)))
 	}
@@ -521,7 +521,7 @@
 var simKeys = proposed{[]string{"class.a.bound_ms", "tries"}, "class.a.repeat", "database.d.group"}
 
 // compare holds what x permits itself against what y's version in force forbids.
-func (s *simulation) compare(x, y *simNode, a, b agree.Acting) {
+func (s *simulation) compare(x, y *simNode, a, b consensus.Acting) {
 	for _, k := range simKeys.contradicts(acted{a.Versions, a.Rules, a.Lapsed}, acted{b.Versions, b.Rules, b.Lapsed}) {
 		s.breach("contradiction", "%s %v has %s %v, %s %v has %v", x.cfg.Name, a.Versions, k, a.Rules[k], y.cfg.Name, b.Versions, b.Rules[k])
 	}
--- a/lab/cost/cost.go
+++ b/testbed/cost/cost.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"ashstand/internal/cost"
-	"ashstand/lab/report"
+	"ashstand/testbed/report"
 )
 
 // Breakable are the guarantees that can be switched off, each to see its checker go red.
--- a/lab/cost/cost_test.go
+++ b/testbed/cost/cost_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ashstand/internal/cost"
-	"ashstand/lab/fleet"
+	"ashstand/testbed/fleet"
 )
 
 func TestTheMeasurementHoldsAndGoesRed(t *testing.T) {
--- a/lab/cost/sockets.go
+++ b/testbed/cost/sockets.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"ashstand/internal/cost"
-	"ashstand/lab/report"
+	"ashstand/testbed/report"
 )
 
 // standIn is a host on a loopback address that takes its time: a request names a statement and rows, and is answered
--- a/lab/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -19,8 +19,8 @@
 	"syscall"
 	"time"
 
-	"ashstand/lab/discovery"
-	"ashstand/lab/host"
+	"ashstand/testbed/discovery"
+	"ashstand/testbed/host"
 )
 
 // Options are what a fleet is to be.
@@ -147,7 +147,7 @@
 	}
 	f := &Fleet{Options: o, draining: map[string]bool{}, poolers: map[string]*Pooler{}, addresses: map[string][2]string{}}
 	var err error
-	if f.dir, err = os.MkdirTemp("", "ashlab-"); err != nil {
+	if f.dir, err = os.MkdirTemp("", "testbed-"); err != nil {
 		return nil, err
 	}
 	for g := range max(1, o.Groups) {
--- a/lab/load/cost.go
+++ b/testbed/load/cost.go
@@ -15,8 +15,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"ashstand/lab/fleet"
-	"ashstand/lab/report"
+	"ashstand/testbed/fleet"
+	"ashstand/testbed/report"
 )
 
 // CostOptions are those of the measurement of what a pooler costs.
--- a/lab/load/restart.go
+++ b/testbed/load/restart.go
@@ -14,10 +14,10 @@
 	"time"
 
 	"ashstand/internal/admin"
-	"ashstand/internal/learned"
-	"ashstand/lab/fleet"
-	"ashstand/lab/host"
-	"ashstand/lab/report"
+	"ashstand/internal/warmstate"
+	"ashstand/testbed/fleet"
+	"ashstand/testbed/host"
+	"ashstand/testbed/report"
 )
 
 // RestartOptions are those of the measurement of restarts.
@@ -41,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	s, _, err := learned.Decode(b)
+	s, _, err := warmstate.Decode(b)
 	if err != nil {
 		return err
 	}
@@ -63,7 +63,7 @@
 	if fact != "class" {
 		s.Classes = nil
 	}
-	if b, err = learned.Encode(s); err != nil {
+	if b, err = warmstate.Encode(s); err != nil {
 		return err
 	}
 	return os.WriteFile(path, b, 0o600)
@@ -80,7 +80,7 @@
 // file and without it.
 func Restart(ctx context.Context, o RestartOptions) (*report.Result, error) {
 	g := report.New("restart", o.Seed, "unreadable_file", "trusted_past_age", "stale_read", "missed_own_write", "sent_to_draining", "cold_overload", "lost_commit")
-	folder, err := os.MkdirTemp("", "ashlab-state-")
+	folder, err := os.MkdirTemp("", "testbed-state-")
 	if err != nil {
 		return nil, err
 	}
@@ -189,7 +189,7 @@
 		case err != nil:
 			return err
 		default:
-			if _, lost, err := learned.Decode(b); err != nil || len(lost) > 0 {
+			if _, lost, err := warmstate.Decode(b); err != nil || len(lost) > 0 {
 				g.Break("unreadable_file", "kill %d left %d bytes: %v, lost %v", i, len(b), err, lost)
 			}
 		}
@@ -220,10 +220,10 @@
 // tooOld starts the pooler with files that are too old, from the future, or another's, and asks what it made of them.
 func tooOld(ctx context.Context, o RestartOptions, f *fleet.Fleet, g *report.Gather, folder string) error {
 	path := filepath.Join(folder, "learned.ash")
-	for name, change := range map[string]func(h *learned.Head){
-		"two days old":    func(h *learned.Head) { h.At -= float64((2 * oldest).Milliseconds()) },
-		"from the future": func(h *learned.Head) { h.At += float64(time.Hour.Milliseconds()) },
-		"another's":       func(h *learned.Head) { h.Name = "n2" },
+	for name, change := range map[string]func(h *warmstate.Head){
+		"two days old":    func(h *warmstate.Head) { h.At -= float64((2 * oldest).Milliseconds()) },
+		"from the future": func(h *warmstate.Head) { h.At += float64(time.Hour.Milliseconds()) },
+		"another's":       func(h *warmstate.Head) { h.Name = "n2" },
 	} {
 		if !sleep(ctx, 300*time.Millisecond) {
 			return ctx.Err()
@@ -233,12 +233,12 @@
 		if err != nil {
 			return err
 		}
-		s, _, err := learned.Decode(b)
+		s, _, err := warmstate.Decode(b)
 		if err != nil {
 			continue // it was counted
 		}
 		change(&s.Head)
-		if b, err = learned.Encode(s); err != nil {
+		if b, err = warmstate.Encode(s); err != nil {
 			return err
 		}
 		if err := os.WriteFile(path, b, 0o600); err != nil {
@@ -247,7 +247,7 @@
 		if err := again(f); err != nil {
 			return err
 		}
-		var view struct{ Taken []learned.Verdict }
+		var view struct{ Taken []warmstate.Verdict }
 		if err := admin.Get(f.Pooler.Admin, "state", &view); err != nil {
 			return err
 		}
--- a/lab/load/sessions.go
+++ b/testbed/load/sessions.go
@@ -9,9 +9,9 @@
 	"syscall"
 	"time"
 
-	"ashstand/lab/fleet"
-	"ashstand/lab/host"
-	"ashstand/lab/report"
+	"ashstand/testbed/fleet"
+	"ashstand/testbed/host"
+	"ashstand/testbed/report"
 )
 
 // SessionOptions are those of the measurement of sessions.
--- a/lab/load/snapshot.go
+++ b/testbed/load/snapshot.go
@@ -7,12 +7,12 @@
 	"time"
 
 	"ashstand/internal/clock"
-	"ashstand/internal/decide"
-	"ashstand/internal/disk"
-	"ashstand/internal/learned"
+	"ashstand/internal/dispatch"
 	"ashstand/internal/settings"
-	"ashstand/lab/fleet"
-	"ashstand/lab/report"
+	"ashstand/internal/vfs"
+	"ashstand/internal/warmstate"
+	"ashstand/testbed/fleet"
+	"ashstand/testbed/report"
 )
 
 // SnapshotCost measures what keeping learned state costs: for fleets of each size the bytes, the time that a snapshot
@@ -20,7 +20,7 @@
 func SnapshotCost(ctx context.Context, pooler string, seed uint64, sizes []int, each time.Duration) (*report.Result, error) {
 	g := report.New("restart --cost", seed)
 	begun := time.Now()
-	folder, err := os.MkdirTemp("", "ashlab-state-")
+	folder, err := os.MkdirTemp("", "testbed-state-")
 	if err != nil {
 		return nil, err
 	}
@@ -64,19 +64,19 @@
 	if err != nil {
 		return err
 	}
-	f, err := decide.New(site, 1, clock.System(), nil, nil)
+	f, err := dispatch.New(site, 1, clock.System(), nil, nil)
 	if err != nil {
 		return err
 	}
-	ms := make([]decide.Member, n)
+	ms := make([]dispatch.Member, n)
 	for i := range ms {
-		ms[i] = decide.Member{Host: fmt.Sprintf("s-%08x", i), Group: uint64(i / 4), Primary: i%4 == 0}
+		ms[i] = dispatch.Member{Host: fmt.Sprintf("s-%08x", i), Group: uint64(i / 4), Primary: i%4 == 0}
 	}
 	f.Members(true, ms)
 	for _, m := range ms {
-		f.Probed(m.Host, decide.Outcome{Code: decide.OK, Report: decide.Report{Role: decide.Replica, Position: clock.System().Now() - 20}})
+		f.Probed(m.Host, dispatch.Outcome{Code: dispatch.OK, Report: dispatch.Report{Role: dispatch.Replica, Position: clock.System().Now() - 20}})
 	}
-	store := learned.On(disk.Real{}, folder)
+	store := warmstate.On(vfs.Real{}, folder)
 	const rounds = 20
 	var pause, whole, most time.Duration
 	size := 0
@@ -86,7 +86,7 @@
 		held := time.Since(t)
 		pause += held / rounds
 		most = max(most, held)
-		b, err := learned.Encode(learned.Take(learned.Head{Name: "n", Site: "s", At: clock.System().Now()}, state, nil, nil))
+		b, err := warmstate.Encode(warmstate.Take(warmstate.Head{Name: "n", Site: "s", At: clock.System().Now()}, state, nil, nil))
 		if err != nil {
 			return err
 		}
--- a/lab/load/try.go
+++ b/testbed/load/try.go
@@ -12,8 +12,8 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"ashstand/lab/fleet"
-	"ashstand/lab/report"
+	"ashstand/testbed/fleet"
+	"ashstand/testbed/report"
 )
 
 // TryOptions are those of the first look.
--- a/lab/load/worker.go
+++ b/testbed/load/worker.go
@@ -11,8 +11,8 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"ashstand/lab/fleet"
-	"ashstand/lab/report"
+	"ashstand/testbed/fleet"
+	"ashstand/testbed/report"
 )
 
 // patience is when a request counts as never answered.
--- a/lab/report/report.go
+++ b/testbed/report/report.go
@@ -1,4 +1,4 @@
-// Package report is the form that every measurement of ashlab has.
+// Package report is the form that every measurement of testbed has.
 package report
 
 import (
