--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -50,7 +50,7 @@
 	instance uint64
 	broken   string
 	config   consensus.Config // of the agreement
-	works    *works           // nil: off
+	jobs     *jobService      // nil: off
 }
 
 // meet starts it; nil where the operator's file has no cluster: then nothing of it is opened, started or allocated.
@@ -122,7 +122,7 @@
 		}
 	}
 	c := consensus.Config{Name: self.Name, Instance: self.Instance, Voters: a.Voters, Lease: clock.Millis(a.Lease), Drift: a.Drift, Pace: clock.Millis(a.Renew),
-		Election: clock.Millis(a.Election), Limits: limits, Format: newestFormat, Seed: cfg.seed, Desk: desk(cfg), Break: broken}
+		Election: clock.Millis(a.Election), Limits: limits, Format: newestFormat, Seed: cfg.seed, Desk: schedulerConfig(cfg), Break: broken}
 	f.config = c
 	var err error
 	o := runner.Options{Config: c, Folder: a.Folder, Clock: now, Send: f.send, Changed: f.acts}
@@ -220,7 +220,7 @@
 	if f == nil {
 		return
 	}
-	f.works.end()
+	f.jobs.stop()
 	if f.agreed != nil {
 		f.agreed.Stop()
 	}
@@ -230,10 +230,10 @@
 	f.trace.close()
 }
 
-// leave hands works over before the process ends.
-func (f *fellows) leave(within time.Duration) {
+// drain hands works over before the process ends.
+func (f *fellows) drain(within time.Duration) {
 	if f != nil {
-		f.works.leave(within)
+		f.jobs.drain(within)
 	}
 }
 
@@ -265,9 +265,9 @@
 	return f.agreed.View()
 }
 
-// deeds are what operators can have done.
-func (n *node) deeds() map[string]admin.Deed {
-	return map[string]admin.Deed{"cost": n.costs.answer, "work": n.enter, "move-plan": n.plan, "propose": func(ctx context.Context, body []byte) (any, error) {
+// adminCommands are what operators can have done.
+func (n *node) adminCommands() map[string]admin.Command {
+	return map[string]admin.Command{"cost": n.costs.answer, "work": n.enterJob, "move-plan": n.plan, "propose": func(ctx context.Context, body []byte) (any, error) {
 		if n.others == nil || n.others.agreed == nil {
 			return nil, errors.New("this pooler's file has no cluster.agreement block")
 		}
@@ -275,7 +275,7 @@
 		if err != nil {
 			return nil, err
 		}
-		ctx, cancel := context.WithTimeout(ctx, wordTime)
+		ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 		defer cancel()
 		v, err := n.others.agreed.Propose(ctx, rules)
 		return map[string]int{"version": v}, err
--- a/cmd/ashstand/commands.go
+++ b/cmd/ashstand/commands.go
@@ -114,7 +114,7 @@
 		play,
 		stateCommands(),
 		clusterCommands(ask, view, address),
-		workCommands(ask, view, address),
+		jobCommands(ask, view, address),
 		moveCommands(ask, func() bool { return asJSON }, address),
 		costCommands(ask, func() bool { return asJSON }, address),
 		&cobra.Command{Use: "version", Short: "print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
@@ -260,7 +260,7 @@
 		"homes":     n.homesView,
 		"cluster":   func() any { return n.others.view() },
 		"agreement": func() any { return n.others.agreement() },
-		"works":     func() any { return n.others.workViews() },
+		"works":     func() any { return n.others.jobViews() },
 		"moves":     func() any { return n.others.moveViews() },
 		"config": func() any {
 			c := n.cfg.Load()
--- a/cmd/ashstand/golden_test.go
+++ b/cmd/ashstand/golden_test.go
@@ -116,7 +116,7 @@
 }
 
 // serveAdmin answers at a socket of its own and returns its address.
-func serveAdmin(t *testing.T, views map[string]func() any, deeds map[string]admin.Deed) string {
+func serveAdmin(t *testing.T, views map[string]func() any, deeds map[string]admin.Command) string {
 	t.Helper()
 	address := "unix:" + filepath.Join(t.TempDir(), "admin.sock")
 	s, err := admin.Start(address, views, deeds)
@@ -212,11 +212,11 @@
 // advice.
 func TestGoldenAdminRefusals(t *testing.T) {
 	bare, withWorks := idleNode(), idleNode()
-	withWorks.others = &fellows{works: &works{kinds: map[string]jobs.Kind{}}}
+	withWorks.others = &fellows{jobs: &jobService{handlers: map[string]jobs.Handler{}}}
 	withWorks.costs = &estimates{}
 	var out bytes.Buffer
 	for _, n := range []*node{bare, withWorks} {
-		address := serveAdmin(t, nil, n.deeds())
+		address := serveAdmin(t, nil, n.adminCommands())
 		for _, request := range []struct{ name, body string }{
 			{"cost", `{}`},
 			{"cost", `{`},
@@ -244,7 +244,7 @@
 	for name := range n.views() {
 		names = append(names, "GET /"+name)
 	}
-	for name := range n.deeds() {
+	for name := range n.adminCommands() {
 		names = append(names, "POST /"+name)
 	}
 	slices.Sort(names)
--- a/cmd/ashstand/golden_views_test.go
+++ b/cmd/ashstand/golden_views_test.go
@@ -68,8 +68,8 @@
 	group := uint64(2)
 	requireGoldenView(t, "move-plan.json", planView{Plan: goldenPlan(), Least: 17_600, Cutoff: 2000, Found: migration.Findings{{Reason: migration.NoIdentity, Name: "public.a", Detail: "no key", Told: true}}})
 	requireGoldenView(t, "moves.json", movesView{On: true, Moves: []moveView{{Name: "orders-to-2", Plan: goldenPlan(), State: migration.State{Phase: migration.Verifying, Held: "x"}, Step: 9, Since: 1000,
-		Deed: "verify", Owner: "n1", Token: 5, Owners: 2, Wait: "waits for go, to switch", Words: []jobs.Option{{Say: "rollback", Does: "it is taken back", Lasting: true}},
-		Given: &jobs.Word{Say: "go", By: "op", Step: 9, Lasting: true}, Back: "the old home opens again", Ended: true, Why: "accepted", Code: "verify_differs", Message: "rows differ", Advice: "look"}}})
+		Deed: "verify", Owner: "n1", Token: 5, Owners: 2, Wait: "waits for go, to switch", Words: []jobs.ApprovalOption{{Action: "rollback", Effect: "it is taken back", Persistent: true}},
+		Given: &jobs.Approval{Action: "go", By: "op", Step: 9, Persistent: true}, Back: "the old home opens again", Ended: true, Why: "accepted", Code: "verify_differs", Message: "rows differ", Advice: "look"}}})
 	requireGoldenView(t, "homes.json", homesView{On: true, Homes: []pg.HomeStats{{Database: "orders", Home: &group, Fenced: true, State: "paused", Since: 1000, Sessions: 3, Running: 1, Held: 2, Going: 1,
 		Passed: 4, Refused: 5, Bound: []pg.BoundStats{{Pool: "p", Host: "h", Cause: "listen", Sessions: 1}}}}})
 }
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -81,7 +81,7 @@
 		log.Printf("%v: going on for %v, then closing client connections between requests", s, n.bounds.Load().grace-serveRest)
 		n.others.now(membership.Draining)
 		tail := time.Now().Add(n.bounds.Load().grace - serveRest)
-		n.others.leave(time.Until(tail))
+		n.others.drain(time.Until(tail))
 		time.Sleep(time.Until(tail))
 	}
 	n.drain()
@@ -205,7 +205,7 @@
 		cfg.Known.Snapshot = true
 		apply(*cfg.Known)
 	}
-	n.others.work(n, cfg, now)
+	n.others.startJobs(n, cfg, now)
 	n.core = edge.New(n.facade, now, backend)
 	if n.costs = estimate(cfg, n, now); n.costs != nil {
 		n.core.Observe(n.costs)
@@ -231,7 +231,7 @@
 		log.Printf("%s listens for Flight SQL on %s; at most %d connections", cfg.Name, l.Addr(), cfg.flight.Connections)
 	}
 	if listen := cfg.operator.Admin.Listen; listen != "" {
-		if n.admin, err = admin.Start(listen, n.views(), n.deeds()); err != nil {
+		if n.admin, err = admin.Start(listen, n.views(), n.adminCommands()); err != nil {
 			n.stop()
 			return nil, err
 		}
--- a/cmd/ashstand/moves.go
+++ b/cmd/ashstand/moves.go
@@ -47,9 +47,9 @@
 }
 
 // Change is move.Rules'. An answer that says that another version is not in force yet is no refusal: it is asked again.
-func (r *movesRules) Change(ctx context.Context, work string, token jobs.Token, deed *jobs.Deed, change map[string]any) (int, error) {
+func (r *movesRules) Change(ctx context.Context, work string, token jobs.FencingToken, deed *jobs.Operation, change map[string]any) (int, error) {
 	for {
-		n, err := r.agreed.Enter(ctx, jobs.Entry{Op: jobs.Act, Work: work, Token: token, Deed: deed}, consensus.Rules(change))
+		n, err := r.agreed.Enter(ctx, jobs.Entry{Type: jobs.EntryAuthorize, Job: work, Token: token, Operation: deed}, consensus.Rules(change))
 		var refused *consensus.Refused
 		if err == nil || !errors.As(err, &refused) {
 			return n, err
@@ -73,28 +73,28 @@
 
 // turns say which planned moves may start, by this pooler's copy of the ledger. Two owners whose copies differ may start
 // one too many; nothing but the bound's margin rests on that.
-type turns struct{ w *works }
+type turns struct{ w *jobService }
 
 // Turn is move.Turns'.
 func (t turns) Turn(work string) (bool, string) {
-	l := t.w.ledger()
+	l := t.w.stateMachine()
 	why, waits := migration.May(migration.Candidates(l, kindMove, func(migration.Group) (hosts, zones []string) { return nil, nil }), migration.Limits{All: movesAtOnce})[work]
 	return waits && why == "", why
 }
 
-// ledger is this pooler's copy.
-func (w *works) ledger() *jobs.Ledger {
-	of, _ := w.log.Works()
-	l := &jobs.Ledger{Works: map[string]*jobs.Work{}}
+// stateMachine is this pooler's copy.
+func (w *jobService) stateMachine() *jobs.StateMachine {
+	of, _ := w.log.Jobs()
+	l := &jobs.StateMachine{Jobs: map[string]*jobs.Job{}}
 	for name, x := range of {
-		l.Works[name] = &x
+		l.Jobs[name] = &x
 	}
 	return l
 }
 
 // moves makes the kind of work that moves are.
-func (f *fellows) moves(w *works, cfg *config, c consensus.Config, now clock.Clock) *migration.Mover {
-	deed := cfg.operator.Cluster.Agree.Works.Deed
+func (f *fellows) moves(w *jobService, cfg *config, c consensus.Config, now clock.Clock) *migration.Mover {
+	deed := cfg.operator.Cluster.Agree.Jobs.OperationTimeout
 	_, force := c.Bound()
 	_, takeover := c.Takeover() // whoever dies may have led the log as well
 	m := &migration.Mover{Places: &movesql.Places{Client: w.client, Within: deed}, Rules: &movesRules{f.agreed, now, c.Limits}, Turns: turns{w},
@@ -107,17 +107,17 @@
 }
 
 // ordered checks a move whole before it goes into the log.
-func (w *works) ordered(e *jobs.Entry) error {
+func (w *jobService) ordered(e *jobs.Entry) error {
 	p, err := migration.Parse(e.Spec, w.mover.Costs)
 	if err != nil {
 		return err
 	}
-	for _, x := range w.ledger().Works {
-		if other, err := migration.Parse(x.Spec, w.mover.Costs); x.Kind == kindMove && !x.Ended && x.Name != e.Work && err == nil && other.Tenant == p.Tenant {
+	for _, x := range w.stateMachine().Jobs {
+		if other, err := migration.Parse(x.Spec, w.mover.Costs); x.Kind == kindMove && !x.Finished && x.Name != e.Job && err == nil && other.Tenant == p.Tenant {
 			return &migration.Taken{Tenant: p.Tenant, By: x.Name}
 		}
 	}
-	e.Needs = []uint64{p.From, p.To}
+	e.RequiredGroups = []uint64{p.From, p.To}
 	return nil
 }
 
@@ -131,44 +131,44 @@
 
 // plan checks a move, as its first deed would, and enters nothing.
 func (n *node) plan(ctx context.Context, body []byte) (any, error) {
-	if n.others == nil || n.others.works == nil {
-		return nil, noWorks{}
+	if n.others == nil || n.others.jobs == nil {
+		return nil, jobsDisabledError{}
 	}
-	w := n.others.works
+	w := n.others.jobs
 	p, err := migration.Parse(body, w.mover.Costs)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wordTime)
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	proof, err := w.mover.Do(ctx, &jobs.Work{Spec: body}, &jobs.Deed{Number: 1, Name: migration.DeedCheck})
+	proof, err := w.mover.Execute(ctx, &jobs.Job{Spec: body}, &jobs.Operation{Number: 1, Name: migration.DeedCheck})
 	if err != nil {
 		return nil, err
 	}
-	s, err := migration.StateOf(&jobs.Work{State: proof.State})
+	s, err := migration.StateOf(&jobs.Job{State: proof.State})
 	return planView{Plan: p, Least: w.mover.Costs.Least(p.Lock), Cutoff: w.mover.Costs.Cutoff(p), Found: s.Findings}, err
 }
 
 // moveView is what operators see of one move.
 type moveView struct {
-	Name    string          `json:"name"`
-	Plan    migration.Plan  `json:"plan"`
-	State   migration.State `json:"state"`
-	Step    uint64          `json:"step"` // what a word is given for
-	Since   float64         `json:"since_ms"`
-	Deed    string          `json:"deed,omitempty"` // announced and not settled
-	Owner   string          `json:"owner,omitempty"`
-	Token   jobs.Token      `json:"token"`
-	Owners  int             `json:"owners"`
-	Wait    string          `json:"waits_for,omitempty"`
-	Words   []jobs.Option   `json:"words,omitempty"`
-	Given   *jobs.Word      `json:"word,omitempty"` // and not taken up
-	Back    string          `json:"back"`           // what taking it back means now
-	Ended   bool            `json:"ended,omitempty"`
-	Why     string          `json:"why,omitempty"`
-	Code    string          `json:"code,omitempty"` // of what goes wrong
-	Message string          `json:"message,omitempty"`
-	Advice  string          `json:"advice,omitempty"`
+	Name    string                `json:"name"`
+	Plan    migration.Plan        `json:"plan"`
+	State   migration.State       `json:"state"`
+	Step    uint64                `json:"step"` // what a word is given for
+	Since   float64               `json:"since_ms"`
+	Deed    string                `json:"deed,omitempty"` // announced and not settled
+	Owner   string                `json:"owner,omitempty"`
+	Token   jobs.FencingToken     `json:"token"`
+	Owners  int                   `json:"owners"`
+	Wait    string                `json:"waits_for,omitempty"`
+	Words   []jobs.ApprovalOption `json:"words,omitempty"`
+	Given   *jobs.Approval        `json:"word,omitempty"` // and not taken up
+	Back    string                `json:"back"`           // what taking it back means now
+	Ended   bool                  `json:"ended,omitempty"`
+	Why     string                `json:"why,omitempty"`
+	Code    string                `json:"code,omitempty"` // of what goes wrong
+	Message string                `json:"message,omitempty"`
+	Advice  string                `json:"advice,omitempty"`
 }
 
 type movesView struct {
@@ -185,48 +185,48 @@
 }
 
 // see brings phases up to date.
-func (p phases) see(l *jobs.Ledger, now float64) {
-	for name, w := range l.Works {
+func (p phases) see(l *jobs.StateMachine, now float64) {
+	for name, w := range l.Jobs {
 		s, err := migration.StateOf(w)
 		if was, known := p[name]; err == nil && w.Kind == kindMove && (!known || was.phase != s.Phase) {
 			p[name] = phaseSeen{s.Phase, now}
 		}
 	}
-	maps.DeleteFunc(p, func(name string, _ phaseSeen) bool { return l.Works[name] == nil })
+	maps.DeleteFunc(p, func(name string, _ phaseSeen) bool { return l.Jobs[name] == nil })
 }
 
 // moveViews are what operators see of all moves.
 func (f *fellows) moveViews() any {
-	if f == nil || f.works == nil {
+	if f == nil || f.jobs == nil {
 		return movesView{}
 	}
-	w := f.works
+	w := f.jobs
 	v := movesView{On: true, Moves: []moveView{}}
-	l, now, here := w.ledger(), w.clock.Now(), w.doer.Views()
+	l, now, here := w.stateMachine(), w.clock.Now(), w.executor.Statuses()
 	w.mu.Lock()
 	w.phases.see(l, now)
 	since := maps.Clone(w.phases)
 	w.mu.Unlock()
-	for _, name := range slices.Sorted(maps.Keys(l.Works)) {
-		x := l.Works[name]
+	for _, name := range slices.Sorted(maps.Keys(l.Jobs)) {
+		x := l.Jobs[name]
 		if x.Kind != kindMove {
 			continue
 		}
-		m := moveView{Name: name, Step: x.Step, Since: since[name].at, Owner: x.Owner, Token: x.Token, Owners: x.Owners, Given: x.Word, Ended: x.Ended, Why: x.Why}
+		m := moveView{Name: name, Step: x.Step, Since: since[name].at, Owner: x.Holder, Token: x.Token, Owners: x.HolderCount, Given: x.Approval, Ended: x.Finished, Why: x.Reason}
 		m.Plan, _ = migration.Parse(x.Spec, w.mover.Costs) // it was judged when it came in
 		var err error
 		if m.State, err = migration.StateOf(x); err != nil {
 			m.Code, m.Message, m.Advice = "work_unreadable", err.Error(), (&migration.Unreadable{}).Advice()
 		}
-		if m.Back = migration.Back[m.State.Phase]; x.Deed != nil {
-			m.Deed = x.Deed.Name
+		if m.Back = migration.Back[m.State.Phase]; x.Operation != nil {
+			m.Deed = x.Operation.Name
 		}
 		if h, own := here[name]; own {
-			m.Wait, m.Words, m.Code, m.Message, m.Advice = h.Wait, h.Says, h.Code, h.Err, h.Do
-		} else if !x.Ended {
+			m.Wait, m.Words, m.Code, m.Message, m.Advice = h.WaitingFor, h.Options, h.Code, h.Message, h.Advice
+		} else if !x.Finished {
 			// The words hang on what is proven alone; what is waited for only its owner knows.
-			m.Words = w.mover.Next(now, x, nil).Says
-			m.Wait = "ask " + cmp.Or(x.Owner, "again: it has no owner yet")
+			m.Words = w.mover.Next(now, x, nil).Options
+			m.Wait = "ask " + cmp.Or(x.Holder, "again: it has no owner yet")
 		}
 		for _, finding := range m.State.Findings.Refusing() {
 			if m.Code == "" {
@@ -290,7 +290,7 @@
 			_ = json.Unmarshal(text, &p) // what is wrong with it is said by who checks it
 			called = fmt.Sprintf("%s-to-%d", p.Tenant, p.To)
 		}
-		return enter(c, jobs.Entry{Op: jobs.Create, Work: called, Kind: kindMove, Spec: text}, "the move "+called+" is in the log; ashstand move status "+called+" shows it")
+		return enter(c, jobs.Entry{Type: jobs.EntryCreate, Job: called, JobKind: kindMove, Spec: text}, "the move "+called+" is in the log; ashstand move status "+called+" shows it")
 	}}
 	start.Flags().StringVar(&name, "name", "", "of the move (default: TENANT-to-GROUP)")
 	root.AddCommand(ask(start))
@@ -305,11 +305,11 @@
 				return err
 			}
 			if !v.On {
-				return noWorks{}
+				return jobsDisabledError{}
 			}
 			if len(args) > 0 {
 				if v.Moves = slices.DeleteFunc(v.Moves, func(m moveView) bool { return m.Name != args[0] }); len(v.Moves) == 0 {
-					return &jobs.Refusal{Reason: jobs.NoWork, Work: args[0]}
+					return &jobs.RejectedError{Reason: jobs.RejectUnknownJob, Job: args[0]}
 				}
 			}
 			if asJSON() {
@@ -325,7 +325,7 @@
 			if !c.Flags().Changed("step") {
 				return errors.New("--step names the step that the word is given for, as ashstand move status shows it")
 			}
-			return enter(c, jobs.Entry{Op: jobs.Say, Work: args[0], Word: &jobs.Word{Say: w.say, By: os.Getenv("USER"), Step: step, Lasting: w.say == migration.Rollback}},
+			return enter(c, jobs.Entry{Type: jobs.EntryApprove, Job: args[0], Approval: &jobs.Approval{Action: w.say, By: os.Getenv("USER"), Step: step, Persistent: w.say == migration.Rollback}},
 				"the word is in the log; ashstand move status "+args[0]+" shows what becomes of it")
 		}}
 		word.Flags().Uint64Var(&step, "step", 0, "that the word is given for")
@@ -385,10 +385,10 @@
 			fmt.Fprintf(w, "  trouble  %s (%s); what to do: %s\n", m.Message, m.Code, m.Advice)
 		}
 		if m.Given != nil {
-			fmt.Fprintf(w, "  given    %s by %s for step %d\n", m.Given.Say, cmp.Or(m.Given.By, "-"), m.Given.Step)
+			fmt.Fprintf(w, "  given    %s by %s for step %d\n", m.Given.Action, cmp.Or(m.Given.By, "-"), m.Given.Step)
 		}
 		for _, o := range m.Words {
-			fmt.Fprintf(w, "  word     %s: %s\n", o.Say, o.Does)
+			fmt.Fprintf(w, "  word     %s: %s\n", o.Action, o.Effect)
 		}
 		fmt.Fprintf(w, "  back     %s\n", m.Back)
 	}
--- a/cmd/ashstand/works_golden_test.go
+++ b/cmd/ashstand/works_golden_test.go
@@ -39,12 +39,12 @@
 
 // Whoever reads the admin socket's JSON finds each key that was there before, with its value; new ones may stand beside.
 func TestGoldenAdminViewOfJobs(t *testing.T) {
-	word := &jobs.Word{Say: "stop", By: "ann", Step: 4, Lasting: true}
-	deed := &jobs.Deed{Number: 6, Name: "write", Token: 17, Data: stdjson.RawMessage(`{"n":1}`), Word: word}
-	x := jobs.Work{Name: "d1", Kind: "drill", Spec: stdjson.RawMessage(`{"database":"orders"}`), Needs: []uint64{1}, Owner: "n1", Instance: 9007199254740993, Token: 17,
-		Step: 4, State: stdjson.RawMessage(`{"done":3}`), Deed: deed, Word: word, Owners: 5, Voided: 1, Ended: true, Why: "stopped", Changed: 41}
-	v := worksView{On: true, Works: []workView{{Work: x, Here: &executor.View{Wait: "the pace", Says: []jobs.Option{{Say: "stop", Does: "it ends", Lasting: true}},
-		Err: "broken", Code: "in_doubt", Do: "nothing", Seen: 12.5}}, {Work: jobs.Work{Name: "d2", Kind: "drill"}}}}
+	word := &jobs.Approval{Action: "stop", By: "ann", Step: 4, Persistent: true}
+	deed := &jobs.Operation{Number: 6, Name: "write", Token: 17, Data: stdjson.RawMessage(`{"n":1}`), Approval: word}
+	x := jobs.Job{Name: "d1", Kind: "drill", Spec: stdjson.RawMessage(`{"database":"orders"}`), RequiredGroups: []uint64{1}, Holder: "n1", Incarnation: 9007199254740993, Token: 17,
+		Step: 4, State: stdjson.RawMessage(`{"done":3}`), Operation: deed, Approval: word, HolderCount: 5, AbortedOperations: 1, Finished: true, Reason: "stopped", Revision: 41}
+	v := jobsView{On: true, Jobs: []jobView{{Job: x, Here: &executor.Status{WaitingFor: "the pace", Options: []jobs.ApprovalOption{{Action: "stop", Effect: "it ends", Persistent: true}},
+		Message: "broken", Code: "in_doubt", Advice: "nothing", LastResponseMillis: 12.5}}, {Job: jobs.Job{Name: "d2", Kind: "drill"}}}}
 	got, err := json.MarshalIndent(v, "", "  ")
 	require.NoError(t, err)
 	path := filepath.Join("testdata", "golden", "admin-works.json")
@@ -58,7 +58,7 @@
 	require.NoError(t, stdjson.Unmarshal(want, &old))
 	require.NoError(t, stdjson.Unmarshal(got, &now))
 	requireSuperset(t, "", old, now)
-	var read worksView
+	var read jobsView
 	require.NoError(t, json.Unmarshal(want, &read))
 	require.Equal(t, v, read)
 }
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -37,21 +37,21 @@
 	return "tcp", listen
 }
 
-// Deed is something that operators can have done: it gets what was sent and returns what came of it.
-type Deed func(ctx context.Context, body []byte) (any, error)
+// Command is something that operators can have done: it gets what was sent and returns what came of it.
+type Command func(ctx context.Context, body []byte) (any, error)
 
 // Fault is an error as a running pooler words it for its operators.
 type Fault struct {
-	Word string `json:"code"`
-	Text string `json:"message"`
-	Do   string `json:"advice,omitempty"`
+	Reason string `json:"code"`
+	Text   string `json:"message"`
+	Do     string `json:"advice,omitempty"`
 }
 
 // FaultOf takes code and advice from whatever error of the chain has them.
 func FaultOf(err error) *Fault {
-	f := &Fault{Word: "failed", Text: err.Error()}
+	f := &Fault{Reason: "failed", Text: err.Error()}
 	if a := remedy.Of(err); a != nil {
-		f.Word, f.Do = a.Code(), a.Advice()
+		f.Reason, f.Do = a.Code(), a.Advice()
 	}
 	return f
 }
@@ -64,7 +64,7 @@
 }
 
 // Code is the reason in a word.
-func (f *Fault) Code() string { return f.Word }
+func (f *Fault) Code() string { return f.Reason }
 
 // Advice says what an operator can do.
 func (f *Fault) Advice() string { return f.Do }
@@ -74,7 +74,7 @@
 
 // Start listens at unix:PATH or host:port and answers GET /NAME with what views[NAME] returns, as JSON, and on a Unix
 // socket POST /NAME with what deeds[NAME] does.
-func Start(listen string, views map[string]func() any, deeds map[string]Deed) (*Server, error) {
+func Start(listen string, views map[string]func() any, deeds map[string]Command) (*Server, error) {
 	network, address := split(listen)
 	if network == "unix" {
 		// A socket that a dead process left is taken over; one that answers belongs to another pooler.
@@ -190,7 +190,7 @@
 	if r.StatusCode == http.StatusConflict {
 		f := &Fault{}
 		if json.Unmarshal(b, f) != nil || f.Text == "" {
-			f = &Fault{Word: "failed", Text: strings.TrimSpace(string(b))}
+			f = &Fault{Reason: "failed", Text: strings.TrimSpace(string(b))}
 		}
 		return nil, f
 	}
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -48,7 +48,7 @@
 // What changes something is done on a Unix socket alone, and what is wrong with it reaches whoever asked.
 func TestDeeds(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "a.sock")
-	deeds := map[string]Deed{"add": func(_ context.Context, body []byte) (any, error) {
+	deeds := map[string]Command{"add": func(_ context.Context, body []byte) (any, error) {
 		if len(body) == 0 {
 			return nil, errors.New("nothing was sent")
 		}
--- a/internal/admin/golden_test.go
+++ b/internal/admin/golden_test.go
@@ -49,7 +49,7 @@
 		},
 		"unencodable": func() any { return make(chan int) },
 	}
-	deeds := map[string]Deed{
+	deeds := map[string]Command{
 		"echo": func(_ context.Context, body []byte) (any, error) {
 			return map[string]string{"sent": string(body)}, nil
 		},
--- a/internal/cluster/consensus/golden_test.go
+++ b/internal/cluster/consensus/golden_test.go
@@ -37,21 +37,21 @@
 	return Version{N: n, Rules: goldenRules(), By: "pooler-a", Format: 1}
 }
 
-func goldenDeed() *jobs.Deed {
-	return &jobs.Deed{Number: 3, Name: "copy", Token: 9, Data: json.RawMessage(`{"from":1}`), Word: &jobs.Word{Say: "go", By: "op", Step: 2, Lasting: true}}
+func goldenDeed() *jobs.Operation {
+	return &jobs.Operation{Number: 3, Name: "copy", Token: 9, Data: json.RawMessage(`{"from":1}`), Approval: &jobs.Approval{Action: "go", By: "op", Step: 2, Persistent: true}}
 }
 
 // goldenOperation has no field of its zero value.
 func goldenOperation() *jobs.Entry {
-	return &jobs.Entry{Op: jobs.Announce, Work: "move-orders", Token: 9, To: "pooler-b", Instance: 1 << 63, Kind: "move", Spec: json.RawMessage(`{"to":2}`),
-		Needs: []uint64{1, 2}, Step: 2, Deed: goldenDeed(), State: json.RawMessage(`{"phase":"copy"}`), Word: &jobs.Word{Say: "go", By: "op", Step: 2, Lasting: true},
-		Ended: true, Why: "finished"}
+	return &jobs.Entry{Type: jobs.EntryAnnounce, Job: "move-orders", Token: 9, Holder: "pooler-b", Incarnation: 1 << 63, JobKind: "move", Spec: json.RawMessage(`{"to":2}`),
+		RequiredGroups: []uint64{1, 2}, Step: 2, Operation: goldenDeed(), State: json.RawMessage(`{"phase":"copy"}`), Approval: &jobs.Approval{Action: "go", By: "op", Step: 2, Persistent: true},
+		Finished: true, Reason: "finished"}
 }
 
-func goldenJob(name string) *jobs.Work {
-	return &jobs.Work{Name: name, Kind: "move", Spec: json.RawMessage(`{"to":2}`), Needs: []uint64{1, 2}, Owner: "pooler-b", Instance: 1<<63 + 1, Token: 9, Step: 2,
-		State: json.RawMessage(`{"phase":"copy"}`), Deed: goldenDeed(), Word: &jobs.Word{Say: "hold", By: "op", Step: 2, Lasting: true}, Owners: 4, Voided: 1, Ended: true,
-		Why: "finished", Changed: 11}
+func goldenJob(name string) *jobs.Job {
+	return &jobs.Job{Name: name, Kind: "move", Spec: json.RawMessage(`{"to":2}`), RequiredGroups: []uint64{1, 2}, Holder: "pooler-b", Incarnation: 1<<63 + 1, Token: 9, Step: 2,
+		State: json.RawMessage(`{"phase":"copy"}`), Operation: goldenDeed(), Approval: &jobs.Approval{Action: "hold", By: "op", Step: 2, Persistent: true}, HolderCount: 4, AbortedOperations: 1, Finished: true,
+		Reason: "finished", Revision: 11}
 }
 
 func goldenState() state {
@@ -59,8 +59,8 @@
 	return state{Last: 5, Held: Held{Force: goldenVersion(4), Pending: &pending, Seen: 9}, Versions: []Version{goldenVersion(4), goldenVersion(5)},
 		Names: map[uint64]string{3: "pooler-a", 1<<63 + 5: "pooler-b"},
 		Done: []done{{ID: 1 << 62, N: 4}, {ID: 18, Why: "version 4 came first and is not in force yet"},
-			{ID: 19, N: 5, Why: "why", Work: true, Name: "move-orders", Refused: &jobs.Refusal{Reason: jobs.TokenOld, Work: "move-orders", Given: 8, Holds: 9, Detail: "late"}}},
-		Epoch: 77, Ledger: jobs.Ledger{High: 9, Works: map[string]*jobs.Work{"move-orders": goldenJob("move-orders"), "a": goldenJob("a")}, Count: 12}}
+			{ID: 19, N: 5, Why: "why", Work: true, Name: "move-orders", Refused: &jobs.RejectedError{Reason: jobs.RejectStaleToken, Job: "move-orders", Presented: 8, Current: 9, Detail: "late"}}},
+		Epoch: 77, Ledger: jobs.StateMachine{HighestToken: 9, Jobs: map[string]*jobs.Job{"move-orders": goldenJob("move-orders"), "a": goldenJob("a")}, Revision: 12}}
 }
 
 // Entries of the log are stored by voters and sent between them: what an earlier program wrote is read, and written alike.
@@ -71,7 +71,7 @@
 		"force":         {Force: 4},
 		"work":          {ID: 1<<63 + 4, Work: goldenOperation()},
 		"work-change":   {ID: 1<<63 + 5, Work: goldenOperation(), Change: Rules{"tries": 2.0, "class.a.repeat": nil}},
-		"work-raise":    {ID: 6, Work: &jobs.Entry{Op: jobs.Raise, Token: 70}},
+		"work-raise":    {ID: 6, Work: &jobs.Entry{Type: jobs.EntryRaiseToken, Token: 70}},
 		"propose-empty": {Propose: &Version{}, ID: 7},
 	} {
 		b, err := json.Marshal(x)
--- a/internal/cluster/consensus/node.go
+++ b/internal/cluster/consensus/node.go
@@ -30,8 +30,8 @@
 	Limits   Rules    // the strictest that any version may hold: what counts without a lease
 	Format   int      // of rules that this program reads
 	Seed     uint64
-	Desk     jobs.DeskConfig // how owners of works are watched
-	Break    string          // what is switched off to see a checker fail; "": nothing
+	Desk     jobs.SchedulerConfig // how owners of works are watched
+	Break    string               // what is switched off to see a checker fail; "": nothing
 }
 
 // Breakable are the words of Config.Break.
@@ -50,7 +50,7 @@
 	Force   Version  `json:"force"`
 	Pending *Version `json:"pending,omitempty"`
 	// Seen is the highest token of a work's owner that this pooler was told of.
-	Seen jobs.Token `json:"seen,omitempty"`
+	Seen jobs.FencingToken `json:"seen,omitempty"`
 }
 
 // Disk is what a node keeps. Whoever runs the node writes it whole, and synced, before any message of the same Output
@@ -96,13 +96,13 @@
 	Why      string
 	Leader   string // MsgNoLeader: who it may be
 
-	Entry   *jobs.Entry   // MsgPropose: about a work, instead of a version
-	Change  Rules         // MsgPropose: of the rules in force, by the work that Entry names; nil values take a key away
-	Refused *jobs.Refusal // MsgAnswer: why an entry changed nothing
-	Report  *jobs.Report  // MsgRenew
-	Epoch   uint64        // MsgRenew, MsgGrant, MsgWorks: which ledger; one that is founded anew has another
-	Count   uint64        // MsgRenew: up to which change of the ledger its works are known; MsgGrant, MsgWorks: up to which they come
-	Works   []jobs.Work   // MsgGrant, MsgWorks: those that changed since
+	Entry   *jobs.Entry         // MsgPropose: about a work, instead of a version
+	Change  Rules               // MsgPropose: of the rules in force, by the work that Entry names; nil values take a key away
+	Refused *jobs.RejectedError // MsgAnswer: why an entry changed nothing
+	Report  *jobs.Report        // MsgRenew
+	Epoch   uint64              // MsgRenew, MsgGrant, MsgWorks: which ledger; one that is founded anew has another
+	Count   uint64              // MsgRenew: up to which change of the ledger its works are known; MsgGrant, MsgWorks: up to which they come
+	Works   []jobs.Job          // MsgGrant, MsgWorks: those that changed since
 }
 
 // Output is what a node wants done, in this order: save, then the rest.
@@ -120,16 +120,16 @@
 	Names    map[uint64]string `json:"names"`    // of voters and learners
 	Done     []done            `json:"done"`     // proposals, so that one that is sent again counts once
 	Epoch    uint64            `json:"epoch,omitempty"`
-	Ledger   jobs.Ledger       `json:"ledger"`
+	Ledger   jobs.StateMachine `json:"ledger"`
 }
 
 type done struct {
-	ID      uint64        `json:"id"`
-	N       int           `json:"n,omitempty"` // 0: refused, or about a work
-	Why     string        `json:"why,omitempty"`
-	Work    bool          `json:"work,omitempty"`
-	Name    string        `json:"name,omitempty"` // of the work
-	Refused *jobs.Refusal `json:"refused,omitempty"`
+	ID      uint64              `json:"id"`
+	N       int                 `json:"n,omitempty"` // 0: refused, or about a work
+	Why     string              `json:"why,omitempty"`
+	Work    bool                `json:"work,omitempty"`
+	Name    string              `json:"name,omitempty"` // of the work
+	Refused *jobs.RejectedError `json:"refused,omitempty"`
 }
 
 // entry is one line of the log.
@@ -192,7 +192,7 @@
 	turn    int
 	mine    map[uint64]Message // proposals without an answer
 
-	desk    *jobs.Desk
+	desk    *jobs.Scheduler
 	askers  map[uint64]string // who waits for what became of an entry
 	looked  float64           // when the desk was asked last, and at which count of the ledger
 	counted uint64
@@ -250,7 +250,7 @@
 // New returns a pooler's node. disk is what it kept; nil: nothing, or nothing that is surely its own.
 func New(cfg Config, disk *Disk, now float64) (*Node, error) {
 	n := &Node{cfg: cfg, now: now, lots: rand.New(rand.NewPCG(cfg.Seed, cfg.Instance)), holders: map[string]*holder{}, hellos: map[string]uint64{}, seen: map[uint64]string{},
-		nonces: map[uint64]float64{}, mine: map[uint64]Message{}, desk: jobs.NewDesk(cfg.Desk), askers: map[uint64]string{}, until: math.Inf(-1), ticks: now, heard: now, renewAt: now}
+		nonces: map[uint64]float64{}, mine: map[uint64]Message{}, desk: jobs.NewScheduler(cfg.Desk), askers: map[uint64]string{}, until: math.Inf(-1), ticks: now, heard: now, renewAt: now}
 	if disk != nil {
 		n.disk = *disk
 		n.held = disk.Held
@@ -324,8 +324,8 @@
 // holds nothing.
 type Grip struct {
 	Held   Held
-	Until  float64              // of the lease, by the node's clock
-	Works  map[string]jobs.Work // as far as they are known here; not to be changed
+	Until  float64             // of the lease, by the node's clock
+	Works  map[string]jobs.Job // as far as they are known here; not to be changed
 	limits Rules
 	broken string
 }
@@ -507,7 +507,7 @@
 	if m.Entry != nil && m.Change == nil {
 		return n.enter(m)
 	}
-	if m.Change != nil && (m.Entry == nil || m.Entry.Op != jobs.Act) {
+	if m.Change != nil && (m.Entry == nil || m.Entry.Type != jobs.EntryAuthorize) {
 		a.Why = "a change of rules by a work is its act"
 		return a, true
 	}
@@ -615,7 +615,7 @@
 		n.leader = "" // whoever was thought to lead does not answer
 	}
 	report := n.report
-	report.Seen = n.seenToken()
+	report.HighestToken = n.seenToken()
 	n.ask(Message{Kind: MsgRenew, Nonce: n.nonce, Known: known, Format: n.cfg.Format, Report: &report, Epoch: n.works.epoch, Count: n.works.count})
 }
 
@@ -721,7 +721,7 @@
 		clear(n.holders)
 		clear(n.hellos)
 		clear(n.askers)
-		n.desk.Clear()
+		n.desk.Reset()
 		n.looked = math.Inf(-1)
 		n.waiting, n.asked, n.batch = nil, nil, n.batch+1
 	}
@@ -856,7 +856,7 @@
 	h.known, h.format = max(h.known, m.Known), m.Format
 	if h.instance = m.Instance; m.Report != nil {
 		h.report = *m.Report
-		n.desk.Heard(h.report)
+		n.desk.ObserveReport(h.report)
 	}
 	h.until = max(h.until, n.now+n.cfg.Lease*n.cfg.stretch())
 	g := Message{To: m.From, Kind: MsgGrant, Nonce: m.Nonce, For: n.cfg.Lease, Held: n.st.Held}
--- a/internal/cluster/consensus/node_test.go
+++ b/internal/cluster/consensus/node_test.go
@@ -28,9 +28,9 @@
 			disk = Found(name, voters)
 		}
 		n, err := New(Config{Name: name, Instance: uint64(i + 1), Voters: voters, Lease: 200, Drift: 0.01, Pace: 30, Election: 50, Format: 1, Seed: 7,
-			Desk: jobs.DeskConfig{Stall: 1e6, Tenure: 200, Back: 2000, Young: 500, Again: 50}}, disk, 0)
+			Desk: jobs.SchedulerConfig{StallMillis: 1e6, MinTenureMillis: 200, BackoffMillis: 2000, SettledMillis: 500, RetryMillis: 50}}, disk, 0)
 		require.NoError(t, err)
-		n.SetReport(jobs.Report{Kinds: []string{"k"}, Willing: true, Sound: true, Reach: []uint64{1}, Up: 1000})
+		n.SetReport(jobs.Report{Kinds: []string{"k"}, AcceptsJobs: true, Healthy: true, ReachableGroups: []uint64{1}, UptimeMillis: 1000})
 		w.nodes[name] = n
 	}
 	return w
@@ -92,7 +92,7 @@
 }
 
 // work is a work as the leader's log has it.
-func (w *small) work(name string) jobs.Work { return *w.nodes[w.leader()].st.Ledger.Works[name] }
+func (w *small) work(name string) jobs.Job { return *w.nodes[w.leader()].st.Ledger.Jobs[name] }
 
 // A leader that is gone for good, after it has lent to all for long: the others find the next one and have leases again.
 func TestALeaderThatIsGoneForGoodIsLeft(t *testing.T) {
@@ -114,38 +114,38 @@
 func TestAnOwnerThatWakesLateIsRefused(t *testing.T) {
 	w := newSmall(t)
 	w.run(500)
-	require.True(t, w.enter("n4", 1, jobs.Entry{Op: jobs.Create, Work: "w", Kind: "k", Needs: []uint64{1}}, nil).OK)
+	require.True(t, w.enter("n4", 1, jobs.Entry{Type: jobs.EntryCreate, Job: "w", JobKind: "k", RequiredGroups: []uint64{1}}, nil).OK)
 	w.run(300)
 	first := w.work("w")
-	require.NotEmpty(t, first.Owner)
+	require.NotEmpty(t, first.Holder)
 	for name, n := range w.nodes { // all know who owns it
-		require.Equal(t, first.Owner, n.Grip().Works["w"].Owner, name)
+		require.Equal(t, first.Holder, n.Grip().Works["w"].Holder, name)
 	}
-	deed := &jobs.Deed{Number: 1, Name: "d"}
-	require.True(t, w.enter(first.Owner, 2, jobs.Entry{Op: jobs.Announce, Work: "w", Token: first.Token, Deed: deed}, nil).OK)
-	w.asleep[first.Owner] = true
+	deed := &jobs.Operation{Number: 1, Name: "d"}
+	require.True(t, w.enter(first.Holder, 2, jobs.Entry{Type: jobs.EntryAnnounce, Job: "w", Token: first.Token, Operation: deed}, nil).OK)
+	w.asleep[first.Holder] = true
 	slept := w.now
 	w.run(3000)
 	second := w.work("w")
-	require.NotEqual(t, first.Owner, second.Owner)
+	require.NotEqual(t, first.Holder, second.Holder)
 	require.Greater(t, second.Token, first.Token)
-	require.Equal(t, deed.Number, second.Deed.Number, "the next owner finds what is in doubt")
+	require.Equal(t, deed.Number, second.Operation.Number, "the next owner finds what is in doubt")
 	require.Less(t, 3000.0, w.now-slept+1)
-	w.asleep[first.Owner] = false
+	w.asleep[first.Holder] = false
 	late := w.mail
 	w.mail = nil
 	w.deliver(late)
-	a := w.enter(first.Owner, 3, jobs.Entry{Op: jobs.Prove, Work: "w", Token: first.Token, Deed: deed}, nil)
+	a := w.enter(first.Holder, 3, jobs.Entry{Type: jobs.EntryConfirm, Job: "w", Token: first.Token, Operation: deed}, nil)
 	require.False(t, a.OK)
-	require.Equal(t, jobs.TokenOld, a.Refused.Reason)
+	require.Equal(t, jobs.RejectStaleToken, a.Refused.Reason)
 	// Nor does it change rules under its old token; the present owner does, and what it changed stands beside what was there.
-	a = w.enter(first.Owner, 4, jobs.Entry{Op: jobs.Act, Work: "w", Token: first.Token}, Rules{"tries": 2.0})
+	a = w.enter(first.Holder, 4, jobs.Entry{Type: jobs.EntryAuthorize, Job: "w", Token: first.Token}, Rules{"tries": 2.0})
 	require.False(t, a.OK)
 	for _, n := range w.nodes {
 		n.cfg.Limits = Rules{"tries": 1.0, "class.a.bound_ms": 50.0}
 	}
 	for i, change := range []Rules{{"class.a.bound_ms": 100.0}, {"tries": 2.0}, {"class.a.bound_ms": nil}} {
-		a = w.enter(second.Owner, uint64(10+i), jobs.Entry{Op: jobs.Act, Work: "w", Token: second.Token}, change)
+		a = w.enter(second.Holder, uint64(10+i), jobs.Entry{Type: jobs.EntryAuthorize, Job: "w", Token: second.Token}, change)
 		require.True(t, a.OK, a.Why)
 		w.run(500)
 	}
@@ -160,23 +160,23 @@
 	w := newSmall(t)
 	w.nodes["n4"].held.Seen = 40
 	w.run(500)
-	require.True(t, w.enter("n1", 1, jobs.Entry{Op: jobs.Create, Work: "w", Kind: "k"}, nil).OK)
+	require.True(t, w.enter("n1", 1, jobs.Entry{Type: jobs.EntryCreate, Job: "w", JobKind: "k"}, nil).OK)
 	w.run(300)
-	require.Greater(t, w.work("w").Token, jobs.Token(40))
+	require.Greater(t, w.work("w").Token, jobs.FencingToken(40))
 }
 
 // The time without an owner, from its end to another's first turn, against what is stated.
 func TestTakeoverIsWithinItsBound(t *testing.T) {
 	w := newSmall(t)
 	w.run(500)
-	require.True(t, w.enter("n4", 1, jobs.Entry{Op: jobs.Create, Work: "w", Kind: "k"}, nil).OK)
+	require.True(t, w.enter("n4", 1, jobs.Entry{Type: jobs.EntryCreate, Job: "w", JobKind: "k"}, nil).OK)
 	w.run(300)
 	for range 3 {
 		was := w.work("w")
 		killed := w.now
-		lead := w.leader() == was.Owner
-		kept := w.nodes[was.Owner]
-		w.nodes[was.Owner] = nil
+		lead := w.leader() == was.Holder
+		kept := w.nodes[was.Holder]
+		w.nodes[was.Holder] = nil
 		steady, change := kept.cfg.Takeover()
 		bound := steady
 		if lead {
@@ -188,7 +188,7 @@
 			for name, n := range w.nodes {
 				if n != nil {
 					x := n.Grip().Works["w"]
-					told = told || x.Token > was.Token && x.Owner == name && !n.Lapsed(w.now)
+					told = told || x.Token > was.Token && x.Holder == name && !n.Lapsed(w.now)
 				}
 			}
 			if told {
@@ -196,7 +196,7 @@
 			}
 		}
 		require.Less(t, w.now-killed, bound, "the leader went: %v", lead)
-		w.nodes[was.Owner] = kept
+		w.nodes[was.Holder] = kept
 		w.run(500)
 	}
 }
--- a/internal/cluster/consensus/runner/golden_test.go
+++ b/internal/cluster/consensus/runner/golden_test.go
@@ -46,25 +46,27 @@
 	return consensus.Held{Force: goldenVersion(4), Pending: &pending, Seen: 9}
 }
 
-func goldenWord() *jobs.Word { return &jobs.Word{Say: "go", By: "op", Step: 2, Lasting: true} }
+func goldenWord() *jobs.Approval {
+	return &jobs.Approval{Action: "go", By: "op", Step: 2, Persistent: true}
+}
 
-func goldenDeed() *jobs.Deed {
-	return &jobs.Deed{Number: 3, Name: "copy", Token: 9, Data: json.RawMessage(`{"from":1}`), Word: goldenWord()}
+func goldenDeed() *jobs.Operation {
+	return &jobs.Operation{Number: 3, Name: "copy", Token: 9, Data: json.RawMessage(`{"from":1}`), Approval: goldenWord()}
 }
 
 func goldenOperation() *jobs.Entry {
-	return &jobs.Entry{Op: jobs.Announce, Work: "move-orders", Token: 9, To: "pooler-b", Instance: 1 << 63, Kind: "move", Spec: json.RawMessage(`{"to":2}`),
-		Needs: []uint64{1, 2}, Step: 2, Deed: goldenDeed(), State: json.RawMessage(`{"phase":"copy"}`), Word: goldenWord(), Ended: true, Why: "finished"}
+	return &jobs.Entry{Type: jobs.EntryAnnounce, Job: "move-orders", Token: 9, Holder: "pooler-b", Incarnation: 1 << 63, JobKind: "move", Spec: json.RawMessage(`{"to":2}`),
+		RequiredGroups: []uint64{1, 2}, Step: 2, Operation: goldenDeed(), State: json.RawMessage(`{"phase":"copy"}`), Approval: goldenWord(), Finished: true, Reason: "finished"}
 }
 
-func goldenJob() jobs.Work {
-	return jobs.Work{Name: "move-orders", Kind: "move", Spec: json.RawMessage(`{"to":2}`), Needs: []uint64{1, 2}, Owner: "pooler-b", Instance: 1<<63 + 1, Token: 9, Step: 2,
-		State: json.RawMessage(`{"phase":"copy"}`), Deed: goldenDeed(), Word: goldenWord(), Owners: 4, Voided: 1, Ended: true, Why: "finished", Changed: 11}
+func goldenJob() jobs.Job {
+	return jobs.Job{Name: "move-orders", Kind: "move", Spec: json.RawMessage(`{"to":2}`), RequiredGroups: []uint64{1, 2}, Holder: "pooler-b", Incarnation: 1<<63 + 1, Token: 9, Step: 2,
+		State: json.RawMessage(`{"phase":"copy"}`), Operation: goldenDeed(), Approval: goldenWord(), HolderCount: 4, AbortedOperations: 1, Finished: true, Reason: "finished", Revision: 11}
 }
 
 func goldenReport() *jobs.Report {
-	return &jobs.Report{Kinds: []string{"move"}, Willing: true, Sound: true, Zone: "a", Up: 1500.5, Load: 0.25, Reach: []uint64{1, 2}, Near: []uint64{1},
-		Progress: map[string]uint64{"move-orders": 4, "a": 5}, Seen: 9}
+	return &jobs.Report{Kinds: []string{"move"}, AcceptsJobs: true, Healthy: true, Zone: "a", UptimeMillis: 1500.5, Load: 0.25, ReachableGroups: []uint64{1, 2}, LocalGroups: []uint64{1},
+		Progress: map[string]uint64{"move-orders": 4, "a": 5}, HighestToken: 9}
 }
 
 func goldenEntry(index uint64) *pb.Entry {
@@ -87,12 +89,12 @@
 // goldenMessages are messages of every kind, with all that its kind carries.
 func goldenMessages() map[string]consensus.Message {
 	const nonce, id, instance, epoch = 1<<63 + 1, 1<<63 + 2, 1<<63 + 3, 1<<63 + 4
-	refused := &jobs.Refusal{Reason: jobs.TokenOld, Work: "move-orders", Given: 8, Holds: 9, Detail: "late"}
+	refused := &jobs.RejectedError{Reason: jobs.RejectStaleToken, Job: "move-orders", Presented: 8, Current: 9, Detail: "late"}
 	of := map[string]consensus.Message{
 		"raft":  {Kind: consensus.MsgRaft, Raft: goldenRaft()},
 		"hello": {Kind: consensus.MsgHello, ID: id},
 		"renew": {Kind: consensus.MsgRenew, Nonce: nonce, Known: 4, Format: 1, Report: goldenReport(), Epoch: epoch, Count: 12},
-		"grant": {Kind: consensus.MsgGrant, Nonce: nonce, For: 200.5, Held: goldenHeld(), Epoch: epoch, Count: 12, Works: []jobs.Work{goldenJob()}},
+		"grant": {Kind: consensus.MsgGrant, Nonce: nonce, For: 200.5, Held: goldenHeld(), Epoch: epoch, Count: 12, Works: []jobs.Job{goldenJob()}},
 		// An empty one: no job is known, and no version.
 		"grant-empty":           {Kind: consensus.MsgGrant, Nonce: nonce, For: 200.5},
 		"propose-version":       {Kind: consensus.MsgPropose, ID: id, Version: goldenVersion(0)},
@@ -100,11 +102,11 @@
 		"propose-change":        {Kind: consensus.MsgPropose, ID: id, Entry: goldenOperation(), Change: consensus.Rules{"tries": 2.0, "class.a.repeat": nil}, Version: consensus.Version{Format: 1}},
 		"answer-version":        {Kind: consensus.MsgAnswer, ID: id, OK: true, Version: consensus.Version{N: 5}},
 		"answer-refused":        {Kind: consensus.MsgAnswer, ID: id, Why: "version 4 is not in force yet"},
-		"answer-entry":          {Kind: consensus.MsgAnswer, ID: id, OK: true, Version: consensus.Version{N: 5}, Held: goldenHeld(), Epoch: epoch, Works: []jobs.Work{goldenJob()}},
-		"answer-entry-refused":  {Kind: consensus.MsgAnswer, ID: id, Why: refused.Error(), Refused: refused, Held: goldenHeld(), Epoch: epoch, Works: []jobs.Work{goldenJob()}},
+		"answer-entry":          {Kind: consensus.MsgAnswer, ID: id, OK: true, Version: consensus.Version{N: 5}, Held: goldenHeld(), Epoch: epoch, Works: []jobs.Job{goldenJob()}},
+		"answer-entry-refused":  {Kind: consensus.MsgAnswer, ID: id, Why: refused.Error(), Refused: refused, Held: goldenHeld(), Epoch: epoch, Works: []jobs.Job{goldenJob()}},
 		"no-leader":             {Kind: consensus.MsgNoLeader, Leader: "pooler-c"},
 		"no-leader-unknown":     {Kind: consensus.MsgNoLeader},
-		"works":                 {Kind: consensus.MsgWorks, Epoch: epoch, Held: goldenHeld(), Works: []jobs.Work{goldenJob(), goldenJob()}},
+		"works":                 {Kind: consensus.MsgWorks, Epoch: epoch, Held: goldenHeld(), Works: []jobs.Job{goldenJob(), goldenJob()}},
 		"renew-without-a-count": {Kind: consensus.MsgRenew, Nonce: nonce, Report: &jobs.Report{}},
 	}
 	for name, m := range of {
@@ -212,9 +214,9 @@
 func (c *goldenCluster) start(name string, instance uint64) {
 	n, err := consensus.New(consensus.Config{Name: name, Instance: instance, Voters: c.names[:3], Lease: 200, Drift: 0.01, Pace: 30, Election: 50, Format: 1, Seed: 7,
 		Limits: consensus.Rules{"tries": 1.0, "class.a.bound_ms": 50.0, "database.d.group": 0.0},
-		Desk:   jobs.DeskConfig{Stall: 400, Tenure: 200, Back: 2000, Young: 500, Again: 50}}, c.kept[name], c.now)
+		Desk:   jobs.SchedulerConfig{StallMillis: 400, MinTenureMillis: 200, BackoffMillis: 2000, SettledMillis: 500, RetryMillis: 50}}, c.kept[name], c.now)
 	require.NoError(c.t, err)
-	n.SetReport(jobs.Report{Kinds: []string{"k"}, Willing: true, Sound: true, Zone: "z", Up: 1000, Reach: []uint64{1}})
+	n.SetReport(jobs.Report{Kinds: []string{"k"}, AcceptsJobs: true, Healthy: true, Zone: "z", UptimeMillis: 1000, ReachableGroups: []uint64{1}})
 	c.nodes[name] = n
 }
 
@@ -306,14 +308,14 @@
 	c.run(600)
 	c.propose("n4", 11, consensus.Rules{"tries": 3.0, "database.d.group": 1.0}) // again: counted once
 	c.propose("n2", 13, consensus.Rules{"host.h.closed": true})                 // beyond the limits
-	c.enter("n4", 21, jobs.Entry{Op: jobs.Create, Work: "w", Kind: "k", Needs: []uint64{1}}, nil)
+	c.enter("n4", 21, jobs.Entry{Type: jobs.EntryCreate, Job: "w", JobKind: "k", RequiredGroups: []uint64{1}}, nil)
 	c.run(900)
 	work := c.nodes[c.leader()].Grip().Works["w"]
-	require.NotEmpty(t, work.Owner)
-	c.enter(work.Owner, 22, jobs.Entry{Op: jobs.Announce, Work: "w", Token: work.Token, Deed: &jobs.Deed{Number: 1, Name: "d"}}, nil)
+	require.NotEmpty(t, work.Holder)
+	c.enter(work.Holder, 22, jobs.Entry{Type: jobs.EntryAnnounce, Job: "w", Token: work.Token, Operation: &jobs.Operation{Number: 1, Name: "d"}}, nil)
 	c.run(950)
-	c.enter(work.Owner, 23, jobs.Entry{Op: jobs.Act, Work: "w", Token: work.Token, Deed: &jobs.Deed{Number: 1, Name: "d"}}, consensus.Rules{"class.a.bound_ms": 100.0})
-	c.enter(work.Owner, 24, jobs.Entry{Op: jobs.Act, Work: "w", Token: work.Token + 1}, consensus.Rules{"tries": 1.0})
+	c.enter(work.Holder, 23, jobs.Entry{Type: jobs.EntryAuthorize, Job: "w", Token: work.Token, Operation: &jobs.Operation{Number: 1, Name: "d"}}, consensus.Rules{"class.a.bound_ms": 100.0})
+	c.enter(work.Holder, 24, jobs.Entry{Type: jobs.EntryAuthorize, Job: "w", Token: work.Token + 1}, consensus.Rules{"tries": 1.0})
 	c.run(1300)
 	old := c.leader()
 	c.cut[old] = true
@@ -328,7 +330,7 @@
 	require.Len(t, c.nodes[c.leader()].Voters(), 3)
 	require.NotEmpty(t, c.nodes[c.leader()].Voters()[c.kept[lost].ID])
 	for i := range 300 { // more than is kept before a snapshot
-		c.enter("n4", uint64(1000+i), jobs.Entry{Op: jobs.Say, Work: "w", Word: &jobs.Word{Say: "go", Step: 99}}, nil)
+		c.enter("n4", uint64(1000+i), jobs.Entry{Type: jobs.EntryApprove, Job: "w", Approval: &jobs.Approval{Action: "go", Step: 99}}, nil)
 	}
 	c.run(3300)
 	golden(t, "conversation.txt", c.notes.Bytes())
--- a/internal/cluster/consensus/runner/runner.go
+++ b/internal/cluster/consensus/runner/runner.go
@@ -160,7 +160,7 @@
 // Enter brings an entry about a work in and waits until it stands in the log, or is refused (*owner.Refusal). With change
 // it makes a version of the rules, whose number it returns. After any other error it may still come into the log.
 func (r *Runner) Enter(ctx context.Context, e jobs.Entry, change consensus.Rules) (version int, err error) {
-	if f := e.Check(); f != nil {
+	if f := e.Validate(); f != nil {
 		return 0, f
 	}
 	a, err := r.ask(ctx, call{entry: &e, change: change})
--- a/internal/cluster/consensus/runner/runner_test.go
+++ b/internal/cluster/consensus/runner/runner_test.go
@@ -320,7 +320,7 @@
 			m.Raft = &pb.Message{To: &to}
 		}
 		if kind == consensus.MsgWorks {
-			m.Epoch, m.Works = 3, []jobs.Work{{Name: "w", Kind: "k", Owner: "b", Token: 7}}
+			m.Epoch, m.Works = 3, []jobs.Job{{Name: "w", Kind: "k", Holder: "b", Token: 7}}
 		}
 		b, err := Encode(m)
 		require.NoError(t, err)
--- a/internal/cluster/consensus/works.go
+++ b/internal/cluster/consensus/works.go
@@ -13,7 +13,7 @@
 // that it owns itself. Nothing that is decided by it is safe without the token.
 type works struct {
 	epoch, count uint64
-	of           map[string]jobs.Work // replaced, never changed
+	of           map[string]jobs.Job // replaced, never changed
 }
 
 const (
@@ -27,21 +27,21 @@
 	if m.Epoch == 0 || len(m.Works) == 0 && m.Epoch == w.epoch {
 		return
 	}
-	next := map[string]jobs.Work{}
+	next := map[string]jobs.Job{}
 	if m.Epoch == w.epoch {
 		maps.Copy(next, w.of)
 	} else {
 		w.epoch, w.count = m.Epoch, 0
 	}
 	for _, x := range m.Works {
-		if was, ok := next[x.Name]; !ok || x.Changed > was.Changed {
+		if was, ok := next[x.Name]; !ok || x.Revision > was.Revision {
 			next[x.Name] = x
 		}
 	}
 	for len(next) > worksMost { // the ledger has fewer: one that ended first has left it
 		least := ""
 		for name, x := range next {
-			if least == "" || x.Changed < next[least].Changed {
+			if least == "" || x.Revision < next[least].Revision {
 				least = name
 			}
 		}
@@ -63,11 +63,11 @@
 	if m.Epoch != n.st.Epoch {
 		since = 0
 	}
-	list := n.st.Ledger.Since(since)
+	list := n.st.Ledger.ChangedSince(since)
 	if n.now-h.told < n.cfg.Lease/2 && since > 0 {
 		to.Count = since
 		for _, w := range list {
-			if w.Owner == m.From && w.Instance == m.Instance {
+			if w.Holder == m.From && w.Incarnation == m.Instance {
 				to.Works = append(to.Works, w)
 			}
 		}
@@ -78,28 +78,28 @@
 	size := 0
 	for _, w := range list {
 		size += 256 + len(w.Spec) + len(w.State)
-		if w.Deed != nil {
-			size += len(w.Deed.Data)
+		if w.Operation != nil {
+			size += len(w.Operation.Data)
 		}
 		if size > worksBytes && len(to.Works) > 0 {
 			return
 		}
-		to.Works, to.Count = append(to.Works, w), w.Changed
+		to.Works, to.Count = append(to.Works, w), w.Revision
 	}
-	to.Count = n.st.Ledger.Count
+	to.Count = n.st.Ledger.Revision
 }
 
 // SetReport tells what this pooler says of itself from now on.
 func (n *Node) SetReport(r jobs.Report) { n.report = r }
 
 // seenToken is the highest token that this pooler has seen, over its restarts.
-func (n *Node) seenToken() jobs.Token { return n.held.Seen }
+func (n *Node) seenToken() jobs.FencingToken { return n.held.Seen }
 
 // Enter brings an entry about a work in; the answer comes in some Output. With change, the entry's work, under its token,
 // makes a version of the rules in force with those keys changed.
 func (n *Node) Enter(now float64, id uint64, e jobs.Entry, change Rules) error {
 	n.now = max(n.now, now)
-	if r := e.Check(); r != nil {
+	if r := e.Validate(); r != nil {
 		return r
 	}
 	m := Message{Kind: MsgPropose, From: n.cfg.Name, ID: id, Entry: &e, Change: change}
@@ -161,15 +161,15 @@
 
 // settle is what a line about a work comes to; it must come out alike everywhere.
 func (n *Node) settle(x entry) done {
-	d := done{ID: x.ID, Work: true, Name: x.Work.Work}
+	d := done{ID: x.ID, Work: true, Name: x.Work.Job}
 	if n.st.Epoch == 0 {
 		n.st.Epoch = x.ID | 1
 	}
-	if x.Change != nil && x.Work.Op != jobs.Act {
-		d.Refused = &jobs.Refusal{Reason: jobs.Malformed, Work: x.Work.Work}
+	if x.Change != nil && x.Work.Type != jobs.EntryAuthorize {
+		d.Refused = &jobs.RejectedError{Reason: jobs.RejectMalformed, Job: x.Work.Job}
 		return d
 	}
-	n.st.Ledger.Loose = n.cfg.Break == "token"
+	n.st.Ledger.ReuseTokens = n.cfg.Break == "token"
 	if d.Refused = n.st.Ledger.Apply(*x.Work); d.Refused != nil || x.Change == nil {
 		n.named(x.Work)
 		return d
@@ -178,7 +178,7 @@
 		d.Work, d.Why = false, fmt.Sprintf("version %d came first and is not in force yet", p.N)
 		return d
 	}
-	d.N = n.version(Version{Rules: x.Change.onto(n.st.Held.Force.Rules), By: x.Work.Work, Format: 1})
+	d.N = n.version(Version{Rules: x.Change.onto(n.st.Held.Force.Rules), By: x.Work.Job, Format: 1})
 	return d
 }
 
@@ -197,8 +197,8 @@
 	a := Message{To: to, Kind: MsgAnswer, ID: d.ID, OK: d.N > 0 || d.Work && d.Refused == nil, Why: d.Why, Refused: d.Refused}
 	if a.Version.N = d.N; d.Work {
 		a.Epoch, a.Held = n.st.Epoch, n.st.Held
-		if w := n.st.Ledger.Works[d.Name]; w != nil {
-			a.Works = []jobs.Work{*w}
+		if w := n.st.Ledger.Jobs[d.Name]; w != nil {
+			a.Works = []jobs.Job{*w}
 		}
 	}
 	if d.Refused != nil {
@@ -209,14 +209,14 @@
 
 // appoint names owners: the leader's part. A new leader does not know who holds leases until one length has passed.
 func (n *Node) appoint() {
-	if n.st.Epoch == 0 && n.desk.High == 0 || n.conf == nil || n.now-n.looked < n.cfg.Pace/4 && n.st.Ledger.Count == n.counted {
+	if n.st.Epoch == 0 && n.desk.HighestToken == 0 || n.conf == nil || n.now-n.looked < n.cfg.Pace/4 && n.st.Ledger.Revision == n.counted {
 		return
 	}
-	n.looked, n.counted = n.now, n.st.Ledger.Count
+	n.looked, n.counted = n.now, n.st.Ledger.Revision
 	cands := make([]jobs.Candidate, 0, len(n.holders))
 	for _, k := range slices.Sorted(maps.Keys(n.holders)) {
 		h := n.holders[k]
-		cands = append(cands, jobs.Candidate{Name: h.name, Instance: h.instance, Until: h.until, Report: h.report})
+		cands = append(cands, jobs.Candidate{Name: h.name, Incarnation: h.instance, LeaseUntil: h.until, Report: h.report})
 	}
 	for _, e := range n.desk.Tick(n.now, &n.st.Ledger, cands, n.now < n.safe) {
 		if b, err := json.Marshal(entry{ID: n.lots.Uint64(), Work: &e}); err == nil {
@@ -227,8 +227,8 @@
 
 // named tells a work's new owner at once, rather than with its next lease.
 func (n *Node) named(e *jobs.Entry) {
-	if w := n.st.Ledger.Works[e.Work]; n.leading && e.Op == jobs.Assign && w != nil && w.Owner == e.To && w.Instance == e.Instance {
-		n.send(Message{To: e.To, Kind: MsgWorks, Epoch: n.st.Epoch, Held: n.st.Held, Works: []jobs.Work{*w}})
+	if w := n.st.Ledger.Jobs[e.Job]; n.leading && e.Type == jobs.EntryAssign && w != nil && w.Holder == e.Holder && w.Incarnation == e.Incarnation {
+		n.send(Message{To: e.Holder, Kind: MsgWorks, Epoch: n.st.Epoch, Held: n.st.Held, Works: []jobs.Job{*w}})
 	}
 }
 
--- a/internal/cluster/fencing/golden_test.go
+++ b/internal/cluster/fencing/golden_test.go
@@ -160,12 +160,12 @@
 // What is sent to a db host, statement by statement: a fence row that is there, one that is not yet, one that holds a
 // higher token, and a transaction that is taken back.
 func TestGoldenStatements(t *testing.T) {
-	text := FenceTable + "\n"
+	text := CreateFenceTable + "\n"
 	primary := map[string][]reply{"SELECT pg_is_in_recovery()": {{rows: [][]byte{[]byte("f")}, tag: "SELECT 1"}}}
 	for _, c := range []struct {
 		name    string
 		replies map[string][]reply
-		bounds  Bounds
+		bounds  Timeouts
 		unsafe  string
 		do      error
 		want    error
@@ -173,18 +173,18 @@
 		{name: "row there", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 1"}}}},
 		{name: "row not there", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 0"}, {tag: "UPDATE 1"}}, "SELECT token": {{tag: "SELECT 0"}}, "INSERT": {{tag: "INSERT 0 1"}}}},
 		{name: "higher token", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 0"}}, "SELECT token": {{rows: [][]byte{[]byte("18")}, tag: "SELECT 1"}}},
-			want: &jobs.Fenced{Place: "h1", Given: 17, Holds: 18}},
+			want: &jobs.FencedError{Target: "h1", Presented: 17, Current: 18}},
 		{name: "bounds", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 1"}}},
-			bounds: Bounds{Lock: 1500 * time.Microsecond, Statement: 2 * time.Second, Idle: 3 * time.Second}},
+			bounds: Timeouts{Lock: 1500 * time.Microsecond, Statement: 2 * time.Second, IdleInTransaction: 3 * time.Second}},
 		{name: "without the fence", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 1"}}}, unsafe: "fence"},
 		{name: "taken back", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 1"}}}, do: &pgconn.PgError{Code: "23505"}, want: &pgconn.PgError{Code: "23505"}},
-		{name: "replica", replies: map[string][]reply{"SELECT pg_is_in_recovery()": {{rows: [][]byte{[]byte("t")}, tag: "SELECT 1"}}}, want: &NoPrimary{}},
+		{name: "replica", replies: map[string][]reply{"SELECT pg_is_in_recovery()": {{rows: [][]byte{[]byte("t")}, tag: "SELECT 1"}}}, want: &NoPrimaryError{}},
 	} {
 		r := &recorder{replies: maps.Clone(primary)}
 		maps.Copy(r.replies, c.replies)
 		address := r.listen(t)
-		client := &Client{User: "ashstand", Unsafe: c.unsafe, Hosts: func(uint64) []Host { return []Host{{Name: "h1", Address: address, Group: 3, Primary: true}} }}
-		err := client.ActWithin(t.Context(), c.bounds, 3, "orders", "d1", 17, "write", func(ctx context.Context, conn *pgconn.PgConn) error {
+		client := &Client{User: "ashstand", DisabledGuarantee: c.unsafe, Hosts: func(uint64) []Host { return []Host{{Name: "h1", Address: address, Group: 3, Primary: true}} }}
+		err := client.TransactWithin(t.Context(), c.bounds, 3, "orders", "d1", 17, "write", func(ctx context.Context, conn *pgconn.PgConn) error {
 			if c.do != nil {
 				return c.do
 			}
@@ -194,10 +194,10 @@
 		switch want := c.want.(type) {
 		case nil:
 			require.NoError(t, err, c.name)
-		case *NoPrimary:
-			var no *NoPrimary
+		case *NoPrimaryError:
+			var no *NoPrimaryError
 			require.True(t, errors.As(err, &no), c.name)
-			require.Equal(t, []string{"h1: it is a replica"}, no.Asked)
+			require.Equal(t, []string{"h1: it is a replica"}, no.Attempts)
 		default:
 			require.Equal(t, want, err, c.name)
 		}
@@ -214,19 +214,19 @@
 	require.NoError(t, err)
 	c.Database("orders")
 	client := &Client{User: "ashstand", Hosts: func(uint64) []Host { return []Host{{Name: "h1", Address: h.Address, Group: 1, Primary: true}} }}
-	conn, _, err := client.Primary(t.Context(), 1, "orders")
+	conn, _, err := client.ConnectPrimary(t.Context(), 1, "orders")
 	require.NoError(t, err)
 	defer Close(conn)
-	for _, sql := range []string{"CREATE SCHEMA IF NOT EXISTS ashstand", FenceTable} {
+	for _, sql := range []string{"CREATE SCHEMA IF NOT EXISTS ashstand", CreateFenceTable} {
 		_, _, err = Exec(t.Context(), conn, sql)
 		require.NoError(t, err)
 	}
 	var out bytes.Buffer
-	take := func(token jobs.Token) {
-		err := client.Act(t.Context(), 1, "orders", "d1", token, "write", func(context.Context, *pgconn.PgConn) error { return nil })
-		var fenced *jobs.Fenced
+	take := func(token jobs.FencingToken) {
+		err := client.Transact(t.Context(), 1, "orders", "d1", token, "write", func(context.Context, *pgconn.PgConn) error { return nil })
+		var fenced *jobs.FencedError
 		if errors.As(err, &fenced) {
-			fmt.Fprintf(&out, "token %d: fenced at %s by %d\n", fenced.Given, fenced.Place, fenced.Holds)
+			fmt.Fprintf(&out, "token %d: fenced at %s by %d\n", fenced.Presented, fenced.Target, fenced.Current)
 		} else {
 			require.NoError(t, err)
 			fmt.Fprintf(&out, "token %d: taken\n", token)
@@ -237,7 +237,7 @@
 			fmt.Fprintf(&out, "row %q\n", r)
 		}
 	}
-	for _, token := range []jobs.Token{3, 3, 7, 5} {
+	for _, token := range []jobs.FencingToken{3, 3, 7, 5} {
 		take(token)
 	}
 	requireGolden(t, "fence-row.txt", out.String())
--- a/internal/cluster/jobs/executor/doing.go
+++ b/internal/cluster/jobs/executor/doing.go
@@ -20,32 +20,32 @@
 // Log is the agreed one, as a pooler sees it.
 type Log interface {
 	// Works are those of the ledger as they are known here, and until when, by the clock, this pooler may act.
-	Works() (of map[string]jobs.Work, until float64)
+	Jobs() (of map[string]jobs.Job, until float64)
 	// Enter brings an entry in; a *owner.Refusal changed nothing, after any other error it may still come.
-	Enter(ctx context.Context, e jobs.Entry) error
+	Propose(ctx context.Context, e jobs.Entry) error
 	// Report is told to whoever names owners.
 	Report(jobs.Report)
 }
 
 // Options are what a doer needs. Times are in milliseconds.
 type Options struct {
-	Name     string
-	Instance uint64
-	Zone     string
-	Kinds    map[string]jobs.Kind
-	Log      Log
-	Clock    clock.Clock
-	Pace     float64                         // between two looks
-	Deed     float64                         // a deed that takes longer is in doubt, and looked for
-	Reach    func() (reach, near []uint64)   // groups whose primary answers; nil: none
-	Load     func() float64                  // nil: 0
-	Sound    func() bool                     // nil: yes
-	Deaf     bool                            // an act that has begun is not cut short by the end of the lease: for the laboratory, as if the process were stopped in it
-	Trace    func(event string, w jobs.Work) // for the laboratory; nil: nobody
+	Name            string
+	Incarnation     uint64
+	Zone            string
+	Handlers        map[string]jobs.Handler
+	Log             Log
+	Clock           clock.Clock
+	PollMillis      float64                        // between two looks
+	OperationMillis float64                        // a deed that takes longer is in doubt, and looked for
+	Reachable       func() (reach, near []uint64)  // groups whose primary answers; nil: none
+	Load            func() float64                 // nil: 0
+	Healthy         func() bool                    // nil: yes
+	IgnoreLeaseEnd  bool                           // an act that has begun is not cut short by the end of the lease: for the laboratory, as if the process were stopped in it
+	Trace           func(event string, w jobs.Job) // for the laboratory; nil: nobody
 }
 
-// Doer is running. Its methods are safe for concurrent use.
-type Doer struct {
+// Executor is running. Its methods are safe for concurrent use.
+type Executor struct {
 	o       Options
 	begun   float64
 	ctx     context.Context
@@ -60,26 +60,26 @@
 
 // at is a work that this process is at.
 type at struct {
-	token  jobs.Token
+	token  jobs.FencingToken
 	cancel context.CancelFunc
 	over   chan struct{}
-	wait   string        // what it waits for, for operators
-	says   []jobs.Option // the words that could be given
-	err    error         // of the last try; nil: it went well
-	seen   float64       // when a place answered last
+	wait   string                // what it waits for, for operators
+	says   []jobs.ApprovalOption // the words that could be given
+	err    error                 // of the last try; nil: it went well
+	seen   float64               // when a place answered last
 }
 
 // Start looks for works that this process owns, until Stop.
-func Start(o Options) *Doer {
-	d := &Doer{o: o, begun: o.Clock.Now(), at: map[string]*at{}, counts: map[string]uint64{}}
+func Start(o Options) *Executor {
+	d := &Executor{o: o, begun: o.Clock.Now(), at: map[string]*at{}, counts: map[string]uint64{}}
 	d.ctx, d.stop = context.WithCancel(context.Background())
 	d.done.Go(d.run)
 	return d
 }
 
-// Leave hands every work over: deeds under way are finished, no other begins, and works are given back. It returns once
+// Drain hands every work over: deeds under way are finished, no other begins, and works are given back. It returns once
 // that is done, or ctx ends: the leases see to the rest.
-func (d *Doer) Leave(ctx context.Context) {
+func (d *Executor) Drain(ctx context.Context) {
 	d.leaving.Store(true)
 	for {
 		d.mu.Lock()
@@ -101,13 +101,13 @@
 }
 
 // Stop ends at once what is under way.
-func (d *Doer) Stop() {
+func (d *Executor) Stop() {
 	d.stop()
 	d.done.Wait()
 }
 
-func (d *Doer) run() {
-	every := time.NewTicker(clock.Duration(max(1, d.o.Pace/4)))
+func (d *Executor) run() {
+	every := time.NewTicker(clock.Duration(max(1, d.o.PollMillis/4)))
 	defer every.Stop()
 	for {
 		d.turn()
@@ -131,13 +131,13 @@
 }
 
 // mine says whether a work is this process's, under a token.
-func (d *Doer) mine(w jobs.Work) bool {
-	return !w.Ended && w.Owner == d.o.Name && w.Instance == d.o.Instance
+func (d *Executor) mine(w jobs.Job) bool {
+	return !w.Finished && w.Holder == d.o.Name && w.Incarnation == d.o.Incarnation
 }
 
 // turn begins with works that have come, and leaves those that have gone or whose lease has run out.
-func (d *Doer) turn() {
-	works, until := d.o.Log.Works()
+func (d *Executor) turn() {
+	works, until := d.o.Log.Jobs()
 	now := d.o.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -156,7 +156,7 @@
 		return
 	}
 	for name, w := range works {
-		k := d.o.Kinds[w.Kind]
+		k := d.o.Handlers[w.Kind]
 		if k == nil || !d.mine(w) || d.at[name] != nil {
 			continue
 		}
@@ -173,14 +173,14 @@
 }
 
 // tell says what this pooler is, for whoever names owners.
-func (d *Doer) tell() {
+func (d *Executor) tell() {
 	o := &d.o
-	r := jobs.Report{Kinds: slices.Sorted(maps.Keys(o.Kinds)), Willing: !d.leaving.Load(), Sound: o.Sound == nil || o.Sound(), Zone: o.Zone, Up: o.Clock.Now() - d.begun}
+	r := jobs.Report{Kinds: slices.Sorted(maps.Keys(o.Handlers)), AcceptsJobs: !d.leaving.Load(), Healthy: o.Healthy == nil || o.Healthy(), Zone: o.Zone, UptimeMillis: o.Clock.Now() - d.begun}
 	if o.Load != nil {
 		r.Load = o.Load()
 	}
-	if o.Reach != nil {
-		r.Reach, r.Near = o.Reach()
+	if o.Reachable != nil {
+		r.ReachableGroups, r.LocalGroups = o.Reachable()
 	}
 	d.mu.Lock()
 	r.Progress = maps.Clone(d.counts)
@@ -189,14 +189,14 @@
 }
 
 // answered counts that a place answered.
-func (d *Doer) answered(name string, a *at, err error) {
+func (d *Executor) answered(name string, a *at, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if a.err = err; err == nil {
 		d.counts[name]++
 		a.seen = d.o.Clock.Now()
 	}
-	works, _ := d.o.Log.Works()
+	works, _ := d.o.Log.Jobs()
 	for n := range d.counts { // of works that are somebody else's by now
 		if w, ok := works[n]; !ok || !d.mine(w) {
 			delete(d.counts, n)
@@ -204,44 +204,44 @@
 	}
 }
 
-func (d *Doer) trace(event string, w jobs.Work) {
+func (d *Executor) trace(event string, w jobs.Job) {
 	if d.o.Trace != nil {
 		d.o.Trace(event, w)
 	}
 }
 
 // enter brings an entry in within the time of a deed.
-func (d *Doer) enter(ctx context.Context, e jobs.Entry) error {
-	ctx, cancel := context.WithTimeout(ctx, clock.Duration(d.o.Deed))
+func (d *Executor) enter(ctx context.Context, e jobs.Entry) error {
+	ctx, cancel := context.WithTimeout(ctx, clock.Duration(d.o.OperationMillis))
 	defer cancel()
-	return d.o.Log.Enter(ctx, e)
+	return d.o.Log.Propose(ctx, e)
 }
 
 // known waits until the copy of a work has got to a step beyond what was there, or ctx ends: what an entry came to may be
 // known to its answer before the copy has it.
-func (d *Doer) known(ctx context.Context, name string, past func(jobs.Work) bool) {
-	for end := d.o.Clock.Now() + 2*d.o.Deed; ctx.Err() == nil && d.o.Clock.Now() < end; {
-		works, _ := d.o.Log.Works()
+func (d *Executor) known(ctx context.Context, name string, past func(jobs.Job) bool) {
+	for end := d.o.Clock.Now() + 2*d.o.OperationMillis; ctx.Err() == nil && d.o.Clock.Now() < end; {
+		works, _ := d.o.Log.Jobs()
 		if w, ok := works[name]; !ok || past(w) {
 			return
 		}
-		sleep(ctx, min(d.o.Pace, 2))
+		sleep(ctx, min(d.o.PollMillis, 2))
 	}
 }
 
 // serve does one work, until it is another's or the lease ends.
-func (d *Doer) serve(ctx context.Context, name string, a *at, k jobs.Kind) {
+func (d *Executor) serve(ctx context.Context, name string, a *at, k jobs.Handler) {
 	slog.Info("cluster: this pooler owns the work "+name, "token", a.token)
 	defer func() { slog.Info("cluster: this pooler lets go of the work "+name, "token", a.token) }()
 	var seen any
 	failures := 0
 	for ctx.Err() == nil {
-		works, _ := d.o.Log.Works()
+		works, _ := d.o.Log.Jobs()
 		w, ok := works[name]
 		if !ok || !d.mine(w) || w.Token != a.token {
 			return
 		}
-		if w.Deed != nil { // announced before, by this owner or another: whether it was done is not known
+		if w.Operation != nil { // announced before, by this owner or another: whether it was done is not known
 			err := d.settle(ctx, &w, a, k)
 			d.answered(name, a, err)
 			if err != nil {
@@ -253,8 +253,8 @@
 			continue
 		}
 		if d.leaving.Load() {
-			err := d.enter(ctx, jobs.Entry{Op: jobs.Resign, Work: name, Token: a.token})
-			var f *jobs.Refusal
+			err := d.enter(ctx, jobs.Entry{Type: jobs.EntryRelease, Job: name, Token: a.token})
+			var f *jobs.RejectedError
 			if err == nil || errors.As(err, &f) {
 				return
 			}
@@ -263,11 +263,11 @@
 		}
 		step := k.Next(d.o.Clock.Now(), &w, seen)
 		d.mu.Lock()
-		a.wait, a.says = step.Why, step.Says
+		a.wait, a.says = step.Reason, step.Options
 		d.mu.Unlock()
-		if step.Deed == "" {
-			watching, cancel := context.WithTimeout(ctx, clock.Duration(d.o.Deed))
-			got, err := k.Watch(watching, &w)
+		if step.OperationName == "" {
+			watching, cancel := context.WithTimeout(ctx, clock.Duration(d.o.OperationMillis))
+			got, err := k.Observe(watching, &w)
 			cancel()
 			if d.answered(name, a, err); err != nil {
 				failures++
@@ -275,12 +275,12 @@
 				continue
 			}
 			failures, seen = 0, got
-			if next := k.Next(d.o.Clock.Now(), &w, seen); next.Deed == "" {
-				wait := d.o.Pace
-				if next.Wait > 0 {
-					wait = next.Wait
+			if next := k.Next(d.o.Clock.Now(), &w, seen); next.OperationName == "" {
+				wait := d.o.PollMillis
+				if next.RetryAfterMillis > 0 {
+					wait = next.RetryAfterMillis
 				}
-				d.rest(ctx, name, w.Changed, wait)
+				d.rest(ctx, name, w.Revision, wait)
 			}
 			continue
 		}
@@ -296,28 +296,28 @@
 }
 
 // act announces a deed, does it, and proves it. An error leaves the deed to settle, if it was announced.
-func (d *Doer) act(ctx context.Context, w *jobs.Work, step jobs.Step, a *at, k jobs.Kind) error {
-	deed := jobs.Deed{Number: w.Next(), Name: step.Deed, Data: step.Data}
-	err := d.enter(ctx, jobs.Entry{Op: jobs.Announce, Work: w.Name, Token: a.token, Step: w.Step, Deed: &deed, Word: step.Took})
+func (d *Executor) act(ctx context.Context, w *jobs.Job, step jobs.Decision, a *at, k jobs.Handler) error {
+	deed := jobs.Operation{Number: w.NextOperationNumber(), Name: step.OperationName, Data: step.Data}
+	err := d.enter(ctx, jobs.Entry{Type: jobs.EntryAnnounce, Job: w.Name, Token: a.token, Step: w.Step, Operation: &deed, Approval: step.Approval})
 	if err != nil { // unless it was refused it may yet come into the log, and is settled then
-		d.known(ctx, w.Name, func(now jobs.Work) bool { return now.Changed > w.Changed })
+		d.known(ctx, w.Name, func(now jobs.Job) bool { return now.Revision > w.Revision })
 		return err
 	}
 	deed.Token = a.token
 	announced := *w
-	announced.Deed = &deed
+	announced.Operation = &deed
 	d.trace("announced "+deed.ID(w.Name), announced)
 	act := ctx
-	if d.o.Deaf {
+	if d.o.IgnoreLeaseEnd {
 		act = context.WithoutCancel(ctx)
 	}
-	doing, cancel := context.WithTimeout(act, clock.Duration(d.o.Deed))
-	p, err := k.Do(doing, &announced, &deed)
+	doing, cancel := context.WithTimeout(act, clock.Duration(d.o.OperationMillis))
+	p, err := k.Execute(doing, &announced, &deed)
 	cancel()
 	if err != nil {
 		d.trace("failed "+deed.ID(w.Name)+": "+err.Error(), announced)
 		d.raise(ctx, w, err)
-		d.known(ctx, w.Name, func(now jobs.Work) bool { return now.Deed != nil || now.Step > w.Step })
+		d.known(ctx, w.Name, func(now jobs.Job) bool { return now.Operation != nil || now.Step > w.Step })
 		return err
 	}
 	d.trace("acted "+deed.ID(w.Name), announced)
@@ -325,57 +325,57 @@
 }
 
 // settle finds out whether a deed was done.
-func (d *Doer) settle(ctx context.Context, w *jobs.Work, a *at, k jobs.Kind) error {
-	looking, cancel := context.WithTimeout(ctx, clock.Duration(d.o.Deed))
-	done, p, err := k.Look(looking, w, w.Deed)
+func (d *Executor) settle(ctx context.Context, w *jobs.Job, a *at, k jobs.Handler) error {
+	looking, cancel := context.WithTimeout(ctx, clock.Duration(d.o.OperationMillis))
+	done, p, err := k.Recover(looking, w, w.Operation)
 	cancel()
 	if err != nil {
 		d.raise(ctx, w, err)
 		return err
 	}
 	if done {
-		d.trace("found done "+w.Deed.ID(w.Name), *w)
-		return d.prove(ctx, w, w.Deed, a, p)
+		d.trace("found done "+w.Operation.ID(w.Name), *w)
+		return d.prove(ctx, w, w.Operation, a, p)
 	}
-	d.trace("found not done "+w.Deed.ID(w.Name), *w)
-	err = d.enter(ctx, jobs.Entry{Op: jobs.Void, Work: w.Name, Token: a.token, Deed: &jobs.Deed{Number: w.Deed.Number, Name: w.Deed.Name}})
-	d.known(ctx, w.Name, func(now jobs.Work) bool { return now.Deed == nil || now.Deed.Number != w.Deed.Number })
+	d.trace("found not done "+w.Operation.ID(w.Name), *w)
+	err = d.enter(ctx, jobs.Entry{Type: jobs.EntryAbort, Job: w.Name, Token: a.token, Operation: &jobs.Operation{Number: w.Operation.Number, Name: w.Operation.Name}})
+	d.known(ctx, w.Name, func(now jobs.Job) bool { return now.Operation == nil || now.Operation.Number != w.Operation.Number })
 	return err
 }
 
 // prove says in the log that a deed is done.
-func (d *Doer) prove(ctx context.Context, w *jobs.Work, deed *jobs.Deed, a *at, p jobs.Proof) error {
-	err := d.enter(ctx, jobs.Entry{Op: jobs.Prove, Work: w.Name, Token: a.token, Deed: &jobs.Deed{Number: deed.Number, Name: deed.Name}, State: p.State,
-		Ended: p.Ended, Why: p.Why})
+func (d *Executor) prove(ctx context.Context, w *jobs.Job, deed *jobs.Operation, a *at, p jobs.Result) error {
+	err := d.enter(ctx, jobs.Entry{Type: jobs.EntryConfirm, Job: w.Name, Token: a.token, Operation: &jobs.Operation{Number: deed.Number, Name: deed.Name}, State: p.State,
+		Finished: p.Finished, Reason: p.Reason})
 	if err == nil {
 		d.trace("proved "+deed.ID(w.Name), *w)
 	}
-	d.known(ctx, w.Name, func(now jobs.Work) bool { return now.Step > w.Step || now.Ended })
+	d.known(ctx, w.Name, func(now jobs.Job) bool { return now.Step > w.Step || now.Finished })
 	return err
 }
 
 // raise tells the log of a higher token that a place has seen.
-func (d *Doer) raise(ctx context.Context, w *jobs.Work, err error) {
-	var f *jobs.Fenced
-	if errors.As(err, &f) && f.Holds > w.Token {
-		d.trace("fenced at "+f.Place, *w)
-		_ = d.enter(ctx, jobs.Entry{Op: jobs.Raise, Work: w.Name, Token: f.Holds})
+func (d *Executor) raise(ctx context.Context, w *jobs.Job, err error) {
+	var f *jobs.FencedError
+	if errors.As(err, &f) && f.Current > w.Token {
+		d.trace("fenced at "+f.Target, *w)
+		_ = d.enter(ctx, jobs.Entry{Type: jobs.EntryRaiseToken, Job: w.Name, Token: f.Current})
 	}
 }
 
 // pause waits before the next try, longer at each further failure.
-func (d *Doer) pause(ctx context.Context, failures int) {
-	sleep(ctx, d.o.Pace*float64(int(1)<<min(failures-1, 4)))
+func (d *Executor) pause(ctx context.Context, failures int) {
+	sleep(ctx, d.o.PollMillis*float64(int(1)<<min(failures-1, 4)))
 }
 
 // rest waits, but no longer than until something changes.
-func (d *Doer) rest(ctx context.Context, name string, changed uint64, wait float64) {
+func (d *Executor) rest(ctx context.Context, name string, changed uint64, wait float64) {
 	for end := d.o.Clock.Now() + wait; ctx.Err() == nil && !d.leaving.Load() && d.o.Clock.Now() < end; {
-		works, _ := d.o.Log.Works()
-		if w, ok := works[name]; !ok || w.Changed != changed {
+		works, _ := d.o.Log.Jobs()
+		if w, ok := works[name]; !ok || w.Revision != changed {
 			return
 		}
-		sleep(ctx, min(wait, max(2, d.o.Pace/4)))
+		sleep(ctx, min(wait, max(2, d.o.PollMillis/4)))
 	}
 }
 
@@ -388,27 +388,27 @@
 	}
 }
 
-// View is what operators see of a work that this process is at.
-type View struct {
-	Wait string        `json:"waits_for,omitempty"`
-	Says []jobs.Option `json:"words,omitempty"`
-	Err  string        `json:"error,omitempty"`
-	Code string        `json:"code,omitempty"`
-	Do   string        `json:"advice,omitempty"`
-	Seen float64       `json:"answered_at_ms,omitempty"`
+// Status is what operators see of a work that this process is at.
+type Status struct {
+	WaitingFor         string                `json:"waits_for,omitempty"`
+	Options            []jobs.ApprovalOption `json:"words,omitempty"`
+	Message            string                `json:"error,omitempty"`
+	Code               string                `json:"code,omitempty"`
+	Advice             string                `json:"advice,omitempty"`
+	LastResponseMillis float64               `json:"answered_at_ms,omitempty"`
 }
 
-// Views are of all that this process is at, by name.
-func (d *Doer) Views() map[string]View {
+// Statuses are of all that this process is at, by name.
+func (d *Executor) Statuses() map[string]Status {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := map[string]View{}
+	out := map[string]Status{}
 	for name, a := range d.at {
-		v := View{Wait: a.wait, Says: a.says, Seen: a.seen}
+		v := Status{WaitingFor: a.wait, Options: a.says, LastResponseMillis: a.seen}
 		if a.err != nil {
-			v.Err = a.err.Error()
+			v.Message = a.err.Error()
 			if known := remedy.Of(a.err); known != nil {
-				v.Code, v.Do = known.Code(), known.Advice()
+				v.Code, v.Advice = known.Code(), known.Advice()
 			}
 		}
 		out[name] = v
--- a/internal/cluster/jobs/executor/doing_test.go
+++ b/internal/cluster/jobs/executor/doing_test.go
@@ -19,12 +19,12 @@
 // world is a log that answers at once, and one place with a fence.
 type world struct {
 	mu     sync.Mutex
-	ledger jobs.Ledger
+	ledger jobs.StateMachine
 	until  map[string]float64 // of leases
-	fence  jobs.Token
+	fence  jobs.FencingToken
 	rows   []string // deeds that the place has taken
 	late   int
-	frozen map[string]map[string]jobs.Work // what a process that sleeps knows
+	frozen map[string]map[string]jobs.Job // what a process that sleeps knows
 }
 
 func (w *world) enter(e jobs.Entry) error {
@@ -36,10 +36,10 @@
 	return nil
 }
 
-func (w *world) work() jobs.Work {
+func (w *world) work() jobs.Job {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return *w.ledger.Works["w"]
+	return *w.ledger.Jobs["w"]
 }
 
 // log is a process's view of it.
@@ -48,42 +48,44 @@
 	name string
 }
 
-func (l log) Works() (map[string]jobs.Work, float64) {
+func (l log) Jobs() (map[string]jobs.Job, float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if f := l.frozen[l.name]; f != nil {
 		return f, l.until[l.name]
 	}
-	out := map[string]jobs.Work{}
-	for n, w := range l.ledger.Works {
+	out := map[string]jobs.Job{}
+	for n, w := range l.ledger.Jobs {
 		out[n] = *w
 	}
 	return out, l.until[l.name]
 }
 
-func (l log) Enter(_ context.Context, e jobs.Entry) error { return l.enter(e) }
-func (l log) Report(jobs.Report)                          {}
+func (l log) Propose(_ context.Context, e jobs.Entry) error { return l.enter(e) }
+func (l log) Report(jobs.Report)                            {}
 
 // count writes rows until there are as many as its spec says.
 type count struct {
 	*world
-	hold  func(d *jobs.Deed)       // before the act
-	after func(d *jobs.Deed) error // after it, before its answer
+	hold  func(d *jobs.Operation)       // before the act
+	after func(d *jobs.Operation) error // after it, before its answer
 }
 
-func (c *count) Next(_ float64, w *jobs.Work, _ any) jobs.Step { return jobs.Step{Deed: "row"} }
+func (c *count) Next(_ float64, w *jobs.Job, _ any) jobs.Decision {
+	return jobs.Decision{OperationName: "row"}
+}
 
-func (c *count) Watch(context.Context, *jobs.Work) (any, error) { return nil, nil }
+func (c *count) Observe(context.Context, *jobs.Job) (any, error) { return nil, nil }
 
-func (c *count) take(t jobs.Token) error {
+func (c *count) take(t jobs.FencingToken) error {
 	if c.fence > t {
-		return &jobs.Fenced{Place: "p", Given: t, Holds: c.fence}
+		return &jobs.FencedError{Target: "p", Presented: t, Current: c.fence}
 	}
 	c.fence = t
 	return nil
 }
 
-func (c *count) Do(_ context.Context, w *jobs.Work, d *jobs.Deed) (jobs.Proof, error) {
+func (c *count) Execute(_ context.Context, w *jobs.Job, d *jobs.Operation) (jobs.Result, error) {
 	if c.hold != nil {
 		c.hold(d)
 	}
@@ -91,55 +93,55 @@
 	if err := c.take(w.Token); err != nil {
 		c.late++
 		c.mu.Unlock()
-		return jobs.Proof{}, err
+		return jobs.Result{}, err
 	}
 	c.rows = append(c.rows, d.ID(w.Name))
 	c.mu.Unlock()
 	if c.after != nil {
 		if err := c.after(d); err != nil {
-			return jobs.Proof{}, err
+			return jobs.Result{}, err
 		}
 	}
 	return proof(w), nil
 }
 
-func proof(w *jobs.Work) jobs.Proof {
+func proof(w *jobs.Job) jobs.Result {
 	var want, is int
 	_ = json.Unmarshal(w.Spec, &want)
 	_ = json.Unmarshal(w.State, &is)
-	return jobs.Proof{State: []byte(fmt.Sprint(is + 1)), Ended: is+1 >= want}
+	return jobs.Result{State: []byte(fmt.Sprint(is + 1)), Finished: is+1 >= want}
 }
 
-func (c *count) Look(_ context.Context, w *jobs.Work, d *jobs.Deed) (bool, jobs.Proof, error) {
+func (c *count) Recover(_ context.Context, w *jobs.Job, d *jobs.Operation) (bool, jobs.Result, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err := c.take(w.Token); err != nil {
-		return false, jobs.Proof{}, err
+		return false, jobs.Result{}, err
 	}
 	for _, r := range c.rows {
 		if r == d.ID(w.Name) {
 			return true, proof(w), nil
 		}
 	}
-	return false, jobs.Proof{}, nil
+	return false, jobs.Result{}, nil
 }
 
-func begin(t *testing.T, w *world, name string, instance uint64, k jobs.Kind) *Doer {
+func begin(t *testing.T, w *world, name string, instance uint64, k jobs.Handler) *Executor {
 	w.until[name] = 1e18
-	d := Start(Options{Name: name, Instance: instance, Kinds: map[string]jobs.Kind{"k": k}, Log: log{w, name}, Clock: clock.System(), Pace: 4, Deed: 2000})
+	d := Start(Options{Name: name, Incarnation: instance, Handlers: map[string]jobs.Handler{"k": k}, Log: log{w, name}, Clock: clock.System(), PollMillis: 4, OperationMillis: 2000})
 	t.Cleanup(d.Stop)
 	return d
 }
 
 func newWorld(t *testing.T, rows int) *world {
-	w := &world{until: map[string]float64{}, frozen: map[string]map[string]jobs.Work{}}
-	require.NoError(t, w.enter(jobs.Entry{Op: jobs.Create, Work: "w", Kind: "k", Spec: []byte(fmt.Sprint(rows))}))
-	require.NoError(t, w.enter(jobs.Entry{Op: jobs.Assign, Work: "w", To: "a", Instance: 1}))
+	w := &world{until: map[string]float64{}, frozen: map[string]map[string]jobs.Job{}}
+	require.NoError(t, w.enter(jobs.Entry{Type: jobs.EntryCreate, Job: "w", JobKind: "k", Spec: []byte(fmt.Sprint(rows))}))
+	require.NoError(t, w.enter(jobs.Entry{Type: jobs.EntryAssign, Job: "w", Holder: "a", Incarnation: 1}))
 	return w
 }
 
 func ends(t *testing.T, w *world, rows int) {
-	require.Eventually(t, func() bool { return w.work().Ended }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return w.work().Finished }, 10*time.Second, time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	require.Len(t, w.rows, rows)
@@ -150,12 +152,12 @@
 	}
 }
 
-func TestDeedsInDoubtAreLookedFor(t *testing.T) {
+func TestOperationsInDoubtAreRecovered(t *testing.T) {
 	// Every third answer is lost after the act, every fifth deed never gets there: each row is there once.
 	w := newWorld(t, 40)
 	n := 0
 	k := &count{world: w}
-	k.after = func(*jobs.Deed) error {
+	k.after = func(*jobs.Operation) error {
 		if n++; n%3 == 0 {
 			return errors.New("the link broke")
 		}
@@ -163,14 +165,14 @@
 	}
 	begin(t, w, "a", 1, k)
 	ends(t, w, 40)
-	require.Zero(t, w.work().Voided)
+	require.Zero(t, w.work().AbortedOperations)
 }
 
 // The owner stops before its act, for longer than its lease; another settles the deed, and goes on. The first wakes and acts.
-func TestAnOwnerThatWakesInTheMiddleOfADeed(t *testing.T) {
+func TestHolderPausedDuringOperation(t *testing.T) {
 	w := newWorld(t, 20)
 	asleep, wake := make(chan struct{}), make(chan struct{})
-	k := &count{world: w, hold: func(d *jobs.Deed) {
+	k := &count{world: w, hold: func(d *jobs.Operation) {
 		if d.Number == 5 {
 			close(asleep)
 			<-wake
@@ -179,20 +181,20 @@
 	begin(t, w, "a", 1, k)
 	<-asleep
 	log := log{w, "a"}
-	was, _ := log.Works()
+	was, _ := log.Jobs()
 	w.mu.Lock()
 	w.frozen["a"] = maps.Clone(was)
 	w.mu.Unlock()
-	require.NoError(t, w.enter(jobs.Entry{Op: jobs.Assign, Work: "w", Token: 1, To: "b", Instance: 2}))
+	require.NoError(t, w.enter(jobs.Entry{Type: jobs.EntryAssign, Job: "w", Token: 1, Holder: "b", Incarnation: 2}))
 	begin(t, w, "b", 2, &count{world: w})
 	require.Eventually(t, func() bool { return w.work().Step > 10 }, 10*time.Second, time.Millisecond)
 	close(wake)
 	ends(t, w, 20)
 	require.Eventually(t, func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.late == 1 }, 5*time.Second, time.Millisecond, "the place refused it")
-	require.Equal(t, 1, w.work().Voided)
+	require.Equal(t, 1, w.work().AbortedOperations)
 }
 
-func TestWithoutALeaseNothingIsBegun(t *testing.T) {
+func TestNothingStartsWithoutLease(t *testing.T) {
 	w := newWorld(t, 1000)
 	begin(t, w, "a", 1, &count{world: w})
 	require.Eventually(t, func() bool { return w.work().Step > 3 }, 10*time.Second, time.Millisecond)
@@ -212,25 +214,25 @@
 	require.Eventually(t, func() bool { return w.work().Step > at }, 5*time.Second, time.Millisecond)
 }
 
-func TestLeavingHandsOver(t *testing.T) {
+func TestDrainReleasesJobs(t *testing.T) {
 	w := newWorld(t, 1000)
 	d := begin(t, w, "a", 1, &count{world: w})
 	require.Eventually(t, func() bool { return w.work().Step > 3 }, 10*time.Second, time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	d.Leave(ctx)
+	d.Drain(ctx)
 	got := w.work()
-	require.Empty(t, got.Owner)
-	require.Nil(t, got.Deed, "what was under way was finished")
+	require.Empty(t, got.Holder)
+	require.Nil(t, got.Operation, "what was under way was finished")
 }
 
 // A place has seen a higher token than the log: the owner says so, and the work is given out above it.
-func TestAPlaceThatKnowsMoreThanTheLog(t *testing.T) {
+func TestHostHasSeenHigherToken(t *testing.T) {
 	w := newWorld(t, 3)
 	w.fence = 50
 	begin(t, w, "a", 1, &count{world: w})
-	require.Eventually(t, func() bool { return w.work().Owner == "" }, 5*time.Second, time.Millisecond)
-	require.NoError(t, w.enter(jobs.Entry{Op: jobs.Assign, Work: "w", Token: 1, To: "a", Instance: 1}))
+	require.Eventually(t, func() bool { return w.work().Holder == "" }, 5*time.Second, time.Millisecond)
+	require.NoError(t, w.enter(jobs.Entry{Type: jobs.EntryAssign, Job: "w", Token: 1, Holder: "a", Incarnation: 1}))
 	ends(t, w, 3)
-	require.Equal(t, jobs.Token(51), w.work().Token)
+	require.Equal(t, jobs.FencingToken(51), w.work().Token)
 }
--- a/internal/cluster/jobs/golden_test.go
+++ b/internal/cluster/jobs/golden_test.go
@@ -16,42 +16,42 @@
 // goldenValues has one value of each kind that is stored in the agreed log or sent between processes, with every field set.
 // The name is that of the golden file.
 func goldenValues() map[string]any {
-	word := Word{Say: "rollback", By: "ann", Step: 3, Lasting: true}
-	deed := Deed{Number: 6, Name: "switch", Token: 17, Data: json.RawMessage(`{"rows":12,"until":"b <&> c"}`), Word: &word}
-	other := Word{Say: "go", By: "ben", Step: 4, Lasting: true}
-	open := Work{Name: "orders-to-2", Kind: "move", Spec: json.RawMessage(`{"tenant":"orders","from":1,"to":2}`), Needs: []uint64{1, 2}, Owner: "n1",
-		Instance: 9007199254740993, Token: 17, Step: 4, State: json.RawMessage(`{"phase":"copying"}`), Deed: &deed, Word: &other, Owners: 5, Voided: 2,
-		Changed: 41}
-	ended := Work{Name: "d1", Kind: "drill", Spec: json.RawMessage(`{"database":"works"}`), Needs: []uint64{3}, Instance: 8, Token: 12, Step: 20,
-		State: json.RawMessage(`{"done":20}`), Owners: 1, Voided: 1, Ended: true, Why: "all deeds are done", Changed: 40}
+	word := Approval{Action: "rollback", By: "ann", Step: 3, Persistent: true}
+	deed := Operation{Number: 6, Name: "switch", Token: 17, Data: json.RawMessage(`{"rows":12,"until":"b <&> c"}`), Approval: &word}
+	other := Approval{Action: "go", By: "ben", Step: 4, Persistent: true}
+	open := Job{Name: "orders-to-2", Kind: "move", Spec: json.RawMessage(`{"tenant":"orders","from":1,"to":2}`), RequiredGroups: []uint64{1, 2}, Holder: "n1",
+		Incarnation: 9007199254740993, Token: 17, Step: 4, State: json.RawMessage(`{"phase":"copying"}`), Operation: &deed, Approval: &other, HolderCount: 5, AbortedOperations: 2,
+		Revision: 41}
+	ended := Job{Name: "d1", Kind: "drill", Spec: json.RawMessage(`{"database":"works"}`), RequiredGroups: []uint64{3}, Incarnation: 8, Token: 12, Step: 20,
+		State: json.RawMessage(`{"done":20}`), HolderCount: 1, AbortedOperations: 1, Finished: true, Reason: "all deeds are done", Revision: 40}
 	all := ended // which no work ever is: for the sake of every key
-	all.Owner, all.Deed, all.Word = "n2", &deed, &other
-	entry := Entry{Work: "orders-to-2", Token: 17, To: "n2", Instance: 9007199254740995, Kind: "move", Spec: json.RawMessage(`{"tenant":"orders"}`),
-		Needs: []uint64{1, 2}, Step: 4, Deed: &deed, State: json.RawMessage(`{"phase":"done"}`), Word: &word, Ended: true, Why: "accepted"}
+	all.Holder, all.Operation, all.Approval = "n2", &deed, &other
+	entry := Entry{Job: "orders-to-2", Token: 17, Holder: "n2", Incarnation: 9007199254740995, JobKind: "move", Spec: json.RawMessage(`{"tenant":"orders"}`),
+		RequiredGroups: []uint64{1, 2}, Step: 4, Operation: &deed, State: json.RawMessage(`{"phase":"done"}`), Approval: &word, Finished: true, Reason: "accepted"}
 	full := entry
-	full.Op = Create
+	full.Type = EntryCreate
 	return map[string]any{
-		"state":      Ledger{High: 17, Works: map[string]*Work{"orders-to-2": &open, "d1": &ended}, Count: 41, Loose: true},
+		"state":      StateMachine{HighestToken: 17, Jobs: map[string]*Job{"orders-to-2": &open, "d1": &ended}, Revision: 41, ReuseTokens: true},
 		"job":        all,
 		"operation":  deed,
 		"approval":   word,
-		"option":     Option{Say: "rollback", Does: "the old one opens", Lasting: true},
-		"token":      Token(1<<63 + 1),
+		"option":     ApprovalOption{Action: "rollback", Effect: "the old one opens", Persistent: true},
+		"token":      FencingToken(1<<63 + 1),
 		"entry-full": full,
-		"entry-create": Entry{Op: Create, Work: "d1", Kind: "drill", Spec: json.RawMessage(`{"database":"works"}`), Needs: []uint64{3},
+		"entry-create": Entry{Type: EntryCreate, Job: "d1", JobKind: "drill", Spec: json.RawMessage(`{"database":"works"}`), RequiredGroups: []uint64{3},
 			State: json.RawMessage(`{"done":0}`)},
-		"entry-assign":       Entry{Op: Assign, Work: "d1", Token: 12, To: "n1", Instance: 8},
-		"entry-release":      Entry{Op: Resign, Work: "d1", Token: 12},
-		"entry-announce":     Entry{Op: Announce, Work: "d1", Token: 12, Step: 3, Deed: &Deed{Number: 5, Name: "write", Data: json.RawMessage(`{"n":1}`)}, Word: &word},
-		"entry-confirm":      Entry{Op: Prove, Work: "d1", Token: 12, Deed: &Deed{Number: 5, Name: "write"}, State: json.RawMessage(`{"done":4}`), Ended: true, Why: "stopped"},
-		"entry-abort":        Entry{Op: Void, Work: "d1", Token: 12, Deed: &Deed{Number: 5, Name: "write"}},
-		"entry-approve":      Entry{Op: Say, Work: "d1", Word: &word},
-		"entry-raise-token":  Entry{Op: Raise, Work: "d1", Token: 70},
-		"entry-authorize":    Entry{Op: Act, Work: "d1", Token: 12, Deed: &Deed{Number: 5, Name: "switch"}},
-		"rejection":          Refusal{Reason: WordThere, Work: "d1", Given: 3, Holds: 4, Detail: "go by ben"},
-		"rejection-by-token": refuse(TokenOld, "d1", 3, 4),
-		"report": Report{Kinds: []string{"drill", "move"}, Willing: true, Sound: true, Zone: "z1", Up: 1234.5, Load: 0.25, Reach: []uint64{1, 2}, Near: []uint64{2},
-			Progress: map[string]uint64{"d1": 7, "d2": 8}, Seen: 17},
+		"entry-assign":       Entry{Type: EntryAssign, Job: "d1", Token: 12, Holder: "n1", Incarnation: 8},
+		"entry-release":      Entry{Type: EntryRelease, Job: "d1", Token: 12},
+		"entry-announce":     Entry{Type: EntryAnnounce, Job: "d1", Token: 12, Step: 3, Operation: &Operation{Number: 5, Name: "write", Data: json.RawMessage(`{"n":1}`)}, Approval: &word},
+		"entry-confirm":      Entry{Type: EntryConfirm, Job: "d1", Token: 12, Operation: &Operation{Number: 5, Name: "write"}, State: json.RawMessage(`{"done":4}`), Finished: true, Reason: "stopped"},
+		"entry-abort":        Entry{Type: EntryAbort, Job: "d1", Token: 12, Operation: &Operation{Number: 5, Name: "write"}},
+		"entry-approve":      Entry{Type: EntryApprove, Job: "d1", Approval: &word},
+		"entry-raise-token":  Entry{Type: EntryRaiseToken, Job: "d1", Token: 70},
+		"entry-authorize":    Entry{Type: EntryAuthorize, Job: "d1", Token: 12, Operation: &Operation{Number: 5, Name: "switch"}},
+		"rejection":          RejectedError{Reason: RejectAlreadyApproved, Job: "d1", Presented: 3, Current: 4, Detail: "go by ben"},
+		"rejection-by-token": reject(RejectStaleToken, "d1", 3, 4),
+		"report": Report{Kinds: []string{"drill", "move"}, AcceptsJobs: true, Healthy: true, Zone: "z1", UptimeMillis: 1234.5, Load: 0.25, ReachableGroups: []uint64{1, 2}, LocalGroups: []uint64{2},
+			Progress: map[string]uint64{"d1": 7, "d2": 8}, HighestToken: 17},
 	}
 }
 
@@ -93,42 +93,42 @@
 // The words by which entries and rejections are told apart in the log and in messages.
 func TestGoldenCodes(t *testing.T) {
 	var got []byte
-	for _, op := range []Op{Create, Assign, Resign, Announce, Prove, Void, Say, Raise, Act} {
+	for _, op := range []EntryType{EntryCreate, EntryAssign, EntryRelease, EntryAnnounce, EntryConfirm, EntryAbort, EntryApprove, EntryRaiseToken, EntryAuthorize} {
 		got = append(got, "entry "+string(op)+"\n"...)
 	}
-	for _, c := range []Code{TokenOld, NotOwner, NoWork, Exists, DeedOpen, NoDeed, StepPassed, WordThere, HasEnded, TooMuch, Malformed} {
+	for _, c := range []RejectCode{RejectStaleToken, RejectNotHolder, RejectUnknownJob, RejectJobExists, RejectOperationOpen, RejectOperationNotOpen, RejectWrongStep, RejectAlreadyApproved, RejectJobFinished, RejectLimitExceeded, RejectMalformed} {
 		got = append(got, "rejection "+string(c)+"\n"...)
 	}
-	got = append(got, (&Fenced{Place: "db1", Given: 3, Holds: 4}).Code()...)
-	got = append(got, "\n"+deed(7).ID("d1")...)
+	got = append(got, (&FencedError{Target: "db1", Presented: 3, Current: 4}).Code()...)
+	got = append(got, "\n"+operation(7).ID("d1")...)
 	require.Equal(t, string(goldenFile(t, "codes.txt", got)), string(got)+"\n")
 }
 
 // A log of one entry of each kind comes to the same state, byte for byte.
 func TestGoldenStateOfALog(t *testing.T) {
-	word := &Word{Say: "go", By: "ann", Step: 1}
-	l := ledger(t, Entry{Op: Create, Work: "d1", Kind: "drill", Spec: json.RawMessage(`{"database":"works"}`), Needs: []uint64{1}},
-		Entry{Op: Assign, Work: "d1", To: "n1", Instance: 8},
-		Entry{Op: Announce, Work: "d1", Token: 1, Deed: deed(1)},
-		Entry{Op: Act, Work: "d1", Token: 1, Deed: deed(1)},
-		Entry{Op: Prove, Work: "d1", Token: 1, Deed: deed(1), State: json.RawMessage(`{"done":1}`)},
-		Entry{Op: Say, Work: "d1", Word: word},
-		Entry{Op: Announce, Work: "d1", Token: 1, Step: 1, Deed: deed(2), Word: word},
-		Entry{Op: Void, Work: "d1", Token: 1, Deed: deed(2)},
-		Entry{Op: Resign, Work: "d1", Token: 1},
-		Entry{Op: Create, Work: "d2", Kind: "drill"},
-		Entry{Op: Assign, Work: "d2", To: "n1", Instance: 8},
-		Entry{Op: Raise, Work: "d2", Token: 9},
-		Entry{Op: Assign, Work: "d2", Token: 2, To: "n2", Instance: 9},
-		Entry{Op: Announce, Work: "d2", Token: 10, Deed: deed(1)},
-		Entry{Op: Prove, Work: "d2", Token: 10, Deed: deed(1), Ended: true, Why: "all deeds are done"},
-		Entry{Op: Assign, Work: "d1", Token: 1, To: "n2", Instance: 9},
-		Entry{Op: Announce, Work: "d1", Token: 11, Step: 1, Deed: deed(3), Word: word})
+	word := &Approval{Action: "go", By: "ann", Step: 1}
+	l := applyAll(t, Entry{Type: EntryCreate, Job: "d1", JobKind: "drill", Spec: json.RawMessage(`{"database":"works"}`), RequiredGroups: []uint64{1}},
+		Entry{Type: EntryAssign, Job: "d1", Holder: "n1", Incarnation: 8},
+		Entry{Type: EntryAnnounce, Job: "d1", Token: 1, Operation: operation(1)},
+		Entry{Type: EntryAuthorize, Job: "d1", Token: 1, Operation: operation(1)},
+		Entry{Type: EntryConfirm, Job: "d1", Token: 1, Operation: operation(1), State: json.RawMessage(`{"done":1}`)},
+		Entry{Type: EntryApprove, Job: "d1", Approval: word},
+		Entry{Type: EntryAnnounce, Job: "d1", Token: 1, Step: 1, Operation: operation(2), Approval: word},
+		Entry{Type: EntryAbort, Job: "d1", Token: 1, Operation: operation(2)},
+		Entry{Type: EntryRelease, Job: "d1", Token: 1},
+		Entry{Type: EntryCreate, Job: "d2", JobKind: "drill"},
+		Entry{Type: EntryAssign, Job: "d2", Holder: "n1", Incarnation: 8},
+		Entry{Type: EntryRaiseToken, Job: "d2", Token: 9},
+		Entry{Type: EntryAssign, Job: "d2", Token: 2, Holder: "n2", Incarnation: 9},
+		Entry{Type: EntryAnnounce, Job: "d2", Token: 10, Operation: operation(1)},
+		Entry{Type: EntryConfirm, Job: "d2", Token: 10, Operation: operation(1), Finished: true, Reason: "all deeds are done"},
+		Entry{Type: EntryAssign, Job: "d1", Token: 1, Holder: "n2", Incarnation: 9},
+		Entry{Type: EntryAnnounce, Job: "d1", Token: 11, Step: 1, Operation: operation(3), Approval: word})
 	got, err := json.MarshalIndent(l, "", "  ")
 	require.NoError(t, err)
 	want := goldenFile(t, "log-applied.txt", got)
 	require.Equal(t, string(want), string(got)+"\n")
-	var read Ledger
+	var read StateMachine
 	require.NoError(t, json.Unmarshal(want, &read))
 	again, err := json.MarshalIndent(read, "", "  ")
 	require.NoError(t, err)
--- a/internal/cluster/jobs/ledger.go
+++ b/internal/cluster/jobs/ledger.go
@@ -13,138 +13,138 @@
 	"strings"
 )
 
-// Token is what an owner's acts carry. Each owner of any work has a higher one than all before it; whoever has seen a
+// FencingToken is what an owner's acts carry. Each owner of any work has a higher one than all before it; whoever has seen a
 // token refuses lower ones.
-type Token uint64
+type FencingToken uint64
 
-// Ledger is what the log says of works. Its zero value holds none.
-type Ledger struct {
-	High  Token            `json:"high"` // the highest that was ever given, or heard of
-	Works map[string]*Work `json:"works,omitempty"`
-	Count uint64           `json:"count"` // of entries that changed something
-	Loose bool             `json:"-"`     // tokens do not rise: to see a checker fail
+// StateMachine is what the log says of works. Its zero value holds none.
+type StateMachine struct {
+	HighestToken FencingToken    `json:"high"` // the highest that was ever given, or heard of
+	Jobs         map[string]*Job `json:"works,omitempty"`
+	Revision     uint64          `json:"count"` // of entries that changed something
+	ReuseTokens  bool            `json:"-"`     // tokens do not rise: to see a checker fail
 }
 
-// Work is something to be done by one owner at a time.
-type Work struct {
-	Name     string          `json:"name"`
-	Kind     string          `json:"kind"`
-	Spec     json.RawMessage `json:"spec,omitempty"`     // as it was asked for; it never changes
-	Needs    []uint64        `json:"needs,omitempty"`    // groups of db hosts that its owner has to reach
-	Owner    string          `json:"owner,omitempty"`    // "": nobody for now
-	Instance uint64          `json:"instance,omitempty"` // of the owner's process; without an owner, of the one that gave it back
-	Token    Token           `json:"token"`              // of the last owner
-	Step     uint64          `json:"step"`               // proven deeds so far: what a word is given for
-	State    json.RawMessage `json:"state,omitempty"`    // as the last proven deed left it
-	Deed     *Deed           `json:"deed,omitempty"`     // announced and neither proven nor void
-	Word     *Word           `json:"word,omitempty"`     // given and not taken up by a deed
-	Owners   int             `json:"owners"`             // so far
-	Voided   int             `json:"voided"`             // deeds that were announced and found not done
-	Ended    bool            `json:"ended,omitempty"`
-	Why      string          `json:"why,omitempty"` // it ended so
-	Changed  uint64          `json:"changed"`       // Ledger.Count when it changed last
+// Job is something to be done by one owner at a time.
+type Job struct {
+	Name              string          `json:"name"`
+	Kind              string          `json:"kind"`
+	Spec              json.RawMessage `json:"spec,omitempty"`     // as it was asked for; it never changes
+	RequiredGroups    []uint64        `json:"needs,omitempty"`    // groups of db hosts that its owner has to reach
+	Holder            string          `json:"owner,omitempty"`    // "": nobody for now
+	Incarnation       uint64          `json:"instance,omitempty"` // of the owner's process; without an owner, of the one that gave it back
+	Token             FencingToken    `json:"token"`              // of the last owner
+	Step              uint64          `json:"step"`               // proven deeds so far: what a word is given for
+	State             json.RawMessage `json:"state,omitempty"`    // as the last proven deed left it
+	Operation         *Operation      `json:"deed,omitempty"`     // announced and neither proven nor void
+	Approval          *Approval       `json:"word,omitempty"`     // given and not taken up by a deed
+	HolderCount       int             `json:"owners"`             // so far
+	AbortedOperations int             `json:"voided"`             // deeds that were announced and found not done
+	Finished          bool            `json:"ended,omitempty"`
+	Reason            string          `json:"why,omitempty"` // it ended so
+	Revision          uint64          `json:"changed"`       // Ledger.Count when it changed last
 }
 
-// Deed is one act that can be told from all others. Its identity is its work's name and its number.
-type Deed struct {
-	Number uint64          `json:"number"`
-	Name   string          `json:"name"`
-	Token  Token           `json:"token"` // under which it was announced
-	Data   json.RawMessage `json:"data,omitempty"`
-	Word   *Word           `json:"word,omitempty"` // that it takes up
+// Operation is one act that can be told from all others. Its identity is its work's name and its number.
+type Operation struct {
+	Number   uint64          `json:"number"`
+	Name     string          `json:"name"`
+	Token    FencingToken    `json:"token"` // under which it was announced
+	Data     json.RawMessage `json:"data,omitempty"`
+	Approval *Approval       `json:"word,omitempty"` // that it takes up
 }
 
 // ID is what a deed is known by at the places that it acts on.
-func (d *Deed) ID(work string) string { return fmt.Sprintf("%s/%d", work, d.Number) }
+func (d *Operation) ID(work string) string { return fmt.Sprintf("%s/%d", work, d.Number) }
 
-// Word is an operator's, given for one step of a work.
-type Word struct {
-	Say     string `json:"say"`
-	By      string `json:"by,omitempty"`
-	Step    uint64 `json:"step"`
-	Lasting bool   `json:"lasting,omitempty"` // it still counts at a later step: a word on the careful side, such as to take back
+// Approval is an operator's, given for one step of a work.
+type Approval struct {
+	Action     string `json:"say"`
+	By         string `json:"by,omitempty"`
+	Step       uint64 `json:"step"`
+	Persistent bool   `json:"lasting,omitempty"` // it still counts at a later step: a word on the careful side, such as to take back
 }
 
-// Op is what a line of the log does to a work.
-type Op string
+// EntryType is what a line of the log does to a work.
+type EntryType string
 
 // The ops. Those of an owner carry its token.
 const (
-	Create   Op = "create"   // a new work, without an owner
-	Assign   Op = "assign"   // the leader's: To and Instance own it from now on, if Token is still its last
-	Resign   Op = "resign"   // an owner gives it back
-	Announce Op = "announce" // an owner is about to do Deed
-	Prove    Op = "prove"    // it is done, and State is what there is now
-	Void     Op = "void"     // it was looked for and is not done; what was left of it is cleared
-	Say      Op = "say"      // an operator's word for a step
-	Raise    Op = "raise"    // a place knows a higher token than the log
-	Act      Op = "act"      // its owner acts on the log itself, such as on the rules: refused unless it is the owner, and Deed, if named, is open
+	EntryCreate     EntryType = "create"   // a new work, without an owner
+	EntryAssign     EntryType = "assign"   // the leader's: To and Instance own it from now on, if Token is still its last
+	EntryRelease    EntryType = "resign"   // an owner gives it back
+	EntryAnnounce   EntryType = "announce" // an owner is about to do Deed
+	EntryConfirm    EntryType = "prove"    // it is done, and State is what there is now
+	EntryAbort      EntryType = "void"     // it was looked for and is not done; what was left of it is cleared
+	EntryApprove    EntryType = "say"      // an operator's word for a step
+	EntryRaiseToken EntryType = "raise"    // a place knows a higher token than the log
+	EntryAuthorize  EntryType = "act"      // its owner acts on the log itself, such as on the rules: refused unless it is the owner, and Deed, if named, is open
 )
 
 // Entry is one line of the log about a work.
 type Entry struct {
-	Op       Op              `json:"op"`
-	Work     string          `json:"work,omitempty"`
-	Token    Token           `json:"token,omitempty"`
-	To       string          `json:"to,omitempty"`
-	Instance uint64          `json:"instance,omitempty"`
-	Kind     string          `json:"kind,omitempty"`
-	Spec     json.RawMessage `json:"spec,omitempty"`
-	Needs    []uint64        `json:"needs,omitempty"`
-	Step     uint64          `json:"step,omitempty"`
-	Deed     *Deed           `json:"deed,omitempty"`
-	State    json.RawMessage `json:"state,omitempty"`
-	Word     *Word           `json:"word,omitempty"`
-	Ended    bool            `json:"ended,omitempty"`
-	Why      string          `json:"why,omitempty"`
+	Type           EntryType       `json:"op"`
+	Job            string          `json:"work,omitempty"`
+	Token          FencingToken    `json:"token,omitempty"`
+	Holder         string          `json:"to,omitempty"`
+	Incarnation    uint64          `json:"instance,omitempty"`
+	JobKind        string          `json:"kind,omitempty"`
+	Spec           json.RawMessage `json:"spec,omitempty"`
+	RequiredGroups []uint64        `json:"needs,omitempty"`
+	Step           uint64          `json:"step,omitempty"`
+	Operation      *Operation      `json:"deed,omitempty"`
+	State          json.RawMessage `json:"state,omitempty"`
+	Approval       *Approval       `json:"word,omitempty"`
+	Finished       bool            `json:"ended,omitempty"`
+	Reason         string          `json:"why,omitempty"`
 }
 
 // Bounds of what a ledger holds.
 const (
-	mostOpen  = 64
-	mostEnded = 64
-	mostBytes = 16 << 10 // of a spec, a state or a deed's data
-	mostName  = 128
-	mostNeeds = 64
+	maxOpenJobs       = 64
+	maxFinishedJobs   = 64
+	maxPayloadBytes   = 16 << 10 // of a spec, a state or a deed's data
+	maxNameBytes      = 128
+	maxRequiredGroups = 64
 )
 
-// Code says why an entry is refused.
-type Code string
+// RejectCode says why an entry is refused.
+type RejectCode string
 
 // The codes.
 const (
-	TokenOld   Code = "token_old"   // a later owner was named since
-	NotOwner   Code = "not_owner"   // nobody owns it under that token
-	NoWork     Code = "no_work"     // there is none of that name
-	Exists     Code = "work_exists" // there is one
-	DeedOpen   Code = "deed_open"   // another deed is announced
-	NoDeed     Code = "no_deed"     // that deed is not open
-	StepPassed Code = "step_passed" // the work is at another step than the word was given for
-	WordThere  Code = "word_given"  // somebody gave one for this step before
-	HasEnded   Code = "work_ended"
-	TooMuch    Code = "too_much" // a bound
-	Malformed  Code = "malformed"
+	RejectStaleToken       RejectCode = "token_old"   // a later owner was named since
+	RejectNotHolder        RejectCode = "not_owner"   // nobody owns it under that token
+	RejectUnknownJob       RejectCode = "no_work"     // there is none of that name
+	RejectJobExists        RejectCode = "work_exists" // there is one
+	RejectOperationOpen    RejectCode = "deed_open"   // another deed is announced
+	RejectOperationNotOpen RejectCode = "no_deed"     // that deed is not open
+	RejectWrongStep        RejectCode = "step_passed" // the work is at another step than the word was given for
+	RejectAlreadyApproved  RejectCode = "word_given"  // somebody gave one for this step before
+	RejectJobFinished      RejectCode = "work_ended"
+	RejectLimitExceeded    RejectCode = "too_much" // a bound
+	RejectMalformed        RejectCode = "malformed"
 )
 
-// Refusal is an entry that changes nothing.
-type Refusal struct {
-	Reason Code   `json:"code"`
-	Work   string `json:"work,omitempty"`
-	Given  uint64 `json:"given,omitempty"` // the token, step or deed that was named
-	Holds  uint64 `json:"holds,omitempty"` // what the log has
-	Detail string `json:"detail,omitempty"`
+// RejectedError is an entry that changes nothing.
+type RejectedError struct {
+	Reason    RejectCode `json:"code"`
+	Job       string     `json:"work,omitempty"`
+	Presented uint64     `json:"given,omitempty"` // the token, step or deed that was named
+	Current   uint64     `json:"holds,omitempty"` // what the log has
+	Detail    string     `json:"detail,omitempty"`
 }
 
-func (r *Refusal) Error() string {
-	text := map[Code]string{TokenOld: "a later owner has been named", NotOwner: "nobody owns it under that token", NoWork: "there is no such work",
-		Exists: "there is a work of that name", DeedOpen: "another deed is announced and not settled", NoDeed: "that deed is not open",
-		StepPassed: "it is at another step", WordThere: "a word was given for this step already", HasEnded: "it has ended",
-		TooMuch: "that is more than is kept", Malformed: "the entry makes no sense"}[r.Reason]
-	if r.Work != "" {
-		text = "work " + r.Work + ": " + text
+func (r *RejectedError) Error() string {
+	text := map[RejectCode]string{RejectStaleToken: "a later owner has been named", RejectNotHolder: "nobody owns it under that token", RejectUnknownJob: "there is no such work",
+		RejectJobExists: "there is a work of that name", RejectOperationOpen: "another deed is announced and not settled", RejectOperationNotOpen: "that deed is not open",
+		RejectWrongStep: "it is at another step", RejectAlreadyApproved: "a word was given for this step already", RejectJobFinished: "it has ended",
+		RejectLimitExceeded: "that is more than is kept", RejectMalformed: "the entry makes no sense"}[r.Reason]
+	if r.Job != "" {
+		text = "work " + r.Job + ": " + text
 	}
-	if r.Given != 0 || r.Holds != 0 {
-		text += fmt.Sprintf(" (given %d, the log has %d)", r.Given, r.Holds)
+	if r.Presented != 0 || r.Current != 0 {
+		text += fmt.Sprintf(" (given %d, the log has %d)", r.Presented, r.Current)
 	}
 	if r.Detail != "" {
 		text += ": " + r.Detail
@@ -153,246 +153,246 @@
 }
 
 // Code is the reason in a word.
-func (r *Refusal) Code() string { return string(r.Reason) }
+func (r *RejectedError) Code() string { return string(r.Reason) }
 
 // Advice says what an operator can do.
-func (r *Refusal) Advice() string {
+func (r *RejectedError) Advice() string {
 	switch r.Reason {
-	case TokenOld, NotOwner:
+	case RejectStaleToken, RejectNotHolder:
 		return "nothing: the present owner goes on at the last proven deed; works shows who that is"
-	case NoWork:
+	case RejectUnknownJob:
 		return "works lists the names; one that has ended is forgotten after some others have"
-	case Exists, HasEnded:
+	case RejectJobExists, RejectJobFinished:
 		return "give the new one another name"
-	case DeedOpen, NoDeed:
+	case RejectOperationOpen, RejectOperationNotOpen:
 		return "nothing: the owner looks whether that deed was done before it goes on"
-	case StepPassed:
+	case RejectWrongStep:
 		return "look at the work's state again and give the word for the step that it shows"
-	case WordThere:
+	case RejectAlreadyApproved:
 		return "wait until the word that was given is taken up, then look again"
-	case TooMuch:
+	case RejectLimitExceeded:
 		return "let open works end first, or make the spec smaller"
 	}
 	return "check the entry against docs/owner.md"
 }
 
-func refuse(c Code, work string, given, holds uint64) *Refusal {
-	return &Refusal{Reason: c, Work: work, Given: given, Holds: holds}
+func reject(c RejectCode, work string, given, holds uint64) *RejectedError {
+	return &RejectedError{Reason: c, Job: work, Presented: given, Current: holds}
 }
 
-// Check says what is wrong with an entry by itself; nil: nothing.
-func (e *Entry) Check() *Refusal {
-	bad := func(detail string, args ...any) *Refusal {
-		return &Refusal{Reason: Malformed, Work: e.Work, Detail: fmt.Sprintf(detail, args...)}
+// Validate says what is wrong with an entry by itself; nil: nothing.
+func (e *Entry) Validate() *RejectedError {
+	bad := func(detail string, args ...any) *RejectedError {
+		return &RejectedError{Reason: RejectMalformed, Job: e.Job, Detail: fmt.Sprintf(detail, args...)}
 	}
-	if e.Op != Raise && (e.Work == "" || len(e.Work) > mostName || strings.ContainsAny(e.Work, "/\x00'\"")) {
-		return bad("a name has 1 to %d characters and none of / ' \"", mostName)
+	if e.Type != EntryRaiseToken && (e.Job == "" || len(e.Job) > maxNameBytes || strings.ContainsAny(e.Job, "/\x00'\"")) {
+		return bad("a name has 1 to %d characters and none of / ' \"", maxNameBytes)
 	}
 	for what, b := range map[string]json.RawMessage{"spec": e.Spec, "state": e.State} {
-		if len(b) > mostBytes {
-			return &Refusal{Reason: TooMuch, Work: e.Work, Given: uint64(len(b)), Holds: mostBytes, Detail: what}
+		if len(b) > maxPayloadBytes {
+			return &RejectedError{Reason: RejectLimitExceeded, Job: e.Job, Presented: uint64(len(b)), Current: maxPayloadBytes, Detail: what}
 		}
 		if len(b) > 0 && !json.Valid(b) {
 			return bad("the %s is no JSON", what)
 		}
 	}
-	if len(e.Needs) > mostNeeds {
-		return &Refusal{Reason: TooMuch, Work: e.Work, Given: uint64(len(e.Needs)), Holds: mostNeeds, Detail: "groups"}
+	if len(e.RequiredGroups) > maxRequiredGroups {
+		return &RejectedError{Reason: RejectLimitExceeded, Job: e.Job, Presented: uint64(len(e.RequiredGroups)), Current: maxRequiredGroups, Detail: "groups"}
 	}
-	switch e.Op {
-	case Create:
-		if e.Kind == "" || len(e.Kind) > mostName {
+	switch e.Type {
+	case EntryCreate:
+		if e.JobKind == "" || len(e.JobKind) > maxNameBytes {
 			return bad("a work needs a kind")
 		}
-	case Assign:
-		if e.To == "" || len(e.To) > mostName {
+	case EntryAssign:
+		if e.Holder == "" || len(e.Holder) > maxNameBytes {
 			return bad("nobody is named as its owner")
 		}
-	case Announce, Prove, Void:
-		if d := e.Deed; d == nil || d.Number == 0 || d.Name == "" || len(d.Name) > mostName {
+	case EntryAnnounce, EntryConfirm, EntryAbort:
+		if d := e.Operation; d == nil || d.Number == 0 || d.Name == "" || len(d.Name) > maxNameBytes {
 			return bad("a deed has a number and a name")
-		} else if len(d.Data) > mostBytes {
-			return &Refusal{Reason: TooMuch, Work: e.Work, Given: uint64(len(d.Data)), Holds: mostBytes, Detail: "the deed's data"}
+		} else if len(d.Data) > maxPayloadBytes {
+			return &RejectedError{Reason: RejectLimitExceeded, Job: e.Job, Presented: uint64(len(d.Data)), Current: maxPayloadBytes, Detail: "the deed's data"}
 		} else if len(d.Data) > 0 && !json.Valid(d.Data) {
 			return bad("the deed's data are no JSON")
 		}
-	case Say:
-		if e.Word == nil || e.Word.Say == "" || len(e.Word.Say) > mostName || len(e.Word.By) > mostName {
+	case EntryApprove:
+		if e.Approval == nil || e.Approval.Action == "" || len(e.Approval.Action) > maxNameBytes || len(e.Approval.By) > maxNameBytes {
 			return bad("there is no word")
 		}
-	case Resign, Raise, Act:
+	case EntryRelease, EntryRaiseToken, EntryAuthorize:
 	default:
-		return bad("%q is no op", e.Op)
+		return bad("%q is no op", e.Type)
 	}
 	return nil
 }
 
 // Apply takes a line of the log. What is refused changes nothing.
-func (l *Ledger) Apply(e Entry) *Refusal {
-	if r := e.Check(); r != nil {
+func (l *StateMachine) Apply(e Entry) *RejectedError {
+	if r := e.Validate(); r != nil {
 		return r
 	}
-	if e.Op == Raise {
+	if e.Type == EntryRaiseToken {
 		return l.raise(e)
 	}
-	w := l.Works[e.Work]
-	if e.Op == Create {
+	w := l.Jobs[e.Job]
+	if e.Type == EntryCreate {
 		return l.create(e, w)
 	}
 	if w == nil {
-		return refuse(NoWork, e.Work, 0, 0)
+		return reject(RejectUnknownJob, e.Job, 0, 0)
 	}
-	if w.Ended {
-		return refuse(HasEnded, e.Work, 0, 0)
+	if w.Finished {
+		return reject(RejectJobFinished, e.Job, 0, 0)
 	}
 	n := *w // works that were handed out keep what they say
-	if r := l.change(&n, e); r != nil || e.Op == Act {
+	if r := l.change(&n, e); r != nil || e.Type == EntryAuthorize {
 		return r
 	}
-	l.Count++
-	n.Changed = l.Count
-	l.Works[e.Work] = &n
+	l.Revision++
+	n.Revision = l.Revision
+	l.Jobs[e.Job] = &n
 	return nil
 }
 
-func (l *Ledger) create(e Entry, w *Work) *Refusal {
+func (l *StateMachine) create(e Entry, w *Job) *RejectedError {
 	if w != nil {
-		return refuse(Exists, e.Work, 0, 0)
+		return reject(RejectJobExists, e.Job, 0, 0)
 	}
-	var open, ended []*Work
-	for _, w := range l.Works {
-		if w.Ended {
+	var open, ended []*Job
+	for _, w := range l.Jobs {
+		if w.Finished {
 			ended = append(ended, w)
 		} else {
 			open = append(open, w)
 		}
 	}
-	if len(open) >= mostOpen {
-		return refuse(TooMuch, e.Work, uint64(len(open)+1), mostOpen)
+	if len(open) >= maxOpenJobs {
+		return reject(RejectLimitExceeded, e.Job, uint64(len(open)+1), maxOpenJobs)
 	}
-	if len(ended) >= mostEnded { // the one that ended first goes
-		slices.SortFunc(ended, func(a, b *Work) int { return cmp.Compare(a.Changed, b.Changed) })
-		delete(l.Works, ended[0].Name)
+	if len(ended) >= maxFinishedJobs { // the one that ended first goes
+		slices.SortFunc(ended, func(a, b *Job) int { return cmp.Compare(a.Revision, b.Revision) })
+		delete(l.Jobs, ended[0].Name)
 	}
-	if l.Works == nil {
-		l.Works = map[string]*Work{}
+	if l.Jobs == nil {
+		l.Jobs = map[string]*Job{}
 	}
-	l.Count++
-	l.Works[e.Work] = &Work{Name: e.Work, Kind: e.Kind, Spec: bytes.Clone(e.Spec), Needs: slices.Clone(e.Needs), State: bytes.Clone(e.State), Changed: l.Count}
+	l.Revision++
+	l.Jobs[e.Job] = &Job{Name: e.Job, Kind: e.JobKind, Spec: bytes.Clone(e.Spec), RequiredGroups: slices.Clone(e.RequiredGroups), State: bytes.Clone(e.State), Revision: l.Revision}
 	return nil
 }
 
 // raise takes a token that some place has seen, so that the next owner's is higher. Where a work is named, its owner
 // can't go on with the token that it has, and gives it back.
-func (l *Ledger) raise(e Entry) *Refusal {
-	if w := l.Works[e.Work]; w != nil && !w.Ended && w.Owner != "" && w.Token < e.Token {
+func (l *StateMachine) raise(e Entry) *RejectedError {
+	if w := l.Jobs[e.Job]; w != nil && !w.Finished && w.Holder != "" && w.Token < e.Token {
 		n := *w
-		n.Owner, n.Instance = "", 0
-		n.Changed = l.Count + 1
-		l.Works[e.Work] = &n
-	} else if e.Token <= l.High {
+		n.Holder, n.Incarnation = "", 0
+		n.Revision = l.Revision + 1
+		l.Jobs[e.Job] = &n
+	} else if e.Token <= l.HighestToken {
 		return nil
 	}
-	l.Count++
-	l.High = max(l.High, e.Token)
+	l.Revision++
+	l.HighestToken = max(l.HighestToken, e.Token)
 	return nil
 }
 
 // change is what an entry makes of a work that is open.
-func (l *Ledger) change(w *Work, e Entry) *Refusal {
-	switch e.Op {
-	case Assign: // the token is that of the owner which it replaces: of two that cross, one counts
+func (l *StateMachine) change(w *Job, e Entry) *RejectedError {
+	switch e.Type {
+	case EntryAssign: // the token is that of the owner which it replaces: of two that cross, one counts
 		if e.Token != w.Token {
-			return refuse(TokenOld, e.Work, uint64(e.Token), uint64(w.Token))
+			return reject(RejectStaleToken, e.Job, uint64(e.Token), uint64(w.Token))
 		}
-		if !l.Loose {
-			l.High++
+		if !l.ReuseTokens {
+			l.HighestToken++
 		}
-		w.Owner, w.Instance, w.Token = e.To, e.Instance, l.High
-		w.Owners++
+		w.Holder, w.Incarnation, w.Token = e.Holder, e.Incarnation, l.HighestToken
+		w.HolderCount++
 		return nil
-	case Say:
-		if e.Word.Step != w.Step {
-			return refuse(StepPassed, e.Work, e.Word.Step, w.Step)
+	case EntryApprove:
+		if e.Approval.Step != w.Step {
+			return reject(RejectWrongStep, e.Job, e.Approval.Step, w.Step)
 		}
-		if w.Word != nil && (w.Word.Step == w.Step || w.Word.Lasting) {
-			r := refuse(WordThere, e.Work, 0, 0)
-			r.Detail = w.Word.Say
-			if w.Word.By != "" {
-				r.Detail += " by " + w.Word.By
+		if w.Approval != nil && (w.Approval.Step == w.Step || w.Approval.Persistent) {
+			r := reject(RejectAlreadyApproved, e.Job, 0, 0)
+			r.Detail = w.Approval.Action
+			if w.Approval.By != "" {
+				r.Detail += " by " + w.Approval.By
 			}
 			return r
 		}
-		word := *e.Word
-		w.Word = &word
+		word := *e.Approval
+		w.Approval = &word
 		return nil
 	}
 	if e.Token < w.Token {
-		return refuse(TokenOld, e.Work, uint64(e.Token), uint64(w.Token))
+		return reject(RejectStaleToken, e.Job, uint64(e.Token), uint64(w.Token))
 	}
-	if w.Owner == "" || e.Token > w.Token {
-		return refuse(NotOwner, e.Work, uint64(e.Token), uint64(w.Token))
+	if w.Holder == "" || e.Token > w.Token {
+		return reject(RejectNotHolder, e.Job, uint64(e.Token), uint64(w.Token))
 	}
-	switch e.Op {
-	case Act:
-		if d := e.Deed; d != nil && (w.Deed == nil || w.Deed.Number != d.Number || w.Deed.Name != d.Name) {
-			return refuse(NoDeed, e.Work, d.Number, w.next()-1) // it was found not done, and comes late
+	switch e.Type {
+	case EntryAuthorize:
+		if d := e.Operation; d != nil && (w.Operation == nil || w.Operation.Number != d.Number || w.Operation.Name != d.Name) {
+			return reject(RejectOperationNotOpen, e.Job, d.Number, w.next()-1) // it was found not done, and comes late
 		}
-	case Resign: // its process ends, so it is not asked again
-		w.Owner = ""
-	case Announce:
-		if w.Deed != nil {
-			return refuse(DeedOpen, e.Work, e.Deed.Number, w.Deed.Number)
+	case EntryRelease: // its process ends, so it is not asked again
+		w.Holder = ""
+	case EntryAnnounce:
+		if w.Operation != nil {
+			return reject(RejectOperationOpen, e.Job, e.Operation.Number, w.Operation.Number)
 		}
 		if e.Step != w.Step { // one that was late: that step's deed is done
-			return refuse(StepPassed, e.Work, e.Step, w.Step)
+			return reject(RejectWrongStep, e.Job, e.Step, w.Step)
 		}
-		if want := w.next(); e.Deed.Number != want {
-			return refuse(NoDeed, e.Work, e.Deed.Number, want)
+		if want := w.next(); e.Operation.Number != want {
+			return reject(RejectOperationNotOpen, e.Job, e.Operation.Number, want)
 		}
-		d := *e.Deed
-		if d.Token, d.Word = e.Token, nil; e.Word != nil { // the deed takes the word up: the one that is there
-			if w.Word == nil || *w.Word != *e.Word {
-				return refuse(StepPassed, e.Work, e.Word.Step, w.Step)
+		d := *e.Operation
+		if d.Token, d.Approval = e.Token, nil; e.Approval != nil { // the deed takes the word up: the one that is there
+			if w.Approval == nil || *w.Approval != *e.Approval {
+				return reject(RejectWrongStep, e.Job, e.Approval.Step, w.Step)
 			}
-			d.Word, w.Word = w.Word, nil
+			d.Approval, w.Approval = w.Approval, nil
 		}
-		w.Deed = &d
-	case Prove, Void:
-		if w.Deed == nil || w.Deed.Number != e.Deed.Number || w.Deed.Name != e.Deed.Name {
-			return refuse(NoDeed, e.Work, e.Deed.Number, w.next()-1)
+		w.Operation = &d
+	case EntryConfirm, EntryAbort:
+		if w.Operation == nil || w.Operation.Number != e.Operation.Number || w.Operation.Name != e.Operation.Name {
+			return reject(RejectOperationNotOpen, e.Job, e.Operation.Number, w.next()-1)
 		}
-		word := w.Deed.Word
-		w.Deed = nil
-		if e.Op == Void {
-			w.Voided++
-			if word != nil && (w.Word == nil || word.Lasting && !w.Word.Lasting) {
-				w.Word = word // it was not taken up after all; a lasting one goes before what was said meanwhile
+		word := w.Operation.Approval
+		w.Operation = nil
+		if e.Type == EntryAbort {
+			w.AbortedOperations++
+			if word != nil && (w.Approval == nil || word.Persistent && !w.Approval.Persistent) {
+				w.Approval = word // it was not taken up after all; a lasting one goes before what was said meanwhile
 			}
 			return nil
 		}
 		w.Step++
 		w.State = bytes.Clone(e.State)
-		if w.Word != nil && !w.Word.Lasting {
-			w.Word = nil // it was given for the step before
+		if w.Approval != nil && !w.Approval.Persistent {
+			w.Approval = nil // it was given for the step before
 		}
-		if e.Ended {
-			w.Ended, w.Why, w.Owner, w.Instance = true, e.Why, "", 0
+		if e.Finished {
+			w.Finished, w.Reason, w.Holder, w.Incarnation = true, e.Reason, "", 0
 		}
 	}
 	return nil
 }
 
 // next is the number of the next deed: each announced one has its own, whether it was proven or found not done.
-func (w *Work) next() uint64 { return w.Step + uint64(w.Voided) + 1 }
+func (w *Job) next() uint64 { return w.Step + uint64(w.AbortedOperations) + 1 }
 
-// Next is the number that the next deed is announced by.
-func (w *Work) Next() uint64 { return w.next() }
+// NextOperationNumber is the number that the next deed is announced by.
+func (w *Job) NextOperationNumber() uint64 { return w.next() }
 
-// Open are the names of works that have not ended, in order.
-func (l *Ledger) Open() (names []string) {
-	for name, w := range l.Works {
-		if !w.Ended {
+// OpenJobs are the names of works that have not ended, in order.
+func (l *StateMachine) OpenJobs() (names []string) {
+	for name, w := range l.Jobs {
+		if !w.Finished {
 			names = append(names, name)
 		}
 	}
@@ -400,13 +400,13 @@
 	return names
 }
 
-// Since are the works that changed after a count, as they did.
-func (l *Ledger) Since(count uint64) (out []Work) {
-	for _, w := range l.Works {
-		if w.Changed > count {
+// ChangedSince are the works that changed after a count, as they did.
+func (l *StateMachine) ChangedSince(count uint64) (out []Job) {
+	for _, w := range l.Jobs {
+		if w.Revision > count {
 			out = append(out, *w)
 		}
 	}
-	slices.SortFunc(out, func(a, b Work) int { return cmp.Compare(a.Changed, b.Changed) })
+	slices.SortFunc(out, func(a, b Job) int { return cmp.Compare(a.Revision, b.Revision) })
 	return out
 }
--- a/internal/cluster/jobs/noop/drill.go
+++ b/internal/cluster/jobs/noop/drill.go
@@ -15,15 +15,15 @@
 	"ashstand/internal/cluster/jobs"
 )
 
-// Name is the kind's.
-const Name = "drill"
+// KindName is the kind's.
+const KindName = "drill"
 
 // Spec is what an operator asks for.
 type Spec struct {
-	Database string   `json:"database"`
-	Groups   []uint64 `json:"groups"` // their primaries are written to in turn
-	Deeds    int      `json:"deeds"`
-	Every    float64  `json:"every_ms"` // from one to the next
+	Database       string   `json:"database"`
+	Groups         []uint64 `json:"groups"` // their primaries are written to in turn
+	Operations     int      `json:"deeds"`
+	IntervalMillis float64  `json:"every_ms"` // from one to the next
 }
 
 const (
@@ -45,91 +45,91 @@
 // Advice says what an operator can do.
 func (e *SpecError) Advice() string { return "set " + e.Key + " to " + e.Allowed }
 
-// Check says what is wrong with a spec; nil: nothing.
-func (s *Spec) Check() error {
+// Validate says what is wrong with a spec; nil: nothing.
+func (s *Spec) Validate() error {
 	switch {
 	case s.Database == "" || len(s.Database) > 63:
 		return &SpecError{"database", strconv.Quote(s.Database), "a name of 1 to 63 characters"}
 	case len(s.Groups) == 0 || len(s.Groups) > mostGroups:
 		return &SpecError{"groups", fmt.Sprint(s.Groups), fmt.Sprintf("1 to %d numbers of groups", mostGroups)}
-	case s.Deeds < 1 || s.Deeds > mostDeeds:
-		return &SpecError{"deeds", strconv.Itoa(s.Deeds), fmt.Sprintf("1 to %d", mostDeeds)}
-	case !(s.Every >= 0 && s.Every <= mostEvery):
-		return &SpecError{"every_ms", fmt.Sprint(s.Every), fmt.Sprintf("0 to %v", mostEvery)}
+	case s.Operations < 1 || s.Operations > mostDeeds:
+		return &SpecError{"deeds", strconv.Itoa(s.Operations), fmt.Sprintf("1 to %d", mostDeeds)}
+	case !(s.IntervalMillis >= 0 && s.IntervalMillis <= mostEvery):
+		return &SpecError{"every_ms", fmt.Sprint(s.IntervalMillis), fmt.Sprintf("0 to %v", mostEvery)}
 	}
 	return nil
 }
 
 // state is what is proven.
 type state struct {
-	Prepared int     `json:"prepared"` // groups
-	Done     int     `json:"done"`
-	At       float64 `json:"at_ms"` // of the last deed, by its owner's clock
+	PreparedGroups  int     `json:"prepared"` // groups
+	Written         int     `json:"done"`
+	WrittenAtMillis float64 `json:"at_ms"` // of the last deed, by its owner's clock
 }
 
-// Kind is an owner.Kind.
-type Kind struct {
-	Client *fencing.Client
-	Now    func() float64
-	Unsafe string // a guarantee that is switched off, to see its checker fail: "resume"
+// Handler is an owner.Kind.
+type Handler struct {
+	Client            *fencing.Client
+	Now               func() float64
+	DisabledGuarantee string // a guarantee that is switched off, to see its checker fail: "resume"
 }
 
-func read(w *jobs.Work) (p Spec, s state, err error) {
+func decode(w *jobs.Job) (p Spec, s state, err error) {
 	if err = json.Unmarshal(w.Spec, &p); err == nil && len(w.State) > 0 {
 		err = json.Unmarshal(w.State, &s)
 	}
 	if err == nil {
-		err = p.Check()
+		err = p.Validate()
 	}
 	return p, s, err
 }
 
 // Next is Kind's.
-func (k *Kind) Next(now float64, w *jobs.Work, _ any) jobs.Step {
-	p, s, err := read(w)
+func (k *Handler) Next(now float64, w *jobs.Job, _ any) jobs.Decision {
+	p, s, err := decode(w)
 	if err != nil {
-		return jobs.Step{Why: err.Error(), Wait: 1000}
+		return jobs.Decision{Reason: err.Error(), RetryAfterMillis: 1000}
 	}
-	stop := jobs.Option{Say: "stop", Does: "the drill ends after the deed under way", Lasting: true}
-	if w.Word != nil && w.Word.Say == "stop" {
-		return jobs.Step{Deed: "stop", Took: w.Word}
+	stop := jobs.ApprovalOption{Action: "stop", Effect: "the drill ends after the deed under way", Persistent: true}
+	if w.Approval != nil && w.Approval.Action == "stop" {
+		return jobs.Decision{OperationName: "stop", Approval: w.Approval}
 	}
-	if s.Prepared < len(p.Groups) {
-		return jobs.Step{Deed: "prepare", Says: []jobs.Option{stop}}
+	if s.PreparedGroups < len(p.Groups) {
+		return jobs.Decision{OperationName: "prepare", Options: []jobs.ApprovalOption{stop}}
 	}
 	// Another owner's clock may differ: no wait is longer than the pace.
-	if wait := min(p.Every, s.At+p.Every-now); s.Done > 0 && wait > 0 {
-		return jobs.Step{Wait: wait, Why: "the pace", Says: []jobs.Option{stop}}
+	if wait := min(p.IntervalMillis, s.WrittenAtMillis+p.IntervalMillis-now); s.Written > 0 && wait > 0 {
+		return jobs.Decision{RetryAfterMillis: wait, Reason: "the pace", Options: []jobs.ApprovalOption{stop}}
 	}
-	return jobs.Step{Deed: "write", Says: []jobs.Option{stop}}
+	return jobs.Decision{OperationName: "write", Options: []jobs.ApprovalOption{stop}}
 }
 
-// Watch is Kind's: a drill's owner reaches its next group, or has nothing to tell.
-func (k *Kind) Watch(ctx context.Context, w *jobs.Work) (any, error) {
-	p, s, err := read(w)
+// Observe is Kind's: a drill's owner reaches its next group, or has nothing to tell.
+func (k *Handler) Observe(ctx context.Context, w *jobs.Job) (any, error) {
+	p, s, err := decode(w)
 	if err != nil {
 		return nil, err
 	}
-	conn, _, err := k.Client.Primary(ctx, p.Groups[s.Done%len(p.Groups)], p.Database)
+	conn, _, err := k.Client.ConnectPrimary(ctx, p.Groups[s.Written%len(p.Groups)], p.Database)
 	if err == nil {
 		fencing.Close(conn)
 	}
 	return nil, err
 }
 
-// Do is Kind's.
-func (k *Kind) Do(ctx context.Context, w *jobs.Work, d *jobs.Deed) (jobs.Proof, error) {
-	p, s, err := read(w)
+// Execute is Kind's.
+func (k *Handler) Execute(ctx context.Context, w *jobs.Job, d *jobs.Operation) (jobs.Result, error) {
+	p, s, err := decode(w)
 	if err != nil {
-		return jobs.Proof{}, err
+		return jobs.Result{}, err
 	}
 	switch d.Name {
 	case "stop":
-		return jobs.Proof{State: w.State, Ended: true, Why: "stopped"}, nil
+		return jobs.Result{State: w.State, Finished: true, Reason: "stopped"}, nil
 	case "prepare":
-		err = k.prepare(ctx, p.Groups[s.Prepared], p.Database)
+		err = k.prepare(ctx, p.Groups[s.PreparedGroups], p.Database)
 	default:
-		err = k.Client.Act(ctx, p.Groups[s.Done%len(p.Groups)], p.Database, w.Name, w.Token, d.ID(w.Name), func(ctx context.Context, c *pgconn.PgConn) error {
+		err = k.Client.Transact(ctx, p.Groups[s.Written%len(p.Groups)], p.Database, w.Name, w.Token, d.ID(w.Name), func(ctx context.Context, c *pgconn.PgConn) error {
 			// Each try has a row of its own: a deed that was done twice is seen as two.
 			_, _, err := fencing.Exec(ctx, c, "INSERT INTO ashstand.acts (ref, payload) VALUES ($1, $2)", fmt.Sprintf("%s#%016x", d.ID(w.Name), rand.Uint64()),
 				strconv.FormatUint(uint64(w.Token), 10))
@@ -140,52 +140,52 @@
 }
 
 // proof is what a deed that was done leaves.
-func (k *Kind) proof(p Spec, s state, d *jobs.Deed) jobs.Proof {
+func (k *Handler) proof(p Spec, s state, d *jobs.Operation) jobs.Result {
 	if d.Name == "prepare" {
-		s.Prepared++
+		s.PreparedGroups++
 	} else {
-		s.Done, s.At = s.Done+1, k.Now()
+		s.Written, s.WrittenAtMillis = s.Written+1, k.Now()
 	}
 	b, _ := json.Marshal(s)
-	out := jobs.Proof{State: b}
-	if s.Done >= p.Deeds {
-		out.Ended, out.Why = true, "all deeds are done"
+	out := jobs.Result{State: b}
+	if s.Written >= p.Operations {
+		out.Finished, out.Reason = true, "all deeds are done"
 	}
 	return out
 }
 
 // prepare makes what acts need at a group; it can be done again.
-func (k *Kind) prepare(ctx context.Context, group uint64, database string) error {
-	conn, h, err := k.Client.Primary(ctx, group, database)
+func (k *Handler) prepare(ctx context.Context, group uint64, database string) error {
+	conn, h, err := k.Client.ConnectPrimary(ctx, group, database)
 	if err != nil {
 		return err
 	}
 	defer fencing.Close(conn)
-	for _, sql := range []string{"CREATE SCHEMA IF NOT EXISTS ashstand", fencing.FenceTable, "CREATE TABLE IF NOT EXISTS ashstand.acts (ref text PRIMARY KEY, payload text)"} {
+	for _, sql := range []string{"CREATE SCHEMA IF NOT EXISTS ashstand", fencing.CreateFenceTable, "CREATE TABLE IF NOT EXISTS ashstand.acts (ref text PRIMARY KEY, payload text)"} {
 		if _, _, err := fencing.Exec(ctx, conn, sql); err != nil {
-			if _, worded := fencing.Worded(err); worded {
+			if _, worded := fencing.ServerError(err); worded {
 				return err
 			}
-			return &fencing.Unreached{Host: h.Name, What: sql, Err: err}
+			return &fencing.InDoubtError{Host: h.Name, Action: sql, Err: err}
 		}
 	}
 	return nil
 }
 
-// Look is Kind's. It takes the fence first: an act of an older owner was committed before, or never will be.
-func (k *Kind) Look(ctx context.Context, w *jobs.Work, d *jobs.Deed) (done bool, proof jobs.Proof, err error) {
-	p, s, err := read(w)
-	if err != nil || d.Name != "write" || k.Unsafe == "resume" {
-		return false, jobs.Proof{}, err // stop changes nothing, and prepare can be done again
+// Recover is Kind's. It takes the fence first: an act of an older owner was committed before, or never will be.
+func (k *Handler) Recover(ctx context.Context, w *jobs.Job, d *jobs.Operation) (done bool, proof jobs.Result, err error) {
+	p, s, err := decode(w)
+	if err != nil || d.Name != "write" || k.DisabledGuarantee == "resume" {
+		return false, jobs.Result{}, err // stop changes nothing, and prepare can be done again
 	}
 	id := d.ID(w.Name)
 	var found string
-	err = k.Client.Act(ctx, p.Groups[s.Done%len(p.Groups)], p.Database, w.Name, w.Token, "look for "+id, func(ctx context.Context, c *pgconn.PgConn) (err error) {
-		found, err = fencing.One(ctx, c, "SELECT ref FROM ashstand.acts WHERE ref >= $1 AND ref < $2 ORDER BY ref LIMIT 1", id+"#", id+"$")
+	err = k.Client.Transact(ctx, p.Groups[s.Written%len(p.Groups)], p.Database, w.Name, w.Token, "look for "+id, func(ctx context.Context, c *pgconn.PgConn) (err error) {
+		found, err = fencing.QueryValue(ctx, c, "SELECT ref FROM ashstand.acts WHERE ref >= $1 AND ref < $2 ORDER BY ref LIMIT 1", id+"#", id+"$")
 		return err
 	})
 	if err != nil || found == "" {
-		return false, jobs.Proof{}, err
+		return false, jobs.Result{}, err
 	}
 	return true, k.proof(p, s, d), nil
 }
--- a/internal/cluster/jobs/noop/golden_test.go
+++ b/internal/cluster/jobs/noop/golden_test.go
@@ -32,17 +32,17 @@
 
 // What the log holds of such a work: its kind, its spec, and its state.
 func TestGoldenEncodings(t *testing.T) {
-	spec := Spec{Database: "orders", Groups: []uint64{1, 2}, Deeds: 20, Every: 500.5}
-	st := state{Prepared: 2, Done: 7, At: 1234.5}
+	spec := Spec{Database: "orders", Groups: []uint64{1, 2}, Operations: 20, IntervalMillis: 500.5}
+	st := state{PreparedGroups: 2, Written: 7, WrittenAtMillis: 1234.5}
 	a, err := json.Marshal(spec)
 	require.NoError(t, err)
 	b, err := json.Marshal(st)
 	require.NoError(t, err)
-	text := Name + "\n" + string(a) + "\n" + string(b) + "\n"
+	text := KindName + "\n" + string(a) + "\n" + string(b) + "\n"
 	want := golden(t, "encodings.txt", text)
 	require.Equal(t, want, text)
 	lines := strings.Split(want, "\n")
-	p, s, err := read(&jobs.Work{Spec: []byte(lines[1]), State: []byte(lines[2])})
+	p, s, err := decode(&jobs.Job{Spec: []byte(lines[1]), State: []byte(lines[2])})
 	require.NoError(t, err)
 	require.Equal(t, spec, p)
 	require.Equal(t, st, s)
@@ -59,33 +59,33 @@
 	client := &fencing.Client{User: "ashstand", Hosts: func(uint64) []fencing.Host {
 		return []fencing.Host{{Name: "h1", Address: h.Address, Group: 1, Primary: true}}
 	}}
-	k := &Kind{Client: client, Now: func() float64 { return 1000 }}
-	spec, err := json.Marshal(Spec{Database: "orders", Groups: []uint64{1}, Deeds: 3, Every: 10})
+	k := &Handler{Client: client, Now: func() float64 { return 1000 }}
+	spec, err := json.Marshal(Spec{Database: "orders", Groups: []uint64{1}, Operations: 3, IntervalMillis: 10})
 	require.NoError(t, err)
-	w := &jobs.Work{Name: "d1", Kind: Name, Spec: spec, Token: 17}
+	w := &jobs.Job{Name: "d1", Kind: KindName, Spec: spec, Token: 17}
 	var out bytes.Buffer
-	for !w.Ended {
+	for !w.Finished {
 		if w.Step == 3 {
-			w.Word = &jobs.Word{Say: "stop", Step: 3, Lasting: true}
+			w.Approval = &jobs.Approval{Action: "stop", Step: 3, Persistent: true}
 		}
 		step := k.Next(1000, w, nil)
-		fmt.Fprintf(&out, "next %q wait %v word %v", step.Deed, step.Wait, step.Took)
-		for _, o := range step.Says {
-			fmt.Fprintf(&out, " option %q lasting %v", o.Say, o.Lasting)
+		fmt.Fprintf(&out, "next %q wait %v word %v", step.OperationName, step.RetryAfterMillis, step.Approval)
+		for _, o := range step.Options {
+			fmt.Fprintf(&out, " option %q lasting %v", o.Action, o.Persistent)
 		}
 		fmt.Fprintln(&out)
-		if step.Deed == "" {
-			step = k.Next(1000+step.Wait, w, nil)
+		if step.OperationName == "" {
+			step = k.Next(1000+step.RetryAfterMillis, w, nil)
 		}
-		d := &jobs.Deed{Number: w.Next(), Name: step.Deed, Token: 17}
-		p, err := k.Do(t.Context(), w, d)
+		d := &jobs.Operation{Number: w.NextOperationNumber(), Name: step.OperationName, Token: 17}
+		p, err := k.Execute(t.Context(), w, d)
 		require.NoError(t, err)
-		done, found, err := k.Look(t.Context(), w, d)
+		done, found, err := k.Recover(t.Context(), w, d)
 		require.NoError(t, err)
-		fmt.Fprintf(&out, "%s: state %s ended %v %q; found %v %s\n", d.ID(w.Name), p.State, p.Ended, p.Why, done, found.State)
-		w.State, w.Ended, w.Step = p.State, p.Ended, w.Step+1
+		fmt.Fprintf(&out, "%s: state %s ended %v %q; found %v %s\n", d.ID(w.Name), p.State, p.Finished, p.Reason, done, found.State)
+		w.State, w.Finished, w.Step = p.State, p.Finished, w.Step+1
 	}
-	conn, _, err := client.Primary(t.Context(), 1, "orders")
+	conn, _, err := client.ConnectPrimary(t.Context(), 1, "orders")
 	require.NoError(t, err)
 	defer fencing.Close(conn)
 	rows, _, err := fencing.Exec(t.Context(), conn, "SELECT ref, payload FROM ashstand.acts ORDER BY ref")
--- a/internal/cluster/migration/after.go
+++ b/internal/cluster/migration/after.go
@@ -18,10 +18,10 @@
 }
 
 // after is what a deed that was done leaves. The state holds no clock but that of the announcement.
-func after(a Act, r result) (jobs.Proof, error) {
+func after(a Act, r result) (jobs.Result, error) {
 	s, d := a.State, a.Data
 	begun := Begun{At: d.At, Token: a.Told}
-	p := jobs.Proof{}
+	p := jobs.Result{}
 	if d.Lost != "" {
 		s.Lost = keep(append(s.Lost, clip(d.Lost)))
 	}
@@ -129,13 +129,13 @@
 		s.Phase = Accepted
 	case DeedFinish:
 		s.Phase = Done
-		p.Ended, p.Why = true, "accepted"
+		p.Finished, p.Reason = true, "accepted"
 	case DeedClear:
 		s.Phase, s.Back = TakenBack, d.Back
-		p.Ended, p.Why = true, "taken back: "+d.Back
+		p.Finished, p.Reason = true, "taken back: "+d.Back
 	case DeedEnd:
 		s.Phase, s.Back = TakenBack, d.Back
-		p.Ended, p.Why = true, "taken back: "+d.Back
+		p.Finished, p.Reason = true, "taken back: "+d.Back
 	case DeedHold:
 		s.Held = d.Held
 	case DeedBack:
--- a/internal/cluster/migration/golden_test.go
+++ b/internal/cluster/migration/golden_test.go
@@ -133,7 +133,7 @@
 				State json.RawMessage `json:"state"`
 				Ended bool            `json:"ended"`
 				Why   string          `json:"why"`
-			}{data, proof.State, proof.Ended, proof.Why})
+			}{data, proof.State, proof.Finished, proof.Reason})
 		})
 	}
 }
@@ -176,12 +176,12 @@
 	var out bytes.Buffer
 	for range goldenCases {
 		s := State{Phase: Phases[random.IntN(len(Phases))], Published: yes(), Fed: yes(), Again: random.IntN(8) == 0, Doubt: yes(), Lines: Lines{1 + random.IntN(2), 1},
-			Compare: Compare{All: yes(), Begun: Begun{999_000, 5}}, Copy: Copy{All: yes(), Rows: 3000, Begun: Begun{998_000, jobs.Token(4 + random.IntN(2))}}, Tries: random.IntN(3), Rested: Begun{999_500, 5}}
+			Compare: Compare{All: yes(), Begun: Begun{999_000, 5}}, Copy: Copy{All: yes(), Rows: 3000, Begun: Begun{998_000, jobs.FencingToken(4 + random.IntN(2))}}, Tries: random.IntN(3), Rested: Begun{999_500, 5}}
 		if random.IntN(4) == 0 {
 			s.Back = "an operator said rollback"
 		}
 		if s.Phase == Closing || s.Phase == Verifying {
-			s.Reverse, s.Pause = yes(), &Pause{Begun: Begun{1e6 - float64(random.IntN(4000)), jobs.Token(4 + min(1, random.IntN(4)))}, Version: 3, Closes: random.IntN(2)}
+			s.Reverse, s.Pause = yes(), &Pause{Begun: Begun{1e6 - float64(random.IntN(4000)), jobs.FencingToken(4 + min(1, random.IntN(4)))}, Version: 3, Closes: random.IntN(2)}
 			if s.Phase == Verifying {
 				s.Pause.Closed, s.Pause.Verified = &Closed{Line: 1, Position: 500}, yes()
 			}
@@ -194,10 +194,10 @@
 		} else if random.IntN(4) == 0 {
 			s.Held = "the check refuses"
 		}
-		var word *jobs.Word
+		var word *jobs.Approval
 		if yes() {
 			say := []string{Go, Hold, Resume, Rollback, Accept, "other"}[random.IntN(6)]
-			word = &jobs.Word{Say: say, By: "op", Step: uint64(8 + random.IntN(2)), Lasting: say == Rollback}
+			word = &jobs.Approval{Action: say, By: "op", Step: uint64(8 + random.IntN(2)), Persistent: say == Rollback}
 		}
 		var seen any
 		if random.IntN(8) > 0 {
@@ -209,15 +209,15 @@
 		state, err := json.Marshal(s)
 		require.NoError(t, err)
 		m := &Mover{Costs: testCosts}
-		step := m.Next(1e6, &jobs.Work{Name: "w", Kind: Name, Spec: json.RawMessage(testPlan), Token: 5, Step: 9, State: state, Word: word}, seen)
+		step := m.Next(1e6, &jobs.Job{Name: "w", Kind: Name, Spec: json.RawMessage(testPlan), Token: 5, Step: 9, State: state, Approval: word}, seen)
 		line, err := json.Marshal(struct {
-			Operation string          `json:"operation"`
-			Data      json.RawMessage `json:"data"`
-			Word      *jobs.Word      `json:"word"`
-			Wait      float64         `json:"wait"`
-			Why       string          `json:"why"`
-			Says      []jobs.Option   `json:"says"`
-		}{step.Deed, step.Data, step.Took, step.Wait, step.Why, step.Says})
+			Operation string                `json:"operation"`
+			Data      json.RawMessage       `json:"data"`
+			Word      *jobs.Approval        `json:"word"`
+			Wait      float64               `json:"wait"`
+			Why       string                `json:"why"`
+			Says      []jobs.ApprovalOption `json:"says"`
+		}{step.OperationName, step.Data, step.Approval, step.RetryAfterMillis, step.Reason, step.Options})
 		require.NoError(t, err)
 		out.Write(append(line, '\n'))
 	}
--- a/internal/cluster/migration/move_test.go
+++ b/internal/cluster/migration/move_test.go
@@ -76,8 +76,8 @@
 	r.verified.Lines.Home = 1
 	p, err := after(a, r)
 	require.NoError(t, err)
-	l := jobs.Ledger{}
-	require.Nil(t, l.Apply(jobs.Entry{Op: jobs.Create, Work: "w", Kind: "move", State: p.State}))
+	l := jobs.StateMachine{}
+	require.Nil(t, l.Apply(jobs.Entry{Type: jobs.EntryCreate, Job: "w", JobKind: "move", State: p.State}))
 	require.Greater(t, len(p.State), 8<<10, "it is full")
 	a.Name = DeedCopy
 	r.Copied.After = strings.Repeat("x", mostCursor+1)
@@ -89,14 +89,14 @@
 var one = Lines{1, 1}
 
 // at is a work in a state, owned under token 5 at step 9.
-func at(t *testing.T, s State, w *jobs.Word) *jobs.Work {
+func at(t *testing.T, s State, w *jobs.Approval) *jobs.Job {
 	b, err := json.Marshal(s)
 	require.NoError(t, err)
-	return &jobs.Work{Name: "w", Kind: "move", Spec: json.RawMessage(testPlan), Token: 5, Step: 9, State: b, Word: w}
+	return &jobs.Job{Name: "w", Kind: "move", Spec: json.RawMessage(testPlan), Token: 5, Step: 9, State: b, Approval: w}
 }
 
-func said(word string) *jobs.Word {
-	return &jobs.Word{Say: word, Step: 9, Lasting: word == Rollback}
+func said(word string) *jobs.Approval {
+	return &jobs.Approval{Action: word, Step: 9, Persistent: word == Rollback}
 }
 
 // good is what is seen when all is well.
@@ -105,7 +105,7 @@
 		Progress: Progress{Reached: true, Lines: one, HomePos: 500, Applied: 500, Ready: true}}
 }
 
-func pausing(at float64, token jobs.Token) *Pause {
+func pausing(at float64, token jobs.FencingToken) *Pause {
 	return &Pause{Begun: Begun{at, token}, Version: 3}
 }
 
@@ -120,7 +120,7 @@
 	all := Compare{All: true}
 	for name, c := range map[string]struct {
 		s    State
-		word *jobs.Word
+		word *jobs.Approval
 		see  func(*Seen)
 		deed string // or "", and why
 		why  string
@@ -131,7 +131,7 @@
 		"checked again":             {s: State{Phase: Planned, Held: "the check refuses"}, word: said(Resume), deed: DeedResume},
 		"checked waits":             {s: State{Phase: Checked}, why: "waits for go"},
 		"checked goes":              {s: State{Phase: Checked}, word: said(Go), deed: DeedPublish},
-		"a word of another step":    {s: State{Phase: Checked}, word: &jobs.Word{Say: Go, Step: 8}, why: "waits for go"},
+		"a word of another step":    {s: State{Phase: Checked}, word: &jobs.Approval{Action: Go, Step: 8}, why: "waits for go"},
 		"a word that is none":       {s: State{Phase: Checked}, word: said("og"), deed: DeedDrop},
 		"rollback said again":       {s: State{Phase: Switched, Lines: one, Fed: true, Compare: all, Back: "x", Held: "y"}, word: said(Rollback), deed: DeedDrop},
 		"published":                 {s: State{Phase: Checked, Published: true}, deed: DeedSubscribe},
@@ -189,7 +189,7 @@
 		"back from catching up": {s: State{Phase: CatchingUp, Lines: one, Compare: all}, word: said(Rollback), deed: DeedClear},
 		"back from closing":     {s: State{Phase: Closing, Pause: pausing(1e6, 5)}, word: said(Rollback), deed: DeedReopen},
 		"back from verifying":   {s: State{Phase: Verifying, Pause: closed(pausing(1e6, 5), true)}, word: said(Rollback), deed: DeedReopen},
-		"back from switched":    {s: State{Phase: Switched}, word: &jobs.Word{Say: Rollback, Step: 3, Lasting: true}, deed: DeedBack},
+		"back from switched":    {s: State{Phase: Switched}, word: &jobs.Approval{Action: Rollback, Step: 3, Persistent: true}, deed: DeedBack},
 		"no back once accepted": {s: State{Phase: Accepted}, word: said(Rollback), deed: DeedFinish},
 	} {
 		see := good()
@@ -198,19 +198,19 @@
 		}
 		w := at(t, c.s, c.word)
 		step := m.Next(1e6, w, see)
-		require.Equal(t, c.deed, step.Deed, "%s: %s", name, step.Why)
-		require.Contains(t, step.Why, c.why, name)
+		require.Equal(t, c.deed, step.OperationName, "%s: %s", name, step.Reason)
+		require.Contains(t, step.Reason, c.why, name)
 		if c.deed != "" {
 			require.True(t, json.Valid(step.Data), name)
 		} else {
-			require.Nil(t, step.Took, name)
+			require.Nil(t, step.Approval, name)
 		}
 		if c.word != nil && c.deed != "" && c.s.Phase != Accepted {
-			require.Equal(t, c.word.Say == Go || step.Took != nil, true, name)
+			require.Equal(t, c.word.Action == Go || step.Approval != nil, true, name)
 		}
 		see.Step = 8
-		if stale := m.Next(1e6, w, see); stale.Deed != step.Deed && stale.Deed != DeedDrop {
-			require.Empty(t, stale.Deed, "%s: what was seen before the last deed counts for nothing", name)
+		if stale := m.Next(1e6, w, see); stale.OperationName != step.OperationName && stale.OperationName != DeedDrop {
+			require.Empty(t, stale.OperationName, "%s: what was seen before the last deed counts for nothing", name)
 		}
 		require.NotPanics(t, func() { m.Next(1e6, w, nil) })
 	}
@@ -234,14 +234,14 @@
 				continue // it is never held there
 			}
 			offered := map[string]bool{}
-			for _, o := range m.Next(1e6, at(t, s, nil), good()).Says {
-				offered[o.Say] = true
-				require.NotEmpty(t, o.Does)
-				require.Equal(t, o.Say == Rollback, o.Lasting)
+			for _, o := range m.Next(1e6, at(t, s, nil), good()).Options {
+				offered[o.Action] = true
+				require.NotEmpty(t, o.Effect)
+				require.Equal(t, o.Action == Rollback, o.Persistent)
 			}
 			for _, word := range []string{Go, Hold, Resume, Rollback, Accept} {
 				step := m.Next(1e6, at(t, s, said(word)), good())
-				require.Equal(t, offered[word], step.Took != nil && step.Deed != DeedDrop, "%s %q in %s", word, held, phase)
+				require.Equal(t, offered[word], step.Approval != nil && step.OperationName != DeedDrop, "%s %q in %s", word, held, phase)
 			}
 		}
 	}
@@ -256,7 +256,7 @@
 
 func (f *fakeRules) Now() (map[string]any, int, bool) { return f.rules, 7, true }
 func (f *fakeRules) Limited(string) bool              { return true }
-func (f *fakeRules) Change(_ context.Context, _ string, _ jobs.Token, _ *jobs.Deed, c map[string]any) (int, error) {
+func (f *fakeRules) Change(_ context.Context, _ string, _ jobs.FencingToken, _ *jobs.Operation, c map[string]any) (int, error) {
 	if f.calls++; f.err != nil {
 		return 0, f.err
 	}
@@ -288,40 +288,40 @@
 	places := &fakePlaces{closed: true, line: 1}
 	m := &Mover{Places: places, Rules: rules, Costs: testCosts}
 	w := at(t, s, nil)
-	deed := func(name string) *jobs.Deed {
-		return &jobs.Deed{Number: 10, Name: name, Token: 5, Data: json.RawMessage(`{"at": 1000000}`)}
+	deed := func(name string) *jobs.Operation {
+		return &jobs.Operation{Number: 10, Name: name, Token: 5, Data: json.RawMessage(`{"at": 1000000}`)}
 	}
 
-	done, _, err := m.Look(context.Background(), w, deed(DeedSwitch))
+	done, _, err := m.Recover(context.Background(), w, deed(DeedSwitch))
 	require.NoError(t, err)
 	require.False(t, done, "no version says so")
 	require.Empty(t, places.opened)
 
 	places.closed = false // the home failed over and its new primary lacks the fence
-	p, err := m.Do(context.Background(), w, deed(DeedSwitch))
+	p, err := m.Execute(context.Background(), w, deed(DeedSwitch))
 	require.NoError(t, err)
 	require.Zero(t, rules.calls)
 	require.Contains(t, string(p.State), `"phase":"closing"`)
 
 	places.closed = true
-	rules.err = &jobs.Refusal{Reason: jobs.TokenOld}
-	_, err = m.Do(context.Background(), w, deed(DeedSwitch))
-	var r *jobs.Refusal
+	rules.err = &jobs.RejectedError{Reason: jobs.RejectStaleToken}
+	_, err = m.Execute(context.Background(), w, deed(DeedSwitch))
+	var r *jobs.RejectedError
 	require.True(t, errors.As(err, &r))
 	require.Empty(t, places.opened, "an owner that was replaced opens nothing")
 
 	rules.err, places.closed = nil, true
-	_, err = m.Do(context.Background(), w, deed(DeedSwitch))
+	_, err = m.Execute(context.Background(), w, deed(DeedSwitch))
 	require.NoError(t, err)
 	require.Equal(t, []Group{2}, places.opened)
 
 	places.opened = nil // whoever comes next finds the version in the log and goes on
-	done, p, err = m.Look(context.Background(), w, deed(DeedSwitch))
+	done, p, err = m.Recover(context.Background(), w, deed(DeedSwitch))
 	require.NoError(t, err)
 	require.True(t, done)
 	require.Contains(t, string(p.State), `"phase":"switched"`)
 	require.Equal(t, []Group{2}, places.opened)
-	done, _, err = m.Look(context.Background(), at(t, s, nil), deed(DeedPause))
+	done, _, err = m.Recover(context.Background(), at(t, s, nil), deed(DeedPause))
 	require.NoError(t, err)
 	require.False(t, done)
 }
@@ -355,16 +355,16 @@
 			s.Back = "x"
 		}
 		if s.Phase == Closing || s.Phase == Verifying {
-			s.Reverse, s.Pause = yes("reverse"), &Pause{Begun: Begun{1e6 - float64(n("ago", 4000)), jobs.Token(4 + n("token", 1))}, Version: 3}
+			s.Reverse, s.Pause = yes("reverse"), &Pause{Begun: Begun{1e6 - float64(n("ago", 4000)), jobs.FencingToken(4 + n("token", 1))}, Version: 3}
 			if s.Phase == Verifying {
 				closed(s.Pause, yes("verified"))
 			}
 		} else if yes("held") {
 			s.Held = "x"
 		}
-		var w *jobs.Word
+		var w *jobs.Approval
 		if yes("word") {
-			w = &jobs.Word{Say: rapid.SampledFrom([]string{Go, Hold, Resume, Rollback, Accept, "other"}).Draw(t, "says"), Step: uint64(8 + n("step", 1)), Lasting: yes("lasting")}
+			w = &jobs.Approval{Action: rapid.SampledFrom([]string{Go, Hold, Resume, Rollback, Accept, "other"}).Draw(t, "says"), Step: uint64(8 + n("step", 1)), Persistent: yes("lasting")}
 		}
 		var seen any
 		if yes("seen") {
@@ -374,25 +374,25 @@
 		}
 		b, err := json.Marshal(s)
 		require.NoError(t, err)
-		work := &jobs.Work{Name: "w", Kind: "move", Spec: json.RawMessage(testPlan), Token: 5, Step: 9, State: b, Word: w}
+		work := &jobs.Job{Name: "w", Kind: "move", Spec: json.RawMessage(testPlan), Token: 5, Step: 9, State: b, Approval: w}
 		step := m.Next(1e6, work, seen)
-		if step.Deed == "" {
-			require.Nil(t, step.Took)
-			require.NotEmpty(t, step.Why)
-			require.GreaterOrEqual(t, step.Wait, 0.0)
+		if step.OperationName == "" {
+			require.Nil(t, step.Approval)
+			require.NotEmpty(t, step.Reason)
+			require.GreaterOrEqual(t, step.RetryAfterMillis, 0.0)
 			return
 		}
 		var d Data
 		require.NoError(t, json.Unmarshal(step.Data, &d))
 		require.Equal(t, 1e6, d.At)
-		if step.Took != nil {
-			require.Equal(t, w, step.Took)
-			require.True(t, w.Step == 9 || w.Lasting)
+		if step.Approval != nil {
+			require.Equal(t, w, step.Approval)
+			require.True(t, w.Step == 9 || w.Persistent)
 		}
 		if s.Pause != nil && (s.Pause.Begun.Token != 5 || 1e6-s.Pause.Begun.At >= testCosts.Cutoff(Plan{Pause: 4000})) {
-			require.Equal(t, DeedReopen, step.Deed, "no pause goes on past its cutoff, nor another owner's")
+			require.Equal(t, DeedReopen, step.OperationName, "no pause goes on past its cutoff, nor another owner's")
 		}
-		if step.Deed == DeedSwitch {
+		if step.OperationName == DeedSwitch {
 			require.True(t, s.Pause.Verified)
 		}
 	})
--- a/internal/cluster/migration/mover.go
+++ b/internal/cluster/migration/mover.go
@@ -15,13 +15,13 @@
 type Act struct {
 	Plan  Plan
 	Work  string
-	Token jobs.Token
+	Token jobs.FencingToken
 	// Number is the deed's.
 	Number uint64
-	Deed   string     // its identity, see owner.Deed.ID
-	Name   string     // of the deed
-	Told   jobs.Token // under which it was announced
-	State  State      // before it
+	Deed   string            // its identity, see owner.Deed.ID
+	Name   string            // of the deed
+	Told   jobs.FencingToken // under which it was announced
+	State  State             // before it
 	Data   Data
 }
 
@@ -121,7 +121,7 @@
 	// deed is not open: it was looked for and found not done. It returns when that is in the log. While another version is
 	// not in force yet it waits. Costs count one such wait: it takes that changes which wait come in together, or that
 	// nothing else changes the rules.
-	Change(ctx context.Context, work string, token jobs.Token, deed *jobs.Deed, change map[string]any) (version int, err error)
+	Change(ctx context.Context, work string, token jobs.FencingToken, deed *jobs.Operation, change map[string]any) (version int, err error)
 	// Limited says whether the limits name a key: then a pooler without a lease keeps to it.
 	Limited(key string) bool
 }
@@ -155,7 +155,7 @@
 // Breakable are the words of Mover.Break.
 var Breakable = []string{"fence", "verify", "pause", "back", "word"}
 
-func (m *Mover) act(w *jobs.Work, d *jobs.Deed) (Act, error) {
+func (m *Mover) act(w *jobs.Job, d *jobs.Operation) (Act, error) {
 	p, err := read(w.Spec)
 	if err != nil {
 		return Act{}, err
@@ -174,8 +174,8 @@
 	return a, nil
 }
 
-// Watch looks at the rules and, as far as the phase calls for it, at both homes.
-func (m *Mover) Watch(ctx context.Context, w *jobs.Work) (any, error) {
+// Observe looks at the rules and, as far as the phase calls for it, at both homes.
+func (m *Mover) Observe(ctx context.Context, w *jobs.Job) (any, error) {
 	a, err := m.act(w, nil)
 	if err != nil {
 		return nil, err
@@ -215,15 +215,15 @@
 	return see, nil
 }
 
-// Do does a deed that was announced.
-func (m *Mover) Do(ctx context.Context, w *jobs.Work, d *jobs.Deed) (jobs.Proof, error) {
+// Execute does a deed that was announced.
+func (m *Mover) Execute(ctx context.Context, w *jobs.Job, d *jobs.Operation) (jobs.Result, error) {
 	a, err := m.act(w, d)
 	if err != nil {
-		return jobs.Proof{}, err
+		return jobs.Result{}, err
 	}
 	r, err := m.deed(ctx, a)
 	if err != nil {
-		return jobs.Proof{}, err
+		return jobs.Result{}, err
 	}
 	return after(a, r)
 }
@@ -250,7 +250,7 @@
 	case DeedCompare:
 		r.Compared, err = m.Places.Compare(ctx, a, home, other)
 	case DeedPause:
-		r.version, err = m.Rules.Change(ctx, a.Work, a.Token, &jobs.Deed{Number: a.Number, Name: a.Name}, map[string]any{a.Plan.pausedKey(): true})
+		r.version, err = m.Rules.Change(ctx, a.Work, a.Token, &jobs.Operation{Number: a.Number, Name: a.Name}, map[string]any{a.Plan.pausedKey(): true})
 	case DeedClose:
 		r.Closed, r.held, err = m.Places.Close(ctx, a, home)
 	case DeedVerify:
@@ -266,12 +266,12 @@
 			r.unfenced = true
 			return r, nil
 		}
-		if r.version, err = m.Rules.Change(ctx, a.Work, a.Token, &jobs.Deed{Number: a.Number, Name: a.Name}, m.served(a, other)); err != nil {
+		if r.version, err = m.Rules.Change(ctx, a.Work, a.Token, &jobs.Operation{Number: a.Number, Name: a.Name}, m.served(a, other)); err != nil {
 			return r, err
 		}
 		return r, m.Places.Open(ctx, a, other)
 	case DeedReopen:
-		if r.version, err = m.Rules.Change(ctx, a.Work, a.Token, &jobs.Deed{Number: a.Number, Name: a.Name}, m.served(a, home)); err != nil {
+		if r.version, err = m.Rules.Change(ctx, a.Work, a.Token, &jobs.Operation{Number: a.Number, Name: a.Name}, m.served(a, home)); err != nil {
 			return r, err
 		}
 		err = m.Places.Open(ctx, a, home)
@@ -304,11 +304,11 @@
 	return out
 }
 
-// Look finds out whether a deed that is in doubt was done. What the log has decided is carried on.
-func (m *Mover) Look(ctx context.Context, w *jobs.Work, d *jobs.Deed) (bool, jobs.Proof, error) {
+// Recover finds out whether a deed that is in doubt was done. What the log has decided is carried on.
+func (m *Mover) Recover(ctx context.Context, w *jobs.Job, d *jobs.Operation) (bool, jobs.Result, error) {
 	a, err := m.act(w, d)
 	if err != nil {
-		return false, jobs.Proof{}, err
+		return false, jobs.Result{}, err
 	}
 	var r result
 	home, other := a.State.home(a.Plan)
@@ -335,7 +335,7 @@
 		done = r.Done
 	}
 	if err != nil || !done {
-		return false, jobs.Proof{}, err
+		return false, jobs.Result{}, err
 	}
 	p, err := after(a, r)
 	return err == nil, p, err
--- a/internal/cluster/migration/next.go
+++ b/internal/cluster/migration/next.go
@@ -77,14 +77,14 @@
 }
 
 // Next says what comes after what is proven.
-func (m *Mover) Next(now float64, w *jobs.Work, seen any) jobs.Step {
+func (m *Mover) Next(now float64, w *jobs.Job, seen any) jobs.Decision {
 	p, err := read(w.Spec)
 	if err != nil {
-		return jobs.Step{Why: "the plan can't be read: " + err.Error()}
+		return jobs.Decision{Reason: "the plan can't be read: " + err.Error()}
 	}
 	s, err := stateOf(w)
 	if err != nil {
-		return jobs.Step{Why: "the state can't be read: " + err.Error()}
+		return jobs.Decision{Reason: "the state can't be read: " + err.Error()}
 	}
 	look, _ := seen.(*Seen)
 	if look != nil && look.Step != w.Step {
@@ -92,11 +92,11 @@
 	}
 	n := &next{p: p, c: m.Costs, s: s, w: w, now: now, seen: look, broken: m.Break}
 	step := n.step()
-	step.Says = n.says()
-	if word := w.Word; step.Deed == "" && word != nil && (word.Step == w.Step || word.Lasting) &&
-		!slices.ContainsFunc(step.Says, func(o jobs.Option) bool { return o.Say == word.Say }) {
+	step.Options = n.says()
+	if word := w.Approval; step.OperationName == "" && word != nil && (word.Step == w.Step || word.Persistent) &&
+		!slices.ContainsFunc(step.Options, func(o jobs.ApprovalOption) bool { return o.Action == word.Action }) {
 		n.took = word // it means nothing here, and no other can be given while it stands
-		return n.do(DeedDrop, Data{Why: word.Say})
+		return n.do(DeedDrop, Data{Why: word.Action})
 	}
 	return step
 }
@@ -106,16 +106,16 @@
 	p      Plan
 	c      Costs
 	s      State
-	w      *jobs.Work
+	w      *jobs.Job
 	now    float64
 	seen   *Seen
-	took   *jobs.Word
+	took   *jobs.Approval
 	broken string
 }
 
 // word takes the word that was given for this step, if it is one of these. A lasting one counts at any.
 func (n *next) word(say ...string) bool {
-	if w := n.w.Word; w != nil && (w.Step == n.w.Step || w.Lasting) && slices.Contains(say, w.Say) {
+	if w := n.w.Approval; w != nil && (w.Step == n.w.Step || w.Persistent) && slices.Contains(say, w.Action) {
 		n.took = w
 		return true
 	}
@@ -123,15 +123,17 @@
 }
 
 // do announces a deed, with the word that was taken.
-func (n *next) do(deed string, d Data) jobs.Step {
+func (n *next) do(deed string, d Data) jobs.Decision {
 	d.At = n.now
 	b, _ := json.Marshal(d)
-	return jobs.Step{Deed: deed, Data: b, Took: n.took}
+	return jobs.Decision{OperationName: deed, Data: b, Approval: n.took}
 }
 
-func wait(why string, args ...any) jobs.Step { return jobs.Step{Why: fmt.Sprintf(why, args...)} }
+func wait(why string, args ...any) jobs.Decision {
+	return jobs.Decision{Reason: fmt.Sprintf(why, args...)}
+}
 
-func (n *next) step() jobs.Step {
+func (n *next) step() jobs.Decision {
 	if s, ok := n.rollback(); ok {
 		return s
 	}
@@ -185,10 +187,10 @@
 }
 
 // rollback is what an operator's rollback comes to, whatever else could be done.
-func (n *next) rollback() (jobs.Step, bool) {
+func (n *next) rollback() (jobs.Decision, bool) {
 	if n.broken == "back" || n.s.Back != "" || !n.word(Rollback) {
 		n.took = nil
-		return jobs.Step{}, false
+		return jobs.Decision{}, false
 	}
 	d := Data{Back: "an operator said rollback"}
 	switch n.s.Phase {
@@ -206,11 +208,11 @@
 		return n.do(DeedBack, d), true
 	}
 	n.took = nil
-	return jobs.Step{}, false
+	return jobs.Decision{}, false
 }
 
 // copying hands over tables at the pace that both sides have room for.
-func (n *next) copying() jobs.Step {
+func (n *next) copying() jobs.Decision {
 	see := n.seen
 	if s, wait := n.follow(); wait {
 		return s
@@ -231,7 +233,7 @@
 	// What was handed over last has to have had its time at this pace. Another owner's clock counts for nothing.
 	if ago, known := n.s.Copy.Begun.since(n.now, n.w.Token); known && ago < n.s.Copy.Rows/pace*1000 {
 		s := wait("paced at %.0f rows/s", pace)
-		s.Wait = n.s.Copy.Rows/pace*1000 - ago
+		s.RetryAfterMillis = n.s.Copy.Rows/pace*1000 - ago
 		return s
 	}
 	return n.do(DeedCopy, Data{Rows: pace * batch})
@@ -253,7 +255,7 @@
 }
 
 // follow sees to it that the other home can follow this one: it is copied anew where that can't be had otherwise.
-func (n *next) follow() (jobs.Step, bool) {
+func (n *next) follow() (jobs.Decision, bool) {
 	see := n.seen
 	if see == nil || !see.Reached {
 		return wait("the homes can't be reached"), true
@@ -267,27 +269,27 @@
 	if !see.Ready {
 		return wait("tables are being copied"), true
 	}
-	return jobs.Step{}, false
+	return jobs.Decision{}, false
 }
 
 // compared sees to it that all has been found equal since either side failed over last: the home may have lost what the
 // other has taken in, and the other may have lost what the home holds for passed on.
-func (n *next) compared() (jobs.Step, bool) {
+func (n *next) compared() (jobs.Decision, bool) {
 	if n.seen.Unmarked || n.seen.Lines != n.s.Lines {
 		return n.do(DeedMark, Data{Lost: n.failover(), Doubt: n.seen.Lines != n.s.Lines}), true
 	}
 	if !n.s.Compare.All {
 		return n.do(DeedCompare, Data{}), true
 	}
-	return jobs.Step{}, false
+	return jobs.Decision{}, false
 }
 
 // soon sees to it that a pause which begins now can be expected to end in a switch.
-func (n *next) soon() (jobs.Step, bool) {
+func (n *next) soon() (jobs.Decision, bool) {
 	see := n.seen
 	if ago, known := n.s.Rested.since(n.now, n.w.Token); known && n.s.Tries > 0 && ago < n.p.Rest {
 		s := wait("rests after a pause that was taken back")
-		s.Wait = n.p.Rest - ago
+		s.RetryAfterMillis = n.p.Rest - ago
 		return s, true
 	}
 	if see.Unfit != "" {
@@ -300,7 +302,7 @@
 		}
 		return wait("a pause now would need %.0f ms, %.0f are left of its bound", need, n.c.Cutoff(n.p)), true
 	}
-	return jobs.Step{}, false
+	return jobs.Decision{}, false
 }
 
 // fits says whether a pause begun now can be expected to end in a switch.
@@ -309,8 +311,8 @@
 	return need, need <= n.c.Cutoff(n.p)
 }
 
-func (n *next) catchingUp() jobs.Step {
-	for _, first := range []func() (jobs.Step, bool){n.follow, n.compared, n.soon} {
+func (n *next) catchingUp() jobs.Decision {
+	for _, first := range []func() (jobs.Decision, bool){n.follow, n.compared, n.soon} {
 		if s, is := first(); is {
 			return s
 		}
@@ -327,7 +329,7 @@
 }
 
 // paused goes on with a pause, or takes it back early enough.
-func (n *next) paused() jobs.Step {
+func (n *next) paused() jobs.Decision {
 	s, see := n.s, n.seen
 	if n.word(Hold) {
 		return n.do(DeedReopen, Data{Why: "an operator said pause", Held: "an operator said pause"})
@@ -343,8 +345,8 @@
 		}
 	}
 	step := n.forward(see, left)
-	if step.Deed == "" && n.broken != "pause" {
-		step.Wait = max(1, min(left, pausedLook)) // what it waits for shows at the places and in the rules, and has to be looked for
+	if step.OperationName == "" && n.broken != "pause" {
+		step.RetryAfterMillis = max(1, min(left, pausedLook)) // what it waits for shows at the places and in the rules, and has to be looked for
 	}
 	return step
 }
@@ -364,7 +366,7 @@
 	return "nobody said go"
 }
 
-func (n *next) forward(see *Seen, left float64) jobs.Step {
+func (n *next) forward(see *Seen, left float64) jobs.Decision {
 	s := n.s
 	if s.Pause.Closed == nil {
 		if see == nil || !see.Paused || !see.InForce || see.Version < s.Pause.Version {
@@ -396,11 +398,11 @@
 	return n.do(DeedVerify, Data{Within: max(1, left)})
 }
 
-func (n *next) switched() jobs.Step {
+func (n *next) switched() jobs.Decision {
 	if !n.s.Fed || n.seen != nil && n.seen.Reached && n.seen.FenceOff {
 		return n.do(DeedFeed, Data{})
 	}
-	for _, first := range []func() (jobs.Step, bool){n.follow, n.compared} {
+	for _, first := range []func() (jobs.Decision, bool){n.follow, n.compared} {
 		if s, is := first(); is {
 			return s
 		}
@@ -422,9 +424,9 @@
 }
 
 // says are the words that could be given for this step.
-func (n *next) says() (out []jobs.Option) {
+func (n *next) says() (out []jobs.ApprovalOption) {
 	say := func(word, does string) {
-		out = append(out, jobs.Option{Say: word, Does: does, Lasting: word == Rollback})
+		out = append(out, jobs.ApprovalOption{Action: word, Effect: does, Persistent: word == Rollback})
 	}
 	s := n.s
 	switch {
--- a/internal/cluster/migration/sql/build.go
+++ b/internal/cluster/migration/sql/build.go
@@ -16,7 +16,7 @@
 // base is what stands at both homes as long as the tenant was moved once. It is made by whoever comes first.
 var base = []string{
 	"CREATE SCHEMA IF NOT EXISTS ashstand",
-	fencing.FenceTable,
+	fencing.CreateFenceTable,
 	"CREATE TABLE IF NOT EXISTS ashstand.gate (id integer PRIMARY KEY, closed boolean NOT NULL)",
 	"CREATE TABLE IF NOT EXISTS ashstand.book (item text PRIMARY KEY, value text NOT NULL)",
 	"CREATE TABLE IF NOT EXISTS ashstand.touched (tab text NOT NULL, key text NOT NULL, PRIMARY KEY (tab, key))",
@@ -115,7 +115,7 @@
 // founded makes the base where it is missing.
 func (p *Places) founded(ctx context.Context, a migration.Act, at migration.Group) error {
 	return p.on(ctx, a, at, "schema ashstand", func(ctx context.Context, conn *pgconn.PgConn) error {
-		there, err := fencing.One(ctx, conn, "SELECT count(*) FROM information_schema.tables WHERE table_schema = 'ashstand' AND table_name IN "+
+		there, err := fencing.QueryValue(ctx, conn, "SELECT count(*) FROM information_schema.tables WHERE table_schema = 'ashstand' AND table_name IN "+
 			"('fence', 'gate', 'book', 'touched')")
 		if err != nil || there == "4" {
 			return err
@@ -233,7 +233,7 @@
 				continue
 			}
 			if pid != "" {
-				if _, err = fencing.One(ctx, conn, "SELECT pg_terminate_backend("+pid+")"); err != nil {
+				if _, err = fencing.QueryValue(ctx, conn, "SELECT pg_terminate_backend("+pid+")"); err != nil {
 					return err
 				}
 			}
@@ -279,7 +279,7 @@
 
 // subscribed says whether a group has a subscription.
 func subscribed(ctx context.Context, conn *pgconn.PgConn, called string) (bool, error) {
-	n, err := fencing.One(ctx, conn, "SELECT count(*) FROM pg_subscription WHERE subname = $1 AND subenabled", called)
+	n, err := fencing.QueryValue(ctx, conn, "SELECT count(*) FROM pg_subscription WHERE subname = $1 AND subenabled", called)
 	return n == "1", err
 }
 
@@ -342,7 +342,7 @@
 	}
 	return p.on(ctx, a, at, "subscription "+called, func(ctx context.Context, conn *pgconn.PgConn) error {
 		with := fmt.Sprintf("origin = none, slot_name = %s, create_slot = %v, copy_data = %v", quote(slot), slot == called, copies)
-		if version, err := fencing.One(ctx, conn, "SHOW server_version_num"); err != nil {
+		if version, err := fencing.QueryValue(ctx, conn, "SHOW server_version_num"); err != nil {
 			return err
 		} else if version >= "170000" && slot == called { // of six digits since release 10
 			with += ", failover = true"
--- a/internal/cluster/migration/sql/compare.go
+++ b/internal/cluster/migration/sql/compare.go
@@ -515,7 +515,7 @@
 	if err != nil || slot == "" {
 		return 0, false, err
 	}
-	text, err := fencing.One(ctx, conn, "SELECT confirmed_flush_lsn FROM pg_replication_slots WHERE slot_name = $1 AND coalesce(wal_status, '') <> 'lost'", slot)
+	text, err := fencing.QueryValue(ctx, conn, "SELECT confirmed_flush_lsn FROM pg_replication_slots WHERE slot_name = $1 AND coalesce(wal_status, '') <> 'lost'", slot)
 	return position(text), text != "", err
 }
 
@@ -690,7 +690,7 @@
 		if !t.carried() {
 			continue
 		}
-		n, err := fencing.One(ctx, conn, "SELECT count(*) FROM "+t.sql())
+		n, err := fencing.QueryValue(ctx, conn, "SELECT count(*) FROM "+t.sql())
 		if err != nil {
 			return nil, err
 		}
--- a/internal/cluster/migration/sql/gate.go
+++ b/internal/cluster/migration/sql/gate.go
@@ -25,7 +25,7 @@
 	}
 	if err = p.act(ctx, a, at, "end stragglers", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
 		for _, s := range held {
-			if _, err := fencing.One(ctx, conn, "SELECT pg_terminate_backend("+strconv.Itoa(s.PID)+")"); err != nil {
+			if _, err := fencing.QueryValue(ctx, conn, "SELECT pg_terminate_backend("+strconv.Itoa(s.PID)+")"); err != nil {
 				return err
 			}
 		}
@@ -113,7 +113,7 @@
 // Fenced says whether the gate is closed, under this token.
 func (p *Places) Fenced(ctx context.Context, a migration.Act, at migration.Group) (closed bool, n int, err error) {
 	err = p.act(ctx, a, at, "fenced", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
-		shut, err := fencing.One(ctx, conn, "SELECT closed FROM ashstand.gate WHERE id = 1")
+		shut, err := fencing.QueryValue(ctx, conn, "SELECT closed FROM ashstand.gate WHERE id = 1")
 		if err != nil {
 			return err
 		}
--- a/internal/cluster/migration/sql/golden_test.go
+++ b/internal/cluster/migration/sql/golden_test.go
@@ -225,7 +225,7 @@
 	out    strings.Builder
 	plan   migration.Plan
 	state  migration.State
-	token  jobs.Token
+	token  jobs.FencingToken
 	number uint64
 }
 
--- a/internal/cluster/migration/sql/look.go
+++ b/internal/cluster/migration/sql/look.go
@@ -38,7 +38,7 @@
 		if out.HomePos, err = standing(ctx, conn); err != nil {
 			return err
 		}
-		if published, err = fencing.One(ctx, conn, "SELECT count(*) FROM pg_publication_tables WHERE pubname LIKE 'ash\\_%'"); err != nil {
+		if published, err = fencing.QueryValue(ctx, conn, "SELECT count(*) FROM pg_publication_tables WHERE pubname LIKE 'ash\\_%'"); err != nil {
 			return err
 		}
 		touched, err = count(ctx, conn, "SELECT count(*) FROM ashstand.touched")
@@ -79,7 +79,7 @@
 					ready += n
 				}
 			}
-			text, err := fencing.One(ctx, conn, "SELECT o.remote_lsn FROM pg_replication_origin_status o JOIN pg_subscription s "+
+			text, err := fencing.QueryValue(ctx, conn, "SELECT o.remote_lsn FROM pg_replication_origin_status o JOIN pg_subscription s "+
 				"ON o.external_id = concat('pg_', s.oid) WHERE s.subname = $1", sub)
 			if err != nil {
 				return err
@@ -90,7 +90,7 @@
 		if touched += n; err != nil {
 			return err
 		}
-		shut, err := fencing.One(ctx, conn, "SELECT closed FROM ashstand.gate WHERE id = 1")
+		shut, err := fencing.QueryValue(ctx, conn, "SELECT closed FROM ashstand.gate WHERE id = 1")
 		if err != nil {
 			return err
 		}
@@ -145,11 +145,11 @@
 }
 
 func one1(ctx context.Context, conn *pgconn.PgConn, sql string) (string, error) {
-	return fencing.One(ctx, conn, sql)
+	return fencing.QueryValue(ctx, conn, sql)
 }
 
 func count(ctx context.Context, conn *pgconn.PgConn, sql string) (int, error) {
-	text, err := fencing.One(ctx, conn, sql)
+	text, err := fencing.QueryValue(ctx, conn, sql)
 	n, _ := strconv.Atoi(text)
 	return n, err
 }
--- a/internal/cluster/migration/sql/places.go
+++ b/internal/cluster/migration/sql/places.go
@@ -124,13 +124,13 @@
 
 // bounds are what a host keeps to for a deed's transaction. Who waits for a lock on a table lets nobody else have it
 // meanwhile, so that it is no longer than the plan has it for the closing.
-func (p *Places) bounds(a migration.Act) fencing.Bounds {
-	b := fencing.Bounds{Lock: time.Duration(a.Plan.Lock * 1e6), Statement: p.within(a), Idle: p.Idle}
+func (p *Places) bounds(a migration.Act) fencing.Timeouts {
+	b := fencing.Timeouts{Lock: time.Duration(a.Plan.Lock * 1e6), Statement: p.within(a), IdleInTransaction: p.Idle}
 	if b.Lock <= 0 || b.Lock > b.Statement {
 		b.Lock = min(time.Second, b.Statement)
 	}
-	if b.Idle <= 0 {
-		b.Idle = 2 * time.Second
+	if b.IdleInTransaction <= 0 {
+		b.IdleInTransaction = 2 * time.Second
 	}
 	return b
 }
@@ -195,7 +195,7 @@
 	if err1 != nil || err2 != nil {
 		return false
 	}
-	t := jobs.Token(token)
+	t := jobs.FencingToken(token)
 	return t < a.Token || t == a.Token && deed <= deedNumber(a)
 }
 
@@ -211,9 +211,9 @@
 	return p.actWithin(ctx, p.bounds(a), a, at, what, c, do)
 }
 
-func (p *Places) actWithin(ctx context.Context, bounds fencing.Bounds, a migration.Act, at migration.Group, what string, c claim,
+func (p *Places) actWithin(ctx context.Context, bounds fencing.Timeouts, a migration.Act, at migration.Group, what string, c claim,
 	do func(ctx context.Context, conn *pgconn.PgConn, b book) error) error {
-	err := p.Client.ActWithin(ctx, bounds, at, a.Plan.Tenant, a.Plan.Tenant, a.Token, what, func(ctx context.Context, conn *pgconn.PgConn) error {
+	err := p.Client.TransactWithin(ctx, bounds, at, a.Plan.Tenant, a.Plan.Tenant, a.Token, what, func(ctx context.Context, conn *pgconn.PgConn) error {
 		b, err := readBook(ctx, conn)
 		if err != nil {
 			return err
@@ -224,7 +224,7 @@
 		case b["work"] != a.Work && !free:
 			return &migration.Taken{Tenant: a.Plan.Tenant, By: b["work"]}
 		case b["work"] != a.Work, free && c != ends:
-			return &jobs.Fenced{Place: fmt.Sprint("group ", at), Given: a.Token, Holds: a.Token}
+			return &jobs.FencedError{Target: fmt.Sprint("group ", at), Presented: a.Token, Current: a.Token}
 		}
 		if n := deedNumber(a); b["work"] == a.Work && a.Deed != "" {
 			if n < b.number("deed") {
@@ -244,24 +244,24 @@
 	if err == nil {
 		return nil
 	}
-	return fencing.Decided(err, func(err error) error {
-		if _, ok := fencing.Worded(err); ok {
+	return fencing.WrapUncoded(err, func(err error) error {
+		if _, ok := fencing.ServerError(err); ok {
 			return &Refused{Group: at, What: what, Err: err}
 		}
-		return &fencing.Unreached{Host: fmt.Sprint("group ", at), What: what, Err: err}
+		return &fencing.InDoubtError{Host: fmt.Sprint("group ", at), Action: what, Err: err}
 	})
 }
 
 // on does something on a connection to a group's primary that no transaction holds: to look, or what SQL allows in none.
 func (p *Places) on(ctx context.Context, a migration.Act, at migration.Group, what string, do func(ctx context.Context, conn *pgconn.PgConn) error) error {
-	conn, _, err := p.Client.Primary(ctx, at, a.Plan.Tenant)
+	conn, _, err := p.Client.ConnectPrimary(ctx, at, a.Plan.Tenant)
 	if err != nil {
 		return p.worded(err, at, what)
 	}
 	defer fencing.Close(conn)
 	b := p.bounds(a)
-	b.Idle = b.Statement
-	if err = fencing.Bound(ctx, conn, b); err == nil {
+	b.IdleInTransaction = b.Statement
+	if err = fencing.SetTimeouts(ctx, conn, b); err == nil {
 		err = do(ctx, conn)
 	}
 	return p.worded(err, at, what)
@@ -279,7 +279,7 @@
 
 // line is a primary's timeline.
 func line(ctx context.Context, conn *pgconn.PgConn) (int, error) {
-	file, err := fencing.One(ctx, conn, "SELECT pg_walfile_name(pg_current_wal_insert_lsn())")
+	file, err := fencing.QueryValue(ctx, conn, "SELECT pg_walfile_name(pg_current_wal_insert_lsn())")
 	if err != nil || len(file) < 8 {
 		return 0, err
 	}
@@ -296,7 +296,7 @@
 
 // standing is the position past all that a statement before has seen, also of what was not waited for.
 func standing(ctx context.Context, conn *pgconn.PgConn) (migration.Position, error) {
-	text, err := fencing.One(ctx, conn, "SELECT pg_current_wal_insert_lsn()")
+	text, err := fencing.QueryValue(ctx, conn, "SELECT pg_current_wal_insert_lsn()")
 	return position(text), err
 }
 
@@ -331,7 +331,7 @@
 
 // code is what a home's refusal has; "": it is none.
 func code(err error) string {
-	if pe, ok := fencing.Worded(err); ok {
+	if pe, ok := fencing.ServerError(err); ok {
 		return pe.Code
 	}
 	return ""
--- a/internal/cluster/migration/sql/places_test.go
+++ b/internal/cluster/migration/sql/places_test.go
@@ -30,7 +30,7 @@
 	groups map[migration.Group]*host.Cluster
 	places *Places
 	mover  *migration.Mover
-	ledger jobs.Ledger
+	ledger jobs.StateMachine
 	// instead, if it is set, does the deed that is announced.
 	instead func() error
 
@@ -69,7 +69,7 @@
 	if _, err := migration.Parse(spec, costs); plan.Lock < plan.Pause {
 		require.NoError(t, err)
 	}
-	r.enter(jobs.Entry{Op: jobs.Create, Work: "m1", Kind: "move", Spec: spec})
+	r.enter(jobs.Entry{Type: jobs.EntryCreate, Job: "m1", JobKind: "move", Spec: spec})
 	r.owned()
 	return r
 }
@@ -88,7 +88,7 @@
 	return maps.Clone(r.rules), r.version, true
 }
 
-func (r *rig) Change(_ context.Context, _ string, _ jobs.Token, _ *jobs.Deed, keys map[string]any) (int, error) {
+func (r *rig) Change(_ context.Context, _ string, _ jobs.FencingToken, _ *jobs.Operation, keys map[string]any) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	maps.Copy(r.rules, keys)
@@ -109,7 +109,7 @@
 	require.Nil(r.t, refusal, "%v", refusal)
 }
 
-func (r *rig) work() *jobs.Work { return r.ledger.Works["m1"] }
+func (r *rig) work() *jobs.Job { return r.ledger.Jobs["m1"] }
 
 func (r *rig) state() migration.State {
 	s, err := migration.StateOf(r.work())
@@ -119,27 +119,27 @@
 
 // owned gives the work a new owner.
 func (r *rig) owned() {
-	r.enter(jobs.Entry{Op: jobs.Assign, Work: "m1", Token: r.work().Token, To: "n", Instance: 1})
+	r.enter(jobs.Entry{Type: jobs.EntryAssign, Job: "m1", Token: r.work().Token, Holder: "n", Incarnation: 1})
 }
 
 func (r *rig) say(word string) {
-	r.enter(jobs.Entry{Op: jobs.Say, Work: "m1", Word: &jobs.Word{Say: word, Step: r.work().Step, Lasting: word == migration.Rollback}})
+	r.enter(jobs.Entry{Type: jobs.EntryApprove, Job: "m1", Approval: &jobs.Approval{Action: word, Step: r.work().Step, Persistent: word == migration.Rollback}})
 }
 
 // announce logs what comes next; false: nothing does now.
 func (r *rig) announce() bool {
 	w := *r.work()
-	seen, err := r.mover.Watch(r.ctx, &w)
+	seen, err := r.mover.Observe(r.ctx, &w)
 	if err != nil && r.instead != nil {
 		return false
 	}
 	require.NoError(r.t, err)
 	s := r.mover.Next(float64(time.Now().UnixMicro())/1e3, &w, seen)
-	if s.Deed == "" {
+	if s.OperationName == "" {
 		return false
 	}
-	r.enter(jobs.Entry{Op: jobs.Announce, Work: "m1", Token: w.Token, Step: w.Step, Word: s.Took,
-		Deed: &jobs.Deed{Number: w.Next(), Name: s.Deed, Data: s.Data}})
+	r.enter(jobs.Entry{Type: jobs.EntryAnnounce, Job: "m1", Token: w.Token, Step: w.Step, Approval: s.Approval,
+		Operation: &jobs.Operation{Number: w.NextOperationNumber(), Name: s.OperationName, Data: s.Data}})
 	return true
 }
 
@@ -148,7 +148,7 @@
 		return r.instead()
 	}
 	w := *r.work()
-	p, err := r.mover.Do(r.ctx, &w, w.Deed)
+	p, err := r.mover.Execute(r.ctx, &w, w.Operation)
 	if err == nil {
 		r.prove(p)
 	}
@@ -160,25 +160,25 @@
 	r.t.Helper()
 	r.owned()
 	w := *r.work()
-	var p jobs.Proof
+	var p jobs.Result
 	var err error
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if done, p, err = r.mover.Look(r.ctx, &w, w.Deed); err == nil {
+		if done, p, err = r.mover.Recover(r.ctx, &w, w.Operation); err == nil {
 			break
 		}
 	}
-	require.NoError(r.t, err, w.Deed.Name)
+	require.NoError(r.t, err, w.Operation.Name)
 	if done {
 		r.prove(p)
 	} else {
-		r.enter(jobs.Entry{Op: jobs.Void, Work: "m1", Token: w.Token, Deed: w.Deed})
+		r.enter(jobs.Entry{Type: jobs.EntryAbort, Job: "m1", Token: w.Token, Operation: w.Operation})
 	}
 	return done
 }
 
-func (r *rig) prove(p jobs.Proof) {
+func (r *rig) prove(p jobs.Result) {
 	w := r.work()
-	r.enter(jobs.Entry{Op: jobs.Prove, Work: "m1", Token: w.Token, Deed: w.Deed, State: p.State, Ended: p.Ended, Why: p.Why})
+	r.enter(jobs.Entry{Type: jobs.EntryConfirm, Job: "m1", Token: w.Token, Operation: w.Operation, State: p.State, Finished: p.Finished, Reason: p.Reason})
 }
 
 // act is the deed that is announced, as its present owner would do it.
@@ -186,7 +186,7 @@
 	w := r.work()
 	a := migration.Act{Work: w.Name, Token: w.Token, State: r.state()}
 	require.NoError(r.t, json.Unmarshal(w.Spec, &a.Plan))
-	if d := w.Deed; d != nil {
+	if d := w.Operation; d != nil {
 		a.Deed, a.Name, a.Told = d.ID(w.Name), d.Name, d.Token
 		require.NoError(r.t, json.Unmarshal(d.Data, &a.Data))
 	}
@@ -197,14 +197,14 @@
 func (r *rig) until(deed string, is func(migration.State) bool) {
 	r.t.Helper()
 	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); {
-		if w := r.work(); w.Ended || deed == "" && is(r.state()) {
+		if w := r.work(); w.Finished || deed == "" && is(r.state()) {
 			return
 		}
-		if r.work().Deed == nil && !r.announce() {
+		if r.work().Operation == nil && !r.announce() {
 			time.Sleep(2 * time.Millisecond)
 			continue
 		}
-		if r.work().Deed.Name == deed {
+		if r.work().Operation.Name == deed {
 			return
 		}
 		require.NoError(r.t, r.do(), r.work().Name)
@@ -219,7 +219,7 @@
 }
 
 func (r *rig) dial(g migration.Group) *pgconn.PgConn {
-	c, _, err := (&fencing.Client{User: "web", Hosts: r.hosts}).Primary(r.ctx, g, tenant)
+	c, _, err := (&fencing.Client{User: "web", Hosts: r.hosts}).ConnectPrimary(r.ctx, g, tenant)
 	require.NoError(r.t, err)
 	r.t.Cleanup(func() { fencing.Close(c) })
 	return c
@@ -274,7 +274,7 @@
 							fencing.Close(conn)
 						}
 						var err error
-						if conn, _, err = (&fencing.Client{User: "web", Hosts: r.hosts}).Primary(r.ctx, home, tenant); err != nil {
+						if conn, _, err = (&fencing.Client{User: "web", Hosts: r.hosts}).ConnectPrimary(r.ctx, home, tenant); err != nil {
 							conn = nil
 							continue
 						}
@@ -471,7 +471,7 @@
 		a := r.act()
 		w := *r.work()
 		if !slices.Contains(deeds, a.Name) {
-			p, err := r.mover.Do(r.ctx, &w, w.Deed)
+			p, err := r.mover.Execute(r.ctx, &w, w.Operation)
 			if err == nil {
 				r.prove(p)
 			}
@@ -479,13 +479,13 @@
 		}
 		first := !seen[a.Name]
 		if seen[a.Name] = true; !first {
-			p, err := r.mover.Do(r.ctx, &w, w.Deed)
+			p, err := r.mover.Execute(r.ctx, &w, w.Operation)
 			if err == nil {
 				r.prove(p)
 			}
 			return err
 		}
-		if _, err := r.mover.Do(r.ctx, &w, w.Deed); err != nil { // proven by nobody
+		if _, err := r.mover.Execute(r.ctx, &w, w.Operation); err != nil { // proven by nobody
 			return err
 		}
 		done := r.settle()
@@ -510,7 +510,7 @@
 }
 
 func fenced(err error) bool {
-	var f *jobs.Fenced
+	var f *jobs.FencedError
 	return errors.As(err, &f)
 }
 
@@ -521,10 +521,10 @@
 		w := r.write(3, 100)
 		r.instead = func() error {
 			work := *r.work()
-			if _, err := r.mover.Do(r.ctx, &work, work.Deed); err != nil {
+			if _, err := r.mover.Execute(r.ctx, &work, work.Operation); err != nil {
 				return err
 			}
-			p, err := r.mover.Do(r.ctx, &work, work.Deed)
+			p, err := r.mover.Execute(r.ctx, &work, work.Operation)
 			if err == nil {
 				r.prove(p)
 			}
@@ -562,7 +562,7 @@
 				ctx, cancel = context.WithTimeout(r.ctx, time.Duration(lots.IntN(60))*time.Millisecond)
 			}
 			defer cancel()
-			p, err := r.mover.Do(ctx, &work, work.Deed)
+			p, err := r.mover.Execute(ctx, &work, work.Operation)
 			if err == nil {
 				r.prove(p)
 				return nil
@@ -696,9 +696,9 @@
 	r.until(migration.DeedClose, nil)
 	a := r.act()
 	c := r.dial(1)
-	require.NoError(t, fencing.Bound(r.ctx, c, r.places.bounds(a)))
+	require.NoError(t, fencing.SetTimeouts(r.ctx, c, r.places.bounds(a)))
 	r.exec(c, "BEGIN")
-	require.NoError(t, r.places.Client.Take(r.ctx, c, "1", tenant, a.Token))
+	require.NoError(t, r.places.Client.RaiseFence(r.ctx, c, "1", tenant, a.Token))
 	r.owned()
 	b := r.act()
 	b.Data.Within = 5000
--- a/internal/cluster/migration/state.go
+++ b/internal/cluster/migration/state.go
@@ -52,12 +52,14 @@
 
 // Begun is a moment by the clock of the owner that holds Token. No other owner can tell how long ago it was.
 type Begun struct {
-	At    float64    `json:"at"`
-	Token jobs.Token `json:"token"`
+	At    float64           `json:"at"`
+	Token jobs.FencingToken `json:"token"`
 }
 
 // since is how long ago it was; false: another owner's clock said it.
-func (b Begun) since(now float64, t jobs.Token) (float64, bool) { return now - b.At, b.Token == t }
+func (b Begun) since(now float64, t jobs.FencingToken) (float64, bool) {
+	return now - b.At, b.Token == t
+}
 
 // State is what proven deeds have left. It stays below the ledger's bound whatever a tenant holds: lists are cut.
 type State struct {
@@ -131,7 +133,7 @@
 	mostCursor = 600 // bytes of a place to go on from: two names and a key, quoted
 )
 
-func stateOf(w *jobs.Work) (s State, err error) {
+func stateOf(w *jobs.Job) (s State, err error) {
 	s.Phase = Planned
 	if len(w.State) > 0 {
 		err = json.Unmarshal(w.State, &s)
@@ -140,7 +142,7 @@
 }
 
 // StateOf reads a work's state.
-func StateOf(w *jobs.Work) (State, error) { return stateOf(w) }
+func StateOf(w *jobs.Job) (State, error) { return stateOf(w) }
 
 func (s *State) note(format string, args ...any) {
 	s.Notes = keep(append(s.Notes, clip(fmt.Sprintf(format, args...))))
--- a/internal/cluster/migration/turns.go
+++ b/internal/cluster/migration/turns.go
@@ -87,16 +87,16 @@
 type Where func(Group) (hosts, zones []string)
 
 // Candidates are the open moves of a ledger. Whatever was begun runs, also while it waits for a word.
-func Candidates(l *jobs.Ledger, kind string, where Where) (out []Candidate) {
-	for _, name := range l.Open() {
-		w := l.Works[name]
+func Candidates(l *jobs.StateMachine, kind string, where Where) (out []Candidate) {
+	for _, name := range l.OpenJobs() {
+		w := l.Jobs[name]
 		p, err := read(w.Spec)
 		if w.Kind != kind || err != nil {
 			continue
 		}
 		s, err := stateOf(w)
 		c := Candidate{Work: name, Tenant: p.Tenant, Groups: []Group{p.From, p.To}, Need: p.Need}
-		c.Running = err != nil || s.Phase != Planned || w.Deed != nil
+		c.Running = err != nil || s.Phase != Planned || w.Operation != nil
 		for _, g := range c.Groups {
 			h, z := where(g)
 			c.Hosts, c.Zones = append(c.Hosts, h...), append(c.Zones, z...)
--- a/internal/cluster/migration/turns_test.go
+++ b/internal/cluster/migration/turns_test.go
@@ -72,13 +72,13 @@
 }
 
 func TestCandidatesAreTheOpenMoves(t *testing.T) {
-	var l jobs.Ledger
+	var l jobs.StateMachine
 	for _, name := range []string{"a", "b"} {
-		require.Nil(t, l.Apply(jobs.Entry{Op: jobs.Create, Work: name, Kind: "move", Spec: json.RawMessage(testPlan)}))
+		require.Nil(t, l.Apply(jobs.Entry{Type: jobs.EntryCreate, Job: name, JobKind: "move", Spec: json.RawMessage(testPlan)}))
 	}
-	require.Nil(t, l.Apply(jobs.Entry{Op: jobs.Create, Work: "c", Kind: "other"}))
-	require.Nil(t, l.Apply(jobs.Entry{Op: jobs.Assign, Work: "b", To: "n1"}))
-	require.Nil(t, l.Apply(jobs.Entry{Op: jobs.Announce, Work: "b", Token: 1, Deed: &jobs.Deed{Number: 1, Name: DeedCheck}}))
+	require.Nil(t, l.Apply(jobs.Entry{Type: jobs.EntryCreate, Job: "c", JobKind: "other"}))
+	require.Nil(t, l.Apply(jobs.Entry{Type: jobs.EntryAssign, Job: "b", Holder: "n1"}))
+	require.Nil(t, l.Apply(jobs.Entry{Type: jobs.EntryAnnounce, Job: "b", Token: 1, Operation: &jobs.Operation{Number: 1, Name: DeedCheck}}))
 	got := Candidates(&l, "move", func(g Group) (h, z []string) { return []string{fmt.Sprint("h", g)}, []string{"z"} })
 	require.Equal(t, []Candidate{{Work: "a", Tenant: "orders", Groups: []Group{1, 2}, Hosts: []string{"h1", "h2"}, Zones: []string{"z", "z"}},
 		{Work: "b", Tenant: "orders", Groups: []Group{1, 2}, Hosts: []string{"h1", "h2"}, Zones: []string{"z", "z"}, Running: true}}, got)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -61,17 +61,17 @@
 	Election time.Duration `json:"election"`
 	Drift    float64       `json:"drift"`
 	Limits   string        `json:"limits"`          // a file
-	Works    *Works        `json:"works,omitempty"` // nil: this pooler does no works
+	Jobs     *Jobs         `json:"works,omitempty"` // nil: this pooler does no works
 }
 
-// Works are done by one owner at a time, on behalf of the whole fleet.
-type Works struct {
-	User   string        `json:"user"`  // by which db hosts know the owner
-	Stall  time.Duration `json:"stall"` // an owner that gets nothing done for so long is replaced
-	Tenure time.Duration `json:"tenure"`
-	Back   time.Duration `json:"back_off"`
-	Pace   time.Duration `json:"pace"` // between two looks at a place
-	Deed   time.Duration `json:"deed"` // a deed that takes longer is in doubt
+// Jobs are done by one owner at a time, on behalf of the whole fleet.
+type Jobs struct {
+	User             string        `json:"user"`  // by which db hosts know the owner
+	StallTimeout     time.Duration `json:"stall"` // an owner that gets nothing done for so long is replaced
+	MinTenure        time.Duration `json:"tenure"`
+	Backoff          time.Duration `json:"back_off"`
+	PollInterval     time.Duration `json:"pace"` // between two looks at a place
+	OperationTimeout time.Duration `json:"deed"` // a deed that takes longer is in doubt
 }
 
 // Lab is for the laboratory alone: a process in service refuses it.
@@ -183,10 +183,10 @@
 		Election *string   `hcl:"election"`
 		Drift    *float64  `hcl:"drift"`
 		Limits   *string   `hcl:"limits"`
-		Works    *workBody `hcl:"works,block"`
+		Works    *jobsBody `hcl:"works,block"`
 		Body     hcl.Body  `hcl:",body"`
 	}
-	workBody struct {
+	jobsBody struct {
 		User   *string  `hcl:"user"`
 		Stall  *string  `hcl:"stall"`
 		Tenure *string  `hcl:"tenure"`
@@ -447,24 +447,24 @@
 		}
 	}
 	if b.Works != nil {
-		c.works(a, b.Works)
+		c.jobs(a, b.Works)
 	}
 }
 
-func (c *checker) works(of *Agreement, b *workBody) {
+func (c *checker) jobs(of *Agreement, b *jobsBody) {
 	c.block = "cluster.agreement.works"
-	w := &Works{User: "ashstand", Stall: 20 * time.Second, Tenure: 5 * time.Second, Back: 30 * time.Second, Pace: 200 * time.Millisecond, Deed: 10 * time.Second}
-	of.Works = w
+	w := &Jobs{User: "ashstand", StallTimeout: 20 * time.Second, MinTenure: 5 * time.Second, Backoff: 30 * time.Second, PollInterval: 200 * time.Millisecond, OperationTimeout: 10 * time.Second}
+	of.Jobs = w
 	if set(b.User, &w.User); w.User == "" || len(w.User) > 63 {
 		c.fail(b.Body, "user", strconv.Quote(w.User), "a name of 1 to 63 characters, by which db hosts know the owner of a work")
 	}
-	c.time(b.Body, "stall", b.Stall, &w.Stall, 100*time.Millisecond, time.Hour, false)
-	c.time(b.Body, "tenure", b.Tenure, &w.Tenure, 0, time.Hour, true)
-	c.time(b.Body, "back_off", b.Back, &w.Back, 100*time.Millisecond, time.Hour, false)
-	c.time(b.Body, "pace", b.Pace, &w.Pace, 5*time.Millisecond, time.Minute, false)
-	c.time(b.Body, "deed", b.Deed, &w.Deed, 50*time.Millisecond, time.Hour, false)
-	if w.Stall < 2*w.Deed {
-		c.fail(b.Body, "stall", strconv.Quote(w.Stall.String()), fmt.Sprintf("at least twice deed, which is %v: a deed that is in doubt, and the look that settles it, are no stall", w.Deed))
+	c.time(b.Body, "stall", b.Stall, &w.StallTimeout, 100*time.Millisecond, time.Hour, false)
+	c.time(b.Body, "tenure", b.Tenure, &w.MinTenure, 0, time.Hour, true)
+	c.time(b.Body, "back_off", b.Back, &w.Backoff, 100*time.Millisecond, time.Hour, false)
+	c.time(b.Body, "pace", b.Pace, &w.PollInterval, 5*time.Millisecond, time.Minute, false)
+	c.time(b.Body, "deed", b.Deed, &w.OperationTimeout, 50*time.Millisecond, time.Hour, false)
+	if w.StallTimeout < 2*w.OperationTimeout {
+		c.fail(b.Body, "stall", strconv.Quote(w.StallTimeout.String()), fmt.Sprintf("at least twice deed, which is %v: a deed that is in doubt, and the look that settles it, are no stall", w.OperationTimeout))
 	}
 }
 
