--- a/testbed/cluster/simmove.go
+++ b/testbed/cluster/simmove.go
@@ -96,8 +96,8 @@
 
 type mvChange struct {
 	work  string
-	token jobs.Token
-	deed  *jobs.Deed
+	token jobs.FencingToken
+	deed  *jobs.Operation
 	keys  map[string]any
 	done  bool
 	n     int
@@ -106,7 +106,7 @@
 
 type mvSeen struct {
 	index int
-	w     *jobs.Work
+	w     *jobs.Job
 }
 
 type mvOwner struct {
@@ -125,7 +125,7 @@
 	now      float64
 	turn     int
 	queue    simQueue
-	ledger   jobs.Ledger
+	ledger   jobs.StateMachine
 	index    int
 	history  map[string][]mvSeen
 	versions []mvVersion
@@ -254,31 +254,31 @@
 		if err != nil {
 			m.breach("stuck", "a good plan is refused: %v", err)
 		}
-		m.after(m.lots.Float64()*200, func() { m.apply(jobs.Entry{Op: jobs.Create, Work: t.work, Kind: migration.Name, Spec: spec}) })
+		m.after(m.lots.Float64()*200, func() { m.apply(jobs.Entry{Type: jobs.EntryCreate, Job: t.work, JobKind: migration.Name, Spec: spec}) })
 	}
 }
 
 // The log.
 
 // apply puts a line into the log, and everybody hears of it in time.
-func (m *moves) apply(e jobs.Entry) *jobs.Refusal {
-	var was jobs.Work
-	if w := m.ledger.Works[e.Work]; w != nil {
+func (m *moves) apply(e jobs.Entry) *jobs.RejectedError {
+	var was jobs.Job
+	if w := m.ledger.Jobs[e.Job]; w != nil {
 		was = *w
 	}
 	r := m.ledger.Apply(e)
 	m.index++
 	deed := ""
-	if e.Deed != nil {
-		deed = e.Deed.Name + " " + string(e.Deed.Data)
+	if e.Operation != nil {
+		deed = e.Operation.Name + " " + string(e.Operation.Data)
 	}
-	if e.Word != nil {
-		deed += " word " + e.Word.Say
+	if e.Approval != nil {
+		deed += " word " + e.Approval.Action
 	}
-	m.note("log %d %s %s token %d to %s %s: %v", m.index, e.Op, e.Work, e.Token, e.To, deed, r)
-	if r == nil && e.Work != "" {
-		w := m.ledger.Works[e.Work]
-		m.history[e.Work] = append(m.history[e.Work], mvSeen{m.index, w})
+	m.note("log %d %s %s token %d to %s %s: %v", m.index, e.Type, e.Job, e.Token, e.Holder, deed, r)
+	if r == nil && e.Job != "" {
+		w := m.ledger.Jobs[e.Job]
+		m.history[e.Job] = append(m.history[e.Job], mvSeen{m.index, w})
 		m.logged(e, was, w)
 	}
 	m.spread()
@@ -302,29 +302,29 @@
 }
 
 // logged judges a line that counted.
-func (m *moves) logged(e jobs.Entry, was jobs.Work, w *jobs.Work) {
-	t := m.tenants[slices.IndexFunc(m.tenants, func(t *mvTenant) bool { return t.work == e.Work })]
+func (m *moves) logged(e jobs.Entry, was jobs.Job, w *jobs.Job) {
+	t := m.tenants[slices.IndexFunc(m.tenants, func(t *mvTenant) bool { return t.work == e.Job })]
 	s, _ := migration.StateOf(&was)
-	switch e.Op {
-	case jobs.Announce:
+	switch e.Type {
+	case jobs.EntryAnnounce:
 		at := map[string]string{migration.DeedPublish: migration.AtChecked, migration.DeedPause: migration.AtClosing, migration.DeedSwitch: migration.AtSwitching,
-			migration.DeedAccept: migration.AtAccepting}[e.Deed.Name]
-		reverse := s.Reverse || e.Deed.Name == migration.DeedPause && s.Phase == migration.Switched
+			migration.DeedAccept: migration.AtAccepting}[e.Operation.Name]
+		reverse := s.Reverse || e.Operation.Name == migration.DeedPause && s.Phase == migration.Switched
 		if at != "" && slices.Contains(t.plan.Checkpoints, at) && !reverse {
 			want := migration.Go
 			if at == migration.AtAccepting {
 				want = migration.Accept
 			}
-			if word := w.Deed.Word; word == nil || word.Say != want || word.Step != was.Step {
-				m.breach("stepped_without_word", "%s does %s", e.Work, e.Deed.Name)
+			if word := w.Operation.Approval; word == nil || word.Action != want || word.Step != was.Step {
+				m.breach("stepped_without_word", "%s does %s", e.Job, e.Operation.Name)
 			}
 		}
-	case jobs.Say:
-		if e.Word.Say == migration.Rollback && t.backAt == 0 && s.Phase != migration.Accepted && (was.Deed == nil || was.Deed.Name != migration.DeedAccept) {
+	case jobs.EntryApprove:
+		if e.Approval.Action == migration.Rollback && t.backAt == 0 && s.Phase != migration.Accepted && (was.Operation == nil || was.Operation.Name != migration.DeedAccept) {
 			t.backAt = m.now
 		}
-	case jobs.Prove:
-		m.out.Ends[e.Deed.Name]++
+	case jobs.EntryConfirm:
+		m.out.Ends[e.Operation.Name]++
 		n, _ := migration.StateOf(w)
 		if len(n.Differ) > 0 && len(s.Differ) == 0 {
 			m.out.Ends["found different"]++
@@ -332,11 +332,11 @@
 		if n.Copy.Again > s.Copy.Again {
 			m.out.Ends["copied again"]++
 		}
-		if w.Ended {
+		if w.Finished {
 			t.ended = true
-			m.out.Ends["ended "+strings.SplitN(w.Why, ":", 2)[0]]++
-			if t.backAt > 0 && !strings.HasPrefix(w.Why, "taken back") {
-				m.breach("rollback_lost", "%s was told at %.1f and ended: %s", e.Work, t.backAt, w.Why)
+			m.out.Ends["ended "+strings.SplitN(w.Reason, ":", 2)[0]]++
+			if t.backAt > 0 && !strings.HasPrefix(w.Reason, "taken back") {
+				m.breach("rollback_lost", "%s was told at %.1f and ended: %s", e.Job, t.backAt, w.Reason)
 			}
 		}
 	}
@@ -377,9 +377,9 @@
 	counts := false
 	for _, c := range m.changes {
 		c.done = true
-		e := jobs.Entry{Op: jobs.Act, Work: c.work, Token: c.token, Deed: c.deed}
+		e := jobs.Entry{Type: jobs.EntryAuthorize, Job: c.work, Token: c.token, Operation: c.deed}
 		if m.broken == "number" {
-			e.Deed = nil
+			e.Operation = nil
 		}
 		if r := m.ledger.Apply(e); r != nil {
 			c.err = r
@@ -406,7 +406,7 @@
 			}
 		}
 		if paused := rules["database."+t.name+".paused"] == true; paused && t.paused < 0 {
-			t.paused, t.excuse, t.told, t.owners, t.allow, t.out, t.lostOne = m.now, false, false, m.ledger.Works[t.work].Owners, 0, false, false
+			t.paused, t.excuse, t.told, t.owners, t.allow, t.out, t.lostOne = m.now, false, false, m.ledger.Jobs[t.work].HolderCount, 0, false, false
 			if g := m.groups[int(rules["database."+t.name+".group"].(float64))-1]; m.faulty && m.now < mvQuiet && m.lots.IntN(8) == 0 {
 				m.out.Faults["failover in a pause"]++
 				m.after(m.lots.Float64()*200, func() { m.failover(g) })
@@ -417,19 +417,19 @@
 
 // desk names an owner where there is none, or where the present one is silent.
 func (m *moves) desk() {
-	for _, name := range m.ledger.Open() {
-		w := m.ledger.Works[name]
+	for _, name := range m.ledger.OpenJobs() {
+		w := m.ledger.Jobs[name]
 		var cands []*mvOwner
 		for _, o := range m.owners {
-			if o.up && o.silent < 0 && o.name != w.Owner {
+			if o.up && o.silent < 0 && o.name != w.Holder {
 				cands = append(cands, o)
 			}
 		}
-		i := slices.IndexFunc(m.owners, func(o *mvOwner) bool { return o.name == w.Owner })
-		gone := i < 0 || m.owners[i].instance != w.Instance && m.owners[i].up || m.owners[i].silent >= 0 && m.now-m.owners[i].silent > mvDetect
+		i := slices.IndexFunc(m.owners, func(o *mvOwner) bool { return o.name == w.Holder })
+		gone := i < 0 || m.owners[i].instance != w.Incarnation && m.owners[i].up || m.owners[i].silent >= 0 && m.now-m.owners[i].silent > mvDetect
 		if gone && len(cands) > 0 {
 			o := cands[m.lots.IntN(len(cands))]
-			m.apply(jobs.Entry{Op: jobs.Assign, Work: name, Token: w.Token, To: o.name, Instance: o.instance})
+			m.apply(jobs.Entry{Type: jobs.EntryAssign, Job: name, Token: w.Token, Holder: o.name, Incarnation: o.instance})
 		}
 	}
 }
@@ -452,7 +452,7 @@
 	} else {
 		t.out = false
 	}
-	if n := m.ledger.Works[t.work].Owners; n > t.owners { // the first is in the bound
+	if n := m.ledger.Jobs[t.work].HolderCount; n > t.owners { // the first is in the bound
 		t.allow += float64(n-t.owners) * (mvCosts.Owner + mvCosts.Reopen())
 		if t.owners = n; t.lostOne {
 			t.excuse = true
@@ -471,8 +471,8 @@
 	lasts := m.now - t.paused
 	if lasts > t.plan.Pause+t.allow+4 && !t.told { // it is looked at each 2 ms
 		t.told = true
-		w := m.ledger.Works[t.work]
-		m.breach("paused_past_bound", "%s for %.0f of %.0f ms and %.0f: %s, deed %v", t.name, lasts, t.plan.Pause, t.allow, w.State, w.Deed)
+		w := m.ledger.Jobs[t.work]
+		m.breach("paused_past_bound", "%s for %.0f of %.0f ms and %.0f: %s, deed %v", t.name, lasts, t.plan.Pause, t.allow, w.State, w.Operation)
 	}
 	if open && g.up && !g.dbs[t.n].closed {
 		t.paused = -1
@@ -740,7 +740,7 @@
 var errLost = errors.New("no answer came")
 
 // send has a line logged. It gets there also if whoever sent it ends meanwhile.
-func (l *mvLoop) send(e jobs.Entry) (r *jobs.Refusal, err error) {
+func (l *mvLoop) send(e jobs.Entry) (r *jobs.RejectedError, err error) {
 	m, done, lost := l.m, false, l.m.faulty && l.m.now < mvQuiet && l.m.lots.IntN(50) == 0
 	var arrive func()
 	arrive = func() {
@@ -764,7 +764,7 @@
 }
 
 // work is as the owner knows it.
-func (l *mvLoop) work() *jobs.Work {
+func (l *mvLoop) work() *jobs.Job {
 	h := l.m.history[l.t.work]
 	for i := len(h) - 1; i >= 0; i-- {
 		if h[i].index <= l.o.applied {
@@ -783,7 +783,7 @@
 	return l.m.versions[n].rules, n, l.m.versions[n].force
 }
 
-func (l *mvLoop) Change(_ context.Context, work string, token jobs.Token, deed *jobs.Deed, keys map[string]any) (int, error) {
+func (l *mvLoop) Change(_ context.Context, work string, token jobs.FencingToken, deed *jobs.Operation, keys map[string]any) (int, error) {
 	c := &mvChange{work: work, token: token, deed: deed, keys: keys}
 	l.m.after(l.m.way()+l.late, func() { l.m.changes = append(l.m.changes, c) })
 	for !c.done {
@@ -812,8 +812,8 @@
 	return l.m.faulty && l.m.now < mvQuiet && l.m.lots.IntN(share) == 0
 }
 func (l *mvLoop) clock() float64 { return l.m.now + l.o.skew }
-func (l *mvLoop) own(w *jobs.Work) bool {
-	return w != nil && !w.Ended && w.Owner == l.o.name && w.Instance == l.o.instance
+func (l *mvLoop) own(w *jobs.Job) bool {
+	return w != nil && !w.Finished && w.Holder == l.o.name && w.Incarnation == l.o.instance
 }
 func (l *mvLoop) killed() { l.m.kill(l.o); l.sleep(0); panic(mvGone{}) }
 
@@ -824,44 +824,44 @@
 	var seen any
 	for {
 		w := l.work()
-		if w != nil && w.Ended {
+		if w != nil && w.Finished {
 			return
 		}
 		if !l.own(w) {
 			l.sleep(4)
 			continue
 		}
-		if w.Deed != nil { // in doubt
-			done, proof, err := k.Look(ctx, w, w.Deed)
+		if w.Operation != nil { // in doubt
+			done, proof, err := k.Recover(ctx, w, w.Operation)
 			if err != nil {
 				l.failed(err)
 				continue
 			}
 			if !done {
-				_, _ = l.send(jobs.Entry{Op: jobs.Void, Work: w.Name, Token: w.Token, Deed: w.Deed})
+				_, _ = l.send(jobs.Entry{Type: jobs.EntryAbort, Job: w.Name, Token: w.Token, Operation: w.Operation})
 				continue
 			}
-			_, _ = l.send(jobs.Entry{Op: jobs.Prove, Work: w.Name, Token: w.Token, Deed: w.Deed, State: proof.State, Ended: proof.Ended, Why: proof.Why})
+			_, _ = l.send(jobs.Entry{Type: jobs.EntryConfirm, Job: w.Name, Token: w.Token, Operation: w.Operation, State: proof.State, Finished: proof.Finished, Reason: proof.Reason})
 			continue
 		}
-		if now, err := k.Watch(ctx, w); err == nil {
+		if now, err := k.Observe(ctx, w); err == nil {
 			seen = now
 		}
 		step := k.Next(l.clock(), w, seen)
-		if step.Deed == "" {
+		if step.OperationName == "" {
 			d := 4.0
-			if step.Wait > 0 {
-				d = min(d, step.Wait)
+			if step.RetryAfterMillis > 0 {
+				d = min(d, step.RetryAfterMillis)
 			}
 			l.sleep(d)
 			continue
 		}
-		d := &jobs.Deed{Number: w.Next(), Name: step.Deed, Data: step.Data}
-		if r, err := l.send(jobs.Entry{Op: jobs.Announce, Work: w.Name, Token: w.Token, Step: w.Step, Deed: d, Word: step.Took}); err != nil || r != nil {
+		d := &jobs.Operation{Number: w.NextOperationNumber(), Name: step.OperationName, Data: step.Data}
+		if r, err := l.send(jobs.Entry{Type: jobs.EntryAnnounce, Job: w.Name, Token: w.Token, Step: w.Step, Operation: d, Approval: step.Approval}); err != nil || r != nil {
 			l.sleep(2)
 			continue
 		}
-		if w = l.work(); !l.own(w) || w.Deed == nil || w.Deed.Number != d.Number {
+		if w = l.work(); !l.own(w) || w.Operation == nil || w.Operation.Number != d.Number {
 			continue
 		}
 		if l.dies(40) {
@@ -872,12 +872,12 @@
 			m.stall(l.o, 100+m.lots.Float64()*1500)
 			l.sleep(0)
 		}
-		var proof jobs.Proof
+		var proof jobs.Result
 		var err error
 		if l.m.faulty && m.now < mvQuiet && m.lots.IntN(20) == 0 {
 			proof, err = l.lateDo(k, w)
 		} else {
-			proof, err = k.Do(ctx, w, w.Deed)
+			proof, err = k.Execute(ctx, w, w.Operation)
 		}
 		if l.dies(25) {
 			m.out.Faults["killed after "+d.Name]++
@@ -891,14 +891,14 @@
 			l.failed(err)
 			continue
 		}
-		_, _ = l.send(jobs.Entry{Op: jobs.Prove, Work: w.Name, Token: w.Token, Deed: w.Deed, State: proof.State, Ended: proof.Ended, Why: proof.Why})
+		_, _ = l.send(jobs.Entry{Type: jobs.EntryConfirm, Job: w.Name, Token: w.Token, Operation: w.Operation, State: proof.State, Finished: proof.Finished, Reason: proof.Reason})
 	}
 }
 
 // lateDo does a deed of which one call takes long. The owner gives it up meanwhile; the call arrives all the same.
-func (l *mvLoop) lateDo(k *migration.Mover, w *jobs.Work) (proof jobs.Proof, err error) {
+func (l *mvLoop) lateDo(k *migration.Mover, w *jobs.Job) (proof jobs.Result, err error) {
 	m, done := l.m, false
-	m.out.Faults["late "+w.Deed.Name]++
+	m.out.Faults["late "+w.Operation.Name]++
 	late := 30 + m.lots.Float64()*300
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -906,7 +906,7 @@
 		rules := &mvLoop{m: m, o: l.o, t: l.t, sleep: sleep, late: late}
 		slow := *k
 		slow.Places, slow.Rules = &mvPlaces{m: m, o: l.o, sleep: sleep, late: late}, rules
-		proof, err = slow.Do(ctx, w, w.Deed)
+		proof, err = slow.Execute(ctx, w, w.Operation)
 		done = true
 	})
 	for range 25 {
@@ -914,7 +914,7 @@
 			return proof, err
 		}
 	}
-	return jobs.Proof{}, errLost
+	return jobs.Result{}, errLost
 }
 
 // spawn runs what sleeps in the schedule's own time.
@@ -931,11 +931,11 @@
 
 // failed tells the log of a higher token.
 func (l *mvLoop) failed(err error) {
-	var f *jobs.Fenced
+	var f *jobs.FencedError
 	if errors.As(err, &f) {
 		l.m.out.Faults["token refused"]++
 	}
-	var r *jobs.Refusal
+	var r *jobs.RejectedError
 	if errors.As(err, &r) {
 		l.m.out.Faults["change refused"]++
 	}
@@ -947,37 +947,37 @@
 func (m *moves) operate() {
 	m.after(20+m.lots.Float64()*20, m.operate)
 	k := &migration.Mover{Costs: mvCosts}
-	for _, name := range m.ledger.Open() {
-		w := m.ledger.Works[name]
-		if w.Deed != nil && m.now > mvQuiet {
+	for _, name := range m.ledger.OpenJobs() {
+		w := m.ledger.Jobs[name]
+		if w.Operation != nil && m.now > mvQuiet {
 			continue
 		}
-		for _, o := range k.Next(0, w, nil).Says {
+		for _, o := range k.Next(0, w, nil).Options {
 			share := m.eager
 			switch {
-			case o.Say == migration.Rollback:
+			case o.Action == migration.Rollback:
 				share = 0.01
-			case o.Say == migration.Hold:
+			case o.Action == migration.Hold:
 				share = 0.005
-			case o.Say == migration.Go && strings.Contains(string(w.State), `"phase":"verifying"`) && m.now < mvQuiet+4000:
+			case o.Action == migration.Go && strings.Contains(string(w.State), `"phase":"verifying"`) && m.now < mvQuiet+4000:
 				share = m.late
 			case m.now > mvQuiet:
 				share = 0.9
 			}
-			if m.now > mvQuiet && (o.Say == migration.Rollback || o.Say == migration.Hold) || m.lots.Float64() >= share {
+			if m.now > mvQuiet && (o.Action == migration.Rollback || o.Action == migration.Hold) || m.lots.Float64() >= share {
 				continue
 			}
 			m.says(w, o)
-			if o.Say == migration.Go && m.lots.IntN(15) == 0 { // two operators at the same moment
+			if o.Action == migration.Go && m.lots.IntN(15) == 0 { // two operators at the same moment
 				m.out.Faults["rollback beside go"]++
-				m.says(w, jobs.Option{Say: migration.Rollback, Lasting: true})
+				m.says(w, jobs.ApprovalOption{Action: migration.Rollback, Persistent: true})
 			}
 		}
 	}
 }
 
-func (m *moves) says(w *jobs.Work, o jobs.Option) {
-	e := jobs.Entry{Op: jobs.Say, Work: w.Name, Word: &jobs.Word{Say: o.Say, By: "op", Step: w.Step, Lasting: o.Lasting}}
+func (m *moves) says(w *jobs.Job, o jobs.ApprovalOption) {
+	e := jobs.Entry{Type: jobs.EntryApprove, Job: w.Name, Approval: &jobs.Approval{Action: o.Action, By: "op", Step: w.Step, Persistent: o.Persistent}}
 	m.after(m.way(), func() {
 		if m.down == 0 {
 			m.apply(e)
@@ -1024,9 +1024,9 @@
 	case 10, 11:
 		m.byHand(t)
 	case 12: // replaced though it lives
-		if w := m.ledger.Works[t.work]; w != nil && !w.Ended && m.down == 0 && o.up {
+		if w := m.ledger.Jobs[t.work]; w != nil && !w.Finished && m.down == 0 && o.up {
 			m.out.Faults["owner replaced"]++
-			m.apply(jobs.Entry{Op: jobs.Assign, Work: t.work, Token: w.Token, To: o.name, Instance: o.instance})
+			m.apply(jobs.Entry{Type: jobs.EntryAssign, Job: t.work, Token: w.Token, Holder: o.name, Incarnation: o.instance})
 		}
 	}
 }
@@ -1034,12 +1034,12 @@
 // byHand changes a row where the tenant is not at home, past the fence. What is changed between the last look and the switch
 // nobody can find: none is then.
 func (m *moves) byHand(t *mvTenant) {
-	w := m.ledger.Works[t.work]
+	w := m.ledger.Jobs[t.work]
 	if w == nil {
 		return
 	}
 	s, _ := migration.StateOf(w)
-	if s.Pause != nil && s.Pause.Verified || w.Deed != nil && (w.Deed.Name == migration.DeedVerify || w.Deed.Name == migration.DeedSwitch) {
+	if s.Pause != nil && s.Pause.Verified || w.Operation != nil && (w.Operation.Name == migration.DeedVerify || w.Operation.Name == migration.DeedSwitch) {
 		return
 	}
 	newest := m.versions[len(m.versions)-1].rules
@@ -1069,13 +1069,13 @@
 	newest := m.versions[len(m.versions)-1].rules
 	for _, t := range m.tenants {
 		if !t.ended {
-			w := m.ledger.Works[t.work]
+			w := m.ledger.Jobs[t.work]
 			k := &migration.Mover{Costs: mvCosts}
 			check := "stuck"
 			if t.backAt > 0 {
 				check = "rollback_lost"
 			}
-			m.breach(check, "%s has not ended: %s, deed %v, %s", t.work, w.State, w.Deed, k.Next(m.now, w, nil).Why)
+			m.breach(check, "%s has not ended: %s, deed %v, %s", t.work, w.State, w.Operation, k.Next(m.now, w, nil).Reason)
 		}
 		m.holds(t, m.groups[int(newest["database."+t.name+".group"].(float64))-1])
 	}
--- a/testbed/cluster/simplaces.go
+++ b/testbed/cluster/simplaces.go
@@ -41,7 +41,7 @@
 	seq    int  // the next row's number; nothing publishes it
 	there  bool // the fence is
 	closed bool
-	token  jobs.Token
+	token  jobs.FencingToken
 	number uint64 // of the deed that acted last, or was looked for
 	work   string // whose the fence is, or was
 	given  bool   // up
@@ -291,7 +291,7 @@
 	}
 	d := g.dbs[t]
 	if d.token > a.Token && m.broken != "token" {
-		return nil, nil, t, &jobs.Fenced{Place: fmt.Sprint("group ", n), Given: a.Token, Holds: d.token}
+		return nil, nil, t, &jobs.FencedError{Target: fmt.Sprint("group ", n), Presented: a.Token, Current: d.token}
 	}
 	if d.there && d.work == a.Work && d.token == a.Token && d.number > a.Number && m.broken != "number" {
 		return nil, nil, t, errLate
@@ -483,7 +483,7 @@
 		if d := g.dbs[t]; d.token == a.Token && d.number > a.Number && p.m.broken != "number" {
 			return nil, nil, errLate
 		} else if d.token > a.Token && p.m.broken != "token" {
-			return nil, nil, &jobs.Fenced{Place: fmt.Sprint("group ", at), Given: a.Token, Holds: d.token}
+			return nil, nil, &jobs.FencedError{Target: fmt.Sprint("group ", at), Presented: a.Token, Current: d.token}
 		}
 	}
 	c := migration.Closed{Line: g.line, Position: migration.Position(len(g.wal))}
