--- a/cmd/ashstand/config.go
+++ b/cmd/ashstand/config.go
@@ -177,7 +177,7 @@
 // class says whether the settings name a class, and whether it writes.
 func (c *config) class(name string) (writes, ok bool) {
 	i, ok := c.site.Classes[name]
-	return ok && c.site.Settings.Classes[i].Read == routing.Write, ok
+	return ok && c.site.Settings.Classes[i].Access == routing.Write, ok
 }
 
 // prepare reads both files, as every start does, and sets the log up.
@@ -251,7 +251,7 @@
 		return l, nil
 	}
 	l = pg.SessionLimits{Clients: s.Clients, Servers: s.ServerConnections, Bytes: share, Message: min(s.MaxMessage, max(64<<10, share/2)),
-		Held: s.Held, After: after, Connect: c.site.Connect, Users: map[string]pg.Verifier{}}
+		Held: s.Held, After: after, Connect: c.site.ConnectTimeout, Users: map[string]pg.Verifier{}}
 	if l.Connect <= 0 {
 		l.Connect = 2 * time.Second
 	}
@@ -273,7 +273,7 @@
 
 // serverIdle keeps a good distance from the moment at which a host closes a connection.
 func (c *config) serverIdle(set time.Duration) float64 {
-	idle, host := clock.Millis(set), clock.Millis(c.site.ConnIdle)*0.7
+	idle, host := clock.Millis(set), clock.Millis(c.site.ConnIdleTimeout)*0.7
 	if host > 0 && (idle == 0 || idle > host) {
 		return host
 	}
--- a/cmd/ashstand/cost.go
+++ b/cmd/ashstand/cost.go
@@ -98,30 +98,30 @@
 }
 
 func (e *estimates) cold(entry *discovery.Entry, now float64) bool {
-	return entry.SinceMS > 0 && now-entry.SinceMS < clock.Millis(e.node.cfg.Load().site.ColdRamp)
+	return entry.SinceMS > 0 && now-entry.SinceMS < clock.Millis(e.node.cfg.Load().site.SlowStartDuration)
 }
 
 // fleet is how the hosts stand, as this pooler sees it.
 func (e *estimates) fleet(now float64) cost.Fleet {
-	cfg, kept := e.node.cfg.Load(), e.node.facade.Keep()
-	f := cost.Fleet{Ramp: clock.Millis(cfg.site.ColdRamp)}
+	cfg, kept := e.node.cfg.Load(), e.node.facade.ExportState()
+	f := cost.Fleet{Ramp: clock.Millis(cfg.site.SlowStartDuration)}
 	list := *e.node.list.Load()
 	e.mu.Lock()
 	inside := maps.Clone(e.inside)
 	for _, k := range cfg.site.Settings.Classes {
-		c := cost.Class{Name: k.Name, Aim: clock.Millis(k.Aim), Worth: k.Worth}
+		c := cost.Class{Name: k.Name, Aim: clock.Millis(k.LatencyObjective), Worth: k.PriorityWeight}
 		if s := e.served[k.Name]; s != nil && s.n > 0 {
 			c.Rate, c.Work = s.n*math.Exp(-max(0, now-s.at)/servedSpan)/servedSpan*1e3, s.work/s.n
 		}
 		f.Classes = append(f.Classes, c)
 	}
 	e.mu.Unlock()
-	for _, m := range kept.Members {
+	for _, m := range kept.Hosts {
 		entry, ok := list[m.Host]
 		if !ok || entry.Status != discovery.Active {
 			continue
 		}
-		h := cost.Host{Name: m.Host, Kind: e.kind(&entry, m.Host), Group: m.Group, Primary: m.Primary, Capacity: m.Limit, Inflight: inside[m.Host],
+		h := cost.Host{Name: m.Host, Kind: e.kind(&entry, m.Host), Group: m.Group, Primary: m.WasPrimary, Capacity: m.Limit, Inflight: inside[m.Host],
 			Load: float64(inside[m.Host]), Started: entry.SinceMS, Lag: max(0, clock.Millis(m.Lag))}
 		if c := cfg.operator.Cost; c != nil && c.Capacity > 0 {
 			h.Capacity = float64(c.Capacity)
--- a/cmd/ashstand/gone_test.go
+++ b/cmd/ashstand/gone_test.go
@@ -258,7 +258,7 @@
 
 func (w *world) listed(t *testing.T, is bool) {
 	t.Helper()
-	require.Eventually(t, func() bool { return w.facade.Listed("p") == is && w.facade.Listed("q") == is }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return w.facade.IsActive("p") == is && w.facade.IsActive("q") == is }, 10*time.Second, time.Millisecond)
 }
 
 func goneHeld(t *testing.T, w *world, front string) {
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -90,7 +90,7 @@
 
 // node is a pooler that runs.
 type node struct {
-	facade *dispatch.Facade
+	facade *dispatch.Dispatcher
 	core   *edge.Edge
 	engine *loop.Engine
 	front  *pg.Front
@@ -127,10 +127,10 @@
 		return nil, err
 	}
 	share, after := cfg.memory()/10, min(clock.Millis(cfg.site.MaxRetryAfter), busyAfter)
-	b := &bounds{connect: cfg.site.Connect,
+	b := &bounds{connect: cfg.site.ConnectTimeout,
 		core:  edge.Limits{Bytes: share, After: after},
 		front: pg.FrontLimits{Clients: clients, Bytes: share, After: after},
-		pool:  pg.Limits{Connections: connections, Bytes: share, Connect: cfg.site.Connect, Idle: cfg.site.ConnIdle}}
+		pool:  pg.Limits{Connections: connections, Bytes: share, Connect: cfg.site.ConnectTimeout, Idle: cfg.site.ConnIdleTimeout}}
 	for _, c := range cfg.site.Settings.Classes {
 		b.grace = max(b.grace, min(c.Deadline, 3*time.Second))
 	}
@@ -149,7 +149,7 @@
 	}
 	limitMemory(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &node{engine: loop.New(), hosts: flight.NewHosts(cfg.site.Connect), cancel: cancel, ended: make(chan error, 2)}
+	n := &node{engine: loop.New(), hosts: flight.NewHosts(cfg.site.ConnectTimeout), cancel: cancel, ended: make(chan error, 2)}
 	n.bounds.Store(b)
 	now := clock.System()
 	if l := cfg.operator.Lab; l != nil {
@@ -157,18 +157,20 @@
 	}
 	n.clock = now
 	n.pool = pg.NewPool(n.engine, now, pg.Platform, b.pool)
-	n.pool.TellLate(func(host string, sent float64, write bool, o dispatch.Outcome) { n.facade.Heard(host, sent, write, o) })
+	n.pool.TellLate(func(host string, sent float64, write bool, o dispatch.Outcome) {
+		n.facade.LateAnswer(host, sent, write, o)
+	})
 	backend := new(edge.Split)
 	probe := func(host string) {
 		ctx, cancel := context.WithTimeout(ctx, n.bounds.Load().connect)
 		defer cancel()
-		n.facade.Probed(host, backend.Probe(ctx, host, n.facade.Listed))
+		n.facade.ProbeDone(host, backend.Probe(ctx, host, n.facade.IsActive))
 	}
 	if n.facade, err = dispatch.New(cfg.site, cfg.seed, now, probe, backend.CloseIdle); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	n.pool.Listed, n.hosts.Listed = n.facade.Listed, n.facade.Listed
-	apply := discovery.Apply(n.facade.Members, backend, func(e discovery.Entry) edge.Backend {
+	n.pool.Listed, n.hosts.Listed = n.facade.IsActive, n.facade.IsActive
+	apply := discovery.Apply(n.facade.UpdateEndpoints, backend, func(e discovery.Entry) edge.Backend {
 		if slices.Contains(cfg.flight.HostTypes, e.Type) {
 			return n.hosts
 		}
--- a/cmd/ashstand/state.go
+++ b/cmd/ashstand/state.go
@@ -47,7 +47,7 @@
 func siteOf(c *config) string {
 	h := blake3.New()
 	for _, k := range c.site.Settings.Classes {
-		fmt.Fprintf(h, "%q %d %d %v %v\n", k.Name, k.Read, k.Effect, k.Aim, k.Deadline)
+		fmt.Fprintf(h, "%q %d %d %v %v\n", k.Name, k.Access, k.Idempotency, k.LatencyObjective, k.Deadline)
 	}
 	return hex.EncodeToString(h.Sum(nil)[:8])
 }
@@ -79,9 +79,9 @@
 	}
 	broken := os.Getenv("ASHSTAND_BREAK")
 	w := warmstate.Weigh(snapshot, k.clock.Now(), k.head.Name, k.head.Site, broken == "ageing")
-	w.State.Unsafe = broken == "position"
+	w.State.TrustPositions = broken == "position"
 	k.taken = w.Verdicts
-	n.facade.Recall(w.State)
+	n.facade.ImportState(w.State)
 	if w.Wear != nil {
 		n.pool.SetWear(w.Wear.Requests, w.Wear.Resets)
 	}
@@ -109,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return warmstate.Encode(warmstate.Take(head, k.node.facade.Keep(), &warmstate.Wear{Requests: requests, Resets: resets}, &warmstate.List{At: head.At, JSON: raw}))
+	return warmstate.Encode(warmstate.Take(head, k.node.facade.ExportState(), &warmstate.Wear{Requests: requests, Resets: resets}, &warmstate.List{At: head.At, JSON: raw}))
 }
 
 // run saves at the pace that is set, until ctx ends.
--- a/cmd/ashstand/suite_test.go
+++ b/cmd/ashstand/suite_test.go
@@ -243,7 +243,7 @@
 // without says that hosts get nothing new once the list no longer lets them have any.
 func without(t *testing.T, w *world, hosts []*host, more func(n int32)) {
 	require.Eventually(t, func() bool {
-		return !w.facade.Listed(hosts[0].name) && !w.facade.Listed(hosts[1].name)
+		return !w.facade.IsActive(hosts[0].name) && !w.facade.IsActive(hosts[1].name)
 	}, 10*time.Second, time.Millisecond)
 	more(8) // what had passed the gate before has arrived: each client has had answers since
 	before := [2]int{hosts[0].count(), hosts[1].count()}
@@ -287,7 +287,7 @@
 	w.watch.Move(next.Listener.Addr().String())
 	<-asked
 	more(20)
-	require.True(t, w.facade.Listed(w.hosts[1].name))
+	require.True(t, w.facade.IsActive(w.hosts[1].name))
 	close(tell)
 	without(t, w, w.hosts[1:3], more)
 	stop()
--- a/cmd/simadapter/main.go
+++ b/cmd/simadapter/main.go
@@ -23,7 +23,7 @@
 // run answers batches until the input ends.
 func run(in io.Reader, out io.Writer) error {
 	d, w := wire.NewDecoder(in), bufio.NewWriterSize(out, 1<<16)
-	instances := map[int]*routing.Choice{}
+	instances := map[int]*routing.Router{}
 	var reply []byte
 	for {
 		b, err := d.Next()
@@ -43,27 +43,27 @@
 
 // answer gives each instance its events of the batch in one step. What an instance was sent before it was stopped
 // goes with it.
-func answer(reply []byte, instances map[int]*routing.Choice, b *wire.Batch) []byte {
+func answer(reply []byte, instances map[int]*routing.Router, b *wire.Batch) []byte {
 	var order []int
 	events := map[int][]routing.Event{}
 	for _, it := range b.Items {
 		switch {
-		case it.Stop:
-			delete(instances, it.Who)
-			delete(events, it.Who)
-		case it.Open:
+		case it.IsShutdown:
+			delete(instances, it.Instance)
+			delete(events, it.Instance)
+		case it.IsOpen:
 			c, err := routing.New(it.Settings, it.Seed)
 			if err != nil {
-				reply = bug(reply, it.Who, err)
+				reply = bug(reply, it.Instance, err)
 				continue
 			}
-			instances[it.Who] = c
-			delete(events, it.Who)
+			instances[it.Instance] = c
+			delete(events, it.Instance)
 		default:
-			if _, ok := events[it.Who]; !ok {
-				order = append(order, it.Who)
+			if _, ok := events[it.Instance]; !ok {
+				order = append(order, it.Instance)
 			}
-			events[it.Who] = append(events[it.Who], it.Event)
+			events[it.Instance] = append(events[it.Instance], it.Event)
 		}
 	}
 	for _, who := range order {
@@ -76,13 +76,13 @@
 }
 
 // step reports a panic of the module instead of dying of it.
-func step(reply []byte, who int, c *routing.Choice, b *wire.Batch, events []routing.Event) (out []byte) {
+func step(reply []byte, who int, c *routing.Router, b *wire.Batch, events []routing.Event) (out []byte) {
 	defer func() {
 		if p := recover(); p != nil {
 			out = bug(reply, who, p)
 		}
 	}()
-	return wire.Append(reply, who, c.Step(b.Now, events))
+	return wire.AppendActions(reply, who, c.Step(b.Now, events))
 }
 
 func bug(reply []byte, who int, what any) []byte {
--- a/internal/dispatch/decide_test.go
+++ b/internal/dispatch/decide_test.go
@@ -11,30 +11,30 @@
 
 const start = 1767225600000.0
 
-func site() *settings.Parsed {
-	return &settings.Parsed{Settings: routing.Settings{Routers: 1, MaxAttempts: 8, ListRole: true, Probes: true,
-		ReportX0: true, ReportX1: true, MaxRetryAfter: 2 * time.Second, Tick: 5 * time.Millisecond, ProbePrice: 0.001,
+func testSettings() *settings.Parsed {
+	return &settings.Parsed{Settings: routing.Settings{RouterCount: 1, MaxAttempts: 8, ListNamesPrimary: true, ProbesAllowed: true,
+		ReportsPosition: true, ReportsRole: true, MaxRetryAfter: 2 * time.Second, MinTickInterval: 5 * time.Millisecond, ProbeCost: 0.001,
 		Classes: []routing.Class{
-			{Name: "browse", Read: routing.Bounded, Bound: 200 * time.Millisecond, Aim: time.Second, Deadline: time.Second, Worth: 1, LateShare: 1},
-			{Name: "donate", Read: routing.Write, Effect: routing.Unsafe, Aim: time.Second, Deadline: 2 * time.Second, Worth: 3, LateShare: 1},
-			{Name: "library", Read: routing.Session, Aim: time.Second, Deadline: time.Second, Worth: 3, LateShare: 1}}},
+			{Name: "browse", Access: routing.BoundedRead, StalenessBound: 200 * time.Millisecond, LatencyObjective: time.Second, Deadline: time.Second, PriorityWeight: 1, LateFraction: 1},
+			{Name: "donate", Access: routing.Write, Idempotency: routing.AtMostOnce, LatencyObjective: time.Second, Deadline: 2 * time.Second, PriorityWeight: 3, LateFraction: 1},
+			{Name: "library", Access: routing.SessionRead, LatencyObjective: time.Second, Deadline: time.Second, PriorityWeight: 3, LateFraction: 1}}},
 		Classes: map[string]int{"browse": 0, "donate": 1, "library": 2}}
 }
 
-func facade(t *testing.T) (*Facade, *clock.Manual) {
+func newTestDispatcher(t *testing.T) (*Dispatcher, *clock.Manual) {
 	t.Helper()
 	c := clock.NewManual(start)
-	f, err := New(site(), 1, c, nil, nil)
+	f, err := New(testSettings(), 1, c, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.Members(true, []Member{{Host: "p", Group: 1, Primary: true}, {Host: "a", Group: 1}})
+	f.UpdateEndpoints(true, []Endpoint{{Host: "p", Group: 1, Primary: true}, {Host: "a", Group: 1}})
 	return f, c
 }
 
-func begin(t *testing.T, f *Facade, class string, after float64) *Call {
+func begin(t *testing.T, f *Dispatcher, class string, after float64) *Call {
 	t.Helper()
-	c, err := f.Begin(Request{Class: class, Group: 1, Arrived: f.clock.Now(), TimeLeft: 900, After: after})
+	c, err := f.Begin(Request{Class: class, Group: 1, Arrived: f.clock.Now(), TimeRemaining: 900, MinPosition: after})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,20 +42,20 @@
 }
 
 // Guards against data that grew too old, and a drain that came, while a connection was dialled.
-func TestStillCountsAtTheWrite(t *testing.T) {
-	f, c := facade(t)
+func TestRevalidateChecksAtTheWrite(t *testing.T) {
+	f, c := newTestDispatcher(t)
 	report := func() {
-		f.Probed("a", Outcome{Code: OK, Report: Report{Role: Replica, Position: c.Now()}})
+		f.ProbeDone("a", Outcome{Code: OK, Report: Report{Role: Replica, Position: c.Now()}})
 	}
 	report()
 	call := begin(t, f, "browse", 0)
 	if n := call.Pick(); n.Verdict != Send || n.Host != "a" {
 		t.Fatalf("%+v", n)
 	}
-	if !call.Still() {
+	if !call.Revalidate() {
 		t.Error("nothing changed, and it may not go out")
 	}
-	if c.Advance(250); call.Still() {
+	if c.Advance(250); call.Revalidate() {
 		t.Error("the data is older than its bound")
 	}
 	report()
@@ -64,19 +64,19 @@
 	if n := call.Pick(); n.Verdict != Send {
 		t.Fatalf("too late is not the end: %+v", n)
 	}
-	f.Members(false, []Member{{Host: "a", Group: 1, Draining: true}, {Host: "p", Group: 1, Draining: true}})
-	if call.Still() || f.Listed("a") {
+	f.UpdateEndpoints(false, []Endpoint{{Host: "a", Group: 1, Draining: true}, {Host: "p", Group: 1, Draining: true}})
+	if call.Revalidate() || f.IsActive("a") {
 		t.Error("a draining host may get work")
 	}
 }
 
 // Guards against a refusal, or a second attempt, of what may have run.
-func TestOnlyWhatNeverRanIsSentAgainOrRefused(t *testing.T) {
-	for code, want := range map[Code]Verdict{ConnectionLost: Fail, NoAnswer: Fail, Error: Fail, Cancelled: Fail,
-		NoConnection: Send, Miss: Send, NotSent: Send} {
-		f, c := facade(t)
+func TestOnlyWhatNeverRanIsRetriedOrRejected(t *testing.T) {
+	for code, want := range map[Code]Verdict{ConnectionLost: Fail, NoAnswer: Fail, ServerError: Fail, Cancelled: Fail,
+		NoConnection: Send, Misdirected: Send, NotSent: Send} {
+		f, c := newTestDispatcher(t)
 		call := begin(t, f, "donate", 0)
-		if n := call.Pick(); n.Verdict != Send || n.Host != "p" || n.Until != start+900-guard {
+		if n := call.Pick(); n.Verdict != Send || n.Host != "p" || n.Deadline != start+900-answerMargin {
 			t.Fatalf("%+v", n)
 		}
 		call.Report(Outcome{Code: code})
@@ -94,9 +94,9 @@
 // what a replica has is not met, nor is one from the future.
 func TestPositionsAreRoundedToTheSafeSide(t *testing.T) {
 	for after, host := range map[float64]string{start - 100.5: "a", start - 50.0001: "p", start + 5000: "p"} {
-		f, c := facade(t)
-		f.Probed("a", Outcome{Code: OK, Report: Report{Role: Replica, Position: start - 50.00015}})
-		f.Probed("p", Outcome{Code: OK, Report: Report{Role: Primary, Position: start}})
+		f, c := newTestDispatcher(t)
+		f.ProbeDone("a", Outcome{Code: OK, Report: Report{Role: Replica, Position: start - 50.00015}})
+		f.ProbeDone("p", Outcome{Code: OK, Report: Report{Role: Primary, Position: start}})
 		call := begin(t, f, "library", after)
 		for range 8 { // a read waits a moment for a probe that may prove more
 			c.Advance(10)
@@ -109,33 +109,33 @@
 }
 
 func TestOneFinalAnswer(t *testing.T) {
-	f, c := facade(t)
+	f, c := newTestDispatcher(t)
 	if _, err := f.Begin(Request{Class: "odd"}); err == nil {
 		t.Error("an unknown class was taken")
 	}
 	call := begin(t, f, "donate", 0)
 	call.Pick()
-	call.Leave()
-	call.Leave()
-	if n := call.Pick(); n.Verdict != Left {
+	call.Abandon()
+	call.Abandon()
+	if n := call.Pick(); n.Verdict != ClientGone {
 		t.Errorf("%+v", n)
 	}
 	call.Report(Outcome{Code: Cancelled}) // the attempt that was out
 	call = begin(t, f, "donate", 0)
 	call.Pick()
-	call.Report(Outcome{Code: Full, Role: Primary})
+	call.Report(Outcome{Code: Rejected, Role: Primary})
 	for range 100 {
 		c.Advance(10)
 		f.Tick()
 	}
 	n := call.Pick()
 	for n.Verdict == Send { // full again and again
-		call.Report(Outcome{Code: Full, Role: Primary})
+		call.Report(Outcome{Code: Rejected, Role: Primary})
 		c.Advance(100)
 		f.Tick()
 		n = call.Pick()
 	}
-	if n.Verdict != Refuse || n.After <= 0 {
+	if n.Verdict != Reject || n.RetryAfter <= 0 {
 		t.Errorf("%+v", n)
 	}
 	if len(f.calls) != 0 {
@@ -145,27 +145,27 @@
 
 // Guards against a request that was given up while it was held: the module would send it later, for nobody, and count
 // it as under way for good. And against a goroutine that waits for its decision for ever.
-func TestAConcludedCallLeavesNothingBehind(t *testing.T) {
-	f, c := facade(t)
-	f.Members(false, []Member{{Host: "p", Group: 1, Gone: true}, {Host: "a", Group: 1, Gone: true}})
+func TestAFinishedCallLeavesNothingBehind(t *testing.T) {
+	f, c := newTestDispatcher(t)
+	f.UpdateEndpoints(false, []Endpoint{{Host: "p", Group: 1, Removed: true}, {Host: "a", Group: 1, Removed: true}})
 	var held []*Call
 	for range 20 {
 		held = append(held, begin(t, f, "donate", 0))
 	}
-	woken := make(chan Next, 1)
+	woken := make(chan Decision, 1)
 	go func() { woken <- held[0].Pick() }()
 	for _, h := range held {
 		if _, ok := h.TryPick(); ok {
 			t.Fatal("there is nobody to send it to")
 		}
-		h.Conclude(Outcome{Code: Cancelled})
+		h.Finish(Outcome{Code: Cancelled})
 	}
-	if n := <-woken; n.Verdict != Left {
+	if n := <-woken; n.Verdict != ClientGone {
 		t.Fatalf("%+v", n)
 	}
-	f.Members(true, []Member{{Host: "p", Group: 1, Primary: true}})
+	f.UpdateEndpoints(true, []Endpoint{{Host: "p", Group: 1, Primary: true}})
 	c.Advance(50)
-	f.Probed("p", Outcome{Code: OK, Report: Report{Role: Primary, Position: c.Now() - 1}})
+	f.ProbeDone("p", Outcome{Code: OK, Report: Report{Role: Primary, Position: c.Now() - 1}})
 	f.Tick()
 	for i := range 3 { // the whole of the first limit is there
 		if n, ok := begin(t, f, "donate", 0).TryPick(); !ok || n.Verdict != Send {
--- a/internal/dispatch/stale_test.go
+++ b/internal/dispatch/stale_test.go
@@ -17,16 +17,16 @@
 		want  Code
 	}{
 		{"browse", 0, Replica, 199, OK},
-		{"browse", 0, Replica, 204, Miss},
+		{"browse", 0, Replica, 204, Misdirected},
 		{"browse", 0, Primary, 9000, OK}, // it stands at the present
 		{"browse", 0, Replica, 0, OK},
 		{"library", 500, Replica, 499, OK},
-		{"library", 500, Replica, 503, Miss},
+		{"library", 500, Replica, 503, Misdirected},
 		{"library", 0, Replica, 9000, OK}, // it has written nothing
 	} {
-		f, c := facade(t)
-		f.Probed("p", Outcome{Code: OK, Report: Report{Role: Primary, Position: c.Now()}})
-		f.Probed("a", Outcome{Code: OK, Report: Report{Role: Replica, Position: c.Now()}})
+		f, c := newTestDispatcher(t)
+		f.ProbeDone("p", Outcome{Code: OK, Report: Report{Role: Primary, Position: c.Now()}})
+		f.ProbeDone("a", Outcome{Code: OK, Report: Report{Role: Replica, Position: c.Now()}})
 		after := 0.0
 		if k.after > 0 {
 			after = c.Now() - k.after
@@ -36,7 +36,7 @@
 		require.True(t, ok)
 		require.Equal(t, Send, first.Verdict)
 		c.Advance(30) // for a dial
-		require.True(t, call.Still())
+		require.True(t, call.Revalidate())
 		o := Outcome{Code: OK, Role: k.role}
 		if k.age > 0 {
 			o.Position = c.Now() - k.age
@@ -46,7 +46,7 @@
 		}
 		c.Advance(40)
 		require.Equal(t, k.want, call.Report(o), "%+v", k)
-		if k.want == Miss {
+		if k.want == Misdirected {
 			next, ok := call.TryPick()
 			require.True(t, ok, "%+v", k)
 			require.Equal(t, Send, next.Verdict, "%+v", k)
@@ -55,19 +55,19 @@
 }
 
 // What an answer says counts, though its attempt was given up; and a commit, rounded up, proves no position.
-func TestWhatALateAnswerSaysCounts(t *testing.T) {
-	f, c := facade(t)
+func TestALateAnswerCounts(t *testing.T) {
+	f, c := newTestDispatcher(t)
 	call := begin(t, f, "donate", 0)
 	n := call.Pick()
 	require.Equal(t, "p", n.Host)
 	sent := c.Now()
 	c.Advance(100)
 	call.Report(Outcome{Code: NoAnswer})
-	f.Heard("p", sent, true, Outcome{Code: Miss, Role: Replica, Position: c.Now() - 50})
+	f.LateAnswer("p", sent, true, Outcome{Code: Misdirected, Role: Replica, Position: c.Now() - 50})
 	read := begin(t, f, "library", c.Now()-10)
 	_, at := read.TryPick()
 	require.False(t, at, "p is no primary, and nobody else is known to be so far")
-	f.Heard("a", sent, true, Outcome{Code: OK, Role: Primary, Position: c.Now()})
+	f.LateAnswer("a", sent, true, Outcome{Code: OK, Role: Primary, Position: c.Now()})
 	for range 2 { // for the probes that it waits for
 		c.Advance(30)
 		f.Tick()
@@ -75,5 +75,5 @@
 	n, ok := read.TryPick()
 	require.True(t, ok)
 	require.Equal(t, "a", n.Host)
-	f.Heard("nobody", sent, false, Outcome{Code: OK, Role: Primary})
+	f.LateAnswer("nobody", sent, false, Outcome{Code: OK, Role: Primary})
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -114,7 +114,7 @@
 
 // Edge is the core.
 type Edge struct {
-	facade  *dispatch.Facade
+	facade  *dispatch.Dispatcher
 	clock   clock.Clock
 	backend Backend
 	seen    Observer // nil: nobody looks
@@ -142,7 +142,7 @@
 }
 
 // New returns a core that asks facade and sends over backend.
-func New(facade *dispatch.Facade, c clock.Clock, backend Backend) *Edge {
+func New(facade *dispatch.Dispatcher, c clock.Clock, backend Backend) *Edge {
 	return &Edge{facade: facade, clock: c, backend: backend, ids: map[string]struct{}{}, idle: make(chan struct{})}
 }
 
@@ -156,7 +156,7 @@
 func (e *Edge) Now() float64 { return e.clock.Now() }
 
 // Writes says whether a class is one of writes.
-func (e *Edge) Writes(class string) bool { return e.facade.Writes(class) }
+func (e *Edge) Writes(class string) bool { return e.facade.IsWrite(class) }
 
 // Drain returns a channel that is closed once no request is open; later ones are still served.
 func (e *Edge) Drain() <-chan struct{} {
@@ -221,27 +221,27 @@
 		return Result{Verdict: Invalid, Detail: "id " + s.ID + " is that of a request that is open"}
 	}
 	defer e.exit(s.ID)
-	call, err := e.facade.Begin(dispatch.Request{Class: s.Class, Group: s.Group, Session: s.Session, Retry: s.Retry,
-		Arrived: arrived, TimeLeft: s.Wait, After: s.After})
+	call, err := e.facade.Begin(dispatch.Request{Class: s.Class, Group: s.Group, Session: s.Session, IsRetry: s.Retry,
+		Arrived: arrived, TimeRemaining: s.Wait, MinPosition: s.After})
 	if err != nil {
 		return Result{Verdict: Invalid, Detail: "class " + s.Class + ": " + err.Error()}
 	}
-	defer context.AfterFunc(ctx, call.Leave)()
-	s.Write = e.facade.Writes(s.Class)
+	defer context.AfterFunc(ctx, call.Abandon)()
+	s.Write = e.facade.IsWrite(s.Class)
 	detail, verdict := "no host answered in time", TimedOut
 	for {
 		next := call.Pick()
 		switch next.Verdict {
-		case dispatch.Refuse:
-			return Result{Verdict: Refused, After: next.After, Detail: "no host can serve this now"}
+		case dispatch.Reject:
+			return Result{Verdict: Refused, After: next.RetryAfter, Detail: "no host can serve this now"}
 		case dispatch.Fail:
 			return Result{Verdict: verdict, Detail: detail}
-		case dispatch.Left:
+		case dispatch.ClientGone:
 			return Result{Verdict: Left}
 		}
 		reply := e.attempt(ctx, call, next, s)
 		if ctx.Err() != nil { // before the report, which would choose a further attempt for nobody
-			call.Leave()
+			call.Abandon()
 		}
 		counts := call.Report(reply.Outcome)
 		if counts == dispatch.OK {
@@ -260,7 +260,7 @@
 }
 
 // attempt sends a request to a host, unless it is too late for that once a connection is there.
-func (e *Edge) attempt(ctx context.Context, call *dispatch.Call, next dispatch.Next, s *sqlcomment.Statement) Reply {
+func (e *Edge) attempt(ctx context.Context, call *dispatch.Call, next dispatch.Decision, s *sqlcomment.Statement) Reply {
 	if e.seen == nil {
 		return e.exchange(ctx, call, next, s, nil)
 	}
@@ -278,8 +278,8 @@
 
 // exchange is an attempt; written, unless nil, becomes the bits of the time at which it was written last. A backend may ask
 // its gate on another goroutine.
-func (e *Edge) exchange(ctx context.Context, call *dispatch.Call, next dispatch.Next, s *sqlcomment.Statement, written *atomic.Uint64) Reply {
-	left := next.Until - e.clock.Now()
+func (e *Edge) exchange(ctx context.Context, call *dispatch.Call, next dispatch.Decision, s *sqlcomment.Statement, written *atomic.Uint64) Reply {
+	left := next.Deadline - e.clock.Now()
 	if left <= 0 || ctx.Err() != nil {
 		return NotSent()
 	}
@@ -290,7 +290,7 @@
 	switch {
 	case err == nil:
 	case errors.Is(err, ErrTurnedAway), errors.Is(err, ErrNoRoom):
-		return Reply{Outcome: dispatch.Outcome{Code: dispatch.Full}, Detail: err.Error()}
+		return Reply{Outcome: dispatch.Outcome{Code: dispatch.Rejected}, Detail: err.Error()}
 	case errors.Is(err, ErrUnlisted):
 		return NotSent()
 	case ctx.Err() != nil: // the client left or this attempt's time ran out: no evidence against the host
@@ -304,9 +304,9 @@
 		if written != nil {
 			written.Store(math.Float64bits(now))
 		}
-		left := next.Until - now
+		left := next.Deadline - now
 		// That the client has gone stands in its context before the decisions hear of it, which takes a goroutine's turn.
-		return left, left > 0 && client.Err() == nil && call.Still()
+		return left, left > 0 && client.Err() == nil && call.Revalidate()
 	})
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -53,12 +53,12 @@
 
 func core(t require.TestingT, fail int) (*Edge, *sqlcomment.Statement) {
 	c := clock.NewManual(1e12)
-	site := &settings.Parsed{Settings: routing.Settings{Routers: 1, MaxAttempts: 8, ListRole: true, Tick: 5 * time.Millisecond,
-		Classes: []routing.Class{{Name: "browse", Read: routing.Any, Effect: routing.Safe, Aim: time.Second, Deadline: time.Second, Worth: 1, LateShare: 1}}},
+	site := &settings.Parsed{Settings: routing.Settings{RouterCount: 1, MaxAttempts: 8, ListNamesPrimary: true, MinTickInterval: 5 * time.Millisecond,
+		Classes: []routing.Class{{Name: "browse", Access: routing.EventualRead, Idempotency: routing.Idempotent, LatencyObjective: time.Second, Deadline: time.Second, PriorityWeight: 1, LateFraction: 1}}},
 		Classes: map[string]int{"browse": 0}}
 	f, err := dispatch.New(site, 1, c, nil, nil)
 	require.NoError(t, err)
-	f.Members(true, []dispatch.Member{{Host: "p", Group: 1, Primary: true}, {Host: "a", Group: 1}})
+	f.UpdateEndpoints(true, []dispatch.Endpoint{{Host: "p", Group: 1, Primary: true}, {Host: "a", Group: 1}})
 	s, err := sqlcomment.Parse("/* id=1,c=browse,d=900,cluster=1 */ SELECT 1")
 	require.NoError(t, err)
 	return New(f, c, &taking{clock: c, fail: fail}), &s
--- a/internal/edge/gone_test.go
+++ b/internal/edge/gone_test.go
@@ -69,12 +69,12 @@
 		outcome dispatch.Code
 		written int
 	}{
-		{"begin", dispatch.Full, 0},
-		{"dial", dispatch.Full, 0},
-		{"gate", dispatch.Full, 0},
-		{"written", dispatch.Full, 1}, // what has begun has begun, and is not begun again
+		{"begin", dispatch.Rejected, 0},
+		{"dial", dispatch.Rejected, 0},
+		{"gate", dispatch.Rejected, 0},
+		{"written", dispatch.Rejected, 1}, // what has begun has begun, and is not begun again
 		{"written", dispatch.ConnectionLost, 1},
-		{"written", dispatch.Error, 1},
+		{"written", dispatch.ServerError, 1},
 		{"written", dispatch.NoConnection, 1},
 		{"written", dispatch.NotSent, 1},
 	} {
@@ -106,14 +106,14 @@
 	e, s := core(t, 0)
 	b := &steps{taking: e.backend.(*taking), at: func(string) {}}
 	e.backend = b
-	e.facade.Members(true, nil) // nobody is listed: it is held
+	e.facade.UpdateEndpoints(true, nil) // nobody is listed: it is held
 	ctx, cancel := context.WithCancel(context.Background())
 	result := make(chan Result)
 	go func() { result <- e.Do(ctx, s, e.Now()) }()
 	require.Eventually(t, func() bool { e.mu.Lock(); defer e.mu.Unlock(); return len(e.ids) == 1 }, 10*time.Second, time.Millisecond)
 	cancel()
 	require.Equal(t, Left, (<-result).Verdict)
-	e.facade.Members(true, []dispatch.Member{{Host: "p", Group: 1, Primary: true}})
+	e.facade.UpdateEndpoints(true, []dispatch.Endpoint{{Host: "p", Group: 1, Primary: true}})
 	e.facade.Tick()
 	require.Zero(t, b.count())
 }
--- a/internal/net/discovery/apply.go
+++ b/internal/net/discovery/apply.go
@@ -7,7 +7,7 @@
 
 // Apply returns a function that brings lists to the decisions and to the backend, addresses first: a host that
 // is chosen must have one. wire says over what a host is reached; primary is the word for it in Part.
-func Apply(members func(full bool, ms []dispatch.Member), backend *edge.Split, wire func(Entry) edge.Backend, primary string) func(List) {
+func Apply(members func(full bool, ms []dispatch.Endpoint), backend *edge.Split, wire func(Entry) edge.Backend, primary string) func(List) {
 	known := map[string]bool{}
 	return func(l List) {
 		gone := map[string]bool{}
@@ -16,14 +16,14 @@
 				gone[name] = true
 			}
 		}
-		ms := make([]dispatch.Member, 0, len(l.Endpoints))
+		ms := make([]dispatch.Endpoint, 0, len(l.Endpoints))
 		for _, e := range l.Endpoints {
 			if gone[e.Name] = e.Status == Left; e.Status != Left && e.Address != "" {
 				known[e.Name] = true
 				backend.Use(e.Name, wire(e), e.Address)
 			}
-			ms = append(ms, dispatch.Member{Host: e.Name, Group: e.Group, Draining: e.Status == Leaving,
-				Gone: e.Status == Left, Primary: e.Part == primary, Started: e.SinceMS})
+			ms = append(ms, dispatch.Endpoint{Host: e.Name, Group: e.Group, Draining: e.Status == Leaving,
+				Removed: e.Status == Left, Primary: e.Part == primary, StartedAt: e.SinceMS})
 		}
 		members(l.Snapshot, ms)
 		for name, left := range gone { // after the decisions have let go of it
--- a/internal/net/flight/golden_test.go
+++ b/internal/net/flight/golden_test.go
@@ -71,12 +71,12 @@
 		result edge.Result
 		read   dispatch.Code
 	}{
-		{"refused", edge.Result{Verdict: edge.Refused, Detail: "no host", After: 250.5}, dispatch.Full},
-		{"refused-without-advice", edge.Result{Verdict: edge.Refused, Detail: "no host"}, dispatch.Full},
+		{"refused", edge.Result{Verdict: edge.Refused, Detail: "no host", After: 250.5}, dispatch.Rejected},
+		{"refused-without-advice", edge.Result{Verdict: edge.Refused, Detail: "no host"}, dispatch.Rejected},
 		{"timed-out", edge.Result{Verdict: edge.TimedOut, Detail: "no answer"}, dispatch.NoAnswer},
-		{"invalid", edge.Result{Verdict: edge.Invalid, Detail: "no class"}, dispatch.Error},
+		{"invalid", edge.Result{Verdict: edge.Invalid, Detail: "no class"}, dispatch.ServerError},
 		{"left", edge.Result{Verdict: edge.Left, Detail: "unused"}, dispatch.Cancelled},
-		{"failed", edge.Result{Verdict: edge.Failed, Detail: "it broke"}, dispatch.Error},
+		{"failed", edge.Result{Verdict: edge.Failed, Detail: "it broke"}, dispatch.ServerError},
 	}
 	var out bytes.Buffer
 	for _, r := range results {
@@ -98,10 +98,10 @@
 		err  error
 		read dispatch.Code
 	}{
-		{"not-primary", failure(codes.FailedPrecondition, "a replica", reasonNotPrimary, 0), dispatch.Miss},
-		{"behind", failure(codes.FailedPrecondition, "too old", reasonBehind, 0), dispatch.Miss},
-		{"full", failure(codes.ResourceExhausted, "full", reasonTurnedAway, 10), dispatch.Full},
-		{"draining", failure(codes.Unavailable, "draining", reasonTurnedAway, 0), dispatch.Full},
+		{"not-primary", failure(codes.FailedPrecondition, "a replica", reasonNotPrimary, 0), dispatch.Misdirected},
+		{"behind", failure(codes.FailedPrecondition, "too old", reasonBehind, 0), dispatch.Misdirected},
+		{"full", failure(codes.ResourceExhausted, "full", reasonTurnedAway, 10), dispatch.Rejected},
+		{"draining", failure(codes.Unavailable, "draining", reasonTurnedAway, 0), dispatch.Rejected},
 		{"bare-unavailable", failure(codes.Unavailable, "reset", "", 0), dispatch.ConnectionLost},
 	}
 	var out bytes.Buffer
--- a/internal/net/flight/hosts.go
+++ b/internal/net/flight/hosts.go
@@ -224,7 +224,7 @@
 func lost(err error, trailer metadata.MD) edge.Reply {
 	r := edge.Reply{Detail: err.Error()}
 	code := outcome(err)
-	if code != dispatch.Spoilt { // which teaches nothing
+	if code != dispatch.Malformed { // which teaches nothing
 		r.Outcome = told(trailer, &r.Answer)
 	}
 	r.Code = code
@@ -234,7 +234,7 @@
 // ended words a stream that brought no answer. Only one that gRPC itself ended has its trailer: what was given up for
 // what it held may still be arriving.
 func ended(err error, stream grpc.ClientStream) edge.Reply {
-	if outcome(err) == dispatch.Spoilt {
+	if outcome(err) == dispatch.Malformed {
 		return lost(err, nil)
 	}
 	return lost(err, stream.Trailer())
@@ -244,7 +244,7 @@
 func (c *conn) query(ctx context.Context, text string, gate edge.Gate) edge.Reply {
 	d, err := describe(&pb.CommandStatementQuery{Query: text})
 	if err != nil {
-		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Error}, Detail: err.Error()}
+		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.ServerError}, Detail: err.Error()}
 	}
 	info, err := c.client.GetFlightInfo(singly(ctx), d)
 	if err != nil {
@@ -275,7 +275,7 @@
 func (c *conn) update(ctx context.Context, text string) edge.Reply {
 	d, err := describe(&pb.CommandStatementUpdate{Query: text})
 	if err != nil {
-		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Error}, Detail: err.Error()}
+		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.ServerError}, Detail: err.Error()}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/net/flight/hosts_test.go
+++ b/internal/net/flight/hosts_test.go
@@ -70,7 +70,7 @@
 	s.Write = true
 	r := c.Exchange(ctx, &s, func() (float64, bool) { return 900, true })
 	require.EqualValues(t, 1, streams.Load())
-	require.NotContains(t, []dispatch.Code{dispatch.OK, dispatch.NotSent, dispatch.Full, dispatch.Miss}, r.Code, "%+v", r)
+	require.NotContains(t, []dispatch.Code{dispatch.OK, dispatch.NotSent, dispatch.Rejected, dispatch.Misdirected}, r.Code, "%+v", r)
 	s.Write = false
 	r = c.Exchange(ctx, &s, func() (float64, bool) { return 900, true })
 	require.EqualValues(t, 2, streams.Load(), "a read's first call was refused, and nothing came after it")
--- a/internal/net/flight/status.go
+++ b/internal/net/flight/status.go
@@ -91,7 +91,7 @@
 func outcome(err error) dispatch.Code {
 	s, ok := status.FromError(err)
 	if errors.Is(err, errShape) || !ok { // what gRPC delivered was no answer
-		return dispatch.Spoilt
+		return dispatch.Malformed
 	}
 	for _, d := range s.Details() {
 		info, ok := d.(*errdetails.ErrorInfo)
@@ -100,10 +100,10 @@
 		}
 		switch {
 		case s.Code() == codes.FailedPrecondition && (info.Reason == reasonNotPrimary || info.Reason == reasonBehind):
-			return dispatch.Miss
+			return dispatch.Misdirected
 		case (s.Code() == codes.Unavailable || s.Code() == codes.ResourceExhausted) &&
 			(info.Reason == reasonTurnedAway || info.Reason == reasonRefused):
-			return dispatch.Full
+			return dispatch.Rejected
 		}
 	}
 	switch s.Code() {
@@ -114,7 +114,7 @@
 	case codes.Unavailable:
 		return dispatch.ConnectionLost
 	}
-	return dispatch.Error
+	return dispatch.ServerError
 }
 
 // told reads the trailing metadata.
--- a/internal/net/pg/flood_test.go
+++ b/internal/net/pg/flood_test.go
@@ -186,12 +186,12 @@
 		goes  []byte // said again and again until the connection ends; nil: the connection stays silent
 		code  dispatch.Code
 	}{
-		{"a message said to be 3 GB", join(told, column, []byte{'D', 0xb2, 0xd0, 0x5e, 0}), nil, dispatch.Spoilt},
-		{"a value said to be 3 GB", join(told, lies(3<<30)), ready(nil), dispatch.Spoilt},
-		{"parameters without end", told, status(nil, "part", "master"), dispatch.Spoilt},
-		{"notices without end", told, message(nil, 'N', func(b []byte) []byte { return append(b, make([]byte, 1000)...) }), dispatch.Spoilt},
-		{"rows without end", join(told, described), described[len(column):], dispatch.Spoilt},
-		{"two answers' halves", join(told, described, told, column), ready(nil), dispatch.Spoilt},
+		{"a message said to be 3 GB", join(told, column, []byte{'D', 0xb2, 0xd0, 0x5e, 0}), nil, dispatch.Malformed},
+		{"a value said to be 3 GB", join(told, lies(3<<30)), ready(nil), dispatch.Malformed},
+		{"parameters without end", told, status(nil, "part", "master"), dispatch.Malformed},
+		{"notices without end", told, message(nil, 'N', func(b []byte) []byte { return append(b, make([]byte, 1000)...) }), dispatch.Malformed},
+		{"rows without end", join(told, described), described[len(column):], dispatch.Malformed},
+		{"two answers' halves", join(told, described, told, column), ready(nil), dispatch.Malformed},
 		{"half an answer", join(told, described), nil, dispatch.NoAnswer},
 	} {
 		ended := make(chan struct{}, 16)
@@ -245,7 +245,7 @@
 		require.NoError(t, err)
 		replies := make(chan edge.Reply, 2)
 		go func() { replies <- c.Exchange(ctx, &s, open) }()
-		want := dispatch.Spoilt
+		want := dispatch.Malformed
 		if spoiltFirst {
 			close(speak)
 			<-spoken
--- a/internal/net/pg/front_test.go
+++ b/internal/net/pg/front_test.go
@@ -31,18 +31,18 @@
 
 type door struct {
 	*Front
-	facade  *dispatch.Facade
+	facade  *dispatch.Dispatcher
 	clock   *clock.Manual
 	address string
 }
 
 func listen(t *testing.T, limits FrontLimits) *door {
-	class := routing.Class{Name: "report", Aim: time.Minute, Deadline: time.Minute, Worth: 1, LateShare: 1}
+	class := routing.Class{Name: "report", LatencyObjective: time.Minute, Deadline: time.Minute, PriorityWeight: 1, LateFraction: 1}
 	d := &door{clock: clock.NewManual(1e12)}
-	f, err := dispatch.New(&settings.Parsed{Settings: routing.Settings{Routers: 1, MaxAttempts: 8, Classes: []routing.Class{class}},
+	f, err := dispatch.New(&settings.Parsed{Settings: routing.Settings{RouterCount: 1, MaxAttempts: 8, Classes: []routing.Class{class}},
 		Classes: map[string]int{"report": 0}}, 1, d.clock, nil, nil)
 	require.NoError(t, err)
-	f.Members(true, []dispatch.Member{{Host: "h", Group: 1}})
+	f.UpdateEndpoints(true, []dispatch.Endpoint{{Host: "h", Group: 1}})
 	d.facade = f
 	core := edge.New(f, d.clock, nowhere{})
 	core.SetLimits(edge.Limits{Bytes: limits.Bytes, After: limits.After})
--- a/internal/net/pg/golden_test.go
+++ b/internal/net/pg/golden_test.go
@@ -251,7 +251,7 @@
 }
 
 // unready is a facade that has no list of hosts.
-func unready(t *testing.T) *dispatch.Facade {
+func unready(t *testing.T) *dispatch.Dispatcher {
 	site, err := settings.Parse([]byte(poolSite))
 	require.NoError(t, err)
 	f, err := dispatch.New(site, 1, clock.System(), nil, nil)
--- a/internal/net/pg/gone_test.go
+++ b/internal/net/pg/gone_test.go
@@ -278,7 +278,7 @@
 			})
 			require.Equal(t, 1, <-broken)
 		case "it drains":
-			w.facade.Members(false, []dispatch.Member{{Host: "a", Group: 1, Primary: true, Draining: true}})
+			w.facade.UpdateEndpoints(false, []dispatch.Endpoint{{Host: "a", Group: 1, Primary: true, Draining: true}})
 		}
 		close(release)
 		require.Equal(t, "57014", state(<-out), then)
--- a/internal/net/pg/homes.go
+++ b/internal/net/pg/homes.go
@@ -265,7 +265,7 @@
 	c.waiter.Leave()
 	call := c.call
 	c.call = nil
-	call.Conclude(dispatch.Outcome{Code: dispatch.NotSent})
+	call.Finish(dispatch.Outcome{Code: dispatch.NotSent})
 	c.phase = phaseRouting
 	c.settle()
 	if !c.inMessage && (c.phase == phaseLinked || c.phase == phaseFree) {
@@ -340,7 +340,7 @@
 	f := c.front
 	call := c.call
 	c.call = nil
-	call.Conclude(dispatch.Outcome{Code: dispatch.NotSent})
+	call.Finish(dispatch.Outcome{Code: dispatch.NotSent})
 	c.land()
 	c.held.Turned(c.home)
 	f.stats.Turned++
--- a/internal/net/pg/homes_test.go
+++ b/internal/net/pg/homes_test.go
@@ -87,7 +87,7 @@
 	w.gate = newGate(t, w.a.Address)
 	w.front.SetAddress("a", w.gate.address)
 	w.front.SetAddress("c", w.c.Address)
-	w.facade.Members(false, []dispatch.Member{{Host: "c", Group: 2, Primary: true}})
+	w.facade.UpdateEndpoints(false, []dispatch.Endpoint{{Host: "c", Group: 2, Primary: true}})
 	return w
 }
 
--- a/internal/net/pg/message_test.go
+++ b/internal/net/pg/message_test.go
@@ -37,15 +37,15 @@
 }
 
 func TestOutcomes(t *testing.T) {
-	for state, want := range map[string]dispatch.Code{"25006": dispatch.Miss, "72000": dispatch.Miss, "53300": dispatch.Full,
-		"XX000": dispatch.Error, "08P01": dispatch.Error} {
+	for state, want := range map[string]dispatch.Code{"25006": dispatch.Misdirected, "72000": dispatch.Misdirected, "53300": dispatch.Rejected,
+		"XX000": dispatch.ServerError, "08P01": dispatch.ServerError} {
 		r, err := parse(ready(failure(nil, "ERROR", state, "no", "")), Platform)
 		require.NoError(t, err)
 		require.Equal(t, want, outcome(&r), state)
 	}
 	r, err := parse(ready(complete(nil, "SELECT 0")), Platform)
 	require.NoError(t, err)
-	require.Equal(t, dispatch.Spoilt, outcome(&r), "no row is no answer")
+	require.Equal(t, dispatch.Malformed, outcome(&r), "no row is no answer")
 	fatal := failure(nil, "FATAL", "53300", "too many connections", "")
 	end, _, err := find(fatal, 0)
 	require.NoError(t, err)
--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -608,7 +608,7 @@
 		sent = c.pool.clock.Now()
 		return query(make([]byte, 0, len(s.Text)+16), func(b []byte) []byte { return s.WithWait(b, wait) })
 	}, func(r *response) {
-		if late := c.pool.late; late != nil && outcome(r) != dispatch.Spoilt {
+		if late := c.pool.late; late != nil && outcome(r) != dispatch.Malformed {
 			late(c.name, sent, write, c.pool.told(r))
 		}
 	})
@@ -630,7 +630,7 @@
 		case !wrote:
 			code = dispatch.NoConnection
 		case errors.Is(e.err, errSpoilt):
-			code = dispatch.Spoilt
+			code = dispatch.Malformed
 		case errors.Is(e.err, context.DeadlineExceeded):
 			code = dispatch.NoAnswer
 		case errors.Is(e.err, context.Canceled):
@@ -639,9 +639,9 @@
 		return edge.Reply{Outcome: dispatch.Outcome{Code: code}, Detail: e.err.Error()}
 	}
 	r := &e.response
-	if outcome(r) == dispatch.Spoilt { // it teaches nothing, its position least of all
+	if outcome(r) == dispatch.Malformed { // it teaches nothing, its position least of all
 		c.close()
-		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Spoilt}, Detail: errShape.Error()}
+		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Malformed}, Detail: errShape.Error()}
 	}
 	reply := edge.Reply{Outcome: c.pool.told(r), Answer: r.answer}
 	if reply.Code != dispatch.OK {
@@ -660,13 +660,13 @@
 func outcome(r *response) dispatch.Code {
 	switch {
 	case r.state == stateReplica || r.state == stateBehind:
-		return dispatch.Miss
+		return dispatch.Misdirected
 	case r.state == stateRefused:
-		return dispatch.Full
+		return dispatch.Rejected
 	case r.state != "":
-		return dispatch.Error
+		return dispatch.ServerError
 	case !r.done || r.rows != 1:
-		return dispatch.Spoilt
+		return dispatch.Malformed
 	}
 	return dispatch.OK
 }
@@ -707,7 +707,7 @@
 		return dispatch.Outcome{Code: dispatch.NoAnswer}
 	}
 	code := outcome(&e.response)
-	if code == dispatch.Spoilt {
+	if code == dispatch.Malformed {
 		c.close()
 		return dispatch.Outcome{Code: code}
 	}
--- a/internal/net/pg/pool_test.go
+++ b/internal/net/pg/pool_test.go
@@ -161,7 +161,7 @@
 			b.Receive()
 		})
 		reply := r.exchange(t, open)
-		require.Equal(t, edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Spoilt}, Detail: reply.Detail}, reply, i)
+		require.Equal(t, edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Malformed}, Detail: reply.Detail}, reply, i)
 		require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.open == 0 }, 10*time.Second, time.Millisecond)
 	}
 }
@@ -180,7 +180,7 @@
 	for range 2 {
 		go func() { codes <- r.exchange(t, open).Code }()
 	}
-	require.Equal(t, dispatch.Spoilt, <-codes, "what passes the bound goes at once")
+	require.Equal(t, dispatch.Malformed, <-codes, "what passes the bound goes at once")
 	require.Equal(t, dispatch.NoAnswer, <-codes, "the other is waited for")
 	r.SetLimits(Limits{})
 	_, err := r.Acquire(context.Background(), "h")
--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -125,7 +125,7 @@
 	if c.call != nil {
 		call := c.call
 		c.call = nil
-		call.Conclude(dispatch.Outcome{Code: dispatch.Cancelled})
+		call.Finish(dispatch.Outcome{Code: dispatch.Cancelled})
 	}
 }
 
@@ -798,7 +798,7 @@
 	now := f.clock.Now()
 	deadline, ok := f.facade.Deadline(r.Class)
 	if !ok {
-		c.refuse(stateInvalid, "class "+strconv.Quote(r.Class)+": "+dispatch.ErrClass.Error(), "")
+		c.refuse(stateInvalid, "class "+strconv.Quote(r.Class)+": "+dispatch.ErrUnknownClass.Error(), "")
 		c.consumed(kind)
 		return
 	}
@@ -810,7 +810,7 @@
 	if key == "" {
 		key = "#" + strconv.FormatUint(uint64(c.number), 36)
 	}
-	c.readOnly, c.writes = r.ReadOnly, f.facade.Writes(r.Class)
+	c.readOnly, c.writes = r.ReadOnly, f.facade.IsWrite(r.Class)
 	if len(c.resend) > 0 { // a host turned it away: its time goes on
 		now = c.request.Arrived
 	} else {
@@ -822,7 +822,7 @@
 	c.phase = phaseRouting
 	c.asked = kind
 	c.routed = r
-	c.request = dispatch.Request{Class: r.Class, Group: r.Group, Session: key, Arrived: now, TimeLeft: max(deadline, patience), After: max(r.After, c.after)}
+	c.request = dispatch.Request{Class: r.Class, Group: r.Group, Session: key, Arrived: now, TimeRemaining: max(deadline, patience), MinPosition: max(r.After, c.after)}
 	c.settle()
 }
 
@@ -848,12 +848,12 @@
 }
 
 // picked does what was decided. Where it is refused here, the message under way has its answer.
-func (c *sclient) picked(n dispatch.Next) {
+func (c *sclient) picked(n dispatch.Decision) {
 	f := c.front
 	switch n.Verdict {
 	case dispatch.Send:
-	case dispatch.Refuse:
-		c.over("no host can serve this now", n.After)
+	case dispatch.Reject:
+		c.over("no host can serve this now", n.RetryAfter)
 		return
 	default:
 		c.over("no host answered in time", f.limits.Load().After)
@@ -875,7 +875,7 @@
 		}
 	}
 	if !p.queue.Add(&c.waiter, c.pool.Sizes.Waiting) {
-		c.call.Conclude(dispatch.Outcome{Code: dispatch.Full})
+		c.call.Finish(dispatch.Outcome{Code: dispatch.Rejected})
 		c.over("all server connections are in use, and as many sessions wait as may", f.limits.Load().After)
 		return
 	}
@@ -886,7 +886,7 @@
 func (c *sclient) over(text string, after float64) {
 	if call := c.call; call != nil {
 		c.call = nil
-		call.Leave()
+		call.Abandon()
 	}
 	c.land()
 	c.refuse(stateRefused, text, advice(after))
@@ -906,7 +906,7 @@
 	}
 	call := c.call
 	c.hit, c.call = false, nil
-	call.Conclude(dispatch.Outcome{Code: dispatch.NotSent})
+	call.Finish(dispatch.Outcome{Code: dispatch.NotSent})
 	c.land()
 	c.cancelled()
 	return true
@@ -931,7 +931,7 @@
 	}
 	call := c.call
 	c.call = nil
-	call.Conclude(dispatch.Outcome{Code: dispatch.NotSent})
+	call.Finish(dispatch.Outcome{Code: dispatch.NotSent})
 	c.over("no server connection was free in time", c.front.limits.Load().After)
 	c.proceed()
 }
@@ -952,7 +952,7 @@
 
 // attach links the client to a server connection, unless what held when its host was chosen holds no more.
 func (c *sclient) attach(s *server) {
-	if c.call != nil && !c.call.Still() {
+	if c.call != nil && !c.call.Revalidate() {
 		s.rest()
 		c.again(dispatch.Outcome{Code: dispatch.NotSent})
 		return
@@ -1025,7 +1025,7 @@
 		c.proceed()
 		return nil
 	}
-	if c.call != nil && !s.sent && !c.call.Still() { // nothing of the client's was sent
+	if c.call != nil && !s.sent && !c.call.Revalidate() { // nothing of the client's was sent
 		c.unlink(s)
 		s.rest()
 		c.again(dispatch.Outcome{Code: dispatch.NotSent})
@@ -1068,9 +1068,9 @@
 		c.call = nil
 		code := dispatch.OK
 		if c.misplaced {
-			code = dispatch.Miss
+			code = dispatch.Misdirected
 		}
-		call.Conclude(s.outcome(code))
+		call.Finish(s.outcome(code))
 		if c.tenant != nil {
 			c.unrecord()
 			c.land()
@@ -1135,7 +1135,7 @@
 
 // listed says whether new work may go to a connection's host.
 func (c *sclient) listed(s *server) bool {
-	return s.pool.host.address != "" && c.front.facade.Listed(s.pool.host.name)
+	return s.pool.host.address != "" && c.front.facade.IsActive(s.pool.host.name)
 }
 
 // forsake leaves a connection that was kept, between transactions, since its host drains. What binds the session to it
@@ -1187,7 +1187,7 @@
 	l := c.pipe.Lose(s.sent)
 	if call := c.call; call != nil {
 		c.call = nil
-		call.Conclude(dispatch.Outcome{Code: dispatch.ConnectionLost})
+		call.Finish(dispatch.Outcome{Code: dispatch.ConnectionLost})
 	}
 	switch {
 	case l.Silent:
--- a/internal/net/pg/server.go
+++ b/internal/net/pg/server.go
@@ -90,7 +90,7 @@
 			case s.dead:
 			default:
 				s.wire = loop.NewWire(f.engine, g, s)
-				if p.host.address != address || !f.facade.Listed(p.host.name) { // a handshake is work too
+				if p.host.address != address || !f.facade.IsActive(p.host.name) { // a handshake is work too
 					s.ended()
 					s.wire.Close()
 					p.failed(errUnlisted)
@@ -131,7 +131,7 @@
 	code := dispatch.NoConnection
 	switch {
 	case errors.Is(err, errTurnedAway), loop.OutOfDescriptors(err):
-		code = dispatch.Full
+		code = dispatch.Rejected
 	case errors.Is(err, errUnlisted):
 		code = dispatch.NotSent
 	}
@@ -198,7 +198,7 @@
 		return
 	}
 	if ps == nil || s.worn || p.host.address == "" || f.drain && p.queue.Len() == 0 || ps.ServerLife > 0 && s.since-s.born > ps.ServerLife ||
-		!f.facade.Listed(p.host.name) {
+		!f.facade.IsActive(p.host.name) {
 		f.stats.Discarded++
 		s.wire.Close()
 		return
@@ -255,7 +255,7 @@
 func (p *spool) grow(f *Sessions) {
 	l := f.limits.Load()
 	ps := l.poolFor(p.key.database, p.key.user)
-	if ps == nil || p.host.address == "" || !f.facade.Listed(p.host.name) { // the sweep sends those that wait elsewhere
+	if ps == nil || p.host.address == "" || !f.facade.IsActive(p.host.name) { // the sweep sends those that wait elsewhere
 		return
 	}
 	for n := p.queue.Len() - p.dialing; n > 0 && p.open < p.room(ps); n-- {
--- a/internal/net/pg/sessions.go
+++ b/internal/net/pg/sessions.go
@@ -73,7 +73,7 @@
 // that have to wait, and dials.
 type Sessions struct {
 	engine *loop.Engine
-	facade *dispatch.Facade
+	facade *dispatch.Dispatcher
 	clock  clock.Clock
 	names  Names
 	limits atomic.Pointer[SessionLimits]
@@ -167,7 +167,7 @@
 }
 
 // NewSessions returns a front that asks facade where transactions go.
-func NewSessions(e *loop.Engine, f *dispatch.Facade, c clock.Clock, names Names, l SessionLimits) *Sessions {
+func NewSessions(e *loop.Engine, f *dispatch.Dispatcher, c clock.Clock, names Names, l SessionLimits) *Sessions {
 	s := &Sessions{engine: e, facade: f, clock: c, names: names, clients: map[*sclient]struct{}{}, keys: map[uint64]*sclient{},
 		hosts: map[string]*shost{}, pinned: map[session.Cause]int{}, paused: map[*loop.Wire]func() bool{}, seed: maphash.MakeSeed(),
 		catalogue: session.NewCatalogue(l.Bytes), addresses: make(chan map[string]string, 1)}
@@ -361,7 +361,7 @@
 		for _, p := range h.pools {
 			if p.queue.Len() > 0 {
 				p.queue.Late(now, func(w *session.Waiter) { w.Of.(*sclient).late() })
-				if listed = listed && f.facade.Listed(h.name); !listed { // it drains: who waits for it chooses anew
+				if listed = listed && f.facade.IsActive(h.name); !listed { // it drains: who waits for it chooses anew
 					for w := p.queue.Next(0, nil); w != nil; w = p.queue.Next(0, nil) {
 						w.Of.(*sclient).again(dispatch.Outcome{Code: dispatch.NotSent})
 					}
@@ -408,7 +408,7 @@
 			v.wire.Close()
 		}
 	}
-	if len(p.idle) > 0 && !f.facade.Listed(p.host.name) {
+	if len(p.idle) > 0 && !f.facade.IsActive(p.host.name) {
 		f.closeIdle(p.host)
 	}
 }
@@ -525,7 +525,7 @@
 		c.waiter.Leave()
 		call := c.call
 		c.call = nil
-		call.Conclude(dispatch.Outcome{Code: dispatch.NotSent})
+		call.Finish(dispatch.Outcome{Code: dispatch.NotSent})
 		c.unhold()
 		c.cancelled()
 		c.proceed()
--- a/internal/net/pg/sessions_test.go
+++ b/internal/net/pg/sessions_test.go
@@ -40,17 +40,17 @@
 	t       testing.TB
 	address string
 	front   *Sessions
-	facade  *dispatch.Facade
+	facade  *dispatch.Dispatcher
 	cluster *lab.Cluster
 	a, b    *lab.Host
 }
 
 func (w *pooled) members(drain ...string) {
-	var ms []dispatch.Member
+	var ms []dispatch.Endpoint
 	for _, h := range []*lab.Host{w.a, w.b} {
-		ms = append(ms, dispatch.Member{Host: h.Name, Group: 1, Primary: h.Primary(), Draining: strings.Contains(strings.Join(drain, ","), h.Name)})
+		ms = append(ms, dispatch.Endpoint{Host: h.Name, Group: 1, Primary: h.Primary(), Draining: strings.Contains(strings.Join(drain, ","), h.Name)})
 	}
-	w.facade.Members(true, ms)
+	w.facade.UpdateEndpoints(true, ms)
 }
 
 // pool starts all of it; change may alter the limits.
@@ -74,7 +74,7 @@
 	w.facade, err = dispatch.New(site, 1, clock.System(), func(name string) {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		w.facade.Probed(name, p.Probe(ctx, name, w.facade.Listed))
+		w.facade.ProbeDone(name, p.Probe(ctx, name, w.facade.IsActive))
 	}, nil)
 	require.NoError(t, err)
 	w.front = NewSessions(e, w.facade, clock.System(), Platform, l)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,15 +17,15 @@
 // Parsed is the module's settings with what the program around it needs to speak the operators' names.
 type Parsed struct {
 	routing.Settings
-	Classes map[string]int // place of a class in Settings.Classes
-	Tenants map[string]int // from 1; none is 0
-	Zero    time.Duration  // from when the simulator counts positions
-	X0, X1  int            // places of position and role in a load report; -1: none
-	Connect time.Duration  // a connection not up by then counts as none
+	Classes                    map[string]int // place of a class in Settings.Classes
+	Tenants                    map[string]int // from 1; none is 0
+	PositionOrigin             time.Duration  // from when the simulator counts positions
+	PositionColumn, RoleColumn int            // places of position and role in a load report; -1: none
+	ConnectTimeout             time.Duration  // a connection not up by then counts as none
 }
 
-// info is the part of the settings that is used; unknown keys are ignored.
-type info struct {
+// document is the part of the settings that is used; unknown keys are ignored.
+type document struct {
 	Balancers int    `json:"balancers"`
 	Index     int    `json:"index"`
 	Discovery string `json:"discovery"`
@@ -82,14 +82,14 @@
 }
 
 var (
-	reads = map[string]routing.ReadKind{"any": routing.Any, "bounded": routing.Bounded, "session": routing.Session,
-		"fresh": routing.Fresh, "write": routing.Write}
-	effects = map[string]routing.Effect{"idempotent": routing.Safe, "deduplicated": routing.Keyed,
-		"at_most_once": routing.Unsafe}
-	scopes = map[string]routing.Scope{"": routing.ScopeAll, "all": routing.ScopeAll, "zone": routing.ScopeZone,
+	reads = map[string]routing.Access{"any": routing.EventualRead, "bounded": routing.BoundedRead, "session": routing.SessionRead,
+		"fresh": routing.StrongRead, "write": routing.Write}
+	effects = map[string]routing.Idempotency{"idempotent": routing.Idempotent, "deduplicated": routing.Deduplicated,
+		"at_most_once": routing.AtMostOnce}
+	scopes = map[string]routing.DedupScope{"": routing.ScopeAll, "all": routing.ScopeAll, "zone": routing.ScopeZone,
 		"cell": routing.ScopeCell}
-	checks = map[string]routing.Checks{"": routing.NoChecks, "off": routing.NoChecks, "refuse": routing.Refuses,
-		"wait": routing.Waits}
+	checks = map[string]routing.StalenessCheck{"": routing.CheckNone, "off": routing.CheckNone, "refuse": routing.CheckRejects,
+		"wait": routing.CheckWaits}
 )
 
 // Millis converts milliseconds, whole to the microsecond.
@@ -116,24 +116,24 @@
 
 // Parse reads the settings. Keys that it does not know are ignored.
 func Parse(text []byte) (*Parsed, error) {
-	var f info
+	var f document
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, err
 	}
 	var p parser
-	in := &Parsed{Zero: Millis(f.Domain.Zero), X0: -1, X1: -1, Connect: Millis(f.Limits.Connect),
+	in := &Parsed{PositionOrigin: Millis(f.Domain.Zero), PositionColumn: -1, RoleColumn: -1, ConnectTimeout: Millis(f.Limits.Connect),
 		Classes: map[string]int{}, Tenants: map[string]int{"": 0, "0": 0}}
-	in.Settings = routing.Settings{Index: f.Index, Routers: f.Balancers,
-		Checks:  lookup(&p, checks, "domain.when_behind", f.Domain.WhenBehind),
-		CatchUp: Millis(f.Domain.CatchUp), Remembered: f.Domain.TokenMode == "remembered",
-		ListRole:  f.Domain.RoleInList == "late" || f.Domain.RoleInList == "start",
-		Subscribe: f.Discovery == "subscribe", Probes: f.Limits.Probes, Cancel: f.Limits.Cancel,
-		MaxAttempts: f.Limits.Tries, DrainBindsAlone: f.Rules.DrainAlone, ColdFrom: f.Rules.ColdFrom,
-		ColdRamp: Millis(f.Rules.Ramp), FallFactor: f.Rules.FallFactor, FallTime: Millis(f.Rules.FallTime), ProbePrice: f.Deductions["probe"],
-		ConnIdle: Millis(f.Limits.ConnIdle), Tick: Millis(f.Period), OverShare: f.OverShare}
+	in.Settings = routing.Settings{RouterIndex: f.Index, RouterCount: f.Balancers,
+		StalenessCheck: lookup(&p, checks, "domain.when_behind", f.Domain.WhenBehind),
+		CatchUpWait:    Millis(f.Domain.CatchUp), TracksCommits: f.Domain.TokenMode == "remembered",
+		ListNamesPrimary: f.Domain.RoleInList == "late" || f.Domain.RoleInList == "start",
+		MustSubscribe:    f.Discovery == "subscribe", ProbesAllowed: f.Limits.Probes, CancelAllowed: f.Limits.Cancel,
+		MaxAttempts: f.Limits.Tries, IgnoresRemoval: f.Rules.DrainAlone, SlowStartFloor: f.Rules.ColdFrom,
+		SlowStartDuration: Millis(f.Rules.Ramp), OverloadFactor: f.Rules.FallFactor, OverloadWindow: Millis(f.Rules.FallTime), ProbeCost: f.Deductions["probe"],
+		ConnIdleTimeout: Millis(f.Limits.ConnIdle), MinTickInterval: Millis(f.Period), OverQuotaFraction: f.OverShare}
 	s := &in.Settings
 	if g := f.Goal; g.Whole > 0 && g.WorstClass > 0 {
-		s.WorstClass = g.WorstClass / g.Whole
+		s.WorstClassWeight = g.WorstClass / g.Whole
 	}
 	if f.Limits.RetryAfter {
 		s.MaxRetryAfter = Millis(f.Limits.MaxRetryAfter)
@@ -142,9 +142,9 @@
 		for i, name := range f.Report.Fields {
 			switch name {
 			case "x0":
-				in.X0, s.ReportX0 = i, true
+				in.PositionColumn, s.ReportsPosition = i, true
 			case "x1":
-				in.X1, s.ReportX1 = i, true
+				in.RoleColumn, s.ReportsRole = i, true
 			}
 		}
 	}
@@ -160,12 +160,12 @@
 		return nil, p.fault
 	}
 	for i, k := range f.Classes {
-		class := routing.Class{Name: k.Name, Read: lookup(&p, reads, "domain.class_read", f.Domain.ClassRead[i]),
-			Effect: lookup(&p, effects, "request_classes.effect", k.Effect),
-			Scope:  lookup(&p, scopes, "request_classes.group", k.Group), Window: Millis(k.Window),
-			Aim: Millis(k.Aim), Deadline: Millis(k.Deadline), Worth: k.Worth, LateShare: k.LateShare}
+		class := routing.Class{Name: k.Name, Access: lookup(&p, reads, "domain.class_read", f.Domain.ClassRead[i]),
+			Idempotency: lookup(&p, effects, "request_classes.effect", k.Effect),
+			Scope:       lookup(&p, scopes, "request_classes.group", k.Group), DedupWindow: Millis(k.Window),
+			LatencyObjective: Millis(k.Aim), Deadline: Millis(k.Deadline), PriorityWeight: k.Worth, LateFraction: k.LateShare}
 		if i < len(f.Domain.Bounds) {
-			class.Bound = Millis(f.Domain.Bounds[i])
+			class.StalenessBound = Millis(f.Domain.Bounds[i])
 		}
 		in.Classes[k.Name] = i
 		s.Classes = append(s.Classes, class)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -21,16 +21,16 @@
 	} {
 		in, err := Parse([]byte(goal + rest))
 		require.NoError(t, err, goal)
-		require.InDelta(t, want, in.Settings.WorstClass, 1e-9, goal)
+		require.InDelta(t, want, in.Settings.WorstClassWeight, 1e-9, goal)
 	}
 }
 
 // What the ramp of a cold host rests on comes from the settings alone.
-func TestTheRampFollowsTheObligations(t *testing.T) {
+func TestSlowStartFollowsTheObligations(t *testing.T) {
 	in, err := Parse([]byte(`{"balancers":1,"domain":{"class_read":["any"],"when_behind":"off"},"policy_limits":{"most_tries":1},
 		"obligations":{"cold_from":0.3,"ramp_time_ms":7000,"overload_factor":2,"fall_ms":1250},
 		"request_classes":[{"name":"browse","effect":"idempotent","group":"all","aim_ms":1,"deadline_ms":2,"worth":1}]}`))
 	require.NoError(t, err)
 	s := in.Settings
-	require.Equal(t, []any{0.3, 7 * time.Second, 2.0, 1250 * time.Millisecond}, []any{s.ColdFrom, s.ColdRamp, s.FallFactor, s.FallTime})
+	require.Equal(t, []any{0.3, 7 * time.Second, 2.0, 1250 * time.Millisecond}, []any{s.SlowStartFloor, s.SlowStartDuration, s.OverloadFactor, s.OverloadWindow})
 }
--- a/internal/warmstate/age.go
+++ b/internal/warmstate/age.go
@@ -31,7 +31,7 @@
 
 // Weighed is what a snapshot still counts for.
 type Weighed struct {
-	State    routing.State
+	State    routing.RouterState
 	Wear     *Wear
 	Verdicts []Verdict
 }
@@ -71,20 +71,20 @@
 	ms := func(x float64) time.Duration { return time.Duration(x * 1e6) }
 	for _, h := range s.Hosts {
 		limit, failing := weigh(h.Name+" limit", 0, limitSpan), weigh(h.Name+" failures", 0, failureSpan)
-		k := routing.Kept{Host: h.Name, Group: h.Group, Started: ms(h.Since), Limit: limitAnew + (h.Limit-limitAnew)*limit, Took: h.Took * failing, Lag: -1}
+		k := routing.HostState{Host: h.Name, Group: h.Group, Started: ms(h.Since), Limit: limitAnew + (h.Limit-limitAnew)*limit, Score: h.Took * failing, Lag: -1}
 		if h.Lag >= 0 && weigh(h.Name+" lag", h.Heard, lagSpan) > 0.01 {
 			k.Lag = ms(h.Lag)
 		}
 		if h.Primary && weigh(h.Name+" primary", h.Proof, primarySpan) > 0.01 {
-			k.Primary = true
+			k.WasPrimary = true
 		}
-		if limit > 0 || k.Took > 0 || k.Lag >= 0 || k.Primary {
-			w.State.Members = append(w.State.Members, k)
+		if limit > 0 || k.Score > 0 || k.Lag >= 0 || k.WasPrimary {
+			w.State.Hosts = append(w.State.Hosts, k)
 		}
 	}
 	for _, c := range s.Classes {
 		if x := weigh("class "+c.Name, 0, classSpan); x > 0 {
-			w.State.Classes = append(w.State.Classes, routing.KeptClass{Name: c.Name, Latency: ms(c.Latency), Work: ms(c.Work)})
+			w.State.Classes = append(w.State.Classes, routing.ClassState{Name: c.Name, Latency: ms(c.Latency), ServiceTime: ms(c.Work)})
 		}
 	}
 	if s.Wear != nil {
@@ -104,15 +104,15 @@
 }
 
 // Take makes a snapshot of what the decisions hold.
-func Take(head Head, s routing.State, wear *Wear, list *List) *Snapshot {
+func Take(head Head, s routing.RouterState, wear *Wear, list *List) *Snapshot {
 	ms := func(d time.Duration) float64 { return math.Round(float64(d)/1e3) / 1e3 }
 	out := &Snapshot{Head: head, Wear: wear, List: list, Hosts: []Host{}, Classes: []Class{}}
-	for _, m := range s.Members {
+	for _, m := range s.Hosts {
 		out.Hosts = append(out.Hosts, Host{Name: m.Host, Group: m.Group, Since: ms(m.Started), Limit: math.Round(m.Limit*100) / 100,
-			Took: math.Round(m.Took*1000) / 1000, Lag: max(-1, ms(m.Lag)), Heard: ms(m.Heard), Primary: m.Primary, Proof: min(ms(m.Proof), maxAge)})
+			Took: math.Round(m.Score*1000) / 1000, Lag: max(-1, ms(m.Lag)), Heard: ms(m.LagAge), Primary: m.WasPrimary, Proof: min(ms(m.RoleAge), maxAge)})
 	}
 	for _, c := range s.Classes {
-		out.Classes = append(out.Classes, Class{c.Name, ms(c.Latency), ms(c.Work)})
+		out.Classes = append(out.Classes, Class{c.Name, ms(c.Latency), ms(c.ServiceTime)})
 	}
 	return out
 }
--- a/internal/warmstate/learned_test.go
+++ b/internal/warmstate/learned_test.go
@@ -100,22 +100,22 @@
 	const minute, hour = 60e3, 3600e3
 	at := func(now float64) Weighed { return Weigh(whole(), now, "n1", "site", false) }
 	fresh := at(1e12)
-	require.InDelta(t, 40, fresh.State.Members[0].Limit, 0.01)
-	require.Equal(t, 30*time.Millisecond, fresh.State.Members[0].Lag)
-	require.True(t, fresh.State.Members[1].Primary)
+	require.InDelta(t, 40, fresh.State.Hosts[0].Limit, 0.01)
+	require.Equal(t, 30*time.Millisecond, fresh.State.Hosts[0].Lag)
+	require.True(t, fresh.State.Hosts[1].WasPrimary)
 	ten := at(1e12 + 10*minute)
-	require.InDelta(t, 3+37/2.718, ten.State.Members[0].Limit, 0.1)
-	require.Less(t, ten.State.Members[0].Took, 0.01, "failures are forgotten soon")
-	require.Negative(t, ten.State.Members[0].Lag)
-	require.True(t, ten.State.Members[1].Primary)
-	require.InDelta(t, 3-1/2.718, ten.State.Members[1].Limit, 0.01, "a low limit too nears the usual one")
+	require.InDelta(t, 3+37/2.718, ten.State.Hosts[0].Limit, 0.1)
+	require.Less(t, ten.State.Hosts[0].Score, 0.01, "failures are forgotten soon")
+	require.Negative(t, ten.State.Hosts[0].Lag)
+	require.True(t, ten.State.Hosts[1].WasPrimary)
+	require.InDelta(t, 3-1/2.718, ten.State.Hosts[1].Limit, 0.01, "a low limit too nears the usual one")
 	day := at(1e12 + 3*hour)
-	require.Len(t, day.State.Members, 0)
+	require.Len(t, day.State.Hosts, 0)
 	require.Len(t, day.State.Classes, 1, "how long a class takes stays true for longer")
 	// A day old, from the future, of another pooler or site: nothing counts, and it is said why.
 	for why, w := range map[string]Weighed{"older than a day": at(1e12 + 25*hour), "ran backwards": at(1e12 - hour), "year": at(1e12 + 365*24*hour),
 		`pooler "n1"`: Weigh(whole(), 1e12, "n2", "site", false), "another site": Weigh(whole(), 1e12, "n1", "other", false)} {
-		require.Empty(t, w.State.Members, why)
+		require.Empty(t, w.State.Hosts, why)
 		require.Empty(t, w.State.Classes, why)
 		require.Nil(t, w.Wear, why)
 		require.Len(t, w.Verdicts, 8, why)
@@ -126,12 +126,12 @@
 			}
 		}
 	}
-	require.NotEmpty(t, Weigh(whole(), 1e12+25*hour, "n1", "site", true).State.Members, "the switch for the checker")
+	require.NotEmpty(t, Weigh(whole(), 1e12+25*hour, "n1", "site", true).State.Hosts, "the switch for the checker")
 	// What the decisions give comes back the same.
-	s := routing.State{Members: []routing.Kept{{Host: "a", Group: 2, Started: time.Second, Limit: 7, Took: 0.5, Lag: 40 * time.Millisecond, Heard: time.Second}}}
+	s := routing.RouterState{Hosts: []routing.HostState{{Host: "a", Group: 2, Started: time.Second, Limit: 7, Score: 0.5, Lag: 40 * time.Millisecond, LagAge: time.Second}}}
 	got := Weigh(Take(Head{"n", "s", 5e5}, s, nil, nil), 5e5, "n", "s", false).State
-	s.Members[0].Heard = 0 // it is in the weight
-	require.Equal(t, s.Members, got.Members)
+	s.Hosts[0].LagAge = 0 // it is in the weight
+	require.Equal(t, s.Hosts, got.Hosts)
 }
 
 // stops is a file system that stops at the nth call and keeps only what was synced.
@@ -354,7 +354,7 @@
 			return
 		}
 		w := Weigh(s, s.Head.At, s.Head.Name, s.Head.Site, false)
-		for _, m := range w.State.Members {
+		for _, m := range w.State.Hosts {
 			require.GreaterOrEqual(t, m.Limit, 1.0)
 		}
 		if _, err := Encode(s); err != nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -19,12 +19,12 @@
 
 // Item is one message of a batch for one instance: its start, its end, or an event.
 type Item struct {
-	Who      int
-	Open     bool
-	Settings routing.Settings // with Open
-	Seed     uint64           // with Open
-	Stop     bool
-	Event    routing.Event
+	Instance   int
+	IsOpen     bool
+	Settings   routing.Settings // with Open
+	Seed       uint64           // with Open
+	IsShutdown bool
+	Event      routing.Event
 }
 
 // Batch is what happened at one moment, in order of arrival.
@@ -36,11 +36,11 @@
 
 // instance holds what is needed to convert the units and names of one instance.
 type instance struct {
-	classes map[string]int
-	tenants map[string]int // from 1
-	zero    time.Duration
-	x0, x1  int // places in a report; -1: none
-	fields  int
+	classes                    map[string]int
+	tenants                    map[string]int // from 1
+	positionOrigin             time.Duration
+	positionColumn, roleColumn int // places in a report; -1: none
+	fields                     int
 }
 
 // Decoder reads batches.
@@ -125,8 +125,8 @@
 	return settings.Millis(x)
 }
 
-// rest names the field of a message that runs to the end of its line.
-var rest = map[string]string{"OPEN_INSTANCE": "info"}
+// trailingFields names the field of a message that runs to the end of its line.
+var trailingFields = map[string]string{"OPEN_INSTANCE": "info"}
 
 func (d *Decoder) next() (*message, error) {
 	s, err := d.r.ReadString('\n')
@@ -146,7 +146,7 @@
 			word, _, _ := strings.Cut(s, " ")
 			return nil, fmt.Errorf("line %d: %s: field %q is not of the form name=value", d.line, name, word)
 		}
-		if key == rest[name] {
+		if key == trailingFields[name] {
 			s = ""
 		} else {
 			value, s, _ = strings.Cut(value, " ")
@@ -210,13 +210,13 @@
 			return fmt.Errorf("line %d: %q inside a list of %d rows", d.line, e.name, rows)
 		}
 		t := routing.Target{Host: e.text("host"), Group: e.unsigned("db", true),
-			Primary: e.flag("primary"), Started: e.millis("start_time_ms", false)}
+			Primary: e.flag("primary"), StartedAt: e.millis("start_time_ms", false)}
 		switch s := e.text("availability"); s {
 		case "Ready":
 		case "Terminating":
 			t.Draining = true
 		case "Gone":
-			t.Gone = true
+			t.Removed = true
 		default:
 			e.fail("availability", "%q is unknown", s)
 		}
@@ -230,9 +230,9 @@
 	return nil
 }
 
-var codes = map[string]routing.Code{"served": routing.OK, "server_error": routing.Error, "turned_away": routing.Full,
+var codes = map[string]routing.Code{"served": routing.OK, "server_error": routing.ServerError, "turned_away": routing.Rejected,
 	"no_answer": routing.NoAnswer, "no_connection": routing.NoConnection, "connection_lost": routing.ConnectionLost,
-	"called_off": routing.Cancelled, "not_sent": routing.NotSent, "not_stored": routing.Miss}
+	"called_off": routing.Cancelled, "not_sent": routing.NotSent, "not_stored": routing.Misdirected}
 
 func (m *message) code() routing.Code {
 	code, ok := codes[m.text("code")]
@@ -243,16 +243,16 @@
 }
 
 func (d *Decoder) item(m *message, b *Batch) error {
-	it := Item{Who: m.integer("who", true)}
-	in := d.instances[it.Who]
+	it := Item{Instance: m.integer("who", true)}
+	in := d.instances[it.Instance]
 	if m.name == "OPEN_INSTANCE" {
-		it.Open, it.Seed = true, m.unsigned("nonce64", true)
-		in = &instance{x0: -1, x1: -1}
+		it.IsOpen, it.Seed = true, m.unsigned("nonce64", true)
+		in = &instance{positionColumn: -1, roleColumn: -1}
 		it.Settings = m.settings(in)
-		d.instances[it.Who] = in
+		d.instances[it.Instance] = in
 	}
 	if in == nil && m.fault == nil {
-		m.fail("who", "instance %d was not opened", it.Who)
+		m.fail("who", "instance %d was not opened", it.Instance)
 	}
 	if m.fault != nil {
 		return nil
@@ -261,12 +261,12 @@
 	switch m.name {
 	case "OPEN_INSTANCE":
 	case "SHUTDOWN":
-		it.Stop = true
-		delete(d.instances, it.Who)
+		it.IsShutdown = true
+		delete(d.instances, it.Instance)
 	case "TARGETS":
 		switch s := m.text("scope"); s {
 		case "D", "F", "C":
-			e.Kind, e.Full = routing.EvTargets, s != "D"
+			e.Kind, e.Full = routing.EventTargets, s != "D"
 			list := m.integer("list", true)
 			ts, ok := d.lists[list]
 			if !ok {
@@ -274,12 +274,12 @@
 			}
 			e.Targets = ts
 		case "X":
-			e.Kind = routing.EvTargetsFailed
+			e.Kind = routing.EventTargetsFailed
 		default:
 			m.fail("scope", "%q is unknown", s)
 		}
 	case "REQUEST":
-		e.Kind, e.ID = routing.EvRequest, m.text("call")
+		e.Kind, e.ID = routing.EventRequest, m.text("call")
 		class, ok := in.classes[m.text("profile")]
 		if !ok {
 			m.fail("profile", "%q is no class of the settings", m.fields["profile"])
@@ -288,31 +288,31 @@
 		if e.Tenant, ok = in.tenants[m.fields["tenant"]]; !ok {
 			m.fail("tenant", "%q is no tenant of the settings", m.fields["tenant"])
 		}
-		_, e.HasKey = m.fields["client_key"]
-		e.Key, e.Group = m.unsigned("client_key", false), m.unsigned("cluster", false)
-		e.Retry = m.flag("retry")
-		e.TimeLeft, e.Token = m.millis("time_left_ms", true), m.millis("token_age_ms", false)
+		_, e.HasSessionKey = m.fields["client_key"]
+		e.SessionKey, e.Group = m.unsigned("client_key", false), m.unsigned("cluster", false)
+		e.IsRetry = m.flag("retry")
+		e.TimeRemaining, e.CommitAge = m.millis("time_left_ms", true), m.millis("token_age_ms", false)
 	case "OUTCOME":
-		e.Kind, e.ID, e.Attempt, e.Host = routing.EvOutcome, m.text("call"), m.integer("hop", true), m.text("host")
+		e.Kind, e.ID, e.Attempt, e.Host = routing.EventOutcome, m.text("call"), m.integer("hop", true), m.text("host")
 		e.Code, e.Elapsed, e.Final = m.code(), m.millis("time_taken_ms", true), m.flag("final")
 		if mark := m.unsigned("mark", false); mark > 0 {
 			e.Role = routing.Role(min(mark%4, 2))
 			if mark/4 > 0 {
-				e.Position = in.zero + time.Duration(mark/4)*time.Millisecond
+				e.Position = in.positionOrigin + time.Duration(mark/4)*time.Millisecond
 			}
 		}
 		e.Report = m.report(in)
 	case "FIRST":
-		e.Kind, e.ID = routing.EvFirst, m.text("call")
+		e.Kind, e.ID = routing.EventFirstByte, m.text("call")
 	case "LEFT":
-		e.Kind, e.ID = routing.EvLeft, m.text("call")
+		e.Kind, e.ID = routing.EventClientGone, m.text("call")
 	case "WAKEUP":
-		e.Kind, e.Timer = routing.EvTimer, m.unsigned("nonce", true)
+		e.Kind, e.Timer = routing.EventTimer, m.unsigned("nonce", true)
 	case "PROBE_DONE":
-		e.Kind, e.Host, e.Code, e.Report = routing.EvProbe, m.text("host"), m.code(), m.report(in)
+		e.Kind, e.Host, e.Code, e.Report = routing.EventProbeResult, m.text("host"), m.code(), m.report(in)
 		e.Elapsed = m.millis("time_taken_ms", true)
 	case "DATAGRAM":
-		e.Kind = routing.EvPeer
+		e.Kind = routing.EventPeerMessage
 		if s := m.text("body"); s != "-" {
 			if _, err := hex.DecodeString(s); err != nil {
 				m.fail("body", "%q is not in hex digits", s)
@@ -343,12 +343,12 @@
 		return x
 	}
 	var r routing.Report
-	if in.x0 >= 0 { // rounded down, so that nothing unproven is claimed
-		r.Position = in.zero + time.Duration(math.Floor(number(in.x0)*1e6))*time.Microsecond
+	if in.positionColumn >= 0 { // rounded down, so that nothing unproven is claimed
+		r.Position = in.positionOrigin + time.Duration(math.Floor(number(in.positionColumn)*1e6))*time.Microsecond
 	}
-	if in.x1 >= 0 {
+	if in.roleColumn >= 0 {
 		r.Role = routing.Replica
-		if number(in.x1) >= 0.5 {
+		if number(in.roleColumn) >= 0.5 {
 			r.Role = routing.Primary
 		}
 	}
@@ -361,13 +361,13 @@
 		m.fail("info", "%v", err)
 		return routing.Settings{}
 	}
-	in.zero, in.x0, in.x1 = p.Zero, p.X0, p.X1
+	in.positionOrigin, in.positionColumn, in.roleColumn = p.PositionOrigin, p.PositionColumn, p.RoleColumn
 	in.classes, in.tenants = p.Classes, p.Tenants
 	return p.Settings
 }
 
-// Append adds the lines of an instance's actions to b.
-func Append(b []byte, who int, actions []routing.Action) []byte {
+// AppendActions adds the lines of an instance's actions to b.
+func AppendActions(b []byte, who int, actions []routing.Action) []byte {
 	for i := range actions {
 		a := &actions[i]
 		b = append(b, verbs[a.Kind]...)
@@ -383,17 +383,17 @@
 		case routing.ActCancel:
 			b = append(append(b, " call="...), a.ID...)
 			b = strconv.AppendInt(append(b, " hop="...), int64(a.Attempt), 10)
-		case routing.ActRefuse:
+		case routing.ActReject:
 			b = append(append(b, " call="...), a.ID...)
-			if a.After > 0 {
-				b = appendMillis(append(b, " stay_away_ms="...), a.After)
+			if a.RetryAfter > 0 {
+				b = appendMillis(append(b, " stay_away_ms="...), a.RetryAfter)
 			}
 		case routing.ActFail:
 			b = append(append(b, " call="...), a.ID...)
 		case routing.ActTimer:
 			b = appendMillis(append(b, " at_ms="...), a.At)
 			b = strconv.AppendUint(append(b, " nonce="...), a.Timer, 10)
-		case routing.ActProbe, routing.ActClose:
+		case routing.ActProbe, routing.ActCloseIdle:
 			b = append(append(b, " host="...), a.Host...)
 		case routing.ActSubscribe:
 			b = append(b, " on=1"...)
@@ -403,9 +403,9 @@
 	return b
 }
 
-var verbs = [...]string{routing.ActSend: "TRANSMIT", routing.ActCancel: "CANCEL", routing.ActRefuse: "REFUSE",
+var verbs = [...]string{routing.ActSend: "TRANSMIT", routing.ActCancel: "CANCEL", routing.ActReject: "REFUSE",
 	routing.ActFail: "FINISH_ERROR", routing.ActTimer: "NOTIFY_ME", routing.ActProbe: "ASK_LOAD",
-	routing.ActSubscribe: "KEEP_INFORMED", routing.ActFetch: "FETCH", routing.ActClose: "CLOSE"}
+	routing.ActSubscribe: "KEEP_INFORMED", routing.ActFetch: "FETCH", routing.ActCloseIdle: "CLOSE"}
 
 func appendMillis(b []byte, d time.Duration) []byte {
 	return strconv.AppendFloat(b, float64(d.Microseconds())/1e3, 'f', 3, 64)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -39,16 +39,16 @@
 		t.Fatalf("batch %v %q with %d items", b.Now, b.Seq, len(b.Items))
 	}
 	s := b.Items[0].Settings
-	if s.Index != 1 || s.Checks != routing.Waits || s.MaxRetryAfter != 500*time.Millisecond || len(s.Classes) != 2 ||
-		s.Classes[0].Bound != 300*time.Millisecond || s.Classes[1].Scope != routing.ScopeCell || !s.ReportX0 {
+	if s.RouterIndex != 1 || s.StalenessCheck != routing.CheckWaits || s.MaxRetryAfter != 500*time.Millisecond || len(s.Classes) != 2 ||
+		s.Classes[0].StalenessBound != 300*time.Millisecond || s.Classes[1].Scope != routing.ScopeCell || !s.ReportsPosition {
 		t.Errorf("settings %+v", s)
 	}
 	ts := b.Items[1].Event
 	if !ts.Full || len(ts.Targets) != 2 || !ts.Targets[0].Primary || !ts.Targets[1].Draining ||
-		ts.Targets[1].Started != 6100500*time.Microsecond {
+		ts.Targets[1].StartedAt != 6100500*time.Microsecond {
 		t.Errorf("targets %+v", ts)
 	}
-	if r := b.Items[2].Event; r.Class != 1 || !r.HasKey || r.Key != 12 || !r.Retry || r.TimeLeft != 240250*time.Microsecond {
+	if r := b.Items[2].Event; r.Class != 1 || !r.HasSessionKey || r.SessionKey != 12 || !r.IsRetry || r.TimeRemaining != 240250*time.Microsecond {
 		t.Errorf("request %+v", r)
 	}
 	o := b.Items[3].Event // 25486 = 4 x 6371 + 2
@@ -58,7 +58,7 @@
 	if r := b.Items[4].Event.Report; r.Role != routing.Primary || r.Position != 3500*time.Millisecond {
 		t.Errorf("report %+v", r)
 	}
-	if !b.Items[6].Stop {
+	if !b.Items[6].IsShutdown {
 		t.Error("no stop")
 	}
 	if _, err := d.Next(); !errors.Is(err, io.EOF) {
@@ -95,12 +95,12 @@
 }
 
 func TestAppend(t *testing.T) {
-	got := string(Append(nil, 3, []routing.Action{
+	got := string(AppendActions(nil, 3, []routing.Action{
 		{Kind: routing.ActSend, ID: "t/1", Host: "h:1", Timeout: 80500 * time.Microsecond},
 		{Kind: routing.ActSend, ID: "t/1", Host: "h:2"}, {Kind: routing.ActCancel, ID: "t/1", Attempt: 1},
-		{Kind: routing.ActRefuse, ID: "t/1", After: time.Second}, {Kind: routing.ActFail, ID: "t/2"},
+		{Kind: routing.ActReject, ID: "t/1", RetryAfter: time.Second}, {Kind: routing.ActFail, ID: "t/2"},
 		{Kind: routing.ActTimer, At: 2 * time.Second, Timer: 5}, {Kind: routing.ActProbe, Host: "h:1"},
-		{Kind: routing.ActClose, Host: "h:1"}, {Kind: routing.ActSubscribe}, {Kind: routing.ActFetch}}))
+		{Kind: routing.ActCloseIdle, Host: "h:1"}, {Kind: routing.ActSubscribe}, {Kind: routing.ActFetch}}))
 	want := `TRANSMIT who=3 call=t/1 host=h:1 max_wait_ms=80.500
 TRANSMIT who=3 call=t/1 host=h:2
 CANCEL who=3 call=t/1 hop=1
--- a/routing/bounds_test.go
+++ b/routing/bounds_test.go
@@ -15,92 +15,94 @@
 	"github.com/stretchr/testify/require"
 )
 
-// due is an event that comes to a router at its time.
-type due struct {
-	at     time.Duration
-	turn   int // at par, in the order in which they were caused
-	router int
-	life   int // of the router: what was meant for an earlier one is void
-	event  Event
+// scheduledEvent is an event that comes to a router at its time.
+type scheduledEvent struct {
+	at          time.Duration
+	order       int // at par, in the order in which they were caused
+	router      int
+	incarnation int // of the router: what was meant for an earlier one is void
+	event       Event
 }
 
-type dues []due
+type eventQueue []scheduledEvent
 
-func (d dues) Len() int { return len(d) }
-func (d dues) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(d[i].at, d[j].at), cmp.Compare(d[i].turn, d[j].turn)) < 0
+func (d eventQueue) Len() int { return len(d) }
+func (d eventQueue) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(d[i].at, d[j].at), cmp.Compare(d[i].order, d[j].order)) < 0
 }
-func (d dues) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
-func (d *dues) Push(x any)   { *d = append(*d, x.(due)) }
-func (d *dues) Pop() any {
+func (d eventQueue) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *eventQueue) Push(x any)   { *d = append(*d, x.(scheduledEvent)) }
+func (d *eventQueue) Pop() any {
 	x := (*d)[len(*d)-1]
 	*d = (*d)[:len(*d)-1]
 	return x
 }
 
 const (
-	crowdRouters = 300
-	crowdGroups  = 30 // of four hosts
-	crowdRate    = 3000.0
-	answerTime   = 20 * ms
-	probeTime    = 2 * ms
-	probeWork    = 0.02 // of a request's, in these tests: sites name about a hundredth
-	window       = 100 * ms
-	slot         = 10 * ms
-	fall         = 1500 * ms // for which a cold host stands more than it can bear, as settings name it
+	simulatedRouters = 300
+	simulatedGroups  = 30 // of four hosts
+	simulatedRate    = 3000.0
+	answerTime       = 20 * ms
+	probeTime        = 2 * ms
+	probeWork        = 0.02 // of a request's, in these tests: sites name about a hundredth
+	measuredWindow   = 100 * ms
+	measuredSlot     = 10 * ms
+	overloadWindow   = 1500 * ms // for which a cold host stands more than it can bear, as settings name it
 )
 
-// crowd is a whole fleet on one test clock: it plays requests, hosts that answer after a while and the connections that
+// fleetSimulation is a whole fleet on one test clock: it plays requests, hosts that answer after a while and the connections that
 // sends need, and counts what all routers together do in each short while.
-type crowd struct {
-	t       testing.TB
-	cfg     Settings
-	routers []*Choice
-	life    []int
-	shares  []float64 // of what comes in, of the routers so far
-	now     time.Duration
-	turn    int
-	queue   dues
-	lots    *rand.Rand
-	list    map[string]Target
-	down    map[string]bool          // connections to them are refused
-	broken  map[string]bool          // connections to them can't be made, though they are listed and look well
-	takes   map[string]time.Duration // for an answer, where it is not answerTime
-	lag     map[string]time.Duration // of a replica's data
-	idle    map[[2]string]int
-	asked   map[string]*asked
-	counted map[string]map[time.Duration]float64 // what, by slot
-	refused int
-	taken   int
-	rate    float64 // requests a second
-	base    float64 // the rate at which a third of a group's requests are what a warm host bears
-	groups  int
-	mix     []float64 // of the classes, of ten
-	again   int       // times that a client comes again after a refusal
-	marks   bool      // it says so
-}
-
-// asked is a client's request.
-type asked struct {
-	class, group, router, attempts, again int
-	until                                 time.Duration
-}
-
-func newCrowd(t testing.TB) *crowd { return newCrowdOf(t, crowdRouters, crowdGroups, 9, nil) }
-
-// newCrowdOf has routers of equal shares, unless a share is given for each. What a group is asked is the same in each crowd.
-func newCrowdOf(t testing.TB, routers, groups int, seed uint64, share func(router int) float64) *crowd {
-	w := &crowd{t: t, now: zero, rate: crowdRate / crowdGroups * float64(groups), groups: groups, lots: rand.New(rand.NewPCG(3, seed-5)),
-		list: map[string]Target{}, down: map[string]bool{}, broken: map[string]bool{}, takes: map[string]time.Duration{},
-		lag: map[string]time.Duration{}, idle: map[[2]string]int{}, asked: map[string]*asked{},
-		counted: map[string]map[time.Duration]float64{}, mix: []float64{anyRead: 4.5, boundedRead: 4.5, unsafeWrite: 1, keyedWrite: 0},
-		life: make([]int, routers)}
-	w.base = w.rate
+type fleetSimulation struct {
+	t             testing.TB
+	cfg           Settings
+	routers       []*Router
+	incarnations  []int
+	shares        []float64 // of what comes in, of the routers so far
+	now           time.Duration
+	lastOrder     int
+	queue         eventQueue
+	rng           *rand.Rand
+	list          map[string]Target
+	down          map[string]bool          // connections to them are refused
+	broken        map[string]bool          // connections to them can't be made, though they are listed and look well
+	answerTimes   map[string]time.Duration // for an answer, where it is not answerTime
+	lag           map[string]time.Duration // of a replica's data
+	idle          map[[2]string]int
+	requests      map[string]*clientRequest
+	counted       map[string]map[time.Duration]float64 // what, by slot
+	rejected      int
+	arrived       int
+	rate          float64 // requests a second
+	baseRate      float64 // the rate at which a third of a group's requests are what a warm host bears
+	groups        int
+	mix           []float64 // of the classes, of ten
+	clientRetries int       // times that a client comes again after a refusal
+	marksRetries  bool      // it says so
+}
+
+// clientRequest is a client's request.
+type clientRequest struct {
+	class, group, router, attempts, retries int
+	until                                   time.Duration
+}
+
+func newFleetSimulation(t testing.TB) *fleetSimulation {
+	return newFleetSimulationOf(t, simulatedRouters, simulatedGroups, 9, nil)
+}
+
+// newFleetSimulationOf has routers of equal shares, unless a share is given for each. What a group is asked is the same in each crowd.
+func newFleetSimulationOf(t testing.TB, routers, groups int, seed uint64, share func(router int) float64) *fleetSimulation {
+	w := &fleetSimulation{t: t, now: startTime, rate: simulatedRate / simulatedGroups * float64(groups), groups: groups, rng: rand.New(rand.NewPCG(3, seed-5)),
+		list: map[string]Target{}, down: map[string]bool{}, broken: map[string]bool{}, answerTimes: map[string]time.Duration{},
+		lag: map[string]time.Duration{}, idle: map[[2]string]int{}, requests: map[string]*clientRequest{},
+		counted: map[string]map[time.Duration]float64{}, mix: []float64{eventualRead: 4.5, boundedRead: 4.5, atMostOnceWrite: 1, deduplicatedWrite: 0},
+		incarnations: make([]int, routers)}
+	w.baseRate = w.rate
 	w.cfg = settings()
-	w.cfg.Routers, w.cfg.FallFactor, w.cfg.FallTime, w.cfg.ConnIdle, w.cfg.ProbePrice = routers, 2.5, fall, 30*time.Second, 0.04
+	w.cfg.RouterCount, w.cfg.OverloadFactor, w.cfg.OverloadWindow, w.cfg.ConnIdleTimeout, w.cfg.ProbeCost = routers, 2.5, overloadWindow, 30*time.Second, 0.04
 	sum := 0.0
 	for i := range routers {
-		w.cfg.Index = i
+		w.cfg.RouterIndex = i
 		c, err := New(w.cfg, seed)
 		require.NoError(t, err)
 		w.routers = append(w.routers, c)
@@ -117,96 +119,96 @@
 			all = append(all, Target{Host: fmt.Sprintf("h%d-%d", g, i), Group: uint64(g + 1), Primary: i == 0})
 		}
 	}
-	w.told(all...)
+	w.announce(all...)
 	return w
 }
 
-// some draws one of the shares that add up as given.
-func (w *crowd) some(sums []float64) int {
-	x := w.lots.Float64() * sums[len(sums)-1]
+// sample draws one of the shares that add up as given.
+func (w *fleetSimulation) sample(sums []float64) int {
+	x := w.rng.Float64() * sums[len(sums)-1]
 	return sort.Search(len(sums)-1, func(i int) bool { return x < sums[i] })
 }
 
 // restart begins a router anew, with the list as it is now or an older one. Clients of what it had come again elsewhere.
-func (w *crowd) restart(router int, known []Target) {
-	w.cfg.Index = router
-	c, err := New(w.cfg, uint64(w.turn))
+func (w *fleetSimulation) restart(router int, known []Target) {
+	w.cfg.RouterIndex = router
+	c, err := New(w.cfg, uint64(w.lastOrder))
 	require.NoError(w.t, err)
 	w.routers[router] = c
-	w.life[router]++
+	w.incarnations[router]++
 	if known == nil {
 		known = w.entries()
 	}
-	w.later(0, router, Event{Kind: EvTargets, Full: true, Targets: known})
-	for _, id := range slices.Sorted(maps.Keys(w.asked)) {
-		if q := w.asked[id]; q.router == router {
-			delete(w.asked, id)
-			if q.class != unsafeWrite {
-				w.come(ms, w.some(w.shares), q)
+	w.later(0, router, Event{Kind: EventTargets, Full: true, Targets: known})
+	for _, id := range slices.Sorted(maps.Keys(w.requests)) {
+		if q := w.requests[id]; q.router == router {
+			delete(w.requests, id)
+			if q.class != atMostOnceWrite {
+				w.arrive(ms, w.sample(w.shares), q)
 			}
 		}
 	}
 }
 
 // entries is the list as discovery has it.
-func (w *crowd) entries() (all []Target) {
+func (w *fleetSimulation) entries() (all []Target) {
 	for _, h := range slices.Sorted(maps.Keys(w.list)) {
-		if !w.list[h].Gone {
+		if !w.list[h].Removed {
 			all = append(all, w.list[h])
 		}
 	}
 	return all
 }
 
-// come is a request that arrives.
-func (w *crowd) come(after time.Duration, router int, q *asked) {
-	w.taken++
-	id := fmt.Sprint("q", w.taken)
+// arrive is a request that arrives.
+func (w *fleetSimulation) arrive(after time.Duration, router int, q *clientRequest) {
+	w.arrived++
+	id := fmt.Sprint("q", w.arrived)
 	left := q.until - w.now - after
 	if left <= 0 {
 		return
 	}
 	next := *q
 	next.router, next.attempts = router, 0
-	w.asked[id] = &next
-	w.later(after, router, Event{Kind: EvRequest, ID: id, Class: q.class, Group: uint64(q.group), TimeLeft: left,
-		Retry: q.again > 0 && w.marks})
+	w.requests[id] = &next
+	w.later(after, router, Event{Kind: EventRequest, ID: id, Class: q.class, Group: uint64(q.group), TimeRemaining: left,
+		IsRetry: q.retries > 0 && w.marksRetries})
 }
 
-// told gives all routers entries of the list.
-func (w *crowd) told(entries ...Target) {
-	w.toldLate(func(int) time.Duration { return 0 }, entries...)
+// announce gives all routers entries of the list.
+func (w *fleetSimulation) announce(entries ...Target) {
+	w.announceLate(func(int) time.Duration { return 0 }, entries...)
 }
 
-// toldLate gives entries to each router so much later; below 0: never.
-func (w *crowd) toldLate(late func(router int) time.Duration, entries ...Target) {
+// announceLate gives entries to each router so much later; below 0: never.
+func (w *fleetSimulation) announceLate(late func(router int) time.Duration, entries ...Target) {
 	for _, e := range entries {
 		w.list[e.Host] = e
 	}
 	for i := range w.routers {
 		if after := late(i); after >= 0 {
-			w.later(after, i, Event{Kind: EvTargets, Targets: entries})
+			w.later(after, i, Event{Kind: EventTargets, Targets: entries})
 		}
 	}
 }
 
-func (w *crowd) later(after time.Duration, router int, e Event) {
-	w.turn++
-	heap.Push(&w.queue, due{w.now + after, w.turn, router, w.life[router], e})
+func (w *fleetSimulation) later(after time.Duration, router int, e Event) {
+	w.lastOrder++
+	heap.Push(&w.queue, scheduledEvent{w.now + after, w.lastOrder, router, w.incarnations[router], e})
 }
 
-func (w *crowd) count(what string, n float64) {
+func (w *fleetSimulation) count(what string, n float64) {
 	if w.counted[what] == nil {
 		w.counted[what] = map[time.Duration]float64{}
 	}
-	w.counted[what][w.now/slot] += n
+	w.counted[what][w.now/measuredSlot] += n
 }
 
-// most is the largest count within any window since a moment, to the slot.
-func (w *crowd) most(what string, since time.Duration) (n int) {
-	for at := since / slot; at <= w.now/slot; at++ {
+// peak is the largest count within any window since a moment, to the slot.
+func (w *fleetSimulation) peak(what string, since time.Duration) (n int) {
+	for at := since / measuredSlot; at <= w.now/measuredSlot; at++ {
 		sum := 0.0
-		for i := range window / slot {
+		for i := range measuredWindow / measuredSlot {
 			sum += w.counted[what][at+i]
 		}
 		n = max(n, int(sum))
@@ -215,7 +217,7 @@
 }
 
 // play lets requests come, drawn over routers, groups and classes.
-func (w *crowd) play(d time.Duration) {
+func (w *fleetSimulation) play(d time.Duration) {
 	end := w.now + d
 	var classes []float64
 	sum := 0.0
@@ -223,20 +225,20 @@
 		sum += part
 		classes = append(classes, sum)
 	}
-	for at := w.now; at < end; at += time.Duration(w.lots.ExpFloat64() / w.rate * float64(time.Second)) {
-		class := w.some(classes)
-		w.come(at-w.now, w.some(w.shares), &asked{class: class, group: 1 + w.lots.IntN(w.groups),
+	for at := w.now; at < end; at += time.Duration(w.rng.ExpFloat64() / w.rate * float64(time.Second)) {
+		class := w.sample(classes)
+		w.arrive(at-w.now, w.sample(w.shares), &clientRequest{class: class, group: 1 + w.rng.IntN(w.groups),
 			until: at + w.cfg.Classes[class].Deadline})
 	}
 	for len(w.queue) > 0 && w.queue[0].at < end {
-		x := heap.Pop(&w.queue).(due)
+		x := heap.Pop(&w.queue).(scheduledEvent)
 		w.now = x.at
-		if x.life != w.life[x.router] {
+		if x.incarnation != w.incarnations[x.router] {
 			continue
 		}
-		if x.event.Kind == EvOutcome && x.event.Code == OK {
+		if x.event.Kind == EventOutcome && x.event.Code == OK {
 			w.idle[[2]string{fmt.Sprint(x.router), x.event.Host}]++
-			delete(w.asked, x.event.ID)
+			delete(w.requests, x.event.ID)
 		}
 		for _, a := range append([]Action(nil), w.routers[x.router].Step(w.now, []Event{x.event})...) {
 			w.carryOut(x.router, a)
@@ -245,36 +247,36 @@
 	w.now = end
 }
 
-func (w *crowd) carryOut(router int, a Action) {
+func (w *fleetSimulation) carryOut(router int, a Action) {
 	switch a.Kind {
 	case ActTimer:
-		w.later(a.At-w.now, router, Event{Kind: EvTimer})
-	case ActRefuse, ActFail:
-		w.refused++
+		w.later(a.At-w.now, router, Event{Kind: EventTimer})
+	case ActReject, ActFail:
+		w.rejected++
 		w.count("refused", 1)
-		if q := w.asked[a.ID]; q != nil && a.Kind == ActRefuse && q.again < w.again {
-			q.again++
-			w.come(50*ms, router, q) // clients heed no word on when to come back
+		if q := w.requests[a.ID]; q != nil && a.Kind == ActReject && q.retries < w.clientRetries {
+			q.retries++
+			w.arrive(50*ms, router, q) // clients heed no word on when to come back
 		}
-		delete(w.asked, a.ID)
+		delete(w.requests, a.ID)
 	case ActProbe:
 		w.count("probes", 1)
 		w.work(router, a.Host, probeWork)
-		e := Event{Kind: EvProbe, Host: a.Host, Report: Report{Position: w.now - w.lag[a.Host], Role: w.role(a.Host)}}
+		e := Event{Kind: EventProbeResult, Host: a.Host, Report: Report{Position: w.now - w.lag[a.Host], Role: w.role(a.Host)}}
 		if w.down[a.Host] || w.broken[a.Host] {
 			e.Code, e.Report = NoConnection, Report{}
 		}
 		w.later(probeTime, router, e)
 	case ActSend:
-		m, q := w.list[a.Host], w.asked[a.ID]
-		require.False(w.t, m.Gone || m.Draining, "work for %s, which has left", a.Host)
+		m, q := w.list[a.Host], w.requests[a.ID]
+		require.False(w.t, m.Removed || m.Draining, "work for %s, which has left", a.Host)
 		w.work(router, a.Host, 1)
-		if w.cold(router, a.Host) {
+		if w.isWarming(router, a.Host) {
 			w.count("cold", 1)
 			w.count("cold "+a.Host, 1)
 		}
-		e := Event{Kind: EvOutcome, ID: a.ID, Attempt: q.attempts, Host: a.Host, Code: OK, Role: w.role(a.Host), Final: true,
-			Elapsed: cmp.Or(w.takes[a.Host], answerTime)}
+		e := Event{Kind: EventOutcome, ID: a.ID, Attempt: q.attempts, Host: a.Host, Code: OK, Role: w.role(a.Host), Final: true,
+			Elapsed: cmp.Or(w.answerTimes[a.Host], answerTime)}
 		q.attempts++
 		if link := [2]string{fmt.Sprint(router), a.Host}; w.idle[link] > 0 {
 			w.idle[link]--
@@ -284,98 +286,98 @@
 		}
 		if w.down[a.Host] || w.broken[a.Host] {
 			e.Code, e.Role, e.Final, e.Elapsed = NoConnection, Unknown, false, ms
-		} else if w.cfg.Classes[q.class].Read == Write && e.Role != Primary {
-			e.Code, e.Final, e.Elapsed = Miss, false, ms
+		} else if w.cfg.Classes[q.class].Access == Write && e.Role != Primary {
+			e.Code, e.Final, e.Elapsed = Misdirected, false, ms
 		}
 		w.later(e.Elapsed, router, e)
 	}
 }
 
-// cold says whether a router knows that a host started not long ago.
-func (w *crowd) cold(router int, host string) bool {
+// isWarming says whether a router knows that a host started not long ago.
+func (w *fleetSimulation) isWarming(router int, host string) bool {
 	m := w.routers[router].members[host]
-	return m.started > 0 && w.now-m.started < w.cfg.ColdRamp
+	return m.startedAt > 0 && w.now-m.startedAt < w.cfg.SlowStartDuration
 }
 
 // work counts what reaches a host, and apart what comes from routers that don't know of its start.
-func (w *crowd) work(router int, host string, n float64) {
+func (w *fleetSimulation) work(router int, host string, n float64) {
 	w.count("work "+host, n)
-	if w.routers[router].members[host].started < w.list[host].Started {
+	if w.routers[router].members[host].startedAt < w.list[host].StartedAt {
 		w.count("untold "+host, n)
 	}
 }
 
-func (w *crowd) role(host string) Role {
+func (w *fleetSimulation) role(host string) Role {
 	if w.list[host].Primary {
 		return Primary
 	}
 	return Replica
 }
 
-// chance is what a mean count may come to: four times its deviation lies above it.
-func chance(mean float64) int { return int(math.Ceil(mean + 4*math.Sqrt(mean))) }
+// upperBound is what a mean count may come to: four times its deviation lies above it.
+func upperBound(mean float64) int { return int(math.Ceil(mean + 4*math.Sqrt(mean))) }
 
-// within holds all that the fleet did since a moment to what the settings and the requests allow in any 100 ms.
+// requireBounds holds all that the fleet did since a moment to what the settings and the requests allow in any 100 ms.
 // started is how many hosts are cold since then. Where no primary can step in, reads ask past their ration of probes: not rationed.
-func (w *crowd) within(what string, since time.Duration, started int, rationed bool) {
+func (w *fleetSimulation) requireBounds(what string, since time.Duration, started int, rationed bool) {
 	w.t.Helper()
-	const arrive = crowdRate * float64(window) / float64(time.Second)
+	const arrive = simulatedRate * float64(measuredWindow) / float64(time.Second)
 	s := &w.routers[0].cfg
-	most := chance(arrive * (1 + budgetShare)) // one for each attempt, where each needs a new one
-	require.LessOrEqual(w.t, w.most("connects", since), most, "%s: connects in 100 ms", what)
+	most := upperBound(arrive * (1 + retryBudgetRatio)) // one for each attempt, where each needs a new one
+	require.LessOrEqual(w.t, w.peak("connects", since), most, "%s: connects in 100 ms", what)
 	for h := range w.list {
-		require.LessOrEqual(w.t, w.most("connects "+h, since), chance(arrive/crowdGroups*(1+budgetShare)),
+		require.LessOrEqual(w.t, w.peak("connects "+h, since), upperBound(arrive/simulatedGroups*(1+retryBudgetRatio)),
 			"%s: connects at %s: its group's requests alone lead there", what, h)
 	}
-	probes := chance(2 * arrive) // two a read are enough to find one that qualifies
+	probes := upperBound(2 * arrive) // two a read are enough to find one that qualifies
 	if rationed {
-		probes = chance(0.02 / s.ProbePrice * arrive) // they cost a fiftieth of the result at the most
+		probes = upperBound(0.02 / s.ProbeCost * arrive) // they cost a fiftieth of the result at the most
 	}
-	require.LessOrEqual(w.t, w.most("probes", since), probes, "%s: probes in 100 ms", what)
+	require.LessOrEqual(w.t, w.peak("probes", since), probes, "%s: probes in 100 ms", what)
 	if started == 0 {
 		return
 	}
 	// A warm host stands its part of its group's requests; a cold one its share of that, times the factor of the rule.
-	for at := since; at < min(w.now, since+s.ColdRamp/2); at += window {
-		share := s.ColdFrom + (1-s.ColdFrom)*float64(at+window-since)/float64(s.ColdRamp)
-		stands := s.FallFactor * share * arrive / crowdGroups / 3 * float64(started)
+	for at := since; at < min(w.now, since+s.SlowStartDuration/2); at += measuredWindow {
+		share := s.SlowStartFloor + (1-s.SlowStartFloor)*float64(at+measuredWindow-since)/float64(s.SlowStartDuration)
+		stands := s.OverloadFactor * share * arrive / simulatedGroups / 3 * float64(started)
 		n := 0.0
-		for i := range window / slot {
-			n += w.counted["cold"][at/slot+i]
+		for i := range measuredWindow / measuredSlot {
+			n += w.counted["cold"][at/measuredSlot+i]
 		}
-		require.LessOrEqual(w.t, int(n), chance(stands), "%s: work at cold hosts, %v after the start", what, at-since)
+		require.LessOrEqual(w.t, int(n), upperBound(stands), "%s: work at cold hosts, %v after the start", what, at-since)
 	}
 }
 
-// worst is the most that a host which started since a moment was sent, as a share of what it stands: in any fall time,
+// worstOverload is the most that a host which started since a moment was sent, as a share of what it stands: in any fall time,
 // whatever of it it turned away, N requests of mean work, twice their root for chance, and two. N is the multiple that the
 // settings allow, of the capacity that it is sure to have when that time begins; a warm host's is no less than the load that
 // such hosts bear, a third of what a group is asked when nobody has to come again. What came to two thirds or more from
 // routers that were not told is nobody's fault.
-func (w *crowd) worst(since time.Duration) (worst, told float64, hosts int) {
+func (w *fleetSimulation) worstOverload(since time.Duration) (worst, told float64, hosts int) {
 	s := &w.cfg
 	for h, e := range w.list {
-		if e.Started < since || e.Gone {
+		if e.StartedAt < since || e.Removed {
 			continue
 		}
 		hosts++
 		sum, untold := 0.0, 0.0
 		work, other := w.counted["work "+h], w.counted["untold "+h]
-		for at := e.Started / slot; at*slot < min(w.now, e.Started+s.ColdRamp+fall); at++ {
+		for at := e.StartedAt / measuredSlot; at*measuredSlot < min(w.now, e.StartedAt+s.SlowStartDuration+overloadWindow); at++ {
 			sum += work[at]
 			untold += other[at]
-			from := at - fall/slot + 1
-			if from*slot < e.Started {
-				from = e.Started / slot
+			from := at - overloadWindow/measuredSlot + 1
+			if from*measuredSlot < e.StartedAt {
+				from = e.StartedAt / measuredSlot
 			} else {
 				sum -= work[from-1]
 				untold -= other[from-1]
 			}
-			share := s.ColdFrom + (1-s.ColdFrom)*min(1, float64(max(from*slot-e.Started, 0))/float64(s.ColdRamp))
+			share := s.SlowStartFloor + (1-s.SlowStartFloor)*min(1, float64(max(from*measuredSlot-e.StartedAt, 0))/float64(s.SlowStartDuration))
 			if share >= 1 {
 				break
 			}
-			allowed := s.FallFactor * share * w.base / float64(w.groups) / 3 * fall.Seconds()
+			allowed := s.OverloadFactor * share * w.baseRate / float64(w.groups) / 3 * overloadWindow.Seconds()
 			over := sum / (allowed + 2*math.Sqrt(allowed) + 2)
 			worst = max(worst, over)
 			if sum-untold > sum*2/3 {
@@ -386,45 +388,45 @@
 	return worst, told, hosts
 }
 
-// stands holds each host that started since a moment to what it stands.
-func (w *crowd) stands(what string, since time.Duration) {
+// requireCapacity holds each host that started since a moment to what it stands.
+func (w *fleetSimulation) requireCapacity(what string, since time.Duration) {
 	w.t.Helper()
-	_, worst, n := w.worst(since)
+	_, worst, n := w.worstOverload(since)
 	require.Positive(w.t, n, "%s: hosts started", what)
 	require.Positive(w.t, worst, "%s: cold hosts take their part", what)
-	w.t.Logf("%s: a cold host was sent %.0f%% of what it stands in %v, at the most; refused: %.0f%%", what, 100*worst, fall,
-		100*float64(w.refused)/float64(w.taken))
+	w.t.Logf("%s: a cold host was sent %.0f%% of what it stands in %v, at the most; refused: %.0f%%", what, 100*worst, overloadWindow,
+		100*float64(w.rejected)/float64(w.arrived))
 	require.LessOrEqual(w.t, worst, 1.0, what)
 }
 
 // What each of 300 poolers does is harmless; what all do at once has to be, too. 120 hosts, a start of all poolers, six
 // in ten hosts replaced, a third of the groups lost and back cold, lists that come to each pooler at another time.
-func TestBoundsOfAWholeFleet(t *testing.T) {
-	w := newCrowd(t)
+func TestFleetStaysWithinItsBounds(t *testing.T) {
+	w := newFleetSimulation(t)
 	from := w.now
 	w.play(6 * time.Second)
-	w.within("all start at once", from, 0, true)
+	w.requireBounds("all start at once", from, 0, true)
 
 	var change []Target
-	for g := range crowdGroups {
+	for g := range simulatedGroups {
 		for i := 1; i < 4; i++ {
 			if (g*3+i)%10 < 8 { // of the replicas, six of ten hosts in all
-				change = append(change, Target{Host: fmt.Sprintf("h%d-%d", g, i), Group: uint64(g + 1), Gone: true},
-					Target{Host: fmt.Sprintf("n%d-%d", g, i), Group: uint64(g + 1), Started: w.now})
+				change = append(change, Target{Host: fmt.Sprintf("h%d-%d", g, i), Group: uint64(g + 1), Removed: true},
+					Target{Host: fmt.Sprintf("n%d-%d", g, i), Group: uint64(g + 1), StartedAt: w.now})
 			}
 		}
 	}
 	from = w.now
-	w.told(change...)
+	w.announce(change...)
 	w.play(6 * time.Second)
-	w.within("six in ten replaced", from, len(change)/2, false)
-	require.Positive(t, w.most("cold", from), "cold hosts take their part")
+	w.requireBounds("six in ten replaced", from, len(change)/2, false)
+	require.Positive(t, w.peak("cold", from), "cold hosts take their part")
 
 	w.play(6 * time.Second) // they are warm
-	w.stands("six in ten replaced", from)
+	w.requireCapacity("six in ten replaced", from)
 	lose := func(third uint64) (back []Target) {
 		for h, e := range w.list {
-			if e.Group%3 == third && !e.Gone {
+			if e.Group%3 == third && !e.Removed {
 				w.down[h] = true
 				back = append(back, e)
 			}
@@ -436,28 +438,28 @@
 	comes := func(back []Target) {
 		clear(w.down)
 		for i := range back {
-			back[i].Started = w.now
+			back[i].StartedAt = w.now
 		}
 		from = w.now
-		w.told(back...)
+		w.announce(back...)
 		w.play(6 * time.Second)
 	}
 	from = w.now
 	back := lose(0)
-	w.within("a third is lost", from, 0, false)
+	w.requireBounds("a third is lost", from, 0, false)
 	comes(back)
-	w.within("it is back", from, len(back), false)
-	w.stands("it is back", from)
-	require.Less(t, w.refused, w.taken/10)
+	w.requireBounds("it is back", from, len(back), false)
+	w.requireCapacity("it is back", from)
+	require.Less(t, w.rejected, w.arrived/10)
 
 	back = lose(1)
-	w.rate, w.base = w.rate*1.5, w.base*1.5
+	w.rate, w.baseRate = w.rate*1.5, w.baseRate*1.5
 	comes(back)
-	w.stands("another is back in a burst", from)
+	w.requireCapacity("another is back in a burst", from)
 }
 
 // hosts names some members of all groups.
-func (w *crowd) hosts(numbers ...int) (names []string) {
+func (w *fleetSimulation) hosts(numbers ...int) (names []string) {
 	for g := range w.groups {
 		for _, i := range numbers {
 			names = append(names, fmt.Sprintf("h%d-%d", g, i))
@@ -469,19 +471,19 @@
 func atOnce(int) time.Duration { return 0 }
 
 // start begins hosts anew, whether or not they were down.
-func (w *crowd) start(late func(router int) time.Duration, hosts ...string) {
+func (w *fleetSimulation) start(late func(router int) time.Duration, hosts ...string) {
 	var entries []Target
 	for _, h := range hosts {
 		delete(w.down, h)
 		e := w.list[h]
-		e.Started = w.now
+		e.StartedAt = w.now
 		entries = append(entries, e)
 	}
-	w.toldLate(late, entries...)
+	w.announceLate(late, entries...)
 }
 
 // bounce takes hosts down for a while first.
-func (w *crowd) bounce(d time.Duration, hosts ...string) {
+func (w *fleetSimulation) bounce(d time.Duration, hosts ...string) {
 	for _, h := range hosts {
 		w.down[h] = true
 	}
@@ -489,82 +491,82 @@
 	w.start(atOnce, hosts...)
 }
 
-// behind gives hosts data that is too old for bounded reads.
-func (w *crowd) behind(hosts ...string) {
+// lagBehind gives hosts data that is too old for bounded reads.
+func (w *fleetSimulation) lagBehind(hosts ...string) {
 	for _, h := range hosts {
 		w.lag[h] = 20 * time.Second
 	}
 }
 
-// ramp is what happens to cold hosts of every group at once, and to the fleet meanwhile.
-type ramp struct {
+// slowStartScenario is what happens to cold hosts of every group at once, and to the fleet meanwhile.
+type slowStartScenario struct {
 	name string
-	run  func(w *crowd)
+	run  func(w *fleetSimulation)
 }
 
-var ramps = []ramp{
-	{"one replica", func(w *crowd) { w.bounce(time.Second, w.hosts(1)...) }},
-	{"two replicas", func(w *crowd) { w.bounce(time.Second, w.hosts(1, 2)...) }},
-	{"all replicas", func(w *crowd) { w.bounce(time.Second, w.hosts(1, 2, 3)...) }},
-	{"the primary", func(w *crowd) { w.bounce(time.Second, w.hosts(0)...) }},
-	{"the whole group", func(w *crowd) { w.bounce(4*time.Second, w.hosts(0, 1, 2, 3)...) }},
-	{"one by one", func(w *crowd) {
+var slowStartScenarios = []slowStartScenario{
+	{"one replica", func(w *fleetSimulation) { w.bounce(time.Second, w.hosts(1)...) }},
+	{"two replicas", func(w *fleetSimulation) { w.bounce(time.Second, w.hosts(1, 2)...) }},
+	{"all replicas", func(w *fleetSimulation) { w.bounce(time.Second, w.hosts(1, 2, 3)...) }},
+	{"the primary", func(w *fleetSimulation) { w.bounce(time.Second, w.hosts(0)...) }},
+	{"the whole group", func(w *fleetSimulation) { w.bounce(4*time.Second, w.hosts(0, 1, 2, 3)...) }},
+	{"one by one", func(w *fleetSimulation) {
 		for i := range 4 {
 			w.start(atOnce, w.hosts(3-i)...)
 			w.play(1500 * ms)
 		}
 	}},
-	{"one, and the others are slow", func(w *crowd) {
+	{"one, and the others are slow", func(w *fleetSimulation) {
 		for _, h := range w.hosts(0, 2, 3) {
-			w.takes[h] = 350 * ms
+			w.answerTimes[h] = 350 * ms
 		}
 		w.play(time.Second)
 		w.start(atOnce, w.hosts(1)...)
 	}},
-	{"one, and the others can't be reached", func(w *crowd) {
+	{"one, and the others can't be reached", func(w *fleetSimulation) {
 		w.bounce(time.Second, w.hosts(1)...)
 		w.play(500 * ms)
 		for _, h := range w.hosts(2, 3) {
 			w.broken[h] = true
 		}
 	}},
-	{"the whole group, clients mark their repeats", func(w *crowd) {
-		w.again, w.marks = 2, true
+	{"the whole group, clients mark their repeats", func(w *fleetSimulation) {
+		w.clientRetries, w.marksRetries = 2, true
 		w.bounce(4*time.Second, w.hosts(0, 1, 2, 3)...)
 	}},
 	// Only what was refused comes again, so no more is sent than clients want; at the full load that is twice N.
-	{"the whole group at six tenths of the load, clients come again unmarked", func(w *crowd) {
-		w.rate, w.again = w.rate*0.6, 2
+	{"the whole group at six tenths of the load, clients come again unmarked", func(w *fleetSimulation) {
+		w.rate, w.clientRetries = w.rate*0.6, 2
 		w.bounce(4*time.Second, w.hosts(0, 1, 2, 3)...)
 	}},
-	{"the whole group, replicas behind", func(w *crowd) {
-		w.behind(w.hosts(1, 2, 3)...)
+	{"the whole group, replicas behind", func(w *fleetSimulation) {
+		w.lagBehind(w.hosts(1, 2, 3)...)
 		w.bounce(4*time.Second, w.hosts(0, 1, 2, 3)...)
 	}},
-	{"the whole group, replicas behind, three writes in ten", func(w *crowd) {
-		w.mix = []float64{anyRead: 3, boundedRead: 4, unsafeWrite: 3}
-		w.behind(w.hosts(1, 2, 3)...)
+	{"the whole group, replicas behind, three writes in ten", func(w *fleetSimulation) {
+		w.mix = []float64{eventualRead: 3, boundedRead: 4, atMostOnceWrite: 3}
+		w.lagBehind(w.hosts(1, 2, 3)...)
 		w.bounce(4*time.Second, w.hosts(0, 1, 2, 3)...)
 	}},
-	{"the whole group, replicas behind, two writes and two fresh reads in ten", func(w *crowd) {
-		w.mix = []float64{anyRead: 3, boundedRead: 3, freshRead: 2, unsafeWrite: 2}
-		w.behind(w.hosts(1, 2, 3)...)
+	{"the whole group, replicas behind, two writes and two fresh reads in ten", func(w *fleetSimulation) {
+		w.mix = []float64{eventualRead: 3, boundedRead: 3, strongRead: 2, atMostOnceWrite: 2}
+		w.lagBehind(w.hosts(1, 2, 3)...)
 		w.bounce(4*time.Second, w.hosts(0, 1, 2, 3)...)
 	}},
 	// A replica's part is half then, and was a third: the load has to be one that two can bear.
-	{"a cold replica becomes primary at three quarters of the load", func(w *crowd) {
+	{"a cold replica becomes primary at three quarters of the load", func(w *fleetSimulation) {
 		w.rate *= 0.75
 		w.bounce(time.Second, w.hosts(1, 2, 3)...)
 		w.play(500 * ms)
 		var change []Target
 		for g := range w.groups {
 			old, next := w.list[fmt.Sprintf("h%d-0", g)], w.list[fmt.Sprintf("h%d-1", g)]
-			old.Gone, old.Primary, next.Primary = true, false, true
+			old.Removed, old.Primary, next.Primary = true, false, true
 			change = append(change, old, next)
 		}
-		w.told(change...)
+		w.announce(change...)
 	}},
-	{"routers restart one by one", func(w *crowd) {
+	{"routers restart one by one", func(w *fleetSimulation) {
 		w.bounce(time.Second, w.hosts(1, 2, 3)...)
 		for i := range w.routers {
 			w.play(3 * time.Second / time.Duration(len(w.routers)))
@@ -572,7 +574,7 @@
 		}
 	}},
 	// All that they held comes again at that moment, unmarked.
-	{"seven in ten routers restart at once at three quarters of the load", func(w *crowd) {
+	{"seven in ten routers restart at once at three quarters of the load", func(w *fleetSimulation) {
 		w.rate *= 0.75
 		w.bounce(4*time.Second, w.hosts(0, 1, 2, 3)...)
 		w.play(200 * ms)
@@ -582,19 +584,19 @@
 			}
 		}
 	}},
-	{"a tenth of the routers are told late", func(w *crowd) {
+	{"a tenth of the routers are told late", func(w *fleetSimulation) {
 		w.start(func(i int) time.Duration { return time.Duration(i%10/9) * 3 * time.Second }, w.hosts(1, 2, 3)...)
 	}},
-	{"a third of the routers are told late", func(w *crowd) {
+	{"a third of the routers are told late", func(w *fleetSimulation) {
 		w.start(func(i int) time.Duration { return time.Duration(i%3/2) * 3 * time.Second }, w.hosts(1, 2, 3)...)
 	}},
-	{"a tenth of the routers restart with an old list", func(w *crowd) {
+	{"a tenth of the routers restart with an old list", func(w *fleetSimulation) {
 		old := w.entries()
 		w.start(atOnce, w.hosts(1, 2, 3)...)
 		for i := range w.routers {
 			if w.play(3 * time.Second / time.Duration(len(w.routers))); i%10 == 9 {
 				w.restart(i, old)
-				w.later(2*time.Second, i, Event{Kind: EvTargets, Full: true, Targets: w.entries()})
+				w.later(2*time.Second, i, Event{Kind: EventTargets, Full: true, Targets: w.entries()})
 			}
 		}
 	}},
@@ -603,26 +605,26 @@
 func uneven(i int) float64 { return 1 + 4*float64(i%5/4) } // one in five sees five times what the others do
 
 // A cold host falls under the sum of what all routers send it. Probes, repeats and what it turns away count.
-func TestColdHostsStandWhatAllRoutersSend(t *testing.T) {
+func TestWarmingHostsBearWhatAllRoutersSend(t *testing.T) {
 	for _, k := range []struct {
 		routers int
 		share   func(int) float64
 		known   float64 // how many routers the settings say there are, for each that there is
 	}{{1, nil, 1}, {3, nil, 1}, {5, uneven, 1}, {20, nil, 1}, {30, uneven, 1}, {30, nil, 0.5}, {30, nil, 1.5}, {300, nil, 1}, {300, uneven, 1}} {
-		for _, r := range ramps {
+		for _, r := range slowStartScenarios {
 			t.Run(fmt.Sprintf("%d routers, even %v, known as %v: %s", k.routers, k.share == nil, k.known, r.name), func(t *testing.T) {
 				t.Parallel()
-				w := newCrowdOf(t, k.routers, 6, 9, k.share)
+				w := newFleetSimulationOf(t, k.routers, 6, 9, k.share)
 				for i, c := range w.routers {
 					s := w.cfg
-					s.Index, s.Routers = 0, int(math.Ceil(k.known*float64(k.routers)))
+					s.RouterIndex, s.RouterCount = 0, int(math.Ceil(k.known*float64(k.routers)))
 					require.NoError(t, c.Configure(s), i)
 				}
 				w.play(2 * time.Second)
 				from := w.now
 				r.run(w)
 				w.play(5 * time.Second)
-				w.stands(r.name, from)
+				w.requireCapacity(r.name, from)
 			})
 		}
 	}
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -14,223 +14,223 @@
 )
 
 const (
-	upkeep       = 5 * time.Millisecond   // pace of held requests: far below any aim
-	margin       = time.Millisecond       // checking margin: positions come in whole milliseconds
-	askWait      = 25 * time.Millisecond  // a read waits so long for a probe: above a round trip
-	askAgain     = 60 * time.Millisecond  // before that a member's report is hardly newer
-	askMost      = 2                      // probes that one read may wait for
-	pause        = time.Second            // before a failed probe or call is tried again
-	paceKnown    = 3 * time.Second        // after that a member's position tells no more of it than none
-	hopeless     = 3                      // the last rank of members to probe
-	probeWait    = 300 * time.Millisecond // a probe unanswered for so long no longer counts as under way
-	probeSpend   = 0.016                  // share of the result that probes may cost, about what they free
-	failure      = 3                      // what a failed attempt counts for, in aims
-	mishap       = 1.5                    // one that was reset, spoilt or lost alone: any host may do that
-	avoidAt      = 1                      // the mean, in aims, from which a member is avoided
-	silentFloor  = 150 * time.Millisecond // below this a quiet member is no news
-	searchPause  = 500 * time.Millisecond // wait after a round of misses
-	budgetShare  = 0.1                    // extra attempts per request, and the most that can be saved up
-	budgetCap    = 50                     // by all routers together, but one for each
-	extraLeast   = 0.1                    // least price of one
-	probesCap    = 10                     // the same for probes, of one router
-	limitStart   = 3                      // in-flight limit per member: start
-	limitStep    = 0.1                    // a timely answer opens the limit; a slow or lost one closes it
-	limitCut     = 0.5
-	coldShare    = 0.7  // part of the overload that a cold member stands which is used
-	writesStart  = 0.25 // before any request
-	shedStep     = 0.02 // a timely answer opens a group again; late and lost ones close it
-	shedCut      = 0.3
-	quickStart   = 0.3 // before any answer
-	shedFrom     = 5   // up to so many routers, limits per member are fine enough
-	shedMost     = 0.8
-	tenantSpan   = 8.0                   // seconds over which a tenant's requests are counted
-	tookKeep     = 10                    // seconds for which an attempt says something of its member
-	keptStart    = 10                    // first tries that all classes are taken to begin with, kept
-	keptSpan     = 2048                  // first tries after which the oldest count less in that: minutes
-	explore      = 0.15                  // part of the draws that is not among the known alone
-	farLess      = 0.1                   // in aims; known members would else crowd out the unknown
-	crowdAt      = 0.1                   // share of quick failures to connect that tells of full hosts
-	listLate     = 5 * time.Second       // a list names a new primary no later
-	keepMost     = 150                   // connections that all routers then keep at a host, below its limit
-	primaryShare = 0.9                   // part of the primary's in-flight limit that reads may fill
-	endGuard     = 15 * time.Millisecond // a final answer leaves this long before its time, at the latest
-	sessionKeep  = 10 * time.Second      // commits older than this are folded into the group's floor
-	sessionMax   = 20000
-	memberKeep   = time.Minute           // a member that left is forgotten after so long
-	lateFloor    = 50 * time.Millisecond // least latency to reckon with before any was seen
+	tickInterval            = 5 * time.Millisecond   // pace of held requests: far below any aim
+	positionMargin          = time.Millisecond       // checking margin: positions come in whole milliseconds
+	probeAnswerWait         = 25 * time.Millisecond  // a read waits so long for a probe: above a round trip
+	reprobeAfter            = 60 * time.Millisecond  // before that a member's report is hardly newer
+	maxProbesPerRead        = 2                      // probes that one read may wait for
+	retryBackoff            = time.Second            // before a failed probe or call is tried again
+	paceRetention           = 3 * time.Second        // after that a member's position tells no more of it than none
+	unreachable             = 3                      // the last rank of members to probe
+	probeTimeout            = 300 * time.Millisecond // a probe unanswered for so long no longer counts as under way
+	probeCostFraction       = 0.016                  // share of the result that probes may cost, about what they free
+	faultScore              = 3                      // what a failed attempt counts for, in aims
+	transientFaultScore     = 1.5                    // one that was reset, spoilt or lost alone: any host may do that
+	outlierThreshold        = 1                      // the mean, in aims, from which a member is avoided
+	minSilence              = 150 * time.Millisecond // below this a quiet member is no news
+	searchBackoff           = 500 * time.Millisecond // wait after a round of misses
+	retryBudgetRatio        = 0.1                    // extra attempts per request, and the most that can be saved up
+	retryBudgetCap          = 50                     // by all routers together, but one for each
+	minRetryCost            = 0.1                    // least price of one
+	probeBudgetCap          = 10                     // the same for probes, of one router
+	initialLimit            = 3                      // in-flight limit per member: start
+	limitIncrease           = 0.1                    // a timely answer opens the limit; a slow or lost one closes it
+	limitDecrease           = 0.5
+	slowStartSafety         = 0.7  // part of the overload that a cold member stands which is used
+	initialWriteFraction    = 0.25 // before any request
+	shedDecrease            = 0.02 // a timely answer opens a group again; late and lost ones close it
+	shedIncrease            = 0.3
+	initialInTimeFraction   = 0.3 // before any answer
+	shedMinRouters          = 5   // up to so many routers, limits per member are fine enough
+	maxShedFraction         = 0.8
+	tenantRateSpan          = 8.0                   // seconds over which a tenant's requests are counted
+	scoreRetention          = 10                    // seconds for which an attempt says something of its member
+	initialSamples          = 10                    // first tries that all classes are taken to begin with, kept
+	maxSamples              = 2048                  // first tries after which the oldest count less in that: minutes
+	exploreFraction         = 0.15                  // part of the draws that is not among the known alone
+	scoreMargin             = 0.1                   // in aims; known members would else crowd out the unknown
+	connectFailureThreshold = 0.1                   // share of quick failures to connect that tells of full hosts
+	maxListDelay            = 5 * time.Second       // a list names a new primary no later
+	maxIdleConns            = 150                   // connections that all routers then keep at a host, below its limit
+	primaryReadFraction     = 0.9                   // part of the primary's in-flight limit that reads may fill
+	answerMargin            = 15 * time.Millisecond // a final answer leaves this long before its time, at the latest
+	commitRetention         = 10 * time.Second      // commits older than this are folded into the group's floor
+	maxCommits              = 20000
+	memberRetention         = time.Minute           // a member that left is forgotten after so long
+	minLatency              = 50 * time.Millisecond // least latency to reckon with before any was seen
 )
 
 type member struct {
-	host                 string
-	group                *group
-	listed, named        bool // named: as the primary, by the list
-	started              time.Duration
-	position             time.Duration // proven; never goes back
-	heard                time.Duration // when position was last renewed
-	primaryAt, otherAt   time.Duration // latest evidence of being primary, and of not being it
-	told, hearsay        bool          // it said that it is a replica; only the list has said otherwise since
-	inflight             int
-	quiet                time.Duration // since when work lies there and nothing came back
-	out                  []int         // of that, by class
-	lastAnswer, lastSent time.Duration
-	took                 float64 // what attempts took, in aims of their class
-	tookAt               time.Duration
-	restTill             time.Duration // it was full
-	left                 time.Duration // when the list dropped it
-	limit                float64
-	open                 bool          // a connection was made, and not lost since
-	probed               time.Duration // when the last probe was sent
-	probing              bool          // it is unanswered
-	hope                 float64       // kept from before the start, as are the next two: a limit,
-	lagged               time.Duration // how far behind it was,
-	wasPrimary           bool          // and its role; they prove nothing, see state.go
+	host                                string
+	group                               *group
+	active, namedPrimary                bool // named: as the primary, by the list
+	startedAt                           time.Duration
+	position                            time.Duration // proven; never goes back
+	positionAt                          time.Duration // when position was last renewed
+	primaryAt, notPrimaryAt             time.Duration // latest evidence of being primary, and of not being it
+	reportedReplica, unconfirmedPrimary bool          // it said that it is a replica; only the list has said otherwise since
+	inFlight                            int
+	waitingSince                        time.Duration // since when work lies there and nothing came back
+	inFlightByClass                     []int         // of that, by class
+	answeredAt, sentAt                  time.Duration
+	score                               float64 // what attempts took, in aims of their class
+	scoredAt                            time.Duration
+	backoffUntil                        time.Duration // it was full
+	removedAt                           time.Duration // when the list dropped it
+	limit                               float64
+	connected                           bool          // a connection was made, and not lost since
+	probedAt                            time.Duration // when the last probe was sent
+	probePending                        bool          // it is unanswered
+	restoredLimit                       float64       // kept from before the start, as are the next two: a limit,
+	restoredLag                         time.Duration // how far behind it was,
+	wasPrimary                          bool          // and its role; they prove nothing, see state.go
 }
 
 type group struct {
-	id         uint64
-	members    []*member     // by host
-	scout      *request      // the write that searches
-	searchAt   time.Duration // no search before
-	searchFrom time.Duration // when the present round began
-	commits    map[uint64]time.Duration
-	order      []commit // oldest first
-	floor      time.Duration
-	sides      [2]side // reads on replicas; what the primary serves
+	id              uint64
+	members         []*member     // by host
+	searcher        *request      // the write that searches
+	searchAfter     time.Duration // no search before
+	searchStartedAt time.Duration // when the present round began
+	commits         map[uint64]time.Duration
+	commitOrder     []sessionCommit // oldest first
+	commitFloor     time.Duration
+	admissions      [2]admission // reads on replicas; what the primary serves
 }
 
-type side struct {
-	shed  float64 // part of its requests that is refused on arrival
-	quick float64 // smoothed share of the attempts that were answered well inside their aim
+type admission struct {
+	shedFraction   float64 // part of its requests that is refused on arrival
+	inTimeFraction float64 // smoothed share of the attempts that were answered well inside their aim
 }
 
-type commit struct {
+type sessionCommit struct {
 	key uint64
 	at  time.Duration
 }
 
 type attempt struct {
-	to   *member
-	sent time.Duration
-	live bool
+	member  *member
+	sentAt  time.Duration
+	pending bool
 }
 
 type class struct {
 	Class
-	index   int
-	latency time.Duration // smoothed, of answers
-	work    time.Duration // near the least that an answer takes: what is not waiting
-	asked   float64       // worth of its first tries so far
-	kept    float64       // share of them that was answered inside their aim, of the last few thousand
-	tries   float64       // over which that is taken
+	index          int
+	latency        time.Duration // smoothed, of answers
+	serviceTime    time.Duration // near the least that an answer takes: what is not waiting
+	offeredWeight  float64       // worth of its first tries so far
+	inTimeFraction float64       // share of them that was answered inside their aim, of the last few thousand
+	samples        float64       // over which that is taken
 }
 
 type tenant struct {
-	rate float64 // of its requests at this router, a second
-	at   time.Duration
+	rate      float64 // of its requests at this router, a second
+	updatedAt time.Duration
 }
 
 type request struct {
-	id                     string
-	class                  *class
-	group                  *group
-	key                    uint64
-	hasKey                 bool
-	arrived, aim, deadline time.Duration
-	need                   time.Duration // least position a member must have; 0: none
-	attempts               []attempt
-	live                   int
-	ran                    bool          // some attempt may have run
-	window                 time.Duration // from the choice of the first such: when a repeat must have ended
-	over, held, again      bool          // again: its client says that it is a repeat
-	worth                  float64       // expected, with what its tenant's share leaves of it
-	luck                   float64       // its lot for cold members, see admits; from 1 on: used up
-	asks                   int           // probes it has waited for
-	asked                  *member       // the last member asked
-	askedAt                time.Duration
-}
-
-// Choice holds the decisions of one router. It is not safe for concurrent use.
-type Choice struct {
+	id                               string
+	class                            *class
+	group                            *group
+	sessionKey                       uint64
+	hasSessionKey                    bool
+	arrivedAt, objectiveAt, deadline time.Duration
+	minPosition                      time.Duration // least position a member must have; 0: none
+	attempts                         []attempt
+	inFlight                         int
+	mayHaveRun                       bool          // some attempt may have run
+	dedupDeadline                    time.Duration // from the choice of the first such: when a repeat must have ended
+	finished, queued, isRetry        bool          // again: its client says that it is a repeat
+	weight                           float64       // expected, with what its tenant's share leaves of it
+	sample                           float64       // its lot for cold members, see admits; from 1 on: used up
+	probeCount                       int           // probes it has waited for
+	probed                           *member       // the last member asked
+	probedAt                         time.Duration
+}
+
+// Router holds the decisions of one router. It is not safe for concurrent use.
+type Router struct {
 	cfg             Settings
 	rng             *rand.Rand
 	now             time.Duration
 	members         map[string]*member
 	groups          map[uint64]*group
-	floor           time.Duration // no session of a group that was released needs more
-	reqs            map[string]*request
+	commitFloor     time.Duration // no session of a group that was released needs more
+	requests        map[string]*request
 	tenants         []tenant
-	held            []*request // in the order of the last upkeep, then as they came to be held
-	out             []Action
-	budget          float64
+	queue           []*request // in the order of the last upkeep, then as they came to be held
+	actions         []Action
+	retryBudget     float64
 	tickAt, timerAt time.Duration // next upkeep, and next timer
-	latency         time.Duration
+	meanLatency     time.Duration
 	classes         []class
-	tightest        time.Duration // the least bound of a Bounded class
-	meanTook        float64
-	crowded         float64       // smoothed share of the attempts that failed to connect at once
-	probes          float64       // probes that the requests so far have earned
-	worst           *class        // the one that is served worst
-	asked           float64       // worth of all first tries so far
-	worth           [2]float64    // smoothed, of requests for replicas and for the primary
-	writes          float64       // smoothed share of those for the primary
-	retryAt         time.Duration // when to ask discovery again; 0: no need
-	past            recall
+	tightestBound   time.Duration // the least bound of a Bounded class
+	meanScore       float64
+	connectFailures float64       // smoothed share of the attempts that failed to connect at once
+	probeBudget     float64       // probes that the requests so far have earned
+	worstClass      *class        // the one that is served worst
+	offeredWeight   float64       // worth of all first tries so far
+	meanWeight      [2]float64    // smoothed, of requests for replicas and for the primary
+	writeFraction   float64       // smoothed share of those for the primary
+	resubscribeAt   time.Duration // when to ask discovery again; 0: no need
+	restored        restoredState
 }
 
 // Step takes the events of one moment and returns what to do. The actions are valid until the next call.
-func (c *Choice) Step(now time.Duration, events []Event) []Action {
-	c.now, c.out = max(now, c.now), c.out[:0]
+func (c *Router) Step(now time.Duration, events []Event) []Action {
+	c.now, c.actions = max(now, c.now), c.actions[:0]
 	for i := range events {
-		c.observe(&events[i])
+		c.handle(&events[i])
 	}
 	if c.now >= c.tickAt {
-		c.upkeep()
+		c.tick()
 	}
-	wake := c.retryAt
-	if len(c.held) > 0 {
+	wake := c.resubscribeAt
+	if len(c.queue) > 0 {
 		wake = c.tickAt
 	}
 	if wake > 0 && (c.timerAt <= c.now || wake < c.timerAt) { // nothing to do: no timer
 		c.timerAt = wake
-		c.out = append(c.out, Action{Kind: ActTimer, At: wake})
+		c.actions = append(c.actions, Action{Kind: ActTimer, At: wake})
 	}
-	return c.out
+	return c.actions
 }
 
-func (c *Choice) observe(e *Event) {
+func (c *Router) handle(e *Event) {
 	switch e.Kind {
-	case EvTargets:
-		c.targets(e)
-	case EvTargetsFailed:
-		c.retryAt = c.now + pause
-	case EvRequest:
-		c.request(e)
-	case EvOutcome:
-		c.outcome(e)
-	case EvLeft:
-		if r := c.reqs[e.ID]; r != nil && !r.over {
+	case EventTargets:
+		c.applyTargets(e)
+	case EventTargetsFailed:
+		c.resubscribeAt = c.now + retryBackoff
+	case EventRequest:
+		c.handleRequest(e)
+	case EventOutcome:
+		c.handleOutcome(e)
+	case EventClientGone:
+		if r := c.requests[e.ID]; r != nil && !r.finished {
 			for _, a := range r.attempts {
-				if a.live { // so the queue there is too long for its client
-					c.adjust(a.to, -limitCut)
-					c.lost(r.side(a.to))
+				if a.pending { // so the queue there is too long for its client
+					c.adjustLimit(a.member, -limitDecrease)
+					c.recordLost(r.admission(a.member))
 				}
 			}
-			c.close(r, false)
+			c.finish(r, false)
 		}
-	case EvHeard:
+	case EventLateAnswer:
 		if m := c.members[e.Host]; m != nil {
-			c.says(m, e, e.Position)
+			c.recordAnswer(m, e, e.Position)
 		}
-	case EvProbe:
+	case EventProbeResult:
 		if m := c.members[e.Host]; m != nil {
-			m.probing = false
+			m.probePending = false
 			if e.Code == OK {
-				c.report(m, e.Report)
+				c.recordReport(m, e.Report)
 			} else if e.Code != NotSent { // which says nothing of the host
-				c.took(m, failure)
+				c.recordScore(m, faultScore)
 			}
-			for _, r := range c.held {
-				if r.group == m.group && !r.over && r.live == 0 {
+			for _, r := range c.queue {
+				if r.group == m.group && !r.finished && r.inFlight == 0 {
 					c.dispatch(r)
 				}
 			}
@@ -238,456 +238,456 @@
 	}
 }
 
-func (c *Choice) targets(e *Event) {
+func (c *Router) applyTargets(e *Event) {
 	if e.Full {
-		if c.tickAt == 0 && c.cfg.Subscribe {
-			c.out = append(c.out, Action{Kind: ActSubscribe})
+		if c.tickAt == 0 && c.cfg.MustSubscribe {
+			c.actions = append(c.actions, Action{Kind: ActSubscribe})
 		}
 		named := make(map[string]bool, len(e.Targets))
 		for _, t := range e.Targets {
 			named[t.Host] = true
 		}
 		for host, m := range c.members {
-			if !named[host] && !c.cfg.DrainBindsAlone {
+			if !named[host] && !c.cfg.IgnoresRemoval {
 				c.drain(m)
 			}
 		}
 	}
 	for _, m := range c.members { // a list may bring back at once what left
-		if !m.listed && m.inflight == 0 && c.now-m.left > memberKeep {
-			c.release(m)
+		if !m.active && m.inFlight == 0 && c.now-m.removedAt > memberRetention {
+			c.removeMember(m)
 		}
 	}
 	for _, t := range e.Targets {
 		m := c.members[t.Host]
 		if m != nil && m.group.id != t.Group { // it holds other data now: nothing known of it counts
-			c.release(m)
+			c.removeMember(m)
 			m = nil
 		}
 		if m == nil {
-			if t.Gone {
+			if t.Removed {
 				continue
 			}
 			g := c.groups[t.Group]
 			if g == nil {
-				g = &group{id: t.Group, commits: map[uint64]time.Duration{}, floor: c.floor,
-					sides: [2]side{{quick: quickStart}, {quick: quickStart}}}
+				g = &group{id: t.Group, commits: map[uint64]time.Duration{}, commitFloor: c.commitFloor,
+					admissions: [2]admission{{inTimeFraction: initialInTimeFraction}, {inTimeFraction: initialInTimeFraction}}}
 				c.groups[t.Group] = g
 			}
-			m = &member{host: t.Host, group: g, limit: limitStart, left: c.now,
-				out: make([]int, len(c.classes))}
+			m = &member{host: t.Host, group: g, limit: initialLimit, removedAt: c.now,
+				inFlightByClass: make([]int, len(c.classes))}
 			c.members[t.Host] = m
 			g.members = append(g.members, m)
 			slices.SortFunc(g.members, func(a, b *member) int { return cmp.Compare(a.host, b.host) })
 		}
-		if t.Primary && c.cfg.ListRole && !m.named { // weaker than anything seen since
-			m.hearsay = m.told && m.primaryAt <= m.otherAt && c.cfg.ReportX1 && c.cfg.Probes
-			m.primaryAt = max(m.primaryAt, c.now-listLate, 1)
+		if t.Primary && c.cfg.ListNamesPrimary && !m.namedPrimary { // weaker than anything seen since
+			m.unconfirmedPrimary = m.reportedReplica && m.primaryAt <= m.notPrimaryAt && c.cfg.ReportsRole && c.cfg.ProbesAllowed
+			m.primaryAt = max(m.primaryAt, c.now-maxListDelay, 1)
 		}
-		m.named = t.Primary
-		if t.Draining || t.Gone && !c.cfg.DrainBindsAlone { // there a list proves nothing of what runs
+		m.namedPrimary = t.Primary
+		if t.Draining || t.Removed && !c.cfg.IgnoresRemoval { // there a list proves nothing of what runs
 			c.drain(m)
 		}
-		if t.Draining || t.Gone {
+		if t.Draining || t.Removed {
 			continue
 		}
 		// Starts only go forward. What an old process did wrong still counts for a while: it may do so again.
-		m.started = max(m.started, min(t.Started, c.now))
-		m.listed = true
-		c.recall(m)
+		m.startedAt = max(m.startedAt, min(t.StartedAt, c.now))
+		m.active = true
+		c.restore(m)
 	}
 }
 
-func (c *Choice) release(m *member) {
+func (c *Router) removeMember(m *member) {
 	g := m.group
-	m.listed = false
+	m.active = false
 	delete(c.members, m.host)
 	g.members = slices.DeleteFunc(g.members, func(o *member) bool { return o == m })
 	if len(g.members) == 0 {
 		delete(c.groups, g.id)
-		c.floor = c.now
+		c.commitFloor = c.now
 	}
 }
 
 // drain stops all new work for a member at once, inside the grace.
-func (c *Choice) drain(m *member) {
-	if m.listed {
-		m.left = c.now
+func (c *Router) drain(m *member) {
+	if m.active {
+		m.removedAt = c.now
 	}
-	m.listed, m.otherAt = false, c.now // nor is it the primary, until newer evidence comes
+	m.active, m.notPrimaryAt = false, c.now // nor is it the primary, until newer evidence comes
 }
 
-// learn keeps the highest position and the newest evidence of the role, in whatever order they come.
-func (c *Choice) learn(m *member, position time.Duration, role Role, at time.Duration) {
+// recordEvidence keeps the highest position and the newest evidence of the role, in whatever order they come.
+func (c *Router) recordEvidence(m *member, position time.Duration, role Role, at time.Duration) {
 	if role == Replica { // this makes more careful, however garbled the rest is
-		m.otherAt, m.told = max(m.otherAt, min(at, c.now)), true
+		m.notPrimaryAt, m.reportedReplica = max(m.notPrimaryAt, min(at, c.now)), true
 	}
 	if position > c.now || at > c.now {
 		return // no host is ahead of the clock: garbled
 	}
 	if position > 0 {
-		m.position, m.heard = max(m.position, position), c.now
+		m.position, m.positionAt = max(m.position, position), c.now
 	}
 	if role == Primary && at > m.primaryAt {
-		m.primaryAt, m.hearsay = at, false
+		m.primaryAt, m.unconfirmedPrimary = at, false
 	}
 }
 
-// says takes an answer's word. Answers come in any order, some late: a replica may have said so just now, but
+// recordAnswer takes an answer's word. Answers come in any order, some late: a replica may have said so just now, but
 // a primary only when its attempt was sent, or as its stamp says.
-func (c *Choice) says(m *member, e *Event, position time.Duration) {
+func (c *Router) recordAnswer(m *member, e *Event, position time.Duration) {
 	at := c.now
 	if e.Role == Primary {
 		at -= e.Elapsed
-		if e.Position < c.now+margin { // commits are rounded up
+		if e.Position < c.now+positionMargin { // commits are rounded up
 			at = max(at, min(e.Position, c.now))
 		}
 	}
-	c.learn(m, position, e.Role, at)
+	c.recordEvidence(m, position, e.Role, at)
 }
 
-// report takes a host's own word. It may be old: its position dates it, but a replica may stand for long.
-func (c *Choice) report(m *member, r Report) {
+// recordReport takes a host's own word. It may be old: its position dates it, but a replica may stand for long.
+func (c *Router) recordReport(m *member, r Report) {
 	at := r.Position
 	if at <= 0 || r.Role == Replica {
-		at = max(at, c.now-pause) // undated: older than any report
+		at = max(at, c.now-retryBackoff) // undated: older than any report
 	}
-	c.learn(m, r.Position, r.Role, at)
+	c.recordEvidence(m, r.Position, r.Role, at)
 }
 
-// inShare is what a tenant's request counts for, if all routers see as much of the tenant as this one.
-func (c *Choice) inShare(i int) float64 {
+// quotaFraction is what a tenant's request counts for, if all routers see as much of the tenant as this one.
+func (c *Router) quotaFraction(i int) float64 {
 	t := &c.tenants[i]
-	t.rate = t.rate*math.Exp(-(c.now-t.at).Seconds()/tenantSpan) + 1.0/tenantSpan
-	t.at = c.now
-	in := min(1, c.cfg.Tenants[i].Quota/max(t.rate*float64(c.cfg.Routers), 1e-9))
-	return in + c.cfg.OverShare*(1-in)
+	t.rate = t.rate*math.Exp(-(c.now-t.updatedAt).Seconds()/tenantRateSpan) + 1.0/tenantRateSpan
+	t.updatedAt = c.now
+	in := min(1, c.cfg.Tenants[i].Quota/max(t.rate*float64(c.cfg.RouterCount), 1e-9))
+	return in + c.cfg.OverQuotaFraction*(1-in)
 }
 
 func (g *group) primary() *member {
 	var p *member
 	for _, m := range g.members {
-		if m.listed && m.primaryAt > m.otherAt && (p == nil || m.primaryAt > p.primaryAt) {
+		if m.active && m.primaryAt > m.notPrimaryAt && (p == nil || m.primaryAt > p.primaryAt) {
 			p = m
 		}
 	}
 	return p
 }
 
-func (c *Choice) request(e *Event) {
-	if c.reqs[e.ID] != nil || e.Class < 0 || e.Class >= len(c.cfg.Classes) {
+func (c *Router) handleRequest(e *Event) {
+	if c.requests[e.ID] != nil || e.Class < 0 || e.Class >= len(c.cfg.Classes) {
 		return
 	}
 	k := &c.classes[e.Class]
 	g := c.groups[e.Group]
 	if g == nil { // no list has named this group: nothing can serve it
-		c.out = append(c.out, Action{Kind: ActRefuse, ID: e.ID, After: min(pause, c.cfg.MaxRetryAfter)})
+		c.actions = append(c.actions, Action{Kind: ActReject, ID: e.ID, RetryAfter: min(retryBackoff, c.cfg.MaxRetryAfter)})
 		return
 	}
-	r := &request{id: e.ID, class: k, group: g, key: e.Key, hasKey: e.HasKey, arrived: c.now,
-		aim: c.now + min(k.Aim, e.TimeLeft), deadline: c.now + e.TimeLeft,
-		luck: c.rng.Float64(), worth: k.Worth, again: e.Retry, window: math.MaxInt64}
-	if k.Read == Session {
-		if !c.cfg.Remembered && e.Token > 0 {
-			r.need = c.now - e.Token + margin
-		} else if c.cfg.Remembered {
-			r.need = max(g.commits[e.Key], g.floor)
+	r := &request{id: e.ID, class: k, group: g, sessionKey: e.SessionKey, hasSessionKey: e.HasSessionKey, arrivedAt: c.now,
+		objectiveAt: c.now + min(k.LatencyObjective, e.TimeRemaining), deadline: c.now + e.TimeRemaining,
+		sample: c.rng.Float64(), weight: k.PriorityWeight, isRetry: e.IsRetry, dedupDeadline: math.MaxInt64}
+	if k.Access == SessionRead {
+		if !c.cfg.TracksCommits && e.CommitAge > 0 {
+			r.minPosition = c.now - e.CommitAge + positionMargin
+		} else if c.cfg.TracksCommits {
+			r.minPosition = max(g.commits[e.SessionKey], g.commitFloor)
 		}
 	}
-	c.reqs[r.id] = r
+	c.requests[r.id] = r
 	if e.Tenant > 0 && e.Tenant <= len(c.tenants) {
-		r.worth *= c.inShare(e.Tenant - 1)
+		r.weight *= c.quotaFraction(e.Tenant - 1)
 	}
-	if r.again { // the aim went with the try before; under overload such tries crowd out those that count
-		r.worth *= k.LateShare
+	if r.isRetry { // the aim went with the try before; under overload such tries crowd out those that count
+		r.weight *= k.LateFraction
 	} else {
-		k.asked += k.Worth
-		c.asked += k.Worth
+		k.offeredWeight += k.PriorityWeight
+		c.offeredWeight += k.PriorityWeight
 	}
 	side := 0
-	if k.Read >= Fresh {
+	if k.Access >= StrongRead {
 		side = 1
 	}
-	c.writes += (float64(side) - c.writes) / 64
-	mean := &c.worth[side]
-	*mean = cmp.Or(*mean, k.Worth)
-	*mean += (r.worth - *mean) / 32
-	c.budget = min(max(1, budgetCap/float64(c.cfg.Routers)), c.budget+budgetShare)
-	c.probes = min(probesCap, c.probes+probeSpend/max(c.cfg.ProbePrice, probeSpend/2))
+	c.writeFraction += (float64(side) - c.writeFraction) / 64
+	mean := &c.meanWeight[side]
+	*mean = cmp.Or(*mean, k.PriorityWeight)
+	*mean += (r.weight - *mean) / 32
+	c.retryBudget = min(max(1, retryBudgetCap/float64(c.cfg.RouterCount)), c.retryBudget+retryBudgetRatio)
+	c.probeBudget = min(probeBudgetCap, c.probeBudget+probeCostFraction/max(c.cfg.ProbeCost, probeCostFraction/2))
 	// Shed, the cheap more than the dear: what is worth nothing goes as soon as anything does.
-	if r.luck > 1-g.sides[side].shed**mean/max(r.worth, 1e-9) {
-		c.end(r)
+	if r.sample > 1-g.admissions[side].shedFraction**mean/max(r.weight, 1e-9) {
+		c.giveUp(r)
 		return
-	} else if r.again { // its first try had a lot
-		r.luck++
+	} else if r.isRetry { // its first try had a lot
+		r.sample++
 	}
 	c.dispatch(r)
 }
 
-func (c *Choice) outcome(e *Event) {
-	r := c.reqs[e.ID]
-	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || !r.attempts[e.Attempt].live {
+func (c *Router) handleOutcome(e *Event) {
+	r := c.requests[e.ID]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || !r.attempts[e.Attempt].pending {
 		return
 	}
 	a := &r.attempts[e.Attempt]
-	a.live = false
-	r.live--
-	m := a.to
-	m.inflight--
-	m.out[r.class.index]--
-	m.quiet = c.now
+	a.pending = false
+	r.inFlight--
+	m := a.member
+	m.inFlight--
+	m.inFlightByClass[r.class.index]--
+	m.waitingSince = c.now
 	if e.Role != Unknown {
 		position := e.Position
-		if r.class.Read == Write && e.Code == OK { // a commit, rounded up: not yet a proven position
-			if c.cfg.Remembered && r.hasKey && e.Position > 0 {
-				c.remember(r.group, r.key, e.Position)
+		if r.class.Access == Write && e.Code == OK { // a commit, rounded up: not yet a proven position
+			if c.cfg.TracksCommits && r.hasSessionKey && e.Position > 0 {
+				c.recordCommit(r.group, r.sessionKey, e.Position)
 			}
 			position = 0
 		}
-		c.says(m, e, position)
+		c.recordAnswer(m, e, position)
 	}
-	c.report(m, e.Report)
-	c.judge(m, a, r, e)
-	if e.Code == NoConnection || e.Code == Miss && r.class.Read == Write {
-		m.otherAt = c.now
+	c.recordReport(m, e.Report)
+	c.judgeAttempt(m, a, r, e)
+	if e.Code == NoConnection || e.Code == Misdirected && r.class.Access == Write {
+		m.notPrimaryAt = c.now
 	}
-	if !e.Code.NeverRan() && !r.ran {
-		r.ran, r.window = true, a.sent+r.class.Window-endGuard
+	if !e.Code.NeverRan() && !r.mayHaveRun {
+		r.mayHaveRun, r.dedupDeadline = true, a.sentAt+r.class.DedupWindow-answerMargin
 	}
 	if e.Final {
-		c.close(r, e.Code == OK && c.now <= r.aim)
+		c.finish(r, e.Code == OK && c.now <= r.objectiveAt)
 	}
-	if r.live > 0 {
+	if r.inFlight > 0 {
 		return
 	}
-	if r.over {
-		delete(c.reqs, r.id)
+	if r.finished {
+		delete(c.requests, r.id)
 		return
 	}
 	// A further attempt costs what the last one took: quick failures are cheap, late ones add to an overload.
-	price := min(1, extraLeast+2*e.Elapsed.Seconds()/r.class.Aim.Seconds())
-	if e.Code == Miss || e.Code == NotSent || r.class.Read == Write && e.Code.NeverRan() {
+	price := min(1, minRetryCost+2*e.Elapsed.Seconds()/r.class.LatencyObjective.Seconds())
+	if e.Code == Misdirected || e.Code == NotSent || r.class.Access == Write && e.Code.NeverRan() {
 		price = 0 // it cost no host anything; what came too late to be sent is chosen for anew
 	}
-	if !c.repeatable(r) || c.budget < price {
-		c.end(r)
+	if !c.canRetry(r) || c.retryBudget < price {
+		c.giveUp(r)
 		return
 	}
-	c.budget -= price
+	c.retryBudget -= price
 	c.dispatch(r)
 }
 
-// judge updates what a member's behaviour says of it.
-func (c *Choice) judge(m *member, a *attempt, r *request, e *Event) {
+// judgeAttempt updates what a member's behaviour says of it.
+func (c *Router) judgeAttempt(m *member, a *attempt, r *request, e *Event) {
 	// While many attempts fail to connect at once, hosts are out of connections: most routers close theirs.
-	m.open = m.open || e.Code == OK || e.Code == Miss
-	c.crowded -= c.crowded / 16
-	if e.Code == NoConnection && e.Elapsed < lateFloor {
-		c.crowded += 1.0 / 16
+	m.connected = m.connected || e.Code == OK || e.Code == Misdirected
+	c.connectFailures -= c.connectFailures / 16
+	if e.Code == NoConnection && e.Elapsed < minLatency {
+		c.connectFailures += 1.0 / 16
 	}
-	if m.open && m.inflight == 0 && c.crowded > crowdAt && c.rng.Float64() > keepMost/float64(c.cfg.Routers) {
-		m.open = false
-		c.out = append(c.out, Action{Kind: ActClose, Host: m.host})
+	if m.connected && m.inFlight == 0 && c.connectFailures > connectFailureThreshold && c.rng.Float64() > maxIdleConns/float64(c.cfg.RouterCount) {
+		m.connected = false
+		c.actions = append(c.actions, Action{Kind: ActCloseIdle, Host: m.host})
 	}
-	aims, s := e.Elapsed.Seconds()/r.class.Aim.Seconds(), r.side(m)
+	aims, s := e.Elapsed.Seconds()/r.class.LatencyObjective.Seconds(), r.admission(m)
 	switch e.Code {
-	case OK, Miss:
-		m.lastAnswer = c.now
-	case Error, NoConnection:
-		aims, m.open = failure, e.Code == Error
+	case OK, Misdirected:
+		m.answeredAt = c.now
+	case ServerError, NoConnection:
+		aims, m.connected = faultScore, e.Code == ServerError
 	case ConnectionLost: // if the host is dead, the next will not even connect
-		aims, m.open = mishap, false
-	case Spoilt:
-		aims, m.lastAnswer = mishap, c.now
+		aims, m.connected = transientFaultScore, false
+	case Malformed:
+		aims, m.answeredAt = transientFaultScore, c.now
 	case NoAnswer:
 		// One alone may be a costly request, at a slow host often; a dead one is silent, or refuses the next.
-		if aims = max(1, aims); m.lastAnswer <= a.sent { // else it answered others meanwhile: busy
-			aims = mishap
-		}
-		c.adjust(m, -limitCut)
-		c.lost(s)
-	case Full: // even the answer cost it something: leave it alone for about an answer's time
-		m.restTill = c.now + time.Duration((1+c.rng.Float64())*float64(max(c.latency, lateFloor)))
-		c.adjust(m, -limitCut)
-		c.press(s, 0.5)
+		if aims = max(1, aims); m.answeredAt <= a.sentAt { // else it answered others meanwhile: busy
+			aims = transientFaultScore
+		}
+		c.adjustLimit(m, -limitDecrease)
+		c.recordLost(s)
+	case Rejected: // even the answer cost it something: leave it alone for about an answer's time
+		m.backoffUntil = c.now + time.Duration((1+c.rng.Float64())*float64(max(c.meanLatency, minLatency)))
+		c.adjustLimit(m, -limitDecrease)
+		c.raiseShedding(s, 0.5)
 		return
 	default:
 		return
 	}
-	if e.Code != Miss {
-		c.took(m, aims)
+	if e.Code != Misdirected {
+		c.recordScore(m, aims)
 	}
 	if e.Code == OK {
-		c.latency = smooth(c.latency, e.Elapsed)
-		r.class.latency = smooth(r.class.latency, e.Elapsed)
-		r.class.work = min(e.Elapsed, r.class.work+max(r.class.work/64, time.Millisecond))
+		c.meanLatency = smoothLatency(c.meanLatency, e.Elapsed)
+		r.class.latency = smoothLatency(r.class.latency, e.Elapsed)
+		r.class.serviceTime = min(e.Elapsed, r.class.serviceTime+max(r.class.serviceTime/64, time.Millisecond))
 		quick := 0.0
-		if e.Elapsed > r.class.Aim*3/4 {
-			c.press(s, 0.5)
+		if e.Elapsed > r.class.LatencyObjective*3/4 {
+			c.raiseShedding(s, 0.5)
 		} else {
 			quick = 1
-			s.shed = max(0, s.shed-shedStep)
+			s.shedFraction = max(0, s.shedFraction-shedDecrease)
 		}
-		s.quick += (quick - s.quick) / 8
-		if e.Elapsed > r.class.Aim/2 {
-			c.adjust(m, -limitCut)
-		} else if float64(m.inflight+1) >= m.limit/2 {
-			c.adjust(m, limitStep)
+		s.inTimeFraction += (quick - s.inTimeFraction) / 8
+		if e.Elapsed > r.class.LatencyObjective/2 {
+			c.adjustLimit(m, -limitDecrease)
+		} else if float64(m.inFlight+1) >= m.limit/2 {
+			c.adjustLimit(m, limitIncrease)
 		}
 	}
 }
 
-func (c *Choice) room(m *member) bool {
-	return float64(m.inflight) < m.limit && c.now >= m.restTill
+func (c *Router) hasCapacity(m *member) bool {
+	return float64(m.inFlight) < m.limit && c.now >= m.backoffUntil
 }
 
-// adjust moves a member's in-flight limit. It settles where a sixth of the answers take over half of their
+// adjustLimit moves a member's in-flight limit. It settles where a sixth of the answers take over half of their
 // aim, so queues stay with the routers. Could harm a class whose work alone takes half of its aim.
-func (c *Choice) adjust(m *member, by float64) {
+func (c *Router) adjustLimit(m *member, by float64) {
 	m.limit = max(1, m.limit+by, m.limit*(1+min(0, by)))
-	if m.hope *= max(0, 1+min(0, 2*by)); by > 0 { // what held before the start is taken up again by proof
-		m.limit = max(m.limit, min(m.hope, 2*m.limit))
+	if m.restoredLimit *= max(0, 1+min(0, 2*by)); by > 0 { // what held before the start is taken up again by proof
+		m.limit = max(m.limit, min(m.restoredLimit, 2*m.limit))
 	}
 }
 
-// press moves the part of a group's requests that is shed: up when answers come late, or not at all while
+// raiseShedding moves the part of a group's requests that is shed: up when answers come late, or not at all while
 // those that do are slow: an overload, not a hang. Could harm where slowness is one member's.
-func (c *Choice) press(s *side, weight float64) {
-	weight *= max(0, 1-shedFrom/float64(c.cfg.Routers))
-	s.shed = min(shedMost, s.shed+weight*shedCut*(1-s.shed))
+func (c *Router) raiseShedding(s *admission, weight float64) {
+	weight *= max(0, 1-shedMinRouters/float64(c.cfg.RouterCount))
+	s.shedFraction = min(maxShedFraction, s.shedFraction+weight*shedIncrease*(1-s.shedFraction))
 }
 
-// lost notes an attempt that brought no answer in time.
-func (c *Choice) lost(s *side) {
-	s.quick -= s.quick / 8
-	c.press(s, (1-s.quick)*(1-s.quick))
+// recordLost notes an attempt that brought no answer in time.
+func (c *Router) recordLost(s *admission) {
+	s.inTimeFraction -= s.inTimeFraction / 8
+	c.raiseShedding(s, (1-s.inTimeFraction)*(1-s.inTimeFraction))
 }
 
-func (r *request) side(m *member) *side {
-	if m == r.group.primary() || r.class.Read >= Fresh {
-		return &r.group.sides[1]
+func (r *request) admission(m *member) *admission {
+	if m == r.group.primary() || r.class.Access >= StrongRead {
+		return &r.group.admissions[1]
 	}
-	return &r.group.sides[0]
+	return &r.group.admissions[0]
 }
 
-func smooth(old, x time.Duration) time.Duration {
+func smoothLatency(old, x time.Duration) time.Duration {
 	old = cmp.Or(old, x)
 	return old + (x-old)/8
 }
 
-// remember keeps a session's last commit. Old ones become a floor that all sessions of the group must meet.
-func (c *Choice) remember(g *group, key uint64, at time.Duration) {
+// recordCommit keeps a session's last commit. Old ones become a floor that all sessions of the group must meet.
+func (c *Router) recordCommit(g *group, key uint64, at time.Duration) {
 	g.commits[key] = max(g.commits[key], at)
-	g.order = append(g.order, commit{key, at})
-	for len(g.order) > 0 && (len(g.order) > sessionMax || g.order[0].at <= c.now-sessionKeep) {
-		old := g.order[0]
-		g.order = g.order[1:]
+	g.commitOrder = append(g.commitOrder, sessionCommit{key, at})
+	for len(g.commitOrder) > 0 && (len(g.commitOrder) > maxCommits || g.commitOrder[0].at <= c.now-commitRetention) {
+		old := g.commitOrder[0]
+		g.commitOrder = g.commitOrder[1:]
 		if g.commits[old.key] <= old.at { // else a later commit of the session stands further back
-			g.floor = max(g.floor, old.at)
+			g.commitFloor = max(g.commitFloor, old.at)
 			delete(g.commits, old.key)
 		}
 	}
 }
 
-// fresh is the position test: has this member proven the position that the read needs?
-func (c *Choice) fresh(m *member, r *request) bool {
-	return r.class.Read < Fresh && m.position >= c.need(r)
+// provesPosition is the position test: has this member proven the position that the read needs?
+func (c *Router) provesPosition(m *member, r *request) bool {
+	return r.class.Access < StrongRead && m.position >= c.requiredPosition(r)
 }
 
-// nearly says that a read is worth a try at a member that checks for itself: it may be there, or soon be.
-func (c *Choice) nearly(m *member, r *request) bool {
-	if c.cfg.Checks == NoChecks {
+// mayCatchUp says that a read is worth a try at a member that checks for itself: it may be there, or soon be.
+func (c *Router) mayCatchUp(m *member, r *request) bool {
+	if c.cfg.StalenessCheck == CheckNone {
 		return false
 	}
-	return m.position == 0 || m.position+(c.now-m.heard)+c.cfg.CatchUp/2 >= c.need(r)
+	return m.position == 0 || m.position+(c.now-m.positionAt)+c.cfg.CatchUpWait/2 >= c.requiredPosition(r)
 }
 
-// need is the position that a read wants of a replica now; 0: any will do.
-func (c *Choice) need(r *request) time.Duration {
-	switch r.class.Read {
-	case Bounded:
-		return max(1, c.now-r.class.Bound+margin)
-	case Fresh:
-		return r.arrived
+// requiredPosition is the position that a read wants of a replica now; 0: any will do.
+func (c *Router) requiredPosition(r *request) time.Duration {
+	switch r.class.Access {
+	case BoundedRead:
+		return max(1, c.now-r.class.StalenessBound+positionMargin)
+	case StrongRead:
+		return r.arrivedAt
 	}
-	return r.need
+	return r.minPosition
 }
 
-// silent: work lies there and nothing has come back for far longer than is usual for the shortest of it.
-func (c *Choice) silent(m *member) bool {
-	if m.inflight == 0 || c.now-m.quiet <= silentFloor {
+// isSilent: work lies there and nothing has come back for far longer than is usual for the shortest of it.
+func (c *Router) isSilent(m *member) bool {
+	if m.inFlight == 0 || c.now-m.waitingSince <= minSilence {
 		return false
 	}
 	usual := time.Duration(math.MaxInt64) / 8
-	for i, n := range m.out {
+	for i, n := range m.inFlightByClass {
 		if n > 0 {
-			usual = min(usual, max(c.latency, c.classes[i].latency, lateFloor))
+			usual = min(usual, max(c.meanLatency, c.classes[i].latency, minLatency))
 		}
 	}
-	return c.now-m.quiet > 4*usual
+	return c.now-m.waitingSince > 4*usual
 }
 
-// sound says whether a member gets work as usual: not while it is silent, nor while its last attempts failed.
+// isHealthy says whether a member gets work as usual: not while it is silent, nor while its last attempts failed.
 // That fades, so one is tried again every few seconds, with one request at a time until it has done well.
-func (c *Choice) sound(m *member) bool {
-	return !c.silent(m) && c.cost(m) < avoidAt && (m.took < avoidAt || m.inflight == 0)
+func (c *Router) isHealthy(m *member) bool {
+	return !c.isSilent(m) && c.outlierScore(m) < outlierThreshold && (m.score < outlierThreshold || m.inFlight == 0)
 }
 
-// ration is how many times its part of what comes in a member may get: a cold one part of the multiple that
+// slowStartRatio is how many times its part of what comes in a member may get: a cold one part of the multiple that
 // it can stand, of the capacity that it was sure to have when a fall time that ends now began.
-func (c *Choice) ration(m *member) float64 {
-	age := c.now - m.started
-	if m.started == 0 || age >= c.cfg.ColdRamp {
+func (c *Router) slowStartRatio(m *member) float64 {
+	age := c.now - m.startedAt
+	if m.startedAt == 0 || age >= c.cfg.SlowStartDuration {
 		return math.Inf(1)
 	}
-	share := c.cfg.ColdFrom + (1-c.cfg.ColdFrom)*float64(max(0, age-c.cfg.FallTime))/float64(c.cfg.ColdRamp)
-	return coldShare * max(1, c.cfg.FallFactor) * share
+	share := c.cfg.SlowStartFloor + (1-c.cfg.SlowStartFloor)*float64(max(0, age-c.cfg.OverloadWindow))/float64(c.cfg.SlowStartDuration)
+	return slowStartSafety * max(1, c.cfg.OverloadFactor) * share
 }
 
-// admits is the slow start. The far digits of a request's lot name one replica, and it may go there if the
+// passesSlowStart is the slow start. The far digits of a request's lot name one replica, and it may go there if the
 // lot is below the ration: a cold member gets no more than that of its part, whatever else qualifies, is open
 // or fails. At a cold primary writes go first, each with two lots at the most, and reads have what they leave
 // of its part. So all routers together stay bounded by what comes in. Harms a group that is cold as a whole.
-func (c *Choice) admits(m *member, r *request) bool {
-	ration, p := c.ration(m), r.group.primary()
+func (c *Router) passesSlowStart(m *member, r *request) bool {
+	ration, p := c.slowStartRatio(m), r.group.primary()
 	if math.IsInf(ration, 1) {
 		return true
 	}
 	ms := slices.DeleteFunc(slices.Clone(r.group.members), func(o *member) bool {
-		return !o.listed || o == p // those that left are kept for a while, and take no part
+		return !o.active || o == p // those that left are kept for a while, and take no part
 	})
 	part := 1 / float64(max(1, len(ms)))
 	if m != p {
-		name := int(math.Mod(r.luck, 1) * math.MaxInt32)
-		return float64((name+slices.Index(ms, m))%len(ms))+r.luck < ration
-	} else if r.class.Read >= Fresh {
-		return r.luck < ration*min(1, part/2/c.writes)
+		name := int(math.Mod(r.sample, 1) * math.MaxInt32)
+		return float64((name+slices.Index(ms, m))%len(ms))+r.sample < ration
+	} else if r.class.Access >= StrongRead {
+		return r.sample < ration*min(1, part/2/c.writeFraction)
 	}
-	return r.luck < ration*(part-c.writes)
+	return r.sample < ration*(part-c.writeFraction)
 }
 
-func tried(r *request, m *member) bool {
-	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == m })
+func attempted(r *request, m *member) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.member == m })
 }
 
-// cost is what an attempt at a member lately took, in aims of its class; with no recent one, the mean.
-func (c *Choice) cost(m *member) float64 {
-	return c.meanTook + (m.took-c.meanTook)*max(0, 1-(c.now-m.tookAt).Seconds()/tookKeep)
+// outlierScore is what an attempt at a member lately took, in aims of its class; with no recent one, the mean.
+func (c *Router) outlierScore(m *member) float64 {
+	return c.meanScore + (m.score-c.meanScore)*max(0, 1-(c.now-m.scoredAt).Seconds()/scoreRetention)
 }
 
-// took notes it, the heavier the longer ago the last one was.
-func (c *Choice) took(m *member, aims float64) {
-	weight := min(0.5, max(0.125, (c.now-m.tookAt).Seconds()/2))
-	m.took, m.tookAt = c.cost(m)+weight*(aims-c.cost(m)), c.now
-	c.meanTook += (aims - c.meanTook) / 16
+// recordScore notes it, the heavier the longer ago the last one was.
+func (c *Router) recordScore(m *member, aims float64) {
+	weight := min(0.5, max(0.125, (c.now-m.scoredAt).Seconds()/2))
+	m.score, m.scoredAt = c.outlierScore(m)+weight*(aims-c.outlierScore(m)), c.now
+	c.meanScore += (aims - c.meanScore) / 16
 }
 
-// draw picks uniformly two of the members and takes the one with fewer of this router's requests in flight.
+// pickOfTwo picks uniformly two of the members and takes the one with fewer of this router's requests in flight.
 // Of many routers no host can afford a connection each, so most draws are among open ones.
-func (c *Choice) draw(ms []*member) *member {
-	if c.cfg.Routers > shedFrom && c.rng.Float64() >= explore {
+func (c *Router) pickOfTwo(ms []*member) *member {
+	if c.cfg.RouterCount > shedMinRouters && c.rng.Float64() >= exploreFraction {
 		open := slices.DeleteFunc(slices.Clone(ms), func(m *member) bool {
-			return c.ration(m) >= 1 && (!m.open || c.now-m.lastSent >= c.cfg.ConnIdle)
+			return c.slowStartRatio(m) >= 1 && (!m.connected || c.now-m.sentAt >= c.cfg.ConnIdleTimeout)
 		})
 		if len(open) > 0 {
 			ms = open
@@ -697,41 +697,41 @@
 		return append(ms, nil)[0]
 	}
 	i, j := c.rng.IntN(len(ms)), c.rng.IntN(len(ms)-1)
-	if k := slices.IndexFunc(ms, func(m *member) bool { return c.ration(m) < 1 }); k >= 0 {
+	if k := slices.IndexFunc(ms, func(m *member) bool { return c.slowStartRatio(m) < 1 }); k >= 0 {
 		i = k // the lot has named it
 	}
 	if j >= i {
 		j++
 	}
 	m, o := ms[i], ms[j]
-	if o.inflight < m.inflight || o.inflight == m.inflight && c.cost(o) < c.cost(m)-farLess {
+	if o.inFlight < m.inFlight || o.inFlight == m.inFlight && c.outlierScore(o) < c.outlierScore(m)-scoreMargin {
 		return o
 	}
 	return m
 }
 
-// replica chooses for a read: qualifying replicas, those that check for themselves, one that a probe may
+// chooseReplica chooses for a read: qualifying replicas, those that check for themselves, one that a probe may
 // prove, the primary, then members that look bad. nil: nobody now.
-func (c *Choice) replica(r *request) *member {
+func (c *Router) chooseReplica(r *request) *member {
 	p := r.group.primary()
-	if p != nil && p.hearsay {
+	if p != nil && p.unconfirmedPrimary {
 		p = nil // no read rests on that; it may be asked, and a write finds out by itself
 	}
 	var good, near, bad, unknown, doubtful []*member
 	busy := false // some replica qualifies but has no room
 	for _, m := range r.group.members {
-		if !m.listed || m == p || tried(r, m) {
+		if !m.active || m == p || attempted(r, m) {
 			continue
 		}
-		sound, fresh := c.sound(m), c.fresh(m, r)
+		sound, fresh := c.isHealthy(m), c.provesPosition(m, r)
 		switch {
-		case !c.room(m):
+		case !c.hasCapacity(m):
 			busy = busy || sound && fresh
 		case fresh && sound:
 			good = append(good, m)
 		case fresh:
 			bad = append(bad, m)
-		case sound && c.nearly(m, r) && len(r.attempts) == 0:
+		case sound && c.mayCatchUp(m, r) && len(r.attempts) == 0:
 			near = append(near, m)
 		case sound:
 			unknown = append(unknown, m)
@@ -739,25 +739,25 @@
 			doubtful = append(doubtful, m)
 		}
 	}
-	if r.class.Read == Any { // a long query stops the log: run it where that costs least, the furthest behind
+	if r.class.Access == EventualRead { // a long query stops the log: run it where that costs least, the furthest behind
 		slices.SortStableFunc(good, func(a, b *member) int { return cmp.Compare(a.position, b.position) })
-		if len(good) > 0 && good[0].heard-good[0].position >= c.tightest {
+		if len(good) > 0 && good[0].positionAt-good[0].position >= c.tightestBound {
 			good = good[:1]
 		}
 	}
 	for _, ms := range []*[]*member{&good, &near, &bad, &unknown, &doubtful} {
-		*ms = slices.DeleteFunc(*ms, func(m *member) bool { return !c.admits(m, r) })
+		*ms = slices.DeleteFunc(*ms, func(m *member) bool { return !c.passesSlowStart(m, r) })
 	}
-	if m := cmp.Or(c.draw(good), c.draw(near)); m != nil {
+	if m := cmp.Or(c.pickOfTwo(good), c.pickOfTwo(near)); m != nil {
 		return m
 	}
-	sound := p != nil && c.sound(p)
-	if c.ask(r, unknown) || !sound && len(bad) == 0 && c.ask(r, doubtful) {
+	sound := p != nil && c.isHealthy(p)
+	if c.awaitProbe(r, unknown) || !sound && len(bad) == 0 && c.awaitProbe(r, doubtful) {
 		return nil
 	}
-	m := c.draw(bad)
-	if p != nil && !c.silent(p) && c.admits(p, r) && float64(p.inflight) < primaryShare*p.limit &&
-		!tried(r, p) && (sound || m == nil && !busy) { // suspect or not: there may be no other
+	m := c.pickOfTwo(bad)
+	if p != nil && !c.isSilent(p) && c.passesSlowStart(p, r) && float64(p.inFlight) < primaryReadFraction*p.limit &&
+		!attempted(r, p) && (sound || m == nil && !busy) { // suspect or not: there may be no other
 		return p
 	} else if sound || busy {
 		return nil // held: going on by the draw is for when all look bad
@@ -766,241 +766,241 @@
 }
 
 // dispatch sends a request on, or leaves it held for the next upkeep, or ends it.
-func (c *Choice) dispatch(r *request) {
-	late := c.now >= r.deadline-endGuard || // or not to be had in time, and worth nothing late:
-		r.class.LateShare == 0 && c.now+min(r.class.latency, (r.aim-r.arrived)*3/4) >= r.aim
+func (c *Router) dispatch(r *request) {
+	late := c.now >= r.deadline-answerMargin || // or not to be had in time, and worth nothing late:
+		r.class.LateFraction == 0 && c.now+min(r.class.latency, (r.objectiveAt-r.arrivedAt)*3/4) >= r.objectiveAt
 	// So is a read that never went out by half of its time: its client has the rest for elsewhere.
-	half := r.arrived + (r.deadline-r.arrived)/2 - endGuard
-	late = late || r.class.Read != Write && len(r.attempts) == 0 && c.now >= half
-	if late || len(r.attempts) >= c.cfg.MaxAttempts || !c.repeatable(r) {
-		c.end(r)
+	half := r.arrivedAt + (r.deadline-r.arrivedAt)/2 - answerMargin
+	late = late || r.class.Access != Write && len(r.attempts) == 0 && c.now >= half
+	if late || len(r.attempts) >= c.cfg.MaxAttempts || !c.canRetry(r) {
+		c.giveUp(r)
 		return
 	}
-	if r.class.Read != Write && r.class.Read != Fresh {
-		if m := c.replica(r); m != nil {
+	if r.class.Access != Write && r.class.Access != StrongRead {
+		if m := c.chooseReplica(r); m != nil {
 			c.send(r, m)
 		}
-	} else if p := r.group.primary(); p == nil && r.class.Read == Write {
-		c.search(r)
-	} else if p == nil || p.hearsay && r.class.Read == Fresh {
+	} else if p := r.group.primary(); p == nil && r.class.Access == Write {
+		c.searchPrimary(r)
+	} else if p == nil || p.unconfirmedPrimary && r.class.Access == StrongRead {
 		for _, m := range r.group.members { // a fresh read waits for the primary: ask who it is
-			if c.cfg.Probes && c.cfg.ReportX1 && m.listed && c.now-m.probed >= pause/2 {
-				c.ping(m)
+			if c.cfg.ProbesAllowed && c.cfg.ReportsRole && m.active && c.now-m.probedAt >= retryBackoff/2 {
+				c.probe(m)
 			}
 		}
-	} else if !c.silent(p) && c.room(p) && c.admits(p, r) { // suspect or not: there is no other
+	} else if !c.isSilent(p) && c.hasCapacity(p) && c.passesSlowStart(p, r) { // suspect or not: there is no other
 		c.send(r, p)
 	}
-	if r.live == 0 && !r.held {
-		r.held = true
-		c.held = append(c.held, r)
+	if r.inFlight == 0 && !r.queued {
+		r.queued = true
+		c.queue = append(c.queue, r)
 	}
 }
 
-// search lets one write at a time try the members; a miss proves that nothing ran. What was proven a
+// searchPrimary lets one write at a time try the members; a miss proves that nothing ran. What was proven a
 // replica longest ago comes first, at par by lot, so that routers don't all begin with the same host.
-func (c *Choice) search(r *request) {
+func (c *Router) searchPrimary(r *request) {
 	g := r.group
-	s := g.scout // it searches until its attempt is answered, or lies at a silent member
-	if s != nil && s.live > 0 && !c.silent(s.attempts[len(s.attempts)-1].to) || c.now < g.searchAt {
+	s := g.searcher // it searches until its attempt is answered, or lies at a silent member
+	if s != nil && s.inFlight > 0 && !c.isSilent(s.attempts[len(s.attempts)-1].member) || c.now < g.searchAfter {
 		return
 	}
 	var next *member
 	for _, i := range c.rng.Perm(len(g.members)) {
 		m := g.members[i]
-		if !m.listed || c.silent(m) || !c.room(m) || !c.admits(m, r) {
+		if !m.active || c.isSilent(m) || !c.hasCapacity(m) || !c.passesSlowStart(m, r) {
 			continue
 		}
-		if next == nil || m.otherAt < next.otherAt || m.otherAt == next.otherAt && m.wasPrimary {
+		if next == nil || m.notPrimaryAt < next.notPrimaryAt || m.notPrimaryAt == next.notPrimaryAt && m.wasPrimary {
 			next = m
 		}
 	}
-	if next != nil && next.otherAt > 0 && next.otherAt >= g.searchFrom { // the round is over
-		g.searchFrom, g.searchAt = c.now+searchPause, c.now+searchPause
+	if next != nil && next.notPrimaryAt > 0 && next.notPrimaryAt >= g.searchStartedAt { // the round is over
+		g.searchStartedAt, g.searchAfter = c.now+searchBackoff, c.now+searchBackoff
 	} else if next != nil {
-		g.scout = r
+		g.searcher = r
 		c.send(r, next)
 	}
 }
 
-// Still says whether an attempt that was chosen a while ago may be written now. If not, it is NotSent.
-func (c *Choice) Still(now time.Duration, id string, attempt int) bool {
+// Revalidate says whether an attempt that was chosen a while ago may be written now. If not, it is NotSent.
+func (c *Router) Revalidate(now time.Duration, id string, attempt int) bool {
 	c.now = max(now, c.now)
-	r := c.reqs[id]
-	if r == nil || r.over || attempt < 0 || attempt >= len(r.attempts) || c.now >= r.deadline-endGuard {
+	r := c.requests[id]
+	if r == nil || r.finished || attempt < 0 || attempt >= len(r.attempts) || c.now >= r.deadline-answerMargin {
 		return false
 	}
-	m, p := r.attempts[attempt].to, r.group.primary()
+	m, p := r.attempts[attempt].member, r.group.primary()
 	switch {
-	case !m.listed || !c.repeatable(r):
+	case !m.active || !c.canRetry(r):
 		return false
-	case r.class.Read == Write:
+	case r.class.Access == Write:
 		return m == p || p == nil // it may search, a read must know
 	}
-	return m == p && !p.hearsay || r.class.Read != Fresh && (c.fresh(m, r) || c.nearly(m, r))
+	return m == p && !p.unconfirmedPrimary || r.class.Access != StrongRead && (c.provesPosition(m, r) || c.mayCatchUp(m, r))
 }
 
-// Listed says whether new work, probes included, may go to a host.
-func (c *Choice) Listed(host string) bool {
+// IsActive says whether new work, probes included, may go to a host.
+func (c *Router) IsActive(host string) bool {
 	m := c.members[host]
-	return m != nil && m.listed
+	return m != nil && m.active
 }
 
-func (c *Choice) send(r *request, m *member) {
+func (c *Router) send(r *request, m *member) {
 	var timeout time.Duration
-	if r.class.LateShare == 0 {
-		timeout = max(r.aim-c.now-endGuard, endGuard)
+	if r.class.LateFraction == 0 {
+		timeout = max(r.objectiveAt-c.now-answerMargin, answerMargin)
 	}
-	if r.class.Effect == Keyed {
-		timeout = min(max(8*c.latency, r.class.Aim), r.window-c.now) // what is still queued then must not run
+	if r.class.Idempotency == Deduplicated {
+		timeout = min(max(8*c.meanLatency, r.class.LatencyObjective), r.dedupDeadline-c.now) // what is still queued then must not run
 	}
-	if m.inflight == 0 {
-		m.quiet = c.now
+	if m.inFlight == 0 {
+		m.waitingSince = c.now
 	}
-	m.lastSent = c.now
-	m.inflight++
-	m.out[r.class.index]++
-	r.attempts = append(r.attempts, attempt{to: m, sent: c.now, live: true})
-	r.live++
-	c.out = append(c.out, Action{Kind: ActSend, ID: r.id, Host: m.host, Timeout: timeout, Need: c.need(r)})
+	m.sentAt = c.now
+	m.inFlight++
+	m.inFlightByClass[r.class.index]++
+	r.attempts = append(r.attempts, attempt{member: m, sentAt: c.now, pending: true})
+	r.inFlight++
+	c.actions = append(c.actions, Action{Kind: ActSend, ID: r.id, Host: m.host, Timeout: timeout, MinPosition: c.requiredPosition(r)})
 }
 
-func (c *Choice) repeatable(r *request) bool {
-	switch r.class.Effect {
-	case Safe:
+func (c *Router) canRetry(r *request) bool {
+	switch r.class.Idempotency {
+	case Idempotent:
 		return true
-	case Keyed:
-		return !r.ran || r.class.Scope != ScopeZone && c.now+max(r.class.latency, lateFloor) < r.window
+	case Deduplicated:
+		return !r.mayHaveRun || r.class.Scope != ScopeZone && c.now+max(r.class.latency, minLatency) < r.dedupDeadline
 	}
-	return !r.ran
+	return !r.mayHaveRun
 }
 
-// close ends a request and calls off what is still out.
-func (c *Choice) close(r *request, kept bool) {
-	if k := r.class; !r.again && !r.over {
-		k.tries = min(k.tries+1, keptSpan)
-		k.kept -= k.kept / k.tries
+// finish ends a request and calls off what is still out.
+func (c *Router) finish(r *request, kept bool) {
+	if k := r.class; !r.isRetry && !r.finished {
+		k.samples = min(k.samples+1, maxSamples)
+		k.inTimeFraction -= k.inTimeFraction / k.samples
 		if kept {
-			k.kept += 1 / k.tries
+			k.inTimeFraction += 1 / k.samples
 		}
-		if !kept && (c.worst == nil || k.kept < c.worst.kept) {
-			c.worst = k
+		if !kept && (c.worstClass == nil || k.inTimeFraction < c.worstClass.inTimeFraction) {
+			c.worstClass = k
 		}
 	}
-	r.over = true
+	r.finished = true
 	for i, a := range r.attempts {
-		if a.live && c.cfg.Cancel && r.class.Effect == Safe {
-			c.out = append(c.out, Action{Kind: ActCancel, ID: r.id, Attempt: i})
+		if a.pending && c.cfg.CancelAllowed && r.class.Idempotency == Idempotent {
+			c.actions = append(c.actions, Action{Kind: ActCancel, ID: r.id, Attempt: i})
 		}
 	}
-	if r.live == 0 {
-		delete(c.reqs, r.id)
+	if r.inFlight == 0 {
+		delete(c.requests, r.id)
 	}
 }
 
-// end gives the final answer at once: a refusal where a retry is harmless, else a failure.
-func (c *Choice) end(r *request) {
-	safe := r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Scope == ScopeAll
-	if safe || !r.ran && r.live == 0 { // a quick return would come to the same queue, or for nothing: say so
-		after := min(2*max(c.latency, lateFloor), c.cfg.MaxRetryAfter)
-		if r.class.LateShare == 0 || r.class.Read >= Fresh && r.group.primary() == nil {
+// giveUp gives the final answer at once: a refusal where a retry is harmless, else a failure.
+func (c *Router) giveUp(r *request) {
+	safe := r.class.Idempotency == Idempotent || r.class.Idempotency == Deduplicated && r.class.Scope == ScopeAll
+	if safe || !r.mayHaveRun && r.inFlight == 0 { // a quick return would come to the same queue, or for nothing: say so
+		after := min(2*max(c.meanLatency, minLatency), c.cfg.MaxRetryAfter)
+		if r.class.LateFraction == 0 || r.class.Access >= StrongRead && r.group.primary() == nil {
 			after = c.cfg.MaxRetryAfter
 		}
-		c.out = append(c.out, Action{Kind: ActRefuse, ID: r.id, After: after})
+		c.actions = append(c.actions, Action{Kind: ActReject, ID: r.id, RetryAfter: after})
 	} else {
-		c.out = append(c.out, Action{Kind: ActFail, ID: r.id})
+		c.actions = append(c.actions, Action{Kind: ActFail, ID: r.id})
 	}
-	c.close(r, false)
+	c.finish(r, false)
 }
 
-// value is what a second of work on a request brings; the worst-served class counts once more by itself.
-func (c *Choice) value(r *request) float64 {
-	worth := r.worth
-	if r.class == c.worst && !r.again {
-		worth *= 1 + c.cfg.WorstClass*c.asked/r.class.asked
+// valuePerSecond is what a second of work on a request brings; the worst-served class counts once more by itself.
+func (c *Router) valuePerSecond(r *request) float64 {
+	worth := r.weight
+	if r.class == c.worstClass && !r.isRetry {
+		worth *= 1 + c.cfg.WorstClassWeight*c.offeredWeight/r.class.offeredWeight
 	}
-	if c.now+r.class.latency > r.aim {
-		worth *= r.class.LateShare
+	if c.now+r.class.latency > r.objectiveAt {
+		worth *= r.class.LateFraction
 	}
-	return worth / max(r.class.work, time.Millisecond).Seconds()
+	return worth / max(r.class.serviceTime, time.Millisecond).Seconds()
 }
 
-func (c *Choice) upkeep() {
-	c.tickAt = c.now + max(upkeep, c.cfg.Tick)
-	c.held = slices.DeleteFunc(c.held, func(r *request) bool {
-		r.held = !r.over && r.live == 0
-		return !r.held
+func (c *Router) tick() {
+	c.tickAt = c.now + max(tickInterval, c.cfg.MinTickInterval)
+	c.queue = slices.DeleteFunc(c.queue, func(r *request) bool {
+		r.queued = !r.finished && r.inFlight == 0
+		return !r.queued
 	})
 	// By value, then newest first: under overload the old ones are the least likely to be in time.
-	slices.SortStableFunc(c.held, func(a, b *request) int {
-		return cmp.Or(cmp.Compare(c.value(b), c.value(a)), cmp.Compare(b.arrived, a.arrived))
+	slices.SortStableFunc(c.queue, func(a, b *request) int {
+		return cmp.Or(cmp.Compare(c.valuePerSecond(b), c.valuePerSecond(a)), cmp.Compare(b.arrivedAt, a.arrivedAt))
 	})
-	for _, r := range c.held {
-		switch at := c.rng.Float64() * float64(r.deadline-r.arrived); {
-		case at < float64(c.tickAt-c.now) && !r.again: // one more lot in its time
-			r.luck = c.rng.Float64()
-		case c.now >= r.askedAt+askWait: // one that can't be used now is lost: nothing is saved up
-			r.luck = 1 + math.Mod(r.luck, 1)
+	for _, r := range c.queue {
+		switch at := c.rng.Float64() * float64(r.deadline-r.arrivedAt); {
+		case at < float64(c.tickAt-c.now) && !r.isRetry: // one more lot in its time
+			r.sample = c.rng.Float64()
+		case c.now >= r.probedAt+probeAnswerWait: // one that can't be used now is lost: nothing is saved up
+			r.sample = 1 + math.Mod(r.sample, 1)
 		}
 		c.dispatch(r)
 	}
-	if c.retryAt > 0 && c.now >= c.retryAt {
-		c.retryAt = 0
-		c.out = append(c.out, Action{Kind: ActSubscribe})
+	if c.resubscribeAt > 0 && c.now >= c.resubscribeAt {
+		c.resubscribeAt = 0
+		c.actions = append(c.actions, Action{Kind: ActSubscribe})
 	}
 }
 
-// ask lets a read for which no replica is known to qualify wait for the probe of one that may.
-func (c *Choice) ask(r *request, ms []*member) bool {
-	if r.asked != nil && r.asked.probing && c.now < r.askedAt+askWait {
+// awaitProbe lets a read for which no replica is known to qualify wait for the probe of one that may.
+func (c *Router) awaitProbe(r *request, ms []*member) bool {
+	if r.probed != nil && r.probed.probePending && c.now < r.probedAt+probeAnswerWait {
 		return true
 	}
-	if !c.cfg.Probes || !c.cfg.ReportX0 || c.cfg.Checks != NoChecks || r.asks >= askMost {
+	if !c.cfg.ProbesAllowed || !c.cfg.ReportsPosition || c.cfg.StalenessCheck != CheckNone || r.probeCount >= maxProbesPerRead {
 		return false
 	}
 	p := r.group.primary() // with none to fall back on, a read that waits costs more than a probe
-	var ranks [hopeless + 1][]*member
+	var ranks [unreachable + 1][]*member
 	for _, m := range ms {
-		if m != r.asked && (m.probing || c.now-m.probed >= askAgain) {
-			k := c.behind(m, r)
+		if m != r.probed && (m.probePending || c.now-m.probedAt >= reprobeAfter) {
+			k := c.paceOf(m, r)
 			ranks[k] = append(ranks[k], m)
 		}
 	}
 	likely := ranks[0]
-	if c.rng.Float64() < explore { // else those that are known would keep the others unknown
+	if c.rng.Float64() < exploreFraction { // else those that are known would keep the others unknown
 		likely = append(likely, ranks[1]...)
 	}
-	for k := 1; len(likely) == 0 && k <= hopeless && (k < hopeless || p == nil); k++ {
+	for k := 1; len(likely) == 0 && k <= unreachable && (k < unreachable || p == nil); k++ {
 		likely = ranks[k]
 	}
-	m := c.draw(likely)
-	if m == nil || !m.probing && c.probes < 1 && p != nil && c.sound(p) {
+	m := c.pickOfTwo(likely)
+	if m == nil || !m.probePending && c.probeBudget < 1 && p != nil && c.isHealthy(p) {
 		return false
 	}
-	r.asks, r.asked, r.askedAt = r.asks+1, m, c.now
-	c.ping(m)
+	r.probeCount, r.probed, r.probedAt = r.probeCount+1, m, c.now
+	c.probe(m)
 	return true
 }
 
-// behind ranks members by how likely a probe shows that they qualify: lately heard of and on pace; not known;
+// paceOf ranks members by how likely a probe shows that they qualify: lately heard of and on pace; not known;
 // far behind before this start; too far to have caught up since, though it applied the log twice as fast.
-func (c *Choice) behind(m *member, r *request) int {
-	since, need := c.now-m.heard, c.need(r)
+func (c *Router) paceOf(m *member, r *request) int {
+	since, need := c.now-m.positionAt, c.requiredPosition(r)
 	switch {
-	case m.position == 0 && m.lagged > c.tightest:
+	case m.position == 0 && m.restoredLag > c.tightestBound:
 		return 2
 	case m.position > 0 && m.position+2*since < need:
-		return hopeless
-	case m.position > 0 && since < paceKnown && m.position+since >= need:
+		return unreachable
+	case m.position > 0 && since < paceRetention && m.position+since >= need:
 		return 0
 	}
 	return 1
 }
 
-func (c *Choice) ping(m *member) {
-	if !m.probing || c.now-m.probed >= probeWait {
-		c.probes = max(0, c.probes-1)
-		m.probed, m.probing = c.now, true
-		c.out = append(c.out, Action{Kind: ActProbe, Host: m.host})
+func (c *Router) probe(m *member) {
+	if !m.probePending || c.now-m.probedAt >= probeTimeout {
+		c.probeBudget = max(0, c.probeBudget-1)
+		m.probedAt, m.probePending = c.now, true
+		c.actions = append(c.actions, Action{Kind: ActProbe, Host: m.host})
 	}
 }
