--- a/routing/choice_test.go
+++ b/routing/choice_test.go
@@ -9,51 +9,51 @@
 
 const ms = time.Millisecond
 
-// zero is where the tests' clock starts; well past 0, as on a real router.
-const zero = time.Hour
+// startTime is where the tests' clock starts; well past 0, as on a real router.
+const startTime = time.Hour
 
 func settings() Settings {
 	return Settings{
 		Classes: []Class{
-			{Name: "any", Read: Any, Aim: 400 * ms, Deadline: 2 * time.Second, Worth: 1, LateShare: 0.2},
-			{Name: "bounded", Read: Bounded, Bound: 300 * ms, Aim: 600 * ms, Deadline: 2 * time.Second, Worth: 2},
-			{Name: "session", Read: Session, Aim: 600 * ms, Deadline: 2 * time.Second, Worth: 2},
-			{Name: "fresh", Read: Fresh, Aim: 500 * ms, Deadline: 2 * time.Second, Worth: 2, LateShare: 0.2},
-			{Name: "unsafe", Read: Write, Effect: Unsafe, Aim: 600 * ms, Deadline: 5 * time.Second, Worth: 4, LateShare: 0.3},
-			{Name: "keyed", Read: Write, Effect: Keyed, Scope: ScopeCell, Window: 3 * time.Second, Aim: time.Second,
-				Deadline: 5 * time.Second, Worth: 3, LateShare: 0.5},
+			{Name: "any", Access: EventualRead, LatencyObjective: 400 * ms, Deadline: 2 * time.Second, PriorityWeight: 1, LateFraction: 0.2},
+			{Name: "bounded", Access: BoundedRead, StalenessBound: 300 * ms, LatencyObjective: 600 * ms, Deadline: 2 * time.Second, PriorityWeight: 2},
+			{Name: "session", Access: SessionRead, LatencyObjective: 600 * ms, Deadline: 2 * time.Second, PriorityWeight: 2},
+			{Name: "fresh", Access: StrongRead, LatencyObjective: 500 * ms, Deadline: 2 * time.Second, PriorityWeight: 2, LateFraction: 0.2},
+			{Name: "unsafe", Access: Write, Idempotency: AtMostOnce, LatencyObjective: 600 * ms, Deadline: 5 * time.Second, PriorityWeight: 4, LateFraction: 0.3},
+			{Name: "keyed", Access: Write, Idempotency: Deduplicated, Scope: ScopeCell, DedupWindow: 3 * time.Second, LatencyObjective: time.Second,
+				Deadline: 5 * time.Second, PriorityWeight: 3, LateFraction: 0.5},
 		},
-		Routers: 2, ReportX0: true, ReportX1: true, ListRole: true, Probes: true, Cancel: true,
+		RouterCount: 2, ReportsPosition: true, ReportsRole: true, ListNamesPrimary: true, ProbesAllowed: true, CancelAllowed: true,
 		MaxRetryAfter: time.Second, MaxAttempts: 6,
-		ColdFrom: 0.2, ColdRamp: 10 * time.Second, Tick: 5 * ms,
+		SlowStartFloor: 0.2, SlowStartDuration: 10 * time.Second, MinTickInterval: 5 * ms,
 	}
 }
 
 const (
-	anyRead = iota
+	eventualRead = iota
 	boundedRead
 	sessionRead
-	freshRead
-	unsafeWrite
-	keyedWrite
+	strongRead
+	atMostOnceWrite
+	deduplicatedWrite
 )
 
-// rig drives one Choice by hand.
-type rig struct {
+// harness drives one Choice by hand.
+type harness struct {
 	t   testing.TB
-	c   *Choice
+	c   *Router
 	now time.Duration
 	ids int
 }
 
-func start(t testing.TB, s Settings, hosts ...Target) *rig {
+func startHarness(t testing.TB, s Settings, hosts ...Target) *harness {
 	t.Helper()
 	c, err := New(s, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &rig{t: t, c: c, now: zero}
-	g.step(Event{Kind: EvTargets, Full: true, Targets: hosts})
+	g := &harness{t: t, c: c, now: startTime}
+	g.step(Event{Kind: EventTargets, Full: true, Targets: hosts})
 	return g
 }
 
@@ -62,40 +62,40 @@
 	return []Target{{Host: "p", Group: 1, Primary: true}, {Host: "a", Group: 1}, {Host: "b", Group: 1}, {Host: "c", Group: 1}}
 }
 
-func (g *rig) step(events ...Event) []Action {
+func (g *harness) step(events ...Event) []Action {
 	return append([]Action(nil), g.c.Step(g.now, events)...)
 }
 
-func (g *rig) after(d time.Duration) []Action {
+func (g *harness) advance(d time.Duration) []Action {
 	g.now += d
-	return g.step(Event{Kind: EvTimer})
+	return g.step(Event{Kind: EventTimer})
 }
 
-// reports makes hosts answer a probe with their position, given as an age.
-func (g *rig) reports(role Role, age time.Duration, hosts ...string) []Action {
+// reportPositions makes hosts answer a probe with their position, given as an age.
+func (g *harness) reportPositions(role Role, age time.Duration, hosts ...string) []Action {
 	var es []Event
 	for _, h := range hosts {
-		es = append(es, Event{Kind: EvProbe, Host: h, Report: Report{Position: g.now - age, Role: role}})
+		es = append(es, Event{Kind: EventProbeResult, Host: h, Report: Report{Position: g.now - age, Role: role}})
 	}
 	return g.step(es...)
 }
 
-func (g *rig) request(class int, e Event) (string, []Action) {
+func (g *harness) request(class int, e Event) (string, []Action) {
 	g.ids++
-	e.Kind, e.ID, e.Class, e.Group = EvRequest, fmt.Sprint("r", g.ids), class, 1
-	if e.TimeLeft == 0 {
-		e.TimeLeft = g.c.cfg.Classes[class].Deadline
+	e.Kind, e.ID, e.Class, e.Group = EventRequest, fmt.Sprint("r", g.ids), class, 1
+	if e.TimeRemaining == 0 {
+		e.TimeRemaining = g.c.cfg.Classes[class].Deadline
 	}
 	return e.ID, g.step(e)
 }
 
-func (g *rig) outcome(id string, attempt int, code Code, role Role) []Action {
+func (g *harness) outcome(id string, attempt int, code Code, role Role) []Action {
 	final := code == OK
-	return g.step(Event{Kind: EvOutcome, ID: id, Attempt: attempt, Code: code, Role: role, Final: final, Elapsed: 50 * ms})
+	return g.step(Event{Kind: EventOutcome, ID: id, Attempt: attempt, Code: code, Role: role, Final: final, Elapsed: 50 * ms})
 }
 
-// of returns the actions of a kind, and the host of the first.
-func of(kind ActionKind, as []Action) (found []Action, host string) {
+// actionsOf returns the actions of a kind, and the host of the first.
+func actionsOf(kind ActionKind, as []Action) (found []Action, host string) {
 	for _, a := range as {
 		if a.Kind == kind {
 			found = append(found, a)
@@ -110,10 +110,10 @@
 func TestNewRejects(t *testing.T) {
 	for name, spoil := range map[string]func(*Settings){
 		"no class":    func(s *Settings) { s.Classes = nil },
-		"no router":   func(s *Settings) { s.Routers = 0 },
-		"bad index":   func(s *Settings) { s.Index = 2 },
+		"no router":   func(s *Settings) { s.RouterCount = 0 },
+		"bad index":   func(s *Settings) { s.RouterIndex = 2 },
 		"no attempts": func(s *Settings) { s.MaxAttempts = 0 },
-		"no aim":      func(s *Settings) { s.Classes[0].Aim = 0 },
+		"no aim":      func(s *Settings) { s.Classes[0].LatencyObjective = 0 },
 	} {
 		s := settings()
 		spoil(&s)
@@ -132,9 +132,9 @@
 		age   time.Duration // of the replicas' positions; 0: never heard
 		want  string        // "replica", "primary"
 	}{
-		{"write", unsafeWrite, 0, ms, "primary"},
-		{"fresh read", freshRead, 0, ms, "primary"},
-		{"any read needs no position", anyRead, 0, 0, "replica"},
+		{"write", atMostOnceWrite, 0, ms, "primary"},
+		{"fresh read", strongRead, 0, ms, "primary"},
+		{"any read needs no position", eventualRead, 0, 0, "replica"},
 		{"bounded read inside the bound", boundedRead, 0, 200 * ms, "replica"},
 		{"bounded read beyond the bound", boundedRead, 0, 301 * ms, "primary"},
 		{"bounded read, position unknown", boundedRead, 0, 0, "primary"},
@@ -143,15 +143,15 @@
 		{"session read inside the margin", sessionRead, 100 * ms, 100 * ms, "primary"},
 		{"session without a write", sessionRead, 0, 0, "replica"},
 	} {
-		g := start(t, settings(), shard()...)
+		g := startHarness(t, settings(), shard()...)
 		if k.age > 0 {
-			g.reports(Replica, k.age, "a", "b", "c")
+			g.reportPositions(Replica, k.age, "a", "b", "c")
 		}
-		_, as := g.request(k.class, Event{Token: k.token})
-		for range 2 * askMost { // probes of replicas that might qualify stay unanswered
-			as = append(as, g.after(askWait)...)
+		_, as := g.request(k.class, Event{CommitAge: k.token})
+		for range 2 * maxProbesPerRead { // probes of replicas that might qualify stay unanswered
+			as = append(as, g.advance(probeAnswerWait)...)
 		}
-		sent, host := of(ActSend, as)
+		sent, host := actionsOf(ActSend, as)
 		if len(sent) != 1 || (host == "p") != (k.want == "primary") {
 			t.Errorf("%s: sent %v, want one to a %s", k.name, sent, k.want)
 		}
@@ -160,46 +160,46 @@
 
 // The draw of two prefers the replica with fewer of this router's requests in flight.
 func TestDrawPrefersLessBusy(t *testing.T) {
-	g := start(t, settings(), shard()[:3]...)
+	g := startHarness(t, settings(), shard()[:3]...)
 	count := map[string]int{}
-	for range 2 * limitStart {
-		_, as := g.request(anyRead, Event{})
-		_, host := of(ActSend, as)
+	for range 2 * initialLimit {
+		_, as := g.request(eventualRead, Event{})
+		_, host := actionsOf(ActSend, as)
 		count[host]++
 	}
-	if count["a"] != limitStart || count["b"] != limitStart {
-		t.Errorf("%d reads were spread %v", 2*limitStart, count)
+	if count["a"] != initialLimit || count["b"] != initialLimit {
+		t.Errorf("%d reads were spread %v", 2*initialLimit, count)
 	}
 }
 
 // Without a list that names the primary one write at a time searches; fresh reads wait for what it finds.
 func TestSearchAndHold(t *testing.T) {
 	s := settings()
-	s.ListRole = false
-	g := start(t, s, shard()...)
-	_, as := g.request(freshRead, Event{})
-	if sent, _ := of(ActSend, as); len(sent) != 0 {
+	s.ListNamesPrimary = false
+	g := startHarness(t, s, shard()...)
+	_, as := g.request(strongRead, Event{})
+	if sent, _ := actionsOf(ActSend, as); len(sent) != 0 {
 		t.Fatalf("fresh read with no primary known: %v", as)
 	}
-	id, as := g.request(unsafeWrite, Event{})
-	_, first := of(ActSend, as)
-	_, as = g.request(unsafeWrite, Event{})
-	if sent, _ := of(ActSend, as); len(sent) != 0 {
+	id, as := g.request(atMostOnceWrite, Event{})
+	_, first := actionsOf(ActSend, as)
+	_, as = g.request(atMostOnceWrite, Event{})
+	if sent, _ := actionsOf(ActSend, as); len(sent) != 0 {
 		t.Errorf("a second write searched too: %v", as)
 	}
 	seen := map[string]bool{first: true}
 	for i := range 3 {
-		_, host := of(ActSend, g.outcome(id, i, Miss, Replica))
+		_, host := actionsOf(ActSend, g.outcome(id, i, Misdirected, Replica))
 		seen[host] = true
 	}
 	if len(seen) != 4 {
 		t.Errorf("a round of misses went to %v", seen)
 	}
-	if sent, _ := of(ActSend, g.outcome(id, 3, Miss, Replica)); len(sent) != 0 {
+	if sent, _ := actionsOf(ActSend, g.outcome(id, 3, Misdirected, Replica)); len(sent) != 0 {
 		t.Errorf("after a round of misses the write was sent on: %v", sent)
 	}
 	g.now += 20 * ms
-	sent, host := of(ActSend, g.reports(Primary, 0, "b"))
+	sent, host := actionsOf(ActSend, g.reportPositions(Primary, 0, "b"))
 	if len(sent) != 3 || host != "b" {
 		t.Errorf("the primary was named, sent %v", sent)
 	}
@@ -207,12 +207,12 @@
 
 // An old report must not undo what an answer has shown since.
 func TestOldReportDoesNotDemote(t *testing.T) {
-	g := start(t, settings(), shard()...)
+	g := startHarness(t, settings(), shard()...)
 	g.now += time.Second
-	id, _ := g.request(unsafeWrite, Event{})
+	id, _ := g.request(atMostOnceWrite, Event{})
 	g.outcome(id, 0, OK, Primary)
-	g.reports(Replica, 200*ms, "p")
-	if _, as := g.request(unsafeWrite, Event{}); len(as) != 1 || as[0].Host != "p" {
+	g.reportPositions(Replica, 200*ms, "p")
+	if _, as := g.request(atMostOnceWrite, Event{}); len(as) != 1 || as[0].Host != "p" {
 		t.Errorf("after an old report a write led to %v", as)
 	}
 }
@@ -224,18 +224,18 @@
 		code  Code
 		want  ActionKind
 	}{
-		{"unsafe write that may have run", unsafeWrite, NoAnswer, ActFail},
-		{"unsafe write with an error", unsafeWrite, Error, ActFail},
-		{"unsafe write that lost its connection", unsafeWrite, ConnectionLost, ActFail},
-		{"unsafe write turned away", unsafeWrite, Full, ActSend},
-		{"keyed write inside its window", keyedWrite, Error, ActSend},
-		{"read with an error", anyRead, Error, ActSend},
-		{"attempt never sent", anyRead, NotSent, ActSend}, // too late after a dial: chosen for anew
+		{"unsafe write that may have run", atMostOnceWrite, NoAnswer, ActFail},
+		{"unsafe write with an error", atMostOnceWrite, ServerError, ActFail},
+		{"unsafe write that lost its connection", atMostOnceWrite, ConnectionLost, ActFail},
+		{"unsafe write turned away", atMostOnceWrite, Rejected, ActSend},
+		{"keyed write inside its window", deduplicatedWrite, ServerError, ActSend},
+		{"read with an error", eventualRead, ServerError, ActSend},
+		{"attempt never sent", eventualRead, NotSent, ActSend}, // too late after a dial: chosen for anew
 	} {
-		g := start(t, settings(), shard()...)
+		g := startHarness(t, settings(), shard()...)
 		id, _ := g.request(k.class, Event{})
-		as := append(g.outcome(id, 0, k.code, Unknown), g.after(2*lateFloor+upkeep)...) // a full host rests
-		if found, _ := of(k.want, as); len(found) != 1 {
+		as := append(g.outcome(id, 0, k.code, Unknown), g.advance(2*minLatency+tickInterval)...) // a full host rests
+		if found, _ := actionsOf(k.want, as); len(found) != 1 {
 			t.Errorf("%s: %v", k.name, as)
 		}
 	}
@@ -243,16 +243,16 @@
 
 // A keyed write that may have run goes nowhere once its window has passed, not even from being held.
 func TestKeyedWindow(t *testing.T) {
-	g := start(t, settings(), shard()...)
-	id, _ := g.request(keyedWrite, Event{})
+	g := startHarness(t, settings(), shard()...)
+	id, _ := g.request(deduplicatedWrite, Event{})
 	g.now += 100 * ms
-	g.step(Event{Kind: EvTargets, Targets: []Target{{Host: "p", Group: 1, Gone: true}}})
+	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Removed: true}}})
 	as, attempt := g.outcome(id, 0, ConnectionLost, Unknown), 0
 	for range 40 {
 		for i := 0; i < len(as); i++ {
 			a := as[i]
-			if a.Kind == ActSend && g.now >= zero+3*time.Second {
-				t.Fatalf("sent %v after its send, the window is 3 s", g.now-zero)
+			if a.Kind == ActSend && g.now >= startTime+3*time.Second {
+				t.Fatalf("sent %v after its send, the window is 3 s", g.now-startTime)
 			}
 			if a.Kind == ActSend {
 				attempt++
@@ -261,26 +261,26 @@
 			if a.Kind == ActFail {
 				return
 			}
-			if a.Kind == ActRefuse {
+			if a.Kind == ActReject {
 				t.Fatal("refused, though it may have run")
 			}
 		}
-		as = g.after(100 * ms)
+		as = g.advance(100 * ms)
 	}
 	t.Error("no final answer")
 }
 
-func TestDrainsKept(t *testing.T) {
+func TestDrainingHostsGetNothing(t *testing.T) {
 	for _, k := range []Event{
-		{Kind: EvTargets, Targets: []Target{{Host: "a", Group: 1, Draining: true}}},
-		{Kind: EvTargets, Targets: []Target{{Host: "a", Group: 1, Gone: true}}},
-		{Kind: EvTargets, Full: true, Targets: append(shard()[:1:1], shard()[2:]...)},
+		{Kind: EventTargets, Targets: []Target{{Host: "a", Group: 1, Draining: true}}},
+		{Kind: EventTargets, Targets: []Target{{Host: "a", Group: 1, Removed: true}}},
+		{Kind: EventTargets, Full: true, Targets: append(shard()[:1:1], shard()[2:]...)},
 	} {
-		g := start(t, settings(), shard()...)
+		g := startHarness(t, settings(), shard()...)
 		g.step(k)
 		for range 20 {
-			_, as := g.request(anyRead, Event{})
-			if _, host := of(ActSend, as); host == "a" {
+			_, as := g.request(eventualRead, Event{})
+			if _, host := actionsOf(ActSend, as); host == "a" {
 				t.Errorf("after %+v a read went to a", k)
 			}
 		}
@@ -290,13 +290,13 @@
 // A cold member gets far less than a warm one, however many requests come.
 func TestSlowStart(t *testing.T) {
 	hosts := shard()
-	hosts[1].Started = zero - 100*ms
-	g := start(t, settings(), hosts...)
+	hosts[1].StartedAt = startTime - 100*ms
+	g := startHarness(t, settings(), hosts...)
 	count := map[string]int{}
 	for range 300 {
 		g.now += 10 * ms
-		id, as := g.request(anyRead, Event{})
-		_, host := of(ActSend, as)
+		id, as := g.request(eventualRead, Event{})
+		_, host := actionsOf(ActSend, as)
 		count[host]++
 		g.outcome(id, 0, OK, Replica)
 	}
@@ -307,13 +307,13 @@
 
 // Fast errors keep few requests in flight; the draw must not take that for idleness.
 func TestFastErrorsAreNotIdleness(t *testing.T) {
-	g := start(t, settings(), shard()...)
+	g := startHarness(t, settings(), shard()...)
 	late := 0
 	for i := range 200 {
 		g.now += 20 * ms
-		id, as := g.request(anyRead, Event{})
+		id, as := g.request(eventualRead, Event{})
 		for attempt := 0; ; attempt++ {
-			sent, host := of(ActSend, as)
+			sent, host := actionsOf(ActSend, as)
 			if len(sent) == 0 {
 				break
 			}
@@ -322,7 +322,7 @@
 			}
 			code := OK
 			if host == "a" {
-				code = Error
+				code = ServerError
 			}
 			as = g.outcome(id, attempt, code, Replica)
 		}
@@ -334,12 +334,12 @@
 
 // A member that takes work and answers nothing is left alone while others answer.
 func TestSilentMember(t *testing.T) {
-	g := start(t, settings(), shard()...)
+	g := startHarness(t, settings(), shard()...)
 	late := 0
 	for i := range 200 {
 		g.now += 20 * ms
-		id, as := g.request(anyRead, Event{})
-		_, host := of(ActSend, as)
+		id, as := g.request(eventualRead, Event{})
+		_, host := actionsOf(ActSend, as)
 		if host != "a" {
 			g.outcome(id, 0, OK, Replica)
 		} else if i >= 50 {
@@ -352,11 +352,11 @@
 }
 
 // Held requests must not be sprayed at a member that refuses connects while good ones have no room.
-func TestHeldReadsAvoidSuspects(t *testing.T) {
-	g := start(t, settings(), shard()[:3]...)
+func TestQueuedReadsAvoidOutliers(t *testing.T) {
+	g := startHarness(t, settings(), shard()[:3]...)
 	for { // a refuses until it is a suspect
-		id, as := g.request(anyRead, Event{})
-		if _, host := of(ActSend, as); host == "a" {
+		id, as := g.request(eventualRead, Event{})
+		if _, host := actionsOf(ActSend, as); host == "a" {
 			g.outcome(id, 0, NoConnection, Unknown)
 			break
 		}
@@ -364,8 +364,8 @@
 	}
 	sends := 0
 	for range 14 { // less than it takes for the other to look silent
-		_, as := g.request(anyRead, Event{})
-		for _, a := range append(as, g.after(10*ms)...) {
+		_, as := g.request(eventualRead, Event{})
+		for _, a := range append(as, g.advance(10*ms)...) {
 			if a.Kind == ActSend && a.Host == "a" {
 				sends++
 			}
@@ -378,75 +378,75 @@
 
 // Slow answers lower a member's in-flight limit, so that queues stay with the router.
 func TestLimitFallsWithSlowAnswers(t *testing.T) {
-	g := start(t, settings(), shard()...)
+	g := startHarness(t, settings(), shard()...)
 	m := g.c.members["p"]
 	for range 20 {
 		g.now += 500 * ms
-		id, _ := g.request(freshRead, Event{})
-		g.step(Event{Kind: EvOutcome, ID: id, Code: OK, Role: Primary, Final: true, Elapsed: 450 * ms})
+		id, _ := g.request(strongRead, Event{})
+		g.step(Event{Kind: EventOutcome, ID: id, Code: OK, Role: Primary, Final: true, Elapsed: 450 * ms})
 	}
-	if m.limit > limitStart/2 {
+	if m.limit > initialLimit/2 {
 		t.Errorf("after 20 slow answers the limit is %.1f", m.limit)
 	}
 }
 
 // Remembered sessions: the commit binds later reads, and forgetting it leaves a floor that binds all.
-func TestRememberedSessions(t *testing.T) {
+func TestSessionsReadTheirWrites(t *testing.T) {
 	s := settings()
-	s.Remembered = true
-	g := start(t, s, shard()...)
+	s.TracksCommits = true
+	g := startHarness(t, s, shard()...)
 	g.now += time.Second
-	id, _ := g.request(unsafeWrite, Event{Key: 7, HasKey: true})
-	g.step(Event{Kind: EvOutcome, ID: id, Code: OK, Role: Primary, Final: true, Position: g.now, Elapsed: 50 * ms})
-	g.reports(Replica, ms, "a", "b", "c")
-	_, as := g.request(sessionRead, Event{Key: 7, HasKey: true})
-	if _, host := of(ActSend, append(as, g.reports(Replica, ms, "a", "b", "c")...)); host == "a" || host == "b" || host == "c" {
+	id, _ := g.request(atMostOnceWrite, Event{SessionKey: 7, HasSessionKey: true})
+	g.step(Event{Kind: EventOutcome, ID: id, Code: OK, Role: Primary, Final: true, Position: g.now, Elapsed: 50 * ms})
+	g.reportPositions(Replica, ms, "a", "b", "c")
+	_, as := g.request(sessionRead, Event{SessionKey: 7, HasSessionKey: true})
+	if _, host := actionsOf(ActSend, append(as, g.reportPositions(Replica, ms, "a", "b", "c")...)); host == "a" || host == "b" || host == "c" {
 		t.Errorf("a replica behind the session's commit got its read: %v", as)
 	}
-	if _, as := g.request(sessionRead, Event{Key: 8, HasKey: true}); as[0].Host == "p" {
+	if _, as := g.request(sessionRead, Event{SessionKey: 8, HasSessionKey: true}); as[0].Host == "p" {
 		t.Errorf("a session without writes was sent to the primary: %v", as)
 	}
-	g = start(t, s, shard()...)
+	g = startHarness(t, s, shard()...)
 	commit := func(key uint64) {
-		id, _ := g.request(unsafeWrite, Event{Key: key, HasKey: true})
-		g.step(Event{Kind: EvOutcome, ID: id, Code: OK, Role: Primary, Final: true, Position: g.now, Elapsed: 50 * ms})
+		id, _ := g.request(atMostOnceWrite, Event{SessionKey: key, HasSessionKey: true})
+		g.step(Event{Kind: EventOutcome, ID: id, Code: OK, Role: Primary, Final: true, Position: g.now, Elapsed: 50 * ms})
 	}
 	commit(7)
-	g.after(sessionKeep / 2)
+	g.advance(commitRetention / 2)
 	commit(9)
-	g.after(sessionKeep/2 + time.Second)
+	g.advance(commitRetention/2 + time.Second)
 	commit(9) // a session that goes on writing does not keep the others in memory
-	if gr := g.c.groups[1]; len(gr.commits) != 1 || len(gr.order) != 2 || gr.floor == 0 || gr.floor > gr.commits[9] {
-		t.Errorf("after %v: %d commits, %d kept, floor %v", sessionKeep, len(gr.commits), len(gr.order), gr.floor)
+	if gr := g.c.groups[1]; len(gr.commits) != 1 || len(gr.commitOrder) != 2 || gr.commitFloor == 0 || gr.commitFloor > gr.commits[9] {
+		t.Errorf("after %v: %d commits, %d kept, floor %v", commitRetention, len(gr.commits), len(gr.commitOrder), gr.commitFloor)
 	}
 }
 
 // Odd but legal events change nothing.
 func TestOddEvents(t *testing.T) {
-	g := start(t, settings(), shard()...)
-	id, _ := g.request(unsafeWrite, Event{})
+	g := startHarness(t, settings(), shard()...)
+	id, _ := g.request(atMostOnceWrite, Event{})
 	g.outcome(id, 0, OK, Primary)
 	for _, e := range []Event{
-		{Kind: EvOutcome, ID: id, Code: OK, Final: true}, {Kind: EvOutcome, ID: "never", Attempt: -1}, {Kind: EvLeft, ID: id},
-		{Kind: EvLeft, ID: "never"}, {Kind: EvProbe, Host: "never"}, {Kind: EvTimer, Timer: 9}, {Kind: EvFirst, ID: id},
-		{Kind: EvTargets, Targets: []Target{{Host: "never", Group: 3, Gone: true}}}, {Kind: EvPeer},
+		{Kind: EventOutcome, ID: id, Code: OK, Final: true}, {Kind: EventOutcome, ID: "never", Attempt: -1}, {Kind: EventClientGone, ID: id},
+		{Kind: EventClientGone, ID: "never"}, {Kind: EventProbeResult, Host: "never"}, {Kind: EventTimer, Timer: 9}, {Kind: EventFirstByte, ID: id},
+		{Kind: EventTargets, Targets: []Target{{Host: "never", Group: 3, Removed: true}}}, {Kind: EventPeerMessage},
 	} {
 		if as := g.step(e); len(as) != 0 {
 			t.Errorf("%+v led to %v", e, as)
 		}
 	}
-	if len(g.c.reqs) != 0 {
-		t.Errorf("%d requests are still held", len(g.c.reqs))
+	if len(g.c.requests) != 0 {
+		t.Errorf("%d requests are still held", len(g.c.requests))
 	}
-	as := g.step(Event{Kind: EvRequest, ID: "x", Group: 99, TimeLeft: time.Second})
-	if found, _ := of(ActRefuse, as); len(found) != 1 {
+	as := g.step(Event{Kind: EventRequest, ID: "x", Group: 99, TimeRemaining: time.Second})
+	if found, _ := actionsOf(ActReject, as); len(found) != 1 {
 		t.Errorf("a group that no list names led to %v", as)
 	}
 }
 
 // play runs a fixed, mixed stretch and checks the invariants on the way.
 func play(t testing.TB, script []byte) []Action {
-	g := start(t, settings(), shard()...)
+	g := startHarness(t, settings(), shard()...)
 	type state struct {
 		class                     int
 		live                      map[int]string
@@ -465,7 +465,7 @@
 				if r.answered {
 					t.Fatalf("%s: sent after its final answer", a.ID)
 				}
-				if r.class == unsafeWrite && (r.mayRun || len(r.live) > 0) {
+				if r.class == atMostOnceWrite && (r.mayRun || len(r.live) > 0) {
 					t.Fatalf("%s: an unsafe write was sent twice", a.ID)
 				}
 				if drained[a.Host] {
@@ -476,11 +476,11 @@
 				}
 				r.live[r.sent] = a.Host
 				r.sent++
-			case ActRefuse, ActFail:
+			case ActReject, ActFail:
 				if r.answered {
 					t.Fatalf("%s: two final answers", a.ID)
 				}
-				if a.Kind == ActRefuse && r.class >= unsafeWrite && r.mayRun {
+				if a.Kind == ActReject && r.class >= atMostOnceWrite && r.mayRun {
 					t.Fatalf("%s: a write that may have run was refused", a.ID)
 				}
 				r.answered = true
@@ -496,7 +496,7 @@
 			id := fmt.Sprint("r", g.ids)
 			reqs[id] = &state{class: x % 6, live: map[int]string{}}
 			order = append(order, id)
-			run(g.step(Event{Kind: EvRequest, ID: id, Class: x % 6, Group: 1, Token: time.Duration(x) * ms, TimeLeft: time.Second}))
+			run(g.step(Event{Kind: EventRequest, ID: id, Class: x % 6, Group: 1, CommitAge: time.Duration(x) * ms, TimeRemaining: time.Second}))
 		case 3, 4, 5:
 			if len(order) == 0 {
 				continue
@@ -512,34 +512,34 @@
 					if code == OK {
 						r.answered = true
 					}
-					run(g.step(Event{Kind: EvOutcome, ID: id, Attempt: n, Code: code, Final: final, Role: Role(x % 3), Elapsed: 40 * ms}))
+					run(g.step(Event{Kind: EventOutcome, ID: id, Attempt: n, Code: code, Final: final, Role: Role(x % 3), Elapsed: 40 * ms}))
 					break
 				}
 			}
 		case 6:
 			h := shard()[x%4]
-			run(g.reports(Role(x%3), time.Duration(x)*ms, h.Host))
+			run(g.reportPositions(Role(x%3), time.Duration(x)*ms, h.Host))
 		case 7:
 			h := shard()[x%4]
 			switch x / 4 % 8 { // lists turn quickly, starts lie ahead or go back, hosts leave, change group and return
 			case 0, 1:
 				h.Draining = true
 			case 2:
-				h.Gone = true
+				h.Removed = true
 			case 3:
 				h.Group = 2
 			case 4:
-				h.Started = g.now + time.Duration(x-128)*time.Second
+				h.StartedAt = g.now + time.Duration(x-128)*time.Second
 			case 5:
-				g.now += memberKeep
+				g.now += memberRetention
 			}
-			drained[h.Host] = h.Draining || h.Gone || h.Group != 1
-			run(g.step(Event{Kind: EvTargets, Targets: []Target{h}}))
+			drained[h.Host] = h.Draining || h.Removed || h.Group != 1
+			run(g.step(Event{Kind: EventTargets, Targets: []Target{h}}))
 		}
-		run(g.after(5 * ms))
+		run(g.advance(5 * ms))
 	}
 	for range 120 { // all that is held ends in time
-		run(g.after(10 * ms))
+		run(g.advance(10 * ms))
 	}
 	for _, id := range order {
 		if r := reqs[id]; !r.answered && len(r.live) == 0 {
@@ -573,29 +573,29 @@
 }
 
 // Clients that leave early find the queues too long: what they leave behind closes the member's limit.
-func TestImpatientClients(t *testing.T) {
-	g := start(t, settings(), shard()[:1]...)
+func TestClientsThatDisconnectCloseTheLimit(t *testing.T) {
+	g := startHarness(t, settings(), shard()[:1]...)
 	m := g.c.members["p"]
 	for range 20 {
 		id, _ := g.request(boundedRead, Event{})
 		g.now += 200 * ms
-		g.step(Event{Kind: EvLeft, ID: id})
-		g.step(Event{Kind: EvOutcome, ID: id, Code: Cancelled, Final: true})
+		g.step(Event{Kind: EventClientGone, ID: id})
+		g.step(Event{Kind: EventOutcome, ID: id, Code: Cancelled, Final: true})
 	}
-	if m.limit > 1 || m.inflight != 0 {
-		t.Errorf("limit %.1f, %d in flight", m.limit, m.inflight)
+	if m.limit > 1 || m.inFlight != 0 {
+		t.Errorf("limit %.1f, %d in flight", m.limit, m.inFlight)
 	}
 	many := settings()
-	many.Routers = 300
-	g = start(t, many, shard()...)
+	many.RouterCount = 300
+	g = startHarness(t, many, shard()...)
 	for range 20 { // before many routers the group is shed as well
-		id, _ := g.request(unsafeWrite, Event{})
+		id, _ := g.request(atMostOnceWrite, Event{})
 		g.now += 200 * ms
-		g.step(Event{Kind: EvLeft, ID: id})
-		g.step(Event{Kind: EvOutcome, ID: id, Code: Cancelled, Final: true})
+		g.step(Event{Kind: EventClientGone, ID: id})
+		g.step(Event{Kind: EventOutcome, ID: id, Code: Cancelled, Final: true})
 		g.now += time.Second
 	}
-	if shed := g.c.groups[1].sides[1].shed; shed < 0.5 {
+	if shed := g.c.groups[1].admissions[1].shedFraction; shed < 0.5 {
 		t.Errorf("after 20 clients left, %.2f of the writes are shed", shed)
 	}
 }
@@ -610,87 +610,87 @@
 		elapsed     time.Duration
 		least, most float64
 	}{
-		{"late answers", 400, OK, 550 * ms, 0.5, shedMost},
+		{"late answers", 400, OK, 550 * ms, 0.5, maxShedFraction},
 		{"late answers, few routers", 4, OK, 550 * ms, 0, 0},
 		{"answers in time", 400, OK, 200 * ms, 0, 0},
-		{"no answers", 400, NoAnswer, 600 * ms, 0.5, shedMost},
+		{"no answers", 400, NoAnswer, 600 * ms, 0.5, maxShedFraction},
 	} {
 		s := settings()
-		s.Routers = k.routers
-		g := start(t, s, shard()[:1]...)
+		s.RouterCount = k.routers
+		g := startHarness(t, s, shard()[:1]...)
 		for range 20 {
-			id, _ := g.request(unsafeWrite, Event{})
+			id, _ := g.request(atMostOnceWrite, Event{})
 			g.now += k.elapsed
-			g.step(Event{Kind: EvOutcome, ID: id, Code: k.code, Role: Primary, Final: k.code == OK, Elapsed: k.elapsed})
-			g.step(Event{Kind: EvLeft, ID: id})
+			g.step(Event{Kind: EventOutcome, ID: id, Code: k.code, Role: Primary, Final: k.code == OK, Elapsed: k.elapsed})
+			g.step(Event{Kind: EventClientGone, ID: id})
 			g.now += time.Second
 		}
-		if shed := g.c.groups[1].sides[1].shed; shed < k.least || shed > k.most {
+		if shed := g.c.groups[1].admissions[1].shedFraction; shed < k.least || shed > k.most {
 			t.Errorf("%s: %.2f of the requests are shed, want %.2f to %.2f", k.name, shed, k.least, k.most)
 		}
 	}
 	s := settings()
-	s.Routers = 400
-	g := start(t, s, shard()...)
+	s.RouterCount = 400
+	g := startHarness(t, s, shard()...)
 	for i := range 60 { // one host in six hangs
-		id, _ := g.request(unsafeWrite, Event{})
+		id, _ := g.request(atMostOnceWrite, Event{})
 		code, elapsed := OK, 50*ms
 		if i%6 == 5 {
 			code, elapsed = NoAnswer, 500*ms
 		}
 		g.now += elapsed
-		g.step(Event{Kind: EvOutcome, ID: id, Code: code, Role: Primary, Final: code == OK, Elapsed: elapsed})
+		g.step(Event{Kind: EventOutcome, ID: id, Code: code, Role: Primary, Final: code == OK, Elapsed: elapsed})
 		g.now += time.Second
 	}
-	if shed := g.c.groups[1].sides[1].shed; shed > 0.1 {
+	if shed := g.c.groups[1].admissions[1].shedFraction; shed > 0.1 {
 		t.Errorf("one lost attempt in six sheds %.2f", shed)
 	}
 }
 
 // A primary that errs often is still the only one to take writes; it is not starved to rare trials.
-func TestSuspectPrimaryGetsWrites(t *testing.T) {
-	g := start(t, settings(), shard()...)
+func TestOutlierPrimaryGetsWrites(t *testing.T) {
+	g := startHarness(t, settings(), shard()...)
 	for range 10 {
 		g.now += 100 * ms
-		id, _ := g.request(unsafeWrite, Event{})
-		g.outcome(id, 0, Error, Primary)
+		id, _ := g.request(atMostOnceWrite, Event{})
+		g.outcome(id, 0, ServerError, Primary)
 	}
-	if g.c.sound(g.c.members["p"]) {
+	if g.c.isHealthy(g.c.members["p"]) {
 		t.Fatal("ten errors in a row leave no suspicion")
 	}
-	_, as := g.request(unsafeWrite, Event{})
-	if _, host := of(ActSend, as); host != "p" {
+	_, as := g.request(atMostOnceWrite, Event{})
+	if _, host := actionsOf(ActSend, as); host != "p" {
 		t.Errorf("a write led to %v", as)
 	}
 }
 
 // Where only a Terminating listing binds, a host that merely vanishes from the list goes on being used.
-func TestVanishedHostWhereOnlyDrainingBinds(t *testing.T) {
+func TestRemovedHostStaysInUseWhereRemovalIsIgnored(t *testing.T) {
 	s := settings()
-	s.DrainBindsAlone = true
-	g := start(t, s, shard()[:2]...)
-	g.step(Event{Kind: EvTargets, Full: true, Targets: shard()[:1]})
-	g.step(Event{Kind: EvTargets, Targets: []Target{{Host: "a", Group: 1, Gone: true}}})
-	if _, as := g.request(anyRead, Event{}); as[0].Host != "a" {
+	s.IgnoresRemoval = true
+	g := startHarness(t, s, shard()[:2]...)
+	g.step(Event{Kind: EventTargets, Full: true, Targets: shard()[:1]})
+	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "a", Group: 1, Removed: true}}})
+	if _, as := g.request(eventualRead, Event{}); as[0].Host != "a" {
 		t.Errorf("a read led to %v", as)
 	}
-	g.step(Event{Kind: EvTargets, Targets: []Target{{Host: "a", Group: 1, Draining: true}}})
-	if _, as := g.request(anyRead, Event{}); as[0].Host != "p" {
+	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "a", Group: 1, Draining: true}}})
+	if _, as := g.request(eventualRead, Event{}); as[0].Host != "p" {
 		t.Errorf("after the draining listing a read led to %v", as)
 	}
 }
 
 // Where replicas check reads an unproven one is tried once; its refusal sends the read to the primary.
 func TestReplicasThatCheck(t *testing.T) {
-	for _, checks := range []Checks{Refuses, Waits} {
+	for _, checks := range []StalenessCheck{CheckRejects, CheckWaits} {
 		s := settings()
-		s.Checks = checks
-		g := start(t, s, shard()...)
+		s.StalenessCheck = checks
+		g := startHarness(t, s, shard()...)
 		id, as := g.request(boundedRead, Event{})
-		if _, host := of(ActSend, as); host == "p" || host == "" {
+		if _, host := actionsOf(ActSend, as); host == "p" || host == "" {
 			t.Errorf("checks %d: a read with no position known led to %v", checks, as)
 		}
-		if _, host := of(ActSend, g.outcome(id, 0, Miss, Replica)); host != "p" {
+		if _, host := actionsOf(ActSend, g.outcome(id, 0, Misdirected, Replica)); host != "p" {
 			t.Errorf("checks %d: a refused read went to %q", checks, host)
 		}
 	}
@@ -699,151 +699,151 @@
 // Discovery that has to be asked is asked at the start and again after a failure.
 func TestSubscribes(t *testing.T) {
 	s := settings()
-	s.Subscribe = true
+	s.MustSubscribe = true
 	c, err := New(s, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &rig{t: t, c: c, now: zero}
-	if asked, _ := of(ActSubscribe, g.step(Event{Kind: EvTargets, Full: true, Targets: shard()})); len(asked) != 1 {
+	g := &harness{t: t, c: c, now: startTime}
+	if asked, _ := actionsOf(ActSubscribe, g.step(Event{Kind: EventTargets, Full: true, Targets: shard()})); len(asked) != 1 {
 		t.Errorf("asked %d times at the start", len(asked))
 	}
-	g.step(Event{Kind: EvTargetsFailed})
-	if asked, _ := of(ActSubscribe, g.after(2*pause)); len(asked) != 1 {
+	g.step(Event{Kind: EventTargetsFailed})
+	if asked, _ := actionsOf(ActSubscribe, g.advance(2*retryBackoff)); len(asked) != 1 {
 		t.Errorf("asked %d times after a failure", len(asked))
 	}
 }
 
 // Guards against long queries that stop the log on every replica: they go to the one that is furthest behind, so that
 // others catch up, and to all while no replica lags.
-func TestReadsOfAnyAgeSpareCurrentReplicas(t *testing.T) {
-	g := start(t, settings(), shard()...)
+func TestEventualReadsSpareCurrentReplicas(t *testing.T) {
+	g := startHarness(t, settings(), shard()...)
 	went := func() map[string]int {
 		hosts := map[string]int{}
 		for range 40 {
-			id, as := g.request(anyRead, Event{})
-			_, host := of(ActSend, as)
+			id, as := g.request(eventualRead, Event{})
+			_, host := actionsOf(ActSend, as)
 			hosts[host]++
 			g.outcome(id, 0, OK, Unknown)
 		}
 		return hosts
 	}
-	g.reports(Replica, 10*ms, "a", "b", "c")
+	g.reportPositions(Replica, 10*ms, "a", "b", "c")
 	if hosts := went(); len(hosts) != 3 || hosts["p"] > 0 {
 		t.Errorf("none lags: %v", hosts)
 	}
 	g.now += time.Second
-	g.reports(Replica, 10*ms, "a")
-	g.reports(Replica, 500*ms, "b")
-	g.reports(Replica, 900*ms, "c")
+	g.reportPositions(Replica, 10*ms, "a")
+	g.reportPositions(Replica, 500*ms, "b")
+	g.reportPositions(Replica, 900*ms, "c")
 	if hosts := went(); hosts["c"] != 40 {
 		t.Errorf("c is furthest behind: %v", hosts)
 	}
-	for range limitStart { // it has no room: the others serve
-		g.request(anyRead, Event{})
+	for range initialLimit { // it has no room: the others serve
+		g.request(eventualRead, Event{})
 	}
-	if _, as := g.request(anyRead, Event{}); len(as) == 0 || as[0].Kind != ActSend || as[0].Host == "c" {
+	if _, as := g.request(eventualRead, Event{}); len(as) == 0 || as[0].Kind != ActSend || as[0].Host == "c" {
 		t.Errorf("c is full: %v", as)
 	}
 }
 
 // Guards against replicas left out for seconds since some answers of theirs were spoilt, as any host's may be; and
 // against a spoilt answer taken for proof that nothing ran.
-func TestOneSpoiltAnswerLeavesNoHostOut(t *testing.T) {
-	g := start(t, settings(), shard()...)
+func TestOneMalformedAnswerEjectsNoHost(t *testing.T) {
+	g := startHarness(t, settings(), shard()...)
 	for range 4 {
 		g.now += 4 * time.Second // long enough ago for the next attempt to weigh most
-		g.reports(Replica, 10*ms, "a", "b", "c")
+		g.reportPositions(Replica, 10*ms, "a", "b", "c")
 		for range 8 {
 			id, _ := g.request(boundedRead, Event{})
 			g.outcome(id, 0, OK, Unknown)
 		}
 		g.now += 4 * time.Second
-		g.reports(Replica, 10*ms, "a", "b", "c")
+		g.reportPositions(Replica, 10*ms, "a", "b", "c")
 		id, as := g.request(boundedRead, Event{})
-		_, host := of(ActSend, as)
-		as = g.outcome(id, 0, Spoilt, Unknown)
-		if again, other := of(ActSend, as); len(again) != 1 || other == host {
+		_, host := actionsOf(ActSend, as)
+		as = g.outcome(id, 0, Malformed, Unknown)
+		if again, other := actionsOf(ActSend, as); len(again) != 1 || other == host {
 			t.Errorf("it is safe to repeat: %v", as)
 		}
 		g.outcome(id, 1, OK, Unknown)
-		if m := g.c.members[host]; !g.c.sound(m) {
-			t.Errorf("%s is left out at a cost of %.2f", host, g.c.cost(m))
+		if m := g.c.members[host]; !g.c.isHealthy(m) {
+			t.Errorf("%s is left out at a cost of %.2f", host, g.c.outlierScore(m))
 		}
 	}
-	id, as := g.request(unsafeWrite, Event{})
-	if _, host := of(ActSend, as); host != "p" {
+	id, as := g.request(atMostOnceWrite, Event{})
+	if _, host := actionsOf(ActSend, as); host != "p" {
 		t.Fatal(as)
 	}
-	as = g.outcome(id, 0, Spoilt, Unknown)
-	if fails, _ := of(ActFail, as); len(fails) != 1 || len(as) != 1 {
+	as = g.outcome(id, 0, Malformed, Unknown)
+	if fails, _ := actionsOf(ActFail, as); len(fails) != 1 || len(as) != 1 {
 		t.Errorf("it may have run: %v", as)
 	}
 }
 
 // Guards against a read that is held to the end of its time and refused then: by half of it, if it never went out
 // and its aim is past, its client is told when to come back.
-func TestReadsThatNeverWentOutAreRefusedAtHalfTime(t *testing.T) {
+func TestUnsentReadsAreRejectedAtHalfTime(t *testing.T) {
 	hosts := shard()
 	hosts[0].Primary = false // nobody knows the primary, so fresh reads wait
-	g := start(t, settings(), hosts...)
-	id, _ := g.request(freshRead, Event{})
+	g := startHarness(t, settings(), hosts...)
+	id, _ := g.request(strongRead, Event{})
 	var refused []Action
 	for waited := time.Duration(0); len(refused) == 0 && waited < 2*time.Second; waited += 10 * ms {
-		refused, _ = of(ActRefuse, g.after(10*ms))
+		refused, _ = actionsOf(ActReject, g.advance(10*ms))
 	}
-	if took := g.now - zero; len(refused) != 1 || refused[0].ID != id || refused[0].After == 0 || took < 950*ms || took > time.Second {
+	if took := g.now - startTime; len(refused) != 1 || refused[0].ID != id || refused[0].RetryAfter == 0 || took < 950*ms || took > time.Second {
 		t.Errorf("after %v: %v", took, refused)
 	}
-	id, _ = g.request(unsafeWrite, Event{}) // a write is held for as long as there is no primary
+	id, _ = g.request(atMostOnceWrite, Event{}) // a write is held for as long as there is no primary
 	for range 300 {
-		if ends, _ := of(ActRefuse, g.after(10*ms)); len(ends) > 0 {
-			t.Fatalf("%s is refused at %v: %v", id, g.now-zero, ends)
+		if ends, _ := actionsOf(ActReject, g.advance(10*ms)); len(ends) > 0 {
+			t.Fatalf("%s is refused at %v: %v", id, g.now-startTime, ends)
 		}
-		g.outcome(id, 0, Miss, Replica)
+		g.outcome(id, 0, Misdirected, Replica)
 	}
 }
 
 // Guards against a replica that counts as silent while all it has is a long query: it answers others as ever.
 // A costly request is lost at any host, and at a slow one often: a single one must not leave the host idle for
 // seconds while others queue. Three in a row do.
-func TestOneLostAnswerLeavesNoHostOut(t *testing.T) {
-	g := start(t, settings(), shard()[:2]...)
-	g.reports(Primary, 0, "p")
+func TestOneLostAnswerEjectsNoHost(t *testing.T) {
+	g := startHarness(t, settings(), shard()[:2]...)
+	g.reportPositions(Primary, 0, "p")
 	a := g.c.members["a"]
 	for lost := 1; lost <= 3; lost++ {
-		g.reports(Replica, 10*ms, "a")
+		g.reportPositions(Replica, 10*ms, "a")
 		id, as := g.request(boundedRead, Event{})
-		if _, host := of(ActSend, as); host != "a" {
-			t.Fatalf("after %d lost answers a read went to %q: cost %.2f", lost-1, host, g.c.cost(a))
+		if _, host := actionsOf(ActSend, as); host != "a" {
+			t.Fatalf("after %d lost answers a read went to %q: cost %.2f", lost-1, host, g.c.outlierScore(a))
 		}
 		g.now += 585 * ms
-		g.step(Event{Kind: EvOutcome, ID: id, Code: NoAnswer, Final: true, Elapsed: 585 * ms})
-		if want := lost < 3; g.c.sound(a) != want {
-			t.Errorf("sound after %d lost answers: %v, cost %.2f", lost, !want, g.c.cost(a))
+		g.step(Event{Kind: EventOutcome, ID: id, Code: NoAnswer, Final: true, Elapsed: 585 * ms})
+		if want := lost < 3; g.c.isHealthy(a) != want {
+			t.Errorf("sound after %d lost answers: %v, cost %.2f", lost, !want, g.c.outlierScore(a))
 		}
 	}
 }
 
 // A write whose aim has passed still brings a part of its worth: less than a read that can be in time.
-func TestWhatIsLateGivesWayToWhatCanBeInTime(t *testing.T) {
+func TestLateRequestsGiveWayToTimelyOnes(t *testing.T) {
 	s := settings()
-	s.Classes[unsafeWrite].Worth, s.Classes[freshRead].Worth = 5, 2
-	g := start(t, s, Target{Host: "p", Group: 1, Primary: true})
-	g.reports(Primary, 0, "p")
+	s.Classes[atMostOnceWrite].PriorityWeight, s.Classes[strongRead].PriorityWeight = 5, 2
+	g := startHarness(t, s, Target{Host: "p", Group: 1, Primary: true})
+	g.reportPositions(Primary, 0, "p")
 	p := g.c.members["p"]
 	p.limit = 1
-	first, _ := g.request(unsafeWrite, Event{}) // it takes the only place
-	late, _ := g.request(unsafeWrite, Event{})
+	first, _ := g.request(atMostOnceWrite, Event{}) // it takes the only place
+	late, _ := g.request(atMostOnceWrite, Event{})
 	g.now += 700 * ms // past the aim of the second
-	read, as := g.request(freshRead, Event{})
-	if sent, _ := of(ActSend, as); len(sent) > 0 {
+	read, as := g.request(strongRead, Event{})
+	if sent, _ := actionsOf(ActSend, as); len(sent) > 0 {
 		t.Fatal("there was no room")
 	}
-	fresh, _ := g.request(unsafeWrite, Event{})
+	fresh, _ := g.request(atMostOnceWrite, Event{})
 	for i, want := range []string{fresh, read, late} {
-		g.step(Event{Kind: EvOutcome, ID: first, Code: OK, Role: Primary, Final: true, Elapsed: 400 * ms}) // no room for two
-		sent, _ := of(ActSend, g.after(10*ms))
+		g.step(Event{Kind: EventOutcome, ID: first, Code: OK, Role: Primary, Final: true, Elapsed: 400 * ms}) // no room for two
+		sent, _ := actionsOf(ActSend, g.advance(10*ms))
 		if len(sent) != 1 || sent[0].ID != want {
 			t.Fatalf("place %d: %v, want %s", i, sent, want)
 		}
@@ -866,9 +866,9 @@
 		{"the worst class does not count by itself", 0, 0, false, false},
 	} {
 		s := settings()
-		s.WorstClass = k.weight
-		s.Classes[boundedRead].Worth, s.Classes[sessionRead].Worth, s.Classes[boundedRead].LateShare = 1, 2, 1
-		g := start(t, s, Target{Host: "p", Group: 1, Primary: true})
+		s.WorstClassWeight = k.weight
+		s.Classes[boundedRead].PriorityWeight, s.Classes[sessionRead].PriorityWeight, s.Classes[boundedRead].LateFraction = 1, 2, 1
+		g := startHarness(t, s, Target{Host: "p", Group: 1, Primary: true})
 		p := g.c.members["p"]
 		for i := range 20 {
 			id, _ := g.request([]int{boundedRead, sessionRead}[i%2], Event{})
@@ -876,20 +876,20 @@
 			if i%2 == 1 || i/2 < k.served {
 				g.outcome(id, 0, OK, Primary)
 			} else {
-				g.step(Event{Kind: EvLeft, ID: id})
-				g.step(Event{Kind: EvOutcome, ID: id, Code: Cancelled, Final: true})
+				g.step(Event{Kind: EventClientGone, ID: id})
+				g.step(Event{Kind: EventOutcome, ID: id, Code: Cancelled, Final: true})
 			}
 		}
-		if got := g.c.classes[boundedRead].tries; got != keptStart+10 {
-			t.Errorf("%s: of ten first tries %.0f were counted", k.name, got-keptStart)
+		if got := g.c.classes[boundedRead].samples; got != initialSamples+10 {
+			t.Errorf("%s: of ten first tries %.0f were counted", k.name, got-initialSamples)
 		}
 		p.limit = 1 // room for one read, and both are the same work
-		g.c.classes[boundedRead].work, g.c.classes[sessionRead].work = 20*ms, 20*ms
+		g.c.classes[boundedRead].serviceTime, g.c.classes[sessionRead].serviceTime = 20*ms, 20*ms
 		first, _ := g.request(sessionRead, Event{})
-		cheap, _ := g.request(boundedRead, Event{Retry: k.again})
+		cheap, _ := g.request(boundedRead, Event{IsRetry: k.again})
 		dear, _ := g.request(sessionRead, Event{})
-		g.step(Event{Kind: EvOutcome, ID: first, Code: OK, Role: Primary, Final: true, Elapsed: 320 * ms}) // no room for two
-		sent, _ := of(ActSend, g.after(10*ms))
+		g.step(Event{Kind: EventOutcome, ID: first, Code: OK, Role: Primary, Final: true, Elapsed: 320 * ms}) // no room for two
+		sent, _ := actionsOf(ActSend, g.advance(10*ms))
 		if len(sent) == 0 || (sent[0].ID == cheap) != k.want {
 			t.Errorf("%s: %v was sent of the cheap %s and the dear %s", k.name, sent, cheap, dear)
 		}
@@ -897,59 +897,59 @@
 }
 
 func TestLongWorkIsNoSilence(t *testing.T) {
-	g := start(t, settings(), shard()...)
-	g.reports(Replica, 10*ms, "a", "b", "c")
+	g := startHarness(t, settings(), shard()...)
+	g.reportPositions(Replica, 10*ms, "a", "b", "c")
 	for range 30 {
-		id, _ := g.request(anyRead, Event{})
-		g.step(Event{Kind: EvOutcome, ID: id, Code: OK, Final: true, Elapsed: 350 * ms})
+		id, _ := g.request(eventualRead, Event{})
+		g.step(Event{Kind: EventOutcome, ID: id, Code: OK, Final: true, Elapsed: 350 * ms})
 		id, _ = g.request(sessionRead, Event{})
 		g.outcome(id, 0, OK, Unknown)
 	}
-	_, as := g.request(anyRead, Event{})
-	_, host := of(ActSend, as)
+	_, as := g.request(eventualRead, Event{})
+	_, host := actionsOf(ActSend, as)
 	m := g.c.members[host]
-	if g.now += 3 * g.c.classes[anyRead].latency; g.c.silent(m) {
-		t.Errorf("silent after %v, while such work takes %v", g.now-m.quiet, g.c.classes[anyRead].latency)
+	if g.now += 3 * g.c.classes[eventualRead].latency; g.c.isSilent(m) {
+		t.Errorf("silent after %v, while such work takes %v", g.now-m.waitingSince, g.c.classes[eventualRead].latency)
 	}
-	for m.out[sessionRead] == 0 {
+	for m.inFlightByClass[sessionRead] == 0 {
 		g.request(sessionRead, Event{})
 	}
-	if !g.c.silent(m) {
+	if !g.c.isSilent(m) {
 		t.Error("short work lies there too")
 	}
-	if g.now += 2 * g.c.classes[anyRead].latency; !g.c.silent(m) {
+	if g.now += 2 * g.c.classes[eventualRead].latency; !g.c.isSilent(m) {
 		t.Error("even for long work it is too long")
 	}
 }
 
 // Guards against reads that are refused beside a primary with room: they may take most of it, not all.
 func TestReadsMayTakeMostOfThePrimary(t *testing.T) {
-	g := start(t, settings(), Target{Host: "p", Group: 1, Primary: true})
+	g := startHarness(t, settings(), Target{Host: "p", Group: 1, Primary: true})
 	g.c.members["p"].limit = 20
 	for range 30 {
-		g.request(sessionRead, Event{Token: ms})
+		g.request(sessionRead, Event{CommitAge: ms})
 	}
-	if n := g.c.members["p"].inflight; n != 18 {
+	if n := g.c.members["p"].inFlight; n != 18 {
 		t.Errorf("%d reads are there, 18 of 20 may be", n)
 	}
-	if _, as := g.request(unsafeWrite, Event{}); len(as) == 0 || as[0].Kind != ActSend {
+	if _, as := g.request(atMostOnceWrite, Event{}); len(as) == 0 || as[0].Kind != ActSend {
 		t.Errorf("a write finds no room: %v", as)
 	}
 }
 
 // Guards against other settings that pull the classes from under the requests that are under way.
 func TestConfigure(t *testing.T) {
-	g := start(t, settings(), shard()...)
-	id, _ := g.request(unsafeWrite, Event{})
+	g := startHarness(t, settings(), shard()...)
+	id, _ := g.request(atMostOnceWrite, Event{})
 	s := settings()
-	s.Classes[unsafeWrite].Aim, s.MaxRetryAfter = 300*ms, 70*ms
+	s.Classes[atMostOnceWrite].LatencyObjective, s.MaxRetryAfter = 300*ms, 70*ms
 	if err := g.c.Configure(s); err != nil {
 		t.Fatal(err)
 	}
 	g.outcome(id, 0, OK, Primary)
 	g.ids++
-	as := g.step(Event{Kind: EvRequest, ID: "odd", Class: unsafeWrite, Group: 9, TimeLeft: time.Second})
-	if refused, _ := of(ActRefuse, as); len(refused) != 1 || refused[0].After != 70*ms || g.c.classes[unsafeWrite].Aim != 300*ms {
+	as := g.step(Event{Kind: EventRequest, ID: "odd", Class: atMostOnceWrite, Group: 9, TimeRemaining: time.Second})
+	if refused, _ := actionsOf(ActReject, as); len(refused) != 1 || refused[0].RetryAfter != 70*ms || g.c.classes[atMostOnceWrite].LatencyObjective != 300*ms {
 		t.Errorf("%v", as)
 	}
 	s.Classes = s.Classes[1:]
--- a/routing/example_test.go
+++ b/routing/example_test.go
@@ -10,24 +10,24 @@
 // A router asks where a write goes, carries the answer back, and is done.
 func Example() {
 	c, err := routing.New(routing.Settings{
-		Classes: []routing.Class{{Name: "save", Read: routing.Write, Effect: routing.Unsafe,
-			Aim: time.Second, Deadline: 5 * time.Second, Worth: 1}},
-		Routers: 1, ListRole: true, MaxAttempts: 3,
+		Classes: []routing.Class{{Name: "save", Access: routing.Write, Idempotency: routing.AtMostOnce,
+			LatencyObjective: time.Second, Deadline: 5 * time.Second, PriorityWeight: 1}},
+		RouterCount: 1, ListNamesPrimary: true, MaxAttempts: 3,
 	}, 42)
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
 	now := time.Hour // any clock that never goes back
-	c.Step(now, []routing.Event{{Kind: routing.EvTargets, Full: true, Targets: []routing.Target{
+	c.Step(now, []routing.Event{{Kind: routing.EventTargets, Full: true, Targets: []routing.Target{
 		{Host: "db1:5432", Group: 1, Primary: true}, {Host: "db2:5432", Group: 1}}}})
 	for _, a := range c.Step(now, []routing.Event{
-		{Kind: routing.EvRequest, ID: "q1", Group: 1, TimeLeft: 5 * time.Second}}) {
+		{Kind: routing.EventRequest, ID: "q1", Group: 1, TimeRemaining: 5 * time.Second}}) {
 		if a.Kind == routing.ActSend {
 			fmt.Println("send", a.ID, "to", a.Host)
 		}
 	}
-	c.Step(now+20*time.Millisecond, []routing.Event{{Kind: routing.EvOutcome, ID: "q1", Host: "db1:5432",
+	c.Step(now+20*time.Millisecond, []routing.Event{{Kind: routing.EventOutcome, ID: "q1", Host: "db1:5432",
 		Code: routing.OK, Role: routing.Primary, Final: true, Elapsed: 20 * time.Millisecond}})
 	// Output: send q1 to db1:5432
 }
--- a/routing/fleet_test.go
+++ b/routing/fleet_test.go
@@ -10,7 +10,7 @@
 // answers is asked what an attempt comes to.
 type fleet struct {
 	t       testing.TB
-	routers []*Choice
+	routers []*Router
 	now     time.Duration
 	ids     int
 	sends   map[string]int // by host
@@ -19,11 +19,11 @@
 }
 
 func newFleet(t testing.TB, n int, hosts []Target) *fleet {
-	f := &fleet{t: t, now: zero, sends: map[string]int{}}
+	f := &fleet{t: t, now: startTime, sends: map[string]int{}}
 	s := settings()
-	s.Routers, s.FallFactor, s.ConnIdle = n, 2.5, 30*time.Second
+	s.RouterCount, s.OverloadFactor, s.ConnIdleTimeout = n, 2.5, 30*time.Second
 	for i := range n {
-		s.Index = i
+		s.RouterIndex = i
 		c, err := New(s, uint64(i))
 		if err != nil {
 			t.Fatal(err)
@@ -36,12 +36,12 @@
 
 func (f *fleet) list(hosts ...Target) {
 	for _, c := range f.routers {
-		f.carryOut(c, c.Step(f.now, []Event{{Kind: EvTargets, Targets: hosts}}), nil)
+		f.carryOut(c, c.Step(f.now, []Event{{Kind: EventTargets, Targets: hosts}}), nil)
 	}
 }
 
 // carryOut counts the actions and gives each send its outcome at once, each probe a report of the present.
-func (f *fleet) carryOut(c *Choice, as []Action, classes map[string]int) {
+func (f *fleet) carryOut(c *Router, as []Action, classes map[string]int) {
 	var es []Event
 	for _, a := range as {
 		switch a.Kind {
@@ -49,7 +49,7 @@
 			f.sends[a.Host]++
 			if f.answers != nil {
 				code, role, elapsed := f.answers(a.Host, classes[a.ID])
-				es = append(es, Event{Kind: EvOutcome, ID: a.ID, Attempt: len(c.reqs[a.ID].attempts) - 1, Host: a.Host,
+				es = append(es, Event{Kind: EventOutcome, ID: a.ID, Attempt: len(c.requests[a.ID].attempts) - 1, Host: a.Host,
 					Code: code, Role: role, Final: code == OK, Elapsed: elapsed})
 			}
 		case ActProbe:
@@ -58,7 +58,7 @@
 			if a.Host == "p" {
 				role = Primary
 			}
-			es = append(es, Event{Kind: EvProbe, Host: a.Host, Report: Report{Position: f.now, Role: role}})
+			es = append(es, Event{Kind: EventProbeResult, Host: a.Host, Report: Report{Position: f.now, Role: role}})
 		}
 	}
 	if len(es) > 0 {
@@ -73,12 +73,12 @@
 		f.ids++
 		id := fmt.Sprint("f", f.ids)
 		c := f.routers[i%len(f.routers)]
-		f.carryOut(c, append([]Action(nil), c.Step(f.now, []Event{{Kind: EvRequest, ID: id, Class: class, Group: 1,
-			TimeLeft: c.cfg.Classes[class].Deadline}})...), map[string]int{id: class})
+		f.carryOut(c, append([]Action(nil), c.Step(f.now, []Event{{Kind: EventRequest, ID: id, Class: class, Group: 1,
+			TimeRemaining: c.cfg.Classes[class].Deadline}})...), map[string]int{id: class})
 	}
 }
 
-func quickly(host string, class int) (Code, Role, time.Duration) {
+func answerQuickly(host string, class int) (Code, Role, time.Duration) {
 	if host == "p" {
 		return OK, Primary, 50 * ms
 	}
@@ -94,14 +94,14 @@
 			for i := range hosts {
 				for _, h := range cold {
 					if hosts[i].Host == h {
-						hosts[i].Started = zero
+						hosts[i].StartedAt = startTime
 					}
 				}
 			}
 			f := newFleet(t, routers, hosts)
-			f.answers = quickly
-			f.play(1000, anyRead, ms)
-			most := 1000.0 / 3 * coldShare * 2.5 * 0.29 // the sure share rises to 0.28 within the second
+			f.answers = answerQuickly
+			f.play(1000, eventualRead, ms)
+			most := 1000.0 / 3 * slowStartSafety * 2.5 * 0.29 // the sure share rises to 0.28 within the second
 			if got := float64(f.sends["a"]); got == 0 || got > 1.25*most {
 				t.Errorf("%d routers, %s cold: %.0f sends to a in a second, want up to %.0f", routers, name, got, most)
 			}
@@ -113,12 +113,12 @@
 func TestFleetSlowStartAfterReplacement(t *testing.T) {
 	for _, routers := range []int{1, 80} {
 		f := newFleet(t, routers, shard())
-		f.answers = quickly
-		f.list(Target{Host: "x", Group: 1, Started: zero}, Target{Host: "y", Group: 1, Started: zero},
-			Target{Host: "z", Group: 1, Started: zero}, Target{Host: "a", Group: 1, Gone: true},
-			Target{Host: "b", Group: 1, Gone: true}, Target{Host: "c", Group: 1, Gone: true})
-		f.play(1000, anyRead, ms)
-		expected := 1000.0 / 3 * coldShare * 2.5 * 0.24 // a third of the reads, at the sure share's mean over a second
+		f.answers = answerQuickly
+		f.list(Target{Host: "x", Group: 1, StartedAt: startTime}, Target{Host: "y", Group: 1, StartedAt: startTime},
+			Target{Host: "z", Group: 1, StartedAt: startTime}, Target{Host: "a", Group: 1, Removed: true},
+			Target{Host: "b", Group: 1, Removed: true}, Target{Host: "c", Group: 1, Removed: true})
+		f.play(1000, eventualRead, ms)
+		expected := 1000.0 / 3 * slowStartSafety * 2.5 * 0.24 // a third of the reads, at the sure share's mean over a second
 		for _, h := range []string{"x", "y", "z"} {
 			if got := float64(f.sends[h]); got < 0.6*expected || got > 1.4*expected {
 				t.Errorf("%d routers: %.0f sends to cold %s in a second, want about %.0f", routers, got, h, expected)
@@ -129,28 +129,28 @@
 
 // Writes that every router held while the group was down don't reach a restarted member at a stroke, neither those
 // that search for the primary nor those that know it.
-func TestFleetReleasesHeldWritesSlowly(t *testing.T) {
+func TestFleetReleasesQueuedWritesSlowly(t *testing.T) {
 	hosts := shard()
 	for i := range hosts {
-		hosts[i].Gone = true
+		hosts[i].Removed = true
 	}
 	f := newFleet(t, 300, shard())
 	f.list(hosts...)
-	f.play(300, unsafeWrite, ms)
+	f.play(300, atMostOnceWrite, ms)
 	for i := range hosts {
-		hosts[i] = Target{Host: hosts[i].Host, Group: 1, Started: f.now}
+		hosts[i] = Target{Host: hosts[i].Host, Group: 1, StartedAt: f.now}
 	}
 	f.answers = func(host string, class int) (Code, Role, time.Duration) {
 		if host == "p" {
 			return OK, Primary, 50 * ms
 		}
-		return Miss, Replica, ms
+		return Misdirected, Replica, ms
 	}
 	f.list(hosts...)
 	for range 100 {
 		f.now += 10 * ms
 		for _, c := range f.routers {
-			f.carryOut(c, append([]Action(nil), c.Step(f.now, []Event{{Kind: EvTimer}})...), nil)
+			f.carryOut(c, append([]Action(nil), c.Step(f.now, []Event{{Kind: EventTimer}})...), nil)
 		}
 	}
 	for _, h := range []string{"p", "a", "b", "c"} {
@@ -163,25 +163,25 @@
 // Positions are asked for only by reads that need them, two at the most, and nothing is asked at the start.
 func TestFleetProbes(t *testing.T) {
 	f := newFleet(t, 300, shard())
-	f.answers = quickly
+	f.answers = answerQuickly
 	if f.probes > 0 {
 		t.Errorf("%d probes before any request", f.probes)
 	}
-	f.play(600, anyRead, ms)
+	f.play(600, eventualRead, ms)
 	if f.probes > 0 {
 		t.Errorf("%d probes for reads that any member may answer", f.probes)
 	}
 	f.play(600, boundedRead, ms)
-	if f.probes == 0 || f.probes > 600*askMost || f.sends["p"] > 0 {
+	if f.probes == 0 || f.probes > 600*maxProbesPerRead || f.sends["p"] > 0 {
 		t.Errorf("%d probes for 600 bounded reads, %d of them at the primary", f.probes, f.sends["p"])
 	}
 }
 
 // When every attempt fails late, all routers together make few further ones.
-func TestFleetExtraAttempts(t *testing.T) {
+func TestFleetRetries(t *testing.T) {
 	f := newFleet(t, 300, shard())
 	f.answers = func(string, int) (Code, Role, time.Duration) { return NoAnswer, Unknown, 380 * ms }
-	f.play(900, anyRead, ms)
+	f.play(900, eventualRead, ms)
 	total := 0
 	for _, n := range f.sends {
 		total += n
@@ -198,12 +198,12 @@
 		hosts = append(hosts, Target{Host: fmt.Sprint("r", i), Group: 1})
 	}
 	f := newFleet(t, 200, hosts)
-	f.answers = quickly
-	f.play(200*20, anyRead, ms)
+	f.answers = answerQuickly
+	f.play(200*20, eventualRead, ms)
 	open := 0
 	for _, c := range f.routers {
 		for _, m := range c.members {
-			if m.open {
+			if m.connected {
 				open++
 			}
 		}
@@ -222,20 +222,20 @@
 // than their part.
 func TestFleetGrowth(t *testing.T) {
 	f := newFleet(t, 200, shard())
-	f.answers = quickly
-	f.play(4000, anyRead, ms)
+	f.answers = answerQuickly
+	f.play(4000, eventualRead, ms)
 	grown := shard()
 	for i := range 4 {
-		grown = append(grown, Target{Host: fmt.Sprint("new", i), Group: 1, Started: f.now})
+		grown = append(grown, Target{Host: fmt.Sprint("new", i), Group: 1, StartedAt: f.now})
 	}
 	f.list(grown...)
 	before := f.sends["a"] + f.sends["b"] + f.sends["c"]
-	f.play(2000, anyRead, ms)
+	f.play(2000, eventualRead, ms)
 	fresh := 0
 	for i := range 4 {
 		fresh += f.sends[fmt.Sprint("new", i)]
 	}
-	most := 2000.0 * 4 / 7 * coldShare * 2.5 * 0.36 // as if all draws were open to them; the sure share rises to 0.36
+	most := 2000.0 * 4 / 7 * slowStartSafety * 2.5 * 0.36 // as if all draws were open to them; the sure share rises to 0.36
 	if fresh < 20 || float64(fresh) > 1.25*most {
 		t.Errorf("four new members got %d of 2000 reads, want 20 to %.0f", fresh, 1.25*most)
 	}
@@ -253,15 +253,15 @@
 	f := newFleet(t, 100, hosts)
 	opened := map[string]int{}
 	f.answers = func(host string, class int) (Code, Role, time.Duration) { return OK, Replica, 50 * ms }
-	f.play(1000, anyRead, ms) // ten reads each
-	before := map[*Choice]map[string]bool{}
+	f.play(1000, eventualRead, ms) // ten reads each
+	before := map[*Router]map[string]bool{}
 	for _, c := range f.routers {
 		before[c] = map[string]bool{}
 		for h, m := range c.members {
-			before[c][h] = m.open
+			before[c][h] = m.connected
 		}
 	}
-	var current *Choice
+	var current *Router
 	f.answers = func(host string, class int) (Code, Role, time.Duration) {
 		if before[current][host] {
 			return OK, Replica, 50 * ms
@@ -276,8 +276,8 @@
 			f.now += ms
 			f.ids++
 			id := fmt.Sprint("h", f.ids)
-			f.carryOut(c, append([]Action(nil), c.Step(f.now, []Event{{Kind: EvRequest, ID: id, Class: anyRead, Group: 1,
-				TimeLeft: c.cfg.Classes[anyRead].Deadline}})...), map[string]int{id: anyRead})
+			f.carryOut(c, append([]Action(nil), c.Step(f.now, []Event{{Kind: EventRequest, ID: id, Class: eventualRead, Group: 1,
+				TimeRemaining: c.cfg.Classes[eventualRead].Deadline}})...), map[string]int{id: eventualRead})
 		}
 	}
 	total := 0
@@ -290,32 +290,32 @@
 }
 
 // Where many attempts fail to connect at once, hosts are out of connections: most routers close theirs after use.
-func TestCrowdedHostsAreLeft(t *testing.T) {
+func TestIdleConnectionsCloseWhereHostsAreFull(t *testing.T) {
 	for _, k := range []struct {
 		routers, failing int // attempts of ten that fail to connect
 		closes           bool
 	}{{800, 5, true}, {800, 0, false}, {100, 5, false}} {
 		s := settings()
-		s.Routers, s.ConnIdle = k.routers, 30*time.Second
-		g := start(t, s, shard()...)
+		s.RouterCount, s.ConnIdleTimeout = k.routers, 30*time.Second
+		g := startHarness(t, s, shard()...)
 		closed := 0
 		for i := range 200 {
 			g.now += 500 * ms
-			id, as := g.request(anyRead, Event{})
-			if sent, _ := of(ActSend, as); len(sent) == 0 {
+			id, as := g.request(eventualRead, Event{})
+			if sent, _ := actionsOf(ActSend, as); len(sent) == 0 {
 				continue
 			}
-			e := Event{Kind: EvOutcome, ID: id, Code: OK, Role: Replica, Final: true, Elapsed: 50 * ms}
+			e := Event{Kind: EventOutcome, ID: id, Code: OK, Role: Replica, Final: true, Elapsed: 50 * ms}
 			if i%10 < k.failing {
-				e = Event{Kind: EvOutcome, ID: id, Code: NoConnection, Elapsed: 2 * ms}
+				e = Event{Kind: EventOutcome, ID: id, Code: NoConnection, Elapsed: 2 * ms}
 			}
 			as = g.step(e)
-			if again, _ := of(ActSend, as); len(again) > 0 {
+			if again, _ := actionsOf(ActSend, as); len(again) > 0 {
 				as = append(as, g.outcome(id, 1, OK, Replica)...)
 			}
-			found, _ := of(ActClose, as)
+			found, _ := actionsOf(ActCloseIdle, as)
 			closed += len(found)
-			g.step(Event{Kind: EvLeft, ID: id})
+			g.step(Event{Kind: EventClientGone, ID: id})
 		}
 		if (closed > 20) != k.closes {
 			t.Errorf("%d routers, %d of 10 fail to connect: %d closes", k.routers, k.failing, closed)
@@ -325,7 +325,7 @@
 
 // symptoms are the kinds of trouble as one router sees them: what an attempt at a bad host comes to. Half of the
 // replicas are bad; the reads must move to the others, and come back when the trouble is over.
-func TestSymptoms(t *testing.T) {
+func TestFaultsMoveReadsToHealthyReplicas(t *testing.T) {
 	turn := 0
 	for _, k := range []struct {
 		name  string
@@ -338,23 +338,23 @@
 		{"one-sided: no answer, probes lost", func() (Code, Role, time.Duration) { return NoAnswer, Unknown, 385 * ms }, NoAnswer, 0, boundedRead, 0.2},
 		{"one-sided: no answer, probes pass", func() (Code, Role, time.Duration) { return NoAnswer, Unknown, 385 * ms }, OK, 0, boundedRead, 0.3},
 		{"one-sided: refused", func() (Code, Role, time.Duration) { return NoConnection, Unknown, ms }, NoConnection, 0, boundedRead, 0.2},
-		{"one-sided: reset", func() (Code, Role, time.Duration) { return ConnectionLost, Unknown, 20 * ms }, OK, 0, anyRead, 0.3},
-		{"slow path", func() (Code, Role, time.Duration) { return OK, Replica, 350 * ms }, OK, 0, anyRead, 0.35},
-		{"fast errors", func() (Code, Role, time.Duration) { return Error, Replica, ms }, OK, 0, anyRead, 0.3},
-		{"ageing: ever slower", func() (Code, Role, time.Duration) { turn++; return OK, Replica, time.Duration(100+10*turn) * ms }, OK, 0, anyRead, 0.4},
+		{"one-sided: reset", func() (Code, Role, time.Duration) { return ConnectionLost, Unknown, 20 * ms }, OK, 0, eventualRead, 0.3},
+		{"slow path", func() (Code, Role, time.Duration) { return OK, Replica, 350 * ms }, OK, 0, eventualRead, 0.35},
+		{"fast errors", func() (Code, Role, time.Duration) { return ServerError, Replica, ms }, OK, 0, eventualRead, 0.3},
+		{"ageing: ever slower", func() (Code, Role, time.Duration) { turn++; return OK, Replica, time.Duration(100+10*turn) * ms }, OK, 0, eventualRead, 0.4},
 		{"flapping, the list is silent", func() (Code, Role, time.Duration) {
 			if turn++; turn/3%2 == 0 {
 				return NoConnection, Unknown, ms
 			}
 			return OK, Replica, 50 * ms
-		}, OK, 0, anyRead, 0.4},
+		}, OK, 0, eventualRead, 0.4},
 		{"refused while the others lag", func() (Code, Role, time.Duration) { return NoConnection, Unknown, ms }, NoConnection, time.Second, boundedRead, 0.2},
 	} {
 		turn = 0
 		s := settings()
-		s.Routers, s.ConnIdle = 300, 30*time.Second
+		s.RouterCount, s.ConnIdleTimeout = 300, 30*time.Second
 		hosts := append(shard(), Target{Host: "d", Group: 1})
-		g := start(t, s, hosts...)
+		g := startHarness(t, s, hosts...)
 		count, all, failing := map[string]int{}, 0, true
 		var carry func(as []Action)
 		carry = func(as []Action) {
@@ -364,14 +364,14 @@
 				case ActSend:
 					count[a.Host]++
 					all++
-					code, role, elapsed := quickly(a.Host, 0)
+					code, role, elapsed := answerQuickly(a.Host, 0)
 					if bad {
 						code, role, elapsed = k.bad()
 					}
-					n := len(g.c.reqs[a.ID].attempts) - 1
-					carry(g.step(Event{Kind: EvOutcome, ID: a.ID, Attempt: n, Code: code, Role: role, Final: code == OK, Elapsed: elapsed}))
+					n := len(g.c.requests[a.ID].attempts) - 1
+					carry(g.step(Event{Kind: EventOutcome, ID: a.ID, Attempt: n, Code: code, Role: role, Final: code == OK, Elapsed: elapsed}))
 				case ActProbe:
-					e := Event{Kind: EvProbe, Host: a.Host, Report: Report{Position: g.now - k.lag, Role: Replica}}
+					e := Event{Kind: EventProbeResult, Host: a.Host, Report: Report{Position: g.now - k.lag, Role: Replica}}
 					if bad && k.probe != OK {
 						e.Code, e.Report = k.probe, Report{}
 					}
@@ -386,7 +386,7 @@
 				_, as := g.request(k.class, Event{})
 				carry(as)
 				for range 3 {
-					carry(g.after(askWait))
+					carry(g.advance(probeAnswerWait))
 				}
 			}
 		}
@@ -394,11 +394,11 @@
 		if got := float64(count["a"]+count["b"]) / float64(all); got > k.most {
 			t.Errorf("%s: %.2f of the attempts went to the bad half, %v", k.name, got, count)
 		}
-		if k.lag > s.Classes[boundedRead].Bound && count["p"] < 40 {
+		if k.lag > s.Classes[boundedRead].StalenessBound && count["p"] < 40 {
 			t.Errorf("%s: the primary got %v", k.name, count)
 		}
 		failing = false
-		g.now += tookKeep * time.Second
+		g.now += scoreRetention * time.Second
 		run(120)
 		if k.lag == 0 && count["a"]+count["b"] < 12 {
 			t.Errorf("%s: after the trouble the reads went %v", k.name, count)
@@ -407,36 +407,36 @@
 }
 
 // When every member errs at times, bounded reads still ask for positions and go on by the draw.
-func TestAskedThoughAllLookBad(t *testing.T) {
+func TestPositionsAreProbedThoughAllAreOutliers(t *testing.T) {
 	s := settings()
-	s.Routers = 300
-	g := start(t, s, shard()...)
+	s.RouterCount = 300
+	g := startHarness(t, s, shard()...)
 	for _, m := range g.c.members {
-		g.c.took(m, failure)
-		g.c.took(m, failure)
+		g.c.recordScore(m, faultScore)
+		g.c.recordScore(m, faultScore)
 	}
 	_, as := g.request(boundedRead, Event{})
-	found, host := of(ActProbe, as)
+	found, host := actionsOf(ActProbe, as)
 	if len(found) == 0 {
 		t.Fatalf("with all in doubt a bounded read led to %v", as)
 	}
-	if sent, to := of(ActSend, g.reports(Replica, 0, host)); len(sent) != 1 || to != host {
+	if sent, to := actionsOf(ActSend, g.reportPositions(Replica, 0, host)); len(sent) != 1 || to != host {
 		t.Errorf("after %s showed its position: %v", host, sent)
 	}
 }
 
 // Repeats that clients mark go first when anything is shed.
-func TestRepeatsAreShedFirst(t *testing.T) {
+func TestRetriesAreShedFirst(t *testing.T) {
 	s := settings()
-	s.Routers = 400
-	g := start(t, s, shard()...)
-	g.reports(Replica, 0, "a", "b", "c")
+	s.RouterCount = 400
+	g := startHarness(t, s, shard()...)
+	g.reportPositions(Replica, 0, "a", "b", "c")
 	refused := func(again bool) bool {
-		id, as := g.request(anyRead, Event{TimeLeft: 1300 * ms, Retry: again})
-		if r := g.c.reqs[id]; r != nil && r.live > 0 {
-			g.step(Event{Kind: EvOutcome, ID: id, Code: OK, Role: Replica, Final: true, Elapsed: 50 * ms})
+		id, as := g.request(eventualRead, Event{TimeRemaining: 1300 * ms, IsRetry: again})
+		if r := g.c.requests[id]; r != nil && r.inFlight > 0 {
+			g.step(Event{Kind: EventOutcome, ID: id, Code: OK, Role: Replica, Final: true, Elapsed: 50 * ms})
 		}
-		found, _ := of(ActRefuse, as)
+		found, _ := actionsOf(ActReject, as)
 		return len(found) > 0
 	}
 	for range 20 {
@@ -447,15 +447,15 @@
 	if refused(true) {
 		t.Error("a repeat was refused though nothing is shed")
 	}
-	s.Classes[anyRead].LateShare = 0 // the rig shares the classes' settings, not their values: take a new one
-	g = start(t, s, shard()...)
+	s.Classes[eventualRead].LateFraction = 0 // the rig shares the classes' settings, not their values: take a new one
+	g = startHarness(t, s, shard()...)
 	for range 20 {
 		refused(false)
 	}
-	g.c.groups[1].sides[0].shed = 0.1
+	g.c.groups[1].admissions[0].shedFraction = 0.1
 	repeats, firsts := 0, 0
 	for range 30 {
-		g.c.groups[1].sides[0].shed = 0.1
+		g.c.groups[1].admissions[0].shedFraction = 0.1
 		if refused(true) {
 			repeats++
 		}
@@ -471,18 +471,18 @@
 }
 
 // Requests beyond their tenant's share are shed before those inside.
-func TestTenantShares(t *testing.T) {
+func TestTenantQuotas(t *testing.T) {
 	s := settings()
-	s.Routers, s.OverShare = 100, 0.1
+	s.RouterCount, s.OverQuotaFraction = 100, 0.1
 	s.Tenants = []Tenant{{Name: "small", Quota: 50}, {Name: "large", Quota: 1000}}
-	g := start(t, s, shard()...)
+	g := startHarness(t, s, shard()...)
 	refused := [3]int{}
 	for range 400 {
 		for tenant := 1; tenant <= 2; tenant++ { // 200 a second each, if all routers see as much
 			g.now += 250 * ms
-			g.c.groups[1].sides[0].shed, g.c.groups[1].sides[0].quick = 0.3, 1
-			id, as := g.request(anyRead, Event{Tenant: tenant})
-			if found, _ := of(ActRefuse, as); len(found) > 0 {
+			g.c.groups[1].admissions[0].shedFraction, g.c.groups[1].admissions[0].inTimeFraction = 0.3, 1
+			id, as := g.request(eventualRead, Event{Tenant: tenant})
+			if found, _ := actionsOf(ActReject, as); len(found) > 0 {
 				refused[tenant]++
 			} else {
 				g.outcome(id, 0, OK, Replica)
@@ -495,40 +495,40 @@
 }
 
 // What has left is released with all that refers to it; a host may come back, change its group or its start.
-func TestListTurns(t *testing.T) {
-	g := start(t, settings(), shard()...)
+func TestEndpointListChanges(t *testing.T) {
+	g := startHarness(t, settings(), shard()...)
 	gone := shard()
 	for i := range gone {
-		gone[i].Gone = true
+		gone[i].Removed = true
 	}
-	g.step(Event{Kind: EvTargets, Targets: gone})
-	g.step(Event{Kind: EvTargets, Targets: shard()}) // back at once: what was known still counts
+	g.step(Event{Kind: EventTargets, Targets: gone})
+	g.step(Event{Kind: EventTargets, Targets: shard()}) // back at once: what was known still counts
 	if len(g.c.members) != 4 || g.c.groups[1].primary() != nil {
 		t.Errorf("%d members, primary %v: a drained one is none until it shows again", len(g.c.members), g.c.groups[1].primary())
 	}
-	g.step(Event{Kind: EvTargets, Targets: gone})
-	g.now += memberKeep + time.Second
-	g.step(Event{Kind: EvTargets, Targets: []Target{{Host: "x", Group: 2, Started: g.now + time.Hour}}})
+	g.step(Event{Kind: EventTargets, Targets: gone})
+	g.now += memberRetention + time.Second
+	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "x", Group: 2, StartedAt: g.now + time.Hour}}})
 	if len(g.c.members) != 1 || len(g.c.groups) != 1 {
 		t.Errorf("%d members in %d groups are left", len(g.c.members), len(g.c.groups))
 	}
 	x := g.c.members["x"]
-	if x.started > g.now || g.c.ration(x) >= 1 {
-		t.Errorf("a start in the future: %v, ration %v", x.started-g.now, g.c.ration(x))
+	if x.startedAt > g.now || g.c.slowStartRatio(x) >= 1 {
+		t.Errorf("a start in the future: %v, ration %v", x.startedAt-g.now, g.c.slowStartRatio(x))
 	}
-	was := x.started
+	was := x.startedAt
 	g.now += time.Second
-	g.step(Event{Kind: EvTargets, Targets: []Target{{Host: "x", Group: 2, Started: was - time.Minute}}})
-	if x.started != was {
+	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "x", Group: 2, StartedAt: was - time.Minute}}})
+	if x.startedAt != was {
 		t.Error("a start went back")
 	}
-	g.step(Event{Kind: EvTargets, Targets: []Target{{Host: "x", Group: 3}}})
-	as := g.step(Event{Kind: EvRequest, ID: "q", Class: anyRead, Group: 2, TimeLeft: time.Second})
-	if found, _ := of(ActSend, as); len(found) != 0 || g.c.groups[2] != nil {
+	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "x", Group: 3}}})
+	as := g.step(Event{Kind: EventRequest, ID: "q", Class: eventualRead, Group: 2, TimeRemaining: time.Second})
+	if found, _ := actionsOf(ActSend, as); len(found) != 0 || g.c.groups[2] != nil {
 		t.Errorf("after x went to group 3, group 2 led to %v", as)
 	}
-	as = g.step(Event{Kind: EvRequest, ID: "s", Class: anyRead, Group: 3, TimeLeft: time.Second})
-	if _, host := of(ActSend, as); host != "x" {
+	as = g.step(Event{Kind: EventRequest, ID: "s", Class: eventualRead, Group: 3, TimeRemaining: time.Second})
+	if _, host := actionsOf(ActSend, as); host != "x" {
 		t.Errorf("group 3 led to %v", as)
 	}
 }
--- a/routing/size_test.go
+++ b/routing/size_test.go
@@ -12,31 +12,31 @@
 
 // One lost request leads each router of a large fleet to a suspicion that its few requests take long to clear. Reads
 // that no replica can serve still go to the primary, unless it is silent, as writes do.
-func TestReadsGoToASuspectPrimaryWhereNobodyElseCanServe(t *testing.T) {
+func TestReadsGoToAnOutlierPrimaryWhereNobodyElseCanServe(t *testing.T) {
 	s := settings()
-	s.Routers, s.Probes = 80, false
-	g := start(t, s, shard()...)
-	id, _ := g.request(unsafeWrite, Event{})
+	s.RouterCount, s.ProbesAllowed = 80, false
+	g := startHarness(t, s, shard()...)
+	id, _ := g.request(atMostOnceWrite, Event{})
 	g.outcome(id, 0, OK, Primary)
 	for range 4 {
 		g.now += second
-		id, _ = g.request(unsafeWrite, Event{})
-		g.outcome(id, 0, Error, Primary)
+		id, _ = g.request(atMostOnceWrite, Event{})
+		g.outcome(id, 0, ServerError, Primary)
 	}
 	p := g.c.members["p"]
-	require.False(t, g.c.sound(p))
+	require.False(t, g.c.isHealthy(p))
 	id, as := g.request(boundedRead, Event{})
 	require.Equal(t, ActSend, as[0].Kind)
 	require.Equal(t, "p", as[0].Host)
 	g.now += 10 * second
 	_, as = g.request(boundedRead, Event{})
-	require.True(t, g.c.silent(p))
+	require.True(t, g.c.isSilent(p))
 	for _, a := range as {
 		require.NotEqual(t, ActSend, a.Kind, "a silent primary")
 	}
 	g.outcome(id, 0, OK, Primary)
 
-	g.reports(Replica, 0, "a") // a replica that qualifies is not passed over
+	g.reportPositions(Replica, 0, "a") // a replica that qualifies is not passed over
 	id, as = g.request(boundedRead, Event{})
 	require.Equal(t, "a", as[0].Host, id)
 }
@@ -45,44 +45,44 @@
 // word is older than it comes: it goes before nothing that was seen in the meantime.
 func TestTheListNamesANewPrimary(t *testing.T) {
 	named := []Target{{Host: "a", Group: 1, Primary: true}}
-	g := start(t, settings(), shard()...)
-	id, _ := g.request(unsafeWrite, Event{})
+	g := startHarness(t, settings(), shard()...)
+	id, _ := g.request(atMostOnceWrite, Event{})
 	g.outcome(id, 0, OK, Primary)
 	g.now += 20 * second
-	g.step(Event{Kind: EvTargets, Targets: []Target{{Host: "p", Group: 1, Primary: true, Draining: true}}})
+	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Primary: true, Draining: true}}})
 	require.Nil(t, g.c.groups[1].primary())
-	g.step(Event{Kind: EvTargets, Targets: named})
-	_, as := g.request(unsafeWrite, Event{})
+	g.step(Event{Kind: EventTargets, Targets: named})
+	_, as := g.request(atMostOnceWrite, Event{})
 	require.Equal(t, "a", as[0].Host)
 
-	g = start(t, settings(), shard()...)
+	g = startHarness(t, settings(), shard()...)
 	g.now += 20 * second
-	g.reports(Replica, 0, "a")
-	g.now += listLate - second
-	g.step(Event{Kind: EvTargets, Targets: named})
+	g.reportPositions(Replica, 0, "a")
+	g.now += maxListDelay - second
+	g.step(Event{Kind: EventTargets, Targets: named})
 	require.Equal(t, "p", g.c.groups[1].primary().host, "a was seen as a replica since")
 	g.now += 20 * second // nor does the same word count as new when the entry changes for another reason
-	g.reports(Replica, 0, "a")
+	g.reportPositions(Replica, 0, "a")
 	g.now += 20 * second
-	g.step(Event{Kind: EvTargets, Targets: named})
+	g.step(Event{Kind: EventTargets, Targets: named})
 	require.Equal(t, "p", g.c.groups[1].primary().host)
 }
 
 // Probes are rationed by what they cost where the primary can step in. Where it is unknown or suspect a read that
 // waits in vain costs more, and the answers find the new primary.
-func TestReadsAskPastTheRationWhereThereIsNoPrimary(t *testing.T) {
+func TestReadsProbePastTheBudgetWithoutAPrimary(t *testing.T) {
 	s := settings()
-	s.Routers, s.ProbePrice = 80, 0.04
-	g := start(t, s, shard()...)
-	g.c.probes = 0
+	s.RouterCount, s.ProbeCost = 80, 0.04
+	g := startHarness(t, s, shard()...)
+	g.c.probeBudget = 0
 	_, as := g.request(boundedRead, Event{})
 	require.Equal(t, ActSend, as[0].Kind, "the primary steps in")
-	g.step(Event{Kind: EvTargets, Targets: []Target{{Host: "p", Group: 1, Draining: true}}})
-	g.c.probes = 0
+	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Draining: true}}})
+	g.c.probeBudget = 0
 	id, as := g.request(boundedRead, Event{})
 	require.Equal(t, ActProbe, as[0].Kind)
-	as = g.reports(Primary, 0, as[0].Host)
-	sends, host := of(ActSend, as)
+	as = g.reportPositions(Primary, 0, as[0].Host)
+	sends, host := actionsOf(ActSend, as)
 	require.Len(t, sends, 1)
 	require.Equal(t, id, sends[0].ID)
 	require.Equal(t, g.c.groups[1].primary().host, host)
@@ -92,9 +92,9 @@
 // serves at once. One that may have caught up is asked again, and so are all where there is no primary to fall back on.
 func TestReplicasThatCannotHaveCaughtUpAreNotProbed(t *testing.T) {
 	s := settings()
-	s.Routers = 80
-	probed := func(g *rig) (hosts []string) {
-		g.c.probes = 10
+	s.RouterCount = 80
+	probed := func(g *harness) (hosts []string) {
+		g.c.probeBudget = 10
 		_, as := g.request(boundedRead, Event{})
 		for _, a := range as {
 			if a.Kind == ActProbe {
@@ -103,19 +103,19 @@
 		}
 		return hosts
 	}
-	g := start(t, s, shard()...)
-	g.reports(Replica, 5*second, "a", "b", "c")
+	g := startHarness(t, s, shard()...)
+	g.reportPositions(Replica, 5*second, "a", "b", "c")
 	g.now += second
 	require.Empty(t, probed(g), "all were 5 s behind a second ago")
 	g.now += 5 * second
 	require.Len(t, probed(g), 1, "at twice the pace they may have caught up")
 
-	g = start(t, s, shard()...)
+	g = startHarness(t, s, shard()...)
 	asked := map[string]int{}
 	for range 200 {
 		g.now += 10 * second
-		g.reports(Replica, 5*second, "a")
-		g.reports(Replica, 0, "b")
+		g.reportPositions(Replica, 5*second, "a")
+		g.reportPositions(Replica, 0, "b")
 		g.c.members["c"].position = 0
 		g.now += second
 		for _, h := range probed(g) {
@@ -125,25 +125,25 @@
 	require.Zero(t, asked["a"], "it was 5 s behind")
 	require.Greater(t, asked["b"], 160, "it kept pace")
 	require.Greater(t, asked["c"], 5, "nothing is known of it; asked now and then, or it would stay so")
-	g = start(t, s, shard()...)
-	g.reports(Replica, 5*second, "a", "b", "c")
-	g.step(Event{Kind: EvTargets, Targets: []Target{{Host: "p", Group: 1, Draining: true}}})
+	g = startHarness(t, s, shard()...)
+	g.reportPositions(Replica, 5*second, "a", "b", "c")
+	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Draining: true}}})
 	g.now += second
 	require.Len(t, probed(g), 1, "no primary: whoever answers may name it")
 }
 
 // A client that leaves less than twice the aim is told at half of its time too: what is held beyond that without one
 // attempt costs a part of its worth, and few are served yet.
-func TestShortReadsAreRefusedAtHalfTimeThoughTheirAimIsLater(t *testing.T) {
+func TestShortReadsAreRejectedAtHalfTimeBeforeTheirObjective(t *testing.T) {
 	s := settings()
-	s.Probes = false
-	g := start(t, s, Target{Host: "p", Group: 1, Primary: true, Draining: true}, Target{Host: "a", Group: 1})
+	s.ProbesAllowed = false
+	g := startHarness(t, s, Target{Host: "p", Group: 1, Primary: true, Draining: true}, Target{Host: "a", Group: 1})
 	for _, class := range []int{boundedRead, sessionRead} {
 		from := g.now
-		id, as := g.request(class, Event{TimeLeft: 400 * ms, Token: ms})
-		as, _ = of(ActRefuse, as)
+		id, as := g.request(class, Event{TimeRemaining: 400 * ms, CommitAge: ms})
+		as, _ = actionsOf(ActReject, as)
 		for len(as) == 0 && g.now < from+400*ms {
-			as, _ = of(ActRefuse, g.after(5*ms))
+			as, _ = actionsOf(ActReject, g.advance(5*ms))
 		}
 		require.Len(t, as, 1)
 		require.Equal(t, id, as[0].ID)
@@ -151,28 +151,28 @@
 	}
 }
 
-// big is a router that knows so many hosts, in groups of four, with all positions known.
-func big(b testing.TB, hosts int) (*rig, []Target) {
+// largeHarness is a router that knows so many hosts, in groups of four, with all positions known.
+func largeHarness(b testing.TB, hosts int) (*harness, []Target) {
 	s := settings()
-	s.Routers = 80
+	s.RouterCount = 80
 	var list []Target
 	for i := range hosts {
 		list = append(list, Target{Host: fmt.Sprint("h", i), Group: uint64(i / 4), Primary: i%4 == 0})
 	}
-	return start(b, s, list...), list
+	return startHarness(b, s, list...), list
 }
 
 // One read from its arrival to its answer costs the same however many hosts there are beside its group.
 func BenchmarkDecision(b *testing.B) {
 	for _, hosts := range []int{12, 120, 1000} {
 		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
-			g, _ := big(b, hosts)
+			g, _ := largeHarness(b, hosts)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				g.now += 400 * ms
 				id := fmt.Sprint(i)
-				g.step(Event{Kind: EvRequest, ID: id, Class: anyRead, Group: uint64(i % (hosts / 4)), TimeLeft: second})
-				g.step(Event{Kind: EvOutcome, ID: id, Code: OK, Role: Replica, Final: true, Elapsed: 50 * ms})
+				g.step(Event{Kind: EventRequest, ID: id, Class: eventualRead, Group: uint64(i % (hosts / 4)), TimeRemaining: second})
+				g.step(Event{Kind: EventOutcome, ID: id, Code: OK, Role: Replica, Final: true, Elapsed: 50 * ms})
 			}
 		})
 	}
@@ -182,16 +182,16 @@
 func BenchmarkTick(b *testing.B) {
 	for _, hosts := range []int{12, 120, 1000} {
 		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
-			g, list := big(b, hosts)
+			g, list := largeHarness(b, hosts)
 			for i := 4; i < 8; i++ { // group 1
 				list[i].Draining = true
 			}
-			g.step(Event{Kind: EvTargets, Targets: list[4:8]})
+			g.step(Event{Kind: EventTargets, Targets: list[4:8]})
 			for range 10 {
-				g.request(unsafeWrite, Event{TimeLeft: 10000 * time.Hour})
+				g.request(atMostOnceWrite, Event{TimeRemaining: 10000 * time.Hour})
 			}
 			for b.Loop() {
-				g.after(5 * ms)
+				g.advance(5 * ms)
 			}
 		})
 	}
@@ -201,11 +201,11 @@
 func BenchmarkListUpdate(b *testing.B) {
 	for _, hosts := range []int{12, 120, 1000} {
 		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
-			g, list := big(b, hosts)
+			g, list := largeHarness(b, hosts)
 			for b.Loop() {
 				g.now += ms
 				list[1].Draining = !list[1].Draining
-				g.step(Event{Kind: EvTargets, Targets: list[1:2]})
+				g.step(Event{Kind: EventTargets, Targets: list[1:2]})
 			}
 		})
 	}
--- a/routing/stale_test.go
+++ b/routing/stale_test.go
@@ -12,16 +12,16 @@
 // said it at the latest: a replica is one as of now, a primary was one as of its own stamp.
 
 // answer reports an attempt's end with what the host said.
-func (g *rig) answer(id string, code Code, role Role, position time.Duration) []Action {
-	return g.step(Event{Kind: EvOutcome, ID: id, Code: code, Role: role, Position: position, Final: code == OK, Elapsed: 50 * ms})
+func (g *harness) answer(id string, code Code, role Role, position time.Duration) []Action {
+	return g.step(Event{Kind: EventOutcome, ID: id, Code: code, Role: role, Position: position, Final: code == OK, Elapsed: 50 * ms})
 }
 
 // sentTo makes reads of a class until n of them are under way at a host.
-func (g *rig) sentTo(class int, host string, n int) (ids []string) {
+func (g *harness) sentTo(class int, host string, n int) (ids []string) {
 	g.t.Helper()
 	for range 40 {
 		id, as := g.request(class, Event{})
-		if _, to := of(ActSend, as); to == host {
+		if _, to := actionsOf(ActSend, as); to == host {
 			if ids = append(ids, id); len(ids) == n {
 				return ids
 			}
@@ -34,8 +34,8 @@
 func TestAnAnswerFromBeforeAHandOverMakesNoPrimary(t *testing.T) {
 	for _, order := range []string{"as they were written", "the other way round"} {
 		t.Run(order, func(t *testing.T) {
-			g := start(t, settings(), shard()...)
-			ids := g.sentTo(freshRead, "p", 2)
+			g := startHarness(t, settings(), shard()...)
+			ids := g.sentTo(strongRead, "p", 2)
 			g.now += 100 * ms
 			written := g.now
 			g.now += 3 * time.Second // in which p hung, was given up, and came back as a replica
@@ -51,107 +51,107 @@
 				old()
 			}
 			require.Nil(t, g.c.groups[1].primary(), "p said that it is a replica")
-			_, as := g.request(freshRead, Event{})
-			sends, _ := of(ActSend, as)
+			_, as := g.request(strongRead, Event{})
+			sends, _ := actionsOf(ActSend, as)
 			require.Empty(t, sends)
 		})
 	}
 }
 
 func TestAPrimaryWithoutAStampIsDatedByTheSendOfItsAttempt(t *testing.T) {
-	g := start(t, settings(), shard()...)
-	ids := g.sentTo(freshRead, "p", 2)
+	g := startHarness(t, settings(), shard()...)
+	ids := g.sentTo(strongRead, "p", 2)
 	g.now += 100 * ms
 	g.answer(ids[1], OK, Replica, 0)
 	g.now += 10 * ms
 	g.answer(ids[0], OK, Primary, 0)
 	require.Nil(t, g.c.groups[1].primary())
 	g.now += 10 * ms
-	id, as := g.request(unsafeWrite, Event{}) // it searches, and finds p to be the primary again
+	id, as := g.request(atMostOnceWrite, Event{}) // it searches, and finds p to be the primary again
 	for {
-		sends, host := of(ActSend, as)
+		sends, host := actionsOf(ActSend, as)
 		if len(sends) == 0 {
-			as = g.after(searchPause)
+			as = g.advance(searchBackoff)
 			continue
 		}
 		if host == "p" {
 			break
 		}
-		n := g.c.reqs[id].attempts
-		as = g.step(Event{Kind: EvOutcome, ID: id, Attempt: len(n) - 1, Code: Miss, Role: Replica, Elapsed: ms})
+		n := g.c.requests[id].attempts
+		as = g.step(Event{Kind: EventOutcome, ID: id, Attempt: len(n) - 1, Code: Misdirected, Role: Replica, Elapsed: ms})
 	}
-	g.step(Event{Kind: EvOutcome, ID: id, Attempt: len(g.c.reqs[id].attempts) - 1, Code: OK, Role: Primary, Final: true, Elapsed: ms})
+	g.step(Event{Kind: EventOutcome, ID: id, Attempt: len(g.c.requests[id].attempts) - 1, Code: OK, Role: Primary, Final: true, Elapsed: ms})
 	require.Equal(t, "p", g.c.groups[1].primary().host)
 }
 
 // A replica's report stands at its position, which may be from long before it said so.
 func TestAReplicasReportCountsFromNow(t *testing.T) {
-	g := start(t, settings(), shard()...)
-	g.reports(Primary, 0, "p")
+	g := startHarness(t, settings(), shard()...)
+	g.reportPositions(Primary, 0, "p")
 	g.now += 3 * time.Second
-	g.reports(Replica, 3100*ms, "p") // it stands where it stood when it lost its role
+	g.reportPositions(Replica, 3100*ms, "p") // it stands where it stood when it lost its role
 	require.Nil(t, g.c.groups[1].primary())
 	g.now += 50 * ms
-	g.reports(Primary, 10*ms, "p")
+	g.reportPositions(Primary, 10*ms, "p")
 	require.Equal(t, "p", g.c.groups[1].primary().host)
 }
 
 // A position ahead of the clock is garbled and proves nothing; the word beside it may still only make more careful.
 func TestAGarbledPositionHidesNoReplica(t *testing.T) {
-	g := start(t, settings(), shard()...)
-	ids := g.sentTo(freshRead, "p", 1)
+	g := startHarness(t, settings(), shard()...)
+	ids := g.sentTo(strongRead, "p", 1)
 	g.answer(ids[0], OK, Replica, g.now+time.Hour)
 	require.Nil(t, g.c.groups[1].primary())
 	require.Zero(t, g.c.members["p"].position)
-	g.reports(Primary, -time.Hour, "a")
+	g.reportPositions(Primary, -time.Hour, "a")
 	require.Nil(t, g.c.groups[1].primary(), "nor does it make a primary")
 }
 
 // The report beside an answer is older than the answer: its date says so.
 func TestAnAnswersRoleGoesBeforeTheReportBesideIt(t *testing.T) {
-	g := start(t, settings(), shard()...)
-	ids := g.sentTo(freshRead, "p", 1)
+	g := startHarness(t, settings(), shard()...)
+	ids := g.sentTo(strongRead, "p", 1)
 	g.now += 50 * ms
-	g.step(Event{Kind: EvOutcome, ID: ids[0], Code: OK, Role: Primary, Position: g.now, Final: true,
+	g.step(Event{Kind: EventOutcome, ID: ids[0], Code: OK, Role: Primary, Position: g.now, Final: true,
 		Report: Report{Role: Replica, Position: g.now - 200*ms}, Elapsed: 50 * ms})
 	require.Equal(t, "p", g.c.groups[1].primary().host)
 }
 
 // An attempt that was given up may still be answered in the same moment: that answer serves nobody, but it teaches.
-func TestAnAnswerThatCameTooLateTeaches(t *testing.T) {
-	g := start(t, settings(), shard()...)
-	g.reports(Primary, 0, "p")
-	ids := g.sentTo(freshRead, "p", 1)
+func TestALateAnswerIsEvidence(t *testing.T) {
+	g := startHarness(t, settings(), shard()...)
+	g.reportPositions(Primary, 0, "p")
+	ids := g.sentTo(strongRead, "p", 1)
 	g.now += 600 * ms
 	g.answer(ids[0], NoAnswer, Unknown, 0)
 	require.Equal(t, "p", g.c.groups[1].primary().host)
-	g.step(Event{Kind: EvHeard, Host: "p", Role: Replica, Position: g.now - 500*ms})
+	g.step(Event{Kind: EventLateAnswer, Host: "p", Role: Replica, Position: g.now - 500*ms})
 	require.Nil(t, g.c.groups[1].primary())
-	g.step(Event{Kind: EvHeard, Host: "a", Role: Replica, Position: g.now - 5*ms})
+	g.step(Event{Kind: EventLateAnswer, Host: "a", Role: Replica, Position: g.now - 5*ms})
 	id, as := g.request(boundedRead, Event{})
-	_, host := of(ActSend, as)
+	_, host := actionsOf(ActSend, as)
 	require.Equal(t, "a", host, "its position is known now")
-	require.NotNil(t, g.c.reqs[id])
-	g.step(Event{Kind: EvHeard, Host: "nobody", Role: Replica}) // a host that is forgotten
+	require.NotNil(t, g.c.requests[id])
+	g.step(Event{Kind: EventLateAnswer, Host: "nobody", Role: Replica}) // a host that is forgotten
 }
 
 // The list's word is seconds old: a host that it names may have lost the role again. One that said itself that it is a
 // replica is asked before a read rests on that word; a write finds out by itself.
-func TestTheListsWordOfAReplicaIsCheckedBeforeAReadRestsOnIt(t *testing.T) {
+func TestAReplicaNamedPrimaryIsProbedBeforeStrongReads(t *testing.T) {
 	for _, then := range []Role{Primary, Replica} {
-		g := start(t, settings(), shard()...)
-		g.reports(Replica, 0, "a")
-		g.step(Event{Kind: EvTargets, Targets: []Target{{Host: "p", Group: 1, Gone: true}}})
+		g := startHarness(t, settings(), shard()...)
+		g.reportPositions(Replica, 0, "a")
+		g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Removed: true}}})
 		g.now += 20 * time.Second
-		g.step(Event{Kind: EvTargets, Targets: []Target{{Host: "a", Group: 1, Primary: true}}})
-		id, as := g.request(freshRead, Event{})
-		sends, _ := of(ActSend, as)
+		g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "a", Group: 1, Primary: true}}})
+		id, as := g.request(strongRead, Event{})
+		sends, _ := actionsOf(ActSend, as)
 		require.Empty(t, sends, "a read on hearsay")
-		probes, host := of(ActProbe, as)
+		probes, host := actionsOf(ActProbe, as)
 		require.NotEmpty(t, probes)
 		require.Contains(t, []string{"a", "b", "c"}, host)
-		as = g.reports(then, 0, "a")
-		sends, host = of(ActSend, as)
+		as = g.reportPositions(then, 0, "a")
+		sends, host = actionsOf(ActSend, as)
 		if then == Primary {
 			require.Equal(t, "a", host)
 			require.Equal(t, id, sends[0].ID)
@@ -159,42 +159,42 @@
 			require.Empty(t, sends)
 		}
 	}
-	g := start(t, settings(), shard()...)
-	g.reports(Replica, 0, "a")
-	g.step(Event{Kind: EvTargets, Targets: []Target{{Host: "p", Group: 1, Gone: true}}})
+	g := startHarness(t, settings(), shard()...)
+	g.reportPositions(Replica, 0, "a")
+	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Removed: true}}})
 	g.now += 20 * time.Second
-	g.step(Event{Kind: EvTargets, Targets: []Target{{Host: "a", Group: 1, Primary: true}}})
-	_, as := g.request(unsafeWrite, Event{})
-	_, host := of(ActSend, as)
+	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "a", Group: 1, Primary: true}}})
+	_, as := g.request(atMostOnceWrite, Event{})
+	_, host := actionsOf(ActSend, as)
 	require.Equal(t, "a", host)
 	_, as = g.request(boundedRead, Event{}) // nor do reads that fall back on the primary
-	sends, _ := of(ActSend, as)
+	sends, _ := actionsOf(ActSend, as)
 	require.Empty(t, sends)
 }
 
 // A read whose host lost the role while the attempt waited for its connection.
-func TestStillAsksForTheRoleAgain(t *testing.T) {
-	g := start(t, settings(), shard()...)
-	ids := g.sentTo(freshRead, "p", 2)
-	require.True(t, g.c.Still(g.now, ids[1], 0))
+func TestRevalidateChecksTheRole(t *testing.T) {
+	g := startHarness(t, settings(), shard()...)
+	ids := g.sentTo(strongRead, "p", 2)
+	require.True(t, g.c.Revalidate(g.now, ids[1], 0))
 	g.answer(ids[0], OK, Replica, g.now-time.Second)
-	require.False(t, g.c.Still(g.now, ids[1], 0))
+	require.False(t, g.c.Revalidate(g.now, ids[1], 0))
 }
 
 // What is chosen says how old the data of its answer may be: what was known of its host may have been overtaken.
-func TestAnAttemptSaysWhatItsAnswerNeeds(t *testing.T) {
-	g := start(t, settings(), shard()...)
-	g.reports(Replica, 5*ms, "a")
+func TestAnAttemptCarriesItsMinPosition(t *testing.T) {
+	g := startHarness(t, settings(), shard()...)
+	g.reportPositions(Replica, 5*ms, "a")
 	need := func(class int, e Event) time.Duration {
 		_, as := g.request(class, e)
-		sends, _ := of(ActSend, as)
+		sends, _ := actionsOf(ActSend, as)
 		require.Len(t, sends, 1)
-		return sends[0].Need
+		return sends[0].MinPosition
 	}
-	require.Equal(t, g.now-g.c.cfg.Classes[boundedRead].Bound+margin, need(boundedRead, Event{}))
-	require.Equal(t, g.now-100*ms+margin, need(sessionRead, Event{Token: 100 * ms}))
+	require.Equal(t, g.now-g.c.cfg.Classes[boundedRead].StalenessBound+positionMargin, need(boundedRead, Event{}))
+	require.Equal(t, g.now-100*ms+positionMargin, need(sessionRead, Event{CommitAge: 100 * ms}))
 	require.Zero(t, need(sessionRead, Event{}))
-	require.Zero(t, need(anyRead, Event{}))
-	require.Equal(t, g.now, need(freshRead, Event{}))
-	require.Zero(t, need(unsafeWrite, Event{}))
+	require.Zero(t, need(eventualRead, Event{}))
+	require.Equal(t, g.now, need(strongRead, Event{}))
+	require.Zero(t, need(atMostOnceWrite, Event{}))
 }
--- a/routing/types.go
+++ b/routing/types.go
@@ -2,59 +2,59 @@
 
 import "time"
 
-// ReadKind says how fresh the data behind a request must be.
-type ReadKind uint8
+// Access says how fresh the data behind a request must be.
+type Access uint8
 
 // The read kinds; Write marks what only the primary takes.
 const (
-	Any ReadKind = iota
-	Bounded
-	Session
-	Fresh
+	EventualRead Access = iota
+	BoundedRead
+	SessionRead
+	StrongRead
 	Write
 )
 
-// Effect says whether a request may be repeated.
-type Effect uint8
+// Idempotency says whether a request may be repeated.
+type Idempotency uint8
 
-// Safe requests repeat freely, Keyed ones within a group and window, Unsafe ones never once they may have run.
+// Idempotent requests repeat freely, Keyed ones within a group and window, Unsafe ones never once they may have run.
 const (
-	Safe Effect = iota
-	Keyed
-	Unsafe
+	Idempotent Idempotency = iota
+	Deduplicated
+	AtMostOnce
 )
 
-// Scope is the set of hosts that discards repeats of a keyed request.
-type Scope uint8
+// DedupScope is the set of hosts that discards repeats of a keyed request.
+type DedupScope uint8
 
 // The scopes of keyed requests.
 const (
-	ScopeAll Scope = iota
+	ScopeAll DedupScope = iota
 	ScopeZone
 	ScopeCell
 )
 
-// Checks says what a replica does with a read for which it lags too far.
-type Checks uint8
+// StalenessCheck says what a replica does with a read for which it lags too far.
+type StalenessCheck uint8
 
 // A replica answers from what it has, refuses, or waits and then refuses.
 const (
-	NoChecks Checks = iota
-	Refuses
-	Waits
+	CheckNone StalenessCheck = iota
+	CheckRejects
+	CheckWaits
 )
 
 // Class describes one request class.
 type Class struct {
-	Name          string
-	Read          ReadKind
-	Bound         time.Duration // staleness bound of a Bounded class
-	Effect        Effect
-	Scope         Scope
-	Window        time.Duration // how long repeats of a Keyed class are discarded
-	Aim, Deadline time.Duration
-	Worth         float64
-	LateShare     float64 // share of the worth left after the aim
+	Name                       string
+	Access                     Access
+	StalenessBound             time.Duration // staleness bound of a Bounded class
+	Idempotency                Idempotency
+	Scope                      DedupScope
+	DedupWindow                time.Duration // how long repeats of a Keyed class are discarded
+	LatencyObjective, Deadline time.Duration
+	PriorityWeight             float64
+	LateFraction               float64 // share of the worth left after the aim
 }
 
 // Tenant is one customer and the requests a second, of all routers together, that count in full.
@@ -65,29 +65,29 @@
 
 // Settings is what one router is told at its start. Positions, like all times, are on the routers' clock.
 type Settings struct {
-	Classes            []Class
-	Tenants            []Tenant
-	OverShare          float64 // what a request beyond its tenant's quota is worth, as a share
-	Index, Routers     int
-	Checks             Checks
-	CatchUp            time.Duration // how long a replica that Waits waits
-	Remembered         bool          // sessions: this router remembers commits; otherwise requests carry a token
-	ListRole           bool          // the list names the primary, as of some time
-	ReportX0, ReportX1 bool          // probes (and inline reports) give position and role
-	Subscribe          bool          // discovery has to be asked for
-	Probes             bool
-	Cancel             bool
-	ConnIdle           time.Duration // idle connections close after it
-	MaxRetryAfter      time.Duration // 0: clients are told nothing of when to come back
-	MaxAttempts        int
-	DrainBindsAlone    bool // only a Terminating listing binds
-	ColdFrom           float64
-	ColdRamp           time.Duration
-	FallFactor         float64       // a cold member falls over beyond this multiple of its capacity,
-	FallTime           time.Duration // sent to it in so long
-	ProbePrice         float64       // cost of one probe a request, as a share of the result
-	WorstClass         float64       // weight of the worst-served class in the result, as a share of the whole's
-	Tick               time.Duration // shortest time between two steps
+	Classes                      []Class
+	Tenants                      []Tenant
+	OverQuotaFraction            float64 // what a request beyond its tenant's quota is worth, as a share
+	RouterIndex, RouterCount     int
+	StalenessCheck               StalenessCheck
+	CatchUpWait                  time.Duration // how long a replica that Waits waits
+	TracksCommits                bool          // sessions: this router remembers commits; otherwise requests carry a token
+	ListNamesPrimary             bool          // the list names the primary, as of some time
+	ReportsPosition, ReportsRole bool          // probes (and inline reports) give position and role
+	MustSubscribe                bool          // discovery has to be asked for
+	ProbesAllowed                bool
+	CancelAllowed                bool
+	ConnIdleTimeout              time.Duration // idle connections close after it
+	MaxRetryAfter                time.Duration // 0: clients are told nothing of when to come back
+	MaxAttempts                  int
+	IgnoresRemoval               bool // only a Terminating listing binds
+	SlowStartFloor               float64
+	SlowStartDuration            time.Duration
+	OverloadFactor               float64       // a cold member falls over beyond this multiple of its capacity,
+	OverloadWindow               time.Duration // sent to it in so long
+	ProbeCost                    float64       // cost of one probe a request, as a share of the result
+	WorstClassWeight             float64       // weight of the worst-served class in the result, as a share of the whole's
+	MinTickInterval              time.Duration // shortest time between two steps
 }
 
 // EventKind tells the events apart.
@@ -95,16 +95,16 @@
 
 // The events of a router.
 const (
-	EvTargets EventKind = iota
-	EvTargetsFailed
-	EvRequest
-	EvOutcome
-	EvFirst
-	EvLeft
-	EvTimer
-	EvProbe
-	EvPeer
-	EvHeard // what a host says in an answer whose attempt was given up
+	EventTargets EventKind = iota
+	EventTargetsFailed
+	EventRequest
+	EventOutcome
+	EventFirstByte
+	EventClientGone
+	EventTimer
+	EventProbeResult
+	EventPeerMessage
+	EventLateAnswer // what a host says in an answer whose attempt was given up
 )
 
 // Code is how an attempt or a probe ended.
@@ -113,19 +113,21 @@
 // The endings; Full, NoConnection, NotSent and Miss prove that nothing ran.
 const (
 	OK Code = iota
-	Error
-	Full
+	ServerError
+	Rejected
 	NoAnswer
 	NoConnection
 	ConnectionLost
 	Cancelled
 	NotSent
-	Miss
-	Spoilt // an answer came that can't be read: it ran
+	Misdirected
+	Malformed // an answer came that can't be read: it ran
 )
 
 // NeverRan says whether the ending proves that nothing ran.
-func (c Code) NeverRan() bool { return c == Full || c == NoConnection || c == NotSent || c == Miss }
+func (c Code) NeverRan() bool {
+	return c == Rejected || c == NoConnection || c == NotSent || c == Misdirected
+}
 
 // Role is what an answer, report or list says of a member.
 type Role uint8
@@ -139,37 +141,37 @@
 
 // Target is one entry of the list of hosts.
 type Target struct {
-	Host     string
-	Group    uint64
-	Draining bool
-	Gone     bool
-	Primary  bool
-	Started  time.Duration // 0: long ago
+	Host      string
+	Group     uint64
+	Draining  bool
+	Removed   bool
+	Primary   bool
+	StartedAt time.Duration // 0: long ago
 }
 
 // Event is one thing that happened; Kind says which fields count.
 type Event struct {
-	Kind     EventKind
-	Full     bool // EvTargets: the complete list
-	Targets  []Target
-	ID       string
-	Class    int
-	Tenant   int // place in the settings' tenants, from 1; 0: none
-	Key      uint64
-	HasKey   bool
-	Retry    bool // the client marks it as a repeat of its own
-	Group    uint64
-	TimeLeft time.Duration
-	Token    time.Duration // age of the session's last commit; 0: none
-	Attempt  int
-	Host     string
-	Code     Code
-	Elapsed  time.Duration
-	Final    bool
-	Role     Role
-	Position time.Duration // of an answer or, for a write, its commit; 0: not given
-	Report   Report
-	Timer    uint64
+	Kind          EventKind
+	Full          bool // EventTargets: the complete list
+	Targets       []Target
+	ID            string
+	Class         int
+	Tenant        int // place in the settings' tenants, from 1; 0: none
+	SessionKey    uint64
+	HasSessionKey bool
+	IsRetry       bool // the client marks it as a repeat of its own
+	Group         uint64
+	TimeRemaining time.Duration
+	CommitAge     time.Duration // age of the session's last commit; 0: none
+	Attempt       int
+	Host          string
+	Code          Code
+	Elapsed       time.Duration
+	Final         bool
+	Role          Role
+	Position      time.Duration // of an answer or, for a write, its commit; 0: not given
+	Report        Report
+	Timer         uint64
 }
 
 // Report is what a host says of itself; zero fields were not given.
@@ -185,24 +187,24 @@
 const (
 	ActSend ActionKind = iota
 	ActCancel
-	ActRefuse
+	ActReject
 	ActFail
 	ActTimer
 	ActProbe
 	ActSubscribe
-	ActClose // the idle connections to a host
+	ActCloseIdle // the idle connections to a host
 	ActFetch
 )
 
 // Action is one thing to do; Kind says which fields count.
 type Action struct {
-	Kind    ActionKind
-	ID      string
-	Host    string
-	Attempt int
-	Timeout time.Duration // ActSend; 0: until the client gives up
-	After   time.Duration // ActRefuse: advice to stay away
-	At      time.Duration // ActTimer
-	Need    time.Duration // ActSend, of a read: the least position that its answer's data may have; 0: any
-	Timer   uint64
+	Kind        ActionKind
+	ID          string
+	Host        string
+	Attempt     int
+	Timeout     time.Duration // ActSend; 0: until the client gives up
+	RetryAfter  time.Duration // ActReject: advice to stay away
+	At          time.Duration // ActTimer
+	MinPosition time.Duration // ActSend, of a read: the least position that its answer's data may have; 0: any
+	Timer       uint64
 }
--- a/routing/unsent_test.go
+++ b/routing/unsent_test.go
@@ -7,12 +7,12 @@
 )
 
 // A probe that never left for want of a connection here counts for nothing; one that the host failed counts against it.
-func TestUnsentProbeSaysNothingOfTheHost(t *testing.T) {
-	for code, counts := range map[Code]bool{NotSent: false, NoConnection: true, NoAnswer: true, Error: true} {
-		g := start(t, settings(), shard()...)
+func TestUnsentProbeIsNoEvidence(t *testing.T) {
+	for code, counts := range map[Code]bool{NotSent: false, NoConnection: true, NoAnswer: true, ServerError: true} {
+		g := startHarness(t, settings(), shard()...)
 		m := g.c.members["a"]
-		before := g.c.cost(m)
-		g.step(Event{Kind: EvProbe, Host: "a", Code: code})
-		require.Equal(t, counts, g.c.cost(m) > before, "%v", code)
+		before := g.c.outlierScore(m)
+		g.step(Event{Kind: EventProbeResult, Host: "a", Code: code})
+		require.Equal(t, counts, g.c.outlierScore(m) > before, "%v", code)
 	}
 }
--- a/routing/window_test.go
+++ b/routing/window_test.go
@@ -6,14 +6,14 @@
 )
 
 // windowed are settings in which a keyed class has a window of one second, and a deadline far beyond it.
-func windowed(scope Scope) Settings {
+func windowed(scope DedupScope) Settings {
 	s := settings()
-	s.Classes[keyedWrite].Scope, s.Classes[keyedWrite].Window = scope, time.Second
+	s.Classes[deduplicatedWrite].Scope, s.Classes[deduplicatedWrite].DedupWindow = scope, time.Second
 	return s
 }
 
 // A repeat is begun only if it can end inside the window: as long before its end as an answer of its class takes.
-func TestARepeatBeginsOnlyIfItCanEndInItsWindow(t *testing.T) {
+func TestARetryBeginsOnlyIfItCanEndInItsWindow(t *testing.T) {
 	for _, k := range []struct {
 		name   string
 		usual  time.Duration // what answers of the class took before; 0: none was seen
@@ -28,15 +28,15 @@
 		{"answers take as long as the window", time.Second, 100 * ms, ActFail},
 		{"past the window", 0, 1100 * ms, ActFail},
 	} {
-		g := start(t, windowed(ScopeCell), shard()...)
+		g := startHarness(t, windowed(ScopeCell), shard()...)
 		if k.usual > 0 {
-			id, _ := g.request(keyedWrite, Event{})
+			id, _ := g.request(deduplicatedWrite, Event{})
 			g.now += k.usual
-			g.step(Event{Kind: EvOutcome, ID: id, Code: OK, Role: Primary, Final: true, Elapsed: k.usual})
+			g.step(Event{Kind: EventOutcome, ID: id, Code: OK, Role: Primary, Final: true, Elapsed: k.usual})
 		}
-		id, _ := g.request(keyedWrite, Event{})
+		id, _ := g.request(deduplicatedWrite, Event{})
 		g.now += k.failed
-		if found, _ := of(k.want, g.outcome(id, 0, ConnectionLost, Unknown)); len(found) != 1 {
+		if found, _ := actionsOf(k.want, g.outcome(id, 0, ConnectionLost, Unknown)); len(found) != 1 {
 			t.Errorf("%s: no %v", k.name, k.want)
 		}
 	}
@@ -44,40 +44,40 @@
 
 // The window counts at the write: what was chosen inside it and dialled past its end is not sent. The same for what has
 // run while it must not be sent twice; and a first attempt knows no window.
-func TestTheWindowIsAskedAtTheWrite(t *testing.T) {
-	g := start(t, windowed(ScopeCell), shard()...)
-	first, _ := g.request(keyedWrite, Event{})
-	if !g.c.Still(g.now+2*time.Second, first, 0) {
+func TestTheWindowIsCheckedAtTheWrite(t *testing.T) {
+	g := startHarness(t, windowed(ScopeCell), shard()...)
+	first, _ := g.request(deduplicatedWrite, Event{})
+	if !g.c.Revalidate(g.now+2*time.Second, first, 0) {
 		t.Error("a first attempt is held to a window")
 	}
-	g = start(t, windowed(ScopeCell), shard()...)
-	id, _ := g.request(keyedWrite, Event{})
+	g = startHarness(t, windowed(ScopeCell), shard()...)
+	id, _ := g.request(deduplicatedWrite, Event{})
 	g.now += 300 * ms
-	if found, _ := of(ActSend, g.outcome(id, 0, NoAnswer, Unknown)); len(found) != 1 {
+	if found, _ := actionsOf(ActSend, g.outcome(id, 0, NoAnswer, Unknown)); len(found) != 1 {
 		t.Fatal("no repeat inside the window")
 	}
-	if g.now += 500 * ms; !g.c.Still(g.now, id, 1) {
+	if g.now += 500 * ms; !g.c.Revalidate(g.now, id, 1) {
 		t.Error("not sent though an answer fits into the window")
 	}
-	if g.now += 150 * ms; g.c.Still(g.now, id, 1) {
+	if g.now += 150 * ms; g.c.Revalidate(g.now, id, 1) {
 		t.Error("sent 950 ms after the first attempt, with a window of 1 s: it can't end inside")
 	}
-	if found, _ := of(ActFail, g.outcome(id, 1, NotSent, Unknown)); len(found) != 1 {
+	if found, _ := actionsOf(ActFail, g.outcome(id, 1, NotSent, Unknown)); len(found) != 1 {
 		t.Error("no final answer once the window does not allow a repeat")
 	}
 }
 
 // What still waits in a host's queue when the window ends must not run then: the host is told to give up before.
-func TestARepeatIsGivenUpAtTheEndOfItsWindow(t *testing.T) {
-	g := start(t, windowed(ScopeAll), shard()...)
-	_, as := g.request(keyedWrite, Event{})
-	if first, _ := of(ActSend, as); first[0].Timeout != time.Second {
+func TestARetryTimesOutAtTheEndOfItsWindow(t *testing.T) {
+	g := startHarness(t, windowed(ScopeAll), shard()...)
+	_, as := g.request(deduplicatedWrite, Event{})
+	if first, _ := actionsOf(ActSend, as); first[0].Timeout != time.Second {
 		t.Errorf("the first attempt may take %v, its aim is 1 s", first[0].Timeout)
 	}
-	id, _ := g.request(keyedWrite, Event{})
+	id, _ := g.request(deduplicatedWrite, Event{})
 	g.now += 700 * ms
-	again, _ := of(ActSend, g.outcome(id, 0, ConnectionLost, Unknown))
-	if len(again) != 1 || again[0].Timeout != 300*ms-endGuard {
+	again, _ := actionsOf(ActSend, g.outcome(id, 0, ConnectionLost, Unknown))
+	if len(again) != 1 || again[0].Timeout != 300*ms-answerMargin {
 		t.Errorf("the repeat may take %v, 300 ms are left of the window", again)
 	}
 }
@@ -88,31 +88,31 @@
 	for _, k := range []struct {
 		name  string
 		class int
-		scope Scope
+		scope DedupScope
 		after time.Duration
 		code  Code
 		want  ActionKind
 	}{
-		{"cell, inside", keyedWrite, ScopeCell, 100 * ms, Error, ActSend},
-		{"cell, past", keyedWrite, ScopeCell, 1200 * ms, Error, ActFail},
-		{"zone, inside: whose zone it ran in is not told", keyedWrite, ScopeZone, 100 * ms, Error, ActFail},
-		{"all, inside", keyedWrite, ScopeAll, 100 * ms, Error, ActSend},
-		{"all, past: its client may repeat it", keyedWrite, ScopeAll, 1200 * ms, Error, ActRefuse},
-		{"at most once, spoilt", unsafeWrite, ScopeCell, 100 * ms, Spoilt, ActFail},
-		{"at most once, lost", unsafeWrite, ScopeCell, 100 * ms, ConnectionLost, ActFail},
-		{"at most once, given up", unsafeWrite, ScopeCell, 100 * ms, Cancelled, ActFail},
-		{"at most once, turned away", unsafeWrite, ScopeCell, 100 * ms, Miss, ActSend},
+		{"cell, inside", deduplicatedWrite, ScopeCell, 100 * ms, ServerError, ActSend},
+		{"cell, past", deduplicatedWrite, ScopeCell, 1200 * ms, ServerError, ActFail},
+		{"zone, inside: whose zone it ran in is not told", deduplicatedWrite, ScopeZone, 100 * ms, ServerError, ActFail},
+		{"all, inside", deduplicatedWrite, ScopeAll, 100 * ms, ServerError, ActSend},
+		{"all, past: its client may repeat it", deduplicatedWrite, ScopeAll, 1200 * ms, ServerError, ActReject},
+		{"at most once, spoilt", atMostOnceWrite, ScopeCell, 100 * ms, Malformed, ActFail},
+		{"at most once, lost", atMostOnceWrite, ScopeCell, 100 * ms, ConnectionLost, ActFail},
+		{"at most once, given up", atMostOnceWrite, ScopeCell, 100 * ms, Cancelled, ActFail},
+		{"at most once, turned away", atMostOnceWrite, ScopeCell, 100 * ms, Misdirected, ActSend},
 	} {
-		g := start(t, windowed(k.scope), shard()...)
+		g := startHarness(t, windowed(k.scope), shard()...)
 		id, _ := g.request(k.class, Event{})
 		g.now += 200 * ms // the first never came up: no window begins there
-		as := append(g.outcome(id, 0, NoConnection, Unknown), g.after(searchPause)...)
-		if found, _ := of(ActSend, as); len(found) != 1 {
+		as := append(g.outcome(id, 0, NoConnection, Unknown), g.advance(searchBackoff)...)
+		if found, _ := actionsOf(ActSend, as); len(found) != 1 {
 			t.Fatalf("%s: %v", k.name, as)
 		}
 		g.now += k.after
-		as = append(g.outcome(id, 1, k.code, Unknown), g.after(upkeep)...)
-		if found, _ := of(k.want, as); len(found) != 1 {
+		as = append(g.outcome(id, 1, k.code, Unknown), g.advance(tickInterval)...)
+		if found, _ := actionsOf(k.want, as); len(found) != 1 {
 			t.Errorf("%s: %v", k.name, as)
 		}
 	}
--- a/testbed/load/snapshot.go
+++ b/testbed/load/snapshot.go
@@ -68,13 +68,13 @@
 	if err != nil {
 		return err
 	}
-	ms := make([]dispatch.Member, n)
+	ms := make([]dispatch.Endpoint, n)
 	for i := range ms {
-		ms[i] = dispatch.Member{Host: fmt.Sprintf("s-%08x", i), Group: uint64(i / 4), Primary: i%4 == 0}
+		ms[i] = dispatch.Endpoint{Host: fmt.Sprintf("s-%08x", i), Group: uint64(i / 4), Primary: i%4 == 0}
 	}
-	f.Members(true, ms)
+	f.UpdateEndpoints(true, ms)
 	for _, m := range ms {
-		f.Probed(m.Host, dispatch.Outcome{Code: dispatch.OK, Report: dispatch.Report{Role: dispatch.Replica, Position: clock.System().Now() - 20}})
+		f.ProbeDone(m.Host, dispatch.Outcome{Code: dispatch.OK, Report: dispatch.Report{Role: dispatch.Replica, Position: clock.System().Now() - 20}})
 	}
 	store := warmstate.On(vfs.Real{}, folder)
 	const rounds = 20
@@ -82,7 +82,7 @@
 	size := 0
 	for range rounds {
 		t := time.Now()
-		state := f.Keep() // decisions wait for this and for nothing else
+		state := f.ExportState() // decisions wait for this and for nothing else
 		held := time.Since(t)
 		pause += held / rounds
 		most = max(most, held)
