--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -86,15 +86,19 @@
 		broken = what
 	}
 	f.name, f.instance, f.broken = name, binary.BigEndian.Uint64(drawn[:])|1, broken
-	self := membership.Info{Name: name, Instance: f.instance, Started: now.Now(), Version: version(), Oldest: oldestFormat,
-		Newest: newestFormat, Zone: o.Zone, State: membership.Starting}
+	self := membership.Info{
+		Name: name, Instance: f.instance, Started: now.Now(), Version: version(), Oldest: oldestFormat,
+		Newest: newestFormat, Zone: o.Zone, State: membership.Starting,
+	}
 	if o.Agree != nil {
 		if err := f.agree(cfg, self, now, broken); err != nil {
 			return nil, err
 		}
 	}
-	f.gossip, err = membership.Start(membership.Options{Self: self, Listen: o.Listen, Peers: o.Peers, Keys: keys, Most: o.Members, Probe: o.Probe,
-		Seed: cfg.seed, Clock: now, Changed: f.changed, Break: broken, Message: f.message})
+	f.gossip, err = membership.Start(membership.Options{
+		Self: self, Listen: o.Listen, Peers: o.Peers, Keys: keys, Most: o.Members, Probe: o.Probe,
+		Seed: cfg.seed, Clock: now, Changed: f.changed, Break: broken, Message: f.message,
+	})
 	if err != nil {
 		f.stop()
 		return nil, err
@@ -121,8 +125,10 @@
 			return fmt.Errorf("cluster.agreement.limits: %s: %w", a.Limits, err)
 		}
 	}
-	c := consensus.Config{Name: self.Name, Instance: self.Instance, Voters: a.Voters, Lease: clock.Millis(a.Lease), Drift: a.Drift, Pace: clock.Millis(a.Renew),
-		Election: clock.Millis(a.Election), Limits: limits, Format: newestFormat, Seed: cfg.seed, Desk: schedulerConfig(cfg), Break: broken}
+	c := consensus.Config{
+		Name: self.Name, Instance: self.Instance, Voters: a.Voters, Lease: clock.Millis(a.Lease), Drift: a.Drift, Pace: clock.Millis(a.Renew),
+		Election: clock.Millis(a.Election), Limits: limits, Format: newestFormat, Seed: cfg.seed, Desk: schedulerConfig(cfg), Break: broken,
+	}
 	f.config = c
 	var err error
 	o := runner.Options{Config: c, Folder: a.Folder, Clock: now, Send: f.send, Changed: f.acts}
@@ -349,7 +355,8 @@
 
 // clusterCommands ask a running pooler about the others.
 func clusterCommands(ask func(*cobra.Command) *cobra.Command, view func(string, any, func(io.Writer)) func(*cobra.Command, []string) error,
-	address func() (string, error)) *cobra.Command {
+	address func() (string, error),
+) *cobra.Command {
 	var v clusterView
 	var rules runner.View
 	var places homesView
@@ -396,18 +403,22 @@
 	}
 	var folder string
 	var voters []string
-	found := &cobra.Command{Use: "found NAME", Short: "write a voter's first folder, once for each voter of a new cluster", Args: cobra.ExactArgs(1),
+	found := &cobra.Command{
+		Use: "found NAME", Short: "write a voter's first folder, once for each voter of a new cluster", Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			if folder == "" || !slices.Contains(voters, args[0]) {
 				return errors.New("--folder names where, --voters all voters, this one among them, alike for each")
 			}
 			return runner.Found(vfs.Real{}, folder, args[0], voters)
-		}}
+		},
+	}
 	found.Flags().StringVar(&folder, "folder", "", "as cluster.agreement.folder has it")
 	found.Flags().StringSliceVar(&voters, "voters", nil, "the names of all voters")
 	root.AddCommand(key, found,
-		ask(&cobra.Command{Use: "versions", Short: "show the rules that this pooler acts on, and the versions in its log", Args: cobra.NoArgs,
-			RunE: view("agreement", &rules, func(w io.Writer) { versionTable(w, &rules) })}),
+		ask(&cobra.Command{
+			Use: "versions", Short: "show the rules that this pooler acts on, and the versions in its log", Args: cobra.NoArgs,
+			RunE: view("agreement", &rules, func(w io.Writer) { versionTable(w, &rules) }),
+		}),
 		ask(&cobra.Command{Use: "diff V W", Short: "show in which keys two versions differ", Args: cobra.ExactArgs(2), RunE: func(c *cobra.Command, args []string) error {
 			v, err := versions(args...)
 			if err != nil {
@@ -418,7 +429,8 @@
 			}
 			return nil
 		}}),
-		ask(&cobra.Command{Use: "propose FILE", Short: "bring rules in for all poolers; FILE holds one JSON object of keys", Args: cobra.ExactArgs(1),
+		ask(&cobra.Command{
+			Use: "propose FILE", Short: "bring rules in for all poolers; FILE holds one JSON object of keys", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
 				text, err := os.ReadFile(args[0])
 				if err != nil {
@@ -428,8 +440,10 @@
 					return fmt.Errorf("%s: %w", args[0], err)
 				}
 				return nil
-			}}),
-		ask(&cobra.Command{Use: "rollback V", Short: "bring the rules of an earlier version in again, as a new version", Args: cobra.ExactArgs(1),
+			},
+		}),
+		ask(&cobra.Command{
+			Use: "rollback V", Short: "bring the rules of an earlier version in again, as a new version", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
 				v, err := versions(args...)
 				if err != nil {
@@ -440,13 +454,20 @@
 					return err
 				}
 				return propose(text, c.OutOrStdout())
-			}}),
-		ask(&cobra.Command{Use: "homes", Short: "list the databases with the group that each is at, and what waits for those that are paused", Args: cobra.NoArgs,
-			RunE: view("homes", &places, func(w io.Writer) { homesTable(w, &places) })}),
-		ask(&cobra.Command{Use: "members", Short: "list the poolers that this one knows, with what it believes of each", Args: cobra.NoArgs,
-			RunE: view("cluster", &v, func(w io.Writer) { memberTable(w, &v) })}),
-		ask(&cobra.Command{Use: "status", Short: "show where this pooler stands in its cluster, and what it has dropped", Args: cobra.NoArgs,
-			RunE: view("cluster", &v, func(w io.Writer) { statusTable(w, &v) })}))
+			},
+		}),
+		ask(&cobra.Command{
+			Use: "homes", Short: "list the databases with the group that each is at, and what waits for those that are paused", Args: cobra.NoArgs,
+			RunE: view("homes", &places, func(w io.Writer) { homesTable(w, &places) }),
+		}),
+		ask(&cobra.Command{
+			Use: "members", Short: "list the poolers that this one knows, with what it believes of each", Args: cobra.NoArgs,
+			RunE: view("cluster", &v, func(w io.Writer) { memberTable(w, &v) }),
+		}),
+		ask(&cobra.Command{
+			Use: "status", Short: "show where this pooler stands in its cluster, and what it has dropped", Args: cobra.NoArgs,
+			RunE: view("cluster", &v, func(w io.Writer) { statusTable(w, &v) }),
+		}))
 	return root
 }
 
--- a/cmd/ashstand/commands.go
+++ b/cmd/ashstand/commands.go
@@ -44,10 +44,12 @@
 func command() *cobra.Command {
 	var file, at string
 	var asJSON bool
-	root := &cobra.Command{Use: "ashstand", Short: "a pooler for a replicated database",
+	root := &cobra.Command{
+		Use: "ashstand", Short: "a pooler for a replicated database",
 		Long: "A pooler for a replicated database. Without a command it serves, as the platform starts it.\n" +
 			"EDGE_CONFIG names the platform's configuration; the operator's own settings stand in " + operatorFile + ".",
-		Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
+		Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
+	}
 	root.PersistentFlags().StringVar(&file, "file", operatorFile, "the operator's file")
 	must := func() bool { return root.PersistentFlags().Changed("file") }
 	run := func(*cobra.Command, []string) error { return runPooler(file, must()) }
@@ -96,21 +98,31 @@
 	var sessions pg.SessionStats
 	var hosts []hostView
 	var captureOut string
-	play := &cobra.Command{Use: "replay CAPTURE", Short: "bring the queries of a capture file to the db hosts, at the pace at which they were sent",
-		Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error { return replay(args[0], captureOut, file, must()) }}
+	play := &cobra.Command{
+		Use: "replay CAPTURE", Short: "bring the queries of a capture file to the db hosts, at the pace at which they were sent",
+		Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error { return replay(args[0], captureOut, file, must()) },
+	}
 	play.Flags().StringVar(&captureOut, "out", "", "write the conversations with this time's answers, as pcapng")
 	configuration := &cobra.Command{Use: "config", Short: "what a pooler is set to"}
-	configuration.AddCommand(ask(&cobra.Command{Use: "show", Short: "print the settings that are in force in the pooler that runs", Args: cobra.NoArgs,
-		RunE: view("config", nil, nil)}))
+	configuration.AddCommand(ask(&cobra.Command{
+		Use: "show", Short: "print the settings that are in force in the pooler that runs", Args: cobra.NoArgs,
+		RunE: view("config", nil, nil),
+	}))
 	root.AddCommand(
 		&cobra.Command{Use: "serve", Short: "run the pooler, as the bare name does", Args: cobra.NoArgs, RunE: run},
-		&cobra.Command{Use: "check FILE", Short: "say whether an operator's file can be used, and what is wrong with it", Args: cobra.ExactArgs(1),
-			RunE: func(c *cobra.Command, args []string) error { return check(c.OutOrStdout(), args[0]) }},
+		&cobra.Command{
+			Use: "check FILE", Short: "say whether an operator's file can be used, and what is wrong with it", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error { return check(c.OutOrStdout(), args[0]) },
+		},
 		configuration,
-		ask(&cobra.Command{Use: "hosts", Short: "list the db hosts that the pooler knows, with its session connections to each", Args: cobra.NoArgs,
-			RunE: view("hosts", &hosts, func(w io.Writer) { hostTable(w, hosts) })}),
-		ask(&cobra.Command{Use: "sessions", Short: "show the sessions that the pooler carries, and what became of lost ones", Args: cobra.NoArgs,
-			RunE: view("sessions", &sessions, func(w io.Writer) { sessionTable(w, &sessions) })}),
+		ask(&cobra.Command{
+			Use: "hosts", Short: "list the db hosts that the pooler knows, with its session connections to each", Args: cobra.NoArgs,
+			RunE: view("hosts", &hosts, func(w io.Writer) { hostTable(w, hosts) }),
+		}),
+		ask(&cobra.Command{
+			Use: "sessions", Short: "show the sessions that the pooler carries, and what became of lost ones", Args: cobra.NoArgs,
+			RunE: view("sessions", &sessions, func(w io.Writer) { sessionTable(w, &sessions) }),
+		}),
 		play,
 		stateCommands(),
 		clusterCommands(ask, view, address),
@@ -202,12 +214,26 @@
 	for _, r := range []struct {
 		name  string
 		value any
-	}{{"clients", s.Clients}, {"with a server connection", s.Linked}, {"waiting for one", s.Waiting}, {"server connections", s.Servers},
-		{"of these unused", s.Idle}, {"transactions", s.Transactions}, {"settings restored", s.Restored}, {"statements prepared again", s.Prepared},
-		{"statements held", fmt.Sprintf("%d (%d bytes)", s.Statements, s.StatementMem)}, {"refused", s.Refused}, {"cancels", s.Cancels},
-		{"lost, rolled back", s.LostSafe}, {"lost, in doubt", s.LostDoubt}, {"lost, unnoticed", s.LostSilent},
-		{"idle in a transaction for too long", s.TimedOut}, {"paused for slow peers", s.Paused},
-		{"held, since their database is paused", s.Held}, {"turned away by a host and run again", s.Turned}} {
+	}{
+		{"clients", s.Clients},
+		{"with a server connection", s.Linked},
+		{"waiting for one", s.Waiting},
+		{"server connections", s.Servers},
+		{"of these unused", s.Idle},
+		{"transactions", s.Transactions},
+		{"settings restored", s.Restored},
+		{"statements prepared again", s.Prepared},
+		{"statements held", fmt.Sprintf("%d (%d bytes)", s.Statements, s.StatementMem)},
+		{"refused", s.Refused},
+		{"cancels", s.Cancels},
+		{"lost, rolled back", s.LostSafe},
+		{"lost, in doubt", s.LostDoubt},
+		{"lost, unnoticed", s.LostSilent},
+		{"idle in a transaction for too long", s.TimedOut},
+		{"paused for slow peers", s.Paused},
+		{"held, since their database is paused", s.Held},
+		{"turned away by a host and run again", s.Turned},
+	} {
 		fmt.Fprintf(w, "%s\t%v\n", r.name, r.value)
 	}
 	causes := make([]string, 0, len(s.Pinned))
@@ -264,8 +290,10 @@
 		"moves":     func() any { return n.others.moveViews() },
 		"config": func() any {
 			c := n.cfg.Load()
-			return map[string]any{"name": c.Name, "listen": c.Listen, "discovery": c.Discovery, "limits": c.Limits,
-				"settings": c.Settings, "operator": c.operator, "version": version()}
+			return map[string]any{
+				"name": c.Name, "listen": c.Listen, "discovery": c.Discovery, "limits": c.Limits,
+				"settings": c.Settings, "operator": c.operator, "version": version(),
+			}
 		},
 	}
 }
--- a/cmd/ashstand/config.go
+++ b/cmd/ashstand/config.go
@@ -250,8 +250,10 @@
 	if s == nil {
 		return l, nil
 	}
-	l = pg.SessionLimits{Clients: s.Clients, Servers: s.ServerConnections, Bytes: share, Message: min(s.MaxMessage, max(64<<10, share/2)),
-		Held: s.Held, After: after, Connect: c.site.ConnectTimeout, Users: map[string]pg.Verifier{}}
+	l = pg.SessionLimits{
+		Clients: s.Clients, Servers: s.ServerConnections, Bytes: share, Message: min(s.MaxMessage, max(64<<10, share/2)),
+		Held: s.Held, After: after, Connect: c.site.ConnectTimeout, Users: map[string]pg.Verifier{},
+	}
 	if l.Connect <= 0 {
 		l.Connect = 2 * time.Second
 	}
@@ -261,12 +263,14 @@
 		}
 	}
 	for _, p := range s.Pools {
-		l.Pools = append(l.Pools, pg.PoolSettings{Name: p.Name, Database: p.Database, User: p.User, Mode: pg.Mode(p.Mode),
+		l.Pools = append(l.Pools, pg.PoolSettings{
+			Name: p.Name, Database: p.Database, User: p.User, Mode: pg.Mode(p.Mode),
 			Sizes: session.Sizes{Most: p.Size, Waiting: p.Waiting}, Reserve: p.Reserve,
 			Defaults:    session.Defaults{ReadOnly: p.ReadOnly, ReadWrite: p.ReadWrite, SelectsAsRead: p.SelectsReadOnly, Group: p.Group},
 			Patience:    clock.Millis(p.Patience),
 			IdleInBlock: clock.Millis(p.IdleInTransaction), ServerLife: clock.Millis(p.ServerLife),
-			ServerIdle: c.serverIdle(p.ServerIdle), Statements: p.Statements, Pins: p.Pins, Held: p.Held, Hold: clock.Millis(p.Hold)})
+			ServerIdle: c.serverIdle(p.ServerIdle), Statements: p.Statements, Pins: p.Pins, Held: p.Held, Hold: clock.Millis(p.Hold),
+		})
 	}
 	return l, nil
 }
--- a/cmd/ashstand/cost.go
+++ b/cmd/ashstand/cost.go
@@ -49,8 +49,10 @@
 	if o == nil {
 		return nil
 	}
-	return &estimates{node: n, clock: now, span: clock.Millis(o.Span), drift: o.Drift, inside: map[string]int{}, served: map[string]*rate{},
-		model: cost.NewModel(cost.Options{Bytes: o.Memory, Source: cmp.Or(cfg.Name, "pooler"), Incarnation: uint64(now.Now()), Span: clock.Millis(o.Span), Drift: o.Drift})}
+	return &estimates{
+		node: n, clock: now, span: clock.Millis(o.Span), drift: o.Drift, inside: map[string]int{}, served: map[string]*rate{},
+		model: cost.NewModel(cost.Options{Bytes: o.Memory, Source: cmp.Or(cfg.Name, "pooler"), Incarnation: uint64(now.Now()), Span: clock.Millis(o.Span), Drift: o.Drift}),
+	}
 }
 
 // Sent is edge.Observer's.
@@ -78,8 +80,10 @@
 	if !ok {
 		return
 	}
-	e.model.Observe(cost.Observation{Statement: print, Class: s.Statement.Class, Host: s.Host, Kind: kind, Group: entry.Group, Rows: 1, Bytes: float64(s.Bytes),
-		Work: s.Work, Wait: s.Wait, Inflight: s.Others, Primary: s.Outcome.Role == dispatch.Primary, Cold: e.cold(&entry, s.At), At: s.At})
+	e.model.Observe(cost.Observation{
+		Statement: print, Class: s.Statement.Class, Host: s.Host, Kind: kind, Group: entry.Group, Rows: 1, Bytes: float64(s.Bytes),
+		Work: s.Work, Wait: s.Wait, Inflight: s.Others, Primary: s.Outcome.Role == dispatch.Primary, Cold: e.cold(&entry, s.At), At: s.At,
+	})
 	c := e.served[s.Statement.Class]
 	if c == nil {
 		c = &rate{at: s.At}
@@ -121,8 +125,10 @@
 		if !ok || entry.Status != discovery.Active {
 			continue
 		}
-		h := cost.Host{Name: m.Host, Kind: e.kind(&entry, m.Host), Group: m.Group, Primary: m.WasPrimary, Capacity: m.Limit, Inflight: inside[m.Host],
-			Load: float64(inside[m.Host]), Started: entry.SinceMS, Lag: max(0, clock.Millis(m.Lag))}
+		h := cost.Host{
+			Name: m.Host, Kind: e.kind(&entry, m.Host), Group: m.Group, Primary: m.WasPrimary, Capacity: m.Limit, Inflight: inside[m.Host],
+			Load: float64(inside[m.Host]), Started: entry.SinceMS, Lag: max(0, clock.Millis(m.Lag)),
+		}
 		if c := cfg.operator.Cost; c != nil && c.Capacity > 0 {
 			h.Capacity = float64(c.Capacity)
 		}
@@ -206,7 +212,8 @@
 // costCommands ask what plans cost.
 func costCommands(ask func(*cobra.Command) *cobra.Command, asJSON func() bool, address func() (string, error)) *cobra.Command {
 	var files []string
-	c := ask(&cobra.Command{Use: "cost PLAN", Short: "estimate what a query plan and its alternatives cost, with 95 % intervals", Args: cobra.ExactArgs(1),
+	c := ask(&cobra.Command{
+		Use: "cost PLAN", Short: "estimate what a query plan and its alternatives cost, with 95 % intervals", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			text, err := os.ReadFile(args[0])
 			if err != nil {
@@ -232,9 +239,11 @@
 				return printJSON(c.OutOrStdout(), a)
 			}
 			return costTable(c.OutOrStdout(), &a)
-		}})
+		},
+	})
 	c.Flags().StringArrayVar(&files, "evidence", nil, "estimate from this saved evidence instead of a pooler that runs; once for each pooler's file")
-	c.AddCommand(ask(&cobra.Command{Use: "evidence", Short: "print what the pooler has observed, for cost --evidence", Args: cobra.NoArgs,
+	c.AddCommand(ask(&cobra.Command{
+		Use: "evidence", Short: "print what the pooler has observed, for cost --evidence", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			at, err := address()
 			if err != nil {
@@ -250,11 +259,14 @@
 			}
 			_, err = c.OutOrStdout().Write(raw)
 			return err
-		}}),
-		&cobra.Command{Use: "fingerprint SQL", Short: "print a statement's fingerprint and the text that it stands for", Args: cobra.ExactArgs(1),
+		},
+	}),
+		&cobra.Command{
+			Use: "fingerprint SQL", Short: "print a statement's fingerprint and the text that it stands for", Args: cobra.ExactArgs(1),
 			Run: func(c *cobra.Command, args []string) {
 				fmt.Fprintf(c.OutOrStdout(), "%v  %s\n", cost.Print(args[0]), cost.Normal(args[0]))
-			}})
+			},
+		})
 	return c
 }
 
--- a/cmd/ashstand/cost_golden_test.go
+++ b/cmd/ashstand/cost_golden_test.go
@@ -31,12 +31,20 @@
 	}
 	folded := cell("report", "old", "")
 	folded.Statement = cost.Fingerprint{}
-	return evidence{At: 1700000000500.25, Span: 21600000, Drift: 0.2,
-		Summary: cost.Summary{Source: "pooler-1", Incarnation: 1700000000000, Sequence: 4, At: 1700000000400, Cells: []cost.Cell{folded,
-			cell("browse", "new", "select 1"), cell("<&>\"é", "new", "update t set v = 1")},
-			Waits: []cost.Wait{{Block: 1, Kind: "new", At: 1700000000300, Sums: [6]float64{3, 4.5, 9, 1e-7, 2e21, 0.1}}}},
-		Fleet: cost.Fleet{Ramp: 30000, Classes: []cost.Class{{Name: "browse", Aim: 30, Worth: 2, Rate: 12.5, Work: 1.5}},
-			Hosts: []cost.Host{{Name: "h1", Kind: "new", Group: 3, Primary: true, Capacity: 8, Inflight: 2, Load: 1.5, Started: 1700000000100, Lag: 7}}}}
+	return evidence{
+		At: 1700000000500.25, Span: 21600000, Drift: 0.2,
+		Summary: cost.Summary{
+			Source: "pooler-1", Incarnation: 1700000000000, Sequence: 4, At: 1700000000400, Cells: []cost.Cell{
+				folded,
+				cell("browse", "new", "select 1"), cell("<&>\"é", "new", "update t set v = 1"),
+			},
+			Waits: []cost.Wait{{Block: 1, Kind: "new", At: 1700000000300, Sums: [6]float64{3, 4.5, 9, 1e-7, 2e21, 0.1}}},
+		},
+		Fleet: cost.Fleet{
+			Ramp: 30000, Classes: []cost.Class{{Name: "browse", Aim: 30, Worth: 2, Rate: 12.5, Work: 1.5}},
+			Hosts: []cost.Host{{Name: "h1", Kind: "new", Group: 3, Primary: true, Capacity: 8, Inflight: 2, Load: 1.5, Started: 1700000000100, Lag: 7}},
+		},
+	}
 }
 
 // Saved evidence of an older program stays readable and comes out the same again, by both encoders that handle it.
--- a/cmd/ashstand/golden_views_test.go
+++ b/cmd/ashstand/golden_views_test.go
@@ -60,16 +60,22 @@
 }
 
 func goldenPlan() migration.Plan {
-	return migration.Plan{Tenant: "orders", From: 1, To: 2, Pause: 4000, Lock: 200, Tries: 3, Rest: 1000, Checkpoints: []string{"accepting"}, Stragglers: "end", Pace: 10, Reads: 7,
-		Old: "drop", Need: 2}
+	return migration.Plan{
+		Tenant: "orders", From: 1, To: 2, Pause: 4000, Lock: 200, Tries: 3, Rest: 1000, Checkpoints: []string{"accepting"}, Stragglers: "end", Pace: 10, Reads: 7,
+		Old: "drop", Need: 2,
+	}
 }
 
 func TestGoldenMoveViews(t *testing.T) {
 	group := uint64(2)
 	requireGoldenView(t, "move-plan.json", planView{Plan: goldenPlan(), Least: 17_600, Cutoff: 2000, Found: migration.Findings{{Reason: migration.NoIdentity, Name: "public.a", Detail: "no key", Told: true}}})
-	requireGoldenView(t, "moves.json", movesView{On: true, Moves: []moveView{{Name: "orders-to-2", Plan: goldenPlan(), State: migration.State{Phase: migration.Verifying, Held: "x"}, Step: 9, Since: 1000,
+	requireGoldenView(t, "moves.json", movesView{On: true, Moves: []moveView{{
+		Name: "orders-to-2", Plan: goldenPlan(), State: migration.State{Phase: migration.Verifying, Held: "x"}, Step: 9, Since: 1000,
 		Deed: "verify", Owner: "n1", Token: 5, Owners: 2, Wait: "waits for go, to switch", Words: []jobs.ApprovalOption{{Action: "rollback", Effect: "it is taken back", Persistent: true}},
-		Given: &jobs.Approval{Action: "go", By: "op", Step: 9, Persistent: true}, Back: "the old home opens again", Ended: true, Why: "accepted", Code: "verify_differs", Message: "rows differ", Advice: "look"}}})
-	requireGoldenView(t, "homes.json", homesView{On: true, Homes: []pg.HomeStats{{Database: "orders", Home: &group, Fenced: true, State: "paused", Since: 1000, Sessions: 3, Running: 1, Held: 2, Going: 1,
-		Passed: 4, Refused: 5, Bound: []pg.BoundStats{{Pool: "p", Host: "h", Cause: "listen", Sessions: 1}}}}})
+		Given: &jobs.Approval{Action: "go", By: "op", Step: 9, Persistent: true}, Back: "the old home opens again", Ended: true, Why: "accepted", Code: "verify_differs", Message: "rows differ", Advice: "look",
+	}}})
+	requireGoldenView(t, "homes.json", homesView{On: true, Homes: []pg.HomeStats{{
+		Database: "orders", Home: &group, Fenced: true, State: "paused", Since: 1000, Sessions: 3, Running: 1, Held: 2, Going: 1,
+		Passed: 4, Refused: 5, Bound: []pg.BoundStats{{Pool: "p", Host: "h", Cause: "listen", Sessions: 1}},
+	}}})
 }
--- a/cmd/ashstand/gone_test.go
+++ b/cmd/ashstand/gone_test.go
@@ -194,9 +194,13 @@
 func world3(t *testing.T, wire string) *world {
 	sessions := free(t)
 	w := buildWith(t, func(c *config) {
-		c.operator.Sessions = &operator.Sessions{Listen: sessions, Clients: 50, ServerConnections: 16, MaxMessage: 1 << 20,
-			Pools: []operator.Pool{{Name: "main", Database: "*", User: "*", Mode: "transaction", Size: 1, Waiting: 20, Patience: 9 * time.Second,
-				Statements: 10, ReadOnly: "report", ReadWrite: "donate", Group: 1}}}
+		c.operator.Sessions = &operator.Sessions{
+			Listen: sessions, Clients: 50, ServerConnections: 16, MaxMessage: 1 << 20,
+			Pools: []operator.Pool{{
+				Name: "main", Database: "*", User: "*", Mode: "transaction", Size: 1, Waiting: 20, Patience: 9 * time.Second,
+				Statements: 10, ReadOnly: "report", ReadWrite: "donate", Group: 1,
+			}},
+		}
 	}, wire, wire)
 	w.sessions, w.flight = sessions, w.cfg.Load().flight.Listen
 	return w
--- a/cmd/ashstand/homes_test.go
+++ b/cmd/ashstand/homes_test.go
@@ -29,8 +29,10 @@
 	folder := filepath.Join(t.TempDir(), "agreed")
 	require.NoError(t, runner.Found(vfs.Real{}, folder, "n1", []string{"n1"}))
 	limits := consensus.Rules{"database.orders.group": 1.0, "database.orders.paused": true, "database.a.b.group": 1.0, "tries": 1.0}
-	r, err := runner.Start(runner.Options{Config: consensus.Config{Name: "n1", Instance: 1, Voters: []string{"n1"}, Lease: 600, Drift: 0.01, Pace: 40,
-		Election: 50, Limits: limits, Format: 1, Seed: 1}, Folder: folder, Clock: clock.System(), Send: func(string, []byte) {}})
+	r, err := runner.Start(runner.Options{Config: consensus.Config{
+		Name: "n1", Instance: 1, Voters: []string{"n1"}, Lease: 600, Drift: 0.01, Pace: 40,
+		Election: 50, Limits: limits, Format: 1, Seed: 1,
+	}, Folder: folder, Clock: clock.System(), Send: func(string, []byte) {}})
 	require.NoError(t, err)
 	defer r.Stop()
 	h := &homes{agreed: r}
@@ -204,8 +206,10 @@
 
 // A look into the table, and what a change of the rules costs once: the meeting of two versions with 1000 databases each.
 func BenchmarkHomes(b *testing.B) {
-	r, err := runner.Start(runner.Options{Config: consensus.Config{Name: "n4", Instance: 1, Voters: []string{"n1"}, Lease: 600, Drift: 0.01, Pace: 40, Election: 50,
-		Format: 1, Seed: 1}, Clock: clock.System(), Send: func(string, []byte) {}})
+	r, err := runner.Start(runner.Options{Config: consensus.Config{
+		Name: "n4", Instance: 1, Voters: []string{"n1"}, Lease: 600, Drift: 0.01, Pace: 40, Election: 50,
+		Format: 1, Seed: 1,
+	}, Clock: clock.System(), Send: func(string, []byte) {}})
 	require.NoError(b, err)
 	defer r.Stop()
 	h := &homes{agreed: r}
--- a/cmd/ashstand/known_red_test.go
+++ b/cmd/ashstand/known_red_test.go
@@ -58,12 +58,16 @@
 	}{
 		{"no file", "", true, false, `^$`, `ran TestRed of a(?s:.*)ran TestRed of b`},
 		{"blank lines only", "\n  \n", true, false, `^$`, `ran TestRed of a(?s:.*)ran TestRed of b`},
-		{"both red tests listed", "TestRed | a | a reset | 31\n\nTestRed | ./b | a close | 32", true, true,
+		{
+			"both red tests listed", "TestRed | a | a reset | 31\n\nTestRed | ./b | a close | 32", true, true,
 			`KNOWN RED: TestRed of ./a failed \(a reset, issue 31\)(?s:.*)KNOWN RED: TestRed of ./b failed \(a close, issue 32\)`,
-			`ran TestRedder of a(?s:.*)ran TestGreen of b(?s:.*)ran TestGreen of d`},
+			`ran TestRedder of a(?s:.*)ran TestGreen of b(?s:.*)ran TestGreen of d`,
+		},
 		{"one of the same name is not listed", "TestRed | a | a reset | 31\n", true, false, `KNOWN RED: TestRed of ./a`, `ran TestRed of b`},
-		{"one that passes is said to", "TestRed | a | a reset | 31\nTestRed | b | a close | 32\nTestGreen | c/d | none | 33\n", true, true,
-			`NOT NOW: TestGreen of ./c/d`, `ran TestRedder of a(?s:.*)ran TestGreen of b`},
+		{
+			"one that passes is said to", "TestRed | a | a reset | 31\nTestRed | b | a close | 32\nTestGreen | c/d | none | 33\n", true, true,
+			`NOT NOW: TestGreen of ./c/d`, `ran TestRedder of a(?s:.*)ran TestGreen of b`,
+		},
 		{"a fourth line", "TestRed | a | x | 1\nTestRed | b | x | 1\nTestGreen | b | x | 1\nTestRedder | a | x | 1\n", false, false, `more than three`, `more than three`},
 		{"no such test", "TestRe | a | x | 1\n", false, false, `has no test TestRe`, `has no test TestRe`},
 		{"the test of another package", "TestGreen | a | x | 1\n", false, false, `a has no test TestGreen`, `a has no test TestGreen`},
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -127,10 +127,12 @@
 		return nil, err
 	}
 	share, after := cfg.memory()/10, min(clock.Millis(cfg.site.MaxRetryAfter), busyAfter)
-	b := &bounds{connect: cfg.site.ConnectTimeout,
-		core:  edge.Limits{Bytes: share, After: after},
-		front: pg.FrontLimits{Clients: clients, Bytes: share, After: after},
-		pool:  pg.Limits{Connections: connections, Bytes: share, Connect: cfg.site.ConnectTimeout, Idle: cfg.site.ConnIdleTimeout}}
+	b := &bounds{
+		connect: cfg.site.ConnectTimeout,
+		core:    edge.Limits{Bytes: share, After: after},
+		front:   pg.FrontLimits{Clients: clients, Bytes: share, After: after},
+		pool:    pg.Limits{Connections: connections, Bytes: share, Connect: cfg.site.ConnectTimeout, Idle: cfg.site.ConnIdleTimeout},
+	}
 	for _, c := range cfg.site.Settings.Classes {
 		b.grace = max(b.grace, min(c.Deadline, 3*time.Second))
 	}
--- a/cmd/ashstand/moves.go
+++ b/cmd/ashstand/moves.go
@@ -97,9 +97,11 @@
 	deed := cfg.operator.Cluster.Agree.Jobs.OperationTimeout
 	_, force := c.Bound()
 	_, takeover := c.Takeover() // whoever dies may have led the log as well
-	m := &migration.Mover{Places: &movesql.Places{Client: w.client, Within: deed}, Rules: &movesRules{f.agreed, now, c.Limits}, Turns: turns{w},
+	m := &migration.Mover{
+		Places: &movesql.Places{Client: w.client, Within: deed}, Rules: &movesRules{f.agreed, now, c.Limits}, Turns: turns{w},
 		// A line of the log takes two round trips and two savings: less than a heartbeat each, or the leader would be taken for gone.
-		Costs: migration.Costs{Log: c.Election / 5, InForce: force, Owner: takeover, Place: clock.Millis(deed)}}
+		Costs: migration.Costs{Log: c.Election / 5, InForce: force, Owner: takeover, Place: clock.Millis(deed)},
+	}
 	if slices.Contains(migration.Breakable, f.broken) {
 		m.Break = f.broken
 	}
@@ -269,7 +271,8 @@
 		}{}
 		return do(c, "work", body, &out, func(w io.Writer) { fmt.Fprintln(w, say) })
 	}
-	root.AddCommand(ask(&cobra.Command{Use: "plan FILE", Short: "say whether a plan can be kept here, and what is wrong with it; nothing is begun", Args: cobra.ExactArgs(1),
+	root.AddCommand(ask(&cobra.Command{
+		Use: "plan FILE", Short: "say whether a plan can be kept here, and what is wrong with it; nothing is begun", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			text, err := os.ReadFile(args[0])
 			if err != nil {
@@ -277,7 +280,8 @@
 			}
 			var v planView
 			return do(c, "move-plan", text, &v, func(w io.Writer) { planTable(w, &v) })
-		}}))
+		},
+	}))
 	var name string
 	start := &cobra.Command{Use: "start FILE", Short: "order the move of a plan", Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
 		text, err := os.ReadFile(args[0])
@@ -294,7 +298,8 @@
 	}}
 	start.Flags().StringVar(&name, "name", "", "of the move (default: TENANT-to-GROUP)")
 	root.AddCommand(ask(start))
-	root.AddCommand(ask(&cobra.Command{Use: "status [NAME]", Short: "show moves: their state, what each waits for, and what each word would do", Args: cobra.MaximumNArgs(1),
+	root.AddCommand(ask(&cobra.Command{
+		Use: "status [NAME]", Short: "show moves: their state, what each waits for, and what each word would do", Args: cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			a, err := address()
 			if err != nil {
@@ -317,9 +322,15 @@
 			}
 			moveTable(c.OutOrStdout(), &v)
 			return nil
-		}}))
-	for _, w := range []struct{ say, short string }{{migration.Go, "let a move pass the checkpoint that it waits at"}, {migration.Hold, "begin nothing further until resume; a tenant that is paused opens where it was"},
-		{migration.Resume, "go on with a move that is held"}, {migration.Rollback, "take a move back"}, {migration.Accept, "end the way back of a move that has switched"}} {
+		},
+	}))
+	for _, w := range []struct{ say, short string }{
+		{migration.Go, "let a move pass the checkpoint that it waits at"},
+		{migration.Hold, "begin nothing further until resume; a tenant that is paused opens where it was"},
+		{migration.Resume, "go on with a move that is held"},
+		{migration.Rollback, "take a move back"},
+		{migration.Accept, "end the way back of a move that has switched"},
+	} {
 		var step uint64
 		word := &cobra.Command{Use: w.say + " NAME --step N", Short: w.short, Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
 			if !c.Flags().Changed("step") {
--- a/cmd/ashstand/program_test.go
+++ b/cmd/ashstand/program_test.go
@@ -426,8 +426,12 @@
 	leaver.Close()
 	require.Equal(t, []string{value}, ask(t, f, fmt.Sprintf(report, 2)), "a client that left holds up nobody")
 	close(gate)
-	for _, junk := range [][]byte{{0, 0, 0, 0}, {0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0}, []byte("GET / HTTP/1.1\r\n\r\n"),
-		append(startupBytes(), 'Q', 0x7f, 0xff, 0xff, 0xff), append(startupBytes(), '?', 0, 0, 0, 4), append(startupBytes(), 'Q', 0, 0, 0, 6, 'a', 'b')} {
+	for _, junk := range [][]byte{
+		{0, 0, 0, 0},
+		{0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0},
+		[]byte("GET / HTTP/1.1\r\n\r\n"),
+		append(startupBytes(), 'Q', 0x7f, 0xff, 0xff, 0xff), append(startupBytes(), '?', 0, 0, 0, 4), append(startupBytes(), 'Q', 0, 0, 0, 6, 'a', 'b'),
+	} {
 		c, err := net.Dial("tcp", listen)
 		require.NoError(t, err)
 		c.SetDeadline(time.Now().Add(20 * time.Second))
@@ -451,10 +455,14 @@
 	q := func(text string) []byte { b, _ := (&pgproto3.Query{String: text}).Encode(nil); return b }
 	donated, odd := q(fmt.Sprintf(donate, 1, 9000)), q("SELECT 1")
 	var file bytes.Buffer
-	require.NoError(t, pcap.Write(&file, []*pcap.Conversation{{Client: netip.MustParseAddrPort("127.0.0.1:4000"),
-		Server: netip.MustParseAddrPort("127.0.0.1:5433"), Pieces: []pcap.Piece{{At: at, FromClient: true, Data: startupBytes()},
+	require.NoError(t, pcap.Write(&file, []*pcap.Conversation{{
+		Client: netip.MustParseAddrPort("127.0.0.1:4000"),
+		Server: netip.MustParseAddrPort("127.0.0.1:5433"), Pieces: []pcap.Piece{
+			{At: at, FromClient: true, Data: startupBytes()},
 			{At: at.Add(time.Millisecond), FromClient: true, Data: donated[:9]},
-			{At: at.Add(2 * time.Millisecond), FromClient: true, Data: append(donated[9:], odd...)}}}}))
+			{At: at.Add(2 * time.Millisecond), FromClient: true, Data: append(donated[9:], odd...)},
+		},
+	}}))
 	cs, err := pcap.Read(&file)
 	require.NoError(t, err)
 	out, sum := w.replay(context.Background(), cs)
--- a/cmd/ashstand/standin_test.go
+++ b/cmd/ashstand/standin_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-
 	"fmt"
 	"io"
 	"net"
@@ -485,8 +484,10 @@
 	}))
 	p, err := settings.Parse([]byte(site))
 	require.NoError(t, err)
-	cfg := &config{operator: operator.New(), Name: "n1", Listen: free(t), Discovery: dir.Listener.Addr().String(), site: p, seed: 7,
-		flight: flightConfig{Listen: free(t), Connections: 16, HostTypes: []string{"flightsql"}}}
+	cfg := &config{
+		operator: operator.New(), Name: "n1", Listen: free(t), Discovery: dir.Listener.Addr().String(), site: p, seed: 7,
+		flight: flightConfig{Listen: free(t), Connections: 16, HostTypes: []string{"flightsql"}},
+	}
 	change(cfg)
 	w.node, err = start(cfg)
 	require.NoError(t, err)
--- a/cmd/ashstand/state.go
+++ b/cmd/ashstand/state.go
@@ -196,7 +196,8 @@
 		}
 		return s, lost, nil
 	}
-	show := &cobra.Command{Use: "show FILE", Short: "what is kept, how old it is, and what it would count for now", Args: cobra.ExactArgs(1),
+	show := &cobra.Command{
+		Use: "show FILE", Short: "what is kept, how old it is, and what it would count for now", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			s, lost, err := read(args[0])
 			if err != nil {
@@ -207,10 +208,12 @@
 				return printJSON(c.OutOrStdout(), map[string]any{"head": s.Head, "lost": lost, "facts": w.Verdicts})
 			}
 			return stateTable(c.OutOrStdout(), s, lost, w.Verdicts)
-		}}
+		},
+	}
 	show.Flags().BoolVar(&asJSON, "json", false, "print JSON instead of a table")
 	root.AddCommand(show,
-		&cobra.Command{Use: "verify FILE", Short: "say whether a file can be read whole", Args: cobra.ExactArgs(1),
+		&cobra.Command{
+			Use: "verify FILE", Short: "say whether a file can be read whole", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
 				s, lost, err := read(args[0])
 				if err == nil && len(lost) > 0 {
@@ -220,15 +223,18 @@
 					_, err = fmt.Fprintf(c.OutOrStdout(), "%s: good: %d hosts, %d classes\n", args[0], len(s.Hosts), len(s.Classes))
 				}
 				return err
-			}},
-		&cobra.Command{Use: "export FILE", Short: "print all that is kept, as JSON", Args: cobra.ExactArgs(1),
+			},
+		},
+		&cobra.Command{
+			Use: "export FILE", Short: "print all that is kept, as JSON", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
 				s, _, err := read(args[0])
 				if err != nil {
 					return err
 				}
 				return printJSON(c.OutOrStdout(), s)
-			}})
+			},
+		})
 	return root
 }
 
--- a/cmd/ashstand/suite_test.go
+++ b/cmd/ashstand/suite_test.go
@@ -57,8 +57,10 @@
 
 func eachClass(t *testing.T, w *world, ask client) {
 	p := w.hosts[0]
-	for i, text := range []string{fmt.Sprintf(browse, 1), fmt.Sprintf(library, 2, time.Now().Add(-time.Minute).UnixMilli()),
-		fmt.Sprintf(report, 3), fmt.Sprintf(donate, 4, 9000)} {
+	for i, text := range []string{
+		fmt.Sprintf(browse, 1), fmt.Sprintf(library, 2, time.Now().Add(-time.Minute).UnixMilli()),
+		fmt.Sprintf(report, 3), fmt.Sprintf(donate, 4, 9000),
+	} {
 		before := [3]int{p.count(), w.hosts[1].count(), w.hosts[2].count()}
 		require.Equal(t, served, ask(t, text))
 		got := ""
@@ -195,9 +197,11 @@
 }
 
 func nonsense(t *testing.T, w *world, ask client) {
-	for _, text := range []string{"SELECT 1", "/* id=1,c=listen,d=100,cluster=1 */ SELECT payload FROM entries WHERE ref = 'k'",
+	for _, text := range []string{
+		"SELECT 1", "/* id=1,c=listen,d=100,cluster=1 */ SELECT payload FROM entries WHERE ref = 'k'",
 		"/* id=1,c=browse,d=x,cluster=1 */ SELECT 1", "/* c=browse,d=900,cluster=1 */ SELECT 1", "/* id=,c=browse,d=900,cluster=1 */ SELECT 1",
-		"/* id=1,c=browse,cluster=1 */ SELECT 1"} {
+		"/* id=1,c=browse,cluster=1 */ SELECT 1",
+	} {
 		require.Equal(t, "invalid", ask(t, text).kind, text)
 	}
 	require.Equal(t, "refused", ask(t, "/* id=1,c=browse,d=500,cluster=77 */ SELECT 1").kind, "a group of which no list tells")
--- a/cmd/ashstand/works.go
+++ b/cmd/ashstand/works.go
@@ -87,8 +87,10 @@
 	if f.trace != nil { // of its faults on real processes too little has been played for service: see docs/moves.md
 		w.handlers[kindMove] = w.mover
 	}
-	opts := executor.Options{Name: f.name, Incarnation: f.instance, Zone: cfg.operator.Cluster.Zone, Handlers: w.handlers, Log: w.log, Clock: now,
-		PollMillis: clock.Millis(o.PollInterval), OperationMillis: clock.Millis(o.OperationTimeout), Reachable: w.reachable, Healthy: f.agreed.Sound}
+	opts := executor.Options{
+		Name: f.name, Incarnation: f.instance, Zone: cfg.operator.Cluster.Zone, Handlers: w.handlers, Log: w.log, Clock: now,
+		PollMillis: clock.Millis(o.PollInterval), OperationMillis: clock.Millis(o.OperationTimeout), Reachable: w.reachable, Healthy: f.agreed.Sound,
+	}
 	if f.trace != nil {
 		opts.IgnoreLeaseEnd = true
 		opts.Trace = func(event string, of jobs.Job) {
@@ -273,7 +275,8 @@
 
 // jobCommands show works and bring words in.
 func jobCommands(ask func(*cobra.Command) *cobra.Command, view func(string, any, func(io.Writer)) func(*cobra.Command, []string) error,
-	address func() (string, error)) *cobra.Command {
+	address func() (string, error),
+) *cobra.Command {
 	var v jobsView
 	root := &cobra.Command{Use: "works", Short: "what one pooler at a time does for all"}
 	bring := func(e jobs.Entry) error {
@@ -290,7 +293,8 @@
 	}
 	var s noop.Spec
 	var groups []uint
-	drills := &cobra.Command{Use: "drill NAME", Short: "have one owner at a time write rows behind the fence of each group, to see that works get done", Args: cobra.ExactArgs(1),
+	drills := &cobra.Command{
+		Use: "drill NAME", Short: "have one owner at a time write rows behind the fence of each group, to see that works get done", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			for _, g := range groups {
 				s.Groups = append(s.Groups, uint64(g))
@@ -307,7 +311,8 @@
 			}
 			fmt.Fprintf(c.OutOrStdout(), "the drill %s is in the log; ashstand works list shows it\n", args[0])
 			return nil
-		}}
+		},
+	}
 	drills.Flags().StringVar(&s.Database, "database", "", "whose fence rows are taken; the schema ashstand is made there")
 	drills.Flags().UintSliceVar(&groups, "groups", nil, "of db hosts")
 	drills.Flags().IntVar(&s.Operations, "deeds", 20, "rows to write")
@@ -320,8 +325,10 @@
 		return bring(jobs.Entry{Type: jobs.EntryApprove, Job: args[0], Approval: &jobs.Approval{Action: args[1], By: os.Getenv("USER"), Step: step, Persistent: args[1] == "stop" || args[1] == "rollback"}})
 	}}
 	say.Flags().Uint64Var(&step, "step", 0, "that the word is given for")
-	root.AddCommand(ask(drills), ask(say), ask(&cobra.Command{Use: "list", Short: "list works with their owners, tokens and what they wait for", Args: cobra.NoArgs,
-		RunE: view("works", &v, func(w io.Writer) { jobTable(w, &v) })}))
+	root.AddCommand(ask(drills), ask(say), ask(&cobra.Command{
+		Use: "list", Short: "list works with their owners, tokens and what they wait for", Args: cobra.NoArgs,
+		RunE: view("works", &v, func(w io.Writer) { jobTable(w, &v) }),
+	}))
 	return root
 }
 
@@ -362,6 +369,8 @@
 		return jobs.SchedulerConfig{}
 	}
 	w := a.Jobs
-	return jobs.SchedulerConfig{StallMillis: clock.Millis(w.StallTimeout), MinTenureMillis: clock.Millis(w.MinTenure), BackoffMillis: clock.Millis(w.Backoff), SettledMillis: 10 * clock.Millis(a.Lease),
-		RetryMillis: clock.Millis(a.Election)}
+	return jobs.SchedulerConfig{
+		StallMillis: clock.Millis(w.StallTimeout), MinTenureMillis: clock.Millis(w.MinTenure), BackoffMillis: clock.Millis(w.Backoff), SettledMillis: 10 * clock.Millis(a.Lease),
+		RetryMillis: clock.Millis(a.Election),
+	}
 }
--- a/cmd/ashstand/works_golden_test.go
+++ b/cmd/ashstand/works_golden_test.go
@@ -41,10 +41,14 @@
 func TestGoldenAdminViewOfJobs(t *testing.T) {
 	word := &jobs.Approval{Action: "stop", By: "ann", Step: 4, Persistent: true}
 	deed := &jobs.Operation{Number: 6, Name: "write", Token: 17, Data: stdjson.RawMessage(`{"n":1}`), Approval: word}
-	x := jobs.Job{Name: "d1", Kind: "drill", Spec: stdjson.RawMessage(`{"database":"orders"}`), RequiredGroups: []uint64{1}, Holder: "n1", Incarnation: 9007199254740993, Token: 17,
-		Step: 4, State: stdjson.RawMessage(`{"done":3}`), Operation: deed, Approval: word, HolderCount: 5, AbortedOperations: 1, Finished: true, Reason: "stopped", Revision: 41}
-	v := jobsView{On: true, Jobs: []jobView{{Job: x, Here: &executor.Status{WaitingFor: "the pace", Options: []jobs.ApprovalOption{{Action: "stop", Effect: "it ends", Persistent: true}},
-		Message: "broken", Code: "in_doubt", Advice: "nothing", LastResponseMillis: 12.5}}, {Job: jobs.Job{Name: "d2", Kind: "drill"}}}}
+	x := jobs.Job{
+		Name: "d1", Kind: "drill", Spec: stdjson.RawMessage(`{"database":"orders"}`), RequiredGroups: []uint64{1}, Holder: "n1", Incarnation: 9007199254740993, Token: 17,
+		Step: 4, State: stdjson.RawMessage(`{"done":3}`), Operation: deed, Approval: word, HolderCount: 5, AbortedOperations: 1, Finished: true, Reason: "stopped", Revision: 41,
+	}
+	v := jobsView{On: true, Jobs: []jobView{{Job: x, Here: &executor.Status{
+		WaitingFor: "the pace", Options: []jobs.ApprovalOption{{Action: "stop", Effect: "it ends", Persistent: true}},
+		Message: "broken", Code: "in_doubt", Advice: "nothing", LastResponseMillis: 12.5,
+	}}, {Job: jobs.Job{Name: "d2", Kind: "drill"}}}}
 	got, err := json.MarshalIndent(v, "", "  ")
 	require.NoError(t, err)
 	path := filepath.Join("testdata", "golden", "admin-works.json")
--- a/cmd/simadapter/golden_test.go
+++ b/cmd/simadapter/golden_test.go
@@ -31,8 +31,10 @@
 		}
 		t.Fatalf("%d answer lines, want %d", len(gotLines), len(wantLines))
 	}
-	for _, kind := range []string{"OPEN_INSTANCE", "SHUTDOWN", "REGISTER", "ENTRY", "TARGETS", "REQUEST", "OUTCOME", "FIRST", "LEFT",
-		"WAKEUP", "PROBE_DONE", "DATAGRAM", "SYNC", "EOF_BATCH"} {
+	for _, kind := range []string{
+		"OPEN_INSTANCE", "SHUTDOWN", "REGISTER", "ENTRY", "TARGETS", "REQUEST", "OUTCOME", "FIRST", "LEFT",
+		"WAKEUP", "PROBE_DONE", "DATAGRAM", "SYNC", "EOF_BATCH",
+	} {
 		if !bytes.Contains(append([]byte("\n"), rounds...), []byte("\n"+kind)) {
 			t.Errorf("no %s among the rounds", kind)
 		}
@@ -105,8 +107,10 @@
 		return int(state>>8) % n
 	}
 	classes := []string{"report", "browse", "library", "check", "donate", "save"}
-	codes := []string{"served", "served", "served", "served", "served", "served", "server_error", "turned_away", "no_answer", "no_connection",
-		"connection_lost", "called_off", "not_sent", "not_stored", "not_stored"}
+	codes := []string{
+		"served", "served", "served", "served", "served", "served", "server_error", "turned_away", "no_answer", "no_connection",
+		"connection_lost", "called_off", "not_sent", "not_stored", "not_stored",
+	}
 	var b bytes.Buffer
 	now := 10000.0
 	seq := 0
--- a/cmd/simadapter/main_test.go
+++ b/cmd/simadapter/main_test.go
@@ -30,10 +30,14 @@
 	for _, k := range []struct{ name, in, want string }{
 		{"start", "", "NEXT seq=1\n"},
 		{"empty batch", "SYNC wall_ms=5001 seq=2\nEOF_BATCH\n", "NEXT seq=1\nNEXT seq=2\n"},
-		{"write to the primary", "SYNC wall_ms=5001 seq=2\nREQUEST who=0 call=a profile=w cluster=1 time_left_ms=400\nEOF_BATCH\n",
-			"TRANSMIT who=0 call=a host=h:1 max_wait_ms=85.000\nNEXT seq=2\n"},
-		{"nothing for the stopped", "SYNC wall_ms=5001 seq=2\nREQUEST who=0 call=a profile=w cluster=1 time_left_ms=400\nSHUTDOWN who=0\nEOF_BATCH\n",
-			"NEXT seq=1\nNEXT seq=2\n"},
+		{
+			"write to the primary", "SYNC wall_ms=5001 seq=2\nREQUEST who=0 call=a profile=w cluster=1 time_left_ms=400\nEOF_BATCH\n",
+			"TRANSMIT who=0 call=a host=h:1 max_wait_ms=85.000\nNEXT seq=2\n",
+		},
+		{
+			"nothing for the stopped", "SYNC wall_ms=5001 seq=2\nREQUEST who=0 call=a profile=w cluster=1 time_left_ms=400\nSHUTDOWN who=0\nEOF_BATCH\n",
+			"NEXT seq=1\nNEXT seq=2\n",
+		},
 	} {
 		if got := answerTo(t, start+k.in); !strings.HasSuffix(got, k.want) {
 			t.Errorf("%s: %q, want it to end in %q", k.name, got, k.want)
--- a/cmd/testbed/cluster.go
+++ b/cmd/testbed/cluster.go
@@ -131,7 +131,8 @@
 
 func clusterRun(name, short string, agreement bool, breakable []string) *cobra.Command {
 	m := clusterFlags{agree: agreement, works: name == "owner"}
-	c := &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs,
+	c := &cobra.Command{
+		Use: name, Short: short, Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if m.breaks != "" && !slices.Contains(breakable, m.breaks) {
 				return fmt.Errorf("--break %s: it can be %s", m.breaks, strings.Join(breakable, ", "))
@@ -145,7 +146,8 @@
 				return err
 			}
 			return m.done(out, os.Stderr)
-		}}
+		},
+	}
 	m.add(c)
 	return m.flags(c, 60*time.Second, breakable)
 }
@@ -153,7 +155,8 @@
 func clusterShrink() *cobra.Command {
 	var m clusterFlags
 	tries := 30
-	c := &cobra.Command{Use: "shrink PLAN", Short: "take faults out of a plan for as long as it still fails", Args: cobra.ExactArgs(1),
+	c := &cobra.Command{
+		Use: "shrink PLAN", Short: "take faults out of a plan for as long as it still fails", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			p, err := cluster.Load(args[0])
 			if err != nil {
@@ -182,7 +185,8 @@
 			}
 			last.Plan = p
 			return m.done(last, os.Stderr)
-		}}
+		},
+	}
 	c.Flags().IntVar(&tries, "tries", tries, "plays at the most")
 	c.Flags().IntVar(&m.clients, "clients", 4, "of each pooler")
 	c.Flags().BoolVar(&m.agree, "agree", false, "the plan is one of cluster agree")
@@ -196,7 +200,8 @@
 func clusterSimulate() *cobra.Command {
 	var m common
 	schedules, length, cores := 1000, 3500*time.Millisecond, runtime.NumCPU()
-	c := &cobra.Command{Use: "simulate", Short: "the agreement on versions through drawn messages, crashes and clocks, without sockets", Args: cobra.NoArgs,
+	c := &cobra.Command{
+		Use: "simulate", Short: "the agreement on versions through drawn messages, crashes and clocks, without sockets", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if m.breaks != "" && !slices.Contains(consensus.Breakable, m.breaks) {
 				return fmt.Errorf("--break %s: it can be %s", m.breaks, strings.Join(consensus.Breakable, ", "))
@@ -205,7 +210,8 @@
 				return errors.New("--schedules and --cores take at least 1, --length at least 3s")
 			}
 			return m.finish(cluster.SimulateMany(c.Context(), m.seed, schedules, float64(length.Milliseconds()), m.breaks, cores), nil)
-		}}
+		},
+	}
 	c.Flags().IntVar(&schedules, "schedules", schedules, "how many, from the seed on; each is a seed of its own")
 	c.Flags().DurationVar(&length, "length", length, "of one, in its own time")
 	c.Flags().IntVar(&cores, "cores", cores, "that play schedules side by side")
--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -76,8 +76,10 @@
 }
 
 func command() *cobra.Command {
-	root := &cobra.Command{Use: "testbed", Short: "try, load and measure the pooler against stand-ins", SilenceUsage: true, SilenceErrors: true,
-		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
+	root := &cobra.Command{
+		Use: "testbed", Short: "try, load and measure the pooler against stand-ins", SilenceUsage: true, SilenceErrors: true,
+		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
+	}
 	root.AddCommand(sessions(), try(), up(), relay(), restart(), clusters(), costs())
 	return root
 }
@@ -88,7 +90,8 @@
 	faults := "none"
 	cost := false
 	costs := load.CostOptions{}
-	c := &cobra.Command{Use: "sessions", Short: "many sessions over few server connections, with failures", Args: cobra.NoArgs,
+	c := &cobra.Command{
+		Use: "sessions", Short: "many sessions over few server connections, with failures", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if m.breaks != "" && !slices.Contains(load.Breakable, m.breaks) {
 				return fmt.Errorf("--break %s: it can be %s", m.breaks, strings.Join(load.Breakable, ", "))
@@ -102,7 +105,8 @@
 			}
 			o.Duration, o.Seed, o.Break, o.Pooler, o.Log, o.Faults = m.duration, m.seed, m.breaks, m.pooler, m.log, faults == "all"
 			return m.finish(load.Sessions(c.Context(), o))
-		}}
+		},
+	}
 	c.Flags().IntVar(&o.Sessions, "sessions", 500, "clients")
 	c.Flags().IntVar(&o.Servers, "server-connections", 64, "that the pooler may have")
 	c.Flags().Float64Var(&o.Rate, "rate", 3000, "requests a second, about")
@@ -118,8 +122,10 @@
 // relay is what sessions --cost measures against, as a process of its own.
 func relay() *cobra.Command {
 	var listen, to string
-	c := &cobra.Command{Use: "relay", Short: "copy bytes between clients and one host, the floor for any pooler", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error { return load.Relay(c.Context(), listen, to) }}
+	c := &cobra.Command{
+		Use: "relay", Short: "copy bytes between clients and one host, the floor for any pooler", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return load.Relay(c.Context(), listen, to) },
+	}
 	c.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "where clients come")
 	c.Flags().StringVar(&to, "to", "", "where the host listens")
 	return c
@@ -129,7 +135,8 @@
 	var m common
 	o := load.RestartOptions{}
 	cost := false
-	c := &cobra.Command{Use: "restart", Short: "kill the pooler while it writes what it learned, then compare restarts with and without it", Args: cobra.NoArgs,
+	c := &cobra.Command{
+		Use: "restart", Short: "kill the pooler while it writes what it learned, then compare restarts with and without it", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if m.breaks != "" && !slices.Contains(load.RestartBreakable, m.breaks) {
 				return fmt.Errorf("--break %s: it can be %s", m.breaks, strings.Join(load.RestartBreakable, ", "))
@@ -142,7 +149,8 @@
 			}
 			o.Seed, o.Break, o.Pooler, o.Log = m.seed, m.breaks, m.pooler, m.log
 			return m.finish(load.Restart(c.Context(), o))
-		}}
+		},
+	}
 	c.Flags().IntVar(&o.Kills, "kills", 100, "how often it is killed while it writes")
 	c.Flags().BoolVar(&cost, "cost", false, "measure what keeping state costs instead")
 	c.Flags().StringVar(&o.Only, "only", "", "in the comparison, keep one kind of fact alone: "+strings.Join(load.Facts, ", "))
--- a/cmd/testbed/move.go
+++ b/cmd/testbed/move.go
@@ -16,7 +16,8 @@
 func clusterMove() *cobra.Command {
 	m := clusterFlags{agree: true}
 	groups, tenants := 3, 8
-	c := &cobra.Command{Use: "move", Short: "tenants that move between groups of db hosts while sessions use them, operators give words, and processes, links and homes fail", Args: cobra.NoArgs,
+	c := &cobra.Command{
+		Use: "move", Short: "tenants that move between groups of db hosts while sessions use them, operators give words, and processes, links and homes fail", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if m.breaks != "" && !slices.Contains(migration.Breakable, m.breaks) {
 				return fmt.Errorf("--break %s: it can be %s", m.breaks, strings.Join(migration.Breakable, ", "))
@@ -33,7 +34,8 @@
 				return err
 			}
 			return m.done(out, os.Stderr)
-		}}
+		},
+	}
 	m.add(c)
 	c.Flags().IntVar(&groups, "groups", groups, "of db hosts, a primary and two standbys each")
 	c.Flags().IntVar(&tenants, "tenants", tenants, "databases, at all groups in turn")
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -170,10 +170,12 @@
 
 func call(listen, method, name string, body []byte) ([]byte, error) {
 	network, address := split(listen)
-	c := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true,
+	c := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{
+		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return (&net.Dialer{Timeout: 2 * time.Second}).DialContext(ctx, network, address)
-		}}}
+		},
+	}}
 	q, err := http.NewRequest(method, "http://pooler/"+name, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
--- a/internal/cluster/consensus/golden_test.go
+++ b/internal/cluster/consensus/golden_test.go
@@ -43,24 +43,33 @@
 
 // goldenOperation has no field of its zero value.
 func goldenOperation() *jobs.Entry {
-	return &jobs.Entry{Type: jobs.EntryAnnounce, Job: "move-orders", Token: 9, Holder: "pooler-b", Incarnation: 1 << 63, JobKind: "move", Spec: json.RawMessage(`{"to":2}`),
+	return &jobs.Entry{
+		Type: jobs.EntryAnnounce, Job: "move-orders", Token: 9, Holder: "pooler-b", Incarnation: 1 << 63, JobKind: "move", Spec: json.RawMessage(`{"to":2}`),
 		RequiredGroups: []uint64{1, 2}, Step: 2, Operation: goldenDeed(), State: json.RawMessage(`{"phase":"copy"}`), Approval: &jobs.Approval{Action: "go", By: "op", Step: 2, Persistent: true},
-		Finished: true, Reason: "finished"}
+		Finished: true, Reason: "finished",
+	}
 }
 
 func goldenJob(name string) *jobs.Job {
-	return &jobs.Job{Name: name, Kind: "move", Spec: json.RawMessage(`{"to":2}`), RequiredGroups: []uint64{1, 2}, Holder: "pooler-b", Incarnation: 1<<63 + 1, Token: 9, Step: 2,
+	return &jobs.Job{
+		Name: name, Kind: "move", Spec: json.RawMessage(`{"to":2}`), RequiredGroups: []uint64{1, 2}, Holder: "pooler-b", Incarnation: 1<<63 + 1, Token: 9, Step: 2,
 		State: json.RawMessage(`{"phase":"copy"}`), Operation: goldenDeed(), Approval: &jobs.Approval{Action: "hold", By: "op", Step: 2, Persistent: true}, HolderCount: 4, AbortedOperations: 1, Finished: true,
-		Reason: "finished", Revision: 11}
+		Reason: "finished", Revision: 11,
+	}
 }
 
 func goldenState() state {
 	pending := goldenVersion(5)
-	return state{Last: 5, Held: Held{Force: goldenVersion(4), Pending: &pending, Seen: 9}, Versions: []Version{goldenVersion(4), goldenVersion(5)},
+	return state{
+		Last: 5, Held: Held{Force: goldenVersion(4), Pending: &pending, Seen: 9}, Versions: []Version{goldenVersion(4), goldenVersion(5)},
 		Names: map[uint64]string{3: "pooler-a", 1<<63 + 5: "pooler-b"},
-		Done: []done{{ID: 1 << 62, N: 4}, {ID: 18, Why: "version 4 came first and is not in force yet"},
-			{ID: 19, N: 5, Why: "why", Work: true, Name: "move-orders", Refused: &jobs.RejectedError{Reason: jobs.RejectStaleToken, Job: "move-orders", Presented: 8, Current: 9, Detail: "late"}}},
-		Epoch: 77, Ledger: jobs.StateMachine{HighestToken: 9, Jobs: map[string]*jobs.Job{"move-orders": goldenJob("move-orders"), "a": goldenJob("a")}, Revision: 12}}
+		Done: []done{
+			{ID: 1 << 62, N: 4},
+			{ID: 18, Why: "version 4 came first and is not in force yet"},
+			{ID: 19, N: 5, Why: "why", Work: true, Name: "move-orders", Refused: &jobs.RejectedError{Reason: jobs.RejectStaleToken, Job: "move-orders", Presented: 8, Current: 9, Detail: "late"}},
+		},
+		Epoch: 77, Ledger: jobs.StateMachine{HighestToken: 9, Jobs: map[string]*jobs.Job{"move-orders": goldenJob("move-orders"), "a": goldenJob("a")}, Revision: 12},
+	}
 }
 
 // Entries of the log are stored by voters and sent between them: what an earlier program wrote is read, and written alike.
@@ -108,8 +117,10 @@
 // The first snapshot of a voter, and the identities that it gives, are alike for all voters of a cluster.
 func TestGoldenFirstState(t *testing.T) {
 	disk := Found("n2", []string{"n3", "n1", "n2"})
-	text, err := json.Marshal(map[string]any{"id": disk.ID, "voters": disk.Snap.Metadata.GetConfState().GetVoters(), "state": string(disk.Snap.GetData()),
-		"term": disk.Hard.GetTerm(), "commit": disk.Hard.GetCommit(), "index": disk.Snap.Metadata.GetIndex(), "snapshot_term": disk.Snap.Metadata.GetTerm()})
+	text, err := json.Marshal(map[string]any{
+		"id": disk.ID, "voters": disk.Snap.Metadata.GetConfState().GetVoters(), "state": string(disk.Snap.GetData()),
+		"term": disk.Hard.GetTerm(), "commit": disk.Hard.GetCommit(), "index": disk.Snap.Metadata.GetIndex(), "snapshot_term": disk.Snap.Metadata.GetTerm(),
+	})
 	require.NoError(t, err)
 	golden(t, "first.json", text)
 }
--- a/internal/cluster/consensus/node.go
+++ b/internal/cluster/consensus/node.go
@@ -225,8 +225,10 @@
 		panic(err) // it holds nothing that could fail
 	}
 	one := uint64(1)
-	return &Disk{ID: first(name), Hard: &pb.HardState{Term: &one, Commit: &one, Vote: new(uint64)},
-		Snap: &pb.Snapshot{Data: data, Metadata: &pb.SnapshotMetadata{ConfState: conf, Index: &one, Term: &one}}}
+	return &Disk{
+		ID: first(name), Hard: &pb.HardState{Term: &one, Commit: &one, Vote: new(uint64)},
+		Snap: &pb.Snapshot{Data: data, Metadata: &pb.SnapshotMetadata{ConfState: conf, Index: &one, Term: &one}},
+	}
 }
 
 // first is the identity of a name at the founding.
@@ -249,8 +251,10 @@
 
 // New returns a pooler's node. disk is what it kept; nil: nothing, or nothing that is surely its own.
 func New(cfg Config, disk *Disk, now float64) (*Node, error) {
-	n := &Node{cfg: cfg, now: now, lots: rand.New(rand.NewPCG(cfg.Seed, cfg.Instance)), holders: map[string]*holder{}, hellos: map[string]uint64{}, seen: map[uint64]string{},
-		nonces: map[uint64]float64{}, mine: map[uint64]Message{}, desk: jobs.NewScheduler(cfg.Desk), askers: map[uint64]string{}, until: math.Inf(-1), ticks: now, heard: now, renewAt: now}
+	n := &Node{
+		cfg: cfg, now: now, lots: rand.New(rand.NewPCG(cfg.Seed, cfg.Instance)), holders: map[string]*holder{}, hellos: map[string]uint64{}, seen: map[uint64]string{},
+		nonces: map[uint64]float64{}, mine: map[uint64]Message{}, desk: jobs.NewScheduler(cfg.Desk), askers: map[uint64]string{}, until: math.Inf(-1), ticks: now, heard: now, renewAt: now,
+	}
 	if disk != nil {
 		n.disk = *disk
 		n.held = disk.Held
@@ -282,9 +286,11 @@
 		return nil, err
 	}
 	var err error
-	n.rn, err = raft.NewRawNode(&raft.Config{ID: n.disk.ID, ElectionTick: tickShare, HeartbeatTick: heartbeat, Storage: n.store, Applied: n.done,
+	n.rn, err = raft.NewRawNode(&raft.Config{
+		ID: n.disk.ID, ElectionTick: tickShare, HeartbeatTick: heartbeat, Storage: n.store, Applied: n.done,
 		MaxSizePerMsg: 64 << 10, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 4 << 20, CheckQuorum: true, PreVote: true,
-		StepDownOnRemoval: true, Logger: silent{}})
+		StepDownOnRemoval: true, Logger: silent{},
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cluster/consensus/node_test.go
+++ b/internal/cluster/consensus/node_test.go
@@ -27,8 +27,10 @@
 		if i < len(voters) {
 			disk = Found(name, voters)
 		}
-		n, err := New(Config{Name: name, Instance: uint64(i + 1), Voters: voters, Lease: 200, Drift: 0.01, Pace: 30, Election: 50, Format: 1, Seed: 7,
-			Desk: jobs.SchedulerConfig{StallMillis: 1e6, MinTenureMillis: 200, BackoffMillis: 2000, SettledMillis: 500, RetryMillis: 50}}, disk, 0)
+		n, err := New(Config{
+			Name: name, Instance: uint64(i + 1), Voters: voters, Lease: 200, Drift: 0.01, Pace: 30, Election: 50, Format: 1, Seed: 7,
+			Desk: jobs.SchedulerConfig{StallMillis: 1e6, MinTenureMillis: 200, BackoffMillis: 2000, SettledMillis: 500, RetryMillis: 50},
+		}, disk, 0)
 		require.NoError(t, err)
 		n.SetReport(jobs.Report{Kinds: []string{"k"}, AcceptsJobs: true, Healthy: true, ReachableGroups: []uint64{1}, UptimeMillis: 1000})
 		w.nodes[name] = n
--- a/internal/cluster/consensus/runner/golden_test.go
+++ b/internal/cluster/consensus/runner/golden_test.go
@@ -37,8 +37,10 @@
 }
 
 func goldenVersion(n int) consensus.Version {
-	return consensus.Version{N: n, By: "pooler-a", Format: 1, Rules: consensus.Rules{"tries": 3.0, "class.browse.bound_ms": 250.5, "class.browse.repeat": false,
-		"host.s-1.x.closed": true, "database.orders.group": 7.0}}
+	return consensus.Version{N: n, By: "pooler-a", Format: 1, Rules: consensus.Rules{
+		"tries": 3.0, "class.browse.bound_ms": 250.5, "class.browse.repeat": false,
+		"host.s-1.x.closed": true, "database.orders.group": 7.0,
+	}}
 }
 
 func goldenHeld() consensus.Held {
@@ -55,18 +57,24 @@
 }
 
 func goldenOperation() *jobs.Entry {
-	return &jobs.Entry{Type: jobs.EntryAnnounce, Job: "move-orders", Token: 9, Holder: "pooler-b", Incarnation: 1 << 63, JobKind: "move", Spec: json.RawMessage(`{"to":2}`),
-		RequiredGroups: []uint64{1, 2}, Step: 2, Operation: goldenDeed(), State: json.RawMessage(`{"phase":"copy"}`), Approval: goldenWord(), Finished: true, Reason: "finished"}
+	return &jobs.Entry{
+		Type: jobs.EntryAnnounce, Job: "move-orders", Token: 9, Holder: "pooler-b", Incarnation: 1 << 63, JobKind: "move", Spec: json.RawMessage(`{"to":2}`),
+		RequiredGroups: []uint64{1, 2}, Step: 2, Operation: goldenDeed(), State: json.RawMessage(`{"phase":"copy"}`), Approval: goldenWord(), Finished: true, Reason: "finished",
+	}
 }
 
 func goldenJob() jobs.Job {
-	return jobs.Job{Name: "move-orders", Kind: "move", Spec: json.RawMessage(`{"to":2}`), RequiredGroups: []uint64{1, 2}, Holder: "pooler-b", Incarnation: 1<<63 + 1, Token: 9, Step: 2,
-		State: json.RawMessage(`{"phase":"copy"}`), Operation: goldenDeed(), Approval: goldenWord(), HolderCount: 4, AbortedOperations: 1, Finished: true, Reason: "finished", Revision: 11}
+	return jobs.Job{
+		Name: "move-orders", Kind: "move", Spec: json.RawMessage(`{"to":2}`), RequiredGroups: []uint64{1, 2}, Holder: "pooler-b", Incarnation: 1<<63 + 1, Token: 9, Step: 2,
+		State: json.RawMessage(`{"phase":"copy"}`), Operation: goldenDeed(), Approval: goldenWord(), HolderCount: 4, AbortedOperations: 1, Finished: true, Reason: "finished", Revision: 11,
+	}
 }
 
 func goldenReport() *jobs.Report {
-	return &jobs.Report{Kinds: []string{"move"}, AcceptsJobs: true, Healthy: true, Zone: "a", UptimeMillis: 1500.5, Load: 0.25, ReachableGroups: []uint64{1, 2}, LocalGroups: []uint64{1},
-		Progress: map[string]uint64{"move-orders": 4, "a": 5}, HighestToken: 9}
+	return &jobs.Report{
+		Kinds: []string{"move"}, AcceptsJobs: true, Healthy: true, Zone: "a", UptimeMillis: 1500.5, Load: 0.25, ReachableGroups: []uint64{1, 2}, LocalGroups: []uint64{1},
+		Progress: map[string]uint64{"move-orders": 4, "a": 5}, HighestToken: 9,
+	}
 }
 
 func goldenEntry(index uint64) *pb.Entry {
@@ -82,8 +90,10 @@
 func goldenRaft() *pb.Message {
 	typ, reject := pb.MessageType_MsgApp, true
 	to, from, term, logTerm, index, commit, vote, hint := uint64(5), uint64(3), uint64(4), uint64(3), uint64(41), uint64(40), uint64(6), uint64(39)
-	return &pb.Message{Type: &typ, To: &to, From: &from, Term: &term, LogTerm: &logTerm, Index: &index, Entries: []*pb.Entry{goldenEntry(42)}, Commit: &commit,
-		Vote: &vote, Snapshot: goldenSnapshot(), Reject: &reject, RejectHint: &hint, Context: []byte("context")}
+	return &pb.Message{
+		Type: &typ, To: &to, From: &from, Term: &term, LogTerm: &logTerm, Index: &index, Entries: []*pb.Entry{goldenEntry(42)}, Commit: &commit,
+		Vote: &vote, Snapshot: goldenSnapshot(), Reject: &reject, RejectHint: &hint, Context: []byte("context"),
+	}
 }
 
 // goldenMessages are messages of every kind, with all that its kind carries.
@@ -212,9 +222,11 @@
 }
 
 func (c *goldenCluster) start(name string, instance uint64) {
-	n, err := consensus.New(consensus.Config{Name: name, Instance: instance, Voters: c.names[:3], Lease: 200, Drift: 0.01, Pace: 30, Election: 50, Format: 1, Seed: 7,
+	n, err := consensus.New(consensus.Config{
+		Name: name, Instance: instance, Voters: c.names[:3], Lease: 200, Drift: 0.01, Pace: 30, Election: 50, Format: 1, Seed: 7,
 		Limits: consensus.Rules{"tries": 1.0, "class.a.bound_ms": 50.0, "database.d.group": 0.0},
-		Desk:   jobs.SchedulerConfig{StallMillis: 400, MinTenureMillis: 200, BackoffMillis: 2000, SettledMillis: 500, RetryMillis: 50}}, c.kept[name], c.now)
+		Desk:   jobs.SchedulerConfig{StallMillis: 400, MinTenureMillis: 200, BackoffMillis: 2000, SettledMillis: 500, RetryMillis: 50},
+	}, c.kept[name], c.now)
 	require.NoError(c.t, err)
 	n.SetReport(jobs.Report{Kinds: []string{"k"}, AcceptsJobs: true, Healthy: true, Zone: "z", UptimeMillis: 1000, ReachableGroups: []uint64{1}})
 	c.nodes[name] = n
--- a/internal/cluster/consensus/runner/runner_test.go
+++ b/internal/cluster/consensus/runner/runner_test.go
@@ -113,8 +113,10 @@
 	w := &net{of: map[string]*Runner{}, down: map[string]bool{}}
 	folders := map[string]string{}
 	start := func(name string, instance uint64) {
-		r, err := Start(Options{Folder: folders[name], Clock: clock.System(), Send: w.send(name), Config: consensus.Config{Name: name, Instance: instance, Voters: voters,
-			Lease: 600, Drift: 0.05, Pace: 60, Election: 150, Format: 1, Limits: consensus.Rules{"tries": 1.0}, Seed: instance}})
+		r, err := Start(Options{Folder: folders[name], Clock: clock.System(), Send: w.send(name), Config: consensus.Config{
+			Name: name, Instance: instance, Voters: voters,
+			Lease: 600, Drift: 0.05, Pace: 60, Election: 150, Format: 1, Limits: consensus.Rules{"tries": 1.0}, Seed: instance,
+		}})
 		require.NoError(t, err)
 		w.mu.Lock()
 		w.of[name] = r
@@ -195,8 +197,10 @@
 func TestAFullDisk(t *testing.T) {
 	path := filepath.Join(quick(t), "a")
 	require.NoError(t, Found(vfs.Real{}, path, "n1", []string{"n1"}))
-	r, err := Start(Options{Folder: path, Clock: clock.System(), Send: func(string, []byte) {}, Config: consensus.Config{Name: "n1", Voters: []string{"n1"}, Lease: 300,
-		Pace: 30, Election: 60, Format: 1, Limits: consensus.Rules{"tries": 1.0}}})
+	r, err := Start(Options{Folder: path, Clock: clock.System(), Send: func(string, []byte) {}, Config: consensus.Config{
+		Name: "n1", Voters: []string{"n1"}, Lease: 300,
+		Pace: 30, Election: 60, Format: 1, Limits: consensus.Rules{"tries": 1.0},
+	}})
 	require.NoError(t, err)
 	defer r.Stop()
 	require.Eventually(t, func() bool { return !r.Acting().Lapsed }, 5*time.Second, 5*time.Millisecond)
@@ -263,8 +267,10 @@
 	require.ErrorIs(t, err, ErrUnkept, "a save has failed since")
 	f.Close()
 
-	r, err := Start(Options{Folder: path, Disk: on, Clock: clock.System(), Send: func(string, []byte) {}, Config: consensus.Config{Name: "n1", Voters: []string{"n1"}, Lease: 300,
-		Pace: 30, Election: 60, Format: 1, Limits: consensus.Rules{"tries": 1.0}}})
+	r, err := Start(Options{Folder: path, Disk: on, Clock: clock.System(), Send: func(string, []byte) {}, Config: consensus.Config{
+		Name: "n1", Voters: []string{"n1"}, Lease: 300,
+		Pace: 30, Election: 60, Format: 1, Limits: consensus.Rules{"tries": 1.0},
+	}})
 	require.NoError(t, err, "the pooler starts without the voter's part")
 	defer r.Stop()
 	v := r.View()
@@ -279,9 +285,11 @@
 	m, err := Decode(b)
 	require.NoError(t, err)
 	require.Equal(t, uint64(1<<63+1), m.Nonce)
-	for i, bad := range []string{"", "{}", `{"From":"n1","Kind":0}`, `{"From":"n1","Kind":99}`, `{"From":"n1","Kind":3,"Raft":"AAAA"}`,
+	for i, bad := range []string{
+		"", "{}", `{"From":"n1","Kind":0}`, `{"From":"n1","Kind":99}`, `{"From":"n1","Kind":3,"Raft":"AAAA"}`,
 		`{"From":"n1","Kind":3,"Held":{"force":{"n":1,"rules":{"tries":"fenced"}}}}`, `{"From":"n1","Kind":3,"Held":{"force":{"n":1,"rules":{"x":1}}}}`,
-		fmt.Sprintf(`{"From":"n1","Kind":2,"Why":%q}`, make([]byte, maxMessage))} {
+		fmt.Sprintf(`{"From":"n1","Kind":2,"Why":%q}`, make([]byte, maxMessage)),
+	} {
 		_, err := Decode([]byte(bad))
 		require.Error(t, err, i)
 	}
--- a/internal/cluster/fencing/golden_test.go
+++ b/internal/cluster/fencing/golden_test.go
@@ -172,10 +172,14 @@
 	}{
 		{name: "row there", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 1"}}}},
 		{name: "row not there", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 0"}, {tag: "UPDATE 1"}}, "SELECT token": {{tag: "SELECT 0"}}, "INSERT": {{tag: "INSERT 0 1"}}}},
-		{name: "higher token", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 0"}}, "SELECT token": {{rows: [][]byte{[]byte("18")}, tag: "SELECT 1"}}},
-			want: &jobs.FencedError{Target: "h1", Presented: 17, Current: 18}},
-		{name: "bounds", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 1"}}},
-			bounds: Timeouts{Lock: 1500 * time.Microsecond, Statement: 2 * time.Second, IdleInTransaction: 3 * time.Second}},
+		{
+			name: "higher token", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 0"}}, "SELECT token": {{rows: [][]byte{[]byte("18")}, tag: "SELECT 1"}}},
+			want: &jobs.FencedError{Target: "h1", Presented: 17, Current: 18},
+		},
+		{
+			name: "bounds", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 1"}}},
+			bounds: Timeouts{Lock: 1500 * time.Microsecond, Statement: 2 * time.Second, IdleInTransaction: 3 * time.Second},
+		},
 		{name: "without the fence", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 1"}}}, unsafe: "fence"},
 		{name: "taken back", replies: map[string][]reply{"UPDATE": {{tag: "UPDATE 1"}}}, do: &pgconn.PgError{Code: "23505"}, want: &pgconn.PgError{Code: "23505"}},
 		{name: "replica", replies: map[string][]reply{"SELECT pg_is_in_recovery()": {{rows: [][]byte{[]byte("t")}, tag: "SELECT 1"}}}, want: &NoPrimaryError{}},
--- a/internal/cluster/jobs/executor/doing.go
+++ b/internal/cluster/jobs/executor/doing.go
@@ -345,8 +345,10 @@
 
 // prove says in the log that a deed is done.
 func (d *Executor) prove(ctx context.Context, w *jobs.Job, deed *jobs.Operation, a *at, p jobs.Result) error {
-	err := d.enter(ctx, jobs.Entry{Type: jobs.EntryConfirm, Job: w.Name, Token: a.token, Operation: &jobs.Operation{Number: deed.Number, Name: deed.Name}, State: p.State,
-		Finished: p.Finished, Reason: p.Reason})
+	err := d.enter(ctx, jobs.Entry{
+		Type: jobs.EntryConfirm, Job: w.Name, Token: a.token, Operation: &jobs.Operation{Number: deed.Number, Name: deed.Name}, State: p.State,
+		Finished: p.Finished, Reason: p.Reason,
+	})
 	if err == nil {
 		d.trace("proved "+deed.ID(w.Name), *w)
 	}
--- a/internal/cluster/jobs/golden_test.go
+++ b/internal/cluster/jobs/golden_test.go
@@ -19,15 +19,21 @@
 	word := Approval{Action: "rollback", By: "ann", Step: 3, Persistent: true}
 	deed := Operation{Number: 6, Name: "switch", Token: 17, Data: json.RawMessage(`{"rows":12,"until":"b <&> c"}`), Approval: &word}
 	other := Approval{Action: "go", By: "ben", Step: 4, Persistent: true}
-	open := Job{Name: "orders-to-2", Kind: "move", Spec: json.RawMessage(`{"tenant":"orders","from":1,"to":2}`), RequiredGroups: []uint64{1, 2}, Holder: "n1",
+	open := Job{
+		Name: "orders-to-2", Kind: "move", Spec: json.RawMessage(`{"tenant":"orders","from":1,"to":2}`), RequiredGroups: []uint64{1, 2}, Holder: "n1",
 		Incarnation: 9007199254740993, Token: 17, Step: 4, State: json.RawMessage(`{"phase":"copying"}`), Operation: &deed, Approval: &other, HolderCount: 5, AbortedOperations: 2,
-		Revision: 41}
-	ended := Job{Name: "d1", Kind: "drill", Spec: json.RawMessage(`{"database":"works"}`), RequiredGroups: []uint64{3}, Incarnation: 8, Token: 12, Step: 20,
-		State: json.RawMessage(`{"done":20}`), HolderCount: 1, AbortedOperations: 1, Finished: true, Reason: "all deeds are done", Revision: 40}
+		Revision: 41,
+	}
+	ended := Job{
+		Name: "d1", Kind: "drill", Spec: json.RawMessage(`{"database":"works"}`), RequiredGroups: []uint64{3}, Incarnation: 8, Token: 12, Step: 20,
+		State: json.RawMessage(`{"done":20}`), HolderCount: 1, AbortedOperations: 1, Finished: true, Reason: "all deeds are done", Revision: 40,
+	}
 	all := ended // which no work ever is: for the sake of every key
 	all.Holder, all.Operation, all.Approval = "n2", &deed, &other
-	entry := Entry{Job: "orders-to-2", Token: 17, Holder: "n2", Incarnation: 9007199254740995, JobKind: "move", Spec: json.RawMessage(`{"tenant":"orders"}`),
-		RequiredGroups: []uint64{1, 2}, Step: 4, Operation: &deed, State: json.RawMessage(`{"phase":"done"}`), Approval: &word, Finished: true, Reason: "accepted"}
+	entry := Entry{
+		Job: "orders-to-2", Token: 17, Holder: "n2", Incarnation: 9007199254740995, JobKind: "move", Spec: json.RawMessage(`{"tenant":"orders"}`),
+		RequiredGroups: []uint64{1, 2}, Step: 4, Operation: &deed, State: json.RawMessage(`{"phase":"done"}`), Approval: &word, Finished: true, Reason: "accepted",
+	}
 	full := entry
 	full.Type = EntryCreate
 	return map[string]any{
@@ -38,8 +44,10 @@
 		"option":     ApprovalOption{Action: "rollback", Effect: "the old one opens", Persistent: true},
 		"token":      FencingToken(1<<63 + 1),
 		"entry-full": full,
-		"entry-create": Entry{Type: EntryCreate, Job: "d1", JobKind: "drill", Spec: json.RawMessage(`{"database":"works"}`), RequiredGroups: []uint64{3},
-			State: json.RawMessage(`{"done":0}`)},
+		"entry-create": Entry{
+			Type: EntryCreate, Job: "d1", JobKind: "drill", Spec: json.RawMessage(`{"database":"works"}`), RequiredGroups: []uint64{3},
+			State: json.RawMessage(`{"done":0}`),
+		},
 		"entry-assign":       Entry{Type: EntryAssign, Job: "d1", Token: 12, Holder: "n1", Incarnation: 8},
 		"entry-release":      Entry{Type: EntryRelease, Job: "d1", Token: 12},
 		"entry-announce":     Entry{Type: EntryAnnounce, Job: "d1", Token: 12, Step: 3, Operation: &Operation{Number: 5, Name: "write", Data: json.RawMessage(`{"n":1}`)}, Approval: &word},
@@ -50,8 +58,10 @@
 		"entry-authorize":    Entry{Type: EntryAuthorize, Job: "d1", Token: 12, Operation: &Operation{Number: 5, Name: "switch"}},
 		"rejection":          RejectedError{Reason: RejectAlreadyApproved, Job: "d1", Presented: 3, Current: 4, Detail: "go by ben"},
 		"rejection-by-token": reject(RejectStaleToken, "d1", 3, 4),
-		"report": Report{Kinds: []string{"drill", "move"}, AcceptsJobs: true, Healthy: true, Zone: "z1", UptimeMillis: 1234.5, Load: 0.25, ReachableGroups: []uint64{1, 2}, LocalGroups: []uint64{2},
-			Progress: map[string]uint64{"d1": 7, "d2": 8}, HighestToken: 17},
+		"report": Report{
+			Kinds: []string{"drill", "move"}, AcceptsJobs: true, Healthy: true, Zone: "z1", UptimeMillis: 1234.5, Load: 0.25, ReachableGroups: []uint64{1, 2}, LocalGroups: []uint64{2},
+			Progress: map[string]uint64{"d1": 7, "d2": 8}, HighestToken: 17,
+		},
 	}
 }
 
--- a/internal/cluster/jobs/ledger.go
+++ b/internal/cluster/jobs/ledger.go
@@ -136,10 +136,12 @@
 }
 
 func (r *RejectedError) Error() string {
-	text := map[RejectCode]string{RejectStaleToken: "a later owner has been named", RejectNotHolder: "nobody owns it under that token", RejectUnknownJob: "there is no such work",
+	text := map[RejectCode]string{
+		RejectStaleToken: "a later owner has been named", RejectNotHolder: "nobody owns it under that token", RejectUnknownJob: "there is no such work",
 		RejectJobExists: "there is a work of that name", RejectOperationOpen: "another deed is announced and not settled", RejectOperationNotOpen: "that deed is not open",
 		RejectWrongStep: "it is at another step", RejectAlreadyApproved: "a word was given for this step already", RejectJobFinished: "it has ended",
-		RejectLimitExceeded: "that is more than is kept", RejectMalformed: "the entry makes no sense"}[r.Reason]
+		RejectLimitExceeded: "that is more than is kept", RejectMalformed: "the entry makes no sense",
+	}[r.Reason]
 	if r.Job != "" {
 		text = "work " + r.Job + ": " + text
 	}
--- a/internal/cluster/jobs/owner_test.go
+++ b/internal/cluster/jobs/owner_test.go
@@ -120,8 +120,10 @@
 		for i := range rapid.IntRange(1, 80).Draw(t, "entries") {
 			name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "work")
 			n := uint64(rapid.IntRange(0, 4).Draw(t, "number"))
-			e := Entry{Type: rapid.SampledFrom([]EntryType{EntryCreate, EntryAssign, EntryAssign, EntryRelease, EntryAnnounce, EntryAnnounce, EntryConfirm, EntryAbort, EntryApprove, EntryRaiseToken, EntryAuthorize}).Draw(t, "op"), Job: name, JobKind: "k", Holder: "n1",
-				Token: FencingToken(rapid.IntRange(0, 9).Draw(t, "token")), Step: uint64(rapid.IntRange(0, 4).Draw(t, "step")), Approval: nil}
+			e := Entry{
+				Type: rapid.SampledFrom([]EntryType{EntryCreate, EntryAssign, EntryAssign, EntryRelease, EntryAnnounce, EntryAnnounce, EntryConfirm, EntryAbort, EntryApprove, EntryRaiseToken, EntryAuthorize}).Draw(t, "op"), Job: name, JobKind: "k", Holder: "n1",
+				Token: FencingToken(rapid.IntRange(0, 9).Draw(t, "token")), Step: uint64(rapid.IntRange(0, 4).Draw(t, "step")), Approval: nil,
+			}
 			if w := l.Jobs[name]; w != nil && rapid.Bool().Draw(t, "apt") { // else hardly anything is taken
 				e.Token, e.Step, n = w.Token, w.Step, w.NextOperationNumber()
 				if w.Operation != nil {
--- a/internal/cluster/jobs/void_test.go
+++ b/internal/cluster/jobs/void_test.go
@@ -10,7 +10,8 @@
 func TestPersistentApprovalSurvivesAbort(t *testing.T) {
 	var l StateMachine
 	for _, e := range []Entry{
-		{Type: EntryCreate, Job: "w", JobKind: "k"}, {Type: EntryAssign, Job: "w", Holder: "n"},
+		{Type: EntryCreate, Job: "w", JobKind: "k"},
+		{Type: EntryAssign, Job: "w", Holder: "n"},
 		{Type: EntryApprove, Job: "w", Approval: &Approval{Action: "rollback", Persistent: true}},
 		{Type: EntryAnnounce, Job: "w", Token: 1, Operation: &Operation{Number: 1, Name: "clear"}, Approval: &Approval{Action: "rollback", Persistent: true}},
 		{Type: EntryApprove, Job: "w", Approval: &Approval{Action: "go"}},
@@ -26,8 +27,10 @@
 	var l StateMachine
 	act := Entry{Type: EntryAuthorize, Job: "w", Token: 1, Operation: &Operation{Number: 1, Name: "switch"}}
 	for _, e := range []Entry{
-		{Type: EntryCreate, Job: "w", JobKind: "k"}, {Type: EntryAssign, Job: "w", Holder: "n"},
-		{Type: EntryAnnounce, Job: "w", Token: 1, Operation: &Operation{Number: 1, Name: "switch"}}, act,
+		{Type: EntryCreate, Job: "w", JobKind: "k"},
+		{Type: EntryAssign, Job: "w", Holder: "n"},
+		{Type: EntryAnnounce, Job: "w", Token: 1, Operation: &Operation{Number: 1, Name: "switch"}},
+		act,
 		{Type: EntryAbort, Job: "w", Token: 1, Operation: &Operation{Number: 1, Name: "switch"}},
 	} {
 		require.Nil(t, l.Apply(e))
--- a/internal/cluster/membership/golden_test.go
+++ b/internal/cluster/membership/golden_test.go
@@ -34,8 +34,10 @@
 }
 
 func goldenInfo(s State) Info {
-	return Info{Name: "n1", Address: "127.0.0.1:7101", Instance: 0x0123456789abcdef, Started: 1767225600123.5, Version: "v1.2.3", Oldest: 2, Newest: 3,
-		Zone: "z1", State: s}
+	return Info{
+		Name: "n1", Address: "127.0.0.1:7101", Instance: 0x0123456789abcdef, Started: 1767225600123.5, Version: "v1.2.3", Oldest: 2, Newest: 3,
+		Zone: "z1", State: s,
+	}
 }
 
 // What a member says of itself has the same bytes in every state that it may say.
@@ -102,8 +104,10 @@
 func TestGoldenMessages(t *testing.T) {
 	list, r := recorded(t)
 	var received [][]byte
-	g := &Gossip{o: Options{Self: goldenInfo(Serving), Peers: map[string]string{"n2": "127.0.0.1:7102"}, Clock: clock.System(),
-		Message: func(b []byte) { received = append(received, b) }}, list: list, table: NewTable(goldenInfo(Serving), 8, 1)}
+	g := &Gossip{o: Options{
+		Self: goldenInfo(Serving), Peers: map[string]string{"n2": "127.0.0.1:7102"}, Clock: clock.System(),
+		Message: func(b []byte) { received = append(received, b) },
+	}, list: list, table: NewTable(goldenInfo(Serving), 8, 1)}
 
 	twin := goldenInfo(Draining)
 	twin.Name, twin.Address, twin.Instance, twin.Started = "n1", "127.0.0.1:7199", 0xfedcba9876543210, 1767225600999
@@ -140,9 +144,11 @@
 // What operators and traces get of the table has the same keys.
 func TestGoldenView(t *testing.T) {
 	self, holder, other := goldenInfo(Serving), goldenInfo(Starting), goldenInfo(Suspect)
-	view := View{Self: self, Refused: &holder, Members: []Member{{Info: other, Since: 17}},
+	view := View{
+		Self: self, Refused: &holder, Members: []Member{{Info: other, Since: 17}},
 		Twins: []Twin{{Name: "n1", Kept: holder, Sent: self, At: 18, told: 19}}, Bound: Bound(3, time.Second), Formats: [2]int{2, 3},
-		Apart: []string{"n4"}, Counters: map[string]int64{"garbage": 1, "foreign": 2, "joins": 3, "calls": 4}}
+		Apart: []string{"n4"}, Counters: map[string]int64{"garbage": 1, "foreign": 2, "joins": 3, "calls": 4},
+	}
 	b, err := json.MarshalIndent(view, "", "\t")
 	require.NoError(t, err)
 	stored := golden(t, "view.json", b)
--- a/internal/cluster/membership/gossip.go
+++ b/internal/cluster/membership/gossip.go
@@ -261,8 +261,10 @@
 func (g *Gossip) View() View {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	v := View{Self: g.o.Self, Members: g.table.Members(), Twins: g.table.Twins(), Bound: Bound(len(g.o.Peers)+1, g.o.Probe),
-		Counters: g.wire.Counters.Snapshot()}
+	v := View{
+		Self: g.o.Self, Members: g.table.Members(), Twins: g.table.Twins(), Bound: Bound(len(g.o.Peers)+1, g.o.Probe),
+		Counters: g.wire.Counters.Snapshot(),
+	}
 	if g.refused > 0 {
 		v.Refused = &g.holder
 	}
--- a/internal/cluster/membership/table.go
+++ b/internal/cluster/membership/table.go
@@ -56,8 +56,10 @@
 
 // Encode returns what travels of a member's own word, in at most limit bytes.
 func (i Info) Encode(limit int) ([]byte, error) {
-	m := meta{fmt.Sprintf("%016x", i.Instance), i.Started, i.Version[:min(len(i.Version), maxVersion)], i.Oldest, i.Newest,
-		i.Zone[:min(len(i.Zone), maxZone)], i.State}
+	m := meta{
+		fmt.Sprintf("%016x", i.Instance), i.Started, i.Version[:min(len(i.Version), maxVersion)], i.Oldest, i.Newest,
+		i.Zone[:min(len(i.Zone), maxZone)], i.State,
+	}
 	b, err := json.Marshal(m)
 	if err == nil && len(b) > limit {
 		err = fmt.Errorf("what the member says of itself takes %d bytes, %d are the most", len(b), limit)
@@ -74,8 +76,10 @@
 	if err := json.Unmarshal(b, &m); err != nil {
 		return Info{}, fmt.Errorf("%w: %w", errWord, err)
 	}
-	i := Info{Name: name, Address: address, Started: m.Started, Version: m.Version, Oldest: m.Oldest, Newest: m.Newest, Zone: m.Zone,
-		State: m.State}
+	i := Info{
+		Name: name, Address: address, Started: m.Started, Version: m.Version, Oldest: m.Oldest, Newest: m.Newest, Zone: m.Zone,
+		State: m.State,
+	}
 	_, err := fmt.Sscanf(m.Instance, "%016x", &i.Instance)
 	switch {
 	case err != nil || i.Instance == 0:
--- a/internal/cluster/membership/table_test.go
+++ b/internal/cluster/membership/table_test.go
@@ -33,8 +33,10 @@
 	b, err = i.Encode(512)
 	require.NoError(t, err, "long words are cut to what gossip carries")
 	require.LessOrEqual(t, len(b), 512)
-	for _, bad := range []string{"", "{", `{"i":"0","s":"serving","o":1,"n":1}`, `{"i":"00000000000000ff","s":"gone","o":1,"n":1}`,
-		`{"i":"00000000000000ff","s":"serving","o":2,"n":1}`, `{"i":"00000000000000ff","s":"serving","o":0,"n":1}`, `{"i":"x","s":"serving","o":1,"n":1}`} {
+	for _, bad := range []string{
+		"", "{", `{"i":"0","s":"serving","o":1,"n":1}`, `{"i":"00000000000000ff","s":"gone","o":1,"n":1}`,
+		`{"i":"00000000000000ff","s":"serving","o":2,"n":1}`, `{"i":"00000000000000ff","s":"serving","o":0,"n":1}`, `{"i":"x","s":"serving","o":1,"n":1}`,
+	} {
 		_, err := Decode("n1", "a", []byte(bad))
 		require.ErrorIs(t, err, errWord, bad)
 	}
--- a/internal/cluster/migration/golden_test.go
+++ b/internal/cluster/migration/golden_test.go
@@ -71,12 +71,15 @@
 }
 
 func filledPlan() Plan {
-	return Plan{Tenant: "orders", From: 1, To: 2, Pause: 4000, Lock: 200, Tries: 3, Rest: 1000, Checkpoints: []string{AtChecked, AtClosing, AtSwitching, AtAccepting},
-		Stragglers: "end", Pace: 1234.5, Reads: 7, Old: "drop", Need: 2.5}
+	return Plan{
+		Tenant: "orders", From: 1, To: 2, Pause: 4000, Lock: 200, Tries: 3, Rest: 1000, Checkpoints: []string{AtChecked, AtClosing, AtSwitching, AtAccepting},
+		Stragglers: "end", Pace: 1234.5, Reads: 7, Old: "drop", Need: 2.5,
+	}
 }
 
 func filledState(phase Phase) State {
-	return State{Phase: phase, Reverse: true, Back: "an operator said rollback", Held: "the copy differs",
+	return State{
+		Phase: phase, Reverse: true, Back: "an operator said rollback", Held: "the copy differs",
 		Findings:   Findings{{Reason: NoIdentity, Name: "public.a", Detail: "no key", Told: true}},
 		Differ:     []Difference{{Kind: "rows", Table: "public.a", Range: "1 to 2", Home: "1 rows, aa", Other: "2 rows, bb"}},
 		Stragglers: []Straggler{{PID: 17, User: "app", Kind: "writing", Age: "3s"}},
@@ -85,17 +88,22 @@
 		Compare: Compare{After: "public.a 5", All: true, Ranges: 11, Hot: 2, Begun: Begun{At: 2000.25, Token: 4}},
 		Lines:   Lines{Home: 1, Other: 2}, Doubt: true, Again: true,
 		Pause: &Pause{Begun: Begun{At: 3000, Token: 5}, Version: 7, Closes: 2, Closed: &Closed{Line: 1, Position: 0x1_0000_0500}, Verified: true, Ranges: 4, Reads: 6},
-		Tries: 2, Rested: Begun{At: 4000, Token: 5}, Fed: true}
+		Tries: 2, Rested: Begun{At: 4000, Token: 5}, Fed: true,
+	}
 }
 
 func filledData() Data {
-	return Data{At: 1e6, Within: 150.5, Rows: 2000, End: true, Again: true, Reverse: true, Back: "an operator said rollback", Held: "an operator said pause",
-		Why: "its time was up", Doubt: true, Lost: "group 1 failed over from timeline 1 to 2"}
+	return Data{
+		At: 1e6, Within: 150.5, Rows: 2000, End: true, Again: true, Reverse: true, Back: "an operator said rollback", Held: "an operator said pause",
+		Why: "its time was up", Doubt: true, Lost: "group 1 failed over from timeline 1 to 2",
+	}
 }
 
 // operations are the names of all of them.
-var operations = []string{DeedCheck, DeedPublish, DeedSubscribe, DeedCopy, DeedMark, DeedCompare, DeedPause, DeedClose, DeedVerify, DeedSwitch, DeedFeed, DeedReopen,
-	DeedAccept, DeedFinish, DeedClear, DeedEnd, DeedHold, DeedResume, DeedBack, DeedDrop}
+var operations = []string{
+	DeedCheck, DeedPublish, DeedSubscribe, DeedCopy, DeedMark, DeedCompare, DeedPause, DeedClose, DeedVerify, DeedSwitch, DeedFeed, DeedReopen,
+	DeedAccept, DeedFinish, DeedClear, DeedEnd, DeedHold, DeedResume, DeedBack, DeedDrop,
+}
 
 func TestGoldenPlan(t *testing.T) {
 	requireFilled(t, "plan", reflect.ValueOf(filledPlan()))
@@ -113,10 +121,14 @@
 
 // Each operation: its data as announced, and the state and the end as its proof says.
 func TestGoldenOperations(t *testing.T) {
-	r := result{Found: Found{Done: true, Lines: Lines{3, 4}, Copied: Copied{After: "public.b", Rows: 400, All: true},
-		Compared: Compared{After: "public.b 9", All: true, Equal: 3, Hot: 1, Differ: []Difference{{Kind: "rows", Table: "public.b", Range: "9 to the end", Home: "1 rows, aa", Other: "0 rows, 00"}}},
-		Closed:   &Closed{Line: 1, Position: 900}}, findings: Findings{{Reason: Sequences, Name: "public.s", Detail: "at 5", Told: true}},
-		held: []Straggler{{PID: 18, User: "batch", Kind: "writing", Age: "9s"}}, verified: Verified{Ranges: 5, Reads: 6, Lines: Lines{1, 4}}, version: 8}
+	r := result{
+		Found: Found{
+			Done: true, Lines: Lines{3, 4}, Copied: Copied{After: "public.b", Rows: 400, All: true},
+			Compared: Compared{After: "public.b 9", All: true, Equal: 3, Hot: 1, Differ: []Difference{{Kind: "rows", Table: "public.b", Range: "9 to the end", Home: "1 rows, aa", Other: "0 rows, 00"}}},
+			Closed:   &Closed{Line: 1, Position: 900},
+		}, findings: Findings{{Reason: Sequences, Name: "public.s", Detail: "at 5", Told: true}},
+		held: []Straggler{{PID: 18, User: "batch", Kind: "writing", Age: "9s"}}, verified: Verified{Ranges: 5, Reads: 6, Lines: Lines{1, 4}}, version: 8,
+	}
 	for _, name := range operations {
 		t.Run(name, func(t *testing.T) {
 			data, err := json.Marshal(filledData())
@@ -175,8 +187,10 @@
 	yes := func() bool { return random.IntN(2) == 0 }
 	var out bytes.Buffer
 	for range goldenCases {
-		s := State{Phase: Phases[random.IntN(len(Phases))], Published: yes(), Fed: yes(), Again: random.IntN(8) == 0, Doubt: yes(), Lines: Lines{1 + random.IntN(2), 1},
-			Compare: Compare{All: yes(), Begun: Begun{999_000, 5}}, Copy: Copy{All: yes(), Rows: 3000, Begun: Begun{998_000, jobs.FencingToken(4 + random.IntN(2))}}, Tries: random.IntN(3), Rested: Begun{999_500, 5}}
+		s := State{
+			Phase: Phases[random.IntN(len(Phases))], Published: yes(), Fed: yes(), Again: random.IntN(8) == 0, Doubt: yes(), Lines: Lines{1 + random.IntN(2), 1},
+			Compare: Compare{All: yes(), Begun: Begun{999_000, 5}}, Copy: Copy{All: yes(), Rows: 3000, Begun: Begun{998_000, jobs.FencingToken(4 + random.IntN(2))}}, Tries: random.IntN(3), Rested: Begun{999_500, 5},
+		}
 		if random.IntN(4) == 0 {
 			s.Back = "an operator said rollback"
 		}
@@ -201,10 +215,14 @@
 		}
 		var seen any
 		if random.IntN(8) > 0 {
-			seen = &Seen{Step: 9, Version: 2 + random.IntN(3), InForce: random.IntN(4) > 0, Paused: random.IntN(4) > 0, Turn: yes(), Turns: "group 2 has 2 of 2 moves", Pace: float64(random.IntN(3) * 500),
-				Progress: Progress{Reached: random.IntN(8) > 0, Lines: Lines{1 + random.IntN(2), 1}, Applied: Position(499 + random.IntN(2)), Ready: random.IntN(4) > 0,
+			seen = &Seen{
+				Step: 9, Version: 2 + random.IntN(3), InForce: random.IntN(4) > 0, Paused: random.IntN(4) > 0, Turn: yes(), Turns: "group 2 has 2 of 2 moves", Pace: float64(random.IntN(3) * 500),
+				Progress: Progress{
+					Reached: random.IntN(8) > 0, Lines: Lines{1 + random.IntN(2), 1}, Applied: Position(499 + random.IntN(2)), Ready: random.IntN(4) > 0,
 					SlotLost: random.IntN(8) == 0, Ahead: random.IntN(8) == 0, Unmarked: random.IntN(8) == 0, FenceOff: random.IntN(4) == 0,
-					Behind: float64(random.IntN(5000)), Verify: float64(random.IntN(5000)), Unfit: []string{"", "", "cold", "draining"}[random.IntN(4)]}}
+					Behind: float64(random.IntN(5000)), Verify: float64(random.IntN(5000)), Unfit: []string{"", "", "cold", "draining"}[random.IntN(4)],
+				},
+			}
 		}
 		state, err := json.Marshal(s)
 		require.NoError(t, err)
--- a/internal/cluster/migration/move_test.go
+++ b/internal/cluster/migration/move_test.go
@@ -25,7 +25,8 @@
 	require.Equal(t, "wait", p.Stragglers)
 	for text, want := range map[string][]string{
 		`{"tenant": "a/b", "from": 1, "to": 1, "pause_ms": 100, "checkpoints": ["closing", "closing", "x"], "stragglers": "kill", "pace": -1}`: {
-			"tenant", "to", "pause_ms", "checkpoints", "checkpoints", "checkpoints", "stragglers", "pace"},
+			"tenant", "to", "pause_ms", "checkpoints", "checkpoints", "checkpoints", "stragglers", "pace",
+		},
 		`{"tenant": "a", "from": "1"}`: {"from"}, `{"tenant": "a", "form": 1}`: {"form"}, `[]`: {"plan"}, `{} {}`: {"plan"},
 		`{"tenant": "a", "from": 1, "to": 2, "pause_ms": 4000, "checkpoints": []}`: {"checkpoints"},
 	} {
@@ -101,8 +102,10 @@
 
 // good is what is seen when all is well.
 func good() *Seen {
-	return &Seen{Step: 9, Version: 3, InForce: true, Paused: true, Group: 1, Turn: true, Pace: 1000,
-		Progress: Progress{Reached: true, Lines: one, HomePos: 500, Applied: 500, Ready: true}}
+	return &Seen{
+		Step: 9, Version: 3, InForce: true, Paused: true, Group: 1, Turn: true, Pace: 1000,
+		Progress: Progress{Reached: true, Lines: one, HomePos: 500, Applied: 500, Ready: true},
+	}
 }
 
 func pausing(at float64, token jobs.FencingToken) *Pause {
@@ -164,8 +167,10 @@
 		"verifies":                  {s: State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), false)}, deed: DeedVerify},
 		"home failed over, paused":  {s: State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), false)}, see: func(s *Seen) { s.Lines.Home = 2 }, deed: DeedClose},
 		"slot died, paused":         {s: State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), false)}, see: func(s *Seen) { s.SlotLost = true }, deed: DeedReopen},
-		"differs": {s: State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), false), Differ: []Difference{{Table: "a"}}},
-			deed: DeedReopen},
+		"differs": {
+			s:    State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), false), Differ: []Difference{{Table: "a"}}},
+			deed: DeedReopen,
+		},
 		"waits to switch":       {s: State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), true)}, why: "waits for go"},
 		"switches":              {s: State{Phase: Verifying, Lines: one, Pause: closed(pausing(1e6, 5), true)}, word: said(Go), deed: DeedSwitch},
 		"switches back at once": {s: State{Phase: Verifying, Lines: one, Reverse: true, Back: "x", Pause: closed(pausing(1e6, 5), true)}, deed: DeedSwitch},
@@ -278,6 +283,7 @@
 	f.opened = append(f.opened, at)
 	return f.err
 }
+
 func (f *fakePlaces) Fenced(context.Context, Act, Group) (bool, int, error) {
 	return f.closed, f.line, f.err
 }
@@ -349,8 +355,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		yes := func(what string) bool { return rapid.Bool().Draw(t, what) }
 		n := func(what string, most int) int { return rapid.IntRange(0, most).Draw(t, what) }
-		s := State{Phase: rapid.SampledFrom(Phases).Draw(t, "phase"), Published: yes("published"), Fed: yes("fed"), Again: yes("again"), Doubt: yes("doubt"),
-			Lines: Lines{n("line", 2), n("other line", 2)}, Compare: Compare{All: yes("compared")}, Copy: Copy{All: yes("copied")}, Tries: n("tries", 3)}
+		s := State{
+			Phase: rapid.SampledFrom(Phases).Draw(t, "phase"), Published: yes("published"), Fed: yes("fed"), Again: yes("again"), Doubt: yes("doubt"),
+			Lines: Lines{n("line", 2), n("other line", 2)}, Compare: Compare{All: yes("compared")}, Copy: Copy{All: yes("copied")}, Tries: n("tries", 3),
+		}
 		if yes("back") {
 			s.Back = "x"
 		}
@@ -368,9 +376,13 @@
 		}
 		var seen any
 		if yes("seen") {
-			seen = &Seen{Step: uint64(8 + n("seen at", 1)), Version: n("version", 4), InForce: yes("in force"), Paused: yes("paused"), Turn: yes("turn"), Pace: float64(n("pace", 2)),
-				Progress: Progress{Reached: yes("reached"), Lines: Lines{n("l", 2), n("o", 2)}, Applied: Position(499 + n("applied", 1)), Ready: yes("ready"),
-					SlotLost: yes("slot"), Ahead: yes("ahead"), Unmarked: yes("unmarked"), FenceOff: yes("fence"), Behind: float64(n("behind", 5000)), Verify: float64(n("verify", 5000))}}
+			seen = &Seen{
+				Step: uint64(8 + n("seen at", 1)), Version: n("version", 4), InForce: yes("in force"), Paused: yes("paused"), Turn: yes("turn"), Pace: float64(n("pace", 2)),
+				Progress: Progress{
+					Reached: yes("reached"), Lines: Lines{n("l", 2), n("o", 2)}, Applied: Position(499 + n("applied", 1)), Ready: yes("ready"),
+					SlotLost: yes("slot"), Ahead: yes("ahead"), Unmarked: yes("unmarked"), FenceOff: yes("fence"), Behind: float64(n("behind", 5000)), Verify: float64(n("verify", 5000)),
+				},
+			}
 		}
 		b, err := json.Marshal(s)
 		require.NoError(t, err)
--- a/internal/cluster/migration/sql/golden_test.go
+++ b/internal/cluster/migration/sql/golden_test.go
@@ -257,8 +257,10 @@
 
 // present is the deed that was announced last, under another name.
 func (g *goldenRun) present(name string) migration.Act {
-	return migration.Act{Plan: g.plan, Work: "m1", Token: g.token, Told: g.token, Number: g.number, Deed: fmt.Sprintf("m1/%d", g.number), Name: name,
-		State: g.state, Data: migration.Data{Within: 20000}}
+	return migration.Act{
+		Plan: g.plan, Work: "m1", Token: g.token, Told: g.token, Number: g.number, Deed: fmt.Sprintf("m1/%d", g.number), Name: name,
+		State: g.state, Data: migration.Data{Within: 20000},
+	}
 }
 
 // step does something and writes down what it sent.
--- a/internal/cluster/migration/sql/places.go
+++ b/internal/cluster/migration/sql/places.go
@@ -212,7 +212,8 @@
 }
 
 func (p *Places) actWithin(ctx context.Context, bounds fencing.Timeouts, a migration.Act, at migration.Group, what string, c claim,
-	do func(ctx context.Context, conn *pgconn.PgConn, b book) error) error {
+	do func(ctx context.Context, conn *pgconn.PgConn, b book) error,
+) error {
 	err := p.Client.TransactWithin(ctx, bounds, at, a.Plan.Tenant, a.Plan.Tenant, a.Token, what, func(ctx context.Context, conn *pgconn.PgConn) error {
 		b, err := readBook(ctx, conn)
 		if err != nil {
--- a/internal/cluster/migration/sql/places_test.go
+++ b/internal/cluster/migration/sql/places_test.go
@@ -138,8 +138,10 @@
 	if s.OperationName == "" {
 		return false
 	}
-	r.enter(jobs.Entry{Type: jobs.EntryAnnounce, Job: "m1", Token: w.Token, Step: w.Step, Approval: s.Approval,
-		Operation: &jobs.Operation{Number: w.NextOperationNumber(), Name: s.OperationName, Data: s.Data}})
+	r.enter(jobs.Entry{
+		Type: jobs.EntryAnnounce, Job: "m1", Token: w.Token, Step: w.Step, Approval: s.Approval,
+		Operation: &jobs.Operation{Number: w.NextOperationNumber(), Name: s.OperationName, Data: s.Data},
+	})
 	return true
 }
 
@@ -404,8 +406,10 @@
 			out[fmt.Sprint(g, table)] = c.Database(tenant).Dump(table)
 		}
 		conn := r.dial(g)
-		for _, sql := range []string{"SELECT subname, subenabled, subslotname FROM pg_subscription", "SELECT slot_name FROM pg_replication_slots",
-			"SELECT pubname, tablename FROM pg_publication_tables", "SELECT pubname FROM pg_publication", "SELECT tgrelid, tgname FROM pg_trigger"} {
+		for _, sql := range []string{
+			"SELECT subname, subenabled, subslotname FROM pg_subscription", "SELECT slot_name FROM pg_replication_slots",
+			"SELECT pubname, tablename FROM pg_publication_tables", "SELECT pubname FROM pg_publication", "SELECT tgrelid, tgname FROM pg_trigger",
+		} {
 			out[fmt.Sprint(g, sql)] = r.exec(conn, sql)
 		}
 		fencing.Close(conn)
@@ -443,8 +447,10 @@
 	return err
 }
 
-var deeds = []string{migration.DeedPublish, migration.DeedSubscribe, migration.DeedCopy, migration.DeedMark, migration.DeedCompare, migration.DeedClose, migration.DeedVerify,
-	migration.DeedSwitch, migration.DeedFeed, migration.DeedFinish, migration.DeedClear}
+var deeds = []string{
+	migration.DeedPublish, migration.DeedSubscribe, migration.DeedCopy, migration.DeedMark, migration.DeedCompare, migration.DeedClose, migration.DeedVerify,
+	migration.DeedSwitch, migration.DeedFeed, migration.DeedFinish, migration.DeedClear,
+}
 
 // Each deed is done by an owner; a later one looks for it; then the first one comes late with it, and with all others.
 func TestAnOlderTokenChangesNothing(t *testing.T) {
@@ -757,9 +763,11 @@
 	for _, f := range found {
 		names = append(names, f.Reason+" "+f.Name)
 	}
-	require.Equal(t, []string{"extension_missing postgis", "large_objects ", "no_replica_identity public.bare", "no_room shop", "prepared_transaction p1",
+	require.Equal(t, []string{
+		"extension_missing postgis", "large_objects ", "no_replica_identity public.bare", "no_room shop", "prepared_transaction p1",
 		"schema_differs public.bare", "schema_differs public.wider", "sequence public.numbers", "target_not_empty public.entries",
-		"unlogged_table public.quiet"}, names)
+		"unlogged_table public.quiet",
+	}, names)
 }
 
 // Sequences stand at the new home where they stood, keys of several columns and tables without any come along.
--- a/internal/cluster/migration/turns_test.go
+++ b/internal/cluster/migration/turns_test.go
@@ -16,11 +16,15 @@
 		var all []Candidate
 		for i := range rapid.IntRange(1, 12).Draw(t, "moves") {
 			n := func(what string, most int) int { return rapid.IntRange(1, most).Draw(t, what) }
-			all = append(all, Candidate{Work: fmt.Sprint("w", i), Tenant: fmt.Sprint("t", n("tenant", 6)), Need: float64(n("need", 3)),
-				Groups: []Group{Group(n("from", 3)), Group(n("to", 3) + 3)}, Hosts: []string{fmt.Sprint(n("host", 4))}, Zones: []string{fmt.Sprint(n("zone", 2))}})
+			all = append(all, Candidate{
+				Work: fmt.Sprint("w", i), Tenant: fmt.Sprint("t", n("tenant", 6)), Need: float64(n("need", 3)),
+				Groups: []Group{Group(n("from", 3)), Group(n("to", 3) + 3)}, Hosts: []string{fmt.Sprint(n("host", 4))}, Zones: []string{fmt.Sprint(n("zone", 2))},
+			})
+		}
+		l := Limits{
+			All: rapid.IntRange(0, 4).Draw(t, "all"), Group: rapid.IntRange(0, 2).Draw(t, "group"), Host: rapid.IntRange(0, 2).Draw(t, "host"),
+			Zone: rapid.IntRange(0, 3).Draw(t, "zone"),
 		}
-		l := Limits{All: rapid.IntRange(0, 4).Draw(t, "all"), Group: rapid.IntRange(0, 2).Draw(t, "group"), Host: rapid.IntRange(0, 2).Draw(t, "host"),
-			Zone: rapid.IntRange(0, 3).Draw(t, "zone")}
 		begun := 0
 		for round := 0; begun < len(all); round++ {
 			require.Less(t, round, 100, "each has its turn")
@@ -66,8 +70,12 @@
 			}
 		}
 	})
-	may := May([]Candidate{{Work: "a", Tenant: "x", Groups: []Group{1, 2}, Running: true}, {Work: "b", Tenant: "y", Groups: []Group{1, 3}, Need: 2},
-		{Work: "c", Tenant: "z", Groups: []Group{3, 4}, Need: 1}, {Work: "d", Tenant: "x", Groups: []Group{5, 6}}}, Limits{Group: 1})
+	may := May([]Candidate{
+		{Work: "a", Tenant: "x", Groups: []Group{1, 2}, Running: true},
+		{Work: "b", Tenant: "y", Groups: []Group{1, 3}, Need: 2},
+		{Work: "c", Tenant: "z", Groups: []Group{3, 4}, Need: 1},
+		{Work: "d", Tenant: "x", Groups: []Group{5, 6}},
+	}, Limits{Group: 1})
 	require.Equal(t, map[string]string{"b": "group 1 has 1 of 1 moves", "c": "group 3 has 1 of 1 moves", "d": "tenant x is moved by a"}, may)
 }
 
@@ -80,8 +88,10 @@
 	require.Nil(t, l.Apply(jobs.Entry{Type: jobs.EntryAssign, Job: "b", Holder: "n1"}))
 	require.Nil(t, l.Apply(jobs.Entry{Type: jobs.EntryAnnounce, Job: "b", Token: 1, Operation: &jobs.Operation{Number: 1, Name: DeedCheck}}))
 	got := Candidates(&l, "move", func(g Group) (h, z []string) { return []string{fmt.Sprint("h", g)}, []string{"z"} })
-	require.Equal(t, []Candidate{{Work: "a", Tenant: "orders", Groups: []Group{1, 2}, Hosts: []string{"h1", "h2"}, Zones: []string{"z", "z"}},
-		{Work: "b", Tenant: "orders", Groups: []Group{1, 2}, Hosts: []string{"h1", "h2"}, Zones: []string{"z", "z"}, Running: true}}, got)
+	require.Equal(t, []Candidate{
+		{Work: "a", Tenant: "orders", Groups: []Group{1, 2}, Hosts: []string{"h1", "h2"}, Zones: []string{"z", "z"}},
+		{Work: "b", Tenant: "orders", Groups: []Group{1, 2}, Hosts: []string{"h1", "h2"}, Zones: []string{"z", "z"}, Running: true},
+	}, got)
 }
 
 func TestDigestsTellRowsApart(t *testing.T) {
--- a/internal/cluster/transport/golden_test.go
+++ b/internal/cluster/transport/golden_test.go
@@ -94,8 +94,10 @@
 // The counters that operators see keep their names.
 func TestGoldenCounters(t *testing.T) {
 	var c Counters
-	for i, counter := range []*atomic.Int64{&c.Packets, &c.PacketBytes, &c.Sent, &c.SentBytes, &c.Streams, &c.StreamBytes, &c.Dialed, &c.Huge, &c.Twice,
-		&c.Overrun, &c.Busy, &c.Unreached} {
+	for i, counter := range []*atomic.Int64{
+		&c.Packets, &c.PacketBytes, &c.Sent, &c.SentBytes, &c.Streams, &c.StreamBytes, &c.Dialed, &c.Huge, &c.Twice,
+		&c.Overrun, &c.Busy, &c.Unreached,
+	} {
 		counter.Store(int64(i + 1))
 	}
 	b, err := json.MarshalIndent(c.Snapshot(), "", "\t")
--- a/internal/cluster/transport/transport.go
+++ b/internal/cluster/transport/transport.go
@@ -41,9 +41,11 @@
 
 // Snapshot is a reading of the counters by name.
 func (c *Counters) Snapshot() map[string]int64 {
-	return map[string]int64{"packets": c.Packets.Load(), "packet_bytes": c.PacketBytes.Load(), "sent": c.Sent.Load(),
+	return map[string]int64{
+		"packets": c.Packets.Load(), "packet_bytes": c.PacketBytes.Load(), "sent": c.Sent.Load(),
 		"sent_bytes": c.SentBytes.Load(), "streams": c.Streams.Load(), "stream_bytes": c.StreamBytes.Load(), "dialed": c.Dialed.Load(),
-		"huge": c.Huge.Load(), "twice": c.Twice.Load(), "overrun": c.Overrun.Load(), "busy": c.Busy.Load(), "unreached": c.Unreached.Load()}
+		"huge": c.Huge.Load(), "twice": c.Twice.Load(), "overrun": c.Overrun.Load(), "busy": c.Busy.Load(), "unreached": c.Unreached.Load(),
+	}
 }
 
 // Receiver takes what comes. Packet says whether there was room for it, and may keep neither b nor the caller. Stream owns
--- a/internal/cost/cost_test.go
+++ b/internal/cost/cost_test.go
@@ -39,8 +39,10 @@
 
 func (t *truth) seen(s int, kind string, at float64) Observation {
 	rows, inflight := math.Exp(t.r.Float64()*6), t.r.IntN(8)
-	return Observation{Statement: stated(s), Class: "report", Kind: kind, Rows: rows, Inflight: inflight, At: at,
-		Work: math.Exp(t.mean(s, kind, rows, inflight) + t.r.NormFloat64()*t.noise), Wait: float64(inflight) * 0.5 * t.r.ExpFloat64()}
+	return Observation{
+		Statement: stated(s), Class: "report", Kind: kind, Rows: rows, Inflight: inflight, At: at,
+		Work: math.Exp(t.mean(s, kind, rows, inflight) + t.r.NormFloat64()*t.noise), Wait: float64(inflight) * 0.5 * t.r.ExpFloat64(),
+	}
 }
 
 func (t *truth) model(source string, each int) *Model {
@@ -137,8 +139,10 @@
 	step := func(name string, after ...string) Step {
 		return Step{Name: name, Statement: stated(1), Class: "report", Rows: 10, Fresh: "fresh", After: after}
 	}
-	a, err := m.Estimate(1000, Plan{Name: "row", Steps: []Step{step("a"), step("b", "a"), step("c", "b")},
-		Alternatives: []Plan{{Name: "beside", Steps: []Step{step("a"), step("b"), step("c")}}}}, fleet("new"))
+	a, err := m.Estimate(1000, Plan{
+		Name: "row", Steps: []Step{step("a"), step("b", "a"), step("c", "b")},
+		Alternatives: []Plan{{Name: "beside", Steps: []Step{step("a"), step("b"), step("c")}}},
+	}, fleet("new"))
 	require.NoError(t, err)
 	require.Equal(t, []int{1, 0}, a.Order)
 	require.Greater(t, a.Faster[1][0], 0.99)
@@ -199,8 +203,10 @@
 		m := NewModel(Options{Source: fmt.Sprint("s", rapid.IntRange(0, 4).Draw(t, "source")), Incarnation: uint64(rapid.IntRange(0, 1).Draw(t, "incarnation"))})
 		m.sequence = uint64(rapid.IntRange(0, 2).Draw(t, "sequence"))
 		for range rapid.IntRange(0, 6).Draw(t, "seen") {
-			m.Observe(Observation{Statement: stated(rapid.IntRange(0, 3).Draw(t, "statement")), Class: "c", Kind: []string{"a", "b"}[rapid.IntRange(0, 1).Draw(t, "kind")],
-				Rows: float64(i), Work: rapid.Float64Range(0.1, 1e4).Draw(t, "work"), At: rapid.Float64Range(0, 1e6).Draw(t, "at")})
+			m.Observe(Observation{
+				Statement: stated(rapid.IntRange(0, 3).Draw(t, "statement")), Class: "c", Kind: []string{"a", "b"}[rapid.IntRange(0, 1).Draw(t, "kind")],
+				Rows: float64(i), Work: rapid.Float64Range(0.1, 1e4).Draw(t, "work"), At: rapid.Float64Range(0, 1e6).Draw(t, "at"),
+			})
 		}
 		out = append(out, m.summary())
 	}
@@ -254,8 +260,10 @@
 		for s := range tr.effs {
 			for _, kind := range []string{"old", "new", "arm"} {
 				for range 1000 {
-					o := Observation{Statement: stated(s), Class: "report", Kind: kind, Rows: math.Exp(r.Float64() * 6), Inflight: r.IntN(8), At: 1000,
-						Work: math.Exp(float64(seed) * 3 * (1 + r.NormFloat64()))}
+					o := Observation{
+						Statement: stated(s), Class: "report", Kind: kind, Rows: math.Exp(r.Float64() * 6), Inflight: r.IntN(8), At: 1000,
+						Work: math.Exp(float64(seed) * 3 * (1 + r.NormFloat64())),
+					}
 					if seed == 5 { // all at the ends of what can be, without any spread
 						o.Rows, o.Inflight, o.Work, o.Cold = 9e14, 1<<30, 9e8, true
 					}
@@ -406,8 +414,10 @@
 	none, err := e.Pace(1000, c, []Demand{{Statement: stated(2), Class: "report", Rows: 10, Aim: aim / 5}}, hosts)
 	require.NoError(t, err)
 	require.Zero(t, none.Rows)
-	pause, err := e.Pause(1000, Move{Longest: []Demand{{Statement: stated(2), Class: "report", Rows: 10}}, Copy: c, Left: 1000,
-		Agree: Figure{Mid: 100, Low: 50, High: 200}, Source: hosts[0], Target: hosts[0]})
+	pause, err := e.Pause(1000, Move{
+		Longest: []Demand{{Statement: stated(2), Class: "report", Rows: 10}}, Copy: c, Left: 1000,
+		Agree: Figure{Mid: 100, Low: 50, High: 200}, Source: hosts[0], Target: hosts[0],
+	})
 	require.NoError(t, err)
 	batch := math.Exp(tr.mean(2, "new", 100, 2) + tr.noise*tr.noise/2)
 	require.Less(t, pause.Low, 20*batch+100)
--- a/internal/cost/estimate.go
+++ b/internal/cost/estimate.go
@@ -457,9 +457,11 @@
 }
 
 func (e *Estimator) draw(now float64, seed uint64) *drawn {
-	d := &drawn{e: e, age: max(0, now-e.v.At), src: rand.New(rand.NewPCG(seed, binary.LittleEndian.Uint64(e.v.Digest[:8]))),
+	d := &drawn{
+		e: e, age: max(0, now-e.v.At), src: rand.New(rand.NewPCG(seed, binary.LittleEndian.Uint64(e.v.Digest[:8]))),
 		own: map[stmt]*[unknowns][2]float64{}, parts: map[stmt]*[unknowns][]float64{}, pairs: map[pairKey]*[unknowns]float64{},
-		effects: map[pairKey]*effect{}, byBlock: map[pairKey][]effect{}}
+		effects: map[pairKey]*effect{}, byBlock: map[pairKey][]effect{},
+	}
 	f := e.full
 	var root mat.TriDense // of the precision: its inverse brings the covariance
 	f.chol.UTo(&root)
--- a/internal/cost/fit.go
+++ b/internal/cost/fit.go
@@ -64,8 +64,10 @@
 // newFit fits cells; nil: there are none, or they can't be fitted. Spreads are estimated from the cells, or taken from the middle of other fits,
 // where these are three or more.
 func newFit(cells []Cell, broken string, others []*fit) *fit {
-	f := &fit{classes: map[string]int{}, kinds: map[string]int{}, items: map[stmt]*item{},
-		statement: priorStatement * priorStatement, pair: priorPair * priorPair, slope: priorSlope * priorSlope}
+	f := &fit{
+		classes: map[string]int{}, kinds: map[string]int{}, items: map[stmt]*item{},
+		statement: priorStatement * priorStatement, pair: priorPair * priorPair, slope: priorSlope * priorSlope,
+	}
 	n, sizes := 0.0, 0.0
 	for _, c := range cells {
 		if _, ok := f.classes[c.Class]; !ok {
--- a/internal/cost/planfile.go
+++ b/internal/cost/planfile.go
@@ -45,8 +45,10 @@
 // The keys of a plan and of a step, each with what its value is.
 var (
 	planKeys = map[string]string{"name": "string", "aim": "number", "steps": "list", "alternatives": "list"}
-	stepKeys = map[string]string{"name": "string", "sql": "string", "statement": "string", "class": "string", "tenant": "string", "group": "number", "all": "bool",
-		"rows": "number", "bytes": "number", "fresh": "string", "bound": "number", "after": "list"}
+	stepKeys = map[string]string{
+		"name": "string", "sql": "string", "statement": "string", "class": "string", "tenant": "string", "group": "number", "all": "bool",
+		"rows": "number", "bytes": "number", "fresh": "string", "bound": "number", "after": "list",
+	}
 )
 
 // planReader walks a text and notes the line of every value.
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -127,8 +127,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Dispatcher{clock: c, settings: site, probe: probe, closeIdle: closing, router: m, calls: map[string]*Call{},
-		wake: make(chan struct{}, 1)}, nil
+	return &Dispatcher{
+		clock: c, settings: site, probe: probe, closeIdle: closing, router: m, calls: map[string]*Call{},
+		wake: make(chan struct{}, 1),
+	}, nil
 }
 
 // Configure takes other settings for what is decided from now on, or fails and changes nothing.
@@ -165,8 +167,10 @@
 	if !ok {
 		return nil, ErrUnknownClass
 	}
-	e := routing.Event{Kind: routing.EventRequest, Class: class, Group: r.Group, IsRetry: r.IsRetry,
-		HasSessionKey: r.Session != "", SessionKey: sessionKey(r.Session)}
+	e := routing.Event{
+		Kind: routing.EventRequest, Class: class, Group: r.Group, IsRetry: r.IsRetry,
+		HasSessionKey: r.Session != "", SessionKey: sessionKey(r.Session),
+	}
 	now := f.clock.Now()
 	e.TimeRemaining = clock.Duration(max(0, r.Arrived+r.TimeRemaining-now))
 	if r.MinPosition > 0 { // a token from the present or later is no reason to take it for none
@@ -176,8 +180,10 @@
 	// Ids of the program's own: two clients that send the same one must not share an answer.
 	e.ID = strconv.FormatUint(f.lastID, 36)
 	// The module has one attempt of a request out at a time, so a send and a final verdict are all that can wait.
-	c := &Call{dispatcher: f, id: e.ID, class: &f.settings.Settings.Classes[class], deadline: r.Arrived + r.TimeRemaining - answerMargin,
-		decisions: make(chan Decision, f.settings.MaxAttempts+2)}
+	c := &Call{
+		dispatcher: f, id: e.ID, class: &f.settings.Settings.Classes[class], deadline: r.Arrived + r.TimeRemaining - answerMargin,
+		decisions: make(chan Decision, f.settings.MaxAttempts+2),
+	}
 	f.calls[c.id] = c
 	f.step(now, e)
 	return c, nil
@@ -264,8 +270,10 @@
 	if c.class.Access == routing.Write && o.Code == OK {
 		round = math.Ceil
 	}
-	e := routing.Event{Kind: routing.EventOutcome, ID: c.id, Attempt: c.attempt, Code: o.Code, Role: o.Role,
-		Final: o.Code == OK || c.finished, Elapsed: clock.Duration(now - c.chosenAt)}
+	e := routing.Event{
+		Kind: routing.EventOutcome, ID: c.id, Attempt: c.attempt, Code: o.Code, Role: o.Role,
+		Final: o.Code == OK || c.finished, Elapsed: clock.Duration(now - c.chosenAt),
+	}
 	if o.Position > 0 {
 		e.Position = roundedDuration(o.Position, round)
 	}
@@ -367,8 +375,10 @@
 func (f *Dispatcher) UpdateEndpoints(full bool, ms []Endpoint) {
 	e := routing.Event{Kind: routing.EventTargets, Full: full}
 	for _, m := range ms {
-		e.Targets = append(e.Targets, routing.Target{Host: m.Host, Group: m.Group, Draining: m.Draining, Removed: m.Removed,
-			Primary: m.Primary, StartedAt: roundedDuration(m.StartedAt, math.Floor)})
+		e.Targets = append(e.Targets, routing.Target{
+			Host: m.Host, Group: m.Group, Draining: m.Draining, Removed: m.Removed,
+			Primary: m.Primary, StartedAt: roundedDuration(m.StartedAt, math.Floor),
+		})
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/dispatch/decide_test.go
+++ b/internal/dispatch/decide_test.go
@@ -12,13 +12,18 @@
 const start = 1767225600000.0
 
 func testSettings() *settings.Parsed {
-	return &settings.Parsed{Settings: routing.Settings{RouterCount: 1, MaxAttempts: 8, ListNamesPrimary: true, ProbesAllowed: true,
-		ReportsPosition: true, ReportsRole: true, MaxRetryAfter: 2 * time.Second, MinTickInterval: 5 * time.Millisecond, ProbeCost: 0.001,
-		Classes: []routing.Class{
-			{Name: "browse", Access: routing.BoundedRead, StalenessBound: 200 * time.Millisecond, LatencyObjective: time.Second, Deadline: time.Second, PriorityWeight: 1, LateFraction: 1},
-			{Name: "donate", Access: routing.Write, Idempotency: routing.AtMostOnce, LatencyObjective: time.Second, Deadline: 2 * time.Second, PriorityWeight: 3, LateFraction: 1},
-			{Name: "library", Access: routing.SessionRead, LatencyObjective: time.Second, Deadline: time.Second, PriorityWeight: 3, LateFraction: 1}}},
-		Classes: map[string]int{"browse": 0, "donate": 1, "library": 2}}
+	return &settings.Parsed{
+		Settings: routing.Settings{
+			RouterCount: 1, MaxAttempts: 8, ListNamesPrimary: true, ProbesAllowed: true,
+			ReportsPosition: true, ReportsRole: true, MaxRetryAfter: 2 * time.Second, MinTickInterval: 5 * time.Millisecond, ProbeCost: 0.001,
+			Classes: []routing.Class{
+				{Name: "browse", Access: routing.BoundedRead, StalenessBound: 200 * time.Millisecond, LatencyObjective: time.Second, Deadline: time.Second, PriorityWeight: 1, LateFraction: 1},
+				{Name: "donate", Access: routing.Write, Idempotency: routing.AtMostOnce, LatencyObjective: time.Second, Deadline: 2 * time.Second, PriorityWeight: 3, LateFraction: 1},
+				{Name: "library", Access: routing.SessionRead, LatencyObjective: time.Second, Deadline: time.Second, PriorityWeight: 3, LateFraction: 1},
+			},
+		},
+		Classes: map[string]int{"browse": 0, "donate": 1, "library": 2},
+	}
 }
 
 func newTestDispatcher(t *testing.T) (*Dispatcher, *clock.Manual) {
@@ -72,8 +77,10 @@
 
 // Guards against a refusal, or a second attempt, of what may have run.
 func TestOnlyWhatNeverRanIsRetriedOrRejected(t *testing.T) {
-	for code, want := range map[Code]Verdict{ConnectionLost: Fail, NoAnswer: Fail, ServerError: Fail, Cancelled: Fail,
-		NoConnection: Send, Misdirected: Send, NotSent: Send} {
+	for code, want := range map[Code]Verdict{
+		ConnectionLost: Fail, NoAnswer: Fail, ServerError: Fail, Cancelled: Fail,
+		NoConnection: Send, Misdirected: Send, NotSent: Send,
+	} {
 		f, c := newTestDispatcher(t)
 		call := begin(t, f, "donate", 0)
 		if n := call.Pick(); n.Verdict != Send || n.Host != "p" || n.Deadline != start+900-answerMargin {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -221,8 +221,10 @@
 		return Result{Verdict: Invalid, Detail: "id " + s.ID + " is that of a request that is open"}
 	}
 	defer e.exit(s.ID)
-	call, err := e.facade.Begin(dispatch.Request{Class: s.Class, Group: s.Group, Session: s.Session, IsRetry: s.Retry,
-		Arrived: arrived, TimeRemaining: s.Wait, MinPosition: s.After})
+	call, err := e.facade.Begin(dispatch.Request{
+		Class: s.Class, Group: s.Group, Session: s.Session, IsRetry: s.Retry,
+		Arrived: arrived, TimeRemaining: s.Wait, MinPosition: s.After,
+	})
 	if err != nil {
 		return Result{Verdict: Invalid, Detail: "class " + s.Class + ": " + err.Error()}
 	}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -53,9 +53,13 @@
 
 func core(t require.TestingT, fail int) (*Edge, *sqlcomment.Statement) {
 	c := clock.NewManual(1e12)
-	site := &settings.Parsed{Settings: routing.Settings{RouterCount: 1, MaxAttempts: 8, ListNamesPrimary: true, MinTickInterval: 5 * time.Millisecond,
-		Classes: []routing.Class{{Name: "browse", Access: routing.EventualRead, Idempotency: routing.Idempotent, LatencyObjective: time.Second, Deadline: time.Second, PriorityWeight: 1, LateFraction: 1}}},
-		Classes: map[string]int{"browse": 0}}
+	site := &settings.Parsed{
+		Settings: routing.Settings{
+			RouterCount: 1, MaxAttempts: 8, ListNamesPrimary: true, MinTickInterval: 5 * time.Millisecond,
+			Classes: []routing.Class{{Name: "browse", Access: routing.EventualRead, Idempotency: routing.Idempotent, LatencyObjective: time.Second, Deadline: time.Second, PriorityWeight: 1, LateFraction: 1}},
+		},
+		Classes: map[string]int{"browse": 0},
+	}
 	f, err := dispatch.New(site, 1, c, nil, nil)
 	require.NoError(t, err)
 	f.UpdateEndpoints(true, []dispatch.Endpoint{{Host: "p", Group: 1, Primary: true}, {Host: "a", Group: 1}})
--- a/internal/net/discovery/apply.go
+++ b/internal/net/discovery/apply.go
@@ -22,8 +22,10 @@
 				known[e.Name] = true
 				backend.Use(e.Name, wire(e), e.Address)
 			}
-			ms = append(ms, dispatch.Endpoint{Host: e.Name, Group: e.Group, Draining: e.Status == Leaving,
-				Removed: e.Status == Left, Primary: e.Part == primary, StartedAt: e.SinceMS})
+			ms = append(ms, dispatch.Endpoint{
+				Host: e.Name, Group: e.Group, Draining: e.Status == Leaving,
+				Removed: e.Status == Left, Primary: e.Part == primary, StartedAt: e.SinceMS,
+			})
 		}
 		members(l.Snapshot, ms)
 		for name, left := range gone { // after the decisions have let go of it
--- a/internal/net/discovery/crossings_test.go
+++ b/internal/net/discovery/crossings_test.go
@@ -643,9 +643,14 @@
 		word   time.Duration
 		silent bool // all watches fell silent before
 	}{
-		{"never answered", answerMost, 0, false}, {"never answered, behind a silence", answerMost, 0, true},
-		{"refused at once", 0, 0, true}, {"refused late", 2 * time.Second, 0, false}, {"refused late, 30 s", 2 * time.Second, 30 * time.Second, false},
-		{"refused, 30 s", 0, 30 * time.Second, false}, {"refused, 30 s, behind a silence", 0, 30 * time.Second, true}, {"refused, 1 s", 0, time.Second, true},
+		{"never answered", answerMost, 0, false},
+		{"never answered, behind a silence", answerMost, 0, true},
+		{"refused at once", 0, 0, true},
+		{"refused late", 2 * time.Second, 0, false},
+		{"refused late, 30 s", 2 * time.Second, 30 * time.Second, false},
+		{"refused, 30 s", 0, 30 * time.Second, false},
+		{"refused, 30 s, behind a silence", 0, 30 * time.Second, true},
+		{"refused, 1 s", 0, time.Second, true},
 	} {
 		const poolers = 300
 		calls, first := make([]int, 700), 100 // in 100 ms each; what is counted begins 10 s behind the first call
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -48,8 +48,10 @@
 }
 
 func TestAnswersThatMakeNoSense(t *testing.T) {
-	for _, text := range []string{"SSH-2.0\r\n\r\n", "HTTP/1.1 503 Down\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{]"} {
+	for _, text := range []string{
+		"SSH-2.0\r\n\r\n", "HTTP/1.1 503 Down\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{]",
+	} {
 		_, err := fresh().parse([]byte(text))
 		require.Error(t, err, text)
 	}
--- a/internal/net/flight/front.go
+++ b/internal/net/flight/front.go
@@ -39,8 +39,10 @@
 		grpc.InitialWindowSize(64<<10), grpc.InitialConnWindowSize(256<<10),
 		grpc.ConnectionTimeout(2200*time.Millisecond), // as the other front,
 		// Devices on poor links vanish without a word.
-		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 5 * time.Minute, Time: 30 * time.Second,
-			Timeout: 10 * time.Second}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{
+			MaxConnectionIdle: 5 * time.Minute, Time: 30 * time.Second,
+			Timeout: 10 * time.Second,
+		}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 10 * time.Second, PermitWithoutStream: true}))
 	flight.RegisterFlightServiceServer(f.server, flightsql.NewFlightServer(f))
 	return f
@@ -90,8 +92,10 @@
 		return nil, failure(codes.Internal, err.Error(), "", 0)
 	}
 	// No location: the ticket is good on this service. No schema: only the host that answers knows it.
-	return &flight.FlightInfo{FlightDescriptor: d, TotalRecords: -1, TotalBytes: -1,
-		Endpoint: []*flight.FlightEndpoint{{Ticket: &flight.Ticket{Ticket: ticket}}}}, nil
+	return &flight.FlightInfo{
+		FlightDescriptor: d, TotalRecords: -1, TotalBytes: -1,
+		Endpoint: []*flight.FlightEndpoint{{Ticket: &flight.Ticket{Ticket: ticket}}},
+	}, nil
 }
 
 // DoGetStatement runs a ticket.
--- a/internal/net/flight/hosts.go
+++ b/internal/net/flight/hosts.go
@@ -114,8 +114,10 @@
 	return nil
 }
 
-var errMoved = errors.New("the host is at another address now")
-var errNoAddress = errors.New("discovery has given no address for this host")
+var (
+	errMoved     = errors.New("the host is at another address now")
+	errNoAddress = errors.New("discovery has given no address for this host")
+)
 
 func (h *Hosts) dial(name string) (*grpc.ClientConn, error) {
 	h.mu.Lock()
@@ -307,8 +309,10 @@
 		return ended(err, stream)
 	}
 	trailer := stream.Trailer()
-	r := edge.Reply{Answer: edge.Answer{Column: "payload", Type: oidBytea, Binary: true, Null: true,
-		Tag: fmt.Sprintf("INSERT 0 %d", result.RecordCount)}}
+	r := edge.Reply{Answer: edge.Answer{
+		Column: "payload", Type: oidBytea, Binary: true, Null: true,
+		Tag: fmt.Sprintf("INSERT 0 %d", result.RecordCount),
+	}}
 	r.Outcome = told(trailer, &r.Answer)
 	switch v := trailer.Get(metaReturning); len(v) {
 	case 0:
--- a/internal/net/flight/status.go
+++ b/internal/net/flight/status.go
@@ -62,7 +62,8 @@
 	}
 	if after > 0 {
 		details = append(details, protoadapt.MessageV1Of(&errdetails.RetryInfo{
-			RetryDelay: durationpb.New(time.Duration(after * float64(time.Millisecond)))}))
+			RetryDelay: durationpb.New(time.Duration(after * float64(time.Millisecond))),
+		}))
 	}
 	if len(details) > 0 {
 		if with, err := s.WithDetails(details...); err == nil {
--- a/internal/net/pg/differ_test.go
+++ b/internal/net/pg/differ_test.go
@@ -103,13 +103,15 @@
 	}
 }
 
-var differSteps = []string{"BEGIN", "BEGIN", "COMMIT", "COMMIT", "ROLLBACK", "SAVEPOINT s", "SAVEPOINT t", "ROLLBACK TO s", "ROLLBACK TO t", "RELEASE s",
+var differSteps = []string{
+	"BEGIN", "BEGIN", "COMMIT", "COMMIT", "ROLLBACK", "SAVEPOINT s", "SAVEPOINT t", "ROLLBACK TO s", "ROLLBACK TO t", "RELEASE s",
 	"SET app.a TO 'it''s'", "SET app.a TO E'back\\\\slash'", "SET app.b TO grün", "SET LOCAL app.a TO 'local'", "RESET app.a", "RESET ALL",
 	"RESET application_name", "SET application_name TO 'other'", "SET search_path TO s1", "DISCARD ALL",
 	"SELECT current_setting('app.a', true), current_setting('app.b', true), current_setting('application_name'), current_setting('search_path')",
 	"SELECT 1/0", "SELECT 'plain'", "", "SET app.a TO 'gone'; SELECT 1/0", "BEGIN; SET app.b TO 'kept'; COMMIT", "SET app.a TO 'joined'; BEGIN",
 	"INSERT INTO entries (ref, payload) VALUES ('CLIENT', 'one')", "INSERT INTO entries (ref, payload) VALUES ('CLIENT', 'two') RETURNING payload",
-	"SELECT payload FROM entries WHERE ref = 'CLIENT'", "EXECUTE p ('x')", "DEALLOCATE p", "DEALLOCATE ALL", "SELECT 'unterminated", "COMMIT AND CHAIN"}
+	"SELECT payload FROM entries WHERE ref = 'CLIENT'", "EXECUTE p ('x')", "DEALLOCATE p", "DEALLOCATE ALL", "SELECT 'unterminated", "COMMIT AND CHAIN",
+}
 
 // differ runs a script by clients of the pooler, who share its connections, and by clients that have a server connection
 // each, and compares what they see.
@@ -150,8 +152,10 @@
 
 func drawSteps(r *rapid.T) []step {
 	return rapid.SliceOfN(rapid.Custom(func(r *rapid.T) step {
-		s := step{client: rapid.IntRange(0, 3).Draw(r, "client"), kind: rapid.SampledFrom([]string{"simple", "simple", "simple", "simple", "extended",
-			"prepare", "run", "run", "close", "pipeline", "cut"}).Draw(r, "kind")}
+		s := step{client: rapid.IntRange(0, 3).Draw(r, "client"), kind: rapid.SampledFrom([]string{
+			"simple", "simple", "simple", "simple", "extended",
+			"prepare", "run", "run", "close", "pipeline", "cut",
+		}).Draw(r, "kind")}
 		switch s.kind {
 		case "simple":
 			s.text = rapid.SampledFrom(differSteps).Draw(r, "text")
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -494,8 +494,13 @@
 		out = message(out, 'v', func(b []byte) []byte { return append(b, 0, 3, 0, 0, 0, 0, 0, 0) })
 	}
 	out = message(out, 'R', func(b []byte) []byte { return append(b, 0, 0, 0, 0) })
-	for _, s := range [...][2]string{{"server_version", "15.0 (ashstand)"}, {"server_encoding", "UTF8"},
-		{"client_encoding", "UTF8"}, {"integer_datetimes", "on"}, {"standard_conforming_strings", "on"}} {
+	for _, s := range [...][2]string{
+		{"server_version", "15.0 (ashstand)"},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"},
+		{"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"},
+	} {
 		out = status(out, s[0], s[1])
 	}
 	out = message(out, 'K', func(b []byte) []byte {
--- a/internal/net/pg/front_test.go
+++ b/internal/net/pg/front_test.go
@@ -39,8 +39,10 @@
 func listen(t *testing.T, limits FrontLimits) *door {
 	class := routing.Class{Name: "report", LatencyObjective: time.Minute, Deadline: time.Minute, PriorityWeight: 1, LateFraction: 1}
 	d := &door{clock: clock.NewManual(1e12)}
-	f, err := dispatch.New(&settings.Parsed{Settings: routing.Settings{RouterCount: 1, MaxAttempts: 8, Classes: []routing.Class{class}},
-		Classes: map[string]int{"report": 0}}, 1, d.clock, nil, nil)
+	f, err := dispatch.New(&settings.Parsed{
+		Settings: routing.Settings{RouterCount: 1, MaxAttempts: 8, Classes: []routing.Class{class}},
+		Classes:  map[string]int{"report": 0},
+	}, 1, d.clock, nil, nil)
 	require.NoError(t, err)
 	f.UpdateEndpoints(true, []dispatch.Endpoint{{Host: "h", Group: 1}})
 	d.facade = f
--- a/internal/net/pg/golden_test.go
+++ b/internal/net/pg/golden_test.go
@@ -184,8 +184,10 @@
 	require.NoError(t, err)
 	s.add("<", one, false)
 	c.begin()
-	for _, m := range [][]byte{simple(""), simple(" ; "), simple("SET a TO 1"), simple("RESET a"), simple("DISCARD ALL"), typed('S', ""),
-		typed('F', "\x00\x00\x00\x01\x00\x00\x00\x00\x00\x00"), simple("SELECT 1"), simple("/* id=1,c=none,d=5,cluster=1 */ SELECT 1")} {
+	for _, m := range [][]byte{
+		simple(""), simple(" ; "), simple("SET a TO 1"), simple("RESET a"), simple("DISCARD ALL"), typed('S', ""),
+		typed('F', "\x00\x00\x00\x01\x00\x00\x00\x00\x00\x00"), simple("SELECT 1"), simple("/* id=1,c=none,d=5,cluster=1 */ SELECT 1"),
+	} {
 		c.send(m).hear("Z")
 	}
 	c.send(typed('P', "\x00SELECT 1\x00\x00\x00"), typed('B', "\x00\x00\x00\x00\x00\x00\x00\x00"), typed('S', "")).hear("Z")
@@ -516,11 +518,14 @@
 		s.client(w.address).begin().send(m).hear("")
 	}
 	s.scene("start-up that is refused")
-	for _, b := range [][]byte{{0, 0, 0, 4, 0, 3, 0, 0}, startupOf(2<<16, "user", "web"), startupOf(protocol3, "database", "orders"),
+	for _, b := range [][]byte{
+		{0, 0, 0, 4, 0, 3, 0, 0},
+		startupOf(2<<16, "user", "web"), startupOf(protocol3, "database", "orders"),
 		startupOf(protocol3, "user", "web", "database", "orders", "replication", "true"),
 		startupOf(protocol3, "user", "web", "database", "none"),
 		startupOf(protocol3, "user", "web", "database", "orders", "options", "-x"),
-		startupOf(protocol3, "user", "web", "database", "orders", "options", "-c nothing")} {
+		startupOf(protocol3, "user", "web", "database", "orders", "options", "-c nothing"),
+	} {
 		s.client(w.address).start(b).hear("")
 	}
 	s.scene("a later minor version")
--- a/internal/net/pg/homes_test.go
+++ b/internal/net/pg/homes_test.go
@@ -521,8 +521,10 @@
 	w.exec(direct, "UPDATE ashstand.fence SET closed = true, token = token + 1")
 	w.fails(c, "55000", "BEGIN; DELETE FROM entries; COMMIT")
 	w.exec(c, "ROLLBACK")
-	waits := []chan error{later(a, "INSERT INTO entries VALUES ('a', 'x')"), later(b, "mine", "b", "x"),
-		later(c, "INSERT INTO entries VALUES ($1, $2)", pgx.QueryExecModeExec, "c", "x")}
+	waits := []chan error{
+		later(a, "INSERT INTO entries VALUES ('a', 'x')"), later(b, "mine", "b", "x"),
+		later(c, "INSERT INTO entries VALUES ($1, $2)", pgx.QueryExecModeExec, "c", "x"),
+	}
 	w.held(3)
 	w.homes.set("orders", paused(2))
 	w.homes.set("orders", at(2))
@@ -814,8 +816,10 @@
 	f.limits.Store(&SessionLimits{Held: 10, Bytes: 1 << 20})
 	f.SetHomes(h)
 	p := PoolSettings{Held: 10, Hold: 1000}
-	c := &sclient{front: f, names: poolKey{"orders", "web"}, pool: &p, tenant: f.tenants.Come("orders"), routed: session.Route{Group: 1},
-		query: &session.Query{Statements: make([]session.Statement, 1)}}
+	c := &sclient{
+		front: f, names: poolKey{"orders", "web"}, pool: &p, tenant: f.tenants.Come("orders"), routed: session.Route{Group: 1},
+		query: &session.Query{Statements: make([]session.Statement, 1)},
+	}
 	ask := query(nil, func(b []byte) []byte { return append(b, "SELECT 'a statement of the usual length, so to say'"...) })
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/net/pg/message_test.go
+++ b/internal/net/pg/message_test.go
@@ -32,13 +32,17 @@
 	r, err := parse(b, Platform)
 	require.NoError(t, err)
 	require.Equal(t, dispatch.OK, outcome(&r))
-	require.Equal(t, edge.Answer{Column: "payload", Type: 17, Binary: true, Value: []byte("\x00v"), Tag: "SELECT 1",
-		Role: "replica", Position: 1767225600123, Gauges: "x0=1767225600.123,x1=0"}, r.answer)
+	require.Equal(t, edge.Answer{
+		Column: "payload", Type: 17, Binary: true, Value: []byte("\x00v"), Tag: "SELECT 1",
+		Role: "replica", Position: 1767225600123, Gauges: "x0=1767225600.123,x1=0",
+	}, r.answer)
 }
 
 func TestOutcomes(t *testing.T) {
-	for state, want := range map[string]dispatch.Code{"25006": dispatch.Misdirected, "72000": dispatch.Misdirected, "53300": dispatch.Rejected,
-		"XX000": dispatch.ServerError, "08P01": dispatch.ServerError} {
+	for state, want := range map[string]dispatch.Code{
+		"25006": dispatch.Misdirected, "72000": dispatch.Misdirected, "53300": dispatch.Rejected,
+		"XX000": dispatch.ServerError, "08P01": dispatch.ServerError,
+	} {
 		r, err := parse(ready(failure(nil, "ERROR", state, "no", "")), Platform)
 		require.NoError(t, err)
 		require.Equal(t, want, outcome(&r), state)
--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -25,8 +25,10 @@
 }
 
 // Platform holds the names that the platform uses.
-var Platform = Names{User: "web", Database: "orders", Role: "part", Position: "caught_up_to", Gauges: "gauges",
-	Primary: "master", Replica: "replica"}
+var Platform = Names{
+	User: "web", Database: "orders", Role: "part", Position: "caught_up_to", Gauges: "gauges",
+	Primary: "master", Replica: "replica",
+}
 
 // Limits bound the pool.
 type Limits struct {
@@ -77,8 +79,10 @@
 
 // NewPool returns a pool whose connections are served by engine.
 func NewPool(engine *loop.Engine, c clock.Clock, names Names, limits Limits) *Pool {
-	return &Pool{engine: engine, clock: c, names: names, limits: limits, hosts: map[string]*host{},
-		linger: lateFor}
+	return &Pool{
+		engine: engine, clock: c, names: names, limits: limits, hosts: map[string]*host{},
+		linger: lateFor,
+	}
 }
 
 // TellLate has late answers told to late. It is to be set before the first request.
@@ -401,10 +405,12 @@
 	c.mu.Unlock()
 }
 
-var errGate = errors.New("the gate did not open")
-var errClosed = errors.New("the connection was closed")
-var errUnknownHost = errors.New("discovery has given no address for this host")
-var errMoved = errors.New("the host is at another address now")
+var (
+	errGate        = errors.New("the gate did not open")
+	errClosed      = errors.New("the connection was closed")
+	errUnknownHost = errors.New("discovery has given no address for this host")
+	errMoved       = errors.New("the host is at another address now")
+)
 
 // Acquire takes a connection from the pool, or dials one and waits until the host is ready for a query.
 func (p *Pool) Acquire(ctx context.Context, name string) (edge.Conn, error) {
@@ -653,8 +659,10 @@
 
 // told is what a response says.
 func (p *Pool) told(r *response) dispatch.Outcome {
-	return dispatch.Outcome{Code: outcome(r), Role: p.role(r.answer.Role), Position: r.answer.Position,
-		Report: edge.Gauges(r.answer.Gauges)}
+	return dispatch.Outcome{
+		Code: outcome(r), Role: p.role(r.answer.Role), Position: r.answer.Position,
+		Report: edge.Gauges(r.answer.Gauges),
+	}
 }
 
 func outcome(r *response) dispatch.Code {
--- a/internal/net/pg/pool_test.go
+++ b/internal/net/pg/pool_test.go
@@ -151,8 +151,11 @@
 
 // Guards against a host that answers with noise: it ran, it teaches nothing, and its connection is not used again.
 func TestASpoiltAnswer(t *testing.T) {
-	spoilt := [][]byte{{'D', 0xb2, 0xd0, 0x5e, 0, 0}, []byte("noise that is no message"), ready(complete(nil, "SELECT 0")),
-		message(nil, 'S', func(b []byte) []byte { return append(b, make([]byte, 70<<10)...) })}
+	spoilt := [][]byte{
+		{'D', 0xb2, 0xd0, 0x5e, 0, 0},
+		[]byte("noise that is no message"), ready(complete(nil, "SELECT 0")),
+		message(nil, 'S', func(b []byte) []byte { return append(b, make([]byte, 70<<10)...) }),
+	}
 	for i, noise := range spoilt {
 		r := start(t, func(c net.Conn, b *pgproto3.Backend) {
 			welcome(b)
--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -80,8 +80,15 @@
 }
 
 // greeting are the parameters that a client is told before it has a server connection.
-var greeting = [...][2]string{{"server_version", "16.0 (ashstand)"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
-	{"DateStyle", "ISO, MDY"}, {"TimeZone", "UTC"}, {"integer_datetimes", "on"}, {"standard_conforming_strings", "on"}}
+var greeting = [...][2]string{
+	{"server_version", "16.0 (ashstand)"},
+	{"server_encoding", "UTF8"},
+	{"client_encoding", "UTF8"},
+	{"DateStyle", "ISO, MDY"},
+	{"TimeZone", "UTC"},
+	{"integer_datetimes", "on"},
+	{"standard_conforming_strings", "on"},
+}
 
 // Closed is called on the loop.
 func (c *sclient) Closed(gnet.Conn, error) {
--- a/internal/net/pg/scram.go
+++ b/internal/net/pg/scram.go
@@ -57,8 +57,10 @@
 // newProof begins one. A user who is not known is refused only at the end, as a wrong password is.
 func newProof(user string, v Verifier, known bool) *proof {
 	if !known {
-		v.stored = scram.StoredCredentials{KeyFactors: scram.KeyFactors{Salt: "ashstand" + user, Iters: 4096},
-			StoredKey: make([]byte, 32), ServerKey: make([]byte, 32)}
+		v.stored = scram.StoredCredentials{
+			KeyFactors: scram.KeyFactors{Salt: "ashstand" + user, Iters: 4096},
+			StoredKey:  make([]byte, 32), ServerKey: make([]byte, 32),
+		}
 	}
 	// The name in the conversation is not used: that of the startup message counts, as with a server.
 	s, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return v.stored, nil })
--- a/internal/net/pg/server.go
+++ b/internal/net/pg/server.go
@@ -140,8 +140,10 @@
 	}
 }
 
-var errTurnedAway = errors.New("the db host turns connections away")
-var errUnlisted = errors.New("the db host takes nothing new, or is elsewhere now")
+var (
+	errTurnedAway = errors.New("the db host turns connections away")
+	errUnlisted   = errors.New("the db host takes nothing new, or is elsewhere now")
+)
 
 // ended takes a connection off the books.
 func (s *server) ended() {
--- a/internal/net/pg/sessions.go
+++ b/internal/net/pg/sessions.go
@@ -168,9 +168,11 @@
 
 // NewSessions returns a front that asks facade where transactions go.
 func NewSessions(e *loop.Engine, f *dispatch.Dispatcher, c clock.Clock, names Names, l SessionLimits) *Sessions {
-	s := &Sessions{engine: e, facade: f, clock: c, names: names, clients: map[*sclient]struct{}{}, keys: map[uint64]*sclient{},
+	s := &Sessions{
+		engine: e, facade: f, clock: c, names: names, clients: map[*sclient]struct{}{}, keys: map[uint64]*sclient{},
 		hosts: map[string]*shost{}, pinned: map[session.Cause]int{}, paused: map[*loop.Wire]func() bool{}, seed: maphash.MakeSeed(),
-		catalogue: session.NewCatalogue(l.Bytes), addresses: make(chan map[string]string, 1)}
+		catalogue: session.NewCatalogue(l.Bytes), addresses: make(chan map[string]string, 1),
+	}
 	s.addresses <- map[string]string{}
 	s.limits.Store(&l)
 	return s
--- a/internal/net/pg/sessions_test.go
+++ b/internal/net/pg/sessions_test.go
@@ -55,9 +55,13 @@
 
 // pool starts all of it; change may alter the limits.
 func pool(t testing.TB, change func(l *SessionLimits), homes ...Homes) *pooled {
-	l := SessionLimits{Clients: 100, Servers: 20, Bytes: 4 << 20, Message: 1 << 20, After: 50, Connect: time.Second,
-		Pools: []PoolSettings{{Database: "*", User: "*", Mode: Transaction, Sizes: session.Sizes{Most: 4, Waiting: 50}, Patience: 2000,
-			Statements: 50, Pins: 2, Defaults: session.Defaults{ReadOnly: "my-library", ReadWrite: "donate", Group: 1}}}}
+	l := SessionLimits{
+		Clients: 100, Servers: 20, Bytes: 4 << 20, Message: 1 << 20, After: 50, Connect: time.Second,
+		Pools: []PoolSettings{{
+			Database: "*", User: "*", Mode: Transaction, Sizes: session.Sizes{Most: 4, Waiting: 50}, Patience: 2000,
+			Statements: 50, Pins: 2, Defaults: session.Defaults{ReadOnly: "my-library", ReadWrite: "donate", Group: 1},
+		}},
+	}
 	if change != nil {
 		change(&l)
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -503,9 +503,11 @@
 
 func (c *checker) pool(out *Sessions, b *poolBody) {
 	c.block = "sessions.pool " + strconv.Quote(b.Name)
-	p := Pool{Name: b.Name, Database: "*", User: "*", Mode: "transaction", Size: 8, Waiting: 100, Patience: 2 * time.Second,
+	p := Pool{
+		Name: b.Name, Database: "*", User: "*", Mode: "transaction", Size: 8, Waiting: 100, Patience: 2 * time.Second,
 		IdleInTransaction: time.Minute, ServerIdle: 10 * time.Second, ServerLife: time.Hour, Statements: 200, Pins: 4, Held: 100, Hold: 5 * time.Second,
-		ReadOnly: "", ReadWrite: ""}
+		ReadOnly: "", ReadWrite: "",
+	}
 	set(b.Database, &p.Database)
 	set(b.User, &p.User)
 	c.word(b.Body, "mode", b.Mode, &p.Mode, "transaction", "session")
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -51,8 +51,10 @@
 	require.Equal(t, 2<<20, f.Sessions.MaxMessage)
 	require.Equal(t, "session", f.Sessions.Pools[0].Mode)
 	require.Equal(t, 250*time.Millisecond, f.Sessions.Pools[0].Patience)
-	require.Equal(t, Pool{Name: "rest", Database: "*", User: "*", Mode: "transaction", Size: 3, Waiting: 100, Patience: 2 * time.Second,
-		IdleInTransaction: time.Minute, ServerIdle: 10 * time.Second, Statements: 200, Pins: 4, Held: 100, Hold: 5 * time.Second, ReadOnly: "browse", ReadWrite: "donate", Group: 7},
+	require.Equal(t, Pool{
+		Name: "rest", Database: "*", User: "*", Mode: "transaction", Size: 3, Waiting: 100, Patience: 2 * time.Second,
+		IdleInTransaction: time.Minute, ServerIdle: 10 * time.Second, Statements: 200, Pins: 4, Held: 100, Hold: 5 * time.Second, ReadOnly: "browse", ReadWrite: "donate", Group: 7,
+	},
 		f.Sessions.Pools[1])
 	none, err := Load(filepath.Join(t.TempDir(), "none"), false)
 	require.NoError(t, err)
@@ -107,8 +109,10 @@
 func TestClusterBlock(t *testing.T) {
 	f, err := Parse("x.hcl", []byte(others))
 	require.NoError(t, err)
-	require.Equal(t, &Cluster{Name: "n1", Listen: "127.0.0.1:7946", Keys: "/keys", Members: 64, Probe: 200 * time.Millisecond,
-		Peers: map[string]string{"n2": "127.0.0.1:1"}}, f.Cluster)
+	require.Equal(t, &Cluster{
+		Name: "n1", Listen: "127.0.0.1:7946", Keys: "/keys", Members: 64, Probe: 200 * time.Millisecond,
+		Peers: map[string]string{"n2": "127.0.0.1:1"},
+	}, f.Cluster)
 	for change, want := range map[string]string{
 		`"n1"|"n 1"`:                   `x.hcl:3: cluster: name is "n 1"; allowed is a word`,
 		`127.0.0.1:7946|0.0.0.0:7946`:  `x.hcl:4: cluster: listen is "0.0.0.0:7946"; allowed is the IP address at which the others reach`,
@@ -132,8 +136,10 @@
 	agreed := strings.Replace(others, "  peer", "  agreement {\n    voters = [\"n1\", \"n2\", \"n3\"]\n    folder = \"/f\"\n    lease = \"1200ms\"\n  }\n  peer \"n3\" { address = \"127.0.0.1:3\" }\n  peer", 1)
 	f, err = Parse("x.hcl", []byte(agreed))
 	require.NoError(t, err)
-	require.Equal(t, &Agreement{Voters: []string{"n1", "n2", "n3"}, Folder: "/f", Lease: 1200 * time.Millisecond, Renew: 300 * time.Millisecond,
-		Election: 500 * time.Millisecond, Drift: 0.01}, f.Cluster.Agree)
+	require.Equal(t, &Agreement{
+		Voters: []string{"n1", "n2", "n3"}, Folder: "/f", Lease: 1200 * time.Millisecond, Renew: 300 * time.Millisecond,
+		Election: 500 * time.Millisecond, Drift: 0.01,
+	}, f.Cluster.Agree)
 	for change, want := range map[string]string{
 		`"n2", "n3"]|"n2"]`:                  `x.hcl:8: cluster.agreement: voters is 2 names; allowed is three or five names`,
 		`"n3"]|"n1"]`:                        `voters is "n1"; allowed is each name once`,
--- a/internal/pcap/pcap.go
+++ b/internal/pcap/pcap.go
@@ -213,8 +213,10 @@
 	if s.factory.fault != nil {
 		return
 	}
-	p := Piece{At: sg.CaptureInfo(0).Timestamp.UTC(), FromClient: (dir == reassembly.TCPDirClientToServer) != s.turned,
-		Data: append([]byte{}, sg.Fetch(n)...)}
+	p := Piece{
+		At: sg.CaptureInfo(0).Timestamp.UTC(), FromClient: (dir == reassembly.TCPDirClientToServer) != s.turned,
+		Data: append([]byte{}, sg.Fetch(n)...),
+	}
 	if k := len(s.Pieces) - 1; k >= 0 && s.Pieces[k].FromClient == p.FromClient && s.Pieces[k].At.Equal(p.At) {
 		s.Pieces[k].Data = append(s.Pieces[k].Data, p.Data...) // one piece, cut into packets
 		return
--- a/internal/session/home.go
+++ b/internal/session/home.go
@@ -371,10 +371,12 @@
 	d[i], d[j] = d[j], d[i]
 	d[i].at, d[j].at = i, j
 }
+
 func (d *dues) Push(x any) {
 	x.(*Held).at = len(*d)
 	*d = append(*d, x.(*Held))
 }
+
 func (d *dues) Pop() any {
 	old := *d
 	x := old[len(old)-1]
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -350,8 +350,13 @@
 		text, block string
 		answers     []string
 		state       string
-	}{{"INSERT", "", []string{"C:INSERT 0 1"}, StateDoubt}, {"COMMIT", "T", []string{"C:COMMIT"}, StateDoubt}, {"COMMIT", "T", []string{"C:ROLLBACK"}, StateSafe},
-		{"INSERT", "T", []string{"C:INSERT 0 1"}, StateSafe}, {"SET a TO 1", "", []string{"C:SET"}, StateSafe}} {
+	}{
+		{"INSERT", "", []string{"C:INSERT 0 1"}, StateDoubt},
+		{"COMMIT", "T", []string{"C:COMMIT"}, StateDoubt},
+		{"COMMIT", "T", []string{"C:ROLLBACK"}, StateSafe},
+		{"INSERT", "T", []string{"C:INSERT 0 1"}, StateSafe},
+		{"SET a TO 1", "", []string{"C:SET"}, StateSafe},
+	} {
 		p, _, _ := pipeline()
 		if c.block != "" {
 			p.Query("BEGIN", Scan("BEGIN"))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,14 +82,22 @@
 }
 
 var (
-	reads = map[string]routing.Access{"any": routing.EventualRead, "bounded": routing.BoundedRead, "session": routing.SessionRead,
-		"fresh": routing.StrongRead, "write": routing.Write}
-	effects = map[string]routing.Idempotency{"idempotent": routing.Idempotent, "deduplicated": routing.Deduplicated,
-		"at_most_once": routing.AtMostOnce}
-	scopes = map[string]routing.DedupScope{"": routing.ScopeAll, "all": routing.ScopeAll, "zone": routing.ScopeZone,
-		"cell": routing.ScopeCell}
-	checks = map[string]routing.StalenessCheck{"": routing.CheckNone, "off": routing.CheckNone, "refuse": routing.CheckRejects,
-		"wait": routing.CheckWaits}
+	reads = map[string]routing.Access{
+		"any": routing.EventualRead, "bounded": routing.BoundedRead, "session": routing.SessionRead,
+		"fresh": routing.StrongRead, "write": routing.Write,
+	}
+	effects = map[string]routing.Idempotency{
+		"idempotent": routing.Idempotent, "deduplicated": routing.Deduplicated,
+		"at_most_once": routing.AtMostOnce,
+	}
+	scopes = map[string]routing.DedupScope{
+		"": routing.ScopeAll, "all": routing.ScopeAll, "zone": routing.ScopeZone,
+		"cell": routing.ScopeCell,
+	}
+	checks = map[string]routing.StalenessCheck{
+		"": routing.CheckNone, "off": routing.CheckNone, "refuse": routing.CheckRejects,
+		"wait": routing.CheckWaits,
+	}
 )
 
 // Millis converts milliseconds, whole to the microsecond.
@@ -121,16 +129,20 @@
 		return nil, err
 	}
 	var p parser
-	in := &Parsed{PositionOrigin: Millis(f.Domain.Zero), PositionColumn: -1, RoleColumn: -1, ConnectTimeout: Millis(f.Limits.Connect),
-		Classes: map[string]int{}, Tenants: map[string]int{"": 0, "0": 0}}
-	in.Settings = routing.Settings{RouterIndex: f.Index, RouterCount: f.Balancers,
+	in := &Parsed{
+		PositionOrigin: Millis(f.Domain.Zero), PositionColumn: -1, RoleColumn: -1, ConnectTimeout: Millis(f.Limits.Connect),
+		Classes: map[string]int{}, Tenants: map[string]int{"": 0, "0": 0},
+	}
+	in.Settings = routing.Settings{
+		RouterIndex: f.Index, RouterCount: f.Balancers,
 		StalenessCheck: lookup(&p, checks, "domain.when_behind", f.Domain.WhenBehind),
 		CatchUpWait:    Millis(f.Domain.CatchUp), TracksCommits: f.Domain.TokenMode == "remembered",
 		ListNamesPrimary: f.Domain.RoleInList == "late" || f.Domain.RoleInList == "start",
 		MustSubscribe:    f.Discovery == "subscribe", ProbesAllowed: f.Limits.Probes, CancelAllowed: f.Limits.Cancel,
 		MaxAttempts: f.Limits.Tries, IgnoresRemoval: f.Rules.DrainAlone, SlowStartFloor: f.Rules.ColdFrom,
 		SlowStartDuration: Millis(f.Rules.Ramp), OverloadFactor: f.Rules.FallFactor, OverloadWindow: Millis(f.Rules.FallTime), ProbeCost: f.Deductions["probe"],
-		ConnIdleTimeout: Millis(f.Limits.ConnIdle), MinTickInterval: Millis(f.Period), OverQuotaFraction: f.OverShare}
+		ConnIdleTimeout: Millis(f.Limits.ConnIdle), MinTickInterval: Millis(f.Period), OverQuotaFraction: f.OverShare,
+	}
 	s := &in.Settings
 	if g := f.Goal; g.Whole > 0 && g.WorstClass > 0 {
 		s.WorstClassWeight = g.WorstClass / g.Whole
@@ -160,10 +172,12 @@
 		return nil, p.fault
 	}
 	for i, k := range f.Classes {
-		class := routing.Class{Name: k.Name, Access: lookup(&p, reads, "domain.class_read", f.Domain.ClassRead[i]),
+		class := routing.Class{
+			Name: k.Name, Access: lookup(&p, reads, "domain.class_read", f.Domain.ClassRead[i]),
 			Idempotency: lookup(&p, effects, "request_classes.effect", k.Effect),
 			Scope:       lookup(&p, scopes, "request_classes.group", k.Group), DedupWindow: Millis(k.Window),
-			LatencyObjective: Millis(k.Aim), Deadline: Millis(k.Deadline), PriorityWeight: k.Worth, LateFraction: k.LateShare}
+			LatencyObjective: Millis(k.Aim), Deadline: Millis(k.Deadline), PriorityWeight: k.Worth, LateFraction: k.LateShare,
+		}
 		if i < len(f.Domain.Bounds) {
 			class.StalenessBound = Millis(f.Domain.Bounds[i])
 		}
--- a/internal/sqlcomment/statement_test.go
+++ b/internal/sqlcomment/statement_test.go
@@ -25,10 +25,12 @@
 }
 
 func TestParseRejects(t *testing.T) {
-	for _, text := range []string{"", "SELECT 1", "/* c=a,d=1", "/* c=a */ SELECT 1", "/* d=1 */ SELECT 1", "/* c=a,d= */ S",
+	for _, text := range []string{
+		"", "SELECT 1", "/* c=a,d=1", "/* c=a */ SELECT 1", "/* d=1 */ SELECT 1", "/* c=a,d= */ S",
 		"/* c=a,d=-1 */ S", "/* c=a,d=NaN */ S", "/* c=a,d=1e300 */ S", "/* c=a,d=0x1p3 */ S", "/* c=a,d=1,d=2 */ S",
 		"/* c=a,d=1,cluster=-1 */ S", "/* c=a,d=1,after=soon */ S", "/* c=a,d=1,odd */ S", "/* c=a,d=1 */ S\x00",
-		"/* c=a,d=1 */ " + strings.Repeat("x", MaxLength)} {
+		"/* c=a,d=1 */ " + strings.Repeat("x", MaxLength),
+	} {
 		if _, err := Parse(text); err == nil {
 			t.Errorf("%.40q was taken", text)
 		}
--- a/internal/vfs/disk_test.go
+++ b/internal/vfs/disk_test.go
@@ -46,8 +46,10 @@
 }
 
 func TestErrorsHaveACodeAndAdvice(t *testing.T) {
-	for want, err := range map[string]error{"disk_full": &fs.PathError{Op: "write", Path: "/f", Err: syscall.ENOSPC}, "disk_failing": syscall.EIO,
-		"disk_read_only": syscall.EROFS, "disk_denied": syscall.EACCES, "disk_missing": syscall.ENOENT, "disk_held": ErrHeld, "disk_unsynced": errors.New("x")} {
+	for want, err := range map[string]error{
+		"disk_full": &fs.PathError{Op: "write", Path: "/f", Err: syscall.ENOSPC}, "disk_failing": syscall.EIO,
+		"disk_read_only": syscall.EROFS, "disk_denied": syscall.EACCES, "disk_missing": syscall.ENOENT, "disk_held": ErrHeld, "disk_unsynced": errors.New("x"),
+	} {
 		e := &Error{"sync", "/f", err}
 		require.Equal(t, want, e.Code())
 		require.NotEmpty(t, e.Advice())
--- a/internal/warmstate/age.go
+++ b/internal/warmstate/age.go
@@ -108,8 +108,10 @@
 	ms := func(d time.Duration) float64 { return math.Round(float64(d)/1e3) / 1e3 }
 	out := &Snapshot{Head: head, Wear: wear, List: list, Hosts: []Host{}, Classes: []Class{}}
 	for _, m := range s.Hosts {
-		out.Hosts = append(out.Hosts, Host{Name: m.Host, Group: m.Group, Since: ms(m.Started), Limit: math.Round(m.Limit*100) / 100,
-			Took: math.Round(m.Score*1000) / 1000, Lag: max(-1, ms(m.Lag)), Heard: ms(m.LagAge), Primary: m.WasPrimary, Proof: min(ms(m.RoleAge), maxAge)})
+		out.Hosts = append(out.Hosts, Host{
+			Name: m.Host, Group: m.Group, Since: ms(m.Started), Limit: math.Round(m.Limit*100) / 100,
+			Took: math.Round(m.Score*1000) / 1000, Lag: max(-1, ms(m.Lag)), Heard: ms(m.LagAge), Primary: m.WasPrimary, Proof: min(ms(m.RoleAge), maxAge),
+		})
 	}
 	for _, c := range s.Classes {
 		out.Classes = append(out.Classes, Class{c.Name, ms(c.Latency), ms(c.ServiceTime)})
--- a/internal/warmstate/golden_test.go
+++ b/internal/warmstate/golden_test.go
@@ -27,12 +27,16 @@
 
 // everyFact is a snapshot with each kind of fact and no field that is zero.
 func everyFact() *Snapshot {
-	return &Snapshot{Head: Head{Name: "n1", Site: "0123456789abcdef", At: 1767225600123.25},
-		Hosts: []Host{{Name: "s-1", Group: 3, Since: 1767225500000.5, Limit: 41.25, Took: 2.125, Lag: 30.5, Heard: 10.25, Primary: true, Proof: 20.75},
-			{Name: "s-2", Group: 18446744073709551615, Since: 1767225400000, Limit: 1, Took: 0.001, Lag: -1, Heard: 0.001, Primary: true, Proof: maxAge}},
+	return &Snapshot{
+		Head: Head{Name: "n1", Site: "0123456789abcdef", At: 1767225600123.25},
+		Hosts: []Host{
+			{Name: "s-1", Group: 3, Since: 1767225500000.5, Limit: 41.25, Took: 2.125, Lag: 30.5, Heard: 10.25, Primary: true, Proof: 20.75},
+			{Name: "s-2", Group: 18446744073709551615, Since: 1767225400000, Limit: 1, Took: 0.001, Lag: -1, Heard: 0.001, Primary: true, Proof: maxAge},
+		},
 		Classes: []Class{{Name: "browse", Latency: 20.5, Work: 12.25}, {Name: "basket", Latency: 0.001, Work: 9}},
 		Wear:    &Wear{Requests: []float64{9.5, 4, 1}, Resets: []float64{0.25, 3, 1}},
-		List:    &List{At: 1767225600000.5, JSON: []byte(`{"index":3,"endpoints":[{"host":"s-1"}]}`)}}
+		List:    &List{At: 1767225600000.5, JSON: []byte(`{"index":3,"endpoints":[{"host":"s-1"}]}`)},
+	}
 }
 
 // A file of the present version keeps its bytes.
--- a/internal/warmstate/learned_test.go
+++ b/internal/warmstate/learned_test.go
@@ -19,9 +19,11 @@
 
 // whole is a snapshot with everything in it, of the moment 1e12.
 func whole() *Snapshot {
-	return &Snapshot{Head: Head{"n1", "site", 1e12},
+	return &Snapshot{
+		Head:    Head{"n1", "site", 1e12},
 		Hosts:   []Host{{Name: "a", Group: 1, Since: 5, Limit: 40, Took: 2, Lag: 30, Heard: 10, Proof: 20}, {Name: "p", Group: 1, Limit: 2, Lag: -1, Primary: true, Proof: 20}},
-		Classes: []Class{{"browse", 20, 12}}, Wear: &Wear{[]float64{9, 4}, []float64{0, 3}}, List: &List{At: 1e12, JSON: []byte(`{"index":3}`)}}
+		Classes: []Class{{"browse", 20, 12}}, Wear: &Wear{[]float64{9, 4}, []float64{0, 3}}, List: &List{At: 1e12, JSON: []byte(`{"index":3}`)},
+	}
 }
 
 func TestFileIsReadAsItWasWritten(t *testing.T) {
@@ -113,8 +115,10 @@
 	require.Len(t, day.State.Hosts, 0)
 	require.Len(t, day.State.Classes, 1, "how long a class takes stays true for longer")
 	// A day old, from the future, of another pooler or site: nothing counts, and it is said why.
-	for why, w := range map[string]Weighed{"older than a day": at(1e12 + 25*hour), "ran backwards": at(1e12 - hour), "year": at(1e12 + 365*24*hour),
-		`pooler "n1"`: Weigh(whole(), 1e12, "n2", "site", false), "another site": Weigh(whole(), 1e12, "n1", "other", false)} {
+	for why, w := range map[string]Weighed{
+		"older than a day": at(1e12 + 25*hour), "ran backwards": at(1e12 - hour), "year": at(1e12 + 365*24*hour),
+		`pooler "n1"`: Weigh(whole(), 1e12, "n2", "site", false), "another site": Weigh(whole(), 1e12, "n1", "other", false),
+	} {
 		require.Empty(t, w.State.Hosts, why)
 		require.Empty(t, w.State.Classes, why)
 		require.Nil(t, w.Wear, why)
@@ -142,8 +146,10 @@
 	fail       bool // it fails there, and goes on
 }
 
-var errStopped = errors.New("the machine stopped")
-var errFull = errors.New("no space left on device")
+var (
+	errStopped = errors.New("the machine stopped")
+	errFull    = errors.New("no space left on device")
+)
 
 func newDisk() *stops { return &stops{live: map[string][]byte{}, safe: map[string][]byte{}} }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -209,8 +209,10 @@
 		if e.name != "ENTRY" {
 			return fmt.Errorf("line %d: %q inside a list of %d rows", d.line, e.name, rows)
 		}
-		t := routing.Target{Host: e.text("host"), Group: e.unsigned("db", true),
-			Primary: e.flag("primary"), StartedAt: e.millis("start_time_ms", false)}
+		t := routing.Target{
+			Host: e.text("host"), Group: e.unsigned("db", true),
+			Primary: e.flag("primary"), StartedAt: e.millis("start_time_ms", false),
+		}
 		switch s := e.text("availability"); s {
 		case "Ready":
 		case "Terminating":
@@ -230,9 +232,11 @@
 	return nil
 }
 
-var codes = map[string]routing.Code{"served": routing.OK, "server_error": routing.ServerError, "turned_away": routing.Rejected,
+var codes = map[string]routing.Code{
+	"served": routing.OK, "server_error": routing.ServerError, "turned_away": routing.Rejected,
 	"no_answer": routing.NoAnswer, "no_connection": routing.NoConnection, "connection_lost": routing.ConnectionLost,
-	"called_off": routing.Cancelled, "not_sent": routing.NotSent, "not_stored": routing.Misdirected}
+	"called_off": routing.Cancelled, "not_sent": routing.NotSent, "not_stored": routing.Misdirected,
+}
 
 func (m *message) code() routing.Code {
 	code, ok := codes[m.text("code")]
@@ -403,9 +407,11 @@
 	return b
 }
 
-var verbs = [...]string{routing.ActSend: "TRANSMIT", routing.ActCancel: "CANCEL", routing.ActReject: "REFUSE",
+var verbs = [...]string{
+	routing.ActSend: "TRANSMIT", routing.ActCancel: "CANCEL", routing.ActReject: "REFUSE",
 	routing.ActFail: "FINISH_ERROR", routing.ActTimer: "NOTIFY_ME", routing.ActProbe: "ASK_LOAD",
-	routing.ActSubscribe: "KEEP_INFORMED", routing.ActFetch: "FETCH", routing.ActCloseIdle: "CLOSE"}
+	routing.ActSubscribe: "KEEP_INFORMED", routing.ActFetch: "FETCH", routing.ActCloseIdle: "CLOSE",
+}
 
 func appendMillis(b []byte, d time.Duration) []byte {
 	return strconv.AppendFloat(b, float64(d.Microseconds())/1e3, 'f', 3, 64)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -97,10 +97,16 @@
 func TestAppend(t *testing.T) {
 	got := string(AppendActions(nil, 3, []routing.Action{
 		{Kind: routing.ActSend, ID: "t/1", Host: "h:1", Timeout: 80500 * time.Microsecond},
-		{Kind: routing.ActSend, ID: "t/1", Host: "h:2"}, {Kind: routing.ActCancel, ID: "t/1", Attempt: 1},
-		{Kind: routing.ActReject, ID: "t/1", RetryAfter: time.Second}, {Kind: routing.ActFail, ID: "t/2"},
-		{Kind: routing.ActTimer, At: 2 * time.Second, Timer: 5}, {Kind: routing.ActProbe, Host: "h:1"},
-		{Kind: routing.ActCloseIdle, Host: "h:1"}, {Kind: routing.ActSubscribe}, {Kind: routing.ActFetch}}))
+		{Kind: routing.ActSend, ID: "t/1", Host: "h:2"},
+		{Kind: routing.ActCancel, ID: "t/1", Attempt: 1},
+		{Kind: routing.ActReject, ID: "t/1", RetryAfter: time.Second},
+		{Kind: routing.ActFail, ID: "t/2"},
+		{Kind: routing.ActTimer, At: 2 * time.Second, Timer: 5},
+		{Kind: routing.ActProbe, Host: "h:1"},
+		{Kind: routing.ActCloseIdle, Host: "h:1"},
+		{Kind: routing.ActSubscribe},
+		{Kind: routing.ActFetch},
+	}))
 	want := `TRANSMIT who=3 call=t/1 host=h:1 max_wait_ms=80.500
 TRANSMIT who=3 call=t/1 host=h:2
 CANCEL who=3 call=t/1 hop=1
--- a/routing/bounds_test.go
+++ b/routing/bounds_test.go
@@ -92,11 +92,13 @@
 
 // newFleetSimulationOf has routers of equal shares, unless a share is given for each. What a group is asked is the same in each crowd.
 func newFleetSimulationOf(t testing.TB, routers, groups int, seed uint64, share func(router int) float64) *fleetSimulation {
-	w := &fleetSimulation{t: t, now: startTime, rate: simulatedRate / simulatedGroups * float64(groups), groups: groups, rng: rand.New(rand.NewPCG(3, seed-5)),
+	w := &fleetSimulation{
+		t: t, now: startTime, rate: simulatedRate / simulatedGroups * float64(groups), groups: groups, rng: rand.New(rand.NewPCG(3, seed-5)),
 		list: map[string]Target{}, down: map[string]bool{}, broken: map[string]bool{}, answerTimes: map[string]time.Duration{},
 		lag: map[string]time.Duration{}, idle: map[[2]string]int{}, requests: map[string]*clientRequest{},
 		counted: map[string]map[time.Duration]float64{}, mix: []float64{eventualRead: 4.5, boundedRead: 4.5, atMostOnceWrite: 1, deduplicatedWrite: 0},
-		incarnations: make([]int, routers)}
+		incarnations: make([]int, routers),
+	}
 	w.baseRate = w.rate
 	w.cfg = settings()
 	w.cfg.RouterCount, w.cfg.OverloadFactor, w.cfg.OverloadWindow, w.cfg.ConnIdleTimeout, w.cfg.ProbeCost = routers, 2.5, overloadWindow, 30*time.Second, 0.04
@@ -171,8 +173,10 @@
 	next := *q
 	next.router, next.attempts = router, 0
 	w.requests[id] = &next
-	w.later(after, router, Event{Kind: EventRequest, ID: id, Class: q.class, Group: uint64(q.group), TimeRemaining: left,
-		IsRetry: q.retries > 0 && w.marksRetries})
+	w.later(after, router, Event{
+		Kind: EventRequest, ID: id, Class: q.class, Group: uint64(q.group), TimeRemaining: left,
+		IsRetry: q.retries > 0 && w.marksRetries,
+	})
 }
 
 // announce gives all routers entries of the list.
@@ -227,8 +231,10 @@
 	}
 	for at := w.now; at < end; at += time.Duration(w.rng.ExpFloat64() / w.rate * float64(time.Second)) {
 		class := w.sample(classes)
-		w.arrive(at-w.now, w.sample(w.shares), &clientRequest{class: class, group: 1 + w.rng.IntN(w.groups),
-			until: at + w.cfg.Classes[class].Deadline})
+		w.arrive(at-w.now, w.sample(w.shares), &clientRequest{
+			class: class, group: 1 + w.rng.IntN(w.groups),
+			until: at + w.cfg.Classes[class].Deadline,
+		})
 	}
 	for len(w.queue) > 0 && w.queue[0].at < end {
 		x := heap.Pop(&w.queue).(scheduledEvent)
@@ -275,8 +281,10 @@
 			w.count("cold", 1)
 			w.count("cold "+a.Host, 1)
 		}
-		e := Event{Kind: EventOutcome, ID: a.ID, Attempt: q.attempts, Host: a.Host, Code: OK, Role: w.role(a.Host), Final: true,
-			Elapsed: cmp.Or(w.answerTimes[a.Host], answerTime)}
+		e := Event{
+			Kind: EventOutcome, ID: a.ID, Attempt: q.attempts, Host: a.Host, Code: OK, Role: w.role(a.Host), Final: true,
+			Elapsed: cmp.Or(w.answerTimes[a.Host], answerTime),
+		}
 		q.attempts++
 		if link := [2]string{fmt.Sprint(router), a.Host}; w.idle[link] > 0 {
 			w.idle[link]--
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -270,12 +270,16 @@
 			}
 			g := c.groups[t.Group]
 			if g == nil {
-				g = &group{id: t.Group, commits: map[uint64]time.Duration{}, commitFloor: c.commitFloor,
-					admissions: [2]admission{{inTimeFraction: initialInTimeFraction}, {inTimeFraction: initialInTimeFraction}}}
+				g = &group{
+					id: t.Group, commits: map[uint64]time.Duration{}, commitFloor: c.commitFloor,
+					admissions: [2]admission{{inTimeFraction: initialInTimeFraction}, {inTimeFraction: initialInTimeFraction}},
+				}
 				c.groups[t.Group] = g
 			}
-			m = &member{host: t.Host, group: g, limit: initialLimit, removedAt: c.now,
-				inFlightByClass: make([]int, len(c.classes))}
+			m = &member{
+				host: t.Host, group: g, limit: initialLimit, removedAt: c.now,
+				inFlightByClass: make([]int, len(c.classes)),
+			}
 			c.members[t.Host] = m
 			g.members = append(g.members, m)
 			slices.SortFunc(g.members, func(a, b *member) int { return cmp.Compare(a.host, b.host) })
@@ -384,9 +388,11 @@
 		c.actions = append(c.actions, Action{Kind: ActReject, ID: e.ID, RetryAfter: min(retryBackoff, c.cfg.MaxRetryAfter)})
 		return
 	}
-	r := &request{id: e.ID, class: k, group: g, sessionKey: e.SessionKey, hasSessionKey: e.HasSessionKey, arrivedAt: c.now,
+	r := &request{
+		id: e.ID, class: k, group: g, sessionKey: e.SessionKey, hasSessionKey: e.HasSessionKey, arrivedAt: c.now,
 		objectiveAt: c.now + min(k.LatencyObjective, e.TimeRemaining), deadline: c.now + e.TimeRemaining,
-		sample: c.rng.Float64(), weight: k.PriorityWeight, isRetry: e.IsRetry, dedupDeadline: math.MaxInt64}
+		sample: c.rng.Float64(), weight: k.PriorityWeight, isRetry: e.IsRetry, dedupDeadline: math.MaxInt64,
+	}
 	if k.Access == SessionRead {
 		if !c.cfg.TracksCommits && e.CommitAge > 0 {
 			r.minPosition = c.now - e.CommitAge + positionMargin
--- a/routing/choice_test.go
+++ b/routing/choice_test.go
@@ -20,8 +20,10 @@
 			{Name: "session", Access: SessionRead, LatencyObjective: 600 * ms, Deadline: 2 * time.Second, PriorityWeight: 2},
 			{Name: "fresh", Access: StrongRead, LatencyObjective: 500 * ms, Deadline: 2 * time.Second, PriorityWeight: 2, LateFraction: 0.2},
 			{Name: "unsafe", Access: Write, Idempotency: AtMostOnce, LatencyObjective: 600 * ms, Deadline: 5 * time.Second, PriorityWeight: 4, LateFraction: 0.3},
-			{Name: "keyed", Access: Write, Idempotency: Deduplicated, Scope: ScopeCell, DedupWindow: 3 * time.Second, LatencyObjective: time.Second,
-				Deadline: 5 * time.Second, PriorityWeight: 3, LateFraction: 0.5},
+			{
+				Name: "keyed", Access: Write, Idempotency: Deduplicated, Scope: ScopeCell, DedupWindow: 3 * time.Second, LatencyObjective: time.Second,
+				Deadline: 5 * time.Second, PriorityWeight: 3, LateFraction: 0.5,
+			},
 		},
 		RouterCount: 2, ReportsPosition: true, ReportsRole: true, ListNamesPrimary: true, ProbesAllowed: true, CancelAllowed: true,
 		MaxRetryAfter: time.Second, MaxAttempts: 6,
@@ -427,9 +429,15 @@
 	id, _ := g.request(atMostOnceWrite, Event{})
 	g.outcome(id, 0, OK, Primary)
 	for _, e := range []Event{
-		{Kind: EventOutcome, ID: id, Code: OK, Final: true}, {Kind: EventOutcome, ID: "never", Attempt: -1}, {Kind: EventClientGone, ID: id},
-		{Kind: EventClientGone, ID: "never"}, {Kind: EventProbeResult, Host: "never"}, {Kind: EventTimer, Timer: 9}, {Kind: EventFirstByte, ID: id},
-		{Kind: EventTargets, Targets: []Target{{Host: "never", Group: 3, Removed: true}}}, {Kind: EventPeerMessage},
+		{Kind: EventOutcome, ID: id, Code: OK, Final: true},
+		{Kind: EventOutcome, ID: "never", Attempt: -1},
+		{Kind: EventClientGone, ID: id},
+		{Kind: EventClientGone, ID: "never"},
+		{Kind: EventProbeResult, Host: "never"},
+		{Kind: EventTimer, Timer: 9},
+		{Kind: EventFirstByte, ID: id},
+		{Kind: EventTargets, Targets: []Target{{Host: "never", Group: 3, Removed: true}}},
+		{Kind: EventPeerMessage},
 	} {
 		if as := g.step(e); len(as) != 0 {
 			t.Errorf("%+v led to %v", e, as)
--- a/routing/configure.go
+++ b/routing/configure.go
@@ -28,10 +28,12 @@
 			return nil, fmt.Errorf("choice: class %q: aim %v, deadline %v", k.Name, k.LatencyObjective, k.Deadline)
 		}
 	}
-	return &Router{cfg: s, classes: classes, tightestBound: tightest, tenants: make([]tenant, len(s.Tenants)),
+	return &Router{
+		cfg: s, classes: classes, tightestBound: tightest, tenants: make([]tenant, len(s.Tenants)),
 		probeBudget: maxProbesPerRead, writeFraction: initialWriteFraction, rng: rand.New(rand.NewPCG(seed, uint64(s.RouterIndex))), members: map[string]*member{},
 		groups: map[uint64]*group{}, requests: map[string]*request{},
-		retryBudget: 0.5 * max(1, retryBudgetCap/float64(s.RouterCount))}, nil
+		retryBudget: 0.5 * max(1, retryBudgetCap/float64(s.RouterCount)),
+	}, nil
 }
 
 // Configure takes other settings while requests are under way. What tells one class from another has to stay.
--- a/routing/example_test.go
+++ b/routing/example_test.go
@@ -10,8 +10,10 @@
 // A router asks where a write goes, carries the answer back, and is done.
 func Example() {
 	c, err := routing.New(routing.Settings{
-		Classes: []routing.Class{{Name: "save", Access: routing.Write, Idempotency: routing.AtMostOnce,
-			LatencyObjective: time.Second, Deadline: 5 * time.Second, PriorityWeight: 1}},
+		Classes: []routing.Class{{
+			Name: "save", Access: routing.Write, Idempotency: routing.AtMostOnce,
+			LatencyObjective: time.Second, Deadline: 5 * time.Second, PriorityWeight: 1,
+		}},
 		RouterCount: 1, ListNamesPrimary: true, MaxAttempts: 3,
 	}, 42)
 	if err != nil {
@@ -20,14 +22,18 @@
 	}
 	now := time.Hour // any clock that never goes back
 	c.Step(now, []routing.Event{{Kind: routing.EventTargets, Full: true, Targets: []routing.Target{
-		{Host: "db1:5432", Group: 1, Primary: true}, {Host: "db2:5432", Group: 1}}}})
+		{Host: "db1:5432", Group: 1, Primary: true}, {Host: "db2:5432", Group: 1},
+	}}})
 	for _, a := range c.Step(now, []routing.Event{
-		{Kind: routing.EventRequest, ID: "q1", Group: 1, TimeRemaining: 5 * time.Second}}) {
+		{Kind: routing.EventRequest, ID: "q1", Group: 1, TimeRemaining: 5 * time.Second},
+	}) {
 		if a.Kind == routing.ActSend {
 			fmt.Println("send", a.ID, "to", a.Host)
 		}
 	}
-	c.Step(now+20*time.Millisecond, []routing.Event{{Kind: routing.EventOutcome, ID: "q1", Host: "db1:5432",
-		Code: routing.OK, Role: routing.Primary, Final: true, Elapsed: 20 * time.Millisecond}})
+	c.Step(now+20*time.Millisecond, []routing.Event{{
+		Kind: routing.EventOutcome, ID: "q1", Host: "db1:5432",
+		Code: routing.OK, Role: routing.Primary, Final: true, Elapsed: 20 * time.Millisecond,
+	}})
 	// Output: send q1 to db1:5432
 }
--- a/routing/fleet_test.go
+++ b/routing/fleet_test.go
@@ -49,8 +49,10 @@
 			f.sends[a.Host]++
 			if f.answers != nil {
 				code, role, elapsed := f.answers(a.Host, classes[a.ID])
-				es = append(es, Event{Kind: EventOutcome, ID: a.ID, Attempt: len(c.requests[a.ID].attempts) - 1, Host: a.Host,
-					Code: code, Role: role, Final: code == OK, Elapsed: elapsed})
+				es = append(es, Event{
+					Kind: EventOutcome, ID: a.ID, Attempt: len(c.requests[a.ID].attempts) - 1, Host: a.Host,
+					Code: code, Role: role, Final: code == OK, Elapsed: elapsed,
+				})
 			}
 		case ActProbe:
 			f.probes++
@@ -73,8 +75,10 @@
 		f.ids++
 		id := fmt.Sprint("f", f.ids)
 		c := f.routers[i%len(f.routers)]
-		f.carryOut(c, append([]Action(nil), c.Step(f.now, []Event{{Kind: EventRequest, ID: id, Class: class, Group: 1,
-			TimeRemaining: c.cfg.Classes[class].Deadline}})...), map[string]int{id: class})
+		f.carryOut(c, append([]Action(nil), c.Step(f.now, []Event{{
+			Kind: EventRequest, ID: id, Class: class, Group: 1,
+			TimeRemaining: c.cfg.Classes[class].Deadline,
+		}})...), map[string]int{id: class})
 	}
 }
 
@@ -276,8 +280,10 @@
 			f.now += ms
 			f.ids++
 			id := fmt.Sprint("h", f.ids)
-			f.carryOut(c, append([]Action(nil), c.Step(f.now, []Event{{Kind: EventRequest, ID: id, Class: eventualRead, Group: 1,
-				TimeRemaining: c.cfg.Classes[eventualRead].Deadline}})...), map[string]int{id: eventualRead})
+			f.carryOut(c, append([]Action(nil), c.Step(f.now, []Event{{
+				Kind: EventRequest, ID: id, Class: eventualRead, Group: 1,
+				TimeRemaining: c.cfg.Classes[eventualRead].Deadline,
+			}})...), map[string]int{id: eventualRead})
 		}
 	}
 	total := 0
--- a/routing/stale_test.go
+++ b/routing/stale_test.go
@@ -112,8 +112,10 @@
 	g := startHarness(t, settings(), shard()...)
 	ids := g.sentTo(strongRead, "p", 1)
 	g.now += 50 * ms
-	g.step(Event{Kind: EventOutcome, ID: ids[0], Code: OK, Role: Primary, Position: g.now, Final: true,
-		Report: Report{Role: Replica, Position: g.now - 200*ms}, Elapsed: 50 * ms})
+	g.step(Event{
+		Kind: EventOutcome, ID: ids[0], Code: OK, Role: Primary, Position: g.now, Final: true,
+		Report: Report{Role: Replica, Position: g.now - 200*ms}, Elapsed: 50 * ms,
+	})
 	require.Equal(t, "p", g.c.groups[1].primary().host)
 }
 
--- a/routing/state.go
+++ b/routing/state.go
@@ -46,8 +46,10 @@
 		if !m.active {
 			continue
 		}
-		k := HostState{Host: m.host, Group: m.group.id, Started: m.startedAt, Limit: m.limit, Score: m.score, Lag: -1,
-			WasPrimary: m.primaryAt > m.notPrimaryAt, RoleAge: c.now - max(m.primaryAt, m.notPrimaryAt)}
+		k := HostState{
+			Host: m.host, Group: m.group.id, Started: m.startedAt, Limit: m.limit, Score: m.score, Lag: -1,
+			WasPrimary: m.primaryAt > m.notPrimaryAt, RoleAge: c.now - max(m.primaryAt, m.notPrimaryAt),
+		}
 		if m.position > 0 && !k.WasPrimary {
 			k.Lag, k.LagAge = max(0, m.positionAt-m.position), c.now-m.positionAt
 		}
--- a/routing/state_test.go
+++ b/routing/state_test.go
@@ -11,9 +11,13 @@
 
 // listedRouter returns a router that knows p, the listed primary, and replicas a and b, started long ago.
 func listedRouter(t *testing.T, now time.Duration, s *RouterState) *Router {
-	c, err := New(Settings{Classes: []Class{{Name: "read", Access: BoundedRead, StalenessBound: 200 * time.Millisecond, LatencyObjective: second, Deadline: 2 * second, PriorityWeight: 1},
-		{Name: "write", Access: Write, Idempotency: AtMostOnce, LatencyObjective: second, Deadline: 2 * second, PriorityWeight: 1}}, RouterCount: 1, MaxAttempts: 8, ListNamesPrimary: true,
-		ProbesAllowed: true, ReportsPosition: true, ReportsRole: true, SlowStartFloor: 0.24, SlowStartDuration: 15 * second, OverloadFactor: 3}, 7)
+	c, err := New(Settings{
+		Classes: []Class{
+			{Name: "read", Access: BoundedRead, StalenessBound: 200 * time.Millisecond, LatencyObjective: second, Deadline: 2 * second, PriorityWeight: 1},
+			{Name: "write", Access: Write, Idempotency: AtMostOnce, LatencyObjective: second, Deadline: 2 * second, PriorityWeight: 1},
+		}, RouterCount: 1, MaxAttempts: 8, ListNamesPrimary: true,
+		ProbesAllowed: true, ReportsPosition: true, ReportsRole: true, SlowStartFloor: 0.24, SlowStartDuration: 15 * second, OverloadFactor: 3,
+	}, 7)
 	require.NoError(t, err)
 	if s != nil {
 		c.ImportState(now, *s)
--- a/testbed/cluster/agree.go
+++ b/testbed/cluster/agree.go
@@ -88,8 +88,10 @@
 // Agree plays a plan while rules are proposed all along, and judges by the processes' traces what each acted on.
 func Agree(ctx context.Context, o Options) (*Outcome, error) {
 	o.Agree = true
-	g := report.New("cluster agree", o.Plan.Seed, append([]string{"contradiction_past_bound", "version_went_back", "two_values_one_version",
-		"acted_without_lease", "stuck", "order"}, service...)...)
+	g := report.New("cluster agree", o.Plan.Seed, append([]string{
+		"contradiction_past_bound", "version_went_back", "two_values_one_version",
+		"acted_without_lease", "stuck", "order",
+	}, service...)...)
 	r := &rig{o: o, g: g, begun: time.Now()}
 	var told []answered
 	return r.whole(ctx, func(ctx context.Context) { told = r.propose(ctx) }, func() { r.judgeTraces(told) })
--- a/testbed/cluster/cluster_test.go
+++ b/testbed/cluster/cluster_test.go
@@ -150,8 +150,10 @@
 	again, err := Load(path)
 	require.NoError(t, err)
 	require.Equal(t, p, again)
-	for text, want := range map[string]string{`{"poolers":1}`: "poolers: 1", `{`: "p.json", `{"poolers":3,"faults":[{"kind":"rain"}]}`: `faults[0]: kind "rain" is unknown`,
-		`{"poolers":3,"faults":[{"kind":"cut","a":"n1","b":"n9"}]}`: "cut takes two poolers", `{"poolers":3,"faults":[{"kind":"kill"}]}`: "kill takes a pooler"} {
+	for text, want := range map[string]string{
+		`{"poolers":1}`: "poolers: 1", `{`: "p.json", `{"poolers":3,"faults":[{"kind":"rain"}]}`: `faults[0]: kind "rain" is unknown`,
+		`{"poolers":3,"faults":[{"kind":"cut","a":"n1","b":"n9"}]}`: "cut takes two poolers", `{"poolers":3,"faults":[{"kind":"kill"}]}`: "kill takes a pooler",
+	} {
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 		_, err := Load(path)
 		require.ErrorContains(t, err, want)
@@ -186,8 +188,11 @@
 			t.Parallel()
 			p := Draw(5, 3, 12*time.Second+rest, probe, rest, nil)
 			p.Break = broken
-			p.Faults = []Fault{{At: 300, For: 8000, Kind: "partition", Parts: [][]string{{"n1"}, {"n2", "n3"}}}, {At: 9000, For: 1500, Kind: "kill", A: "n2"},
-				{At: 9000, For: 100, Kind: "garbage", A: "n3"}}
+			p.Faults = []Fault{
+				{At: 300, For: 8000, Kind: "partition", Parts: [][]string{{"n1"}, {"n2", "n3"}}},
+				{At: 9000, For: 1500, Kind: "kill", A: "n2"},
+				{At: 9000, For: 100, Kind: "garbage", A: "n3"},
+			}
 			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 			defer cancel()
 			o, err := Members(ctx, Options{Plan: p, Pooler: program, Clients: 1})
--- a/testbed/cluster/move.go
+++ b/testbed/cluster/move.go
@@ -116,8 +116,10 @@
 			o.Plan.Faults[i].B = fmt.Sprintf("host-%d-%s", 1+i%o.Groups, strings.TrimPrefix(f.B, "host-"))
 		}
 	}
-	r := &movers{rig: &rig{o: o, g: g, begun: time.Now()}, tenants: o.tenants(), moves: map[string]moveSeen{}, since: map[string]time.Time{}, orders: map[string]*order{},
-		commits: map[noted]bool{}, ops: map[string][]op{}}
+	r := &movers{
+		rig: &rig{o: o, g: g, begun: time.Now()}, tenants: o.tenants(), moves: map[string]moveSeen{}, since: map[string]time.Time{}, orders: map[string]*order{},
+		commits: map[noted]bool{}, ops: map[string][]op{},
+	}
 	r.bound = 1.1 * leastPause()
 	return r.whole(ctx, r.beside, r.judge)
 }
@@ -430,8 +432,10 @@
 }
 
 func (r *movers) start(ctx context.Context, o *order) bool {
-	spec := map[string]any{"tenant": o.tenant, "from": o.from, "to": o.to, "pause_ms": r.bound, "lock_ms": moveLock.Milliseconds(), "tries": 9,
-		"rest_ms": moveRest.Milliseconds()}
+	spec := map[string]any{
+		"tenant": o.tenant, "from": o.from, "to": o.to, "pause_ms": r.bound, "lock_ms": moveLock.Milliseconds(), "tries": 9,
+		"rest_ms": moveRest.Milliseconds(),
+	}
 	body, _ := json.Marshal(map[string]any{"op": "create", "work": o.name, "kind": "move", "spec": spec})
 	for i := 0; ctx.Err() == nil; i++ {
 		p, paused := r.nodes[i%len(r.nodes)].process()
--- a/testbed/cluster/node_test.go
+++ b/testbed/cluster/node_test.go
@@ -203,8 +203,11 @@
 	for _, c := range []struct {
 		out  func(second int) bool
 		long time.Duration
-	}{{func(int) bool { return false }, 16 * time.Second}, {func(s int) bool { return s%12 >= 1 && s%12 < 11 }, 2 * time.Second},
-		{func(s int) bool { return s >= 9 }, 9 * time.Second}} {
+	}{
+		{func(int) bool { return false }, 16 * time.Second},
+		{func(s int) bool { return s%12 >= 1 && s%12 < 11 }, 2 * time.Second},
+		{func(s int) bool { return s >= 9 }, 9 * time.Second},
+	} {
 		d := &double{in: begun}
 		for s := range 17 {
 			v := in
--- a/testbed/cluster/owner.go
+++ b/testbed/cluster/owner.go
@@ -82,8 +82,10 @@
 // Owner plays a plan while works are done by one owner at a time, and judges by the places that they act on.
 func Owner(ctx context.Context, o Options) (*Outcome, error) {
 	o.Agree, o.Works = true, true
-	g := report.New("cluster owner", o.Plan.Seed, append([]string{"two_owners", "old_token_accepted", "token_went_back", "deed_twice", "deed_lost", "orphaned",
-		"takeover_past_bound"}, service...)...)
+	g := report.New("cluster owner", o.Plan.Seed, append([]string{
+		"two_owners", "old_token_accepted", "token_went_back", "deed_twice", "deed_lost", "orphaned",
+		"takeover_past_bound",
+	}, service...)...)
 	r := &owners{rig: &rig{o: o, g: g, begun: time.Now()}, words: map[string]bool{}}
 	return r.whole(ctx, r.beside, r.judge)
 }
--- a/testbed/cluster/page.go
+++ b/testbed/cluster/page.go
@@ -74,8 +74,10 @@
 	if err != nil {
 		return err
 	}
-	err = page.Execute(f, map[string]any{"Title": o.Result.Command, "Plan": o.Plan, "Seconds": o.Result.Seconds, "Bound": o.Bound, "Broken": list,
-		"Notes": o.Result.Notes, "Rows": rows, "Lines": o.Lines})
+	err = page.Execute(f, map[string]any{
+		"Title": o.Result.Command, "Plan": o.Plan, "Seconds": o.Result.Seconds, "Bound": o.Bound, "Broken": list,
+		"Notes": o.Result.Notes, "Rows": rows, "Lines": o.Lines,
+	})
 	if cerr := f.Close(); err == nil {
 		err = cerr
 	}
--- a/testbed/cluster/proxy.go
+++ b/testbed/cluster/proxy.go
@@ -137,8 +137,10 @@
 
 // NewLink opens a proxy at a free port; datagrams as well where asked for.
 func NewLink(from, to string, at func() string, datagrams bool, seed uint64) (*Link, error) {
-	l := &Link{From: from, To: to, to: at, forth: newWay(seed, hash(from+">"+to)), back: newWay(seed, hash(from+"<"+to)), ended: make(chan struct{}),
-		conns: map[net.Conn]net.Conn{}}
+	l := &Link{
+		From: from, To: to, to: at, forth: newWay(seed, hash(from+">"+to)), back: newWay(seed, hash(from+"<"+to)), ended: make(chan struct{}),
+		conns: map[net.Conn]net.Conn{},
+	}
 	var err error
 	for range 20 { // the same port has to be free for both
 		if l.tcp, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
--- a/testbed/cluster/run.go
+++ b/testbed/cluster/run.go
@@ -141,8 +141,10 @@
 	if p.Break != "" {
 		env = append(env, "ASHSTAND_BREAK=cluster-"+p.Break)
 	}
-	opts := fleet.Options{Pooler: r.o.Pooler, Replicas: 2, Lag: 20 * time.Millisecond, Seed: p.Seed, Clients: 10, Servers: 8, Log: r.o.Log,
-		Names: p.Names, Extra: r.extra, Agent: r.agent, Env: env}
+	opts := fleet.Options{
+		Pooler: r.o.Pooler, Replicas: 2, Lag: 20 * time.Millisecond, Seed: p.Seed, Clients: 10, Servers: 8, Log: r.o.Log,
+		Names: p.Names, Extra: r.extra, Agent: r.agent, Env: env,
+	}
 	if r.o.Tenants > 0 {
 		opts.Groups, opts.Databases, opts.Clients, opts.Servers = r.o.Groups, r.o.tenants(), 4*r.o.Tenants, 8*r.o.Tenants
 	}
@@ -151,7 +153,7 @@
 		return err
 	}
 	var all sync.WaitGroup
-	var failed = make([]error, len(r.nodes))
+	failed := make([]error, len(r.nodes))
 	for i, n := range r.nodes {
 		all.Go(func() { failed[i] = r.let(n) })
 	}
@@ -485,12 +487,14 @@
 	defer stop()
 	var all sync.WaitGroup
 	for i, n := range r.nodes {
-		l := load.Crowd(run, r.fleet, g, load.Listeners{Name: "c" + n.name, Seed: o.Plan.Seed + uint64(i), Count: o.Clients, Mean: 80 * time.Millisecond, Open: true,
+		l := load.Crowd(run, r.fleet, g, load.Listeners{
+			Name: "c" + n.name, Seed: o.Plan.Seed + uint64(i), Count: o.Clients, Mean: 80 * time.Millisecond, Open: true,
 			Address: func() string {
 				n.mu.Lock()
 				defer n.mu.Unlock()
 				return n.address
-			}, Killed: r.disturbed(n.name)})
+			}, Killed: r.disturbed(n.name),
+		})
 		all.Go(l.Wait)
 	}
 	all.Go(func() { r.watch(run) })
--- a/testbed/cluster/simmove.go
+++ b/testbed/cluster/simmove.go
@@ -176,8 +176,10 @@
 	if trace == nil {
 		trace = h
 	}
-	m := &moves{out: &Moved{Seed: seed, Broken: map[string]int{}, Faults: map[string]int{}, Ends: map[string]int{}}, lots: rand.New(rand.NewPCG(seed, 0x3e)),
-		history: map[string][]mvSeen{}, broken: broken, trace: trace}
+	m := &moves{
+		out: &Moved{Seed: seed, Broken: map[string]int{}, Faults: map[string]int{}, Ends: map[string]int{}}, lots: rand.New(rand.NewPCG(seed, 0x3e)),
+		history: map[string][]mvSeen{}, broken: broken, trace: trace,
+	}
 	for _, c := range MoveChecks {
 		m.out.Broken[c] = 0
 	}
@@ -214,8 +216,10 @@
 func (m *moves) found() {
 	tenants := 1 + m.lots.IntN(3)
 	for i := range 2 + m.lots.IntN(2) {
-		m.groups = append(m.groups, &mvGroup{n: migration.Group(i + 1), line: 1, up: true, slots: map[string]*mvSlot{}, marks: map[int]*mvMark{},
-			reported: map[int]int{}, durable: map[int]int{}, last: map[int]int{}, running: map[*mvTx]bool{}, tells: m.lots.IntN(2) == 0})
+		m.groups = append(m.groups, &mvGroup{
+			n: migration.Group(i + 1), line: 1, up: true, slots: map[string]*mvSlot{}, marks: map[int]*mvMark{},
+			reported: map[int]int{}, durable: map[int]int{}, last: map[int]int{}, running: map[*mvTx]bool{}, tells: m.lots.IntN(2) == 0,
+		})
 	}
 	for _, g := range m.groups {
 		g.play(tenants)
@@ -225,9 +229,11 @@
 		t := &mvTenant{name: fmt.Sprint("t", i), n: i, work: fmt.Sprint("move", i), paused: -1, unready: m.lots.IntN(10) == 0}
 		from := m.lots.IntN(len(m.groups))
 		to := (from + 1 + m.lots.IntN(len(m.groups)-1)) % len(m.groups)
-		t.plan = migration.Plan{Tenant: t.name, From: migration.Group(from + 1), To: migration.Group(to + 1), Lock: 60, Tries: 3, Rest: 200, Need: float64(m.lots.IntN(3)),
+		t.plan = migration.Plan{
+			Tenant: t.name, From: migration.Group(from + 1), To: migration.Group(to + 1), Lock: 60, Tries: 3, Rest: 200, Need: float64(m.lots.IntN(3)),
 			Pause: mvCosts.Least(60) * (1.1 + m.lots.Float64()), Checkpoints: []string{migration.AtAccepting}, Stragglers: []string{"wait", "end"}[m.lots.IntN(2)],
-			Old: []string{"keep", "drop"}[m.lots.IntN(2)]}
+			Old: []string{"keep", "drop"}[m.lots.IntN(2)],
+		}
 		for _, c := range []string{migration.AtChecked, migration.AtClosing, migration.AtSwitching} {
 			if m.lots.IntN(2) == 0 {
 				t.plan.Checkpoints = append(t.plan.Checkpoints, c)
@@ -307,8 +313,10 @@
 	s, _ := migration.StateOf(&was)
 	switch e.Type {
 	case jobs.EntryAnnounce:
-		at := map[string]string{migration.DeedPublish: migration.AtChecked, migration.DeedPause: migration.AtClosing, migration.DeedSwitch: migration.AtSwitching,
-			migration.DeedAccept: migration.AtAccepting}[e.Operation.Name]
+		at := map[string]string{
+			migration.DeedPublish: migration.AtChecked, migration.DeedPause: migration.AtClosing, migration.DeedSwitch: migration.AtSwitching,
+			migration.DeedAccept: migration.AtAccepting,
+		}[e.Operation.Name]
 		reverse := s.Reverse || e.Operation.Name == migration.DeedPause && s.Phase == migration.Switched
 		if at != "" && slices.Contains(t.plan.Checkpoints, at) && !reverse {
 			want := migration.Go
--- a/testbed/cluster/simmove_test.go
+++ b/testbed/cluster/simmove_test.go
@@ -30,10 +30,12 @@
 	for broken, what := range map[string]struct {
 		schedules int
 		red       string
-	}{"fence": {40, "lost_write"}, "verify": {40, "verified_wrong"}, "pause": {80, "paused_past_bound"}, "back": {10, "rollback_lost"}, "word": {10, "stepped_without_word"},
+	}{
+		"fence": {40, "lost_write"}, "verify": {40, "verified_wrong"}, "pause": {80, "paused_past_bound"}, "back": {10, "rollback_lost"}, "word": {10, "stepped_without_word"},
 		"token":    {120, "lost_write"},        // an owner that wakes late empties what has become the home
 		"number":   {100, "paused_past_bound"}, // what its owner has given up arrives all the same
-		"sequence": {10, "duplicate_write"}} {
+		"sequence": {10, "duplicate_write"},
+	} {
 		r := SimulateManyMoves(context.Background(), 1, what.schedules, broken, runtime.NumCPU())
 		require.NotZero(t, r.Broken[what.red], "%s: %v", broken, r.Broken)
 	}
--- a/testbed/cluster/simulate.go
+++ b/testbed/cluster/simulate.go
@@ -112,8 +112,10 @@
 // Simulate plays one schedule: so many poolers, three or five of them voters, for length milliseconds.
 func Simulate(seed uint64, poolers int, length float64, broken string) *Simulated {
 	h := fnv.New64a()
-	s := &simulation{out: &Simulated{Seed: seed, Broken: map[string]int{}, Faults: map[string]int{}}, lots: rand.New(rand.NewPCG(seed, 0x51)),
-		cut: map[[2]string]int{}, values: map[int]string{}, calls: map[uint64]float64{}, logged: map[int]float64{}, trace: h}
+	s := &simulation{
+		out: &Simulated{Seed: seed, Broken: map[string]int{}, Faults: map[string]int{}}, lots: rand.New(rand.NewPCG(seed, 0x51)),
+		cut: map[[2]string]int{}, values: map[int]string{}, calls: map[uint64]float64{}, logged: map[int]float64{}, trace: h,
+	}
 	for _, c := range SimulatedChecks {
 		s.out.Broken[c] = 0
 	}
@@ -122,8 +124,10 @@
 		s.voters = 5
 	}
 	for i, name := range s.names {
-		cfg := consensus.Config{Name: name, Voters: s.names[:s.voters], Lease: simLease, Drift: simDrift, Pace: simPace, Election: simElection, Format: 1,
-			Limits: consensus.Rules{"class.a.bound_ms": 100.0, "class.a.repeat": false, "tries": 1.0, "database.d.group": 0.0}, Seed: seed, Break: broken}
+		cfg := consensus.Config{
+			Name: name, Voters: s.names[:s.voters], Lease: simLease, Drift: simDrift, Pace: simPace, Election: simElection, Format: 1,
+			Limits: consensus.Rules{"class.a.bound_ms": 100.0, "class.a.repeat": false, "tries": 1.0, "database.d.group": 0.0}, Seed: seed, Break: broken,
+		}
 		n := &simNode{cfg: cfg, offset: s.lots.Float64() * 1e6, rate: 1 + simDrift*(2*s.lots.Float64()-1)}
 		if i < s.voters {
 			n.disk = consensus.Found(name, s.names[:s.voters])
--- a/testbed/cost/cost.go
+++ b/testbed/cost/cost.go
@@ -301,8 +301,10 @@
 	for i := range w.stmts {
 		for _, k := range w.kinds {
 			for range 300 {
-				liar.Observe(cost.Observation{Statement: w.stmts[i].print, Class: w.stmts[i].class, Kind: k, Rows: w.rows(), Inflight: r.IntN(7), At: span,
-					Work: math.Exp(2 + bias + r.NormFloat64())})
+				liar.Observe(cost.Observation{
+					Statement: w.stmts[i].print, Class: w.stmts[i].class, Kind: k, Rows: w.rows(), Inflight: r.IntN(7), At: span,
+					Work: math.Exp(2 + bias + r.NormFloat64()),
+				})
 			}
 		}
 	}
--- a/testbed/cost/world.go
+++ b/testbed/cost/world.go
@@ -55,8 +55,10 @@
 func newWorld(seed uint64) *world {
 	r := rand.New(rand.NewPCG(seed, 0xc057))
 	n := func(sd float64) float64 { return r.NormFloat64() * sd }
-	w := &world{r: r, kinds: []string{"spinning", "flash", "arm"}, kind: map[string]float64{}, wait: map[string]float64{}, class: map[string]float64{},
-		classes: []string{"point", "report", "scan"}, noise: map[string]float64{}, growth: 0.6 + n(0.1), crowd: 0.25 + 0.2*r.Float64(), cold: 0.4 + 0.3*r.Float64()}
+	w := &world{
+		r: r, kinds: []string{"spinning", "flash", "arm"}, kind: map[string]float64{}, wait: map[string]float64{}, class: map[string]float64{},
+		classes: []string{"point", "report", "scan"}, noise: map[string]float64{}, growth: 0.6 + n(0.1), crowd: 0.25 + 0.2*r.Float64(), cold: 0.4 + 0.3*r.Float64(),
+	}
 	for _, k := range w.kinds {
 		w.kind[k], w.wait[k] = n(0.5), 1+3*r.Float64()
 	}
@@ -65,8 +67,10 @@
 	}
 	sum := 0.0
 	for i := range 48 {
-		s := statement{print: cost.Print(fmt.Sprintf("select c%d from t%d where k = $1", i, seed)), class: w.classes[i%3], effect: n(0.6), slope: n(0.06),
-			pair: map[string]float64{}, path: map[string][]float64{}}
+		s := statement{
+			print: cost.Print(fmt.Sprintf("select c%d from t%d where k = $1", i, seed)), class: w.classes[i%3], effect: n(0.6), slope: n(0.06),
+			pair: map[string]float64{}, path: map[string][]float64{},
+		}
 		if s.home = -1; i%2 == 0 {
 			s.never = w.kinds[r.IntN(3)]
 		} else if i%6 == 1 {
@@ -85,8 +89,10 @@
 		w.popular = append(w.popular, sum)
 	}
 	for i := range 36 {
-		w.hosts = append(w.hosts, host{Host: cost.Host{Name: fmt.Sprint("h", i), Kind: w.kinds[(i+i/3)%3], Group: uint64(i / 3), Primary: i%3 == 0, Capacity: 8},
-			effect: n(0.06)})
+		w.hosts = append(w.hosts, host{
+			Host:   cost.Host{Name: fmt.Sprint("h", i), Kind: w.kinds[(i+i/3)%3], Group: uint64(i / 3), Primary: i%3 == 0, Capacity: 8},
+			effect: n(0.06),
+		})
 	}
 	return w
 }
@@ -140,8 +146,10 @@
 		if s.home >= 0 {
 			by = s.home
 		}
-		out[by].Observe(cost.Observation{Statement: s.print, Class: s.class, Tenant: "t", Host: h.Name, Kind: h.Kind, Group: h.Group, Rows: rows,
-			Work: work, Wait: wait, Inflight: inflight, Primary: h.Primary, Cold: cold, At: at})
+		out[by].Observe(cost.Observation{
+			Statement: s.print, Class: s.class, Tenant: "t", Host: h.Name, Kind: h.Kind, Group: h.Group, Rows: rows,
+			Work: work, Wait: wait, Inflight: inflight, Primary: h.Primary, Cold: cold, At: at,
+		})
 	}
 	return out
 }
@@ -169,8 +177,10 @@
 	p := cost.Plan{Name: name}
 	for i := range 1 + w.r.IntN(4) {
 		s := w.stmts[w.popularStatement()]
-		step := cost.Step{Name: fmt.Sprint("s", i), Statement: s.print, Class: s.class, Tenant: "t", Group: uint64(w.r.IntN(12)), Rows: w.rows(),
-			All: w.r.IntN(3) == 0, Fresh: []string{"fresh", "any", "any"}[w.r.IntN(3)]}
+		step := cost.Step{
+			Name: fmt.Sprint("s", i), Statement: s.print, Class: s.class, Tenant: "t", Group: uint64(w.r.IntN(12)), Rows: w.rows(),
+			All: w.r.IntN(3) == 0, Fresh: []string{"fresh", "any", "any"}[w.r.IntN(3)],
+		}
 		for j := range i {
 			if w.r.IntN(2) == 0 {
 				step.After = append(step.After, fmt.Sprint("s", j))
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -220,8 +220,10 @@
 	var es []discovery.Entry
 	for _, c := range f.Groups {
 		for _, h := range c.Hosts() {
-			e := discovery.Entry{Name: h.Name, Address: h.Address, Zone: "a", Type: "std-4core", Group: c.Group, Status: "active", Weight: 1,
-				SinceMS: h.Since(), Part: "replica"}
+			e := discovery.Entry{
+				Name: h.Name, Address: h.Address, Zone: "a", Type: "std-4core", Group: c.Group, Status: "active", Weight: 1,
+				SinceMS: h.Since(), Part: "replica",
+			}
 			if h.Primary() {
 				e.Part = "master"
 			}
@@ -253,15 +255,23 @@
 	class := func(name, effect string, aim, deadline, worth, late float64) map[string]any {
 		return map[string]any{"name": name, "aim_ms": aim, "deadline_ms": deadline, "worth": worth, "late_share": late, "effect": effect}
 	}
-	return map[string]any{"balancers": poolers, "index": index, "period_ms": 5, "deductions": map[string]any{"probe": 0.04},
-		"domain": map[string]any{"class_read": []string{"bounded", "session", "any", "write"}, "role_in_list": "late",
-			"staleness_bound_ms": []float64{200, 0, 0, 0}, "token_mode": "carried", "when_behind": "off", "answers_stamped": true},
+	return map[string]any{
+		"balancers": poolers, "index": index, "period_ms": 5, "deductions": map[string]any{"probe": 0.04},
+		"domain": map[string]any{
+			"class_read": []string{"bounded", "session", "any", "write"}, "role_in_list": "late",
+			"staleness_bound_ms": []float64{200, 0, 0, 0}, "token_mode": "carried", "when_behind": "off", "answers_stamped": true,
+		},
 		"obligations": map[string]any{"cold_from": 0.24, "ramp_time_ms": 15000, "overload_factor": 3, "fall_ms": 1500, "stop_sending_within_ms": 1000},
-		"policy_limits": map[string]any{"conn_idle_ms": 15000, "connect_timeout_ms": 1000, "max_retry_after_ms": 2000, "may_cancel": true,
-			"most_tries": 8, "probes": true, "retry_after": true, "max_open": 10000},
+		"policy_limits": map[string]any{
+			"conn_idle_ms": 15000, "connect_timeout_ms": 1000, "max_retry_after_ms": 2000, "may_cancel": true,
+			"most_tries": 8, "probes": true, "retry_after": true, "max_open": 10000,
+		},
 		"report": map[string]any{"fields": []string{"x0", "x1", "inflight", "util"}, "how": "on_probe"},
-		"request_classes": []any{class("browse", "idempotent", 300, 1000, 1, 0.2), class("my-library", "idempotent", 300, 2000, 3, 0),
-			class("report", "idempotent", 7500, 15000, 4, 0.2), class("donate", "at_most_once", 1000, 3000, 3, 0.3)}}
+		"request_classes": []any{
+			class("browse", "idempotent", 300, 1000, 1, 0.2), class("my-library", "idempotent", 300, 2000, 3, 0),
+			class("report", "idempotent", 7500, 15000, 4, 0.2), class("donate", "at_most_once", 1000, 3000, 3, 0.3),
+		},
+	}
 }
 
 // StartPooler starts one more pooler of the fleet and waits until it serves. After an error it may still run.
@@ -345,9 +355,11 @@
 			return err
 		}
 	}
-	config, err := json.Marshal(map[string]any{"name": name, "listen": p.Statement, "discovery": agent, "seed": strconv.FormatUint(o.Seed+1+uint64(index), 16),
+	config, err := json.Marshal(map[string]any{
+		"name": name, "listen": p.Statement, "discovery": agent, "seed": strconv.FormatUint(o.Seed+1+uint64(index), 16),
 		"limits":   map[string]any{"cores": 1, "memory_mb": memory, "sockets": sockets},
-		"settings": settings(max(1, len(o.Names)), index)})
+		"settings": settings(max(1, len(o.Names)), index),
+	})
 	if err != nil {
 		return err
 	}
--- a/testbed/fleet/port_test.go
+++ b/testbed/fleet/port_test.go
@@ -79,8 +79,13 @@
 
 // Draws keep clear of the ports that the system gives to outgoing connections.
 func TestDrawnBesideOutgoing(t *testing.T) {
-	for _, c := range []struct{ first, last, low, high int }{{32768, 60999, 12000, 32000}, {15000, 60999, 12000, 15000}, {10000, 50000, 50001, 65536},
-		{1024, 65535, 12000, 65536}, {49152, 65535, 12000, 32000}} {
+	for _, c := range []struct{ first, last, low, high int }{
+		{32768, 60999, 12000, 32000},
+		{15000, 60999, 12000, 15000},
+		{10000, 50000, 50001, 65536},
+		{1024, 65535, 12000, 65536},
+		{49152, 65535, 12000, 32000},
+	} {
 		low, high := drawn(c.first, c.last)
 		require.Equal(t, []int{c.low, c.high}, []int{low, high}, "%v", c)
 	}
--- a/testbed/host/catalogue.go
+++ b/testbed/host/catalogue.go
@@ -17,8 +17,10 @@
 // shaped reads names of columns, each with a type where it is not text: b bool, i int4, o oid, l pg_lsn, t timestamptz,
 // n int8, x xid, a text[].
 func shaped(spec string, rows func(c *conn) [][]value) view {
-	types := map[string]uint32{"": typeText, "b": typeBool, "i": typeInt4, "o": typeOid, "l": typeLSN, "t": typeTimestamptz, "n": typeInt8, "x": typeXid,
-		"a": typeTextArray}
+	types := map[string]uint32{
+		"": typeText, "b": typeBool, "i": typeInt4, "o": typeOid, "l": typeLSN, "t": typeTimestamptz, "n": typeInt8, "x": typeXid,
+		"a": typeTextArray,
+	}
 	v := view{rows: rows}
 	for _, s := range strings.Fields(spec) {
 		name, t, _ := strings.Cut(s, ":")
@@ -51,9 +53,11 @@
 }
 
 // typeWords are the types as information_schema names them.
-var typeWords = map[uint32]string{typeBool: "boolean", typeInt8: "bigint", typeInt4: "integer", typeText: "text", typeOid: "oid", typeXid: "xid",
+var typeWords = map[uint32]string{
+	typeBool: "boolean", typeInt8: "bigint", typeInt4: "integer", typeText: "text", typeOid: "oid", typeXid: "xid",
 	typeFloat8:      "double precision",
-	typeTimestamptz: "timestamp with time zone", typeNumeric: "numeric", typeLSN: "pg_lsn", typeTextArray: "ARRAY", typeRegclass: "regclass"}
+	typeTimestamptz: "timestamp with time zone", typeNumeric: "numeric", typeLSN: "pg_lsn", typeTextArray: "ARRAY", typeRegclass: "regclass",
+}
 
 // The object ids that the primary key's index and a row's constraint have are their table's and an offset beyond all
 // that is counted out.
@@ -272,9 +276,11 @@
 	cl.mu.Lock()
 	var out [][]value
 	for _, s := range c.host.senders {
-		out = append(out, []value{pidOf(s.c.pid), text(s.c.user), text(s.c.set.start["application_name"]), text("127.0.0.1"), text(s.state), lsnValue(s.sent),
+		out = append(out, []value{
+			pidOf(s.c.pid), text(s.c.user), text(s.c.set.start["application_name"]), text("127.0.0.1"), text(s.state), lsnValue(s.sent),
 			lsnValue(s.flushed),
-			lsnValue(s.flushed), lsnValue(s.flushed), text("async")})
+			lsnValue(s.flushed), lsnValue(s.flushed), text("async"),
+		})
 	}
 	primary, last := cl.primary == c.host, lsnOf(max(1, cl.last))
 	hosts := append([]*Host(nil), cl.hosts...)
@@ -285,8 +291,10 @@
 		}
 		at, _ := h.stand()
 		n := min(lsnOf(at), last)
-		out = append(out, []value{small(100000 + i), text("replicator"), text(h.Name), text("127.0.0.1"), text("streaming"), lsnValue(last), lsnValue(n),
-			lsnValue(n), lsnValue(n), text("async")})
+		out = append(out, []value{
+			small(100000 + i), text("replicator"), text(h.Name), text("127.0.0.1"), text("streaming"), lsnValue(last), lsnValue(n),
+			lsnValue(n), lsnValue(n), text("async"),
+		})
 	}
 	return out
 }
@@ -311,9 +319,11 @@
 			kind = "walsender"
 		}
 		xid := value{s: strconv.Itoa(int(a.xid)), typ: typeXid, null: a.xid == 0}
-		out = append(out, []value{oid(s.db.oid), text(s.db.Name), pidOf(s.pid), text(s.user), text(s.set.start["application_name"]), text("127.0.0.1"),
+		out = append(out, []value{
+			oid(s.db.oid), text(s.db.Name), pidOf(s.pid), text(s.user), text(s.set.start["application_name"]), text("127.0.0.1"),
 			moment(a.changed), moment(a.began),
-			moment(a.changed), moment(a.changed), waits(s.party), text(a.state), xid, text(a.query), text(kind)})
+			moment(a.changed), moment(a.changed), waits(s.party), text(a.state), xid, text(a.query), text(kind),
+		})
 		return true
 	})
 	if cl.primary != c.host {
@@ -322,9 +332,11 @@
 	for _, name := range sortedNames(cl.databases) {
 		for _, n := range sortedNames(cl.databases[name].subscriptions) {
 			if s := cl.databases[name].subscriptions[n]; s.pid != 0 {
-				out = append(out, []value{oid(s.db.oid), text(name), pidOf(s.pid), text("postgres"), text(""), nothing(typeText), nothing(typeTimestamptz),
+				out = append(out, []value{
+					oid(s.db.oid), text(name), pidOf(s.pid), text("postgres"), text(""), nothing(typeText), nothing(typeTimestamptz),
 					nothing(typeTimestamptz),
-					nothing(typeTimestamptz), nothing(typeTimestamptz), waits(s.by), nothing(typeText), nothing(typeXid), text(""), text("logical replication apply worker")})
+					nothing(typeTimestamptz), nothing(typeTimestamptz), waits(s.by), nothing(typeText), nothing(typeXid), text(""), text("logical replication apply worker"),
+				})
 			}
 		}
 	}
@@ -582,9 +594,11 @@
 	for _, name := range []string{"pg_advisory_lock", "pg_advisory_lock_shared", "pg_advisory_xact_lock", "pg_advisory_xact_lock_shared"} {
 		out[name] = function{typeVoid, []uint32{typeInt8}, func(v *env, a []value) (value, *fault) { return v.c.advisory(name, a) }}
 	}
-	for _, name := range []string{"pg_try_advisory_lock", "pg_try_advisory_lock_shared", "pg_try_advisory_xact_lock", "pg_try_advisory_xact_lock_shared",
+	for _, name := range []string{
+		"pg_try_advisory_lock", "pg_try_advisory_lock_shared", "pg_try_advisory_xact_lock", "pg_try_advisory_xact_lock_shared",
 		"pg_advisory_unlock",
-		"pg_advisory_unlock_shared"} {
+		"pg_advisory_unlock_shared",
+	} {
 		out[name] = function{typeBool, []uint32{typeInt8}, func(v *env, a []value) (value, *fault) { return v.c.advisory(name, a) }}
 	}
 	out["pg_advisory_unlock_all"] = function{typeVoid, nil, func(v *env, a []value) (value, *fault) { return v.c.advisory("pg_advisory_unlock_all", a) }}
--- a/testbed/host/cluster.go
+++ b/testbed/host/cluster.go
@@ -100,10 +100,12 @@
 
 // NewCluster returns an empty group.
 func NewCluster(group, seed uint64) *Cluster {
-	return &Cluster{Group: group, rows: map[string][]version{}, tables: map[string]bool{"entries": true},
+	return &Cluster{
+		Group: group, rows: map[string][]version{}, tables: map[string]bool{"entries": true},
 		rng: rand.New(rand.NewPCG(seed, group)), databases: map[string]*Database{}, locks: map[lockKey]map[*transaction]lockMode{},
 		freed: make(chan struct{}), committed: make(chan struct{}), writers: map[*transaction]bool{},
-		replication: Replication{Retry: 5 * time.Second, Timeout: time.Minute, ConnectTime: 10 * time.Second}}
+		replication: Replication{Retry: 5 * time.Second, Timeout: time.Minute, ConnectTime: 10 * time.Second},
+	}
 }
 
 // Faults is what goes wrong on a host: each a chance by statement or connection, from 0 to 1.
