--- a/testbed/host/conn.go
+++ b/testbed/host/conn.go
@@ -95,9 +95,11 @@
 }
 
 func newConn(h *Host, c net.Conn) *conn {
-	return &conn{host: h, net: c, prepared: map[string]*prepared{}, portals: map[string]*portal{}, told: map[string]string{},
+	return &conn{
+		host: h, net: c, prepared: map[string]*prepared{}, portals: map[string]*portal{}, told: map[string]string{},
 		temp: map[string]bool{}, rows: map[string]string{}, listens: map[string]bool{},
-		set: settings{start: map[string]string{}, now: map[string]string{}}}
+		set: settings{start: map[string]string{}, now: map[string]string{}},
+	}
 }
 
 func (c *conn) send(m pgproto3.BackendMessage) {
@@ -198,8 +200,10 @@
 		m, err := c.in.Receive()
 		if limit > 0 && err != nil && errors.Is(err, os.ErrDeadlineExceeded) && !c.terminated.Load() {
 			c.host.Counts.Add("idle_in_transaction")
-			c.send(&pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: "25P03",
-				Message: "terminating connection due to idle-in-transaction timeout"})
+			c.send(&pgproto3.ErrorResponse{
+				Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: "25P03",
+				Message: "terminating connection due to idle-in-transaction timeout",
+			})
 			c.flush()
 			return
 		}
@@ -550,8 +554,10 @@
 func description(fields []field, format []int16) *pgproto3.RowDescription {
 	d := &pgproto3.RowDescription{}
 	for i, n := range fields {
-		d.Fields = append(d.Fields, pgproto3.FieldDescription{Name: []byte(n.name), DataTypeOID: n.typ, DataTypeSize: sizes[n.typ] - 1, TypeModifier: -1,
-			Format: formOf(format, i)})
+		d.Fields = append(d.Fields, pgproto3.FieldDescription{
+			Name: []byte(n.name), DataTypeOID: n.typ, DataTypeSize: sizes[n.typ] - 1, TypeModifier: -1,
+			Format: formOf(format, i),
+		})
 	}
 	return d
 }
--- a/testbed/host/database_test.go
+++ b/testbed/host/database_test.go
@@ -162,8 +162,10 @@
 	require.True(t, now.Equal(at))
 	require.NoError(t, c.QueryRow(c.ctx, "SELECT count(*) FROM app.lines WHERE shop = ANY($1)", []string{"a", "q"}).Scan(&n))
 	require.EqualValues(t, 2, n)
-	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec, pgx.QueryExecModeCacheDescribe,
-		pgx.QueryExecModeDescribeExec} {
+	for _, mode := range []pgx.QueryExecMode{
+		pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec, pgx.QueryExecModeCacheDescribe,
+		pgx.QueryExecModeDescribeExec,
+	} {
 		require.NoError(t, c.QueryRow(c.ctx, "UPDATE app.lines SET open = $1, at = $2 WHERE shop = $3 AND n = $4 RETURNING n", mode, false, now, "a",
 			int64(2)).Scan(&n))
 		require.EqualValues(t, 2, n)
@@ -190,8 +192,10 @@
 	require.Equal(t, "40001", other.code("UPDATE entries SET payload = '8' WHERE ref = 't'"))
 	other.do("ROLLBACK")
 	// COPY, both ways, and a temporary table beside.
-	k, err := c.CopyFrom(c.ctx, pgx.Identifier{"app", "lines"}, []string{"shop", "n", "note"}, pgx.CopyFromRows([][]any{{"z", 1, "tab\tand\nline"}, {"z", 2,
-		nil}}))
+	k, err := c.CopyFrom(c.ctx, pgx.Identifier{"app", "lines"}, []string{"shop", "n", "note"}, pgx.CopyFromRows([][]any{{"z", 1, "tab\tand\nline"}, {
+		"z", 2,
+		nil,
+	}}))
 	require.NoError(t, err)
 	require.EqualValues(t, 2, k)
 	var out strings.Builder
@@ -332,8 +336,10 @@
 	require.Equal(t, "55P03", b.code("UPDATE ashstand.fence SET closed = true"))
 	a.do("COMMIT")
 	b.do("UPDATE ashstand.fence SET closed = true, token = token + 1 WHERE work = 'shop' AND token = $1", 1)
-	for _, sql := range []string{"INSERT INTO entries VALUES ('3', 'x')", "UPDATE entries SET payload = 'y' WHERE ref = '1'", "DELETE FROM entries",
-		"COPY entries FROM STDIN"} {
+	for _, sql := range []string{
+		"INSERT INTO entries VALUES ('3', 'x')", "UPDATE entries SET payload = 'y' WHERE ref = '1'", "DELETE FROM entries",
+		"COPY entries FROM STDIN",
+	} {
 		var err error
 		if strings.HasPrefix(sql, "COPY") {
 			_, err = a.PgConn().CopyFrom(a.ctx, strings.NewReader("4\tx\n"), sql)
--- a/testbed/host/ddl.go
+++ b/testbed/host/ddl.go
@@ -469,8 +469,10 @@
 		if ifExists {
 			return nil
 		}
-		return &fault{map[string]string{"relation": "42P01", "schema": "3F000", "function": "42883", "publication": "42704", "trigger": "42704"}[what],
-			fmt.Sprintf("%s %q does not exist", what, name)}
+		return &fault{
+			map[string]string{"relation": "42P01", "schema": "3F000", "function": "42883", "publication": "42704", "trigger": "42704"}[what],
+			fmt.Sprintf("%s %q does not exist", what, name),
+		}
 	}
 	tag = "DROP " + strings.ToUpper(kind)
 	for {
--- a/testbed/host/expr.go
+++ b/testbed/host/expr.go
@@ -270,9 +270,11 @@
 var aggregates = map[string]bool{"count": true, "min": true, "max": true, "sum": true, "string_agg": true, "bool_or": true, "bool_and": true, "array_agg": true}
 
 // words that end an expression and are no column's name.
-var stops = map[string]bool{"from": true, "where": true, "order": true, "group": true, "limit": true, "offset": true, "for": true, "on": true, "as": true,
+var stops = map[string]bool{
+	"from": true, "where": true, "order": true, "group": true, "limit": true, "offset": true, "for": true, "on": true, "as": true,
 	"and": true, "or": true, "union": true, "returning": true, "set": true, "values": true, "join": true, "left": true, "inner": true, "cross": true,
-	"having": true, "then": true, "else": true, "end": true, "when": true, "asc": true, "desc": true, "fetch": true, "natural": true, "full": true, "right": true}
+	"having": true, "then": true, "else": true, "end": true, "when": true, "asc": true, "desc": true, "fetch": true, "natural": true, "full": true, "right": true,
+}
 
 func (p *parser) primary() (*expr, *fault) {
 	l := p.peek()
--- a/testbed/host/publish.go
+++ b/testbed/host/publish.go
@@ -266,14 +266,16 @@
 			c.fail(f)
 		} else {
 			done := false
-			_ = c.put(&rows{fields: []field{{"slot_name", typeText}, {"consistent_point", typeText}, {"snapshot_name", typeText}, {"output_plugin", typeText}},
-				tag: "CREATE_REPLICATION_SLOT", next: func() ([]any, bool) {
+			_ = c.put(&rows{
+				fields: []field{{"slot_name", typeText}, {"consistent_point", typeText}, {"snapshot_name", typeText}, {"output_plugin", typeText}},
+				tag:    "CREATE_REPLICATION_SLOT", next: func() ([]any, bool) {
 					if done {
 						return nil, false
 					}
 					done = true
 					return []any{s.name, lsnText(s.confirmed), nil, s.plugin}, true
-				}}, nil, 0, nil, true)
+				},
+			}, nil, 0, nil, true)
 		}
 		c.sync()
 		return true
--- a/testbed/host/state.go
+++ b/testbed/host/state.go
@@ -15,9 +15,11 @@
 	"session_replication_role": "origin", "wal_level": "logical", "max_replication_slots": "10", "server_version_num": "160000",
 }
 
-var reported = map[string]string{"application_name": "application_name", "client_encoding": "client_encoding", "datestyle": "DateStyle",
+var reported = map[string]string{
+	"application_name": "application_name", "client_encoding": "client_encoding", "datestyle": "DateStyle",
 	"timezone": "TimeZone", "intervalstyle": "IntervalStyle", "standard_conforming_strings": "standard_conforming_strings",
-	"default_transaction_read_only": "default_transaction_read_only", "server_version": "server_version", "is_superuser": "is_superuser"}
+	"default_transaction_read_only": "default_transaction_read_only", "server_version": "server_version", "is_superuser": "is_superuser",
+}
 
 // settings are a connection's, as layers: the session's, and one for each transaction and savepoint that is open, each
 // a whole copy of what held when it began.
--- a/testbed/host/subscribe.go
+++ b/testbed/host/subscribe.go
@@ -149,8 +149,10 @@
 }
 
 func (c *conn) createSubscription(p *parser) *fault {
-	s := &subscription{db: c.db, enabled: true, origin: "any", tables: map[*Table]*relation{}, by: &party{}, wake: make(chan struct{}, 1),
-		gone: make(chan struct{}), over: make(chan struct{})}
+	s := &subscription{
+		db: c.db, enabled: true, origin: "any", tables: map[*Table]*relation{}, by: &party{}, wake: make(chan struct{}, 1),
+		gone: make(chan struct{}), over: make(chan struct{}),
+	}
 	var ok bool
 	if s.name, ok = p.identifier(); !ok {
 		return p.wrong()
--- a/testbed/host/table.go
+++ b/testbed/host/table.go
@@ -95,9 +95,11 @@
 	if db := c.databases[name]; db != nil {
 		return db
 	}
-	db := &Database{Name: name, cluster: c, schemas: map[string]uint32{"public": 2200, "pg_catalog": 11}, tables: map[string]*Table{},
+	db := &Database{
+		Name: name, cluster: c, schemas: map[string]uint32{"public": 2200, "pg_catalog": 11}, tables: map[string]*Table{},
 		sequences: map[string]*sequence{},
-		functions: map[string]string{}, publications: map[string]*publication{}, subscriptions: map[string]*subscription{}}
+		functions: map[string]string{}, publications: map[string]*publication{}, subscriptions: map[string]*subscription{},
+	}
 	db.oid = c.newOid()
 	c.databases[name] = db
 	db.add("public", "entries")
--- a/testbed/host/value.go
+++ b/testbed/host/value.go
@@ -29,10 +29,12 @@
 	typeLSN         = 3220
 )
 
-var typeNames = map[string]uint32{"bool": typeBool, "boolean": typeBool, "bigint": typeInt8, "int8": typeInt8, "bigserial": typeInt8, "int": typeInt4,
+var typeNames = map[string]uint32{
+	"bool": typeBool, "boolean": typeBool, "bigint": typeInt8, "int8": typeInt8, "bigserial": typeInt8, "int": typeInt4,
 	"integer": typeInt4, "int4": typeInt4, "smallint": typeInt4, "int2": typeInt4, "text": typeText, "varchar": typeText, "name": typeText,
 	"char": typeText, "character": typeText, "oid": typeOid, "xid": typeXid, "xid8": typeInt8, "float8": typeFloat8, "double": typeFloat8,
-	"timestamptz": typeTimestamptz, "timestamp": typeTimestamptz, "numeric": typeNumeric, "regclass": typeRegclass, "pg_lsn": typeLSN, "interval": typeInterval}
+	"timestamptz": typeTimestamptz, "timestamp": typeTimestamptz, "numeric": typeNumeric, "regclass": typeRegclass, "pg_lsn": typeLSN, "interval": typeInterval,
+}
 
 // value is a datum in its text form, by which it is kept, sent and compared; an interval is kept as seconds.
 type value struct {
@@ -143,8 +145,10 @@
 		return value{s: lsnText(n), typ: typeLSN}, nil
 	case typeTimestamptz:
 		if v.typ != typeTimestamptz {
-			for _, form := range []string{timeForm, "2006-01-02 15:04:05.999999-07:00", "2006-01-02 15:04:05.999999999Z07:00", time.RFC3339Nano,
-				"2006-01-02 15:04:05.999999", "2006-01-02"} {
+			for _, form := range []string{
+				timeForm, "2006-01-02 15:04:05.999999-07:00", "2006-01-02 15:04:05.999999999Z07:00", time.RFC3339Nano,
+				"2006-01-02 15:04:05.999999", "2006-01-02",
+			} {
 				if at, err := time.Parse(form, v.s); err == nil {
 					return moment(at), nil
 				}
@@ -162,8 +166,10 @@
 
 // seconds reads an interval of numbers with units up to days, or of the form HH:MM:SS.
 func seconds(s string) (sum float64, ok bool) {
-	units := map[string]float64{"us": 1e-6, "microsecond": 1e-6, "ms": 1e-3, "millisecond": 1e-3, "s": 1, "sec": 1, "second": 1, "m": 60, "min": 60, "minute": 60,
-		"h": 3600, "hour": 3600, "d": 86400, "day": 86400}
+	units := map[string]float64{
+		"us": 1e-6, "microsecond": 1e-6, "ms": 1e-3, "millisecond": 1e-3, "s": 1, "sec": 1, "second": 1, "m": 60, "min": 60, "minute": 60,
+		"h": 3600, "hour": 3600, "d": 86400, "day": 86400,
+	}
 	words := strings.Fields(strings.ToLower(s))
 	for i := 0; i < len(words); i++ {
 		if parts := strings.Split(words[i], ":"); len(parts) == 3 {
--- a/testbed/host/value_test.go
+++ b/testbed/host/value_test.go
@@ -31,8 +31,10 @@
 func TestValuesKeepTheirBinaryForm(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		n := rapid.Int64().Draw(r, "n")
-		for typ, s := range map[uint32]string{typeInt8: strconv.FormatInt(n, 10), typeInt4: strconv.Itoa(int(int32(n))), typeLSN: lsnText(uint64(n)),
-			typeBool: boolean(n%2 == 0).s, typeText: strconv.FormatInt(n, 36), typeOid: strconv.Itoa(int(uint32(n)))} {
+		for typ, s := range map[uint32]string{
+			typeInt8: strconv.FormatInt(n, 10), typeInt4: strconv.Itoa(int(int32(n))), typeLSN: lsnText(uint64(n)),
+			typeBool: boolean(n%2 == 0).s, typeText: strconv.FormatInt(n, 36), typeOid: strconv.Itoa(int(uint32(n))),
+		} {
 			require.Equal(r, s, fromWire(typ, value{s: s, typ: typ}.wire(1)))
 		}
 		list := rapid.SliceOf(rapid.StringMatching(`[a,"\\{} ]{0,3}`)).Draw(r, "list")
--- a/testbed/load/cost.go
+++ b/testbed/load/cost.go
@@ -87,8 +87,12 @@
 		return nil, err
 	}
 	defer stop()
-	targets := []target{{"direct", host, 0, true}, {"relay", relay.address, relay.pid, true},
-		{"transaction", f.Pooler.Sessions, f.Pooler.PID(), true}, {"statement", f.Pooler.Statement, f.Pooler.PID(), false}}
+	targets := []target{
+		{"direct", host, 0, true},
+		{"relay", relay.address, relay.pid, true},
+		{"transaction", f.Pooler.Sessions, f.Pooler.PID(), true},
+		{"statement", f.Pooler.Statement, f.Pooler.PID(), false},
+	}
 	if o.Before != "" {
 		old := f.Options
 		old.Pooler, old.Plain = o.Before, true
--- a/testbed/load/restart.go
+++ b/testbed/load/restart.go
@@ -89,8 +89,10 @@
 	if o.Break != "" {
 		env = append(env, "ASHSTAND_BREAK="+o.Break)
 	}
-	f, err := fleet.Start(fleet.Options{Pooler: o.Pooler, Replicas: max(7, o.Replicas), Lag: 20 * time.Millisecond, Seed: o.Seed, Clients: 10, Servers: 8, Env: env,
-		Log: o.Log, State: folder, Pace: 2 * time.Millisecond})
+	f, err := fleet.Start(fleet.Options{
+		Pooler: o.Pooler, Replicas: max(7, o.Replicas), Lag: 20 * time.Millisecond, Seed: o.Seed, Clients: 10, Servers: 8, Env: env,
+		Log: o.Log, State: folder, Pace: 2 * time.Millisecond,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -120,8 +122,10 @@
 
 // crowd is the load on a fleet's one pooler, which may be killed at any moment.
 func crowd(ctx context.Context, f *fleet.Fleet, g *report.Gather, seed uint64, n int, mean time.Duration, observed func(string, time.Duration, bool)) *sync.WaitGroup {
-	return Crowd(ctx, f, g, Listeners{Name: fmt.Sprint("k", seed), Seed: seed, Count: n, Mean: mean, Address: func() string { return f.Pooler.Statement },
-		Killed: func(time.Time) bool { return true }, Observed: observed})
+	return Crowd(ctx, f, g, Listeners{
+		Name: fmt.Sprint("k", seed), Seed: seed, Count: n, Mean: mean, Address: func() string { return f.Pooler.Statement },
+		Killed: func(time.Time) bool { return true }, Observed: observed,
+	})
 }
 
 // Listeners are clients of one pooler that outlive it.
@@ -370,9 +374,11 @@
 		s.cold = append(s.cold, cold.ColdLoad())
 	}
 	g.Do(func(r *report.Result) {
-		for name, of := range map[string]func(s *side) []float64{"seconds to 95 % of the steady share": func(s *side) []float64 { return s.recovery },
-			"reads at the primary in 5 s":       func(s *side) []float64 { return s.primary },
-			"work sent to the cold host in 5 s": func(s *side) []float64 { return s.cold }} {
+		for name, of := range map[string]func(s *side) []float64{
+			"seconds to 95 % of the steady share": func(s *side) []float64 { return s.recovery },
+			"reads at the primary in 5 s":         func(s *side) []float64 { return s.primary },
+			"work sent to the cold host in 5 s":   func(s *side) []float64 { return s.cold },
+		} {
 			with, without := median(of(&sides[0])), median(of(&sides[1]))
 			if without > 0 {
 				r.Baseline[name], r.Ratio[name] = without, with/without
--- a/testbed/load/sessions.go
+++ b/testbed/load/sessions.go
@@ -37,8 +37,10 @@
 	if o.Break != "" {
 		env = append(env, "ASHSTAND_BREAK="+o.Break)
 	}
-	f, err := fleet.Start(fleet.Options{Pooler: o.Pooler, Replicas: 2, Lag: 150 * time.Millisecond, Seed: o.Seed, MemoryMB: 192,
-		Sockets: o.Sessions + o.Sessions/8 + o.Servers + 200, Clients: o.Sessions, Servers: o.Servers, Env: env, Log: o.Log})
+	f, err := fleet.Start(fleet.Options{
+		Pooler: o.Pooler, Replicas: 2, Lag: 150 * time.Millisecond, Seed: o.Seed, MemoryMB: 192,
+		Sockets: o.Sessions + o.Sessions/8 + o.Servers + 200, Clients: o.Sessions, Servers: o.Servers, Env: env, Log: o.Log,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -48,8 +50,10 @@
 	begun := time.Now()
 	var all sync.WaitGroup
 	for i := range o.Sessions {
-		w := &worker{name: fmt.Sprintf("w%d", i), address: f.Pooler.Sessions, g: g, fleet: f, rng: rand.New(rand.NewPCG(o.Seed, uint64(i))),
-			sleepy: o.Break == "cancel"}
+		w := &worker{
+			name: fmt.Sprintf("w%d", i), address: f.Pooler.Sessions, g: g, fleet: f, rng: rand.New(rand.NewPCG(o.Seed, uint64(i))),
+			sleepy: o.Break == "cancel",
+		}
 		all.Go(func() {
 			time.Sleep(time.Duration(w.rng.Int64N(int64(min(o.Duration/4, 5*time.Second)))))
 			if w.connect(run) != nil {
@@ -135,8 +139,10 @@
 
 // trouble makes each kind of failure happen, over and over.
 func trouble(ctx context.Context, f *fleet.Fleet, g *report.Gather, seed uint64) {
-	usual := host.Faults{CutBefore: 0.002, CutAfter: 0.002, CutAnswer: 0.0004, CutIdle: 0.0004, CutCopy: 0.004, Stall: 0.0002,
-		StallFor: 400 * time.Millisecond, Slow: 0.002, SlowFor: 40 * time.Millisecond, Refuse: 0.05}
+	usual := host.Faults{
+		CutBefore: 0.002, CutAfter: 0.002, CutAnswer: 0.0004, CutIdle: 0.0004, CutCopy: 0.004, Stall: 0.0002,
+		StallFor: 400 * time.Millisecond, Slow: 0.002, SlowFor: 40 * time.Millisecond, Refuse: 0.05,
+	}
 	for _, h := range f.Hosts {
 		h.SetFaults(usual)
 	}
--- a/testbed/load/worker.go
+++ b/testbed/load/worker.go
@@ -164,9 +164,17 @@
 	share int
 	do    func(w *worker)
 }{
-	{"read", 22, (*worker).read}, {"write", 14, (*worker).write}, {"auto_write", 8, (*worker).autoWrite}, {"prepared", 18, (*worker).statement},
-	{"setting", 10, (*worker).settings}, {"rolled_back_setting", 6, (*worker).rolledBack}, {"check", 10, (*worker).check},
-	{"copy", 3, (*worker).copy}, {"cancel", 3, (*worker).cancel}, {"sleep", 3, (*worker).sleep}, {"pipeline", 2, (*worker).pipeline},
+	{"read", 22, (*worker).read},
+	{"write", 14, (*worker).write},
+	{"auto_write", 8, (*worker).autoWrite},
+	{"prepared", 18, (*worker).statement},
+	{"setting", 10, (*worker).settings},
+	{"rolled_back_setting", 6, (*worker).rolledBack},
+	{"check", 10, (*worker).check},
+	{"copy", 3, (*worker).copy},
+	{"cancel", 3, (*worker).cancel},
+	{"sleep", 3, (*worker).sleep},
+	{"pipeline", 2, (*worker).pipeline},
 	{"pin", 1, (*worker).pin},
 }
 
--- a/testbed/report/report.go
+++ b/testbed/report/report.go
@@ -67,9 +67,11 @@
 
 // New returns a measurement that checks these guarantees.
 func New(command string, seed uint64, checks ...string) *Gather {
-	g := &Gather{h: map[string]*hdrhistogram.Histogram{}, r: Result{Command: command, Seed: seed, Broken: map[string]int{},
+	g := &Gather{h: map[string]*hdrhistogram.Histogram{}, r: Result{
+		Command: command, Seed: seed, Broken: map[string]int{},
 		Latency: map[string]Latency{}, Faults: map[string]int{}, Errors: map[string]int{}, Baseline: map[string]float64{}, Ratio: map[string]float64{},
-		Memory: Memory{ByPurpose: map[string]float64{}}}}
+		Memory: Memory{ByPurpose: map[string]float64{}},
+	}}
 	for _, c := range checks {
 		g.r.Broken[c] = 0
 	}
