--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -87,8 +87,8 @@
 	}
 	f.name, f.instance, f.broken = name, binary.BigEndian.Uint64(drawn[:])|1, broken
 	self := membership.Info{
-		Name: name, Instance: f.instance, Started: now.Now(), Version: version(), Oldest: oldestFormat,
-		Newest: newestFormat, Zone: o.Zone, State: membership.Starting,
+		Name: name, Incarnation: f.instance, StartedAt: now.Now(), Version: version(), OldestFormat: oldestFormat,
+		NewestFormat: newestFormat, Zone: o.Zone, State: membership.Starting,
 	}
 	if o.Agree != nil {
 		if err := f.agree(cfg, self, now, broken); err != nil {
@@ -96,8 +96,8 @@
 		}
 	}
 	f.gossip, err = membership.Start(membership.Options{
-		Self: self, Listen: o.Listen, Peers: o.Peers, Keys: keys, Most: o.Members, Probe: o.Probe,
-		Seed: cfg.seed, Clock: now, Changed: f.changed, Break: broken, Message: f.message,
+		Self: self, Listen: o.Listen, Peers: o.Peers, Keys: keys, MaxMembers: o.Members, ProbeInterval: o.Probe,
+		Seed: cfg.seed, Clock: now, OnChange: f.changed, Break: broken, OnMessage: f.message,
 	})
 	if err != nil {
 		f.stop()
@@ -126,7 +126,7 @@
 		}
 	}
 	c := consensus.Config{
-		Name: self.Name, Instance: self.Instance, Voters: a.Voters, Lease: clock.Millis(a.Lease), Drift: a.Drift, Pace: clock.Millis(a.Renew),
+		Name: self.Name, Instance: self.Incarnation, Voters: a.Voters, Lease: clock.Millis(a.Lease), Drift: a.Drift, Pace: clock.Millis(a.Renew),
 		Election: clock.Millis(a.Election), Limits: limits, Format: newestFormat, Seed: cfg.seed, Desk: schedulerConfig(cfg), Break: broken,
 	}
 	f.config = c
@@ -192,7 +192,7 @@
 	defer f.mu.Unlock()
 	if f.state != membership.Draining { // there is no way back
 		f.state = s
-		f.gossip.Self(s)
+		f.gossip.SetState(s)
 	}
 }
 
@@ -213,7 +213,7 @@
 	}
 	keys, err := membership.ReadKeys(n.Keys)
 	if err == nil {
-		err = f.gossip.Rekey(keys)
+		err = f.gossip.RotateKeys(keys)
 	}
 	if err != nil {
 		slog.Error("reload: cluster.keys: " + err.Error() + "; going on with those held")
@@ -323,7 +323,7 @@
 
 func (t *trace) views(changes []membership.Change) {
 	for _, c := range changes {
-		t.line(map[string]any{"event": "view", "of": c.Name, "from": c.From, "to": c.To, "before": fmt.Sprintf("%016x", c.Before), "instance": fmt.Sprintf("%016x", c.Now)})
+		t.line(map[string]any{"event": "view", "of": c.Name, "from": c.From, "to": c.To, "before": fmt.Sprintf("%016x", c.PreviousIncarnation), "instance": fmt.Sprintf("%016x", c.Incarnation)})
 	}
 }
 
@@ -409,7 +409,7 @@
 			if folder == "" || !slices.Contains(voters, args[0]) {
 				return errors.New("--folder names where, --voters all voters, this one among them, alike for each")
 			}
-			return runner.Found(vfs.Real{}, folder, args[0], voters)
+			return runner.Found(vfs.OS{}, folder, args[0], voters)
 		},
 	}
 	found.Flags().StringVar(&folder, "folder", "", "as cluster.agreement.folder has it")
@@ -507,7 +507,7 @@
 	now := clock.System().Now()
 	for _, m := range v.Members {
 		fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%016x\t%s\t%s\t%d-%d\t%s\n", m.Name, m.State, clock.Duration(now-m.Since).Round(time.Second), m.Address,
-			m.Instance, time.UnixMilli(int64(m.Started)).UTC().Format(time.DateTime), m.Zone, m.Oldest, m.Newest, m.Version)
+			m.Incarnation, time.UnixMilli(int64(m.StartedAt)).UTC().Format(time.DateTime), m.Zone, m.OldestFormat, m.NewestFormat, m.Version)
 	}
 }
 
@@ -520,19 +520,19 @@
 	for _, m := range v.Members {
 		count[m.State]++
 	}
-	fmt.Fprintf(w, "name\t%s, instance %016x at %s\n", v.Self.Name, v.Self.Instance, v.Self.Address)
-	if v.Refused != nil {
-		fmt.Fprintf(w, "refused\tthe name is held by instance %016x at %s, which started first\n", v.Refused.Instance, v.Refused.Address)
+	fmt.Fprintf(w, "name\t%s, instance %016x at %s\n", v.Self.Name, v.Self.Incarnation, v.Self.Address)
+	if v.NameHolder != nil {
+		fmt.Fprintf(w, "refused\tthe name is held by instance %016x at %s, which started first\n", v.NameHolder.Incarnation, v.NameHolder.Address)
 	}
 	fmt.Fprintf(w, "members\t%d serving, %d starting, %d draining, %d suspect, %d gone\n", count[membership.Serving], count[membership.Starting],
-		count[membership.Draining], count[membership.Suspect], count[membership.Gone])
-	fmt.Fprintf(w, "known to all within\t%v, where they reach each other\n", clock.Duration(v.Bound).Round(100*time.Millisecond))
+		count[membership.Draining], count[membership.Suspect], count[membership.Dead])
+	fmt.Fprintf(w, "known to all within\t%v, where they reach each other\n", clock.Duration(v.ConvergenceMillis).Round(100*time.Millisecond))
 	fmt.Fprintf(w, "formats that all read\t%d to %d\n", v.Formats[0], v.Formats[1])
-	if len(v.Apart) > 0 {
-		fmt.Fprintf(w, "no format in common with\t%s\n", strings.Join(v.Apart, ", "))
+	if len(v.Incompatible) > 0 {
+		fmt.Fprintf(w, "no format in common with\t%s\n", strings.Join(v.Incompatible, ", "))
 	}
-	for _, t := range v.Twins {
-		fmt.Fprintf(w, "name that came twice\t%s: %016x at %s holds it, %016x at %s is refused\n", t.Name, t.Kept.Instance, t.Kept.Address, t.Sent.Instance, t.Sent.Address)
+	for _, t := range v.NameConflicts {
+		fmt.Fprintf(w, "name that came twice\t%s: %016x at %s holds it, %016x at %s is refused\n", t.Name, t.Holder.Incarnation, t.Holder.Address, t.Rejected.Incarnation, t.Rejected.Address)
 	}
 	for _, k := range []string{"packets", "sent", "streams", "dialed", "huge", "twice", "overrun", "busy", "unreached", "garbage", "foreign", "calls", "joins"} {
 		fmt.Fprintf(w, "%s\t%d\n", k, v.Counters[k])
--- a/cmd/ashstand/homes_test.go
+++ b/cmd/ashstand/homes_test.go
@@ -27,7 +27,7 @@
 
 func TestHomesFollowTheRules(t *testing.T) {
 	folder := filepath.Join(t.TempDir(), "agreed")
-	require.NoError(t, runner.Found(vfs.Real{}, folder, "n1", []string{"n1"}))
+	require.NoError(t, runner.Found(vfs.OS{}, folder, "n1", []string{"n1"}))
 	limits := consensus.Rules{"database.orders.group": 1.0, "database.orders.paused": true, "database.a.b.group": 1.0, "tries": 1.0}
 	r, err := runner.Start(runner.Options{Config: consensus.Config{
 		Name: "n1", Instance: 1, Voters: []string{"n1"}, Lease: 600, Drift: 0.01, Pace: 40,
@@ -108,7 +108,7 @@
 	program := filepath.Join(dir, "ashstand")
 	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
 	require.NoError(t, err, string(out))
-	require.NoError(t, runner.Found(vfs.Real{}, filepath.Join(dir, "agreed"), "n1", []string{"n1"}))
+	require.NoError(t, runner.Found(vfs.OS{}, filepath.Join(dir, "agreed"), "n1", []string{"n1"}))
 	discovery := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		rw.(http.Flusher).Flush()
 		<-r.Context().Done()
--- a/cmd/ashstand/state.go
+++ b/cmd/ashstand/state.go
@@ -29,13 +29,13 @@
 type keeper struct {
 	node  *node
 	store *warmstate.Store
-	head  warmstate.Head
+	head  warmstate.Header
 	pace  time.Duration
 	clock clock.Clock
 
 	mu       sync.Mutex
 	writing  bool // a write is under way; a slow disk may hold it for long
-	taken    []warmstate.Verdict
+	taken    []warmstate.FactAge
 	saves    int
 	failures int
 	failing  bool
@@ -59,13 +59,13 @@
 	if s.Folder == "" {
 		return nil, nil
 	}
-	store, err := warmstate.Open(vfs.Real{}, s.Folder)
+	store, err := warmstate.Open(vfs.OS{}, s.Folder)
 	if err != nil {
 		return nil, err
 	}
-	k := &keeper{node: n, store: store, head: warmstate.Head{Name: cfg.Name, Site: siteOf(cfg)}, pace: s.Pace, clock: clock.System()}
+	k := &keeper{node: n, store: store, head: warmstate.Header{Name: cfg.Name, SiteHash: siteOf(cfg)}, pace: s.Pace, clock: clock.System()}
 	if os.Getenv("ASHSTAND_BREAK") == "sync" {
-		store.Tear()
+		store.DisableAtomicWrites()
 	}
 	snapshot, lost, err := store.Load()
 	if err != nil {
@@ -78,21 +78,21 @@
 		return k, nil
 	}
 	broken := os.Getenv("ASHSTAND_BREAK")
-	w := warmstate.Weigh(snapshot, k.clock.Now(), k.head.Name, k.head.Site, broken == "ageing")
+	w := warmstate.ApplyAge(snapshot, k.clock.Now(), k.head.Name, k.head.SiteHash, broken == "ageing")
 	w.State.TrustPositions = broken == "position"
-	k.taken = w.Verdicts
+	k.taken = w.Facts
 	n.facade.ImportState(w.State)
-	if w.Wear != nil {
-		n.pool.SetWear(w.Wear.Requests, w.Wear.Resets)
+	if w.IdleResets != nil {
+		n.pool.SetWear(w.IdleResets.Requests, w.IdleResets.Resets)
 	}
 	counted := 0
-	for _, v := range w.Verdicts {
+	for _, v := range w.Facts {
 		if v.Weight > 0 {
 			counted++
 		}
 	}
-	slog.Info(fmt.Sprintf("state: %d facts of %d hosts, written %v ago, %d of them still count", len(w.Verdicts), len(snapshot.Hosts),
-		clock.Duration(k.clock.Now()-snapshot.Head.At).Round(time.Millisecond), counted))
+	slog.Info(fmt.Sprintf("state: %d facts of %d hosts, written %v ago, %d of them still count", len(w.Facts), len(snapshot.Hosts),
+		clock.Duration(k.clock.Now()-snapshot.Header.WrittenAt).Round(time.Millisecond), counted))
 	return k, nil
 }
 
@@ -100,7 +100,7 @@
 func (k *keeper) snapshot() ([]byte, error) {
 	requests, resets := k.node.pool.Wear()
 	head := k.head
-	head.At = k.clock.Now()
+	head.WrittenAt = k.clock.Now()
 	list := discovery.List{Snapshot: true}
 	for _, e := range *k.node.list.Load() {
 		list.Endpoints = append(list.Endpoints, e)
@@ -109,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return warmstate.Encode(warmstate.Take(head, k.node.facade.ExportState(), &warmstate.Wear{Requests: requests, Resets: resets}, &warmstate.List{At: head.At, JSON: raw}))
+	return warmstate.Encode(warmstate.NewSnapshot(head, k.node.facade.ExportState(), &warmstate.IdleResets{Requests: requests, Resets: resets}, &warmstate.EndpointList{ReceivedAt: head.WrittenAt, JSON: raw}))
 }
 
 // run saves at the pace that is set, until ctx ends.
@@ -172,7 +172,7 @@
 	Writing  bool                `json:"writing"`
 	Bytes    int                 `json:"bytes"`
 	TookMS   float64             `json:"took_ms"`
-	Taken    []warmstate.Verdict `json:"taken"` // at the start
+	Taken    []warmstate.FactAge `json:"taken"` // at the start
 }
 
 func (k *keeper) view() keeperView {
@@ -203,11 +203,11 @@
 			if err != nil {
 				return err
 			}
-			w := warmstate.Weigh(s, clock.System().Now(), s.Head.Name, s.Head.Site, false)
+			w := warmstate.ApplyAge(s, clock.System().Now(), s.Header.Name, s.Header.SiteHash, false)
 			if asJSON {
-				return printJSON(c.OutOrStdout(), map[string]any{"head": s.Head, "lost": lost, "facts": w.Verdicts})
+				return printJSON(c.OutOrStdout(), map[string]any{"head": s.Header, "lost": lost, "facts": w.Facts})
 			}
-			return stateTable(c.OutOrStdout(), s, lost, w.Verdicts)
+			return stateTable(c.OutOrStdout(), s, lost, w.Facts)
 		},
 	}
 	show.Flags().BoolVar(&asJSON, "json", false, "print JSON instead of a table")
@@ -238,15 +238,15 @@
 	return root
 }
 
-func stateTable(out io.Writer, s *warmstate.Snapshot, lost []string, facts []warmstate.Verdict) error {
-	fmt.Fprintf(out, "pooler %s, site %s, written %v\n", s.Head.Name, s.Head.Site, time.UnixMilli(int64(s.Head.At)).UTC().Format(time.RFC3339))
+func stateTable(out io.Writer, s *warmstate.Snapshot, lost []string, facts []warmstate.FactAge) error {
+	fmt.Fprintf(out, "pooler %s, site %s, written %v\n", s.Header.Name, s.Header.SiteHash, time.UnixMilli(int64(s.Header.WrittenAt)).UTC().Format(time.RFC3339))
 	if len(lost) > 0 {
 		fmt.Fprintf(out, "these parts can't be read: %s\n", strings.Join(lost, ", "))
 	}
 	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(w, "FACT\tAGE\tCOUNTS FOR\tWHY NOT")
 	for _, f := range facts {
-		fmt.Fprintf(w, "%s\t%v\t%.2f\t%s\n", f.What, clock.Duration(f.Age).Round(time.Second), f.Weight, f.Why)
+		fmt.Fprintf(w, "%s\t%v\t%.2f\t%s\n", f.Fact, clock.Duration(f.Age).Round(time.Second), f.Weight, f.Reason)
 	}
 	return errors.Join(w.Flush())
 }
--- a/cmd/ashstand/state_test.go
+++ b/cmd/ashstand/state_test.go
@@ -18,7 +18,7 @@
 
 // stuck is a disk whose writes hang until it is let go.
 type stuck struct {
-	vfs.Real
+	vfs.OS
 	release chan struct{}
 	mu      sync.Mutex
 	creates int
@@ -34,7 +34,7 @@
 		return nil, os.ErrPermission
 	}
 	<-d.release
-	return d.Real.Create(path)
+	return d.OS.Create(path)
 }
 
 func (d *stuck) count() int {
@@ -47,7 +47,7 @@
 func TestADiskThatHangsHoldsUpNothing(t *testing.T) {
 	w := build(t, "postgresql")
 	d := &stuck{release: make(chan struct{}), full: true}
-	k := &keeper{node: w.node, store: warmstate.On(d, t.TempDir()), head: warmstate.Head{Name: "n1", Site: "s"}, clock: clock.System()}
+	k := &keeper{node: w.node, store: warmstate.NewUnlockedStore(d, t.TempDir()), head: warmstate.Header{Name: "n1", SiteHash: "s"}, clock: clock.System()}
 	<-k.save()
 	<-k.save()
 	require.Equal(t, keeperView{File: k.store.Path(), Failures: 2, Failing: true, TookMS: k.view().TookMS}, k.view())
--- a/cmd/testbed/cluster.go
+++ b/cmd/testbed/cluster.go
@@ -68,7 +68,7 @@
 			kinds = append(kinds, k)
 		}
 	}
-	rest := time.Duration(membership.Bound(m.poolers, m.probe)*1e6) + 6*time.Second
+	rest := time.Duration(membership.ConvergenceBoundMillis(m.poolers, m.probe)*1e6) + 6*time.Second
 	if len(kinds) > 0 && m.duration < rest+3*time.Second {
 		return cluster.Plan{}, fmt.Errorf("--duration %v: with faults it takes at least %v, so that what is seen at the end can be judged", m.duration, rest+3*time.Second)
 	}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -50,7 +50,7 @@
 // FaultOf takes code and advice from whatever error of the chain has them.
 func FaultOf(err error) *Fault {
 	f := &Fault{Reason: "failed", Text: err.Error()}
-	if a := remedy.Of(err); a != nil {
+	if a := remedy.Find(err); a != nil {
 		f.Reason, f.Do = a.Code(), a.Advice()
 	}
 	return f
--- a/internal/cluster/consensus/runner/folder.go
+++ b/internal/cluster/consensus/runner/folder.go
@@ -48,19 +48,19 @@
 
 // Folder is where a node keeps what it must not forget. One process has it at a time.
 type Folder struct {
-	disk vfs.Disk
+	disk vfs.FS
 	path string
 	lock io.Closer
 	sure bool // what is there was written and synced by this process, and nothing has failed since
 }
 
 // Open takes a folder, made if it is not there.
-func Open(d vfs.Disk, path string) (*Folder, error) {
-	if err := d.MakeFolder(path); err != nil {
+func Open(d vfs.FS, path string) (*Folder, error) {
+	if err := d.MkdirAll(path); err != nil {
 		return nil, err
 	}
 	l, err := d.Lock(filepath.Join(path, lockName))
-	if errors.Is(err, vfs.ErrHeld) {
+	if errors.Is(err, vfs.ErrLocked) {
 		return nil, fmt.Errorf("%s: %w by another process: %w", path, ErrThere, err)
 	} else if err != nil {
 		return nil, err
@@ -110,7 +110,7 @@
 // knows which.
 func (f *Folder) Save(d *consensus.Disk) error {
 	f.sure = false
-	err := vfs.Replace(f.disk, filepath.Join(f.path, fileName), func(birth string) ([]byte, error) { return encode(d, birth) })
+	err := vfs.ReplaceFile(f.disk, filepath.Join(f.path, fileName), func(birth string) ([]byte, error) { return encode(d, birth) })
 	f.sure = err == nil
 	return err
 }
@@ -174,7 +174,7 @@
 }
 
 // Found writes a voter's first folder. One that holds something is left alone.
-func Found(on vfs.Disk, path, name string, voters []string) error {
+func Found(on vfs.FS, path, name string, voters []string) error {
 	f, err := Open(on, path)
 	if err != nil {
 		return err
--- a/internal/cluster/consensus/runner/golden_test.go
+++ b/internal/cluster/consensus/runner/golden_test.go
@@ -149,21 +149,21 @@
 }
 
 // fixedBirth is a file system that gives all files one birth, so that a folder comes out alike each time.
-type fixedBirth struct{ vfs.Real }
+type fixedBirth struct{ vfs.OS }
 
 type fixedFile struct{ vfs.File }
 
 const goldenBirth = "12 born 34.000000056"
 
-func (fixedFile) Birth() (string, error) { return goldenBirth, nil }
+func (fixedFile) Identity() (string, error) { return goldenBirth, nil }
 
 func (d fixedBirth) Create(path string) (vfs.File, error) {
-	f, err := d.Real.Create(path)
+	f, err := d.OS.Create(path)
 	return fixedFile{f}, err
 }
 
 func (d fixedBirth) ReadFile(path string, most int) ([]byte, string, error) {
-	b, _, err := d.Real.ReadFile(path, most)
+	b, _, err := d.OS.ReadFile(path, most)
 	return b, goldenBirth, err
 }
 
@@ -203,7 +203,7 @@
 		b, err = os.ReadFile(filepath.Join(path, "agreed.json"))
 		require.NoError(t, err)
 		require.Equal(t, string(stored), string(b), name)
-		names, err := vfs.Real{}.Names(path)
+		names, err := vfs.OS{}.ReadDirNames(path)
 		require.NoError(t, err)
 		require.Equal(t, []string{"agreed.json", "agreed.lock"}, names)
 		f.Close()
--- a/internal/cluster/consensus/runner/runner.go
+++ b/internal/cluster/consensus/runner/runner.go
@@ -25,8 +25,8 @@
 // Options are what a runner needs.
 type Options struct {
 	Config  consensus.Config
-	Folder  string   // "": nothing is kept; such a pooler can't vote
-	Disk    vfs.Disk // nil: the operating system's
+	Folder  string // "": nothing is kept; such a pooler can't vote
+	Disk    vfs.FS // nil: the operating system's
 	Clock   clock.Clock
 	Send    func(to string, b []byte) // never waits; what can't be sent is lost
 	Changed func(consensus.Acting)    // told whenever what is acted on changes; nil: nobody
@@ -91,7 +91,7 @@
 	if o.Folder != "" {
 		var err error
 		if o.Disk == nil {
-			o.Disk = vfs.Real{}
+			o.Disk = vfs.OS{}
 		}
 		if r.folder, err = Open(o.Disk, o.Folder); err != nil {
 			return nil, err
--- a/internal/cluster/consensus/runner/runner_test.go
+++ b/internal/cluster/consensus/runner/runner_test.go
@@ -23,11 +23,11 @@
 
 func TestFolder(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "a")
-	require.NoError(t, Found(vfs.Real{}, path, "n1", []string{"n1", "n2", "n3"}))
-	require.ErrorContains(t, Found(vfs.Real{}, path, "n1", []string{"n1"}), "something is kept there already")
-	f, err := Open(vfs.Real{}, path)
+	require.NoError(t, Found(vfs.OS{}, path, "n1", []string{"n1", "n2", "n3"}))
+	require.ErrorContains(t, Found(vfs.OS{}, path, "n1", []string{"n1"}), "something is kept there already")
+	f, err := Open(vfs.OS{}, path)
 	require.NoError(t, err)
-	_, err = Open(vfs.Real{}, path)
+	_, err = Open(vfs.OS{}, path)
 	require.ErrorIs(t, err, ErrThere)
 	d, err := f.Load()
 	require.NoError(t, err)
@@ -66,7 +66,7 @@
 	require.Nil(t, d)
 	require.NoError(t, err, "it was moved aside")
 	f.Close()
-	f, err = Open(vfs.Real{}, path)
+	f, err = Open(vfs.OS{}, path)
 	require.NoError(t, err)
 	f.Close()
 }
@@ -125,7 +125,7 @@
 	for i, name := range []string{"n1", "n2", "n3", "n4"} {
 		folders[name] = filepath.Join(quick(t), name)
 		if name != "n4" {
-			require.NoError(t, Found(vfs.Real{}, folders[name], name, voters))
+			require.NoError(t, Found(vfs.OS{}, folders[name], name, voters))
 		}
 		start(name, uint64(i+1))
 	}
@@ -196,7 +196,7 @@
 // A folder that can't be written is like a process that ended: nothing is sent or acted on that is not kept.
 func TestAFullDisk(t *testing.T) {
 	path := filepath.Join(quick(t), "a")
-	require.NoError(t, Found(vfs.Real{}, path, "n1", []string{"n1"}))
+	require.NoError(t, Found(vfs.OS{}, path, "n1", []string{"n1"}))
 	r, err := Start(Options{Folder: path, Clock: clock.System(), Send: func(string, []byte) {}, Config: consensus.Config{
 		Name: "n1", Voters: []string{"n1"}, Lease: 300,
 		Pace: 30, Election: 60, Format: 1, Limits: consensus.Rules{"tries": 1.0},
@@ -217,7 +217,7 @@
 
 // unsynced is a disk whose syncs fail while it is told so: what is written can be read, but may be gone later.
 type unsynced struct {
-	vfs.Real
+	vfs.OS
 	fails atomic.Bool
 }
 
@@ -227,7 +227,7 @@
 }
 
 func (d *unsynced) Create(path string) (vfs.File, error) {
-	f, err := d.Real.Create(path)
+	f, err := d.OS.Create(path)
 	return unsyncedFile{f, d}, err
 }
 
--- a/internal/cluster/jobs/executor/doing.go
+++ b/internal/cluster/jobs/executor/doing.go
@@ -409,7 +409,7 @@
 		v := Status{WaitingFor: a.wait, Options: a.says, LastResponseMillis: a.seen}
 		if a.err != nil {
 			v.Message = a.err.Error()
-			if known := remedy.Of(a.err); known != nil {
+			if known := remedy.Find(a.err); known != nil {
 				v.Code, v.Advice = known.Code(), known.Advice()
 			}
 		}
--- a/internal/cluster/membership/golden_test.go
+++ b/internal/cluster/membership/golden_test.go
@@ -35,7 +35,7 @@
 
 func goldenInfo(s State) Info {
 	return Info{
-		Name: "n1", Address: "127.0.0.1:7101", Instance: 0x0123456789abcdef, Started: 1767225600123.5, Version: "v1.2.3", Oldest: 2, Newest: 3,
+		Name: "n1", Address: "127.0.0.1:7101", Incarnation: 0x0123456789abcdef, StartedAt: 1767225600123.5, Version: "v1.2.3", OldestFormat: 2, NewestFormat: 3,
 		Zone: "z1", State: s,
 	}
 }
@@ -46,7 +46,7 @@
 		b, err := goldenInfo(s).Encode(512)
 		require.NoError(t, err)
 		stored := golden(t, "info_"+string(s)+".json", b)
-		i, err := Decode("n1", "127.0.0.1:7101", stored)
+		i, err := DecodeInfo("n1", "127.0.0.1:7101", stored)
 		require.NoError(t, err)
 		require.Equal(t, goldenInfo(s), i)
 		again, err := i.Encode(512)
@@ -55,43 +55,43 @@
 	}
 }
 
-// recorder is a transport of the library that keeps what is sent instead of sending it.
-type recorder struct {
+// recordingTransport is a transport of the library that keeps what is sent instead of sending it.
+type recordingTransport struct {
 	packets chan []byte
 	streams chan net.Conn
 }
 
-var _ memberlist.NodeAwareTransport = (*recorder)(nil)
+var _ memberlist.NodeAwareTransport = (*recordingTransport)(nil)
 
-func (r *recorder) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
+func (r *recordingTransport) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
 	return net.IPv4(127, 0, 0, 1), 7101, nil
 }
 
-func (r *recorder) WriteTo(b []byte, addr string) (time.Time, error) {
+func (r *recordingTransport) WriteTo(b []byte, addr string) (time.Time, error) {
 	return r.WriteToAddress(b, memberlist.Address{Addr: addr})
 }
 
-func (r *recorder) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
+func (r *recordingTransport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
 	r.packets <- append([]byte(a.Name+"@"+a.Addr+" "), b...)
 	return time.Now(), nil
 }
 
-func (r *recorder) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
+func (r *recordingTransport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
 	return r.DialAddressTimeout(memberlist.Address{Addr: addr}, timeout)
 }
 
-func (r *recorder) DialAddressTimeout(memberlist.Address, time.Duration) (net.Conn, error) {
+func (r *recordingTransport) DialAddressTimeout(memberlist.Address, time.Duration) (net.Conn, error) {
 	here, there := net.Pipe()
 	r.streams <- there
 	return here, nil
 }
 
-func (r *recorder) PacketCh() <-chan *memberlist.Packet { return nil }
-func (r *recorder) StreamCh() <-chan net.Conn           { return nil }
-func (r *recorder) Shutdown() error                     { return nil }
+func (r *recordingTransport) PacketCh() <-chan *memberlist.Packet { return nil }
+func (r *recordingTransport) StreamCh() <-chan net.Conn           { return nil }
+func (r *recordingTransport) Shutdown() error                     { return nil }
 
-func recorded(t *testing.T) (*memberlist.Memberlist, *recorder) {
-	r := &recorder{packets: make(chan []byte, 16), streams: make(chan net.Conn, 1)}
+func newRecordingList(t *testing.T) (*memberlist.Memberlist, *recordingTransport) {
+	r := &recordingTransport{packets: make(chan []byte, 16), streams: make(chan net.Conn, 1)}
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Transport, c.LogOutput, c.EnableCompression = "n1", r, io.Discard, false
 	list, err := memberlist.Create(c)
@@ -102,24 +102,24 @@
 
 // The two kinds of messages of our own have the same bytes, as datagrams and as a stream, and are read from them.
 func TestGoldenMessages(t *testing.T) {
-	list, r := recorded(t)
+	list, r := newRecordingList(t)
 	var received [][]byte
-	g := &Gossip{o: Options{
+	g := &Gossip{options: Options{
 		Self: goldenInfo(Serving), Peers: map[string]string{"n2": "127.0.0.1:7102"}, Clock: clock.System(),
-		Message: func(b []byte) { received = append(received, b) },
+		OnMessage: func(b []byte) { received = append(received, b) },
 	}, list: list, table: NewTable(goldenInfo(Serving), 8, 1)}
 
 	twin := goldenInfo(Draining)
-	twin.Name, twin.Address, twin.Instance, twin.Started = "n1", "127.0.0.1:7199", 0xfedcba9876543210, 1767225600999
-	notice(list, goldenInfo(Serving), twin)
+	twin.Name, twin.Address, twin.Incarnation, twin.StartedAt = "n1", "127.0.0.1:7199", 0xfedcba9876543210, 1767225600999
+	sendNameConflict(list, goldenInfo(Serving), twin)
 	stored := golden(t, "message_name_conflict.bin", <-r.packets)
 	_, body, found := bytes.Cut(stored, []byte("@127.0.0.1:7101 \x08"))
 	require.True(t, found, "a user message of the library, to where the other says that it listens")
 	(*delegate)(g).NotifyMsg(body)
-	require.Zero(t, g.foreign.Load())
-	require.Len(t, g.table.Twins(), 1)
-	require.Equal(t, []Info{goldenInfo(Serving), twin}, []Info{g.table.Twins()[0].Kept, g.table.Twins()[0].Sent})
-	notice(list, g.table.Twins()[0].Kept, g.table.Twins()[0].Sent)
+	require.Zero(t, g.malformedMessages.Load())
+	require.Len(t, g.table.NameConflicts(), 1)
+	require.Equal(t, []Info{goldenInfo(Serving), twin}, []Info{g.table.NameConflicts()[0].Holder, g.table.NameConflicts()[0].Rejected})
+	sendNameConflict(list, g.table.NameConflicts()[0].Holder, g.table.NameConflicts()[0].Rejected)
 	require.Equal(t, stored, <-r.packets, "the same again after reading")
 
 	payload := []byte("a message of the agreement\x00\xff")
@@ -138,16 +138,16 @@
 	stored = golden(t, "message_payload_stream.bin", b)
 	(*delegate)(g).NotifyMsg(stored[len(stored)-len(long)-1:])
 	require.Equal(t, [][]byte{payload, long}, received)
-	require.Zero(t, g.foreign.Load())
+	require.Zero(t, g.malformedMessages.Load())
 }
 
 // What operators and traces get of the table has the same keys.
 func TestGoldenView(t *testing.T) {
 	self, holder, other := goldenInfo(Serving), goldenInfo(Starting), goldenInfo(Suspect)
 	view := View{
-		Self: self, Refused: &holder, Members: []Member{{Info: other, Since: 17}},
-		Twins: []Twin{{Name: "n1", Kept: holder, Sent: self, At: 18, told: 19}}, Bound: Bound(3, time.Second), Formats: [2]int{2, 3},
-		Apart: []string{"n4"}, Counters: map[string]int64{"garbage": 1, "foreign": 2, "joins": 3, "calls": 4},
+		Self: self, NameHolder: &holder, Members: []Member{{Info: other, Since: 17}},
+		NameConflicts: []NameConflict{{Name: "n1", Holder: holder, Rejected: self, LastSeen: 18, notifiedAt: 19}}, ConvergenceMillis: ConvergenceBoundMillis(3, time.Second), Formats: [2]int{2, 3},
+		Incompatible: []string{"n4"}, Counters: map[string]int64{"garbage": 1, "foreign": 2, "joins": 3, "calls": 4},
 	}
 	b, err := json.MarshalIndent(view, "", "\t")
 	require.NoError(t, err)
@@ -158,7 +158,7 @@
 	require.NoError(t, err)
 	require.Equal(t, string(stored), string(again))
 
-	b, err = json.Marshal([]Change{{At: 5, Name: "n2", From: Serving, To: Gone, Before: 6, Now: 7}})
+	b, err = json.Marshal([]Change{{At: 5, Name: "n2", From: Serving, To: Dead, PreviousIncarnation: 6, Incarnation: 7}})
 	require.NoError(t, err)
 	stored = golden(t, "changes.json", b)
 	var changes []Change
--- a/internal/cluster/membership/gossip.go
+++ b/internal/cluster/membership/gossip.go
@@ -27,17 +27,17 @@
 
 // Options are what the operator's file says.
 type Options struct {
-	Self    Info
-	Listen  string
-	Peers   map[string]string // address by name, in this pooler's own view
-	Keys    [][]byte          // the first encrypts, all decrypt
-	Most    int               // members
-	Probe   time.Duration     // how often one member is asked whether it is there
-	Seed    uint64
-	Clock   clock.Clock
-	Changed func([]Change) // told of each change of view, in order; nil: nobody
-	Message func(b []byte) // takes what another member sends by Send; it must not wait; nil: nobody
-	Break   string         // what is switched off to see a checker fail; "": nothing
+	Self          Info
+	Listen        string
+	Peers         map[string]string // address by name, in this pooler's own view
+	Keys          [][]byte          // the first encrypts, all decrypt
+	MaxMembers    int               // members
+	ProbeInterval time.Duration     // how often one member is asked whether it is there
+	Seed          uint64
+	Clock         clock.Clock
+	OnChange      func([]Change) // told of each change of view, in order; nil: nobody
+	OnMessage     func(b []byte) // takes what another member sends by Send; it must not wait; nil: nobody
+	Break         string         // what is switched off to see a checker fail; "": nothing
 }
 
 // Breakable are the words of Options.Break.
@@ -62,12 +62,12 @@
 	waiting = 512
 )
 
-// Bound is the stated time, in milliseconds: within it every member that is reached both ways by one that knows of a
+// ConvergenceBoundMillis is the stated time, in milliseconds: within it every member that is reached both ways by one that knows of a
 // change knows of it too, and a member that is not reached by anybody is gone at all. It follows from the library's own
 // timing: a probe round over all members (n probes, an interval each, and as much again while this member doubts itself),
 // the longest suspicion (6 times 4 times log10 of n, at least 1, intervals), then gossip, and for the healing of a
 // partition the longest pause between calls to a member out of sight, twice, since one call may be lost.
-func Bound(n int, probe time.Duration) float64 {
+func ConvergenceBoundMillis(n int, probe time.Duration) float64 {
 	interval := clock.Millis(probe)
 	suspicion := suspicionMult * max(1, math.Log10(float64(max(1, n)))) * suspicionMax * interval
 	return 2*float64(max(2, n))*interval + suspicion + 2*clock.Millis(joinMost) + clock.Millis(streamTimeout)
@@ -80,23 +80,23 @@
 
 // Gossip keeps a Table up to date with the other members. All of its methods are safe for concurrent use.
 type Gossip struct {
-	o       Options
+	options Options
 	lots    *rand.Rand // of the watcher alone
-	keys    *memberlist.Keyring
+	keyring *memberlist.Keyring
 	mu      sync.Mutex // of table, list and below
 	table   *Table
 	list    *memberlist.Memberlist // nil: the name is refused
 	wire    *wire
 	refused float64 // since when; 0: it is not
 	holder  Info
-	ended   chan struct{}
+	closing chan struct{}
 	done    sync.WaitGroup
 
-	garbage atomic.Int64 // messages that could not be read
-	foreign atomic.Int64 // words of members that make no sense
-	joins   atomic.Int64
-	streams sync.Map // by name, *atomic.Int64: those that bring messages of ours out now; names are the file's
-	heal    atomic.Int64
+	garbage           atomic.Int64 // messages that could not be read
+	malformedMessages atomic.Int64 // words of members that make no sense
+	joins             atomic.Int64
+	streams           sync.Map // by name, *atomic.Int64: those that bring messages of ours out now; names are the file's
+	heal              atomic.Int64
 }
 
 // Start opens the sockets and begins to look for members. It never waits for them.
@@ -104,9 +104,9 @@
 	if o.Clock == nil {
 		o.Clock = clock.System()
 	}
-	g := &Gossip{o: o, lots: rand.New(rand.NewPCG(o.Seed, 0x6d656d)), ended: make(chan struct{})}
+	g := &Gossip{options: o, lots: rand.New(rand.NewPCG(o.Seed, 0x6d656d)), closing: make(chan struct{})}
 	var err error
-	if g.keys, err = memberlist.NewKeyring(o.Keys, o.Keys[0]); err != nil {
+	if g.keyring, err = memberlist.NewKeyring(o.Keys, o.Keys[0]); err != nil {
 		return nil, fmt.Errorf("cluster: keys: %w", err)
 	}
 	if err := g.open(); err != nil {
@@ -120,25 +120,25 @@
 func (g *Gossip) open() error {
 	w := &wire{packets: make(chan *memberlist.Packet, waiting), streams: make(chan net.Conn, 8)}
 	var err error
-	if w.Transport, err = transport.Listen(g.o.Listen, g.o.Peers, w); err != nil {
+	if w.Transport, err = transport.Listen(g.options.Listen, g.options.Peers, w); err != nil {
 		return err
 	}
 	g.mu.Lock()
-	g.o.Self.Address = w.Address().String()
-	table := NewTable(g.o.Self, g.o.Most, g.o.Clock.Now())
-	table.loose = g.o.Break == "names"
+	g.options.Self.Address = w.Address().String()
+	table := NewTable(g.options.Self, g.options.MaxMembers, g.options.Clock.Now())
+	table.loose = g.options.Break == "names"
 	g.table, g.wire, g.refused = table, w, 0
 	g.mu.Unlock()
 	c := memberlist.DefaultLANConfig()
-	c.Name, c.Transport, c.Keyring = g.o.Self.Name, w, g.keys
+	c.Name, c.Transport, c.Keyring = g.options.Self.Name, w, g.keyring
 	c.BindAddr, c.BindPort = w.Address().IP.String(), w.Address().Port
 	c.AdvertiseAddr, c.AdvertisePort = c.BindAddr, c.BindPort
-	c.ProbeInterval, c.ProbeTimeout = g.o.Probe, g.o.Probe/2
+	c.ProbeInterval, c.ProbeTimeout = g.options.ProbeInterval, g.options.ProbeInterval/2
 	c.SuspicionMult, c.SuspicionMaxTimeoutMult = suspicionMult, suspicionMax
-	c.GossipInterval = g.o.Probe / 5
-	c.PushPullInterval = 15 * g.o.Probe
+	c.GossipInterval = g.options.ProbeInterval / 5
+	c.PushPullInterval = 15 * g.options.ProbeInterval
 	c.TCPTimeout = streamTimeout
-	c.GossipToTheDeadTime = 30 * g.o.Probe
+	c.GossipToTheDeadTime = 30 * g.options.ProbeInterval
 	c.DeadNodeReclaimTime = time.Millisecond // Claim has decided by then
 	c.UDPBufferSize, c.HandoffQueueDepth = 1350, 1024
 	c.EnableCompression = false // what is said is short, and encrypted bytes don't shrink
@@ -156,36 +156,36 @@
 	return nil
 }
 
-// Self changes what this member says of itself.
-func (g *Gossip) Self(s State) {
+// SetState changes what this member says of itself.
+func (g *Gossip) SetState(s State) {
 	g.mu.Lock()
-	if g.o.Self.State == s {
+	if g.options.Self.State == s {
 		g.mu.Unlock()
 		return
 	}
-	g.o.Self.State = s
-	g.table.Self(s, g.o.Clock.Now())
+	g.options.Self.State = s
+	g.table.SetState(s, g.options.Clock.Now())
 	list := g.list
 	g.mu.Unlock()
 	if list != nil {
-		go func() { _ = list.UpdateNode(g.o.Probe) }() // it waits until that is sent on; whoever calls need not
+		go func() { _ = list.UpdateNode(g.options.ProbeInterval) }() // it waits until that is sent on; whoever calls need not
 	}
 	g.tell()
 }
 
-// Rekey takes other keys: the first encrypts from now on, and only those given decrypt.
-func (g *Gossip) Rekey(keys [][]byte) error {
+// RotateKeys takes other keys: the first encrypts from now on, and only those given decrypt.
+func (g *Gossip) RotateKeys(keys [][]byte) error {
 	for _, k := range keys {
-		if err := g.keys.AddKey(k); err != nil {
+		if err := g.keyring.AddKey(k); err != nil {
 			return err
 		}
 	}
-	if err := g.keys.UseKey(keys[0]); err != nil {
+	if err := g.keyring.UseKey(keys[0]); err != nil {
 		return err
 	}
-	for _, old := range g.keys.GetKeys() {
+	for _, old := range g.keyring.GetKeys() {
 		if !slices.ContainsFunc(keys, func(k []byte) bool { return bytes.Equal(k, old) }) {
-			if err := g.keys.RemoveKey(old); err != nil {
+			if err := g.keyring.RemoveKey(old); err != nil {
 				return err
 			}
 		}
@@ -197,13 +197,13 @@
 func (g *Gossip) SetPeers(peers map[string]string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.o.Peers = peers
+	g.options.Peers = peers
 	g.wire.SetPeers(peers)
 }
 
 // Stop leaves, so that the others need not find out, and closes the sockets.
 func (g *Gossip) Stop() {
-	close(g.ended)
+	close(g.closing)
 	g.done.Wait()
 	g.mu.Lock()
 	list := g.list
@@ -219,12 +219,12 @@
 // datagrams and may get lost, come twice or late; longer ones by a stream of their own. It does not wait.
 func (g *Gossip) Send(name string, b []byte) {
 	g.mu.Lock()
-	list, address := g.list, g.o.Peers[name]
+	list, address := g.list, g.options.Peers[name]
 	g.mu.Unlock()
 	if list == nil || address == "" {
 		return
 	}
-	text := append([]byte{wordMessage}, b...)
+	text := append([]byte{kindPayload}, b...)
 	if len(text) <= datagramMost {
 		_ = list.SendToAddress(memberlist.Address{Addr: address, Name: name}, text)
 		return
@@ -247,14 +247,14 @@
 
 // View is what operators see.
 type View struct {
-	Self     Info             `json:"self"`
-	Refused  *Info            `json:"refused,omitempty"` // who holds this instance's name
-	Members  []Member         `json:"members"`
-	Twins    []Twin           `json:"twins"`
-	Bound    float64          `json:"bound_ms"`
-	Formats  [2]int           `json:"formats"` // that all read
-	Apart    []string         `json:"apart,omitempty"`
-	Counters map[string]int64 `json:"counters"`
+	Self              Info             `json:"self"`
+	NameHolder        *Info            `json:"refused,omitempty"` // who holds this instance's name
+	Members           []Member         `json:"members"`
+	NameConflicts     []NameConflict   `json:"twins"`
+	ConvergenceMillis float64          `json:"bound_ms"`
+	Formats           [2]int           `json:"formats"` // that all read
+	Incompatible      []string         `json:"apart,omitempty"`
+	Counters          map[string]int64 `json:"counters"`
 }
 
 // View returns it.
@@ -262,14 +262,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	v := View{
-		Self: g.o.Self, Members: g.table.Members(), Twins: g.table.Twins(), Bound: Bound(len(g.o.Peers)+1, g.o.Probe),
+		Self: g.options.Self, Members: g.table.Members(), NameConflicts: g.table.NameConflicts(), ConvergenceMillis: ConvergenceBoundMillis(len(g.options.Peers)+1, g.options.ProbeInterval),
 		Counters: g.wire.Counters.Snapshot(),
 	}
 	if g.refused > 0 {
-		v.Refused = &g.holder
+		v.NameHolder = &g.holder
 	}
-	v.Formats[0], v.Formats[1], v.Apart = g.table.Common()
-	for name, n := range map[string]*atomic.Int64{"garbage": &g.garbage, "foreign": &g.foreign, "joins": &g.joins, "calls": &g.heal} {
+	v.Formats[0], v.Formats[1], v.Incompatible = g.table.CommonFormats()
+	for name, n := range map[string]*atomic.Int64{"garbage": &g.garbage, "foreign": &g.malformedMessages, "joins": &g.joins, "calls": &g.heal} {
 		v.Counters[name] = n.Load()
 	}
 	return v
@@ -278,10 +278,10 @@
 // tell passes changes of view on.
 func (g *Gossip) tell() {
 	g.mu.Lock()
-	changes := g.table.Changes()
+	changes := g.table.TakeChanges()
 	g.mu.Unlock()
-	if g.o.Changed != nil && len(changes) > 0 {
-		g.o.Changed(changes)
+	if g.options.OnChange != nil && len(changes) > 0 {
+		g.options.OnChange(changes)
 	}
 }
 
@@ -292,11 +292,11 @@
 	next, wait := 0.0, joinFirst
 	for {
 		select {
-		case <-g.ended:
+		case <-g.closing:
 			return
 		case <-pace.C:
 		}
-		now := g.o.Clock.Now()
+		now := g.options.Clock.Now()
 		if g.away(now) {
 			continue
 		}
@@ -306,9 +306,9 @@
 		switch {
 		case len(missing) == 0:
 			next, wait = 0, joinFirst
-		case now >= next && g.o.Break != "rejoin":
+		case now >= next && g.options.Break != "rejoin":
 			g.call(missing)
-			next = g.o.Clock.Now() + clock.Millis(wait)*(1+g.lots.Float64())/2
+			next = g.options.Clock.Now() + clock.Millis(wait)*(1+g.lots.Float64())/2
 			wait = min(joinMost, 2*wait)
 		}
 	}
@@ -317,7 +317,7 @@
 // away deals with a name that another instance holds: this one closes its sockets and comes back after a while.
 func (g *Gossip) away(now float64) bool {
 	g.mu.Lock()
-	holder, refused := g.table.Refused()
+	holder, refused := g.table.NameHolder()
 	since, list := g.refused, g.list
 	if refused && since == 0 {
 		g.refused, g.holder, g.list = now, holder, nil
@@ -328,7 +328,7 @@
 		return false
 	case since == 0:
 		slog.Error(fmt.Sprintf("cluster: the name %q is held by instance %016x at %s, which started first; this one stays out of the cluster for %v",
-			holder.Name, holder.Instance, holder.Address, refusedPause))
+			holder.Name, holder.Incarnation, holder.Address, refusedPause))
 		if list != nil {
 			_ = list.Shutdown() // without a word: to leave would be said of the name
 		}
@@ -355,8 +355,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, n := range nodes {
-		if i, err := Decode(n.Name, n.Address(), n.Meta); err == nil {
-			g.table.Hear(i, true, n.State == memberlist.StateSuspect, now)
+		if i, err := DecodeInfo(n.Name, n.Address(), n.Meta); err == nil {
+			g.table.Observe(i, true, n.State == memberlist.StateSuspect, now)
 		}
 	}
 	g.table.Tick(now)
@@ -366,11 +366,11 @@
 func (g *Gossip) missing() (names []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	there := map[string]bool{g.o.Self.Name: true}
+	there := map[string]bool{g.options.Self.Name: true}
 	for _, m := range g.table.Members() {
-		there[m.Name] = there[m.Name] || m.State != Gone
+		there[m.Name] = there[m.Name] || m.State != Dead
 	}
-	for name := range g.o.Peers {
+	for name := range g.options.Peers {
 		if !there[name] {
 			names = append(names, name)
 		}
@@ -383,7 +383,7 @@
 func (g *Gossip) call(names []string) {
 	name := names[g.lots.IntN(len(names))]
 	g.mu.Lock()
-	list, address := g.list, g.o.Peers[name]
+	list, address := g.list, g.options.Peers[name]
 	g.mu.Unlock()
 	if list == nil {
 		return
@@ -403,7 +403,7 @@
 
 var _ memberlist.NodeAwareTransport = (*wire)(nil)
 
-func (w *wire) Packet(b []byte, from net.Addr, at time.Time) bool {
+func (w *wire) HandlePacket(b []byte, from net.Addr, at time.Time) bool {
 	select {
 	case w.packets <- &memberlist.Packet{Buf: bytes.Clone(b), From: from, Timestamp: at}:
 		return true
@@ -412,7 +412,7 @@
 	}
 }
 
-func (w *wire) Stream(c net.Conn) bool {
+func (w *wire) HandleStream(c net.Conn) bool {
 	select {
 	case w.streams <- c:
 		return true
@@ -455,15 +455,15 @@
 
 // The kinds of messages of our own between members: the first byte.
 const (
-	wordTwin    = 1
-	wordMessage = 2
+	kindNameConflict = 1
+	kindPayload      = 2
 )
 
 // NodeMeta is what this member says of itself.
 func (d *delegate) NodeMeta(limit int) []byte {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	b, err := d.o.Self.Encode(limit)
+	b, err := d.options.Self.Encode(limit)
 	if err != nil { // the bounds of its parts leave room for all
 		slog.Error("cluster: " + err.Error())
 	}
@@ -472,19 +472,19 @@
 
 // claim checks a word of any origin against the table.
 func (d *delegate) claim(n *memberlist.Node) error {
-	i, err := Decode(n.Name, n.Address(), n.Meta)
+	i, err := DecodeInfo(n.Name, n.Address(), n.Meta)
 	if err != nil {
-		d.foreign.Add(1)
+		d.malformedMessages.Add(1)
 		return err
 	}
 	held, due, err := d.check(i)
-	if due && i.Name != d.o.Self.Name { // tell both: each may have heard nothing of the other
+	if due && i.Name != d.options.Self.Name { // tell both: each may have heard nothing of the other
 		d.mu.Lock()
 		list := d.list
 		d.mu.Unlock()
 		if list != nil {
-			go notice(list, held, i)
-			go notice(list, i, held)
+			go sendNameConflict(list, held, i)
+			go sendNameConflict(list, i, held)
 		}
 	}
 	return err
@@ -494,11 +494,11 @@
 func (d *delegate) check(i Info) (held Info, due bool, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.o.Clock.Now()
-	if err = d.table.Claim(i, now); !errors.Is(err, ErrTwin) {
+	now := d.options.Clock.Now()
+	if err = d.table.Admit(i, now); !errors.Is(err, ErrNameConflict) {
 		return held, false, err
 	}
-	due, first := d.table.Tell(i.Name, now)
+	due, first := d.table.ShouldNotify(i.Name, now)
 	if first {
 		slog.Warn("cluster: " + err.Error())
 	}
@@ -508,9 +508,9 @@
 	return held, due, err
 }
 
-// notice tells an instance of another one of its name. It goes to where that instance says that it listens, since the
+// sendNameConflict tells an instance of another one of its name. It goes to where that instance says that it listens, since the
 // name leads to one of the two alone.
-func notice(list *memberlist.Memberlist, to, twin Info) {
+func sendNameConflict(list *memberlist.Memberlist, to, twin Info) {
 	b, err := twin.Encode(math.MaxInt)
 	if err != nil {
 		return
@@ -519,18 +519,18 @@
 	if err != nil {
 		return
 	}
-	text := append([]byte{wordTwin}, strconv.Quote(twin.Name)+" "+strconv.Quote(twin.Address)+" "...)
+	text := append([]byte{kindNameConflict}, strconv.Quote(twin.Name)+" "+strconv.Quote(twin.Address)+" "...)
 	_ = list.SendToAddress(memberlist.Address{Addr: at.String()}, append(text, b...))
 }
 
 // NotifyMsg takes a message of our own.
 func (d *delegate) NotifyMsg(b []byte) {
-	if len(b) > 1 && b[0] == wordMessage && d.o.Message != nil {
-		d.o.Message(bytes.Clone(b[1:]))
+	if len(b) > 1 && b[0] == kindPayload && d.options.OnMessage != nil {
+		d.options.OnMessage(bytes.Clone(b[1:]))
 		return
 	}
-	if len(b) < 2 || b[0] != wordTwin {
-		d.foreign.Add(1)
+	if len(b) < 2 || b[0] != kindNameConflict {
+		d.malformedMessages.Add(1)
 		return
 	}
 	rest := string(b[1:])
@@ -538,15 +538,15 @@
 	for i := range words {
 		q, err := strconv.QuotedPrefix(rest)
 		if err != nil {
-			d.foreign.Add(1)
+			d.malformedMessages.Add(1)
 			return
 		}
 		words[i], _ = strconv.Unquote(q)
 		rest = strings.TrimPrefix(rest[len(q):], " ")
 	}
-	twin, err := Decode(words[0], words[1], []byte(rest))
-	if err != nil || twin.Name != d.o.Self.Name {
-		d.foreign.Add(1)
+	twin, err := DecodeInfo(words[0], words[1], []byte(rest))
+	if err != nil || twin.Name != d.options.Self.Name {
+		d.malformedMessages.Add(1)
 		return
 	}
 	_, _, _ = d.check(twin)
@@ -563,7 +563,7 @@
 		if n.State == memberlist.StateDead || n.State == memberlist.StateLeft {
 			continue
 		}
-		if err := d.claim(n); errors.Is(err, ErrTwin) && n.Name == d.o.Self.Name {
+		if err := d.claim(n); errors.Is(err, ErrNameConflict) && n.Name == d.options.Self.Name {
 			return err
 		}
 	}
@@ -574,12 +574,12 @@
 func (d *delegate) NotifyConflict(_, other *memberlist.Node) { _ = d.claim(other) }
 
 func (d *delegate) hear(n *memberlist.Node, alive bool) {
-	i, err := Decode(n.Name, n.Address(), n.Meta)
+	i, err := DecodeInfo(n.Name, n.Address(), n.Meta)
 	if err != nil {
 		return
 	}
 	d.mu.Lock()
-	d.table.Hear(i, alive, false, d.o.Clock.Now())
+	d.table.Observe(i, alive, false, d.options.Clock.Now())
 	d.mu.Unlock()
 }
 
--- a/internal/cluster/membership/gossip_test.go
+++ b/internal/cluster/membership/gossip_test.go
@@ -19,44 +19,44 @@
 
 const probe = 50 * time.Millisecond
 
-// port is a free address for streams and datagrams alike.
-func port(t *testing.T) string {
+// freeAddress is a free address for streams and datagrams alike.
+func freeAddress(t *testing.T) string {
 	a, err := fleet.Free()
 	require.NoError(t, err)
 	return a
 }
 
-func key() []byte {
+func randomKey() []byte {
 	b := make([]byte, 32)
 	_, _ = rand.Read(b)
 	return b
 }
 
-// few starts so many members that know all of each other.
-func few(t *testing.T, n int, keys [][]byte) (out []*Gossip, at map[string]string) {
+// startMembers starts so many members that know all of each other.
+func startMembers(t *testing.T, n int, keys [][]byte) (out []*Gossip, at map[string]string) {
 	at = map[string]string{}
 	for i := range n {
-		at[fmt.Sprint("n", i)] = port(t)
+		at[fmt.Sprint("n", i)] = freeAddress(t)
 	}
 	for i := range n {
-		out = append(out, one(t, fmt.Sprint("n", i), at[fmt.Sprint("n", i)], uint64(100+i), at, keys))
+		out = append(out, startMember(t, fmt.Sprint("n", i), at[fmt.Sprint("n", i)], uint64(100+i), at, keys))
 	}
 	return out, at
 }
 
-func one(t *testing.T, name, listen string, instance uint64, at map[string]string, keys [][]byte) *Gossip {
+func startMember(t *testing.T, name, listen string, instance uint64, at map[string]string, keys [][]byte) *Gossip {
 	peers := map[string]string{}
 	for k, v := range at {
 		if k != name {
 			peers[k] = v
 		}
 	}
-	self := Info{Name: name, Instance: instance, Started: clock.System().Now(), Version: "test", Oldest: 1, Newest: 1, Zone: "a", State: Serving}
-	g, err := Start(Options{Self: self, Listen: listen, Peers: peers, Keys: keys, Most: 16, Probe: probe, Seed: instance})
+	self := Info{Name: name, Incarnation: instance, StartedAt: clock.System().Now(), Version: "test", OldestFormat: 1, NewestFormat: 1, Zone: "a", State: Serving}
+	g, err := Start(Options{Self: self, Listen: listen, Peers: peers, Keys: keys, MaxMembers: 16, ProbeInterval: probe, Seed: instance})
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		select {
-		case <-g.ended:
+		case <-g.closing:
 		default:
 			g.Stop()
 		}
@@ -64,7 +64,7 @@
 	return g
 }
 
-func sees(g *Gossip, name string) State {
+func stateOf(g *Gossip, name string) State {
 	for _, m := range g.View().Members {
 		if m.Name == name {
 			return m.State
@@ -75,56 +75,56 @@
 
 func eventually(t *testing.T, what string, is func() bool) {
 	t.Helper()
-	within := clock.Duration(Bound(4, probe)) + 2*time.Second
+	within := clock.Duration(ConvergenceBoundMillis(4, probe)) + 2*time.Second
 	require.Eventually(t, is, within, 10*time.Millisecond, what)
 }
 
-func TestMembersMeetLeaveAndAreMissed(t *testing.T) {
-	gs, at := few(t, 3, [][]byte{key()})
+func TestMembersJoinLeaveAndRejoin(t *testing.T) {
+	gs, at := startMembers(t, 3, [][]byte{randomKey()})
 	for _, g := range gs {
 		for _, name := range []string{"n0", "n1", "n2"} {
-			eventually(t, name, func() bool { return sees(g, name) == Serving })
+			eventually(t, name, func() bool { return stateOf(g, name) == Serving })
 		}
 	}
-	gs[1].Self(Draining)
-	eventually(t, "its own word", func() bool { return sees(gs[0], "n1") == Draining && sees(gs[2], "n1") == Draining })
+	gs[1].SetState(Draining)
+	eventually(t, "its own word", func() bool { return stateOf(gs[0], "n1") == Draining && stateOf(gs[2], "n1") == Draining })
 	gs[1].Stop()
-	require.Eventually(t, func() bool { return sees(gs[0], "n1") == Gone && sees(gs[2], "n1") == Gone }, time.Second, 5*time.Millisecond,
+	require.Eventually(t, func() bool { return stateOf(gs[0], "n1") == Dead && stateOf(gs[2], "n1") == Dead }, time.Second, 5*time.Millisecond,
 		"one that leaves says so; nobody has to find out")
-	gs[1] = one(t, "n1", at["n1"], 200, at, [][]byte{gs[0].o.Keys[0]})
-	eventually(t, "it is back", func() bool { return sees(gs[0], "n1") == Serving && sees(gs[2], "n1") == Serving })
+	gs[1] = startMember(t, "n1", at["n1"], 200, at, [][]byte{gs[0].options.Keys[0]})
+	eventually(t, "it is back", func() bool { return stateOf(gs[0], "n1") == Serving && stateOf(gs[2], "n1") == Serving })
 	for _, m := range gs[0].View().Members {
 		if m.Name == "n1" {
-			require.Equal(t, uint64(200), m.Instance)
+			require.Equal(t, uint64(200), m.Incarnation)
 		}
 	}
 }
 
 // Two processes of one name: the one that started first keeps it, the other stays out, both are told, and the third is
 // not led astray. When the holder has gone the other may have the name.
-func TestASecondProcessOfANameIsRefused(t *testing.T) {
-	keys := [][]byte{key()}
-	gs, at := few(t, 3, keys)
-	eventually(t, "all there", func() bool { return sees(gs[0], "n1") == Serving && sees(gs[2], "n1") == Serving })
-	twin := one(t, "n1", port(t), 900, at, keys)
-	eventually(t, "the second is out", func() bool { return twin.View().Refused != nil })
-	require.Equal(t, uint64(101), twin.View().Refused.Instance)
-	eventually(t, "the holder is told", func() bool { return len(gs[1].View().Twins) > 0 })
-	require.Nil(t, gs[1].View().Refused)
+func TestSecondIncarnationOfANameIsRejected(t *testing.T) {
+	keys := [][]byte{randomKey()}
+	gs, at := startMembers(t, 3, keys)
+	eventually(t, "all there", func() bool { return stateOf(gs[0], "n1") == Serving && stateOf(gs[2], "n1") == Serving })
+	twin := startMember(t, "n1", freeAddress(t), 900, at, keys)
+	eventually(t, "the second is out", func() bool { return twin.View().NameHolder != nil })
+	require.Equal(t, uint64(101), twin.View().NameHolder.Incarnation)
+	eventually(t, "the holder is told", func() bool { return len(gs[1].View().NameConflicts) > 0 })
+	require.Nil(t, gs[1].View().NameHolder)
 	for _, i := range []int{0, 2} {
 		for _, m := range gs[i].View().Members {
 			if m.Name == "n1" {
-				require.Equal(t, uint64(101), m.Instance)
-				require.NotEqual(t, Gone, m.State)
+				require.Equal(t, uint64(101), m.Incarnation)
+				require.NotEqual(t, Dead, m.State)
 			}
 		}
 	}
 }
 
 // What no member says is dropped and counted, and holds nobody up.
-func TestGarbageIsCounted(t *testing.T) {
-	gs, at := few(t, 2, [][]byte{key()})
-	eventually(t, "all there", func() bool { return sees(gs[0], "n1") == Serving })
+func TestMalformedTrafficIsCounted(t *testing.T) {
+	gs, at := startMembers(t, 2, [][]byte{randomKey()})
+	eventually(t, "all there", func() bool { return stateOf(gs[0], "n1") == Serving })
 	u, err := net.Dial("udp", at["n0"])
 	require.NoError(t, err)
 	defer u.Close()
@@ -144,33 +144,33 @@
 		c := gs[0].View().Counters
 		return c["garbage"] > 0 && c["huge"] > 0 && c["twice"] > 0 && c["busy"] > 0
 	})
-	require.Equal(t, Serving, sees(gs[0], "n1"))
-	require.Equal(t, Serving, sees(gs[1], "n0"))
+	require.Equal(t, Serving, stateOf(gs[0], "n1"))
+	require.Equal(t, Serving, stateOf(gs[1], "n0"))
 }
 
 // A member with another key hears nothing; keys are changed without a break.
-func TestKeys(t *testing.T) {
-	old, fresh := key(), key()
-	gs, at := few(t, 2, [][]byte{old})
-	eventually(t, "all there", func() bool { return sees(gs[0], "n1") == Serving && sees(gs[1], "n0") == Serving })
-	stranger := one(t, "n9", port(t), 9, at, [][]byte{key()})
+func TestKeyRotation(t *testing.T) {
+	old, fresh := randomKey(), randomKey()
+	gs, at := startMembers(t, 2, [][]byte{old})
+	eventually(t, "all there", func() bool { return stateOf(gs[0], "n1") == Serving && stateOf(gs[1], "n0") == Serving })
+	stranger := startMember(t, "n9", freeAddress(t), 9, at, [][]byte{randomKey()})
 	time.Sleep(20 * probe)
-	require.Equal(t, State(""), sees(gs[0], "n9"))
+	require.Equal(t, State(""), stateOf(gs[0], "n9"))
 	require.Len(t, stranger.View().Members, 1)
 	for _, keys := range [][][]byte{{old, fresh}, {fresh, old}, {fresh}} {
 		for _, g := range gs {
-			require.NoError(t, g.Rekey(keys))
+			require.NoError(t, g.RotateKeys(keys))
 		}
 		time.Sleep(4 * probe)
 	}
-	require.Equal(t, Serving, sees(gs[0], "n1"))
-	require.Equal(t, Serving, sees(gs[1], "n0"))
-	require.Len(t, gs[0].keys.GetKeys(), 1)
+	require.Equal(t, Serving, stateOf(gs[0], "n1"))
+	require.Equal(t, Serving, stateOf(gs[1], "n0"))
+	require.Len(t, gs[0].keyring.GetKeys(), 1)
 }
 
-func TestKeyFiles(t *testing.T) {
+func TestReadKeys(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "keys")
-	good := base64.StdEncoding.EncodeToString(key())
+	good := base64.StdEncoding.EncodeToString(randomKey())
 	for text, want := range map[string]string{good: "", "# first\n\n" + good + "\n" + good: "", "": "holds no key", good + "\nxyz": ":2: no key", "AAAA": ":1: no key"} {
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 		keys, err := ReadKeys(path)
@@ -184,8 +184,8 @@
 	}
 }
 
-// still is an address at which connections hang: its queue is full and nobody takes from it.
-func still(t *testing.T) string {
+// stalledAddress is an address at which connections hang: its queue is full and nobody takes from it.
+func stalledAddress(t *testing.T) string {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = syscall.Close(fd) })
@@ -205,18 +205,18 @@
 }
 
 // Long messages to a member whose link stalls do not keep those to the others from going out.
-func TestAStalledMemberHoldsUpNoOther(t *testing.T) {
-	k := key()
+func TestStalledMemberDelaysNoOther(t *testing.T) {
+	k := randomKey()
 	got := make(chan int, 100)
-	at := map[string]string{"a": port(t), "b": port(t)}
+	at := map[string]string{"a": freeAddress(t), "b": freeAddress(t)}
 	start := func(name string, peers map[string]string, message func([]byte)) *Gossip {
-		self := Info{Name: name, Instance: uint64(name[0]), Started: clock.System().Now(), Version: "test", Oldest: 1, Newest: 1, State: Serving}
-		g, err := Start(Options{Self: self, Listen: at[name], Peers: peers, Keys: [][]byte{k}, Most: 16, Probe: probe, Seed: 1, Message: message})
+		self := Info{Name: name, Incarnation: uint64(name[0]), StartedAt: clock.System().Now(), Version: "test", OldestFormat: 1, NewestFormat: 1, State: Serving}
+		g, err := Start(Options{Self: self, Listen: at[name], Peers: peers, Keys: [][]byte{k}, MaxMembers: 16, ProbeInterval: probe, Seed: 1, OnMessage: message})
 		require.NoError(t, err)
 		t.Cleanup(g.Stop)
 		return g
 	}
-	a := start("a", map[string]string{"b": at["b"], "c": still(t)}, func([]byte) {})
+	a := start("a", map[string]string{"b": at["b"], "c": stalledAddress(t)}, func([]byte) {})
 	start("b", map[string]string{"a": at["a"]}, func(b []byte) { got <- len(b) })
 	long := make([]byte, 5000)
 	for range 200 {
--- a/internal/cluster/membership/table.go
+++ b/internal/cluster/membership/table.go
@@ -20,24 +20,24 @@
 	Serving  State = "serving"
 	Draining State = "draining" // it was told to end
 	Suspect  State = "suspect"  // it did not answer; it may still be there
-	Gone     State = "gone"     // it left, or was suspect for as long as a member that is there needs to object
+	Dead     State = "gone"     // it left, or was suspect for as long as a member that is there needs to object
 )
 
 // Info is what a member tells of itself.
 type Info struct {
-	Name     string  `json:"name"`
-	Address  string  `json:"address"`  // where it says that it listens; another member may reach it elsewhere
-	Instance uint64  `json:"instance"` // drawn at the start of its process
-	Started  float64 `json:"started"`  // of that, Unix milliseconds by its own clock
-	Version  string  `json:"version"`  // of the program
-	Oldest   int     `json:"oldest"`   // formats between poolers that it reads: from this one
-	Newest   int     `json:"newest"`   // to this one, which it writes
-	Zone     string  `json:"zone"`
-	State    State   `json:"state"`
+	Name         string  `json:"name"`
+	Address      string  `json:"address"`  // where it says that it listens; another member may reach it elsewhere
+	Incarnation  uint64  `json:"instance"` // drawn at the start of its process
+	StartedAt    float64 `json:"started"`  // of that, Unix milliseconds by its own clock
+	Version      string  `json:"version"`  // of the program
+	OldestFormat int     `json:"oldest"`   // formats between poolers that it reads: from this one
+	NewestFormat int     `json:"newest"`   // to this one, which it writes
+	Zone         string  `json:"zone"`
+	State        State   `json:"state"`
 }
 
-// meta is Info as it travels: short keys, since gossip has room for 512 bytes. What the carrier knows is left out.
-type meta struct {
+// encodedInfo is Info as it travels: short keys, since gossip has room for 512 bytes. What the carrier knows is left out.
+type encodedInfo struct {
 	Instance string  `json:"i"`
 	Started  float64 `json:"t"`
 	Version  string  `json:"v,omitempty"`
@@ -49,16 +49,16 @@
 
 // The bounds of what a member may say of itself, in bytes.
 const (
-	MaxName    = 64
-	maxVersion = 80
-	maxZone    = 64
+	MaxNameBytes    = 64
+	maxVersionBytes = 80
+	maxZoneBytes    = 64
 )
 
 // Encode returns what travels of a member's own word, in at most limit bytes.
 func (i Info) Encode(limit int) ([]byte, error) {
-	m := meta{
-		fmt.Sprintf("%016x", i.Instance), i.Started, i.Version[:min(len(i.Version), maxVersion)], i.Oldest, i.Newest,
-		i.Zone[:min(len(i.Zone), maxZone)], i.State,
+	m := encodedInfo{
+		fmt.Sprintf("%016x", i.Incarnation), i.StartedAt, i.Version[:min(len(i.Version), maxVersionBytes)], i.OldestFormat, i.NewestFormat,
+		i.Zone[:min(len(i.Zone), maxZoneBytes)], i.State,
 	}
 	b, err := json.Marshal(m)
 	if err == nil && len(b) > limit {
@@ -67,29 +67,29 @@
 	return b, err
 }
 
-// errWord is a member's word that makes no sense.
-var errWord = errors.New("a member's word that can't be read")
+// ErrMalformedInfo is a member's word that makes no sense.
+var ErrMalformedInfo = errors.New("a member's word that can't be read")
 
-// Decode reads it. Anything that a member may not say of itself is an error.
-func Decode(name, address string, b []byte) (Info, error) {
-	var m meta
+// DecodeInfo reads it. Anything that a member may not say of itself is an error.
+func DecodeInfo(name, address string, b []byte) (Info, error) {
+	var m encodedInfo
 	if err := json.Unmarshal(b, &m); err != nil {
-		return Info{}, fmt.Errorf("%w: %w", errWord, err)
+		return Info{}, fmt.Errorf("%w: %w", ErrMalformedInfo, err)
 	}
 	i := Info{
-		Name: name, Address: address, Started: m.Started, Version: m.Version, Oldest: m.Oldest, Newest: m.Newest, Zone: m.Zone,
+		Name: name, Address: address, StartedAt: m.Started, Version: m.Version, OldestFormat: m.Oldest, NewestFormat: m.Newest, Zone: m.Zone,
 		State: m.State,
 	}
-	_, err := fmt.Sscanf(m.Instance, "%016x", &i.Instance)
+	_, err := fmt.Sscanf(m.Instance, "%016x", &i.Incarnation)
 	switch {
-	case err != nil || i.Instance == 0:
-		return Info{}, fmt.Errorf("%w: instance %q", errWord, m.Instance)
-	case name == "" || len(name) > MaxName:
-		return Info{}, fmt.Errorf("%w: a name of %d bytes", errWord, len(name))
+	case err != nil || i.Incarnation == 0:
+		return Info{}, fmt.Errorf("%w: instance %q", ErrMalformedInfo, m.Instance)
+	case name == "" || len(name) > MaxNameBytes:
+		return Info{}, fmt.Errorf("%w: a name of %d bytes", ErrMalformedInfo, len(name))
 	case i.State != Starting && i.State != Serving && i.State != Draining:
-		return Info{}, fmt.Errorf("%w: state %q", errWord, m.State)
-	case i.Oldest < 1 || i.Newest < i.Oldest:
-		return Info{}, fmt.Errorf("%w: formats %d to %d", errWord, i.Oldest, i.Newest)
+		return Info{}, fmt.Errorf("%w: state %q", ErrMalformedInfo, m.State)
+	case i.OldestFormat < 1 || i.NewestFormat < i.OldestFormat:
+		return Info{}, fmt.Errorf("%w: formats %d to %d", ErrMalformedInfo, i.OldestFormat, i.NewestFormat)
 	}
 	return i, nil
 }
@@ -100,37 +100,37 @@
 	Since float64 `json:"since"` // when it came into this state, Unix milliseconds by the clock of the table's owner
 }
 
-// Twin is a name that came twice.
-type Twin struct {
-	Name string  `json:"name"`
-	Kept Info    `json:"kept"` // the one that the table goes on with
-	Sent Info    `json:"refused"`
-	At   float64 `json:"at"` // when it was met last
-	told float64
+// NameConflict is a name that came twice.
+type NameConflict struct {
+	Name       string  `json:"name"`
+	Holder     Info    `json:"kept"` // the one that the table goes on with
+	Rejected   Info    `json:"refused"`
+	LastSeen   float64 `json:"at"` // when it was met last
+	notifiedAt float64
 }
 
 // Change is one line of a table's history.
 type Change struct {
-	At     float64 `json:"at"`
-	Name   string  `json:"name"`
-	From   State   `json:"from"` // "": it was not there
-	To     State   `json:"to"`   // "": it was forgotten
-	Before uint64  `json:"before"`
-	Now    uint64  `json:"now"` // instances
+	At                  float64 `json:"at"`
+	Name                string  `json:"name"`
+	From                State   `json:"from"` // "": it was not there
+	To                  State   `json:"to"`   // "": it was forgotten
+	PreviousIncarnation uint64  `json:"before"`
+	Incarnation         uint64  `json:"now"` // instances
 }
 
 // The bounds of a table.
 const (
-	// forgetAfter is how long a member that is gone stays in sight, in milliseconds: operators look for it there.
-	forgetAfter = 10 * 60 * 1000
-	// twinsKept is how many names that came twice are told; the oldest go first.
-	twinsKept = 16
+	// deadRetentionMillis is how long a member that is gone stays in sight, in milliseconds: operators look for it there.
+	deadRetentionMillis = 10 * 60 * 1000
+	// maxNameConflicts is how many names that came twice are told; the oldest go first.
+	maxNameConflicts = 16
 )
 
 // Errors of Claim.
 var (
-	ErrTwin = errors.New("the name is held by another instance")
-	ErrFull = errors.New("there are as many members as may be")
+	ErrNameConflict = errors.New("the name is held by another instance")
+	ErrTableFull    = errors.New("there are as many members as may be")
 )
 
 // Table is what one pooler believes of all, itself included. It is not safe for concurrent use.
@@ -138,7 +138,7 @@
 	self    Info
 	most    int
 	members map[string]*Member
-	twins   []Twin
+	twins   []NameConflict
 	history []Change // since Changes was called last
 	loose   bool     // lets a name come twice: only to see a checker fail
 }
@@ -150,27 +150,27 @@
 	return t
 }
 
-// Self changes the table's own word.
-func (t *Table) Self(s State, now float64) {
+// SetState changes the table's own word.
+func (t *Table) SetState(s State, now float64) {
 	t.self.State = s
 	t.put(t.self, s, now)
 }
 
-// Claim says whether an instance may be believed to be the member of its name. A name belongs to the instance that
+// Admit says whether an instance may be believed to be the member of its name. A name belongs to the instance that
 // started first for as long as that one is there; an instance that starts again at the same address takes over at once,
 // since two can't listen there. Equal starts are settled by the smaller number, alike at all.
-func (t *Table) Claim(i Info, now float64) error {
+func (t *Table) Admit(i Info, now float64) error {
 	m := t.members[i.Name]
 	if m == nil {
 		if t.room(now); len(t.members) >= t.most {
-			return fmt.Errorf("%w: %d", ErrFull, t.most)
+			return fmt.Errorf("%w: %d", ErrTableFull, t.most)
 		}
 		return nil
 	}
-	if m.Instance == i.Instance || t.loose {
+	if m.Incarnation == i.Incarnation || t.loose {
 		return nil
 	}
-	if m.Address == i.Address || m.State == Gone { // of the own name: what is still told of the process before this one
+	if m.Address == i.Address || m.State == Dead { // of the own name: what is still told of the process before this one
 		return nil
 	}
 	kept, sent := m.Info, i
@@ -178,68 +178,68 @@
 		kept, sent = i, m.Info
 	}
 	t.twin(kept, sent, now)
-	return fmt.Errorf("%w: %q started %.3f at %s is instance %016x, and %.3f at %s is %016x", ErrTwin, i.Name, m.Started/1e3, m.Address, m.Instance,
-		i.Started/1e3, i.Address, i.Instance)
+	return fmt.Errorf("%w: %q started %.3f at %s is instance %016x, and %.3f at %s is %016x", ErrNameConflict, i.Name, m.StartedAt/1e3, m.Address, m.Incarnation,
+		i.StartedAt/1e3, i.Address, i.Incarnation)
 }
 
 // first says whether a holds a name that b has too.
 func first(a, b Info) bool {
-	return cmp.Or(cmp.Compare(a.Started, b.Started), cmp.Compare(a.Instance, b.Instance)) < 0
+	return cmp.Or(cmp.Compare(a.StartedAt, b.StartedAt), cmp.Compare(a.Incarnation, b.Incarnation)) < 0
 }
 
 func (t *Table) twin(kept, sent Info, now float64) {
 	for i := range t.twins {
-		if w := &t.twins[i]; w.Kept.Instance == kept.Instance && w.Sent.Instance == sent.Instance {
-			w.At = now
+		if w := &t.twins[i]; w.Holder.Incarnation == kept.Incarnation && w.Rejected.Incarnation == sent.Incarnation {
+			w.LastSeen = now
 			return
 		}
 	}
-	t.twins = append(t.twins, Twin{Name: kept.Name, Kept: kept, Sent: sent, At: now, told: math.Inf(-1)})
-	if len(t.twins) > twinsKept {
+	t.twins = append(t.twins, NameConflict{Name: kept.Name, Holder: kept, Rejected: sent, LastSeen: now, notifiedAt: math.Inf(-1)})
+	if len(t.twins) > maxNameConflicts {
 		t.twins = t.twins[1:]
 	}
 }
 
-// tellAgain is how long after a word on two instances of a name the next one is due, in milliseconds.
-const tellAgain = 1000
+// notifyIntervalMillis is how long after a word on two instances of a name the next one is due, in milliseconds.
+const notifyIntervalMillis = 1000
 
-// Tell says whether somebody has to be told now of a name that came twice, and whether it is the first time.
-func (t *Table) Tell(name string, now float64) (due, first bool) {
+// ShouldNotify says whether somebody has to be told now of a name that came twice, and whether it is the first time.
+func (t *Table) ShouldNotify(name string, now float64) (due, first bool) {
 	for i := range t.twins {
-		if w := &t.twins[i]; w.Name == name && w.At == now && now-w.told >= tellAgain {
-			due, first = true, first || math.IsInf(w.told, -1)
-			w.told = now
+		if w := &t.twins[i]; w.Name == name && w.LastSeen == now && now-w.notifiedAt >= notifyIntervalMillis {
+			due, first = true, first || math.IsInf(w.notifiedAt, -1)
+			w.notifiedAt = now
 		}
 	}
 	return due, first
 }
 
-// Twins are the names that came twice, the oldest first.
-func (t *Table) Twins() []Twin { return slices.Clone(t.twins) }
+// NameConflicts are the names that came twice, the oldest first.
+func (t *Table) NameConflicts() []NameConflict { return slices.Clone(t.twins) }
 
-// Refused says whether this instance has to give its name up, and to whom.
-func (t *Table) Refused() (holder Info, refused bool) {
+// NameHolder says whether this instance has to give its name up, and to whom.
+func (t *Table) NameHolder() (holder Info, refused bool) {
 	for _, w := range t.twins {
-		if w.Sent.Instance == t.self.Instance {
-			return w.Kept, true
+		if w.Rejected.Incarnation == t.self.Incarnation {
+			return w.Holder, true
 		}
 	}
 	return Info{}, false
 }
 
-// Hear takes a member's own word that Claim has let pass. alive is false once the carrier has given it up or it has
+// Observe takes a member's own word that Claim has let pass. alive is false once the carrier has given it up or it has
 // left; doubt says that it does not answer.
-func (t *Table) Hear(i Info, alive, doubt bool, now float64) {
+func (t *Table) Observe(i Info, alive, doubt bool, now float64) {
 	if i.Name == t.self.Name {
 		return
 	}
 	s := i.State
-	if m := t.members[i.Name]; m != nil && !alive && m.Instance != i.Instance {
+	if m := t.members[i.Name]; m != nil && !alive && m.Incarnation != i.Incarnation {
 		return // news of an earlier instance
 	}
 	switch {
 	case !alive:
-		s = Gone
+		s = Dead
 	case doubt:
 		s = Suspect
 	}
@@ -254,21 +254,21 @@
 	if m == nil {
 		m = &Member{}
 		t.members[i.Name] = m
-		t.note(now, i.Name, "", s, 0, i.Instance)
+		t.note(now, i.Name, "", s, 0, i.Incarnation)
 		m.Since = now
-	} else if m.State != s || m.Instance != i.Instance {
-		t.note(now, i.Name, m.State, s, m.Instance, i.Instance)
+	} else if m.State != s || m.Incarnation != i.Incarnation {
+		t.note(now, i.Name, m.State, s, m.Incarnation, i.Incarnation)
 		m.Since = now
 	}
 	m.Info = i
 	m.State = s
 }
 
-// historyKept bounds what Changes returns; whoever asks seldom loses the oldest.
-const historyKept = 4096
+// maxPendingChanges bounds what Changes returns; whoever asks seldom loses the oldest.
+const maxPendingChanges = 4096
 
 func (t *Table) note(at float64, name string, from, to State, before, now uint64) {
-	if len(t.history) >= historyKept {
+	if len(t.history) >= maxPendingChanges {
 		t.history = t.history[1:]
 	}
 	t.history = append(t.history, Change{at, name, from, to, before, now})
@@ -277,7 +277,7 @@
 // Tick forgets members that have been gone for long.
 func (t *Table) Tick(now float64) {
 	for name, m := range t.members {
-		if m.State == Gone && now-m.Since > forgetAfter {
+		if m.State == Dead && now-m.Since > deadRetentionMillis {
 			t.forget(name, m, now)
 		}
 	}
@@ -290,7 +290,7 @@
 	}
 	var oldest *Member
 	for _, m := range t.members {
-		if m.State == Gone && (oldest == nil || cmp.Or(cmp.Compare(m.Since, oldest.Since), cmp.Compare(m.Name, oldest.Name)) < 0) {
+		if m.State == Dead && (oldest == nil || cmp.Or(cmp.Compare(m.Since, oldest.Since), cmp.Compare(m.Name, oldest.Name)) < 0) {
 			oldest = m
 		}
 	}
@@ -300,12 +300,12 @@
 }
 
 func (t *Table) forget(name string, m *Member, now float64) {
-	t.note(now, name, m.State, "", m.Instance, 0)
+	t.note(now, name, m.State, "", m.Incarnation, 0)
 	delete(t.members, name)
 }
 
-// Changes returns what has changed since it was called last.
-func (t *Table) Changes() []Change {
+// TakeChanges returns what has changed since it was called last.
+func (t *Table) TakeChanges() []Change {
 	h := t.history
 	t.history = nil
 	return h
@@ -321,19 +321,19 @@
 	return out
 }
 
-// Common is the range of formats that all members which are not gone can read: what is written has to lie in it. ok is
+// CommonFormats is the range of formats that all members which are not gone can read: what is written has to lie in it. ok is
 // false where there is none, and the members that stand apart are named.
-func (t *Table) Common() (oldest, newest int, apart []string) {
-	oldest, newest = t.self.Oldest, t.self.Newest
+func (t *Table) CommonFormats() (oldest, newest int, apart []string) {
+	oldest, newest = t.self.OldestFormat, t.self.NewestFormat
 	for _, m := range t.Members() {
-		if m.State == Gone {
+		if m.State == Dead {
 			continue
 		}
-		if m.Oldest > newest || m.Newest < oldest {
+		if m.OldestFormat > newest || m.NewestFormat < oldest {
 			apart = append(apart, m.Name)
 			continue
 		}
-		oldest, newest = max(oldest, m.Oldest), min(newest, m.Newest)
+		oldest, newest = max(oldest, m.OldestFormat), min(newest, m.NewestFormat)
 	}
 	return oldest, newest, apart
 }
--- a/internal/cluster/membership/table_test.go
+++ b/internal/cluster/membership/table_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 )
 
-func info(name, address string, instance uint64, started float64) Info {
-	return Info{Name: name, Address: address, Instance: instance, Started: started, Version: "v", Oldest: 1, Newest: 2, Zone: "a", State: Serving}
+func testInfo(name, address string, instance uint64, started float64) Info {
+	return Info{Name: name, Address: address, Incarnation: instance, StartedAt: started, Version: "v", OldestFormat: 1, NewestFormat: 2, Zone: "a", State: Serving}
 }
 
 func (t *Table) state(name string) State {
@@ -22,11 +22,11 @@
 	return ""
 }
 
-func TestAWordTravelsAsItIs(t *testing.T) {
-	i := info("n1", "127.0.0.1:1", 7, 1e12)
+func TestInfoRoundTrip(t *testing.T) {
+	i := testInfo("n1", "127.0.0.1:1", 7, 1e12)
 	b, err := i.Encode(512)
 	require.NoError(t, err)
-	got, err := Decode("n1", "127.0.0.1:1", b)
+	got, err := DecodeInfo("n1", "127.0.0.1:1", b)
 	require.NoError(t, err)
 	require.Equal(t, i, got)
 	i.Version, i.Zone = strings.Repeat("v", 900), strings.Repeat("z", 900)
@@ -37,107 +37,107 @@
 		"", "{", `{"i":"0","s":"serving","o":1,"n":1}`, `{"i":"00000000000000ff","s":"gone","o":1,"n":1}`,
 		`{"i":"00000000000000ff","s":"serving","o":2,"n":1}`, `{"i":"00000000000000ff","s":"serving","o":0,"n":1}`, `{"i":"x","s":"serving","o":1,"n":1}`,
 	} {
-		_, err := Decode("n1", "a", []byte(bad))
-		require.ErrorIs(t, err, errWord, bad)
+		_, err := DecodeInfo("n1", "a", []byte(bad))
+		require.ErrorIs(t, err, ErrMalformedInfo, bad)
 	}
-	_, err = Decode(strings.Repeat("n", MaxName+1), "a", b)
-	require.ErrorIs(t, err, errWord)
+	_, err = DecodeInfo(strings.Repeat("n", MaxNameBytes+1), "a", b)
+	require.ErrorIs(t, err, ErrMalformedInfo)
 }
 
 // A name belongs to the instance that started first while it is there; one that starts again at the same address has it
 // at once, and so has anybody once the holder is gone.
-func TestANameThatComesTwice(t *testing.T) {
-	self := info("n1", "127.0.0.1:1", 1, 100)
+func TestNameConflict(t *testing.T) {
+	self := testInfo("n1", "127.0.0.1:1", 1, 100)
 	table := NewTable(self, 8, 0)
-	first, second := info("n2", "127.0.0.1:2", 2, 100), info("n2", "127.0.0.1:3", 3, 200)
-	require.NoError(t, table.Claim(first, 1))
-	table.Hear(first, true, false, 1)
-	require.ErrorIs(t, table.Claim(second, 2), ErrTwin)
-	require.Len(t, table.Twins(), 1)
-	require.Equal(t, []any{first, second, 2.0}, []any{table.Twins()[0].Kept, table.Twins()[0].Sent, table.Twins()[0].At})
-	due, fresh := table.Tell("n2", 2)
+	first, second := testInfo("n2", "127.0.0.1:2", 2, 100), testInfo("n2", "127.0.0.1:3", 3, 200)
+	require.NoError(t, table.Admit(first, 1))
+	table.Observe(first, true, false, 1)
+	require.ErrorIs(t, table.Admit(second, 2), ErrNameConflict)
+	require.Len(t, table.NameConflicts(), 1)
+	require.Equal(t, []any{first, second, 2.0}, []any{table.NameConflicts()[0].Holder, table.NameConflicts()[0].Rejected, table.NameConflicts()[0].LastSeen})
+	due, fresh := table.ShouldNotify("n2", 2)
 	require.True(t, due && fresh)
-	require.ErrorIs(t, table.Claim(second, 3), ErrTwin)
-	due, _ = table.Tell("n2", 3)
+	require.ErrorIs(t, table.Admit(second, 3), ErrNameConflict)
+	due, _ = table.ShouldNotify("n2", 3)
 	require.False(t, due, "it was told a moment ago")
-	require.ErrorIs(t, table.Claim(second, 2+tellAgain), ErrTwin)
-	due, fresh = table.Tell("n2", 2+tellAgain)
+	require.ErrorIs(t, table.Admit(second, 2+notifyIntervalMillis), ErrNameConflict)
+	due, fresh = table.ShouldNotify("n2", 2+notifyIntervalMillis)
 	require.True(t, due && !fresh)
-	require.NoError(t, table.Claim(info("n2", "127.0.0.1:2", 4, 300), 3), "started again at its address")
-	table.Hear(first, false, false, 4)
-	require.NoError(t, table.Claim(second, 5))
-	table.Hear(second, true, false, 5)
-	require.ErrorIs(t, table.Claim(first, 6), ErrTwin, "it is told, and the second has to go of itself")
-	require.Equal(t, first, table.Twins()[0].Kept)
+	require.NoError(t, table.Admit(testInfo("n2", "127.0.0.1:2", 4, 300), 3), "started again at its address")
+	table.Observe(first, false, false, 4)
+	require.NoError(t, table.Admit(second, 5))
+	table.Observe(second, true, false, 5)
+	require.ErrorIs(t, table.Admit(first, 6), ErrNameConflict, "it is told, and the second has to go of itself")
+	require.Equal(t, first, table.NameConflicts()[0].Holder)
 
-	_, refused := table.Refused()
+	_, refused := table.NameHolder()
 	require.False(t, refused)
-	require.ErrorIs(t, table.Claim(info("n1", "127.0.0.1:9", 9, 300), 7), ErrTwin)
-	_, refused = table.Refused()
+	require.ErrorIs(t, table.Admit(testInfo("n1", "127.0.0.1:9", 9, 300), 7), ErrNameConflict)
+	_, refused = table.NameHolder()
 	require.False(t, refused, "this one was first")
-	require.NoError(t, table.Claim(info("n1", "127.0.0.1:1", 8, 50), 8), "the process that ran here before")
-	require.ErrorIs(t, table.Claim(info("n1", "127.0.0.1:9", 9, 50), 9), ErrTwin)
-	holder, refused := table.Refused()
+	require.NoError(t, table.Admit(testInfo("n1", "127.0.0.1:1", 8, 50), 8), "the process that ran here before")
+	require.ErrorIs(t, table.Admit(testInfo("n1", "127.0.0.1:9", 9, 50), 9), ErrNameConflict)
+	holder, refused := table.NameHolder()
 	require.True(t, refused)
-	require.Equal(t, uint64(9), holder.Instance)
+	require.Equal(t, uint64(9), holder.Incarnation)
 }
 
 func TestTheTableIsBounded(t *testing.T) {
-	table := NewTable(info("n0", "a:0", 1, 1), 4, 0)
+	table := NewTable(testInfo("n0", "a:0", 1, 1), 4, 0)
 	for i := 1; i <= 3; i++ {
-		m := info(fmt.Sprint("n", i), fmt.Sprint("a:", i), uint64(i+1), 1)
-		require.NoError(t, table.Claim(m, float64(i)))
-		table.Hear(m, true, false, float64(i))
+		m := testInfo(fmt.Sprint("n", i), fmt.Sprint("a:", i), uint64(i+1), 1)
+		require.NoError(t, table.Admit(m, float64(i)))
+		table.Observe(m, true, false, float64(i))
 	}
-	more := info("n9", "a:9", 99, 1)
-	require.ErrorIs(t, table.Claim(more, 5), ErrFull)
-	table.Hear(more, true, false, 5)
+	more := testInfo("n9", "a:9", 99, 1)
+	require.ErrorIs(t, table.Admit(more, 5), ErrTableFull)
+	table.Observe(more, true, false, 5)
 	require.Len(t, table.Members(), 4)
-	table.Hear(info("n2", "a:2", 3, 1), false, false, 6)
-	require.NoError(t, table.Claim(more, 7), "one that is gone makes room")
-	table.Hear(more, true, false, 7)
+	table.Observe(testInfo("n2", "a:2", 3, 1), false, false, 6)
+	require.NoError(t, table.Admit(more, 7), "one that is gone makes room")
+	table.Observe(more, true, false, 7)
 	require.Equal(t, Serving, table.state("n9"))
 	require.Equal(t, State(""), table.state("n2"))
-	table.Hear(more, false, false, 8)
+	table.Observe(more, false, false, 8)
 	table.Tick(9)
-	require.Equal(t, Gone, table.state("n9"))
-	table.Tick(8 + forgetAfter + 1)
+	require.Equal(t, Dead, table.state("n9"))
+	table.Tick(8 + deadRetentionMillis + 1)
 	require.Equal(t, State(""), table.state("n9"))
 	for i := range 100 {
-		_ = table.Claim(info("n1", fmt.Sprint("b:", i), uint64(1000+i), 2), 10)
+		_ = table.Admit(testInfo("n1", fmt.Sprint("b:", i), uint64(1000+i), 2), 10)
 	}
-	require.Len(t, table.Twins(), twinsKept)
-	for i := range 2 * historyKept {
-		table.Hear(info("n1", "a:1", 2, 1), true, i%2 == 0, float64(i))
+	require.Len(t, table.NameConflicts(), maxNameConflicts)
+	for i := range 2 * maxPendingChanges {
+		table.Observe(testInfo("n1", "a:1", 2, 1), true, i%2 == 0, float64(i))
 	}
-	require.Len(t, table.Changes(), historyKept)
+	require.Len(t, table.TakeChanges(), maxPendingChanges)
 }
 
 // News of an earlier instance says nothing of the one that runs.
-func TestOldNewsOfAnInstance(t *testing.T) {
-	table := NewTable(info("n1", "a:1", 1, 1), 4, 0)
-	table.Hear(info("n2", "a:2", 2, 1), true, false, 1)
-	table.Hear(info("n2", "a:2", 3, 2), true, false, 2)
-	table.Hear(info("n2", "a:2", 2, 1), false, false, 3)
+func TestStaleObservationOfEarlierIncarnation(t *testing.T) {
+	table := NewTable(testInfo("n1", "a:1", 1, 1), 4, 0)
+	table.Observe(testInfo("n2", "a:2", 2, 1), true, false, 1)
+	table.Observe(testInfo("n2", "a:2", 3, 2), true, false, 2)
+	table.Observe(testInfo("n2", "a:2", 2, 1), false, false, 3)
 	require.Equal(t, Serving, table.state("n2"))
-	table.Hear(info("n2", "a:2", 3, 2), true, true, 4)
+	table.Observe(testInfo("n2", "a:2", 3, 2), true, true, 4)
 	require.Equal(t, Suspect, table.state("n2"))
-	changes := table.Changes()
+	changes := table.TakeChanges()
 	require.Equal(t, Change{4, "n2", Serving, Suspect, 3, 3}, changes[len(changes)-1])
-	require.Empty(t, table.Changes())
+	require.Empty(t, table.TakeChanges())
 }
 
-func TestFormatsInCommon(t *testing.T) {
-	table := NewTable(info("n1", "a:1", 1, 1), 8, 0)
-	old, far := info("n2", "a:2", 2, 1), info("n3", "a:3", 3, 1)
-	old.Newest = 1
-	far.Oldest, far.Newest = 5, 6
-	table.Hear(old, true, false, 1)
-	table.Hear(far, true, false, 1)
-	oldest, newest, apart := table.Common()
+func TestCommonFormats(t *testing.T) {
+	table := NewTable(testInfo("n1", "a:1", 1, 1), 8, 0)
+	old, far := testInfo("n2", "a:2", 2, 1), testInfo("n3", "a:3", 3, 1)
+	old.NewestFormat = 1
+	far.OldestFormat, far.NewestFormat = 5, 6
+	table.Observe(old, true, false, 1)
+	table.Observe(far, true, false, 1)
+	oldest, newest, apart := table.CommonFormats()
 	require.Equal(t, []any{1, 1, []string{"n3"}}, []any{oldest, newest, apart})
-	table.Hear(old, false, false, 2)
-	_, newest, _ = table.Common()
+	table.Observe(old, false, false, 2)
+	_, newest, _ = table.CommonFormats()
 	require.Equal(t, 2, newest, "who is gone need not read it")
 }
 
@@ -145,16 +145,16 @@
 // at two tables that hear all claims the same instance gives way.
 func TestTableProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a, b := info("n0", "a:0", 1000, 10), info("n0", "b:0", 2000, 20)
+		a, b := testInfo("n0", "a:0", 1000, 10), testInfo("n0", "b:0", 2000, 20)
 		tables := []*Table{NewTable(a, 6, 0), NewTable(b, 6, 0)}
 		n := rapid.IntRange(1, 60).Draw(t, "steps")
 		for now := range n {
-			i := info(fmt.Sprint("n", rapid.IntRange(1, 8).Draw(t, "name")), fmt.Sprint("x:", rapid.IntRange(0, 2).Draw(t, "address")),
+			i := testInfo(fmt.Sprint("n", rapid.IntRange(1, 8).Draw(t, "name")), fmt.Sprint("x:", rapid.IntRange(0, 2).Draw(t, "address")),
 				uint64(rapid.IntRange(1, 5).Draw(t, "instance")), float64(rapid.IntRange(1, 3).Draw(t, "started")))
 			alive, doubt := rapid.Bool().Draw(t, "alive"), rapid.Bool().Draw(t, "doubt")
 			for _, table := range tables {
-				if table.Claim(i, float64(now)) == nil {
-					table.Hear(i, alive, doubt, float64(now))
+				if table.Admit(i, float64(now)) == nil {
+					table.Observe(i, alive, doubt, float64(now))
 				}
 				table.Tick(float64(now))
 				seen := map[string]bool{}
@@ -166,10 +166,10 @@
 				require.LessOrEqual(t, len(seen), 6)
 			}
 		}
-		require.ErrorIs(t, tables[0].Claim(b, 1e3), ErrTwin)
-		require.ErrorIs(t, tables[1].Claim(a, 1e3), ErrTwin)
-		_, first := tables[0].Refused()
-		_, second := tables[1].Refused()
+		require.ErrorIs(t, tables[0].Admit(b, 1e3), ErrNameConflict)
+		require.ErrorIs(t, tables[1].Admit(a, 1e3), ErrNameConflict)
+		_, first := tables[0].NameHolder()
+		_, second := tables[1].NameHolder()
 		require.False(t, first)
 		require.True(t, second)
 	})
--- a/internal/cluster/transport/golden_test.go
+++ b/internal/cluster/transport/golden_test.go
@@ -30,18 +30,18 @@
 	return want
 }
 
-// received keeps what a transport hands on.
-type received struct {
+// recordingReceiver keeps what a transport hands on.
+type recordingReceiver struct {
 	packets chan []byte
 	streams chan net.Conn
 }
 
-func (r *received) Packet(b []byte, _ net.Addr, _ time.Time) bool {
+func (r *recordingReceiver) HandlePacket(b []byte, _ net.Addr, _ time.Time) bool {
 	r.packets <- append([]byte{}, b...)
 	return true
 }
 
-func (r *received) Stream(c net.Conn) bool {
+func (r *recordingReceiver) HandleStream(c net.Conn) bool {
 	r.streams <- c
 	return true
 }
@@ -49,7 +49,7 @@
 // A datagram and a stream carry what they are given and nothing else: no length, no greeting, no trailer.
 func TestGoldenFrames(t *testing.T) {
 	const datagram, stream = "a datagram \x00\x01\xfe\xff", "the first bytes of a stream \x00\x01\xfe\xff"
-	to := &received{make(chan []byte, 4), make(chan net.Conn, 4)}
+	to := &recordingReceiver{make(chan []byte, 4), make(chan net.Conn, 4)}
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer tcp.Close()
@@ -95,8 +95,8 @@
 func TestGoldenCounters(t *testing.T) {
 	var c Counters
 	for i, counter := range []*atomic.Int64{
-		&c.Packets, &c.PacketBytes, &c.Sent, &c.SentBytes, &c.Streams, &c.StreamBytes, &c.Dialed, &c.Huge, &c.Twice,
-		&c.Overrun, &c.Busy, &c.Unreached,
+		&c.Packets, &c.PacketBytes, &c.Sent, &c.SentBytes, &c.Streams, &c.StreamBytes, &c.Dialed, &c.Oversized, &c.Duplicates,
+		&c.QueueFull, &c.StreamsRejected, &c.Unreachable,
 	} {
 		counter.Store(int64(i + 1))
 	}
--- a/internal/cluster/transport/transport.go
+++ b/internal/cluster/transport/transport.go
@@ -32,11 +32,11 @@
 
 // Counters are what came and what was dropped.
 type Counters struct {
-	Packets, PacketBytes         atomic.Int64 // received
-	Sent, SentBytes              atomic.Int64
-	Streams, StreamBytes, Dialed atomic.Int64
-	Huge, Twice, Overrun, Busy   atomic.Int64 // dropped: too long, a copy, not read in time, too many streams
-	Unreached                    atomic.Int64 // sends and dials that failed at once
+	Packets, PacketBytes                              atomic.Int64 // received
+	Sent, SentBytes                                   atomic.Int64
+	Streams, StreamBytes, Dialed                      atomic.Int64
+	Oversized, Duplicates, QueueFull, StreamsRejected atomic.Int64 // dropped: too long, a copy, not read in time, too many streams
+	Unreachable                                       atomic.Int64 // sends and dials that failed at once
 }
 
 // Snapshot is a reading of the counters by name.
@@ -44,15 +44,15 @@
 	return map[string]int64{
 		"packets": c.Packets.Load(), "packet_bytes": c.PacketBytes.Load(), "sent": c.Sent.Load(),
 		"sent_bytes": c.SentBytes.Load(), "streams": c.Streams.Load(), "stream_bytes": c.StreamBytes.Load(), "dialed": c.Dialed.Load(),
-		"huge": c.Huge.Load(), "twice": c.Twice.Load(), "overrun": c.Overrun.Load(), "busy": c.Busy.Load(), "unreached": c.Unreached.Load(),
+		"huge": c.Oversized.Load(), "twice": c.Duplicates.Load(), "overrun": c.QueueFull.Load(), "busy": c.StreamsRejected.Load(), "unreached": c.Unreachable.Load(),
 	}
 }
 
 // Receiver takes what comes. Packet says whether there was room for it, and may keep neither b nor the caller. Stream owns
 // its connection from then on, or says that it takes none.
 type Receiver interface {
-	Packet(b []byte, from net.Addr, at time.Time) bool
-	Stream(c net.Conn) bool
+	HandlePacket(b []byte, from net.Addr, at time.Time) bool
+	HandleStream(c net.Conn) bool
 }
 
 // Transport is one pooler's sockets.
@@ -116,7 +116,7 @@
 		_, err = t.udp.WriteTo(b, to)
 	}
 	if err != nil {
-		t.Counters.Unreached.Add(1)
+		t.Counters.Unreachable.Add(1)
 		return err
 	}
 	t.Counters.Sent.Add(1)
@@ -128,7 +128,7 @@
 func (t *Transport) Dial(name, told string, timeout time.Duration) (net.Conn, error) {
 	c, err := net.DialTimeout("tcp", t.resolve(name, told), timeout)
 	if err != nil {
-		t.Counters.Unreached.Add(1)
+		t.Counters.Unreachable.Add(1)
 		return nil, err
 	}
 	t.Counters.Dialed.Add(1)
@@ -159,16 +159,16 @@
 		t.Counters.PacketBytes.Add(int64(n))
 		switch {
 		case n > maxPacket:
-			t.Counters.Huge.Add(1)
+			t.Counters.Oversized.Add(1)
 			continue
 		case n == 0:
 			continue
 		case t.copied(b[:n]):
-			t.Counters.Twice.Add(1)
+			t.Counters.Duplicates.Add(1)
 			continue
 		}
-		if !t.to.Packet(b[:n], from, time.Now()) {
-			t.Counters.Overrun.Add(1)
+		if !t.to.HandlePacket(b[:n], from, time.Now()) {
+			t.Counters.QueueFull.Add(1)
 		}
 	}
 }
@@ -208,13 +208,13 @@
 			continue
 		}
 		if t.open.Load() >= maxStreams {
-			t.Counters.Busy.Add(1)
+			t.Counters.StreamsRejected.Add(1)
 			c.Close()
 			continue
 		}
 		t.Counters.Streams.Add(1)
-		if s := t.bounded(c); !t.to.Stream(s) {
-			t.Counters.Busy.Add(1)
+		if s := t.bounded(c); !t.to.HandleStream(s) {
+			t.Counters.StreamsRejected.Add(1)
 			s.Close()
 		}
 	}
@@ -241,7 +241,7 @@
 
 func (s *stream) Read(b []byte) (int, error) {
 	if s.left <= 0 {
-		s.of.Counters.Huge.Add(1)
+		s.of.Counters.Oversized.Add(1)
 		s.Close()
 		return 0, errHuge
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -222,14 +222,14 @@
 	}
 	defer e.exit(s.ID)
 	call, err := e.facade.Begin(dispatch.Request{
-		Class: s.Class, Group: s.Group, Session: s.Session, IsRetry: s.Retry,
-		Arrived: arrived, TimeRemaining: s.Wait, MinPosition: s.After,
+		Class: s.Class, Group: s.Group, Session: s.SessionKey, IsRetry: s.IsRetry,
+		Arrived: arrived, TimeRemaining: s.TimeoutMillis, MinPosition: s.MinPosition,
 	})
 	if err != nil {
 		return Result{Verdict: Invalid, Detail: "class " + s.Class + ": " + err.Error()}
 	}
 	defer context.AfterFunc(ctx, call.Abandon)()
-	s.Write = e.facade.IsWrite(s.Class)
+	s.IsWrite = e.facade.IsWrite(s.Class)
 	detail, verdict := "no host answered in time", TimedOut
 	for {
 		next := call.Pick()
--- a/internal/net/flight/front.go
+++ b/internal/net/flight/front.go
@@ -152,7 +152,7 @@
 	defer f.edge.End(s)
 	arrived := f.edge.Now()
 	if at, ok := ctx.Deadline(); ok {
-		s.Wait = min(s.Wait, float64(time.Until(at))/1e6)
+		s.TimeoutMillis = min(s.TimeoutMillis, float64(time.Until(at))/1e6)
 	}
 	r := f.edge.Do(ctx, s, arrived)
 	if r.Verdict != edge.Served {
--- a/internal/net/flight/hosts.go
+++ b/internal/net/flight/hosts.go
@@ -207,8 +207,8 @@
 	if !ok {
 		return edge.NotSent()
 	}
-	text := string(s.WithWait(make([]byte, 0, len(s.Text)+8), wait))
-	if s.Write {
+	text := string(s.AppendWithTimeout(make([]byte, 0, len(s.Text)+8), wait))
+	if s.IsWrite {
 		return c.update(ctx, text)
 	}
 	return c.query(ctx, text, gate)
--- a/internal/net/flight/hosts_test.go
+++ b/internal/net/flight/hosts_test.go
@@ -67,11 +67,11 @@
 	require.NoError(t, err)
 	s, err := sqlcomment.Parse("/* id=1,c=donate,d=900,cluster=1 */ INSERT INTO entries (ref) VALUES ('k')")
 	require.NoError(t, err)
-	s.Write = true
+	s.IsWrite = true
 	r := c.Exchange(ctx, &s, func() (float64, bool) { return 900, true })
 	require.EqualValues(t, 1, streams.Load())
 	require.NotContains(t, []dispatch.Code{dispatch.OK, dispatch.NotSent, dispatch.Rejected, dispatch.Misdirected}, r.Code, "%+v", r)
-	s.Write = false
+	s.IsWrite = false
 	r = c.Exchange(ctx, &s, func() (float64, bool) { return 900, true })
 	require.EqualValues(t, 2, streams.Load(), "a read's first call was refused, and nothing came after it")
 	require.NotEqual(t, dispatch.OK, r.Code)
--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -605,14 +605,14 @@
 
 // Exchange is described at edge.Conn.
 func (c *conn) Exchange(ctx context.Context, s *sqlcomment.Statement, gate edge.Gate) edge.Reply {
-	begun, sent, write := c.pool.clock.Now(), 0.0, s.Write
+	begun, sent, write := c.pool.clock.Now(), 0.0, s.IsWrite
 	e, wrote := c.command(ctx, func() []byte {
 		wait, ok := gate()
 		if !ok {
 			return nil
 		}
 		sent = c.pool.clock.Now()
-		return query(make([]byte, 0, len(s.Text)+16), func(b []byte) []byte { return s.WithWait(b, wait) })
+		return query(make([]byte, 0, len(s.Text)+16), func(b []byte) []byte { return s.AppendWithTimeout(b, wait) })
 	}, func(r *response) {
 		if late := c.pool.late; late != nil && outcome(r) != dispatch.Malformed {
 			late(c.name, sent, write, c.pool.told(r))
--- a/internal/remedy/advice.go
+++ b/internal/remedy/advice.go
@@ -3,16 +3,16 @@
 
 import "errors"
 
-// Advised is an error with a short stable word and what an operator can do.
-type Advised interface {
+// Error is an error with a short stable word and what an operator can do.
+type Error interface {
 	error
 	Code() string
 	Advice() string
 }
 
-// Of finds it in an error's chain; nil: there is none.
-func Of(err error) Advised {
-	var a Advised
+// Find finds it in an error's chain; nil: there is none.
+func Find(err error) Error {
+	var a Error
 	if errors.As(err, &a) {
 		return a
 	}
--- a/internal/sqlcomment/statement.go
+++ b/internal/sqlcomment/statement.go
@@ -17,17 +17,17 @@
 
 // Statement is a request as its client worded it.
 type Statement struct {
-	Text    string
-	ID      string // names the request among those that are open
-	Class   string
-	Group   uint64
-	Wait    float64 // d: milliseconds that the client will wait
-	After   float64 // position that the read must see; 0: none
-	Retry   bool
-	Write   bool   // its class writes; the core says so, not the text
-	Session string // the first quoted literal, which names the session; "": none
-	from    int    // where the value of d stands in Text
-	to      int
+	Text          string
+	ID            string // names the request among those that are open
+	Class         string
+	Group         uint64
+	TimeoutMillis float64 // d: milliseconds that the client will wait
+	MinPosition   float64 // position that the read must see; 0: none
+	IsRetry       bool
+	IsWrite       bool   // its class writes; the core says so, not the text
+	SessionKey    string // the first quoted literal, which names the session; "": none
+	timeoutStart  int    // where the value of d stands in Text
+	timeoutEnd    int
 }
 
 // ErrNoComment is returned for a statement that does not begin with a request's comment.
@@ -72,14 +72,14 @@
 			if wait {
 				return s, errors.New("the comment names d twice")
 			}
-			s.Wait, err = number(value)
-			s.from, s.to, wait = from, from+len(value), true
+			s.TimeoutMillis, err = number(value)
+			s.timeoutStart, s.timeoutEnd, wait = from, from+len(value), true
 		case "cluster":
 			s.Group, err = strconv.ParseUint(value, 10, 64)
 		case "after":
-			s.After, err = number(value)
+			s.MinPosition, err = number(value)
 		case "r":
-			s.Retry = value == "1"
+			s.IsRetry = value == "1"
 		}
 		if err != nil {
 			return s, fmt.Errorf("the comment's %s is %q, which is no number that fits", strings.TrimSpace(name), value)
@@ -89,7 +89,7 @@
 	if !class || !wait || s.ID == "" {
 		return s, ErrNoComment
 	}
-	s.Session = literal(text[end+2:])
+	s.SessionKey = literal(text[end+2:])
 	return s, nil
 }
 
@@ -121,9 +121,9 @@
 	return ""
 }
 
-// WithWait appends the statement to b with d set to how long the pooler will wait, in whole milliseconds.
-func (s *Statement) WithWait(b []byte, ms float64) []byte {
-	b = append(b, s.Text[:s.from]...)
+// AppendWithTimeout appends the statement to b with d set to how long the pooler will wait, in whole milliseconds.
+func (s *Statement) AppendWithTimeout(b []byte, ms float64) []byte {
+	b = append(b, s.Text[:s.timeoutStart]...)
 	b = strconv.AppendInt(b, int64(max(1, ms)), 10)
-	return append(b, s.Text[s.to:]...)
+	return append(b, s.Text[s.timeoutEnd:]...)
 }
--- a/internal/sqlcomment/statement_test.go
+++ b/internal/sqlcomment/statement_test.go
@@ -8,18 +8,18 @@
 func TestParse(t *testing.T) {
 	text := "/* id=9b1f,c=basket,d=480,r=1,cluster=2,after=1767225600123 */ SELECT payload FROM entries WHERE ref = 'o''k'"
 	s, err := Parse(text)
-	if err != nil || s.Class != "basket" || s.Group != 2 || s.Wait != 480 || s.After != 1767225600123 || !s.Retry || s.Session != "o'k" {
+	if err != nil || s.Class != "basket" || s.Group != 2 || s.TimeoutMillis != 480 || s.MinPosition != 1767225600123 || !s.IsRetry || s.SessionKey != "o'k" {
 		t.Fatalf("%+v, %v", s, err)
 	}
 	// Guards against a rewrite that touches more than d: hosts refuse a form that no client sent.
-	if got, want := string(s.WithWait(nil, 80.9)), strings.Replace(text, "d=480", "d=80", 1); got != want {
+	if got, want := string(s.AppendWithTimeout(nil, 80.9)), strings.Replace(text, "d=480", "d=80", 1); got != want {
 		t.Errorf("got %q, want %q", got, want)
 	}
-	if got := string(s.WithWait(nil, 0.2)); !strings.Contains(got, ",d=1,") {
+	if got := string(s.AppendWithTimeout(nil, 0.2)); !strings.Contains(got, ",d=1,") {
 		t.Errorf("less than a millisecond: %q", got)
 	}
 	s, err = Parse("/* id=d=7, c=a , d= 12 ,x=y */ SELECT 'd=12'")
-	if got := string(s.WithWait(nil, 5)); err != nil || got != "/* id=d=7, c=a , d= 5 ,x=y */ SELECT 'd=12'" {
+	if got := string(s.AppendWithTimeout(nil, 5)); err != nil || got != "/* id=d=7, c=a , d= 5 ,x=y */ SELECT 'd=12'" {
 		t.Errorf("spaces: %q, %v", got, err)
 	}
 }
@@ -46,9 +46,9 @@
 		if err != nil {
 			return
 		}
-		out := string(s.WithWait(nil, 77))
+		out := string(s.AppendWithTimeout(nil, 77))
 		again, err := Parse(out)
-		if err != nil || again.Wait != 77 || again.Class != s.Class || again.Group != s.Group || again.Session != s.Session {
+		if err != nil || again.TimeoutMillis != 77 || again.Class != s.Class || again.Group != s.Group || again.SessionKey != s.SessionKey {
 			t.Fatalf("%q became %q: %+v, %v", text, out, again, err)
 		}
 	})
--- a/internal/vfs/golden_test.go
+++ b/internal/vfs/golden_test.go
@@ -32,19 +32,19 @@
 // A file holds what it was given and nothing around it; while it is written it has another name, and the mode keeps it
 // from other users.
 func TestGoldenFile(t *testing.T) {
-	content := make([]byte, 2*piece+100)
+	content := make([]byte, 2*maxWriteBytes+100)
 	for i := range content {
 		content[i] = byte(i * i)
 	}
 	path := filepath.Join(t.TempDir(), "f")
 	var during []string
-	require.NoError(t, Replace(Real{}, path, func(string) ([]byte, error) {
-		names, err := Real{}.Names(filepath.Dir(path))
+	require.NoError(t, ReplaceFile(OS{}, path, func(string) ([]byte, error) {
+		names, err := OS{}.ReadDirNames(filepath.Dir(path))
 		during = names
 		return content, err
 	}))
 	require.Equal(t, []string{"f.new"}, during)
-	b, is, err := Real{}.ReadFile(path, len(content))
+	b, is, err := OS{}.ReadFile(path, len(content))
 	require.NoError(t, err)
 	require.Equal(t, content, golden(t, "file.bin", b))
 	require.Regexp(t, `^\d+( born \d+\.\d{9})?$`, is)
@@ -57,7 +57,7 @@
 func TestGoldenErrors(t *testing.T) {
 	type shown struct{ Text, Code, Advice string }
 	var all []shown
-	for _, cause := range []error{ErrHeld, syscall.ENOSPC, syscall.EDQUOT, syscall.EROFS, syscall.EIO, syscall.EACCES, syscall.ENOENT, errors.New("other")} {
+	for _, cause := range []error{ErrLocked, syscall.ENOSPC, syscall.EDQUOT, syscall.EROFS, syscall.EIO, syscall.EACCES, syscall.ENOENT, errors.New("other")} {
 		for _, op := range []string{"write", "sync", "sync folder"} {
 			e := &Error{Op: op, Path: "/f", Err: &fs.PathError{Op: "x", Path: "/f", Err: cause}}
 			all = append(all, shown{e.Error(), e.Code(), e.Advice()})
--- a/internal/warmstate/golden_test.go
+++ b/internal/warmstate/golden_test.go
@@ -28,14 +28,14 @@
 // everyFact is a snapshot with each kind of fact and no field that is zero.
 func everyFact() *Snapshot {
 	return &Snapshot{
-		Head: Head{Name: "n1", Site: "0123456789abcdef", At: 1767225600123.25},
+		Header: Header{Name: "n1", SiteHash: "0123456789abcdef", WrittenAt: 1767225600123.25},
 		Hosts: []Host{
-			{Name: "s-1", Group: 3, Since: 1767225500000.5, Limit: 41.25, Took: 2.125, Lag: 30.5, Heard: 10.25, Primary: true, Proof: 20.75},
-			{Name: "s-2", Group: 18446744073709551615, Since: 1767225400000, Limit: 1, Took: 0.001, Lag: -1, Heard: 0.001, Primary: true, Proof: maxAge},
+			{Name: "s-1", Group: 3, StartedAt: 1767225500000.5, Limit: 41.25, FailureScore: 2.125, Lag: 30.5, LagAge: 10.25, IsPrimary: true, RoleAge: 20.75},
+			{Name: "s-2", Group: 18446744073709551615, StartedAt: 1767225400000, Limit: 1, FailureScore: 0.001, Lag: -1, LagAge: 0.001, IsPrimary: true, RoleAge: maxAge},
 		},
-		Classes: []Class{{Name: "browse", Latency: 20.5, Work: 12.25}, {Name: "basket", Latency: 0.001, Work: 9}},
-		Wear:    &Wear{Requests: []float64{9.5, 4, 1}, Resets: []float64{0.25, 3, 1}},
-		List:    &List{At: 1767225600000.5, JSON: []byte(`{"index":3,"endpoints":[{"host":"s-1"}]}`)},
+		Classes:    []Class{{Name: "browse", Latency: 20.5, ServiceTime: 12.25}, {Name: "basket", Latency: 0.001, ServiceTime: 9}},
+		IdleResets: &IdleResets{Requests: []float64{9.5, 4, 1}, Resets: []float64{0.25, 3, 1}},
+		Endpoints:  &EndpointList{ReceivedAt: 1767225600000.5, JSON: []byte(`{"index":3,"endpoints":[{"host":"s-1"}]}`)},
 	}
 }
 
@@ -73,11 +73,11 @@
 }
 
 // What operators see of a fact keeps its keys.
-func TestGoldenVerdict(t *testing.T) {
-	b, err := json.Marshal([]Verdict{{What: "s-1 limit", Age: 12.5, Weight: 0.25, Why: "too old"}})
+func TestGoldenFactAge(t *testing.T) {
+	b, err := json.Marshal([]FactAge{{Fact: "s-1 limit", Age: 12.5, Weight: 0.25, Reason: "too old"}})
 	require.NoError(t, err)
 	stored := golden(t, "facts.json", b)
-	var read []Verdict
+	var read []FactAge
 	require.NoError(t, json.Unmarshal(stored, &read))
 	again, err := json.Marshal(read)
 	require.NoError(t, err)
@@ -86,5 +86,5 @@
 
 // The names of the files in a state folder stay.
 func TestGoldenFileNames(t *testing.T) {
-	golden(t, "names.txt", []byte(fileName+"\n"+lockName+"\n"+asideIs+"1\n"))
+	golden(t, "names.txt", []byte(fileName+"\n"+lockName+"\n"+quarantinePrefix+"1\n"))
 }
--- a/internal/warmstate/learned_test.go
+++ b/internal/warmstate/learned_test.go
@@ -17,28 +17,28 @@
 	"ashstand/routing"
 )
 
-// whole is a snapshot with everything in it, of the moment 1e12.
-func whole() *Snapshot {
+// fullSnapshot is a snapshot with everything in it, of the moment 1e12.
+func fullSnapshot() *Snapshot {
 	return &Snapshot{
-		Head:    Head{"n1", "site", 1e12},
-		Hosts:   []Host{{Name: "a", Group: 1, Since: 5, Limit: 40, Took: 2, Lag: 30, Heard: 10, Proof: 20}, {Name: "p", Group: 1, Limit: 2, Lag: -1, Primary: true, Proof: 20}},
-		Classes: []Class{{"browse", 20, 12}}, Wear: &Wear{[]float64{9, 4}, []float64{0, 3}}, List: &List{At: 1e12, JSON: []byte(`{"index":3}`)},
+		Header:  Header{"n1", "site", 1e12},
+		Hosts:   []Host{{Name: "a", Group: 1, StartedAt: 5, Limit: 40, FailureScore: 2, Lag: 30, LagAge: 10, RoleAge: 20}, {Name: "p", Group: 1, Limit: 2, Lag: -1, IsPrimary: true, RoleAge: 20}},
+		Classes: []Class{{"browse", 20, 12}}, IdleResets: &IdleResets{[]float64{9, 4}, []float64{0, 3}}, Endpoints: &EndpointList{ReceivedAt: 1e12, JSON: []byte(`{"index":3}`)},
 	}
 }
 
-func TestFileIsReadAsItWasWritten(t *testing.T) {
-	b, err := Encode(whole())
+func TestFileRoundTrip(t *testing.T) {
+	b, err := Encode(fullSnapshot())
 	require.NoError(t, err)
 	s, lost, err := Decode(b)
 	require.NoError(t, err)
 	require.Empty(t, lost)
-	require.Equal(t, whole(), s)
+	require.Equal(t, fullSnapshot(), s)
 	// A truncated file, at every byte: an error, or what is whole of it, and never anything else.
 	for n := range b {
 		s, _, err := Decode(b[:n])
 		if err == nil {
-			require.Equal(t, whole().Head, s.Head)
-			require.Subset(t, whole().Hosts, s.Hosts)
+			require.Equal(t, fullSnapshot().Header, s.Header)
+			require.Subset(t, fullSnapshot().Hosts, s.Hosts)
 		}
 	}
 	// A flipped bit, anywhere: it costs the part that it is in.
@@ -55,8 +55,8 @@
 		for _, part := range []struct {
 			tag       string
 			got, want any
-		}{{"host", s.Hosts, whole().Hosts}, {"clas", s.Classes, whole().Classes}, {"wear", s.Wear, whole().Wear}, {"list", s.List, whole().List}} {
-			if !has(lost, part.tag) {
+		}{{"host", s.Hosts, fullSnapshot().Hosts}, {"clas", s.Classes, fullSnapshot().Classes}, {"wear", s.IdleResets, fullSnapshot().IdleResets}, {"list", s.Endpoints, fullSnapshot().Endpoints}} {
+			if !contains(lost, part.tag) {
 				require.Equal(t, part.want, part.got, "byte %d", i)
 			}
 		}
@@ -67,7 +67,7 @@
 func TestVersions(t *testing.T) {
 	for version, file := range map[uint16]string{1: "testdata/version1.ash", 2: "testdata/version2.ash"} {
 		if os.Getenv("WRITE_GOLDEN") != "" {
-			b, err := encode(whole(), version)
+			b, err := encode(fullSnapshot(), version)
 			require.NoError(t, err)
 			require.NoError(t, os.WriteFile(file, b, 0o644))
 		}
@@ -76,31 +76,31 @@
 		s, lost, err := Decode(b)
 		require.NoError(t, err)
 		require.Empty(t, lost)
-		want := whole()
+		want := fullSnapshot()
 		if version == 1 {
-			want.Wear, want.List = nil, nil
+			want.IdleResets, want.Endpoints = nil, nil
 			for i := range want.Hosts {
-				want.Hosts[i].Lag, want.Hosts[i].Primary, want.Hosts[i].Heard, want.Hosts[i].Proof = -1, false, maxAge, maxAge
+				want.Hosts[i].Lag, want.Hosts[i].IsPrimary, want.Hosts[i].LagAge, want.Hosts[i].RoleAge = -1, false, maxAge, maxAge
 			}
 		}
 		require.Equal(t, want, s, file)
 	}
-	b, err := encode(whole(), Version+1)
+	b, err := encode(fullSnapshot(), FormatVersion+1)
 	require.NoError(t, err)
 	_, _, err = Decode(b)
-	require.ErrorIs(t, err, ErrNewer)
-	d := newDisk()
+	require.ErrorIs(t, err, ErrNewerVersion)
+	d := newFaultyFS()
 	d.live["f/"+fileName] = b
-	s := On(d, "f")
+	s := NewUnlockedStore(d, "f")
 	_, _, err = s.Load()
-	require.ErrorIs(t, err, ErrNewer)
+	require.ErrorIs(t, err, ErrNewerVersion)
 	require.Error(t, s.Save([]byte("x")))
 	require.Equal(t, b, d.live["f/"+fileName], "it is left alone")
 }
 
-func TestOldFactsAreWorthLess(t *testing.T) {
+func TestFactsLoseWeightWithAge(t *testing.T) {
 	const minute, hour = 60e3, 3600e3
-	at := func(now float64) Weighed { return Weigh(whole(), now, "n1", "site", false) }
+	at := func(now float64) Aged { return ApplyAge(fullSnapshot(), now, "n1", "site", false) }
 	fresh := at(1e12)
 	require.InDelta(t, 40, fresh.State.Hosts[0].Limit, 0.01)
 	require.Equal(t, 30*time.Millisecond, fresh.State.Hosts[0].Lag)
@@ -115,31 +115,31 @@
 	require.Len(t, day.State.Hosts, 0)
 	require.Len(t, day.State.Classes, 1, "how long a class takes stays true for longer")
 	// A day old, from the future, of another pooler or site: nothing counts, and it is said why.
-	for why, w := range map[string]Weighed{
+	for why, w := range map[string]Aged{
 		"older than a day": at(1e12 + 25*hour), "ran backwards": at(1e12 - hour), "year": at(1e12 + 365*24*hour),
-		`pooler "n1"`: Weigh(whole(), 1e12, "n2", "site", false), "another site": Weigh(whole(), 1e12, "n1", "other", false),
+		`pooler "n1"`: ApplyAge(fullSnapshot(), 1e12, "n2", "site", false), "another site": ApplyAge(fullSnapshot(), 1e12, "n1", "other", false),
 	} {
 		require.Empty(t, w.State.Hosts, why)
 		require.Empty(t, w.State.Classes, why)
-		require.Nil(t, w.Wear, why)
-		require.Len(t, w.Verdicts, 8, why)
-		for _, v := range w.Verdicts {
+		require.Nil(t, w.IdleResets, why)
+		require.Len(t, w.Facts, 8, why)
+		for _, v := range w.Facts {
 			require.Zero(t, v.Weight)
 			if why != "year" {
-				require.Contains(t, v.Why, why)
+				require.Contains(t, v.Reason, why)
 			}
 		}
 	}
-	require.NotEmpty(t, Weigh(whole(), 1e12+25*hour, "n1", "site", true).State.Hosts, "the switch for the checker")
+	require.NotEmpty(t, ApplyAge(fullSnapshot(), 1e12+25*hour, "n1", "site", true).State.Hosts, "the switch for the checker")
 	// What the decisions give comes back the same.
 	s := routing.RouterState{Hosts: []routing.HostState{{Host: "a", Group: 2, Started: time.Second, Limit: 7, Score: 0.5, Lag: 40 * time.Millisecond, LagAge: time.Second}}}
-	got := Weigh(Take(Head{"n", "s", 5e5}, s, nil, nil), 5e5, "n", "s", false).State
+	got := ApplyAge(NewSnapshot(Header{"n", "s", 5e5}, s, nil, nil), 5e5, "n", "s", false).State
 	s.Hosts[0].LagAge = 0 // it is in the weight
 	require.Equal(t, s.Hosts, got.Hosts)
 }
 
-// stops is a file system that stops at the nth call and keeps only what was synced.
-type stops struct {
+// faultyFS is a file system that stops at the nth call and keeps only what was synced.
+type faultyFS struct {
 	live, safe map[string][]byte
 	calls      int
 	stop       int  // the call at which it stops; 0: never
@@ -148,15 +148,15 @@
 
 var (
 	errStopped = errors.New("the machine stopped")
-	errFull    = errors.New("no space left on device")
+	errNoSpace = errors.New("no space left on device")
 )
 
-func newDisk() *stops { return &stops{live: map[string][]byte{}, safe: map[string][]byte{}} }
+func newFaultyFS() *faultyFS { return &faultyFS{live: map[string][]byte{}, safe: map[string][]byte{}} }
 
-func (d *stops) call() error {
+func (d *faultyFS) call() error {
 	d.calls++
 	if d.stop > 0 && d.calls == d.stop && d.fail {
-		return errFull
+		return errNoSpace
 	}
 	if d.stop > 0 && d.calls >= d.stop && !d.fail {
 		return errStopped
@@ -164,7 +164,7 @@
 	return nil
 }
 
-func (d *stops) ReadFile(path string, _ int) ([]byte, string, error) {
+func (d *faultyFS) ReadFile(path string, _ int) ([]byte, string, error) {
 	b, ok := d.live[path]
 	if !ok {
 		return nil, "", fs.ErrNotExist
@@ -172,16 +172,16 @@
 	return b, "", nil
 }
 
-func (d *stops) MakeFolder(string) error        { return d.call() }
-func (d *stops) Lock(string) (io.Closer, error) { return nil, d.call() }
-func (f *file) Birth() (string, error)          { return "", nil }
+func (d *faultyFS) MkdirAll(string) error          { return d.call() }
+func (d *faultyFS) Lock(string) (io.Closer, error) { return nil, d.call() }
+func (f *faultyFile) Identity() (string, error)    { return "", nil }
 
-type file struct {
-	d    *stops
+type faultyFile struct {
+	d    *faultyFS
 	path string
 }
 
-func (d *stops) Create(path string) (vfs.File, error) {
+func (d *faultyFS) Create(path string) (vfs.File, error) {
 	if err := d.call(); err != nil {
 		return nil, err
 	}
@@ -189,10 +189,10 @@
 		return nil, fs.ErrExist
 	}
 	d.live[path] = nil
-	return &file{d, path}, nil
+	return &faultyFile{d, path}, nil
 }
 
-func (f *file) Write(b []byte) (int, error) {
+func (f *faultyFile) Write(b []byte) (int, error) {
 	if err := f.d.call(); err != nil {
 		f.d.live[f.path] = append(f.d.live[f.path], b[:len(b)/2]...) // half of it got there
 		return len(b) / 2, err
@@ -201,7 +201,7 @@
 	return len(b), nil
 }
 
-func (f *file) Sync() error {
+func (f *faultyFile) Sync() error {
 	if err := f.d.call(); err != nil {
 		return err
 	}
@@ -209,9 +209,9 @@
 	return nil
 }
 
-func (f *file) Close() error { return f.d.call() }
+func (f *faultyFile) Close() error { return f.d.call() }
 
-func (d *stops) Rename(from, to string) error {
+func (d *faultyFS) Rename(from, to string) error {
 	if err := d.call(); err != nil {
 		return err
 	}
@@ -220,7 +220,7 @@
 	return nil
 }
 
-func (d *stops) Remove(path string) error {
+func (d *faultyFS) Remove(path string) error {
 	if err := d.call(); err != nil {
 		return err
 	}
@@ -231,7 +231,7 @@
 	return nil
 }
 
-func (d *stops) SyncFolder(string) error {
+func (d *faultyFS) SyncDir(string) error {
 	if err := d.call(); err != nil {
 		return err
 	}
@@ -246,16 +246,16 @@
 	return nil
 }
 
-func (d *stops) Names(string) (names []string, err error) {
+func (d *faultyFS) ReadDirNames(string) (names []string, err error) {
 	for path := range d.live {
 		names = append(names, filepath.Base(path))
 	}
 	return names, d.call()
 }
 
-func TestAStopAtAnyCallLeavesAWholeFile(t *testing.T) {
-	first, second := whole(), whole()
-	second.Head.At++
+func TestStopAtAnyCallLeavesACompleteFile(t *testing.T) {
+	first, second := fullSnapshot(), fullSnapshot()
+	second.Header.WrittenAt++
 	for range 200 {
 		second.Hosts = append(second.Hosts, Host{Name: fmt.Sprint("h", len(second.Hosts)), Limit: 5, Lag: -1})
 	}
@@ -265,17 +265,17 @@
 	require.NoError(t, err)
 	for _, fail := range []bool{false, true} {
 		for stop := 1; ; stop++ {
-			d := newDisk()
-			require.NoError(t, On(d, "f").Save(a))
+			d := newFaultyFS()
+			require.NoError(t, NewUnlockedStore(d, "f").Save(a))
 			d.calls, d.stop, d.fail = 0, stop, fail
-			err := On(d, "f").Save(b)
+			err := NewUnlockedStore(d, "f").Save(b)
 			for what, files := range map[string]map[string][]byte{"what was written": d.live, "what was synced": d.safe} {
 				s, lost, derr := Decode(files["f/"+fileName])
 				require.NoError(t, derr, "%s, stopped at call %d", what, stop)
 				require.Empty(t, lost)
-				require.Contains(t, []float64{first.Head.At, second.Head.At}, s.Head.At)
+				require.Contains(t, []float64{first.Header.WrittenAt, second.Header.WrittenAt}, s.Header.WrittenAt)
 				if err == nil {
-					require.Equal(t, second.Head.At, s.Head.At, what)
+					require.Equal(t, second.Header.WrittenAt, s.Header.WrittenAt, what)
 				}
 			}
 			if err == nil && d.calls < stop {
@@ -284,26 +284,26 @@
 			}
 			if fail && err != nil { // a full disk: the next attempt finds room
 				d.stop = 0
-				require.NoError(t, On(d, "f").Save(b))
+				require.NoError(t, NewUnlockedStore(d, "f").Save(b))
 			}
 		}
 	}
 	// Written in place, a stop leaves a part: the test can fail.
-	d := newDisk()
-	require.NoError(t, On(d, "f").Save(a))
+	d := newFaultyFS()
+	require.NoError(t, NewUnlockedStore(d, "f").Save(a))
 	d.calls, d.stop = 0, 4
-	s := On(d, "f")
-	s.Tear()
+	s := NewUnlockedStore(d, "f")
+	s.DisableAtomicWrites()
 	require.Error(t, s.Save(b))
 	_, lost, err := Decode(d.live["f/"+fileName])
 	require.True(t, err != nil || len(lost) > 0)
 }
 
-func TestASpoiltFileIsMovedAside(t *testing.T) {
+func TestMalformedFileIsQuarantined(t *testing.T) {
 	folder := t.TempDir()
-	s, err := Open(vfs.Real{}, folder)
+	s, err := Open(vfs.OS{}, folder)
 	require.NoError(t, err)
-	_, err = Open(vfs.Real{}, folder)
+	_, err = Open(vfs.OS{}, folder)
 	require.ErrorContains(t, err, "another pooler has it")
 	got, _, err := s.Load()
 	require.NoError(t, err)
@@ -311,30 +311,30 @@
 	for range 6 {
 		require.NoError(t, os.WriteFile(s.Path(), []byte("ASHLEARN and then nothing"), 0o600))
 		_, _, err = s.Load()
-		require.ErrorIs(t, err, ErrSpoilt)
+		require.ErrorIs(t, err, ErrMalformed)
 		require.NoFileExists(t, s.Path())
 	}
-	names, err := vfs.Real{}.Names(folder)
+	names, err := vfs.OS{}.ReadDirNames(folder)
 	require.NoError(t, err)
-	require.Equal(t, 3, strings.Count(strings.Join(names, " "), asideIs), "the last few are kept for a look")
-	b, err := Encode(whole())
+	require.Equal(t, 3, strings.Count(strings.Join(names, " "), quarantinePrefix), "the last few are kept for a look")
+	b, err := Encode(fullSnapshot())
 	require.NoError(t, err)
 	require.NoError(t, s.Save(b))
 	got, _, err = s.Load()
 	require.NoError(t, err)
-	require.Equal(t, whole(), got)
+	require.Equal(t, fullSnapshot(), got)
 	s.Close()
-	s, err = Open(vfs.Real{}, folder)
+	s, err = Open(vfs.OS{}, folder)
 	require.NoError(t, err)
 	s.Close()
-	_, err = Open(vfs.Real{}, filepath.Join(folder, "none"))
+	_, err = Open(vfs.OS{}, filepath.Join(folder, "none"))
 	require.ErrorIs(t, err, fs.ErrNotExist)
 }
 
-func TestALargeFleetIsBounded(t *testing.T) {
-	s := whole()
+func TestLargeFleetIsBounded(t *testing.T) {
+	s := fullSnapshot()
 	for i := range 5000 {
-		s.Hosts = append(s.Hosts, Host{Name: fmt.Sprintf("host-%d", i), Group: uint64(i / 4), Limit: 12, Lag: 8, Heard: 100})
+		s.Hosts = append(s.Hosts, Host{Name: fmt.Sprintf("host-%d", i), Group: uint64(i / 4), Limit: 12, Lag: 8, LagAge: 100})
 	}
 	b, err := Encode(s)
 	require.NoError(t, err)
@@ -349,7 +349,7 @@
 
 func FuzzDecode(f *testing.F) {
 	for _, v := range []uint16{1, 2, 3} {
-		b, _ := encode(whole(), v)
+		b, _ := encode(fullSnapshot(), v)
 		f.Add(b)
 		f.Add(b[:len(b)/2])
 		f.Add(b[len(b)/2:])
@@ -359,7 +359,7 @@
 		if err != nil {
 			return
 		}
-		w := Weigh(s, s.Head.At, s.Head.Name, s.Head.Site, false)
+		w := ApplyAge(s, s.Header.WrittenAt, s.Header.Name, s.Header.SiteHash, false)
 		for _, m := range w.State.Hosts {
 			require.GreaterOrEqual(t, m.Limit, 1.0)
 		}
--- a/internal/warmstate/snapshot.go
+++ b/internal/warmstate/snapshot.go
@@ -15,68 +15,68 @@
 
 var json = jsoniter.ConfigCompatibleWithStandardLibrary
 
-// Version is the format that is written. Older ones are read; a newer one is left alone.
-const Version = 2
+// FormatVersion is the format that is written. Older ones are read; a newer one is left alone.
+const FormatVersion = 2
 
 // Bounds of a file.
 const (
-	MaxFile  = 16 << 20
-	maxHosts = 20000
-	maxParts = 16
+	MaxFileBytes = 16 << 20
+	maxHosts     = 20000
+	maxParts     = 16
 )
 
-// Head says whose file it is.
-type Head struct {
-	Name string  `json:"name"` // of the pooler
-	Site string  `json:"site"` // a hash of the classes: what they mean must be the same
-	At   float64 `json:"at"`   // Unix milliseconds at which it was written
+// Header says whose file it is.
+type Header struct {
+	Name      string  `json:"name"` // of the pooler
+	SiteHash  string  `json:"site"` // a hash of the classes: what they mean must be the same
+	WrittenAt float64 `json:"at"`   // Unix milliseconds at which it was written
 }
 
 // Host is what is kept of one host. Ages are milliseconds before Head.At.
 type Host struct {
-	Name    string  `json:"name"`
-	Group   uint64  `json:"group"`
-	Since   float64 `json:"since_ms"` // Unix milliseconds of its start; 0: long ago. A host that started since is another
-	Limit   float64 `json:"limit"`
-	Took    float64 `json:"took"`
-	Lag     float64 `json:"lag_ms"` // below 0: not known
-	Heard   float64 `json:"heard_ms"`
-	Primary bool    `json:"primary,omitempty"`
-	Proof   float64 `json:"proof_ms"`
+	Name         string  `json:"name"`
+	Group        uint64  `json:"group"`
+	StartedAt    float64 `json:"since_ms"` // Unix milliseconds of its start; 0: long ago. A host that started since is another
+	Limit        float64 `json:"limit"`
+	FailureScore float64 `json:"took"`
+	Lag          float64 `json:"lag_ms"` // below 0: not known
+	LagAge       float64 `json:"heard_ms"`
+	IsPrimary    bool    `json:"primary,omitempty"`
+	RoleAge      float64 `json:"proof_ms"`
 }
 
 // Class is what is usual for a class, in milliseconds.
 type Class struct {
-	Name    string  `json:"name"`
-	Latency float64 `json:"latency_ms"`
-	Work    float64 `json:"work_ms"`
+	Name        string  `json:"name"`
+	Latency     float64 `json:"latency_ms"`
+	ServiceTime float64 `json:"work_ms"`
 }
 
-// Wear is the pool's count of requests and resets by how long their connection had lain idle.
-type Wear struct {
+// IdleResets is the pool's count of requests and resets by how long their connection had lain idle.
+type IdleResets struct {
 	Requests []float64 `json:"requests"`
 	Resets   []float64 `json:"resets"`
 }
 
-// List is the last list of hosts, as discovery words it, for a start without discovery.
-type List struct {
-	At   float64             `json:"at"` // Unix milliseconds at which it was held
-	JSON jsoniter.RawMessage `json:"list"`
+// EndpointList is the last list of hosts, as discovery words it, for a start without discovery.
+type EndpointList struct {
+	ReceivedAt float64             `json:"at"` // Unix milliseconds at which it was held
+	JSON       jsoniter.RawMessage `json:"list"`
 }
 
 // Snapshot is all that is kept. Client data, sessions, keys and statements never are.
 type Snapshot struct {
-	Head    Head    `json:"head"`
-	Hosts   []Host  `json:"hosts"`
-	Classes []Class `json:"classes"`
-	Wear    *Wear   `json:"wear,omitempty"`
-	List    *List   `json:"list,omitempty"`
+	Header     Header        `json:"head"`
+	Hosts      []Host        `json:"hosts"`
+	Classes    []Class       `json:"classes"`
+	IdleResets *IdleResets   `json:"wear,omitempty"`
+	Endpoints  *EndpointList `json:"list,omitempty"`
 }
 
-// Errors of Decode. ErrNewer is a file of a later version: it is to be left as it is.
+// Errors of Decode. ErrNewerVersion is a file of a later version: it is to be left as it is.
 var (
-	ErrNewer  = errors.New("written by a newer version")
-	ErrSpoilt = errors.New("spoilt")
+	ErrNewerVersion = errors.New("written by a newer version")
+	ErrMalformed    = errors.New("spoilt")
 )
 
 // The form of a file, all numbers big-endian:
@@ -97,7 +97,7 @@
 var tags = []string{"head", "host", "clas", "wear", "list"}
 
 // Encode words a snapshot as a file.
-func Encode(s *Snapshot) ([]byte, error) { return encode(s, Version) }
+func Encode(s *Snapshot) ([]byte, error) { return encode(s, FormatVersion) }
 
 func encode(s *Snapshot, version uint16) ([]byte, error) {
 	var bodies [][]byte
@@ -113,12 +113,12 @@
 	if len(s.Hosts) > maxHosts {
 		return nil, fmt.Errorf("%d hosts are more than the %d that are kept", len(s.Hosts), maxHosts)
 	}
-	err := errors.Join(add("head", s.Head), add("host", s.Hosts), add("clas", s.Classes))
-	if version >= 2 && s.Wear != nil {
-		err = errors.Join(err, add("wear", s.Wear))
+	err := errors.Join(add("head", s.Header), add("host", s.Hosts), add("clas", s.Classes))
+	if version >= 2 && s.IdleResets != nil {
+		err = errors.Join(err, add("wear", s.IdleResets))
 	}
-	if version >= 2 && s.List != nil {
-		err = errors.Join(err, add("list", s.List))
+	if version >= 2 && s.Endpoints != nil {
+		err = errors.Join(err, add("list", s.Endpoints))
 	}
 	if err != nil {
 		return nil, err
@@ -137,8 +137,8 @@
 	out := bytes.Join(append([][]byte{directory}, bodies...), nil)
 	out = append(out, directory...)
 	out = binary.BigEndian.AppendUint32(out, uint32(len(directory)))
-	if out = append(out, tail...); len(out) > MaxFile {
-		return nil, fmt.Errorf("%d bytes are more than the %d that a file may have", len(out), MaxFile)
+	if out = append(out, tail...); len(out) > MaxFileBytes {
+		return nil, fmt.Errorf("%d bytes are more than the %d that a file may have", len(out), MaxFileBytes)
 	}
 	return out, nil
 }
@@ -154,13 +154,13 @@
 // directory reads one at the start of b.
 func directory(b []byte) (version uint16, parts []part, err error) {
 	if len(b) < 12 || string(b[:8]) != magic {
-		return 0, nil, fmt.Errorf("%w: it does not begin as such a file does", ErrSpoilt)
+		return 0, nil, fmt.Errorf("%w: it does not begin as such a file does", ErrMalformed)
 	}
 	version = binary.BigEndian.Uint16(b[8:])
 	n := int(binary.BigEndian.Uint16(b[10:]))
 	end := 12 + entryIs*n
 	if n > maxParts || len(b) < end+8 || xxhash.Sum64(b[:end]) != binary.BigEndian.Uint64(b[end:]) {
-		return version, nil, fmt.Errorf("%w: its directory does not fit its checksum", ErrSpoilt)
+		return version, nil, fmt.Errorf("%w: its directory does not fit its checksum", ErrMalformed)
 	}
 	for i := range n {
 		e := b[12+entryIs*i:]
@@ -172,8 +172,8 @@
 // Decode reads a file of this version or an older one. lost names the parts that can't be read; they cost only
 // themselves, but without its head nobody can say whose file it is, or how old.
 func Decode(b []byte) (s *Snapshot, lost []string, err error) {
-	if len(b) > MaxFile {
-		return nil, nil, fmt.Errorf("%w: %d bytes are more than any file has", ErrSpoilt, len(b))
+	if len(b) > MaxFileBytes {
+		return nil, nil, fmt.Errorf("%w: %d bytes are more than any file has", ErrMalformed, len(b))
 	}
 	version, parts, err := directory(b)
 	if err != nil {
@@ -185,14 +185,14 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if version > Version {
-		return nil, nil, fmt.Errorf("%w: its version is %d, %d is the newest known", ErrNewer, version, Version)
+	if version > FormatVersion {
+		return nil, nil, fmt.Errorf("%w: its version is %d, %d is the newest known", ErrNewerVersion, version, FormatVersion)
 	}
 	if version < 1 {
-		return nil, nil, fmt.Errorf("%w: there is no version %d", ErrSpoilt, version)
+		return nil, nil, fmt.Errorf("%w: there is no version %d", ErrMalformed, version)
 	}
 	s = &Snapshot{}
-	into := map[string]any{"head": &s.Head, "host": &s.Hosts, "clas": &s.Classes, "wear": &s.Wear, "list": &s.List}
+	into := map[string]any{"head": &s.Header, "host": &s.Hosts, "clas": &s.Classes, "wear": &s.IdleResets, "list": &s.Endpoints}
 	for _, p := range parts {
 		to, known := into[p.tag]
 		if !known {
@@ -207,15 +207,15 @@
 			case "clas":
 				s.Classes = nil
 			case "wear":
-				s.Wear = nil
+				s.IdleResets = nil
 			case "list":
-				s.List = nil
+				s.Endpoints = nil
 			}
 		}
 		delete(into, p.tag)
 	}
-	if _, missing := into["head"]; missing || !(s.Head.At > 0) || has(lost, "head") {
-		return nil, lost, fmt.Errorf("%w: its head can't be read", ErrSpoilt)
+	if _, missing := into["head"]; missing || !(s.Header.WrittenAt > 0) || contains(lost, "head") {
+		return nil, lost, fmt.Errorf("%w: its head can't be read", ErrMalformed)
 	}
 	migrate(s, version)
 	clean(s)
@@ -225,11 +225,11 @@
 // copyOf reads the second directory, at the end.
 func copyOf(b []byte) (uint16, []part, error) {
 	if len(b) < 12 || string(b[len(b)-8:]) != tail {
-		return 0, nil, ErrSpoilt
+		return 0, nil, ErrMalformed
 	}
 	n := int(binary.BigEndian.Uint32(b[len(b)-12:]))
 	if n > len(b)-12 {
-		return 0, nil, ErrSpoilt
+		return 0, nil, ErrMalformed
 	}
 	return directory(b[len(b)-12-n : len(b)-12])
 }
@@ -239,7 +239,7 @@
 func migrate(s *Snapshot, version uint16) {
 	if version < 2 {
 		for i := range s.Hosts {
-			s.Hosts[i].Lag, s.Hosts[i].Primary, s.Hosts[i].Heard, s.Hosts[i].Proof = -1, false, maxAge, maxAge
+			s.Hosts[i].Lag, s.Hosts[i].IsPrimary, s.Hosts[i].LagAge, s.Hosts[i].RoleAge = -1, false, maxAge, maxAge
 		}
 	}
 }
@@ -257,7 +257,7 @@
 	hosts := s.Hosts[:0]
 	seen := map[string]bool{}
 	for _, h := range s.Hosts {
-		if h.Name != "" && !seen[h.Name] && sane(h.Since, h.Limit, h.Took, h.Heard, max(0, h.Lag), h.Proof) && h.Limit >= 1 && len(hosts) < maxHosts {
+		if h.Name != "" && !seen[h.Name] && sane(h.StartedAt, h.Limit, h.FailureScore, h.LagAge, max(0, h.Lag), h.RoleAge) && h.Limit >= 1 && len(hosts) < maxHosts {
 			seen[h.Name] = true
 			hosts = append(hosts, h)
 		}
@@ -265,17 +265,17 @@
 	s.Hosts = hosts
 	classes := s.Classes[:0]
 	for _, c := range s.Classes {
-		if c.Name != "" && sane(c.Latency, c.Work) {
+		if c.Name != "" && sane(c.Latency, c.ServiceTime) {
 			classes = append(classes, c)
 		}
 	}
 	s.Classes = classes
-	if w := s.Wear; w != nil && (len(w.Requests) != len(w.Resets) || !sane(w.Requests...) || !sane(w.Resets...)) {
-		s.Wear = nil
+	if w := s.IdleResets; w != nil && (len(w.Requests) != len(w.Resets) || !sane(w.Requests...) || !sane(w.Resets...)) {
+		s.IdleResets = nil
 	}
 }
 
-func has(list []string, s string) bool {
+func contains(list []string, s string) bool {
 	for _, l := range list {
 		if l == s {
 			return true
--- a/internal/warmstate/store.go
+++ b/internal/warmstate/store.go
@@ -14,15 +14,15 @@
 
 // File names in the folder.
 const (
-	fileName = "learned.ash"
-	lockName = "learned.lock"
-	asideIs  = "learned.ash.bad-"
-	mostBad  = 3 // spoilt files that are kept for a look
+	fileName         = "learned.ash"
+	lockName         = "learned.lock"
+	quarantinePrefix = "learned.ash.bad-"
+	maxQuarantined   = 3 // spoilt files that are kept for a look
 )
 
 // Store is the folder in which one pooler keeps its file.
 type Store struct {
-	disk   vfs.Disk
+	disk   vfs.FS
 	folder string
 	lock   io.Closer
 	torn   bool // only for seeing the checker fail: write in place
@@ -30,9 +30,9 @@
 }
 
 // Open takes the folder for this process: another pooler that has it is an error.
-func Open(d vfs.Disk, folder string) (*Store, error) {
+func Open(d vfs.FS, folder string) (*Store, error) {
 	l, err := d.Lock(filepath.Join(folder, lockName))
-	if errors.Is(err, vfs.ErrHeld) {
+	if errors.Is(err, vfs.ErrLocked) {
 		return nil, fmt.Errorf("state folder %s: another pooler has it: %w", folder, err)
 	} else if err != nil {
 		return nil, fmt.Errorf("state folder: %w", err)
@@ -40,11 +40,11 @@
 	return &Store{disk: d, folder: folder, lock: l}, nil
 }
 
-// On returns a store without a lock.
-func On(d vfs.Disk, folder string) *Store { return &Store{disk: d, folder: folder} }
+// NewUnlockedStore returns a store without a lock.
+func NewUnlockedStore(d vfs.FS, folder string) *Store { return &Store{disk: d, folder: folder} }
 
-// Tear makes Save write in place, so that what checks half-written files is seen to fail.
-func (s *Store) Tear() { s.torn = true }
+// DisableAtomicWrites makes Save write in place, so that what checks half-written files is seen to fail.
+func (s *Store) DisableAtomicWrites() { s.torn = true }
 
 // Close gives the folder back.
 func (s *Store) Close() {
@@ -59,7 +59,7 @@
 // Load reads the file. nil without an error: there is none. A spoilt one is moved aside and said so in the error; one
 // of a newer version stays, and nothing is saved over it.
 func (s *Store) Load() (*Snapshot, []string, error) {
-	b, _, err := s.disk.ReadFile(s.Path(), MaxFile)
+	b, _, err := s.disk.ReadFile(s.Path(), MaxFileBytes)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil, nil
 	}
@@ -68,7 +68,7 @@
 	}
 	out, lost, err := Decode(b)
 	switch {
-	case errors.Is(err, ErrNewer):
+	case errors.Is(err, ErrNewerVersion):
 		s.newer = true
 		return nil, nil, fmt.Errorf("%s is left as it is: %w", s.Path(), err)
 	case err != nil:
@@ -83,13 +83,13 @@
 
 // aside moves a spoilt file away and keeps the last few such.
 func (s *Store) aside() (string, error) {
-	names, err := s.disk.Names(s.folder)
+	names, err := s.disk.ReadDirNames(s.folder)
 	if err != nil {
 		return "", err
 	}
 	var bad []int
 	for _, n := range names {
-		if k, ok := strings.CutPrefix(n, asideIs); ok {
+		if k, ok := strings.CutPrefix(n, quarantinePrefix); ok {
 			if i, err := strconv.Atoi(k); err == nil {
 				bad = append(bad, i)
 			}
@@ -100,11 +100,11 @@
 		next = max(next, i+1)
 	}
 	for _, i := range bad {
-		if i <= next-mostBad {
-			_ = s.disk.Remove(filepath.Join(s.folder, asideIs+strconv.Itoa(i)))
+		if i <= next-maxQuarantined {
+			_ = s.disk.Remove(filepath.Join(s.folder, quarantinePrefix+strconv.Itoa(i)))
 		}
 	}
-	to := filepath.Join(s.folder, asideIs+strconv.Itoa(next))
+	to := filepath.Join(s.folder, quarantinePrefix+strconv.Itoa(next))
 	return to, s.disk.Rename(s.Path(), to)
 }
 
@@ -115,12 +115,12 @@
 		return fmt.Errorf("%s is of a newer version and is not written over", s.Path())
 	}
 	if !s.torn {
-		return vfs.Replace(s.disk, s.Path(), func(string) ([]byte, error) { return b, nil })
+		return vfs.ReplaceFile(s.disk, s.Path(), func(string) ([]byte, error) { return b, nil })
 	}
 	_ = s.disk.Remove(s.Path())
 	f, err := s.disk.Create(s.Path())
 	if err != nil {
 		return err
 	}
-	return errors.Join(vfs.Write(f, b), f.Close())
+	return errors.Join(vfs.WriteAll(f, b), f.Close())
 }
--- a/testbed/cluster/cluster_test.go
+++ b/testbed/cluster/cluster_test.go
@@ -182,7 +182,7 @@
 	out, err := exec.Command("go", "build", "-o", program, "ashstand/cmd/ashstand").CombinedOutput()
 	require.NoError(t, err, "%s", out)
 	const probe = 50 * time.Millisecond
-	rest := time.Duration(membership.Bound(3, probe)*1e6) + 3*time.Second
+	rest := time.Duration(membership.ConvergenceBoundMillis(3, probe)*1e6) + 3*time.Second
 	for _, broken := range []string{"", "rejoin"} {
 		t.Run("break "+broken, func(t *testing.T) {
 			t.Parallel()
--- a/testbed/load/restart.go
+++ b/testbed/load/restart.go
@@ -51,13 +51,13 @@
 			h.Limit = 3 // as at the start
 		}
 		if fact != "failures" {
-			h.Took = 0
+			h.FailureScore = 0
 		}
 		if fact != "lag" {
 			h.Lag = -1
 		}
 		if fact != "role" {
-			h.Primary = false
+			h.IsPrimary = false
 		}
 	}
 	if fact != "class" {
@@ -224,10 +224,10 @@
 // tooOld starts the pooler with files that are too old, from the future, or another's, and asks what it made of them.
 func tooOld(ctx context.Context, o RestartOptions, f *fleet.Fleet, g *report.Gather, folder string) error {
 	path := filepath.Join(folder, "learned.ash")
-	for name, change := range map[string]func(h *warmstate.Head){
-		"two days old":    func(h *warmstate.Head) { h.At -= float64((2 * oldest).Milliseconds()) },
-		"from the future": func(h *warmstate.Head) { h.At += float64(time.Hour.Milliseconds()) },
-		"another's":       func(h *warmstate.Head) { h.Name = "n2" },
+	for name, change := range map[string]func(h *warmstate.Header){
+		"two days old":    func(h *warmstate.Header) { h.WrittenAt -= float64((2 * oldest).Milliseconds()) },
+		"from the future": func(h *warmstate.Header) { h.WrittenAt += float64(time.Hour.Milliseconds()) },
+		"another's":       func(h *warmstate.Header) { h.Name = "n2" },
 	} {
 		if !sleep(ctx, 300*time.Millisecond) {
 			return ctx.Err()
@@ -241,7 +241,7 @@
 		if err != nil {
 			continue // it was counted
 		}
-		change(&s.Head)
+		change(&s.Header)
 		if b, err = warmstate.Encode(s); err != nil {
 			return err
 		}
@@ -251,7 +251,7 @@
 		if err := again(f); err != nil {
 			return err
 		}
-		var view struct{ Taken []warmstate.Verdict }
+		var view struct{ Taken []warmstate.FactAge }
 		if err := admin.Get(f.Pooler.Admin, "state", &view); err != nil {
 			return err
 		}
@@ -260,7 +260,7 @@
 		}
 		for _, v := range view.Taken {
 			if v.Weight > 0 {
-				g.Break("trusted_past_age", "a file that is %s counts for %.2f: %s", name, v.Weight, v.What)
+				g.Break("trusted_past_age", "a file that is %s counts for %.2f: %s", name, v.Weight, v.Fact)
 			}
 		}
 		g.Do(func(r *report.Result) { r.Faults["file "+name]++ })
--- a/testbed/load/snapshot.go
+++ b/testbed/load/snapshot.go
@@ -76,7 +76,7 @@
 	for _, m := range ms {
 		f.ProbeDone(m.Host, dispatch.Outcome{Code: dispatch.OK, Report: dispatch.Report{Role: dispatch.Replica, Position: clock.System().Now() - 20}})
 	}
-	store := warmstate.On(vfs.Real{}, folder)
+	store := warmstate.NewUnlockedStore(vfs.OS{}, folder)
 	const rounds = 20
 	var pause, whole, most time.Duration
 	size := 0
@@ -86,7 +86,7 @@
 		held := time.Since(t)
 		pause += held / rounds
 		most = max(most, held)
-		b, err := warmstate.Encode(warmstate.Take(warmstate.Head{Name: "n", Site: "s", At: clock.System().Now()}, state, nil, nil))
+		b, err := warmstate.Encode(warmstate.NewSnapshot(warmstate.Header{Name: "n", SiteHash: "s", WrittenAt: clock.System().Now()}, state, nil, nil))
 		if err != nil {
 			return err
 		}
