--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -75,13 +75,13 @@
 		return nil, fmt.Errorf("%s: cluster.peer %q: that is this pooler's own name", cfg.operator.Path, name)
 	}
 	f := &fellows{state: membership.Starting, open: make(chan struct{})}
-	if l := cfg.operator.Lab; l != nil && l.Trace != "" {
+	if l := cfg.operator.Testbed; l != nil && l.Trace != "" {
 		if f.trace, err = openTrace(l.Trace, name); err != nil {
 			return nil, err
 		}
 	}
 	broken := ""
-	if what, ok := strings.CutPrefix(os.Getenv("ASHSTAND_BREAK"), "cluster-"); ok && cfg.operator.Lab != nil {
+	if what, ok := strings.CutPrefix(os.Getenv("ASHSTAND_BREAK"), "cluster-"); ok && cfg.operator.Testbed != nil {
 		slog.Error("a guarantee is switched off, to see its checker fail: " + what)
 		broken = what
 	}
@@ -90,7 +90,7 @@
 		Name: name, Incarnation: f.instance, StartedAt: now.Now(), Version: version(), OldestFormat: oldestFormat,
 		NewestFormat: newestFormat, Zone: o.Zone, State: membership.Starting,
 	}
-	if o.Agree != nil {
+	if o.Agreement != nil {
 		if err := f.agree(cfg, self, now, broken); err != nil {
 			return nil, err
 		}
@@ -109,7 +109,7 @@
 
 // agree starts this pooler's part in the agreement on rules.
 func (f *fellows) agree(cfg *config, self membership.Info, now clock.Clock, broken string) error {
-	a := cfg.operator.Cluster.Agree
+	a := cfg.operator.Cluster.Agreement
 	for _, v := range a.Voters {
 		if _, peer := cfg.operator.Cluster.Peers[v]; !peer && v != self.Name {
 			return fmt.Errorf("%s: cluster.agreement: voters has %q, which is neither this pooler (%q) nor a peer block", cfg.operator.Path, v, self.Name)
@@ -205,7 +205,7 @@
 		}
 		return nil
 	}
-	if !reflect.DeepEqual(o.Agree, n.Agree) {
+	if !reflect.DeepEqual(o.Agreement, n.Agreement) {
 		wait = append(wait, "cluster.agreement")
 	}
 	if o.Name != n.Name || o.Listen != n.Listen || o.Zone != n.Zone || o.Members != n.Members || o.Probe != n.Probe {
@@ -244,7 +244,7 @@
 }
 
 // holds tells the others that this pooler serves once it has a list.
-func (f *fellows) holds(l discovery.List) {
+func (f *fellows) holds(l discovery.EndpointList) {
 	if f != nil && len(l.Endpoints) > 0 {
 		f.now(membership.Serving)
 	}
@@ -378,7 +378,7 @@
 			return err
 		}
 		var out struct{ Version int }
-		if err := admin.Do(a, "propose", text, &out); err != nil {
+		if err := admin.Invoke(a, "propose", text, &out); err != nil {
 			return err
 		}
 		_, err = fmt.Fprintf(w, "version %d is in the log; ashstand cluster versions says when it is in force\n", out.Version)
--- a/cmd/ashstand/commands.go
+++ b/cmd/ashstand/commands.go
@@ -266,7 +266,7 @@
 			}
 			out := []hostView{}
 			for _, e := range *n.list.Load() {
-				out = append(out, hostView{e.Name, e.Address, e.Group, e.Status, e.Part, pools[e.Name]})
+				out = append(out, hostView{e.Name, e.Address, e.Group, e.Status, e.Role, pools[e.Name]})
 			}
 			slices.SortFunc(out, func(a, b hostView) int { return strings.Compare(a.Name, b.Name) })
 			return out
@@ -299,15 +299,15 @@
 }
 
 // listed takes a list: addresses reach the session front before the decisions know of a host, and leave it after.
-func (n *node) listed(l discovery.List, apply func(discovery.List)) {
-	held := map[string]discovery.Entry{}
+func (n *node) listed(l discovery.EndpointList, apply func(discovery.EndpointList)) {
+	held := map[string]discovery.Endpoint{}
 	if !l.Snapshot {
 		for k, e := range *n.list.Load() {
 			held[k] = e
 		}
 	}
 	for _, e := range l.Endpoints {
-		if e.Status == discovery.Left || e.Address == "" {
+		if e.Status == discovery.Removed || e.Address == "" {
 			delete(held, e.Name)
 			continue
 		}
--- a/cmd/ashstand/config.go
+++ b/cmd/ashstand/config.go
@@ -38,8 +38,8 @@
 		MemoryMB int     `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
-	Known    *discovery.List     `json:"known"`
-	Settings jsoniter.RawMessage `json:"settings"`
+	Known    *discovery.EndpointList `json:"known"`
+	Settings jsoniter.RawMessage     `json:"settings"`
 
 	site     *settings.Parsed
 	seed     uint64
@@ -108,10 +108,10 @@
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil && (sockets == 0 || r.Cur < uint64(sockets)) {
 		sockets = int(min(r.Cur, 1<<20))
 	}
-	free := sockets - spareDescriptors - loop.Enrolling - reserved
+	free := sockets - spareDescriptors - loop.MaxRegistrations - reserved
 	if free < 16 {
 		return 0, 0, fmt.Errorf("limits: %d descriptors are too few, %d are the least", sockets,
-			spareDescriptors+loop.Enrolling+reserved+16)
+			spareDescriptors+loop.MaxRegistrations+reserved+16)
 	}
 	clients = free * 3 / 5
 	return clients, free - clients, nil
@@ -171,7 +171,7 @@
 	} else if c.flight, c.old, err = loadFlight(oldFlightFile); err != nil {
 		return err
 	}
-	return c.operator.Classes(c.class)
+	return c.operator.CheckClasses(c.class)
 }
 
 // class says whether the settings name a class, and whether it writes.
@@ -236,7 +236,7 @@
 		n += c.flight.Connections + 1
 	}
 	if s := c.operator.Sessions; s != nil && s.Listen != "" {
-		n += s.Clients + s.Clients/8 + 2 + s.ServerConnections + 2*loop.Enrolling
+		n += s.Clients + s.Clients/8 + 2 + s.ServerConnections + 2*loop.MaxRegistrations
 	}
 	if c.operator.Admin.Listen != "" {
 		n += 9
--- a/cmd/ashstand/cost.go
+++ b/cmd/ashstand/cost.go
@@ -55,19 +55,19 @@
 	}
 }
 
-// Sent is edge.Observer's.
-func (e *estimates) Sent(host string) int {
+// AttemptStarted is edge.Observer's.
+func (e *estimates) AttemptStarted(host string) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.inside[host]++
 	return e.inside[host] - 1
 }
 
-// Done is edge.Observer's.
-func (e *estimates) Done(s edge.Seen) {
+// AttemptFinished is edge.Observer's.
+func (e *estimates) AttemptFinished(s edge.Attempt) {
 	entry := (*e.node.list.Load())[s.Host]
 	kind := e.kind(&entry, s.Host)
-	ok := s.Outcome.Code == dispatch.OK && s.Work > 0
+	ok := s.Outcome.Code == dispatch.OK && s.ExecuteMillis > 0
 	var print cost.Fingerprint
 	if ok {
 		print = cost.Print(s.Statement.Text)
@@ -81,27 +81,27 @@
 		return
 	}
 	e.model.Observe(cost.Observation{
-		Statement: print, Class: s.Statement.Class, Host: s.Host, Kind: kind, Group: entry.Group, Rows: 1, Bytes: float64(s.Bytes),
-		Work: s.Work, Wait: s.Wait, Inflight: s.Others, Primary: s.Outcome.Role == dispatch.Primary, Cold: e.cold(&entry, s.At), At: s.At,
+		Statement: print, Class: s.Statement.Class, Host: s.Host, Kind: kind, Group: entry.Group, Rows: 1, Bytes: float64(s.ResponseBytes),
+		Work: s.ExecuteMillis, Wait: s.AcquireMillis, Inflight: s.ConcurrentAttempts, Primary: s.Outcome.Role == dispatch.Primary, Cold: e.cold(&entry, s.FinishedAtMillis), At: s.FinishedAtMillis,
 	})
 	c := e.served[s.Statement.Class]
 	if c == nil {
-		c = &rate{at: s.At}
+		c = &rate{at: s.FinishedAtMillis}
 		e.served[strings.Clone(s.Statement.Class)] = c
 	}
-	f := math.Exp(-max(0, s.At-c.at) / servedSpan)
-	c.n, c.work, c.at = c.n*f+1, c.work*f+s.Work, max(c.at, s.At)
+	f := math.Exp(-max(0, s.FinishedAtMillis-c.at) / servedSpan)
+	c.n, c.work, c.at = c.n*f+1, c.work*f+s.ExecuteMillis, max(c.at, s.FinishedAtMillis)
 }
 
 // kind is a host's hardware: as the operator's file says, else its type in discovery's list.
-func (e *estimates) kind(entry *discovery.Entry, host string) string {
+func (e *estimates) kind(entry *discovery.Endpoint, host string) string {
 	if k := e.node.cfg.Load().operator.Cost; k != nil && k.Kinds[host] != "" {
 		return k.Kinds[host]
 	}
 	return cmp.Or(entry.Type, "any")
 }
 
-func (e *estimates) cold(entry *discovery.Entry, now float64) bool {
+func (e *estimates) cold(entry *discovery.Endpoint, now float64) bool {
 	return entry.SinceMS > 0 && now-entry.SinceMS < clock.Millis(e.node.cfg.Load().site.SlowStartDuration)
 }
 
@@ -229,7 +229,7 @@
 			} else {
 				var at string
 				if at, err = address(); err == nil {
-					err = admin.Do(at, "cost", text, &a)
+					err = admin.Invoke(at, "cost", text, &a)
 				}
 			}
 			if err != nil {
--- a/cmd/ashstand/golden_test.go
+++ b/cmd/ashstand/golden_test.go
@@ -128,9 +128,9 @@
 // idleNode is a pooler with a list and a configuration, of which all else is off.
 func idleNode() *node {
 	n := &node{}
-	n.list.Store(&map[string]discovery.Entry{
-		"h1": {Name: "h1", Address: "127.0.0.1:5001", Type: "postgresql", Group: 7, Status: discovery.Active, SinceMS: 12.5, Part: "master"},
-		"h2": {Name: "h2", Address: "127.0.0.1:5002", Type: "postgresql", Group: 7, Status: discovery.Leaving, SinceMS: 13.5, Part: "replica"},
+	n.list.Store(&map[string]discovery.Endpoint{
+		"h1": {Name: "h1", Address: "127.0.0.1:5001", Type: "postgresql", Group: 7, Status: discovery.Active, SinceMS: 12.5, Role: "master"},
+		"h2": {Name: "h2", Address: "127.0.0.1:5002", Type: "postgresql", Group: 7, Status: discovery.Draining, SinceMS: 13.5, Role: "replica"},
 	})
 	c := &config{Name: "pooler-1", Listen: "127.0.0.1:6001", Discovery: "127.0.0.1:7001", Settings: []byte(`{"classes":[]}`)}
 	new(filler).fill(reflect.ValueOf(&c.Limits).Elem())
@@ -227,10 +227,10 @@
 			{"propose", `{"tries":3}`},
 		} {
 			var result any
-			err := admin.Do(address, request.name, []byte(request.body), &result)
-			var fault *admin.Fault
+			err := admin.Invoke(address, request.name, []byte(request.body), &result)
+			var fault *admin.RemoteError
 			require.True(t, errors.As(err, &fault), "%s %s: %v", request.name, request.body, err)
-			require.NotEmpty(t, fault.Text)
+			require.NotEmpty(t, fault.Message)
 			fmt.Fprintf(&out, "works=%t %s %s -> code=%s advice=%t\n", n.others != nil, request.name, request.body, fault.Code(), fault.Advice() != "")
 		}
 	}
--- a/cmd/ashstand/gone_test.go
+++ b/cmd/ashstand/gone_test.go
@@ -266,7 +266,7 @@
 }
 
 func goneHeld(t *testing.T, w *world, front string) {
-	w.status(discovery.Leaving)
+	w.status(discovery.Draining)
 	w.listed(t, false)
 	leaves(t, w, front, func() {})
 	w.status(discovery.Active)
@@ -331,7 +331,7 @@
 		p.do = func(string) act {
 			p.mu.Unlock()
 			drain.Do(func() {
-				w.status(discovery.Leaving)
+				w.status(discovery.Draining)
 				w.listed(t, false)
 			})
 			turned <- struct{}{}
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -104,7 +104,7 @@
 	costs  *estimates    // nil: nothing is observed
 	clock  clock.Clock
 	cfg    atomic.Pointer[config]
-	list   atomic.Pointer[map[string]discovery.Entry]
+	list   atomic.Pointer[map[string]discovery.Endpoint]
 	pool   *pg.Pool
 	bounds atomic.Pointer[bounds]
 	cancel context.CancelFunc
@@ -129,7 +129,7 @@
 	share, after := cfg.memory()/10, min(clock.Millis(cfg.site.MaxRetryAfter), busyAfter)
 	b := &bounds{
 		connect: cfg.site.ConnectTimeout,
-		core:    edge.Limits{Bytes: share, After: after},
+		core:    edge.Limits{StatementBytes: share, RetryAfterMillis: after},
 		front:   pg.FrontLimits{Clients: clients, Bytes: share, After: after},
 		pool:    pg.Limits{Connections: connections, Bytes: share, Connect: cfg.site.ConnectTimeout, Idle: cfg.site.ConnIdleTimeout},
 	}
@@ -154,7 +154,7 @@
 	n := &node{engine: loop.New(), hosts: flight.NewHosts(cfg.site.ConnectTimeout), cancel: cancel, ended: make(chan error, 2)}
 	n.bounds.Store(b)
 	now := clock.System()
-	if l := cfg.operator.Lab; l != nil {
+	if l := cfg.operator.Testbed; l != nil {
 		now = clock.Skewed(now, clock.Millis(l.Offset), l.Rate)
 	}
 	n.clock = now
@@ -162,7 +162,7 @@
 	n.pool.TellLate(func(host string, sent float64, write bool, o dispatch.Outcome) {
 		n.facade.LateAnswer(host, sent, write, o)
 	})
-	backend := new(edge.Split)
+	backend := new(edge.BackendMux)
 	probe := func(host string) {
 		ctx, cancel := context.WithTimeout(ctx, n.bounds.Load().connect)
 		defer cancel()
@@ -171,8 +171,8 @@
 	if n.facade, err = dispatch.New(cfg.site, cfg.seed, now, probe, backend.CloseIdle); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	n.pool.Listed, n.hosts.Listed = n.facade.IsActive, n.facade.IsActive
-	apply := discovery.Apply(n.facade.UpdateEndpoints, backend, func(e discovery.Entry) edge.Backend {
+	n.pool.Listed, n.hosts.IsListed = n.facade.IsActive, n.facade.IsActive
+	apply := discovery.NewApplier(n.facade.UpdateEndpoints, backend, func(e discovery.Endpoint) edge.Backend {
 		if slices.Contains(cfg.flight.HostTypes, e.Type) {
 			return n.hosts
 		}
@@ -184,14 +184,14 @@
 			slog.Error("a guarantee is switched off, to see its checker fail: " + what)
 			n.pooled.Break(what)
 		}
-		if err := n.engine.Also(s.Listen, n.pooled.Accept); err != nil {
+		if err := n.engine.AddListener(s.Listen, n.pooled.Accept); err != nil {
 			return nil, fmt.Errorf("sessions: listen on %s: %w", s.Listen, err)
 		}
 	}
 	n.cfg.Store(cfg)
-	n.list.Store(&map[string]discovery.Entry{})
+	n.list.Store(&map[string]discovery.Endpoint{})
 	told := apply
-	apply = func(l discovery.List) {
+	apply = func(l discovery.EndpointList) {
 		n.listed(l, told)
 		n.others.holds(l)
 	}
@@ -216,7 +216,7 @@
 	}
 	n.core.SetLimits(b.core)
 	n.front = pg.NewFront(n.core, b.front)
-	n.engine.Scarce = loop.Scarce{Room: n.front.Room, TurnAway: n.front.TurnAway}
+	n.engine.Exhaustion = loop.ExhaustionPolicy{EvictClient: n.front.Room, Reject: n.front.TurnAway}
 	if err := n.engine.Start(cfg.Listen, n.front.Accept); err != nil {
 		n.stop()
 		return nil, err
@@ -292,7 +292,7 @@
 		logTo(os.Stderr, next.operator.Log)
 	}
 	limitMemory(next)
-	n.watch.Move(next.Discovery)
+	n.watch.SetServiceAddress(next.Discovery)
 	log.Printf("reload: discovery at %s, memory %d MB", next.Discovery, next.Limits.MemoryMB)
 	if len(wait) > 0 {
 		log.Printf("reload: changed, but in force only after a restart: %s", strings.Join(wait, ", "))
--- a/cmd/ashstand/moves.go
+++ b/cmd/ashstand/moves.go
@@ -94,7 +94,7 @@
 
 // moves makes the kind of work that moves are.
 func (f *fellows) moves(w *jobService, cfg *config, c consensus.Config, now clock.Clock) *migration.Mover {
-	deed := cfg.operator.Cluster.Agree.Jobs.OperationTimeout
+	deed := cfg.operator.Cluster.Agreement.Jobs.OperationTimeout
 	_, force := c.Bound()
 	_, takeover := c.Takeover() // whoever dies may have led the log as well
 	m := &migration.Mover{
@@ -252,7 +252,7 @@
 		if err != nil {
 			return err
 		}
-		if err := admin.Do(a, what, body, out); err != nil {
+		if err := admin.Invoke(a, what, body, out); err != nil {
 			return err
 		}
 		if asJSON() {
--- a/cmd/ashstand/program_test.go
+++ b/cmd/ashstand/program_test.go
@@ -457,7 +457,7 @@
 	var file bytes.Buffer
 	require.NoError(t, pcap.Write(&file, []*pcap.Conversation{{
 		Client: netip.MustParseAddrPort("127.0.0.1:4000"),
-		Server: netip.MustParseAddrPort("127.0.0.1:5433"), Pieces: []pcap.Piece{
+		Server: netip.MustParseAddrPort("127.0.0.1:5433"), Segments: []pcap.Segment{
 			{At: at, FromClient: true, Data: startupBytes()},
 			{At: at.Add(time.Millisecond), FromClient: true, Data: donated[:9]},
 			{At: at.Add(2 * time.Millisecond), FromClient: true, Data: append(donated[9:], odd...)},
@@ -472,7 +472,7 @@
 	again, err := pcap.Read(&file)
 	require.NoError(t, err)
 	var said []byte
-	for _, p := range again[0].Pieces {
+	for _, p := range again[0].Segments {
 		if !p.FromClient {
 			said = append(said, p.Data...)
 		}
--- a/cmd/ashstand/replay.go
+++ b/cmd/ashstand/replay.go
@@ -72,7 +72,7 @@
 	switch v {
 	case edge.Served:
 		t.served++
-	case edge.Refused:
+	case edge.Rejected:
 		t.refused++
 	case edge.TimedOut:
 		t.timedOut++
@@ -93,8 +93,8 @@
 	out := make([]*pcap.Conversation, len(cs))
 	var first time.Time
 	for _, c := range cs {
-		if len(c.Pieces) > 0 && (first.IsZero() || c.Pieces[0].At.Before(first)) {
-			first = c.Pieces[0].At
+		if len(c.Segments) > 0 && (first.IsZero() || c.Segments[0].At.Before(first)) {
+			first = c.Segments[0].At
 		}
 	}
 	begun := time.Now()
@@ -122,10 +122,10 @@
 	var unread []byte
 	say := func(fromClient bool, b []byte) {
 		if len(b) > 0 {
-			out.Pieces = append(out.Pieces, pcap.Piece{At: time.Now().UTC(), FromClient: fromClient, Data: b})
+			out.Segments = append(out.Segments, pcap.Segment{At: time.Now().UTC(), FromClient: fromClient, Data: b})
 		}
 	}
-	for _, p := range c.Pieces {
+	for _, p := range c.Segments {
 		if !p.FromClient {
 			continue
 		}
--- a/cmd/ashstand/state.go
+++ b/cmd/ashstand/state.go
@@ -101,7 +101,7 @@
 	requests, resets := k.node.pool.Wear()
 	head := k.head
 	head.WrittenAt = k.clock.Now()
-	list := discovery.List{Snapshot: true}
+	list := discovery.EndpointList{Snapshot: true}
 	for _, e := range *k.node.list.Load() {
 		list.Endpoints = append(list.Endpoints, e)
 	}
--- a/cmd/ashstand/suite_test.go
+++ b/cmd/ashstand/suite_test.go
@@ -162,13 +162,13 @@
 
 // Guards against clients that together send more than the process can hold.
 func noRoom(t *testing.T, w *world, ask client) {
-	w.core.SetLimits(edge.Limits{Bytes: 40, After: 300})
+	w.core.SetLimits(edge.Limits{StatementBytes: 40, RetryAfterMillis: 300})
 	require.Equal(t, verdict{kind: "refused", advice: true}, ask(t, fmt.Sprintf(donate, 1, 9000)))
 	require.Equal(t, verdict{kind: "refused", advice: true}, ask(t, fmt.Sprintf(report, 2)))
 	for _, h := range w.hosts {
 		require.Zero(t, h.count())
 	}
-	w.core.SetLimits(edge.Limits{Bytes: 1 << 20})
+	w.core.SetLimits(edge.Limits{StatementBytes: 1 << 20})
 	require.Equal(t, served, ask(t, fmt.Sprintf(donate, 1, 9000)))
 }
 
@@ -264,7 +264,7 @@
 	more, stop := carry(t, w)
 	more(20)
 	leaving := w.hosts[1:3] // one on each wire
-	w.change <- w.list(2, false, w.entry(leaving[0], discovery.Leaving), w.entry(leaving[1], discovery.Leaving))
+	w.change <- w.list(2, false, w.entry(leaving[0], discovery.Draining), w.entry(leaving[1], discovery.Draining))
 	without(t, w, leaving, more)
 	stop()
 }
@@ -287,8 +287,8 @@
 		rw.(http.Flusher).Flush()
 		<-r.Context().Done()
 	}))
-	t.Cleanup(func() { w.watch.Move("127.0.0.1:1"); next.CloseClientConnections(); next.Close() })
-	w.watch.Move(next.Listener.Addr().String())
+	t.Cleanup(func() { w.watch.SetServiceAddress("127.0.0.1:1"); next.CloseClientConnections(); next.Close() })
+	w.watch.SetServiceAddress(next.Listener.Addr().String())
 	<-asked
 	more(20)
 	require.True(t, w.facade.IsActive(w.hosts[1].name))
--- a/cmd/ashstand/works.go
+++ b/cmd/ashstand/works.go
@@ -68,15 +68,15 @@
 
 // startJobs begins; nothing of it is started without its block.
 func (f *fellows) startJobs(n *node, cfg *config, now clock.Clock) {
-	if f == nil || f.agreed == nil || cfg.operator.Cluster.Agree.Jobs == nil {
+	if f == nil || f.agreed == nil || cfg.operator.Cluster.Agreement.Jobs == nil {
 		return
 	}
-	o := cfg.operator.Cluster.Agree.Jobs
+	o := cfg.operator.Cluster.Agreement.Jobs
 	w := &jobService{log: &agreedLog{f.agreed}, clock: now, reachedAt: map[uint64]float64{}, phases: phases{}}
 	w.client = &fencing.Client{User: o.User, DisabledGuarantee: f.broken, Hosts: func(group uint64) (out []fencing.Host) {
 		for _, e := range *n.list.Load() {
 			if e.Group == group && e.Status == discovery.Active {
-				out = append(out, fencing.Host{Name: e.Name, Address: e.Address, Group: e.Group, Primary: e.Part == pg.Platform.Primary})
+				out = append(out, fencing.Host{Name: e.Name, Address: e.Address, Group: e.Group, Primary: e.Role == pg.Platform.Primary})
 			}
 		}
 		slices.SortFunc(out, func(a, b fencing.Host) int { return strings.Compare(a.Name, b.Name) })
@@ -289,7 +289,7 @@
 			return err
 		}
 		var out struct{ Work string }
-		return admin.Do(a, "work", body, &out)
+		return admin.Invoke(a, "work", body, &out)
 	}
 	var s noop.Spec
 	var groups []uint
@@ -364,7 +364,7 @@
 
 // schedulerConfig are the times by which owners are watched.
 func schedulerConfig(cfg *config) jobs.SchedulerConfig {
-	a := cfg.operator.Cluster.Agree
+	a := cfg.operator.Cluster.Agreement
 	if a.Jobs == nil {
 		return jobs.SchedulerConfig{}
 	}
--- a/cmd/testbed/cluster.go
+++ b/cmd/testbed/cluster.go
@@ -88,17 +88,17 @@
 func (m *clusterFlags) play(ctx context.Context, p cluster.Plan) (*cluster.Outcome, error) {
 	o := cluster.Options{Plan: p, Pooler: m.pooler, Clients: m.clients, Log: m.log}
 	if m.works {
-		return cluster.Owner(ctx, o)
+		return cluster.RunJobs(ctx, o)
 	}
 	if m.agree {
-		return cluster.Agree(ctx, o)
+		return cluster.RunConsensus(ctx, o)
 	}
-	return cluster.Members(ctx, o)
+	return cluster.RunMembership(ctx, o)
 }
 
 // done writes what a run leaves.
 func (m *clusterFlags) done(out *cluster.Outcome, w io.Writer) error {
-	failed := !out.Result.Held()
+	failed := !out.Result.Passed()
 	if failed || m.lines {
 		out.Print(w)
 	}
@@ -125,7 +125,7 @@
 }
 
 func clusterOwner() *cobra.Command {
-	c := clusterRun("owner", "works that one pooler at a time does for all, while owners, links, processes and folders fail", true, cluster.OwnerBreakable)
+	c := clusterRun("owner", "works that one pooler at a time does for all, while owners, links, processes and folders fail", true, cluster.JobsBreakable)
 	return c
 }
 
@@ -168,7 +168,7 @@
 				if err != nil {
 					return false, err
 				}
-				bad := !out.Result.Held()
+				bad := !out.Result.Passed()
 				fmt.Fprintf(os.Stderr, "%d faults: failed %v\n", len(p.Faults), bad)
 				if bad {
 					last = out
--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -69,7 +69,7 @@
 	if err := r.Write(m.json); err != nil {
 		return err
 	}
-	if !r.Held() {
+	if !r.Passed() {
 		return errBroken
 	}
 	return nil
--- a/cmd/testbed/move.go
+++ b/cmd/testbed/move.go
@@ -29,7 +29,7 @@
 			if err != nil {
 				return err
 			}
-			out, err := cluster.Moves(c.Context(), cluster.Options{Plan: p, Pooler: m.pooler, Log: m.log, Groups: groups, Tenants: tenants})
+			out, err := cluster.RunMigrations(c.Context(), cluster.Options{Plan: p, Pooler: m.pooler, Log: m.log, Groups: groups, Tenants: tenants})
 			if err != nil {
 				return err
 			}
--- a/cmd/testbed/moves.go
+++ b/cmd/testbed/moves.go
@@ -26,7 +26,7 @@
 			if schedules < 1 || cores < 1 {
 				return errors.New("--schedules and --cores take at least 1")
 			}
-			return m.finish(cluster.SimulateManyMoves(c.Context(), m.seed, schedules, m.breaks, cores), nil)
+			return m.finish(cluster.SimulateManyMigrations(c.Context(), m.seed, schedules, m.breaks, cores), nil)
 		},
 	}
 	c.Flags().IntVar(&schedules, "schedules", schedules, "how many, from the seed on; each is a seed of its own")
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -29,8 +29,8 @@
 	path string // of a Unix socket
 }
 
-// split tells a Unix socket's path from a TCP address.
-func split(listen string) (network, address string) {
+// splitAddress tells a Unix socket's path from a TCP address.
+func splitAddress(listen string) (network, address string) {
 	if path, ok := strings.CutPrefix(listen, "unix:"); ok {
 		return "unix", path
 	}
@@ -40,34 +40,34 @@
 // Command is something that operators can have done: it gets what was sent and returns what came of it.
 type Command func(ctx context.Context, body []byte) (any, error)
 
-// Fault is an error as a running pooler words it for its operators.
-type Fault struct {
-	Reason string `json:"code"`
-	Text   string `json:"message"`
-	Do     string `json:"advice,omitempty"`
+// RemoteError is an error as a running pooler words it for its operators.
+type RemoteError struct {
+	Reason  string `json:"code"`
+	Message string `json:"message"`
+	Remedy  string `json:"advice,omitempty"`
 }
 
-// FaultOf takes code and advice from whatever error of the chain has them.
-func FaultOf(err error) *Fault {
-	f := &Fault{Reason: "failed", Text: err.Error()}
+// NewRemoteError takes code and advice from whatever error of the chain has them.
+func NewRemoteError(err error) *RemoteError {
+	f := &RemoteError{Reason: "failed", Message: err.Error()}
 	if a := remedy.Find(err); a != nil {
-		f.Reason, f.Do = a.Code(), a.Advice()
+		f.Reason, f.Remedy = a.Code(), a.Advice()
 	}
 	return f
 }
 
-func (f *Fault) Error() string {
-	if f.Do == "" {
-		return f.Text
+func (f *RemoteError) Error() string {
+	if f.Remedy == "" {
+		return f.Message
 	}
-	return f.Text + "; what to do: " + f.Do
+	return f.Message + "; what to do: " + f.Remedy
 }
 
 // Code is the reason in a word.
-func (f *Fault) Code() string { return f.Reason }
+func (f *RemoteError) Code() string { return f.Reason }
 
 // Advice says what an operator can do.
-func (f *Fault) Advice() string { return f.Do }
+func (f *RemoteError) Advice() string { return f.Remedy }
 
 // maxBody is the most that may be sent with a deed, in bytes.
 const maxBody = 1 << 20
@@ -75,7 +75,7 @@
 // Start listens at unix:PATH or host:port and answers GET /NAME with what views[NAME] returns, as JSON, and on a Unix
 // socket POST /NAME with what deeds[NAME] does.
 func Start(listen string, views map[string]func() any, deeds map[string]Command) (*Server, error) {
-	network, address := split(listen)
+	network, address := splitAddress(listen)
 	if network == "unix" {
 		// A socket that a dead process left is taken over; one that answers belongs to another pooler.
 		if c, err := net.DialTimeout(network, address, time.Second); err == nil {
@@ -120,7 +120,7 @@
 				out, err = deed(q.Context(), body)
 			}
 			if err != nil {
-				b, _ := json.Marshal(FaultOf(err))
+				b, _ := json.Marshal(NewRemoteError(err))
 				w.Header().Set("Content-Type", "application/json")
 				w.WriteHeader(http.StatusConflict)
 				_, _ = w.Write(append(b, '\n'))
@@ -156,9 +156,9 @@
 	return json.Unmarshal(b, out)
 }
 
-// Do has a running pooler do something and reads what came of it into out.
-func Do(listen, name string, body []byte, out any) error {
-	if network, _ := split(listen); network != "unix" {
+// Invoke has a running pooler do something and reads what came of it into out.
+func Invoke(listen, name string, body []byte, out any) error {
+	if network, _ := splitAddress(listen); network != "unix" {
 		return fmt.Errorf("%s is done through a Unix socket alone; the pooler answers at %s", name, listen)
 	}
 	b, err := call(listen, http.MethodPost, name, body)
@@ -169,7 +169,7 @@
 }
 
 func call(listen, method, name string, body []byte) ([]byte, error) {
-	network, address := split(listen)
+	network, address := splitAddress(listen)
 	c := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{
 		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
@@ -190,9 +190,9 @@
 		return nil, err
 	}
 	if r.StatusCode == http.StatusConflict {
-		f := &Fault{}
-		if json.Unmarshal(b, f) != nil || f.Text == "" {
-			f = &Fault{Reason: "failed", Text: strings.TrimSpace(string(b))}
+		f := &RemoteError{}
+		if json.Unmarshal(b, f) != nil || f.Message == "" {
+			f = &RemoteError{Reason: "failed", Message: strings.TrimSpace(string(b))}
 		}
 		return nil, f
 	}
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -58,10 +58,10 @@
 	require.NoError(t, err)
 	defer s.Stop()
 	var out struct{ N int }
-	require.NoError(t, Do("unix:"+path, "add", []byte("abc"), &out))
+	require.NoError(t, Invoke("unix:"+path, "add", []byte("abc"), &out))
 	require.Equal(t, 3, out.N)
-	require.EqualError(t, Do("unix:"+path, "add", nil, &out), "nothing was sent")
-	require.ErrorContains(t, Do("unix:"+path, "other", nil, &out), "404")
-	require.Error(t, Do("unix:"+path, "add", make([]byte, maxBody+1), &out))
-	require.ErrorContains(t, Do("127.0.0.1:1", "add", nil, &out), "a Unix socket alone")
+	require.EqualError(t, Invoke("unix:"+path, "add", nil, &out), "nothing was sent")
+	require.ErrorContains(t, Invoke("unix:"+path, "other", nil, &out), "404")
+	require.Error(t, Invoke("unix:"+path, "add", make([]byte, maxBody+1), &out))
+	require.ErrorContains(t, Invoke("127.0.0.1:1", "add", nil, &out), "a Unix socket alone")
 }
--- a/internal/admin/golden_test.go
+++ b/internal/admin/golden_test.go
@@ -89,12 +89,12 @@
 // TestGoldenFault holds the form in which an error crosses the socket, both ways.
 func TestGoldenFault(t *testing.T) {
 	for name, err := range map[string]error{"fault.json": errors.New("it went wrong"), "fault-coded.json": fmt.Errorf("within: %w", codedError{})} {
-		b, marshalErr := json.Marshal(FaultOf(err))
+		b, marshalErr := json.Marshal(NewRemoteError(err))
 		require.NoError(t, marshalErr)
 		committed := golden(t, name, append(b, '\n'))
-		read := &Fault{}
+		read := &RemoteError{}
 		require.NoError(t, json.Unmarshal(committed, read))
-		require.Equal(t, FaultOf(err), read)
+		require.Equal(t, NewRemoteError(err), read)
 		again, marshalErr := json.Marshal(read)
 		require.NoError(t, marshalErr)
 		require.Equal(t, string(committed), string(again)+"\n")
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,15 +16,15 @@
 
 // Answer is what a host served: one value, with what the host said beside it.
 type Answer struct {
-	Column   string // name of the value's column
-	Type     uint32 // PostgreSQL's object id of the column's type; every front knows bytea and text
-	Binary   bool   // the form of Value
-	Null     bool
-	Value    []byte
-	Tag      string  // what the command did, such as "SELECT 1"
-	Role     string  // as the host words it; "": not said
-	Position float64 // Unix milliseconds; 0: not said
-	Gauges   string  // load report; "": none
+	Column     string // name of the value's column
+	Type       uint32 // PostgreSQL's object id of the column's type; every front knows bytea and text
+	Binary     bool   // the form of Value
+	Null       bool
+	Value      []byte
+	Tag        string  // what the command did, such as "SELECT 1"
+	Role       string  // as the host words it; "": not said
+	Position   float64 // Unix milliseconds; 0: not said
+	LoadReport string  // load report; "": none
 }
 
 // Reply is what came of one exchange. With OK it holds an answer.
@@ -61,12 +61,12 @@
 // NotSent is the reply where the gate did not open.
 func NotSent() Reply { return Reply{Outcome: dispatch.Outcome{Code: dispatch.NotSent}} }
 
-// ErrTurnedAway is what Acquire returns where the host itself turned the connection away: it is full, not dead.
-var ErrTurnedAway = errors.New("the host turns connections away")
+// ErrHostRejected is what Acquire returns where the host itself turned the connection away: it is full, not dead.
+var ErrHostRejected = errors.New("the host turns connections away")
 
-// ErrNoRoom is what Acquire returns where this process's own bounds allow no connection more. It says nothing against
+// ErrPoolExhausted is what Acquire returns where this process's own bounds allow no connection more. It says nothing against
 // the host, and a while has to pass before the next try, as with a host that is full.
-var ErrNoRoom = errors.New("all connections that this pooler may hold are in use")
+var ErrPoolExhausted = errors.New("all connections that this pooler may hold are in use")
 
 // ErrUnlisted is what Acquire returns where the host has begun to drain, or is gone, since it was chosen: nothing was
 // sent, and another host is to be chosen.
@@ -74,10 +74,10 @@
 
 // Result is the one final answer to a request.
 type Result struct {
-	Verdict Verdict
-	Answer  Answer
-	After   float64 // Refused: come again after so many milliseconds; 0: no advice
-	Detail  string
+	Verdict          Verdict
+	Answer           Answer
+	RetryAfterMillis float64 // Refused: come again after so many milliseconds; 0: no advice
+	Detail           string
 }
 
 // Verdict is the kind of a final answer.
@@ -85,53 +85,53 @@
 
 // The kinds.
 const (
-	Served   Verdict = iota
-	Refused          // nothing that matters ran: trying again is harmless
-	TimedOut         // failed since no answer came in time; it may have run
-	Failed           // it may have run
-	Invalid          // nothing was tried: the request itself is at fault
-	Left             // the client has gone: nobody to answer
+	Served       Verdict = iota
+	Rejected             // nothing that matters ran: trying again is harmless
+	TimedOut             // failed since no answer came in time; it may have run
+	Failed               // it may have run
+	Invalid              // nothing was tried: the request itself is at fault
+	Disconnected         // the client has gone: nobody to answer
 )
 
 // Observer is told of every request that goes to a host, once before and once after. It must not block.
 type Observer interface {
 	// Sent returns how many others of this pooler are at the host.
-	Sent(host string) (others int)
-	Done(Seen)
+	AttemptStarted(host string) (others int)
+	AttemptFinished(Attempt)
 }
 
-// Seen is what an observer learns of an attempt. Times are in milliseconds.
-type Seen struct {
-	Statement *sqlcomment.Statement // not to be kept
-	Host      string
-	Others    int // at the host when it went out
-	Outcome   dispatch.Outcome
-	Bytes     int     // of the answer's value
-	Wait      float64 // for a connection, until it was written
-	Work      float64 // from then until the answer; 0: it was not written
-	At        float64
+// Attempt is what an observer learns of an attempt. Times are in milliseconds.
+type Attempt struct {
+	Statement          *sqlcomment.Statement // not to be kept
+	Host               string
+	ConcurrentAttempts int // at the host when it went out
+	Outcome            dispatch.Outcome
+	ResponseBytes      int     // of the answer's value
+	AcquireMillis      float64 // for a connection, until it was written
+	ExecuteMillis      float64 // from then until the answer; 0: it was not written
+	FinishedAtMillis   float64
 }
 
 // Edge is the core.
 type Edge struct {
-	facade  *dispatch.Dispatcher
-	clock   clock.Clock
-	backend Backend
-	seen    Observer // nil: nobody looks
-
-	mu       sync.Mutex
-	limits   Limits
-	held     int // bytes of the statements that are open
-	open     int
-	ids      map[string]struct{} // of the requests that are open
-	draining bool
-	idle     chan struct{} // closed when draining and nothing is open
+	dispatcher *dispatch.Dispatcher
+	clock      clock.Clock
+	backend    Backend
+	observer   Observer // nil: nobody looks
+
+	mu             sync.Mutex
+	limits         Limits
+	statementBytes int // bytes of the statements that are open
+	openRequests   int
+	openIDs        map[string]struct{} // of the requests that are open
+	draining       bool
+	drained        chan struct{} // closed when draining and nothing is open
 }
 
 // Limits bound what all fronts together may have under way.
 type Limits struct {
-	Bytes int     // of statements; 0: no bound
-	After float64 // what is refused over it may come again after so many milliseconds; 0: no advice
+	StatementBytes   int     // of statements; 0: no bound
+	RetryAfterMillis float64 // what is refused over it may come again after so many milliseconds; 0: no advice
 }
 
 // SetLimits takes bounds for the requests to come.
@@ -143,20 +143,20 @@
 
 // New returns a core that asks facade and sends over backend.
 func New(facade *dispatch.Dispatcher, c clock.Clock, backend Backend) *Edge {
-	return &Edge{facade: facade, clock: c, backend: backend, ids: map[string]struct{}{}, idle: make(chan struct{})}
+	return &Edge{dispatcher: facade, clock: c, backend: backend, openIDs: map[string]struct{}{}, drained: make(chan struct{})}
 }
 
 // Observe has o told of what goes to hosts. It is to be set before the first request.
-func (e *Edge) Observe(o Observer) { e.seen = o }
+func (e *Edge) Observe(o Observer) { e.observer = o }
 
 // Ready says whether requests can be taken: a list of hosts is held.
-func (e *Edge) Ready() bool { return e.facade.Ready() }
+func (e *Edge) Ready() bool { return e.dispatcher.Ready() }
 
 // Now is the time that requests are dated by.
 func (e *Edge) Now() float64 { return e.clock.Now() }
 
 // Writes says whether a class is one of writes.
-func (e *Edge) Writes(class string) bool { return e.facade.IsWrite(class) }
+func (e *Edge) Writes(class string) bool { return e.dispatcher.IsWrite(class) }
 
 // Drain returns a channel that is closed once no request is open; later ones are still served.
 func (e *Edge) Drain() <-chan struct{} {
@@ -164,11 +164,11 @@
 	defer e.mu.Unlock()
 	if !e.draining {
 		e.draining = true
-		if e.open == 0 {
-			close(e.idle)
+		if e.openRequests == 0 {
+			close(e.drained)
 		}
 	}
-	return e.idle
+	return e.drained
 }
 
 // Begin counts a request from the moment it is read until End says that its answer is out. Where the statements that
@@ -176,11 +176,11 @@
 func (e *Edge) Begin(s *sqlcomment.Statement) (refused *Result) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.limits.Bytes > 0 && e.held+len(s.Text) > e.limits.Bytes {
-		return &Result{Verdict: Refused, After: e.limits.After, Detail: "the statements under way leave no memory for one more"}
+	if e.limits.StatementBytes > 0 && e.statementBytes+len(s.Text) > e.limits.StatementBytes {
+		return &Result{Verdict: Rejected, RetryAfterMillis: e.limits.RetryAfterMillis, Detail: "the statements under way leave no memory for one more"}
 	}
-	e.open++
-	e.held += len(s.Text)
+	e.openRequests++
+	e.statementBytes += len(s.Text)
 	return nil
 }
 
@@ -188,40 +188,40 @@
 func (e *Edge) End(s *sqlcomment.Statement) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.held -= len(s.Text)
-	e.open--
-	if e.draining && e.open == 0 {
+	e.statementBytes -= len(s.Text)
+	e.openRequests--
+	if e.draining && e.openRequests == 0 {
 		select {
-		case <-e.idle:
+		case <-e.drained:
 		default:
-			close(e.idle)
+			close(e.drained)
 		}
 	}
 }
 
-// enter notes a request's id. An id that is open belongs to another request, whoever sends it: a host would take
+// registerID notes a request's id. An id that is open belongs to another request, whoever sends it: a host would take
 // the two for one.
-func (e *Edge) enter(id string) bool {
+func (e *Edge) registerID(id string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_, open := e.ids[id]
-	e.ids[id] = struct{}{}
+	_, open := e.openIDs[id]
+	e.openIDs[id] = struct{}{}
 	return !open
 }
 
-func (e *Edge) exit(id string) {
+func (e *Edge) releaseID(id string) {
 	e.mu.Lock()
-	delete(e.ids, id)
+	delete(e.openIDs, id)
 	e.mu.Unlock()
 }
 
 // Do brings a request from its arrival to its final answer. ctx ends when the client goes away.
 func (e *Edge) Do(ctx context.Context, s *sqlcomment.Statement, arrived float64) Result {
-	if !e.enter(s.ID) {
+	if !e.registerID(s.ID) {
 		return Result{Verdict: Invalid, Detail: "id " + s.ID + " is that of a request that is open"}
 	}
-	defer e.exit(s.ID)
-	call, err := e.facade.Begin(dispatch.Request{
+	defer e.releaseID(s.ID)
+	call, err := e.dispatcher.Begin(dispatch.Request{
 		Class: s.Class, Group: s.Group, Session: s.SessionKey, IsRetry: s.IsRetry,
 		Arrived: arrived, TimeRemaining: s.TimeoutMillis, MinPosition: s.MinPosition,
 	})
@@ -229,17 +229,17 @@
 		return Result{Verdict: Invalid, Detail: "class " + s.Class + ": " + err.Error()}
 	}
 	defer context.AfterFunc(ctx, call.Abandon)()
-	s.IsWrite = e.facade.IsWrite(s.Class)
+	s.IsWrite = e.dispatcher.IsWrite(s.Class)
 	detail, verdict := "no host answered in time", TimedOut
 	for {
 		next := call.Pick()
 		switch next.Verdict {
 		case dispatch.Reject:
-			return Result{Verdict: Refused, After: next.RetryAfter, Detail: "no host can serve this now"}
+			return Result{Verdict: Rejected, RetryAfterMillis: next.RetryAfter, Detail: "no host can serve this now"}
 		case dispatch.Fail:
 			return Result{Verdict: verdict, Detail: detail}
 		case dispatch.ClientGone:
-			return Result{Verdict: Left}
+			return Result{Verdict: Disconnected}
 		}
 		reply := e.attempt(ctx, call, next, s)
 		if ctx.Err() != nil { // before the report, which would choose a further attempt for nobody
@@ -263,18 +263,18 @@
 
 // attempt sends a request to a host, unless it is too late for that once a connection is there.
 func (e *Edge) attempt(ctx context.Context, call *dispatch.Call, next dispatch.Decision, s *sqlcomment.Statement) Reply {
-	if e.seen == nil {
+	if e.observer == nil {
 		return e.exchange(ctx, call, next, s, nil)
 	}
-	seen := Seen{Statement: s, Host: next.Host, Others: e.seen.Sent(next.Host)}
+	seen := Attempt{Statement: s, Host: next.Host, ConcurrentAttempts: e.observer.AttemptStarted(next.Host)}
 	begun, at := e.clock.Now(), new(atomic.Uint64)
 	reply := e.exchange(ctx, call, next, s, at)
-	seen.At, seen.Outcome, seen.Bytes = e.clock.Now(), reply.Outcome, len(reply.Answer.Value)
-	seen.Wait = seen.At - begun
+	seen.FinishedAtMillis, seen.Outcome, seen.ResponseBytes = e.clock.Now(), reply.Outcome, len(reply.Answer.Value)
+	seen.AcquireMillis = seen.FinishedAtMillis - begun
 	if written := math.Float64frombits(at.Load()); written > 0 {
-		seen.Wait, seen.Work = written-begun, seen.At-written
+		seen.AcquireMillis, seen.ExecuteMillis = written-begun, seen.FinishedAtMillis-written
 	}
-	e.seen.Done(seen)
+	e.observer.AttemptFinished(seen)
 	return reply
 }
 
@@ -291,7 +291,7 @@
 	conn, err := e.backend.Acquire(ctx, next.Host)
 	switch {
 	case err == nil:
-	case errors.Is(err, ErrTurnedAway), errors.Is(err, ErrNoRoom):
+	case errors.Is(err, ErrHostRejected), errors.Is(err, ErrPoolExhausted):
 		return Reply{Outcome: dispatch.Outcome{Code: dispatch.Rejected}, Detail: err.Error()}
 	case errors.Is(err, ErrUnlisted):
 		return NotSent()
@@ -312,21 +312,21 @@
 	})
 }
 
-// Split reaches each host over the wire that it speaks.
-type Split struct {
-	mu    sync.Mutex
-	wires map[string]Backend
+// BackendMux reaches each host over the wire that it speaks.
+type BackendMux struct {
+	mu       sync.Mutex
+	backends map[string]Backend
 }
 
-// Use says over which backend a host is reached, and where. A host that was reached over another is forgotten
+// Route says over which backend a host is reached, and where. A host that was reached over another is forgotten
 // there.
-func (s *Split) Use(host string, b Backend, address string) {
+func (s *BackendMux) Route(host string, b Backend, address string) {
 	s.mu.Lock()
-	if s.wires == nil {
-		s.wires = map[string]Backend{}
+	if s.backends == nil {
+		s.backends = map[string]Backend{}
 	}
-	old := s.wires[host]
-	s.wires[host] = b
+	old := s.backends[host]
+	s.backends[host] = b
 	s.mu.Unlock()
 	if old != nil && old != b {
 		old.SetAddress(host, "")
@@ -334,44 +334,44 @@
 	b.SetAddress(host, address)
 }
 
-func (s *Split) of(host string) Backend {
+func (s *BackendMux) backendOf(host string) Backend {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.wires[host]
+	return s.backends[host]
 }
 
-var errNoWire = errors.New("discovery has given no address for this host")
+var errNoBackend = errors.New("discovery has given no address for this host")
 
 // Acquire is Backend's.
-func (s *Split) Acquire(ctx context.Context, host string) (Conn, error) {
-	if b := s.of(host); b != nil {
+func (s *BackendMux) Acquire(ctx context.Context, host string) (Conn, error) {
+	if b := s.backendOf(host); b != nil {
 		return b.Acquire(ctx, host)
 	}
-	return nil, errNoWire
+	return nil, errNoBackend
 }
 
 // CloseIdle is Backend's.
-func (s *Split) CloseIdle(host string) {
-	if b := s.of(host); b != nil {
+func (s *BackendMux) CloseIdle(host string) {
+	if b := s.backendOf(host); b != nil {
 		b.CloseIdle(host)
 	}
 }
 
 // SetAddress is Backend's: it moves a host that is known, or forgets it.
-func (s *Split) SetAddress(host, address string) {
-	if b := s.of(host); b != nil {
+func (s *BackendMux) SetAddress(host, address string) {
+	if b := s.backendOf(host); b != nil {
 		b.SetAddress(host, address)
 	}
 	if address == "" {
 		s.mu.Lock()
-		delete(s.wires, host)
+		delete(s.backends, host)
 		s.mu.Unlock()
 	}
 }
 
 // Probe is Backend's.
-func (s *Split) Probe(ctx context.Context, host string, listed func(string) bool) dispatch.Outcome {
-	if b := s.of(host); b != nil {
+func (s *BackendMux) Probe(ctx context.Context, host string, listed func(string) bool) dispatch.Outcome {
+	if b := s.backendOf(host); b != nil {
 		return b.Probe(ctx, host, listed)
 	}
 	return dispatch.Outcome{Code: dispatch.NoConnection}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -23,7 +23,7 @@
 func (b *taking) Acquire(context.Context, string) (Conn, error) {
 	b.clock.Advance(3)
 	if b.fail--; b.fail >= 0 {
-		return nil, errNoWire
+		return nil, errNoBackend
 	}
 	return b, nil
 }
@@ -45,11 +45,11 @@
 // watcher notes what an observer is told.
 type watcher struct {
 	inside int
-	seen   []Seen
+	seen   []Attempt
 }
 
-func (w *watcher) Sent(string) int { w.inside++; return w.inside - 1 }
-func (w *watcher) Done(s Seen)     { w.inside--; w.seen = append(w.seen, s) }
+func (w *watcher) AttemptStarted(string) int { w.inside++; return w.inside - 1 }
+func (w *watcher) AttemptFinished(s Attempt) { w.inside--; w.seen = append(w.seen, s) }
 
 func core(t require.TestingT, fail int) (*Edge, *sqlcomment.Statement) {
 	c := clock.NewManual(1e12)
@@ -76,11 +76,11 @@
 	require.Len(t, w.seen, 2)
 	require.Zero(t, w.inside)
 	require.Equal(t, dispatch.NoConnection, w.seen[0].Outcome.Code)
-	require.Zero(t, w.seen[0].Work, "it was not written")
+	require.Zero(t, w.seen[0].ExecuteMillis, "it was not written")
 	require.Equal(t, dispatch.OK, w.seen[1].Outcome.Code)
-	require.InDelta(t, 3, w.seen[1].Wait, 1e-3)
-	require.InDelta(t, 20, w.seen[1].Work, 1e-3)
-	require.Equal(t, 4, w.seen[1].Bytes)
+	require.InDelta(t, 3, w.seen[1].AcquireMillis, 1e-3)
+	require.InDelta(t, 20, w.seen[1].ExecuteMillis, 1e-3)
+	require.Equal(t, 4, w.seen[1].ResponseBytes)
 	require.Same(t, s, w.seen[1].Statement)
 }
 
@@ -102,5 +102,5 @@
 
 type quiet struct{}
 
-func (quiet) Sent(string) int { return 0 }
-func (quiet) Done(Seen)       {}
+func (quiet) AttemptStarted(string) int { return 0 }
+func (quiet) AttemptFinished(Attempt)   {}
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -7,10 +7,10 @@
 	"ashstand/internal/dispatch"
 )
 
-// Gauges reads a load report as hosts word it on every wire: name=value pairs with commas between them. The
+// ParseLoadReport reads a load report as hosts word it on every wire: name=value pairs with commas between them. The
 // position x0 stands there in seconds. A report of which a part can't be read says nothing: noise may look like a
 // number.
-func Gauges(report string) (r dispatch.Report) {
+func ParseLoadReport(report string) (r dispatch.Report) {
 	if report == "" {
 		return r
 	}
--- a/internal/edge/gone_test.go
+++ b/internal/edge/gone_test.go
@@ -92,12 +92,12 @@
 		go func() { end <- e.Do(client, s, e.Now()).Verdict }()
 		select {
 		case verdict := <-end:
-			require.Equal(t, Left, verdict, "%s, %d", c.step, c.outcome)
+			require.Equal(t, Disconnected, verdict, "%s, %d", c.step, c.outcome)
 		case <-time.After(5 * time.Second):
 			require.FailNow(t, "it goes on for nobody", "%s, %d: %d written", c.step, c.outcome, b.count())
 		}
 		require.Equal(t, c.written, b.count(), "%s, %d", c.step, c.outcome)
-		require.Empty(t, e.ids, "its id is free")
+		require.Empty(t, e.openIDs, "its id is free")
 	}
 }
 
@@ -106,14 +106,14 @@
 	e, s := core(t, 0)
 	b := &steps{taking: e.backend.(*taking), at: func(string) {}}
 	e.backend = b
-	e.facade.UpdateEndpoints(true, nil) // nobody is listed: it is held
+	e.dispatcher.UpdateEndpoints(true, nil) // nobody is listed: it is held
 	ctx, cancel := context.WithCancel(context.Background())
 	result := make(chan Result)
 	go func() { result <- e.Do(ctx, s, e.Now()) }()
-	require.Eventually(t, func() bool { e.mu.Lock(); defer e.mu.Unlock(); return len(e.ids) == 1 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { e.mu.Lock(); defer e.mu.Unlock(); return len(e.openIDs) == 1 }, 10*time.Second, time.Millisecond)
 	cancel()
-	require.Equal(t, Left, (<-result).Verdict)
-	e.facade.UpdateEndpoints(true, []dispatch.Endpoint{{Host: "p", Group: 1, Primary: true}})
-	e.facade.Tick()
+	require.Equal(t, Disconnected, (<-result).Verdict)
+	e.dispatcher.UpdateEndpoints(true, []dispatch.Endpoint{{Host: "p", Group: 1, Primary: true}})
+	e.dispatcher.Tick()
 	require.Zero(t, b.count())
 }
--- a/internal/net/discovery/crossings_test.go
+++ b/internal/net/discovery/crossings_test.go
@@ -138,7 +138,7 @@
 	t     *testing.T
 	clock *hand
 	calls chan *scripted
-	lists chan List
+	lists chan EndpointList
 	w     *Watcher
 	c     net.Listener
 	*loop.Engine
@@ -194,15 +194,15 @@
 	crossingOnce sync.Once
 )
 
-func newScript(t *testing.T, known *List, seed uint64) *script {
+func newScript(t *testing.T, known *EndpointList, seed uint64) *script {
 	crossingOnce.Do(func() { // for all: they are many
 		crossing = loop.New()
 		require.NoError(t, crossing.Start("127.0.0.1:0", nil))
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := &script{t: t, clock: newHand(), calls: make(chan *scripted, 16), lists: make(chan List, 4096), c: l, Engine: crossing, quit: make(chan struct{})}
-	s.w = New(crossing, l.Addr().String(), known, seed, func(l List) { s.lists <- l })
+	s := &script{t: t, clock: newHand(), calls: make(chan *scripted, 16), lists: make(chan EndpointList, 4096), c: l, Engine: crossing, quit: make(chan struct{})}
+	s.w = New(crossing, l.Addr().String(), known, seed, func(l EndpointList) { s.lists <- l })
 	s.w.engine, s.w.clock = s, s.clock
 	return s
 }
@@ -364,7 +364,7 @@
 }
 
 // list waits for the next that is applied.
-func (s *script) list() (l List) {
+func (s *script) list() (l EndpointList) {
 	select {
 	case l = <-s.lists:
 	case <-time.After(10 * time.Second):
@@ -395,14 +395,14 @@
 	var pair, single worst
 	firsts := append(append([]kind{}, kinds...), silent, stuck)
 	for _, failed := range []int{0, 1, 5} {
-		for _, known := range []*List{{Index: 41}, nil} {
+		for _, known := range []*EndpointList{{Index: 41}, nil} {
 			for i, first := range firsts {
 				for j, second := range kinds {
 					if known == nil && i >= len(kinds) {
 						continue // a watch comes behind the whole list there
 					}
 					s := newScript(t, known, uint64(failed*1000+i*40+j))
-					s.w.pace.failed = failed
+					s.w.backoff.failedRounds = failed
 					name := fmt.Sprintf("%s, %s; %d failures before; known: %t", first.name, second.name, failed, known != nil)
 					s.name = name
 					s.run()
@@ -415,11 +415,11 @@
 					last := second.play(s, call)
 					call = s.call()
 					if begun := s.clock.Now().Sub(at); !second.wait {
-						require.LessOrEqual(t, begun, told-answerFirst, name)
+						require.LessOrEqual(t, begun, notifyBound-expectedAnswer, name)
 						pair.see(begun, name)
 					}
 					begun := s.after(call, last)
-					require.LessOrEqual(t, begun, told-answerMost, "%s: behind the second alone", name)
+					require.LessOrEqual(t, begun, notifyBound-maxAnswerTimeout, "%s: behind the second alone", name)
 					single.see(begun, name)
 				}
 			}
@@ -433,18 +433,18 @@
 func TestBehindALateFailureAChangeIsThereInTime(t *testing.T) {
 	t.Parallel()
 	var longest worst
-	for _, known := range []*List{{Index: 41}, nil} {
+	for _, known := range []*EndpointList{{Index: 41}, nil} {
 		for i, k := range lateKinds {
 			for j, before := range kinds {
 				s := newScript(t, known, uint64(i*40+j))
-				s.w.pace.failed = 4
+				s.w.backoff.failedRounds = 4
 				s.run()
 				call := <-s.calls
 				before.play(s, call)
 				at := k.play(s, s.call())
 				name := before.name + ", " + k.name
 				took := s.after(s.call(), at)
-				require.LessOrEqual(t, took, told-answerFirst, name)
+				require.LessOrEqual(t, took, notifyBound-expectedAnswer, name)
 				longest.see(took, name)
 			}
 		}
@@ -459,7 +459,7 @@
 		return s.clock.Now()
 	}}} {
 		s := newScript(t, nil, 7)
-		s.w.pace.failed = 4
+		s.w.backoff.failedRounds = 4
 		s.run()
 		call := <-s.calls
 		at, p := s.clock.Now(), s.accept(call)
@@ -469,12 +469,12 @@
 		require.Equal(t, uint64(49), s.list().Index)
 		last.play(s, <-s.calls)
 		took := s.after(s.call(), at)
-		require.LessOrEqual(t, took, told-answerFirst, "whole list late, "+last.name)
+		require.LessOrEqual(t, took, notifyBound-expectedAnswer, "whole list late, "+last.name)
 		longest.see(took, "whole list late, "+last.name)
 	}
 	// A head that comes a little late and is all moves nothing: the watch is given up as if it had come at once.
-	s := newScript(t, &List{Index: 41}, 7)
-	s.w.pace.failed = 4
+	s := newScript(t, &EndpointList{Index: 41}, 7)
+	s.w.backoff.failedRounds = 4
 	s.run()
 	call := <-s.calls
 	at, p := s.clock.Now(), s.accept(call)
@@ -482,7 +482,7 @@
 	s.clock.move(1200 * time.Millisecond)
 	p.write(chunkedHead)
 	s.took(1)
-	require.LessOrEqual(t, s.after(s.call(), at), told-answerMost, "a head after 1.2 s")
+	require.LessOrEqual(t, s.after(s.call(), at), notifyBound-maxAnswerTimeout, "a head after 1.2 s")
 	t.Logf("worst behind a late failure: %v and the answer (%s)", longest.took, longest.name)
 }
 
@@ -490,13 +490,13 @@
 // kept, and a list of the other, which may be older, is not taken behind it.
 func TestOfTwoCallsTheFirstThatAnswersIsKept(t *testing.T) {
 	t.Parallel()
-	for _, known := range []*List{{Index: 41}, nil} {
+	for _, known := range []*EndpointList{{Index: 41}, nil} {
 		for _, slow := range []bool{false, true} { // the first call answers
 			s := newScript(t, known, 1)
 			s.run()
 			a := s.accept(<-s.calls)
 			b := s.accept(s.call())
-			require.Less(t, s.clock.Now().Sub(time.Unix(1_700_000_000, 0)), answerFirst+retryFirst+1)
+			require.Less(t, s.clock.Now().Sub(time.Unix(1_700_000_000, 0)), expectedAnswer+initialBackoff+1)
 			good, bad := b, a
 			if slow {
 				good, bad = a, b
@@ -520,7 +520,7 @@
 func TestOfTwoCallsOneMayFail(t *testing.T) {
 	t.Parallel()
 	for _, first := range []bool{true, false} {
-		s := newScript(t, &List{Index: 41}, 1)
+		s := newScript(t, &EndpointList{Index: 41}, 1)
 		s.run()
 		a := s.accept(<-s.calls)
 		b := s.accept(s.call())
@@ -541,8 +541,8 @@
 func TestALineAndTheEndAtOnce(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(12) {
-		s := newScript(t, &List{Index: 41}, seed)
-		s.w.pace.failed = 6
+		s := newScript(t, &EndpointList{Index: 41}, seed)
+		s.w.backoff.failedRounds = 6
 		s.clock.held = make(chan struct{})
 		s.run()
 		p := s.accept(<-s.calls)
@@ -553,7 +553,7 @@
 		require.Error(t, err)
 		close(s.clock.held)
 		s.paused(0)
-		require.LessOrEqual(t, s.clock.left(), retryFirst)
+		require.LessOrEqual(t, s.clock.left(), initialBackoff)
 	}
 }
 
@@ -561,8 +561,8 @@
 func TestABurstOfLists(t *testing.T) {
 	t.Parallel()
 	const all = 1000
-	s := newScript(t, &List{Index: 0}, 1)
-	s.w.pace.failed = 5
+	s := newScript(t, &EndpointList{Index: 0}, 1)
+	s.w.backoff.failedRounds = 5
 	s.clock.held = make(chan struct{}, 1)
 	s.run()
 	begun := s.clock.Now()
@@ -577,12 +577,12 @@
 			text.WriteString(fmt.Sprintf("{\"index\":%d,\"endpoints\":[]}\n", i))
 		}
 		p.write(chunkedHead + chunk(text.String()))
-		if all-from > waiting { // the loop cuts it off
+		if all-from > maxPendingLists { // the loop cuts it off
 			_, err := p.c.Read(make([]byte, 1))
 			require.Error(t, err)
 		}
 		s.clock.held <- struct{}{}
-		for range min(waiting, all-from) {
+		for range min(maxPendingLists, all-from) {
 			require.Equal(t, uint64(next), s.list().Index)
 			next++
 		}
@@ -600,7 +600,7 @@
 func TestAMoveCrossesAListOfTheOldService(t *testing.T) {
 	t.Parallel()
 	for _, listFirst := range []bool{true, false} {
-		s := newScript(t, &List{Index: 41}, 1)
+		s := newScript(t, &EndpointList{Index: 41}, 1)
 		s.clock.held = make(chan struct{}) // the watcher stands still between its call and the first look at the answer
 		s.run()
 		p := s.accept(<-s.calls)
@@ -617,7 +617,7 @@
 		if listFirst {
 			list()
 		}
-		s.w.Move(next.Addr().String())
+		s.w.SetServiceAddress(next.Addr().String())
 		if !listFirst {
 			list()
 		}
@@ -625,7 +625,7 @@
 		q := s.accept(<-s.calls)
 		require.Empty(t, q.since, "the new service counts in its own way")
 		go q.well()
-		last := List{}
+		last := EndpointList{}
 		for last.Index != 50 {
 			last = s.list()
 		}
@@ -643,8 +643,8 @@
 		word   time.Duration
 		silent bool // all watches fell silent before
 	}{
-		{"never answered", answerMost, 0, false},
-		{"never answered, behind a silence", answerMost, 0, true},
+		{"never answered", maxAnswerTimeout, 0, false},
+		{"never answered, behind a silence", maxAnswerTimeout, 0, true},
 		{"refused at once", 0, 0, true},
 		{"refused late", 2 * time.Second, 0, false},
 		{"refused late, 30 s", 2 * time.Second, 30 * time.Second, false},
@@ -655,23 +655,23 @@
 		const poolers = 300
 		calls, first := make([]int, 700), 100 // in 100 ms each; what is counted begins 10 s behind the first call
 		if c.silent {
-			first += int(quiet / (100 * time.Millisecond))
+			first += int(silenceLimit / (100 * time.Millisecond))
 		}
 		for i := range poolers {
-			p, at, before := newPace(uint64(i)), time.Duration(0), time.Duration(0)
+			p, at, before := newBackoff(uint64(i)), time.Duration(0), time.Duration(0)
 			if c.silent {
-				at = quiet + p.next(true, 0, quiet)
+				at = silenceLimit + p.nextBackoff(true, 0, silenceLimit)
 			}
 			for at < time.Minute {
 				calls[at/(100*time.Millisecond)]++
 				begun := at
-				p.age = begun - before
-				takes := min(c.takes, p.answer())
-				if d := p.second(); d > 0 && d < takes {
+				p.changeAge = begun - before
+				takes := min(c.takes, p.answerTimeout())
+				if d := p.hedgeDelay(); d > 0 && d < takes {
 					calls[(at+d)/(100*time.Millisecond)]++
 				}
-				p.age += takes
-				at += takes + p.next(false, c.word, takes)
+				p.changeAge += takes
+				at += takes + p.nextBackoff(false, c.word, takes)
 				before = begun
 			}
 		}
@@ -691,35 +691,35 @@
 func TestPairsOfPauses(t *testing.T) {
 	type failure struct {
 		name  string
-		takes time.Duration // 0: at once; answerMost: until it is given up
+		takes time.Duration // 0: at once; maxAnswerTimeout: until it is given up
 		word  time.Duration
 	}
-	failures := []failure{{"at once", 0, 0}, {"a word", 0, 2 * time.Second}, {"a long word", 0, time.Hour}, {"a short word", 0, time.Second}, {"no answer", answerMost, 0}}
+	failures := []failure{{"at once", 0, 0}, {"a word", 0, 2 * time.Second}, {"a long word", 0, time.Hour}, {"a short word", 0, time.Second}, {"no answer", maxAnswerTimeout, 0}}
 	var longest worst
 	lots := rand.New(rand.NewPCG(1, 2))
 	for seed := range uint64(20000) {
-		p := newPace(seed)
+		p := newBackoff(seed)
 		calls, name := []time.Duration{0}, "" // when they begin
 		if seed%2 == 0 {                      // or the last line of a watch that falls silent
 			name = "silent watch; "
-			p.age = quiet
-			calls = append(calls, quiet+p.next(true, 0, quiet))
+			p.changeAge = silenceLimit
+			calls = append(calls, silenceLimit+p.nextBackoff(true, 0, silenceLimit))
 		}
 		for at, before := calls[len(calls)-1], time.Duration(0); len(calls) < 14; {
 			f := failures[lots.IntN(len(failures))]
 			name += f.name + "; "
-			p.age = at - before
-			takes := min(f.takes, p.answer())
-			if d := p.second(); d > 0 && d < takes {
+			p.changeAge = at - before
+			takes := min(f.takes, p.answerTimeout())
+			if d := p.hedgeDelay(); d > 0 && d < takes {
 				calls = append(calls, at+d)
 			}
-			p.age += takes
+			p.changeAge += takes
 			before = at
-			at += takes + p.next(false, f.word, takes)
+			at += takes + p.nextBackoff(false, f.word, takes)
 			calls = append(calls, at)
-			require.LessOrEqual(t, at-before, told-answerMost, name)
+			require.LessOrEqual(t, at-before, notifyBound-maxAnswerTimeout, name)
 			for i := max(0, len(calls)-4); i+2 < len(calls); i++ {
-				require.LessOrEqual(t, calls[i+2]-calls[i], told-answerFirst, name)
+				require.LessOrEqual(t, calls[i+2]-calls[i], notifyBound-expectedAnswer, name)
 				longest.see(calls[i+2]-calls[i], name)
 			}
 		}
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -15,7 +15,7 @@
 )
 
 func fresh() *stream {
-	return &stream{head: make(chan struct{}, 1), signal: make(chan struct{}, 1), lists: make(chan List, 64), failed: make(chan error, 1)}
+	return &stream{headerDone: make(chan struct{}, 1), received: make(chan struct{}, 1), lists: make(chan EndpointList, 64), failed: make(chan error, 1)}
 }
 
 func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
@@ -41,7 +41,7 @@
 			require.NoError(t, err)
 			require.Len(t, s.lists, 2, "cut at %d", cut)
 			l := <-s.lists
-			require.Equal(t, List{Index: 43, Endpoints: []Entry{{Name: "s-1", Address: "127.0.0.9:1", Group: 3, Status: Leaving}}}, l)
+			require.Equal(t, EndpointList{Index: 43, Endpoints: []Endpoint{{Name: "s-1", Address: "127.0.0.9:1", Group: 3, Status: Draining}}}, l)
 			require.True(t, (<-s.lists).Snapshot)
 		}
 	}
@@ -55,15 +55,15 @@
 		_, err := fresh().parse([]byte(text))
 		require.Error(t, err, text)
 	}
-	for text, want := range map[string]error{"null\n": errList, "{\"index\":[]}\n": errList, "{\"note\":\"" + strings.Repeat("x", maxList) + "\"}": errHTTP} {
+	for text, want := range map[string]error{"null\n": errMalformedList, "{\"index\":[]}\n": errMalformedList, "{\"note\":\"" + strings.Repeat("x", maxList) + "\"}": errMalformedHTTP} {
 		_, err := fresh().parse([]byte(chunkedHead + chunk(text)))
 		require.ErrorIs(t, err, want)
 	}
 	_, err := fresh().parse([]byte(chunkedHead + chunk("{\n") + "0\r\n\r\n"))
-	require.ErrorIs(t, err, errList, "it ends within an object")
+	require.ErrorIs(t, err, errMalformedList, "it ends within an object")
 	s := fresh()
 	_, err = s.parse([]byte("HTTP/1.1 200 OK\r\nContent-Length: 34\r\n\r\n{\"index\":7,\n\"snapshot\":true      }"))
-	require.ErrorIs(t, err, errEnded)
+	require.ErrorIs(t, err, errServiceClosed)
 	require.Len(t, s.lists, 1, "a list that is printed over lines")
 }
 
@@ -71,9 +71,9 @@
 // they ask less often from failure to failure, not in step, and never wait longer than the platform grants.
 func TestAFleetBacksOffFromAnOverbookedService(t *testing.T) {
 	const poolers, step, capacity = 80, 50.0, 1 // one call in 50 ms is answered
-	paces, due := make([]pace, poolers), make([]float64, poolers)
+	paces, due := make([]backoff, poolers), make([]float64, poolers)
 	for i := range paces {
-		paces[i] = newPace(uint64(i))
+		paces[i] = newBackoff(uint64(i))
 	}
 	up, most, calls := 0, 0, 0
 	for now := 0.0; now < 15000; now += step {
@@ -87,8 +87,8 @@
 				up++
 				continue
 			}
-			wait := paces[i].next(false, 0, 0)
-			require.LessOrEqual(t, wait, retryMost)
+			wait := paces[i].nextBackoff(false, 0, 0)
+			require.LessOrEqual(t, wait, maxBackoff)
 			due[i] = now + float64(wait.Milliseconds())
 		}
 		calls += asked
@@ -106,9 +106,9 @@
 func TestARetryAfterToldToAllDoesNotBringAFleetIntoStep(t *testing.T) {
 	const poolers, step, capacity = 300, 20.0, 1
 	for _, word := range []time.Duration{time.Second, 3 * time.Second, time.Hour} {
-		paces, due := make([]pace, poolers), make([]float64, poolers)
+		paces, due := make([]backoff, poolers), make([]float64, poolers)
 		for i := range paces {
-			paces[i] = newPace(uint64(i))
+			paces[i] = newBackoff(uint64(i))
 		}
 		up, most, asked := 0, 0, make([]int, 1500)
 		for i := range asked {
@@ -122,9 +122,9 @@
 					up++
 					continue
 				}
-				wait := paces[j].next(false, word, 0)
-				require.GreaterOrEqual(t, wait, min(word, wordMost), "never before the service's word")
-				require.LessOrEqual(t, wait, told)
+				wait := paces[j].nextBackoff(false, word, 0)
+				require.GreaterOrEqual(t, wait, min(word, maxRetryAfter), "never before the service's word")
+				require.LessOrEqual(t, wait, notifyBound)
 				due[j] = now + float64(wait.Microseconds())/1000
 			}
 			if i >= 5 { // behind the first moment, at which all start
@@ -143,18 +143,18 @@
 
 // Equal seeds pause alike, so that a run can be played again; others do not, so that a fleet is not in step.
 func TestPausesComeFromTheSeed(t *testing.T) {
-	a, b, other := newPace(7), newPace(7), newPace(8)
+	a, b, other := newBackoff(7), newBackoff(7), newBackoff(8)
 	same := 0
 	for range 20 {
-		wait := a.next(false, 0, 0)
-		require.Equal(t, wait, b.next(false, 0, 0))
-		if wait == other.next(false, 0, 0) {
+		wait := a.nextBackoff(false, 0, 0)
+		require.Equal(t, wait, b.nextBackoff(false, 0, 0))
+		if wait == other.nextBackoff(false, 0, 0) {
 			same++
 		}
 	}
 	require.Less(t, same, 3)
-	a.next(true, 0, 0)
-	require.LessOrEqual(t, a.next(true, 0, 0), retryFirst, "a round that brought something starts anew")
+	a.nextBackoff(true, 0, 0)
+	require.LessOrEqual(t, a.nextBackoff(true, 0, 0), initialBackoff, "a round that brought something starts anew")
 }
 
 // A service that is overbooked or down is asked for changes again, not for its whole list, which costs it more.
@@ -178,7 +178,7 @@
 		engine := loop.New()
 		require.NoError(t, engine.Start("127.0.0.1:0", nil))
 		ctx, cancel := context.WithCancel(context.Background())
-		go New(engine, l.Addr().String(), &List{Index: 41}, 1, func(List) {}).Run(ctx)
+		go New(engine, l.Addr().String(), &EndpointList{Index: 41}, 1, func(EndpointList) {}).Run(ctx)
 		require.Contains(t, <-asked, "since=41", status)
 		next := <-asked
 		require.Equal(t, whole, !strings.Contains(next, "since=41"), "%s, then %s", status, next)
@@ -190,9 +190,9 @@
 
 func TestRetryAfterOfTheServiceIsRead(t *testing.T) {
 	_, err := fresh().parse([]byte("HTTP/1.1 503 Busy\r\nRetry-After: 2\r\n\r\n"))
-	require.Equal(t, statusError{code: 503, text: "503 Busy", after: 2 * time.Second}, err)
+	require.Equal(t, statusError{code: 503, text: "503 Busy", retryAfter: 2 * time.Second}, err)
 	_, err = fresh().parse([]byte("HTTP/1.1 503 Busy\r\nRetry-After: 4000000\r\n\r\n"))
-	require.Equal(t, wordMost, err.(statusError).after)
+	require.Equal(t, maxRetryAfter, err.(statusError).retryAfter)
 }
 
 // FuzzStream checks that no bytes of the service panic.
--- a/internal/net/discovery/pace.go
+++ b/internal/net/discovery/pace.go
@@ -24,11 +24,11 @@
 //	a watch silent, stuck or dripping          3.5       0.25    3.75 + c
 //	a watch of lists faster than taken         0         0.25    0.25 + c
 //
-// c may be answerFirst, 1 s, in each of them. Where the sum is 3.75 or less it may be as long as the call is given: answerMost,
-// 2.25 s, or behind a row of failures from answerLeast, 1.25 s, on.
+// c may be expectedAnswer, 1 s, in each of them. Where the sum is 3.75 or less it may be as long as the call is given: maxAnswerTimeout,
+// 2.25 s, or behind a row of failures from minAnswerTimeout, 1.25 s, on.
 //
 // The next call may fail as well, though discovery could be reached. Behind each two calls in a row, of whatever kinds
-// but (1), a third begins at 5 s at the latest, so that c may be answerFirst: age holds next and answer to that.
+// but (1), a third begins at 5 s at the latest, so that c may be expectedAnswer: age holds next and answer to that.
 //
 //	second: at once    with a word            no answer                        head, then nothing
 //	first
@@ -45,84 +45,84 @@
 // At a service that is new after a move the platform grants 4 s: calls are begun there at 0, 1.25 and 2.5 at the latest,
 // where nothing answers the ones before.
 const (
-	told = 6 * time.Second
+	notifyBound = 6 * time.Second
 
-	// quiet is how long a watch may say nothing whole. An idle one sends a line every 2 s.
-	quiet = 3500 * time.Millisecond
-	// idle is how long it may say nothing behind a head that came late, and opening how long all may take from the moment
+	// silenceLimit is how long a watch may say nothing whole. An idle one sends a line every 2 s.
+	silenceLimit = 3500 * time.Millisecond
+	// lateHeaderSilenceLimit is how long it may say nothing behind a head that came late, and opening how long all may take from the moment
 	// that the round began, or the whole list was asked for, until the watch says the first thing whole.
-	idle    = 2250 * time.Millisecond
-	opening = 4750 * time.Millisecond
+	lateHeaderSilenceLimit = 2250 * time.Millisecond
+	openingLimit           = 4750 * time.Millisecond
 
-	// A call has answerMost to answer, dial included: a service that takes long for each call of a fleet must come to an
-	// end with some. Where no two in a row have failed yet, it is made a second time beside the first after answerFirst;
-	// behind that it has a time drawn from answerLeast on.
-	answerFirst = 1 * time.Second
-	answerLeast = 1250 * time.Millisecond
-	answerMost  = 2250 * time.Millisecond
+	// A call has maxAnswerTimeout to answer, dial included: a service that takes long for each call of a fleet must come to an
+	// end with some. Where no two in a row have failed yet, it is made a second time beside the first after expectedAnswer;
+	// behind that it has a time drawn from minAnswerTimeout on.
+	expectedAnswer   = 1 * time.Second
+	minAnswerTimeout = 1250 * time.Millisecond
+	maxAnswerTimeout = 2250 * time.Millisecond
 
-	// A round that failed is followed by the next after retryFirst, doubled with each further failure in a row up to
-	// retryMost; half of that time is drawn. All poolers lose their watch at the same moment, and a service that is
+	// A round that failed is followed by the next after initialBackoff, doubled with each further failure in a row up to
+	// maxBackoff; half of that time is drawn. All poolers lose their watch at the same moment, and a service that is
 	// overbooked stays so while each of them asks several times a second. What the round took is part of it, down to
-	// retryFirst: the next begins retryMost behind it at the latest.
-	retryFirst = 250 * time.Millisecond
-	retryMost  = 2500 * time.Millisecond
+	// initialBackoff: the next begins maxBackoff behind it at the latest.
+	initialBackoff = 250 * time.Millisecond
+	maxBackoff     = 2500 * time.Millisecond
 
-	// wordMost is how far a service's own word of when to come back is followed, wordDrawn what is drawn on top at most.
-	wordMost  = 2 * time.Second
-	wordDrawn = 1 * time.Second
+	// maxRetryAfter is how far a service's own word of when to come back is followed, maxRetryAfterJitter what is drawn on top at most.
+	maxRetryAfter       = 2 * time.Second
+	maxRetryAfterJitter = 1 * time.Second
 )
 
-// pace decides when a service is asked again. It has no clock; equal seeds draw equal pauses.
-type pace struct {
-	lots   *rand.Rand
-	failed int           // rounds in a row whose watch brought nothing
-	age    time.Duration // of a change that the round before this one may have missed
+// backoff decides when a service is asked again. It has no clock; equal seeds draw equal pauses.
+type backoff struct {
+	random       *rand.Rand
+	failedRounds int           // rounds in a row whose watch brought nothing
+	changeAge    time.Duration // of a change that the round before this one may have missed
 }
 
-func newPace(seed uint64) pace { return pace{lots: rand.New(rand.NewPCG(seed, 0xd15c))} }
+func newBackoff(seed uint64) backoff { return backoff{random: rand.New(rand.NewPCG(seed, 0xd15c))} }
 
-// answer is how long the next call may take. Of a row that failed it is drawn, since all of a fleet wait for a service that
+// answerTimeout is how long the next call may take. Of a row that failed it is drawn, since all of a fleet wait for a service that
 // says nothing; and where it is not made twice, a third has to begin in time.
-func (p *pace) answer() time.Duration {
-	if p.failed <= 1 {
-		return answerMost
+func (p *backoff) answerTimeout() time.Duration {
+	if p.failedRounds <= 1 {
+		return maxAnswerTimeout
 	}
-	d := answerLeast + time.Duration(p.lots.Float64()*float64(answerMost-answerLeast))
-	if left := told - answerFirst - retryFirst - p.age; left >= answerFirst/2 {
+	d := minAnswerTimeout + time.Duration(p.random.Float64()*float64(maxAnswerTimeout-minAnswerTimeout))
+	if left := notifyBound - expectedAnswer - initialBackoff - p.changeAge; left >= expectedAnswer/2 {
 		d = min(d, left)
 	}
 	return d
 }
 
-// second is when a call is made a second time beside the first that has not answered; 0: not at all.
-func (p *pace) second() time.Duration {
-	if p.failed > 1 {
+// hedgeDelay is when a call is made a second time beside the first that has not answered; 0: not at all.
+func (p *backoff) hedgeDelay() time.Duration {
+	if p.failedRounds > 1 {
 		return 0
 	}
-	return answerFirst + retryFirst/2 + time.Duration(p.lots.Float64()*float64(retryFirst/2))
+	return expectedAnswer + initialBackoff/2 + time.Duration(p.random.Float64()*float64(initialBackoff/2))
 }
 
-// next is how long to wait after a round. brought: its watch lasted, and brought something whole, if only an empty line.
+// nextBackoff is how long to wait after a round. brought: its watch lasted, and brought something whole, if only an empty line.
 // after is the service's own word of when to come back, 0 if it gave none: never sooner than that where told allows, but a
 // whole fleet is told the same at the same moment, so what goes on top is drawn, as wide as the word itself or the pause
-// without it. silent is for how long nothing whole had come when the round ended: that and the pause leave answerFirst of
+// without it. silent is for how long nothing whole had come when the round ended: that and the pause leave expectedAnswer of
 // told to the next call, and so does age where it can.
-func (p *pace) next(brought bool, after, silent time.Duration) time.Duration {
-	if p.failed++; brought {
-		p.failed = 0
+func (p *backoff) nextBackoff(brought bool, after, silent time.Duration) time.Duration {
+	if p.failedRounds++; brought {
+		p.failedRounds = 0
 	}
-	most, lot := min(retryMost, retryFirst<<min(max(p.failed-1, 0), 10)), p.lots.Float64()
-	most = min(most, max(retryMost-silent, retryFirst))
+	most, lot := min(maxBackoff, initialBackoff<<min(max(p.failedRounds-1, 0), 10)), p.random.Float64()
+	most = min(most, max(maxBackoff-silent, initialBackoff))
 	least := most / 2
-	if silent >= answerFirst { // what is drawn is what is left of retryMost: all of it, or a fleet keeps its step
-		least = min(least, retryFirst/2)
+	if silent >= expectedAnswer { // what is drawn is what is left of maxBackoff: all of it, or a fleet keeps its step
+		least = min(least, initialBackoff/2)
 	}
-	if after = min(after, wordMost); after > least {
-		least, most = after, min(wordMost+wordDrawn, after+max(after, least))
+	if after = min(after, maxRetryAfter); after > least {
+		least, most = after, min(maxRetryAfter+maxRetryAfterJitter, after+max(after, least))
 	}
-	most = min(most, max(told-answerFirst-silent, retryFirst))
-	if left := told - answerFirst - p.age; left >= retryFirst/2 {
+	most = min(most, max(notifyBound-expectedAnswer-silent, initialBackoff))
+	if left := notifyBound - expectedAnswer - p.changeAge; left >= initialBackoff/2 {
 		most = min(most, left)
 	}
 	if least > most { // told goes before the word
--- a/internal/net/discovery/silence_test.go
+++ b/internal/net/discovery/silence_test.go
@@ -74,12 +74,12 @@
 }
 
 type arrival struct {
-	List
+	EndpointList
 	at time.Time
 }
 
 // follow runs a watcher at a service that serves its calls, counted from 0, as told, and gives the lists that came.
-func follow(t *testing.T, known *List, serve func(call int, p *peer)) (w *Watcher, lists chan arrival, calls chan time.Time) {
+func follow(t *testing.T, known *EndpointList, serve func(call int, p *peer)) (w *Watcher, lists chan arrival, calls chan time.Time) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	quit := make(chan struct{})
@@ -104,7 +104,7 @@
 	engine := loop.New()
 	require.NoError(t, engine.Start("127.0.0.1:0", nil))
 	ctx, cancel := context.WithCancel(context.Background())
-	w = New(engine, l.Addr().String(), known, 1, func(l List) { lists <- arrival{l, time.Now()} })
+	w = New(engine, l.Addr().String(), known, 1, func(l EndpointList) { lists <- arrival{l, time.Now()} })
 	go w.Run(ctx)
 	t.Cleanup(func() { cancel(); close(quit); l.Close(); engine.Stop() })
 	return w, lists, calls
@@ -144,7 +144,7 @@
 		"a byte in a quarter second, in a head":  func(p *peer) { p.write(opening[:30]); p.drip("x") },
 		"a byte in a quarter second, in a chunk": func(p *peer) { p.write(opening); p.drip("0") },
 	} {
-		for _, known := range []*List{{Index: 41}, nil} {
+		for _, known := range []*EndpointList{{Index: 41}, nil} {
 			fell := make(chan time.Time, 1)
 			_, lists, _ := follow(t, known, func(call int, p *peer) {
 				switch call {
@@ -159,7 +159,7 @@
 			})
 			checks = append(checks, func() {
 				took := arrives(t, lists).Sub(<-fell)
-				assert.Less(t, took, told-answerFirst/2, "%s, list known: %t: from the silence's begin until the list can be acted on", name, known != nil)
+				assert.Less(t, took, notifyBound-expectedAnswer/2, "%s, list known: %t: from the silence's begin until the list can be acted on", name, known != nil)
 			})
 		}
 	}
@@ -172,7 +172,7 @@
 func TestAWatchThatDripsLaterIsOpenedAnew(t *testing.T) {
 	t.Parallel()
 	fell := make(chan time.Time, 1)
-	_, lists, _ := follow(t, &List{Index: 41}, func(call int, p *peer) {
+	_, lists, _ := follow(t, &EndpointList{Index: 41}, func(call int, p *peer) {
 		if call > 0 {
 			p.well()
 			return
@@ -183,7 +183,7 @@
 		fell <- time.Now()
 		p.drip(" ")
 	})
-	require.Less(t, arrives(t, lists).Sub(<-fell), told-answerFirst/2)
+	require.Less(t, arrives(t, lists).Sub(<-fell), notifyBound-expectedAnswer/2)
 }
 
 // After an outage in which calls hang in one way or another pauses have grown. What the service holds at its end, just
@@ -199,7 +199,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			ended := make(chan time.Time, 1)
-			_, lists, _ := follow(t, &List{Index: 41}, func(call int, p *peer) {
+			_, lists, _ := follow(t, &EndpointList{Index: 41}, func(call int, p *peer) {
 				if call > 3 {
 					p.well()
 					return
@@ -210,7 +210,7 @@
 				during(p)
 			})
 			at := <-ended
-			require.Less(t, arrives(t, lists).Sub(at), told-answerFirst/2, "from the outage's end")
+			require.Less(t, arrives(t, lists).Sub(at), notifyBound-expectedAnswer/2, "from the outage's end")
 		})
 	}
 }
@@ -219,7 +219,7 @@
 // come in pieces.
 func TestAWatchThatSpeaksIsKept(t *testing.T) {
 	t.Parallel()
-	_, lists, calls := follow(t, &List{Index: 41}, func(_ int, p *peer) {
+	_, lists, calls := follow(t, &EndpointList{Index: 41}, func(_ int, p *peer) {
 		p.write(chunkedHead)
 		for i := 42; i < 46; i++ {
 			time.Sleep(1500 * time.Millisecond)
@@ -244,7 +244,7 @@
 		"empty":            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"of chunks, ended": chunkedHead + chunk(line(49, true)) + "0\r\n\r\n",
 	} {
-		_, lists, calls := follow(t, &List{Index: 41}, func(call int, p *peer) {
+		_, lists, calls := follow(t, &EndpointList{Index: 41}, func(call int, p *peer) {
 			if call > 0 {
 				p.well()
 				return
@@ -253,7 +253,7 @@
 			p.silent()
 		})
 		at := arrives(t, lists)
-		require.Less(t, at.Sub(<-calls), quiet-time.Second, name)
+		require.Less(t, at.Sub(<-calls), silenceLimit-time.Second, name)
 	}
 }
 
@@ -261,7 +261,7 @@
 func TestAServiceThatEndsEachWatchIsAskedLessOften(t *testing.T) {
 	t.Parallel()
 	at := time.Now()
-	_, lists, calls := follow(t, &List{Index: 41}, func(call int, p *peer) {
+	_, lists, calls := follow(t, &EndpointList{Index: 41}, func(call int, p *peer) {
 		l := line(42+call, false) // the ninth call brings 50
 		p.write(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(l), l))
 	})
@@ -280,7 +280,7 @@
 		for _, stalls := range []int{0, 2} { // calls at the new service without an answer
 			t.Run(fmt.Sprintf("%s, new one stalls %d times", name, stalls), func(t *testing.T) {
 				t.Parallel()
-				w, lists, calls := follow(t, &List{Index: 41}, func(_ int, p *peer) { old(p) })
+				w, lists, calls := follow(t, &EndpointList{Index: 41}, func(_ int, p *peer) { old(p) })
 				next, err := net.Listen("tcp", "127.0.0.1:0")
 				require.NoError(t, err)
 				defer next.Close()
@@ -299,7 +299,7 @@
 				<-calls
 				time.Sleep(1700 * time.Millisecond) // pauses have grown, and a new one has begun
 				begun := time.Now()
-				w.Move(next.Addr().String())
+				w.SetServiceAddress(next.Addr().String())
 				require.Less(t, arrives(t, lists).Sub(begun), 3500*time.Millisecond, "the new service's word counts 4 s later")
 			})
 		}
@@ -310,26 +310,26 @@
 // over when what was missed counts as told.
 func TestPausesLeaveTimeToAct(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := newPace(rapid.Uint64().Draw(t, "seed"))
+		p := newBackoff(rapid.Uint64().Draw(t, "seed"))
 		for range rapid.IntRange(1, 30).Draw(t, "rounds") {
-			require.LessOrEqual(t, p.answer(), answerMost)
+			require.LessOrEqual(t, p.answerTimeout(), maxAnswerTimeout)
 			brought := rapid.Bool().Draw(t, "brought")
-			most := quiet
+			most := silenceLimit
 			if !brought {
-				most = max(quiet, p.answer())
+				most = max(silenceLimit, p.answerTimeout())
 			}
 			silent := time.Duration(rapid.Int64Range(0, int64(most)).Draw(t, "silent"))
 			after := time.Duration(0)
-			if silent < answerMost && rapid.Bool().Draw(t, "word") {
+			if silent < maxAnswerTimeout && rapid.Bool().Draw(t, "word") {
 				after = time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "after"))
 			}
-			wait := p.next(brought, after, silent)
-			require.GreaterOrEqual(t, wait, retryFirst/2)
-			require.GreaterOrEqual(t, wait, min(after, wordMost))
+			wait := p.nextBackoff(brought, after, silent)
+			require.GreaterOrEqual(t, wait, initialBackoff/2)
+			require.GreaterOrEqual(t, wait, min(after, maxRetryAfter))
 			if after > 0 { // it spoke
 				silent = 0
 			}
-			require.LessOrEqual(t, silent+wait+answerFirst, told)
+			require.LessOrEqual(t, silent+wait+expectedAnswer, notifyBound)
 		}
 	})
 }
--- a/internal/net/flight/dial_test.go
+++ b/internal/net/flight/dial_test.go
@@ -46,7 +46,7 @@
 		defer h.Close()
 		var drains atomic.Bool
 		var looks atomic.Int32
-		h.Listed = func(string) bool {
+		h.IsListed = func(string) bool {
 			if looks.Add(1) == 2 { // the connection is there, and nothing was written to it
 				k.event(h, other, &drains)
 			}
--- a/internal/net/flight/front.go
+++ b/internal/net/flight/front.go
@@ -59,7 +59,7 @@
 // Stop cuts off what is left.
 func (f *Front) Stop() { f.server.Stop() }
 
-func invalid(text string) error { return failure(codes.InvalidArgument, text, "", 0) }
+func invalid(text string) error { return newStatus(codes.InvalidArgument, text, "", 0) }
 
 // query reads a statement that is to be run as a query. A write is none: a ticket can be used twice, and would
 // run it twice.
@@ -89,7 +89,7 @@
 	}
 	ticket, err := flightsql.CreateStatementQueryTicket([]byte(q.GetQuery()))
 	if err != nil {
-		return nil, failure(codes.Internal, err.Error(), "", 0)
+		return nil, newStatus(codes.Internal, err.Error(), "", 0)
 	}
 	// No location: the ticket is good on this service. No schema: only the host that answers knows it.
 	return &flight.FlightInfo{
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	schema, b := record(a)
+	schema, b := recordBatch(a)
 	out := make(chan flight.StreamChunk, 1)
 	out <- flight.StreamChunk{Data: b}
 	close(out)
@@ -130,7 +130,7 @@
 		return 0, err
 	}
 	if !a.Null {
-		md := tell(&edge.Answer{})
+		md := writeTrailer(&edge.Answer{})
 		md.Set(metaReturning, string(a.Value))
 		_ = grpc.SetTrailer(ctx, md)
 	}
@@ -144,10 +144,10 @@
 // run brings a statement to its final answer. The client waits until the earlier of d and its call's deadline.
 func (f *Front) run(ctx context.Context, s *sqlcomment.Statement) (*edge.Answer, error) {
 	if !f.edge.Ready() {
-		return nil, failure(codes.Unavailable, "no list of hosts is held yet", reasonRefused, 0)
+		return nil, newStatus(codes.Unavailable, "no list of hosts is held yet", reasonPoolerRejected, 0)
 	}
 	if refused := f.edge.Begin(s); refused != nil {
-		return nil, final(refused)
+		return nil, resultStatus(refused)
 	}
 	defer f.edge.End(s)
 	arrived := f.edge.Now()
@@ -156,8 +156,8 @@
 	}
 	r := f.edge.Do(ctx, s, arrived)
 	if r.Verdict != edge.Served {
-		return nil, final(&r)
+		return nil, resultStatus(&r)
 	}
-	_ = grpc.SetTrailer(ctx, tell(&r.Answer))
+	_ = grpc.SetTrailer(ctx, writeTrailer(&r.Answer))
 	return &r.Answer, nil
 }
--- a/internal/net/flight/golden_test.go
+++ b/internal/net/flight/golden_test.go
@@ -71,23 +71,23 @@
 		result edge.Result
 		read   dispatch.Code
 	}{
-		{"refused", edge.Result{Verdict: edge.Refused, Detail: "no host", After: 250.5}, dispatch.Rejected},
-		{"refused-without-advice", edge.Result{Verdict: edge.Refused, Detail: "no host"}, dispatch.Rejected},
+		{"refused", edge.Result{Verdict: edge.Rejected, Detail: "no host", RetryAfterMillis: 250.5}, dispatch.Rejected},
+		{"refused-without-advice", edge.Result{Verdict: edge.Rejected, Detail: "no host"}, dispatch.Rejected},
 		{"timed-out", edge.Result{Verdict: edge.TimedOut, Detail: "no answer"}, dispatch.NoAnswer},
 		{"invalid", edge.Result{Verdict: edge.Invalid, Detail: "no class"}, dispatch.ServerError},
-		{"left", edge.Result{Verdict: edge.Left, Detail: "unused"}, dispatch.Cancelled},
+		{"left", edge.Result{Verdict: edge.Disconnected, Detail: "unused"}, dispatch.Cancelled},
 		{"failed", edge.Result{Verdict: edge.Failed, Detail: "it broke"}, dispatch.ServerError},
 	}
 	var out bytes.Buffer
 	for _, r := range results {
-		out.WriteString(statusLine(t, r.name, final(&r.result)))
+		out.WriteString(statusLine(t, r.name, resultStatus(&r.result)))
 	}
 	lines := strings.Split(strings.TrimSpace(string(golden(t, "final-status.txt", out.Bytes()))), "\n")
 	require.Len(t, lines, len(results))
 	for i, line := range lines {
 		fields := strings.Fields(line)
 		require.Len(t, fields, 3, line)
-		require.Equal(t, results[i].read, outcome(readStatus(t, fields[2])), results[i].name)
+		require.Equal(t, results[i].read, classifyError(readStatus(t, fields[2])), results[i].name)
 	}
 }
 
@@ -98,11 +98,11 @@
 		err  error
 		read dispatch.Code
 	}{
-		{"not-primary", failure(codes.FailedPrecondition, "a replica", reasonNotPrimary, 0), dispatch.Misdirected},
-		{"behind", failure(codes.FailedPrecondition, "too old", reasonBehind, 0), dispatch.Misdirected},
-		{"full", failure(codes.ResourceExhausted, "full", reasonTurnedAway, 10), dispatch.Rejected},
-		{"draining", failure(codes.Unavailable, "draining", reasonTurnedAway, 0), dispatch.Rejected},
-		{"bare-unavailable", failure(codes.Unavailable, "reset", "", 0), dispatch.ConnectionLost},
+		{"not-primary", newStatus(codes.FailedPrecondition, "a replica", reasonNotPrimary, 0), dispatch.Misdirected},
+		{"behind", newStatus(codes.FailedPrecondition, "too old", reasonBehind, 0), dispatch.Misdirected},
+		{"full", newStatus(codes.ResourceExhausted, "full", reasonHostRejected, 10), dispatch.Rejected},
+		{"draining", newStatus(codes.Unavailable, "draining", reasonHostRejected, 0), dispatch.Rejected},
+		{"bare-unavailable", newStatus(codes.Unavailable, "reset", "", 0), dispatch.ConnectionLost},
 	}
 	var out bytes.Buffer
 	for _, e := range errs {
@@ -113,15 +113,15 @@
 	for i, line := range lines {
 		fields := strings.Fields(line)
 		require.Len(t, fields, 3, line)
-		require.Equal(t, errs[i].read, outcome(readStatus(t, fields[2])), errs[i].name)
+		require.Equal(t, errs[i].read, classifyError(readStatus(t, fields[2])), errs[i].name)
 	}
 }
 
 // TestGoldenTrailer holds the names and forms of the trailing metadata, both ways.
 func TestGoldenTrailer(t *testing.T) {
-	answer := edge.Answer{Role: rolePrimary, Position: 1.7e12 + 0.25, Gauges: "x0=1700000000.25,x1=1"}
+	answer := edge.Answer{Role: rolePrimary, Position: 1.7e12 + 0.25, LoadReport: "x0=1700000000.25,x1=1"}
 	var out bytes.Buffer
-	md := tell(&answer)
+	md := writeTrailer(&answer)
 	md.Set(metaReturning, "four")
 	var names []string
 	for name := range md {
@@ -137,13 +137,13 @@
 		committed.Append(name, value)
 	}
 	var read edge.Answer
-	o := told(committed, &read)
+	o := readTrailer(committed, &read)
 	require.Equal(t, answer, read)
 	require.Equal(t, dispatch.Primary, o.Role)
 	require.Equal(t, answer.Position, o.Position)
-	require.Equal(t, edge.Gauges(answer.Gauges), o.Report)
+	require.Equal(t, edge.ParseLoadReport(answer.LoadReport), o.Report)
 	committed.Delete(metaReturning)
-	require.Equal(t, committed, tell(&read))
+	require.Equal(t, committed, writeTrailer(&read))
 }
 
 // TestGoldenStatementErrors holds the statuses of statements that are not run: of a front that has no list of hosts yet.
@@ -182,7 +182,7 @@
 		{Column: "payload", Type: oidBytea, Null: true},
 		{Column: "name", Type: oidText, Null: true},
 	} {
-		schema, b := record(&a)
+		schema, b := recordBatch(&a)
 		var stream bytes.Buffer
 		w := ipc.NewWriter(&stream, ipc.WithSchema(schema))
 		require.NoError(t, w.Write(b))
--- a/internal/net/flight/hosts.go
+++ b/internal/net/flight/hosts.go
@@ -30,7 +30,7 @@
 type Hosts struct {
 	// Listed says whether anything new, a handshake included, may go to a host. It is to be set before the first use;
 	// nil: to every host.
-	Listed func(name string) bool
+	IsListed func(name string) bool
 
 	connect time.Duration
 
@@ -80,43 +80,43 @@
 	}
 }
 
-// once lets a call open one stream and no more. gRPC opens a second one by itself when a server or a broken
+// singleStream lets a call open one stream and no more. gRPC opens a second one by itself when a server or a broken
 // connection says that it did not process the first, whatever WithDisableRetry says; a request that is sent
 // again is the decisions' business alone. gRPC asks for credentials once for each stream that it opens, and a
 // call whose credentials fail ends there.
-type once struct{}
+type singleStream struct{}
 
-type onceKey struct{}
+type singleStreamKey struct{}
 
-func (once) RequireTransportSecurity() bool { return false }
+func (singleStream) RequireTransportSecurity() bool { return false }
 
-func (once) GetRequestMetadata(ctx context.Context, _ ...string) (map[string]string, error) {
-	if opened, ok := ctx.Value(onceKey{}).(*atomic.Bool); ok && opened.Swap(true) {
+func (singleStream) GetRequestMetadata(ctx context.Context, _ ...string) (map[string]string, error) {
+	if opened, ok := ctx.Value(singleStreamKey{}).(*atomic.Bool); ok && opened.Swap(true) {
 		return nil, status.Error(codes.Unavailable, "gRPC would have sent this request again")
 	}
 	return nil, nil
 }
 
-func singly(ctx context.Context) context.Context {
-	return context.WithValue(ctx, onceKey{}, new(atomic.Bool))
+func withSingleStream(ctx context.Context) context.Context {
+	return context.WithValue(ctx, singleStreamKey{}, new(atomic.Bool))
 }
 
-// wanted says why a connection to an address is not to be made any more. gRPC dials by itself, too, as long as it failed.
-func (h *Hosts) wanted(name, address string) error {
-	if h.Listed != nil && !h.Listed(name) {
+// checkDialTarget says why a connection to an address is not to be made any more. gRPC dials by itself, too, as long as it failed.
+func (h *Hosts) checkDialTarget(name, address string) error {
+	if h.IsListed != nil && !h.IsListed(name) {
 		return edge.ErrUnlisted
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if o := h.hosts[name]; o == nil || o.address != address {
-		return errMoved
+		return errAddressChanged
 	}
 	return nil
 }
 
 var (
-	errMoved     = errors.New("the host is at another address now")
-	errNoAddress = errors.New("discovery has given no address for this host")
+	errAddressChanged = errors.New("the host is at another address now")
+	errNoAddress      = errors.New("discovery has given no address for this host")
 )
 
 func (h *Hosts) dial(name string) (*grpc.ClientConn, error) {
@@ -130,21 +130,21 @@
 		return o.cc, nil
 	}
 	cc, err := grpc.NewClient("passthrough:///"+o.address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithPerRPCCredentials(once{}),
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithPerRPCCredentials(singleStream{}),
 		grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithNoProxy(), grpc.WithIdleTimeout(0),
 		grpc.WithReadBufferSize(8<<10), grpc.WithWriteBufferSize(8<<10),
 		grpc.WithInitialWindowSize(64<<10), grpc.WithInitialConnWindowSize(256<<10),
 		grpc.WithMaxHeaderListSize(maxHeaders),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxAnswer), grpc.WaitForReady(false)),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			if err := h.wanted(name, address); err != nil {
+			if err := h.checkDialTarget(name, address); err != nil {
 				return nil, err
 			}
 			c, err := (&net.Dialer{Timeout: h.connect}).DialContext(ctx, "tcp", address)
 			if err != nil {
 				return nil, err
 			}
-			if err := h.wanted(name, address); err != nil {
+			if err := h.checkDialTarget(name, address); err != nil {
 				c.Close()
 				return nil, err
 			}
@@ -180,7 +180,7 @@
 		case connectivity.Idle:
 			cc.Connect()
 		case connectivity.TransientFailure:
-			if h.Listed != nil && !h.Listed(name) {
+			if h.IsListed != nil && !h.IsListed(name) {
 				return nil, edge.ErrUnlisted
 			}
 			if tried { // a new try, not what is left of an old one
@@ -214,7 +214,7 @@
 	return c.query(ctx, text, gate)
 }
 
-func describe(command proto.Message) (*flight.FlightDescriptor, error) {
+func commandDescriptor(command proto.Message) (*flight.FlightDescriptor, error) {
 	var any anypb.Any
 	if err := any.MarshalFrom(command); err != nil {
 		return nil, err
@@ -223,37 +223,37 @@
 	return &flight.FlightDescriptor{Type: flight.DescriptorCMD, Cmd: b}, err
 }
 
-func lost(err error, trailer metadata.MD) edge.Reply {
+func failedReply(err error, trailer metadata.MD) edge.Reply {
 	r := edge.Reply{Detail: err.Error()}
-	code := outcome(err)
+	code := classifyError(err)
 	if code != dispatch.Malformed { // which teaches nothing
-		r.Outcome = told(trailer, &r.Answer)
+		r.Outcome = readTrailer(trailer, &r.Answer)
 	}
 	r.Code = code
 	return r
 }
 
-// ended words a stream that brought no answer. Only one that gRPC itself ended has its trailer: what was given up for
+// endedReply words a stream that brought no answer. Only one that gRPC itself ended has its trailer: what was given up for
 // what it held may still be arriving.
-func ended(err error, stream grpc.ClientStream) edge.Reply {
-	if outcome(err) == dispatch.Malformed {
-		return lost(err, nil)
+func endedReply(err error, stream grpc.ClientStream) edge.Reply {
+	if classifyError(err) == dispatch.Malformed {
+		return failedReply(err, nil)
 	}
-	return lost(err, stream.Trailer())
+	return failedReply(err, stream.Trailer())
 }
 
 // query reads. The ticket costs a round trip in which nothing runs, so the gate is asked again after it.
 func (c *conn) query(ctx context.Context, text string, gate edge.Gate) edge.Reply {
-	d, err := describe(&pb.CommandStatementQuery{Query: text})
+	d, err := commandDescriptor(&pb.CommandStatementQuery{Query: text})
 	if err != nil {
 		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.ServerError}, Detail: err.Error()}
 	}
-	info, err := c.client.GetFlightInfo(singly(ctx), d)
+	info, err := c.client.GetFlightInfo(withSingleStream(ctx), d)
 	if err != nil {
-		return lost(err, nil)
+		return failedReply(err, nil)
 	}
 	if len(info.Endpoint) != 1 || info.Endpoint[0].Ticket == nil {
-		return lost(errShape, nil)
+		return failedReply(errUnexpectedAnswer, nil)
 	}
 	if _, ok := gate(); !ok {
 		return edge.NotSent()
@@ -261,27 +261,27 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // a stream that is not read to its end is given up
 	var trailer metadata.MD
-	stream, err := c.client.DoGet(singly(ctx), info.Endpoint[0].Ticket, grpc.Trailer(&trailer))
+	stream, err := c.client.DoGet(withSingleStream(ctx), info.Endpoint[0].Ticket, grpc.Trailer(&trailer))
 	if err != nil {
-		return lost(err, trailer)
+		return failedReply(err, trailer)
 	}
 	var r edge.Reply
-	if err := gather(stream, &r.Answer); err != nil {
-		return ended(err, stream)
+	if err := readAnswer(stream, &r.Answer); err != nil {
+		return endedReply(err, stream)
 	}
-	r.Outcome = told(stream.Trailer(), &r.Answer)
+	r.Outcome = readTrailer(stream.Trailer(), &r.Answer)
 	return r
 }
 
 // update writes.
 func (c *conn) update(ctx context.Context, text string) edge.Reply {
-	d, err := describe(&pb.CommandStatementUpdate{Query: text})
+	d, err := commandDescriptor(&pb.CommandStatementUpdate{Query: text})
 	if err != nil {
 		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.ServerError}, Detail: err.Error()}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := c.client.DoPut(singly(ctx))
+	stream, err := c.client.DoPut(withSingleStream(ctx))
 	if ctx.Err() != nil {
 		return edge.NotSent()
 	} else if err != nil { // the stream did not open, and the statement is not yet written
@@ -297,29 +297,29 @@
 	}
 	if err == nil { // up to the end: only the trailer says that the write went through
 		if _, end := stream.Recv(); end == nil {
-			err = errShape
+			err = errUnexpectedAnswer
 		} else if !errors.Is(end, io.EOF) {
 			err = end
 		}
 	}
 	if errors.Is(err, io.EOF) {
-		err = errShape
+		err = errUnexpectedAnswer
 	}
 	if err != nil {
-		return ended(err, stream)
+		return endedReply(err, stream)
 	}
 	trailer := stream.Trailer()
 	r := edge.Reply{Answer: edge.Answer{
 		Column: "payload", Type: oidBytea, Binary: true, Null: true,
 		Tag: fmt.Sprintf("INSERT 0 %d", result.RecordCount),
 	}}
-	r.Outcome = told(trailer, &r.Answer)
+	r.Outcome = readTrailer(trailer, &r.Answer)
 	switch v := trailer.Get(metaReturning); len(v) {
 	case 0:
 	case 1:
 		r.Answer.Value, r.Answer.Null = []byte(v[0]), false
 	default:
-		return lost(errShape, nil)
+		return failedReply(errUnexpectedAnswer, nil)
 	}
 	return r
 }
@@ -341,5 +341,5 @@
 	if r.Code != dispatch.OK {
 		return dispatch.Outcome{Code: r.Code}
 	}
-	return dispatch.Outcome{Code: dispatch.OK, Report: edge.Gauges(string(r.Answer.Value))}
+	return dispatch.Outcome{Code: dispatch.OK, Report: edge.ParseLoadReport(string(r.Answer.Value))}
 }
--- a/internal/net/flight/record.go
+++ b/internal/net/flight/record.go
@@ -19,8 +19,8 @@
 	oidText  = 25
 )
 
-// record makes the one row of an answer.
-func record(a *edge.Answer) (*arrow.Schema, arrow.RecordBatch) {
+// recordBatch makes the one row of an answer.
+func recordBatch(a *edge.Answer) (*arrow.Schema, arrow.RecordBatch) {
 	text := a.Type != oidBytea && !a.Binary // text of any other type stays text
 	kind := arrow.DataType(arrow.BinaryTypes.Binary)
 	if text {
@@ -46,38 +46,38 @@
 	return schema, b.NewRecordBatch()
 }
 
-// limited ends a stream that grows beyond an answer's bound.
-type limited struct {
+// boundedReader ends a stream that grows beyond an answer's bound.
+type boundedReader struct {
 	flight.DataStreamReader
-	left int
+	remaining int
 }
 
-func (l *limited) Recv() (*flight.FlightData, error) {
+func (l *boundedReader) Recv() (*flight.FlightData, error) {
 	d, err := l.DataStreamReader.Recv()
 	if err == nil {
-		if l.left -= len(d.DataBody) + len(d.DataHeader) + len(d.AppMetadata); l.left < 0 {
+		if l.remaining -= len(d.DataBody) + len(d.DataHeader) + len(d.AppMetadata); l.remaining < 0 {
 			return nil, errors.New("the answer is too long")
 		}
 	}
 	return d, err
 }
 
-// gather reads a stream to its end before anything of it is passed on: one that is cut off half-way is a reset,
+// readAnswer reads a stream to its end before anything of it is passed on: one that is cut off half-way is a reset,
 // not a short answer.
-func gather(stream flight.DataStreamReader, a *edge.Answer) (err error) {
+func readAnswer(stream flight.DataStreamReader, a *edge.Answer) (err error) {
 	defer func() { // the library trusts some lengths of its input
 		if p := recover(); p != nil {
 			err = fmt.Errorf("the answer can't be read: %v", p)
 		}
 	}()
-	r, err := flight.NewRecordReader(&limited{stream, maxAnswer})
+	r, err := flight.NewRecordReader(&boundedReader{stream, maxAnswer})
 	if err != nil {
 		return err
 	}
 	defer r.Release()
 	fields := r.Schema().Fields()
 	if len(fields) != 1 {
-		return errShape
+		return errUnexpectedAnswer
 	}
 	a.Column = fields[0].Name
 	rows := 0
@@ -92,7 +92,7 @@
 			continue
 		}
 		if rows += int(b.NumRows()); rows > 1 {
-			return errShape
+			return errUnexpectedAnswer
 		}
 		a.Null = b.Column(0).IsNull(0)
 		switch c := b.Column(0).(type) {
@@ -101,11 +101,11 @@
 		case *array.String:
 			a.Type, a.Value = oidText, []byte(c.Value(0))
 		default:
-			return errShape
+			return errUnexpectedAnswer
 		}
 	}
 	if rows != 1 {
-		return errShape
+		return errUnexpectedAnswer
 	}
 	a.Tag = "SELECT 1"
 	return nil
--- a/internal/net/flight/status.go
+++ b/internal/net/flight/status.go
@@ -40,11 +40,11 @@
 // A host says that nothing ran by an ErrorInfo of this domain with one of these reasons, and in no other way:
 // a bare Unavailable may come from a host or a proxy that died with the request running.
 const (
-	domain           = "ashstand"
-	reasonNotPrimary = "NOT_PRIMARY"    // with FailedPrecondition: a write, and this is no primary
-	reasonBehind     = "TOO_FAR_BEHIND" // with FailedPrecondition: a read that needs newer data
-	reasonTurnedAway = "TURNED_AWAY"    // with Unavailable or ResourceExhausted: full, draining, or over
-	reasonRefused    = "REFUSED"        // with Unavailable and RetryInfo: what the front itself refuses
+	domain               = "ashstand"
+	reasonNotPrimary     = "NOT_PRIMARY"    // with FailedPrecondition: a write, and this is no primary
+	reasonBehind         = "TOO_FAR_BEHIND" // with FailedPrecondition: a read that needs newer data
+	reasonHostRejected   = "TURNED_AWAY"    // with Unavailable or ResourceExhausted: full, draining, or over
+	reasonPoolerRejected = "REFUSED"        // with Unavailable and RetryInfo: what the front itself refuses
 )
 
 // Bounds on what a peer may send.
@@ -54,7 +54,7 @@
 	maxHeaders = 192 << 10 // a returned value stands in the metadata, in base64
 )
 
-func failure(code codes.Code, text, reason string, after float64) error {
+func newStatus(code codes.Code, text, reason string, after float64) error {
 	s := status.New(code, text)
 	var details []protoadapt.MessageV1
 	if reason != "" {
@@ -73,25 +73,25 @@
 	return s.Err()
 }
 
-// final words a final answer that is none of the host's.
-func final(r *edge.Result) error {
+// resultStatus words a final answer that is none of the host's.
+func resultStatus(r *edge.Result) error {
 	switch r.Verdict {
-	case edge.Refused:
-		return failure(codes.Unavailable, r.Detail, reasonRefused, r.After)
+	case edge.Rejected:
+		return newStatus(codes.Unavailable, r.Detail, reasonPoolerRejected, r.RetryAfterMillis)
 	case edge.TimedOut:
-		return failure(codes.DeadlineExceeded, r.Detail, "", 0)
+		return newStatus(codes.DeadlineExceeded, r.Detail, "", 0)
 	case edge.Invalid:
-		return failure(codes.InvalidArgument, r.Detail, "", 0)
-	case edge.Left:
-		return failure(codes.Canceled, "the client has gone", "", 0)
+		return newStatus(codes.InvalidArgument, r.Detail, "", 0)
+	case edge.Disconnected:
+		return newStatus(codes.Canceled, "the client has gone", "", 0)
 	}
-	return failure(codes.Unknown, r.Detail, "", 0)
+	return newStatus(codes.Unknown, r.Detail, "", 0)
 }
 
-// outcome reads what a host's error proves, once the request was sent.
-func outcome(err error) dispatch.Code {
+// classifyError reads what a host's error proves, once the request was sent.
+func classifyError(err error) dispatch.Code {
 	s, ok := status.FromError(err)
-	if errors.Is(err, errShape) || !ok { // what gRPC delivered was no answer
+	if errors.Is(err, errUnexpectedAnswer) || !ok { // what gRPC delivered was no answer
 		return dispatch.Malformed
 	}
 	for _, d := range s.Details() {
@@ -103,7 +103,7 @@
 		case s.Code() == codes.FailedPrecondition && (info.Reason == reasonNotPrimary || info.Reason == reasonBehind):
 			return dispatch.Misdirected
 		case (s.Code() == codes.Unavailable || s.Code() == codes.ResourceExhausted) &&
-			(info.Reason == reasonTurnedAway || info.Reason == reasonRefused):
+			(info.Reason == reasonHostRejected || info.Reason == reasonPoolerRejected):
 			return dispatch.Rejected
 		}
 	}
@@ -118,19 +118,19 @@
 	return dispatch.ServerError
 }
 
-// told reads the trailing metadata.
-func told(md metadata.MD, a *edge.Answer) dispatch.Outcome {
+// readTrailer reads the trailing metadata.
+func readTrailer(md metadata.MD, a *edge.Answer) dispatch.Outcome {
 	get := func(name string) string {
 		if v := md.Get(name); len(v) > 0 {
 			return v[len(v)-1]
 		}
 		return ""
 	}
-	a.Role, a.Gauges = get(metaRole), get(metaGauges)
+	a.Role, a.LoadReport = get(metaRole), get(metaGauges)
 	if x, err := strconv.ParseFloat(get(metaPosition), 64); err == nil && x > 0 && x < 1<<52 {
 		a.Position = x
 	}
-	o := dispatch.Outcome{Position: a.Position, Report: edge.Gauges(a.Gauges)}
+	o := dispatch.Outcome{Position: a.Position, Report: edge.ParseLoadReport(a.LoadReport)}
 	switch a.Role {
 	case rolePrimary:
 		o.Role = dispatch.Primary
@@ -140,10 +140,10 @@
 	return o
 }
 
-// tell writes it.
-func tell(a *edge.Answer) metadata.MD {
+// writeTrailer writes it.
+func writeTrailer(a *edge.Answer) metadata.MD {
 	md := metadata.MD{}
-	for name, value := range map[string]string{metaRole: a.Role, metaGauges: a.Gauges} {
+	for name, value := range map[string]string{metaRole: a.Role, metaGauges: a.LoadReport} {
 		if value != "" {
 			md.Set(name, value)
 		}
@@ -154,4 +154,4 @@
 	return md
 }
 
-var errShape = errors.New("an answer of a form that no request asks for")
+var errUnexpectedAnswer = errors.New("an answer of a form that no request asks for")
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -27,47 +27,47 @@
 // Engine is the listeners and their event loop.
 type Engine struct {
 	gnet.BuiltinEventEngine
-	accept Accept
-	others map[string]Accept // by address
-	engine gnet.Engine
-	booted chan struct{}
-	once   sync.Once
-	ended  chan error
-	enrol  chan struct{} // bounds what is being enrolled
+	accept        Accept
+	listeners     map[string]Accept // by address
+	engine        gnet.Engine
+	started       chan struct{}
+	startedOnce   sync.Once
+	stopped       chan error
+	registrations chan struct{} // bounds what is being enrolled
 
-	Scarce  Scarce // set before Start
-	reserve reserve
-	scarce  Rarely
-	gone    sync.Once // the listener is
+	Exhaustion    ExhaustionPolicy // set before Start
+	reserve       descriptorReserve
+	exhaustionLog ThrottledLog
+	listenerLost  sync.Once // the listener is
 }
 
-// Enrolling is how many connections hold two descriptors for a moment, at the most.
-const Enrolling = 4
+// MaxRegistrations is how many connections hold two descriptors for a moment, at the most.
+const MaxRegistrations = 4
 
-// quiet keeps the library's chatter to what on-call staff can use.
-type quiet struct{}
+// errorLogger keeps the library's chatter to what on-call staff can use.
+type errorLogger struct{}
 
-func (quiet) Debugf(string, ...any)     {}
-func (quiet) Infof(string, ...any)      {}
-func (quiet) Warnf(string, ...any)      {}
-func (quiet) Errorf(f string, a ...any) { slog.Error(fmt.Sprintf("sockets: "+f, a...)) }
-func (quiet) Fatalf(f string, a ...any) { log.Fatalf("sockets: "+f, a...) }
+func (errorLogger) Debugf(string, ...any)     {}
+func (errorLogger) Infof(string, ...any)      {}
+func (errorLogger) Warnf(string, ...any)      {}
+func (errorLogger) Errorf(f string, a ...any) { slog.Error(fmt.Sprintf("sockets: "+f, a...)) }
+func (errorLogger) Fatalf(f string, a ...any) { log.Fatalf("sockets: "+f, a...) }
 
 // New returns an engine that does not run yet.
 func New() *Engine {
-	return &Engine{booted: make(chan struct{}), ended: make(chan error, 1), enrol: make(chan struct{}, Enrolling)}
+	return &Engine{started: make(chan struct{}), stopped: make(chan error, 1), registrations: make(chan struct{}, MaxRegistrations)}
 }
 
-// Also names a further address to listen at, before Start. It is served by the same loop.
-func (e *Engine) Also(address string, accept Accept) error {
+// AddListener names a further address to listen at, before Start. It is served by the same loop.
+func (e *Engine) AddListener(address string, accept Accept) error {
 	a, err := net.ResolveTCPAddr("tcp", address)
 	if err != nil {
 		return err
 	}
-	if e.others == nil {
-		e.others = map[string]Accept{}
+	if e.listeners == nil {
+		e.listeners = map[string]Accept{}
 	}
-	e.others[a.String()] = accept
+	e.listeners[a.String()] = accept
 	return nil
 }
 
@@ -75,19 +75,19 @@
 func (e *Engine) Start(address string, accept Accept) error {
 	e.accept = accept
 	all := []string{"tcp://" + address}
-	if err := vacant(address); err != nil {
+	if err := checkAddressFree(address); err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
-	for other := range e.others {
-		if err := vacant(other); err != nil {
+	for other := range e.listeners {
+		if err := checkAddressFree(other); err != nil {
 			return fmt.Errorf("listen on %s: %w", other, err)
 		}
 		all = append(all, "tcp://"+other)
 	}
 	e.reserve.fill()
 	go func() {
-		defer e.reserve.empty()
-		e.ended <- gnet.Rotate(e, all,
+		defer e.reserve.releaseAll()
+		e.stopped <- gnet.Rotate(e, all,
 			gnet.WithNumEventLoop(1), // one core; and what handlers share then needs no locks
 			gnet.WithReuseAddr(true), // a restart finds the last process's connections in TIME_WAIT
 			// The loop that serves connections accepts them too, one at a time. Otherwise a thread of its own takes all
@@ -98,12 +98,12 @@
 			gnet.WithReadBufferCap(64<<10),
 			gnet.WithWriteBufferCap(16<<10),
 			gnet.WithTicker(true),
-			gnet.WithLogger(logger{engine: e}))
+			gnet.WithLogger(acceptLogger{engine: e}))
 	}()
 	select {
-	case <-e.booted:
+	case <-e.started:
 		return nil
-	case err := <-e.ended:
+	case err := <-e.stopped:
 		if err == nil {
 			err = errors.New("the event loop ended")
 		}
@@ -112,7 +112,7 @@
 }
 
 // Ended reports a loop that stopped by itself.
-func (e *Engine) Ended() <-chan error { return e.ended }
+func (e *Engine) Ended() <-chan error { return e.stopped }
 
 // Stop ends the loop and closes its connections.
 func (e *Engine) Stop() {
@@ -121,8 +121,8 @@
 	_ = e.engine.Stop(ctx)
 }
 
-// vacant says whether an address can be listened on. Sharing ports, the loop would not notice another program there.
-func vacant(address string) error {
+// checkAddressFree says whether an address can be listened on. Sharing ports, the loop would not notice another program there.
+func checkAddressFree(address string) error {
 	a, err := net.ResolveTCPAddr("tcp", address)
 	if err != nil || a.Port == 0 {
 		return err
@@ -137,8 +137,8 @@
 // Dial opens a connection on the calling goroutine and hands it to the loop, where h owns it. Where no descriptor is
 // free it takes one of the reserve: the next client that comes, not discovery or a host, has to make room.
 func (e *Engine) Dial(ctx context.Context, address string, h Handler) (c gnet.Conn, err error) {
-	for range Reserve {
-		if c, err = e.dial(ctx, address, h); !OutOfDescriptors(err) || !e.reserve.give(Reserve/2) {
+	for range ReservedDescriptors {
+		if c, err = e.dial(ctx, address, h); !OutOfDescriptors(err) || !e.reserve.release(ReservedDescriptors/2) {
 			break
 		}
 	}
@@ -152,24 +152,24 @@
 	if err != nil {
 		return nil, err
 	}
-	return e.Enrol(c, h)
+	return e.Register(c, h)
 }
 
-// Enrol hands a connection to the loop, where h owns it. It blocks until the loop has it.
-func (e *Engine) Enrol(c net.Conn, h Handler) (gnet.Conn, error) {
-	e.enrol <- struct{}{} // a loop that never blocks gives it back at once
-	defer func() { <-e.enrol }()
+// Register hands a connection to the loop, where h owns it. It blocks until the loop has it.
+func (e *Engine) Register(c net.Conn, h Handler) (gnet.Conn, error) {
+	e.registrations <- struct{}{} // a loop that never blocks gives it back at once
+	defer func() { <-e.registrations }()
 	done, err := e.engine.Register(gnet.NewNetConnContext(gnet.NewContext(context.Background(), h), c))
 	if err != nil {
 		c.Close()
 		return nil, err
 	}
-	r := enrolled(done)
+	r := awaitRegistration(done)
 	return r.Conn, r.Err
 }
 
-// enrolled waits for what came of it, and until the descriptor that was doubled is closed: then the channel is.
-func enrolled(done <-chan gnet.RegisteredResult) gnet.RegisteredResult {
+// awaitRegistration waits for what came of it, and until the descriptor that was doubled is closed: then the channel is.
+func awaitRegistration(done <-chan gnet.RegisteredResult) gnet.RegisteredResult {
 	r := <-done
 	<-done
 	return r
@@ -184,7 +184,7 @@
 // OnTick is called by gnet once the loops run. Only from here on is it safe to enrol connections: a dial that
 // came right after OnBoot read the list of loops while gnet was filling it.
 func (e *Engine) OnTick() (time.Duration, gnet.Action) {
-	e.once.Do(func() { close(e.booted) })
+	e.startedOnce.Do(func() { close(e.started) })
 	return time.Hour, gnet.None
 }
 
@@ -197,8 +197,8 @@
 		return words, gnet.Close
 	}
 	accept := e.accept
-	if len(e.others) > 0 && c.LocalAddr() != nil {
-		if other := e.others[c.LocalAddr().String()]; other != nil {
+	if len(e.listeners) > 0 && c.LocalAddr() != nil {
+		if other := e.listeners[c.LocalAddr().String()]; other != nil {
 			accept = other
 		}
 	}
--- a/internal/net/loop/scarce_test.go
+++ b/internal/net/loop/scarce_test.go
@@ -167,7 +167,7 @@
 }
 
 // ended says whether the loop has ended by itself.
-func ended(e *Engine) bool { return len(e.ended) > 0 }
+func ended(e *Engine) bool { return len(e.stopped) > 0 }
 
 // lines reads what clients said until so many lines hold a text.
 func lines(t *testing.T, said io.Reader, text string, n int) {
@@ -187,7 +187,7 @@
 		return
 	}
 	e := New()
-	e.Scarce.TurnAway = func(gnet.Conn) []byte { return []byte("no room") }
+	e.Exhaustion.Reject = func(gnet.Conn) []byte { return []byte("no room") }
 	address := "127.0.0.1:" + port(t)
 	require.NoError(t, e.Start(address, func(gnet.Conn) (Handler, []byte, gnet.Action) { return echo{}, []byte("welcome"), gnet.None }))
 	defer e.Stop()
@@ -217,7 +217,7 @@
 	}
 	e := New()
 	var asked atomic.Int64
-	e.Scarce.Room = func() bool { asked.Add(1); return false }
+	e.Exhaustion.EvictClient = func() bool { asked.Add(1); return false }
 	address := "127.0.0.1:" + port(t)
 	require.NoError(t, e.Start(address, func(gnet.Conn) (Handler, []byte, gnet.Action) { return echo{}, []byte("welcome"), gnet.None }))
 	defer e.Stop()
@@ -225,7 +225,7 @@
 	require.Equal(t, "welcome", read(t, old))
 	come, told := outside(t, address, 3)
 	limit(t, open(t)+24)
-	e.reserve.empty()
+	e.reserve.releaseAll()
 	back := fill(t)
 	come()
 	require.Eventually(t, func() bool { return asked.Load() > 20 }, 10*time.Second, time.Millisecond)
@@ -247,7 +247,7 @@
 	}
 	e := New()
 	var idle []gnet.Conn // on the loop
-	e.Scarce.Room = func() bool {
+	e.Exhaustion.EvictClient = func() bool {
 		if len(idle) == 0 {
 			return false
 		}
@@ -292,7 +292,7 @@
 	back(8)
 	require.True(t, e.reserve.fill())
 	fill(t)
-	e.reserve.empty()
+	e.reserve.releaseAll()
 	fill(t)
 	_, err = e.Dial(context.Background(), peer.Addr().String(), echo{})
 	require.True(t, OutOfDescriptors(err), "%v", err)
@@ -324,7 +324,7 @@
 	done := make(chan gnet.RegisteredResult) // each value is taken, or waits
 	failed := errors.New("failed")
 	got := make(chan error, 1)
-	go func() { got <- enrolled(done).Err }()
+	go func() { got <- awaitRegistration(done).Err }()
 	done <- gnet.RegisteredResult{Err: failed}
 	select {
 	case done <- gnet.RegisteredResult{}:
@@ -339,5 +339,5 @@
 	require.True(t, OutOfDescriptors(syscall.ENFILE))
 	require.False(t, OutOfDescriptors(nil))
 	require.False(t, OutOfDescriptors(syscall.ECONNREFUSED))
-	require.False(t, errors.Is(unlike{}, unlike{}))
+	require.False(t, errors.Is(neverEqualError{}, neverEqualError{}))
 }
--- a/internal/net/loop/wire.go
+++ b/internal/net/loop/wire.go
@@ -9,30 +9,32 @@
 	"golang.org/x/sys/unix"
 )
 
-// Wire is a connection on the loop that can be paused: while it is, nothing is read from it, so that the kernel holds
+// PausableConn is a connection on the loop that can be paused: while it is, nothing is read from it, so that the kernel holds
 // its peer back, and what is written to it waits. gnet reads whatever comes; the only way to make it stop is to take the
 // descriptor away from it and to bring it back later. All methods are called on the loop.
-type Wire struct {
-	Conn   gnet.Conn // nil while it is paused
-	engine *Engine
-	owner  Handler
-	parked net.Conn
-	moving bool   // it is being brought back
-	left   bool   // it is being taken away: its close is no end
-	carry  []byte // what was read before the pause and is not consumed
-	out    []byte // written during it
-	closed bool
+type PausableConn struct {
+	Conn          gnet.Conn // nil while it is paused
+	engine        *Engine
+	handler       Handler
+	parked        net.Conn
+	resuming      bool   // it is being brought back
+	detaching     bool   // it is being taken away: its close is no end
+	unread        []byte // what was read before the pause and is not consumed
+	pendingWrites []byte // written during it
+	closed        bool
 }
 
-// NewWire wraps a connection that is on the loop and owned by h.
-func NewWire(e *Engine, c gnet.Conn, h Handler) Wire { return Wire{Conn: c, engine: e, owner: h} }
+// NewPausableConn wraps a connection that is on the loop and owned by h.
+func NewPausableConn(e *Engine, c gnet.Conn, h Handler) PausableConn {
+	return PausableConn{Conn: c, engine: e, handler: h}
+}
 
 // Paused says whether nothing is read from it.
-func (w *Wire) Paused() bool { return w.Conn == nil && !w.closed }
+func (w *PausableConn) Paused() bool { return w.Conn == nil && !w.closed }
 
-// Ended is what Handler.Closed asks first: false says that the close is only the descriptor being taken away.
-func (w *Wire) Ended() bool {
-	if w.left {
+// ConfirmClosed is what Handler.Closed asks first: false says that the close is only the descriptor being taken away.
+func (w *PausableConn) ConfirmClosed() bool {
+	if w.detaching {
 		return false
 	}
 	w.closed = true
@@ -40,17 +42,17 @@
 }
 
 // Peek is all that was read and not consumed. It is valid until the next call.
-func (w *Wire) Peek() []byte {
+func (w *PausableConn) Peek() []byte {
 	if w.Conn == nil {
-		return w.carry
+		return w.unread
 	}
 	n := w.Conn.InboundBuffered()
-	if len(w.carry) > 0 {
+	if len(w.unread) > 0 {
 		if n > 0 {
 			b, _ := w.Conn.Next(n)
-			w.carry = append(w.carry, b...)
+			w.unread = append(w.unread, b...)
 		}
-		return w.carry
+		return w.unread
 	}
 	if n == 0 {
 		return nil
@@ -60,21 +62,21 @@
 }
 
 // Discard consumes n bytes of what Peek returned.
-func (w *Wire) Discard(n int) {
+func (w *PausableConn) Discard(n int) {
 	switch {
 	case n == 0:
-	case len(w.carry) > 0:
-		if w.carry = w.carry[n:]; len(w.carry) == 0 {
-			w.carry = nil
+	case len(w.unread) > 0:
+		if w.unread = w.unread[n:]; len(w.unread) == 0 {
+			w.unread = nil
 		}
 	case w.Conn != nil:
 		_, _ = w.Conn.Discard(n)
 	}
 }
 
-// Buffered is how much was read and not consumed.
-func (w *Wire) Buffered() int {
-	n := len(w.carry)
+// BufferedBytes is how much was read and not consumed.
+func (w *PausableConn) BufferedBytes() int {
+	n := len(w.unread)
 	if w.Conn != nil {
 		n += w.Conn.InboundBuffered()
 	}
@@ -82,19 +84,19 @@
 }
 
 // Write sends b, or keeps it until the pause is over.
-func (w *Wire) Write(b []byte) {
+func (w *PausableConn) Write(b []byte) {
 	switch {
 	case len(b) == 0 || w.closed:
 	case w.Conn == nil:
-		w.out = append(w.out, b...)
+		w.pendingWrites = append(w.pendingWrites, b...)
 	default:
 		_, _ = w.Conn.Write(b)
 	}
 }
 
-// Unsent is how much of what was written is not with the kernel yet.
-func (w *Wire) Unsent() int {
-	n := len(w.out)
+// UnsentBytes is how much of what was written is not with the kernel yet.
+func (w *PausableConn) UnsentBytes() int {
+	n := len(w.pendingWrites)
 	if w.Conn != nil {
 		n += w.Conn.OutboundBuffered()
 	}
@@ -102,7 +104,7 @@
 }
 
 // Close ends the connection.
-func (w *Wire) Close() {
+func (w *PausableConn) Close() {
 	if w.closed {
 		return
 	}
@@ -110,7 +112,7 @@
 	if w.parked != nil {
 		_ = w.parked.Close()
 		w.parked = nil
-		w.owner.Closed(nil, nil)
+		w.handler.Closed(nil, nil)
 		return
 	}
 	if w.Conn != nil {
@@ -120,8 +122,8 @@
 
 // Pause stops reading. It does nothing while something written waits for the kernel, which would be lost. It must not
 // be called from within the connection's own Traffic, whose caller goes on using the descriptor.
-func (w *Wire) Pause() bool {
-	if w.Conn == nil || w.closed || w.moving || w.Conn.OutboundBuffered() > 0 {
+func (w *PausableConn) Pause() bool {
+	if w.Conn == nil || w.closed || w.resuming || w.Conn.OutboundBuffered() > 0 {
 		return false
 	}
 	fd, err := w.Conn.Dup()
@@ -134,18 +136,18 @@
 	if err != nil {
 		return false
 	}
-	if b := w.Peek(); len(w.carry) == 0 {
-		w.carry = append([]byte(nil), b...)
+	if b := w.Peek(); len(w.unread) == 0 {
+		w.unread = append([]byte(nil), b...)
 	}
 	old := w.Conn
-	w.Conn, w.parked, w.left = nil, c, true
+	w.Conn, w.parked, w.detaching = nil, c, true
 	_ = old.EventLoop().Close(old) // which calls Handler.Closed, which asks Ended
-	w.left = false
+	w.detaching = false
 	return true
 }
 
-// HungUp says whether the peer has ended or reset a connection that is paused, though what it sent before is not read.
-func (w *Wire) HungUp() (yes bool) {
+// PeerClosed says whether the peer has ended or reset a connection that is paused, though what it sent before is not read.
+func (w *PausableConn) PeerClosed() (yes bool) {
 	if c, ok := w.parked.(*net.TCPConn); ok {
 		if raw, err := c.SyscallConn(); err == nil {
 			_ = raw.Control(func(fd uintptr) {
@@ -159,57 +161,57 @@
 }
 
 // Resume reads again. The connection is back some time later, when Traffic is called.
-func (w *Wire) Resume(on gnet.EventLoop) {
-	if w.parked == nil || w.moving {
+func (w *PausableConn) Resume(on gnet.EventLoop) {
+	if w.parked == nil || w.resuming {
 		return
 	}
-	w.moving = true
-	c, e, owner := w.parked, w.engine, w.owner
+	w.resuming = true
+	c, e, owner := w.parked, w.engine, w.handler
 	w.parked = nil
-	r := &returning{w: w}
+	r := &resumeHandler{w: w}
 	go func() {
-		g, err := e.Enrol(c, r)
+		g, err := e.Register(c, r)
 		_ = on.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
-			w.moving = false
+			w.resuming = false
 			switch {
 			case err != nil:
 				w.closed = true
 				owner.Closed(nil, err)
-			case r.gone: // it ended on its way, and its owner knows
+			case r.closed: // it ended on its way, and its owner knows
 			case w.closed: // it was closed meanwhile
 				_ = g.EventLoop().Close(g)
 			default:
-				w.back(g)
+				w.resumed(g)
 			}
 			return nil
 		}))
 	}()
 }
 
-// back is called on the loop once the connection is there again.
-func (w *Wire) back(g gnet.Conn) {
-	g.SetContext(w.owner)
+// resumed is called on the loop once the connection is there again.
+func (w *PausableConn) resumed(g gnet.Conn) {
+	g.SetContext(w.handler)
 	w.Conn = g
-	if len(w.out) > 0 {
-		_, _ = g.Write(w.out)
-		w.out = nil
+	if len(w.pendingWrites) > 0 {
+		_, _ = g.Write(w.pendingWrites)
+		w.pendingWrites = nil
 	}
-	if w.owner.Traffic(g) == gnet.Close {
+	if w.handler.Traffic(g) == gnet.Close {
 		_ = g.EventLoop().Close(g)
 	}
 }
 
-// returning holds a connection for the moment between the loop having it and its owner knowing.
-type returning struct {
-	w    *Wire
-	gone bool
+// resumeHandler holds a connection for the moment between the loop having it and its owner knowing.
+type resumeHandler struct {
+	w      *PausableConn
+	closed bool
 }
 
 // Traffic is called on the loop; what came waits.
-func (r *returning) Traffic(gnet.Conn) gnet.Action { return gnet.None }
+func (r *resumeHandler) Traffic(gnet.Conn) gnet.Action { return gnet.None }
 
 // Closed is called on the loop.
-func (r *returning) Closed(gnet.Conn, error) {
-	r.gone, r.w.closed = true, true
-	r.w.owner.Closed(nil, nil)
+func (r *resumeHandler) Closed(gnet.Conn, error) {
+	r.closed, r.w.closed = true, true
+	r.w.handler.Closed(nil, nil)
 }
--- a/internal/net/pg/dial_test.go
+++ b/internal/net/pg/dial_test.go
@@ -242,7 +242,7 @@
 		for range 20 {
 			_, err := r.Acquire(context.Background(), "h")
 			require.Error(t, err)
-			require.NotErrorIs(t, err, edge.ErrNoRoom, "a place was not given back")
+			require.NotErrorIs(t, err, edge.ErrPoolExhausted, "a place was not given back")
 		}
 		r.settled(t, 0)
 	}
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -50,9 +50,9 @@
 	over    atomic.Bool  // the process is about to end
 	loop    atomic.Value // gnet.EventLoop, once somebody came
 	last    uint32
-	full    loop.Rarely
-	cutOff  loop.Rarely
-	untaken loop.Rarely
+	full    loop.ThrottledLog
+	cutOff  loop.ThrottledLog
+	untaken loop.ThrottledLog
 }
 
 // NewFront returns a front that brings requests to e.
@@ -134,7 +134,7 @@
 // Room is loop.Scarce's.
 func (f *Front) Room() bool { return f.makeRoom(f.edge.Now()) }
 
-// TurnAway is loop.Scarce's. What the client has sent is read first: a close over unread bytes is a reset.
+// Reject is loop.Scarce's. What the client has sent is read first: a close over unread bytes is a reset.
 func (f *Front) TurnAway(c gnet.Conn) []byte {
 	b := make([]byte, 4<<10)
 	_, _ = syscall.Read(c.Fd(), b)
@@ -567,7 +567,7 @@
 func (h *client) serve(ctx context.Context, c gnet.Conn, s sqlcomment.Statement, arrived float64) {
 	e := h.front.edge
 	result := e.Do(ctx, &s, arrived)
-	if result.Verdict == edge.Left {
+	if result.Verdict == edge.Disconnected {
 		if h.ctx.Err() != nil {
 			e.End(&s)
 			return
@@ -663,10 +663,10 @@
 			b = status(b, Platform.Position, strconv.FormatFloat(r.Answer.Position, 'f', -1, 64))
 		}
 		return b
-	case edge.Refused:
+	case edge.Rejected:
 		detail := ""
-		if r.After > 0 {
-			detail = strconv.Itoa(int(r.After + 0.999))
+		if r.RetryAfterMillis > 0 {
+			detail = strconv.Itoa(int(r.RetryAfterMillis + 0.999))
 		}
 		return failure(nil, "ERROR", stateRefused, r.Detail, detail)
 	case edge.TimedOut:
--- a/internal/net/pg/front_test.go
+++ b/internal/net/pg/front_test.go
@@ -47,7 +47,7 @@
 	f.UpdateEndpoints(true, []dispatch.Endpoint{{Host: "h", Group: 1}})
 	d.facade = f
 	core := edge.New(f, d.clock, nowhere{})
-	core.SetLimits(edge.Limits{Bytes: limits.Bytes, After: limits.After})
+	core.SetLimits(edge.Limits{StatementBytes: limits.Bytes, RetryAfterMillis: limits.After})
 	d.Front = NewFront(core, limits)
 	l, err := net.Listen("tcp", "127.0.0.1:0") // a port that was free a moment ago
 	require.NoError(t, err)
--- a/internal/net/pg/golden_test.go
+++ b/internal/net/pg/golden_test.go
@@ -239,10 +239,10 @@
 	s.client(serve(t, d.Accept)).begin().send(simple(goldenRequest)).hear("Z")
 	s.scene("results")
 	for _, r := range []edge.Result{
-		{Verdict: edge.Served, Answer: edge.Answer{Column: "payload", Type: 17, Binary: true, Value: []byte("\x00v"), Tag: "SELECT 1", Role: "replica", Position: 1767225600123, Gauges: "x0=1"}},
+		{Verdict: edge.Served, Answer: edge.Answer{Column: "payload", Type: 17, Binary: true, Value: []byte("\x00v"), Tag: "SELECT 1", Role: "replica", Position: 1767225600123, LoadReport: "x0=1"}},
 		{Verdict: edge.Served, Answer: edge.Answer{Column: "payload", Type: 25, Null: true, Tag: "SELECT 1"}},
-		{Verdict: edge.Refused, After: 120.2, Detail: "no host can serve this now"},
-		{Verdict: edge.Refused, Detail: "no host can serve this now"},
+		{Verdict: edge.Rejected, RetryAfterMillis: 120.2, Detail: "no host can serve this now"},
+		{Verdict: edge.Rejected, Detail: "no host can serve this now"},
 		{Verdict: edge.TimedOut, Detail: "no host answered in time"},
 		{Verdict: edge.Invalid, Detail: "a comment"},
 		{Verdict: edge.Failed, Detail: "the connection was lost"},
--- a/internal/net/pg/homes.go
+++ b/internal/net/pg/homes.go
@@ -48,7 +48,7 @@
 		case c.gone || c.tenant == nil:
 		case (c.phase == phaseRouting || c.phase == phaseQueued) && !c.atHome():
 			anew = append(anew, c)
-		case c.phase == phaseLinked && c.server != nil && c.kept && c.call == nil && !c.begun && c.pipe.Idle() && c.wire.Buffered() == 0 && c.moved():
+		case c.phase == phaseLinked && c.server != nil && c.kept && c.call == nil && !c.begun && c.pipe.Idle() && c.wire.BufferedBytes() == 0 && c.moved():
 			if c.part(c.server) == gnet.Close {
 				c.wire.Close()
 			}
@@ -190,7 +190,7 @@
 }
 
 // waiting is how many bytes of the client's wait here.
-func (c *sclient) waiting() int { return c.wire.Buffered() + len(c.resend) }
+func (c *sclient) waiting() int { return c.wire.BufferedBytes() + len(c.resend) }
 
 // letGo goes on with a transaction that was held, by what the rules say now.
 func (c *sclient) letGo() {
--- a/internal/net/pg/message.go
+++ b/internal/net/pg/message.go
@@ -258,7 +258,7 @@
 			r.answer.Position = x
 		}
 	case names.Gauges:
-		r.answer.Gauges = value
+		r.answer.LoadReport = value
 	}
 	return true
 }
--- a/internal/net/pg/message_test.go
+++ b/internal/net/pg/message_test.go
@@ -34,7 +34,7 @@
 	require.Equal(t, dispatch.OK, outcome(&r))
 	require.Equal(t, edge.Answer{
 		Column: "payload", Type: 17, Binary: true, Value: []byte("\x00v"), Tag: "SELECT 1",
-		Role: "replica", Position: 1767225600123, Gauges: "x0=1767225600.123,x1=0",
+		Role: "replica", Position: 1767225600123, LoadReport: "x0=1767225600.123,x1=0",
 	}, r.answer)
 }
 
@@ -82,8 +82,8 @@
 		state  string
 		detail string
 	}{
-		{edge.Result{Verdict: edge.Refused, After: 120.2, Detail: "x"}, "53300", "121"},
-		{edge.Result{Verdict: edge.Refused, Detail: "x"}, "53300", ""},
+		{edge.Result{Verdict: edge.Rejected, RetryAfterMillis: 120.2, Detail: "x"}, "53300", "121"},
+		{edge.Result{Verdict: edge.Rejected, Detail: "x"}, "53300", ""},
 		{edge.Result{Verdict: edge.TimedOut, Detail: "x"}, "57014", ""},
 		{edge.Result{Verdict: edge.Failed, Detail: "x"}, "08006", ""},
 		{edge.Result{Verdict: edge.Invalid, Detail: "x"}, "08P01", ""},
--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -48,7 +48,7 @@
 	clock  clock.Clock
 	names  Names
 
-	refused loop.Rarely
+	refused loop.ThrottledLog
 	unread  int // on the loop: bytes of answers that are not whole yet
 
 	mu     sync.Mutex
@@ -458,7 +458,7 @@
 	if p.open >= p.limits.Connections {
 		end := p.spare()
 		if end == nil {
-			return nil, h, old, edge.ErrNoRoom
+			return nil, h, old, edge.ErrPoolExhausted
 		}
 		old = append(old, end)
 	}
@@ -549,7 +549,7 @@
 		p.open--
 		p.mu.Unlock()
 		if loop.OutOfDescriptors(err) {
-			err = fmt.Errorf("%w: %w", edge.ErrNoRoom, err)
+			err = fmt.Errorf("%w: %w", edge.ErrPoolExhausted, err)
 		}
 		return nil, err
 	}
@@ -568,7 +568,7 @@
 		return nil, e.err
 	}
 	if e.response.state == stateRefused {
-		return nil, fmt.Errorf("%w: %s", edge.ErrTurnedAway, e.response.text)
+		return nil, fmt.Errorf("%w: %s", edge.ErrHostRejected, e.response.text)
 	}
 	return nil, fmt.Errorf("the db host turned the connection away: %s %s", e.response.state, e.response.text)
 }
@@ -661,7 +661,7 @@
 func (p *Pool) told(r *response) dispatch.Outcome {
 	return dispatch.Outcome{
 		Code: outcome(r), Role: p.role(r.answer.Role), Position: r.answer.Position,
-		Report: edge.Gauges(r.answer.Gauges),
+		Report: edge.ParseLoadReport(r.answer.LoadReport),
 	}
 }
 
@@ -696,7 +696,7 @@
 		return dispatch.Outcome{Code: dispatch.NotSent}
 	}
 	c, err := p.acquire(ctx, name)
-	if errors.Is(err, edge.ErrNoRoom) {
+	if errors.Is(err, edge.ErrPoolExhausted) {
 		return dispatch.Outcome{Code: dispatch.NotSent}
 	} else if err != nil {
 		return dispatch.Outcome{Code: dispatch.NoConnection}
@@ -724,5 +724,5 @@
 		p.refused.Printf("probe of %s: %s %s", name, e.response.state, e.response.text)
 		return dispatch.Outcome{Code: code}
 	}
-	return dispatch.Outcome{Code: dispatch.OK, Report: edge.Gauges(string(e.response.answer.Value))}
+	return dispatch.Outcome{Code: dispatch.OK, Report: edge.ParseLoadReport(string(e.response.answer.Value))}
 }
--- a/internal/net/pg/pool_test.go
+++ b/internal/net/pg/pool_test.go
@@ -187,7 +187,7 @@
 	require.Equal(t, dispatch.NoAnswer, <-codes, "the other is waited for")
 	r.SetLimits(Limits{})
 	_, err := r.Acquire(context.Background(), "h")
-	require.ErrorIs(t, err, edge.ErrNoRoom)
+	require.ErrorIs(t, err, edge.ErrPoolExhausted)
 }
 
 // A closed gate writes nothing, and the connection is good for the next.
@@ -208,11 +208,11 @@
 		c.Close()
 	})
 	_, err := full.Acquire(context.Background(), "h")
-	require.ErrorIs(t, err, edge.ErrTurnedAway)
+	require.ErrorIs(t, err, edge.ErrHostRejected)
 	dumb := start(t, func(net.Conn, *pgproto3.Backend) {})
 	_, err = dumb.Acquire(context.Background(), "h")
 	require.ErrorIs(t, err, context.DeadlineExceeded)
-	require.NotErrorIs(t, err, edge.ErrTurnedAway)
+	require.NotErrorIs(t, err, edge.ErrHostRejected)
 	_, err = dumb.Acquire(context.Background(), "nobody")
 	require.Error(t, err)
 }
--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -31,7 +31,7 @@
 // sclient is one client with its session.
 type sclient struct {
 	front  *Sessions
-	wire   loop.Wire
+	wire   loop.PausableConn
 	number uint32
 	key    uint64
 	since  float64 // last heard, or told something
@@ -92,7 +92,7 @@
 
 // Closed is called on the loop.
 func (c *sclient) Closed(gnet.Conn, error) {
-	if !c.wire.Ended() {
+	if !c.wire.ConfirmClosed() {
 		return
 	}
 	f := c.front
@@ -180,22 +180,22 @@
 		return gnet.Close
 	}
 	c.wire.Write(failure(nil, "FATAL", state, text, detail))
-	if c.wire.Unsent() > 0 || shutdown(c.wire.Conn) != nil {
+	if c.wire.UnsentBytes() > 0 || shutdown(c.wire.Conn) != nil {
 		return gnet.Close
 	}
 	c.left = c.front.clock.Now()
-	c.wire.Discard(c.wire.Buffered())
+	c.wire.Discard(c.wire.BufferedBytes())
 	return gnet.None
 }
 
 // Traffic is called on the loop.
 func (c *sclient) Traffic(g gnet.Conn) gnet.Action {
 	if c.gone {
-		c.wire.Discard(c.wire.Buffered())
+		c.wire.Discard(c.wire.BufferedBytes())
 		return gnet.None
 	}
 	action := c.read()
-	if action == gnet.None && c.waits() && c.behind.goodbye(c.wire.Buffered(), func(int) ([]byte, error) { return c.wire.Peek(), nil }, c.front.limits.Load().Message) {
+	if action == gnet.None && c.waits() && c.behind.goodbye(c.wire.BufferedBytes(), func(int) ([]byte, error) { return c.wire.Peek(), nil }, c.front.limits.Load().Message) {
 		return gnet.Close
 	}
 	f := c.front
@@ -214,7 +214,7 @@
 
 // goesOn says whether a client that was paused is to be read again. While it is paused nobody else sees its end.
 func (c *sclient) goesOn() bool {
-	if c.waits() && c.wire.HungUp() {
+	if c.waits() && c.wire.PeerClosed() {
 		c.wire.Close()
 	}
 	return c.gone || !c.busy()
@@ -237,7 +237,7 @@
 	case phaseRouting, phaseQueued, phaseSyncing, phaseHeld, phaseTurned:
 		return true
 	}
-	return c.blocked || c.server != nil && (c.server.wire.Paused() || c.server.wire.Unsent() > lowWater)
+	return c.blocked || c.server != nil && (c.server.wire.Paused() || c.server.wire.UnsentBytes() > lowWater)
 }
 
 // proceed goes on with what the client sent, from outside of its own Traffic.
@@ -259,7 +259,7 @@
 
 // account notes how much the client sent that waits here.
 func (c *sclient) account() int {
-	n := c.wire.Buffered()
+	n := c.wire.BufferedBytes()
 	c.front.unread += n - c.unread
 	c.unread = n
 	return n
@@ -291,9 +291,9 @@
 			action = gnet.Shutdown // only out of the loop
 			continue
 		}
-		if s := c.server; s != nil && (s.wire.Paused() || s.wire.Unsent()+len(out) > highWater) {
+		if s := c.server; s != nil && (s.wire.Paused() || s.wire.UnsentBytes()+len(out) > highWater) {
 			out = c.send(out)
-			if s.wire.Paused() || s.wire.Unsent() > highWater {
+			if s.wire.Paused() || s.wire.UnsentBytes() > highWater {
 				f.watch(&c.wire, func() bool { return c.gone || !c.busy() })
 				break
 			}
@@ -1126,14 +1126,14 @@
 		c.proceed()
 		return
 	case pinned, c.pool.Mode == Session && listed && !c.misplaced && !moved:
-		if c.blocked || c.wire.Buffered() > 0 {
+		if c.blocked || c.wire.BufferedBytes() > 0 {
 			c.proceed()
 		}
 		return
 	}
 	c.unlink(s)
 	c.phase = phaseFree
-	more := c.wire.Buffered() > 0
+	more := c.wire.BufferedBytes() > 0
 	s.rest()
 	if more || c.blocked {
 		c.proceed()
@@ -1234,7 +1234,7 @@
 
 // leaveIfIdle sends the client away if nothing of it is open: the process is to end.
 func (c *sclient) leaveIfIdle() {
-	if c.gone || c.phase != phaseFree && c.phase != phaseLinked && c.phase != phaseStarting || c.wire.Buffered() > 0 ||
+	if c.gone || c.phase != phaseFree && c.phase != phaseLinked && c.phase != phaseStarting || c.wire.BufferedBytes() > 0 ||
 		c.phase != phaseStarting && (!c.pipe.Idle() || c.pipe.LostBlock()) {
 		return
 	}
@@ -1254,7 +1254,7 @@
 		if c.farewell(stateInvalid, "no whole message came in time", "") == gnet.Close {
 			c.wire.Close()
 		}
-	case c.wire.Unsent() > 0 && now-c.since > maxUntaken:
+	case c.wire.UnsentBytes() > 0 && now-c.since > maxUntaken:
 		c.wire.Close()
 	case c.phase == phaseLinked && c.server != nil && c.pipe.Due() == 0 && c.pipe.Status() != 'I' && c.pool.IdleInBlock > 0 && now-c.since > c.pool.IdleInBlock:
 		c.front.stats.TimedOut++
--- a/internal/net/pg/server.go
+++ b/internal/net/pg/server.go
@@ -43,7 +43,7 @@
 type server struct {
 	front    *Sessions
 	pool     *spool
-	wire     loop.Wire
+	wire     loop.PausableConn
 	client   *sclient
 	have     *session.Values // what holds on it while nobody is linked
 	prepared *session.Server
@@ -89,7 +89,7 @@
 				p.failed(err)
 			case s.dead:
 			default:
-				s.wire = loop.NewWire(f.engine, g, s)
+				s.wire = loop.NewPausableConn(f.engine, g, s)
 				if p.host.address != address || !f.facade.IsActive(p.host.name) { // a handshake is work too
 					s.ended()
 					s.wire.Close()
@@ -166,7 +166,7 @@
 
 // Closed is called on the loop.
 func (s *server) Closed(_ gnet.Conn, err error) {
-	if !s.wire.Ended() {
+	if !s.wire.ConfirmClosed() {
 		return
 	}
 	started := !s.starting || s.dead
@@ -243,7 +243,7 @@
 		s := p.idle[at]
 		p.idle = append(p.idle[:at], p.idle[at+1:]...)
 		// What came since it was used is its end, or nothing that is asked for: it says nothing of this request.
-		if s.old(c.pool, now) || s.wire.Conn == nil || s.wire.Buffered() > 0 || pending(s.wire.Conn) {
+		if s.old(c.pool, now) || s.wire.Conn == nil || s.wire.BufferedBytes() > 0 || pending(s.wire.Conn) {
 			s.worn = true
 			s.wire.Close()
 			continue
@@ -464,7 +464,7 @@
 		case p.Ready && c.phase == phaseTurned:
 			s.wire.Discard(at + total)
 			c.rerun(s)
-			if s.client == nil && !s.dead && s.wire.Buffered() > 0 {
+			if s.client == nil && !s.dead && s.wire.BufferedBytes() > 0 {
 				return s.unasked(s.wire.Peek())
 			}
 			return nil
@@ -534,15 +534,15 @@
 	if s.client != c { // it went while its answer was written: what is due here is nobody's
 		return errFarewell
 	}
-	if c.wire.Unsent() > highWater {
-		f.watch(&s.wire, func() bool { return c.gone || c.wire.Unsent() < lowWater })
+	if c.wire.UnsentBytes() > highWater {
+		f.watch(&s.wire, func() bool { return c.gone || c.wire.UnsentBytes() < lowWater })
 	}
 	if ready {
 		c.release(s)
 	} else if c.blocked {
 		c.proceed()
 	}
-	if s.client == nil && !s.dead && s.wire.Buffered() > 0 {
+	if s.client == nil && !s.dead && s.wire.BufferedBytes() > 0 {
 		return s.unasked(s.wire.Peek())
 	}
 	return nil
--- a/internal/net/pg/sessions.go
+++ b/internal/net/pg/sessions.go
@@ -86,7 +86,7 @@
 	servers   int
 	unread    int
 	pinned    map[session.Cause]int
-	paused    map[*loop.Wire]func() bool // of those that are: whether to go on
+	paused    map[*loop.PausableConn]func() bool // of those that are: whether to go on
 	resuming  bool
 	last      uint32
 	seed      maphash.Seed
@@ -106,8 +106,8 @@
 	broken    atomic.Value // string: a guarantee that is switched off
 	addresses chan map[string]string
 	stats     SessionStats
-	full      loop.Rarely
-	odd       loop.Rarely
+	full      loop.ThrottledLog
+	odd       loop.ThrottledLog
 }
 
 // SessionStats count what happened since the start.
@@ -170,7 +170,7 @@
 func NewSessions(e *loop.Engine, f *dispatch.Dispatcher, c clock.Clock, names Names, l SessionLimits) *Sessions {
 	s := &Sessions{
 		engine: e, facade: f, clock: c, names: names, clients: map[*sclient]struct{}{}, keys: map[uint64]*sclient{},
-		hosts: map[string]*shost{}, pinned: map[session.Cause]int{}, paused: map[*loop.Wire]func() bool{}, seed: maphash.MakeSeed(),
+		hosts: map[string]*shost{}, pinned: map[session.Cause]int{}, paused: map[*loop.PausableConn]func() bool{}, seed: maphash.MakeSeed(),
 		catalogue: session.NewCatalogue(l.Bytes), addresses: make(chan map[string]string, 1),
 	}
 	s.addresses <- map[string]string{}
@@ -257,7 +257,7 @@
 	f.last++
 	c := &sclient{front: f, number: f.last, since: f.clock.Now()}
 	c.waiter.Of = c
-	c.wire = loop.NewWire(f.engine, g, c)
+	c.wire = loop.NewPausableConn(f.engine, g, c)
 	l := f.limits.Load()
 	if len(f.clients) >= l.Clients {
 		f.full.Printf("sessions: %d client connections are open, one more is sent away", len(f.clients))
@@ -378,22 +378,22 @@
 	unsent := 0
 	for c := range f.clients {
 		c.sweep(now)
-		unsent += c.wire.Unsent()
+		unsent += c.wire.UnsentBytes()
 	}
 	// Answers that clients do not take are bounded together: a source is paused for each, but one whose transaction has
 	// ended keeps what it has not read.
 	for most := f.limits.Load().Bytes; most > 0 && unsent > most; {
 		var slowest *sclient
 		for c := range f.clients {
-			if slowest == nil || c.wire.Unsent() > slowest.wire.Unsent() {
+			if slowest == nil || c.wire.UnsentBytes() > slowest.wire.UnsentBytes() {
 				slowest = c
 			}
 		}
-		if slowest == nil || slowest.wire.Unsent() == 0 {
+		if slowest == nil || slowest.wire.UnsentBytes() == 0 {
 			return
 		}
-		unsent -= slowest.wire.Unsent()
-		f.full.Printf("sessions: a client is cut off with %d bytes that it does not take, %d of all clients", slowest.wire.Unsent(), unsent)
+		unsent -= slowest.wire.UnsentBytes()
+		f.full.Printf("sessions: a client is cut off with %d bytes that it does not take, %d of all clients", slowest.wire.UnsentBytes(), unsent)
 		slowest.gone = true
 		slowest.wire.Close()
 	}
@@ -416,7 +416,7 @@
 }
 
 // watch pauses a source until its peer has taken what waits for it.
-func (f *Sessions) watch(w *loop.Wire, ok func() bool) {
+func (f *Sessions) watch(w *loop.PausableConn, ok func() bool) {
 	if _, there := f.paused[w]; there {
 		return
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -28,7 +28,7 @@
 	Sessions *Sessions `json:"sessions,omitempty"`
 	Cluster  *Cluster  `json:"cluster,omitempty"` // nil: the pooler knows of no others
 	Cost     *Cost     `json:"cost,omitempty"`    // nil: nothing is observed
-	Lab      *Lab      `json:"lab,omitempty"`     // nil: as in service
+	Testbed  *Testbed  `json:"lab,omitempty"`     // nil: as in service
 }
 
 // Cost says how this pooler learns what statements cost.
@@ -42,14 +42,14 @@
 
 // Cluster says who the other poolers are.
 type Cluster struct {
-	Name    string            `json:"name"`   // "": the platform's
-	Listen  string            `json:"listen"` // "": off
-	Zone    string            `json:"zone"`
-	Keys    string            `json:"keys"`    // the file of the keys between poolers
-	Members int               `json:"members"` // the most that are known
-	Probe   time.Duration     `json:"probe"`
-	Peers   map[string]string `json:"peers"` // address by name, as this pooler reaches them
-	Agree   *Agreement        `json:"agreement,omitempty"`
+	Name      string            `json:"name"`   // "": the platform's
+	Listen    string            `json:"listen"` // "": off
+	Zone      string            `json:"zone"`
+	Keys      string            `json:"keys"`    // the file of the keys between poolers
+	Members   int               `json:"members"` // the most that are known
+	Probe     time.Duration     `json:"probe"`
+	Peers     map[string]string `json:"peers"` // address by name, as this pooler reaches them
+	Agreement *Agreement        `json:"agreement,omitempty"`
 }
 
 // Agreement is on rules that all poolers act on.
@@ -74,8 +74,8 @@
 	OperationTimeout time.Duration `json:"deed"` // a deed that takes longer is in doubt
 }
 
-// Lab is for the laboratory alone: a process in service refuses it.
-type Lab struct {
+// Testbed is for the laboratory alone: a process in service refuses it.
+type Testbed struct {
 	Trace  string        `json:"trace"`  // a file to which the process writes what it acted on
 	Offset time.Duration `json:"offset"` // of its clock
 	Rate   float64       `json:"rate"`   // of its clock: 1 is true
@@ -149,7 +149,7 @@
 		Sessions *sessionsBody `hcl:"sessions,block"`
 		Cluster  *clusterBody  `hcl:"cluster,block"`
 		Cost     *costBody     `hcl:"cost,block"`
-		Lab      *labBody      `hcl:"lab,block"`
+		Testbed  *testbedBody  `hcl:"lab,block"`
 	}
 	costBody struct {
 		Memory   *string    `hcl:"memory"`
@@ -165,17 +165,17 @@
 		Body  hcl.Body `hcl:",body"`
 	}
 	clusterBody struct {
-		Name    *string    `hcl:"name"`
-		Listen  *string    `hcl:"listen"`
-		Zone    *string    `hcl:"zone"`
-		Keys    *string    `hcl:"keys"`
-		Members *int       `hcl:"members"`
-		Probe   *string    `hcl:"probe"`
-		Peers   []peerBody `hcl:"peer,block"`
-		Agree   *agreeBody `hcl:"agreement,block"`
-		Body    hcl.Body   `hcl:",body"`
-	}
-	agreeBody struct {
+		Name      *string        `hcl:"name"`
+		Listen    *string        `hcl:"listen"`
+		Zone      *string        `hcl:"zone"`
+		Keys      *string        `hcl:"keys"`
+		Members   *int           `hcl:"members"`
+		Probe     *string        `hcl:"probe"`
+		Peers     []peerBody     `hcl:"peer,block"`
+		Agreement *agreementBody `hcl:"agreement,block"`
+		Body      hcl.Body       `hcl:",body"`
+	}
+	agreementBody struct {
 		Voters   []string  `hcl:"voters,optional"`
 		Folder   *string   `hcl:"folder"`
 		Lease    *string   `hcl:"lease"`
@@ -200,7 +200,7 @@
 		Address string   `hcl:"address"`
 		Body    hcl.Body `hcl:",body"`
 	}
-	labBody struct {
+	testbedBody struct {
 		Trace  *string  `hcl:"trace"`
 		Offset *string  `hcl:"clock_offset"`
 		Rate   *float64 `hcl:"clock_rate"`
@@ -330,23 +330,23 @@
 	if l := b.Cost; l != nil {
 		c.cost(f, l)
 	}
-	if l := b.Lab; l != nil {
+	if l := b.Testbed; l != nil {
 		c.block = "lab"
-		f.Lab = &Lab{Rate: 1}
-		c.place(l.Body, "trace", l.Trace, &f.Lab.Trace, "a file")
-		c.time(l.Body, "clock_offset", l.Offset, &f.Lab.Offset, -time.Hour, time.Hour, true)
-		if set(l.Rate, &f.Lab.Rate); f.Lab.Rate < 0.5 || f.Lab.Rate > 2 {
-			c.fail(l.Body, "clock_rate", strconv.FormatFloat(f.Lab.Rate, 'g', -1, 64), "a number from 0.5 to 2")
+		f.Testbed = &Testbed{Rate: 1}
+		c.place(l.Body, "trace", l.Trace, &f.Testbed.Trace, "a file")
+		c.time(l.Body, "clock_offset", l.Offset, &f.Testbed.Offset, -time.Hour, time.Hour, true)
+		if set(l.Rate, &f.Testbed.Rate); f.Testbed.Rate < 0.5 || f.Testbed.Rate > 2 {
+			c.fail(l.Body, "clock_rate", strconv.FormatFloat(f.Testbed.Rate, 'g', -1, 64), "a number from 0.5 to 2")
 		}
-		if os.Getenv(LabEnv) == "" {
-			c.fail(l.Body, "lab", "set", "nothing of it in service; the laboratory sets "+LabEnv)
+		if os.Getenv(TestbedEnv) == "" {
+			c.fail(l.Body, "lab", "set", "nothing of it in service; the laboratory sets "+TestbedEnv)
 		}
 	}
 	return f, c.err()
 }
 
-// LabEnv is the variable without which a process refuses the lab block.
-const LabEnv = "ASHSTAND_LAB"
+// TestbedEnv is the variable without which a process refuses the lab block.
+const TestbedEnv = "ASHSTAND_LAB"
 
 func (c *checker) cost(f *File, b *costBody) {
 	c.block = "cost"
@@ -410,18 +410,18 @@
 		}
 		out.Peers[p.Name] = p.Address
 	}
-	if b.Agree != nil {
-		c.agreement(out, b.Agree)
+	if b.Agreement != nil {
+		c.agreement(out, b.Agreement)
 	}
 	if c.block = "cluster"; len(out.Peers) >= out.Members {
 		c.fail(b.Body, "members", strconv.Itoa(out.Members), fmt.Sprintf("at least %d: this pooler and its peers", len(out.Peers)+1))
 	}
 }
 
-func (c *checker) agreement(of *Cluster, b *agreeBody) {
+func (c *checker) agreement(of *Cluster, b *agreementBody) {
 	c.block = "cluster.agreement"
 	a := &Agreement{Voters: b.Voters, Lease: 2 * time.Second, Renew: 300 * time.Millisecond, Election: 500 * time.Millisecond, Drift: 0.01}
-	of.Agree = a
+	of.Agreement = a
 	c.time(b.Body, "lease", b.Lease, &a.Lease, 100*time.Millisecond, time.Minute, false)
 	c.time(b.Body, "renew", b.Renew, &a.Renew, 10*time.Millisecond, time.Minute, false)
 	c.time(b.Body, "election", b.Election, &a.Election, 50*time.Millisecond, time.Minute, false)
@@ -547,8 +547,8 @@
 	out.Pools = append(out.Pools, p)
 }
 
-// Classes checks the pools' classes against those of the platform's settings.
-func (f *File) Classes(known func(class string) (writes, ok bool)) error {
+// CheckClasses checks the pools' classes against those of the platform's settings.
+func (f *File) CheckClasses(known func(class string) (writes, ok bool)) error {
 	if f.Sessions == nil || f.Sessions.Listen == "" {
 		return nil
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -61,9 +61,9 @@
 	require.Equal(t, New(), none)
 	_, err = Load(filepath.Join(t.TempDir(), "none"), true)
 	require.ErrorIs(t, err, os.ErrNotExist)
-	require.ErrorContains(t, f.Classes(func(c string) (bool, bool) { return c == "donate", c != "report" }), `pool "reports": read_only = "report": the settings name no such class`)
-	require.ErrorContains(t, f.Classes(func(string) (bool, bool) { return true, true }), `read_only = "report": it takes a class of reads`)
-	require.NoError(t, f.Classes(func(c string) (bool, bool) { return c == "donate", true }))
+	require.ErrorContains(t, f.CheckClasses(func(c string) (bool, bool) { return c == "donate", c != "report" }), `pool "reports": read_only = "report": the settings name no such class`)
+	require.ErrorContains(t, f.CheckClasses(func(string) (bool, bool) { return true, true }), `read_only = "report": it takes a class of reads`)
+	require.NoError(t, f.CheckClasses(func(c string) (bool, bool) { return c == "donate", true }))
 }
 
 func TestFaultsNameTheirPlace(t *testing.T) {
@@ -139,7 +139,7 @@
 	require.Equal(t, &Agreement{
 		Voters: []string{"n1", "n2", "n3"}, Folder: "/f", Lease: 1200 * time.Millisecond, Renew: 300 * time.Millisecond,
 		Election: 500 * time.Millisecond, Drift: 0.01,
-	}, f.Cluster.Agree)
+	}, f.Cluster.Agreement)
 	for change, want := range map[string]string{
 		`"n2", "n3"]|"n2"]`:                  `x.hcl:8: cluster.agreement: voters is 2 names; allowed is three or five names`,
 		`"n3"]|"n1"]`:                        `voters is "n1"; allowed is each name once`,
@@ -152,10 +152,10 @@
 		_, err := Parse("x.hcl", []byte(strings.Replace(agreed, from, to, 1)))
 		require.ErrorContains(t, err, want, change)
 	}
-	t.Setenv(LabEnv, "1")
+	t.Setenv(TestbedEnv, "1")
 	f, err = Parse("x.hcl", []byte(others+"lab {\n  clock_offset = \"2s\"\n  clock_rate = 1.01\n  trace = \"/t\"\n}\n"))
 	require.NoError(t, err)
-	require.Equal(t, &Lab{Trace: "/t", Offset: 2 * time.Second, Rate: 1.01}, f.Lab)
+	require.Equal(t, &Testbed{Trace: "/t", Offset: 2 * time.Second, Rate: 1.01}, f.Testbed)
 }
 
 func TestCostBlock(t *testing.T) {
--- a/internal/pcap/pcap.go
+++ b/internal/pcap/pcap.go
@@ -20,8 +20,8 @@
 	"github.com/google/gopacket/reassembly"
 )
 
-// Piece is what one side sent at one moment.
-type Piece struct {
+// Segment is what one side sent at one moment.
+type Segment struct {
 	At         time.Time
 	FromClient bool
 	Data       []byte
@@ -30,7 +30,7 @@
 // Conversation is one TCP connection.
 type Conversation struct {
 	Client, Server netip.AddrPort
-	Pieces         []Piece
+	Segments       []Segment
 }
 
 // Bounds: a capture that holds more is refused, not half read.
@@ -153,7 +153,7 @@
 		return nil, f.fault
 	}
 	for _, s := range f.streams {
-		if len(s.Pieces) > 0 { // the last acknowledgement of a connection that has ended looks like a new one
+		if len(s.Segments) > 0 { // the last acknowledgement of a connection that has ended looks like a new one
 			cs = append(cs, &s.Conversation)
 		}
 	}
@@ -213,15 +213,15 @@
 	if s.factory.fault != nil {
 		return
 	}
-	p := Piece{
+	p := Segment{
 		At: sg.CaptureInfo(0).Timestamp.UTC(), FromClient: (dir == reassembly.TCPDirClientToServer) != s.turned,
 		Data: append([]byte{}, sg.Fetch(n)...),
 	}
-	if k := len(s.Pieces) - 1; k >= 0 && s.Pieces[k].FromClient == p.FromClient && s.Pieces[k].At.Equal(p.At) {
-		s.Pieces[k].Data = append(s.Pieces[k].Data, p.Data...) // one piece, cut into packets
+	if k := len(s.Segments) - 1; k >= 0 && s.Segments[k].FromClient == p.FromClient && s.Segments[k].At.Equal(p.At) {
+		s.Segments[k].Data = append(s.Segments[k].Data, p.Data...) // one piece, cut into packets
 		return
 	}
-	s.Pieces = append(s.Pieces, p)
+	s.Segments = append(s.Segments, p)
 }
 
 // ReassemblyComplete is called when both sides have closed.
@@ -258,7 +258,7 @@
 }
 
 func (c *Conversation) packets() (ps []packet, err error) {
-	if len(c.Pieces) == 0 {
+	if len(c.Segments) == 0 {
 		return nil, nil
 	}
 	if c.Client.Addr().Is4() != c.Server.Addr().Is4() {
@@ -294,11 +294,11 @@
 		}
 		ps = append(ps, packet{at, slices.Clone(out.Bytes())})
 	}
-	first, last := c.Pieces[0].At, c.Pieces[len(c.Pieces)-1].At
+	first, last := c.Segments[0].At, c.Segments[len(c.Segments)-1].At
 	put(first, true, layers.TCP{SYN: true}, nil)
 	put(first, false, layers.TCP{SYN: true, ACK: true}, nil)
 	put(first, true, layers.TCP{ACK: true}, nil)
-	for _, p := range c.Pieces {
+	for _, p := range c.Segments {
 		for data := range slices.Chunk(p.Data, segment) {
 			put(p.At, p.FromClient, layers.TCP{ACK: true, PSH: true}, data)
 		}
--- a/internal/pcap/pcap_test.go
+++ b/internal/pcap/pcap_test.go
@@ -17,12 +17,12 @@
 func talk() []*Conversation {
 	at := time.Date(2026, 3, 1, 18, 0, 0, 123456789, time.UTC)
 	return []*Conversation{
-		{Client: netip.MustParseAddrPort("127.0.0.1:40001"), Server: netip.MustParseAddrPort("127.0.0.2:5433"), Pieces: []Piece{
+		{Client: netip.MustParseAddrPort("127.0.0.1:40001"), Server: netip.MustParseAddrPort("127.0.0.2:5433"), Segments: []Segment{
 			{at, true, []byte("hello")},
 			{at.Add(time.Millisecond), false, bytes.Repeat([]byte("long"), 2000)},
 			{at.Add(2 * time.Millisecond), true, []byte{0, 1, 2}},
 		}},
-		{Client: netip.MustParseAddrPort("[::1]:40002"), Server: netip.MustParseAddrPort("[::1]:5433"), Pieces: []Piece{
+		{Client: netip.MustParseAddrPort("[::1]:40002"), Server: netip.MustParseAddrPort("[::1]:5433"), Segments: []Segment{
 			{at.Add(time.Microsecond), true, []byte("six")}, {at.Add(time.Second), false, []byte("and back")},
 		}},
 	}
@@ -57,7 +57,7 @@
 	}))
 	require.NoError(t, err)
 	said := map[bool]string{}
-	for _, p := range got[0].Pieces {
+	for _, p := range got[0].Segments {
 		said[p.FromClient] += string(p.Data)
 	}
 	require.Equal(t, "hello\x00\x01\x02", said[true])
--- a/testbed/cluster/agree.go
+++ b/testbed/cluster/agree.go
@@ -44,7 +44,7 @@
 	program := r.o.Pooler
 	if program == "" {
 		var err error
-		if program, err = fleet.Beside("ashstand"); err != nil {
+		if program, err = fleet.SiblingProgram("ashstand"); err != nil {
 			return err
 		}
 	}
@@ -85,8 +85,8 @@
 	return os.CopyFS(r.folder(n.name), os.DirFS(r.folder(n.name)+"-old"))
 }
 
-// Agree plays a plan while rules are proposed all along, and judges by the processes' traces what each acted on.
-func Agree(ctx context.Context, o Options) (*Outcome, error) {
+// RunConsensus plays a plan while rules are proposed all along, and judges by the processes' traces what each acted on.
+func RunConsensus(ctx context.Context, o Options) (*Outcome, error) {
 	o.Agree = true
 	g := report.New("cluster agree", o.Plan.Seed, append([]string{
 		"contradiction_past_bound", "version_went_back", "two_values_one_version",
@@ -123,7 +123,7 @@
 		body, _ := json.Marshal(rules)
 		var got struct{ Version int }
 		begun := time.Now()
-		if err := admin.Do(p.Admin, "propose", body, &got); err != nil {
+		if err := admin.Invoke(p.Admin, "propose", body, &got); err != nil {
 			r.tell(n.name, "a proposal was not taken: %v", err)
 			continue
 		}
--- a/testbed/cluster/cluster_test.go
+++ b/testbed/cluster/cluster_test.go
@@ -84,20 +84,20 @@
 	require.True(t, ok)
 	require.Len(t, heard(3), 3)
 
-	lift := m.One("a", "b", Trouble{Delay: 50 * time.Millisecond})
+	lift := m.Impair("a", "b", LinkFault{Delay: 50 * time.Millisecond})
 	took, ok := ask(time.Second)
 	require.True(t, ok)
 	require.GreaterOrEqual(t, took, 50*time.Millisecond)
 	lift()
-	lift = m.One("a", "b", Trouble{Loss: 1})
+	lift = m.Impair("a", "b", LinkFault{Loss: 1})
 	require.Empty(t, heard(2))
 	lift()
-	lift = m.One("a", "b", Trouble{Double: 1})
+	lift = m.Impair("a", "b", LinkFault{Double: 1})
 	require.Len(t, heard(1), 1)
 	require.Equal(t, "a", <-got, "the second copy")
 	lift()
-	lift = m.One("a", "b", Trouble{Drop: true})
-	m.Both("a", "b", Trouble{Drop: true})() // another that ends sooner takes nothing away
+	lift = m.Impair("a", "b", LinkFault{Drop: true})
+	m.ImpairBoth("a", "b", LinkFault{Drop: true})() // another that ends sooner takes nothing away
 	require.Empty(t, heard(1))
 	_, ok = ask(100 * time.Millisecond)
 	require.False(t, ok)
@@ -108,11 +108,11 @@
 	_, err = io.ReadFull(c, make([]byte, 1))
 	require.NoError(t, err, "a stream goes on where it stood")
 
-	lift = m.One("a", "b", Trouble{Stall: true})
+	lift = m.Impair("a", "b", LinkFault{Stall: true})
 	require.Empty(t, heard(2))
 	lift()
 	require.Equal(t, []string{"a", "a"}, []string{<-got, <-got}, "let go again")
-	lift = m.One("b", "a", Trouble{Drop: true}) // the way back
+	lift = m.Impair("b", "a", LinkFault{Drop: true}) // the way back
 	_, ok = ask(100 * time.Millisecond)
 	require.False(t, ok)
 	require.Len(t, heard(1), 1, "the way forth is as it was")
@@ -195,11 +195,11 @@
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 			defer cancel()
-			o, err := Members(ctx, Options{Plan: p, Pooler: program, Clients: 1})
+			o, err := RunMembership(ctx, Options{Plan: p, Pooler: program, Clients: 1})
 			require.NoError(t, err)
 			require.Len(t, o.Result.Faults, 3)
 			if broken == "" {
-				require.True(t, o.Result.Held(), "%v\n%v", o.Result.Broken, o.Result.Notes)
+				require.True(t, o.Result.Passed(), "%v\n%v", o.Result.Broken, o.Result.Notes)
 				require.Positive(t, o.Result.Requests.Served)
 				page := filepath.Join(t.TempDir(), "p.html")
 				require.NoError(t, o.Page(page))
@@ -226,10 +226,10 @@
 		}
 		r := SimulateMany(context.Background(), 1, schedules, 3500, broken, runtime.NumCPU())
 		if broken != "" {
-			require.False(t, r.Held(), "without %s", broken)
+			require.False(t, r.Passed(), "without %s", broken)
 			continue
 		}
-		require.True(t, r.Held(), "%v\n%s", r.Broken, strings.Join(r.Notes, "\n"))
+		require.True(t, r.Passed(), "%v\n%s", r.Broken, strings.Join(r.Notes, "\n"))
 		require.Greater(t, r.Baseline["versions in force"], float64(2*schedules))
 		for _, f := range []string{"killed", "killed, folder lost", "killed before a save", "killed after a save", "stopped", "partition", "cut one way", "loss", "gone for good"} {
 			require.Positive(t, r.Faults[f], f)
--- a/testbed/cluster/move.go
+++ b/testbed/cluster/move.go
@@ -106,8 +106,8 @@
 	ops     map[string][]op // of registers, by tenant and row
 }
 
-// Moves plays a plan while tenants move between groups, and judges by what clients were told and what the groups hold.
-func Moves(ctx context.Context, o Options) (*Outcome, error) {
+// RunMigrations plays a plan while tenants move between groups, and judges by what clients were told and what the groups hold.
+func RunMigrations(ctx context.Context, o Options) (*Outcome, error) {
 	o.Agree, o.Works, o.Clients = true, true, 0
 	g := report.New("cluster move", o.Plan.Seed, "lost_write", "duplicate_write", "stale_read", "missed_own_write", "two_homes", "verified_wrong", "paused_past_bound",
 		"stepped_without_word", "rollback_lost", "sent_to_draining", "failed_start", "bad_exit", "crashed", "too_few")
@@ -192,7 +192,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		p, paused := r.nodes[i%len(r.nodes)].process()
 		var got struct{ Version int }
-		if p != nil && !paused && admin.Do(p.Admin, "propose", body, &got) == nil {
+		if p != nil && !paused && admin.Invoke(p.Admin, "propose", body, &got) == nil {
 			return true
 		}
 		sleep(ctx, 50*time.Millisecond)
@@ -444,7 +444,7 @@
 			continue
 		}
 		var out struct{ Work string }
-		err := admin.Do(p.Admin, "work", body, &out)
+		err := admin.Invoke(p.Admin, "work", body, &out)
 		if err == nil || strings.Contains(err.Error(), "there is a work of that name") {
 			r.tell(o.name, "ordered: %s from group %d to %d, to be taken back while %q", o.tenant, o.from, o.to, o.back)
 			return true
@@ -520,7 +520,7 @@
 	r.words = append(r.words, s) // also one whose answer is lost may have come into the log
 	i := len(r.words) - 1
 	r.mu.Unlock()
-	err := admin.Do(p.Admin, "work", body, &out)
+	err := admin.Invoke(p.Admin, "work", body, &out)
 	r.mu.Lock()
 	r.words[i].taken = err == nil
 	r.mu.Unlock()
--- a/testbed/cluster/move_test.go
+++ b/testbed/cluster/move_test.go
@@ -17,9 +17,9 @@
 	require.NoError(t, err, string(out))
 	p := Draw(7, 3, 14*time.Second, 100*time.Millisecond, 0, nil)
 	p.Faults = []Fault{{Kind: "kill", A: "n2", At: 2500, For: 500}}
-	o, err := Moves(context.Background(), Options{Plan: p, Pooler: program, Groups: 2, Tenants: 2})
+	o, err := RunMigrations(context.Background(), Options{Plan: p, Pooler: program, Groups: 2, Tenants: 2})
 	require.NoError(t, err)
-	require.True(t, o.Result.Held(), "%v %v", o.Result.Broken, o.Result.Notes)
+	require.True(t, o.Result.Passed(), "%v %v", o.Result.Broken, o.Result.Notes)
 	require.Positive(t, o.Result.Baseline["moves ended"]+o.Result.Baseline["moves taken back"])
 	require.Positive(t, o.Result.Baseline["writes done"])
 }
--- a/testbed/cluster/owner.go
+++ b/testbed/cluster/owner.go
@@ -35,8 +35,8 @@
 	OwnerRest = 6*time.Second + ownerRest
 )
 
-// OwnerBreakable are the guarantees of works that can be switched off.
-var OwnerBreakable = []string{"fence", "token", "resume"}
+// JobsBreakable are the guarantees of works that can be switched off.
+var JobsBreakable = []string{"fence", "token", "resume"}
 
 // works is that block of a pooler's file.
 func (r *rig) works() string {
@@ -79,8 +79,8 @@
 	leads      bool // the owner also led the log
 }
 
-// Owner plays a plan while works are done by one owner at a time, and judges by the places that they act on.
-func Owner(ctx context.Context, o Options) (*Outcome, error) {
+// RunJobs plays a plan while works are done by one owner at a time, and judges by the places that they act on.
+func RunJobs(ctx context.Context, o Options) (*Outcome, error) {
 	o.Agree, o.Works = true, true
 	g := report.New("cluster owner", o.Plan.Seed, append([]string{
 		"two_owners", "old_token_accepted", "token_went_back", "deed_twice", "deed_lost", "orphaned",
@@ -115,7 +115,7 @@
 			continue
 		}
 		var out struct{ Work string }
-		err := admin.Do(p.Admin, "work", body, &out)
+		err := admin.Invoke(p.Admin, "work", body, &out)
 		if err == nil || strings.Contains(err.Error(), "there is a work of that name") {
 			r.tell(name, "created")
 			return
--- a/testbed/cluster/plan.go
+++ b/testbed/cluster/plan.go
@@ -52,20 +52,20 @@
 
 // troubles are the kinds that are a trouble of a link and nothing else, both ways or as far as it goes from A.
 var troubles = map[string]struct {
-	Trouble
+	LinkFault
 	oneWay bool
 }{
-	"drop one way": {Trouble{Drop: true}, true},
-	"cut":          {Trouble: Trouble{Drop: true}},
-	"no host":      {Trouble: Trouble{Drop: true}},
-	"no discovery": {Trouble: Trouble{Drop: true}},
-	"stall":        {Trouble: Trouble{Stall: true}},
-	"delay":        {Trouble: Trouble{Delay: 30 * time.Millisecond}},
-	"jitter":       {Trouble: Trouble{Jitter: 60 * time.Millisecond}},
-	"slow":         {Trouble: Trouble{Rate: 2000}},
-	"loss":         {Trouble: Trouble{Loss: 0.4}},
-	"double":       {Trouble: Trouble{Double: 0.5}},
-	"reorder":      {Trouble: Trouble{Reorder: 0.4}},
+	"drop one way": {LinkFault{Drop: true}, true},
+	"cut":          {LinkFault: LinkFault{Drop: true}},
+	"no host":      {LinkFault: LinkFault{Drop: true}},
+	"no discovery": {LinkFault: LinkFault{Drop: true}},
+	"stall":        {LinkFault: LinkFault{Stall: true}},
+	"delay":        {LinkFault: LinkFault{Delay: 30 * time.Millisecond}},
+	"jitter":       {LinkFault: LinkFault{Jitter: 60 * time.Millisecond}},
+	"slow":         {LinkFault: LinkFault{Rate: 2000}},
+	"loss":         {LinkFault: LinkFault{Loss: 0.4}},
+	"double":       {LinkFault: LinkFault{Double: 0.5}},
+	"reorder":      {LinkFault: LinkFault{Reorder: 0.4}},
 }
 
 // flapEach is for how long a link that flaps is there, and then not.
--- a/testbed/cluster/proxy.go
+++ b/testbed/cluster/proxy.go
@@ -12,8 +12,8 @@
 	"time"
 )
 
-// Trouble is what goes wrong on one way of a link.
-type Trouble struct {
+// LinkFault is what goes wrong on one way of a link.
+type LinkFault struct {
 	Drop    bool          // nothing passes: datagrams are lost, streams stand still
 	Stall   bool          // nothing passes until it is let go, then all of it does
 	Delay   time.Duration // of each piece
@@ -25,7 +25,7 @@
 }
 
 // with is what two troubles come to that are there at once.
-func (t Trouble) with(o Trouble) Trouble {
+func (t LinkFault) with(o LinkFault) LinkFault {
 	either := func(a, b float64) float64 { return 1 - (1-a)*(1-b) }
 	t.Drop, t.Stall = t.Drop || o.Drop, t.Stall || o.Stall
 	t.Delay, t.Jitter = t.Delay+o.Delay, t.Jitter+o.Jitter
@@ -39,8 +39,8 @@
 // way is one direction of a link.
 type way struct {
 	mu      sync.Mutex
-	laid    []*Trouble    // by whoever made it, until that lifts it
-	t       Trouble       // all of them
+	laid    []*LinkFault  // by whoever made it, until that lifts it
+	t       LinkFault     // all of them
 	changed chan struct{} // closed when t changes
 	lots    *rand.Rand
 }
@@ -50,11 +50,11 @@
 }
 
 // lay adds a trouble; lift takes that one away again.
-func (w *way) lay(t Trouble) (lift func()) {
+func (w *way) lay(t LinkFault) (lift func()) {
 	own := &t
 	w.change(func() { w.laid = append(w.laid, own) })
 	return func() {
-		w.change(func() { w.laid = slices.DeleteFunc(w.laid, func(o *Trouble) bool { return o == own }) })
+		w.change(func() { w.laid = slices.DeleteFunc(w.laid, func(o *LinkFault) bool { return o == own }) })
 	}
 }
 
@@ -62,7 +62,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	do()
-	w.t = Trouble{}
+	w.t = LinkFault{}
 	for _, t := range w.laid {
 		w.t = w.t.with(*t)
 	}
@@ -70,7 +70,7 @@
 	w.changed = make(chan struct{})
 }
 
-func (w *way) now() (Trouble, <-chan struct{}) {
+func (w *way) now() (LinkFault, <-chan struct{}) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.t, w.changed
@@ -85,7 +85,7 @@
 	return w.lots.Float64() < p
 }
 
-func (w *way) wait(t Trouble) time.Duration {
+func (w *way) wait(t LinkFault) time.Duration {
 	d := t.Delay
 	if t.Jitter > 0 {
 		w.mu.Lock()
@@ -378,9 +378,9 @@
 	return m.links[[2]string{from, to}]
 }
 
-// One lays a trouble on all that goes from one process to another: on streams of either side, and datagrams. What others
+// Impair lays a trouble on all that goes from one process to another: on streams of either side, and datagrams. What others
 // have laid there stays, also when this one is lifted.
-func (m *Mesh) One(from, to string, t Trouble) (lift func()) {
+func (m *Mesh) Impair(from, to string, t LinkFault) (lift func()) {
 	var lifts []func()
 	if l := m.Link(from, to); l != nil {
 		lifts = append(lifts, l.forth.lay(t))
@@ -391,9 +391,9 @@
 	return together(lifts)
 }
 
-// Both lays it both ways.
-func (m *Mesh) Both(a, b string, t Trouble) (lift func()) {
-	return together([]func(){m.One(a, b, t), m.One(b, a, t)})
+// ImpairBoth lays it both ways.
+func (m *Mesh) ImpairBoth(a, b string, t LinkFault) (lift func()) {
+	return together([]func(){m.Impair(a, b, t), m.Impair(b, a, t)})
 }
 
 func together(do []func()) func() {
--- a/testbed/cluster/run.go
+++ b/testbed/cluster/run.go
@@ -47,7 +47,7 @@
 // rig is a run.
 type rig struct {
 	o     Options
-	g     *report.Gather
+	g     *report.Collector
 	mesh  *Mesh
 	fleet *fleet.Fleet
 	dir   string
@@ -301,9 +301,9 @@
 			to = "discovery"
 		}
 		if t.oneWay {
-			return r.mesh.One(f.A, to, t.Trouble), nil
+			return r.mesh.Impair(f.A, to, t.LinkFault), nil
 		}
-		return r.mesh.Both(f.A, to, t.Trouble), nil
+		return r.mesh.ImpairBoth(f.A, to, t.LinkFault), nil
 	}
 	n := r.node(f.A)
 	switch f.Kind {
@@ -315,7 +315,7 @@
 		var done sync.WaitGroup
 		done.Go(func() {
 			for {
-				lift := r.mesh.Both(f.A, f.B, Trouble{Drop: true})
+				lift := r.mesh.ImpairBoth(f.A, f.B, LinkFault{Drop: true})
 				for range 2 { // as long without as with
 					select {
 					case <-stop:
@@ -333,7 +333,7 @@
 		for i, a := range r.nodes {
 			for _, b := range r.nodes[:i] {
 				if apart(f.Parts, a.name, b.name) {
-					lifts = append(lifts, r.mesh.Both(a.name, b.name, Trouble{Drop: true}))
+					lifts = append(lifts, r.mesh.ImpairBoth(a.name, b.name, LinkFault{Drop: true}))
 				}
 			}
 		}
@@ -468,8 +468,8 @@
 // service are the guarantees towards clients, which hold whatever the poolers make of each other.
 var service = []string{"failed_start", "bad_exit", "crashed", "duplicate_write", "lost_commit", "missed_own_write", "sent_to_draining"}
 
-// Members plays a plan and judges what the poolers believe of each other, and what clients get meanwhile.
-func Members(ctx context.Context, o Options) (*Outcome, error) {
+// RunMembership plays a plan and judges what the poolers believe of each other, and what clients get meanwhile.
+func RunMembership(ctx context.Context, o Options) (*Outcome, error) {
 	g := report.New("cluster members", o.Plan.Seed, append([]string{"wrong_view", "false_doubt", "name_twice", "twin_untold", "garbage_uncounted"}, service...)...)
 	r := &rig{o: o, g: g, begun: time.Now()}
 	return r.whole(ctx, func(context.Context) {}, r.judge)
@@ -487,7 +487,7 @@
 	defer stop()
 	var all sync.WaitGroup
 	for i, n := range r.nodes {
-		l := load.Crowd(run, r.fleet, g, load.Listeners{
+		l := load.StartListeners(run, r.fleet, g, load.ListenerOptions{
 			Name: "c" + n.name, Seed: o.Plan.Seed + uint64(i), Count: o.Clients, Mean: 80 * time.Millisecond, Open: true,
 			Address: func() string {
 				n.mu.Lock()
--- a/testbed/cluster/simmove.go
+++ b/testbed/cluster/simmove.go
@@ -21,11 +21,11 @@
 	"ashstand/testbed/report"
 )
 
-// MoveChecks are the guarantees that the simulation of moves judges.
-var MoveChecks = []string{"lost_write", "duplicate_write", "two_homes", "verified_wrong", "paused_past_bound", "stepped_without_word", "rollback_lost", "stuck"}
+// MigrationChecks are the guarantees that the simulation of moves judges.
+var MigrationChecks = []string{"lost_write", "duplicate_write", "two_homes", "verified_wrong", "paused_past_bound", "stepped_without_word", "rollback_lost", "stuck"}
 
-// Moved is what one schedule of moves came to.
-type Moved struct {
+// MigrationSimulation is what one schedule of moves came to.
+type MigrationSimulation struct {
 	Seed    uint64
 	Broken  map[string]int
 	Notes   []string
@@ -120,7 +120,7 @@
 }
 
 type moves struct {
-	out      *Moved
+	out      *MigrationSimulation
 	lots     *rand.Rand
 	now      float64
 	turn     int
@@ -168,19 +168,19 @@
 // way is how long a message takes.
 func (m *moves) way() float64 { return 0.5 + 2*m.lots.Float64() }
 
-// SimulateMoves plays one schedule of moves: one to three tenants in two or three groups, three owners, three poolers, and
+// SimulateMigrations plays one schedule of moves: one to three tenants in two or three groups, three owners, three poolers, and
 // in most of the schedules faults. There are no sockets, and no clock but its own: equal seeds give equal traces. trace may
 // be nil.
-func SimulateMoves(seed uint64, broken string, trace interface{ Write([]byte) (int, error) }) *Moved {
+func SimulateMigrations(seed uint64, broken string, trace interface{ Write([]byte) (int, error) }) *MigrationSimulation {
 	h := fnv.New64a()
 	if trace == nil {
 		trace = h
 	}
 	m := &moves{
-		out: &Moved{Seed: seed, Broken: map[string]int{}, Faults: map[string]int{}, Ends: map[string]int{}}, lots: rand.New(rand.NewPCG(seed, 0x3e)),
+		out: &MigrationSimulation{Seed: seed, Broken: map[string]int{}, Faults: map[string]int{}, Ends: map[string]int{}}, lots: rand.New(rand.NewPCG(seed, 0x3e)),
 		history: map[string][]mvSeen{}, broken: broken, trace: trace,
 	}
-	for _, c := range MoveChecks {
+	for _, c := range MigrationChecks {
 		m.out.Broken[c] = 0
 	}
 	shares := []float64{0.1, 0.3, 0.9}
@@ -1089,9 +1089,9 @@
 	}
 }
 
-// SimulateManyMoves plays schedules seed, seed+1 and so on, on so many cores, until ctx ends.
-func SimulateManyMoves(ctx context.Context, seed uint64, schedules int, broken string, cores int) *report.Result {
-	g := report.New("cluster moves", seed, MoveChecks...)
+// SimulateManyMigrations plays schedules seed, seed+1 and so on, on so many cores, until ctx ends.
+func SimulateManyMigrations(ctx context.Context, seed uint64, schedules int, broken string, cores int) *report.Result {
+	g := report.New("cluster moves", seed, MigrationChecks...)
 	begun := time.Now()
 	var next atomic.Int64
 	var all sync.WaitGroup
@@ -1105,7 +1105,7 @@
 				if i >= int64(schedules) {
 					return
 				}
-				o := SimulateMoves(seed+uint64(i), broken, nil)
+				o := SimulateMigrations(seed+uint64(i), broken, nil)
 				g.Do(func(r *report.Result) {
 					for k, n := range o.Broken {
 						r.Broken[k] += n
--- a/testbed/cluster/simmove_test.go
+++ b/testbed/cluster/simmove_test.go
@@ -10,7 +10,7 @@
 )
 
 func TestMovesKeepWhatTheyPromise(t *testing.T) {
-	r := SimulateManyMoves(context.Background(), 1, 100, "", runtime.NumCPU())
+	r := SimulateManyMigrations(context.Background(), 1, 100, "", runtime.NumCPU())
 	for check, n := range r.Broken {
 		require.Zero(t, n, "%s: %v", check, r.Notes)
 	}
@@ -36,17 +36,17 @@
 		"number":   {100, "paused_past_bound"}, // what its owner has given up arrives all the same
 		"sequence": {10, "duplicate_write"},
 	} {
-		r := SimulateManyMoves(context.Background(), 1, what.schedules, broken, runtime.NumCPU())
+		r := SimulateManyMigrations(context.Background(), 1, what.schedules, broken, runtime.NumCPU())
 		require.NotZero(t, r.Broken[what.red], "%s: %v", broken, r.Broken)
 	}
 }
 
 func TestSchedulesOfMovesCanBePlayedAgain(t *testing.T) {
 	var a, b strings.Builder
-	SimulateMoves(7, "", &a)
-	SimulateMoves(7, "", &b)
+	SimulateMigrations(7, "", &a)
+	SimulateMigrations(7, "", &b)
 	require.NotEmpty(t, a.String())
 	require.Equal(t, a.String(), b.String())
-	require.Equal(t, SimulateMoves(8, "", nil).Trace, SimulateMoves(8, "", nil).Trace)
-	require.NotEqual(t, SimulateMoves(8, "", nil).Trace, SimulateMoves(7, "", nil).Trace)
+	require.Equal(t, SimulateMigrations(8, "", nil).Trace, SimulateMigrations(8, "", nil).Trace)
+	require.NotEqual(t, SimulateMigrations(8, "", nil).Trace, SimulateMigrations(7, "", nil).Trace)
 }
--- a/testbed/cost/cost.go
+++ b/testbed/cost/cost.go
@@ -135,7 +135,7 @@
 }
 
 // judge compares the coverage of a set with its bounds.
-func (t *tally) judge(g *report.Gather, set, name string) {
+func (t *tally) judge(g *report.Collector, set, name string) {
 	if t.of[set] == 0 {
 		return
 	}
@@ -173,7 +173,7 @@
 )
 
 // one seed.
-func one(g *report.Gather, seed uint64, broken string) *tally {
+func one(g *report.Collector, seed uint64, broken string) *tally {
 	t := &tally{in: map[string]float64{}, of: map[string]float64{}, requests: requests}
 	w := newWorld(seed)
 	models := w.poolers(poolers, requests, broken)
@@ -204,7 +204,7 @@
 }
 
 // single asks for one statement on one host, then runs it once.
-func (t *tally) single(g *report.Gather, w *world, e *cost.Estimator, seed uint64) {
+func (t *tally) single(g *report.Collector, w *world, e *cost.Estimator, seed uint64) {
 	for i := range singles {
 		set, at := "known", float64(span)
 		if i%5 == 4 {
@@ -234,7 +234,7 @@
 }
 
 // plans asks for three plans that would bring the same, and compares with how long each takes.
-func (t *tally) plans(g *report.Gather, w *world, e *cost.Estimator, seed uint64) {
+func (t *tally) plans(g *report.Collector, w *world, e *cost.Estimator, seed uint64) {
 	base := usual{}
 	for range 2000 { // the baseline has seen the same traffic
 		s, h := &w.stmts[w.popularStatement()], &w.hosts[w.r.IntN(len(w.hosts))]
@@ -291,7 +291,7 @@
 }
 
 // lies replaces what one source says by something else and looks how far estimates move.
-func (t *tally) lies(g *report.Gather, w *world, honest *cost.Estimator, all []cost.Summary, merge func([]cost.Summary) cost.Version, seed uint64) {
+func (t *tally) lies(g *report.Collector, w *world, honest *cost.Estimator, all []cost.Summary, merge func([]cost.Summary) cost.Version, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 0x11e))
 	liar := cost.NewModel(cost.Options{Source: all[seed%poolers].Source, Incarnation: 2, Span: span})
 	bias := 2 + 3*r.Float64()
@@ -340,7 +340,7 @@
 }
 
 // expense measures what the model costs in itself.
-func expense(g *report.Gather) {
+func expense(g *report.Collector) {
 	r := rand.New(rand.NewPCG(1, 1))
 	kinds := []string{"spinning", "flash", "arm"}
 	prints := make([]cost.Fingerprint, 1000)
--- a/testbed/cost/sockets.go
+++ b/testbed/cost/sockets.go
@@ -112,7 +112,7 @@
 
 // sockets learns from requests to loopback hosts of three kinds that really take their time, then asks for plans of two
 // steps at all of them and runs these. A busy machine takes longer than the truth says, so it breaks no guarantee.
-func sockets(ctx context.Context, g *report.Gather, o Options) error {
+func sockets(ctx context.Context, g *report.Collector, o Options) error {
 	kinds := []struct {
 		name   string
 		factor float64
@@ -229,7 +229,7 @@
 			return failed
 		}
 		took := float64(time.Since(from)) / 1e6
-		g.Took("plan over sockets", time.Since(from))
+		g.RecordLatency("plan over sockets", time.Since(from))
 		of++
 		if t := a.Plans[0].Time; t.Low <= took && took <= t.High {
 			in++
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -105,8 +105,8 @@
 	return t.b.String()
 }
 
-// Beside is a program in the folder of this one.
-func Beside(name string) (string, error) {
+// SiblingProgram is a program in the folder of this one.
+func SiblingProgram(name string) (string, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return "", err
@@ -334,7 +334,7 @@
 	program := o.Pooler
 	var err error
 	if program == "" {
-		if program, err = Beside("ashstand"); err != nil {
+		if program, err = SiblingProgram("ashstand"); err != nil {
 			return err
 		}
 	}
--- a/testbed/host/cluster.go
+++ b/testbed/host/cluster.go
@@ -195,8 +195,8 @@
 	h.mu.Unlock()
 }
 
-// Share is the part of its capacity that a host which started a while ago has.
-func Share(age time.Duration) float64 {
+// WarmupShare is the part of its capacity that a host which started a while ago has.
+func WarmupShare(age time.Duration) float64 {
 	return coldFrom + (1-coldFrom)*min(1, max(0, float64(age)/float64(coldFor)))
 }
 
@@ -211,7 +211,7 @@
 	able := h.capacity
 	if h.since > 0 {
 		if age := time.Duration((Now() - h.since) * 1e6); age < coldFor {
-			able *= Share(age)
+			able *= WarmupShare(age)
 			h.recent = append(h.recent, now)
 			for len(h.recent) > 0 && now.Sub(h.recent[0]) > coldSpan {
 				h.recent = h.recent[1:]
@@ -233,8 +233,8 @@
 	return h.free.Sub(now), true
 }
 
-// ColdLoad is the most work sent to the host while it was cold, as a share of what it stands, since it was asked last.
-func (h *Host) ColdLoad() float64 {
+// WarmupLoad is the most work sent to the host while it was cold, as a share of what it stands, since it was asked last.
+func (h *Host) WarmupLoad() float64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	c := h.coldest
--- a/testbed/load/cost.go
+++ b/testbed/load/cost.go
@@ -218,7 +218,7 @@
 var errAnswered = errors.New("an error")
 
 // press has n clients ask one after the other without a pause.
-func press(ctx context.Context, t target, n int, each time.Duration, g *report.Gather) (o outcome, err error) {
+func press(ctx context.Context, t target, n int, each time.Duration, g *report.Collector) (o outcome, err error) {
 	conns := make([]net.Conn, 0, n)
 	defer func() {
 		for _, c := range conns {
--- a/testbed/load/restart.go
+++ b/testbed/load/restart.go
@@ -121,15 +121,15 @@
 }
 
 // crowd is the load on a fleet's one pooler, which may be killed at any moment.
-func crowd(ctx context.Context, f *fleet.Fleet, g *report.Gather, seed uint64, n int, mean time.Duration, observed func(string, time.Duration, bool)) *sync.WaitGroup {
-	return Crowd(ctx, f, g, Listeners{
+func crowd(ctx context.Context, f *fleet.Fleet, g *report.Collector, seed uint64, n int, mean time.Duration, observed func(string, time.Duration, bool)) *sync.WaitGroup {
+	return StartListeners(ctx, f, g, ListenerOptions{
 		Name: fmt.Sprint("k", seed), Seed: seed, Count: n, Mean: mean, Address: func() string { return f.Pooler.Statement },
 		Killed: func(time.Time) bool { return true }, Observed: observed,
 	})
 }
 
-// Listeners are clients of one pooler that outlive it.
-type Listeners struct {
+// ListenerOptions are clients of one pooler that outlive it.
+type ListenerOptions struct {
 	Name     string // of all; each has a number behind it
 	Seed     uint64
 	Count    int
@@ -140,8 +140,8 @@
 	Observed func(class string, took time.Duration, ok bool) // nil: nobody
 }
 
-// Crowd plays them until ctx ends.
-func Crowd(ctx context.Context, f *fleet.Fleet, g *report.Gather, o Listeners) *sync.WaitGroup {
+// StartListeners plays them until ctx ends.
+func StartListeners(ctx context.Context, f *fleet.Fleet, g *report.Collector, o ListenerOptions) *sync.WaitGroup {
 	var all sync.WaitGroup
 	var done atomic.Int64
 	for i := range o.Count {
@@ -175,7 +175,7 @@
 }
 
 // kills ends the pooler at random moments while it writes all the time, and reads what it left.
-func kills(ctx context.Context, o RestartOptions, f *fleet.Fleet, g *report.Gather, folder string) error {
+func kills(ctx context.Context, o RestartOptions, f *fleet.Fleet, g *report.Collector, folder string) error {
 	rng := rand.New(rand.NewPCG(o.Seed, 77))
 	run, stop := context.WithCancel(ctx)
 	defer stop()
@@ -222,7 +222,7 @@
 }
 
 // tooOld starts the pooler with files that are too old, from the future, or another's, and asks what it made of them.
-func tooOld(ctx context.Context, o RestartOptions, f *fleet.Fleet, g *report.Gather, folder string) error {
+func tooOld(ctx context.Context, o RestartOptions, f *fleet.Fleet, g *report.Collector, folder string) error {
 	path := filepath.Join(folder, "learned.ash")
 	for name, change := range map[string]func(h *warmstate.Header){
 		"two days old":    func(h *warmstate.Header) { h.WrittenAt -= float64((2 * oldest).Milliseconds()) },
@@ -281,7 +281,7 @@
 )
 
 // compare restarts the pooler before a fleet with a slow, a lagging and a cold host, with the file and without it.
-func compare(ctx context.Context, o RestartOptions, f *fleet.Fleet, g *report.Gather, folder string) error {
+func compare(ctx context.Context, o RestartOptions, f *fleet.Fleet, g *report.Collector, folder string) error {
 	if o.Rounds == 0 {
 		return nil
 	}
@@ -350,7 +350,7 @@
 		}
 		before := f.Hosts[0].Counts.All()["reads"]
 		for _, h := range f.Hosts {
-			h.ColdLoad()
+			h.WarmupLoad()
 		}
 		p, err := f.StartPooler("n1")
 		if err != nil {
@@ -371,7 +371,7 @@
 		s := &sides[i%2]
 		s.recovery = append(s.recovery, max(slot.Seconds(), recovered.Seconds()))
 		s.primary = append(s.primary, float64(f.Hosts[0].Counts.All()["reads"]-before))
-		s.cold = append(s.cold, cold.ColdLoad())
+		s.cold = append(s.cold, cold.WarmupLoad())
 	}
 	g.Do(func(r *report.Result) {
 		for name, of := range map[string]func(s *side) []float64{
--- a/testbed/load/sessions.go
+++ b/testbed/load/sessions.go
@@ -138,7 +138,7 @@
 }
 
 // trouble makes each kind of failure happen, over and over.
-func trouble(ctx context.Context, f *fleet.Fleet, g *report.Gather, seed uint64) {
+func trouble(ctx context.Context, f *fleet.Fleet, g *report.Collector, seed uint64) {
 	usual := host.Faults{
 		CutBefore: 0.002, CutAfter: 0.002, CutAnswer: 0.0004, CutIdle: 0.0004, CutCopy: 0.004, Stall: 0.0002,
 		StallFor: 400 * time.Millisecond, Slow: 0.002, SlowFor: 40 * time.Millisecond, Refuse: 0.05,
--- a/testbed/load/snapshot.go
+++ b/testbed/load/snapshot.go
@@ -55,7 +55,7 @@
 	return g.Result(time.Since(begun).Seconds()), nil
 }
 
-func snapshotOf(g *report.Gather, folder string, n int) error {
+func snapshotOf(g *report.Collector, folder string, n int) error {
 	b, err := fleet.SettingsJSON()
 	if err != nil {
 		return err
--- a/testbed/load/try.go
+++ b/testbed/load/try.go
@@ -28,7 +28,7 @@
 // listener is one client of the platform's front: it reads and writes what is its own.
 type listener struct {
 	name  string
-	g     *report.Gather
+	g     *report.Collector
 	fleet *fleet.Fleet
 	rng   *rand.Rand
 	c     *pgconn.PgConn
@@ -186,7 +186,7 @@
 	rs, err := l.c.Exec(ctx, sql).ReadAll()
 	took := time.Since(begun)
 	l.done.Add(1)
-	pe := l.g.Answered(class.name, took, time.Duration(class.d)*time.Millisecond+50*time.Millisecond, err, l.killed != nil && l.killed(begun))
+	pe := l.g.RecordAnswer(class.name, took, time.Duration(class.d)*time.Millisecond+50*time.Millisecond, err, l.killed != nil && l.killed(begun))
 	if l.observed != nil {
 		l.observed(class.name, took, err == nil)
 	}
--- a/testbed/load/worker.go
+++ b/testbed/load/worker.go
@@ -22,7 +22,7 @@
 type worker struct {
 	name    string
 	address string
-	g       *report.Gather
+	g       *report.Collector
 	fleet   *fleet.Fleet
 	rng     *rand.Rand
 	c       *pgconn.PgConn
@@ -67,7 +67,7 @@
 
 func (w *worker) count(class string, begun time.Time, err error) (a answer, gone bool) {
 	took := time.Since(begun)
-	pe := w.g.Answered(class, took, patience/3, err, false)
+	pe := w.g.RecordAnswer(class, took, patience/3, err, false)
 	if pe != nil {
 		a.state, a.text = pe.Code, pe.Message
 	}
--- a/testbed/report/report.go
+++ b/testbed/report/report.go
@@ -58,16 +58,16 @@
 	ByPurpose map[string]float64 `json:"by_purpose"`
 }
 
-// Gather counts while a measurement runs. It is safe for concurrent use.
-type Gather struct {
+// Collector counts while a measurement runs. It is safe for concurrent use.
+type Collector struct {
 	mu sync.Mutex
 	r  Result
 	h  map[string]*hdrhistogram.Histogram
 }
 
 // New returns a measurement that checks these guarantees.
-func New(command string, seed uint64, checks ...string) *Gather {
-	g := &Gather{h: map[string]*hdrhistogram.Histogram{}, r: Result{
+func New(command string, seed uint64, checks ...string) *Collector {
+	g := &Collector{h: map[string]*hdrhistogram.Histogram{}, r: Result{
 		Command: command, Seed: seed, Broken: map[string]int{},
 		Latency: map[string]Latency{}, Faults: map[string]int{}, Errors: map[string]int{}, Baseline: map[string]float64{}, Ratio: map[string]float64{},
 		Memory: Memory{ByPurpose: map[string]float64{}},
@@ -78,8 +78,8 @@
 	return g
 }
 
-// Took counts a request's time.
-func (g *Gather) Took(class string, d time.Duration) {
+// RecordLatency counts a request's time.
+func (g *Collector) RecordLatency(class string, d time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	h := g.h[class]
@@ -90,10 +90,10 @@
 	_ = h.RecordValue(max(1, d.Microseconds()))
 }
 
-// Answered counts a request by its final answer and returns the error that a server worded; nil: it worded none. late
+// RecordAnswer counts a request by its final answer and returns the error that a server worded; nil: it worded none. late
 // is when an answer counts as such; killed says that the pooler may have been killed, which breaks no promise.
-func (g *Gather) Answered(class string, took, late time.Duration, err error, killed bool) *pgconn.PgError {
-	g.Took(class, took)
+func (g *Collector) RecordAnswer(class string, took, late time.Duration, err error, killed bool) *pgconn.PgError {
+	g.RecordLatency(class, took)
 	var pe *pgconn.PgError
 	worded := errors.As(err, &pe)
 	g.Do(func(r *Result) {
@@ -124,14 +124,14 @@
 }
 
 // Do changes the result under its lock.
-func (g *Gather) Do(change func(r *Result)) {
+func (g *Collector) Do(change func(r *Result)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	change(&g.r)
 }
 
 // Break counts a breach; the first few are worded.
-func (g *Gather) Break(guarantee, format string, args ...any) {
+func (g *Collector) Break(guarantee, format string, args ...any) {
 	g.Do(func(r *Result) {
 		if r.Broken[guarantee]++; len(r.Notes) < 20 {
 			r.Notes = append(r.Notes, guarantee+": "+fmt.Sprintf(format, args...))
@@ -140,7 +140,7 @@
 }
 
 // Result closes the measurement.
-func (g *Gather) Result(seconds float64) *Result {
+func (g *Collector) Result(seconds float64) *Result {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.r.Seconds = seconds
@@ -151,8 +151,8 @@
 	return &g.r
 }
 
-// Held says whether every guarantee did, and every request had its answer.
-func (r *Result) Held() bool {
+// Passed says whether every guarantee did, and every request had its answer.
+func (r *Result) Passed() bool {
 	for _, n := range r.Broken {
 		if n > 0 {
 			return false
