--- a/internal/cluster/transport/golden_test.go
+++ b/internal/cluster/transport/golden_test.go
@@ -30,7 +30,7 @@
 	return want
 }
 
-// recordingReceiver keeps what a transport hands on.
+// recordingReceiver records what a transport delivers.
 type recordingReceiver struct {
 	packets chan []byte
 	streams chan net.Conn
@@ -55,7 +55,7 @@
 	defer tcp.Close()
 	udp, err := net.ListenPacket("udp", tcp.Addr().String())
 	require.NoError(t, err)
-	defer udp.Close()
+	defer func() { _ = udp.Close() }()
 	tr, err := Listen("127.0.0.1:0", map[string]string{"n2": tcp.Addr().String()}, to)
 	require.NoError(t, err)
 	defer tr.Close()
