--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -119,28 +119,28 @@
 	if a.Limits != "" {
 		text, err := os.ReadFile(a.Limits)
 		if err == nil {
-			limits, err = consensus.Parse(text)
+			limits, err = consensus.ParseRules(text)
 		}
 		if err != nil {
 			return fmt.Errorf("cluster.agreement.limits: %s: %w", a.Limits, err)
 		}
 	}
 	c := consensus.Config{
-		Name: self.Name, Instance: self.Incarnation, Voters: a.Voters, Lease: clock.Millis(a.Lease), Drift: a.Drift, Pace: clock.Millis(a.Renew),
-		Election: clock.Millis(a.Election), Limits: limits, Format: newestFormat, Seed: cfg.seed, Desk: schedulerConfig(cfg), Break: broken,
+		Name: self.Name, Incarnation: self.Incarnation, Voters: a.Voters, LeaseMillis: clock.Millis(a.Lease), ClockDrift: a.Drift, RenewIntervalMillis: clock.Millis(a.Renew),
+		ElectionTimeoutMillis: clock.Millis(a.Election), Limits: limits, Format: newestFormat, Seed: cfg.seed, Scheduler: schedulerConfig(cfg), Break: broken,
 	}
 	f.config = c
 	var err error
-	o := runner.Options{Config: c, Folder: a.Folder, Clock: now, Send: f.send, Changed: f.acts}
+	o := runner.Options{Config: c, Directory: a.Folder, Clock: now, Send: f.send, OnChange: f.acts}
 	if f.trace != nil {
-		o.Leased = func(left float64) { f.trace.line(map[string]any{"event": "lease", "left": left}) }
+		o.OnLease = func(left float64) { f.trace.line(map[string]any{"event": "lease", "left": left}) }
 	}
 	f.homes = &homes{clock: now}
 	if f.agreed, err = runner.Start(o); err != nil {
 		return fmt.Errorf("cluster.agreement: %w", err)
 	}
 	f.homes.agreed = f.agreed
-	steady, change := c.Bound()
+	steady, change := c.ActivationBoundMillis()
 	slog.Info(fmt.Sprintf("cluster: rules that are agreed on are in force everywhere within %v, with a new leader within %v", clock.Duration(steady).Round(time.Millisecond),
 		clock.Duration(change).Round(time.Millisecond)))
 	return nil
@@ -162,17 +162,17 @@
 }
 
 // acts is told of each change of what is acted on.
-func (f *fellows) acts(a consensus.Acting) {
+func (f *fellows) acts(a consensus.EffectiveRules) {
 	text := fmt.Sprintf("cluster: acting on version %d", a.Versions[0])
 	if len(a.Versions) > 1 {
 		text += fmt.Sprintf(" and, where it is stricter, %d", a.Versions[1])
 	}
-	if a.Lapsed {
+	if a.LeaseExpired {
 		text += ", within the limits: without a lease"
 	}
 	slog.Info(text)
 	f.homes.changed()
-	f.trace.line(map[string]any{"event": "acts", "versions": a.Versions, "rules": a.Rules, "lapsed": a.Lapsed})
+	f.trace.line(map[string]any{"event": "acts", "versions": a.Versions, "rules": a.Rules, "lapsed": a.LeaseExpired})
 }
 
 // changed is told of each change of view.
@@ -277,7 +277,7 @@
 		if n.others == nil || n.others.agreed == nil {
 			return nil, errors.New("this pooler's file has no cluster.agreement block")
 		}
-		rules, err := consensus.Parse(body)
+		rules, err := consensus.ParseRules(body)
 		if err != nil {
 			return nil, err
 		}
@@ -370,7 +370,7 @@
 		return err
 	}}
 	propose := func(text []byte, w io.Writer) error {
-		if _, err := consensus.Parse(text); err != nil {
+		if _, err := consensus.ParseRules(text); err != nil {
 			return err
 		}
 		a, err := address()
@@ -393,7 +393,7 @@
 			return nil, err
 		}
 		for _, word := range words {
-			i := slices.IndexFunc(rules.Versions, func(v consensus.Version) bool { return word == strconv.Itoa(v.N) })
+			i := slices.IndexFunc(rules.Versions, func(v consensus.Version) bool { return word == strconv.Itoa(v.Number) })
 			if i < 0 {
 				return nil, fmt.Errorf("version %q is not among the %d that this pooler's log has", word, len(rules.Versions))
 			}
@@ -409,7 +409,7 @@
 			if folder == "" || !slices.Contains(voters, args[0]) {
 				return errors.New("--folder names where, --voters all voters, this one among them, alike for each")
 			}
-			return runner.Found(vfs.OS{}, folder, args[0], voters)
+			return runner.Bootstrap(vfs.OS{}, folder, args[0], voters)
 		},
 	}
 	found.Flags().StringVar(&folder, "folder", "", "as cluster.agreement.folder has it")
@@ -424,7 +424,7 @@
 			if err != nil {
 				return err
 			}
-			for _, line := range consensus.Diff(v[0].Rules, v[1].Rules) {
+			for _, line := range consensus.DiffRules(v[0].Rules, v[1].Rules) {
 				fmt.Fprintln(c.OutOrStdout(), line)
 			}
 			return nil
@@ -472,21 +472,21 @@
 }
 
 func versionTable(w io.Writer, v *runner.View) {
-	if !v.On {
+	if !v.Enabled {
 		fmt.Fprintln(w, "the operator's file has no cluster.agreement block: this pooler acts on its own files alone")
 		return
 	}
-	fmt.Fprintf(w, "acting on\t%v\n", v.Acting.Versions)
-	if v.Acting.Lapsed {
+	fmt.Fprintf(w, "acting on\t%v\n", v.Effective.Versions)
+	if v.Effective.LeaseExpired {
 		fmt.Fprintln(w, "lease\tnone: the limits count")
 	} else {
-		fmt.Fprintf(w, "lease\t%v left\n", clock.Duration(v.Lease).Round(time.Millisecond))
+		fmt.Fprintf(w, "lease\t%v left\n", clock.Duration(v.LeaseLeftMillis).Round(time.Millisecond))
 	}
-	fmt.Fprintf(w, "in force everywhere within\t%v; with a new leader %v\n", clock.Duration(v.Steady).Round(time.Millisecond), clock.Duration(v.Change).Round(time.Millisecond))
-	if v.Leading {
+	fmt.Fprintf(w, "in force everywhere within\t%v; with a new leader %v\n", clock.Duration(v.BoundMillis).Round(time.Millisecond), clock.Duration(v.BoundAfterElectionMillis).Round(time.Millisecond))
+	if v.IsLeader {
 		fmt.Fprintln(w, "leads\tyes")
 	}
-	for _, line := range consensus.Diff(nil, v.Acting.Rules) {
+	for _, line := range consensus.DiffRules(nil, v.Effective.Rules) {
 		fmt.Fprintf(w, "rule\t%s\n", line)
 	}
 	for id, name := range v.Voters {
@@ -494,7 +494,7 @@
 	}
 	for _, x := range v.Versions {
 		b, _ := json.Marshal(x.Rules)
-		fmt.Fprintf(w, "version %d\tby %s: %s\n", x.N, x.By, b)
+		fmt.Fprintf(w, "version %d\tby %s: %s\n", x.Number, x.ProposedBy, b)
 	}
 }
 
--- a/cmd/ashstand/homes.go
+++ b/cmd/ashstand/homes.go
@@ -28,7 +28,7 @@
 
 // homeTable is what the rules say under one set of versions.
 type homeTable struct {
-	basis consensus.Basis
+	basis consensus.EffectiveKey
 	of    map[string]session.Home
 }
 
@@ -36,16 +36,16 @@
 func (h *homes) Home(database string, now float64) session.Home { return h.at(now).of[database] }
 
 func (h *homes) at(now float64) *homeTable {
-	if t := h.table.Load(); t.fits(h.agreed.Grip(), now) {
+	if t := h.table.Load(); t.fits(h.agreed.Lease(), now) {
 		return t
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	g, before := h.agreed.Grip(), h.table.Load()
+	g, before := h.agreed.Lease(), h.table.Load()
 	if before.fits(g, now) {
 		return before
 	}
-	t := &homeTable{basis: g.Basis(now), of: homesOf(g.Acting(now).Rules)}
+	t := &homeTable{basis: g.EffectiveKey(now), of: homesOf(g.Effective(now).Rules)}
 	for name, home := range t.of {
 		if home.Paused {
 			home.Since = now
@@ -60,8 +60,8 @@
 }
 
 // fits says whether the table is of the versions and the lease that are held.
-func (t *homeTable) fits(g *consensus.Grip, now float64) bool {
-	return t != nil && t.basis == g.Basis(now)
+func (t *homeTable) fits(g *consensus.Lease, now float64) bool {
+	return t != nil && t.basis == g.EffectiveKey(now)
 }
 
 // homesOf are the databases that rules name.
--- a/cmd/ashstand/homes_test.go
+++ b/cmd/ashstand/homes_test.go
@@ -27,19 +27,19 @@
 
 func TestHomesFollowTheRules(t *testing.T) {
 	folder := filepath.Join(t.TempDir(), "agreed")
-	require.NoError(t, runner.Found(vfs.OS{}, folder, "n1", []string{"n1"}))
+	require.NoError(t, runner.Bootstrap(vfs.OS{}, folder, "n1", []string{"n1"}))
 	limits := consensus.Rules{"database.orders.group": 1.0, "database.orders.paused": true, "database.a.b.group": 1.0, "tries": 1.0}
 	r, err := runner.Start(runner.Options{Config: consensus.Config{
-		Name: "n1", Instance: 1, Voters: []string{"n1"}, Lease: 600, Drift: 0.01, Pace: 40,
-		Election: 50, Limits: limits, Format: 1, Seed: 1,
-	}, Folder: folder, Clock: clock.System(), Send: func(string, []byte) {}})
+		Name: "n1", Incarnation: 1, Voters: []string{"n1"}, LeaseMillis: 600, ClockDrift: 0.01, RenewIntervalMillis: 40,
+		ElectionTimeoutMillis: 50, Limits: limits, Format: 1, Seed: 1,
+	}, Directory: folder, Clock: clock.System(), Send: func(string, []byte) {}})
 	require.NoError(t, err)
 	defer r.Stop()
 	h := &homes{agreed: r}
 	now := func() float64 { return clock.System().Now() }
 	propose := func(text string) {
 		t.Helper()
-		rules, err := consensus.Parse([]byte(text))
+		rules, err := consensus.ParseRules([]byte(text))
 		require.NoError(t, err)
 		var n int
 		require.Eventually(t, func() bool {
@@ -48,7 +48,7 @@
 			n, err = r.Propose(ctx, rules)
 			return err == nil
 		}, 10*time.Second, 10*time.Millisecond)
-		require.Eventually(t, func() bool { a := r.Acting(); return len(a.Versions) == 1 && a.Versions[0] == n && !a.Lapsed }, 10*time.Second, time.Millisecond)
+		require.Eventually(t, func() bool { a := r.Effective(); return len(a.Versions) == 1 && a.Versions[0] == n && !a.LeaseExpired }, 10*time.Second, time.Millisecond)
 	}
 	propose(`{"database.orders.group": 1, "database.a.b.group": 3}`)
 	require.Equal(t, session.Home{Named: true, Group: 1}, h.Home("orders", now()))
@@ -60,14 +60,14 @@
 	require.InDelta(t, now(), began.Since, 2000)
 	propose(`{"database.orders.group": 2, "database.orders.paused": true, "tries": 3}`)
 	require.Equal(t, session.Home{Named: true, Group: 2, Paused: true, Since: began.Since}, h.Home("orders", now()), "the pause is the same one")
-	require.Zero(t, testing.AllocsPerRun(100, func() { h.Home("orders", r.Grip().Until-1) }))
+	require.Zero(t, testing.AllocsPerRun(100, func() { h.Home("orders", r.Lease().ExpiresAt-1) }))
 	// Without a lease: the limits, by which nobody knows where a database is that they name.
-	require.Equal(t, session.Home{Fenced: true}, h.Home("a.b", r.Grip().Until+1e6))
+	require.Equal(t, session.Home{Fenced: true}, h.Home("a.b", r.Lease().ExpiresAt+1e6))
 	propose(`{"database.orders.group": 2}`)
 	require.Equal(t, session.Home{Named: true, Group: 2}, h.Home("orders", now()))
 	// Two versions that name different groups.
 	one, two := consensus.Rules{"database.orders.group": 1.0}, consensus.Rules{"database.orders.group": 2.0, "database.orders.paused": true}
-	require.Equal(t, map[string]session.Home{"orders": {Fenced: true, Paused: true}}, homesOf(consensus.Meet(one, two)))
+	require.Equal(t, map[string]session.Home{"orders": {Fenced: true, Paused: true}}, homesOf(consensus.Strictest(one, two)))
 }
 
 func TestHomesAreShown(t *testing.T) {
@@ -108,7 +108,7 @@
 	program := filepath.Join(dir, "ashstand")
 	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
 	require.NoError(t, err, string(out))
-	require.NoError(t, runner.Found(vfs.OS{}, filepath.Join(dir, "agreed"), "n1", []string{"n1"}))
+	require.NoError(t, runner.Bootstrap(vfs.OS{}, filepath.Join(dir, "agreed"), "n1", []string{"n1"}))
 	discovery := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		rw.(http.Flusher).Flush()
 		<-r.Context().Done()
@@ -207,7 +207,7 @@
 // A look into the table, and what a change of the rules costs once: the meeting of two versions with 1000 databases each.
 func BenchmarkHomes(b *testing.B) {
 	r, err := runner.Start(runner.Options{Config: consensus.Config{
-		Name: "n4", Instance: 1, Voters: []string{"n1"}, Lease: 600, Drift: 0.01, Pace: 40, Election: 50,
+		Name: "n4", Incarnation: 1, Voters: []string{"n1"}, LeaseMillis: 600, ClockDrift: 0.01, RenewIntervalMillis: 40, ElectionTimeoutMillis: 50,
 		Format: 1, Seed: 1,
 	}, Clock: clock.System(), Send: func(string, []byte) {}})
 	require.NoError(b, err)
@@ -226,7 +226,7 @@
 	}
 	b.Run("change", func(b *testing.B) {
 		for b.Loop() {
-			if len(homesOf(consensus.Meet(one, two))) != 1000 {
+			if len(homesOf(consensus.Strictest(one, two))) != 1000 {
 				b.Fatal("databases are missing")
 			}
 		}
--- a/cmd/ashstand/moves.go
+++ b/cmd/ashstand/moves.go
@@ -39,18 +39,18 @@
 
 // Now is move.Rules'.
 func (r *movesRules) Now() (rules map[string]any, version int, inForce bool) {
-	g := r.agreed.Grip()
-	if p := g.Held.Pending; p != nil {
-		return p.Rules, p.N, false
+	g := r.agreed.Lease()
+	if p := g.Versions.Pending; p != nil {
+		return p.Rules, p.Number, false
 	}
-	return g.Held.Force.Rules, g.Held.Force.N, !g.Lapsed(r.clock.Now())
+	return g.Versions.Active.Rules, g.Versions.Active.Number, !g.Expired(r.clock.Now())
 }
 
 // Change is move.Rules'. An answer that says that another version is not in force yet is no refusal: it is asked again.
 func (r *movesRules) Change(ctx context.Context, work string, token jobs.FencingToken, deed *jobs.Operation, change map[string]any) (int, error) {
 	for {
-		n, err := r.agreed.Enter(ctx, jobs.Entry{Type: jobs.EntryAuthorize, Job: work, Token: token, Operation: deed}, consensus.Rules(change))
-		var refused *consensus.Refused
+		n, err := r.agreed.ProposeJobEntry(ctx, jobs.Entry{Type: jobs.EntryAuthorize, Job: work, Token: token, Operation: deed}, consensus.Rules(change))
+		var refused *consensus.RejectedError
 		if err == nil || !errors.As(err, &refused) {
 			return n, err
 		}
@@ -95,12 +95,12 @@
 // moves makes the kind of work that moves are.
 func (f *fellows) moves(w *jobService, cfg *config, c consensus.Config, now clock.Clock) *migration.Mover {
 	deed := cfg.operator.Cluster.Agreement.Jobs.OperationTimeout
-	_, force := c.Bound()
-	_, takeover := c.Takeover() // whoever dies may have led the log as well
+	_, force := c.ActivationBoundMillis()
+	_, takeover := c.TakeoverBoundMillis() // whoever dies may have led the log as well
 	m := &migration.Mover{
 		Places: &movesql.Places{Client: w.client, Within: deed}, Rules: &movesRules{f.agreed, now, c.Limits}, Turns: turns{w},
 		// A line of the log takes two round trips and two savings: less than a heartbeat each, or the leader would be taken for gone.
-		Costs: migration.Costs{Log: c.Election / 5, InForce: force, Owner: takeover, Place: clock.Millis(deed)},
+		Costs: migration.Costs{Log: c.ElectionTimeoutMillis / 5, InForce: force, Owner: takeover, Place: clock.Millis(deed)},
 	}
 	if slices.Contains(migration.Breakable, f.broken) {
 		m.Break = f.broken
--- a/cmd/ashstand/works.go
+++ b/cmd/ashstand/works.go
@@ -49,13 +49,13 @@
 
 // Jobs is doing.Log's.
 func (l agreedLog) Jobs() (map[string]jobs.Job, float64) {
-	g := l.Grip()
-	return g.Works, g.Until
+	g := l.Lease()
+	return g.Jobs, g.ExpiresAt
 }
 
 // Propose is doing.Log's.
 func (l agreedLog) Propose(ctx context.Context, e jobs.Entry) error {
-	_, err := l.Runner.Enter(ctx, e, nil)
+	_, err := l.Runner.ProposeJobEntry(ctx, e, nil)
 	return err
 }
 
@@ -89,7 +89,7 @@
 	}
 	opts := executor.Options{
 		Name: f.name, Incarnation: f.instance, Zone: cfg.operator.Cluster.Zone, Handlers: w.handlers, Log: w.log, Clock: now,
-		PollMillis: clock.Millis(o.PollInterval), OperationMillis: clock.Millis(o.OperationTimeout), Reachable: w.reachable, Healthy: f.agreed.Sound,
+		PollMillis: clock.Millis(o.PollInterval), OperationMillis: clock.Millis(o.OperationTimeout), Reachable: w.reachable, Healthy: f.agreed.IsStorageHealthy,
 	}
 	if f.trace != nil {
 		opts.IgnoreLeaseEnd = true
@@ -269,7 +269,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	_, err := n.others.agreed.Enter(ctx, e, nil)
+	_, err := n.others.agreed.ProposeJobEntry(ctx, e, nil)
 	return map[string]string{"work": e.Job}, err
 }
 
--- a/cmd/testbed/cluster.go
+++ b/cmd/testbed/cluster.go
@@ -121,7 +121,7 @@
 }
 
 func clusterAgree() *cobra.Command {
-	return clusterRun("agree", "rules that the poolers agree on, proposed all along while links, processes and folders fail", true, consensus.Breakable)
+	return clusterRun("agree", "rules that the poolers agree on, proposed all along while links, processes and folders fail", true, consensus.BreakableGuarantees)
 }
 
 func clusterOwner() *cobra.Command {
@@ -203,8 +203,8 @@
 	c := &cobra.Command{
 		Use: "simulate", Short: "the agreement on versions through drawn messages, crashes and clocks, without sockets", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			if m.breaks != "" && !slices.Contains(consensus.Breakable, m.breaks) {
-				return fmt.Errorf("--break %s: it can be %s", m.breaks, strings.Join(consensus.Breakable, ", "))
+			if m.breaks != "" && !slices.Contains(consensus.BreakableGuarantees, m.breaks) {
+				return fmt.Errorf("--break %s: it can be %s", m.breaks, strings.Join(consensus.BreakableGuarantees, ", "))
 			}
 			if schedules < 1 || length < 3*time.Second || cores < 1 {
 				return errors.New("--schedules and --cores take at least 1, --length at least 3s")
@@ -215,7 +215,7 @@
 	c.Flags().IntVar(&schedules, "schedules", schedules, "how many, from the seed on; each is a seed of its own")
 	c.Flags().DurationVar(&length, "length", length, "of one, in its own time")
 	c.Flags().IntVar(&cores, "cores", cores, "that play schedules side by side")
-	m.flags(c, 0, consensus.Breakable)
+	m.flags(c, 0, consensus.BreakableGuarantees)
 	_ = c.Flags().MarkHidden("duration") // schedules and length say how long
 	return c
 }
--- a/internal/cluster/consensus/golden_test.go
+++ b/internal/cluster/consensus/golden_test.go
@@ -34,7 +34,7 @@
 }
 
 func goldenVersion(n int) Version {
-	return Version{N: n, Rules: goldenRules(), By: "pooler-a", Format: 1}
+	return Version{Number: n, Rules: goldenRules(), ProposedBy: "pooler-a", Format: 1}
 }
 
 func goldenDeed() *jobs.Operation {
@@ -58,12 +58,12 @@
 	}
 }
 
-func goldenState() state {
+func goldenState() replicatedState {
 	pending := goldenVersion(5)
-	return state{
-		Last: 5, Held: Held{Force: goldenVersion(4), Pending: &pending, Seen: 9}, Versions: []Version{goldenVersion(4), goldenVersion(5)},
+	return replicatedState{
+		Last: 5, Held: VersionState{Active: goldenVersion(4), Pending: &pending, HighestToken: 9}, Versions: []Version{goldenVersion(4), goldenVersion(5)},
 		Names: map[uint64]string{3: "pooler-a", 1<<63 + 5: "pooler-b"},
-		Done: []done{
+		Done: []proposalOutcome{
 			{ID: 1 << 62, N: 4},
 			{ID: 18, Why: "version 4 came first and is not in force yet"},
 			{ID: 19, N: 5, Why: "why", Work: true, Name: "move-orders", Refused: &jobs.RejectedError{Reason: jobs.RejectStaleToken, Job: "move-orders", Presented: 8, Current: 9, Detail: "late"}},
@@ -75,7 +75,7 @@
 // Entries of the log are stored by voters and sent between them: what an earlier program wrote is read, and written alike.
 func TestGoldenLogEntries(t *testing.T) {
 	version := goldenVersion(4)
-	for name, x := range map[string]entry{
+	for name, x := range map[string]logEntry{
 		"propose":       {Propose: &version, ID: 1<<63 + 3},
 		"force":         {Force: 4},
 		"work":          {ID: 1<<63 + 4, Work: goldenOperation()},
@@ -86,7 +86,7 @@
 		b, err := json.Marshal(x)
 		require.NoError(t, err)
 		stored := golden(t, filepath.Join("entries", name+".json"), b)
-		var read entry
+		var read logEntry
 		require.NoError(t, json.Unmarshal(stored, &read))
 		require.Equal(t, x, read, name)
 		again, err := json.Marshal(read)
@@ -100,26 +100,26 @@
 	b, err := json.Marshal(goldenState())
 	require.NoError(t, err)
 	stored := golden(t, "snapshot.json", b)
-	disk := Found("pooler-a", []string{"pooler-a"})
-	disk.Snap.Data = stored
-	n, err := New(Config{Name: "pooler-a", Voters: []string{"pooler-a"}, Lease: 200, Pace: 30, Election: 50}, disk, 0)
+	disk := InitialState("pooler-a", []string{"pooler-a"})
+	disk.Snapshot.Data = stored
+	n, err := New(Config{Name: "pooler-a", Voters: []string{"pooler-a"}, LeaseMillis: 200, RenewIntervalMillis: 30, ElectionTimeoutMillis: 50}, disk, 0)
 	require.NoError(t, err)
 	require.Equal(t, goldenState(), n.st)
 	again, err := json.Marshal(n.st)
 	require.NoError(t, err)
 	require.Equal(t, string(stored), string(again))
 
-	first, err := json.Marshal(state{Names: map[uint64]string{1: "n1"}})
+	first, err := json.Marshal(replicatedState{Names: map[uint64]string{1: "n1"}})
 	require.NoError(t, err)
 	golden(t, "snapshot-first.json", first)
 }
 
 // The first snapshot of a voter, and the identities that it gives, are alike for all voters of a cluster.
 func TestGoldenFirstState(t *testing.T) {
-	disk := Found("n2", []string{"n3", "n1", "n2"})
+	disk := InitialState("n2", []string{"n3", "n1", "n2"})
 	text, err := json.Marshal(map[string]any{
-		"id": disk.ID, "voters": disk.Snap.Metadata.GetConfState().GetVoters(), "state": string(disk.Snap.GetData()),
-		"term": disk.Hard.GetTerm(), "commit": disk.Hard.GetCommit(), "index": disk.Snap.Metadata.GetIndex(), "snapshot_term": disk.Snap.Metadata.GetTerm(),
+		"id": disk.ID, "voters": disk.Snapshot.Metadata.GetConfState().GetVoters(), "state": string(disk.Snapshot.GetData()),
+		"term": disk.HardState.GetTerm(), "commit": disk.HardState.GetCommit(), "index": disk.Snapshot.Metadata.GetIndex(), "snapshot_term": disk.Snapshot.Metadata.GetTerm(),
 	})
 	require.NoError(t, err)
 	golden(t, "first.json", text)
--- a/internal/cluster/consensus/node.go
+++ b/internal/cluster/consensus/node.go
@@ -20,110 +20,110 @@
 
 // Config is what a pooler's own file says. Times are in milliseconds.
 type Config struct {
-	Name     string
-	Instance uint64   // of the process
-	Voters   []string // whom to ask; the log says who votes now
-	Lease    float64  // for so long a pooler acts on what it was told
-	Drift    float64  // by how much a clock may run fast or slow, 0.01 for 1 %
-	Pace     float64  // how often a lease is renewed
-	Election float64  // a leader that is silent for so long, or up to twice as long, is replaced
-	Limits   Rules    // the strictest that any version may hold: what counts without a lease
-	Format   int      // of rules that this program reads
-	Seed     uint64
-	Desk     jobs.SchedulerConfig // how owners of works are watched
-	Break    string               // what is switched off to see a checker fail; "": nothing
-}
-
-// Breakable are the words of Config.Break.
-var Breakable = []string{"lease", "meet", "quorum", "fence"}
+	Name                  string
+	Incarnation           uint64   // of the process
+	Voters                []string // whom to ask; the log says who votes now
+	LeaseMillis           float64  // for so long a pooler acts on what it was told
+	ClockDrift            float64  // by how much a clock may run fast or slow, 0.01 for 1 %
+	RenewIntervalMillis   float64  // how often a lease is renewed
+	ElectionTimeoutMillis float64  // a leader that is silent for so long, or up to twice as long, is replaced
+	Limits                Rules    // the strictest that any version may hold: what counts without a lease
+	Format                int      // of rules that this program reads
+	Seed                  uint64
+	Scheduler             jobs.SchedulerConfig // how owners of works are watched
+	Break                 string               // what is switched off to see a checker fail; "": nothing
+}
+
+// BreakableGuarantees are the words of Config.Break.
+var BreakableGuarantees = []string{"lease", "meet", "quorum", "fence"}
 
 // Version is one version of the rules.
 type Version struct {
-	N      int    `json:"n"`
-	Rules  Rules  `json:"rules"`
-	By     string `json:"by"`
-	Format int    `json:"format"` // the least that reads it
+	Number     int    `json:"n"`
+	Rules      Rules  `json:"rules"`
+	ProposedBy string `json:"by"`
+	Format     int    `json:"format"` // the least that reads it
 }
 
-// Held is what a pooler itself acts on, kept over its restarts so that it never goes back.
-type Held struct {
-	Force   Version  `json:"force"`
+// VersionState is what a pooler itself acts on, kept over its restarts so that it never goes back.
+type VersionState struct {
+	Active  Version  `json:"force"`
 	Pending *Version `json:"pending,omitempty"`
 	// Seen is the highest token of a work's owner that this pooler was told of.
-	Seen jobs.FencingToken `json:"seen,omitempty"`
+	HighestToken jobs.FencingToken `json:"seen,omitempty"`
 }
 
-// Disk is what a node keeps. Whoever runs the node writes it whole, and synced, before any message of the same Output
+// PersistentState is what a node keeps. Whoever runs the node writes it whole, and synced, before any message of the same Output
 // goes out or what it holds is acted on. A copy of it must never be given to New: two processes that vote by one
 // identity, or one that has forgotten how it voted, can undo what was agreed. Without the true one, New takes nil.
-type Disk struct {
-	ID      uint64 // 0: the node never voted
-	Hard    *pb.HardState
-	Snap    *pb.Snapshot
-	Entries []*pb.Entry // behind it
-	Held    Held
+type PersistentState struct {
+	ID        uint64 // 0: the node never voted
+	HardState *pb.HardState
+	Snapshot  *pb.Snapshot
+	Entries   []*pb.Entry // behind it
+	Versions  VersionState
 }
 
-// Kind tells messages apart.
-type Kind uint8
+// MessageKind tells messages apart.
+type MessageKind uint8
 
 // The messages.
 const (
-	MsgRaft    Kind = iota // between voters
-	MsgHello               // a voter by name that the log does not know under its identity
-	MsgRenew               // a pooler asks for its lease
-	MsgGrant               // and gets it
-	MsgPropose             // an operator's proposal, by way of any pooler
-	MsgAnswer              // what came of it
-	MsgNoLeader
-	MsgWorks // the leader tells what became of works, unasked
+	KindRaft           MessageKind = iota // between voters
+	KindVoterHello                        // a voter by name that the log does not know under its identity
+	KindLeaseRequest                      // a pooler asks for its lease
+	KindLeaseGrant                        // and gets it
+	KindProposal                          // an operator's proposal, by way of any pooler
+	KindProposalResult                    // what came of it
+	KindLeaderRedirect
+	KindJobUpdate // the leader tells what became of works, unasked
 )
 
 // Message goes from one pooler to another, by name.
 type Message struct {
 	From, To string
-	Kind     Kind
-	ID       uint64 // MsgHello: the identity; MsgPropose, MsgAnswer: the proposal
+	Kind     MessageKind
+	ID       uint64 // KindVoterHello: the identity; KindProposal, KindProposalResult: the proposal
 	Raft     *pb.Message
 	Nonce    uint64
 	Instance uint64 // of the sender's process
-	Known    int    // MsgRenew: the highest version that it acts on, met or alone
-	Format   int    // MsgRenew: that its program reads
+	Known    int    // KindLeaseRequest: the highest version that it acts on, met or alone
+	Format   int    // KindLeaseRequest: that its program reads
 	For      float64
-	Held     Held // MsgGrant, and whatever else brings works: in force, and pending
+	Held     VersionState // KindLeaseGrant, and whatever else brings works: in force, and pending
 	Version  Version
 	OK       bool
 	Why      string
-	Leader   string // MsgNoLeader: who it may be
+	Leader   string // KindLeaderRedirect: who it may be
 
-	Entry   *jobs.Entry         // MsgPropose: about a work, instead of a version
-	Change  Rules               // MsgPropose: of the rules in force, by the work that Entry names; nil values take a key away
-	Refused *jobs.RejectedError // MsgAnswer: why an entry changed nothing
-	Report  *jobs.Report        // MsgRenew
-	Epoch   uint64              // MsgRenew, MsgGrant, MsgWorks: which ledger; one that is founded anew has another
-	Count   uint64              // MsgRenew: up to which change of the ledger its works are known; MsgGrant, MsgWorks: up to which they come
-	Works   []jobs.Job          // MsgGrant, MsgWorks: those that changed since
+	Entry   *jobs.Entry         // KindProposal: about a work, instead of a version
+	Change  Rules               // KindProposal: of the rules in force, by the work that Entry names; nil values take a key away
+	Refused *jobs.RejectedError // KindProposalResult: why an entry changed nothing
+	Report  *jobs.Report        // KindLeaseRequest
+	Epoch   uint64              // KindLeaseRequest, KindLeaseGrant, KindJobUpdate: which ledger; one that is founded anew has another
+	Count   uint64              // KindLeaseRequest: up to which change of the ledger its works are known; KindLeaseGrant, KindJobUpdate: up to which they come
+	Works   []jobs.Job          // KindLeaseGrant, KindJobUpdate: those that changed since
 }
 
 // Output is what a node wants done, in this order: save, then the rest.
 type Output struct {
-	Save     *Disk // nil: nothing changed
+	Save     *PersistentState // nil: nothing changed
 	Messages []Message
-	Answers  []Message // to proposals that were made here
+	Results  []Message // to proposals that were made here
 }
 
-// state is what the log comes to.
-type state struct {
+// replicatedState is what the log comes to.
+type replicatedState struct {
 	Last     int               `json:"last"` // version
-	Held     Held              `json:"held"`
+	Held     VersionState      `json:"held"`
 	Versions []Version         `json:"versions"` // the last few, for operators
 	Names    map[uint64]string `json:"names"`    // of voters and learners
-	Done     []done            `json:"done"`     // proposals, so that one that is sent again counts once
+	Done     []proposalOutcome `json:"done"`     // proposals, so that one that is sent again counts once
 	Epoch    uint64            `json:"epoch,omitempty"`
 	Ledger   jobs.StateMachine `json:"ledger"`
 }
 
-type done struct {
+type proposalOutcome struct {
 	ID      uint64              `json:"id"`
 	N       int                 `json:"n,omitempty"` // 0: refused, or about a work
 	Why     string              `json:"why,omitempty"`
@@ -132,8 +132,8 @@
 	Refused *jobs.RejectedError `json:"refused,omitempty"`
 }
 
-// entry is one line of the log.
-type entry struct {
+// logEntry is one line of the log.
+type logEntry struct {
 	Propose *Version    `json:"propose,omitempty"`
 	ID      uint64      `json:"id,omitempty"`
 	Force   int         `json:"force,omitempty"`
@@ -158,11 +158,11 @@
 	lots *rand.Rand
 	out  Output
 
-	disk  Disk
+	disk  PersistentState
 	dirty bool
 	store *raft.MemoryStorage // nil: it does not vote
 	rn    *raft.RawNode
-	st    state
+	st    replicatedState
 	done  uint64 // applied
 	conf  *pb.ConfState
 	ticks float64 // when the next tick is due
@@ -171,9 +171,9 @@
 	slow  float64 // how long a save takes, the slowest of late
 
 	leading  bool
-	safe     float64            // from then on no lease of an earlier leader runs
-	holders  map[string]*holder // by name and instance
-	waiting  []Message          // renewals that wait for word from a majority
+	safe     float64                 // from then on no lease of an earlier leader runs
+	holders  map[string]*leaseHolder // by name and instance
+	waiting  []Message               // renewals that wait for word from a majority
 	batch    uint64
 	asked    []Message
 	askedAt  float64
@@ -183,7 +183,7 @@
 	hellos   map[string]uint64
 	seen     map[uint64]string // names of identities that have spoken: one that learns the log knows none
 
-	held    Held
+	held    VersionState
 	until   float64            // of the own lease
 	nonces  map[uint64]float64 // when the last few renewals were sent
 	nonce   uint64             // of the last one; each has the next number
@@ -200,8 +200,8 @@
 	works   works       // as far as they are known here
 }
 
-// holder is a pooler whose lease may still run.
-type holder struct {
+// leaseHolder is a pooler whose lease may still run.
+type leaseHolder struct {
 	until  float64 // by the leader's clock, the other's drift included
 	known  int
 	format int
@@ -212,9 +212,9 @@
 	told     float64 // when it was told of all works
 }
 
-// Found is what a voter's folder holds before the first start of a cluster. All voters get the same names, once.
-func Found(name string, names []string) *Disk {
-	st := state{Names: map[uint64]string{}}
+// InitialState is what a voter's folder holds before the first start of a cluster. All voters get the same names, once.
+func InitialState(name string, names []string) *PersistentState {
+	st := replicatedState{Names: map[uint64]string{}}
 	conf := &pb.ConfState{}
 	for _, n := range slices.Sorted(slices.Values(names)) {
 		st.Names[first(n)] = n
@@ -225,9 +225,9 @@
 		panic(err) // it holds nothing that could fail
 	}
 	one := uint64(1)
-	return &Disk{
-		ID: first(name), Hard: &pb.HardState{Term: &one, Commit: &one, Vote: new(uint64)},
-		Snap: &pb.Snapshot{Data: data, Metadata: &pb.SnapshotMetadata{ConfState: conf, Index: &one, Term: &one}},
+	return &PersistentState{
+		ID: first(name), HardState: &pb.HardState{Term: &one, Commit: &one, Vote: new(uint64)},
+		Snapshot: &pb.Snapshot{Data: data, Metadata: &pb.SnapshotMetadata{ConfState: conf, Index: &one, Term: &one}},
 	}
 }
 
@@ -238,26 +238,26 @@
 	return h.Sum64() | 1
 }
 
-// Bound is the stated time, in milliseconds: a version that was put into the log is in force on all poolers that can be
+// ActivationBoundMillis is the stated time, in milliseconds: a version that was put into the log is in force on all poolers that can be
 // reached, and nobody acts against it, within it, while one leader stays. Leases that run out unconfirmed take the
 // longest; a change of the leader in between adds its election and one lease more.
-func (c Config) Bound() (steady, change float64) {
-	steady = c.Lease*c.stretch() + 4*c.Pace + 2*c.Election/tickShare
-	return steady, steady + 2*c.Election + c.Lease*c.stretch()
+func (c Config) ActivationBoundMillis() (steady, change float64) {
+	steady = c.LeaseMillis*c.driftFactor() + 4*c.RenewIntervalMillis + 2*c.ElectionTimeoutMillis/tickShare
+	return steady, steady + 2*c.ElectionTimeoutMillis + c.LeaseMillis*c.driftFactor()
 }
 
-// stretch is how much longer a lease may last by another's slow clock than by one's own fast one.
-func (c Config) stretch() float64 { return (1 + c.Drift) / (1 - c.Drift) }
+// driftFactor is how much longer a lease may last by another's slow clock than by one's own fast one.
+func (c Config) driftFactor() float64 { return (1 + c.ClockDrift) / (1 - c.ClockDrift) }
 
 // New returns a pooler's node. disk is what it kept; nil: nothing, or nothing that is surely its own.
-func New(cfg Config, disk *Disk, now float64) (*Node, error) {
+func New(cfg Config, disk *PersistentState, now float64) (*Node, error) {
 	n := &Node{
-		cfg: cfg, now: now, lots: rand.New(rand.NewPCG(cfg.Seed, cfg.Instance)), holders: map[string]*holder{}, hellos: map[string]uint64{}, seen: map[uint64]string{},
-		nonces: map[uint64]float64{}, mine: map[uint64]Message{}, desk: jobs.NewScheduler(cfg.Desk), askers: map[uint64]string{}, until: math.Inf(-1), ticks: now, heard: now, renewAt: now,
+		cfg: cfg, now: now, lots: rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)), holders: map[string]*leaseHolder{}, hellos: map[string]uint64{}, seen: map[uint64]string{},
+		nonces: map[uint64]float64{}, mine: map[uint64]Message{}, desk: jobs.NewScheduler(cfg.Scheduler), askers: map[uint64]string{}, until: math.Inf(-1), ticks: now, heard: now, renewAt: now,
 	}
 	if disk != nil {
 		n.disk = *disk
-		n.held = disk.Held
+		n.held = disk.Versions
 	}
 	n.nonce = n.lots.Uint64()
 	if !slices.Contains(cfg.Voters, cfg.Name) {
@@ -265,20 +265,20 @@
 	}
 	if n.disk.ID == 0 {
 		n.disk.ID = n.lots.Uint64() | 1 // a new identity: this name may have voted before
-		n.disk.Hard, n.disk.Snap, n.disk.Entries = nil, nil, nil
+		n.disk.HardState, n.disk.Snapshot, n.disk.Entries = nil, nil, nil
 		n.dirty = true
 	}
 	n.store = raft.NewMemoryStorage()
-	if n.disk.Snap != nil {
-		if err := n.store.ApplySnapshot(n.disk.Snap); err != nil {
+	if n.disk.Snapshot != nil {
+		if err := n.store.ApplySnapshot(n.disk.Snapshot); err != nil {
 			return nil, err
 		}
-		if err := n.load(n.disk.Snap); err != nil {
+		if err := n.load(n.disk.Snapshot); err != nil {
 			return nil, err
 		}
 	}
-	if n.disk.Hard != nil {
-		if err := n.store.SetHardState(n.disk.Hard); err != nil {
+	if n.disk.HardState != nil {
+		if err := n.store.SetHardState(n.disk.HardState); err != nil {
 			return nil, err
 		}
 	}
@@ -289,7 +289,7 @@
 	n.rn, err = raft.NewRawNode(&raft.Config{
 		ID: n.disk.ID, ElectionTick: tickShare, HeartbeatTick: heartbeat, Storage: n.store, Applied: n.done,
 		MaxSizePerMsg: 64 << 10, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 4 << 20, CheckQuorum: true, PreVote: true,
-		StepDownOnRemoval: true, Logger: silent{},
+		StepDownOnRemoval: true, Logger: raftLogger{},
 	})
 	if err != nil {
 		return nil, err
@@ -300,7 +300,7 @@
 }
 
 func (n *Node) load(s *pb.Snapshot) error {
-	n.st = state{}
+	n.st = replicatedState{}
 	if err := json.Unmarshal(s.GetData(), &n.st); err != nil {
 		return fmt.Errorf("the kept state can't be read: %w", err)
 	}
@@ -312,75 +312,75 @@
 // is never asked to stand by itself.
 func (n *Node) daring() { n.dare = n.election() * (1 + n.lots.Float64()) }
 
-// Saved tells how long it took to keep what an Output wanted kept. A voter says nothing meanwhile, so nobody may be
+// RecordSaveDuration tells how long it took to keep what an Output wanted kept. A voter says nothing meanwhile, so nobody may be
 // replaced for being silent for as long as that.
-func (n *Node) Saved(took float64) { n.slow = max(took, n.slow-n.slow/8) }
+func (n *Node) RecordSaveDuration(took float64) { n.slow = max(took, n.slow-n.slow/8) }
 
 // election is how long a leader may be silent, as the file has it, or four of the slowest saves of late.
-func (n *Node) election() float64 { return max(n.cfg.Election, 4*n.slow) }
+func (n *Node) election() float64 { return max(n.cfg.ElectionTimeoutMillis, 4*n.slow) }
 
-// Acting is what a pooler goes by at a moment.
-type Acting struct {
-	Versions []int `json:"versions"` // one, or the two that meet; without a lease those that it knows of
-	Rules    Rules `json:"rules"`
-	Lapsed   bool  `json:"lapsed"` // without a lease
+// EffectiveRules is what a pooler goes by at a moment.
+type EffectiveRules struct {
+	Versions     []int `json:"versions"` // one, or the two that meet; without a lease those that it knows of
+	Rules        Rules `json:"rules"`
+	LeaseExpired bool  `json:"lapsed"` // without a lease
 }
 
-// Grip is what a pooler holds on to: a value, so that decisions can ask it without waiting for the node. Its zero value
+// Lease is what a pooler holds on to: a value, so that decisions can ask it without waiting for the node. Its zero value
 // holds nothing.
-type Grip struct {
-	Held   Held
-	Until  float64             // of the lease, by the node's clock
-	Works  map[string]jobs.Job // as far as they are known here; not to be changed
-	limits Rules
-	broken string
+type Lease struct {
+	Versions  VersionState
+	ExpiresAt float64             // of the lease, by the node's clock
+	Jobs      map[string]jobs.Job // as far as they are known here; not to be changed
+	limits    Rules
+	broken    string
 }
 
-// Grip returns what is held now. It may be acted on once what Output wanted saved is.
-func (n *Node) Grip() Grip { return Grip{n.held, n.until, n.works.of, n.cfg.Limits, n.cfg.Break} }
+// Lease returns what is held now. It may be acted on once what Output wanted saved is.
+func (n *Node) Lease() Lease { return Lease{n.held, n.until, n.works.of, n.cfg.Limits, n.cfg.Break} }
 
-// Basis is what a Grip's rules rest on at a moment: as long as it stays, so do they.
-type Basis struct {
-	Force, Pending int // Pending 0: none
-	Lapsed         bool
+// EffectiveKey is what a Grip's rules rest on at a moment: as long as it stays, so do they.
+type EffectiveKey struct {
+	Active, Pending int // Pending 0: none
+	LeaseExpired    bool
 }
 
-// Basis returns it, without meeting any rules.
-func (g *Grip) Basis(now float64) Basis {
-	b := Basis{Force: g.Held.Force.N, Lapsed: g.Lapsed(now)}
-	if p := g.Held.Pending; p != nil {
-		b.Pending = p.N
+// EffectiveKey returns it, without meeting any rules.
+func (g *Lease) EffectiveKey(now float64) EffectiveKey {
+	b := EffectiveKey{Active: g.Versions.Active.Number, LeaseExpired: g.Expired(now)}
+	if p := g.Versions.Pending; p != nil {
+		b.Pending = p.Number
 	}
 	return b
 }
 
-// Lapsed says whether a pooler is without a lease.
-func (g *Grip) Lapsed(now float64) bool { return now >= g.Until && g.broken != "lease" }
+// Expired says whether a pooler is without a lease.
+func (g *Lease) Expired(now float64) bool { return now >= g.ExpiresAt && g.broken != "lease" }
 
-// Acting returns what to go by. Whoever takes a decision asks at that moment: a process that was stopped may have lost
+// Effective returns what to go by. Whoever takes a decision asks at that moment: a process that was stopped may have lost
 // its lease since it asked last.
-func (g *Grip) Acting(now float64) Acting {
-	a := Acting{Versions: []int{g.Held.Force.N}, Rules: g.Held.Force.Rules}
-	if p := g.Held.Pending; p != nil {
-		if a.Versions = append(a.Versions, p.N); g.broken == "meet" {
+func (g *Lease) Effective(now float64) EffectiveRules {
+	a := EffectiveRules{Versions: []int{g.Versions.Active.Number}, Rules: g.Versions.Active.Rules}
+	if p := g.Versions.Pending; p != nil {
+		if a.Versions = append(a.Versions, p.Number); g.broken == "meet" {
 			a.Versions, a.Rules = a.Versions[1:], p.Rules
 		} else {
 			a.Rules = g.meet(a.Rules, p.Rules)
 		}
 	}
-	if g.Lapsed(now) {
-		a.Lapsed, a.Rules = true, Meet(a.Rules, g.limits)
+	if g.Expired(now) {
+		a.LeaseExpired, a.Rules = true, Strictest(a.Rules, g.limits)
 		for name := range g.limits { // what has no order may by now be anything
-			if k, ok := find(name); ok && k.order == none && g.broken != "fence" {
-				a.Rules[name] = fence{}
+			if k, ok := findRuleKey(name); ok && k.order == unordered && g.broken != "fence" {
+				a.Rules[name] = fencedValue{}
 			}
 		}
 	}
 	return a
 }
 
-func (g *Grip) meet(a, b Rules) Rules {
-	m := Meet(a, b)
+func (g *Lease) meet(a, b Rules) Rules {
+	m := Strictest(a, b)
 	for name := range m {
 		if g.broken == "fence" && m.Fenced(name) { // the newer, though there is no order
 			if m[name] = b[name]; b[name] == nil {
@@ -391,14 +391,14 @@
 	return m
 }
 
-// Acting is Grip's at a moment.
-func (n *Node) Acting(now float64) Acting { g := n.Grip(); return g.Acting(now) }
+// Effective is Grip's at a moment.
+func (n *Node) Effective(now float64) EffectiveRules { g := n.Lease(); return g.Effective(now) }
 
-// Lapsed is Grip's at a moment.
-func (n *Node) Lapsed(now float64) bool { g := n.Grip(); return g.Lapsed(now) }
+// LeaseExpired is Grip's at a moment.
+func (n *Node) LeaseExpired(now float64) bool { g := n.Lease(); return g.Expired(now) }
 
-// Leading says whether this node believes to lead.
-func (n *Node) Leading() bool { return n.leading }
+// IsLeader says whether this node believes to lead.
+func (n *Node) IsLeader() bool { return n.leading }
 
 // Voters are the names in the log, with their identities.
 func (n *Node) Voters() map[uint64]string { return n.st.Names }
@@ -409,10 +409,10 @@
 // Propose brings rules in; the answer comes in some Output. The identity of a proposal makes it count once.
 func (n *Node) Propose(now float64, id uint64, rules Rules) error {
 	n.now = max(n.now, now)
-	if err := rules.Check(); err != nil {
+	if err := rules.Validate(); err != nil {
 		return err
 	}
-	m := Message{Kind: MsgPropose, From: n.cfg.Name, ID: id, Version: Version{Rules: rules, By: n.cfg.Name, Format: 1}}
+	m := Message{Kind: KindProposal, From: n.cfg.Name, ID: id, Version: Version{Rules: rules, ProposedBy: n.cfg.Name, Format: 1}}
 	n.mine[id] = m
 	n.ask(m)
 	n.drain()
@@ -429,7 +429,7 @@
 }
 
 func (n *Node) send(m Message) {
-	if m.From, m.Instance = n.cfg.Name, n.cfg.Instance; m.To != "" { // to itself as well: whoever carries messages brings it back
+	if m.From, m.Instance = n.cfg.Name, n.cfg.Incarnation; m.To != "" { // to itself as well: whoever carries messages brings it back
 		n.out.Messages = append(n.out.Messages, m)
 	}
 }
@@ -443,7 +443,7 @@
 
 func (n *Node) take(m Message) {
 	switch m.Kind {
-	case MsgRaft:
+	case KindRaft:
 		if n.rn == nil || m.Raft == nil || m.Raft.GetTo() != n.disk.ID {
 			return // for an earlier identity
 		}
@@ -457,39 +457,39 @@
 			n.seen[m.Raft.GetFrom()] = m.From
 		}
 		_ = n.rn.Step(m.Raft)
-	case MsgHello:
+	case KindVoterHello:
 		if n.leading && slices.Contains(n.cfg.Voters, m.From) && len(n.hellos) < 64 {
 			n.hellos[m.From] = m.ID
 		}
-	case MsgRenew:
+	case KindLeaseRequest:
 		if !n.leading {
-			n.send(Message{To: m.From, Kind: MsgNoLeader, Leader: n.lead()})
+			n.send(Message{To: m.From, Kind: KindLeaderRedirect, Leader: n.lead()})
 		} else if len(n.waiting) < holdersKept {
 			n.waiting = append(n.waiting, m)
 		}
-	case MsgGrant:
+	case KindLeaseGrant:
 		n.granted(m)
-	case MsgWorks:
+	case KindJobUpdate:
 		n.hear(m)
 		n.works.take(m)
-	case MsgNoLeader:
+	case KindLeaderRedirect:
 		if n.leader == m.From || n.leader == "" {
 			if n.leader = m.Leader; n.leader == m.From {
 				n.leader = ""
 			}
 		}
-	case MsgPropose:
+	case KindProposal:
 		if !n.leading {
-			n.send(Message{To: m.From, Kind: MsgNoLeader, Leader: n.lead()})
+			n.send(Message{To: m.From, Kind: KindLeaderRedirect, Leader: n.lead()})
 		} else if a, over := n.propose(m); over {
 			n.send(a)
 		}
-	case MsgAnswer:
+	case KindProposalResult:
 		if _, ok := n.mine[m.ID]; ok {
 			delete(n.mine, m.ID)
 			n.hear(m)
 			n.works.take(m)
-			n.out.Answers = append(n.out.Answers, m)
+			n.out.Results = append(n.out.Results, m)
 		}
 	}
 }
@@ -504,7 +504,7 @@
 
 // propose puts a proposal into the log, or answers it: it was decided, or it can't be taken now.
 func (n *Node) propose(m Message) (answer Message, over bool) {
-	a := Message{To: m.From, Kind: MsgAnswer, ID: m.ID}
+	a := Message{To: m.From, Kind: KindProposalResult, ID: m.ID}
 	for _, d := range n.st.Done {
 		if d.ID == m.ID {
 			return n.answer(m.From, d), true
@@ -518,12 +518,12 @@
 		return a, true
 	}
 	if n.st.Held.Pending != nil {
-		a.Why = fmt.Sprintf("version %d is not in force yet", n.st.Held.Pending.N)
+		a.Why = fmt.Sprintf("version %d is not in force yet", n.st.Held.Pending.Number)
 		return a, true
 	}
-	x := entry{Propose: &m.Version, ID: m.ID, Work: m.Entry, Change: m.Change}
+	x := logEntry{Propose: &m.Version, ID: m.ID, Work: m.Entry, Change: m.Change}
 	if m.Change != nil {
-		m.Version.Rules, m.Version.By = m.Change.onto(nil), m.From
+		m.Version.Rules, m.Version.ProposedBy = m.Change.appliedTo(nil), m.From
 		x.Propose = nil
 	}
 	if a.Why = n.refuse(m.Version); a.Why != "" {
@@ -543,13 +543,13 @@
 
 // refuse says why a version can't come into force on this fleet; "": it can.
 func (n *Node) refuse(v Version) string {
-	if err := v.Rules.Check(); err != nil {
+	if err := v.Rules.Validate(); err != nil {
 		return err.Error()
 	}
 	// Without a lease a pooler goes by the limits; a version that is stricter than these would be broken by it.
 	for _, name := range slices.Sorted(maps.Keys(v.Rules)) {
-		k, _ := find(name)
-		if limit, ok := n.cfg.Limits[name]; !ok || k.order != none && k.stricter(limit, v.Rules[name]) != limit {
+		k, _ := findRuleKey(name)
+		if limit, ok := n.cfg.Limits[name]; !ok || k.order != unordered && k.stricter(limit, v.Rules[name]) != limit {
 			return name + " is stricter than the limits, which count without a lease, or stands in none"
 		}
 	}
@@ -588,7 +588,7 @@
 		}
 	}
 	if n.now >= n.renewAt {
-		n.renewAt = n.now + n.cfg.Pace*(0.9+0.2*n.lots.Float64())
+		n.renewAt = n.now + n.cfg.RenewIntervalMillis*(0.9+0.2*n.lots.Float64())
 		n.renew()
 		for _, id := range slices.Sorted(maps.Keys(n.mine)) {
 			n.ask(n.mine[id])
@@ -596,7 +596,7 @@
 		if n.rn != nil && !n.member() {
 			for _, v := range n.cfg.Voters {
 				if v != n.cfg.Name {
-					n.send(Message{To: v, Kind: MsgHello, ID: n.disk.ID})
+					n.send(Message{To: v, Kind: KindVoterHello, ID: n.disk.ID})
 				}
 			}
 		}
@@ -613,16 +613,16 @@
 	n.nonce++
 	n.nonces[n.nonce] = n.now
 	delete(n.nonces, n.nonce-noncesKept)
-	known := n.held.Force.N
+	known := n.held.Active.Number
 	if p := n.held.Pending; p != nil {
-		known = p.N
+		known = p.Number
 	}
 	if n.now >= n.until && n.nonce%3 == 0 {
 		n.leader = "" // whoever was thought to lead does not answer
 	}
 	report := n.report
 	report.HighestToken = n.seenToken()
-	n.ask(Message{Kind: MsgRenew, Nonce: n.nonce, Known: known, Format: n.cfg.Format, Report: &report, Epoch: n.works.epoch, Count: n.works.count})
+	n.ask(Message{Kind: KindLeaseRequest, Nonce: n.nonce, Known: known, Format: n.cfg.Format, Report: &report, Epoch: n.works.epoch, Count: n.works.count})
 }
 
 // granted takes a lease. It runs from when it was asked for, by this node's clock, and brings what there is to act on;
@@ -641,23 +641,23 @@
 // hear takes the versions that a message brings. What it says of works is no newer than these.
 func (n *Node) hear(m Message) {
 	h := n.held
-	if m.Held.Force.N > h.Force.N {
-		h.Force = m.Held.Force
+	if m.Held.Active.Number > h.Active.Number {
+		h.Active = m.Held.Active
 	}
-	if p := m.Held.Pending; p != nil && (h.Pending == nil || p.N > h.Pending.N) {
+	if p := m.Held.Pending; p != nil && (h.Pending == nil || p.Number > h.Pending.Number) {
 		h.Pending = p
 	}
-	if h.Pending != nil && h.Pending.N <= h.Force.N {
+	if h.Pending != nil && h.Pending.Number <= h.Active.Number {
 		h.Pending = nil
 	}
 	for _, w := range m.Works {
-		h.Seen = max(h.Seen, w.Token)
+		h.HighestToken = max(h.HighestToken, w.Token)
 	}
-	if h.Seen != n.held.Seen {
-		n.held.Seen, n.dirty = h.Seen, true
+	if h.HighestToken != n.held.HighestToken {
+		n.held.HighestToken, n.dirty = h.HighestToken, true
 	}
-	if changed := h.Force.N != n.held.Force.N || (h.Pending == nil) != (n.held.Pending == nil) ||
-		h.Pending != nil && h.Pending.N != n.held.Pending.N; changed {
+	if changed := h.Active.Number != n.held.Active.Number || (h.Pending == nil) != (n.held.Pending == nil) ||
+		h.Pending != nil && h.Pending.Number != n.held.Pending.Number; changed {
 		n.held, n.dirty = h, true
 		n.renewAt = n.now // confirm at once
 	}
@@ -680,7 +680,7 @@
 		if !raft.IsEmptySnap(rd.Snapshot) {
 			_ = n.store.ApplySnapshot(rd.Snapshot)
 			_ = n.load(rd.Snapshot)
-			n.disk.Snap, n.disk.Entries, n.dirty = rd.Snapshot, nil, true
+			n.disk.Snapshot, n.disk.Entries, n.dirty = rd.Snapshot, nil, true
 		}
 		if len(rd.Entries) > 0 {
 			_ = n.store.Append(rd.Entries)
@@ -688,11 +688,11 @@
 		}
 		if !raft.IsEmptyHardState(rd.HardState) {
 			_ = n.store.SetHardState(rd.HardState)
-			n.disk.Hard = rd.HardState
+			n.disk.HardState = rd.HardState
 			n.dirty = n.dirty || rd.MustSync // how far the log is decided need not be kept: it is told again
 		}
 		for _, m := range rd.Messages {
-			n.send(Message{To: n.nameOf(m.GetTo()), Kind: MsgRaft, Raft: m})
+			n.send(Message{To: n.nameOf(m.GetTo()), Kind: KindRaft, Raft: m})
 			if m.GetType() == pb.MessageType_MsgSnap {
 				n.rn.ReportSnapshot(m.GetTo(), raft.SnapshotFinish)
 			}
@@ -720,7 +720,7 @@
 func (n *Node) turned(leads bool) {
 	if leads && !n.leading {
 		// Leases of earlier leaders were asked for before this one was chosen, so after one length none runs any more.
-		n.safe = n.now + n.cfg.Lease*n.cfg.stretch()
+		n.safe = n.now + n.cfg.LeaseMillis*n.cfg.driftFactor()
 		n.proposed = math.Inf(-1)
 	}
 	if leads != n.leading {
@@ -740,7 +740,7 @@
 	n.done = e.GetIndex()
 	switch e.GetType() {
 	case pb.EntryType_EntryNormal:
-		var x entry
+		var x logEntry
 		if len(e.GetData()) > 0 && json.Unmarshal(e.GetData(), &x) == nil {
 			n.decide(x)
 		}
@@ -763,26 +763,26 @@
 }
 
 // decide is what each line of the log means; it must come out alike everywhere.
-func (n *Node) decide(x entry) {
+func (n *Node) decide(x logEntry) {
 	switch p := n.st.Held.Pending; {
 	case x.Propose != nil:
-		if slices.ContainsFunc(n.st.Done, func(d done) bool { return d.ID == x.ID }) {
+		if slices.ContainsFunc(n.st.Done, func(d proposalOutcome) bool { return d.ID == x.ID }) {
 			return // it was sent twice
 		}
-		d := done{ID: x.ID}
+		d := proposalOutcome{ID: x.ID}
 		if p != nil {
-			d.Why = fmt.Sprintf("version %d came first and is not in force yet", p.N)
+			d.Why = fmt.Sprintf("version %d came first and is not in force yet", p.Number)
 		} else {
 			d.N = n.version(*x.Propose)
 		}
 		n.finish(d)
 	case x.Work != nil:
-		if !slices.ContainsFunc(n.st.Done, func(d done) bool { return d.ID == x.ID }) {
+		if !slices.ContainsFunc(n.st.Done, func(d proposalOutcome) bool { return d.ID == x.ID }) {
 			n.finish(n.settle(x))
 		}
 	case x.Force > 0:
-		if p != nil && p.N == x.Force {
-			n.st.Held = Held{Force: *p}
+		if p != nil && p.Number == x.Force {
+			n.st.Held = VersionState{Active: *p}
 		}
 	}
 }
@@ -798,8 +798,8 @@
 			delete(n.holders, k)
 		}
 	}
-	if p := n.st.Held.Pending; p != nil && n.now-n.proposed > n.election() && n.confirmed(p.N) {
-		if b, err := json.Marshal(entry{Force: p.N}); err == nil && n.rn.Propose(b) == nil {
+	if p := n.st.Held.Pending; p != nil && n.now-n.proposed > n.election() && n.confirmed(p.Number) {
+		if b, err := json.Marshal(logEntry{Force: p.Number}); err == nil && n.rn.Propose(b) == nil {
 			n.proposed = n.now
 		}
 	}
@@ -856,7 +856,7 @@
 		if len(n.holders) >= holdersKept {
 			return
 		}
-		h = &holder{name: m.From, until: math.Inf(-1), told: math.Inf(-1)}
+		h = &leaseHolder{name: m.From, until: math.Inf(-1), told: math.Inf(-1)}
 		n.holders[k] = h
 	}
 	h.known, h.format = max(h.known, m.Known), m.Format
@@ -864,8 +864,8 @@
 		h.report = *m.Report
 		n.desk.ObserveReport(h.report)
 	}
-	h.until = max(h.until, n.now+n.cfg.Lease*n.cfg.stretch())
-	g := Message{To: m.From, Kind: MsgGrant, Nonce: m.Nonce, For: n.cfg.Lease, Held: n.st.Held}
+	h.until = max(h.until, n.now+n.cfg.LeaseMillis*n.cfg.driftFactor())
+	g := Message{To: m.From, Kind: KindLeaseGrant, Nonce: m.Nonce, For: n.cfg.LeaseMillis, Held: n.st.Held}
 	n.tell(&g, m, h)
 	n.send(g)
 }
@@ -919,7 +919,7 @@
 
 // keep brings the disk up to date, with old entries folded into a snapshot.
 func (n *Node) keep() {
-	n.disk.Held = n.held
+	n.disk.Versions = n.held
 	if n.store == nil {
 		return
 	}
@@ -942,7 +942,7 @@
 		return
 	}
 	if s, err := n.store.CreateSnapshot(n.done, n.conf, data); err == nil {
-		n.disk.Snap, n.dirty = s, true // who starts again must not fall back to voters that are gone by now
+		n.disk.Snapshot, n.dirty = s, true // who starts again must not fall back to voters that are gone by now
 		_ = n.store.Compact(n.done)
 	}
 }
--- a/internal/cluster/consensus/node_test.go
+++ b/internal/cluster/consensus/node_test.go
@@ -8,8 +8,8 @@
 	"ashstand/internal/cluster/jobs"
 )
 
-// small is a cluster of three voters and one that follows, whose messages all arrive at once.
-type small struct {
+// testCluster is a cluster of three voters and one that follows, whose messages all arrive at once.
+type testCluster struct {
 	t       *testing.T
 	names   []string
 	nodes   map[string]*Node
@@ -19,17 +19,17 @@
 	answers map[uint64]Message
 }
 
-func newSmall(t *testing.T) *small {
-	w := &small{t: t, names: []string{"n1", "n2", "n3", "n4"}, nodes: map[string]*Node{}, asleep: map[string]bool{}, answers: map[uint64]Message{}}
+func newTestCluster(t *testing.T) *testCluster {
+	w := &testCluster{t: t, names: []string{"n1", "n2", "n3", "n4"}, nodes: map[string]*Node{}, asleep: map[string]bool{}, answers: map[uint64]Message{}}
 	voters := w.names[:3]
 	for i, name := range w.names {
-		var disk *Disk
+		var disk *PersistentState
 		if i < len(voters) {
-			disk = Found(name, voters)
+			disk = InitialState(name, voters)
 		}
 		n, err := New(Config{
-			Name: name, Instance: uint64(i + 1), Voters: voters, Lease: 200, Drift: 0.01, Pace: 30, Election: 50, Format: 1, Seed: 7,
-			Desk: jobs.SchedulerConfig{StallMillis: 1e6, MinTenureMillis: 200, BackoffMillis: 2000, SettledMillis: 500, RetryMillis: 50},
+			Name: name, Incarnation: uint64(i + 1), Voters: voters, LeaseMillis: 200, ClockDrift: 0.01, RenewIntervalMillis: 30, ElectionTimeoutMillis: 50, Format: 1, Seed: 7,
+			Scheduler: jobs.SchedulerConfig{StallMillis: 1e6, MinTenureMillis: 200, BackoffMillis: 2000, SettledMillis: 500, RetryMillis: 50},
 		}, disk, 0)
 		require.NoError(t, err)
 		n.SetReport(jobs.Report{Kinds: []string{"k"}, AcceptsJobs: true, Healthy: true, ReachableGroups: []uint64{1}, UptimeMillis: 1000})
@@ -38,7 +38,7 @@
 	return w
 }
 
-func (w *small) deliver(mail []Message) {
+func (w *testCluster) deliver(mail []Message) {
 	for len(mail) > 0 {
 		m := mail[0]
 		mail = mail[1:]
@@ -48,14 +48,14 @@
 			n.Receive(w.now, m)
 			out := n.Output()
 			mail = append(mail, out.Messages...)
-			for _, a := range out.Answers {
+			for _, a := range out.Results {
 				w.answers[a.ID] = a
 			}
 		}
 	}
 }
 
-func (w *small) run(length float64) {
+func (w *testCluster) run(length float64) {
 	for end := w.now + length; w.now < end; w.now += 5 {
 		var mail []Message
 		for _, name := range w.names {
@@ -69,9 +69,9 @@
 }
 
 // enter brings an entry in at a node and returns what came of it.
-func (w *small) enter(at string, id uint64, e jobs.Entry, change Rules) Message {
+func (w *testCluster) enter(at string, id uint64, e jobs.Entry, change Rules) Message {
 	n := w.nodes[at]
-	require.NoError(w.t, n.Enter(w.now, id, e, change))
+	require.NoError(w.t, n.ProposeJobEntry(w.now, id, e, change))
 	w.deliver(n.Output().Messages)
 	for range 200 {
 		if a, ok := w.answers[id]; ok {
@@ -83,9 +83,9 @@
 	return Message{}
 }
 
-func (w *small) leader() string {
+func (w *testCluster) leader() string {
 	for _, name := range w.names {
-		if n := w.nodes[name]; n != nil && !w.asleep[name] && n.Leading() {
+		if n := w.nodes[name]; n != nil && !w.asleep[name] && n.IsLeader() {
 			return name
 		}
 	}
@@ -94,11 +94,11 @@
 }
 
 // work is a work as the leader's log has it.
-func (w *small) work(name string) jobs.Job { return *w.nodes[w.leader()].st.Ledger.Jobs[name] }
+func (w *testCluster) work(name string) jobs.Job { return *w.nodes[w.leader()].st.Ledger.Jobs[name] }
 
 // A leader that is gone for good, after it has lent to all for long: the others find the next one and have leases again.
-func TestALeaderThatIsGoneForGoodIsLeft(t *testing.T) {
-	w := newSmall(t)
+func TestDepartedLeaderIsReplaced(t *testing.T) {
+	w := newTestCluster(t)
 	w.run(5000) // far more renewals than a node keeps in mind
 	w.nodes[w.leader()] = nil
 	w.run(3000)
@@ -106,22 +106,22 @@
 	for name, n := range w.nodes {
 		if n != nil {
 			held++
-			require.False(t, n.Lapsed(w.now), "%s asks %q and has no lease", name, n.leader)
+			require.False(t, n.LeaseExpired(w.now), "%s asks %q and has no lease", name, n.leader)
 		}
 	}
 	require.Equal(t, 3, held)
 }
 
 // An owner that stops for long, and wakes after another was named: what it brings in then is refused, and it learns so.
-func TestAnOwnerThatWakesLateIsRefused(t *testing.T) {
-	w := newSmall(t)
+func TestStaleLeaseHolderIsRejected(t *testing.T) {
+	w := newTestCluster(t)
 	w.run(500)
 	require.True(t, w.enter("n4", 1, jobs.Entry{Type: jobs.EntryCreate, Job: "w", JobKind: "k", RequiredGroups: []uint64{1}}, nil).OK)
 	w.run(300)
 	first := w.work("w")
 	require.NotEmpty(t, first.Holder)
 	for name, n := range w.nodes { // all know who owns it
-		require.Equal(t, first.Holder, n.Grip().Works["w"].Holder, name)
+		require.Equal(t, first.Holder, n.Lease().Jobs["w"].Holder, name)
 	}
 	deed := &jobs.Operation{Number: 1, Name: "d"}
 	require.True(t, w.enter(first.Holder, 2, jobs.Entry{Type: jobs.EntryAnnounce, Job: "w", Token: first.Token, Operation: deed}, nil).OK)
@@ -151,16 +151,16 @@
 		require.True(t, a.OK, a.Why)
 		w.run(500)
 	}
-	acting := w.nodes["n4"].Acting(w.now)
+	acting := w.nodes["n4"].Effective(w.now)
 	require.Equal(t, []int{3}, acting.Versions)
 	require.Equal(t, Rules{"tries": 2.0}, acting.Rules)
-	require.Equal(t, second.Token, w.nodes["n4"].held.Seen, "what was seen is kept")
+	require.Equal(t, second.Token, w.nodes["n4"].held.HighestToken, "what was seen is kept")
 }
 
 // A cluster that is founded anew beside poolers that remember the one before: its tokens go on above theirs.
-func TestTokensRiseOverANewlyFoundedCluster(t *testing.T) {
-	w := newSmall(t)
-	w.nodes["n4"].held.Seen = 40
+func TestTokensRiseAfterClusterIsBootstrappedAnew(t *testing.T) {
+	w := newTestCluster(t)
+	w.nodes["n4"].held.HighestToken = 40
 	w.run(500)
 	require.True(t, w.enter("n1", 1, jobs.Entry{Type: jobs.EntryCreate, Job: "w", JobKind: "k"}, nil).OK)
 	w.run(300)
@@ -168,8 +168,8 @@
 }
 
 // The time without an owner, from its end to another's first turn, against what is stated.
-func TestTakeoverIsWithinItsBound(t *testing.T) {
-	w := newSmall(t)
+func TestTakeoverWithinBound(t *testing.T) {
+	w := newTestCluster(t)
 	w.run(500)
 	require.True(t, w.enter("n4", 1, jobs.Entry{Type: jobs.EntryCreate, Job: "w", JobKind: "k"}, nil).OK)
 	w.run(300)
@@ -179,7 +179,7 @@
 		lead := w.leader() == was.Holder
 		kept := w.nodes[was.Holder]
 		w.nodes[was.Holder] = nil
-		steady, change := kept.cfg.Takeover()
+		steady, change := kept.cfg.TakeoverBoundMillis()
 		bound := steady
 		if lead {
 			bound = change
@@ -189,8 +189,8 @@
 			told := false
 			for name, n := range w.nodes {
 				if n != nil {
-					x := n.Grip().Works["w"]
-					told = told || x.Token > was.Token && x.Holder == name && !n.Lapsed(w.now)
+					x := n.Lease().Jobs["w"]
+					told = told || x.Token > was.Token && x.Holder == name && !n.LeaseExpired(w.now)
 				}
 			}
 			if told {
--- a/internal/cluster/consensus/rules.go
+++ b/internal/cluster/consensus/rules.go
@@ -18,54 +18,54 @@
 // than which no agreed value is looser. Values are bool, float64 or string.
 type Rules map[string]any
 
-// order says which of two values is the stricter.
-type order uint8
+// ordering says which of two values is the stricter.
+type ordering uint8
 
 const (
-	lower   order = iota // the lower number
-	higher               // the higher number
-	isFalse              // what forbids
-	isTrue               // what closes
-	none                 // neither: while two values meet, what the key governs is refused
+	lowerIsStricter  ordering = iota // the lower number
+	higherIsStricter                 // the higher number
+	falseIsStricter                  // what forbids
+	trueIsStricter                   // what closes
+	unordered                        // neither: while two values meet, what the key governs is refused
 )
 
-// key is a line of the table; a part of its name that varies is written *.
-type key struct {
+// ruleKey is a line of the table; a part of its name that varies is written *.
+type ruleKey struct {
 	name        string
-	order       order
-	least, most float64
-	means       string
+	order       ordering
+	min, max    float64
+	description string
 }
 
-var keys = []key{
-	{"class.*.repeat", isFalse, 0, 0, "whether an attempt of this class may be made again"},
-	{"class.*.bound_ms", lower, 1, 60000, "how old the data of a bounded read may be"},
-	{"class.*.primary", isTrue, 0, 0, "all of the class's reads go to the primary"},
-	{"host.*.closed", isTrue, 0, 0, "nothing new goes to this db host"},
-	{"tries", lower, 1, 16, "attempts of a request"},
-	{"cold.factor", lower, 1, 10, "by how much more than it stands a cold host is sent"},
-	{"cold.from", lower, 0.01, 1, "share of its capacity that a host is sure to start with"},
-	{"cold.ramp_ms", higher, 0, 600000, "how long a host counts as cold"},
-	{"host.*.connections", lower, 1, 10000, "of one pooler to a host"},
-	{"database.*.group", none, 0, math.MaxInt32, "the group of hosts that holds a database"},
-	{"database.*.paused", isTrue, 0, 0, "new transactions of this database wait, or are refused with when to come back"},
+var ruleKeys = []ruleKey{
+	{"class.*.repeat", falseIsStricter, 0, 0, "whether an attempt of this class may be made again"},
+	{"class.*.bound_ms", lowerIsStricter, 1, 60000, "how old the data of a bounded read may be"},
+	{"class.*.primary", trueIsStricter, 0, 0, "all of the class's reads go to the primary"},
+	{"host.*.closed", trueIsStricter, 0, 0, "nothing new goes to this db host"},
+	{"tries", lowerIsStricter, 1, 16, "attempts of a request"},
+	{"cold.factor", lowerIsStricter, 1, 10, "by how much more than it stands a cold host is sent"},
+	{"cold.from", lowerIsStricter, 0.01, 1, "share of its capacity that a host is sure to start with"},
+	{"cold.ramp_ms", higherIsStricter, 0, 600000, "how long a host counts as cold"},
+	{"host.*.connections", lowerIsStricter, 1, 10000, "of one pooler to a host"},
+	{"database.*.group", unordered, 0, math.MaxInt32, "the group of hosts that holds a database"},
+	{"database.*.paused", trueIsStricter, 0, 0, "new transactions of this database wait, or are refused with when to come back"},
 }
 
-// fence is the value of a key without an order while two values meet: what it governs is refused.
-type fence struct{}
+// fencedValue is the value of a key without an order while two values meet: what it governs is refused.
+type fencedValue struct{}
 
 // MarshalJSON shows it to operators.
-func (fence) MarshalJSON() ([]byte, error) { return []byte(`"fenced"`), nil }
+func (fencedValue) MarshalJSON() ([]byte, error) { return []byte(`"fenced"`), nil }
 
 // Fenced says whether what a key governs is refused for now.
 func (r Rules) Fenced(name string) bool {
-	_, is := r[name].(fence)
+	_, is := r[name].(fencedValue)
 	return is
 }
 
-func find(name string) (key, bool) {
+func findRuleKey(name string) (ruleKey, bool) {
 	parts := strings.Split(name, ".")
-	for _, k := range keys {
+	for _, k := range ruleKeys {
 		want := strings.Split(k.name, ".")
 		if len(parts) >= len(want) && len(want) > 1 && want[1] == "*" {
 			// A name of a class, host or database may hold dots itself: the first and the last part are the key's.
@@ -76,51 +76,51 @@
 			return k, true
 		}
 	}
-	return key{}, false
+	return ruleKey{}, false
 }
 
 // Bounds of what a version may hold.
 const (
-	maxKeys  = 4096
-	maxBytes = 256 << 10
+	maxRules      = 4096
+	maxRulesBytes = 256 << 10
 )
 
-// Parse reads rules as JSON, one object of keys. All faults are named, a line each.
-func Parse(text []byte) (Rules, error) {
-	if len(text) > maxBytes {
-		return nil, fmt.Errorf("the rules take %d bytes, %d are the most", len(text), maxBytes)
+// ParseRules reads rules as JSON, one object of keys. All faults are named, a line each.
+func ParseRules(text []byte) (Rules, error) {
+	if len(text) > maxRulesBytes {
+		return nil, fmt.Errorf("the rules take %d bytes, %d are the most", len(text), maxRulesBytes)
 	}
 	var r Rules
 	if err := json.Unmarshal(text, &r); err != nil {
 		return nil, err
 	}
-	return r, r.Check()
+	return r, r.Validate()
 }
 
-// Check says what is wrong with rules; nil: nothing.
-func (r Rules) Check() error {
+// Validate says what is wrong with rules; nil: nothing.
+func (r Rules) Validate() error {
 	var faults []error
-	if len(r) > maxKeys {
-		faults = append(faults, fmt.Errorf("%d keys, %d are the most", len(r), maxKeys))
+	if len(r) > maxRules {
+		faults = append(faults, fmt.Errorf("%d keys, %d are the most", len(r), maxRules))
 	}
 	for _, name := range slices.Sorted(maps.Keys(r)) {
-		k, ok := find(name)
+		k, ok := findRuleKey(name)
 		if !ok {
 			faults = append(faults, fmt.Errorf("%s: there is no such key", name))
 			continue
 		}
 		switch v := r[name].(type) {
 		case bool:
-			if k.order != isTrue && k.order != isFalse {
-				faults = append(faults, fmt.Errorf("%s is %v; it takes a number from %v to %v", name, v, k.least, k.most))
+			if k.order != trueIsStricter && k.order != falseIsStricter {
+				faults = append(faults, fmt.Errorf("%s is %v; it takes a number from %v to %v", name, v, k.min, k.max))
 			}
 		case float64:
-			if k.order == isTrue || k.order == isFalse {
+			if k.order == trueIsStricter || k.order == falseIsStricter {
 				faults = append(faults, fmt.Errorf("%s is %v; it takes true or false", name, v))
-			} else if !(v >= k.least && v <= k.most) {
-				faults = append(faults, fmt.Errorf("%s is %v; allowed is %v to %v", name, v, k.least, k.most))
+			} else if !(v >= k.min && v <= k.max) {
+				faults = append(faults, fmt.Errorf("%s is %v; allowed is %v to %v", name, v, k.min, k.max))
 			}
-		case fence:
+		case fencedValue:
 			faults = append(faults, fmt.Errorf("%s is fenced, which no version can ask for", name))
 		default:
 			faults = append(faults, fmt.Errorf("%s is %v; it takes a number, true or false", name, v))
@@ -130,35 +130,35 @@
 }
 
 // stricter returns the stricter of two values of a key, either of which may be missing (nil).
-func (k key) stricter(a, b any) any {
+func (k ruleKey) stricter(a, b any) any {
 	switch {
-	case k.order == none:
+	case k.order == unordered:
 		if a == b {
 			return a
 		}
-		return fence{}
+		return fencedValue{}
 	case a == nil:
 		return b
 	case b == nil:
 		return a
 	}
 	switch k.order {
-	case lower:
+	case lowerIsStricter:
 		return min(a.(float64), b.(float64))
-	case higher:
+	case higherIsStricter:
 		return max(a.(float64), b.(float64))
-	case isFalse:
+	case falseIsStricter:
 		return a.(bool) && b.(bool)
 	}
 	return a.(bool) || b.(bool)
 }
 
-// Meet returns the rules that are, key by key, the stricter of both. It is commutative, associative and idempotent.
-func Meet(a, b Rules) Rules {
+// Strictest returns the rules that are, key by key, the stricter of both. It is commutative, associative and idempotent.
+func Strictest(a, b Rules) Rules {
 	out := make(Rules, max(len(a), len(b)))
 	for _, from := range []Rules{a, b} {
 		for name := range from {
-			if k, ok := find(name); ok {
+			if k, ok := findRuleKey(name); ok {
 				if v := k.stricter(a[name], b[name]); v != nil {
 					out[name] = v
 				}
@@ -173,12 +173,12 @@
 func Permits(a, b Rules) (name string, does bool) {
 	for _, from := range []Rules{a, b} {
 		for _, name := range slices.Sorted(maps.Keys(from)) {
-			k, ok := find(name)
+			k, ok := findRuleKey(name)
 			if !ok {
 				continue
 			}
 			x, y := a[name], b[name]
-			if k.order == none {
+			if k.order == unordered {
 				if !a.Fenced(name) && !b.Fenced(name) && x != y {
 					return name, true
 				}
@@ -190,8 +190,8 @@
 	return "", false
 }
 
-// Diff words in which keys two sets of rules differ, a line each.
-func Diff(a, b Rules) (lines []string) {
+// DiffRules words in which keys two sets of rules differ, a line each.
+func DiffRules(a, b Rules) (lines []string) {
 	word := func(r Rules, name string) string {
 		v, ok := r[name]
 		switch {
@@ -220,7 +220,7 @@
 	}
 	for name, v := range m {
 		if v == "fenced" {
-			m[name] = fence{}
+			m[name] = fencedValue{}
 		}
 	}
 	*r = m
--- a/internal/cluster/consensus/rules_test.go
+++ b/internal/cluster/consensus/rules_test.go
@@ -8,8 +8,8 @@
 	"pgregory.net/rapid"
 )
 
-func TestRulesAreChecked(t *testing.T) {
-	r, err := Parse([]byte(`{"class.browse.bound_ms": 200, "class.donate.repeat": false, "host.s-1.x.closed": true, "tries": 3, "database.orders.group": 7, "database.a.b.paused": true}`))
+func TestParseRules(t *testing.T) {
+	r, err := ParseRules([]byte(`{"class.browse.bound_ms": 200, "class.donate.repeat": false, "host.s-1.x.closed": true, "tries": 3, "database.orders.group": 7, "database.a.b.paused": true}`))
 	require.NoError(t, err)
 	require.Len(t, r, 6)
 	for text, want := range map[string]string{
@@ -18,10 +18,10 @@
 		`{"class.a.repeat": 1}`: "it takes true or false", `{"tries": "3"}`: "tries is 3; it takes a number", `[`: "unexpected end",
 		`{"tries": 99, "cold.factor": 0}`: "cold.factor is 0; allowed is 1 to 10\ntries is 99",
 	} {
-		_, err := Parse([]byte(text))
+		_, err := ParseRules([]byte(text))
 		require.ErrorContains(t, err, want, text)
 	}
-	_, err = Parse(make([]byte, maxBytes+1))
+	_, err = ParseRules(make([]byte, maxRulesBytes+1))
 	require.ErrorContains(t, err, "bytes")
 }
 
@@ -31,11 +31,11 @@
 	for _, k := range []string{"class.a.repeat", "class.a.bound_ms", "host.h.closed", "cold.ramp_ms", "database.d.group", "database.d.paused", "tries"} {
 		switch rapid.IntRange(0, 2).Draw(t, label+k) {
 		case 1:
-			r[k] = map[order]any{isFalse: true, isTrue: true}[must(k).order]
+			r[k] = map[ordering]any{falseIsStricter: true, trueIsStricter: true}[must(k).order]
 		case 2:
-			r[k] = map[order]any{isFalse: false, isTrue: false}[must(k).order]
+			r[k] = map[ordering]any{falseIsStricter: false, trueIsStricter: false}[must(k).order]
 		}
-		if r[k] == nil && must(k).order != isFalse && must(k).order != isTrue && rapid.Bool().Draw(t, label+k+"set") {
+		if r[k] == nil && must(k).order != falseIsStricter && must(k).order != trueIsStricter && rapid.Bool().Draw(t, label+k+"set") {
 			r[k] = float64(rapid.IntRange(1, 3).Draw(t, label+k+"value"))
 		} else if r[k] == nil {
 			delete(r, k)
@@ -44,21 +44,21 @@
 	return r
 }
 
-func must(name string) key {
-	k, ok := find(name)
+func must(name string) ruleKey {
+	k, ok := findRuleKey(name)
 	if !ok {
 		panic(name)
 	}
 	return k
 }
 
-func TestMeetingProperties(t *testing.T) {
+func TestStrictestProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b, c := drawn(t, "a"), drawn(t, "b"), drawn(t, "c")
-		require.Equal(t, Meet(a, b), Meet(b, a))
-		require.Equal(t, a, Meet(a, a))
-		require.Equal(t, Meet(Meet(a, b), c), Meet(a, Meet(b, c)))
-		m := Meet(a, b)
+		require.Equal(t, Strictest(a, b), Strictest(b, a))
+		require.Equal(t, a, Strictest(a, a))
+		require.Equal(t, Strictest(Strictest(a, b), c), Strictest(a, Strictest(b, c)))
+		m := Strictest(a, b)
 		for _, of := range []Rules{a, b} {
 			name, does := Permits(m, of)
 			require.False(t, does, "%s: the meeting of %v and %v permits what %v forbids", name, a, b, of)
@@ -69,7 +69,7 @@
 			}
 		}
 	})
-	m := Meet(Rules{"database.d.group": 1.0}, Rules{})
+	m := Strictest(Rules{"database.d.group": 1.0}, Rules{})
 	require.True(t, m.Fenced("database.d.group"), "a key that one version lacks is no agreement on it")
 	require.Equal(t, "map[database.d.group:{}]", fmt.Sprint(m))
 }
--- a/internal/cluster/consensus/runner/golden_test.go
+++ b/internal/cluster/consensus/runner/golden_test.go
@@ -37,15 +37,15 @@
 }
 
 func goldenVersion(n int) consensus.Version {
-	return consensus.Version{N: n, By: "pooler-a", Format: 1, Rules: consensus.Rules{
+	return consensus.Version{Number: n, ProposedBy: "pooler-a", Format: 1, Rules: consensus.Rules{
 		"tries": 3.0, "class.browse.bound_ms": 250.5, "class.browse.repeat": false,
 		"host.s-1.x.closed": true, "database.orders.group": 7.0,
 	}}
 }
 
-func goldenHeld() consensus.Held {
+func goldenHeld() consensus.VersionState {
 	pending := goldenVersion(5)
-	return consensus.Held{Force: goldenVersion(4), Pending: &pending, Seen: 9}
+	return consensus.VersionState{Active: goldenVersion(4), Pending: &pending, HighestToken: 9}
 }
 
 func goldenWord() *jobs.Approval {
@@ -101,23 +101,23 @@
 	const nonce, id, instance, epoch = 1<<63 + 1, 1<<63 + 2, 1<<63 + 3, 1<<63 + 4
 	refused := &jobs.RejectedError{Reason: jobs.RejectStaleToken, Job: "move-orders", Presented: 8, Current: 9, Detail: "late"}
 	of := map[string]consensus.Message{
-		"raft":  {Kind: consensus.MsgRaft, Raft: goldenRaft()},
-		"hello": {Kind: consensus.MsgHello, ID: id},
-		"renew": {Kind: consensus.MsgRenew, Nonce: nonce, Known: 4, Format: 1, Report: goldenReport(), Epoch: epoch, Count: 12},
-		"grant": {Kind: consensus.MsgGrant, Nonce: nonce, For: 200.5, Held: goldenHeld(), Epoch: epoch, Count: 12, Works: []jobs.Job{goldenJob()}},
+		"raft":  {Kind: consensus.KindRaft, Raft: goldenRaft()},
+		"hello": {Kind: consensus.KindVoterHello, ID: id},
+		"renew": {Kind: consensus.KindLeaseRequest, Nonce: nonce, Known: 4, Format: 1, Report: goldenReport(), Epoch: epoch, Count: 12},
+		"grant": {Kind: consensus.KindLeaseGrant, Nonce: nonce, For: 200.5, Held: goldenHeld(), Epoch: epoch, Count: 12, Works: []jobs.Job{goldenJob()}},
 		// An empty one: no job is known, and no version.
-		"grant-empty":           {Kind: consensus.MsgGrant, Nonce: nonce, For: 200.5},
-		"propose-version":       {Kind: consensus.MsgPropose, ID: id, Version: goldenVersion(0)},
-		"propose-entry":         {Kind: consensus.MsgPropose, ID: id, Entry: goldenOperation()},
-		"propose-change":        {Kind: consensus.MsgPropose, ID: id, Entry: goldenOperation(), Change: consensus.Rules{"tries": 2.0, "class.a.repeat": nil}, Version: consensus.Version{Format: 1}},
-		"answer-version":        {Kind: consensus.MsgAnswer, ID: id, OK: true, Version: consensus.Version{N: 5}},
-		"answer-refused":        {Kind: consensus.MsgAnswer, ID: id, Why: "version 4 is not in force yet"},
-		"answer-entry":          {Kind: consensus.MsgAnswer, ID: id, OK: true, Version: consensus.Version{N: 5}, Held: goldenHeld(), Epoch: epoch, Works: []jobs.Job{goldenJob()}},
-		"answer-entry-refused":  {Kind: consensus.MsgAnswer, ID: id, Why: refused.Error(), Refused: refused, Held: goldenHeld(), Epoch: epoch, Works: []jobs.Job{goldenJob()}},
-		"no-leader":             {Kind: consensus.MsgNoLeader, Leader: "pooler-c"},
-		"no-leader-unknown":     {Kind: consensus.MsgNoLeader},
-		"works":                 {Kind: consensus.MsgWorks, Epoch: epoch, Held: goldenHeld(), Works: []jobs.Job{goldenJob(), goldenJob()}},
-		"renew-without-a-count": {Kind: consensus.MsgRenew, Nonce: nonce, Report: &jobs.Report{}},
+		"grant-empty":           {Kind: consensus.KindLeaseGrant, Nonce: nonce, For: 200.5},
+		"propose-version":       {Kind: consensus.KindProposal, ID: id, Version: goldenVersion(0)},
+		"propose-entry":         {Kind: consensus.KindProposal, ID: id, Entry: goldenOperation()},
+		"propose-change":        {Kind: consensus.KindProposal, ID: id, Entry: goldenOperation(), Change: consensus.Rules{"tries": 2.0, "class.a.repeat": nil}, Version: consensus.Version{Format: 1}},
+		"answer-version":        {Kind: consensus.KindProposalResult, ID: id, OK: true, Version: consensus.Version{Number: 5}},
+		"answer-refused":        {Kind: consensus.KindProposalResult, ID: id, Why: "version 4 is not in force yet"},
+		"answer-entry":          {Kind: consensus.KindProposalResult, ID: id, OK: true, Version: consensus.Version{Number: 5}, Held: goldenHeld(), Epoch: epoch, Works: []jobs.Job{goldenJob()}},
+		"answer-entry-refused":  {Kind: consensus.KindProposalResult, ID: id, Why: refused.Error(), Refused: refused, Held: goldenHeld(), Epoch: epoch, Works: []jobs.Job{goldenJob()}},
+		"no-leader":             {Kind: consensus.KindLeaderRedirect, Leader: "pooler-c"},
+		"no-leader-unknown":     {Kind: consensus.KindLeaderRedirect},
+		"works":                 {Kind: consensus.KindJobUpdate, Epoch: epoch, Held: goldenHeld(), Works: []jobs.Job{goldenJob(), goldenJob()}},
+		"renew-without-a-count": {Kind: consensus.KindLeaseRequest, Nonce: nonce, Report: &jobs.Report{}},
 	}
 	for name, m := range of {
 		m.From, m.To, m.Instance = "pooler-a", "pooler-b", instance
@@ -128,7 +128,7 @@
 
 // What an earlier program sends is read, and the same is sent.
 func TestGoldenMessages(t *testing.T) {
-	kinds := map[consensus.Kind]bool{}
+	kinds := map[consensus.MessageKind]bool{}
 	for name, m := range goldenMessages() {
 		b, err := Encode(m)
 		require.NoError(t, err)
@@ -171,14 +171,14 @@
 func TestGoldenFolder(t *testing.T) {
 	one := uint64(1)
 	vote, commit, term := uint64(5), uint64(41), uint64(4)
-	for name, d := range map[string]*consensus.Disk{
-		"voter":    {ID: 1<<63 + 9, Hard: &pb.HardState{Term: &term, Vote: &vote, Commit: &commit}, Snap: goldenSnapshot(), Entries: []*pb.Entry{goldenEntry(41), goldenEntry(42)}, Held: goldenHeld()},
-		"follower": {Held: goldenHeld()},
-		"first":    consensus.Found("n1", []string{"n1", "n2", "n3"}),
-		"log-only": {ID: 7, Hard: &pb.HardState{Term: &one}, Entries: []*pb.Entry{goldenEntry(1)}},
+	for name, d := range map[string]*consensus.PersistentState{
+		"voter":    {ID: 1<<63 + 9, HardState: &pb.HardState{Term: &term, Vote: &vote, Commit: &commit}, Snapshot: goldenSnapshot(), Entries: []*pb.Entry{goldenEntry(41), goldenEntry(42)}, Versions: goldenHeld()},
+		"follower": {Versions: goldenHeld()},
+		"first":    consensus.InitialState("n1", []string{"n1", "n2", "n3"}),
+		"log-only": {ID: 7, HardState: &pb.HardState{Term: &one}, Entries: []*pb.Entry{goldenEntry(1)}},
 	} {
 		path := filepath.Join(t.TempDir(), name)
-		f, err := Open(fixedBirth{}, path)
+		f, err := OpenStorage(fixedBirth{}, path)
 		require.NoError(t, err)
 		require.NoError(t, f.Save(d))
 		b, err := os.ReadFile(filepath.Join(path, "agreed.json"))
@@ -188,14 +188,14 @@
 
 		// Read as another process does: it writes once more what it found.
 		require.NoError(t, os.WriteFile(filepath.Join(path, "agreed.json"), stored, 0o600))
-		f, err = Open(fixedBirth{}, path)
+		f, err = OpenStorage(fixedBirth{}, path)
 		require.NoError(t, err)
 		read, err := f.Load()
 		require.NoError(t, err)
 		require.Equal(t, d.ID, read.ID)
-		require.Equal(t, d.Held, read.Held)
-		require.True(t, proto.Equal(d.Hard, read.Hard))
-		require.True(t, proto.Equal(d.Snap, read.Snap))
+		require.Equal(t, d.Versions, read.Versions)
+		require.True(t, proto.Equal(d.HardState, read.HardState))
+		require.True(t, proto.Equal(d.Snapshot, read.Snapshot))
 		require.Len(t, read.Entries, len(d.Entries))
 		for i, e := range d.Entries {
 			require.True(t, proto.Equal(e, read.Entries[i]))
@@ -216,16 +216,16 @@
 	now   float64
 	names []string
 	nodes map[string]*consensus.Node
-	kept  map[string]*consensus.Disk
+	kept  map[string]*consensus.PersistentState
 	cut   map[string]bool
 	notes bytes.Buffer
 }
 
 func (c *goldenCluster) start(name string, instance uint64) {
 	n, err := consensus.New(consensus.Config{
-		Name: name, Instance: instance, Voters: c.names[:3], Lease: 200, Drift: 0.01, Pace: 30, Election: 50, Format: 1, Seed: 7,
-		Limits: consensus.Rules{"tries": 1.0, "class.a.bound_ms": 50.0, "database.d.group": 0.0},
-		Desk:   jobs.SchedulerConfig{StallMillis: 400, MinTenureMillis: 200, BackoffMillis: 2000, SettledMillis: 500, RetryMillis: 50},
+		Name: name, Incarnation: instance, Voters: c.names[:3], LeaseMillis: 200, ClockDrift: 0.01, RenewIntervalMillis: 30, ElectionTimeoutMillis: 50, Format: 1, Seed: 7,
+		Limits:    consensus.Rules{"tries": 1.0, "class.a.bound_ms": 50.0, "database.d.group": 0.0},
+		Scheduler: jobs.SchedulerConfig{StallMillis: 400, MinTenureMillis: 200, BackoffMillis: 2000, SettledMillis: 500, RetryMillis: 50},
 	}, c.kept[name], c.now)
 	require.NoError(c.t, err)
 	n.SetReport(jobs.Report{Kinds: []string{"k"}, AcceptsJobs: true, Healthy: true, Zone: "z", UptimeMillis: 1000, ReachableGroups: []uint64{1}})
@@ -252,8 +252,8 @@
 		require.NoError(c.t, err)
 		fmt.Fprintf(&c.notes, "%.0f %s>%s %d %016x\n", c.now, m.From, m.To, len(b), digest(b))
 	}
-	for _, a := range out.Answers {
-		fmt.Fprintf(&c.notes, "%.0f %s has the answer to %d: %v, version %d, %q\n", c.now, name, a.ID, a.OK, a.Version.N, a.Why)
+	for _, a := range out.Results {
+		fmt.Fprintf(&c.notes, "%.0f %s has the answer to %d: %v, version %d, %q\n", c.now, name, a.ID, a.OK, a.Version.Number, a.Why)
 	}
 	return out.Messages
 }
@@ -280,16 +280,16 @@
 		c.deliver(mail)
 		for _, name := range c.names {
 			if n := c.nodes[name]; n != nil && int(c.now)%50 == 0 {
-				b, err := json.Marshal(n.Acting(c.now))
+				b, err := json.Marshal(n.Effective(c.now))
 				require.NoError(c.t, err)
-				fmt.Fprintf(&c.notes, "%.0f %s leads %v acts on %s\n", c.now, name, n.Leading(), b)
+				fmt.Fprintf(&c.notes, "%.0f %s leads %v acts on %s\n", c.now, name, n.IsLeader(), b)
 			}
 		}
 	}
 }
 
 func (c *goldenCluster) leader() string {
-	i := slices.IndexFunc(c.names, func(name string) bool { n := c.nodes[name]; return n != nil && !c.cut[name] && n.Leading() })
+	i := slices.IndexFunc(c.names, func(name string) bool { n := c.nodes[name]; return n != nil && !c.cut[name] && n.IsLeader() })
 	require.GreaterOrEqual(c.t, i, 0)
 	return c.names[i]
 }
@@ -300,17 +300,17 @@
 }
 
 func (c *goldenCluster) enter(at string, id uint64, e jobs.Entry, change consensus.Rules) {
-	require.NoError(c.t, c.nodes[at].Enter(c.now, id, e, change))
+	require.NoError(c.t, c.nodes[at].ProposeJobEntry(c.now, id, e, change))
 	c.deliver(c.take(at))
 }
 
 // With one seed, nodes send and save the same bytes in the same order as an earlier program did: through an election,
 // versions, a job and its owner, a change of rules by that, a leader that is cut off, and a voter that lost its folder.
 func TestGoldenConversation(t *testing.T) {
-	c := &goldenCluster{t: t, names: []string{"n1", "n2", "n3", "n4"}, nodes: map[string]*consensus.Node{}, kept: map[string]*consensus.Disk{}, cut: map[string]bool{}}
+	c := &goldenCluster{t: t, names: []string{"n1", "n2", "n3", "n4"}, nodes: map[string]*consensus.Node{}, kept: map[string]*consensus.PersistentState{}, cut: map[string]bool{}}
 	for i, name := range c.names {
 		if i < 3 {
-			c.kept[name] = consensus.Found(name, c.names[:3])
+			c.kept[name] = consensus.InitialState(name, c.names[:3])
 		}
 		c.start(name, uint64(i+1))
 	}
@@ -322,7 +322,7 @@
 	c.propose("n2", 13, consensus.Rules{"host.h.closed": true})                 // beyond the limits
 	c.enter("n4", 21, jobs.Entry{Type: jobs.EntryCreate, Job: "w", JobKind: "k", RequiredGroups: []uint64{1}}, nil)
 	c.run(900)
-	work := c.nodes[c.leader()].Grip().Works["w"]
+	work := c.nodes[c.leader()].Lease().Jobs["w"]
 	require.NotEmpty(t, work.Holder)
 	c.enter(work.Holder, 22, jobs.Entry{Type: jobs.EntryAnnounce, Job: "w", Token: work.Token, Operation: &jobs.Operation{Number: 1, Name: "d"}}, nil)
 	c.run(950)
--- a/internal/cluster/consensus/runner/runner.go
+++ b/internal/cluster/consensus/runner/runner.go
@@ -24,13 +24,13 @@
 
 // Options are what a runner needs.
 type Options struct {
-	Config  consensus.Config
-	Folder  string // "": nothing is kept; such a pooler can't vote
-	Disk    vfs.FS // nil: the operating system's
-	Clock   clock.Clock
-	Send    func(to string, b []byte) // never waits; what can't be sent is lost
-	Changed func(consensus.Acting)    // told whenever what is acted on changes; nil: nobody
-	Leased  func(left float64)        // told of each lease, and of going on without one; for the laboratory; nil: nobody
+	Config    consensus.Config
+	Directory string // "": nothing is kept; such a pooler can't vote
+	FS        vfs.FS // nil: the operating system's
+	Clock     clock.Clock
+	Send      func(to string, b []byte)      // never waits; what can't be sent is lost
+	OnChange  func(consensus.EffectiveRules) // told whenever what is acted on changes; nil: nobody
+	OnLease   func(left float64)             // told of each lease, and of going on without one; for the laboratory; nil: nobody
 }
 
 const (
@@ -42,15 +42,15 @@
 
 // Runner runs one node. Its methods are safe for concurrent use.
 type Runner struct {
-	o      Options
-	folder *Folder
-	grip   atomic.Pointer[consensus.Grip]
-	inbox  chan consensus.Message
-	calls  chan call
-	views  chan chan View
-	report chan jobs.Report
-	ended  chan struct{}
-	done   sync.WaitGroup
+	o       Options
+	folder  *Storage
+	lease   atomic.Pointer[consensus.Lease]
+	inbox   chan consensus.Message
+	calls   chan call
+	views   chan chan View
+	reports chan jobs.Report
+	ended   chan struct{}
+	done    sync.WaitGroup
 
 	lost, foreign, failed atomic.Int64
 	away                  atomic.Bool // since its folder could not be written
@@ -67,36 +67,36 @@
 
 // View is what operators see.
 type View struct {
-	On       bool                `json:"on"`
-	Acting   consensus.Acting    `json:"acting"`
-	Lease    float64             `json:"lease_left_ms"`
-	Leading  bool                `json:"leading"`
-	Voters   map[uint64]string   `json:"voters"`
-	Versions []consensus.Version `json:"versions"`
-	Steady   float64             `json:"bound_ms"`
-	Change   float64             `json:"bound_with_new_leader_ms"`
-	Lost     int64               `json:"messages_lost"`
-	Foreign  int64               `json:"messages_unread"`
-	Failed   int64               `json:"saves_failed"`
+	Enabled                  bool                     `json:"on"`
+	Effective                consensus.EffectiveRules `json:"acting"`
+	LeaseLeftMillis          float64                  `json:"lease_left_ms"`
+	IsLeader                 bool                     `json:"leading"`
+	Voters                   map[uint64]string        `json:"voters"`
+	Versions                 []consensus.Version      `json:"versions"`
+	BoundMillis              float64                  `json:"bound_ms"`
+	BoundAfterElectionMillis float64                  `json:"bound_with_new_leader_ms"`
+	MessagesLost             int64                    `json:"messages_lost"`
+	MessagesMalformed        int64                    `json:"messages_unread"`
+	SavesFailed              int64                    `json:"saves_failed"`
 }
 
 // Start runs a node on what its folder holds.
 func Start(o Options) (*Runner, error) {
-	r := &Runner{o: o, inbox: make(chan consensus.Message, inboxMost), calls: make(chan call), views: make(chan chan View), report: make(chan jobs.Report, 1), ended: make(chan struct{})}
-	if o.Folder == "" && slices.Contains(o.Config.Voters, o.Config.Name) {
-		return nil, &consensus.NoFolder{Name: o.Config.Name}
+	r := &Runner{o: o, inbox: make(chan consensus.Message, inboxMost), calls: make(chan call), views: make(chan chan View), reports: make(chan jobs.Report, 1), ended: make(chan struct{})}
+	if o.Directory == "" && slices.Contains(o.Config.Voters, o.Config.Name) {
+		return nil, &consensus.NoStorageError{Pooler: o.Config.Name}
 	}
-	var kept *consensus.Disk
+	var kept *consensus.PersistentState
 	var unkept error
-	if o.Folder != "" {
+	if o.Directory != "" {
 		var err error
-		if o.Disk == nil {
-			o.Disk = vfs.OS{}
+		if o.FS == nil {
+			o.FS = vfs.OS{}
 		}
-		if r.folder, err = Open(o.Disk, o.Folder); err != nil {
+		if r.folder, err = OpenStorage(o.FS, o.Directory); err != nil {
 			return nil, err
 		}
-		if kept, err = r.load(); errors.Is(err, ErrUnkept) {
+		if kept, err = r.load(); errors.Is(err, ErrNotDurable) {
 			unkept = err
 		} else if err != nil {
 			r.folder.Close()
@@ -110,8 +110,8 @@
 		}
 		return nil, err
 	}
-	g := n.Grip()
-	r.grip.Store(&g)
+	g := n.Lease()
+	r.lease.Store(&g)
 	if unkept != nil { // it goes by its limits meanwhile
 		r.failed.Add(1)
 		r.away.Store(true)
@@ -131,8 +131,10 @@
 	}
 }
 
-// Acting is what to go by now.
-func (r *Runner) Acting() consensus.Acting { return r.grip.Load().Acting(r.o.Clock.Now()) }
+// Effective is what to go by now.
+func (r *Runner) Effective() consensus.EffectiveRules {
+	return r.lease.Load().Effective(r.o.Clock.Now())
+}
 
 // Receive takes a message from another pooler. It never waits.
 func (r *Runner) Receive(b []byte) {
@@ -150,21 +152,21 @@
 
 // Propose brings rules in and waits until they stand in the log, or are refused.
 func (r *Runner) Propose(ctx context.Context, rules consensus.Rules) (version int, err error) {
-	if err := rules.Check(); err != nil {
+	if err := rules.Validate(); err != nil {
 		return 0, err
 	}
 	a, err := r.ask(ctx, call{rules: rules})
-	return a.Version.N, err
+	return a.Version.Number, err
 }
 
-// Enter brings an entry about a work in and waits until it stands in the log, or is refused (*owner.Refusal). With change
+// ProposeJobEntry brings an entry about a work in and waits until it stands in the log, or is refused (*owner.Refusal). With change
 // it makes a version of the rules, whose number it returns. After any other error it may still come into the log.
-func (r *Runner) Enter(ctx context.Context, e jobs.Entry, change consensus.Rules) (version int, err error) {
+func (r *Runner) ProposeJobEntry(ctx context.Context, e jobs.Entry, change consensus.Rules) (version int, err error) {
 	if f := e.Validate(); f != nil {
 		return 0, f
 	}
 	a, err := r.ask(ctx, call{entry: &e, change: change})
-	return a.Version.N, err
+	return a.Version.Number, err
 }
 
 // ask has the node propose something and waits for what comes of it.
@@ -176,7 +178,7 @@
 	case <-ctx.Done():
 		return consensus.Message{}, ctx.Err()
 	case <-r.ended:
-		return consensus.Message{}, &consensus.Ending{}
+		return consensus.Message{}, &consensus.ShutdownError{}
 	}
 	select {
 	case a := <-c.reply:
@@ -184,7 +186,7 @@
 			return a, a.Refused
 		}
 		if !a.OK {
-			return a, &consensus.Refused{Why: a.Why}
+			return a, &consensus.RejectedError{Reason: a.Why}
 		}
 		return a, nil
 	case <-ctx.Done():
@@ -192,29 +194,29 @@
 		case r.calls <- call{id: c.id, drop: true}:
 		case <-r.ended:
 		}
-		return consensus.Message{}, &consensus.NoLeader{Waited: time.Since(begun), Err: ctx.Err()}
+		return consensus.Message{}, &consensus.NoLeaderError{Waited: time.Since(begun), Err: ctx.Err()}
 	case <-r.ended:
-		return consensus.Message{}, &consensus.Ending{Doubt: true}
+		return consensus.Message{}, &consensus.ShutdownError{MayHaveCommitted: true}
 	}
 }
 
-// Report tells the leader what this pooler says of itself, with the next renewals.
-func (r *Runner) Report(o jobs.Report) {
+// SetReport tells the leader what this pooler says of itself, with the next renewals.
+func (r *Runner) SetReport(o jobs.Report) {
 	select {
-	case <-r.report: // one that was not taken yet is out of date
+	case <-r.reports: // one that was not taken yet is out of date
 	default:
 	}
 	select {
-	case r.report <- o:
+	case r.reports <- o:
 	default:
 	}
 }
 
-// Sound says whether the folder takes what is to be kept.
-func (r *Runner) Sound() bool { return !r.away.Load() }
+// IsStorageHealthy says whether the folder takes what is to be kept.
+func (r *Runner) IsStorageHealthy() bool { return !r.away.Load() }
 
-// Grip is what is held now.
-func (r *Runner) Grip() *consensus.Grip { return r.grip.Load() }
+// Lease is what is held now.
+func (r *Runner) Lease() *consensus.Lease { return r.lease.Load() }
 
 // View returns it.
 func (r *Runner) View() View {
@@ -229,10 +231,10 @@
 
 // run is the only goroutine that touches the node.
 func (r *Runner) run(n *consensus.Node) {
-	tick := time.NewTicker(clock.Duration(r.o.Config.Election / 20))
+	tick := time.NewTicker(clock.Duration(r.o.Config.ElectionTimeoutMillis / 20))
 	defer tick.Stop()
 	open := map[uint64]chan consensus.Message{}
-	var last *consensus.Basis // that Changed was told of; nil: none yet
+	var last *consensus.EffectiveKey // that Changed was told of; nil: none yet
 	var until, warned float64
 	var away time.Time // since its folder could not be written
 	for {
@@ -255,19 +257,19 @@
 		case c := <-r.calls:
 			if now = r.o.Clock.Now(); n == nil {
 				if !c.drop {
-					c.reply <- consensus.Message{Why: (&consensus.NoFolder{Name: r.o.Config.Name}).Error()}
+					c.reply <- consensus.Message{Why: (&consensus.NoStorageError{Pooler: r.o.Config.Name}).Error()}
 				}
 				continue
 			}
 			if c.drop {
-				n.Drop(c.id)
+				n.Abandon(c.id)
 				delete(open, c.id)
 				break
 			}
 			open[c.id] = c.reply
 			var err error
 			if c.entry != nil {
-				err = n.Enter(now, c.id, *c.entry, c.change)
+				err = n.ProposeJobEntry(now, c.id, *c.entry, c.change)
 			} else {
 				err = n.Propose(now, c.id, c.rules)
 			}
@@ -275,7 +277,7 @@
 				c.reply <- consensus.Message{Why: err.Error()}
 				delete(open, c.id)
 			}
-		case o := <-r.report:
+		case o := <-r.reports:
 			if now = r.o.Clock.Now(); n != nil {
 				n.SetReport(o)
 			}
@@ -289,16 +291,16 @@
 		} else if n != nil {
 			r.away.Store(false)
 		}
-		g := r.grip.Load()
-		if b := g.Basis(now); r.o.Changed != nil && (last == nil || b != *last) {
+		g := r.lease.Load()
+		if b := g.EffectiveKey(now); r.o.OnChange != nil && (last == nil || b != *last) {
 			last = &b
-			r.o.Changed(g.Acting(now))
+			r.o.OnChange(g.Effective(now))
 		}
-		if r.o.Leased != nil {
+		if r.o.OnLease != nil {
 			// A grant that came too late for its lease is none; to go on without one is a fault, told every 100 ms.
-			if fresh := g.Until != until && now < g.Until; fresh || !g.Lapsed(now) && now >= g.Until && now >= warned {
-				until, warned = g.Until, now+100
-				r.o.Leased(max(g.Until-now, -1e9))
+			if fresh := g.ExpiresAt != until && now < g.ExpiresAt; fresh || !g.Expired(now) && now >= g.ExpiresAt && now >= warned {
+				until, warned = g.ExpiresAt, now+100
+				r.o.OnLease(max(g.ExpiresAt-now, -1e9))
 			}
 		}
 	}
@@ -311,7 +313,7 @@
 	if out.Save != nil && r.folder != nil {
 		begun := time.Now()
 		err := r.folder.Save(out.Save)
-		n.Saved(clock.Millis(time.Since(begun)))
+		n.RecordSaveDuration(clock.Millis(time.Since(begun)))
 		if err != nil {
 			if r.failed.Add(1) == 1 {
 				slog.Error("cluster: what was agreed can't be kept: " + err.Error() + "; this pooler goes on with what it holds, until its lease ends")
@@ -319,8 +321,8 @@
 			return false
 		}
 	}
-	g := n.Grip()
-	r.grip.Store(&g)
+	g := n.Lease()
+	r.lease.Store(&g)
 	for _, m := range out.Messages {
 		if m.To == r.o.Config.Name {
 			select {
@@ -337,7 +339,7 @@
 		}
 		r.o.Send(m.To, b)
 	}
-	for _, a := range out.Answers {
+	for _, a := range out.Results {
 		if c, ok := open[a.ID]; ok {
 			c <- a
 			delete(open, a.ID)
@@ -347,9 +349,9 @@
 }
 
 // load reads the folder; with one that is a copy or spoilt the node goes on under a new identity.
-func (r *Runner) load() (*consensus.Disk, error) {
+func (r *Runner) load() (*consensus.PersistentState, error) {
 	kept, err := r.folder.Load()
-	if errors.Is(err, ErrCopy) || errors.Is(err, ErrSpoilt) {
+	if errors.Is(err, ErrCopy) || errors.Is(err, ErrMalformed) {
 		slog.Error("cluster: " + err.Error() + "; this pooler comes under a new identity")
 		return kept, nil
 	}
@@ -373,11 +375,11 @@
 
 func (r *Runner) view(n *consensus.Node) View {
 	now := r.o.Clock.Now()
-	g := r.grip.Load()
-	v := View{On: true, Acting: g.Acting(now), Lease: max(0, g.Until-now), Lost: r.lost.Load(), Foreign: r.foreign.Load(), Failed: r.failed.Load()}
-	v.Steady, v.Change = r.o.Config.Bound()
+	g := r.lease.Load()
+	v := View{Enabled: true, Effective: g.Effective(now), LeaseLeftMillis: max(0, g.ExpiresAt-now), MessagesLost: r.lost.Load(), MessagesMalformed: r.foreign.Load(), SavesFailed: r.failed.Load()}
+	v.BoundMillis, v.BoundAfterElectionMillis = r.o.Config.ActivationBoundMillis()
 	if n != nil {
-		v.Leading, v.Voters, v.Versions = n.Leading(), maps.Clone(n.Voters()), slices.Clone(n.Versions()) // they change while this is read
+		v.IsLeader, v.Voters, v.Versions = n.IsLeader(), maps.Clone(n.Voters()), slices.Clone(n.Versions()) // they change while this is read
 	}
 	return v
 }
@@ -417,12 +419,12 @@
 			return consensus.Message{}, err
 		}
 	}
-	if (m.Kind == consensus.MsgRaft) != (m.Raft != nil) || m.From == "" || m.Kind > consensus.MsgWorks {
+	if (m.Kind == consensus.KindRaft) != (m.Raft != nil) || m.From == "" || m.Kind > consensus.KindJobUpdate {
 		return consensus.Message{}, fmt.Errorf("a message of kind %d that lacks a part", m.Kind)
 	}
-	for _, held := range []*consensus.Version{&m.Version, &m.Held.Force, m.Held.Pending} {
+	for _, held := range []*consensus.Version{&m.Version, &m.Held.Active, m.Held.Pending} {
 		if held != nil {
-			if err := held.Rules.Check(); err != nil {
+			if err := held.Rules.Validate(); err != nil {
 				return consensus.Message{}, err
 			}
 		}
--- a/internal/cluster/consensus/runner/runner_test.go
+++ b/internal/cluster/consensus/runner/runner_test.go
@@ -21,23 +21,23 @@
 	"ashstand/internal/vfs"
 )
 
-func TestFolder(t *testing.T) {
+func TestStorage(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "a")
-	require.NoError(t, Found(vfs.OS{}, path, "n1", []string{"n1", "n2", "n3"}))
-	require.ErrorContains(t, Found(vfs.OS{}, path, "n1", []string{"n1"}), "something is kept there already")
-	f, err := Open(vfs.OS{}, path)
+	require.NoError(t, Bootstrap(vfs.OS{}, path, "n1", []string{"n1", "n2", "n3"}))
+	require.ErrorContains(t, Bootstrap(vfs.OS{}, path, "n1", []string{"n1"}), "something is kept there already")
+	f, err := OpenStorage(vfs.OS{}, path)
 	require.NoError(t, err)
-	_, err = Open(vfs.OS{}, path)
-	require.ErrorIs(t, err, ErrThere)
+	_, err = OpenStorage(vfs.OS{}, path)
+	require.ErrorIs(t, err, ErrInUse)
 	d, err := f.Load()
 	require.NoError(t, err)
-	require.Equal(t, consensus.Found("n1", []string{"n1", "n2", "n3"}).ID, d.ID)
-	d.Held.Force = consensus.Version{N: 3, Rules: consensus.Rules{"tries": 2.0}}
+	require.Equal(t, consensus.InitialState("n1", []string{"n1", "n2", "n3"}).ID, d.ID)
+	d.Versions.Active = consensus.Version{Number: 3, Rules: consensus.Rules{"tries": 2.0}}
 	require.NoError(t, f.Save(d))
 	again, err := f.Load()
 	require.NoError(t, err)
-	require.Equal(t, 3, again.Held.Force.N)
-	require.Equal(t, d.Snap.GetData(), again.Snap.GetData())
+	require.Equal(t, 3, again.Versions.Active.Number)
+	require.Equal(t, d.Snapshot.GetData(), again.Snapshot.GetData())
 
 	name := filepath.Join(path, fileName)
 	b, err := os.ReadFile(name)
@@ -51,7 +51,7 @@
 		require.NoError(t, put())
 		d, err = f.Load()
 		require.ErrorIs(t, err, ErrCopy, "put back from a backup")
-		require.Equal(t, []any{uint64(0), 3}, []any{d.ID, d.Held.Force.N}, "what was acted on stays known, who it was does not")
+		require.Equal(t, []any{uint64(0), 3}, []any{d.ID, d.Versions.Active.Number}, "what was acted on stays known, who it was does not")
 	}
 
 	for cut := range len(b) {
@@ -60,19 +60,19 @@
 		}
 		require.NoError(t, os.WriteFile(name, b[:cut], 0o600))
 		_, err = f.Load()
-		require.ErrorIs(t, err, ErrSpoilt)
+		require.ErrorIs(t, err, ErrMalformed)
 	}
 	d, err = f.Load()
 	require.Nil(t, d)
 	require.NoError(t, err, "it was moved aside")
 	f.Close()
-	f, err = Open(vfs.OS{}, path)
+	f, err = OpenStorage(vfs.OS{}, path)
 	require.NoError(t, err)
 	f.Close()
 }
 
-// quick is a folder in memory where there is such a place: how long a disk takes for a sync decides nothing here.
-func quick(t *testing.T) string {
+// memoryDir is a folder in memory where there is such a place: how long a disk takes for a sync decides nothing here.
+func memoryDir(t *testing.T) string {
 	path, err := os.MkdirTemp("/dev/shm", "ashstand-test-")
 	if err != nil {
 		return t.TempDir()
@@ -81,14 +81,14 @@
 	return path
 }
 
-// net carries messages between runners of one test, through Encode and Decode.
-type net struct {
+// testNetwork carries messages between runners of one test, through Encode and Decode.
+type testNetwork struct {
 	mu   sync.Mutex
 	of   map[string]*Runner
 	down map[string]bool
 }
 
-func (n *net) send(from string) func(string, []byte) {
+func (n *testNetwork) send(from string) func(string, []byte) {
 	return func(to string, b []byte) {
 		n.mu.Lock()
 		r := n.of[to]
@@ -102,20 +102,20 @@
 	}
 }
 
-func (n *net) cut(name string, down bool) {
+func (n *testNetwork) cut(name string, down bool) {
 	n.mu.Lock()
 	n.down[name] = down
 	n.mu.Unlock()
 }
 
-func TestRunnersAgree(t *testing.T) {
+func TestRunnersReachConsensus(t *testing.T) {
 	voters := []string{"n1", "n2", "n3"}
-	w := &net{of: map[string]*Runner{}, down: map[string]bool{}}
+	w := &testNetwork{of: map[string]*Runner{}, down: map[string]bool{}}
 	folders := map[string]string{}
 	start := func(name string, instance uint64) {
-		r, err := Start(Options{Folder: folders[name], Clock: clock.System(), Send: w.send(name), Config: consensus.Config{
-			Name: name, Instance: instance, Voters: voters,
-			Lease: 600, Drift: 0.05, Pace: 60, Election: 150, Format: 1, Limits: consensus.Rules{"tries": 1.0}, Seed: instance,
+		r, err := Start(Options{Directory: folders[name], Clock: clock.System(), Send: w.send(name), Config: consensus.Config{
+			Name: name, Incarnation: instance, Voters: voters,
+			LeaseMillis: 600, ClockDrift: 0.05, RenewIntervalMillis: 60, ElectionTimeoutMillis: 150, Format: 1, Limits: consensus.Rules{"tries": 1.0}, Seed: instance,
 		}})
 		require.NoError(t, err)
 		w.mu.Lock()
@@ -123,9 +123,9 @@
 		w.mu.Unlock()
 	}
 	for i, name := range []string{"n1", "n2", "n3", "n4"} {
-		folders[name] = filepath.Join(quick(t), name)
+		folders[name] = filepath.Join(memoryDir(t), name)
 		if name != "n4" {
-			require.NoError(t, Found(vfs.OS{}, folders[name], name, voters))
+			require.NoError(t, Bootstrap(vfs.OS{}, folders[name], name, voters))
 		}
 		start(name, uint64(i+1))
 	}
@@ -138,8 +138,8 @@
 		t.Helper()
 		for _, name := range names {
 			require.Eventually(t, func() bool {
-				a := w.of[name].Acting()
-				return !a.Lapsed && len(a.Versions) == 1 && a.Versions[0] == v
+				a := w.of[name].Effective()
+				return !a.LeaseExpired && len(a.Versions) == 1 && a.Versions[0] == v
 			}, 10*time.Second, 5*time.Millisecond, "%s: version %d", name, v)
 		}
 	}
@@ -153,7 +153,7 @@
 	require.NoError(t, err)
 	require.Equal(t, 1, v)
 	inForce(1, "n1", "n2", "n3", "n4")
-	require.Equal(t, 5.0, w.of["n2"].Acting().Rules["tries"])
+	require.Equal(t, 5.0, w.of["n2"].Effective().Rules["tries"])
 	_, err = w.of["n1"].Propose(context.Background(), consensus.Rules{"tries": 0.0})
 	require.ErrorContains(t, err, "allowed is 1 to 16")
 	_, err = w.of["n1"].Propose(context.Background(), consensus.Rules{"class.a.bound_ms": 5.0})
@@ -161,7 +161,7 @@
 
 	// One that is cut off acts by its limits once its lease has run out, and the others go on without it.
 	w.cut("n4", true)
-	require.Eventually(t, func() bool { a := w.of["n4"].Acting(); return a.Lapsed && a.Rules["tries"] == 1.0 }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { a := w.of["n4"].Effective(); return a.LeaseExpired && a.Rules["tries"] == 1.0 }, 5*time.Second, 5*time.Millisecond)
 	v, err = propose("n1", 7)
 	require.NoError(t, err)
 	inForce(v, "n1", "n2", "n3")
@@ -175,58 +175,58 @@
 	inForce(v, "n3")
 	require.Eventually(t, func() bool {
 		x := w.of["n1"].View()
-		return len(x.Voters) == 3 && x.Voters[consensus.Found("n3", voters).ID] == ""
+		return len(x.Voters) == 3 && x.Voters[consensus.InitialState("n3", voters).ID] == ""
 	}, 10*time.Second, 10*time.Millisecond, "its new identity has the old one's place")
 
 	// The majority gone: nothing can be changed, and the last one goes on by its limits.
 	w.cut("n1", true)
 	w.cut("n2", true)
-	require.Eventually(t, func() bool { return w.of["n3"].Acting().Lapsed }, 10*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return w.of["n3"].Effective().LeaseExpired }, 10*time.Second, 5*time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
 	_, err = w.of["n3"].Propose(ctx, consensus.Rules{"tries": 2.0})
-	var none *consensus.NoLeader
+	var none *consensus.NoLeaderError
 	require.ErrorAs(t, err, &none)
 	require.NotEmpty(t, none.Advice())
 	w.cut("n1", false)
 	w.cut("n2", false)
-	require.Eventually(t, func() bool { return !w.of["n3"].Acting().Lapsed }, 10*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return !w.of["n3"].Effective().LeaseExpired }, 10*time.Second, 5*time.Millisecond)
 }
 
 // A folder that can't be written is like a process that ended: nothing is sent or acted on that is not kept.
-func TestAFullDisk(t *testing.T) {
-	path := filepath.Join(quick(t), "a")
-	require.NoError(t, Found(vfs.OS{}, path, "n1", []string{"n1"}))
-	r, err := Start(Options{Folder: path, Clock: clock.System(), Send: func(string, []byte) {}, Config: consensus.Config{
-		Name: "n1", Voters: []string{"n1"}, Lease: 300,
-		Pace: 30, Election: 60, Format: 1, Limits: consensus.Rules{"tries": 1.0},
+func TestFullDisk(t *testing.T) {
+	path := filepath.Join(memoryDir(t), "a")
+	require.NoError(t, Bootstrap(vfs.OS{}, path, "n1", []string{"n1"}))
+	r, err := Start(Options{Directory: path, Clock: clock.System(), Send: func(string, []byte) {}, Config: consensus.Config{
+		Name: "n1", Voters: []string{"n1"}, LeaseMillis: 300,
+		RenewIntervalMillis: 30, ElectionTimeoutMillis: 60, Format: 1, Limits: consensus.Rules{"tries": 1.0},
 	}})
 	require.NoError(t, err)
 	defer r.Stop()
-	require.Eventually(t, func() bool { return !r.Acting().Lapsed }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return !r.Effective().LeaseExpired }, 5*time.Second, 5*time.Millisecond)
 	require.NoError(t, os.MkdirAll(filepath.Join(path, fileName+".new", "x"), 0o700)) // no file can be made there
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
 	_, err = r.Propose(ctx, consensus.Rules{"tries": 2.0})
 	require.Error(t, err)
-	require.Eventually(t, func() bool { return r.Acting().Lapsed && r.View().Failed > 0 }, 5*time.Second, 5*time.Millisecond)
-	require.Equal(t, []int{0}, r.Acting().Versions)
+	require.Eventually(t, func() bool { return r.Effective().LeaseExpired && r.View().SavesFailed > 0 }, 5*time.Second, 5*time.Millisecond)
+	require.Equal(t, []int{0}, r.Effective().Versions)
 	require.NoError(t, os.RemoveAll(filepath.Join(path, fileName+".new")))
-	require.Eventually(t, func() bool { return !r.Acting().Lapsed }, 10*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return !r.Effective().LeaseExpired }, 10*time.Second, 10*time.Millisecond)
 }
 
-// unsynced is a disk whose syncs fail while it is told so: what is written can be read, but may be gone later.
-type unsynced struct {
+// unsyncedFS is a disk whose syncs fail while it is told so: what is written can be read, but may be gone later.
+type unsyncedFS struct {
 	vfs.OS
 	fails atomic.Bool
 }
 
 type unsyncedFile struct {
 	vfs.File
-	on *unsynced
+	on *unsyncedFS
 }
 
-func (d *unsynced) Create(path string) (vfs.File, error) {
+func (d *unsyncedFS) Create(path string) (vfs.File, error) {
 	f, err := d.OS.Create(path)
 	return unsyncedFile{f, d}, err
 }
@@ -239,20 +239,20 @@
 }
 
 // The process before may have been told that its last save was not synced: what is read back is written again, or not used.
-func TestWhatIsFoundIsWrittenAgainOrNotUsed(t *testing.T) {
-	on, path := &unsynced{}, filepath.Join(quick(t), "a")
-	require.NoError(t, Found(on, path, "n1", []string{"n1"}))
+func TestLoadedStateIsRewrittenOrNotUsed(t *testing.T) {
+	on, path := &unsyncedFS{}, filepath.Join(memoryDir(t), "a")
+	require.NoError(t, Bootstrap(on, path, "n1", []string{"n1"}))
 	born := func() string {
 		_, is, err := on.ReadFile(filepath.Join(path, fileName), maxFolder)
 		require.NoError(t, err)
 		return is
 	}
-	f, err := Open(on, path)
+	f, err := OpenStorage(on, path)
 	require.NoError(t, err)
 	was := born()
 	on.fails.Store(true)
 	_, err = f.Load()
-	require.ErrorIs(t, err, ErrUnkept)
+	require.ErrorIs(t, err, ErrNotDurable)
 	on.fails.Store(false)
 	d, err := f.Load()
 	require.NoError(t, err)
@@ -264,23 +264,23 @@
 	on.fails.Store(true)
 	require.Error(t, f.Save(d))
 	_, err = f.Load()
-	require.ErrorIs(t, err, ErrUnkept, "a save has failed since")
+	require.ErrorIs(t, err, ErrNotDurable, "a save has failed since")
 	f.Close()
 
-	r, err := Start(Options{Folder: path, Disk: on, Clock: clock.System(), Send: func(string, []byte) {}, Config: consensus.Config{
-		Name: "n1", Voters: []string{"n1"}, Lease: 300,
-		Pace: 30, Election: 60, Format: 1, Limits: consensus.Rules{"tries": 1.0},
+	r, err := Start(Options{Directory: path, FS: on, Clock: clock.System(), Send: func(string, []byte) {}, Config: consensus.Config{
+		Name: "n1", Voters: []string{"n1"}, LeaseMillis: 300,
+		RenewIntervalMillis: 30, ElectionTimeoutMillis: 60, Format: 1, Limits: consensus.Rules{"tries": 1.0},
 	}})
 	require.NoError(t, err, "the pooler starts without the voter's part")
 	defer r.Stop()
 	v := r.View()
-	require.Equal(t, []any{false, true, false, true}, []any{v.Leading, v.Failed > 0, r.Sound(), r.Acting().Lapsed})
+	require.Equal(t, []any{false, true, false, true}, []any{v.IsLeader, v.SavesFailed > 0, r.IsStorageHealthy(), r.Effective().LeaseExpired})
 	on.fails.Store(false)
-	require.Eventually(t, func() bool { return r.Sound() && !r.Acting().Lapsed }, 10*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return r.IsStorageHealthy() && !r.Effective().LeaseExpired }, 10*time.Second, 10*time.Millisecond)
 }
 
-func TestMessagesThatMakeNoSense(t *testing.T) {
-	b, err := Encode(consensus.Message{From: "n1", To: "n2", Kind: consensus.MsgRenew, Nonce: 1<<63 + 1, Known: 3})
+func TestDecodeRejectsMalformedMessages(t *testing.T) {
+	b, err := Encode(consensus.Message{From: "n1", To: "n2", Kind: consensus.KindLeaseRequest, Nonce: 1<<63 + 1, Known: 3})
 	require.NoError(t, err)
 	m, err := Decode(b)
 	require.NoError(t, err)
@@ -297,15 +297,15 @@
 
 // A voter whose disk takes long for each save says nothing meanwhile: nobody may be replaced for that, or elections end in
 // nothing for as long as the disk is slow.
-func TestASlowDiskSlowsElections(t *testing.T) {
+func TestSlowDiskDelaysElections(t *testing.T) {
 	at := 1000.0
-	n, err := consensus.New(consensus.Config{Name: "n1", Voters: []string{"n1", "n2", "n3"}, Lease: 600, Pace: 60, Election: 100, Seed: 1}, consensus.Found("n1", []string{"n1", "n2", "n3"}), at)
+	n, err := consensus.New(consensus.Config{Name: "n1", Voters: []string{"n1", "n2", "n3"}, LeaseMillis: 600, RenewIntervalMillis: 60, ElectionTimeoutMillis: 100, Seed: 1}, consensus.InitialState("n1", []string{"n1", "n2", "n3"}), at)
 	require.NoError(t, err)
 	stands := func(within float64) bool {
 		for end := at + within; at < end; at += 10 {
 			n.Tick(at)
 			for _, m := range n.Output().Messages {
-				if m.Kind == consensus.MsgRaft {
+				if m.Kind == consensus.KindRaft {
 					return true
 				}
 			}
@@ -313,21 +313,21 @@
 		return false
 	}
 	require.True(t, stands(250), "a quick disk: within twice the election's time")
-	n.Saved(500)
+	n.RecordSaveDuration(500)
 	stands(250) // what was drawn before
 	require.False(t, stands(1900), "500 ms for a save: not before 2 s")
 	require.True(t, stands(4100))
 }
 
 // Whatever a node sends is read where it arrives, of every kind.
-func TestMessagesOfEveryKindAreRead(t *testing.T) {
-	for kind := consensus.MsgRaft; kind <= consensus.MsgWorks; kind++ {
+func TestEveryMessageKindRoundTrips(t *testing.T) {
+	for kind := consensus.KindRaft; kind <= consensus.KindJobUpdate; kind++ {
 		m := consensus.Message{From: "a", To: "b", Kind: kind}
-		if kind == consensus.MsgRaft {
+		if kind == consensus.KindRaft {
 			to := uint64(3)
 			m.Raft = &pb.Message{To: &to}
 		}
-		if kind == consensus.MsgWorks {
+		if kind == consensus.KindJobUpdate {
 			m.Epoch, m.Works = 3, []jobs.Job{{Name: "w", Kind: "k", Holder: "b", Token: 7}}
 		}
 		b, err := Encode(m)
--- a/internal/cluster/consensus/works.go
+++ b/internal/cluster/consensus/works.go
@@ -47,7 +47,7 @@
 		}
 		delete(next, least)
 	}
-	if m.Kind == MsgGrant { // the others bring what changed by itself, not all that came before it
+	if m.Kind == KindLeaseGrant { // the others bring what changed by itself, not all that came before it
 		w.count = max(w.count, m.Count)
 	}
 	w.of = next
@@ -55,7 +55,7 @@
 
 // tell puts what changed since a renewal's word into its grant: at once of the works that the asker owns, of the others at
 // a slower pace, since nothing waits for it and a busy work changes with each deed.
-func (n *Node) tell(to *Message, m Message, h *holder) {
+func (n *Node) tell(to *Message, m Message, h *leaseHolder) {
 	if to.Epoch = n.st.Epoch; to.Epoch == 0 {
 		return
 	}
@@ -64,7 +64,7 @@
 		since = 0
 	}
 	list := n.st.Ledger.ChangedSince(since)
-	if n.now-h.told < n.cfg.Lease/2 && since > 0 {
+	if n.now-h.told < n.cfg.LeaseMillis/2 && since > 0 {
 		to.Count = since
 		for _, w := range list {
 			if w.Holder == m.From && w.Incarnation == m.Instance {
@@ -93,16 +93,16 @@
 func (n *Node) SetReport(r jobs.Report) { n.report = r }
 
 // seenToken is the highest token that this pooler has seen, over its restarts.
-func (n *Node) seenToken() jobs.FencingToken { return n.held.Seen }
+func (n *Node) seenToken() jobs.FencingToken { return n.held.HighestToken }
 
-// Enter brings an entry about a work in; the answer comes in some Output. With change, the entry's work, under its token,
+// ProposeJobEntry brings an entry about a work in; the answer comes in some Output. With change, the entry's work, under its token,
 // makes a version of the rules in force with those keys changed.
-func (n *Node) Enter(now float64, id uint64, e jobs.Entry, change Rules) error {
+func (n *Node) ProposeJobEntry(now float64, id uint64, e jobs.Entry, change Rules) error {
 	n.now = max(n.now, now)
 	if r := e.Validate(); r != nil {
 		return r
 	}
-	m := Message{Kind: MsgPropose, From: n.cfg.Name, ID: id, Entry: &e, Change: change}
+	m := Message{Kind: KindProposal, From: n.cfg.Name, ID: id, Entry: &e, Change: change}
 	if change != nil {
 		m.Version.Format = 1
 	}
@@ -112,11 +112,11 @@
 	return nil
 }
 
-// Drop forgets a proposal: nobody waits for its answer any more. It may still come into the log.
-func (n *Node) Drop(id uint64) { delete(n.mine, id) }
+// Abandon forgets a proposal: nobody waits for its answer any more. It may still come into the log.
+func (n *Node) Abandon(id uint64) { delete(n.mine, id) }
 
-// onto returns rules with a change made to them.
-func (r Rules) onto(base Rules) Rules {
+// appliedTo returns rules with a change made to them.
+func (r Rules) appliedTo(base Rules) Rules {
 	out := make(Rules, len(base)+len(r))
 	maps.Copy(out, base)
 	for name, v := range r {
@@ -129,8 +129,8 @@
 
 // enter puts an entry about a work into the log. One that the log would refuse as it stands is answered at once.
 func (n *Node) enter(m Message) (answer Message, over bool) {
-	a := Message{To: m.From, Kind: MsgAnswer, ID: m.ID}
-	b, err := json.Marshal(entry{ID: m.ID, Work: m.Entry})
+	a := Message{To: m.From, Kind: KindProposalResult, ID: m.ID}
+	b, err := json.Marshal(logEntry{ID: m.ID, Work: m.Entry})
 	if err == nil {
 		err = n.rn.Propose(b)
 	}
@@ -152,16 +152,16 @@
 // version takes rules in as the next version.
 func (n *Node) version(v Version) int {
 	n.st.Last++
-	v.N = n.st.Last
+	v.Number = n.st.Last
 	n.st.Held.Pending = &v
 	n.st.Versions = append(n.st.Versions, v)
 	n.st.Versions = n.st.Versions[max(0, len(n.st.Versions)-versionsKept):]
-	return v.N
+	return v.Number
 }
 
 // settle is what a line about a work comes to; it must come out alike everywhere.
-func (n *Node) settle(x entry) done {
-	d := done{ID: x.ID, Work: true, Name: x.Work.Job}
+func (n *Node) settle(x logEntry) proposalOutcome {
+	d := proposalOutcome{ID: x.ID, Work: true, Name: x.Work.Job}
 	if n.st.Epoch == 0 {
 		n.st.Epoch = x.ID | 1
 	}
@@ -175,15 +175,15 @@
 		return d
 	}
 	if p := n.st.Held.Pending; p != nil {
-		d.Work, d.Why = false, fmt.Sprintf("version %d came first and is not in force yet", p.N)
+		d.Work, d.Why = false, fmt.Sprintf("version %d came first and is not in force yet", p.Number)
 		return d
 	}
-	d.N = n.version(Version{Rules: x.Change.onto(n.st.Held.Force.Rules), By: x.Work.Job, Format: 1})
+	d.N = n.version(Version{Rules: x.Change.appliedTo(n.st.Held.Active.Rules), ProposedBy: x.Work.Job, Format: 1})
 	return d
 }
 
 // finish keeps what a proposal came to, and tells whoever waits for it.
-func (n *Node) finish(d done) {
+func (n *Node) finish(d proposalOutcome) {
 	n.st.Done = append(n.st.Done, d)
 	n.st.Done = n.st.Done[max(0, len(n.st.Done)-doneKept):]
 	if to, ok := n.askers[d.ID]; ok && n.leading {
@@ -193,9 +193,9 @@
 }
 
 // answer words what a proposal came to.
-func (n *Node) answer(to string, d done) Message {
-	a := Message{To: to, Kind: MsgAnswer, ID: d.ID, OK: d.N > 0 || d.Work && d.Refused == nil, Why: d.Why, Refused: d.Refused}
-	if a.Version.N = d.N; d.Work {
+func (n *Node) answer(to string, d proposalOutcome) Message {
+	a := Message{To: to, Kind: KindProposalResult, ID: d.ID, OK: d.N > 0 || d.Work && d.Refused == nil, Why: d.Why, Refused: d.Refused}
+	if a.Version.Number = d.N; d.Work {
 		a.Epoch, a.Held = n.st.Epoch, n.st.Held
 		if w := n.st.Ledger.Jobs[d.Name]; w != nil {
 			a.Works = []jobs.Job{*w}
@@ -209,7 +209,7 @@
 
 // appoint names owners: the leader's part. A new leader does not know who holds leases until one length has passed.
 func (n *Node) appoint() {
-	if n.st.Epoch == 0 && n.desk.HighestToken == 0 || n.conf == nil || n.now-n.looked < n.cfg.Pace/4 && n.st.Ledger.Revision == n.counted {
+	if n.st.Epoch == 0 && n.desk.HighestToken == 0 || n.conf == nil || n.now-n.looked < n.cfg.RenewIntervalMillis/4 && n.st.Ledger.Revision == n.counted {
 		return
 	}
 	n.looked, n.counted = n.now, n.st.Ledger.Revision
@@ -219,7 +219,7 @@
 		cands = append(cands, jobs.Candidate{Name: h.name, Incarnation: h.instance, LeaseUntil: h.until, Report: h.report})
 	}
 	for _, e := range n.desk.Tick(n.now, &n.st.Ledger, cands, n.now < n.safe) {
-		if b, err := json.Marshal(entry{ID: n.lots.Uint64(), Work: &e}); err == nil {
+		if b, err := json.Marshal(logEntry{ID: n.lots.Uint64(), Work: &e}); err == nil {
 			_ = n.rn.Propose(b) // one that is lost is made again
 		}
 	}
@@ -228,14 +228,14 @@
 // named tells a work's new owner at once, rather than with its next lease.
 func (n *Node) named(e *jobs.Entry) {
 	if w := n.st.Ledger.Jobs[e.Job]; n.leading && e.Type == jobs.EntryAssign && w != nil && w.Holder == e.Holder && w.Incarnation == e.Incarnation {
-		n.send(Message{To: e.Holder, Kind: MsgWorks, Epoch: n.st.Epoch, Held: n.st.Held, Works: []jobs.Job{*w}})
+		n.send(Message{To: e.Holder, Kind: KindJobUpdate, Epoch: n.st.Epoch, Held: n.st.Held, Works: []jobs.Job{*w}})
 	}
 }
 
-// Takeover is the stated time from an owner's end until another may act, in milliseconds: its lease has to run out, the
+// TakeoverBoundMillis is the stated time from an owner's end until another may act, in milliseconds: its lease has to run out, the
 // leader to see that, the log to take the next owner in, and that one to be told, at the latest with its own next lease.
 // Where the leader went with it, an election and the first lease of all come before.
-func (c Config) Takeover() (steady, change float64) {
-	steady = c.Lease*c.stretch() + 2*c.Pace + 2*c.Election/tickShare*heartbeat
-	return steady, steady + 4*c.Election + c.Lease*c.stretch()
+func (c Config) TakeoverBoundMillis() (steady, change float64) {
+	steady = c.LeaseMillis*c.driftFactor() + 2*c.RenewIntervalMillis + 2*c.ElectionTimeoutMillis/tickShare*heartbeat
+	return steady, steady + 4*c.ElectionTimeoutMillis + c.LeaseMillis*c.driftFactor()
 }
--- a/internal/cluster/jobs/executor/doing.go
+++ b/internal/cluster/jobs/executor/doing.go
@@ -24,7 +24,7 @@
 	// Enter brings an entry in; a *owner.Refusal changed nothing, after any other error it may still come.
 	Propose(ctx context.Context, e jobs.Entry) error
 	// Report is told to whoever names owners.
-	Report(jobs.Report)
+	SetReport(jobs.Report)
 }
 
 // Options are what a doer needs. Times are in milliseconds.
@@ -185,7 +185,7 @@
 	d.mu.Lock()
 	r.Progress = maps.Clone(d.counts)
 	d.mu.Unlock()
-	o.Log.Report(r)
+	o.Log.SetReport(r)
 }
 
 // answered counts that a place answered.
--- a/internal/cluster/jobs/executor/doing_test.go
+++ b/internal/cluster/jobs/executor/doing_test.go
@@ -62,7 +62,7 @@
 }
 
 func (l log) Propose(_ context.Context, e jobs.Entry) error { return l.enter(e) }
-func (l log) Report(jobs.Report)                            {}
+func (l log) SetReport(jobs.Report)                         {}
 
 // count writes rows until there are as many as its spec says.
 type count struct {
--- a/testbed/cluster/cluster_test.go
+++ b/testbed/cluster/cluster_test.go
@@ -219,7 +219,7 @@
 // Drawn schedules of messages, crashes and clocks hold every guarantee, a seed is the same twice, and each guarantee that
 // is switched off is seen to be missing.
 func TestAgreementInSimulation(t *testing.T) {
-	for _, broken := range append([]string{""}, consensus.Breakable...) {
+	for _, broken := range append([]string{""}, consensus.BreakableGuarantees...) {
 		schedules := 300
 		if broken != "" {
 			schedules = 30
--- a/testbed/cluster/node_test.go
+++ b/testbed/cluster/node_test.go
@@ -184,8 +184,8 @@
 	r := &rig{dir: t.TempDir()}
 	n := &node{name: "n1"}
 	require.Zero(t, r.identity(n))
-	kept := consensus.Found("n1", []string{"n1", "n2", "n3"})
-	f, err := runner.Open(vfs.OS{}, r.folder("n1"))
+	kept := consensus.InitialState("n1", []string{"n1", "n2", "n3"})
+	f, err := runner.OpenStorage(vfs.OS{}, r.folder("n1"))
 	require.NoError(t, err)
 	defer f.Close()
 	require.NoError(t, f.Save(kept))
--- a/testbed/cluster/simulate.go
+++ b/testbed/cluster/simulate.go
@@ -47,18 +47,18 @@
 type simNode struct {
 	cfg      consensus.Config
 	node     *consensus.Node
-	disk     *consensus.Disk
+	disk     *consensus.PersistentState
 	offset   float64 // of its clock, and how fast that runs
 	rate     float64
 	stopped  bool
 	gone     bool                // for good
 	backlog  []consensus.Message // that came while it was stopped
 	instance uint64
-	sent     map[uint64]float64 // when each renewal was sent, in true time
-	lease    float64            // the latest of those that were answered
-	least    int                // the lowest version that it has acted on with a lease
-	acts     *consensus.Acting  // what it acted on when something happened to it last
-	read     int                // versions of its log that were looked at
+	sent     map[uint64]float64        // when each renewal was sent, in true time
+	lease    float64                   // the latest of those that were answered
+	least    int                       // the lowest version that it has acted on with a lease
+	acts     *consensus.EffectiveRules // what it acted on when something happened to it last
+	read     int                       // versions of its log that were looked at
 }
 
 func (n *simNode) clock(t float64) float64 { return n.offset + t*n.rate }
@@ -125,18 +125,18 @@
 	}
 	for i, name := range s.names {
 		cfg := consensus.Config{
-			Name: name, Voters: s.names[:s.voters], Lease: simLease, Drift: simDrift, Pace: simPace, Election: simElection, Format: 1,
+			Name: name, Voters: s.names[:s.voters], LeaseMillis: simLease, ClockDrift: simDrift, RenewIntervalMillis: simPace, ElectionTimeoutMillis: simElection, Format: 1,
 			Limits: consensus.Rules{"class.a.bound_ms": 100.0, "class.a.repeat": false, "tries": 1.0, "database.d.group": 0.0}, Seed: seed, Break: broken,
 		}
 		n := &simNode{cfg: cfg, offset: s.lots.Float64() * 1e6, rate: 1 + simDrift*(2*s.lots.Float64()-1)}
 		if i < s.voters {
-			n.disk = consensus.Found(name, s.names[:s.voters])
+			n.disk = consensus.InitialState(name, s.names[:s.voters])
 		}
 		s.nodes = append(s.nodes, n)
 		s.start(n)
 		s.tick(n)
 	}
-	_, change := s.nodes[0].cfg.Bound()
+	_, change := s.nodes[0].cfg.ActivationBoundMillis()
 	s.out.Bound = change
 	s.quiet = length - simRest
 	for at := 100.0; at < s.quiet; at += 60 + s.lots.Float64()*300 {
@@ -176,7 +176,7 @@
 // start gives a node a process, on the folder that it has.
 func (s *simulation) start(n *simNode) {
 	n.instance = s.lots.Uint64()
-	n.cfg.Instance, n.sent, n.lease, n.stopped, n.backlog = n.instance, map[uint64]float64{}, -1e9, false, nil
+	n.cfg.Incarnation, n.sent, n.lease, n.stopped, n.backlog = n.instance, map[uint64]float64{}, -1e9, false, nil
 	n.acts, n.read = nil, 0
 	node, err := consensus.New(n.cfg, n.disk, n.clock(s.now))
 	if err != nil {
@@ -209,20 +209,20 @@
 		n.disk = out.Save
 	}
 	if crash {
-		out.Messages, out.Answers = out.Messages[:s.lots.IntN(len(out.Messages)+1)], nil
+		out.Messages, out.Results = out.Messages[:s.lots.IntN(len(out.Messages)+1)], nil
 		defer s.crash(n, "killed after a save")
 	}
 	for _, m := range out.Messages {
 		s.out.Messages++
 		s.note("%s>%s %d %d %d", m.From, m.To, m.Kind, m.Nonce, m.Known)
-		if m.Kind == consensus.MsgRenew {
+		if m.Kind == consensus.KindLeaseRequest {
 			n.sent[m.Nonce] = s.now
 		}
 		s.pass(m)
 	}
-	for _, a := range out.Answers {
+	for _, a := range out.Results {
 		if begun, ok := s.calls[a.ID]; ok && a.OK {
-			s.ends = append(s.ends, simEnd{begun, s.now, a.Version.N})
+			s.ends = append(s.ends, simEnd{begun, s.now, a.Version.Number})
 			delete(s.calls, a.ID)
 		}
 	}
@@ -277,7 +277,7 @@
 		}
 		return
 	}
-	if m.Kind == consensus.MsgGrant {
+	if m.Kind == consensus.KindLeaseGrant {
 		if at, ok := n.sent[m.Nonce]; ok {
 			n.lease = max(n.lease, at)
 		}
@@ -467,7 +467,7 @@
 		if n.node == nil || n.stopped {
 			continue
 		}
-		if !n.node.Lapsed(n.clock(s.now)) && s.now > n.lease+simLease*(1+2*simDrift) {
+		if !n.node.LeaseExpired(n.clock(s.now)) && s.now > n.lease+simLease*(1+2*simDrift) {
 			s.breach("acted_without_lease", "%s asked for the last one that it got %.1f ms ago", n.cfg.Name, s.now-n.lease)
 		}
 	}
@@ -476,13 +476,13 @@
 			continue
 		}
 		s.versions(n)
-		a := n.node.Acting(n.clock(s.now))
-		same := n.acts != nil && n.acts.Lapsed == a.Lapsed && slices.Equal(n.acts.Versions, a.Versions)
+		a := n.node.Effective(n.clock(s.now))
+		same := n.acts != nil && n.acts.LeaseExpired == a.LeaseExpired && slices.Equal(n.acts.Versions, a.Versions)
 		n.acts = &a
 		if same {
 			continue
 		}
-		if !a.Lapsed {
+		if !a.LeaseExpired {
 			low := slices.Min(a.Versions)
 			if low < n.least {
 				s.breach("version_went_back", "%s acts on %v, it was at %d", n.cfg.Name, a.Versions, n.least)
@@ -495,7 +495,7 @@
 		}
 		for _, o := range s.nodes {
 			if o != n && o.node != nil && !o.stopped && o.acts != nil {
-				b := o.node.Acting(o.clock(s.now))
+				b := o.node.Effective(o.clock(s.now))
 				s.compare(n, o, a, b)
 				s.compare(o, n, b, a)
 			}
@@ -506,18 +506,18 @@
 // versions looks at what is new in a node's log.
 func (s *simulation) versions(n *simNode) {
 	for _, v := range n.node.Versions() {
-		if v.N <= n.read {
+		if v.Number <= n.read {
 			continue
 		}
-		n.read = v.N
-		if _, ok := s.logged[v.N]; !ok {
-			s.logged[v.N] = s.now
+		n.read = v.Number
+		if _, ok := s.logged[v.Number]; !ok {
+			s.logged[v.Number] = s.now
 		}
 		text := fmt.Sprint(v.Rules)
-		if was, ok := s.values[v.N]; ok && was != text {
-			s.breach("two_values_one_version", "version %d is %s and %s", v.N, was, text)
+		if was, ok := s.values[v.Number]; ok && was != text {
+			s.breach("two_values_one_version", "version %d is %s and %s", v.Number, was, text)
 		}
-		s.values[v.N] = text
+		s.values[v.Number] = text
 	}
 }
 
@@ -525,8 +525,8 @@
 var simKeys = proposed{[]string{"class.a.bound_ms", "tries"}, "class.a.repeat", "database.d.group"}
 
 // compare holds what x permits itself against what y's version in force forbids.
-func (s *simulation) compare(x, y *simNode, a, b consensus.Acting) {
-	for _, k := range simKeys.contradicts(acted{a.Versions, a.Rules, a.Lapsed}, acted{b.Versions, b.Rules, b.Lapsed}) {
+func (s *simulation) compare(x, y *simNode, a, b consensus.EffectiveRules) {
+	for _, k := range simKeys.contradicts(acted{a.Versions, a.Rules, a.LeaseExpired}, acted{b.Versions, b.Rules, b.LeaseExpired}) {
 		s.breach("contradiction", "%s %v has %s %v, %s %v has %v", x.cfg.Name, a.Versions, k, a.Rules[k], y.cfg.Name, b.Versions, b.Rules[k])
 	}
 }
@@ -552,8 +552,8 @@
 			s.breach("stuck", "%s does not run", n.cfg.Name)
 			continue
 		}
-		if a := n.node.Acting(n.clock(s.now)); a.Lapsed || len(a.Versions) != 1 || a.Versions[0] != want {
-			s.breach("stuck", "%s acts on %v, lapsed %v; %d is in force", n.cfg.Name, a.Versions, a.Lapsed, want)
+		if a := n.node.Effective(n.clock(s.now)); a.LeaseExpired || len(a.Versions) != 1 || a.Versions[0] != want {
+			s.breach("stuck", "%s acts on %v, lapsed %v; %d is in force", n.cfg.Name, a.Versions, a.LeaseExpired, want)
 		}
 	}
 }
