--- a/cmd/ashstand/cost.go
+++ b/cmd/ashstand/cost.go
@@ -70,7 +70,7 @@
 	ok := s.Outcome.Code == dispatch.OK && s.ExecuteMillis > 0
 	var print cost.Fingerprint
 	if ok {
-		print = cost.Print(s.Statement.Text)
+		print = cost.NewFingerprint(s.Statement.Text)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -82,7 +82,7 @@
 	}
 	e.model.Observe(cost.Observation{
 		Statement: print, Class: s.Statement.Class, Host: s.Host, Kind: kind, Group: entry.Group, Rows: 1, Bytes: float64(s.ResponseBytes),
-		Work: s.ExecuteMillis, Wait: s.AcquireMillis, Inflight: s.ConcurrentAttempts, Primary: s.Outcome.Role == dispatch.Primary, Cold: e.cold(&entry, s.FinishedAtMillis), At: s.FinishedAtMillis,
+		Work: s.ExecuteMillis, Wait: s.AcquireMillis, Inflight: s.ConcurrentAttempts, Primary: s.Outcome.Role == dispatch.Primary, WarmingUp: e.cold(&entry, s.FinishedAtMillis), At: s.FinishedAtMillis,
 	})
 	c := e.served[s.Statement.Class]
 	if c == nil {
@@ -108,14 +108,14 @@
 // fleet is how the hosts stand, as this pooler sees it.
 func (e *estimates) fleet(now float64) cost.Fleet {
 	cfg, kept := e.node.cfg.Load(), e.node.facade.ExportState()
-	f := cost.Fleet{Ramp: clock.Millis(cfg.site.SlowStartDuration)}
+	f := cost.Fleet{WarmUpMillis: clock.Millis(cfg.site.SlowStartDuration)}
 	list := *e.node.list.Load()
 	e.mu.Lock()
 	inside := maps.Clone(e.inside)
 	for _, k := range cfg.site.Settings.Classes {
-		c := cost.Class{Name: k.Name, Aim: clock.Millis(k.LatencyObjective), Worth: k.PriorityWeight}
+		c := cost.Class{Name: k.Name, ObjectiveMillis: clock.Millis(k.LatencyObjective), Weight: k.PriorityWeight}
 		if s := e.served[k.Name]; s != nil && s.n > 0 {
-			c.Rate, c.Work = s.n*math.Exp(-max(0, now-s.at)/servedSpan)/servedSpan*1e3, s.work/s.n
+			c.RequestsPerSecond, c.WorkMillis = s.n*math.Exp(-max(0, now-s.at)/servedSpan)/servedSpan*1e3, s.work/s.n
 		}
 		f.Classes = append(f.Classes, c)
 	}
@@ -127,7 +127,7 @@
 		}
 		h := cost.Host{
 			Name: m.Host, Kind: e.kind(&entry, m.Host), Group: m.Group, Primary: m.WasPrimary, Capacity: m.Limit, Inflight: inside[m.Host],
-			Load: float64(inside[m.Host]), Started: entry.SinceMS, Lag: max(0, clock.Millis(m.Lag)),
+			Load: float64(inside[m.Host]), StartedAt: entry.SinceMS, LagMillis: max(0, clock.Millis(m.Lag)),
 		}
 		if c := cfg.operator.Cost; c != nil && c.Capacity > 0 {
 			h.Capacity = float64(c.Capacity)
@@ -169,7 +169,7 @@
 	e.mu.Lock()
 	v := e.model.Publish(0, now)
 	e.mu.Unlock()
-	return cost.Load(v, now).Estimate(now, p, f) // the admin socket says what can be done about an error
+	return cost.NewEstimator(v, now).Estimate(now, p, f) // the admin socket says what can be done about an error
 }
 
 // worded puts what can be done behind an error.
@@ -181,31 +181,31 @@
 }
 
 // fromFiles estimates from saved evidence, each file another pooler's, as the last of them saw the hosts.
-func fromFiles(p cost.Plan, paths []string, now float64) (cost.Answer, error) {
+func fromFiles(p cost.Plan, paths []string, now float64) (cost.PlanComparison, error) {
 	var m *cost.Model
 	var f cost.Fleet
 	last := 0.0
 	for _, path := range paths {
 		b, err := os.ReadFile(path)
 		if err != nil {
-			return cost.Answer{}, err
+			return cost.PlanComparison{}, err
 		}
 		var e evidence
 		if err := stdjson.Unmarshal(b, &e); err != nil {
-			return cost.Answer{}, fmt.Errorf("%s: %w", path, err)
+			return cost.PlanComparison{}, fmt.Errorf("%s: %w", path, err)
 		}
 		if m == nil {
 			m = cost.NewModel(cost.Options{Bytes: 64 << 20, Span: e.Span, Drift: e.Drift})
 		}
 		if err := m.Merge(e.Summary); err != nil {
-			return cost.Answer{}, fmt.Errorf("%s: %w", path, worded(err))
+			return cost.PlanComparison{}, fmt.Errorf("%s: %w", path, worded(err))
 		}
 		if e.At >= last {
 			last, f = e.At, e.Fleet
 		}
 	}
 	// The version is of when the evidence was saved: what has passed since widens the intervals.
-	a, err := cost.Load(m.Publish(0, last), now).Estimate(now, p, f)
+	a, err := cost.NewEstimator(m.Publish(0, last), now).Estimate(now, p, f)
 	return a, worded(err)
 }
 
@@ -223,7 +223,7 @@
 			if err != nil {
 				return err
 			}
-			var a cost.Answer
+			var a cost.PlanComparison
 			if len(files) > 0 {
 				a, err = fromFiles(p, files, clock.System().Now())
 			} else {
@@ -264,37 +264,37 @@
 		&cobra.Command{
 			Use: "fingerprint SQL", Short: "print a statement's fingerprint and the text that it stands for", Args: cobra.ExactArgs(1),
 			Run: func(c *cobra.Command, args []string) {
-				fmt.Fprintf(c.OutOrStdout(), "%v  %s\n", cost.Print(args[0]), cost.Normal(args[0]))
+				fmt.Fprintf(c.OutOrStdout(), "%v  %s\n", cost.NewFingerprint(args[0]), cost.Normalize(args[0]))
 			},
 		})
 	return c
 }
 
-func costTable(out io.Writer, a *cost.Answer) error {
+func costTable(out io.Writer, a *cost.PlanComparison) error {
 	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
 	order := slices.Clone(a.Order)
 	for i := range a.Plans {
-		if a.Plans[i].Cant != nil {
+		if a.Plans[i].Unavailable != nil {
 			order = append(order, i)
 		}
 	}
 	for place, i := range order {
 		p := &a.Plans[i]
-		if p.Cant != nil {
-			fmt.Fprintf(w, "plan %q: %v\n", p.Name, p.Cant)
+		if p.Unavailable != nil {
+			fmt.Fprintf(w, "plan %q: %v\n", p.Name, p.Unavailable)
 			continue
 		}
 		fmt.Fprintf(w, "plan %q", p.Name)
 		if place > 0 {
-			if sure := a.Faster[order[place-1]][i]; sure >= cost.Sure {
+			if sure := a.FasterProbability[order[place-1]][i]; sure >= cost.ConfidenceThreshold {
 				fmt.Fprintf(w, ": slower than the one above (%.0f %% sure)", 100*sure)
 			} else {
 				fmt.Fprintf(w, ": can't tell whether it is slower than the one above (%.0f %%)", 100*sure)
 			}
 		}
 		fmt.Fprintln(w, "\nFIGURE\tESTIMATE\t95 % FROM\tTO\tHINGES ON")
-		row := func(name, format string, f cost.Figure) {
-			fmt.Fprintf(w, "%s\t"+format+"\t"+format+"\t"+format+"\t%s\n", name, f.Mid, f.Low, f.High, f.Hinge)
+		row := func(name, format string, f cost.Interval) {
+			fmt.Fprintf(w, "%s\t"+format+"\t"+format+"\t"+format+"\t%s\n", name, f.Mid, f.Low, f.High, f.DominantFactor)
 		}
 		row("one run, ms", "%.1f", p.Time)
 		row("p50, ms", "%.1f", p.P50)
@@ -304,13 +304,13 @@
 			row("work on "+k+", ms", "%.1f", p.Work[k])
 		}
 		row("share of the primary", "%.3f", p.Primary)
-		row("worth displaced", "%.2f", p.Displaced)
-		if p.Meets != nil {
-			row("chance to meet its aim", "%.2f", *p.Meets)
+		row("worth displaced", "%.2f", p.DisplacedWeight)
+		if p.WithinObjective != nil {
+			row("chance to meet its aim", "%.2f", *p.WithinObjective)
 		}
-		row("oldest data, ms", "%.1f", p.Stale)
-		if p.Moved >= 0 {
-			fmt.Fprintf(w, "one source's false evidence moves work by a factor of %.2f at most\n", math.Exp(p.Moved))
+		row("oldest data, ms", "%.1f", p.StalenessMillis)
+		if p.MaxShift >= 0 {
+			fmt.Fprintf(w, "one source's false evidence moves work by a factor of %.2f at most\n", math.Exp(p.MaxShift))
 		} else {
 			fmt.Fprintln(w, "fewer than three sources know of it: a false one would not be noticed")
 		}
--- a/cmd/ashstand/cost_golden_test.go
+++ b/cmd/ashstand/cost_golden_test.go
@@ -23,7 +23,7 @@
 // goldenEvidence is evidence with every kind of part, all of them set.
 func goldenEvidence() evidence {
 	cell := func(class, kind, text string) cost.Cell {
-		c := cost.Cell{Block: 2, Class: class, Kind: kind, Statement: cost.Print(text), At: 1700000000250.5}
+		c := cost.Cell{Block: 2, Class: class, Kind: kind, Statement: cost.NewFingerprint(text), At: 1700000000250.5}
 		for i := range c.Moments {
 			c.Moments[i] = 1 + float64(i)/8
 		}
@@ -41,8 +41,8 @@
 			Waits: []cost.Wait{{Block: 1, Kind: "new", At: 1700000000300, Sums: [6]float64{3, 4.5, 9, 1e-7, 2e21, 0.1}}},
 		},
 		Fleet: cost.Fleet{
-			Ramp: 30000, Classes: []cost.Class{{Name: "browse", Aim: 30, Worth: 2, Rate: 12.5, Work: 1.5}},
-			Hosts: []cost.Host{{Name: "h1", Kind: "new", Group: 3, Primary: true, Capacity: 8, Inflight: 2, Load: 1.5, Started: 1700000000100, Lag: 7}},
+			WarmUpMillis: 30000, Classes: []cost.Class{{Name: "browse", ObjectiveMillis: 30, Weight: 2, RequestsPerSecond: 12.5, WorkMillis: 1.5}},
+			Hosts: []cost.Host{{Name: "h1", Kind: "new", Group: 3, Primary: true, Capacity: 8, Inflight: 2, Load: 1.5, StartedAt: 1700000000100, LagMillis: 7}},
 		},
 	}
 }
--- a/cmd/ashstand/golden_test.go
+++ b/cmd/ashstand/golden_test.go
@@ -198,7 +198,7 @@
 	for name, of := range map[string]reflect.Type{
 		"request-work": reflect.TypeFor[jobs.Entry](),
 		"request-cost": reflect.TypeFor[cost.Step](),
-		"result-cost":  reflect.TypeFor[cost.Answer](),
+		"result-cost":  reflect.TypeFor[cost.PlanComparison](),
 	} {
 		t.Run(name, func(t *testing.T) {
 			b, err := json.MarshalIndent(filled(of), "", "  ")
--- a/cmd/ashstand/moves.go
+++ b/cmd/ashstand/moves.go
@@ -98,7 +98,7 @@
 	_, force := c.ActivationBoundMillis()
 	_, takeover := c.TakeoverBoundMillis() // whoever dies may have led the log as well
 	m := &migration.Mover{
-		Places: &movesql.Places{Client: w.client, Within: deed}, Rules: &movesRules{f.agreed, now, c.Limits}, Turns: turns{w},
+		Places: &movesql.Databases{Client: w.client, Timeout: deed}, Rules: &movesRules{f.agreed, now, c.Limits}, Turns: turns{w},
 		// A line of the log takes two round trips and two savings: less than a heartbeat each, or the leader would be taken for gone.
 		Costs: migration.Costs{Log: c.ElectionTimeoutMillis / 5, InForce: force, Owner: takeover, Place: clock.Millis(deed)},
 	}
--- a/internal/cluster/migration/sql/build.go
+++ b/internal/cluster/migration/sql/build.go
@@ -60,22 +60,22 @@
 	emptiedName  = "z_ashstand_emptied"
 )
 
-func (t *table) guards() []string {
+func (t *table) createGuards() []string {
 	return t.missing(map[string]string{
-		guardName:    "BEFORE INSERT OR UPDATE OR DELETE ON " + t.sql() + " FOR EACH STATEMENT EXECUTE FUNCTION ashstand.guard()",
-		truncateName: "BEFORE TRUNCATE ON " + t.sql() + " FOR EACH STATEMENT EXECUTE FUNCTION ashstand.guard()",
+		guardName:    "BEFORE INSERT OR UPDATE OR DELETE ON " + t.quoted() + " FOR EACH STATEMENT EXECUTE FUNCTION ashstand.guard()",
+		truncateName: "BEFORE TRUNCATE ON " + t.quoted() + " FOR EACH STATEMENT EXECUTE FUNCTION ashstand.guard()",
 	}, guardName, truncateName)
 }
 
-func (t *table) marks() []string {
+func (t *table) createTracking() []string {
 	var key []string
 	for _, k := range t.key {
 		key = append(key, quote(t.columns[k]))
 	}
 	return t.missing(map[string]string{
-		markName: "AFTER INSERT OR UPDATE OR DELETE ON " + t.sql() + " FOR EACH ROW EXECUTE FUNCTION ashstand.mark(" +
+		markName: "AFTER INSERT OR UPDATE OR DELETE ON " + t.quoted() + " FOR EACH ROW EXECUTE FUNCTION ashstand.mark(" +
 			strings.Join(key, ", ") + ")",
-		emptiedName: "AFTER TRUNCATE ON " + t.sql() + " FOR EACH STATEMENT EXECUTE FUNCTION ashstand.mark()",
+		emptiedName: "AFTER TRUNCATE ON " + t.quoted() + " FOR EACH STATEMENT EXECUTE FUNCTION ashstand.mark()",
 	}, markName, emptiedName)
 }
 
@@ -90,7 +90,7 @@
 
 // dressed makes the triggers that tables lack, each table's in a transaction of its own: who has to wait for one table's
 // writers holds no other up.
-func (p *Places) dressed(ctx context.Context, a migration.Act, at migration.Group, of func(*table) []string) error {
+func (p *Databases) dressed(ctx context.Context, a migration.Act, at migration.Group, of func(*table) []string) error {
 	var all []*table
 	if err := p.on(ctx, a, at, "tables", func(ctx context.Context, conn *pgconn.PgConn) (err error) {
 		all, err = tables(ctx, conn)
@@ -103,7 +103,7 @@
 		if len(list) == 0 || !t.carried() {
 			continue
 		}
-		if err := p.act(ctx, a, at, "triggers of "+t.full(), ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
+		if err := p.act(ctx, a, at, "triggers of "+t.fullName(), ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
 			return run(ctx, conn, list...)
 		}); err != nil {
 			return err
@@ -113,7 +113,7 @@
 }
 
 // founded makes the base where it is missing.
-func (p *Places) founded(ctx context.Context, a migration.Act, at migration.Group) error {
+func (p *Databases) founded(ctx context.Context, a migration.Act, at migration.Group) error {
 	return p.on(ctx, a, at, "schema ashstand", func(ctx context.Context, conn *pgconn.PgConn) error {
 		there, err := fencing.QueryValue(ctx, conn, "SELECT count(*) FROM information_schema.tables WHERE table_schema = 'ashstand' AND table_name IN "+
 			"('fence', 'gate', 'book', 'touched')")
@@ -121,7 +121,7 @@
 			return err
 		}
 		for range 2 {
-			if err = run(ctx, conn, base...); code(err) != "23505" && code(err) != "42P07" && code(err) != "42P06" {
+			if err = run(ctx, conn, base...); sqlState(err) != "23505" && sqlState(err) != "42P07" && sqlState(err) != "42P06" {
 				break // else somebody made it at the same time
 			}
 		}
@@ -130,7 +130,7 @@
 }
 
 // Publish makes the fence, its triggers and a publication without tables.
-func (p *Places) Publish(ctx context.Context, a migration.Act) error {
+func (p *Databases) Publish(ctx context.Context, a migration.Act) error {
 	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.founded(ctx, a, at); err != nil {
 			return err
@@ -144,7 +144,7 @@
 			}
 			items := book{"work": a.Work, "given": "", "deed": fmt.Sprint(deedNumber(a)), "marked": "", "sub": "", "back": ""}
 			if at == a.Plan.From {
-				if err := p.publication(ctx, conn, name(a, "f"), nil); err != nil {
+				if err := p.publication(ctx, conn, objectName(a, "f"), nil); err != nil {
 					return err
 				}
 			}
@@ -152,7 +152,7 @@
 		}); err != nil {
 			return err
 		}
-		if err := p.dressed(ctx, a, at, (*table).guards); err != nil {
+		if err := p.dressed(ctx, a, at, (*table).createGuards); err != nil {
 			return err
 		}
 	}
@@ -177,7 +177,7 @@
 }
 
 // publication makes one and drops all others of moves, in the transaction that is open.
-func (p *Places) publication(ctx context.Context, conn *pgconn.PgConn, called string, of []*table) error {
+func (p *Databases) publication(ctx context.Context, conn *pgconn.PgConn, called string, of []*table) error {
 	rows, _, err := fencing.Exec(ctx, conn, "SELECT pubname FROM pg_publication")
 	if err != nil {
 		return err
@@ -195,7 +195,7 @@
 	}
 	list := ""
 	for i, t := range of {
-		list += map[bool]string{true: " FOR TABLE ", false: ", "}[i == 0] + t.sql()
+		list += map[bool]string{true: " FOR TABLE ", false: ", "}[i == 0] + t.quoted()
 	}
 	return run(ctx, conn, "CREATE PUBLICATION "+ident(called)+list)
 }
@@ -215,7 +215,7 @@
 
 // dropSlots drops the slots of moves but those that are to stay. Who still streams from one is ended: its subscription
 // is gone, or is to go.
-func (p *Places) dropSlots(ctx context.Context, a migration.Act, at migration.Group, stay ...string) error {
+func (p *Databases) dropSlots(ctx context.Context, a migration.Act, at migration.Group, stay ...string) error {
 	return p.on(ctx, a, at, "drop slots", func(ctx context.Context, conn *pgconn.PgConn) error {
 		return freed(ctx, conn, a, stay)
 	})
@@ -229,7 +229,7 @@
 		}
 		busy := error(nil)
 		for slot, pid := range left {
-			if slices.Contains(stay, slot) || !old(slot, a) {
+			if slices.Contains(stay, slot) || !isRemovable(slot, a) {
 				continue
 			}
 			if pid != "" {
@@ -238,7 +238,7 @@
 				}
 			}
 			_, _, err = fencing.Exec(ctx, conn, "SELECT pg_drop_replication_slot("+quote(slot)+")")
-			switch code(err) {
+			switch sqlState(err) {
 			case "55006":
 				busy = err
 			case "42704":
@@ -266,11 +266,11 @@
 		return err
 	}
 	for _, r := range rows {
-		if r[0] == stay || !old(r[0], a) {
+		if r[0] == stay || !isRemovable(r[0], a) {
 			continue
 		}
 		if err = run(ctx, conn, "ALTER SUBSCRIPTION "+ident(r[0])+" DISABLE", "ALTER SUBSCRIPTION "+ident(r[0])+" SET (slot_name = NONE)",
-			"DROP SUBSCRIPTION "+ident(r[0])); err != nil && code(err) != "42704" {
+			"DROP SUBSCRIPTION "+ident(r[0])); err != nil && sqlState(err) != "42704" {
 			return err
 		}
 	}
@@ -291,7 +291,7 @@
 	}
 	var list []string
 	for _, t := range all {
-		list = append(list, t.sql())
+		list = append(list, t.quoted())
 	}
 	if len(list) == 0 {
 		return nil
@@ -301,7 +301,7 @@
 }
 
 // follow has one group follow another from now on by a new subscription, and drops what followed before.
-func (p *Places) follow(ctx context.Context, a migration.Act, at, of migration.Group, called, slot string, l migration.Lines, again, copies bool, all func(*table) bool) error {
+func (p *Databases) follow(ctx context.Context, a migration.Act, at, of migration.Group, called, slot string, l migration.Lines, again, copies bool, all func(*table) bool) error {
 	var stay []string
 	if err := p.act(ctx, a, of, "publication "+called, ours, func(ctx context.Context, conn *pgconn.PgConn, b book) error {
 		list, err := tables(ctx, conn)
@@ -352,7 +352,7 @@
 }
 
 // Subscribe makes the subscription at To.
-func (p *Places) Subscribe(ctx context.Context, a migration.Act) (migration.Lines, error) {
+func (p *Databases) Subscribe(ctx context.Context, a migration.Act) (migration.Lines, error) {
 	before, err := p.lines(ctx, a, a.Plan.From, a.Plan.To)
 	if err != nil {
 		return before, err
@@ -360,7 +360,7 @@
 	if err = p.unmark(ctx, a); err != nil {
 		return before, err
 	}
-	called := name(a, "f")
+	called := objectName(a, "f")
 	if err = p.follow(ctx, a, a.Plan.To, a.Plan.From, called, called, before, a.Data.Again, true, func(*table) bool { return false }); err != nil {
 		return before, err
 	}
@@ -368,7 +368,7 @@
 }
 
 // unmark forgets that touched ranges are noted: it is begun anew.
-func (p *Places) unmark(ctx context.Context, a migration.Act) error {
+func (p *Databases) unmark(ctx context.Context, a migration.Act) error {
 	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.act(ctx, a, at, "forget marks", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
 			return write(ctx, conn, book{"marked": "", "followed": ""})
@@ -380,7 +380,7 @@
 }
 
 // settled notes at both homes that a deed is done there, and at which timelines.
-func (p *Places) settled(ctx context.Context, a migration.Act, item string, l migration.Lines) error {
+func (p *Databases) settled(ctx context.Context, a migration.Act, item string, l migration.Lines) error {
 	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.act(ctx, a, at, item, ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
 			return write(ctx, conn, book{item: a.Deed, "home line": fmt.Sprint(l.Home), "other line": fmt.Sprint(l.Other)})
@@ -392,7 +392,7 @@
 }
 
 // Copy hands over the next tables.
-func (p *Places) Copy(ctx context.Context, a migration.Act) (migration.Copied, error) {
+func (p *Databases) Copy(ctx context.Context, a migration.Act) (migration.Copied, error) {
 	out := migration.Copied{After: a.State.Copy.After, All: true}
 	var sub string
 	err := p.act(ctx, a, a.Plan.From, "hand over tables", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
@@ -414,15 +414,15 @@
 		}
 		for _, t := range all {
 			switch {
-			case t.full() <= a.State.Copy.After || !t.carried():
+			case t.fullName() <= a.State.Copy.After || !t.carried():
 				continue
 			case out.After != a.State.Copy.After && out.Rows+max(0, t.rows) > a.Data.Rows:
 				out.All = false
 				return nil
 			}
-			out.After, out.Rows = t.full(), out.Rows+max(0, t.rows)
-			if !have[t.full()] {
-				if err = run(ctx, conn, "ALTER PUBLICATION "+ident(sub)+" ADD TABLE "+t.sql()); err != nil {
+			out.After, out.Rows = t.fullName(), out.Rows+max(0, t.rows)
+			if !have[t.fullName()] {
+				if err = run(ctx, conn, "ALTER PUBLICATION "+ident(sub)+" ADD TABLE "+t.quoted()); err != nil {
 					return err
 				}
 			}
@@ -453,7 +453,7 @@
 }
 
 // Feed has the old home follow the new one.
-func (p *Places) Feed(ctx context.Context, a migration.Act) (migration.Lines, error) {
+func (p *Databases) Feed(ctx context.Context, a migration.Act) (migration.Lines, error) {
 	l, err := p.lines(ctx, a, a.Plan.To, a.Plan.From)
 	if err != nil {
 		return l, err
@@ -497,7 +497,7 @@
 	if err = p.unmark(ctx, a); err != nil {
 		return l, err
 	}
-	called := name(a, "r")
+	called := objectName(a, "r")
 	again := a.Data.Again || slot == ""
 	if again {
 		slot = called
@@ -514,7 +514,7 @@
 }
 
 // torn removes what a move built at a home but for the base.
-func (p *Places) torn(ctx context.Context, a migration.Act, at migration.Group, guards bool) error {
+func (p *Databases) torn(ctx context.Context, a migration.Act, at migration.Group, guards bool) error {
 	if err := p.on(ctx, a, at, "drop subscriptions", func(ctx context.Context, conn *pgconn.PgConn) error {
 		return dropSubscriptions(ctx, conn, a, "")
 	}); err != nil {
@@ -537,13 +537,13 @@
 		var list []string
 		for _, n := range names {
 			if t.triggers[n] {
-				list = append(list, "DROP TRIGGER IF EXISTS "+n+" ON "+t.sql())
+				list = append(list, "DROP TRIGGER IF EXISTS "+n+" ON "+t.quoted())
 			}
 		}
 		if len(list) == 0 {
 			continue
 		}
-		if err := p.act(ctx, a, at, "triggers of "+t.full(), ends, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
+		if err := p.act(ctx, a, at, "triggers of "+t.fullName(), ends, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
 			return run(ctx, conn, list...)
 		}); err != nil {
 			return err
@@ -553,7 +553,7 @@
 }
 
 // Clear removes what the move built and empties To's tables.
-func (p *Places) Clear(ctx context.Context, a migration.Act) error {
+func (p *Databases) Clear(ctx context.Context, a migration.Act) error {
 	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.founded(ctx, a, at); err != nil {
 			return err
@@ -588,7 +588,7 @@
 }
 
 // mine makes a home the work's where it is nobody's: what is to be cleared may never have been built there.
-func (p *Places) mine(ctx context.Context, a migration.Act, at migration.Group) error {
+func (p *Databases) mine(ctx context.Context, a migration.Act, at migration.Group) error {
 	return p.act(ctx, a, at, "clear", takes, func(ctx context.Context, conn *pgconn.PgConn, b book) error {
 		if b["work"] == "" {
 			return write(ctx, conn, book{"work": a.Work, "deed": fmt.Sprint(deedNumber(a))})
@@ -598,7 +598,7 @@
 }
 
 // given gives the tenant up at both homes, with their gates as they stay.
-func (p *Places) given(ctx context.Context, a migration.Act, closed func(migration.Group) bool) error {
+func (p *Databases) given(ctx context.Context, a migration.Act, closed func(migration.Group) bool) error {
 	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.act(ctx, a, at, "give up", ends, func(ctx context.Context, conn *pgconn.PgConn, b book) error {
 			if b["given"] != "" {
@@ -619,7 +619,7 @@
 }
 
 // Finish removes what the move built, with From fenced for good.
-func (p *Places) Finish(ctx context.Context, a migration.Act) error {
+func (p *Databases) Finish(ctx context.Context, a migration.Act) error {
 	if err := p.act(ctx, a, a.Plan.From, "fence the old home", ends, func(ctx context.Context, conn *pgconn.PgConn, b book) error {
 		if b["given"] != "" {
 			return nil
@@ -645,7 +645,7 @@
 				return err
 			}
 			for _, t := range all {
-				if err = run(ctx, conn, "DROP TABLE "+t.sql()+" CASCADE"); err != nil {
+				if err = run(ctx, conn, "DROP TABLE "+t.quoted()+" CASCADE"); err != nil {
 					return err
 				}
 			}
--- a/internal/cluster/migration/sql/check.go
+++ b/internal/cluster/migration/sql/check.go
@@ -55,14 +55,14 @@
 	})
 	for _, t := range h.tables {
 		if rows {
-			ask("SELECT 1 FROM "+t.sql()+" LIMIT 1", func([]string) { h.holds[t.full()] = true })
+			ask("SELECT 1 FROM "+t.quoted()+" LIMIT 1", func([]string) { h.holds[t.fullName()] = true })
 		}
 	}
 	return h, err
 }
 
 // Check looks for all that is in the way.
-func (p *Places) Check(ctx context.Context, a migration.Act) (out migration.Findings, err error) {
+func (p *Databases) Check(ctx context.Context, a migration.Act) (out migration.Findings, err error) {
 	var from, to home
 	read := func(at migration.Group, h *home, rows bool) func() error {
 		return func() error {
@@ -80,22 +80,22 @@
 	}
 	there := map[string]*table{}
 	for _, t := range to.tables {
-		there[t.full()] = t
+		there[t.fullName()] = t
 	}
 	for _, t := range from.tables {
 		if !t.carried() {
-			find(migration.Unlogged, t.full(), "")
+			find(migration.Unlogged, t.fullName(), "")
 			continue
 		}
 		if !t.identified() {
-			find(migration.NoIdentity, t.full(), "")
+			find(migration.NoIdentity, t.fullName(), "")
 		}
-		if o := there[t.full()]; o == nil {
-			find(migration.SchemaDiffers, t.full(), "it is not there")
+		if o := there[t.fullName()]; o == nil {
+			find(migration.SchemaDiffers, t.fullName(), "it is not there")
 		} else if mine, other := shape(t), shape(o); mine != other {
-			find(migration.SchemaDiffers, t.full(), "%s here, %s there", mine, other)
-		} else if to.holds[t.full()] {
-			find(migration.NotEmpty, t.full(), "")
+			find(migration.SchemaDiffers, t.fullName(), "%s here, %s there", mine, other)
+		} else if to.holds[t.fullName()] {
+			find(migration.NotEmpty, t.fullName(), "")
 		}
 	}
 	for ext, version := range from.extensions {
@@ -117,8 +117,8 @@
 			find(migration.NoSlots, fmt.Sprint("group ", g), "wal_level is %s", h.wal)
 		}
 	}
-	if p.Room != nil {
-		if room, known := p.Room(a.Plan.To); known && room < from.size {
+	if p.FreeBytes != nil {
+		if room, known := p.FreeBytes(a.Plan.To); known && room < from.size {
 			find(migration.NoRoom, a.Plan.Tenant, "%.0f bytes, %.0f are left", from.size, room)
 		}
 	}
--- a/internal/cluster/migration/sql/compare.go
+++ b/internal/cluster/migration/sql/compare.go
@@ -17,12 +17,12 @@
 )
 
 // Mark begins to note which rows are touched, and makes the slot for the way back.
-func (p *Places) Mark(ctx context.Context, a migration.Act, home, other migration.Group) (migration.Lines, error) {
+func (p *Databases) Mark(ctx context.Context, a migration.Act, home, other migration.Group) (migration.Lines, error) {
 	l, err := p.lines(ctx, a, home, other)
 	if err != nil {
 		return l, err
 	}
-	back := name(a, "b")
+	back := objectName(a, "b")
 	for _, at := range []migration.Group{home, other} {
 		if err = p.act(ctx, a, at, "mark", ours, func(ctx context.Context, conn *pgconn.PgConn, b book) error {
 			if at == other {
@@ -37,7 +37,7 @@
 		}); err != nil {
 			return l, err
 		}
-		if err = p.dressed(ctx, a, at, func(t *table) []string { return append(t.guards(), t.marks()...) }); err != nil {
+		if err = p.dressed(ctx, a, at, func(t *table) []string { return append(t.createGuards(), t.createTracking()...) }); err != nil {
 			return l, err
 		}
 		if err = p.act(ctx, a, at, "mark", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
@@ -79,7 +79,7 @@
 }
 
 // quiet waits until all who were writing when it began have ended.
-func (p *Places) quiet(ctx context.Context, a migration.Act, at migration.Group) error {
+func (p *Databases) quiet(ctx context.Context, a migration.Act, at migration.Group) error {
 	return p.on(ctx, a, at, "wait for writers", func(ctx context.Context, conn *pgconn.PgConn) error {
 		const of = "FROM pg_stat_activity WHERE datname = current_database() AND pid <> pg_backend_pid() AND backend_xid IS NOT NULL"
 		rows, _, err := fencing.Exec(ctx, conn, "SELECT pid, backend_xid "+of)
@@ -96,7 +96,7 @@
 				if err != nil {
 					return err
 				}
-				return &Waited{Held: held}
+				return &WritersActiveError{Sessions: held}
 			}
 			select {
 			case <-ctx.Done():
@@ -118,50 +118,50 @@
 	})
 }
 
-// Waited is a wait for writers that took too long.
-type Waited struct{ Held []migration.Straggler }
+// WritersActiveError is a wait for writers that took too long.
+type WritersActiveError struct{ Sessions []migration.Straggler }
 
-func (w *Waited) Error() string {
+func (w *WritersActiveError) Error() string {
 	out := "writers did not end"
-	for i := range w.Held {
-		out += "; " + w.Held[i].Error()
+	for i := range w.Sessions {
+		out += "; " + w.Sessions[i].Error()
 	}
 	return out
 }
 
 // Code is the reason in a word.
-func (w *Waited) Code() string { return "writers_stay" }
+func (w *WritersActiveError) Code() string { return "writers_stay" }
 
 // Advice says what an operator can do.
-func (w *Waited) Advice() string {
+func (w *WritersActiveError) Advice() string {
 	return "wait for these sessions, or end them with pg_terminate_backend"
 }
 
-// row is one as it was read.
-type row struct {
-	key string // as JSON of its key columns' texts; "": the table has no key
-	sum migration.Sum
+// rowDigest is one as it was read.
+type rowDigest struct {
+	key    string // as JSON of its key columns' texts; "": the table has no key
+	digest migration.Sum
 }
 
-// slice is what a read of a range gave.
-type slice struct {
-	rows []row
-	sum  migration.Sum
-	full bool // as many rows as were asked for
+// rowSet is what a read of a range gave.
+type rowSet struct {
+	rows   []rowDigest
+	digest migration.Sum
+	full   bool // as many rows as were asked for
 }
 
-func (s *slice) take(t *table, values [][]byte) {
+func (s *rowSet) add(t *table, values [][]byte) {
 	var one migration.Sum
 	one.Row(values...)
-	s.sum = plus(s.sum, values)
+	s.digest = plus(s.digest, values)
 	key := ""
 	if len(t.key) > 0 {
 		k := make([]string, len(t.key))
 		for i, c := range t.key {
 			k[i] = string(values[c])
 		}
-		key = encode(k)
-		s.rows = append(s.rows, row{key, one})
+		key = encodeKey(k)
+		s.rows = append(s.rows, rowDigest{key, one})
 	}
 }
 
@@ -170,12 +170,12 @@
 	return s
 }
 
-func encode(list []string) string {
+func encodeKey(list []string) string {
 	b, _ := json.Marshal(list)
 	return string(b)
 }
 
-func decode(text string) (list []string) {
+func decodeKey(text string) (list []string) {
 	_ = json.Unmarshal([]byte(text), &list)
 	return list
 }
@@ -184,7 +184,7 @@
 const forms = "SET datestyle = 'ISO, MDY'; SET timezone = 'UTC'; SET intervalstyle = 'postgres'; SET extra_float_digits = 1; SET bytea_output = 'hex'"
 
 // read reads rows of a table that follow a key (nil: from the first), up to another one (nil: to the last), most at a time (0: all).
-func read(ctx context.Context, conn *pgconn.PgConn, t *table, after, upTo []string, most int) (s slice, err error) {
+func read(ctx context.Context, conn *pgconn.PgConn, t *table, after, upTo []string, most int) (s rowSet, err error) {
 	var where, order, args []string
 	if len(t.key) > 0 {
 		var cols []string
@@ -211,7 +211,7 @@
 		}
 		order = cols
 	}
-	sql := "SELECT " + t.list() + " FROM " + t.sql()
+	sql := "SELECT " + t.list() + " FROM " + t.quoted()
 	if len(where) > 0 {
 		sql += " WHERE " + strings.Join(where, " AND ")
 	}
@@ -227,7 +227,7 @@
 	}
 	r := conn.ExecParams(ctx, sql, values, nil, nil, nil)
 	for r.NextRow() {
-		s.take(t, r.Values())
+		s.add(t, r.Values())
 	}
 	_, err = r.Close()
 	s.full = most > 0 && len(s.rows) >= most
@@ -235,12 +235,12 @@
 }
 
 // one reads the rows of some keys, in a pipeline.
-func one(ctx context.Context, conn *pgconn.PgConn, t *table, keys []string) (s slice, err error) {
+func one(ctx context.Context, conn *pgconn.PgConn, t *table, keys []string) (s rowSet, err error) {
 	var where []string
 	for i, k := range t.key {
 		where = append(where, fmt.Sprintf("%s = $%d", ident(t.columns[k]), i+1))
 	}
-	sql := "SELECT " + t.list() + " FROM " + t.sql() + " WHERE " + strings.Join(where, " AND ")
+	sql := "SELECT " + t.list() + " FROM " + t.quoted() + " WHERE " + strings.Join(where, " AND ")
 	const stmt = "ashstand_key"
 	if _, err = conn.Prepare(ctx, stmt, sql, nil); err != nil {
 		return s, err
@@ -250,7 +250,7 @@
 		b := &pgconn.Batch{}
 		for _, k := range keys {
 			var args [][]byte
-			for _, v := range decode(k) {
+			for _, v := range decodeKey(k) {
 				args = append(args, []byte(v))
 			}
 			b.ExecPrepared(stmt, args, nil, nil)
@@ -258,7 +258,7 @@
 		r := conn.ExecBatch(ctx, b)
 		for r.NextResult() {
 			for rows := r.ResultReader(); rows.NextRow(); {
-				s.take(t, rows.Values())
+				s.add(t, rows.Values())
 			}
 		}
 		if err = r.Close(); err != nil {
@@ -269,10 +269,10 @@
 }
 
 // rows is how many a range has.
-func (p *Places) rows() int { return cmp.Or(p.Rows, 1000) }
+func (p *Databases) rows() int { return cmp.Or(p.RangeRows, 1000) }
 
 // cursor is the last range that was compared.
-func cursor(t *table, key []string) string { return encode(append([]string{t.full()}, key...)) }
+func cursor(t *table, key []string) string { return encodeKey(append([]string{t.fullName()}, key...)) }
 
 // mostCursor is what a cursor may have, in bytes; see move.State.
 const mostCursor = 600
@@ -281,16 +281,16 @@
 type piece struct {
 	t           *table
 	after, upTo []string
-	slice
+	rowSet
 }
 
 // Compare holds the ranges that follow against each other.
-func (p *Places) Compare(ctx context.Context, a migration.Act, home, other migration.Group) (out migration.Compared, err error) {
+func (p *Databases) Compare(ctx context.Context, a migration.Act, home, other migration.Group) (out migration.Compared, err error) {
 	began := time.Now()
 	var pieces []piece
 	var pos migration.Position
 	read := 0
-	from := decode(a.State.Compare.After)
+	from := decodeKey(a.State.Compare.After)
 	if err = p.act(ctx, a, home, "compare", ours, func(context.Context, *pgconn.PgConn, book) error { return nil }); err != nil {
 		return out, err
 	}
@@ -315,7 +315,7 @@
 	if err = p.reached(ctx, a, home, other, pos); err != nil {
 		return out, err
 	}
-	seen := make([]slice, len(pieces))
+	seen := make([]rowSet, len(pieces))
 	if err = p.on(ctx, a, other, "compare", func(ctx context.Context, conn *pgconn.PgConn) error {
 		if _, err := conn.Exec(ctx, forms).ReadAll(); err != nil {
 			return err
@@ -331,7 +331,7 @@
 	}
 	var unlike []int
 	for i, x := range pieces {
-		if x.sum == seen[i].sum {
+		if x.digest == seen[i].digest {
 			out.Equal++
 		} else {
 			unlike = append(unlike, i)
@@ -343,7 +343,7 @@
 			return out, err
 		}
 		for _, i := range unlike {
-			if explained(pieces[i], seen[i], noted[pieces[i].t.full()]) {
+			if explained(pieces[i], seen[i], noted[pieces[i].t.fullName()]) {
 				out.Hot++
 			} else {
 				out.Differ = append(out.Differ, unequal(pieces[i], seen[i]))
@@ -364,16 +364,16 @@
 const most = 20000
 
 // pages reads what follows a cursor at home.
-func (p *Places) pages(ctx context.Context, conn *pgconn.PgConn, all []*table, from []string) (out []piece, last string, done bool, n int, err error) {
+func (p *Databases) pages(ctx context.Context, conn *pgconn.PgConn, all []*table, from []string) (out []piece, last string, done bool, n int, err error) {
 	if len(from) > 0 {
-		last = encode(from)
+		last = encodeKey(from)
 	}
 	for _, t := range all {
-		if !t.carried() || len(from) > 0 && t.full() < from[0] {
+		if !t.carried() || len(from) > 0 && t.fullName() < from[0] {
 			continue
 		}
 		var after []string
-		if len(from) > 0 && t.full() == from[0] {
+		if len(from) > 0 && t.fullName() == from[0] {
 			if len(from) == 1 { // it was compared to its end
 				continue
 			}
@@ -384,12 +384,12 @@
 				return out, last, false, n, nil
 			}
 			x := piece{t: t, after: after}
-			if x.slice, err = read(ctx, conn, t, after, nil, p.rows()); err != nil {
+			if x.rowSet, err = read(ctx, conn, t, after, nil, p.rows()); err != nil {
 				return out, last, false, n, err
 			}
-			n += int(x.sum.Rows)
+			n += int(x.digest.Rows)
 			if x.full {
-				x.upTo = decode(x.rows[len(x.rows)-1].key)
+				x.upTo = decodeKey(x.rows[len(x.rows)-1].key)
 				after = x.upTo
 				last = cursor(t, after)
 			} else {
@@ -403,12 +403,12 @@
 	return out, last, true, n, nil
 }
 
-func readAgain(ctx context.Context, conn *pgconn.PgConn, x piece) (slice, error) {
+func readAgain(ctx context.Context, conn *pgconn.PgConn, x piece) (rowSet, error) {
 	return read(ctx, conn, x.t, x.after, x.upTo, 0)
 }
 
 // explained says whether a difference may be of rows that were touched alone.
-func explained(x piece, o slice, noted map[string]bool) bool {
+func explained(x piece, o rowSet, noted map[string]bool) bool {
 	if noted[""] {
 		return true
 	}
@@ -417,10 +417,10 @@
 	}
 	have := map[string]migration.Sum{}
 	for _, r := range x.rows {
-		have[r.key] = r.sum
+		have[r.key] = r.digest
 	}
 	for _, r := range o.rows {
-		if s, ok := have[r.key]; (!ok || s != r.sum) && !noted[r.key] {
+		if s, ok := have[r.key]; (!ok || s != r.digest) && !noted[r.key] {
 			return false
 		}
 		delete(have, r.key)
@@ -433,13 +433,13 @@
 	return true
 }
 
-func unequal(x piece, o slice) migration.Difference {
-	r := migration.Range{Table: x.t.full(), From: strings.Join(x.after, ","), To: strings.Join(x.upTo, ",")}
-	return migration.Difference{Kind: "rows", Table: r.Table, Range: r.String(), Home: x.sum.String(), Other: o.sum.String()}
+func unequal(x piece, o rowSet) migration.Difference {
+	r := migration.Range{Table: x.t.fullName(), From: strings.Join(x.after, ","), To: strings.Join(x.upTo, ",")}
+	return migration.Difference{Kind: "rows", Table: r.Table, Range: r.String(), Home: x.digest.String(), Other: o.digest.String()}
 }
 
 // noted are the keys that were touched at either home since the marks were made, by table.
-func (p *Places) noted(ctx context.Context, a migration.Act, home, other migration.Group) (map[string]map[string]bool, error) {
+func (p *Databases) noted(ctx context.Context, a migration.Act, home, other migration.Group) (map[string]map[string]bool, error) {
 	var of [2][][]string
 	get := func(at migration.Group, i int) func() error {
 		return func() error {
@@ -460,7 +460,7 @@
 			}
 			k := r[1]
 			if k != "" {
-				k = encode(decode(k)) // PostgreSQL writes JSON with blanks
+				k = encodeKey(decodeKey(k)) // PostgreSQL writes JSON with blanks
 			}
 			out[r[0]][k] = true
 		}
@@ -468,25 +468,25 @@
 	return out, nil
 }
 
-// Behind is a home that did not take in in time what the other one holds.
-type Behind struct {
-	Want, Has migration.Position
+// ReplicationLagError is a home that did not take in in time what the other one holds.
+type ReplicationLagError struct {
+	Required, Applied migration.Position
 }
 
-func (b *Behind) Error() string {
-	return fmt.Sprintf("the other home has taken in %v of %v", b.Has, b.Want)
+func (b *ReplicationLagError) Error() string {
+	return fmt.Sprintf("the other home has taken in %v of %v", b.Applied, b.Required)
 }
 
 // Code is the reason in a word.
-func (b *Behind) Code() string { return "behind" }
+func (b *ReplicationLagError) Code() string { return "behind" }
 
 // Advice says what an operator can do.
-func (b *Behind) Advice() string {
+func (b *ReplicationLagError) Advice() string {
 	return "nothing if its load passes; otherwise look into the subscription's errors at the other home (pg_stat_subscription_stats)"
 }
 
 // reached waits until the other home has taken in all up to a position.
-func (p *Places) reached(ctx context.Context, a migration.Act, home, other migration.Group, want migration.Position) error {
+func (p *Databases) reached(ctx context.Context, a migration.Act, home, other migration.Group, want migration.Position) error {
 	return p.on(ctx, a, home, "wait for the other home", func(ctx context.Context, conn *pgconn.PgConn) error {
 		until := time.Now().Add(p.within(a))
 		for {
@@ -498,7 +498,7 @@
 				return nil
 			}
 			if !found || time.Now().After(until) {
-				return &Behind{Want: want, Has: has}
+				return &ReplicationLagError{Required: want, Applied: has}
 			}
 			select {
 			case <-ctx.Done():
@@ -556,7 +556,7 @@
 }
 
 // Verify holds all that was touched, counts, sequences and reads against each other while both are still.
-func (p *Places) Verify(ctx context.Context, a migration.Act, home, other migration.Group) (out migration.Verified, err error) {
+func (p *Databases) Verify(ctx context.Context, a migration.Act, home, other migration.Group) (out migration.Verified, err error) {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, p.within(a))
 	defer cancel()
@@ -568,7 +568,7 @@
 	if err == nil {
 		after, err = p.lines(ctx, a, home, other)
 	}
-	if ctx.Err() != nil && err != nil || code(err) == "57014" {
+	if ctx.Err() != nil && err != nil || sqlState(err) == "57014" {
 		return migration.Verified{Late: true, Lines: before}, nil
 	}
 	if out.Lines = before; before.Home != after.Home {
@@ -583,7 +583,7 @@
 	return out, err
 }
 
-func (p *Places) verify(ctx context.Context, a migration.Act, home, other migration.Group, l migration.Lines, out *migration.Verified) error {
+func (p *Databases) verify(ctx context.Context, a migration.Act, home, other migration.Group, l migration.Lines, out *migration.Verified) error {
 	var own, its []*table
 	var seqs [][]string
 	marks := [2]string{}
@@ -640,11 +640,11 @@
 	every := marks[0] == "" || marks[0] != marks[1] || l != a.State.Lines || !a.State.Compare.All
 	shapes := map[string]string{}
 	for _, t := range its {
-		shapes[t.full()] = shape(t)
+		shapes[t.fullName()] = shape(t)
 	}
 	for _, t := range own {
-		if t.carried() && shapes[t.full()] != shape(t) {
-			out.Differ = append(out.Differ, migration.Difference{Kind: "count", Table: t.full(), Home: shape(t), Other: shapes[t.full()]})
+		if t.carried() && shapes[t.fullName()] != shape(t) {
+			out.Differ = append(out.Differ, migration.Difference{Kind: "count", Table: t.fullName(), Home: shape(t), Other: shapes[t.fullName()]})
 		}
 	}
 	if len(out.Differ) > 0 {
@@ -666,11 +666,11 @@
 	return nil
 }
 
-func (p *Places) played(a migration.Act) []string {
-	if p.Reads == nil || a.Plan.Reads == 0 {
+func (p *Databases) played(a migration.Act) []string {
+	if p.SampleQueries == nil || a.Plan.Reads == 0 {
 		return nil
 	}
-	return p.Reads(a.Plan.Tenant, a.Plan.Reads)
+	return p.SampleQueries(a.Plan.Tenant, a.Plan.Reads)
 }
 
 // held is what a home holds of what is verified.
@@ -681,7 +681,7 @@
 	ranges int
 }
 
-func (p *Places) held(ctx context.Context, conn *pgconn.PgConn, all []*table, noted map[string]map[string]bool, every bool, reads []string) (*held, error) {
+func (p *Databases) held(ctx context.Context, conn *pgconn.PgConn, all []*table, noted map[string]map[string]bool, every bool, reads []string) (*held, error) {
 	h := &held{counts: map[string]string{}, sums: map[migration.Range]migration.Sum{}, reads: map[string]migration.Sum{}}
 	if _, err := conn.Exec(ctx, forms).ReadAll(); err != nil {
 		return nil, err
@@ -690,12 +690,12 @@
 		if !t.carried() {
 			continue
 		}
-		n, err := fencing.QueryValue(ctx, conn, "SELECT count(*) FROM "+t.sql())
+		n, err := fencing.QueryValue(ctx, conn, "SELECT count(*) FROM "+t.quoted())
 		if err != nil {
 			return nil, err
 		}
-		h.counts[t.full()] = n
-		touched := noted[t.full()]
+		h.counts[t.fullName()] = n
+		touched := noted[t.fullName()]
 		switch {
 		case every || touched[""]:
 			if err = p.whole(ctx, conn, t, h); err != nil {
@@ -711,8 +711,8 @@
 				return nil, err
 			}
 			for _, r := range s.rows {
-				k := strings.Join(decode(r.key), ",")
-				h.sums[migration.Range{Table: t.full(), From: k, To: k}] = r.sum
+				k := strings.Join(decodeKey(r.key), ",")
+				h.sums[migration.Range{Table: t.fullName(), From: k, To: k}] = r.digest
 			}
 			h.ranges += len(keys)
 		}
@@ -733,19 +733,19 @@
 
 // whole reads all of a table, range by range. Both homes have the same ranges where they hold the same keys; otherwise the
 // first that differ are named.
-func (p *Places) whole(ctx context.Context, conn *pgconn.PgConn, t *table, h *held) error {
+func (p *Databases) whole(ctx context.Context, conn *pgconn.PgConn, t *table, h *held) error {
 	var after []string
 	for {
 		s, err := read(ctx, conn, t, after, nil, p.rows())
 		if err != nil {
 			return err
 		}
-		r := migration.Range{Table: t.full(), From: strings.Join(after, ",")}
+		r := migration.Range{Table: t.fullName(), From: strings.Join(after, ",")}
 		if s.full {
-			after = decode(s.rows[len(s.rows)-1].key)
+			after = decodeKey(s.rows[len(s.rows)-1].key)
 			r.To = strings.Join(after, ",")
 		}
-		h.sums[r] = s.sum
+		h.sums[r] = s.digest
 		if h.ranges++; !s.full {
 			return nil
 		}
--- a/internal/cluster/migration/sql/gate.go
+++ b/internal/cluster/migration/sql/gate.go
@@ -13,14 +13,14 @@
 )
 
 // Close closes the gate at the group that serves the tenant.
-func (p *Places) Close(ctx context.Context, a migration.Act, at migration.Group) (*migration.Closed, []migration.Straggler, error) {
+func (p *Databases) Close(ctx context.Context, a migration.Act, at migration.Group) (*migration.Closed, []migration.Straggler, error) {
 	until := time.Now().Add(p.within(a))
 	wait := p.within(a)
 	if a.Data.End { // once for those who are about to end, once for those who were ended
 		wait /= 2
 	}
 	closed, held, err := p.close(ctx, a, at, wait)
-	if code(err) != "55P03" || !a.Data.End || len(held) == 0 {
+	if sqlState(err) != "55P03" || !a.Data.End || len(held) == 0 {
 		return closed, held, late(err)
 	}
 	if err = p.act(ctx, a, at, "end stragglers", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
@@ -39,14 +39,14 @@
 
 // late passes over a wait that came to its end: that is an answer.
 func late(err error) error {
-	if code(err) == "55P03" {
+	if sqlState(err) == "55P03" {
 		return nil
 	}
 	return err
 }
 
 // close tries once.
-func (p *Places) close(ctx context.Context, a migration.Act, at migration.Group, wait time.Duration) (*migration.Closed, []migration.Straggler, error) {
+func (p *Databases) close(ctx context.Context, a migration.Act, at migration.Group, wait time.Duration) (*migration.Closed, []migration.Straggler, error) {
 	bounds := p.bounds(a)
 	bounds.Lock, bounds.Statement = max(wait, time.Millisecond), wait+p.within(a)
 	var closed *migration.Closed
@@ -69,7 +69,7 @@
 	if err == nil {
 		return closed, nil, nil
 	}
-	if code(err) != "55P03" {
+	if sqlState(err) != "55P03" {
 		return nil, nil, err
 	}
 	var held []migration.Straggler
@@ -111,7 +111,7 @@
 }
 
 // Fenced says whether the gate is closed, under this token.
-func (p *Places) Fenced(ctx context.Context, a migration.Act, at migration.Group) (closed bool, n int, err error) {
+func (p *Databases) Fenced(ctx context.Context, a migration.Act, at migration.Group) (closed bool, n int, err error) {
 	err = p.act(ctx, a, at, "fenced", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
 		shut, err := fencing.QueryValue(ctx, conn, "SELECT closed FROM ashstand.gate WHERE id = 1")
 		if err != nil {
@@ -125,7 +125,7 @@
 }
 
 // Open opens the gate of a group, once it follows nobody.
-func (p *Places) Open(ctx context.Context, a migration.Act, at migration.Group) error {
+func (p *Databases) Open(ctx context.Context, a migration.Act, at migration.Group) error {
 	if err := p.act(ctx, a, at, "open", ours, func(context.Context, *pgconn.PgConn, book) error { return nil }); err != nil {
 		return err
 	}
--- a/internal/cluster/migration/sql/golden_test.go
+++ b/internal/cluster/migration/sql/golden_test.go
@@ -239,18 +239,18 @@
 			addresses[h.Name] = g.log.listen(t, group, h.Address)
 		}
 	}
-	g.places = &Places{Rows: 10, Client: &fencing.Client{User: "works", Hosts: func(group uint64) []fencing.Host {
+	g.databases = &Databases{RangeRows: 10, Client: &fencing.Client{User: "works", Hosts: func(group uint64) []fencing.Host {
 		list := g.hosts(group)
 		for i := range list {
 			list[i].Address = addresses[list[i].Name]
 		}
 		return list
-	}}, Reads: func(string, int) []string { return []string{"SELECT count(*) FROM entries"} }}
+	}}, SampleQueries: func(string, int) []string { return []string{"SELECT count(*) FROM entries"} }}
 	return g
 }
 
-// act is the next deed.
-func (g *goldenRun) act(name string) migration.Act {
+// next is the next deed.
+func (g *goldenRun) next(name string) migration.Act {
 	g.number++
 	return g.present(name)
 }
@@ -284,12 +284,12 @@
 		}
 	}
 	for _, group := range []migration.Group{1, 2} {
-		g.stored(group)
+		g.writeStored(group)
 	}
 }
 
-// stored writes down what a migration keeps in a group.
-func (g *goldenRun) stored(group migration.Group) {
+// writeStored writes down what a migration keeps in a group.
+func (g *goldenRun) writeStored(group migration.Group) {
 	fmt.Fprintf(&g.out, "-- stored in group %d\n", group)
 	for _, row := range g.db(group).Dump("ashstand.book") {
 		fmt.Fprintln(&g.out, masked("book: "+row["item"]+" = "+row["value"]))
@@ -305,22 +305,22 @@
 	}
 }
 
-// look plays a new owner that finds out about a deed.
-func (g *goldenRun) look(a migration.Act) {
+// recover plays a new owner that finds out about a deed.
+func (g *goldenRun) recover(a migration.Act) {
 	g.t.Helper()
 	g.token++
 	a.Token = g.token
 	g.step("look for "+a.Name, func() (any, error) {
-		f, err := g.places.Look(g.ctx, a)
+		f, err := g.databases.Look(g.ctx, a)
 		return []any{f.Done, f.Lines, f.Closed}, err
 	})
 }
 
-// ready waits until the copy of all tables has come to its end.
-func (g *goldenRun) ready(home, other migration.Group) {
+// awaitReplication waits until the copy of all tables has come to its end.
+func (g *goldenRun) awaitReplication(home, other migration.Group) {
 	g.t.Helper()
 	require.Eventually(g.t, func() bool {
-		p, err := g.places.Progress(g.ctx, g.present(""), home, other)
+		p, err := g.databases.Progress(g.ctx, g.present(""), home, other)
 		return err == nil && p.Ready && !p.SlotLost && p.Applied >= p.HomePos
 	}, 20*time.Second, 20*time.Millisecond)
 }
@@ -330,20 +330,20 @@
 	a := g.present("")
 	a.Deed = ""
 	g.step("progress, "+string(g.state.Phase), func() (any, error) {
-		p, err := g.places.Progress(g.ctx, a, home, other)
+		p, err := g.databases.Progress(g.ctx, a, home, other)
 		return []bool{p.Reached, p.Ready, p.SlotLost, p.FenceOff, p.Unmarked, p.Ahead}, err
 	})
 }
 
 func (g *goldenRun) publish() migration.Act {
-	a := g.act(migration.DeedPublish)
-	g.step("publish", func() (any, error) { return nil, g.places.Publish(g.ctx, a) })
+	a := g.next(migration.DeedPublish)
+	g.step("publish", func() (any, error) { return nil, g.databases.Publish(g.ctx, a) })
 	return a
 }
 
 func (g *goldenRun) subscribe() migration.Act {
-	a := g.act(migration.DeedSubscribe)
-	g.step("subscribe", func() (any, error) { return g.places.Subscribe(g.ctx, a) })
+	a := g.next(migration.DeedSubscribe)
+	g.step("subscribe", func() (any, error) { return g.databases.Subscribe(g.ctx, a) })
 	g.state.Phase = migration.Copying
 	return a
 }
@@ -351,21 +351,21 @@
 // copyTables hands over one table, and then the others.
 func (g *goldenRun) copyTables() {
 	for _, rows := range []float64{0, 1e6} {
-		a := g.act(migration.DeedCopy)
+		a := g.next(migration.DeedCopy)
 		a.Data.Rows = rows
 		g.step(fmt.Sprintf("copy, %v rows", rows), func() (any, error) {
-			out, err := g.places.Copy(g.ctx, a)
+			out, err := g.databases.Copy(g.ctx, a)
 			g.state.Copy.After, g.state.Copy.All = out.After, out.All
 			return out, err
 		})
 	}
-	g.ready(1, 2)
+	g.awaitReplication(1, 2)
 }
 
-func (g *goldenRun) mark(home, other migration.Group) migration.Act {
-	a := g.act(migration.DeedMark)
+func (g *goldenRun) track(home, other migration.Group) migration.Act {
+	a := g.next(migration.DeedMark)
 	g.step("mark", func() (any, error) {
-		lines, err := g.places.Mark(g.ctx, a, home, other)
+		lines, err := g.databases.Mark(g.ctx, a, home, other)
 		g.state.Lines = lines
 		return lines, err
 	})
@@ -373,9 +373,9 @@
 }
 
 func (g *goldenRun) compare(title string, home, other migration.Group) {
-	a := g.act(migration.DeedCompare)
+	a := g.next(migration.DeedCompare)
 	g.step(title, func() (any, error) {
-		out, err := g.places.Compare(g.ctx, a, home, other)
+		out, err := g.databases.Compare(g.ctx, a, home, other)
 		g.state.Compare = migration.Compare{After: out.After, All: out.All}
 		return out, err
 	})
@@ -402,16 +402,16 @@
 func TestGoldenStatementsOfAnAcceptedMigration(t *testing.T) {
 	g := newGoldenRun(t, migration.Plan{From: 1, To: 2, Lock: 1000, Old: "drop", Reads: 1, Pause: 5000})
 	g.seed()
-	g.step("check", func() (any, error) { return g.places.Check(g.ctx, g.act(migration.DeedCheck)) })
-	g.look(g.act(migration.DeedPublish))
-	g.look(g.publish())
-	g.look(g.act(migration.DeedSubscribe))
-	g.look(g.subscribe())
+	g.step("check", func() (any, error) { return g.databases.Check(g.ctx, g.next(migration.DeedCheck)) })
+	g.recover(g.next(migration.DeedPublish))
+	g.recover(g.publish())
+	g.recover(g.next(migration.DeedSubscribe))
+	g.recover(g.subscribe())
 	g.copyTables()
 	g.progress(1, 2)
 	g.state.Phase = migration.CatchingUp
-	g.look(g.act(migration.DeedMark))
-	g.look(g.mark(1, 2))
+	g.recover(g.next(migration.DeedMark))
+	g.recover(g.track(1, 2))
 	g.progress(1, 2)
 	g.compare("compare", 1, 2)
 	g.exec(g.dial(1), "UPDATE entries SET payload = 'touched' WHERE ref = 'seed-0000014'")
@@ -424,72 +424,72 @@
 	g.exec(byHand, "DELETE FROM entries WHERE ref = 'seed-0000022'")
 	values := g.exec(g.dial(1), "SELECT payload FROM entries WHERE ref = 'seed-0000022'")
 	g.exec(byHand, "INSERT INTO entries (ref, payload) VALUES ('seed-0000022', '"+values[0][0]+"')")
-	g.close()
+	g.fence()
 	g.verify()
-	a := g.act(migration.DeedSwitch)
+	a := g.next(migration.DeedSwitch)
 	g.step("fenced", func() (any, error) {
-		closed, line, err := g.places.Fenced(g.ctx, a, 1)
+		closed, line, err := g.databases.Fenced(g.ctx, a, 1)
 		return []any{closed, line}, err
 	})
-	g.step("open", func() (any, error) { return nil, g.places.Open(g.ctx, a, 2) })
+	g.step("open", func() (any, error) { return nil, g.databases.Open(g.ctx, a, 2) })
 	g.state.Phase = migration.Switched
-	g.way()
-	a = g.act(migration.DeedFinish)
-	g.step("finish", func() (any, error) { return nil, g.places.Finish(g.ctx, a) })
+	g.replicateBack()
+	a = g.next(migration.DeedFinish)
+	g.step("finish", func() (any, error) { return nil, g.databases.Finish(g.ctx, a) })
 	g.state.Phase = migration.Accepted
-	g.look(a)
+	g.recover(a)
 	requireGolden(t, "statements-accepted.txt", g.out.String())
 }
 
-// close plays a closing that has to end a session, and finds out about it.
-func (g *goldenRun) close() {
+// fence plays a closing that has to end a session, and finds out about it.
+func (g *goldenRun) fence() {
 	straggler := g.dial(1)
 	g.exec(straggler, "BEGIN")
 	g.exec(straggler, "INSERT INTO entries (ref, payload) VALUES ('straggler', '')")
-	a := g.act(migration.DeedClose)
+	a := g.next(migration.DeedClose)
 	a.Data.Within, a.Data.End = 1000, true
 	g.state.Phase = migration.Closing
 	a.State.Phase = migration.Closing
-	g.look(g.act(migration.DeedClose))
+	g.recover(g.next(migration.DeedClose))
 	a.Token, a.Told, a.Deed = g.token, g.token, fmt.Sprintf("m1/%d", g.number+1)
 	g.number++
 	g.step("close, and end a session", func() (any, error) {
-		closed, held, err := g.places.Close(g.ctx, a, 1)
+		closed, held, err := g.databases.Close(g.ctx, a, 1)
 		return []any{closed, held}, err
 	})
-	g.look(a)
+	g.recover(a)
 }
 
 func (g *goldenRun) verify() {
 	g.state.Phase = migration.Verifying
 	require.Eventually(g.t, func() bool {
-		p, err := g.places.Progress(g.ctx, g.present(""), 1, 2)
+		p, err := g.databases.Progress(g.ctx, g.present(""), 1, 2)
 		return err == nil && p.Applied >= p.HomePos
 	}, 20*time.Second, 20*time.Millisecond)
-	a := g.act(migration.DeedVerify)
-	g.step("verify what was touched", func() (any, error) { return g.places.Verify(g.ctx, a, 1, 2) })
-	a = g.act(migration.DeedVerify)
+	a := g.next(migration.DeedVerify)
+	g.step("verify what was touched", func() (any, error) { return g.databases.Verify(g.ctx, a, 1, 2) })
+	a = g.next(migration.DeedVerify)
 	a.State.Lines = migration.Lines{}
-	g.step("verify everything", func() (any, error) { return g.places.Verify(g.ctx, a, 1, 2) })
-}
-
-// way plays the way back: the old home follows the new one, by the slot that was made for it and then by another.
-func (g *goldenRun) way() {
-	g.look(g.act(migration.DeedFeed))
-	a := g.act(migration.DeedFeed)
-	g.step("feed", func() (any, error) { return g.places.Feed(g.ctx, a) })
-	g.look(a)
-	a = g.act(migration.DeedFeed)
-	g.step("feed, it follows already", func() (any, error) { return g.places.Feed(g.ctx, a) })
-	g.mark(2, 1)
+	g.step("verify everything", func() (any, error) { return g.databases.Verify(g.ctx, a, 1, 2) })
+}
+
+// replicateBack plays the way back: the old home follows the new one, by the slot that was made for it and then by another.
+func (g *goldenRun) replicateBack() {
+	g.recover(g.next(migration.DeedFeed))
+	a := g.next(migration.DeedFeed)
+	g.step("feed", func() (any, error) { return g.databases.Feed(g.ctx, a) })
+	g.recover(a)
+	a = g.next(migration.DeedFeed)
+	g.step("feed, it follows already", func() (any, error) { return g.databases.Feed(g.ctx, a) })
+	g.track(2, 1)
 	g.state.Compare = migration.Compare{}
-	g.ready(2, 1)
+	g.awaitReplication(2, 1)
 	g.progress(2, 1)
 	g.compare("compare on the way back", 2, 1)
-	a = g.act(migration.DeedFeed)
+	a = g.next(migration.DeedFeed)
 	a.Data.Again = true
-	g.step("feed, anew", func() (any, error) { return g.places.Feed(g.ctx, a) })
-	g.ready(2, 1)
+	g.step("feed, anew", func() (any, error) { return g.databases.Feed(g.ctx, a) })
+	g.awaitReplication(2, 1)
 }
 
 // The statements of each deed of a migration that is rolled back before its switch.
@@ -499,16 +499,16 @@
 	g.publish()
 	g.subscribe()
 	g.copyTables()
-	a := g.act(migration.DeedSubscribe)
+	a := g.next(migration.DeedSubscribe)
 	a.Data.Again = true
-	g.step("subscribe anew", func() (any, error) { return g.places.Subscribe(g.ctx, a) })
+	g.step("subscribe anew", func() (any, error) { return g.databases.Subscribe(g.ctx, a) })
 	g.state.Copy = migration.Copy{}
 	g.copyTables()
-	g.mark(1, 2)
-	g.look(g.act(migration.DeedClear))
-	a = g.act(migration.DeedClear)
-	g.step("clear", func() (any, error) { return nil, g.places.Clear(g.ctx, a) })
-	g.look(a)
+	g.track(1, 2)
+	g.recover(g.next(migration.DeedClear))
+	a = g.next(migration.DeedClear)
+	g.step("clear", func() (any, error) { return nil, g.databases.Clear(g.ctx, a) })
+	g.recover(a)
 	requireGolden(t, "statements-rolled-back.txt", g.out.String())
 }
 
@@ -518,37 +518,37 @@
 	shop := &table{schema: "public", name: "pa\"irs", columns: []string{"a", "b", "v"}, types: []string{"bigint", "text", "bytea"}, key: []int{0, 1}}
 	bare := &table{schema: "public", name: "bare", columns: []string{"v"}, types: []string{"text"}}
 	rows := [][][]byte{{[]byte("1"), []byte("k'1\"<&>é"), nil}, {[]byte("2"), []byte(""), []byte(`\x00ff`)}, {[]byte("-3"), []byte("a,b"), []byte{}}}
-	var all slice
+	var all rowSet
 	for _, values := range rows {
-		all.take(shop, values)
+		all.add(shop, values)
 	}
 	for _, r := range all.rows {
-		fmt.Fprintf(&out, "row %s: %d %016x\n", r.key, r.sum.Rows, r.sum.Digest)
-		list := decode(r.key)
-		require.Equal(t, r.key, encode(list))
+		fmt.Fprintf(&out, "row %s: %d %016x\n", r.key, r.digest.Rows, r.digest.Digest)
+		list := decodeKey(r.key)
+		require.Equal(t, r.key, encodeKey(list))
 		text := cursor(shop, list)
 		fmt.Fprintf(&out, "cursor %s\n", text)
-		require.Equal(t, text, encode(decode(text)))
+		require.Equal(t, text, encodeKey(decodeKey(text)))
 	}
-	fmt.Fprintf(&out, "range: %d %016x, shown as %s\n", all.sum.Rows, all.sum.Digest, all.sum)
-	var keyless slice
-	keyless.take(bare, [][]byte{nil})
-	keyless.take(bare, [][]byte{[]byte("x")})
-	fmt.Fprintf(&out, "no key: %d rows listed, %d %016x\n", len(keyless.rows), keyless.sum.Rows, keyless.sum.Digest)
+	fmt.Fprintf(&out, "range: %d %016x, shown as %s\n", all.digest.Rows, all.digest.Digest, all.digest)
+	var keyless rowSet
+	keyless.add(bare, [][]byte{nil})
+	keyless.add(bare, [][]byte{[]byte("x")})
+	fmt.Fprintf(&out, "no key: %d rows listed, %d %016x\n", len(keyless.rows), keyless.digest.Rows, keyless.digest.Digest)
 	fmt.Fprintf(&out, "cursor past a table: %s\n", cursor(bare, nil))
 	for _, tab := range []*table{shop, bare} {
-		fmt.Fprintf(&out, "table %s, shape %s\n", tab.sql(), shape(tab))
-		for _, statement := range append(tab.guards(), tab.marks()...) {
+		fmt.Fprintf(&out, "table %s, shape %s\n", tab.quoted(), shape(tab))
+		for _, statement := range append(tab.createGuards(), tab.createTracking()...) {
 			fmt.Fprintln(&out, statement)
 		}
 	}
 	a := migration.Act{Work: "shop-to-2", Token: 9, Told: 7, Deed: "shop-to-2/31"}
 	for _, kind := range []string{"f", "b", "r"} {
-		fmt.Fprintf(&out, "name of kind %s: %s\n", kind, name(a, kind))
+		fmt.Fprintf(&out, "name of kind %s: %s\n", kind, objectName(a, kind))
 	}
-	for _, text := range []string{name(a, "f"), "ash_01234567_f_9_31", "ash_01234567_f_9_32", "ash_01234567_f_10_1", "ash_01234567_f_x_1", "other", "ash_a_b"} {
-		fmt.Fprintf(&out, "removable %s: %v\n", text, old(text, a))
+	for _, text := range []string{objectName(a, "f"), "ash_01234567_f_9_31", "ash_01234567_f_9_32", "ash_01234567_f_10_1", "ash_01234567_f_x_1", "other", "ash_a_b"} {
+		fmt.Fprintf(&out, "removable %s: %v\n", text, isRemovable(text, a))
 	}
-	fmt.Fprintln(&out, "codes:", (&Refused{}).Code(), (&Passed{}).Code(), (&Waited{}).Code(), (&Behind{}).Code())
+	fmt.Fprintln(&out, "codes:", (&StatementError{}).Code(), (&OperationSettledError{}).Code(), (&WritersActiveError{}).Code(), (&ReplicationLagError{}).Code())
 	requireGolden(t, "digests.txt", out.String())
 }
--- a/internal/cluster/migration/sql/look.go
+++ b/internal/cluster/migration/sql/look.go
@@ -14,7 +14,7 @@
 )
 
 // Progress says how far the other home follows this one.
-func (p *Places) Progress(ctx context.Context, a migration.Act, home, other migration.Group) (migration.Progress, error) {
+func (p *Databases) Progress(ctx context.Context, a migration.Act, home, other migration.Group) (migration.Progress, error) {
 	var out migration.Progress
 	var published, marked, back, sub, slot string
 	var tabs, ready, touched int
@@ -158,7 +158,7 @@
 const mostSpread = 50
 
 // spread says whether all standbys that stream from a primary hold what it holds now.
-func (p *Places) spread(ctx context.Context, conn *pgconn.PgConn) (bool, error) {
+func (p *Databases) spread(ctx context.Context, conn *pgconn.PgConn) (bool, error) {
 	at, err := standing(ctx, conn)
 	if err != nil {
 		return false, err
@@ -190,7 +190,7 @@
 
 // Look finds out whether a deed that is in doubt was done. All places of the deed hold this owner's token then, and where it
 // was not done no act of it counts any more.
-func (p *Places) Look(ctx context.Context, a migration.Act) (f migration.Found, err error) {
+func (p *Databases) Look(ctx context.Context, a migration.Act) (f migration.Found, err error) {
 	home, other := homes(a)
 	at := []migration.Group{home, other}
 	if a.Name == migration.DeedClose { // the other home may be out of reach: the tenant is to open again all the same
@@ -266,10 +266,10 @@
 	if a.Name == migration.DeedMark {
 		err = p.on(ctx, a, other, "drop slot", func(ctx context.Context, conn *pgconn.PgConn) error {
 			have, err := slotsOf(ctx, conn)
-			if _, there := have[name(a, "b")]; err != nil || !there {
+			if _, there := have[objectName(a, "b")]; err != nil || !there {
 				return err
 			}
-			return run(ctx, conn, "SELECT pg_drop_replication_slot("+quote(name(a, "b"))+")")
+			return run(ctx, conn, "SELECT pg_drop_replication_slot("+quote(objectName(a, "b"))+")")
 		})
 	}
 	return migration.Found{}, err
@@ -277,8 +277,8 @@
 
 // lookFollowed says whether the deed's subscription is there, which it makes last: then it stays. It may have taken in
 // commits that its slot does not know of yet, so that another one would get them again.
-func (p *Places) lookFollowed(ctx context.Context, a migration.Act, at migration.Group, b book) (f migration.Found, err error) {
-	called := name(a, map[string]string{migration.DeedSubscribe: "f", migration.DeedFeed: "r"}[a.Name])
+func (p *Databases) lookFollowed(ctx context.Context, a migration.Act, at migration.Group, b book) (f migration.Found, err error) {
+	called := objectName(a, map[string]string{migration.DeedSubscribe: "f", migration.DeedFeed: "r"}[a.Name])
 	if err = p.on(ctx, a, at, "look for "+called, func(ctx context.Context, conn *pgconn.PgConn) (err error) {
 		f.Done, err = subscribed(ctx, conn, called)
 		return err
--- a/internal/cluster/migration/sql/places.go
+++ b/internal/cluster/migration/sql/places.go
@@ -32,16 +32,16 @@
 	"ashstand/internal/cluster/migration"
 )
 
-// Places are the homes of tenants.
-type Places struct {
-	Client *fencing.Client
-	Within time.Duration // for a deed whose data say nothing; 0: 10 s
-	Idle   time.Duration // a transaction whose owner says nothing is ended by the host after so long; 0: 2 s
-	Rows   int           // of a range; 0: 1000
+// Databases are the homes of tenants.
+type Databases struct {
+	Client      *fencing.Client
+	Timeout     time.Duration // for a deed whose data say nothing; 0: 10 s
+	IdleTimeout time.Duration // a transaction whose owner says nothing is ended by the host after so long; 0: 2 s
+	RangeRows   int           // of a range; 0: 1000
 	// Room says how many bytes a group has left, false: nobody knows. SQL does not tell it. nil: nobody.
-	Room func(group migration.Group) (bytes float64, known bool)
+	FreeBytes func(group migration.Group) (bytes float64, known bool)
 	// Reads gives statements of the tenant's own that change nothing, to be played at both homes. nil: none.
-	Reads func(tenant string, n int) []string
+	SampleQueries func(tenant string, n int) []string
 
 	mu    sync.Mutex
 	paces map[string]pace // by work
@@ -59,13 +59,13 @@
 // mostPaces bounds how many works' paces are known: as many as may be open.
 const mostPaces = 64
 
-func (p *Places) pace(work string) pace {
+func (p *Databases) pace(work string) pace {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.paces[work]
 }
 
-func (p *Places) learn(work string, do func(*pace)) {
+func (p *Databases) learn(work string, do func(*pace)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.paces == nil || len(p.paces) >= mostPaces && p.paces[work] == (pace{}) {
@@ -76,56 +76,58 @@
 	p.paces[work] = x
 }
 
-// Refused is an act that a home refused in its own words: it was not done.
-type Refused struct {
-	Group migration.Group
-	What  string
-	Err   error
+// StatementError is an act that a home refused in its own words: it was not done.
+type StatementError struct {
+	Group  migration.Group
+	Action string
+	Err    error
 }
 
-func (r *Refused) Error() string { return fmt.Sprintf("group %d: %s: %v", r.Group, r.What, r.Err) }
-func (r *Refused) Unwrap() error { return r.Err }
+func (r *StatementError) Error() string {
+	return fmt.Sprintf("group %d: %s: %v", r.Group, r.Action, r.Err)
+}
+func (r *StatementError) Unwrap() error { return r.Err }
 
 // Code is the reason in a word.
-func (r *Refused) Code() string { return "place_refused" }
+func (r *StatementError) Code() string { return "place_refused" }
 
 // Advice says what an operator can do.
-func (r *Refused) Advice() string {
+func (r *StatementError) Advice() string {
 	return "it is tried again; if the database goes on saying so, put right what it names, or take the move back"
 }
 
-// Passed is an act of a deed that has been settled: it came late.
-type Passed struct {
-	Place string
-	Given uint64 // the deed's number
-	Least uint64 // that still counts
+// OperationSettledError is an act of a deed that has been settled: it came late.
+type OperationSettledError struct {
+	Target      string
+	Presented   uint64 // the deed's number
+	MinAccepted uint64 // that still counts
 }
 
-func (e *Passed) Error() string {
-	return fmt.Sprintf("%s: deed %d is settled, %d is the first that counts", e.Place, e.Given, e.Least)
+func (e *OperationSettledError) Error() string {
+	return fmt.Sprintf("%s: deed %d is settled, %d is the first that counts", e.Target, e.Presented, e.MinAccepted)
 }
 
 // Code is the reason in a word.
-func (e *Passed) Code() string { return "deed_passed" }
+func (e *OperationSettledError) Code() string { return "deed_passed" }
 
 // Advice says what an operator can do.
-func (e *Passed) Advice() string { return "nothing: it came late and changed nothing" }
+func (e *OperationSettledError) Advice() string { return "nothing: it came late and changed nothing" }
 
 // within is how long a deed's acts may take.
-func (p *Places) within(a migration.Act) time.Duration {
+func (p *Databases) within(a migration.Act) time.Duration {
 	if a.Data.Within > 0 {
 		return time.Duration(a.Data.Within * 1e6)
 	}
-	if p.Within > 0 {
-		return p.Within
+	if p.Timeout > 0 {
+		return p.Timeout
 	}
 	return 10 * time.Second
 }
 
 // bounds are what a host keeps to for a deed's transaction. Who waits for a lock on a table lets nobody else have it
 // meanwhile, so that it is no longer than the plan has it for the closing.
-func (p *Places) bounds(a migration.Act) fencing.Timeouts {
-	b := fencing.Timeouts{Lock: time.Duration(a.Plan.Lock * 1e6), Statement: p.within(a), IdleInTransaction: p.Idle}
+func (p *Databases) bounds(a migration.Act) fencing.Timeouts {
+	b := fencing.Timeouts{Lock: time.Duration(a.Plan.Lock * 1e6), Statement: p.within(a), IdleInTransaction: p.IdleTimeout}
 	if b.Lock <= 0 || b.Lock > b.Statement {
 		b.Lock = min(time.Second, b.Statement)
 	}
@@ -176,15 +178,15 @@
 	return n
 }
 
-// name is what a deed calls what it builds.
-func name(a migration.Act, kind string) string {
+// objectName is what a deed calls what it builds.
+func objectName(a migration.Act, kind string) string {
 	return fmt.Sprintf("%s%s_%d_%d", prefix(a), kind, a.Told, deedNumber(a))
 }
 
 const anyPrefix = "ash_"
 
-// old says whether something is a move's, and not of a later owner or deed than the one that would remove it.
-func old(called string, a migration.Act) bool {
+// isRemovable says whether something is a move's, and not of a later owner or deed than the one that would remove it.
+func isRemovable(called string, a migration.Act) bool {
 	rest, ok := strings.CutPrefix(called, anyPrefix)
 	part := strings.Split(rest, "_")
 	if !ok || len(part) != 4 {
@@ -207,11 +209,11 @@
 
 // act does something at a group's primary in one transaction behind the tenant's token, once the book says that it is the
 // work's turn and the deed counts.
-func (p *Places) act(ctx context.Context, a migration.Act, at migration.Group, what string, c claim, do func(ctx context.Context, conn *pgconn.PgConn, b book) error) error {
+func (p *Databases) act(ctx context.Context, a migration.Act, at migration.Group, what string, c claim, do func(ctx context.Context, conn *pgconn.PgConn, b book) error) error {
 	return p.actWithin(ctx, p.bounds(a), a, at, what, c, do)
 }
 
-func (p *Places) actWithin(ctx context.Context, bounds fencing.Timeouts, a migration.Act, at migration.Group, what string, c claim,
+func (p *Databases) actWithin(ctx context.Context, bounds fencing.Timeouts, a migration.Act, at migration.Group, what string, c claim,
 	do func(ctx context.Context, conn *pgconn.PgConn, b book) error,
 ) error {
 	err := p.Client.TransactWithin(ctx, bounds, at, a.Plan.Tenant, a.Plan.Tenant, a.Token, what, func(ctx context.Context, conn *pgconn.PgConn) error {
@@ -229,7 +231,7 @@
 		}
 		if n := deedNumber(a); b["work"] == a.Work && a.Deed != "" {
 			if n < b.number("deed") {
-				return &Passed{Place: fmt.Sprint("group ", at), Given: n, Least: b.number("deed")}
+				return &OperationSettledError{Target: fmt.Sprint("group ", at), Presented: n, MinAccepted: b.number("deed")}
 			} else if n > b.number("deed") {
 				if err = write(ctx, conn, book{"deed": fmt.Sprint(n)}); err != nil {
 					return err
@@ -241,20 +243,20 @@
 	return p.worded(err, at, what)
 }
 
-func (p *Places) worded(err error, at migration.Group, what string) error {
+func (p *Databases) worded(err error, at migration.Group, what string) error {
 	if err == nil {
 		return nil
 	}
 	return fencing.WrapUncoded(err, func(err error) error {
 		if _, ok := fencing.ServerError(err); ok {
-			return &Refused{Group: at, What: what, Err: err}
+			return &StatementError{Group: at, Action: what, Err: err}
 		}
 		return &fencing.InDoubtError{Host: fmt.Sprint("group ", at), Action: what, Err: err}
 	})
 }
 
 // on does something on a connection to a group's primary that no transaction holds: to look, or what SQL allows in none.
-func (p *Places) on(ctx context.Context, a migration.Act, at migration.Group, what string, do func(ctx context.Context, conn *pgconn.PgConn) error) error {
+func (p *Databases) on(ctx context.Context, a migration.Act, at migration.Group, what string, do func(ctx context.Context, conn *pgconn.PgConn) error) error {
 	conn, _, err := p.Client.ConnectPrimary(ctx, at, a.Plan.Tenant)
 	if err != nil {
 		return p.worded(err, at, what)
@@ -302,7 +304,7 @@
 }
 
 // lines are the timelines of both.
-func (p *Places) lines(ctx context.Context, a migration.Act, home, other migration.Group) (l migration.Lines, err error) {
+func (p *Databases) lines(ctx context.Context, a migration.Act, home, other migration.Group) (l migration.Lines, err error) {
 	one := func(at migration.Group, to *int) func() error {
 		return func() error {
 			return p.on(ctx, a, at, "timeline", func(ctx context.Context, conn *pgconn.PgConn) (err error) {
@@ -316,7 +318,7 @@
 }
 
 // reach is the connection string by which another group follows this one: all its hosts, of which one takes writes.
-func (p *Places) reach(a migration.Act, at migration.Group) string {
+func (p *Databases) reach(a migration.Act, at migration.Group) string {
 	var hosts, ports []string
 	for _, h := range p.Client.Hosts(at) {
 		if host, port, err := net.SplitHostPort(h.Address); err == nil {
@@ -330,8 +332,8 @@
 func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
 func ident(s string) string { return `"` + strings.ReplaceAll(s, `"`, `""`) + `"` }
 
-// code is what a home's refusal has; "": it is none.
-func code(err error) string {
+// sqlState is what a home's refusal has; "": it is none.
+func sqlState(err error) string {
 	if pe, ok := fencing.ServerError(err); ok {
 		return pe.Code
 	}
--- a/internal/cluster/migration/sql/places_test.go
+++ b/internal/cluster/migration/sql/places_test.go
@@ -25,14 +25,14 @@
 
 // rig is groups of two hosts each, a ledger with one move, and agreed rules that are in force at once.
 type rig struct {
-	t      testing.TB
-	ctx    context.Context
-	groups map[migration.Group]*host.Cluster
-	places *Places
-	mover  *migration.Mover
-	ledger jobs.StateMachine
+	t            testing.TB
+	ctx          context.Context
+	groups       map[migration.Group]*host.Cluster
+	databases    *Databases
+	migrator     *migration.Mover
+	stateMachine jobs.StateMachine
 	// instead, if it is set, does the deed that is announced.
-	instead func() error
+	override func() error
 
 	mu      sync.Mutex
 	rules   map[string]any
@@ -55,9 +55,9 @@
 		t.Cleanup(c.Close)
 		r.groups[g+1] = c
 	}
-	r.places = &Places{Client: &fencing.Client{User: "works", Hosts: r.hosts}, Idle: 300 * time.Millisecond, Rows: 100}
+	r.databases = &Databases{Client: &fencing.Client{User: "works", Hosts: r.hosts}, IdleTimeout: 300 * time.Millisecond, RangeRows: 100}
 	costs := migration.Costs{Log: 1, InForce: 1, Owner: 10, Place: 50}
-	r.mover = &migration.Mover{Places: r.places, Rules: r, Costs: costs}
+	r.migrator = &migration.Mover{Places: r.databases, Rules: r, Costs: costs}
 	if plan.Checkpoints == nil {
 		plan.Checkpoints = []string{migration.AtAccepting}
 	}
@@ -69,8 +69,8 @@
 	if _, err := migration.Parse(spec, costs); plan.Lock < plan.Pause {
 		require.NoError(t, err)
 	}
-	r.enter(jobs.Entry{Type: jobs.EntryCreate, Job: "m1", JobKind: "move", Spec: spec})
-	r.owned()
+	r.apply(jobs.Entry{Type: jobs.EntryCreate, Job: "m1", JobKind: "move", Spec: spec})
+	r.assign()
 	return r
 }
 
@@ -98,94 +98,94 @@
 
 func (r *rig) Limited(string) bool { return true }
 
-func (r *rig) home() migration.Group {
+func (r *rig) servingGroup() migration.Group {
 	rules, _, _ := r.Now()
 	return migration.Group(rules["database.shop.group"].(float64))
 }
 
-func (r *rig) enter(e jobs.Entry) {
+func (r *rig) apply(e jobs.Entry) {
 	r.t.Helper()
-	refusal := r.ledger.Apply(e)
+	refusal := r.stateMachine.Apply(e)
 	require.Nil(r.t, refusal, "%v", refusal)
 }
 
-func (r *rig) work() *jobs.Job { return r.ledger.Jobs["m1"] }
+func (r *rig) job() *jobs.Job { return r.stateMachine.Jobs["m1"] }
 
 func (r *rig) state() migration.State {
-	s, err := migration.StateOf(r.work())
+	s, err := migration.StateOf(r.job())
 	require.NoError(r.t, err)
 	return s
 }
 
-// owned gives the work a new owner.
-func (r *rig) owned() {
-	r.enter(jobs.Entry{Type: jobs.EntryAssign, Job: "m1", Token: r.work().Token, Holder: "n", Incarnation: 1})
+// assign gives the work a new owner.
+func (r *rig) assign() {
+	r.apply(jobs.Entry{Type: jobs.EntryAssign, Job: "m1", Token: r.job().Token, Holder: "n", Incarnation: 1})
 }
 
-func (r *rig) say(word string) {
-	r.enter(jobs.Entry{Type: jobs.EntryApprove, Job: "m1", Approval: &jobs.Approval{Action: word, Step: r.work().Step, Persistent: word == migration.Rollback}})
+func (r *rig) approve(word string) {
+	r.apply(jobs.Entry{Type: jobs.EntryApprove, Job: "m1", Approval: &jobs.Approval{Action: word, Step: r.job().Step, Persistent: word == migration.Rollback}})
 }
 
 // announce logs what comes next; false: nothing does now.
 func (r *rig) announce() bool {
-	w := *r.work()
-	seen, err := r.mover.Observe(r.ctx, &w)
-	if err != nil && r.instead != nil {
+	w := *r.job()
+	seen, err := r.migrator.Observe(r.ctx, &w)
+	if err != nil && r.override != nil {
 		return false
 	}
 	require.NoError(r.t, err)
-	s := r.mover.Next(float64(time.Now().UnixMicro())/1e3, &w, seen)
+	s := r.migrator.Next(float64(time.Now().UnixMicro())/1e3, &w, seen)
 	if s.OperationName == "" {
 		return false
 	}
-	r.enter(jobs.Entry{
+	r.apply(jobs.Entry{
 		Type: jobs.EntryAnnounce, Job: "m1", Token: w.Token, Step: w.Step, Approval: s.Approval,
 		Operation: &jobs.Operation{Number: w.NextOperationNumber(), Name: s.OperationName, Data: s.Data},
 	})
 	return true
 }
 
-func (r *rig) do() error {
-	if r.instead != nil {
-		return r.instead()
+func (r *rig) execute() error {
+	if r.override != nil {
+		return r.override()
 	}
-	w := *r.work()
-	p, err := r.mover.Execute(r.ctx, &w, w.Operation)
+	w := *r.job()
+	p, err := r.migrator.Execute(r.ctx, &w, w.Operation)
 	if err == nil {
-		r.prove(p)
+		r.confirm(p)
 	}
 	return err
 }
 
-// settle has a new owner look for the deed that is open.
-func (r *rig) settle() (done bool) {
+// recoverOpen has a new owner look for the deed that is open.
+func (r *rig) recoverOpen() (done bool) {
 	r.t.Helper()
-	r.owned()
-	w := *r.work()
+	r.assign()
+	w := *r.job()
 	var p jobs.Result
 	var err error
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if done, p, err = r.mover.Recover(r.ctx, &w, w.Operation); err == nil {
+		if done, p, err = r.migrator.Recover(r.ctx, &w, w.Operation); err == nil {
 			break
 		}
 	}
 	require.NoError(r.t, err, w.Operation.Name)
 	if done {
-		r.prove(p)
+		r.confirm(p)
 	} else {
-		r.enter(jobs.Entry{Type: jobs.EntryAbort, Job: "m1", Token: w.Token, Operation: w.Operation})
+		r.apply(jobs.Entry{Type: jobs.EntryAbort, Job: "m1", Token: w.Token, Operation: w.Operation})
 	}
 	return done
 }
 
-func (r *rig) prove(p jobs.Result) {
-	w := r.work()
-	r.enter(jobs.Entry{Type: jobs.EntryConfirm, Job: "m1", Token: w.Token, Operation: w.Operation, State: p.State, Finished: p.Finished, Reason: p.Reason})
+func (r *rig) confirm(p jobs.Result) {
+	w := r.job()
+	r.apply(jobs.Entry{Type: jobs.EntryConfirm, Job: "m1", Token: w.Token, Operation: w.Operation, State: p.State, Finished: p.Finished, Reason: p.Reason})
 }
 
-// act is the deed that is announced, as its present owner would do it.
-func (r *rig) act() migration.Act {
-	w := r.work()
+// request is the deed that is announced, as its present owner would do it.
+func (r *rig) request() migration.Act {
+	w := r.job()
 	a := migration.Act{Work: w.Name, Token: w.Token, State: r.state()}
 	require.NoError(r.t, json.Unmarshal(w.Spec, &a.Plan))
 	if d := w.Operation; d != nil {
@@ -195,28 +195,28 @@
 	return a
 }
 
-// until goes on until a deed is announced, or with "" until the state is as asked for.
-func (r *rig) until(deed string, is func(migration.State) bool) {
+// runUntil goes on until a deed is announced, or with "" until the state is as asked for.
+func (r *rig) runUntil(deed string, is func(migration.State) bool) {
 	r.t.Helper()
 	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); {
-		if w := r.work(); w.Finished || deed == "" && is(r.state()) {
+		if w := r.job(); w.Finished || deed == "" && is(r.state()) {
 			return
 		}
-		if r.work().Operation == nil && !r.announce() {
+		if r.job().Operation == nil && !r.announce() {
 			time.Sleep(2 * time.Millisecond)
 			continue
 		}
-		if r.work().Operation.Name == deed {
+		if r.job().Operation.Name == deed {
 			return
 		}
-		require.NoError(r.t, r.do(), r.work().Name)
+		require.NoError(r.t, r.execute(), r.job().Name)
 	}
 	require.Fail(r.t, "it does not come to that", "%s %+v", deed, r.state())
 }
 
-func (r *rig) phase(p migration.Phase) {
+func (r *rig) runToPhase(p migration.Phase) {
 	r.t.Helper()
-	r.until("", func(s migration.State) bool { return s.Phase == p })
+	r.runUntil("", func(s migration.State) bool { return s.Phase == p })
 	require.Equal(r.t, p, r.state().Phase, "%+v", r.state())
 }
 
@@ -242,14 +242,14 @@
 	stop chan struct{}
 	wg   sync.WaitGroup
 
-	mu    sync.Mutex
-	acked map[string]string
-	shut  int // were refused
-	doubt map[string]bool
+	mu           sync.Mutex
+	acknowledged map[string]string
+	rejected     int // were refused
+	inDoubt      map[string]bool
 }
 
-func (r *rig) write(n int, perSecond float64) *writers {
-	w := &writers{stop: make(chan struct{}), acked: map[string]string{}, doubt: map[string]bool{}}
+func (r *rig) startWriters(n int, perSecond float64) *writers {
+	w := &writers{stop: make(chan struct{}), acknowledged: map[string]string{}, inDoubt: map[string]bool{}}
 	for i := range n {
 		w.wg.Add(1)
 		go func() {
@@ -271,7 +271,7 @@
 						return
 					case <-time.After(time.Duration(float64(n) / perSecond * 1e9)):
 					}
-					if home := r.home(); conn == nil || at != home {
+					if home := r.servingGroup(); conn == nil || at != home {
 						if conn != nil {
 							fencing.Close(conn)
 						}
@@ -286,14 +286,14 @@
 					w.mu.Lock()
 					switch {
 					case err == nil && touched == 1:
-						w.acked[key], done = value, true
+						w.acknowledged[key], done = value, true
 					case err == nil:
 						done = true
-						w.doubt[key] = true
-					case code(err) == "55000":
-						w.shut++
+						w.inDoubt[key] = true
+					case sqlState(err) == "55000":
+						w.rejected++
 					default:
-						w.doubt[key], done = true, true
+						w.inDoubt[key], done = true, true
 						fencing.Close(conn)
 						conn = nil
 					}
@@ -302,11 +302,11 @@
 			}
 		}()
 	}
-	r.t.Cleanup(w.end)
+	r.t.Cleanup(w.stopAll)
 	return w
 }
 
-func (w *writers) end() {
+func (w *writers) stopAll() {
 	select {
 	case <-w.stop:
 	default:
@@ -318,18 +318,18 @@
 func (w *writers) count() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.acked)
+	return len(w.acknowledged)
 }
 
-// kept requires that a group holds what was acknowledged, each version once since it was copied.
-func (r *rig) kept(w *writers, g migration.Group) {
+// requireAcknowledged requires that a group holds what was acknowledged, each version once since it was copied.
+func (r *rig) requireAcknowledged(w *writers, g migration.Group) {
 	r.t.Helper()
 	rows := map[string]string{}
 	for _, row := range r.db(g).Dump("entries") {
 		rows[row["ref"]] = row["payload"]
 	}
-	for key, value := range w.acked {
-		if !w.doubt[key] {
+	for key, value := range w.acknowledged {
+		if !w.inDoubt[key] {
 			require.Equal(r.t, value, rows[key], key)
 		}
 		seen := map[string]bool{}
@@ -346,24 +346,24 @@
 
 func plan() migration.Plan { return migration.Plan{From: 1, To: 2, Lock: 200} }
 
-func TestAMoveUnderWrites(t *testing.T) {
+func TestMigrationUnderWrites(t *testing.T) {
 	r := newRig(t, 2, plan())
 	r.db(1).Table("entries", host.Traits{}).Seed(500)
-	w := r.write(4, 200)
-	r.phase(migration.Switched)
-	r.until("", func(s migration.State) bool { return s.Fed && s.Compare.All })
-	require.Equal(t, migration.Group(2), r.home())
+	w := r.startWriters(4, 200)
+	r.runToPhase(migration.Switched)
+	r.runUntil("", func(s migration.State) bool { return s.Fed && s.Compare.All })
+	require.Equal(t, migration.Group(2), r.servingGroup())
 	at := w.count()
 	require.Eventually(t, func() bool { return w.count() > at+20 }, 5*time.Second, time.Millisecond)
-	r.say(migration.Accept)
-	r.phase(migration.Done)
-	w.end()
-	require.Positive(t, w.shut)
-	r.kept(w, 2)
-	require.Len(t, r.db(2).Dump("entries"), 500+len(inserted(w)))
+	r.approve(migration.Accept)
+	r.runToPhase(migration.Done)
+	w.stopAll()
+	require.Positive(t, w.rejected)
+	r.requireAcknowledged(w, 2)
+	require.Len(t, r.db(2).Dump("entries"), 500+len(insertedKeys(w)))
 	// The old home stays fenced, and nothing of the move stands at either home but that.
 	_, _, err := fencing.Exec(r.ctx, r.dial(1), "INSERT INTO entries VALUES ('late', '')")
-	require.Equal(t, "55000", code(err))
+	require.Equal(t, "55000", sqlState(err))
 	for g := range r.groups {
 		c := r.dial(g)
 		require.Empty(t, r.exec(c, "SELECT subname FROM pg_subscription"))
@@ -373,33 +373,33 @@
 	}
 }
 
-func inserted(w *writers) (keys []string) {
-	for k := range w.acked {
+func insertedKeys(w *writers) (keys []string) {
+	for k := range w.acknowledged {
 		keys = append(keys, k)
 	}
 	slices.Sort(keys)
 	return keys
 }
 
-func TestTakenBackAfterTheSwitchLosesNoCommit(t *testing.T) {
+func TestRollbackAfterSwitchLosesNoCommit(t *testing.T) {
 	r := newRig(t, 2, plan())
 	r.db(1).Table("entries", host.Traits{}).Seed(300)
-	w := r.write(4, 200)
-	r.phase(migration.Switched)
+	w := r.startWriters(4, 200)
+	r.runToPhase(migration.Switched)
 	at := w.count()
 	require.Eventually(t, func() bool { return w.count() > at+20 }, 5*time.Second, time.Millisecond)
-	r.say(migration.Rollback)
-	r.phase(migration.TakenBack)
-	require.Equal(t, migration.Group(1), r.home())
+	r.approve(migration.Rollback)
+	r.runToPhase(migration.TakenBack)
+	require.Equal(t, migration.Group(1), r.servingGroup())
 	at = w.count()
 	require.Eventually(t, func() bool { return w.count() > at+20 }, 5*time.Second, time.Millisecond)
-	w.end()
-	r.kept(w, 1)
+	w.stopAll()
+	r.requireAcknowledged(w, 1)
 	require.Empty(t, r.db(2).Dump("entries"))
 }
 
-// stands is all that the homes hold beside what replication brings: to be compared.
-func (r *rig) stands() map[string]any {
+// stored is all that the homes hold beside what replication brings: to be compared.
+func (r *rig) stored() map[string]any {
 	out := map[string]any{}
 	for g, c := range r.groups {
 		for _, table := range []string{"ashstand.fence", "ashstand.gate", "ashstand.book", "ashstand.touched", "entries"} {
@@ -417,53 +417,53 @@
 	return out
 }
 
-// at calls the place's method of a deed.
-func (r *rig) at(a migration.Act) (err error) {
+// call calls the place's method of a deed.
+func (r *rig) call(a migration.Act) (err error) {
 	home, other := homes(a)
 	switch a.Name {
 	case migration.DeedPublish:
-		err = r.places.Publish(r.ctx, a)
+		err = r.databases.Publish(r.ctx, a)
 	case migration.DeedSubscribe:
-		_, err = r.places.Subscribe(r.ctx, a)
+		_, err = r.databases.Subscribe(r.ctx, a)
 	case migration.DeedCopy:
-		_, err = r.places.Copy(r.ctx, a)
+		_, err = r.databases.Copy(r.ctx, a)
 	case migration.DeedMark:
-		_, err = r.places.Mark(r.ctx, a, home, other)
+		_, err = r.databases.Mark(r.ctx, a, home, other)
 	case migration.DeedCompare:
-		_, err = r.places.Compare(r.ctx, a, home, other)
+		_, err = r.databases.Compare(r.ctx, a, home, other)
 	case migration.DeedClose:
-		_, _, err = r.places.Close(r.ctx, a, home)
+		_, _, err = r.databases.Close(r.ctx, a, home)
 	case migration.DeedVerify:
-		_, err = r.places.Verify(r.ctx, a, home, other)
+		_, err = r.databases.Verify(r.ctx, a, home, other)
 	case migration.DeedSwitch:
-		err = r.places.Open(r.ctx, a, other)
+		err = r.databases.Open(r.ctx, a, other)
 	case migration.DeedFeed:
-		_, err = r.places.Feed(r.ctx, a)
+		_, err = r.databases.Feed(r.ctx, a)
 	case migration.DeedClear:
-		err = r.places.Clear(r.ctx, a)
+		err = r.databases.Clear(r.ctx, a)
 	case migration.DeedFinish:
-		err = r.places.Finish(r.ctx, a)
+		err = r.databases.Finish(r.ctx, a)
 	}
 	return err
 }
 
-var deeds = []string{
+var operations = []string{
 	migration.DeedPublish, migration.DeedSubscribe, migration.DeedCopy, migration.DeedMark, migration.DeedCompare, migration.DeedClose, migration.DeedVerify,
 	migration.DeedSwitch, migration.DeedFeed, migration.DeedFinish, migration.DeedClear,
 }
 
 // Each deed is done by an owner; a later one looks for it; then the first one comes late with it, and with all others.
-func TestAnOlderTokenChangesNothing(t *testing.T) {
+func TestStaleTokenChangesNothing(t *testing.T) {
 	for _, end := range []string{migration.Accept, migration.Rollback} {
 		r := newRig(t, 2, migration.Plan{From: 1, To: 2, Lock: 200, Rest: 1, Tries: 10})
 		r.db(1).Table("entries", host.Traits{}).Seed(30)
 		seen := map[string]bool{}
-		r.instead = r.late(seen)
-		r.until("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
-		r.say(end)
-		r.until("", func(s migration.State) bool { return false })
+		r.override = r.executeLate(seen)
+		r.runUntil("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
+		r.approve(end)
+		r.runUntil("", func(s migration.State) bool { return false })
 		require.Equal(t, map[string]migration.Phase{migration.Accept: migration.Done, migration.Rollback: migration.TakenBack}[end], r.state().Phase)
-		for _, name := range deeds {
+		for _, name := range operations {
 			if name != map[string]string{migration.Accept: migration.DeedClear, migration.Rollback: migration.DeedFinish}[end] {
 				require.True(t, seen[name], name)
 			}
@@ -471,87 +471,87 @@
 	}
 }
 
-// late does a deed, has a new owner look for it, and lets the one before do it and all others.
-func (r *rig) late(seen map[string]bool) func() error {
+// executeLate does a deed, has a new owner look for it, and lets the one before do it and all others.
+func (r *rig) executeLate(seen map[string]bool) func() error {
 	return func() error {
-		a := r.act()
-		w := *r.work()
-		if !slices.Contains(deeds, a.Name) {
-			p, err := r.mover.Execute(r.ctx, &w, w.Operation)
+		a := r.request()
+		w := *r.job()
+		if !slices.Contains(operations, a.Name) {
+			p, err := r.migrator.Execute(r.ctx, &w, w.Operation)
 			if err == nil {
-				r.prove(p)
+				r.confirm(p)
 			}
 			return err
 		}
 		first := !seen[a.Name]
 		if seen[a.Name] = true; !first {
-			p, err := r.mover.Execute(r.ctx, &w, w.Operation)
+			p, err := r.migrator.Execute(r.ctx, &w, w.Operation)
 			if err == nil {
-				r.prove(p)
+				r.confirm(p)
 			}
 			return err
 		}
-		if _, err := r.mover.Execute(r.ctx, &w, w.Operation); err != nil { // proven by nobody
+		if _, err := r.migrator.Execute(r.ctx, &w, w.Operation); err != nil { // proven by nobody
 			return err
 		}
-		done := r.settle()
+		done := r.recoverOpen()
 		can := slices.Contains([]string{migration.DeedCopy, migration.DeedCompare, migration.DeedVerify}, a.Name)
 		require.True(r.t, done || can, "%s was done", a.Name)
 		if a.Name == migration.DeedSwitch || a.Name == migration.DeedVerify { // the switch raised one place's token, the verification none yet
 			return nil
 		}
-		before := r.stands()
-		for _, name := range deeds {
+		before := r.stored()
+		for _, name := range operations {
 			if a.Name == migration.DeedClose && name != a.Name { // it was looked for at the home alone
 				continue
 			}
 			b := a
 			b.Name = name
-			err := r.at(b)
-			require.True(r.t, fenced(err), "%s after %s: %v", name, a.Name, err)
-			require.Equal(r.t, before, r.stands(), "%s after %s", name, a.Name)
+			err := r.call(b)
+			require.True(r.t, isFenced(err), "%s after %s: %v", name, a.Name, err)
+			require.Equal(r.t, before, r.stored(), "%s after %s", name, a.Name)
 		}
 		return nil
 	}
 }
 
-func fenced(err error) bool {
+func isFenced(err error) bool {
 	var f *jobs.FencedError
 	return errors.As(err, &f)
 }
 
-func TestEachDeedDoneTwice(t *testing.T) {
+func TestOperationsAreIdempotent(t *testing.T) {
 	for _, end := range []string{migration.Accept, migration.Rollback} {
 		r := newRig(t, 2, plan())
 		r.db(1).Table("entries", host.Traits{}).Seed(250)
-		w := r.write(3, 100)
-		r.instead = func() error {
-			work := *r.work()
-			if _, err := r.mover.Execute(r.ctx, &work, work.Operation); err != nil {
+		w := r.startWriters(3, 100)
+		r.override = func() error {
+			work := *r.job()
+			if _, err := r.migrator.Execute(r.ctx, &work, work.Operation); err != nil {
 				return err
 			}
-			p, err := r.mover.Execute(r.ctx, &work, work.Operation)
+			p, err := r.migrator.Execute(r.ctx, &work, work.Operation)
 			if err == nil {
-				r.prove(p)
+				r.confirm(p)
 			}
 			return err
 		}
-		r.until("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
-		r.say(end)
-		r.until("", func(s migration.State) bool { return false })
-		w.end()
+		r.runUntil("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
+		r.approve(end)
+		r.runUntil("", func(s migration.State) bool { return false })
+		w.stopAll()
 		require.Empty(t, r.state().Differ)
-		r.kept(w, map[string]migration.Group{migration.Accept: 2, migration.Rollback: 1}[end])
+		r.requireAcknowledged(w, map[string]migration.Group{migration.Accept: 2, migration.Rollback: 1}[end])
 	}
 }
 
 // Whatever breaks in the middle of whatever deed, the next owner finds out, and the move comes to its end.
-func TestDeedsCutInTheMiddle(t *testing.T) {
+func TestInterruptedOperationsRecover(t *testing.T) {
 	for seed := range int64(4) {
 		r := newRig(t, 2, migration.Plan{From: 1, To: 2, Lock: 200, Pause: 60000, Tries: 100, Rest: 1})
 		r.db(1).Table("entries", host.Traits{}).Seed(250)
 		lots := rand.New(rand.NewPCG(uint64(seed), 7))
-		w := r.write(3, 60)
+		w := r.startWriters(3, 60)
 		faults := func(on float64) {
 			for _, c := range r.groups {
 				for _, h := range c.Hosts() {
@@ -560,156 +560,156 @@
 			}
 		}
 		cuts, did := 0, 0
-		r.instead = func() error {
-			work := *r.work()
+		r.override = func() error {
+			work := *r.job()
 			ctx, cancel := context.WithTimeout(r.ctx, 20*time.Second)
 			if lots.IntN(3) == 0 {
 				cancel()
 				ctx, cancel = context.WithTimeout(r.ctx, time.Duration(lots.IntN(60))*time.Millisecond)
 			}
 			defer cancel()
-			p, err := r.mover.Execute(ctx, &work, work.Operation)
+			p, err := r.migrator.Execute(ctx, &work, work.Operation)
 			if err == nil {
-				r.prove(p)
+				r.confirm(p)
 				return nil
 			}
-			if cuts++; r.settle() {
+			if cuts++; r.recoverOpen() {
 				did++
 			}
 			return nil
 		}
 		faults(1)
-		r.until("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
+		r.runUntil("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
 		require.Empty(t, r.state().Differ)
-		r.say([]string{migration.Accept, migration.Rollback}[seed%2])
-		r.until("", func(s migration.State) bool { return false })
+		r.approve([]string{migration.Accept, migration.Rollback}[seed%2])
+		r.runUntil("", func(s migration.State) bool { return false })
 		faults(0)
-		w.end()
-		t.Logf("%d deeds cut, %d of them were done; %d rows written, %d refused, %v", cuts, did, len(w.acked), w.shut, r.state().Notes)
+		w.stopAll()
+		t.Logf("%d deeds cut, %d of them were done; %d rows written, %d refused, %v", cuts, did, len(w.acknowledged), w.rejected, r.state().Notes)
 		require.Positive(t, cuts)
-		r.kept(w, r.home())
+		r.requireAcknowledged(w, r.servingGroup())
 	}
 }
 
-func TestTheSourceFailsOver(t *testing.T) {
+func TestSourceFailover(t *testing.T) {
 	for lost := range 2 {
 		r := newRig(t, 2, plan())
 		r.db(1).Table("entries", host.Traits{}).Seed(300)
-		w := r.write(3, 100)
-		r.until("", func(s migration.State) bool { return s.Phase == migration.CatchingUp && s.Compare.All })
+		w := r.startWriters(3, 100)
+		r.runUntil("", func(s migration.State) bool { return s.Phase == migration.CatchingUp && s.Compare.All })
 		c := r.groups[1]
 		c.FailLosing(c.Hosts()[1], 5*lost, 20*time.Millisecond, true)
-		r.until("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
+		r.runUntil("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
 		require.Equal(t, 1, r.state().Copy.Again, "its slot died with the old primary")
-		w.end()
-		r.same(1, 2)
+		w.stopAll()
+		r.requireEqualRows(1, 2)
 		if lost == 0 {
-			r.kept(w, 2)
+			r.requireAcknowledged(w, 2)
 		}
 	}
 }
 
-func TestTheTargetFailsOver(t *testing.T) {
+func TestTargetFailover(t *testing.T) {
 	for lost := range 2 {
 		r := newRig(t, 2, plan())
 		r.db(1).Table("entries", host.Traits{}).Seed(300)
-		w := r.write(3, 100)
-		r.until("", func(s migration.State) bool { return s.Phase == migration.CatchingUp && s.Compare.All })
+		w := r.startWriters(3, 100)
+		r.runUntil("", func(s migration.State) bool { return s.Phase == migration.CatchingUp && s.Compare.All })
 		c := r.groups[2]
 		c.FailLosing(c.Hosts()[1], 5*lost, 20*time.Millisecond, true)
-		r.until("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
+		r.runUntil("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
 		require.Empty(t, r.state().Differ)
 		if lost == 1 {
 			require.Equal(t, 1, r.state().Copy.Again, "what it lost had been passed on")
 		}
-		w.end()
-		r.kept(w, 2)
-		r.same(1, 2)
+		w.stopAll()
+		r.requireAcknowledged(w, 2)
+		r.requireEqualRows(1, 2)
 	}
 }
 
-// same waits until both homes hold the same rows.
-func (r *rig) same(a, b migration.Group) {
+// requireEqualRows waits until both homes hold the same rows.
+func (r *rig) requireEqualRows(a, b migration.Group) {
 	r.t.Helper()
 	rows := func(g migration.Group) []map[string]string { return r.db(g).Dump("entries") }
 	require.Eventually(r.t, func() bool { return fmt.Sprint(rows(a)) == fmt.Sprint(rows(b)) }, 5*time.Second, 5*time.Millisecond)
 }
 
 // A row that was changed by hand at the new home is found, and named by its table and range.
-func TestARowChangedByHandIsFound(t *testing.T) {
+func TestCompareFindsDifferingRow(t *testing.T) {
 	r := newRig(t, 2, plan())
 	r.db(1).Table("entries", host.Traits{}).Seed(300)
-	r.until(migration.DeedCompare, nil)
+	r.runUntil(migration.DeedCompare, nil)
 	r.exec(r.dial(2), "SET session_replication_role = replica")
 	c := r.dial(2)
 	r.exec(c, "SET session_replication_role = replica")
 	r.exec(c, "UPDATE entries SET payload = 'by hand' WHERE ref = 'seed-0000142'")
-	require.NoError(t, r.do())
+	require.NoError(t, r.execute())
 	s := r.state()
 	require.Len(t, s.Differ, 1)
 	require.Equal(t, "public.entries", s.Differ[0].Table)
 	require.Equal(t, "seed-0000099 to seed-0000199", s.Differ[0].Range)
 	require.Contains(t, s.Held, "differs")
-	r.say(migration.Resume)
-	r.phase(migration.Switched)
+	r.approve(migration.Resume)
+	r.runToPhase(migration.Switched)
 	require.Equal(t, 1, r.state().Copy.Again)
-	r.same(1, 2)
+	r.requireEqualRows(1, 2)
 }
 
 // A key that was touched is read again in the pause: what differs there is found then.
-func TestVerifyReadsWhatWasTouched(t *testing.T) {
+func TestVerifyReadsTouchedRows(t *testing.T) {
 	r := newRig(t, 2, plan())
 	r.db(1).Table("entries", host.Traits{}).Seed(300)
-	r.until(migration.DeedPause, nil)
+	r.runUntil(migration.DeedPause, nil)
 	r.exec(r.dial(1), "UPDATE entries SET payload = 'touched' WHERE ref = 'seed-0000142'")
-	r.until(migration.DeedVerify, nil)
+	r.runUntil(migration.DeedVerify, nil)
 	c := r.dial(2)
 	r.exec(c, "SET session_replication_role = replica")
 	r.exec(c, "UPDATE entries SET payload = 'by hand' WHERE ref = 'seed-0000142'")
-	require.NoError(t, r.do())
+	require.NoError(t, r.execute())
 	s := r.state()
 	require.Len(t, s.Differ, 1)
 	require.Equal(t, "seed-0000142 to seed-0000142", s.Differ[0].Range)
 	require.False(t, s.Pause.Verified)
 }
 
-func TestAStragglerIsNamedAndEnded(t *testing.T) {
+func TestBlockingSessionIsNamedAndEnded(t *testing.T) {
 	p := plan()
 	p.Stragglers, p.Lock = "end", 100
 	r := newRig(t, 2, p)
 	r.db(1).Table("entries", host.Traits{}).Seed(30)
-	r.until(migration.DeedClose, nil)
+	r.runUntil(migration.DeedClose, nil)
 	c := r.dial(1)
 	r.exec(c, "BEGIN")
 	r.exec(c, "INSERT INTO entries VALUES ('straggler', '')")
 	pid := int(c.PID())
-	require.NoError(t, r.do())
+	require.NoError(t, r.execute())
 	s := r.state()
 	require.Equal(t, migration.Closing, s.Phase)
 	require.Len(t, s.Stragglers, 1)
 	require.Equal(t, pid, s.Stragglers[0].PID)
 	require.Equal(t, "web", s.Stragglers[0].User)
-	r.phase(migration.Switched)
+	r.runToPhase(migration.Switched)
 	_, _, err := fencing.Exec(r.ctx, c, "COMMIT")
 	require.Error(t, err)
 	require.Empty(t, r.db(2).History("entries", "straggler"))
 }
 
 // A deed whose owner died in its transaction holds the token's row: the host lets it go.
-func TestADeadOwnersLockIsLetGo(t *testing.T) {
+func TestLockOfDeadHolderIsReleased(t *testing.T) {
 	r := newRig(t, 2, plan())
 	r.db(1).Table("entries", host.Traits{}).Seed(30)
-	r.until(migration.DeedClose, nil)
-	a := r.act()
+	r.runUntil(migration.DeedClose, nil)
+	a := r.request()
 	c := r.dial(1)
-	require.NoError(t, fencing.SetTimeouts(r.ctx, c, r.places.bounds(a)))
+	require.NoError(t, fencing.SetTimeouts(r.ctx, c, r.databases.bounds(a)))
 	r.exec(c, "BEGIN")
-	require.NoError(t, r.places.Client.RaiseFence(r.ctx, c, "1", tenant, a.Token))
-	r.owned()
-	b := r.act()
+	require.NoError(t, r.databases.Client.RaiseFence(r.ctx, c, "1", tenant, a.Token))
+	r.assign()
+	b := r.request()
 	b.Data.Within = 5000
 	began := time.Now()
-	closed, _, err := r.places.Close(r.ctx, b, 1)
+	closed, _, err := r.databases.Close(r.ctx, b, 1)
 	took := time.Since(began)
 	require.NoError(t, err)
 	require.NotNil(t, closed)
@@ -717,32 +717,32 @@
 	require.Less(t, took, 300*time.Millisecond+500*time.Millisecond)
 }
 
-func TestAnotherWorksTenantIsTaken(t *testing.T) {
+func TestTenantOfOtherMigrationIsLocked(t *testing.T) {
 	r := newRig(t, 3, plan())
-	r.phase(migration.CatchingUp)
-	before := r.stands()
-	a := r.act()
+	r.runToPhase(migration.CatchingUp)
+	before := r.stored()
+	a := r.request()
 	a.Work, a.Deed, a.Name, a.Token, a.Told, a.Plan.To = "m2", "m2/2", migration.DeedPublish, 100, 100, 3
 	var by *migration.Taken
-	require.ErrorAs(t, r.places.Publish(r.ctx, a), &by)
+	require.ErrorAs(t, r.databases.Publish(r.ctx, a), &by)
 	require.Equal(t, "m1", by.By)
-	f, err := r.places.Look(r.ctx, a)
+	f, err := r.databases.Look(r.ctx, a)
 	require.NoError(t, err)
 	require.False(t, f.Done)
-	require.Equal(t, before[fmt.Sprint(1, "ashstand.fence")], r.stands()[fmt.Sprint(1, "ashstand.fence")], "the first work's token counts on")
-	r.phase(migration.Switched)
-	r.until("", func(s migration.State) bool { return s.Fed && s.Compare.All })
-	r.say(migration.Accept)
-	r.phase(migration.Done)
+	require.Equal(t, before[fmt.Sprint(1, "ashstand.fence")], r.stored()[fmt.Sprint(1, "ashstand.fence")], "the first work's token counts on")
+	r.runToPhase(migration.Switched)
+	r.runUntil("", func(s migration.State) bool { return s.Fed && s.Compare.All })
+	r.approve(migration.Accept)
+	r.runToPhase(migration.Done)
 	a.Plan.From = 2
-	require.NoError(t, r.places.Publish(r.ctx, a), "it was given up")
+	require.NoError(t, r.databases.Publish(r.ctx, a), "it was given up")
 }
 
-func TestCheckNamesWhatIsInTheWay(t *testing.T) {
+func TestCheckReportsObstacles(t *testing.T) {
 	r := newRig(t, 2, plan())
 	c := r.dial(1)
-	a := r.act()
-	clean, err := r.places.Check(r.ctx, a)
+	a := r.request()
+	clean, err := r.databases.Check(r.ctx, a)
 	require.NoError(t, err)
 	require.Empty(t, clean)
 	db := r.db(1)
@@ -756,8 +756,8 @@
 	r.exec(c, "CREATE TABLE wider (id bigint PRIMARY KEY, more text)")
 	r.exec(r.dial(2), "CREATE TABLE wider (id bigint PRIMARY KEY)")
 	r.exec(r.dial(2), "INSERT INTO entries VALUES ('there', '')")
-	r.places.Room = func(migration.Group) (float64, bool) { return 1, true }
-	found, err := r.places.Check(r.ctx, a)
+	r.databases.FreeBytes = func(migration.Group) (float64, bool) { return 1, true }
+	found, err := r.databases.Check(r.ctx, a)
 	require.NoError(t, err)
 	var names []string
 	for _, f := range found {
@@ -787,12 +787,12 @@
 	}
 	r.exec(c, "INSERT INTO bare VALUES ('x'), ('x'), (NULL)")
 	r.exec(c, "SELECT setval('used', 41)")
-	r.until(migration.DeedPause, nil)
+	r.runUntil(migration.DeedPause, nil)
 	require.Equal(t, 5, r.state().Compare.Ranges, "three of pairs, one of bare, one of entries")
 	r.exec(c, "DELETE FROM pairs WHERE b = 'k9'")
 	r.exec(c, "UPDATE bare SET v = 'y' WHERE v IS NULL")
 	r.exec(c, "SELECT nextval('used')")
-	r.phase(migration.Switched)
+	r.runToPhase(migration.Switched)
 	to := r.dial(2)
 	require.Equal(t, "43", r.exec(to, "SELECT nextval('used')")[0][0])
 	require.Equal(t, "7", r.exec(to, "SELECT nextval('fresh')")[0][0])
--- a/internal/cluster/migration/sql/tables.go
+++ b/internal/cluster/migration/sql/tables.go
@@ -24,9 +24,9 @@
 	triggers     map[string]bool
 }
 
-func (t *table) full() string { return t.schema + "." + t.name }
+func (t *table) fullName() string { return t.schema + "." + t.name }
 
-func (t *table) sql() string { return ident(t.schema) + "." + ident(t.name) }
+func (t *table) quoted() string { return ident(t.schema) + "." + ident(t.name) }
 
 // keyed is a key column as it is compared: texts by their bytes, since two hosts may have other locales.
 func (t *table) keyed(i int) string {
@@ -60,7 +60,7 @@
 		t := &table{schema: r[1], name: r[2], identity: r[3], persistence: r[4], triggers: map[string]bool{}}
 		t.rows, _ = strconv.ParseFloat(r[5], 64)
 		out = append(out, t)
-		byOid[r[0]], byName[t.full()] = t, t
+		byOid[r[0]], byName[t.fullName()] = t, t
 	}
 	if rows, _, err = fencing.Exec(ctx, conn, "SELECT table_schema, table_name, column_name, data_type FROM information_schema.columns "+
 		"WHERE table_schema NOT IN ('pg_catalog', 'information_schema', 'ashstand') ORDER BY table_schema, table_name, ordinal_position"); err != nil {
@@ -99,7 +99,7 @@
 			t.triggers[r[1]] = true
 		}
 	}
-	slices.SortFunc(out, func(a, b *table) int { return cmp.Compare(a.full(), b.full()) })
+	slices.SortFunc(out, func(a, b *table) int { return cmp.Compare(a.fullName(), b.fullName()) })
 	return out, nil
 }
 
--- a/internal/cost/cost_test.go
+++ b/internal/cost/cost_test.go
@@ -31,7 +31,9 @@
 	return t
 }
 
-func stated(i int) Fingerprint { return Print(fmt.Sprintf("select a%d from t where k = 1", i)) }
+func stated(i int) Fingerprint {
+	return NewFingerprint(fmt.Sprintf("select a%d from t where k = 1", i))
+}
 
 func (t *truth) mean(s int, kind string, rows float64, inflight int) float64 {
 	return 1 + t.effs[s] + t.kinds[kind] + 0.6*math.Log1p(rows) + 0.3*math.Log1p(float64(inflight))
@@ -67,13 +69,13 @@
 	return f
 }
 
-func TestTheModelFindsWhatTheTruthIs(t *testing.T) {
+func TestEstimatesMatchGroundTruth(t *testing.T) {
 	tr := newTruth(1, 40)
-	e := Load(tr.model("a", 20).Publish(1, 1000), 1000)
+	e := NewEstimator(tr.model("a", 20).Publish(1, 1000), 1000)
 	in, known, inNew, newPairs := 0, 0, 0, 0
 	for s := range tr.effs {
 		for k, kind := range []string{"old", "new", "arm"} {
-			a, err := e.Estimate(1000, Plan{Name: "p", Steps: []Step{{Name: "s", Statement: stated(s), Class: "report", Rows: 50, Fresh: "fresh"}}}, fleet(kind))
+			a, err := e.Estimate(1000, Plan{Name: "p", Steps: []Step{{Name: "s", Statement: stated(s), Class: "report", Rows: 50, Freshness: "fresh"}}}, fleet(kind))
 			require.NoError(t, err)
 			mid := math.Exp(tr.mean(s, kind, 50, 0))
 			require.InDelta(t, 0, math.Log(a.Plans[0].P50.Mid/mid), 0.6)
@@ -81,7 +83,7 @@
 			if (s+k)%4 == 0 {
 				newPairs++
 				inNew += btoi(got)
-				require.Contains(t, a.Plans[0].P50.Hinge, "no evidence of statement")
+				require.Contains(t, a.Plans[0].P50.DominantFactor, "no evidence of statement")
 			} else {
 				known++
 				in += btoi(got)
@@ -99,14 +101,14 @@
 	return 0
 }
 
-func TestAFanOutIsTheSlowestOfItsParts(t *testing.T) {
+func TestFanOutTakesSlowestPart(t *testing.T) {
 	tr := newTruth(2, 10)
-	e := Load(tr.model("a", 50).Publish(1, 1000), 1000)
+	e := NewEstimator(tr.model("a", 50).Publish(1, 1000), 1000)
 	kinds := slices.Repeat([]string{"new"}, 100)
-	step := Step{Name: "s", Statement: stated(1), Class: "report", Rows: 10, Fresh: "fresh"}
+	step := Step{Name: "s", Statement: stated(1), Class: "report", Rows: 10, Freshness: "fresh"}
 	one, err := e.Estimate(1000, Plan{Steps: []Step{step}}, fleet(kinds...))
 	require.NoError(t, err)
-	step.All = true
+	step.AllGroups = true
 	all, err := e.Estimate(1000, Plan{Steps: []Step{step}}, fleet(kinds...))
 	require.NoError(t, err)
 	// The median of the most of 100 is the quantile 0.5^(1/100) of one: 2.46 standard deviations.
@@ -114,7 +116,7 @@
 	require.InDelta(t, 100, all.Plans[0].Work["new"].Mid/one.Plans[0].Work["new"].Mid/math.Exp(tr.noise*tr.noise/2), 4)
 }
 
-func TestWaitingIsNotWork(t *testing.T) {
+func TestWaitingIsSeparateFromWork(t *testing.T) {
 	m := NewModel(Options{Source: "a"})
 	r := rand.New(rand.NewPCG(3, 3))
 	for range 400 {
@@ -122,7 +124,7 @@
 		m.Observe(Observation{Statement: stated(0), Class: "c", Kind: "k", Rows: 9, Inflight: n, Work: 10 * math.Pow(float64(1+n), 0.5) * math.Exp(0.1*r.NormFloat64()), Wait: 20 * float64(n), At: 1})
 	}
 	f := fleet("k")
-	p := Plan{Steps: []Step{{Name: "s", Statement: stated(0), Class: "c", Rows: 9, Fresh: "fresh"}}}
+	p := Plan{Steps: []Step{{Name: "s", Statement: stated(0), Class: "c", Rows: 9, Freshness: "fresh"}}}
 	a, err := m.Estimate(1, p, f)
 	require.NoError(t, err)
 	require.InDelta(t, 10, a.Plans[0].P50.Mid, 1, "alone")
@@ -133,11 +135,11 @@
 	require.InDelta(t, a.Plans[0].Work["k"].Mid, b.Plans[0].Work["k"].Mid, 0.5, "work is the same")
 }
 
-func TestStepsWaitForOthersAndCyclesAreNamed(t *testing.T) {
+func TestStepOrderAndCycles(t *testing.T) {
 	tr := newTruth(4, 4)
 	m := tr.model("a", 50)
 	step := func(name string, after ...string) Step {
-		return Step{Name: name, Statement: stated(1), Class: "report", Rows: 10, Fresh: "fresh", After: after}
+		return Step{Name: name, Statement: stated(1), Class: "report", Rows: 10, Freshness: "fresh", After: after}
 	}
 	a, err := m.Estimate(1000, Plan{
 		Name: "row", Steps: []Step{step("a"), step("b", "a"), step("c", "b")},
@@ -145,30 +147,30 @@
 	}, fleet("new"))
 	require.NoError(t, err)
 	require.Equal(t, []int{1, 0}, a.Order)
-	require.Greater(t, a.Faster[1][0], 0.99)
+	require.Greater(t, a.FasterProbability[1][0], 0.99)
 	require.Greater(t, a.Plans[0].P50.Mid, 2*a.Plans[1].P50.Mid)
 	_, err = m.Estimate(1000, Plan{Name: "round", Steps: []Step{step("a", "c"), step("b", "a"), step("c", "b"), step("d")}}, fleet("new"))
-	var cycle *Cycle
+	var cycle *CycleError
 	require.ErrorAs(t, err, &cycle)
 	require.Equal(t, []string{"a", "b", "c"}, cycle.Steps)
-	var bad *BadPlan
+	var bad *InvalidPlanError
 	_, err = m.Estimate(1000, Plan{Steps: []Step{step("a", "x")}}, fleet("new"))
 	require.ErrorAs(t, err, &bad)
 	require.Equal(t, "after", bad.Key)
 }
 
-func TestItSaysWhereItCannotTell(t *testing.T) {
+func TestNoEstimateWithoutEvidence(t *testing.T) {
 	m := newTruth(5, 4).model("a", 5)
-	p := Plan{Steps: []Step{{Name: "s", Statement: stated(1), Class: "other", Fresh: "fresh"}}}
-	var cant *CantTell
-	var unknown *UnknownStatement
+	p := Plan{Steps: []Step{{Name: "s", Statement: stated(1), Class: "other", Freshness: "fresh"}}}
+	var cant *NoEstimateError
+	var unknown *UnknownStatementError
 	_, err := m.Estimate(1000, p, fleet("new"))
 	require.ErrorAs(t, err, &cant)
 	require.ErrorAs(t, err, &unknown)
 	p.Steps[0].Class = "report"
 	_, err = m.Estimate(1000, p, fleet("new", "gpu"))
 	require.NoError(t, err)
-	p.Steps[0].All = true
+	p.Steps[0].AllGroups = true
 	_, err = m.Estimate(1000, p, fleet("new", "gpu"))
 	require.ErrorAs(t, err, &cant)
 	require.Contains(t, cant.Reason, `kind "gpu"`)
@@ -178,14 +180,14 @@
 	require.ErrorAs(t, err, &cant)
 	v := m.Publish(1, 1000)
 	v.Cells[0].At++
-	var spoilt *BadEvidence
-	_, err = Load(v, 1000).Estimate(1000, p, fleet("new"))
+	var spoilt *InvalidEvidenceError
+	_, err = NewEstimator(v, 1000).Estimate(1000, p, fleet("new"))
 	require.ErrorAs(t, err, &spoilt)
 }
 
-func TestOldEvidenceWidensByItsAge(t *testing.T) {
-	e := Load(newTruth(6, 10).model("a", 100).Publish(1, 1000), 1000)
-	p := Plan{Steps: []Step{{Name: "s", Statement: stated(1), Class: "report", Rows: 10, Fresh: "fresh"}}}
+func TestIntervalsWidenWithAge(t *testing.T) {
+	e := NewEstimator(newTruth(6, 10).model("a", 100).Publish(1, 1000), 1000)
+	p := Plan{Steps: []Step{{Name: "s", Statement: stated(1), Class: "report", Rows: 10, Freshness: "fresh"}}}
 	width := func(now float64) float64 {
 		a, err := e.Estimate(now, p, fleet("new"))
 		require.NoError(t, err)
@@ -213,7 +215,7 @@
 	return out
 }
 
-func TestEvidenceMergesInAnyOrderTwiceOrNot(t *testing.T) {
+func TestMergeIsCommutativeAndIdempotent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		all := summaries(t)
 		digest := func(order []Summary, o Options) [32]byte {
@@ -239,7 +241,7 @@
 		for _, s := range all[cut:] {
 			_ = right.Merge(s)
 		}
-		for _, s := range right.others {
+		for _, s := range right.summaries {
 			_ = left.Merge(s)
 		}
 		if left.Publish(1, 1e6).Digest != want {
@@ -248,7 +250,7 @@
 	})
 }
 
-func TestFalseEvidenceMovesAnEstimateByTheStatedAmountAtMost(t *testing.T) {
+func TestFalseEvidenceIsBounded(t *testing.T) {
 	for seed := range uint64(6) {
 		tr := newTruth(seed, 12)
 		var honest []Summary
@@ -265,21 +267,21 @@
 						Work: math.Exp(float64(seed) * 3 * (1 + r.NormFloat64())),
 					}
 					if seed == 5 { // all at the ends of what can be, without any spread
-						o.Rows, o.Inflight, o.Work, o.Cold = 9e14, 1<<30, 9e8, true
+						o.Rows, o.Inflight, o.Work, o.WarmingUp = 9e14, 1<<30, 9e8, true
 					}
 					liar.Observe(o)
 				}
 			}
 		}
 		load := func(last Summary, broken string) *Estimator {
-			m := NewModel(Options{Source: "me", Break: broken})
+			m := NewModel(Options{Source: "me", DisabledGuarantee: broken})
 			for i, s := range honest {
 				if i != 3 {
 					require.NoError(t, m.Merge(s))
 				}
 			}
 			require.NoError(t, m.Merge(last))
-			return Load(m.Publish(1, 1000), 1000)
+			return NewEstimator(m.Publish(1, 1000), 1000)
 		}
 		lies := liar.Evidence()
 		good, bad, open := load(honest[3], ""), load(lies, ""), load(lies, "false")
@@ -287,14 +289,14 @@
 		for s := range tr.effs {
 			for _, kind := range []string{"old", "new", "arm"} {
 				x := func(e *Estimator) (float64, float64) {
-					d, err := e.ready(1000)
+					d, err := e.newDraws(1000)
 					require.NoError(t, err)
 					c, k, _ := e.full.known("report", kind)
-					key := pairKey{c, k, stated(s)}
-					at := [4]float64{1, sizeOf(50, 0), math.Log1p(3), 0}
-					shift, _, moved := d.hold(key, "report", kind, at)
-					at[size] -= e.full.centre
-					mean, _ := d.effect(key).at(at)
+					key := effectKey{c, k, stated(s)}
+					at := [4]float64{1, logSize(50, 0), math.Log1p(3), 0}
+					shift, _, moved := d.robustShift(key, "report", kind, at)
+					at[termSize] -= e.full.centreSize
+					mean, _ := d.effect(key).evaluate(at)
 					return mean + shift, moved
 				}
 				a, stated := x(good)
@@ -312,7 +314,7 @@
 	}
 }
 
-func TestMemoryIsBoundedAndTheLeastValuableGoesIntoItsClass(t *testing.T) {
+func TestMemoryIsBounded(t *testing.T) {
 	m := NewModel(Options{Source: "a", Bytes: 200 * cellBytes})
 	tr := newTruth(7, 400)
 	for s := range tr.effs {
@@ -322,11 +324,11 @@
 	}
 	require.LessOrEqual(t, len(m.cells), 100)
 	for s := range 10 {
-		require.Contains(t, m.cells, key{"report", "new", stated(s)}, "well known ones stay")
+		require.Contains(t, m.cells, cellKey{"report", "new", stated(s)}, "well known ones stay")
 	}
-	class := m.cells[key{class: "report", kind: "new"}]
+	class := m.cells[cellKey{class: "report", kind: "new"}]
 	require.NotNil(t, class)
-	require.InDelta(t, 400, class.m[0]+float64(len(m.cells)-1), 15, "each that went counts once")
+	require.InDelta(t, 400, class.moments[0]+float64(len(m.cells)-1), 15, "each that went counts once")
 	for i := range 100 {
 		m.Observe(Observation{Class: fmt.Sprint("c", i), Kind: fmt.Sprint("k", i), Work: 1, At: 1})
 	}
@@ -334,57 +336,60 @@
 	require.LessOrEqual(t, len(m.kinds), maxKinds)
 	require.Positive(t, m.Dropped())
 	// What was folded still tells what a statement of its class that nobody knows costs.
-	a, err := m.Estimate(400, Plan{Steps: []Step{{Name: "s", Statement: Print("new"), Class: "report", Rows: 50, Fresh: "fresh"}}}, fleet("new"))
+	a, err := m.Estimate(400, Plan{Steps: []Step{{Name: "s", Statement: NewFingerprint("new"), Class: "report", Rows: 50, Freshness: "fresh"}}}, fleet("new"))
 	require.NoError(t, err)
 	mid := math.Exp(1 + 0.6*math.Log(51))
 	require.InDelta(t, 0, math.Log(a.Plans[0].P50.Mid/mid), 0.4)
 	require.InDelta(t, 0.6, math.Log(a.Plans[0].P50.High/a.Plans[0].P50.Low)/3.92, 0.3)
 }
 
-func TestSummariesThatCannotBeAreRefused(t *testing.T) {
+func TestImpossibleSummariesAreRejected(t *testing.T) {
 	m := NewModel(Options{Source: "me"})
 	for name, spoil := range map[string]func(*Summary){
-		"no source":      func(s *Summary) { s.Source = "" },
-		"not a number":   func(s *Summary) { s.Cells[0].Moments[4] = math.NaN() },
-		"negative":       func(s *Summary) { s.Cells[0].Moments[0] = -1 },
-		"spread below 0": func(s *Summary) { s.Cells[0].Moments[at(work, work)] = 0; s.Cells[0].Moments[at(one, work)] = 9 },
-		"no such sums":   func(s *Summary) { s.Cells[0].Moments[at(size, work)] *= 3 },
-		"twice":          func(s *Summary) { s.Cells = append(s.Cells, s.Cells[0]) },
-		"wait":           func(s *Summary) { s.Waits[0].Sums[3] = math.Inf(1) },
+		"no source":    func(s *Summary) { s.Source = "" },
+		"not a number": func(s *Summary) { s.Cells[0].Moments[4] = math.NaN() },
+		"negative":     func(s *Summary) { s.Cells[0].Moments[0] = -1 },
+		"spread below 0": func(s *Summary) {
+			s.Cells[0].Moments[momentIndex(termWork, termWork)] = 0
+			s.Cells[0].Moments[momentIndex(termOne, termWork)] = 9
+		},
+		"no such sums": func(s *Summary) { s.Cells[0].Moments[momentIndex(termSize, termWork)] *= 3 },
+		"twice":        func(s *Summary) { s.Cells = append(s.Cells, s.Cells[0]) },
+		"wait":         func(s *Summary) { s.Waits[0].Sums[3] = math.Inf(1) },
 	} {
 		s := newTruth(8, 2).model("other", 3).Evidence()
 		require.NoError(t, NewModel(Options{}).Merge(s))
 		spoil(&s)
-		var bad *BadEvidence
+		var bad *InvalidEvidenceError
 		require.ErrorAs(t, m.Merge(s), &bad, name)
 	}
-	require.Empty(t, m.others)
+	require.Empty(t, m.summaries)
 }
 
 // Guards against one source's sums, just within what rounding may do, that stop everybody's fit.
-func TestSumsAtTheEdgeOfRoundingAreMadeFirm(t *testing.T) {
+func TestMomentsAtRoundingLimitAreRegularized(t *testing.T) {
 	var m Moments
-	m.add(&[places]float64{1, 3, 0, 0, 2}, 50)
-	m[at(size, size)] -= 0.9 * rounding * 50 * limits[size] * limits[size]
+	m.add(&[termCount]float64{1, 3, 0, 0, 2}, 50)
+	m[momentIndex(termSize, termSize)] -= 0.9 * roundingTolerance * 50 * termLimits[termSize] * termLimits[termSize]
 	least := func() float64 {
-		s := mat.NewSymDense(2, []float64{m.of(one, one), m.of(one, size), m.of(one, size), m.of(size, size)})
+		s := mat.NewSymDense(2, []float64{m.moment(termOne, termOne), m.moment(termOne, termSize), m.moment(termOne, termSize), m.moment(termSize, termSize)})
 		var e mat.EigenSym
 		require.True(t, e.Factorize(s, false))
 		return slices.Min(e.Values(nil))
 	}
-	require.True(t, m.possible())
+	require.True(t, m.isPossible())
 	require.Negative(t, least())
-	m.firm()
+	m.regularize()
 	require.Positive(t, least())
 }
 
-func TestATenantThatDoesNotFitIsRefusedWithTheFigures(t *testing.T) {
+func TestTenantThatDoesNotFitIsRejected(t *testing.T) {
 	tr := newTruth(9, 6)
-	e := Load(tr.model("a", 60).Publish(1, 1000), 1000)
+	e := NewEstimator(tr.model("a", 60).Publish(1, 1000), 1000)
 	hosts := []Host{{Name: "p", Kind: "new", Primary: true, Capacity: 8, Load: 2}, {Name: "r", Kind: "old", Capacity: 8, Load: 6}}
 	each := math.Exp(tr.mean(2, "old", 10, 0) + tr.noise*tr.noise/2)
 	load := func(at float64) Tenant {
-		return Tenant{"t", []Demand{{Statement: stated(2), Class: "report", Rows: 10, Rate: at * 1e3 / each}}}
+		return Tenant{"t", []Demand{{Statement: stated(2), Class: "report", Rows: 10, RequestsPerSecond: at * 1e3 / each}}}
 	}
 	v, err := e.Fits(1000, load(0.8), hosts)
 	require.NoError(t, err)
@@ -397,26 +402,26 @@
 	require.InDelta(t, 1.2, v.Hosts[1].Free, 1e-9)
 }
 
-func TestPaceKeepsTheAimsOfWhatIsServed(t *testing.T) {
+func TestCopyRateKeepsObjectives(t *testing.T) {
 	tr := newTruth(10, 6)
-	e := Load(tr.model("a", 60).Publish(1, 1000), 1000)
+	e := NewEstimator(tr.model("a", 60).Publish(1, 1000), 1000)
 	hosts := []Host{{Name: "p", Kind: "new", Primary: true, Capacity: 20, Load: 2, Inflight: 2}}
 	c := Copy{Statement: stated(2), Class: "report", Batch: 100}
-	free, err := e.Pace(1000, c, nil, hosts)
+	free, err := e.MaxCopyRate(1000, c, nil, hosts)
 	require.NoError(t, err)
-	require.InDelta(t, 16, free.Extra, 1e-9)
+	require.InDelta(t, 16, free.Concurrency, 1e-9)
 	aim := math.Exp(tr.mean(2, "new", 10, 2) + 2.33*tr.noise)
-	tight, err := e.Pace(1000, c, []Demand{{Statement: stated(2), Class: "report", Rows: 10, Aim: aim * 1.6}}, hosts)
+	tight, err := e.MaxCopyRate(1000, c, []Demand{{Statement: stated(2), Class: "report", Rows: 10, ObjectiveMillis: aim * 1.6}}, hosts)
 	require.NoError(t, err)
-	require.Less(t, tight.Rows, free.Rows)
-	require.Positive(t, tight.Rows)
+	require.Less(t, tight.RowsPerSecond, free.RowsPerSecond)
+	require.Positive(t, tight.RowsPerSecond)
 	require.Contains(t, tight.Reason, "aim")
-	none, err := e.Pace(1000, c, []Demand{{Statement: stated(2), Class: "report", Rows: 10, Aim: aim / 5}}, hosts)
+	none, err := e.MaxCopyRate(1000, c, []Demand{{Statement: stated(2), Class: "report", Rows: 10, ObjectiveMillis: aim / 5}}, hosts)
 	require.NoError(t, err)
-	require.Zero(t, none.Rows)
-	pause, err := e.Pause(1000, Move{
-		Longest: []Demand{{Statement: stated(2), Class: "report", Rows: 10}}, Copy: c, Left: 1000,
-		Agree: Figure{Mid: 100, Low: 50, High: 200}, Source: hosts[0], Target: hosts[0],
+	require.Zero(t, none.RowsPerSecond)
+	pause, err := e.Pause(1000, Migration{
+		RunningWrites: []Demand{{Statement: stated(2), Class: "report", Rows: 10}}, Copy: c, RemainingRows: 1000,
+		OwnerChange: Interval{Mid: 100, Low: 50, High: 200}, Source: hosts[0], Target: hosts[0],
 	})
 	require.NoError(t, err)
 	batch := math.Exp(tr.mean(2, "new", 100, 2) + tr.noise*tr.noise/2)
@@ -425,7 +430,7 @@
 	require.Less(t, pause.High, 2.5*(20*batch+200))
 }
 
-func TestStatementsThatDifferInLiteralsAloneAreOne(t *testing.T) {
+func TestFingerprintIgnoresLiterals(t *testing.T) {
 	for _, c := range []struct{ text, want string }{
 		{"SELECT  a FROM t\nWHERE k = 'x''y' -- tail", "select a from t where k=?"},
 		{"/* id=1,c=a,d=3 */ select a from t where k in (1, 2,3)", "select a from t where k in(?)"},
@@ -435,16 +440,16 @@
 		{"update t set a = a - 1", "update t set a=a-?"},
 		{"insert into t values (1,'a'), (2,'b')", "insert into t values(?),(?)"},
 	} {
-		require.Equal(t, c.want, Normal(c.text))
+		require.Equal(t, c.want, Normalize(c.text))
 	}
-	require.NotEqual(t, Print("select a from t"), Print("select b from t"))
-	f := Print("select 1")
+	require.NotEqual(t, NewFingerprint("select a from t"), NewFingerprint("select b from t"))
+	f := NewFingerprint("select 1")
 	b, err := f.MarshalText()
 	require.NoError(t, err)
 	var g Fingerprint
 	require.NoError(t, g.UnmarshalText(b))
 	require.Equal(t, f, g)
-	var bad *BadInput
+	var bad *InvalidInputError
 	require.True(t, errors.As(g.UnmarshalText([]byte("x")), &bad))
 }
 
@@ -453,18 +458,18 @@
 		f.Add(s)
 	}
 	f.Fuzz(func(t *testing.T, s string) {
-		n := Normal(s)
-		if len(n) > MaxNormal {
+		n := Normalize(s)
+		if len(n) > MaxNormalizedBytes {
 			t.Fatalf("%d bytes", len(n))
 		}
-		if len(n) < MaxNormal && Normal(" \n"+s+"\t ") != n && !open(s) {
+		if len(n) < MaxNormalizedBytes && Normalize(" \n"+s+"\t ") != n && !open(s) {
 			t.Fatalf("white space around it changes %q", s)
 		}
-		if again := Normal(n); len(n) < MaxNormal && len(Normal(again)) > len(n) {
+		if again := Normalize(n); len(n) < MaxNormalizedBytes && len(Normalize(again)) > len(n) {
 			t.Fatalf("%q grows to %q", n, again)
 		}
 	})
 }
 
 // open says whether a text may end inside of a literal or comment, where white space is a part of it.
-func open(s string) bool { return len(s) > 0 && (Normal(s+"\t ") != Normal(s)) }
+func open(s string) bool { return len(s) > 0 && (Normalize(s+"\t ") != Normalize(s)) }
--- a/internal/cost/fingerprint.go
+++ b/internal/cost/fingerprint.go
@@ -10,12 +10,12 @@
 // Fingerprint names a statement by its normalised text. The zero one stands for all statements of a class.
 type Fingerprint [16]byte
 
-// MaxNormal bounds the text that a fingerprint is made of, in bytes; what comes behind it does not count.
-const MaxNormal = 4 << 10
+// MaxNormalizedBytes bounds the text that a fingerprint is made of, in bytes; what comes behind it does not count.
+const MaxNormalizedBytes = 4 << 10
 
-// Print returns the fingerprint of a statement's text.
-func Print(text string) (f Fingerprint) {
-	sum := blake3.Sum256(normal(make([]byte, 0, 256), text))
+// NewFingerprint returns the fingerprint of a statement's text.
+func NewFingerprint(text string) (f Fingerprint) {
+	sum := blake3.Sum256(normalize(make([]byte, 0, 256), text))
 	copy(f[:], sum[:])
 	return f
 }
@@ -29,23 +29,23 @@
 // UnmarshalText reads 32 hex digits.
 func (f *Fingerprint) UnmarshalText(b []byte) error {
 	if hex.DecodedLen(len(b)) != len(f) {
-		return &BadInput{What: "fingerprint", Value: short(string(b)), Allowed: "32 hex digits"}
+		return &InvalidInputError{What: "fingerprint", Value: truncateText(string(b)), Allowed: "32 hex digits"}
 	}
 	if _, err := hex.Decode(f[:], b); err != nil {
-		return &BadInput{What: "fingerprint", Value: short(string(b)), Allowed: "32 hex digits", Cause: err}
+		return &InvalidInputError{What: "fingerprint", Value: truncateText(string(b)), Allowed: "32 hex digits", Cause: err}
 	}
 	return nil
 }
 
-// Normal is the text that a fingerprint is made of: without comments, every literal as ?, lists of them as one, white
-// space as one space where it parts words, letters in lower case outside of quoted names. At most MaxNormal bytes.
-func Normal(text string) string { return string(normal(nil, text)) }
+// Normalize is the text that a fingerprint is made of: without comments, every literal as ?, lists of them as one, white
+// space as one space where it parts words, letters in lower case outside of quoted names. At most MaxNormalizedBytes bytes.
+func Normalize(text string) string { return string(normalize(nil, text)) }
 
 func wordByte(c byte) bool {
 	return c == '_' || c == '$' || c >= 0x80 || c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
 }
 
-func normal(b []byte, s string) []byte {
+func normalize(b []byte, s string) []byte {
 	gap := false
 	put := func(word string, lower bool) {
 		if gap && len(b) > 0 && wordByte(b[len(b)-1]) && (wordByte(word[0]) || word[0] == '?') {
@@ -74,7 +74,7 @@
 		}
 		put("?", false)
 	}
-	for i := 0; i < len(s) && len(b) < MaxNormal; {
+	for i := 0; i < len(s) && len(b) < MaxNormalizedBytes; {
 		c := s[i]
 		switch {
 		case c == ' ' || c == '\t' || c == '\n' || c == '\r' || c == '\f' || c == '\v':
@@ -104,17 +104,17 @@
 			}
 			gap = true
 		case c == '\'':
-			i = quoted(s, i, '\'', false)
+			i = endOfQuoted(s, i, '\'', false)
 			literal()
 		case (c == 'e' || c == 'E' || c == 'b' || c == 'B' || c == 'x' || c == 'X' || c == 'n' || c == 'N') && i+1 < len(s) && s[i+1] == '\'':
-			i = quoted(s, i+1, '\'', c == 'e' || c == 'E')
+			i = endOfQuoted(s, i+1, '\'', c == 'e' || c == 'E')
 			literal()
 		case c == '"':
-			end := quoted(s, i, '"', false)
+			end := endOfQuoted(s, i, '"', false)
 			put(s[i:end], false)
 			i = end
-		case c == '$' && dollar(s, i) > 0:
-			tag := s[i:dollar(s, i)]
+		case c == '$' && endOfDollarTag(s, i) > 0:
+			tag := s[i:endOfDollarTag(s, i)]
 			if n := strings.Index(s[i+len(tag):], tag); n >= 0 {
 				i += n + 2*len(tag)
 			} else {
@@ -145,11 +145,11 @@
 	for len(b) > 0 && b[len(b)-1] == ';' {
 		b = b[:len(b)-1]
 	}
-	return b[:min(len(b), MaxNormal)]
+	return b[:min(len(b), MaxNormalizedBytes)]
 }
 
-// quoted returns where what begins with a quote at i ends.
-func quoted(s string, i int, quote byte, escapes bool) int {
+// endOfQuoted returns where what begins with a quote at i ends.
+func endOfQuoted(s string, i int, quote byte, escapes bool) int {
 	for i++; i < len(s); i++ {
 		if escapes && s[i] == '\\' {
 			i++
@@ -163,8 +163,8 @@
 	return len(s)
 }
 
-// dollar returns where the tag of a dollar-quoted literal ends; 0: there is none at i.
-func dollar(s string, i int) int {
+// endOfDollarTag returns where the tag of a dollar-quoted literal ends; 0: there is none at i.
+func endOfDollarTag(s string, i int) int {
 	for j := i + 1; j < len(s); j++ {
 		if s[j] == '$' {
 			return j + 1
@@ -176,7 +176,7 @@
 	return 0
 }
 
-func short(s string) string {
+func truncateText(s string) string {
 	if len(s) > 64 {
 		return s[:64]
 	}
--- a/internal/cost/golden_test.go
+++ b/internal/cost/golden_test.go
@@ -34,9 +34,9 @@
 	for i := range 12 {
 		at := 1000 + 250*float64(i)
 		m.Observe(Observation{
-			Statement: Print(fmt.Sprintf("select a%d from t where k = 1", i%5)), Class: []string{"browse", "report"}[i%2], Tenant: "shop",
+			Statement: NewFingerprint(fmt.Sprintf("select a%d from t where k = 1", i%5)), Class: []string{"browse", "report"}[i%2], Tenant: "shop",
 			Host: "h1", Kind: []string{"old", "new"}[i/2%2], Group: 3, Rows: float64(2 + i), Bytes: float64(100 * i), Work: 1.25 + float64(i)/8,
-			Wait: 0.5 * float64(i), Inflight: i % 4, Primary: true, Cold: i%3 == 0, At: at,
+			Wait: 0.5 * float64(i), Inflight: i % 4, Primary: true, WarmingUp: i%3 == 0, At: at,
 		})
 	}
 	return m
@@ -62,9 +62,9 @@
 	version, err := json.MarshalIndent(m.Publish(7, 9000), "", " ")
 	require.NoError(t, err)
 	committed = requireGolden(t, "version.json", append(version, '\n'))
-	var published Version
+	var published Snapshot
 	require.NoError(t, json.Unmarshal(committed, &published))
-	require.NoError(t, published.Check())
+	require.NoError(t, published.Validate())
 	require.Equal(t, 3, published.Blocks)
 	again, err = json.MarshalIndent(published, "", " ")
 	require.NoError(t, err)
@@ -78,21 +78,21 @@
 		require.NoError(t, m.Merge(goldenModel(source).Evidence()))
 	}
 	plan := Plan{
-		Name: "two", Aim: 40, Steps: []Step{
-			{Name: "a", Statement: Print("select a1 from t where k = 7"), Class: "report", Tenant: "shop", Group: 3, All: true, Rows: 20, Bytes: 900, Fresh: "fresh"},
-			{Name: "b", Statement: Print("select a2 from t where k = 7"), Class: "browse", Group: 3, Rows: 3, Fresh: "bounded", Bound: 80, After: []string{"a"}},
+		Name: "two", ObjectiveMillis: 40, Steps: []Step{
+			{Name: "a", Statement: NewFingerprint("select a1 from t where k = 7"), Class: "report", Tenant: "shop", Group: 3, AllGroups: true, Rows: 20, Bytes: 900, Freshness: "fresh"},
+			{Name: "b", Statement: NewFingerprint("select a2 from t where k = 7"), Class: "browse", Group: 3, Rows: 3, Freshness: "bounded", MaxStalenessMillis: 80, After: []string{"a"}},
 		},
 		Alternatives: []Plan{
-			{Name: "other", Steps: []Step{{Name: "a", Statement: Print("select 1"), Class: "browse", Group: 4, Rows: 2, Fresh: "write"}}},
-			{Name: "unknown", Steps: []Step{{Name: "a", Statement: Print("select 1"), Class: "nobody's", Group: 3, Fresh: "any"}}},
+			{Name: "other", Steps: []Step{{Name: "a", Statement: NewFingerprint("select 1"), Class: "browse", Group: 4, Rows: 2, Freshness: "write"}}},
+			{Name: "unknown", Steps: []Step{{Name: "a", Statement: NewFingerprint("select 1"), Class: "nobody's", Group: 3, Freshness: "any"}}},
 		},
 	}
-	fleet := Fleet{Ramp: 30000, Classes: []Class{{Name: "report", Aim: 100, Worth: 2, Rate: 5, Work: 3}, {Name: "browse", Aim: 30, Worth: 1, Rate: 50, Work: 2}}, Hosts: []Host{
-		{Name: "h1", Kind: "old", Group: 3, Primary: true, Capacity: 8, Inflight: 3, Load: 2.5, Started: 1000, Lag: 0},
-		{Name: "h2", Kind: "new", Group: 3, Capacity: 8, Inflight: 1, Load: 1, Started: 8000, Lag: 20},
-		{Name: "h3", Kind: "new", Group: 4, Primary: true, Capacity: 16, Inflight: 2, Load: 2, Started: 500, Lag: 5},
+	fleet := Fleet{WarmUpMillis: 30000, Classes: []Class{{Name: "report", ObjectiveMillis: 100, Weight: 2, RequestsPerSecond: 5, WorkMillis: 3}, {Name: "browse", ObjectiveMillis: 30, Weight: 1, RequestsPerSecond: 50, WorkMillis: 2}}, Hosts: []Host{
+		{Name: "h1", Kind: "old", Group: 3, Primary: true, Capacity: 8, Inflight: 3, Load: 2.5, StartedAt: 1000, LagMillis: 0},
+		{Name: "h2", Kind: "new", Group: 3, Capacity: 8, Inflight: 1, Load: 1, StartedAt: 8000, LagMillis: 20},
+		{Name: "h3", Kind: "new", Group: 4, Primary: true, Capacity: 16, Inflight: 2, Load: 2, StartedAt: 500, LagMillis: 5},
 	}}
-	estimator := Load(m.Publish(7, 9000), 9500)
+	estimator := NewEstimator(m.Publish(7, 9000), 9500)
 	answer, err := estimator.Estimate(9500, plan, fleet)
 	require.NoError(t, err)
 	text, err := json.MarshalIndent(answer, "", " ")
@@ -104,7 +104,7 @@
 	text, err = json.MarshalIndent(answer, "", " ")
 	require.NoError(t, err)
 	committed := requireGolden(t, "answer-told.json", append(text, '\n'))
-	var decoded Answer
+	var decoded PlanComparison
 	require.NoError(t, json.Unmarshal(committed, &decoded))
 	text, err = json.MarshalIndent(decoded, "", " ")
 	require.NoError(t, err)
@@ -124,8 +124,8 @@
 		"", "SELECT 1", "select  a, \"B c\" FROM T where k IN (1, 2.5e-3, 'x''y', -7) -- end", "/* a /* nested */ b */ UPDATE t SET v = $1, w = E'\\'' WHERE k = $$x$$;",
 		"INSERT INTO t VALUES (1,'a'),(2,'b')", "select $tag$ a $$ b $tag$, B'01', .5, é from t",
 	} {
-		f := Print(text)
-		fmt.Fprintf(&out, "%q\n  %s\n  %x %v\n", text, Normal(text), f[:], f)
+		f := NewFingerprint(text)
+		fmt.Fprintf(&out, "%q\n  %s\n  %x %v\n", text, Normalize(text), f[:], f)
 		marshalled, err := f.MarshalText()
 		require.NoError(t, err)
 		var again Fingerprint
--- a/internal/cost/place.go
+++ b/internal/cost/place.go
@@ -8,14 +8,14 @@
 
 // Demand is what a tenant asks of a statement.
 type Demand struct {
-	Statement Fingerprint `json:"statement"`
-	Class     string      `json:"class"`
-	Rate      float64     `json:"rate"` // requests a second
-	Rows      float64     `json:"rows"`
-	Bytes     float64     `json:"bytes"`
-	Write     bool        `json:"write"`           // runs at the primary, and is applied by every replica
-	Fresh     bool        `json:"fresh,omitempty"` // a read that the primary alone serves
-	Aim       float64     `json:"aim"`             // milliseconds; 0: none
+	Statement         Fingerprint `json:"statement"`
+	Class             string      `json:"class"`
+	RequestsPerSecond float64     `json:"rate"` // requests a second
+	Rows              float64     `json:"rows"`
+	Bytes             float64     `json:"bytes"`
+	Write             bool        `json:"write"`           // runs at the primary, and is applied by every replica
+	PrimaryOnly       bool        `json:"fresh,omitempty"` // a read that the primary alone serves
+	ObjectiveMillis   float64     `json:"aim"`             // milliseconds; 0: none
 }
 
 // Tenant is a tenant's load.
@@ -24,73 +24,73 @@
 	Demands []Demand `json:"demands"`
 }
 
-// room is the share of a host's capacity that may be planned with: nine tenths, as with reads at the primary; the rest
+// usableCapacity is the share of a host's capacity that may be planned with: nine tenths, as with reads at the primary; the rest
 // is for writes and for what varies.
-const room = 0.9
+const usableCapacity = 0.9
 
-// Bearing is what a host would bear. Needed and Free are in requests worked on at once.
-type Bearing struct {
-	Host   string  `json:"host"`
-	Kind   string  `json:"kind"`
-	Needed Figure  `json:"needed"`
-	Free   float64 `json:"free"`
-	Fits   bool    `json:"fits"`
+// HostFit is what a host would bear. Needed and Free are in requests worked on at once.
+type HostFit struct {
+	Host   string   `json:"host"`
+	Kind   string   `json:"kind"`
+	Needed Interval `json:"needed"`
+	Free   float64  `json:"free"`
+	Fits   bool     `json:"fits"`
 }
 
-// Verdict says whether hosts can bear a tenant.
-type Verdict struct {
+// PlacementResult says whether hosts can bear a tenant.
+type PlacementResult struct {
 	Fits   bool      `json:"fits"`
 	Reason string    `json:"reason"`
-	Hosts  []Bearing `json:"hosts"`
+	Hosts  []HostFit `json:"hosts"`
 }
 
-// expect is the mean work of a statement at a kind of host, in milliseconds: it alone, and with others there.
-func (d *drawn) expect(class, kind string, s Fingerprint, rows, bytes, inflight float64) (Figure, float64, error) {
-	f := d.e.full
+// meanWork is the mean work of a statement at a kind of host, in milliseconds: it alone, and with others there.
+func (d *draws) meanWork(class, kind string, s Fingerprint, rows, bytes, inflight float64) (Interval, float64, error) {
+	f := d.estimator.full
 	c, ok := f.classes[class]
 	if !ok {
-		err := &UnknownStatement{s, class}
-		return Figure{}, 0, &CantTell{err.Error(), err}
+		err := &UnknownStatementError{s, class}
+		return Interval{}, 0, &NoEstimateError{err.Error(), err}
 	}
 	k, ok := f.kinds[kind]
 	if !ok {
-		return Figure{}, 0, &CantTell{Reason: fmt.Sprintf("no evidence of kind %q", kind)}
+		return Interval{}, 0, &NoEstimateError{Reason: fmt.Sprintf("no evidence of kind %q", kind)}
 	}
-	at := pairKey{c, k, s}
-	x := [4]float64{1, sizeOf(rows, bytes), math.Log1p(inflight), 0}
-	shift, doubt, _ := d.hold(at, class, kind, x)
-	x[size] -= f.centre
-	mean, open := d.effect(at).at(x)
-	mean, open = mean+shift, open+doubt*doubt+d.e.Widening(d.age)
+	at := effectKey{c, k, s}
+	x := [4]float64{1, logSize(rows, bytes), math.Log1p(inflight), 0}
+	shift, doubt, _ := d.robustShift(at, class, kind, x)
+	x[termSize] -= f.centreSize
+	mean, open := d.effect(at).evaluate(x)
+	mean, open = mean+shift, open+doubt*doubt+d.estimator.Widening(d.age)
 	sd, half := math.Sqrt(open), f.noise[c]/2
-	h := hinges{}
-	h.add(d, &stage{step: &Step{Name: class, Class: class, Statement: s}}, &share{kind: kind}, at,
-		[4]float64{1, sizeOf(rows, bytes), math.Log1p(inflight), 0}, 0, 0)
-	return Figure{math.Exp(mean + half), math.Exp(mean + half - 1.96*sd), math.Exp(mean + half + 1.96*sd), h.time()}, math.Sqrt(f.noise[c] + open), nil
+	h := factors{}
+	h.add(d, &placedStep{step: &Step{Name: class, Class: class, Statement: s}}, &hostShare{kind: kind}, at,
+		[4]float64{1, logSize(rows, bytes), math.Log1p(inflight), 0}, 0, 0)
+	return Interval{math.Exp(mean + half), math.Exp(mean + half - 1.96*sd), math.Exp(mean + half + 1.96*sd), h.forTime()}, math.Sqrt(f.noise[c] + open), nil
 }
 
-func (e *Estimator) ready(now float64) (*drawn, error) {
+func (e *Estimator) newDraws(now float64) (*draws, error) {
 	if e.err != nil {
 		return nil, e.err
 	}
 	if e.full == nil {
-		return nil, &CantTell{Reason: "there is no evidence at all"}
+		return nil, &NoEstimateError{Reason: "there is no evidence at all"}
 	}
-	return &drawn{e: e, age: max(0, now-e.v.At), effects: map[pairKey]*effect{}, byBlock: map[pairKey][]effect{}}, nil
+	return &draws{estimator: e, age: max(0, now-e.snapshot.At), effects: map[effectKey]*effect{}, blockEffects: map[effectKey][]effect{}}, nil
 }
 
-// Work is the mean work of a statement at a kind of host with others there, in milliseconds, and how far one source's
+// MeanWork is the mean work of a statement at a kind of host with others there, in milliseconds, and how far one source's
 // false evidence can have moved the logarithm of its median; -1: no bound.
-func (e *Estimator) Work(now float64, class, kind string, s Fingerprint, rows, bytes, inflight float64) (mean Figure, moved float64, err error) {
-	d, err := e.ready(now)
+func (e *Estimator) MeanWork(now float64, class, kind string, s Fingerprint, rows, bytes, inflight float64) (mean Interval, moved float64, err error) {
+	d, err := e.newDraws(now)
 	if err != nil {
-		return Figure{}, 0, err
+		return Interval{}, 0, err
 	}
-	if mean, _, err = d.expect(class, kind, s, rows, bytes, inflight); err != nil {
-		return Figure{}, 0, err
+	if mean, _, err = d.meanWork(class, kind, s, rows, bytes, inflight); err != nil {
+		return Interval{}, 0, err
 	}
-	k := pairKey{e.full.classes[class], e.full.kinds[kind], s}
-	_, _, moved = d.hold(k, class, kind, [4]float64{1, sizeOf(rows, bytes), math.Log1p(inflight), 0})
+	k := effectKey{e.full.classes[class], e.full.kinds[kind], s}
+	_, _, moved = d.robustShift(k, class, kind, [4]float64{1, logSize(rows, bytes), math.Log1p(inflight), 0})
 	return mean, moved, nil
 }
 
@@ -108,10 +108,10 @@
 
 // Fits says whether hosts, one group's, can bear a tenant's load beside what they have: the upper end of what it needs
 // must be within nine tenths of a host's capacity, less what is taken. Its reads are spread over the replicas evenly.
-func (e *Estimator) Fits(now float64, t Tenant, hosts []Host) (Verdict, error) {
-	d, err := e.ready(now)
+func (e *Estimator) Fits(now float64, t Tenant, hosts []Host) (PlacementResult, error) {
+	d, err := e.newDraws(now)
 	if err != nil {
-		return Verdict{}, err
+		return PlacementResult{}, err
 	}
 	replicas, primaries := 0, 0
 	for _, h := range hosts {
@@ -122,18 +122,18 @@
 		}
 	}
 	if primaries == 0 {
-		return Verdict{Reason: "no primary among the hosts"}, nil
+		return PlacementResult{Reason: "no primary among the hosts"}, nil
 	}
-	v := Verdict{Fits: true}
+	v := PlacementResult{Fits: true}
 	worst := math.Inf(-1)
 	for _, h := range hosts {
-		b := Bearing{Host: h.Name, Kind: h.Kind, Free: h.Capacity*room - h.Load}
+		b := HostFit{Host: h.Name, Kind: h.Kind, Free: h.Capacity*usableCapacity - h.Load}
 		widest := 0.0
 		for _, q := range t.Demands {
 			share := 1.0
 			switch {
 			case q.Write:
-			case q.Fresh || replicas == 0:
+			case q.PrimaryOnly || replicas == 0:
 				if !h.Primary {
 					share = 0
 				}
@@ -142,19 +142,19 @@
 			default:
 				share = 1 / float64(replicas)
 			}
-			if share == 0 || q.Rate <= 0 {
+			if share == 0 || q.RequestsPerSecond <= 0 {
 				continue
 			}
-			w, _, err := d.expect(q.Class, h.Kind, q.Statement, q.Rows, q.Bytes, 0)
+			w, _, err := d.meanWork(q.Class, h.Kind, q.Statement, q.Rows, q.Bytes, 0)
 			if err != nil {
-				return Verdict{}, err
+				return PlacementResult{}, err
 			}
-			by := q.Rate * share / 1e3
+			by := q.RequestsPerSecond * share / 1e3
 			b.Needed.Mid += w.Mid * by
 			b.Needed.Low += w.Low * by // the ends add up as if all erred to the same side: not too narrow
 			b.Needed.High += w.High * by
 			if (w.High-w.Low)*by > widest {
-				widest, b.Needed.Hinge = (w.High-w.Low)*by, w.Hinge
+				widest, b.Needed.DominantFactor = (w.High-w.Low)*by, w.DominantFactor
 			}
 		}
 		b.Fits = b.Needed.High <= b.Free
@@ -177,44 +177,44 @@
 	RowBytes  float64     `json:"row_bytes"` // bytes of a row
 }
 
-// PaceAnswer is how fast a copy may run.
-type PaceAnswer struct {
-	Rows   float64 `json:"rows"` // a second; 0: not now
-	Extra  float64 `json:"extra"`
-	Work   Figure  `json:"work"` // of one batch at the slowest host, in milliseconds
-	Reason string  `json:"reason"`
+// CopyRate is how fast a copy may run.
+type CopyRate struct {
+	RowsPerSecond float64  `json:"rows"` // a second; 0: not now
+	Concurrency   float64  `json:"extra"`
+	Work          Interval `json:"work"` // of one batch at the slowest host, in milliseconds
+	Reason        string   `json:"reason"`
 }
 
-// Pace is how many rows a second a copy may bring to, or read at, hosts without taking aims of what is served there: a
+// MaxCopyRate is how many rows a second a copy may bring to, or read at, hosts without taking aims of what is served there: a
 // host keeps a tenth of its capacity, and 99 of 100 requests of each demand stay within their aim with the copy's
 // batches as neighbours. served is what these hosts serve.
-func (e *Estimator) Pace(now float64, c Copy, served []Demand, hosts []Host) (PaceAnswer, error) {
-	d, err := e.ready(now)
+func (e *Estimator) MaxCopyRate(now float64, c Copy, served []Demand, hosts []Host) (CopyRate, error) {
+	d, err := e.newDraws(now)
 	if err != nil {
-		return PaceAnswer{}, err
+		return CopyRate{}, err
 	}
 	if len(hosts) == 0 {
-		return PaceAnswer{}, &CantTell{Reason: "no host is named"}
+		return CopyRate{}, &NoEstimateError{Reason: "no host is named"}
 	}
-	out := PaceAnswer{Rows: math.Inf(1)}
+	out := CopyRate{RowsPerSecond: math.Inf(1)}
 	for _, h := range hosts {
-		extra := max(0, h.Capacity*room-h.Load)
+		extra := max(0, h.Capacity*usableCapacity-h.Load)
 		why := fmt.Sprintf("host %s has room for %.2f requests at once", h.Name, extra)
 		for _, q := range served {
-			if q.Aim <= 0 {
+			if q.ObjectiveMillis <= 0 {
 				continue
 			}
 			late := func(more float64) (bool, error) {
 				inflight := float64(h.Inflight) + more
-				w, sd, err := d.expect(q.Class, h.Kind, q.Statement, q.Rows, q.Bytes, inflight)
-				wait, spread, _ := e.wait(h.Kind, inflight)
+				w, sd, err := d.meanWork(q.Class, h.Kind, q.Statement, q.Rows, q.Bytes, inflight)
+				wait, spread, _ := e.estimateWait(h.Kind, inflight)
 				noise := sd * sd
 				mid := math.Log(w.Mid) - e.full.noise[e.full.classes[q.Class]]/2
-				return math.Exp(mid+2.33*math.Sqrt(noise))+wait*(1+2.33*math.Sqrt(spread)) > q.Aim, err
+				return math.Exp(mid+2.33*math.Sqrt(noise))+wait*(1+2.33*math.Sqrt(spread)) > q.ObjectiveMillis, err
 			}
 			over, err := late(extra)
 			if err != nil {
-				return PaceAnswer{}, err
+				return CopyRate{}, err
 			}
 			if !over {
 				continue
@@ -232,70 +232,70 @@
 				low = 0
 			}
 			extra = low
-			why = fmt.Sprintf("class %q at host %s would not keep its aim of %.0f ms beside more than %.2f of the copy's requests", q.Class, h.Name, q.Aim, extra)
+			why = fmt.Sprintf("class %q at host %s would not keep its aim of %.0f ms beside more than %.2f of the copy's requests", q.Class, h.Name, q.ObjectiveMillis, extra)
 		}
-		w, _, err := d.expect(c.Class, h.Kind, c.Statement, c.Batch, c.Batch*c.RowBytes, float64(h.Inflight)+extra)
+		w, _, err := d.meanWork(c.Class, h.Kind, c.Statement, c.Batch, c.Batch*c.RowBytes, float64(h.Inflight)+extra)
 		if err != nil {
-			return PaceAnswer{}, err
+			return CopyRate{}, err
 		}
-		if rows := extra / w.High * 1e3 * c.Batch; rows < out.Rows {
-			out = PaceAnswer{rows, extra, w, why}
+		if rows := extra / w.High * 1e3 * c.Batch; rows < out.RowsPerSecond {
+			out = CopyRate{rows, extra, w, why}
 		}
 	}
 	return out, nil
 }
 
-// Move is what is left of a move when writes stop at its source.
-type Move struct {
-	Longest []Demand `json:"longest"` // writes that may be under way there
-	Copy    Copy     `json:"copy"`
-	Left    float64  `json:"left"`   // rows that the target lacks
-	Agree   Figure   `json:"agree"`  // milliseconds that the change of owner takes, as was seen
-	Source  Host     `json:"source"` // its primary
-	Target  Host     `json:"target"` // its primary
+// Migration is what is left of a move when writes stop at its source.
+type Migration struct {
+	RunningWrites []Demand `json:"longest"` // writes that may be under way there
+	Copy          Copy     `json:"copy"`
+	RemainingRows float64  `json:"left"`   // rows that the target lacks
+	OwnerChange   Interval `json:"agree"`  // milliseconds that the change of owner takes, as was seen
+	Source        Host     `json:"source"` // its primary
+	Target        Host     `json:"target"` // its primary
 }
 
 // Pause forecasts for how long a tenant's writes are held: until those under way end, what is left is copied, and the
 // change of owner is known. In milliseconds.
-func (e *Estimator) Pause(now float64, m Move) (Figure, error) {
-	d, err := e.ready(now)
+func (e *Estimator) Pause(now float64, m Migration) (Interval, error) {
+	d, err := e.newDraws(now)
 	if err != nil {
-		return Figure{}, err
+		return Interval{}, err
 	}
-	drain := Figure{}
-	for _, q := range m.Longest {
-		w, sd, err := d.expect(q.Class, m.Source.Kind, q.Statement, q.Rows, q.Bytes, float64(m.Source.Inflight))
+	drain := Interval{}
+	for _, q := range m.RunningWrites {
+		w, sd, err := d.meanWork(q.Class, m.Source.Kind, q.Statement, q.Rows, q.Bytes, float64(m.Source.Inflight))
 		if err != nil {
-			return Figure{}, err
+			return Interval{}, err
 		}
 		mid := w.Mid * math.Exp(-e.full.noise[e.full.classes[q.Class]]/2)
 		if high := mid * math.Exp(1.96*sd); high > drain.High {
-			drain = Figure{mid / 2, 0, high, w.Hinge} // it may be anywhere in its run
+			drain = Interval{mid / 2, 0, high, w.DominantFactor} // it may be anywhere in its run
 		}
 	}
-	out := Figure{drain.Mid + m.Agree.Mid, drain.Low + m.Agree.Low, drain.High + m.Agree.High, drain.Hinge}
+	out := Interval{drain.Mid + m.OwnerChange.Mid, drain.Low + m.OwnerChange.Low, drain.High + m.OwnerChange.High, drain.DominantFactor}
 	widest := drain.High - drain.Low
-	if m.Left > 0 {
-		batch := max(1, min(m.Copy.Batch, m.Left))
-		n := math.Ceil(m.Left / batch)
+	if m.RemainingRows > 0 {
+		batch := max(1, min(m.Copy.Batch, m.RemainingRows))
+		n := math.Ceil(m.RemainingRows / batch)
 		for _, h := range []Host{m.Source, m.Target} { // read, then written: one batch after the other
-			w, sd, err := d.expect(m.Copy.Class, h.Kind, m.Copy.Statement, batch, batch*m.Copy.RowBytes, float64(h.Inflight))
+			w, sd, err := d.meanWork(m.Copy.Class, h.Kind, m.Copy.Statement, batch, batch*m.Copy.RowBytes, float64(h.Inflight))
 			if err != nil {
-				return Figure{}, err
+				return Interval{}, err
 			}
-			wait, spread, _ := e.wait(h.Kind, float64(h.Inflight))
+			wait, spread, _ := e.estimateWait(h.Kind, float64(h.Inflight))
 			noise := e.full.noise[e.full.classes[m.Copy.Class]]
 			open := sd*sd - noise + math.Log1p(math.Expm1(noise)/n) // runs average out, what is not known does not
 			high := n * (w.Mid*math.Exp(1.96*math.Sqrt(open)) + wait*(1+1.96*math.Sqrt(spread/n)))
 			low := n * (w.Mid*math.Exp(-1.96*math.Sqrt(open)) + max(0, wait*(1-1.96*math.Sqrt(spread/n))))
 			out.Mid, out.Low, out.High = out.Mid+n*(w.Mid+wait), out.Low+low, out.High+high
 			if high-low > widest {
-				widest, out.Hinge = high-low, w.Hinge
+				widest, out.DominantFactor = high-low, w.DominantFactor
 			}
 		}
 	}
-	if m.Agree.High-m.Agree.Low > widest {
-		out.Hinge = cmp.Or(m.Agree.Hinge, "how long the change of owner takes")
+	if m.OwnerChange.High-m.OwnerChange.Low > widest {
+		out.DominantFactor = cmp.Or(m.OwnerChange.DominantFactor, "how long the change of owner takes")
 	}
 	return out, nil
 }
--- a/internal/cost/planfile.go
+++ b/internal/cost/planfile.go
@@ -12,8 +12,8 @@
 	"strings"
 )
 
-// PlanFault is what is wrong with the text of a plan, and where.
-type PlanFault struct {
+// PlanFileError is what is wrong with the text of a plan, and where.
+type PlanFileError struct {
 	File    string
 	Line    int
 	Key     string // such as steps[2].rows
@@ -21,7 +21,7 @@
 	Cause   error
 }
 
-func (e *PlanFault) Error() string {
+func (e *PlanFileError) Error() string {
 	if e.Key == "" {
 		return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Problem)
 	}
@@ -29,18 +29,18 @@
 }
 
 // Unwrap returns the cause.
-func (e *PlanFault) Unwrap() error { return e.Cause }
+func (e *PlanFileError) Unwrap() error { return e.Cause }
 
 // Code is the error's short word.
-func (e *PlanFault) Code() string { return "plan_file" }
+func (e *PlanFileError) Code() string { return "plan_file" }
 
 // Advice says what can be done.
-func (e *PlanFault) Advice() string {
+func (e *PlanFileError) Advice() string {
 	return fmt.Sprintf("mend line %d of %s: %s", e.Line, e.File, e.Problem)
 }
 
-// maxPlan bounds the text of a plan, in bytes.
-const maxPlan = 1 << 20
+// maxPlanBytes bounds the text of a plan, in bytes.
+const maxPlanBytes = 1 << 20
 
 // The keys of a plan and of a step, each with what its value is.
 var (
@@ -64,7 +64,7 @@
 }
 
 func (r *planReader) fault(key, format string, args ...any) error {
-	return &PlanFault{File: r.file, Line: r.line(), Key: key, Problem: fmt.Sprintf(format, args...)}
+	return &PlanFileError{File: r.file, Line: r.line(), Key: key, Problem: fmt.Sprintf(format, args...)}
 }
 
 func (r *planReader) token(key string) (json.Token, error) {
@@ -78,9 +78,9 @@
 		problem = "the text ends before the plan does"
 	} else if errors.As(err, &syntax) {
 		line := 1 + bytes.Count(r.text[:max(0, min(int(syntax.Offset)-1, len(r.text)))], []byte("\n"))
-		return nil, &PlanFault{r.file, line, key, problem, err}
+		return nil, &PlanFileError{r.file, line, key, problem, err}
 	}
-	return nil, &PlanFault{r.file, r.line(), key, problem, err}
+	return nil, &PlanFileError{r.file, r.line(), key, problem, err}
 }
 
 // object calls each for every key of the object that begins with t.
@@ -160,10 +160,10 @@
 		case "name":
 			p.Name = t.(string)
 		case "aim":
-			p.Aim, err = r.number(at, t)
+			p.ObjectiveMillis, err = r.number(at, t)
 		case "steps":
 			err = r.list(at, func(at string, t json.Token) error {
-				p.Steps = append(p.Steps, Step{Fresh: "any"})
+				p.Steps = append(p.Steps, Step{Freshness: "any"})
 				return r.step(at, t, &p.Steps[len(p.Steps)-1])
 			})
 		case "alternatives":
@@ -187,11 +187,11 @@
 			s.Name = t.(string)
 		case "sql":
 			named++
-			s.Statement = Print(t.(string))
+			s.Statement = NewFingerprint(t.(string))
 		case "statement":
 			named++
 			if e := s.Statement.UnmarshalText([]byte(t.(string))); e != nil {
-				return r.fault(at, "it is %q; allowed is 32 hex digits", short(t.(string)))
+				return r.fault(at, "it is %q; allowed is 32 hex digits", truncateText(t.(string)))
 			}
 		case "class":
 			s.Class = t.(string)
@@ -202,15 +202,15 @@
 				return r.fault(at, "it is %v; allowed is a whole number", t)
 			}
 		case "all":
-			s.All = t.(bool)
+			s.AllGroups = t.(bool)
 		case "rows":
 			s.Rows, err = r.number(at, t)
 		case "bytes":
 			s.Bytes, err = r.number(at, t)
 		case "fresh":
-			s.Fresh = t.(string)
+			s.Freshness = t.(string)
 		case "bound":
-			s.Bound, err = r.number(at, t)
+			s.MaxStalenessMillis, err = r.number(at, t)
 		case "after":
 			err = r.list(at, func(at string, t json.Token) error {
 				word, ok := t.(string)
@@ -229,12 +229,12 @@
 	return err
 }
 
-// ParsePlan reads a plan as JSON. Faults name file, line and key; the error is a *PlanFault, with a *Cycle or *BadPlan as
+// ParsePlan reads a plan as JSON. Faults name file, line and key; the error is a *PlanFileError, with a *Cycle or *InvalidPlanError as
 // its cause where the steps don't fit together.
 func ParsePlan(file string, text []byte) (Plan, error) {
 	var p Plan
-	if len(text) > maxPlan {
-		return p, &PlanFault{File: file, Line: 1, Problem: fmt.Sprintf("it has %d bytes, %d are allowed", len(text), maxPlan)}
+	if len(text) > maxPlanBytes {
+		return p, &PlanFileError{File: file, Line: 1, Problem: fmt.Sprintf("it has %d bytes, %d are allowed", len(text), maxPlanBytes)}
 	}
 	r := &planReader{file: file, text: text, d: json.NewDecoder(bytes.NewReader(text)), lines: map[string]int{"": 1}}
 	r.d.UseNumber()
@@ -253,9 +253,9 @@
 		if err == nil {
 			return nil
 		}
-		f := &PlanFault{File: file, Key: strings.TrimSuffix(key+"steps", "."), Problem: err.Error(), Cause: err}
-		var bad *BadPlan
-		var cycle *Cycle
+		f := &PlanFileError{File: file, Key: strings.TrimSuffix(key+"steps", "."), Problem: err.Error(), Cause: err}
+		var bad *InvalidPlanError
+		var cycle *CycleError
 		switch {
 		case errors.As(err, &bad):
 			f.Problem = fmt.Sprintf("it is %q; allowed is %s", bad.Value, bad.Allowed)
--- a/internal/cost/planfile_test.go
+++ b/internal/cost/planfile_test.go
@@ -20,17 +20,17 @@
   ]
 }`
 
-func TestAPlanIsRead(t *testing.T) {
+func TestParsePlan(t *testing.T) {
 	p, err := ParsePlan("p.json", []byte(planText))
 	require.NoError(t, err)
 	require.Equal(t, "join", p.Name)
-	require.Equal(t, Step{Name: "a", Statement: Print("select 9"), Class: "report", All: true, Rows: 10, Fresh: "any"}, p.Steps[0])
+	require.Equal(t, Step{Name: "a", Statement: NewFingerprint("select 9"), Class: "report", AllGroups: true, Rows: 10, Freshness: "any"}, p.Steps[0])
 	require.Equal(t, []string{"a"}, p.Steps[1].After)
 	require.Equal(t, "00112233445566778899aabbccddeeff", p.Steps[1].Statement.String())
 	require.Len(t, p.Alternatives, 1)
 }
 
-func TestFaultsOfAPlanNameTheirPlace(t *testing.T) {
+func TestPlanErrorsNameTheirLocation(t *testing.T) {
 	for change, want := range map[string]string{
 		`"aim": 100|"aim": "soon"`:               `p.json:3: aim: it is soon; allowed is a number`,
 		`"aim": 100|"aims": 100`:                 `p.json:3: aims: the key is unknown; allowed are aim, alternatives, name, steps`,
@@ -50,7 +50,7 @@
 		from, to, _ := strings.Cut(change, "|")
 		require.Contains(t, planText, from)
 		_, err := ParsePlan("p.json", []byte(strings.Replace(planText, from, to, 1)))
-		var fault *PlanFault
+		var fault *PlanFileError
 		require.ErrorAs(t, err, &fault, change)
 		require.Contains(t, err.Error(), want, change)
 	}
@@ -58,7 +58,7 @@
 	require.ErrorContains(t, err, "something stands behind the plan")
 	_, err = ParsePlan("p.json", []byte(planText[:40]))
 	require.ErrorContains(t, err, "p.json:4: the text ends before the plan does")
-	var cycle *Cycle
+	var cycle *CycleError
 	_, err = ParsePlan("p.json", []byte(strings.Replace(planText, `["a"]}`, `["b"]}`, 1)))
 	require.ErrorAs(t, err, &cycle)
 }
@@ -68,9 +68,9 @@
 	f.Add([]byte(`{"steps":[{"after":[{}]}]}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if p, err := ParsePlan("p", b); err == nil {
-			require.NoError(t, p.Check())
+			require.NoError(t, p.Validate())
 		} else {
-			var fault *PlanFault
+			var fault *PlanFileError
 			require.ErrorAs(t, err, &fault)
 			require.Positive(t, fault.Line)
 		}
--- a/testbed/cost/cost.go
+++ b/testbed/cost/cost.go
@@ -56,7 +56,7 @@
 	requests int
 }
 
-func (t *tally) cover(set string, f cost.Figure, truth float64) {
+func (t *tally) cover(set string, f cost.Interval, truth float64) {
 	t.of[set]++
 	if f.Low <= truth && truth <= f.High {
 		t.in[set]++
@@ -181,8 +181,8 @@
 	for _, m := range models {
 		all = append(all, m.Evidence())
 	}
-	merge := func(order []cost.Summary) cost.Version {
-		m := cost.NewModel(cost.Options{Source: "reader", Span: span, Drift: 0.2, Break: broken})
+	merge := func(order []cost.Summary) cost.Snapshot {
+		m := cost.NewModel(cost.Options{Source: "reader", Span: span, Drift: 0.2, DisabledGuarantee: broken})
 		for _, s := range order {
 			if err := m.Merge(s); err != nil {
 				g.Break("merge_differs", "seed %d: %v", seed, err)
@@ -196,7 +196,7 @@
 	if merge(again).Digest != version.Digest {
 		g.Break("merge_differs", "seed %d: in another order and twice, the evidence makes another version", seed)
 	}
-	e := cost.Load(version, span)
+	e := cost.NewEstimator(version, span)
 	t.single(g, w, e, seed)
 	t.plans(g, w, e, seed)
 	t.lies(g, w, e, all, merge, seed)
@@ -223,12 +223,12 @@
 		one := f
 		one.Hosts = []cost.Host{f.Hosts[n]}
 		one.Hosts[0].Primary = true
-		a, err := e.Estimate(at, cost.Plan{Steps: []cost.Step{{Name: "s", Statement: s.print, Class: s.class, Group: h.Group, Rows: rows, Fresh: "fresh"}}}, one)
+		a, err := e.Estimate(at, cost.Plan{Steps: []cost.Step{{Name: "s", Statement: s.print, Class: s.class, Group: h.Group, Rows: rows, Freshness: "fresh"}}}, one)
 		if err != nil {
 			g.Break("coverage", "seed %d: %v", seed, err)
 			continue
 		}
-		work, wait := w.run(s, h, rows, h.Inflight, h.Started > 0, at)
+		work, wait := w.run(s, h, rows, h.Inflight, h.StartedAt > 0, at)
 		t.cover(set, a.Plans[0].Time, work+wait)
 	}
 }
@@ -274,13 +274,13 @@
 				if truth[slow] < truth[quick]*(1+differ) {
 					continue
 				}
-				if a.Faster[quick][slow] > 0.5 {
+				if a.FasterProbability[quick][slow] > 0.5 {
 					t.forced++
 				}
-				switch sure := a.Faster[quick][slow]; {
-				case sure >= cost.Sure:
+				switch sure := a.FasterProbability[quick][slow]; {
+				case sure >= cost.ConfidenceThreshold:
 					t.right++
-				case sure <= 1-cost.Sure:
+				case sure <= 1-cost.ConfidenceThreshold:
 					t.wrong++
 				default:
 					t.cant++
@@ -291,7 +291,7 @@
 }
 
 // lies replaces what one source says by something else and looks how far estimates move.
-func (t *tally) lies(g *report.Collector, w *world, honest *cost.Estimator, all []cost.Summary, merge func([]cost.Summary) cost.Version, seed uint64) {
+func (t *tally) lies(g *report.Collector, w *world, honest *cost.Estimator, all []cost.Summary, merge func([]cost.Summary) cost.Snapshot, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 0x11e))
 	liar := cost.NewModel(cost.Options{Source: all[seed%poolers].Source, Incarnation: 2, Span: span})
 	bias := 2 + 3*r.Float64()
@@ -310,12 +310,12 @@
 	}
 	lied := slices.Clone(all)
 	lied[seed%poolers] = liar.Evidence()
-	e := cost.Load(merge(lied), span)
+	e := cost.NewEstimator(merge(lied), span)
 	for i := range w.stmts {
 		s := &w.stmts[i]
 		for _, k := range w.kinds {
-			x, stated, err := honest.Work(span, s.class, k, s.print, 50, 0, 3)
-			y, after, err2 := e.Work(span, s.class, k, s.print, 50, 0, 3)
+			x, stated, err := honest.MeanWork(span, s.class, k, s.print, 50, 0, 3)
+			y, after, err2 := e.MeanWork(span, s.class, k, s.print, 50, 0, 3)
 			if err != nil || err2 != nil {
 				g.Break("false_evidence", "seed %d: %v", seed, errors.Join(err, err2))
 				continue
@@ -325,7 +325,7 @@
 				continue
 			}
 			t.stated = append(t.stated, max(stated, after))
-			log := func(f cost.Figure, e *cost.Estimator) float64 {
+			log := func(f cost.Interval, e *cost.Estimator) float64 {
 				n := e.Noise(s.class)
 				return math.Log(f.Mid) - n*n/2
 			}
@@ -345,7 +345,7 @@
 	kinds := []string{"spinning", "flash", "arm"}
 	prints := make([]cost.Fingerprint, 1000)
 	for i := range prints {
-		prints[i] = cost.Print(fmt.Sprintf("select c%d from t", i))
+		prints[i] = cost.NewFingerprint(fmt.Sprintf("select c%d from t", i))
 	}
 	heap := func() float64 {
 		runtime.GC()
@@ -377,11 +377,11 @@
 	begun = time.Now()
 	text := "select a, b, c from t where k = 12345 and v in (1,2,3,4) order by z limit 10"
 	for range 20000 {
-		cost.Print(text)
+		cost.NewFingerprint(text)
 	}
 	printed := float64(time.Since(begun).Nanoseconds()) / 20000
 	begun = time.Now()
-	e := cost.Load(m.Publish(1, n), n)
+	e := cost.NewEstimator(m.Publish(1, n), n)
 	load := time.Since(begun)
 	var f cost.Fleet
 	for i := range 120 {
@@ -389,7 +389,7 @@
 	}
 	p := cost.Plan{Name: "ten"}
 	for i := range 10 {
-		s := cost.Step{Name: fmt.Sprint("s", i), Statement: prints[i], Class: "report", Rows: 10, All: true, Fresh: "any"}
+		s := cost.Step{Name: fmt.Sprint("s", i), Statement: prints[i], Class: "report", Rows: 10, AllGroups: true, Freshness: "any"}
 		if i > 0 {
 			s.After = []string{fmt.Sprint("s", i-1)}
 		}
--- a/testbed/cost/cost_test.go
+++ b/testbed/cost/cost_test.go
@@ -56,14 +56,14 @@
 	write(`{"name":"one","aim":1000,"steps":[{"name":"a","sql":"select payload from entries where ref = 'other'","class":"report","group":1,"rows":1,"bytes":64}]}`)
 	text, err := ask(plan, "--admin", f.Pooler.Admin, "--json")
 	require.NoError(t, err, text)
-	var a cost.Answer
+	var a cost.PlanComparison
 	require.NoError(t, json.Unmarshal([]byte(text), &a))
-	require.Nil(t, a.Plans[0].Cant)
-	require.Contains(t, a.Plans[0].P50.Hinge, `40 observations`)
-	require.Contains(t, a.Plans[0].P50.Hinge, `kind "flash"`)
+	require.Nil(t, a.Plans[0].Unavailable)
+	require.Contains(t, a.Plans[0].P50.DominantFactor, `40 observations`)
+	require.Contains(t, a.Plans[0].P50.DominantFactor, `kind "flash"`)
 	require.Positive(t, a.Plans[0].Time.Low)
 	require.Greater(t, a.Plans[0].Time.High, a.Plans[0].Time.Low)
-	require.Equal(t, -1.0, a.Plans[0].Moved, "one source can't be checked")
+	require.Equal(t, -1.0, a.Plans[0].MaxShift, "one source can't be checked")
 	text, err = ask(plan, "--admin", f.Pooler.Admin)
 	require.NoError(t, err, text)
 	require.Contains(t, text, "work on flash, ms")
@@ -74,7 +74,7 @@
 	require.NoError(t, os.WriteFile(saved, []byte(text), 0o600))
 	text, err = ask(plan, "--evidence", saved, "--json")
 	require.NoError(t, err, text)
-	var b cost.Answer
+	var b cost.PlanComparison
 	require.NoError(t, json.Unmarshal([]byte(text), &b))
 	require.InDelta(t, a.Plans[0].P50.Mid, b.Plans[0].P50.Mid, a.Plans[0].P50.Mid*0.5)
 
--- a/testbed/cost/sockets.go
+++ b/testbed/cost/sockets.go
@@ -130,7 +130,7 @@
 		}
 		hosts = append(hosts, h)
 	}
-	m := cost.NewModel(cost.Options{Source: "sockets", Break: o.Break})
+	m := cost.NewModel(cost.Options{Source: "sockets", DisabledGuarantee: o.Break})
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	var failed error
@@ -138,7 +138,7 @@
 	now := func() float64 { return float64(time.Since(begun)) / 1e6 }
 	prints := make([]cost.Fingerprint, socketStatements)
 	for i := range prints {
-		prints[i] = cost.Print(fmt.Sprintf("select v%d from t", i))
+		prints[i] = cost.NewFingerprint(fmt.Sprintf("select v%d from t", i))
 	}
 	for i := range 12 { // two clients a host: its places are never all taken
 		h := hosts[i%6]
@@ -181,7 +181,7 @@
 			return err
 		}
 	}
-	e := cost.Load(m.Publish(1, now()), now())
+	e := cost.NewEstimator(m.Publish(1, now()), now())
 	r := rand.New(rand.NewPCG(o.Seed, 99))
 	in, of, log := 0.0, 0.0, 0.0
 	for range 60 {
@@ -190,7 +190,7 @@
 		}
 		p := cost.Plan{Name: "sockets"}
 		for i := range 2 {
-			s := cost.Step{Name: fmt.Sprint("s", i), Class: "report", Rows: float64(r.IntN(40)), All: i == 0, Group: uint64(r.IntN(6)), Fresh: "fresh", Bytes: 0}
+			s := cost.Step{Name: fmt.Sprint("s", i), Class: "report", Rows: float64(r.IntN(40)), AllGroups: i == 0, Group: uint64(r.IntN(6)), Freshness: "fresh", Bytes: 0}
 			n := r.IntN(socketStatements)
 			s.Statement = prints[n]
 			if i > 0 {
@@ -211,7 +211,7 @@
 			}
 			var step sync.WaitGroup
 			for k, a := range askers {
-				if s.All || uint64(k) == s.Group {
+				if s.AllGroups || uint64(k) == s.Group {
 					step.Add(1)
 					go func() {
 						defer step.Done()
--- a/testbed/cost/world.go
+++ b/testbed/cost/world.go
@@ -68,7 +68,7 @@
 	sum := 0.0
 	for i := range 48 {
 		s := statement{
-			print: cost.Print(fmt.Sprintf("select c%d from t%d where k = $1", i, seed)), class: w.classes[i%3], effect: n(0.6), slope: n(0.06),
+			print: cost.NewFingerprint(fmt.Sprintf("select c%d from t%d where k = $1", i, seed)), class: w.classes[i%3], effect: n(0.6), slope: n(0.06),
 			pair: map[string]float64{}, path: map[string][]float64{},
 		}
 		if s.home = -1; i%2 == 0 {
@@ -131,7 +131,7 @@
 func (w *world) poolers(n, requests int, broken string) []*cost.Model {
 	var out []*cost.Model
 	for i := range n {
-		out = append(out, cost.NewModel(cost.Options{Source: fmt.Sprint("pooler-", i), Incarnation: 1, Span: span, Drift: 0.2, Break: broken}))
+		out = append(out, cost.NewModel(cost.Options{Source: fmt.Sprint("pooler-", i), Incarnation: 1, Span: span, Drift: 0.2, DisabledGuarantee: broken}))
 	}
 	for i := range requests {
 		at := float64(i) / float64(requests) * span
@@ -148,7 +148,7 @@
 		}
 		out[by].Observe(cost.Observation{
 			Statement: s.print, Class: s.class, Tenant: "t", Host: h.Name, Kind: h.Kind, Group: h.Group, Rows: rows,
-			Work: work, Wait: wait, Inflight: inflight, Primary: h.Primary, Cold: cold, At: at,
+			Work: work, Wait: wait, Inflight: inflight, Primary: h.Primary, WarmingUp: cold, At: at,
 		})
 	}
 	return out
@@ -156,16 +156,16 @@
 
 // fleet is how the hosts stand now.
 func (w *world) fleet(at float64) cost.Fleet {
-	f := cost.Fleet{Ramp: 60e3}
+	f := cost.Fleet{WarmUpMillis: 60e3}
 	for i := range w.hosts {
 		h := &w.hosts[i]
-		h.Inflight, h.Started = w.r.IntN(7), 0
+		h.Inflight, h.StartedAt = w.r.IntN(7), 0
 		h.Load = float64(h.Inflight) * 0.8
 		if w.r.IntN(12) == 0 {
-			h.Started = at - 1e3
+			h.StartedAt = at - 1e3
 		}
 		if !h.Primary {
-			h.Lag = 20 * w.r.Float64()
+			h.LagMillis = 20 * w.r.Float64()
 		}
 		f.Hosts = append(f.Hosts, h.Host)
 	}
@@ -179,7 +179,7 @@
 		s := w.stmts[w.popularStatement()]
 		step := cost.Step{
 			Name: fmt.Sprint("s", i), Statement: s.print, Class: s.class, Tenant: "t", Group: uint64(w.r.IntN(12)), Rows: w.rows(),
-			All: w.r.IntN(3) == 0, Fresh: []string{"fresh", "any", "any"}[w.r.IntN(3)],
+			AllGroups: w.r.IntN(3) == 0, Freshness: []string{"fresh", "any", "any"}[w.r.IntN(3)],
 		}
 		for j := range i {
 			if w.r.IntN(2) == 0 {
@@ -203,11 +203,11 @@
 		}
 		n := slices.IndexFunc(w.stmts, func(s statement) bool { return s.print == step.Statement })
 		for g := range uint64(12) {
-			if !step.All && g != step.Group {
+			if !step.AllGroups && g != step.Group {
 				continue
 			}
 			h := &w.hosts[g*3]
-			if step.Fresh == "any" { // the less busy of two draws from two replicas
+			if step.Freshness == "any" { // the less busy of two draws from two replicas
 				a, b := &w.hosts[g*3+1], &w.hosts[g*3+2]
 				if b.Inflight < a.Inflight {
 					a, b = b, a
@@ -216,7 +216,7 @@
 					h = b
 				}
 			}
-			work, wait := w.run(&w.stmts[n], h, step.Rows, h.Inflight, h.Started > 0 && at-h.Started < f.Ramp, at)
+			work, wait := w.run(&w.stmts[n], h, step.Rows, h.Inflight, h.StartedAt > 0 && at-h.StartedAt < f.WarmUpMillis, at)
 			slowest = max(slowest, work+wait)
 		}
 		finish[step.Name] = begin + slowest
