--- a/internal/cluster/membership/golden_test.go
+++ b/internal/cluster/membership/golden_test.go
@@ -55,7 +55,7 @@
 	}
 }
 
-// recordingTransport is a transport of the library that keeps what is sent instead of sending it.
+// recordingTransport is a transport of the library that records what is sent.
 type recordingTransport struct {
 	packets chan []byte
 	streams chan net.Conn
@@ -109,16 +109,16 @@
 		OnMessage: func(b []byte) { received = append(received, b) },
 	}, list: list, table: NewTable(goldenInfo(Serving), 8, 1)}
 
-	twin := goldenInfo(Draining)
-	twin.Name, twin.Address, twin.Incarnation, twin.StartedAt = "n1", "127.0.0.1:7199", 0xfedcba9876543210, 1767225600999
-	sendNameConflict(list, goldenInfo(Serving), twin)
+	other := goldenInfo(Draining)
+	other.Name, other.Address, other.Incarnation, other.StartedAt = "n1", "127.0.0.1:7199", 0xfedcba9876543210, 1767225600999
+	sendNameConflict(list, goldenInfo(Serving), other)
 	stored := golden(t, "message_name_conflict.bin", <-r.packets)
 	_, body, found := bytes.Cut(stored, []byte("@127.0.0.1:7101 \x08"))
 	require.True(t, found, "a user message of the library, to where the other says that it listens")
 	(*delegate)(g).NotifyMsg(body)
 	require.Zero(t, g.malformedMessages.Load())
 	require.Len(t, g.table.NameConflicts(), 1)
-	require.Equal(t, []Info{goldenInfo(Serving), twin}, []Info{g.table.NameConflicts()[0].Holder, g.table.NameConflicts()[0].Rejected})
+	require.Equal(t, []Info{goldenInfo(Serving), other}, []Info{g.table.NameConflicts()[0].Holder, g.table.NameConflicts()[0].Rejected})
 	sendNameConflict(list, g.table.NameConflicts()[0].Holder, g.table.NameConflicts()[0].Rejected)
 	require.Equal(t, stored, <-r.packets, "the same again after reading")
 
--- a/internal/cluster/membership/gossip_test.go
+++ b/internal/cluster/membership/gossip_test.go
@@ -80,39 +80,39 @@
 }
 
 func TestMembersJoinLeaveAndRejoin(t *testing.T) {
-	gs, at := startMembers(t, 3, [][]byte{randomKey()})
-	for _, g := range gs {
+	members, at := startMembers(t, 3, [][]byte{randomKey()})
+	for _, g := range members {
 		for _, name := range []string{"n0", "n1", "n2"} {
 			eventually(t, name, func() bool { return stateOf(g, name) == Serving })
 		}
 	}
-	gs[1].SetState(Draining)
-	eventually(t, "its own word", func() bool { return stateOf(gs[0], "n1") == Draining && stateOf(gs[2], "n1") == Draining })
-	gs[1].Stop()
-	require.Eventually(t, func() bool { return stateOf(gs[0], "n1") == Dead && stateOf(gs[2], "n1") == Dead }, time.Second, 5*time.Millisecond,
+	members[1].SetState(Draining)
+	eventually(t, "its own word", func() bool { return stateOf(members[0], "n1") == Draining && stateOf(members[2], "n1") == Draining })
+	members[1].Stop()
+	require.Eventually(t, func() bool { return stateOf(members[0], "n1") == Dead && stateOf(members[2], "n1") == Dead }, time.Second, 5*time.Millisecond,
 		"one that leaves says so; nobody has to find out")
-	gs[1] = startMember(t, "n1", at["n1"], 200, at, [][]byte{gs[0].options.Keys[0]})
-	eventually(t, "it is back", func() bool { return stateOf(gs[0], "n1") == Serving && stateOf(gs[2], "n1") == Serving })
-	for _, m := range gs[0].View().Members {
+	members[1] = startMember(t, "n1", at["n1"], 200, at, [][]byte{members[0].options.Keys[0]})
+	eventually(t, "it is back", func() bool { return stateOf(members[0], "n1") == Serving && stateOf(members[2], "n1") == Serving })
+	for _, m := range members[0].View().Members {
 		if m.Name == "n1" {
 			require.Equal(t, uint64(200), m.Incarnation)
 		}
 	}
 }
 
-// Two processes of one name: the one that started first keeps it, the other stays out, both are told, and the third is
-// not led astray. When the holder has gone the other may have the name.
+// Two processes with one name: the one that started first owns it, the other stays out of the cluster, both are
+// notified, and the view of the third member does not change.
 func TestSecondIncarnationOfANameIsRejected(t *testing.T) {
 	keys := [][]byte{randomKey()}
-	gs, at := startMembers(t, 3, keys)
-	eventually(t, "all there", func() bool { return stateOf(gs[0], "n1") == Serving && stateOf(gs[2], "n1") == Serving })
-	twin := startMember(t, "n1", freeAddress(t), 900, at, keys)
-	eventually(t, "the second is out", func() bool { return twin.View().NameHolder != nil })
-	require.Equal(t, uint64(101), twin.View().NameHolder.Incarnation)
-	eventually(t, "the holder is told", func() bool { return len(gs[1].View().NameConflicts) > 0 })
-	require.Nil(t, gs[1].View().NameHolder)
+	members, at := startMembers(t, 3, keys)
+	eventually(t, "all there", func() bool { return stateOf(members[0], "n1") == Serving && stateOf(members[2], "n1") == Serving })
+	second := startMember(t, "n1", freeAddress(t), 900, at, keys)
+	eventually(t, "the second is out", func() bool { return second.View().NameHolder != nil })
+	require.Equal(t, uint64(101), second.View().NameHolder.Incarnation)
+	eventually(t, "the holder is told", func() bool { return len(members[1].View().NameConflicts) > 0 })
+	require.Nil(t, members[1].View().NameHolder)
 	for _, i := range []int{0, 2} {
-		for _, m := range gs[i].View().Members {
+		for _, m := range members[i].View().Members {
 			if m.Name == "n1" {
 				require.Equal(t, uint64(101), m.Incarnation)
 				require.NotEqual(t, Dead, m.State)
@@ -121,10 +121,10 @@
 	}
 }
 
-// What no member says is dropped and counted, and holds nobody up.
+// Traffic that no member sends is dropped and counted, and delays nobody.
 func TestMalformedTrafficIsCounted(t *testing.T) {
-	gs, at := startMembers(t, 2, [][]byte{randomKey()})
-	eventually(t, "all there", func() bool { return stateOf(gs[0], "n1") == Serving })
+	members, at := startMembers(t, 2, [][]byte{randomKey()})
+	eventually(t, "all there", func() bool { return stateOf(members[0], "n1") == Serving })
 	u, err := net.Dial("udp", at["n0"])
 	require.NoError(t, err)
 	defer u.Close()
@@ -141,31 +141,31 @@
 		defer c.Close()
 	}
 	eventually(t, "counted", func() bool {
-		c := gs[0].View().Counters
+		c := members[0].View().Counters
 		return c["garbage"] > 0 && c["huge"] > 0 && c["twice"] > 0 && c["busy"] > 0
 	})
-	require.Equal(t, Serving, stateOf(gs[0], "n1"))
-	require.Equal(t, Serving, stateOf(gs[1], "n0"))
+	require.Equal(t, Serving, stateOf(members[0], "n1"))
+	require.Equal(t, Serving, stateOf(members[1], "n0"))
 }
 
-// A member with another key hears nothing; keys are changed without a break.
+// A process with another key does not join; keys are rotated without an interruption.
 func TestKeyRotation(t *testing.T) {
 	old, fresh := randomKey(), randomKey()
-	gs, at := startMembers(t, 2, [][]byte{old})
-	eventually(t, "all there", func() bool { return stateOf(gs[0], "n1") == Serving && stateOf(gs[1], "n0") == Serving })
+	members, at := startMembers(t, 2, [][]byte{old})
+	eventually(t, "all there", func() bool { return stateOf(members[0], "n1") == Serving && stateOf(members[1], "n0") == Serving })
 	stranger := startMember(t, "n9", freeAddress(t), 9, at, [][]byte{randomKey()})
 	time.Sleep(20 * probe)
-	require.Equal(t, State(""), stateOf(gs[0], "n9"))
+	require.Equal(t, State(""), stateOf(members[0], "n9"))
 	require.Len(t, stranger.View().Members, 1)
 	for _, keys := range [][][]byte{{old, fresh}, {fresh, old}, {fresh}} {
-		for _, g := range gs {
+		for _, g := range members {
 			require.NoError(t, g.RotateKeys(keys))
 		}
 		time.Sleep(4 * probe)
 	}
-	require.Equal(t, Serving, stateOf(gs[0], "n1"))
-	require.Equal(t, Serving, stateOf(gs[1], "n0"))
-	require.Len(t, gs[0].keyring.GetKeys(), 1)
+	require.Equal(t, Serving, stateOf(members[0], "n1"))
+	require.Equal(t, Serving, stateOf(members[1], "n0"))
+	require.Len(t, members[0].keyring.GetKeys(), 1)
 }
 
 func TestReadKeys(t *testing.T) {
@@ -204,7 +204,7 @@
 	return address
 }
 
-// Long messages to a member whose link stalls do not keep those to the others from going out.
+// Long messages to a member whose link stalls do not delay those to the others.
 func TestStalledMemberDelaysNoOther(t *testing.T) {
 	k := randomKey()
 	got := make(chan int, 100)
--- a/internal/cluster/membership/table_test.go
+++ b/internal/cluster/membership/table_test.go
@@ -13,6 +13,17 @@
 	return Info{Name: name, Address: address, Incarnation: instance, StartedAt: started, Version: "v", OldestFormat: 1, NewestFormat: 2, Zone: "a", State: Serving}
 }
 
+// livenessOf maps what memberlist reports: the end of a member counts before a suspicion.
+func livenessOf(alive, suspect bool) Liveness {
+	switch {
+	case !alive:
+		return LivenessDead
+	case suspect:
+		return LivenessSuspect
+	}
+	return LivenessAlive
+}
+
 func (t *Table) state(name string) State {
 	for _, m := range t.Members() {
 		if m.Name == name {
@@ -33,25 +44,25 @@
 	b, err = i.Encode(512)
 	require.NoError(t, err, "long words are cut to what gossip carries")
 	require.LessOrEqual(t, len(b), 512)
-	for _, bad := range []string{
+	for _, malformed := range []string{
 		"", "{", `{"i":"0","s":"serving","o":1,"n":1}`, `{"i":"00000000000000ff","s":"gone","o":1,"n":1}`,
 		`{"i":"00000000000000ff","s":"serving","o":2,"n":1}`, `{"i":"00000000000000ff","s":"serving","o":0,"n":1}`, `{"i":"x","s":"serving","o":1,"n":1}`,
 	} {
-		_, err := DecodeInfo("n1", "a", []byte(bad))
-		require.ErrorIs(t, err, ErrMalformedInfo, bad)
+		_, err := DecodeInfo("n1", "a", []byte(malformed))
+		require.ErrorIs(t, err, ErrMalformedInfo, malformed)
 	}
 	_, err = DecodeInfo(strings.Repeat("n", MaxNameBytes+1), "a", b)
 	require.ErrorIs(t, err, ErrMalformedInfo)
 }
 
-// A name belongs to the instance that started first while it is there; one that starts again at the same address has it
-// at once, and so has anybody once the holder is gone.
+// A name belongs to the incarnation that started first while it is alive. One that restarts at the same address takes it
+// over at once, and so does any other once the holder is dead.
 func TestNameConflict(t *testing.T) {
 	self := testInfo("n1", "127.0.0.1:1", 1, 100)
 	table := NewTable(self, 8, 0)
 	first, second := testInfo("n2", "127.0.0.1:2", 2, 100), testInfo("n2", "127.0.0.1:3", 3, 200)
 	require.NoError(t, table.Admit(first, 1))
-	table.Observe(first, true, false, 1)
+	table.Observe(first, LivenessAlive, 1)
 	require.ErrorIs(t, table.Admit(second, 2), ErrNameConflict)
 	require.Len(t, table.NameConflicts(), 1)
 	require.Equal(t, []any{first, second, 2.0}, []any{table.NameConflicts()[0].Holder, table.NameConflicts()[0].Rejected, table.NameConflicts()[0].LastSeen})
@@ -64,9 +75,9 @@
 	due, fresh = table.ShouldNotify("n2", 2+notifyIntervalMillis)
 	require.True(t, due && !fresh)
 	require.NoError(t, table.Admit(testInfo("n2", "127.0.0.1:2", 4, 300), 3), "started again at its address")
-	table.Observe(first, false, false, 4)
+	table.Observe(first, LivenessDead, 4)
 	require.NoError(t, table.Admit(second, 5))
-	table.Observe(second, true, false, 5)
+	table.Observe(second, LivenessAlive, 5)
 	require.ErrorIs(t, table.Admit(first, 6), ErrNameConflict, "it is told, and the second has to go of itself")
 	require.Equal(t, first, table.NameConflicts()[0].Holder)
 
@@ -87,18 +98,18 @@
 	for i := 1; i <= 3; i++ {
 		m := testInfo(fmt.Sprint("n", i), fmt.Sprint("a:", i), uint64(i+1), 1)
 		require.NoError(t, table.Admit(m, float64(i)))
-		table.Observe(m, true, false, float64(i))
+		table.Observe(m, LivenessAlive, float64(i))
 	}
 	more := testInfo("n9", "a:9", 99, 1)
 	require.ErrorIs(t, table.Admit(more, 5), ErrTableFull)
-	table.Observe(more, true, false, 5)
+	table.Observe(more, LivenessAlive, 5)
 	require.Len(t, table.Members(), 4)
-	table.Observe(testInfo("n2", "a:2", 3, 1), false, false, 6)
+	table.Observe(testInfo("n2", "a:2", 3, 1), LivenessDead, 6)
 	require.NoError(t, table.Admit(more, 7), "one that is gone makes room")
-	table.Observe(more, true, false, 7)
+	table.Observe(more, LivenessAlive, 7)
 	require.Equal(t, Serving, table.state("n9"))
 	require.Equal(t, State(""), table.state("n2"))
-	table.Observe(more, false, false, 8)
+	table.Observe(more, LivenessDead, 8)
 	table.Tick(9)
 	require.Equal(t, Dead, table.state("n9"))
 	table.Tick(8 + deadRetentionMillis + 1)
@@ -108,19 +119,19 @@
 	}
 	require.Len(t, table.NameConflicts(), maxNameConflicts)
 	for i := range 2 * maxPendingChanges {
-		table.Observe(testInfo("n1", "a:1", 2, 1), true, i%2 == 0, float64(i))
+		table.Observe(testInfo("n1", "a:1", 2, 1), livenessOf(true, i%2 == 0), float64(i))
 	}
 	require.Len(t, table.TakeChanges(), maxPendingChanges)
 }
 
-// News of an earlier instance says nothing of the one that runs.
+// An observation of an earlier incarnation does not change the state of the present one.
 func TestStaleObservationOfEarlierIncarnation(t *testing.T) {
 	table := NewTable(testInfo("n1", "a:1", 1, 1), 4, 0)
-	table.Observe(testInfo("n2", "a:2", 2, 1), true, false, 1)
-	table.Observe(testInfo("n2", "a:2", 3, 2), true, false, 2)
-	table.Observe(testInfo("n2", "a:2", 2, 1), false, false, 3)
+	table.Observe(testInfo("n2", "a:2", 2, 1), LivenessAlive, 1)
+	table.Observe(testInfo("n2", "a:2", 3, 2), LivenessAlive, 2)
+	table.Observe(testInfo("n2", "a:2", 2, 1), LivenessDead, 3)
 	require.Equal(t, Serving, table.state("n2"))
-	table.Observe(testInfo("n2", "a:2", 3, 2), true, true, 4)
+	table.Observe(testInfo("n2", "a:2", 3, 2), LivenessSuspect, 4)
 	require.Equal(t, Suspect, table.state("n2"))
 	changes := table.TakeChanges()
 	require.Equal(t, Change{4, "n2", Serving, Suspect, 3, 3}, changes[len(changes)-1])
@@ -132,17 +143,17 @@
 	old, far := testInfo("n2", "a:2", 2, 1), testInfo("n3", "a:3", 3, 1)
 	old.NewestFormat = 1
 	far.OldestFormat, far.NewestFormat = 5, 6
-	table.Observe(old, true, false, 1)
-	table.Observe(far, true, false, 1)
+	table.Observe(old, LivenessAlive, 1)
+	table.Observe(far, LivenessAlive, 1)
 	oldest, newest, apart := table.CommonFormats()
 	require.Equal(t, []any{1, 1, []string{"n3"}}, []any{oldest, newest, apart})
-	table.Observe(old, false, false, 2)
+	table.Observe(old, LivenessDead, 2)
 	_, newest, _ = table.CommonFormats()
 	require.Equal(t, 2, newest, "who is gone need not read it")
 }
 
-// Whatever is claimed and heard in whatever order: bounded, never two lines of a name, the owner's own line its own, and
-// at two tables that hear all claims the same instance gives way.
+// Whatever is admitted and observed, in whatever order: the table is bounded, has one entry for each name, retains its
+// owner's entry, and two tables that see the same claims agree on the incarnation that gives way.
 func TestTableProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := testInfo("n0", "a:0", 1000, 10), testInfo("n0", "b:0", 2000, 20)
@@ -154,7 +165,7 @@
 			alive, doubt := rapid.Bool().Draw(t, "alive"), rapid.Bool().Draw(t, "doubt")
 			for _, table := range tables {
 				if table.Admit(i, float64(now)) == nil {
-					table.Observe(i, alive, doubt, float64(now))
+					table.Observe(i, livenessOf(alive, doubt), float64(now))
 				}
 				table.Tick(float64(now))
 				seen := map[string]bool{}
