--- a/cmd/ashstand/commands.go
+++ b/cmd/ashstand/commands.go
@@ -219,25 +219,25 @@
 		{"with a server connection", s.Linked},
 		{"waiting for one", s.Waiting},
 		{"server connections", s.Servers},
-		{"of these unused", s.Idle},
+		{"of these unused", s.ServersIdle},
 		{"transactions", s.Transactions},
-		{"settings restored", s.Restored},
-		{"statements prepared again", s.Prepared},
-		{"statements held", fmt.Sprintf("%d (%d bytes)", s.Statements, s.StatementMem)},
-		{"refused", s.Refused},
+		{"settings restored", s.SettingsRestored},
+		{"statements prepared again", s.StatementsReprepared},
+		{"statements held", fmt.Sprintf("%d (%d bytes)", s.Statements, s.StatementBytes)},
+		{"refused", s.Rejected},
 		{"cancels", s.Cancels},
 		{"lost, rolled back", s.LostSafe},
-		{"lost, in doubt", s.LostDoubt},
-		{"lost, unnoticed", s.LostSilent},
-		{"idle in a transaction for too long", s.TimedOut},
-		{"paused for slow peers", s.Paused},
-		{"held, since their database is paused", s.Held},
-		{"turned away by a host and run again", s.Turned},
+		{"lost, in doubt", s.LostInDoubt},
+		{"lost, unnoticed", s.LostUnnoticed},
+		{"idle in a transaction for too long", s.IdleInTransaction},
+		{"paused for slow peers", s.ReadsPaused},
+		{"held, since their database is paused", s.PausedTransactions},
+		{"turned away by a host and run again", s.RejectedByHost},
 	} {
 		fmt.Fprintf(w, "%s\t%v\n", r.name, r.value)
 	}
-	causes := make([]string, 0, len(s.Pinned))
-	for c, n := range s.Pinned {
+	causes := make([]string, 0, len(s.Sticky))
+	for c, n := range s.Sticky {
 		if n > 0 {
 			causes = append(causes, fmt.Sprintf("bound to its connection: %s\t%d", c, n))
 		}
--- a/cmd/ashstand/config.go
+++ b/cmd/ashstand/config.go
@@ -252,10 +252,10 @@
 	}
 	l = pg.SessionLimits{
 		Clients: s.Clients, Servers: s.ServerConnections, Bytes: share, Message: min(s.MaxMessage, max(64<<10, share/2)),
-		Held: s.Held, After: after, Connect: c.site.ConnectTimeout, Users: map[string]pg.Verifier{},
+		MaxPausedTransactions: s.Held, RetryAfterMillis: after, ConnectTimeout: c.site.ConnectTimeout, Users: map[string]pg.Verifier{},
 	}
-	if l.Connect <= 0 {
-		l.Connect = 2 * time.Second
+	if l.ConnectTimeout <= 0 {
+		l.ConnectTimeout = 2 * time.Second
 	}
 	for name, text := range s.Users {
 		if l.Users[name], err = pg.ParseVerifier(text); err != nil {
@@ -265,11 +265,11 @@
 	for _, p := range s.Pools {
 		l.Pools = append(l.Pools, pg.PoolSettings{
 			Name: p.Name, Database: p.Database, User: p.User, Mode: pg.Mode(p.Mode),
-			Sizes: session.Sizes{Most: p.Size, Waiting: p.Waiting}, Reserve: p.Reserve,
-			Defaults:    session.Defaults{ReadOnly: p.ReadOnly, ReadWrite: p.ReadWrite, SelectsAsRead: p.SelectsReadOnly, Group: p.Group},
-			Patience:    clock.Millis(p.Patience),
-			IdleInBlock: clock.Millis(p.IdleInTransaction), ServerLife: clock.Millis(p.ServerLife),
-			ServerIdle: c.serverIdle(p.ServerIdle), Statements: p.Statements, Pins: p.Pins, Held: p.Held, Hold: clock.Millis(p.Hold),
+			Sizes: session.Sizes{MaxConnections: p.Size, MaxWaiting: p.Waiting}, ReservedForSticky: p.Reserve,
+			Defaults:                session.Defaults{ReadOnly: p.ReadOnly, ReadWrite: p.ReadWrite, SelectsAsRead: p.SelectsReadOnly, Group: p.Group},
+			WaitTimeoutMillis:       clock.Millis(p.Patience),
+			IdleInTransactionMillis: clock.Millis(p.IdleInTransaction), ServerLifetimeMillis: clock.Millis(p.ServerLife),
+			ServerIdleMillis: c.serverIdle(p.ServerIdle), MaxPreparedStatements: p.Statements, MaxSticky: p.Pins, MaxPausedTransactions: p.Held, MaxPauseMillis: clock.Millis(p.Hold),
 		})
 	}
 	return l, nil
--- a/cmd/ashstand/golden_views_test.go
+++ b/cmd/ashstand/golden_views_test.go
@@ -74,8 +74,8 @@
 		Deed: "verify", Owner: "n1", Token: 5, Owners: 2, Wait: "waits for go, to switch", Words: []jobs.ApprovalOption{{Action: "rollback", Effect: "it is taken back", Persistent: true}},
 		Given: &jobs.Approval{Action: "go", By: "op", Step: 9, Persistent: true}, Back: "the old home opens again", Ended: true, Why: "accepted", Code: "verify_differs", Message: "rows differ", Advice: "look",
 	}}})
-	requireGoldenView(t, "homes.json", homesView{On: true, Homes: []pg.HomeStats{{
-		Database: "orders", Home: &group, Fenced: true, State: "paused", Since: 1000, Sessions: 3, Running: 1, Held: 2, Going: 1,
-		Passed: 4, Refused: 5, Bound: []pg.BoundStats{{Pool: "p", Host: "h", Cause: "listen", Sessions: 1}},
+	requireGoldenView(t, "homes.json", homesView{On: true, Homes: []pg.TenantStats{{
+		Database: "orders", Group: &group, Fenced: true, State: "paused", PausedSince: 1000, Sessions: 3, Running: 1, Queued: 2, InFlight: 1,
+		Released: 4, Rejected: 5, Sticky: []pg.StickyStats{{Pool: "p", Host: "h", Cause: "listen", Sessions: 1}},
 	}}})
 }
--- a/cmd/ashstand/homes.go
+++ b/cmd/ashstand/homes.go
@@ -23,7 +23,7 @@
 	clock  clock.Clock
 	mu     sync.Mutex // who makes the next table
 	table  atomic.Pointer[homeTable]
-	front  atomic.Pointer[pg.Sessions] // to be told of changes; nil: nobody
+	front  atomic.Pointer[pg.SessionFront] // to be told of changes; nil: nobody
 }
 
 // homeTable is what the rules say under one set of versions.
@@ -32,8 +32,8 @@
 	of    map[string]session.Home
 }
 
-// Home is what the rules say of a database now.
-func (h *homes) Home(database string, now float64) session.Home { return h.at(now).of[database] }
+// Assignment is what the rules say of a database now.
+func (h *homes) Assignment(database string, now float64) session.Home { return h.at(now).of[database] }
 
 func (h *homes) at(now float64) *homeTable {
 	if t := h.table.Load(); t.fits(h.agreed.Lease(), now) {
@@ -91,32 +91,32 @@
 func (h *homes) changed() {
 	if f := h.front.Load(); f != nil {
 		h.at(h.clock.Now())
-		f.Rehome()
+		f.ReassignTenants()
 	}
 }
 
 // homesView is what operators see of the homes.
 type homesView struct {
-	On    bool           `json:"on"`
-	Homes []pg.HomeStats `json:"homes"`
+	On    bool             `json:"on"`
+	Homes []pg.TenantStats `json:"homes"`
 }
 
 func (n *node) homesView() any {
 	if n.others == nil || n.others.homes == nil {
 		return homesView{}
 	}
-	v := homesView{On: true, Homes: []pg.HomeStats{}}
+	v := homesView{On: true, Homes: []pg.TenantStats{}}
 	if n.pooled != nil {
-		v.Homes = append(v.Homes, n.pooled.Homes()...)
+		v.Homes = append(v.Homes, n.pooled.TenantStats()...)
 	}
 	for database, h := range n.others.homes.at(n.clock.Now()).of {
-		if !slices.ContainsFunc(v.Homes, func(s pg.HomeStats) bool { return s.Database == database }) {
-			s := pg.HomeStats{Database: database}
+		if !slices.ContainsFunc(v.Homes, func(s pg.TenantStats) bool { return s.Database == database }) {
+			s := pg.TenantStats{Database: database}
 			s.Describe(h)
 			v.Homes = append(v.Homes, s)
 		}
 	}
-	slices.SortFunc(v.Homes, func(a, b pg.HomeStats) int { return strings.Compare(a.Database, b.Database) })
+	slices.SortFunc(v.Homes, func(a, b pg.TenantStats) int { return strings.Compare(a.Database, b.Database) })
 	return v
 }
 
@@ -128,21 +128,21 @@
 	fmt.Fprintln(w, "DATABASE\tHOME\tSTATE\tPAUSED SINCE\tSESSIONS\tRUNNING\tHELD\tLET GO\tREFUSED\tBOUND")
 	for _, h := range v.Homes {
 		home, since, bound := "the pool's", "-", "-"
-		if h.Home != nil {
-			home = fmt.Sprint(*h.Home)
+		if h.Group != nil {
+			home = fmt.Sprint(*h.Group)
 		} else if h.Fenced {
 			home = "not agreed"
 		}
-		if h.Since > 0 {
-			since = time.UnixMilli(int64(h.Since)).UTC().Format("15:04:05.000") + " (" + clock.Duration(clock.System().Now()-h.Since).Round(100*time.Millisecond).String() + ")"
+		if h.PausedSince > 0 {
+			since = time.UnixMilli(int64(h.PausedSince)).UTC().Format("15:04:05.000") + " (" + clock.Duration(clock.System().Now()-h.PausedSince).Round(100*time.Millisecond).String() + ")"
 		}
 		var words []string
-		for _, b := range h.Bound {
+		for _, b := range h.Sticky {
 			words = append(words, fmt.Sprintf("%d of pool %s at %s: %s", b.Sessions, b.Pool, b.Host, b.Cause))
 		}
 		if len(words) > 0 {
 			bound = strings.Join(words, "; ")
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", h.Database, home, h.State, since, h.Sessions, h.Running, h.Held, h.Passed, h.Refused, bound)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", h.Database, home, h.State, since, h.Sessions, h.Running, h.Queued, h.Released, h.Rejected, bound)
 	}
 }
--- a/cmd/ashstand/homes_test.go
+++ b/cmd/ashstand/homes_test.go
@@ -51,20 +51,20 @@
 		require.Eventually(t, func() bool { a := r.Effective(); return len(a.Versions) == 1 && a.Versions[0] == n && !a.LeaseExpired }, 10*time.Second, time.Millisecond)
 	}
 	propose(`{"database.orders.group": 1, "database.a.b.group": 3}`)
-	require.Equal(t, session.Home{Named: true, Group: 1}, h.Home("orders", now()))
-	require.Equal(t, session.Home{Named: true, Group: 3}, h.Home("a.b", now()))
-	require.Equal(t, session.Home{}, h.Home("stock", now()))
+	require.Equal(t, session.Home{Named: true, Group: 1}, h.Assignment("orders", now()))
+	require.Equal(t, session.Home{Named: true, Group: 3}, h.Assignment("a.b", now()))
+	require.Equal(t, session.Home{}, h.Assignment("stock", now()))
 	propose(`{"database.orders.group": 1, "database.orders.paused": true}`)
-	began := h.Home("orders", now())
+	began := h.Assignment("orders", now())
 	require.True(t, began.Paused)
 	require.InDelta(t, now(), began.Since, 2000)
 	propose(`{"database.orders.group": 2, "database.orders.paused": true, "tries": 3}`)
-	require.Equal(t, session.Home{Named: true, Group: 2, Paused: true, Since: began.Since}, h.Home("orders", now()), "the pause is the same one")
-	require.Zero(t, testing.AllocsPerRun(100, func() { h.Home("orders", r.Lease().ExpiresAt-1) }))
+	require.Equal(t, session.Home{Named: true, Group: 2, Paused: true, Since: began.Since}, h.Assignment("orders", now()), "the pause is the same one")
+	require.Zero(t, testing.AllocsPerRun(100, func() { h.Assignment("orders", r.Lease().ExpiresAt-1) }))
 	// Without a lease: the limits, by which nobody knows where a database is that they name.
-	require.Equal(t, session.Home{Fenced: true}, h.Home("a.b", r.Lease().ExpiresAt+1e6))
+	require.Equal(t, session.Home{Fenced: true}, h.Assignment("a.b", r.Lease().ExpiresAt+1e6))
 	propose(`{"database.orders.group": 2}`)
-	require.Equal(t, session.Home{Named: true, Group: 2}, h.Home("orders", now()))
+	require.Equal(t, session.Home{Named: true, Group: 2}, h.Assignment("orders", now()))
 	// Two versions that name different groups.
 	one, two := consensus.Rules{"database.orders.group": 1.0}, consensus.Rules{"database.orders.group": 2.0, "database.orders.paused": true}
 	require.Equal(t, map[string]session.Home{"orders": {Fenced: true, Paused: true}}, homesOf(consensus.Strictest(one, two)))
@@ -75,12 +75,12 @@
 	require.Equal(t, homesView{}, n.homesView())
 	n.others = others
 	require.Equal(t, homesView{}, n.homesView())
-	s := pg.HomeStats{Database: "orders", Sessions: 3, Held: 2, Refused: 1, Bound: []pg.BoundStats{{Pool: "main", Host: "a", Cause: "LISTEN", Sessions: 1}}}
+	s := pg.TenantStats{Database: "orders", Sessions: 3, Queued: 2, Rejected: 1, Sticky: []pg.StickyStats{{Pool: "main", Host: "a", Cause: "LISTEN", Sessions: 1}}}
 	s.Describe(session.Home{Named: true, Group: 7, Paused: true, Since: clock.System().Now() - 1500})
-	f := pg.HomeStats{Database: "stock"}
+	f := pg.TenantStats{Database: "stock"}
 	f.Describe(session.Home{Fenced: true})
 	var out strings.Builder
-	homesTable(&out, &homesView{On: true, Homes: []pg.HomeStats{s, f, {Database: "web", State: "open"}}})
+	homesTable(&out, &homesView{On: true, Homes: []pg.TenantStats{s, f, {Database: "web", State: "open"}}})
 	for _, want := range []string{"orders\t7\tpaused", "(1.5s)", "3\t0\t2\t0\t1\t1 of pool main at a: LISTEN", "stock\tnot agreed\tfenced", "web\tthe pool's\topen"} {
 		require.Contains(t, out.String(), want)
 	}
@@ -165,7 +165,7 @@
 		}, 20*time.Second, 20*time.Millisecond, "%s", &last)
 	}
 	var seen homesView
-	shows := func(what string, is func(h pg.HomeStats) bool) {
+	shows := func(what string, is func(h pg.TenantStats) bool) {
 		t.Helper()
 		require.Eventually(t, func() bool {
 			out, err := run("cluster", "homes", "--json")
@@ -174,7 +174,7 @@
 		}, 20*time.Second, 10*time.Millisecond, what)
 	}
 	propose(`{"database.orders.group": 1}`)
-	shows("at 1", func(h pg.HomeStats) bool { return h.State == "open" && h.Home != nil && *h.Home == 1 })
+	shows("at 1", func(h pg.TenantStats) bool { return h.State == "open" && h.Group != nil && *h.Group == 1 })
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	var c *pgx.Conn
@@ -188,12 +188,12 @@
 	}
 	require.NoError(t, insert("before"))
 	propose(`{"database.orders.group": 1, "database.orders.paused": true}`)
-	shows("paused", func(h pg.HomeStats) bool { return h.State == "paused" && h.Since > 0 })
+	shows("paused", func(h pg.TenantStats) bool { return h.State == "paused" && h.PausedSince > 0 })
 	done := make(chan error, 1)
 	go func() { done <- insert("moved") }()
-	shows("held", func(h pg.HomeStats) bool { return h.Held == 1 && h.Sessions == 1 })
+	shows("held", func(h pg.TenantStats) bool { return h.Queued == 1 && h.Sessions == 1 })
 	propose(`{"database.orders.group": 2, "database.orders.paused": true}`)
-	shows("moved, and still held", func(h pg.HomeStats) bool { return h.Held == 1 && h.Home != nil && *h.Home == 2 })
+	shows("moved, and still held", func(h pg.TenantStats) bool { return h.Queued == 1 && h.Group != nil && *h.Group == 2 })
 	propose(`{"database.orders.group": 2}`)
 	require.NoError(t, <-done)
 	table, err := run("cluster", "homes")
@@ -216,7 +216,7 @@
 	b.Run("look", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			h.Home("orders", 1)
+			h.Assignment("orders", 1)
 		}
 	})
 	one, two := consensus.Rules{}, consensus.Rules{}
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -97,11 +97,11 @@
 	flight *flight.Front // nil: off
 	hosts  *flight.Hosts
 	watch  *discovery.Watcher
-	pooled *pg.Sessions  // nil: off
-	admin  *admin.Server // nil: off
-	keeper *keeper       // nil: nothing is kept
-	others *fellows      // nil: it knows of no other poolers
-	costs  *estimates    // nil: nothing is observed
+	pooled *pg.SessionFront // nil: off
+	admin  *admin.Server    // nil: off
+	keeper *keeper          // nil: nothing is kept
+	others *fellows         // nil: it knows of no other poolers
+	costs  *estimates       // nil: nothing is observed
 	clock  clock.Clock
 	cfg    atomic.Pointer[config]
 	list   atomic.Pointer[map[string]discovery.Endpoint]
@@ -115,7 +115,7 @@
 type bounds struct {
 	core    edge.Limits
 	front   pg.FrontLimits
-	pool    pg.Limits
+	pool    pg.PoolLimits
 	connect time.Duration // for a probe
 	grace   time.Duration // from SIGTERM to SIGKILL, at the least
 	pooled  pg.SessionLimits
@@ -130,8 +130,8 @@
 	b := &bounds{
 		connect: cfg.site.ConnectTimeout,
 		core:    edge.Limits{StatementBytes: share, RetryAfterMillis: after},
-		front:   pg.FrontLimits{Clients: clients, Bytes: share, After: after},
-		pool:    pg.Limits{Connections: connections, Bytes: share, Connect: cfg.site.ConnectTimeout, Idle: cfg.site.ConnIdleTimeout},
+		front:   pg.FrontLimits{Clients: clients, Bytes: share, RetryAfterMillis: after},
+		pool:    pg.PoolLimits{Connections: connections, Bytes: share, ConnectTimeout: cfg.site.ConnectTimeout, IdleTimeout: cfg.site.ConnIdleTimeout},
 	}
 	for _, c := range cfg.site.Settings.Classes {
 		b.grace = max(b.grace, min(c.Deadline, 3*time.Second))
@@ -159,7 +159,7 @@
 	}
 	n.clock = now
 	n.pool = pg.NewPool(n.engine, now, pg.Platform, b.pool)
-	n.pool.TellLate(func(host string, sent float64, write bool, o dispatch.Outcome) {
+	n.pool.OnLateAnswer(func(host string, sent float64, write bool, o dispatch.Outcome) {
 		n.facade.LateAnswer(host, sent, write, o)
 	})
 	backend := new(edge.BackendMux)
@@ -179,7 +179,7 @@
 		return n.pool
 	}, pg.Platform.Primary)
 	if s := cfg.operator.Sessions; s != nil && s.Listen != "" {
-		n.pooled = pg.NewSessions(n.engine, n.facade, now, pg.Platform, b.pooled)
+		n.pooled = pg.NewSessionFront(n.engine, n.facade, now, pg.Platform, b.pooled)
 		if what := os.Getenv("ASHSTAND_BREAK"); what != "" {
 			slog.Error("a guarantee is switched off, to see its checker fail: " + what)
 			n.pooled.Break(what)
@@ -202,7 +202,7 @@
 		return nil, err
 	}
 	if n.pooled != nil && n.others != nil && n.others.homes != nil {
-		n.pooled.SetHomes(n.others.homes)
+		n.pooled.SetAssignments(n.others.homes)
 		n.others.homes.front.Store(n.pooled)
 	}
 	if cfg.Known != nil {
@@ -242,7 +242,7 @@
 		log.Printf("%s answers operators at %s", cfg.Name, listen)
 	}
 	if n.pooled != nil {
-		go every(ctx, pg.SweepEvery, n.pooled.Sweep)
+		go every(ctx, pg.SweepInterval, n.pooled.Sweep)
 		log.Printf("%s pools sessions on %s; at most %d clients and %d server connections", cfg.Name, cfg.operator.Sessions.Listen,
 			b.pooled.Clients, b.pooled.Servers)
 	}
@@ -253,9 +253,9 @@
 	n.watch = discovery.New(n.engine, cfg.Discovery, cfg.Known, cfg.seed, apply)
 	go n.watch.Run(ctx)
 	go every(ctx, time.Second, n.pool.Sweep)
-	go every(ctx, pg.SweepEvery, n.front.Sweep)
+	go every(ctx, pg.SweepInterval, n.front.Sweep)
 	log.Printf("%s listens on %s; at most %d clients and %d connections to hosts, idle for %v at most", cfg.Name, cfg.Listen,
-		b.front.Clients, b.pool.Connections, b.pool.Idle)
+		b.front.Clients, b.pool.Connections, b.pool.IdleTimeout)
 	return n, nil
 }
 
--- a/cmd/ashstand/replay.go
+++ b/cmd/ashstand/replay.go
@@ -141,17 +141,17 @@
 				s, err := sqlcomment.Parse(command.Text)
 				if err != nil {
 					t.invalid++
-					say(false, pg.Reply(&edge.Result{Verdict: edge.Invalid, Detail: err.Error()}))
+					say(false, pg.EncodeResult(&edge.Result{Verdict: edge.Invalid, Detail: err.Error()}))
 					continue
 				}
 				r := n.core.Do(ctx, &s, n.core.Now())
 				t.add(r.Verdict)
-				say(false, pg.Reply(&r))
+				say(false, pg.EncodeResult(&r))
 				continue
 			case pg.Startup:
-				say(false, pg.Welcome(0, command.Minor))
+				say(false, pg.Greeting(0, command.Minor))
 				continue
-			case pg.Broken: // nothing behind this can be told apart
+			case pg.Malformed: // nothing behind this can be told apart
 				t.broken++
 				log.Printf("replay: %v to %v: %s", c.Client, c.Server, command.Text)
 				return t
--- a/cmd/ashstand/state.go
+++ b/cmd/ashstand/state.go
@@ -83,7 +83,7 @@
 	k.taken = w.Facts
 	n.facade.ImportState(w.State)
 	if w.IdleResets != nil {
-		n.pool.SetWear(w.IdleResets.Requests, w.IdleResets.Resets)
+		n.pool.SetStaleness(w.IdleResets.Requests, w.IdleResets.Resets)
 	}
 	counted := 0
 	for _, v := range w.Facts {
@@ -98,7 +98,7 @@
 
 // snapshot words what is held now.
 func (k *keeper) snapshot() ([]byte, error) {
-	requests, resets := k.node.pool.Wear()
+	requests, resets := k.node.pool.Staleness()
 	head := k.head
 	head.WrittenAt = k.clock.Now()
 	list := discovery.EndpointList{Snapshot: true}
--- a/internal/net/pg/command.go
+++ b/internal/net/pg/command.go
@@ -5,27 +5,27 @@
 	"fmt"
 )
 
-// Kind tells the commands of a client apart.
-type Kind uint8
+// CommandKind tells the commands of a client apart.
+type CommandKind uint8
 
 // The kinds.
 const (
-	Incomplete Kind = iota // the next message is not whole yet
+	Incomplete CommandKind = iota // the next message is not whole yet
 	Startup
-	Encrypt  // a request for TLS or GSSAPI
-	Cancel   // a request to cancel a query
-	Query    // a simple query; Text holds it
-	Sync     // the end of a batch of the extended protocol
-	Extended // a message of the extended protocol, the first of its batch
-	Function // a function call
-	Ignored  // nothing to answer
-	End      // the client closes the connection
-	Broken   // nothing after this can be understood; Text says why
+	EncryptionRequest // a request for TLS or GSSAPI
+	Cancel            // a request to cancel a query
+	Query             // a simple query; Text holds it
+	Sync              // the end of a batch of the extended protocol
+	Extended          // a message of the extended protocol, the first of its batch
+	Function          // a function call
+	Ignored           // nothing to answer
+	Terminate         // the client closes the connection
+	Malformed         // nothing after this can be understood; Text says why
 )
 
 // Command is one message of a client.
 type Command struct {
-	Kind  Kind
+	Kind  CommandKind
 	Text  string
 	Used  int    // bytes that it took
 	Minor bool   // Startup: a later minor version was asked for
@@ -34,8 +34,8 @@
 
 // Parser cuts what a client sends into commands. The front uses it on live connections, the replay on captures.
 type Parser struct {
-	started bool
-	skip    bool // until Sync, after a message of the extended protocol
+	started       bool
+	skipUntilSync bool // until Sync, after a message of the extended protocol
 }
 
 // Next reads the command at the start of b.
@@ -43,9 +43,9 @@
 	if !p.started {
 		return p.startup(b)
 	}
-	kind, body, rest, ok, err := next(b, maxQuery)
+	kind, body, rest, ok, err := nextMessage(b, maxQueryBytes)
 	if err != nil {
-		return Command{Kind: Broken, Text: err.Error()}
+		return Command{Kind: Malformed, Text: err.Error()}
 	}
 	if !ok {
 		return Command{}
@@ -53,28 +53,28 @@
 	c := Command{Kind: Ignored, Used: len(b) - len(rest)}
 	switch kind {
 	case 'X':
-		c.Kind = End
+		c.Kind = Terminate
 	case 'S':
-		c.Kind, p.skip = Sync, false
+		c.Kind, p.skipUntilSync = Sync, false
 	case 'H':
 	case 'P', 'B', 'D', 'E', 'C':
-		if !p.skip {
-			c.Kind, p.skip = Extended, true
+		if !p.skipUntilSync {
+			c.Kind, p.skipUntilSync = Extended, true
 		}
 	case 'F':
-		if !p.skip {
+		if !p.skipUntilSync {
 			c.Kind = Function
 		}
 	case 'Q':
 		switch {
-		case p.skip:
+		case p.skipUntilSync:
 		case len(body) == 0 || body[len(body)-1] != 0:
-			c.Kind, c.Text = Broken, "a query without its end"
+			c.Kind, c.Text = Malformed, "a query without its end"
 		default:
 			c.Kind, c.Text = Query, string(body[:len(body)-1])
 		}
 	default:
-		c.Kind, c.Text = Broken, fmt.Sprintf("message %q is unknown", kind)
+		c.Kind, c.Text = Malformed, fmt.Sprintf("message %q is unknown", kind)
 	}
 	return c
 }
@@ -85,12 +85,12 @@
 	}
 	n, code := int(binary.BigEndian.Uint32(b)), binary.BigEndian.Uint32(b[4:])
 	switch {
-	case n < 8 || n > maxStartup:
-		return Command{Kind: Broken, Text: errLength.Error()}
+	case n < 8 || n > maxStartupBytes:
+		return Command{Kind: Malformed, Text: errMessageLength.Error()}
 	case len(b) < n:
 		return Command{}
 	case code == codeSSL || code == codeGSS:
-		return Command{Kind: Encrypt, Used: n}
+		return Command{Kind: EncryptionRequest, Used: n}
 	case code == codeCancel:
 		c := Command{Kind: Cancel, Used: n}
 		if n == 16 {
@@ -98,40 +98,40 @@
 		}
 		return c
 	case code>>16 != 3:
-		return Command{Kind: Broken, Text: "protocol version 3 is spoken here"}
+		return Command{Kind: Malformed, Text: "protocol version 3 is spoken here"}
 	}
 	p.started = true
-	return Command{Kind: Startup, Used: n, Minor: code != protocol3}
+	return Command{Kind: Startup, Used: n, Minor: code != protocolVersion3}
 }
 
-// behind is a look at what a client sent behind a request that is not answered yet.
-type behind struct {
-	seen int // bytes that were looked through
-	need int // less than this holds no whole message more
+// readAhead is a look at what a client sent behind a request that is not answered yet.
+type readAhead struct {
+	scanned int // bytes that were looked through
+	needed  int // less than this holds no whole message more
 }
 
-// goodbye says whether the client has ended its session there. A client sends that last and closes its connection, so it
+// hasTerminate says whether the client has ended its session there. A client sends that last and closes its connection, so it
 // waits for no answer any more. n bytes are held, of which peek returns all.
-func (l *behind) goodbye(n int, peek func(int) ([]byte, error), most int) bool {
-	if n < max(l.need, l.seen+5) {
+func (l *readAhead) hasTerminate(n int, peek func(int) ([]byte, error), most int) bool {
+	if n < max(l.needed, l.scanned+5) {
 		return false
 	}
 	b, err := peek(n)
 	if err != nil {
 		return false
 	}
-	for len(b)-l.seen >= 5 {
-		kind, _, rest, ok, err := next(b[l.seen:], most)
+	for len(b)-l.scanned >= 5 {
+		kind, _, rest, ok, err := nextMessage(b[l.scanned:], most)
 		switch {
 		case err != nil: // it is told so when its turn comes
 			return false
 		case !ok:
-			l.need = l.seen + 1 + int(binary.BigEndian.Uint32(b[l.seen+1:]))
+			l.needed = l.scanned + 1 + int(binary.BigEndian.Uint32(b[l.scanned+1:]))
 			return false
 		case kind == 'X':
 			return true
 		}
-		l.seen = len(b) - len(rest)
+		l.scanned = len(b) - len(rest)
 	}
 	return false
 }
--- a/internal/net/pg/dial_test.go
+++ b/internal/net/pg/dial_test.go
@@ -26,7 +26,7 @@
 		for _, h := range r.hosts {
 			lie += len(h.idle)
 		}
-		return r.open, lie
+		return r.openConns, lie
 	}
 	require.Eventually(t, func() bool { open, lie := counts(); return open == idle && lie == idle }, 20*time.Second, time.Millisecond)
 	require.Zero(t, r.held(t), "bytes of answers that are counted, with none under way")
@@ -42,7 +42,7 @@
 	defer g.Close()
 	n := make(chan int, 1)
 	require.NoError(t, g.EventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
-		n <- r.unread
+		n <- r.unreadBytes
 		return nil
 	})))
 	return <-n
@@ -79,10 +79,10 @@
 func TestADialThatCompletesAfterItsAttempt(t *testing.T) {
 	up := make(chan struct{})
 	r := start(t, slow(up))
-	r.SetLimits(Limits{Connections: 4, Connect: 20 * time.Second, Idle: 15 * time.Second})
+	r.SetLimits(PoolLimits{Connections: 4, ConnectTimeout: 20 * time.Second, IdleTimeout: 15 * time.Second})
 	r.given(t)
 	r.mu.Lock()
-	require.Equal(t, 1, r.open, "it goes on, and holds its place")
+	require.Equal(t, 1, r.openConns, "it goes on, and holds its place")
 	r.mu.Unlock()
 	close(up)
 	r.settled(t, 1)
@@ -108,13 +108,13 @@
 func TestOneLateDialForEachHost(t *testing.T) {
 	up := make(chan struct{})
 	r := start(t, slow(up))
-	r.SetLimits(Limits{Connections: 4, Connect: 20 * time.Second, Idle: 15 * time.Second})
+	r.SetLimits(PoolLimits{Connections: 4, ConnectTimeout: 20 * time.Second, IdleTimeout: 15 * time.Second})
 	for range 3 {
 		r.given(t)
 	}
-	require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.open == 1 }, 20*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.openConns == 1 }, 20*time.Second, time.Millisecond)
 	// And it makes room where there is none: nobody waits for it.
-	r.SetLimits(Limits{Connections: 1, Connect: 20 * time.Second, Idle: 15 * time.Second})
+	r.SetLimits(PoolLimits{Connections: 1, ConnectTimeout: 20 * time.Second, IdleTimeout: 15 * time.Second})
 	got := make(chan edge.Conn, 1)
 	go func() {
 		c, err := r.Acquire(context.Background(), "h")
@@ -125,7 +125,7 @@
 	<-r.conns
 	close(up)
 	c := <-got
-	require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.open == 1 }, 20*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.openConns == 1 }, 20*time.Second, time.Millisecond)
 	c.(*conn).release()
 	r.settled(t, 1)
 }
@@ -162,7 +162,7 @@
 				b.Flush()
 				b.Receive()
 			})
-			r.SetLimits(Limits{Connections: 4, Connect: 20 * time.Second, Idle: 15 * time.Second})
+			r.SetLimits(PoolLimits{Connections: 4, ConnectTimeout: 20 * time.Second, IdleTimeout: 15 * time.Second})
 			other := start(t, good)
 			address := other.hosts["h"].address
 			var drains atomic.Bool
@@ -211,7 +211,7 @@
 	})
 	up := make(chan struct{})
 	other := start(t, slow(up))
-	r.SetLimits(Limits{Connections: 1, Connect: 20 * time.Second, Idle: 15 * time.Second})
+	r.SetLimits(PoolLimits{Connections: 1, ConnectTimeout: 20 * time.Second, IdleTimeout: 15 * time.Second})
 	r.SetAddress("o", other.hosts["h"].address)
 	require.Equal(t, dispatch.OK, r.exchange(t, open).Code)
 	got := make(chan edge.Conn, 1)
@@ -256,7 +256,7 @@
 		_, err := r.Acquire(context.Background(), "h")
 		require.Error(t, err)
 		r.mu.Lock()
-		require.Zero(t, r.open)
+		require.Zero(t, r.openConns)
 		r.mu.Unlock()
 	}
 }
@@ -300,7 +300,7 @@
 					c.Write(whole()[:9])
 				}
 				c.Close()
-				require.Eventually(t, func() bool { return pending(lies.gnet) }, 20*time.Second, time.Millisecond)
+				require.Eventually(t, func() bool { return hasUnreadEvent(lies.gnetConn) }, 20*time.Second, time.Millisecond)
 			}
 			return 500, true
 		})
@@ -331,12 +331,12 @@
 			w.members()
 			w.front.SetAddress("a", l.Addr().String())
 			conns := make(chan net.Conn, 1)
-			var p *spool
+			var p *serverPool
 			before := 0
 			w.front.onLoop(func() {
-				before = w.front.servers
-				p = w.front.pool("a", l.Addr().String(), poolKey{"orders", "web"})
-				w.front.dial(p)
+				before = w.front.serverCount
+				p = w.front.pool("a", l.Addr().String(), poolIdentity{"orders", "web"})
+				w.front.openServerConn(p)
 				c, err := l.Accept() // the dial is done; the loop has not heard of it
 				if err == nil && !greeted {
 					k.event(l.Addr().String())
@@ -358,7 +358,7 @@
 			require.NoError(t, err, k.name)
 			require.Empty(t, got, "%s, greeted %v", k.name, greeted)
 			done := make(chan [4]int, 1)
-			w.front.onLoop(func() { done <- [4]int{w.front.servers - before, p.open, p.dialing, len(p.idle)} })
+			w.front.onLoop(func() { done <- [4]int{w.front.serverCount - before, p.open, p.dialing, len(p.idle)} })
 			require.Equal(t, [4]int{}, <-done, "%s: servers, open, dialing, idle", k.name)
 		}
 	}
--- a/internal/net/pg/differ_test.go
+++ b/internal/net/pg/differ_test.go
@@ -177,9 +177,9 @@
 
 func TestPooledSessionsSeeWhatTheyWouldSeeAlone(t *testing.T) {
 	w := pool(t, func(l *SessionLimits) {
-		l.Pools[0].Sizes.Most = 4 // four blocks may be open at once
-		l.Pools[0].Statements = 3
-		l.Pools[0].Pins = 4
+		l.Pools[0].Sizes.MaxConnections = 4 // four blocks may be open at once
+		l.Pools[0].MaxPreparedStatements = 3
+		l.Pools[0].MaxSticky = 4
 	})
 	direct, err := lab.NewCluster(1, 1).Add("direct", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -198,7 +198,7 @@
 	})
 	// The comparison can fail: with a guarantee off, a script that needs it shows a difference. One server connection,
 	// so that both clients are sure to meet on it.
-	w = pool(t, func(l *SessionLimits) { l.Pools[0].Sizes.Most = 1 })
+	w = pool(t, func(l *SessionLimits) { l.Pools[0].Sizes.MaxConnections = 1 })
 	for guarantee, steps := range map[string][]step{
 		"settings":   {{0, "simple", "SET app.a TO 'mine'", ""}, {1, "simple", "SELECT current_setting('app.a', true)", ""}},
 		"statements": {{0, "prepare", "SELECT 'x', $1", "p"}, {}, {0, "run", "", "p"}},
--- a/internal/net/pg/flood_test.go
+++ b/internal/net/pg/flood_test.go
@@ -37,7 +37,7 @@
 // onLoop runs something on the loop for the one client that there is.
 func (d *door) onLoop(t *testing.T, do func(h *client, c gnet.Conn)) {
 	done := make(chan struct{})
-	d.each(func(h *client, c gnet.Conn) {
+	d.forEachClient(func(h *client, c gnet.Conn) {
 		do(h, c)
 		close(done)
 	})
@@ -52,26 +52,26 @@
 // loop from everybody else. The commands lie in the client's ring buffer while the loop is held; then one visit takes
 // them all.
 func TestCommandsSentAheadAreAnsweredTogether(t *testing.T) {
-	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20, After: 300})
+	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20, RetryAfterMillis: 300})
 	c := d.call(t, "")
 	require.Equal(t, []string{"empty"}, errorsOf(t, c, 1))
 	const n = 8000
-	d.onLoop(t, func(h *client, _ gnet.Conn) { h.busy = true }) // as if a request were under way
+	d.onLoop(t, func(h *client, _ gnet.Conn) { h.requestInFlight = true }) // as if a request were under way
 	var b []byte
 	for range n {
-		b = message(b, 'S', func(b []byte) []byte { return b })
+		b = appendMessage(b, 'S', func(b []byte) []byte { return b })
 	}
 	_, err := c.Write(b)
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return d.count(func(h *client) bool { return h.unread == len(b) }) == 1 }, 20*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return d.count(func(h *client) bool { return h.unreadBytes == len(b) }) == 1 }, 20*time.Second, time.Millisecond)
 	var v visits
 	d.onLoop(t, func(h *client, c gnet.Conn) {
 		v.Conn = c
-		h.busy = false
+		h.requestInFlight = false
 		_ = h.Traffic(&v)
 	})
 	require.Equal(t, 6*n, v.bytes, "a ReadyForQuery for each")
-	require.LessOrEqual(t, v.writes, 6*n/gathered+1, "system calls of one visit to the loop")
+	require.LessOrEqual(t, v.writes, 6*n/replyBatchBytes+1, "system calls of one visit to the loop")
 	got := make([]byte, 6*n)
 	_, err = io.ReadFull(c, got)
 	require.NoError(t, err)
@@ -82,10 +82,10 @@
 
 // A client that floods holds up itself alone: what another waits for its answers beside a flood.
 func TestAFloodDelaysNobodyElse(t *testing.T) {
-	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20, After: 300})
+	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20, RetryAfterMillis: 300})
 	quiet := d.call(t, "")
 	require.Equal(t, []string{"empty"}, errorsOf(t, quiet, 1))
-	ask := query(nil, func(b []byte) []byte { return b })
+	ask := appendQuery(nil, func(b []byte) []byte { return b })
 	answer := make([]byte, 11)
 	measure := func() (took []time.Duration) {
 		for range 100 {
@@ -104,7 +104,7 @@
 	require.Equal(t, []string{"empty"}, errorsOf(t, flood, 1))
 	var b []byte
 	for len(b) < 64<<10 {
-		b = message(b, 'S', func(b []byte) []byte { return b })
+		b = appendMessage(b, 'S', func(b []byte) []byte { return b })
 	}
 	var all sync.WaitGroup
 	all.Go(func() { io.Copy(io.Discard, flood) })
@@ -129,11 +129,11 @@
 // Clients that send as much as they may and go leave nothing behind: no bytes that are counted, no connection, no
 // goroutine, and no request that waits for nobody.
 func TestClientsThatSendMuchAndGo(t *testing.T) {
-	d := listen(t, FrontLimits{Clients: 200, Bytes: 1 << 20, After: 300})
+	d := listen(t, FrontLimits{Clients: 200, Bytes: 1 << 20, RetryAfterMillis: 300})
 	first := d.call(t, "")
 	require.Equal(t, []string{"empty"}, errorsOf(t, first, 1))
 	before := runtime.NumGoroutine()
-	request := query(nil, func(b []byte) []byte {
+	request := appendQuery(nil, func(b []byte) []byte {
 		return append(b, "/* id=0,c=report,d=60000,cluster=1 */ SELECT payload"...)
 	})
 	for _, half := range []int{0, len(request) / 2} { // the last one is whole, or is not
@@ -145,9 +145,9 @@
 					return
 				}
 				defer c.Close()
-				b := startup(nil, "web", "orders")
+				b := appendStartup(nil, "web", "orders")
 				for j := range 400 {
-					b = query(b, func(b []byte) []byte {
+					b = appendQuery(b, func(b []byte) []byte {
 						return fmt.Appendf(b, "/* id=%d,c=report,d=60000,cluster=1 */ SELECT payload", i*1000+j+1)
 					})
 				}
@@ -157,7 +157,7 @@
 		all.Wait()
 		require.Eventually(t, func() bool { return d.count(func(*client) bool { return true }) == 1 }, 20*time.Second, time.Millisecond)
 		require.Eventually(t, func() bool { return runtime.NumGoroutine() <= before+2 }, 20*time.Second, time.Millisecond)
-		d.onLoop(t, func(*client, gnet.Conn) { require.Zero(t, d.unread) })
+		d.onLoop(t, func(*client, gnet.Conn) { require.Zero(t, d.unreadBytes) })
 	}
 	select {
 	case <-d.edge.Drain():
@@ -170,12 +170,12 @@
 // What a host says that can't be right, or never ends: nothing of it is taken, it teaches nothing though its first half
 // told of a role and a position, what it held of the memory is free again, and the next request is served.
 func TestAnswersThatNeverEndTeachNothing(t *testing.T) {
-	told := status(status(nil, Platform.Role, Platform.Primary), Platform.Position, "999999999000")
-	described := row(nil, &edge.Answer{Column: "payload", Type: 17, Binary: true, Value: []byte{1}, Tag: "SELECT 1"})
-	described = described[:len(described)-len(complete(nil, "SELECT 1"))]
-	column := described[:len(described)-len(message(nil, 'D', func(b []byte) []byte { return append(b, 0, 1, 0, 0, 0, 1, 1) }))]
+	told := appendParameterStatus(appendParameterStatus(nil, Platform.Role, Platform.Primary), Platform.Position, "999999999000")
+	described := appendRow(nil, &edge.Answer{Column: "payload", Type: 17, Binary: true, Value: []byte{1}, Tag: "SELECT 1"})
+	described = described[:len(described)-len(appendCommandComplete(nil, "SELECT 1"))]
+	column := described[:len(described)-len(appendMessage(nil, 'D', func(b []byte) []byte { return append(b, 0, 1, 0, 0, 0, 1, 1) }))]
 	lies := func(n uint32) []byte { // a value said to be so long, in a message that is whole
-		return message(append([]byte(nil), column...), 'D', func(b []byte) []byte {
+		return appendMessage(append([]byte(nil), column...), 'D', func(b []byte) []byte {
 			return append(binary.BigEndian.AppendUint32(append(b, 0, 1), n), 1)
 		})
 	}
@@ -187,11 +187,11 @@
 		code  dispatch.Code
 	}{
 		{"a message said to be 3 GB", join(told, column, []byte{'D', 0xb2, 0xd0, 0x5e, 0}), nil, dispatch.Malformed},
-		{"a value said to be 3 GB", join(told, lies(3<<30)), ready(nil), dispatch.Malformed},
-		{"parameters without end", told, status(nil, "part", "master"), dispatch.Malformed},
-		{"notices without end", told, message(nil, 'N', func(b []byte) []byte { return append(b, make([]byte, 1000)...) }), dispatch.Malformed},
+		{"a value said to be 3 GB", join(told, lies(3<<30)), appendReady(nil), dispatch.Malformed},
+		{"parameters without end", told, appendParameterStatus(nil, "part", "master"), dispatch.Malformed},
+		{"notices without end", told, appendMessage(nil, 'N', func(b []byte) []byte { return append(b, make([]byte, 1000)...) }), dispatch.Malformed},
 		{"rows without end", join(told, described), described[len(column):], dispatch.Malformed},
-		{"two answers' halves", join(told, described, told, column), ready(nil), dispatch.Malformed},
+		{"two answers' halves", join(told, described, told, column), appendReady(nil), dispatch.Malformed},
 		{"half an answer", join(told, described), nil, dispatch.NoAnswer},
 	} {
 		ended := make(chan struct{}, 16)
@@ -232,7 +232,7 @@
 		r := start(t, func(c net.Conn, b *pgproto3.Backend) {
 			welcome(b)
 			b.Receive()
-			c.Write(status(nil, Platform.Position, "999999999000"))
+			c.Write(appendParameterStatus(nil, Platform.Position, "999999999000"))
 			<-speak
 			c.Write([]byte("noise that is no message"))
 			close(spoken)
@@ -267,16 +267,16 @@
 
 // A host that reports parameters without end does not fill the memory of the session front.
 func TestAHostReportsParametersWithoutEnd(t *testing.T) {
-	f := NewSessions(nil, nil, clock.NewManual(1e12), Platform, SessionLimits{})
-	s := &server{front: f, reported: &params{of: map[string]string{}}}
-	for i := range mostReported {
-		own, ok := s.status(fmt.Appendf(nil, "name%d\x00on\x00", i))
+	f := NewSessionFront(nil, nil, clock.NewManual(1e12), Platform, SessionLimits{})
+	s := &serverConn{front: f, parameters: &parameterSet{values: map[string]string{}}}
+	for i := range maxReportedParameters {
+		own, ok := s.recordParameter(fmt.Appendf(nil, "name%d\x00on\x00", i))
 		require.True(t, ok && !own, i)
 	}
-	_, ok := s.status([]byte("one more\x00on\x00"))
+	_, ok := s.recordParameter([]byte("one more\x00on\x00"))
 	require.False(t, ok)
-	_, ok = s.status([]byte("name7\x00off\x00"))
+	_, ok = s.recordParameter([]byte("name7\x00off\x00"))
 	require.True(t, ok, "one that is known may change")
-	own, ok := s.status([]byte(Platform.Role + "\x00" + Platform.Primary + "\x00"))
+	own, ok := s.recordParameter([]byte(Platform.Role + "\x00" + Platform.Primary + "\x00"))
 	require.True(t, own && ok)
 }
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -18,46 +18,46 @@
 
 // Bounds of the front, in bytes and milliseconds.
 const (
-	maxAhead   = maxQuery + 64<<10 // unread bytes of one client: a query, and what it sends ahead
-	maxUntaken = 20e3              // for which a client may leave its answer in our buffer
-	maxSilent  = 2200              // for which it may keep us waiting for a whole message, or for its first request
-	minIdle    = 100               // after its answer a connection may be closed to make room
-	minSilent  = 100               // and one on which nothing ever came
-	minStay    = 1000              // while a third of the places is taken, no connection stays idle for longer
-	minOnce    = 50                // and none that was used once
-	maxStrikes = 16                // requests in a row that make no sense
-	maxLinger  = 500               // for which a client that was sent away may go on sending
-	lingerMost = 256 << 10         // and how much of that is read
-	gathered   = 16 << 10          // of what is answered at once, that is kept for one write
-	sweepEvery = 50 * time.Millisecond
+	maxUnreadBytes             = maxQueryBytes + 64<<10 // unread bytes of one client: a query, and what it sends ahead
+	maxUnsentMillis            = 20e3                   // for which a client may leave its answer in our buffer
+	maxSilentMillis            = 2200                   // for which it may keep us waiting for a whole message, or for its first request
+	minIdleMillis              = 100                    // after its answer a connection may be closed to make room
+	minSilentMillis            = 100                    // and one on which nothing ever came
+	maxIdleUnderPressureMillis = 1000                   // while a third of the places is taken, no connection stays idle for longer
+	maxIdleUsedOnceMillis      = 50                     // and none that was used once
+	maxInvalidRequests         = 16                     // requests in a row that make no sense
+	maxLingerMillis            = 500                    // for which a client that was sent away may go on sending
+	maxLingerBytes             = 256 << 10              // and how much of that is read
+	replyBatchBytes            = 16 << 10               // of what is answered at once, that is kept for one write
+	sweepInterval              = 50 * time.Millisecond
 )
 
 // FrontLimits bound the front.
 type FrontLimits struct {
-	Clients int     // connections; an eighth of them is kept for telling others that there is no room
-	Bytes   int     // of all clients that are unread
-	After   float64 // what is refused here may come again after so long; 0: no advice
+	Clients          int     // connections; an eighth of them is kept for telling others that there is no room
+	Bytes            int     // of all clients that are unread
+	RetryAfterMillis float64 // what is refused here may come again after so long; 0: no advice
 }
 
 // Front serves clients. Its connections' state belongs to the event loop; requests run on goroutines.
 type Front struct {
-	edge    *edge.Edge
-	limits  atomic.Pointer[FrontLimits]
-	conns   map[*client]gnet.Conn
-	keys    map[uint64]*client // by what a cancel request names
-	unread  int
-	drain   atomic.Bool
-	over    atomic.Bool  // the process is about to end
-	loop    atomic.Value // gnet.EventLoop, once somebody came
-	last    uint32
-	full    loop.ThrottledLog
-	cutOff  loop.ThrottledLog
-	untaken loop.ThrottledLog
+	edge           *edge.Edge
+	limits         atomic.Pointer[FrontLimits]
+	clients        map[*client]gnet.Conn
+	cancelKeys     map[uint64]*client // by what a cancel request names
+	unreadBytes    int
+	draining       atomic.Bool
+	terminating    atomic.Bool  // the process is about to end
+	eventLoop      atomic.Value // gnet.EventLoop, once somebody came
+	lastNumber     uint32
+	clientLimitLog loop.ThrottledLog
+	unreadLimitLog loop.ThrottledLog
+	slowReaderLog  loop.ThrottledLog
 }
 
 // NewFront returns a front that brings requests to e.
 func NewFront(e *edge.Edge, limits FrontLimits) *Front {
-	f := &Front{edge: e, conns: map[*client]gnet.Conn{}, keys: map[uint64]*client{}}
+	f := &Front{edge: e, clients: map[*client]gnet.Conn{}, cancelKeys: map[uint64]*client{}}
 	f.SetLimits(limits)
 	return f
 }
@@ -67,57 +67,57 @@
 
 // Accept makes the handler of a connection; it is called on the event loop.
 func (f *Front) Accept(c gnet.Conn) (loop.Handler, []byte, gnet.Action) {
-	f.loop.CompareAndSwap(nil, c.EventLoop())
-	f.last++
-	h := &client{front: f, number: f.last, since: f.edge.Now()}
+	f.eventLoop.CompareAndSwap(nil, c.EventLoop())
+	f.lastNumber++
+	h := &client{front: f, number: f.lastNumber, lastActive: f.edge.Now()}
 	served := f.limits.Load().Clients * 7 / 8
-	for len(f.conns) >= served && f.makeRoom(h.since) {
+	for len(f.clients) >= served && f.evictLeastUseful(h.lastActive) {
 	}
-	room := len(f.conns) < served
-	if !room && len(f.conns) >= f.limits.Load().Clients {
-		f.full.Printf("front: %d client connections are open, one more is closed", len(f.conns))
+	room := len(f.clients) < served
+	if !room && len(f.clients) >= f.limits.Load().Clients {
+		f.clientLimitLog.Printf("front: %d client connections are open, one more is closed", len(f.clients))
 		return nil, nil, gnet.Close
 	}
-	h.ctx, h.leave = context.WithCancel(context.Background())
-	h.giveUp = func() {} // until it has a request
-	f.conns[h] = c
-	if f.over.Load() {
-		return h, nil, h.farewell(c, stateStarting, "the pooler restarts", "")
+	h.ctx, h.disconnect = context.WithCancel(context.Background())
+	h.cancelRequest = func() {} // until it has a request
+	f.clients[h] = c
+	if f.terminating.Load() {
+		return h, nil, h.closeWithError(c, sqlStateCannotConnectNow, "the pooler restarts", "")
 	}
 	if room {
 		return h, nil, gnet.None
 	}
-	f.full.Printf("front: %d client connections are open and in use, one more is sent away", len(f.conns))
-	return h, nil, h.farewell(c, stateRefused, "too many connections", f.after())
+	f.clientLimitLog.Printf("front: %d client connections are open and in use, one more is sent away", len(f.clients))
+	return h, nil, h.closeWithError(c, sqlStateTooManyConnections, "too many connections", f.retryAfter())
 }
 
-func (f *Front) after() string {
-	after := f.limits.Load().After
+func (f *Front) retryAfter() string {
+	after := f.limits.Load().RetryAfterMillis
 	if after <= 0 {
 		return ""
 	}
 	return strconv.Itoa(int(after))
 }
 
-// makeRoom closes the connection that is missed least: one that was sent away, else one on which nothing ever
+// evictLeastUseful closes the connection that is missed least: one that was sent away, else one on which nothing ever
 // came, else the one that was idle for longest. Connections that asked once and stayed would else fill the table
 // for good, or for the 2 s that are usual: clients that open one for each request do that within a second. A client
 // whose next request crosses the close sends it once more; one that finds no room has lost its request.
-func (f *Front) makeRoom(now float64) bool {
+func (f *Front) evictLeastUseful(now float64) bool {
 	var least *client
 	rank := 0
-	for h, c := range f.conns {
-		r, age := 0, now-h.since
+	for h, c := range f.clients {
+		r, age := 0, now-h.lastActive
 		switch {
-		case h.farewelled:
+		case h.closingWithError:
 			r = 3
-		case !h.parser.started && age >= minSilent && c.InboundBuffered() == 0:
+		case !h.parser.started && age >= minSilentMillis && c.InboundBuffered() == 0:
 			r = 2
-		case !h.busy && h.parser.started && age >= minIdle && c.InboundBuffered() == 0:
+		case !h.requestInFlight && h.parser.started && age >= minIdleMillis && c.InboundBuffered() == 0:
 			r = 1
 		}
-		if r > rank || r > 0 && r == rank && h.since < least.since {
-			if r < 3 && waiting(c) {
+		if r > rank || r > 0 && r == rank && h.lastActive < least.lastActive {
+			if r < 3 && hasUnreadBytes(c) {
 				continue
 			}
 			least, rank = h, r
@@ -126,40 +126,40 @@
 	if least == nil {
 		return false
 	}
-	c := f.conns[least]
+	c := f.clients[least]
 	_ = c.EventLoop().Close(c)
 	return true
 }
 
 // Room is loop.Scarce's.
-func (f *Front) Room() bool { return f.makeRoom(f.edge.Now()) }
+func (f *Front) Room() bool { return f.evictLeastUseful(f.edge.Now()) }
 
 // Reject is loop.Scarce's. What the client has sent is read first: a close over unread bytes is a reset.
 func (f *Front) TurnAway(c gnet.Conn) []byte {
 	b := make([]byte, 4<<10)
 	_, _ = syscall.Read(c.Fd(), b)
-	return failure(nil, "FATAL", stateRefused, "too many connections", f.after())
+	return appendError(nil, "FATAL", sqlStateTooManyConnections, "too many connections", f.retryAfter())
 }
 
-// waiting says whether the kernel holds bytes that were not read yet.
-func waiting(c gnet.Conn) bool {
-	n, err := peek(c)
+// hasUnreadBytes says whether the kernel holds bytes that were not read yet.
+func hasUnreadBytes(c gnet.Conn) bool {
+	n, err := peekSocket(c)
 	return err == nil && n > 0
 }
 
-// pending says whether the kernel holds bytes, or an end, that were not read yet.
-func pending(c gnet.Conn) bool {
-	_, err := peek(c)
+// hasUnreadEvent says whether the kernel holds bytes, or an end, that were not read yet.
+func hasUnreadEvent(c gnet.Conn) bool {
+	_, err := peekSocket(c)
 	return err != syscall.EAGAIN && err != syscall.EINTR
 }
 
-// ended says whether the client's end is the next that the kernel holds.
-func ended(c gnet.Conn) bool {
-	n, err := peek(c)
+// hasEnded says whether the client's end is the next that the kernel holds.
+func hasEnded(c gnet.Conn) bool {
+	n, err := peekSocket(c)
 	return err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
 }
 
-func peek(c gnet.Conn) (int, error) {
+func peekSocket(c gnet.Conn) (int, error) {
 	var b [1]byte
 	n, _, err := syscall.Recvfrom(c.Fd(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	return n, err
@@ -168,9 +168,9 @@
 // Drain closes client connections between requests, now and from now on. One on which nothing was asked yet stays: its
 // client has nowhere else to send its first request, and a close would count as an answer to that.
 func (f *Front) Drain() {
-	f.drain.Store(true)
-	f.each(func(h *client, c gnet.Conn) {
-		if h.asked && h.between(c) {
+	f.draining.Store(true)
+	f.forEachClient(func(h *client, c gnet.Conn) {
+		if h.hasRequested && h.isBetweenRequests(c) {
 			_ = c.EventLoop().Close(c)
 		}
 	})
@@ -178,15 +178,15 @@
 
 // Idle says whether no request is under way or has begun to arrive.
 func (f *Front) Idle() bool {
-	l, ok := f.loop.Load().(gnet.EventLoop)
+	l, ok := f.eventLoop.Load().(gnet.EventLoop)
 	if !ok {
 		return true
 	}
 	idle := make(chan bool, 1)
 	if l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		all := true
-		for h, c := range f.conns {
-			all = all && (h.farewelled || h.between(c))
+		for h, c := range f.clients {
+			all = all && (h.closingWithError || h.isBetweenRequests(c))
 		}
 		idle <- all
 		return nil
@@ -199,42 +199,44 @@
 // Cut gives every request that is open its final answer, an error, and lets no other in: the process is about to end.
 // What a client sent ahead was sent on to nobody, so it is refused: without a word it would be lost.
 func (f *Front) Cut() {
-	f.over.Store(true)
-	f.each(func(h *client, c gnet.Conn) {
-		if h.farewelled {
+	f.terminating.Store(true)
+	f.forEachClient(func(h *client, c gnet.Conn) {
+		if h.closingWithError {
 			return
 		}
-		codes := make([]string, h.ahead(c))
+		codes := make([]string, h.queuedCommands(c))
 		for i := range codes {
-			codes[i] = stateStarting
+			codes[i] = sqlStateCannotConnectNow
 		}
-		if h.busy {
-			h.busy = false
-			h.leave() // what came of the request now is written no more
-			codes = append([]string{stateShutdown}, codes...)
+		if h.requestInFlight {
+			h.requestInFlight = false
+			h.disconnect() // what came of the request now is written no more
+			codes = append([]string{sqlStateAdminShutdown}, codes...)
 		}
 		if len(codes) == 0 { // the next request may be on its way
-			codes = append(codes, stateStarting)
+			codes = append(codes, sqlStateCannotConnectNow)
 		}
-		text := map[string]string{stateStarting: "the pooler restarts", stateShutdown: "the pooler restarts; the request may have run"}
+		text := map[string]string{sqlStateCannotConnectNow: "the pooler restarts", sqlStateAdminShutdown: "the pooler restarts; the request may have run"}
 		last := len(codes) - 1
 		for _, code := range codes[:last] {
-			h.write(c, ready(failure(nil, "ERROR", code, text[code], "")))
+			h.write(c, appendReady(appendError(nil, "ERROR", code, text[code], "")))
 		}
-		if h.farewell(c, codes[last], text[codes[last]], "") == gnet.Close {
+		if h.closeWithError(c, codes[last], text[codes[last]], "") == gnet.Close {
 			_ = c.EventLoop().Close(c)
 		}
 	})
 }
 
-// between says whether the client's last request has its answer and nothing of another has come, to the kernel either.
-func (h *client) between(c gnet.Conn) bool { return !h.busy && c.InboundBuffered() == 0 && !waiting(c) }
+// isBetweenRequests says whether the client's last request has its answer and nothing of another has come, to the kernel either.
+func (h *client) isBetweenRequests(c gnet.Conn) bool {
+	return !h.requestInFlight && c.InboundBuffered() == 0 && !hasUnreadBytes(c)
+}
 
-// ahead is how many commands wait whole for an answer, behind the one under way; what only the kernel has is read.
-func (h *client) ahead(c gnet.Conn) (n int) {
+// queuedCommands is how many commands wait whole for an answer, behind the one under way; what only the kernel has is read.
+func (h *client) queuedCommands(c gnet.Conn) (n int) {
 	held, _ := c.Peek(c.InboundBuffered())
 	b := append([]byte(nil), held...)
-	for more := make([]byte, 16<<10); len(b) <= maxAhead; {
+	for more := make([]byte, 16<<10); len(b) <= maxUnreadBytes; {
 		n, err := syscall.Read(c.Fd(), more)
 		if err != nil || n <= 0 {
 			break
@@ -244,7 +246,7 @@
 	for p := h.parser; ; {
 		command := p.Next(b)
 		switch command.Kind {
-		case Incomplete, End, Cancel, Broken:
+		case Incomplete, Terminate, Cancel, Malformed:
 			return n
 		case Query, Sync, Function:
 			n++
@@ -253,171 +255,171 @@
 	}
 }
 
-// each does something on the loop for every connection.
-func (f *Front) each(do func(h *client, c gnet.Conn)) {
-	l, ok := f.loop.Load().(gnet.EventLoop)
+// forEachClient does something on the loop for every connection.
+func (f *Front) forEachClient(do func(h *client, c gnet.Conn)) {
+	l, ok := f.eventLoop.Load().(gnet.EventLoop)
 	if !ok {
 		return // nobody ever came
 	}
 	_ = l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
-		for h, c := range f.conns {
+		for h, c := range f.clients {
 			do(h, c)
 		}
 		return nil
 	}))
 }
 
-// Sweep sends away clients that keep us waiting; call it every SweepEvery.
+// Sweep sends away clients that keep us waiting; call it every SweepInterval.
 func (f *Front) Sweep() {
 	now := f.edge.Now()
 	many := f.limits.Load().Clients / 5
-	f.each(func(h *client, c gnet.Conn) {
-		idle := now - h.since
+	f.forEachClient(func(h *client, c gnet.Conn) {
+		idle := now - h.lastActive
 		switch {
-		case !h.busy && h.asked && len(f.conns) > many && c.InboundBuffered() == 0 &&
-			(idle >= minStay || h.requests == 1 && idle >= minOnce):
-			if !waiting(c) {
+		case !h.requestInFlight && h.hasRequested && len(f.clients) > many && c.InboundBuffered() == 0 &&
+			(idle >= maxIdleUnderPressureMillis || h.requestCount == 1 && idle >= maxIdleUsedOnceMillis):
+			if !hasUnreadBytes(c) {
 				_ = c.EventLoop().Close(c)
 			}
-		case h.farewelled:
-			if now-h.since > maxLinger {
+		case h.closingWithError:
+			if now-h.lastActive > maxLingerMillis {
 				_ = c.EventLoop().Close(c)
 			}
-		case h.busy:
-		case !h.asked && now-h.since > maxSilent, h.partial > 0 && now-h.partial > maxSilent:
-			if !waiting(c) && h.farewell(c, stateInvalid, "no whole message came in time", "") == gnet.Close {
+		case h.requestInFlight:
+		case !h.hasRequested && now-h.lastActive > maxSilentMillis, h.partialSince > 0 && now-h.partialSince > maxSilentMillis:
+			if !hasUnreadBytes(c) && h.closeWithError(c, sqlStateProtocolViolation, "no whole message came in time", "") == gnet.Close {
 				_ = c.EventLoop().Close(c)
 			}
 		}
 	})
 }
 
-// SweepEvery is the pace of Sweep.
-const SweepEvery = sweepEvery
+// SweepInterval is the pace of Sweep.
+const SweepInterval = sweepInterval
 
 // client is one connection. A request at a time is under way; what is sent ahead of its answer waits in the
 // connection's ring buffer, so answers come in the order of the commands.
 type client struct {
-	front      *Front
-	number     uint32
-	since      float64 // it was opened, answered or sent away
-	partial    float64 // since when a message is not whole; 0: none is
-	parser     Parser
-	asked      bool // it had a request
-	requests   int  // how many
-	busy       bool
-	farewelled bool // it was told to go: what it still sends is not read
-	strikes    int
-	unread     int
-	lingered   int
-	gathers    bool // answers wait in out, to go together
-	out        []byte
-	ctx        context.Context // ends when the client goes away
-	leave      context.CancelFunc
-	key        uint64             // for cancel requests; 0: none was given out
-	giveUp     context.CancelFunc // ends the request under way alone
-	behind     behind             // what waits behind it
+	front            *Front
+	number           uint32
+	lastActive       float64 // it was opened, answered or sent away
+	partialSince     float64 // since when a message is not whole; 0: none is
+	parser           Parser
+	hasRequested     bool // it had a request
+	requestCount     int  // how many
+	requestInFlight  bool
+	closingWithError bool // it was told to go: what it still sends is not read
+	invalidRequests  int
+	unreadBytes      int
+	lingeredBytes    int
+	batching         bool // answers wait in out, to go together
+	batch            []byte
+	ctx              context.Context // ends when the client goes away
+	disconnect       context.CancelFunc
+	cancelKey        uint64             // for cancel requests; 0: none was given out
+	cancelRequest    context.CancelFunc // ends the request under way alone
+	readAhead        readAhead          // what waits behind it
 }
 
 // Traffic is called on the loop.
 func (h *client) Traffic(c gnet.Conn) gnet.Action {
-	if h.farewelled {
+	if h.closingWithError {
 		if !h.parser.started { // who found no room may still cancel what is under way elsewhere
-			h.cancel(c)
+			h.handleLateCancel(c)
 		}
-		h.lingered += c.InboundBuffered()
-		if _, _ = c.Discard(-1); h.lingered > lingerMost {
+		h.lingeredBytes += c.InboundBuffered()
+		if _, _ = c.Discard(-1); h.lingeredBytes > maxLingerBytes {
 			return gnet.Close
 		}
 		return gnet.None
 	}
-	action := h.read(c)
-	if action == gnet.None && h.busy && h.behind.goodbye(c.InboundBuffered(), c.Peek, maxQuery) {
+	action := h.readCommands(c)
+	if action == gnet.None && h.requestInFlight && h.readAhead.hasTerminate(c.InboundBuffered(), c.Peek, maxQueryBytes) {
 		return gnet.Close
 	}
 	f := h.front
-	f.unread += c.InboundBuffered() - h.unread
-	h.unread = c.InboundBuffered()
-	if h.unread > maxAhead {
-		f.cutOff.Printf("front: a client is cut off with %d bytes unread", h.unread)
+	f.unreadBytes += c.InboundBuffered() - h.unreadBytes
+	h.unreadBytes = c.InboundBuffered()
+	if h.unreadBytes > maxUnreadBytes {
+		f.unreadLimitLog.Printf("front: a client is cut off with %d bytes unread", h.unreadBytes)
 		return gnet.Close
 	}
-	if f.unread > f.limits.Load().Bytes {
-		return f.cutLongest(h, action)
+	if f.unreadBytes > f.limits.Load().Bytes {
+		return f.closeLargestReader(h, action)
 	}
 	return action
 }
 
-// cutLongest cuts off whoever has most unread: the client that happens to speak may have a small part in it.
-func (f *Front) cutLongest(speaker *client, action gnet.Action) gnet.Action {
+// closeLargestReader cuts off whoever has most unread: the client that happens to speak may have a small part in it.
+func (f *Front) closeLargestReader(speaker *client, action gnet.Action) gnet.Action {
 	most := speaker
-	for h := range f.conns {
-		if h.unread > most.unread {
+	for h := range f.clients {
+		if h.unreadBytes > most.unreadBytes {
 			most = h
 		}
 	}
-	f.cutOff.Printf("front: a client is cut off with %d bytes unread, %d of all clients", most.unread, f.unread)
+	f.unreadLimitLog.Printf("front: a client is cut off with %d bytes unread, %d of all clients", most.unreadBytes, f.unreadBytes)
 	if most == speaker {
 		return gnet.Close
 	}
-	c := f.conns[most]
+	c := f.clients[most]
 	_ = c.EventLoop().Close(c)
 	return action
 }
 
 // Closed is called on the loop.
 func (h *client) Closed(gnet.Conn, error) {
-	h.leave()
-	delete(h.front.keys, h.key)
-	h.front.unread -= h.unread
-	h.unread = 0
-	delete(h.front.conns, h)
+	h.disconnect()
+	delete(h.front.cancelKeys, h.cancelKey)
+	h.front.unreadBytes -= h.unreadBytes
+	h.unreadBytes = 0
+	delete(h.front.clients, h)
 }
 
-// farewell tells a client why it has to go and ends our side. The connection stays for a moment, in which what
+// closeWithError tells a client why it has to go and ends our side. The connection stays for a moment, in which what
 // the client still sends is thrown away: closed at once, it would be reset, and a reset can eat the error.
-func (h *client) farewell(c gnet.Conn, state, text, detail string) gnet.Action {
-	h.write(c, failure(nil, "FATAL", state, text, detail))
+func (h *client) closeWithError(c gnet.Conn, state, text, detail string) gnet.Action {
+	h.write(c, appendError(nil, "FATAL", state, text, detail))
 	h.flush(c)
 	if c.OutboundBuffered() > 0 || syscall.Shutdown(c.Fd(), syscall.SHUT_WR) != nil {
 		return gnet.Close
 	}
-	h.farewelled, h.since = true, h.front.edge.Now()
+	h.closingWithError, h.lastActive = true, h.front.edge.Now()
 	_, _ = c.Discard(-1)
 	return gnet.None
 }
 
-// read takes messages until one starts a request or no whole one is left. What is answered at once goes out together:
+// readCommands takes messages until one starts a request or no whole one is left. What is answered at once goes out together:
 // with a system call for each, a client that sends thousands ahead would hold the loop, and every other client with it.
-func (h *client) read(c gnet.Conn) gnet.Action {
+func (h *client) readCommands(c gnet.Conn) gnet.Action {
 	all, err := c.Peek(c.InboundBuffered())
 	if err != nil {
 		return gnet.Close
 	}
-	h.gathers = true
+	h.batching = true
 	b, action := all, gnet.None
-	for action == gnet.None && !h.busy && !h.farewelled && len(b) > 0 {
+	for action == gnet.None && !h.requestInFlight && !h.closingWithError && len(b) > 0 {
 		command := h.parser.Next(b)
 		if command.Kind == Incomplete {
 			break
 		}
 		b = b[command.Used:]
-		if action = h.handle(c, &command); h.strikes > maxStrikes && action == gnet.None && !h.farewelled {
-			action = h.farewell(c, stateInvalid, "too many requests that make no sense", "")
+		if action = h.handle(c, &command); h.invalidRequests > maxInvalidRequests && action == gnet.None && !h.closingWithError {
+			action = h.closeWithError(c, sqlStateProtocolViolation, "too many requests that make no sense", "")
 		}
-		if len(h.out) > gathered {
+		if len(h.batch) > replyBatchBytes {
 			if h.flush(c); h.ctx.Err() != nil { // it has gone, and its buffers with it
 				return gnet.None
 			}
-			if h.gathers = true; c.OutboundBuffered() > maxAhead { // short answers to one that does not read
+			if h.batching = true; c.OutboundBuffered() > maxUnreadBytes { // short answers to one that does not read
 				action = gnet.Close
 			}
 		}
 	}
-	if h.flush(c); h.ctx.Err() != nil || h.farewelled || action == gnet.Close {
+	if h.flush(c); h.ctx.Err() != nil || h.closingWithError || action == gnet.Close {
 		return action
 	}
-	if c.OutboundBuffered() > maxAhead {
+	if c.OutboundBuffered() > maxUnreadBytes {
 		return gnet.Close
 	}
 	used := len(all) - len(b)
@@ -425,20 +427,20 @@
 		_, _ = c.Discard(used)
 	}
 	switch {
-	case h.busy || len(b) == 0:
-		h.partial = 0
-	case h.partial == 0 || len(b) < len(all): // another message than the one that was not whole
-		h.partial = h.front.edge.Now()
+	case h.requestInFlight || len(b) == 0:
+		h.partialSince = 0
+	case h.partialSince == 0 || len(b) < len(all): // another message than the one that was not whole
+		h.partialSince = h.front.edge.Now()
 	}
-	if used > 0 && h.front.drain.Load() && h.asked && h.between(c) {
+	if used > 0 && h.front.draining.Load() && h.hasRequested && h.isBetweenRequests(c) {
 		return gnet.Close
 	}
 	return gnet.None
 }
 
 func (h *client) write(c gnet.Conn, b []byte) {
-	if h.gathers {
-		h.out = append(h.out, b...)
+	if h.batching {
+		h.batch = append(h.batch, b...)
 		return
 	}
 	_, _ = c.Write(b)
@@ -446,8 +448,8 @@
 
 // flush ends the gathering of what is answered at once.
 func (h *client) flush(c gnet.Conn) {
-	out := h.out
-	h.gathers, h.out = false, nil
+	out := h.batch
+	h.batching, h.batch = false, nil
 	if len(out) > 0 {
 		_, _ = c.Write(out)
 	}
@@ -456,44 +458,44 @@
 // handle answers a command at once, or starts a request.
 func (h *client) handle(c gnet.Conn, command *Command) gnet.Action {
 	switch command.Kind {
-	case Encrypt:
-		h.strikes++
+	case EncryptionRequest:
+		h.invalidRequests++
 		h.write(c, []byte{'N'}) // as it is, in plain text
 	case Startup:
-		h.key = cancelKey(h.number)
-		h.front.keys[h.key] = h
-		h.write(c, Welcome(h.key, command.Minor))
+		h.cancelKey = newCancelKey(h.number)
+		h.front.cancelKeys[h.cancelKey] = h
+		h.write(c, Greeting(h.cancelKey, command.Minor))
 	case Sync:
-		h.write(c, ready(nil))
+		h.write(c, appendReady(nil))
 	case Extended:
-		h.strikes++
-		h.write(c, failure(nil, "ERROR", stateUnknown, "simple queries only", ""))
+		h.invalidRequests++
+		h.write(c, appendError(nil, "ERROR", sqlStateFeatureNotSupported, "simple queries only", ""))
 	case Function:
-		h.strikes++
-		h.write(c, ready(failure(nil, "ERROR", stateUnknown, "simple queries only", "")))
+		h.invalidRequests++
+		h.write(c, appendReady(appendError(nil, "ERROR", sqlStateFeatureNotSupported, "simple queries only", "")))
 	case Query:
-		if ended(c) { // it came with its client's end: nobody waits for it
+		if hasEnded(c) { // it came with its client's end: nobody waits for it
 			return gnet.Close
 		}
-		h.query(c, command.Text)
-	case End:
+		h.handleQuery(c, command.Text)
+	case Terminate:
 		return gnet.Close
 	case Cancel:
 		h.front.cancel(command.Key)
 		return gnet.Close
-	case Broken:
-		return h.farewell(c, stateInvalid, command.Text, "")
+	case Malformed:
+		return h.closeWithError(c, sqlStateProtocolViolation, command.Text, "")
 	}
 	return gnet.None
 }
 
-// Welcome answers a startup message; key is what a cancel request has to name.
-func Welcome(key uint64, minor bool) []byte {
+// Greeting answers a startup message; key is what a cancel request has to name.
+func Greeting(key uint64, minor bool) []byte {
 	var out []byte
 	if minor { // a later minor version: say that 3.0 is what there is
-		out = message(out, 'v', func(b []byte) []byte { return append(b, 0, 3, 0, 0, 0, 0, 0, 0) })
+		out = appendMessage(out, 'v', func(b []byte) []byte { return append(b, 0, 3, 0, 0, 0, 0, 0, 0) })
 	}
-	out = message(out, 'R', func(b []byte) []byte { return append(b, 0, 0, 0, 0) })
+	out = appendMessage(out, 'R', func(b []byte) []byte { return append(b, 0, 0, 0, 0) })
 	for _, s := range [...][2]string{
 		{"server_version", "15.0 (ashstand)"},
 		{"server_encoding", "UTF8"},
@@ -501,16 +503,16 @@
 		{"integer_datetimes", "on"},
 		{"standard_conforming_strings", "on"},
 	} {
-		out = status(out, s[0], s[1])
+		out = appendParameterStatus(out, s[0], s[1])
 	}
-	out = message(out, 'K', func(b []byte) []byte {
+	out = appendMessage(out, 'K', func(b []byte) []byte {
 		return binary.BigEndian.AppendUint64(b, key)
 	})
-	return ready(out)
+	return appendReady(out)
 }
 
-// cancel takes a cancel request on a connection that is served no more.
-func (h *client) cancel(c gnet.Conn) {
+// handleLateCancel takes a cancel request on a connection that is served no more.
+func (h *client) handleLateCancel(c gnet.Conn) {
 	if b, err := c.Peek(c.InboundBuffered()); err == nil {
 		if command := new(Parser).Next(b); command.Kind == Cancel {
 			h.front.cancel(command.Key)
@@ -521,45 +523,45 @@
 // cancel gives up the request that is under way on the connection with this key. Its client gets an error, and what it
 // sent ahead is served. A key that was not given out here does nothing: it may be another pooler's.
 func (f *Front) cancel(key uint64) {
-	if h := f.keys[key]; h != nil && h.busy {
-		h.giveUp()
+	if h := f.cancelKeys[key]; h != nil && h.requestInFlight {
+		h.cancelRequest()
 	}
 }
 
-// query starts a request, or answers at once what is none.
-func (h *client) query(c gnet.Conn, text string) {
+// handleQuery starts a request, or answers at once what is none.
+func (h *client) handleQuery(c gnet.Conn, text string) {
 	f := h.front
-	h.asked = true
-	h.requests++
-	h.since = f.edge.Now()
+	h.hasRequested = true
+	h.requestCount++
+	h.lastActive = f.edge.Now()
 	word, _, _ := strings.Cut(strings.Trim(text, " \t\r\n;"), " ")
 	var out []byte
 	switch word = strings.ToUpper(word); {
 	case !f.edge.Ready():
-		out = failure(out, "ERROR", stateStarting, "no list of hosts is held yet", "")
+		out = appendError(out, "ERROR", sqlStateCannotConnectNow, "no list of hosts is held yet", "")
 	case word == "":
-		out = message(out, 'I', func(b []byte) []byte { return b })
+		out = appendMessage(out, 'I', func(b []byte) []byte { return b })
 	case word == "SET" || word == "RESET" || word == "DISCARD":
-		out = complete(out, word)
+		out = appendCommandComplete(out, word)
 	default:
 		s, err := sqlcomment.Parse(text)
 		switch {
 		case err != nil:
-			h.strikes++
-			out = failure(out, "ERROR", stateInvalid, err.Error(), "")
+			h.invalidRequests++
+			out = appendError(out, "ERROR", sqlStateProtocolViolation, err.Error(), "")
 		default:
 			refused := f.edge.Begin(&s)
 			if refused == nil {
 				var ctx context.Context
-				ctx, h.giveUp = context.WithCancel(h.ctx)
-				h.busy, h.behind = true, behind{}
-				go h.serve(ctx, c, s, h.since)
+				ctx, h.cancelRequest = context.WithCancel(h.ctx)
+				h.requestInFlight, h.readAhead = true, readAhead{}
+				go h.serve(ctx, c, s, h.lastActive)
 				return
 			}
-			out = reply(refused)
+			out = encodeResult(refused)
 		}
 	}
-	h.write(c, ready(out))
+	h.write(c, appendReady(out))
 }
 
 // serve runs on a goroutine of its own, which ends as soon as the answer is on its way to the loop: writing it and
@@ -574,8 +576,8 @@
 		}
 		result = edge.Result{Verdict: edge.TimedOut, Detail: "canceling statement due to user request"}
 	}
-	reply := Reply(&result)
-	if h.front.loop.Load().(gnet.EventLoop).Execute(h.ctx, gnet.RunnableFunc(func(context.Context) error {
+	reply := EncodeResult(&result)
+	if h.front.eventLoop.Load().(gnet.EventLoop).Execute(h.ctx, gnet.RunnableFunc(func(context.Context) error {
 		if h.ctx.Err() != nil {
 			e.End(&s)
 			return nil
@@ -583,18 +585,18 @@
 		h.write(c, reply)
 		if h.ctx.Err() != nil || c.OutboundBuffered() == 0 {
 			e.End(&s)
-			h.next(c, result.Verdict)
+			h.finishRequest(c, result.Verdict)
 			return nil
 		}
 		// The next command waits until this answer is out, so a client that does not read holds up itself alone
 		// and an answer is not cut by a close.
 		go func() {
 			defer e.End(&s)
-			if !h.flushed(c) {
+			if !h.awaitFlush(c) {
 				_ = c.Close()
 				return
 			}
-			_ = h.run(c, func() { h.next(c, result.Verdict) })
+			_ = h.runOnLoop(c, func() { h.finishRequest(c, result.Verdict) })
 		}()
 		return nil
 	})) != nil {
@@ -603,27 +605,27 @@
 	}
 }
 
-// next takes the next command, once the answer to the last one is out. It runs on the loop.
-func (h *client) next(c gnet.Conn, verdict edge.Verdict) {
+// finishRequest takes the next command, once the answer to the last one is out. It runs on the loop.
+func (h *client) finishRequest(c gnet.Conn, verdict edge.Verdict) {
 	if h.ctx.Err() != nil {
 		return
 	}
-	h.giveUp()
-	h.busy, h.since = false, h.front.edge.Now()
-	if h.strikes++; verdict != edge.Invalid {
-		h.strikes = 0
+	h.cancelRequest()
+	h.requestInFlight, h.lastActive = false, h.front.edge.Now()
+	if h.invalidRequests++; verdict != edge.Invalid {
+		h.invalidRequests = 0
 	}
-	if h.unread > 0 { // what was sent ahead is waiting, and was taken
+	if h.unreadBytes > 0 { // what was sent ahead is waiting, and was taken
 		_ = c.Wake(nil)
-	} else if h.front.drain.Load() && !waiting(c) { // closed with bytes unread, it would be reset
+	} else if h.front.draining.Load() && !hasUnreadBytes(c) { // closed with bytes unread, it would be reset
 		_ = c.Close()
 	}
 }
 
-// run does something on the loop and waits for it; nothing once the client has gone.
-func (h *client) run(c gnet.Conn, do func()) error {
+// runOnLoop does something on the loop and waits for it; nothing once the client has gone.
+func (h *client) runOnLoop(c gnet.Conn, do func()) error {
 	done := make(chan struct{})
-	err := h.front.loop.Load().(gnet.EventLoop).Execute(h.ctx, gnet.RunnableFunc(func(context.Context) error {
+	err := h.front.eventLoop.Load().(gnet.EventLoop).Execute(h.ctx, gnet.RunnableFunc(func(context.Context) error {
 		defer close(done)
 		if h.ctx.Err() == nil {
 			do()
@@ -636,11 +638,11 @@
 	return err
 }
 
-// flushed waits until the client has taken its answer. false: it does not, or has gone.
-func (h *client) flushed(c gnet.Conn) bool {
-	for t := h.front.edge.Now(); h.front.edge.Now()-t < maxUntaken; {
+// awaitFlush waits until the client has taken its answer. false: it does not, or has gone.
+func (h *client) awaitFlush(c gnet.Conn) bool {
+	for t := h.front.edge.Now(); h.front.edge.Now()-t < maxUnsentMillis; {
 		left := 0
-		if h.ctx.Err() != nil || h.run(c, func() { left = c.OutboundBuffered() }) != nil {
+		if h.ctx.Err() != nil || h.runOnLoop(c, func() { left = c.OutboundBuffered() }) != nil {
 			return false
 		}
 		if left == 0 {
@@ -648,19 +650,19 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	h.front.untaken.Printf("front: a client that does not take its answer is cut off")
+	h.front.slowReaderLog.Printf("front: a client that does not take its answer is cut off")
 	return false
 }
 
-// Reply words a final answer, up to ReadyForQuery.
-func Reply(r *edge.Result) []byte { return ready(reply(r)) }
+// EncodeResult words a final answer, up to ReadyForQuery.
+func EncodeResult(r *edge.Result) []byte { return appendReady(encodeResult(r)) }
 
-func reply(r *edge.Result) []byte {
+func encodeResult(r *edge.Result) []byte {
 	switch r.Verdict {
 	case edge.Served:
-		b := row(make([]byte, 0, len(r.Answer.Value)+160), &r.Answer)
+		b := appendRow(make([]byte, 0, len(r.Answer.Value)+160), &r.Answer)
 		if r.Answer.Position > 0 { // for sessions that carry their last commit
-			b = status(b, Platform.Position, strconv.FormatFloat(r.Answer.Position, 'f', -1, 64))
+			b = appendParameterStatus(b, Platform.Position, strconv.FormatFloat(r.Answer.Position, 'f', -1, 64))
 		}
 		return b
 	case edge.Rejected:
@@ -668,11 +670,11 @@
 		if r.RetryAfterMillis > 0 {
 			detail = strconv.Itoa(int(r.RetryAfterMillis + 0.999))
 		}
-		return failure(nil, "ERROR", stateRefused, r.Detail, detail)
+		return appendError(nil, "ERROR", sqlStateTooManyConnections, r.Detail, detail)
 	case edge.TimedOut:
-		return failure(nil, "ERROR", stateTimeout, r.Detail, "")
+		return appendError(nil, "ERROR", sqlStateQueryCanceled, r.Detail, "")
 	case edge.Invalid:
-		return failure(nil, "ERROR", stateInvalid, r.Detail, "")
+		return appendError(nil, "ERROR", sqlStateProtocolViolation, r.Detail, "")
 	}
-	return failure(nil, "ERROR", stateFailed, r.Detail, "")
+	return appendError(nil, "ERROR", sqlStateConnectionFailure, r.Detail, "")
 }
--- a/internal/net/pg/front_test.go
+++ b/internal/net/pg/front_test.go
@@ -47,7 +47,7 @@
 	f.UpdateEndpoints(true, []dispatch.Endpoint{{Host: "h", Group: 1}})
 	d.facade = f
 	core := edge.New(f, d.clock, nowhere{})
-	core.SetLimits(edge.Limits{StatementBytes: limits.Bytes, RetryAfterMillis: limits.After})
+	core.SetLimits(edge.Limits{StatementBytes: limits.Bytes, RetryAfterMillis: limits.RetryAfterMillis})
 	d.Front = NewFront(core, limits)
 	l, err := net.Listen("tcp", "127.0.0.1:0") // a port that was free a moment ago
 	require.NoError(t, err)
@@ -62,12 +62,12 @@
 // count counts clients on the loop.
 func (d *door) count(which func(*client) bool) int {
 	n := make(chan int, 1)
-	if d.loop.Load() == nil {
+	if d.eventLoop.Load() == nil {
 		return 0
 	}
-	_ = d.loop.Load().(gnet.EventLoop).Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+	_ = d.eventLoop.Load().(gnet.EventLoop).Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		sum := 0
-		for h := range d.conns {
+		for h := range d.clients {
 			if which(h) {
 				sum++
 			}
@@ -87,9 +87,9 @@
 	if len(queries) == 0 {
 		return c
 	}
-	b := startup(nil, "web", "orders")
+	b := appendStartup(nil, "web", "orders")
 	for _, q := range queries {
-		b = query(b, func(b []byte) []byte { return append(b, q...) })
+		b = appendQuery(b, func(b []byte) []byte { return append(b, q...) })
 	}
 	_, err = c.Write(b)
 	require.NoError(t, err)
@@ -117,7 +117,7 @@
 
 // Guards against a table that clients fill which asked once and stayed, or which never say a word.
 func TestConnectionsInNoUseMakeRoom(t *testing.T) {
-	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20, After: 300})
+	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20, RetryAfterMillis: 300})
 	var stayed []net.Conn
 	for i := range 14 {
 		c := d.call(t, "")
@@ -126,7 +126,7 @@
 		stayed = append(stayed, c)
 	}
 	require.Equal(t, []string{"FATAL 53300 300"}, errorsOf(t, d.call(t, ""), 0), "none may be closed yet: told, and when to come back")
-	d.clock.Advance(minIdle)
+	d.clock.Advance(minIdleMillis)
 	require.Equal(t, []string{"empty"}, errorsOf(t, d.call(t, ""), 1))
 	_, err := io.ReadAll(stayed[0])
 	require.NoError(t, err, "the one idle for longest has gone")
@@ -135,7 +135,7 @@
 		silent.call(t)
 	}
 	require.Equal(t, []string{"FATAL 53300 "}, errorsOf(t, silent.call(t, ""), 0))
-	silent.clock.Advance(minSilent)
+	silent.clock.Advance(minSilentMillis)
 	require.Equal(t, []string{"empty"}, errorsOf(t, silent.call(t, ""), 1))
 }
 
@@ -150,14 +150,14 @@
 	half.Write([]byte{'Q', 0, 0, 1, 0, 'S'})
 	half.Write(nil)
 	require.Eventually(t, func() bool {
-		return d.count(func(h *client) bool { return h.partial > 0 }) == 1 && d.count(func(*client) bool { return true }) == 4
+		return d.count(func(h *client) bool { return h.partialSince > 0 }) == 1 && d.count(func(*client) bool { return true }) == 4
 	}, 10*time.Second, time.Millisecond)
 	d.Sweep()
-	d.clock.Advance(maxSilent + 1)
+	d.clock.Advance(maxSilentMillis + 1)
 	d.Sweep()
 	require.Equal(t, []string{"FATAL 08P01 "}, errorsOf(t, silent, 0))
 	require.Equal(t, []string{"FATAL 08P01 "}, errorsOf(t, half, 0))
-	_, err := good.Write(query(nil, func(b []byte) []byte { return b }))
+	_, err := good.Write(appendQuery(nil, func(b []byte) []byte { return b }))
 	require.NoError(t, err)
 	require.Equal(t, []string{"empty"}, errorsOf(t, good, 1), "who asked and is idle keeps its connection while there is room")
 }
@@ -171,13 +171,13 @@
 	for range 9 {
 		errorsOf(t, d.call(t, ""), 1)
 	}
-	d.clock.Advance(minOnce)
+	d.clock.Advance(maxIdleUsedOnceMillis)
 	d.Sweep()
 	require.Equal(t, 4, d.count(func(*client) bool { return true }), "down to a fifth of the places")
-	_, err := used.Write(query(nil, func(b []byte) []byte { return b }))
+	_, err := used.Write(appendQuery(nil, func(b []byte) []byte { return b }))
 	require.NoError(t, err)
 	require.Equal(t, []string{"empty"}, errorsOf(t, used, 1), "who used it again keeps it")
-	d.clock.Advance(10 * minStay)
+	d.clock.Advance(10 * maxIdleUnderPressureMillis)
 	d.Sweep()
 	require.Equal(t, 4, d.count(func(*client) bool { return true }), "few are open, so they stay")
 }
@@ -189,23 +189,23 @@
 	_, err := huge.Write(append([]byte{'Q', 3, 0x93, 0x87, 0}, make([]byte, 100<<10)...)) // 60 MB are announced
 	require.NoError(t, err)
 	require.Equal(t, []string{"empty", "FATAL 08P01 "}, errorsOf(t, huge, 0), "read to its end, without a reset")
-	again := make([]string, 3*maxStrikes)
+	again := make([]string, 3*maxInvalidRequests)
 	for i := range again {
 		again[i] = "SELECT 1"
 	}
 	got := errorsOf(t, d.call(t, again...), 0)
-	require.Len(t, got, maxStrikes+2)
+	require.Len(t, got, maxInvalidRequests+2)
 	require.Equal(t, "FATAL 08P01 ", got[len(got)-1])
 }
 
 // Guards against clients that together hold more than the process has; who holds most goes.
 func TestMemoryOfAllClientsIsBounded(t *testing.T) {
-	d := listen(t, FrontLimits{Clients: 16, Bytes: 100 << 10, After: 300})
+	d := listen(t, FrontLimits{Clients: 16, Bytes: 100 << 10, RetryAfterMillis: 300})
 	long := func(id byte) string {
 		return "/* id=" + string(id) + ",c=report,d=20000,cluster=1 */ SELECT '" + string(bytes.Repeat([]byte{'x'}, 60<<10))
 	}
 	d.call(t, long('a'))
-	require.Eventually(t, func() bool { return d.count(func(h *client) bool { return h.busy }) == 1 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return d.count(func(h *client) bool { return h.requestInFlight }) == 1 }, 10*time.Second, time.Millisecond)
 	require.Equal(t, []string{"ERROR 53300 300"}, errorsOf(t, d.call(t, long('b')), 1))
 	hog, small := d.call(t, ""), d.call(t, "")
 	errorsOf(t, hog, 1)
@@ -230,7 +230,7 @@
 	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20})
 	text := func(id string) string { return "/* id=" + id + ",c=report,d=20000,cluster=1 */ SELECT 'k'" }
 	asked, fresh, half, busy := d.call(t, ""), d.call(t), d.call(t, ""), d.call(t, text("a"), text("b"), text("c"))
-	_, err := fresh.Write(startup(nil, "web", "orders"))
+	_, err := fresh.Write(appendStartup(nil, "web", "orders"))
 	require.NoError(t, err)
 	errorsOf(t, asked, 1)
 	errorsOf(t, half, 1)
@@ -241,14 +241,14 @@
 	}
 	require.Eventually(t, func() bool {
 		return d.count(func(h *client) bool {
-			return h.parser.started && (h.partial > 0 || h.busy && h.unread > len(part) || !h.asked)
+			return h.parser.started && (h.partialSince > 0 || h.requestInFlight && h.unreadBytes > len(part) || !h.hasRequested)
 		}) == 3
 	}, 10*time.Second, time.Millisecond)
 	d.Drain()
 	_, err = io.ReadAll(asked)
 	require.NoError(t, err, "closed between requests")
 	require.False(t, d.Idle(), "half a request is one that comes")
-	_, err = fresh.Write(query(nil, func(b []byte) []byte { return b }))
+	_, err = fresh.Write(appendQuery(nil, func(b []byte) []byte { return b }))
 	require.NoError(t, err)
 	require.Equal(t, []string{"empty"}, errorsOf(t, fresh, 0), "its first request is answered, then it is closed")
 	d.Cut()
--- a/internal/net/pg/golden_test.go
+++ b/internal/net/pg/golden_test.go
@@ -72,9 +72,9 @@
 		if text == "N" { // the answer to a request for encryption is no message
 			continue
 		}
-		kind, body, rest, ok, err := next([]byte(text), 1<<20)
+		kind, body, rest, ok, err := nextMessage([]byte(text), 1<<20)
 		require.True(s.t, ok && err == nil && len(rest) == 0, line)
-		require.Equal(s.t, text, string(message(nil, kind, func(b []byte) []byte { return append(b, body...) })))
+		require.Equal(s.t, text, string(appendMessage(nil, kind, func(b []byte) []byte { return append(b, body...) })))
 	}
 }
 
@@ -117,7 +117,7 @@
 func (c *scripted) hear(until string) *scripted {
 	buffer := make([]byte, 16<<10)
 	for {
-		kind, body, rest, ok, err := next(c.in, 1<<20)
+		kind, body, rest, ok, err := nextMessage(c.in, 1<<20)
 		require.NoError(c.t, err)
 		if ok {
 			m := append([]byte(nil), c.in[:len(c.in)-len(rest)]...)
@@ -143,14 +143,14 @@
 }
 
 // begin starts a session.
-func (c *scripted) begin() *scripted { return c.start(startup(nil, "web", "orders")).hear("Z") }
+func (c *scripted) begin() *scripted { return c.start(appendStartup(nil, "web", "orders")).hear("Z") }
 
 func simple(text string) []byte {
-	return query(nil, func(b []byte) []byte { return append(b, text...) })
+	return appendQuery(nil, func(b []byte) []byte { return append(b, text...) })
 }
 
 func typed(kind byte, body string) []byte {
-	return message(nil, kind, func(b []byte) []byte { return append(b, body...) })
+	return appendMessage(nil, kind, func(b []byte) []byte { return append(b, body...) })
 }
 
 func untypedHeader(size, code uint32) []byte {
@@ -161,7 +161,7 @@
 func startupOf(code uint32, parameters ...string) []byte {
 	b := binary.BigEndian.AppendUint32([]byte{0, 0, 0, 0}, code)
 	for _, p := range parameters {
-		b = cstring(b, p)
+		b = appendCString(b, p)
 	}
 	b = append(b, 0)
 	binary.BigEndian.PutUint32(b, uint32(len(b)))
@@ -173,9 +173,9 @@
 // The front in statement mode: every answer that it makes itself.
 func TestGoldenFront(t *testing.T) {
 	s := &transcript{t: t}
-	d := listen(t, FrontLimits{Clients: 64, Bytes: 1 << 20, After: 300})
+	d := listen(t, FrontLimits{Clients: 64, Bytes: 1 << 20, RetryAfterMillis: 300})
 	busy := func(n int) {
-		require.Eventually(t, func() bool { return d.count(func(h *client) bool { return h.busy }) == n }, 10*time.Second, time.Millisecond)
+		require.Eventually(t, func() bool { return d.count(func(h *client) bool { return h.requestInFlight }) == n }, 10*time.Second, time.Millisecond)
 	}
 	s.scene("start-up, and what needs no host")
 	c := s.client(d.address).start(untypedHeader(8, codeSSL))
@@ -193,7 +193,7 @@
 	c.send(typed('P', "\x00SELECT 1\x00\x00\x00"), typed('B', "\x00\x00\x00\x00\x00\x00\x00\x00"), typed('S', "")).hear("Z")
 	c.send(typed('X', "")).hear("")
 	s.scene("a later minor version")
-	s.client(d.address).start(startupOf(protocol3+2, "user", "web")).hear("Z").send(typed('?', "")).hear("")
+	s.client(d.address).start(startupOf(protocolVersion3+2, "user", "web")).hear("Z").send(typed('?', "")).hear("")
 	s.scene("another protocol")
 	s.client(d.address).start(startupOf(2<<16, "user", "web")).hear("")
 	s.scene("lengths out of bounds")
@@ -201,7 +201,7 @@
 	s.client(d.address).begin().send([]byte{'Q', 0xff, 0xff, 0xff, 0xff}).hear("")
 	s.client(d.address).begin().send(typed('Q', "SELECT")).hear("")
 	s.scene("too many that make no sense")
-	rubbish := make([][]byte, maxStrikes+1)
+	rubbish := make([][]byte, maxInvalidRequests+1)
 	for i := range rubbish {
 		rubbish[i] = simple("SELECT 1")
 	}
@@ -218,9 +218,9 @@
 	s.scene("silence")
 	silent := s.client(d.address)
 	require.Eventually(t, func() bool {
-		return d.count(func(h *client) bool { return !h.asked && !h.farewelled && !h.parser.started }) == 1
+		return d.count(func(h *client) bool { return !h.hasRequested && !h.closingWithError && !h.parser.started }) == 1
 	}, 10*time.Second, time.Millisecond)
-	d.clock.Advance(maxSilent + 1)
+	d.clock.Advance(maxSilentMillis + 1)
 	d.Sweep()
 	silent.hear("")
 	s.scene("the end of the process")
@@ -232,7 +232,7 @@
 	c.hear("")
 	s.client(d.address).hear("")
 	s.scene("too many connections")
-	d = listen(t, FrontLimits{Clients: 1, Bytes: 1 << 20, After: 300})
+	d = listen(t, FrontLimits{Clients: 1, Bytes: 1 << 20, RetryAfterMillis: 300})
 	s.client(d.address).hear("")
 	s.scene("no list yet")
 	d.Front = NewFront(edge.New(unready(t), d.clock, nowhere{}), FrontLimits{Clients: 64, Bytes: 1 << 20})
@@ -247,7 +247,7 @@
 		{Verdict: edge.Invalid, Detail: "a comment"},
 		{Verdict: edge.Failed, Detail: "the connection was lost"},
 	} {
-		s.add("<", Reply(&r), false)
+		s.add("<", EncodeResult(&r), false)
 	}
 	s.compare("front")
 }
@@ -279,7 +279,7 @@
 	got := make(chan []byte, 16)
 	r := start(t, func(c net.Conn, _ *pgproto3.Backend) {
 		got <- readUntyped(c)
-		c.Write(ready(typed('R', "\x00\x00\x00\x00")))
+		c.Write(appendReady(typed('R', "\x00\x00\x00\x00")))
 		for b := readTyped(c); b != nil; b = readTyped(c) {
 			got <- b
 			c.Write(whole())
@@ -287,7 +287,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	r.SetLimits(Limits{Connections: 1, Connect: 20 * time.Second, Idle: 15 * time.Second})
+	r.SetLimits(PoolLimits{Connections: 1, ConnectTimeout: 20 * time.Second, IdleTimeout: 15 * time.Second})
 	c, err := r.Acquire(ctx, "h")
 	require.NoError(t, err)
 	require.Equal(t, dispatch.OK, c.Exchange(ctx, parsed(t, plain), open).Code)
@@ -355,8 +355,8 @@
 		return
 	}
 	h.got <- append([]byte{0}, first...)
-	out := status(typed('R', "\x00\x00\x00\x00"), "server_version", "16.1")
-	out = ready(append(out, typed('K', "\x00\x00\x00\x07\x00\x00\x00\x09")...))
+	out := appendParameterStatus(typed('R', "\x00\x00\x00\x00"), "server_version", "16.1")
+	out = appendReady(append(out, typed('K', "\x00\x00\x00\x07\x00\x00\x00\x09")...))
 	block, skip := byte('I'), false
 	for {
 		if _, err := c.Write(out); err != nil {
@@ -373,13 +373,13 @@
 			continue
 		}
 		fail := func(code, text string) {
-			if out = failure(nil, "ERROR", code, text, ""); block == 'T' {
+			if out = appendError(nil, "ERROR", code, text, ""); block == 'T' {
 				block = 'E'
 			}
 		}
 		switch b[0] {
 		case 'P', 'B', 'C':
-			if b[0] == 'B' && strings.Contains(body, session.RefusedStatement) {
+			if b[0] == 'B' && strings.Contains(body, session.FailingStatement) {
 				fail("26000", "no such statement")
 				skip = true
 				continue
@@ -388,7 +388,7 @@
 		case 'D':
 			out = typed('n', "")
 		case 'E':
-			out = complete(nil, "SELECT 0")
+			out = appendCommandComplete(nil, "SELECT 0")
 		case 'S':
 			out, skip = typed('Z', string(block)), false
 		case 'Q':
@@ -398,20 +398,20 @@
 			case strings.Contains(text, "sleep"):
 				<-h.resume
 				fail("57014", "canceling statement due to user request")
-			case text == session.RefusedQuery:
+			case text == session.FailingQuery:
 				fail("42601", "syntax error")
 			case text == "BEGIN":
 				block = 'T'
-				out = complete(nil, "BEGIN")
+				out = appendCommandComplete(nil, "BEGIN")
 			case text == "ROLLBACK", text == "COMMIT":
 				block = 'I'
-				out = complete(nil, text)
+				out = appendCommandComplete(nil, text)
 			case strings.HasPrefix(text, "SELECT pg_catalog"):
-				out = complete(typed('D', "\x00\x01\xff\xff\xff\xff"), "SELECT 1")
+				out = appendCommandComplete(typed('D', "\x00\x01\xff\xff\xff\xff"), "SELECT 1")
 				out = append(typed('T', "\x00\x01a\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x19\xff\xff\xff\xff\xff\xff\x00\x00"), out...)
 			default:
 				tag, _, _ := strings.Cut(text, " ")
-				out = complete(nil, strings.TrimSuffix(tag, ";"))
+				out = appendCommandComplete(nil, strings.TrimSuffix(tag, ";"))
 			}
 			out = append(out, typed('Z', string(block))...)
 		}
@@ -435,9 +435,9 @@
 }
 
 // goldenPool is a front for sessions whose transactions go to a scripted host, on one connection.
-func goldenPool(t *testing.T, change func(l *SessionLimits), homes ...Homes) (*pooled, *scriptedHost) {
+func goldenPool(t *testing.T, change func(l *SessionLimits), homes ...Assignments) (*pooled, *scriptedHost) {
 	w := pool(t, func(l *SessionLimits) {
-		l.Pools[0].Sizes.Most, l.Pools[0].Pins, l.Pools[0].Database = 1, 0, "orders"
+		l.Pools[0].Sizes.MaxConnections, l.Pools[0].MaxSticky, l.Pools[0].Database = 1, 0, "orders"
 		if change != nil {
 			change(l)
 		}
@@ -473,7 +473,7 @@
 	h.seen(s)
 	s.scene("settings are restored for another session")
 	c.send(simple("SET app.who TO 'c'")).hear("Z")
-	other := s.client(w.address).start(startupOf(protocol3, "user", "web", "database", "orders", "application_name", "o'ther", "options", "-c app.more=1 --app.less=2")).hear("Z")
+	other := s.client(w.address).start(startupOf(protocolVersion3, "user", "web", "database", "orders", "application_name", "o'ther", "options", "-c app.more=1 --app.less=2")).hear("Z")
 	other.send(simple("SELECT 2")).hear("Z")
 	c.send(simple("SELECT 3")).hear("Z")
 	h.seen(s)
@@ -490,7 +490,7 @@
 		n := make(chan bool, 1)
 		w.front.onLoop(func() {
 			for x := range w.front.clients {
-				if x.server != nil && x.server.sent {
+				if x.server != nil && x.server.requestSent {
 					n <- true
 					return
 				}
@@ -520,16 +520,16 @@
 	s.scene("start-up that is refused")
 	for _, b := range [][]byte{
 		{0, 0, 0, 4, 0, 3, 0, 0},
-		startupOf(2<<16, "user", "web"), startupOf(protocol3, "database", "orders"),
-		startupOf(protocol3, "user", "web", "database", "orders", "replication", "true"),
-		startupOf(protocol3, "user", "web", "database", "none"),
-		startupOf(protocol3, "user", "web", "database", "orders", "options", "-x"),
-		startupOf(protocol3, "user", "web", "database", "orders", "options", "-c nothing"),
+		startupOf(2<<16, "user", "web"), startupOf(protocolVersion3, "database", "orders"),
+		startupOf(protocolVersion3, "user", "web", "database", "orders", "replication", "true"),
+		startupOf(protocolVersion3, "user", "web", "database", "none"),
+		startupOf(protocolVersion3, "user", "web", "database", "orders", "options", "-x"),
+		startupOf(protocolVersion3, "user", "web", "database", "orders", "options", "-c nothing"),
 	} {
 		s.client(w.address).start(b).hear("")
 	}
 	s.scene("a later minor version")
-	s.client(w.address).start(startupOf(protocol3+2, "user", "web", "database", "orders")).hear("Z")
+	s.client(w.address).start(startupOf(protocolVersion3+2, "user", "web", "database", "orders")).hear("Z")
 	s.compare("sessions")
 }
 
@@ -540,14 +540,14 @@
 	w, _ := goldenPool(t, func(l *SessionLimits) { l.Clients = 0 })
 	s.client(w.address).hear("")
 	s.scene("no connection is free, and nobody may wait")
-	w, _ = goldenPool(t, func(l *SessionLimits) { l.Pools[0].Sizes.Waiting = 0 })
+	w, _ = goldenPool(t, func(l *SessionLimits) { l.Pools[0].Sizes.MaxWaiting = 0 })
 	s.client(w.address).begin().send(simple("SELECT 1")).hear("Z").send(typed('P', "\x00SELECT 1\x00\x00\x00"), typed('S', "")).hear("Z")
 	s.scene("no connection is free in time")
-	w, _ = goldenPool(t, func(l *SessionLimits) { l.Pools[0].Patience = 50 })
+	w, _ = goldenPool(t, func(l *SessionLimits) { l.Pools[0].WaitTimeoutMillis = 50 })
 	s.client(w.address).begin().send(simple("BEGIN")).hear("Z")
 	s.client(w.address).begin().send(simple("SELECT 1")).hear("Z")
 	s.scene("sessions that may be bound are")
-	w, _ = goldenPool(t, func(l *SessionLimits) { l.Pools[0].Sizes.Most, l.Pools[0].Pins = 2, 1 })
+	w, _ = goldenPool(t, func(l *SessionLimits) { l.Pools[0].Sizes.MaxConnections, l.Pools[0].MaxSticky = 2, 1 })
 	bound := s.client(w.address).begin().send(simple("LISTEN x")).hear("Z")
 	s.client(w.address).begin().send(simple("LISTEN x")).hear("Z")
 	bound.send(simple("SELECT cut")).hear("Z").send(simple("LISTEN x")).hear("Z").send(simple("SELECT 1")).hear("Z")
@@ -558,16 +558,16 @@
 	w, _ = goldenPool(t, func(l *SessionLimits) {
 		l.Users = map[string]Verifier{"other": {}}
 	})
-	s.client(w.address).start(startup(nil, "web", "orders")).hear("R").send(simple("")).hear("")
+	s.client(w.address).start(appendStartup(nil, "web", "orders")).hear("R").send(simple("")).hear("")
 	for _, body := range []string{"PLAIN\x00\x00\x00\x00\x00", "SCRAM-SHA-256\x00\x00\x00\x00\x07garbage"} {
-		s.client(w.address).start(startup(nil, "web", "orders")).hear("R").send(typed('p', body)).hear("")
+		s.client(w.address).start(appendStartup(nil, "web", "orders")).hear("R").send(typed('p', body)).hear("")
 	}
 	s.scene("homes")
 	homes := &told{}
 	homes.set("orders", paused(1))
 	w, _ = goldenPool(t, nil, homes)
 	s.client(w.address).begin().send(simple("SELECT 1")).hear("Z")
-	w, _ = goldenPool(t, func(l *SessionLimits) { l.Pools[0].Hold = 60000 }, homes)
+	w, _ = goldenPool(t, func(l *SessionLimits) { l.Pools[0].MaxPauseMillis = 60000 }, homes)
 	homes.front = w.front
 	c := s.client(w.address).begin().send(simple("SELECT 1")).hear("Z")
 	homes.set("orders", session.Home{Named: true, Fenced: true})
@@ -585,7 +585,7 @@
 	w.front.Cut()
 	c.hear("")
 	s.scene("no list yet")
-	front := NewSessions(nil, unready(t), clock.System(), Platform, SessionLimits{Clients: 10, Message: 1 << 20, After: 50})
-	s.client(serve(t, front.Accept)).start(startup(nil, "web", "orders")).hear("")
+	front := NewSessionFront(nil, unready(t), clock.System(), Platform, SessionLimits{Clients: 10, Message: 1 << 20, RetryAfterMillis: 50})
+	s.client(serve(t, front.Accept)).start(appendStartup(nil, "web", "orders")).hear("")
 	s.compare("session-limits")
 }
--- a/internal/net/pg/gone_test.go
+++ b/internal/net/pg/gone_test.go
@@ -32,7 +32,7 @@
 
 func (d *door) on(do func()) {
 	done := make(chan struct{})
-	_ = d.loop.Load().(gnet.EventLoop).Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+	_ = d.eventLoop.Load().(gnet.EventLoop).Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		defer close(done)
 		do()
 		return nil
@@ -44,7 +44,7 @@
 
 func (d *door) busy(t *testing.T, n int) {
 	t.Helper()
-	require.Eventually(t, func() bool { return d.count(func(h *client) bool { return h.busy }) == n }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return d.count(func(h *client) bool { return h.requestInFlight }) == n }, 10*time.Second, time.Millisecond)
 }
 
 // The loop is held while a client sends a request and goes: request and end lie in the kernel together, and no attempt
@@ -63,7 +63,7 @@
 		}
 		d.on(func() {
 			for i, c := range all {
-				_, err := c.Write(query(nil, func(b []byte) []byte { return append(b, report(fmt.Sprint(how, i))...) }))
+				_, err := c.Write(appendQuery(nil, func(b []byte) []byte { return append(b, report(fmt.Sprint(how, i))...) }))
 				require.NoError(t, err)
 				switch how {
 				case "closes":
@@ -91,8 +91,10 @@
 	for i, b := range []byte{'X', 0, 0, 0} {
 		_, err := c.Write([]byte{b})
 		require.NoError(t, err)
-		want := len(query(nil, func(b []byte) []byte { return append(b, report("b")...) })) + 11 + i + 1
-		require.Eventually(t, func() bool { return d.count(func(h *client) bool { return h.busy && h.unread == want }) == 1 }, 10*time.Second, time.Millisecond)
+		want := len(appendQuery(nil, func(b []byte) []byte { return append(b, report("b")...) })) + 11 + i + 1
+		require.Eventually(t, func() bool {
+			return d.count(func(h *client) bool { return h.requestInFlight && h.unreadBytes == want }) == 1
+		}, 10*time.Second, time.Millisecond)
 	}
 	_, err := c.Write([]byte{4})
 	require.NoError(t, err)
@@ -133,14 +135,14 @@
 	send := func(c net.Conn, texts ...string) {
 		var b []byte
 		for _, text := range texts {
-			b = query(b, func(b []byte) []byte { return append(b, text...) })
+			b = appendQuery(b, func(b []byte) []byte { return append(b, text...) })
 		}
 		_, err := c.Write(b)
 		require.NoError(t, err)
 	}
 	open := func() (net.Conn, uint64) {
 		c := d.call(t)
-		_, err := c.Write(startup(nil, "web", "orders"))
+		_, err := c.Write(appendStartup(nil, "web", "orders"))
 		require.NoError(t, err)
 		return c, read(c)
 	}
@@ -169,7 +171,7 @@
 	send(x, "")
 	require.Equal(t, []string{"empty"}, errorsOf(t, x, 1))
 	x.Close()
-	require.Eventually(t, func() bool { n := 0; d.on(func() { n = len(d.keys) }); return n == 1 }, 10*time.Second, time.Millisecond, "its key went with it")
+	require.Eventually(t, func() bool { n := 0; d.on(func() { n = len(d.cancelKeys) }); return n == 1 }, 10*time.Second, time.Millisecond, "its key went with it")
 	d.busy(t, 1)
 }
 
@@ -213,7 +215,7 @@
 func TestAPausedSessionThatHasGoneIsHeard(t *testing.T) {
 	for _, how := range []string{"closes", "resets"} {
 		w := pool(t, func(l *SessionLimits) {
-			l.Pools[0].Sizes.Most, l.Pools[0].Patience, l.Message = 1, 20000, 64<<10
+			l.Pools[0].Sizes.MaxConnections, l.Pools[0].WaitTimeoutMillis, l.Message = 1, 20000, 64<<10
 		})
 		first := w.connect("")
 		w.exec(first, "BEGIN")
@@ -221,17 +223,17 @@
 		c, err := net.Dial("tcp", w.address)
 		require.NoError(t, err)
 		t.Cleanup(func() { c.Close() })
-		b := query(startup(nil, "web", "orders"), func(b []byte) []byte {
+		b := appendQuery(appendStartup(nil, "web", "orders"), func(b []byte) []byte {
 			return append(b, "INSERT INTO entries (ref, payload) VALUES ('gone', '1')"...)
 		})
 		for range 8 {
-			b = query(b, func(b []byte) []byte { return append(append(b, "SELECT '"...), append(make([]byte, 60<<10), '\'')...) })
+			b = appendQuery(b, func(b []byte) []byte { return append(append(b, "SELECT '"...), append(make([]byte, 60<<10), '\'')...) })
 		}
 		_, err = c.Write(b)
 		require.NoError(t, err)
 		paused := func() int {
 			n := make(chan int, 1)
-			w.front.onLoop(func() { n <- len(w.front.paused) })
+			w.front.onLoop(func() { n <- len(w.front.pausedWires) })
 			return <-n
 		}
 		require.Eventually(t, func() bool { return paused() == 1 }, 10*time.Second, time.Millisecond)
@@ -269,7 +271,7 @@
 			w.front.onLoop(func() {
 				n := 0
 				for x := range w.front.clients {
-					if x.phase == phaseSyncing {
+					if x.phase == phaseRestoring {
 						x.server.wire.Close()
 						n++
 					}
@@ -305,7 +307,7 @@
 		n := make(chan bool, 1)
 		w.front.onLoop(func() {
 			for x := range w.front.clients {
-				yes = yes || x.phase == phaseTurned
+				yes = yes || x.phase == phaseRejectedByHost
 			}
 			n <- yes
 		})
--- a/internal/net/pg/homes.go
+++ b/internal/net/pg/homes.go
@@ -13,320 +13,320 @@
 	"ashstand/internal/session"
 )
 
-// Homes says where databases are, by the rules that count at a moment. It is asked on the event loop, where a transaction
+// Assignments says where databases are, by the rules that count at a moment. It is asked on the event loop, where a transaction
 // begins and again just before it is sent, so it must neither wait nor allocate.
-type Homes interface {
-	Home(database string, now float64) session.Home
+type Assignments interface {
+	Assignment(database string, now float64) session.Home
 }
 
 // What a host says where its guard refuses a write before it does anything, since the tenant is closed there.
 const (
-	stateGuard = "55000"
-	textGuard  = "tenant is closed"
+	sqlStateTenantClosed = "55000"
+	tenantClosedMessage  = "tenant is closed"
 )
 
-// mostAtOnce is how many held transactions go on, or are refused, in one turn of the loop: others are served between.
-const mostAtOnce = 256
+// maxResumedPerTurn is how many held transactions go on, or are refused, in one turn of the loop: others are served between.
+const maxResumedPerTurn = 256
 
-// SetHomes says whom to ask; it is called before the first client comes. Without it no transaction asks.
-func (f *Sessions) SetHomes(h Homes) {
-	f.homes, f.tenants, f.roused = h, session.NewTenants(), map[*session.Tenant]bool{}
+// SetAssignments says whom to ask; it is called before the first client comes. Without it no transaction asks.
+func (f *SessionFront) SetAssignments(h Assignments) {
+	f.assignments, f.tenants, f.resumeQueued = h, session.NewTenants(), map[*session.Tenant]bool{}
 }
 
-// Rehome says that the rules changed: what was chosen and not sent is chosen anew, what is held may go, and who is bound
+// ReassignTenants says that the rules changed: what was chosen and not sent is chosen anew, what is held may go, and who is bound
 // to a connection of a home that is none any more is told.
-func (f *Sessions) Rehome() {
-	if f.homes != nil {
-		f.onLoop(f.rehome)
+func (f *SessionFront) ReassignTenants() {
+	if f.assignments != nil {
+		f.onLoop(f.reassignTenants)
 	}
 }
 
-func (f *Sessions) rehome() {
-	var anew []*sclient
+func (f *SessionFront) reassignTenants() {
+	var anew []*sessionClient
 	for c := range f.clients {
 		switch {
-		case c.gone || c.tenant == nil:
-		case (c.phase == phaseRouting || c.phase == phaseQueued) && !c.atHome():
+		case c.disconnected || c.tenant == nil:
+		case (c.phase == phaseRouting || c.phase == phaseQueued) && !c.isAssignmentCurrent():
 			anew = append(anew, c)
-		case c.phase == phaseLinked && c.server != nil && c.kept && c.call == nil && !c.begun && c.pipe.Idle() && c.wire.BufferedBytes() == 0 && c.moved():
-			if c.part(c.server) == gnet.Close {
+		case c.phase == phaseLinked && c.server != nil && c.countedRetained && c.call == nil && !c.transactionBegun && c.pipeline.Idle() && c.wire.BufferedBytes() == 0 && c.isAssignmentMoved():
+			if c.leaveMovedHost(c.server) == gnet.Close {
 				c.wire.Close()
 			}
 		}
 	}
-	slices.SortFunc(anew, func(a, b *sclient) int { return cmp.Compare(a.request.Arrived, b.request.Arrived) })
+	slices.SortFunc(anew, func(a, b *sessionClient) int { return cmp.Compare(a.request.Arrived, b.request.Arrived) })
 	for _, c := range anew {
-		if !c.gone && (c.phase == phaseRouting || c.phase == phaseQueued) && c.call != nil {
-			c.anew()
+		if !c.disconnected && (c.phase == phaseRouting || c.phase == phaseQueued) && c.call != nil {
+			c.rerouteUnsent()
 		}
 	}
 	for _, t := range f.tenants.All() {
-		f.letGo(t)
+		f.releaseQueued(t)
 	}
 }
 
-// letGo lets those held of a tenant go on that may.
-func (f *Sessions) letGo(t *session.Tenant) {
-	for range mostAtOnce {
-		x := f.tenants.Next(t, f.homes.Home(t.Database, f.clock.Now()))
+// resumeQueued lets those held of a tenant go on that may.
+func (f *SessionFront) releaseQueued(t *session.Tenant) {
+	for range maxResumedPerTurn {
+		x := f.tenants.Next(t, f.assignments.Assignment(t.Database, f.clock.Now()))
 		if x == nil {
 			return
 		}
-		x.Of.(*sclient).letGo()
+		x.Of.(*sessionClient).resumeQueued()
 	}
-	f.rouse(t)
+	f.scheduleRelease(t)
 }
 
-// rouse is letGo in the loop's next turn: whoever calls it may be in the middle of something.
-func (f *Sessions) rouse(t *session.Tenant) {
-	if f.roused[t] {
+// scheduleRelease is resumeQueued in the loop's next turn: whoever calls it may be in the middle of something.
+func (f *SessionFront) scheduleRelease(t *session.Tenant) {
+	if f.resumeQueued[t] {
 		return
 	}
-	f.roused[t] = true
+	f.resumeQueued[t] = true
 	f.onLoop(func() {
-		delete(f.roused, t)
-		f.letGo(t)
+		delete(f.resumeQueued, t)
+		f.releaseQueued(t)
 	})
 }
 
-// wake sees to it that those whose time is over are refused then: a sweep would come too late for their clients.
-func (f *Sessions) wake() {
+// scheduleExpiry sees to it that those whose time is over are refused then: a sweep would come too late for their clients.
+func (f *SessionFront) scheduleExpiry() {
 	at, ok := f.tenants.Due()
-	if !ok || f.waking > 0 && f.waking <= at {
+	if !ok || f.nextExpiry > 0 && f.nextExpiry <= at {
 		return
 	}
-	f.waking = at
+	f.nextExpiry = at
 	wait := max(time.Millisecond, clock.Duration(at-f.clock.Now()))
-	if f.alarm == nil {
-		f.alarm = time.AfterFunc(wait, func() { f.onLoop(f.lateHeld) })
+	if f.expiryTimer == nil {
+		f.expiryTimer = time.AfterFunc(wait, func() { f.onLoop(f.expireQueued) })
 	} else {
-		f.alarm.Reset(wait)
+		f.expiryTimer.Reset(wait)
 	}
 }
 
-func (f *Sessions) lateHeld() {
-	f.waking = 0
+func (f *SessionFront) expireQueued() {
+	f.nextExpiry = 0
 	now := f.clock.Now()
-	for range mostAtOnce {
+	for range maxResumedPerTurn {
 		x, err := f.tenants.Late(now)
 		if x == nil {
 			break
 		}
-		c := x.Of.(*sclient)
-		c.over(err.Error(), f.limits.Load().After)
-		c.proceed()
+		c := x.Of.(*sessionClient)
+		c.rejectRouting(err.Error(), f.limits.Load().RetryAfterMillis)
+		c.resume()
 	}
-	f.wake()
+	f.scheduleExpiry()
 }
 
-// holdBounds are what may be held for a pool.
-func (f *Sessions) holdBounds(p *PoolSettings) session.HoldBounds {
+// queueBounds are what may be held for a pool.
+func (f *SessionFront) queueBounds(p *PoolSettings) session.HoldBounds {
 	l := f.limits.Load()
-	return session.HoldBounds{Most: p.Held, All: l.Held, Bytes: l.Bytes / 4, AllBytes: l.Bytes / 2, Longest: p.Hold}
+	return session.HoldBounds{Most: p.MaxPausedTransactions, All: l.MaxPausedTransactions, Bytes: l.Bytes / 4, AllBytes: l.Bytes / 2, Longest: p.MaxPauseMillis}
 }
 
-// atHome says whether the home that the transaction was chosen for is what the rules say now.
-func (c *sclient) atHome() bool {
+// isAssignmentCurrent says whether the home that the transaction was chosen for is what the rules say now.
+func (c *sessionClient) isAssignmentCurrent() bool {
 	f := c.front
-	return f.homes == nil || f.homes.Home(c.names.database, f.clock.Now()).Same(c.home)
+	return f.assignments == nil || f.assignments.Assignment(c.identity.database, f.clock.Now()).Same(c.assignment)
 }
 
-// moved says whether the home is another than that of the connection which the session keeps.
-func (c *sclient) moved() bool {
+// isAssignmentMoved says whether the home is another than that of the connection which the session keeps.
+func (c *sessionClient) isAssignmentMoved() bool {
 	f := c.front
-	if f.homes == nil {
+	if f.assignments == nil {
 		return false
 	}
-	h := f.homes.Home(c.names.database, f.clock.Now())
+	h := f.assignments.Assignment(c.identity.database, f.clock.Now())
 	if h.Paused || h.Fenced {
 		return false
 	}
-	group, err := h.Place(c.names.database, &c.routed)
+	group, err := h.Place(c.identity.database, &c.routeDecision)
 	return err != nil || group != c.request.Group
 }
 
-// part parts a session from the connection that it keeps, between transactions, since the database has moved. What binds
+// leaveMovedHost parts a session from the connection that it keeps, between transactions, since the database has moved. What binds
 // it to the connection can't go with it, and one that waits for a notification would never hear that it is in vain.
-func (c *sclient) part(s *server) gnet.Action {
-	if cause := c.pipe.Pinned(); cause != "" {
-		return c.farewell(stateShutdown, "the database has moved to another home, and the session's "+string(cause)+" can't go with it; connect again", "")
+func (c *sessionClient) leaveMovedHost(s *serverConn) gnet.Action {
+	if cause := c.pipeline.StickyCause(); cause != "" {
+		return c.closeWithError(sqlStateAdminShutdown, "the database has moved to another home, and the session's "+string(cause)+" can't go with it; connect again", "")
 	}
-	c.forsake(s)
+	c.leaveDrainingHost(s)
 	return gnet.None
 }
 
-// stays takes the first message of a transaction that is to begin on the connection which the session keeps. done: it
-// was answered; waits: the tenant is paused; linkedNow: it goes on, there or, where the session was parted from the
+// checkRetainedServer takes the first message of a transaction that is to begin on the connection which the session keeps. done: it
+// was answered; waits: the tenant is paused; messageLinked: it goes on, there or, where the session was parted from the
 // connection, elsewhere.
-func (c *sclient) stays(kind byte) (fate, gnet.Action) {
+func (c *sessionClient) checkRetainedServer(kind byte) (disposition, gnet.Action) {
 	f := c.front
-	if c.moved() {
-		act := c.part(c.server)
-		if c.gone {
-			return done, act
+	if c.isAssignmentMoved() {
+		act := c.leaveMovedHost(c.server)
+		if c.disconnected {
+			return messageAnswered, act
 		}
-		return linkedNow, gnet.None
+		return messageLinked, gnet.None
 	}
 	now := f.clock.Now()
-	if !c.held.Passed() {
-		c.held.Fresh()
-		c.held.Deadline = now + c.pool.Patience
+	if !c.queueEntry.Passed() {
+		c.queueEntry.Fresh()
+		c.queueEntry.Deadline = now + c.pool.WaitTimeoutMillis
 	}
-	c.held.Bytes, c.held.Window = c.waiting(), c.pool.Sizes.Most
-	held, err := f.tenants.Decide(now, c.tenant, f.homes.Home(c.names.database, now), &c.held, f.holdBounds(c.pool))
+	c.queueEntry.Bytes, c.queueEntry.Window = c.waitingBytes(), c.pool.Sizes.MaxConnections
+	held, err := f.tenants.Decide(now, c.tenant, f.assignments.Assignment(c.identity.database, now), &c.queueEntry, f.queueBounds(c.pool))
 	switch {
 	case held:
-		c.asked, c.phase = kind, phaseHeld
-		f.wake()
-		return waits, gnet.None
+		c.pendingKind, c.phase = kind, phaseTenantPaused
+		f.scheduleExpiry()
+		return messageWaiting, gnet.None
 	case err != nil:
-		c.land()
-		c.refuse(stateRefused, err.Error(), f.after())
-		c.consumed(kind)
-		return done, gnet.None
+		c.finishRelease()
+		c.reject(sqlStateTooManyConnections, err.Error(), f.retryAfter())
+		c.finishRejected(kind)
+		return messageAnswered, gnet.None
 	}
-	c.land()
-	return linkedNow, gnet.None
+	c.finishRelease()
+	return messageLinked, gnet.None
 }
 
-// waiting is how many bytes of the client's wait here.
-func (c *sclient) waiting() int { return c.wire.BufferedBytes() + len(c.resend) }
+// waitingBytes is how many bytes of the client's wait here.
+func (c *sessionClient) waitingBytes() int { return c.wire.BufferedBytes() + len(c.replay) }
 
-// letGo goes on with a transaction that was held, by what the rules say now.
-func (c *sclient) letGo() {
+// resumeQueued goes on with a transaction that was held, by what the rules say now.
+func (c *sessionClient) resumeQueued() {
 	if c.server != nil {
 		c.phase = phaseLinked
-		c.proceed()
+		c.resume()
 		return
 	}
 	c.phase = phaseRouting
-	c.settle()
-	if c.phase == phaseLinked || c.phase == phaseFree {
-		c.proceed()
+	c.routeByAssignment()
+	if c.phase == phaseLinked || c.phase == phaseUnlinked {
+		c.resume()
 	}
 }
 
-// land says that the transaction is at its host, or over.
-func (c *sclient) land() {
-	if f := c.front; f.homes != nil && f.tenants.Land(c.tenant, &c.held) {
-		f.rouse(c.tenant)
+// finishRelease says that the transaction is at its host, or over.
+func (c *sessionClient) finishRelease() {
+	if f := c.front; f.assignments != nil && f.tenants.Land(c.tenant, &c.queueEntry) {
+		f.scheduleRelease(c.tenant)
 	}
 }
 
-// unhold takes the transaction out of what is held.
-func (c *sclient) unhold() {
-	if f := c.front; f.homes != nil && c.tenant != nil {
-		c.land()
-		f.tenants.Leave(c.tenant, &c.held)
+// dequeue takes the transaction out of what is held.
+func (c *sessionClient) dequeue() {
+	if f := c.front; f.assignments != nil && c.tenant != nil {
+		c.finishRelease()
+		f.tenants.Leave(c.tenant, &c.queueEntry)
 	}
 }
 
-// settle asks where the tenant is and goes on from there: a host is chosen, or the transaction is held or refused.
-func (c *sclient) settle() {
+// routeByAssignment asks where the tenant is and goes on from there: a host is chosen, or the transaction is held or refused.
+func (c *sessionClient) routeByAssignment() {
 	f := c.front
-	if f.homes != nil {
+	if f.assignments != nil {
 		now := f.clock.Now()
-		h := f.homes.Home(c.names.database, now)
-		c.held.Bytes, c.held.Window = c.waiting(), c.pool.Sizes.Most
-		held, refused := f.tenants.Decide(now, c.tenant, h, &c.held, f.holdBounds(c.pool))
+		h := f.assignments.Assignment(c.identity.database, now)
+		c.queueEntry.Bytes, c.queueEntry.Window = c.waitingBytes(), c.pool.Sizes.MaxConnections
+		held, refused := f.tenants.Decide(now, c.tenant, h, &c.queueEntry, f.queueBounds(c.pool))
 		if held {
-			c.phase = phaseHeld
-			f.wake()
+			c.phase = phaseTenantPaused
+			f.scheduleExpiry()
 			return
 		}
 		if refused != nil {
-			c.over(refused.Error(), f.limits.Load().After)
+			c.rejectRouting(refused.Error(), f.limits.Load().RetryAfterMillis)
 			return
 		}
-		group, err := h.Place(c.names.database, &c.routed)
+		group, err := h.Place(c.identity.database, &c.routeDecision)
 		if err != nil {
-			c.land()
-			c.refuse(stateInvalid, err.Error(), "")
-			c.drop()
+			c.finishRelease()
+			c.reject(sqlStateProtocolViolation, err.Error(), "")
+			c.consumeRejected()
 			return
 		}
-		c.home, c.request.Group = h, group
-		c.unrecord()
-		c.recording = h.Named && len(c.resend) == 0
+		c.assignment, c.request.Group = h, group
+		c.discardRecorded()
+		c.recording = h.Named && len(c.replay) == 0
 	}
-	call, err := f.facade.Begin(c.request)
+	call, err := f.dispatcher.Begin(c.request)
 	if err != nil {
-		c.land()
-		c.refuse(stateInvalid, err.Error(), "")
-		c.drop()
+		c.finishRelease()
+		c.reject(sqlStateProtocolViolation, err.Error(), "")
+		c.consumeRejected()
 		return
 	}
 	c.call = call
-	c.pick()
+	c.pickHost()
 }
 
-// anew chooses again for a transaction of which nothing was sent, since its tenant's home is another by now.
-func (c *sclient) anew() {
-	c.waiter.Leave()
+// rerouteUnsent chooses again for a transaction of which nothing was sent, since its tenant's home is another by now.
+func (c *sessionClient) rerouteUnsent() {
+	c.waiter.Dequeue()
 	call := c.call
 	c.call = nil
 	call.Finish(dispatch.Outcome{Code: dispatch.NotSent})
 	c.phase = phaseRouting
-	c.settle()
-	if !c.inMessage && (c.phase == phaseLinked || c.phase == phaseFree) {
-		c.proceed()
+	c.routeByAssignment()
+	if !c.handlingMessage && (c.phase == phaseLinked || c.phase == phaseUnlinked) {
+		c.resume()
 	}
 }
 
-// note keeps a copy of what is sent of a transaction's first statement, for the case that the host turns it away since the
+// recordMessage keeps a copy of what is sent of a transaction's first statement, for the case that the host turns it away since the
 // tenant is closed there.
-func (c *sclient) note(kind byte, body, whole []byte) {
+func (c *sessionClient) recordMessage(kind byte, body, whole []byte) {
 	f := c.front
 	ok := true
 	switch kind {
 	case 'Q', 'E':
-		c.runs++
+		c.recordedStatements++
 	case 'P':
 		ok = len(body) > 0 && body[0] == 0
 	case 'B', 'D', 'S':
 	default:
 		ok = false
 	}
-	if !ok || c.runs > 1 || len(c.record)+len(whole) > mostWhole || f.recorded+len(whole) > f.limits.Load().Bytes/4 {
-		c.unrecord()
+	if !ok || c.recordedStatements > 1 || len(c.recorded)+len(whole) > maxBufferedMessageBytes || f.recordedBytes+len(whole) > f.limits.Load().Bytes/4 {
+		c.discardRecorded()
 		return
 	}
-	if len(c.record) == 0 {
-		c.quiet = true
+	if len(c.recorded) == 0 {
+		c.nothingAnswered = true
 	}
-	c.record = append(c.record, whole...)
-	f.recorded += len(whole)
+	c.recorded = append(c.recorded, whole...)
+	f.recordedBytes += len(whole)
 }
 
-// unrecord forgets it.
-func (c *sclient) unrecord() {
-	c.front.recorded -= len(c.record)
-	if c.record, c.runs, c.recording = c.record[:0], 0, false; cap(c.record) > 4<<10 { // most statements are shorter
-		c.record = nil
+// discardRecorded forgets it.
+func (c *sessionClient) discardRecorded() {
+	c.front.recordedBytes -= len(c.recorded)
+	if c.recorded, c.recordedStatements, c.recording = c.recorded[:0], 0, false; cap(c.recorded) > 4<<10 { // most statements are shorter
+		c.recorded = nil
 	}
 }
 
-// guarded says whether an error is the guard's refusal of a statement that may be run again: it raised before anything was
+// isTenantClosedError says whether an error is the guard's refusal of a statement that may be run again: it raised before anything was
 // written, the statement's transaction is its own, and the client has heard nothing of it.
-func (c *sclient) guarded(state, text string) bool {
-	return c.recording && c.quiet && c.call != nil && state == stateGuard && text == textGuard && c.pipe.Status() == 'I' && !c.pipe.Explicit() &&
-		c.whole()
+func (c *sessionClient) isTenantClosedError(state, text string) bool {
+	return c.recording && c.nothingAnswered && c.call != nil && state == sqlStateTenantClosed && text == tenantClosedMessage && c.pipeline.Status() == 'I' && !c.pipeline.InBlock() &&
+		c.isReplayable()
 }
 
-// whole says whether what is kept runs as a whole or not at all.
-func (c *sclient) whole() bool {
-	for b := c.record; len(b) > 0; {
-		kind, body, rest, ok, err := next(b, mostWhole)
+// isReplayable says whether what is kept runs as a whole or not at all.
+func (c *sessionClient) isReplayable() bool {
+	for b := c.recorded; len(b) > 0; {
+		kind, body, rest, ok, err := nextMessage(b, maxBufferedMessageBytes)
 		if err != nil || !ok {
 			return false
 		}
 		switch kind {
 		case 'Q':
-			s, _, ok := text(body)
+			s, _, ok := cutString(body)
 			return ok && session.Rerunnable(s)
 		case 'B':
-			_, name, _, ok := two(body)
-			p := c.pipe.Find(name)
+			_, name, _, ok := cutTwoStrings(body)
+			p := c.pipeline.Find(name)
 			return ok && p != nil && session.Rerunnable(p.Text)
 		}
 		b = rest
@@ -334,66 +334,66 @@
 	return false
 }
 
-// rerun brings a transaction that a host turned away back to where it was before it was chosen for: it goes where the rules
+// replayElsewhere brings a transaction that a host turned away back to where it was before it was chosen for: it goes where the rules
 // say by now, or waits until they say something else. s is nil where the connection is gone.
-func (c *sclient) rerun(s *server) {
+func (c *sessionClient) replayElsewhere(s *serverConn) {
 	f := c.front
 	call := c.call
 	c.call = nil
 	call.Finish(dispatch.Outcome{Code: dispatch.NotSent})
-	c.land()
-	c.held.Turned(c.home)
-	f.stats.Turned++
-	f.recorded -= len(c.record)
-	c.resend, c.record, c.recording, c.runs = c.record, nil, false, 0
-	c.phase = phaseFree
+	c.finishRelease()
+	c.queueEntry.Turned(c.assignment)
+	f.stats.RejectedByHost++
+	f.recordedBytes -= len(c.recorded)
+	c.replay, c.recorded, c.recording, c.recordedStatements = c.recorded, nil, false, 0
+	c.phase = phaseUnlinked
 	if s != nil {
-		c.unlink(s)
-		s.rest()
+		c.unlinkServer(s)
+		s.returnToPool()
 	}
-	if c.hit { // it was cancelled before its host had said all
-		c.hit, c.asked = false, c.resend[0]
-		c.cancelled()
+	if c.cancelRequested { // it was cancelled before its host had said all
+		c.cancelRequested, c.pendingKind = false, c.replay[0]
+		c.rejectCancelled()
 	}
-	c.proceed()
+	c.resume()
 }
 
-// peek is what the client sent that was not taken: first what is to be sent again.
-func (c *sclient) peek() []byte {
-	if len(c.resend) > 0 {
-		return c.resend
+// peekInput is what the client sent that was not taken: first what is to be sent again.
+func (c *sessionClient) peekInput() []byte {
+	if len(c.replay) > 0 {
+		return c.replay
 	}
 	return c.wire.Peek()
 }
 
-// discard takes n bytes of what peek returned.
-func (c *sclient) discard(n int) {
-	c.behind = behind{}
-	if len(c.resend) == 0 {
+// discardInput takes n bytes of what peek returned.
+func (c *sessionClient) discardInput(n int) {
+	c.readAhead = readAhead{}
+	if len(c.replay) == 0 {
 		c.wire.Discard(n)
-	} else if c.resend = c.resend[n:]; len(c.resend) == 0 {
-		c.resend = nil
+	} else if c.replay = c.replay[n:]; len(c.replay) == 0 {
+		c.replay = nil
 	}
 }
 
-// HomeStats are of one database that has sessions here.
-type HomeStats struct {
-	Database string       `json:"database"`
-	Home     *uint64      `json:"home,omitempty"` // nil: each pool's own group, or none that is agreed on
-	Fenced   bool         `json:"fenced,omitempty"`
-	State    string       `json:"state"` // open, paused or fenced
-	Since    float64      `json:"paused_since,omitempty"`
-	Sessions int          `json:"sessions"`
-	Running  int          `json:"running"` // transactions
-	Held     int          `json:"held"`
-	Going    int          `json:"going"` // let go, and not at a host yet
-	Passed   uint64       `json:"let_go"`
-	Refused  uint64       `json:"refused"`
-	Bound    []BoundStats `json:"bound,omitempty"`
+// TenantStats are of one database that has sessions here.
+type TenantStats struct {
+	Database    string        `json:"database"`
+	Group       *uint64       `json:"home,omitempty"` // nil: each pool's own group, or none that is agreed on
+	Fenced      bool          `json:"fenced,omitempty"`
+	State       string        `json:"state"` // open, paused or fenced
+	PausedSince float64       `json:"paused_since,omitempty"`
+	Sessions    int           `json:"sessions"`
+	Running     int           `json:"running"` // transactions
+	Queued      int           `json:"held"`
+	InFlight    int           `json:"going"` // let go, and not at a host yet
+	Released    uint64        `json:"let_go"`
+	Rejected    uint64        `json:"refused"`
+	Sticky      []StickyStats `json:"bound,omitempty"`
 }
 
-// BoundStats are the sessions of a pool that are bound to connections of one host.
-type BoundStats struct {
+// StickyStats are the sessions of a pool that are bound to connections of one host.
+type StickyStats struct {
 	Pool     string `json:"pool"`
 	Host     string `json:"host"`
 	Cause    string `json:"cause"`
@@ -401,24 +401,24 @@
 }
 
 // Describe words a home for operators.
-func (h *HomeStats) Describe(of session.Home) {
+func (h *TenantStats) Describe(of session.Home) {
 	if h.State = "open"; of.Paused {
-		h.State, h.Since = "paused", of.Since
+		h.State, h.PausedSince = "paused", of.Since
 	} else if of.Fenced {
 		h.State = "fenced"
 	}
 	if h.Fenced = of.Fenced; of.Named && !of.Fenced {
-		h.Home = &of.Group
+		h.Group = &of.Group
 	}
 }
 
-// Homes are the databases that have sessions here.
-func (f *Sessions) Homes() []HomeStats {
-	if f.homes == nil || f.loop.Load() == nil {
+// TenantStats are the databases that have sessions here.
+func (f *SessionFront) TenantStats() []TenantStats {
+	if f.assignments == nil || f.eventLoop.Load() == nil {
 		return nil
 	}
-	out := make(chan []HomeStats, 1)
-	f.onLoop(func() { out <- f.describe() })
+	out := make(chan []TenantStats, 1)
+	f.onLoop(func() { out <- f.collectTenantStats() })
 	select {
 	case all := <-out:
 		return all
@@ -427,15 +427,15 @@
 	}
 }
 
-func (f *Sessions) describe() (all []HomeStats) {
+func (f *SessionFront) collectTenantStats() (all []TenantStats) {
 	at := map[string]int{}
 	now := f.clock.Now()
 	for _, t := range f.tenants.All() {
-		h := HomeStats{Database: t.Database, Sessions: t.Sessions(), Held: t.Held(), Going: t.Going(), Passed: t.Passed, Refused: t.Refused}
-		h.Describe(f.homes.Home(t.Database, now))
+		h := TenantStats{Database: t.Database, Sessions: t.Sessions(), Queued: t.Held(), InFlight: t.Going(), Released: t.Passed, Rejected: t.Refused}
+		h.Describe(f.assignments.Assignment(t.Database, now))
 		all = append(all, h)
 	}
-	slices.SortFunc(all, func(a, b HomeStats) int { return strings.Compare(a.Database, b.Database) })
+	slices.SortFunc(all, func(a, b TenantStats) int { return strings.Compare(a.Database, b.Database) })
 	for i := range all {
 		at[all[i].Database] = i
 	}
@@ -444,25 +444,25 @@
 			continue
 		}
 		h := &all[at[c.tenant.Database]]
-		if c.call != nil || !c.pipe.Idle() {
+		if c.call != nil || !c.pipeline.Idle() {
 			h.Running++
 		}
-		if !c.kept {
+		if !c.countedRetained {
 			continue
 		}
-		b := BoundStats{Pool: c.pool.Name, Host: c.server.pool.host.name, Cause: string(c.pipe.Pinned())}
+		b := StickyStats{Pool: c.pool.Name, Host: c.server.pool.host.name, Cause: string(c.pipeline.StickyCause())}
 		if b.Cause == "" {
 			b.Cause = "session mode"
 		}
-		if i := slices.IndexFunc(h.Bound, func(o BoundStats) bool { o.Sessions = 0; return o == b }); i >= 0 {
-			h.Bound[i].Sessions++
+		if i := slices.IndexFunc(h.Sticky, func(o StickyStats) bool { o.Sessions = 0; return o == b }); i >= 0 {
+			h.Sticky[i].Sessions++
 		} else {
 			b.Sessions = 1
-			h.Bound = append(h.Bound, b)
+			h.Sticky = append(h.Sticky, b)
 		}
 	}
 	for i := range all {
-		slices.SortFunc(all[i].Bound, func(a, b BoundStats) int {
+		slices.SortFunc(all[i].Sticky, func(a, b StickyStats) int {
 			return strings.Compare(a.Pool+"\x00"+a.Host+"\x00"+a.Cause, b.Pool+"\x00"+b.Host+"\x00"+b.Cause)
 		})
 	}
--- a/internal/net/pg/homes_test.go
+++ b/internal/net/pg/homes_test.go
@@ -29,10 +29,10 @@
 // told are homes as a test sets them.
 type told struct {
 	of    atomic.Pointer[map[string]session.Home]
-	front *Sessions
+	front *SessionFront
 }
 
-func (h *told) Home(database string, _ float64) session.Home {
+func (h *told) Assignment(database string, _ float64) session.Home {
 	if m := h.of.Load(); m != nil {
 		return (*m)[database]
 	}
@@ -52,7 +52,7 @@
 	m[database] = to
 	h.of.Store(&m)
 	if h.front != nil {
-		h.front.Rehome()
+		h.front.ReassignTenants()
 	}
 }
 
@@ -73,8 +73,8 @@
 	h.set("orders", at(1))
 	w := &moving{homes: h, other: lab.NewCluster(2, 2)}
 	w.pooled = pool(t, func(l *SessionLimits) {
-		l.Held = 5000
-		l.Pools[0].Held, l.Pools[0].Hold, l.Pools[0].Patience = 1000, 60000, 30000
+		l.MaxPausedTransactions = 5000
+		l.Pools[0].MaxPausedTransactions, l.Pools[0].MaxPauseMillis, l.Pools[0].WaitTimeoutMillis = 1000, 60000, 30000
 		if change != nil {
 			change(l)
 		}
@@ -91,18 +91,18 @@
 	return w
 }
 
-func (w *moving) home() HomeStats {
-	for _, h := range w.front.Homes() {
+func (w *moving) home() TenantStats {
+	for _, h := range w.front.TenantStats() {
 		if h.Database == "orders" {
 			return h
 		}
 	}
-	return HomeStats{}
+	return TenantStats{}
 }
 
 func (w *moving) held(n int) {
 	w.t.Helper()
-	require.Eventually(w.t, func() bool { return w.home().Held == n }, 10*time.Second, time.Millisecond, "%d, not %d are held", w.home().Held, n)
+	require.Eventually(w.t, func() bool { return w.home().Queued == n }, 10*time.Second, time.Millisecond, "%d, not %d are held", w.home().Queued, n)
 }
 
 // later runs a statement on a connection and tells what came of it.
@@ -204,10 +204,10 @@
 		case 'Q':
 			writes = strings.Contains(string(body), "INSERT") || strings.Contains(string(body), "CALL")
 		case 'P':
-			name, text, _, _ := two(body)
+			name, text, _, _ := cutTwoStrings(body)
 			inserts[name] = strings.Contains(text, "INSERT")
 		case 'B':
-			_, name, _, _ := two(body)
+			_, name, _, _ := cutTwoStrings(body)
 			writes = inserts[name]
 		}
 		if batch = append(batch, whole...); head[0] != 'Q' && head[0] != 'S' && head[0] != 'X' {
@@ -216,10 +216,10 @@
 		if g.shut.Load() && writes {
 			g.refused.Add(1)
 			if heard := g.early.Load(); heard != nil {
-				_, _ = c.Write(message(nil, 'N', func(b []byte) []byte { return append(b, "SNOTICE\x00VNOTICE\x00C00000\x00Msoon\x00\x00"...) }))
+				_, _ = c.Write(appendMessage(nil, 'N', func(b []byte) []byte { return append(b, "SNOTICE\x00VNOTICE\x00C00000\x00Msoon\x00\x00"...) }))
 				<-*heard
 			}
-			out := failure(nil, "ERROR", "55000", "tenant is closed", "")
+			out := appendError(nil, "ERROR", "55000", "tenant is closed", "")
 			if g.cut.Load() {
 				_, _ = c.Write(out)
 				return
@@ -248,7 +248,7 @@
 }
 
 func TestHomesHoldWhilePausedAndLetGoInOrder(t *testing.T) {
-	w := housed(t, func(l *SessionLimits) { l.Pools[0].Sizes.Most = 1 })
+	w := housed(t, func(l *SessionLimits) { l.Pools[0].Sizes.MaxConnections = 1 })
 	first := w.connect("")
 	w.exec(first, w.insert("before"))
 	require.Equal(t, 1, w.cluster.Versions("public", "entries", "before"))
@@ -267,14 +267,14 @@
 		w.held(i + 1)
 	}
 	require.Equal(t, "paused", w.home().State)
-	require.NotZero(t, w.home().Since)
+	require.NotZero(t, w.home().PausedSince)
 	w.exec(running, w.insert("running2")) // what runs goes on to its end
 	w.exec(running, "COMMIT")
 	require.Equal(t, 1, w.cluster.Versions("public", "entries", "running2"))
-	w.homes.set("orders", session.Home{Named: true, Paused: true, Fenced: true, Since: w.home().Since}) // while two versions meet
-	require.Equal(t, 6, w.home().Held)
+	w.homes.set("orders", session.Home{Named: true, Paused: true, Fenced: true, Since: w.home().PausedSince}) // while two versions meet
+	require.Equal(t, 6, w.home().Queued)
 	w.homes.set("orders", paused(2))
-	require.Equal(t, 6, w.home().Held)
+	require.Equal(t, 6, w.home().Queued)
 	w.homes.set("orders", at(2))
 	for i, wait := range waits {
 		require.NoError(t, <-wait, i)
@@ -282,14 +282,14 @@
 	require.Zero(t, w.cluster.Versions("public", "entries", "held"))
 	require.Equal(t, 6, w.other.Versions("public", "entries", "held"))
 	require.Equal(t, "5", w.one(first, "SELECT payload FROM entries WHERE ref = 'held'"), "the last that came is the last that went")
-	require.EqualValues(t, 6, w.home().Passed)
-	require.EqualValues(t, 2, *w.home().Home)
-	require.Zero(t, w.home().Held+w.home().Running)
+	require.EqualValues(t, 6, w.home().Released)
+	require.EqualValues(t, 2, *w.home().Group)
+	require.Zero(t, w.home().Queued+w.home().Running)
 }
 
 func TestHomesRefuse(t *testing.T) {
 	w := housed(t, func(l *SessionLimits) {
-		l.Pools[0].Held, l.Pools[0].Hold, l.Pools[0].Patience = 2, 60000, 30000
+		l.Pools[0].MaxPausedTransactions, l.Pools[0].MaxPauseMillis, l.Pools[0].WaitTimeoutMillis = 2, 60000, 30000
 		l.Bytes = 1 << 20
 	})
 	c, d, e, g := w.connect(""), w.connect(""), w.connect(""), w.connect("")
@@ -339,14 +339,14 @@
 	more, err := net.Dial("tcp", w.address)
 	require.NoError(t, err)
 	t.Cleanup(func() { more.Close() })
-	small := query(nil, func(b []byte) []byte { return append(b, "SELECT 1"...) })
-	_, err = more.Write(append(startup(nil, "web", "orders"), small...))
+	small := appendQuery(nil, func(b []byte) []byte { return append(b, "SELECT 1"...) })
+	_, err = more.Write(append(appendStartup(nil, "web", "orders"), small...))
 	require.NoError(t, err)
 	w.held(2)
-	paces := w.front.Stats().Paused
+	paces := w.front.Stats().ReadsPaused
 	const times = 5000
 	go func() { _, _ = more.Write([]byte(strings.Repeat(string(small), times))) }()
-	require.Eventually(t, func() bool { return w.front.Stats().Paused > paces }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return w.front.Stats().ReadsPaused > paces }, 5*time.Second, time.Millisecond)
 	w.homes.set("orders", at(1))
 	require.NoError(t, <-z)
 	require.NoError(t, more.SetReadDeadline(time.Now().Add(20*time.Second)))
@@ -366,7 +366,7 @@
 	w.exec(g, w.insert("in a block"))
 	w.exec(g, "COMMIT")
 	require.Zero(t, w.cluster.Versions("public", "entries", "y"), "whose client left")
-	require.EqualValues(t, 6, w.home().Refused)
+	require.EqualValues(t, 6, w.home().Rejected)
 	// A comment that says otherwise.
 	w.homes.set("orders", at(2))
 	w.fails(c, "08P01", "/* cluster=1 */ "+w.insert("astray"))
@@ -386,7 +386,7 @@
 // Guards against a transaction that was chosen for the old home and waits there for a connection.
 func TestHomesAreAskedAgainBeforeTheWrite(t *testing.T) {
 	for _, silent := range []bool{false, true} { // whether anybody says that the rules changed
-		w := housed(t, func(l *SessionLimits) { l.Pools[0].Sizes.Most = 1 })
+		w := housed(t, func(l *SessionLimits) { l.Pools[0].Sizes.MaxConnections = 1 })
 		c, d := w.connect(""), w.connect("")
 		w.exec(c, "BEGIN")
 		w.exec(c, w.insert("c"))
@@ -408,7 +408,7 @@
 		require.Equal(t, 1, w.other.Versions("public", "entries", "d"))
 	}
 	// While its connection is being brought to its settings.
-	w := housed(t, func(l *SessionLimits) { l.Pools[0].Sizes.Most = 1 })
+	w := housed(t, func(l *SessionLimits) { l.Pools[0].Sizes.MaxConnections = 1 })
 	c, d := w.connect(""), w.connect("")
 	w.exec(c, "SET app.slow TO 1")
 	w.exec(d, "SET app.quick TO 1")
@@ -443,13 +443,13 @@
 	require.EqualValues(t, 2, w.gate.refused.Load())
 	require.Equal(t, 2, w.other.Versions("public", "entries", "turned"))
 	require.Zero(t, w.cluster.Versions("public", "entries", "turned"))
-	require.EqualValues(t, 2, w.front.Stats().Turned)
+	require.EqualValues(t, 2, w.front.Stats().RejectedByHost)
 	// A pause that ends where it began, with the tenant still closed: told the second time.
 	w.homes.set("orders", at(1))
 	x := later(d, w.insert("twice"))
 	w.held(1)
 	w.homes.set("orders", paused(1))
-	require.Equal(t, 1, w.home().Held) // asked on the loop, so it has seen the pause
+	require.Equal(t, 1, w.home().Queued) // asked on the loop, so it has seen the pause
 	w.homes.set("orders", at(1))
 	require.Equal(t, "55000", state(<-x))
 	// In a block it goes to the client as it is, and so where the client has heard something already.
@@ -490,7 +490,7 @@
 	for _, ref := range []string{"twice", "block", "two", "early", "late", "left"} {
 		require.Zero(t, w.cluster.Versions("public", "entries", ref)+w.other.Versions("public", "entries", ref), ref)
 	}
-	require.Eventually(t, func() bool { s := w.front.Stats(); return s.Linked == 0 && s.Servers == s.Idle }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { s := w.front.Stats(); return s.Linked == 0 && s.Servers == s.ServersIdle }, 5*time.Second, 5*time.Millisecond)
 }
 
 // The guard as it stands in a database, in each form in which drivers ask: simple, prepared, and all in one round.
@@ -531,7 +531,7 @@
 	for i, wait := range waits {
 		require.NoError(t, <-wait, i)
 	}
-	require.EqualValues(t, 3, w.front.Stats().Turned)
+	require.EqualValues(t, 3, w.front.Stats().RejectedByHost)
 	require.Equal(t, "3", w.one(a, "SELECT count(*) FROM entries"), "all three are at the new home")
 	var left string
 	require.NoError(t, direct.QueryRow(patient(t), "SELECT count(*) FROM entries").Scan(&left))
@@ -542,7 +542,7 @@
 	w := housed(t, func(l *SessionLimits) {
 		p := l.Pools[0]
 		p.Name, p.User, p.Mode = "keepers", "keeper", Session
-		l.Pools[0].Name, l.Pools[0].Pins = "webs", 3
+		l.Pools[0].Name, l.Pools[0].MaxSticky = "webs", 3
 		l.Pools = append([]PoolSettings{p}, l.Pools...)
 	})
 	c := w.connect("")
@@ -556,7 +556,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { k.PgConn().Conn().Close() })
 	w.exec(k, "SET app.who TO me")
-	require.Equal(t, []BoundStats{{"keepers", "a", "session mode", 1}, {"webs", "a", string(session.CauseListen), 2}, {"webs", "a", string(session.CauseTemporary), 1}}, w.home().Bound)
+	require.Equal(t, []StickyStats{{"keepers", "a", "session mode", 1}, {"webs", "a", string(session.CauseListen), 2}, {"webs", "a", string(session.CauseTemporary), 1}}, w.home().Sticky)
 	w.homes.set("orders", paused(1))
 	wait := later(k, w.insert("k")) // on a connection that it keeps
 	w.held(1)
@@ -598,7 +598,7 @@
 	w.exec(busy, "COMMIT")
 	require.Equal(t, 1, w.cluster.Versions("public", "entries", "busy"))
 	require.Eventually(t, func() bool { return w.front.Stats().Clients == 1 }, 5*time.Second, time.Millisecond, "and who is in a transaction at its end")
-	require.Equal(t, []BoundStats{{"keepers", "c", "session mode", 1}}, w.home().Bound)
+	require.Equal(t, []StickyStats{{"keepers", "c", "session mode", 1}}, w.home().Sticky)
 }
 
 // Guards against one tenant's pause that takes from others what they need.
@@ -606,14 +606,14 @@
 	const many = 2000
 	w := housed(t, func(l *SessionLimits) {
 		l.Clients, l.Bytes = many+100, 16<<20
-		l.Pools[0].Held, l.Pools[0].Hold, l.Pools[0].Patience = many, 60000, 60000
-		l.Pools[0].Sizes.Waiting = 10
+		l.Pools[0].MaxPausedTransactions, l.Pools[0].MaxPauseMillis, l.Pools[0].WaitTimeoutMillis = many, 60000, 60000
+		l.Pools[0].Sizes.MaxWaiting = 10
 	})
 	other, err := pgx.Connect(patient(t), "postgres://web@"+w.address+"/stock?sslmode=disable")
 	require.NoError(t, err)
 	t.Cleanup(func() { other.PgConn().Conn().Close() })
 	w.homes.set("orders", paused(1))
-	ask := query(startup(nil, "web", "orders"), func(b []byte) []byte { return append(b, w.insert("many")...) })
+	ask := appendQuery(appendStartup(nil, "web", "orders"), func(b []byte) []byte { return append(b, w.insert("many")...) })
 	conns := make([]net.Conn, many)
 	for i := range conns {
 		conns[i], err = net.Dial("tcp", w.address)
@@ -663,10 +663,10 @@
 	w := housed(t, func(l *SessionLimits) {
 		p := l.Pools[0]
 		p.User, p.Mode, p.Name = "keeper", Session, "keepers"
-		l.Pools[0].Pins, l.Pools[0].Sizes.Most, p.Sizes.Most = 4, 3, 3
+		l.Pools[0].MaxSticky, l.Pools[0].Sizes.MaxConnections, p.Sizes.MaxConnections = 4, 3, 3
 		l.Pools = []PoolSettings{p, l.Pools[0]}
 		for i := range l.Pools {
-			l.Pools[i].Patience, l.Pools[i].Held = 300, 6
+			l.Pools[i].WaitTimeoutMillis, l.Pools[i].MaxPausedTransactions = 300, 6
 		}
 	})
 	const writers = 10
@@ -743,7 +743,7 @@
 	all.Wait()
 	require.Eventually(t, func() bool {
 		s, h := w.front.Stats(), w.home()
-		return s.Clients == 0 && s.Held == 0 && s.Linked == 0 && s.Servers == s.Idle && s.Pinned[session.CauseListen] == 0 && h.Sessions == 0
+		return s.Clients == 0 && s.PausedTransactions == 0 && s.Linked == 0 && s.Servers == s.ServersIdle && s.Sticky[session.CauseListen] == 0 && h.Sessions == 0
 	}, 10*time.Second, 10*time.Millisecond, "nothing is lost count of")
 	for ref, answered := range written {
 		n := w.cluster.Versions("public", "entries", ref) + w.other.Versions("public", "entries", ref)
@@ -756,13 +756,13 @@
 		require.Contains(t, []string{"", "53300", "55000", "57P01", "left"}, code)
 	}
 	require.NotZero(t, codes[""])
-	t.Log(codes, w.front.Stats().Turned)
+	t.Log(codes, w.front.Stats().RejectedByHost)
 	// Whoever comes then is held and let go as ever.
 	c := w.connect("")
 	w.homes.set("orders", paused(2))
 	wait := later(c, w.insert("last"))
 	w.held(1)
-	require.Zero(t, w.home().Going)
+	require.Zero(t, w.home().InFlight)
 	w.homes.set("orders", at(2))
 	require.NoError(t, <-wait)
 }
@@ -772,9 +772,9 @@
 func BenchmarkSessionsTransaction(b *testing.B) {
 	for _, c := range []struct {
 		name  string
-		homes []Homes
+		homes []Assignments
 		named bool
-	}{{name: "without"}, {"unnamed", []Homes{&told{}}, false}, {"named", []Homes{&told{}}, true}} {
+	}{{name: "without"}, {"unnamed", []Assignments{&told{}}, false}, {"named", []Assignments{&told{}}, true}} {
 		b.Run(c.name, func(b *testing.B) {
 			if c.named {
 				c.homes[0].(*told).set("orders", at(1))
@@ -783,10 +783,10 @@
 			conn, err := net.Dial("tcp", w.address)
 			require.NoError(b, err)
 			defer conn.Close()
-			_, err = conn.Write(startup(nil, "web", "orders"))
+			_, err = conn.Write(appendStartup(nil, "web", "orders"))
 			require.NoError(b, err)
 			read := make([]byte, 4096)
-			ask := query(nil, func(b []byte) []byte { return append(b, "SELECT 'a statement of the usual length, so to say'"...) })
+			ask := appendQuery(nil, func(b []byte) []byte { return append(b, "SELECT 'a statement of the usual length, so to say'"...) })
 			until := func() {
 				for got := []byte{}; !bytes.HasSuffix(got, []byte{'Z', 0, 0, 0, 5, 'I'}); {
 					n, err := conn.Read(read)
@@ -812,31 +812,31 @@
 func BenchmarkHomesOfATransaction(b *testing.B) {
 	h := &told{}
 	h.set("orders", at(1))
-	f := &Sessions{clock: clock.System()}
-	f.limits.Store(&SessionLimits{Held: 10, Bytes: 1 << 20})
-	f.SetHomes(h)
-	p := PoolSettings{Held: 10, Hold: 1000}
-	c := &sclient{
-		front: f, names: poolKey{"orders", "web"}, pool: &p, tenant: f.tenants.Come("orders"), routed: session.Route{Group: 1},
-		query: &session.Query{Statements: make([]session.Statement, 1)},
+	f := &SessionFront{clock: clock.System()}
+	f.limits.Store(&SessionLimits{MaxPausedTransactions: 10, Bytes: 1 << 20})
+	f.SetAssignments(h)
+	p := PoolSettings{MaxPausedTransactions: 10, MaxPauseMillis: 1000}
+	c := &sessionClient{
+		front: f, identity: poolIdentity{"orders", "web"}, pool: &p, tenant: f.tenants.Come("orders"), routeDecision: session.Route{Group: 1},
+		routedQuery: &session.Query{Statements: make([]session.Statement, 1)},
 	}
-	ask := query(nil, func(b []byte) []byte { return append(b, "SELECT 'a statement of the usual length, so to say'"...) })
+	ask := appendQuery(nil, func(b []byte) []byte { return append(b, "SELECT 'a statement of the usual length, so to say'"...) })
 	b.ReportAllocs()
 	for b.Loop() {
 		now := f.clock.Now()
-		home := h.Home("orders", now)
-		if held, err := f.tenants.Decide(now, c.tenant, home, &c.held, f.holdBounds(c.pool)); held || err != nil {
+		home := h.Assignment("orders", now)
+		if held, err := f.tenants.Decide(now, c.tenant, home, &c.queueEntry, f.queueBounds(c.pool)); held || err != nil {
 			b.Fatal(err)
 		}
-		group, _ := home.Place("orders", &c.routed)
-		c.home, c.request.Group = home, group
-		c.unrecord()
+		group, _ := home.Place("orders", &c.routeDecision)
+		c.assignment, c.request.Group = home, group
+		c.discardRecorded()
 		c.recording = true
-		if !c.atHome() {
+		if !c.isAssignmentCurrent() {
 			b.Fatal("it is at home")
 		}
-		c.note('Q', ask[5:], ask)
-		c.unrecord()
-		c.land()
+		c.recordMessage('Q', ask[5:], ask)
+		c.discardRecorded()
+		c.finishRelease()
 	}
 }
--- a/internal/net/pg/late_test.go
+++ b/internal/net/pg/late_test.go
@@ -25,8 +25,8 @@
 
 func (r *rig) listenLate() chan heard {
 	told := make(chan heard, 4)
-	r.linger = 30 * time.Second
-	r.TellLate(func(host string, sent float64, write bool, o dispatch.Outcome) { told <- heard{host, sent, write, o} })
+	r.lateAnswerWindow = 30 * time.Second
+	r.OnLateAnswer(func(host string, sent float64, write bool, o dispatch.Outcome) { told <- heard{host, sent, write, o} })
 	return told
 }
 
@@ -100,7 +100,7 @@
 	require.Equal(t, dispatch.Cancelled, <-codes)
 	<-ended
 	require.Equal(t, heard{"h", 1e12, false, dispatch.Outcome{Code: dispatch.OK, Role: dispatch.Replica, Position: 999999999000}}, first(t, told))
-	require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.open == 0 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.openConns == 0 }, 10*time.Second, time.Millisecond)
 }
 
 // The same with the answer in the kernel already while the loop is busy, and the give-up first.
@@ -121,7 +121,7 @@
 	c := r.acquired(t)
 	go func() { codes <- c.Exchange(ctx, parsed(t, plain), open).Code }()
 	<-asked
-	resume := r.stop(t, c.gnet.EventLoop())
+	resume := r.stop(t, c.gnetConn.EventLoop())
 	close(answer)
 	<-answered
 	giveUp()
@@ -158,11 +158,11 @@
 		b.Receive()
 	})
 	told := r.listenLate()
-	r.SetLimits(Limits{Connections: 1, Connect: 300 * time.Millisecond, Idle: 15 * time.Second})
+	r.SetLimits(PoolLimits{Connections: 1, ConnectTimeout: 300 * time.Millisecond, IdleTimeout: 15 * time.Second})
 	ctx, giveUp := context.WithCancel(context.Background())
 	go func() { <-asked; giveUp() }()
 	require.Equal(t, dispatch.Cancelled, r.acquired(t).Exchange(ctx, parsed(t, plain), open).Code)
-	require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.open == 0 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.openConns == 0 }, 10*time.Second, time.Millisecond)
 	require.Empty(t, told)
 }
 
@@ -182,7 +182,7 @@
 			}
 		})
 		c := r.acquired(t)
-		l := c.gnet.EventLoop()
+		l := c.gnetConn.EventLoop()
 		c.release()
 		resume := r.stop(t, l)
 		var asks atomic.Int32
@@ -201,7 +201,7 @@
 		require.Eventually(t, func() bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			return c.due != nil
+			return c.pending != nil
 		}, 10*time.Second, time.Millisecond)
 		before := asks.Load()
 		closed.Store(true)
--- a/internal/net/pg/message.go
+++ b/internal/net/pg/message.go
@@ -14,43 +14,43 @@
 
 // Bounds on what a peer may send before it is cut off.
 const (
-	maxStartup = 10000
-	maxQuery   = 192 << 10 // a statement and its header
-	maxMessage = 66 << 10  // a message of a db host: a value of 64 KiB and what frames it
-	maxAnswer  = 80 << 10  // a whole answer of one
+	maxStartupBytes       = 10000
+	maxQueryBytes         = 192 << 10 // a statement and its header
+	maxServerMessageBytes = 66 << 10  // a message of a db host: a value of 64 KiB and what frames it
+	maxResponseBytes      = 80 << 10  // a whole answer of one
 )
 
 const (
-	protocol3  = 3 << 16
-	codeCancel = 80877102
-	codeSSL    = 80877103
-	codeGSS    = 80877104
+	protocolVersion3 = 3 << 16
+	codeCancel       = 80877102
+	codeSSL          = 80877103
+	codeGSS          = 80877104
 )
 
 // Codes of ErrorResponse that have a meaning here.
 const (
-	stateRefused  = "53300"
-	stateStarting = "57P03"
-	stateReplica  = "25006"
-	stateBehind   = "72000"
-	stateTimeout  = "57014"
-	stateFailed   = "08006"
-	stateInvalid  = "08P01"
-	stateUnknown  = "0A000"
-	stateShutdown = "57P01"
-	stateInternal = "XX000"
+	sqlStateTooManyConnections  = "53300"
+	sqlStateCannotConnectNow    = "57P03"
+	sqlStateReadOnlyTransaction = "25006"
+	sqlStateReplicaBehind       = "72000"
+	sqlStateQueryCanceled       = "57014"
+	sqlStateConnectionFailure   = "08006"
+	sqlStateProtocolViolation   = "08P01"
+	sqlStateFeatureNotSupported = "0A000"
+	sqlStateAdminShutdown       = "57P01"
+	sqlStateInternalError       = "XX000"
 )
 
-var errLength = errors.New("a message's length is out of bounds")
+var errMessageLength = errors.New("a message's length is out of bounds")
 
-// next cuts one message off b. ok is false while it is not whole; most bounds its length.
-func next(b []byte, most int) (kind byte, body, rest []byte, ok bool, err error) {
+// nextMessage cuts one message off b. ok is false while it is not whole; most bounds its length.
+func nextMessage(b []byte, most int) (kind byte, body, rest []byte, ok bool, err error) {
 	if len(b) < 5 {
 		return 0, nil, b, false, nil
 	}
 	n := int(binary.BigEndian.Uint32(b[1:]))
 	if n < 4 || n > most {
-		return 0, nil, b, false, errLength
+		return 0, nil, b, false, errMessageLength
 	}
 	if len(b) < n+1 {
 		return 0, nil, b, false, nil
@@ -58,8 +58,8 @@
 	return b[0], b[5 : n+1], b[n+1:], true, nil
 }
 
-// message appends a message whose body is written by fill.
-func message(b []byte, kind byte, fill func(b []byte) []byte) []byte {
+// appendMessage appends a message whose body is written by fill.
+func appendMessage(b []byte, kind byte, fill func(b []byte) []byte) []byte {
 	b = append(b, kind, 0, 0, 0, 0)
 	at := len(b)
 	b = fill(b)
@@ -67,59 +67,59 @@
 	return b
 }
 
-func cstring(b []byte, s string) []byte { return append(append(b, s...), 0) }
+func appendCString(b []byte, s string) []byte { return append(append(b, s...), 0) }
 
-func ready(b []byte) []byte { return append(b, 'Z', 0, 0, 0, 5, 'I') }
+func appendReady(b []byte) []byte { return append(b, 'Z', 0, 0, 0, 5, 'I') }
 
-func status(b []byte, name, value string) []byte {
-	return message(b, 'S', func(b []byte) []byte { return cstring(cstring(b, name), value) })
+func appendParameterStatus(b []byte, name, value string) []byte {
+	return appendMessage(b, 'S', func(b []byte) []byte { return appendCString(appendCString(b, name), value) })
 }
 
-func complete(b []byte, tag string) []byte {
-	return message(b, 'C', func(b []byte) []byte { return cstring(b, tag) })
+func appendCommandComplete(b []byte, tag string) []byte {
+	return appendMessage(b, 'C', func(b []byte) []byte { return appendCString(b, tag) })
 }
 
-// failure appends an ErrorResponse; detail goes to the field D and may be empty.
-func failure(b []byte, severity, state, text, detail string) []byte {
-	return message(b, 'E', func(b []byte) []byte {
+// appendError appends an ErrorResponse; detail goes to the field D and may be empty.
+func appendError(b []byte, severity, state, text, detail string) []byte {
+	return appendMessage(b, 'E', func(b []byte) []byte {
 		for _, f := range [...]struct {
 			kind byte
 			text string
 		}{{'S', severity}, {'V', severity}, {'C', state}, {'M', text}, {'D', detail}} {
 			if f.text != "" {
-				b = cstring(append(b, f.kind), f.text)
+				b = appendCString(append(b, f.kind), f.text)
 			}
 		}
 		return append(b, 0)
 	})
 }
 
-// cancelKey is what a client has to name to cancel its query from another connection: the number of its own, and a secret.
-func cancelKey(number uint32) uint64 {
+// newCancelKey is what a client has to name to cancel its query from another connection: the number of its own, and a secret.
+func newCancelKey(number uint32) uint64 {
 	var secret [4]byte
 	_, _ = rand.Read(secret[:]) // never fails
 	return uint64(number)<<32 | uint64(binary.BigEndian.Uint32(secret[:]))
 }
 
-// startup appends a startup message.
-func startup(b []byte, user, database string) []byte {
+// appendStartup appends a startup message.
+func appendStartup(b []byte, user, database string) []byte {
 	at := len(b)
-	b = binary.BigEndian.AppendUint32(append(b, 0, 0, 0, 0), protocol3)
-	b = cstring(cstring(cstring(cstring(b, "user"), user), "database"), database)
+	b = binary.BigEndian.AppendUint32(append(b, 0, 0, 0, 0), protocolVersion3)
+	b = appendCString(appendCString(appendCString(appendCString(b, "user"), user), "database"), database)
 	b = append(b, 0)
 	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at))
 	return b
 }
 
-// query appends a simple query whose text is written by fill.
-func query(b []byte, fill func(b []byte) []byte) []byte {
-	return message(b, 'Q', func(b []byte) []byte { return append(fill(b), 0) })
+// appendQuery appends a simple query whose text is written by fill.
+func appendQuery(b []byte, fill func(b []byte) []byte) []byte {
+	return appendMessage(b, 'Q', func(b []byte) []byte { return append(fill(b), 0) })
 }
 
-// row appends a value as the one row of its column, and what the host told of positions.
-func row(b []byte, a *edge.Answer) []byte {
-	b = message(b, 'T', func(b []byte) []byte {
-		b = cstring(append(b, 0, 1), a.Column)
+// appendRow appends a value as the one row of its column, and what the host told of positions.
+func appendRow(b []byte, a *edge.Answer) []byte {
+	b = appendMessage(b, 'T', func(b []byte) []byte {
+		b = appendCString(append(b, 0, 1), a.Column)
 		b = append(b, 0, 0, 0, 0, 0, 0)
 		b = binary.BigEndian.AppendUint32(b, a.Type)
 		b = append(b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 0)
@@ -128,7 +128,7 @@
 		}
 		return b
 	})
-	b = message(b, 'D', func(b []byte) []byte {
+	b = appendMessage(b, 'D', func(b []byte) []byte {
 		b = append(b, 0, 1)
 		if a.Null {
 			return append(b, 0xff, 0xff, 0xff, 0xff)
@@ -136,43 +136,43 @@
 		b = binary.BigEndian.AppendUint32(b, uint32(len(a.Value)))
 		return append(b, a.Value...)
 	})
-	return complete(b, a.Tag)
+	return appendCommandComplete(b, a.Tag)
 }
 
 // response is a db host's answer to one command, up to ReadyForQuery or a fatal error.
 type response struct {
-	answer edge.Answer
-	rows   int
-	state  string // of an ErrorResponse; "": none
-	text   string
-	done   bool // CommandComplete came
+	answer    edge.Answer
+	rows      int
+	sqlState  string // of an ErrorResponse; "": none
+	errorText string
+	completed bool // CommandComplete came
 }
 
-var errShape = errors.New("an answer of a form that no request asks for")
+var errUnexpectedMessage = errors.New("an answer of a form that no request asks for")
 
-// find returns the length of the first whole response in b, or 0 while it is not whole. from is where to go
+// findResponseEnd returns the length of the first whole response in b, or 0 while it is not whole. from is where to go
 // on looking; the second result is where to go on next time.
-func find(b []byte, from int) (end, at int, err error) {
+func findResponseEnd(b []byte, from int) (end, at int, err error) {
 	at = from
 	for {
-		kind, body, rest, ok, err := next(b[at:], maxMessage)
+		kind, body, rest, ok, err := nextMessage(b[at:], maxServerMessageBytes)
 		if err != nil || !ok {
 			return 0, at, err
 		}
 		at = len(b) - len(rest)
-		if kind == 'Z' || kind == 'E' && fatal(body) {
+		if kind == 'Z' || kind == 'E' && isFatal(body) {
 			return at, at, nil
 		}
 	}
 }
 
-func fatal(body []byte) bool {
-	_, _, severity, _ := fields(body)
+func isFatal(body []byte) bool {
+	_, _, severity, _ := errorFields(body)
 	return severity == "FATAL" || severity == "PANIC"
 }
 
-// fields reads an ErrorResponse.
-func fields(body []byte) (state, text, severity, detail string) {
+// errorFields reads an ErrorResponse.
+func errorFields(body []byte) (state, text, severity, detail string) {
 	for len(body) > 1 {
 		value, rest, ok := strings.Cut(string(body[1:]), "\x00")
 		if !ok {
@@ -197,36 +197,36 @@
 	return state, text, severity, detail
 }
 
-// parse reads a whole response, strictly: what is not what a host says to a query has been spoilt. Values are
+// parseResponse reads a whole response, strictly: what is not what a host says to a query has been spoilt. Values are
 // copied: b belongs to the event loop.
-func parse(b []byte, names Names) (r response, err error) {
+func parseResponse(b []byte, names Names) (r response, err error) {
 	described, first := false, true
 	for len(b) > 0 {
-		kind, body, rest, ok, err := next(b, maxMessage)
+		kind, body, rest, ok, err := nextMessage(b, maxServerMessageBytes)
 		if err != nil {
 			return r, err
 		}
 		if !ok {
-			return r, errShape
+			return r, errUnexpectedMessage
 		}
 		b = rest
 		switch kind {
 		case 'T':
-			ok = !described && r.state == "" && r.column(body)
+			ok = !described && r.sqlState == "" && r.parseRowDescription(body)
 			described = true
 		case 'D':
-			ok = described && !r.done && r.value(body)
+			ok = described && !r.completed && r.parseDataRow(body)
 		case 'C':
 			tag, end, _ := strings.Cut(string(body), "\x00")
-			ok = end == "" && len(tag) == len(body)-1 && !r.done && r.state == ""
-			r.answer.Tag, r.done = tag, true
+			ok = end == "" && len(tag) == len(body)-1 && !r.completed && r.sqlState == ""
+			r.answer.Tag, r.completed = tag, true
 		case 'E':
-			ok = r.state == "" && len(body) > 0 && body[len(body)-1] == 0
-			if r.state, r.text, _, _ = fields(body); r.state == "" {
-				r.state = stateInternal
+			ok = r.sqlState == "" && len(body) > 0 && body[len(body)-1] == 0
+			if r.sqlState, r.errorText, _, _ = errorFields(body); r.sqlState == "" {
+				r.sqlState = sqlStateInternalError
 			}
 		case 'S':
-			ok = r.status(body, names)
+			ok = r.parseParameterStatus(body, names)
 		case 'Z':
 			ok = len(body) == 1 && strings.IndexByte("ITE", body[0]) >= 0 && len(b) == 0
 		case 'R': // the answer to a startup message
@@ -236,15 +236,15 @@
 			ok = false
 		}
 		if !ok {
-			return r, errShape
+			return r, errUnexpectedMessage
 		}
 		first = false
 	}
 	return r, nil
 }
 
-// status takes a parameter. A position or a report that can't be read says nothing and spoils nothing.
-func (r *response) status(body []byte, names Names) bool {
+// parseParameterStatus takes a parameter. A position or a report that can't be read says nothing and spoils nothing.
+func (r *response) parseParameterStatus(body []byte, names Names) bool {
 	name, value, ok := strings.Cut(string(body), "\x00")
 	value, rest, end := strings.Cut(value, "\x00")
 	if !ok || !end || rest != "" {
@@ -263,7 +263,7 @@
 	return true
 }
 
-func (r *response) column(body []byte) bool {
+func (r *response) parseRowDescription(body []byte) bool {
 	if len(body) < 2 || binary.BigEndian.Uint16(body) != 1 {
 		return false
 	}
@@ -277,7 +277,7 @@
 	return true
 }
 
-func (r *response) value(body []byte) bool {
+func (r *response) parseDataRow(body []byte) bool {
 	if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
 		return false
 	}
--- a/internal/net/pg/message_test.go
+++ b/internal/net/pg/message_test.go
@@ -11,9 +11,9 @@
 )
 
 func whole() []byte {
-	b := row(nil, &edge.Answer{Column: "payload", Type: 17, Binary: true, Value: []byte("\x00v"), Tag: "SELECT 1"})
-	b = status(status(status(b, "part", "replica"), "caught_up_to", "1767225600123"), "gauges", "x0=1767225600.123,x1=0")
-	return ready(b)
+	b := appendRow(nil, &edge.Answer{Column: "payload", Type: 17, Binary: true, Value: []byte("\x00v"), Tag: "SELECT 1"})
+	b = appendParameterStatus(appendParameterStatus(appendParameterStatus(b, "part", "replica"), "caught_up_to", "1767225600123"), "gauges", "x0=1767225600.123,x1=0")
+	return appendReady(b)
 }
 
 // Guards against half an answer taken for a whole one: it ends with ReadyForQuery and nowhere before.
@@ -21,15 +21,15 @@
 	b := whole()
 	from := 0
 	for n := range len(b) {
-		end, at, err := find(b[:n], from)
+		end, at, err := findResponseEnd(b[:n], from)
 		require.NoError(t, err)
 		require.Zero(t, end, "%d of %d bytes", n, len(b))
 		from = at
 	}
-	end, _, err := find(append(b, 'x'), from)
+	end, _, err := findResponseEnd(append(b, 'x'), from)
 	require.NoError(t, err)
 	require.Equal(t, len(b), end)
-	r, err := parse(b, Platform)
+	r, err := parseResponse(b, Platform)
 	require.NoError(t, err)
 	require.Equal(t, dispatch.OK, outcome(&r))
 	require.Equal(t, edge.Answer{
@@ -43,15 +43,15 @@
 		"25006": dispatch.Misdirected, "72000": dispatch.Misdirected, "53300": dispatch.Rejected,
 		"XX000": dispatch.ServerError, "08P01": dispatch.ServerError,
 	} {
-		r, err := parse(ready(failure(nil, "ERROR", state, "no", "")), Platform)
+		r, err := parseResponse(appendReady(appendError(nil, "ERROR", state, "no", "")), Platform)
 		require.NoError(t, err)
 		require.Equal(t, want, outcome(&r), state)
 	}
-	r, err := parse(ready(complete(nil, "SELECT 0")), Platform)
+	r, err := parseResponse(appendReady(appendCommandComplete(nil, "SELECT 0")), Platform)
 	require.NoError(t, err)
 	require.Equal(t, dispatch.Malformed, outcome(&r), "no row is no answer")
-	fatal := failure(nil, "FATAL", "53300", "too many connections", "")
-	end, _, err := find(fatal, 0)
+	fatal := appendError(nil, "FATAL", "53300", "too many connections", "")
+	end, _, err := findResponseEnd(fatal, 0)
 	require.NoError(t, err)
 	require.Equal(t, len(fatal), end, "a fatal error needs no ReadyForQuery")
 }
@@ -61,18 +61,18 @@
 	good := whole()
 	for name, b := range map[string][]byte{
 		"a value whose length does not fit": bytes.Replace(good, []byte{0, 0, 0, 2, 0, 'v'}, []byte{0, 0, 0, 9, 0, 'v'}, 1),
-		"an unknown message":                append(message(nil, '~', func(b []byte) []byte { return b }), good...),
+		"an unknown message":                append(appendMessage(nil, '~', func(b []byte) []byte { return b }), good...),
 		"a value without a description":     good[bytes.IndexByte(good, 'D'):],
 		"a second answer inside":            append(good[:len(good)-6:len(good)-6], good...),
 		"a tag that does not end":           bytes.Replace(good, []byte("SELECT 1\x00"), []byte("SELECT 1!"), 1),
 		"a parameter that does not end":     bytes.Replace(good, []byte("replica\x00"), []byte("replicas"), 1),
 		"a state that is none":              append(good[:len(good)-1:len(good)-1], '!'),
 	} {
-		_, err := parse(b, Platform)
-		require.ErrorIs(t, err, errShape, name)
+		_, err := parseResponse(b, Platform)
+		require.ErrorIs(t, err, errUnexpectedMessage, name)
 	}
-	_, _, err := find([]byte{'D', 0xb2, 0xd0, 0x5e, 0}, 0)
-	require.ErrorIs(t, err, errLength, "3 GB are not waited for")
+	_, _, err := findResponseEnd([]byte{'D', 0xb2, 0xd0, 0x5e, 0}, 0)
+	require.ErrorIs(t, err, errMessageLength, "3 GB are not waited for")
 }
 
 // A refusal's D is when to come back, rounded up; nothing else has one.
@@ -88,9 +88,9 @@
 		{edge.Result{Verdict: edge.Failed, Detail: "x"}, "08006", ""},
 		{edge.Result{Verdict: edge.Invalid, Detail: "x"}, "08P01", ""},
 	} {
-		_, body, rest, ok, err := next(reply(&k.result), 1000)
+		_, body, rest, ok, err := nextMessage(encodeResult(&k.result), 1000)
 		require.True(t, ok && err == nil && len(rest) == 0)
-		state, _, _, detail := fields(body)
+		state, _, _, detail := errorFields(body)
 		require.Equal(t, [2]string{k.state, k.detail}, [2]string{state, detail})
 	}
 }
@@ -98,25 +98,25 @@
 // FuzzResponse checks that no bytes of a db host panic, and that a response is found in one piece or in two.
 func FuzzResponse(f *testing.F) {
 	f.Add(whole(), 9)
-	f.Add(failure(nil, "FATAL", "53300", "x", "y"), 3)
+	f.Add(appendError(nil, "FATAL", "53300", "x", "y"), 3)
 	f.Add([]byte("T\x00\x00\x00\x06\x00\x01Z\x00\x00\x00\x05I"), 1)
 	f.Fuzz(func(t *testing.T, b []byte, cut int) {
-		end, _, err := find(b, 0)
+		end, _, err := findResponseEnd(b, 0)
 		if cut > 0 && cut < len(b) && err == nil {
-			if first, at, e := find(b[:cut], 0); e == nil && first == 0 {
-				end2, _, _ := find(b, at)
+			if first, at, e := findResponseEnd(b[:cut], 0); e == nil && first == 0 {
+				end2, _, _ := findResponseEnd(b, at)
 				require.Equal(t, end, end2)
 			}
 		}
 		if err == nil && end > 0 {
-			_, _ = parse(b[:end], Platform)
+			_, _ = parseResponse(b[:end], Platform)
 		}
 	})
 }
 
 // FuzzCommands checks that no bytes of a client panic, and that each command takes bytes or waits for more.
 func FuzzCommands(f *testing.F) {
-	good := query(startup(nil, "web", "orders"), func(b []byte) []byte { return append(b, "SELECT 1"...) })
+	good := appendQuery(appendStartup(nil, "web", "orders"), func(b []byte) []byte { return append(b, "SELECT 1"...) })
 	f.Add(good)
 	f.Add(append(append([]byte{}, good...), 'P', 0, 0, 0, 4, 'S', 0, 0, 0, 4, 'X', 0, 0, 0, 4))
 	f.Add([]byte{0, 0, 0, 8, 4, 210, 22, 47})
@@ -124,7 +124,7 @@
 		var p Parser
 		for rest := b; ; {
 			c := p.Next(rest)
-			if c.Kind == Incomplete || c.Kind == Broken {
+			if c.Kind == Incomplete || c.Kind == Malformed {
 				return
 			}
 			require.Greater(t, c.Used, 0)
--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -30,12 +30,12 @@
 	Primary: "master", Replica: "replica",
 }
 
-// Limits bound the pool.
-type Limits struct {
-	Connections int           // that may be open or being opened, to all hosts together
-	Bytes       int           // of answers that are not whole yet, on all connections together
-	Connect     time.Duration // a connection not up by then counts as none
-	Idle        time.Duration // a db host closes a connection that was idle for so long
+// PoolLimits bound the pool.
+type PoolLimits struct {
+	Connections    int           // that may be open or being opened, to all hosts together
+	Bytes          int           // of answers that are not whole yet, on all connections together
+	ConnectTimeout time.Duration // a connection not up by then counts as none
+	IdleTimeout    time.Duration // a db host closes a connection that was idle for so long
 }
 
 // Pool holds the connections to db hosts.
@@ -48,48 +48,48 @@
 	clock  clock.Clock
 	names  Names
 
-	refused loop.ThrottledLog
-	unread  int // on the loop: bytes of answers that are not whole yet
+	probeRejectionLog loop.ThrottledLog
+	unreadBytes       int // on the loop: bytes of answers that are not whole yet
 
-	mu     sync.Mutex
-	limits Limits
-	hosts  map[string]*host
-	open   int
-	wear   wear
-	late   Late
-	linger time.Duration // lateFor, but in tests
+	mu               sync.Mutex
+	limits           PoolLimits
+	hosts            map[string]*host
+	openConns        int
+	staleness        staleness
+	onLateAnswer     LateAnswerFunc
+	lateAnswerWindow time.Duration // lateAnswerWindow, but in tests
 }
 
-// Late is told of an answer whose attempt was given up in the same moment: it serves nobody, but it teaches. sent is when
+// LateAnswerFunc is told of an answer whose attempt was given up in the same moment: it serves nobody, but it teaches. sent is when
 // its request was written. It is called on a goroutine of its own.
-type Late func(host string, sent float64, write bool, o dispatch.Outcome)
+type LateAnswerFunc func(host string, sent float64, write bool, o dispatch.Outcome)
 
-// lateFor is how long a connection whose request was given up is listened to. The platform counts as known what an answer
+// lateAnswerWindow is how long a connection whose request was given up is listened to. The platform counts as known what an answer
 // tells 100 ms after it was written, also where the pooler gave it up meanwhile.
-const lateFor = 100 * time.Millisecond
+const lateAnswerWindow = 100 * time.Millisecond
 
 type host struct {
-	address string
-	idle    []*conn   // the one used last is at the end
-	late    *lateDial // nil: there is none
+	address       string
+	idle          []*conn        // the one used last is at the end
+	abandonedDial *abandonedDial // nil: there is none
 }
 
-// lateDial is one that goes on though its attempt was given up.
-type lateDial struct{ end func() }
+// abandonedDial is one that goes on though its attempt was given up.
+type abandonedDial struct{ cancel func() }
 
 // NewPool returns a pool whose connections are served by engine.
-func NewPool(engine *loop.Engine, c clock.Clock, names Names, limits Limits) *Pool {
+func NewPool(engine *loop.Engine, c clock.Clock, names Names, limits PoolLimits) *Pool {
 	return &Pool{
 		engine: engine, clock: c, names: names, limits: limits, hosts: map[string]*host{},
-		linger: lateFor,
+		lateAnswerWindow: lateAnswerWindow,
 	}
 }
 
-// TellLate has late answers told to late. It is to be set before the first request.
-func (p *Pool) TellLate(late Late) { p.late = late }
+// OnLateAnswer has late answers told to late. It is to be set before the first request.
+func (p *Pool) OnLateAnswer(late LateAnswerFunc) { p.onLateAnswer = late }
 
 // SetLimits takes other bounds for what is opened and kept from now on.
-func (p *Pool) SetLimits(limits Limits) {
+func (p *Pool) SetLimits(limits PoolLimits) {
 	p.mu.Lock()
 	p.limits = limits
 	p.mu.Unlock()
@@ -155,99 +155,99 @@
 // usable keeps a good distance from the moment at which the host closes a connection, or from which it was seen to be
 // dropped: a request written to it from then on may have run for all one can tell. Called with the lock held.
 func (p *Pool) usable(c *conn) bool {
-	idle := p.clock.Now() - c.since
-	return (p.limits.Idle <= 0 || idle < clock.Millis(p.limits.Idle)*0.7) && idle < p.wear.limit()
+	idle := p.clock.Now() - c.idleSince
+	return (p.limits.IdleTimeout <= 0 || idle < clock.Millis(p.limits.IdleTimeout)*0.7) && idle < p.staleness.maxIdleMillis()
 }
 
 // conn is a connection to a db host. One request owns it, or it lies in the pool.
 type conn struct {
-	pool *Pool
-	host *host
-	name string
-	gnet gnet.Conn
-	used bool // it carried a request before
-	from int  // on the loop: where to go on looking for the end of the response
+	pool     *Pool
+	host     *host
+	name     string
+	gnetConn gnet.Conn
+	reused   bool // it carried a request before
+	scanFrom int  // on the loop: where to go on looking for the end of the response
 	// on the loop: a request was written, so what comes is its answer. That an exchange waits is not enough: its request
 	// may still be on the way to the loop, and what comes then belongs to the last one.
-	awaiting bool
-	held     int             // on the loop: what of the pool's unread bytes lies here
-	late     func(*response) // on the loop: who wants to know what answers the last request, should that be given up; or nil
+	awaitingReply bool
+	countedBytes  int             // on the loop: what of the pool's unread bytes lies here
+	onLateReply   func(*response) // on the loop: who wants to know what answers the last request, should that be given up; or nil
 
-	mu     sync.Mutex
-	due    chan event // of the exchange under way; nil: none
-	wrote  bool       // its last byte was handed to the kernel
-	closed bool
-	since  float64 // idle since
+	mu             sync.Mutex
+	pending        chan exchangeResult // of the exchange under way; nil: none
+	requestWritten bool                // its last byte was handed to the kernel
+	closed         bool
+	idleSince      float64 // idle since
 }
 
-// event is what an exchange waits for.
-type event struct {
+// exchangeResult is what an exchange waits for.
+type exchangeResult struct {
 	response response
 	err      error // the connection broke or what came makes no sense
 }
 
-// errSpoilt marks an answer that can't be read. Its request has run, and nothing else on its connection can be told
+// errMalformed marks an answer that can't be read. Its request has run, and nothing else on its connection can be told
 // from what is left of it.
-var errSpoilt = errors.New("spoilt")
+var errMalformed = errors.New("spoilt")
 
-var errUnasked = fmt.Errorf("%w: the db host spoke unasked", errSpoilt)
+var errUnsolicited = fmt.Errorf("%w: the db host spoke unasked", errMalformed)
 
 // Traffic is called on the loop. A response stays in the connection's ring buffer until it is whole.
 func (c *conn) Traffic(g gnet.Conn) gnet.Action {
-	action := c.read(g)
+	action := c.readResponse(g)
 	p := c.pool
-	c.hold(g.InboundBuffered())
+	c.countUnread(g.InboundBuffered())
 	p.mu.Lock()
 	most := p.limits.Bytes
 	p.mu.Unlock()
-	if most > 0 && p.unread > most && c.held > 0 {
-		return c.spoilt(errLength)
+	if most > 0 && p.unreadBytes > most && c.countedBytes > 0 {
+		return c.failMalformed(errMessageLength)
 	}
 	return action
 }
 
-func (c *conn) hold(n int) {
-	c.pool.unread += n - c.held
-	c.held = n
+func (c *conn) countUnread(n int) {
+	c.pool.unreadBytes += n - c.countedBytes
+	c.countedBytes = n
 }
 
-func (c *conn) read(g gnet.Conn) gnet.Action {
+func (c *conn) readResponse(g gnet.Conn) gnet.Action {
 	n := g.InboundBuffered()
 	b, err := g.Peek(n)
 	if err != nil {
-		return c.spoilt(err)
+		return c.failMalformed(err)
 	}
-	if !c.awaiting { // notices and farewells come unasked; the latter end in a close
-		if kind, _, rest, ok, err := next(b, maxMessage); err == nil && (!ok || len(rest) == 0 && (kind == 'N' || kind == 'S')) {
+	if !c.awaitingReply { // notices and farewells come unasked; the latter end in a close
+		if kind, _, rest, ok, err := nextMessage(b, maxServerMessageBytes); err == nil && (!ok || len(rest) == 0 && (kind == 'N' || kind == 'S')) {
 			if ok {
 				_, _ = g.Discard(n)
 			}
 			return gnet.None
 		}
-		return c.spoilt(errUnasked)
+		return c.failMalformed(errUnsolicited)
 	}
-	end, at, err := find(b, c.from)
-	if err == nil && end == 0 && n > maxAnswer {
-		err = errLength
+	end, at, err := findResponseEnd(b, c.scanFrom)
+	if err == nil && end == 0 && n > maxResponseBytes {
+		err = errMessageLength
 	}
 	if err != nil {
-		return c.spoilt(err)
+		return c.failMalformed(err)
 	}
-	if c.from = at; end == 0 {
+	if c.scanFrom = at; end == 0 {
 		return gnet.None
 	}
-	r, err := parse(b[:end], c.pool.names)
+	r, err := parseResponse(b[:end], c.pool.names)
 	if err != nil {
-		return c.spoilt(err)
+		return c.failMalformed(err)
 	}
 	_, _ = g.Discard(end)
-	c.from, c.awaiting = 0, false
+	c.scanFrom, c.awaitingReply = 0, false
 	if end == n {
-		if c.deliver(event{response: r}) {
+		if c.deliver(exchangeResult{response: r}) {
 			return gnet.None
 		}
-		if c.late != nil { // given up, but for this
-			go c.late(&r)
+		if c.onLateReply != nil { // given up, but for this
+			go c.onLateReply(&r)
 		}
 		return gnet.Close
 	}
@@ -255,36 +255,36 @@
 	c.mu.Lock()
 	c.closed = true
 	c.mu.Unlock()
-	if !c.deliver(event{response: r}) && c.late != nil {
-		go c.late(&r)
+	if !c.deliver(exchangeResult{response: r}) && c.onLateReply != nil {
+		go c.onLateReply(&r)
 	}
 	return gnet.Close
 }
 
-func (c *conn) spoilt(err error) gnet.Action {
-	if !errors.Is(err, errSpoilt) {
-		err = fmt.Errorf("%w: %w", errSpoilt, err)
+func (c *conn) failMalformed(err error) gnet.Action {
+	if !errors.Is(err, errMalformed) {
+		err = fmt.Errorf("%w: %w", errMalformed, err)
 	}
-	c.deliver(event{err: err})
+	c.deliver(exchangeResult{err: err})
 	return gnet.Close
 }
 
 // Closed is called on the loop.
 func (c *conn) Closed(g gnet.Conn, err error) {
-	c.hold(0)
+	c.countUnread(0)
 	c.mu.Lock()
 	if g.OutboundBuffered() > 0 { // it broke before the last byte was written
-		c.wrote = false
+		c.requestWritten = false
 	}
 	c.closed = true
 	c.mu.Unlock()
 	if err == nil {
 		err = errClosed
 	}
-	c.deliver(event{err: err})
+	c.deliver(exchangeResult{err: err})
 	p := c.pool
 	p.mu.Lock()
-	p.open--
+	p.openConns--
 	for i, o := range c.host.idle {
 		if o == c {
 			c.host.idle = append(c.host.idle[:i], c.host.idle[i+1:]...)
@@ -295,10 +295,10 @@
 }
 
 // deliver brings what came to the exchange that waits for it. false: none does, or no longer.
-func (c *conn) deliver(e event) bool {
+func (c *conn) deliver(e exchangeResult) bool {
 	c.mu.Lock()
-	due := c.due
-	c.due = nil
+	due := c.pending
+	c.pending = nil
 	c.mu.Unlock()
 	if due != nil {
 		due <- e
@@ -306,51 +306,51 @@
 	return due != nil
 }
 
-func (c *conn) close() { _ = c.gnet.Close() }
+func (c *conn) close() { _ = c.gnetConn.Close() }
 
-// command writes once what build makes, on the loop and in the moment of the write, and waits for the response. Where build
+// roundTrip writes once what build makes, on the loop and in the moment of the write, and waits for the response. Where build
 // makes nothing, nothing is written, and the connection is as before. The second result tells whether the host may have
 // got all of it; if not, nothing ran. late, unless nil, gets a response that comes as its request is given up.
-func (c *conn) command(ctx context.Context, build func() []byte, late func(*response)) (e event, wrote bool) {
-	due := make(chan event, 1)
+func (c *conn) roundTrip(ctx context.Context, build func() []byte, late func(*response)) (e exchangeResult, wrote bool) {
+	due := make(chan exchangeResult, 1)
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
-		return event{err: errClosed}, false
+		return exchangeResult{err: errClosed}, false
 	}
-	c.due, c.wrote = due, false
+	c.pending, c.requestWritten = due, false
 	c.mu.Unlock()
-	if err := c.gnet.EventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+	if err := c.gnetConn.EventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		c.send(build, late, due)
 		return nil
 	})); err != nil {
 		c.close()
-		return event{err: err}, false
+		return exchangeResult{err: err}, false
 	}
 	select {
 	case e = <-due:
 	case <-ctx.Done():
 		c.mu.Lock()
-		if c.due != due {
+		if c.pending != due {
 			c.mu.Unlock()
 			e = <-due // it came at the same moment
 			break
 		}
-		c.due = nil
+		c.pending = nil
 		c.mu.Unlock()
 		c.abandon()
-		return event{err: ctx.Err()}, true
+		return exchangeResult{err: ctx.Err()}, true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return e, c.wrote
+	return e, c.requestWritten
 }
 
 // abandon ends a request that is given up: our sending at once, and the connection a little later. An answer that is on
 // its way just now may say that its host is no longer the primary; closed over it, the pooler would never know.
 func (c *conn) abandon() {
 	p := c.pool
-	if l := c.gnet.EventLoop(); l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+	if l := c.gnetConn.EventLoop(); l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		c.mu.Lock()
 		gone := c.closed
 		c.mu.Unlock()
@@ -358,12 +358,12 @@
 			return nil
 		}
 		p.mu.Lock()
-		full := p.open >= p.limits.Connections // its place is wanted
+		full := p.openConns >= p.limits.Connections // its place is wanted
 		p.mu.Unlock()
-		if full || !c.awaiting || c.late == nil || c.gnet.OutboundBuffered() > 0 || syscall.Shutdown(c.gnet.Fd(), syscall.SHUT_WR) != nil {
-			return l.Close(c.gnet)
+		if full || !c.awaitingReply || c.onLateReply == nil || c.gnetConn.OutboundBuffered() > 0 || syscall.Shutdown(c.gnetConn.Fd(), syscall.SHUT_WR) != nil {
+			return l.Close(c.gnetConn)
 		}
-		time.AfterFunc(p.linger, c.close)
+		time.AfterFunc(p.lateAnswerWindow, c.close)
 		return nil
 	})) != nil {
 		c.close()
@@ -372,44 +372,44 @@
 
 // send runs on the loop. What was already there when the request went out can't be its answer: a second copy of the
 // last one, noise, or the end of the connection, which then says nothing of the request.
-func (c *conn) send(build func() []byte, late func(*response), due chan event) {
+func (c *conn) send(build func() []byte, late func(*response), due chan exchangeResult) {
 	c.mu.Lock()
 	closed := c.closed
 	c.mu.Unlock()
 	if closed {
-		c.deliver(event{err: errClosed})
+		c.deliver(exchangeResult{err: errClosed})
 		return
 	}
 	var b []byte
 	c.mu.Lock()
-	if c.due == due { // not given up meanwhile: what build asks is asked for this attempt
+	if c.pending == due { // not given up meanwhile: what build asks is asked for this attempt
 		b = build()
 	}
 	c.mu.Unlock()
 	if b == nil {
-		c.deliver(event{err: errGate})
+		c.deliver(exchangeResult{err: errGateClosed})
 		return
 	}
-	if c.gnet.InboundBuffered() > 0 || pending(c.gnet) {
-		c.deliver(event{err: errClosed})
-		_ = c.gnet.EventLoop().Close(c.gnet)
+	if c.gnetConn.InboundBuffered() > 0 || hasUnreadEvent(c.gnetConn) {
+		c.deliver(exchangeResult{err: errClosed})
+		_ = c.gnetConn.EventLoop().Close(c.gnetConn)
 		return
 	}
-	c.awaiting, c.late = true, late
-	if _, err := c.gnet.Write(b); err != nil {
-		c.deliver(event{err: err}) // and gnet closes the connection
+	c.awaitingReply, c.onLateReply = true, late
+	if _, err := c.gnetConn.Write(b); err != nil {
+		c.deliver(exchangeResult{err: err}) // and gnet closes the connection
 		return
 	}
 	c.mu.Lock()
-	c.wrote = !c.closed // what is left of it lies in the ring buffer, which Closed looks at
+	c.requestWritten = !c.closed // what is left of it lies in the ring buffer, which Closed looks at
 	c.mu.Unlock()
 }
 
 var (
-	errGate        = errors.New("the gate did not open")
-	errClosed      = errors.New("the connection was closed")
-	errUnknownHost = errors.New("discovery has given no address for this host")
-	errMoved       = errors.New("the host is at another address now")
+	errGateClosed     = errors.New("the gate did not open")
+	errClosed         = errors.New("the connection was closed")
+	errUnknownHost    = errors.New("discovery has given no address for this host")
+	errAddressChanged = errors.New("the host is at another address now")
 )
 
 // Acquire takes a connection from the pool, or dials one and waits until the host is ready for a query.
@@ -422,14 +422,14 @@
 }
 
 func (p *Pool) acquire(ctx context.Context, name string) (c *conn, err error) {
-	for err = errMoved; err == errMoved; { // the host moved while it was dialled: it is to be had elsewhere
-		c, err = p.take(ctx, name)
+	for err = errAddressChanged; err == errAddressChanged; { // the host moved while it was dialled: it is to be had elsewhere
+		c, err = p.acquireOnce(ctx, name)
 	}
 	return c, err
 }
 
-func (p *Pool) take(ctx context.Context, name string) (*conn, error) {
-	c, h, old, err := p.place(name)
+func (p *Pool) acquireOnce(ctx context.Context, name string) (*conn, error) {
+	c, h, old, err := p.reserve(name)
 	for _, end := range old { // before the dial: it is their place that the new one has
 		end()
 	}
@@ -439,8 +439,8 @@
 	return p.dial(ctx, name, h)
 }
 
-// place takes a connection from the pool, or a place for a new one. old ends those that are not to be used again.
-func (p *Pool) place(name string) (c *conn, h *host, old []func(), err error) {
+// reserve takes a connection from the pool, or a place for a new one. old ends those that are not to be used again.
+func (p *Pool) reserve(name string) (c *conn, h *host, old []func(), err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if h = p.hosts[name]; h == nil {
@@ -450,32 +450,32 @@
 		c = h.idle[len(h.idle)-1]
 		h.idle = h.idle[:len(h.idle)-1]
 		if p.usable(c) {
-			c.used = true
+			c.reused = true
 			return c, h, old, nil
 		}
 		old = append(old, c.close)
 	}
-	if p.open >= p.limits.Connections {
-		end := p.spare()
+	if p.openConns >= p.limits.Connections {
+		end := p.evictOne()
 		if end == nil {
 			return nil, h, old, edge.ErrPoolExhausted
 		}
 		old = append(old, end)
 	}
-	p.open++
+	p.openConns++
 	return nil, h, old, nil
 }
 
-// spare makes room: it takes a dial that nobody waits for, else the connection that has been idle for longest, and
+// evictOne makes room: it takes a dial that nobody waits for, else the connection that has been idle for longest, and
 // returns what ends it. Called with the lock held.
-func (p *Pool) spare() (end func()) {
+func (p *Pool) evictOne() (end func()) {
 	var from *host
 	for _, h := range p.hosts {
-		if h.late != nil {
-			end, h.late = h.late.end, nil
+		if h.abandonedDial != nil {
+			end, h.abandonedDial = h.abandonedDial.cancel, nil
 			return end
 		}
-		if len(h.idle) > 0 && (from == nil || h.idle[0].since < from.idle[0].since) {
+		if len(h.idle) > 0 && (from == nil || h.idle[0].idleSince < from.idle[0].idleSince) {
 			from = h
 		}
 	}
@@ -492,7 +492,7 @@
 // for it, and the next attempt would have it pay once more.
 func (p *Pool) dial(ctx context.Context, name string, h *host) (*conn, error) {
 	p.mu.Lock()
-	connect := p.limits.Connect
+	connect := p.limits.ConnectTimeout
 	p.mu.Unlock()
 	if connect <= 0 {
 		return p.connect(ctx, name, h)
@@ -514,10 +514,10 @@
 		return r.conn, r.err
 	case <-ctx.Done():
 	}
-	this := &lateDial{cancel}
+	this := &abandonedDial{cancel}
 	p.mu.Lock()
-	if h.late == nil && p.hosts[name] == h {
-		h.late = this
+	if h.abandonedDial == nil && p.hosts[name] == h {
+		h.abandonedDial = this
 	} else {
 		cancel()
 	}
@@ -525,8 +525,8 @@
 	go func() {
 		r := <-up
 		p.mu.Lock()
-		if h.late == this {
-			h.late = nil
+		if h.abandonedDial == this {
+			h.abandonedDial = nil
 		}
 		p.mu.Unlock()
 		if r.err == nil {
@@ -540,26 +540,26 @@
 // loop never had it, else once it is closed.
 func (p *Pool) connect(ctx context.Context, name string, h *host) (*conn, error) {
 	c := &conn{pool: p, host: h, name: name}
-	err := p.wanted(c)
+	err := p.checkUsable(c)
 	if err == nil {
-		c.gnet, err = p.engine.Dial(ctx, h.address, c)
+		c.gnetConn, err = p.engine.Dial(ctx, h.address, c)
 	}
 	if err != nil {
 		p.mu.Lock()
-		p.open--
+		p.openConns--
 		p.mu.Unlock()
 		if loop.OutOfDescriptors(err) {
 			err = fmt.Errorf("%w: %w", edge.ErrPoolExhausted, err)
 		}
 		return nil, err
 	}
-	if err := p.wanted(c); err != nil { // a handshake is work too
+	if err := p.checkUsable(c); err != nil { // a handshake is work too
 		c.close()
 		return nil, err
 	}
-	e, _ := c.command(ctx, func() []byte { return startup(nil, p.names.User, p.names.Database) }, nil)
-	if e.err == nil && e.response.state == "" {
-		if e.err = p.wanted(c); e.err == nil {
+	e, _ := c.roundTrip(ctx, func() []byte { return appendStartup(nil, p.names.User, p.names.Database) }, nil)
+	if e.err == nil && e.response.sqlState == "" {
+		if e.err = p.checkUsable(c); e.err == nil {
 			return c, nil
 		}
 	}
@@ -567,21 +567,21 @@
 	if e.err != nil {
 		return nil, e.err
 	}
-	if e.response.state == stateRefused {
-		return nil, fmt.Errorf("%w: %s", edge.ErrHostRejected, e.response.text)
+	if e.response.sqlState == sqlStateTooManyConnections {
+		return nil, fmt.Errorf("%w: %s", edge.ErrHostRejected, e.response.errorText)
 	}
-	return nil, fmt.Errorf("the db host turned the connection away: %s %s", e.response.state, e.response.text)
+	return nil, fmt.Errorf("the db host turned the connection away: %s %s", e.response.sqlState, e.response.errorText)
 }
 
-// wanted says why a connection is not to be used, or made, any more: its host takes nothing new, or is elsewhere now.
-func (p *Pool) wanted(c *conn) error {
+// checkUsable says why a connection is not to be used, or made, any more: its host takes nothing new, or is elsewhere now.
+func (p *Pool) checkUsable(c *conn) error {
 	if p.Listed != nil && !p.Listed(c.name) {
 		return edge.ErrUnlisted
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.hosts[c.name] != c.host {
-		return errMoved
+		return errAddressChanged
 	}
 	return nil
 }
@@ -590,7 +590,7 @@
 func (c *conn) release() {
 	p := c.pool
 	c.mu.Lock()
-	c.since = p.clock.Now()
+	c.idleSince = p.clock.Now()
 	p.mu.Lock()
 	keep := !c.closed && p.hosts[c.name] == c.host // else the host moved or is forgotten
 	if keep {
@@ -606,36 +606,36 @@
 // Exchange is described at edge.Conn.
 func (c *conn) Exchange(ctx context.Context, s *sqlcomment.Statement, gate edge.Gate) edge.Reply {
 	begun, sent, write := c.pool.clock.Now(), 0.0, s.IsWrite
-	e, wrote := c.command(ctx, func() []byte {
+	e, wrote := c.roundTrip(ctx, func() []byte {
 		wait, ok := gate()
 		if !ok {
 			return nil
 		}
 		sent = c.pool.clock.Now()
-		return query(make([]byte, 0, len(s.Text)+16), func(b []byte) []byte { return s.AppendWithTimeout(b, wait) })
+		return appendQuery(make([]byte, 0, len(s.Text)+16), func(b []byte) []byte { return s.AppendWithTimeout(b, wait) })
 	}, func(r *response) {
-		if late := c.pool.late; late != nil && outcome(r) != dispatch.Malformed {
-			late(c.name, sent, write, c.pool.told(r))
+		if late := c.pool.onLateAnswer; late != nil && outcome(r) != dispatch.Malformed {
+			late(c.name, sent, write, c.pool.outcomeOf(r))
 		}
 	})
-	if errors.Is(e.err, errGate) {
+	if errors.Is(e.err, errGateClosed) {
 		c.release()
 		return edge.NotSent()
 	}
-	if c.used && wrote {
-		lost := e.err != nil && !errors.Is(e.err, errSpoilt) && ctx.Err() == nil
+	if c.reused && wrote {
+		lost := e.err != nil && !errors.Is(e.err, errMalformed) && ctx.Err() == nil
 		c.pool.mu.Lock()
-		c.pool.wear.note(begun, begun-c.since, lost)
+		c.pool.staleness.record(begun, begun-c.idleSince, lost)
 		c.pool.mu.Unlock()
 	}
 	if e.err != nil {
 		code := dispatch.ConnectionLost
 		switch {
-		case !wrote && c.used: // it was closed while it lay in the pool, which says nothing against the host
+		case !wrote && c.reused: // it was closed while it lay in the pool, which says nothing against the host
 			code = dispatch.NotSent
 		case !wrote:
 			code = dispatch.NoConnection
-		case errors.Is(e.err, errSpoilt):
+		case errors.Is(e.err, errMalformed):
 			code = dispatch.Malformed
 		case errors.Is(e.err, context.DeadlineExceeded):
 			code = dispatch.NoAnswer
@@ -647,18 +647,18 @@
 	r := &e.response
 	if outcome(r) == dispatch.Malformed { // it teaches nothing, its position least of all
 		c.close()
-		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Malformed}, Detail: errShape.Error()}
+		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Malformed}, Detail: errUnexpectedMessage.Error()}
 	}
-	reply := edge.Reply{Outcome: c.pool.told(r), Answer: r.answer}
+	reply := edge.Reply{Outcome: c.pool.outcomeOf(r), Answer: r.answer}
 	if reply.Code != dispatch.OK {
-		reply.Detail = r.state + " " + r.text
+		reply.Detail = r.sqlState + " " + r.errorText
 	}
 	c.release()
 	return reply
 }
 
-// told is what a response says.
-func (p *Pool) told(r *response) dispatch.Outcome {
+// outcomeOf is what a response says.
+func (p *Pool) outcomeOf(r *response) dispatch.Outcome {
 	return dispatch.Outcome{
 		Code: outcome(r), Role: p.role(r.answer.Role), Position: r.answer.Position,
 		Report: edge.ParseLoadReport(r.answer.LoadReport),
@@ -667,13 +667,13 @@
 
 func outcome(r *response) dispatch.Code {
 	switch {
-	case r.state == stateReplica || r.state == stateBehind:
+	case r.sqlState == sqlStateReadOnlyTransaction || r.sqlState == sqlStateReplicaBehind:
 		return dispatch.Misdirected
-	case r.state == stateRefused:
+	case r.sqlState == sqlStateTooManyConnections:
 		return dispatch.Rejected
-	case r.state != "":
+	case r.sqlState != "":
 		return dispatch.ServerError
-	case !r.done || r.rows != 1:
+	case !r.completed || r.rows != 1:
 		return dispatch.Malformed
 	}
 	return dispatch.OK
@@ -701,13 +701,13 @@
 	} else if err != nil {
 		return dispatch.Outcome{Code: dispatch.NoConnection}
 	}
-	e, _ := c.command(ctx, func() []byte {
+	e, _ := c.roundTrip(ctx, func() []byte {
 		if !listed(name) {
 			return nil
 		}
-		return query(nil, func(b []byte) []byte { return append(append(b, "SHOW "...), p.names.Gauges...) })
+		return appendQuery(nil, func(b []byte) []byte { return append(append(b, "SHOW "...), p.names.Gauges...) })
 	}, nil)
-	if errors.Is(e.err, errGate) {
+	if errors.Is(e.err, errGateClosed) {
 		c.release()
 		return dispatch.Outcome{Code: dispatch.NotSent}
 	}
@@ -721,7 +721,7 @@
 	}
 	c.release()
 	if code != dispatch.OK {
-		p.refused.Printf("probe of %s: %s %s", name, e.response.state, e.response.text)
+		p.probeRejectionLog.Printf("probe of %s: %s %s", name, e.response.sqlState, e.response.errorText)
 		return dispatch.Outcome{Code: code}
 	}
 	return dispatch.Outcome{Code: dispatch.OK, Report: edge.ParseLoadReport(string(e.response.answer.Value))}
--- a/internal/net/pg/pool_test.go
+++ b/internal/net/pg/pool_test.go
@@ -34,7 +34,7 @@
 	require.NoError(t, e.Start("127.0.0.1:0", func(gnet.Conn) (loop.Handler, []byte, gnet.Action) { return nil, nil, gnet.Close }))
 	t.Cleanup(e.Stop)
 	r := &rig{clock: clock.NewManual(1e12), conns: make(chan net.Conn, 16)}
-	r.Pool = NewPool(e, r.clock, Platform, Limits{Connections: 4, Connect: 300 * time.Millisecond, Idle: 15 * time.Second})
+	r.Pool = NewPool(e, r.clock, Platform, PoolLimits{Connections: 4, ConnectTimeout: 300 * time.Millisecond, IdleTimeout: 15 * time.Second})
 	r.SetAddress("h", l.Addr().String())
 	go func() {
 		for {
@@ -98,7 +98,7 @@
 	require.Len(t, r.conns, 2, "retired")
 	r.clock.Advance(12000)
 	r.Sweep()
-	require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.open == 0 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.openConns == 0 }, 10*time.Second, time.Millisecond)
 }
 
 // Guards against a late answer that reaches the next request on its connection.
@@ -153,8 +153,8 @@
 func TestASpoiltAnswer(t *testing.T) {
 	spoilt := [][]byte{
 		{'D', 0xb2, 0xd0, 0x5e, 0, 0},
-		[]byte("noise that is no message"), ready(complete(nil, "SELECT 0")),
-		message(nil, 'S', func(b []byte) []byte { return append(b, make([]byte, 70<<10)...) }),
+		[]byte("noise that is no message"), appendReady(appendCommandComplete(nil, "SELECT 0")),
+		appendMessage(nil, 'S', func(b []byte) []byte { return append(b, make([]byte, 70<<10)...) }),
 	}
 	for i, noise := range spoilt {
 		r := start(t, func(c net.Conn, b *pgproto3.Backend) {
@@ -165,7 +165,7 @@
 		})
 		reply := r.exchange(t, open)
 		require.Equal(t, edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Malformed}, Detail: reply.Detail}, reply, i)
-		require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.open == 0 }, 10*time.Second, time.Millisecond)
+		require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.openConns == 0 }, 10*time.Second, time.Millisecond)
 	}
 }
 
@@ -178,14 +178,14 @@
 		c.Write(append([]byte{'D', 0, 0, 0xff, 0}, make([]byte, 30<<10)...)) // and the rest never comes
 		b.Receive()
 	})
-	r.SetLimits(Limits{Connections: 3, Bytes: 50 << 10, Connect: 300 * time.Millisecond, Idle: 15 * time.Second})
+	r.SetLimits(PoolLimits{Connections: 3, Bytes: 50 << 10, ConnectTimeout: 300 * time.Millisecond, IdleTimeout: 15 * time.Second})
 	codes := make(chan dispatch.Code, 3)
 	for range 2 {
 		go func() { codes <- r.exchange(t, open).Code }()
 	}
 	require.Equal(t, dispatch.Malformed, <-codes, "what passes the bound goes at once")
 	require.Equal(t, dispatch.NoAnswer, <-codes, "the other is waited for")
-	r.SetLimits(Limits{})
+	r.SetLimits(PoolLimits{})
 	_, err := r.Acquire(context.Background(), "h")
 	require.ErrorIs(t, err, edge.ErrPoolExhausted)
 }
--- a/internal/net/pg/room_test.go
+++ b/internal/net/pg/room_test.go
@@ -12,7 +12,7 @@
 
 // A probe for which this process has no connection left says nothing of the host.
 func TestProbeWithoutRoomSaysNothingOfTheHost(t *testing.T) {
-	p := NewPool(nil, clock.System(), Platform, Limits{})
+	p := NewPool(nil, clock.System(), Platform, PoolLimits{})
 	p.SetAddress("h", "127.0.0.1:1")
 	require.Equal(t, dispatch.NotSent, p.Probe(context.Background(), "h", func(string) bool { return true }).Code)
 }
--- a/internal/net/pg/scram.go
+++ b/internal/net/pg/scram.go
@@ -44,18 +44,18 @@
 }
 
 // saslOffer asks a client for SCRAM-SHA-256.
-var saslOffer = message(nil, 'R', func(b []byte) []byte {
+var saslOffer = appendMessage(nil, 'R', func(b []byte) []byte {
 	return append(binary.BigEndian.AppendUint32(b, 10), "SCRAM-SHA-256\x00\x00"...)
 })
 
-// proof is a client's proof that it knows its password.
-type proof struct {
-	talk    *scram.ServerConversation
-	started bool
+// scramExchange is a client's proof that it knows its password.
+type scramExchange struct {
+	conversation *scram.ServerConversation
+	started      bool
 }
 
-// newProof begins one. A user who is not known is refused only at the end, as a wrong password is.
-func newProof(user string, v Verifier, known bool) *proof {
+// newScramExchange begins one. A user who is not known is refused only at the end, as a wrong password is.
+func newScramExchange(user string, v Verifier, known bool) *scramExchange {
 	if !known {
 		v.stored = scram.StoredCredentials{
 			KeyFactors: scram.KeyFactors{Salt: "ashstand" + user, Iters: 4096},
@@ -67,42 +67,42 @@
 	if err != nil {
 		return nil
 	}
-	return &proof{talk: s.NewConversation()}
+	return &scramExchange{conversation: s.NewConversation()}
 }
 
-// prove takes a message of the proof.
-func (c *sclient) prove(b []byte) (used int, action gnet.Action) {
-	kind, body, rest, ok, err := next(b, maxStartup)
+// authenticate takes a message of the proof.
+func (c *sessionClient) authenticate(b []byte) (used int, action gnet.Action) {
+	kind, body, rest, ok, err := nextMessage(b, maxStartupBytes)
 	if err == nil && !ok {
 		return 0, gnet.None
 	}
 	refused := func() gnet.Action {
-		return c.farewell("28P01", "password authentication failed for user "+strconv.Quote(c.names.user), "")
+		return c.closeWithError("28P01", "password authentication failed for user "+strconv.Quote(c.identity.user), "")
 	}
 	if err != nil || kind != 'p' {
-		return 0, c.farewell(stateInvalid, "a proof of the password is due", "")
+		return 0, c.closeWithError(sqlStateProtocolViolation, "a proof of the password is due", "")
 	}
-	p := c.proof
+	p := c.authentication
 	if !p.started {
 		p.started = true
-		mechanism, tail, ok := text(body)
+		mechanism, tail, ok := cutString(body)
 		if !ok || mechanism != "SCRAM-SHA-256" || len(tail) < 4 || int(binary.BigEndian.Uint32(tail)) != len(tail)-4 {
-			return 0, c.farewell(stateInvalid, "SCRAM-SHA-256 is the one mechanism offered", "")
+			return 0, c.closeWithError(sqlStateProtocolViolation, "SCRAM-SHA-256 is the one mechanism offered", "")
 		}
 		body = tail[4:]
 	}
-	said, err := p.talk.Step(string(body))
-	if err != nil || p.talk.Done() && !p.talk.Valid() {
+	said, err := p.conversation.Step(string(body))
+	if err != nil || p.conversation.Done() && !p.conversation.Valid() {
 		return 0, refused()
 	}
 	code := uint32(11)
-	if p.talk.Done() {
+	if p.conversation.Done() {
 		code = 12
 	}
-	c.answer(message(nil, 'R', func(b []byte) []byte { return append(binary.BigEndian.AppendUint32(b, code), said...) }))
-	if p.talk.Done() {
-		c.proof = nil
-		c.open()
+	c.writeClient(appendMessage(nil, 'R', func(b []byte) []byte { return append(binary.BigEndian.AppendUint32(b, code), said...) }))
+	if p.conversation.Done() {
+		c.authentication = nil
+		c.completeStartup()
 	}
 	return len(b) - len(rest), gnet.None
 }
