--- a/internal/net/pg/server.go
+++ b/internal/net/pg/server.go
@@ -20,86 +20,86 @@
 	"ashstand/internal/net/loop"
 )
 
-// params are the parameters that a server reported or a client was told. A set is never changed once it is shared.
-type params struct {
-	of  map[string]string
-	sum uint64 // tells two sets apart without comparing them
+// parameterSet are the parameters that a server reported or a client was told. A set is never changed once it is shared.
+type parameterSet struct {
+	values      map[string]string
+	fingerprint uint64 // tells two sets apart without comparing them
 }
 
-func (p *params) with(f *Sessions, name, value string) *params {
-	old, had := p.of[name]
+func (p *parameterSet) with(f *SessionFront, name, value string) *parameterSet {
+	old, had := p.values[name]
 	if had && old == value {
 		return p
 	}
-	n := &params{of: maps.Clone(p.of), sum: p.sum + f.hash(name, value)}
+	n := &parameterSet{values: maps.Clone(p.values), fingerprint: p.fingerprint + f.hash(name, value)}
 	if had {
-		n.sum -= f.hash(name, old)
+		n.fingerprint -= f.hash(name, old)
 	}
-	n.of[name] = value
+	n.values[name] = value
 	return n
 }
 
-// server is one connection to a db host. One session is linked to it, or it lies in its pool.
-type server struct {
-	front    *Sessions
-	pool     *spool
-	wire     loop.PausableConn
-	client   *sclient
-	have     *session.Values // what holds on it while nobody is linked
-	prepared *session.Server
-	reported *params
-	pid, key uint32
-	since    float64 // unused since
-	born     float64
-	starting bool
-	reading  bool // Traffic is under way
-	worn     bool // not to be used again
-	dead     bool
-	cancels  int // cancel requests on their way to it
-	sent     bool
-	left     int  // bytes of a message whose begin was passed on
-	dropping bool // or dropped
+// serverConn is one connection to a db host. One session is linked to it, or it lies in its pool.
+type serverConn struct {
+	front                     *SessionFront
+	pool                      *serverPool
+	wire                      loop.PausableConn
+	session                   *sessionClient
+	settings                  *session.Settings // what holds on it while nobody is linked
+	prepared                  *session.ServerStatements
+	parameters                *parameterSet
+	backendPID, backendSecret uint32
+	idleSince                 float64 // unused since
+	createdAt                 float64
+	connecting                bool
+	handlingTraffic           bool // Traffic is under way
+	retired                   bool // not to be used again
+	closed                    bool
+	pendingCancels            int // cancel requests on their way to it
+	requestSent               bool
+	streamRemaining           int  // bytes of a message whose begin was passed on
+	streamDiscarded           bool // or dropped
 
-	role     string // said since the last ReadyForQuery
-	position float64
-	gauges   string
+	reportedRole     string // said since the last ReadyForQuery
+	reportedPosition float64
+	reportedGauges   string
 }
 
-// dial opens one more connection for a pool; whoever waits there gets it.
-func (f *Sessions) dial(p *spool) {
+// openServerConn opens one more connection for a pool; whoever waits there gets it.
+func (f *SessionFront) openServerConn(p *serverPool) {
 	p.open++
 	p.dialing++
-	f.servers++
-	s := &server{front: f, pool: p, have: session.None, starting: true, born: f.clock.Now(), reported: &params{of: map[string]string{}}}
+	f.serverCount++
+	s := &serverConn{front: f, pool: p, settings: session.NoSettings, connecting: true, createdAt: f.clock.Now(), parameters: &parameterSet{values: map[string]string{}}}
 	l := f.limits.Load()
 	most := 100
 	if ps := l.poolFor(p.key.database, p.key.user); ps != nil {
-		most = ps.Statements
+		most = ps.MaxPreparedStatements
 	}
-	s.prepared = session.NewServer(most)
+	s.prepared = session.NewServerStatements(most)
 	address, begun := p.host.address, time.Now()
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), l.Connect)
+		ctx, cancel := context.WithTimeout(context.Background(), l.ConnectTimeout)
 		defer cancel()
 		g, err := f.engine.Dial(ctx, address, s)
 		f.onLoop(func() {
 			switch {
 			case err != nil:
-				s.ended()
-				p.failed(err)
-			case s.dead:
+				s.unregister()
+				p.connectFailed(err)
+			case s.closed:
 			default:
 				s.wire = loop.NewPausableConn(f.engine, g, s)
-				if p.host.address != address || !f.facade.IsActive(p.host.name) { // a handshake is work too
-					s.ended()
+				if p.host.address != address || !f.dispatcher.IsActive(p.host.name) { // a handshake is work too
+					s.unregister()
 					s.wire.Close()
-					p.failed(errUnlisted)
+					p.connectFailed(errHostUnavailable)
 					return
 				}
-				s.wire.Write(startup(nil, p.key.user, p.key.database))
-				time.AfterFunc(l.Connect-time.Since(begun), func() { // a connection not up by then counts as none
+				s.wire.Write(appendStartup(nil, p.key.user, p.key.database))
+				time.AfterFunc(l.ConnectTimeout-time.Since(begun), func() { // a connection not up by then counts as none
 					f.onLoop(func() {
-						if s.starting && !s.dead {
+						if s.connecting && !s.closed {
 							s.wire.Close()
 						}
 					})
@@ -109,8 +109,8 @@
 	}()
 }
 
-// deliver sends a cancel request and waits until the host has taken it, which it says by closing.
-func deliver(address string, b []byte, limit time.Duration) error {
+// deliverCancelRequest sends a cancel request and waits until the host has taken it, which it says by closing.
+func deliverCancelRequest(address string, b []byte, limit time.Duration) error {
 	c, err := net.DialTimeout("tcp", address, limit)
 	if err != nil {
 		return err
@@ -126,34 +126,34 @@
 	return err
 }
 
-// failed says that a connection for the pool did not come up: who has waited longest chooses anew.
-func (p *spool) failed(err error) {
+// connectFailed says that a connection for the pool did not come up: who has waited longest chooses anew.
+func (p *serverPool) connectFailed(err error) {
 	code := dispatch.NoConnection
 	switch {
-	case errors.Is(err, errTurnedAway), loop.OutOfDescriptors(err):
+	case errors.Is(err, errHostRejected), loop.OutOfDescriptors(err):
 		code = dispatch.Rejected
-	case errors.Is(err, errUnlisted):
+	case errors.Is(err, errHostUnavailable):
 		code = dispatch.NotSent
 	}
 	if w := p.queue.Next(0, nil); w != nil {
-		w.Of.(*sclient).again(dispatch.Outcome{Code: code})
+		w.Owner.(*sessionClient).retryRouting(dispatch.Outcome{Code: code})
 	}
 }
 
 var (
-	errTurnedAway = errors.New("the db host turns connections away")
-	errUnlisted   = errors.New("the db host takes nothing new, or is elsewhere now")
+	errHostRejected    = errors.New("the db host turns connections away")
+	errHostUnavailable = errors.New("the db host takes nothing new, or is elsewhere now")
 )
 
-// ended takes a connection off the books.
-func (s *server) ended() {
-	if s.dead {
+// unregister takes a connection off the books.
+func (s *serverConn) unregister() {
+	if s.closed {
 		return
 	}
-	s.dead = true
-	s.front.servers--
+	s.closed = true
+	s.front.serverCount--
 	s.pool.open--
-	if s.starting {
+	if s.connecting {
 		s.pool.dialing--
 	}
 	for i, o := range s.pool.idle {
@@ -165,64 +165,64 @@
 }
 
 // Closed is called on the loop.
-func (s *server) Closed(_ gnet.Conn, err error) {
+func (s *serverConn) Closed(_ gnet.Conn, err error) {
 	if !s.wire.ConfirmClosed() {
 		return
 	}
-	started := !s.starting || s.dead
-	s.ended()
-	delete(s.front.paused, &s.wire)
-	if c := s.client; c != nil {
-		s.client = nil
-		c.lost(s)
+	started := !s.connecting || s.closed
+	s.unregister()
+	delete(s.front.pausedWires, &s.wire)
+	if c := s.session; c != nil {
+		s.session = nil
+		c.serverLost(s)
 	}
 	if !started {
 		if err == nil {
 			err = errClosed
 		}
-		s.pool.failed(err)
+		s.pool.connectFailed(err)
 	} else {
-		s.pool.serve(s.front)
+		s.pool.serveWaiters(s.front)
 	}
 }
 
-// old says whether the connection is to be used no more.
-func (s *server) old(p *PoolSettings, now float64) bool {
-	return s.worn || p.ServerIdle > 0 && now-s.since > p.ServerIdle || p.ServerLife > 0 && now-s.born > p.ServerLife
+// isExpired says whether the connection is to be used no more.
+func (s *serverConn) isExpired(p *PoolSettings, now float64) bool {
+	return s.retired || p.ServerIdleMillis > 0 && now-s.idleSince > p.ServerIdleMillis || p.ServerLifetimeMillis > 0 && now-s.createdAt > p.ServerLifetimeMillis
 }
 
-// rest puts the connection into its pool, or ends it.
-func (s *server) rest() {
+// returnToPool puts the connection into its pool, or ends it.
+func (s *serverConn) returnToPool() {
 	f, p := s.front, s.pool
-	s.since = f.clock.Now()
+	s.idleSince = f.clock.Now()
 	ps := f.limits.Load().poolFor(p.key.database, p.key.user)
-	if s.cancels > 0 { // a cancel under way may hit whatever runs next: it comes back once that is delivered
+	if s.pendingCancels > 0 { // a cancel under way may hit whatever runs next: it comes back once that is delivered
 		return
 	}
-	if ps == nil || s.worn || p.host.address == "" || f.drain && p.queue.Len() == 0 || ps.ServerLife > 0 && s.since-s.born > ps.ServerLife ||
-		!f.facade.IsActive(p.host.name) {
-		f.stats.Discarded++
+	if ps == nil || s.retired || p.host.address == "" || f.draining && p.queue.Len() == 0 || ps.ServerLifetimeMillis > 0 && s.idleSince-s.createdAt > ps.ServerLifetimeMillis ||
+		!f.dispatcher.IsActive(p.host.name) {
+		f.stats.ServersDiscarded++
 		s.wire.Close()
 		return
 	}
 	p.idle = append(p.idle, s)
-	p.serve(f)
+	p.serveWaiters(f)
 }
 
-// serve gives what lies in the pool to those who wait, first come first served, and dials for the others.
-func (p *spool) serve(f *Sessions) {
+// serveWaiters gives what lies in the pool to those who wait, first come first served, and dials for the others.
+func (p *serverPool) serveWaiters(f *SessionFront) {
 	now := f.clock.Now()
 	for p.queue.Len() > 0 {
 		if len(p.idle) == 0 {
-			p.grow(f)
+			p.openForWaiters(f)
 			return
 		}
-		w := p.queue.Next(now, func(w *session.Waiter) { w.Of.(*sclient).late() })
+		w := p.queue.Next(now, func(w *session.Waiter) { w.Owner.(*sessionClient).waitExpired() })
 		if w == nil {
 			return
 		}
-		c := w.Of.(*sclient)
-		if s := p.take(c, now); s != nil {
+		c := w.Owner.(*sessionClient)
+		if s := p.takeIdle(c, now); s != nil {
 			c.attach(s)
 		} else if !p.queue.Add(w, p.queue.Len()+1) {
 			return
@@ -230,12 +230,12 @@
 	}
 }
 
-// take is the unused connection that has least to be changed for a session, of those used last; nil: there is none.
-func (p *spool) take(c *sclient, now float64) *server {
+// takeIdle is the unused connection that has least to be changed for a session, of those used last; nil: there is none.
+func (p *serverPool) takeIdle(c *sessionClient, now float64) *serverConn {
 	for len(p.idle) > 0 {
 		at := len(p.idle) - 1
 		for i := at; i >= 0 && i > at-8; i-- {
-			if p.idle[i].have.Same(c.pipe.Now()) {
+			if p.idle[i].settings.Equal(c.pipeline.Settings()) {
 				at = i
 				break
 			}
@@ -243,8 +243,8 @@
 		s := p.idle[at]
 		p.idle = append(p.idle[:at], p.idle[at+1:]...)
 		// What came since it was used is its end, or nothing that is asked for: it says nothing of this request.
-		if s.old(c.pool, now) || s.wire.Conn == nil || s.wire.BufferedBytes() > 0 || pending(s.wire.Conn) {
-			s.worn = true
+		if s.isExpired(c.pool, now) || s.wire.Conn == nil || s.wire.BufferedBytes() > 0 || hasUnreadEvent(s.wire.Conn) {
+			s.retired = true
 			s.wire.Close()
 			continue
 		}
@@ -253,59 +253,59 @@
 	return nil
 }
 
-// grow opens a connection for each that waits and has none coming, as far as the sizes allow.
-func (p *spool) grow(f *Sessions) {
+// openForWaiters opens a connection for each that waits and has none coming, as far as the sizes allow.
+func (p *serverPool) openForWaiters(f *SessionFront) {
 	l := f.limits.Load()
 	ps := l.poolFor(p.key.database, p.key.user)
-	if ps == nil || p.host.address == "" || !f.facade.IsActive(p.host.name) { // the sweep sends those that wait elsewhere
+	if ps == nil || p.host.address == "" || !f.dispatcher.IsActive(p.host.name) { // the sweep sends those that wait elsewhere
 		return
 	}
-	for n := p.queue.Len() - p.dialing; n > 0 && p.open < p.room(ps); n-- {
-		if f.servers >= l.Servers && !f.spare() {
+	for n := p.queue.Len() - p.dialing; n > 0 && p.open < p.capacity(ps); n-- {
+		if f.serverCount >= l.Servers && !f.evictIdle() {
 			return
 		}
-		f.dial(p)
+		f.openServerConn(p)
 	}
 }
 
-// room is how many connections the pool may have; the reserve is for sessions that keep theirs.
-func (p *spool) room(ps *PoolSettings) int {
-	return max(1, ps.Sizes.Most-max(0, ps.Reserve-p.kept))
+// capacity is how many connections the pool may have; the reserve is for sessions that keep theirs.
+func (p *serverPool) capacity(ps *PoolSettings) int {
+	return max(1, ps.Sizes.MaxConnections-max(0, ps.ReservedForSticky-p.retained))
 }
 
 // Traffic is called on the loop.
-func (s *server) Traffic(g gnet.Conn) gnet.Action {
+func (s *serverConn) Traffic(g gnet.Conn) gnet.Action {
 	if s.wire.Conn == nil { // it spoke before it was spoken to
 		return gnet.Close
 	}
-	s.reading = true
-	defer func() { s.reading = false }()
+	s.handlingTraffic = true
+	defer func() { s.handlingTraffic = false }()
 	var err error
 	switch {
-	case s.starting:
-		err = s.start()
+	case s.connecting:
+		err = s.readStartup()
 	default:
-		err = s.read()
+		err = s.relay()
 	}
 	if err != nil {
-		if !errors.Is(err, errFarewell) {
-			s.front.odd.Printf("sessions: %s: %v", s.pool.host.name, err)
+		if !errors.Is(err, errHostClosing) {
+			s.front.hostLog.Printf("sessions: %s: %v", s.pool.host.name, err)
 		}
 		return gnet.Close
 	}
-	if s.worn && s.client == nil && !s.starting { // whoever had it went meanwhile
+	if s.retired && s.session == nil && !s.connecting { // whoever had it went meanwhile
 		return gnet.Close
 	}
 	return gnet.None
 }
 
-var errFarewell = errors.New("the db host ends the connection")
+var errHostClosing = errors.New("the db host ends the connection")
 
-// start reads the answer to the startup message.
-func (s *server) start() error {
+// readStartup reads the answer to the startup message.
+func (s *serverConn) readStartup() error {
 	for {
 		b := s.wire.Peek()
-		kind, body, rest, ok, err := next(b, mostWhole)
+		kind, body, rest, ok, err := nextMessage(b, maxBufferedMessageBytes)
 		if err != nil {
 			return err
 		}
@@ -319,42 +319,42 @@
 				return errors.New("the db host asks for a password, which is not supported")
 			}
 		case 'S':
-			if _, ok := s.status(body); !ok {
-				return errShape
+			if _, ok := s.recordParameter(body); !ok {
+				return errUnexpectedMessage
 			}
 		case 'K':
 			if len(body) >= 8 {
-				s.pid, s.key = binary.BigEndian.Uint32(body), binary.BigEndian.Uint32(body[4:])
+				s.backendPID, s.backendSecret = binary.BigEndian.Uint32(body), binary.BigEndian.Uint32(body[4:])
 			}
 		case 'E':
-			state, text, _, _ := fields(body)
-			s.worn = true
-			s.front.odd.Printf("sessions: %s turned a connection away: %s %s", s.pool.host.name, state, text)
+			state, text, _, _ := errorFields(body)
+			s.retired = true
+			s.front.hostLog.Printf("sessions: %s turned a connection away: %s %s", s.pool.host.name, state, text)
 			p := s.pool
-			s.ended()
-			s.starting = false
-			if state == stateRefused {
-				p.failed(errTurnedAway)
+			s.unregister()
+			s.connecting = false
+			if state == sqlStateTooManyConnections {
+				p.connectFailed(errHostRejected)
 			} else {
-				p.failed(errFarewell)
+				p.connectFailed(errHostClosing)
 			}
-			return errFarewell
+			return errHostClosing
 		case 'Z':
 			s.wire.Discard(used)
-			s.starting = false
+			s.connecting = false
 			s.pool.dialing--
-			s.rest()
+			s.returnToPool()
 			return nil
 		case 'N', 'v':
 		default:
-			return fmt.Errorf("%w: %q while starting", errShape, kind)
+			return fmt.Errorf("%w: %q while starting", errUnexpectedMessage, kind)
 		}
 		s.wire.Discard(used)
 	}
 }
 
-// status takes a ParameterStatus. own: it is of the host, not of the session.
-func (s *server) status(body []byte) (own, ok bool) {
+// recordParameter takes a ParameterStatus. own: it is of the host, not of the session.
+func (s *serverConn) recordParameter(body []byte) (own, ok bool) {
 	name, value, ok := strings.Cut(string(body), "\x00")
 	value, rest, end := strings.Cut(value, "\x00")
 	if !ok || !end || rest != "" {
@@ -362,33 +362,33 @@
 	}
 	switch n := &s.front.names; name {
 	case n.Role:
-		s.role = value
+		s.reportedRole = value
 	case n.Position:
 		if x, err := strconv.ParseFloat(value, 64); err == nil && x > 0 && x < 1<<52 {
-			s.position = x
+			s.reportedPosition = x
 		}
 	case n.Gauges:
-		s.gauges = value
+		s.reportedGauges = value
 	default:
-		if _, had := s.reported.of[name]; !had && len(s.reported.of) >= mostReported {
+		if _, had := s.parameters.values[name]; !had && len(s.parameters.values) >= maxReportedParameters {
 			return false, false
 		}
-		s.reported = s.reported.with(s.front, name, value)
+		s.parameters = s.parameters.with(s.front, name, value)
 		return false, true
 	}
 	return true, true
 }
 
-// read passes what the host says to the client that is linked. Messages up to mostWhole are passed whole, so that a
+// relay passes what the host says to the client that is linked. Messages up to maxBufferedMessageBytes are passed whole, so that a
 // connection that breaks leaves its client between two messages; longer ones are streamed.
-func (s *server) read() error {
+func (s *serverConn) relay() error {
 	b := s.wire.Peek()
-	c := s.client
+	c := s.session
 	if c == nil {
-		return s.unasked(b)
+		return s.readUnsolicited(b)
 	}
 	f := s.front
-	out := f.scratch[:0]
+	out := f.clientBuffer[:0]
 	at, from := 0, 0 // consumed, and since where it is to be passed as it is
 	var err error
 	ready := false
@@ -398,17 +398,17 @@
 		}
 		from = to
 	}
-	for k := c.pipe.Local(); k != 0; k = c.pipe.Local() {
+	for k := c.pipeline.NextLocalReply(); k != 0; k = c.pipeline.NextLocalReply() {
 		out = append(out, k, 0, 0, 0, 4)
 	}
 	for at < len(b) && !ready {
-		if s.left > 0 {
-			n := min(s.left, len(b)-at)
-			if s.dropping {
+		if s.streamRemaining > 0 {
+			n := min(s.streamRemaining, len(b)-at)
+			if s.streamDiscarded {
 				pass(at)
 				from = at + n
 			}
-			s.left -= n
+			s.streamRemaining -= n
 			at += n
 			continue
 		}
@@ -418,13 +418,13 @@
 		kind := b[at]
 		total := int(binary.BigEndian.Uint32(b[at+1:])) + 1
 		if total < 5 || total > 1<<30 {
-			err = errLength
+			err = errMessageLength
 			break
 		}
 		word, whole := "", len(b)-at >= total
-		if !whole && (total <= mostWhole || strings.IndexByte("ECZSKRN", kind) >= 0) {
-			if total > mostWhole {
-				err = errLength
+		if !whole && (total <= maxBufferedMessageBytes || strings.IndexByte("ECZSKRN", kind) >= 0) {
+			if total > maxBufferedMessageBytes {
+				err = errMessageLength
 			}
 			break
 		}
@@ -435,8 +435,8 @@
 		var state, text string
 		switch kind {
 		case 'E':
-			if state, text, _, _ = fields(body); state == "" {
-				state = stateInternal
+			if state, text, _, _ = errorFields(body); state == "" {
+				state = sqlStateInternalError
 			}
 			word = state
 		case 'C':
@@ -446,126 +446,126 @@
 				word = string(body)
 			}
 		case 'S':
-			if _, ok := s.status(body); !ok {
-				err = errShape
+			if _, ok := s.recordParameter(body); !ok {
+				err = errUnexpectedMessage
 			}
 		}
 		if err != nil {
 			break
 		}
-		guarded := kind == 'E' && c.recording && c.guarded(state, text)
-		p := c.pipe.Answer(kind, word)
+		guarded := kind == 'E' && c.recording && c.isTenantClosedError(state, text)
+		p := c.pipeline.HandleServerMessage(kind, word)
 		switch {
-		case guarded && c.pipe.Due() == 1 && !p.Drop && p.Refusal == nil: // nothing ran, and nobody was told anything
+		case guarded && c.pipeline.Expected() == 1 && !p.Drop && p.Replacement == nil: // nothing ran, and nobody was told anything
 			at += total
 			out, from = out[:0], at
-			c.phase = phaseTurned
+			c.phase = phaseRejectedByHost
 			continue
-		case p.Ready && c.phase == phaseTurned:
+		case p.Ready && c.phase == phaseRejectedByHost:
 			s.wire.Discard(at + total)
-			c.rerun(s)
-			if s.client == nil && !s.dead && s.wire.BufferedBytes() > 0 {
-				return s.unasked(s.wire.Peek())
+			c.replayElsewhere(s)
+			if s.session == nil && !s.closed && s.wire.BufferedBytes() > 0 {
+				return s.readUnsolicited(s.wire.Peek())
 			}
 			return nil
-		case p.Bad:
-			err = fmt.Errorf("%w: %q", errShape, kind)
+		case p.Unexpected:
+			err = fmt.Errorf("%w: %q", errUnexpectedMessage, kind)
 		case p.Injected:
 			pass(at)
 			at += total
 			from = at
-			c.answer(out)
+			c.writeClient(out)
 			s.wire.Discard(at)
-			if s.client != c {
-				return errFarewell
+			if s.session != c {
+				return errHostClosing
 			}
-			return c.restored(s, p.Failed)
-		case kind == 'S' && c.phase == phaseSyncing:
+			return c.settingsRestored(s, p.Failed)
+		case kind == 'S' && c.phase == phaseRestoring:
 			p.Drop = true // what differs in the end is told once all is set
 		}
 		if err != nil {
 			break
 		}
 		if kind == 'E' && p.Failed {
-			c.trouble = state + " " + text
+			c.settingsError = state + " " + text
 		}
-		if kind == 'E' && state == stateReplica {
+		if kind == 'E' && state == sqlStateReadOnlyTransaction {
 			c.misplaced = true
 		}
-		if p.Drop || p.Refusal != nil {
+		if p.Drop || p.Replacement != nil {
 			pass(at)
 			from = at + min(total, len(b)-at)
-			if r := p.Refusal; r != nil {
-				out = failure(out, "ERROR", r.State, r.Text, "")
+			if r := p.Replacement; r != nil {
+				out = appendError(out, "ERROR", r.SQLState, r.Text, "")
 			}
 		}
 		if !whole {
-			s.left, s.dropping = total-(len(b)-at), p.Drop
+			s.streamRemaining, s.streamDiscarded = total-(len(b)-at), p.Drop
 			at = len(b)
 			continue
 		}
 		at += total
-		if k := c.pipe.Local(); k != 0 {
+		if k := c.pipeline.NextLocalReply(); k != 0 {
 			pass(at)
-			for ; k != 0; k = c.pipe.Local() {
+			for ; k != 0; k = c.pipeline.NextLocalReply() {
 				out = append(out, k, 0, 0, 0, 4)
 			}
 		}
 		if p.Ready {
-			c.turn(s, word[0])
+			c.transactionReady(s, word[0])
 			// The session may be done with this connection: what it sent belongs to it up to here.
-			ready = c.pipe.Idle()
+			ready = c.pipeline.Idle()
 		}
 	}
 	switch {
 	case len(out) == 0 && at > from:
-		c.answer(b[from:at])
+		c.writeClient(b[from:at])
 	default:
 		pass(at)
-		c.answer(out)
+		c.writeClient(out)
 	}
 	if cap(out) <= 1<<20 {
-		f.scratch = out
+		f.clientBuffer = out
 	}
 	s.wire.Discard(at)
 	if err != nil {
 		return err
 	}
-	if s.client != c { // it went while its answer was written: what is due here is nobody's
-		return errFarewell
+	if s.session != c { // it went while its answer was written: what is due here is nobody's
+		return errHostClosing
 	}
-	if c.wire.UnsentBytes() > highWater {
-		f.watch(&s.wire, func() bool { return c.gone || c.wire.UnsentBytes() < lowWater })
+	if c.wire.UnsentBytes() > highWaterBytes {
+		f.pauseUntil(&s.wire, func() bool { return c.disconnected || c.wire.UnsentBytes() < lowWaterBytes })
 	}
 	if ready {
-		c.release(s)
-	} else if c.blocked {
-		c.proceed()
+		c.releaseServer(s)
+	} else if c.messageBlocked {
+		c.resume()
 	}
-	if s.client == nil && !s.dead && s.wire.BufferedBytes() > 0 {
-		return s.unasked(s.wire.Peek())
+	if s.session == nil && !s.closed && s.wire.BufferedBytes() > 0 {
+		return s.readUnsolicited(s.wire.Peek())
 	}
 	return nil
 }
 
-// unasked takes what a host says while nobody is linked.
-func (s *server) unasked(b []byte) error {
+// readUnsolicited takes what a host says while nobody is linked.
+func (s *serverConn) readUnsolicited(b []byte) error {
 	for len(b) > 0 {
-		kind, body, rest, ok, err := next(b, mostWhole)
+		kind, body, rest, ok, err := nextMessage(b, maxBufferedMessageBytes)
 		if err != nil || !ok {
 			return err
 		}
 		switch kind {
 		case 'S':
-			if _, ok := s.status(body); !ok {
-				return errShape
+			if _, ok := s.recordParameter(body); !ok {
+				return errUnexpectedMessage
 			}
 		case 'N':
 		case 'A': // nobody listens any more
 		case 'E':
-			return errFarewell
+			return errHostClosing
 		default:
-			return fmt.Errorf("%w: %q unasked", errShape, kind)
+			return fmt.Errorf("%w: %q unasked", errUnexpectedMessage, kind)
 		}
 		s.wire.Discard(len(b) - len(rest))
 		b = rest
@@ -574,9 +574,9 @@
 }
 
 // outcome is what the answer to a transaction's first request tells the decisions.
-func (s *server) outcome(code dispatch.Code) dispatch.Outcome {
-	o := dispatch.Outcome{Code: code, Position: s.position}
-	switch s.role {
+func (s *serverConn) outcome(code dispatch.Code) dispatch.Outcome {
+	o := dispatch.Outcome{Code: code, Position: s.reportedPosition}
+	switch s.reportedRole {
 	case s.front.names.Primary:
 		o.Role = dispatch.Primary
 	case s.front.names.Replica:
--- a/internal/net/pg/sessions_test.go
+++ b/internal/net/pg/sessions_test.go
@@ -39,7 +39,7 @@
 type pooled struct {
 	t       testing.TB
 	address string
-	front   *Sessions
+	front   *SessionFront
 	facade  *dispatch.Dispatcher
 	cluster *lab.Cluster
 	a, b    *lab.Host
@@ -54,12 +54,12 @@
 }
 
 // pool starts all of it; change may alter the limits.
-func pool(t testing.TB, change func(l *SessionLimits), homes ...Homes) *pooled {
+func pool(t testing.TB, change func(l *SessionLimits), homes ...Assignments) *pooled {
 	l := SessionLimits{
-		Clients: 100, Servers: 20, Bytes: 4 << 20, Message: 1 << 20, After: 50, Connect: time.Second,
+		Clients: 100, Servers: 20, Bytes: 4 << 20, Message: 1 << 20, RetryAfterMillis: 50, ConnectTimeout: time.Second,
 		Pools: []PoolSettings{{
-			Database: "*", User: "*", Mode: Transaction, Sizes: session.Sizes{Most: 4, Waiting: 50}, Patience: 2000,
-			Statements: 50, Pins: 2, Defaults: session.Defaults{ReadOnly: "my-library", ReadWrite: "donate", Group: 1},
+			Database: "*", User: "*", Mode: Transaction, Sizes: session.Sizes{MaxConnections: 4, MaxWaiting: 50}, WaitTimeoutMillis: 2000,
+			MaxPreparedStatements: 50, MaxSticky: 2, Defaults: session.Defaults{ReadOnly: "my-library", ReadWrite: "donate", Group: 1},
 		}},
 	}
 	if change != nil {
@@ -74,16 +74,16 @@
 	site, err := settings.Parse([]byte(poolSite))
 	require.NoError(t, err)
 	e := loop.New()
-	p := NewPool(e, clock.System(), Platform, Limits{Connections: 10, Bytes: 1 << 20, Connect: time.Second})
+	p := NewPool(e, clock.System(), Platform, PoolLimits{Connections: 10, Bytes: 1 << 20, ConnectTimeout: time.Second})
 	w.facade, err = dispatch.New(site, 1, clock.System(), func(name string) {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		w.facade.ProbeDone(name, p.Probe(ctx, name, w.facade.IsActive))
 	}, nil)
 	require.NoError(t, err)
-	w.front = NewSessions(e, w.facade, clock.System(), Platform, l)
+	w.front = NewSessionFront(e, w.facade, clock.System(), Platform, l)
 	if len(homes) > 0 {
-		w.front.SetHomes(homes[0])
+		w.front.SetAssignments(homes[0])
 	}
 	for _, h := range []*lab.Host{w.a, w.b} {
 		p.SetAddress(h.Name, h.Address)
@@ -154,7 +154,7 @@
 }
 
 func TestSessionsShareServerConnections(t *testing.T) {
-	w := pool(t, func(l *SessionLimits) { l.Pools[0].Sizes.Most = 1 })
+	w := pool(t, func(l *SessionLimits) { l.Pools[0].Sizes.MaxConnections = 1 })
 	x, y := w.connect("&application_name=x"), w.connect("")
 	w.exec(x, "SET app.who TO 'x''s'")
 	w.exec(y, "SET app.who TO E'y\\n'")
@@ -259,19 +259,19 @@
 	// An error in mid-pipeline, here one of ours, and what is behind it: the transaction fails as a whole.
 	_, err := e.PgConn().ExecParams(patient(t), "LISTEN x", nil, nil, nil, nil).Close()
 	require.Equal(t, "53300", state(err))
-	require.Equal(t, map[session.Cause]int{session.CauseTemporary: 2}, w.front.Stats().Pinned)
+	require.Equal(t, map[session.StickyCause]int{session.CauseTemporary: 2}, w.front.Stats().Sticky)
 	w.a.Cut()
 	time.Sleep(20 * time.Millisecond)
 	w.fails(c, "08006", "SELECT payload FROM mine WHERE ref = 'k'")
 	w.fails(c, "42P01", "SELECT payload FROM mine WHERE ref = 'k'")
 	w.exec(e, "LISTEN x")
-	require.Equal(t, 0, w.front.Stats().Pinned[session.CauseTemporary])
+	require.Equal(t, 0, w.front.Stats().Sticky[session.CauseTemporary])
 	w.exec(e, "DISCARD ALL")
-	require.Equal(t, 0, w.front.Stats().Pinned[session.CauseListen])
+	require.Equal(t, 0, w.front.Stats().Sticky[session.CauseListen])
 }
 
 func TestSessionsCancelHitsOnlyItsQuery(t *testing.T) {
-	w := pool(t, func(l *SessionLimits) { l.Pools[0].Sizes.Most = 1 })
+	w := pool(t, func(l *SessionLimits) { l.Pools[0].Sizes.MaxConnections = 1 })
 	c, d := w.connect(""), w.connect("")
 	for i := range 20 {
 		wait := time.Duration(i) * time.Millisecond
@@ -287,12 +287,12 @@
 }
 
 func TestSessionsStreamToSlowReaders(t *testing.T) {
-	w := pool(t, func(l *SessionLimits) { l.Pools[0].Sizes.Most = 2 })
+	w := pool(t, func(l *SessionLimits) { l.Pools[0].Sizes.MaxConnections = 2 })
 	slow, quick := w.connect(""), w.connect("")
 	rows, err := slow.Query(patient(t), "SELECT generate_series(1, 300), repeat('x', 200000)") // 60 MB
 	require.NoError(t, err)
 	require.True(t, rows.Next())
-	require.Eventually(t, func() bool { return w.front.Stats().Paused > 0 }, 10*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return w.front.Stats().ReadsPaused > 0 }, 10*time.Second, 5*time.Millisecond)
 	for i := range 50 { // nobody else waits for it
 		require.Equal(t, fmt.Sprint(i), w.one(quick, "SELECT $1", fmt.Sprint(i)))
 	}
@@ -308,7 +308,7 @@
 // Guards against clients that ask and never read, each within its own bound.
 func TestSessionsThatTakeNoAnswersAreBoundedTogether(t *testing.T) {
 	w := pool(t, func(l *SessionLimits) { l.Bytes = 400 << 10 })
-	ask := query(startup(nil, "web", "orders"), func(b []byte) []byte { return append(b, "SELECT generate_series(1, 30), repeat('x', 200000)"...) })
+	ask := appendQuery(appendStartup(nil, "web", "orders"), func(b []byte) []byte { return append(b, "SELECT generate_series(1, 30), repeat('x', 200000)"...) })
 	for range 30 {
 		c, err := net.Dial("tcp", w.address)
 		require.NoError(t, err)
@@ -390,9 +390,9 @@
 func TestSessionsQueueAndLimits(t *testing.T) {
 	w := pool(t, func(l *SessionLimits) {
 		l.Clients = 8
-		l.Pools[0].Sizes = session.Sizes{Most: 1, Waiting: 1}
-		l.Pools[0].Patience = 200
-		l.Pools[0].IdleInBlock = 400
+		l.Pools[0].Sizes = session.Sizes{MaxConnections: 1, MaxWaiting: 1}
+		l.Pools[0].WaitTimeoutMillis = 200
+		l.Pools[0].IdleInTransactionMillis = 400
 	})
 	c, d, e := w.connect(""), w.connect(""), w.connect("")
 	w.exec(c, "BEGIN")
@@ -425,18 +425,18 @@
 func TestSessionsTakeBadMessages(t *testing.T) {
 	w := pool(t, nil)
 	c := w.connect("")
-	startup := startup(nil, "web", "orders")
+	startup := appendStartup(nil, "web", "orders")
 	for name, b := range map[string][]byte{
 		"a length below 4":        {'Q', 0, 0, 0, 3},
 		"a length beyond all":     {'Q', 0xff, 0xff, 0xff, 0xff},
 		"an unknown kind":         {'?', 0, 0, 0, 4},
 		"a query without end":     {'Q', 0, 0, 0, 6, 'a', 'b'},
-		"a bind that lies":        message(nil, 'B', func(b []byte) []byte { return append(b, 0, 0, 0, 0, 0, 1, 0, 0, 9, 9, 'x') }),
-		"a bind too short":        message(nil, 'B', func(b []byte) []byte { return append(b, 0, 0, 0) }),
-		"a parse that lies":       message(nil, 'P', func(b []byte) []byte { return append(b, 0, 'S', 0, 0, 9) }),
-		"a describe of nothing":   message(nil, 'D', func(b []byte) []byte { return append(b, 'X', 0) }),
-		"an execute without rows": message(nil, 'E', func(b []byte) []byte { return append(b, 0, 0) }),
-		"a close without a name":  message(nil, 'C', func(b []byte) []byte { return append(b, 'S') }),
+		"a bind that lies":        appendMessage(nil, 'B', func(b []byte) []byte { return append(b, 0, 0, 0, 0, 0, 1, 0, 0, 9, 9, 'x') }),
+		"a bind too short":        appendMessage(nil, 'B', func(b []byte) []byte { return append(b, 0, 0, 0) }),
+		"a parse that lies":       appendMessage(nil, 'P', func(b []byte) []byte { return append(b, 0, 'S', 0, 0, 9) }),
+		"a describe of nothing":   appendMessage(nil, 'D', func(b []byte) []byte { return append(b, 'X', 0) }),
+		"an execute without rows": appendMessage(nil, 'E', func(b []byte) []byte { return append(b, 0, 0) }),
+		"a close without a name":  appendMessage(nil, 'C', func(b []byte) []byte { return append(b, 'S') }),
 	} {
 		g, err := net.Dial("tcp", w.address)
 		require.NoError(t, err)
@@ -481,7 +481,7 @@
 	d.Close(patient(t))
 	require.Eventually(t, func() bool { return w.front.Stats().Statements == 0 }, 5*time.Second, time.Millisecond)
 	// The bound on memory is an error to one Parse, not to the session.
-	w.front.SetLimits(SessionLimits{Clients: 10, Servers: 5, Bytes: 20000, Message: 1 << 20, Connect: time.Second, Pools: w.front.limits.Load().Pools})
+	w.front.SetLimits(SessionLimits{Clients: 10, Servers: 5, Bytes: 20000, Message: 1 << 20, ConnectTimeout: time.Second, Pools: w.front.limits.Load().Pools})
 	e := w.connect("")
 	var err error
 	for i := 0; err == nil && i < 1000; i++ {
@@ -521,7 +521,7 @@
 	w := pool(t, func(l *SessionLimits) {
 		p := l.Pools[0]
 		p.User, p.Mode = "keeper", Session
-		p.Sizes.Most, p.Reserve = 3, 1
+		p.Sizes.MaxConnections, p.ReservedForSticky = 3, 1
 		l.Pools = append([]PoolSettings{p}, l.Pools...)
 	})
 	connect := func() *pgx.Conn {
@@ -581,7 +581,7 @@
 
 // Guards against a connection that is given away twice: its client resets as the answer is written to it.
 func TestSessionsVanishAsTheirAnswersCome(t *testing.T) {
-	w := pool(t, func(l *SessionLimits) { l.Pools[0].Sizes.Most = 2 })
+	w := pool(t, func(l *SessionLimits) { l.Pools[0].Sizes.MaxConnections = 2 })
 	end := time.Now().Add(1500 * time.Millisecond)
 	var all sync.WaitGroup
 	for i := range 8 {
@@ -591,7 +591,7 @@
 				if err != nil {
 					continue
 				}
-				q := query(startup(nil, "web", "orders"), func(b []byte) []byte { return append(b, "SELECT 'of one who leaves'"...) })
+				q := appendQuery(appendStartup(nil, "web", "orders"), func(b []byte) []byte { return append(b, "SELECT 'of one who leaves'"...) })
 				_, _ = c.Write(q)
 				time.Sleep(time.Duration((n*37+i*101)%900) * time.Microsecond)
 				_ = c.(*net.TCPConn).SetLinger(0)
@@ -614,6 +614,6 @@
 	all.Wait()
 	require.Eventually(t, func() bool {
 		s := w.front.Stats()
-		return s.Clients == 6 && s.Linked == 0 && s.Servers == s.Idle && s.Servers <= 4
+		return s.Clients == 6 && s.Linked == 0 && s.Servers == s.ServersIdle && s.Servers <= 4
 	}, 5*time.Second, 10*time.Millisecond, "nothing is lost count of: %+v", w.front.Stats())
 }
--- a/internal/session/home.go
+++ b/internal/session/home.go
@@ -28,7 +28,7 @@
 	if !h.Named || h.Fenced {
 		return r.Group, nil
 	}
-	if r.Grouped && r.Group != h.Group {
+	if r.HasGroup && r.Group != h.Group {
 		return 0, &HomeError{Database: database, Home: h.Group, Asked: r.Group}
 	}
 	return h.Group, nil
@@ -56,16 +56,16 @@
 // connection, so that it can be run again elsewhere. A procedure or a DO block may have committed a part of its own.
 func Rerunnable(text string) bool {
 	s := scanner{text: text}
-	tokens, more, ok := s.statement()
+	tokens, more, ok := s.nextStatement()
 	if !ok || len(tokens) == 0 || tokens[0].literal {
 		return false
 	}
-	if more && len(Scan(text[s.at:]).Statements) > 0 {
+	if more && len(Scan(text[s.position:]).Statements) > 0 {
 		return false
 	}
-	switch tokens[0].word {
+	switch tokens[0].folded {
 	case "insert", "update", "delete", "merge", "with", "select":
-		return classify(text, tokens).Kind != Pins
+		return classify(text, tokens).Kind != MakesSticky
 	}
 	return false
 }
--- a/internal/session/home_test.go
+++ b/internal/session/home_test.go
@@ -24,7 +24,7 @@
 		{"/* cluster=0 */ SELECT 1", Home{Named: true, Group: 2}, 0, true},
 	} {
 		q := Scan(c.text)
-		r, err := d.Decide(&q, false)
+		r, err := d.Route(&q, false)
 		require.NoError(t, err)
 		group, err := c.home.Place("orders", &r)
 		require.Equal(t, c.want, group, c.text)
--- a/internal/session/queue.go
+++ b/internal/session/queue.go
@@ -4,39 +4,39 @@
 
 // Sizes bound what is open to one host for one database and user.
 type Sizes struct {
-	Most    int // server connections
-	Waiting int // sessions that wait for one
+	MaxConnections int // server connections
+	MaxWaiting     int // sessions that wait for one
 }
 
 // Waiter is a session that waits for a server connection. A session has one at the most, so who came first being
 // served first is fair between sessions.
 type Waiter struct {
 	Deadline float64 // clock milliseconds; then it is told to come again
-	Of       any     // whose it is
-	place    *list.Element
-	in       *Queue
+	Owner    any     // whose it is
+	element  *list.Element
+	queue    *Queue
 }
 
 // Queue is the sessions that wait for a connection to one host, database and user. Its zero value is ready.
-type Queue struct{ of list.List }
+type Queue struct{ waiters list.List }
 
 // Len is how many wait.
-func (q *Queue) Len() int { return q.of.Len() }
+func (q *Queue) Len() int { return q.waiters.Len() }
 
 // Add puts a session at the end. false: most are waiting already.
 func (q *Queue) Add(w *Waiter, most int) bool {
-	if q.of.Len() >= most {
+	if q.waiters.Len() >= most {
 		return false
 	}
-	w.place, w.in = q.of.PushBack(w), q
+	w.element, w.queue = q.waiters.PushBack(w), q
 	return true
 }
 
 // Next takes the session that has waited for longest and still has time; those that have none are given to late.
 func (q *Queue) Next(now float64, late func(*Waiter)) *Waiter {
-	for e := q.of.Front(); e != nil; e = q.of.Front() {
+	for e := q.waiters.Front(); e != nil; e = q.waiters.Front() {
 		w := e.Value.(*Waiter)
-		w.Leave()
+		w.Dequeue()
 		if w.Deadline > now {
 			return w
 		}
@@ -45,32 +45,32 @@
 	return nil
 }
 
-// Late takes out all whose time is over, wherever they stand.
-func (q *Queue) Late(now float64, late func(*Waiter)) {
-	for e := q.of.Front(); e != nil; {
+// Expire takes out all whose time is over, wherever they stand.
+func (q *Queue) Expire(now float64, late func(*Waiter)) {
+	for e := q.waiters.Front(); e != nil; {
 		w, next := e.Value.(*Waiter), e.Next()
 		if w.Deadline <= now {
-			w.Leave()
+			w.Dequeue()
 			late(w)
 		}
 		e = next
 	}
 }
 
-// Leave takes a session out of its queue, if it is in one.
-func (w *Waiter) Leave() {
-	if w.in != nil {
-		w.in.of.Remove(w.place)
-		w.in, w.place = nil, nil
+// Dequeue takes a session out of its queue, if it is in one.
+func (w *Waiter) Dequeue() {
+	if w.queue != nil {
+		w.queue.waiters.Remove(w.element)
+		w.queue, w.element = nil, nil
 	}
 }
 
-// Waiting says whether it is in one.
-func (w *Waiter) Waiting() bool { return w.in != nil }
+// IsQueued says whether it is in one.
+func (w *Waiter) IsQueued() bool { return w.queue != nil }
 
-// Patience is how long a session may wait: as long as its client says, but no longer than the limit, and 0 where the
+// WaitTimeout is how long a session may wait: as long as its client says, but no longer than the limit, and 0 where the
 // answer could not reach it in time.
-func Patience(said, limit, guard float64) float64 {
+func WaitTimeout(said, limit, guard float64) float64 {
 	if said <= 0 || limit > 0 && said > limit {
 		return limit
 	}
--- a/internal/session/route.go
+++ b/internal/session/route.go
@@ -7,13 +7,13 @@
 
 // Route is how a transaction is to be routed: once, when its first statement comes.
 type Route struct {
-	Class    string
-	Group    uint64
-	Grouped  bool    // the comment names it
-	Wait     float64 // milliseconds that the client waits for a server connection; 0: not said
-	After    float64 // Unix milliseconds that a read must see; 0: not said
-	Session  string
-	ReadOnly bool // the transaction was begun so: a server refuses writes in it
+	Class       string
+	Group       uint64
+	HasGroup    bool    // the comment names it
+	WaitMillis  float64 // milliseconds that the client waits for a server connection; 0: not said
+	MinPosition float64 // Unix milliseconds that a read must see; 0: not said
+	SessionKey  string
+	ReadOnly    bool // the transaction was begun so: a server refuses writes in it
 }
 
 // Defaults are what the operator's file says of transactions that do not say it themselves.
@@ -24,9 +24,9 @@
 	Group         uint64
 }
 
-// Decide routes a transaction by its comment where it has one, else by the defaults. defaultReadOnly is whether the
+// Route routes a transaction by its comment where it has one, else by the defaults. defaultReadOnly is whether the
 // session has default_transaction_read_only on. A comment that can't be read is an error, not a guess.
-func (d *Defaults) Decide(q *Query, defaultReadOnly bool) (r Route, err error) {
+func (d *Defaults) Route(q *Query, defaultReadOnly bool) (r Route, err error) {
 	r.Group = d.Group
 	r.ReadOnly = d.readOnly(q, defaultReadOnly)
 	if r.Class = d.ReadWrite; r.ReadOnly {
@@ -46,13 +46,13 @@
 			r.Class = value
 		case "cluster":
 			r.Group, err = strconv.ParseUint(value, 10, 64)
-			r.Grouped = true
+			r.HasGroup = true
 		case "d":
-			r.Wait, err = millis(value)
+			r.WaitMillis, err = millis(value)
 		case "after":
-			r.After, err = millis(value)
+			r.MinPosition, err = millis(value)
 		case "k":
-			r.Session = value
+			r.SessionKey = value
 		}
 		if err != nil {
 			return r, &CommentError{Name: strings.TrimSpace(name), Value: value}
--- a/internal/session/scan.go
+++ b/internal/session/scan.go
@@ -8,12 +8,12 @@
 	"strings"
 )
 
-// Kind is what a statement means to the session that runs it.
-type Kind uint8
+// StatementKind is what a statement means to the session that runs it.
+type StatementKind uint8
 
 // The kinds. What is none of them leaves the session as it was.
 const (
-	Other Kind = iota
+	Other StatementKind = iota
 	Select
 	Begin
 	Commit
@@ -29,36 +29,36 @@
 	Deallocate
 	DeallocateAll
 	Execute
-	Pins // Cause says why the session can't leave its connection from here on
+	MakesSticky // Cause says why the session can't leave its connection from here on
 )
 
 // Statement is one statement of a query string.
 type Statement struct {
-	Kind     Kind
-	Name     string // of a setting (folded), a savepoint or a prepared statement
-	Render   string // Set: the text that makes the same setting again on another connection
-	ReadOnly bool   // Begin: READ ONLY was asked for
-	Writable bool   // Begin: READ WRITE was asked for
-	Cause    Cause  // Pins
-	from, to int    // Execute: where the name stands in the query string
+	Kind     StatementKind
+	Name     string      // of a setting (folded), a savepoint or a prepared statement
+	Render   string      // Set: the text that makes the same setting again on another connection
+	ReadOnly bool        // Begin: READ ONLY was asked for
+	Writable bool        // Begin: READ WRITE was asked for
+	Cause    StickyCause // Pins
+	from, to int         // Execute: where the name stands in the query string
 }
 
-// Cause is why a session can't be moved to another server connection.
-type Cause string
+// StickyCause is why a session can't be moved to another server connection.
+type StickyCause string
 
 // The causes; each is counted by itself.
 const (
-	CauseTemporary  Cause = "temporary_table"
-	CauseListen     Cause = "listen"
-	CauseLock       Cause = "advisory_lock"
-	CauseCursor     Cause = "held_cursor"
-	CausePrepare    Cause = "sql_prepare"
-	CauseLoad       Cause = "load"
-	CauseUnreadable Cause = "unreadable"
+	CauseTemporary  StickyCause = "temporary_table"
+	CauseListen     StickyCause = "listen"
+	CauseLock       StickyCause = "advisory_lock"
+	CauseCursor     StickyCause = "held_cursor"
+	CausePrepare    StickyCause = "sql_prepare"
+	CauseLoad       StickyCause = "load"
+	CauseUnreadable StickyCause = "unreadable"
 )
 
 // Causes lists every cause, in the order in which they are reported.
-var Causes = []Cause{CauseTemporary, CauseListen, CauseLock, CauseCursor, CausePrepare, CauseLoad, CauseUnreadable}
+var Causes = []StickyCause{CauseTemporary, CauseListen, CauseLock, CauseCursor, CausePrepare, CauseLoad, CauseUnreadable}
 
 // Query is a query string, read.
 type Query struct {
@@ -79,7 +79,7 @@
 // token is a word, a quoted identifier, a literal or a single character of a statement.
 type token struct {
 	text       string // as it stands
-	word       string // folded to lower case; of a quoted identifier, what it names
+	folded     string // folded to lower case; of a quoted identifier, what it names
 	from, to   int
 	literal    bool
 	identifier bool
@@ -94,11 +94,11 @@
 func Scan(text string) Query {
 	var q Query
 	s := scanner{text: text}
-	s.leadingComment(&q)
+	s.readLeadingComment(&q)
 	for {
-		tokens, more, ok := s.statement()
+		tokens, more, ok := s.nextStatement()
 		if !ok {
-			q.Statements = append(q.Statements, Statement{Kind: Pins, Cause: CauseUnreadable})
+			q.Statements = append(q.Statements, Statement{Kind: MakesSticky, Cause: CauseUnreadable})
 			return q
 		}
 		if len(tokens) > 0 {
@@ -111,11 +111,11 @@
 }
 
 type scanner struct {
-	text string
-	at   int
+	text     string
+	position int
 }
 
-func (s *scanner) leadingComment(q *Query) {
+func (s *scanner) readLeadingComment(q *Query) {
 	t := strings.TrimLeft(s.text, " \t\r\n")
 	if body, ok := strings.CutPrefix(t, "/*"); ok {
 		if end := strings.Index(body, "*/"); end >= 0 {
@@ -124,85 +124,85 @@
 	}
 }
 
-// statement returns the tokens up to the next semicolon. more: the text goes on behind it.
-func (s *scanner) statement() (tokens []token, more, ok bool) {
-	for s.at < len(s.text) {
-		c := s.text[s.at]
-		from := s.at
+// nextStatement returns the tokens up to the next semicolon. more: the text goes on behind it.
+func (s *scanner) nextStatement() (tokens []token, more, ok bool) {
+	for s.position < len(s.text) {
+		c := s.text[s.position]
+		from := s.position
 		switch {
 		case c == ';':
-			s.at++
+			s.position++
 			return tokens, true, true
 		case c <= ' ':
-			s.at++
+			s.position++
 			continue
-		case strings.HasPrefix(s.text[s.at:], "--"):
-			if n := strings.IndexByte(s.text[s.at:], '\n'); n >= 0 {
-				s.at += n
+		case strings.HasPrefix(s.text[s.position:], "--"):
+			if n := strings.IndexByte(s.text[s.position:], '\n'); n >= 0 {
+				s.position += n
 			} else {
-				s.at = len(s.text)
+				s.position = len(s.text)
 			}
 			continue
-		case strings.HasPrefix(s.text[s.at:], "/*"):
-			if !s.comment() {
+		case strings.HasPrefix(s.text[s.position:], "/*"):
+			if !s.skipComment() {
 				return nil, false, false
 			}
 			continue
 		case c == '\'':
-			if !s.quoted('\'', false) {
+			if !s.skipQuoted('\'', false) {
 				return nil, false, false
 			}
-			tokens = s.add(tokens, token{from: from, literal: true})
+			tokens = s.appendToken(tokens, token{from: from, literal: true})
 			continue
 		case c == '"':
-			if !s.quoted('"', false) {
+			if !s.skipQuoted('"', false) {
 				return nil, false, false
 			}
-			name := strings.ReplaceAll(s.text[from+1:s.at-1], `""`, `"`)
-			tokens = s.add(tokens, token{from: from, word: name, identifier: true})
+			name := strings.ReplaceAll(s.text[from+1:s.position-1], `""`, `"`)
+			tokens = s.appendToken(tokens, token{from: from, folded: name, identifier: true})
 			continue
 		case c == '$':
-			if s.dollar() {
-				tokens = s.add(tokens, token{from: from, literal: true})
+			if s.skipDollarQuoted() {
+				tokens = s.appendToken(tokens, token{from: from, literal: true})
 				continue
 			}
-			s.at++
-			for s.at < len(s.text) && s.text[s.at] >= '0' && s.text[s.at] <= '9' {
-				s.at++
+			s.position++
+			for s.position < len(s.text) && s.text[s.position] >= '0' && s.text[s.position] <= '9' {
+				s.position++
 			}
-		case isWord(c):
-			for s.at < len(s.text) && (isWord(s.text[s.at]) || s.text[s.at] == '$') {
-				s.at++
+		case isWordByte(c):
+			for s.position < len(s.text) && (isWordByte(s.text[s.position]) || s.text[s.position] == '$') {
+				s.position++
 			}
-			word := strings.ToLower(s.text[from:s.at])
-			if s.at < len(s.text) && s.text[s.at] == '\'' && (word == "e" || word == "b" || word == "x" || word == "n") {
-				if !s.quoted('\'', word == "e") {
+			word := strings.ToLower(s.text[from:s.position])
+			if s.position < len(s.text) && s.text[s.position] == '\'' && (word == "e" || word == "b" || word == "x" || word == "n") {
+				if !s.skipQuoted('\'', word == "e") {
 					return nil, false, false
 				}
-				tokens = s.add(tokens, token{from: from, literal: true})
+				tokens = s.appendToken(tokens, token{from: from, literal: true})
 				continue
 			}
-			if word == "u" && strings.HasPrefix(s.text[s.at:], "&'") || word == "u" && strings.HasPrefix(s.text[s.at:], `&"`) {
-				s.at++
-				literal := s.text[s.at] == '\''
-				if !s.quoted(s.text[s.at], false) {
+			if word == "u" && strings.HasPrefix(s.text[s.position:], "&'") || word == "u" && strings.HasPrefix(s.text[s.position:], `&"`) {
+				s.position++
+				literal := s.text[s.position] == '\''
+				if !s.skipQuoted(s.text[s.position], false) {
 					return nil, false, false
 				}
-				tokens = s.add(tokens, token{from: from, literal: literal, word: s.text[from:s.at], identifier: !literal})
+				tokens = s.appendToken(tokens, token{from: from, literal: literal, folded: s.text[from:s.position], identifier: !literal})
 				continue
 			}
-			tokens = s.add(tokens, token{from: from, word: word, identifier: true})
+			tokens = s.appendToken(tokens, token{from: from, folded: word, identifier: true})
 			continue
 		default:
-			s.at++
+			s.position++
 		}
-		tokens = s.add(tokens, token{from: from, word: s.text[from:s.at]})
+		tokens = s.appendToken(tokens, token{from: from, folded: s.text[from:s.position]})
 	}
 	return tokens, false, true
 }
 
-func (s *scanner) add(tokens []token, t token) []token {
-	t.to = s.at
+func (s *scanner) appendToken(tokens []token, t token) []token {
+	t.to = s.position
 	t.text = s.text[t.from:t.to]
 	if len(tokens) >= maxTokens {
 		tokens[maxTokens-1] = t // the end of a statement counts, and where it stands
@@ -211,88 +211,88 @@
 	return append(tokens, t)
 }
 
-// isWord: letters of other scripts are parts of words too.
-func isWord(c byte) bool {
+// isWordByte: letters of other scripts are parts of words too.
+func isWordByte(c byte) bool {
 	return c == '_' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c >= 0x80
 }
 
-// comment passes over a comment, which may hold others.
-func (s *scanner) comment() bool {
+// skipComment passes over a comment, which may hold others.
+func (s *scanner) skipComment() bool {
 	depth := 0
-	for s.at+1 < len(s.text) {
-		switch s.text[s.at : s.at+2] {
+	for s.position+1 < len(s.text) {
+		switch s.text[s.position : s.position+2] {
 		case "/*":
 			depth++
-			s.at += 2
+			s.position += 2
 		case "*/":
 			depth--
-			s.at += 2
+			s.position += 2
 			if depth == 0 {
 				return true
 			}
 		default:
-			s.at++
+			s.position++
 		}
 	}
 	return false
 }
 
-// quoted passes over what stands in quotes; a doubled quote stands for one, a backslash escapes in E'...'.
-func (s *scanner) quoted(quote byte, escapes bool) bool {
-	for s.at++; s.at < len(s.text); s.at++ {
-		switch c := s.text[s.at]; {
+// skipQuoted passes over what stands in quotes; a doubled quote stands for one, a backslash escapes in E'...'.
+func (s *scanner) skipQuoted(quote byte, escapes bool) bool {
+	for s.position++; s.position < len(s.text); s.position++ {
+		switch c := s.text[s.position]; {
 		case escapes && c == '\\':
-			s.at++
-		case c == quote && s.at+1 < len(s.text) && s.text[s.at+1] == quote:
-			s.at++
+			s.position++
+		case c == quote && s.position+1 < len(s.text) && s.text[s.position+1] == quote:
+			s.position++
 		case c == quote:
-			s.at++
+			s.position++
 			return true
 		}
 	}
 	return false
 }
 
-// dollar passes over $tag$...$tag$; a text that is no such literal is left where it is.
-func (s *scanner) dollar() bool {
-	end := s.at + 1
-	for end < len(s.text) && isWord(s.text[end]) {
+// skipDollarQuoted passes over $tag$...$tag$; a text that is no such literal is left where it is.
+func (s *scanner) skipDollarQuoted() bool {
+	end := s.position + 1
+	for end < len(s.text) && isWordByte(s.text[end]) {
 		end++
 	}
-	if end >= len(s.text) || s.text[end] != '$' || end > s.at+1 && s.text[s.at+1] >= '0' && s.text[s.at+1] <= '9' {
+	if end >= len(s.text) || s.text[end] != '$' || end > s.position+1 && s.text[s.position+1] >= '0' && s.text[s.position+1] <= '9' {
 		return false
 	}
-	tag := s.text[s.at : end+1]
+	tag := s.text[s.position : end+1]
 	n := strings.Index(s.text[end+1:], tag)
 	if n < 0 {
 		return false
 	}
-	s.at = end + 1 + n + len(tag)
+	s.position = end + 1 + n + len(tag)
 	return true
 }
 
-// words gives the first folded words of a statement; a literal counts as "".
-func words(t []token) (w [6]string) {
+// leadingWords gives the first folded words of a statement; a literal counts as "".
+func leadingWords(t []token) (w [6]string) {
 	for i := 0; i < len(w) && i < len(t); i++ {
 		if !t[i].literal {
-			w[i] = t[i].word
+			w[i] = t[i].folded
 		}
 	}
 	return w
 }
 
 func classify(text string, t []token) Statement {
-	w := words(t)
+	w := leadingWords(t)
 	switch w[0] {
 	case "select", "values", "table":
-		return called(t, Statement{Kind: Select})
+		return classifyCalls(t, Statement{Kind: Select})
 	case "with":
-		return called(t, Statement{})
+		return classifyCalls(t, Statement{})
 	case "begin":
-		return begin(t)
+		return parseBegin(t)
 	case "start":
 		if w[1] == "transaction" {
-			return begin(t)
+			return parseBegin(t)
 		}
 	case "commit", "end":
 		if w[1] == "prepared" {
@@ -306,26 +306,26 @@
 			return Statement{}
 		}
 		for i := 1; i < len(t) && i < 4; i++ {
-			if t[i].word == "to" && !t[i].literal {
+			if t[i].folded == "to" && !t[i].literal {
 				i++
-				if i < len(t)-1 && t[i].word == "savepoint" {
+				if i < len(t)-1 && t[i].folded == "savepoint" {
 					i++
 				}
-				return named(RollbackTo, t, i)
+				return namedStatement(RollbackTo, t, i)
 			}
 		}
 		return Statement{Kind: Rollback}
 	case "savepoint":
-		return named(Savepoint, t, 1)
+		return namedStatement(Savepoint, t, 1)
 	case "release":
 		if w[1] == "savepoint" && len(t) > 2 {
-			return named(Release, t, 2)
+			return namedStatement(Release, t, 2)
 		}
-		return named(Release, t, 1)
+		return namedStatement(Release, t, 1)
 	case "set":
-		return set(text, t)
+		return parseSet(text, t)
 	case "reset":
-		return reset(t)
+		return parseReset(t)
 	case "discard":
 		switch w[1] {
 		case "all":
@@ -338,66 +338,66 @@
 		if w[1] == "transaction" {
 			return Statement{Kind: Commit} // the session's transaction ends
 		}
-		return Statement{Kind: Pins, Cause: CausePrepare}
+		return Statement{Kind: MakesSticky, Cause: CausePrepare}
 	case "execute":
-		return named(Execute, t, 1)
+		return namedStatement(Execute, t, 1)
 	case "deallocate":
 		i := 1
 		if w[1] == "prepare" && len(t) > 2 {
 			i = 2
 		}
-		if i < len(t) && t[i].word == "all" && t[i].text != `"all"` {
+		if i < len(t) && t[i].folded == "all" && t[i].text != `"all"` {
 			return Statement{Kind: DeallocateAll}
 		}
-		return named(Deallocate, t, i)
+		return namedStatement(Deallocate, t, i)
 	case "listen":
-		return Statement{Kind: Pins, Cause: CauseListen}
+		return Statement{Kind: MakesSticky, Cause: CauseListen}
 	case "load":
-		return Statement{Kind: Pins, Cause: CauseLoad}
+		return Statement{Kind: MakesSticky, Cause: CauseLoad}
 	case "create":
 		for i := 1; i < 4; i++ {
 			if w[i] == "temp" || w[i] == "temporary" {
-				return Statement{Kind: Pins, Cause: CauseTemporary}
+				return Statement{Kind: MakesSticky, Cause: CauseTemporary}
 			}
 		}
 	case "declare":
 		for i := 2; i+1 < len(t); i++ {
-			if t[i].word == "with" && t[i+1].word == "hold" {
-				return Statement{Kind: Pins, Cause: CauseCursor}
+			if t[i].folded == "with" && t[i+1].folded == "hold" {
+				return Statement{Kind: MakesSticky, Cause: CauseCursor}
 			}
-			if t[i].word == "for" {
+			if t[i].folded == "for" {
 				break
 			}
 		}
 	}
-	return called(t, Statement{})
+	return classifyCalls(t, Statement{})
 }
 
-// called looks for functions that change the session from inside another statement.
-func called(t []token, s Statement) Statement {
+// classifyCalls looks for functions that change the session from inside another statement.
+func classifyCalls(t []token, s Statement) Statement {
 	for i := range t {
 		if t[i].literal || i+1 >= len(t) {
 			continue
 		}
 		next := t[i+1].text
-		switch w := t[i].word; {
+		switch w := t[i].folded; {
 		case next == "(" && w == "set_config":
-			if !localConfig(t[i+2:]) {
-				return Statement{Kind: Pins, Cause: CauseUnreadable}
+			if !isLocalConfig(t[i+2:]) {
+				return Statement{Kind: MakesSticky, Cause: CauseUnreadable}
 			}
 		case next == "(" && strings.HasPrefix(w, "pg_") && strings.Contains(w, "advisory_lock") && !strings.Contains(w, "xact"):
-			return Statement{Kind: Pins, Cause: CauseLock}
-		case w == "into" && (t[i+1].word == "temp" || t[i+1].word == "temporary") && s.Kind == Select:
-			return Statement{Kind: Pins, Cause: CauseTemporary}
-		case w == "into" || w == "for" && (t[i+1].word == "update" || t[i+1].word == "share" || t[i+1].word == "no" || t[i+1].word == "key"):
+			return Statement{Kind: MakesSticky, Cause: CauseLock}
+		case w == "into" && (t[i+1].folded == "temp" || t[i+1].folded == "temporary") && s.Kind == Select:
+			return Statement{Kind: MakesSticky, Cause: CauseTemporary}
+		case w == "into" || w == "for" && (t[i+1].folded == "update" || t[i+1].folded == "share" || t[i+1].folded == "no" || t[i+1].folded == "key"):
 			s.Kind = Other // it writes, or locks, which a replica does not do
 		}
 	}
 	return s
 }
 
-// localConfig says whether the arguments of set_config end in true: the setting ends with the transaction.
-func localConfig(t []token) bool {
+// isLocalConfig says whether the arguments of set_config end in true: the setting ends with the transaction.
+func isLocalConfig(t []token) bool {
 	depth := 1
 	for i := range t {
 		switch t[i].text {
@@ -405,73 +405,73 @@
 			depth++
 		case ")":
 			if depth--; depth == 0 {
-				return i > 0 && t[i-1].word == "true"
+				return i > 0 && t[i-1].folded == "true"
 			}
 		}
 	}
 	return false
 }
 
-func named(k Kind, t []token, i int) Statement {
+func namedStatement(k StatementKind, t []token, i int) Statement {
 	if i >= len(t) || !t[i].identifier {
-		return Statement{Kind: Pins, Cause: CauseUnreadable}
+		return Statement{Kind: MakesSticky, Cause: CauseUnreadable}
 	}
-	return Statement{Kind: k, Name: t[i].word, from: t[i].from, to: t[i].to}
+	return Statement{Kind: k, Name: t[i].folded, from: t[i].from, to: t[i].to}
 }
 
-func begin(t []token) Statement {
+func parseBegin(t []token) Statement {
 	s := Statement{Kind: Begin}
 	for i := 1; i+1 < len(t); i++ {
-		if t[i].word == "read" {
-			s.ReadOnly, s.Writable = t[i+1].word == "only", t[i+1].word == "write"
+		if t[i].folded == "read" {
+			s.ReadOnly, s.Writable = t[i+1].folded == "only", t[i+1].folded == "write"
 		}
 	}
 	return s
 }
 
-func reset(t []token) Statement {
-	name, next := settingName(t, 1)
+func parseReset(t []token) Statement {
+	name, next := parseSettingName(t, 1)
 	switch {
 	case name == "" || next < len(t):
-		return Statement{Kind: Pins, Cause: CauseUnreadable}
+		return Statement{Kind: MakesSticky, Cause: CauseUnreadable}
 	case name == "all":
 		return Statement{Kind: ResetAll}
 	}
 	return Statement{Kind: Reset, Name: name}
 }
 
-// settingName reads the name of a setting, which may have a prefix, and the forms that have words of their own.
-func settingName(t []token, i int) (name string, next int) {
+// parseSettingName reads the name of a setting, which may have a prefix, and the forms that have words of their own.
+func parseSettingName(t []token, i int) (name string, next int) {
 	if i >= len(t) || !t[i].identifier {
 		return "", i
 	}
 	switch {
-	case t[i].word == "time" && i+1 < len(t) && t[i+1].word == "zone":
+	case t[i].folded == "time" && i+1 < len(t) && t[i+1].folded == "zone":
 		return "timezone", i + 2
-	case t[i].word == "session" && i+1 < len(t) && t[i+1].word == "authorization":
+	case t[i].folded == "session" && i+1 < len(t) && t[i+1].folded == "authorization":
 		return "session_authorization", i + 2
 	}
-	name = strings.ToLower(t[i].word)
+	name = strings.ToLower(t[i].folded)
 	for i++; i+1 < len(t) && t[i].text == "." && t[i+1].identifier; i += 2 {
-		name += "." + strings.ToLower(t[i+1].word)
+		name += "." + strings.ToLower(t[i+1].folded)
 	}
 	return name, i
 }
 
-// set reads SET in all of its forms. What is kept is the client's own text, which a server has taken once.
-func set(text string, t []token) Statement {
+// parseSet reads SET in all of its forms. What is kept is the client's own text, which a server has taken once.
+func parseSet(text string, t []token) Statement {
 	i, kind := 1, Set
-	unreadable := Statement{Kind: Pins, Cause: CauseUnreadable}
+	unreadable := Statement{Kind: MakesSticky, Cause: CauseUnreadable}
 	if len(t) < 3 {
 		return unreadable
 	}
-	switch t[1].word {
+	switch t[1].folded {
 	case "local":
 		i, kind = 2, SetLocal
 	case "session":
-		switch t[2].word {
+		switch t[2].folded {
 		case "characteristics":
-			return characteristics(t)
+			return parseCharacteristics(t)
 		case "authorization":
 		default:
 			i = 2
@@ -479,8 +479,8 @@
 	case "transaction", "constraints":
 		return Statement{Kind: SetLocal} // of this transaction alone
 	}
-	own := i < len(t) && (t[i].word == "time" || t[i].word == "role" || t[i].word == "names" || t[i].word == "session")
-	name, next := settingName(t, i)
+	own := i < len(t) && (t[i].folded == "time" || t[i].folded == "role" || t[i].folded == "names" || t[i].folded == "session")
+	name, next := parseSettingName(t, i)
 	switch name {
 	case "names":
 		name = "client_encoding"
@@ -491,20 +491,20 @@
 		return unreadable
 	}
 	value := next
-	if t[next].word == "to" || t[next].text == "=" {
+	if t[next].folded == "to" || t[next].text == "=" {
 		value = next + 1
 	} else if !own {
 		return unreadable
 	}
-	if value >= len(t) || t[value].word == "from" && !t[value].literal {
+	if value >= len(t) || t[value].folded == "from" && !t[value].literal {
 		return unreadable
 	}
 	if kind == SetLocal {
 		return Statement{Kind: SetLocal, Name: name}
 	}
 	if last := t[value]; value == len(t)-1 && !last.literal {
-		if last.word == "default" && last.text != `"default"` || last.text != `"none"` && last.word == "none" && name == "role" ||
-			name == "timezone" && last.word == "local" {
+		if last.folded == "default" && last.text != `"default"` || last.text != `"none"` && last.folded == "none" && name == "role" ||
+			name == "timezone" && last.folded == "local" {
 			return Statement{Kind: Reset, Name: name}
 		}
 	}
@@ -520,15 +520,15 @@
 	return Statement{Kind: Set, Name: name, Render: "SET " + head + join + text[t[value].from:t[len(t)-1].to]}
 }
 
-// characteristics reads SET SESSION CHARACTERISTICS AS TRANSACTION, which sets the defaults of later transactions.
-func characteristics(t []token) Statement {
-	if len(t) == 7 && t[5].word == "read" {
-		switch t[6].word {
+// parseCharacteristics reads SET SESSION CHARACTERISTICS AS TRANSACTION, which sets the defaults of later transactions.
+func parseCharacteristics(t []token) Statement {
+	if len(t) == 7 && t[5].folded == "read" {
+		switch t[6].folded {
 		case "only":
 			return Statement{Kind: Set, Name: "default_transaction_read_only", Render: "SET default_transaction_read_only TO on"}
 		case "write":
 			return Statement{Kind: Set, Name: "default_transaction_read_only", Render: "SET default_transaction_read_only TO off"}
 		}
 	}
-	return Statement{Kind: Pins, Cause: CauseUnreadable}
+	return Statement{Kind: MakesSticky, Cause: CauseUnreadable}
 }
--- a/internal/session/scan_test.go
+++ b/internal/session/scan_test.go
@@ -30,7 +30,7 @@
 		"SET x TO E'a\\'b\nc;'":           {{Kind: Set, Name: "x", Render: "SET x TO E'a\\'b\nc;'"}},
 		"SET LOCAL x = 1":                 {{Kind: SetLocal, Name: "x"}},
 		"SET x TO DEFAULT":                {{Kind: Reset, Name: "x"}},
-		"SET x FROM CURRENT":              {{Kind: Pins, Cause: CauseUnreadable}},
+		"SET x FROM CURRENT":              {{Kind: MakesSticky, Cause: CauseUnreadable}},
 		"SET TIME ZONE 'Asia/Muscat'":     {{Kind: Set, Name: "timezone", Render: "SET TIME ZONE 'Asia/Muscat'"}},
 		"SET TIME ZONE LOCAL":             {{Kind: Reset, Name: "timezone"}},
 		"SET NAMES 'utf8'":                {{Kind: Set, Name: "client_encoding", Render: "SET NAMES 'utf8'"}},
@@ -44,25 +44,25 @@
 		"DISCARD ALL":                             {{Kind: DiscardAll}},
 		"DEALLOCATE PREPARE p":                    {{Kind: Deallocate, Name: "p"}},
 		"DEALLOCATE ALL":                          {{Kind: DeallocateAll}},
-		"PREPARE p AS SELECT 1":                   {{Kind: Pins, Cause: CausePrepare}},
+		"PREPARE p AS SELECT 1":                   {{Kind: MakesSticky, Cause: CausePrepare}},
 		"PREPARE TRANSACTION 'x'":                 {{Kind: Commit}},
-		"LISTEN a":                                {{Kind: Pins, Cause: CauseListen}},
-		"CREATE TEMP TABLE x (a int)":             {{Kind: Pins, Cause: CauseTemporary}},
-		"CREATE LOCAL TEMPORARY TABLE x (a int)":  {{Kind: Pins, Cause: CauseTemporary}},
-		"SELECT 1 INTO TEMP x":                    {{Kind: Pins, Cause: CauseTemporary}},
+		"LISTEN a":                                {{Kind: MakesSticky, Cause: CauseListen}},
+		"CREATE TEMP TABLE x (a int)":             {{Kind: MakesSticky, Cause: CauseTemporary}},
+		"CREATE LOCAL TEMPORARY TABLE x (a int)":  {{Kind: MakesSticky, Cause: CauseTemporary}},
+		"SELECT 1 INTO TEMP x":                    {{Kind: MakesSticky, Cause: CauseTemporary}},
 		"SELECT a FROM b FOR UPDATE":              {{}},
-		"SELECT pg_advisory_lock(1)":              {{Kind: Pins, Cause: CauseLock}},
-		"SELECT pg_try_advisory_lock_shared(1)":   {{Kind: Pins, Cause: CauseLock}},
+		"SELECT pg_advisory_lock(1)":              {{Kind: MakesSticky, Cause: CauseLock}},
+		"SELECT pg_try_advisory_lock_shared(1)":   {{Kind: MakesSticky, Cause: CauseLock}},
 		"SELECT pg_advisory_xact_lock(1)":         {{Kind: Select}},
-		"SELECT set_config('a', f(1), false)":     {{Kind: Pins, Cause: CauseUnreadable}},
+		"SELECT set_config('a', f(1), false)":     {{Kind: MakesSticky, Cause: CauseUnreadable}},
 		"SELECT set_config('a', f(1), true)":      {{Kind: Select}},
 		"SELECT 'set_config(1)'":                  {{Kind: Select}},
-		"DECLARE c CURSOR WITH HOLD FOR SELECT 1": {{Kind: Pins, Cause: CauseCursor}},
+		"DECLARE c CURSOR WITH HOLD FOR SELECT 1": {{Kind: MakesSticky, Cause: CauseCursor}},
 		"DECLARE c CURSOR FOR SELECT 1":           {{}},
 		"INSERT INTO a VALUES ('x''; BEGIN')":     {{}},
-		"SELECT 'open":                            {{Kind: Pins, Cause: CauseUnreadable}},
-		"SELECT 1 /* open":                        {{Kind: Pins, Cause: CauseUnreadable}},
-		"SAVEPOINT":                               {{Kind: Pins, Cause: CauseUnreadable}},
+		"SELECT 'open":                            {{Kind: MakesSticky, Cause: CauseUnreadable}},
+		"SELECT 1 /* open":                        {{Kind: MakesSticky, Cause: CauseUnreadable}},
+		"SAVEPOINT":                               {{Kind: MakesSticky, Cause: CauseUnreadable}},
 		"BEGIN; SET été TO 'ü'; COMMIT":           {{Kind: Begin}, {Kind: Set, Name: "été", Render: "SET été TO 'ü'"}, {Kind: Commit}},
 	} {
 		got := Scan(text).Statements
@@ -96,7 +96,7 @@
 	d := Defaults{ReadOnly: "browse", ReadWrite: "donate"}
 	decide := func(text string, byDefault bool) Route {
 		q := Scan(text)
-		r, err := d.Decide(&q, byDefault)
+		r, err := d.Route(&q, byDefault)
 		require.NoError(t, err)
 		return r
 	}
@@ -108,11 +108,11 @@
 	d.SelectsAsRead = true
 	require.Equal(t, Route{Class: "browse", ReadOnly: true}, decide("SELECT 1", false))
 	require.Equal(t, Route{Class: "donate"}, decide("SELECT 1; DELETE FROM a", false))
-	require.Equal(t, Route{Class: "report", Group: 3, Grouped: true, Wait: 250, After: 12.5}, decide("/* c=report,cluster=3, d=250,after=12.5 */ BEGIN", false))
+	require.Equal(t, Route{Class: "report", Group: 3, HasGroup: true, WaitMillis: 250, MinPosition: 12.5}, decide("/* c=report,cluster=3, d=250,after=12.5 */ BEGIN", false))
 	require.Equal(t, Route{Class: "donate"}, decide("/* mind the gap = wide */ BEGIN", false))
 	for _, bad := range []string{"d=x", "after=-1", "cluster=1e9", "d=1e999"} {
 		q := Scan("/* " + bad + " */ BEGIN")
-		_, err := d.Decide(&q, false)
+		_, err := d.Route(&q, false)
 		require.ErrorContains(t, err, "no number that fits")
 	}
 }
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -20,7 +20,7 @@
 		default:
 			text, tag, _ := strings.Cut(w, "->")
 			q := Scan(text)
-			t.Done(&q.Statements[0], tag)
+			t.Completed(&q.Statements[0], tag)
 		}
 	}
 }
@@ -45,37 +45,37 @@
 		"begin joins what was before": {[]string{"SET a TO 1", "BEGIN", "=T", "ROLLBACK", "=I"}, ""},
 		"discard":                     {[]string{"SET a TO 1", "=I", "DISCARD ALL", "=I"}, ""},
 	} {
-		tr := NewTracker(None)
+		tr := NewTracker(NoSettings)
 		script(&tr, c.words...)
-		got := strings.TrimPrefix(tr.Now().Of("a"), "SET a TO ")
+		got := strings.TrimPrefix(tr.Settings().Rendering("a"), "SET a TO ")
 		require.Equal(t, c.want, got, name)
-		require.False(t, tr.Strange(), name)
-		require.False(t, tr.Explicit(), name)
+		require.False(t, tr.StateUnknown(), name)
+		require.False(t, tr.InBlock(), name)
 	}
-	tr := NewTracker(None)
+	tr := NewTracker(NoSettings)
 	script(&tr, "BEGIN", "=T", "SET a TO 1")
 	script(&tr, "=I") // it ended, and nothing seen ended it
-	require.True(t, tr.Strange())
+	require.True(t, tr.StateUnknown())
 	tr.Lost()
-	require.Same(t, None, tr.Now())
+	require.Same(t, NoSettings, tr.Settings())
 }
 
 func TestChangesAreTheLeast(t *testing.T) {
-	v := None.With("a", "SET a TO 1").With("role", "SET ROLE r")
-	require.Equal(t, "SET a TO 1;SET ROLE r;", Changes(None, v))
-	require.Equal(t, `RESET "role";RESET "a";`, Changes(v, None))
-	require.Equal(t, "SET a TO 2;", Changes(v, v.With("a", "SET a TO 2")))
-	require.Empty(t, Changes(v, None.With("role", "SET ROLE r").With("a", "SET a TO 1")))
-	require.Same(t, None, v.With("a", "").With("role", ""))
-	require.Equal(t, `RESET "app"."x""y";`, Changes(None.With(`app.x"y`, "-"), None))
-	require.Equal(t, `SELECT pg_catalog.set_config('a',  E'it''s \\ so', false)`, Startup("a", `it's \ so`))
+	v := NoSettings.With("a", "SET a TO 1").With("role", "SET ROLE r")
+	require.Equal(t, "SET a TO 1;SET ROLE r;", RestoreQuery(NoSettings, v))
+	require.Equal(t, `RESET "role";RESET "a";`, RestoreQuery(v, NoSettings))
+	require.Equal(t, "SET a TO 2;", RestoreQuery(v, v.With("a", "SET a TO 2")))
+	require.Empty(t, RestoreQuery(v, NoSettings.With("role", "SET ROLE r").With("a", "SET a TO 1")))
+	require.Same(t, NoSettings, v.With("a", "").With("role", ""))
+	require.Equal(t, `RESET "app"."x""y";`, RestoreQuery(NoSettings.With(`app.x"y`, "-"), NoSettings))
+	require.Equal(t, `SELECT pg_catalog.set_config('a',  E'it''s \\ so', false)`, StartupRendering("a", `it's \ so`))
 	// RESET gives the connection its own default, not the session's: the next change puts that right.
-	start := None.With("a", "SET a TO 7")
+	start := NoSettings.With("a", "SET a TO 7")
 	tr := NewTracker(start)
 	script(&tr, "SET a TO 8", "=I", "RESET a", "=I")
-	require.Equal(t, "SET a TO 7;", Changes(tr.OnServer(), tr.Now()))
+	require.Equal(t, "SET a TO 7;", RestoreQuery(tr.SettingsOnServer(), tr.Settings()))
 	tr.Restored()
-	require.Empty(t, Changes(tr.OnServer(), tr.Now()))
+	require.Empty(t, RestoreQuery(tr.SettingsOnServer(), tr.Settings()))
 }
 
 // model is a server's settings by the book: a stack of whole copies.
@@ -95,7 +95,7 @@
 	}
 	rapid.Check(t, func(r *rapid.T) {
 		m := model{now: map[string]string{}}
-		tr := NewTracker(None)
+		tr := NewTracker(NoSettings)
 		for range rapid.IntRange(1, 40).Draw(r, "steps") {
 			name := rapid.SampledFrom([]string{"a", "b"}).Draw(r, "name")
 			value := fmt.Sprint(rapid.IntRange(0, 3).Draw(r, "value"))
@@ -143,9 +143,9 @@
 				script(&tr, "=T")
 			}
 			for _, n := range []string{"a", "b"} {
-				require.Equal(r, m.now[n], strings.TrimPrefix(tr.Now().Of(n), "SET "+n+" TO "), n)
+				require.Equal(r, m.now[n], strings.TrimPrefix(tr.Settings().Rendering(n), "SET "+n+" TO "), n)
 			}
-			require.False(r, tr.Strange())
+			require.False(r, tr.StateUnknown())
 		}
 	})
 }
@@ -153,14 +153,14 @@
 // answers plays a server's messages, written as kind or kind:word, and returns the kinds that reach the client.
 func answers(t *testing.T, p *Pipeline, words ...string) (passed string) {
 	local := func() {
-		for k := p.Local(); k != 0; k = p.Local() {
+		for k := p.NextLocalReply(); k != 0; k = p.NextLocalReply() {
 			passed += string(k)
 		}
 	}
 	local()
 	for _, w := range words {
-		a := p.Answer(w[0], strings.TrimPrefix(w[1:], ":"))
-		require.False(t, a.Bad, "%s", w)
+		a := p.HandleServerMessage(w[0], strings.TrimPrefix(w[1:], ":"))
+		require.False(t, a.Unexpected, "%s", w)
 		if !a.Drop {
 			passed += w[:1]
 		}
@@ -169,16 +169,16 @@
 	return passed
 }
 
-func pipeline() (*Pipeline, *Catalogue, *Server) {
+func pipeline() (*Pipeline, *Catalogue, *ServerStatements) {
 	c := NewCatalogue(0)
-	s := NewServer(2)
-	p := NewPipeline(None, c)
+	s := NewServerStatements(2)
+	p := NewPipeline(NoSettings, c)
 	p.Link(s, false)
 	return p, c, s
 }
 
-func (p *Pipeline) parse(name, text string) Send {
-	return p.Parse(name, p.catalogue.Take(text, []byte{0, 0}, p.Now()))
+func (p *Pipeline) parse(name, text string) ClientAction {
+	return p.Parse(name, p.catalogue.Acquire(text, []byte{0, 0}, p.Settings()))
 }
 
 func TestStatementsArePreparedWhereTheyLack(t *testing.T) {
@@ -187,7 +187,7 @@
 	p.Sync()
 	require.Equal(t, "1Z", answers(t, p, "1", "Z:I"))
 	// Another connection, on which it is not prepared.
-	other := NewServer(2)
+	other := NewServerStatements(2)
 	p.Link(other, false)
 	out := p.Bind("", "a")
 	require.Len(t, out.Before, 1)
@@ -196,7 +196,7 @@
 	p.Sync()
 	require.Equal(t, "2CZ", answers(t, p, "1", "2", "C:SELECT 1", "Z:I"))
 	// Another session prepares the same under another name: nothing is sent.
-	q := NewPipeline(None, c)
+	q := NewPipeline(NoSettings, c)
 	q.Link(s, false)
 	require.True(t, q.parse("b", "SELECT 1").Drop)
 	q.Sync()
@@ -210,7 +210,7 @@
 	require.NotEqual(t, p.Find("a").Key, q.Find("a").Key)
 	// A third makes the first that is not needed go.
 	out = q.parse("c", "SELECT 3")
-	require.Equal(t, []Inject{{Close: p.Find("a").Key}}, out.Before)
+	require.Equal(t, []Injection{{Close: p.Find("a").Key}}, out.Before)
 	q.Sync()
 	require.Equal(t, "1Z", answers(t, q, "3", "1", "Z:I"))
 	// An error before that leaves it where it was.
@@ -222,7 +222,7 @@
 	q.Sync()
 	require.Equal(t, "EZ", answers(t, q, "E:26000", "Z:I"))
 	require.True(t, s.Has(closed))
-	require.False(t, s.Has(KeyOf("SELECT 4", []byte{0, 0}, None)))
+	require.False(t, s.Has(KeyOf("SELECT 4", []byte{0, 0}, NoSettings)))
 	q.Close()
 	p.Close()
 	require.Zero(t, c.Len())
@@ -242,7 +242,7 @@
 	require.NotNil(t, p.Find("a"))
 	require.Nil(t, p.Find("b"))
 	require.NotNil(t, p.Find("c"))
-	require.False(t, s.Has(KeyOf("SELECT 2", []byte{0, 0}, None)))
+	require.False(t, s.Has(KeyOf("SELECT 2", []byte{0, 0}, NoSettings)))
 	require.Equal(t, 2, c.Len())
 	// An error whose Sync is still to come: what follows is not sent.
 	p.Bind("", "a")
@@ -294,14 +294,14 @@
 	require.Equal(t, "C", answers(t, p, "C:COPY 3"))
 	p.Sync()
 	require.Equal(t, "Z", answers(t, p, "Z:I"))
-	require.True(t, p.Answer('C', "SELECT 1").Bad, "nothing is due")
+	require.True(t, p.HandleServerMessage('C', "SELECT 1").Unexpected, "nothing is due")
 	p.Sync()
-	require.True(t, p.Answer('2', "").Bad)
+	require.True(t, p.HandleServerMessage('2', "").Unexpected)
 	p, _, _ = pipeline()
-	p.Settings()
-	require.Equal(t, Pass{Drop: true}, p.Answer('C', "SET"))
-	require.Equal(t, Pass{Drop: true, Failed: true}, p.Answer('E', "22023"))
-	require.Equal(t, Pass{Drop: true, Injected: true, Failed: true}, p.Answer('Z', "I"))
+	p.SettingsSent()
+	require.Equal(t, ServerAction{Drop: true}, p.HandleServerMessage('C', "SET"))
+	require.Equal(t, ServerAction{Drop: true, Failed: true}, p.HandleServerMessage('E', "22023"))
+	require.Equal(t, ServerAction{Drop: true, Injected: true, Failed: true}, p.HandleServerMessage('Z', "I"))
 	require.True(t, p.Idle())
 }
 
@@ -316,21 +316,21 @@
 		cycles   int
 		silent   bool
 	}{
-		"idle":                       {silent: true, state: StateSafe, status: 'I'},
-		"in a block":                 {open: []string{"BEGIN"}, state: StateSafe, status: 'E'},
-		"a statement of a block":     {open: []string{"BEGIN"}, due: []string{"INSERT"}, state: StateSafe, status: 'E', cycles: 1},
-		"a commit":                   {open: []string{"BEGIN"}, due: []string{"COMMIT"}, state: StateDoubt, status: 'I', cycles: 1},
-		"a commit that never left":   {open: []string{"BEGIN"}, due: []string{"COMMIT"}, unsent: true, state: StateSafe, status: 'I', cycles: 1},
-		"a rollback":                 {open: []string{"BEGIN"}, due: []string{"ROLLBACK"}, state: StateSafe, status: 'I', cycles: 1},
-		"a write by itself":          {due: []string{"INSERT"}, state: StateDoubt, status: 'I', cycles: 1},
-		"a read of a read-only":      {due: []string{"SELECT 1"}, readOnly: true, state: StateSafe, status: 'I', cycles: 1},
-		"a function may write":       {due: []string{"SELECT f()"}, state: StateDoubt, status: 'I', cycles: 1},
-		"a setting":                  {due: []string{"SET a TO 1"}, state: StateSafe, status: 'I', cycles: 1},
-		"a whole block at once":      {due: []string{"BEGIN; INSERT; COMMIT"}, state: StateDoubt, status: 'I', cycles: 1},
-		"a begin and what came next": {due: []string{"BEGIN", "INSERT"}, state: StateSafe, status: 'E', cycles: 2},
+		"idle":                       {silent: true, state: SQLStateSafeToRetry, status: 'I'},
+		"in a block":                 {open: []string{"BEGIN"}, state: SQLStateSafeToRetry, status: 'E'},
+		"a statement of a block":     {open: []string{"BEGIN"}, due: []string{"INSERT"}, state: SQLStateSafeToRetry, status: 'E', cycles: 1},
+		"a commit":                   {open: []string{"BEGIN"}, due: []string{"COMMIT"}, state: SQLStateInDoubt, status: 'I', cycles: 1},
+		"a commit that never left":   {open: []string{"BEGIN"}, due: []string{"COMMIT"}, unsent: true, state: SQLStateSafeToRetry, status: 'I', cycles: 1},
+		"a rollback":                 {open: []string{"BEGIN"}, due: []string{"ROLLBACK"}, state: SQLStateSafeToRetry, status: 'I', cycles: 1},
+		"a write by itself":          {due: []string{"INSERT"}, state: SQLStateInDoubt, status: 'I', cycles: 1},
+		"a read of a read-only":      {due: []string{"SELECT 1"}, readOnly: true, state: SQLStateSafeToRetry, status: 'I', cycles: 1},
+		"a function may write":       {due: []string{"SELECT f()"}, state: SQLStateInDoubt, status: 'I', cycles: 1},
+		"a setting":                  {due: []string{"SET a TO 1"}, state: SQLStateSafeToRetry, status: 'I', cycles: 1},
+		"a whole block at once":      {due: []string{"BEGIN; INSERT; COMMIT"}, state: SQLStateInDoubt, status: 'I', cycles: 1},
+		"a begin and what came next": {due: []string{"BEGIN", "INSERT"}, state: SQLStateSafeToRetry, status: 'E', cycles: 2},
 	} {
 		p, _, _ := pipeline()
-		p.Link(NewServer(1), c.readOnly)
+		p.Link(NewServerStatements(1), c.readOnly)
 		for _, text := range c.open {
 			p.Query(text, Scan(text))
 			answers(t, p, "C:"+text, "Z:T")
@@ -339,11 +339,11 @@
 			p.Query(text, Scan(text))
 		}
 		l := p.Lose(!c.unsent)
-		require.Equal(t, c.state, l.State, name)
+		require.Equal(t, c.state, l.SQLState, name)
 		require.Equal(t, string(c.status), string(p.Status()), name)
 		require.Equal(t, c.cycles, l.Cycles, name)
 		require.Equal(t, c.silent, l.Silent, name)
-		require.Equal(t, c.status == 'E', p.LostBlock(), name)
+		require.Equal(t, c.status == 'E', p.BlockLost(), name)
 	}
 	// What ran is in doubt until ReadyForQuery says how its transaction ended, whatever was answered before.
 	for _, c := range []struct {
@@ -351,11 +351,11 @@
 		answers     []string
 		state       string
 	}{
-		{"INSERT", "", []string{"C:INSERT 0 1"}, StateDoubt},
-		{"COMMIT", "T", []string{"C:COMMIT"}, StateDoubt},
-		{"COMMIT", "T", []string{"C:ROLLBACK"}, StateSafe},
-		{"INSERT", "T", []string{"C:INSERT 0 1"}, StateSafe},
-		{"SET a TO 1", "", []string{"C:SET"}, StateSafe},
+		{"INSERT", "", []string{"C:INSERT 0 1"}, SQLStateInDoubt},
+		{"COMMIT", "T", []string{"C:COMMIT"}, SQLStateInDoubt},
+		{"COMMIT", "T", []string{"C:ROLLBACK"}, SQLStateSafeToRetry},
+		{"INSERT", "T", []string{"C:INSERT 0 1"}, SQLStateSafeToRetry},
+		{"SET a TO 1", "", []string{"C:SET"}, SQLStateSafeToRetry},
 	} {
 		p, _, _ := pipeline()
 		if c.block != "" {
@@ -364,7 +364,7 @@
 		}
 		p.Query(c.text, Scan(c.text))
 		answers(t, p, c.answers...)
-		require.Equal(t, c.state, p.Lose(true).State, "%s %v", c.text, c.answers)
+		require.Equal(t, c.state, p.Lose(true).SQLState, "%s %v", c.text, c.answers)
 		p, _, _ = pipeline()
 		if c.block != "" {
 			p.Query("BEGIN", Scan("BEGIN"))
@@ -375,7 +375,7 @@
 		p.Execute("")
 		p.Sync()
 		answers(t, p, append([]string{"1", "2"}, c.answers...)...)
-		require.Equal(t, c.state, p.Lose(true).State, "extended: %s %v", c.text, c.answers)
+		require.Equal(t, c.state, p.Lose(true).SQLState, "extended: %s %v", c.text, c.answers)
 	}
 	// A pipeline whose Sync had not come: nothing can have been committed, and the rest of it is skipped.
 	p, c, _ := pipeline()
@@ -383,10 +383,10 @@
 	p.Bind("", "")
 	p.Execute("")
 	l := p.Lose(true)
-	require.Equal(t, Loss{State: StateSafe, Text: l.Text}, l)
+	require.Equal(t, Loss{SQLState: SQLStateSafeToRetry, Text: l.Text}, l)
 	require.True(t, p.Skipping())
 	require.Zero(t, c.Len())
-	p.LocalSync()
+	p.SyncLocally()
 	require.True(t, p.Idle())
 }
 
@@ -402,28 +402,28 @@
 	require.Same(t, ws[1], q.Next(105, note))
 	require.Equal(t, []*Waiter{ws[0]}, late)
 	require.True(t, q.Add(ws[3], 3))
-	q.Late(125, note)
+	q.Expire(125, note)
 	require.Equal(t, []*Waiter{ws[0], ws[2]}, late)
-	require.False(t, ws[2].Waiting())
-	ws[3].Leave()
+	require.False(t, ws[2].IsQueued())
+	ws[3].Dequeue()
 	require.Nil(t, q.Next(0, note))
-	require.Equal(t, 50.0, Patience(80, 50, 4))
-	require.Equal(t, 26.0, Patience(30, 50, 4))
-	require.Equal(t, 50.0, Patience(0, 50, 4))
-	require.Zero(t, Patience(3, 50, 4))
+	require.Equal(t, 50.0, WaitTimeout(80, 50, 4))
+	require.Equal(t, 26.0, WaitTimeout(30, 50, 4))
+	require.Equal(t, 50.0, WaitTimeout(0, 50, 4))
+	require.Zero(t, WaitTimeout(3, 50, 4))
 }
 
 func TestCatalogueIsBounded(t *testing.T) {
 	c := NewCatalogue(2000)
 	taken := 0
 	for i := range 100 {
-		if c.Take(fmt.Sprintf("SELECT %d", i), nil, None) != nil {
+		if c.Acquire(fmt.Sprintf("SELECT %d", i), nil, NoSettings) != nil {
 			taken++
 		}
 	}
 	require.Equal(t, taken, c.Len())
 	require.Less(t, taken, 20)
-	require.NotNil(t, c.Take("SELECT 0", nil, None), "one that is there costs nothing")
-	require.NotEqual(t, KeyOf("SELECT a", nil, None), KeyOf("SELECT a", nil, None.With("search_path", "x")))
-	require.NotEqual(t, KeyOf("SELECT a", []byte{1}, None), KeyOf("SELECT a\x01", nil, None))
+	require.NotNil(t, c.Acquire("SELECT 0", nil, NoSettings), "one that is there costs nothing")
+	require.NotEqual(t, KeyOf("SELECT a", nil, NoSettings), KeyOf("SELECT a", nil, NoSettings.With("search_path", "x")))
+	require.NotEqual(t, KeyOf("SELECT a", []byte{1}, NoSettings), KeyOf("SELECT a\x01", nil, NoSettings))
 }
--- a/internal/session/settings.go
+++ b/internal/session/settings.go
@@ -6,30 +6,30 @@
 	"strings"
 )
 
-// Values are settings by name, each as the text that makes it. A Values is never changed once it is shared: sessions
+// Settings are settings by name, each as the text that makes it. A Values is never changed once it is shared: sessions
 // and connections hold the same one, and comparing two of them mostly ends at the pointer.
-type Values struct {
-	of   map[string]string
-	size int
+type Settings struct {
+	renderings map[string]string
+	size       int
 }
 
-// None are the settings of a connection that nobody changed.
-var None = &Values{}
+// NoSettings are the settings of a connection that nobody changed.
+var NoSettings = &Settings{}
 
-// Of returns the text that makes a setting; "" where the connection's own default holds.
-func (v *Values) Of(name string) string { return v.of[name] }
+// Rendering returns the text that makes a setting; "" where the connection's own default holds.
+func (v *Settings) Rendering(name string) string { return v.renderings[name] }
 
-// Same says whether nothing has to be changed between the two.
-func (v *Values) Same(o *Values) bool {
-	return v == o || v.size == o.size && maps.Equal(v.of, o.of)
+// Equal says whether nothing has to be changed between the two.
+func (v *Settings) Equal(o *Settings) bool {
+	return v == o || v.size == o.size && maps.Equal(v.renderings, o.renderings)
 }
 
 // With returns the settings with one changed; "" takes it out.
-func (v *Values) With(name, render string) *Values {
-	if v.of[name] == render {
+func (v *Settings) With(name, render string) *Settings {
+	if v.renderings[name] == render {
 		return v
 	}
-	of := maps.Clone(v.of)
+	of := maps.Clone(v.renderings)
 	if of == nil {
 		of = map[string]string{}
 	}
@@ -39,32 +39,32 @@
 		of[name] = render
 	}
 	if len(of) == 0 {
-		return None
+		return NoSettings
 	}
 	size := 0
 	for n, r := range of {
 		size += len(n) + len(r)
 	}
-	return &Values{of: of, size: size}
+	return &Settings{renderings: of, size: size}
 }
 
-// unknown is the text of a setting whose value on a connection nobody knows: it equals none that a session has.
-const unknown = "\x00"
+// unknownRendering is the text of a setting whose value on a connection nobody knows: it equals none that a session has.
+const unknownRendering = "\x00"
 
-// Changes is the query that brings a connection from have to want, all in one round trip; "" where nothing differs.
+// RestoreQuery is the query that brings a connection from have to want, all in one round trip; "" where nothing differs.
 // Who the session acts as comes last when it is taken on and first when it is given back.
-func Changes(have, want *Values) string {
-	if have.Same(want) {
+func RestoreQuery(have, want *Settings) string {
+	if have.Equal(want) {
 		return ""
 	}
 	var resets, sets []string
-	for name := range have.of {
-		if want.of[name] == "" {
+	for name := range have.renderings {
+		if want.renderings[name] == "" {
 			resets = append(resets, name)
 		}
 	}
-	for name, render := range want.of {
-		if have.of[name] != render {
+	for name, render := range want.renderings {
+		if have.renderings[name] != render {
 			sets = append(sets, name)
 		}
 	}
@@ -94,7 +94,7 @@
 		out.WriteString("RESET " + quoteName(name) + ";")
 	}
 	for _, name := range sets {
-		out.WriteString(want.of[name] + ";")
+		out.WriteString(want.renderings[name] + ";")
 	}
 	return out.String()
 }
@@ -114,8 +114,8 @@
 	return strings.Join(parts, ".")
 }
 
-// Literal words a value so that any text in it is taken as it is, whatever standard_conforming_strings says.
-func Literal(value string) string {
+// QuoteLiteral words a value so that any text in it is taken as it is, whatever standard_conforming_strings says.
+func QuoteLiteral(value string) string {
 	quoted := "'" + strings.ReplaceAll(value, "'", "''") + "'"
 	if !strings.Contains(value, `\`) {
 		return quoted
@@ -123,15 +123,15 @@
 	return " E" + strings.ReplaceAll(quoted, `\`, `\\`)
 }
 
-// Startup is the text that makes a setting from a startup parameter, whose value is a list where the setting is one.
-func Startup(name, value string) string {
-	return "SELECT pg_catalog.set_config(" + Literal(name) + ", " + Literal(value) + ", false)"
+// StartupRendering is the text that makes a setting from a startup parameter, whose value is a list where the setting is one.
+func StartupRendering(name, value string) string {
+	return "SELECT pg_catalog.set_config(" + QuoteLiteral(name) + ", " + QuoteLiteral(value) + ", false)"
 }
 
-// mark is a transaction's begin or a savepoint: what held then.
-type mark struct {
+// savepoint is a transaction's begin or a savepoint: what held then.
+type savepoint struct {
 	name   string
-	values *Values
+	values *Settings
 }
 
 // Tracker follows one session's settings through its transactions. Its zero value is no session; see NewTracker.
@@ -139,103 +139,103 @@
 // Statements outside a transaction block that travel together (a query string, a pipeline up to its Sync) are one
 // implicit transaction, as they are to a server: an error in the last takes back a SET in the first.
 type Tracker struct {
-	startup  *Values // what the client asked for when it connected; RESET goes back to it
-	now      *Values
-	base     *Values // at the transaction's begin
-	marks    []mark  // savepoints
-	explicit bool    // in a block
-	failed   bool    // an error came since the last ReadyForQuery
-	strange  bool    // the server's status is not what the statements seen account for
+	startup      *Settings // what the client asked for when it connected; RESET goes back to it
+	current      *Settings
+	atBegin      *Settings   // at the transaction's begin
+	savepoints   []savepoint // savepoints
+	inBlock      bool        // in a block
+	failed       bool        // an error came since the last ReadyForQuery
+	stateUnknown bool        // the server's status is not what the statements seen account for
 	// resets are the settings that RESET gave back to the connection's default while the session has another of its
 	// own: on the connection they stand at a value that is not the session's.
-	resets []string
+	resetNames []string
 }
 
 // NewTracker returns the tracker of a session that connected with these settings.
-func NewTracker(startup *Values) Tracker {
-	return Tracker{startup: startup, now: startup, base: startup}
+func NewTracker(startup *Settings) Tracker {
+	return Tracker{startup: startup, current: startup, atBegin: startup}
 }
 
-// Now is what holds in the session at this moment.
-func (t *Tracker) Now() *Values { return t.now }
+// Settings is what holds in the session at this moment.
+func (t *Tracker) Settings() *Settings { return t.current }
 
-// Explicit says whether the session is in a transaction block.
-func (t *Tracker) Explicit() bool { return t.explicit }
+// InBlock says whether the session is in a transaction block.
+func (t *Tracker) InBlock() bool { return t.inBlock }
 
-// Strange says whether the server is in a state that the statements seen do not account for. What holds on its
+// StateUnknown says whether the server is in a state that the statements seen do not account for. What holds on its
 // connection is then unknown.
-func (t *Tracker) Strange() bool { return t.strange }
+func (t *Tracker) StateUnknown() bool { return t.stateUnknown }
 
-// OnServer is what holds on the connection that ran the session's statements.
-func (t *Tracker) OnServer() *Values {
-	v := t.now
-	for _, name := range t.resets {
-		v = v.With(name, unknown)
+// SettingsOnServer is what holds on the connection that ran the session's statements.
+func (t *Tracker) SettingsOnServer() *Settings {
+	v := t.current
+	for _, name := range t.resetNames {
+		v = v.With(name, unknownRendering)
 	}
 	return v
 }
 
 // Restored says that the connection has been brought to what holds in the session.
-func (t *Tracker) Restored() { t.resets = t.resets[:0] }
+func (t *Tracker) Restored() { t.resetNames = t.resetNames[:0] }
 
-// Done takes a statement that a server completed with this tag.
-func (t *Tracker) Done(s *Statement, tag string) {
+// Completed takes a statement that a server completed with this tag.
+func (t *Tracker) Completed(s *Statement, tag string) {
 	switch s.Kind {
 	case Begin:
-		t.explicit = true
+		t.inBlock = true
 	case Commit, Rollback:
 		// COMMIT of a failed transaction is answered with ROLLBACK; AND CHAIN shows in the status that follows.
 		t.end(s.Kind == Commit && tag != "ROLLBACK")
 	case Savepoint:
-		t.marks = append(t.marks, mark{s.Name, t.now})
+		t.savepoints = append(t.savepoints, savepoint{s.Name, t.current})
 	case RollbackTo:
-		if i := t.find(s.Name); i >= 0 {
-			t.now = t.marks[i].values
-			t.marks = t.marks[:i+1]
+		if i := t.findSavepoint(s.Name); i >= 0 {
+			t.current = t.savepoints[i].values
+			t.savepoints = t.savepoints[:i+1]
 			t.failed = false
 		} else {
-			t.strange = true
+			t.stateUnknown = true
 		}
 	case Release:
-		if i := t.find(s.Name); i >= 0 {
-			t.marks = t.marks[:i]
+		if i := t.findSavepoint(s.Name); i >= 0 {
+			t.savepoints = t.savepoints[:i]
 		} else {
-			t.strange = true
+			t.stateUnknown = true
 		}
 	case Set:
-		t.now = t.now.With(s.Name, s.Render)
+		t.current = t.current.With(s.Name, s.Render)
 	case Reset:
 		t.reset(s.Name)
 	case ResetAll:
 		t.resetAll()
 	case DiscardAll: // and who the session acts as
-		t.now = t.now.With("role", "").With("session_authorization", "")
+		t.current = t.current.With("role", "").With("session_authorization", "")
 		t.resetAll()
 	}
 }
 
 func (t *Tracker) reset(name string) {
-	render := t.startup.Of(name)
-	t.now = t.now.With(name, render)
-	if render != "" && !slices.Contains(t.resets, name) {
-		t.resets = append(t.resets, name)
+	render := t.startup.Rendering(name)
+	t.current = t.current.With(name, render)
+	if render != "" && !slices.Contains(t.resetNames, name) {
+		t.resetNames = append(t.resetNames, name)
 	}
 }
 
 func (t *Tracker) resetAll() {
-	role, authorization := t.now.Of("role"), t.now.Of("session_authorization") // RESET ALL leaves both
-	t.now = t.startup
-	t.now = t.now.With("role", role).With("session_authorization", authorization)
-	t.resets = t.resets[:0]
-	for name := range t.startup.of {
-		t.resets = append(t.resets, name)
+	role, authorization := t.current.Rendering("role"), t.current.Rendering("session_authorization") // RESET ALL leaves both
+	t.current = t.startup
+	t.current = t.current.With("role", role).With("session_authorization", authorization)
+	t.resetNames = t.resetNames[:0]
+	for name := range t.startup.renderings {
+		t.resetNames = append(t.resetNames, name)
 	}
 }
 
-// find is the place of the latest savepoint of that name, or -1.
-func (t *Tracker) find(name string) int {
-	for i := len(t.marks) - 1; i >= 0; i-- {
-		if t.marks[i].name == name {
+// findSavepoint is the place of the latest savepoint of that name, or -1.
+func (t *Tracker) findSavepoint(name string) int {
+	for i := len(t.savepoints) - 1; i >= 0; i-- {
+		if t.savepoints[i].name == name {
 			return i
 		}
 	}
@@ -244,9 +244,9 @@
 
 func (t *Tracker) end(commit bool) {
 	if !commit {
-		t.now = t.base
+		t.current = t.atBegin
 	}
-	t.base, t.marks, t.explicit = t.now, t.marks[:0], false
+	t.atBegin, t.savepoints, t.inBlock = t.current, t.savepoints[:0], false
 }
 
 // Failed takes an error of the server.
@@ -256,13 +256,13 @@
 func (t *Tracker) Ready(status byte) {
 	switch status {
 	case 'I':
-		if t.explicit { // it ended by means that no statement showed
-			t.strange = true
+		if t.inBlock { // it ended by means that no statement showed
+			t.stateUnknown = true
 		}
-		t.end(!t.failed && !t.explicit)
+		t.end(!t.failed && !t.inBlock)
 	default:
-		if !t.explicit { // COMMIT AND CHAIN, or a block that no statement showed: what came before is in
-			t.base, t.explicit = t.now, true
+		if !t.inBlock { // COMMIT AND CHAIN, or a block that no statement showed: what came before is in
+			t.atBegin, t.inBlock = t.current, true
 		}
 	}
 	t.failed = false
@@ -271,6 +271,6 @@
 // Lost says that the server connection is gone, and with it whatever was not committed.
 func (t *Tracker) Lost() {
 	t.end(false)
-	t.failed, t.strange = false, false
-	t.resets = t.resets[:0]
+	t.failed, t.stateUnknown = false, false
+	t.resetNames = t.resetNames[:0]
 }
--- a/internal/session/statements.go
+++ b/internal/session/statements.go
@@ -12,8 +12,8 @@
 // settings that change what its names mean.
 type Key [16]byte
 
-// meaning are the settings under which a text may stand for something else.
-var meaning = [...]string{"search_path", "role", "session_authorization", "standard_conforming_strings"}
+// meaningSettings are the settings under which a text may stand for something else.
+var meaningSettings = [...]string{"search_path", "role", "session_authorization", "standard_conforming_strings"}
 
 // Prepared is a statement that a session prepared. It is shared by all that prepared the same.
 type Prepared struct {
@@ -31,7 +31,7 @@
 func (p *Prepared) Bytes() int { return len(p.Text) + len(p.Params) + 160 }
 
 // KeyOf names a statement.
-func KeyOf(text string, params []byte, v *Values) (k Key) {
+func KeyOf(text string, params []byte, v *Settings) (k Key) {
 	h := blake3.New()
 	var n [4]byte
 	part := func(s string) {
@@ -41,8 +41,8 @@
 	}
 	part(text)
 	part(string(params))
-	for _, name := range meaning {
-		part(v.Of(name))
+	for _, name := range meaningSettings {
+		part(v.Rendering(name))
 	}
 	copy(k[:], h.Sum(nil))
 	return k
@@ -50,149 +50,155 @@
 
 // Catalogue holds every statement that some session prepared, once.
 type Catalogue struct {
-	of    map[Key]*Prepared
-	bytes int
-	most  int // bytes; 0: no bound
+	statements map[Key]*Prepared
+	bytes      int
+	maxBytes   int // bytes; 0: no bound
 }
 
 // NewCatalogue returns a catalogue that holds so many bytes.
-func NewCatalogue(most int) *Catalogue { return &Catalogue{of: map[Key]*Prepared{}, most: most} }
+func NewCatalogue(most int) *Catalogue {
+	return &Catalogue{statements: map[Key]*Prepared{}, maxBytes: most}
+}
 
-// SetMost takes another bound for what is added from now on.
-func (c *Catalogue) SetMost(most int) { c.most = most }
+// SetMaxBytes takes another bound for what is added from now on.
+func (c *Catalogue) SetMaxBytes(most int) { c.maxBytes = most }
 
 // Bytes is what all statements take.
 func (c *Catalogue) Bytes() int { return c.bytes }
 
 // Len is how many there are.
-func (c *Catalogue) Len() int { return len(c.of) }
+func (c *Catalogue) Len() int { return len(c.statements) }
 
-// Take adds a user to a statement, which it makes where it is new. nil: there is no memory for it.
-func (c *Catalogue) Take(text string, params []byte, v *Values) *Prepared {
+// Acquire adds a user to a statement, which it makes where it is new. nil: there is no memory for it.
+func (c *Catalogue) Acquire(text string, params []byte, v *Settings) *Prepared {
 	k := KeyOf(text, params, v)
-	if p := c.of[k]; p != nil {
+	if p := c.statements[k]; p != nil {
 		p.users++
 		return p
 	}
 	p := &Prepared{Key: k, Text: text, Params: append([]byte(nil), params...), users: 1}
-	if c.most > 0 && c.bytes+p.Bytes() > c.most {
+	if c.maxBytes > 0 && c.bytes+p.Bytes() > c.maxBytes {
 		return nil
 	}
 	p.Query = Scan(text)
-	c.of[k] = p
+	c.statements[k] = p
 	c.bytes += p.Bytes()
 	return p
 }
 
-// Drop takes a user away.
-func (c *Catalogue) Drop(p *Prepared) {
+// Release takes a user away.
+func (c *Catalogue) Release(p *Prepared) {
 	if p == nil {
 		return
 	}
 	if p.users--; p.users == 0 {
-		delete(c.of, p.Key)
+		delete(c.statements, p.Key)
 		c.bytes -= p.Bytes()
 	}
 }
 
-// Names are one session's statements by the names that it gave them; "" is the unnamed one. What a pipeline asked for
+// StatementNames are one session's statements by the names that it gave them; "" is the unnamed one. What a pipeline asked for
 // counts within the pipeline at once, and for good only when the server says so: an error skips the rest up to Sync.
-type Names struct {
-	catalogue *Catalogue
-	held      map[string]*Prepared
-	asked     []ask
+type StatementNames struct {
+	catalogue   *Catalogue
+	established map[string]*Prepared
+	requested   []nameChange
 }
 
-type ask struct {
-	name string
-	p    *Prepared // nil: closed
+type nameChange struct {
+	name     string
+	prepared *Prepared // nil: closed
 }
 
-// NewNames returns the statements of a session that has none.
-func NewNames(c *Catalogue) Names { return Names{catalogue: c} }
+// NewStatementNames returns the statements of a session that has none.
+func NewStatementNames(c *Catalogue) StatementNames { return StatementNames{catalogue: c} }
 
 // Find is the statement that a name stands for at this point of the pipeline; nil: none.
-func (n *Names) Find(name string) *Prepared {
-	for i := len(n.asked) - 1; i >= 0; i-- {
-		if n.asked[i].name == name {
-			return n.asked[i].p
+func (n *StatementNames) Find(name string) *Prepared {
+	for i := len(n.requested) - 1; i >= 0; i-- {
+		if n.requested[i].name == name {
+			return n.requested[i].prepared
 		}
 	}
-	return n.held[name]
+	return n.established[name]
 }
 
-// Ask notes a Parse (whose user the caller took) or, with nil, a Close that was sent.
-func (n *Names) Ask(name string, p *Prepared) { n.asked = append(n.asked, ask{name, p}) }
+// Request notes a Parse (whose user the caller took) or, with nil, a Close that was sent.
+func (n *StatementNames) Request(name string, p *Prepared) {
+	n.requested = append(n.requested, nameChange{name, p})
+}
 
-// Made says that the first that was asked for has come to be.
-func (n *Names) Made() {
-	if len(n.asked) == 0 {
+// Confirm says that the first that was asked for has come to be.
+func (n *StatementNames) Confirm() {
+	if len(n.requested) == 0 {
 		return
 	}
-	a := n.asked[0]
-	if n.asked = n.asked[1:]; len(n.asked) == 0 {
-		n.asked = nil
+	a := n.requested[0]
+	if n.requested = n.requested[1:]; len(n.requested) == 0 {
+		n.requested = nil
 	}
-	n.catalogue.Drop(n.held[a.name])
-	if a.p == nil {
-		delete(n.held, a.name)
+	n.catalogue.Release(n.established[a.name])
+	if a.prepared == nil {
+		delete(n.established, a.name)
 		return
 	}
-	if n.held == nil {
-		n.held = map[string]*Prepared{}
+	if n.established == nil {
+		n.established = map[string]*Prepared{}
 	}
-	n.held[a.name] = a.p
+	n.established[a.name] = a.prepared
 }
 
-// Skipped says that an error came before the last k that were asked for.
-func (n *Names) Skipped(k int) {
-	k = min(k, len(n.asked))
-	for _, a := range n.asked[len(n.asked)-k:] {
-		n.catalogue.Drop(a.p)
+// DiscardLast says that an error came before the last k that were asked for.
+func (n *StatementNames) DiscardLast(k int) {
+	k = min(k, len(n.requested))
+	for _, a := range n.requested[len(n.requested)-k:] {
+		n.catalogue.Release(a.prepared)
 	}
-	if n.asked = n.asked[:len(n.asked)-k]; len(n.asked) == 0 {
-		n.asked = nil
+	if n.requested = n.requested[:len(n.requested)-k]; len(n.requested) == 0 {
+		n.requested = nil
 	}
 }
 
-// Forget closes a statement, as DEALLOCATE does; all of them with all.
-func (n *Names) Forget(name string, all bool) {
-	for held, p := range n.held {
+// Deallocate closes a statement, as DEALLOCATE does; all of them with all.
+func (n *StatementNames) Deallocate(name string, all bool) {
+	for held, p := range n.established {
 		if all && held != "" || held == name {
-			n.catalogue.Drop(p)
-			delete(n.held, held)
+			n.catalogue.Release(p)
+			delete(n.established, held)
 		}
 	}
 }
 
 // Len is how many statements the session has.
-func (n *Names) Len() int { return len(n.held) }
+func (n *StatementNames) Len() int { return len(n.established) }
 
 // Close lets go of everything.
-func (n *Names) Close() {
-	n.Skipped(len(n.asked))
-	for _, p := range n.held {
-		n.catalogue.Drop(p)
+func (n *StatementNames) Close() {
+	n.DiscardLast(len(n.requested))
+	for _, p := range n.established {
+		n.catalogue.Release(p)
 	}
-	n.held = nil
+	n.established = nil
 }
 
-// Server is what is prepared on one server connection, the one used last in front.
-type Server struct {
-	most  int
-	of    map[Key]*list.Element
-	order list.List
+// ServerStatements is what is prepared on one server connection, the one used last in front.
+type ServerStatements struct {
+	maxStatements int
+	elements      map[Key]*list.Element
+	order         list.List
 	// Unnamed is what the connection's unnamed statement is.
 	Unnamed    Key
 	HasUnnamed bool
 }
 
-// NewServer returns a connection on which nothing is prepared; at most so many statements will be.
-func NewServer(most int) *Server { return &Server{most: max(1, most), of: map[Key]*list.Element{}} }
+// NewServerStatements returns a connection on which nothing is prepared; at most so many statements will be.
+func NewServerStatements(most int) *ServerStatements {
+	return &ServerStatements{maxStatements: max(1, most), elements: map[Key]*list.Element{}}
+}
 
 // Has says whether a statement is prepared there, and counts that as its use.
-func (s *Server) Has(k Key) bool {
-	e := s.of[k]
+func (s *ServerStatements) Has(k Key) bool {
+	e := s.elements[k]
 	if e != nil {
 		s.order.MoveToFront(e)
 	}
@@ -201,11 +207,11 @@
 
 // Add notes that a statement is being prepared and names the ones that have to be closed for it: keep holds those that
 // the pipeline under way still needs.
-func (s *Server) Add(k Key, keep func(Key) bool) (evicted []Key) {
+func (s *ServerStatements) Add(k Key, keep func(Key) bool) (evicted []Key) {
 	if s.Has(k) {
 		return nil
 	}
-	for e := s.order.Back(); e != nil && len(s.of) >= s.most; {
+	for e := s.order.Back(); e != nil && len(s.elements) >= s.maxStatements; {
 		old, before := e.Value.(Key), e.Prev()
 		if keep == nil || !keep(old) {
 			s.Remove(old)
@@ -213,30 +219,30 @@
 		}
 		e = before
 	}
-	s.of[k] = s.order.PushFront(k)
+	s.elements[k] = s.order.PushFront(k)
 	return evicted
 }
 
-// Keep notes that a statement is still there: what was to close it was skipped.
-func (s *Server) Keep(k Key) {
-	if s.of[k] == nil {
-		s.of[k] = s.order.PushBack(k)
+// Restore notes that a statement is still there: what was to close it was skipped.
+func (s *ServerStatements) Restore(k Key) {
+	if s.elements[k] == nil {
+		s.elements[k] = s.order.PushBack(k)
 	}
 }
 
 // Remove notes that a statement is not prepared there, or not any more.
-func (s *Server) Remove(k Key) {
-	if e := s.of[k]; e != nil {
+func (s *ServerStatements) Remove(k Key) {
+	if e := s.elements[k]; e != nil {
 		s.order.Remove(e)
-		delete(s.of, k)
+		delete(s.elements, k)
 	}
 }
 
 // Clear notes that nothing is.
-func (s *Server) Clear() {
-	s.of, s.HasUnnamed = map[Key]*list.Element{}, false
+func (s *ServerStatements) Clear() {
+	s.elements, s.HasUnnamed = map[Key]*list.Element{}, false
 	s.order.Init()
 }
 
 // Len is how many are prepared there.
-func (s *Server) Len() int { return len(s.of) }
+func (s *ServerStatements) Len() int { return len(s.elements) }
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -904,7 +904,7 @@
 	}
 }
 
-// giveUp gives the final answer at once: a refusal where a retry is harmless, else a failure.
+// cancelRequest gives the final answer at once: a refusal where a retry is harmless, else a failure.
 func (c *Router) giveUp(r *request) {
 	safe := r.class.Idempotency == Idempotent || r.class.Idempotency == Deduplicated && r.class.Scope == ScopeAll
 	if safe || !r.mayHaveRun && r.inFlight == 0 { // a quick return would come to the same queue, or for nothing: say so
--- a/testbed/host/conn.go
+++ b/testbed/host/conn.go
@@ -16,7 +16,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// maxMessage bounds what a client may send in one message.
+// maxServerMessageBytes bounds what a client may send in one message.
 const maxMessage = 16 << 20
 
 type prepared struct {
--- a/testbed/host/exec.go
+++ b/testbed/host/exec.go
@@ -332,7 +332,7 @@
 	return nil
 }
 
-// settingName reads a name in the forms that SET, RESET and SHOW know.
+// parseSettingName reads a name in the forms that SET, RESET and SHOW know.
 func settingName(w *words) string {
 	switch {
 	case w.take("time", "zone"):
