--- /dev/null
+++ b/internal/cluster/jobs/noop/handler.go
@@ -0,0 +1,168 @@
+package noop
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"ashstand/internal/cluster/fencing"
+	"ashstand/internal/cluster/jobs"
+)
+
+// The operations, and the one action that an operator can approve. They are stored: they never change.
+const (
+	operationPrepare = "prepare" // creates what writes need at one group; it can be repeated
+	operationWrite   = "write"   // writes one row at one group
+	operationStop    = "stop"    // finishes the job; it changes nothing at any host
+	actionStop       = "stop"
+)
+
+// Why a job finished. They are stored.
+const (
+	reasonStopped   = "stopped"
+	reasonCompleted = "all deeds are done"
+)
+
+// unreadableRetryMillis is when a spec or state that can't be read is looked at again.
+const unreadableRetryMillis = 1000
+
+// Statements of the operations.
+const (
+	createSchema = "CREATE SCHEMA IF NOT EXISTS ashstand"
+	createTable  = "CREATE TABLE IF NOT EXISTS ashstand.acts (ref text PRIMARY KEY, payload text)"
+	insertRow    = "INSERT INTO ashstand.acts (ref, payload) VALUES ($1, $2)"
+	selectRow    = "SELECT ref FROM ashstand.acts WHERE ref >= $1 AND ref < $2 ORDER BY ref LIMIT 1"
+)
+
+// Handler implements jobs.Handler.
+type Handler struct {
+	Client *fencing.Client
+	Now    func() float64
+	// DisabledGuarantee is switched off to see that a checker notices: "resume"; "": none.
+	DisabledGuarantee string
+}
+
+// Next implements jobs.Handler.
+func (h *Handler) Next(now float64, job *jobs.Job, _ any) jobs.Decision {
+	spec, st, err := decode(job)
+	if err != nil {
+		return jobs.Decision{Reason: err.Error(), RetryAfterMillis: unreadableRetryMillis}
+	}
+	if job.Approval != nil && job.Approval.Action == actionStop {
+		return jobs.Decision{OperationName: operationStop, Approval: job.Approval}
+	}
+	options := []jobs.ApprovalOption{{Action: actionStop, Effect: "the job finishes after the operation under way", Persistent: true}}
+	if st.PreparedGroups < len(spec.Groups) {
+		return jobs.Decision{OperationName: operationPrepare, Options: options}
+	}
+	// Another lease holder's clock may differ: no wait is longer than the interval.
+	if wait := min(spec.IntervalMillis, st.WrittenAtMillis+spec.IntervalMillis-now); st.Written > 0 && wait > 0 {
+		return jobs.Decision{RetryAfterMillis: wait, Reason: "the interval between two rows", Options: options}
+	}
+	return jobs.Decision{OperationName: operationWrite, Options: options}
+}
+
+// Observe implements jobs.Handler: it finds out whether the primary of the next group answers.
+func (h *Handler) Observe(ctx context.Context, job *jobs.Job) (any, error) {
+	spec, st, err := decode(job)
+	if err != nil {
+		return nil, err
+	}
+	conn, _, err := h.Client.ConnectPrimary(ctx, st.group(&spec), spec.Database)
+	if err != nil {
+		return nil, err
+	}
+	fencing.Close(conn)
+	return nil, nil
+}
+
+// Execute implements jobs.Handler.
+func (h *Handler) Execute(ctx context.Context, job *jobs.Job, operation *jobs.Operation) (jobs.Result, error) {
+	spec, st, err := decode(job)
+	if err != nil {
+		return jobs.Result{}, err
+	}
+	switch operation.Name {
+	case operationStop:
+		return jobs.Result{State: job.State, Finished: true, Reason: reasonStopped}, nil
+	case operationPrepare:
+		err = h.prepare(ctx, spec.Groups[st.PreparedGroups], spec.Database)
+	default:
+		err = h.write(ctx, job, operation, &spec, &st)
+	}
+	if err != nil {
+		return jobs.Result{}, err
+	}
+	return h.result(&spec, st, operation)
+}
+
+// write inserts the operation's row. Each attempt has a row of its own: an operation that was executed twice is seen as two.
+func (h *Handler) write(ctx context.Context, job *jobs.Job, operation *jobs.Operation, spec *Spec, st *state) error {
+	id := operation.ID(job.Name)
+	return h.Client.Transact(ctx, st.group(spec), spec.Database, job.Name, job.Token, id, func(ctx context.Context, conn *pgconn.PgConn) error {
+		attempt := fmt.Sprintf("%s#%016x", id, rand.Uint64())
+		_, _, err := fencing.Exec(ctx, conn, insertRow, attempt, strconv.FormatUint(uint64(job.Token), 10))
+		return err
+	})
+}
+
+// result is what an executed operation leaves.
+func (h *Handler) result(spec *Spec, st state, operation *jobs.Operation) (jobs.Result, error) {
+	if operation.Name == operationPrepare {
+		st.PreparedGroups++
+	} else {
+		st.Written, st.WrittenAtMillis = st.Written+1, h.Now()
+	}
+	encoded, err := json.Marshal(st)
+	if err != nil {
+		return jobs.Result{}, err
+	}
+	result := jobs.Result{State: encoded}
+	if st.Written >= spec.Operations {
+		result.Finished, result.Reason = true, reasonCompleted
+	}
+	return result, nil
+}
+
+// prepare creates what writes need at a group.
+func (h *Handler) prepare(ctx context.Context, group uint64, database string) error {
+	conn, host, err := h.Client.ConnectPrimary(ctx, group, database)
+	if err != nil {
+		return err
+	}
+	defer fencing.Close(conn)
+	for _, sql := range []string{createSchema, fencing.CreateFenceTable, createTable} {
+		_, _, err := fencing.Exec(ctx, conn, sql)
+		if _, reported := fencing.ServerError(err); err != nil && !reported {
+			err = &fencing.InDoubtError{Host: host.Name, Action: sql, Err: err}
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Recover implements jobs.Handler. It raises the fence first: a transaction of an earlier lease holder was committed before, or
+// never will be.
+func (h *Handler) Recover(ctx context.Context, job *jobs.Job, operation *jobs.Operation) (executed bool, result jobs.Result, err error) {
+	spec, st, err := decode(job)
+	if err != nil || operation.Name != operationWrite || h.DisabledGuarantee == "resume" {
+		return false, jobs.Result{}, err // stop changes nothing, and prepare can be repeated
+	}
+	id := operation.ID(job.Name)
+	var row string
+	err = h.Client.Transact(ctx, st.group(&spec), spec.Database, job.Name, job.Token, "look for "+id, func(ctx context.Context, conn *pgconn.PgConn) (err error) {
+		row, err = fencing.QueryValue(ctx, conn, selectRow, id+"#", id+"$")
+		return err
+	})
+	if err != nil || row == "" {
+		return false, jobs.Result{}, err
+	}
+	result, err = h.result(&spec, st, operation)
+	return err == nil, result, err
+}
