--- a/internal/cost/planfile.go
+++ b/internal/cost/planfile.go
@@ -31,10 +31,10 @@
 // Unwrap returns the cause.
 func (e *PlanFileError) Unwrap() error { return e.Cause }
 
-// Code is the error's short word.
+// Code is the error's truncateText word.
 func (e *PlanFileError) Code() string { return "plan_file" }
 
-// Advice says what can be done.
+// Advice says what an operator can do.
 func (e *PlanFileError) Advice() string {
 	return fmt.Sprintf("mend line %d of %s: %s", e.Line, e.File, e.Problem)
 }
@@ -163,7 +163,7 @@
 			p.ObjectiveMillis, err = r.number(at, t)
 		case "steps":
 			err = r.list(at, func(at string, t json.Token) error {
-				p.Steps = append(p.Steps, Step{Freshness: "any"})
+				p.Steps = append(p.Steps, Step{Freshness: freshnessAny})
 				return r.step(at, t, &p.Steps[len(p.Steps)-1])
 			})
 		case "alternatives":
@@ -229,7 +229,7 @@
 	return err
 }
 
-// ParsePlan reads a plan as JSON. Faults name file, line and key; the error is a *PlanFileError, with a *Cycle or *InvalidPlanError as
+// ParsePlan reads a plan as JSON. Faults name file, line and key; the error is a *PlanFileError, with a *CycleError or *InvalidPlanError as
 // its cause where the steps don't fit together.
 func ParsePlan(file string, text []byte) (Plan, error) {
 	var p Plan
@@ -248,43 +248,57 @@
 	if _, err = r.d.Token(); !errors.Is(err, io.EOF) {
 		return Plan{}, r.fault("", "something stands behind the plan")
 	}
-	check := func(q *Plan, key string) error {
-		_, err := q.check()
-		if err == nil {
-			return nil
-		}
-		f := &PlanFileError{File: file, Key: strings.TrimSuffix(key+"steps", "."), Problem: err.Error(), Cause: err}
-		var bad *InvalidPlanError
-		var cycle *CycleError
-		switch {
-		case errors.As(err, &bad):
-			f.Problem = fmt.Sprintf("it is %q; allowed is %s", bad.Value, bad.Allowed)
-			for i := range q.Steps {
-				if q.Steps[i].Name == bad.Step {
-					f.Key = fmt.Sprintf("%ssteps[%d].%s", key, i, bad.Key)
-				}
-			}
-		case errors.As(err, &cycle):
-			for i := range q.Steps {
-				if q.Steps[i].Name == cycle.Steps[0] {
-					f.Key = fmt.Sprintf("%ssteps[%d].after", key, i)
-				}
-			}
-		}
-		for at := f.Key; ; at = at[:max(0, strings.LastIndexAny(at, ".["))] {
-			if n, ok := r.lines[at]; ok {
-				f.Line = n
-				return f
-			}
-		}
-	}
-	if err := check(&p, ""); err != nil {
+	if err := r.validate(&p, ""); err != nil {
 		return Plan{}, err
 	}
 	for i := range p.Alternatives {
-		if err := check(&p.Alternatives[i], fmt.Sprintf("alternatives[%d].", i)); err != nil {
+		if err := r.validate(&p.Alternatives[i], fmt.Sprintf("alternatives[%d].", i)); err != nil {
 			return Plan{}, err
 		}
 	}
 	return p, nil
 }
+
+// validate finds the key and line of what is wrong with a plan; prefix is where the plan stands.
+func (r *planReader) validate(p *Plan, prefix string) error {
+	_, err := p.check()
+	if err == nil {
+		return nil
+	}
+	fault := &PlanFileError{File: r.file, Key: strings.TrimSuffix(prefix+"steps", "."), Problem: err.Error(), Cause: err}
+	var invalid *InvalidPlanError
+	var cycle *CycleError
+	switch {
+	case errors.As(err, &invalid):
+		fault.Problem = fmt.Sprintf("it is %q; allowed is %s", invalid.Value, invalid.Allowed)
+		if i := lastStep(p, invalid.Step); i >= 0 {
+			fault.Key = fmt.Sprintf("%ssteps[%d].%s", prefix, i, invalid.Key)
+		}
+	case errors.As(err, &cycle):
+		if i := lastStep(p, cycle.Steps[0]); i >= 0 {
+			fault.Key = fmt.Sprintf("%ssteps[%d].after", prefix, i)
+		}
+	}
+	fault.Line = r.lineOf(fault.Key)
+	return fault
+}
+
+// lastStep returns the index of the last step of a name; -1: there is none.
+func lastStep(p *Plan, name string) int {
+	for i := len(p.Steps) - 1; i >= 0; i-- {
+		if p.Steps[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// lineOf returns the line of a key, or of the nearest key that it is a part of. The whole text stands under the key "".
+func (r *planReader) lineOf(key string) int {
+	for {
+		if line, known := r.lines[key]; known {
+			return line
+		}
+		key = key[:max(0, strings.LastIndexAny(key, ".["))]
+	}
+}
