--- /dev/null
+++ b/internal/edge/answer.go
@@ -0,0 +1,47 @@
+package edge
+
+import "ashstand/internal/dispatch"
+
+// Answer is what a database host served: one value, with what the host reported beside it.
+type Answer struct {
+	Column     string // name of the value's column
+	Type       uint32 // PostgreSQL's object id of the column's type; every front knows bytea and text
+	Binary     bool   // the format of Value
+	Null       bool
+	Value      []byte
+	Tag        string  // the command tag, such as "SELECT 1"
+	Role       string  // as the host words it; empty if not reported
+	Position   float64 // Unix milliseconds; 0 if not reported
+	LoadReport string  // see ParseLoadReport; empty if there was none
+}
+
+// Reply is the result of one exchange with a host. With the code OK it holds an answer.
+type Reply struct {
+	dispatch.Outcome
+	Answer Answer
+	Detail string // for the client, where the request fails
+}
+
+// NotSent is the reply where the gate did not open.
+func NotSent() Reply { return Reply{Outcome: dispatch.Outcome{Code: dispatch.NotSent}} }
+
+// Result is the one final answer to a request.
+type Result struct {
+	Verdict          Verdict
+	Answer           Answer
+	RetryAfterMillis float64 // of Rejected: when the client may try again; 0: no advice
+	Detail           string
+}
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+// The kinds of final answers.
+const (
+	Served       Verdict = iota
+	Rejected             // nothing that matters ran: a retry is harmless
+	TimedOut             // no answer came in time; the request may have run
+	Failed               // the request may have run
+	Invalid              // nothing was attempted: the request itself is at fault
+	Disconnected         // the client has closed its connection: there is nobody to answer
+)
--- a/internal/net/discovery/clock.go
+++ b/internal/net/discovery/clock.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// clock is the time that the watcher goes by; tests set it.
+// clock is the watcher's source of time; tests replace it.
 type clock interface {
 	Now() time.Time
 	Timer(d time.Duration) timer
-	Pause(ctx context.Context, d time.Duration) // or until ctx ends
+	Pause(ctx context.Context, d time.Duration) // returns earlier if ctx ends
 }
 
 // timer is a time.Timer, or a test's.
@@ -19,17 +19,12 @@
 	Stop()
 }
 
+// system is the system's clock.
 type system struct{}
 
 func (system) Now() time.Time              { return time.Now() }
 func (system) Timer(d time.Duration) timer { return systemTimer{time.NewTimer(d)} }
 
-type systemTimer struct{ t *time.Timer }
-
-func (t systemTimer) C() <-chan time.Time   { return t.t.C }
-func (t systemTimer) Reset(d time.Duration) { t.t.Reset(d) }
-func (t systemTimer) Stop()                 { t.t.Stop() }
-
 func (system) Pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -38,3 +33,9 @@
 	case <-t.C:
 	}
 }
+
+type systemTimer struct{ t *time.Timer }
+
+func (t systemTimer) C() <-chan time.Time   { return t.t.C }
+func (t systemTimer) Reset(d time.Duration) { t.t.Reset(d) }
+func (t systemTimer) Stop()                 { t.t.Stop() }
--- a/internal/net/flight/front.go
+++ b/internal/net/flight/front.go
@@ -19,50 +19,59 @@
 	"ashstand/internal/sqlcomment"
 )
 
-// Front serves Flight SQL clients.
+// Front serves Flight SQL clients. gRPC runs a goroutine for each request, and waits for them in Drain.
 type Front struct {
 	flightsql.BaseServer
 	edge   *edge.Edge
 	server *grpc.Server
 }
 
-const maxStreams = 64 // requests under way on one connection
+const (
+	maxStreams      = 64 // open requests on one connection
+	maxRequestHead  = 16 << 10
+	bufferSize      = 8 << 10
+	streamWindow    = 64 << 10
+	connWindow      = 256 << 10
+	connectTimeout  = 2200 * time.Millisecond // as PostgreSQL's front
+	maxIdle         = 5 * time.Minute
+	keepaliveTime   = 30 * time.Second
+	keepaliveWait   = 10 * time.Second
+	keepaliveLeast  = 10 * time.Second // between two of a client
+	rowCountUnknown = -1               // in a DoPut result
+)
 
 // NewFront returns a front that brings requests to e.
 func NewFront(e *edge.Edge) *Front {
 	f := &Front{edge: e}
 	f.server = grpc.NewServer(
-		grpc.MaxRecvMsgSize(maxRequest), grpc.MaxHeaderListSize(16<<10), grpc.MaxConcurrentStreams(maxStreams),
+		grpc.MaxRecvMsgSize(maxRequest), grpc.MaxHeaderListSize(maxRequestHead), grpc.MaxConcurrentStreams(maxStreams),
 		// Fixed and small: one core and little memory, shared with the other front. Setting the windows also
 		// turns off their growth by the estimated bandwidth.
-		grpc.ReadBufferSize(8<<10), grpc.WriteBufferSize(8<<10),
-		grpc.InitialWindowSize(64<<10), grpc.InitialConnWindowSize(256<<10),
-		grpc.ConnectionTimeout(2200*time.Millisecond), // as the other front,
-		// Devices on poor links vanish without a word.
-		grpc.KeepaliveParams(keepalive.ServerParameters{
-			MaxConnectionIdle: 5 * time.Minute, Time: 30 * time.Second,
-			Timeout: 10 * time.Second,
-		}),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 10 * time.Second, PermitWithoutStream: true}))
+		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize),
+		grpc.InitialWindowSize(streamWindow), grpc.InitialConnWindowSize(connWindow),
+		grpc.ConnectionTimeout(connectTimeout),
+		// Devices on poor links vanish without closing their connections.
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: maxIdle, Time: keepaliveTime, Timeout: keepaliveWait}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveLeast, PermitWithoutStream: true}))
 	flight.RegisterFlightServiceServer(f.server, flightsql.NewFlightServer(f))
 	return f
 }
 
-// Serve accepts up to so many connections at once until Drain; later ones wait in the listen queue.
+// Serve accepts up to so many connections at once until Drain or Stop; further ones wait in the listen queue.
 func (f *Front) Serve(l net.Listener, connections int) error {
 	return f.server.Serve(netutil.LimitListener(l, connections))
 }
 
-// Drain takes no new connection, tells clients to go elsewhere, and returns when every request has its answer.
+// Drain accepts no new connection, sends clients a GOAWAY, and returns when every request has its answer.
 func (f *Front) Drain() { f.server.GracefulStop() }
 
-// Stop cuts off what is left.
+// Stop closes all connections, with what is still open on them.
 func (f *Front) Stop() { f.server.Stop() }
 
 func invalid(text string) error { return newStatus(codes.InvalidArgument, text, "", 0) }
 
-// query reads a statement that is to be run as a query. A write is none: a ticket can be used twice, and would
-// run it twice.
+// query parses a statement that is to be run as a query. A write is rejected: a ticket can be used twice, and would run it
+// twice.
 func (f *Front) query(text string, transaction []byte) (sqlcomment.Statement, error) {
 	s, err := f.parse(text, transaction)
 	if err == nil && f.edge.Writes(s.Class) {
@@ -91,7 +100,7 @@
 	if err != nil {
 		return nil, newStatus(codes.Internal, err.Error(), "", 0)
 	}
-	// No location: the ticket is good on this service. No schema: only the host that answers knows it.
+	// No location: the ticket is valid on this service. No schema: only the host that answers knows it.
 	return &flight.FlightInfo{
 		FlightDescriptor: d, TotalRecords: -1, TotalBytes: -1,
 		Endpoint: []*flight.FlightEndpoint{{Ticket: &flight.Ticket{Ticket: ticket}}},
@@ -115,8 +124,8 @@
 	return schema, out, nil
 }
 
-// DoPutCommandStatementUpdate runs a write. The count of rows is what the protocol has room for; a value that
-// the statement returns stands in the trailing metadata.
+// DoPutCommandStatementUpdate runs a write. The result holds the count of rows; a value that the statement returns stands in the
+// trailing metadata.
 func (f *Front) DoPutCommandStatementUpdate(ctx context.Context, u flightsql.StatementUpdate) (int64, error) {
 	s, err := f.parse(u.GetQuery(), u.GetTransactionId())
 	if err != nil {
@@ -136,18 +145,18 @@
 	}
 	count, err := strconv.ParseInt(a.Tag[strings.LastIndexByte(a.Tag, ' ')+1:], 10, 64)
 	if err != nil {
-		count = -1 // unknown, in the protocol's words
+		count = rowCountUnknown
 	}
 	return count, nil
 }
 
-// run brings a statement to its final answer. The client waits until the earlier of d and its call's deadline.
+// run brings a statement to its final answer. The client waits until the earlier of the comment's d and its call's deadline.
 func (f *Front) run(ctx context.Context, s *sqlcomment.Statement) (*edge.Answer, error) {
 	if !f.edge.Ready() {
 		return nil, newStatus(codes.Unavailable, "no list of hosts is held yet", reasonPoolerRejected, 0)
 	}
-	if refused := f.edge.Begin(s); refused != nil {
-		return nil, resultStatus(refused)
+	if rejected := f.edge.Begin(s); rejected != nil {
+		return nil, resultStatus(rejected)
 	}
 	defer f.edge.End(s)
 	arrived := f.edge.Now()
--- a/internal/net/flight/hosts.go
+++ b/internal/net/flight/hosts.go
@@ -28,27 +28,27 @@
 
 // Hosts reaches db hosts that speak Flight SQL, over one HTTP/2 connection to each.
 type Hosts struct {
-	// Listed says whether anything new, a handshake included, may go to a host. It is to be set before the first use;
-	// nil: to every host.
+	// IsListed reports whether anything new, a handshake included, may be sent to a host. It must be set before the first
+	// use; nil permits every host.
 	IsListed func(name string) bool
 
-	connect time.Duration
+	connect time.Duration // timeout; 0: none
 
-	mu    sync.Mutex
+	mu    sync.Mutex // guards hosts and what they hold
 	hosts map[string]*host
 }
 
 type host struct {
 	address string
-	cc      *grpc.ClientConn // nil: none was needed yet
+	cc      *grpc.ClientConn // nil until it is needed
 }
 
-// NewHosts returns a backend; a connection that is not up after connect counts as none.
+// NewHosts returns a backend. A connection that is not open after connect counts as failed.
 func NewHosts(connect time.Duration) *Hosts {
 	return &Hosts{connect: connect, hosts: map[string]*host{}}
 }
 
-// SetAddress is edge.Backend's.
+// SetAddress implements edge.Backend.
 func (h *Hosts) SetAddress(name, address string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -58,15 +58,14 @@
 	}
 	if old != nil && old.cc != nil {
 		cc := old.cc
-		// What is under way still gets its answer; the longest class decides how long that may take.
-		time.AfterFunc(15*time.Second, func() { cc.Close() })
+		time.AfterFunc(replacedConnLifetime, func() { _ = cc.Close() })
 	}
 	if delete(h.hosts, name); address != "" {
 		h.hosts[name] = &host{address: address}
 	}
 }
 
-// CloseIdle is edge.Backend's. One connection carries all requests to a host: there is none to spare.
+// CloseIdle implements edge.Backend. One connection carries all requests to a host, so none is closed.
 func (h *Hosts) CloseIdle(string) {}
 
 // Close ends all connections.
@@ -75,15 +74,15 @@
 	defer h.mu.Unlock()
 	for _, o := range h.hosts {
 		if o.cc != nil {
-			o.cc.Close()
+			_ = o.cc.Close()
 		}
 	}
 }
 
-// singleStream lets a call open one stream and no more. gRPC opens a second one by itself when a server or a broken
-// connection says that it did not process the first, whatever WithDisableRetry says; a request that is sent
-// again is the decisions' business alone. gRPC asks for credentials once for each stream that it opens, and a
-// call whose credentials fail ends there.
+// singleStream are credentials that let a call open one stream and no more. gRPC opens a second one by itself when a server or a
+// broken connection reports that it did not process the first, whatever WithDisableRetry is set to; whether a request is
+// retried is dispatch's decision alone. gRPC requests credentials once for each stream that it opens, and a call whose
+// credentials fail ends there.
 type singleStream struct{}
 
 type singleStreamKey struct{}
@@ -97,11 +96,12 @@
 	return nil, nil
 }
 
+// withSingleStream marks the context of one call.
 func withSingleStream(ctx context.Context) context.Context {
 	return context.WithValue(ctx, singleStreamKey{}, new(atomic.Bool))
 }
 
-// checkDialTarget says why a connection to an address is not to be made any more. gRPC dials by itself, too, as long as it failed.
+// checkDialTarget fails where a connection to an address is not to be made any more. After a failure gRPC also dials by itself.
 func (h *Hosts) checkDialTarget(name, address string) error {
 	if h.IsListed != nil && !h.IsListed(name) {
 		return edge.ErrUnlisted
@@ -119,6 +119,10 @@
 	errNoAddress      = errors.New("discovery has given no address for this host")
 )
 
+// replacedConnLifetime is how long the connection to a host's former address stays open. Open requests still get their answers;
+// the longest class decides how long that may take.
+const replacedConnLifetime = 15 * time.Second
+
 func (h *Hosts) dial(name string) (*grpc.ClientConn, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -132,8 +136,8 @@
 	cc, err := grpc.NewClient("passthrough:///"+o.address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithPerRPCCredentials(singleStream{}),
 		grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithNoProxy(), grpc.WithIdleTimeout(0),
-		grpc.WithReadBufferSize(8<<10), grpc.WithWriteBufferSize(8<<10),
-		grpc.WithInitialWindowSize(64<<10), grpc.WithInitialConnWindowSize(256<<10),
+		grpc.WithReadBufferSize(bufferSize), grpc.WithWriteBufferSize(bufferSize),
+		grpc.WithInitialWindowSize(streamWindow), grpc.WithInitialConnWindowSize(connWindow),
 		grpc.WithMaxHeaderListSize(maxHeaders),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxAnswer), grpc.WaitForReady(false)),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
@@ -154,7 +158,7 @@
 	return cc, err
 }
 
-// Acquire waits until the connection is up: what is sent before can fail in ways that prove nothing.
+// Acquire implements edge.Backend. It waits until the connection is open: what is sent before can fail in ways that prove nothing.
 func (h *Hosts) Acquire(ctx context.Context, name string) (edge.Conn, error) {
 	cc, err := h.dial(name)
 	if err != nil {
@@ -170,7 +174,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if now != cc { // it moved meanwhile
+		if now != cc { // its address changed meanwhile
 			cc, tried = now, false
 		}
 		state := cc.GetState()
@@ -183,7 +187,7 @@
 			if h.IsListed != nil && !h.IsListed(name) {
 				return nil, edge.ErrUnlisted
 			}
-			if tried { // a new try, not what is left of an old one
+			if tried { // a new attempt, not what is left of an old one
 				return nil, fmt.Errorf("%s does not take connections", name)
 			}
 			cc.ResetConnectBackoff()
@@ -201,7 +205,7 @@
 // conn is one request's use of a host's connection.
 type conn struct{ client flight.Client }
 
-// Exchange is edge.Conn's.
+// Exchange implements edge.Conn.
 func (c *conn) Exchange(ctx context.Context, s *sqlcomment.Statement, gate edge.Gate) edge.Reply {
 	wait, ok := gate()
 	if !ok {
@@ -233,8 +237,8 @@
 	return r
 }
 
-// endedReply words a stream that brought no answer. Only one that gRPC itself ended has its trailer: what was given up for
-// what it held may still be arriving.
+// endedReply is the reply for a stream that brought no answer. Only one that gRPC itself ended has its trailer: what was given up
+// because of its content may still be arriving.
 func endedReply(err error, stream grpc.ClientStream) edge.Reply {
 	if classifyError(err) == dispatch.Malformed {
 		return failedReply(err, nil)
@@ -242,7 +246,7 @@
 	return failedReply(err, stream.Trailer())
 }
 
-// query reads. The ticket costs a round trip in which nothing runs, so the gate is asked again after it.
+// query runs a read. The ticket costs a round trip in which nothing runs, so the gate is called again after it.
 func (c *conn) query(ctx context.Context, text string, gate edge.Gate) edge.Reply {
 	d, err := commandDescriptor(&pb.CommandStatementQuery{Query: text})
 	if err != nil {
@@ -273,7 +277,7 @@
 	return r
 }
 
-// update writes.
+// update runs a write.
 func (c *conn) update(ctx context.Context, text string) edge.Reply {
 	d, err := commandDescriptor(&pb.CommandStatementUpdate{Query: text})
 	if err != nil {
@@ -290,28 +294,39 @@
 	// From here on the host may have it, whatever an error says of the connection.
 	_ = stream.Send(&flight.FlightData{FlightDescriptor: d}) // its error comes from Recv, with the status
 	_ = stream.CloseSend()
-	var result pb.DoPutUpdateResult
-	put, err := stream.Recv()
-	if err == nil {
-		err = proto.Unmarshal(put.GetAppMetadata(), &result)
-	}
-	if err == nil { // up to the end: only the trailer says that the write went through
-		if _, end := stream.Recv(); end == nil {
-			err = errUnexpectedAnswer
-		} else if !errors.Is(end, io.EOF) {
-			err = end
-		}
-	}
+	rows, err := receiveUpdateResult(stream)
 	if errors.Is(err, io.EOF) {
 		err = errUnexpectedAnswer
 	}
 	if err != nil {
 		return endedReply(err, stream)
 	}
-	trailer := stream.Trailer()
+	return updateReply(rows, stream.Trailer())
+}
+
+// receiveUpdateResult reads the count of rows, and the stream to its end: only the trailer proves that the write was committed.
+func receiveUpdateResult(stream pb.FlightService_DoPutClient) (rows int64, err error) {
+	put, err := stream.Recv()
+	if err != nil {
+		return 0, err
+	}
+	var result pb.DoPutUpdateResult
+	if err := proto.Unmarshal(put.GetAppMetadata(), &result); err != nil {
+		return 0, err
+	}
+	if _, err := stream.Recv(); err == nil {
+		return 0, errUnexpectedAnswer
+	} else if !errors.Is(err, io.EOF) {
+		return 0, err
+	}
+	return result.RecordCount, nil
+}
+
+// updateReply is the reply for a write that was committed.
+func updateReply(rows int64, trailer metadata.MD) edge.Reply {
 	r := edge.Reply{Answer: edge.Answer{
 		Column: "payload", Type: oidBytea, Binary: true, Null: true,
-		Tag: fmt.Sprintf("INSERT 0 %d", result.RecordCount),
+		Tag: fmt.Sprintf("INSERT 0 %d", rows),
 	}}
 	r.Outcome = readTrailer(trailer, &r.Answer)
 	switch v := trailer.Get(metaReturning); len(v) {
@@ -324,7 +339,7 @@
 	return r
 }
 
-// Probe is edge.Backend's.
+// Probe implements edge.Backend.
 func (h *Hosts) Probe(ctx context.Context, name string, listed func(string) bool) dispatch.Outcome {
 	if !listed(name) {
 		return dispatch.Outcome{Code: dispatch.NotSent}
--- a/internal/net/flight/record.go
+++ b/internal/net/flight/record.go
@@ -19,6 +19,8 @@
 	oidText  = 25
 )
 
+var errAnswerTooLong = errors.New("the answer is too long")
+
 // recordBatch makes the one row of an answer.
 func recordBatch(a *edge.Answer) (*arrow.Schema, arrow.RecordBatch) {
 	text := a.Type != oidBytea && !a.Binary // text of any other type stays text
@@ -52,18 +54,18 @@
 	remaining int
 }
 
-func (l *boundedReader) Recv() (*flight.FlightData, error) {
-	d, err := l.DataStreamReader.Recv()
+func (r *boundedReader) Recv() (*flight.FlightData, error) {
+	d, err := r.DataStreamReader.Recv()
 	if err == nil {
-		if l.remaining -= len(d.DataBody) + len(d.DataHeader) + len(d.AppMetadata); l.remaining < 0 {
-			return nil, errors.New("the answer is too long")
+		if r.remaining -= len(d.DataBody) + len(d.DataHeader) + len(d.AppMetadata); r.remaining < 0 {
+			return nil, errAnswerTooLong
 		}
 	}
 	return d, err
 }
 
-// readAnswer reads a stream to its end before anything of it is passed on: one that is cut off half-way is a reset,
-// not a short answer.
+// readAnswer reads a stream to its end before anything of it is passed on: one that is cut off half-way is a reset, not a short
+// answer.
 func readAnswer(stream flight.DataStreamReader, a *edge.Answer) (err error) {
 	defer func() { // the library trusts some lengths of its input
 		if p := recover(); p != nil {
@@ -94,14 +96,8 @@
 		if rows += int(b.NumRows()); rows > 1 {
 			return errUnexpectedAnswer
 		}
-		a.Null = b.Column(0).IsNull(0)
-		switch c := b.Column(0).(type) {
-		case *array.Binary:
-			a.Type, a.Binary, a.Value = oidBytea, true, append([]byte{}, c.Value(0)...)
-		case *array.String:
-			a.Type, a.Value = oidText, []byte(c.Value(0))
-		default:
-			return errUnexpectedAnswer
+		if err := readValue(b.Column(0), a); err != nil {
+			return err
 		}
 	}
 	if rows != 1 {
@@ -110,3 +106,17 @@
 	a.Tag = "SELECT 1"
 	return nil
 }
+
+// readValue reads the first value of a column.
+func readValue(column arrow.Array, a *edge.Answer) error {
+	a.Null = column.IsNull(0)
+	switch c := column.(type) {
+	case *array.Binary:
+		a.Type, a.Binary, a.Value = oidBytea, true, append([]byte{}, c.Value(0)...)
+	case *array.String:
+		a.Type, a.Value = oidText, []byte(c.Value(0))
+	default:
+		return errUnexpectedAnswer
+	}
+	return nil
+}
--- a/internal/net/flight/status.go
+++ b/internal/net/flight/status.go
@@ -1,10 +1,12 @@
-// Package flight speaks Arrow Flight SQL: a front for clients and a backend for db hosts, on the same core and
-// under the same rules as the platform's protocol.
+// Package flight speaks Arrow Flight SQL: a front for clients and a backend for database hosts, on the same core and under the
+// same rules as PostgreSQL's protocol.
 //
-// The statement and its comment are those of every wire. Reads are queries: GetFlightInfo makes a ticket and
-// runs nothing, DoGet runs it. Writes are DoPut with CommandStatementUpdate. What PostgreSQL's protocol tells in
-// parameters stands in the trailing metadata: part, caught_up_to and gauges, and what a write returned in
-// returning-bin.
+// A statement has the same comment as on every wire. Reads are queries: GetFlightInfo makes a ticket and runs nothing, DoGet
+// runs it. Writes are DoPut with CommandStatementUpdate. What PostgreSQL's protocol reports in parameters stands in the trailing
+// metadata: part, caught_up_to and gauges, and what a write returned in returning-bin.
+//
+// gRPC owns the goroutines and sockets of both sides. Front.Drain and Front.Stop end the front's; Hosts.Close ends the
+// backend's connections.
 package flight
 
 import (
@@ -23,7 +25,7 @@
 	"ashstand/internal/edge"
 )
 
-// Names of the trailing metadata.
+// Keys of the trailing metadata.
 const (
 	metaRole      = "part"
 	metaPosition  = "caught_up_to"
@@ -31,38 +33,44 @@
 	metaReturning = "returning-bin"
 )
 
-// Words of metaRole.
+// Values of metaRole.
 const (
 	rolePrimary = "master"
 	roleReplica = "replica"
 )
 
-// A host says that nothing ran by an ErrorInfo of this domain with one of these reasons, and in no other way:
-// a bare Unavailable may come from a host or a proxy that died with the request running.
+// A host reports that nothing ran by an ErrorInfo of this domain with one of these reasons, and in no other way: a bare
+// Unavailable may come from a host or a proxy that crashed while the request was running.
 const (
 	domain               = "ashstand"
 	reasonNotPrimary     = "NOT_PRIMARY"    // with FailedPrecondition: a write, and this is no primary
 	reasonBehind         = "TOO_FAR_BEHIND" // with FailedPrecondition: a read that needs newer data
-	reasonHostRejected   = "TURNED_AWAY"    // with Unavailable or ResourceExhausted: full, draining, or over
-	reasonPoolerRejected = "REFUSED"        // with Unavailable and RetryInfo: what the front itself refuses
+	reasonHostRejected   = "TURNED_AWAY"    // with Unavailable or ResourceExhausted: at capacity, draining, or stopped
+	reasonPoolerRejected = "REFUSED"        // with Unavailable and RetryInfo: what the front itself rejects
 )
 
-// Bounds on what a peer may send.
+// Bounds on what a peer may send, in bytes.
 const (
 	maxRequest = 192 << 10
 	maxAnswer  = 256 << 10
 	maxHeaders = 192 << 10 // a returned value stands in the metadata, in base64
 )
 
-func newStatus(code codes.Code, text, reason string, after float64) error {
+// maxPosition is the first number of milliseconds that is no position: above, a float64 has no room for fractions.
+const maxPosition = 1 << 52
+
+var errUnexpectedAnswer = errors.New("an answer of a form that no request asks for")
+
+// newStatus returns a status error with the details that are not empty.
+func newStatus(code codes.Code, text, reason string, retryAfterMillis float64) error {
 	s := status.New(code, text)
 	var details []protoadapt.MessageV1
 	if reason != "" {
 		details = append(details, protoadapt.MessageV1Of(&errdetails.ErrorInfo{Reason: reason, Domain: domain}))
 	}
-	if after > 0 {
+	if retryAfterMillis > 0 {
 		details = append(details, protoadapt.MessageV1Of(&errdetails.RetryInfo{
-			RetryDelay: durationpb.New(time.Duration(after * float64(time.Millisecond))),
+			RetryDelay: durationpb.New(time.Duration(retryAfterMillis * float64(time.Millisecond))),
 		}))
 	}
 	if len(details) > 0 {
@@ -73,7 +81,7 @@
 	return s.Err()
 }
 
-// resultStatus words a final answer that is none of the host's.
+// resultStatus returns the status of a final answer that is not a host's.
 func resultStatus(r *edge.Result) error {
 	switch r.Verdict {
 	case edge.Rejected:
@@ -88,23 +96,17 @@
 	return newStatus(codes.Unknown, r.Detail, "", 0)
 }
 
-// classifyError reads what a host's error proves, once the request was sent.
+// classifyError returns what a host's error proves, once the request was sent.
 func classifyError(err error) dispatch.Code {
 	s, ok := status.FromError(err)
 	if errors.Is(err, errUnexpectedAnswer) || !ok { // what gRPC delivered was no answer
 		return dispatch.Malformed
 	}
 	for _, d := range s.Details() {
-		info, ok := d.(*errdetails.ErrorInfo)
-		if !ok || info.Domain != domain {
-			continue
-		}
-		switch {
-		case s.Code() == codes.FailedPrecondition && (info.Reason == reasonNotPrimary || info.Reason == reasonBehind):
-			return dispatch.Misdirected
-		case (s.Code() == codes.Unavailable || s.Code() == codes.ResourceExhausted) &&
-			(info.Reason == reasonHostRejected || info.Reason == reasonPoolerRejected):
-			return dispatch.Rejected
+		if info, ok := d.(*errdetails.ErrorInfo); ok && info.Domain == domain {
+			if code, proven := nothingRan(s.Code(), info.Reason); proven {
+				return code
+			}
 		}
 	}
 	switch s.Code() {
@@ -118,7 +120,19 @@
 	return dispatch.ServerError
 }
 
-// readTrailer reads the trailing metadata.
+// nothingRan reports whether a status with this reason proves that nothing ran, and the code for it.
+func nothingRan(code codes.Code, reason string) (_ dispatch.Code, proven bool) {
+	switch {
+	case code == codes.FailedPrecondition && (reason == reasonNotPrimary || reason == reasonBehind):
+		return dispatch.Misdirected, true
+	case (code == codes.Unavailable || code == codes.ResourceExhausted) &&
+		(reason == reasonHostRejected || reason == reasonPoolerRejected):
+		return dispatch.Rejected, true
+	}
+	return dispatch.ServerError, false
+}
+
+// readTrailer reads the trailing metadata into an answer and the outcome that it reports.
 func readTrailer(md metadata.MD, a *edge.Answer) dispatch.Outcome {
 	get := func(name string) string {
 		if v := md.Get(name); len(v) > 0 {
@@ -127,7 +141,7 @@
 		return ""
 	}
 	a.Role, a.LoadReport = get(metaRole), get(metaGauges)
-	if x, err := strconv.ParseFloat(get(metaPosition), 64); err == nil && x > 0 && x < 1<<52 {
+	if x, err := strconv.ParseFloat(get(metaPosition), 64); err == nil && x > 0 && x < maxPosition {
 		a.Position = x
 	}
 	o := dispatch.Outcome{Position: a.Position, Report: edge.ParseLoadReport(a.LoadReport)}
@@ -140,7 +154,7 @@
 	return o
 }
 
-// writeTrailer writes it.
+// writeTrailer returns the trailing metadata of an answer.
 func writeTrailer(a *edge.Answer) metadata.MD {
 	md := metadata.MD{}
 	for name, value := range map[string]string{metaRole: a.Role, metaGauges: a.LoadReport} {
@@ -153,5 +167,3 @@
 	}
 	return md
 }
-
-var errUnexpectedAnswer = errors.New("an answer of a form that no request asks for")
--- /dev/null
+++ b/internal/net/loop/pausableconn.go
@@ -0,0 +1,227 @@
+package loop
+
+import (
+	"context"
+	"net"
+	"os"
+
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+)
+
+// PausableConn is a connection on the event loop that can be paused. While it is, nothing is read from it, so that the kernel
+// holds its peer back, and what is written to it waits. gnet reads whatever comes; the only way to make it stop is to take the
+// descriptor away from it and to register it again later. All methods are called on the event loop.
+type PausableConn struct {
+	Conn          gnet.Conn // nil while it is paused
+	engine        *Engine
+	handler       Handler
+	parked        net.Conn // the connection while it is paused
+	resuming      bool     // it is being registered again
+	detaching     bool     // gnet is closing its descriptor of it, which does not end the connection
+	unread        []byte   // what was read before the pause and is not consumed
+	pendingWrites []byte   // what was written during it
+	closed        bool
+}
+
+// NewPausableConn wraps a connection that is on the event loop and owned by h.
+func NewPausableConn(e *Engine, c gnet.Conn, h Handler) PausableConn {
+	return PausableConn{Conn: c, engine: e, handler: h}
+}
+
+// Paused reports whether nothing is read from the connection.
+func (p *PausableConn) Paused() bool { return p.Conn == nil && !p.closed }
+
+// ConfirmClosed marks the connection as closed, and reports whether it is. Handler.Closed calls it first: false means that only
+// the descriptor is being taken away, for a pause.
+func (p *PausableConn) ConfirmClosed() bool {
+	if p.detaching {
+		return false
+	}
+	p.closed = true
+	return true
+}
+
+// Peek returns all that was read and not consumed. It is valid until the next call.
+func (p *PausableConn) Peek() []byte {
+	if p.Conn == nil {
+		return p.unread
+	}
+	n := p.Conn.InboundBuffered()
+	if len(p.unread) > 0 {
+		if n > 0 {
+			b, _ := p.Conn.Next(n)
+			p.unread = append(p.unread, b...)
+		}
+		return p.unread
+	}
+	if n == 0 {
+		return nil
+	}
+	b, _ := p.Conn.Peek(n)
+	return b
+}
+
+// Discard consumes n bytes of what Peek returned.
+func (p *PausableConn) Discard(n int) {
+	switch {
+	case n == 0:
+	case len(p.unread) > 0:
+		if p.unread = p.unread[n:]; len(p.unread) == 0 {
+			p.unread = nil
+		}
+	case p.Conn != nil:
+		_, _ = p.Conn.Discard(n)
+	}
+}
+
+// BufferedBytes returns how much was read and not consumed.
+func (p *PausableConn) BufferedBytes() int {
+	n := len(p.unread)
+	if p.Conn != nil {
+		n += p.Conn.InboundBuffered()
+	}
+	return n
+}
+
+// Write sends b, or retains it until the pause is over.
+func (p *PausableConn) Write(b []byte) {
+	switch {
+	case len(b) == 0 || p.closed:
+	case p.Conn == nil:
+		p.pendingWrites = append(p.pendingWrites, b...)
+	default:
+		_, _ = p.Conn.Write(b)
+	}
+}
+
+// UnsentBytes returns how much of what was written is not with the kernel yet.
+func (p *PausableConn) UnsentBytes() int {
+	n := len(p.pendingWrites)
+	if p.Conn != nil {
+		n += p.Conn.OutboundBuffered()
+	}
+	return n
+}
+
+// Close ends the connection.
+func (p *PausableConn) Close() {
+	if p.closed {
+		return
+	}
+	p.closed = true
+	if p.parked != nil {
+		_ = p.parked.Close()
+		p.parked = nil
+		p.handler.Closed(nil, nil)
+		return
+	}
+	if p.Conn != nil {
+		_ = p.Conn.EventLoop().Close(p.Conn)
+	}
+}
+
+// Pause stops reading and reports whether it did. It does nothing while something written waits for the kernel, which would be
+// lost. It must not be called from within the connection's own Traffic, whose caller goes on using the descriptor.
+func (p *PausableConn) Pause() bool {
+	if p.Conn == nil || p.closed || p.resuming || p.Conn.OutboundBuffered() > 0 {
+		return false
+	}
+	fd, err := p.Conn.Dup()
+	if err != nil {
+		return false
+	}
+	f := os.NewFile(uintptr(fd), "")
+	c, err := net.FileConn(f)
+	_ = f.Close()
+	if err != nil {
+		return false
+	}
+	if b := p.Peek(); len(p.unread) == 0 {
+		p.unread = append([]byte(nil), b...)
+	}
+	old := p.Conn
+	p.Conn, p.parked, p.detaching = nil, c, true
+	_ = old.EventLoop().Close(old) // which calls Handler.Closed, which calls ConfirmClosed
+	p.detaching = false
+	return true
+}
+
+// PeerClosed reports whether the peer has closed or reset a connection that is paused, though what it sent before is not read.
+func (p *PausableConn) PeerClosed() (closed bool) {
+	c, ok := p.parked.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		closed = err == nil && n > 0
+	})
+	return closed
+}
+
+// Resume starts reading again, some time later: the connection is registered again by the time at which Traffic is called.
+func (p *PausableConn) Resume(on gnet.EventLoop) {
+	if p.parked == nil || p.resuming {
+		return
+	}
+	p.resuming = true
+	parked, engine := p.parked, p.engine
+	p.parked = nil
+	r := &resumeHandler{conn: p}
+	go func() {
+		c, err := engine.Register(parked, r)
+		_ = on.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+			p.resumeDone(c, r, err)
+			return nil
+		}))
+	}()
+}
+
+// resumeDone is called on the event loop with the result of the registration.
+func (p *PausableConn) resumeDone(c gnet.Conn, r *resumeHandler, err error) {
+	p.resuming = false
+	switch {
+	case err != nil:
+		p.closed = true
+		p.handler.Closed(nil, err)
+	case r.closed: // it ended meanwhile, and its handler was notified
+	case p.closed: // it was closed meanwhile
+		_ = c.EventLoop().Close(c)
+	default:
+		p.resumed(c)
+	}
+}
+
+// resumed is called on the event loop once the connection is registered again.
+func (p *PausableConn) resumed(c gnet.Conn) {
+	c.SetContext(p.handler)
+	p.Conn = c
+	if len(p.pendingWrites) > 0 {
+		_, _ = c.Write(p.pendingWrites)
+		p.pendingWrites = nil
+	}
+	if p.handler.Traffic(c) == gnet.Close {
+		_ = c.EventLoop().Close(c)
+	}
+}
+
+// resumeHandler owns a connection between its registration and the moment at which its handler has it back.
+type resumeHandler struct {
+	conn   *PausableConn
+	closed bool
+}
+
+// Traffic implements Handler; what came waits.
+func (r *resumeHandler) Traffic(gnet.Conn) gnet.Action { return gnet.None }
+
+// Closed implements Handler.
+func (r *resumeHandler) Closed(gnet.Conn, error) {
+	r.closed, r.conn.closed = true, true
+	r.conn.handler.Closed(nil, nil)
+}
--- /dev/null
+++ b/internal/net/loop/throttledlog.go
@@ -0,0 +1,53 @@
+package loop
+
+import (
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+)
+
+// throttleInterval is the least time between two lines of a ThrottledLog.
+const throttleInterval = time.Second
+
+// ThrottledLog limits a warning that one cause can bring a thousand times a second to one a second. Its zero value is ready to
+// use.
+type ThrottledLog struct {
+	mu          sync.Mutex // guards what follows
+	nextAllowed time.Time
+	suppressed  int
+}
+
+// Warn logs a constant message with attributes, or counts it for the next one that is logged, which has the attribute
+// suppressed.
+func (l *ThrottledLog) Warn(message string, attributes ...any) {
+	if suppressed, ok := l.allow(time.Now()); ok {
+		if suppressed > 0 {
+			attributes = append(attributes, "suppressed", suppressed)
+		}
+		slog.Warn(message, attributes...)
+	}
+}
+
+// Printf is Warn for a message that is formatted.
+func (l *ThrottledLog) Printf(format string, args ...any) {
+	if suppressed, ok := l.allow(time.Now()); ok {
+		if suppressed > 0 {
+			format, args = format+" (and %d more like it)", append(args, suppressed)
+		}
+		slog.Warn(fmt.Sprintf(format, args...))
+	}
+}
+
+// allow reports whether a line may be logged now, and how many were suppressed before it.
+func (l *ThrottledLog) allow(now time.Time) (suppressed int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Before(l.nextAllowed) {
+		l.suppressed++
+		return 0, false
+	}
+	suppressed = l.suppressed
+	l.nextAllowed, l.suppressed = now.Add(throttleInterval), 0
+	return suppressed, true
+}
