--- a/internal/warmstate/age.go
+++ b/internal/warmstate/age.go
@@ -8,25 +8,30 @@
 	"ashstand/routing"
 )
 
-// How fast each kind of fact grows old, in milliseconds; docs/learned.md gives the reasons.
+// How fast each kind of fact loses weight, in milliseconds: 1/e of it is left after the span. docs/learned.md gives the
+// reasons.
 const (
-	maxAge         = 24 * 3600e3 // nothing older counts for anything
-	failureSpan    = 30e3        // failures: 1/e of them is left after this
-	limitSpan      = 600e3       // an in-flight limit nears the start's as a host's load changes
-	lagSpan        = 60e3        // a lag says whom to probe first for so long
-	primarySpan    = 300e3       // a role says whom to ask first
-	classSpan      = 6 * 3600e3  // what is usual for a class changes with the day
-	idleResetsSpan = 600e3       // what drops idle connections on the way stays
-	clockSlack     = 1e3         // two readings of one clock may differ by so much
-	limitAnew      = 3.0         // the limit that a member starts with
+	limitSpan      = 600e3      // the load of hosts changes within minutes
+	failureSpan    = 30e3       // failures are short
+	lagSpan        = 60e3       // lag decides which host is probed first
+	primarySpan    = 300e3      // the role decides which host is asked first
+	classSpan      = 6 * 3600e3 // usual latencies change with the time of day
+	idleResetsSpan = 600e3      // what drops idle connections on the way stays
 )
 
-// FactAge says what became of one fact, for operators and for checkers.
+const (
+	maxAge       = 24 * 3600e3 // in milliseconds; an older fact counts for nothing
+	clockSlack   = 1e3         // in milliseconds; how far two readings of one clock may differ
+	minWeight    = 0.01        // a fact that weighs less counts for nothing
+	initialLimit = 3.0         // the in-flight limit that a host without facts starts with
+)
+
+// FactAge is what became of one fact, for operators and for checkers.
 type FactAge struct {
 	Fact   string  `json:"what"`
 	Age    float64 `json:"age_ms"`
-	Weight float64 `json:"weight"` // from 0, void, to 1, as good as new
-	Reason string  `json:"why,omitempty"`
+	Weight float64 `json:"weight"`        // from 0, void, to 1, as good as new
+	Reason string  `json:"why,omitempty"` // why it is void
 }
 
 // Aged is what a snapshot still counts for.
@@ -36,85 +41,100 @@
 	Facts      []FactAge
 }
 
-// ApplyAge says what a snapshot counts for now (Unix milliseconds) at this pooler and site. unaged switches ageing off, so
-// that what checks it is seen to fail.
-func ApplyAge(s *Snapshot, now float64, name, site string, unaged bool) (w Aged) {
-	written := now - s.Header.WrittenAt
-	void := ""
-	switch {
-	case s.Header.Name != name:
-		void = fmt.Sprintf("it is the file of pooler %q", s.Header.Name)
-	case s.Header.SiteHash != site:
-		void = "it is of another site: its classes are others"
-	case written < -clockSlack:
-		void = fmt.Sprintf("it was written %v from now: the clock ran backwards", time.Duration(-written*1e6).Round(time.Second))
-	case written > maxAge:
-		void = "it is older than a day"
+// ApplyAge returns what a snapshot counts for now (Unix milliseconds) at this pooler and site. unaged switches ageing
+// off, so that its checker is seen to fail.
+func ApplyAge(s *Snapshot, now float64, name, siteHash string, unaged bool) Aged {
+	age := now - s.Header.WrittenAt
+	a := ager{writtenAge: max(0, age), unaged: unaged}
+	if !unaged {
+		a.voidReason = voidReason(s.Header, age, name, siteHash)
 	}
-	if unaged {
-		void = ""
-	}
-	written = max(0, written)
-	weigh := func(what string, age, span float64) float64 {
-		v := FactAge{Fact: what, Age: written + age, Reason: void}
-		if void == "" && (v.Age <= maxAge || unaged) {
-			if v.Weight = math.Exp(-v.Age / span); unaged {
-				v.Weight = 1
-			}
-		}
-		if v.Weight < 0.01 && v.Reason == "" {
-			v.Weight, v.Reason = 0, "too old"
-		}
-		w.Facts = append(w.Facts, v)
-		return v.Weight
-	}
-	ms := func(x float64) time.Duration { return time.Duration(x * 1e6) }
+	var out Aged
 	for _, h := range s.Hosts {
-		limit, failing := weigh(h.Name+" limit", 0, limitSpan), weigh(h.Name+" failures", 0, failureSpan)
-		k := routing.HostState{Host: h.Name, Group: h.Group, Started: ms(h.StartedAt), Limit: limitAnew + (h.Limit-limitAnew)*limit, Score: h.FailureScore * failing, Lag: -1}
-		if h.Lag >= 0 && weigh(h.Name+" lag", h.LagAge, lagSpan) > 0.01 {
-			k.Lag = ms(h.Lag)
-		}
-		if h.IsPrimary && weigh(h.Name+" primary", h.RoleAge, primarySpan) > 0.01 {
-			k.WasPrimary = true
-		}
-		if limit > 0 || k.Score > 0 || k.Lag >= 0 || k.WasPrimary {
-			w.State.Hosts = append(w.State.Hosts, k)
+		if host, counts := a.ageHost(h); counts {
+			out.State.Hosts = append(out.State.Hosts, host)
 		}
 	}
 	for _, c := range s.Classes {
-		if x := weigh("class "+c.Name, 0, classSpan); x > 0 {
-			w.State.Classes = append(w.State.Classes, routing.ClassState{Name: c.Name, Latency: ms(c.Latency), ServiceTime: ms(c.ServiceTime)})
+		if a.weigh("class "+c.Name, 0, classSpan) > 0 {
+			out.State.Classes = append(out.State.Classes,
+				routing.ClassState{Name: c.Name, Latency: fromMillis(c.Latency), ServiceTime: fromMillis(c.ServiceTime)})
 		}
 	}
 	if s.IdleResets != nil {
-		if x := weigh("idle connections", 0, idleResetsSpan); x > 0 {
-			w.IdleResets = &IdleResets{Requests: scaled(s.IdleResets.Requests, x), Resets: scaled(s.IdleResets.Resets, x)}
+		if weight := a.weigh("idle connections", 0, idleResetsSpan); weight > 0 {
+			out.IdleResets = &IdleResets{Requests: scaled(s.IdleResets.Requests, weight), Resets: scaled(s.IdleResets.Resets, weight)}
 		}
 	}
-	return w
+	out.Facts = a.facts
+	return out
 }
 
-func scaled(xs []float64, by float64) []float64 {
-	out := make([]float64, len(xs))
-	for i, x := range xs {
-		out[i] = x * by
+// voidReason says why a snapshot of this age in milliseconds counts for nothing here; "": it counts.
+func voidReason(h Header, age float64, name, siteHash string) string {
+	switch {
+	case h.Name != name:
+		return fmt.Sprintf("it is the file of pooler %q", h.Name)
+	case h.SiteHash != siteHash:
+		return "it is of another site: its classes are others"
+	case age < -clockSlack:
+		return fmt.Sprintf("it was written %v from now: the clock ran backwards", fromMillis(-age).Round(time.Second))
+	case age > maxAge:
+		return "it is older than a day"
 	}
-	return out
+	return ""
 }
 
-// NewSnapshot makes a snapshot of what the decisions hold.
-func NewSnapshot(head Header, s routing.RouterState, wear *IdleResets, list *EndpointList) *Snapshot {
-	ms := func(d time.Duration) float64 { return math.Round(float64(d)/1e3) / 1e3 }
-	out := &Snapshot{Header: head, IdleResets: wear, Endpoints: list, Hosts: []Host{}, Classes: []Class{}}
-	for _, m := range s.Hosts {
-		out.Hosts = append(out.Hosts, Host{
-			Name: m.Host, Group: m.Group, StartedAt: ms(m.Started), Limit: math.Round(m.Limit*100) / 100,
-			FailureScore: math.Round(m.Score*1000) / 1000, Lag: max(-1, ms(m.Lag)), LagAge: ms(m.LagAge), IsPrimary: m.WasPrimary, RoleAge: min(ms(m.RoleAge), maxAge),
-		})
+// ager weighs the facts of one snapshot and records what became of each.
+type ager struct {
+	writtenAge float64 // of the snapshot, in milliseconds
+	voidReason string  // why no fact counts; "": they do
+	unaged     bool
+	facts      []FactAge
+}
+
+// weigh records a fact that was ageBefore milliseconds old when the snapshot was written, and returns its weight.
+func (a *ager) weigh(fact string, ageBefore, span float64) float64 {
+	f := FactAge{Fact: fact, Age: a.writtenAge + ageBefore, Reason: a.voidReason}
+	switch {
+	case a.unaged:
+		f.Weight = 1
+	case a.voidReason == "" && f.Age <= maxAge:
+		f.Weight = math.Exp(-f.Age / span)
 	}
-	for _, c := range s.Classes {
-		out.Classes = append(out.Classes, Class{c.Name, ms(c.Latency), ms(c.ServiceTime)})
+	if f.Weight < minWeight && f.Reason == "" {
+		f.Weight, f.Reason = 0, "too old"
+	}
+	a.facts = append(a.facts, f)
+	return f.Weight
+}
+
+// ageHost returns what the facts about a host count for, and whether any of them does.
+func (a *ager) ageHost(h Host) (host routing.HostState, counts bool) {
+	limitWeight := a.weigh(h.Name+" limit", 0, limitSpan)
+	failureWeight := a.weigh(h.Name+" failures", 0, failureSpan)
+	host = routing.HostState{
+		Host:    h.Name,
+		Group:   h.Group,
+		Started: fromMillis(h.StartedAt),
+		Limit:   initialLimit + (h.Limit-initialLimit)*limitWeight,
+		Score:   h.FailureScore * failureWeight,
+		Lag:     unknownLag,
+	}
+	if h.Lag >= 0 && a.weigh(h.Name+" lag", h.LagAge, lagSpan) > minWeight {
+		host.Lag = fromMillis(h.Lag)
+	}
+	if h.IsPrimary && a.weigh(h.Name+" primary", h.RoleAge, primarySpan) > minWeight {
+		host.WasPrimary = true
+	}
+	counts = limitWeight > 0 || host.Score > 0 || host.Lag >= 0 || host.WasPrimary
+	return host, counts
+}
+
+func scaled(values []float64, factor float64) []float64 {
+	out := make([]float64, len(values))
+	for i, v := range values {
+		out[i] = v * factor
 	}
 	return out
 }
--- a/internal/warmstate/store.go
+++ b/internal/warmstate/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"io/fs"
 	"path/filepath"
@@ -12,113 +11,129 @@
 	"ashstand/internal/vfs"
 )
 
-// File names in the folder.
+// The names of files in a state directory.
 const (
 	fileName         = "learned.ash"
 	lockName         = "learned.lock"
 	quarantinePrefix = "learned.ash.bad-"
-	maxQuarantined   = 3 // spoilt files that are kept for a look
 )
 
-// Store is the folder in which one pooler keeps its file.
+// maxQuarantined is how many malformed files are retained for a look.
+const maxQuarantined = 3
+
+// Store is the directory in which one pooler persists its file. Its methods must not be called concurrently.
 type Store struct {
-	disk   vfs.FS
-	folder string
-	lock   io.Closer
-	torn   bool // only for seeing the checker fail: write in place
-	newer  bool // there is a file of a newer version, which is left alone
+	fs        vfs.FS
+	directory string
+	lock      io.Closer // nil: the directory is not locked
+	inPlace   bool      // Save overwrites the file in place
+	hasNewer  bool      // there is a file of a newer version, which is left alone
 }
 
-// Open takes the folder for this process: another pooler that has it is an error.
-func Open(d vfs.FS, folder string) (*Store, error) {
-	l, err := d.Lock(filepath.Join(folder, lockName))
-	if errors.Is(err, vfs.ErrLocked) {
-		return nil, fmt.Errorf("state folder %s: another pooler has it: %w", folder, err)
-	} else if err != nil {
-		return nil, fmt.Errorf("state folder: %w", err)
+// Open locks a directory for this process. The caller ends it by Close. The error is a *DirectoryError.
+func Open(d vfs.FS, directory string) (*Store, error) {
+	lock, err := d.Lock(filepath.Join(directory, lockName))
+	if err != nil {
+		return nil, &DirectoryError{Path: directory, Locked: errors.Is(err, vfs.ErrLocked), Err: err}
 	}
-	return &Store{disk: d, folder: folder, lock: l}, nil
+	return &Store{fs: d, directory: directory, lock: lock}, nil
 }
 
-// NewUnlockedStore returns a store without a lock.
-func NewUnlockedStore(d vfs.FS, folder string) *Store { return &Store{disk: d, folder: folder} }
+// NewUnlockedStore returns a store without a lock, for measurements.
+func NewUnlockedStore(d vfs.FS, directory string) *Store { return &Store{fs: d, directory: directory} }
 
-// DisableAtomicWrites makes Save write in place, so that what checks half-written files is seen to fail.
-func (s *Store) DisableAtomicWrites() { s.torn = true }
+// DisableAtomicWrites makes Save overwrite the file in place, so that the checker of half-written files is seen to fail.
+func (s *Store) DisableAtomicWrites() { s.inPlace = true }
 
-// Close gives the folder back.
+// Close releases the lock.
 func (s *Store) Close() {
 	if s.lock != nil {
-		_ = s.lock.Close()
+		_ = s.lock.Close() // the end of the process releases it in any case
 	}
 }
 
-// Path is the file's.
-func (s *Store) Path() string { return filepath.Join(s.folder, fileName) }
+// Path returns the path of the file.
+func (s *Store) Path() string { return filepath.Join(s.directory, fileName) }
 
-// Load reads the file. nil without an error: there is none. A spoilt one is moved aside and said so in the error; one
-// of a newer version stays, and nothing is saved over it.
-func (s *Store) Load() (*Snapshot, []string, error) {
-	b, _, err := s.disk.ReadFile(s.Path(), MaxFileBytes)
+// Load reads the file; without one it returns nil and no error. A file that exists and cannot be used is a *LoadError: a
+// malformed one is moved aside, and one of a newer version stays and is not overwritten by Save.
+func (s *Store) Load() (snapshot *Snapshot, lost []string, err error) {
+	b, _, err := s.fs.ReadFile(s.Path(), MaxFileBytes)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil, nil
 	}
 	if err != nil {
 		return nil, nil, err
 	}
-	out, lost, err := Decode(b)
-	switch {
-	case errors.Is(err, ErrNewerVersion):
-		s.newer = true
-		return nil, nil, fmt.Errorf("%s is left as it is: %w", s.Path(), err)
-	case err != nil:
-		aside, aerr := s.aside()
-		if aerr != nil {
-			return nil, nil, fmt.Errorf("%s can't be used, nor moved aside (%v): %w", s.Path(), aerr, err)
-		}
-		return nil, nil, fmt.Errorf("%s can't be used and was moved to %s: %w", s.Path(), aside, err)
+	snapshot, lost, err = Decode(b)
+	if err == nil {
+		return snapshot, lost, nil
+	}
+	failed := &LoadError{Path: s.Path(), Err: err}
+	if errors.Is(err, ErrNewerVersion) {
+		s.hasNewer = true
+	} else {
+		failed.QuarantinedAs, failed.QuarantineErr = s.quarantine()
 	}
-	return out, lost, nil
+	return nil, nil, failed
 }
 
-// aside moves a spoilt file away and keeps the last few such.
-func (s *Store) aside() (string, error) {
-	names, err := s.disk.ReadDirNames(s.folder)
+// quarantine moves the file aside under the next free number, and removes all but the last few that were moved before.
+func (s *Store) quarantine() (path string, err error) {
+	numbers, err := s.quarantined()
 	if err != nil {
 		return "", err
 	}
-	var bad []int
-	for _, n := range names {
-		if k, ok := strings.CutPrefix(n, quarantinePrefix); ok {
-			if i, err := strconv.Atoi(k); err == nil {
-				bad = append(bad, i)
-			}
+	next := 1
+	for _, n := range numbers {
+		next = max(next, n+1)
+	}
+	for _, n := range numbers {
+		if n <= next-maxQuarantined {
+			_ = s.fs.Remove(s.quarantinePath(n)) // the next quarantine tries again
 		}
 	}
-	next := 1
-	for _, i := range bad {
-		next = max(next, i+1)
+	path = s.quarantinePath(next)
+	return path, s.fs.Rename(s.Path(), path)
+}
+
+// quarantined returns the numbers of the files that were moved aside.
+func (s *Store) quarantined() (numbers []int, err error) {
+	names, err := s.fs.ReadDirNames(s.directory)
+	if err != nil {
+		return nil, err
 	}
-	for _, i := range bad {
-		if i <= next-maxQuarantined {
-			_ = s.disk.Remove(filepath.Join(s.folder, quarantinePrefix+strconv.Itoa(i)))
+	for _, name := range names {
+		suffix, ok := strings.CutPrefix(name, quarantinePrefix)
+		if !ok {
+			continue
+		}
+		if n, err := strconv.Atoi(suffix); err == nil {
+			numbers = append(numbers, n)
 		}
 	}
-	to := filepath.Join(s.folder, quarantinePrefix+strconv.Itoa(next))
-	return to, s.disk.Rename(s.Path(), to)
+	return numbers, nil
 }
 
-// Save writes a file so that whoever reads finds the old one or the new one, whole, whatever stops in between. After an
-// error nobody knows which, and the next Save writes another one.
+func (s *Store) quarantinePath(number int) string {
+	return filepath.Join(s.directory, quarantinePrefix+strconv.Itoa(number))
+}
+
+// Save replaces the file, so that a reader finds the old one or the new one complete, whatever crash comes between.
+// After an error either may be there, and the next Save writes a new file.
 func (s *Store) Save(b []byte) error {
-	if s.newer {
-		return fmt.Errorf("%s is of a newer version and is not written over", s.Path())
+	if s.hasNewer {
+		return &NewerFileError{Path: s.Path()}
 	}
-	if !s.torn {
-		return vfs.ReplaceFile(s.disk, s.Path(), func(string) ([]byte, error) { return b, nil })
+	if s.inPlace {
+		return s.overwrite(b)
 	}
-	_ = s.disk.Remove(s.Path())
-	f, err := s.disk.Create(s.Path())
+	return vfs.ReplaceFile(s.fs, s.Path(), func(string) ([]byte, error) { return b, nil })
+}
+
+func (s *Store) overwrite(b []byte) error {
+	_ = s.fs.Remove(s.Path())
+	f, err := s.fs.Create(s.Path())
 	if err != nil {
 		return err
 	}
--- a/internal/warmstate/learned_test.go
+++ b/internal/warmstate/warmstate_test.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -17,7 +18,7 @@
 	"ashstand/routing"
 )
 
-// fullSnapshot is a snapshot with everything in it, of the moment 1e12.
+// fullSnapshot is a snapshot with every kind of fact, written at 1e12.
 func fullSnapshot() *Snapshot {
 	return &Snapshot{
 		Header:  Header{"n1", "site", 1e12},
@@ -55,8 +56,8 @@
 		for _, part := range []struct {
 			tag       string
 			got, want any
-		}{{"host", s.Hosts, fullSnapshot().Hosts}, {"clas", s.Classes, fullSnapshot().Classes}, {"wear", s.IdleResets, fullSnapshot().IdleResets}, {"list", s.Endpoints, fullSnapshot().Endpoints}} {
-			if !contains(lost, part.tag) {
+		}{{"host", s.Hosts, fullSnapshot().Hosts}, {tagClasses, s.Classes, fullSnapshot().Classes}, {"wear", s.IdleResets, fullSnapshot().IdleResets}, {"list", s.Endpoints, fullSnapshot().Endpoints}} {
+			if !slices.Contains(lost, part.tag) {
 				require.Equal(t, part.want, part.got, "byte %d", i)
 			}
 		}
@@ -138,7 +139,7 @@
 	require.Equal(t, s.Hosts, got.Hosts)
 }
 
-// faultyFS is a file system that stops at the nth call and keeps only what was synced.
+// faultyFS is a file system that crashes or fails at the nth call. After a crash only what was synced is left.
 type faultyFS struct {
 	live, safe map[string][]byte
 	calls      int
