--- a/cmd/ashstand/homes_test.go
+++ b/cmd/ashstand/assignments_test.go
@@ -25,7 +25,7 @@
 	lab "ashstand/testbed/host"
 )
 
-func TestHomesFollowTheRules(t *testing.T) {
+func TestAssignmentsFollowRules(t *testing.T) {
 	folder := filepath.Join(t.TempDir(), "agreed")
 	require.NoError(t, runner.Bootstrap(vfs.OS{}, folder, "n1", []string{"n1"}))
 	limits := consensus.Rules{"database.orders.group": 1.0, "database.orders.paused": true, "database.a.b.group": 1.0, "tries": 1.0}
@@ -35,7 +35,7 @@
 	}, Directory: folder, Clock: clock.System(), Send: func(string, []byte) {}})
 	require.NoError(t, err)
 	defer r.Stop()
-	h := &homes{agreed: r}
+	h := &assignments{consensus: r}
 	now := func() float64 { return clock.System().Now() }
 	propose := func(text string) {
 		t.Helper()
@@ -51,43 +51,43 @@
 		require.Eventually(t, func() bool { a := r.Effective(); return len(a.Versions) == 1 && a.Versions[0] == n && !a.LeaseExpired }, 10*time.Second, time.Millisecond)
 	}
 	propose(`{"database.orders.group": 1, "database.a.b.group": 3}`)
-	require.Equal(t, session.Home{Named: true, Group: 1}, h.Assignment("orders", now()))
-	require.Equal(t, session.Home{Named: true, Group: 3}, h.Assignment("a.b", now()))
-	require.Equal(t, session.Home{}, h.Assignment("stock", now()))
+	require.Equal(t, session.Assignment{HasGroup: true, Group: 1}, h.Assignment("orders", now()))
+	require.Equal(t, session.Assignment{HasGroup: true, Group: 3}, h.Assignment("a.b", now()))
+	require.Equal(t, session.Assignment{}, h.Assignment("stock", now()))
 	propose(`{"database.orders.group": 1, "database.orders.paused": true}`)
 	began := h.Assignment("orders", now())
 	require.True(t, began.Paused)
-	require.InDelta(t, now(), began.Since, 2000)
+	require.InDelta(t, now(), began.PausedSince, 2000)
 	propose(`{"database.orders.group": 2, "database.orders.paused": true, "tries": 3}`)
-	require.Equal(t, session.Home{Named: true, Group: 2, Paused: true, Since: began.Since}, h.Assignment("orders", now()), "the pause is the same one")
+	require.Equal(t, session.Assignment{HasGroup: true, Group: 2, Paused: true, PausedSince: began.PausedSince}, h.Assignment("orders", now()), "the pause is the same one")
 	require.Zero(t, testing.AllocsPerRun(100, func() { h.Assignment("orders", r.Lease().ExpiresAt-1) }))
 	// Without a lease: the limits, by which nobody knows where a database is that they name.
-	require.Equal(t, session.Home{Fenced: true}, h.Assignment("a.b", r.Lease().ExpiresAt+1e6))
+	require.Equal(t, session.Assignment{Undecided: true}, h.Assignment("a.b", r.Lease().ExpiresAt+1e6))
 	propose(`{"database.orders.group": 2}`)
-	require.Equal(t, session.Home{Named: true, Group: 2}, h.Assignment("orders", now()))
+	require.Equal(t, session.Assignment{HasGroup: true, Group: 2}, h.Assignment("orders", now()))
 	// Two versions that name different groups.
 	one, two := consensus.Rules{"database.orders.group": 1.0}, consensus.Rules{"database.orders.group": 2.0, "database.orders.paused": true}
-	require.Equal(t, map[string]session.Home{"orders": {Fenced: true, Paused: true}}, homesOf(consensus.Strictest(one, two)))
+	require.Equal(t, map[string]session.Assignment{"orders": {Undecided: true, Paused: true}}, assignmentsFromRules(consensus.Strictest(one, two)))
 }
 
-func TestHomesAreShown(t *testing.T) {
+func TestAssignmentsView(t *testing.T) {
 	n, others := &node{clock: clock.System()}, &fellows{}
-	require.Equal(t, homesView{}, n.homesView())
+	require.Equal(t, assignmentsView{}, n.assignmentsView())
 	n.others = others
-	require.Equal(t, homesView{}, n.homesView())
+	require.Equal(t, assignmentsView{}, n.assignmentsView())
 	s := pg.TenantStats{Database: "orders", Sessions: 3, Queued: 2, Rejected: 1, Sticky: []pg.StickyStats{{Pool: "main", Host: "a", Cause: "LISTEN", Sessions: 1}}}
-	s.Describe(session.Home{Named: true, Group: 7, Paused: true, Since: clock.System().Now() - 1500})
+	s.Describe(session.Assignment{HasGroup: true, Group: 7, Paused: true, PausedSince: clock.System().Now() - 1500})
 	f := pg.TenantStats{Database: "stock"}
-	f.Describe(session.Home{Fenced: true})
+	f.Describe(session.Assignment{Undecided: true})
 	var out strings.Builder
-	homesTable(&out, &homesView{On: true, Homes: []pg.TenantStats{s, f, {Database: "web", State: "open"}}})
+	writeAssignmentTable(&out, &assignmentsView{On: true, Assignments: []pg.TenantStats{s, f, {Database: "web", State: "open"}}})
 	for _, want := range []string{"orders\t7\tpaused", "(1.5s)", "3\t0\t2\t0\t1\t1 of pool main at a: LISTEN", "stock\tnot agreed\tfenced", "web\tthe pool's\topen"} {
 		require.Contains(t, out.String(), want)
 	}
 }
 
 // The whole program: a database is paused, moved and opened by what its poolers agree on, and its clients see a wait.
-func TestProgramMovesADatabase(t *testing.T) {
+func TestProgramReassignsDatabase(t *testing.T) {
 	var hosts []*lab.Host
 	var clusters []*lab.Cluster
 	var entries []string
@@ -164,13 +164,13 @@
 			return err == nil
 		}, 20*time.Second, 20*time.Millisecond, "%s", &last)
 	}
-	var seen homesView
+	var seen assignmentsView
 	shows := func(what string, is func(h pg.TenantStats) bool) {
 		t.Helper()
 		require.Eventually(t, func() bool {
 			out, err := run("cluster", "homes", "--json")
-			seen = homesView{}
-			return err == nil && json.Unmarshal([]byte(out), &seen) == nil && len(seen.Homes) > 0 && is(seen.Homes[0])
+			seen = assignmentsView{}
+			return err == nil && json.Unmarshal([]byte(out), &seen) == nil && len(seen.Assignments) > 0 && is(seen.Assignments[0])
 		}, 20*time.Second, 10*time.Millisecond, what)
 	}
 	propose(`{"database.orders.group": 1}`)
@@ -212,7 +212,7 @@
 	}, Clock: clock.System(), Send: func(string, []byte) {}})
 	require.NoError(b, err)
 	defer r.Stop()
-	h := &homes{agreed: r}
+	h := &assignments{consensus: r}
 	b.Run("look", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
@@ -226,7 +226,7 @@
 	}
 	b.Run("change", func(b *testing.B) {
 		for b.Loop() {
-			if len(homesOf(consensus.Strictest(one, two))) != 1000 {
+			if len(assignmentsFromRules(consensus.Strictest(one, two))) != 1000 {
 				b.Fatal("databases are missing")
 			}
 		}
--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -38,13 +38,13 @@
 
 // fellows is what a pooler has to do with the others.
 type fellows struct {
-	gossip *membership.Gossip
-	agreed *runner.Runner // nil: nothing is agreed on
-	homes  *homes         // nil as well then
-	trace  *trace
-	open   chan struct{} // closed once the gossip is up
-	state  membership.State
-	mu     sync.Mutex
+	gossip      *membership.Gossip
+	agreed      *runner.Runner // nil: nothing is agreed on
+	assignments *assignments   // nil as well then
+	trace       *trace
+	open        chan struct{} // closed once the gossip is up
+	state       membership.State
+	mu          sync.Mutex
 
 	name     string
 	instance uint64
@@ -135,11 +135,11 @@
 	if f.trace != nil {
 		o.OnLease = func(left float64) { f.trace.line(map[string]any{"event": "lease", "left": left}) }
 	}
-	f.homes = &homes{clock: now}
+	f.assignments = &assignments{clock: now}
 	if f.agreed, err = runner.Start(o); err != nil {
 		return fmt.Errorf("cluster.agreement: %w", err)
 	}
-	f.homes.agreed = f.agreed
+	f.assignments.consensus = f.agreed
 	steady, change := c.ActivationBoundMillis()
 	slog.Info(fmt.Sprintf("cluster: rules that are agreed on are in force everywhere within %v, with a new leader within %v", clock.Duration(steady).Round(time.Millisecond),
 		clock.Duration(change).Round(time.Millisecond)))
@@ -171,7 +171,7 @@
 		text += ", within the limits: without a lease"
 	}
 	slog.Info(text)
-	f.homes.changed()
+	f.assignments.changed()
 	f.trace.line(map[string]any{"event": "acts", "versions": a.Versions, "rules": a.Rules, "lapsed": a.LeaseExpired})
 }
 
@@ -273,7 +273,7 @@
 
 // adminCommands are what operators can have done.
 func (n *node) adminCommands() map[string]admin.Command {
-	return map[string]admin.Command{"cost": n.costs.answer, "work": n.enterJob, "move-plan": n.plan, "propose": func(ctx context.Context, body []byte) (any, error) {
+	return map[string]admin.Command{"cost": n.costs.answer, "work": n.enterJob, "move-plan": n.planMigration, "propose": func(ctx context.Context, body []byte) (any, error) {
 		if n.others == nil || n.others.agreed == nil {
 			return nil, errors.New("this pooler's file has no cluster.agreement block")
 		}
@@ -359,7 +359,7 @@
 ) *cobra.Command {
 	var v clusterView
 	var rules runner.View
-	var places homesView
+	var places assignmentsView
 	root := &cobra.Command{Use: "cluster", Short: "what a pooler knows of the others"}
 	key := &cobra.Command{Use: "key", Short: "print a new key for the file that cluster.keys names", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 		b := make([]byte, 32)
@@ -458,7 +458,7 @@
 		}),
 		ask(&cobra.Command{
 			Use: "homes", Short: "list the databases with the group that each is at, and what waits for those that are paused", Args: cobra.NoArgs,
-			RunE: view("homes", &places, func(w io.Writer) { homesTable(w, &places) }),
+			RunE: view("homes", &places, func(w io.Writer) { writeAssignmentTable(w, &places) }),
 		}),
 		ask(&cobra.Command{
 			Use: "members", Short: "list the poolers that this one knows, with what it believes of each", Args: cobra.NoArgs,
--- a/cmd/ashstand/commands.go
+++ b/cmd/ashstand/commands.go
@@ -127,7 +127,7 @@
 		stateCommands(),
 		clusterCommands(ask, view, address),
 		jobCommands(ask, view, address),
-		moveCommands(ask, func() bool { return asJSON }, address),
+		migrateCommands(ask, func() bool { return asJSON }, address),
 		costCommands(ask, func() bool { return asJSON }, address),
 		&cobra.Command{Use: "version", Short: "print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
 			fmt.Fprintln(c.OutOrStdout(), version())
@@ -283,11 +283,11 @@
 			}
 			return n.costs.evidence()
 		},
-		"homes":     n.homesView,
+		"homes":     n.assignmentsView,
 		"cluster":   func() any { return n.others.view() },
 		"agreement": func() any { return n.others.agreement() },
 		"works":     func() any { return n.others.jobViews() },
-		"moves":     func() any { return n.others.moveViews() },
+		"moves":     func() any { return n.others.migrationViews() },
 		"config": func() any {
 			c := n.cfg.Load()
 			return map[string]any{
--- a/cmd/ashstand/golden_views_test.go
+++ b/cmd/ashstand/golden_views_test.go
@@ -61,20 +61,20 @@
 
 func goldenPlan() migration.Plan {
 	return migration.Plan{
-		Tenant: "orders", From: 1, To: 2, Pause: 4000, Lock: 200, Tries: 3, Rest: 1000, Checkpoints: []string{"accepting"}, Stragglers: "end", Pace: 10, Reads: 7,
-		Old: "drop", Need: 2,
+		Tenant: "orders", From: 1, To: 2, MaxPauseMillis: 4000, FenceWaitMillis: 200, MaxAbortedPauses: 3, BackoffMillis: 1000, Checkpoints: []string{"accepting"}, BlockingSessions: "end", MaxRowsPerSecond: 10, SampledQueries: 7,
+		OldCopy: "drop", Priority: 2,
 	}
 }
 
-func TestGoldenMoveViews(t *testing.T) {
+func TestGoldenMigrationViews(t *testing.T) {
 	group := uint64(2)
-	requireGoldenView(t, "move-plan.json", planView{Plan: goldenPlan(), Least: 17_600, Cutoff: 2000, Found: migration.Findings{{Reason: migration.NoIdentity, Name: "public.a", Detail: "no key", Told: true}}})
-	requireGoldenView(t, "moves.json", movesView{On: true, Moves: []moveView{{
-		Name: "orders-to-2", Plan: goldenPlan(), State: migration.State{Phase: migration.Verifying, Held: "x"}, Step: 9, Since: 1000,
-		Deed: "verify", Owner: "n1", Token: 5, Owners: 2, Wait: "waits for go, to switch", Words: []jobs.ApprovalOption{{Action: "rollback", Effect: "it is taken back", Persistent: true}},
-		Given: &jobs.Approval{Action: "go", By: "op", Step: 9, Persistent: true}, Back: "the old home opens again", Ended: true, Why: "accepted", Code: "verify_differs", Message: "rows differ", Advice: "look",
+	requireGoldenView(t, "move-plan.json", migrationPlanView{Plan: goldenPlan(), MinPauseMillis: 17_600, CutoffMillis: 2000, CheckResults: migration.CheckResults{{Reason: migration.CheckNoReplicaIdentity, Name: "public.a", Detail: "no key", Informational: true}}})
+	requireGoldenView(t, "moves.json", migrationsView{On: true, Migrations: []migrationView{{
+		Name: "orders-to-2", Plan: goldenPlan(), State: migration.State{Phase: migration.PhaseVerifying, HoldReason: "x"}, Step: 9, SinceMillis: 1000,
+		Operation: "verify", Owner: "n1", Token: 5, Owners: 2, WaitsFor: "waits for go, to switch", Options: []jobs.ApprovalOption{{Action: "rollback", Effect: "it is taken back", Persistent: true}},
+		Approval: &jobs.Approval{Action: "go", By: "op", Step: 9, Persistent: true}, RollbackEffect: "the old home opens again", Ended: true, EndReason: "accepted", Code: "verify_differs", Message: "rows differ", Advice: "look",
 	}}})
-	requireGoldenView(t, "homes.json", homesView{On: true, Homes: []pg.TenantStats{{
+	requireGoldenView(t, "homes.json", assignmentsView{On: true, Assignments: []pg.TenantStats{{
 		Database: "orders", Group: &group, Fenced: true, State: "paused", PausedSince: 1000, Sessions: 3, Running: 1, Queued: 2, InFlight: 1,
 		Released: 4, Rejected: 5, Sticky: []pg.StickyStats{{Pool: "p", Host: "h", Cause: "listen", Sessions: 1}},
 	}}})
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -201,9 +201,9 @@
 	if n.others, err = meet(cfg, now); err != nil {
 		return nil, err
 	}
-	if n.pooled != nil && n.others != nil && n.others.homes != nil {
-		n.pooled.SetAssignments(n.others.homes)
-		n.others.homes.front.Store(n.pooled)
+	if n.pooled != nil && n.others != nil && n.others.assignments != nil {
+		n.pooled.SetAssignments(n.others.assignments)
+		n.others.assignments.front.Store(n.pooled)
 	}
 	if cfg.Known != nil {
 		cfg.Known.Snapshot = true
--- a/cmd/ashstand/works.go
+++ b/cmd/ashstand/works.go
@@ -37,11 +37,11 @@
 	clock      clock.Clock
 	cancel     context.CancelFunc
 	background sync.WaitGroup
-	mover      *migration.Mover
+	migrator   *migration.Migrator
 
-	mu        sync.Mutex
-	reachedAt map[uint64]float64 // when a group's primary answered last
-	phases    phases
+	mu         sync.Mutex
+	reachedAt  map[uint64]float64 // when a group's primary answered last
+	phaseTimes phaseTimes
 }
 
 // agreedLog is the log as doing wants it.
@@ -72,7 +72,7 @@
 		return
 	}
 	o := cfg.operator.Cluster.Agreement.Jobs
-	w := &jobService{log: &agreedLog{f.agreed}, clock: now, reachedAt: map[uint64]float64{}, phases: phases{}}
+	w := &jobService{log: &agreedLog{f.agreed}, clock: now, reachedAt: map[uint64]float64{}, phaseTimes: phaseTimes{}}
 	w.client = &fencing.Client{User: o.User, DisabledGuarantee: f.broken, Hosts: func(group uint64) (out []fencing.Host) {
 		for _, e := range *n.list.Load() {
 			if e.Group == group && e.Status == discovery.Active {
@@ -82,10 +82,10 @@
 		slices.SortFunc(out, func(a, b fencing.Host) int { return strings.Compare(a.Name, b.Name) })
 		return out
 	}}
-	w.mover = f.moves(w, cfg, f.config, now)
+	w.migrator = f.newMigrator(w, cfg, f.config, now)
 	w.handlers = map[string]jobs.Handler{noop.KindName: &noop.Handler{Client: w.client, Now: now.Now, DisabledGuarantee: f.broken}}
 	if f.trace != nil { // of its faults on real processes too little has been played for service: see docs/moves.md
-		w.handlers[kindMove] = w.mover
+		w.handlers[kindMigration] = w.migrator
 	}
 	opts := executor.Options{
 		Name: f.name, Incarnation: f.instance, Zone: cfg.operator.Cluster.Zone, Handlers: w.handlers, Log: w.log, Clock: now,
@@ -113,7 +113,7 @@
 func (w *jobService) probeGroups(ctx context.Context) {
 	of, _ := w.log.Jobs()
 	w.mu.Lock()
-	w.phases.see(w.stateMachine(), w.clock.Now())
+	w.phaseTimes.update(w.stateMachine(), w.clock.Now())
 	w.mu.Unlock()
 	groups := map[uint64]string{}
 	for _, x := range of {
@@ -221,16 +221,16 @@
 	return "ask a pooler that has one, or add the block and restart"
 }
 
-// movesOff is asked of a pooler in service.
-type movesOff struct{}
+// migrationsOffError is asked of a pooler in service.
+type migrationsOffError struct{}
 
-func (movesOff) Error() string { return "tenants are not moved in service yet" }
+func (migrationsOffError) Error() string { return "tenants are not moved in service yet" }
 
 // Code is the reason in a word.
-func (movesOff) Code() string { return "moves_off" }
+func (migrationsOffError) Code() string { return "moves_off" }
 
 // Advice says what an operator can do.
-func (movesOff) Advice() string {
+func (migrationsOffError) Advice() string {
 	return "try them in the laboratory (testbed cluster move); docs/moves.md says what has not been proven with faults"
 }
 
@@ -246,8 +246,8 @@
 	if e.Type != jobs.EntryCreate && e.Type != jobs.EntryApprove {
 		return nil, &jobs.RejectedError{Reason: jobs.RejectMalformed, Job: e.Job, Detail: "operators create works and give words; the rest is their owner's"}
 	}
-	if e.Type == jobs.EntryCreate && e.JobKind == kindMove && n.others.jobs.handlers[kindMove] == nil {
-		return nil, movesOff{}
+	if e.Type == jobs.EntryCreate && e.JobKind == kindMigration && n.others.jobs.handlers[kindMigration] == nil {
+		return nil, migrationsOffError{}
 	}
 	if e.Type == jobs.EntryCreate && n.others.jobs.handlers[e.JobKind] == nil {
 		return nil, &jobs.RejectedError{Reason: jobs.RejectMalformed, Job: e.Job, Detail: "there is no kind " + strconv.Quote(e.JobKind)}
@@ -262,8 +262,8 @@
 		}
 		e.RequiredGroups = s.Groups
 	}
-	if e.Type == jobs.EntryCreate && e.JobKind == kindMove {
-		if err := n.others.jobs.ordered(&e); err != nil {
+	if e.Type == jobs.EntryCreate && e.JobKind == kindMigration {
+		if err := n.others.jobs.validateMigration(&e); err != nil {
 			return nil, err
 		}
 	}
--- a/cmd/testbed/moves.go
+++ b/cmd/testbed/moves.go
@@ -16,7 +16,7 @@
 func clusterMoves() *cobra.Command {
 	var m common
 	schedules, cores := 1000, runtime.NumCPU()
-	breakable := append(slices.Clone(migration.Breakable), "token", "number", "sequence")
+	breakable := append(slices.Clone(migration.Guarantees), "token", "number", "sequence")
 	c := &cobra.Command{
 		Use: "moves", Short: "moves of tenants through failovers, owners that die or come late, and operators, without sockets", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
--- a/internal/cluster/migration/golden_test.go
+++ b/internal/cluster/migration/golden_test.go
@@ -72,37 +72,37 @@
 
 func filledPlan() Plan {
 	return Plan{
-		Tenant: "orders", From: 1, To: 2, Pause: 4000, Lock: 200, Tries: 3, Rest: 1000, Checkpoints: []string{AtChecked, AtClosing, AtSwitching, AtAccepting},
-		Stragglers: "end", Pace: 1234.5, Reads: 7, Old: "drop", Need: 2.5,
+		Tenant: "orders", From: 1, To: 2, MaxPauseMillis: 4000, FenceWaitMillis: 200, MaxAbortedPauses: 3, BackoffMillis: 1000, Checkpoints: []string{CheckpointChecked, CheckpointFencing, CheckpointSwitching, CheckpointAccepting},
+		BlockingSessions: "end", MaxRowsPerSecond: 1234.5, SampledQueries: 7, OldCopy: "drop", Priority: 2.5,
 	}
 }
 
 func filledState(phase Phase) State {
 	return State{
-		Phase: phase, Reverse: true, Back: "an operator said rollback", Held: "the copy differs",
-		Findings:   Findings{{Reason: NoIdentity, Name: "public.a", Detail: "no key", Told: true}},
-		Differ:     []Difference{{Kind: "rows", Table: "public.a", Range: "1 to 2", Home: "1 rows, aa", Other: "2 rows, bb"}},
-		Stragglers: []Straggler{{PID: 17, User: "app", Kind: "writing", Age: "3s"}},
-		Lost:       []string{"group 1 failed over from timeline 1 to 2"}, Notes: []string{"the pause was taken back: its time was up"},
-		Published: true, Copy: Copy{After: "public.a", All: true, Rows: 500, Begun: Begun{At: 1000.5, Token: 3}, Again: 2},
-		Compare: Compare{After: "public.a 5", All: true, Ranges: 11, Hot: 2, Begun: Begun{At: 2000.25, Token: 4}},
-		Lines:   Lines{Home: 1, Other: 2}, Doubt: true, Again: true,
-		Pause: &Pause{Begun: Begun{At: 3000, Token: 5}, Version: 7, Closes: 2, Closed: &Closed{Line: 1, Position: 0x1_0000_0500}, Verified: true, Ranges: 4, Reads: 6},
-		Tries: 2, Rested: Begun{At: 4000, Token: 5}, Fed: true,
+		Phase: phase, Reverse: true, RollbackReason: "an operator said rollback", HoldReason: "the copy differs",
+		CheckResults:     CheckResults{{Reason: CheckNoReplicaIdentity, Name: "public.a", Detail: "no key", Informational: true}},
+		Differences:      []Difference{{Kind: "rows", Table: "public.a", Range: "1 to 2", Source: "1 rows, aa", Target: "2 rows, bb"}},
+		BlockingSessions: []BlockingSession{{PID: 17, User: "app", Kind: "writing", Age: "3s"}},
+		LostCommits:      []string{"group 1 failed over from timeline 1 to 2"}, Notes: []string{"the pause was taken back: its time was up"},
+		Published: true, Copy: CopyCheckpoint{LastTable: "public.a", Complete: true, BatchRows: 500, BatchStarted: LeaseTime{At: 1000.5, Token: 3}, Restarts: 2},
+		Comparison: ComparisonCheckpoint{LastRange: "public.a 5", Complete: true, EqualRanges: 11, ChangedRanges: 2, Started: LeaseTime{At: 2000.25, Token: 4}},
+		Timelines:  Timelines{Source: 1, Target: 2}, FailedOver: true, RecopyRequired: true,
+		Pause:         &Pause{Started: LeaseTime{At: 3000, Token: 5}, RulesVersion: 7, FenceAttempts: 2, Fence: &FencePoint{Timeline: 1, LSN: 0x1_0000_0500}, Verified: true, RangesRead: 4, QueriesReplayed: 6},
+		AbortedPauses: 2, LastAbort: LeaseTime{At: 4000, Token: 5}, ReverseReplicating: true,
 	}
 }
 
-func filledData() Data {
-	return Data{
-		At: 1e6, Within: 150.5, Rows: 2000, End: true, Again: true, Reverse: true, Back: "an operator said rollback", Held: "an operator said pause",
-		Why: "its time was up", Doubt: true, Lost: "group 1 failed over from timeline 1 to 2",
+func filledData() OperationData {
+	return OperationData{
+		At: 1e6, TimeoutMillis: 150.5, Rows: 2000, EndBlockingSessions: true, Recopy: true, Reverse: true, RollbackReason: "an operator said rollback", HoldReason: "an operator said pause",
+		Reason: "its time was up", FailedOver: true, LostCommits: "group 1 failed over from timeline 1 to 2",
 	}
 }
 
 // operations are the names of all of them.
 var operations = []string{
-	DeedCheck, DeedPublish, DeedSubscribe, DeedCopy, DeedMark, DeedCompare, DeedPause, DeedClose, DeedVerify, DeedSwitch, DeedFeed, DeedReopen,
-	DeedAccept, DeedFinish, DeedClear, DeedEnd, DeedHold, DeedResume, DeedBack, DeedDrop,
+	OperationCheck, OperationPublish, OperationSubscribe, OperationCopy, OperationTrack, OperationCompare, OperationPause, OperationFence, OperationVerify, OperationSwitch, OperationReplicateBack, OperationReopen,
+	OperationAccept, OperationFinish, OperationCleanUp, OperationCancel, OperationHold, OperationResume, OperationRollBack, OperationDiscardApproval,
 }
 
 func TestGoldenPlan(t *testing.T) {
@@ -121,19 +121,19 @@
 
 // Each operation: its data as announced, and the state and the end as its proof says.
 func TestGoldenOperations(t *testing.T) {
-	r := result{
-		Found: Found{
-			Done: true, Lines: Lines{3, 4}, Copied: Copied{After: "public.b", Rows: 400, All: true},
-			Compared: Compared{After: "public.b 9", All: true, Equal: 3, Hot: 1, Differ: []Difference{{Kind: "rows", Table: "public.b", Range: "9 to the end", Home: "1 rows, aa", Other: "0 rows, 00"}}},
-			Closed:   &Closed{Line: 1, Position: 900},
-		}, findings: Findings{{Reason: Sequences, Name: "public.s", Detail: "at 5", Told: true}},
-		held: []Straggler{{PID: 18, User: "batch", Kind: "writing", Age: "9s"}}, verified: Verified{Ranges: 5, Reads: 6, Lines: Lines{1, 4}}, version: 8,
+	r := operationResult{
+		Recovery: Recovery{
+			Done: true, Timelines: Timelines{3, 4}, Copied: CopyResult{LastTable: "public.b", Rows: 400, Complete: true},
+			Compared: ComparisonResult{LastRange: "public.b 9", Complete: true, EqualRanges: 3, ChangedRanges: 1, Differences: []Difference{{Kind: "rows", Table: "public.b", Range: "9 to the end", Source: "1 rows, aa", Target: "0 rows, 00"}}},
+			Fence:    &FencePoint{Timeline: 1, LSN: 900},
+		}, checkResults: CheckResults{{Reason: CheckSequence, Name: "public.s", Detail: "at 5", Informational: true}},
+		blocking: []BlockingSession{{PID: 18, User: "batch", Kind: "writing", Age: "9s"}}, verified: VerificationResult{RangesRead: 5, QueriesReplayed: 6, Timelines: Timelines{1, 4}}, version: 8,
 	}
 	for _, name := range operations {
 		t.Run(name, func(t *testing.T) {
 			data, err := json.Marshal(filledData())
 			require.NoError(t, err)
-			proof, err := after(Act{Plan: filledPlan(), Work: "orders-to-2", Token: 6, Number: 21, Name: name, Told: 5, State: filledState(Verifying), Data: filledData()}, r)
+			proof, err := after(Request{Plan: filledPlan(), Job: "orders-to-2", Token: 6, Number: 21, Operation: name, AnnouncedToken: 5, State: filledState(PhaseVerifying), Data: filledData()}, r)
 			require.NoError(t, err)
 			var state State
 			require.NoError(t, json.Unmarshal(proof.State, &state))
@@ -152,27 +152,27 @@
 
 // What the database hosts return, where a copy and a comparison go on, and what is found there.
 func TestGoldenResults(t *testing.T) {
-	s := filledState(Verifying)
+	s := filledState(PhaseVerifying)
 	requireGoldenJSON(t, "checkpoint-copy.json", s.Copy)
-	requireGoldenJSON(t, "checkpoint-compare.json", s.Compare)
+	requireGoldenJSON(t, "checkpoint-compare.json", s.Comparison)
 	requireGoldenJSON(t, "checkpoint-pause.json", s.Pause)
-	requireGoldenJSON(t, "copied.json", Copied{After: "public.a", Rows: 12, All: true})
-	requireGoldenJSON(t, "compared.json", Compared{After: "public.a 5", All: true, Equal: 2, Hot: 1, Differ: s.Differ})
-	requireGoldenJSON(t, "verified.json", Verified{Ranges: 2, Reads: 3, Differ: s.Differ, Lines: Lines{1, 2}, Late: true})
+	requireGoldenJSON(t, "copied.json", CopyResult{LastTable: "public.a", Rows: 12, Complete: true})
+	requireGoldenJSON(t, "compared.json", ComparisonResult{LastRange: "public.a 5", Complete: true, EqualRanges: 2, ChangedRanges: 1, Differences: s.Differences})
+	requireGoldenJSON(t, "verified.json", VerificationResult{RangesRead: 2, QueriesReplayed: 3, Differences: s.Differences, Timelines: Timelines{1, 2}, TimedOut: true})
 }
 
 func TestGoldenDigest(t *testing.T) {
-	var sum, more Sum
-	sum.Row([]byte("1"), []byte("x"), nil)
-	more.Row([]byte("1"), []byte("x"), nil)
-	more.Row([]byte("2"), []byte(""), []byte("y"))
+	var sum, more RangeDigest
+	sum.AddRow([]byte("1"), []byte("x"), nil)
+	more.AddRow([]byte("1"), []byte("x"), nil)
+	more.AddRow([]byte("2"), []byte(""), []byte("y"))
 	table := Range{Table: "public.a", From: "", To: "5"}
 	rest := Range{Table: "public.a", From: "5", To: ""}
 	var out bytes.Buffer
-	for _, s := range []Sum{sum, more} {
-		fmt.Fprintf(&out, "%s %d %016x\n", s, s.Rows, s.Digest)
+	for _, s := range []RangeDigest{sum, more} {
+		fmt.Fprintf(&out, "%s %d %016x\n", s, s.Rows, s.Sum)
 	}
-	for _, d := range Differ(map[Range]Sum{table: sum, rest: more}, map[Range]Sum{table: more}) {
+	for _, d := range CompareRanges(map[Range]RangeDigest{table: sum, rest: more}, map[Range]RangeDigest{table: more}) {
 		fmt.Fprintf(&out, "%s\n", d.Error())
 	}
 	requireGolden(t, "digest.txt", out.Bytes())
@@ -188,46 +188,46 @@
 	var out bytes.Buffer
 	for range goldenCases {
 		s := State{
-			Phase: Phases[random.IntN(len(Phases))], Published: yes(), Fed: yes(), Again: random.IntN(8) == 0, Doubt: yes(), Lines: Lines{1 + random.IntN(2), 1},
-			Compare: Compare{All: yes(), Begun: Begun{999_000, 5}}, Copy: Copy{All: yes(), Rows: 3000, Begun: Begun{998_000, jobs.FencingToken(4 + random.IntN(2))}}, Tries: random.IntN(3), Rested: Begun{999_500, 5},
+			Phase: Phases[random.IntN(len(Phases))], Published: yes(), ReverseReplicating: yes(), RecopyRequired: random.IntN(8) == 0, FailedOver: yes(), Timelines: Timelines{1 + random.IntN(2), 1},
+			Comparison: ComparisonCheckpoint{Complete: yes(), Started: LeaseTime{999_000, 5}}, Copy: CopyCheckpoint{Complete: yes(), BatchRows: 3000, BatchStarted: LeaseTime{998_000, jobs.FencingToken(4 + random.IntN(2))}}, AbortedPauses: random.IntN(3), LastAbort: LeaseTime{999_500, 5},
 		}
 		if random.IntN(4) == 0 {
-			s.Back = "an operator said rollback"
+			s.RollbackReason = "an operator said rollback"
 		}
-		if s.Phase == Closing || s.Phase == Verifying {
-			s.Reverse, s.Pause = yes(), &Pause{Begun: Begun{1e6 - float64(random.IntN(4000)), jobs.FencingToken(4 + min(1, random.IntN(4)))}, Version: 3, Closes: random.IntN(2)}
-			if s.Phase == Verifying {
-				s.Pause.Closed, s.Pause.Verified = &Closed{Line: 1, Position: 500}, yes()
+		if s.Phase == PhaseFencing || s.Phase == PhaseVerifying {
+			s.Reverse, s.Pause = yes(), &Pause{Started: LeaseTime{1e6 - float64(random.IntN(4000)), jobs.FencingToken(4 + min(1, random.IntN(4)))}, RulesVersion: 3, FenceAttempts: random.IntN(2)}
+			if s.Phase == PhaseVerifying {
+				s.Pause.Fence, s.Pause.Verified = &FencePoint{Timeline: 1, LSN: 500}, yes()
 			}
 			if random.IntN(4) == 0 {
-				s.Differ = filledState(Verifying).Differ
+				s.Differences = filledState(PhaseVerifying).Differences
 			}
 			if yes() {
-				s.Stragglers = filledState(Verifying).Stragglers
+				s.BlockingSessions = filledState(PhaseVerifying).BlockingSessions
 			}
 		} else if random.IntN(4) == 0 {
-			s.Held = "the check refuses"
+			s.HoldReason = "the check refuses"
 		}
 		var word *jobs.Approval
 		if yes() {
-			say := []string{Go, Hold, Resume, Rollback, Accept, "other"}[random.IntN(6)]
-			word = &jobs.Approval{Action: say, By: "op", Step: uint64(8 + random.IntN(2)), Persistent: say == Rollback}
+			say := []string{ActionGo, ActionPause, ActionResume, ActionRollback, ActionAccept, "other"}[random.IntN(6)]
+			word = &jobs.Approval{Action: say, By: "op", Step: uint64(8 + random.IntN(2)), Persistent: say == ActionRollback}
 		}
 		var seen any
 		if random.IntN(8) > 0 {
-			seen = &Seen{
-				Step: 9, Version: 2 + random.IntN(3), InForce: random.IntN(4) > 0, Paused: random.IntN(4) > 0, Turn: yes(), Turns: "group 2 has 2 of 2 moves", Pace: float64(random.IntN(3) * 500),
-				Progress: Progress{
-					Reached: random.IntN(8) > 0, Lines: Lines{1 + random.IntN(2), 1}, Applied: Position(499 + random.IntN(2)), Ready: random.IntN(4) > 0,
-					SlotLost: random.IntN(8) == 0, Ahead: random.IntN(8) == 0, Unmarked: random.IntN(8) == 0, FenceOff: random.IntN(4) == 0,
-					Behind: float64(random.IntN(5000)), Verify: float64(random.IntN(5000)), Unfit: []string{"", "", "cold", "draining"}[random.IntN(4)],
+			seen = &Observation{
+				Step: 9, Version: 2 + random.IntN(3), InForce: random.IntN(4) > 0, Paused: random.IntN(4) > 0, MayStart: yes(), WaitReason: "group 2 has 2 of 2 moves", RowsPerSecond: float64(random.IntN(3) * 500),
+				ReplicationStatus: ReplicationStatus{
+					Reachable: random.IntN(8) > 0, Timelines: Timelines{1 + random.IntN(2), 1}, AppliedLSN: LSN(499 + random.IntN(2)), TablesCopied: random.IntN(4) > 0,
+					SlotLost: random.IntN(8) == 0, TargetAhead: random.IntN(8) == 0, TrackingLost: random.IntN(8) == 0, TargetUnfenced: random.IntN(4) == 0,
+					LagMillis: float64(random.IntN(5000)), VerifyMillis: float64(random.IntN(5000)), UnfitReason: []string{"", "", "cold", "draining"}[random.IntN(4)],
 				},
 			}
 		}
 		state, err := json.Marshal(s)
 		require.NoError(t, err)
-		m := &Mover{Costs: testCosts}
-		step := m.Next(1e6, &jobs.Job{Name: "w", Kind: Name, Spec: json.RawMessage(testPlan), Token: 5, Step: 9, State: state, Approval: word}, seen)
+		m := &Migrator{Timing: testTiming}
+		step := m.Next(1e6, &jobs.Job{Name: "w", Kind: JobKind, Spec: json.RawMessage(testPlan), Token: 5, Step: 9, State: state, Approval: word}, seen)
 		line, err := json.Marshal(struct {
 			Operation string                `json:"operation"`
 			Data      json.RawMessage       `json:"data"`
--- a/internal/cluster/migration/plan.go
+++ b/internal/cluster/migration/plan.go
@@ -14,81 +14,81 @@
 	"strings"
 )
 
-// Name is the kind's.
-const Name = "move"
+// JobKind is the kind's.
+const JobKind = "move"
 
 // Group is a group of db hosts, by its number in the agreed rules.
 type Group = uint64
 
 // Plan is a move as it was asked for. Times are in milliseconds.
 type Plan struct {
-	Tenant      string   `json:"tenant"`
-	From        Group    `json:"from"`
-	To          Group    `json:"to"`
-	Pause       float64  `json:"pause_ms"`              // no pause is longer
-	Lock        float64  `json:"lock_ms,omitempty"`     // for so long the closing waits for running writers
-	Tries       int      `json:"tries,omitempty"`       // pauses that may be taken back before an operator is asked
-	Rest        float64  `json:"rest_ms,omitempty"`     // between two of them
-	Checkpoints []string `json:"checkpoints,omitempty"` // where it waits for a word
-	Stragglers  string   `json:"stragglers,omitempty"`  // wait or end: sessions that hold the closing up
-	Pace        float64  `json:"pace,omitempty"`        // rows/s at most, 0: as the cost model says
-	Reads       int      `json:"reads,omitempty"`       // of the tenant's own that are played at both homes
-	Old         string   `json:"old,omitempty"`         // keep or drop: the old copy, once it was accepted
-	Need        float64  `json:"need,omitempty"`        // the greater goes first
+	Tenant           string   `json:"tenant"`
+	From             Group    `json:"from"`
+	To               Group    `json:"to"`
+	MaxPauseMillis   float64  `json:"pause_ms"`              // no pause is longer
+	FenceWaitMillis  float64  `json:"lock_ms,omitempty"`     // for so long the closing waits for running writers
+	MaxAbortedPauses int      `json:"tries,omitempty"`       // pauses that may be taken back before an operator is asked
+	BackoffMillis    float64  `json:"rest_ms,omitempty"`     // between two of them
+	Checkpoints      []string `json:"checkpoints,omitempty"` // where it waits for a word
+	BlockingSessions string   `json:"stragglers,omitempty"`  // wait or end: sessions that hold the closing up
+	MaxRowsPerSecond float64  `json:"pace,omitempty"`        // rows/s at most, 0: as the cost model says
+	SampledQueries   int      `json:"reads,omitempty"`       // of the tenant's own that are played at both homes
+	OldCopy          string   `json:"old,omitempty"`         // keep or drop: the old copy, once it was accepted
+	Priority         float64  `json:"need,omitempty"`        // the greater goes first
 }
 
 // Checkpoints of a plan. The last can't be left out: only an operator ends the way back.
 const (
-	AtChecked   = "checked"
-	AtClosing   = "closing"
-	AtSwitching = "switching"
-	AtAccepting = "accepting"
+	CheckpointChecked   = "checked"
+	CheckpointFencing   = "closing"
+	CheckpointSwitching = "switching"
+	CheckpointAccepting = "accepting"
 )
 
-var checkpoints = []string{AtChecked, AtClosing, AtSwitching, AtAccepting}
+var checkpoints = []string{CheckpointChecked, CheckpointFencing, CheckpointSwitching, CheckpointAccepting}
 
 // Words that operators say.
 const (
-	Go       = "go"
-	Hold     = "pause" // the work, not the tenant
-	Resume   = "resume"
-	Rollback = "rollback"
-	Accept   = "accept"
+	ActionGo       = "go"
+	ActionPause    = "pause" // the work, not the tenant
+	ActionResume   = "resume"
+	ActionRollback = "rollback"
+	ActionAccept   = "accept"
 )
 
-// PlanFault is one thing that is wrong with a plan.
-type PlanFault struct {
+// PlanError is one thing that is wrong with a plan.
+type PlanError struct {
 	Key    string
-	Given  any
+	Value  any
 	Detail string
 }
 
-func (f *PlanFault) Error() string {
-	if f.Given == nil {
+func (f *PlanError) Error() string {
+	if f.Value == nil {
 		return f.Key + ": " + f.Detail
 	}
-	return fmt.Sprintf("%s is %v: %s", f.Key, f.Given, f.Detail)
+	return fmt.Sprintf("%s is %v: %s", f.Key, f.Value, f.Detail)
 }
 
 // Code is the reason in a word.
-func (f *PlanFault) Code() string { return "plan_malformed" }
+func (f *PlanError) Code() string { return "plan_malformed" }
 
 // Advice says what an operator can do.
-func (f *PlanFault) Advice() string {
+func (f *PlanError) Advice() string {
 	return "correct " + f.Key + " and order the move again; nothing was begun"
 }
 
-// Parse reads a plan, sets what it leaves out and names all that is wrong with it.
-func Parse(text []byte, c Costs) (Plan, error) {
-	p, err := read(text)
+// ParsePlan reads a plan, sets what it leaves out and names all that is wrong with it.
+func ParsePlan(text []byte, c Timing) (Plan, error) {
+	p, err := decodePlan(text)
 	if err != nil {
 		return p, err
 	}
-	return p, p.check(c)
+	return p, p.validate(c)
 }
 
-// read is Parse without the judgement: what stands in the log was judged when it got there.
-func read(text []byte) (p Plan, err error) {
+// decodePlan is Parse without the judgement: what stands in the log was judged when it got there.
+func decodePlan(text []byte) (p Plan, err error) {
 	dec := json.NewDecoder(bytes.NewReader(text))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&p); err != nil {
@@ -99,36 +99,36 @@
 		} else if _, name, ok := strings.Cut(err.Error(), "unknown field "); ok {
 			key = strings.Trim(name, `"`)
 		}
-		return p, &PlanFault{Key: key, Detail: err.Error()}
+		return p, &PlanError{Key: key, Detail: err.Error()}
 	}
 	if _, err := dec.Token(); err != io.EOF {
-		return p, &PlanFault{Key: "plan", Detail: "something follows it"}
+		return p, &PlanError{Key: "plan", Detail: "something follows it"}
 	}
-	if p.Lock == 0 {
-		p.Lock = p.Pause / 10
+	if p.FenceWaitMillis == 0 {
+		p.FenceWaitMillis = p.MaxPauseMillis / 10
 	}
-	if p.Tries == 0 {
-		p.Tries = 3
+	if p.MaxAbortedPauses == 0 {
+		p.MaxAbortedPauses = 3
 	}
-	if p.Rest == 0 {
-		p.Rest = 10 * p.Pause // so that a tenant that is tried again and again is closed a tenth of the time at most
+	if p.BackoffMillis == 0 {
+		p.BackoffMillis = 10 * p.MaxPauseMillis // so that a tenant that is tried again and again is closed a tenth of the time at most
 	}
 	if p.Checkpoints == nil {
 		p.Checkpoints = checkpoints
 	}
-	if p.Stragglers == "" {
-		p.Stragglers = "wait"
+	if p.BlockingSessions == "" {
+		p.BlockingSessions = "wait"
 	}
-	if p.Old == "" {
-		p.Old = "keep"
+	if p.OldCopy == "" {
+		p.OldCopy = "keep"
 	}
 	return p, nil
 }
 
-func (p Plan) check(c Costs) error {
+func (p Plan) validate(c Timing) error {
 	var faults []error
 	bad := func(key string, given any, detail string, args ...any) {
-		faults = append(faults, &PlanFault{Key: key, Given: given, Detail: fmt.Sprintf(detail, args...)})
+		faults = append(faults, &PlanError{Key: key, Value: given, Detail: fmt.Sprintf(detail, args...)})
 	}
 	if p.Tenant == "" || len(p.Tenant) > 63 || strings.ContainsAny(p.Tenant, "/\x00'\"") {
 		bad("tenant", p.Tenant, "a database's name has 1 to 63 bytes and none of / ' \"")
@@ -139,20 +139,20 @@
 	if p.To == 0 || p.To == p.From {
 		bad("to", p.To, "another group than from")
 	}
-	if least := c.Least(p.Lock); p.Pause < least {
-		bad("pause_ms", p.Pause, "with this agreement, change of owner and lock_ms a pause needs %.0f at least", least)
+	if least := c.MinPauseMillis(p.FenceWaitMillis); p.MaxPauseMillis < least {
+		bad("pause_ms", p.MaxPauseMillis, "with this agreement, change of owner and lock_ms a pause needs %.0f at least", least)
 	}
-	if p.Pause > mostPause {
-		bad("pause_ms", p.Pause, "at most %d", mostPause)
+	if p.MaxPauseMillis > maxPauseMillis {
+		bad("pause_ms", p.MaxPauseMillis, "at most %d", maxPauseMillis)
 	}
-	if p.Lock < 0 || p.Lock > p.Pause {
-		bad("lock_ms", p.Lock, "from 0 to pause_ms")
+	if p.FenceWaitMillis < 0 || p.FenceWaitMillis > p.MaxPauseMillis {
+		bad("lock_ms", p.FenceWaitMillis, "from 0 to pause_ms")
 	}
-	if p.Tries < 0 || p.Tries > 100 {
-		bad("tries", p.Tries, "from 1 to 100")
+	if p.MaxAbortedPauses < 0 || p.MaxAbortedPauses > 100 {
+		bad("tries", p.MaxAbortedPauses, "from 1 to 100")
 	}
-	if p.Rest < 0 {
-		bad("rest_ms", p.Rest, "not below 0")
+	if p.BackoffMillis < 0 {
+		bad("rest_ms", p.BackoffMillis, "not below 0")
 	}
 	for i, name := range p.Checkpoints {
 		if !slices.Contains(checkpoints, name) {
@@ -161,16 +161,16 @@
 			bad("checkpoints", name, "named twice")
 		}
 	}
-	if !slices.Contains(p.Checkpoints, AtAccepting) {
+	if !slices.Contains(p.Checkpoints, CheckpointAccepting) {
 		bad("checkpoints", p.Checkpoints, "accepting can't be left out: only an operator ends the way back")
 	}
-	if p.Stragglers != "wait" && p.Stragglers != "end" {
-		bad("stragglers", p.Stragglers, "wait or end")
+	if p.BlockingSessions != "wait" && p.BlockingSessions != "end" {
+		bad("stragglers", p.BlockingSessions, "wait or end")
 	}
-	if p.Old != "keep" && p.Old != "drop" {
-		bad("old", p.Old, "keep or drop")
+	if p.OldCopy != "keep" && p.OldCopy != "drop" {
+		bad("old", p.OldCopy, "keep or drop")
 	}
-	for key, v := range map[string]float64{"pace": p.Pace, "need": p.Need, "reads": float64(p.Reads)} {
+	for key, v := range map[string]float64{"pace": p.MaxRowsPerSecond, "need": p.Priority, "reads": float64(p.SampledQueries)} {
 		if v < 0 || v > 1e9 {
 			bad(key, v, "from 0 to 1e9")
 		}
@@ -179,40 +179,46 @@
 	return errors.Join(faults...)
 }
 
-// at says whether the plan waits for a word there.
-func (p Plan) at(checkpoint string) bool { return slices.Contains(p.Checkpoints, checkpoint) }
+// waitsAt says whether the plan waits for a word there.
+func (p Plan) waitsAt(checkpoint string) bool { return slices.Contains(p.Checkpoints, checkpoint) }
 
 // Keys of the agreed rules that a move changes, and nothing else does while it is open.
 func (p Plan) groupKey() string  { return "database." + p.Tenant + ".group" }
 func (p Plan) pausedKey() string { return "database." + p.Tenant + ".paused" }
 
-const mostPause = 10 * 60 * 1000 // ms; who can wait longer needs no move under load
+const maxPauseMillis = 10 * 60 * 1000 // ms; who can wait longer needs no move under load
 
-// Costs are what an installation's own settings make a pause last, in milliseconds.
-type Costs struct {
-	Log     float64 // a line of the log, from when it is sent until who sent it has it back
-	InForce float64 // a version, from the log until every pooler with a lease acts on it alone: the agreement's stated time
-	Owner   float64 // from an owner's death until the next one looks: the work's stated time
-	Place   float64 // one act at a db host that answers
+// Timing are what an installation's own settings make a pause last, in milliseconds.
+type Timing struct {
+	LogEntryMillis     float64 // a line of the log, from when it is sent until who sent it has it back
+	RulesInForceMillis float64 // a version, from the log until every pooler with a lease acts on it alone: the agreement's stated time
+	FailoverMillis     float64 // from an owner's death until the next one looks: the work's stated time
+	DatabaseCallMillis float64 // one act at a db host that answers
 }
 
-// Reopen is how long it takes to open a tenant again: an open deed is looked for and voided, the reopening announced and
+// ReopenMillis is how long it takes to open a tenant again: an open deed is looked for and voided, the reopening announced and
 // logged, the fence opened, and the version has to be in force; before it is logged, another's version may have to be.
-func (c Costs) Reopen() float64 { return 3*c.Log + 2*c.Place + 2*c.InForce }
+func (c Timing) ReopenMillis() float64 {
+	return 3*c.LogEntryMillis + 2*c.DatabaseCallMillis + 2*c.RulesInForceMillis
+}
 
-// Forward is the least that a pause takes until the switch can be announced: the pause announced, logged once another's
+// ForwardMillis is the least that a pause takes until the switch can be announced: the pause announced, logged once another's
 // version is in force, proven and in force; the closing announced, done and proven; the same for the verification.
-func (c Costs) Forward(lock float64) float64 { return 7*c.Log + 2*c.InForce + lock + 2*c.Place }
+func (c Timing) ForwardMillis(lock float64) float64 {
+	return 7*c.LogEntryMillis + 2*c.RulesInForceMillis + lock + 2*c.DatabaseCallMillis
+}
 
-// settle is the longest that a deed which was announced in time holds a reopening up: it is logged, ends where it acts,
+// settleMillis is the longest that a deed which was announced in time holds a reopening up: it is logged, ends where it acts,
 // its proof is logged, and the homes are looked at once more.
-func (c Costs) settle() float64 { return 2*c.Log + 2*c.Place }
+func (c Timing) settleMillis() float64 { return 2*c.LogEntryMillis + 2*c.DatabaseCallMillis }
 
-// Least is the shortest bound that can be kept whatever moment an owner dies at, and that leaves time to switch.
-func (c Costs) Least(lock float64) float64 {
-	return c.Forward(lock) + c.settle() + c.Owner + c.Reopen()
+// MinPauseMillis is the shortest bound that can be kept whatever moment an owner dies at, and that leaves time to switch.
+func (c Timing) MinPauseMillis(lock float64) float64 {
+	return c.ForwardMillis(lock) + c.settleMillis() + c.FailoverMillis + c.ReopenMillis()
 }
 
-// Cutoff is how long after its beginning a pause may still go on: whoever dies then is replaced, and the next one has
+// CutoffMillis is how long after its beginning a pause may still go on: whoever dies then is replaced, and the next one has
 // opened the tenant by the bound.
-func (c Costs) Cutoff(p Plan) float64 { return p.Pause - c.settle() - c.Owner - c.Reopen() }
+func (c Timing) CutoffMillis(p Plan) float64 {
+	return p.MaxPauseMillis - c.settleMillis() - c.FailoverMillis - c.ReopenMillis()
+}
--- a/internal/cluster/migration/turns.go
+++ b/internal/cluster/migration/schedule.go
@@ -9,41 +9,41 @@
 	"ashstand/internal/cluster/jobs"
 )
 
-// Limits are how many moves may run at once where they meet; 0: any number.
-type Limits struct {
-	All   int
-	Group int
-	Host  int
-	Zone  int
+// ConcurrencyLimits are how many moves may run at once where they meet; 0: any number.
+type ConcurrencyLimits struct {
+	Total    int
+	PerGroup int
+	PerHost  int
+	PerZone  int
 }
 
 // Candidate is a move that runs or would.
 type Candidate struct {
-	Work    string
-	Tenant  string
-	Groups  []Group
-	Hosts   []string // the primaries'
-	Zones   []string
-	Need    float64
-	Running bool
+	Job      string
+	Tenant   string
+	Groups   []Group
+	Hosts    []string // the primaries'
+	Zones    []string
+	Priority float64
+	Running  bool
 }
 
-// May says for each move that does not run why it may not start yet; "": it may. Those that are needed most come first, by
+// Schedule says for each move that does not run why it may not start yet; "": it may. Those that are needed most come first, by
 // name where the need is equal. One that has to wait keeps its places: nobody that is needed less takes them meanwhile. No
 // tenant has two.
-func May(all []Candidate, l Limits) map[string]string {
+func Schedule(all []Candidate, l ConcurrencyLimits) map[string]string {
 	taken := map[string]int{}
 	tenants := map[string]string{}
 	places := func(c Candidate) map[string]int {
-		out := map[string]int{"": l.All}
+		out := map[string]int{"": l.Total}
 		for _, g := range c.Groups {
-			out[fmt.Sprintf("group %d", g)] = l.Group
+			out[fmt.Sprintf("group %d", g)] = l.PerGroup
 		}
 		for _, h := range c.Hosts {
-			out["host "+h] = l.Host
+			out["host "+h] = l.PerHost
 		}
 		for _, z := range c.Zones {
-			out["zone "+z] = l.Zone
+			out["zone "+z] = l.PerZone
 		}
 		return out
 	}
@@ -52,11 +52,13 @@
 			taken[p]++
 		}
 		if tenants[c.Tenant] == "" {
-			tenants[c.Tenant] = c.Work
+			tenants[c.Tenant] = c.Job
 		}
 	}
 	all = slices.Clone(all)
-	slices.SortFunc(all, func(a, b Candidate) int { return cmp.Or(cmp.Compare(b.Need, a.Need), cmp.Compare(a.Work, b.Work)) })
+	slices.SortFunc(all, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.Job, b.Job))
+	})
 	for _, c := range all {
 		if c.Running {
 			take(c)
@@ -77,26 +79,26 @@
 				why = fmt.Sprintf("%s has %d of %d moves", cmp.Or(p, "the fleet"), taken[p], most)
 			}
 		}
-		out[c.Work] = why
+		out[c.Job] = why
 		take(c)
 	}
 	return out
 }
 
-// Where says on which hosts and in which zones a group has its primary and standbys.
-type Where func(Group) (hosts, zones []string)
+// Topology says on which hosts and in which zones a group has its primary and standbys.
+type Topology func(Group) (hosts, zones []string)
 
 // Candidates are the open moves of a ledger. Whatever was begun runs, also while it waits for a word.
-func Candidates(l *jobs.StateMachine, kind string, where Where) (out []Candidate) {
+func Candidates(l *jobs.StateMachine, kind string, where Topology) (out []Candidate) {
 	for _, name := range l.OpenJobs() {
 		w := l.Jobs[name]
-		p, err := read(w.Spec)
+		p, err := decodePlan(w.Spec)
 		if w.Kind != kind || err != nil {
 			continue
 		}
-		s, err := stateOf(w)
-		c := Candidate{Work: name, Tenant: p.Tenant, Groups: []Group{p.From, p.To}, Need: p.Need}
-		c.Running = err != nil || s.Phase != Planned || w.Operation != nil
+		s, err := decodeState(w)
+		c := Candidate{Job: name, Tenant: p.Tenant, Groups: []Group{p.From, p.To}, Priority: p.Priority}
+		c.Running = err != nil || s.Phase != PhasePlanned || w.Operation != nil
 		for _, g := range c.Groups {
 			h, z := where(g)
 			c.Hosts, c.Zones = append(c.Hosts, h...), append(c.Zones, z...)
--- a/internal/cluster/migration/sql/build.go
+++ b/internal/cluster/migration/sql/build.go
@@ -90,7 +90,7 @@
 
 // dressed makes the triggers that tables lack, each table's in a transaction of its own: who has to wait for one table's
 // writers holds no other up.
-func (p *Databases) dressed(ctx context.Context, a migration.Act, at migration.Group, of func(*table) []string) error {
+func (p *Databases) dressed(ctx context.Context, a migration.Request, at migration.Group, of func(*table) []string) error {
 	var all []*table
 	if err := p.on(ctx, a, at, "tables", func(ctx context.Context, conn *pgconn.PgConn) (err error) {
 		all, err = tables(ctx, conn)
@@ -113,7 +113,7 @@
 }
 
 // founded makes the base where it is missing.
-func (p *Databases) founded(ctx context.Context, a migration.Act, at migration.Group) error {
+func (p *Databases) founded(ctx context.Context, a migration.Request, at migration.Group) error {
 	return p.on(ctx, a, at, "schema ashstand", func(ctx context.Context, conn *pgconn.PgConn) error {
 		there, err := fencing.QueryValue(ctx, conn, "SELECT count(*) FROM information_schema.tables WHERE table_schema = 'ashstand' AND table_name IN "+
 			"('fence', 'gate', 'book', 'touched')")
@@ -130,7 +130,7 @@
 }
 
 // Publish makes the fence, its triggers and a publication without tables.
-func (p *Databases) Publish(ctx context.Context, a migration.Act) error {
+func (p *Databases) Publish(ctx context.Context, a migration.Request) error {
 	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.founded(ctx, a, at); err != nil {
 			return err
@@ -142,7 +142,7 @@
 			if err := shut(ctx, conn, at == a.Plan.To); err != nil {
 				return err
 			}
-			items := book{"work": a.Work, "given": "", "deed": fmt.Sprint(deedNumber(a)), "marked": "", "sub": "", "back": ""}
+			items := book{"work": a.Job, "given": "", "deed": fmt.Sprint(deedNumber(a)), "marked": "", "sub": "", "back": ""}
 			if at == a.Plan.From {
 				if err := p.publication(ctx, conn, objectName(a, "f"), nil); err != nil {
 					return err
@@ -158,7 +158,7 @@
 	}
 	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} { // last of all: it is done
 		if err := p.act(ctx, a, at, "publish", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
-			return write(ctx, conn, book{"published": a.Deed})
+			return write(ctx, conn, book{"published": a.OperationID})
 		}); err != nil {
 			return err
 		}
@@ -215,13 +215,13 @@
 
 // dropSlots drops the slots of moves but those that are to stay. Who still streams from one is ended: its subscription
 // is gone, or is to go.
-func (p *Databases) dropSlots(ctx context.Context, a migration.Act, at migration.Group, stay ...string) error {
+func (p *Databases) dropSlots(ctx context.Context, a migration.Request, at migration.Group, stay ...string) error {
 	return p.on(ctx, a, at, "drop slots", func(ctx context.Context, conn *pgconn.PgConn) error {
 		return freed(ctx, conn, a, stay)
 	})
 }
 
-func freed(ctx context.Context, conn *pgconn.PgConn, a migration.Act, stay []string) error {
+func freed(ctx context.Context, conn *pgconn.PgConn, a migration.Request, stay []string) error {
 	for {
 		left, err := slotsOf(ctx, conn)
 		if err != nil {
@@ -260,7 +260,7 @@
 }
 
 // dropSubscriptions drops those of moves at a group but one. Their slots stay with the publisher, which may be gone.
-func dropSubscriptions(ctx context.Context, conn *pgconn.PgConn, a migration.Act, stay string) error {
+func dropSubscriptions(ctx context.Context, conn *pgconn.PgConn, a migration.Request, stay string) error {
 	rows, _, err := fencing.Exec(ctx, conn, "SELECT subname FROM pg_subscription WHERE subdbid = (SELECT oid FROM pg_database WHERE datname = current_database())")
 	if err != nil {
 		return err
@@ -301,7 +301,7 @@
 }
 
 // follow has one group follow another from now on by a new subscription, and drops what followed before.
-func (p *Databases) follow(ctx context.Context, a migration.Act, at, of migration.Group, called, slot string, l migration.Lines, again, copies bool, all func(*table) bool) error {
+func (p *Databases) follow(ctx context.Context, a migration.Request, at, of migration.Group, called, slot string, l migration.Timelines, again, copies bool, all func(*table) bool) error {
 	var stay []string
 	if err := p.act(ctx, a, of, "publication "+called, ours, func(ctx context.Context, conn *pgconn.PgConn, b book) error {
 		list, err := tables(ctx, conn)
@@ -336,7 +336,7 @@
 				return err
 			}
 		}
-		return write(ctx, conn, book{"sub": called, "sub home line": fmt.Sprint(l.Home), "sub other line": fmt.Sprint(l.Other)})
+		return write(ctx, conn, book{"sub": called, "sub home line": fmt.Sprint(l.Source), "sub other line": fmt.Sprint(l.Target)})
 	}); err != nil {
 		return err
 	}
@@ -352,7 +352,7 @@
 }
 
 // Subscribe makes the subscription at To.
-func (p *Databases) Subscribe(ctx context.Context, a migration.Act) (migration.Lines, error) {
+func (p *Databases) Subscribe(ctx context.Context, a migration.Request) (migration.Timelines, error) {
 	before, err := p.lines(ctx, a, a.Plan.From, a.Plan.To)
 	if err != nil {
 		return before, err
@@ -361,14 +361,14 @@
 		return before, err
 	}
 	called := objectName(a, "f")
-	if err = p.follow(ctx, a, a.Plan.To, a.Plan.From, called, called, before, a.Data.Again, true, func(*table) bool { return false }); err != nil {
+	if err = p.follow(ctx, a, a.Plan.To, a.Plan.From, called, called, before, a.Data.Recopy, true, func(*table) bool { return false }); err != nil {
 		return before, err
 	}
 	return before, p.settled(ctx, a, "followed", before)
 }
 
 // unmark forgets that touched ranges are noted: it is begun anew.
-func (p *Databases) unmark(ctx context.Context, a migration.Act) error {
+func (p *Databases) unmark(ctx context.Context, a migration.Request) error {
 	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.act(ctx, a, at, "forget marks", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
 			return write(ctx, conn, book{"marked": "", "followed": ""})
@@ -380,10 +380,10 @@
 }
 
 // settled notes at both homes that a deed is done there, and at which timelines.
-func (p *Databases) settled(ctx context.Context, a migration.Act, item string, l migration.Lines) error {
+func (p *Databases) settled(ctx context.Context, a migration.Request, item string, l migration.Timelines) error {
 	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.act(ctx, a, at, item, ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
-			return write(ctx, conn, book{item: a.Deed, "home line": fmt.Sprint(l.Home), "other line": fmt.Sprint(l.Other)})
+			return write(ctx, conn, book{item: a.OperationID, "home line": fmt.Sprint(l.Source), "other line": fmt.Sprint(l.Target)})
 		}); err != nil {
 			return err
 		}
@@ -392,15 +392,15 @@
 }
 
 // Copy hands over the next tables.
-func (p *Databases) Copy(ctx context.Context, a migration.Act) (migration.Copied, error) {
-	out := migration.Copied{After: a.State.Copy.After, All: true}
+func (p *Databases) Copy(ctx context.Context, a migration.Request) (migration.CopyResult, error) {
+	out := migration.CopyResult{LastTable: a.State.Copy.LastTable, Complete: true}
 	var sub string
 	err := p.act(ctx, a, a.Plan.From, "hand over tables", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
 		all, err := tables(ctx, conn)
 		if err != nil {
 			return err
 		}
-		out = migration.Copied{After: a.State.Copy.After, All: true}
+		out = migration.CopyResult{LastTable: a.State.Copy.LastTable, Complete: true}
 		if sub, err = published(ctx, conn); err != nil {
 			return err
 		}
@@ -414,13 +414,13 @@
 		}
 		for _, t := range all {
 			switch {
-			case t.fullName() <= a.State.Copy.After || !t.carried():
+			case t.fullName() <= a.State.Copy.LastTable || !t.carried():
 				continue
-			case out.After != a.State.Copy.After && out.Rows+max(0, t.rows) > a.Data.Rows:
-				out.All = false
+			case out.LastTable != a.State.Copy.LastTable && out.Rows+max(0, t.rows) > a.Data.Rows:
+				out.Complete = false
 				return nil
 			}
-			out.After, out.Rows = t.fullName(), out.Rows+max(0, t.rows)
+			out.LastTable, out.Rows = t.fullName(), out.Rows+max(0, t.rows)
 			if !have[t.fullName()] {
 				if err = run(ctx, conn, "ALTER PUBLICATION "+ident(sub)+" ADD TABLE "+t.quoted()); err != nil {
 					return err
@@ -452,8 +452,8 @@
 	return "", err
 }
 
-// Feed has the old home follow the new one.
-func (p *Databases) Feed(ctx context.Context, a migration.Act) (migration.Lines, error) {
+// ReplicateBack has the old home follow the new one.
+func (p *Databases) ReplicateBack(ctx context.Context, a migration.Request) (migration.Timelines, error) {
 	l, err := p.lines(ctx, a, a.Plan.To, a.Plan.From)
 	if err != nil {
 		return l, err
@@ -478,7 +478,7 @@
 		if err != nil {
 			return err
 		}
-		if _, found = slots[b["back"]]; found && b["back line"] == fmt.Sprint(l.Home) {
+		if _, found = slots[b["back"]]; found && b["back line"] == fmt.Sprint(l.Source) {
 			slot = b["back"]
 		}
 		return nil
@@ -491,18 +491,18 @@
 	}); err != nil {
 		return l, err
 	}
-	if followed = followed && strings.HasPrefix(sub, prefix(a)+"r_") && slot != "" && !a.Data.Again; followed {
+	if followed = followed && strings.HasPrefix(sub, prefix(a)+"r_") && slot != "" && !a.Data.Recopy; followed {
 		return l, p.settled(ctx, a, "followed", l)
 	}
 	if err = p.unmark(ctx, a); err != nil {
 		return l, err
 	}
 	called := objectName(a, "r")
-	again := a.Data.Again || slot == ""
+	again := a.Data.Recopy || slot == ""
 	if again {
 		slot = called
 		if err = p.act(ctx, a, a.Plan.To, "the way back", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
-			return write(ctx, conn, book{"back": called, "back line": fmt.Sprint(l.Home)})
+			return write(ctx, conn, book{"back": called, "back line": fmt.Sprint(l.Source)})
 		}); err != nil {
 			return l, err
 		}
@@ -514,7 +514,7 @@
 }
 
 // torn removes what a move built at a home but for the base.
-func (p *Databases) torn(ctx context.Context, a migration.Act, at migration.Group, guards bool) error {
+func (p *Databases) torn(ctx context.Context, a migration.Request, at migration.Group, guards bool) error {
 	if err := p.on(ctx, a, at, "drop subscriptions", func(ctx context.Context, conn *pgconn.PgConn) error {
 		return dropSubscriptions(ctx, conn, a, "")
 	}); err != nil {
@@ -552,8 +552,8 @@
 	return nil
 }
 
-// Clear removes what the move built and empties To's tables.
-func (p *Databases) Clear(ctx context.Context, a migration.Act) error {
+// CleanUp removes what the move built and empties To's tables.
+func (p *Databases) CleanUp(ctx context.Context, a migration.Request) error {
 	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.founded(ctx, a, at); err != nil {
 			return err
@@ -588,17 +588,17 @@
 }
 
 // mine makes a home the work's where it is nobody's: what is to be cleared may never have been built there.
-func (p *Databases) mine(ctx context.Context, a migration.Act, at migration.Group) error {
+func (p *Databases) mine(ctx context.Context, a migration.Request, at migration.Group) error {
 	return p.act(ctx, a, at, "clear", takes, func(ctx context.Context, conn *pgconn.PgConn, b book) error {
 		if b["work"] == "" {
-			return write(ctx, conn, book{"work": a.Work, "deed": fmt.Sprint(deedNumber(a))})
+			return write(ctx, conn, book{"work": a.Job, "deed": fmt.Sprint(deedNumber(a))})
 		}
 		return nil
 	})
 }
 
 // given gives the tenant up at both homes, with their gates as they stay.
-func (p *Databases) given(ctx context.Context, a migration.Act, closed func(migration.Group) bool) error {
+func (p *Databases) given(ctx context.Context, a migration.Request, closed func(migration.Group) bool) error {
 	for _, at := range []migration.Group{a.Plan.From, a.Plan.To} {
 		if err := p.act(ctx, a, at, "give up", ends, func(ctx context.Context, conn *pgconn.PgConn, b book) error {
 			if b["given"] != "" {
@@ -610,7 +610,7 @@
 			if _, _, err := fencing.Exec(ctx, conn, "DELETE FROM ashstand.touched"); err != nil {
 				return err
 			}
-			return write(ctx, conn, book{"given": a.Deed, "sub": "", "back": "", "marked": "", "followed": "", "published": ""})
+			return write(ctx, conn, book{"given": a.OperationID, "sub": "", "back": "", "marked": "", "followed": "", "published": ""})
 		}); err != nil {
 			return err
 		}
@@ -619,7 +619,7 @@
 }
 
 // Finish removes what the move built, with From fenced for good.
-func (p *Databases) Finish(ctx context.Context, a migration.Act) error {
+func (p *Databases) Finish(ctx context.Context, a migration.Request) error {
 	if err := p.act(ctx, a, a.Plan.From, "fence the old home", ends, func(ctx context.Context, conn *pgconn.PgConn, b book) error {
 		if b["given"] != "" {
 			return nil
@@ -638,7 +638,7 @@
 			return err
 		}
 	}
-	if a.Plan.Old == "drop" {
+	if a.Plan.OldCopy == "drop" {
 		if err := p.act(ctx, a, a.Plan.From, "drop tables", ends, func(ctx context.Context, conn *pgconn.PgConn, b book) error {
 			all, err := tables(ctx, conn)
 			if err != nil || b["given"] != "" {
--- a/internal/cluster/migration/sql/check.go
+++ b/internal/cluster/migration/sql/check.go
@@ -62,7 +62,7 @@
 }
 
 // Check looks for all that is in the way.
-func (p *Databases) Check(ctx context.Context, a migration.Act) (out migration.Findings, err error) {
+func (p *Databases) Check(ctx context.Context, a migration.Request) (out migration.CheckResults, err error) {
 	var from, to home
 	read := func(at migration.Group, h *home, rows bool) func() error {
 		return func() error {
@@ -76,7 +76,7 @@
 		return nil, err
 	}
 	find := func(reason, name, detail string, args ...any) {
-		out = append(out, migration.Finding{Reason: reason, Name: name, Detail: fmt.Sprintf(detail, args...)})
+		out = append(out, migration.CheckResult{Reason: reason, Name: name, Detail: fmt.Sprintf(detail, args...)})
 	}
 	there := map[string]*table{}
 	for _, t := range to.tables {
@@ -84,52 +84,52 @@
 	}
 	for _, t := range from.tables {
 		if !t.carried() {
-			find(migration.Unlogged, t.fullName(), "")
+			find(migration.CheckUnloggedTable, t.fullName(), "")
 			continue
 		}
 		if !t.identified() {
-			find(migration.NoIdentity, t.fullName(), "")
+			find(migration.CheckNoReplicaIdentity, t.fullName(), "")
 		}
 		if o := there[t.fullName()]; o == nil {
-			find(migration.SchemaDiffers, t.fullName(), "it is not there")
+			find(migration.CheckSchemaDiffers, t.fullName(), "it is not there")
 		} else if mine, other := shape(t), shape(o); mine != other {
-			find(migration.SchemaDiffers, t.fullName(), "%s here, %s there", mine, other)
+			find(migration.CheckSchemaDiffers, t.fullName(), "%s here, %s there", mine, other)
 		} else if to.holds[t.fullName()] {
-			find(migration.NotEmpty, t.fullName(), "")
+			find(migration.CheckTargetNotEmpty, t.fullName(), "")
 		}
 	}
 	for ext, version := range from.extensions {
 		if to.extensions[ext] != version {
-			find(migration.NoExtension, ext, "%s here, %q there", version, to.extensions[ext])
+			find(migration.CheckExtensionMissing, ext, "%s here, %q there", version, to.extensions[ext])
 		}
 	}
 	if from.objects > 0 {
-		find(migration.LargeObjects, "", "%d", from.objects)
+		find(migration.CheckLargeObjects, "", "%d", from.objects)
 	}
 	for _, gid := range from.prepared {
-		find(migration.Prepared, gid, "")
+		find(migration.CheckPreparedTransaction, gid, "")
 	}
 	for g, h := range map[migration.Group]home{a.Plan.From: from, a.Plan.To: to} {
 		if h.slots < 2 { // the stream's and one that a copy has, or the way back's
-			find(migration.NoSlots, fmt.Sprint("group ", g), "%d left", max(0, h.slots))
+			find(migration.CheckNoSlots, fmt.Sprint("group ", g), "%d left", max(0, h.slots))
 		}
 		if h.wal != "logical" {
-			find(migration.NoSlots, fmt.Sprint("group ", g), "wal_level is %s", h.wal)
+			find(migration.CheckNoSlots, fmt.Sprint("group ", g), "wal_level is %s", h.wal)
 		}
 	}
 	if p.FreeBytes != nil {
 		if room, known := p.FreeBytes(a.Plan.To); known && room < from.size {
-			find(migration.NoRoom, a.Plan.Tenant, "%.0f bytes, %.0f are left", from.size, room)
+			find(migration.CheckNoCapacity, a.Plan.Tenant, "%.0f bytes, %.0f are left", from.size, room)
 		}
 	}
 	for _, s := range from.sequences {
 		if !slices.Contains(to.sequences, s) {
-			find(migration.SchemaDiffers, s, "the sequence is not there")
+			find(migration.CheckSchemaDiffers, s, "the sequence is not there")
 		} else {
-			out = append(out, migration.Finding{Reason: migration.Sequences, Name: s, Told: true})
+			out = append(out, migration.CheckResult{Reason: migration.CheckSequence, Name: s, Informational: true})
 		}
 	}
-	slices.SortStableFunc(out, func(x, y migration.Finding) int { return strings.Compare(x.Reason+x.Name, y.Reason+y.Name) })
+	slices.SortStableFunc(out, func(x, y migration.CheckResult) int { return strings.Compare(x.Reason+x.Name, y.Reason+y.Name) })
 	return out, nil
 }
 
--- a/internal/cluster/migration/sql/compare.go
+++ b/internal/cluster/migration/sql/compare.go
@@ -16,8 +16,8 @@
 	"ashstand/internal/cluster/migration"
 )
 
-// Mark begins to note which rows are touched, and makes the slot for the way back.
-func (p *Databases) Mark(ctx context.Context, a migration.Act, home, other migration.Group) (migration.Lines, error) {
+// Track begins to note which rows are touched, and makes the slot for the way back.
+func (p *Databases) Track(ctx context.Context, a migration.Request, home, other migration.Group) (migration.Timelines, error) {
 	l, err := p.lines(ctx, a, home, other)
 	if err != nil {
 		return l, err
@@ -29,7 +29,7 @@
 				if err := shut(ctx, conn, true); err != nil {
 					return err
 				}
-				if err := write(ctx, conn, book{"back": back, "back line": fmt.Sprint(l.Other)}); err != nil {
+				if err := write(ctx, conn, book{"back": back, "back line": fmt.Sprint(l.Target)}); err != nil {
 					return err
 				}
 			}
@@ -79,7 +79,7 @@
 }
 
 // quiet waits until all who were writing when it began have ended.
-func (p *Databases) quiet(ctx context.Context, a migration.Act, at migration.Group) error {
+func (p *Databases) quiet(ctx context.Context, a migration.Request, at migration.Group) error {
 	return p.on(ctx, a, at, "wait for writers", func(ctx context.Context, conn *pgconn.PgConn) error {
 		const of = "FROM pg_stat_activity WHERE datname = current_database() AND pid <> pg_backend_pid() AND backend_xid IS NOT NULL"
 		rows, _, err := fencing.Exec(ctx, conn, "SELECT pid, backend_xid "+of)
@@ -119,7 +119,7 @@
 }
 
 // WritersActiveError is a wait for writers that took too long.
-type WritersActiveError struct{ Sessions []migration.Straggler }
+type WritersActiveError struct{ Sessions []migration.BlockingSession }
 
 func (w *WritersActiveError) Error() string {
 	out := "writers did not end"
@@ -140,19 +140,19 @@
 // rowDigest is one as it was read.
 type rowDigest struct {
 	key    string // as JSON of its key columns' texts; "": the table has no key
-	digest migration.Sum
+	digest migration.RangeDigest
 }
 
 // rowSet is what a read of a range gave.
 type rowSet struct {
 	rows   []rowDigest
-	digest migration.Sum
+	digest migration.RangeDigest
 	full   bool // as many rows as were asked for
 }
 
 func (s *rowSet) add(t *table, values [][]byte) {
-	var one migration.Sum
-	one.Row(values...)
+	var one migration.RangeDigest
+	one.AddRow(values...)
 	s.digest = plus(s.digest, values)
 	key := ""
 	if len(t.key) > 0 {
@@ -165,8 +165,8 @@
 	}
 }
 
-func plus(s migration.Sum, values [][]byte) migration.Sum {
-	s.Row(values...)
+func plus(s migration.RangeDigest, values [][]byte) migration.RangeDigest {
+	s.AddRow(values...)
 	return s
 }
 
@@ -274,7 +274,7 @@
 // cursor is the last range that was compared.
 func cursor(t *table, key []string) string { return encodeKey(append([]string{t.fullName()}, key...)) }
 
-// mostCursor is what a cursor may have, in bytes; see move.State.
+// maxCursorBytes is what a cursor may have, in bytes; see move.State.
 const mostCursor = 600
 
 // piece is a range that was read at home.
@@ -285,12 +285,12 @@
 }
 
 // Compare holds the ranges that follow against each other.
-func (p *Databases) Compare(ctx context.Context, a migration.Act, home, other migration.Group) (out migration.Compared, err error) {
+func (p *Databases) Compare(ctx context.Context, a migration.Request, home, other migration.Group) (out migration.ComparisonResult, err error) {
 	began := time.Now()
 	var pieces []piece
-	var pos migration.Position
+	var pos migration.LSN
 	read := 0
-	from := decodeKey(a.State.Compare.After)
+	from := decodeKey(a.State.Comparison.LastRange)
 	if err = p.act(ctx, a, home, "compare", ours, func(context.Context, *pgconn.PgConn, book) error { return nil }); err != nil {
 		return out, err
 	}
@@ -303,7 +303,7 @@
 			return err
 		}
 		var pages int
-		if pieces, out.After, out.All, pages, err = p.pages(ctx, conn, all, from); err != nil {
+		if pieces, out.LastRange, out.Complete, pages, err = p.pages(ctx, conn, all, from); err != nil {
 			return err
 		}
 		read = pages
@@ -332,7 +332,7 @@
 	var unlike []int
 	for i, x := range pieces {
 		if x.digest == seen[i].digest {
-			out.Equal++
+			out.EqualRanges++
 		} else {
 			unlike = append(unlike, i)
 		}
@@ -344,14 +344,14 @@
 		}
 		for _, i := range unlike {
 			if explained(pieces[i], seen[i], noted[pieces[i].t.fullName()]) {
-				out.Hot++
+				out.ChangedRanges++
 			} else {
-				out.Differ = append(out.Differ, unequal(pieces[i], seen[i]))
+				out.Differences = append(out.Differences, unequal(pieces[i], seen[i]))
 			}
 		}
 	}
 	if read > 0 {
-		p.learn(a.Work, func(x *pace) {
+		p.learn(a.Job, func(x *pace) {
 			if x.verifies == 0 {
 				x.verifies = float64(time.Since(began).Microseconds()) / 1e3 / float64(read)
 			}
@@ -415,7 +415,7 @@
 	if len(x.t.key) == 0 {
 		return false
 	}
-	have := map[string]migration.Sum{}
+	have := map[string]migration.RangeDigest{}
 	for _, r := range x.rows {
 		have[r.key] = r.digest
 	}
@@ -435,11 +435,11 @@
 
 func unequal(x piece, o rowSet) migration.Difference {
 	r := migration.Range{Table: x.t.fullName(), From: strings.Join(x.after, ","), To: strings.Join(x.upTo, ",")}
-	return migration.Difference{Kind: "rows", Table: r.Table, Range: r.String(), Home: x.digest.String(), Other: o.digest.String()}
+	return migration.Difference{Kind: "rows", Table: r.Table, Range: r.String(), Source: x.digest.String(), Target: o.digest.String()}
 }
 
 // noted are the keys that were touched at either home since the marks were made, by table.
-func (p *Databases) noted(ctx context.Context, a migration.Act, home, other migration.Group) (map[string]map[string]bool, error) {
+func (p *Databases) noted(ctx context.Context, a migration.Request, home, other migration.Group) (map[string]map[string]bool, error) {
 	var of [2][][]string
 	get := func(at migration.Group, i int) func() error {
 		return func() error {
@@ -470,7 +470,7 @@
 
 // ReplicationLagError is a home that did not take in in time what the other one holds.
 type ReplicationLagError struct {
-	Required, Applied migration.Position
+	Required, Applied migration.LSN
 }
 
 func (b *ReplicationLagError) Error() string {
@@ -486,7 +486,7 @@
 }
 
 // reached waits until the other home has taken in all up to a position.
-func (p *Databases) reached(ctx context.Context, a migration.Act, home, other migration.Group, want migration.Position) error {
+func (p *Databases) reached(ctx context.Context, a migration.Request, home, other migration.Group, want migration.LSN) error {
 	return p.on(ctx, a, home, "wait for the other home", func(ctx context.Context, conn *pgconn.PgConn) error {
 		until := time.Now().Add(p.within(a))
 		for {
@@ -510,7 +510,7 @@
 }
 
 // confirmed is what the one who follows this home has taken in and holds for good.
-func confirmed(ctx context.Context, conn *pgconn.PgConn) (pos migration.Position, found bool, err error) {
+func confirmed(ctx context.Context, conn *pgconn.PgConn) (pos migration.LSN, found bool, err error) {
 	slot, err := followedBy(ctx, conn)
 	if err != nil || slot == "" {
 		return 0, false, err
@@ -543,7 +543,7 @@
 }
 
 // followed is the move's subscription at a group and its slot; "": none.
-func followed(ctx context.Context, conn *pgconn.PgConn, a migration.Act) (sub, slot string, err error) {
+func followed(ctx context.Context, conn *pgconn.PgConn, a migration.Request) (sub, slot string, err error) {
 	rows, _, err := fencing.Exec(ctx, conn, "SELECT subname, subslotname FROM pg_subscription "+
 		"WHERE subdbid = (SELECT oid FROM pg_database WHERE datname = current_database()) AND subenabled")
 	b, err2 := readBook(ctx, conn)
@@ -556,7 +556,7 @@
 }
 
 // Verify holds all that was touched, counts, sequences and reads against each other while both are still.
-func (p *Databases) Verify(ctx context.Context, a migration.Act, home, other migration.Group) (out migration.Verified, err error) {
+func (p *Databases) Verify(ctx context.Context, a migration.Request, home, other migration.Group) (out migration.VerificationResult, err error) {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, p.within(a))
 	defer cancel()
@@ -564,26 +564,26 @@
 	if err == nil {
 		err = p.verify(ctx, a, home, other, before, &out)
 	}
-	var after migration.Lines
+	var after migration.Timelines
 	if err == nil {
 		after, err = p.lines(ctx, a, home, other)
 	}
 	if ctx.Err() != nil && err != nil || sqlState(err) == "57014" {
-		return migration.Verified{Late: true, Lines: before}, nil
+		return migration.VerificationResult{TimedOut: true, Timelines: before}, nil
 	}
-	if out.Lines = before; before.Home != after.Home {
-		out.Lines.Home = 0
+	if out.Timelines = before; before.Source != after.Source {
+		out.Timelines.Source = 0
 	}
-	if before.Other != after.Other {
-		out.Lines.Other = 0
+	if before.Target != after.Target {
+		out.Timelines.Target = 0
 	}
-	if err == nil && out.Ranges > 0 {
-		p.learn(a.Work, func(x *pace) { x.verifies = float64(time.Since(began).Microseconds()) / 1e3 / float64(out.Ranges) })
+	if err == nil && out.RangesRead > 0 {
+		p.learn(a.Job, func(x *pace) { x.verifies = float64(time.Since(began).Microseconds()) / 1e3 / float64(out.RangesRead) })
 	}
 	return out, err
 }
 
-func (p *Databases) verify(ctx context.Context, a migration.Act, home, other migration.Group, l migration.Lines, out *migration.Verified) error {
+func (p *Databases) verify(ctx context.Context, a migration.Request, home, other migration.Group, l migration.Timelines, out *migration.VerificationResult) error {
 	var own, its []*table
 	var seqs [][]string
 	marks := [2]string{}
@@ -626,7 +626,7 @@
 		}
 		for _, s := range seqs {
 			if n := s[0] + "." + s[1]; have[n] != s[2] {
-				out.Differ = append(out.Differ, migration.Difference{Kind: "sequence", Table: n, Home: s[2], Other: have[n]})
+				out.Differences = append(out.Differences, migration.Difference{Kind: "sequence", Table: n, Source: s[2], Target: have[n]})
 			}
 		}
 		return err
@@ -637,17 +637,17 @@
 	if err != nil {
 		return err
 	}
-	every := marks[0] == "" || marks[0] != marks[1] || l != a.State.Lines || !a.State.Compare.All
+	every := marks[0] == "" || marks[0] != marks[1] || l != a.State.Timelines || !a.State.Comparison.Complete
 	shapes := map[string]string{}
 	for _, t := range its {
 		shapes[t.fullName()] = shape(t)
 	}
 	for _, t := range own {
 		if t.carried() && shapes[t.fullName()] != shape(t) {
-			out.Differ = append(out.Differ, migration.Difference{Kind: "count", Table: t.fullName(), Home: shape(t), Other: shapes[t.fullName()]})
+			out.Differences = append(out.Differences, migration.Difference{Kind: "count", Table: t.fullName(), Source: shape(t), Target: shapes[t.fullName()]})
 		}
 	}
-	if len(out.Differ) > 0 {
+	if len(out.Differences) > 0 {
 		return nil
 	}
 	var got [2]*held
@@ -666,23 +666,23 @@
 	return nil
 }
 
-func (p *Databases) played(a migration.Act) []string {
-	if p.SampleQueries == nil || a.Plan.Reads == 0 {
+func (p *Databases) played(a migration.Request) []string {
+	if p.SampleQueries == nil || a.Plan.SampledQueries == 0 {
 		return nil
 	}
-	return p.SampleQueries(a.Plan.Tenant, a.Plan.Reads)
+	return p.SampleQueries(a.Plan.Tenant, a.Plan.SampledQueries)
 }
 
 // held is what a home holds of what is verified.
 type held struct {
 	counts map[string]string
-	sums   map[migration.Range]migration.Sum
-	reads  map[string]migration.Sum
+	sums   map[migration.Range]migration.RangeDigest
+	reads  map[string]migration.RangeDigest
 	ranges int
 }
 
 func (p *Databases) held(ctx context.Context, conn *pgconn.PgConn, all []*table, noted map[string]map[string]bool, every bool, reads []string) (*held, error) {
-	h := &held{counts: map[string]string{}, sums: map[migration.Range]migration.Sum{}, reads: map[string]migration.Sum{}}
+	h := &held{counts: map[string]string{}, sums: map[migration.Range]migration.RangeDigest{}, reads: map[string]migration.RangeDigest{}}
 	if _, err := conn.Exec(ctx, forms).ReadAll(); err != nil {
 		return nil, err
 	}
@@ -718,10 +718,10 @@
 		}
 	}
 	for _, q := range reads {
-		var s migration.Sum
+		var s migration.RangeDigest
 		r := conn.ExecParams(ctx, q, nil, nil, nil, nil)
 		for r.NextRow() {
-			s.Row(r.Values()...)
+			s.AddRow(r.Values()...)
 		}
 		if _, err := r.Close(); err != nil {
 			return nil, err
@@ -753,20 +753,20 @@
 }
 
 // against names what differs.
-func (h *held) against(o *held, out *migration.Verified) {
-	out.Ranges, out.Reads = h.ranges, len(h.reads)
+func (h *held) against(o *held, out *migration.VerificationResult) {
+	out.RangesRead, out.QueriesReplayed = h.ranges, len(h.reads)
 	for t, n := range h.counts {
 		if o.counts[t] != n {
-			out.Differ = append(out.Differ, migration.Difference{Kind: "count", Table: t, Home: n, Other: o.counts[t]})
+			out.Differences = append(out.Differences, migration.Difference{Kind: "count", Table: t, Source: n, Target: o.counts[t]})
 		}
 	}
-	out.Differ = append(out.Differ, migration.Differ(h.sums, o.sums)...)
+	out.Differences = append(out.Differences, migration.CompareRanges(h.sums, o.sums)...)
 	for q, s := range h.reads {
 		if o.reads[q] != s {
-			out.Differ = append(out.Differ, migration.Difference{Kind: "read", Range: q, Home: s.String(), Other: o.reads[q].String()})
+			out.Differences = append(out.Differences, migration.Difference{Kind: "read", Range: q, Source: s.String(), Target: o.reads[q].String()})
 		}
 	}
-	slices.SortStableFunc(out.Differ, func(a, b migration.Difference) int {
+	slices.SortStableFunc(out.Differences, func(a, b migration.Difference) int {
 		return cmp.Compare(a.Kind+a.Table+a.Range, b.Kind+b.Table+b.Range)
 	})
 }
--- a/internal/cluster/migration/sql/gate.go
+++ b/internal/cluster/migration/sql/gate.go
@@ -12,15 +12,15 @@
 	"ashstand/internal/cluster/migration"
 )
 
-// Close closes the gate at the group that serves the tenant.
-func (p *Databases) Close(ctx context.Context, a migration.Act, at migration.Group) (*migration.Closed, []migration.Straggler, error) {
+// Fence closes the gate at the group that serves the tenant.
+func (p *Databases) Fence(ctx context.Context, a migration.Request, at migration.Group) (*migration.FencePoint, []migration.BlockingSession, error) {
 	until := time.Now().Add(p.within(a))
 	wait := p.within(a)
-	if a.Data.End { // once for those who are about to end, once for those who were ended
+	if a.Data.EndBlockingSessions { // once for those who are about to end, once for those who were ended
 		wait /= 2
 	}
 	closed, held, err := p.close(ctx, a, at, wait)
-	if sqlState(err) != "55P03" || !a.Data.End || len(held) == 0 {
+	if sqlState(err) != "55P03" || !a.Data.EndBlockingSessions || len(held) == 0 {
 		return closed, held, late(err)
 	}
 	if err = p.act(ctx, a, at, "end stragglers", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
@@ -46,10 +46,10 @@
 }
 
 // close tries once.
-func (p *Databases) close(ctx context.Context, a migration.Act, at migration.Group, wait time.Duration) (*migration.Closed, []migration.Straggler, error) {
+func (p *Databases) close(ctx context.Context, a migration.Request, at migration.Group, wait time.Duration) (*migration.FencePoint, []migration.BlockingSession, error) {
 	bounds := p.bounds(a)
 	bounds.Lock, bounds.Statement = max(wait, time.Millisecond), wait+p.within(a)
-	var closed *migration.Closed
+	var closed *migration.FencePoint
 	err := p.actWithin(ctx, bounds, a, at, "close", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
 		if err := shut(ctx, conn, true); err != nil {
 			return err
@@ -63,8 +63,8 @@
 		if err != nil {
 			return err
 		}
-		closed = &migration.Closed{Line: n, Position: pos}
-		return write(ctx, conn, book{"closed": fmt.Sprintf("%s %d %d", a.Deed, n, uint64(pos))})
+		closed = &migration.FencePoint{Timeline: n, LSN: pos}
+		return write(ctx, conn, book{"closed": fmt.Sprintf("%s %d %d", a.OperationID, n, uint64(pos))})
 	})
 	if err == nil {
 		return closed, nil, nil
@@ -72,7 +72,7 @@
 	if sqlState(err) != "55P03" {
 		return nil, nil, err
 	}
-	var held []migration.Straggler
+	var held []migration.BlockingSession
 	if look := p.on(ctx, a, at, "stragglers", func(ctx context.Context, conn *pgconn.PgConn) (err error) {
 		held, err = stragglers(ctx, conn)
 		return err
@@ -84,18 +84,18 @@
 
 // stragglers are the sessions that have written in a transaction which is open; or, where there is none, those whose
 // transaction is.
-func stragglers(ctx context.Context, conn *pgconn.PgConn) ([]migration.Straggler, error) {
+func stragglers(ctx context.Context, conn *pgconn.PgConn) ([]migration.BlockingSession, error) {
 	rows, _, err := fencing.Exec(ctx, conn, "SELECT pid, usename, state, backend_xid, extract(epoch FROM clock_timestamp() - xact_start) FROM pg_stat_activity "+
 		"WHERE datname = current_database() AND pid <> pg_backend_pid() AND backend_type = 'client backend' AND xact_start IS NOT NULL "+
 		"ORDER BY xact_start")
 	if err != nil {
 		return nil, err
 	}
-	var writing, open []migration.Straggler
+	var writing, open []migration.BlockingSession
 	for _, r := range rows {
 		pid, _ := strconv.Atoi(r[0])
 		age, _ := strconv.ParseFloat(r[4], 64)
-		s := migration.Straggler{PID: pid, User: r[1], Age: fmt.Sprintf("%.3f s", age)}
+		s := migration.BlockingSession{PID: pid, User: r[1], Age: fmt.Sprintf("%.3f s", age)}
 		if r[3] != "" {
 			s.Kind = "writing, " + r[2]
 			writing = append(writing, s)
@@ -110,8 +110,8 @@
 	return open, nil
 }
 
-// Fenced says whether the gate is closed, under this token.
-func (p *Databases) Fenced(ctx context.Context, a migration.Act, at migration.Group) (closed bool, n int, err error) {
+// FenceStatus says whether the gate is closed, under this token.
+func (p *Databases) FenceStatus(ctx context.Context, a migration.Request, at migration.Group) (closed bool, n int, err error) {
 	err = p.act(ctx, a, at, "fenced", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
 		shut, err := fencing.QueryValue(ctx, conn, "SELECT closed FROM ashstand.gate WHERE id = 1")
 		if err != nil {
@@ -124,8 +124,8 @@
 	return closed, n, err
 }
 
-// Open opens the gate of a group, once it follows nobody.
-func (p *Databases) Open(ctx context.Context, a migration.Act, at migration.Group) error {
+// Unfence opens the gate of a group, once it follows nobody.
+func (p *Databases) Unfence(ctx context.Context, a migration.Request, at migration.Group) error {
 	if err := p.act(ctx, a, at, "open", ours, func(context.Context, *pgconn.PgConn, book) error { return nil }); err != nil {
 		return err
 	}
--- a/internal/cluster/migration/sql/golden_test.go
+++ b/internal/cluster/migration/sql/golden_test.go
@@ -232,7 +232,7 @@
 func newGoldenRun(t *testing.T, plan migration.Plan) *goldenRun {
 	g := &goldenRun{rig: newRig(t, 2, plan), log: &statementLog{lines: map[migration.Group][]string{}}, plan: plan, token: 5, number: 10}
 	g.plan.Tenant = tenant
-	g.state.Phase = migration.Planned
+	g.state.Phase = migration.PhasePlanned
 	addresses := map[string]string{}
 	for group := range g.groups {
 		for _, h := range g.hosts(group) {
@@ -250,16 +250,16 @@
 }
 
 // next is the next deed.
-func (g *goldenRun) next(name string) migration.Act {
+func (g *goldenRun) next(name string) migration.Request {
 	g.number++
 	return g.present(name)
 }
 
 // present is the deed that was announced last, under another name.
-func (g *goldenRun) present(name string) migration.Act {
-	return migration.Act{
-		Plan: g.plan, Work: "m1", Token: g.token, Told: g.token, Number: g.number, Deed: fmt.Sprintf("m1/%d", g.number), Name: name,
-		State: g.state, Data: migration.Data{Within: 20000},
+func (g *goldenRun) present(name string) migration.Request {
+	return migration.Request{
+		Plan: g.plan, Job: "m1", Token: g.token, AnnouncedToken: g.token, Number: g.number, OperationID: fmt.Sprintf("m1/%d", g.number), Operation: name,
+		State: g.state, Data: migration.OperationData{TimeoutMillis: 20000},
 	}
 }
 
@@ -306,13 +306,13 @@
 }
 
 // recover plays a new owner that finds out about a deed.
-func (g *goldenRun) recover(a migration.Act) {
+func (g *goldenRun) recover(a migration.Request) {
 	g.t.Helper()
 	g.token++
 	a.Token = g.token
-	g.step("look for "+a.Name, func() (any, error) {
-		f, err := g.databases.Look(g.ctx, a)
-		return []any{f.Done, f.Lines, f.Closed}, err
+	g.step("look for "+a.Operation, func() (any, error) {
+		f, err := g.databases.Recover(g.ctx, a)
+		return []any{f.Done, f.Timelines, f.Fence}, err
 	})
 }
 
@@ -320,63 +320,63 @@
 func (g *goldenRun) awaitReplication(home, other migration.Group) {
 	g.t.Helper()
 	require.Eventually(g.t, func() bool {
-		p, err := g.databases.Progress(g.ctx, g.present(""), home, other)
-		return err == nil && p.Ready && !p.SlotLost && p.Applied >= p.HomePos
+		p, err := g.databases.ReplicationStatus(g.ctx, g.present(""), home, other)
+		return err == nil && p.TablesCopied && !p.SlotLost && p.AppliedLSN >= p.SourceLSN
 	}, 20*time.Second, 20*time.Millisecond)
 }
 
 func (g *goldenRun) progress(home, other migration.Group) {
 	g.t.Helper()
 	a := g.present("")
-	a.Deed = ""
+	a.OperationID = ""
 	g.step("progress, "+string(g.state.Phase), func() (any, error) {
-		p, err := g.databases.Progress(g.ctx, a, home, other)
-		return []bool{p.Reached, p.Ready, p.SlotLost, p.FenceOff, p.Unmarked, p.Ahead}, err
+		p, err := g.databases.ReplicationStatus(g.ctx, a, home, other)
+		return []bool{p.Reachable, p.TablesCopied, p.SlotLost, p.TargetUnfenced, p.TrackingLost, p.TargetAhead}, err
 	})
 }
 
-func (g *goldenRun) publish() migration.Act {
-	a := g.next(migration.DeedPublish)
+func (g *goldenRun) publish() migration.Request {
+	a := g.next(migration.OperationPublish)
 	g.step("publish", func() (any, error) { return nil, g.databases.Publish(g.ctx, a) })
 	return a
 }
 
-func (g *goldenRun) subscribe() migration.Act {
-	a := g.next(migration.DeedSubscribe)
+func (g *goldenRun) subscribe() migration.Request {
+	a := g.next(migration.OperationSubscribe)
 	g.step("subscribe", func() (any, error) { return g.databases.Subscribe(g.ctx, a) })
-	g.state.Phase = migration.Copying
+	g.state.Phase = migration.PhaseCopying
 	return a
 }
 
 // copyTables hands over one table, and then the others.
 func (g *goldenRun) copyTables() {
 	for _, rows := range []float64{0, 1e6} {
-		a := g.next(migration.DeedCopy)
+		a := g.next(migration.OperationCopy)
 		a.Data.Rows = rows
 		g.step(fmt.Sprintf("copy, %v rows", rows), func() (any, error) {
 			out, err := g.databases.Copy(g.ctx, a)
-			g.state.Copy.After, g.state.Copy.All = out.After, out.All
+			g.state.Copy.LastTable, g.state.Copy.Complete = out.LastTable, out.Complete
 			return out, err
 		})
 	}
 	g.awaitReplication(1, 2)
 }
 
-func (g *goldenRun) track(home, other migration.Group) migration.Act {
-	a := g.next(migration.DeedMark)
+func (g *goldenRun) track(home, other migration.Group) migration.Request {
+	a := g.next(migration.OperationTrack)
 	g.step("mark", func() (any, error) {
-		lines, err := g.databases.Mark(g.ctx, a, home, other)
-		g.state.Lines = lines
+		lines, err := g.databases.Track(g.ctx, a, home, other)
+		g.state.Timelines = lines
 		return lines, err
 	})
 	return a
 }
 
 func (g *goldenRun) compare(title string, home, other migration.Group) {
-	a := g.next(migration.DeedCompare)
+	a := g.next(migration.OperationCompare)
 	g.step(title, func() (any, error) {
 		out, err := g.databases.Compare(g.ctx, a, home, other)
-		g.state.Compare = migration.Compare{After: out.After, All: out.All}
+		g.state.Comparison = migration.ComparisonCheckpoint{LastRange: out.LastRange, Complete: out.Complete}
 		return out, err
 	})
 }
@@ -400,23 +400,23 @@
 
 // The statements of each deed, what it returns and what it leaves stored, of a migration that is accepted.
 func TestGoldenStatementsOfAnAcceptedMigration(t *testing.T) {
-	g := newGoldenRun(t, migration.Plan{From: 1, To: 2, Lock: 1000, Old: "drop", Reads: 1, Pause: 5000})
+	g := newGoldenRun(t, migration.Plan{From: 1, To: 2, FenceWaitMillis: 1000, OldCopy: "drop", SampledQueries: 1, MaxPauseMillis: 5000})
 	g.seed()
-	g.step("check", func() (any, error) { return g.databases.Check(g.ctx, g.next(migration.DeedCheck)) })
-	g.recover(g.next(migration.DeedPublish))
+	g.step("check", func() (any, error) { return g.databases.Check(g.ctx, g.next(migration.OperationCheck)) })
+	g.recover(g.next(migration.OperationPublish))
 	g.recover(g.publish())
-	g.recover(g.next(migration.DeedSubscribe))
+	g.recover(g.next(migration.OperationSubscribe))
 	g.recover(g.subscribe())
 	g.copyTables()
 	g.progress(1, 2)
-	g.state.Phase = migration.CatchingUp
-	g.recover(g.next(migration.DeedMark))
+	g.state.Phase = migration.PhaseCatchingUp
+	g.recover(g.next(migration.OperationTrack))
 	g.recover(g.track(1, 2))
 	g.progress(1, 2)
 	g.compare("compare", 1, 2)
 	g.exec(g.dial(1), "UPDATE entries SET payload = 'touched' WHERE ref = 'seed-0000014'")
 	g.compare("compare, to the end already", 1, 2)
-	g.state.Compare = migration.Compare{After: `["public.entries","seed-0000009"]`}
+	g.state.Comparison = migration.ComparisonCheckpoint{LastRange: `["public.entries","seed-0000009"]`}
 	byHand := g.dial(2)
 	g.exec(byHand, "SET session_replication_role = replica")
 	g.exec(byHand, "UPDATE entries SET payload = 'by hand' WHERE ref = 'seed-0000022'")
@@ -426,17 +426,17 @@
 	g.exec(byHand, "INSERT INTO entries (ref, payload) VALUES ('seed-0000022', '"+values[0][0]+"')")
 	g.fence()
 	g.verify()
-	a := g.next(migration.DeedSwitch)
+	a := g.next(migration.OperationSwitch)
 	g.step("fenced", func() (any, error) {
-		closed, line, err := g.databases.Fenced(g.ctx, a, 1)
+		closed, line, err := g.databases.FenceStatus(g.ctx, a, 1)
 		return []any{closed, line}, err
 	})
-	g.step("open", func() (any, error) { return nil, g.databases.Open(g.ctx, a, 2) })
-	g.state.Phase = migration.Switched
+	g.step("open", func() (any, error) { return nil, g.databases.Unfence(g.ctx, a, 2) })
+	g.state.Phase = migration.PhaseSwitched
 	g.replicateBack()
-	a = g.next(migration.DeedFinish)
+	a = g.next(migration.OperationFinish)
 	g.step("finish", func() (any, error) { return nil, g.databases.Finish(g.ctx, a) })
-	g.state.Phase = migration.Accepted
+	g.state.Phase = migration.PhaseAccepted
 	g.recover(a)
 	requireGolden(t, "statements-accepted.txt", g.out.String())
 }
@@ -446,68 +446,68 @@
 	straggler := g.dial(1)
 	g.exec(straggler, "BEGIN")
 	g.exec(straggler, "INSERT INTO entries (ref, payload) VALUES ('straggler', '')")
-	a := g.next(migration.DeedClose)
-	a.Data.Within, a.Data.End = 1000, true
-	g.state.Phase = migration.Closing
-	a.State.Phase = migration.Closing
-	g.recover(g.next(migration.DeedClose))
-	a.Token, a.Told, a.Deed = g.token, g.token, fmt.Sprintf("m1/%d", g.number+1)
+	a := g.next(migration.OperationFence)
+	a.Data.TimeoutMillis, a.Data.EndBlockingSessions = 1000, true
+	g.state.Phase = migration.PhaseFencing
+	a.State.Phase = migration.PhaseFencing
+	g.recover(g.next(migration.OperationFence))
+	a.Token, a.AnnouncedToken, a.OperationID = g.token, g.token, fmt.Sprintf("m1/%d", g.number+1)
 	g.number++
 	g.step("close, and end a session", func() (any, error) {
-		closed, held, err := g.databases.Close(g.ctx, a, 1)
+		closed, held, err := g.databases.Fence(g.ctx, a, 1)
 		return []any{closed, held}, err
 	})
 	g.recover(a)
 }
 
 func (g *goldenRun) verify() {
-	g.state.Phase = migration.Verifying
+	g.state.Phase = migration.PhaseVerifying
 	require.Eventually(g.t, func() bool {
-		p, err := g.databases.Progress(g.ctx, g.present(""), 1, 2)
-		return err == nil && p.Applied >= p.HomePos
+		p, err := g.databases.ReplicationStatus(g.ctx, g.present(""), 1, 2)
+		return err == nil && p.AppliedLSN >= p.SourceLSN
 	}, 20*time.Second, 20*time.Millisecond)
-	a := g.next(migration.DeedVerify)
+	a := g.next(migration.OperationVerify)
 	g.step("verify what was touched", func() (any, error) { return g.databases.Verify(g.ctx, a, 1, 2) })
-	a = g.next(migration.DeedVerify)
-	a.State.Lines = migration.Lines{}
+	a = g.next(migration.OperationVerify)
+	a.State.Timelines = migration.Timelines{}
 	g.step("verify everything", func() (any, error) { return g.databases.Verify(g.ctx, a, 1, 2) })
 }
 
 // replicateBack plays the way back: the old home follows the new one, by the slot that was made for it and then by another.
 func (g *goldenRun) replicateBack() {
-	g.recover(g.next(migration.DeedFeed))
-	a := g.next(migration.DeedFeed)
-	g.step("feed", func() (any, error) { return g.databases.Feed(g.ctx, a) })
+	g.recover(g.next(migration.OperationReplicateBack))
+	a := g.next(migration.OperationReplicateBack)
+	g.step("feed", func() (any, error) { return g.databases.ReplicateBack(g.ctx, a) })
 	g.recover(a)
-	a = g.next(migration.DeedFeed)
-	g.step("feed, it follows already", func() (any, error) { return g.databases.Feed(g.ctx, a) })
+	a = g.next(migration.OperationReplicateBack)
+	g.step("feed, it follows already", func() (any, error) { return g.databases.ReplicateBack(g.ctx, a) })
 	g.track(2, 1)
-	g.state.Compare = migration.Compare{}
+	g.state.Comparison = migration.ComparisonCheckpoint{}
 	g.awaitReplication(2, 1)
 	g.progress(2, 1)
 	g.compare("compare on the way back", 2, 1)
-	a = g.next(migration.DeedFeed)
-	a.Data.Again = true
-	g.step("feed, anew", func() (any, error) { return g.databases.Feed(g.ctx, a) })
+	a = g.next(migration.OperationReplicateBack)
+	a.Data.Recopy = true
+	g.step("feed, anew", func() (any, error) { return g.databases.ReplicateBack(g.ctx, a) })
 	g.awaitReplication(2, 1)
 }
 
 // The statements of each deed of a migration that is rolled back before its switch.
 func TestGoldenStatementsOfAMigrationRolledBack(t *testing.T) {
-	g := newGoldenRun(t, migration.Plan{From: 1, To: 2, Lock: 1000, Pause: 5000})
+	g := newGoldenRun(t, migration.Plan{From: 1, To: 2, FenceWaitMillis: 1000, MaxPauseMillis: 5000})
 	g.seed()
 	g.publish()
 	g.subscribe()
 	g.copyTables()
-	a := g.next(migration.DeedSubscribe)
-	a.Data.Again = true
+	a := g.next(migration.OperationSubscribe)
+	a.Data.Recopy = true
 	g.step("subscribe anew", func() (any, error) { return g.databases.Subscribe(g.ctx, a) })
-	g.state.Copy = migration.Copy{}
+	g.state.Copy = migration.CopyCheckpoint{}
 	g.copyTables()
 	g.track(1, 2)
-	g.recover(g.next(migration.DeedClear))
-	a = g.next(migration.DeedClear)
-	g.step("clear", func() (any, error) { return nil, g.databases.Clear(g.ctx, a) })
+	g.recover(g.next(migration.OperationCleanUp))
+	a = g.next(migration.OperationCleanUp)
+	g.step("clear", func() (any, error) { return nil, g.databases.CleanUp(g.ctx, a) })
 	g.recover(a)
 	requireGolden(t, "statements-rolled-back.txt", g.out.String())
 }
@@ -523,18 +523,18 @@
 		all.add(shop, values)
 	}
 	for _, r := range all.rows {
-		fmt.Fprintf(&out, "row %s: %d %016x\n", r.key, r.digest.Rows, r.digest.Digest)
+		fmt.Fprintf(&out, "row %s: %d %016x\n", r.key, r.digest.Rows, r.digest.Sum)
 		list := decodeKey(r.key)
 		require.Equal(t, r.key, encodeKey(list))
 		text := cursor(shop, list)
 		fmt.Fprintf(&out, "cursor %s\n", text)
 		require.Equal(t, text, encodeKey(decodeKey(text)))
 	}
-	fmt.Fprintf(&out, "range: %d %016x, shown as %s\n", all.digest.Rows, all.digest.Digest, all.digest)
+	fmt.Fprintf(&out, "range: %d %016x, shown as %s\n", all.digest.Rows, all.digest.Sum, all.digest)
 	var keyless rowSet
 	keyless.add(bare, [][]byte{nil})
 	keyless.add(bare, [][]byte{[]byte("x")})
-	fmt.Fprintf(&out, "no key: %d rows listed, %d %016x\n", len(keyless.rows), keyless.digest.Rows, keyless.digest.Digest)
+	fmt.Fprintf(&out, "no key: %d rows listed, %d %016x\n", len(keyless.rows), keyless.digest.Rows, keyless.digest.Sum)
 	fmt.Fprintf(&out, "cursor past a table: %s\n", cursor(bare, nil))
 	for _, tab := range []*table{shop, bare} {
 		fmt.Fprintf(&out, "table %s, shape %s\n", tab.quoted(), shape(tab))
@@ -542,7 +542,7 @@
 			fmt.Fprintln(&out, statement)
 		}
 	}
-	a := migration.Act{Work: "shop-to-2", Token: 9, Told: 7, Deed: "shop-to-2/31"}
+	a := migration.Request{Job: "shop-to-2", Token: 9, AnnouncedToken: 7, OperationID: "shop-to-2/31"}
 	for _, kind := range []string{"f", "b", "r"} {
 		fmt.Fprintf(&out, "name of kind %s: %s\n", kind, objectName(a, kind))
 	}
--- a/internal/cluster/migration/sql/look.go
+++ b/internal/cluster/migration/sql/look.go
@@ -13,13 +13,13 @@
 	"ashstand/internal/cluster/migration"
 )
 
-// Progress says how far the other home follows this one.
-func (p *Databases) Progress(ctx context.Context, a migration.Act, home, other migration.Group) (migration.Progress, error) {
-	var out migration.Progress
+// ReplicationStatus says how far the other home follows this one.
+func (p *Databases) ReplicationStatus(ctx context.Context, a migration.Request, home, other migration.Group) (migration.ReplicationStatus, error) {
+	var out migration.ReplicationStatus
 	var published, marked, back, sub, slot string
 	var tabs, ready, touched int
-	var remote migration.Position
-	var has, durable migration.Position
+	var remote migration.LSN
+	var has, durable migration.LSN
 	var slotThere, followedThere, backThere bool
 	seen := time.Now()
 	// What the slot says comes before what the other's standbys are asked for: these have then what it stands for.
@@ -29,13 +29,13 @@
 			return err
 		}
 		marked = b["marked"]
-		if out.Lines.Home, err = line(ctx, conn); err != nil {
+		if out.Timelines.Source, err = line(ctx, conn); err != nil {
 			return err
 		}
 		if has, slotThere, err = confirmed(ctx, conn); err != nil {
 			return err
 		}
-		if out.HomePos, err = standing(ctx, conn); err != nil {
+		if out.SourceLSN, err = standing(ctx, conn); err != nil {
 			return err
 		}
 		if published, err = fencing.QueryValue(ctx, conn, "SELECT count(*) FROM pg_publication_tables WHERE pubname LIKE 'ash\\_%'"); err != nil {
@@ -55,7 +55,7 @@
 			marked = ""
 		}
 		back = b["back"]
-		if out.Lines.Other, err = line(ctx, conn); err != nil {
+		if out.Timelines.Target, err = line(ctx, conn); err != nil {
 			return err
 		}
 		slots, err := slotsOf(ctx, conn)
@@ -63,7 +63,7 @@
 			return err
 		}
 		_, backThere = slots[back]
-		backThere = backThere && b["back line"] == fmt.Sprint(out.Lines.Other)
+		backThere = backThere && b["back line"] == fmt.Sprint(out.Timelines.Target)
 		if sub, slot, err = followed(ctx, conn, a); err != nil {
 			return err
 		}
@@ -94,7 +94,7 @@
 		if err != nil {
 			return err
 		}
-		out.FenceOff = shut != "t"
+		out.TargetUnfenced = shut != "t"
 		ok, err := p.spread(ctx, conn)
 		if ok {
 			durable = has
@@ -103,25 +103,25 @@
 	}); err != nil {
 		return out, err
 	}
-	out.Reached = true
+	out.Reachable = true
 	out.SlotLost = !followedThere || !slotThere || slot == ""
-	out.Ready = followedThere && tabs == ready
-	if followedThere && a.State.Phase != migration.Copying && strconv.Itoa(tabs) != published { // a failover has lost that they were handed over
+	out.TablesCopied = followedThere && tabs == ready
+	if followedThere && a.State.Phase != migration.PhaseCopying && strconv.Itoa(tabs) != published { // a failover has lost that they were handed over
 		out.SlotLost = true
 	}
-	if remote > out.HomePos { // it may have been written since the home was asked
+	if remote > out.SourceLSN { // it may have been written since the home was asked
 		if err := p.on(ctx, a, home, "position", func(ctx context.Context, conn *pgconn.PgConn) error {
 			now, err := standing(ctx, conn)
-			out.Ahead = remote > now
+			out.TargetAhead = remote > now
 			return err
 		}); err != nil {
 			return out, err
 		}
 	}
-	out.Unmarked = marked == "" || !backThere
-	p.learn(a.Work, func(x *pace) {
-		if x.lines != out.Lines {
-			*x = pace{lines: out.Lines, verifies: x.verifies}
+	out.TrackingLost = marked == "" || !backThere
+	p.learn(a.Job, func(x *pace) {
+		if x.lines != out.Timelines {
+			*x = pace{lines: out.Timelines, verifies: x.verifies}
 		}
 		if durable > x.applied && x.applied > 0 {
 			if ms := float64(seen.Sub(x.at).Microseconds()) / 1e3; ms >= 10 {
@@ -131,13 +131,13 @@
 		if durable > x.applied {
 			x.applied, x.at = durable, seen
 		}
-		out.Applied = x.applied
-		if out.Verify = x.verifies * float64(touched); x.verifies == 0 {
-			out.Verify = float64(touched) * 0.1 // ms a row until one was read: a point read and its way back
+		out.AppliedLSN = x.applied
+		if out.VerifyMillis = x.verifies * float64(touched); x.verifies == 0 {
+			out.VerifyMillis = float64(touched) * 0.1 // ms a row until one was read: a point read and its way back
 		}
-		if out.Applied < out.HomePos {
-			if out.Behind = 1000; x.perMs > 0 { // ms; until its pace is known
-				out.Behind = float64(out.HomePos-out.Applied) / x.perMs
+		if out.AppliedLSN < out.SourceLSN {
+			if out.LagMillis = 1000; x.perMs > 0 { // ms; until its pace is known
+				out.LagMillis = float64(out.SourceLSN-out.AppliedLSN) / x.perMs
 			}
 		}
 	})
@@ -181,27 +181,27 @@
 }
 
 // homes are the group that serves the tenant and the other one, as move.State has it.
-func homes(a migration.Act) (home, other migration.Group) {
-	if s := a.State; s.Reverse || s.Phase == migration.Switched || s.Phase == migration.Accepted || s.Phase == migration.Done {
+func homes(a migration.Request) (home, other migration.Group) {
+	if s := a.State; s.Reverse || s.Phase == migration.PhaseSwitched || s.Phase == migration.PhaseAccepted || s.Phase == migration.PhaseCompleted {
 		return a.Plan.To, a.Plan.From
 	}
 	return a.Plan.From, a.Plan.To
 }
 
-// Look finds out whether a deed that is in doubt was done. All places of the deed hold this owner's token then, and where it
+// Recover finds out whether a deed that is in doubt was done. All places of the deed hold this owner's token then, and where it
 // was not done no act of it counts any more.
-func (p *Databases) Look(ctx context.Context, a migration.Act) (f migration.Found, err error) {
+func (p *Databases) Recover(ctx context.Context, a migration.Request) (f migration.Recovery, err error) {
 	home, other := homes(a)
 	at := []migration.Group{home, other}
-	if a.Name == migration.DeedClose { // the other home may be out of reach: the tenant is to open again all the same
+	if a.Operation == migration.OperationFence { // the other home may be out of reach: the tenant is to open again all the same
 		at = at[:1]
 	}
 	claim := ends
-	if a.Name == migration.DeedPublish || a.Name == migration.DeedClear {
+	if a.Operation == migration.OperationPublish || a.Operation == migration.OperationCleanUp {
 		claim = takes
 	}
 	look := a
-	look.Deed = "" // it may have been settled by a look that nobody heard of
+	look.OperationID = "" // it may have been settled by a look that nobody heard of
 	books := map[migration.Group]book{}
 	lines := map[migration.Group]int{}
 	for _, g := range at {
@@ -213,8 +213,8 @@
 			lines[g], err = line(ctx, conn)
 			return err
 		}); err != nil {
-			var by *migration.Taken
-			if errors.As(err, &by) && a.Name == migration.DeedPublish { // so it was not done, nor will it be
+			var by *migration.TenantLockedError
+			if errors.As(err, &by) && a.Operation == migration.OperationPublish { // so it was not done, nor will it be
 				return f, nil
 			}
 			return f, err
@@ -222,28 +222,28 @@
 	}
 	has := func(item string) bool {
 		for _, b := range books {
-			if b[item] != a.Deed {
+			if b[item] != a.OperationID {
 				return false
 			}
 		}
 		return true
 	}
 	own := books[home]
-	f.Lines = migration.Lines{Home: int(own.number("home line")), Other: int(own.number("other line"))}
-	switch a.Name {
-	case migration.DeedPublish:
+	f.Timelines = migration.Timelines{Source: int(own.number("home line")), Target: int(own.number("other line"))}
+	switch a.Operation {
+	case migration.OperationPublish:
 		f.Done = has("published")
-	case migration.DeedMark:
+	case migration.OperationTrack:
 		f.Done = has("marked")
-	case migration.DeedClear, migration.DeedFinish:
+	case migration.OperationCleanUp, migration.OperationFinish:
 		f.Done = has("given")
-	case migration.DeedClose:
+	case migration.OperationFence:
 		var n int
 		var pos uint64
-		if _, err := fmt.Sscanf(own["closed"], a.Deed+" %d %d", &n, &pos); err == nil && n == lines[home] {
-			f.Done, f.Closed = true, &migration.Closed{Line: n, Position: migration.Position(pos)}
+		if _, err := fmt.Sscanf(own["closed"], a.OperationID+" %d %d", &n, &pos); err == nil && n == lines[home] {
+			f.Done, f.Fence = true, &migration.FencePoint{Timeline: n, LSN: migration.LSN(pos)}
 		}
-	case migration.DeedSubscribe, migration.DeedFeed:
+	case migration.OperationSubscribe, migration.OperationReplicateBack:
 		if f.Done = has("followed"); !f.Done {
 			if f, err = p.lookFollowed(ctx, a, other, books[other]); err != nil {
 				return f, err
@@ -255,15 +255,15 @@
 	}
 	for _, g := range at {
 		if err = p.act(ctx, look, g, "settle", claim, func(ctx context.Context, conn *pgconn.PgConn, b book) error {
-			if n := deedNumber(a) + 1; b["work"] == a.Work && n > b.number("deed") {
+			if n := deedNumber(a) + 1; b["work"] == a.Job && n > b.number("deed") {
 				return write(ctx, conn, book{"deed": fmt.Sprint(n)})
 			}
 			return nil
 		}); err != nil {
-			return migration.Found{}, err
+			return migration.Recovery{}, err
 		}
 	}
-	if a.Name == migration.DeedMark {
+	if a.Operation == migration.OperationTrack {
 		err = p.on(ctx, a, other, "drop slot", func(ctx context.Context, conn *pgconn.PgConn) error {
 			have, err := slotsOf(ctx, conn)
 			if _, there := have[objectName(a, "b")]; err != nil || !there {
@@ -272,19 +272,19 @@
 			return run(ctx, conn, "SELECT pg_drop_replication_slot("+quote(objectName(a, "b"))+")")
 		})
 	}
-	return migration.Found{}, err
+	return migration.Recovery{}, err
 }
 
 // lookFollowed says whether the deed's subscription is there, which it makes last: then it stays. It may have taken in
 // commits that its slot does not know of yet, so that another one would get them again.
-func (p *Databases) lookFollowed(ctx context.Context, a migration.Act, at migration.Group, b book) (f migration.Found, err error) {
-	called := objectName(a, map[string]string{migration.DeedSubscribe: "f", migration.DeedFeed: "r"}[a.Name])
+func (p *Databases) lookFollowed(ctx context.Context, a migration.Request, at migration.Group, b book) (f migration.Recovery, err error) {
+	called := objectName(a, map[string]string{migration.OperationSubscribe: "f", migration.OperationReplicateBack: "r"}[a.Operation])
 	if err = p.on(ctx, a, at, "look for "+called, func(ctx context.Context, conn *pgconn.PgConn) (err error) {
 		f.Done, err = subscribed(ctx, conn, called)
 		return err
 	}); err != nil || !f.Done || b["sub"] != called || b.number("deed") > deedNumber(a) {
-		return migration.Found{}, err
+		return migration.Recovery{}, err
 	}
-	f.Lines = migration.Lines{Home: int(b.number("sub home line")), Other: int(b.number("sub other line"))}
-	return f, p.settled(ctx, a, "followed", f.Lines)
+	f.Timelines = migration.Timelines{Source: int(b.number("sub home line")), Target: int(b.number("sub other line"))}
+	return f, p.settled(ctx, a, "followed", f.Timelines)
 }
--- a/internal/cluster/migration/sql/places.go
+++ b/internal/cluster/migration/sql/places.go
@@ -50,10 +50,10 @@
 // pace is how fast things went of late at a work.
 type pace struct {
 	at       time.Time
-	lines    migration.Lines
-	applied  migration.Position // what was durable then
-	perMs    float64            // log bytes that the other takes in a millisecond
-	verifies float64            // ms a row that is read again
+	lines    migration.Timelines
+	applied  migration.LSN // what was durable then
+	perMs    float64       // log bytes that the other takes in a millisecond
+	verifies float64       // ms a row that is read again
 }
 
 // mostPaces bounds how many works' paces are known: as many as may be open.
@@ -114,9 +114,9 @@
 func (e *OperationSettledError) Advice() string { return "nothing: it came late and changed nothing" }
 
 // within is how long a deed's acts may take.
-func (p *Databases) within(a migration.Act) time.Duration {
-	if a.Data.Within > 0 {
-		return time.Duration(a.Data.Within * 1e6)
+func (p *Databases) within(a migration.Request) time.Duration {
+	if a.Data.TimeoutMillis > 0 {
+		return time.Duration(a.Data.TimeoutMillis * 1e6)
 	}
 	if p.Timeout > 0 {
 		return p.Timeout
@@ -126,8 +126,8 @@
 
 // bounds are what a host keeps to for a deed's transaction. Who waits for a lock on a table lets nobody else have it
 // meanwhile, so that it is no longer than the plan has it for the closing.
-func (p *Databases) bounds(a migration.Act) fencing.Timeouts {
-	b := fencing.Timeouts{Lock: time.Duration(a.Plan.Lock * 1e6), Statement: p.within(a), IdleInTransaction: p.IdleTimeout}
+func (p *Databases) bounds(a migration.Request) fencing.Timeouts {
+	b := fencing.Timeouts{Lock: time.Duration(a.Plan.FenceWaitMillis * 1e6), Statement: p.within(a), IdleInTransaction: p.IdleTimeout}
 	if b.Lock <= 0 || b.Lock > b.Statement {
 		b.Lock = min(time.Second, b.Statement)
 	}
@@ -173,20 +173,20 @@
 	return nil
 }
 
-func deedNumber(a migration.Act) uint64 {
-	n, _ := strconv.ParseUint(a.Deed[strings.LastIndexByte(a.Deed, '/')+1:], 10, 64)
+func deedNumber(a migration.Request) uint64 {
+	n, _ := strconv.ParseUint(a.OperationID[strings.LastIndexByte(a.OperationID, '/')+1:], 10, 64)
 	return n
 }
 
 // objectName is what a deed calls what it builds.
-func objectName(a migration.Act, kind string) string {
-	return fmt.Sprintf("%s%s_%d_%d", prefix(a), kind, a.Told, deedNumber(a))
+func objectName(a migration.Request, kind string) string {
+	return fmt.Sprintf("%s%s_%d_%d", prefix(a), kind, a.AnnouncedToken, deedNumber(a))
 }
 
 const anyPrefix = "ash_"
 
 // isRemovable says whether something is a move's, and not of a later owner or deed than the one that would remove it.
-func isRemovable(called string, a migration.Act) bool {
+func isRemovable(called string, a migration.Request) bool {
 	rest, ok := strings.CutPrefix(called, anyPrefix)
 	part := strings.Split(rest, "_")
 	if !ok || len(part) != 4 {
@@ -201,19 +201,19 @@
 	return t < a.Token || t == a.Token && deed <= deedNumber(a)
 }
 
-func prefix(a migration.Act) string {
+func prefix(a migration.Request) string {
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(a.Work))
+	_, _ = h.Write([]byte(a.Job))
 	return fmt.Sprintf("%s%08x_", anyPrefix, h.Sum32())
 }
 
 // act does something at a group's primary in one transaction behind the tenant's token, once the book says that it is the
 // work's turn and the deed counts.
-func (p *Databases) act(ctx context.Context, a migration.Act, at migration.Group, what string, c claim, do func(ctx context.Context, conn *pgconn.PgConn, b book) error) error {
+func (p *Databases) act(ctx context.Context, a migration.Request, at migration.Group, what string, c claim, do func(ctx context.Context, conn *pgconn.PgConn, b book) error) error {
 	return p.actWithin(ctx, p.bounds(a), a, at, what, c, do)
 }
 
-func (p *Databases) actWithin(ctx context.Context, bounds fencing.Timeouts, a migration.Act, at migration.Group, what string, c claim,
+func (p *Databases) actWithin(ctx context.Context, bounds fencing.Timeouts, a migration.Request, at migration.Group, what string, c claim,
 	do func(ctx context.Context, conn *pgconn.PgConn, b book) error,
 ) error {
 	err := p.Client.TransactWithin(ctx, bounds, at, a.Plan.Tenant, a.Plan.Tenant, a.Token, what, func(ctx context.Context, conn *pgconn.PgConn) error {
@@ -224,12 +224,12 @@
 		free := b["work"] == "" || b["given"] != ""
 		switch {
 		case c == takes && free:
-		case b["work"] != a.Work && !free:
-			return &migration.Taken{Tenant: a.Plan.Tenant, By: b["work"]}
-		case b["work"] != a.Work, free && c != ends:
+		case b["work"] != a.Job && !free:
+			return &migration.TenantLockedError{Tenant: a.Plan.Tenant, Job: b["work"]}
+		case b["work"] != a.Job, free && c != ends:
 			return &jobs.FencedError{Target: fmt.Sprint("group ", at), Presented: a.Token, Current: a.Token}
 		}
-		if n := deedNumber(a); b["work"] == a.Work && a.Deed != "" {
+		if n := deedNumber(a); b["work"] == a.Job && a.OperationID != "" {
 			if n < b.number("deed") {
 				return &OperationSettledError{Target: fmt.Sprint("group ", at), Presented: n, MinAccepted: b.number("deed")}
 			} else if n > b.number("deed") {
@@ -256,7 +256,7 @@
 }
 
 // on does something on a connection to a group's primary that no transaction holds: to look, or what SQL allows in none.
-func (p *Databases) on(ctx context.Context, a migration.Act, at migration.Group, what string, do func(ctx context.Context, conn *pgconn.PgConn) error) error {
+func (p *Databases) on(ctx context.Context, a migration.Request, at migration.Group, what string, do func(ctx context.Context, conn *pgconn.PgConn) error) error {
 	conn, _, err := p.Client.ConnectPrimary(ctx, at, a.Plan.Tenant)
 	if err != nil {
 		return p.worded(err, at, what)
@@ -290,21 +290,21 @@
 	return int(n), err
 }
 
-func position(text string) migration.Position {
+func position(text string) migration.LSN {
 	hi, lo, _ := strings.Cut(text, "/")
 	h, _ := strconv.ParseUint(hi, 16, 32)
 	l, _ := strconv.ParseUint(lo, 16, 32)
-	return migration.Position(h<<32 | l)
+	return migration.LSN(h<<32 | l)
 }
 
 // standing is the position past all that a statement before has seen, also of what was not waited for.
-func standing(ctx context.Context, conn *pgconn.PgConn) (migration.Position, error) {
+func standing(ctx context.Context, conn *pgconn.PgConn) (migration.LSN, error) {
 	text, err := fencing.QueryValue(ctx, conn, "SELECT pg_current_wal_insert_lsn()")
 	return position(text), err
 }
 
 // lines are the timelines of both.
-func (p *Databases) lines(ctx context.Context, a migration.Act, home, other migration.Group) (l migration.Lines, err error) {
+func (p *Databases) lines(ctx context.Context, a migration.Request, home, other migration.Group) (l migration.Timelines, err error) {
 	one := func(at migration.Group, to *int) func() error {
 		return func() error {
 			return p.on(ctx, a, at, "timeline", func(ctx context.Context, conn *pgconn.PgConn) (err error) {
@@ -313,12 +313,12 @@
 			})
 		}
 	}
-	err = both(one(home, &l.Home), one(other, &l.Other))
+	err = both(one(home, &l.Source), one(other, &l.Target))
 	return l, err
 }
 
 // reach is the connection string by which another group follows this one: all its hosts, of which one takes writes.
-func (p *Databases) reach(a migration.Act, at migration.Group) string {
+func (p *Databases) reach(a migration.Request, at migration.Group) string {
 	var hosts, ports []string
 	for _, h := range p.Client.Hosts(at) {
 		if host, port, err := net.SplitHostPort(h.Address); err == nil {
--- a/internal/cluster/migration/sql/places_test.go
+++ b/internal/cluster/migration/sql/places_test.go
@@ -29,7 +29,7 @@
 	ctx          context.Context
 	groups       map[migration.Group]*host.Cluster
 	databases    *Databases
-	migrator     *migration.Mover
+	migrator     *migration.Migrator
 	stateMachine jobs.StateMachine
 	// instead, if it is set, does the deed that is announced.
 	override func() error
@@ -56,17 +56,17 @@
 		r.groups[g+1] = c
 	}
 	r.databases = &Databases{Client: &fencing.Client{User: "works", Hosts: r.hosts}, IdleTimeout: 300 * time.Millisecond, RangeRows: 100}
-	costs := migration.Costs{Log: 1, InForce: 1, Owner: 10, Place: 50}
-	r.migrator = &migration.Mover{Places: r.databases, Rules: r, Costs: costs}
+	costs := migration.Timing{LogEntryMillis: 1, RulesInForceMillis: 1, FailoverMillis: 10, DatabaseCallMillis: 50}
+	r.migrator = &migration.Migrator{Databases: r.databases, Rules: r, Timing: costs}
 	if plan.Checkpoints == nil {
-		plan.Checkpoints = []string{migration.AtAccepting}
+		plan.Checkpoints = []string{migration.CheckpointAccepting}
 	}
-	if plan.Pause == 0 {
-		plan.Pause = 3000
+	if plan.MaxPauseMillis == 0 {
+		plan.MaxPauseMillis = 3000
 	}
 	plan.Tenant = tenant
 	spec, _ := json.Marshal(plan)
-	if _, err := migration.Parse(spec, costs); plan.Lock < plan.Pause {
+	if _, err := migration.ParsePlan(spec, costs); plan.FenceWaitMillis < plan.MaxPauseMillis {
 		require.NoError(t, err)
 	}
 	r.apply(jobs.Entry{Type: jobs.EntryCreate, Job: "m1", JobKind: "move", Spec: spec})
@@ -82,7 +82,7 @@
 	return out
 }
 
-func (r *rig) Now() (map[string]any, int, bool) {
+func (r *rig) Current() (map[string]any, int, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return maps.Clone(r.rules), r.version, true
@@ -96,10 +96,10 @@
 	return r.version, nil
 }
 
-func (r *rig) Limited(string) bool { return true }
+func (r *rig) HasLimit(string) bool { return true }
 
 func (r *rig) servingGroup() migration.Group {
-	rules, _, _ := r.Now()
+	rules, _, _ := r.Current()
 	return migration.Group(rules["database.shop.group"].(float64))
 }
 
@@ -112,7 +112,7 @@
 func (r *rig) job() *jobs.Job { return r.stateMachine.Jobs["m1"] }
 
 func (r *rig) state() migration.State {
-	s, err := migration.StateOf(r.job())
+	s, err := migration.DecodeState(r.job())
 	require.NoError(r.t, err)
 	return s
 }
@@ -123,7 +123,7 @@
 }
 
 func (r *rig) approve(word string) {
-	r.apply(jobs.Entry{Type: jobs.EntryApprove, Job: "m1", Approval: &jobs.Approval{Action: word, Step: r.job().Step, Persistent: word == migration.Rollback}})
+	r.apply(jobs.Entry{Type: jobs.EntryApprove, Job: "m1", Approval: &jobs.Approval{Action: word, Step: r.job().Step, Persistent: word == migration.ActionRollback}})
 }
 
 // announce logs what comes next; false: nothing does now.
@@ -184,12 +184,12 @@
 }
 
 // request is the deed that is announced, as its present owner would do it.
-func (r *rig) request() migration.Act {
+func (r *rig) request() migration.Request {
 	w := r.job()
-	a := migration.Act{Work: w.Name, Token: w.Token, State: r.state()}
+	a := migration.Request{Job: w.Name, Token: w.Token, State: r.state()}
 	require.NoError(r.t, json.Unmarshal(w.Spec, &a.Plan))
 	if d := w.Operation; d != nil {
-		a.Deed, a.Name, a.Told = d.ID(w.Name), d.Name, d.Token
+		a.OperationID, a.Operation, a.AnnouncedToken = d.ID(w.Name), d.Name, d.Token
 		require.NoError(r.t, json.Unmarshal(d.Data, &a.Data))
 	}
 	return a
@@ -344,19 +344,19 @@
 	}
 }
 
-func plan() migration.Plan { return migration.Plan{From: 1, To: 2, Lock: 200} }
+func plan() migration.Plan { return migration.Plan{From: 1, To: 2, FenceWaitMillis: 200} }
 
 func TestMigrationUnderWrites(t *testing.T) {
 	r := newRig(t, 2, plan())
 	r.db(1).Table("entries", host.Traits{}).Seed(500)
 	w := r.startWriters(4, 200)
-	r.runToPhase(migration.Switched)
-	r.runUntil("", func(s migration.State) bool { return s.Fed && s.Compare.All })
+	r.runToPhase(migration.PhaseSwitched)
+	r.runUntil("", func(s migration.State) bool { return s.ReverseReplicating && s.Comparison.Complete })
 	require.Equal(t, migration.Group(2), r.servingGroup())
 	at := w.count()
 	require.Eventually(t, func() bool { return w.count() > at+20 }, 5*time.Second, time.Millisecond)
-	r.approve(migration.Accept)
-	r.runToPhase(migration.Done)
+	r.approve(migration.ActionAccept)
+	r.runToPhase(migration.PhaseCompleted)
 	w.stopAll()
 	require.Positive(t, w.rejected)
 	r.requireAcknowledged(w, 2)
@@ -385,11 +385,11 @@
 	r := newRig(t, 2, plan())
 	r.db(1).Table("entries", host.Traits{}).Seed(300)
 	w := r.startWriters(4, 200)
-	r.runToPhase(migration.Switched)
+	r.runToPhase(migration.PhaseSwitched)
 	at := w.count()
 	require.Eventually(t, func() bool { return w.count() > at+20 }, 5*time.Second, time.Millisecond)
-	r.approve(migration.Rollback)
-	r.runToPhase(migration.TakenBack)
+	r.approve(migration.ActionRollback)
+	r.runToPhase(migration.PhaseRolledBack)
 	require.Equal(t, migration.Group(1), r.servingGroup())
 	at = w.count()
 	require.Eventually(t, func() bool { return w.count() > at+20 }, 5*time.Second, time.Millisecond)
@@ -418,53 +418,55 @@
 }
 
 // call calls the place's method of a deed.
-func (r *rig) call(a migration.Act) (err error) {
+func (r *rig) call(a migration.Request) (err error) {
 	home, other := homes(a)
-	switch a.Name {
-	case migration.DeedPublish:
+	switch a.Operation {
+	case migration.OperationPublish:
 		err = r.databases.Publish(r.ctx, a)
-	case migration.DeedSubscribe:
+	case migration.OperationSubscribe:
 		_, err = r.databases.Subscribe(r.ctx, a)
-	case migration.DeedCopy:
+	case migration.OperationCopy:
 		_, err = r.databases.Copy(r.ctx, a)
-	case migration.DeedMark:
-		_, err = r.databases.Mark(r.ctx, a, home, other)
-	case migration.DeedCompare:
+	case migration.OperationTrack:
+		_, err = r.databases.Track(r.ctx, a, home, other)
+	case migration.OperationCompare:
 		_, err = r.databases.Compare(r.ctx, a, home, other)
-	case migration.DeedClose:
-		_, _, err = r.databases.Close(r.ctx, a, home)
-	case migration.DeedVerify:
+	case migration.OperationFence:
+		_, _, err = r.databases.Fence(r.ctx, a, home)
+	case migration.OperationVerify:
 		_, err = r.databases.Verify(r.ctx, a, home, other)
-	case migration.DeedSwitch:
-		err = r.databases.Open(r.ctx, a, other)
-	case migration.DeedFeed:
-		_, err = r.databases.Feed(r.ctx, a)
-	case migration.DeedClear:
-		err = r.databases.Clear(r.ctx, a)
-	case migration.DeedFinish:
+	case migration.OperationSwitch:
+		err = r.databases.Unfence(r.ctx, a, other)
+	case migration.OperationReplicateBack:
+		_, err = r.databases.ReplicateBack(r.ctx, a)
+	case migration.OperationCleanUp:
+		err = r.databases.CleanUp(r.ctx, a)
+	case migration.OperationFinish:
 		err = r.databases.Finish(r.ctx, a)
 	}
 	return err
 }
 
 var operations = []string{
-	migration.DeedPublish, migration.DeedSubscribe, migration.DeedCopy, migration.DeedMark, migration.DeedCompare, migration.DeedClose, migration.DeedVerify,
-	migration.DeedSwitch, migration.DeedFeed, migration.DeedFinish, migration.DeedClear,
+	migration.OperationPublish, migration.OperationSubscribe, migration.OperationCopy, migration.OperationTrack, migration.OperationCompare, migration.OperationFence, migration.OperationVerify,
+	migration.OperationSwitch, migration.OperationReplicateBack, migration.OperationFinish, migration.OperationCleanUp,
 }
 
 // Each deed is done by an owner; a later one looks for it; then the first one comes late with it, and with all others.
 func TestStaleTokenChangesNothing(t *testing.T) {
-	for _, end := range []string{migration.Accept, migration.Rollback} {
-		r := newRig(t, 2, migration.Plan{From: 1, To: 2, Lock: 200, Rest: 1, Tries: 10})
+	for _, end := range []string{migration.ActionAccept, migration.ActionRollback} {
+		r := newRig(t, 2, migration.Plan{From: 1, To: 2, FenceWaitMillis: 200, BackoffMillis: 1, MaxAbortedPauses: 10})
 		r.db(1).Table("entries", host.Traits{}).Seed(30)
 		seen := map[string]bool{}
 		r.override = r.executeLate(seen)
-		r.runUntil("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
+		r.runUntil("", func(s migration.State) bool {
+			return s.Phase == migration.PhaseSwitched && s.ReverseReplicating && s.Comparison.Complete
+		})
 		r.approve(end)
 		r.runUntil("", func(s migration.State) bool { return false })
-		require.Equal(t, map[string]migration.Phase{migration.Accept: migration.Done, migration.Rollback: migration.TakenBack}[end], r.state().Phase)
+		require.Equal(t, map[string]migration.Phase{migration.ActionAccept: migration.PhaseCompleted, migration.ActionRollback: migration.PhaseRolledBack}[end], r.state().Phase)
 		for _, name := range operations {
-			if name != map[string]string{migration.Accept: migration.DeedClear, migration.Rollback: migration.DeedFinish}[end] {
+			if name != map[string]string{migration.ActionAccept: migration.OperationCleanUp, migration.ActionRollback: migration.OperationFinish}[end] {
 				require.True(t, seen[name], name)
 			}
 		}
@@ -476,15 +478,15 @@
 	return func() error {
 		a := r.request()
 		w := *r.job()
-		if !slices.Contains(operations, a.Name) {
+		if !slices.Contains(operations, a.Operation) {
 			p, err := r.migrator.Execute(r.ctx, &w, w.Operation)
 			if err == nil {
 				r.confirm(p)
 			}
 			return err
 		}
-		first := !seen[a.Name]
-		if seen[a.Name] = true; !first {
+		first := !seen[a.Operation]
+		if seen[a.Operation] = true; !first {
 			p, err := r.migrator.Execute(r.ctx, &w, w.Operation)
 			if err == nil {
 				r.confirm(p)
@@ -495,21 +497,21 @@
 			return err
 		}
 		done := r.recoverOpen()
-		can := slices.Contains([]string{migration.DeedCopy, migration.DeedCompare, migration.DeedVerify}, a.Name)
-		require.True(r.t, done || can, "%s was done", a.Name)
-		if a.Name == migration.DeedSwitch || a.Name == migration.DeedVerify { // the switch raised one place's token, the verification none yet
+		can := slices.Contains([]string{migration.OperationCopy, migration.OperationCompare, migration.OperationVerify}, a.Operation)
+		require.True(r.t, done || can, "%s was done", a.Operation)
+		if a.Operation == migration.OperationSwitch || a.Operation == migration.OperationVerify { // the switch raised one place's token, the verification none yet
 			return nil
 		}
 		before := r.stored()
 		for _, name := range operations {
-			if a.Name == migration.DeedClose && name != a.Name { // it was looked for at the home alone
+			if a.Operation == migration.OperationFence && name != a.Operation { // it was looked for at the home alone
 				continue
 			}
 			b := a
-			b.Name = name
+			b.Operation = name
 			err := r.call(b)
-			require.True(r.t, isFenced(err), "%s after %s: %v", name, a.Name, err)
-			require.Equal(r.t, before, r.stored(), "%s after %s", name, a.Name)
+			require.True(r.t, isFenced(err), "%s after %s: %v", name, a.Operation, err)
+			require.Equal(r.t, before, r.stored(), "%s after %s", name, a.Operation)
 		}
 		return nil
 	}
@@ -521,7 +523,7 @@
 }
 
 func TestOperationsAreIdempotent(t *testing.T) {
-	for _, end := range []string{migration.Accept, migration.Rollback} {
+	for _, end := range []string{migration.ActionAccept, migration.ActionRollback} {
 		r := newRig(t, 2, plan())
 		r.db(1).Table("entries", host.Traits{}).Seed(250)
 		w := r.startWriters(3, 100)
@@ -536,19 +538,21 @@
 			}
 			return err
 		}
-		r.runUntil("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
+		r.runUntil("", func(s migration.State) bool {
+			return s.Phase == migration.PhaseSwitched && s.ReverseReplicating && s.Comparison.Complete
+		})
 		r.approve(end)
 		r.runUntil("", func(s migration.State) bool { return false })
 		w.stopAll()
-		require.Empty(t, r.state().Differ)
-		r.requireAcknowledged(w, map[string]migration.Group{migration.Accept: 2, migration.Rollback: 1}[end])
+		require.Empty(t, r.state().Differences)
+		r.requireAcknowledged(w, map[string]migration.Group{migration.ActionAccept: 2, migration.ActionRollback: 1}[end])
 	}
 }
 
 // Whatever breaks in the middle of whatever deed, the next owner finds out, and the move comes to its end.
 func TestInterruptedOperationsRecover(t *testing.T) {
 	for seed := range int64(4) {
-		r := newRig(t, 2, migration.Plan{From: 1, To: 2, Lock: 200, Pause: 60000, Tries: 100, Rest: 1})
+		r := newRig(t, 2, migration.Plan{From: 1, To: 2, FenceWaitMillis: 200, MaxPauseMillis: 60000, MaxAbortedPauses: 100, BackoffMillis: 1})
 		r.db(1).Table("entries", host.Traits{}).Seed(250)
 		lots := rand.New(rand.NewPCG(uint64(seed), 7))
 		w := r.startWriters(3, 60)
@@ -579,9 +583,11 @@
 			return nil
 		}
 		faults(1)
-		r.runUntil("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
-		require.Empty(t, r.state().Differ)
-		r.approve([]string{migration.Accept, migration.Rollback}[seed%2])
+		r.runUntil("", func(s migration.State) bool {
+			return s.Phase == migration.PhaseSwitched && s.ReverseReplicating && s.Comparison.Complete
+		})
+		require.Empty(t, r.state().Differences)
+		r.approve([]string{migration.ActionAccept, migration.ActionRollback}[seed%2])
 		r.runUntil("", func(s migration.State) bool { return false })
 		faults(0)
 		w.stopAll()
@@ -596,11 +602,13 @@
 		r := newRig(t, 2, plan())
 		r.db(1).Table("entries", host.Traits{}).Seed(300)
 		w := r.startWriters(3, 100)
-		r.runUntil("", func(s migration.State) bool { return s.Phase == migration.CatchingUp && s.Compare.All })
+		r.runUntil("", func(s migration.State) bool { return s.Phase == migration.PhaseCatchingUp && s.Comparison.Complete })
 		c := r.groups[1]
 		c.FailLosing(c.Hosts()[1], 5*lost, 20*time.Millisecond, true)
-		r.runUntil("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
-		require.Equal(t, 1, r.state().Copy.Again, "its slot died with the old primary")
+		r.runUntil("", func(s migration.State) bool {
+			return s.Phase == migration.PhaseSwitched && s.ReverseReplicating && s.Comparison.Complete
+		})
+		require.Equal(t, 1, r.state().Copy.Restarts, "its slot died with the old primary")
 		w.stopAll()
 		r.requireEqualRows(1, 2)
 		if lost == 0 {
@@ -614,13 +622,15 @@
 		r := newRig(t, 2, plan())
 		r.db(1).Table("entries", host.Traits{}).Seed(300)
 		w := r.startWriters(3, 100)
-		r.runUntil("", func(s migration.State) bool { return s.Phase == migration.CatchingUp && s.Compare.All })
+		r.runUntil("", func(s migration.State) bool { return s.Phase == migration.PhaseCatchingUp && s.Comparison.Complete })
 		c := r.groups[2]
 		c.FailLosing(c.Hosts()[1], 5*lost, 20*time.Millisecond, true)
-		r.runUntil("", func(s migration.State) bool { return s.Phase == migration.Switched && s.Fed && s.Compare.All })
-		require.Empty(t, r.state().Differ)
+		r.runUntil("", func(s migration.State) bool {
+			return s.Phase == migration.PhaseSwitched && s.ReverseReplicating && s.Comparison.Complete
+		})
+		require.Empty(t, r.state().Differences)
 		if lost == 1 {
-			require.Equal(t, 1, r.state().Copy.Again, "what it lost had been passed on")
+			require.Equal(t, 1, r.state().Copy.Restarts, "what it lost had been passed on")
 		}
 		w.stopAll()
 		r.requireAcknowledged(w, 2)
@@ -639,20 +649,20 @@
 func TestCompareFindsDifferingRow(t *testing.T) {
 	r := newRig(t, 2, plan())
 	r.db(1).Table("entries", host.Traits{}).Seed(300)
-	r.runUntil(migration.DeedCompare, nil)
+	r.runUntil(migration.OperationCompare, nil)
 	r.exec(r.dial(2), "SET session_replication_role = replica")
 	c := r.dial(2)
 	r.exec(c, "SET session_replication_role = replica")
 	r.exec(c, "UPDATE entries SET payload = 'by hand' WHERE ref = 'seed-0000142'")
 	require.NoError(t, r.execute())
 	s := r.state()
-	require.Len(t, s.Differ, 1)
-	require.Equal(t, "public.entries", s.Differ[0].Table)
-	require.Equal(t, "seed-0000099 to seed-0000199", s.Differ[0].Range)
-	require.Contains(t, s.Held, "differs")
-	r.approve(migration.Resume)
-	r.runToPhase(migration.Switched)
-	require.Equal(t, 1, r.state().Copy.Again)
+	require.Len(t, s.Differences, 1)
+	require.Equal(t, "public.entries", s.Differences[0].Table)
+	require.Equal(t, "seed-0000099 to seed-0000199", s.Differences[0].Range)
+	require.Contains(t, s.HoldReason, "differs")
+	r.approve(migration.ActionResume)
+	r.runToPhase(migration.PhaseSwitched)
+	require.Equal(t, 1, r.state().Copy.Restarts)
 	r.requireEqualRows(1, 2)
 }
 
@@ -660,36 +670,36 @@
 func TestVerifyReadsTouchedRows(t *testing.T) {
 	r := newRig(t, 2, plan())
 	r.db(1).Table("entries", host.Traits{}).Seed(300)
-	r.runUntil(migration.DeedPause, nil)
+	r.runUntil(migration.OperationPause, nil)
 	r.exec(r.dial(1), "UPDATE entries SET payload = 'touched' WHERE ref = 'seed-0000142'")
-	r.runUntil(migration.DeedVerify, nil)
+	r.runUntil(migration.OperationVerify, nil)
 	c := r.dial(2)
 	r.exec(c, "SET session_replication_role = replica")
 	r.exec(c, "UPDATE entries SET payload = 'by hand' WHERE ref = 'seed-0000142'")
 	require.NoError(t, r.execute())
 	s := r.state()
-	require.Len(t, s.Differ, 1)
-	require.Equal(t, "seed-0000142 to seed-0000142", s.Differ[0].Range)
+	require.Len(t, s.Differences, 1)
+	require.Equal(t, "seed-0000142 to seed-0000142", s.Differences[0].Range)
 	require.False(t, s.Pause.Verified)
 }
 
 func TestBlockingSessionIsNamedAndEnded(t *testing.T) {
 	p := plan()
-	p.Stragglers, p.Lock = "end", 100
+	p.BlockingSessions, p.FenceWaitMillis = "end", 100
 	r := newRig(t, 2, p)
 	r.db(1).Table("entries", host.Traits{}).Seed(30)
-	r.runUntil(migration.DeedClose, nil)
+	r.runUntil(migration.OperationFence, nil)
 	c := r.dial(1)
 	r.exec(c, "BEGIN")
 	r.exec(c, "INSERT INTO entries VALUES ('straggler', '')")
 	pid := int(c.PID())
 	require.NoError(t, r.execute())
 	s := r.state()
-	require.Equal(t, migration.Closing, s.Phase)
-	require.Len(t, s.Stragglers, 1)
-	require.Equal(t, pid, s.Stragglers[0].PID)
-	require.Equal(t, "web", s.Stragglers[0].User)
-	r.runToPhase(migration.Switched)
+	require.Equal(t, migration.PhaseFencing, s.Phase)
+	require.Len(t, s.BlockingSessions, 1)
+	require.Equal(t, pid, s.BlockingSessions[0].PID)
+	require.Equal(t, "web", s.BlockingSessions[0].User)
+	r.runToPhase(migration.PhaseSwitched)
 	_, _, err := fencing.Exec(r.ctx, c, "COMMIT")
 	require.Error(t, err)
 	require.Empty(t, r.db(2).History("entries", "straggler"))
@@ -699,7 +709,7 @@
 func TestLockOfDeadHolderIsReleased(t *testing.T) {
 	r := newRig(t, 2, plan())
 	r.db(1).Table("entries", host.Traits{}).Seed(30)
-	r.runUntil(migration.DeedClose, nil)
+	r.runUntil(migration.OperationFence, nil)
 	a := r.request()
 	c := r.dial(1)
 	require.NoError(t, fencing.SetTimeouts(r.ctx, c, r.databases.bounds(a)))
@@ -707,9 +717,9 @@
 	require.NoError(t, r.databases.Client.RaiseFence(r.ctx, c, "1", tenant, a.Token))
 	r.assign()
 	b := r.request()
-	b.Data.Within = 5000
+	b.Data.TimeoutMillis = 5000
 	began := time.Now()
-	closed, _, err := r.databases.Close(r.ctx, b, 1)
+	closed, _, err := r.databases.Fence(r.ctx, b, 1)
 	took := time.Since(began)
 	require.NoError(t, err)
 	require.NotNil(t, closed)
@@ -719,21 +729,21 @@
 
 func TestTenantOfOtherMigrationIsLocked(t *testing.T) {
 	r := newRig(t, 3, plan())
-	r.runToPhase(migration.CatchingUp)
+	r.runToPhase(migration.PhaseCatchingUp)
 	before := r.stored()
 	a := r.request()
-	a.Work, a.Deed, a.Name, a.Token, a.Told, a.Plan.To = "m2", "m2/2", migration.DeedPublish, 100, 100, 3
-	var by *migration.Taken
+	a.Job, a.OperationID, a.Operation, a.Token, a.AnnouncedToken, a.Plan.To = "m2", "m2/2", migration.OperationPublish, 100, 100, 3
+	var by *migration.TenantLockedError
 	require.ErrorAs(t, r.databases.Publish(r.ctx, a), &by)
-	require.Equal(t, "m1", by.By)
-	f, err := r.databases.Look(r.ctx, a)
+	require.Equal(t, "m1", by.Job)
+	f, err := r.databases.Recover(r.ctx, a)
 	require.NoError(t, err)
 	require.False(t, f.Done)
 	require.Equal(t, before[fmt.Sprint(1, "ashstand.fence")], r.stored()[fmt.Sprint(1, "ashstand.fence")], "the first work's token counts on")
-	r.runToPhase(migration.Switched)
-	r.runUntil("", func(s migration.State) bool { return s.Fed && s.Compare.All })
-	r.approve(migration.Accept)
-	r.runToPhase(migration.Done)
+	r.runToPhase(migration.PhaseSwitched)
+	r.runUntil("", func(s migration.State) bool { return s.ReverseReplicating && s.Comparison.Complete })
+	r.approve(migration.ActionAccept)
+	r.runToPhase(migration.PhaseCompleted)
 	a.Plan.From = 2
 	require.NoError(t, r.databases.Publish(r.ctx, a), "it was given up")
 }
@@ -787,12 +797,12 @@
 	}
 	r.exec(c, "INSERT INTO bare VALUES ('x'), ('x'), (NULL)")
 	r.exec(c, "SELECT setval('used', 41)")
-	r.runUntil(migration.DeedPause, nil)
-	require.Equal(t, 5, r.state().Compare.Ranges, "three of pairs, one of bare, one of entries")
+	r.runUntil(migration.OperationPause, nil)
+	require.Equal(t, 5, r.state().Comparison.EqualRanges, "three of pairs, one of bare, one of entries")
 	r.exec(c, "DELETE FROM pairs WHERE b = 'k9'")
 	r.exec(c, "UPDATE bare SET v = 'y' WHERE v IS NULL")
 	r.exec(c, "SELECT nextval('used')")
-	r.runToPhase(migration.Switched)
+	r.runToPhase(migration.PhaseSwitched)
 	to := r.dial(2)
 	require.Equal(t, "43", r.exec(to, "SELECT nextval('used')")[0][0])
 	require.Equal(t, "7", r.exec(to, "SELECT nextval('fresh')")[0][0])
--- a/internal/net/pg/golden_test.go
+++ b/internal/net/pg/golden_test.go
@@ -570,7 +570,7 @@
 	w, _ = goldenPool(t, func(l *SessionLimits) { l.Pools[0].MaxPauseMillis = 60000 }, homes)
 	homes.front = w.front
 	c := s.client(w.address).begin().send(simple("SELECT 1")).hear("Z")
-	homes.set("orders", session.Home{Named: true, Fenced: true})
+	homes.set("orders", session.Assignment{HasGroup: true, Undecided: true})
 	c.send(simple("SELECT 1")).hear("Z")
 	homes.set("orders", at(1))
 	c.send(simple("/* cluster=2 */ SELECT 1")).hear("Z")
--- a/internal/net/pg/gone_test.go
+++ b/internal/net/pg/gone_test.go
@@ -316,7 +316,7 @@
 	require.Eventually(t, turned, 10*time.Second, time.Millisecond)
 	require.NoError(t, c.PgConn().CancelRequest(patient(t)))
 	w.gate.shut.Store(false)
-	w.homes.set("orders", session.Home{Named: true, Group: 2})
+	w.homes.set("orders", session.Assignment{HasGroup: true, Group: 2})
 	close(hold)
 	require.Equal(t, "57014", state(<-out))
 	require.Zero(t, w.other.Versions("public", "entries", "cancelled")+w.cluster.Versions("public", "entries", "cancelled"))
--- a/internal/net/pg/homes.go
+++ b/internal/net/pg/homes.go
@@ -16,7 +16,7 @@
 // Assignments says where databases are, by the rules that count at a moment. It is asked on the event loop, where a transaction
 // begins and again just before it is sent, so it must neither wait nor allocate.
 type Assignments interface {
-	Assignment(database string, now float64) session.Home
+	Assignment(database string, now float64) session.Assignment
 }
 
 // What a host says where its guard refuses a write before it does anything, since the tenant is closed there.
@@ -72,7 +72,7 @@
 		if x == nil {
 			return
 		}
-		x.Of.(*sessionClient).resumeQueued()
+		x.Owner.(*sessionClient).resumeQueued()
 	}
 	f.scheduleRelease(t)
 }
@@ -91,7 +91,7 @@
 
 // scheduleExpiry sees to it that those whose time is over are refused then: a sweep would come too late for their clients.
 func (f *SessionFront) scheduleExpiry() {
-	at, ok := f.tenants.Due()
+	at, ok := f.tenants.NextDeadline()
 	if !ok || f.nextExpiry > 0 && f.nextExpiry <= at {
 		return
 	}
@@ -108,11 +108,11 @@
 	f.nextExpiry = 0
 	now := f.clock.Now()
 	for range maxResumedPerTurn {
-		x, err := f.tenants.Late(now)
+		x, err := f.tenants.NextExpired(now)
 		if x == nil {
 			break
 		}
-		c := x.Of.(*sessionClient)
+		c := x.Owner.(*sessionClient)
 		c.rejectRouting(err.Error(), f.limits.Load().RetryAfterMillis)
 		c.resume()
 	}
@@ -120,15 +120,15 @@
 }
 
 // queueBounds are what may be held for a pool.
-func (f *SessionFront) queueBounds(p *PoolSettings) session.HoldBounds {
+func (f *SessionFront) queueBounds(p *PoolSettings) session.TenantQueueLimits {
 	l := f.limits.Load()
-	return session.HoldBounds{Most: p.MaxPausedTransactions, All: l.MaxPausedTransactions, Bytes: l.Bytes / 4, AllBytes: l.Bytes / 2, Longest: p.MaxPauseMillis}
+	return session.TenantQueueLimits{PerTenant: p.MaxPausedTransactions, Total: l.MaxPausedTransactions, BytesPerTenant: l.Bytes / 4, TotalBytes: l.Bytes / 2, MaxPauseMillis: p.MaxPauseMillis}
 }
 
 // isAssignmentCurrent says whether the home that the transaction was chosen for is what the rules say now.
 func (c *sessionClient) isAssignmentCurrent() bool {
 	f := c.front
-	return f.assignments == nil || f.assignments.Assignment(c.identity.database, f.clock.Now()).Same(c.assignment)
+	return f.assignments == nil || f.assignments.Assignment(c.identity.database, f.clock.Now()).Equal(c.assignment)
 }
 
 // isAssignmentMoved says whether the home is another than that of the connection which the session keeps.
@@ -138,10 +138,10 @@
 		return false
 	}
 	h := f.assignments.Assignment(c.identity.database, f.clock.Now())
-	if h.Paused || h.Fenced {
+	if h.Paused || h.Undecided {
 		return false
 	}
-	group, err := h.Place(c.identity.database, &c.routeDecision)
+	group, err := h.GroupFor(c.identity.database, &c.routeDecision)
 	return err != nil || group != c.request.Group
 }
 
@@ -168,12 +168,12 @@
 		return messageLinked, gnet.None
 	}
 	now := f.clock.Now()
-	if !c.queueEntry.Passed() {
-		c.queueEntry.Fresh()
+	if !c.queueEntry.IsReleased() {
+		c.queueEntry.Reset()
 		c.queueEntry.Deadline = now + c.pool.WaitTimeoutMillis
 	}
-	c.queueEntry.Bytes, c.queueEntry.Window = c.waitingBytes(), c.pool.Sizes.MaxConnections
-	held, err := f.tenants.Decide(now, c.tenant, f.assignments.Assignment(c.identity.database, now), &c.queueEntry, f.queueBounds(c.pool))
+	c.queueEntry.Bytes, c.queueEntry.MaxInFlight = c.waitingBytes(), c.pool.Sizes.MaxConnections
+	held, err := f.tenants.Admit(now, c.tenant, f.assignments.Assignment(c.identity.database, now), &c.queueEntry, f.queueBounds(c.pool))
 	switch {
 	case held:
 		c.pendingKind, c.phase = kind, phaseTenantPaused
@@ -208,7 +208,7 @@
 
 // finishRelease says that the transaction is at its host, or over.
 func (c *sessionClient) finishRelease() {
-	if f := c.front; f.assignments != nil && f.tenants.Land(c.tenant, &c.queueEntry) {
+	if f := c.front; f.assignments != nil && f.tenants.Complete(c.tenant, &c.queueEntry) {
 		f.scheduleRelease(c.tenant)
 	}
 }
@@ -217,7 +217,7 @@
 func (c *sessionClient) dequeue() {
 	if f := c.front; f.assignments != nil && c.tenant != nil {
 		c.finishRelease()
-		f.tenants.Leave(c.tenant, &c.queueEntry)
+		f.tenants.Remove(c.tenant, &c.queueEntry)
 	}
 }
 
@@ -227,8 +227,8 @@
 	if f.assignments != nil {
 		now := f.clock.Now()
 		h := f.assignments.Assignment(c.identity.database, now)
-		c.queueEntry.Bytes, c.queueEntry.Window = c.waitingBytes(), c.pool.Sizes.MaxConnections
-		held, refused := f.tenants.Decide(now, c.tenant, h, &c.queueEntry, f.queueBounds(c.pool))
+		c.queueEntry.Bytes, c.queueEntry.MaxInFlight = c.waitingBytes(), c.pool.Sizes.MaxConnections
+		held, refused := f.tenants.Admit(now, c.tenant, h, &c.queueEntry, f.queueBounds(c.pool))
 		if held {
 			c.phase = phaseTenantPaused
 			f.scheduleExpiry()
@@ -238,7 +238,7 @@
 			c.rejectRouting(refused.Error(), f.limits.Load().RetryAfterMillis)
 			return
 		}
-		group, err := h.Place(c.identity.database, &c.routeDecision)
+		group, err := h.GroupFor(c.identity.database, &c.routeDecision)
 		if err != nil {
 			c.finishRelease()
 			c.reject(sqlStateProtocolViolation, err.Error(), "")
@@ -247,7 +247,7 @@
 		}
 		c.assignment, c.request.Group = h, group
 		c.discardRecorded()
-		c.recording = h.Named && len(c.replay) == 0
+		c.recording = h.HasGroup && len(c.replay) == 0
 	}
 	call, err := f.dispatcher.Begin(c.request)
 	if err != nil {
@@ -323,11 +323,11 @@
 		switch kind {
 		case 'Q':
 			s, _, ok := cutString(body)
-			return ok && session.Rerunnable(s)
+			return ok && session.IsRetryable(s)
 		case 'B':
 			_, name, _, ok := cutTwoStrings(body)
 			p := c.pipeline.Find(name)
-			return ok && p != nil && session.Rerunnable(p.Text)
+			return ok && p != nil && session.IsRetryable(p.Text)
 		}
 		b = rest
 	}
@@ -342,7 +342,7 @@
 	c.call = nil
 	call.Finish(dispatch.Outcome{Code: dispatch.NotSent})
 	c.finishRelease()
-	c.queueEntry.Turned(c.assignment)
+	c.queueEntry.MarkRejected(c.assignment)
 	f.stats.RejectedByHost++
 	f.recordedBytes -= len(c.recorded)
 	c.replay, c.recorded, c.recording, c.recordedStatements = c.recorded, nil, false, 0
@@ -401,13 +401,13 @@
 }
 
 // Describe words a home for operators.
-func (h *TenantStats) Describe(of session.Home) {
+func (h *TenantStats) Describe(of session.Assignment) {
 	if h.State = "open"; of.Paused {
-		h.State, h.PausedSince = "paused", of.Since
-	} else if of.Fenced {
+		h.State, h.PausedSince = "paused", of.PausedSince
+	} else if of.Undecided {
 		h.State = "fenced"
 	}
-	if h.Fenced = of.Fenced; of.Named && !of.Fenced {
+	if h.Fenced = of.Undecided; of.HasGroup && !of.Undecided {
 		h.Group = &of.Group
 	}
 }
@@ -431,7 +431,7 @@
 	at := map[string]int{}
 	now := f.clock.Now()
 	for _, t := range f.tenants.All() {
-		h := TenantStats{Database: t.Database, Sessions: t.Sessions(), Queued: t.Held(), InFlight: t.Going(), Released: t.Passed, Rejected: t.Refused}
+		h := TenantStats{Database: t.Database, Sessions: t.Sessions(), Queued: t.Queued(), InFlight: t.InFlight(), Released: t.Released, Rejected: t.Rejected}
 		h.Describe(f.assignments.Assignment(t.Database, now))
 		all = append(all, h)
 	}
--- a/internal/net/pg/homes_test.go
+++ b/internal/net/pg/homes_test.go
@@ -28,26 +28,26 @@
 
 // told are homes as a test sets them.
 type told struct {
-	of    atomic.Pointer[map[string]session.Home]
+	of    atomic.Pointer[map[string]session.Assignment]
 	front *SessionFront
 }
 
-func (h *told) Assignment(database string, _ float64) session.Home {
+func (h *told) Assignment(database string, _ float64) session.Assignment {
 	if m := h.of.Load(); m != nil {
 		return (*m)[database]
 	}
-	return session.Home{}
+	return session.Assignment{}
 }
 
-func (h *told) set(database string, to session.Home) {
-	m := map[string]session.Home{}
+func (h *told) set(database string, to session.Assignment) {
+	m := map[string]session.Assignment{}
 	if old := h.of.Load(); old != nil {
 		for k, v := range *old {
 			m[k] = v
 		}
 	}
-	if to.Paused && to.Since == 0 {
-		to.Since = clock.System().Now()
+	if to.Paused && to.PausedSince == 0 {
+		to.PausedSince = clock.System().Now()
 	}
 	m[database] = to
 	h.of.Store(&m)
@@ -56,8 +56,10 @@
 	}
 }
 
-func at(group uint64) session.Home     { return session.Home{Named: true, Group: group} }
-func paused(group uint64) session.Home { return session.Home{Named: true, Group: group, Paused: true} }
+func at(group uint64) session.Assignment { return session.Assignment{HasGroup: true, Group: group} }
+func paused(group uint64) session.Assignment {
+	return session.Assignment{HasGroup: true, Group: group, Paused: true}
+}
 
 // moving is a front before two groups, with orders at the first.
 type moving struct {
@@ -271,7 +273,7 @@
 	w.exec(running, w.insert("running2")) // what runs goes on to its end
 	w.exec(running, "COMMIT")
 	require.Equal(t, 1, w.cluster.Versions("public", "entries", "running2"))
-	w.homes.set("orders", session.Home{Named: true, Paused: true, Fenced: true, Since: w.home().PausedSince}) // while two versions meet
+	w.homes.set("orders", session.Assignment{HasGroup: true, Paused: true, Undecided: true, PausedSince: w.home().PausedSince}) // while two versions meet
 	require.Equal(t, 6, w.home().Queued)
 	w.homes.set("orders", paused(2))
 	require.Equal(t, 6, w.home().Queued)
@@ -321,7 +323,7 @@
 	w.homes.set("orders", at(1))
 	require.NoError(t, <-x)
 	long := paused(1)
-	long.Since = clock.System().Now() - 60000 + 300
+	long.PausedSince = clock.System().Now() - 60000 + 300
 	w.homes.set("orders", long)
 	begun = time.Now()
 	for range 2 {
@@ -358,7 +360,7 @@
 	}
 	// Fenced: at once, and a block that runs goes on.
 	w.exec(g, "BEGIN")
-	w.homes.set("orders", session.Home{Named: true, Fenced: true})
+	w.homes.set("orders", session.Assignment{HasGroup: true, Undecided: true})
 	begun = time.Now()
 	_, err = c.Exec(patient(t), "SELECT $1", "1")
 	refused(err, "no home that is agreed on")
@@ -572,7 +574,7 @@
 	m, err := p.Receive()
 	require.NoError(t, err)
 	require.IsType(t, &pgproto3.ParseComplete{}, m)
-	w.homes.set("orders", session.Home{Fenced: true})
+	w.homes.set("orders", session.Assignment{Undecided: true})
 	p.SendDescribe(&pgproto3.Describe{ObjectType: 'S', Name: "other"})
 	p.SendSync(&pgproto3.Sync{})
 	require.NoError(t, p.Flush())
@@ -733,7 +735,7 @@
 	lots := rand.New(rand.NewPCG(3, 4))
 	for time.Now().Before(end) {
 		h := at(uint64(1 + lots.IntN(2)))
-		h.Paused, h.Fenced = lots.IntN(2) == 0, lots.IntN(5) == 0
+		h.Paused, h.Undecided = lots.IntN(2) == 0, lots.IntN(5) == 0
 		w.homes.set("orders", h)
 		w.gate.shut.Store(lots.IntN(3) == 0)
 		time.Sleep(time.Duration(lots.IntN(60)) * time.Millisecond)
@@ -817,7 +819,7 @@
 	f.SetAssignments(h)
 	p := PoolSettings{MaxPausedTransactions: 10, MaxPauseMillis: 1000}
 	c := &sessionClient{
-		front: f, identity: poolIdentity{"orders", "web"}, pool: &p, tenant: f.tenants.Come("orders"), routeDecision: session.Route{Group: 1},
+		front: f, identity: poolIdentity{"orders", "web"}, pool: &p, tenant: f.tenants.AddSession("orders"), routeDecision: session.Route{Group: 1},
 		routedQuery: &session.Query{Statements: make([]session.Statement, 1)},
 	}
 	ask := appendQuery(nil, func(b []byte) []byte { return append(b, "SELECT 'a statement of the usual length, so to say'"...) })
@@ -825,10 +827,10 @@
 	for b.Loop() {
 		now := f.clock.Now()
 		home := h.Assignment("orders", now)
-		if held, err := f.tenants.Decide(now, c.tenant, home, &c.queueEntry, f.queueBounds(c.pool)); held || err != nil {
+		if held, err := f.tenants.Admit(now, c.tenant, home, &c.queueEntry, f.queueBounds(c.pool)); held || err != nil {
 			b.Fatal(err)
 		}
-		group, _ := home.Place("orders", &c.routeDecision)
+		group, _ := home.GroupFor("orders", &c.routeDecision)
 		c.assignment, c.request.Group = home, group
 		c.discardRecorded()
 		c.recording = true
--- a/internal/net/pg/sclient.go
+++ b/internal/net/pg/sclient.go
@@ -67,13 +67,13 @@
 	closedAt        float64   // when it was told to go
 
 	tenant             *session.Tenant // nil: nothing is agreed on
-	queueEntry         session.Held
+	queueEntry         session.QueuedTransaction
 	transactionBegun   bool // a transaction on the connection that it keeps, though nothing of it may be due yet
 	routeDecision      session.Route
 	request            dispatch.Request
-	assignment         session.Home // by which its host was chosen
-	recording          bool         // the first statement is being kept, in record
-	nothingAnswered    bool         // and the client was told nothing of it
+	assignment         session.Assignment // by which its host was chosen
+	recording          bool               // the first statement is being kept, in record
+	nothingAnswered    bool               // and the client was told nothing of it
 	recorded           []byte
 	recordedStatements int    // statements in it
 	replay             []byte // what a host turned away, to be taken before anything else
@@ -104,7 +104,7 @@
 	c.detach()
 	if c.tenant != nil {
 		c.discardRecorded()
-		f.tenants.Gone(c.tenant)
+		f.tenants.RemoveSession(c.tenant)
 	}
 	if c.pipeline != nil {
 		c.pipeline.Close()
@@ -417,8 +417,8 @@
 	}
 	c.pipeline = session.NewPipeline(values, f.catalogue)
 	if f.assignments != nil {
-		c.tenant = f.tenants.Come(database)
-		c.queueEntry.Of = c
+		c.tenant = f.tenants.AddSession(database)
+		c.queueEntry.Owner = c
 	}
 	var out []byte
 	if minor {
@@ -821,7 +821,7 @@
 	if len(c.replay) > 0 { // a host turned it away: its time goes on
 		now = c.request.Arrived
 	} else {
-		c.queueEntry.Fresh()
+		c.queueEntry.Reset()
 	}
 	c.waiter.Deadline = now + patience
 	c.queueEntry.Deadline = c.waiter.Deadline
--- a/internal/net/pg/sessions.go
+++ b/internal/net/pg/sessions.go
@@ -481,7 +481,7 @@
 			return slices.Compare([]byte(a.Database+"\x00"+a.User), []byte(b.Database+"\x00"+b.User))
 		})
 		if f.assignments != nil {
-			s.PausedTransactions = f.tenants.Held()
+			s.PausedTransactions = f.tenants.Queued()
 		}
 		s.Statements, s.StatementBytes = f.catalogue.Len(), f.catalogue.Bytes()
 		out <- s
--- a/testbed/cluster/simmove.go
+++ b/testbed/cluster/simmove.go
@@ -50,7 +50,7 @@
 )
 
 // mvCosts are what the simulation's times add up to: a lease with its drift, four renewals, and the log's ways.
-var mvCosts = migration.Costs{Log: 10, InForce: mvLease*1.03 + 4*(mvRenew+6), Owner: mvDetect + 50, Place: 12}
+var mvCosts = migration.Timing{LogEntryMillis: 10, RulesInForceMillis: mvLease*1.03 + 4*(mvRenew+6), FailoverMillis: mvDetect + 50, DatabaseCallMillis: 12}
 
 type mvTenant struct {
 	name    string
@@ -230,11 +230,11 @@
 		from := m.lots.IntN(len(m.groups))
 		to := (from + 1 + m.lots.IntN(len(m.groups)-1)) % len(m.groups)
 		t.plan = migration.Plan{
-			Tenant: t.name, From: migration.Group(from + 1), To: migration.Group(to + 1), Lock: 60, Tries: 3, Rest: 200, Need: float64(m.lots.IntN(3)),
-			Pause: mvCosts.Least(60) * (1.1 + m.lots.Float64()), Checkpoints: []string{migration.AtAccepting}, Stragglers: []string{"wait", "end"}[m.lots.IntN(2)],
-			Old: []string{"keep", "drop"}[m.lots.IntN(2)],
+			Tenant: t.name, From: migration.Group(from + 1), To: migration.Group(to + 1), FenceWaitMillis: 60, MaxAbortedPauses: 3, BackoffMillis: 200, Priority: float64(m.lots.IntN(3)),
+			MaxPauseMillis: mvCosts.MinPauseMillis(60) * (1.1 + m.lots.Float64()), Checkpoints: []string{migration.CheckpointAccepting}, BlockingSessions: []string{"wait", "end"}[m.lots.IntN(2)],
+			OldCopy: []string{"keep", "drop"}[m.lots.IntN(2)],
 		}
-		for _, c := range []string{migration.AtChecked, migration.AtClosing, migration.AtSwitching} {
+		for _, c := range []string{migration.CheckpointChecked, migration.CheckpointFencing, migration.CheckpointSwitching} {
 			if m.lots.IntN(2) == 0 {
 				t.plan.Checkpoints = append(t.plan.Checkpoints, c)
 			}
@@ -256,11 +256,13 @@
 	}
 	for _, t := range m.tenants {
 		spec, _ := json.Marshal(t.plan)
-		_, err := migration.Parse(spec, mvCosts)
+		_, err := migration.ParsePlan(spec, mvCosts)
 		if err != nil {
 			m.breach("stuck", "a good plan is refused: %v", err)
 		}
-		m.after(m.lots.Float64()*200, func() { m.apply(jobs.Entry{Type: jobs.EntryCreate, Job: t.work, JobKind: migration.Name, Spec: spec}) })
+		m.after(m.lots.Float64()*200, func() {
+			m.apply(jobs.Entry{Type: jobs.EntryCreate, Job: t.work, JobKind: migration.JobKind, Spec: spec})
+		})
 	}
 }
 
@@ -310,34 +312,34 @@
 // logged judges a line that counted.
 func (m *moves) logged(e jobs.Entry, was jobs.Job, w *jobs.Job) {
 	t := m.tenants[slices.IndexFunc(m.tenants, func(t *mvTenant) bool { return t.work == e.Job })]
-	s, _ := migration.StateOf(&was)
+	s, _ := migration.DecodeState(&was)
 	switch e.Type {
 	case jobs.EntryAnnounce:
 		at := map[string]string{
-			migration.DeedPublish: migration.AtChecked, migration.DeedPause: migration.AtClosing, migration.DeedSwitch: migration.AtSwitching,
-			migration.DeedAccept: migration.AtAccepting,
+			migration.OperationPublish: migration.CheckpointChecked, migration.OperationPause: migration.CheckpointFencing, migration.OperationSwitch: migration.CheckpointSwitching,
+			migration.OperationAccept: migration.CheckpointAccepting,
 		}[e.Operation.Name]
-		reverse := s.Reverse || e.Operation.Name == migration.DeedPause && s.Phase == migration.Switched
+		reverse := s.Reverse || e.Operation.Name == migration.OperationPause && s.Phase == migration.PhaseSwitched
 		if at != "" && slices.Contains(t.plan.Checkpoints, at) && !reverse {
-			want := migration.Go
-			if at == migration.AtAccepting {
-				want = migration.Accept
+			want := migration.ActionGo
+			if at == migration.CheckpointAccepting {
+				want = migration.ActionAccept
 			}
 			if word := w.Operation.Approval; word == nil || word.Action != want || word.Step != was.Step {
 				m.breach("stepped_without_word", "%s does %s", e.Job, e.Operation.Name)
 			}
 		}
 	case jobs.EntryApprove:
-		if e.Approval.Action == migration.Rollback && t.backAt == 0 && s.Phase != migration.Accepted && (was.Operation == nil || was.Operation.Name != migration.DeedAccept) {
+		if e.Approval.Action == migration.ActionRollback && t.backAt == 0 && s.Phase != migration.PhaseAccepted && (was.Operation == nil || was.Operation.Name != migration.OperationAccept) {
 			t.backAt = m.now
 		}
 	case jobs.EntryConfirm:
 		m.out.Ends[e.Operation.Name]++
-		n, _ := migration.StateOf(w)
-		if len(n.Differ) > 0 && len(s.Differ) == 0 {
+		n, _ := migration.DecodeState(w)
+		if len(n.Differences) > 0 && len(s.Differences) == 0 {
 			m.out.Ends["found different"]++
 		}
-		if n.Copy.Again > s.Copy.Again {
+		if n.Copy.Restarts > s.Copy.Restarts {
 			m.out.Ends["copied again"]++
 		}
 		if w.Finished {
@@ -454,19 +456,19 @@
 			m.out.Undecided += 2
 		}
 		if t.allow += 2; !t.out { // what it cut short begins anew
-			t.allow += mvCosts.Owner + mvCosts.Reopen()
+			t.allow += mvCosts.FailoverMillis + mvCosts.ReopenMillis()
 		}
 		t.excuse, t.out = true, true
 	} else {
 		t.out = false
 	}
 	if n := m.ledger.Jobs[t.work].HolderCount; n > t.owners { // the first is in the bound
-		t.allow += float64(n-t.owners) * (mvCosts.Owner + mvCosts.Reopen())
+		t.allow += float64(n-t.owners) * (mvCosts.FailoverMillis + mvCosts.ReopenMillis())
 		if t.owners = n; t.lostOne {
 			t.excuse = true
 		} else {
 			t.lostOne = true
-			t.allow -= mvCosts.Owner + mvCosts.Reopen()
+			t.allow -= mvCosts.FailoverMillis + mvCosts.ReopenMillis()
 		}
 	}
 	open := true
@@ -477,10 +479,10 @@
 		}
 	}
 	lasts := m.now - t.paused
-	if lasts > t.plan.Pause+t.allow+4 && !t.told { // it is looked at each 2 ms
+	if lasts > t.plan.MaxPauseMillis+t.allow+4 && !t.told { // it is looked at each 2 ms
 		t.told = true
 		w := m.ledger.Jobs[t.work]
-		m.breach("paused_past_bound", "%s for %.0f of %.0f ms and %.0f: %s, deed %v", t.name, lasts, t.plan.Pause, t.allow, w.State, w.Operation)
+		m.breach("paused_past_bound", "%s for %.0f of %.0f ms and %.0f: %s, deed %v", t.name, lasts, t.plan.MaxPauseMillis, t.allow, w.State, w.Operation)
 	}
 	if open && g.up && !g.dbs[t.n].closed {
 		t.paused = -1
@@ -488,7 +490,7 @@
 			m.out.Excused++
 		} else {
 			m.out.Pauses++
-			m.out.Longest = max(m.out.Longest, lasts/t.plan.Pause)
+			m.out.Longest = max(m.out.Longest, lasts/t.plan.MaxPauseMillis)
 		}
 	}
 }
@@ -782,8 +784,8 @@
 	return nil
 }
 
-// Now, Change and Limited are the agreed rules as this owner knows them.
-func (l *mvLoop) Now() (map[string]any, int, bool) {
+// Current, Change and Limited are the agreed rules as this owner knows them.
+func (l *mvLoop) Current() (map[string]any, int, bool) {
 	n := len(l.m.versions) - 1
 	for l.m.versions[n].index > l.o.applied {
 		n--
@@ -805,17 +807,17 @@
 	return c.n, c.err
 }
 
-func (l *mvLoop) Limited(string) bool { return true }
+func (l *mvLoop) HasLimit(string) bool { return true }
 
-// Turn, Unfit and Pace are the rest of what a move asks.
-func (l *mvLoop) Turn(work string) (bool, string) {
-	all := migration.Candidates(&l.m.ledger, migration.Name, func(g migration.Group) ([]string, []string) { return nil, nil })
-	why := migration.May(all, migration.Limits{Group: 2})[work]
+// MayStart, Unfit and Pace are the rest of what a move asks.
+func (l *mvLoop) MayStart(work string) (bool, string) {
+	all := migration.Candidates(&l.m.ledger, migration.JobKind, func(g migration.Group) ([]string, []string) { return nil, nil })
+	why := migration.Schedule(all, migration.ConcurrencyLimits{PerGroup: 2})[work]
 	return why == "", why
 }
 
-func (l *mvLoop) Unfit(to migration.Group, _ string) string     { return l.m.groups[to-1].unfit }
-func (l *mvLoop) Pace(migration.Group, migration.Group) float64 { return 200 }
+func (l *mvLoop) UnfitReason(to migration.Group, _ string) string        { return l.m.groups[to-1].unfit }
+func (l *mvLoop) RowsPerSecond(migration.Group, migration.Group) float64 { return 200 }
 func (l *mvLoop) dies(share int) bool {
 	return l.m.faulty && l.m.now < mvQuiet && l.m.lots.IntN(share) == 0
 }
@@ -827,7 +829,7 @@
 
 func (l *mvLoop) run() {
 	m := l.m
-	k := &migration.Mover{Places: &mvPlaces{m: m, o: l.o, sleep: l.sleep}, Rules: l, Pacer: l, Fitness: l, Turns: l, Costs: mvCosts, Break: m.broken}
+	k := &migration.Migrator{Databases: &mvPlaces{m: m, o: l.o, sleep: l.sleep}, Rules: l, RateLimiter: l, Health: l, Scheduler: l, Timing: mvCosts, DisabledGuarantee: m.broken}
 	ctx := context.Background()
 	var seen any
 	for {
@@ -904,7 +906,7 @@
 }
 
 // lateDo does a deed of which one call takes long. The owner gives it up meanwhile; the call arrives all the same.
-func (l *mvLoop) lateDo(k *migration.Mover, w *jobs.Job) (proof jobs.Result, err error) {
+func (l *mvLoop) lateDo(k *migration.Migrator, w *jobs.Job) (proof jobs.Result, err error) {
 	m, done := l.m, false
 	m.out.Faults["late "+w.Operation.Name]++
 	late := 30 + m.lots.Float64()*300
@@ -913,7 +915,7 @@
 	m.spawn(func(sleep func(float64)) {
 		rules := &mvLoop{m: m, o: l.o, t: l.t, sleep: sleep, late: late}
 		slow := *k
-		slow.Places, slow.Rules = &mvPlaces{m: m, o: l.o, sleep: sleep, late: late}, rules
+		slow.Databases, slow.Rules = &mvPlaces{m: m, o: l.o, sleep: sleep, late: late}, rules
 		proof, err = slow.Execute(ctx, w, w.Operation)
 		done = true
 	})
@@ -954,7 +956,7 @@
 
 func (m *moves) operate() {
 	m.after(20+m.lots.Float64()*20, m.operate)
-	k := &migration.Mover{Costs: mvCosts}
+	k := &migration.Migrator{Timing: mvCosts}
 	for _, name := range m.ledger.OpenJobs() {
 		w := m.ledger.Jobs[name]
 		if w.Operation != nil && m.now > mvQuiet {
@@ -963,22 +965,22 @@
 		for _, o := range k.Next(0, w, nil).Options {
 			share := m.eager
 			switch {
-			case o.Action == migration.Rollback:
+			case o.Action == migration.ActionRollback:
 				share = 0.01
-			case o.Action == migration.Hold:
+			case o.Action == migration.ActionPause:
 				share = 0.005
-			case o.Action == migration.Go && strings.Contains(string(w.State), `"phase":"verifying"`) && m.now < mvQuiet+4000:
+			case o.Action == migration.ActionGo && strings.Contains(string(w.State), `"phase":"verifying"`) && m.now < mvQuiet+4000:
 				share = m.late
 			case m.now > mvQuiet:
 				share = 0.9
 			}
-			if m.now > mvQuiet && (o.Action == migration.Rollback || o.Action == migration.Hold) || m.lots.Float64() >= share {
+			if m.now > mvQuiet && (o.Action == migration.ActionRollback || o.Action == migration.ActionPause) || m.lots.Float64() >= share {
 				continue
 			}
 			m.says(w, o)
-			if o.Action == migration.Go && m.lots.IntN(15) == 0 { // two operators at the same moment
+			if o.Action == migration.ActionGo && m.lots.IntN(15) == 0 { // two operators at the same moment
 				m.out.Faults["rollback beside go"]++
-				m.says(w, jobs.ApprovalOption{Action: migration.Rollback, Persistent: true})
+				m.says(w, jobs.ApprovalOption{Action: migration.ActionRollback, Persistent: true})
 			}
 		}
 	}
@@ -1046,8 +1048,8 @@
 	if w == nil {
 		return
 	}
-	s, _ := migration.StateOf(w)
-	if s.Pause != nil && s.Pause.Verified || w.Operation != nil && (w.Operation.Name == migration.DeedVerify || w.Operation.Name == migration.DeedSwitch) {
+	s, _ := migration.DecodeState(w)
+	if s.Pause != nil && s.Pause.Verified || w.Operation != nil && (w.Operation.Name == migration.OperationVerify || w.Operation.Name == migration.OperationSwitch) {
 		return
 	}
 	newest := m.versions[len(m.versions)-1].rules
@@ -1078,7 +1080,7 @@
 	for _, t := range m.tenants {
 		if !t.ended {
 			w := m.ledger.Jobs[t.work]
-			k := &migration.Mover{Costs: mvCosts}
+			k := &migration.Migrator{Timing: mvCosts}
 			check := "stuck"
 			if t.backAt > 0 {
 				check = "rollback_lost"
--- a/testbed/cluster/simplaces.go
+++ b/testbed/cluster/simplaces.go
@@ -46,7 +46,7 @@
 	work   string // whose the fence is, or was
 	given  bool   // up
 	deed   string // done last under it
-	found  migration.Found
+	found  migration.Recovery
 	sub    mvSub
 }
 
@@ -146,13 +146,13 @@
 }
 
 // sum is the digest of one of a tenant's ranges.
-func (d *mvDB) sum(i int) (s migration.Sum) {
+func (d *mvDB) sum(i int) (s migration.RangeDigest) {
 	for id, row := range d.rows {
 		if id%mvRanges != i {
 			continue
 		}
 		for range row.times {
-			s.Row([]byte(strconv.Itoa(id)), []byte(strconv.Itoa(row.val)))
+			s.AddRow([]byte(strconv.Itoa(id)), []byte(strconv.Itoa(row.val)))
 		}
 	}
 	return s
@@ -273,7 +273,7 @@
 }
 
 // at reaches a group's primary and shows it the token.
-func (p *mvPlaces) at(ctx context.Context, a migration.Act, n migration.Group) (*mvGroup, *mvDB, int, error) {
+func (p *mvPlaces) at(ctx context.Context, a migration.Request, n migration.Group) (*mvGroup, *mvDB, int, error) {
 	m := p.m
 	if ctx.Err() != nil {
 		return nil, nil, 0, ctx.Err()
@@ -293,92 +293,92 @@
 	if d.token > a.Token && m.broken != "token" {
 		return nil, nil, t, &jobs.FencedError{Target: fmt.Sprint("group ", n), Presented: a.Token, Current: d.token}
 	}
-	if d.there && d.work == a.Work && d.token == a.Token && d.number > a.Number && m.broken != "number" {
+	if d.there && d.work == a.Job && d.token == a.Token && d.number > a.Number && m.broken != "number" {
 		return nil, nil, t, errLate
 	}
-	if d.there && d.work == a.Work && (d.token < a.Token || d.token == a.Token && d.number < a.Number) {
+	if d.there && d.work == a.Job && (d.token < a.Token || d.token == a.Token && d.number < a.Number) {
 		g.log(mvRec{tenant: t, local: true, do: func(d *mvDB) { d.token, d.number = a.Token, a.Number }})
 	}
 	return g, g.dbs[t], t, nil
 }
 
 // deed writes what a deed does, and that it was done, in one transaction.
-func (g *mvGroup) deed(t int, a migration.Act, f migration.Found, do func(*mvDB)) {
+func (g *mvGroup) deed(t int, a migration.Request, f migration.Recovery, do func(*mvDB)) {
 	g.log(mvRec{tenant: t, local: true, do: func(d *mvDB) {
 		if do != nil {
 			do(d)
 		}
-		d.deed, d.found = a.Deed, f
+		d.deed, d.found = a.OperationID, f
 	}})
 }
 
 func mvSlotName(kind string, t int) string { return kind + strconv.Itoa(t) }
 
-func (p *mvPlaces) Check(_ context.Context, a migration.Act) (migration.Findings, error) {
+func (p *mvPlaces) Check(_ context.Context, a migration.Request) (migration.CheckResults, error) {
 	p.sleep(1)
 	t := p.m.tenants[p.m.tenant(a.Plan.Tenant)]
 	if t.unready {
 		t.unready = false // an operator sees to it
-		return migration.Findings{{Reason: migration.NoIdentity, Name: "t"}}, nil
+		return migration.CheckResults{{Reason: migration.CheckNoReplicaIdentity, Name: "t"}}, nil
 	}
 	return nil, nil
 }
 
-func (p *mvPlaces) Publish(ctx context.Context, a migration.Act) error {
+func (p *mvPlaces) Publish(ctx context.Context, a migration.Request) error {
 	for _, n := range []migration.Group{a.Plan.From, a.Plan.To} {
 		g, d, t, err := p.at(ctx, a, n)
 		if err != nil {
 			return err
 		}
-		if d.there && !d.given && d.work != a.Work {
-			return &migration.Taken{Tenant: a.Plan.Tenant, By: d.work}
+		if d.there && !d.given && d.work != a.Job {
+			return &migration.TenantLockedError{Tenant: a.Plan.Tenant, Job: d.work}
 		}
 		shut := n == a.Plan.To
-		g.deed(t, a, migration.Found{Done: true}, func(d *mvDB) {
-			d.there, d.closed, d.token, d.number, d.work, d.given = true, shut, a.Token, a.Number, a.Work, false
+		g.deed(t, a, migration.Recovery{Done: true}, func(d *mvDB) {
+			d.there, d.closed, d.token, d.number, d.work, d.given = true, shut, a.Token, a.Number, a.Job, false
 		})
 	}
 	return nil
 }
 
-func (p *mvPlaces) lines(home, other migration.Group) migration.Lines {
-	return migration.Lines{Home: p.m.groups[home-1].line, Other: p.m.groups[other-1].line}
+func (p *mvPlaces) lines(home, other migration.Group) migration.Timelines {
+	return migration.Timelines{Source: p.m.groups[home-1].line, Target: p.m.groups[other-1].line}
 }
 
-func (p *mvPlaces) Subscribe(ctx context.Context, a migration.Act) (migration.Lines, error) {
+func (p *mvPlaces) Subscribe(ctx context.Context, a migration.Request) (migration.Timelines, error) {
 	g, _, t, err := p.at(ctx, a, a.Plan.To)
 	if err != nil {
-		return migration.Lines{}, err
+		return migration.Timelines{}, err
 	}
-	g.deed(t, a, migration.Found{}, func(d *mvDB) { d.sub, d.rows = mvSub{}, map[int]mvRow{} })
+	g.deed(t, a, migration.Recovery{}, func(d *mvDB) { d.sub, d.rows = mvSub{}, map[int]mvRow{} })
 	from, _, _, err := p.at(ctx, a, a.Plan.From)
 	if err != nil {
-		return migration.Lines{}, err
+		return migration.Timelines{}, err
 	}
 	slot := mvSlotName("move", t)
 	from.slots[slot] = &mvSlot{pos: len(from.wal), lasts: p.m.lots.IntN(2) == 0}
 	origin, line := len(from.wal), from.line
 	if g, _, _, err = p.at(ctx, a, a.Plan.To); err != nil {
-		return migration.Lines{}, err
+		return migration.Timelines{}, err
 	}
-	lines := migration.Lines{Home: line, Other: g.line}
-	g.deed(t, a, migration.Found{Done: true, Lines: lines}, func(d *mvDB) { d.sub = mvSub{there: true, from: from, slot: slot, origin: origin} })
+	lines := migration.Timelines{Source: line, Target: g.line}
+	g.deed(t, a, migration.Recovery{Done: true, Timelines: lines}, func(d *mvDB) { d.sub = mvSub{there: true, from: from, slot: slot, origin: origin} })
 	g.reported[t], g.durable[t], g.last[t] = origin, origin, len(g.wal)
 	return lines, nil
 }
 
-func (p *mvPlaces) Copy(ctx context.Context, a migration.Act) (migration.Copied, error) {
+func (p *mvPlaces) Copy(ctx context.Context, a migration.Request) (migration.CopyResult, error) {
 	g, _, t, err := p.at(ctx, a, a.Plan.To)
 	if err != nil {
-		return migration.Copied{}, err
+		return migration.CopyResult{}, err
 	}
 	k := 0
-	if a.State.Copy.After != "" {
-		k, _ = strconv.Atoi(a.State.Copy.After)
+	if a.State.Copy.LastTable != "" {
+		k, _ = strconv.Atoi(a.State.Copy.LastTable)
 		k++
 	}
-	c := migration.Copied{After: strconv.Itoa(k), Rows: 1, All: k == mvTables-1}
-	g.deed(t, a, migration.Found{Done: true, Copied: c}, func(d *mvDB) {
+	c := migration.CopyResult{LastTable: strconv.Itoa(k), Rows: 1, Complete: k == mvTables-1}
+	g.deed(t, a, migration.Recovery{Done: true, Copied: c}, func(d *mvDB) {
 		if d.sub.tables[k] == mvNot {
 			d.sub.tables[k] = mvPending
 		}
@@ -386,18 +386,18 @@
 	return c, nil
 }
 
-func (p *mvPlaces) Mark(ctx context.Context, a migration.Act, home, other migration.Group) (migration.Lines, error) {
+func (p *mvPlaces) Track(ctx context.Context, a migration.Request, home, other migration.Group) (migration.Timelines, error) {
 	g, _, t, err := p.at(ctx, a, home)
 	if err != nil {
-		return migration.Lines{}, err
+		return migration.Timelines{}, err
 	}
 	g.marks[t] = &mvMark{pos: len(g.wal), lasts: p.m.lots.IntN(2) == 0}
 	line := g.line
 	o, _, _, err := p.at(ctx, a, other)
 	if err != nil {
-		return migration.Lines{}, err
+		return migration.Timelines{}, err
 	}
-	o.deed(t, a, migration.Found{}, func(d *mvDB) { d.closed = true })
+	o.deed(t, a, migration.Recovery{}, func(d *mvDB) { d.closed = true })
 	k := &mvMark{pos: len(o.wal), lasts: p.m.lots.IntN(2) == 0}
 	for i := range k.hot {
 		k.hot[i] = true
@@ -405,13 +405,13 @@
 	if o.marks[t] = k; home == a.Plan.From {
 		o.slots[mvSlotName("feed", t)] = &mvSlot{pos: len(o.wal), lasts: p.m.lots.IntN(2) == 0}
 	}
-	return migration.Lines{Home: line, Other: o.line}, nil
+	return migration.Timelines{Source: line, Target: o.line}, nil
 }
 
-func (p *mvPlaces) Compare(ctx context.Context, a migration.Act, home, other migration.Group) (c migration.Compared, err error) {
+func (p *mvPlaces) Compare(ctx context.Context, a migration.Request, home, other migration.Group) (c migration.ComparisonResult, err error) {
 	i := 0
-	if a.State.Compare.After != "" {
-		i, _ = strconv.Atoi(a.State.Compare.After)
+	if a.State.Comparison.LastRange != "" {
+		i, _ = strconv.Atoi(a.State.Comparison.LastRange)
 		i++
 	}
 	for n := 0; n < 3 && i < mvRanges; n, i = n+1, i+1 {
@@ -439,42 +439,42 @@
 		if g.line != line || o.line != oline || k == nil {
 			return c, errDown // a failover between: begun anew
 		}
-		c.After, c.All = strconv.Itoa(i), i == mvRanges-1
+		c.LastRange, c.Complete = strconv.Itoa(i), i == mvRanges-1
 		switch touched := g.touched(t, at); {
 		case !reached || touched[i]:
-			c.Hot++
+			c.ChangedRanges++
 		case was != there:
-			c.Differ = append(c.Differ, migration.Differ(map[migration.Range]migration.Sum{r: was}, map[migration.Range]migration.Sum{r: there})...)
+			c.Differences = append(c.Differences, migration.CompareRanges(map[migration.Range]migration.RangeDigest{r: was}, map[migration.Range]migration.RangeDigest{r: there})...)
 		default:
-			c.Equal++
+			c.EqualRanges++
 			k.hot[i] = false
 		}
 	}
 	return c, nil
 }
 
-func (p *mvPlaces) Close(ctx context.Context, a migration.Act, at migration.Group) (*migration.Closed, []migration.Straggler, error) {
+func (p *mvPlaces) Fence(ctx context.Context, a migration.Request, at migration.Group) (*migration.FencePoint, []migration.BlockingSession, error) {
 	g, _, t, err := p.at(ctx, a, at)
 	if err != nil {
 		return nil, nil, err
 	}
 	begun, line := p.m.now, g.line
 	for p.m.broken != "fence" {
-		var held []migration.Straggler
+		var held []migration.BlockingSession
 		for tx := range g.running {
 			if tx.tenant != t || tx.ended {
 				continue
 			}
-			if a.Data.End {
+			if a.Data.EndBlockingSessions {
 				tx.ended = true
 				continue
 			}
-			held = append(held, migration.Straggler{PID: 1, Kind: "writing"})
+			held = append(held, migration.BlockingSession{PID: 1, Kind: "writing"})
 		}
 		if len(held) == 0 {
 			break
 		}
-		if p.m.now-begun > a.Data.Within {
+		if p.m.now-begun > a.Data.TimeoutMillis {
 			return nil, held[:1], nil
 		}
 		if p.sleep(1); !g.up || g.line != line {
@@ -486,14 +486,14 @@
 			return nil, nil, &jobs.FencedError{Target: fmt.Sprint("group ", at), Presented: a.Token, Current: d.token}
 		}
 	}
-	c := migration.Closed{Line: g.line, Position: migration.Position(len(g.wal))}
+	c := migration.FencePoint{Timeline: g.line, LSN: migration.LSN(len(g.wal))}
 	shut := p.m.broken != "fence"
-	g.deed(t, a, migration.Found{Done: true, Closed: &c}, func(d *mvDB) { d.closed = shut })
+	g.deed(t, a, migration.Recovery{Done: true, Fence: &c}, func(d *mvDB) { d.closed = shut })
 	p.sleep(0.5)
 	return &c, nil, nil
 }
 
-func (p *mvPlaces) Fenced(ctx context.Context, a migration.Act, at migration.Group) (bool, int, error) {
+func (p *mvPlaces) FenceStatus(ctx context.Context, a migration.Request, at migration.Group) (bool, int, error) {
 	g, d, _, err := p.at(ctx, a, at)
 	if err != nil {
 		return false, 0, err
@@ -501,7 +501,7 @@
 	return d.closed, g.line, nil
 }
 
-func (p *mvPlaces) Verify(ctx context.Context, a migration.Act, home, other migration.Group) (v migration.Verified, err error) {
+func (p *mvPlaces) Verify(ctx context.Context, a migration.Request, home, other migration.Group) (v migration.VerificationResult, err error) {
 	begun := p.m.now
 	g, _, t, err := p.at(ctx, a, home)
 	if err != nil {
@@ -513,7 +513,7 @@
 	}
 	lines := p.lines(home, other)
 	var read [mvRanges]bool
-	if x, y := g.marks[t], o.marks[t]; x == nil || y == nil || lines != a.State.Lines {
+	if x, y := g.marks[t], o.marks[t]; x == nil || y == nil || lines != a.State.Timelines {
 		for i := range read {
 			read[i] = true
 		}
@@ -527,12 +527,12 @@
 		o.log(mvRec{tenant: t, do: func(d *mvDB) { d.seq = max(d.seq, seq) }})
 	}
 	set := len(o.wal)
-	x, y := map[migration.Range]migration.Sum{}, map[migration.Range]migration.Sum{}
+	x, y := map[migration.Range]migration.RangeDigest{}, map[migration.Range]migration.RangeDigest{}
 	for i, is := range read {
 		if !is {
 			continue
 		}
-		v.Ranges++
+		v.RangesRead++
 		r := mvRange(i)
 		x[r] = g.dbs[t].sum(i)
 		p.sleep(0.3)
@@ -541,56 +541,56 @@
 		}
 		y[r] = o.dbs[t].sum(i)
 	}
-	for o.standby < set && p.m.now-begun <= a.Data.Within {
+	for o.standby < set && p.m.now-begun <= a.Data.TimeoutMillis {
 		if p.sleep(2); !g.up || !o.up || lines != p.lines(home, other) {
 			return v, errDown
 		}
 	}
-	v.Lines, v.Late, v.Differ = lines, o.standby < set || p.m.now-begun > a.Data.Within, migration.Differ(x, y)
+	v.Timelines, v.TimedOut, v.Differences = lines, o.standby < set || p.m.now-begun > a.Data.TimeoutMillis, migration.CompareRanges(x, y)
 	return v, nil
 }
 
-func (p *mvPlaces) Open(ctx context.Context, a migration.Act, at migration.Group) error {
+func (p *mvPlaces) Unfence(ctx context.Context, a migration.Request, at migration.Group) error {
 	g, _, t, err := p.at(ctx, a, at)
 	if err == nil {
-		g.deed(t, a, migration.Found{Done: true}, func(d *mvDB) { d.closed, d.sub = false, mvSub{} })
+		g.deed(t, a, migration.Recovery{Done: true}, func(d *mvDB) { d.closed, d.sub = false, mvSub{} })
 		p.sleep(0.5)
 	}
 	return err
 }
 
-func (p *mvPlaces) Feed(ctx context.Context, a migration.Act) (migration.Lines, error) {
+func (p *mvPlaces) ReplicateBack(ctx context.Context, a migration.Request) (migration.Timelines, error) {
 	from, d, t, err := p.at(ctx, a, a.Plan.From)
 	if err != nil {
-		return migration.Lines{}, err
+		return migration.Timelines{}, err
 	}
-	from.deed(t, a, migration.Found{}, func(d *mvDB) { d.closed = true })
+	from.deed(t, a, migration.Recovery{}, func(d *mvDB) { d.closed = true })
 	there := d.sub.there
 	delete(from.slots, mvSlotName("move", t))
 	to, _, _, err := p.at(ctx, a, a.Plan.To)
 	if err != nil {
-		return migration.Lines{}, err
+		return migration.Timelines{}, err
 	}
-	to.deed(t, a, migration.Found{}, func(d *mvDB) { d.sub = mvSub{} })
+	to.deed(t, a, migration.Recovery{}, func(d *mvDB) { d.sub = mvSub{} })
 	name := mvSlotName("feed", t)
 	slot := to.slots[name]
-	anew := a.Data.Again || slot == nil
+	anew := a.Data.Recopy || slot == nil
 	if anew {
 		slot = &mvSlot{pos: len(to.wal), lasts: p.m.lots.IntN(2) == 0}
 		to.slots[name] = slot
 	}
 	origin, line := slot.pos, to.line
 	if from, d, _, err = p.at(ctx, a, a.Plan.From); err != nil {
-		return migration.Lines{}, err
+		return migration.Timelines{}, err
 	}
-	lines := migration.Lines{Home: line, Other: from.line}
+	lines := migration.Timelines{Source: line, Target: from.line}
 	if there && d.sub.there && !anew {
-		from.deed(t, a, migration.Found{Done: true, Lines: lines}, nil)
+		from.deed(t, a, migration.Recovery{Done: true, Timelines: lines}, nil)
 		return lines, nil
 	}
 	delete(to.marks, t)
 	delete(from.marks, t)
-	from.deed(t, a, migration.Found{Done: true, Lines: lines}, func(d *mvDB) {
+	from.deed(t, a, migration.Recovery{Done: true, Timelines: lines}, func(d *mvDB) {
 		d.sub = mvSub{there: true, from: to, slot: name, origin: origin}
 		if anew {
 			d.rows = map[int]mvRow{}
@@ -605,31 +605,31 @@
 	return lines, nil
 }
 
-func (p *mvPlaces) Clear(ctx context.Context, a migration.Act) error {
+func (p *mvPlaces) CleanUp(ctx context.Context, a migration.Request) error {
 	to, _, t, err := p.at(ctx, a, a.Plan.To)
 	if err != nil {
 		return err
 	}
-	to.deed(t, a, migration.Found{Done: true}, func(d *mvDB) { d.sub, d.rows, d.closed, d.given = mvSub{}, map[int]mvRow{}, true, true })
+	to.deed(t, a, migration.Recovery{Done: true}, func(d *mvDB) { d.sub, d.rows, d.closed, d.given = mvSub{}, map[int]mvRow{}, true, true })
 	delete(to.slots, mvSlotName("feed", t))
 	delete(to.marks, t)
 	from, _, _, err := p.at(ctx, a, a.Plan.From)
 	if err != nil {
 		return err
 	}
-	from.deed(t, a, migration.Found{Done: true}, func(d *mvDB) { d.sub, d.closed, d.given = mvSub{}, false, true })
+	from.deed(t, a, migration.Recovery{Done: true}, func(d *mvDB) { d.sub, d.closed, d.given = mvSub{}, false, true })
 	delete(from.slots, mvSlotName("move", t))
 	delete(from.marks, t)
 	return nil
 }
 
-func (p *mvPlaces) Finish(ctx context.Context, a migration.Act) error {
+func (p *mvPlaces) Finish(ctx context.Context, a migration.Request) error {
 	from, _, t, err := p.at(ctx, a, a.Plan.From)
 	if err != nil {
 		return err
 	}
-	from.deed(t, a, migration.Found{Done: true}, func(d *mvDB) {
-		if d.sub, d.closed, d.given = (mvSub{}), true, true; a.Plan.Old == "drop" {
+	from.deed(t, a, migration.Recovery{Done: true}, func(d *mvDB) {
+		if d.sub, d.closed, d.given = (mvSub{}), true, true; a.Plan.OldCopy == "drop" {
 			d.rows = map[int]mvRow{}
 		}
 	})
@@ -638,44 +638,44 @@
 	if err != nil {
 		return err
 	}
-	to.deed(t, a, migration.Found{Done: true}, func(d *mvDB) { d.closed, d.given = false, true })
+	to.deed(t, a, migration.Recovery{Done: true}, func(d *mvDB) { d.closed, d.given = false, true })
 	delete(to.slots, mvSlotName("feed", t))
 	delete(to.marks, t)
 	return nil
 }
 
-// Look: what can be done again is, unless one transaction holds all of it.
-func (p *mvPlaces) Look(ctx context.Context, a migration.Act) (migration.Found, error) {
+// Recover: what can be done again is, unless one transaction holds all of it.
+func (p *mvPlaces) Recover(ctx context.Context, a migration.Request) (migration.Recovery, error) {
 	home := a.Plan.From
 	if a.State.Reverse {
 		home = a.Plan.To
 	}
-	of := map[string][]migration.Group{migration.DeedCopy: {a.Plan.To}, migration.DeedClose: {home}}[a.Name]
+	of := map[string][]migration.Group{migration.OperationCopy: {a.Plan.To}, migration.OperationFence: {home}}[a.Operation]
 	if of == nil {
 		of = []migration.Group{a.Plan.From, a.Plan.To}
 	}
-	var f migration.Found
+	var f migration.Recovery
 	a.Number++ // what is still on its way comes too late from here on
 	for i, n := range of {
 		_, d, _, err := p.at(ctx, a, n)
 		if err != nil {
-			return migration.Found{}, err
+			return migration.Recovery{}, err
 		}
-		switch is := d.deed == a.Deed && d.found.Done; {
+		switch is := d.deed == a.OperationID && d.found.Done; {
 		case !is:
 			f.Done = false
 		case i == 0 || f.Done:
 			f = d.found
 		}
 	}
-	switch a.Name {
-	case migration.DeedSubscribe, migration.DeedFeed, migration.DeedMark, migration.DeedCompare:
+	switch a.Operation {
+	case migration.OperationSubscribe, migration.OperationReplicateBack, migration.OperationTrack, migration.OperationCompare:
 		f.Done = false
 	}
 	return f, nil
 }
 
-func (p *mvPlaces) Progress(_ context.Context, a migration.Act, home, other migration.Group) (s migration.Progress, err error) {
+func (p *mvPlaces) ReplicationStatus(_ context.Context, a migration.Request, home, other migration.Group) (s migration.ReplicationStatus, err error) {
 	p.sleep(0.3 + 2*p.m.lots.Float64())
 	g, o, t := p.m.groups[home-1], p.m.groups[other-1], p.m.tenant(a.Plan.Tenant)
 	if !g.up || !o.up {
@@ -684,19 +684,19 @@
 	}
 	d := o.dbs[t]
 	slot := g.slots[d.sub.slot]
-	s = migration.Progress{Reached: true, Lines: p.lines(home, other), HomePos: migration.Position(len(g.wal)), Applied: migration.Position(o.durable[t]), Ready: true}
+	s = migration.ReplicationStatus{Reachable: true, Timelines: p.lines(home, other), SourceLSN: migration.LSN(len(g.wal)), AppliedLSN: migration.LSN(o.durable[t]), TablesCopied: true}
 	for _, is := range d.sub.tables {
-		s.Ready = s.Ready && is != mvPending
+		s.TablesCopied = s.TablesCopied && is != mvPending
 	}
-	s.Behind = float64(len(g.wal)-o.durable[t]) * 0.2
+	s.LagMillis = float64(len(g.wal)-o.durable[t]) * 0.2
 	if o.slow {
-		s.Behind *= 10
+		s.LagMillis *= 10
 	}
 	s.SlotLost = !d.sub.there || slot == nil
-	s.Ahead = g.tells && d.sub.origin > len(g.wal)
+	s.TargetAhead = g.tells && d.sub.origin > len(g.wal)
 	touched := 0
 	x, y := g.marks[t], o.marks[t]
-	if s.Unmarked = x == nil || y == nil || home == a.Plan.From && o.slots[mvSlotName("feed", t)] == nil; x != nil && y != nil {
+	if s.TrackingLost = x == nil || y == nil || home == a.Plan.From && o.slots[mvSlotName("feed", t)] == nil; x != nil && y != nil {
 		here, there := g.touched(t, x.pos), o.touched(t, y.pos)
 		for i := range here {
 			if here[i] || there[i] || y.hot[i] {
@@ -704,7 +704,7 @@
 			}
 		}
 	}
-	s.Verify = float64(touched) * 0.3
-	s.FenceOff = !d.closed
+	s.VerifyMillis = float64(touched) * 0.3
+	s.TargetUnfenced = !d.closed
 	return s, nil
 }
