--- a/internal/cost/cost_test.go
+++ b/internal/cost/cost_test.go
@@ -291,7 +291,7 @@
 				x := func(e *Estimator) (float64, float64) {
 					d, err := e.newDraws(1000)
 					require.NoError(t, err)
-					c, k, _ := e.full.known("report", kind)
+					c, k, _ := e.full.indexes("report", kind)
 					key := effectKey{c, k, stated(s)}
 					at := [4]float64{1, logSize(50, 0), math.Log1p(3), 0}
 					shift, _, moved := d.robustShift(key, "report", kind, at)
--- a/internal/cost/errors.go
+++ b/internal/cost/errors.go
@@ -11,6 +11,7 @@
 	Cause                error
 }
 
+// Error describes it in one line.
 func (e *InvalidInputError) Error() string {
 	return fmt.Sprintf("%s is %q; allowed is %s", e.What, e.Value, e.Allowed)
 }
@@ -30,6 +31,7 @@
 	Steps []string // those that never begin
 }
 
+// Error describes it in one line.
 func (e *CycleError) Error() string {
 	return fmt.Sprintf("plan %q: steps wait for each other: %s", e.Plan, strings.Join(e.Steps, ", "))
 }
@@ -45,6 +47,7 @@
 	Plan, Step, Key, Value, Allowed string
 }
 
+// Error describes it in one line.
 func (e *InvalidPlanError) Error() string {
 	return fmt.Sprintf("plan %q: step %q: %s is %q; allowed is %s", e.Plan, e.Step, e.Key, e.Value, e.Allowed)
 }
@@ -61,6 +64,7 @@
 	Class     string
 }
 
+// Error describes it in one line.
 func (e *UnknownStatementError) Error() string {
 	return fmt.Sprintf("no evidence of statement %v, nor of its class %q", e.Statement, e.Class)
 }
@@ -79,6 +83,7 @@
 	Cause  error
 }
 
+// Error describes it in one line.
 func (e *NoEstimateError) Error() string { return "can't tell: " + e.Reason }
 
 // Unwrap returns the cause.
@@ -95,6 +100,7 @@
 	Source, Reason string
 }
 
+// Error describes it in one line.
 func (e *InvalidEvidenceError) Error() string {
 	return fmt.Sprintf("evidence of %q: %s", e.Source, e.Reason)
 }
--- a/internal/cost/factors.go
+++ b/internal/cost/factors.go
@@ -14,7 +14,7 @@
 	primary                 bool
 	variance, noise         float64 // of log work: what is not known, and from run to run
 	weight                  float64 // expected time
-	waitShare               float64 // of the expected time
+	waitFraction            float64 // of the expected time
 	waitObservations        float64
 }
 
@@ -23,22 +23,22 @@
 
 type factors []factor
 
-// add adds the factor of one share of a step.
-func (fs *factors) add(d *draws, step *placedStep, share *hostShare, key effectKey, terms [4]float64, wait, waitObservations float64) {
+// add adds the factor of one set of a step.
+func (fs *factors) add(d *draws, step *assignedStep, set *hostSet, key effectKey, terms [4]float64, wait, waitObservations float64) {
 	e := d.estimator
 	terms[termSize] -= e.full.centreSize
 	mean, variance := d.effect(key).evaluate(terms)
 	f := factor{
 		step:             step.step.Name,
-		kind:             share.kind,
-		primary:          share.primary,
+		kind:             set.kind,
+		primary:          set.primary,
 		variance:         variance + e.Widening(d.age),
 		noise:            e.full.noise[key.class],
 		waitObservations: waitObservations,
 	}
 	work := math.Exp(mean + f.noise/2)
-	f.weight, f.waitShare = work+wait, wait/(work+wait)
-	f.description = d.describeEvidence(step.step, share.kind, key, variance)
+	f.weight, f.waitFraction = work+wait, wait/(work+wait)
+	f.description = d.describeEvidence(step.step, set.kind, key, variance)
 	*fs = append(*fs, f)
 }
 
@@ -75,7 +75,7 @@
 	if f == nil {
 		return "nothing of it is used"
 	}
-	if f.waitShare > 0.5 {
+	if f.waitFraction > 0.5 {
 		return fmt.Sprintf("step %q: waiting before kind %q, from %.0f observations", f.step, f.kind, f.waitObservations)
 	}
 	return fmt.Sprintf("step %q: %s", f.step, f.description)
@@ -104,24 +104,24 @@
 	return fs.describe(atPrimary)
 }
 
-func (fs factors) forCapacity(steps []placedStep) string {
+func (fs factors) forCapacity(steps []assignedStep) string {
 	least, kind := math.Inf(1), ""
 	for i := range steps {
-		for j := range steps[i].shares {
-			if share := &steps[i].shares[j]; share.freeCapacity < least {
-				least, kind = share.freeCapacity, share.kind
+		for j := range steps[i].sets {
+			if set := &steps[i].sets[j]; set.freeCapacity < least {
+				least, kind = set.freeCapacity, set.kind
 			}
 		}
 	}
 	return fmt.Sprintf("hosts of kind %q have room for %.2f requests at once", kind, least)
 }
 
-func (fs factors) forStaleness(steps []placedStep) string {
+func (fs factors) forStaleness(steps []assignedStep) string {
 	most, kind := -1.0, ""
 	for i := range steps {
-		for j := range steps[i].shares {
-			if share := &steps[i].shares[j]; !share.primary && share.maxLagMillis > most {
-				most, kind = share.maxLagMillis, share.kind
+		for j := range steps[i].sets {
+			if set := &steps[i].sets[j]; !set.primary && set.maxLagMillis > most {
+				most, kind = set.maxLagMillis, set.kind
 			}
 		}
 	}
--- a/internal/cost/fingerprint.go
+++ b/internal/cost/fingerprint.go
@@ -43,12 +43,12 @@
 	return &InvalidInputError{What: "fingerprint", Value: truncateText(string(text)), Allowed: "32 hex digits", Cause: cause}
 }
 
-// maxShownText bounds how much of a wrong value an error shows, in bytes.
-const maxShownText = 64
+// maxErrorText bounds how much of a wrong value an error shows, in bytes.
+const maxErrorText = 64
 
 func truncateText(s string) string {
-	if len(s) > maxShownText {
-		return s[:maxShownText]
+	if len(s) > maxErrorText {
+		return s[:maxErrorText]
 	}
 	return s
 }
--- a/internal/cost/fit.go
+++ b/internal/cost/fit.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	maxRounds      = 40    // of estimating spreads; they end when none moves by
-	convergedShare = 0.005 // of itself
+	maxRounds         = 40    // of estimating spreads; they end when none moves by
+	convergedFraction = 0.005 // of itself
 )
 
 // commonSlopes is how many effects are common to all classes and kinds: of size, concurrency and warm-up.
@@ -103,7 +103,7 @@
 		rounds = 1 // for classes that too few of the others know
 	}
 	for range rounds {
-		if f.solve(); f.failed || f.updateSpreads(independent) < convergedShare {
+		if f.solve(); f.failed || f.updateSpreads(independent) < convergedFraction {
 			break
 		}
 	}
@@ -226,8 +226,8 @@
 	return [...]int{columnClass, columnSize, columnConcurrency, columnWarmUp, columnsOfAll + i}
 }
 
-// known says whether a class and kind were observed.
-func (f *fit) known(class, kind string) (c, k int, known bool) {
+// indexes returns the indexes of a class and a kind; observed is false where there is no evidence of one of them.
+func (f *fit) indexes(class, kind string) (c, k int, observed bool) {
 	c, classKnown := f.classes[class]
 	k, kindKnown := f.kinds[kind]
 	return c, k, classKnown && kindKnown
--- a/internal/cost/fits.go
+++ b/internal/cost/fits.go
@@ -86,15 +86,15 @@
 	widest := 0.0
 	for i := range t.Demands {
 		q := &t.Demands[i]
-		share := q.shareAt(h, replicas)
-		if share == 0 || q.RequestsPerSecond <= 0 {
+		fraction := q.fractionAt(h, replicas)
+		if fraction == 0 || q.RequestsPerSecond <= 0 {
 			continue
 		}
 		work, _, err := d.meanWork(q.Class, h.Kind, q.Statement, q.Rows, q.Bytes, 0)
 		if err != nil {
 			return HostFit{}, err
 		}
-		perMilli := q.RequestsPerSecond * share / 1e3
+		perMilli := q.RequestsPerSecond * fraction / 1e3
 		fit.Needed.Mid += work.Mid * perMilli
 		fit.Needed.Low += work.Low * perMilli // the ends add up as if all erred to the same side: not too narrow
 		fit.Needed.High += work.High * perMilli
@@ -106,8 +106,8 @@
 	return fit, nil
 }
 
-// shareAt is the share of a demand that a host of a group with so many replicas serves.
-func (q *Demand) shareAt(h *Host, replicas int) float64 {
+// fractionAt is the part of a demand that a host of a group with so many replicas serves.
+func (q *Demand) fractionAt(h *Host, replicas int) float64 {
 	switch {
 	case q.Write:
 		return 1
--- a/internal/cost/meanwork.go
+++ b/internal/cost/meanwork.go
@@ -45,7 +45,7 @@
 	mean, variance = mean+shift, variance+shiftOpen*shiftOpen+d.estimator.Widening(d.age)
 	sd, halfNoise := math.Sqrt(variance), f.noise[c]/2
 	var dominant factors
-	dominant.add(d, &placedStep{step: &Step{Name: class, Class: class, Statement: s}}, &hostShare{kind: kind}, key, terms, 0, 0)
+	dominant.add(d, &assignedStep{step: &Step{Name: class, Class: class, Statement: s}}, &hostSet{kind: kind}, key, terms, 0, 0)
 	interval := Interval{
 		math.Exp(mean + halfNoise),
 		math.Exp(mean + halfNoise - normalQuantile975*sd),
--- a/internal/cost/normalize.go
+++ b/internal/cost/normalize.go
@@ -28,8 +28,8 @@
 func normalize(out []byte, text string) []byte {
 	n := &normalizer{in: text, out: out}
 	for n.at < len(n.in) && len(n.out) < MaxNormalizedBytes {
-		if !n.skipSpace() && !n.literal() {
-			n.word()
+		if !n.skipSpace() && !n.readLiteral() {
+			n.readWord()
 		}
 	}
 	for len(n.out) > 0 && n.out[len(n.out)-1] == ';' {
@@ -59,8 +59,8 @@
 	return true
 }
 
-// literal reads a literal or parameter, if there is one.
-func (n *normalizer) literal() bool {
+// readLiteral reads a literal or parameter, if there is one.
+func (n *normalizer) readLiteral() bool {
 	s, i := n.in, n.at
 	c := s[i]
 	followedBy := func(is func(byte) bool) bool { return i+1 < len(s) && is(s[i+1]) }
@@ -84,8 +84,8 @@
 	return true
 }
 
-// word reads a word, a quoted name, or any other character.
-func (n *normalizer) word() {
+// readWord reads a word, a quoted name, or any other character.
+func (n *normalizer) readWord() {
 	from := n.at
 	switch c := n.in[n.at]; {
 	case c == '"':
--- a/internal/cost/planfile.go
+++ b/internal/cost/planfile.go
@@ -21,6 +21,7 @@
 	Cause   error
 }
 
+// Error describes it in one line.
 func (e *PlanFileError) Error() string {
 	if e.Key == "" {
 		return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Problem)
--- a/internal/cost/robust.go
+++ b/internal/cost/robust.go
@@ -51,7 +51,7 @@
 		if f == nil {
 			continue
 		}
-		if c, k, known := f.known(class, kind); known {
+		if c, k, observed := f.indexes(class, kind); observed {
 			effects = append(effects, f.effectOf(effectKey{c, k, key.statement}))
 		}
 	}
--- a/internal/cost/simulate.go
+++ b/internal/cost/simulate.go
@@ -12,8 +12,8 @@
 // maxLogMillis bounds the logarithm of a time before it is exponentiated, so that sums of times stay finite.
 const maxLogMillis = 600
 
-// shareLoad is what the parts of a step on one share of hosts cost: log work, and time as one log-normal of work and waiting.
-type shareLoad struct {
+// setLoad is what the parts of a step on one set of hosts cost: log work, and time as one log-normal of work and waiting.
+type setLoad struct {
 	key              effectKey
 	terms            [4]float64
 	shift, shiftOpen float64 // see robustShift
@@ -21,7 +21,7 @@
 	waitObservations float64
 	slowest          [replicaDraws][]float64 // by replica draw and run: the slowest of the parts, in standard deviations
 	mean, sigma      float64                 // of log time, in the present parameter draw
-	quiet            float64                 // work without neighbours, in the present parameter draw
+	unloaded         float64                 // work without neighbours, in the present parameter draw
 }
 
 // simulation estimates one plan: for each draw of what is not known it plays a number of runs.
@@ -30,8 +30,8 @@
 	plan    *Plan
 	fleet   *Fleet
 	order   []int // of the steps
-	steps   []placedStep
-	loads   [][]shareLoad // by step and share
+	steps   []assignedStep
+	loads   [][]setLoad // by step and set
 	factors factors
 	finish  []float64 // by step, in the present run
 	times   []float64 // of the plan, by run
@@ -46,7 +46,7 @@
 	p50, p95, p99   []float64
 	withinObjective []float64
 	staleness       []float64
-	primaryShare    []float64
+	primaryFraction []float64
 	displacedWeight []float64
 	workByKind      map[string][]float64
 }
@@ -55,8 +55,8 @@
 func (d *draws) estimatePlan(now float64, p *Plan, f *Fleet) PlanEstimate {
 	out := PlanEstimate{Name: p.Name, Work: map[string]Interval{}, AgeMillis: d.age}
 	order, _ := p.check()
-	random := rand.New(rand.NewPCG(1, uint64(len(f.Hosts)))) // the same for all plans: what they share is drawn alike
-	steps, err := d.estimator.placeSteps(now, p, f, random)
+	random := rand.New(rand.NewPCG(1, uint64(len(f.Hosts)))) // the same for all plans: what they have in common is drawn alike
+	steps, err := d.estimator.assignSteps(now, p, f, random)
 	var unavailable *NoEstimateError
 	if errors.As(err, &unavailable) {
 		copied := *unavailable
@@ -69,7 +69,7 @@
 		fleet:  f,
 		order:  order,
 		steps:  steps,
-		loads:  make([][]shareLoad, len(steps)),
+		loads:  make([][]setLoad, len(steps)),
 		finish: make([]float64, len(steps)),
 		times:  make([]float64, runDraws),
 	}
@@ -84,42 +84,42 @@
 	return out
 }
 
-// prepareLoads fills the loads of all shares, and returns how far one source can have moved any of them; -1: no bound.
+// prepareLoads fills the loads of all sets, and returns how far one source can have moved any of them; -1: no bound.
 func (s *simulation) prepareLoads() (maxShift float64) {
 	e := s.estimator
 	for i := range s.steps {
 		step := &s.steps[i]
-		for j := range step.shares {
-			share := &step.shares[j]
-			share.kindIndex = e.full.kinds[share.kind]
-			load := shareLoad{
-				key:   effectKey{step.class, share.kindIndex, step.step.Statement},
-				terms: [4]float64{1, step.logSize, math.Log1p(share.inflight), 0},
+		for j := range step.sets {
+			set := &step.sets[j]
+			set.kindIndex = e.full.kinds[set.kind]
+			load := setLoad{
+				key:   effectKey{step.class, set.kindIndex, step.step.Statement},
+				terms: [4]float64{1, step.logSize, math.Log1p(set.inflight), 0},
 			}
-			if share.warmingUp {
+			if set.warmingUp {
 				load.terms[termWarmUp] = 1
 			}
 			var moved float64
-			load.shift, load.shiftOpen, moved = s.robustShift(load.key, step.step.Class, share.kind, load.terms)
+			load.shift, load.shiftOpen, moved = s.robustShift(load.key, step.step.Class, set.kind, load.terms)
 			if moved < 0 || maxShift < 0 {
 				maxShift = -1
 			} else {
 				maxShift = max(maxShift, moved)
 			}
-			load.wait, load.waitSpread, load.waitObservations = e.estimateWait(share.kind, share.inflight)
-			s.drawSlowest(share, &load)
+			load.wait, load.waitSpread, load.waitObservations = e.estimateWait(set.kind, set.inflight)
+			s.drawSlowest(set, &load)
 			s.drawPair(load.key)
-			s.factors.add(s.draws, step, share, load.key, load.terms, load.wait, load.waitObservations)
+			s.factors.add(s.draws, step, set, load.key, load.terms, load.wait, load.waitObservations)
 			s.loads[i] = append(s.loads[i], load)
 		}
 	}
 	return maxShift
 }
 
-// drawSlowest draws, for each run, how far the slowest of a share's parts is from their mean.
-func (s *simulation) drawSlowest(share *hostShare, load *shareLoad) {
+// drawSlowest draws, for each run, how far the slowest of a set's parts is from their mean.
+func (s *simulation) drawSlowest(set *hostSet, load *setLoad) {
 	for a := range replicaDraws {
-		n := share.parts[a]
+		n := set.parts[a]
 		if n == 0 {
 			continue
 		}
@@ -138,17 +138,17 @@
 	for i := range s.steps {
 		step := &s.steps[i]
 		for j := range s.loads[i] {
-			load, share := &s.loads[i][j], &step.shares[j]
-			s.evaluateLoad(u, step, share, load)
-			n := float64(share.parts[replica])
+			load, set := &s.loads[i][j], &step.sets[j]
+			s.evaluateLoad(u, step, set, load)
+			n := float64(set.parts[replica])
 			if n == 0 {
 				continue
 			}
 			work := s.drawWork(u, step, load, n)
-			workByKind[share.kind] += work
-			if share.primary {
+			workByKind[set.kind] += work
+			if set.primary {
 				primaryWork += work
-				primaryCapacity += n * share.capacity
+				primaryCapacity += n * set.capacity
 			}
 		}
 	}
@@ -157,15 +157,15 @@
 	s.takeHosts(replica, primaryWork, primaryCapacity, workByKind)
 }
 
-// evaluateLoad sets a load's mean, sigma and quiet work for a draw.
-func (s *simulation) evaluateLoad(u int, step *placedStep, share *hostShare, load *shareLoad) {
+// evaluateLoad sets a load's mean, sigma and unloaded work for a draw.
+func (s *simulation) evaluateLoad(u int, step *assignedStep, set *hostSet, load *setLoad) {
 	f := s.estimator.full
 	common, firstSlope := s.common[u], len(f.classes)+len(f.kinds)
 	own, _ := s.drawStatement(statementKey{step.class, step.step.Statement})
 	noise := s.noise[step.class][u]
-	quiet := common[step.class] + common[len(f.classes)+share.kindIndex] + own[u][0] + s.pairDraws[load.key][u] +
+	unloaded := common[step.class] + common[len(f.classes)+set.kindIndex] + own[u][0] + s.pairDraws[load.key][u] +
 		(common[firstSlope]+own[u][1])*(step.logSize-f.centreSize) + load.shift + load.shiftOpen*s.shiftNormals[u]
-	busy := quiet + common[firstSlope+1]*load.terms[termConcurrency] + common[firstSlope+2]*load.terms[termWarmUp]
+	busy := unloaded + common[firstSlope+1]*load.terms[termConcurrency] + common[firstSlope+2]*load.terms[termWarmUp]
 	load.mean, load.sigma = busy, math.Sqrt(noise)
 	if load.wait > 0 {
 		wait := load.wait * math.Exp(s.waitNormals[u]*math.Sqrt(load.waitSpread/max(1, load.waitObservations)))
@@ -174,13 +174,13 @@
 		logVariance := math.Log1p(variance / ((mean + wait) * (mean + wait)))
 		load.mean, load.sigma = math.Log(mean+wait)-logVariance/2, math.Sqrt(logVariance)
 	}
-	load.quiet = math.Exp(min(quiet+noise/2, maxLogMillis))
+	load.unloaded = math.Exp(min(unloaded+noise/2, maxLogMillis))
 }
 
 // drawWork draws the sum of the work of n parts.
-func (s *simulation) drawWork(u int, step *placedStep, load *shareLoad, n float64) float64 {
+func (s *simulation) drawWork(u int, step *assignedStep, load *setLoad, n float64) float64 {
 	logVariance := math.Log1p(math.Expm1(s.noise[step.class][u]) / n)
-	return n * load.quiet * math.Exp(s.random.NormFloat64()*math.Sqrt(logVariance)-logVariance/2)
+	return n * load.unloaded * math.Exp(s.random.NormFloat64()*math.Sqrt(logVariance)-logVariance/2)
 }
 
 // playRuns sets the times of the plan in all runs, and returns how old the oldest data is that a replica serves.
@@ -216,10 +216,10 @@
 }
 
 // staleness is how old the data is that replicas serve to a step that takes so long; 0 where none serves it.
-func (s *placedStep) staleness(replica int, took float64) (millis float64) {
-	for _, share := range s.shares {
-		if !share.primary && share.parts[replica] > 0 {
-			millis = max(millis, share.maxLagMillis+took)
+func (s *assignedStep) staleness(replica int, took float64) (millis float64) {
+	for _, set := range s.sets {
+		if !set.primary && set.parts[replica] > 0 {
+			millis = max(millis, set.maxLagMillis+took)
 		}
 	}
 	return millis
@@ -243,15 +243,15 @@
 	to := &s.samples
 	window := quantile(s.times, 0.5)
 	if primaryCapacity > 0 {
-		to.primaryShare = append(to.primaryShare, primaryWork/(primaryCapacity*window))
+		to.primaryFraction = append(to.primaryFraction, primaryWork/(primaryCapacity*window))
 	} else {
-		to.primaryShare = append(to.primaryShare, 0)
+		to.primaryFraction = append(to.primaryFraction, 0)
 	}
 	displaced := 0.0
 	for i := range s.steps {
 		for j := range s.loads[i] {
-			if share := &s.steps[i].shares[j]; share.parts[replica] > 0 {
-				displaced += float64(share.parts[replica]) * s.fleet.displacedWeight(s.loads[i][j].quiet-share.freeCapacity*window, window)
+			if set := &s.steps[i].sets[j]; set.parts[replica] > 0 {
+				displaced += float64(set.parts[replica]) * s.fleet.displacedWeight(s.loads[i][j].unloaded-set.freeCapacity*window, window)
 			}
 		}
 	}
@@ -265,7 +265,7 @@
 func (s *simulation) summarize(out *PlanEstimate) {
 	from := &s.samples
 	out.medians = slices.Clone(from.p50)
-	for _, sample := range [][]float64{from.times, from.p50, from.p95, from.p99, from.withinObjective, from.staleness, from.primaryShare, from.displacedWeight} {
+	for _, sample := range [][]float64{from.times, from.p50, from.p95, from.p99, from.withinObjective, from.staleness, from.primaryFraction, from.displacedWeight} {
 		slices.Sort(sample)
 	}
 	dominant := s.factors.forTime()
@@ -275,7 +275,7 @@
 		slices.Sort(sample)
 		out.Work[kind] = intervalOf(sample, s.factors.forKind(kind))
 	}
-	out.Primary = intervalOf(from.primaryShare, s.factors.forPrimary())
+	out.Primary = intervalOf(from.primaryFraction, s.factors.forPrimary())
 	out.DisplacedWeight = intervalOf(from.displacedWeight, s.factors.forCapacity(s.steps))
 	out.StalenessMillis = intervalOf(from.staleness, s.factors.forStaleness(s.steps))
 	if s.plan.ObjectiveMillis > 0 {
@@ -285,10 +285,10 @@
 }
 
 // kindsOf are the kinds of hosts that steps use, each once.
-func kindsOf(steps []placedStep) (kinds []string) {
+func kindsOf(steps []assignedStep) (kinds []string) {
 	for i := range steps {
-		for j := range steps[i].shares {
-			if kind := steps[i].shares[j].kind; !slices.Contains(kinds, kind) {
+		for j := range steps[i].sets {
+			if kind := steps[i].sets[j].kind; !slices.Contains(kinds, kind) {
 				kinds = append(kinds, kind)
 			}
 		}
--- a/internal/cost/steps.go
+++ b/internal/cost/steps.go
@@ -19,8 +19,8 @@
 
 var freshnessValues = []string{freshnessWrite, freshnessFresh, freshnessSession, freshnessBounded, freshnessAny}
 
-// hostShare are hosts that are alike to a step: of one kind, about as busy, all warming up or none.
-type hostShare struct {
+// hostSet are hosts that are alike to a step: of one kind, about as busy, all warming up or none.
+type hostSet struct {
 	kind         string
 	kindIndex    int
 	primary      bool
@@ -34,20 +34,20 @@
 	parts        [replicaDraws]int // of the step there, in each draw of replicas
 }
 
-// placedStep is a step with where it runs.
-type placedStep struct {
+// assignedStep is a step with where it runs.
+type assignedStep struct {
 	step     *Step
 	class    int
 	logSize  float64
-	shares   []hostShare
+	sets     []hostSet
 	waitsFor []int // steps that end before it begins
 }
 
-// placeSteps places the steps on hosts. It fails where a step has no host, or nothing is known of its class or of a kind of host.
-func (e *Estimator) placeSteps(now float64, p *Plan, f *Fleet, random *rand.Rand) ([]placedStep, error) {
+// assignSteps places the steps on hosts. It fails where a step has no host, or nothing is known of its class or of a kind of host.
+func (e *Estimator) assignSteps(now float64, p *Plan, f *Fleet, random *rand.Rand) ([]assignedStep, error) {
 	groups, ids := f.groups()
 	index := map[string]int{}
-	var placed []placedStep
+	var placed []assignedStep
 	for i := range p.Steps {
 		s := &p.Steps[i]
 		index[s.Name] = i
@@ -55,7 +55,7 @@
 		if !known {
 			return nil, noEvidenceOf(s.Statement, s.Class)
 		}
-		step := placedStep{step: s, class: class, logSize: logSize(s.Rows, s.Bytes)}
+		step := assignedStep{step: s, class: class, logSize: logSize(s.Rows, s.Bytes)}
 		at := []uint64{s.Group}
 		if s.AllGroups {
 			at = ids
@@ -64,7 +64,7 @@
 			return nil, &NoEstimateError{Reason: "the fleet has no hosts"}
 		}
 		for _, group := range at {
-			if err := e.placeStep(&step, group, groups[group], now, f.WarmUpMillis, random); err != nil {
+			if err := e.assignStep(&step, group, groups[group], now, f.WarmUpMillis, random); err != nil {
 				return nil, err
 			}
 		}
@@ -78,8 +78,8 @@
 	return placed, nil
 }
 
-// placeStep places a step's part in one group, once for each draw of replicas.
-func (e *Estimator) placeStep(step *placedStep, group uint64, members []*Host, now, warmUpMillis float64, random *rand.Rand) error {
+// assignStep places a step's part in one group, once for each draw of replicas.
+func (e *Estimator) assignStep(step *assignedStep, group uint64, members []*Host, now, warmUpMillis float64, random *rand.Rand) error {
 	name := step.step.Name
 	hosts := eligibleHosts(step.step, members)
 	if len(hosts) == 0 {
@@ -138,33 +138,33 @@
 	return h.StartedAt > 0 && now-h.StartedAt < warmUpMillis
 }
 
-// addHost adds a host to the share of those that are alike.
-func (s *placedStep) addHost(h *Host, now, warmUpMillis float64, draw int) {
-	share := s.shareOf(hostShare{
+// addHost adds a host to the set of those that are alike.
+func (s *assignedStep) addHost(h *Host, now, warmUpMillis float64, draw int) {
+	set := s.setOf(hostSet{
 		kind:       h.Kind,
 		primary:    h.Primary,
 		warmingUp:  h.isWarmingUp(now, warmUpMillis),
 		busyBucket: int(math.Log2(float64(h.Inflight) + 1)),
 	})
-	n := float64(share.hosts)
-	share.inflight = (share.inflight*n + float64(h.Inflight)) / (n + 1)
-	share.capacity = (share.capacity*n + h.Capacity) / (n + 1)
-	share.freeCapacity = (share.freeCapacity*n + max(0, h.Capacity-h.Load)) / (n + 1)
-	share.maxLagMillis = max(share.maxLagMillis, h.LagMillis)
-	share.hosts++
-	share.parts[draw]++
+	n := float64(set.hosts)
+	set.inflight = (set.inflight*n + float64(h.Inflight)) / (n + 1)
+	set.capacity = (set.capacity*n + h.Capacity) / (n + 1)
+	set.freeCapacity = (set.freeCapacity*n + max(0, h.Capacity-h.Load)) / (n + 1)
+	set.maxLagMillis = max(set.maxLagMillis, h.LagMillis)
+	set.hosts++
+	set.parts[draw]++
 }
 
-// shareOf returns the step's share that is like another one, which it adds where there is none.
-func (s *placedStep) shareOf(like hostShare) *hostShare {
-	i := slices.IndexFunc(s.shares, func(o hostShare) bool {
+// setOf returns the step's set that is like another one, which it adds where there is none.
+func (s *assignedStep) setOf(like hostSet) *hostSet {
+	i := slices.IndexFunc(s.sets, func(o hostSet) bool {
 		return o.kind == like.kind && o.primary == like.primary && o.warmingUp == like.warmingUp && o.busyBucket == like.busyBucket
 	})
 	if i < 0 {
-		i = len(s.shares)
-		s.shares = append(s.shares, like)
+		i = len(s.sets)
+		s.sets = append(s.sets, like)
 	}
-	return &s.shares[i]
+	return &s.sets[i]
 }
 
 // displacedWeight is the weight of what work beyond a host's free capacity pushes out there, in a window of milliseconds:
