--- a/cmd/ashstand/cost.go
+++ b/cmd/ashstand/cost.go
@@ -102,13 +102,13 @@
 }
 
 func (e *estimates) cold(entry *discovery.Endpoint, now float64) bool {
-	return entry.SinceMS > 0 && now-entry.SinceMS < clock.Millis(e.node.cfg.Load().site.SlowStartDuration)
+	return entry.SinceMS > 0 && now-entry.SinceMS < clock.Millis(e.node.cfg.Load().site.SlowStart.Duration)
 }
 
 // fleet is how the hosts stand, as this pooler sees it.
 func (e *estimates) fleet(now float64) cost.Fleet {
 	cfg, kept := e.node.cfg.Load(), e.node.facade.ExportState()
-	f := cost.Fleet{WarmUpMillis: clock.Millis(cfg.site.SlowStartDuration)}
+	f := cost.Fleet{WarmUpMillis: clock.Millis(cfg.site.SlowStart.Duration)}
 	list := *e.node.list.Load()
 	e.mu.Lock()
 	inside := maps.Clone(e.inside)
--- a/cmd/simadapter/main.go
+++ b/cmd/simadapter/main.go
@@ -1,4 +1,5 @@
-// Command adapter speaks the bench's wire on standard input and output and hosts one choice.Choice per instance.
+// Command simadapter speaks the simulator's wire on standard input and output and hosts one routing.Router for each
+// instance.
 package main
 
 import (
@@ -13,6 +14,8 @@
 	"ashstand/routing"
 )
 
+const writeBufferBytes = 1 << 16
+
 func main() {
 	if err := run(os.Stdin, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "simadapter:", err)
@@ -22,8 +25,8 @@
 
 // run answers batches until the input ends.
 func run(in io.Reader, out io.Writer) error {
-	d, w := wire.NewDecoder(in), bufio.NewWriterSize(out, 1<<16)
-	instances := map[int]*routing.Router{}
+	d, w := wire.NewDecoder(in), bufio.NewWriterSize(out, writeBufferBytes)
+	routers := map[int]*routing.Router{}
 	var reply []byte
 	for {
 		b, err := d.Next()
@@ -32,60 +35,64 @@
 		} else if err != nil {
 			return err
 		}
-		reply = answer(reply[:0], instances, b)
-		w.Write(reply)
-		fmt.Fprintf(w, "NEXT seq=%s\n", b.Seq)
+		reply = answer(reply[:0], routers, b)
+		reply = fmt.Appendf(reply, "NEXT seq=%s\n", b.Seq)
+		if _, err := w.Write(reply); err != nil {
+			return err
+		}
 		if err := w.Flush(); err != nil {
 			return err
 		}
 	}
 }
 
-// answer gives each instance its events of the batch in one step. What an instance was sent before it was stopped
-// goes with it.
-func answer(reply []byte, instances map[int]*routing.Router, b *wire.Batch) []byte {
+// answer gives each instance its events of the batch in one step. What an instance was sent before its shutdown goes with
+// it.
+func answer(reply []byte, routers map[int]*routing.Router, b *wire.Batch) []byte {
 	var order []int
 	events := map[int][]routing.Event{}
-	for _, it := range b.Items {
+	for _, item := range b.Items {
 		switch {
-		case it.IsShutdown:
-			delete(instances, it.Instance)
-			delete(events, it.Instance)
-		case it.IsOpen:
-			c, err := routing.New(it.Settings, it.Seed)
+		case item.IsShutdown:
+			delete(routers, item.Instance)
+			delete(events, item.Instance)
+		case item.IsOpen:
+			router, err := routing.New(item.Settings, item.Seed)
 			if err != nil {
-				reply = bug(reply, it.Instance, err)
+				reply = appendBug(reply, item.Instance, bugPrefix+err.Error())
 				continue
 			}
-			instances[it.Instance] = c
-			delete(events, it.Instance)
+			routers[item.Instance] = router
+			delete(events, item.Instance)
 		default:
-			if _, ok := events[it.Instance]; !ok {
-				order = append(order, it.Instance)
+			if _, ok := events[item.Instance]; !ok {
+				order = append(order, item.Instance)
 			}
-			events[it.Instance] = append(events[it.Instance], it.Event)
+			events[item.Instance] = append(events[item.Instance], item.Event)
 		}
 	}
-	for _, who := range order {
-		if c := instances[who]; c != nil && events[who] != nil {
-			reply = step(reply, who, c, b, events[who])
-			delete(events, who)
+	for _, instance := range order {
+		if router := routers[instance]; router != nil && events[instance] != nil {
+			reply = step(reply, instance, router, b, events[instance])
+			delete(events, instance)
 		}
 	}
 	return reply
 }
 
-// step reports a panic of the module instead of dying of it.
-func step(reply []byte, who int, c *routing.Router, b *wire.Batch, events []routing.Event) (out []byte) {
+// step reports a panic of the router instead of dying of it.
+func step(reply []byte, instance int, router *routing.Router, b *wire.Batch, events []routing.Event) (out []byte) {
 	defer func() {
 		if p := recover(); p != nil {
-			out = bug(reply, who, p)
+			out = appendBug(reply, instance, fmt.Sprint(p))
 		}
 	}()
-	return wire.AppendActions(reply, who, c.Step(b.Now, events))
+	return wire.AppendActions(reply, instance, router.Step(b.Now, events))
 }
 
-func bug(reply []byte, who int, what any) []byte {
-	text := strings.ReplaceAll(fmt.Sprint(what), "\n", " ")
-	return fmt.Appendf(reply, "BUG who=%d body_text=%s\n", who, text)
+// bugPrefix stands before settings that can't be served; the simulator's wire keeps it from before packages were renamed.
+const bugPrefix = "choice: "
+
+func appendBug(reply []byte, instance int, text string) []byte {
+	return fmt.Appendf(reply, "BUG who=%d body_text=%s\n", instance, strings.ReplaceAll(text, "\n", " "))
 }
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,4 +1,4 @@
-// Package clock gives the one time that the whole program uses: milliseconds since 1970 as a float64.
+// Package clock gives the one time that the whole program uses: Unix milliseconds as a float64.
 package clock
 
 import (
@@ -11,35 +11,39 @@
 	Now() float64 // Unix milliseconds; never goes back
 }
 
+// system follows the monotonic clock from one reading of the wall clock.
 type system struct {
-	anchor time.Time // carries the monotonic reading
-	unix   float64
+	anchor      time.Time // carries the monotonic reading
+	anchorMilli float64
 }
 
-// System returns the clock of the machine. It reads the wall clock once and follows the monotonic one from
-// there: positions and drains compare times, and a wall clock that is set back would make old data look new.
+// System returns the clock of the machine. It reads the wall clock once and follows the monotonic one from there:
+// positions and drains compare times, and a wall clock that is set back would make old data look new.
 func System() Clock {
 	now := time.Now()
-	return &system{anchor: now, unix: float64(now.UnixMicro()) / 1e3}
+	return &system{anchor: now, anchorMilli: float64(now.UnixMicro()) / 1e3}
 }
 
-func (s *system) Now() float64 { return s.unix + float64(time.Since(s.anchor))/1e6 }
-
-// Skewed is a clock that stands offset milliseconds away from another and runs rate times as fast from now on: how a
-// machine's clock that was set wrong looks. For the laboratory.
-func Skewed(of Clock, offset, rate float64) Clock { return &skewed{of, of.Now(), offset, rate} }
+func (s *system) Now() float64 { return s.anchorMilli + float64(time.Since(s.anchor))/1e6 }
 
+// skewed is a clock that is wrong by an offset and a rate.
 type skewed struct {
-	of           Clock
-	from         float64
+	base         Clock
+	from         float64 // what base showed at the beginning
 	offset, rate float64
 }
 
-func (s *skewed) Now() float64 { return s.from + s.offset + (s.of.Now()-s.from)*s.rate }
+// Skewed is a clock that stands offset milliseconds away from another and runs rate times as fast from now on: how a
+// machine's clock that was set wrong looks. For the testbed.
+func Skewed(base Clock, offset, rate float64) Clock {
+	return &skewed{base: base, from: base.Now(), offset: offset, rate: rate}
+}
+
+func (s *skewed) Now() float64 { return s.from + s.offset + (s.base.Now()-s.from)*s.rate }
 
-// Manual is a clock that tests set.
+// Manual is a clock that tests set. It is safe for concurrent use.
 type Manual struct {
-	mu  sync.Mutex
+	mu  sync.Mutex // guards now
 	now float64
 }
 
@@ -56,12 +60,12 @@
 // Advance moves the clock on.
 func (m *Manual) Advance(ms float64) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.now += ms
-	m.mu.Unlock()
 }
 
-// Duration converts milliseconds for the standard library and the module.
+// Duration converts milliseconds.
 func Duration(ms float64) time.Duration { return time.Duration(ms * 1e6) }
 
-// Millis converts back.
+// Millis converts to milliseconds.
 func Millis(d time.Duration) float64 { return float64(d) / 1e6 }
--- a/internal/dispatch/decide_test.go
+++ b/internal/dispatch/decide_test.go
@@ -14,8 +14,8 @@
 func testSettings() *settings.Parsed {
 	return &settings.Parsed{
 		Settings: routing.Settings{
-			RouterCount: 1, MaxAttempts: 8, ListNamesPrimary: true, ProbesAllowed: true,
-			ReportsPosition: true, ReportsRole: true, MaxRetryAfter: 2 * time.Second, MinTickInterval: 5 * time.Millisecond, ProbeCost: 0.001,
+			RouterCount: 1, MaxAttempts: 8, ListNamesPrimary: true,
+			Probing: routing.Probing{Allowed: true, Cost: 0.001, ReportsPosition: true, ReportsRole: true}, MaxRetryAfter: 2 * time.Second, MinTickInterval: 5 * time.Millisecond,
 			Classes: []routing.Class{
 				{Name: "browse", Access: routing.BoundedRead, StalenessBound: 200 * time.Millisecond, LatencyObjective: time.Second, Deadline: time.Second, PriorityWeight: 1, LateFraction: 1},
 				{Name: "donate", Access: routing.Write, Idempotency: routing.AtMostOnce, LatencyObjective: time.Second, Deadline: 2 * time.Second, PriorityWeight: 3, LateFraction: 1},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,5 +1,5 @@
-// Package settings turns the operators' settings, as nested JSON, into the module's own Settings. The
-// simulator's adapter and the pooler read them through here, so that both decide by the same figures.
+// Package settings turns the operators' settings, as nested JSON, into the Settings of package routing. The simulator's
+// adapter and the pooler read them through here, so that both decide by the same figures.
 package settings
 
 import (
@@ -14,175 +14,181 @@
 
 var json = jsoniter.ConfigCompatibleWithStandardLibrary
 
-// Parsed is the module's settings with what the program around it needs to speak the operators' names.
+// Parsed is routing's settings with what the program around it needs to speak the operators' names.
 type Parsed struct {
 	routing.Settings
-	Classes                    map[string]int // place of a class in Settings.Classes
-	Tenants                    map[string]int // from 1; none is 0
-	PositionOrigin             time.Duration  // from when the simulator counts positions
-	PositionColumn, RoleColumn int            // places of position and role in a load report; -1: none
-	ConnectTimeout             time.Duration  // a connection not up by then counts as none
+	Classes        map[string]int // place of a class in Settings.Classes
+	Tenants        map[string]int // from 1; none is 0
+	PositionOrigin time.Duration  // from when the simulator counts positions
+	PositionColumn int            // place of the position in a load report; -1: none
+	RoleColumn     int            // place of the role; -1: none
+	ConnectTimeout time.Duration  // a connection not up by then counts as none
 }
 
-// document is the part of the settings that is used; unknown keys are ignored.
-type document struct {
-	Balancers int    `json:"balancers"`
-	Index     int    `json:"index"`
-	Discovery string `json:"discovery"`
-	Domain    struct {
-		CatchUp    float64   `json:"catch_up_wait_ms"`
-		ClassRead  []string  `json:"class_read"`
-		Zero       float64   `json:"origin_time_ms"`
-		RoleInList string    `json:"role_in_list"`
-		Bounds     []float64 `json:"staleness_bound_ms"`
-		TokenMode  string    `json:"token_mode"`
-		WhenBehind string    `json:"when_behind"`
-	} `json:"domain"`
-	Deductions map[string]float64 `json:"deductions"`
-	Goal       struct {
-		Whole      float64 `json:"whole"`
-		WorstClass float64 `json:"worst_class"`
-	} `json:"goal"`
-	Rules struct {
-		ColdFrom   float64 `json:"cold_from"`
-		Ramp       float64 `json:"ramp_time_ms"`
-		DrainAlone bool    `json:"drain_binds_alone"`
-		FallFactor float64 `json:"overload_factor"`
-		FallTime   float64 `json:"fall_ms"`
-	} `json:"obligations"`
-	Period float64 `json:"period_ms"`
-	Limits struct {
-		MaxRetryAfter float64 `json:"max_retry_after_ms"`
-		Cancel        bool    `json:"may_cancel"`
-		ConnIdle      float64 `json:"conn_idle_ms"`
-		Connect       float64 `json:"connect_timeout_ms"`
-		Tries         int     `json:"most_tries"`
-		Probes        bool    `json:"probes"`
-		RetryAfter    bool    `json:"retry_after"`
-	} `json:"policy_limits"`
-	OverShare float64 `json:"over_share_worth"`
-	Projects  []struct {
-		Name  string  `json:"name"`
-		Quota float64 `json:"quota_per_s"`
-	} `json:"projects"`
-	Report struct {
-		Fields []string `json:"fields"`
-		How    string   `json:"how"`
-	} `json:"report"`
-	Classes []struct {
-		Aim       float64 `json:"aim_ms"`
-		Deadline  float64 `json:"deadline_ms"`
-		Effect    string  `json:"effect"`
-		Group     string  `json:"group"`
-		LateShare float64 `json:"late_share"`
-		Name      string  `json:"name"`
-		Window    float64 `json:"window_ms"`
-		Worth     float64 `json:"worth"`
-	} `json:"request_classes"`
+// FieldError says which key of the settings has a value that can't be served.
+type FieldError struct {
+	Field  string // with the keys around it, such as domain.when_behind
+	Reason string
 }
 
+func (e *FieldError) Error() string { return e.Field + ": " + e.Reason }
+
 var (
-	reads = map[string]routing.Access{
-		"any": routing.EventualRead, "bounded": routing.BoundedRead, "session": routing.SessionRead,
-		"fresh": routing.StrongRead, "write": routing.Write,
+	accesses = map[string]routing.Access{
+		"any":     routing.EventualRead,
+		"bounded": routing.BoundedRead,
+		"session": routing.SessionRead,
+		"fresh":   routing.StrongRead,
+		"write":   routing.Write,
 	}
-	effects = map[string]routing.Idempotency{
-		"idempotent": routing.Idempotent, "deduplicated": routing.Deduplicated,
+	idempotencies = map[string]routing.Idempotency{
+		"idempotent":   routing.Idempotent,
+		"deduplicated": routing.Deduplicated,
 		"at_most_once": routing.AtMostOnce,
 	}
 	scopes = map[string]routing.DedupScope{
-		"": routing.ScopeAll, "all": routing.ScopeAll, "zone": routing.ScopeZone,
+		"":     routing.ScopeAll,
+		"all":  routing.ScopeAll,
+		"zone": routing.ScopeZone,
 		"cell": routing.ScopeCell,
 	}
-	checks = map[string]routing.StalenessCheck{
-		"": routing.CheckNone, "off": routing.CheckNone, "refuse": routing.CheckRejects,
-		"wait": routing.CheckWaits,
+	stalenessChecks = map[string]routing.StalenessCheck{
+		"":       routing.CheckNone,
+		"off":    routing.CheckNone,
+		"refuse": routing.CheckRejects,
+		"wait":   routing.CheckWaits,
 	}
 )
 
-// Millis converts milliseconds, whole to the microsecond.
+// Millis converts milliseconds, rounded to the microsecond.
 func Millis(x float64) time.Duration {
 	return time.Duration(math.Round(x*1e3)) * time.Microsecond
 }
 
-// parser keeps the first fault, with the name of its field.
-type parser struct{ fault error }
+// Parse reads the settings. Keys that it does not know are ignored. Its errors are those of the JSON decoder, or the first
+// *FieldError.
+func Parse(text []byte) (*Parsed, error) {
+	p := parser{
+		out: &Parsed{Classes: map[string]int{}, Tenants: map[string]int{"": 0, "0": 0}, PositionColumn: -1, RoleColumn: -1},
+	}
+	if err := json.Unmarshal(text, &p.in); err != nil {
+		return nil, err
+	}
+	p.general()
+	p.slowStart()
+	p.report()
+	p.tenants()
+	if !p.classes() {
+		return nil, p.fault
+	}
+	return p.out, p.fault
+}
+
+// parser converts a document and keeps the first fault, with the name of its field.
+type parser struct {
+	in    document
+	out   *Parsed
+	fault error
+}
 
 func (p *parser) fail(field, format string, args ...any) {
 	if p.fault == nil {
-		p.fault = fmt.Errorf("%s: %s", field, fmt.Sprintf(format, args...))
+		p.fault = &FieldError{Field: field, Reason: fmt.Sprintf(format, args...)}
 	}
 }
 
 func lookup[T any](p *parser, table map[string]T, field, word string) T {
-	v, ok := table[word]
+	value, ok := table[word]
 	if !ok {
 		p.fail(field, "%q is unknown", word)
 	}
-	return v
+	return value
 }
 
-// Parse reads the settings. Keys that it does not know are ignored.
-func Parse(text []byte) (*Parsed, error) {
-	var f document
-	if err := json.Unmarshal(text, &f); err != nil {
-		return nil, err
+func (p *parser) general() {
+	in, s := &p.in, &p.out.Settings
+	p.out.PositionOrigin = Millis(in.Domain.OriginTime)
+	p.out.ConnectTimeout = Millis(in.Limits.ConnectTimeout)
+	s.RouterIndex, s.RouterCount = in.Index, in.Balancers
+	s.StalenessCheck = lookup(p, stalenessChecks, "domain.when_behind", in.Domain.WhenBehind)
+	s.CatchUpWait = Millis(in.Domain.CatchUpWait)
+	s.TracksCommits = in.Domain.TokenMode == "remembered"
+	s.ListNamesPrimary = in.Domain.RoleInList == "late" || in.Domain.RoleInList == "start"
+	s.MustSubscribe = in.Discovery == "subscribe"
+	s.CancelAllowed = in.Limits.CancelAllowed
+	s.MaxAttempts = in.Limits.MaxAttempts
+	s.ConnIdleTimeout = Millis(in.Limits.ConnIdleTimeout)
+	if in.Limits.GivesRetryAfter {
+		s.MaxRetryAfter = Millis(in.Limits.MaxRetryAfter)
 	}
-	var p parser
-	in := &Parsed{
-		PositionOrigin: Millis(f.Domain.Zero), PositionColumn: -1, RoleColumn: -1, ConnectTimeout: Millis(f.Limits.Connect),
-		Classes: map[string]int{}, Tenants: map[string]int{"": 0, "0": 0},
-	}
-	in.Settings = routing.Settings{
-		RouterIndex: f.Index, RouterCount: f.Balancers,
-		StalenessCheck: lookup(&p, checks, "domain.when_behind", f.Domain.WhenBehind),
-		CatchUpWait:    Millis(f.Domain.CatchUp), TracksCommits: f.Domain.TokenMode == "remembered",
-		ListNamesPrimary: f.Domain.RoleInList == "late" || f.Domain.RoleInList == "start",
-		MustSubscribe:    f.Discovery == "subscribe", ProbesAllowed: f.Limits.Probes, CancelAllowed: f.Limits.Cancel,
-		MaxAttempts: f.Limits.Tries, IgnoresRemoval: f.Rules.DrainAlone, SlowStartFloor: f.Rules.ColdFrom,
-		SlowStartDuration: Millis(f.Rules.Ramp), OverloadFactor: f.Rules.FallFactor, OverloadWindow: Millis(f.Rules.FallTime), ProbeCost: f.Deductions["probe"],
-		ConnIdleTimeout: Millis(f.Limits.ConnIdle), MinTickInterval: Millis(f.Period), OverQuotaFraction: f.OverShare,
-	}
-	s := &in.Settings
-	if g := f.Goal; g.Whole > 0 && g.WorstClass > 0 {
-		s.WorstClassWeight = g.WorstClass / g.Whole
-	}
-	if f.Limits.RetryAfter {
-		s.MaxRetryAfter = Millis(f.Limits.MaxRetryAfter)
-	}
-	if f.Report.How != "off" {
-		for i, name := range f.Report.Fields {
-			switch name {
-			case "x0":
-				in.PositionColumn, s.ReportsPosition = i, true
-			case "x1":
-				in.RoleColumn, s.ReportsRole = i, true
-			}
+	s.MinTickInterval = Millis(in.Period)
+	s.OverQuotaFraction = in.OverQuotaFraction
+	if in.Goal.Total > 0 && in.Goal.WorstClass > 0 {
+		s.WorstClassWeight = in.Goal.WorstClass / in.Goal.Total
+	}
+}
+
+func (p *parser) slowStart() {
+	rules := &p.in.Rules
+	p.out.IgnoresRemoval = rules.OnlyDrainBinds
+	p.out.SlowStart = routing.SlowStart{
+		Floor:          rules.InitialCapacity,
+		Duration:       Millis(rules.WarmUpTime),
+		OverloadFactor: rules.OverloadFactor,
+		OverloadWindow: Millis(rules.OverloadWindow),
+	}
+}
+
+func (p *parser) report() {
+	probing := &p.out.Probing
+	probing.Allowed, probing.Cost = p.in.Limits.ProbesAllowed, p.in.Deductions["probe"]
+	if p.in.Report.How == "off" {
+		return
+	}
+	for i, name := range p.in.Report.Fields {
+		switch name {
+		case "x0":
+			p.out.PositionColumn, probing.ReportsPosition = i, true
+		case "x1":
+			p.out.RoleColumn, probing.ReportsRole = i, true
 		}
 	}
-	for i, t := range f.Projects {
-		if !(t.Quota >= 0) {
-			p.fail("projects.quota_per_s", "%v is below 0", t.Quota)
+}
+
+func (p *parser) tenants() {
+	for i, project := range p.in.Projects {
+		if !(project.Quota >= 0) { // nor NaN
+			p.fail("projects.quota_per_s", "%v is below 0", project.Quota)
 		}
-		in.Tenants[t.Name] = i + 1
-		s.Tenants = append(s.Tenants, routing.Tenant{Name: t.Name, Quota: t.Quota})
+		p.out.Tenants[project.Name] = i + 1
+		p.out.Settings.Tenants = append(p.out.Settings.Tenants, routing.Tenant{Name: project.Name, Quota: project.Quota})
 	}
-	if len(f.Domain.ClassRead) != len(f.Classes) {
-		p.fail("domain.class_read", "%d entries for %d classes", len(f.Domain.ClassRead), len(f.Classes))
-		return nil, p.fault
+}
+
+// classes reports whether there is one kind of access for each class; without that nothing can be served.
+func (p *parser) classes() bool {
+	domain := &p.in.Domain
+	if len(domain.ClassRead) != len(p.in.Classes) {
+		p.fail("domain.class_read", "%d entries for %d classes", len(domain.ClassRead), len(p.in.Classes))
+		return false
 	}
-	for i, k := range f.Classes {
+	for i, in := range p.in.Classes {
 		class := routing.Class{
-			Name: k.Name, Access: lookup(&p, reads, "domain.class_read", f.Domain.ClassRead[i]),
-			Idempotency: lookup(&p, effects, "request_classes.effect", k.Effect),
-			Scope:       lookup(&p, scopes, "request_classes.group", k.Group), DedupWindow: Millis(k.Window),
-			LatencyObjective: Millis(k.Aim), Deadline: Millis(k.Deadline), PriorityWeight: k.Worth, LateFraction: k.LateShare,
+			Name:             in.Name,
+			Access:           lookup(p, accesses, "domain.class_read", domain.ClassRead[i]),
+			Idempotency:      lookup(p, idempotencies, "request_classes.effect", in.Effect),
+			Scope:            lookup(p, scopes, "request_classes.group", in.Group),
+			DedupWindow:      Millis(in.Window),
+			LatencyObjective: Millis(in.LatencyObjective),
+			Deadline:         Millis(in.Deadline),
+			PriorityWeight:   in.PriorityWeight,
+			LateFraction:     in.LateFraction,
 		}
-		if i < len(f.Domain.Bounds) {
-			class.StalenessBound = Millis(f.Domain.Bounds[i])
+		if i < len(domain.StalenessBounds) {
+			class.StalenessBound = Millis(domain.StalenessBounds[i])
 		}
-		in.Classes[k.Name] = i
-		s.Classes = append(s.Classes, class)
+		p.out.Classes[in.Name] = i
+		p.out.Settings.Classes = append(p.out.Settings.Classes, class)
 	}
-	return in, p.fault
+	return true
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -32,5 +32,5 @@
 		"request_classes":[{"name":"browse","effect":"idempotent","group":"all","aim_ms":1,"deadline_ms":2,"worth":1}]}`))
 	require.NoError(t, err)
 	s := in.Settings
-	require.Equal(t, []any{0.3, 7 * time.Second, 2.0, 1250 * time.Millisecond}, []any{s.SlowStartFloor, s.SlowStartDuration, s.OverloadFactor, s.OverloadWindow})
+	require.Equal(t, []any{0.3, 7 * time.Second, 2.0, 1250 * time.Millisecond}, []any{s.SlowStart.Floor, s.SlowStart.Duration, s.SlowStart.OverloadFactor, s.SlowStart.OverloadWindow})
 }
--- /dev/null
+++ b/internal/wire/events.go
@@ -0,0 +1,209 @@
+package wire
+
+import (
+	"encoding/hex"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"ashstand/internal/settings"
+	"ashstand/routing"
+)
+
+// A mark holds a role in its lowest bits, and above them a position in milliseconds from the origin.
+const (
+	markRoles = 4
+	maxRole   = uint64(routing.Replica)
+)
+
+// maxReportValue bounds the values of a load report.
+const maxReportValue = 1e9
+
+// primaryRoleValue is the least value with which a load report names its host primary.
+const primaryRoleValue = 0.5
+
+var codes = map[string]routing.Code{
+	"served":          routing.OK,
+	"server_error":    routing.ServerError,
+	"turned_away":     routing.Rejected,
+	"no_answer":       routing.NoAnswer,
+	"no_connection":   routing.NoConnection,
+	"connection_lost": routing.ConnectionLost,
+	"called_off":      routing.Cancelled,
+	"not_sent":        routing.NotSent,
+	"not_stored":      routing.Misdirected,
+}
+
+// item adds a message to the batch. Faults of fields stay with the message.
+func (d *Decoder) item(m *message, b *Batch) error {
+	it := Item{Instance: m.integer("who")}
+	in := d.instances[it.Instance]
+	if m.name == "OPEN_INSTANCE" {
+		it.IsOpen, it.Seed = true, m.unsigned("nonce64")
+		in = &instance{positionColumn: -1, roleColumn: -1}
+		it.Settings = m.settings(in)
+		d.instances[it.Instance] = in
+	}
+	if in == nil && m.fault == nil {
+		m.fail("who", "instance %d was not opened", it.Instance)
+	}
+	if m.fault != nil {
+		return nil
+	}
+	switch m.name {
+	case "OPEN_INSTANCE":
+	case "SHUTDOWN":
+		it.IsShutdown = true
+		delete(d.instances, it.Instance)
+	default:
+		event, ok := d.event(m, in)
+		if !ok {
+			return d.faultf("message %q is unknown", m.name)
+		}
+		it.Event = event
+	}
+	b.Items = append(b.Items, it)
+	return nil
+}
+
+// event converts a message; ok is false for one of an unknown name.
+func (d *Decoder) event(m *message, in *instance) (e routing.Event, ok bool) {
+	switch m.name {
+	case "TARGETS":
+		e = d.targets(m)
+	case "REQUEST":
+		e = m.request(in)
+	case "OUTCOME":
+		e = m.outcome(in)
+	case "FIRST":
+		e = routing.Event{Kind: routing.EventFirstByte, ID: m.text("call")}
+	case "LEFT":
+		e = routing.Event{Kind: routing.EventClientGone, ID: m.text("call")}
+	case "WAKEUP":
+		e = routing.Event{Kind: routing.EventTimer}
+		m.unsigned("nonce") // timers are not told apart, but the field has to be there
+	case "PROBE_DONE":
+		e = routing.Event{
+			Kind: routing.EventProbeResult, Host: m.text("host"), Code: m.code(), Report: m.report(in),
+			Elapsed: m.millis("time_taken_ms"),
+		}
+	case "DATAGRAM":
+		e = routing.Event{Kind: routing.EventPeerMessage}
+		m.checkHex("body")
+	default:
+		return e, false
+	}
+	return e, true
+}
+
+func (d *Decoder) targets(m *message) routing.Event {
+	switch scope := m.text("scope"); scope {
+	case "D", "F", "C":
+		list := m.integer("list")
+		targets, ok := d.lists[list]
+		if !ok {
+			m.fail("list", "no REGISTER has number %d", list)
+		}
+		return routing.Event{Kind: routing.EventTargets, Full: scope != "D", Targets: targets}
+	case "X":
+		return routing.Event{Kind: routing.EventTargetsFailed}
+	default:
+		m.fail("scope", "%q is unknown", scope)
+		return routing.Event{}
+	}
+}
+
+func (m *message) request(in *instance) routing.Event {
+	e := routing.Event{Kind: routing.EventRequest, ID: m.text("call")}
+	var ok bool
+	if e.Class, ok = in.classes[m.text("profile")]; !ok {
+		m.fail("profile", "%q is no class of the settings", m.fields["profile"])
+	}
+	if e.Tenant, ok = in.tenants[m.fields["tenant"]]; !ok {
+		m.fail("tenant", "%q is no tenant of the settings", m.fields["tenant"])
+	}
+	_, e.HasSessionKey = m.fields["client_key"]
+	e.SessionKey, e.Group = m.optionalUnsigned("client_key"), m.optionalUnsigned("cluster")
+	e.IsRetry = m.flag("retry")
+	e.TimeRemaining, e.CommitAge = m.millis("time_left_ms"), m.optionalMillis("token_age_ms")
+	return e
+}
+
+func (m *message) outcome(in *instance) routing.Event {
+	e := routing.Event{
+		Kind: routing.EventOutcome, ID: m.text("call"), Attempt: m.integer("hop"), Host: m.text("host"),
+		Code: m.code(), Elapsed: m.millis("time_taken_ms"), Final: m.flag("final"),
+	}
+	if mark := m.optionalUnsigned("mark"); mark > 0 {
+		e.Role = routing.Role(min(mark%markRoles, maxRole))
+		if position := mark / markRoles; position > 0 {
+			e.Position = in.positionOrigin + time.Duration(position)*time.Millisecond
+		}
+	}
+	e.Report = m.report(in)
+	return e
+}
+
+func (m *message) code() routing.Code {
+	code, ok := codes[m.text("code")]
+	if !ok {
+		m.fail("code", "%q is unknown", m.fields["code"])
+	}
+	return code
+}
+
+func (m *message) checkHex(field string) {
+	text := m.text(field)
+	if text == "-" {
+		return
+	}
+	if _, err := hex.DecodeString(text); err != nil {
+		m.fail(field, "%q is not in hex digits", text)
+	}
+}
+
+// report converts the load report of a message, where there is one.
+func (m *message) report(in *instance) routing.Report {
+	var r routing.Report
+	text := m.fields["telemetry"]
+	if text == "" || text == "-" {
+		return r
+	}
+	values := strings.Split(text, ",")
+	if in.positionColumn >= 0 { // rounded down, so that nothing unproven is claimed
+		micros := math.Floor(m.reportValue(values, in.positionColumn) * 1e6)
+		r.Position = in.positionOrigin + time.Duration(micros)*time.Microsecond
+	}
+	if in.roleColumn >= 0 {
+		r.Role = routing.Replica
+		if m.reportValue(values, in.roleColumn) >= primaryRoleValue {
+			r.Role = routing.Primary
+		}
+	}
+	return r
+}
+
+func (m *message) reportValue(values []string, column int) float64 {
+	if column >= len(values) {
+		m.fail("telemetry", "%q has %d values", m.fields["telemetry"], len(values))
+		return 0
+	}
+	x, err := strconv.ParseFloat(values[column], 64)
+	if err != nil || math.IsNaN(x) || math.Abs(x) > maxReportValue {
+		m.fail("telemetry", "%q is no number", values[column])
+	}
+	return x
+}
+
+// settings reads the settings of an instance that opens.
+func (m *message) settings(in *instance) routing.Settings {
+	p, err := settings.Parse([]byte(m.text("info")))
+	if err != nil {
+		m.fail("info", "%v", err)
+		return routing.Settings{}
+	}
+	in.positionOrigin, in.positionColumn, in.roleColumn = p.PositionOrigin, p.PositionColumn, p.RoleColumn
+	in.classes, in.tenants = p.Classes, p.Tenants
+	return p.Settings
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -40,7 +40,7 @@
 	}
 	s := b.Items[0].Settings
 	if s.RouterIndex != 1 || s.StalenessCheck != routing.CheckWaits || s.MaxRetryAfter != 500*time.Millisecond || len(s.Classes) != 2 ||
-		s.Classes[0].StalenessBound != 300*time.Millisecond || s.Classes[1].Scope != routing.ScopeCell || !s.ReportsPosition {
+		s.Classes[0].StalenessBound != 300*time.Millisecond || s.Classes[1].Scope != routing.ScopeCell || !s.Probing.ReportsPosition {
 		t.Errorf("settings %+v", s)
 	}
 	ts := b.Items[1].Event
--- a/routing/bounds_test.go
+++ b/routing/bounds_test.go
@@ -101,7 +101,7 @@
 	}
 	w.baseRate = w.rate
 	w.cfg = settings()
-	w.cfg.RouterCount, w.cfg.OverloadFactor, w.cfg.OverloadWindow, w.cfg.ConnIdleTimeout, w.cfg.ProbeCost = routers, 2.5, overloadWindow, 30*time.Second, 0.04
+	w.cfg.RouterCount, w.cfg.SlowStart.OverloadFactor, w.cfg.SlowStart.OverloadWindow, w.cfg.ConnIdleTimeout, w.cfg.Probing.Cost = routers, 2.5, overloadWindow, 30*time.Second, 0.04
 	sum := 0.0
 	for i := range routers {
 		w.cfg.RouterIndex = i
@@ -304,7 +304,7 @@
 // isWarming says whether a router knows that a host started not long ago.
 func (w *fleetSimulation) isWarming(router int, host string) bool {
 	m := w.routers[router].members[host]
-	return m.startedAt > 0 && w.now-m.startedAt < w.cfg.SlowStartDuration
+	return m.startedAt > 0 && w.now-m.startedAt < w.cfg.SlowStart.Duration
 }
 
 // work counts what reaches a host, and apart what comes from routers that don't know of its start.
@@ -339,16 +339,16 @@
 	}
 	probes := upperBound(2 * arrive) // two a read are enough to find one that qualifies
 	if rationed {
-		probes = upperBound(0.02 / s.ProbeCost * arrive) // they cost a fiftieth of the result at the most
+		probes = upperBound(0.02 / s.Probing.Cost * arrive) // they cost a fiftieth of the result at the most
 	}
 	require.LessOrEqual(w.t, w.peak("probes", since), probes, "%s: probes in 100 ms", what)
 	if started == 0 {
 		return
 	}
 	// A warm host stands its part of its group's requests; a cold one its share of that, times the factor of the rule.
-	for at := since; at < min(w.now, since+s.SlowStartDuration/2); at += measuredWindow {
-		share := s.SlowStartFloor + (1-s.SlowStartFloor)*float64(at+measuredWindow-since)/float64(s.SlowStartDuration)
-		stands := s.OverloadFactor * share * arrive / simulatedGroups / 3 * float64(started)
+	for at := since; at < min(w.now, since+s.SlowStart.Duration/2); at += measuredWindow {
+		share := s.SlowStart.Floor + (1-s.SlowStart.Floor)*float64(at+measuredWindow-since)/float64(s.SlowStart.Duration)
+		stands := s.SlowStart.OverloadFactor * share * arrive / simulatedGroups / 3 * float64(started)
 		n := 0.0
 		for i := range measuredWindow / measuredSlot {
 			n += w.counted["cold"][at/measuredSlot+i]
@@ -371,7 +371,7 @@
 		hosts++
 		sum, untold := 0.0, 0.0
 		work, other := w.counted["work "+h], w.counted["untold "+h]
-		for at := e.StartedAt / measuredSlot; at*measuredSlot < min(w.now, e.StartedAt+s.SlowStartDuration+overloadWindow); at++ {
+		for at := e.StartedAt / measuredSlot; at*measuredSlot < min(w.now, e.StartedAt+s.SlowStart.Duration+overloadWindow); at++ {
 			sum += work[at]
 			untold += other[at]
 			from := at - overloadWindow/measuredSlot + 1
@@ -381,11 +381,11 @@
 				sum -= work[from-1]
 				untold -= other[from-1]
 			}
-			share := s.SlowStartFloor + (1-s.SlowStartFloor)*min(1, float64(max(from*measuredSlot-e.StartedAt, 0))/float64(s.SlowStartDuration))
+			share := s.SlowStart.Floor + (1-s.SlowStart.Floor)*min(1, float64(max(from*measuredSlot-e.StartedAt, 0))/float64(s.SlowStart.Duration))
 			if share >= 1 {
 				break
 			}
-			allowed := s.OverloadFactor * share * w.baseRate / float64(w.groups) / 3 * overloadWindow.Seconds()
+			allowed := s.SlowStart.OverloadFactor * share * w.baseRate / float64(w.groups) / 3 * overloadWindow.Seconds()
 			over := sum / (allowed + 2*math.Sqrt(allowed) + 2)
 			worst = max(worst, over)
 			if sum-untold > sum*2/3 {
--- a/routing/choice_test.go
+++ b/routing/choice_test.go
@@ -25,9 +25,9 @@
 				Deadline: 5 * time.Second, PriorityWeight: 3, LateFraction: 0.5,
 			},
 		},
-		RouterCount: 2, ReportsPosition: true, ReportsRole: true, ListNamesPrimary: true, ProbesAllowed: true, CancelAllowed: true,
+		RouterCount: 2, ListNamesPrimary: true, Probing: Probing{Allowed: true, ReportsPosition: true, ReportsRole: true}, CancelAllowed: true,
 		MaxRetryAfter: time.Second, MaxAttempts: 6,
-		SlowStartFloor: 0.2, SlowStartDuration: 10 * time.Second, MinTickInterval: 5 * ms,
+		SlowStart: SlowStart{Floor: 0.2, Duration: 10 * time.Second}, MinTickInterval: 5 * ms,
 	}
 }
 
@@ -434,7 +434,7 @@
 		{Kind: EventClientGone, ID: id},
 		{Kind: EventClientGone, ID: "never"},
 		{Kind: EventProbeResult, Host: "never"},
-		{Kind: EventTimer, Timer: 9},
+		{Kind: EventTimer},
 		{Kind: EventFirstByte, ID: id},
 		{Kind: EventTargets, Targets: []Target{{Host: "never", Group: 3, Removed: true}}},
 		{Kind: EventPeerMessage},
--- a/routing/fleet_test.go
+++ b/routing/fleet_test.go
@@ -21,7 +21,7 @@
 func newFleet(t testing.TB, n int, hosts []Target) *fleet {
 	f := &fleet{t: t, now: startTime, sends: map[string]int{}}
 	s := settings()
-	s.RouterCount, s.OverloadFactor, s.ConnIdleTimeout = n, 2.5, 30*time.Second
+	s.RouterCount, s.SlowStart.OverloadFactor, s.ConnIdleTimeout = n, 2.5, 30*time.Second
 	for i := range n {
 		s.RouterIndex = i
 		c, err := New(s, uint64(i))
--- /dev/null
+++ b/routing/primary.go
@@ -0,0 +1,59 @@
+package routing
+
+import "time"
+
+// primary returns the member with the newest evidence of being primary, or nil.
+func (g *group) primary() *member {
+	var primary *member
+	for _, m := range g.members {
+		if m.active && m.primaryAt > m.notPrimaryAt && (primary == nil || m.primaryAt > primary.primaryAt) {
+			primary = m
+		}
+	}
+	return primary
+}
+
+// searchPrimary lets one write at a time try the members; an attempt at a replica proves that nothing ran.
+// What was proven a replica longest ago comes first, among equals a random one, so that routers differ.
+func (r *Router) searchPrimary(req *request) *member {
+	g := req.group
+	s := g.searcher // it searches until its attempt is answered, or is in flight at a silent member
+	isSearching := s != nil && s.inFlight > 0 && !r.isSilent(s.attempts[len(s.attempts)-1].member)
+	if isSearching || r.now < g.searchAfter {
+		return nil
+	}
+	var next *member
+	for _, i := range r.rng.Perm(len(g.members)) {
+		m := g.members[i]
+		if m.active && r.canTake(m, req) && (next == nil || m.notPrimaryAt < next.notPrimaryAt ||
+			m.notPrimaryAt == next.notPrimaryAt && m.wasPrimary) {
+			next = m
+		}
+	}
+	if next != nil && next.notPrimaryAt > 0 && next.notPrimaryAt >= g.searchStartedAt { // the round is over
+		g.searchStartedAt, g.searchAfter = r.now+searchBackoff, r.now+searchBackoff
+		return nil
+	} else if next != nil {
+		g.searcher = req
+	}
+	return next
+}
+
+// Revalidate reports whether an attempt that was chosen a while ago may be written now; else it is NotSent.
+func (r *Router) Revalidate(now time.Duration, id string, attempt int) bool {
+	r.now = max(now, r.now)
+	req := r.requests[id]
+	if req == nil || req.finished || r.now >= req.deadline-answerMargin || attempt < 0 ||
+		attempt >= len(req.attempts) {
+		return false
+	}
+	m, primary := req.attempts[attempt].member, req.group.primary()
+	switch {
+	case !m.active || !r.canRetry(req):
+		return false
+	case req.class.Access == Write:
+		return m == primary || primary == nil // a write may search, a read must know
+	}
+	return m == primary && !primary.unconfirmedPrimary ||
+		req.class.Access != StrongRead && (r.provesPosition(m, req) || r.mayCatchUp(m, req))
+}
--- /dev/null
+++ b/routing/queue.go
@@ -0,0 +1,61 @@
+package routing
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// tick dispatches what is queued, and asks discovery again where that is due.
+func (r *Router) tick() {
+	r.tickAt = r.now + max(tickInterval, r.cfg.MinTickInterval)
+	r.queue = slices.DeleteFunc(r.queue, func(req *request) bool {
+		req.queued = !req.finished && req.inFlight == 0
+		return !req.queued
+	})
+	// By value, then newest first: under overload the old ones are the least likely to be in time.
+	slices.SortStableFunc(r.queue, func(a, b *request) int {
+		byValue := cmp.Compare(r.valuePerSecond(b), r.valuePerSecond(a))
+		return cmp.Or(byValue, cmp.Compare(b.arrivedAt, a.arrivedAt))
+	})
+	for _, req := range r.queue {
+		switch at := r.rng.Float64() * float64(req.deadline-req.arrivedAt); {
+		case at < float64(r.tickAt-r.now) && !req.isRetry: // one more sample in its time
+			req.sample = r.rng.Float64()
+		case r.now >= req.probedAt+probeAnswerWait: // one that can't be used now is lost: nothing is saved up
+			req.sample = 1 + math.Mod(req.sample, 1)
+		}
+		r.dispatch(req)
+	}
+	if r.resubscribeAt > 0 && r.now >= r.resubscribeAt {
+		r.resubscribeAt = 0
+		r.emit(Action{Kind: ActSubscribe})
+	}
+}
+
+// valuePerSecond is what a second of work on a request brings; the worst-served class counts once more.
+func (r *Router) valuePerSecond(req *request) float64 {
+	weight := req.weight
+	if req.class == r.worstClass && !req.isRetry {
+		weight *= 1 + r.cfg.WorstClassWeight*r.offeredWeight/req.class.offeredWeight
+	}
+	if r.now+req.class.latency > req.objectiveAt {
+		weight *= req.class.LateFraction
+	}
+	return weight / max(req.class.serviceTime, time.Millisecond).Seconds()
+}
+
+// armTimer asks to be woken for what is due next; with nothing to do there is no timer.
+func (r *Router) armTimer() {
+	wake := r.resubscribeAt
+	if len(r.queue) > 0 {
+		wake = r.tickAt
+	}
+	if wake > 0 && (r.timerAt <= r.now || wake < r.timerAt) {
+		r.timerAt = wake
+		r.emit(Action{Kind: ActTimer, At: wake})
+	}
+}
+
+func (r *Router) handleTargetsFailed() { r.resubscribeAt = r.now + retryBackoff }
--- /dev/null
+++ b/routing/router.go
@@ -0,0 +1,225 @@
+// Package routing decides for one router of a replicated database which host serves a request, whether an attempt
+// is retried and whether a request is admitted at all. It does no I/O, reads no clock and starts no goroutine:
+// events go into Step, and actions come out.
+//
+// Writes and strong reads go to the member last seen as primary. Any other read goes to the less loaded of two
+// randomly drawn replicas that qualify, and to the primary when none does. Everything else keeps that going when
+// something fails; docs/design.md says how, and docs/tuning.md explains the constants.
+//
+// The decisions stand in one file a concern: members.go (host state and evidence), primary.go (the search for the
+// primary), replica.go (the choice of a replica), admission.go (admission, limits and slow start), attempts.go
+// (attempts and retries), probes.go, sessions.go (read your writes), queue.go (queued requests) and constants.go.
+// The deploy file names them as the policy. This file holds what carries them, types.go the events and actions,
+// and state.go what a router gives to its next start.
+package routing
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Router holds the decisions of one router. It is not safe for concurrent use.
+type Router struct {
+	cfg           Settings
+	rng           *rand.Rand
+	now           time.Duration
+	members       map[string]*member
+	groups        map[uint64]*group
+	commitFloor   time.Duration // no session of a group that was removed needs a later position
+	requests      map[string]*request
+	tenants       []tenant
+	queue         []*request // in the order of the last tick, then as they were queued
+	actions       []Action
+	classes       []class
+	tightestBound time.Duration // the least staleness bound of a BoundedRead class
+	restored      restoredState
+	timers
+	budgets
+	traffic
+}
+
+// timers are the times at which the router acts by itself.
+type timers struct {
+	tickAt        time.Duration // the next tick
+	timerAt       time.Duration // the next timer that was asked for
+	resubscribeAt time.Duration // when to ask discovery again; 0: no need
+}
+
+// budgets are the retries and probes that the requests so far have earned.
+type budgets struct {
+	retryBudget float64
+	probeBudget float64
+}
+
+// traffic sums up the requests and answers so far.
+type traffic struct {
+	meanLatency     time.Duration // smoothed, of answers
+	meanScore       float64       // smoothed outlier score of all attempts
+	connectFailures float64       // smoothed fraction of the attempts that failed to connect at once
+	worstClass      *class        // the one that is served worst
+	offeredWeight   float64       // of all requests but retries
+	meanWeight      [2]float64    // smoothed, of the requests for replicas and for the primary
+	writeFraction   float64       // smoothed fraction of the requests for the primary
+}
+
+// class is a request class with what its requests have shown.
+type class struct {
+	Class
+	index          int
+	part           int           // forReplicas or forPrimary
+	latency        time.Duration // smoothed, of answers
+	serviceTime    time.Duration // near the least that an answer takes, without queueing
+	offeredWeight  float64       // of its requests but retries
+	inTimeFraction float64       // of its last requests, over as many samples as follow
+	samples        float64
+}
+
+// SettingsError says which of the settings can't be served.
+type SettingsError struct {
+	Field  string // of Settings, or of the class that Class names
+	Class  string // "": none
+	Reason string
+}
+
+func (e *SettingsError) Error() string {
+	if e.Class != "" {
+		return fmt.Sprintf("class %q: %s", e.Class, e.Reason)
+	}
+	return e.Reason
+}
+
+// New returns the decisions of one router, or a *SettingsError.
+func New(s Settings, seed uint64) (*Router, error) {
+	if err := s.validate(); err != nil {
+		return nil, err
+	}
+	r := &Router{
+		cfg:           s,
+		rng:           rand.New(rand.NewPCG(seed, uint64(s.RouterIndex))),
+		members:       map[string]*member{},
+		groups:        map[uint64]*group{},
+		requests:      map[string]*request{},
+		tenants:       make([]tenant, len(s.Tenants)),
+		classes:       make([]class, len(s.Classes)),
+		tightestBound: s.tightestBound(),
+		budgets:       budgets{retryBudget: 0.5 * max(1, retryBudgetCap/float64(s.RouterCount)), probeBudget: maxProbesPerRead},
+		traffic:       traffic{writeFraction: initialWriteFraction},
+	}
+	for i, k := range s.Classes {
+		r.classes[i] = class{Class: k, index: i, inTimeFraction: 1, samples: initialSamples}
+		if k.Access >= StrongRead {
+			r.classes[i].part = forPrimary
+		}
+	}
+	return r, nil
+}
+
+// Configure takes other settings while requests are in flight, or returns a *SettingsError and changes nothing. What
+// tells one class from another has to stay.
+func (r *Router) Configure(s Settings) error {
+	if err := s.validate(); err != nil {
+		return err
+	}
+	isSame := func(a, b Class) bool {
+		return a.Name == b.Name && a.Access == b.Access && a.Idempotency == b.Idempotency
+	}
+	if !slices.EqualFunc(s.Classes, r.cfg.Classes, isSame) {
+		return &SettingsError{Field: "Classes", Reason: "the classes are others"}
+	}
+	for i := range r.classes {
+		r.classes[i].Class = s.Classes[i]
+	}
+	if len(s.Tenants) != len(r.tenants) {
+		r.tenants = make([]tenant, len(s.Tenants))
+	}
+	r.cfg, r.tightestBound = s, s.tightestBound()
+	return nil
+}
+
+func (s *Settings) validate() error {
+	switch {
+	case len(s.Classes) == 0:
+		return &SettingsError{Field: "Classes", Reason: "settings name no request class"}
+	case s.RouterCount < 1 || s.RouterIndex < 0 || s.RouterIndex >= s.RouterCount:
+		return &SettingsError{Field: "RouterIndex", Reason: fmt.Sprintf("router %d of %d", s.RouterIndex, s.RouterCount)}
+	case s.MaxAttempts < 1:
+		return &SettingsError{Field: "MaxAttempts", Reason: fmt.Sprintf("at most %d attempts a request", s.MaxAttempts)}
+	}
+	for _, k := range s.Classes {
+		if k.LatencyObjective <= 0 || k.Deadline <= 0 || k.Access > Write || k.Idempotency > AtMostOnce {
+			reason := fmt.Sprintf("aim %v, deadline %v", k.LatencyObjective, k.Deadline)
+			return &SettingsError{Field: "LatencyObjective", Class: k.Name, Reason: reason}
+		}
+	}
+	return nil
+}
+
+// defaultTightestBound counts where no class has a shorter staleness bound.
+const defaultTightestBound = time.Second
+
+func (s *Settings) tightestBound() time.Duration {
+	tightest := defaultTightestBound
+	for _, k := range s.Classes {
+		if k.Access == BoundedRead {
+			tightest = min(tightest, k.StalenessBound)
+		}
+	}
+	return tightest
+}
+
+// Step takes the events of one moment and returns what to do. The actions are valid until the next call.
+func (r *Router) Step(now time.Duration, events []Event) []Action {
+	r.now, r.actions = max(now, r.now), r.actions[:0]
+	for i := range events {
+		r.handle(&events[i])
+	}
+	if r.now >= r.tickAt {
+		r.tick()
+	}
+	r.armTimer()
+	return r.actions
+}
+
+// handle gives an event to the decisions that it concerns. First bytes, timers and peers' messages concern none.
+func (r *Router) handle(e *Event) {
+	switch e.Kind {
+	case EventTargets:
+		r.applyTargets(e)
+	case EventTargetsFailed:
+		r.handleTargetsFailed()
+	case EventRequest:
+		r.handleRequest(e)
+	case EventOutcome:
+		r.handleOutcome(e)
+	case EventClientGone:
+		r.handleClientGone(e)
+	case EventLateAnswer:
+		if m := r.members[e.Host]; m != nil {
+			r.recordAnswer(m, e, e.Position)
+		}
+	case EventProbeResult:
+		if m := r.members[e.Host]; m != nil {
+			r.handleProbeResult(m, e)
+		}
+	}
+}
+
+func (r *Router) emit(a Action) { r.actions = append(r.actions, a) }
+
+// IsActive reports whether new work, probes included, may go to a host.
+func (r *Router) IsActive(host string) bool {
+	m := r.members[host]
+	return m != nil && m.active
+}
+
+// smooth moves a mean towards a sample, by one part in span.
+func smooth(mean *float64, sample, span float64) { *mean += (sample - *mean) / span }
+
+// smoothLatency returns a mean latency after one more sample; the first is taken as it is.
+func smoothLatency(mean, sample time.Duration) time.Duration {
+	mean = cmp.Or(mean, sample)
+	return mean + (sample-mean)/latencySpan
+}
--- a/routing/size_test.go
+++ b/routing/size_test.go
@@ -14,7 +14,7 @@
 // that no replica can serve still go to the primary, unless it is silent, as writes do.
 func TestReadsGoToAnOutlierPrimaryWhereNobodyElseCanServe(t *testing.T) {
 	s := settings()
-	s.RouterCount, s.ProbesAllowed = 80, false
+	s.RouterCount, s.Probing.Allowed = 80, false
 	g := startHarness(t, s, shard()...)
 	id, _ := g.request(atMostOnceWrite, Event{})
 	g.outcome(id, 0, OK, Primary)
@@ -72,7 +72,7 @@
 // waits in vain costs more, and the answers find the new primary.
 func TestReadsProbePastTheBudgetWithoutAPrimary(t *testing.T) {
 	s := settings()
-	s.RouterCount, s.ProbeCost = 80, 0.04
+	s.RouterCount, s.Probing.Cost = 80, 0.04
 	g := startHarness(t, s, shard()...)
 	g.c.probeBudget = 0
 	_, as := g.request(boundedRead, Event{})
@@ -136,7 +136,7 @@
 // attempt costs a part of its worth, and few are served yet.
 func TestShortReadsAreRejectedAtHalfTimeBeforeTheirObjective(t *testing.T) {
 	s := settings()
-	s.ProbesAllowed = false
+	s.Probing.Allowed = false
 	g := startHarness(t, s, Target{Host: "p", Group: 1, Primary: true, Draining: true}, Target{Host: "a", Group: 1})
 	for _, class := range []int{boundedRead, sessionRead} {
 		from := g.now
--- a/routing/state_test.go
+++ b/routing/state_test.go
@@ -16,7 +16,8 @@
 			{Name: "read", Access: BoundedRead, StalenessBound: 200 * time.Millisecond, LatencyObjective: second, Deadline: 2 * second, PriorityWeight: 1},
 			{Name: "write", Access: Write, Idempotency: AtMostOnce, LatencyObjective: second, Deadline: 2 * second, PriorityWeight: 1},
 		}, RouterCount: 1, MaxAttempts: 8, ListNamesPrimary: true,
-		ProbesAllowed: true, ReportsPosition: true, ReportsRole: true, SlowStartFloor: 0.24, SlowStartDuration: 15 * second, OverloadFactor: 3,
+		Probing:   Probing{Allowed: true, ReportsPosition: true, ReportsRole: true},
+		SlowStart: SlowStart{Floor: 0.24, Duration: 15 * second, OverloadFactor: 3},
 	}, 7)
 	require.NoError(t, err)
 	if s != nil {
--- a/routing/types.go
+++ b/routing/types.go
@@ -2,59 +2,60 @@
 
 import "time"
 
-// Access says how fresh the data behind a request must be.
+// Access is what a request does with the data and, for a read, how consistent its answer must be.
 type Access uint8
 
-// The read kinds; Write marks what only the primary takes.
+// The kinds of access. The order counts: from StrongRead on only the primary serves them.
 const (
-	EventualRead Access = iota
-	BoundedRead
-	SessionRead
-	StrongRead
-	Write
+	EventualRead Access = iota // any replica
+	BoundedRead                // a replica that is no staler than the class allows
+	SessionRead                // a replica that has the writes of the client's session
+	StrongRead                 // the primary
+	Write                      // the primary
 )
 
-// Idempotency says whether a request may be repeated.
+// Idempotency says whether a request may be repeated once it may have run.
 type Idempotency uint8
 
-// Idempotent requests repeat freely, Keyed ones within a group and window, Unsafe ones never once they may have run.
+// The kinds of idempotency.
 const (
-	Idempotent Idempotency = iota
-	Deduplicated
-	AtMostOnce
+	Idempotent   Idempotency = iota // it may be repeated freely
+	Deduplicated                    // hosts discard repeats by their idempotency key, in a scope and for a time
+	AtMostOnce                      // it must not be repeated
 )
 
-// DedupScope is the set of hosts that discards repeats of a keyed request.
+// DedupScope is the set of hosts that discards repeats of a Deduplicated request.
 type DedupScope uint8
 
-// The scopes of keyed requests.
+// The scopes of deduplication.
 const (
 	ScopeAll DedupScope = iota
 	ScopeZone
 	ScopeCell
 )
 
-// StalenessCheck says what a replica does with a read for which it lags too far.
+// StalenessCheck is what a replica does with a read for which it lags too far.
 type StalenessCheck uint8
 
-// A replica answers from what it has, refuses, or waits and then refuses.
+// The checks of a replica.
 const (
-	CheckNone StalenessCheck = iota
-	CheckRejects
-	CheckWaits
+	CheckNone    StalenessCheck = iota // it answers from what it has
+	CheckRejects                       // it rejects the read
+	CheckWaits                         // it waits for its log, and rejects the read after that
 )
 
 // Class describes one request class.
 type Class struct {
-	Name                       string
-	Access                     Access
-	StalenessBound             time.Duration // staleness bound of a Bounded class
-	Idempotency                Idempotency
-	Scope                      DedupScope
-	DedupWindow                time.Duration // how long repeats of a Keyed class are discarded
-	LatencyObjective, Deadline time.Duration
-	PriorityWeight             float64
-	LateFraction               float64 // share of the worth left after the aim
+	Name             string
+	Access           Access
+	StalenessBound   time.Duration // of a BoundedRead
+	Idempotency      Idempotency
+	Scope            DedupScope    // of a Deduplicated class
+	DedupWindow      time.Duration // how long repeats of a Deduplicated class are discarded
+	LatencyObjective time.Duration
+	Deadline         time.Duration // how long clients wait
+	PriorityWeight   float64
+	LateFraction     float64 // of the weight that an answer after the latency objective has
 }
 
 // Tenant is one customer and the requests a second, of all routers together, that count in full.
@@ -63,31 +64,47 @@
 	Quota float64
 }
 
-// Settings is what one router is told at its start. Positions, like all times, are on the routers' clock.
+// Settings is what one router is configured with. Positions, like all times, are on the routers' clock.
 type Settings struct {
-	Classes                      []Class
-	Tenants                      []Tenant
-	OverQuotaFraction            float64 // what a request beyond its tenant's quota is worth, as a share
-	RouterIndex, RouterCount     int
-	StalenessCheck               StalenessCheck
-	CatchUpWait                  time.Duration // how long a replica that Waits waits
-	TracksCommits                bool          // sessions: this router remembers commits; otherwise requests carry a token
-	ListNamesPrimary             bool          // the list names the primary, as of some time
-	ReportsPosition, ReportsRole bool          // probes (and inline reports) give position and role
-	MustSubscribe                bool          // discovery has to be asked for
-	ProbesAllowed                bool
-	CancelAllowed                bool
-	ConnIdleTimeout              time.Duration // idle connections close after it
-	MaxRetryAfter                time.Duration // 0: clients are told nothing of when to come back
-	MaxAttempts                  int
-	IgnoresRemoval               bool // only a Terminating listing binds
-	SlowStartFloor               float64
-	SlowStartDuration            time.Duration
-	OverloadFactor               float64       // a cold member falls over beyond this multiple of its capacity,
-	OverloadWindow               time.Duration // sent to it in so long
-	ProbeCost                    float64       // cost of one probe a request, as a share of the result
-	WorstClassWeight             float64       // weight of the worst-served class in the result, as a share of the whole's
-	MinTickInterval              time.Duration // shortest time between two steps
+	Classes           []Class
+	Tenants           []Tenant
+	OverQuotaFraction float64 // of the weight that a request beyond its tenant's quota has
+	RouterIndex       int
+	RouterCount       int
+	StalenessCheck    StalenessCheck
+	CatchUpWait       time.Duration // of a replica with CheckWaits
+	TracksCommits     bool          // this router remembers the commits of sessions; else requests carry a token
+	ListNamesPrimary  bool          // the endpoint list names the primary, as of some time
+	MustSubscribe     bool          // discovery has to be asked for its list
+	IgnoresRemoval    bool          // only a draining entry ends the use of a host, not its removal from the list
+	Probing           Probing
+	CancelAllowed     bool
+	ConnIdleTimeout   time.Duration // idle connections close after it
+	MaxRetryAfter     time.Duration // 0: clients get no advice when to come back
+	MaxAttempts       int           // of one request
+	SlowStart         SlowStart
+	WorstClassWeight  float64       // of the worst-served class in the result, as a fraction of all classes'
+	MinTickInterval   time.Duration // between two steps
+}
+
+// Probing says what probes may do and what hosts report of themselves.
+type Probing struct {
+	Allowed         bool
+	Cost            float64 // of one probe a request, as a fraction of the result
+	ReportsPosition bool
+	ReportsRole     bool
+}
+
+func (p *Probing) findsPosition() bool { return p.Allowed && p.ReportsPosition }
+
+func (p *Probing) findsRole() bool { return p.Allowed && p.ReportsRole }
+
+// SlowStart says what a host bears while it warms up after its start.
+type SlowStart struct {
+	Floor          float64       // its capacity at the start, as a fraction
+	Duration       time.Duration // until its capacity is complete
+	OverloadFactor float64       // beyond this multiple of its capacity,
+	OverloadWindow time.Duration // sent within this time, it fails
 }
 
 // EventKind tells the events apart.
@@ -95,51 +112,51 @@
 
 // The events of a router.
 const (
-	EventTargets EventKind = iota
-	EventTargetsFailed
-	EventRequest
-	EventOutcome
-	EventFirstByte
-	EventClientGone
-	EventTimer
-	EventProbeResult
-	EventPeerMessage
-	EventLateAnswer // what a host says in an answer whose attempt was given up
+	EventTargets       EventKind = iota // the endpoint list, or changes to it
+	EventTargetsFailed                  // discovery could not be asked
+	EventRequest                        // a request arrived
+	EventOutcome                        // an attempt ended
+	EventFirstByte                      // an answer begins
+	EventClientGone                     // the client of a request has disconnected
+	EventTimer                          // a timer is due
+	EventProbeResult                    // a probe ended
+	EventPeerMessage                    // another router sent something
+	EventLateAnswer                     // a host answered an attempt that was given up
 )
 
 // Code is how an attempt or a probe ended.
 type Code uint8
 
-// The endings; Full, NoConnection, NotSent and Miss prove that nothing ran.
+// The endings. Rejected, NoConnection, NotSent and Misdirected prove that nothing ran.
 const (
 	OK Code = iota
 	ServerError
-	Rejected
+	Rejected // the host is full
 	NoAnswer
 	NoConnection
 	ConnectionLost
 	Cancelled
 	NotSent
-	Misdirected
-	Malformed // an answer came that can't be read: it ran
+	Misdirected // the host is not the primary, or lags too far
+	Malformed   // an answer came that can't be read: it ran
 )
 
-// NeverRan says whether the ending proves that nothing ran.
+// NeverRan reports whether the ending proves that nothing ran.
 func (c Code) NeverRan() bool {
 	return c == Rejected || c == NoConnection || c == NotSent || c == Misdirected
 }
 
-// Role is what an answer, report or list says of a member.
+// Role is what an answer, a load report or the endpoint list says of a host.
 type Role uint8
 
-// Unknown is the role of a member that nothing was heard of.
+// The roles; Unknown is that of a host which did not report any.
 const (
 	Unknown Role = iota
 	Primary
 	Replica
 )
 
-// Target is one entry of the list of hosts.
+// Target is one entry of the endpoint list.
 type Target struct {
 	Host      string
 	Group     uint64
@@ -154,15 +171,15 @@
 	Kind          EventKind
 	Full          bool // EventTargets: the complete list
 	Targets       []Target
-	ID            string
-	Class         int
-	Tenant        int // place in the settings' tenants, from 1; 0: none
+	ID            string // of the request
+	Class         int    // place in the settings' classes
+	Tenant        int    // place in the settings' tenants, from 1; 0: none
 	SessionKey    uint64
 	HasSessionKey bool
-	IsRetry       bool // the client marks it as a repeat of its own
+	IsRetry       bool // the client marks it as a retry of its own
 	Group         uint64
-	TimeRemaining time.Duration
-	CommitAge     time.Duration // age of the session's last commit; 0: none
+	TimeRemaining time.Duration // that the client will wait
+	CommitAge     time.Duration // of the session's last commit; 0: none
 	Attempt       int
 	Host          string
 	Code          Code
@@ -171,10 +188,9 @@
 	Role          Role
 	Position      time.Duration // of an answer or, for a write, its commit; 0: not given
 	Report        Report
-	Timer         uint64
 }
 
-// Report is what a host says of itself; zero fields were not given.
+// Report is what a host reports of itself; zero fields were not given.
 type Report struct {
 	Position time.Duration
 	Role     Role
@@ -185,26 +201,26 @@
 
 // The actions of a router.
 const (
-	ActSend ActionKind = iota
-	ActCancel
-	ActReject
-	ActFail
-	ActTimer
-	ActProbe
-	ActSubscribe
-	ActCloseIdle // the idle connections to a host
-	ActFetch
+	ActSend      ActionKind = iota // one attempt of a request to a host
+	ActCancel                      // an attempt
+	ActReject                      // the final answer: a retry is harmless
+	ActFail                        // the final answer: it may have run
+	ActTimer                       // an EventTimer at a time
+	ActProbe                       // a host
+	ActSubscribe                   // to discovery
+	ActCloseIdle                   // the idle connections to a host
+	ActFetch                       // the endpoint list, once
 )
 
 // Action is one thing to do; Kind says which fields count.
 type Action struct {
 	Kind        ActionKind
-	ID          string
+	ID          string // of the request
 	Host        string
 	Attempt     int
 	Timeout     time.Duration // ActSend; 0: until the client gives up
 	RetryAfter  time.Duration // ActReject: advice to stay away
 	At          time.Duration // ActTimer
-	MinPosition time.Duration // ActSend, of a read: the least position that its answer's data may have; 0: any
+	MinPosition time.Duration // ActSend, of a read: that the data of its answer must have; 0: any
 	Timer       uint64
 }
