--- a/cmd/ashstand/config.go
+++ b/cmd/ashstand/config.go
@@ -190,12 +190,20 @@
 		return nil, err
 	}
 	logTo(os.Stderr, c.operator.Log)
+	c.logDeprecations()
 	if c.old {
 		slog.Warn(oldFlightFile + " is read, since " + operatorFile + " has no flight block; move it there")
 	}
 	return c, nil
 }
 
+// logDeprecations logs the keys of the operator's file that stand under the names of earlier versions.
+func (c *config) logDeprecations() {
+	for _, d := range c.operator.Deprecations {
+		slog.Warn("operator's file: deprecated key", "file", c.operator.Path, "line", d.Line, "key", d.Key, "replacement", d.Replacement)
+	}
+}
+
 // moved names what a reload can't change.
 func (c *config) moved(old *config) (wait []string) {
 	listen := func(c *config) string {
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -290,6 +290,7 @@
 		}
 		n.cfg.Store(next)
 		logTo(os.Stderr, next.operator.Log)
+		next.logDeprecations()
 	}
 	limitMemory(next)
 	n.watch.SetServiceAddress(next.Discovery)
--- a/internal/operator/body.go
+++ b/internal/operator/body.go
@@ -46,7 +46,8 @@
 		Election *string   `hcl:"election"`
 		Drift    *float64  `hcl:"drift"`
 		Limits   *string   `hcl:"limits"`
-		Jobs     *jobsBody `hcl:"works,block"`
+		Jobs     *jobsBody `hcl:"jobs,block"`
+		Works    *jobsBody `hcl:"works,block"` // deprecated name of jobs
 		Body     hcl.Body  `hcl:",body"`
 	}
 	jobsBody struct {
--- a/internal/operator/checker.go
+++ b/internal/operator/checker.go
@@ -19,6 +19,8 @@
 	path     string
 	block    string // that is being read
 	problems []Problem
+
+	deprecations []Deprecation
 }
 
 func (c *checker) err() error {
@@ -41,9 +43,8 @@
 
 // fail records a fault of a key in the current block.
 func (c *checker) fail(b hcl.Body, key, value, allowed string) {
-	line := b.MissingItemRange().Start.Line
+	line := blockLine(b)
 	if body, ok := b.(*hclsyntax.Body); ok {
-		line = body.SrcRange.Start.Line
 		if a := body.Attributes[key]; a != nil {
 			line = a.SrcRange.Start.Line
 		}
@@ -51,6 +52,19 @@
 	c.problems = append(c.problems, Problem{Path: c.path, Line: line, Block: c.block, Key: key, Value: value, Allowed: allowed})
 }
 
+// deprecate records that a block stands under its name in earlier versions.
+func (c *checker) deprecate(b hcl.Body, key, replacement string) {
+	c.deprecations = append(c.deprecations, Deprecation{Line: blockLine(b), Key: key, Replacement: replacement})
+}
+
+// blockLine returns the line on which a block begins.
+func blockLine(b hcl.Body) int {
+	if body, ok := b.(*hclsyntax.Body); ok {
+		return body.SrcRange.Start.Line
+	}
+	return b.MissingItemRange().Start.Line
+}
+
 // absolutePath reads a path; "" stands for none.
 func (c *checker) absolutePath(b hcl.Body, key string, from, to *string, what string) {
 	if setIfGiven(from, to); *to != "" && !filepath.IsAbs(*to) {
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -26,6 +26,15 @@
 	Cluster  *Cluster  `json:"cluster,omitempty"` // nil: the pooler knows of no others
 	Cost     *Cost     `json:"cost,omitempty"`    // nil: nothing is observed
 	Testbed  *Testbed  `json:"lab,omitempty"`     // nil: as in service
+
+	Deprecations []Deprecation `json:"-"` // what the file has under names of earlier versions
+}
+
+// Deprecation is a block of the file that is still accepted under its name in earlier versions.
+type Deprecation struct {
+	Line        int
+	Key         string
+	Replacement string
 }
 
 // Cost says how this pooler learns what statements cost.
@@ -65,9 +74,9 @@
 type Jobs struct {
 	User             string        `json:"user"`     // as which a lease holder connects to database hosts
 	StallTimeout     time.Duration `json:"stall"`    // a lease holder without progress for so long is replaced
-	MinTenure        time.Duration `json:"tenure"`   // before a job is given to a better placed pooler
-	Backoff          time.Duration `json:"back_off"` // before a replaced lease holder may have the job again
-	PollInterval     time.Duration `json:"pace"`     // between two polls of a target
+	MinTenure        time.Duration `json:"tenure"`   // but not before it has been the holder for so long
+	Backoff          time.Duration `json:"back_off"` // for how long a holder that stalled is passed over
+	PollInterval     time.Duration `json:"pace"`     // between two observations of database hosts
 	OperationTimeout time.Duration `json:"deed"`     // after which the result of an operation is in doubt
 }
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -158,6 +158,37 @@
 	require.Equal(t, &Testbed{Trace: "/t", Offset: 2 * time.Second, Rate: 1.01}, f.Testbed)
 }
 
+// The jobs block is read, and so is works, its name in earlier versions, which is reported as deprecated.
+func TestJobsBlock(t *testing.T) {
+	with := func(blocks string) string {
+		return strings.Replace(others, "  peer", "  agreement {\n    voters = [\"n1\"]\n    folder = \"/f\"\n"+blocks+"  }\n  peer", 1)
+	}
+	const keys = " {\n      user = \"jobber\"\n      stall = \"4s\"\n      tenure = \"1s\"\n      back_off = \"9s\"\n      pace = \"50ms\"\n      deed = \"2s\"\n    }\n"
+	want := &Jobs{User: "jobber", StallTimeout: 4 * time.Second, MinTenure: time.Second, Backoff: 9 * time.Second, PollInterval: 50 * time.Millisecond, OperationTimeout: 2 * time.Second}
+	f, err := Parse("x.hcl", []byte(with("    jobs"+keys)))
+	require.NoError(t, err)
+	require.Equal(t, want, f.Cluster.Agreement.Jobs)
+	require.Empty(t, f.Deprecations)
+	f, err = Parse("x.hcl", []byte(with("    works"+keys)))
+	require.NoError(t, err)
+	require.Equal(t, want, f.Cluster.Agreement.Jobs)
+	require.Equal(t, []Deprecation{{Line: 10, Key: "cluster.agreement.works", Replacement: "cluster.agreement.jobs"}}, f.Deprecations)
+	f, err = Parse("x.hcl", []byte(with("    jobs {}\n")))
+	require.NoError(t, err)
+	require.Equal(t, &Jobs{User: "ashstand", StallTimeout: 20 * time.Second, MinTenure: 5 * time.Second, Backoff: 30 * time.Second, PollInterval: 200 * time.Millisecond, OperationTimeout: 10 * time.Second},
+		f.Cluster.Agreement.Jobs)
+	for blocks, want := range map[string]string{
+		"    jobs {}\n    works {}\n":                                    `x.hcl:11: cluster.agreement.jobs: works is there, too; allowed is one of both`,
+		"    jobs { user = \"\" }\n":                                     `x.hcl:10: cluster.agreement.jobs: user is ""; allowed is a name of 1 to 63 characters`,
+		"    works { user = \"\" }\n":                                    `x.hcl:10: cluster.agreement.works: user is ""`,
+		"    jobs {\n      stall = \"3s\"\n      deed = \"2s\"\n    }\n": `x.hcl:11: cluster.agreement.jobs: stall is "3s"; allowed is at least twice deed, which is 2s`,
+		"    jobs { pace = \"1ms\" }\n":                                  `cluster.agreement.jobs: pace is "1ms"; allowed is a time from 5ms`,
+	} {
+		_, err = Parse("x.hcl", []byte(with(blocks)))
+		require.ErrorContains(t, err, want, blocks)
+	}
+}
+
 func TestCostBlock(t *testing.T) {
 	const text = `
 cost {
--- a/internal/operator/parse.go
+++ b/internal/operator/parse.go
@@ -54,6 +54,7 @@
 	if b.Testbed != nil {
 		c.testbed(f, b.Testbed)
 	}
+	f.Deprecations = c.deprecations
 	return f, c.err()
 }
 
@@ -197,20 +198,34 @@
 			c.fail(b.Body, "voters", strconv.Quote(v), "this pooler's name, or that of a peer block")
 		}
 	}
-	if b.Jobs != nil {
-		c.jobs(a, b.Jobs)
+	c.jobsBlocks(a, b)
+}
+
+// jobsBlocks reads the jobs block, or the one by its deprecated name.
+func (c *checker) jobsBlocks(of *Agreement, b *agreementBody) {
+	const name, deprecated = "cluster.agreement.jobs", "cluster.agreement.works"
+	switch {
+	case b.Jobs != nil && b.Works != nil:
+		c.block = name
+		c.fail(b.Works.Body, "works", "there, too", "one of both: works is the deprecated name of jobs")
+	case b.Jobs != nil:
+		c.block = name
+		c.jobs(of, b.Jobs)
+	case b.Works != nil:
+		c.block = deprecated
+		c.deprecate(b.Works.Body, deprecated, name)
+		c.jobs(of, b.Works)
 	}
 }
 
 func (c *checker) jobs(of *Agreement, b *jobsBody) {
-	c.block = "cluster.agreement.works"
 	j := &Jobs{
 		User: "ashstand", StallTimeout: 20 * time.Second, MinTenure: 5 * time.Second, Backoff: 30 * time.Second,
 		PollInterval: 200 * time.Millisecond, OperationTimeout: 10 * time.Second,
 	}
 	of.Jobs = j
 	if setIfGiven(b.User, &j.User); j.User == "" || len(j.User) > 63 {
-		c.fail(b.Body, "user", strconv.Quote(j.User), "a name of 1 to 63 characters, by which db hosts know the owner of a work")
+		c.fail(b.Body, "user", strconv.Quote(j.User), "a name of 1 to 63 characters, by which database hosts know the lease holder of a job")
 	}
 	c.duration(b.Body, "stall", b.StallTimeout, &j.StallTimeout, 100*time.Millisecond, time.Hour, false)
 	c.duration(b.Body, "tenure", b.MinTenure, &j.MinTenure, 0, time.Hour, true)
@@ -219,7 +234,7 @@
 	c.duration(b.Body, "deed", b.OperationTimeout, &j.OperationTimeout, 50*time.Millisecond, time.Hour, false)
 	if j.StallTimeout < 2*j.OperationTimeout {
 		c.fail(b.Body, "stall", strconv.Quote(j.StallTimeout.String()),
-			fmt.Sprintf("at least twice deed, which is %v: a deed that is in doubt, and the look that settles it, are no stall", j.OperationTimeout))
+			fmt.Sprintf("at least twice deed, which is %v: an operation in doubt, and finding out whether it was executed, are no stall", j.OperationTimeout))
 	}
 }
 
