--- a/cmd/ashstand/build_test.go
+++ b/cmd/ashstand/build_test.go
@@ -32,7 +32,7 @@
 
 	f, err := elf.Open(filepath.Join(root, program))
 	require.NoError(t, err)
-	defer f.Close()
+	defer func() { _ = f.Close() }()
 	interpreted := false
 	for _, p := range f.Progs {
 		interpreted = interpreted || p.Type == elf.PT_INTERP
--- a/cmd/ashstand/descriptors_test.go
+++ b/cmd/ashstand/descriptors_test.go
@@ -45,8 +45,8 @@
 	c.Env = append(os.Environ(), "EDGE_CONFIG="+file, "EDGE_DISCOVERY=")
 	c.Stderr = c.logged
 	require.NoError(t, c.Start())
-	t.Cleanup(func() { c.Process.Kill(); <-c.ended })
-	go func() { c.Wait(); close(c.ended) }()
+	t.Cleanup(func() { _ = c.Process.Kill(); <-c.ended })
+	go func() { _ = c.Wait(); close(c.ended) }()
 	c.hangUp = func() { require.NoError(t, c.Process.Signal(syscall.SIGHUP)) }
 	require.Eventually(t, func() bool { return strings.Contains(c.logged.String(), "listens on") }, 20*time.Second, 5*time.Millisecond, c.logged)
 	return c
@@ -101,8 +101,8 @@
 		case <-done:
 		}
 	})}
-	go s.Serve(l)
-	t.Cleanup(func() { close(done); s.Close() })
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { close(done); _ = s.Close() })
 	return asked
 }
 
@@ -132,7 +132,7 @@
 				}
 				open[c] = true
 				mu.Unlock()
-				io.Copy(io.Discard, c)
+				_, _ = io.Copy(io.Discard, c)
 				c.Close()
 				mu.Lock()
 				delete(open, c)
@@ -163,7 +163,7 @@
 	c, err := net.Dial("tcp", address)
 	require.NoError(t, err)
 	t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(60 * time.Second))
+	_ = c.SetDeadline(time.Now().Add(60 * time.Second))
 	a := &asks{Frontend: pgproto3.NewFrontend(c, c)}
 	a.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "web"}})
 	a.Send(&pgproto3.Query{}) // a second request is under way already: a connection used once is closed early
@@ -228,7 +228,7 @@
 	c, err := net.Dial("tcp", address)
 	require.NoError(t, err)
 	defer c.Close()
-	c.SetDeadline(time.Now().Add(30 * time.Second))
+	_ = c.SetDeadline(time.Now().Add(30 * time.Second))
 	f := pgproto3.NewFrontend(c, c)
 	f.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "web"}})
 	f.Send(&pgproto3.Query{String: fmt.Sprintf(donate, 7, 9000)})
--- a/cmd/ashstand/gone_test.go
+++ b/cmd/ashstand/gone_test.go
@@ -55,7 +55,7 @@
 	c, err := net.Dial("tcp", address)
 	require.NoError(t, err)
 	t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(20 * time.Second))
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
 	f := pgproto3.NewFrontend(c, c)
 	f.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "web", "database": "orders"}})
 	require.NoError(t, f.Flush())
@@ -84,10 +84,10 @@
 		case "closes":
 			c.Close()
 		case "resets":
-			c.(*net.TCPConn).SetLinger(0)
+			_ = c.(*net.TCPConn).SetLinger(0)
 			c.Close()
 		case "shuts its sending":
-			c.(*net.TCPConn).CloseWrite()
+			_ = c.(*net.TCPConn).CloseWrite()
 		case "says goodbye":
 			f.Send(&pgproto3.Terminate{})
 			require.NoError(t, f.Flush())
@@ -120,7 +120,7 @@
 	b = binary.BigEndian.AppendUint32(b, 80877102)
 	_, err = c.Write(append(binary.BigEndian.AppendUint32(b, process), secret...))
 	require.NoError(t, err)
-	c.SetDeadline(time.Now().Add(10 * time.Second))
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
 	_, _ = io.Copy(io.Discard, c) // it is closed once it was dealt with
 }
 
@@ -133,7 +133,7 @@
 			return c, err
 		}))
 	require.NoError(t, err)
-	t.Cleanup(func() { cc.Close() })
+	t.Cleanup(func() { _ = cc.Close() })
 	c := &flightsql.Client{Client: flight.NewClientFromConn(cc, nil)}
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
@@ -154,7 +154,7 @@
 		if way == "cancels" {
 			stop()
 		} else {
-			conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.(*net.TCPConn).SetLinger(0)
 			conn.Close()
 		}
 		left(t, w, id)
--- a/cmd/ashstand/known_red_test.go
+++ b/cmd/ashstand/known_red_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -40,7 +41,8 @@
 		c := exec.Command(filepath.Join(root, ".ci/known-red"), args...)
 		c.Env = append(os.Environ(), "GOWORK=off")
 		out, err := c.CombinedOutput()
-		if _, ended := err.(*exec.ExitError); err != nil && !ended {
+		var failed *exec.ExitError
+		if err != nil && !errors.As(err, &failed) {
 			t.Fatal(err)
 		}
 		return string(out), err == nil
--- a/cmd/ashstand/program_test.go
+++ b/cmd/ashstand/program_test.go
@@ -31,7 +31,7 @@
 	c, err := net.Dial("tcp", address)
 	require.NoError(t, err)
 	t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(30 * time.Second))
+	_ = c.SetDeadline(time.Now().Add(30 * time.Second))
 	f := pgproto3.NewFrontend(c, c)
 	f.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "web"}})
 	require.NoError(t, f.Flush())
@@ -99,7 +99,7 @@
 func TestMain(m *testing.M) {
 	code := m.Run()
 	if folder != "" {
-		os.RemoveAll(folder)
+		_ = os.RemoveAll(folder)
 	}
 	os.Exit(code)
 }
@@ -116,7 +116,7 @@
 	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+file, "EDGE_DISCOVERY="+discovery)
 	cmd.Stderr = logged
 	require.NoError(t, cmd.Start())
-	t.Cleanup(func() { cmd.Process.Kill() })
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
 	require.Eventually(t, func() bool {
 		c, err := net.Dial("tcp", listen)
 		if err == nil {
@@ -434,9 +434,9 @@
 	} {
 		c, err := net.Dial("tcp", listen)
 		require.NoError(t, err)
-		c.SetDeadline(time.Now().Add(20 * time.Second))
-		c.Write(junk)
-		c.(*net.TCPConn).CloseWrite()
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		_, _ = c.Write(junk)
+		_ = c.(*net.TCPConn).CloseWrite()
 		_, _ = io.Copy(io.Discard, c) // it ends: closed or answered with an error
 		c.Close()
 	}
--- a/cmd/ashstand/ready_test.go
+++ b/cmd/ashstand/ready_test.go
@@ -163,7 +163,7 @@
 	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+file, "EDGE_DISCOVERY="+discovery)
 	cmd.Stderr = logged
 	require.NoError(t, cmd.Start())
-	t.Cleanup(func() { cmd.Process.Kill() })
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
 	return cmd, logged
 }
 
--- a/cmd/ashstand/standin_test.go
+++ b/cmd/ashstand/standin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -118,7 +119,7 @@
 	if h.wire == "flightsql" {
 		s := grpc.NewServer()
 		flight.RegisterFlightServiceServer(s, flightsql.NewFlightServer(&flightHost{h: h}))
-		go s.Serve(cut)
+		go func() { _ = s.Serve(cut) }()
 		t.Cleanup(s.Stop)
 		return
 	}
@@ -159,7 +160,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, conn := range c.conns {
-		conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.(*net.TCPConn).SetLinger(0)
 		conn.Close()
 	}
 	c.conns = nil
@@ -197,16 +198,16 @@
 			b.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: "53300", Message: "queue full"})
 		case half:
 			b.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("payload"), DataTypeOID: 17, Format: 1}}})
-			b.Flush()
-			c.Write([]byte{'D', 0, 0, 0, 90, 0, 1})
+			_ = b.Flush()
+			_, _ = c.Write([]byte{'D', 0, 0, 0, 90, 0, 1})
 			return
 		case noise:
 			b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 0")})
 		case reset:
-			c.(*net.TCPConn).SetLinger(0)
+			_ = c.(*net.TCPConn).SetLinger(0)
 			return
 		case hang:
-			io.Copy(io.Discard, c)
+			_, _ = io.Copy(io.Discard, c)
 			return
 		}
 		for _, s := range [][2]string{{"part", part}, {"caught_up_to", position}, {"gauges", gauges}} {
@@ -239,7 +240,7 @@
 		return s.Err()
 	}
 	part, position, gauges := f.h.tells()
-	grpc.SetTrailer(ctx, metadata.Pairs("part", part, "caught_up_to", position, "gauges", gauges))
+	_ = grpc.SetTrailer(ctx, metadata.Pairs("part", part, "caught_up_to", position, "gauges", gauges))
 	switch what {
 	case notPrimary:
 		return reject(codes.FailedPrecondition, "NOT_PRIMARY")
@@ -314,7 +315,7 @@
 		c, err := net.Dial("tcp", address)
 		require.NoError(t, err)
 		defer c.Close()
-		c.SetDeadline(time.Now().Add(30 * time.Second))
+		_ = c.SetDeadline(time.Now().Add(30 * time.Second))
 		f := pgproto3.NewFrontend(c, c)
 		f.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "web", "database": "orders"}})
 		f.Send(&pgproto3.Query{String: statement}) // without waiting to be asked, as clients may
@@ -343,7 +344,7 @@
 func flightClient(t *testing.T, address string) client {
 	cc, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy())
 	require.NoError(t, err)
-	t.Cleanup(func() { cc.Close() })
+	t.Cleanup(func() { _ = cc.Close() })
 	c := &flightsql.Client{Client: flight.NewClientFromConn(cc, nil)}
 	run := func(statement string) (string, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
@@ -399,12 +400,12 @@
 	if err != nil {
 		return "", err
 	}
-	stream.Send(&flight.FlightData{FlightDescriptor: &flight.FlightDescriptor{Type: flight.DescriptorCMD, Cmd: b}})
-	stream.CloseSend()
+	_ = stream.Send(&flight.FlightData{FlightDescriptor: &flight.FlightDescriptor{Type: flight.DescriptorCMD, Cmd: b}})
+	_ = stream.CloseSend()
 	for err == nil {
 		_, err = stream.Recv()
 	}
-	if err != io.EOF {
+	if !errors.Is(err, io.EOF) {
 		return "", err
 	}
 	return strings.Join(stream.Trailer().Get("returning-bin"), "|"), nil
@@ -491,7 +492,7 @@
 	change(cfg)
 	w.node, err = start(cfg)
 	require.NoError(t, err)
-	t.Cleanup(func() { w.node.stop(); close(done); dir.Close() })
+	t.Cleanup(func() { w.stop(); close(done); dir.Close() })
 	require.Eventually(t, w.core.Ready, 10*time.Second, time.Millisecond)
 	w.listen = cfg.Listen
 	w.ask = map[string]client{"postgresql": pgClient(cfg.Listen), "flightsql": flightClient(t, cfg.flight.Listen)}
--- a/cmd/ashstand/tail_test.go
+++ b/cmd/ashstand/tail_test.go
@@ -20,12 +20,11 @@
 
 // tail is what becomes of requests that are sent after SIGTERM.
 type tail struct {
-	mu       sync.Mutex
-	sent     int            // last bytes written to a connection that was open
-	ends     map[string]int // how they ended
-	lost     []string       // the requests that got no answer although the program had them, with the reason
-	hadBy    map[string]time.Time
-	deadline time.Time
+	mu    sync.Mutex
+	sent  int            // last bytes written to a connection that was open
+	ends  map[string]int // how they ended
+	lost  []string       // the requests that got no answer although the program had them, with the reason
+	hadBy map[string]time.Time
 }
 
 func (w *tail) end(how string) {
@@ -210,8 +209,9 @@
 
 // ended says whether the connection is known to have ended, on which nothing is due.
 func ended(c net.Conn) bool {
-	c.SetReadDeadline(time.Now().Add(time.Millisecond))
-	defer c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+	restored := time.Now().Add(20 * time.Second)
+	defer func() { _ = c.SetReadDeadline(restored) }()
 	_, err := c.Read(make([]byte, 1))
 	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
@@ -242,7 +242,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	c.SetDeadline(time.Now().Add(20 * time.Second))
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
 	f := pgproto3.NewFrontend(c, c)
 	f.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "web"}})
 	if err = f.Flush(); err == nil {
--- a/cmd/testbed/cluster.go
+++ b/cmd/testbed/cluster.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"runtime"
 	"slices"
@@ -97,10 +96,10 @@
 }
 
 // done writes what a run leaves.
-func (m *clusterFlags) done(out *cluster.Outcome, w io.Writer) error {
+func (m *clusterFlags) done(out *cluster.Outcome) error {
 	failed := !out.Result.Passed()
 	if failed || m.lines {
-		out.Print(w)
+		_ = out.Print(os.Stderr) // there is nowhere else to report it
 	}
 	if m.page != "" {
 		if err := out.Page(m.page); err != nil {
@@ -111,7 +110,7 @@
 		if err := out.Plan.Save(m.keep); err != nil {
 			return err
 		}
-		fmt.Fprintf(w, "seed %d; play it again with --plan %s\n", out.Plan.Seed, m.keep)
+		fmt.Fprintf(os.Stderr, "seed %d; play it again with --plan %s\n", out.Plan.Seed, m.keep)
 	}
 	return m.finish(out.Result, nil)
 }
@@ -145,7 +144,7 @@
 			if err != nil {
 				return err
 			}
-			return m.done(out, os.Stderr)
+			return m.done(out)
 		},
 	}
 	m.add(c)
@@ -184,7 +183,7 @@
 				return err
 			}
 			last.Plan = p
-			return m.done(last, os.Stderr)
+			return m.done(last)
 		},
 	}
 	c.Flags().IntVar(&tries, "tries", tries, "plays at the most")
--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -63,8 +63,9 @@
 	if err != nil {
 		return err
 	}
+	var lost error // of the table; what the run found goes before it
 	if m.json != "-" {
-		r.Table(os.Stdout)
+		lost = r.Table(os.Stdout)
 	}
 	if err := r.Write(m.json); err != nil {
 		return err
@@ -72,7 +73,7 @@
 	if !r.Passed() {
 		return errBroken
 	}
-	return nil
+	return lost
 }
 
 func command() *cobra.Command {
--- a/cmd/testbed/move.go
+++ b/cmd/testbed/move.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"time"
@@ -33,7 +32,7 @@
 			if err != nil {
 				return err
 			}
-			return m.done(out, os.Stderr)
+			return m.done(out)
 		},
 	}
 	m.add(c)
--- a/cmd/testbed/try.go
+++ b/cmd/testbed/try.go
@@ -53,7 +53,7 @@
 			case <-c.Context().Done():
 				return nil
 			case <-f.Pooler.Ended():
-				return fmt.Errorf("the pooler ended: %v\n%s", f.Pooler.Err(), f.Pooler.Log())
+				return f.Pooler.EndedError()
 			}
 		},
 	}
--- a/examples/databasesql/main.go
+++ b/examples/databasesql/main.go
@@ -35,13 +35,13 @@
 	if err != nil {
 		return err
 	}
-	defer db.Close()
+	defer func() { _ = db.Close() }()
 	db.SetMaxOpenConns(8)
 	read, err := db.PrepareContext(ctx, "SELECT payload FROM entries WHERE ref = $1")
 	if err != nil {
 		return err
 	}
-	defer read.Close()
+	defer func() { _ = read.Close() }()
 	errs := make([]error, 32)
 	var all sync.WaitGroup
 	for i := range errs {
--- a/examples/pgx/main.go
+++ b/examples/pgx/main.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	defer c.Close(ctx)
+	defer func() { _ = c.Close(ctx) }()
 
 	// Each of these is prepared once and run by its name, on whichever server connection is free.
 	for i := range 10 {
--- a/testbed/cluster/cluster_test.go
+++ b/testbed/cluster/cluster_test.go
@@ -25,7 +25,7 @@
 	require.NoError(t, err)
 	u, err := net.ListenPacket("udp", l.Addr().String())
 	require.NoError(t, err)
-	t.Cleanup(func() { l.Close(); u.Close() })
+	t.Cleanup(func() { l.Close(); _ = u.Close() })
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -207,7 +207,7 @@
 				require.NoError(t, err)
 				require.Contains(t, string(text), "partition [n1] [n2 n3]")
 				var b strings.Builder
-				o.Print(&b)
+				require.NoError(t, o.Print(&b))
 				require.Contains(t, b.String(), "n2 gone, it was")
 			} else {
 				require.Positive(t, o.Result.Broken["wrong_view"])
--- a/testbed/cluster/move.go
+++ b/testbed/cluster/move.go
@@ -68,7 +68,6 @@
 	failover     bool   // of the old home while the tenant is paused
 	after        bool   // of the new one once it was switched
 	tamper       bool   // a row is changed by hand at the new home before the pause
-	seen         bool   // it was seen switched, and both homes were held against each other
 	done         map[string]bool
 }
 
@@ -100,7 +99,6 @@
 	orders  map[string]*order
 	words   []said
 	commits map[noted]bool
-	read    [][]float64 // of each group, up to where
 	writes  []*write
 	misses  []miss
 	ops     map[string][]op // of registers, by tenant and row
--- a/testbed/cluster/moveclient.go
+++ b/testbed/cluster/moveclient.go
@@ -97,7 +97,7 @@
 	defer cancel()
 	begun := time.Now()
 	rs, err := c.conn.Exec(ctx, sql).ReadAll()
-	c.g.RecordAnswer(class, time.Since(begun), patience/3, err, c.disturbed(c.node.name)(begun))
+	_ = c.g.RecordAnswer(class, time.Since(begun), patience/3, err, c.disturbed(c.node.name)(begun))
 	return rs, err
 }
 
--- a/testbed/cluster/movejudge.go
+++ b/testbed/cluster/movejudge.go
@@ -219,7 +219,7 @@
 func (r *movers) judgePauses() {
 	var all []stretch
 	for _, n := range r.nodes {
-		all = append(all, r.rig.read(n)...)
+		all = append(all, r.read(n)...)
 	}
 	slices.SortFunc(all, func(a, b stretch) int { return int(math.Copysign(1, a.from-b.from)) })
 	var lengths []float64
--- a/testbed/cluster/page.go
+++ b/testbed/cluster/page.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"bufio"
 	"cmp"
 	"fmt"
 	"html/template"
@@ -10,8 +11,9 @@
 	"time"
 )
 
-// Print writes the timeline as text, a line each.
-func (o *Outcome) Print(w io.Writer) {
+// Print writes the timeline as text, one event a line.
+func (o *Outcome) Print(out io.Writer) error {
+	w := bufio.NewWriter(out)
 	for _, l := range o.Lines {
 		until := ""
 		if l.Until > 0 {
@@ -19,6 +21,7 @@
 		}
 		fmt.Fprintf(w, "%8.2f s  %-8s %s%s\n", l.At.Seconds(), l.Who, l.Text, until)
 	}
+	return w.Flush()
 }
 
 var page = template.Must(template.New("page").Parse(`<!DOCTYPE html>
--- a/testbed/cluster/proxy.go
+++ b/testbed/cluster/proxy.go
@@ -154,7 +154,7 @@
 			if l.out, err = net.ListenPacket("udp", "127.0.0.1:0"); err == nil {
 				break
 			}
-			l.udp.Close()
+			_ = l.udp.Close()
 		}
 		l.tcp.Close()
 	}
@@ -181,8 +181,8 @@
 		close(l.ended)
 		l.tcp.Close()
 		if l.udp != nil {
-			l.udp.Close()
-			l.out.Close()
+			_ = l.udp.Close()
+			_ = l.out.Close()
 		}
 	})
 	l.Reset()
--- a/testbed/cluster/simmove.go
+++ b/testbed/cluster/simmove.go
@@ -143,8 +143,9 @@
 }
 
 func (m *moves) note(format string, args ...any) {
-	fmt.Fprintf(m.trace, "%.2f ", m.now)
-	fmt.Fprintf(m.trace, format+"\n", args...)
+	// A trace is for readers alone: what can't be written changes no result.
+	_, _ = fmt.Fprintf(m.trace, "%.2f ", m.now)
+	_, _ = fmt.Fprintf(m.trace, format+"\n", args...)
 }
 
 func (m *moves) breach(check, format string, args ...any) {
@@ -261,7 +262,7 @@
 			m.breach("stuck", "a good plan is refused: %v", err)
 		}
 		m.after(m.lots.Float64()*200, func() {
-			m.apply(jobs.Entry{Type: jobs.EntryCreate, Job: t.work, JobKind: migration.JobKind, Spec: spec})
+			_ = m.apply(jobs.Entry{Type: jobs.EntryCreate, Job: t.work, JobKind: migration.JobKind, Spec: spec})
 		})
 	}
 }
@@ -439,7 +440,7 @@
 		gone := i < 0 || m.owners[i].instance != w.Incarnation && m.owners[i].up || m.owners[i].silent >= 0 && m.now-m.owners[i].silent > mvDetect
 		if gone && len(cands) > 0 {
 			o := cands[m.lots.IntN(len(cands))]
-			m.apply(jobs.Entry{Type: jobs.EntryAssign, Job: name, Token: w.Token, Holder: o.name, Incarnation: o.instance})
+			_ = m.apply(jobs.Entry{Type: jobs.EntryAssign, Job: name, Token: w.Token, Holder: o.name, Incarnation: o.instance})
 		}
 	}
 }
@@ -990,7 +991,7 @@
 	e := jobs.Entry{Type: jobs.EntryApprove, Job: w.Name, Approval: &jobs.Approval{Action: o.Action, By: "op", Step: w.Step, Persistent: o.Persistent}}
 	m.after(m.way(), func() {
 		if m.down == 0 {
-			m.apply(e)
+			_ = m.apply(e)
 		}
 	})
 }
@@ -1036,7 +1037,7 @@
 	case 12: // replaced though it lives
 		if w := m.ledger.Jobs[t.work]; w != nil && !w.Finished && m.down == 0 && o.up {
 			m.out.Faults["owner replaced"]++
-			m.apply(jobs.Entry{Type: jobs.EntryAssign, Job: t.work, Token: w.Token, Holder: o.name, Incarnation: o.instance})
+			_ = m.apply(jobs.Entry{Type: jobs.EntryAssign, Job: t.work, Token: w.Token, Holder: o.name, Incarnation: o.instance})
 		}
 	}
 }
--- a/testbed/cluster/simulate.go
+++ b/testbed/cluster/simulate.go
@@ -164,7 +164,7 @@
 }
 
 func (s *simulation) note(format string, args ...any) {
-	fmt.Fprintf(s.trace, "%.6f "+format+"\n", append([]any{s.now}, args...)...)
+	_, _ = fmt.Fprintf(s.trace, "%.6f "+format+"\n", append([]any{s.now}, args...)...)
 }
 
 func (s *simulation) breach(what, format string, args ...any) {
@@ -416,7 +416,7 @@
 		overlap := s.lots.IntN(2) == 0
 		for _, a := range s.names {
 			for _, b := range s.names {
-				if side[a] != side[b] && !(overlap && (a == both || b == both)) {
+				if side[a] != side[b] && (!overlap || a != both && b != both) {
 					pairs = append(pairs, [2]string{a, b})
 				}
 			}
--- a/testbed/cost/cost.go
+++ b/testbed/cost/cost.go
@@ -38,7 +38,6 @@
 
 // tally is what seeds count together.
 type tally struct {
-	mu       sync.Mutex
 	in, of   map[string]float64 // intervals that held the truth, by set
 	ours     float64            // sums of absolute errors of log time
 	theirs   float64
@@ -80,7 +79,7 @@
 		go func() {
 			defer func() { <-free; wait.Done() }()
 			if ctx.Err() == nil {
-				each[i] = *one(g, o.Seed+uint64(i), o.Break) //nolint:govet // the lock in it is not used before
+				each[i] = *one(g, o.Seed+uint64(i), o.Break)
 			}
 		}()
 	}
--- a/testbed/cost/cost_test.go
+++ b/testbed/cost/cost_test.go
@@ -42,7 +42,7 @@
 	defer f.Stop()
 	c, err := pgconn.Connect(context.Background(), "postgres://web@"+f.Pooler.Statement+"/orders?sslmode=disable&default_query_exec_mode=simple_protocol")
 	require.NoError(t, err)
-	defer c.Close(context.Background())
+	defer func() { _ = c.Close(context.Background()) }()
 	for i := range 40 {
 		_, err := c.Exec(context.Background(), fmt.Sprintf("/* id=x%d,c=report,d=5000,cluster=1 */ SELECT payload FROM entries WHERE ref = 'seed-1'", i)).ReadAll()
 		require.NoError(t, err, f.Pooler.Log())
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -94,7 +94,7 @@
 		t.b.Reset()
 	}
 	if t.pass {
-		os.Stderr.Write(b)
+		_, _ = os.Stderr.Write(b) // for a reader; the tail is kept in any case
 	}
 	return t.b.Write(b)
 }
@@ -450,7 +450,7 @@
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); {
 		select {
 		case <-p.ended:
-			return fmt.Errorf("the pooler ended: %v\n%s", p.err, p.log)
+			return p.EndedError()
 		default:
 		}
 		if ready(p.Statement) {
@@ -491,6 +491,20 @@
 // Err is how it ended.
 func (p *Pooler) Err() error { return p.err }
 
+// EndedError is returned where a pooler has ended that should run.
+type EndedError struct {
+	Err error // nil: with exit code 0
+	Log string
+}
+
+func (e *EndedError) Error() string { return fmt.Sprintf("the pooler ended: %v\n%s", e.Err, e.Log) }
+
+// Unwrap returns how the process ended.
+func (e *EndedError) Unwrap() error { return e.Err }
+
+// EndedError returns how a pooler ended, with the end of its log.
+func (p *Pooler) EndedError() error { return &EndedError{Err: p.err, Log: p.Log()} }
+
 // Log is the end of its log.
 func (p *Pooler) Log() string { return p.log.String() }
 
--- a/testbed/fleet/fleet_test.go
+++ b/testbed/fleet/fleet_test.go
@@ -76,7 +76,7 @@
 	require.Eventually(t, func() bool {
 		c, err := pgx.Connect(ctx, "postgres://web@"+f.Pooler.Sessions+"/orders?sslmode=disable")
 		if err == nil {
-			c.Close(ctx)
+			_ = c.Close(ctx)
 		}
 		return err != nil && strings.Contains(err.Error(), "53300")
 	}, 5*time.Second, 20*time.Millisecond, "the new bound counts")
--- a/testbed/fleet/port_test.go
+++ b/testbed/fleet/port_test.go
@@ -34,7 +34,7 @@
 		out, err := c.StdoutPipe()
 		require.NoError(t, err)
 		require.NoError(t, c.Start())
-		t.Cleanup(func() { in.Close(); _ = c.Wait() })
+		t.Cleanup(func() { _ = in.Close(); _ = c.Wait() })
 		outs = append(outs, bufio.NewScanner(out))
 	}
 	seen := map[string]bool{}
--- a/testbed/host/catalogue.go
+++ b/testbed/host/catalogue.go
@@ -653,7 +653,7 @@
 func (t *Table) size() (n int64) {
 	n = 8192
 	t.rows.Ascend(func(r *tableRow) bool {
-		if vs, _ := r.as(math.Inf(1)); vs != nil {
+		if vs := r.as(math.Inf(1)); vs != nil {
 			n += 24 // a row's header
 			for _, v := range vs {
 				n += int64(len(v.s))
--- a/testbed/host/cluster.go
+++ b/testbed/host/cluster.go
@@ -68,15 +68,14 @@
 type Cluster struct {
 	Group uint64
 
-	mu       sync.Mutex
-	rows     map[string][]version // by schema and ref, in the order of commits
-	last     float64              // position of the last commit
-	hosts    []*Host
-	primary  *Host
-	tables   map[string]bool
-	commits  int
-	rng      *rand.Rand
-	prunedAt float64
+	mu      sync.Mutex
+	rows    map[string][]version // by schema and ref, in the order of commits
+	last    float64              // position of the last commit
+	hosts   []*Host
+	primary *Host
+	tables  map[string]bool
+	commits int
+	rng     *rand.Rand
 
 	databases   map[string]*Database
 	strict      bool
--- a/testbed/host/database_test.go
+++ b/testbed/host/database_test.go
@@ -47,7 +47,7 @@
 	t.Cleanup(cancel)
 	c, err := pgx.Connect(ctx, "postgres://web@"+address+"/"+database+"?sslmode=disable")
 	require.NoError(t, err)
-	t.Cleanup(func() { c.Close(context.Background()) })
+	t.Cleanup(func() { _ = c.Close(context.Background()) })
 	return &client{c, t, ctx}
 }
 
--- a/testbed/host/ddl.go
+++ b/testbed/host/ddl.go
@@ -16,7 +16,7 @@
 }
 
 // database runs a statement that only databases know. done is false where it is none of these.
-func (c *conn) database(s []lexeme, text string, params []param, format []int16, most int, po *portal, simple bool) (done bool, f *fault) {
+func (c *conn) database(s []lexeme, params []param, format []int16, most int, po *portal, simple bool) (done bool, f *fault) {
 	p := &parser{&words{of: s}}
 	switch s[0].text {
 	case "select", "insert", "update", "delete":
@@ -208,7 +208,7 @@
 			}
 			if serial {
 				seq := name + "_" + col.Name + "_seq"
-				c.addSequence(schema, seq, 1, 1)
+				_ = c.addSequence(schema, seq, 1, 1) // one of that name stays in use
 				col.NotNull = true
 				col.def = &expr{op: "call", name: "nextval", args: []*expr{{op: "literal", val: text(schema + "." + seq), typ: typeText}}, typ: typeInt8}
 			}
@@ -404,7 +404,7 @@
 	if _, ok := c.db.functions[tr.function]; !ok {
 		return &fault{"42883", fmt.Sprintf("function %s() does not exist", tr.function)}
 	}
-	if t.triggers[name] != nil && !(p.of[1].text == "or") {
+	if t.triggers[name] != nil && p.of[1].text != "or" {
 		return &fault{"42710", fmt.Sprintf("trigger %q for relation %q already exists", name, t.Name)}
 	}
 	t.triggers[name] = tr
--- a/testbed/host/exec.go
+++ b/testbed/host/exec.go
@@ -169,7 +169,7 @@
 	}
 	if c.db != nil {
 		c.note("active", text)
-		if done, f := c.database(s, text, params, format, most, p, simple); done {
+		if done, f := c.database(s, params, format, most, p, simple); done {
 			return f
 		}
 	}
--- a/testbed/host/host_test.go
+++ b/testbed/host/host_test.go
@@ -20,7 +20,7 @@
 	defer cancel()
 	p, err := pgx.Connect(ctx, "postgres://web@"+h.Address+"/orders?sslmode=disable&application_name=x")
 	require.NoError(t, err)
-	defer p.Close(ctx)
+	defer func() { _ = p.Close(ctx) }()
 	show := func(name string) (v string) {
 		require.NoError(t, p.QueryRow(ctx, "SHOW "+name).Scan(&v))
 		return v
@@ -82,7 +82,7 @@
 	r.SetLag(time.Hour)
 	q, err := pgx.Connect(ctx, "postgres://web@"+r.Address+"/orders?sslmode=disable")
 	require.NoError(t, err)
-	defer q.Close(ctx)
+	defer func() { _ = q.Close(ctx) }()
 	require.ErrorIs(t, q.QueryRow(ctx, "SELECT payload FROM entries WHERE ref = 'k'").Scan(&v), pgx.ErrNoRows)
 	_, err = q.Exec(ctx, "INSERT INTO entries (ref, payload) VALUES ('y', '1')")
 	require.ErrorContains(t, err, "25006")
--- a/testbed/host/judge.go
+++ b/testbed/host/judge.go
@@ -99,7 +99,7 @@
 	defer db.cluster.mu.Unlock()
 	if t := db.tableOf(table); t != nil {
 		t.rows.Ascend(func(r *tableRow) bool {
-			if vs, _ := r.as(math.Inf(1)); vs != nil {
+			if vs := r.as(math.Inf(1)); vs != nil {
 				out = append(out, t.named(vs))
 			}
 			return true
--- a/testbed/host/query.go
+++ b/testbed/host/query.go
@@ -61,7 +61,6 @@
 	skip     bool
 	scope    *scope
 	aggs     []*expr
-	values   [][]*expr // VALUES in place of SELECT
 }
 
 func (p *parser) query() (*query, *fault) {
--- a/testbed/host/replicate_test.go
+++ b/testbed/host/replicate_test.go
@@ -96,9 +96,9 @@
 	k.conns = nil
 }
 
-func (k *link) info(database string) string {
+func (k *link) info() string {
 	_, port, _ := strings.Cut(k.listen.Addr().String(), ":")
-	return "host=127.0.0.1 port=" + port + " user=mover sslmode=disable dbname=" + database
+	return "host=127.0.0.1 port=" + port + " user=mover sslmode=disable dbname=shop"
 }
 
 // pair is two groups with a database each and a link from the first to the second.
@@ -119,7 +119,7 @@
 	if with != "" {
 		with = " WITH (" + with + ")"
 	}
-	p.b.do("CREATE SUBSCRIPTION move CONNECTION '" + p.link.info("shop") + "' PUBLICATION all_tables" + with)
+	p.b.do("CREATE SUBSCRIPTION move CONNECTION '" + p.link.info() + "' PUBLICATION all_tables" + with)
 }
 
 func TestSubscriptionCopiesAndFollows(t *testing.T) {
@@ -138,11 +138,11 @@
 	require.Equal(t, "55000", a.code("UPDATE bare SET payload = 'x'"))
 	require.Equal(t, "55000", a.code("DELETE FROM bare"))
 	b.do("BEGIN")
-	require.Equal(t, "25001", b.code("CREATE SUBSCRIPTION move CONNECTION '"+p.link.info("shop")+"' PUBLICATION all_tables"))
+	require.Equal(t, "25001", b.code("CREATE SUBSCRIPTION move CONNECTION '"+p.link.info()+"' PUBLICATION all_tables"))
 	b.do("ROLLBACK")
 	require.Equal(t, "08006", b.code("CREATE SUBSCRIPTION move CONNECTION 'host=127.0.0.1 port=1 user=x dbname=shop sslmode=disable' PUBLICATION all_tables"))
 	p.subscribe("origin = none")
-	require.Equal(t, "42710", b.code("CREATE SUBSCRIPTION move CONNECTION '"+p.link.info("shop")+"' PUBLICATION all_tables"))
+	require.Equal(t, "42710", b.code("CREATE SUBSCRIPTION move CONNECTION '"+p.link.info()+"' PUBLICATION all_tables"))
 	b.becomes("r;r;r", "SELECT srsubstate FROM pg_subscription_rel")
 	require.Equal(t, "500", b.text("SELECT count(*) FROM entries"))
 	// Changes of all kinds, in the order of their commits.
@@ -382,7 +382,7 @@
 		p.a.do("CREATE PUBLICATION all_tables FOR ALL TABLES")
 		p.b.do("CREATE PUBLICATION all_tables FOR ALL TABLES")
 		p.subscribe("copy_data = false, origin = " + origin)
-		p.a.do("CREATE SUBSCRIPTION feed_back CONNECTION '" + back.info("shop") + "' PUBLICATION all_tables WITH (copy_data = false, origin = " + origin + ")")
+		p.a.do("CREATE SUBSCRIPTION feed_back CONNECTION '" + back.info() + "' PUBLICATION all_tables WITH (copy_data = false, origin = " + origin + ")")
 		p.a.do("INSERT INTO entries VALUES ('1', 'a')")
 		p.b.becomes("1", "SELECT count(*) FROM entries")
 		if origin == "any" { // the row comes back to where it is
--- a/testbed/host/state.go
+++ b/testbed/host/state.go
@@ -66,7 +66,6 @@
 	readOnly bool
 	layers   []layer // the first is its begin
 	writes   []write
-	locks    []string
 
 	// Of a database:
 	db         *Database
--- a/testbed/host/subscribe.go
+++ b/testbed/host/subscribe.go
@@ -80,15 +80,13 @@
 }
 
 // dial connects to the publisher as its connection string says.
-func (c *Cluster) dial(ctx context.Context, conninfo, name string, replication bool) (*pgconn.PgConn, error) {
+func (c *Cluster) dial(ctx context.Context, conninfo, name string) (*pgconn.PgConn, error) {
 	cfg, err := pgconn.ParseConfig(conninfo)
 	if err != nil {
 		return nil, err
 	}
 	cfg.RuntimeParams["application_name"] = name
-	if replication {
-		cfg.RuntimeParams["replication"] = "database"
-	}
+	cfg.RuntimeParams["replication"] = "database"
 	most := c.timing().ConnectTime
 	cfg.ConnectTimeout = most
 	cfg.DialFunc = (&net.Dialer{Timeout: most}).DialContext
@@ -230,11 +228,11 @@
 	if connect {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*cl.timing().ConnectTime)
 		defer cancel()
-		pub, err := cl.dial(ctx, s.conninfo, s.name, true)
+		pub, err := cl.dial(ctx, s.conninfo, s.name)
 		if err != nil {
 			return remote("connect to the publisher", err)
 		}
-		defer pub.Close(ctx)
+		defer func() { _ = pub.Close(ctx) }()
 		if f = s.refresh(ctx, c, pub, copies); f != nil {
 			return f
 		}
@@ -305,11 +303,11 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 2*cl.timing().ConnectTime)
 		defer cancel()
-		pub, err := cl.dial(ctx, info, s.name, true)
+		pub, err := cl.dial(ctx, info, s.name)
 		if err != nil {
 			return remote("connect to the publisher", err)
 		}
-		defer pub.Close(ctx)
+		defer func() { _ = pub.Close(ctx) }()
 		return s.refresh(ctx, c, pub, copies)
 	}
 	options := func() (map[string]string, *fault) {
@@ -482,11 +480,11 @@
 	if s.slot != "" {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*cl.timing().ConnectTime)
 		defer cancel()
-		pub, err := cl.dial(ctx, s.conninfo, s.name, true)
+		pub, err := cl.dial(ctx, s.conninfo, s.name)
 		if err != nil {
 			return back(remote(fmt.Sprintf("connect to publisher when attempting to drop replication slot %q", s.slot), err))
 		}
-		defer pub.Close(ctx)
+		defer func() { _ = pub.Close(ctx) }()
 		for {
 			_, err = pub.Exec(ctx, fmt.Sprintf("DROP_REPLICATION_SLOT %q WAIT", s.slot)).ReadAll()
 			var pe *pgconn.PgError
@@ -596,7 +594,7 @@
 	if slotName == "" {
 		return errors.New("subscription has no replication slot set")
 	}
-	p, err := cl.dial(ctx, info, s.name, true)
+	p, err := cl.dial(ctx, info, s.name)
 	if err != nil {
 		return err
 	}
@@ -887,7 +885,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	name := fmt.Sprintf("pg_%d_sync_%d", s.oid, t.oid)
-	p, err := cl.dial(ctx, info, name, true)
+	p, err := cl.dial(ctx, info, name)
 	if err != nil {
 		return err
 	}
--- a/testbed/host/table.go
+++ b/testbed/host/table.go
@@ -180,21 +180,21 @@
 	}
 }
 
-// AddExtension, AddLargeObject and AddPrepared put what a move has to look for into the catalogue.
+// AddExtension records an extension in the catalogue.
 func (db *Database) AddExtension(name string) {
 	db.cluster.mu.Lock()
 	db.extensions = append(db.extensions, name)
 	db.cluster.mu.Unlock()
 }
 
-// AddLargeObject makes one.
+// AddLargeObject records a large object.
 func (db *Database) AddLargeObject() {
 	db.cluster.mu.Lock()
 	db.largeObjects++
 	db.cluster.mu.Unlock()
 }
 
-// AddPrepared makes a transaction that was prepared and holds on.
+// AddPrepared records a prepared transaction, which stays open.
 func (db *Database) AddPrepared(gid string) {
 	db.cluster.mu.Lock()
 	db.preparedXacts = append(db.preparedXacts, gid)
@@ -231,21 +231,21 @@
 }
 
 // as is the row as of a position; none: it was not there.
-func (r *tableRow) as(at float64) ([]value, float64) {
+func (r *tableRow) as(at float64) []value {
 	i := len(r.versions)
 	if i > 0 && r.versions[i-1].at > at {
 		i = sort.Search(i, func(i int) bool { return r.versions[i].at > at })
 	}
 	if i == 0 {
-		return nil, 0
+		return nil
 	}
-	return r.versions[i-1].values, r.versions[i-1].at
+	return r.versions[i-1].values
 }
 
 // get is a row as of a position. The cluster's lock is held, as for all here.
 func (t *Table) get(key string, at float64) []value {
 	if r, ok := t.rows.Get(&tableRow{key: key}); ok {
-		vs, _ := r.as(at)
+		vs := r.as(at)
 		return vs
 	}
 	return nil
@@ -278,7 +278,7 @@
 			next, more = r.key, true
 			return false
 		}
-		if vs, _ := r.as(at); vs != nil {
+		if vs := r.as(at); vs != nil {
 			out = append(out, hit{r.key, vs})
 		}
 		return true
@@ -695,7 +695,7 @@
 	var keys []string
 	a.cluster.mu.Lock()
 	fence.rows.Ascend(func(r *tableRow) bool {
-		if vs, _ := r.as(math.Inf(1)); vs != nil {
+		if vs := r.as(math.Inf(1)); vs != nil {
 			keys = append(keys, r.key)
 		}
 		return true
--- a/testbed/host/value.go
+++ b/testbed/host/value.go
@@ -250,11 +250,11 @@
 		if i > 0 {
 			b.WriteByte(0)
 		}
-		switch {
-		case v.typ == typeInt8 || v.typ == typeInt4 || v.typ == typeOid || v.typ == typeXid:
+		switch v.typ {
+		case typeInt8, typeInt4, typeOid, typeXid:
 			n, _ := strconv.ParseInt(v.s, 10, 64)
 			fmt.Fprintf(&b, "%016x", uint64(n)^1<<63)
-		case v.typ == typeLSN:
+		case typeLSN:
 			n, _ := ParseLSN(v.s)
 			fmt.Fprintf(&b, "%016x", n)
 		default:
--- a/testbed/load/cost.go
+++ b/testbed/load/cost.go
@@ -65,7 +65,7 @@
 	_, before := f.Pooler.Usage()
 	idle := make([]net.Conn, 0, most)
 	for range most {
-		c, _, err := open(target{name: "transaction", address: f.Pooler.Sessions})
+		c, err := open(target{name: "transaction", address: f.Pooler.Sessions})
 		if err != nil {
 			return nil, err
 		}
@@ -166,10 +166,10 @@
 }
 
 // open starts a client that is ready to ask.
-func open(t target) (net.Conn, *pgproto3.Frontend, error) {
+func open(t target) (net.Conn, error) {
 	c, err := net.DialTimeout("tcp", t.address, 10*time.Second)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	_ = c.SetDeadline(time.Now().Add(30 * time.Second))
 	f := pgproto3.NewFrontend(c, c)
@@ -186,9 +186,9 @@
 	}
 	if err != nil {
 		c.Close()
-		return nil, nil, err
+		return nil, err
 	}
-	return c, f, nil
+	return c, nil
 }
 
 var readyEnd = []byte{'Z', 0, 0, 0, 5, 'I'}
@@ -232,7 +232,7 @@
 	}
 	buf := make([]byte, 4096)
 	for range n {
-		c, _, err := open(t)
+		c, err := open(t)
 		if err != nil {
 			return o, err
 		}
--- a/testbed/load/restart.go
+++ b/testbed/load/restart.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer os.RemoveAll(folder)
+	defer func() { _ = os.RemoveAll(folder) }()
 	var env []string
 	if o.Break != "" {
 		env = append(env, "ASHSTAND_BREAK="+o.Break)
@@ -101,7 +101,7 @@
 	if err := kills(ctx, o, f, g, folder); err != nil {
 		return nil, err
 	}
-	if err := tooOld(ctx, o, f, g, folder); err != nil {
+	if err := tooOld(ctx, f, g, folder); err != nil {
 		return nil, err
 	}
 	if err := compare(ctx, o, f, g, folder); err != nil {
@@ -222,7 +222,7 @@
 }
 
 // tooOld starts the pooler with files that are too old, from the future, or another's, and asks what it made of them.
-func tooOld(ctx context.Context, o RestartOptions, f *fleet.Fleet, g *report.Collector, folder string) error {
+func tooOld(ctx context.Context, f *fleet.Fleet, g *report.Collector, folder string) error {
 	path := filepath.Join(folder, "learned.ash")
 	for name, change := range map[string]func(h *warmstate.Header){
 		"two days old":    func(h *warmstate.Header) { h.WrittenAt -= float64((2 * oldest).Milliseconds()) },
--- a/testbed/load/sessions.go
+++ b/testbed/load/sessions.go
@@ -87,7 +87,7 @@
 	select {
 	case <-finished:
 	case <-f.Pooler.Ended():
-		died = fmt.Errorf("the pooler ended: %v\n%s", f.Pooler.Err(), f.Pooler.Log())
+		died = f.Pooler.EndedError()
 	}
 	if died != nil {
 		return nil, died
--- a/testbed/load/snapshot.go
+++ b/testbed/load/snapshot.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer os.RemoveAll(folder)
+	defer func() { _ = os.RemoveAll(folder) }()
 	for _, n := range sizes {
 		if err := snapshotOf(g, folder, n); err != nil {
 			return nil, err
--- a/testbed/load/try.go
+++ b/testbed/load/try.go
@@ -99,7 +99,7 @@
 	all.Wait()
 	select {
 	case <-f.Pooler.Ended():
-		return nil, fmt.Errorf("the pooler ended: %v\n%s", f.Pooler.Err(), f.Pooler.Log())
+		return nil, f.Pooler.EndedError()
 	default:
 	}
 	_, rss := f.Pooler.Usage()
@@ -129,9 +129,9 @@
 		part := min(1, float64(time.Since(begun))/float64(o.Duration))
 		bar := strings.Repeat("=", int(part*width)) + strings.Repeat(".", width-int(part*width))
 		bar = bar[:width/2] + "|" + bar[width/2:]
-		fmt.Fprintf(o.Progress, "\r[%s] %6d operations; the primary fails at the mark", bar, done.Load())
+		_, _ = fmt.Fprintf(o.Progress, "\r[%s] %6d operations; the primary fails at the mark", bar, done.Load())
 		if !sleep(ctx, 200*time.Millisecond) {
-			fmt.Fprintf(o.Progress, "\r%s\r", strings.Repeat(" ", width+60))
+			_, _ = fmt.Fprintf(o.Progress, "\r%s\r", strings.Repeat(" ", width+60))
 			return
 		}
 	}
--- a/testbed/load/worker.go
+++ b/testbed/load/worker.go
@@ -33,7 +33,6 @@
 	last     string // the payload of its own row, as it was committed last
 	doubt    bool   // whether the last write went through, or is known to the pooler, is not known
 	writes   int
-	pins     bool
 	misled   bool // it asked for a cancel
 	sleepy   bool // half of what it does are long queries and cancels: to see a cancel hit the wrong one
 }
@@ -65,7 +64,7 @@
 	text  string
 }
 
-func (w *worker) count(class string, begun time.Time, err error) (a answer, gone bool) {
+func (w *worker) count(class string, begun time.Time, err error) (a answer) {
 	took := time.Since(begun)
 	pe := w.g.RecordAnswer(class, took, patience/3, err, false)
 	if pe != nil {
@@ -89,7 +88,7 @@
 			w.g.Break("misdirected_cancel", "%s: %s", w.name, class)
 		}
 	}
-	return a, closed
+	return a
 }
 
 // simple runs a query string.
@@ -98,7 +97,7 @@
 	defer cancel()
 	begun := time.Now()
 	rs, err := w.c.Exec(ctx, sql).ReadAll()
-	a, _ := w.count(class, begun, err)
+	a := w.count(class, begun, err)
 	for _, r := range rs {
 		a.tag = r.CommandTag.String()
 		a.rows = append(a.rows, texts(r)...)
@@ -128,7 +127,7 @@
 	}
 	begun := time.Now()
 	r := do(ctx, p).Read()
-	a, _ := w.count(class, begun, r.Err)
+	a := w.count(class, begun, r.Err)
 	a.tag, a.rows = r.CommandTag.String(), texts(r)
 	return a
 }
@@ -273,14 +272,14 @@
 		if _, ok := w.named[name]; ok {
 			begun := time.Now()
 			err := w.c.Deallocate(ctx, name)
-			if a, _ := w.count("deallocate", begun, err); a.state != "" {
+			if a := w.count("deallocate", begun, err); a.state != "" {
 				return
 			}
 			delete(w.named, name)
 		}
 		begun := time.Now()
 		_, err := w.c.Prepare(ctx, name, "SELECT '"+says+"', $1", nil)
-		if a, _ := w.count("prepare", begun, err); a.state == "" {
+		if a := w.count("prepare", begun, err); a.state == "" {
 			w.named[name] = says
 		}
 		return
@@ -377,7 +376,7 @@
 	}
 	begun := time.Now()
 	tag, err := w.c.CopyFrom(ctx, strings.NewReader(data.String()), "COPY entries FROM STDIN")
-	if a, _ := w.count("copy", begun, err); a.state == "" {
+	if a := w.count("copy", begun, err); a.state == "" {
 		if tag.RowsAffected() != 50 {
 			w.g.Break("lost_commit", "%s: COPY of 50 rows says %s", w.name, tag)
 		}
@@ -452,7 +451,7 @@
 	if cerr := p.Close(); first == nil {
 		first = cerr
 	}
-	if a, _ := w.count("pipeline", begun, first); a.state != "22012" {
+	if a := w.count("pipeline", begun, first); a.state != "22012" {
 		return
 	}
 	if a := w.simple("execute", "EXECUTE before"); a.state == "" && a.one() != "before" {
--- a/testbed/report/report.go
+++ b/testbed/report/report.go
@@ -2,6 +2,7 @@
 package report
 
 import (
+	"bufio"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -178,15 +179,18 @@
 	return os.WriteFile(path, b, 0o644)
 }
 
-// Table prints it for people.
-func (r *Result) Table(out io.Writer) {
+// Table writes the result for people.
+func (r *Result) Table(to io.Writer) error {
+	out := bufio.NewWriter(to)
 	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "class\trequests\tp50 ms\tp99 ms\tp99.9 ms\tmax ms\t")
 	for _, class := range names(r.Latency) {
 		l := r.Latency[class]
 		fmt.Fprintf(w, "%s\t%d\t%.2f\t%.2f\t%.2f\t%.1f\t\n", class, l.Count, l.P50, l.P99, l.P999, l.Max)
 	}
-	w.Flush()
+	if err := w.Flush(); err != nil {
+		return err
+	}
 	q := r.Requests
 	fmt.Fprintf(out, "\n%d requests in %.1f s: %d served, %d refused, %d failed, %d unanswered, %d late\n", q.Taken, r.Seconds, q.Served, q.Refused, q.Failed, q.Unanswered, q.Late)
 	line := func(title string, of map[string]int) {
@@ -208,6 +212,7 @@
 	for _, n := range r.Notes {
 		fmt.Fprintln(out, "-", n)
 	}
+	return out.Flush()
 }
 
 func names[T any](m map[string]T) []string {
