--- a/internal/cluster/migration/sql/check.go
+++ b/internal/cluster/migration/sql/check.go
@@ -13,134 +13,174 @@
 	"ashstand/internal/cluster/migration"
 )
 
-// home is what a check reads of one.
-type home struct {
-	tables     []*table
-	extensions map[string]string
-	sequences  []string
-	objects    int
-	prepared   []string
-	size       float64
-	wal        string
-	slots      int // that are left
-	holds      map[string]bool
+const (
+	// minFreeSlots is what a migration needs: a slot for the stream, and one for a table's copy or the way back.
+	minFreeSlots    = 2
+	walLevelLogical = "logical"
+)
+
+// inventory is what a group holds and offers, as far as a check needs it.
+type inventory struct {
+	tables       []*table
+	nonEmpty     map[string]bool   // tables that hold rows, by full name
+	extensions   map[string]string // versions by name
+	sequences    []string
+	largeObjects int
+	prepared     []string // ids of prepared transactions
+	bytes        float64
+	walLevel     string
+	maxSlots     int
+	usedSlots    int
 }
 
-func readHome(ctx context.Context, conn *pgconn.PgConn, rows bool) (h home, err error) {
-	if h.tables, err = tables(ctx, conn); err != nil {
-		return h, err
-	}
-	ask := func(sql string, see func(r []string)) {
-		if err == nil {
-			var list [][]string
-			list, _, err = fencing.Exec(ctx, conn, sql)
-			for _, r := range list {
-				see(r)
-			}
+// readInventory reads the inventory of a group; with rows it looks into each table, too.
+func readInventory(ctx context.Context, conn *pgconn.PgConn, rows bool) (*inventory, error) {
+	tables, err := readTables(ctx, conn)
+	if err != nil {
+		return nil, err
+	}
+	found := &inventory{tables: tables, nonEmpty: map[string]bool{}, extensions: map[string]string{}}
+	queries := []inventoryQuery{
+		{selectExtensions, func(row []string) { found.extensions[row[0]] = row[1] }},
+		{selectSequenceNames, func(row []string) { found.sequences = append(found.sequences, row[0]+"."+row[1]) }},
+		{countLargeObjects, func(row []string) { found.largeObjects, _ = strconv.Atoi(row[0]) }},
+		{selectPrepared, func(row []string) { found.prepared = append(found.prepared, row[0]) }},
+		{selectDatabaseSize, func(row []string) { found.bytes, _ = strconv.ParseFloat(row[0], 64) }},
+		{showWALLevel, func(row []string) { found.walLevel = row[0] }},
+		{showMaxSlots, func(row []string) { found.maxSlots, _ = strconv.Atoi(row[0]) }},
+		{countSlots, func(row []string) { found.usedSlots, _ = strconv.Atoi(row[0]) }},
+	}
+	if rows {
+		for _, t := range tables {
+			queries = append(queries, inventoryQuery{selectOneRow(t), func([]string) { found.nonEmpty[t.fullName()] = true }})
 		}
 	}
-	h.extensions, h.holds = map[string]string{}, map[string]bool{}
-	ask("SELECT extname, extversion FROM pg_extension", func(r []string) { h.extensions[r[0]] = r[1] })
-	ask("SELECT schemaname, sequencename FROM pg_sequences WHERE schemaname <> 'ashstand' ORDER BY schemaname, sequencename", func(r []string) {
-		h.sequences = append(h.sequences, r[0]+"."+r[1])
-	})
-	ask("SELECT count(*) FROM pg_largeobject_metadata", func(r []string) { h.objects, _ = strconv.Atoi(r[0]) })
-	ask("SELECT gid FROM pg_prepared_xacts WHERE database = current_database()", func(r []string) { h.prepared = append(h.prepared, r[0]) })
-	ask("SELECT pg_database_size(current_database())", func(r []string) { h.size, _ = strconv.ParseFloat(r[0], 64) })
-	ask("SHOW wal_level", func(r []string) { h.wal = r[0] })
-	ask("SHOW max_replication_slots", func(r []string) { h.slots, _ = strconv.Atoi(r[0]) })
-	ask("SELECT count(*) FROM pg_replication_slots", func(r []string) {
-		n, _ := strconv.Atoi(r[0])
-		h.slots -= n
-	})
-	for _, t := range h.tables {
-		if rows {
-			ask("SELECT 1 FROM "+t.quoted()+" LIMIT 1", func([]string) { h.holds[t.fullName()] = true })
+	for _, query := range queries {
+		if err := query.run(ctx, conn); err != nil {
+			return nil, err
 		}
 	}
-	return h, err
+	return found, nil
+}
+
+// inventoryQuery is a statement with what is done with each row that it returns.
+type inventoryQuery struct {
+	statement string
+	visit     func(row []string)
+}
+
+func (q *inventoryQuery) run(ctx context.Context, conn *pgconn.PgConn) error {
+	rows, _, err := fencing.Exec(ctx, conn, q.statement)
+	for _, row := range rows {
+		q.visit(row)
+	}
+	return err
 }
 
-// Check looks for all that is in the way.
-func (p *Databases) Check(ctx context.Context, a migration.Request) (out migration.CheckResults, err error) {
-	var from, to home
-	read := func(at migration.Group, h *home, rows bool) func() error {
+// Check looks for everything that prevents the migration, and changes nothing.
+func (d *Databases) Check(ctx context.Context, request migration.Request) (migration.CheckResults, error) {
+	o := d.operation(request)
+	c := &checker{tenant: request.Plan.Tenant}
+	read := func(group migration.Group, to **inventory, rows bool) func() error {
 		return func() error {
-			return p.on(ctx, a, at, "check", func(ctx context.Context, conn *pgconn.PgConn) (err error) {
-				*h, err = readHome(ctx, conn, rows)
+			return o.connect(ctx, group, "check", func(ctx context.Context, conn *pgconn.PgConn) (err error) {
+				*to, err = readInventory(ctx, conn, rows)
 				return err
 			})
 		}
 	}
-	if err = both(read(a.Plan.From, &from, false), read(a.Plan.To, &to, true)); err != nil {
+	if err := concurrently(read(request.Plan.From, &c.from, false), read(request.Plan.To, &c.to, true)); err != nil {
 		return nil, err
 	}
-	find := func(reason, name, detail string, args ...any) {
-		out = append(out, migration.CheckResult{Reason: reason, Name: name, Detail: fmt.Sprintf(detail, args...)})
-	}
-	there := map[string]*table{}
-	for _, t := range to.tables {
-		there[t.fullName()] = t
+	c.checkTables()
+	c.checkExtensions()
+	c.checkUnpublishable()
+	c.checkCapacity(request.Plan.From, c.from)
+	c.checkCapacity(request.Plan.To, c.to)
+	if d.FreeBytes != nil {
+		if free, ok := d.FreeBytes(request.Plan.To); ok && free < c.from.bytes {
+			c.add(migration.CheckNoCapacity, c.tenant, "%.0f bytes, %.0f are left", c.from.bytes, free)
+		}
 	}
-	for _, t := range from.tables {
-		if !t.carried() {
-			find(migration.CheckUnloggedTable, t.fullName(), "")
+	c.checkSequences()
+	slices.SortStableFunc(c.results, func(a, b migration.CheckResult) int { return strings.Compare(a.Reason+a.Name, b.Reason+b.Name) })
+	return c.results, nil
+}
+
+// checker collects what a check finds.
+type checker struct {
+	tenant   string
+	from, to *inventory
+	results  migration.CheckResults
+}
+
+func (c *checker) add(reason, name, detail string, args ...any) {
+	c.results = append(c.results, migration.CheckResult{Reason: reason, Name: name, Detail: fmt.Sprintf(detail, args...)})
+}
+
+func (c *checker) checkTables() {
+	atTarget := map[string]*table{}
+	for _, t := range c.to.tables {
+		atTarget[t.fullName()] = t
+	}
+	for _, t := range c.from.tables {
+		if !t.isPublishable() {
+			c.add(migration.CheckUnloggedTable, t.fullName(), "")
 			continue
 		}
-		if !t.identified() {
-			find(migration.CheckNoReplicaIdentity, t.fullName(), "")
-		}
-		if o := there[t.fullName()]; o == nil {
-			find(migration.CheckSchemaDiffers, t.fullName(), "it is not there")
-		} else if mine, other := shape(t), shape(o); mine != other {
-			find(migration.CheckSchemaDiffers, t.fullName(), "%s here, %s there", mine, other)
-		} else if to.holds[t.fullName()] {
-			find(migration.CheckTargetNotEmpty, t.fullName(), "")
+		if !t.hasReplicaIdentity() {
+			c.add(migration.CheckNoReplicaIdentity, t.fullName(), "")
 		}
+		c.checkTarget(t, atTarget[t.fullName()])
 	}
-	for ext, version := range from.extensions {
-		if to.extensions[ext] != version {
-			find(migration.CheckExtensionMissing, ext, "%s here, %q there", version, to.extensions[ext])
-		}
-	}
-	if from.objects > 0 {
-		find(migration.CheckLargeObjects, "", "%d", from.objects)
-	}
-	for _, gid := range from.prepared {
-		find(migration.CheckPreparedTransaction, gid, "")
+}
+
+// checkTarget compares a table with the target's one, which is nil where there is none.
+func (c *checker) checkTarget(t, target *table) {
+	switch {
+	case target == nil:
+		c.add(migration.CheckSchemaDiffers, t.fullName(), "it is not there")
+	case t.shape() != target.shape():
+		c.add(migration.CheckSchemaDiffers, t.fullName(), "%s here, %s there", t.shape(), target.shape())
+	case c.to.nonEmpty[t.fullName()]:
+		c.add(migration.CheckTargetNotEmpty, t.fullName(), "")
 	}
-	for g, h := range map[migration.Group]home{a.Plan.From: from, a.Plan.To: to} {
-		if h.slots < 2 { // the stream's and one that a copy has, or the way back's
-			find(migration.CheckNoSlots, fmt.Sprint("group ", g), "%d left", max(0, h.slots))
-		}
-		if h.wal != "logical" {
-			find(migration.CheckNoSlots, fmt.Sprint("group ", g), "wal_level is %s", h.wal)
+}
+
+func (c *checker) checkExtensions() {
+	for name, version := range c.from.extensions {
+		if c.to.extensions[name] != version {
+			c.add(migration.CheckExtensionMissing, name, "%s here, %q there", version, c.to.extensions[name])
 		}
 	}
-	if p.FreeBytes != nil {
-		if room, known := p.FreeBytes(a.Plan.To); known && room < from.size {
-			find(migration.CheckNoCapacity, a.Plan.Tenant, "%.0f bytes, %.0f are left", from.size, room)
-		}
+}
+
+// checkUnpublishable looks for what logical replication does not carry.
+func (c *checker) checkUnpublishable() {
+	if c.from.largeObjects > 0 {
+		c.add(migration.CheckLargeObjects, "", "%d", c.from.largeObjects)
 	}
-	for _, s := range from.sequences {
-		if !slices.Contains(to.sequences, s) {
-			find(migration.CheckSchemaDiffers, s, "the sequence is not there")
-		} else {
-			out = append(out, migration.CheckResult{Reason: migration.CheckSequence, Name: s, Informational: true})
-		}
+	for _, id := range c.from.prepared {
+		c.add(migration.CheckPreparedTransaction, id, "")
 	}
-	slices.SortStableFunc(out, func(x, y migration.CheckResult) int { return strings.Compare(x.Reason+x.Name, y.Reason+y.Name) })
-	return out, nil
 }
 
-// shape is a table's columns and key in words.
-func shape(t *table) string {
-	var out, key []string
-	for i, c := range t.columns {
-		out = append(out, c+" "+t.types[i])
+func (c *checker) checkCapacity(group migration.Group, at *inventory) {
+	if free := at.maxSlots - at.usedSlots; free < minFreeSlots {
+		c.add(migration.CheckNoSlots, groupName(group), "%d left", max(0, free))
+	}
+	if at.walLevel != walLevelLogical {
+		c.add(migration.CheckNoSlots, groupName(group), "wal_level is %s", at.walLevel)
 	}
-	for _, k := range t.key {
-		key = append(key, t.columns[k])
+}
+
+// checkSequences names the sequences that Verify will set, and those that the target lacks.
+func (c *checker) checkSequences() {
+	for _, name := range c.from.sequences {
+		if !slices.Contains(c.to.sequences, name) {
+			c.add(migration.CheckSchemaDiffers, name, "the sequence is not there")
+			continue
+		}
+		c.results = append(c.results, migration.CheckResult{Reason: migration.CheckSequence, Name: name, Informational: true})
 	}
-	return strings.Join(out, ", ") + " (" + strings.Join(key, ", ") + ")"
 }
--- a/internal/cluster/migration/sql/gate.go
+++ b/internal/cluster/migration/sql/gate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -12,129 +11,119 @@
 	"ashstand/internal/cluster/migration"
 )
 
-// Fence closes the gate at the group that serves the tenant.
-func (p *Databases) Fence(ctx context.Context, a migration.Request, at migration.Group) (*migration.FencePoint, []migration.BlockingSession, error) {
-	until := time.Now().Add(p.within(a))
-	wait := p.within(a)
-	if a.Data.EndBlockingSessions { // once for those who are about to end, once for those who were ended
+// minLockWait is the shortest lock_timeout that is set: 0 would mean no bound.
+const minLockWait = time.Millisecond
+
+// fenceFormat is the stored form of a closed gate: operation, timeline and position.
+const fenceFormat = "%s %d %d"
+
+// isTrue says whether a boolean of PostgreSQL is true.
+func isTrue(text string) bool { return text == "t" }
+
+// Fence closes the gate at the group that serves the tenant. Where writers keep it open it returns them instead.
+func (d *Databases) Fence(ctx context.Context, request migration.Request, group migration.Group) (*migration.FencePoint, []migration.BlockingSession, error) {
+	o := d.operation(request)
+	deadline := time.Now().Add(o.timeout())
+	wait := o.timeout()
+	if request.Data.EndBlockingSessions { // half of it for sessions that are about to end, half for those that are ended
 		wait /= 2
 	}
-	closed, held, err := p.close(ctx, a, at, wait)
-	if sqlState(err) != "55P03" || !a.Data.EndBlockingSessions || len(held) == 0 {
-		return closed, held, late(err)
+	fence, blocking, err := o.closeGate(ctx, group, wait)
+	if sqlState(err) != codeLockNotAvailable || !request.Data.EndBlockingSessions || len(blocking) == 0 {
+		return fence, blocking, ignoreLockTimeout(err)
 	}
-	if err = p.act(ctx, a, at, "end stragglers", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
-		for _, s := range held {
-			if _, err := fencing.QueryValue(ctx, conn, "SELECT pg_terminate_backend("+strconv.Itoa(s.PID)+")"); err != nil {
-				return err
-			}
-		}
-		return nil
-	}); err != nil {
-		return nil, held, err
+	if err = o.endSessions(ctx, group, blocking); err != nil {
+		return nil, blocking, err
 	}
-	closed, held, err = p.close(ctx, a, at, max(wait, time.Until(until)))
-	return closed, held, late(err)
+	fence, blocking, err = o.closeGate(ctx, group, max(wait, time.Until(deadline)))
+	return fence, blocking, ignoreLockTimeout(err)
 }
 
-// late passes over a wait that came to its end: that is an answer.
-func late(err error) error {
-	if sqlState(err) == "55P03" {
+// ignoreLockTimeout drops the error of a wait that timed out: the sessions that were found are the answer.
+func ignoreLockTimeout(err error) error {
+	if sqlState(err) == codeLockNotAvailable {
 		return nil
 	}
 	return err
 }
 
-// close tries once.
-func (p *Databases) close(ctx context.Context, a migration.Request, at migration.Group, wait time.Duration) (*migration.FencePoint, []migration.BlockingSession, error) {
-	bounds := p.bounds(a)
-	bounds.Lock, bounds.Statement = max(wait, time.Millisecond), wait+p.within(a)
-	var closed *migration.FencePoint
-	err := p.actWithin(ctx, bounds, a, at, "close", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
-		if err := shut(ctx, conn, true); err != nil {
-			return err
-		}
-		n, err := line(ctx, conn)
-		if err != nil {
-			return err
-		}
-		// Nobody who writes is past the gate any more: what is to come in the log is this transaction's own commit.
-		pos, err := standing(ctx, conn)
-		if err != nil {
-			return err
-		}
-		closed = &migration.FencePoint{Timeline: n, LSN: pos}
-		return write(ctx, conn, book{"closed": fmt.Sprintf("%s %d %d", a.OperationID, n, uint64(pos))})
+// closeGate attempts it once. With codeLockNotAvailable it returns the sessions that it waited for.
+func (o *operation) closeGate(ctx context.Context, group migration.Group, wait time.Duration) (*migration.FencePoint, []migration.BlockingSession, error) {
+	timeouts := o.timeouts()
+	timeouts.Lock, timeouts.Statement = max(wait, minLockWait), wait+o.timeout()
+	var fence *migration.FencePoint
+	err := o.transactWithin(ctx, timeouts, group, "close the gate", requireOwned, func(ctx context.Context, conn *pgconn.PgConn, _ metadata) (err error) {
+		fence, err = o.closeGateOn(ctx, conn)
+		return err
 	})
 	if err == nil {
-		return closed, nil, nil
+		return fence, nil, nil
 	}
-	if sqlState(err) != "55P03" {
+	if sqlState(err) != codeLockNotAvailable {
 		return nil, nil, err
 	}
-	var held []migration.BlockingSession
-	if look := p.on(ctx, a, at, "stragglers", func(ctx context.Context, conn *pgconn.PgConn) (err error) {
-		held, err = stragglers(ctx, conn)
-		return err
-	}); look != nil {
-		return nil, nil, look
+	blocking, readErr := o.readBlockingSessions(ctx, group)
+	if readErr != nil {
+		return nil, nil, readErr
 	}
-	return nil, held, err
+	return nil, blocking, err
 }
 
-// stragglers are the sessions that have written in a transaction which is open; or, where there is none, those whose
-// transaction is.
-func stragglers(ctx context.Context, conn *pgconn.PgConn) ([]migration.BlockingSession, error) {
-	rows, _, err := fencing.Exec(ctx, conn, "SELECT pid, usename, state, backend_xid, extract(epoch FROM clock_timestamp() - xact_start) FROM pg_stat_activity "+
-		"WHERE datname = current_database() AND pid <> pg_backend_pid() AND backend_type = 'client backend' AND xact_start IS NOT NULL "+
-		"ORDER BY xact_start")
+func (o *operation) closeGateOn(ctx context.Context, conn *pgconn.PgConn) (*migration.FencePoint, error) {
+	if err := setGate(ctx, conn, true); err != nil {
+		return nil, err
+	}
+	timeline, err := readTimeline(ctx, conn)
 	if err != nil {
 		return nil, err
 	}
-	var writing, open []migration.BlockingSession
-	for _, r := range rows {
-		pid, _ := strconv.Atoi(r[0])
-		age, _ := strconv.ParseFloat(r[4], 64)
-		s := migration.BlockingSession{PID: pid, User: r[1], Age: fmt.Sprintf("%.3f s", age)}
-		if r[3] != "" {
-			s.Kind = "writing, " + r[2]
-			writing = append(writing, s)
-		} else if r[2] != "idle" {
-			s.Kind = "in a transaction, " + r[2]
-			open = append(open, s)
-		}
+	// No writer is past the gate any more: what follows in the log is this transaction's own commit.
+	position, err := readPosition(ctx, conn)
+	if err != nil {
+		return nil, err
 	}
-	if len(writing) > 0 {
-		return writing, nil
+	stored := fmt.Sprintf(fenceFormat, o.request.OperationID, timeline, uint64(position))
+	return &migration.FencePoint{Timeline: timeline, LSN: position}, writeMetadata(ctx, conn, metadata{itemFence: stored})
+}
+
+// parseFence reads the stored form of a gate that this operation closed; nil where another one did, or none.
+func parseFence(stored metadata, operationID string) *migration.FencePoint {
+	var timeline int
+	var position uint64
+	if _, err := fmt.Sscanf(stored[itemFence], operationID+" %d %d", &timeline, &position); err != nil {
+		return nil
 	}
-	return open, nil
+	return &migration.FencePoint{Timeline: timeline, LSN: migration.LSN(position)}
 }
 
-// FenceStatus says whether the gate is closed, under this token.
-func (p *Databases) FenceStatus(ctx context.Context, a migration.Request, at migration.Group) (closed bool, n int, err error) {
-	err = p.act(ctx, a, at, "fenced", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
-		shut, err := fencing.QueryValue(ctx, conn, "SELECT closed FROM ashstand.gate WHERE id = 1")
-		if err != nil {
+// FenceStatus says whether the gate of a group is closed under the request's token, and on which timeline.
+func (d *Databases) FenceStatus(ctx context.Context, request migration.Request, group migration.Group) (closed bool, timeline int, err error) {
+	err = d.operation(request).transact(ctx, group, "read the gate", requireOwned, func(ctx context.Context, conn *pgconn.PgConn, _ metadata) (err error) {
+		if closed, err = readGate(ctx, conn); err != nil {
 			return err
 		}
-		closed = shut == "t"
-		n, err = line(ctx, conn)
+		timeline, err = readTimeline(ctx, conn)
 		return err
 	})
-	return closed, n, err
+	return closed, timeline, err
+}
+
+// readGate says whether the gate of a group is closed.
+func readGate(ctx context.Context, conn *pgconn.PgConn) (closed bool, err error) {
+	text, err := fencing.QueryValue(ctx, conn, selectGateClosed)
+	return isTrue(text), err
 }
 
-// Unfence opens the gate of a group, once it follows nobody.
-func (p *Databases) Unfence(ctx context.Context, a migration.Request, at migration.Group) error {
-	if err := p.act(ctx, a, at, "open", ours, func(context.Context, *pgconn.PgConn, book) error { return nil }); err != nil {
+// Unfence opens the gate of a group, once its subscription is dropped: later changes at the other group must not arrive.
+func (d *Databases) Unfence(ctx context.Context, request migration.Request, group migration.Group) error {
+	o := d.operation(request)
+	if err := o.transact(ctx, group, "open the gate", requireOwned, checkFence); err != nil {
 		return err
 	}
-	if err := p.on(ctx, a, at, "drop subscriptions", func(ctx context.Context, conn *pgconn.PgConn) error {
-		return dropSubscriptions(ctx, conn, a, "")
-	}); err != nil {
+	if err := o.dropSubscriptionsAt(ctx, group); err != nil {
 		return err
 	}
-	return p.act(ctx, a, at, "open", ours, func(ctx context.Context, conn *pgconn.PgConn, _ book) error {
-		return shut(ctx, conn, false)
+	return o.transact(ctx, group, "open the gate", requireOwned, func(ctx context.Context, conn *pgconn.PgConn, _ metadata) error {
+		return setGate(ctx, conn, false)
 	})
 }
--- a/internal/cluster/migration/sql/tables.go
+++ b/internal/cluster/migration/sql/tables.go
@@ -12,101 +12,157 @@
 	"ashstand/internal/cluster/fencing"
 )
 
-// table is one of a tenant's.
+// Values of pg_class.relpersistence and relreplident.
+const (
+	persistenceUnlogged = "u"
+	identityDefault     = "d" // the primary key, if there is one
+	identityFull        = "f"
+	identityIndex       = "i"
+)
+
+// table is one of a tenant's tables, as the catalogue describes it.
 type table struct {
 	schema, name string
 	columns      []string
-	types        []string // as information_schema has them
-	key          []int    // the columns of the primary key
-	identity     string
-	persistence  string
-	rows         float64 // as the planner believes
+	types        []string // of the columns, as information_schema names them
+	key          []int    // indexes of the primary key's columns
+	identity     string   // relreplident
+	persistence  string   // relpersistence
+	rows         float64  // estimate of the planner; below 0: none
 	triggers     map[string]bool
 }
 
 func (t *table) fullName() string { return t.schema + "." + t.name }
 
-func (t *table) quoted() string { return ident(t.schema) + "." + ident(t.name) }
+func (t *table) quoted() string { return quoteQualified(t.schema, t.name) }
 
-// keyed is a key column as it is compared: texts by their bytes, since two hosts may have other locales.
-func (t *table) keyed(i int) string {
-	c := ident(t.columns[i])
-	switch t.types[i] {
+// comparedColumn is a key column as it is compared and sorted: text by its bytes, since two hosts may differ in locale.
+func (t *table) comparedColumn(column int) string {
+	quoted := quoteIdentifier(t.columns[column])
+	switch t.types[column] {
 	case "text", "character varying", "character", "name":
-		c += ` COLLATE "C"`
+		quoted += ` COLLATE "C"`
 	}
-	return c
+	return quoted
 }
 
-func (t *table) list() string {
-	var out []string
-	for _, c := range t.columns {
-		out = append(out, ident(c))
+// shape describes columns and key: two tables with the same one can be replicated into each other.
+func (t *table) shape() string {
+	columns := make([]string, 0, len(t.columns))
+	for i, column := range t.columns {
+		columns = append(columns, column+" "+t.types[i])
 	}
-	return strings.Join(out, ", ")
+	key := make([]string, 0, len(t.key))
+	for _, column := range t.key {
+		key = append(key, t.columns[column])
+	}
+	return strings.Join(columns, ", ") + " (" + strings.Join(key, ", ") + ")"
 }
 
-// tables are the tenant's own, in the order of their names.
-func tables(ctx context.Context, conn *pgconn.PgConn) ([]*table, error) {
-	const of = "n.nspname NOT IN ('pg_catalog', 'information_schema', 'pg_toast', 'ashstand')"
-	rows, _, err := fencing.Exec(ctx, conn, "SELECT c.oid, n.nspname, c.relname, c.relreplident, c.relpersistence, c.reltuples FROM pg_class c "+
-		"JOIN pg_namespace n ON n.oid = c.relnamespace WHERE c.relkind = 'r' AND "+of)
-	if err != nil {
-		return nil, err
+// isPublishable says whether logical replication carries the table.
+func (t *table) isPublishable() bool { return t.persistence != persistenceUnlogged }
+
+// hasReplicaIdentity says whether updates and deletes of the table can be published.
+func (t *table) hasReplicaIdentity() bool {
+	switch t.identity {
+	case identityFull, identityIndex:
+		return true
+	case identityDefault:
+		return len(t.key) > 0
 	}
-	var out []*table
-	byOid, byName := map[string]*table{}, map[string]*table{}
-	for _, r := range rows {
-		t := &table{schema: r[1], name: r[2], identity: r[3], persistence: r[4], triggers: map[string]bool{}}
-		t.rows, _ = strconv.ParseFloat(r[5], 64)
-		out = append(out, t)
-		byOid[r[0]], byName[t.fullName()] = t, t
+	return false
+}
+
+// catalogue collects tables while the catalogue is read.
+type catalogue struct {
+	tables []*table
+	byOID  map[string]*table
+	byName map[string]*table
+}
+
+// readTables reads the tenant's own tables, in the order of their names.
+func readTables(ctx context.Context, conn *pgconn.PgConn) ([]*table, error) {
+	c := &catalogue{byOID: map[string]*table{}, byName: map[string]*table{}}
+	for _, read := range []connFunc{c.readTables, c.readColumns, c.readKeys, c.readTriggers} {
+		if err := read(ctx, conn); err != nil {
+			return nil, err
+		}
 	}
-	if rows, _, err = fencing.Exec(ctx, conn, "SELECT table_schema, table_name, column_name, data_type FROM information_schema.columns "+
-		"WHERE table_schema NOT IN ('pg_catalog', 'information_schema', 'ashstand') ORDER BY table_schema, table_name, ordinal_position"); err != nil {
-		return nil, err
+	slices.SortFunc(c.tables, func(a, b *table) int { return cmp.Compare(a.fullName(), b.fullName()) })
+	return c.tables, nil
+}
+
+func (c *catalogue) readTables(ctx context.Context, conn *pgconn.PgConn) error {
+	rows, _, err := fencing.Exec(ctx, conn, selectTables)
+	for _, row := range rows {
+		t := &table{schema: row[1], name: row[2], identity: row[3], persistence: row[4], triggers: map[string]bool{}}
+		t.rows, _ = strconv.ParseFloat(row[5], 64)
+		c.tables = append(c.tables, t)
+		c.byOID[row[0]], c.byName[t.fullName()] = t, t
 	}
-	for _, r := range rows {
-		if t := byName[r[0]+"."+r[1]]; t != nil {
-			t.columns, t.types = append(t.columns, r[2]), append(t.types, r[3])
+	return err
+}
+
+func (c *catalogue) readColumns(ctx context.Context, conn *pgconn.PgConn) error {
+	rows, _, err := fencing.Exec(ctx, conn, selectColumns)
+	for _, row := range rows {
+		if t := c.byName[row[0]+"."+row[1]]; t != nil {
+			t.columns, t.types = append(t.columns, row[2]), append(t.types, row[3])
 		}
 	}
-	if rows, _, err = fencing.Exec(ctx, conn, "SELECT attrelid, attnum, attname FROM pg_attribute WHERE attnum > 0 AND NOT attisdropped"); err != nil {
-		return nil, err
+	return err
+}
+
+// readKeys reads primary keys, which name columns by numbers that dropped columns keep.
+func (c *catalogue) readKeys(ctx context.Context, conn *pgconn.PgConn) error {
+	rows, _, err := fencing.Exec(ctx, conn, selectAttributes)
+	if err != nil {
+		return err
 	}
-	names := map[string]map[string]string{}
-	for _, r := range rows {
-		if names[r[0]] == nil {
-			names[r[0]] = map[string]string{}
-		}
-		names[r[0]][r[1]] = r[2]
+	type attribute struct{ oid, number string }
+	names := map[attribute]string{}
+	for _, row := range rows {
+		names[attribute{oid: row[0], number: row[1]}] = row[2]
 	}
-	if rows, _, err = fencing.Exec(ctx, conn, "SELECT indrelid, indkey FROM pg_index WHERE indisprimary"); err != nil {
-		return nil, err
+	if rows, _, err = fencing.Exec(ctx, conn, selectPrimaryKeys); err != nil {
+		return err
 	}
-	for _, r := range rows {
-		if t := byOid[r[0]]; t != nil {
-			for _, n := range strings.Fields(r[1]) {
-				t.key = append(t.key, slices.Index(t.columns, names[r[0]][n]))
-			}
+	for _, row := range rows {
+		t := c.byOID[row[0]]
+		if t == nil {
+			continue
+		}
+		for _, number := range strings.Fields(row[1]) {
+			t.key = append(t.key, slices.Index(t.columns, names[attribute{oid: row[0], number: number}]))
 		}
 	}
-	if rows, _, err = fencing.Exec(ctx, conn, "SELECT tgrelid, tgname FROM pg_trigger WHERE NOT tgisinternal"); err != nil {
-		return nil, err
-	}
-	for _, r := range rows {
-		if t := byOid[r[0]]; t != nil {
-			t.triggers[r[1]] = true
+	return nil
+}
+
+func (c *catalogue) readTriggers(ctx context.Context, conn *pgconn.PgConn) error {
+	rows, _, err := fencing.Exec(ctx, conn, selectTriggers)
+	for _, row := range rows {
+		if t := c.byOID[row[0]]; t != nil {
+			t.triggers[row[1]] = true
 		}
 	}
-	slices.SortFunc(out, func(a, b *table) int { return cmp.Compare(a.fullName(), b.fullName()) })
-	return out, nil
+	return err
+}
+
+// sequence is one of a tenant's sequences.
+type sequence struct {
+	schema, name string
+	lastValue    string // "": it was not used yet
+	startValue   string
 }
 
-// carried says whether replication carries a table.
-func (t *table) carried() bool { return t.persistence != "u" }
+func (s *sequence) fullName() string { return s.schema + "." + s.name }
 
-// identified says whether its updates and deletes can be published.
-func (t *table) identified() bool {
-	return t.identity == "f" || t.identity == "i" || t.identity == "d" && len(t.key) > 0
+func readSequences(ctx context.Context, conn *pgconn.PgConn) ([]*sequence, error) {
+	rows, _, err := fencing.Exec(ctx, conn, selectSequences)
+	sequences := make([]*sequence, 0, len(rows))
+	for _, row := range rows {
+		sequences = append(sequences, &sequence{schema: row[0], name: row[1], lastValue: row[2], startValue: row[3]})
+	}
+	return sequences, err
 }
