--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -216,7 +216,7 @@
 	}
 	n.core.SetLimits(b.core)
 	n.front = pg.NewFront(n.core, b.front)
-	n.engine.Exhaustion = loop.ExhaustionPolicy{EvictClient: n.front.Room, Reject: n.front.TurnAway}
+	n.engine.Exhaustion = loop.ExhaustionPolicy{EvictClient: n.front.EvictClient, Reject: n.front.Reject}
 	if err := n.engine.Start(cfg.Listen, n.front.Accept); err != nil {
 		n.stop()
 		return nil, err
--- a/internal/net/pg/command.go
+++ b/internal/net/pg/command.go
@@ -8,19 +8,19 @@
 // CommandKind tells the commands of a client apart.
 type CommandKind uint8
 
-// The kinds.
+// The kinds of commands.
 const (
-	Incomplete CommandKind = iota // the next message is not whole yet
-	Startup
-	EncryptionRequest // a request for TLS or GSSAPI
-	Cancel            // a request to cancel a query
-	Query             // a simple query; Text holds it
-	Sync              // the end of a batch of the extended protocol
-	Extended          // a message of the extended protocol, the first of its batch
-	Function          // a function call
-	Ignored           // nothing to answer
-	Terminate         // the client closes the connection
-	Malformed         // nothing after this can be understood; Text says why
+	Incomplete        CommandKind = iota // the next message is not complete yet
+	Startup                              // the startup message of a session
+	EncryptionRequest                    // a request for TLS or GSSAPI
+	Cancel                               // a request to cancel a query
+	Query                                // a simple query; Text holds it
+	Sync                                 // the end of a batch of the extended protocol
+	Extended                             // a message of the extended protocol, the first of its batch
+	Function                             // a function call
+	Ignored                              // nothing to answer
+	Terminate                            // the client closes the connection
+	Malformed                            // nothing after this can be understood; Text says why
 )
 
 // Command is one message of a client.
@@ -52,20 +52,20 @@
 	}
 	c := Command{Kind: Ignored, Used: len(b) - len(rest)}
 	switch kind {
-	case 'X':
+	case clientTerminate:
 		c.Kind = Terminate
-	case 'S':
+	case clientSync:
 		c.Kind, p.skipUntilSync = Sync, false
-	case 'H':
-	case 'P', 'B', 'D', 'E', 'C':
+	case clientFlush:
+	case clientParse, clientBind, clientDescribe, clientExecute, clientClose:
 		if !p.skipUntilSync {
 			c.Kind, p.skipUntilSync = Extended, true
 		}
-	case 'F':
+	case clientFunctionCall:
 		if !p.skipUntilSync {
 			c.Kind = Function
 		}
-	case 'Q':
+	case clientQuery:
 		switch {
 		case p.skipUntilSync:
 		case len(body) == 0 || body[len(body)-1] != 0:
@@ -80,28 +80,28 @@
 }
 
 func (p *Parser) startup(b []byte) Command {
-	if len(b) < 8 {
+	if len(b) < startupHeaderBytes {
 		return Command{}
 	}
-	n, code := int(binary.BigEndian.Uint32(b)), binary.BigEndian.Uint32(b[4:])
+	size, code := int(binary.BigEndian.Uint32(b)), binary.BigEndian.Uint32(b[4:])
 	switch {
-	case n < 8 || n > maxStartupBytes:
+	case size < startupHeaderBytes || size > maxStartupBytes:
 		return Command{Kind: Malformed, Text: errMessageLength.Error()}
-	case len(b) < n:
+	case len(b) < size:
 		return Command{}
 	case code == codeSSL || code == codeGSS:
-		return Command{Kind: EncryptionRequest, Used: n}
+		return Command{Kind: EncryptionRequest, Used: size}
 	case code == codeCancel:
-		c := Command{Kind: Cancel, Used: n}
-		if n == 16 {
-			c.Key = binary.BigEndian.Uint64(b[8:])
+		c := Command{Kind: Cancel, Used: size}
+		if size == cancelRequestBytes {
+			c.Key = binary.BigEndian.Uint64(b[startupHeaderBytes:])
 		}
 		return c
-	case code>>16 != 3:
+	case code>>16 != protocolVersion3>>16:
 		return Command{Kind: Malformed, Text: "protocol version 3 is spoken here"}
 	}
 	p.started = true
-	return Command{Kind: Startup, Used: n, Minor: code != protocolVersion3}
+	return Command{Kind: Startup, Used: size, Minor: code != protocolVersion3}
 }
 
 // readAhead is a look at what a client sent behind a request that is not answered yet.
@@ -128,7 +128,7 @@
 		case !ok:
 			l.needed = l.scanned + 1 + int(binary.BigEndian.Uint32(b[l.scanned+1:]))
 			return false
-		case kind == 'X':
+		case kind == clientTerminate:
 			return true
 		}
 		l.scanned = len(b) - len(rest)
--- a/internal/net/pg/dial_test.go
+++ b/internal/net/pg/dial_test.go
@@ -334,7 +334,7 @@
 			var p *serverPool
 			before := 0
 			w.front.onLoop(func() {
-				before = w.front.serverCount
+				before = w.front.servers.count
 				p = w.front.pool("a", l.Addr().String(), poolIdentity{"orders", "web"})
 				w.front.openServerConn(p)
 				c, err := l.Accept() // the dial is done; the loop has not heard of it
@@ -358,7 +358,7 @@
 			require.NoError(t, err, k.name)
 			require.Empty(t, got, "%s, greeted %v", k.name, greeted)
 			done := make(chan [4]int, 1)
-			w.front.onLoop(func() { done <- [4]int{w.front.serverCount - before, p.open, p.dialing, len(p.idle)} })
+			w.front.onLoop(func() { done <- [4]int{w.front.servers.count - before, p.open, p.dialing, len(p.idle)} })
 			require.Equal(t, [4]int{}, <-done, "%s: servers, open, dialing, idle", k.name)
 		}
 	}
--- a/internal/net/pg/golden_test.go
+++ b/internal/net/pg/golden_test.go
@@ -489,7 +489,7 @@
 	require.Eventually(t, func() bool {
 		n := make(chan bool, 1)
 		w.front.onLoop(func() {
-			for x := range w.front.clients {
+			for x := range w.front.clients.all {
 				if x.server != nil && x.server.requestSent {
 					n <- true
 					return
--- a/internal/net/pg/gone_test.go
+++ b/internal/net/pg/gone_test.go
@@ -233,7 +233,7 @@
 		require.NoError(t, err)
 		paused := func() int {
 			n := make(chan int, 1)
-			w.front.onLoop(func() { n <- len(w.front.pausedWires) })
+			w.front.onLoop(func() { n <- len(w.front.backpressure.paused) })
 			return <-n
 		}
 		require.Eventually(t, func() bool { return paused() == 1 }, 10*time.Second, time.Millisecond)
@@ -270,7 +270,7 @@
 			broken := make(chan int, 1)
 			w.front.onLoop(func() {
 				n := 0
-				for x := range w.front.clients {
+				for x := range w.front.clients.all {
 					if x.phase == phaseRestoring {
 						x.server.wire.Close()
 						n++
@@ -306,7 +306,7 @@
 	turned := func() (yes bool) {
 		n := make(chan bool, 1)
 		w.front.onLoop(func() {
-			for x := range w.front.clients {
+			for x := range w.front.clients.all {
 				yes = yes || x.phase == phaseRejectedByHost
 			}
 			n <- yes
--- a/internal/net/pg/homes_test.go
+++ b/internal/net/pg/homes_test.go
@@ -819,21 +819,27 @@
 	f.SetAssignments(h)
 	p := PoolSettings{MaxPausedTransactions: 10, MaxPauseMillis: 1000}
 	c := &sessionClient{
-		front: f, identity: poolIdentity{"orders", "web"}, pool: &p, tenant: f.tenants.AddSession("orders"), routeDecision: session.Route{Group: 1},
-		routedQuery: &session.Query{Statements: make([]session.Statement, 1)},
+		front:    f,
+		identity: poolIdentity{"orders", "web"},
+		pool:     &p,
+		tenancy:  tenancyState{tenant: f.tenancy.tenants.AddSession("orders")},
+		routing: routingState{
+			route: session.Route{Group: 1},
+			query: &session.Query{Statements: make([]session.Statement, 1)},
+		},
 	}
 	ask := appendQuery(nil, func(b []byte) []byte { return append(b, "SELECT 'a statement of the usual length, so to say'"...) })
 	b.ReportAllocs()
 	for b.Loop() {
 		now := f.clock.Now()
 		home := h.Assignment("orders", now)
-		if held, err := f.tenants.Admit(now, c.tenant, home, &c.queueEntry, f.queueBounds(c.pool)); held || err != nil {
+		if held, err := f.tenancy.tenants.Admit(now, c.tenancy.tenant, home, &c.tenancy.entry, f.queueBounds(c.pool)); held || err != nil {
 			b.Fatal(err)
 		}
-		group, _ := home.GroupFor("orders", &c.routeDecision)
-		c.assignment, c.request.Group = home, group
+		group, _ := home.GroupFor("orders", &c.routing.route)
+		c.tenancy.assignment, c.routing.request.Group = home, group
 		c.discardRecorded()
-		c.recording = true
+		c.record.active = true
 		if !c.isAssignmentCurrent() {
 			b.Fatal("it is at home")
 		}
--- a/internal/net/pg/scram.go
+++ b/internal/net/pg/scram.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/base64"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -12,37 +11,50 @@
 	"github.com/xdg-go/scram"
 )
 
+const (
+	scramMechanism     = "SCRAM-SHA-256" // the one mechanism that is offered
+	minScramIterations = 4096
+	scramKeyBytes      = 32
+)
+
 // Verifier is what is kept of a password: not the password.
 type Verifier struct{ stored scram.StoredCredentials }
 
 // ParseVerifier reads a verifier as PostgreSQL keeps it: SCRAM-SHA-256$iterations:salt$StoredKey:ServerKey, with the
-// binary parts in base64.
+// binary parts in base64. An error is a *VerifierError.
 func ParseVerifier(s string) (v Verifier, err error) {
-	bad := errors.New("a verifier is SCRAM-SHA-256$iterations:salt$StoredKey:ServerKey")
 	kind, rest, ok := strings.Cut(s, "$")
 	factors, keys, ok2 := strings.Cut(rest, "$")
 	iterations, salt, ok3 := strings.Cut(factors, ":")
 	stored, server, ok4 := strings.Cut(keys, ":")
-	if !ok || !ok2 || !ok3 || !ok4 || kind != "SCRAM-SHA-256" {
-		return v, bad
+	if !ok || !ok2 || !ok3 || !ok4 || kind != scramMechanism {
+		return v, &VerifierError{}
 	}
-	if v.stored.Iters, err = strconv.Atoi(iterations); err != nil || v.stored.Iters < 4096 {
-		return v, fmt.Errorf("%w; it has %q iterations, 4096 are the least", bad, iterations)
+	if v.stored.Iters, err = strconv.Atoi(iterations); err != nil || v.stored.Iters < minScramIterations {
+		return v, &VerifierError{Detail: fmt.Sprintf("it has %q iterations, %d are the least", iterations, minScramIterations)}
 	}
 	raw, err := base64.StdEncoding.DecodeString(salt)
 	if err != nil || len(raw) == 0 {
-		return v, fmt.Errorf("%w; its salt is not base64", bad)
+		return v, &VerifierError{Detail: "its salt is not base64"}
 	}
 	v.stored.Salt = string(raw)
-	if v.stored.StoredKey, err = base64.StdEncoding.DecodeString(stored); err != nil || len(v.stored.StoredKey) != 32 {
-		return v, fmt.Errorf("%w; its StoredKey is not 32 bytes of base64", bad)
+	if v.stored.StoredKey, err = decodeScramKey("StoredKey", stored); err != nil {
+		return v, err
 	}
-	if v.stored.ServerKey, err = base64.StdEncoding.DecodeString(server); err != nil || len(v.stored.ServerKey) != 32 {
-		return v, fmt.Errorf("%w; its ServerKey is not 32 bytes of base64", bad)
+	if v.stored.ServerKey, err = decodeScramKey("ServerKey", server); err != nil {
+		return v, err
 	}
 	return v, nil
 }
 
+func decodeScramKey(name, text string) ([]byte, error) {
+	key, err := base64.StdEncoding.DecodeString(text)
+	if err != nil || len(key) != scramKeyBytes {
+		return nil, &VerifierError{Detail: fmt.Sprintf("its %s is not %d bytes of base64", name, scramKeyBytes)}
+	}
+	return key, nil
+}
+
 // saslOffer asks a client for SCRAM-SHA-256.
 var saslOffer = appendMessage(nil, 'R', func(b []byte) []byte {
 	return append(binary.BigEndian.AppendUint32(b, 10), "SCRAM-SHA-256\x00\x00"...)
@@ -55,8 +67,8 @@
 }
 
 // newScramExchange begins one. A user who is not known is refused only at the end, as a wrong password is.
-func newScramExchange(user string, v Verifier, known bool) *scramExchange {
-	if !known {
+func newScramExchange(user string, v Verifier, isKnown bool) *scramExchange {
+	if !isKnown {
 		v.stored = scram.StoredCredentials{
 			KeyFactors: scram.KeyFactors{Salt: "ashstand" + user, Iters: 4096},
 			StoredKey:  make([]byte, 32), ServerKey: make([]byte, 32),
@@ -70,39 +82,46 @@
 	return &scramExchange{conversation: s.NewConversation()}
 }
 
-// authenticate takes a message of the proof.
+// authenticate takes a message of a client's proof of its password.
 func (c *sessionClient) authenticate(b []byte) (used int, action gnet.Action) {
 	kind, body, rest, ok, err := nextMessage(b, maxStartupBytes)
 	if err == nil && !ok {
 		return 0, gnet.None
 	}
-	refused := func() gnet.Action {
-		return c.closeWithError("28P01", "password authentication failed for user "+strconv.Quote(c.identity.user), "")
-	}
-	if err != nil || kind != 'p' {
+	if err != nil || kind != clientPassword {
 		return 0, c.closeWithError(sqlStateProtocolViolation, "a proof of the password is due", "")
 	}
-	p := c.authentication
-	if !p.started {
-		p.started = true
-		mechanism, tail, ok := cutString(body)
-		if !ok || mechanism != "SCRAM-SHA-256" || len(tail) < 4 || int(binary.BigEndian.Uint32(tail)) != len(tail)-4 {
+	exchange := c.authentication
+	if !exchange.started {
+		exchange.started = true
+		if body, ok = cutInitialResponse(body); !ok {
 			return 0, c.closeWithError(sqlStateProtocolViolation, "SCRAM-SHA-256 is the one mechanism offered", "")
 		}
-		body = tail[4:]
 	}
-	said, err := p.conversation.Step(string(body))
-	if err != nil || p.conversation.Done() && !p.conversation.Valid() {
-		return 0, refused()
+	challenge, err := exchange.conversation.Step(string(body))
+	if err != nil || exchange.conversation.Done() && !exchange.conversation.Valid() {
+		text := "password authentication failed for user " + strconv.Quote(c.identity.user)
+		return 0, c.closeWithError(sqlStateInvalidPassword, text, "")
 	}
-	code := uint32(11)
-	if p.conversation.Done() {
-		code = 12
+	code := authenticationSASLContinue
+	if exchange.conversation.Done() {
+		code = authenticationSASLFinal
 	}
-	c.writeClient(appendMessage(nil, 'R', func(b []byte) []byte { return append(binary.BigEndian.AppendUint32(b, code), said...) }))
-	if p.conversation.Done() {
+	c.writeClient(appendMessage(nil, serverAuthentication, func(b []byte) []byte {
+		return append(binary.BigEndian.AppendUint32(b, code), challenge...)
+	}))
+	if exchange.conversation.Done() {
 		c.authentication = nil
 		c.completeStartup()
 	}
 	return len(b) - len(rest), gnet.None
 }
+
+// cutInitialResponse reads the body of a SASLInitialResponse, which names the mechanism.
+func cutInitialResponse(body []byte) (response []byte, ok bool) {
+	mechanism, tail, ok := cutString(body)
+	if !ok || mechanism != scramMechanism || len(tail) < 4 || int(binary.BigEndian.Uint32(tail)) != len(tail)-4 {
+		return nil, false
+	}
+	return tail[4:], true
+}
--- /dev/null
+++ b/internal/net/pg/session_forward.go
@@ -0,0 +1,257 @@
+package pg
+
+import (
+	"encoding/binary"
+	"strconv"
+
+	"ashstand/internal/session"
+)
+
+// forwardMessage takes a message of a client that is linked and appends what goes to the server. ok is false where the
+// message is not in its form.
+func (c *sessionClient) forwardMessage(out []byte, kind byte, body, message []byte) (_ []byte, ok bool) {
+	if kind != clientQuery {
+		c.routing.query = nil
+	}
+	switch kind {
+	case clientCopyData, clientCopyDone, clientCopyFail, clientFlush: // a server passes over COPY data that comes after its error
+		return append(out, message...), true
+	case clientPassword:
+		return out, true
+	case clientSync:
+		if action := c.pipeline.Sync(); action.Drop && !c.pipeline.CopyIn() {
+			return out, true
+		}
+		return append(out, message...), true
+	case clientQuery:
+		return c.forwardQuery(out, body, message)
+	case clientParse:
+		return c.forwardParse(out, body, message)
+	case clientBind:
+		return c.forwardBind(out, body, message)
+	case clientDescribe, clientClose:
+		return c.forwardTarget(out, kind, body, message)
+	case clientExecute:
+		portal, rest, ok := cutString(body)
+		if !ok || len(rest) != 4 {
+			return out, false
+		}
+		return appendUnlessDropped(out, c.pipeline.Execute(portal), message), true
+	case clientFunctionCall:
+		return appendUnlessDropped(out, c.pipeline.Function(), message), true
+	}
+	return out, false
+}
+
+// appendUnlessDropped appends a message that goes to the server as it is.
+func appendUnlessDropped(out []byte, action session.ClientAction, message []byte) []byte {
+	if action.Drop {
+		return out
+	}
+	return append(out, message...)
+}
+
+func (c *sessionClient) forwardQuery(out, body, message []byte) (_ []byte, ok bool) {
+	text, rest, ok := cutString(body)
+	if !ok || len(rest) > 0 {
+		return out, false
+	}
+	var query session.Query
+	if c.routing.query != nil { // it was read when it was routed
+		query, c.routing.query = *c.routing.query, nil
+	} else {
+		query = session.Scan(text)
+	}
+	if reply := c.checkSticky(&query); reply != nil {
+		if !c.pipeline.Reject(true, *reply) {
+			out = appendQuery(out, func(b []byte) []byte { return append(b, session.FailingQuery...) })
+		}
+		return out, true
+	}
+	action := c.pipeline.Query(text, query)
+	if action.Drop {
+		return out, true
+	}
+	out = c.appendInjections(out, action.Before)
+	if len(action.Before) > 0 {
+		out = appendEmpty(out, clientSync)
+	}
+	if action.Text != "" {
+		return appendQuery(out, func(b []byte) []byte { return append(b, action.Text...) }), true
+	}
+	return append(out, message...), true
+}
+
+func (c *sessionClient) forwardBind(out, body, message []byte) (_ []byte, ok bool) {
+	portal, name, tail, ok := cutTwoStrings(body)
+	if !ok || !isValidBindTail(tail) {
+		return out, false
+	}
+	action := c.pipeline.Bind(portal, name)
+	if action.Drop {
+		return out, true
+	}
+	out = c.appendInjections(out, action.Before)
+	if action.Rename == "" {
+		return append(out, message...), true
+	}
+	return appendMessage(out, clientBind, func(b []byte) []byte {
+		return append(appendCString(appendCString(b, portal), action.Rename), tail...)
+	}), true
+}
+
+// forwardTarget takes a Describe or a Close, of a statement or of a portal.
+func (c *sessionClient) forwardTarget(out []byte, kind byte, body, message []byte) (_ []byte, ok bool) {
+	if len(body) < 2 || body[0] != targetStatement && body[0] != targetPortal {
+		return out, false
+	}
+	name, rest, ok := cutString(body[1:])
+	if !ok || len(rest) > 0 {
+		return out, false
+	}
+	var action session.ClientAction
+	switch {
+	case kind == clientDescribe && body[0] == targetStatement:
+		action = c.pipeline.DescribeStatement(name)
+	case kind == clientDescribe:
+		action = c.pipeline.DescribePortal(name)
+	case body[0] == targetStatement:
+		action = c.pipeline.CloseStatement(name)
+	default:
+		action = c.pipeline.ClosePortal(name)
+	}
+	if action.Drop {
+		return out, true
+	}
+	out = c.appendInjections(out, action.Before)
+	if action.Rename == "" {
+		return append(out, message...), true
+	}
+	return appendMessage(out, clientDescribe, func(b []byte) []byte {
+		return appendCString(append(b, targetStatement), action.Rename)
+	}), true
+}
+
+// isValidBindTail says whether what follows the names of a Bind is in its form: a length that lies would make a server wait
+// for what never comes, on a connection that others are to use.
+func isValidBindTail(b []byte) bool {
+	codes := func() bool {
+		if len(b) < 2 {
+			return false
+		}
+		n := int(binary.BigEndian.Uint16(b))
+		if len(b) < 2+2*n {
+			return false
+		}
+		b = b[2+2*n:]
+		return true
+	}
+	if !codes() || len(b) < 2 {
+		return false
+	}
+	n := int(binary.BigEndian.Uint16(b))
+	b = b[2:]
+	for range n {
+		if len(b) < 4 {
+			return false
+		}
+		size := int(int32(binary.BigEndian.Uint32(b)))
+		if size < -1 || size > len(b)-4 {
+			return false
+		}
+		b = b[4+max(0, size):]
+	}
+	return codes() && len(b) == 0
+}
+
+func (c *sessionClient) forwardParse(out, body, message []byte) (_ []byte, ok bool) {
+	name, text, types, ok := cutTwoStrings(body)
+	if !ok || len(types) < 2 || len(types) != 2+4*int(binary.BigEndian.Uint16(types)) {
+		return out, false
+	}
+	p := c.pipeline
+	if p.Skipping() {
+		return out, true
+	}
+	prepared := c.front.catalogue.Acquire(text, types, p.Settings())
+	if reply := c.checkPrepared(name, prepared); reply != nil {
+		c.front.catalogue.Release(prepared)
+		p.Reject(false, *reply)
+		return appendMessage(out, clientBind, func(b []byte) []byte {
+			return append(appendCString(appendCString(b, ""), session.FailingStatement), 0, 0, 0, 0, 0, 0)
+		}), true
+	}
+	action := p.Parse(name, prepared)
+	if action.Drop {
+		return out, true
+	}
+	out = c.appendInjections(out, action.Before)
+	if action.Rename == "" {
+		return append(out, message...), true
+	}
+	return appendParse(out, action.Rename, prepared), true
+}
+
+// checkPrepared says why a statement must not be prepared under a name; prepared is nil if there is no memory for it.
+func (c *sessionClient) checkPrepared(name string, prepared *session.Prepared) *session.ErrorReply {
+	p := c.pipeline
+	switch {
+	// That it is prepared already must not hide that the block has failed.
+	case prepared != nil && !prepared.Query.MayFollowError() && p.Status() == statusFailed && p.Expected() == 0:
+		return errorInFailedBlock()
+	case name != "" && p.Find(name) != nil:
+		return &session.ErrorReply{SQLState: sqlStateDuplicateStatement, Text: "prepared statement " + strconv.Quote(name) + " already exists"}
+	case prepared == nil:
+		return &session.ErrorReply{SQLState: sqlStateOutOfMemory, Text: "there is no memory for one more prepared statement"}
+	}
+	return c.checkSticky(&prepared.Query)
+}
+
+func appendParse(out []byte, name string, p *session.Prepared) []byte {
+	return appendMessage(out, clientParse, func(b []byte) []byte {
+		return append(appendCString(appendCString(b, name), p.Text), p.Params...)
+	})
+}
+
+// appendInjections appends the messages of the pooler's that go before a client's.
+func (c *sessionClient) appendInjections(out []byte, injections []session.Injection) []byte {
+	for _, i := range injections {
+		switch {
+		case i.Parse == nil:
+			closed := session.Prepared{Key: i.Close}
+			out = appendMessage(out, clientClose, func(b []byte) []byte { return appendCString(append(b, targetStatement), closed.Name()) })
+		case i.Unnamed:
+			c.front.stats.StatementsReprepared++
+			out = appendParse(out, "", i.Parse)
+		default:
+			c.front.stats.StatementsReprepared++
+			out = appendParse(out, i.Parse.Name(), i.Parse)
+		}
+	}
+	return out
+}
+
+// checkSticky says why a query must not run: it would bind the session to its connection, and that is not allowed, or too
+// many are bound.
+func (c *sessionClient) checkSticky(q *session.Query) *session.ErrorReply {
+	if c.pipeline.StickyCause() != "" || c.pool.Mode == Session {
+		return nil
+	}
+	for i := range q.Statements {
+		s := &q.Statements[i]
+		if s.Kind != session.MakesSticky {
+			continue
+		}
+		total := 0
+		for _, n := range c.front.clients.stickyCounts {
+			total += n
+		}
+		switch {
+		case c.pool.MaxSticky == 0:
+			return &session.ErrorReply{SQLState: sqlStateFeatureNotSupported, Text: "in transaction mode no session may be bound to its server connection, which this would do: " + string(s.Cause)}
+		case total >= c.pool.MaxSticky:
+			return &session.ErrorReply{SQLState: sqlStateTooManyConnections, Text: "as many sessions are bound to their server connections as may be; this would bind one more: " + string(s.Cause)}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/net/pg/session_messages.go
@@ -0,0 +1,212 @@
+package pg
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"ashstand/internal/session"
+)
+
+// disposition is what became of a message of a client that has no server connection.
+type disposition uint8
+
+const (
+	messageAnswered  disposition = iota // it was answered here
+	messageWaiting                      // it waits for a connection
+	messageMalformed                    // it can't be read
+	messageLinked                       // the connection is there by now
+)
+
+// handleMessage takes one message and appends what goes to the server. wait: it stays where it is until something that is
+// under way is done.
+func (c *sessionClient) handleMessage(out []byte, kind byte, body, message []byte) (_ []byte, wait bool, _ gnet.Action) {
+	if strings.IndexByte(clientKinds, kind) < 0 {
+		out = c.writeServer(out)
+		return out, false, c.closeWithError(sqlStateProtocolViolation, fmt.Sprintf("message %q is unknown", kind), "")
+	}
+	if kind == clientTerminate {
+		c.writeServer(out)
+		return out[:0], false, gnet.Close
+	}
+	if s := c.server; c.beginsTransaction(kind) && !c.isHostListed(s) {
+		out = c.writeServer(out)
+		c.abandonDrainingHost(s) // a new transaction does not begin on a host that drains
+	}
+	if c.tenancy.tenant != nil && !c.retention.transactionBegun && c.beginsTransaction(kind) {
+		out = c.writeServer(out)
+		switch result, action := c.checkRetainedServer(kind); result {
+		case messageAnswered:
+			return out, false, action
+		case messageWaiting:
+			return out, true, gnet.None
+		}
+		c.retention.transactionBegun = c.server != nil
+	}
+	if c.server == nil {
+		switch c.handleUnlinked(kind, body) {
+		case messageAnswered:
+			return out, false, gnet.None
+		case messageMalformed:
+			return out, false, c.closeMalformed(kind)
+		case messageWaiting:
+			return out, true, gnet.None
+		}
+	}
+	// The settings that RESET took from the session are put right before anything else runs.
+	if c.pipeline.NeedsRestore() && kind != clientSync && kind != clientFlush && c.pipeline.Expected() == 0 && !c.pipeline.CopyIn() {
+		if out = c.writeServer(out); c.server != nil { // else the write has failed, and what that means was said
+			c.restoreSettings(c.server)
+		}
+		return out, true, gnet.None
+	}
+	if c.record.active {
+		c.recordMessage(kind, body, message)
+	}
+	return c.relayMessage(out, kind, body, message)
+}
+
+// relayMessage appends a message of a client that is linked, in the form in which it goes to the server.
+func (c *sessionClient) relayMessage(out []byte, kind byte, body, message []byte) (_ []byte, wait bool, _ gnet.Action) {
+	before := len(out)
+	out, ok := c.forwardMessage(out, kind, body, message)
+	if !ok {
+		out = c.writeServer(out[:before])
+		return out, false, c.closeMalformed(kind)
+	}
+	for k := c.pipeline.NextLocalReply(); k != 0; k = c.pipeline.NextLocalReply() {
+		c.writeClient(appendEmpty(nil, k))
+	}
+	return out, false, gnet.None
+}
+
+// beginsTransaction reports whether a message begins a transaction on the connection to which the client is linked.
+func (c *sessionClient) beginsTransaction(kind byte) bool {
+	return c.server != nil && c.routing.call == nil && c.pipeline.Idle() && kind != clientSync && kind != clientFlush
+}
+
+// closeMalformed ends a client that sent a message of a known kind in no form of that kind.
+func (c *sessionClient) closeMalformed(kind byte) gnet.Action {
+	return c.closeWithError(sqlStateProtocolViolation, fmt.Sprintf("message %q is not in its form", kind), "")
+}
+
+// handleUnlinked takes a message of a client that has no server connection.
+func (c *sessionClient) handleUnlinked(kind byte, body []byte) disposition {
+	switch kind {
+	case clientSync:
+		c.pipeline.SyncLocally()
+		c.writeReady()
+		return messageAnswered
+	case clientFlush, clientCopyData, clientCopyDone, clientCopyFail, clientPassword:
+		return messageAnswered
+	}
+	if c.pipeline.Skipping() {
+		return messageAnswered
+	}
+	if c.pipeline.BlockLost() || c.recovery.pendingError != nil {
+		return c.handleLostBlock(kind, body)
+	}
+	query, result := c.queryToRoute(kind, body)
+	if query == nil {
+		return result
+	}
+	c.input.handling = true
+	c.routeTransaction(query, kind)
+	c.input.handling = false
+	switch {
+	case c.server != nil && c.phase == phaseLinked:
+		return messageLinked
+	case c.disconnected || c.phase == phaseUnlinked: // it was rejected at once
+		return messageAnswered
+	}
+	return messageWaiting
+}
+
+// queryToRoute is the query by which the transaction that a message begins is routed. nil: the message needs no server,
+// or can't be read, as the second result says.
+func (c *sessionClient) queryToRoute(kind byte, body []byte) (*session.Query, disposition) {
+	query := &session.Query{}
+	switch kind {
+	case clientQuery:
+		text, rest, ok := cutString(body)
+		if !ok || len(rest) > 0 {
+			return nil, messageMalformed
+		}
+		*query = session.Scan(text)
+		if c.answerLocally(query) {
+			return nil, messageAnswered
+		}
+	case clientParse:
+		_, text, _, ok := cutTwoStrings(body)
+		if !ok {
+			return nil, messageMalformed
+		}
+		*query = session.Scan(text)
+	case clientBind:
+		_, name, _, ok := cutTwoStrings(body)
+		if !ok {
+			return nil, messageMalformed
+		}
+		if p := c.pipeline.Find(name); p != nil {
+			query = &p.Query
+		}
+	case clientDescribe:
+		if len(body) < 2 {
+			return nil, messageMalformed
+		}
+		if p := c.statementNamed(body); p != nil {
+			query = &p.Query
+		}
+	case clientClose:
+		if len(body) < 2 {
+			return nil, messageMalformed
+		}
+		if name, _, ok := cutString(body[1:]); ok && body[0] == targetStatement {
+			c.pipeline.Request(name, nil)
+			c.pipeline.Confirm()
+		}
+		c.writeClient(appendEmpty(nil, serverCloseComplete))
+		return nil, messageAnswered
+	}
+	return query, messageWaiting
+}
+
+// statementNamed is the statement that a Describe names; nil: it names a portal, or a statement that is not there.
+func (c *sessionClient) statementNamed(body []byte) *session.Prepared {
+	name, _, ok := cutString(body[1:])
+	if !ok || body[0] != targetStatement {
+		return nil
+	}
+	return c.pipeline.Find(name)
+}
+
+// answerLocally answers a query that needs no server.
+func (c *sessionClient) answerLocally(query *session.Query) bool {
+	var out []byte
+	switch {
+	case len(query.Statements) == 0:
+		out = appendEmpty(out, serverEmptyQuery)
+	case len(query.Statements) > 1:
+		return false
+	default:
+		switch s := &query.Statements[0]; {
+		case s.Kind == session.Deallocate && c.pipeline.Find(s.Name) != nil:
+			c.pipeline.Deallocate(s.Name, false)
+			out = appendCommandComplete(out, "DEALLOCATE")
+		case s.Kind == session.DeallocateAll:
+			c.pipeline.Deallocate("", true)
+			out = appendCommandComplete(out, "DEALLOCATE ALL")
+		case s.Kind == session.DiscardAll:
+			c.pipeline.DiscardAll()
+			out = appendCommandComplete(out, "DISCARD ALL")
+		default:
+			return false
+		}
+	}
+	c.writeClient(appendReady(out))
+	return true
+}
+
+// writeReady tells the client the status of its transaction.
+func (c *sessionClient) writeReady() { c.writeClient(appendReadyForQuery(nil, c.pipeline.Status())) }
--- a/internal/net/pg/wear.go
+++ b/internal/net/pg/staleness.go
@@ -15,10 +15,10 @@
 type idleBucket struct{ requests, resets float64 }
 
 const (
-	firstBucketMillis = 25.0 // milliseconds
+	firstBucketMillis = 25.0 // idle time up to which a connection is in the first bucket
 	bucketDecayMillis = 60e3 // in which a count falls to 1/e
 	minBucketResets   = 4    // resets that are no chance
-	minResetExcess    = 0.12 // and how much more often than on younger connections they come
+	minResetExcess    = 0.12 // how much more often than on younger connections resets have to come
 )
 
 // record counts one request on a connection that had been idle for so long.
--- /dev/null
+++ b/internal/net/pg/tenant_stats.go
@@ -0,0 +1,117 @@
+package pg
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"ashstand/internal/session"
+)
+
+// stickyBySessionMode is the cause that is reported of a session that is bound by its pool's mode.
+const stickyBySessionMode = "session mode"
+
+// TenantStats are of one database that has sessions here.
+type TenantStats struct {
+	Database    string        `json:"database"`
+	Group       *uint64       `json:"home,omitempty"` // nil: each pool's own group, or none that is agreed on
+	Fenced      bool          `json:"fenced,omitempty"`
+	State       string        `json:"state"` // open, paused or fenced
+	PausedSince float64       `json:"paused_since,omitempty"`
+	Sessions    int           `json:"sessions"`
+	Running     int           `json:"running"` // transactions
+	Queued      int           `json:"held"`
+	InFlight    int           `json:"going"` // let go, and not at a host yet
+	Released    uint64        `json:"let_go"`
+	Rejected    uint64        `json:"refused"`
+	Sticky      []StickyStats `json:"bound,omitempty"`
+}
+
+// StickyStats are the sessions of a pool that are bound to connections of one host.
+type StickyStats struct {
+	Pool     string `json:"pool"`
+	Host     string `json:"host"`
+	Cause    string `json:"cause"`
+	Sessions int    `json:"sessions"`
+}
+
+// Describe words a home for operators.
+func (h *TenantStats) Describe(of session.Assignment) {
+	if h.State = "open"; of.Paused {
+		h.State, h.PausedSince = "paused", of.PausedSince
+	} else if of.Undecided {
+		h.State = "fenced"
+	}
+	if h.Fenced = of.Undecided; of.HasGroup && !of.Undecided {
+		h.Group = &of.Group
+	}
+}
+
+// TenantStats are the databases that have sessions here.
+func (f *SessionFront) TenantStats() []TenantStats {
+	if f.tenancy.assignments == nil || f.eventLoop.Load() == nil {
+		return nil
+	}
+	out := make(chan []TenantStats, 1)
+	f.onLoop(func() { out <- f.collectTenantStats() })
+	select {
+	case all := <-out:
+		return all
+	case <-time.After(time.Second):
+		return nil
+	}
+}
+
+// collectTenantStats is TenantStats on the event loop.
+func (f *SessionFront) collectTenantStats() (all []TenantStats) {
+	now := f.clock.Now()
+	for _, t := range f.tenancy.tenants.All() {
+		s := TenantStats{
+			Database: t.Database,
+			Sessions: t.Sessions(),
+			Queued:   t.Queued(),
+			InFlight: t.InFlight(),
+			Released: t.Released,
+			Rejected: t.Rejected,
+		}
+		s.Describe(f.tenancy.assignments.Assignment(t.Database, now))
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b TenantStats) int { return strings.Compare(a.Database, b.Database) })
+	index := map[string]int{}
+	for i := range all {
+		index[all[i].Database] = i
+	}
+	for c := range f.clients.all {
+		if c.tenancy.tenant != nil && c.server != nil {
+			all[index[c.tenancy.tenant.Database]].addLinked(c)
+		}
+	}
+	for i := range all {
+		slices.SortFunc(all[i].Sticky, func(a, b StickyStats) int {
+			return strings.Compare(a.Pool+"\x00"+a.Host+"\x00"+a.Cause, b.Pool+"\x00"+b.Host+"\x00"+b.Cause)
+		})
+	}
+	return all
+}
+
+// addLinked counts a client that is linked to a server connection.
+func (s *TenantStats) addLinked(c *sessionClient) {
+	if c.routing.call != nil || !c.pipeline.Idle() {
+		s.Running++
+	}
+	if !c.retention.counted {
+		return
+	}
+	sticky := StickyStats{Pool: c.pool.Name, Host: c.server.pool.host.name, Cause: string(c.pipeline.StickyCause())}
+	if sticky.Cause == "" {
+		sticky.Cause = stickyBySessionMode
+	}
+	same := func(o StickyStats) bool { o.Sessions = 0; return o == sticky }
+	if i := slices.IndexFunc(s.Sticky, same); i >= 0 {
+		s.Sticky[i].Sessions++
+		return
+	}
+	sticky.Sessions = 1
+	s.Sticky = append(s.Sticky, sticky)
+}
--- /dev/null
+++ b/internal/net/pg/tenants.go
@@ -0,0 +1,293 @@
+package pg
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"ashstand/internal/clock"
+	"ashstand/internal/dispatch"
+	"ashstand/internal/session"
+)
+
+// Assignments says where databases are, by the rules that count at a moment. It is asked on the event loop, where a transaction
+// begins and again just before it is sent, so it must neither wait nor allocate.
+type Assignments interface {
+	Assignment(database string, now float64) session.Assignment
+}
+
+// What a host says where its guard rejects a write before it does anything, since the tenant is closed there.
+const (
+	sqlStateTenantClosed = "55000"
+	tenantClosedMessage  = "tenant is closed"
+)
+
+// maxResumedPerTurn is how many queued transactions go on, or are rejected, in one turn of the loop: others are served
+// between.
+const maxResumedPerTurn = 256
+
+// tenantQueues is what the front knows of the databases that its sessions use. The event loop owns it.
+type tenantQueues struct {
+	assignments      Assignments // nil: there are none, and each pool's own group counts
+	tenants          *session.Tenants
+	releaseScheduled map[*session.Tenant]bool
+	recordedBytes    int // of first statements
+	expiryTimer      *time.Timer
+	nextExpiry       float64 // clock milliseconds at which it goes off; 0: it does not
+}
+
+// SetAssignments says whom to ask; it is called before the first client comes. Without it no transaction asks.
+func (f *SessionFront) SetAssignments(h Assignments) {
+	f.tenancy.assignments, f.tenancy.tenants, f.tenancy.releaseScheduled = h, session.NewTenants(), map[*session.Tenant]bool{}
+}
+
+// ReassignTenants says that the rules changed: what was chosen and not sent is chosen anew, what is held may go, and who is bound
+// to a connection of a home that is none any more is told.
+func (f *SessionFront) ReassignTenants() {
+	if f.tenancy.assignments != nil {
+		f.onLoop(f.reassignTenants)
+	}
+}
+
+// reassignTenants is ReassignTenants on the event loop.
+func (f *SessionFront) reassignTenants() {
+	var stale []*sessionClient
+	for c := range f.clients.all {
+		switch {
+		case c.disconnected || c.tenancy.tenant == nil:
+		case (c.phase == phaseRouting || c.phase == phaseQueued) && !c.isAssignmentCurrent():
+			stale = append(stale, c)
+		case c.retainsIdleServer() && c.isAssignmentMoved():
+			if c.abandonMovedHost(c.server) == gnet.Close {
+				c.wire.Close()
+			}
+		}
+	}
+	slices.SortFunc(stale, func(a, b *sessionClient) int {
+		return cmp.Compare(a.routing.request.Arrived, b.routing.request.Arrived)
+	})
+	for _, c := range stale {
+		if !c.disconnected && (c.phase == phaseRouting || c.phase == phaseQueued) && c.routing.call != nil {
+			c.rerouteUnsent()
+		}
+	}
+	for _, t := range f.tenancy.tenants.All() {
+		f.releaseQueued(t)
+	}
+}
+
+// retainsIdleServer reports whether the client keeps its server connection between transactions, and is between two.
+func (c *sessionClient) retainsIdleServer() bool {
+	return c.phase == phaseLinked && c.server != nil && c.retention.counted && c.routing.call == nil &&
+		!c.retention.transactionBegun && c.pipeline.Idle() && c.wire.BufferedBytes() == 0
+}
+
+// resumeQueued lets those held of a tenant go on that may.
+func (f *SessionFront) releaseQueued(t *session.Tenant) {
+	for range maxResumedPerTurn {
+		x := f.tenancy.tenants.Next(t, f.tenancy.assignments.Assignment(t.Database, f.clock.Now()))
+		if x == nil {
+			return
+		}
+		x.Owner.(*sessionClient).resumeQueued()
+	}
+	f.scheduleRelease(t)
+}
+
+// scheduleRelease is resumeQueued in the loop's next turn: whoever calls it may be in the middle of something.
+func (f *SessionFront) scheduleRelease(t *session.Tenant) {
+	if f.tenancy.releaseScheduled[t] {
+		return
+	}
+	f.tenancy.releaseScheduled[t] = true
+	f.onLoop(func() {
+		delete(f.tenancy.releaseScheduled, t)
+		f.releaseQueued(t)
+	})
+}
+
+// scheduleExpiry sees to it that those whose time is over are refused then: a sweep would come too late for their clients.
+func (f *SessionFront) scheduleExpiry() {
+	at, ok := f.tenancy.tenants.NextDeadline()
+	if !ok || f.tenancy.nextExpiry > 0 && f.tenancy.nextExpiry <= at {
+		return
+	}
+	f.tenancy.nextExpiry = at
+	wait := max(time.Millisecond, clock.Duration(at-f.clock.Now()))
+	if f.tenancy.expiryTimer == nil {
+		f.tenancy.expiryTimer = time.AfterFunc(wait, func() { f.onLoop(f.expireQueued) })
+	} else {
+		f.tenancy.expiryTimer.Reset(wait)
+	}
+}
+
+func (f *SessionFront) expireQueued() {
+	f.tenancy.nextExpiry = 0
+	now := f.clock.Now()
+	for range maxResumedPerTurn {
+		x, err := f.tenancy.tenants.NextExpired(now)
+		if x == nil {
+			break
+		}
+		c := x.Owner.(*sessionClient)
+		c.rejectRouting(err.Error(), f.limits.Load().RetryAfterMillis)
+		c.resume()
+	}
+	f.scheduleExpiry()
+}
+
+// queueBounds are what may be held for a pool.
+func (f *SessionFront) queueBounds(p *PoolSettings) session.TenantQueueLimits {
+	l := f.limits.Load()
+	return session.TenantQueueLimits{PerTenant: p.MaxPausedTransactions, Total: l.MaxPausedTransactions, BytesPerTenant: l.Bytes / 4, TotalBytes: l.Bytes / 2, MaxPauseMillis: p.MaxPauseMillis}
+}
+
+// isAssignmentCurrent says whether the home that the transaction was chosen for is what the rules say now.
+func (c *sessionClient) isAssignmentCurrent() bool {
+	f := c.front
+	return f.tenancy.assignments == nil || f.tenancy.assignments.Assignment(c.identity.database, f.clock.Now()).Equal(c.tenancy.assignment)
+}
+
+// isAssignmentMoved says whether the home is another than that of the connection which the session keeps.
+func (c *sessionClient) isAssignmentMoved() bool {
+	f := c.front
+	if f.tenancy.assignments == nil {
+		return false
+	}
+	h := f.tenancy.assignments.Assignment(c.identity.database, f.clock.Now())
+	if h.Paused || h.Undecided {
+		return false
+	}
+	group, err := h.GroupFor(c.identity.database, &c.routing.route)
+	return err != nil || group != c.routing.request.Group
+}
+
+// abandonMovedHost parts a session from the connection that it keeps, between transactions, since the database has moved. What binds
+// it to the connection can't go with it, and one that waits for a notification would never hear that it is in vain.
+func (c *sessionClient) abandonMovedHost(s *serverConn) gnet.Action {
+	if cause := c.pipeline.StickyCause(); cause != "" {
+		return c.closeWithError(sqlStateAdminShutdown, "the database has moved to another home, and the session's "+string(cause)+" can't go with it; connect again", "")
+	}
+	c.abandonDrainingHost(s)
+	return gnet.None
+}
+
+// checkRetainedServer takes the first message of a transaction that is to begin on the connection which the session keeps. done: it
+// was answered; waits: the tenant is paused; messageLinked: it goes on, there or, where the session was parted from the
+// connection, elsewhere.
+func (c *sessionClient) checkRetainedServer(kind byte) (disposition, gnet.Action) {
+	f := c.front
+	if c.isAssignmentMoved() {
+		act := c.abandonMovedHost(c.server)
+		if c.disconnected {
+			return messageAnswered, act
+		}
+		return messageLinked, gnet.None
+	}
+	now := f.clock.Now()
+	if !c.tenancy.entry.IsReleased() {
+		c.tenancy.entry.Reset()
+		c.tenancy.entry.Deadline = now + c.pool.WaitTimeoutMillis
+	}
+	c.tenancy.entry.Bytes, c.tenancy.entry.MaxInFlight = c.waitingBytes(), c.pool.Sizes.MaxConnections
+	held, err := f.tenancy.tenants.Admit(now, c.tenancy.tenant, f.tenancy.assignments.Assignment(c.identity.database, now), &c.tenancy.entry, f.queueBounds(c.pool))
+	switch {
+	case held:
+		c.input.pendingKind, c.phase = kind, phaseTenantPaused
+		f.scheduleExpiry()
+		return messageWaiting, gnet.None
+	case err != nil:
+		c.finishRelease()
+		c.reject(sqlStateTooManyConnections, err.Error(), f.retryAfter())
+		c.finishRejected(kind)
+		return messageAnswered, gnet.None
+	}
+	c.finishRelease()
+	return messageLinked, gnet.None
+}
+
+// waitingBytes is how many bytes of the client's wait here.
+func (c *sessionClient) waitingBytes() int { return c.wire.BufferedBytes() + len(c.record.replay) }
+
+// resumeQueued goes on with a transaction that was held, by what the rules say now.
+func (c *sessionClient) resumeQueued() {
+	if c.server != nil {
+		c.phase = phaseLinked
+		c.resume()
+		return
+	}
+	c.phase = phaseRouting
+	c.routeByAssignment()
+	if c.phase == phaseLinked || c.phase == phaseUnlinked {
+		c.resume()
+	}
+}
+
+// finishRelease says that the transaction is at its host, or over.
+func (c *sessionClient) finishRelease() {
+	if f := c.front; f.tenancy.assignments != nil && f.tenancy.tenants.Complete(c.tenancy.tenant, &c.tenancy.entry) {
+		f.scheduleRelease(c.tenancy.tenant)
+	}
+}
+
+// dequeue takes the transaction out of what is held.
+func (c *sessionClient) dequeue() {
+	if f := c.front; f.tenancy.assignments != nil && c.tenancy.tenant != nil {
+		c.finishRelease()
+		f.tenancy.tenants.Remove(c.tenancy.tenant, &c.tenancy.entry)
+	}
+}
+
+// routeByAssignment asks where the tenant is and goes on from there: a host is chosen, or the transaction is held or refused.
+func (c *sessionClient) routeByAssignment() {
+	f := c.front
+	if f.tenancy.assignments != nil {
+		now := f.clock.Now()
+		h := f.tenancy.assignments.Assignment(c.identity.database, now)
+		c.tenancy.entry.Bytes, c.tenancy.entry.MaxInFlight = c.waitingBytes(), c.pool.Sizes.MaxConnections
+		held, refused := f.tenancy.tenants.Admit(now, c.tenancy.tenant, h, &c.tenancy.entry, f.queueBounds(c.pool))
+		if held {
+			c.phase = phaseTenantPaused
+			f.scheduleExpiry()
+			return
+		}
+		if refused != nil {
+			c.rejectRouting(refused.Error(), f.limits.Load().RetryAfterMillis)
+			return
+		}
+		group, err := h.GroupFor(c.identity.database, &c.routing.route)
+		if err != nil {
+			c.finishRelease()
+			c.reject(sqlStateProtocolViolation, err.Error(), "")
+			c.consumeRejected()
+			return
+		}
+		c.tenancy.assignment, c.routing.request.Group = h, group
+		c.discardRecorded()
+		c.record.active = h.HasGroup && len(c.record.replay) == 0
+	}
+	call, err := f.dispatcher.Begin(c.routing.request)
+	if err != nil {
+		c.finishRelease()
+		c.reject(sqlStateProtocolViolation, err.Error(), "")
+		c.consumeRejected()
+		return
+	}
+	c.routing.call = call
+	c.pickHost()
+}
+
+// rerouteUnsent chooses again for a transaction of which nothing was sent, since its tenant's home is another by now.
+func (c *sessionClient) rerouteUnsent() {
+	c.routing.waiter.Dequeue()
+	call := c.routing.call
+	c.routing.call = nil
+	call.Finish(dispatch.Outcome{Code: dispatch.NotSent})
+	c.phase = phaseRouting
+	c.routeByAssignment()
+	if !c.input.handling && (c.phase == phaseLinked || c.phase == phaseUnlinked) {
+		c.resume()
+	}
+}
--- a/internal/session/queue.go
+++ b/internal/session/queue.go
@@ -70,9 +70,9 @@
 
 // WaitTimeout is how long a session may wait: as long as its client says, but no longer than the limit, and 0 where the
 // answer could not reach it in time.
-func WaitTimeout(said, limit, guard float64) float64 {
-	if said <= 0 || limit > 0 && said > limit {
+func WaitTimeout(requested, limit, guard float64) float64 {
+	if requested <= 0 || limit > 0 && requested > limit {
 		return limit
 	}
-	return max(0, said-guard)
+	return max(0, requested-guard)
 }
