--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -21,7 +21,7 @@
 	} {
 		in, err := Parse([]byte(goal + rest))
 		require.NoError(t, err, goal)
-		require.InDelta(t, want, in.Settings.WorstClassWeight, 1e-9, goal)
+		require.InDelta(t, want, in.WorstClassWeight, 1e-9, goal)
 	}
 }
 
--- a/routing/window_test.go
+++ b/routing/dedup_test.go
@@ -5,6 +5,35 @@
 	"time"
 )
 
+// A keyed write that may have run goes nowhere once its window has passed, not even from being held.
+func TestKeyedWindow(t *testing.T) {
+	g := startHarness(t, settings(), shard()...)
+	id, _ := g.request(deduplicatedWrite, Event{})
+	g.now += 100 * ms
+	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Removed: true}}})
+	as, attempt := g.outcome(id, 0, ConnectionLost, Unknown), 0
+	for range 40 {
+		for i := 0; i < len(as); i++ {
+			a := as[i]
+			if a.Kind == ActSend && g.now >= startTime+3*time.Second {
+				t.Fatalf("sent %v after its send, the window is 3 s", g.now-startTime)
+			}
+			if a.Kind == ActSend {
+				attempt++
+				as = append(as, g.outcome(id, attempt, ConnectionLost, Unknown)...)
+			}
+			if a.Kind == ActFail {
+				return
+			}
+			if a.Kind == ActReject {
+				t.Fatal("refused, though it may have run")
+			}
+		}
+		as = g.advance(100 * ms)
+	}
+	t.Error("no final answer")
+}
+
 // windowed are settings in which a keyed class has a window of one second, and a deadline far beyond it.
 func windowed(scope DedupScope) Settings {
 	s := settings()
--- a/routing/stale_test.go
+++ b/routing/evidence_test.go
@@ -11,31 +11,11 @@
 // report are not ordered, and a connection that was silent brings old news. So a role is dated by when the host can have
 // said it at the latest: a replica is one as of now, a primary was one as of its own stamp.
 
-// answer reports an attempt's end with what the host said.
-func (g *harness) answer(id string, code Code, role Role, position time.Duration) []Action {
-	return g.step(Event{Kind: EventOutcome, ID: id, Code: code, Role: role, Position: position, Final: code == OK, Elapsed: 50 * ms})
-}
-
-// sentTo makes reads of a class until n of them are under way at a host.
-func (g *harness) sentTo(class int, host string, n int) (ids []string) {
-	g.t.Helper()
-	for range 40 {
-		id, as := g.request(class, Event{})
-		if _, to := actionsOf(ActSend, as); to == host {
-			if ids = append(ids, id); len(ids) == n {
-				return ids
-			}
-		}
-	}
-	g.t.Fatalf("no %d reads went to %s", n, host)
-	return nil
-}
-
 func TestAnAnswerFromBeforeAHandOverMakesNoPrimary(t *testing.T) {
 	for _, order := range []string{"as they were written", "the other way round"} {
 		t.Run(order, func(t *testing.T) {
 			g := startHarness(t, settings(), shard()...)
-			ids := g.sentTo(strongRead, "p", 2)
+			ids := g.sentToPrimary(2)
 			g.now += 100 * ms
 			written := g.now
 			g.now += 3 * time.Second // in which p hung, was given up, and came back as a replica
@@ -60,7 +40,7 @@
 
 func TestAPrimaryWithoutAStampIsDatedByTheSendOfItsAttempt(t *testing.T) {
 	g := startHarness(t, settings(), shard()...)
-	ids := g.sentTo(strongRead, "p", 2)
+	ids := g.sentToPrimary(2)
 	g.now += 100 * ms
 	g.answer(ids[1], OK, Replica, 0)
 	g.now += 10 * ms
@@ -99,7 +79,7 @@
 // A position ahead of the clock is garbled and proves nothing; the word beside it may still only make more careful.
 func TestAGarbledPositionHidesNoReplica(t *testing.T) {
 	g := startHarness(t, settings(), shard()...)
-	ids := g.sentTo(strongRead, "p", 1)
+	ids := g.sentToPrimary(1)
 	g.answer(ids[0], OK, Replica, g.now+time.Hour)
 	require.Nil(t, g.c.groups[1].primary())
 	require.Zero(t, g.c.members["p"].position)
@@ -110,7 +90,7 @@
 // The report beside an answer is older than the answer: its date says so.
 func TestAnAnswersRoleGoesBeforeTheReportBesideIt(t *testing.T) {
 	g := startHarness(t, settings(), shard()...)
-	ids := g.sentTo(strongRead, "p", 1)
+	ids := g.sentToPrimary(1)
 	g.now += 50 * ms
 	g.step(Event{
 		Kind: EventOutcome, ID: ids[0], Code: OK, Role: Primary, Position: g.now, Final: true,
@@ -123,7 +103,7 @@
 func TestALateAnswerIsEvidence(t *testing.T) {
 	g := startHarness(t, settings(), shard()...)
 	g.reportPositions(Primary, 0, "p")
-	ids := g.sentTo(strongRead, "p", 1)
+	ids := g.sentToPrimary(1)
 	g.now += 600 * ms
 	g.answer(ids[0], NoAnswer, Unknown, 0)
 	require.Equal(t, "p", g.c.groups[1].primary().host)
@@ -136,67 +116,3 @@
 	require.NotNil(t, g.c.requests[id])
 	g.step(Event{Kind: EventLateAnswer, Host: "nobody", Role: Replica}) // a host that is forgotten
 }
-
-// The list's word is seconds old: a host that it names may have lost the role again. One that said itself that it is a
-// replica is asked before a read rests on that word; a write finds out by itself.
-func TestAReplicaNamedPrimaryIsProbedBeforeStrongReads(t *testing.T) {
-	for _, then := range []Role{Primary, Replica} {
-		g := startHarness(t, settings(), shard()...)
-		g.reportPositions(Replica, 0, "a")
-		g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Removed: true}}})
-		g.now += 20 * time.Second
-		g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "a", Group: 1, Primary: true}}})
-		id, as := g.request(strongRead, Event{})
-		sends, _ := actionsOf(ActSend, as)
-		require.Empty(t, sends, "a read on hearsay")
-		probes, host := actionsOf(ActProbe, as)
-		require.NotEmpty(t, probes)
-		require.Contains(t, []string{"a", "b", "c"}, host)
-		as = g.reportPositions(then, 0, "a")
-		sends, host = actionsOf(ActSend, as)
-		if then == Primary {
-			require.Equal(t, "a", host)
-			require.Equal(t, id, sends[0].ID)
-		} else {
-			require.Empty(t, sends)
-		}
-	}
-	g := startHarness(t, settings(), shard()...)
-	g.reportPositions(Replica, 0, "a")
-	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Removed: true}}})
-	g.now += 20 * time.Second
-	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "a", Group: 1, Primary: true}}})
-	_, as := g.request(atMostOnceWrite, Event{})
-	_, host := actionsOf(ActSend, as)
-	require.Equal(t, "a", host)
-	_, as = g.request(boundedRead, Event{}) // nor do reads that fall back on the primary
-	sends, _ := actionsOf(ActSend, as)
-	require.Empty(t, sends)
-}
-
-// A read whose host lost the role while the attempt waited for its connection.
-func TestRevalidateChecksTheRole(t *testing.T) {
-	g := startHarness(t, settings(), shard()...)
-	ids := g.sentTo(strongRead, "p", 2)
-	require.True(t, g.c.Revalidate(g.now, ids[1], 0))
-	g.answer(ids[0], OK, Replica, g.now-time.Second)
-	require.False(t, g.c.Revalidate(g.now, ids[1], 0))
-}
-
-// What is chosen says how old the data of its answer may be: what was known of its host may have been overtaken.
-func TestAnAttemptCarriesItsMinPosition(t *testing.T) {
-	g := startHarness(t, settings(), shard()...)
-	g.reportPositions(Replica, 5*ms, "a")
-	need := func(class int, e Event) time.Duration {
-		_, as := g.request(class, e)
-		sends, _ := actionsOf(ActSend, as)
-		require.Len(t, sends, 1)
-		return sends[0].MinPosition
-	}
-	require.Equal(t, g.now-g.c.cfg.Classes[boundedRead].StalenessBound+positionMargin, need(boundedRead, Event{}))
-	require.Equal(t, g.now-100*ms+positionMargin, need(sessionRead, Event{CommitAge: 100 * ms}))
-	require.Zero(t, need(sessionRead, Event{}))
-	require.Zero(t, need(eventualRead, Event{}))
-	require.Equal(t, g.now, need(strongRead, Event{}))
-	require.Zero(t, need(atMostOnceWrite, Event{}))
-}
--- /dev/null
+++ b/routing/probes_test.go
@@ -0,0 +1,101 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// When every member errs at times, bounded reads still ask for positions and go on by the draw.
+func TestPositionsAreProbedThoughAllAreOutliers(t *testing.T) {
+	s := settings()
+	s.RouterCount = 300
+	g := startHarness(t, s, shard()...)
+	for _, m := range g.c.members {
+		g.c.recordScore(m, faultScore)
+		g.c.recordScore(m, faultScore)
+	}
+	_, as := g.request(boundedRead, Event{})
+	found, host := actionsOf(ActProbe, as)
+	if len(found) == 0 {
+		t.Fatalf("with all in doubt a bounded read led to %v", as)
+	}
+	if sent, to := actionsOf(ActSend, g.reportPositions(Replica, 0, host)); len(sent) != 1 || to != host {
+		t.Errorf("after %s showed its position: %v", host, sent)
+	}
+}
+
+// Probes are rationed by what they cost where the primary can step in. Where it is unknown or suspect a read that
+// waits in vain costs more, and the answers find the new primary.
+func TestReadsProbePastTheBudgetWithoutAPrimary(t *testing.T) {
+	s := settings()
+	s.RouterCount, s.Probing.Cost = 80, 0.04
+	g := startHarness(t, s, shard()...)
+	g.c.probeBudget = 0
+	_, as := g.request(boundedRead, Event{})
+	require.Equal(t, ActSend, as[0].Kind, "the primary steps in")
+	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Draining: true}}})
+	g.c.probeBudget = 0
+	id, as := g.request(boundedRead, Event{})
+	require.Equal(t, ActProbe, as[0].Kind)
+	as = g.reportPositions(Primary, 0, as[0].Host)
+	sends, host := actionsOf(ActSend, as)
+	require.Len(t, sends, 1)
+	require.Equal(t, id, sends[0].ID)
+	require.Equal(t, g.c.groups[1].primary().host, host)
+}
+
+// A probe of a replica that was seconds behind a moment ago buys nothing: it goes to one that kept pace, or the primary
+// serves at once. One that may have caught up is asked again, and so are all where there is no primary to fall back on.
+func TestReplicasThatCannotHaveCaughtUpAreNotProbed(t *testing.T) {
+	s := settings()
+	s.RouterCount = 80
+	probed := func(g *harness) (hosts []string) {
+		g.c.probeBudget = 10
+		_, as := g.request(boundedRead, Event{})
+		for _, a := range as {
+			if a.Kind == ActProbe {
+				hosts = append(hosts, a.Host)
+			}
+		}
+		return hosts
+	}
+	g := startHarness(t, s, shard()...)
+	g.reportPositions(Replica, 5*second, "a", "b", "c")
+	g.now += second
+	require.Empty(t, probed(g), "all were 5 s behind a second ago")
+	g.now += 5 * second
+	require.Len(t, probed(g), 1, "at twice the pace they may have caught up")
+
+	g = startHarness(t, s, shard()...)
+	asked := map[string]int{}
+	for range 200 {
+		g.now += 10 * second
+		g.reportPositions(Replica, 5*second, "a")
+		g.reportPositions(Replica, 0, "b")
+		g.c.members["c"].position = 0
+		g.now += second
+		for _, h := range probed(g) {
+			asked[h]++
+		}
+	}
+	require.Zero(t, asked["a"], "it was 5 s behind")
+	require.Greater(t, asked["b"], 160, "it kept pace")
+	require.Greater(t, asked["c"], 5, "nothing is known of it; asked now and then, or it would stay so")
+	g = startHarness(t, s, shard()...)
+	g.reportPositions(Replica, 5*second, "a", "b", "c")
+	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Draining: true}}})
+	g.now += second
+	require.Len(t, probed(g), 1, "no primary: whoever answers may name it")
+}
+
+// A probe that never left for want of a connection here counts for nothing; one that the host failed counts against it.
+func TestUnsentProbeIsNoEvidence(t *testing.T) {
+	for code, counts := range map[Code]bool{NotSent: false, NoConnection: true, NoAnswer: true, ServerError: true} {
+		g := startHarness(t, settings(), shard()...)
+		m := g.c.members["a"]
+		before := g.c.outlierScore(m)
+		g.step(Event{Kind: EventProbeResult, Host: "a", Code: code})
+		require.Equal(t, counts, g.c.outlierScore(m) > before, "%v", code)
+	}
+}
--- /dev/null
+++ b/routing/router_test.go
@@ -0,0 +1,255 @@
+package routing
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+)
+
+func TestNewRejects(t *testing.T) {
+	for name, spoil := range map[string]func(*Settings){
+		"no class":    func(s *Settings) { s.Classes = nil },
+		"no router":   func(s *Settings) { s.RouterCount = 0 },
+		"bad index":   func(s *Settings) { s.RouterIndex = 2 },
+		"no attempts": func(s *Settings) { s.MaxAttempts = 0 },
+		"no aim":      func(s *Settings) { s.Classes[0].LatencyObjective = 0 },
+	} {
+		s := settings()
+		spoil(&s)
+		if _, err := New(s, 1); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+// The ordinary path: where does a first attempt go?
+func TestOrdinaryPath(t *testing.T) {
+	for _, k := range []struct {
+		name  string
+		class int
+		token time.Duration
+		age   time.Duration // of the replicas' positions; 0: never heard
+		want  string        // "replica", "primary"
+	}{
+		{"write", atMostOnceWrite, 0, ms, "primary"},
+		{"fresh read", strongRead, 0, ms, "primary"},
+		{"any read needs no position", eventualRead, 0, 0, "replica"},
+		{"bounded read inside the bound", boundedRead, 0, 200 * ms, "replica"},
+		{"bounded read beyond the bound", boundedRead, 0, 301 * ms, "primary"},
+		{"bounded read, position unknown", boundedRead, 0, 0, "primary"},
+		{"session read, replicas past the commit", sessionRead, 100 * ms, 50 * ms, "replica"},
+		{"session read, replicas behind the commit", sessionRead, 100 * ms, 150 * ms, "primary"},
+		{"session read inside the margin", sessionRead, 100 * ms, 100 * ms, "primary"},
+		{"session without a write", sessionRead, 0, 0, "replica"},
+	} {
+		g := startHarness(t, settings(), shard()...)
+		if k.age > 0 {
+			g.reportPositions(Replica, k.age, "a", "b", "c")
+		}
+		_, as := g.request(k.class, Event{CommitAge: k.token})
+		for range 2 * maxProbesPerRead { // probes of replicas that might qualify stay unanswered
+			as = append(as, g.advance(probeAnswerWait)...)
+		}
+		sent, host := actionsOf(ActSend, as)
+		if len(sent) != 1 || (host == "p") != (k.want == "primary") {
+			t.Errorf("%s: sent %v, want one to a %s", k.name, sent, k.want)
+		}
+	}
+}
+
+// Odd but legal events change nothing.
+func TestOddEvents(t *testing.T) {
+	g := startHarness(t, settings(), shard()...)
+	id, _ := g.request(atMostOnceWrite, Event{})
+	g.outcome(id, 0, OK, Primary)
+	for _, e := range []Event{
+		{Kind: EventOutcome, ID: id, Code: OK, Final: true},
+		{Kind: EventOutcome, ID: "never", Attempt: -1},
+		{Kind: EventClientGone, ID: id},
+		{Kind: EventClientGone, ID: "never"},
+		{Kind: EventProbeResult, Host: "never"},
+		{Kind: EventTimer},
+		{Kind: EventFirstByte, ID: id},
+		{Kind: EventTargets, Targets: []Target{{Host: "never", Group: 3, Removed: true}}},
+		{Kind: EventPeerMessage},
+	} {
+		if as := g.step(e); len(as) != 0 {
+			t.Errorf("%+v led to %v", e, as)
+		}
+	}
+	if len(g.c.requests) != 0 {
+		t.Errorf("%d requests are still held", len(g.c.requests))
+	}
+	as := g.step(Event{Kind: EventRequest, ID: "x", Group: 99, TimeRemaining: time.Second})
+	if found, _ := actionsOf(ActReject, as); len(found) != 1 {
+		t.Errorf("a group that no list names led to %v", as)
+	}
+}
+
+// play runs a fixed, mixed stretch and checks the invariants on the way.
+func play(t testing.TB, script []byte) []Action {
+	g := startHarness(t, settings(), shard()...)
+	type state struct {
+		class            int
+		live             map[int]string
+		sent             int
+		answered, mayRun bool
+	}
+	reqs, order := map[string]*state{}, []string{}
+	drained := map[string]bool{}
+	var all []Action
+	run := func(as []Action) {
+		all = append(all, as...)
+		for _, a := range as {
+			r := reqs[a.ID]
+			switch a.Kind {
+			case ActSend:
+				if r.answered {
+					t.Fatalf("%s: sent after its final answer", a.ID)
+				}
+				if r.class == atMostOnceWrite && (r.mayRun || len(r.live) > 0) {
+					t.Fatalf("%s: an unsafe write was sent twice", a.ID)
+				}
+				if drained[a.Host] {
+					t.Fatalf("%s: sent to %s, which drains", a.ID, a.Host)
+				}
+				if m := g.c.members[a.Host]; r.class == boundedRead && m.primaryAt == 0 && m.position < g.now-300*ms {
+					t.Fatalf("%s: an unproven read at %s", a.ID, a.Host)
+				}
+				r.live[r.sent] = a.Host
+				r.sent++
+			case ActReject, ActFail:
+				if r.answered {
+					t.Fatalf("%s: two final answers", a.ID)
+				}
+				if a.Kind == ActReject && r.class >= atMostOnceWrite && r.mayRun {
+					t.Fatalf("%s: a write that may have run was refused", a.ID)
+				}
+				r.answered = true
+			}
+		}
+	}
+	for i := 0; i+1 < len(script); i += 2 {
+		op, x := script[i]%8, int(script[i+1])
+		g.now += time.Duration(x%32) * ms
+		switch op {
+		case 0, 1, 2:
+			g.ids++
+			id := fmt.Sprint("r", g.ids)
+			reqs[id] = &state{class: x % 6, live: map[int]string{}}
+			order = append(order, id)
+			run(g.step(Event{Kind: EventRequest, ID: id, Class: x % 6, Group: 1, CommitAge: time.Duration(x) * ms, TimeRemaining: time.Second}))
+		case 3, 4, 5:
+			if len(order) == 0 {
+				continue
+			}
+			id := order[x%len(order)]
+			r := reqs[id]
+			for n := range r.sent {
+				if _, ok := r.live[n]; ok {
+					code := Code(int(op+script[i+1]/8) % 9)
+					delete(r.live, n)
+					r.mayRun = r.mayRun || !code.NeverRan()
+					final := code == OK || r.answered
+					if code == OK {
+						r.answered = true
+					}
+					run(g.step(Event{Kind: EventOutcome, ID: id, Attempt: n, Code: code, Final: final, Role: Role(x % 3), Elapsed: 40 * ms}))
+					break
+				}
+			}
+		case 6:
+			h := shard()[x%4]
+			run(g.reportPositions(Role(x%3), time.Duration(x)*ms, h.Host))
+		case 7:
+			h := shard()[x%4]
+			switch x / 4 % 8 { // lists turn quickly, starts lie ahead or go back, hosts leave, change group and return
+			case 0, 1:
+				h.Draining = true
+			case 2:
+				h.Removed = true
+			case 3:
+				h.Group = 2
+			case 4:
+				h.StartedAt = g.now + time.Duration(x-128)*time.Second
+			case 5:
+				g.now += memberRetention
+			}
+			drained[h.Host] = h.Draining || h.Removed || h.Group != 1
+			run(g.step(Event{Kind: EventTargets, Targets: []Target{h}}))
+		}
+		run(g.advance(5 * ms))
+	}
+	for range 120 { // all that is held ends in time
+		run(g.advance(10 * ms))
+	}
+	for _, id := range order {
+		if r := reqs[id]; !r.answered && len(r.live) == 0 {
+			t.Fatalf("%s (class %d) was never answered", id, r.class)
+		}
+	}
+	return all
+}
+
+func script(n int) []byte {
+	b, x := make([]byte, n), uint32(12345)
+	for i := range b {
+		x = x*1664525 + 1013904223
+		b[i] = byte(x >> 24)
+	}
+	return b
+}
+
+// Identical events give identical actions.
+func TestDeterminism(t *testing.T) {
+	if a, b := play(t, script(4000)), play(t, script(4000)); !reflect.DeepEqual(a, b) {
+		t.Error("two runs over the same events differ")
+	}
+}
+
+// FuzzStep checks: one final answer, no send after it, no second effect, none to a drained member, no unproven read.
+func FuzzStep(f *testing.F) {
+	f.Add(script(200))
+	f.Add(script(1000))
+	f.Fuzz(func(t *testing.T, b []byte) { play(t, b[:min(len(b), 4000)]) })
+}
+
+// Discovery that has to be asked is asked at the start and again after a failure.
+func TestSubscribes(t *testing.T) {
+	s := settings()
+	s.MustSubscribe = true
+	c, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &harness{t: t, c: c, now: startTime}
+	if asked, _ := actionsOf(ActSubscribe, g.step(Event{Kind: EventTargets, Full: true, Targets: shard()})); len(asked) != 1 {
+		t.Errorf("asked %d times at the start", len(asked))
+	}
+	g.step(Event{Kind: EventTargetsFailed})
+	if asked, _ := actionsOf(ActSubscribe, g.advance(2*retryBackoff)); len(asked) != 1 {
+		t.Errorf("asked %d times after a failure", len(asked))
+	}
+}
+
+// Guards against other settings that pull the classes from under the requests that are under way.
+func TestConfigure(t *testing.T) {
+	g := startHarness(t, settings(), shard()...)
+	id, _ := g.request(atMostOnceWrite, Event{})
+	s := settings()
+	s.Classes[atMostOnceWrite].LatencyObjective, s.MaxRetryAfter = 300*ms, 70*ms
+	if err := g.c.Configure(s); err != nil {
+		t.Fatal(err)
+	}
+	g.outcome(id, 0, OK, Primary)
+	g.ids++
+	as := g.step(Event{Kind: EventRequest, ID: "odd", Class: atMostOnceWrite, Group: 9, TimeRemaining: time.Second})
+	if refused, _ := actionsOf(ActReject, as); len(refused) != 1 || refused[0].RetryAfter != 70*ms || g.c.classes[atMostOnceWrite].LatencyObjective != 300*ms {
+		t.Errorf("%v", as)
+	}
+	s.Classes = s.Classes[1:]
+	if err := g.c.Configure(s); err == nil {
+		t.Error("other classes were taken")
+	}
+}
--- /dev/null
+++ b/routing/sessions_test.go
@@ -0,0 +1,37 @@
+package routing
+
+import (
+	"testing"
+	"time"
+)
+
+// Remembered sessions: the commit binds later reads, and forgetting it leaves a floor that binds all.
+func TestSessionsReadTheirWrites(t *testing.T) {
+	s := settings()
+	s.TracksCommits = true
+	g := startHarness(t, s, shard()...)
+	g.now += time.Second
+	id, _ := g.request(atMostOnceWrite, Event{SessionKey: 7, HasSessionKey: true})
+	g.step(Event{Kind: EventOutcome, ID: id, Code: OK, Role: Primary, Final: true, Position: g.now, Elapsed: 50 * ms})
+	g.reportPositions(Replica, ms, "a", "b", "c")
+	_, as := g.request(sessionRead, Event{SessionKey: 7, HasSessionKey: true})
+	if _, host := actionsOf(ActSend, append(as, g.reportPositions(Replica, ms, "a", "b", "c")...)); host == "a" || host == "b" || host == "c" {
+		t.Errorf("a replica behind the session's commit got its read: %v", as)
+	}
+	if _, as := g.request(sessionRead, Event{SessionKey: 8, HasSessionKey: true}); as[0].Host == "p" {
+		t.Errorf("a session without writes was sent to the primary: %v", as)
+	}
+	g = startHarness(t, s, shard()...)
+	commit := func(key uint64) {
+		id, _ := g.request(atMostOnceWrite, Event{SessionKey: key, HasSessionKey: true})
+		g.step(Event{Kind: EventOutcome, ID: id, Code: OK, Role: Primary, Final: true, Position: g.now, Elapsed: 50 * ms})
+	}
+	commit(7)
+	g.advance(commitRetention / 2)
+	commit(9)
+	g.advance(commitRetention/2 + time.Second)
+	commit(9) // a session that goes on writing does not keep the others in memory
+	if gr := g.c.groups[1]; len(gr.commits) != 1 || len(gr.commitOrder) != 2 || gr.commitFloor == 0 || gr.commitFloor > gr.commits[9] {
+		t.Errorf("after %v: %d commits, %d kept, floor %v", commitRetention, len(gr.commits), len(gr.commitOrder), gr.commitFloor)
+	}
+}
--- a/routing/state_test.go
+++ b/routing/state_test.go
@@ -7,8 +7,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-const second = time.Second
-
 // listedRouter returns a router that knows p, the listed primary, and replicas a and b, started long ago.
 func listedRouter(t *testing.T, now time.Duration, s *RouterState) *Router {
 	c, err := New(Settings{
