--- a/cmd/ashstand/golden_views_test.go
+++ b/cmd/ashstand/golden_views_test.go
@@ -61,7 +61,7 @@
 
 func goldenPlan() migration.Plan {
 	return migration.Plan{
-		Tenant: "orders", From: 1, To: 2, MaxPauseMillis: 4000, FenceWaitMillis: 200, MaxAbortedPauses: 3, BackoffMillis: 1000, Checkpoints: []string{"accepting"}, BlockingSessions: "end", MaxRowsPerSecond: 10, SampledQueries: 7,
+		Tenant: "orders", From: 1, To: 2, MaxPauseMillis: 4000, FenceWaitMillis: 200, MaxAbortedPauses: 3, BackoffMillis: 1000, Checkpoints: []migration.Checkpoint{"accepting"}, BlockingSessions: "end", MaxRowsPerSecond: 10, SampledQueries: 7,
 		OldCopy: "drop", Priority: 2,
 	}
 }
--- a/cmd/ashstand/migrations.go
+++ b/cmd/ashstand/migrations.go
@@ -143,7 +143,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	proof, err := w.migrator.Execute(ctx, &jobs.Job{Spec: body}, &jobs.Operation{Number: 1, Name: migration.OperationCheck})
+	proof, err := w.migrator.Execute(ctx, &jobs.Job{Spec: body}, &jobs.Operation{Number: 1, Name: string(migration.OperationCheck)})
 	if err != nil {
 		return nil, err
 	}
@@ -220,7 +220,7 @@
 		if m.State, err = migration.DecodeState(x); err != nil {
 			m.Code, m.Message, m.Advice = "work_unreadable", err.Error(), (&migration.UnreadableJobError{}).Advice()
 		}
-		if m.RollbackEffect = migration.RollbackEffects[m.State.Phase]; x.Operation != nil {
+		if m.RollbackEffect = m.State.Phase.RollbackEffect(); x.Operation != nil {
 			m.Operation = x.Operation.Name
 		}
 		if h, own := here[name]; own {
@@ -351,7 +351,7 @@
 	fmt.Fprintf(w, "no pause is longer than %.0f ms; here %.0f could be kept at the least; one without its switch after %.0f ms is taken back\n", p.MaxPauseMillis, v.MinPauseMillis, v.CutoffMillis)
 	fmt.Fprintf(w, "writers are waited for %.0f ms, then they %s; %d pauses may be taken back, %.0f ms apart\n", p.FenceWaitMillis, map[string]string{"end": "are ended", "wait": "are waited for again"}[p.BlockingSessions],
 		p.MaxAbortedPauses, p.BackoffMillis)
-	fmt.Fprintf(w, "waits for a word at: %s; the old copy: %s\n", strings.Join(p.Checkpoints, ", "), p.OldCopy)
+	fmt.Fprintf(w, "waits for a word at: %s; the old copy: %s\n", joinCheckpoints(p.Checkpoints), p.OldCopy)
 	for i := range v.CheckResults {
 		how := "in the way"
 		if v.CheckResults[i].Informational {
@@ -446,3 +446,12 @@
 	}
 	return out
 }
+
+// joinCheckpoints lists the names of checkpoints.
+func joinCheckpoints(checkpoints []migration.Checkpoint) string {
+	names := make([]string, 0, len(checkpoints))
+	for _, checkpoint := range checkpoints {
+		names = append(names, string(checkpoint))
+	}
+	return strings.Join(names, ", ")
+}
--- a/internal/cluster/migration/apply.go
+++ b/internal/cluster/migration/apply.go
@@ -6,190 +6,247 @@
 	"ashstand/internal/cluster/jobs"
 )
 
-// operationResult is what a deed returned.
-type operationResult struct {
-	Recovery
-	checkResults CheckResults
-	blocking     []BlockingSession
-	verified     VerificationResult
-	version      int
-	locked       *TenantLockedError
-	unfenced     bool // the home had failed over since it was fenced
-}
-
-// after is what a deed that was done leaves. The state holds no clock but that of the announcement.
-func after(a Request, r operationResult) (jobs.Result, error) {
-	s, d := a.State, a.Data
-	begun := LeaseTime{At: d.At, Token: a.AnnouncedToken}
-	p := jobs.Result{}
-	if d.LostCommits != "" {
-		s.LostCommits = retainLatest(append(s.LostCommits, sanitize(d.LostCommits)))
+// application computes the state that an executed operation leaves. The state holds no times but that of the
+// announcement, so whoever applies an outcome comes to the same bytes.
+type application struct {
+	request Request
+	outcome outcome
+	state   State // changed in place; what it points to is shared with the request and copied first
+	result  jobs.Result
+}
+
+// applications are the functions that apply each operation's outcome.
+var applications = map[Operation]func(*application){
+	OperationCheck:           (*application).check,
+	OperationPublish:         (*application).publish,
+	OperationSubscribe:       (*application).subscribe,
+	OperationCopy:            (*application).copyTables,
+	OperationTrack:           (*application).track,
+	OperationCompare:         (*application).compare,
+	OperationPause:           (*application).pause,
+	OperationFence:           (*application).fence,
+	OperationVerify:          (*application).verify,
+	OperationSwitch:          (*application).switchGroups,
+	OperationReplicateBack:   (*application).replicateBack,
+	OperationReopen:          (*application).reopen,
+	OperationAccept:          (*application).accept,
+	OperationFinish:          (*application).finish,
+	OperationCleanUp:         (*application).rolledBack,
+	OperationCancel:          (*application).rolledBack,
+	OperationHold:            (*application).hold,
+	OperationResume:          (*application).resume,
+	OperationRollBack:        (*application).rollBack,
+	OperationDiscardApproval: (*application).discardApproval,
+}
+
+// applyOutcome returns the result of an executed operation, with the state that it leaves.
+func applyOutcome(request Request, result outcome) (jobs.Result, error) {
+	apply, known := applications[request.Operation]
+	if !known {
+		return jobs.Result{}, &UnreadableJobError{Job: request.Job, Err: unknownOperationError(request.Operation)}
 	}
-	switch a.Operation {
-	case OperationCheck:
-		if s.CheckResults = r.checkResults.truncated(); len(s.CheckResults.Blocking()) > 0 {
-			s.HoldReason = "the check refuses"
-		} else {
-			s.Phase, s.HoldReason = PhaseChecked, ""
-		}
-	case OperationPublish:
-		if s.Published = r.locked == nil; r.locked != nil {
-			s.HoldReason = sanitize(r.locked.Error())
-		}
-	case OperationSubscribe:
-		again := s.Copy.Restarts
-		if d.Recopy {
-			again++
-			s.addNote("copied anew: the slot or what had been passed on died with a failover, or the copy differed")
-		}
-		s.Phase, s.Copy = PhaseCopying, CopyCheckpoint{Restarts: again}
-		s.resetComparison(r.Timelines)
-	case OperationCopy:
-		s.Copy.LastTable, s.Copy.Complete, s.Copy.BatchRows, s.Copy.BatchStarted = r.Copied.LastTable, r.Copied.Complete, r.Copied.Rows, begun
-	case OperationTrack:
-		if s.Phase != PhaseSwitched {
-			s.Phase = PhaseCatchingUp
-		}
-		s.FailedOver = s.FailedOver || d.FailedOver
-		s.Timelines, s.Comparison = r.Timelines, ComparisonCheckpoint{Started: begun}
-	case OperationCompare:
-		c := &s.Comparison
-		c.LastRange, c.Complete, c.EqualRanges, c.ChangedRanges = r.Compared.LastRange, r.Compared.Complete, c.EqualRanges+r.Compared.EqualRanges, c.ChangedRanges+r.Compared.ChangedRanges
-		s.recordDifferences(r.Compared.Differences)
-	case OperationPause:
-		s.Phase, s.Reverse, s.BlockingSessions = PhaseFencing, d.Reverse, nil
-		s.Pause = &Pause{Started: begun, RulesVersion: r.version}
-	case OperationFence:
-		pause := *s.Pause
-		pause.FenceAttempts++
-		pause.Fence, pause.Verified = r.Fence, false
-		if s.Pause, s.BlockingSessions = &pause, sanitizeSessions(r.blocking); r.Fence != nil {
-			s.Phase = PhaseVerifying
-		} else {
-			s.Phase = PhaseFencing
-		}
-	case OperationVerify:
-		pause := *s.Pause
-		pause.RangesRead, pause.QueriesReplayed = r.verified.RangesRead, r.verified.QueriesReplayed
-		switch {
-		case r.verified.Timelines.Source != pause.Fence.Timeline:
-			pause.Fence, s.Phase = nil, PhaseFencing
-			s.addNote("the home failed over while it was verified: it is closed again")
-		case len(r.verified.Differences) > 0:
-			s.FailedOver = s.FailedOver || r.verified.Timelines != s.Timelines
-			s.Differences = sanitizeDifferences(r.verified.Differences)
-		case !r.verified.TimedOut:
-			pause.Verified = true
-		}
-		s.Pause = &pause
-	case OperationSwitch:
-		if r.unfenced {
-			pause := *s.Pause
-			pause.Fence, pause.Verified = nil, false
-			s.Pause, s.Phase = &pause, PhaseFencing
-			s.addNote("the home failed over before the switch: it is closed again")
-			break
-		}
-		s.Pause, s.AbortedPauses = nil, 0
-		if s.Reverse {
-			s.Phase, s.Reverse = PhaseCleaningUp, false
-		} else {
-			s.Phase = PhaseSwitched
-		}
-	case OperationReopen:
-		s.Pause = nil
-		s.AbortedPauses++
-		s.LastAbort = begun
-		s.addNote("the pause was taken back: %s", d.Reason)
-		if d.RollbackReason != "" {
-			s.RollbackReason = d.RollbackReason
-		}
-		switch {
-		case s.Reverse:
-			s.Phase, s.Reverse = PhaseSwitched, false
-		case s.RollbackReason != "":
-			s.Phase = PhaseCleaningUp
-		default:
-			s.Phase = PhaseCatchingUp
-		}
-		if s.Phase == PhaseCleaningUp {
-			break
-		}
-		if s.recordDifferences(s.Differences); d.HoldReason != "" {
-			s.HoldReason = d.HoldReason
-		} else if s.AbortedPauses >= a.Plan.MaxAbortedPauses && s.HoldReason == "" {
-			s.HoldReason = "as many pauses were taken back as the plan allows"
-		}
-	case OperationReplicateBack:
-		if s.ReverseReplicating = true; d.Recopy {
-			s.addNote("the old home is copied anew from the new one")
-		}
-		s.resetComparison(r.Timelines)
-	case OperationAccept:
-		s.Phase = PhaseAccepted
-	case OperationFinish:
-		s.Phase = PhaseCompleted
-		p.Finished, p.Reason = true, "accepted"
-	case OperationCleanUp:
-		s.Phase, s.RollbackReason = PhaseRolledBack, d.RollbackReason
-		p.Finished, p.Reason = true, "taken back: "+d.RollbackReason
-	case OperationCancel:
-		s.Phase, s.RollbackReason = PhaseRolledBack, d.RollbackReason
-		p.Finished, p.Reason = true, "taken back: "+d.RollbackReason
-	case OperationHold:
-		s.HoldReason = d.HoldReason
-	case OperationRollBack:
-		s.RollbackReason, s.HoldReason = d.RollbackReason, ""
-	case OperationDiscardApproval:
-		s.addNote("%s means nothing while it is %s", d.Reason, s.Phase)
-	case OperationResume:
-		s.HoldReason, s.AbortedPauses = "", 0
-		s.RecopyRequired = s.RecopyRequired || len(s.Differences) > 0
-	default:
-		return p, &UnreadableJobError{Job: a.Job, Err: unknownOperationError(a.Operation)}
+	a := &application{request: request, outcome: result, state: request.State}
+	if lost := request.Data.LostCommits; lost != "" {
+		a.state.LostCommits = retainLatest(append(a.state.LostCommits, sanitize(lost)))
 	}
-	if len(s.Copy.LastTable) > maxCursorBytes || len(s.Comparison.LastRange) > maxCursorBytes {
-		return p, &UnreadableJobError{Job: a.Job, Err: unknownOperationError("with a place to go on from of that length")}
+	apply(a)
+	for _, cursor := range []string{a.state.Copy.LastTable, a.state.Comparison.LastRange} {
+		if len(cursor) > maxCursorBytes {
+			return a.result, &UnreadableJobError{Job: request.Job, Err: &cursorTooLongError{bytes: len(cursor)}}
+		}
 	}
 	var err error
-	p.State, err = json.Marshal(s)
-	return p, err
+	a.result.State, err = json.Marshal(a.state)
+	return a.result, err
 }
 
-// resetComparison is what a copy that begins, or a feeding back, makes of what rested on the one before.
-func (s *State) resetComparison(lines Timelines) {
-	s.Timelines, s.FailedOver, s.RecopyRequired, s.Differences, s.Comparison = lines, false, false, nil, ComparisonCheckpoint{}
+// announced is when the operation was, by the clock of the lease holder that announced it.
+func (a *application) announced() LeaseTime {
+	return LeaseTime{At: a.request.Data.At, Token: a.request.AnnouncedToken}
 }
 
-// recordDifferences takes what was found. After a failover the copy is begun anew; otherwise an operator has to say so.
-func (s *State) recordDifferences(found []Difference) {
-	if len(found) == 0 {
+func (a *application) check() {
+	a.state.CheckResults = a.outcome.checkResults.truncated()
+	if len(a.state.CheckResults.Blocking()) > 0 {
+		a.state.HoldReason = "the check refuses"
 		return
 	}
-	if s.Differences = sanitizeDifferences(found); s.FailedOver {
-		s.RecopyRequired = true
+	a.state.Phase = PhaseChecked
+	a.state.HoldReason = ""
+}
+
+func (a *application) publish() {
+	a.state.Published = a.outcome.locked == nil
+	if a.outcome.locked != nil {
+		a.state.HoldReason = sanitize(a.outcome.locked.Error())
+	}
+}
+
+func (a *application) subscribe() {
+	restarts := a.state.Copy.Restarts
+	if a.request.Data.Recopy {
+		restarts++
+		a.state.addNote("copied anew: the slot or what had been passed on died with a failover, or the copy differed")
+	}
+	a.state.Phase = PhaseCopying
+	a.state.Copy = CopyCheckpoint{Restarts: restarts}
+	a.state.resetComparison(a.outcome.Timelines)
+}
+
+func (a *application) copyTables() {
+	checkpoint := &a.state.Copy
+	checkpoint.LastTable = a.outcome.Copied.LastTable
+	checkpoint.Complete = a.outcome.Copied.Complete
+	checkpoint.BatchRows = a.outcome.Copied.Rows
+	checkpoint.BatchStarted = a.announced()
+}
+
+func (a *application) track() {
+	if a.state.Phase != PhaseSwitched {
+		a.state.Phase = PhaseCatchingUp
+	}
+	a.state.FailedOver = a.state.FailedOver || a.request.Data.FailedOver
+	a.state.Timelines = a.outcome.Timelines
+	a.state.Comparison = ComparisonCheckpoint{Started: a.announced()}
+}
+
+func (a *application) compare() {
+	checkpoint := &a.state.Comparison
+	checkpoint.LastRange = a.outcome.Compared.LastRange
+	checkpoint.Complete = a.outcome.Compared.Complete
+	checkpoint.EqualRanges += a.outcome.Compared.EqualRanges
+	checkpoint.ChangedRanges += a.outcome.Compared.ChangedRanges
+	a.state.recordDifferences(a.outcome.Compared.Differences)
+}
+
+func (a *application) pause() {
+	a.state.Phase = PhaseFencing
+	a.state.Reverse = a.request.Data.Reverse
+	a.state.BlockingSessions = nil
+	a.state.Pause = &Pause{Started: a.announced(), RulesVersion: a.outcome.rulesVersion}
+}
+
+// copyPause replaces the pause by a copy, which may be changed.
+func (a *application) copyPause() *Pause {
+	pause := *a.state.Pause
+	a.state.Pause = &pause
+	return &pause
+}
+
+func (a *application) fence() {
+	pause := a.copyPause()
+	pause.FenceAttempts++
+	pause.Fence = a.outcome.Fence
+	pause.Verified = false
+	a.state.BlockingSessions = sanitizeSessions(a.outcome.blocking)
+	if pause.Fence != nil {
+		a.state.Phase = PhaseVerifying
 	} else {
-		s.HoldReason = "the copy differs: " + sanitize(found[0].Error())
+		a.state.Phase = PhaseFencing
 	}
 }
 
-// retainFirst leaves what a state has room for.
-func retainFirst[T any](all []T) []T { return all[:min(len(all), maxListed)] }
+func (a *application) verify() {
+	verification := a.outcome.verification
+	pause := a.copyPause()
+	pause.RangesRead = verification.RangesRead
+	pause.QueriesReplayed = verification.QueriesReplayed
+	switch {
+	case verification.Timelines.Source != pause.Fence.Timeline:
+		pause.Fence = nil
+		a.state.Phase = PhaseFencing
+		a.state.addNote("the home failed over while it was verified: it is closed again")
+	case len(verification.Differences) > 0:
+		a.state.FailedOver = a.state.FailedOver || verification.Timelines != a.state.Timelines
+		a.state.Differences = sanitizeDifferences(verification.Differences)
+	case !verification.TimedOut:
+		pause.Verified = true
+	}
+}
+
+func (a *application) switchGroups() {
+	if a.outcome.unfenced {
+		pause := a.copyPause()
+		pause.Fence = nil
+		pause.Verified = false
+		a.state.Phase = PhaseFencing
+		a.state.addNote("the home failed over before the switch: it is closed again")
+		return
+	}
+	a.state.Pause = nil
+	a.state.AbortedPauses = 0
+	if a.state.Reverse {
+		a.state.Phase = PhaseCleaningUp
+		a.state.Reverse = false
+		return
+	}
+	a.state.Phase = PhaseSwitched
+}
 
-func sanitizeDifferences(all []Difference) (out []Difference) {
-	for _, d := range retainFirst(all) {
-		out = append(out, Difference{sanitize(d.Kind), sanitize(d.Table), sanitize(d.Range), sanitize(d.Source), sanitize(d.Target)})
+// reopen ends a pause without a switch.
+func (a *application) reopen() {
+	data := a.request.Data
+	a.state.Pause = nil
+	a.state.AbortedPauses++
+	a.state.LastAbort = a.announced()
+	a.state.addNote("the pause was taken back: %s", data.Reason)
+	if data.RollbackReason != "" {
+		a.state.RollbackReason = data.RollbackReason
+	}
+	switch {
+	case a.state.Reverse:
+		a.state.Phase = PhaseSwitched
+		a.state.Reverse = false
+	case a.state.RollbackReason != "":
+		a.state.Phase = PhaseCleaningUp
+		return
+	default:
+		a.state.Phase = PhaseCatchingUp
+	}
+	a.state.recordDifferences(a.state.Differences)
+	if data.HoldReason != "" {
+		a.state.HoldReason = data.HoldReason
+	} else if a.state.AbortedPauses >= a.request.Plan.MaxAbortedPauses && a.state.HoldReason == "" {
+		a.state.HoldReason = "as many pauses were taken back as the plan allows"
 	}
-	return out
 }
 
-func sanitizeSessions(all []BlockingSession) (out []BlockingSession) {
-	for _, g := range retainFirst(all) {
-		out = append(out, BlockingSession{g.PID, sanitize(g.User), sanitize(g.Kind), sanitize(g.Age)})
+func (a *application) replicateBack() {
+	a.state.ReverseReplicating = true
+	if a.request.Data.Recopy {
+		a.state.addNote("the old home is copied anew from the new one")
 	}
-	return out
+	a.state.resetComparison(a.outcome.Timelines)
 }
 
-type unknownOperationError string
+func (a *application) accept() { a.state.Phase = PhaseAccepted }
+
+func (a *application) finish() {
+	a.state.Phase = PhaseCompleted
+	a.result.Finished = true
+	a.result.Reason = "accepted"
+}
 
-func (e unknownOperationError) Error() string { return "there is no deed " + string(e) }
+func (a *application) rolledBack() {
+	a.state.Phase = PhaseRolledBack
+	a.state.RollbackReason = a.request.Data.RollbackReason
+	a.result.Finished = true
+	a.result.Reason = "taken back: " + a.request.Data.RollbackReason
+}
+
+func (a *application) hold() { a.state.HoldReason = a.request.Data.HoldReason }
+
+func (a *application) resume() {
+	a.state.HoldReason = ""
+	a.state.AbortedPauses = 0
+	a.state.RecopyRequired = a.state.RecopyRequired || len(a.state.Differences) > 0
+}
+
+func (a *application) rollBack() {
+	a.state.RollbackReason = a.request.Data.RollbackReason
+	a.state.HoldReason = ""
+}
+
+func (a *application) discardApproval() {
+	a.state.addNote("%s means nothing while it is %s", a.request.Data.Reason, a.state.Phase)
+}
--- a/internal/cluster/migration/decide.go
+++ b/internal/cluster/migration/decide.go
@@ -8,461 +8,269 @@
 	"ashstand/internal/cluster/jobs"
 )
 
-// Deeds of a move.
-const (
-	OperationCheck           = "check"
-	OperationPublish         = "publish"
-	OperationSubscribe       = "subscribe"
-	OperationCopy            = "copy"
-	OperationTrack           = "mark"
-	OperationCompare         = "compare"
-	OperationPause           = "pause"
-	OperationFence           = "close"
-	OperationVerify          = "verify"
-	OperationSwitch          = "switch"
-	OperationReplicateBack   = "feed"
-	OperationReopen          = "reopen"
-	OperationAccept          = "accept"
-	OperationFinish          = "finish"
-	OperationCleanUp         = "clear"
-	OperationCancel          = "end"
-	OperationHold            = "hold"
-	OperationResume          = "resume"
-	OperationRollBack        = "back"
-	OperationDiscardApproval = "drop"
-)
-
-// OperationData are what a deed was announced with.
-type OperationData struct {
-	At                  float64 `json:"at"`                // when, by the clock of the owner whose token the deed bears
-	TimeoutMillis       float64 `json:"within,omitempty"`  // ms that the places may take
-	Rows                float64 `json:"rows,omitempty"`    // copy: about so many
-	EndBlockingSessions bool    `json:"end,omitempty"`     // close: sessions that hold it up are ended
-	Recopy              bool    `json:"again,omitempty"`   // subscribe, feed: what is there goes first; clear: so that it is copied anew
-	Reverse             bool    `json:"reverse,omitempty"` // pause: back to the old home
-	RollbackReason      string  `json:"back,omitempty"`    // reopen, clear, pause: why the move is taken back
-	HoldReason          string  `json:"held,omitempty"`    // hold, reopen: why it waits then
-	Reason              string  `json:"why,omitempty"`     // reopen: what for; drop: the word
-	FailedOver          bool    `json:"doubt,omitempty"`   // mark: a side failed over
-	LostCommits         string  `json:"lost,omitempty"`    // what a failover left behind
-}
-
-// Observation is what the places and the agreed rules showed. It counts for the step that it was seen at.
-type Observation struct {
-	Step          uint64
-	Version       int  // of the newest logged rules
-	InForce       bool // every pooler with a lease acts on it alone
-	Paused        bool // by that version
-	Group         Group
-	MayStart      bool // the move may go on beside those that run
-	WaitReason    string
-	RowsPerSecond float64 // rows/s that both sides have room for; 0: none now
-	ReplicationStatus
-}
-
-// ReplicationStatus is how far the new home follows the old one, or the other way round once it is fed back.
-type ReplicationStatus struct {
-	Reachable      bool      // both sides answered
-	Timelines      Timelines // of now
-	SourceLSN      LSN       // past the home's last write
-	AppliedLSN     LSN       // that the other has taken in, and has on those of its standbys that may take over
-	LagMillis      float64   // ms that the other needs to take in what is missing, by its pace of late
-	TablesCopied   bool      // every table that was handed over is copied
-	SlotLost       bool      // the other has no subscription, or the home no slot for it any more: copy anew
-	TargetAhead    bool      // the other is known to hold what the home has lost by a failover: copy anew
-	TrackingLost   bool      // what was noted of touched ranges, or the slot for the way back, is lost
-	VerifyMillis   float64   // ms that reading these again takes, by the pace of late
-	UnfitReason    string    // why the new home should not be gone to now: cold, draining, slow
-	TargetUnfenced bool      // the other home's fence is open, after a failover there
-}
-
-// Next says what comes after what is proven.
-func (m *Migrator) Next(now float64, w *jobs.Job, seen any) jobs.Decision {
-	p, err := decodePlan(w.Spec)
+// Next implements jobs.Handler: it decides, without I/O, what comes after the recorded state.
+func (m *Migrator) Next(now float64, job *jobs.Job, observation any) jobs.Decision {
+	plan, err := decodePlan(job.Spec)
 	if err != nil {
 		return jobs.Decision{Reason: "the plan can't be read: " + err.Error()}
 	}
-	s, err := decodeState(w)
+	state, err := DecodeState(job)
 	if err != nil {
 		return jobs.Decision{Reason: "the state can't be read: " + err.Error()}
 	}
-	look, _ := seen.(*Observation)
-	if look != nil && look.Step != w.Step {
-		look = nil // it was seen before the last deed was done
+	observed, _ := observation.(*Observation)
+	if observed != nil && observed.Step != job.Step {
+		observed = nil // it was made before the last operation was executed
 	}
-	n := &next{p: p, c: m.Timing, s: s, w: w, now: now, seen: look, broken: m.DisabledGuarantee}
-	step := n.step()
-	step.Options = n.says()
-	if word := w.Approval; step.OperationName == "" && word != nil && (word.Step == w.Step || word.Persistent) &&
-		!slices.ContainsFunc(step.Options, func(o jobs.ApprovalOption) bool { return o.Action == word.Action }) {
-		n.took = word // it means nothing here, and no other can be given while it stands
-		return n.do(OperationDiscardApproval, OperationData{Reason: word.Action})
+	d := &decider{plan: plan, timing: m.Timing, state: state, job: job, now: now, observed: observed, disabled: m.DisabledGuarantee}
+	decision := d.decide()
+	decision.Options = d.options()
+	if decision.OperationName == "" && d.hasUselessApproval(decision.Options) {
+		d.approval = job.Approval // no other can be given while it stands
+		return d.announce(OperationDiscardApproval, OperationData{Reason: job.Approval.Action})
 	}
-	return step
+	return decision
+}
+
+// decider makes one decision.
+type decider struct {
+	plan     Plan
+	timing   Timing
+	state    State
+	job      *jobs.Job
+	now      float64        // milliseconds
+	observed *Observation   // nil: nothing was observed at this step
+	approval *jobs.Approval // that the operation takes up; nil: none
+	disabled string         // see Migrator.DisabledGuarantee
 }
 
-// next is one decision.
-type next struct {
-	p      Plan
-	c      Timing
-	s      State
-	w      *jobs.Job
-	now    float64
-	seen   *Observation
-	took   *jobs.Approval
-	broken string
+// isApprovalCurrent reports whether an approval is there and was given for this step. A persistent one counts at any.
+func (d *decider) isApprovalCurrent() bool {
+	approval := d.job.Approval
+	return approval != nil && (approval.Step == d.job.Step || approval.Persistent)
 }
 
-// word takes the word that was given for this step, if it is one of these. A lasting one counts at any.
-func (n *next) word(say ...string) bool {
-	if w := n.w.Approval; w != nil && (w.Step == n.w.Step || w.Persistent) && slices.Contains(say, w.Action) {
-		n.took = w
-		return true
+// takeApproval takes up the approval that was given for this step, if it is for an action.
+func (d *decider) takeApproval(action string) bool {
+	if !d.isApprovalCurrent() || d.job.Approval.Action != action {
+		return false
 	}
-	return false
+	d.approval = d.job.Approval
+	return true
 }
 
-// do announces a deed, with the word that was taken.
-func (n *next) do(deed string, d OperationData) jobs.Decision {
-	d.At = n.now
-	b, _ := json.Marshal(d)
-	return jobs.Decision{OperationName: deed, Data: b, Approval: n.took}
+// hasUselessApproval reports whether an approval is for none of the options.
+func (d *decider) hasUselessApproval(options []jobs.ApprovalOption) bool {
+	return d.isApprovalCurrent() && !slices.ContainsFunc(options, func(option jobs.ApprovalOption) bool {
+		return option.Action == d.job.Approval.Action
+	})
 }
 
-func wait(why string, args ...any) jobs.Decision {
-	return jobs.Decision{Reason: fmt.Sprintf(why, args...)}
+// passes reports whether a checkpoint is passed: the plan does not wait there, or its approval was given.
+func (d *decider) passes(checkpoint Checkpoint) bool {
+	return !d.plan.waitsAt(checkpoint) || d.disabled == GuaranteeApproval || d.takeApproval(ActionGo)
 }
 
-func (n *next) step() jobs.Decision {
-	if s, ok := n.rollback(); ok {
-		return s
-	}
-	if n.s.Phase == PhaseFencing || n.s.Phase == PhaseVerifying { // time runs: no wait here may be without an end
-		return n.paused()
+// announce decides for an operation, with the approval that was taken up.
+func (d *decider) announce(operation Operation, data OperationData) jobs.Decision {
+	data.At = d.now
+	encoded, _ := json.Marshal(data) // numbers, texts and flags: it can't fail
+	return jobs.Decision{OperationName: string(operation), Data: encoded, Approval: d.approval}
+}
+
+// waitFor decides to wait.
+func waitFor(reason string, args ...any) jobs.Decision {
+	return jobs.Decision{Reason: fmt.Sprintf(reason, args...)}
+}
+
+// decide goes from what an operator has the most urgent interest in to what merely comes next.
+func (d *decider) decide() jobs.Decision {
+	if decision, decided := d.rollBack(); decided {
+		return decision
 	}
-	if n.s.HoldReason == "" && n.s.RollbackReason == "" && n.mayHold() && n.word(ActionPause) {
-		return n.do(OperationHold, OperationData{HoldReason: "an operator said pause"})
+	if d.state.Phase.isPaused() { // time runs: no wait may be without an end here
+		return d.continuePause()
 	}
-	if n.s.HoldReason != "" && n.s.Phase != PhaseCleaningUp {
-		if n.word(ActionResume) {
-			return n.do(OperationResume, OperationData{})
-		}
-		if n.s.Phase != PhaseSwitched || n.s.ReverseReplicating { // the way back is built while it waits
-			return wait("held: %s", n.s.HoldReason)
-		}
+	if decision, decided := d.hold(); decided {
+		return decision
 	}
-	switch n.s.Phase {
+	switch d.state.Phase {
 	case PhasePlanned:
-		if n.seen == nil || !n.seen.MayStart {
-			return wait("it is another move's turn%s", n.turns())
-		}
-		return n.do(OperationCheck, OperationData{})
+		return d.start()
 	case PhaseChecked:
-		if !n.s.Published && !n.goes(CheckpointChecked) {
-			return wait("waits for go, to build the copy at the new home")
-		}
-		if !n.s.Published {
-			return n.do(OperationPublish, OperationData{})
-		}
-		return n.do(OperationSubscribe, OperationData{})
+		return d.build()
 	case PhaseCopying:
-		return n.copying()
+		return d.copyTables()
 	case PhaseCatchingUp:
-		return n.catchingUp()
+		return d.beginPause()
 	case PhaseSwitched:
-		return n.switched()
+		return d.finishOrReturn()
 	case PhaseAccepted:
-		return n.do(OperationFinish, OperationData{})
+		return d.announce(OperationFinish, OperationData{})
 	case PhaseCleaningUp:
-		return n.do(OperationCleanUp, OperationData{RollbackReason: n.s.RollbackReason})
+		return d.announce(OperationCleanUp, OperationData{RollbackReason: d.state.RollbackReason})
 	}
-	return wait("it has ended")
+	return waitFor("it has ended")
 }
 
-func (n *next) turns() string {
-	if n.seen == nil || n.seen.WaitReason == "" {
-		return ""
-	}
-	return ": " + n.seen.WaitReason
-}
+// Reasons that stand in the log where an operator's action is their cause.
+const (
+	reasonOperatorPause    = "an operator said pause"
+	reasonOperatorRollback = "an operator said rollback"
+)
 
-// rollback is what an operator's rollback comes to, whatever else could be done.
-func (n *next) rollback() (jobs.Decision, bool) {
-	if n.broken == "back" || n.s.RollbackReason != "" || !n.word(ActionRollback) {
-		n.took = nil
+// rollBack carries out an operator's rollback, whatever else could be done.
+func (d *decider) rollBack() (jobs.Decision, bool) {
+	if d.disabled == GuaranteeRollback || d.state.RollbackReason != "" || !d.state.Phase.canRollBack() || !d.takeApproval(ActionRollback) {
 		return jobs.Decision{}, false
 	}
-	d := OperationData{RollbackReason: "an operator said rollback"}
-	switch n.s.Phase {
-	case PhasePlanned, PhaseChecked:
-		if !n.s.Published {
-			return n.do(OperationCancel, d), true
-		}
-		return n.do(OperationCleanUp, d), true
-	case PhaseCopying, PhaseCatchingUp:
-		return n.do(OperationCleanUp, d), true
-	case PhaseFencing, PhaseVerifying:
-		d.Reason = d.RollbackReason
-		return n.do(OperationReopen, d), true
-	case PhaseSwitched:
-		return n.do(OperationRollBack, d), true
-	}
-	n.took = nil
-	return jobs.Decision{}, false
+	data := OperationData{RollbackReason: reasonOperatorRollback}
+	switch {
+	case d.state.Phase.isPaused():
+		data.Reason = data.RollbackReason
+		return d.announce(OperationReopen, data), true
+	case d.state.Phase == PhaseSwitched:
+		return d.announce(OperationRollBack, data), true
+	case OperationCancel.AllowedIn(d.state.Phase) && !d.state.Published:
+		return d.announce(OperationCancel, data), true
+	}
+	return d.announce(OperationCleanUp, data), true
 }
 
-// copying hands over tables at the pace that both sides have room for.
-func (n *next) copying() jobs.Decision {
-	see := n.seen
-	if s, wait := n.follow(); wait {
-		return s
-	}
-	if see.UnfitReason == "draining" {
-		return wait("the new home is draining")
-	}
-	if n.s.Copy.Complete {
-		return n.do(OperationTrack, OperationData{LostCommits: n.failover(), FailedOver: see.Timelines != n.s.Timelines})
+// hold begins or ends a hold on an operator's approval, and waits while there is one.
+func (d *decider) hold() (jobs.Decision, bool) {
+	isHeld := d.state.HoldReason != ""
+	if !isHeld && d.state.RollbackReason == "" && OperationHold.AllowedIn(d.state.Phase) && d.takeApproval(ActionPause) {
+		return d.announce(OperationHold, OperationData{HoldReason: reasonOperatorPause}), true
 	}
-	pace := see.RowsPerSecond
-	if n.p.MaxRowsPerSecond > 0 {
-		pace = min(pace, n.p.MaxRowsPerSecond)
-	}
-	if pace <= 0 {
-		return wait("neither side may be loaded further now")
+	if !isHeld || d.state.Phase == PhaseCleaningUp {
+		return jobs.Decision{}, false
 	}
-	// What was handed over last has to have had its time at this pace. Another owner's clock counts for nothing.
-	if ago, known := n.s.Copy.BatchStarted.elapsed(n.now, n.w.Token); known && ago < n.s.Copy.BatchRows/pace*1000 {
-		s := wait("paced at %.0f rows/s", pace)
-		s.RetryAfterMillis = n.s.Copy.BatchRows/pace*1000 - ago
-		return s
+	if d.takeApproval(ActionResume) {
+		return d.announce(OperationResume, OperationData{}), true
 	}
-	return n.do(OperationCopy, OperationData{Rows: pace * batch})
-}
-
-// pausedLook is how often it is looked while a tenant is paused, in ms: short against any pause.
-const pausedLook = 20
-
-const batch = 10 // seconds' worth of rows handed over at once: short against a change of load, long against a deed in the log
-
-// failover words what a failover of the home left behind, "" if it had none.
-func (n *next) failover() string {
-	is, was := n.seen.Timelines.Source, n.s.Timelines.Source
-	if is == was || was == 0 {
-		return ""
+	if d.state.Phase == PhaseSwitched && !d.state.ReverseReplicating {
+		return jobs.Decision{}, false // the way back is built while it waits
 	}
-	home, _ := n.s.groups(n.p)
-	return fmt.Sprintf("group %d failed over from timeline %d to %d: what was acknowledged there and not passed on is lost", home, was, is)
+	return waitFor("held: %s", d.state.HoldReason), true
 }
 
-// follow sees to it that the other home can follow this one: it is copied anew where that can't be had otherwise.
-func (n *next) follow() (jobs.Decision, bool) {
-	see := n.seen
-	if see == nil || !see.Reachable {
-		return wait("the homes can't be reached"), true
-	}
-	if n.s.RecopyRequired || see.SlotLost || see.TargetAhead {
-		if n.s.Phase == PhaseSwitched {
-			return n.do(OperationReplicateBack, OperationData{Recopy: true, LostCommits: n.failover()}), true
-		}
-		return n.do(OperationSubscribe, OperationData{Recopy: true, LostCommits: n.failover()}), true
+func (d *decider) start() jobs.Decision {
+	if d.observed != nil && d.observed.MayStart {
+		return d.announce(OperationCheck, OperationData{})
 	}
-	if !see.TablesCopied {
-		return wait("tables are being copied"), true
+	if d.observed == nil || d.observed.WaitReason == "" {
+		return waitFor("it is another move's turn")
 	}
-	return jobs.Decision{}, false
+	return waitFor("it is another move's turn: %s", d.observed.WaitReason)
 }
 
-// compared sees to it that all has been found equal since either side failed over last: the home may have lost what the
-// other has taken in, and the other may have lost what the home holds for passed on.
-func (n *next) compared() (jobs.Decision, bool) {
-	if n.seen.TrackingLost || n.seen.Timelines != n.s.Timelines {
-		return n.do(OperationTrack, OperationData{LostCommits: n.failover(), FailedOver: n.seen.Timelines != n.s.Timelines}), true
+func (d *decider) build() jobs.Decision {
+	if d.state.Published {
+		return d.announce(OperationSubscribe, OperationData{})
 	}
-	if !n.s.Comparison.Complete {
-		return n.do(OperationCompare, OperationData{}), true
+	if !d.passes(CheckpointChecked) {
+		return waitFor("waits for go, to build the copy at the new home")
 	}
-	return jobs.Decision{}, false
+	return d.announce(OperationPublish, OperationData{})
 }
 
-// soon sees to it that a pause which begins now can be expected to end in a switch.
-func (n *next) soon() (jobs.Decision, bool) {
-	see := n.seen
-	if ago, known := n.s.LastAbort.elapsed(n.now, n.w.Token); known && n.s.AbortedPauses > 0 && ago < n.p.BackoffMillis {
-		s := wait("rests after a pause that was taken back")
-		s.RetryAfterMillis = n.p.BackoffMillis - ago
-		return s, true
-	}
-	if see.UnfitReason != "" {
-		return wait("the new home is %s", see.UnfitReason), true
-	}
-	if need, ok := n.fits(see); !ok {
-		ago, known := n.s.Comparison.Started.elapsed(n.now, n.w.Token)
-		if see.VerifyMillis > see.LagMillis && (!known || ago > n.p.BackoffMillis) { // fewer ranges are touched right after a comparison
-			return n.do(OperationTrack, OperationData{}), true
-		}
-		return wait("a pause now would need %.0f ms, %.0f are left of its bound", need, n.c.CutoffMillis(n.p)), true
-	}
-	return jobs.Decision{}, false
-}
+// copyBatchSeconds is how many seconds' worth of rows are handed over at once: short against a change of load, long
+// against an operation in the log.
+const copyBatchSeconds = 10
 
-// fits says whether a pause begun now can be expected to end in a switch.
-func (n *next) fits(see *Observation) (float64, bool) {
-	need := n.c.ForwardMillis(n.p.FenceWaitMillis) + see.LagMillis + see.VerifyMillis
-	return need, need <= n.c.CutoffMillis(n.p)
-}
+const millisPerSecond = 1000
 
-func (n *next) catchingUp() jobs.Decision {
-	for _, first := range []func() (jobs.Decision, bool){n.follow, n.compared, n.soon} {
-		if s, is := first(); is {
-			return s
-		}
+// copyTables hands tables over at the rate that both groups have capacity for.
+func (d *decider) copyTables() jobs.Decision {
+	if decision, decided := d.ensureReplication(); decided {
+		return decision
 	}
-	if !n.goes(CheckpointFencing) {
-		return wait("waits for go, to pause the tenant")
+	if d.observed.UnfitReason == "draining" {
+		return waitFor("the new home is draining")
 	}
-	return n.do(OperationPause, OperationData{})
-}
-
-// goes says whether a checkpoint is passed: the plan has none there, or its word was given.
-func (n *next) goes(checkpoint string) bool {
-	return !n.p.waitsAt(checkpoint) || n.broken == "word" || n.word(ActionGo)
-}
-
-// paused goes on with a pause, or takes it back early enough.
-func (n *next) paused() jobs.Decision {
-	s, see := n.s, n.seen
-	if n.word(ActionPause) {
-		return n.do(OperationReopen, OperationData{Reason: "an operator said pause", HoldReason: "an operator said pause"})
-	}
-	ago, known := s.Pause.Started.elapsed(n.now, n.w.Token)
-	left := n.c.CutoffMillis(n.p) - ago
-	if n.broken != "pause" {
-		if !known {
-			return n.do(OperationReopen, OperationData{Reason: "its owner was replaced: how long the pause has lasted is known to nobody"})
-		}
-		if left <= 0 {
-			return n.do(OperationReopen, OperationData{Reason: "its time was up: " + n.stands()})
-		}
+	if d.state.Copy.Complete {
+		return d.track()
+	}
+	rate := d.observed.RowsPerSecond
+	if d.plan.MaxRowsPerSecond > 0 {
+		rate = min(rate, d.plan.MaxRowsPerSecond)
+	}
+	if rate <= 0 {
+		return waitFor("neither side may be loaded further now")
 	}
-	step := n.forward(see, left)
-	if step.OperationName == "" && n.broken != "pause" {
-		step.RetryAfterMillis = max(1, min(left, pausedLook)) // what it waits for shows at the places and in the rules, and has to be looked for
+	batchMillis := d.state.Copy.BatchRows / rate * millisPerSecond
+	if elapsed, known := d.state.Copy.BatchStarted.elapsed(d.now, d.job.Token); known && elapsed < batchMillis {
+		decision := waitFor("paced at %.0f rows/s", rate)
+		decision.RetryAfterMillis = batchMillis - elapsed
+		return decision
 	}
-	return step
+	return d.announce(OperationCopy, OperationData{Rows: rate * copyBatchSeconds})
 }
 
-// stands says what a pause was waiting for.
-func (n *next) stands() string {
-	switch p := n.s.Pause; {
-	case p.Fence == nil && len(n.s.BlockingSessions) > 0:
-		return joinErrors(pointers(n.s.BlockingSessions))
-	case p.Fence == nil && p.FenceAttempts == 0:
-		return "the version that pauses was not in force"
-	case p.Fence == nil:
-		return "writers did not end"
-	case !p.Verified:
-		return "the other home had not taken in all of it"
-	}
-	return "nobody said go"
+// track begins to record changes anew, and notes if a failover is the cause.
+func (d *decider) track() jobs.Decision {
+	return d.announce(OperationTrack, OperationData{LostCommits: d.describeFailover(), FailedOver: d.observed.Timelines != d.state.Timelines})
 }
 
-func (n *next) forward(see *Observation, left float64) jobs.Decision {
-	s := n.s
-	if s.Pause.Fence == nil {
-		if see == nil || !see.Paused || !see.InForce || see.Version < s.Pause.RulesVersion {
-			return wait("until every pooler acts on the pause")
-		}
-		return n.do(OperationFence, OperationData{TimeoutMillis: max(1, min(n.p.FenceWaitMillis, left)), EndBlockingSessions: n.p.BlockingSessions == "end" && s.Pause.FenceAttempts > 0})
-	}
-	if s.Pause.Verified {
-		if !s.Reverse && !n.goes(CheckpointSwitching) {
-			return wait("waits for go, to switch")
-		}
-		return n.do(OperationSwitch, OperationData{TimeoutMillis: max(1, left)})
-	}
-	if len(s.Differences) > 0 {
-		return n.do(OperationReopen, OperationData{Reason: "verify found differences: " + joinErrors(pointers(s.Differences))})
-	}
-	if see == nil || !see.Reachable {
-		return wait("the homes can't be reached")
-	}
-	if see.Timelines.Source != s.Pause.Fence.Timeline { // the new primary may lack the fence, and positions mean something else
-		return n.do(OperationFence, OperationData{TimeoutMillis: max(1, min(n.p.FenceWaitMillis, left))})
-	}
-	if see.SlotLost || see.TargetAhead {
-		return n.do(OperationReopen, OperationData{Reason: "the other home can't follow any more: it has to be copied anew"})
-	}
-	if see.AppliedLSN < s.Pause.Fence.LSN || !see.TablesCopied {
-		return wait("the other home has taken in %v of %v", see.AppliedLSN, s.Pause.Fence.LSN)
+// describeFailover says what a failover of the source left behind; empty: it had none.
+func (d *decider) describeFailover() string {
+	is, was := d.observed.Timelines.Source, d.state.Timelines.Source
+	if is == was || was == 0 {
+		return ""
 	}
-	return n.do(OperationVerify, OperationData{TimeoutMillis: max(1, left)})
+	source, _ := d.state.groups(&d.plan)
+	return fmt.Sprintf("group %d failed over from timeline %d to %d: what was acknowledged there and not passed on is lost", source, was, is)
 }
 
-func (n *next) switched() jobs.Decision {
-	if !n.s.ReverseReplicating || n.seen != nil && n.seen.Reachable && n.seen.TargetUnfenced {
-		return n.do(OperationReplicateBack, OperationData{})
-	}
-	for _, first := range []func() (jobs.Decision, bool){n.follow, n.compared} {
-		if s, is := first(); is {
-			return s
-		}
-	}
-	if n.s.RollbackReason != "" {
-		if s, is := n.soon(); is {
-			return s
+// ensureReplication sees to it that the target can follow the source: it is copied anew where there is no other way.
+func (d *decider) ensureReplication() (jobs.Decision, bool) {
+	if d.observed == nil || !d.observed.Reachable {
+		return waitFor("the homes can't be reached"), true
+	}
+	if d.state.RecopyRequired || d.observed.SlotLost || d.observed.TargetAhead {
+		data := OperationData{Recopy: true, LostCommits: d.describeFailover()}
+		if d.state.Phase == PhaseSwitched {
+			return d.announce(OperationReplicateBack, data), true
 		}
-		return n.do(OperationPause, OperationData{Reverse: true})
+		return d.announce(OperationSubscribe, data), true
 	}
-	if n.word(ActionAccept) {
-		return n.do(OperationAccept, OperationData{})
+	if !d.observed.TablesCopied {
+		return waitFor("tables are being copied"), true
 	}
-	return wait("waits for accept or rollback; the old home is fed")
+	return jobs.Decision{}, false
 }
 
-func (n *next) mayHold() bool {
-	return slices.Contains([]Phase{PhasePlanned, PhaseChecked, PhaseCopying, PhaseCatchingUp, PhaseSwitched}, n.s.Phase)
+// ensureComparison sees to it that all has been found equal since the last failover of either side: the source may have
+// lost what the target has applied, and the target what the source's slot counts as delivered.
+func (d *decider) ensureComparison() (jobs.Decision, bool) {
+	if d.observed.TrackingLost || d.observed.Timelines != d.state.Timelines {
+		return d.track(), true
+	}
+	if !d.state.Comparison.Complete {
+		return d.announce(OperationCompare, OperationData{}), true
+	}
+	return jobs.Decision{}, false
 }
 
-// says are the words that could be given for this step.
-func (n *next) says() (out []jobs.ApprovalOption) {
-	say := func(word, does string) {
-		out = append(out, jobs.ApprovalOption{Action: word, Effect: does, Persistent: word == ActionRollback})
+// finishOrReturn builds the way back, then waits until an operator accepts the migration or rolls it back.
+func (d *decider) finishOrReturn() jobs.Decision {
+	if !d.state.ReverseReplicating || d.observed != nil && d.observed.Reachable && d.observed.TargetUnfenced {
+		return d.announce(OperationReplicateBack, OperationData{})
+	}
+	for _, ensure := range []func() (jobs.Decision, bool){d.ensureReplication, d.ensureComparison} {
+		if decision, decided := ensure(); decided {
+			return decision
+		}
 	}
-	s := n.s
-	switch {
-	case s.HoldReason != "" && s.Phase != PhaseCleaningUp:
-		say(ActionResume, resumes(s))
-	case s.Phase == PhaseChecked && n.p.waitsAt(CheckpointChecked) && !s.Published:
-		say(ActionGo, "the copy at the new home is built")
-	case s.Phase == PhaseCatchingUp && s.Comparison.Complete && n.p.waitsAt(CheckpointFencing):
-		say(ActionGo, fmt.Sprintf("the tenant is paused, for %.0f ms at most", n.p.MaxPauseMillis))
-	case s.Phase == PhaseVerifying && n.p.waitsAt(CheckpointSwitching) && s.Pause.Verified && s.RollbackReason == "":
-		say(ActionGo, "the tenant is served by the new home")
-	case s.Phase == PhaseSwitched && s.RollbackReason == "" && s.ReverseReplicating && s.Comparison.Complete:
-		say(ActionAccept, "the old home is fed no longer and there is no way back by this move")
-	}
-	if s.HoldReason == "" && s.RollbackReason == "" {
-		if n.mayHold() {
-			say(ActionPause, "nothing further is begun until resume; what runs at the homes goes on")
-		} else if s.Phase == PhaseFencing || s.Phase == PhaseVerifying {
-			say(ActionPause, "the tenant opens again where it was, and nothing further is begun until resume")
+	if d.state.RollbackReason != "" {
+		if decision, decided := d.ensurePauseFits(); decided {
+			return decision
 		}
+		return d.announce(OperationPause, OperationData{Reverse: true})
 	}
-	if s.RollbackReason == "" && slices.Contains([]Phase{PhasePlanned, PhaseChecked, PhaseCopying, PhaseCatchingUp, PhaseFencing, PhaseVerifying, PhaseSwitched}, s.Phase) {
-		say(ActionRollback, RollbackEffects[s.Phase])
+	if d.takeApproval(ActionAccept) {
+		return d.announce(OperationAccept, OperationData{})
 	}
-	return out
-}
-
-// resumes says what resume does.
-func resumes(s State) string {
-	switch {
-	case len(s.Differences) > 0 && s.Phase == PhaseSwitched:
-		return "the old home's copy is emptied and copied anew from the new one"
-	case len(s.Differences) > 0:
-		return "the copy at the new home is emptied and copied anew"
-	case s.Phase == PhasePlanned:
-		return "the check is done again"
-	}
-	return "the move goes on"
+	return waitFor("waits for accept or rollback; the old home is fed")
 }
--- /dev/null
+++ b/internal/cluster/migration/errors.go
@@ -0,0 +1,76 @@
+package migration
+
+import "fmt"
+
+// PlanError is one thing that is wrong with a plan.
+type PlanError struct {
+	Key    string // of the plan
+	Value  any    // nil: none was given
+	Detail string // what is allowed
+}
+
+func (e *PlanError) Error() string {
+	if e.Value == nil {
+		return e.Key + ": " + e.Detail
+	}
+	return fmt.Sprintf("%s is %v: %s", e.Key, e.Value, e.Detail)
+}
+
+// Code is the reason.
+func (e *PlanError) Code() string { return "plan_malformed" }
+
+// Advice says what an operator can do.
+func (e *PlanError) Advice() string {
+	return "correct " + e.Key + " and order the move again; nothing was begun"
+}
+
+// TenantLockedError says that another job migrates the tenant.
+type TenantLockedError struct {
+	Tenant string
+	Job    string // the other one
+}
+
+func (e *TenantLockedError) Error() string {
+	return "tenant " + e.Tenant + " is being moved by " + e.Job
+}
+
+// Code is the reason.
+func (e *TenantLockedError) Code() string { return "tenant_taken" }
+
+// Advice says what an operator can do.
+func (e *TenantLockedError) Advice() string {
+	return "let " + e.Job + " end, or take it back; then resume or order this one anew"
+}
+
+// UnreadableJobError says that this version can't read a job's plan, state or operation: a newer one wrote it.
+type UnreadableJobError struct {
+	Job string
+	Err error
+}
+
+func (e *UnreadableJobError) Error() string {
+	return "work " + e.Job + " can't be read: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnreadableJobError) Unwrap() error { return e.Err }
+
+// Code is the reason.
+func (e *UnreadableJobError) Code() string { return "work_unreadable" }
+
+// Advice says what an operator can do.
+func (e *UnreadableJobError) Advice() string { return "run the program that began it, or a newer one" }
+
+// unknownOperationError names an operation that this version does not have.
+type unknownOperationError Operation
+
+func (e unknownOperationError) Error() string { return "there is no deed " + string(e) }
+
+// cursorTooLongError is of a position in a copy or comparison that a state has no room for.
+type cursorTooLongError struct {
+	bytes int
+}
+
+func (e *cursorTooLongError) Error() string {
+	return fmt.Sprintf("a position of %d bytes to go on from, %d are the most", e.bytes, maxCursorBytes)
+}
--- a/internal/cluster/migration/golden_test.go
+++ b/internal/cluster/migration/golden_test.go
@@ -72,7 +72,7 @@
 
 func filledPlan() Plan {
 	return Plan{
-		Tenant: "orders", From: 1, To: 2, MaxPauseMillis: 4000, FenceWaitMillis: 200, MaxAbortedPauses: 3, BackoffMillis: 1000, Checkpoints: []string{CheckpointChecked, CheckpointFencing, CheckpointSwitching, CheckpointAccepting},
+		Tenant: "orders", From: 1, To: 2, MaxPauseMillis: 4000, FenceWaitMillis: 200, MaxAbortedPauses: 3, BackoffMillis: 1000, Checkpoints: []Checkpoint{CheckpointChecked, CheckpointFencing, CheckpointSwitching, CheckpointAccepting},
 		BlockingSessions: "end", MaxRowsPerSecond: 1234.5, SampledQueries: 7, OldCopy: "drop", Priority: 2.5,
 	}
 }
@@ -100,7 +100,7 @@
 }
 
 // operations are the names of all of them.
-var operations = []string{
+var operations = []Operation{
 	OperationCheck, OperationPublish, OperationSubscribe, OperationCopy, OperationTrack, OperationCompare, OperationPause, OperationFence, OperationVerify, OperationSwitch, OperationReplicateBack, OperationReopen,
 	OperationAccept, OperationFinish, OperationCleanUp, OperationCancel, OperationHold, OperationResume, OperationRollBack, OperationDiscardApproval,
 }
@@ -121,26 +121,26 @@
 
 // Each operation: its data as announced, and the state and the end as its proof says.
 func TestGoldenOperations(t *testing.T) {
-	r := operationResult{
+	r := outcome{
 		Recovery: Recovery{
 			Done: true, Timelines: Timelines{3, 4}, Copied: CopyResult{LastTable: "public.b", Rows: 400, Complete: true},
 			Compared: ComparisonResult{LastRange: "public.b 9", Complete: true, EqualRanges: 3, ChangedRanges: 1, Differences: []Difference{{Kind: "rows", Table: "public.b", Range: "9 to the end", Source: "1 rows, aa", Target: "0 rows, 00"}}},
 			Fence:    &FencePoint{Timeline: 1, LSN: 900},
 		}, checkResults: CheckResults{{Reason: CheckSequence, Name: "public.s", Detail: "at 5", Informational: true}},
-		blocking: []BlockingSession{{PID: 18, User: "batch", Kind: "writing", Age: "9s"}}, verified: VerificationResult{RangesRead: 5, QueriesReplayed: 6, Timelines: Timelines{1, 4}}, version: 8,
+		blocking: []BlockingSession{{PID: 18, User: "batch", Kind: "writing", Age: "9s"}}, verification: VerificationResult{RangesRead: 5, QueriesReplayed: 6, Timelines: Timelines{1, 4}}, rulesVersion: 8,
 	}
 	for _, name := range operations {
-		t.Run(name, func(t *testing.T) {
+		t.Run(string(name), func(t *testing.T) {
 			data, err := json.Marshal(filledData())
 			require.NoError(t, err)
-			proof, err := after(Request{Plan: filledPlan(), Job: "orders-to-2", Token: 6, Number: 21, Operation: name, AnnouncedToken: 5, State: filledState(PhaseVerifying), Data: filledData()}, r)
+			proof, err := applyOutcome(Request{Plan: filledPlan(), Job: "orders-to-2", Token: 6, Number: 21, Operation: name, AnnouncedToken: 5, State: filledState(PhaseVerifying), Data: filledData()}, r)
 			require.NoError(t, err)
 			var state State
 			require.NoError(t, json.Unmarshal(proof.State, &state))
 			again, err := json.Marshal(state)
 			require.NoError(t, err)
 			require.Equal(t, string(proof.State), string(again))
-			requireGoldenJSON(t, "operation-"+name+".json", struct {
+			requireGoldenJSON(t, "operation-"+string(name)+".json", struct {
 				Data  json.RawMessage `json:"data"`
 				State json.RawMessage `json:"state"`
 				Ended bool            `json:"ended"`
--- a/internal/cluster/migration/migration_test.go
+++ b/internal/cluster/migration/migration_test.go
@@ -49,14 +49,14 @@
 
 func TestPhasesAndCheckReasonsAreDescribed(t *testing.T) {
 	for _, p := range Phases {
-		require.NotEmpty(t, RollbackEffects[p], p)
+		require.NotEmpty(t, p.RollbackEffect(), p)
 	}
-	require.Len(t, RollbackEffects, len(Phases))
-	for _, code := range []string{CheckNoReplicaIdentity, CheckUnloggedTable, CheckLargeObjects, CheckPreparedTransaction, CheckExtensionMissing, CheckNoCapacity, CheckSchemaDiffers, CheckTargetNotEmpty, CheckSequence, CheckAssignmentDiffers, CheckLimitsMissing, CheckNoSlots} {
+	require.Len(t, rollbackEffects, len(Phases))
+	for _, code := range []CheckReason{CheckNoReplicaIdentity, CheckUnloggedTable, CheckLargeObjects, CheckPreparedTransaction, CheckExtensionMissing, CheckNoCapacity, CheckSchemaDiffers, CheckTargetNotEmpty, CheckSequence, CheckAssignmentDiffers, CheckLimitsMissing, CheckNoSlots} {
 		f := &CheckResult{Reason: code, Name: "public.a"}
 		require.NotEmpty(t, f.Advice(), code)
-		require.NotEqual(t, "public.a: "+code, f.Error())
-		require.Equal(t, code, f.Code())
+		require.NotEqual(t, "public.a: "+string(code), f.Error())
+		require.Equal(t, string(code), f.Code())
 	}
 	require.Len(t, checkTexts, 12)
 }
@@ -65,24 +65,24 @@
 func TestFullStateFitsTheLog(t *testing.T) {
 	long := strings.Repeat("\x00<é", 1000)
 	a := Request{Operation: OperationVerify, State: State{Phase: PhaseVerifying, Pause: &Pause{Fence: &FencePoint{Timeline: 1}}, Copy: CopyCheckpoint{LastTable: strings.Repeat("x", maxCursorBytes)}}}
-	var r operationResult
+	var r outcome
 	for range 100 {
 		r.checkResults = append(r.checkResults, CheckResult{Reason: CheckNoReplicaIdentity, Name: long, Detail: long})
-		r.verified.Differences = append(r.verified.Differences, Difference{long, long, long, long, long})
+		r.verification.Differences = append(r.verification.Differences, Difference{long, long, long, long, long})
 		r.blocking = append(r.blocking, BlockingSession{1 << 40, long, long, long})
 		a.State.LostCommits = retainLatest(append(a.State.LostCommits, sanitize(long)))
 		a.State.addNote("%s", long)
 	}
 	a.State.CheckResults, a.State.BlockingSessions = r.checkResults.truncated(), sanitizeSessions(r.blocking)
-	r.verified.Timelines.Source = 1
-	p, err := after(a, r)
+	r.verification.Timelines.Source = 1
+	p, err := applyOutcome(a, r)
 	require.NoError(t, err)
 	l := jobs.StateMachine{}
 	require.Nil(t, l.Apply(jobs.Entry{Type: jobs.EntryCreate, Job: "w", JobKind: "move", State: p.State}))
 	require.Greater(t, len(p.State), 8<<10, "it is full")
 	a.Operation = OperationCopy
 	r.Copied.LastTable = strings.Repeat("x", maxCursorBytes+1)
-	_, err = after(a, r)
+	_, err = applyOutcome(a, r)
 	var u *UnreadableJobError
 	require.ErrorAs(t, err, &u)
 }
@@ -125,7 +125,7 @@
 		s    State
 		word *jobs.Approval
 		see  func(*Observation)
-		deed string // or "", and why
+		deed Operation // empty: it waits, and why
 		why  string
 	}{
 		"not its turn":              {s: State{Phase: PhasePlanned}, see: func(s *Observation) { s.MayStart, s.WaitReason = false, "group 2 has its moves" }, why: "group 2 has its moves"},
@@ -203,9 +203,10 @@
 		}
 		w := at(t, c.s, c.word)
 		step := m.Next(1e6, w, see)
-		require.Equal(t, c.deed, step.OperationName, "%s: %s", name, step.Reason)
+		require.Equal(t, string(c.deed), step.OperationName, "%s: %s", name, step.Reason)
 		require.Contains(t, step.Reason, c.why, name)
 		if c.deed != "" {
+			require.True(t, c.deed.AllowedIn(c.s.Phase), name)
 			require.True(t, json.Valid(step.Data), name)
 		} else {
 			require.Nil(t, step.Approval, name)
@@ -214,7 +215,7 @@
 			require.Equal(t, c.word.Action == ActionGo || step.Approval != nil, true, name)
 		}
 		see.Step = 8
-		if stale := m.Next(1e6, w, see); stale.OperationName != step.OperationName && stale.OperationName != OperationDiscardApproval {
+		if stale := m.Next(1e6, w, see); stale.OperationName != step.OperationName && stale.OperationName != string(OperationDiscardApproval) {
 			require.Empty(t, stale.OperationName, "%s: what was seen before the last deed counts for nothing", name)
 		}
 		require.NotPanics(t, func() { m.Next(1e6, w, nil) })
@@ -246,7 +247,7 @@
 			}
 			for _, word := range []string{ActionGo, ActionPause, ActionResume, ActionRollback, ActionAccept} {
 				step := m.Next(1e6, at(t, s, said(word)), good())
-				require.Equal(t, offered[word], step.Approval != nil && step.OperationName != OperationDiscardApproval, "%s %q in %s", word, held, phase)
+				require.Equal(t, offered[word], step.Approval != nil && step.OperationName != string(OperationDiscardApproval), "%s %q in %s", word, held, phase)
 			}
 		}
 	}
@@ -294,8 +295,8 @@
 	places := &fakeDatabases{closed: true, line: 1}
 	m := &Migrator{Databases: places, Rules: rules, Timing: testTiming}
 	w := at(t, s, nil)
-	deed := func(name string) *jobs.Operation {
-		return &jobs.Operation{Number: 10, Name: name, Token: 5, Data: json.RawMessage(`{"at": 1000000}`)}
+	deed := func(name Operation) *jobs.Operation {
+		return &jobs.Operation{Number: 10, Name: string(name), Token: 5, Data: json.RawMessage(`{"at": 1000000}`)}
 	}
 
 	done, _, err := m.Recover(context.Background(), w, deed(OperationSwitch))
@@ -338,10 +339,10 @@
 	page := string(b)
 	for _, p := range Phases {
 		require.Contains(t, page, string(p))
-		require.Contains(t, page, RollbackEffects[p])
+		require.Contains(t, page, p.RollbackEffect())
 	}
 	for code := range checkTexts {
-		require.Contains(t, page, "`"+code+"`")
+		require.Contains(t, page, "`"+string(code)+"`")
 	}
 	for _, word := range []string{ActionGo, ActionPause, ActionResume, ActionRollback, ActionAccept} {
 		require.Contains(t, page, "| "+word+" | ")
@@ -402,54 +403,55 @@
 			require.True(t, w.Step == 9 || w.Persistent)
 		}
 		if s.Pause != nil && (s.Pause.Started.Token != 5 || 1e6-s.Pause.Started.At >= testTiming.CutoffMillis(Plan{MaxPauseMillis: 4000})) {
-			require.Equal(t, OperationReopen, step.OperationName, "no pause goes on past its cutoff, nor another owner's")
+			require.Equal(t, string(OperationReopen), step.OperationName, "no pause goes on past its cutoff, nor another owner's")
 		}
-		if step.OperationName == OperationSwitch {
+		if step.OperationName == string(OperationSwitch) {
 			require.True(t, s.Pause.Verified)
 		}
 	})
 }
 
 func TestApplyOutcome(t *testing.T) {
-	left := func(s State, name string, d OperationData, r operationResult) (out State) {
-		p, err := after(Request{Operation: name, State: s, Data: d, AnnouncedToken: 3, Token: 5, Plan: Plan{MaxAbortedPauses: 2}}, r)
+	left := func(s State, name Operation, d OperationData, r outcome) (out State) {
+		p, err := applyOutcome(Request{Operation: name, State: s, Data: d, AnnouncedToken: 3, Token: 5, Plan: Plan{MaxAbortedPauses: 2}}, r)
 		require.NoError(t, err)
 		require.NoError(t, json.Unmarshal(p.State, &out))
+		require.True(t, name.LeadsTo(out.Phase), "%s leaves %s", name, out.Phase)
 		return out
 	}
 	v := State{Phase: PhaseVerifying, Timelines: one, Pause: closed(pausing(1e6, 5), false)}
-	require.Equal(t, LeaseTime{7, 3}, left(State{Phase: PhaseCatchingUp}, OperationPause, OperationData{At: 7}, operationResult{version: 4}).Pause.Started, "by the clock of who announced it")
-	s := left(State{Phase: PhaseChecked}, OperationPublish, OperationData{}, operationResult{locked: &TenantLockedError{"orders", "other"}})
+	require.Equal(t, LeaseTime{7, 3}, left(State{Phase: PhaseCatchingUp}, OperationPause, OperationData{At: 7}, outcome{rulesVersion: 4}).Pause.Started, "by the clock of who announced it")
+	s := left(State{Phase: PhaseChecked}, OperationPublish, OperationData{}, outcome{locked: &TenantLockedError{"orders", "other"}})
 	require.False(t, s.Published)
 	require.Contains(t, s.HoldReason, "moved by other")
-	s = left(State{Phase: PhasePlanned}, OperationCheck, OperationData{}, operationResult{checkResults: CheckResults{{Reason: CheckSequence, Name: "s", Informational: true}}})
+	s = left(State{Phase: PhasePlanned}, OperationCheck, OperationData{}, outcome{checkResults: CheckResults{{Reason: CheckSequence, Name: "s", Informational: true}}})
 	require.Equal(t, PhaseChecked, s.Phase)
-	s = left(State{Phase: PhasePlanned}, OperationCheck, OperationData{}, operationResult{checkResults: CheckResults{{Reason: CheckUnloggedTable, Name: "t"}}})
+	s = left(State{Phase: PhasePlanned}, OperationCheck, OperationData{}, outcome{checkResults: CheckResults{{Reason: CheckUnloggedTable, Name: "t"}}})
 	require.Equal(t, PhasePlanned, s.Phase)
 	require.NotEmpty(t, s.HoldReason)
 
-	s = left(v, OperationVerify, OperationData{}, operationResult{verified: VerificationResult{Timelines: Timelines{2, 1}}})
+	s = left(v, OperationVerify, OperationData{}, outcome{verification: VerificationResult{Timelines: Timelines{2, 1}}})
 	require.Equal(t, PhaseFencing, s.Phase, "another primary may lack the fence")
 	require.Nil(t, s.Pause.Fence)
-	require.False(t, left(v, OperationVerify, OperationData{}, operationResult{verified: VerificationResult{Timelines: one, TimedOut: true}}).Pause.Verified)
-	require.True(t, left(v, OperationVerify, OperationData{}, operationResult{verified: VerificationResult{Timelines: one}}).Pause.Verified)
+	require.False(t, left(v, OperationVerify, OperationData{}, outcome{verification: VerificationResult{Timelines: one, TimedOut: true}}).Pause.Verified)
+	require.True(t, left(v, OperationVerify, OperationData{}, outcome{verification: VerificationResult{Timelines: one}}).Pause.Verified)
 	require.False(t, v.Pause.Verified, "the state before is left as it was")
 	different := []Difference{{Kind: "rows", Table: "t", Range: "1 to 2"}}
-	s = left(v, OperationVerify, OperationData{}, operationResult{verified: VerificationResult{Timelines: one, Differences: different}})
-	s = left(s, OperationReopen, OperationData{Reason: "x"}, operationResult{})
+	s = left(v, OperationVerify, OperationData{}, outcome{verification: VerificationResult{Timelines: one, Differences: different}})
+	s = left(s, OperationReopen, OperationData{Reason: "x"}, outcome{})
 	require.Equal(t, PhaseCatchingUp, s.Phase)
 	require.Contains(t, s.HoldReason, "rows of t 1 to 2 differ", "somebody has to look")
-	require.True(t, left(s, OperationResume, OperationData{}, operationResult{}).RecopyRequired)
-	s = left(v, OperationVerify, OperationData{}, operationResult{verified: VerificationResult{Timelines: Timelines{1, 2}, Differences: different}})
-	s = left(s, OperationReopen, OperationData{Reason: "x"}, operationResult{})
+	require.True(t, left(s, OperationResume, OperationData{}, outcome{}).RecopyRequired)
+	s = left(v, OperationVerify, OperationData{}, outcome{verification: VerificationResult{Timelines: Timelines{1, 2}, Differences: different}})
+	s = left(s, OperationReopen, OperationData{Reason: "x"}, outcome{})
 	require.Empty(t, s.HoldReason, "a failover explains it")
 	require.True(t, s.RecopyRequired)
 
-	s = left(v, OperationReopen, OperationData{Reason: "x"}, operationResult{})
+	s = left(v, OperationReopen, OperationData{Reason: "x"}, outcome{})
 	require.Empty(t, s.HoldReason)
-	require.NotEmpty(t, left(s, OperationReopen, OperationData{Reason: "x"}, operationResult{}).HoldReason, "as often as the plan allows")
-	require.Equal(t, PhaseCleaningUp, left(v, OperationReopen, OperationData{Reason: "x", RollbackReason: "x"}, operationResult{}).Phase)
+	require.NotEmpty(t, left(s, OperationReopen, OperationData{Reason: "x"}, outcome{}).HoldReason, "as often as the plan allows")
+	require.Equal(t, PhaseCleaningUp, left(v, OperationReopen, OperationData{Reason: "x", RollbackReason: "x"}, outcome{}).Phase)
 	v.Reverse, v.RollbackReason = true, "x"
-	require.Equal(t, PhaseSwitched, left(v, OperationReopen, OperationData{Reason: "x"}, operationResult{}).Phase)
-	require.Equal(t, PhaseCleaningUp, left(v, OperationSwitch, OperationData{}, operationResult{}).Phase)
+	require.Equal(t, PhaseSwitched, left(v, OperationReopen, OperationData{Reason: "x"}, outcome{}).Phase)
+	require.Equal(t, PhaseCleaningUp, left(v, OperationSwitch, OperationData{}, outcome{}).Phase)
 }
--- a/internal/cluster/migration/plan.go
+++ b/internal/cluster/migration/plan.go
@@ -1,7 +1,3 @@
-// Package move is a tenant's move from one group of db hosts to another, as a kind of work with one owner: its states,
-// checkpoints and ways back. A tenant is a database as clients name it when they connect; its home is a group. The package
-// has no I/O, clock, goroutine or logger: next.go says what comes next, after.go what a deed leaves, mover.go joins both to
-// the places and the agreed rules behind interfaces. docs/moves.md derives the bound of a pause.
 package migration
 
 import (
@@ -14,211 +10,240 @@
 	"strings"
 )
 
-// JobKind is the kind's.
+// JobKind names migrations among the kinds of jobs. It is stored in the replicated log.
 const JobKind = "move"
 
-// Group is a group of db hosts, by its number in the agreed rules.
+// Group is a group of database hosts, by its number in the agreed rules.
 type Group = uint64
 
-// Plan is a move as it was asked for. Times are in milliseconds.
+// Plan is a migration as an operator asked for it. The JSON keys are those of the first release.
 type Plan struct {
-	Tenant           string   `json:"tenant"`
-	From             Group    `json:"from"`
-	To               Group    `json:"to"`
-	MaxPauseMillis   float64  `json:"pause_ms"`              // no pause is longer
-	FenceWaitMillis  float64  `json:"lock_ms,omitempty"`     // for so long the closing waits for running writers
-	MaxAbortedPauses int      `json:"tries,omitempty"`       // pauses that may be taken back before an operator is asked
-	BackoffMillis    float64  `json:"rest_ms,omitempty"`     // between two of them
-	Checkpoints      []string `json:"checkpoints,omitempty"` // where it waits for a word
-	BlockingSessions string   `json:"stragglers,omitempty"`  // wait or end: sessions that hold the closing up
-	MaxRowsPerSecond float64  `json:"pace,omitempty"`        // rows/s at most, 0: as the cost model says
-	SampledQueries   int      `json:"reads,omitempty"`       // of the tenant's own that are played at both homes
-	OldCopy          string   `json:"old,omitempty"`         // keep or drop: the old copy, once it was accepted
-	Priority         float64  `json:"need,omitempty"`        // the greater goes first
+	Tenant string `json:"tenant"`
+	From   Group  `json:"from"`
+	To     Group  `json:"to"`
+	// MaxPauseMillis bounds each pause of the tenant's writes.
+	MaxPauseMillis float64 `json:"pause_ms"`
+	// FenceWaitMillis is for how long one attempt to fence waits for running writers.
+	FenceWaitMillis float64 `json:"lock_ms,omitempty"`
+	// MaxAbortedPauses is how many pauses may be aborted before an operator has to resume.
+	MaxAbortedPauses int `json:"tries,omitempty"`
+	// BackoffMillis is the least time between two pauses.
+	BackoffMillis float64 `json:"rest_ms,omitempty"`
+	// Checkpoints are where the migration waits for an operator's approval.
+	Checkpoints []Checkpoint `json:"checkpoints,omitempty"`
+	// BlockingSessions is BlockingSessionsWait or BlockingSessionsEnd.
+	BlockingSessions string `json:"stragglers,omitempty"`
+	// MaxRowsPerSecond bounds the copy; 0: the cost model's figure alone does.
+	MaxRowsPerSecond float64 `json:"pace,omitempty"`
+	// SampledQueries is how many of the tenant's own queries are replayed at both groups before the switch.
+	SampledQueries int `json:"reads,omitempty"`
+	// OldCopy is OldCopyKeep or OldCopyDrop.
+	OldCopy string `json:"old,omitempty"`
+	// Priority orders planned migrations: the greater starts first.
+	Priority float64 `json:"need,omitempty"`
 }
 
-// Checkpoints of a plan. The last can't be left out: only an operator ends the way back.
+// Checkpoint is a place in a migration where it waits for an operator's approval, if its plan says so.
+type Checkpoint string
+
+// The checkpoints. CheckpointAccepting is part of every plan: only an operator ends the way back.
 const (
-	CheckpointChecked   = "checked"
-	CheckpointFencing   = "closing"
-	CheckpointSwitching = "switching"
-	CheckpointAccepting = "accepting"
+	// CheckpointChecked comes before anything is built.
+	CheckpointChecked Checkpoint = "checked"
+	// CheckpointFencing comes before the tenant is paused.
+	CheckpointFencing Checkpoint = "closing"
+	// CheckpointSwitching comes before the target serves the tenant.
+	CheckpointSwitching Checkpoint = "switching"
+	// CheckpointAccepting comes before the way back ends.
+	CheckpointAccepting Checkpoint = "accepting"
 )
 
-var checkpoints = []string{CheckpointChecked, CheckpointFencing, CheckpointSwitching, CheckpointAccepting}
+var checkpoints = []Checkpoint{CheckpointChecked, CheckpointFencing, CheckpointSwitching, CheckpointAccepting}
 
-// Words that operators say.
+// What a fence does about sessions that hold it up.
 const (
-	ActionGo       = "go"
-	ActionPause    = "pause" // the work, not the tenant
-	ActionResume   = "resume"
-	ActionRollback = "rollback"
-	ActionAccept   = "accept"
+	BlockingSessionsWait = "wait" // waits for them again
+	BlockingSessionsEnd  = "end"  // terminates them after the first attempt
 )
 
-// PlanError is one thing that is wrong with a plan.
-type PlanError struct {
-	Key    string
-	Value  any
-	Detail string
-}
+// What becomes of the copy that served the tenant before, once the migration is accepted.
+const (
+	OldCopyKeep = "keep" // stays, fenced
+	OldCopyDrop = "drop"
+)
 
-func (f *PlanError) Error() string {
-	if f.Value == nil {
-		return f.Key + ": " + f.Detail
-	}
-	return fmt.Sprintf("%s is %v: %s", f.Key, f.Value, f.Detail)
-}
+// Actions that operators approve; see jobs.Approval.
+const (
+	// ActionGo lets a migration pass the checkpoint that it waits at.
+	ActionGo = "go"
+	// ActionPause holds the migration, not the tenant.
+	ActionPause = "pause"
+	// ActionResume ends a hold.
+	ActionResume = "resume"
+	// ActionRollback takes the migration back.
+	ActionRollback = "rollback"
+	// ActionAccept ends the way back.
+	ActionAccept = "accept"
+)
 
-// Code is the reason in a word.
-func (f *PlanError) Code() string { return "plan_malformed" }
+// Defaults and bounds of a plan's values.
+const (
+	defaultMaxAbortedPauses = 3
+	// defaultFenceWaitShare is FenceWaitMillis as a part of MaxPauseMillis.
+	defaultFenceWaitShare = 10
+	// defaultBackoffFactor is BackoffMillis in multiples of MaxPauseMillis, so that a tenant that is paused again and
+	// again is paused a tenth of the time at most.
+	defaultBackoffFactor = 10
+
+	maxPauseMillis   = 10 * 60 * 1000 // who can wait longer needs no migration under load
+	maxTenantBytes   = 63             // of a database's name in PostgreSQL
+	maxAbortedPauses = 100
+	maxRate          = 1e9 // of rows/s, queries and priority
+)
 
-// Advice says what an operator can do.
-func (f *PlanError) Advice() string {
-	return "correct " + f.Key + " and order the move again; nothing was begun"
+// ParsePlan reads a plan, sets the defaults and reports all that is wrong with it, each as a *PlanError.
+func ParsePlan(text []byte, timing Timing) (Plan, error) {
+	plan, err := decodePlan(text)
+	if err != nil {
+		return plan, err
+	}
+	return plan, plan.validate(timing)
 }
 
-// ParsePlan reads a plan, sets what it leaves out and names all that is wrong with it.
-func ParsePlan(text []byte, c Timing) (Plan, error) {
-	p, err := decodePlan(text)
-	if err != nil {
-		return p, err
+// decodePlan reads a plan without validating it: one in the log was validated when it got there.
+func decodePlan(text []byte) (plan Plan, err error) {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&plan); err != nil {
+		return plan, &PlanError{Key: malformedKey(err), Detail: err.Error()}
 	}
-	return p, p.validate(c)
+	if _, err := decoder.Token(); err != io.EOF {
+		return plan, &PlanError{Key: wholePlan, Detail: "something follows it"}
+	}
+	plan.setDefaults()
+	return plan, nil
 }
 
-// decodePlan is Parse without the judgement: what stands in the log was judged when it got there.
-func decodePlan(text []byte) (p Plan, err error) {
-	dec := json.NewDecoder(bytes.NewReader(text))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&p); err != nil {
-		key := "plan"
-		var wrong *json.UnmarshalTypeError
-		if errors.As(err, &wrong) && wrong.Field != "" {
-			key = wrong.Field
-		} else if _, name, ok := strings.Cut(err.Error(), "unknown field "); ok {
-			key = strings.Trim(name, `"`)
-		}
-		return p, &PlanError{Key: key, Detail: err.Error()}
+// wholePlan stands for the key where no single one is at fault.
+const wholePlan = "plan"
+
+// malformedKey returns the key that a decoding error is about.
+func malformedKey(err error) string {
+	var mismatch *json.UnmarshalTypeError
+	if errors.As(err, &mismatch) && mismatch.Field != "" {
+		return mismatch.Field
 	}
-	if _, err := dec.Token(); err != io.EOF {
-		return p, &PlanError{Key: "plan", Detail: "something follows it"}
+	// encoding/json has no type for this error.
+	if _, name, ok := strings.Cut(err.Error(), "unknown field "); ok {
+		return strings.Trim(name, `"`)
 	}
+	return wholePlan
+}
+
+func (p *Plan) setDefaults() {
 	if p.FenceWaitMillis == 0 {
-		p.FenceWaitMillis = p.MaxPauseMillis / 10
+		p.FenceWaitMillis = p.MaxPauseMillis / defaultFenceWaitShare
 	}
 	if p.MaxAbortedPauses == 0 {
-		p.MaxAbortedPauses = 3
+		p.MaxAbortedPauses = defaultMaxAbortedPauses
 	}
 	if p.BackoffMillis == 0 {
-		p.BackoffMillis = 10 * p.MaxPauseMillis // so that a tenant that is tried again and again is closed a tenth of the time at most
+		p.BackoffMillis = defaultBackoffFactor * p.MaxPauseMillis
 	}
 	if p.Checkpoints == nil {
 		p.Checkpoints = checkpoints
 	}
 	if p.BlockingSessions == "" {
-		p.BlockingSessions = "wait"
+		p.BlockingSessions = BlockingSessionsWait
 	}
 	if p.OldCopy == "" {
-		p.OldCopy = "keep"
+		p.OldCopy = OldCopyKeep
 	}
-	return p, nil
 }
 
-func (p Plan) validate(c Timing) error {
-	var faults []error
-	bad := func(key string, given any, detail string, args ...any) {
-		faults = append(faults, &PlanError{Key: key, Value: given, Detail: fmt.Sprintf(detail, args...)})
+// planErrors collects what is wrong with a plan.
+type planErrors []error
+
+func (e *planErrors) add(key string, value any, detail string, args ...any) {
+	*e = append(*e, &PlanError{Key: key, Value: value, Detail: fmt.Sprintf(detail, args...)})
+}
+
+// validate reports all that is wrong, in alphabetical order.
+func (p *Plan) validate(timing Timing) error {
+	var found planErrors
+	p.validateGroups(&found)
+	p.validateTimes(&found, timing)
+	p.validateCheckpoints(&found)
+	if p.BlockingSessions != BlockingSessionsWait && p.BlockingSessions != BlockingSessionsEnd {
+		found.add("stragglers", p.BlockingSessions, "wait or end")
+	}
+	if p.OldCopy != OldCopyKeep && p.OldCopy != OldCopyDrop {
+		found.add("old", p.OldCopy, "keep or drop")
+	}
+	for key, value := range map[string]float64{"pace": p.MaxRowsPerSecond, "need": p.Priority, "reads": float64(p.SampledQueries)} {
+		if value < 0 || value > maxRate {
+			found.add(key, value, "from 0 to 1e9")
+		}
 	}
-	if p.Tenant == "" || len(p.Tenant) > 63 || strings.ContainsAny(p.Tenant, "/\x00'\"") {
-		bad("tenant", p.Tenant, "a database's name has 1 to 63 bytes and none of / ' \"")
+	slices.SortFunc(found, func(a, b error) int { return strings.Compare(a.Error(), b.Error()) })
+	return errors.Join(found...)
+}
+
+func (p *Plan) validateGroups(found *planErrors) {
+	if p.Tenant == "" || len(p.Tenant) > maxTenantBytes || strings.ContainsAny(p.Tenant, "/\x00'\"") {
+		found.add("tenant", p.Tenant, "a database's name has 1 to 63 bytes and none of / ' \"")
 	}
 	if p.From == 0 {
-		bad("from", nil, "the group that holds the tenant")
+		found.add("from", nil, "the group that holds the tenant")
 	}
 	if p.To == 0 || p.To == p.From {
-		bad("to", p.To, "another group than from")
+		found.add("to", p.To, "another group than from")
 	}
-	if least := c.MinPauseMillis(p.FenceWaitMillis); p.MaxPauseMillis < least {
-		bad("pause_ms", p.MaxPauseMillis, "with this agreement, change of owner and lock_ms a pause needs %.0f at least", least)
+}
+
+func (p *Plan) validateTimes(found *planErrors, timing Timing) {
+	if least := timing.MinPauseMillis(p.FenceWaitMillis); p.MaxPauseMillis < least {
+		found.add("pause_ms", p.MaxPauseMillis, "with this agreement, change of owner and lock_ms a pause needs %.0f at least", least)
 	}
 	if p.MaxPauseMillis > maxPauseMillis {
-		bad("pause_ms", p.MaxPauseMillis, "at most %d", maxPauseMillis)
+		found.add("pause_ms", p.MaxPauseMillis, "at most %d", maxPauseMillis)
 	}
 	if p.FenceWaitMillis < 0 || p.FenceWaitMillis > p.MaxPauseMillis {
-		bad("lock_ms", p.FenceWaitMillis, "from 0 to pause_ms")
+		found.add("lock_ms", p.FenceWaitMillis, "from 0 to pause_ms")
 	}
-	if p.MaxAbortedPauses < 0 || p.MaxAbortedPauses > 100 {
-		bad("tries", p.MaxAbortedPauses, "from 1 to 100")
+	if p.MaxAbortedPauses < 0 || p.MaxAbortedPauses > maxAbortedPauses {
+		found.add("tries", p.MaxAbortedPauses, "from 1 to 100")
 	}
 	if p.BackoffMillis < 0 {
-		bad("rest_ms", p.BackoffMillis, "not below 0")
+		found.add("rest_ms", p.BackoffMillis, "not below 0")
 	}
-	for i, name := range p.Checkpoints {
-		if !slices.Contains(checkpoints, name) {
-			bad("checkpoints", name, "one of %s", strings.Join(checkpoints, ", "))
-		} else if slices.Contains(p.Checkpoints[:i], name) {
-			bad("checkpoints", name, "named twice")
+}
+
+func (p *Plan) validateCheckpoints(found *planErrors) {
+	for i, checkpoint := range p.Checkpoints {
+		if !slices.Contains(checkpoints, checkpoint) {
+			found.add("checkpoints", checkpoint, "one of %s", joinCheckpoints(checkpoints))
+		} else if slices.Contains(p.Checkpoints[:i], checkpoint) {
+			found.add("checkpoints", checkpoint, "named twice")
 		}
 	}
-	if !slices.Contains(p.Checkpoints, CheckpointAccepting) {
-		bad("checkpoints", p.Checkpoints, "accepting can't be left out: only an operator ends the way back")
-	}
-	if p.BlockingSessions != "wait" && p.BlockingSessions != "end" {
-		bad("stragglers", p.BlockingSessions, "wait or end")
-	}
-	if p.OldCopy != "keep" && p.OldCopy != "drop" {
-		bad("old", p.OldCopy, "keep or drop")
-	}
-	for key, v := range map[string]float64{"pace": p.MaxRowsPerSecond, "need": p.Priority, "reads": float64(p.SampledQueries)} {
-		if v < 0 || v > 1e9 {
-			bad(key, v, "from 0 to 1e9")
-		}
+	if !p.waitsAt(CheckpointAccepting) {
+		found.add("checkpoints", p.Checkpoints, "accepting can't be left out: only an operator ends the way back")
 	}
-	slices.SortFunc(faults, func(a, b error) int { return strings.Compare(a.Error(), b.Error()) })
-	return errors.Join(faults...)
 }
 
-// waitsAt says whether the plan waits for a word there.
-func (p Plan) waitsAt(checkpoint string) bool { return slices.Contains(p.Checkpoints, checkpoint) }
-
-// Keys of the agreed rules that a move changes, and nothing else does while it is open.
-func (p Plan) groupKey() string  { return "database." + p.Tenant + ".group" }
-func (p Plan) pausedKey() string { return "database." + p.Tenant + ".paused" }
-
-const maxPauseMillis = 10 * 60 * 1000 // ms; who can wait longer needs no move under load
-
-// Timing are what an installation's own settings make a pause last, in milliseconds.
-type Timing struct {
-	LogEntryMillis     float64 // a line of the log, from when it is sent until who sent it has it back
-	RulesInForceMillis float64 // a version, from the log until every pooler with a lease acts on it alone: the agreement's stated time
-	FailoverMillis     float64 // from an owner's death until the next one looks: the work's stated time
-	DatabaseCallMillis float64 // one act at a db host that answers
-}
-
-// ReopenMillis is how long it takes to open a tenant again: an open deed is looked for and voided, the reopening announced and
-// logged, the fence opened, and the version has to be in force; before it is logged, another's version may have to be.
-func (c Timing) ReopenMillis() float64 {
-	return 3*c.LogEntryMillis + 2*c.DatabaseCallMillis + 2*c.RulesInForceMillis
-}
-
-// ForwardMillis is the least that a pause takes until the switch can be announced: the pause announced, logged once another's
-// version is in force, proven and in force; the closing announced, done and proven; the same for the verification.
-func (c Timing) ForwardMillis(lock float64) float64 {
-	return 7*c.LogEntryMillis + 2*c.RulesInForceMillis + lock + 2*c.DatabaseCallMillis
+func joinCheckpoints(all []Checkpoint) string {
+	names := make([]string, 0, len(all))
+	for _, checkpoint := range all {
+		names = append(names, string(checkpoint))
+	}
+	return strings.Join(names, ", ")
 }
 
-// settleMillis is the longest that a deed which was announced in time holds a reopening up: it is logged, ends where it acts,
-// its proof is logged, and the homes are looked at once more.
-func (c Timing) settleMillis() float64 { return 2*c.LogEntryMillis + 2*c.DatabaseCallMillis }
+// waitsAt reports whether the plan waits for an approval at a checkpoint.
+func (p *Plan) waitsAt(checkpoint Checkpoint) bool { return slices.Contains(p.Checkpoints, checkpoint) }
 
-// MinPauseMillis is the shortest bound that can be kept whatever moment an owner dies at, and that leaves time to switch.
-func (c Timing) MinPauseMillis(lock float64) float64 {
-	return c.ForwardMillis(lock) + c.settleMillis() + c.FailoverMillis + c.ReopenMillis()
-}
-
-// CutoffMillis is how long after its beginning a pause may still go on: whoever dies then is replaced, and the next one has
-// opened the tenant by the bound.
-func (c Timing) CutoffMillis(p Plan) float64 {
-	return p.MaxPauseMillis - c.settleMillis() - c.FailoverMillis - c.ReopenMillis()
-}
+// groupKey and pausedKey are the keys of the agreed rules that a migration changes, and nothing else does while it is
+// open.
+func (p *Plan) groupKey() string  { return "database." + p.Tenant + ".group" }
+func (p *Plan) pausedKey() string { return "database." + p.Tenant + ".paused" }
--- a/internal/cluster/migration/schedule.go
+++ b/internal/cluster/migration/schedule.go
@@ -9,7 +9,7 @@
 	"ashstand/internal/cluster/jobs"
 )
 
-// ConcurrencyLimits are how many moves may run at once where they meet; 0: any number.
+// ConcurrencyLimits are how many migrations may run at once in the fleet and at each group, host and zone; 0: any number.
 type ConcurrencyLimits struct {
 	Total    int
 	PerGroup int
@@ -17,93 +17,108 @@
 	PerZone  int
 }
 
-// Candidate is a move that runs or would.
+// Candidate is a migration that runs or waits to start.
 type Candidate struct {
 	Job      string
 	Tenant   string
 	Groups   []Group
-	Hosts    []string // the primaries'
+	Hosts    []string // of the groups' primaries
 	Zones    []string
 	Priority float64
 	Running  bool
 }
 
-// Schedule says for each move that does not run why it may not start yet; "": it may. Those that are needed most come first, by
-// name where the need is equal. One that has to wait keeps its places: nobody that is needed less takes them meanwhile. No
-// tenant has two.
-func Schedule(all []Candidate, l ConcurrencyLimits) map[string]string {
-	taken := map[string]int{}
-	tenants := map[string]string{}
-	places := func(c Candidate) map[string]int {
-		out := map[string]int{"": l.Total}
-		for _, g := range c.Groups {
-			out[fmt.Sprintf("group %d", g)] = l.PerGroup
-		}
-		for _, h := range c.Hosts {
-			out["host "+h] = l.PerHost
-		}
-		for _, z := range c.Zones {
-			out["zone "+z] = l.PerZone
-		}
-		return out
-	}
-	take := func(c Candidate) {
-		for p := range places(c) {
-			taken[p]++
-		}
-		if tenants[c.Tenant] == "" {
-			tenants[c.Tenant] = c.Job
-		}
-	}
-	all = slices.Clone(all)
-	slices.SortFunc(all, func(a, b Candidate) int {
+// Schedule returns for each migration that does not run why it may not start yet; empty: it may. The greatest priority
+// comes first, and the name decides between equal ones. One that has to wait reserves its capacity, so that none of lower
+// priority takes it meanwhile. No tenant has two migrations.
+func Schedule(candidates []Candidate, limits ConcurrencyLimits) map[string]string {
+	ordered := slices.Clone(candidates)
+	slices.SortFunc(ordered, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.Job, b.Job))
 	})
-	for _, c := range all {
-		if c.Running {
-			take(c)
+	usage := &capacityUsage{limits: limits, reserved: map[string]int{}, jobByTenant: map[string]string{}}
+	for _, candidate := range ordered {
+		if candidate.Running {
+			usage.reserve(candidate)
 		}
 	}
-	out := map[string]string{}
-	for _, c := range all {
-		if c.Running {
+	reasons := map[string]string{}
+	for _, candidate := range ordered {
+		if candidate.Running {
 			continue
 		}
-		why := ""
-		if by := tenants[c.Tenant]; by != "" {
-			why = "tenant " + c.Tenant + " is moved by " + by
-		}
-		of := places(c)
-		for _, p := range slices.Sorted(maps.Keys(of)) {
-			if most := of[p]; why == "" && most > 0 && taken[p] >= most {
-				why = fmt.Sprintf("%s has %d of %d moves", cmp.Or(p, "the fleet"), taken[p], most)
-			}
+		reasons[candidate.Job] = usage.waitReason(candidate)
+		usage.reserve(candidate)
+	}
+	return reasons
+}
+
+// capacityUsage counts reservations against the limits.
+type capacityUsage struct {
+	limits      ConcurrencyLimits
+	reserved    map[string]int // by the keys of limitsOf
+	jobByTenant map[string]string
+}
+
+// limitsOf returns what a candidate takes up, each with its limit. The empty key stands for the fleet.
+func (u *capacityUsage) limitsOf(candidate Candidate) map[string]int {
+	limits := map[string]int{"": u.limits.Total}
+	for _, group := range candidate.Groups {
+		limits[fmt.Sprintf("group %d", group)] = u.limits.PerGroup
+	}
+	for _, host := range candidate.Hosts {
+		limits["host "+host] = u.limits.PerHost
+	}
+	for _, zone := range candidate.Zones {
+		limits["zone "+zone] = u.limits.PerZone
+	}
+	return limits
+}
+
+func (u *capacityUsage) reserve(candidate Candidate) {
+	for key := range u.limitsOf(candidate) {
+		u.reserved[key]++
+	}
+	if u.jobByTenant[candidate.Tenant] == "" {
+		u.jobByTenant[candidate.Tenant] = candidate.Job
+	}
+}
+
+// waitReason says why a candidate may not start; empty: it may.
+func (u *capacityUsage) waitReason(candidate Candidate) string {
+	if job := u.jobByTenant[candidate.Tenant]; job != "" {
+		return "tenant " + candidate.Tenant + " is moved by " + job
+	}
+	limits := u.limitsOf(candidate)
+	for _, key := range slices.Sorted(maps.Keys(limits)) {
+		if limit := limits[key]; limit > 0 && u.reserved[key] >= limit {
+			return fmt.Sprintf("%s has %d of %d moves", cmp.Or(key, "the fleet"), u.reserved[key], limit)
 		}
-		out[c.Job] = why
-		take(c)
 	}
-	return out
+	return ""
 }
 
-// Topology says on which hosts and in which zones a group has its primary and standbys.
+// Topology returns the hosts and zones of a group's primary and standbys.
 type Topology func(Group) (hosts, zones []string)
 
-// Candidates are the open moves of a ledger. Whatever was begun runs, also while it waits for a word.
-func Candidates(l *jobs.StateMachine, kind string, where Topology) (out []Candidate) {
-	for _, name := range l.OpenJobs() {
-		w := l.Jobs[name]
-		p, err := decodePlan(w.Spec)
-		if w.Kind != kind || err != nil {
+// Candidates returns the open migrations of the replicated log. Whatever was begun counts as running, also while it waits
+// for an approval.
+func Candidates(log *jobs.StateMachine, kind string, topology Topology) (out []Candidate) {
+	for _, name := range log.OpenJobs() {
+		job := log.Jobs[name]
+		plan, err := decodePlan(job.Spec)
+		if job.Kind != kind || err != nil {
 			continue
 		}
-		s, err := decodeState(w)
-		c := Candidate{Job: name, Tenant: p.Tenant, Groups: []Group{p.From, p.To}, Priority: p.Priority}
-		c.Running = err != nil || s.Phase != PhasePlanned || w.Operation != nil
-		for _, g := range c.Groups {
-			h, z := where(g)
-			c.Hosts, c.Zones = append(c.Hosts, h...), append(c.Zones, z...)
+		state, err := DecodeState(job)
+		candidate := Candidate{Job: name, Tenant: plan.Tenant, Groups: []Group{plan.From, plan.To}, Priority: plan.Priority}
+		candidate.Running = err != nil || state.Phase != PhasePlanned || job.Operation != nil
+		for _, group := range candidate.Groups {
+			hosts, zones := topology(group)
+			candidate.Hosts = append(candidate.Hosts, hosts...)
+			candidate.Zones = append(candidate.Zones, zones...)
 		}
-		out = append(out, c)
+		out = append(out, candidate)
 	}
 	return out
 }
--- a/internal/cluster/migration/schedule_test.go
+++ b/internal/cluster/migration/schedule_test.go
@@ -86,7 +86,7 @@
 	}
 	require.Nil(t, l.Apply(jobs.Entry{Type: jobs.EntryCreate, Job: "c", JobKind: "other"}))
 	require.Nil(t, l.Apply(jobs.Entry{Type: jobs.EntryAssign, Job: "b", Holder: "n1"}))
-	require.Nil(t, l.Apply(jobs.Entry{Type: jobs.EntryAnnounce, Job: "b", Token: 1, Operation: &jobs.Operation{Number: 1, Name: OperationCheck}}))
+	require.Nil(t, l.Apply(jobs.Entry{Type: jobs.EntryAnnounce, Job: "b", Token: 1, Operation: &jobs.Operation{Number: 1, Name: string(OperationCheck)}}))
 	got := Candidates(&l, "move", func(g Group) (h, z []string) { return []string{fmt.Sprint("h", g)}, []string{"z"} })
 	require.Equal(t, []Candidate{
 		{Job: "a", Tenant: "orders", Groups: []Group{1, 2}, Hosts: []string{"h1", "h2"}, Zones: []string{"z", "z"}},
--- a/internal/cluster/migration/sql/check.go
+++ b/internal/cluster/migration/sql/check.go
@@ -103,7 +103,9 @@
 		}
 	}
 	c.checkSequences()
-	slices.SortStableFunc(c.results, func(a, b migration.CheckResult) int { return strings.Compare(a.Reason+a.Name, b.Reason+b.Name) })
+	slices.SortStableFunc(c.results, func(a, b migration.CheckResult) int {
+		return strings.Compare(string(a.Reason)+a.Name, string(b.Reason)+b.Name)
+	})
 	return c.results, nil
 }
 
@@ -114,7 +116,7 @@
 	results  migration.CheckResults
 }
 
-func (c *checker) add(reason, name, detail string, args ...any) {
+func (c *checker) add(reason migration.CheckReason, name, detail string, args ...any) {
 	c.results = append(c.results, migration.CheckResult{Reason: reason, Name: name, Detail: fmt.Sprintf(detail, args...)})
 }
 
--- a/internal/cluster/migration/sql/check_test.go
+++ b/internal/cluster/migration/sql/check_test.go
@@ -32,7 +32,7 @@
 	require.NoError(t, err)
 	var names []string
 	for _, f := range found {
-		names = append(names, f.Reason+" "+f.Name)
+		names = append(names, string(f.Reason)+" "+f.Name)
 	}
 	require.Equal(t, []string{
 		"extension_missing postgis", "large_objects ", "no_replica_identity public.bare", "no_room shop", "prepared_transaction p1",
--- a/internal/cluster/migration/sql/golden_test.go
+++ b/internal/cluster/migration/sql/golden_test.go
@@ -66,13 +66,13 @@
 }
 
 // next is the next deed.
-func (g *goldenRun) next(name string) migration.Request {
+func (g *goldenRun) next(name migration.Operation) migration.Request {
 	g.number++
 	return g.present(name)
 }
 
 // present is the deed that was announced last, under another name.
-func (g *goldenRun) present(name string) migration.Request {
+func (g *goldenRun) present(name migration.Operation) migration.Request {
 	return migration.Request{
 		Plan: g.plan, Job: "m1", Token: g.token, AnnouncedToken: g.token, Number: g.number, OperationID: fmt.Sprintf("m1/%d", g.number), Operation: name,
 		State: g.state, Data: migration.OperationData{TimeoutMillis: 20000},
@@ -126,7 +126,7 @@
 	g.t.Helper()
 	g.token++
 	a.Token = g.token
-	g.step("look for "+a.Operation, func() (any, error) {
+	g.step("look for "+string(a.Operation), func() (any, error) {
 		f, err := g.databases.Recover(g.ctx, a)
 		return []any{f.Done, f.Timelines, f.Fence}, err
 	})
--- a/internal/cluster/migration/sql/operations_test.go
+++ b/internal/cluster/migration/sql/operations_test.go
@@ -47,7 +47,7 @@
 	return err
 }
 
-var operations = []string{
+var operations = []migration.Operation{
 	migration.OperationPublish, migration.OperationSubscribe, migration.OperationCopy, migration.OperationTrack, migration.OperationCompare, migration.OperationFence, migration.OperationVerify,
 	migration.OperationSwitch, migration.OperationReplicateBack, migration.OperationFinish, migration.OperationCleanUp,
 }
@@ -57,7 +57,7 @@
 	for _, end := range []string{migration.ActionAccept, migration.ActionRollback} {
 		r := newRig(t, 2, migration.Plan{From: 1, To: 2, FenceWaitMillis: 200, BackoffMillis: 1, MaxAbortedPauses: 10})
 		r.db(1).Table("entries", host.Traits{}).Seed(30)
-		seen := map[string]bool{}
+		seen := map[migration.Operation]bool{}
 		r.override = r.executeLate(seen)
 		r.runUntil("", func(s migration.State) bool {
 			return s.Phase == migration.PhaseSwitched && s.ReverseReplicating && s.Comparison.Complete
@@ -66,7 +66,7 @@
 		r.runUntil("", func(s migration.State) bool { return false })
 		require.Equal(t, map[string]migration.Phase{migration.ActionAccept: migration.PhaseCompleted, migration.ActionRollback: migration.PhaseRolledBack}[end], r.state().Phase)
 		for _, name := range operations {
-			if name != map[string]string{migration.ActionAccept: migration.OperationCleanUp, migration.ActionRollback: migration.OperationFinish}[end] {
+			if name != map[string]migration.Operation{migration.ActionAccept: migration.OperationCleanUp, migration.ActionRollback: migration.OperationFinish}[end] {
 				require.True(t, seen[name], name)
 			}
 		}
@@ -74,7 +74,7 @@
 }
 
 // executeLate does a deed, has a new owner look for it, and lets the one before do it and all others.
-func (r *rig) executeLate(seen map[string]bool) func() error {
+func (r *rig) executeLate(seen map[migration.Operation]bool) func() error {
 	return func() error {
 		a := r.request()
 		w := *r.job()
@@ -97,7 +97,7 @@
 			return err
 		}
 		done := r.recoverOpen()
-		can := slices.Contains([]string{migration.OperationCopy, migration.OperationCompare, migration.OperationVerify}, a.Operation)
+		can := slices.Contains([]migration.Operation{migration.OperationCopy, migration.OperationCompare, migration.OperationVerify}, a.Operation)
 		require.True(r.t, done || can, "%s was done", a.Operation)
 		if a.Operation == migration.OperationSwitch || a.Operation == migration.OperationVerify { // the switch raised one place's token, the verification none yet
 			return nil
--- a/internal/cluster/migration/sql/rig_test.go
+++ b/internal/cluster/migration/sql/rig_test.go
@@ -56,7 +56,7 @@
 	costs := migration.Timing{LogEntryMillis: 1, RulesInForceMillis: 1, FailoverMillis: 10, DatabaseCallMillis: 50}
 	r.migrator = &migration.Migrator{Databases: r.databases, Rules: r, Timing: costs}
 	if plan.Checkpoints == nil {
-		plan.Checkpoints = []string{migration.CheckpointAccepting}
+		plan.Checkpoints = []migration.Checkpoint{migration.CheckpointAccepting}
 	}
 	if plan.MaxPauseMillis == 0 {
 		plan.MaxPauseMillis = 3000
@@ -186,29 +186,29 @@
 	a := migration.Request{Job: w.Name, Token: w.Token, State: r.state()}
 	require.NoError(r.t, json.Unmarshal(w.Spec, &a.Plan))
 	if d := w.Operation; d != nil {
-		a.OperationID, a.Operation, a.AnnouncedToken = d.ID(w.Name), d.Name, d.Token
+		a.OperationID, a.Operation, a.AnnouncedToken = d.ID(w.Name), migration.Operation(d.Name), d.Token
 		require.NoError(r.t, json.Unmarshal(d.Data, &a.Data))
 	}
 	return a
 }
 
 // runUntil goes on until a deed is announced, or with "" until the state is as asked for.
-func (r *rig) runUntil(deed string, is func(migration.State) bool) {
+func (r *rig) runUntil(operation migration.Operation, is func(migration.State) bool) {
 	r.t.Helper()
 	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); {
-		if w := r.job(); w.Finished || deed == "" && is(r.state()) {
+		if w := r.job(); w.Finished || operation == "" && is(r.state()) {
 			return
 		}
 		if r.job().Operation == nil && !r.announce() {
 			time.Sleep(2 * time.Millisecond)
 			continue
 		}
-		if r.job().Operation.Name == deed {
+		if r.job().Operation.Name == string(operation) {
 			return
 		}
 		require.NoError(r.t, r.execute(), r.job().Name)
 	}
-	require.Fail(r.t, "it does not come to that", "%s %+v", deed, r.state())
+	require.Fail(r.t, "it does not come to that", "%s %+v", operation, r.state())
 }
 
 func (r *rig) runToPhase(p migration.Phase) {
--- a/internal/session/tenantqueue.go
+++ b/internal/session/tenantqueue.go
@@ -6,355 +6,332 @@
 	"fmt"
 )
 
-// Assignment is what the rules that count at a moment say of a database as clients name it, a tenant. Its zero value says
-// nothing: the pool's own group counts.
-type Assignment struct {
-	Group       uint64
-	HasGroup    bool    // the rules name the group
-	Undecided   bool    // which group it is is not known for now
-	Paused      bool    // new transactions wait
-	PausedSince float64 // Paused: clock milliseconds at which this pooler heard of it
-}
-
-// Equal says whether both mean the same for a transaction.
-func (h Assignment) Equal(o Assignment) bool {
-	h.PausedSince, o.PausedSince = 0, 0
-	return h == o
-}
-
-// GroupFor is the group to which a transaction goes that was routed by r. A comment that names another group than the rules
-// do is a *GroupMismatchError: it would write where the database is not.
-func (h Assignment) GroupFor(database string, r *Route) (group uint64, err error) {
-	if !h.HasGroup || h.Undecided {
-		return r.Group, nil
-	}
-	if r.HasGroup && r.Group != h.Group {
-		return 0, &GroupMismatchError{Database: database, Assigned: h.Group, Requested: r.Group}
-	}
-	return h.Group, nil
-}
-
-// GroupMismatchError says that a comment names another group than the one that holds the database.
-type GroupMismatchError struct {
-	Database            string
-	Assigned, Requested uint64
-}
-
-func (e *GroupMismatchError) Error() string {
-	return fmt.Sprintf("the comment's cluster is %d, but database %q is at %d", e.Requested, e.Database, e.Assigned)
-}
-
-// Code is the reason in a word.
-func (e *GroupMismatchError) Code() string { return "home_contradicted" }
-
-// Advice says what can be done.
-func (e *GroupMismatchError) Advice() string {
-	return "leave cluster= out of the comment: the pooler knows where the database is"
-}
-
-// IsRetryable says whether a text is one statement that is undone as a whole by its error and leaves nothing on its
-// connection, so that it can be run again elsewhere. A procedure or a DO block may have committed a part of its own.
-func IsRetryable(text string) bool {
-	s := scanner{text: text}
-	tokens, more, ok := s.nextStatement()
-	if !ok || len(tokens) == 0 || tokens[0].literal {
-		return false
-	}
-	if more && len(Scan(text[s.position:]).Statements) > 0 {
-		return false
-	}
-	switch tokens[0].folded {
-	case "insert", "update", "delete", "merge", "with", "select":
-		return classify(text, tokens).Kind != MakesSticky
-	}
-	return false
-}
-
-// RejectReason is the reason for which a transaction of a tenant is not let through.
+// RejectReason is why a transaction of a tenant is rejected. Its values are the codes that clients and operators get.
 type RejectReason string
 
 // The reasons.
 const (
-	RejectPaused       RejectReason = "tenant_paused"     // for longer than may be waited
-	RejectUndecided    RejectReason = "tenant_fenced"     // nobody can say where it is
-	RejectTooMany      RejectReason = "tenant_held_many"  // as many wait as may
-	RejectTooManyBytes RejectReason = "tenant_held_bytes" // what waits takes as much memory as it may
-	RejectFenced       RejectReason = "tenant_closed"     // its host takes no writes of it, and the rules have said nothing since
+	// RejectPaused: the pause lasts longer than the transaction may wait.
+	RejectPaused RejectReason = "tenant_paused"
+	// RejectUndecided: no group is agreed on.
+	RejectUndecided RejectReason = "tenant_fenced"
+	// RejectTooMany: as many transactions wait as may.
+	RejectTooMany RejectReason = "tenant_held_many"
+	// RejectTooManyBytes: what waits takes as much memory as it may.
+	RejectTooManyBytes RejectReason = "tenant_held_bytes"
+	// RejectFenced: the tenant is fenced at its host, and the rules have not changed since.
+	RejectFenced RejectReason = "tenant_closed"
 )
 
-// TenantError refuses a transaction before anything of it ran.
+// rejectText is what clients and operators are told of a reason.
+type rejectText struct {
+	message string
+	advice  string
+}
+
+var rejectTexts = map[RejectReason]rejectText{
+	RejectPaused: {
+		" is paused for longer than this can wait",
+		"end the pause",
+	},
+	RejectUndecided: {
+		" has no home that is agreed on for now",
+		"look at ashstand cluster versions: two versions meet, or this pooler has no lease",
+	},
+	RejectTooMany: {
+		" is paused, and as many transactions wait as may",
+		"end the pause, or raise the pool's held or the sessions' held",
+	},
+	RejectTooManyBytes: {
+		" is paused, and what waits takes as much memory as it may",
+		"end the pause, or raise the pool's held or the sessions' held",
+	},
+	RejectFenced: {
+		" is closed at its host, and no other home was named in time",
+		"name the new home, or open the database at its host again",
+	},
+}
+
+// TenantError rejects a transaction before any of it was executed.
 type TenantError struct {
 	Database string
 	Reason   RejectReason
 }
 
 func (e *TenantError) Error() string {
-	return "database " + fmt.Sprintf("%q", e.Database) + map[RejectReason]string{
-		RejectPaused:       " is paused for longer than this can wait",
-		RejectUndecided:    " has no home that is agreed on for now",
-		RejectTooMany:      " is paused, and as many transactions wait as may",
-		RejectTooManyBytes: " is paused, and what waits takes as much memory as it may",
-		RejectFenced:       " is closed at its host, and no other home was named in time",
-	}[e.Reason]
+	return "database " + fmt.Sprintf("%q", e.Database) + rejectTexts[e.Reason].message
 }
 
-// Code is the reason in a word.
+// Code is the reason.
 func (e *TenantError) Code() string { return string(e.Reason) }
 
 // Advice says what can be done.
-func (e *TenantError) Advice() string {
-	switch e.Reason {
-	case RejectUndecided:
-		return "look at ashstand cluster versions: two versions meet, or this pooler has no lease"
-	case RejectTooMany, RejectTooManyBytes:
-		return "end the pause, or raise the pool's held or the sessions' held"
-	case RejectFenced:
-		return "name the new home, or open the database at its host again"
-	}
-	return "end the pause"
-}
+func (e *TenantError) Advice() string { return rejectTexts[e.Reason].advice }
 
-// TenantQueueLimits are what may be held.
+// TenantQueueLimits bound what may wait for tenants.
 type TenantQueueLimits struct {
-	PerTenant, Total           int     // transactions of one database, and of all
-	BytesPerTenant, TotalBytes int     // that these sent so far
-	MaxPauseMillis             float64 // milliseconds after a pause began from which on nothing waits for it
+	PerTenant, Total           int // transactions
+	BytesPerTenant, TotalBytes int // that these have sent so far
+	// MaxPauseMillis is how long after a pause began nothing waits for it any more.
+	MaxPauseMillis float64
 }
 
 // QueuedTransaction is a transaction that waits for its tenant, or would. A session has one at the most.
 type QueuedTransaction struct {
-	Owner       any     // whose it is
-	Deadline    float64 // clock milliseconds; then it is refused
-	Bytes       int     // that it sent so far
-	MaxInFlight int     // how many that were held may be on their way at once when it is its turn
-
-	tenant         *Tenant
-	reason         RejectReason
-	waitUntil      float64
-	order          uint64 // of its coming, 0: it was never held
-	queue          *list.List
-	element        *list.Element
-	heapIndex      int // in the heap
-	released       bool
-	rejectedByHost bool       // a host turned it away
-	rejectedUnder  Assignment // what the rules said then
+	Owner       any     // the session
+	Deadline    float64 // clock milliseconds; then it is rejected
+	Bytes       int     // that it has sent so far
+	MaxInFlight int     // how many released transactions may be on their way at once when it is its turn
+
+	tenant    *Tenant
+	reason    RejectReason // if it is rejected at the end of its wait
+	waitUntil float64
+	order     uint64     // of its arrival; 0: it was never queued
+	queue     *list.List // nil: it does not wait
+	element   *list.Element
+	heapIndex int
+	released  bool
+	// rejectedByHost is set if a host rejected it before it was executed, since the tenant is fenced there; rejectedUnder
+	// is the assignment then.
+	rejectedByHost bool
+	rejectedUnder  Assignment
 }
 
-// IsQueued says whether it is held.
-func (x *QueuedTransaction) IsQueued() bool { return x.queue != nil }
+// IsQueued reports whether it waits.
+func (q *QueuedTransaction) IsQueued() bool { return q.queue != nil }
 
-// MarkRejected notes that a host turned the transaction away unrun, since the tenant is closed there, while the rules said h.
-func (x *QueuedTransaction) MarkRejected(h Assignment) { x.rejectedByHost, x.rejectedUnder = true, h }
+// MarkRejected records that a host rejected the transaction before it was executed, since the tenant is fenced there,
+// while the rules said assignment.
+func (q *QueuedTransaction) MarkRejected(assignment Assignment) {
+	q.rejectedByHost, q.rejectedUnder = true, assignment
+}
 
-// IsReleased says whether it was let go and has not landed.
-func (x *QueuedTransaction) IsReleased() bool { return x.released }
+// IsReleased reports whether it was released and has not reached its host.
+func (q *QueuedTransaction) IsReleased() bool { return q.released }
 
 // Reset makes it ready for another transaction.
-func (x *QueuedTransaction) Reset() { x.order, x.rejectedByHost = 0, false }
+func (q *QueuedTransaction) Reset() { q.order, q.rejectedByHost = 0, false }
 
-// Tenant is a database that has sessions here, with what is held of it.
+// Tenant is a database that has sessions here, with its transactions that wait.
 type Tenant struct {
 	Database string
 	Rejected uint64 // transactions, for a reason of the tenant's
-	Released uint64 // held and let go
+	Released uint64 // transactions that had waited
 
 	sessions      int
-	waiting       list.List // in the order of coming
-	awaitingRules list.List // turned away, until the rules say something else
-	inFlight      int       // let go, and not at a host yet
+	waiting       list.List // of *QueuedTransaction, in the order of arrival
+	awaitingRules list.List // rejected by a host, until the rules change
+	inFlight      int       // released, and not at a host yet
 	bytes         int
 }
 
 // Queued is how many of its transactions wait.
 func (t *Tenant) Queued() int { return t.waiting.Len() + t.awaitingRules.Len() }
 
-// InFlight is how many were let go and are not at a host yet.
+// InFlight is how many were released and are not at a host yet.
 func (t *Tenant) InFlight() int { return t.inFlight }
 
 // Sessions is how many sessions it has.
 func (t *Tenant) Sessions() int { return t.sessions }
 
-// Tenants are the databases that have sessions here. There is one for each database of a session, and none else.
+func (t *Tenant) reject(reason RejectReason) *TenantError {
+	t.Rejected++
+	return &TenantError{Database: t.Database, Reason: reason}
+}
+
+// Tenants are the databases that have sessions here. It is not safe for concurrent use: one event loop owns it.
 type Tenants struct {
 	byDatabase map[string]*Tenant
-	deadlines  deadlineHeap
+	deadlines  deadlineHeap // of all that wait
 	bytes      int
 	lastOrder  uint64
 }
 
-// NewTenants returns none.
+// NewTenants returns an empty set.
 func NewTenants() *Tenants { return &Tenants{byDatabase: map[string]*Tenant{}} }
 
-// AddSession takes a session of a database in.
+// AddSession counts a session of a database.
 func (ts *Tenants) AddSession(database string) *Tenant {
-	t := ts.byDatabase[database]
-	if t == nil {
-		t = &Tenant{Database: database}
-		ts.byDatabase[database] = t
+	tenant := ts.byDatabase[database]
+	if tenant == nil {
+		tenant = &Tenant{Database: database}
+		ts.byDatabase[database] = tenant
 	}
-	t.sessions++
-	return t
+	tenant.sessions++
+	return tenant
 }
 
-// RemoveSession says that a session of it is gone.
-func (ts *Tenants) RemoveSession(t *Tenant) {
-	if t.sessions--; t.sessions == 0 {
-		delete(ts.byDatabase, t.Database)
+// RemoveSession forgets a tenant with its last session.
+func (ts *Tenants) RemoveSession(tenant *Tenant) {
+	tenant.sessions--
+	if tenant.sessions == 0 {
+		delete(ts.byDatabase, tenant.Database)
 	}
 }
 
-// All are they, in no order.
+// All returns the tenants, in no order.
 func (ts *Tenants) All() (out []*Tenant) {
-	for _, t := range ts.byDatabase {
-		out = append(out, t)
+	for _, tenant := range ts.byDatabase {
+		out = append(out, tenant)
 	}
 	return out
 }
 
-// Queued is how many transactions of all wait.
+// Queued is how many transactions of all tenants wait.
 func (ts *Tenants) Queued() int { return len(ts.deadlines) }
 
-// Admit says what becomes of a transaction of a tenant under what the rules say now: it goes on, it is held, or it is
-// refused for err. One that was held keeps its place before all that came after it.
-func (ts *Tenants) Admit(now float64, t *Tenant, h Assignment, x *QueuedTransaction, b TenantQueueLimits) (held bool, err *TenantError) {
-	away := x.rejectedByHost && x.rejectedUnder.Equal(h)
+// Admit decides on a transaction under the present assignment: it goes on, is queued, or is rejected with an error. One
+// that waited before keeps its place before all that arrived after it.
+func (ts *Tenants) Admit(now float64, tenant *Tenant, assignment Assignment, q *QueuedTransaction, limits TenantQueueLimits) (queued bool, err *TenantError) {
+	rulesUnchanged := q.rejectedByHost && q.rejectedUnder.Equal(assignment)
 	switch {
-	case h.Paused: // a home that changes is fenced while it is paused: that is no reason to refuse
-	case h.Undecided:
-		return false, t.reject(RejectUndecided)
-	case away: // the rules have not said it yet
-	case t.waiting.Len() == 0 || x.released: // who was let go does not wait for those behind
+	case assignment.Paused: // a group that changes is undecided while it is paused: that is no reason to reject
+	case assignment.Undecided:
+		return false, tenant.reject(RejectUndecided)
+	case rulesUnchanged:
+	case tenant.waiting.Len() == 0 || q.released: // one that was released does not wait for those behind it
 		return false, nil
 	}
-	x.reason, x.waitUntil = RejectPaused, x.Deadline
-	if h.Paused {
-		x.waitUntil = min(x.waitUntil, h.PausedSince+b.MaxPauseMillis)
-	} else if away {
-		x.reason = RejectFenced
+	q.reason, q.waitUntil = RejectPaused, q.Deadline
+	if assignment.Paused {
+		q.waitUntil = min(q.waitUntil, assignment.PausedSince+limits.MaxPauseMillis)
+	} else if rulesUnchanged {
+		q.reason = RejectFenced
 	}
-	switch {
-	case now >= x.waitUntil:
-		return false, t.reject(x.reason)
-	case t.Queued() >= b.PerTenant || len(ts.deadlines) >= b.Total:
-		return false, t.reject(RejectTooMany)
-	case t.bytes+x.Bytes > b.BytesPerTenant || ts.bytes+x.Bytes > b.TotalBytes:
-		return false, t.reject(RejectTooManyBytes)
+	if reason := ts.exceeded(now, tenant, q, limits); reason != "" {
+		return false, tenant.reject(reason)
 	}
-	ts.Complete(t, x)
-	x.rejectedByHost = x.rejectedByHost && !h.Paused // the rules have said something since
-	x.tenant = t
-	t.bytes += x.Bytes
-	ts.bytes += x.Bytes
-	if away && !h.Paused {
-		ts.insert(x, &t.awaitingRules)
+	ts.Complete(tenant, q)
+	q.rejectedByHost = q.rejectedByHost && !assignment.Paused // the rules have changed since
+	q.tenant = tenant
+	tenant.bytes += q.Bytes
+	ts.bytes += q.Bytes
+	if rulesUnchanged && !assignment.Paused {
+		ts.insert(q, &tenant.awaitingRules)
 	} else {
-		ts.insert(x, &t.waiting)
+		ts.insert(q, &tenant.waiting)
 	}
-	heap.Push(&ts.deadlines, x)
+	heap.Push(&ts.deadlines, q)
 	return true, nil
 }
 
-func (t *Tenant) reject(why RejectReason) *TenantError {
-	t.Rejected++
-	return &TenantError{t.Database, why}
+// exceeded returns which limit keeps a transaction from waiting; empty: none.
+func (ts *Tenants) exceeded(now float64, tenant *Tenant, q *QueuedTransaction, limits TenantQueueLimits) RejectReason {
+	switch {
+	case now >= q.waitUntil:
+		return q.reason
+	case tenant.Queued() >= limits.PerTenant || len(ts.deadlines) >= limits.Total:
+		return RejectTooMany
+	case tenant.bytes+q.Bytes > limits.BytesPerTenant || ts.bytes+q.Bytes > limits.TotalBytes:
+		return RejectTooManyBytes
+	}
+	return ""
 }
 
-// insert puts it behind all that came before it.
-func (ts *Tenants) insert(x *QueuedTransaction, l *list.List) {
-	x.queue = l
-	if x.order == 0 {
+// insert puts a transaction behind all that arrived before it.
+func (ts *Tenants) insert(q *QueuedTransaction, queue *list.List) {
+	q.queue = queue
+	if q.order == 0 {
 		ts.lastOrder++
-		x.order = ts.lastOrder
-		x.element = l.PushBack(x)
+		q.order = ts.lastOrder
+		q.element = queue.PushBack(q)
 		return
 	}
-	for e := l.Front(); e != nil; e = e.Next() { // it is among those that came first
-		if e.Value.(*QueuedTransaction).order > x.order {
-			x.element = l.InsertBefore(x, e)
+	for e := queue.Front(); e != nil; e = e.Next() { // it is among those that arrived first
+		if e.Value.(*QueuedTransaction).order > q.order {
+			q.element = queue.InsertBefore(q, e)
 			return
 		}
 	}
-	x.element = l.PushBack(x)
+	q.element = queue.PushBack(q)
 }
 
-// Grow notes that a transaction that is held sent more. false: what waits takes more than it may, and no more of it
-// should be read.
-func (ts *Tenants) Grow(x *QueuedTransaction, bytes int, b TenantQueueLimits) bool {
-	if !x.IsQueued() {
+// Grow records that a transaction that waits sent more. It returns false if what waits exceeds its limits, and no more of
+// it should be read.
+func (ts *Tenants) Grow(q *QueuedTransaction, bytes int, limits TenantQueueLimits) bool {
+	if !q.IsQueued() {
 		return true
 	}
-	more := bytes - x.Bytes
-	x.Bytes = bytes
-	x.tenant.bytes += more
+	more := bytes - q.Bytes
+	q.Bytes = bytes
+	q.tenant.bytes += more
 	ts.bytes += more
-	return x.tenant.bytes <= b.BytesPerTenant && ts.bytes <= b.TotalBytes
+	return q.tenant.bytes <= limits.BytesPerTenant && ts.bytes <= limits.TotalBytes
 }
 
-// Remove takes a transaction out, wherever it is: its client is gone, or it was refused.
-func (ts *Tenants) Remove(t *Tenant, x *QueuedTransaction) {
-	ts.Complete(t, x)
-	ts.remove(x)
+// Remove takes a transaction out, wherever it is: its client is gone, or it was rejected.
+func (ts *Tenants) Remove(tenant *Tenant, q *QueuedTransaction) {
+	ts.Complete(tenant, q)
+	ts.remove(q)
 }
 
-func (ts *Tenants) remove(x *QueuedTransaction) {
-	if !x.IsQueued() {
+func (ts *Tenants) remove(q *QueuedTransaction) {
+	if !q.IsQueued() {
 		return
 	}
-	x.queue.Remove(x.element)
-	x.queue, x.element = nil, nil
-	x.tenant.bytes -= x.Bytes
-	ts.bytes -= x.Bytes
-	heap.Remove(&ts.deadlines, x.heapIndex)
+	q.queue.Remove(q.element)
+	q.queue, q.element = nil, nil
+	q.tenant.bytes -= q.Bytes
+	ts.bytes -= q.Bytes
+	heap.Remove(&ts.deadlines, q.heapIndex)
 }
 
-// Next takes the transaction of a tenant that is to go on now and be decided anew; nil: none is. As many as its window
-// says are on their way at once, so that a host that has not served this database yet is not met by all of them.
-func (ts *Tenants) Next(t *Tenant, h Assignment) *QueuedTransaction {
-	for e := t.awaitingRules.Front(); e != nil; {
-		x, next := e.Value.(*QueuedTransaction), e.Next()
-		if h.Paused || !x.rejectedUnder.Equal(h) {
-			x.queue.Remove(x.element)
-			x.rejectedByHost = false
-			ts.insert(x, &t.waiting)
-		}
-		e = next
-	}
-	e := t.waiting.Front()
-	if e == nil || h.Paused {
+// Next releases the transaction of a tenant that is to go on now, which is then to be admitted again; nil: none is. Its
+// MaxInFlight bounds how many are on their way at once, so that a host that has not served this database yet is not
+// reached by all of them.
+func (ts *Tenants) Next(tenant *Tenant, assignment Assignment) *QueuedTransaction {
+	ts.requeueChanged(tenant, assignment)
+	front := tenant.waiting.Front()
+	if front == nil || assignment.Paused {
 		return nil
 	}
-	x := e.Value.(*QueuedTransaction)
-	if !h.Undecided && t.inFlight >= max(1, x.MaxInFlight) {
+	q := front.Value.(*QueuedTransaction)
+	if !assignment.Undecided && tenant.inFlight >= max(1, q.MaxInFlight) {
 		return nil
 	}
-	ts.remove(x)
-	x.released = true
-	t.inFlight++
-	t.Released++
-	return x
+	ts.remove(q)
+	q.released = true
+	tenant.inFlight++
+	tenant.Released++
+	return q
+}
+
+// requeueChanged has those that a host rejected wait with the others once the rules have changed.
+func (ts *Tenants) requeueChanged(tenant *Tenant, assignment Assignment) {
+	var next *list.Element
+	for e := tenant.awaitingRules.Front(); e != nil; e = next {
+		next = e.Next()
+		q := e.Value.(*QueuedTransaction)
+		if !assignment.Paused && q.rejectedUnder.Equal(assignment) {
+			continue
+		}
+		q.queue.Remove(q.element)
+		q.rejectedByHost = false
+		ts.insert(q, &tenant.waiting)
+	}
 }
 
-// Complete says that a transaction that was let go is at its host, or over. more: others wait behind it.
-func (ts *Tenants) Complete(t *Tenant, x *QueuedTransaction) (more bool) {
-	if !x.released {
+// Complete records that a released transaction reached its host, or ended. more is set if others wait behind it.
+func (ts *Tenants) Complete(tenant *Tenant, q *QueuedTransaction) (more bool) {
+	if !q.released {
 		return false
 	}
-	x.released = false
-	t.inFlight--
-	return t.waiting.Len() > 0
+	q.released = false
+	tenant.inFlight--
+	return tenant.waiting.Len() > 0
 }
 
-// NextExpired takes out a transaction whose time is over, with why; nil: there is none.
+// NextExpired takes out a transaction whose wait is over, with why it is rejected; nil: there is none.
 func (ts *Tenants) NextExpired(now float64) (*QueuedTransaction, *TenantError) {
 	if len(ts.deadlines) == 0 || ts.deadlines[0].waitUntil > now {
 		return nil, nil
 	}
-	x := ts.deadlines[0]
-	ts.remove(x)
-	return x, x.tenant.reject(x.reason)
+	q := ts.deadlines[0]
+	ts.remove(q)
+	return q, q.tenant.reject(q.reason)
 }
 
-// NextDeadline is when the next one's time is over; ok is false where nothing is held.
+// NextDeadline is when the next wait is over; ok is false if nothing waits.
 func (ts *Tenants) NextDeadline() (at float64, ok bool) {
 	if len(ts.deadlines) == 0 {
 		return 0, false
@@ -362,25 +339,28 @@
 	return ts.deadlines[0].waitUntil, true
 }
 
-// deadlineHeap are all that are held, the one whose time is over first at the front.
+// deadlineHeap is a container/heap of all that wait, by the end of their wait.
 type deadlineHeap []*QueuedTransaction
 
-func (d deadlineHeap) Len() int           { return len(d) }
-func (d deadlineHeap) Less(i, j int) bool { return d[i].waitUntil < d[j].waitUntil }
-func (d deadlineHeap) Swap(i, j int) {
-	d[i], d[j] = d[j], d[i]
-	d[i].heapIndex, d[j].heapIndex = i, j
+func (h deadlineHeap) Len() int           { return len(h) }
+func (h deadlineHeap) Less(i, j int) bool { return h[i].waitUntil < h[j].waitUntil }
+func (h deadlineHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapIndex, h[j].heapIndex = i, j
 }
 
-func (d *deadlineHeap) Push(x any) {
-	x.(*QueuedTransaction).heapIndex = len(*d)
-	*d = append(*d, x.(*QueuedTransaction))
+// Push implements heap.Interface.
+func (h *deadlineHeap) Push(x any) {
+	q := x.(*QueuedTransaction)
+	q.heapIndex = len(*h)
+	*h = append(*h, q)
 }
 
-func (d *deadlineHeap) Pop() any {
-	old := *d
-	x := old[len(old)-1]
+// Pop implements heap.Interface.
+func (h *deadlineHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
 	old[len(old)-1] = nil
-	*d = old[:len(old)-1]
-	return x
+	*h = old[:len(old)-1]
+	return last
 }
--- a/testbed/cluster/simmove.go
+++ b/testbed/cluster/simmove.go
@@ -232,10 +232,10 @@
 		to := (from + 1 + m.lots.IntN(len(m.groups)-1)) % len(m.groups)
 		t.plan = migration.Plan{
 			Tenant: t.name, From: migration.Group(from + 1), To: migration.Group(to + 1), FenceWaitMillis: 60, MaxAbortedPauses: 3, BackoffMillis: 200, Priority: float64(m.lots.IntN(3)),
-			MaxPauseMillis: mvCosts.MinPauseMillis(60) * (1.1 + m.lots.Float64()), Checkpoints: []string{migration.CheckpointAccepting}, BlockingSessions: []string{"wait", "end"}[m.lots.IntN(2)],
+			MaxPauseMillis: mvCosts.MinPauseMillis(60) * (1.1 + m.lots.Float64()), Checkpoints: []migration.Checkpoint{migration.CheckpointAccepting}, BlockingSessions: []string{"wait", "end"}[m.lots.IntN(2)],
 			OldCopy: []string{"keep", "drop"}[m.lots.IntN(2)],
 		}
-		for _, c := range []string{migration.CheckpointChecked, migration.CheckpointFencing, migration.CheckpointSwitching} {
+		for _, c := range []migration.Checkpoint{migration.CheckpointChecked, migration.CheckpointFencing, migration.CheckpointSwitching} {
 			if m.lots.IntN(2) == 0 {
 				t.plan.Checkpoints = append(t.plan.Checkpoints, c)
 			}
@@ -316,11 +316,11 @@
 	s, _ := migration.DecodeState(&was)
 	switch e.Type {
 	case jobs.EntryAnnounce:
-		at := map[string]string{
+		at := map[migration.Operation]migration.Checkpoint{
 			migration.OperationPublish: migration.CheckpointChecked, migration.OperationPause: migration.CheckpointFencing, migration.OperationSwitch: migration.CheckpointSwitching,
 			migration.OperationAccept: migration.CheckpointAccepting,
-		}[e.Operation.Name]
-		reverse := s.Reverse || e.Operation.Name == migration.OperationPause && s.Phase == migration.PhaseSwitched
+		}[migration.Operation(e.Operation.Name)]
+		reverse := s.Reverse || e.Operation.Name == string(migration.OperationPause) && s.Phase == migration.PhaseSwitched
 		if at != "" && slices.Contains(t.plan.Checkpoints, at) && !reverse {
 			want := migration.ActionGo
 			if at == migration.CheckpointAccepting {
@@ -331,7 +331,7 @@
 			}
 		}
 	case jobs.EntryApprove:
-		if e.Approval.Action == migration.ActionRollback && t.backAt == 0 && s.Phase != migration.PhaseAccepted && (was.Operation == nil || was.Operation.Name != migration.OperationAccept) {
+		if e.Approval.Action == migration.ActionRollback && t.backAt == 0 && s.Phase != migration.PhaseAccepted && (was.Operation == nil || was.Operation.Name != string(migration.OperationAccept)) {
 			t.backAt = m.now
 		}
 	case jobs.EntryConfirm:
@@ -1050,7 +1050,7 @@
 		return
 	}
 	s, _ := migration.DecodeState(w)
-	if s.Pause != nil && s.Pause.Verified || w.Operation != nil && (w.Operation.Name == migration.OperationVerify || w.Operation.Name == migration.OperationSwitch) {
+	if s.Pause != nil && s.Pause.Verified || w.Operation != nil && (w.Operation.Name == string(migration.OperationVerify) || w.Operation.Name == string(migration.OperationSwitch)) {
 		return
 	}
 	newest := m.versions[len(m.versions)-1].rules
--- a/testbed/cluster/simplaces.go
+++ b/testbed/cluster/simplaces.go
@@ -650,7 +650,7 @@
 	if a.State.Reverse {
 		home = a.Plan.To
 	}
-	of := map[string][]migration.Group{migration.OperationCopy: {a.Plan.To}, migration.OperationFence: {home}}[a.Operation]
+	of := map[migration.Operation][]migration.Group{migration.OperationCopy: {a.Plan.To}, migration.OperationFence: {home}}[a.Operation]
 	if of == nil {
 		of = []migration.Group{a.Plan.From, a.Plan.To}
 	}
