--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -273,7 +273,7 @@
 
 // adminCommands are what operators can have done.
 func (n *node) adminCommands() map[string]admin.Command {
-	return map[string]admin.Command{"cost": n.costs.answer, "work": n.enterJob, "move-plan": n.planMigration, "propose": func(ctx context.Context, body []byte) (any, error) {
+	return map[string]admin.Command{"cost": n.costs.answer, "jobs": n.requestJob, "work": n.requestLegacyJob, "move-plan": n.planMigration, "propose": func(ctx context.Context, body []byte) (any, error) {
 		if n.others == nil || n.others.agreed == nil {
 			return nil, errors.New("this pooler's file has no cluster.agreement block")
 		}
@@ -401,20 +401,7 @@
 		}
 		return found, nil
 	}
-	var folder string
-	var voters []string
-	found := &cobra.Command{
-		Use: "found NAME", Short: "write a voter's first folder, once for each voter of a new cluster", Args: cobra.ExactArgs(1),
-		RunE: func(_ *cobra.Command, args []string) error {
-			if folder == "" || !slices.Contains(voters, args[0]) {
-				return errors.New("--folder names where, --voters all voters, this one among them, alike for each")
-			}
-			return runner.Bootstrap(vfs.OS{}, folder, args[0], voters)
-		},
-	}
-	found.Flags().StringVar(&folder, "folder", "", "as cluster.agreement.folder has it")
-	found.Flags().StringSliceVar(&voters, "voters", nil, "the names of all voters")
-	root.AddCommand(key, found,
+	root.AddCommand(key, bootstrapCommand(), deprecatedCommand(bootstrapCommand(), "cluster found", "cluster bootstrap"),
 		ask(&cobra.Command{
 			Use: "versions", Short: "show the rules that this pooler acts on, and the versions in its log", Args: cobra.NoArgs,
 			RunE: view("agreement", &rules, func(w io.Writer) { versionTable(w, &rules) }),
@@ -471,6 +458,24 @@
 	return root
 }
 
+// bootstrapCommand writes the first state of a voter.
+func bootstrapCommand() *cobra.Command {
+	var folder string
+	var voters []string
+	c := &cobra.Command{
+		Use: "bootstrap NAME", Short: "write a voter's first folder, once for each voter of a new cluster", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			if folder == "" || !slices.Contains(voters, args[0]) {
+				return errors.New("--folder names where, --voters all voters, this one among them, alike for each")
+			}
+			return runner.Bootstrap(vfs.OS{}, folder, args[0], voters)
+		},
+	}
+	c.Flags().StringVar(&folder, "folder", "", "as cluster.agreement.folder has it")
+	c.Flags().StringSliceVar(&voters, "voters", nil, "the names of all voters")
+	return c
+}
+
 func versionTable(w io.Writer, v *runner.View) {
 	if !v.Enabled {
 		fmt.Fprintln(w, "the operator's file has no cluster.agreement block: this pooler acts on its own files alone")
--- a/cmd/ashstand/commands.go
+++ b/cmd/ashstand/commands.go
@@ -108,6 +108,7 @@
 		Use: "show", Short: "print the settings that are in force in the pooler that runs", Args: cobra.NoArgs,
 		RunE: view("config", nil, nil),
 	}))
+	jobCommands := jobCommandTree{ask: ask, view: view, address: address}
 	root.AddCommand(
 		&cobra.Command{Use: "serve", Short: "run the pooler, as the bare name does", Args: cobra.NoArgs, RunE: run},
 		&cobra.Command{
@@ -126,7 +127,8 @@
 		play,
 		stateCommands(),
 		clusterCommands(ask, view, address),
-		jobCommands(ask, view, address),
+		jobCommands.command(),
+		jobCommands.legacyCommand(),
 		migrateCommands(ask, func() bool { return asJSON }, address),
 		costCommands(ask, func() bool { return asJSON }, address),
 		&cobra.Command{Use: "version", Short: "print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
@@ -286,8 +288,15 @@
 		"homes":     n.assignmentsView,
 		"cluster":   func() any { return n.others.view() },
 		"agreement": func() any { return n.others.agreement() },
-		"works":     func() any { return n.others.jobViews() },
-		"moves":     func() any { return n.others.migrationViews() },
+		"jobs": func() any {
+			v := n.others.legacyJobs()
+			return v.standard()
+		},
+		"works": func() any { // deprecated name of jobs
+			warnLegacyRequest("works", "jobs")
+			return n.others.legacyJobs()
+		},
+		"moves": func() any { return n.others.migrationViews() },
 		"config": func() any {
 			c := n.cfg.Load()
 			return map[string]any{
--- a/cmd/ashstand/works_golden_test.go
+++ b/cmd/ashstand/jobs_golden_test.go
@@ -45,7 +45,7 @@
 		Name: "d1", Kind: "drill", Spec: stdjson.RawMessage(`{"database":"orders"}`), RequiredGroups: []uint64{1}, Holder: "n1", Incarnation: 9007199254740993, Token: 17,
 		Step: 4, State: stdjson.RawMessage(`{"done":3}`), Operation: deed, Approval: word, HolderCount: 5, AbortedOperations: 1, Finished: true, Reason: "stopped", Revision: 41,
 	}
-	v := jobsView{On: true, Jobs: []jobView{{Job: x, Here: &executor.Status{
+	v := legacyJobsView{On: true, Works: []legacyJobView{{Job: x, Here: &executor.Status{
 		WaitingFor: "the pace", Options: []jobs.ApprovalOption{{Action: "stop", Effect: "it ends", Persistent: true}},
 		Message: "broken", Code: "in_doubt", Advice: "nothing", LastResponseMillis: 12.5,
 	}}, {Job: jobs.Job{Name: "d2", Kind: "drill"}}}}
@@ -62,7 +62,8 @@
 	require.NoError(t, stdjson.Unmarshal(want, &old))
 	require.NoError(t, stdjson.Unmarshal(got, &now))
 	requireSuperset(t, "", old, now)
-	var read jobsView
+	require.Equal(t, string(want), string(got)+"\n", "the deprecated view does not grow")
+	var read legacyJobsView
 	require.NoError(t, json.Unmarshal(want, &read))
 	require.Equal(t, v, read)
 }
