--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -485,7 +485,7 @@
 	if v.Effective.LeaseExpired {
 		fmt.Fprintln(w, "lease\tnone: the limits count")
 	} else {
-		fmt.Fprintf(w, "lease\t%v left\n", clock.Duration(v.LeaseLeftMillis).Round(time.Millisecond))
+		fmt.Fprintf(w, "lease\t%v left\n", clock.Duration(v.LeaseRemainingMillis).Round(time.Millisecond))
 	}
 	fmt.Fprintf(w, "in force everywhere within\t%v; with a new leader %v\n", clock.Duration(v.BoundMillis).Round(time.Millisecond), clock.Duration(v.BoundAfterElectionMillis).Round(time.Millisecond))
 	if v.IsLeader {
--- a/internal/cluster/consensus/client.go
+++ b/internal/cluster/consensus/client.go
@@ -104,12 +104,12 @@
 	report := c.report
 	report.HighestToken = n.versions.HighestToken
 	n.sendToLeader(LeaseRequest{
-		Nonce:        c.nonce,
-		KnownVersion: n.versions.newest(),
-		Format:       n.cfg.Format,
-		Report:       &report,
-		JobsEpoch:    c.jobs.epoch,
-		JobsRevision: c.jobs.revision,
+		Nonce:         c.nonce,
+		NewestVersion: n.versions.newest(),
+		Format:        n.cfg.Format,
+		Report:        &report,
+		JobsEpoch:     c.jobs.epoch,
+		JobsRevision:  c.jobs.revision,
 	})
 }
 
--- a/internal/cluster/consensus/codec.go
+++ b/internal/cluster/consensus/codec.go
@@ -13,31 +13,31 @@
 // maxMessageBytes bounds what is decoded.
 const maxMessageBytes = 1 << 20
 
-// wireMessage is the JSON form of every Message: the fields of all kinds, zero where a kind has none. Names and order are
-// part of the wire format: processes of other versions read and write the same.
+// wireMessage is the JSON form of every Message: the fields of all kinds, zero where a kind has none. Keys and order are
+// the wire format: processes of other versions read and write the same.
 type wireMessage struct {
-	From     string
-	To       string
-	Kind     MessageKind
-	ID       uint64 // VoterHello: the identity; proposals and results: the proposal
-	Nonce    uint64
-	Instance uint64 // Message.Incarnation
-	Known    int    // LeaseRequest.KnownVersion
-	Format   int
-	For      float64      // LeaseGrant.DurationMillis
-	Held     VersionState // Versions
-	Version  Version
-	OK       bool   // ProposalResult.Accepted
-	Why      string // ProposalResult.Reason
-	Leader   string
-
-	Entry   *jobs.Entry
-	Change  Rules
-	Refused *jobs.RejectedError // ProposalResult.Rejected
-	Report  *jobs.Report
-	Epoch   uint64     // JobsEpoch
-	Count   uint64     // JobsRevision
-	Works   []jobs.Job // Jobs
+	From          string       `json:"From"`
+	To            string       `json:"To"`
+	Kind          MessageKind  `json:"Kind"`
+	ID            uint64       `json:"ID"` // VoterHello: the identity; proposals and results: the proposal
+	Nonce         uint64       `json:"Nonce"`
+	Incarnation   uint64       `json:"Instance"`
+	NewestVersion int          `json:"Known"`
+	Format        int          `json:"Format"` // LeaseRequest
+	Duration      float64      `json:"For"`    // in milliseconds
+	Versions      VersionState `json:"Held"`
+	Version       Version      `json:"Version"` // VersionProposal; JobProposal: Format alone; ProposalResult: Number alone
+	Accepted      bool         `json:"OK"`
+	Reason        string       `json:"Why"`
+	Leader        string       `json:"Leader"`
+
+	Entry        *jobs.Entry         `json:"Entry"`
+	Change       Rules               `json:"Change"`
+	Rejected     *jobs.RejectedError `json:"Refused"`
+	Report       *jobs.Report        `json:"Report"`
+	JobsEpoch    uint64              `json:"Epoch"`
+	JobsRevision uint64              `json:"Count"`
+	Jobs         []jobs.Job          `json:"Works"`
 
 	Raft []byte `json:"Raft,omitempty"`
 }
@@ -63,7 +63,7 @@
 
 // EncodeMessage returns the form of a message that is sent.
 func EncodeMessage(m Message) ([]byte, error) {
-	w := wireMessage{From: m.From, To: m.To, Kind: m.Payload.Kind(), Instance: m.Incarnation}
+	w := wireMessage{From: m.From, To: m.To, Kind: m.Payload.Kind(), Incarnation: m.Incarnation}
 	if err := m.Payload.fill(&w); err != nil {
 		return nil, err
 	}
@@ -86,14 +86,14 @@
 	if err != nil {
 		return Message{}, err
 	}
-	return Message{From: w.From, To: w.To, Incarnation: w.Instance, Payload: payload}, nil
+	return Message{From: w.From, To: w.To, Incarnation: w.Incarnation, Payload: payload}, nil
 }
 
 func (w *wireMessage) validate() error {
 	if (w.Kind == KindRaft) != (w.Raft != nil) || w.From == "" || w.Kind > maxKind {
 		return &MessageError{Kind: w.Kind, Reason: "it lacks a part"}
 	}
-	for _, version := range []*Version{&w.Version, &w.Held.Active, w.Held.Pending} {
+	for _, version := range []*Version{&w.Version, &w.Versions.Active, w.Versions.Pending} {
 		if version == nil {
 			continue
 		}
@@ -116,9 +116,9 @@
 	case KindVoterHello:
 		return VoterHello{ID: w.ID}, nil
 	case KindLeaseRequest:
-		return LeaseRequest{Nonce: w.Nonce, KnownVersion: w.Known, Format: w.Format, Report: w.Report, JobsEpoch: w.Epoch, JobsRevision: w.Count}, nil
+		return LeaseRequest{Nonce: w.Nonce, NewestVersion: w.NewestVersion, Format: w.Format, Report: w.Report, JobsEpoch: w.JobsEpoch, JobsRevision: w.JobsRevision}, nil
 	case KindLeaseGrant:
-		return LeaseGrant{Nonce: w.Nonce, DurationMillis: w.For, Versions: w.Held, JobsEpoch: w.Epoch, JobsRevision: w.Count, Jobs: w.Works}, nil
+		return LeaseGrant{Nonce: w.Nonce, DurationMillis: w.Duration, Versions: w.Versions, JobsEpoch: w.JobsEpoch, JobsRevision: w.JobsRevision, Jobs: w.Jobs}, nil
 	case KindProposal:
 		if w.Entry == nil && w.Change == nil {
 			return VersionProposal{ID: w.ID, Version: w.Version}, nil
@@ -126,13 +126,13 @@
 		return JobProposal{ID: w.ID, Entry: w.Entry, Change: w.Change, Format: w.Version.Format}, nil
 	case KindProposalResult:
 		return ProposalResult{
-			ID: w.ID, Accepted: w.OK, VersionNumber: w.Version.Number, Reason: w.Why, Rejected: w.Refused, Versions: w.Held,
-			JobsEpoch: w.Epoch, Jobs: w.Works,
+			ID: w.ID, Accepted: w.Accepted, VersionNumber: w.Version.Number, Reason: w.Reason, Rejected: w.Rejected, Versions: w.Versions,
+			JobsEpoch: w.JobsEpoch, Jobs: w.Jobs,
 		}, nil
 	case KindLeaderRedirect:
 		return LeaderRedirect{Leader: w.Leader}, nil
 	case KindJobUpdate:
-		return JobUpdate{Versions: w.Held, JobsEpoch: w.Epoch, Jobs: w.Works}, nil
+		return JobUpdate{Versions: w.Versions, JobsEpoch: w.JobsEpoch, Jobs: w.Jobs}, nil
 	}
 	return nil, &MessageError{Kind: w.Kind, Reason: "unknown"}
 }
@@ -148,14 +148,14 @@
 }
 
 func (p LeaseRequest) fill(w *wireMessage) error {
-	w.Nonce, w.Known, w.Format, w.Report = p.Nonce, p.KnownVersion, p.Format, p.Report
-	w.Epoch, w.Count = p.JobsEpoch, p.JobsRevision
+	w.Nonce, w.NewestVersion, w.Format, w.Report = p.Nonce, p.NewestVersion, p.Format, p.Report
+	w.JobsEpoch, w.JobsRevision = p.JobsEpoch, p.JobsRevision
 	return nil
 }
 
 func (p LeaseGrant) fill(w *wireMessage) error {
-	w.Nonce, w.For, w.Held = p.Nonce, p.DurationMillis, p.Versions
-	w.Epoch, w.Count, w.Works = p.JobsEpoch, p.JobsRevision, p.Jobs
+	w.Nonce, w.Duration, w.Versions = p.Nonce, p.DurationMillis, p.Versions
+	w.JobsEpoch, w.JobsRevision, w.Jobs = p.JobsEpoch, p.JobsRevision, p.Jobs
 	return nil
 }
 
@@ -170,8 +170,8 @@
 }
 
 func (p ProposalResult) fill(w *wireMessage) error {
-	w.ID, w.OK, w.Version.Number, w.Why, w.Refused = p.ID, p.Accepted, p.VersionNumber, p.Reason, p.Rejected
-	w.Held, w.Epoch, w.Works = p.Versions, p.JobsEpoch, p.Jobs
+	w.ID, w.Accepted, w.Version.Number, w.Reason, w.Rejected = p.ID, p.Accepted, p.VersionNumber, p.Reason, p.Rejected
+	w.Versions, w.JobsEpoch, w.Jobs = p.Versions, p.JobsEpoch, p.Jobs
 	return nil
 }
 
@@ -181,6 +181,6 @@
 }
 
 func (p JobUpdate) fill(w *wireMessage) error {
-	w.Held, w.Epoch, w.Works = p.Versions, p.JobsEpoch, p.Jobs
+	w.Versions, w.JobsEpoch, w.Jobs = p.Versions, p.JobsEpoch, p.Jobs
 	return nil
 }
--- a/internal/cluster/consensus/codec_test.go
+++ b/internal/cluster/consensus/codec_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestDecodeRejectsMalformedMessages(t *testing.T) {
-	text, err := EncodeMessage(Message{From: "n1", To: "n2", Payload: LeaseRequest{Nonce: 1<<63 + 1, KnownVersion: 3}})
+	text, err := EncodeMessage(Message{From: "n1", To: "n2", Payload: LeaseRequest{Nonce: 1<<63 + 1, NewestVersion: 3}})
 	require.NoError(t, err)
 	m, err := DecodeMessage(text)
 	require.NoError(t, err)
--- a/internal/cluster/consensus/command.go
+++ b/internal/cluster/consensus/command.go
@@ -28,19 +28,21 @@
 // activateVersion makes the pending version the active one.
 type activateVersion struct{ Number int }
 
-// logEntry is the JSON form of every command: the fields of all, left out where a command has none. Names and order are
-// part of the stored format.
+// logEntry is the JSON form of every command: the fields of all, left out where a command has none. Keys and order are
+// the stored format.
 type logEntry struct {
-	Propose *Version    `json:"propose,omitempty"`
-	ID      uint64      `json:"id,omitempty"`
-	Force   int         `json:"force,omitempty"`
-	Work    *jobs.Entry `json:"work,omitempty"`
-	Change  Rules       `json:"change,omitempty"`
+	Version   *Version    `json:"propose,omitempty"`
+	ID        uint64      `json:"id,omitempty"`
+	Activated int         `json:"force,omitempty"`
+	JobEntry  *jobs.Entry `json:"work,omitempty"`
+	Change    Rules       `json:"change,omitempty"`
 }
 
-func (c proposeVersion) entry() logEntry  { return logEntry{Propose: &c.Version, ID: c.ID} }
-func (c applyJobEntry) entry() logEntry   { return logEntry{ID: c.ID, Work: c.Entry, Change: c.Change} }
-func (c activateVersion) entry() logEntry { return logEntry{Force: c.Number} }
+func (c proposeVersion) entry() logEntry { return logEntry{Version: &c.Version, ID: c.ID} }
+func (c applyJobEntry) entry() logEntry {
+	return logEntry{ID: c.ID, JobEntry: c.Entry, Change: c.Change}
+}
+func (c activateVersion) entry() logEntry { return logEntry{Activated: c.Number} }
 
 func encodeCommand(c command) ([]byte, error) { return json.Marshal(c.entry()) }
 
@@ -54,12 +56,12 @@
 		return nil, err
 	}
 	switch {
-	case e.Propose != nil:
-		return proposeVersion{ID: e.ID, Version: *e.Propose}, nil
-	case e.Work != nil:
-		return applyJobEntry{ID: e.ID, Entry: e.Work, Change: e.Change}, nil
-	case e.Force > 0:
-		return activateVersion{Number: e.Force}, nil
+	case e.Version != nil:
+		return proposeVersion{ID: e.ID, Version: *e.Version}, nil
+	case e.JobEntry != nil:
+		return applyJobEntry{ID: e.ID, Entry: e.JobEntry, Change: e.Change}, nil
+	case e.Activated > 0:
+		return activateVersion{Number: e.Activated}, nil
 	}
 	return nil, nil
 }
--- a/internal/cluster/consensus/golden_test.go
+++ b/internal/cluster/consensus/golden_test.go
@@ -174,7 +174,7 @@
 	return map[string]Payload{
 		"raft":  RaftMessage{Raft: goldenRaft()},
 		"hello": VoterHello{ID: id},
-		"renew": LeaseRequest{Nonce: nonce, KnownVersion: 4, Format: 1, Report: goldenReport(), JobsEpoch: epoch, JobsRevision: 12},
+		"renew": LeaseRequest{Nonce: nonce, NewestVersion: 4, Format: 1, Report: goldenReport(), JobsEpoch: epoch, JobsRevision: 12},
 		"grant": LeaseGrant{Nonce: nonce, DurationMillis: 200.5, Versions: goldenVersions(), JobsEpoch: epoch, JobsRevision: 12, Jobs: list},
 		// An empty one: there is no job, and no version.
 		"grant-empty":           LeaseGrant{Nonce: nonce, DurationMillis: 200.5},
--- a/internal/cluster/consensus/grants.go
+++ b/internal/cluster/consensus/grants.go
@@ -16,13 +16,13 @@
 
 // leaseHolder is a pooler whose lease may still run.
 type leaseHolder struct {
-	name         string
-	incarnation  uint64
-	until        float64 // by the leader's clock, the other's drift included
-	knownVersion int     // the newest version that it acts on
-	format       int     // of rules that its program reads
-	report       jobs.Report
-	allJobsAt    float64 // when it was sent the changes of all jobs
+	name             string
+	incarnation      uint64
+	until            float64 // by the leader's clock, the other's drift included
+	confirmedVersion int     // the newest version that it acts on
+	format           int     // of rules that its program reads
+	report           jobs.Report
+	allJobsAt        float64 // when it was sent the changes of all jobs
 }
 
 // renewal is a lease request and who sent it.
@@ -108,7 +108,7 @@
 	if holder == nil {
 		return
 	}
-	holder.knownVersion = max(holder.knownVersion, r.request.KnownVersion)
+	holder.confirmedVersion = max(holder.confirmedVersion, r.request.NewestVersion)
 	holder.format = r.request.Format
 	if r.request.Report != nil {
 		holder.report = *r.request.Report
@@ -147,7 +147,7 @@
 	changed := state.Jobs.ChangedSince(since)
 	grant.JobsRevision = since
 	if n.now-holder.allJobsAt < n.cfg.LeaseMillis/2 && since > 0 {
-		grant.Jobs = heldBy(changed, r)
+		grant.Jobs = jobsOf(changed, r)
 		return
 	}
 	holder.allJobsAt = n.now
@@ -161,14 +161,14 @@
 	grant.JobsRevision = state.Jobs.Revision
 }
 
-// heldBy are the jobs whose lease the sender of a request holds.
-func heldBy(list []jobs.Job, r renewal) (held []jobs.Job) {
+// jobsOf are the jobs whose lease the sender of a request holds.
+func jobsOf(list []jobs.Job, r renewal) (own []jobs.Job) {
 	for _, job := range list {
 		if job.Holder == r.from && job.Incarnation == r.incarnation {
-			held = append(held, job)
+			own = append(own, job)
 		}
 	}
-	return held
+	return own
 }
 
 // jobBytes is the size of a job in a message, about.
--- a/internal/cluster/consensus/leader.go
+++ b/internal/cluster/consensus/leader.go
@@ -93,7 +93,7 @@
 		return false
 	}
 	for _, h := range n.leadership.holders {
-		if h.knownVersion < version {
+		if h.confirmedVersion < version {
 			return false
 		}
 	}
--- a/internal/cluster/consensus/message.go
+++ b/internal/cluster/consensus/message.go
@@ -46,12 +46,12 @@
 
 // LeaseRequest asks the leader for a lease. It reports the pooler's state, too.
 type LeaseRequest struct {
-	Nonce        uint64 // of this request; the grant repeats it
-	KnownVersion int    // the newest version that the pooler acts on, alone or beside an older one
-	Format       int    // the newest format of rules that its program reads
-	Report       *jobs.Report
-	JobsEpoch    uint64 // of the jobs that it knows
-	JobsRevision uint64 // up to which it knows them
+	Nonce         uint64 // of this request; the grant repeats it
+	NewestVersion int    // the newest version that the pooler acts on, alone or beside an older one
+	Format        int    // the newest format of rules that its program reads
+	Report        *jobs.Report
+	JobsEpoch     uint64 // of the jobs that it knows
+	JobsRevision  uint64 // up to which it knows them
 }
 
 // LeaseGrant answers a LeaseRequest. The lease begins when the request was sent.
--- a/internal/cluster/consensus/runner/loop.go
+++ b/internal/cluster/consensus/runner/loop.go
@@ -14,8 +14,8 @@
 	suspendedFor = 2 * time.Second
 	// warnEveryMillis is the interval of the reports of rules that are used without a lease.
 	warnEveryMillis = 100.0
-	// minLeaseLeftMillis bounds what is reported of a lease that never was, which would be infinite.
-	minLeaseLeftMillis = -1e9
+	// minLeaseRemainingMillis bounds what is reported of a lease that never was, which would be infinite.
+	minLeaseRemainingMillis = -1e9
 )
 
 // loop is the one goroutine that touches the node and the storage.
@@ -199,6 +199,6 @@
 	isOverrun := now >= lease.ExpiresAt && !lease.Expired(now) && now >= l.nextWarning
 	if isNew || isOverrun {
 		l.leaseUntil, l.nextWarning = lease.ExpiresAt, now+warnEveryMillis
-		l.runner.options.OnLease(max(lease.ExpiresAt-now, minLeaseLeftMillis))
+		l.runner.options.OnLease(max(lease.ExpiresAt-now, minLeaseRemainingMillis))
 	}
 }
--- a/internal/cluster/consensus/runner/runner.go
+++ b/internal/cluster/consensus/runner/runner.go
@@ -30,7 +30,7 @@
 	Clock     clock.Clock
 	Send      func(to string, message []byte) // never waits; what can't be sent is lost
 	OnChange  func(consensus.EffectiveRules)  // called whenever the effective rules change; nil: not called
-	OnLease   func(leftMillis float64)        // called for each new lease, and while rules are used without one; for the testbed; nil: not called
+	OnLease   func(remainingMillis float64)   // called for each new lease, and while rules are used without one; for the testbed; nil: not called
 }
 
 // maxInbox bounds the messages that wait for the loop. More are dropped: their senders repeat them.
@@ -46,7 +46,7 @@
 	views    chan chan View
 	reports  chan jobs.Report // holds the latest only
 	stopping chan struct{}    // closed by Stop
-	loop     sync.WaitGroup
+	running  sync.WaitGroup
 
 	lease             atomic.Pointer[consensus.Lease] // published by the loop, after what it rests on is persisted
 	messagesLost      atomic.Int64
@@ -90,7 +90,7 @@
 		r.closeStorage()
 		return nil, err
 	}
-	r.loop.Go(func() { newLoop(r, node).run() })
+	r.running.Go(func() { newLoop(r, node).run() })
 	return r, nil
 }
 
@@ -143,7 +143,7 @@
 // Stop ends the loop, waits for it, and closes the storage. It is called once.
 func (r *Runner) Stop() {
 	close(r.stopping)
-	r.loop.Wait()
+	r.running.Wait()
 	r.closeStorage()
 }
 
--- a/internal/cluster/consensus/runner/view.go
+++ b/internal/cluster/consensus/runner/view.go
@@ -11,7 +11,7 @@
 type View struct {
 	Enabled                  bool                     `json:"on"`
 	Effective                consensus.EffectiveRules `json:"acting"`
-	LeaseLeftMillis          float64                  `json:"lease_left_ms"`
+	LeaseRemainingMillis     float64                  `json:"lease_left_ms"`
 	IsLeader                 bool                     `json:"leading"`
 	Voters                   map[uint64]string        `json:"voters"`
 	Versions                 []consensus.Version      `json:"versions"`
@@ -38,12 +38,12 @@
 	r := l.runner
 	now, lease := r.options.Clock.Now(), r.Lease()
 	view := View{
-		Enabled:           true,
-		Effective:         lease.Effective(now),
-		LeaseLeftMillis:   max(0, lease.ExpiresAt-now),
-		MessagesLost:      r.messagesLost.Load(),
-		MessagesMalformed: r.messagesMalformed.Load(),
-		SavesFailed:       r.savesFailed.Load(),
+		Enabled:              true,
+		Effective:            lease.Effective(now),
+		LeaseRemainingMillis: max(0, lease.ExpiresAt-now),
+		MessagesLost:         r.messagesLost.Load(),
+		MessagesMalformed:    r.messagesMalformed.Load(),
+		SavesFailed:          r.savesFailed.Load(),
 	}
 	view.BoundMillis, view.BoundAfterElectionMillis = r.options.Config.ActivationBoundMillis()
 	if l.node != nil {
--- a/testbed/cluster/simulate.go
+++ b/testbed/cluster/simulate.go
@@ -234,7 +234,7 @@
 	var known int
 	switch p := m.Payload.(type) {
 	case consensus.LeaseRequest:
-		nonce, known = p.Nonce, p.KnownVersion
+		nonce, known = p.Nonce, p.NewestVersion
 	case consensus.LeaseGrant:
 		nonce = p.Nonce
 	}
