--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -273,7 +273,7 @@
 
 // adminCommands are what operators can have done.
 func (n *node) adminCommands() map[string]admin.Command {
-	return map[string]admin.Command{"cost": n.costs.answer, "jobs": n.requestJob, "work": n.requestLegacyJob, "move-plan": n.planMigration, "propose": func(ctx context.Context, body []byte) (any, error) {
+	return map[string]admin.Command{"cost": n.costs.estimate, "jobs": n.requestJob, "work": n.requestLegacyJob, "move-plan": n.planMigration, "propose": func(ctx context.Context, body []byte) (any, error) {
 		if n.others == nil || n.others.agreed == nil {
 			return nil, errors.New("this pooler's file has no cluster.agreement block")
 		}
--- a/cmd/ashstand/commands.go
+++ b/cmd/ashstand/commands.go
@@ -281,7 +281,7 @@
 		},
 		"evidence": func() any {
 			if n.costs == nil {
-				return map[string]string{"error": "this pooler's file has no cost block, so it observes nothing"}
+				return map[string]string{"error": errNoCostBlock.Error()}
 			}
 			return n.costs.evidence()
 		},
--- a/cmd/ashstand/cost_golden_test.go
+++ b/cmd/ashstand/cost_golden_test.go
@@ -21,7 +21,7 @@
 }
 
 // goldenEvidence is evidence with every kind of part, all of them set.
-func goldenEvidence() evidence {
+func goldenEvidence() costEvidence {
 	cell := func(class, kind, text string) cost.Cell {
 		c := cost.Cell{Block: 2, Class: class, Kind: kind, Statement: cost.NewFingerprint(text), At: 1700000000250.5}
 		for i := range c.Moments {
@@ -31,7 +31,7 @@
 	}
 	folded := cell("report", "old", "")
 	folded.Statement = cost.Fingerprint{}
-	return evidence{
+	return costEvidence{
 		At: 1700000000500.25, Span: 21600000, Drift: 0.2,
 		Summary: cost.Summary{
 			Source: "pooler-1", Incarnation: 1700000000000, Sequence: 4, At: 1700000000400, Cells: []cost.Cell{
@@ -59,7 +59,7 @@
 	committed, err := os.ReadFile(path)
 	require.NoError(t, err)
 	require.Equal(t, string(committed), string(text))
-	var decoded evidence
+	var decoded costEvidence
 	require.NoError(t, stdjson.Unmarshal(committed, &decoded))
 	require.Equal(t, goldenEvidence(), decoded)
 	text, err = json.MarshalIndent(decoded, "", "  ")
--- a/cmd/ashstand/golden_test.go
+++ b/cmd/ashstand/golden_test.go
@@ -163,7 +163,7 @@
 
 // TestGoldenAdminViews holds every key of each view, and that a command reads what an earlier pooler answered.
 func TestGoldenAdminViews(t *testing.T) {
-	types := map[string]reflect.Type{"evidence": reflect.TypeFor[evidence]()}
+	types := map[string]reflect.Type{"evidence": reflect.TypeFor[costEvidence]()}
 	for name, view := range idleNode().views() {
 		if name != "evidence" && name != "config" && !slices.Contains(growing, name) { // config is whole in the views that are off
 			types[name] = reflect.TypeOf(view())
@@ -213,7 +213,7 @@
 func TestGoldenAdminRefusals(t *testing.T) {
 	bare, withWorks := idleNode(), idleNode()
 	withWorks.others = &fellows{jobs: &jobService{handlers: map[string]jobs.Handler{}}}
-	withWorks.costs = &estimates{}
+	withWorks.costs = &costCollector{}
 	var out bytes.Buffer
 	for _, n := range []*node{bare, withWorks} {
 		address := serveAdmin(t, nil, n.adminCommands())
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -101,7 +101,7 @@
 	admin  *admin.Server    // nil: off
 	keeper *keeper          // nil: nothing is kept
 	others *fellows         // nil: it knows of no other poolers
-	costs  *estimates       // nil: nothing is observed
+	costs  *costCollector   // nil: nothing is observed
 	clock  clock.Clock
 	cfg    atomic.Pointer[config]
 	list   atomic.Pointer[map[string]discovery.Endpoint]
@@ -211,7 +211,7 @@
 	}
 	n.others.startJobs(n, cfg, now)
 	n.core = edge.New(n.facade, now, backend)
-	if n.costs = estimate(cfg, n, now); n.costs != nil {
+	if n.costs = newCostCollector(cfg, n, now); n.costs != nil {
 		n.core.Observe(n.costs)
 	}
 	n.core.SetLimits(b.core)
