--- a/cmd/simadapter/main_test.go
+++ b/cmd/simadapter/main_test.go
@@ -53,7 +53,7 @@
 
 func TestPanicBecomesBug(t *testing.T) {
 	c := new(routing.Router) // not made by New: its maps are nil
-	got := step(nil, 4, c, &wire.Batch{Now: 1}, []routing.Event{{Kind: routing.EventTargets, Targets: []routing.Target{{Host: "h", Group: 1}}}})
+	got := step(nil, 4, c, &wire.Batch{Now: 1}, []routing.Event{routing.TargetsChanged{Targets: []routing.Target{{Host: "h", Group: 1}}}})
 	if !strings.HasPrefix(string(got), "BUG who=4 body_text=") || strings.Count(string(got), "\n") != 1 {
 		t.Errorf("got %q", got)
 	}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -41,8 +41,8 @@
 	if !ok {
 		return nil, ErrUnknownClass
 	}
-	e := routing.Event{
-		Kind: routing.EventRequest, Class: class, Group: r.Group, IsRetry: r.IsRetry,
+	e := routing.RequestArrived{
+		Class: class, Group: r.Group, IsRetry: r.IsRetry,
 		HasSessionKey: r.Session != "", SessionKey: sessionKey(r.Session),
 	}
 	now := d.clock.Now()
@@ -113,8 +113,8 @@
 	if c.class.Access == routing.Write && o.Code == OK {
 		round = math.Ceil
 	}
-	e := routing.Event{
-		Kind: routing.EventOutcome, ID: c.id, Attempt: c.attempt, Code: o.Code, Role: o.Role,
+	e := routing.AttemptEnded{
+		ID: c.id, Attempt: c.attempt, Code: o.Code, Role: o.Role,
 		Final: o.Code == OK || c.finished, Elapsed: clock.Duration(now - c.chosenAt), Report: routingReport(o.Report),
 	}
 	if o.Position > 0 {
@@ -154,7 +154,7 @@
 	// Where no attempt was in flight the router still queues the request, and would send it later for nobody.
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.step(d.clock.Now(), routing.Event{Kind: routing.EventClientGone, ID: c.id})
+	d.step(d.clock.Now(), routing.ClientGone{ID: c.id})
 }
 
 // Abandon says that the client has gone. An attempt in flight must still be reported.
@@ -167,7 +167,7 @@
 	}
 	c.finish()
 	c.decisions <- Decision{Verdict: ClientGone}
-	d.step(d.clock.Now(), routing.Event{Kind: routing.EventClientGone, ID: c.id})
+	d.step(d.clock.Now(), routing.ClientGone{ID: c.id})
 }
 
 // send queues the decision to send an attempt; d.mu is held.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -81,7 +81,7 @@
 
 // UpdateEndpoints takes the endpoint list, or the changes to it.
 func (d *Dispatcher) UpdateEndpoints(full bool, endpoints []Endpoint) {
-	e := routing.Event{Kind: routing.EventTargets, Full: full}
+	e := routing.TargetsChanged{Full: full}
 	for _, p := range endpoints {
 		e.Targets = append(e.Targets, routing.Target{
 			Host: p.Host, Group: p.Group, Draining: p.Draining, Removed: p.Removed,
@@ -112,7 +112,7 @@
 func (d *Dispatcher) ProbeDone(host string, o Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e := routing.Event{Kind: routing.EventProbeResult, Host: host, Code: o.Code, Report: routingReport(o.Report)}
+	e := routing.ProbeEnded{Host: host, Code: o.Code, Report: routingReport(o.Report)}
 	d.step(d.clock.Now(), e)
 }
 
@@ -124,8 +124,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	e := routing.Event{
-		Kind: routing.EventLateAnswer, Host: host, Code: o.Code, Role: o.Role,
+	e := routing.LateAnswer{
+		Host: host, Role: o.Role,
 		Elapsed: clock.Duration(now - sentAt),
 	}
 	if o.Position > 0 {
@@ -152,7 +152,7 @@
 func (d *Dispatcher) Tick() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.step(d.clock.Now(), routing.Event{Kind: routing.EventTimer})
+	d.step(d.clock.Now(), routing.TimerFired{})
 }
 
 // Run ticks when timers are due, until ctx ends.
--- a/internal/wire/events.go
+++ b/internal/wire/events.go
@@ -77,19 +77,19 @@
 	case "OUTCOME":
 		e = m.outcome(in)
 	case "FIRST":
-		e = routing.Event{Kind: routing.EventFirstByte, ID: m.text("call")}
+		e = routing.FirstByte{ID: m.text("call")}
 	case "LEFT":
-		e = routing.Event{Kind: routing.EventClientGone, ID: m.text("call")}
+		e = routing.ClientGone{ID: m.text("call")}
 	case "WAKEUP":
-		e = routing.Event{Kind: routing.EventTimer}
+		e = routing.TimerFired{}
 		m.unsigned("nonce") // timers are not told apart, but the field has to be there
 	case "PROBE_DONE":
-		e = routing.Event{
-			Kind: routing.EventProbeResult, Host: m.text("host"), Code: m.code(), Report: m.report(in),
+		e = routing.ProbeEnded{
+			Host: m.text("host"), Code: m.code(), Report: m.report(in),
 			Elapsed: m.millis("time_taken_ms"),
 		}
 	case "DATAGRAM":
-		e = routing.Event{Kind: routing.EventPeerMessage}
+		e = routing.PeerMessage{}
 		m.checkHex("body")
 	default:
 		return e, false
@@ -105,17 +105,17 @@
 		if !ok {
 			m.fail("list", "no REGISTER has number %d", list)
 		}
-		return routing.Event{Kind: routing.EventTargets, Full: scope != "D", Targets: targets}
+		return routing.TargetsChanged{Full: scope != "D", Targets: targets}
 	case "X":
-		return routing.Event{Kind: routing.EventTargetsFailed}
+		return routing.TargetsFailed{}
 	default:
 		m.fail("scope", "%q is unknown", scope)
-		return routing.Event{}
+		return nil
 	}
 }
 
-func (m *message) request(in *instance) routing.Event {
-	e := routing.Event{Kind: routing.EventRequest, ID: m.text("call")}
+func (m *message) request(in *instance) routing.RequestArrived {
+	e := routing.RequestArrived{ID: m.text("call")}
 	var ok bool
 	if e.Class, ok = in.classes[m.text("profile")]; !ok {
 		m.fail("profile", "%q is no class of the settings", m.fields["profile"])
@@ -130,9 +130,9 @@
 	return e
 }
 
-func (m *message) outcome(in *instance) routing.Event {
-	e := routing.Event{
-		Kind: routing.EventOutcome, ID: m.text("call"), Attempt: m.integer("hop"), Host: m.text("host"),
+func (m *message) outcome(in *instance) routing.AttemptEnded {
+	e := routing.AttemptEnded{
+		ID: m.text("call"), Attempt: m.integer("hop"), Host: m.text("host"),
 		Code: m.code(), Elapsed: m.millis("time_taken_ms"), Final: m.flag("final"),
 	}
 	if mark := m.optionalUnsigned("mark"); mark > 0 {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -43,19 +43,19 @@
 		s.Classes[0].StalenessBound != 300*time.Millisecond || s.Classes[1].Scope != routing.ScopeCell || !s.Probing.ReportsPosition {
 		t.Errorf("settings %+v", s)
 	}
-	ts := b.Items[1].Event
+	ts := b.Items[1].Event.(routing.TargetsChanged)
 	if !ts.Full || len(ts.Targets) != 2 || !ts.Targets[0].Primary || !ts.Targets[1].Draining ||
 		ts.Targets[1].StartedAt != 6100500*time.Microsecond {
 		t.Errorf("targets %+v", ts)
 	}
-	if r := b.Items[2].Event; r.Class != 1 || !r.HasSessionKey || r.SessionKey != 12 || !r.IsRetry || r.TimeRemaining != 240250*time.Microsecond {
+	if r := b.Items[2].Event.(routing.RequestArrived); r.Class != 1 || !r.HasSessionKey || r.SessionKey != 12 || !r.IsRetry || r.TimeRemaining != 240250*time.Microsecond {
 		t.Errorf("request %+v", r)
 	}
-	o := b.Items[3].Event // 25486 = 4 x 6371 + 2
+	o := b.Items[3].Event.(routing.AttemptEnded) // 25486 = 4 x 6371 + 2
 	if o.Role != routing.Replica || o.Position != 7371*time.Millisecond || !o.Final || o.Code != routing.OK {
 		t.Errorf("outcome %+v", o)
 	}
-	if r := b.Items[4].Event.Report; r.Role != routing.Primary || r.Position != 3500*time.Millisecond {
+	if r := b.Items[4].Event.(routing.ProbeEnded).Report; r.Role != routing.Primary || r.Position != 3500*time.Millisecond {
 		t.Errorf("report %+v", r)
 	}
 	if !b.Items[6].IsShutdown {
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -40,7 +40,7 @@
 }
 
 // handleRequest admits a new request or rejects it. Light requests are shed first.
-func (r *Router) handleRequest(e *Event) {
+func (r *Router) handleRequest(e *RequestArrived) {
 	if r.requests[e.ID] != nil || e.Class < 0 || e.Class >= len(r.cfg.Classes) {
 		return
 	}
--- a/routing/admission_test.go
+++ b/routing/admission_test.go
@@ -13,7 +13,7 @@
 	count := map[string]int{}
 	for range 300 {
 		g.now += 10 * ms
-		id, as := g.request(eventualRead, Event{})
+		id, as := g.request(eventualRead, RequestArrived{})
 		_, host := actionsOf(ActSend, as)
 		count[host]++
 		g.outcome(id, 0, OK, Replica)
@@ -29,8 +29,8 @@
 	m := g.c.members["p"]
 	for range 20 {
 		g.now += 500 * ms
-		id, _ := g.request(strongRead, Event{})
-		g.step(Event{Kind: EventOutcome, ID: id, Code: OK, Role: Primary, Final: true, Elapsed: 450 * ms})
+		id, _ := g.request(strongRead, RequestArrived{})
+		g.step(AttemptEnded{ID: id, Code: OK, Role: Primary, Final: true, Elapsed: 450 * ms})
 	}
 	if m.limit > initialLimit/2 {
 		t.Errorf("after 20 slow answers the limit is %.1f", m.limit)
@@ -42,10 +42,10 @@
 	g := startHarness(t, settings(), shard()[:1]...)
 	m := g.c.members["p"]
 	for range 20 {
-		id, _ := g.request(boundedRead, Event{})
+		id, _ := g.request(boundedRead, RequestArrived{})
 		g.now += 200 * ms
-		g.step(Event{Kind: EventClientGone, ID: id})
-		g.step(Event{Kind: EventOutcome, ID: id, Code: Cancelled, Final: true})
+		g.step(ClientGone{ID: id})
+		g.step(AttemptEnded{ID: id, Code: Cancelled, Final: true})
 	}
 	if m.limit > 1 || m.inFlight != 0 {
 		t.Errorf("limit %.1f, %d in flight", m.limit, m.inFlight)
@@ -54,10 +54,10 @@
 	many.RouterCount = 300
 	g = startHarness(t, many, shard()...)
 	for range 20 { // before many routers the group is shed as well
-		id, _ := g.request(atMostOnceWrite, Event{})
+		id, _ := g.request(atMostOnceWrite, RequestArrived{})
 		g.now += 200 * ms
-		g.step(Event{Kind: EventClientGone, ID: id})
-		g.step(Event{Kind: EventOutcome, ID: id, Code: Cancelled, Final: true})
+		g.step(ClientGone{ID: id})
+		g.step(AttemptEnded{ID: id, Code: Cancelled, Final: true})
 		g.now += time.Second
 	}
 	if shed := g.c.groups[1].admissions[1].shedFraction; shed < 0.5 {
@@ -84,10 +84,10 @@
 		s.RouterCount = k.routers
 		g := startHarness(t, s, shard()[:1]...)
 		for range 20 {
-			id, _ := g.request(atMostOnceWrite, Event{})
+			id, _ := g.request(atMostOnceWrite, RequestArrived{})
 			g.now += k.elapsed
-			g.step(Event{Kind: EventOutcome, ID: id, Code: k.code, Role: Primary, Final: k.code == OK, Elapsed: k.elapsed})
-			g.step(Event{Kind: EventClientGone, ID: id})
+			g.step(AttemptEnded{ID: id, Code: k.code, Role: Primary, Final: k.code == OK, Elapsed: k.elapsed})
+			g.step(ClientGone{ID: id})
 			g.now += time.Second
 		}
 		if shed := g.c.groups[1].admissions[1].shedFraction; shed < k.least || shed > k.most {
@@ -98,13 +98,13 @@
 	s.RouterCount = 400
 	g := startHarness(t, s, shard()...)
 	for i := range 60 { // one host in six hangs
-		id, _ := g.request(atMostOnceWrite, Event{})
+		id, _ := g.request(atMostOnceWrite, RequestArrived{})
 		code, elapsed := OK, 50*ms
 		if i%6 == 5 {
 			code, elapsed = NoAnswer, 500*ms
 		}
 		g.now += elapsed
-		g.step(Event{Kind: EventOutcome, ID: id, Code: code, Role: Primary, Final: code == OK, Elapsed: elapsed})
+		g.step(AttemptEnded{ID: id, Code: code, Role: Primary, Final: code == OK, Elapsed: elapsed})
 		g.now += time.Second
 	}
 	if shed := g.c.groups[1].admissions[1].shedFraction; shed > 0.1 {
@@ -119,9 +119,9 @@
 	g := startHarness(t, s, shard()...)
 	g.reportPositions(Replica, 0, "a", "b", "c")
 	refused := func(again bool) bool {
-		id, as := g.request(eventualRead, Event{TimeRemaining: 1300 * ms, IsRetry: again})
+		id, as := g.request(eventualRead, RequestArrived{TimeRemaining: 1300 * ms, IsRetry: again})
 		if r := g.c.requests[id]; r != nil && r.inFlight > 0 {
-			g.step(Event{Kind: EventOutcome, ID: id, Code: OK, Role: Replica, Final: true, Elapsed: 50 * ms})
+			g.step(AttemptEnded{ID: id, Code: OK, Role: Replica, Final: true, Elapsed: 50 * ms})
 		}
 		found, _ := actionsOf(ActReject, as)
 		return len(found) > 0
@@ -168,7 +168,7 @@
 		for tenant := 1; tenant <= 2; tenant++ { // 200 a second each, if all routers see as much
 			g.now += 250 * ms
 			g.c.groups[1].admissions[0].shedFraction, g.c.groups[1].admissions[0].inTimeFraction = 0.3, 1
-			id, as := g.request(eventualRead, Event{Tenant: tenant})
+			id, as := g.request(eventualRead, RequestArrived{Tenant: tenant})
 			if found, _ := actionsOf(ActReject, as); len(found) > 0 {
 				refused[tenant]++
 			} else {
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -104,7 +104,7 @@
 }
 
 // handleOutcome takes the end of an attempt: its evidence first, then what becomes of the request.
-func (r *Router) handleOutcome(e *Event) {
+func (r *Router) handleOutcome(e *AttemptEnded) {
 	req := r.requests[e.ID]
 	if req == nil || e.Attempt < 0 || e.Attempt >= len(req.attempts) || !req.attempts[e.Attempt].pending {
 		return
@@ -142,7 +142,7 @@
 }
 
 // recordOutcome takes what an attempt shows of its member.
-func (r *Router) recordOutcome(a *attempt, req *request, e *Event) {
+func (r *Router) recordOutcome(a *attempt, req *request, e *AttemptEnded) {
 	m, isWrite := a.member, req.class.Access == Write
 	if e.Role != Unknown {
 		position := e.Position
@@ -152,7 +152,7 @@
 			}
 			position = 0
 		}
-		r.recordAnswer(m, e, position)
+		r.recordAnswer(m, &LateAnswer{Role: e.Role, Position: e.Position, Elapsed: e.Elapsed}, position)
 	}
 	r.recordReport(m, e.Report)
 	r.judgeAttempt(m, a, req, e)
@@ -162,7 +162,7 @@
 }
 
 // judgeAttempt updates the connection, score and limit of a member by how an attempt ended.
-func (r *Router) judgeAttempt(m *member, a *attempt, req *request, e *Event) {
+func (r *Router) judgeAttempt(m *member, a *attempt, req *request, e *AttemptEnded) {
 	// While many attempts fail to connect at once, hosts are out of connections: most routers close theirs.
 	m.connected = m.connected || e.Code == OK || e.Code == Misdirected
 	r.connectFailures -= r.connectFailures / connectSpan
@@ -227,8 +227,8 @@
 }
 
 // handleClientGone: a client that left has found the queues of its members too long.
-func (r *Router) handleClientGone(e *Event) {
-	req := r.requests[e.ID]
+func (r *Router) handleClientGone(id string) {
+	req := r.requests[id]
 	if req == nil || req.finished {
 		return
 	}
--- a/routing/attempts_test.go
+++ b/routing/attempts_test.go
@@ -23,7 +23,7 @@
 		{"attempt never sent", eventualRead, NotSent, ActSend}, // too late after a dial: chosen for anew
 	} {
 		g := startHarness(t, settings(), shard()...)
-		id, _ := g.request(k.class, Event{})
+		id, _ := g.request(k.class, RequestArrived{})
 		as := append(g.outcome(id, 0, k.code, Unknown), g.advance(2*minLatency+tickInterval)...) // a full host rests
 		if found, _ := actionsOf(k.want, as); len(found) != 1 {
 			t.Errorf("%s: %v", k.name, as)
@@ -37,7 +37,7 @@
 	hosts := shard()
 	hosts[0].Primary = false // nobody knows the primary, so fresh reads wait
 	g := startHarness(t, settings(), hosts...)
-	id, _ := g.request(strongRead, Event{})
+	id, _ := g.request(strongRead, RequestArrived{})
 	var refused []Action
 	for waited := time.Duration(0); len(refused) == 0 && waited < 2*time.Second; waited += 10 * ms {
 		refused, _ = actionsOf(ActReject, g.advance(10*ms))
@@ -45,7 +45,7 @@
 	if took := g.now - startTime; len(refused) != 1 || refused[0].ID != id || refused[0].RetryAfter == 0 || took < 950*ms || took > time.Second {
 		t.Errorf("after %v: %v", took, refused)
 	}
-	id, _ = g.request(atMostOnceWrite, Event{}) // a write is held for as long as there is no primary
+	id, _ = g.request(atMostOnceWrite, RequestArrived{}) // a write is held for as long as there is no primary
 	for range 300 {
 		if ends, _ := actionsOf(ActReject, g.advance(10*ms)); len(ends) > 0 {
 			t.Fatalf("%s is refused at %v: %v", id, g.now-startTime, ends)
@@ -66,13 +66,13 @@
 		closed := 0
 		for i := range 200 {
 			g.now += 500 * ms
-			id, as := g.request(eventualRead, Event{})
+			id, as := g.request(eventualRead, RequestArrived{})
 			if sent, _ := actionsOf(ActSend, as); len(sent) == 0 {
 				continue
 			}
-			e := Event{Kind: EventOutcome, ID: id, Code: OK, Role: Replica, Final: true, Elapsed: 50 * ms}
+			e := AttemptEnded{ID: id, Code: OK, Role: Replica, Final: true, Elapsed: 50 * ms}
 			if i%10 < k.failing {
-				e = Event{Kind: EventOutcome, ID: id, Code: NoConnection, Elapsed: 2 * ms}
+				e = AttemptEnded{ID: id, Code: NoConnection, Elapsed: 2 * ms}
 			}
 			as = g.step(e)
 			if again, _ := actionsOf(ActSend, as); len(again) > 0 {
@@ -80,7 +80,7 @@
 			}
 			found, _ := actionsOf(ActCloseIdle, as)
 			closed += len(found)
-			g.step(Event{Kind: EventClientGone, ID: id})
+			g.step(ClientGone{ID: id})
 		}
 		if (closed > 20) != k.closes {
 			t.Errorf("%d routers, %d of 10 fail to connect: %d closes", k.routers, k.failing, closed)
@@ -96,7 +96,7 @@
 	g := startHarness(t, s, Target{Host: "p", Group: 1, Primary: true, Draining: true}, Target{Host: "a", Group: 1})
 	for _, class := range []int{boundedRead, sessionRead} {
 		from := g.now
-		id, as := g.request(class, Event{TimeRemaining: 400 * ms, CommitAge: ms})
+		id, as := g.request(class, RequestArrived{TimeRemaining: 400 * ms, CommitAge: ms})
 		as, _ = actionsOf(ActReject, as)
 		for len(as) == 0 && g.now < from+400*ms {
 			as, _ = actionsOf(ActReject, g.advance(5*ms))
@@ -111,16 +111,16 @@
 func TestAnAttemptCarriesItsMinPosition(t *testing.T) {
 	g := startHarness(t, settings(), shard()...)
 	g.reportPositions(Replica, 5*ms, "a")
-	need := func(class int, e Event) time.Duration {
+	need := func(class int, e RequestArrived) time.Duration {
 		_, as := g.request(class, e)
 		sends, _ := actionsOf(ActSend, as)
 		require.Len(t, sends, 1)
 		return sends[0].MinPosition
 	}
-	require.Equal(t, g.now-g.c.cfg.Classes[boundedRead].StalenessBound+positionMargin, need(boundedRead, Event{}))
-	require.Equal(t, g.now-100*ms+positionMargin, need(sessionRead, Event{CommitAge: 100 * ms}))
-	require.Zero(t, need(sessionRead, Event{}))
-	require.Zero(t, need(eventualRead, Event{}))
-	require.Equal(t, g.now, need(strongRead, Event{}))
-	require.Zero(t, need(atMostOnceWrite, Event{}))
+	require.Equal(t, g.now-g.c.cfg.Classes[boundedRead].StalenessBound+positionMargin, need(boundedRead, RequestArrived{}))
+	require.Equal(t, g.now-100*ms+positionMargin, need(sessionRead, RequestArrived{CommitAge: 100 * ms}))
+	require.Zero(t, need(sessionRead, RequestArrived{}))
+	require.Zero(t, need(eventualRead, RequestArrived{}))
+	require.Equal(t, g.now, need(strongRead, RequestArrived{}))
+	require.Zero(t, need(atMostOnceWrite, RequestArrived{}))
 }
--- a/routing/benchmark_test.go
+++ b/routing/benchmark_test.go
@@ -26,8 +26,8 @@
 			for i := 0; b.Loop(); i++ {
 				g.now += 400 * ms
 				id := fmt.Sprint(i)
-				g.step(Event{Kind: EventRequest, ID: id, Class: eventualRead, Group: uint64(i % (hosts / 4)), TimeRemaining: second})
-				g.step(Event{Kind: EventOutcome, ID: id, Code: OK, Role: Replica, Final: true, Elapsed: 50 * ms})
+				g.step(RequestArrived{ID: id, Class: eventualRead, Group: uint64(i % (hosts / 4)), TimeRemaining: second})
+				g.step(AttemptEnded{ID: id, Code: OK, Role: Replica, Final: true, Elapsed: 50 * ms})
 			}
 		})
 	}
@@ -41,9 +41,9 @@
 			for i := 4; i < 8; i++ { // group 1
 				list[i].Draining = true
 			}
-			g.step(Event{Kind: EventTargets, Targets: list[4:8]})
+			g.step(TargetsChanged{Targets: list[4:8]})
 			for range 10 {
-				g.request(atMostOnceWrite, Event{TimeRemaining: 10000 * time.Hour})
+				g.request(atMostOnceWrite, RequestArrived{TimeRemaining: 10000 * time.Hour})
 			}
 			for b.Loop() {
 				g.advance(5 * ms)
@@ -60,7 +60,7 @@
 			for b.Loop() {
 				g.now += ms
 				list[1].Draining = !list[1].Draining
-				g.step(Event{Kind: EventTargets, Targets: list[1:2]})
+				g.step(TargetsChanged{Targets: list[1:2]})
 			}
 		})
 	}
--- a/routing/bounds_test.go
+++ b/routing/bounds_test.go
@@ -168,7 +168,7 @@
 		for i := range w.routers {
 			if w.play(3 * time.Second / time.Duration(len(w.routers))); i%10 == 9 {
 				w.restart(i, old)
-				w.later(2*time.Second, i, Event{Kind: EventTargets, Full: true, Targets: w.entries()})
+				w.later(2*time.Second, i, TargetsChanged{Full: true, Targets: w.entries()})
 			}
 		}
 	}},
--- a/routing/dedup_test.go
+++ b/routing/dedup_test.go
@@ -8,9 +8,9 @@
 // A keyed write that may have run goes nowhere once its window has passed, not even from being held.
 func TestKeyedWindow(t *testing.T) {
 	g := startHarness(t, settings(), shard()...)
-	id, _ := g.request(deduplicatedWrite, Event{})
+	id, _ := g.request(deduplicatedWrite, RequestArrived{})
 	g.now += 100 * ms
-	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Removed: true}}})
+	g.step(TargetsChanged{Targets: []Target{{Host: "p", Group: 1, Removed: true}}})
 	as, attempt := g.outcome(id, 0, ConnectionLost, Unknown), 0
 	for range 40 {
 		for i := 0; i < len(as); i++ {
@@ -59,11 +59,11 @@
 	} {
 		g := startHarness(t, windowed(ScopeCell), shard()...)
 		if k.usual > 0 {
-			id, _ := g.request(deduplicatedWrite, Event{})
+			id, _ := g.request(deduplicatedWrite, RequestArrived{})
 			g.now += k.usual
-			g.step(Event{Kind: EventOutcome, ID: id, Code: OK, Role: Primary, Final: true, Elapsed: k.usual})
+			g.step(AttemptEnded{ID: id, Code: OK, Role: Primary, Final: true, Elapsed: k.usual})
 		}
-		id, _ := g.request(deduplicatedWrite, Event{})
+		id, _ := g.request(deduplicatedWrite, RequestArrived{})
 		g.now += k.failed
 		if found, _ := actionsOf(k.want, g.outcome(id, 0, ConnectionLost, Unknown)); len(found) != 1 {
 			t.Errorf("%s: no %v", k.name, k.want)
@@ -75,12 +75,12 @@
 // run while it must not be sent twice; and a first attempt knows no window.
 func TestTheWindowIsCheckedAtTheWrite(t *testing.T) {
 	g := startHarness(t, windowed(ScopeCell), shard()...)
-	first, _ := g.request(deduplicatedWrite, Event{})
+	first, _ := g.request(deduplicatedWrite, RequestArrived{})
 	if !g.c.Revalidate(g.now+2*time.Second, first, 0) {
 		t.Error("a first attempt is held to a window")
 	}
 	g = startHarness(t, windowed(ScopeCell), shard()...)
-	id, _ := g.request(deduplicatedWrite, Event{})
+	id, _ := g.request(deduplicatedWrite, RequestArrived{})
 	g.now += 300 * ms
 	if found, _ := actionsOf(ActSend, g.outcome(id, 0, NoAnswer, Unknown)); len(found) != 1 {
 		t.Fatal("no repeat inside the window")
@@ -99,11 +99,11 @@
 // What still waits in a host's queue when the window ends must not run then: the host is told to give up before.
 func TestARetryTimesOutAtTheEndOfItsWindow(t *testing.T) {
 	g := startHarness(t, windowed(ScopeAll), shard()...)
-	_, as := g.request(deduplicatedWrite, Event{})
+	_, as := g.request(deduplicatedWrite, RequestArrived{})
 	if first, _ := actionsOf(ActSend, as); first[0].Timeout != time.Second {
 		t.Errorf("the first attempt may take %v, its aim is 1 s", first[0].Timeout)
 	}
-	id, _ := g.request(deduplicatedWrite, Event{})
+	id, _ := g.request(deduplicatedWrite, RequestArrived{})
 	g.now += 700 * ms
 	again, _ := actionsOf(ActSend, g.outcome(id, 0, ConnectionLost, Unknown))
 	if len(again) != 1 || again[0].Timeout != 300*ms-answerMargin {
@@ -133,7 +133,7 @@
 		{"at most once, turned away", atMostOnceWrite, ScopeCell, 100 * ms, Misdirected, ActSend},
 	} {
 		g := startHarness(t, windowed(k.scope), shard()...)
-		id, _ := g.request(k.class, Event{})
+		id, _ := g.request(k.class, RequestArrived{})
 		g.now += 200 * ms // the first never came up: no window begins there
 		as := append(g.outcome(id, 0, NoConnection, Unknown), g.advance(searchBackoff)...)
 		if found, _ := actionsOf(ActSend, as); len(found) != 1 {
--- a/routing/evidence_test.go
+++ b/routing/evidence_test.go
@@ -31,7 +31,7 @@
 				old()
 			}
 			require.Nil(t, g.c.groups[1].primary(), "p said that it is a replica")
-			_, as := g.request(strongRead, Event{})
+			_, as := g.request(strongRead, RequestArrived{})
 			sends, _ := actionsOf(ActSend, as)
 			require.Empty(t, sends)
 		})
@@ -47,7 +47,7 @@
 	g.answer(ids[0], OK, Primary, 0)
 	require.Nil(t, g.c.groups[1].primary())
 	g.now += 10 * ms
-	id, as := g.request(atMostOnceWrite, Event{}) // it searches, and finds p to be the primary again
+	id, as := g.request(atMostOnceWrite, RequestArrived{}) // it searches, and finds p to be the primary again
 	for {
 		sends, host := actionsOf(ActSend, as)
 		if len(sends) == 0 {
@@ -58,9 +58,9 @@
 			break
 		}
 		n := g.c.requests[id].attempts
-		as = g.step(Event{Kind: EventOutcome, ID: id, Attempt: len(n) - 1, Code: Misdirected, Role: Replica, Elapsed: ms})
+		as = g.step(AttemptEnded{ID: id, Attempt: len(n) - 1, Code: Misdirected, Role: Replica, Elapsed: ms})
 	}
-	g.step(Event{Kind: EventOutcome, ID: id, Attempt: len(g.c.requests[id].attempts) - 1, Code: OK, Role: Primary, Final: true, Elapsed: ms})
+	g.step(AttemptEnded{ID: id, Attempt: len(g.c.requests[id].attempts) - 1, Code: OK, Role: Primary, Final: true, Elapsed: ms})
 	require.Equal(t, "p", g.c.groups[1].primary().host)
 }
 
@@ -92,8 +92,8 @@
 	g := startHarness(t, settings(), shard()...)
 	ids := g.sentToPrimary(1)
 	g.now += 50 * ms
-	g.step(Event{
-		Kind: EventOutcome, ID: ids[0], Code: OK, Role: Primary, Position: g.now, Final: true,
+	g.step(AttemptEnded{
+		ID: ids[0], Code: OK, Role: Primary, Position: g.now, Final: true,
 		Report: Report{Role: Replica, Position: g.now - 200*ms}, Elapsed: 50 * ms,
 	})
 	require.Equal(t, "p", g.c.groups[1].primary().host)
@@ -107,12 +107,12 @@
 	g.now += 600 * ms
 	g.answer(ids[0], NoAnswer, Unknown, 0)
 	require.Equal(t, "p", g.c.groups[1].primary().host)
-	g.step(Event{Kind: EventLateAnswer, Host: "p", Role: Replica, Position: g.now - 500*ms})
+	g.step(LateAnswer{Host: "p", Role: Replica, Position: g.now - 500*ms})
 	require.Nil(t, g.c.groups[1].primary())
-	g.step(Event{Kind: EventLateAnswer, Host: "a", Role: Replica, Position: g.now - 5*ms})
-	id, as := g.request(boundedRead, Event{})
+	g.step(LateAnswer{Host: "a", Role: Replica, Position: g.now - 5*ms})
+	id, as := g.request(boundedRead, RequestArrived{})
 	_, host := actionsOf(ActSend, as)
 	require.Equal(t, "a", host, "its position is known now")
 	require.NotNil(t, g.c.requests[id])
-	g.step(Event{Kind: EventLateAnswer, Host: "nobody", Role: Replica}) // a host that is forgotten
+	g.step(LateAnswer{Host: "nobody", Role: Replica}) // a host that is forgotten
 }
--- a/routing/example_test.go
+++ b/routing/example_test.go
@@ -21,18 +21,18 @@
 		return
 	}
 	now := time.Hour // any clock that never goes back
-	c.Step(now, []routing.Event{{Kind: routing.EventTargets, Full: true, Targets: []routing.Target{
+	c.Step(now, []routing.Event{routing.TargetsChanged{Full: true, Targets: []routing.Target{
 		{Host: "db1:5432", Group: 1, Primary: true}, {Host: "db2:5432", Group: 1},
 	}}})
 	for _, a := range c.Step(now, []routing.Event{
-		{Kind: routing.EventRequest, ID: "q1", Group: 1, TimeRemaining: 5 * time.Second},
+		routing.RequestArrived{ID: "q1", Group: 1, TimeRemaining: 5 * time.Second},
 	}) {
 		if a.Kind == routing.ActSend {
 			fmt.Println("send", a.ID, "to", a.Host)
 		}
 	}
-	c.Step(now+20*time.Millisecond, []routing.Event{{
-		Kind: routing.EventOutcome, ID: "q1", Host: "db1:5432",
+	c.Step(now+20*time.Millisecond, []routing.Event{routing.AttemptEnded{
+		ID: "q1", Host: "db1:5432",
 		Code: routing.OK, Role: routing.Primary, Final: true, Elapsed: 20 * time.Millisecond,
 	}})
 	// Output: send q1 to db1:5432
--- a/routing/fleet_test.go
+++ b/routing/fleet_test.go
@@ -36,7 +36,7 @@
 
 func (f *fleet) list(hosts ...Target) {
 	for _, c := range f.routers {
-		f.carryOut(c, c.Step(f.now, []Event{{Kind: EventTargets, Targets: hosts}}), nil)
+		f.carryOut(c, c.Step(f.now, []Event{TargetsChanged{Targets: hosts}}), nil)
 	}
 }
 
@@ -49,8 +49,8 @@
 			f.sends[a.Host]++
 			if f.answers != nil {
 				code, role, elapsed := f.answers(a.Host, classes[a.ID])
-				es = append(es, Event{
-					Kind: EventOutcome, ID: a.ID, Attempt: len(c.requests[a.ID].attempts) - 1, Host: a.Host,
+				es = append(es, AttemptEnded{
+					ID: a.ID, Attempt: len(c.requests[a.ID].attempts) - 1, Host: a.Host,
 					Code: code, Role: role, Final: code == OK, Elapsed: elapsed,
 				})
 			}
@@ -60,7 +60,7 @@
 			if a.Host == "p" {
 				role = Primary
 			}
-			es = append(es, Event{Kind: EventProbeResult, Host: a.Host, Report: Report{Position: f.now, Role: role}})
+			es = append(es, ProbeEnded{Host: a.Host, Report: Report{Position: f.now, Role: role}})
 		}
 	}
 	if len(es) > 0 {
@@ -75,8 +75,8 @@
 		f.ids++
 		id := fmt.Sprint("f", f.ids)
 		c := f.routers[i%len(f.routers)]
-		f.carryOut(c, append([]Action(nil), c.Step(f.now, []Event{{
-			Kind: EventRequest, ID: id, Class: class, Group: 1,
+		f.carryOut(c, append([]Action(nil), c.Step(f.now, []Event{RequestArrived{
+			ID: id, Class: class, Group: 1,
 			TimeRemaining: c.cfg.Classes[class].Deadline,
 		}})...), map[string]int{id: class})
 	}
@@ -154,7 +154,7 @@
 	for range 100 {
 		f.now += 10 * ms
 		for _, c := range f.routers {
-			f.carryOut(c, append([]Action(nil), c.Step(f.now, []Event{{Kind: EventTimer}})...), nil)
+			f.carryOut(c, append([]Action(nil), c.Step(f.now, []Event{TimerFired{}})...), nil)
 		}
 	}
 	for _, h := range []string{"p", "a", "b", "c"} {
@@ -280,8 +280,8 @@
 			f.now += ms
 			f.ids++
 			id := fmt.Sprint("h", f.ids)
-			f.carryOut(c, append([]Action(nil), c.Step(f.now, []Event{{
-				Kind: EventRequest, ID: id, Class: eventualRead, Group: 1,
+			f.carryOut(c, append([]Action(nil), c.Step(f.now, []Event{RequestArrived{
+				ID: id, Class: eventualRead, Group: 1,
 				TimeRemaining: c.cfg.Classes[eventualRead].Deadline,
 			}})...), map[string]int{id: eventualRead})
 		}
--- a/routing/harness_test.go
+++ b/routing/harness_test.go
@@ -54,7 +54,7 @@
 		t.Fatal(err)
 	}
 	g := &harness{t: t, c: c, now: startTime}
-	g.step(Event{Kind: EventTargets, Full: true, Targets: hosts})
+	g.step(TargetsChanged{Full: true, Targets: hosts})
 	return g
 }
 
@@ -69,21 +69,21 @@
 
 func (g *harness) advance(d time.Duration) []Action {
 	g.now += d
-	return g.step(Event{Kind: EventTimer})
+	return g.step(TimerFired{})
 }
 
 // reportPositions makes hosts answer a probe with their position, given as an age.
 func (g *harness) reportPositions(role Role, age time.Duration, hosts ...string) []Action {
 	var es []Event
 	for _, h := range hosts {
-		es = append(es, Event{Kind: EventProbeResult, Host: h, Report: Report{Position: g.now - age, Role: role}})
+		es = append(es, ProbeEnded{Host: h, Report: Report{Position: g.now - age, Role: role}})
 	}
 	return g.step(es...)
 }
 
-func (g *harness) request(class int, e Event) (string, []Action) {
+func (g *harness) request(class int, e RequestArrived) (string, []Action) {
 	g.ids++
-	e.Kind, e.ID, e.Class, e.Group = EventRequest, fmt.Sprint("r", g.ids), class, 1
+	e.ID, e.Class, e.Group = fmt.Sprint("r", g.ids), class, 1
 	if e.TimeRemaining == 0 {
 		e.TimeRemaining = g.c.cfg.Classes[class].Deadline
 	}
@@ -92,7 +92,7 @@
 
 func (g *harness) outcome(id string, attempt int, code Code, role Role) []Action {
 	final := code == OK
-	return g.step(Event{Kind: EventOutcome, ID: id, Attempt: attempt, Code: code, Role: role, Final: final, Elapsed: 50 * ms})
+	return g.step(AttemptEnded{ID: id, Attempt: attempt, Code: code, Role: role, Final: final, Elapsed: 50 * ms})
 }
 
 // actionsOf returns the actions of a kind, and the host of the first.
@@ -110,14 +110,14 @@
 
 // answer reports an attempt's end with what the host said.
 func (g *harness) answer(id string, code Code, role Role, position time.Duration) {
-	g.step(Event{Kind: EventOutcome, ID: id, Code: code, Role: role, Position: position, Final: code == OK, Elapsed: 50 * ms})
+	g.step(AttemptEnded{ID: id, Code: code, Role: role, Position: position, Final: code == OK, Elapsed: 50 * ms})
 }
 
 // sentToPrimary makes strong reads until n of them are in flight at p.
 func (g *harness) sentToPrimary(n int) (ids []string) {
 	g.t.Helper()
 	for range 40 {
-		id, as := g.request(strongRead, Event{})
+		id, as := g.request(strongRead, RequestArrived{})
 		if _, to := actionsOf(ActSend, as); to == "p" {
 			if ids = append(ids, id); len(ids) == n {
 				return ids
--- a/routing/members.go
+++ b/routing/members.go
@@ -51,7 +51,7 @@
 	admissions                   [2]admission             // of reads at replicas, and at the primary
 }
 
-func (r *Router) applyTargets(e *Event) {
+func (r *Router) applyTargets(e *TargetsChanged) {
 	if e.Full {
 		if r.tickAt == 0 && r.cfg.MustSubscribe {
 			r.emit(Action{Kind: ActSubscribe})
@@ -158,7 +158,7 @@
 
 // recordAnswer dates an answer, which may be late: a replica may have sent it just now, a primary only since
 // the request went out, or as its stamp says.
-func (r *Router) recordAnswer(m *member, e *Event, position time.Duration) {
+func (r *Router) recordAnswer(m *member, e *LateAnswer, position time.Duration) {
 	at := r.now
 	if e.Role == Primary {
 		at -= e.Elapsed
--- a/routing/members_test.go
+++ b/routing/members_test.go
@@ -9,24 +9,24 @@
 func TestOldReportDoesNotDemote(t *testing.T) {
 	g := startHarness(t, settings(), shard()...)
 	g.now += time.Second
-	id, _ := g.request(atMostOnceWrite, Event{})
+	id, _ := g.request(atMostOnceWrite, RequestArrived{})
 	g.outcome(id, 0, OK, Primary)
 	g.reportPositions(Replica, 200*ms, "p")
-	if _, as := g.request(atMostOnceWrite, Event{}); len(as) != 1 || as[0].Host != "p" {
+	if _, as := g.request(atMostOnceWrite, RequestArrived{}); len(as) != 1 || as[0].Host != "p" {
 		t.Errorf("after an old report a write led to %v", as)
 	}
 }
 
 func TestDrainingHostsGetNothing(t *testing.T) {
 	for _, k := range []Event{
-		{Kind: EventTargets, Targets: []Target{{Host: "a", Group: 1, Draining: true}}},
-		{Kind: EventTargets, Targets: []Target{{Host: "a", Group: 1, Removed: true}}},
-		{Kind: EventTargets, Full: true, Targets: append(shard()[:1:1], shard()[2:]...)},
+		TargetsChanged{Targets: []Target{{Host: "a", Group: 1, Draining: true}}},
+		TargetsChanged{Targets: []Target{{Host: "a", Group: 1, Removed: true}}},
+		TargetsChanged{Full: true, Targets: append(shard()[:1:1], shard()[2:]...)},
 	} {
 		g := startHarness(t, settings(), shard()...)
 		g.step(k)
 		for range 20 {
-			_, as := g.request(eventualRead, Event{})
+			_, as := g.request(eventualRead, RequestArrived{})
 			if _, host := actionsOf(ActSend, as); host == "a" {
 				t.Errorf("after %+v a read went to a", k)
 			}
@@ -39,13 +39,13 @@
 	s := settings()
 	s.IgnoresRemoval = true
 	g := startHarness(t, s, shard()[:2]...)
-	g.step(Event{Kind: EventTargets, Full: true, Targets: shard()[:1]})
-	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "a", Group: 1, Removed: true}}})
-	if _, as := g.request(eventualRead, Event{}); as[0].Host != "a" {
+	g.step(TargetsChanged{Full: true, Targets: shard()[:1]})
+	g.step(TargetsChanged{Targets: []Target{{Host: "a", Group: 1, Removed: true}}})
+	if _, as := g.request(eventualRead, RequestArrived{}); as[0].Host != "a" {
 		t.Errorf("a read led to %v", as)
 	}
-	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "a", Group: 1, Draining: true}}})
-	if _, as := g.request(eventualRead, Event{}); as[0].Host != "p" {
+	g.step(TargetsChanged{Targets: []Target{{Host: "a", Group: 1, Draining: true}}})
+	if _, as := g.request(eventualRead, RequestArrived{}); as[0].Host != "p" {
 		t.Errorf("after the draining listing a read led to %v", as)
 	}
 }
@@ -57,14 +57,14 @@
 	for i := range gone {
 		gone[i].Removed = true
 	}
-	g.step(Event{Kind: EventTargets, Targets: gone})
-	g.step(Event{Kind: EventTargets, Targets: shard()}) // back at once: what was known still counts
+	g.step(TargetsChanged{Targets: gone})
+	g.step(TargetsChanged{Targets: shard()}) // back at once: what was known still counts
 	if len(g.c.members) != 4 || g.c.groups[1].primary() != nil {
 		t.Errorf("%d members, primary %v: a drained one is none until it shows again", len(g.c.members), g.c.groups[1].primary())
 	}
-	g.step(Event{Kind: EventTargets, Targets: gone})
+	g.step(TargetsChanged{Targets: gone})
 	g.now += memberRetention + time.Second
-	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "x", Group: 2, StartedAt: g.now + time.Hour}}})
+	g.step(TargetsChanged{Targets: []Target{{Host: "x", Group: 2, StartedAt: g.now + time.Hour}}})
 	if len(g.c.members) != 1 || len(g.c.groups) != 1 {
 		t.Errorf("%d members in %d groups are left", len(g.c.members), len(g.c.groups))
 	}
@@ -74,16 +74,16 @@
 	}
 	was := x.startedAt
 	g.now += time.Second
-	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "x", Group: 2, StartedAt: was - time.Minute}}})
+	g.step(TargetsChanged{Targets: []Target{{Host: "x", Group: 2, StartedAt: was - time.Minute}}})
 	if x.startedAt != was {
 		t.Error("a start went back")
 	}
-	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "x", Group: 3}}})
-	as := g.step(Event{Kind: EventRequest, ID: "q", Class: eventualRead, Group: 2, TimeRemaining: time.Second})
+	g.step(TargetsChanged{Targets: []Target{{Host: "x", Group: 3}}})
+	as := g.step(RequestArrived{ID: "q", Class: eventualRead, Group: 2, TimeRemaining: time.Second})
 	if found, _ := actionsOf(ActSend, as); len(found) != 0 || g.c.groups[2] != nil {
 		t.Errorf("after x went to group 3, group 2 led to %v", as)
 	}
-	as = g.step(Event{Kind: EventRequest, ID: "s", Class: eventualRead, Group: 3, TimeRemaining: time.Second})
+	as = g.step(RequestArrived{ID: "s", Class: eventualRead, Group: 3, TimeRemaining: time.Second})
 	if _, host := actionsOf(ActSend, as); host != "x" {
 		t.Errorf("group 3 led to %v", as)
 	}
--- a/routing/outliers_test.go
+++ b/routing/outliers_test.go
@@ -11,7 +11,7 @@
 	late := 0
 	for i := range 200 {
 		g.now += 20 * ms
-		id, as := g.request(eventualRead, Event{})
+		id, as := g.request(eventualRead, RequestArrived{})
 		for attempt := 0; ; attempt++ {
 			sent, host := actionsOf(ActSend, as)
 			if len(sent) == 0 {
@@ -38,7 +38,7 @@
 	late := 0
 	for i := range 200 {
 		g.now += 20 * ms
-		id, as := g.request(eventualRead, Event{})
+		id, as := g.request(eventualRead, RequestArrived{})
 		_, host := actionsOf(ActSend, as)
 		if host != "a" {
 			g.outcome(id, 0, OK, Replica)
@@ -59,12 +59,12 @@
 		g.now += 4 * time.Second // long enough ago for the next attempt to weigh most
 		g.reportPositions(Replica, 10*ms, "a", "b", "c")
 		for range 8 {
-			id, _ := g.request(boundedRead, Event{})
+			id, _ := g.request(boundedRead, RequestArrived{})
 			g.outcome(id, 0, OK, Unknown)
 		}
 		g.now += 4 * time.Second
 		g.reportPositions(Replica, 10*ms, "a", "b", "c")
-		id, as := g.request(boundedRead, Event{})
+		id, as := g.request(boundedRead, RequestArrived{})
 		_, host := actionsOf(ActSend, as)
 		as = g.outcome(id, 0, Malformed, Unknown)
 		if again, other := actionsOf(ActSend, as); len(again) != 1 || other == host {
@@ -75,7 +75,7 @@
 			t.Errorf("%s is left out at a cost of %.2f", host, g.c.outlierScore(m))
 		}
 	}
-	id, as := g.request(atMostOnceWrite, Event{})
+	id, as := g.request(atMostOnceWrite, RequestArrived{})
 	if _, host := actionsOf(ActSend, as); host != "p" {
 		t.Fatal(as)
 	}
@@ -94,12 +94,12 @@
 	a := g.c.members["a"]
 	for lost := 1; lost <= 3; lost++ {
 		g.reportPositions(Replica, 10*ms, "a")
-		id, as := g.request(boundedRead, Event{})
+		id, as := g.request(boundedRead, RequestArrived{})
 		if _, host := actionsOf(ActSend, as); host != "a" {
 			t.Fatalf("after %d lost answers a read went to %q: cost %.2f", lost-1, host, g.c.outlierScore(a))
 		}
 		g.now += 585 * ms
-		g.step(Event{Kind: EventOutcome, ID: id, Code: NoAnswer, Final: true, Elapsed: 585 * ms})
+		g.step(AttemptEnded{ID: id, Code: NoAnswer, Final: true, Elapsed: 585 * ms})
 		if want := lost < 3; g.c.isHealthy(a) != want {
 			t.Errorf("sound after %d lost answers: %v, cost %.2f", lost, !want, g.c.outlierScore(a))
 		}
@@ -110,19 +110,19 @@
 	g := startHarness(t, settings(), shard()...)
 	g.reportPositions(Replica, 10*ms, "a", "b", "c")
 	for range 30 {
-		id, _ := g.request(eventualRead, Event{})
-		g.step(Event{Kind: EventOutcome, ID: id, Code: OK, Final: true, Elapsed: 350 * ms})
-		id, _ = g.request(sessionRead, Event{})
+		id, _ := g.request(eventualRead, RequestArrived{})
+		g.step(AttemptEnded{ID: id, Code: OK, Final: true, Elapsed: 350 * ms})
+		id, _ = g.request(sessionRead, RequestArrived{})
 		g.outcome(id, 0, OK, Unknown)
 	}
-	_, as := g.request(eventualRead, Event{})
+	_, as := g.request(eventualRead, RequestArrived{})
 	_, host := actionsOf(ActSend, as)
 	m := g.c.members[host]
 	if g.now += 3 * g.c.classes[eventualRead].latency; g.c.isSilent(m) {
 		t.Errorf("silent after %v, while such work takes %v", g.now-m.waitingSince, g.c.classes[eventualRead].latency)
 	}
 	for m.inFlightByClass[sessionRead] == 0 {
-		g.request(sessionRead, Event{})
+		g.request(sessionRead, RequestArrived{})
 	}
 	if !g.c.isSilent(m) {
 		t.Error("short work lies there too")
@@ -178,9 +178,9 @@
 						code, role, elapsed = k.bad()
 					}
 					n := len(g.c.requests[a.ID].attempts) - 1
-					carry(g.step(Event{Kind: EventOutcome, ID: a.ID, Attempt: n, Code: code, Role: role, Final: code == OK, Elapsed: elapsed}))
+					carry(g.step(AttemptEnded{ID: a.ID, Attempt: n, Code: code, Role: role, Final: code == OK, Elapsed: elapsed}))
 				case ActProbe:
-					e := Event{Kind: EventProbeResult, Host: a.Host, Report: Report{Position: g.now - k.lag, Role: Replica}}
+					e := ProbeEnded{Host: a.Host, Report: Report{Position: g.now - k.lag, Role: Replica}}
 					if bad && k.probe != OK {
 						e.Code, e.Report = k.probe, Report{}
 					}
@@ -192,7 +192,7 @@
 			count, all = map[string]int{}, 0
 			for range n {
 				g.now += 500 * ms
-				_, as := g.request(k.class, Event{})
+				_, as := g.request(k.class, RequestArrived{})
 				carry(as)
 				for range 3 {
 					carry(g.advance(probeAnswerWait))
--- a/routing/primary_test.go
+++ b/routing/primary_test.go
@@ -12,13 +12,13 @@
 	s := settings()
 	s.ListNamesPrimary = false
 	g := startHarness(t, s, shard()...)
-	_, as := g.request(strongRead, Event{})
+	_, as := g.request(strongRead, RequestArrived{})
 	if sent, _ := actionsOf(ActSend, as); len(sent) != 0 {
 		t.Fatalf("fresh read with no primary known: %v", as)
 	}
-	id, as := g.request(atMostOnceWrite, Event{})
+	id, as := g.request(atMostOnceWrite, RequestArrived{})
 	_, first := actionsOf(ActSend, as)
-	_, as = g.request(atMostOnceWrite, Event{})
+	_, as = g.request(atMostOnceWrite, RequestArrived{})
 	if sent, _ := actionsOf(ActSend, as); len(sent) != 0 {
 		t.Errorf("a second write searched too: %v", as)
 	}
@@ -45,13 +45,13 @@
 	g := startHarness(t, settings(), shard()...)
 	for range 10 {
 		g.now += 100 * ms
-		id, _ := g.request(atMostOnceWrite, Event{})
+		id, _ := g.request(atMostOnceWrite, RequestArrived{})
 		g.outcome(id, 0, ServerError, Primary)
 	}
 	if g.c.isHealthy(g.c.members["p"]) {
 		t.Fatal("ten errors in a row leave no suspicion")
 	}
-	_, as := g.request(atMostOnceWrite, Event{})
+	_, as := g.request(atMostOnceWrite, RequestArrived{})
 	if _, host := actionsOf(ActSend, as); host != "p" {
 		t.Errorf("a write led to %v", as)
 	}
@@ -62,25 +62,25 @@
 func TestTheListNamesANewPrimary(t *testing.T) {
 	named := []Target{{Host: "a", Group: 1, Primary: true}}
 	g := startHarness(t, settings(), shard()...)
-	id, _ := g.request(atMostOnceWrite, Event{})
+	id, _ := g.request(atMostOnceWrite, RequestArrived{})
 	g.outcome(id, 0, OK, Primary)
 	g.now += 20 * second
-	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Primary: true, Draining: true}}})
+	g.step(TargetsChanged{Targets: []Target{{Host: "p", Group: 1, Primary: true, Draining: true}}})
 	require.Nil(t, g.c.groups[1].primary())
-	g.step(Event{Kind: EventTargets, Targets: named})
-	_, as := g.request(atMostOnceWrite, Event{})
+	g.step(TargetsChanged{Targets: named})
+	_, as := g.request(atMostOnceWrite, RequestArrived{})
 	require.Equal(t, "a", as[0].Host)
 
 	g = startHarness(t, settings(), shard()...)
 	g.now += 20 * second
 	g.reportPositions(Replica, 0, "a")
 	g.now += maxListDelay - second
-	g.step(Event{Kind: EventTargets, Targets: named})
+	g.step(TargetsChanged{Targets: named})
 	require.Equal(t, "p", g.c.groups[1].primary().host, "a was seen as a replica since")
 	g.now += 20 * second // nor does the same word count as new when the entry changes for another reason
 	g.reportPositions(Replica, 0, "a")
 	g.now += 20 * second
-	g.step(Event{Kind: EventTargets, Targets: named})
+	g.step(TargetsChanged{Targets: named})
 	require.Equal(t, "p", g.c.groups[1].primary().host)
 }
 
@@ -90,10 +90,10 @@
 	for _, then := range []Role{Primary, Replica} {
 		g := startHarness(t, settings(), shard()...)
 		g.reportPositions(Replica, 0, "a")
-		g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Removed: true}}})
+		g.step(TargetsChanged{Targets: []Target{{Host: "p", Group: 1, Removed: true}}})
 		g.now += 20 * time.Second
-		g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "a", Group: 1, Primary: true}}})
-		id, as := g.request(strongRead, Event{})
+		g.step(TargetsChanged{Targets: []Target{{Host: "a", Group: 1, Primary: true}}})
+		id, as := g.request(strongRead, RequestArrived{})
 		sends, _ := actionsOf(ActSend, as)
 		require.Empty(t, sends, "a read on hearsay")
 		probes, host := actionsOf(ActProbe, as)
@@ -110,13 +110,13 @@
 	}
 	g := startHarness(t, settings(), shard()...)
 	g.reportPositions(Replica, 0, "a")
-	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Removed: true}}})
+	g.step(TargetsChanged{Targets: []Target{{Host: "p", Group: 1, Removed: true}}})
 	g.now += 20 * time.Second
-	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "a", Group: 1, Primary: true}}})
-	_, as := g.request(atMostOnceWrite, Event{})
+	g.step(TargetsChanged{Targets: []Target{{Host: "a", Group: 1, Primary: true}}})
+	_, as := g.request(atMostOnceWrite, RequestArrived{})
 	_, host := actionsOf(ActSend, as)
 	require.Equal(t, "a", host)
-	_, as = g.request(boundedRead, Event{}) // nor do reads that fall back on the primary
+	_, as = g.request(boundedRead, RequestArrived{}) // nor do reads that fall back on the primary
 	sends, _ := actionsOf(ActSend, as)
 	require.Empty(t, sends)
 }
--- a/routing/probes.go
+++ b/routing/probes.go
@@ -60,7 +60,7 @@
 }
 
 // handleProbeResult takes the end of a probe; reads of the group may wait for it.
-func (r *Router) handleProbeResult(m *member, e *Event) {
+func (r *Router) handleProbeResult(m *member, e *ProbeEnded) {
 	m.probePending = false
 	if e.Code == OK {
 		r.recordReport(m, e.Report)
--- a/routing/probes_test.go
+++ b/routing/probes_test.go
@@ -15,7 +15,7 @@
 		g.c.recordScore(m, faultScore)
 		g.c.recordScore(m, faultScore)
 	}
-	_, as := g.request(boundedRead, Event{})
+	_, as := g.request(boundedRead, RequestArrived{})
 	found, host := actionsOf(ActProbe, as)
 	if len(found) == 0 {
 		t.Fatalf("with all in doubt a bounded read led to %v", as)
@@ -32,11 +32,11 @@
 	s.RouterCount, s.Probing.Cost = 80, 0.04
 	g := startHarness(t, s, shard()...)
 	g.c.probeBudget = 0
-	_, as := g.request(boundedRead, Event{})
+	_, as := g.request(boundedRead, RequestArrived{})
 	require.Equal(t, ActSend, as[0].Kind, "the primary steps in")
-	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Draining: true}}})
+	g.step(TargetsChanged{Targets: []Target{{Host: "p", Group: 1, Draining: true}}})
 	g.c.probeBudget = 0
-	id, as := g.request(boundedRead, Event{})
+	id, as := g.request(boundedRead, RequestArrived{})
 	require.Equal(t, ActProbe, as[0].Kind)
 	as = g.reportPositions(Primary, 0, as[0].Host)
 	sends, host := actionsOf(ActSend, as)
@@ -52,7 +52,7 @@
 	s.RouterCount = 80
 	probed := func(g *harness) (hosts []string) {
 		g.c.probeBudget = 10
-		_, as := g.request(boundedRead, Event{})
+		_, as := g.request(boundedRead, RequestArrived{})
 		for _, a := range as {
 			if a.Kind == ActProbe {
 				hosts = append(hosts, a.Host)
@@ -84,7 +84,7 @@
 	require.Greater(t, asked["c"], 5, "nothing is known of it; asked now and then, or it would stay so")
 	g = startHarness(t, s, shard()...)
 	g.reportPositions(Replica, 5*second, "a", "b", "c")
-	g.step(Event{Kind: EventTargets, Targets: []Target{{Host: "p", Group: 1, Draining: true}}})
+	g.step(TargetsChanged{Targets: []Target{{Host: "p", Group: 1, Draining: true}}})
 	g.now += second
 	require.Len(t, probed(g), 1, "no primary: whoever answers may name it")
 }
@@ -95,7 +95,7 @@
 		g := startHarness(t, settings(), shard()...)
 		m := g.c.members["a"]
 		before := g.c.outlierScore(m)
-		g.step(Event{Kind: EventProbeResult, Host: "a", Code: code})
+		g.step(ProbeEnded{Host: "a", Code: code})
 		require.Equal(t, counts, g.c.outlierScore(m) > before, "%v", code)
 	}
 }
--- a/routing/queue_test.go
+++ b/routing/queue_test.go
@@ -10,16 +10,16 @@
 	g.reportPositions(Primary, 0, "p")
 	p := g.c.members["p"]
 	p.limit = 1
-	first, _ := g.request(atMostOnceWrite, Event{}) // it takes the only place
-	late, _ := g.request(atMostOnceWrite, Event{})
+	first, _ := g.request(atMostOnceWrite, RequestArrived{}) // it takes the only place
+	late, _ := g.request(atMostOnceWrite, RequestArrived{})
 	g.now += 700 * ms // past the aim of the second
-	read, as := g.request(strongRead, Event{})
+	read, as := g.request(strongRead, RequestArrived{})
 	if sent, _ := actionsOf(ActSend, as); len(sent) > 0 {
 		t.Fatal("there was no room")
 	}
-	fresh, _ := g.request(atMostOnceWrite, Event{})
+	fresh, _ := g.request(atMostOnceWrite, RequestArrived{})
 	for i, want := range []string{fresh, read, late} {
-		g.step(Event{Kind: EventOutcome, ID: first, Code: OK, Role: Primary, Final: true, Elapsed: 400 * ms}) // no room for two
+		g.step(AttemptEnded{ID: first, Code: OK, Role: Primary, Final: true, Elapsed: 400 * ms}) // no room for two
 		sent, _ := actionsOf(ActSend, g.advance(10*ms))
 		if len(sent) != 1 || sent[0].ID != want {
 			t.Fatalf("place %d: %v, want %s", i, sent, want)
@@ -48,13 +48,13 @@
 		g := startHarness(t, s, Target{Host: "p", Group: 1, Primary: true})
 		p := g.c.members["p"]
 		for i := range 20 {
-			id, _ := g.request([]int{boundedRead, sessionRead}[i%2], Event{})
+			id, _ := g.request([]int{boundedRead, sessionRead}[i%2], RequestArrived{})
 			g.now += 20 * ms
 			if i%2 == 1 || i/2 < k.served {
 				g.outcome(id, 0, OK, Primary)
 			} else {
-				g.step(Event{Kind: EventClientGone, ID: id})
-				g.step(Event{Kind: EventOutcome, ID: id, Code: Cancelled, Final: true})
+				g.step(ClientGone{ID: id})
+				g.step(AttemptEnded{ID: id, Code: Cancelled, Final: true})
 			}
 		}
 		if got := g.c.classes[boundedRead].samples; got != initialSamples+10 {
@@ -62,10 +62,10 @@
 		}
 		p.limit = 1 // room for one read, and both are the same work
 		g.c.classes[boundedRead].serviceTime, g.c.classes[sessionRead].serviceTime = 20*ms, 20*ms
-		first, _ := g.request(sessionRead, Event{})
-		cheap, _ := g.request(boundedRead, Event{IsRetry: k.again})
-		dear, _ := g.request(sessionRead, Event{})
-		g.step(Event{Kind: EventOutcome, ID: first, Code: OK, Role: Primary, Final: true, Elapsed: 320 * ms}) // no room for two
+		first, _ := g.request(sessionRead, RequestArrived{})
+		cheap, _ := g.request(boundedRead, RequestArrived{IsRetry: k.again})
+		dear, _ := g.request(sessionRead, RequestArrived{})
+		g.step(AttemptEnded{ID: first, Code: OK, Role: Primary, Final: true, Elapsed: 320 * ms}) // no room for two
 		sent, _ := actionsOf(ActSend, g.advance(10*ms))
 		if len(sent) == 0 || (sent[0].ID == cheap) != k.want {
 			t.Errorf("%s: %v was sent of the cheap %s and the dear %s", k.name, sent, cheap, dear)
--- a/routing/replica_test.go
+++ b/routing/replica_test.go
@@ -12,7 +12,7 @@
 	g := startHarness(t, settings(), shard()[:3]...)
 	count := map[string]int{}
 	for range 2 * initialLimit {
-		_, as := g.request(eventualRead, Event{})
+		_, as := g.request(eventualRead, RequestArrived{})
 		_, host := actionsOf(ActSend, as)
 		count[host]++
 	}
@@ -25,7 +25,7 @@
 func TestQueuedReadsAvoidOutliers(t *testing.T) {
 	g := startHarness(t, settings(), shard()[:3]...)
 	for { // a refuses until it is a suspect
-		id, as := g.request(eventualRead, Event{})
+		id, as := g.request(eventualRead, RequestArrived{})
 		if _, host := actionsOf(ActSend, as); host == "a" {
 			g.outcome(id, 0, NoConnection, Unknown)
 			break
@@ -34,7 +34,7 @@
 	}
 	sends := 0
 	for range 14 { // less than it takes for the other to look silent
-		_, as := g.request(eventualRead, Event{})
+		_, as := g.request(eventualRead, RequestArrived{})
 		for _, a := range append(as, g.advance(10*ms)...) {
 			if a.Kind == ActSend && a.Host == "a" {
 				sends++
@@ -52,7 +52,7 @@
 		s := settings()
 		s.StalenessCheck = checks
 		g := startHarness(t, s, shard()...)
-		id, as := g.request(boundedRead, Event{})
+		id, as := g.request(boundedRead, RequestArrived{})
 		if _, host := actionsOf(ActSend, as); host == "p" || host == "" {
 			t.Errorf("checks %d: a read with no position known led to %v", checks, as)
 		}
@@ -69,7 +69,7 @@
 	went := func() map[string]int {
 		hosts := map[string]int{}
 		for range 40 {
-			id, as := g.request(eventualRead, Event{})
+			id, as := g.request(eventualRead, RequestArrived{})
 			_, host := actionsOf(ActSend, as)
 			hosts[host]++
 			g.outcome(id, 0, OK, Unknown)
@@ -88,9 +88,9 @@
 		t.Errorf("c is furthest behind: %v", hosts)
 	}
 	for range initialLimit { // it has no room: the others serve
-		g.request(eventualRead, Event{})
+		g.request(eventualRead, RequestArrived{})
 	}
-	if _, as := g.request(eventualRead, Event{}); len(as) == 0 || as[0].Kind != ActSend || as[0].Host == "c" {
+	if _, as := g.request(eventualRead, RequestArrived{}); len(as) == 0 || as[0].Kind != ActSend || as[0].Host == "c" {
 		t.Errorf("c is full: %v", as)
 	}
 }
@@ -100,12 +100,12 @@
 	g := startHarness(t, settings(), Target{Host: "p", Group: 1, Primary: true})
 	g.c.members["p"].limit = 20
 	for range 30 {
-		g.request(sessionRead, Event{CommitAge: ms})
+		g.request(sessionRead, RequestArrived{CommitAge: ms})
 	}
 	if n := g.c.members["p"].inFlight; n != 18 {
 		t.Errorf("%d reads are there, 18 of 20 may be", n)
 	}
-	if _, as := g.request(atMostOnceWrite, Event{}); len(as) == 0 || as[0].Kind != ActSend {
+	if _, as := g.request(atMostOnceWrite, RequestArrived{}); len(as) == 0 || as[0].Kind != ActSend {
 		t.Errorf("a write finds no room: %v", as)
 	}
 }
@@ -116,20 +116,20 @@
 	s := settings()
 	s.RouterCount, s.Probing.Allowed = 80, false
 	g := startHarness(t, s, shard()...)
-	id, _ := g.request(atMostOnceWrite, Event{})
+	id, _ := g.request(atMostOnceWrite, RequestArrived{})
 	g.outcome(id, 0, OK, Primary)
 	for range 4 {
 		g.now += second
-		id, _ = g.request(atMostOnceWrite, Event{})
+		id, _ = g.request(atMostOnceWrite, RequestArrived{})
 		g.outcome(id, 0, ServerError, Primary)
 	}
 	p := g.c.members["p"]
 	require.False(t, g.c.isHealthy(p))
-	id, as := g.request(boundedRead, Event{})
+	id, as := g.request(boundedRead, RequestArrived{})
 	require.Equal(t, ActSend, as[0].Kind)
 	require.Equal(t, "p", as[0].Host)
 	g.now += 10 * second
-	_, as = g.request(boundedRead, Event{})
+	_, as = g.request(boundedRead, RequestArrived{})
 	require.True(t, g.c.isSilent(p))
 	for _, a := range as {
 		require.NotEqual(t, ActSend, a.Kind, "a silent primary")
@@ -137,6 +137,6 @@
 	g.outcome(id, 0, OK, Primary)
 
 	g.reportPositions(Replica, 0, "a") // a replica that qualifies is not passed over
-	id, as = g.request(boundedRead, Event{})
+	id, as = g.request(boundedRead, RequestArrived{})
 	require.Equal(t, "a", as[0].Host, id)
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -9,7 +9,7 @@
 // The decisions stand in one file a concern: members.go (host state and evidence), primary.go (the search for the
 // primary), replica.go (the choice of a replica), admission.go (admission, limits and slow start), attempts.go
 // (attempts and retries), probes.go, sessions.go (read your writes), queue.go (queued requests) and constants.go.
-// The deploy file names them as the policy. This file holds what carries them, types.go the events and actions,
+// The deploy file names them as the policy. This file holds what carries them, events.go and types.go its interface,
 // and state.go what a router gives to its next start.
 package routing
 
@@ -173,8 +173,8 @@
 // Step takes the events of one moment and returns what to do. The actions are valid until the next call.
 func (r *Router) Step(now time.Duration, events []Event) []Action {
 	r.now, r.actions = max(now, r.now), r.actions[:0]
-	for i := range events {
-		r.handle(&events[i])
+	for _, event := range events {
+		r.handle(event)
 	}
 	if r.now >= r.tickAt {
 		r.tick()
@@ -184,25 +184,25 @@
 }
 
 // handle gives an event to the decisions that it concerns. First bytes, timers and peers' messages concern none.
-func (r *Router) handle(e *Event) {
-	switch e.Kind {
-	case EventTargets:
-		r.applyTargets(e)
-	case EventTargetsFailed:
+func (r *Router) handle(event Event) {
+	switch e := event.(type) {
+	case TargetsChanged:
+		r.applyTargets(&e)
+	case TargetsFailed:
 		r.handleTargetsFailed()
-	case EventRequest:
-		r.handleRequest(e)
-	case EventOutcome:
-		r.handleOutcome(e)
-	case EventClientGone:
-		r.handleClientGone(e)
-	case EventLateAnswer:
+	case RequestArrived:
+		r.handleRequest(&e)
+	case AttemptEnded:
+		r.handleOutcome(&e)
+	case ClientGone:
+		r.handleClientGone(e.ID)
+	case LateAnswer:
 		if m := r.members[e.Host]; m != nil {
-			r.recordAnswer(m, e, e.Position)
+			r.recordAnswer(m, &e, e.Position)
 		}
-	case EventProbeResult:
+	case ProbeEnded:
 		if m := r.members[e.Host]; m != nil {
-			r.handleProbeResult(m, e)
+			r.handleProbeResult(m, &e)
 		}
 	}
 }
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -47,7 +47,7 @@
 		if k.age > 0 {
 			g.reportPositions(Replica, k.age, "a", "b", "c")
 		}
-		_, as := g.request(k.class, Event{CommitAge: k.token})
+		_, as := g.request(k.class, RequestArrived{CommitAge: k.token})
 		for range 2 * maxProbesPerRead { // probes of replicas that might qualify stay unanswered
 			as = append(as, g.advance(probeAnswerWait)...)
 		}
@@ -61,18 +61,18 @@
 // Odd but legal events change nothing.
 func TestOddEvents(t *testing.T) {
 	g := startHarness(t, settings(), shard()...)
-	id, _ := g.request(atMostOnceWrite, Event{})
+	id, _ := g.request(atMostOnceWrite, RequestArrived{})
 	g.outcome(id, 0, OK, Primary)
 	for _, e := range []Event{
-		{Kind: EventOutcome, ID: id, Code: OK, Final: true},
-		{Kind: EventOutcome, ID: "never", Attempt: -1},
-		{Kind: EventClientGone, ID: id},
-		{Kind: EventClientGone, ID: "never"},
-		{Kind: EventProbeResult, Host: "never"},
-		{Kind: EventTimer},
-		{Kind: EventFirstByte, ID: id},
-		{Kind: EventTargets, Targets: []Target{{Host: "never", Group: 3, Removed: true}}},
-		{Kind: EventPeerMessage},
+		AttemptEnded{ID: id, Code: OK, Final: true},
+		AttemptEnded{ID: "never", Attempt: -1},
+		ClientGone{ID: id},
+		ClientGone{ID: "never"},
+		ProbeEnded{Host: "never"},
+		TimerFired{},
+		FirstByte{ID: id},
+		TargetsChanged{Targets: []Target{{Host: "never", Group: 3, Removed: true}}},
+		PeerMessage{},
 	} {
 		if as := g.step(e); len(as) != 0 {
 			t.Errorf("%+v led to %v", e, as)
@@ -81,7 +81,7 @@
 	if len(g.c.requests) != 0 {
 		t.Errorf("%d requests are still held", len(g.c.requests))
 	}
-	as := g.step(Event{Kind: EventRequest, ID: "x", Group: 99, TimeRemaining: time.Second})
+	as := g.step(RequestArrived{ID: "x", Group: 99, TimeRemaining: time.Second})
 	if found, _ := actionsOf(ActReject, as); len(found) != 1 {
 		t.Errorf("a group that no list names led to %v", as)
 	}
@@ -139,7 +139,7 @@
 			id := fmt.Sprint("r", g.ids)
 			reqs[id] = &state{class: x % 6, live: map[int]string{}}
 			order = append(order, id)
-			run(g.step(Event{Kind: EventRequest, ID: id, Class: x % 6, Group: 1, CommitAge: time.Duration(x) * ms, TimeRemaining: time.Second}))
+			run(g.step(RequestArrived{ID: id, Class: x % 6, Group: 1, CommitAge: time.Duration(x) * ms, TimeRemaining: time.Second}))
 		case 3, 4, 5:
 			if len(order) == 0 {
 				continue
@@ -155,7 +155,7 @@
 					if code == OK {
 						r.answered = true
 					}
-					run(g.step(Event{Kind: EventOutcome, ID: id, Attempt: n, Code: code, Final: final, Role: Role(x % 3), Elapsed: 40 * ms}))
+					run(g.step(AttemptEnded{ID: id, Attempt: n, Code: code, Final: final, Role: Role(x % 3), Elapsed: 40 * ms}))
 					break
 				}
 			}
@@ -177,7 +177,7 @@
 				g.now += memberRetention
 			}
 			drained[h.Host] = h.Draining || h.Removed || h.Group != 1
-			run(g.step(Event{Kind: EventTargets, Targets: []Target{h}}))
+			run(g.step(TargetsChanged{Targets: []Target{h}}))
 		}
 		run(g.advance(5 * ms))
 	}
@@ -224,10 +224,10 @@
 		t.Fatal(err)
 	}
 	g := &harness{t: t, c: c, now: startTime}
-	if asked, _ := actionsOf(ActSubscribe, g.step(Event{Kind: EventTargets, Full: true, Targets: shard()})); len(asked) != 1 {
+	if asked, _ := actionsOf(ActSubscribe, g.step(TargetsChanged{Full: true, Targets: shard()})); len(asked) != 1 {
 		t.Errorf("asked %d times at the start", len(asked))
 	}
-	g.step(Event{Kind: EventTargetsFailed})
+	g.step(TargetsFailed{})
 	if asked, _ := actionsOf(ActSubscribe, g.advance(2*retryBackoff)); len(asked) != 1 {
 		t.Errorf("asked %d times after a failure", len(asked))
 	}
@@ -236,7 +236,7 @@
 // Guards against other settings that pull the classes from under the requests that are under way.
 func TestConfigure(t *testing.T) {
 	g := startHarness(t, settings(), shard()...)
-	id, _ := g.request(atMostOnceWrite, Event{})
+	id, _ := g.request(atMostOnceWrite, RequestArrived{})
 	s := settings()
 	s.Classes[atMostOnceWrite].LatencyObjective, s.MaxRetryAfter = 300*ms, 70*ms
 	if err := g.c.Configure(s); err != nil {
@@ -244,7 +244,7 @@
 	}
 	g.outcome(id, 0, OK, Primary)
 	g.ids++
-	as := g.step(Event{Kind: EventRequest, ID: "odd", Class: atMostOnceWrite, Group: 9, TimeRemaining: time.Second})
+	as := g.step(RequestArrived{ID: "odd", Class: atMostOnceWrite, Group: 9, TimeRemaining: time.Second})
 	if refused, _ := actionsOf(ActReject, as); len(refused) != 1 || refused[0].RetryAfter != 70*ms || g.c.classes[atMostOnceWrite].LatencyObjective != 300*ms {
 		t.Errorf("%v", as)
 	}
--- a/routing/sessions_test.go
+++ b/routing/sessions_test.go
@@ -11,20 +11,20 @@
 	s.TracksCommits = true
 	g := startHarness(t, s, shard()...)
 	g.now += time.Second
-	id, _ := g.request(atMostOnceWrite, Event{SessionKey: 7, HasSessionKey: true})
-	g.step(Event{Kind: EventOutcome, ID: id, Code: OK, Role: Primary, Final: true, Position: g.now, Elapsed: 50 * ms})
+	id, _ := g.request(atMostOnceWrite, RequestArrived{SessionKey: 7, HasSessionKey: true})
+	g.step(AttemptEnded{ID: id, Code: OK, Role: Primary, Final: true, Position: g.now, Elapsed: 50 * ms})
 	g.reportPositions(Replica, ms, "a", "b", "c")
-	_, as := g.request(sessionRead, Event{SessionKey: 7, HasSessionKey: true})
+	_, as := g.request(sessionRead, RequestArrived{SessionKey: 7, HasSessionKey: true})
 	if _, host := actionsOf(ActSend, append(as, g.reportPositions(Replica, ms, "a", "b", "c")...)); host == "a" || host == "b" || host == "c" {
 		t.Errorf("a replica behind the session's commit got its read: %v", as)
 	}
-	if _, as := g.request(sessionRead, Event{SessionKey: 8, HasSessionKey: true}); as[0].Host == "p" {
+	if _, as := g.request(sessionRead, RequestArrived{SessionKey: 8, HasSessionKey: true}); as[0].Host == "p" {
 		t.Errorf("a session without writes was sent to the primary: %v", as)
 	}
 	g = startHarness(t, s, shard()...)
 	commit := func(key uint64) {
-		id, _ := g.request(atMostOnceWrite, Event{SessionKey: key, HasSessionKey: true})
-		g.step(Event{Kind: EventOutcome, ID: id, Code: OK, Role: Primary, Final: true, Position: g.now, Elapsed: 50 * ms})
+		id, _ := g.request(atMostOnceWrite, RequestArrived{SessionKey: key, HasSessionKey: true})
+		g.step(AttemptEnded{ID: id, Code: OK, Role: Primary, Final: true, Position: g.now, Elapsed: 50 * ms})
 	}
 	commit(7)
 	g.advance(commitRetention / 2)
--- a/routing/simulation_test.go
+++ b/routing/simulation_test.go
@@ -145,7 +145,7 @@
 	if known == nil {
 		known = w.entries()
 	}
-	w.later(0, router, Event{Kind: EventTargets, Full: true, Targets: known})
+	w.later(0, router, TargetsChanged{Full: true, Targets: known})
 	for _, id := range slices.Sorted(maps.Keys(w.requests)) {
 		if q := w.requests[id]; q.router == router {
 			delete(w.requests, id)
@@ -177,8 +177,8 @@
 	next := *q
 	next.router, next.attempts = router, 0
 	w.requests[id] = &next
-	w.later(after, router, Event{
-		Kind: EventRequest, ID: id, Class: q.class, Group: uint64(q.group), TimeRemaining: left,
+	w.later(after, router, RequestArrived{
+		ID: id, Class: q.class, Group: uint64(q.group), TimeRemaining: left,
 		IsRetry: q.retries > 0 && w.marksRetries,
 	})
 }
@@ -195,7 +195,7 @@
 	}
 	for i := range w.routers {
 		if after := late(i); after >= 0 {
-			w.later(after, i, Event{Kind: EventTargets, Targets: entries})
+			w.later(after, i, TargetsChanged{Targets: entries})
 		}
 	}
 }
@@ -246,9 +246,9 @@
 		if x.incarnation != w.incarnations[x.router] {
 			continue
 		}
-		if x.event.Kind == EventOutcome && x.event.Code == OK {
-			w.idle[[2]string{fmt.Sprint(x.router), x.event.Host}]++
-			delete(w.requests, x.event.ID)
+		if ended, ok := x.event.(AttemptEnded); ok && ended.Code == OK {
+			w.idle[[2]string{fmt.Sprint(x.router), ended.Host}]++
+			delete(w.requests, ended.ID)
 		}
 		for _, a := range append([]Action(nil), w.routers[x.router].Step(w.now, []Event{x.event})...) {
 			w.carryOut(x.router, a)
@@ -260,7 +260,7 @@
 func (w *fleetSimulation) carryOut(router int, a Action) {
 	switch a.Kind {
 	case ActTimer:
-		w.later(a.At-w.now, router, Event{Kind: EventTimer})
+		w.later(a.At-w.now, router, TimerFired{})
 	case ActReject, ActFail:
 		w.rejected++
 		w.count("refused", 1)
@@ -272,7 +272,7 @@
 	case ActProbe:
 		w.count("probes", 1)
 		w.work(router, a.Host, probeWork)
-		e := Event{Kind: EventProbeResult, Host: a.Host, Report: Report{Position: w.now - w.lag[a.Host], Role: w.role(a.Host)}}
+		e := ProbeEnded{Host: a.Host, Report: Report{Position: w.now - w.lag[a.Host], Role: w.role(a.Host)}}
 		if w.down[a.Host] || w.broken[a.Host] {
 			e.Code, e.Report = NoConnection, Report{}
 		}
@@ -285,8 +285,8 @@
 			w.count("cold", 1)
 			w.count("cold "+a.Host, 1)
 		}
-		e := Event{
-			Kind: EventOutcome, ID: a.ID, Attempt: q.attempts, Host: a.Host, Code: OK, Role: w.role(a.Host), Final: true,
+		e := AttemptEnded{
+			ID: a.ID, Attempt: q.attempts, Host: a.Host, Code: OK, Role: w.role(a.Host), Final: true,
 			Elapsed: cmp.Or(w.answerTimes[a.Host], answerTime),
 		}
 		q.attempts++
--- a/routing/state_test.go
+++ b/routing/state_test.go
@@ -21,7 +21,7 @@
 	if s != nil {
 		c.ImportState(now, *s)
 	}
-	c.Step(now, []Event{{Kind: EventTargets, Full: true, Targets: []Target{{Host: "p", Group: 1, Primary: true}, {Host: "a", Group: 1}, {Host: "b", Group: 1}}}})
+	c.Step(now, []Event{TargetsChanged{Full: true, Targets: []Target{{Host: "p", Group: 1, Primary: true}, {Host: "a", Group: 1}, {Host: "b", Group: 1}}}})
 	return c
 }
 
@@ -68,7 +68,7 @@
 	require.Less(t, b.limit, 3.0, "one that does not stand it any more is not pushed")
 	bounded := &request{class: &class{Class: Class{Access: BoundedRead, StalenessBound: 100 * ms}}}
 	require.Less(t, c.paceOf(b, bounded), c.paceOf(a, bounded), "the one that lagged is not probed first")
-	c.Step(now+6*second, []Event{{Kind: EventTargets, Full: true, Targets: []Target{{Host: "p", Group: 1}, {Host: "a", Group: 1}, {Host: "b", Group: 1}}}})
+	c.Step(now+6*second, []Event{TargetsChanged{Full: true, Targets: []Target{{Host: "p", Group: 1}, {Host: "a", Group: 1}, {Host: "b", Group: 1}}}})
 	require.NotEqual(t, 1.0, a.limit)
 }
 
@@ -78,7 +78,7 @@
 	c, err := New(Settings{Classes: []Class{{Name: "read", LatencyObjective: second, Deadline: second}}, RouterCount: 1, MaxAttempts: 1}, 1)
 	require.NoError(t, err)
 	c.ImportState(now, s)
-	c.Step(now, []Event{{Kind: EventTargets, Full: true, Targets: []Target{{Host: "a", Group: 1, StartedAt: 900 * second}, {Host: "b", Group: 1}}}})
+	c.Step(now, []Event{TargetsChanged{Full: true, Targets: []Target{{Host: "a", Group: 1, StartedAt: 900 * second}, {Host: "b", Group: 1}}}})
 	for _, name := range []string{"a", "b"} { // a started again, b holds other data
 		m := c.members[name]
 		require.EqualValues(t, initialLimit, m.limit, name)
@@ -89,10 +89,10 @@
 	// The search for a primary asks the one that was it first, and believes only its answer.
 	c, _ = New(Settings{Classes: []Class{{Name: "write", Access: Write, Idempotency: AtMostOnce, LatencyObjective: second, Deadline: 2 * second}}, RouterCount: 1, MaxAttempts: 4}, 1)
 	c.ImportState(now, RouterState{Hosts: []HostState{{Host: "c", Group: 1, Limit: 3, WasPrimary: true, Lag: -1}}})
-	c.Step(now, []Event{{Kind: EventTargets, Full: true, Targets: []Target{{Host: "a", Group: 1}, {Host: "b", Group: 1}, {Host: "c", Group: 1}}}})
+	c.Step(now, []Event{TargetsChanged{Full: true, Targets: []Target{{Host: "a", Group: 1}, {Host: "b", Group: 1}, {Host: "c", Group: 1}}}})
 	require.Nil(t, c.groups[1].primary())
-	out := c.Step(now, []Event{{Kind: EventRequest, ID: "w", Group: 1, TimeRemaining: 2 * second}})
+	out := c.Step(now, []Event{RequestArrived{ID: "w", Group: 1, TimeRemaining: 2 * second}})
 	require.Equal(t, "c", out[0].Host)
-	out = c.Step(now+time.Millisecond, []Event{{Kind: EventOutcome, ID: "w", Host: "c", Code: Misdirected, Role: Replica}})
+	out = c.Step(now+time.Millisecond, []Event{AttemptEnded{ID: "w", Host: "c", Code: Misdirected, Role: Replica}})
 	require.NotEqual(t, "c", out[0].Host)
 }
--- a/routing/types.go
+++ b/routing/types.go
@@ -107,23 +107,6 @@
 	OverloadWindow time.Duration // sent within this time, it fails
 }
 
-// EventKind tells the events apart.
-type EventKind uint8
-
-// The events of a router.
-const (
-	EventTargets       EventKind = iota // the endpoint list, or changes to it
-	EventTargetsFailed                  // discovery could not be asked
-	EventRequest                        // a request arrived
-	EventOutcome                        // an attempt ended
-	EventFirstByte                      // an answer begins
-	EventClientGone                     // the client of a request has disconnected
-	EventTimer                          // a timer is due
-	EventProbeResult                    // a probe ended
-	EventPeerMessage                    // another router sent something
-	EventLateAnswer                     // a host answered an attempt that was given up
-)
-
 // Code is how an attempt or a probe ended.
 type Code uint8
 
@@ -166,30 +149,6 @@
 	StartedAt time.Duration // 0: long ago
 }
 
-// Event is one thing that happened; Kind says which fields count.
-type Event struct {
-	Kind          EventKind
-	Full          bool // EventTargets: the complete list
-	Targets       []Target
-	ID            string // of the request
-	Class         int    // place in the settings' classes
-	Tenant        int    // place in the settings' tenants, from 1; 0: none
-	SessionKey    uint64
-	HasSessionKey bool
-	IsRetry       bool // the client marks it as a retry of its own
-	Group         uint64
-	TimeRemaining time.Duration // that the client will wait
-	CommitAge     time.Duration // of the session's last commit; 0: none
-	Attempt       int
-	Host          string
-	Code          Code
-	Elapsed       time.Duration
-	Final         bool
-	Role          Role
-	Position      time.Duration // of an answer or, for a write, its commit; 0: not given
-	Report        Report
-}
-
 // Report is what a host reports of itself; zero fields were not given.
 type Report struct {
 	Position time.Duration
