--- a/internal/cluster/fencing/errors.go
+++ b/internal/cluster/fencing/errors.go
@@ -18,10 +18,12 @@
 	Err      error    // of the last attempt
 }
 
+// Error implements error.
 func (e *NoPrimaryError) Error() string {
 	return fmt.Sprintf("group %d: no host takes writes (%d attempts): %v", e.Group, len(e.Attempts), e.Err)
 }
 
+// Unwrap returns the error of the last attempt.
 func (e *NoPrimaryError) Unwrap() error { return e.Err }
 
 // Code returns the stable code that operators see.
@@ -39,8 +41,10 @@
 	Err    error
 }
 
+// Error implements error.
 func (e *InDoubtError) Error() string { return e.Host + ": " + e.Action + ": " + e.Err.Error() }
 
+// Unwrap returns what broke the connection.
 func (e *InDoubtError) Unwrap() error { return e.Err }
 
 // Code returns the stable code that operators see.
--- a/internal/cluster/jobs/errors.go
+++ b/internal/cluster/jobs/errors.go
@@ -60,6 +60,7 @@
 	Detail    string     `json:"detail,omitempty"`
 }
 
+// Error implements error. The text is sent, see rejectTexts.
 func (e *RejectedError) Error() string {
 	text := rejectTexts[e.Reason]
 	if e.Job != "" {
@@ -96,6 +97,7 @@
 	Current   FencingToken // 0: unknown
 }
 
+// Error implements error.
 func (e *FencedError) Error() string {
 	return "fenced: " + e.Target + " has seen a later lease holder's token"
 }
--- a/internal/cluster/jobs/noop/spec.go
+++ b/internal/cluster/jobs/noop/spec.go
@@ -30,6 +30,7 @@
 // SpecError is a job that can't be done as ordered.
 type SpecError struct{ Key, Value, Allowed string }
 
+// Error implements error.
 func (e *SpecError) Error() string {
 	return fmt.Sprintf("%s is %s; allowed is %s", e.Key, e.Value, e.Allowed)
 }
