--- a/cmd/ashstand/assignments.go
+++ b/cmd/ashstand/assignments.go
@@ -16,14 +16,14 @@
 	"ashstand/internal/session"
 )
 
-// assignments say where databases are by the rules that the poolers agreed on. What is acted on is met once for each change of
-// versions or of the lease, so that a transaction costs a look into a table.
+// assignments implement pg.Assignments by the agreed rules. They are computed once for each change of the versions or of
+// the lease, so that a transaction costs a lookup.
 type assignments struct {
 	consensus *runner.Runner
 	clock     clock.Clock
-	buildMu   sync.Mutex // who makes the next table
 	table     atomic.Pointer[assignmentTable]
-	front     atomic.Pointer[pg.SessionFront] // to be told of changes; nil: nobody
+	front     atomic.Pointer[pg.SessionFront] // notified of changes; nil: nobody
+	buildMu   sync.Mutex                      // buildMu guards the replacement of table
 }
 
 // assignmentTable is what the rules say under one set of versions.
@@ -32,119 +32,138 @@
 	byDatabase map[string]session.Assignment
 }
 
-// Assignment is what the rules say of a database now.
-func (h *assignments) Assignment(database string, now float64) session.Assignment {
-	return h.current(now).byDatabase[database]
+// Assignment returns what the rules say of a database now.
+func (a *assignments) Assignment(database string, now float64) session.Assignment {
+	return a.current(now).byDatabase[database]
 }
 
-func (h *assignments) current(now float64) *assignmentTable {
-	if t := h.table.Load(); t.isCurrent(h.consensus.Lease(), now) {
-		return t
+// current returns the table of the versions and the lease that this pooler has now.
+func (a *assignments) current(now float64) *assignmentTable {
+	if table := a.table.Load(); table.isCurrent(a.consensus.Lease(), now) {
+		return table
 	}
-	h.buildMu.Lock()
-	defer h.buildMu.Unlock()
-	g, before := h.consensus.Lease(), h.table.Load()
-	if before.isCurrent(g, now) {
-		return before
+	a.buildMu.Lock()
+	defer a.buildMu.Unlock()
+	lease, previous := a.consensus.Lease(), a.table.Load()
+	if previous.isCurrent(lease, now) {
+		return previous
 	}
-	t := &assignmentTable{key: g.EffectiveKey(now), byDatabase: assignmentsFromRules(g.Effective(now).Rules)}
-	for name, home := range t.byDatabase {
-		if home.Paused {
-			home.PausedSince = now
-			if before != nil && before.byDatabase[name].Paused {
-				home.PausedSince = before.byDatabase[name].PausedSince
-			}
-			t.byDatabase[name] = home
+	table := &assignmentTable{key: lease.EffectiveKey(now), byDatabase: assignmentsFromRules(lease.Effective(now).Rules)}
+	table.setPauseTimes(previous, now)
+	a.table.Store(table)
+	return table
+}
+
+// isCurrent reports whether the table is of the versions and the lease.
+func (t *assignmentTable) isCurrent(lease *consensus.Lease, now float64) bool {
+	return t != nil && t.key == lease.EffectiveKey(now)
+}
+
+// setPauseTimes keeps when a pause began that the previous table has as well.
+func (t *assignmentTable) setPauseTimes(previous *assignmentTable, now float64) {
+	for database, assignment := range t.byDatabase {
+		if !assignment.Paused {
+			continue
 		}
+		assignment.PausedSince = now
+		if previous != nil && previous.byDatabase[database].Paused {
+			assignment.PausedSince = previous.byDatabase[database].PausedSince
+		}
+		t.byDatabase[database] = assignment
 	}
-	h.table.Store(t)
-	return t
 }
 
-// isCurrent says whether the table is of the versions and the lease that are held.
-func (t *assignmentTable) isCurrent(g *consensus.Lease, now float64) bool {
-	return t != nil && t.key == g.EffectiveKey(now)
-}
+// Keys of the agreed rules that assign a database: prefix, name of the database, suffix.
+const (
+	databaseKeyPrefix = "database."
+	groupKeySuffix    = ".group"
+	pausedKeySuffix   = ".paused"
+)
 
-// assignmentsFromRules are the databases that rules name.
+// assignmentsFromRules returns the assignments of the databases that rules name.
 func assignmentsFromRules(rules consensus.Rules) map[string]session.Assignment {
-	of := map[string]session.Assignment{}
+	byDatabase := map[string]session.Assignment{}
 	for key, value := range rules {
-		name, ours := strings.CutPrefix(key, "database.")
-		if !ours {
+		name, isDatabase := strings.CutPrefix(key, databaseKeyPrefix)
+		if !isDatabase {
 			continue
 		}
-		if database, is := strings.CutSuffix(name, ".group"); is {
-			h := of[database]
-			group, known := value.(float64)
-			h.HasGroup, h.Undecided, h.Group = known, rules.Fenced(key), uint64(group)
-			of[database] = h
-		} else if database, is := strings.CutSuffix(name, ".paused"); is {
-			h := of[database]
-			h.Paused, _ = value.(bool)
-			of[database] = h
+		if database, found := strings.CutSuffix(name, groupKeySuffix); found {
+			assignment := byDatabase[database]
+			group, isNumber := value.(float64)
+			assignment.HasGroup = isNumber
+			assignment.Group = uint64(group)
+			assignment.Undecided = rules.Fenced(key)
+			byDatabase[database] = assignment
+		} else if database, found := strings.CutSuffix(name, pausedKeySuffix); found {
+			assignment := byDatabase[database]
+			assignment.Paused, _ = value.(bool)
+			byDatabase[database] = assignment
 		}
 	}
-	return of
+	return byDatabase
 }
 
-// changed tells the front that the rules, or the lease, are others by now. The table is made here rather than on the
-// front's event loop.
-func (h *assignments) changed() {
-	if f := h.front.Load(); f != nil {
-		h.current(h.clock.Now())
-		f.ReassignTenants()
+// changed notifies the front of other rules or another lease. The table is computed here rather than on the front's event
+// loop.
+func (a *assignments) changed() {
+	if front := a.front.Load(); front != nil {
+		a.current(a.clock.Now())
+		front.ReassignTenants()
 	}
 }
 
-// assignmentsView is what operators see of the homes.
+// assignmentsView is what operators see of the assignments, under the key of the first release and under the present one.
 type assignmentsView struct {
 	On          bool             `json:"on"`
 	Assignments []pg.TenantStats `json:"homes"`
+	Present     []pg.TenantStats `json:"assignments"`
 }
 
 func (n *node) assignmentsView() any {
 	if n.others == nil || n.others.assignments == nil {
 		return assignmentsView{}
 	}
-	v := assignmentsView{On: true, Assignments: []pg.TenantStats{}}
+	stats := []pg.TenantStats{}
 	if n.pooled != nil {
-		v.Assignments = append(v.Assignments, n.pooled.TenantStats()...)
+		stats = append(stats, n.pooled.TenantStats()...)
 	}
-	for database, h := range n.others.assignments.current(n.clock.Now()).byDatabase {
-		if !slices.ContainsFunc(v.Assignments, func(s pg.TenantStats) bool { return s.Database == database }) {
-			s := pg.TenantStats{Database: database}
-			s.Describe(h)
-			v.Assignments = append(v.Assignments, s)
+	for database, assignment := range n.others.assignments.current(n.clock.Now()).byDatabase {
+		if slices.ContainsFunc(stats, func(s pg.TenantStats) bool { return s.Database == database }) {
+			continue
 		}
+		idle := pg.TenantStats{Database: database}
+		idle.Describe(assignment)
+		stats = append(stats, idle)
 	}
-	slices.SortFunc(v.Assignments, func(a, b pg.TenantStats) int { return strings.Compare(a.Database, b.Database) })
-	return v
+	slices.SortFunc(stats, func(a, b pg.TenantStats) int { return strings.Compare(a.Database, b.Database) })
+	return assignmentsView{On: true, Assignments: stats, Present: stats}
 }
 
-func writeAssignmentTable(w io.Writer, v *assignmentsView) {
-	if !v.On {
+func writeAssignmentTable(w io.Writer, view *assignmentsView) {
+	if !view.On {
 		fmt.Fprintln(w, "the operator's file has no cluster.agreement block: each pool's own group counts")
 		return
 	}
 	fmt.Fprintln(w, "DATABASE\tHOME\tSTATE\tPAUSED SINCE\tSESSIONS\tRUNNING\tHELD\tLET GO\tREFUSED\tBOUND")
-	for _, h := range v.Assignments {
-		home, since, bound := "the pool's", "-", "-"
-		if h.Group != nil {
-			home = fmt.Sprint(*h.Group)
-		} else if h.Fenced {
-			home = "not agreed"
+	for _, s := range view.Assignments {
+		group, since, sticky := "the pool's", "-", "-"
+		if s.Group != nil {
+			group = fmt.Sprint(*s.Group)
+		} else if s.Fenced {
+			group = "not agreed"
 		}
-		if h.PausedSince > 0 {
-			since = time.UnixMilli(int64(h.PausedSince)).UTC().Format("15:04:05.000") + " (" + clock.Duration(clock.System().Now()-h.PausedSince).Round(100*time.Millisecond).String() + ")"
+		if s.PausedSince > 0 {
+			elapsed := clock.Duration(clock.System().Now() - s.PausedSince).Round(100 * time.Millisecond)
+			since = fmt.Sprintf("%s (%s)", time.UnixMilli(int64(s.PausedSince)).UTC().Format("15:04:05.000"), elapsed)
 		}
-		var words []string
-		for _, b := range h.Sticky {
-			words = append(words, fmt.Sprintf("%d of pool %s at %s: %s", b.Sessions, b.Pool, b.Host, b.Cause))
+		var causes []string
+		for _, b := range s.Sticky {
+			causes = append(causes, fmt.Sprintf("%d of pool %s at %s: %s", b.Sessions, b.Pool, b.Host, b.Cause))
 		}
-		if len(words) > 0 {
-			bound = strings.Join(words, "; ")
+		if len(causes) > 0 {
+			sticky = strings.Join(causes, "; ")
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", h.Database, home, h.State, since, h.Sessions, h.Running, h.Queued, h.Released, h.Rejected, bound)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", s.Database, group, s.State, since, s.Sessions, s.Running, s.Queued, s.Released, s.Rejected, sticky)
 	}
 }
--- a/cmd/ashstand/assignments_test.go
+++ b/cmd/ashstand/assignments_test.go
@@ -168,7 +168,7 @@
 	shows := func(what string, is func(h pg.TenantStats) bool) {
 		t.Helper()
 		require.Eventually(t, func() bool {
-			out, err := run("cluster", "homes", "--json")
+			out, err := run("cluster", "assignments", "--json")
 			seen = assignmentsView{}
 			return err == nil && json.Unmarshal([]byte(out), &seen) == nil && len(seen.Assignments) > 0 && is(seen.Assignments[0])
 		}, 20*time.Second, 10*time.Millisecond, what)
@@ -196,7 +196,7 @@
 	shows("moved, and still held", func(h pg.TenantStats) bool { return h.Queued == 1 && h.Group != nil && *h.Group == 2 })
 	propose(`{"database.orders.group": 2}`)
 	require.NoError(t, <-done)
-	table, err := run("cluster", "homes")
+	table, err := run("cluster", "assignments")
 	require.NoError(t, err)
 	require.Regexp(t, `orders +2 +open +- +1 +0 +0 +1 +0 +-`, table)
 	for i, want := range [][2]int{{1, 0}, {0, 1}} {
--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -273,7 +273,7 @@
 
 // adminCommands are what operators can have done.
 func (n *node) adminCommands() map[string]admin.Command {
-	return map[string]admin.Command{"cost": n.costs.estimate, "jobs": n.requestJob, "work": n.requestLegacyJob, "move-plan": n.planMigration, "propose": func(ctx context.Context, body []byte) (any, error) {
+	return map[string]admin.Command{"cost": n.costs.estimate, "jobs": n.requestJob, "work": n.requestLegacyJob, "migration-plan": n.planMigration, "move-plan": n.planLegacyMigration, "propose": func(ctx context.Context, body []byte) (any, error) {
 		if n.others == nil || n.others.agreed == nil {
 			return nil, errors.New("this pooler's file has no cluster.agreement block")
 		}
@@ -360,6 +360,12 @@
 	var v clusterView
 	var rules runner.View
 	var places assignmentsView
+	listAssignments := func() *cobra.Command {
+		return &cobra.Command{
+			Use: "assignments", Short: "list the databases with the group that each is at, and what waits for those that are paused", Args: cobra.NoArgs,
+			RunE: view("assignments", &places, func(w io.Writer) { writeAssignmentTable(w, &places) }),
+		}
+	}
 	root := &cobra.Command{Use: "cluster", Short: "what a pooler knows of the others"}
 	key := &cobra.Command{Use: "key", Short: "print a new key for the file that cluster.keys names", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 		b := make([]byte, 32)
@@ -443,10 +449,8 @@
 				return propose(text, c.OutOrStdout())
 			},
 		}),
-		ask(&cobra.Command{
-			Use: "homes", Short: "list the databases with the group that each is at, and what waits for those that are paused", Args: cobra.NoArgs,
-			RunE: view("homes", &places, func(w io.Writer) { writeAssignmentTable(w, &places) }),
-		}),
+		ask(listAssignments()),
+		ask(deprecatedCommand(listAssignments(), "cluster homes", "cluster assignments")),
 		ask(&cobra.Command{
 			Use: "members", Short: "list the poolers that this one knows, with what it believes of each", Args: cobra.NoArgs,
 			RunE: view("cluster", &v, func(w io.Writer) { memberTable(w, &v) }),
--- a/cmd/ashstand/commands.go
+++ b/cmd/ashstand/commands.go
@@ -129,7 +129,8 @@
 		clusterCommands(ask, view, address),
 		jobCommands.command(),
 		jobCommands.legacyCommand(),
-		migrateCommands(ask, func() bool { return asJSON }, address),
+		newMigrateCommand(ask, func() bool { return asJSON }, address),
+		deprecatedCommand(newMigrateCommand(ask, func() bool { return asJSON }, address), "move", "migrate"),
 		costCommands(ask, func() bool { return asJSON }, address),
 		&cobra.Command{Use: "version", Short: "print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
 			fmt.Fprintln(c.OutOrStdout(), version())
@@ -285,7 +286,11 @@
 			}
 			return n.costs.evidence()
 		},
-		"homes":     n.assignmentsView,
+		"assignments": n.assignmentsView,
+		"homes": func() any { // deprecated name of assignments
+			warnLegacyRequest("homes", "assignments")
+			return n.assignmentsView()
+		},
 		"cluster":   func() any { return n.others.view() },
 		"agreement": func() any { return n.others.agreement() },
 		"jobs": func() any {
@@ -296,7 +301,11 @@
 			warnLegacyRequest("works", "jobs")
 			return n.others.legacyJobs()
 		},
-		"moves": func() any { return n.others.migrationViews() },
+		"migrations": func() any { return n.others.migrationViews() },
+		"moves": func() any { // deprecated name of migrations
+			warnLegacyRequest("moves", "migrations")
+			return n.others.migrationViews()
+		},
 		"config": func() any {
 			c := n.cfg.Load()
 			return map[string]any{
--- a/cmd/ashstand/golden_test.go
+++ b/cmd/ashstand/golden_test.go
@@ -24,7 +24,7 @@
 var updateGolden = flag.Bool("update-golden", false, "rewrite the files of testdata/golden with what the program writes now")
 
 // growing are the views that may get further keys; tests of their own hold the present ones, with all values set.
-var growing = []string{"homes", "works", "moves"}
+var growing = []string{"homes", "assignments", "works", "moves", "migrations"}
 
 // golden compares what the program writes with the committed file, which it returns.
 func golden(t *testing.T, name string, got []byte) []byte {
--- a/cmd/ashstand/jobs.go
+++ b/cmd/ashstand/jobs.go
@@ -76,7 +76,7 @@
 		Reachable: s.reachable, Healthy: f.agreed.IsStorageHealthy,
 	}
 	if f.trace != nil { // in the testbed alone; migrations on real processes were tried too little for service: see docs/moves.md
-		s.handlers[kindMigration] = s.migrator
+		s.handlers[migration.JobKind] = s.migrator
 		options.IgnoreLeaseEnd = true
 		options.Trace = f.trace.operation
 	}
--- a/cmd/ashstand/jobs_request.go
+++ b/cmd/ashstand/jobs_request.go
@@ -9,6 +9,7 @@
 
 	"ashstand/internal/cluster/jobs"
 	"ashstand/internal/cluster/jobs/noop"
+	"ashstand/internal/cluster/migration"
 )
 
 // kindNoop is what operators call the kind that the log knows by noop.KindName.
@@ -138,12 +139,12 @@
 		entry.JobKind = noop.KindName
 	}
 	if s.handlers[entry.JobKind] == nil {
-		if entry.JobKind == kindMigration {
+		if entry.JobKind == migration.JobKind {
 			return migrationsOffError{}
 		}
 		return malformedRequest(entry.Job, "there is no kind "+strconv.Quote(entry.JobKind))
 	}
-	if entry.JobKind == kindMigration {
+	if entry.JobKind == migration.JobKind {
 		return s.validateMigration(entry)
 	}
 	var spec noop.Spec
