--- a/internal/net/pg/command.go
+++ b/internal/net/pg/command.go
@@ -110,8 +110,8 @@
 	needed  int // less than this holds no whole message more
 }
 
-// hasTerminate says whether the client has ended its session there. A client sends that last and closes its connection, so it
-// waits for no answer any more. n bytes are held, of which peek returns all.
+// hasTerminate reports whether the client has ended its session there. A client sends that last and closes its connection, so it
+// waits for no answer any more. n bytes are buffered, and peek returns them.
 func (l *readAhead) hasTerminate(n int, peek func(int) ([]byte, error), most int) bool {
 	if n < max(l.needed, l.scanned+5) {
 		return false
--- a/internal/net/pg/dial_test.go
+++ b/internal/net/pg/dial_test.go
@@ -159,8 +159,8 @@
 				<-up
 				b.Send(&pgproto3.AuthenticationOk{})
 				b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
-				b.Flush()
-				b.Receive()
+				_ = b.Flush()
+				_, _ = b.Receive()
 			})
 			r.SetLimits(PoolLimits{Connections: 4, ConnectTimeout: 20 * time.Second, IdleTimeout: 15 * time.Second})
 			other := start(t, good)
@@ -235,7 +235,7 @@
 	for _, reset := range []bool{false, true} {
 		r := start(t, func(c net.Conn, _ *pgproto3.Backend) {
 			if reset {
-				c.(*net.TCPConn).SetLinger(0)
+				_ = c.(*net.TCPConn).SetLinger(0)
 			}
 			c.Close()
 		})
@@ -278,13 +278,13 @@
 		conns := make(chan net.Conn, 4)
 		r := start(t, func(c net.Conn, b *pgproto3.Backend) {
 			welcome(b)
-			b.Receive()
-			c.Write(whole())
+			_, _ = b.Receive()
+			_, _ = c.Write(whole())
 			conns <- c
-			b.Receive()
+			_, _ = b.Receive()
 			if !k.first {
 				if k.half {
-					c.Write(whole()[:9])
+					_, _ = c.Write(whole()[:9])
 				}
 				c.Close()
 			}
@@ -297,7 +297,7 @@
 		reply := r.exchange(t, func() (float64, bool) {
 			if k.first {
 				if k.half {
-					c.Write(whole()[:9])
+					_, _ = c.Write(whole()[:9])
 				}
 				c.Close()
 				require.Eventually(t, func() bool { return hasUnreadEvent(lies.gnetConn) }, 20*time.Second, time.Millisecond)
@@ -344,7 +344,7 @@
 				conns <- c
 			})
 			c := <-conns
-			c.SetDeadline(time.Now().Add(20 * time.Second))
+			_ = c.SetDeadline(time.Now().Add(20 * time.Second))
 			if greeted {
 				b := pgproto3.NewBackend(c, c)
 				_, err := b.ReceiveStartupMessage()
@@ -352,7 +352,7 @@
 				k.event(l.Addr().String())
 				b.Send(&pgproto3.AuthenticationOk{})
 				b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
-				b.Flush()
+				_ = b.Flush()
 			}
 			got, err := io.ReadAll(c)
 			require.NoError(t, err, k.name)
--- a/internal/net/pg/errors.go
+++ b/internal/net/pg/errors.go
@@ -11,8 +11,8 @@
 var (
 	errMessageLength     = errors.New("a message's length is out of bounds")
 	errUnexpectedMessage = errors.New("an answer of a form that no request asks for")
-	// errMalformed marks an answer that can't be read. Its request has run, and nothing else on its connection can be told
-	// from what is left of it.
+	// errMalformed marks an answer that can't be read. Its request has run, and nothing else on its connection can be
+	// understood from what remains of it.
 	errMalformed   = errors.New("spoilt")
 	errUnsolicited = fmt.Errorf("%w: the db host spoke unasked", errMalformed)
 )
@@ -36,6 +36,7 @@
 	Text     string
 }
 
+// Error names what the host answered.
 func (e *HandshakeError) Error() string {
 	if e.SQLState == sqlStateTooManyConnections {
 		return fmt.Sprintf("%v: %s", edge.ErrHostRejected, e.Text)
@@ -57,6 +58,7 @@
 	Expected string // the form that it should have
 }
 
+// Error names the item and the form that it should have.
 func (e *StartupOptionError) Error() string {
 	return fmt.Sprintf("the startup message's options hold %q, which is no %s", e.Option, e.Expected)
 }
@@ -66,6 +68,7 @@
 	Detail string // "": it has another form
 }
 
+// Error gives the form of a verifier, and what is wrong with this one.
 func (e *VerifierError) Error() string {
 	text := "a verifier is SCRAM-SHA-256$iterations:salt$StoredKey:ServerKey"
 	if e.Detail != "" {
--- a/internal/net/pg/flood_test.go
+++ b/internal/net/pg/flood_test.go
@@ -107,7 +107,7 @@
 		b = appendMessage(b, 'S', func(b []byte) []byte { return b })
 	}
 	var all sync.WaitGroup
-	all.Go(func() { io.Copy(io.Discard, flood) })
+	all.Go(func() { _, _ = io.Copy(io.Discard, flood) })
 	sent := 0
 	all.Go(func() {
 		for {
@@ -145,13 +145,13 @@
 					return
 				}
 				defer c.Close()
-				b := appendStartup(nil, "web", "orders")
+				b := startupMessage("web", "orders")
 				for j := range 400 {
 					b = appendQuery(b, func(b []byte) []byte {
 						return fmt.Appendf(b, "/* id=%d,c=report,d=60000,cluster=1 */ SELECT payload", i*1000+j+1)
 					})
 				}
-				c.Write(append(b, request[:half]...))
+				_, _ = c.Write(append(b, request[:half]...))
 			})
 		}
 		all.Wait()
@@ -202,7 +202,7 @@
 					break
 				}
 				if q, ok := m.(*pgproto3.Query); ok && len(q.String) > 60 {
-					c.Write(whole())
+					_, _ = c.Write(whole())
 					continue
 				}
 				_, err = c.Write(k.first)
@@ -231,12 +231,12 @@
 		speak, spoken := make(chan struct{}), make(chan struct{})
 		r := start(t, func(c net.Conn, b *pgproto3.Backend) {
 			welcome(b)
-			b.Receive()
-			c.Write(appendParameterStatus(nil, Platform.Position, "999999999000"))
+			_, _ = b.Receive()
+			_, _ = c.Write(appendParameterStatus(nil, Platform.Position, "999999999000"))
 			<-speak
-			c.Write([]byte("noise that is no message"))
+			_, _ = c.Write([]byte("noise that is no message"))
 			close(spoken)
-			b.Receive()
+			_, _ = b.Receive()
 		})
 		ctx, giveUp := context.WithCancel(context.Background())
 		c, err := r.Acquire(ctx, "h")
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -106,7 +106,7 @@
 // evictLeastUseful closes the connection that is missed least: one that was sent away, else one on which nothing ever
 // came, else the one that was idle for longest. Connections that asked once and stayed would else fill the table
 // for good, or for the 2 s that are usual: clients that open one for each request do that within a second. A client
-// whose next request crosses the close sends it once more; one that finds no room has lost its request.
+// whose next request crosses the close sends it once more; one that finds no free place has lost its request.
 func (f *Front) evictLeastUseful(now float64) bool {
 	var least *client
 	rank := 0
--- a/internal/net/pg/front_request.go
+++ b/internal/net/pg/front_request.go
@@ -88,7 +88,7 @@
 				_ = c.Close()
 				return
 			}
-			_ = h.runOnLoop(c, func() { h.finishRequest(c, result.Verdict) })
+			_ = h.runOnLoop(func() { h.finishRequest(c, result.Verdict) })
 		}()
 		return nil
 	})) != nil {
@@ -114,8 +114,8 @@
 	}
 }
 
-// runOnLoop does something on the loop and waits for it; nothing once the client has gone.
-func (h *client) runOnLoop(c gnet.Conn, do func()) error {
+// runOnLoop does something on the loop and waits for it; nothing once the client has disconnected.
+func (h *client) runOnLoop(do func()) error {
 	done := make(chan struct{})
 	err := h.front.eventLoop.Load().(gnet.EventLoop).Execute(h.ctx, gnet.RunnableFunc(func(context.Context) error {
 		defer close(done)
@@ -130,11 +130,11 @@
 	return err
 }
 
-// awaitFlush waits until the client has taken its answer. false: it does not, or has gone.
+// awaitFlush waits until the client has taken its answer. false: it does not, or has disconnected.
 func (h *client) awaitFlush(c gnet.Conn) bool {
 	for t := h.front.edge.Now(); h.front.edge.Now()-t < maxUnsentMillis; {
 		left := 0
-		if h.ctx.Err() != nil || h.runOnLoop(c, func() { left = c.OutboundBuffered() }) != nil {
+		if h.ctx.Err() != nil || h.runOnLoop(func() { left = c.OutboundBuffered() }) != nil {
 			return false
 		}
 		if left == 0 {
@@ -146,7 +146,7 @@
 	return false
 }
 
-// EncodeResult words a final answer, up to ReadyForQuery.
+// EncodeResult encodes a final answer, up to ReadyForQuery.
 func EncodeResult(r *edge.Result) []byte { return appendReady(encodeResult(r)) }
 
 func encodeResult(r *edge.Result) []byte {
--- a/internal/net/pg/front_shutdown.go
+++ b/internal/net/pg/front_shutdown.go
@@ -25,7 +25,7 @@
 	})
 }
 
-// Idle says whether no request is under way or has begun to arrive.
+// Idle reports whether no request is under way or has begun to arrive.
 func (f *Front) Idle() bool {
 	l, ok := f.eventLoop.Load().(gnet.EventLoop)
 	if !ok {
@@ -73,12 +73,12 @@
 	return h.closeWithError(c, sqlStateCannotConnectNow, textRestarting, "") // also for a request that may be on its way
 }
 
-// isBetweenRequests says whether the client's last request has its answer and nothing of another has come, to the kernel either.
+// isBetweenRequests reports whether the client's last request has its answer and nothing of another has come, to the kernel either.
 func (h *client) isBetweenRequests(c gnet.Conn) bool {
 	return !h.requestInFlight && c.InboundBuffered() == 0 && !hasUnreadBytes(c)
 }
 
-// queuedCommands is how many commands wait whole for an answer, behind the one under way; what only the kernel has is read.
+// queuedCommands is how many complete commands wait for an answer, behind the one under way; what only the kernel has is read.
 func (h *client) queuedCommands(c gnet.Conn) (n int) {
 	held, _ := c.Peek(c.InboundBuffered())
 	b := append([]byte(nil), held...)
--- a/internal/net/pg/front_test.go
+++ b/internal/net/pg/front_test.go
@@ -83,11 +83,11 @@
 	c, err := net.Dial("tcp", d.address)
 	require.NoError(t, err)
 	t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(20 * time.Second))
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
 	if len(queries) == 0 {
 		return c
 	}
-	b := appendStartup(nil, "web", "orders")
+	b := startupMessage("web", "orders")
 	for _, q := range queries {
 		b = appendQuery(b, func(b []byte) []byte { return append(b, q...) })
 	}
@@ -147,8 +147,8 @@
 	silent, half, dumb := d.call(t), d.call(t, ""), d.call(t, "")
 	errorsOf(t, dumb, 1)
 	errorsOf(t, half, 1)
-	half.Write([]byte{'Q', 0, 0, 1, 0, 'S'})
-	half.Write(nil)
+	_, _ = half.Write([]byte{'Q', 0, 0, 1, 0, 'S'})
+	_, _ = half.Write(nil)
 	require.Eventually(t, func() bool {
 		return d.count(func(h *client) bool { return h.partialSince > 0 }) == 1 && d.count(func(*client) bool { return true }) == 4
 	}, 10*time.Second, time.Millisecond)
@@ -211,11 +211,11 @@
 	errorsOf(t, hog, 1)
 	errorsOf(t, small, 1)
 	part := func(n int) []byte { return append([]byte{'Q', 0, 2, 0, 0}, make([]byte, n)...) }
-	hog.Write(part(90 << 10))
-	small.Write(append([]byte{'Q', 0, 1, 0, 0}, make([]byte, 30<<10)...))
+	_, _ = hog.Write(part(90 << 10))
+	_, _ = small.Write(append([]byte{'Q', 0, 1, 0, 0}, make([]byte, 30<<10)...))
 	_, err := io.ReadAll(hog)
 	require.True(t, err == nil || !errors.Is(err, context.DeadlineExceeded) && !isTimeout(err), "%v", err)
-	small.Write(make([]byte, 64<<10-4-30<<10))
+	_, _ = small.Write(make([]byte, 64<<10-4-30<<10))
 	require.Equal(t, []string{"ERROR 08P01 "}, errorsOf(t, small, 1)[:1])
 }
 
@@ -230,7 +230,7 @@
 	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20})
 	text := func(id string) string { return "/* id=" + id + ",c=report,d=20000,cluster=1 */ SELECT 'k'" }
 	asked, fresh, half, busy := d.call(t, ""), d.call(t), d.call(t, ""), d.call(t, text("a"), text("b"), text("c"))
-	_, err := fresh.Write(appendStartup(nil, "web", "orders"))
+	_, err := fresh.Write(startupMessage("web", "orders"))
 	require.NoError(t, err)
 	errorsOf(t, asked, 1)
 	errorsOf(t, half, 1)
--- a/internal/net/pg/golden_test.go
+++ b/internal/net/pg/golden_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"flag"
 	"io"
 	"net"
@@ -132,7 +133,7 @@
 			continue
 		}
 		n, err := c.conn.Read(buffer)
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			require.Empty(c.t, c.in)
 			c.lines = append(c.lines, "- end")
 			return c
@@ -143,7 +144,7 @@
 }
 
 // begin starts a session.
-func (c *scripted) begin() *scripted { return c.start(appendStartup(nil, "web", "orders")).hear("Z") }
+func (c *scripted) begin() *scripted { return c.start(startupMessage("web", "orders")).hear("Z") }
 
 func simple(text string) []byte {
 	return appendQuery(nil, func(b []byte) []byte { return append(b, text...) })
@@ -279,10 +280,10 @@
 	got := make(chan []byte, 16)
 	r := start(t, func(c net.Conn, _ *pgproto3.Backend) {
 		got <- readUntyped(c)
-		c.Write(appendReady(typed('R', "\x00\x00\x00\x00")))
+		_, _ = c.Write(appendReady(typed('R', "\x00\x00\x00\x00")))
 		for b := readTyped(c); b != nil; b = readTyped(c) {
 			got <- b
-			c.Write(whole())
+			_, _ = c.Write(whole())
 		}
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
@@ -290,7 +291,7 @@
 	r.SetLimits(PoolLimits{Connections: 1, ConnectTimeout: 20 * time.Second, IdleTimeout: 15 * time.Second})
 	c, err := r.Acquire(ctx, "h")
 	require.NoError(t, err)
-	require.Equal(t, dispatch.OK, c.Exchange(ctx, parsed(t, plain), open).Code)
+	require.Equal(t, dispatch.OK, c.Exchange(ctx, parsedPlain(t), open).Code)
 	require.Equal(t, dispatch.OK, r.Probe(ctx, "h", func(string) bool { return true }).Code)
 	s.scene("start-up, a request, a probe")
 	s.add("|", <-got, true)
@@ -558,21 +559,21 @@
 	w, _ = goldenPool(t, func(l *SessionLimits) {
 		l.Users = map[string]Verifier{"other": {}}
 	})
-	s.client(w.address).start(appendStartup(nil, "web", "orders")).hear("R").send(simple("")).hear("")
+	s.client(w.address).start(startupMessage("web", "orders")).hear("R").send(simple("")).hear("")
 	for _, body := range []string{"PLAIN\x00\x00\x00\x00\x00", "SCRAM-SHA-256\x00\x00\x00\x00\x07garbage"} {
-		s.client(w.address).start(appendStartup(nil, "web", "orders")).hear("R").send(typed('p', body)).hear("")
+		s.client(w.address).start(startupMessage("web", "orders")).hear("R").send(typed('p', body)).hear("")
 	}
 	s.scene("homes")
 	homes := &told{}
-	homes.set("orders", paused(1))
+	homes.set(paused(1))
 	w, _ = goldenPool(t, nil, homes)
 	s.client(w.address).begin().send(simple("SELECT 1")).hear("Z")
 	w, _ = goldenPool(t, func(l *SessionLimits) { l.Pools[0].MaxPauseMillis = 60000 }, homes)
 	homes.front = w.front
 	c := s.client(w.address).begin().send(simple("SELECT 1")).hear("Z")
-	homes.set("orders", session.Assignment{HasGroup: true, Undecided: true})
+	homes.set(session.Assignment{HasGroup: true, Undecided: true})
 	c.send(simple("SELECT 1")).hear("Z")
-	homes.set("orders", at(1))
+	homes.set(at(1))
 	c.send(simple("/* cluster=2 */ SELECT 1")).hear("Z")
 	c.send(simple("SELECT 1")).hear("Z")
 	s.scene("the process is to end")
@@ -586,6 +587,6 @@
 	c.hear("")
 	s.scene("no list yet")
 	front := NewSessionFront(nil, unready(t), clock.System(), Platform, SessionLimits{Clients: 10, Message: 1 << 20, RetryAfterMillis: 50})
-	s.client(serve(t, front.Accept)).start(appendStartup(nil, "web", "orders")).hear("")
+	s.client(serve(t, front.Accept)).start(startupMessage("web", "orders")).hear("")
 	s.compare("session-limits")
 }
--- a/internal/net/pg/gone_test.go
+++ b/internal/net/pg/gone_test.go
@@ -69,9 +69,9 @@
 				case "closes":
 					c.Close()
 				case "shuts its sending":
-					c.(*net.TCPConn).CloseWrite()
+					_ = c.(*net.TCPConn).CloseWrite()
 				default:
-					c.(*net.TCPConn).SetLinger(0)
+					_ = c.(*net.TCPConn).SetLinger(0)
 					c.Close()
 				}
 			}
@@ -110,8 +110,8 @@
 	defer c.Close()
 	_, err = c.Write(binary.BigEndian.AppendUint64([]byte{0, 0, 0, 16, 4, 0xd2, 0x16, 0x2e}, key))
 	require.NoError(t, err)
-	c.(*net.TCPConn).CloseWrite() // where it found no room it may not say more
-	c.SetDeadline(time.Now().Add(10 * time.Second))
+	_ = c.(*net.TCPConn).CloseWrite() // where it found no room it may not say more
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
 	_, _ = io.Copy(io.Discard, c)
 }
 
@@ -142,7 +142,7 @@
 	}
 	open := func() (net.Conn, uint64) {
 		c := d.call(t)
-		_, err := c.Write(appendStartup(nil, "web", "orders"))
+		_, err := c.Write(startupMessage("web", "orders"))
 		require.NoError(t, err)
 		return c, read(c)
 	}
@@ -195,7 +195,7 @@
 			texts = append(texts, fmt.Sprintf("/* id=f%d-%d,c=report,d=20000,cluster=77 */ SELECT 'k'", i, k))
 		}
 		c := d.call(t, texts...)
-		go io.Copy(io.Discard, c)
+		go func() { _, _ = io.Copy(io.Discard, c) }()
 	}
 	begun := time.Now()
 	for _, c := range all {
@@ -223,7 +223,7 @@
 		c, err := net.Dial("tcp", w.address)
 		require.NoError(t, err)
 		t.Cleanup(func() { c.Close() })
-		b := appendQuery(appendStartup(nil, "web", "orders"), func(b []byte) []byte {
+		b := appendQuery(startupMessage("web", "orders"), func(b []byte) []byte {
 			return append(b, "INSERT INTO entries (ref, payload) VALUES ('gone', '1')"...)
 		})
 		for range 8 {
@@ -239,7 +239,7 @@
 		require.Eventually(t, func() bool { return paused() == 1 }, 10*time.Second, time.Millisecond)
 		require.Equal(t, 1, w.front.Stats().Waiting)
 		if how == "resets" {
-			c.(*net.TCPConn).SetLinger(0)
+			_ = c.(*net.TCPConn).SetLinger(0)
 		}
 		c.Close()
 		begun := time.Now()
@@ -316,7 +316,7 @@
 	require.Eventually(t, turned, 10*time.Second, time.Millisecond)
 	require.NoError(t, c.PgConn().CancelRequest(patient(t)))
 	w.gate.shut.Store(false)
-	w.homes.set("orders", session.Assignment{HasGroup: true, Group: 2})
+	w.homes.set(session.Assignment{HasGroup: true, Group: 2})
 	close(hold)
 	require.Equal(t, "57014", state(<-out))
 	require.Zero(t, w.other.Versions("public", "entries", "cancelled")+w.cluster.Versions("public", "entries", "cancelled"))
--- a/internal/net/pg/homes_test.go
+++ b/internal/net/pg/homes_test.go
@@ -39,7 +39,7 @@
 	return session.Assignment{}
 }
 
-func (h *told) set(database string, to session.Assignment) {
+func (h *told) set(to session.Assignment) {
 	m := map[string]session.Assignment{}
 	if old := h.of.Load(); old != nil {
 		for k, v := range *old {
@@ -49,7 +49,7 @@
 	if to.Paused && to.PausedSince == 0 {
 		to.PausedSince = clock.System().Now()
 	}
-	m[database] = to
+	m["orders"] = to
 	h.of.Store(&m)
 	if h.front != nil {
 		h.front.ReassignTenants()
@@ -72,7 +72,7 @@
 
 func housed(t testing.TB, change func(l *SessionLimits)) *moving {
 	h := &told{}
-	h.set("orders", at(1))
+	h.set(at(1))
 	w := &moving{homes: h, other: lab.NewCluster(2, 2)}
 	w.pooled = pool(t, func(l *SessionLimits) {
 		l.MaxPausedTransactions = 5000
@@ -257,7 +257,7 @@
 	running := w.connect("")
 	w.exec(running, "BEGIN")
 	w.exec(running, w.insert("running"))
-	w.homes.set("orders", paused(1))
+	w.homes.set(paused(1))
 	var waits []chan error
 	for i := range 6 {
 		c := w.connect("")
@@ -273,11 +273,11 @@
 	w.exec(running, w.insert("running2")) // what runs goes on to its end
 	w.exec(running, "COMMIT")
 	require.Equal(t, 1, w.cluster.Versions("public", "entries", "running2"))
-	w.homes.set("orders", session.Assignment{HasGroup: true, Paused: true, Undecided: true, PausedSince: w.home().PausedSince}) // while two versions meet
+	w.homes.set(session.Assignment{HasGroup: true, Paused: true, Undecided: true, PausedSince: w.home().PausedSince}) // while two versions meet
 	require.Equal(t, 6, w.home().Queued)
-	w.homes.set("orders", paused(2))
+	w.homes.set(paused(2))
 	require.Equal(t, 6, w.home().Queued)
-	w.homes.set("orders", at(2))
+	w.homes.set(at(2))
 	for i, wait := range waits {
 		require.NoError(t, <-wait, i)
 	}
@@ -304,7 +304,7 @@
 		require.Contains(t, err.Error(), text)
 	}
 	// The client's own deadline, in time for it.
-	w.homes.set("orders", paused(1))
+	w.homes.set(paused(1))
 	begun := time.Now()
 	_, err := c.Exec(patient(t), "/* d=200 */ SELECT 1")
 	refused(err, "paused for longer")
@@ -318,13 +318,13 @@
 	// A client that leaves makes room.
 	d.PgConn().Conn().Close()
 	w.held(1)
-	<-y
+	require.Error(t, <-y)
 	// The pause's own longest time, for who waits and who comes.
-	w.homes.set("orders", at(1))
+	w.homes.set(at(1))
 	require.NoError(t, <-x)
 	long := paused(1)
 	long.PausedSince = clock.System().Now() - 60000 + 300
-	w.homes.set("orders", long)
+	w.homes.set(long)
 	begun = time.Now()
 	for range 2 {
 		_, err = c.Exec(patient(t), "SELECT 1")
@@ -332,7 +332,7 @@
 	}
 	require.Less(t, time.Since(begun), 10*time.Second)
 	// Bytes: a quarter of what all clients may have waiting here.
-	w.homes.set("orders", paused(1))
+	w.homes.set(paused(1))
 	z := later(c, "SELECT '"+strings.Repeat("x", 200<<10)+"'")
 	w.held(1)
 	_, err = e.Exec(patient(t), "SELECT '"+strings.Repeat("x", 100<<10)+"'")
@@ -342,14 +342,14 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { more.Close() })
 	small := appendQuery(nil, func(b []byte) []byte { return append(b, "SELECT 1"...) })
-	_, err = more.Write(append(appendStartup(nil, "web", "orders"), small...))
+	_, err = more.Write(append(startupMessage("web", "orders"), small...))
 	require.NoError(t, err)
 	w.held(2)
 	paces := w.front.Stats().ReadsPaused
 	const times = 5000
 	go func() { _, _ = more.Write([]byte(strings.Repeat(string(small), times))) }()
 	require.Eventually(t, func() bool { return w.front.Stats().ReadsPaused > paces }, 5*time.Second, time.Millisecond)
-	w.homes.set("orders", at(1))
+	w.homes.set(at(1))
 	require.NoError(t, <-z)
 	require.NoError(t, more.SetReadDeadline(time.Now().Add(20*time.Second)))
 	var got []byte
@@ -360,7 +360,7 @@
 	}
 	// Fenced: at once, and a block that runs goes on.
 	w.exec(g, "BEGIN")
-	w.homes.set("orders", session.Assignment{HasGroup: true, Undecided: true})
+	w.homes.set(session.Assignment{HasGroup: true, Undecided: true})
 	begun = time.Now()
 	_, err = c.Exec(patient(t), "SELECT $1", "1")
 	refused(err, "no home that is agreed on")
@@ -370,18 +370,18 @@
 	require.Zero(t, w.cluster.Versions("public", "entries", "y"), "whose client left")
 	require.EqualValues(t, 6, w.home().Rejected)
 	// A comment that says otherwise.
-	w.homes.set("orders", at(2))
+	w.homes.set(at(2))
 	w.fails(c, "08P01", "/* cluster=1 */ "+w.insert("astray"))
 	w.exec(c, "/* cluster=2 */ "+w.insert("home"))
 	require.Zero(t, w.cluster.Versions("public", "entries", "astray"))
 	require.Equal(t, 1, w.other.Versions("public", "entries", "home"))
 	// A cancel.
-	w.homes.set("orders", paused(2))
+	w.homes.set(paused(2))
 	z = later(c, "SELECT 1")
 	w.held(1)
 	require.NoError(t, c.PgConn().CancelRequest(patient(t)))
 	require.Equal(t, "57014", state(<-z))
-	w.homes.set("orders", at(2))
+	w.homes.set(at(2))
 	require.Equal(t, "1", w.one(c, "SELECT $1", "1"))
 }
 
@@ -397,7 +397,7 @@
 		if silent {
 			w.homes.front = nil
 		}
-		w.homes.set("orders", at(2))
+		w.homes.set(at(2))
 		if !silent {
 			require.NoError(t, <-wait, "it need not wait for a connection to the old home")
 		}
@@ -418,7 +418,7 @@
 	w.gate.slow.Store(&wait)
 	done := later(c, w.insert("c"))
 	require.Eventually(t, func() bool { return w.gate.slowed.Load() == 1 }, 5*time.Second, time.Millisecond)
-	w.homes.set("orders", at(2))
+	w.homes.set(at(2))
 	close(wait)
 	require.NoError(t, <-done)
 	require.Zero(t, w.cluster.Versions("public", "entries", "c"))
@@ -437,8 +437,8 @@
 	require.EqualValues(t, 2, w.gate.refused.Load())
 	e := w.connect("")
 	require.Equal(t, "1", w.one(e, "SELECT $1", "1"), "reads go on meanwhile")
-	w.homes.set("orders", paused(1))
-	w.homes.set("orders", at(2))
+	w.homes.set(paused(1))
+	w.homes.set(at(2))
 	for _, wait := range waits {
 		require.NoError(t, <-wait)
 	}
@@ -447,12 +447,12 @@
 	require.Zero(t, w.cluster.Versions("public", "entries", "turned"))
 	require.EqualValues(t, 2, w.front.Stats().RejectedByHost)
 	// A pause that ends where it began, with the tenant still closed: told the second time.
-	w.homes.set("orders", at(1))
+	w.homes.set(at(1))
 	x := later(d, w.insert("twice"))
 	w.held(1)
-	w.homes.set("orders", paused(1))
+	w.homes.set(paused(1))
 	require.Equal(t, 1, w.home().Queued) // asked on the loop, so it has seen the pause
-	w.homes.set("orders", at(1))
+	w.homes.set(at(1))
 	require.Equal(t, "55000", state(<-x))
 	// In a block it goes to the client as it is, and so where the client has heard something already.
 	w.exec(d, "BEGIN")
@@ -479,14 +479,14 @@
 	w.held(1)
 	d.PgConn().Conn().Close()
 	w.held(0)
-	w.homes.set("orders", at(2))
+	w.homes.set(at(2))
 	require.Equal(t, "1", w.one(c, "SELECT $1", "1"))
 	// The connection breaks right behind the refusal: nothing is in doubt.
-	w.homes.set("orders", at(1))
+	w.homes.set(at(1))
 	w.gate.cut.Store(true)
 	x = later(c, w.insert("cut"))
 	w.held(1)
-	w.homes.set("orders", at(2))
+	w.homes.set(at(2))
 	require.NoError(t, <-x)
 	require.Equal(t, 1, w.other.Versions("public", "entries", "cut"))
 	for _, ref := range []string{"twice", "block", "two", "early", "late", "left"} {
@@ -528,8 +528,8 @@
 		later(c, "INSERT INTO entries VALUES ($1, $2)", pgx.QueryExecModeExec, "c", "x"),
 	}
 	w.held(3)
-	w.homes.set("orders", paused(2))
-	w.homes.set("orders", at(2))
+	w.homes.set(paused(2))
+	w.homes.set(at(2))
 	for i, wait := range waits {
 		require.NoError(t, <-wait, i)
 	}
@@ -559,10 +559,10 @@
 	t.Cleanup(func() { k.PgConn().Conn().Close() })
 	w.exec(k, "SET app.who TO me")
 	require.Equal(t, []StickyStats{{"keepers", "a", "session mode", 1}, {"webs", "a", string(session.CauseListen), 2}, {"webs", "a", string(session.CauseTemporary), 1}}, w.home().Sticky)
-	w.homes.set("orders", paused(1))
+	w.homes.set(paused(1))
 	wait := later(k, w.insert("k")) // on a connection that it keeps
 	w.held(1)
-	w.homes.set("orders", at(1)) // and nothing moved
+	w.homes.set(at(1)) // and nothing moved
 	require.NoError(t, <-wait)
 	require.Equal(t, 1, w.cluster.Versions("public", "entries", "k"))
 	// A pipeline of which a part was answered here goes on, whatever the rules say meanwhile.
@@ -574,7 +574,7 @@
 	m, err := p.Receive()
 	require.NoError(t, err)
 	require.IsType(t, &pgproto3.ParseComplete{}, m)
-	w.homes.set("orders", session.Assignment{Undecided: true})
+	w.homes.set(session.Assignment{Undecided: true})
 	p.SendDescribe(&pgproto3.Describe{ObjectType: 'S', Name: "other"})
 	p.SendSync(&pgproto3.Sync{})
 	require.NoError(t, p.Flush())
@@ -585,10 +585,10 @@
 		require.False(t, failed, "%+v", m)
 		_, done = m.(*pgproto3.ReadyForQuery)
 	}
-	w.homes.set("orders", paused(1))
+	w.homes.set(paused(1))
 	wait, waitC := later(k, w.insert("k")), later(c, "SELECT 1")
 	w.held(2)
-	w.homes.set("orders", at(2))
+	w.homes.set(at(2))
 	require.NoError(t, <-wait, "what is bound to nothing goes along")
 	require.Equal(t, 1, w.other.Versions("public", "entries", "k"))
 	require.Equal(t, "me", w.one(k, "SHOW app.who"))
@@ -614,8 +614,8 @@
 	other, err := pgx.Connect(patient(t), "postgres://web@"+w.address+"/stock?sslmode=disable")
 	require.NoError(t, err)
 	t.Cleanup(func() { other.PgConn().Conn().Close() })
-	w.homes.set("orders", paused(1))
-	ask := appendQuery(appendStartup(nil, "web", "orders"), func(b []byte) []byte { return append(b, w.insert("many")...) })
+	w.homes.set(paused(1))
+	ask := appendQuery(startupMessage("web", "orders"), func(b []byte) []byte { return append(b, w.insert("many")...) })
 	conns := make([]net.Conn, many)
 	for i := range conns {
 		conns[i], err = net.Dial("tcp", w.address)
@@ -634,12 +634,12 @@
 		}
 	}
 	rows(300 * time.Millisecond)
-	w.homes.set("orders", at(2))
+	w.homes.set(at(2))
 	var all sync.WaitGroup
 	var failed atomic.Int64
 	for _, c := range conns {
 		all.Go(func() {
-			c.SetReadDeadline(time.Now().Add(30 * time.Second))
+			_ = c.SetReadDeadline(time.Now().Add(30 * time.Second))
 			var got []byte
 			buf := make([]byte, 4096)
 			for !strings.Contains(string(got), "INSERT 0 1") {
@@ -736,12 +736,12 @@
 	for time.Now().Before(end) {
 		h := at(uint64(1 + lots.IntN(2)))
 		h.Paused, h.Undecided = lots.IntN(2) == 0, lots.IntN(5) == 0
-		w.homes.set("orders", h)
+		w.homes.set(h)
 		w.gate.shut.Store(lots.IntN(3) == 0)
 		time.Sleep(time.Duration(lots.IntN(60)) * time.Millisecond)
 	}
 	w.gate.shut.Store(false)
-	w.homes.set("orders", at(2))
+	w.homes.set(at(2))
 	all.Wait()
 	require.Eventually(t, func() bool {
 		s, h := w.front.Stats(), w.home()
@@ -761,11 +761,11 @@
 	t.Log(codes, w.front.Stats().RejectedByHost)
 	// Whoever comes then is held and let go as ever.
 	c := w.connect("")
-	w.homes.set("orders", paused(2))
+	w.homes.set(paused(2))
 	wait := later(c, w.insert("last"))
 	w.held(1)
 	require.Zero(t, w.home().InFlight)
-	w.homes.set("orders", at(2))
+	w.homes.set(at(2))
 	require.NoError(t, <-wait)
 }
 
@@ -779,13 +779,13 @@
 	}{{name: "without"}, {"unnamed", []Assignments{&told{}}, false}, {"named", []Assignments{&told{}}, true}} {
 		b.Run(c.name, func(b *testing.B) {
 			if c.named {
-				c.homes[0].(*told).set("orders", at(1))
+				c.homes[0].(*told).set(at(1))
 			}
 			w := pool(b, nil, c.homes...)
 			conn, err := net.Dial("tcp", w.address)
 			require.NoError(b, err)
 			defer conn.Close()
-			_, err = conn.Write(appendStartup(nil, "web", "orders"))
+			_, err = conn.Write(startupMessage("web", "orders"))
 			require.NoError(b, err)
 			read := make([]byte, 4096)
 			ask := appendQuery(nil, func(b []byte) []byte { return append(b, "SELECT 'a statement of the usual length, so to say'"...) })
@@ -813,7 +813,7 @@
 // What is added to a transaction alone: the home twice, the decision, the copy of the statement.
 func BenchmarkHomesOfATransaction(b *testing.B) {
 	h := &told{}
-	h.set("orders", at(1))
+	h.set(at(1))
 	f := &SessionFront{clock: clock.System()}
 	f.limits.Store(&SessionLimits{MaxPausedTransactions: 10, Bytes: 1 << 20})
 	f.SetAssignments(h)
--- a/internal/net/pg/late_test.go
+++ b/internal/net/pg/late_test.go
@@ -59,8 +59,8 @@
 	return c
 }
 
-func parsed(t *testing.T, text string) *sqlcomment.Statement {
-	s, err := sqlcomment.Parse(text)
+func parsedPlain(t *testing.T) *sqlcomment.Statement {
+	s, err := sqlcomment.Parse(plain)
 	require.NoError(t, err)
 	return &s
 }
@@ -73,7 +73,7 @@
 	b.Send(&pgproto3.DataRow{Values: [][]byte{{1}}})
 	b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
 	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
-	b.Flush()
+	_ = b.Flush()
 }
 
 const plain = "/* id=1,c=a,d=900,cluster=1 */ SELECT payload"
@@ -84,9 +84,9 @@
 	asked, ended := make(chan struct{}), make(chan struct{})
 	r := start(t, func(c net.Conn, b *pgproto3.Backend) {
 		welcome(b)
-		b.Receive()
+		_, _ = b.Receive()
 		close(asked)
-		b.Receive() // our end of sending: the attempt is given up
+		_, _ = b.Receive() // our end of sending: the attempt is given up
 		close(ended)
 		says(b, "999999999000")
 	})
@@ -94,7 +94,7 @@
 	ctx, giveUp := context.WithCancel(context.Background())
 	codes := make(chan dispatch.Code, 1)
 	c := r.acquired(t)
-	go func() { codes <- c.Exchange(ctx, parsed(t, plain), open).Code }()
+	go func() { codes <- c.Exchange(ctx, parsedPlain(t), open).Code }()
 	<-asked
 	giveUp()
 	require.Equal(t, dispatch.Cancelled, <-codes)
@@ -108,18 +108,18 @@
 	asked, answer, answered := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	r := start(t, func(c net.Conn, b *pgproto3.Backend) {
 		welcome(b)
-		b.Receive()
+		_, _ = b.Receive()
 		close(asked)
 		<-answer
 		says(b, "999999999000")
 		close(answered)
-		b.Receive()
+		_, _ = b.Receive()
 	})
 	told := r.listenLate()
 	ctx, giveUp := context.WithCancel(context.Background())
 	codes := make(chan dispatch.Code, 1)
 	c := r.acquired(t)
-	go func() { codes <- c.Exchange(ctx, parsed(t, plain), open).Code }()
+	go func() { codes <- c.Exchange(ctx, parsedPlain(t), open).Code }()
 	<-asked
 	resume := r.stop(t, c.gnetConn.EventLoop())
 	close(answer)
@@ -134,13 +134,13 @@
 func TestAnAnswerBeforeAGiveUpIsServed(t *testing.T) {
 	r := start(t, func(c net.Conn, b *pgproto3.Backend) {
 		welcome(b)
-		b.Receive()
+		_, _ = b.Receive()
 		says(b, "999999999000")
-		b.Receive()
+		_, _ = b.Receive()
 	})
 	told := r.listenLate()
 	ctx, giveUp := context.WithCancel(context.Background())
-	reply := r.acquired(t).Exchange(ctx, parsed(t, plain), open)
+	reply := r.acquired(t).Exchange(ctx, parsedPlain(t), open)
 	giveUp()
 	require.Equal(t, dispatch.OK, reply.Code)
 	require.Equal(t, dispatch.Replica, reply.Role)
@@ -153,15 +153,15 @@
 	asked := make(chan struct{})
 	r := start(t, func(c net.Conn, b *pgproto3.Backend) {
 		welcome(b)
-		b.Receive()
+		_, _ = b.Receive()
 		close(asked)
-		b.Receive()
+		_, _ = b.Receive()
 	})
 	told := r.listenLate()
 	r.SetLimits(PoolLimits{Connections: 1, ConnectTimeout: 300 * time.Millisecond, IdleTimeout: 15 * time.Second})
 	ctx, giveUp := context.WithCancel(context.Background())
 	go func() { <-asked; giveUp() }()
-	require.Equal(t, dispatch.Cancelled, r.acquired(t).Exchange(ctx, parsed(t, plain), open).Code)
+	require.Equal(t, dispatch.Cancelled, r.acquired(t).Exchange(ctx, parsedPlain(t), open).Code)
 	require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.openConns == 0 }, 10*time.Second, time.Millisecond)
 	require.Empty(t, told)
 }
--- a/internal/net/pg/message.go
+++ b/internal/net/pg/message.go
@@ -23,7 +23,7 @@
 	codeGSS          = 80877104
 )
 
-// nextMessage cuts one message off b. ok is false while it is not whole; most bounds its length.
+// nextMessage cuts one message off b. ok is false while it is not complete; most bounds its length.
 func nextMessage(b []byte, most int) (kind byte, body, tail []byte, ok bool, err error) {
 	if len(b) < 5 {
 		return 0, nil, b, false, nil
@@ -110,13 +110,12 @@
 	return uint64(number)<<32 | uint64(binary.BigEndian.Uint32(secret[:]))
 }
 
-// appendStartup appends a startup message.
-func appendStartup(b []byte, user, database string) []byte {
-	at := len(b)
-	b = binary.BigEndian.AppendUint32(append(b, 0, 0, 0, 0), protocolVersion3)
+// startupMessage is a startup message.
+func startupMessage(user, database string) []byte {
+	b := binary.BigEndian.AppendUint32([]byte{0, 0, 0, 0}, protocolVersion3)
 	b = appendCString(appendCString(appendCString(appendCString(b, "user"), user), "database"), database)
 	b = append(b, 0)
-	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at))
+	binary.BigEndian.PutUint32(b, uint32(len(b)))
 	return b
 }
 
--- a/internal/net/pg/message_test.go
+++ b/internal/net/pg/message_test.go
@@ -116,7 +116,7 @@
 
 // FuzzCommands checks that no bytes of a client panic, and that each command takes bytes or waits for more.
 func FuzzCommands(f *testing.F) {
-	good := appendQuery(appendStartup(nil, "web", "orders"), func(b []byte) []byte { return append(b, "SELECT 1"...) })
+	good := appendQuery(startupMessage("web", "orders"), func(b []byte) []byte { return append(b, "SELECT 1"...) })
 	f.Add(good)
 	f.Add(append(append([]byte{}, good...), 'P', 0, 0, 0, 4, 'S', 0, 0, 0, 4, 'X', 0, 0, 0, 4))
 	f.Add([]byte{0, 0, 0, 8, 4, 210, 22, 47})
--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -9,7 +9,7 @@
 	"ashstand/internal/net/loop"
 )
 
-// Names are the operators' words on the sockets.
+// Names are the user, database, parameters and values that the operators chose for the wire.
 type Names struct {
 	User, Database         string
 	Role, Position, Gauges string // parameters that a db host reports
@@ -85,10 +85,10 @@
 	}
 }
 
-// OnLateAnswer has late answers told to late. It is to be set before the first request.
+// OnLateAnswer has late answers given to late. It is to be set before the first request.
 func (p *Pool) OnLateAnswer(late LateAnswerFunc) { p.onLateAnswer = late }
 
-// SetLimits takes other bounds for what is opened and kept from now on.
+// SetLimits takes other bounds for what is opened and retained from now on.
 func (p *Pool) SetLimits(limits PoolLimits) {
 	p.mu.Lock()
 	p.limits = limits
@@ -153,7 +153,7 @@
 }
 
 // usable keeps a good distance from the moment at which the host closes a connection, or from which it was seen to be
-// dropped: a request written to it from then on may have run for all one can tell. Called with the lock held.
+// dropped: a request written to it from then on may have run for all one can tell. p.mu is locked by the caller.
 func (p *Pool) usable(c *conn) bool {
 	idle := p.clock.Now() - c.idleSince
 	return (p.limits.IdleTimeout <= 0 || idle < clock.Millis(p.limits.IdleTimeout)*0.7) && idle < p.staleness.maxIdleMillis()
--- a/internal/net/pg/pool_acquire.go
+++ b/internal/net/pg/pool_acquire.go
@@ -63,8 +63,8 @@
 	return nil, h, old, nil
 }
 
-// evictOne makes room: it takes a dial that nobody waits for, else the connection that has been idle for longest, and
-// returns what ends it. Called with the lock held.
+// evictOne frees a place: it takes a dial that nobody waits for, else the connection that has been idle for longest, and
+// returns what ends it. p.mu is locked by the caller.
 func (p *Pool) evictOne() (end func()) {
 	var from *host
 	for _, h := range p.hosts {
@@ -169,7 +169,7 @@
 	if err := p.checkUsable(c); err != nil { // a handshake is work too
 		return err
 	}
-	result, _ := c.roundTrip(ctx, func() []byte { return appendStartup(nil, p.names.User, p.names.Database) }, nil)
+	result, _ := c.roundTrip(ctx, func() []byte { return startupMessage(p.names.User, p.names.Database) }, nil)
 	switch {
 	case result.err != nil:
 		return result.err
--- a/internal/net/pg/pool_exchange.go
+++ b/internal/net/pg/pool_exchange.go
@@ -101,7 +101,7 @@
 }
 
 // Probe asks a host for its load report and gives what came of it. listed is asked again before the write:
-// nothing goes to a host that drains or is gone.
+// nothing goes to a host that drains or was removed.
 func (p *Pool) Probe(ctx context.Context, name string, listed func(name string) bool) dispatch.Outcome {
 	if !listed(name) {
 		return dispatch.Outcome{Code: dispatch.NotSent}
--- a/internal/net/pg/pool_test.go
+++ b/internal/net/pg/pool_test.go
@@ -23,7 +23,6 @@
 	*Pool
 	clock *clock.Manual
 	conns chan net.Conn
-	serve func(c net.Conn, b *pgproto3.Backend)
 }
 
 func start(t *testing.T, serve func(c net.Conn, b *pgproto3.Backend)) *rig {
@@ -50,15 +49,15 @@
 }
 
 func welcome(b *pgproto3.Backend) {
-	b.ReceiveStartupMessage()
+	_, _ = b.ReceiveStartupMessage()
 	b.Send(&pgproto3.AuthenticationOk{})
 	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
-	b.Flush()
+	_ = b.Flush()
 }
 
 // good answers every query.
 func good(_ net.Conn, b *pgproto3.Backend) {
-	for welcome(b); ; b.Flush() {
+	for welcome(b); ; _ = b.Flush() {
 		if _, err := b.Receive(); err != nil {
 			return
 		}
@@ -127,9 +126,9 @@
 			for range copies {
 				out = append(out, whole()...)
 			}
-			c.Write(out)
+			_, _ = c.Write(out)
 			if strings.Contains(m.(*pgproto3.Query).String, "later") {
-				c.Write(whole())
+				_, _ = c.Write(whole())
 				close(second)
 			}
 		}
@@ -159,9 +158,9 @@
 	for i, noise := range spoilt {
 		r := start(t, func(c net.Conn, b *pgproto3.Backend) {
 			welcome(b)
-			b.Receive()
-			c.Write(noise)
-			b.Receive()
+			_, _ = b.Receive()
+			_, _ = c.Write(noise)
+			_, _ = b.Receive()
 		})
 		reply := r.exchange(t, open)
 		require.Equal(t, edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Malformed}, Detail: reply.Detail}, reply, i)
@@ -174,9 +173,9 @@
 func TestOurOwnBounds(t *testing.T) {
 	r := start(t, func(c net.Conn, b *pgproto3.Backend) {
 		welcome(b)
-		b.Receive()
-		c.Write(append([]byte{'D', 0, 0, 0xff, 0}, make([]byte, 30<<10)...)) // and the rest never comes
-		b.Receive()
+		_, _ = b.Receive()
+		_, _ = c.Write(append([]byte{'D', 0, 0, 0xff, 0}, make([]byte, 30<<10)...)) // and the rest never comes
+		_, _ = b.Receive()
 	})
 	r.SetLimits(PoolLimits{Connections: 3, Bytes: 50 << 10, ConnectTimeout: 300 * time.Millisecond, IdleTimeout: 15 * time.Second})
 	codes := make(chan dispatch.Code, 3)
@@ -202,9 +201,9 @@
 // What a dial proves: a host that turns connections away is full, one that says nothing is not up.
 func TestDialsThatFail(t *testing.T) {
 	full := start(t, func(c net.Conn, b *pgproto3.Backend) {
-		b.ReceiveStartupMessage()
+		_, _ = b.ReceiveStartupMessage()
 		b.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "53300", Message: "too many connections"})
-		b.Flush()
+		_ = b.Flush()
 		c.Close()
 	})
 	_, err := full.Acquire(context.Background(), "h")
--- a/internal/net/pg/response.go
+++ b/internal/net/pg/response.go
@@ -18,7 +18,7 @@
 	completed bool // CommandComplete came
 }
 
-// findResponseEnd returns the length of the first whole response in b, or 0 while it is not whole. from is where to go
+// findResponseEnd returns the length of the first complete response in b, or 0 while there is none. from is where to go
 // on looking; the second result is where to go on next time.
 func findResponseEnd(b []byte, from int) (end, at int, err error) {
 	at = from
--- a/internal/net/pg/scram.go
+++ b/internal/net/pg/scram.go
@@ -17,7 +17,7 @@
 	scramKeyBytes      = 32
 )
 
-// Verifier is what is kept of a password: not the password.
+// Verifier is what is stored to verify a password, from which the password does not follow.
 type Verifier struct{ stored scram.StoredCredentials }
 
 // ParseVerifier reads a verifier as PostgreSQL keeps it: SCRAM-SHA-256$iterations:salt$StoredKey:ServerKey, with the
--- a/internal/net/pg/server_conn.go
+++ b/internal/net/pg/server_conn.go
@@ -119,7 +119,7 @@
 		p.connectFailed(errHostUnavailable)
 		return
 	}
-	s.wire.Write(appendStartup(nil, p.key.user, p.key.database))
+	s.wire.Write(startupMessage(p.key.user, p.key.database))
 	time.AfterFunc(timeRemaining, func() { // a connection not up by then counts as none
 		f.onLoop(func() {
 			if s.connecting && !s.closed {
@@ -170,7 +170,7 @@
 	}
 }
 
-// isExpired says whether the connection is to be used no more.
+// isExpired reports whether the connection is to be used no more.
 func (s *serverConn) isExpired(p *PoolSettings, now float64) bool {
 	return s.retired || p.ServerIdleMillis > 0 && now-s.idleSince > p.ServerIdleMillis || p.ServerLifetimeMillis > 0 && now-s.createdAt > p.ServerLifetimeMillis
 }
--- a/internal/net/pg/server_pool.go
+++ b/internal/net/pg/server_pool.go
@@ -47,7 +47,7 @@
 	return p
 }
 
-// evictIdle closes the server connection that has been unused for longest, to make room for one to another host.
+// evictIdle closes the server connection that has been unused for longest, in favour of one to another host.
 func (f *SessionFront) evictIdle() bool {
 	var oldest *serverConn
 	for _, h := range f.servers.hosts {
--- a/internal/net/pg/session_client.go
+++ b/internal/net/pg/session_client.go
@@ -173,7 +173,7 @@
 	return action
 }
 
-// mayResume says whether a client that was paused is to be read again. While it is paused nobody else sees its end.
+// mayResume reports whether a client that was paused is to be read again. While it is paused nobody else sees its end.
 func (c *sessionClient) mayResume() bool {
 	if c.isWaiting() && c.wire.PeerClosed() {
 		c.wire.Close()
@@ -181,7 +181,7 @@
 	return c.disconnected || !c.isBlocked()
 }
 
-// isWaiting says whether a transaction of which nothing was sent waits here.
+// isWaiting reports whether a transaction of which nothing was sent waits here.
 func (c *sessionClient) isWaiting() bool {
 	switch c.phase {
 	case phaseRouting, phaseQueued, phaseTenantPaused, phaseRejectedByHost:
@@ -223,7 +223,7 @@
 	return n
 }
 
-// readMessages takes messages until one has to wait or no whole one is left.
+// readMessages takes messages until one has to wait or none is complete.
 func (c *sessionClient) readMessages() (action gnet.Action) {
 	c.input.reading = true
 	for again := true; again && action == gnet.None; again = c.input.again && !c.disconnected {
--- a/internal/net/pg/session_forward.go
+++ b/internal/net/pg/session_forward.go
@@ -132,7 +132,7 @@
 	}), true
 }
 
-// isValidBindTail says whether what follows the names of a Bind is in its form: a length that lies would make a server wait
+// isValidBindTail reports whether what follows the names of a Bind is in its form: a length that lies would make a server wait
 // for what never comes, on a connection that others are to use.
 func isValidBindTail(b []byte) bool {
 	codes := func() bool {
--- a/internal/net/pg/session_front.go
+++ b/internal/net/pg/session_front.go
@@ -212,7 +212,7 @@
 
 func (f *SessionFront) retryAfter() string { return formatRetryAfter(f.limits.Load().RetryAfterMillis) }
 
-// formatRetryAfter words when to come back; "" where there is none.
+// formatRetryAfter is the detail that says when to come back, in milliseconds; "" where there is none.
 func formatRetryAfter(after float64) string {
 	if after <= 0 {
 		return ""
--- a/internal/net/pg/session_limits.go
+++ b/internal/net/pg/session_limits.go
@@ -33,7 +33,7 @@
 	MaxPauseMillis          float64 // milliseconds after a pause began from which on none waits for it
 }
 
-// SessionLimits bound the whole front.
+// SessionLimits bound the front and list its pools.
 type SessionLimits struct {
 	Clients               int
 	Servers               int // open or being opened, to all hosts together
--- a/internal/net/pg/session_link.go
+++ b/internal/net/pg/session_link.go
@@ -10,7 +10,7 @@
 	"ashstand/internal/session"
 )
 
-// attach links the client to a server connection, unless what held when its host was chosen holds no more.
+// attach links the client to a server connection, unless the reasons for which its host was chosen are no longer true.
 func (c *sessionClient) attach(s *serverConn) {
 	if c.routing.call != nil && !c.routing.call.Revalidate() {
 		s.returnToPool()
@@ -193,13 +193,13 @@
 	}
 }
 
-// isHostListed says whether new work may go to a connection's host.
+// isHostListed reports whether new work may go to a connection's host.
 func (c *sessionClient) isHostListed(s *serverConn) bool {
 	return s.pool.host.address != "" && c.front.dispatcher.IsActive(s.pool.host.name)
 }
 
-// abandonDrainingHost leaves a connection that was kept, between transactions, since its host drains. What binds the session to it
-// can't be carried; the next statement is told so.
+// abandonDrainingHost gives up a connection that the session kept, between transactions, since its host drains. What
+// binds the session to it can't be carried; the next statement gets an error that says so.
 func (c *sessionClient) abandonDrainingHost(s *serverConn) {
 	if cause := c.pipeline.StickyCause(); cause != "" {
 		c.recovery.pendingError = &session.ErrorReply{SQLState: sqlStateConnectionFailure, Text: "the db host drains; the session's " + string(cause) + " is lost with its connection"}
@@ -213,7 +213,7 @@
 	s.returnToPool()
 }
 
-// detach lets go of whatever the client has or waits for. A connection on which something is open or due ends, and the
+// detach releases whatever the client has or waits for. A connection on which something is open or due ends, and the
 // host rolls back what is not committed.
 func (c *sessionClient) detach() {
 	c.routing.waiter.Dequeue()
--- a/internal/net/pg/session_replay.go
+++ b/internal/net/pg/session_replay.go
@@ -17,8 +17,8 @@
 
 const maxRetainedRecordBytes = 4 << 10 // most statements are shorter: a larger buffer is not retained
 
-// recordMessage keeps a copy of what is sent of a transaction's first statement, for the case that the host turns it away since the
-// tenant is closed there.
+// recordMessage copies a message of a transaction's first statement, for the case that the host rejects the transaction
+// since the tenant is closed there.
 func (c *sessionClient) recordMessage(kind byte, body, message []byte) {
 	f := c.front
 	ok := true
@@ -42,7 +42,7 @@
 	f.tenancy.recordedBytes += len(message)
 }
 
-// discardRecorded forgets it.
+// discardRecorded drops the copy.
 func (c *sessionClient) discardRecorded() {
 	c.front.tenancy.recordedBytes -= len(c.record.messages)
 	if c.record.messages, c.record.statements, c.record.active = c.record.messages[:0], 0, false; cap(c.record.messages) > maxRetainedRecordBytes { // most statements are shorter
@@ -50,14 +50,14 @@
 	}
 }
 
-// isTenantClosedError says whether an error is the guard's refusal of a statement that may be run again: it raised before anything was
-// written, the statement's transaction is its own, and the client has heard nothing of it.
+// isTenantClosedError reports whether an error is the guard's rejection of a statement that may be run again: it was raised before
+// anything was written, the statement's transaction is its own, and the client was sent nothing of it.
 func (c *sessionClient) isTenantClosedError(state, text string) bool {
 	return c.record.active && c.record.unanswered && c.routing.call != nil && state == sqlStateTenantClosed && text == tenantClosedMessage && c.pipeline.Status() == statusIdle && !c.pipeline.InBlock() &&
 		c.isReplayable()
 }
 
-// isReplayable says whether what is kept runs as a whole or not at all.
+// isReplayable reports whether what was recorded runs completely or not at all.
 func (c *sessionClient) isReplayable() bool {
 	for b := c.record.messages; len(b) > 0; {
 		kind, body, rest, ok, err := nextMessage(b, maxBufferedMessageBytes)
@@ -78,8 +78,8 @@
 	return false
 }
 
-// replayElsewhere brings a transaction that a host turned away back to where it was before it was chosen for: it goes where the rules
-// say by now, or waits until they say something else. s is nil where the connection is gone.
+// replayElsewhere brings a transaction that a host rejected back to where it was before a host was chosen: it is routed by the
+// assignment that holds by now, or waits for another one. s is nil where the connection is lost.
 func (c *sessionClient) replayElsewhere(s *serverConn) {
 	f := c.front
 	call := c.routing.call
--- a/internal/net/pg/session_routing.go
+++ b/internal/net/pg/session_routing.go
@@ -165,7 +165,7 @@
 	c.consumeRejected()
 }
 
-// waitExpired says that the client's patience is over while it waits for a server connection.
+// waitExpired rejects a transaction that has waited for a server connection for as long as it may.
 func (c *sessionClient) waitExpired() {
 	if c.disconnected || c.routing.call == nil {
 		return
--- a/internal/net/pg/sessions_test.go
+++ b/internal/net/pg/sessions_test.go
@@ -308,7 +308,7 @@
 // Guards against clients that ask and never read, each within its own bound.
 func TestSessionsThatTakeNoAnswersAreBoundedTogether(t *testing.T) {
 	w := pool(t, func(l *SessionLimits) { l.Bytes = 400 << 10 })
-	ask := appendQuery(appendStartup(nil, "web", "orders"), func(b []byte) []byte { return append(b, "SELECT generate_series(1, 30), repeat('x', 200000)"...) })
+	ask := appendQuery(startupMessage("web", "orders"), func(b []byte) []byte { return append(b, "SELECT generate_series(1, 30), repeat('x', 200000)"...) })
 	for range 30 {
 		c, err := net.Dial("tcp", w.address)
 		require.NoError(t, err)
@@ -374,7 +374,7 @@
 				t.Error(err)
 				return
 			}
-			defer c.Close(context.Background())
+			defer func() { _ = c.Close(context.Background()) }()
 			_, _ = c.Prepare(patient(t), "same", fmt.Sprintf("SELECT 'of %d'", i))
 			for range 50 {
 				var v string
@@ -405,7 +405,9 @@
 	begun := time.Now()
 	_, err := e.Exec(patient(t), "SELECT 1") // no room to wait: refused at once
 	require.Equal(t, "53300", state(err))
-	require.Equal(t, "50", err.(*pgconn.PgError).Detail)
+	var rejected *pgconn.PgError
+	require.ErrorAs(t, err, &rejected)
+	require.Equal(t, "50", rejected.Detail)
 	require.Less(t, time.Since(begun), 100*time.Millisecond)
 	require.Equal(t, "53300", <-waited, "its patience is over")
 	time.Sleep(500 * time.Millisecond)
@@ -425,7 +427,7 @@
 func TestSessionsTakeBadMessages(t *testing.T) {
 	w := pool(t, nil)
 	c := w.connect("")
-	startup := appendStartup(nil, "web", "orders")
+	startup := startupMessage("web", "orders")
 	for name, b := range map[string][]byte{
 		"a length below 4":        {'Q', 0, 0, 0, 3},
 		"a length beyond all":     {'Q', 0xff, 0xff, 0xff, 0xff},
@@ -440,8 +442,8 @@
 	} {
 		g, err := net.Dial("tcp", w.address)
 		require.NoError(t, err)
-		g.SetDeadline(time.Now().Add(5 * time.Second))
-		g.Write(append(append([]byte{}, startup...), b...))
+		_ = g.SetDeadline(time.Now().Add(5 * time.Second))
+		_, _ = g.Write(append(append([]byte{}, startup...), b...))
 		var got []byte
 		buf := make([]byte, 4096)
 		for n, err := g.Read(buf); err == nil; n, err = g.Read(buf) {
@@ -462,7 +464,7 @@
 	c, d := w.connect(""), w.connect("")
 	w.exec(c, "BEGIN")
 	w.exec(c, "INSERT INTO entries (ref, payload) VALUES ('vanished', '1')")
-	c.PgConn().Conn().(*net.TCPConn).SetLinger(0)
+	_ = c.PgConn().Conn().(*net.TCPConn).SetLinger(0)
 	c.PgConn().Conn().Close() // without a word, in a transaction
 	require.Eventually(t, func() bool { return w.front.Stats().Clients == 1 }, 5*time.Second, time.Millisecond)
 	require.Equal(t, "1", w.one(d, "SELECT $1", "1"))
@@ -478,7 +480,7 @@
 	}
 	s := w.front.Stats()
 	require.Equal(t, 10000+1, s.Statements, "and pgx's own")
-	d.Close(patient(t))
+	_ = d.Close(patient(t))
 	require.Eventually(t, func() bool { return w.front.Stats().Statements == 0 }, 5*time.Second, time.Millisecond)
 	// The bound on memory is an error to one Parse, not to the session.
 	w.front.SetLimits(SessionLimits{Clients: 10, Servers: 5, Bytes: 20000, Message: 1 << 20, ConnectTimeout: time.Second, Pools: w.front.limits.Load().Pools})
@@ -494,20 +496,22 @@
 func TestSessionsProveTheirPassword(t *testing.T) {
 	client, err := scram.SHA256.NewClient("web", "right", "")
 	require.NoError(t, err)
-	stored := client.GetStoredCredentials(scram.KeyFactors{Salt: "salt of sixteen.", Iters: 4096})
+	stored, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "salt of sixteen.", Iters: 4096})
+	require.NoError(t, err)
 	b64 := base64.StdEncoding.EncodeToString
 	v, err := ParseVerifier(fmt.Sprintf("SCRAM-SHA-256$4096:%s$%s:%s", b64([]byte(stored.Salt)), b64(stored.StoredKey), b64(stored.ServerKey)))
 	require.NoError(t, err)
 	w := pool(t, func(l *SessionLimits) { l.Users = map[string]Verifier{"web": v} })
 	for url, want := range map[string]string{"web:right": "", "web:wrong": "28P01", "nobody:right": "28P01", "web": "no password"} {
 		c, err := pgx.Connect(patient(t), "postgres://"+url+"@"+w.address+"/orders?sslmode=disable")
-		if want == "" {
+		switch want {
+		case "":
 			require.NoError(t, err)
 			require.Equal(t, "1", w.one(c, "SELECT $1", "1"))
-			c.Close(patient(t))
-		} else if want == "no password" {
+			_ = c.Close(patient(t))
+		case "no password":
 			require.Error(t, err)
-		} else {
+		default:
 			require.Equal(t, want, state(err), url)
 		}
 	}
@@ -540,7 +544,7 @@
 	d := connect()
 	require.NotEqual(t, pid, w.one(d, "SELECT pg_backend_pid()"))
 	// The connection of one who leaves serves the next, who finds nothing of his.
-	d.Close(patient(t))
+	_ = d.Close(patient(t))
 	e := connect()
 	require.Equal(t, "1", w.one(e, "SELECT $1", "1"))
 	w.fails(e, "42704", "SELECT current_setting('app.mode')")
@@ -591,7 +595,7 @@
 				if err != nil {
 					continue
 				}
-				q := appendQuery(appendStartup(nil, "web", "orders"), func(b []byte) []byte { return append(b, "SELECT 'of one who leaves'"...) })
+				q := appendQuery(startupMessage("web", "orders"), func(b []byte) []byte { return append(b, "SELECT 'of one who leaves'"...) })
 				_, _ = c.Write(q)
 				time.Sleep(time.Duration((n*37+i*101)%900) * time.Microsecond)
 				_ = c.(*net.TCPConn).SetLinger(0)
--- a/internal/net/pg/socket.go
+++ b/internal/net/pg/socket.go
@@ -7,19 +7,19 @@
 	"github.com/panjf2000/gnet/v2"
 )
 
-// hasUnreadBytes says whether the kernel holds bytes that were not read yet.
+// hasUnreadBytes reports whether the kernel holds bytes that were not read yet.
 func hasUnreadBytes(c gnet.Conn) bool {
 	n, err := peekSocket(c)
 	return err == nil && n > 0
 }
 
-// hasUnreadEvent says whether the kernel holds bytes, or an end, that were not read yet.
+// hasUnreadEvent reports whether the kernel holds bytes, or an end, that were not read yet.
 func hasUnreadEvent(c gnet.Conn) bool {
 	_, err := peekSocket(c)
 	return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
 }
 
-// hasEnded says whether the client's end is the next that the kernel holds.
+// hasEnded reports whether the client's end is the next that the kernel holds.
 func hasEnded(c gnet.Conn) bool {
 	n, err := peekSocket(c)
 	return err == nil && n == 0 || err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
--- a/internal/net/pg/staleness.go
+++ b/internal/net/pg/staleness.go
@@ -2,7 +2,7 @@
 
 import "math"
 
-// staleness learns how long a connection may lie in the pool before something on the way has dropped it without a word:
+// staleness learns how long a connection may lie in the pool before something on the way has dropped it silently:
 // the next request on it is reset, and may have run for all one can tell. It compares how often requests are reset by
 // how long their connection had been idle, and forgets in minutes.
 type staleness struct {
--- a/internal/net/pg/tenant_stats.go
+++ b/internal/net/pg/tenant_stats.go
@@ -35,15 +35,15 @@
 	Sessions int    `json:"sessions"`
 }
 
-// Describe words a home for operators.
-func (h *TenantStats) Describe(of session.Assignment) {
-	if h.State = "open"; of.Paused {
-		h.State, h.PausedSince = "paused", of.PausedSince
+// Describe sets the fields that say where the database is.
+func (s *TenantStats) Describe(of session.Assignment) {
+	if s.State = "open"; of.Paused {
+		s.State, s.PausedSince = "paused", of.PausedSince
 	} else if of.Undecided {
-		h.State = "fenced"
+		s.State = "fenced"
 	}
-	if h.Fenced = of.Undecided; of.HasGroup && !of.Undecided {
-		h.Group = &of.Group
+	if s.Fenced = of.Undecided; of.HasGroup && !of.Undecided {
+		s.Group = &of.Group
 	}
 }
 
--- a/internal/net/pg/tenants.go
+++ b/internal/net/pg/tenants.go
@@ -43,8 +43,8 @@
 	f.tenancy.assignments, f.tenancy.tenants, f.tenancy.releaseScheduled = h, session.NewTenants(), map[*session.Tenant]bool{}
 }
 
-// ReassignTenants says that the rules changed: what was chosen and not sent is chosen anew, what is held may go, and who is bound
-// to a connection of a home that is none any more is told.
+// ReassignTenants says that assignments changed: transactions of which nothing was sent are routed anew, queued ones may be
+// released, and sessions that are bound to connections of a group that their database has left are closed.
 func (f *SessionFront) ReassignTenants() {
 	if f.tenancy.assignments != nil {
 		f.onLoop(f.reassignTenants)
@@ -84,7 +84,7 @@
 		!c.retention.transactionBegun && c.pipeline.Idle() && c.wire.BufferedBytes() == 0
 }
 
-// resumeQueued lets those held of a tenant go on that may.
+// releaseQueued releases the queued transactions of a tenant that may go on.
 func (f *SessionFront) releaseQueued(t *session.Tenant) {
 	for range maxResumedPerTurn {
 		x := f.tenancy.tenants.Next(t, f.tenancy.assignments.Assignment(t.Database, f.clock.Now()))
@@ -138,19 +138,19 @@
 	f.scheduleExpiry()
 }
 
-// queueBounds are what may be held for a pool.
+// queueBounds bound the transactions that may be queued for a pool.
 func (f *SessionFront) queueBounds(p *PoolSettings) session.TenantQueueLimits {
 	l := f.limits.Load()
 	return session.TenantQueueLimits{PerTenant: p.MaxPausedTransactions, Total: l.MaxPausedTransactions, BytesPerTenant: l.Bytes / 4, TotalBytes: l.Bytes / 2, MaxPauseMillis: p.MaxPauseMillis}
 }
 
-// isAssignmentCurrent says whether the home that the transaction was chosen for is what the rules say now.
+// isAssignmentCurrent reports whether the assignment by which the transaction was routed still holds.
 func (c *sessionClient) isAssignmentCurrent() bool {
 	f := c.front
 	return f.tenancy.assignments == nil || f.tenancy.assignments.Assignment(c.identity.database, f.clock.Now()).Equal(c.tenancy.assignment)
 }
 
-// isAssignmentMoved says whether the home is another than that of the connection which the session keeps.
+// isAssignmentMoved reports whether the database is assigned to another group than that of the connection which the session keeps.
 func (c *sessionClient) isAssignmentMoved() bool {
 	f := c.front
 	if f.tenancy.assignments == nil {
@@ -165,7 +165,7 @@
 }
 
 // abandonMovedHost parts a session from the connection that it keeps, between transactions, since the database has moved. What binds
-// it to the connection can't go with it, and one that waits for a notification would never hear that it is in vain.
+// it to the connection can't go with it, and one that waits for a notification would never learn that it waits in vain.
 func (c *sessionClient) abandonMovedHost(s *serverConn) gnet.Action {
 	if cause := c.pipeline.StickyCause(); cause != "" {
 		return c.closeWithError(sqlStateAdminShutdown, "the database has moved to another home, and the session's "+string(cause)+" can't go with it; connect again", "")
@@ -211,7 +211,7 @@
 // waitingBytes is how many bytes of the client's wait here.
 func (c *sessionClient) waitingBytes() int { return c.wire.BufferedBytes() + len(c.record.replay) }
 
-// resumeQueued goes on with a transaction that was held, by what the rules say now.
+// resumeQueued goes on with a transaction that was queued, by the assignment that holds now.
 func (c *sessionClient) resumeQueued() {
 	if c.server != nil {
 		c.phase = phaseLinked
@@ -232,7 +232,7 @@
 	}
 }
 
-// dequeue takes the transaction out of what is held.
+// dequeue takes the transaction out of its tenant's queue.
 func (c *sessionClient) dequeue() {
 	if f := c.front; f.tenancy.assignments != nil && c.tenancy.tenant != nil {
 		c.finishRelease()
@@ -240,7 +240,8 @@
 	}
 }
 
-// routeByAssignment asks where the tenant is and goes on from there: a host is chosen, or the transaction is held or refused.
+// routeByAssignment looks up where the tenant is and goes on from there: a host is chosen, or the transaction is queued or
+// rejected.
 func (c *sessionClient) routeByAssignment() {
 	f := c.front
 	if f.tenancy.assignments != nil {
@@ -279,7 +280,7 @@
 	c.pickHost()
 }
 
-// rerouteUnsent chooses again for a transaction of which nothing was sent, since its tenant's home is another by now.
+// rerouteUnsent chooses again for a transaction of which nothing was sent, since its tenant is assigned elsewhere by now.
 func (c *sessionClient) rerouteUnsent() {
 	c.routing.waiter.Dequeue()
 	call := c.routing.call
--- a/internal/session/classify.go
+++ b/internal/session/classify.go
@@ -148,7 +148,7 @@
 	return s
 }
 
-// isLocalConfig says whether the arguments of set_config end in true: the setting ends with the transaction.
+// isLocalConfig reports whether the arguments of set_config end in true: the setting ends with the transaction.
 func isLocalConfig(t []token) bool {
 	depth := 1
 	for i := range t {
--- a/internal/session/pipeline.go
+++ b/internal/session/pipeline.go
@@ -108,12 +108,12 @@
 // Status is the transaction status that the client was told last.
 func (p *Pipeline) Status() byte { return p.status }
 
-// Idle says whether nothing is due, so that the connection may serve another session if the status is 'I'.
+// Idle reports whether nothing is due, so that the connection may serve another session if the status is 'I'.
 func (p *Pipeline) Idle() bool {
 	return p.head == len(p.expected) && !p.skipping && p.status == 'I' && !p.copyIn
 }
 
-// TakeWrote says whether a statement that may write ran since it was asked last.
+// TakeWrote reports whether a statement that may write ran since it was asked last.
 func (p *Pipeline) TakeWrote() bool {
 	w := p.wrote
 	p.wrote = false
@@ -123,7 +123,7 @@
 // StickyCause is why the session can't leave its connection; "": it can.
 func (p *Pipeline) StickyCause() StickyCause { return p.stickyCause }
 
-// NeedsRestore says whether the connection has to be brought to the session's settings again: RESET gave it its own.
+// NeedsRestore reports whether the connection has to be brought to the session's settings again: RESET gave it its own.
 func (p *Pipeline) NeedsRestore() bool { return len(p.resetNames) > 0 && p.status != 'E' && !p.failed }
 
 // DiscardAll takes a DISCARD ALL that is answered here, where the session has no connection.
@@ -137,10 +137,10 @@
 // Expected is how many answers are.
 func (p *Pipeline) Expected() int { return len(p.expected) - p.head }
 
-// CopyIn says whether the server waits for the client's COPY data.
+// CopyIn reports whether the server waits for the client's COPY data.
 func (p *Pipeline) CopyIn() bool { return p.copyIn }
 
-// BlockLost says whether the client is in a block whose connection was lost: only its end can follow.
+// BlockLost reports whether the client is in a block whose connection was lost: only its end can follow.
 func (p *Pipeline) BlockLost() bool { return p.blockLost }
 
 // EndLostBlock takes a COMMIT or ROLLBACK in a block whose connection is lost: the client is out of it.
@@ -149,7 +149,7 @@
 // SkipUntilSync says that an error was given here to a message of a pipeline: what follows up to Sync is not run.
 func (p *Pipeline) SkipUntilSync() { p.skipping = true }
 
-// Skipping says whether what comes up to Sync is passed over.
+// Skipping reports whether what comes up to Sync is passed over.
 func (p *Pipeline) Skipping() bool { return p.skipping }
 
 // SyncLocally takes a Sync that is answered here.
--- a/internal/session/pipeline_client.go
+++ b/internal/session/pipeline_client.go
@@ -24,7 +24,7 @@
 	return out
 }
 
-// addStatement makes room for a statement on the server.
+// addStatement notes that a statement is prepared on the server, and closes those that have to go for it.
 func (p *Pipeline) addStatement(k Key, out []Injection) []Injection {
 	for _, old := range p.server.Add(k, p.needsStatement) {
 		out = append(out, Injection{Close: old})
--- a/internal/session/pipeline_loss.go
+++ b/internal/session/pipeline_loss.go
@@ -36,14 +36,14 @@
 	p.expected, p.head, p.portals, p.server = nil, 0, nil, nil
 	p.copyIn, p.staleStatements, p.stickyCause = false, nil, ""
 	p.skipping = open || p.skipping
-	p.Tracker.Lost()
+	p.Lost()
 	if p.status = 'I'; inBlock {
 		p.status, p.blockLost = 'E', true
 	}
 	return loss
 }
 
-// mayHaveCommitted says whether a transaction may have been committed of which no answer came, and whether the client is in a
+// mayHaveCommitted reports whether a transaction may have been committed of which no answer came, and whether the client is in a
 // block after all that it sent.
 func (p *Pipeline) mayHaveCommitted() (inDoubt, inBlock bool) {
 	inDoubt, inBlock = p.commitSeen && !p.readOnly, p.inBlock
--- a/internal/session/queue.go
+++ b/internal/session/queue.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// IsQueued says whether it is in one.
+// IsQueued reports whether it is in one.
 func (w *Waiter) IsQueued() bool { return w.queue != nil }
 
 // WaitTimeout is how long a session may wait: as long as its client says, but no longer than the limit, and 0 where the
--- a/internal/session/route.go
+++ b/internal/session/route.go
@@ -64,6 +64,7 @@
 // CommentError names what can't be read in a comment.
 type CommentError struct{ Name, Value string }
 
+// Error names the item and its value.
 func (e *CommentError) Error() string {
 	return "the comment's " + e.Name + " is " + strconv.Quote(e.Value) + ", which is no number that fits"
 }
--- a/internal/session/settings.go
+++ b/internal/session/settings.go
@@ -19,7 +19,7 @@
 // Rendering returns the text that makes a setting; "" where the connection's own default holds.
 func (v *Settings) Rendering(name string) string { return v.renderings[name] }
 
-// Equal says whether nothing has to be changed between the two.
+// Equal reports whether nothing has to be changed between the two.
 func (v *Settings) Equal(o *Settings) bool {
 	return v == o || v.size == o.size && maps.Equal(v.renderings, o.renderings)
 }
@@ -99,7 +99,7 @@
 	return out.String()
 }
 
-// quoteName words a setting's name so that any character in it is taken as it is.
+// quoteName quotes a setting's name so that any character in it is taken as it is.
 func quoteName(name string) string {
 	switch name {
 	case "session_authorization":
@@ -114,7 +114,7 @@
 	return strings.Join(parts, ".")
 }
 
-// QuoteLiteral words a value so that any text in it is taken as it is, whatever standard_conforming_strings says.
+// QuoteLiteral quotes a value so that any text in it is taken as it is, whatever standard_conforming_strings says.
 func QuoteLiteral(value string) string {
 	quoted := "'" + strings.ReplaceAll(value, "'", "''") + "'"
 	if !strings.Contains(value, `\`) {
@@ -128,7 +128,7 @@
 	return "SELECT pg_catalog.set_config(" + QuoteLiteral(name) + ", " + QuoteLiteral(value) + ", false)"
 }
 
-// savepoint is a transaction's begin or a savepoint: what held then.
+// savepoint is a transaction's begin or a savepoint: the settings at that point.
 type savepoint struct {
 	name   string
 	values *Settings
@@ -159,10 +159,10 @@
 // Settings is what holds in the session at this moment.
 func (t *Tracker) Settings() *Settings { return t.current }
 
-// InBlock says whether the session is in a transaction block.
+// InBlock reports whether the session is in a transaction block.
 func (t *Tracker) InBlock() bool { return t.inBlock }
 
-// StateUnknown says whether the server is in a state that the statements seen do not account for. What holds on its
+// StateUnknown reports whether the server is in a state that the statements seen do not account for. What holds on its
 // connection is then unknown.
 func (t *Tracker) StateUnknown() bool { return t.stateUnknown }
 
@@ -268,7 +268,7 @@
 	t.failed = false
 }
 
-// Lost says that the server connection is gone, and with it whatever was not committed.
+// Lost takes the loss of the server connection, and with it of whatever was not committed.
 func (t *Tracker) Lost() {
 	t.end(false)
 	t.failed, t.stateUnknown = false, false
--- a/internal/session/statement.go
+++ b/internal/session/statement.go
@@ -61,12 +61,12 @@
 	Comment    string // what stands between the first /* and */, if the query begins with it
 }
 
-// EndsBlock says whether a query begins with the end of a block.
+// EndsBlock reports whether a query begins with the end of a block.
 func (q *Query) EndsBlock() bool {
 	return len(q.Statements) > 0 && (q.Statements[0].Kind == Commit || q.Statements[0].Kind == Rollback)
 }
 
-// MayFollowError says whether a query may run in a failed block: it ends the block, heals it, or is empty.
+// MayFollowError reports whether a query may run in a failed block: it ends the block, heals it, or is empty.
 func (q *Query) MayFollowError() bool {
 	return len(q.Statements) == 0 || q.EndsBlock() || q.Statements[0].Kind == RollbackTo
 }
--- a/internal/session/statements.go
+++ b/internal/session/statements.go
@@ -36,8 +36,8 @@
 	var n [4]byte
 	part := func(s string) {
 		binary.BigEndian.PutUint32(n[:], uint32(len(s)))
-		h.Write(n[:])
-		h.WriteString(s)
+		_, _ = h.Write(n[:])
+		_, _ = h.WriteString(s)
 	}
 	part(text)
 	part(string(params))
@@ -172,7 +172,7 @@
 // Len is how many statements the session has.
 func (n *StatementNames) Len() int { return len(n.established) }
 
-// Close lets go of everything.
+// Close releases every statement.
 func (n *StatementNames) Close() {
 	n.DiscardLast(len(n.requested))
 	for _, p := range n.established {
@@ -196,7 +196,7 @@
 	return &ServerStatements{maxStatements: max(1, most), elements: map[Key]*list.Element{}}
 }
 
-// Has says whether a statement is prepared there, and counts that as its use.
+// Has reports whether a statement is prepared there, and counts that as its use.
 func (s *ServerStatements) Has(k Key) bool {
 	e := s.elements[k]
 	if e != nil {
