--- a/cmd/ashstand/assignments.go
+++ b/cmd/ashstand/assignments.go
@@ -1,8 +1,8 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
-	"io"
 	"slices"
 	"strings"
 	"sync"
@@ -140,7 +140,7 @@
 	return assignmentsView{On: true, Assignments: stats, Present: stats}
 }
 
-func writeAssignmentTable(w io.Writer, view *assignmentsView) {
+func writeAssignmentTable(w *bufio.Writer, view *assignmentsView) {
 	if !view.On {
 		fmt.Fprintln(w, "the operator's file has no cluster.agreement block: each pool's own group counts")
 		return
--- a/cmd/ashstand/assignments_test.go
+++ b/cmd/ashstand/assignments_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/base64"
 	"fmt"
@@ -80,7 +81,9 @@
 	f := pg.TenantStats{Database: "stock"}
 	f.Describe(session.Assignment{Undecided: true})
 	var out strings.Builder
-	writeAssignmentTable(&out, &assignmentsView{On: true, Assignments: []pg.TenantStats{s, f, {Database: "web", State: "open"}}})
+	w := bufio.NewWriter(&out)
+	writeAssignmentTable(w, &assignmentsView{On: true, Assignments: []pg.TenantStats{s, f, {Database: "web", State: "open"}}})
+	require.NoError(t, w.Flush())
 	for _, want := range []string{"orders\t7\tpaused", "(1.5s)", "3\t0\t2\t0\t1\t1 of pool main at a: LISTEN", "stock\tnot agreed\tfenced", "web\tthe pool's\topen"} {
 		require.Contains(t, out.String(), want)
 	}
--- a/cmd/ashstand/cluster.go
+++ b/cmd/ashstand/cluster.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"cmp"
 	"context"
 	"crypto/rand"
@@ -354,7 +355,7 @@
 }
 
 // clusterCommands ask a running pooler about the others.
-func clusterCommands(ask func(*cobra.Command) *cobra.Command, view func(string, any, func(io.Writer)) func(*cobra.Command, []string) error,
+func clusterCommands(ask func(*cobra.Command) *cobra.Command, view func(string, any, func(*bufio.Writer)) func(*cobra.Command, []string) error,
 	address func() (string, error),
 ) *cobra.Command {
 	var v clusterView
@@ -363,7 +364,7 @@
 	listAssignments := func() *cobra.Command {
 		return &cobra.Command{
 			Use: "assignments", Short: "list the databases with the group that each is at, and what waits for those that are paused", Args: cobra.NoArgs,
-			RunE: view("assignments", &places, func(w io.Writer) { writeAssignmentTable(w, &places) }),
+			RunE: view("assignments", &places, func(w *bufio.Writer) { writeAssignmentTable(w, &places) }),
 		}
 	}
 	root := &cobra.Command{Use: "cluster", Short: "what a pooler knows of the others"}
@@ -410,7 +411,7 @@
 	root.AddCommand(key, bootstrapCommand(), deprecatedCommand(bootstrapCommand(), "cluster found", "cluster bootstrap"),
 		ask(&cobra.Command{
 			Use: "versions", Short: "show the rules that this pooler acts on, and the versions in its log", Args: cobra.NoArgs,
-			RunE: view("agreement", &rules, func(w io.Writer) { versionTable(w, &rules) }),
+			RunE: view("agreement", &rules, func(w *bufio.Writer) { versionTable(w, &rules) }),
 		}),
 		ask(&cobra.Command{Use: "diff V W", Short: "show in which keys two versions differ", Args: cobra.ExactArgs(2), RunE: func(c *cobra.Command, args []string) error {
 			v, err := versions(args...)
@@ -418,7 +419,9 @@
 				return err
 			}
 			for _, line := range consensus.DiffRules(v[0].Rules, v[1].Rules) {
-				fmt.Fprintln(c.OutOrStdout(), line)
+				if _, err := fmt.Fprintln(c.OutOrStdout(), line); err != nil {
+					return err
+				}
 			}
 			return nil
 		}}),
@@ -453,11 +456,11 @@
 		ask(deprecatedCommand(listAssignments(), "cluster homes", "cluster assignments")),
 		ask(&cobra.Command{
 			Use: "members", Short: "list the poolers that this one knows, with what it believes of each", Args: cobra.NoArgs,
-			RunE: view("cluster", &v, func(w io.Writer) { memberTable(w, &v) }),
+			RunE: view("cluster", &v, func(w *bufio.Writer) { memberTable(w, &v) }),
 		}),
 		ask(&cobra.Command{
 			Use: "status", Short: "show where this pooler stands in its cluster, and what it has dropped", Args: cobra.NoArgs,
-			RunE: view("cluster", &v, func(w io.Writer) { statusTable(w, &v) }),
+			RunE: view("cluster", &v, func(w *bufio.Writer) { statusTable(w, &v) }),
 		}))
 	return root
 }
@@ -480,7 +483,7 @@
 	return c
 }
 
-func versionTable(w io.Writer, v *runner.View) {
+func versionTable(w *bufio.Writer, v *runner.View) {
 	if !v.Enabled {
 		fmt.Fprintln(w, "the operator's file has no cluster.agreement block: this pooler acts on its own files alone")
 		return
@@ -507,7 +510,7 @@
 	}
 }
 
-func memberTable(w io.Writer, v *clusterView) {
+func memberTable(w *bufio.Writer, v *clusterView) {
 	if !v.On {
 		fmt.Fprintln(w, "the operator's file has no cluster block with an address: this pooler knows of no others")
 		return
@@ -520,7 +523,7 @@
 	}
 }
 
-func statusTable(w io.Writer, v *clusterView) {
+func statusTable(w *bufio.Writer, v *clusterView) {
 	if !v.On {
 		memberTable(w, v)
 		return
--- a/cmd/ashstand/commands.go
+++ b/cmd/ashstand/commands.go
@@ -3,6 +3,8 @@
 package main
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -73,7 +75,7 @@
 		return f.Admin.Listen, nil
 	}
 	// view asks for one view and prints it.
-	view := func(name string, out any, table func(w io.Writer)) func(*cobra.Command, []string) error {
+	view := func(name string, out any, table func(w *bufio.Writer)) func(*cobra.Command, []string) error {
 		return func(c *cobra.Command, _ []string) error {
 			a, err := address()
 			if err != nil {
@@ -90,9 +92,10 @@
 			if err := admin.Get(a, name, out); err != nil {
 				return err
 			}
-			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 8, 2, ' ', 0)
+			columns := tabwriter.NewWriter(c.OutOrStdout(), 0, 8, 2, ' ', 0)
+			w := bufio.NewWriter(columns)
 			table(w)
-			return w.Flush()
+			return errors.Join(w.Flush(), columns.Flush())
 		}
 	}
 	var sessions pg.SessionStats
@@ -118,11 +121,11 @@
 		configuration,
 		ask(&cobra.Command{
 			Use: "hosts", Short: "list the db hosts that the pooler knows, with its session connections to each", Args: cobra.NoArgs,
-			RunE: view("hosts", &hosts, func(w io.Writer) { hostTable(w, hosts) }),
+			RunE: view("hosts", &hosts, func(w *bufio.Writer) { hostTable(w, hosts) }),
 		}),
 		ask(&cobra.Command{
 			Use: "sessions", Short: "show the sessions that the pooler carries, and what became of lost ones", Args: cobra.NoArgs,
-			RunE: view("sessions", &sessions, func(w io.Writer) { sessionTable(w, &sessions) }),
+			RunE: view("sessions", &sessions, func(w *bufio.Writer) { sessionTable(w, &sessions) }),
 		}),
 		play,
 		stateCommands(),
@@ -132,8 +135,9 @@
 		newMigrateCommand(ask, func() bool { return asJSON }, address),
 		deprecatedCommand(newMigrateCommand(ask, func() bool { return asJSON }, address), "move", "migrate"),
 		costCommands(ask, func() bool { return asJSON }, address),
-		&cobra.Command{Use: "version", Short: "print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
-			fmt.Fprintln(c.OutOrStdout(), version())
+		&cobra.Command{Use: "version", Short: "print the version", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(c.OutOrStdout(), version())
+			return err
 		}},
 	)
 	return root
@@ -201,7 +205,7 @@
 	Pools   []pg.HostStats `json:"pools"`
 }
 
-func hostTable(w io.Writer, hosts []hostView) {
+func hostTable(w *bufio.Writer, hosts []hostView) {
 	fmt.Fprintln(w, "HOST\tADDRESS\tGROUP\tSTATUS\tLISTED AS\tDATABASE\tUSER\tOPEN\tIDLE\tWAITING")
 	for _, h := range hosts {
 		if len(h.Pools) == 0 {
@@ -213,7 +217,7 @@
 	}
 }
 
-func sessionTable(w io.Writer, s *pg.SessionStats) {
+func sessionTable(w *bufio.Writer, s *pg.SessionStats) {
 	for _, r := range []struct {
 		name  string
 		value any
--- a/cmd/ashstand/deprecated.go
+++ b/cmd/ashstand/deprecated.go
@@ -15,7 +15,7 @@
 	c.Use = strings.TrimSpace(name + " " + arguments)
 	c.Hidden = true
 	c.PersistentPreRun = func(c *cobra.Command, _ []string) {
-		fmt.Fprintf(c.ErrOrStderr(), "ashstand: command %s is deprecated: use %s\n", old, replacement)
+		_, _ = fmt.Fprintf(c.ErrOrStderr(), "ashstand: command %s is deprecated: use %s\n", old, replacement)
 	}
 	return c
 }
--- a/cmd/ashstand/jobs_command.go
+++ b/cmd/ashstand/jobs_command.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -21,7 +22,7 @@
 // jobCommandTree builds the commands that show jobs and bring requests in.
 type jobCommandTree struct {
 	ask     func(*cobra.Command) *cobra.Command
-	view    func(name string, out any, table func(io.Writer)) func(*cobra.Command, []string) error
+	view    func(name string, out any, table func(*bufio.Writer)) func(*cobra.Command, []string) error
 	address func() (string, error)
 }
 
@@ -48,7 +49,7 @@
 func (t *jobCommandTree) list(name string, out any, standard func() jobsView) *cobra.Command {
 	return t.ask(&cobra.Command{
 		Use: "list", Short: "list jobs with their lease holders, tokens and what they wait for", Args: cobra.NoArgs,
-		RunE: t.view(name, out, func(w io.Writer) {
+		RunE: t.view(name, out, func(w *bufio.Writer) {
 			v := standard()
 			writeJobTable(w, &v)
 		}),
--- a/cmd/ashstand/jobs_view.go
+++ b/cmd/ashstand/jobs_view.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	stdjson "encoding/json"
 	"fmt"
 	"io"
@@ -144,7 +145,7 @@
 }
 
 // writeJobTable prints the jobs, one a line. w is a table writer, whose first error comes back from its Flush.
-func writeJobTable(w io.Writer, v *jobsView) {
+func writeJobTable(w *bufio.Writer, v *jobsView) {
 	_, _ = io.WriteString(w, v.table())
 }
 
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -221,7 +221,7 @@
 		n.stop()
 		return nil, err
 	}
-	go func() { n.ended <- fmt.Errorf("the event loop ended: %v", <-n.engine.Ended()) }()
+	go func() { n.ended <- endedError("the event loop", <-n.engine.Ended()) }()
 	if cfg.flight.Listen != "" {
 		l, err := net.Listen("tcp", cfg.flight.Listen)
 		if err != nil {
@@ -230,7 +230,7 @@
 		}
 		n.flight = flight.NewFront(n.core)
 		go func() {
-			n.ended <- fmt.Errorf("the Flight SQL front ended: %v", n.flight.Serve(l, cfg.flight.Connections))
+			n.ended <- endedError("the Flight SQL front", n.flight.Serve(l, cfg.flight.Connections))
 		}()
 		log.Printf("%s listens for Flight SQL on %s; at most %d connections", cfg.Name, l.Addr(), cfg.flight.Connections)
 	}
@@ -368,3 +368,16 @@
 		}
 	}
 }
+
+// partEndedError is returned where a part of the pooler ended by itself.
+type partEndedError struct {
+	part string
+	err  error // nil: it gave no reason
+}
+
+func (e *partEndedError) Error() string { return fmt.Sprintf("%s ended: %v", e.part, e.err) }
+
+// Unwrap returns the reason.
+func (e *partEndedError) Unwrap() error { return e.err }
+
+func endedError(part string, err error) error { return &partEndedError{part: part, err: err} }
--- a/cmd/ashstand/migrate_command.go
+++ b/cmd/ashstand/migrate_command.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"cmp"
 	"errors"
 	"fmt"
@@ -89,8 +90,9 @@
 			if m.asJSON() {
 				return printJSON(c.OutOrStdout(), &view)
 			}
-			writePlanTable(c.OutOrStdout(), &view)
-			return nil
+			w := bufio.NewWriter(c.OutOrStdout())
+			writePlanTable(w, &view)
+			return w.Flush()
 		},
 	}
 }
@@ -145,8 +147,9 @@
 			if m.asJSON() {
 				return printJSON(c.OutOrStdout(), &view)
 			}
-			writeMigrationTable(c.OutOrStdout(), &view)
-			return nil
+			w := bufio.NewWriter(c.OutOrStdout())
+			writeMigrationTable(w, &view)
+			return w.Flush()
 		},
 	}
 }
@@ -180,7 +183,7 @@
 	return c
 }
 
-func writePlanTable(w io.Writer, view *migrationPlanView) {
+func writePlanTable(w *bufio.Writer, view *migrationPlanView) {
 	plan := view.Plan
 	fmt.Fprintf(w, "tenant %s from group %d to group %d\n", plan.Tenant, plan.From, plan.To)
 	fmt.Fprintf(w, "no pause is longer than %.0f ms; here %.0f could be kept at the least; one without its switch after %.0f ms is taken back\n",
@@ -203,7 +206,7 @@
 	}
 }
 
-func writeMigrationTable(w io.Writer, view *migrationsView) {
+func writeMigrationTable(w *bufio.Writer, view *migrationsView) {
 	if len(view.Migrations) == 0 {
 		fmt.Fprintln(w, "there are no moves")
 	}
--- a/cmd/ashstand/replay.go
+++ b/cmd/ashstand/replay.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }() // it was only read
 	cs, err := pcap.Read(f)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
--- a/cmd/ashstand/state.go
+++ b/cmd/ashstand/state.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/hex"
 	"errors"
@@ -47,7 +48,7 @@
 func siteOf(c *config) string {
 	h := blake3.New()
 	for _, k := range c.site.Settings.Classes {
-		fmt.Fprintf(h, "%q %d %d %v %v\n", k.Name, k.Access, k.Idempotency, k.LatencyObjective, k.Deadline)
+		_, _ = fmt.Fprintf(h, "%q %d %d %v %v\n", k.Name, k.Access, k.Idempotency, k.LatencyObjective, k.Deadline)
 	}
 	return hex.EncodeToString(h.Sum(nil)[:8])
 }
@@ -238,7 +239,8 @@
 	return root
 }
 
-func stateTable(out io.Writer, s *warmstate.Snapshot, lost []string, facts []warmstate.FactAge) error {
+func stateTable(to io.Writer, s *warmstate.Snapshot, lost []string, facts []warmstate.FactAge) error {
+	out := bufio.NewWriter(to)
 	fmt.Fprintf(out, "pooler %s, site %s, written %v\n", s.Header.Name, s.Header.SiteHash, time.UnixMilli(int64(s.Header.WrittenAt)).UTC().Format(time.RFC3339))
 	if len(lost) > 0 {
 		fmt.Fprintf(out, "these parts can't be read: %s\n", strings.Join(lost, ", "))
@@ -248,5 +250,5 @@
 	for _, f := range facts {
 		fmt.Fprintf(w, "%s\t%v\t%.2f\t%s\n", f.Fact, clock.Duration(f.Age).Round(time.Second), f.Weight, f.Reason)
 	}
-	return errors.Join(w.Flush())
+	return errors.Join(w.Flush(), out.Flush())
 }
