--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,7 @@
 	Reason string
 }
 
+// Error returns the key and the reason.
 func (e *FieldError) Error() string { return e.Field + ": " + e.Reason }
 
 var (
--- a/internal/wire/errors.go
+++ b/internal/wire/errors.go
@@ -8,6 +8,7 @@
 	Cause error
 }
 
+// Error returns the line and the cause.
 func (e *LineError) Error() string { return fmt.Sprintf("line %d: %v", e.Line, e.Cause) }
 
 // Unwrap returns the cause.
@@ -20,6 +21,7 @@
 	Reason  string
 }
 
+// Error returns the message, its field and the reason.
 func (e *FieldError) Error() string {
 	return fmt.Sprintf("%s: field %s: %s", e.Message, e.Field, e.Reason)
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -84,6 +84,7 @@
 	Reason string
 }
 
+// Error returns the reason, and the class that it concerns.
 func (e *SettingsError) Error() string {
 	if e.Class != "" {
 		return fmt.Sprintf("class %q: %s", e.Class, e.Reason)
