--- a/cmd/ashstand/migrate_command.go
+++ b/cmd/ashstand/migrate_command.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"slices"
 	"strings"
@@ -215,7 +214,7 @@
 	}
 }
 
-func writeMigration(w io.Writer, m *migrationView) {
+func writeMigration(w *bufio.Writer, m *migrationView) {
 	fmt.Fprintf(w, "%s: tenant %s from group %d to group %d\n", m.Name, m.Plan.Tenant, m.Plan.From, m.Plan.To)
 	fmt.Fprintf(w, "  state    %s", m.State.Phase)
 	if m.State.Reverse {
