--- a/internal/cluster/migration/errors.go
+++ b/internal/cluster/migration/errors.go
@@ -9,6 +9,7 @@
 	Detail string // what is allowed
 }
 
+// Error says it in a sentence.
 func (e *PlanError) Error() string {
 	if e.Value == nil {
 		return e.Key + ": " + e.Detail
@@ -30,6 +31,7 @@
 	Job    string // the other one
 }
 
+// Error says it in a sentence.
 func (e *TenantLockedError) Error() string {
 	return "tenant " + e.Tenant + " is being moved by " + e.Job
 }
@@ -48,6 +50,7 @@
 	Err error
 }
 
+// Error says it in a sentence.
 func (e *UnreadableJobError) Error() string {
 	return "work " + e.Job + " can't be read: " + e.Err.Error()
 }
