--- a/internal/admin/errors.go
+++ b/internal/admin/errors.go
@@ -25,6 +25,7 @@
 	return e
 }
 
+// Error returns the message, with the remedy if there is one.
 func (e *RemoteError) Error() string {
 	if e.Remedy == "" {
 		return e.Message
@@ -44,6 +45,7 @@
 	Err     error
 }
 
+// Error returns the cause.
 func (e *ListenError) Error() string { return fmt.Sprintf("admin: %v", e.Err) }
 
 // Unwrap returns the system's error.
@@ -52,6 +54,7 @@
 // AddressInUseError is returned where another process answers on the Unix socket.
 type AddressInUseError struct{ Address string }
 
+// Error names the address.
 func (e *AddressInUseError) Error() string {
 	return fmt.Sprintf("admin: another process answers at %s", e.Address)
 }
@@ -62,6 +65,7 @@
 	Err     error
 }
 
+// Error names the address and the cause.
 func (e *UnreachableError) Error() string {
 	return fmt.Sprintf("no pooler answers at %s: %v", e.Address, e.Err)
 }
@@ -72,6 +76,7 @@
 // UnixSocketRequiredError is returned for a command to a pooler that answers on a TCP address.
 type UnixSocketRequiredError struct{ Command, Address string }
 
+// Error names the command and the address.
 func (e *UnixSocketRequiredError) Error() string {
 	return fmt.Sprintf("%s is done through a Unix socket alone; the pooler answers at %s", e.Command, e.Address)
 }
@@ -79,6 +84,7 @@
 // StatusError is returned for an answer with a status that a pooler of this version gives to no view or command it knows.
 type StatusError struct{ Name, Status string }
 
+// Error names what was asked for and the status.
 func (e *StatusError) Error() string {
 	return fmt.Sprintf("%s: the pooler answers %s", e.Name, e.Status)
 }
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -16,6 +16,7 @@
 	Detail  string // without a block: what is wrong
 }
 
+// String returns file, line, block and key, with what is allowed there.
 func (p Problem) String() string {
 	at := p.Path
 	if p.Line > 0 {
@@ -49,6 +50,7 @@
 	WantsWrites bool // the key takes a class of writes, which this one is not; else the reverse
 }
 
+// Error names file, pool, key and class, and says why the class does not fit.
 func (e *ClassError) Error() string {
 	reason := "it takes a class of reads"
 	switch {
--- a/internal/session/assignment.go
+++ b/internal/session/assignment.go
@@ -39,6 +39,7 @@
 	Assigned, Requested uint64
 }
 
+// Error names the database and both groups.
 func (e *GroupMismatchError) Error() string {
 	return fmt.Sprintf("the comment's cluster is %d, but database %q is at %d", e.Requested, e.Database, e.Assigned)
 }
--- a/internal/session/tenantqueue.go
+++ b/internal/session/tenantqueue.go
@@ -58,6 +58,7 @@
 	Reason   RejectReason
 }
 
+// Error names the database and the reason.
 func (e *TenantError) Error() string {
 	return "database " + fmt.Sprintf("%q", e.Database) + rejectTexts[e.Reason].message
 }
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -497,6 +497,7 @@
 	Log string
 }
 
+// Error says how the process ended, with its log.
 func (e *EndedError) Error() string { return fmt.Sprintf("the pooler ended: %v\n%s", e.Err, e.Log) }
 
 // Unwrap returns how the process ended.
