--- /dev/null
+++ b/internal/net/pg/pipeline_test.go
@@ -0,0 +1,154 @@
+package pg
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/dispatch"
+	"ashstand/internal/edge"
+	"ashstand/internal/sqlcomment"
+)
+
+// gated is a backend whose one host answers once the gate is open.
+type gated struct {
+	nowhere
+	open chan struct{}
+}
+
+func (b *gated) Acquire(context.Context, string) (edge.Conn, error) { return b, nil }
+
+func (b *gated) Exchange(ctx context.Context, _ *sqlcomment.Statement, gate edge.Gate) edge.Reply {
+	select {
+	case <-b.open:
+	case <-ctx.Done():
+		return edge.NotSent()
+	}
+	if _, ok := gate(); !ok {
+		return edge.NotSent()
+	}
+	return edge.Reply{
+		Outcome: dispatch.Outcome{Code: dispatch.OK, Role: dispatch.Primary},
+		Answer:  edge.Answer{Column: "payload", Type: 17, Binary: true, Value: []byte{1}, Tag: "SELECT 1"},
+	}
+}
+
+// listenGated is listen before a host that answers once the returned channel is closed.
+func listenGated(t *testing.T, limits FrontLimits) (*door, chan struct{}) {
+	d := listen(t, limits)
+	open := make(chan struct{})
+	d.call(t, "")
+	require.Eventually(t, func() bool { return d.count(func(h *client) bool { return h.hasRequested }) == 1 }, 10*time.Second, time.Millisecond)
+	d.on(func() { d.edge = edge.New(d.facade, d.clock, &gated{open: open}) })
+	return d, open
+}
+
+// longReport is a request of n bytes, about.
+func longReport(id string, n int) string {
+	return report(id) + " -- " + strings.Repeat("x", n)
+}
+
+// sendAhead sends requests without waiting for answers, on a goroutine; the channel is closed once all are written.
+func (d *door) sendAhead(t *testing.T, name string, requests, size int) (net.Conn, chan struct{}) {
+	c, err := net.Dial("tcp", d.address)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		b := startupMessage("web", "orders")
+		for i := range requests {
+			b = appendQuery(b, func(b []byte) []byte { return append(b, longReport(fmt.Sprint(name, "-", i), size)...) })
+		}
+		_, _ = c.Write(b)
+	}()
+	return c, written
+}
+
+// answersOf reads the answer of each of n requests: "served", or severity and code of its error.
+func answersOf(t *testing.T, c net.Conn, n int) (got []string) {
+	f := pgproto3.NewFrontend(c, io.Discard)
+	last := ""
+	for started := false; len(got) < n; {
+		m, err := f.Receive()
+		require.NoError(t, err, "after %d of %d answers", len(got), n)
+		switch m := m.(type) {
+		case *pgproto3.DataRow:
+			last = "served"
+		case *pgproto3.ErrorResponse:
+			if last = m.Severity + " " + m.Code; m.Severity == "FATAL" {
+				return append(got, last)
+			}
+		case *pgproto3.ReadyForQuery:
+			if started {
+				got = append(got, last)
+			}
+			started, last = true, ""
+		}
+	}
+	return got
+}
+
+// serves counts the answers that were served; all others have to be rejections, which promise that nothing ran.
+func serves(t *testing.T, answers []string) (n int) {
+	for i, a := range answers {
+		if a == "served" {
+			n++
+			continue
+		}
+		require.Equal(t, "ERROR 53300", a, "answer %d", i)
+	}
+	return n
+}
+
+// A client pipelines more than is read ahead of its answers while its first request is under way. Each request gets its
+// answer, in order: those within the bound are served, those beyond it are rejected. None is lost by a close.
+func TestAClientThatPipelinesMuchGetsEveryAnswer(t *testing.T) {
+	const requests, size = 200, 4 << 10
+	d, open := listenGated(t, FrontLimits{Clients: 16, Bytes: 8 << 20, RetryAfterMillis: 300})
+	c, written := d.sendAhead(t, "a", requests, size)
+	<-written
+	require.Eventually(t, func() bool {
+		return d.count(func(h *client) bool { return h.requestInFlight && h.unreadBytes > maxUnreadBytes/2 }) == 1
+	}, 10*time.Second, time.Millisecond)
+	close(open)
+	answers := answersOf(t, c, requests)
+	require.Len(t, answers, requests)
+	require.GreaterOrEqual(t, serves(t, answers), maxUnreadBytes/2/size)
+	require.Equal(t, "served", answers[0])
+	d.on(func() { require.LessOrEqual(t, d.unreadBytes, 0) })
+}
+
+// Clients that pipeline hold more together than all may. The bound holds, and each request still gets its answer.
+func TestClientsThatPipelineTogetherGetEveryAnswer(t *testing.T) {
+	const clients, requests, size, bound = 12, 40, 4 << 10, 512 << 10
+	d, open := listenGated(t, FrontLimits{Clients: 64, Bytes: bound, RetryAfterMillis: 300})
+	var all []net.Conn
+	for i := range clients {
+		c, written := d.sendAhead(t, fmt.Sprint("c", i), requests, size)
+		<-written
+		all = append(all, c)
+	}
+	d.busy(t, clients)
+	require.Eventually(t, func() bool {
+		held := 0
+		d.on(func() { held = d.unreadBytes })
+		return held > bound/2 && held <= bound
+	}, 10*time.Second, time.Millisecond)
+	close(open)
+	served := 0
+	for _, c := range all {
+		answers := answersOf(t, c, requests)
+		require.Len(t, answers, requests)
+		served += serves(t, answers)
+	}
+	require.GreaterOrEqual(t, served, clients, "those that were under way")
+}
