Statement front: what is sent ahead is bounded by rejection, not by a close

Cause: Front's client.Traffic closed a client with more than 256 KiB unread, and closeLargestReader the one with most over the bound for all. What they had sent was read and got no answer. Change: messages are parsed as they come into a typed queue (command_queue.go). Past 256 KiB of one client, or past the bound for all, the text of the newest queries is dropped and they are rejected with 53300 when their turn comes; a message that is not complete and holds most is answered by a fatal error behind the answers that are due. A client with much to read is waited for, not closed. The connection is read without a pause, so its end is heard as before. Back-pressure (a paused connection) was weighed and not taken: a paused client's end lies behind unread bytes, behind a full window it does not come at all, and an attempt for a client that has gone more than 0.1 s ago is lost without exception. The next command begins in the visit to the loop that ended the one before, and a drained connection closes in the visit that looked. TestClientsThatPipelineTogetherGetEveryAnswer runs the decisions' timer now, without which only three requests are sent to a host; nothing it requires was changed.

--- a/internal/net/pg/command.go
+++ b/internal/net/pg/command.go
@@ -21,6 +21,7 @@
 	Ignored                              // nothing to answer
 	Terminate                            // the client closes the connection
 	Malformed                            // nothing after this can be understood; Text says why
+	Overloaded                           // made by the front: what comes after this is not read for want of memory; Text says why
 )
 
 // Command is one message of a client.
--- /dev/null
+++ b/internal/net/pg/command_queue_test.go
@@ -0,0 +1,81 @@
+package pg
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Whatever is pushed comes out in order and whole, but for the text of rejected queries; the bytes that count are within the
+// limit, and none are left over.
+func TestCommandQueueKeepsOrderWithinItsBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 1000
+		var q commandQueue
+		var want []string
+		check := func() {
+			sum := 0
+			for _, r := range q.runs {
+				sum += r.bytes
+				require.Positive(t, r.count)
+			}
+			require.Equal(t, sum, q.bytes)
+			require.LessOrEqual(t, q.bytes, limit)
+		}
+		take := func() {
+			c, ok := q.pop()
+			require.Equal(t, len(want) > 0, ok)
+			if !ok {
+				return
+			}
+			name := fmt.Sprint(c.Kind)
+			if c.Kind == Query && !c.rejected {
+				require.Contains(t, want[0], c.Text)
+				name += " " + c.Text
+			}
+			require.Contains(t, want[0], name)
+			want = want[1:]
+		}
+		for i := range rapid.IntRange(1, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				text := fmt.Sprint("q", i)
+				require.True(t, q.push(Command{Kind: Query, Text: text, Used: rapid.IntRange(6, 400).Draw(t, "size")}, limit))
+				want = append(want, fmt.Sprint(Query)+" "+text)
+			case 1:
+				kind := rapid.SampledFrom([]CommandKind{Sync, Extended, Function}).Draw(t, "kind")
+				require.True(t, q.push(Command{Kind: kind, Used: 5}, limit))
+				want = append(want, fmt.Sprint(kind))
+			case 2:
+				before := q.bytes
+				n := rapid.IntRange(1, 500).Draw(t, "free")
+				freed := q.rejectNewest(n)
+				require.Equal(t, before-q.bytes, freed)
+				require.True(t, freed >= n || q.bytes == 0)
+			default:
+				take()
+			}
+			check()
+		}
+		for len(want) > 0 {
+			take()
+			check()
+		}
+		require.True(t, q.isEmpty())
+		require.Zero(t, q.bytes)
+	})
+}
+
+// Commands of different kinds in turn can't be held as runs; past the bound there is no room, and the queue says so.
+func TestCommandQueueBoundsItsRuns(t *testing.T) {
+	var q commandQueue
+	for i := range maxQueuedRuns {
+		require.True(t, q.push(Command{Kind: []CommandKind{Sync, Extended}[i%2], Used: 5}, 1<<20))
+	}
+	require.False(t, q.push(Command{Kind: Sync, Used: 5}, 1<<20))
+	require.True(t, q.push(Command{Kind: Extended, Used: 5}, 1<<20), "it is like the last one")
+	q.end(Command{Kind: Overloaded})
+	require.Equal(t, maxQueuedRuns+2, q.commands())
+}
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -115,9 +115,9 @@
 		switch {
 		case h.closingWithError:
 			r = 3
-		case !h.parser.started && age >= minSilentMillis && c.InboundBuffered() == 0:
+		case !h.parser.started && age >= minSilentMillis && !h.isBusy(c):
 			r = 2
-		case !h.requestInFlight && h.parser.started && age >= minIdleMillis && c.InboundBuffered() == 0:
+		case h.parser.started && age >= minIdleMillis && !h.isBusy(c):
 			r = 1
 		}
 		if r > rank || r > 0 && r == rank && h.lastActive < least.lastActive {
@@ -166,7 +166,9 @@
 	f.forEachClient(func(h *client, c gnet.Conn) {
 		idle := now - h.lastActive
 		switch {
-		case !h.requestInFlight && h.hasRequested && len(f.clients) > many && c.InboundBuffered() == 0 &&
+		case f.draining.Load() && h.hasRequested && !h.closingWithError && h.isBetweenRequests(c):
+			_ = c.EventLoop().Close(c)
+		case h.hasRequested && len(f.clients) > many && !h.isBusy(c) &&
 			(idle >= maxIdleUnderPressureMillis || h.requestCount == 1 && idle >= maxIdleUsedOnceMillis):
 			if !hasUnreadBytes(c) {
 				_ = c.EventLoop().Close(c)
@@ -175,7 +177,7 @@
 			if now-h.lastActive > maxLingerMillis {
 				_ = c.EventLoop().Close(c)
 			}
-		case h.requestInFlight:
+		case h.isBlocked():
 		case !h.hasRequested && now-h.lastActive > maxSilentMillis, h.partialSince > 0 && now-h.partialSince > maxSilentMillis:
 			if !hasUnreadBytes(c) && h.closeWithError(c, sqlStateProtocolViolation, "no whole message came in time", "") == gnet.Close {
 				_ = c.EventLoop().Close(c)
@@ -184,23 +186,43 @@
 	})
 }
 
-// closeLargestReader cuts off whoever has most unread: the client that happens to speak may have a small part in it.
-func (f *Front) closeLargestReader(speaker *client, action gnet.Action) gnet.Action {
-	most := speaker
-	for h := range f.clients {
-		if h.unreadBytes > most.unreadBytes {
-			most = h
+// boundUnread keeps what clients have sent ahead within its bound: of the client that has most, the newest queries are
+// rejected. One that has most in a message that is not complete is told to go, behind the answers that it is owed. action is
+// for the client that happens to speak.
+func (f *Front) boundUnread(speaker *client) (action gnet.Action) {
+	for limit := f.limits.Load().Bytes; f.unreadBytes > limit; {
+		most := speaker
+		for h := range f.clients {
+			if h.unreadBytes > most.unreadBytes {
+				most = h
+			}
+		}
+		if most.unreadBytes == 0 {
+			return action
+		}
+		c := f.clients[most]
+		f.unreadLimitLog.Printf("front: a client has %d bytes unread, %d of all clients: its newest requests are rejected", most.unreadBytes, f.unreadBytes)
+		if most.queue.rejectNewest(f.unreadBytes-limit) > 0 {
+			most.countUnread(c)
+			continue
+		}
+		if ended := most.endOverloaded(c); most == speaker {
+			action = ended
+		} else if ended == gnet.Close {
+			_ = c.EventLoop().Close(c)
 		}
 	}
-	f.unreadLimitLog.Printf("front: a client is cut off with %d bytes unread, %d of all clients", most.unreadBytes, f.unreadBytes)
-	if most == speaker {
-		return gnet.Close
-	}
-	c := f.clients[most]
-	_ = c.EventLoop().Close(c)
 	return action
 }
 
+// endOverloaded reads no more of a client and tells it to go, behind the answers that it is owed.
+func (h *client) endOverloaded(c gnet.Conn) gnet.Action {
+	_, _ = c.Discard(-1)
+	h.queue.end(Command{Kind: Overloaded, Text: "the messages under way leave no memory for one more"})
+	h.countUnread(c)
+	return h.handleQueued(c)
+}
+
 // cancel gives up the request that is under way on the connection with this key. Its client gets an error, and what it
 // sent ahead is served. A key that was not given out here does nothing: it may be another pooler's.
 func (f *Front) cancel(key uint64) {
--- a/internal/net/pg/front_client.go
+++ b/internal/net/pg/front_client.go
@@ -7,17 +7,20 @@
 	"github.com/panjf2000/gnet/v2"
 )
 
-// client is one connection. A request at a time is under way; what is sent ahead of its answer waits in the
-// connection's ring buffer, so answers come in the order of the commands.
+// client is one connection. A request at a time is under way; what is sent ahead of its answer waits in a queue, so answers
+// come in the order of the commands.
 type client struct {
 	front            *Front
 	number           uint32
 	lastActive       float64 // it was opened, answered or sent away
 	partialSince     float64 // since when a message is not whole; 0: none is
 	parser           Parser
+	queue            commandQueue
 	hasRequested     bool // it had a request
 	requestCount     int  // how many
 	requestInFlight  bool
+	awaitingFlush    bool // no command is taken before the client has read what was answered
+	hasTerminated    bool // it sent Terminate, and closes its connection
 	closingWithError bool // it was told to go: what it still sends is not read
 	invalidRequests  int
 	unreadBytes      int
@@ -28,7 +31,6 @@
 	disconnect       context.CancelFunc
 	cancelKey        uint64             // for cancel requests; 0: none was given out
 	cancelRequest    context.CancelFunc // ends the request under way alone
-	readAhead        readAhead          // what waits behind it
 }
 
 // Traffic is called on the loop.
@@ -43,21 +45,53 @@
 		}
 		return gnet.None
 	}
-	action := h.readCommands(c)
-	if action == gnet.None && h.requestInFlight && h.readAhead.hasTerminate(c.InboundBuffered(), c.Peek, maxQueryBytes) {
+	return h.advance(c)
+}
+
+// resume goes on with what the client sent, from outside of its own Traffic.
+func (h *client) resume(c gnet.Conn) {
+	if !h.closingWithError && h.advance(c) == gnet.Close {
+		_ = c.EventLoop().Close(c)
+	}
+}
+
+// advance takes the messages that have come, and answers or starts the commands whose turn it is.
+func (h *client) advance(c gnet.Conn) gnet.Action {
+	used, err := h.enqueue(c)
+	if err != nil {
 		return gnet.Close
 	}
-	f := h.front
-	f.unreadBytes += c.InboundBuffered() - h.unreadBytes
-	h.unreadBytes = c.InboundBuffered()
-	if h.unreadBytes > maxUnreadBytes {
-		f.unreadLimitLog.Printf("front: a client is cut off with %d bytes unread", h.unreadBytes)
+	if action := h.handleQueued(c); action == gnet.Close || h.ctx.Err() != nil || h.closingWithError {
+		return action
+	}
+	if h.hasTerminated { // a client sends that last and closes its connection, so it waits for no answer
 		return gnet.Close
 	}
-	if f.unreadBytes > f.limits.Load().Bytes {
-		return f.closeLargestReader(h, action)
+	h.notePartial(c, used)
+	h.countUnread(c)
+	if action := h.front.boundUnread(h); action == gnet.Close || h.closingWithError {
+		return action
 	}
-	return action
+	if h.front.draining.Load() && h.hasRequested && h.isBetweenRequests(c) {
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+// isBlocked reports whether the next command has to wait.
+func (h *client) isBlocked() bool { return h.requestInFlight || h.awaitingFlush }
+
+// isBusy reports whether something of the client's is under way: a request, commands that wait, a part of a message, or an
+// answer that it has not taken.
+func (h *client) isBusy(c gnet.Conn) bool {
+	return h.isBlocked() || !h.queue.isEmpty() || c.InboundBuffered() > 0 || c.OutboundBuffered() > 0
+}
+
+// countUnread notes how much the client sent that waits here.
+func (h *client) countUnread(c gnet.Conn) {
+	n := h.queue.bytes + c.InboundBuffered()
+	h.front.unreadBytes += n - h.unreadBytes
+	h.unreadBytes = n
 }
 
 // Closed is called on the loop.
@@ -66,6 +100,7 @@
 	delete(h.front.cancelKeys, h.cancelKey)
 	h.front.unreadBytes -= h.unreadBytes
 	h.unreadBytes = 0
+	h.queue = commandQueue{}
 	delete(h.front.clients, h)
 }
 
@@ -82,63 +117,110 @@
 	return gnet.None
 }
 
-// readCommands takes messages until one starts a request or none is complete. What is answered at once goes out together:
-// with a system call for each, a client that sends thousands ahead would hold the loop, and every other client with it.
-func (h *client) readCommands(c gnet.Conn) gnet.Action {
-	all, err := c.Peek(c.InboundBuffered())
+// enqueue takes the messages that are complete out of the connection's buffer, and returns how many bytes they had.
+func (h *client) enqueue(c gnet.Conn) (used int, err error) {
+	b, err := c.Peek(c.InboundBuffered())
 	if err != nil {
-		return gnet.Close
+		return 0, err
 	}
-	h.batching = true
-	b, action := all, gnet.None
-	for action == gnet.None && !h.requestInFlight && !h.closingWithError && len(b) > 0 {
+	n := len(b)
+	b = h.parse(b)
+	if used = n - len(b); used > 0 {
+		_, _ = c.Discard(used)
+	}
+	return used, nil
+}
+
+// parse queues the commands at the start of b, and returns what is no whole message yet.
+func (h *client) parse(b []byte) (rest []byte) {
+	for len(b) > 0 && !h.queue.ended && !h.hasTerminated {
 		command := h.parser.Next(b)
 		if command.Kind == Incomplete {
-			break
+			return b
 		}
 		b = b[command.Used:]
+		switch command.Kind {
+		case Ignored:
+		case Terminate:
+			h.hasTerminated = true
+		case Malformed: // where the next message begins is not known
+			h.queue.end(command)
+		default:
+			if !h.queue.push(command, maxUnreadBytes) {
+				h.queue.end(Command{Kind: Overloaded, Text: "too many commands were sent ahead of their answers"})
+			}
+		}
+	}
+	return nil
+}
+
+// handleQueued takes commands until one starts a request or none waits. What is answered at once goes out together: with a
+// system call for each, a client that sends thousands ahead would hold the loop, and every other client with it.
+func (h *client) handleQueued(c gnet.Conn) gnet.Action {
+	action := gnet.None
+	h.batching = true
+	for action == gnet.None && !h.isBlocked() && !h.closingWithError {
+		command, ok := h.queue.pop()
+		if !ok {
+			break
+		}
 		if action = h.handleBounded(c, &command); len(h.batch) > replyBatchBytes {
-			if h.flush(c); h.ctx.Err() != nil { // it has gone, and its buffers with it
+			h.flush(c)
+			if h.ctx.Err() != nil { // it has gone, and its buffers with it
 				return gnet.None
 			}
-			if h.batching = true; c.OutboundBuffered() > maxUnreadBytes { // short answers to one that does not read
-				action = gnet.Close
-			}
+			h.batching = true
+			h.awaitReader(c)
 		}
 	}
-	if h.flush(c); h.ctx.Err() != nil || h.closingWithError || action == gnet.Close {
-		return action
+	h.flush(c)
+	if h.ctx.Err() == nil && action == gnet.None && !h.closingWithError {
+		h.awaitReader(c)
 	}
-	if c.OutboundBuffered() > maxUnreadBytes {
-		return gnet.Close
+	return action
+}
+
+// awaitReader takes no further command before a client that has much to read has read it.
+func (h *client) awaitReader(c gnet.Conn) {
+	if h.isBlocked() || c.OutboundBuffered() <= maxUnreadBytes {
+		return
 	}
-	return h.consume(c, len(all)-len(b), len(b))
+	h.awaitingFlush = true
+	h.whenFlushed(c, func() {
+		h.awaitingFlush = false
+		h.resume(c)
+	}, func() {})
 }
 
 // handleBounded handles a command, and ends a client of which too many in a row make no sense.
-func (h *client) handleBounded(c gnet.Conn, command *Command) gnet.Action {
-	action := h.handle(c, command)
+func (h *client) handleBounded(c gnet.Conn, command *queuedCommand) gnet.Action {
+	if command.rejected {
+		h.rejectReadAhead(c)
+		return gnet.None
+	}
+	action := h.handle(c, &command.Command)
 	if h.invalidRequests > maxInvalidRequests && action == gnet.None && !h.closingWithError {
 		return h.closeWithError(c, sqlStateProtocolViolation, "too many requests that make no sense", "")
 	}
 	return action
 }
 
-// consume takes what was read out of the connection's buffer, and notes since when a message that remains is not complete.
-func (h *client) consume(c gnet.Conn, used, remaining int) gnet.Action {
-	if used > 0 {
-		_, _ = c.Discard(used)
-	}
+// rejectReadAhead answers a query whose text was dropped.
+func (h *client) rejectReadAhead(c gnet.Conn) {
+	h.hasRequested = true
+	h.requestCount++
+	h.lastActive = h.front.edge.Now()
+	h.write(c, appendReady(appendError(nil, severityError, sqlStateTooManyConnections, "too much was sent ahead of its answers", h.front.retryAfter())))
+}
+
+// notePartial notes since when a message is not complete; used bytes of others were taken.
+func (h *client) notePartial(c gnet.Conn, used int) {
 	switch {
-	case h.requestInFlight || remaining == 0:
+	case h.isBlocked() || c.InboundBuffered() == 0:
 		h.partialSince = 0
 	case h.partialSince == 0 || used > 0: // another message than the one that was not complete
 		h.partialSince = h.front.edge.Now()
 	}
-	if used > 0 && h.front.draining.Load() && h.hasRequested && h.isBetweenRequests(c) {
-		return gnet.Close
-	}
-	return gnet.None
 }
 
 // write writes to the client, or gathers what is answered at once.
@@ -182,13 +264,13 @@
 			return gnet.Close
 		}
 		h.handleQuery(c, command.Text)
-	case Terminate:
-		return gnet.Close
 	case Cancel:
 		h.front.cancel(command.Key)
 		return gnet.Close
 	case Malformed:
 		return h.closeWithError(c, sqlStateProtocolViolation, command.Text, "")
+	case Overloaded:
+		return h.closeWithError(c, sqlStateTooManyConnections, command.Text, h.front.retryAfter())
 	}
 	return gnet.None
 }
--- a/internal/net/pg/front_request.go
+++ b/internal/net/pg/front_request.go
@@ -37,7 +37,7 @@
 	}
 	var ctx context.Context
 	ctx, h.cancelRequest = context.WithCancel(h.ctx)
-	h.requestInFlight, h.readAhead = true, readAhead{}
+	h.requestInFlight = true
 	go h.serve(ctx, c, statement, h.lastActive)
 }
 
@@ -82,14 +82,10 @@
 		}
 		// The next command waits until this answer is out, so a client that does not read holds up itself alone
 		// and an answer is not cut by a close.
-		go func() {
-			defer e.End(&s)
-			if !h.awaitFlush(c) {
-				_ = c.Close()
-				return
-			}
-			_ = h.runOnLoop(func() { h.finishRequest(c, result.Verdict) })
-		}()
+		h.whenFlushed(c, func() {
+			e.End(&s)
+			h.finishRequest(c, result.Verdict)
+		}, func() { e.End(&s) })
 		return nil
 	})) != nil {
 		e.End(&s)
@@ -107,11 +103,7 @@
 	if h.invalidRequests++; verdict != edge.Invalid {
 		h.invalidRequests = 0
 	}
-	if h.unreadBytes > 0 { // what was sent ahead is waiting, and was taken
-		_ = c.Wake(nil)
-	} else if h.front.draining.Load() && !hasUnreadBytes(c) { // closed with bytes unread, it would be reset
-		_ = c.Close()
-	}
+	h.resume(c)
 }
 
 // runOnLoop does something on the loop and waits for it; nothing once the client has disconnected.
@@ -130,6 +122,25 @@
 	return err
 }
 
+// whenFlushed calls flushed on the loop once the client has taken what was written to it. A client that does not take it in
+// its time is closed. It calls failed, on another goroutine, where the client is closed or has gone.
+func (h *client) whenFlushed(c gnet.Conn, flushed, failed func()) {
+	go func() {
+		ran := false
+		if h.awaitFlush(c) {
+			_ = h.runOnLoop(func() {
+				ran = true
+				flushed()
+			})
+		} else {
+			_ = c.Close()
+		}
+		if !ran {
+			failed()
+		}
+	}()
+}
+
 // awaitFlush waits until the client has taken its answer. false: it does not, or has disconnected.
 func (h *client) awaitFlush(c gnet.Conn) bool {
 	for t := h.front.edge.Now(); h.front.edge.Now()-t < maxUnsentMillis; {
--- a/internal/net/pg/front_shutdown.go
+++ b/internal/net/pg/front_shutdown.go
@@ -56,30 +56,45 @@
 	})
 }
 
-// cut answers each request of the client's with an error, the last of them with the end of the connection.
+// cut answers each request of the client's with an error, the last of them with the end of the connection. What it sent ahead
+// was sent on to nobody, so it is rejected.
 func (h *client) cut(c gnet.Conn) gnet.Action {
-	queued := h.queuedCommands(c)
+	h.parse(readRemaining(c))
 	if h.requestInFlight {
 		h.requestInFlight = false
 		h.disconnect() // what came of the request now is written no more
-		if queued == 0 {
+		if h.queue.isEmpty() {
 			return h.closeWithError(c, sqlStateAdminShutdown, textRestartingMayRun, "")
 		}
 		h.write(c, appendReady(appendError(nil, severityError, sqlStateAdminShutdown, textRestartingMayRun, "")))
 	}
-	for range queued - 1 {
-		h.write(c, appendReady(appendError(nil, severityError, sqlStateCannotConnectNow, textRestarting, "")))
+	for {
+		command, ok := h.queue.pop()
+		if !ok || command.Kind == Query && h.queue.isEmpty() {
+			break // the error that ends the connection is the last query's answer
+		}
+		h.answerAtEnd(c, command.Kind)
 	}
 	return h.closeWithError(c, sqlStateCannotConnectNow, textRestarting, "") // also for a request that may be on its way
 }
 
-// isBetweenRequests reports whether the client's last request has its answer and nothing of another has come, to the kernel either.
-func (h *client) isBetweenRequests(c gnet.Conn) bool {
-	return !h.requestInFlight && c.InboundBuffered() == 0 && !hasUnreadBytes(c)
+// answerAtEnd answers a command that will not be handled any more.
+func (h *client) answerAtEnd(c gnet.Conn, kind CommandKind) {
+	switch kind {
+	case Query, Function:
+		h.write(c, appendReady(appendError(nil, severityError, sqlStateCannotConnectNow, textRestarting, "")))
+	case Extended:
+		h.write(c, appendError(nil, severityError, sqlStateCannotConnectNow, textRestarting, ""))
+	case Sync:
+		h.write(c, appendReady(nil))
+	}
 }
 
-// queuedCommands is how many complete commands wait for an answer, behind the one under way; what only the kernel has is read.
-func (h *client) queuedCommands(c gnet.Conn) (n int) {
+// isBetweenRequests reports whether the client has all its answers and nothing of another request has come, to the kernel either.
+func (h *client) isBetweenRequests(c gnet.Conn) bool { return !h.isBusy(c) && !hasUnreadBytes(c) }
+
+// readRemaining returns what was read and not parsed, and what only the kernel has.
+func readRemaining(c gnet.Conn) []byte {
 	held, _ := c.Peek(c.InboundBuffered())
 	b := append([]byte(nil), held...)
 	for more := make([]byte, readAheadBufferBytes); len(b) <= maxUnreadBytes; {
@@ -89,14 +104,5 @@
 		}
 		b = append(b, more[:n]...)
 	}
-	for p := h.parser; ; {
-		command := p.Next(b)
-		switch command.Kind {
-		case Incomplete, Terminate, Cancel, Malformed:
-			return n
-		case Query, Sync, Function:
-			n++
-		}
-		b = b[command.Used:]
-	}
+	return b
 }
--- a/internal/net/pg/pipeline_test.go
+++ b/internal/net/pg/pipeline_test.go
@@ -50,6 +50,19 @@
 	return d, open
 }
 
+// tick runs what is due in the decisions, and the clock, until stop is called: a host takes a few requests at a time.
+func (d *door) tick() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for ctx.Err() == nil {
+			d.clock.Advance(1)
+			d.facade.Tick()
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	return cancel
+}
+
 // longReport is a request of n bytes, about.
 func longReport(id string, n int) string {
 	return report(id) + " -- " + strings.Repeat("x", n)
@@ -144,6 +157,8 @@
 		return held > bound/2 && held <= bound
 	}, 10*time.Second, time.Millisecond)
 	close(open)
+	stop := d.tick()
+	defer stop()
 	served := 0
 	for _, c := range all {
 		answers := answersOf(t, c, requests)
