Event loop: the ends of requests run for a bounded time in a row

Cause: gnet runs what is given to Execute until its queue is empty before it polls again. Change: loop.TaskQueue runs tasks in order for 1 ms in a row and then has the loop look at its sockets; the statement front brings back its answers through it.

--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -46,8 +46,9 @@
 	edge        *edge.Edge
 	limits      atomic.Pointer[FrontLimits]
 	draining    atomic.Bool
-	terminating atomic.Bool  // the process is about to end
-	eventLoop   atomic.Value // gnet.EventLoop, once somebody came
+	terminating atomic.Bool     // the process is about to end
+	eventLoop   atomic.Value    // gnet.EventLoop, once somebody came
+	answers     *loop.TaskQueue // that requests bring back to the event loop; set with it
 
 	clients     map[*client]gnet.Conn
 	cancelKeys  map[uint64]*client // by what a cancel request names
@@ -71,7 +72,10 @@
 
 // Accept makes the handler of a connection; it is called on the event loop.
 func (f *Front) Accept(c gnet.Conn) (loop.Handler, []byte, gnet.Action) {
-	f.eventLoop.CompareAndSwap(nil, c.EventLoop())
+	if f.answers == nil {
+		f.answers = loop.NewTaskQueue(c.EventLoop())
+		f.eventLoop.Store(c.EventLoop())
+	}
 	f.lastNumber++
 	h := &client{front: f, number: f.lastNumber, lastActive: f.edge.Now()}
 	served := f.limits.Load().Clients * 7 / 8
--- a/internal/net/pg/front_request.go
+++ b/internal/net/pg/front_request.go
@@ -69,30 +69,33 @@
 		result = edge.Result{Verdict: edge.TimedOut, Detail: "canceling statement due to user request"}
 	}
 	reply := EncodeResult(&result)
-	if h.front.eventLoop.Load().(gnet.EventLoop).Execute(h.ctx, gnet.RunnableFunc(func(context.Context) error {
-		if h.ctx.Err() != nil {
-			e.End(&s)
-			return nil
-		}
-		h.write(c, reply)
-		if h.ctx.Err() != nil || c.OutboundBuffered() == 0 {
-			e.End(&s)
-			h.finishRequest(c, result.Verdict)
-			return nil
-		}
-		// The next command waits until this answer is out, so a client that does not read holds up itself alone
-		// and an answer is not cut by a close.
-		h.whenFlushed(c, func() {
-			e.End(&s)
-			h.finishRequest(c, result.Verdict)
-		}, func() { e.End(&s) })
-		return nil
-	})) != nil {
+	if h.front.answers.Post(func() { h.answer(c, &s, result.Verdict, reply) }) != nil {
 		e.End(&s)
 		_ = c.Close()
 	}
 }
 
+// answer writes the final answer of a request and goes on with the next command. It runs on the loop.
+func (h *client) answer(c gnet.Conn, s *sqlcomment.Statement, verdict edge.Verdict, reply []byte) {
+	e := h.front.edge
+	if h.ctx.Err() != nil {
+		e.End(s)
+		return
+	}
+	h.write(c, reply)
+	if h.ctx.Err() != nil || c.OutboundBuffered() == 0 {
+		e.End(s)
+		h.finishRequest(c, verdict)
+		return
+	}
+	// The next command waits until this answer is out, so a client that does not read holds up itself alone
+	// and an answer is not cut by a close.
+	h.whenFlushed(c, func() {
+		e.End(s)
+		h.finishRequest(c, verdict)
+	}, func() { e.End(s) })
+}
+
 // finishRequest takes the next command, once the answer to the last one is out. It runs on the loop.
 func (h *client) finishRequest(c gnet.Conn, verdict edge.Verdict) {
 	if h.ctx.Err() != nil {
