Failing test: what is left of an ended attempt is still sent to its host

Cause: an attempt ends while a part of its request is unsent (a host that hangs, reads slowly or half-closes, with a full window). gnet writes the rest of its buffer as it closes the connection, after Closed has reported that the last byte was never written: the attempt counts as never run, a donate is sent again, and the first host runs it as well. And a connection that is given up ends its sending with what the kernel still holds in front of it, so a host that hangs or was cut off gets the request whole when it is back, long after its client has gone.

--- /dev/null
+++ b/internal/net/pg/unsent_test.go
@@ -0,0 +1,124 @@
+package pg
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/panjf2000/gnet/v2"
+	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/dispatch"
+	"ashstand/internal/edge"
+	"ashstand/internal/sqlcomment"
+)
+
+// slowReader is a host that reads a request once it is told to, and counts its bytes.
+type slowReader struct {
+	read     chan struct{} // closed to have it read
+	received atomic.Int64  // bytes behind the handshake
+	size     atomic.Int64  // of the request, by its header; 0: that has not come
+	ended    chan struct{} // closed at the end of the connection
+}
+
+func (s *slowReader) serve(c net.Conn, b *pgproto3.Backend) {
+	defer close(s.ended)
+	welcome(b)
+	<-s.read
+	header := make([]byte, 5)
+	n, err := io.ReadFull(c, header)
+	s.received.Add(int64(n))
+	if err != nil {
+		return
+	}
+	s.size.Store(1 + int64(binary.BigEndian.Uint32(header[1:])))
+	for buffer := make([]byte, 16<<10); err == nil; {
+		n, err = c.Read(buffer)
+		s.received.Add(int64(n))
+	}
+}
+
+// isWhole reports whether the host got all of the request: from then on it runs.
+func (s *slowReader) isWhole() bool { return s.size.Load() > 0 && s.received.Load() >= s.size.Load() }
+
+// An attempt ends while a part of its request has not reached the host: the host hangs or reads slowly. It has to stay a part.
+// Sent on, it would run for nobody, after its client has gone, and beside the attempt that was made in its place.
+func TestWhatIsLeftOfAnEndedAttemptIsNotSent(t *testing.T) {
+	const size = 150 << 10
+	for _, k := range []struct {
+		name        string
+		writeBuffer int // of our socket: whether the rest lies in the kernel or in the event loop's buffer
+		end         func(l gnet.EventLoop, c *conn, giveUp func())
+		code        dispatch.Code
+	}{
+		{"given up, the rest in the kernel", 4 << 20, func(_ gnet.EventLoop, _ *conn, giveUp func()) { giveUp() }, dispatch.Cancelled},
+		{"given up, the rest in the event loop's buffer", 48 << 10, func(_ gnet.EventLoop, _ *conn, giveUp func()) { giveUp() }, dispatch.Cancelled},
+		{"closed as at the host's half-close", 48 << 10, func(l gnet.EventLoop, c *conn, _ func()) { _ = l.Close(c.gnetConn) }, dispatch.NoConnection},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			s := &slowReader{read: make(chan struct{}), ended: make(chan struct{})}
+			r := start(t, s.serve)
+			r.SetLimits(PoolLimits{Connections: 4, ConnectTimeout: 20 * time.Second, IdleTimeout: 15 * time.Second})
+			r.listenLate()
+			c := r.acquired(t)
+			host := <-r.conns
+			_ = host.(*net.TCPConn).SetReadBuffer(16 << 10)
+			require.NoError(t, c.gnetConn.SetWriteBuffer(k.writeBuffer))
+			statement, err := sqlcomment.Parse(plain + " -- " + strings.Repeat("x", size))
+			require.NoError(t, err)
+			ctx, giveUp := context.WithCancel(context.Background())
+			defer giveUp()
+			replies := make(chan edge.Reply, 1)
+			go func() { replies <- c.Exchange(ctx, &statement, open) }()
+			l, left := c.gnetConn.EventLoop(), 0
+			require.Eventually(t, func() bool {
+				written := make(chan bool, 1)
+				_ = l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+					left = c.gnetConn.OutboundBuffered()
+					written <- c.awaitingReply
+					return nil
+				}))
+				return <-written
+			}, 10*time.Second, time.Millisecond)
+
+			held, release := make(chan struct{}), make(chan struct{})
+			require.NoError(t, l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+				close(held)
+				<-release
+				k.end(l, c, giveUp)
+				return nil
+			})))
+			<-held
+			if left > 0 { // the host takes what lies in the kernel while the loop stands still: the rest could be written now
+				close(s.read)
+				require.Eventually(t, func() bool {
+					return s.size.Load() > 0 && s.received.Load() == s.size.Load()-int64(left)
+				}, 10*time.Second, time.Millisecond)
+			}
+			if k.code == dispatch.Cancelled { // before the loop goes on, so that it finds the attempt given up
+				giveUp()
+				require.Equal(t, k.code, (<-replies).Code)
+			}
+			close(release)
+			if k.code != dispatch.Cancelled {
+				require.Equal(t, k.code, (<-replies).Code, "the last byte was never written: it did not run")
+			}
+			r.stop(t, l)() // what ends the attempt was queued before this
+			if left == 0 {
+				close(s.read)
+			}
+			select {
+			case <-s.ended:
+			case <-time.After(10 * time.Second):
+				t.Fatal("the connection stays")
+			}
+			require.False(t, s.isWhole(), "the host got %d of %d bytes", s.received.Load(), s.size.Load())
+		})
+	}
+}
