Pool: what is left of an ended attempt never reaches its host

Cause and class: bytes of an attempt that has ended are still on this side, in gnet's buffer or in the kernel's queue, and go out later. gnet flushes its buffer after Closed has reported that nothing ran (a second copy of a donate); a half-close stands behind what the kernel still holds (a request runs after its client has gone, at a host that hung or was cut off). Change: a connection to a host that closes over unconfirmed bytes ends its sending, so that gnet's flush fails, and resets, so that the kernel drops its queue; one that is given up over unsent bytes is closed at once in place of being half-closed and listened to. Both backends of PostgreSQL's wire do so. A request whose last byte the kernel has not taken after 120 ms ends as one that never ran: its deadline, its client and the age of its host's data were asked for its first byte. TestARequestThatIsNotWrittenInTimeNeverRan is new. Not covered: Flight SQL (one connection carries all requests), a session's connection that is paused as it closes.

--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -67,6 +67,10 @@
 // tells 100 ms after it was written, also where the pooler gave it up meanwhile.
 const lateAnswerWindow = 100 * time.Millisecond
 
+// maxWriteTime is how long a request may take from its first byte to its last, less than the 150 ms by which a host may be told
+// of more time than its client has left.
+const maxWriteTime = 120 * time.Millisecond
+
 // host is a db host at one address: another address is another host.
 type host struct {
 	address       string
--- a/internal/net/pg/pool_conn.go
+++ b/internal/net/pg/pool_conn.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -134,6 +133,7 @@
 	}
 	c.closed = true
 	c.mu.Unlock()
+	discardUnconfirmed(g) // else what counts as never written is written now
 	if err == nil {
 		err = errClosed
 	}
@@ -216,7 +216,8 @@
 		p.mu.Lock()
 		full := p.openConns >= p.limits.Connections // its place is wanted
 		p.mu.Unlock()
-		if full || !c.awaitingReply || c.onLateReply == nil || c.gnetConn.OutboundBuffered() > 0 || syscall.Shutdown(c.gnetConn.Fd(), syscall.SHUT_WR) != nil {
+		// Where the host has not got all of the request, no answer to it can be on its way.
+		if full || !c.awaitingReply || c.onLateReply == nil || unsentBytes(c.gnetConn) > 0 || shutdownWrite(c.gnetConn) != nil {
 			return l.Close(c.gnetConn)
 		}
 		time.AfterFunc(p.lateAnswerWindow, c.close)
@@ -259,6 +260,24 @@
 	c.mu.Lock()
 	c.requestWritten = !c.closed // what is left of it lies in the ring buffer, which Closed looks at
 	c.mu.Unlock()
+	if c.gnetConn.OutboundBuffered() > 0 {
+		time.AfterFunc(maxWriteTime, func() { c.endUnwritten(due) })
+	}
+}
+
+// endUnwritten ends an attempt whose request the kernel has not taken whole in time: what was true of its deadline, its client
+// and the age of its host's data when it was begun may not be when its last byte goes out. Nothing ran.
+func (c *conn) endUnwritten(due chan exchangeResult) {
+	l := c.gnetConn.EventLoop()
+	_ = l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		c.mu.Lock()
+		isDue := c.pending == due && !c.closed
+		c.mu.Unlock()
+		if !isDue || c.gnetConn.OutboundBuffered() == 0 {
+			return nil
+		}
+		return l.Close(c.gnetConn) // Closed reports that the last byte was not written
+	}))
 }
 
 // release gives the connection back.
--- a/internal/net/pg/server_conn.go
+++ b/internal/net/pg/server_conn.go
@@ -149,10 +149,13 @@
 }
 
 // Closed is called on the loop.
-func (s *serverConn) Closed(_ gnet.Conn, err error) {
+func (s *serverConn) Closed(g gnet.Conn, err error) {
 	if !s.wire.ConfirmClosed() {
 		return
 	}
+	if g != nil {
+		discardUnconfirmed(g) // its session has gone, or learns that the connection was lost
+	}
 	started := !s.connecting || s.closed
 	s.unregister()
 	delete(s.front.backpressure.paused, &s.wire)
--- a/internal/net/pg/unsent_test.go
+++ b/internal/net/pg/unsent_test.go
@@ -122,3 +122,22 @@
 		})
 	}
 }
+
+// A host takes a part of a request and no more. The attempt ends in time, as one that never ran, and stays a part.
+func TestARequestThatIsNotWrittenInTimeNeverRan(t *testing.T) {
+	s := &slowReader{read: make(chan struct{}), ended: make(chan struct{})}
+	r := start(t, s.serve)
+	r.SetLimits(PoolLimits{Connections: 4, ConnectTimeout: 20 * time.Second, IdleTimeout: 15 * time.Second})
+	c := r.acquired(t)
+	_ = (<-r.conns).(*net.TCPConn).SetReadBuffer(16 << 10)
+	require.NoError(t, c.gnetConn.SetWriteBuffer(16<<10))
+	statement, err := sqlcomment.Parse(plain + " -- " + strings.Repeat("x", 150<<10))
+	require.NoError(t, err)
+	begun := time.Now()
+	reply := c.Exchange(context.Background(), &statement, open)
+	require.Equal(t, dispatch.NoConnection, reply.Code)
+	require.Greater(t, time.Since(begun), maxWriteTime-time.Millisecond)
+	close(s.read)
+	<-s.ended
+	require.False(t, s.isWhole(), "the host got %d of %d bytes", s.received.Load(), s.size.Load())
+}
