--- a/cmd/ashstand/commands.go
+++ b/cmd/ashstand/commands.go
@@ -100,6 +100,7 @@
 	}
 	var sessions pg.SessionStats
 	var hosts []hostView
+	var stats statsView
 	var captureOut string
 	play := &cobra.Command{
 		Use: "replay CAPTURE", Short: "bring the queries of a capture file to the db hosts, at the pace at which they were sent",
@@ -127,6 +128,10 @@
 			Use: "sessions", Short: "show the sessions that the pooler carries, and what became of lost ones", Args: cobra.NoArgs,
 			RunE: view("sessions", &sessions, func(w *bufio.Writer) { sessionTable(w, &sessions) }),
 		}),
+		ask(&cobra.Command{
+			Use: "stats", Short: "show what the pooler counts: closes, rejections and retries by reason, and rules that did not hold", Args: cobra.NoArgs,
+			RunE: view("stats", &stats, func(w *bufio.Writer) { statsTable(w, &stats) }),
+		}),
 		play,
 		stateCommands(),
 		clusterCommands(ask, view, address),
@@ -278,6 +283,7 @@
 			slices.SortFunc(out, func(a, b hostView) int { return strings.Compare(a.Name, b.Name) })
 			return out
 		},
+		"stats": func() any { return n.statsView() },
 		"state": func() any {
 			if n.keeper == nil {
 				return keeperView{}
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -21,6 +21,7 @@
 	"ashstand/internal/cluster/membership"
 	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
+	"ashstand/internal/lifecycle"
 	"ashstand/internal/net/discovery"
 	"ashstand/internal/net/flight"
 	"ashstand/internal/net/loop"
@@ -215,6 +216,7 @@
 		n.core.Observe(n.costs)
 	}
 	n.core.SetLimits(b.core)
+	n.core.Metrics().AddGauge("requests_open", "Requests that have begun and have no answer yet.", func() float64 { return float64(n.core.OpenRequests()) })
 	n.front = pg.NewFront(n.core, b.front)
 	n.engine.Exhaustion = loop.ExhaustionPolicy{EvictClient: n.front.EvictClient, Reject: n.front.Reject}
 	if err := n.engine.Start(cfg.Listen, n.front.Accept); err != nil {
@@ -302,6 +304,7 @@
 
 // drain closes client connections between requests and waits for the answers that are due.
 func (n *node) drain() {
+	n.core.Advance(lifecycle.DrainStarted)
 	n.front.Drain()
 	if n.pooled != nil {
 		n.pooled.Drain()
@@ -326,6 +329,7 @@
 	case <-time.After(serveRest - lastWords):
 		log.Printf("drained: time is up; what is open gets an error")
 	}
+	n.core.Advance(lifecycle.CutStarted)
 	n.front.Cut()
 	if n.pooled != nil {
 		n.pooled.Cut()
@@ -338,6 +342,7 @@
 	}
 	n.others.stop()
 	time.Sleep(lastWords / 3) // the loop writes what is still to be said
+	n.core.Advance(lifecycle.ProcessExiting)
 }
 
 func (n *node) stop() {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -108,6 +108,25 @@
 	return d.router.IsActive(host)
 }
 
+// InactiveSince returns since when a host takes nothing new, in milliseconds; 0 for one that does, or that is not known.
+func (d *Dispatcher) InactiveSince(host string) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, _ := d.router.InactiveSince(host)
+	return clock.Millis(at)
+}
+
+// Class returns the class of a name; ok is false for one that the settings do not name.
+func (d *Dispatcher) Class(name string) (class routing.Class, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	i, ok := d.settings.Classes[name]
+	if !ok {
+		return routing.Class{}, false
+	}
+	return d.settings.Settings.Classes[i], true
+}
+
 // ProbeDone gives the outcome of a probe.
 func (d *Dispatcher) ProbeDone(host string, o Outcome) {
 	d.mu.Lock()
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -18,8 +18,9 @@
 // Reply is the result of one exchange with a host. With the code OK it holds an answer.
 type Reply struct {
 	dispatch.Outcome
-	Answer Answer
-	Detail string // for the client, where the request fails
+	Answer    Answer
+	Detail    string  // for the client, where the request fails
+	WrittenAt float64 // when the last byte of the request was handed to the kernel, in Unix milliseconds; 0: it was not, or is not known
 }
 
 // NotSent is the reply where the gate did not open.
--- /dev/null
+++ b/internal/edge/check_test.go
@@ -0,0 +1,189 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/clock"
+	"ashstand/internal/dispatch"
+	"ashstand/internal/lifecycle"
+	"ashstand/internal/metrics"
+	"ashstand/internal/settings"
+	"ashstand/internal/sqlcomment"
+	"ashstand/routing"
+)
+
+// lying is a backend that does not keep the rules: it does something around its write, and says when it wrote.
+type lying struct {
+	*taking
+	around   func() // between the gate and the write
+	outcomes []dispatch.Outcome
+	position float64
+	ignore   bool // the gate's answer
+}
+
+func (b *lying) Acquire(context.Context, string) (Conn, error) { return b, nil }
+
+func (b *lying) Exchange(_ context.Context, _ *sqlcomment.Statement, gate Gate) Reply {
+	if _, ok := gate(); !ok && !b.ignore {
+		return NotSent()
+	}
+	if b.around != nil {
+		b.around()
+	}
+	o := b.outcomes[0]
+	if len(b.outcomes) > 1 {
+		b.outcomes = b.outcomes[1:]
+	}
+	return Reply{Outcome: o, Answer: Answer{Value: []byte("v"), Position: b.position}, WrittenAt: b.clock.Now()}
+}
+
+// checked is a core with one class of each kind and a backend that does not keep the rules.
+func checked(t *testing.T, statement string) (e *Edge, b *lying, s *sqlcomment.Statement, manual *clock.Manual) {
+	manual = clock.NewManual(1e12)
+	class := func(name string, access routing.Access, idempotency routing.Idempotency) routing.Class {
+		return routing.Class{
+			Name: name, Access: access, Idempotency: idempotency, StalenessBound: 200 * time.Millisecond, DedupWindow: 300 * time.Millisecond,
+			LatencyObjective: time.Second, Deadline: time.Second, PriorityWeight: 1, LateFraction: 1,
+		}
+	}
+	site := &settings.Parsed{
+		Settings: routing.Settings{
+			RouterCount: 1, MaxAttempts: 8, ListNamesPrimary: true, MinTickInterval: 5 * time.Millisecond,
+			Classes: []routing.Class{
+				class("any", routing.EventualRead, routing.Idempotent), class("bounded", routing.BoundedRead, routing.Idempotent),
+				class("session", routing.SessionRead, routing.Idempotent), class("once", routing.Write, routing.AtMostOnce),
+				class("keyed", routing.Write, routing.Deduplicated),
+			},
+		},
+		Classes: map[string]int{"any": 0, "bounded": 1, "session": 2, "once": 3, "keyed": 4},
+	}
+	d, err := dispatch.New(site, 1, manual, nil, nil)
+	require.NoError(t, err)
+	d.UpdateEndpoints(true, []dispatch.Endpoint{{Host: "p", Group: 1, Primary: true}, {Host: "a", Group: 1}})
+	parsed, err := sqlcomment.Parse(statement)
+	require.NoError(t, err)
+	b = &lying{taking: &taking{clock: manual}, outcomes: []dispatch.Outcome{{Code: dispatch.OK, Role: dispatch.Primary}}}
+	return New(d, manual, b), b, &parsed, manual
+}
+
+func violations(t *testing.T, e *Edge) map[string]int {
+	figures, err := e.Metrics().Snapshot()
+	require.NoError(t, err)
+	return metrics.Violations(figures)
+}
+
+const anyRead = "/* id=1,c=any,d=900,cluster=1 */ SELECT 1"
+
+// A backend that keeps the rules breaks none.
+func TestNoRuleIsBrokenOtherwise(t *testing.T) {
+	e, _, s, _ := checked(t, anyRead)
+	require.Equal(t, Served, e.Do(context.Background(), s, e.Now()).Verdict)
+	require.Empty(t, violations(t, e))
+}
+
+// Each rule is broken once, and its own counter alone shows it.
+func TestEachBrokenRuleIsCounted(t *testing.T) {
+	type setup struct {
+		e      *Edge
+		b      *lying
+		clock  *clock.Manual
+		cancel context.CancelCauseFunc
+	}
+	for _, k := range []struct {
+		rule      lifecycle.Rule
+		statement string
+		prepare   func(s *setup)
+	}{
+		{lifecycle.AttemptAfterClientGone, anyRead, func(s *setup) {
+			s.b.around = func() {
+				s.cancel(&DisconnectedError{AtMillis: s.clock.Now()})
+				s.clock.Advance(lifecycle.GoneGraceMillis + 1)
+			}
+		}},
+		{lifecycle.AttemptAfterCut, anyRead, func(s *setup) {
+			s.e.Advance(lifecycle.CutStarted)
+			s.clock.Advance(lifecycle.StallGraceMillis + 1)
+			s.b.ignore = true
+		}},
+		{lifecycle.AttemptToDraining, anyRead, func(s *setup) {
+			s.b.around = func() {
+				s.e.dispatcher.UpdateEndpoints(false, []dispatch.Endpoint{{Host: "a", Group: 1, Draining: true}, {Host: "p", Group: 1, Draining: true}})
+				s.clock.Advance(lifecycle.StallGraceMillis + 1)
+			}
+		}},
+		{lifecycle.DeadlineExceeded, anyRead, func(s *setup) {
+			s.b.around = func() { s.clock.Advance(lifecycle.StallGraceMillis + 10) }
+		}},
+		{lifecycle.StaleRead, "/* id=1,c=session,d=900,cluster=1,after=1000000000000 */ SELECT 1", func(s *setup) {
+			s.b.outcomes = []dispatch.Outcome{{Code: dispatch.OK, Role: dispatch.Replica}} // without the position beside it
+			s.b.position = 1e12 - 3
+		}},
+	} {
+		t.Run(k.rule.String(), func(t *testing.T) {
+			e, b, s, manual := checked(t, k.statement)
+			ctx, cancel := context.WithCancelCause(context.Background())
+			defer cancel(nil)
+			k.prepare(&setup{e, b, manual, cancel})
+			e.Do(ctx, s, e.Now())
+			require.Equal(t, map[string]int{k.rule.String(): 1}, violations(t, e))
+		})
+	}
+}
+
+// Repeats that must not be: routing makes none, so they are given to the check as if it had.
+func TestForbiddenRepeatsAreCounted(t *testing.T) {
+	for _, k := range []struct {
+		rule      lifecycle.Rule
+		statement string
+		pause     float64
+	}{
+		{lifecycle.RetryNotIdempotent, "/* id=1,c=once,d=900,cluster=1 */ INSERT", 0},
+		{lifecycle.RetryOutsideWindow, "/* id=1,c=keyed,d=900,cluster=1,k=5 */ INSERT", 300 + lifecycle.StallGraceMillis + 1},
+	} {
+		e, _, s, manual := checked(t, k.statement)
+		h := attemptHistory{edge: e, statement: s}
+		a := &attempt{edge: e, statement: s, client: context.Background()}
+		h.add(a, &Reply{Outcome: dispatch.Outcome{Code: dispatch.Misdirected}, WrittenAt: manual.Now()})
+		h.add(a, &Reply{Outcome: dispatch.Outcome{Code: dispatch.ConnectionLost}, WrittenAt: manual.Now()})
+		require.Empty(t, violations(t, e), "nothing ran before it")
+		h.add(a, &Reply{Outcome: dispatch.Outcome{Code: dispatch.NotSent}})
+		require.Empty(t, violations(t, e), "it was not written")
+		manual.Advance(k.pause)
+		h.add(a, &Reply{Outcome: dispatch.Outcome{Code: dispatch.OK}, WrittenAt: manual.Now()})
+		require.Equal(t, map[string]int{k.rule.String(): 1}, violations(t, e))
+	}
+}
+
+// A request that begins while no list is held.
+func TestStartedUnreadyIsCounted(t *testing.T) {
+	d, err := dispatch.New(&settings.Parsed{Settings: routing.Settings{RouterCount: 1, MaxAttempts: 1, Classes: []routing.Class{{Name: "any", LatencyObjective: time.Second, Deadline: time.Second, PriorityWeight: 1}}}, Classes: map[string]int{"any": 0}}, 1, clock.NewManual(1e12), nil, nil)
+	require.NoError(t, err)
+	e := New(d, clock.NewManual(1e12), nil)
+	s, err := sqlcomment.Parse(anyRead)
+	require.NoError(t, err)
+	require.Equal(t, lifecycle.Starting, e.Phase())
+	require.Nil(t, e.Begin(&s))
+	require.Equal(t, map[string]int{"started_unready": 1}, violations(t, e))
+	d.UpdateEndpoints(true, []dispatch.Endpoint{{Host: "p", Group: 1}})
+	require.Equal(t, lifecycle.Ready, e.Phase())
+}
+
+// At the end a request whose attempt fails is rejected if nothing ran, else it fails; no further attempt is made.
+func TestNoAttemptFollowsTheCut(t *testing.T) {
+	for code, want := range map[dispatch.Code]Verdict{dispatch.NoConnection: Rejected, dispatch.ConnectionLost: Failed, dispatch.ServerError: Failed} {
+		e, b, s, _ := checked(t, anyRead)
+		b.outcomes = []dispatch.Outcome{{Code: code}}
+		written := 0
+		b.around = func() {
+			written++
+			e.Advance(lifecycle.CutStarted)
+		}
+		require.Equal(t, want, e.Do(context.Background(), s, e.Now()).Verdict, code.String())
+		require.Equal(t, 1, written)
+		require.Empty(t, violations(t, e))
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,13 +8,13 @@
 
 import (
 	"context"
-	"errors"
-	"math"
 	"sync"
 	"sync/atomic"
 
 	"ashstand/internal/clock"
 	"ashstand/internal/dispatch"
+	"ashstand/internal/lifecycle"
+	"ashstand/internal/metrics"
 	"ashstand/internal/sqlcomment"
 )
 
@@ -24,6 +24,9 @@
 	clock      clock.Clock
 	backend    Backend
 	observer   Observer // nil: attempts are not observed
+	metrics    *metrics.Metrics
+	phase      atomic.Uint32 // lifecycle.Phase
+	cutAt      atomicMillis  // when the phase became lifecycle.Cutting; 0: it did not
 
 	mu             sync.Mutex // guards what follows
 	limits         Limits
@@ -42,7 +45,49 @@
 
 // New returns a core that asks dispatcher for decisions and sends over backend.
 func New(dispatcher *dispatch.Dispatcher, c clock.Clock, backend Backend) *Edge {
-	return &Edge{dispatcher: dispatcher, clock: c, backend: backend, openIDs: map[string]struct{}{}, drained: make(chan struct{})}
+	return &Edge{
+		dispatcher: dispatcher, clock: c, backend: backend, metrics: metrics.New(), openIDs: map[string]struct{}{}, drained: make(chan struct{}),
+	}
+}
+
+// SetMetrics sets the registry that counts what happens to requests. It must be called before the first request.
+func (e *Edge) SetMetrics(m *metrics.Metrics) { e.metrics = m }
+
+// Metrics returns the registry, in which fronts count what they do.
+func (e *Edge) Metrics() *metrics.Metrics { return e.metrics }
+
+// Phase returns what the process does with requests now.
+func (e *Edge) Phase() lifecycle.Phase {
+	phase := lifecycle.Phase(e.phase.Load())
+	if phase == lifecycle.Starting && e.dispatcher.Ready() {
+		return e.Advance(lifecycle.ListReceived)
+	}
+	return phase
+}
+
+// Advance takes an event of the process's life, and returns the phase behind it.
+func (e *Edge) Advance(event lifecycle.PhaseEvent) lifecycle.Phase {
+	for {
+		from := lifecycle.Phase(e.phase.Load())
+		to := from.Next(event)
+		if to == from {
+			return to
+		}
+		if to == lifecycle.Cutting {
+			e.cutAt.store(e.clock.Now())
+		}
+		if e.phase.CompareAndSwap(uint32(from), uint32(to)) {
+			e.metrics.Transition(from, to)
+			return to
+		}
+	}
+}
+
+// OpenRequests returns how many requests have begun and have no answer yet.
+func (e *Edge) OpenRequests() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.openRequests
 }
 
 // SetLimits sets the limits for requests that begin from now on.
@@ -80,9 +125,13 @@
 // Begin counts a request as open, from the moment at which it was read until End is called because its answer is out. If the
 // limits leave no memory for its statement, Begin returns the final answer instead, and End must not be called.
 func (e *Edge) Begin(s *sqlcomment.Statement) (rejected *Result) {
+	if !e.Ready() {
+		e.metrics.Violation(lifecycle.StartedUnready, "request", s.ID)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.limits.StatementBytes > 0 && e.statementBytes+len(s.Text) > e.limits.StatementBytes {
+		e.metrics.Rejected(metrics.RejectStatementMemory)
 		return &Result{
 			Verdict: Rejected, RetryAfterMillis: e.limits.RetryAfterMillis,
 			Detail: "the statements under way leave no memory for one more",
@@ -139,101 +188,5 @@
 	}
 	defer context.AfterFunc(ctx, call.Abandon)()
 	s.IsWrite = e.dispatcher.IsWrite(s.Class)
-	return e.attemptUntilFinal(ctx, call, s)
-}
-
-// attemptUntilFinal makes the attempts that dispatch chooses until one is served or dispatch ends the request.
-func (e *Edge) attemptUntilFinal(ctx context.Context, call *dispatch.Call, s *sqlcomment.Statement) Result {
-	failure := Result{Verdict: TimedOut, Detail: "no host answered in time"}
-	for {
-		decision := call.Pick()
-		switch decision.Verdict {
-		case dispatch.Reject:
-			return Result{Verdict: Rejected, RetryAfterMillis: decision.RetryAfter, Detail: "no host can serve this now"}
-		case dispatch.Fail:
-			return failure
-		case dispatch.ClientGone:
-			return Result{Verdict: Disconnected}
-		}
-		reply := e.attempt(ctx, call, decision, s)
-		if ctx.Err() != nil { // before the report, which would choose a further attempt for nobody
-			call.Abandon()
-		}
-		if call.Report(reply.Outcome) == dispatch.OK {
-			return Result{Verdict: Served, Answer: reply.Answer}
-		}
-		failure.record(&reply)
-	}
-}
-
-// record notes why an attempt failed, for the final answer.
-func (r *Result) record(reply *Reply) {
-	r.Verdict = Failed
-	if reply.Code == dispatch.NoAnswer {
-		r.Verdict = TimedOut
-	}
-	switch {
-	case reply.Code == dispatch.OK: // dispatch did not accept the answer
-		r.Detail = "the host's data was older than the class permits"
-	case reply.Detail != "":
-		r.Detail = reply.Detail
-	}
-}
-
-// attempt sends a request to a host, unless its time has run out once a connection is open, and notifies the observer.
-func (e *Edge) attempt(ctx context.Context, call *dispatch.Call, decision dispatch.Decision, s *sqlcomment.Statement) Reply {
-	if e.observer == nil {
-		return e.exchange(ctx, call, decision, s, nil)
-	}
-	attempt := Attempt{Statement: s, Host: decision.Host, ConcurrentAttempts: e.observer.AttemptStarted(decision.Host)}
-	startedAt, written := e.clock.Now(), new(atomic.Uint64)
-	reply := e.exchange(ctx, call, decision, s, written)
-	attempt.FinishedAtMillis, attempt.Outcome, attempt.ResponseBytes = e.clock.Now(), reply.Outcome, len(reply.Answer.Value)
-	attempt.AcquireMillis = attempt.FinishedAtMillis - startedAt
-	if writtenAt := math.Float64frombits(written.Load()); writtenAt > 0 {
-		attempt.AcquireMillis, attempt.ExecuteMillis = writtenAt-startedAt, attempt.FinishedAtMillis-writtenAt
-	}
-	e.observer.AttemptFinished(attempt)
-	return reply
-}
-
-// exchange acquires a connection and exchanges the request over it. written, unless nil, becomes the bits of the time of the
-// last write; it is atomic since a backend may call its gate on another goroutine.
-func (e *Edge) exchange(ctx context.Context, call *dispatch.Call, decision dispatch.Decision, s *sqlcomment.Statement, written *atomic.Uint64) Reply {
-	left := decision.Deadline - e.clock.Now()
-	if left <= 0 || ctx.Err() != nil {
-		return NotSent()
-	}
-	client := ctx
-	ctx, cancel := context.WithTimeout(ctx, clock.Duration(left))
-	defer cancel()
-	conn, err := e.backend.Acquire(ctx, decision.Host)
-	if err != nil {
-		return acquireFailed(ctx, err)
-	}
-	return conn.Exchange(ctx, s, func() (float64, bool) {
-		// The age of a host's data and its draining count at the write: what held when the host was chosen may not hold
-		// after a dial.
-		now := e.clock.Now()
-		if written != nil {
-			written.Store(math.Float64bits(now))
-		}
-		left := decision.Deadline - now
-		// The client's context ends before dispatch is notified of it, which takes a goroutine's turn.
-		return left, left > 0 && client.Err() == nil && call.Revalidate()
-	})
-}
-
-// acquireFailed is the reply where no connection was acquired.
-func acquireFailed(ctx context.Context, err error) Reply {
-	switch {
-	case errors.Is(err, ErrHostRejected), errors.Is(err, ErrPoolExhausted):
-		return Reply{Outcome: dispatch.Outcome{Code: dispatch.Rejected}, Detail: err.Error()}
-	case errors.Is(err, ErrUnlisted):
-		return NotSent()
-	case ctx.Err() != nil: // the client disconnected or the attempt timed out: no evidence against the host
-		return NotSent()
-	default:
-		return Reply{Outcome: dispatch.Outcome{Code: dispatch.NoConnection}, Detail: err.Error()}
-	}
+	return e.attemptUntilFinal(ctx, call, s, arrived+s.TimeoutMillis)
 }
--- /dev/null
+++ b/internal/lifecycle/lifecycle_test.go
@@ -0,0 +1,109 @@
+package lifecycle
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Each phase and event: a phase is never left for an earlier one, whatever comes in whatever order.
+func TestPhasesOnlyGoForward(t *testing.T) {
+	events := []PhaseEvent{ListReceived, DrainStarted, CutStarted, ProcessExiting}
+	want := map[Phase][4]Phase{
+		Starting: {Ready, Draining, Cutting, Ended},
+		Ready:    {Ready, Draining, Cutting, Ended},
+		Draining: {Draining, Draining, Cutting, Ended},
+		Cutting:  {Cutting, Cutting, Cutting, Ended},
+		Ended:    {Ended, Ended, Ended, Ended},
+	}
+	for phase, row := range want {
+		for i, e := range events {
+			require.Equal(t, row[i], phase.Next(e), "%s, event %d", phase, e)
+		}
+	}
+}
+
+func TestMayStart(t *testing.T) {
+	for phase, want := range map[Phase]Reason{Starting: NotReady, Ready: Allowed, Draining: Allowed, Cutting: ProcessCutting, Ended: ProcessCutting} {
+		require.Equal(t, want, MayStart(StartFacts{Phase: phase}).Reason, phase.String())
+		require.Equal(t, ClientGone, MayStart(StartFacts{Phase: phase, ClientGone: true}).Reason, phase.String())
+	}
+}
+
+// Each fact alone forbids a send, and each has its own reason.
+func TestMaySend(t *testing.T) {
+	good := SendFacts{Phase: Ready, Now: 1000, Deadline: 1001, Eligible: true}
+	require.True(t, MaySend(good).OK())
+	for reason, change := range map[Reason]func(*SendFacts){
+		ProcessCutting:  func(f *SendFacts) { f.Phase = Cutting },
+		ClientGone:      func(f *SendFacts) { f.ClientGone = true },
+		TimeIsUp:        func(f *SendFacts) { f.Deadline = f.Now },
+		HostNotEligible: func(f *SendFacts) { f.Eligible = false },
+	} {
+		f := good
+		change(&f)
+		require.Equal(t, reason, MaySend(f).Reason)
+	}
+}
+
+func TestMayRetry(t *testing.T) {
+	require.True(t, MayRetry(RetryFacts{Phase: Draining}).OK())
+	require.Equal(t, ClientGone, MayRetry(RetryFacts{Phase: Ready, ClientGone: true}).Reason)
+	require.Equal(t, ProcessCutting, MayRetry(RetryFacts{Phase: Cutting, ClientGone: true}).Reason)
+}
+
+func TestMayClose(t *testing.T) {
+	require.True(t, MayClose(CloseFacts{}).OK())
+	for reason, f := range map[Reason]CloseFacts{
+		RequestInFlight:   {RequestInFlight: true, CommandsWait: true},
+		CommandsWait:      {CommandsWait: true, BufferedBytes: 1},
+		PartOfMessageRead: {BufferedBytes: 1, BytesUnread: true},
+		BytesUnsent:       {BytesUnsent: true, BytesUnread: true},
+		BytesUnread:       {BytesUnread: true},
+	} {
+		require.Equal(t, reason, MayClose(f).Reason)
+	}
+}
+
+// Each check of a written attempt: at its bound it holds, past it the rule is broken, and only that one.
+func TestCheckWritten(t *testing.T) {
+	good := Written{At: 10_000, TimeoutMillis: 400, ClientDeadline: 10_400}
+	require.Empty(t, CheckWritten(good))
+	for rule, change := range map[Rule]func(w *Written, past float64){
+		AttemptAfterClientGone: func(w *Written, past float64) { w.ClientGoneAt = w.At - GoneGraceMillis - past },
+		AttemptAfterCut:        func(w *Written, past float64) { w.CutAt = w.At - StallGraceMillis - past },
+		AttemptToDraining:      func(w *Written, past float64) { w.InactiveSince = w.At - StallGraceMillis - past },
+		DeadlineExceeded:       func(w *Written, past float64) { w.TimeoutMillis += StallGraceMillis + past },
+	} {
+		held, broken := good, good
+		change(&held, 0)
+		change(&broken, 1)
+		require.Empty(t, CheckWritten(held), rule.String())
+		require.Equal(t, []Rule{rule}, CheckWritten(broken))
+	}
+}
+
+func TestCheckRepeat(t *testing.T) {
+	require.Empty(t, CheckRepeat(Repeat{At: 1e6, FirstAt: 1}))
+	require.Equal(t, []Rule{RetryNotIdempotent}, CheckRepeat(Repeat{AtMostOnce: true}))
+	window := Repeat{At: 1000 + StallGraceMillis, FirstAt: 500, Deduplicated: true, WindowMillis: 500}
+	require.Empty(t, CheckRepeat(window))
+	window.At++
+	require.Equal(t, []Rule{RetryOutsideWindow}, CheckRepeat(window))
+}
+
+// Counters and logs need a name for each value, and no two may share one.
+func TestNamesAreComplete(t *testing.T) {
+	names := map[string]bool{}
+	for _, r := range Rules() {
+		names["rule "+r.String()] = true
+	}
+	for _, r := range CloseReasons() {
+		names["close "+r.String()] = true
+	}
+	require.Len(t, names, int(ruleCount)+int(closeReasonCount))
+	require.NotContains(t, names, "rule ")
+	require.NotContains(t, names, "close ")
+	require.Len(t, reasonNames, int(BytesUnsent)+1)
+	require.Len(t, phaseNames, int(Ended)+1)
+}
--- a/internal/net/pg/flood_test.go
+++ b/internal/net/pg/flood_test.go
@@ -213,7 +213,7 @@
 			ended <- struct{}{}
 		})
 		reply := r.exchange(t, open)
-		require.Equal(t, edge.Reply{Outcome: dispatch.Outcome{Code: k.code}, Detail: reply.Detail}, reply, k.name)
+		require.Equal(t, edge.Reply{Outcome: dispatch.Outcome{Code: k.code}, Detail: reply.Detail, WrittenAt: 1e12}, reply, k.name)
 		select {
 		case <-ended:
 		case <-time.After(20 * time.Second):
@@ -256,7 +256,7 @@
 			require.Eventually(t, func() bool { return r.held(t) > 0 }, 20*time.Second, time.Millisecond) // half of it is here
 			giveUp()
 			reply := <-replies
-			require.Equal(t, edge.Reply{Outcome: dispatch.Outcome{Code: want}, Detail: reply.Detail}, reply)
+			require.Equal(t, edge.Reply{Outcome: dispatch.Outcome{Code: want}, Detail: reply.Detail, WrittenAt: 1e12}, reply)
 			close(speak)
 			<-spoken
 		}
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -10,6 +10,8 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"ashstand/internal/edge"
+	"ashstand/internal/lifecycle"
+	"ashstand/internal/metrics"
 	"ashstand/internal/net/loop"
 )
 
@@ -84,19 +86,21 @@
 	room := len(f.clients) < served
 	if !room && len(f.clients) >= f.limits.Load().Clients {
 		f.clientLimitLog.Printf("front: %d client connections are open, one more is closed", len(f.clients))
-		return nil, nil, gnet.Close
+		return nil, nil, f.rejectConnection()
 	}
-	h.ctx, h.disconnect = context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
+	h.ctx, h.disconnect = ctx, func() { cancel(&edge.DisconnectedError{AtMillis: f.edge.Now()}) }
 	h.cancelRequest = func() {} // until it has a request
 	f.clients[h] = c
 	if f.terminating.Load() {
-		return h, nil, h.closeWithError(c, sqlStateCannotConnectNow, "the pooler restarts", "")
+		return h, nil, h.closeWithError(c, lifecycle.ClosedCutting, sqlStateCannotConnectNow, textRestarting, "")
 	}
 	if room {
 		return h, nil, gnet.None
 	}
 	f.clientLimitLog.Printf("front: %d client connections are open and in use, one more is sent away", len(f.clients))
-	return h, nil, h.closeWithError(c, sqlStateTooManyConnections, "too many connections", f.retryAfter())
+	f.edge.Metrics().Rejected(metrics.RejectTableFull)
+	return h, nil, h.closeWithError(c, lifecycle.ClosedTableFull, sqlStateTooManyConnections, "too many connections", f.retryAfter())
 }
 
 func (f *Front) retryAfter() string {
@@ -134,8 +138,7 @@
 	if least == nil {
 		return false
 	}
-	c := f.clients[least]
-	_ = c.EventLoop().Close(c)
+	least.close(f.clients[least], lifecycle.ClosedIdle)
 	return true
 }
 
@@ -170,21 +173,18 @@
 	f.forEachClient(func(h *client, c gnet.Conn) {
 		idle := now - h.lastActive
 		switch {
-		case f.draining.Load() && h.hasRequested && !h.closingWithError && h.isBetweenRequests(c):
-			_ = c.EventLoop().Close(c)
+		case f.draining.Load() && h.hasRequested && !h.closingWithError && h.closeIfIdle(c, lifecycle.ClosedDraining):
 		case h.hasRequested && len(f.clients) > many && !h.isBusy(c) &&
 			(idle >= maxIdleUnderPressureMillis || h.requestCount == 1 && idle >= maxIdleUsedOnceMillis):
-			if !hasUnreadBytes(c) {
-				_ = c.EventLoop().Close(c)
-			}
+			h.closeIfIdle(c, lifecycle.ClosedIdle)
 		case h.closingWithError:
 			if now-h.lastActive > maxLingerMillis {
-				_ = c.EventLoop().Close(c)
+				h.close(c, h.closeReason)
 			}
 		case h.isBlocked():
 		case !h.hasRequested && now-h.lastActive > maxSilentMillis, h.partialSince > 0 && now-h.partialSince > maxSilentMillis:
-			if !hasUnreadBytes(c) && h.closeWithError(c, sqlStateProtocolViolation, "no whole message came in time", "") == gnet.Close {
-				_ = c.EventLoop().Close(c)
+			if !hasUnreadBytes(c) {
+				h.finishAction(c, h.closeWithError(c, lifecycle.ClosedSilent, sqlStateProtocolViolation, "no whole message came in time", ""))
 			}
 		}
 	})
@@ -202,6 +202,7 @@
 			}
 		}
 		if most.unreadBytes == 0 {
+			f.edge.Metrics().Violation(lifecycle.BoundExceeded, "bytes", f.unreadBytes, "limit", limit)
 			return action
 		}
 		c := f.clients[most]
@@ -212,8 +213,8 @@
 		}
 		if ended := most.endOverloaded(c); most == speaker {
 			action = ended
-		} else if ended == gnet.Close {
-			_ = c.EventLoop().Close(c)
+		} else {
+			most.finishAction(c, ended)
 		}
 	}
 	return action
--- a/internal/net/pg/front_client.go
+++ b/internal/net/pg/front_client.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
-	"syscall"
 
 	"github.com/panjf2000/gnet/v2"
+
+	"ashstand/internal/lifecycle"
+	"ashstand/internal/metrics"
+	"ashstand/internal/sqlcomment"
 )
 
 // client is one connection. A request at a time is under way; what is sent ahead of its answer waits in a queue, so answers
@@ -22,13 +25,15 @@
 	awaitingFlush    bool // no command is taken before the client has read what was answered
 	hasTerminated    bool // it sent Terminate, and closes its connection
 	closingWithError bool // it was told to go: what it still sends is not read
+	closeReason      lifecycle.CloseReason
+	hasCloseReason   bool
 	invalidRequests  int
 	unreadBytes      int
 	lingeredBytes    int
 	batching         bool // answers wait in out, to go together
 	batch            []byte
-	ctx              context.Context // ends when the client goes away
-	disconnect       context.CancelFunc
+	ctx              context.Context    // ends when the client goes away
+	disconnect       func()             // ends ctx, with when the client's end was read
 	cancelKey        uint64             // for cancel requests; 0: none was given out
 	cancelRequest    context.CancelFunc // ends the request under way alone
 }
@@ -36,22 +41,15 @@
 // Traffic is called on the loop.
 func (h *client) Traffic(c gnet.Conn) gnet.Action {
 	if h.closingWithError {
-		if !h.parser.started { // who found no room may still cancel what is under way elsewhere
-			h.handleLateCancel(c)
-		}
-		h.lingeredBytes += c.InboundBuffered()
-		if _, _ = c.Discard(-1); h.lingeredBytes > maxLingerBytes {
-			return gnet.Close
-		}
-		return gnet.None
+		return h.linger(c)
 	}
 	return h.advance(c)
 }
 
 // resume goes on with what the client sent, from outside of its own Traffic.
 func (h *client) resume(c gnet.Conn) {
-	if !h.closingWithError && h.advance(c) == gnet.Close {
-		_ = c.EventLoop().Close(c)
+	if !h.closingWithError {
+		h.finishAction(c, h.advance(c))
 	}
 }
 
@@ -59,21 +57,21 @@
 func (h *client) advance(c gnet.Conn) gnet.Action {
 	used, err := h.enqueue(c)
 	if err != nil {
-		return gnet.Close
+		return h.closing(lifecycle.ClosedEngineFailure)
 	}
-	if action := h.handleQueued(c); action == gnet.Close || h.ctx.Err() != nil || h.closingWithError {
+	if action := h.handleQueued(c); isClose(action) || h.ctx.Err() != nil || h.closingWithError {
 		return action
 	}
 	if h.hasTerminated { // a client sends that last and closes its connection, so it waits for no answer
-		return gnet.Close
+		return h.closing(lifecycle.ClosedTerminate)
 	}
 	h.notePartial(c, used)
 	h.countUnread(c)
-	if action := h.front.boundUnread(h); action == gnet.Close || h.closingWithError {
+	if action := h.front.boundUnread(h); isClose(action) || h.closingWithError {
 		return action
 	}
-	if h.front.draining.Load() && h.hasRequested && h.isBetweenRequests(c) {
-		return gnet.Close
+	if h.front.draining.Load() && h.hasRequested && h.mayClose(c).OK() {
+		return h.closing(lifecycle.ClosedDraining)
 	}
 	return gnet.None
 }
@@ -94,29 +92,6 @@
 	h.unreadBytes = n
 }
 
-// Closed is called on the loop.
-func (h *client) Closed(gnet.Conn, error) {
-	h.disconnect()
-	delete(h.front.cancelKeys, h.cancelKey)
-	h.front.unreadBytes -= h.unreadBytes
-	h.unreadBytes = 0
-	h.queue = commandQueue{}
-	delete(h.front.clients, h)
-}
-
-// closeWithError tells a client why it has to go and ends our side. The connection stays for a moment, in which what
-// the client still sends is thrown away: closed at once, it would be reset, and a reset can eat the error.
-func (h *client) closeWithError(c gnet.Conn, state, text, detail string) gnet.Action {
-	h.write(c, appendError(nil, severityFatal, state, text, detail))
-	h.flush(c)
-	if c.OutboundBuffered() > 0 || syscall.Shutdown(c.Fd(), syscall.SHUT_WR) != nil {
-		return gnet.Close
-	}
-	h.closingWithError, h.lastActive = true, h.front.edge.Now()
-	_, _ = c.Discard(-1)
-	return gnet.None
-}
-
 // enqueue takes the messages that are complete out of the connection's buffer, and returns how many bytes they had.
 func (h *client) enqueue(c gnet.Conn) (used int, err error) {
 	b, err := c.Peek(c.InboundBuffered())
@@ -200,7 +175,8 @@
 	}
 	action := h.handle(c, &command.Command)
 	if h.invalidRequests > maxInvalidRequests && action == gnet.None && !h.closingWithError {
-		return h.closeWithError(c, sqlStateProtocolViolation, "too many requests that make no sense", "")
+		h.rejectQueued(c)
+		return h.closeWithError(c, lifecycle.ClosedProtocol, sqlStateProtocolViolation, "too many requests that make no sense", "")
 	}
 	return action
 }
@@ -210,9 +186,25 @@
 	h.hasRequested = true
 	h.requestCount++
 	h.lastActive = h.front.edge.Now()
+	h.front.edge.Metrics().Rejected(metrics.RejectReadAhead)
 	h.write(c, appendReady(appendError(nil, severityError, sqlStateTooManyConnections, "too much was sent ahead of its answers", h.front.retryAfter())))
 }
 
+// rejectQueued rejects the requests that wait on a connection that is about to end. Of what is no request nothing is said.
+func (h *client) rejectQueued(c gnet.Conn) {
+	for {
+		command, ok := h.queue.pop()
+		if !ok {
+			return
+		}
+		if command.rejected {
+			h.rejectReadAhead(c)
+		} else if _, err := sqlcomment.Parse(command.Text); command.Kind == Query && err == nil {
+			h.rejectReadAhead(c)
+		}
+	}
+}
+
 // notePartial notes since when a message is not complete; used bytes of others were taken.
 func (h *client) notePartial(c gnet.Conn, used int) {
 	switch {
@@ -260,17 +252,18 @@
 		h.invalidRequests++
 		h.write(c, appendReady(appendError(nil, severityError, sqlStateFeatureNotSupported, "simple queries only", "")))
 	case Query:
-		if hasEnded(c) { // it came with its client's end: nobody waits for it
-			return gnet.Close
+		may := lifecycle.MayStart(lifecycle.StartFacts{Phase: h.front.edge.Phase(), ClientGone: hasEnded(c)})
+		if may.Reason == lifecycle.ClientGone { // it came with its client's end: nobody waits for it
+			return h.closing(lifecycle.ClosedByClient)
 		}
-		h.handleQuery(c, command.Text)
+		h.handleQuery(c, command.Text, may)
 	case Cancel:
 		h.front.cancel(command.Key)
-		return gnet.Close
+		return h.closing(lifecycle.ClosedCancelRequest)
 	case Malformed:
-		return h.closeWithError(c, sqlStateProtocolViolation, command.Text, "")
+		return h.closeWithError(c, lifecycle.ClosedProtocol, sqlStateProtocolViolation, command.Text, "")
 	case Overloaded:
-		return h.closeWithError(c, sqlStateTooManyConnections, command.Text, h.front.retryAfter())
+		return h.closeWithError(c, lifecycle.ClosedOverloaded, sqlStateTooManyConnections, command.Text, h.front.retryAfter())
 	}
 	return gnet.None
 }
--- a/internal/net/pg/front_request.go
+++ b/internal/net/pg/front_request.go
@@ -9,19 +9,21 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"ashstand/internal/edge"
+	"ashstand/internal/lifecycle"
+	"ashstand/internal/metrics"
 	"ashstand/internal/sqlcomment"
 )
 
 // flushPollInterval is the pace at which an answer that a client has not taken is looked at.
 const flushPollInterval = 10 * time.Millisecond
 
-// handleQuery starts a request, or answers at once what is none.
-func (h *client) handleQuery(c gnet.Conn, text string) {
+// handleQuery starts a request, or answers at once what is none, or what may not start.
+func (h *client) handleQuery(c gnet.Conn, text string, may lifecycle.Decision) {
 	f := h.front
 	h.hasRequested = true
 	h.requestCount++
 	h.lastActive = f.edge.Now()
-	if out, answered := h.answerLocally(text); answered {
+	if out, answered := h.answerLocally(text, may); answered {
 		h.write(c, appendReady(out))
 		return
 	}
@@ -42,12 +44,16 @@
 }
 
 // answerLocally answers a text that needs no host.
-func (h *client) answerLocally(text string) (out []byte, answered bool) {
+func (h *client) answerLocally(text string, may lifecycle.Decision) (out []byte, answered bool) {
 	word, _, _ := strings.Cut(strings.Trim(text, " \t\r\n;"), " ")
 	word = strings.ToUpper(word)
 	switch {
-	case !h.front.edge.Ready():
+	case may.Reason == lifecycle.NotReady:
+		h.front.edge.Metrics().Rejected(metrics.RejectNotReady)
 		return appendError(nil, severityError, sqlStateCannotConnectNow, "no list of hosts is held yet", ""), true
+	case !may.OK():
+		h.front.edge.Metrics().Rejected(metrics.RejectCutting)
+		return appendError(nil, severityError, sqlStateCannotConnectNow, textRestarting, ""), true
 	case word == "":
 		return appendEmpty(nil, serverEmptyQuery), true
 	case word == "SET" || word == "RESET" || word == "DISCARD":
@@ -69,19 +75,24 @@
 		result = edge.Result{Verdict: edge.TimedOut, Detail: "canceling statement due to user request"}
 	}
 	reply := EncodeResult(&result)
-	if h.front.answers.Post(func() { h.answer(c, &s, result.Verdict, reply) }) != nil {
-		e.End(&s)
-		_ = c.Close()
+	if h.front.answers.Post(func() { h.answer(c, &s, &result, reply, arrived) }) != nil {
+		e.End(&s) // the event loop has ended, and with it the connection
 	}
 }
 
 // answer writes the final answer of a request and goes on with the next command. It runs on the loop.
-func (h *client) answer(c gnet.Conn, s *sqlcomment.Statement, verdict edge.Verdict, reply []byte) {
-	e := h.front.edge
+func (h *client) answer(c gnet.Conn, s *sqlcomment.Statement, result *edge.Result, reply []byte, arrived float64) {
+	e, verdict := h.front.edge, result.Verdict
 	if h.ctx.Err() != nil {
 		e.End(s)
 		return
 	}
+	if !h.requestInFlight {
+		e.Metrics().Violation(lifecycle.AnsweredTwice, "connection", h.number, "request", s.ID)
+	}
+	if e.Now() > arrived+s.TimeoutMillis+lifecycle.LateGraceMillis {
+		e.Metrics().Violation(lifecycle.AnswerLate, "connection", h.number, "request", s.ID)
+	}
 	h.write(c, reply)
 	if h.ctx.Err() != nil || c.OutboundBuffered() == 0 {
 		e.End(s)
@@ -136,7 +147,7 @@
 				flushed()
 			})
 		} else {
-			_ = c.Close()
+			_ = h.runOnLoop(func() { h.close(c, lifecycle.ClosedNotReading) })
 		}
 		if !ran {
 			failed()
--- a/internal/net/pg/front_shutdown.go
+++ b/internal/net/pg/front_shutdown.go
@@ -5,6 +5,8 @@
 	"syscall"
 
 	"github.com/panjf2000/gnet/v2"
+
+	"ashstand/internal/lifecycle"
 )
 
 // What clients are told at the end of the process.
@@ -19,8 +21,8 @@
 func (f *Front) Drain() {
 	f.draining.Store(true)
 	f.forEachClient(func(h *client, c gnet.Conn) {
-		if h.hasRequested && h.isBetweenRequests(c) {
-			_ = c.EventLoop().Close(c)
+		if h.hasRequested && !h.closingWithError {
+			h.closeIfIdle(c, lifecycle.ClosedDraining)
 		}
 	})
 }
@@ -35,7 +37,7 @@
 	if l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		all := true
 		for h, c := range f.clients {
-			all = all && (h.closingWithError || h.isBetweenRequests(c))
+			all = all && (h.closingWithError || h.mayClose(c).OK())
 		}
 		idle <- all
 		return nil
@@ -50,8 +52,8 @@
 func (f *Front) Cut() {
 	f.terminating.Store(true)
 	f.forEachClient(func(h *client, c gnet.Conn) {
-		if !h.closingWithError && h.cut(c) == gnet.Close {
-			_ = c.EventLoop().Close(c)
+		if !h.closingWithError {
+			h.finishAction(c, h.cut(c))
 		}
 	})
 }
@@ -64,7 +66,7 @@
 		h.requestInFlight = false
 		h.disconnect() // what came of the request now is written no more
 		if h.queue.isEmpty() {
-			return h.closeWithError(c, sqlStateAdminShutdown, textRestartingMayRun, "")
+			return h.closeWithError(c, lifecycle.ClosedCutting, sqlStateAdminShutdown, textRestartingMayRun, "")
 		}
 		h.write(c, appendReady(appendError(nil, severityError, sqlStateAdminShutdown, textRestartingMayRun, "")))
 	}
@@ -75,7 +77,7 @@
 		}
 		h.answerAtEnd(c, command.Kind)
 	}
-	return h.closeWithError(c, sqlStateCannotConnectNow, textRestarting, "") // also for a request that may be on its way
+	return h.closeWithError(c, lifecycle.ClosedCutting, sqlStateCannotConnectNow, textRestarting, "") // also for a request that may be on its way
 }
 
 // answerAtEnd answers a command that will not be handled any more.
@@ -90,9 +92,6 @@
 	}
 }
 
-// isBetweenRequests reports whether the client has all its answers and nothing of another request has come, to the kernel either.
-func (h *client) isBetweenRequests(c gnet.Conn) bool { return !h.isBusy(c) && !hasUnreadBytes(c) }
-
 // readRemaining returns what was read and not parsed, and what only the kernel has.
 func readRemaining(c gnet.Conn) []byte {
 	held, _ := c.Peek(c.InboundBuffered())
--- a/internal/net/pg/front_test.go
+++ b/internal/net/pg/front_test.go
@@ -16,8 +16,11 @@
 	"ashstand/internal/clock"
 	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
+	"ashstand/internal/lifecycle"
+	"ashstand/internal/metrics"
 	"ashstand/internal/net/loop"
 	"ashstand/internal/settings"
+	"ashstand/internal/sqlcomment"
 	"ashstand/routing"
 )
 
@@ -256,3 +259,102 @@
 	require.Equal(t, []string{"ERROR 57P01 ", "ERROR 57P03 ", "FATAL 57P03 "}, errorsOf(t, busy, 0))
 	require.True(t, d.Idle())
 }
+
+// violations returns the rules that the front broke.
+func (d *door) violations(t *testing.T) map[string]int {
+	figures, err := d.edge.Metrics().Snapshot()
+	require.NoError(t, err)
+	return metrics.Violations(figures)
+}
+
+// figure returns a counter of the front by its name and reason.
+func (d *door) figure(t *testing.T, name, reason string) float64 {
+	figures, err := d.edge.Metrics().Snapshot()
+	require.NoError(t, err)
+	for _, f := range figures {
+		if f.Name == name && f.Labels["reason"] == reason {
+			return f.Value
+		}
+	}
+	require.FailNow(t, "no such figure", "%s %s", name, reason)
+	return 0
+}
+
+// Each rule on a client's connection, broken on purpose, is counted under its name and no other.
+func TestBrokenRulesOfConnectionsAreCounted(t *testing.T) {
+	for _, k := range []struct {
+		rule   lifecycle.Rule
+		breaks func(d *door, h *client, c gnet.Conn)
+	}{
+		{lifecycle.ClosedWithoutAnswer, func(_ *door, h *client, c gnet.Conn) {
+			h.requestInFlight = true
+			h.close(c, lifecycle.ClosedIdle)
+		}},
+		{lifecycle.AnsweredTwice, func(d *door, h *client, c gnet.Conn) {
+			d.answerNow(h, c, 0)
+		}},
+		{lifecycle.AnswerLate, func(d *door, h *client, c gnet.Conn) {
+			h.requestInFlight = true
+			d.answerNow(h, c, lifecycle.LateGraceMillis+1)
+		}},
+		{lifecycle.BoundExceeded, func(d *door, h *client, _ gnet.Conn) {
+			d.unreadBytes += 2 << 20 // that no client has
+			d.boundUnread(h)
+		}},
+	} {
+		t.Run(k.rule.String(), func(t *testing.T) {
+			d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20})
+			require.Equal(t, []string{"empty"}, errorsOf(t, d.call(t, ""), 1))
+			d.onLoop(t, func(h *client, c gnet.Conn) { k.breaks(d, h, c) })
+			require.Equal(t, map[string]int{k.rule.String(): 1}, d.violations(t))
+		})
+	}
+}
+
+// answerNow writes an answer so long after its request's time.
+func (d *door) answerNow(h *client, c gnet.Conn, late float64) {
+	h.cancelRequest = func() {}
+	s := sqlcomment.Statement{ID: "1", TimeoutMillis: 10}
+	_ = d.edge.Begin(&s)
+	result := edge.Result{Verdict: edge.Failed}
+	h.answer(c, &s, &result, EncodeResult(&result), d.clock.Now()-s.TimeoutMillis-late)
+}
+
+// A close over bytes that lie in the kernel is counted, and closeIfIdle does not make one.
+func TestAClientWithUnreadBytesIsNotClosed(t *testing.T) {
+	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20})
+	caller := d.call(t, "")
+	require.Equal(t, []string{"empty"}, errorsOf(t, caller, 1))
+	d.onLoop(t, func(h *client, c gnet.Conn) {
+		_, err := caller.Write(appendQuery(nil, func(b []byte) []byte { return b }))
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return hasUnreadBytes(c) }, 10*time.Second, time.Millisecond)
+		require.False(t, h.closeIfIdle(c, lifecycle.ClosedIdle))
+		require.Equal(t, lifecycle.BytesUnread, h.mayClose(c).Reason)
+	})
+	require.Equal(t, []string{"empty"}, errorsOf(t, caller, 1))
+	require.Empty(t, d.violations(t))
+	d.onLoop(t, func(h *client, c gnet.Conn) {
+		_, err := caller.Write(appendQuery(nil, func(b []byte) []byte { return b }))
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return hasUnreadBytes(c) }, 10*time.Second, time.Millisecond)
+		h.close(c, lifecycle.ClosedIdle)
+	})
+	require.Equal(t, map[string]int{"closed_with_unread_bytes": 1}, d.violations(t))
+}
+
+// Requests behind too many that make no sense are answered before the connection ends, and every end has its reason.
+func TestRequestsBehindRubbishAreAnswered(t *testing.T) {
+	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20, RetryAfterMillis: 300})
+	texts := make([]string, maxInvalidRequests+1, maxInvalidRequests+3)
+	for i := range texts {
+		texts[i] = "SELECT 1"
+	}
+	c := d.call(t, append(texts, report("a"), report("b"))...)
+	got := errorsOf(t, c, 0)
+	c.Close()
+	require.Equal(t, []string{"ERROR 53300 300", "ERROR 53300 300", "FATAL 08P01 "}, got[len(got)-3:])
+	require.Eventually(t, func() bool { return d.figure(t, "ashstand_client_connections_closed_total", "protocol") == 1 }, 10*time.Second, time.Millisecond)
+	require.InDelta(t, 2, d.figure(t, "ashstand_requests_rejected_total", "read_ahead"), 0)
+	require.Empty(t, d.violations(t))
+}
--- a/internal/net/pg/pool_conn.go
+++ b/internal/net/pg/pool_conn.go
@@ -31,6 +31,7 @@
 	mu             sync.Mutex
 	pending        chan exchangeResult // of the exchange under way; nil: none
 	requestWritten bool                // its last byte was handed to the kernel
+	writtenAt      float64             // when, in clock milliseconds; 0: it was not, or that is not known
 	closed         bool
 	idleSince      float64 // clock milliseconds
 }
@@ -174,7 +175,7 @@
 		c.mu.Unlock()
 		return exchangeResult{err: errClosed}, false
 	}
-	c.pending, c.requestWritten = due, false
+	c.pending, c.requestWritten, c.writtenAt = due, false, 0
 	c.mu.Unlock()
 	if err := c.gnetConn.EventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		c.send(build, late, due)
@@ -259,6 +260,9 @@
 	}
 	c.mu.Lock()
 	c.requestWritten = !c.closed // what is left of it lies in the ring buffer, which Closed looks at
+	if c.requestWritten && c.gnetConn.OutboundBuffered() == 0 {
+		c.writtenAt = c.pool.clock.Now()
+	}
 	c.mu.Unlock()
 	if c.gnetConn.OutboundBuffered() > 0 {
 		time.AfterFunc(maxWriteTime, func() { c.endUnwritten(due) })
--- a/internal/net/pg/pool_exchange.go
+++ b/internal/net/pg/pool_exchange.go
@@ -11,6 +11,13 @@
 
 // Exchange is described at edge.Conn.
 func (c *conn) Exchange(ctx context.Context, s *sqlcomment.Statement, gate edge.Gate) edge.Reply {
+	reply, writtenAt := c.exchange(ctx, s, gate)
+	reply.WrittenAt = writtenAt
+	return reply
+}
+
+// exchange is Exchange. writtenAt is when the last byte of the request was handed to the kernel; 0: it was not, or is not known.
+func (c *conn) exchange(ctx context.Context, s *sqlcomment.Statement, gate edge.Gate) (reply edge.Reply, writtenAt float64) {
 	begun, sent, write := c.pool.clock.Now(), 0.0, s.IsWrite
 	result, written := c.roundTrip(ctx, func() []byte {
 		wait, ok := gate()
@@ -26,8 +33,11 @@
 	})
 	if errors.Is(result.err, errGateClosed) {
 		c.release()
-		return edge.NotSent()
+		return edge.NotSent(), 0
 	}
+	c.mu.Lock()
+	writtenAt = c.writtenAt
+	c.mu.Unlock()
 	if c.reused && written {
 		isReset := result.err != nil && !errors.Is(result.err, errMalformed) && ctx.Err() == nil
 		c.pool.mu.Lock()
@@ -36,19 +46,19 @@
 	}
 	if result.err != nil {
 		code := c.failureCode(result.err, written)
-		return edge.Reply{Outcome: dispatch.Outcome{Code: code}, Detail: result.err.Error()}
+		return edge.Reply{Outcome: dispatch.Outcome{Code: code}, Detail: result.err.Error()}, writtenAt
 	}
 	r := &result.response
 	if outcome(r) == dispatch.Malformed { // it teaches nothing, its position least of all
 		c.close()
-		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Malformed}, Detail: errUnexpectedMessage.Error()}
+		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Malformed}, Detail: errUnexpectedMessage.Error()}, writtenAt
 	}
-	reply := edge.Reply{Outcome: c.pool.outcomeOf(r), Answer: r.answer}
+	reply = edge.Reply{Outcome: c.pool.outcomeOf(r), Answer: r.answer}
 	if reply.Code != dispatch.OK {
 		reply.Detail = r.sqlState + " " + r.errorText
 	}
 	c.release()
-	return reply
+	return reply, writtenAt
 }
 
 // failureCode is what an exchange that brought no answer says of its host. written: the host may have got all of the request.
--- a/internal/net/pg/pool_test.go
+++ b/internal/net/pg/pool_test.go
@@ -163,7 +163,7 @@
 			_, _ = b.Receive()
 		})
 		reply := r.exchange(t, open)
-		require.Equal(t, edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Malformed}, Detail: reply.Detail}, reply, i)
+		require.Equal(t, edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Malformed}, Detail: reply.Detail, WrittenAt: 1e12}, reply, i)
 		require.Eventually(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.openConns == 0 }, 10*time.Second, time.Millisecond)
 	}
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -210,6 +210,15 @@
 
 func (r *Router) emit(a Action) { r.actions = append(r.actions, a) }
 
+// InactiveSince returns since when a host takes nothing new; ok is false for one that does, or that is not known.
+func (r *Router) InactiveSince(host string) (at time.Duration, ok bool) {
+	m := r.members[host]
+	if m == nil || m.active {
+		return 0, false
+	}
+	return m.removedAt, true
+}
+
 // IsActive reports whether new work, probes included, may go to a host.
 func (r *Router) IsActive(host string) bool {
 	m := r.members[host]
--- a/routing/types.go
+++ b/routing/types.go
@@ -124,6 +124,18 @@
 	Malformed   // an answer came that can't be read: it ran
 )
 
+var codeNames = [...]string{
+	"ok", "server_error", "rejected", "no_answer", "no_connection", "connection_lost", "cancelled", "not_sent", "misdirected", "malformed",
+}
+
+// String names the ending as logs and counters do.
+func (c Code) String() string {
+	if int(c) < len(codeNames) {
+		return codeNames[c]
+	}
+	return "unknown"
+}
+
 // NeverRan reports whether the ending proves that nothing ran.
 func (c Code) NeverRan() bool {
 	return c == Rejected || c == NoConnection || c == NotSent || c == Misdirected
