--- a/internal/net/loop/taskqueue.go
+++ b/internal/net/loop/taskqueue.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/panjf2000/gnet/v2"
 )
 
-// maxTaskTime is how long tasks run in a row before the event loop looks at its sockets again.
-const maxTaskTime = time.Millisecond
+// maxTasksInARow is how many tasks run in a row before the event loop looks at its sockets again. A bound in time would need the
+// clock for each task, and on a slow core have the loop look after every one.
+const maxTasksInARow = 32
 
 // TaskQueue runs functions on an event loop, in order. gnet runs what is given to EventLoop.Execute until nothing is left, and
 // only then looks at its sockets: tasks that bring about further ones keep it from reading for as long as they last. A TaskQueue
@@ -45,9 +45,9 @@
 	}))
 }
 
-// run runs tasks until none is left or their time is over.
+// run runs tasks until none is left or enough have run in a row.
 func (q *TaskQueue) run() {
-	for until := time.Now().Add(maxTaskTime); ; {
+	for range maxTasksInARow {
 		q.mu.Lock()
 		if len(q.tasks) == 0 {
 			q.tasks, q.scheduled = nil, false
@@ -59,10 +59,7 @@
 		q.tasks = q.tasks[1:]
 		q.mu.Unlock()
 		task()
-		if time.Now().After(until) {
-			// From another goroutine: queued here, it would run before the event loop looks at its sockets.
-			go func() { _ = q.schedule() }()
-			return
-		}
 	}
+	// From another goroutine: queued here, it would run before the event loop looks at its sockets.
+	go func() { _ = q.schedule() }()
 }
