--- /dev/null
+++ b/internal/net/loop/engine_test.go
@@ -0,0 +1,98 @@
+package loop
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// While an address is checked nobody can connect to it: a connection that the kernel takes then is reset by the check's end, with
+// a request that may lie in it.
+func TestTheCheckOfAnAddressTakesNoConnection(t *testing.T) {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := free.Addr().String()
+	require.Error(t, checkAddressFree(address), "another listens there")
+	free.Close()
+	var checked atomic.Bool
+	var clients sync.WaitGroup
+	var connected atomic.Int64
+	for range 4 {
+		clients.Go(func() {
+			for !checked.Load() {
+				if c, err := net.DialTimeout("tcp", address, time.Second); err == nil {
+					connected.Add(1)
+					c.Close()
+				}
+			}
+		})
+	}
+	failed := 0
+	for range 3000 {
+		if checkAddressFree(address) != nil { // a client's own port, for a moment
+			failed++
+		}
+	}
+	checked.Store(true)
+	clients.Wait()
+	require.Zero(t, connected.Load())
+	require.Less(t, failed, 3000)
+}
+
+// A connection whose registration the kernel rejects is not handed out: its descriptor is closed, and the number may be another's
+// by then. Its descriptor is closed here before the event loop adds it, so that epoll_ctl fails.
+func TestAConnectionThatIsNotRegisteredIsNotHandedOut(t *testing.T) {
+	e, address, l := listenEcho(t)
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	held, release := make(chan struct{}), make(chan struct{})
+	require.NoError(t, l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		close(held)
+		<-release
+		return nil
+	})))
+	<-held
+	result := make(chan error, 1)
+	go func() {
+		_, err := e.Register(c, echoes{})
+		result <- err
+	}()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	own := -1
+	require.NoError(t, raw.Control(func(fd uintptr) { own = int(fd) }))
+	doubled := -1
+	require.Eventually(t, func() bool { doubled = sameSocket(own); return doubled >= 0 }, 10*time.Second, time.Millisecond)
+	require.NoError(t, unix.Close(doubled))
+	close(release)
+	require.Error(t, <-result)
+}
+
+// sameSocket returns another descriptor of the socket that fd is of; -1: there is none.
+func sameSocket(fd int) int {
+	own, err := os.Readlink(fmt.Sprintf("/proc/self/fd/%d", fd))
+	if err != nil {
+		return -1
+	}
+	all, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return -1
+	}
+	for _, entry := range all {
+		other, err := strconv.Atoi(entry.Name())
+		if link, _ := os.Readlink("/proc/self/fd/" + entry.Name()); err == nil && other != fd && link == own {
+			return other
+		}
+	}
+	return -1
+}
--- a/internal/net/loop/taskqueue_test.go
+++ b/internal/net/loop/taskqueue_test.go
@@ -22,14 +22,14 @@
 
 func (echoes) Closed(gnet.Conn, error) {}
 
-// listenEcho starts an engine that echoes, and returns its address and event loop.
-func listenEcho(t *testing.T) (address string, l gnet.EventLoop) {
+// listenEcho starts an engine that echoes, and returns it with its address and event loop.
+func listenEcho(t *testing.T) (e *Engine, address string, l gnet.EventLoop) {
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	address = free.Addr().String()
 	free.Close()
 	loops := make(chan gnet.EventLoop, 16)
-	e := New()
+	e = New()
 	require.NoError(t, e.Start(address, func(c gnet.Conn) (Handler, []byte, gnet.Action) {
 		loops <- c.EventLoop()
 		return echoes{}, nil, gnet.None
@@ -38,12 +38,12 @@
 	c, err := net.Dial("tcp", address)
 	require.NoError(t, err)
 	t.Cleanup(func() { c.Close() })
-	return address, <-loops
+	return e, address, <-loops
 }
 
 // Tasks that bring about further ones without an end do not keep the event loop from its sockets.
 func TestEndlessTasksLeaveTheSocketsTheirTurn(t *testing.T) {
-	address, l := listenEcho(t)
+	_, address, l := listenEcho(t)
 	c, err := net.Dial("tcp", address)
 	require.NoError(t, err)
 	defer c.Close()
@@ -73,7 +73,7 @@
 
 // Tasks run once each, in the order in which they were posted, however many there are.
 func TestTasksRunInOrder(t *testing.T) {
-	_, l := listenEcho(t)
+	_, _, l := listenEcho(t)
 	q := NewTaskQueue(l)
 	const n = 1000
 	got := make(chan int, n)
