Event loop: a rejected registration is an error; the check of an address does not listen

Change: Register hands a connection out only once the event loop has opened it; checkAddressFree binds without listening.

--- a/internal/net/loop/engine.go
+++ b/internal/net/loop/engine.go
@@ -12,10 +12,13 @@
 	"log"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 )
 
 // Handler owns one connection. Its methods run on the event loop and must not block.
@@ -145,17 +148,31 @@
 }
 
 // checkAddressFree fails where an address can't be listened on. Sharing ports, the event loop would not notice another program
-// there.
+// there. It binds and does not listen: a client that connected during the check would be reset with what it had sent.
 func checkAddressFree(address string) error {
 	a, err := net.ResolveTCPAddr("tcp", address)
 	if err != nil || a.Port == 0 {
 		return err
 	}
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	family, bound := unix.AF_INET, unix.Sockaddr(nil)
+	if ip := a.IP.To4(); ip != nil || a.IP == nil {
+		v4 := &unix.SockaddrInet4{Port: a.Port}
+		copy(v4.Addr[:], ip)
+		bound = v4
+	} else {
+		v6 := &unix.SockaddrInet6{Port: a.Port}
+		copy(v6.Addr[:], a.IP.To16())
+		family, bound = unix.AF_INET6, v6
+	}
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return err
+		return os.NewSyscallError("socket", err)
 	}
-	return l.Close()
+	defer func() { _ = unix.Close(fd) }()
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		return os.NewSyscallError("setsockopt", err)
+	}
+	return os.NewSyscallError("bind", unix.Bind(fd, bound))
 }
 
 // Dial opens a connection on the calling goroutine and registers it with the event loop, where h owns it. Where no descriptor
@@ -183,15 +200,30 @@
 func (e *Engine) Register(c net.Conn, h Handler) (gnet.Conn, error) {
 	e.registrations <- struct{}{} // an event loop that never blocks gives it back at once
 	defer func() { <-e.registrations }()
-	done, err := e.engine.Register(gnet.NewNetConnContext(gnet.NewContext(context.Background(), h), c))
+	pending := &registration{Handler: h}
+	done, err := e.engine.Register(gnet.NewNetConnContext(gnet.NewContext(context.Background(), pending), c))
 	if err != nil {
 		c.Close()
 		return nil, err
 	}
 	r := awaitRegistration(done)
+	if r.Err == nil && !pending.opened.Load() {
+		return nil, errNotRegistered
+	}
 	return r.Conn, r.Err
 }
 
+// errNotRegistered is returned where the kernel did not take a connection into the event loop's set (epoll_ctl failed, such as
+// with ENOMEM or ENOSPC). gnet reports such a registration as done, with a connection whose descriptor it has closed: the number
+// may be another connection's by then.
+var errNotRegistered = errors.New("the event loop could not take the connection")
+
+// registration is the context of a connection that is being registered, until the event loop has it.
+type registration struct {
+	Handler
+	opened atomic.Bool
+}
+
 // awaitRegistration waits for the result, and until the duplicated descriptor is closed: then the channel is.
 func awaitRegistration(done <-chan gnet.RegisteredResult) gnet.RegisteredResult {
 	r := <-done
@@ -214,7 +246,9 @@
 
 // OnOpen implements gnet.EventHandler, for accepted and registered connections alike; the latter have their handler.
 func (e *Engine) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	if c.Context() != nil {
+	if pending, ok := c.Context().(*registration); ok {
+		c.SetContext(pending.Handler)
+		pending.opened.Store(true)
 		return nil, gnet.None
 	}
 	if reply, ok := e.admit(c); !ok {
--- a/internal/net/loop/engine_test.go
+++ b/internal/net/loop/engine_test.go
@@ -75,7 +75,7 @@
 	require.Eventually(t, func() bool { doubled = sameSocket(own); return doubled >= 0 }, 10*time.Second, time.Millisecond)
 	require.NoError(t, unix.Close(doubled))
 	close(release)
-	require.Error(t, <-result)
+	require.ErrorIs(t, <-result, errNotRegistered)
 }
 
 // sameSocket returns another descriptor of the socket that fd is of; -1: there is none.
