A drain before the list starts nothing; bin/testbed soak

Cause: a process that is told to end before it holds a list of hosts went from starting to draining, and MayStart judged by the phase alone: requests would have begun without a list (found by reading the table of phases and events; TestADrainBeforeTheListStartsNothing is red with that). Change: whether a list is held is a fact of its own. bin/testbed soak: 22 kinds of faults, two or three within 300 ms, most at one pooler and one host, over real poolers behind proxies to hosts and discovery; clients that pipeline, write in pieces, leave, cancel, flood and stop halfway.

--- a/internal/lifecycle/decision.go
+++ b/internal/lifecycle/decision.go
@@ -40,6 +40,7 @@
 // StartFacts are what MayStart rests on.
 type StartFacts struct {
 	Phase      Phase
+	Ready      bool // a whole list of hosts is held; a process may be told to end before it has one
 	ClientGone bool // the client's end has come, if only to the kernel
 }
 
@@ -48,10 +49,10 @@
 	switch {
 	case f.ClientGone:
 		return Decision{ClientGone}
-	case f.Phase == Starting:
-		return Decision{NotReady}
 	case f.Phase >= Cutting:
 		return Decision{ProcessCutting}
+	case !f.Ready:
+		return Decision{NotReady}
 	}
 	return Decision{Allowed}
 }
--- a/internal/net/pg/front_client.go
+++ b/internal/net/pg/front_client.go
@@ -252,7 +252,7 @@
 		h.invalidRequests++
 		h.write(c, appendReady(appendError(nil, severityError, sqlStateFeatureNotSupported, "simple queries only", "")))
 	case Query:
-		may := lifecycle.MayStart(lifecycle.StartFacts{Phase: h.front.edge.Phase(), ClientGone: hasEnded(c)})
+		may := lifecycle.MayStart(lifecycle.StartFacts{Phase: h.front.edge.Phase(), Ready: h.front.edge.Ready(), ClientGone: hasEnded(c)})
 		if may.Reason == lifecycle.ClientGone { // it came with its client's end: nobody waits for it
 			return h.closing(lifecycle.ClosedByClient)
 		}
--- a/internal/net/pg/front_test.go
+++ b/internal/net/pg/front_test.go
@@ -358,3 +358,20 @@
 	require.InDelta(t, 2, d.figure(t, "ashstand_requests_rejected_total", "read_ahead"), 0)
 	require.Empty(t, d.violations(t))
 }
+
+// A process that is told to end before it holds a list starts nothing: 57P03, and a request is answered at its end.
+func TestADrainBeforeTheListStartsNothing(t *testing.T) {
+	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20})
+	require.Equal(t, []string{"empty"}, errorsOf(t, d.call(t, ""), 1))
+	class := routing.Class{Name: "report", LatencyObjective: time.Minute, Deadline: time.Minute, PriorityWeight: 1, LateFraction: 1}
+	unready, err := dispatch.New(&settings.Parsed{
+		Settings: routing.Settings{RouterCount: 1, MaxAttempts: 8, Classes: []routing.Class{class}},
+		Classes:  map[string]int{"report": 0},
+	}, 1, d.clock, nil, nil)
+	require.NoError(t, err)
+	d.on(func() { d.edge = edge.New(unready, d.clock, nowhere{}) })
+	d.edge.Advance(lifecycle.DrainStarted)
+	require.Equal(t, []string{"ERROR 57P03 "}, errorsOf(t, d.call(t, report("a")), 1))
+	require.Empty(t, d.violations(t))
+	require.InDelta(t, 1, d.figure(t, "ashstand_requests_rejected_total", "not_ready"), 0)
+}
--- a/testbed/host/cluster.go
+++ b/testbed/host/cluster.go
@@ -77,6 +77,7 @@
 	commits int
 	rng     *rand.Rand
 
+	observer    atomic.Pointer[Observer] // nil: nobody
 	databases   map[string]*Database
 	strict      bool
 	oids        uint32
@@ -91,6 +92,26 @@
 	replication Replication
 }
 
+// Observer is told of each query string that a host gets whole. It must not block.
+type Observer func(host, text string, at time.Time)
+
+// Observe sets who is told.
+func (c *Cluster) Observe(o Observer) { c.observer.Store(&o) }
+
+func (c *Cluster) observe(host, text string) {
+	if o := c.observer.Load(); o != nil {
+		(*o)(host, text, time.Now())
+	}
+}
+
+// Write commits a row at the primary, as no client's.
+func (c *Cluster) Write(ref, payload string) {
+	c.mu.Lock()
+	primary := c.primary
+	c.mu.Unlock()
+	c.commit(primary, []write{{rowKey("public", "entries", ref), payload}})
+}
+
 // version is a row as of a commit.
 type version struct {
 	at      float64 // Unix milliseconds
@@ -543,6 +564,16 @@
 	return len(c.rows[rowKey(schema, table, ref)])
 }
 
+// Payloads are those that a row had, in the order of their commits.
+func (c *Cluster) Payloads(schema, table, ref string) (out []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, v := range c.rows[rowKey(schema, table, ref)] {
+		out = append(out, v.payload)
+	}
+	return out
+}
+
 // Rows is how many rows there are.
 func (c *Cluster) Rows() int {
 	c.mu.Lock()
--- a/testbed/host/conn.go
+++ b/testbed/host/conn.go
@@ -374,6 +374,7 @@
 }
 
 func (c *conn) query(text string) {
+	c.host.cluster.observe(c.host.Name, text)
 	c.prepared[""] = nil
 	delete(c.prepared, "")
 	if c.replication && c.replicationCommand(text) {
--- /dev/null
+++ b/testbed/soak/client.go
@@ -0,0 +1,315 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// habit is how a client uses its connection.
+type habit uint8
+
+// The habits.
+const (
+	oneByOne  habit = iota
+	pipelines       // many requests ahead of their answers
+	inPieces        // requests in two pieces, with a pause between them
+	leaves          // closes its connection in the middle of a request, at times
+	cancels         // sends cancel requests, at times
+	habits
+)
+
+const (
+	connectTimeout = 2 * time.Second
+	readTimeout    = 25 * time.Second // past the longest deadline
+	meanPause      = 120 * time.Millisecond
+	pipelineDepth  = 24
+	pipelinePad    = 12 << 10
+)
+
+// client is one client of one pooler.
+type client struct {
+	name    string
+	pooler  string
+	address string
+	habit   habit
+	judge   *judge
+	rng     *rand.Rand
+	sent    *atomic.Int64
+
+	conn     net.Conn
+	frontend *pgproto3.Frontend
+	pid      uint32
+	key      []byte
+	n        int
+	written  int    // the number that its own row has, by the last write that is known
+	position string // of that write
+	doubt    bool   // a write may have run
+}
+
+// run sends requests until ctx ends.
+func (c *client) run(ctx context.Context) {
+	defer c.drop()
+	for ctx.Err() == nil {
+		if c.conn == nil && c.connect() != nil {
+			pause(ctx, 50*time.Millisecond)
+			continue
+		}
+		c.step()
+		pause(ctx, time.Duration(c.rng.ExpFloat64()*float64(meanPause)))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (c *client) connect() error {
+	conn, err := net.DialTimeout("tcp", c.address, connectTimeout)
+	if err != nil {
+		return err
+	}
+	_ = conn.SetDeadline(time.Now().Add(readTimeout))
+	f := pgproto3.NewFrontend(conn, conn)
+	f.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "web", "database": "orders"}})
+	if err := f.Flush(); err != nil {
+		conn.Close()
+		return err
+	}
+	for {
+		m, err := f.Receive()
+		if err != nil {
+			conn.Close()
+			return err
+		}
+		switch m := m.(type) {
+		case *pgproto3.BackendKeyData:
+			c.pid, c.key = m.ProcessID, m.SecretKey
+		case *pgproto3.ErrorResponse:
+			conn.Close()
+			return errors.New(m.Code)
+		case *pgproto3.ReadyForQuery:
+			c.conn, c.frontend = conn, f
+			return nil
+		}
+	}
+}
+
+func (c *client) drop() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// next makes a request and its text.
+func (c *client) next(pad int) (*request, string) {
+	c.n++
+	r := &request{id: fmt.Sprintf("%s-%d-%x", c.name, c.n, c.rng.Uint32()), pooler: c.pooler, class: "browse", deadline: time.Second}
+	comment := func(more string) string {
+		return fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=1%s */ ", r.id, r.class, r.deadline.Milliseconds(), more)
+	}
+	padding := ""
+	if pad > 0 {
+		padding = " -- " + strings.Repeat("x", c.rng.IntN(pad))
+	}
+	switch n := c.rng.IntN(100); {
+	case n < 25:
+		r.class, r.deadline, r.ref = "donate", 3*time.Second, fmt.Sprintf("%s/%d", c.name, c.n)
+		return r, comment("") + "INSERT INTO entries (ref, payload) VALUES ('" + r.ref + "', '1') RETURNING payload" + padding
+	case n < 45 && c.habit != pipelines:
+		r.class, r.deadline, r.payload = "donate", 3*time.Second, fmt.Sprint(c.n)
+		return r, comment("") + "INSERT INTO entries (ref, payload) VALUES ('" + c.name + "', '" + r.payload + "') RETURNING payload" + padding
+	case n < 65 && c.habit != pipelines && c.written > 0 && !c.doubt:
+		r.class, r.deadline, r.ownRow = "my-library", 2*time.Second, c.name
+		return r, comment(",after="+c.position) + "SELECT payload FROM entries WHERE ref = '" + c.name + "'" + padding
+	}
+	return r, comment("") + fmt.Sprintf("SELECT payload FROM entries WHERE ref = 'seed-%d'", c.rng.IntN(1000)) + padding
+}
+
+// step sends what the client's habit has it send, and reads the answers.
+func (c *client) step() {
+	many, pad := 1, 200
+	if c.habit == pipelines {
+		many, pad = 1+c.rng.IntN(pipelineDepth), pipelinePad
+	}
+	var open []*request
+	var b []byte
+	for range many {
+		r, text := c.next(pad)
+		var err error
+		if b, err = (&pgproto3.Query{String: text}).Encode(b); err != nil {
+			return
+		}
+		open = append(open, r)
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(readTimeout))
+	if err := c.write(b); err != nil {
+		c.drop() // none of them is known to have come whole
+		return
+	}
+	now := time.Now()
+	for _, r := range open {
+		r.writtenAt, r.dueFrom = now, now
+		c.judge.began(r)
+	}
+	c.sent.Add(int64(len(open)))
+	switch {
+	case c.habit == leaves && c.rng.IntN(4) == 0:
+		time.Sleep(time.Duration(c.rng.IntN(30)) * time.Millisecond)
+		c.leave(open)
+		return
+	case c.habit == cancels && c.rng.IntN(4) == 0:
+		c.cancel()
+	}
+	c.readAnswers(open)
+}
+
+// write writes requests, in two pieces if that is the client's habit.
+func (c *client) write(b []byte) error {
+	if c.habit == inPieces {
+		cut := 1 + c.rng.IntN(len(b)-1)
+		if _, err := c.conn.Write(b[:cut]); err != nil {
+			return err
+		}
+		time.Sleep(time.Duration(c.rng.IntN(60)) * time.Millisecond)
+		b = b[cut:]
+	}
+	_, err := c.conn.Write(b)
+	return err
+}
+
+// leave closes the connection over requests that have no answer.
+func (c *client) leave(open []*request) {
+	c.judge.mu.Lock()
+	for _, r := range open {
+		r.goneAt = time.Now()
+	}
+	c.judge.mu.Unlock()
+	if c.rng.IntN(2) == 0 {
+		_ = c.conn.(*net.TCPConn).SetLinger(0)
+	}
+	c.drop()
+	c.doubt = true
+}
+
+// cancel sends a cancel request for what is under way.
+func (c *client) cancel() {
+	conn, err := net.DialTimeout("tcp", c.address, connectTimeout)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	b, err := (&pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.key}).Encode(nil)
+	if err != nil {
+		return
+	}
+	_ = conn.SetDeadline(time.Now().Add(connectTimeout))
+	_, _ = conn.Write(b)
+	_, _ = io.Copy(io.Discard, conn)
+}
+
+// readAnswers reads the answer of each request, in order.
+func (c *client) readAnswers(open []*request) {
+	payload, answer, position, fatal := "", "", "", false
+	for len(open) > 0 {
+		m, err := c.frontend.Receive()
+		if err != nil {
+			c.drop()
+			if fatal { // the error that ended the connection was the answer of one
+				c.judge.answered(open[0], answer)
+				c.after(open[0], answer, payload, position)
+				open = open[1:]
+			}
+			c.judge.closed(open, err)
+			c.doubt = true
+			return
+		}
+		switch m := m.(type) {
+		case *pgproto3.DataRow:
+			if len(m.Values) > 0 {
+				answer, payload = "served", string(m.Values[0])
+			}
+		case *pgproto3.CommandComplete:
+			answer = "served"
+		case *pgproto3.ParameterStatus:
+			if m.Name == "caught_up_to" {
+				position = m.Value
+			}
+		case *pgproto3.ErrorResponse:
+			answer, fatal = m.Code, m.Severity == "FATAL"
+		case *pgproto3.ReadyForQuery:
+			r := open[0]
+			c.judge.answered(r, answer)
+			c.after(r, answer, payload, position)
+			open = open[1:]
+			for _, next := range open {
+				next.dueFrom = time.Now()
+			}
+			payload, answer, position = "", "", ""
+		}
+	}
+}
+
+// after takes what an answer means for the client's own row.
+func (c *client) after(r *request, answer, payload, position string) {
+	switch {
+	case r.payload != "" && answer == "served":
+		_, _ = fmt.Sscan(r.payload, &c.written)
+		c.position, c.doubt = position, position == ""
+	case r.payload != "" && answer != "53300" && answer != "57P03":
+		c.doubt = true
+	case r.class == "my-library" && answer == "served" && !c.doubt:
+		c.judge.read(r, payload, fmt.Sprint(c.written))
+	}
+}
+
+// flood sends much ahead and goes without reading.
+func (c *client) flood(ctx context.Context) {
+	if c.connect() != nil {
+		return
+	}
+	defer c.drop()
+	var open []*request
+	for ctx.Err() == nil && len(open) < 20*pipelineDepth {
+		r, text := c.next(pipelinePad)
+		b, err := (&pgproto3.Query{String: text}).Encode(nil)
+		if err != nil {
+			return
+		}
+		_ = c.conn.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+		if _, err = c.conn.Write(b); err != nil {
+			break
+		}
+		r.writtenAt, r.dueFrom = time.Now(), time.Now()
+		c.judge.began(r)
+		open = append(open, r)
+	}
+	c.leave(open)
+}
+
+// stopHalfway sends a half of a message and stays.
+func (c *client) stopHalfway(ctx context.Context) {
+	if c.connect() != nil {
+		return
+	}
+	defer c.drop()
+	_, text := c.next(0)
+	b, err := (&pgproto3.Query{String: text}).Encode(nil)
+	if err != nil {
+		return
+	}
+	_, _ = c.conn.Write(b[:len(b)/2])
+	<-ctx.Done()
+}
--- /dev/null
+++ b/testbed/soak/plan.go
@@ -0,0 +1,151 @@
+// Package soak plays load and overlapping faults against a few dozen real poolers on loopback addresses, and judges what their
+// clients, the db hosts and the poolers' own counters saw.
+package soak
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"time"
+)
+
+// Kind names a fault.
+type Kind string
+
+// The faults.
+const (
+	Terminate       Kind = "terminate"        // SIGTERM, and the next process of that name once it has ended
+	TerminateTwice  Kind = "terminate twice"  // the same with a second SIGTERM and a SIGHUP on the way
+	Reload          Kind = "reload"           // SIGHUP, with the operator's file rewritten
+	Kill            Kind = "kill"             // SIGKILL, and the next process at once
+	Halt            Kind = "halt"             // SIGSTOP, SIGCONT 0.15 s later, over and over
+	HostHang        Kind = "host hang"        // what a host is asked it answers after the fault, or never
+	HostSlow        Kind = "host slow"        // its answers take long
+	HostReset       Kind = "host reset"       // its connections are reset, again and again
+	HostCutAnswers  Kind = "host cut answers" // connections break around commits and in the middle of answers
+	HostRefuse      Kind = "host refuse"      // it refuses connections
+	HostRestart     Kind = "host restart"     // it comes back under its name with a new start time
+	HostDrain       Kind = "host drain"       // it is listed as draining
+	Failover        Kind = "failover"         // the primary's role moves
+	DiscoverySilent Kind = "discovery silent" // nothing passes between poolers and discovery
+	DiscoveryReset  Kind = "discovery reset"  // watches are reset
+	LinkSilent      Kind = "link silent"      // nothing passes between a pooler and a host, then all of it does
+	LinkDribble     Kind = "link dribble"     // a few kilobytes a second do
+	LinkReset       Kind = "link reset"       // streams between a pooler and a host are reset
+	ClientsFlood    Kind = "clients flood"    // clients send much ahead and go
+	ClientsLeave    Kind = "clients leave"    // clients leave in the middle of requests
+	ClientsHalf     Kind = "clients half"     // clients stop in the middle of a message and stay
+	ClientsBurst    Kind = "clients burst"    // many connect at once
+)
+
+// Kinds are all faults.
+func Kinds() []Kind {
+	return []Kind{
+		Terminate, TerminateTwice, Reload, Kill, Halt, HostHang, HostSlow, HostReset, HostCutAnswers, HostRefuse, HostRestart, HostDrain, Failover,
+		DiscoverySilent, DiscoveryReset, LinkSilent, LinkDribble, LinkReset, ClientsFlood, ClientsLeave, ClientsHalf, ClientsBurst,
+	}
+}
+
+// Millis is a time in milliseconds, for the schedule's JSON.
+type Millis int
+
+// Duration is the same for the standard library.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// Fault is one thing that goes wrong, from a moment of the run on, for a while.
+type Fault struct {
+	Kind   Kind   `json:"kind"`
+	At     Millis `json:"at_ms"`
+	For    Millis `json:"for_ms"`
+	Pooler int    `json:"pooler"`
+	Host   int    `json:"host"`
+}
+
+// Plan is what a run does.
+type Plan struct {
+	Seed    uint64  `json:"seed"`
+	Poolers int     `json:"poolers"`
+	Hosts   int     `json:"hosts"`
+	Length  Millis  `json:"length_ms"`
+	Faults  []Fault `json:"faults"`
+}
+
+const (
+	groupInterval = 1200 // ms from one group of overlapping faults to the next
+	groupSpread   = 300  // ms within which the faults of a group begin
+	quietEnd      = 5000 // ms without new faults, in which everything that was taken is answered
+	hostsOfFleet  = 4
+)
+
+// Draw makes a schedule: every groupInterval two or three faults begin within groupSpread. only, if not empty, has the kinds
+// that are drawn from.
+func Draw(seed uint64, poolers int, length time.Duration, only []Kind) Plan {
+	rng := rand.New(rand.NewPCG(seed, 0x50a4))
+	p := Plan{Seed: seed, Poolers: poolers, Hosts: hostsOfFleet, Length: Millis(length.Milliseconds())}
+	kinds := only
+	if len(kinds) == 0 {
+		kinds = Kinds()
+	}
+	for at := 1000; at < int(p.Length)-quietEnd; at += groupInterval {
+		pooler, host := rng.IntN(poolers), rng.IntN(hostsOfFleet)
+		for range 2 + rng.IntN(2) {
+			f := Fault{
+				Kind: kinds[rng.IntN(len(kinds))], At: Millis(at + rng.IntN(groupSpread)), For: Millis(100 + rng.IntN(1500)),
+				Pooler: pooler, Host: host, // of one group of faults most meet at one pooler and one host
+			}
+			if rng.IntN(3) == 0 {
+				f.Pooler = rng.IntN(poolers)
+			}
+			if rng.IntN(3) == 0 {
+				f.Host = rng.IntN(hostsOfFleet)
+			}
+			p.Faults = append(p.Faults, f)
+		}
+	}
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return p
+}
+
+// LoadPlan reads a schedule that a run wrote.
+func LoadPlan(path string) (Plan, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Plan{}, err
+	}
+	var p Plan
+	if err := json.Unmarshal(b, &p); err != nil {
+		return Plan{}, fmt.Errorf("%s: %w", path, err)
+	}
+	if p.Poolers < 1 || p.Poolers > 64 || p.Hosts != hostsOfFleet {
+		return Plan{}, fmt.Errorf("%s: poolers %d, hosts %d; allowed are 1 to 64 poolers and %d hosts", path, p.Poolers, p.Hosts, hostsOfFleet)
+	}
+	for i, f := range p.Faults {
+		if !slices.Contains(Kinds(), f.Kind) || f.Pooler < 0 || f.Pooler >= p.Poolers || f.Host < 0 || f.Host >= p.Hosts || f.For < 0 {
+			return Plan{}, fmt.Errorf("%s: faults[%d]: %q at pooler %d and host %d is none that can be played", path, i, f.Kind, f.Pooler, f.Host)
+		}
+	}
+	return p, nil
+}
+
+// Shrink takes faults out of a schedule while runs of it still fail, in halves, quarters and so on.
+func Shrink(p Plan, fails func(Plan) (bool, error)) (Plan, error) {
+	for step := max(1, len(p.Faults)/2); step > 0; step /= 2 {
+		for i := 0; i < len(p.Faults); {
+			smaller := p
+			smaller.Faults = slices.Delete(slices.Clone(p.Faults), i, min(i+step, len(p.Faults)))
+			failed, err := fails(smaller)
+			if err != nil {
+				return p, err
+			}
+			if failed {
+				p = smaller
+			} else {
+				i += step
+			}
+		}
+	}
+	return p, nil
+}
--- /dev/null
+++ b/testbed/soak/run.go
@@ -0,0 +1,547 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"ashstand/internal/admin"
+	"ashstand/internal/lifecycle"
+	"ashstand/internal/metrics"
+	"ashstand/testbed/cluster"
+	"ashstand/testbed/discovery"
+	"ashstand/testbed/fleet"
+	"ashstand/testbed/host"
+	"ashstand/testbed/report"
+)
+
+// Options are those of a run.
+type Options struct {
+	Plan    Plan
+	Clients int    // of each pooler
+	Pooler  string // the program; "": ashstand beside this one
+	Break   string // a rule that the run breaks by itself, so that its checker is seen to fail
+	Log     bool
+	// Slack is what is allowed for a machine that does other work beside the run. Where it is more than the usual, rules that a
+	// pooler breaks by being held up are not judged; all others are.
+	Slack time.Duration
+}
+
+// timingRules are the rules that a pooler breaks where the machine holds it up for longer than their graces.
+var timingRules = []string{
+	lifecycle.AttemptAfterClientGone.String(), lifecycle.AttemptAfterCut.String(), lifecycle.AttemptToDraining.String(),
+	lifecycle.DeadlineExceeded.String(), lifecycle.RetryOutsideWindow.String(), lifecycle.AnswerLate.String(),
+}
+
+// Breakable are the rules that a run can break by itself.
+func Breakable() []string {
+	return []string{unanswered, duplicateWrite, lostCommit, sentAfterGone, sentToDraining, crashed, endedLate}
+}
+
+const (
+	killAfter     = 3700 * time.Millisecond // from SIGTERM to SIGKILL: the longest deadline, 3 s at the most, and 0.7 s
+	readyWithin   = 10 * time.Second
+	clientsEnd    = 3 * time.Second // for what is under way at the end
+	haltFor       = 150 * time.Millisecond
+	hostLag       = 30 * time.Millisecond
+	dribbleRate   = 4000 // bytes a second
+	statsInterval = 100 * time.Millisecond
+)
+
+// rig is a run.
+type rig struct {
+	o       Options
+	g       *report.Collector
+	judge   *judge
+	fleet   *fleet.Fleet
+	mesh    *cluster.Mesh
+	names   []string
+	poolers []*pooler
+	sent    atomic.Int64
+	faults  sync.WaitGroup
+	stop    atomic.Bool
+
+	mu        sync.Mutex // guards agents
+	agents    map[string]string
+	hostFault sync.Map // by host name: *sync.Mutex, one fault of its own at a time
+	hostDrain sync.Map // the same for drains
+}
+
+// pooler is one name with its present process. Faults that end the process take turns.
+type pooler struct {
+	name    string
+	mu      sync.Mutex // held while a process ends and the next starts
+	process *fleet.Pooler
+	ending  atomic.Bool // it was told to end
+
+	counted map[string]int // rule violations of this process, as they were read last; guarded by mu
+}
+
+// Run plays a plan and returns what was found.
+func Run(ctx context.Context, o Options) (*report.Result, error) {
+	g := report.New("soak", o.Plan.Seed, unanswered, late, duplicateWrite, lostCommit, missedOwnWrite, sentAfterGone, sentToDraining, endedLate, crashed, notReadyInTime)
+	r := &rig{o: o, g: g, judge: newJudge(g, max(machineSlack, o.Slack)), mesh: cluster.NewMesh(), agents: map[string]string{}}
+	for i := range o.Plan.Poolers {
+		r.names = append(r.names, fmt.Sprint("n", i+1))
+	}
+	defer r.close()
+	if err := r.start(); err != nil {
+		return nil, err
+	}
+	begun := time.Now()
+	r.play(ctx)
+	r.g.Do(func(res *report.Result) {
+		for _, p := range r.poolers {
+			_, rss := p.process.Usage()
+			res.Memory.RSS = max(res.Memory.RSS, rss)
+		}
+	})
+	r.breakRule()
+	r.judge.finish(func(ref string) int { return r.fleet.Cluster.Versions("public", "entries", ref) })
+	return g.Result(time.Since(begun).Seconds()), nil
+}
+
+// start brings up hosts, discovery and poolers; whatever was started ends with close, also after an error.
+func (r *rig) start() error {
+	var err error
+	r.fleet, err = fleet.Start(fleet.Options{
+		Pooler: r.o.Pooler, Replicas: hostsOfFleet - 1, Lag: hostLag, Seed: r.o.Plan.Seed, Clients: 10, Servers: 8, Log: r.o.Log,
+		Names: r.names, Agent: r.agent, Sockets: 256, MemoryMB: 96,
+	})
+	if err != nil {
+		return err
+	}
+	r.fleet.Cluster.Observe(r.judge.sighted)
+	r.judge.payloads = func(ref string) []string { return r.fleet.Cluster.Payloads("public", "entries", ref) }
+	failed := make([]error, len(r.names))
+	var all sync.WaitGroup
+	for i, name := range r.names {
+		p := &pooler{name: name, counted: map[string]int{}}
+		r.poolers = append(r.poolers, p)
+		all.Go(func() { p.process, failed[i] = r.fleet.StartPooler(name) })
+	}
+	all.Wait()
+	return errors.Join(failed...)
+}
+
+// agent is where a pooler asks for the list: behind a link of its own, with each host behind a link too.
+func (r *rig) agent(name string, of *discovery.Registry) (string, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if address, ok := r.agents[name]; ok {
+		return address, nil
+	}
+	for _, h := range r.fleet.Hosts {
+		l, err := cluster.NewLink(name, h.Name, func() string { return h.Address }, false, r.o.Plan.Seed)
+		if err != nil {
+			return "", err
+		}
+		r.mesh.Add(l)
+	}
+	at, err := of.Agent(func(e discovery.Entry) discovery.Entry {
+		if l := r.mesh.Link(name, e.Name); l != nil {
+			e.Address = l.Address
+		}
+		return e
+	})
+	if err != nil {
+		return "", err
+	}
+	l, err := cluster.NewLink(name, "discovery", func() string { return at }, false, r.o.Plan.Seed)
+	if err != nil {
+		return "", err
+	}
+	r.mesh.Add(l)
+	r.agents[name] = l.Address
+	return l.Address, nil
+}
+
+// play runs clients and faults, and then waits for what is under way.
+func (r *rig) play(ctx context.Context) {
+	run, stop := context.WithTimeout(ctx, r.o.Plan.Length.Duration())
+	defer stop()
+	var clients sync.WaitGroup
+	for i, p := range r.poolers {
+		for k := range r.o.Clients {
+			c := r.newClient(p, fmt.Sprintf("c%d-%d", i, k), habit(k)%habits, uint64(i)<<16|uint64(k))
+			clients.Go(func() { c.run(run) })
+		}
+	}
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		for run.Err() == nil {
+			pause(run, statsInterval)
+			r.watch()
+		}
+	}()
+	begun := time.Now()
+	for _, f := range r.o.Plan.Faults {
+		pause(run, time.Until(begun.Add(f.At.Duration())))
+		if run.Err() != nil {
+			break
+		}
+		r.g.Do(func(res *report.Result) { res.Faults[string(f.Kind)]++ })
+		r.faults.Go(func() { r.apply(run, f) })
+	}
+	<-run.Done()
+	clients.Wait()
+	r.faults.Wait()
+	<-watched
+	time.Sleep(clientsEnd)
+	r.watch()
+	r.stop.Store(true)
+}
+
+func (r *rig) newClient(p *pooler, name string, h habit, seed uint64) *client {
+	return &client{
+		name: name, pooler: p.name, address: p.process.Statement, habit: h, judge: r.judge, sent: &r.sent,
+		rng: rand.New(rand.NewPCG(r.o.Plan.Seed, seed)),
+	}
+}
+
+// watch reads the poolers' counters, and looks whether each that should run does.
+func (r *rig) watch() {
+	for _, p := range r.poolers {
+		if !p.mu.TryLock() {
+			continue // it ends or starts
+		}
+		r.count(p)
+		select {
+		case <-p.process.Ended():
+			if !p.ending.Load() {
+				r.g.Break(crashed, "%s: %v", p.name, lastLines(p.process.EndedError().Error()))
+				r.restart(p)
+			}
+		default:
+		}
+		p.mu.Unlock()
+	}
+}
+
+func lastLines(text string) string {
+	const lines = 12
+	all := strings.Split(strings.TrimSpace(text), "\n")
+	return strings.Join(all[max(0, len(all)-lines):], "\n")
+}
+
+// count takes what a process says of its rules. p.mu is held.
+func (r *rig) count(p *pooler) {
+	var view struct {
+		Figures []metrics.Figure `json:"figures"`
+	}
+	if admin.Get(p.process.Admin, "stats", &view) != nil {
+		return
+	}
+	for rule, n := range metrics.Violations(view.Figures) {
+		if r.o.Slack > machineSlack && slices.Contains(timingRules, rule) {
+			continue
+		}
+		if more := n - p.counted[rule]; more > 0 {
+			r.g.Break(poolerViolations+rule, "%s counts %d: %s", p.name, n, violationLines(p.process.Log(), rule))
+			p.counted[rule] = n
+		}
+	}
+	r.g.Do(func(res *report.Result) {
+		for _, f := range view.Figures {
+			if reason := f.Labels["reason"]; reason != "" && f.Value > 0 {
+				key := strings.TrimPrefix(f.Name, "ashstand_") + " " + reason
+				res.Baseline[key] = max(res.Baseline[key], f.Value)
+			}
+		}
+	})
+}
+
+// violationLines are the log's lines on a rule.
+func violationLines(log, rule string) string {
+	var found []string
+	for _, line := range strings.Split(log, "\n") {
+		if strings.Contains(line, "rule="+rule) {
+			found = append(found, line)
+		}
+	}
+	return strings.Join(found[max(0, len(found)-3):], "; ")
+}
+
+// restart starts the next process of a name. p.mu is held.
+func (r *rig) restart(p *pooler) {
+	p.ending.Store(false)
+	p.counted = map[string]int{}
+	begun := time.Now()
+	process, err := r.fleet.StartPooler(p.name)
+	if process != nil {
+		p.process = process
+	}
+	switch took := time.Since(begun); {
+	case err != nil:
+		r.g.Break(notReadyInTime, "%s: %s", p.name, lastLines(err.Error()))
+	case took > readyWithin:
+		r.g.Break(notReadyInTime, "%s took %v", p.name, took)
+	}
+}
+
+// end tells a process to end, as the platform does, and starts the next one.
+func (r *rig) end(ctx context.Context, p *pooler, twice bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	r.count(p)
+	p.ending.Store(true)
+	begun := time.Now()
+	_ = p.process.Signal(syscall.SIGTERM)
+	if twice {
+		time.Sleep(haltFor)
+		_ = p.process.Signal(syscall.SIGHUP)
+		_ = p.process.Signal(syscall.SIGTERM)
+	}
+	for ended := false; !ended; {
+		select {
+		case <-p.process.Ended():
+			ended = true
+		case <-time.After(statsInterval):
+			r.count(p)
+			if time.Since(begun) > killAfter+r.o.Slack {
+				r.g.Break(endedLate, "%s runs %v after SIGTERM", p.name, time.Since(begun))
+				p.process.Stop()
+			}
+		}
+	}
+	if err := p.process.Err(); err != nil && time.Since(begun) < killAfter+r.o.Slack {
+		r.g.Break(crashed, "%s after SIGTERM: %v\n%s", p.name, err, lastLines(p.process.Log()))
+	}
+	r.restart(p)
+}
+
+// kill ends a process at once.
+func (r *rig) kill(ctx context.Context, p *pooler) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	r.count(p)
+	p.ending.Store(true)
+	r.judge.kill(p.name)
+	p.process.Stop()
+	r.judge.kill(p.name)
+	r.restart(p)
+}
+
+// halt stops a process for a moment, over and over.
+func (r *rig) halt(p *pooler, d time.Duration) {
+	for till := time.Now().Add(d); time.Now().Before(till); time.Sleep(haltFor) {
+		if !p.mu.TryLock() {
+			return // it ends or starts
+		}
+		_ = p.process.Signal(syscall.SIGSTOP)
+		time.Sleep(haltFor)
+		_ = p.process.Signal(syscall.SIGCONT)
+		p.mu.Unlock()
+	}
+}
+
+// reload has a process read its files again.
+func (r *rig) reload(p *pooler) {
+	_ = r.fleet.Rewrite(p.name, func(text string) string { return text + "# again\n" })
+	if p.mu.TryLock() {
+		_ = p.process.Signal(syscall.SIGHUP)
+		p.mu.Unlock()
+	}
+}
+
+// apply makes one fault happen and takes it away again.
+func (r *rig) apply(ctx context.Context, f Fault) {
+	p, h := r.poolers[f.Pooler], r.fleet.Hosts[f.Host]
+	d := f.For.Duration()
+	link := r.mesh.Link(p.name, h.Name)
+	switch f.Kind {
+	case Terminate, TerminateTwice:
+		r.end(ctx, p, f.Kind == TerminateTwice)
+	case Reload:
+		r.reload(p)
+	case Kill:
+		r.kill(ctx, p)
+	case Halt:
+		r.halt(p, d)
+	case HostHang:
+		r.withHost(h, host.Faults{Stall: 1, StallFor: d}, d)
+	case HostSlow:
+		r.withHost(h, host.Faults{Slow: 0.7, SlowFor: 300 * time.Millisecond}, d)
+	case HostCutAnswers:
+		r.withHost(h, host.Faults{CutBefore: 0.1, CutAfter: 0.1, CutAnswer: 0.1, CutIdle: 0.2}, d)
+	case HostRefuse:
+		r.withHost(h, host.Faults{Refuse: 1, CutIdle: 0.3}, d)
+	case HostReset:
+		for till := time.Now().Add(d); time.Now().Before(till); time.Sleep(haltFor) {
+			h.Cut()
+		}
+	case HostRestart:
+		r.restartHost(h)
+	case HostDrain:
+		r.drain(h, d)
+	case Failover:
+		r.fleet.Cluster.Fail(h, haltFor, f.For%2 == 0)
+		r.fleet.Publish()
+	case DiscoverySilent:
+		r.impair(p.name, "discovery", cluster.LinkFault{Drop: true}, d)
+	case DiscoveryReset:
+		over := r.judge.troubled(p.name + ">discovery")
+		r.mesh.Link(p.name, "discovery").Reset()
+		over()
+	case LinkSilent:
+		r.impair(p.name, h.Name, cluster.LinkFault{Stall: true}, d)
+	case LinkDribble:
+		r.impair(p.name, h.Name, cluster.LinkFault{Rate: dribbleRate, Jitter: 20 * time.Millisecond}, d)
+	case LinkReset:
+		over := r.judge.troubled(p.name + ">" + h.Name)
+		link.Reset()
+		over()
+	case ClientsFlood, ClientsLeave, ClientsHalf, ClientsBurst:
+		r.crowd(ctx, p, f)
+	}
+}
+
+// withHost lays faults on a host for a while; one such fault a host at a time.
+func (r *rig) withHost(h *host.Host, faults host.Faults, d time.Duration) {
+	held, _ := r.hostFault.LoadOrStore(h.Name, new(sync.Mutex))
+	mu := held.(*sync.Mutex)
+	mu.Lock()
+	defer mu.Unlock()
+	h.SetFaults(faults)
+	time.Sleep(d)
+	h.SetFaults(host.Faults{})
+}
+
+// restartHost has a host come back under its name with a new start time. The primary's role goes to another first.
+func (r *rig) restartHost(h *host.Host) {
+	held, _ := r.hostFault.LoadOrStore(h.Name, new(sync.Mutex))
+	mu := held.(*sync.Mutex)
+	mu.Lock()
+	defer mu.Unlock()
+	if h.Primary() {
+		others := r.fleet.Hosts
+		r.fleet.Cluster.Fail(others[(slices.Index(others, h)+1)%len(others)], haltFor, true)
+	}
+	h.Stop()
+	time.Sleep(haltFor)
+	if err := h.Restart(); err != nil {
+		r.g.Do(func(res *report.Result) { res.Notes = append(res.Notes, "the rig: "+err.Error()) })
+	}
+	r.fleet.Publish()
+}
+
+// drain lists a host as draining for a while; one drain a host at a time.
+func (r *rig) drain(h *host.Host, d time.Duration) {
+	held, _ := r.hostDrain.LoadOrStore(h.Name, new(sync.Mutex))
+	mu := held.(*sync.Mutex)
+	mu.Lock()
+	defer mu.Unlock()
+	over := r.judge.draining(h.Name)
+	r.fleet.Drain(h, true)
+	time.Sleep(d + drainGrace)
+	over()
+	r.fleet.Drain(h, false)
+}
+
+func (r *rig) impair(from, to string, fault cluster.LinkFault, d time.Duration) {
+	over := r.judge.troubled(from + ">" + to)
+	lift := r.mesh.Impair(from, to, fault)
+	time.Sleep(d)
+	lift()
+	over()
+}
+
+// crowd plays clients that come for one fault.
+func (r *rig) crowd(ctx context.Context, p *pooler, f Fault) {
+	const crowd = 30
+	run, stop := context.WithTimeout(ctx, f.For.Duration())
+	defer stop()
+	var all sync.WaitGroup
+	for i := range crowd {
+		c := r.newClient(p, fmt.Sprintf("x%d-%d-%d", f.At, f.Pooler, i), oneByOne, uint64(f.At)<<8|uint64(i))
+		all.Go(func() {
+			switch f.Kind {
+			case ClientsFlood:
+				c.habit = pipelines
+				c.flood(run)
+			case ClientsLeave:
+				c.habit = leaves
+				c.run(run)
+			case ClientsHalf:
+				c.stopHalfway(run)
+			default:
+				c.run(run)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// breakRule breaks a rule by itself, so that its checker is seen to fail.
+func (r *rig) breakRule() {
+	now := time.Now()
+	q := &request{id: "broken-1", class: "donate", pooler: r.names[0], ref: "seed-1", deadline: time.Second, writtenAt: now, dueFrom: now}
+	switch r.o.Break {
+	case unanswered:
+		r.judge.began(q)
+		r.judge.sighted(r.fleet.Hosts[0].Name, "/* id=broken-1,c=donate */", now)
+		r.judge.closed([]*request{q}, errors.New("--break"))
+	case duplicateWrite:
+		r.insert("twice/1")
+		r.insert("twice/1")
+		q.ref = "twice/1"
+		r.judge.began(q)
+	case lostCommit:
+		q.ref = "never/1"
+		r.judge.began(q)
+		r.judge.answered(q, "served")
+	case sentAfterGone:
+		q.goneAt = now.Add(-time.Second)
+		r.judge.began(q)
+		r.judge.sighted("elsewhere", "/* id=broken-1,c=donate */", now)
+	case sentToDraining:
+		r.judge.drains["elsewhere"] = []interval{{from: now.Add(-time.Hour)}}
+		r.judge.began(q)
+		r.judge.sighted("elsewhere", "/* id=broken-1,c=donate */", now)
+	case crashed:
+		p := r.poolers[0]
+		_ = p.process.Signal(syscall.SIGKILL)
+		<-p.process.Ended()
+		r.watch()
+	case endedLate:
+		p := r.poolers[0]
+		time.AfterFunc(haltFor, func() { _ = p.process.Signal(syscall.SIGSTOP) })
+		r.end(context.Background(), p, false)
+	}
+}
+
+// insert writes a row past all poolers.
+func (r *rig) insert(ref string) { r.fleet.Cluster.Write(ref, "1") }
+
+func (r *rig) close() {
+	r.mesh.Close()
+	if r.fleet != nil {
+		r.fleet.Stop()
+	}
+}
+
+// WriteSchedule writes a plan to a file, for --plan.
+func WriteSchedule(p Plan, path string) error {
+	b, err := json.MarshalIndent(p, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Clean(path), append(b, '\n'), 0o644)
+}
