One client may send ahead an eighth of what all may; the soak's clients pipeline deeper

Change: the bound of one client is an eighth of what all clients may send ahead, 256 KiB at the least.

--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -17,7 +17,8 @@
 
 // Bounds of the front in statement mode, in bytes and milliseconds.
 const (
-	maxUnreadBytes             = maxQueryBytes + 64<<10 // of one client: a query, and what it sends ahead
+	maxUnreadBytes             = maxQueryBytes + 64<<10 // of one client at the least: a query, and what it sends ahead
+	readAheadFraction          = 8                      // of what all clients may send ahead, one may send so much, if that is more
 	maxUnsentMillis            = 20e3                   // for which a client may leave its answer in our buffer
 	maxSilentMillis            = 2200                   // for which it may keep us waiting for a complete message, or for its first request
 	minIdleMillis              = 100                    // after its answer a connection may be closed in favour of a new one
@@ -228,6 +229,11 @@
 	return h.handleQueued(c)
 }
 
+// readAheadLimit returns how much of one client may wait, in bytes.
+func (f *Front) readAheadLimit() int {
+	return max(maxUnreadBytes, f.limits.Load().Bytes/readAheadFraction)
+}
+
 // cancel gives up the request that is under way on the connection with this key. Its client gets an error, and what it
 // sent ahead is served. A key that was not given out here does nothing: it may be another pooler's.
 func (f *Front) cancel(key uint64) {
--- a/internal/net/pg/front_client.go
+++ b/internal/net/pg/front_client.go
@@ -121,7 +121,7 @@
 		case Malformed: // where the next message begins is not known
 			h.queue.end(command)
 		default:
-			if !h.queue.push(command, maxUnreadBytes) {
+			if !h.queue.push(command, h.front.readAheadLimit()) {
 				h.queue.end(Command{Kind: Overloaded, Text: "too many commands were sent ahead of their answers"})
 			}
 		}
--- a/internal/net/pg/pipeline_test.go
+++ b/internal/net/pg/pipeline_test.go
@@ -126,7 +126,7 @@
 // answer, in order: those within the bound are served, those beyond it are rejected. None is lost by a close.
 func TestAClientThatPipelinesMuchGetsEveryAnswer(t *testing.T) {
 	const requests, size = 200, 4 << 10
-	d, open := listenGated(t, FrontLimits{Clients: 16, Bytes: 8 << 20, RetryAfterMillis: 300})
+	d, open := listenGated(t, FrontLimits{Clients: 16, Bytes: maxUnreadBytes * readAheadFraction, RetryAfterMillis: 300})
 	c, written := d.sendAhead(t, "a", requests, size)
 	<-written
 	require.Eventually(t, func() bool {
@@ -137,6 +137,7 @@
 	require.Len(t, answers, requests)
 	require.GreaterOrEqual(t, serves(t, answers), maxUnreadBytes/2/size)
 	require.Equal(t, "served", answers[0])
+	require.Contains(t, answers, "ERROR 53300", "more was sent than is read ahead")
 	d.on(func() { require.LessOrEqual(t, d.unreadBytes, 0) })
 }
 
--- a/testbed/soak/client.go
+++ b/testbed/soak/client.go
@@ -31,8 +31,10 @@
 	connectTimeout = 2 * time.Second
 	readTimeout    = 25 * time.Second // past the longest deadline
 	meanPause      = 120 * time.Millisecond
-	pipelineDepth  = 24
-	pipelinePad    = 12 << 10
+	pipelineDepth  = 40
+	pipelinePad    = 24 << 10  // up to this, so that a deep pipeline is more than a pooler reads ahead
+	longPad        = 130 << 10 // of one request in longEvery, so that it is more than a host's window
+	longEvery      = 60
 )
 
 // client is one client of one pooler.
@@ -121,7 +123,9 @@
 		return fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=1%s */ ", r.id, r.class, r.deadline.Milliseconds(), more)
 	}
 	padding := ""
-	if pad > 0 {
+	if c.rng.IntN(longEvery) == 0 {
+		padding = " -- " + strings.Repeat("x", longPad)
+	} else if pad > 0 {
 		padding = " -- " + strings.Repeat("x", c.rng.IntN(pad))
 	}
 	switch n := c.rng.IntN(100); {
