Failing test: a request begun behind invalid ones is cut without an answer

A request whose invalidity the core finds counts when it ends; the bound is asked only after the next command was handled, which may have begun a request. Change: a test, listed.

--- a/internal/net/pg/front_test.go
+++ b/internal/net/pg/front_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -375,3 +376,18 @@
 	require.Empty(t, d.violations(t))
 	require.InDelta(t, 1, d.figure(t, "ashstand_requests_rejected_total", "not_ready"), 0)
 }
+
+// The request that comes after as many as may be that the core finds invalid is answered before the connection ends.
+func TestARequestBehindInvalidOnesIsAnswered(t *testing.T) {
+	d := listen(t, FrontLimits{Clients: 16, Bytes: 1 << 20, RetryAfterMillis: 300})
+	var texts []string
+	for i := range maxInvalidRequests + 1 {
+		texts = append(texts, fmt.Sprintf("/* id=i%d,c=unknown,d=20000,cluster=1 */ SELECT 'k'", i))
+	}
+	c := d.call(t, append(texts, report("a"))...)
+	got := errorsOf(t, c, 0)
+	c.Close()
+	require.Len(t, got, maxInvalidRequests+3)
+	require.Equal(t, []string{"ERROR 08P01 ", "ERROR 53300 300", "FATAL 08P01 "}, got[len(got)-3:])
+	require.Empty(t, d.violations(t))
+}
