--- a/internal/net/pg/front_client.go
+++ b/internal/net/pg/front_client.go
@@ -48,7 +48,7 @@
 
 // resume goes on with what the client sent, from outside of its own Traffic.
 func (h *client) resume(c gnet.Conn) {
-	if !h.closingWithError {
+	if !h.closingWithError && h.ctx.Err() == nil {
 		h.finishAction(c, h.advance(c))
 	}
 }
@@ -173,12 +173,19 @@
 		h.rejectReadAhead(c)
 		return gnet.None
 	}
-	action := h.handle(c, &command.Command)
-	if h.invalidRequests > maxInvalidRequests && action == gnet.None && !h.closingWithError {
-		h.rejectQueued(c)
-		return h.closeWithError(c, lifecycle.ClosedProtocol, sqlStateProtocolViolation, "too many requests that make no sense", "")
+	if action := h.handle(c, &command.Command); action != gnet.None || h.closingWithError {
+		return action
 	}
-	return action
+	return h.boundInvalid(c)
+}
+
+// boundInvalid ends a client of which too many requests in a row make no sense, once none is under way.
+func (h *client) boundInvalid(c gnet.Conn) gnet.Action {
+	if h.invalidRequests <= maxInvalidRequests || h.isBlocked() {
+		return gnet.None
+	}
+	h.rejectQueued(c)
+	return h.closeWithError(c, lifecycle.ClosedProtocol, sqlStateProtocolViolation, "too many requests that make no sense", "")
 }
 
 // rejectReadAhead answers a query whose text was dropped.
--- a/internal/net/pg/front_close.go
+++ b/internal/net/pg/front_close.go
@@ -64,8 +64,8 @@
 // closeWithError tells a client why it has to go and ends our side. The connection stays for a moment, in which what
 // the client still sends is thrown away: closed at once, it would be reset, and a reset can eat the error.
 func (h *client) closeWithError(c gnet.Conn, reason lifecycle.CloseReason, state, text, detail string) gnet.Action {
-	h.checkAnswered(reason)
 	h.noteClose(reason)
+	h.checkAnswered(reason)
 	h.write(c, appendError(nil, severityFatal, state, text, detail))
 	h.flush(c)
 	if c.OutboundBuffered() > 0 || syscall.Shutdown(c.Fd(), syscall.SHUT_WR) != nil {
--- a/internal/net/pg/front_request.go
+++ b/internal/net/pg/front_request.go
@@ -117,6 +117,7 @@
 	if h.invalidRequests++; verdict != edge.Invalid {
 		h.invalidRequests = 0
 	}
+	h.finishAction(c, h.boundInvalid(c))
 	h.resume(c)
 }
 
--- a/testbed/cluster/run.go
+++ b/testbed/cluster/run.go
@@ -213,29 +213,12 @@
 	if a, ok := r.agents[name]; ok {
 		return a, nil
 	}
-	for _, h := range r.fleet.Hosts {
-		l, err := NewLink(name, h.Name, func() string { return h.Address }, false, r.o.Plan.Seed)
-		if err != nil {
-			return "", err
-		}
-		r.mesh.Add(l)
-	}
-	at, err := of.Agent(func(e discovery.Entry) discovery.Entry {
-		if l := r.mesh.Link(name, e.Name); l != nil {
-			e.Address = l.Address
-		}
-		return e
-	})
-	if err != nil {
-		return "", err
-	}
-	l, err := NewLink(name, "discovery", func() string { return at }, false, r.o.Plan.Seed)
+	address, err := r.mesh.Agent(name, r.fleet.Hosts, of, r.o.Plan.Seed)
 	if err != nil {
 		return "", err
 	}
-	r.mesh.Add(l)
-	r.agents[name] = l.Address
-	return l.Address, nil
+	r.agents[name] = address
+	return address, nil
 }
 
 func (r *rig) node(name string) *node {
