--- a/cmd/ashstand/jobs_golden_test.go
+++ b/cmd/ashstand/jobs_golden_test.go
@@ -15,28 +15,6 @@
 
 var updateWorksGolden = flag.Bool("update-golden-jobs", false, "write the golden files of the admin socket's views of jobs anew")
 
-// requireSuperset requires that all which an older reader finds at a path is there still, with the same value.
-func requireSuperset(t *testing.T, path string, old, now any) {
-	switch old := old.(type) {
-	case map[string]any:
-		is, ok := now.(map[string]any)
-		require.True(t, ok, path)
-		for k, v := range old {
-			require.Contains(t, is, k, path)
-			requireSuperset(t, path+"."+k, v, is[k])
-		}
-	case []any:
-		is, ok := now.([]any)
-		require.True(t, ok, path)
-		require.Len(t, is, len(old), path)
-		for i := range old {
-			requireSuperset(t, path, old[i], is[i])
-		}
-	default:
-		require.Equal(t, old, now, path)
-	}
-}
-
 // Whoever reads the admin socket's JSON finds each key that was there before, with its value; new ones may stand beside.
 func TestGoldenAdminViewOfJobs(t *testing.T) {
 	word := &jobs.Approval{Action: "stop", By: "ann", Step: 4, Persistent: true}
@@ -61,7 +39,7 @@
 	var old, now any
 	require.NoError(t, stdjson.Unmarshal(want, &old))
 	require.NoError(t, stdjson.Unmarshal(got, &now))
-	requireSuperset(t, "", old, now)
+	requireContained(t, "", old, now)
 	require.Equal(t, string(want), string(got)+"\n", "the deprecated view does not grow")
 	var read legacyJobsView
 	require.NoError(t, json.Unmarshal(want, &read))
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -46,7 +46,7 @@
 func (a *attempt) open() (wait float64, ok bool) {
 	now := a.edge.clock.Now()
 	may := lifecycle.MaySend(lifecycle.SendFacts{
-		Phase: a.edge.Phase(), ClientGone: a.client.Err() != nil, Now: now, Deadline: a.decision.Deadline, Eligible: a.call.Revalidate(),
+		Phase: a.edge.Phase(), ClientDisconnected: a.client.Err() != nil, Now: now, Deadline: a.decision.Deadline, Eligible: a.call.Revalidate(),
 	})
 	wait = a.decision.Deadline - now
 	if may.OK() {
@@ -80,7 +80,7 @@
 		reply := a.run(ctx)
 		a.check(&reply)
 		history.add(a, &reply)
-		may := lifecycle.MayRetry(lifecycle.RetryFacts{Phase: e.Phase(), ClientGone: ctx.Err() != nil})
+		may := lifecycle.MayRetry(lifecycle.RetryFacts{Phase: e.Phase(), ClientDisconnected: ctx.Err() != nil})
 		if !may.OK() { // before the report, which would choose a further attempt for nobody
 			call.Abandon()
 		}
--- a/internal/edge/check.go
+++ b/internal/edge/check.go
@@ -26,7 +26,7 @@
 		At:             reply.WrittenAt,
 		TimeoutMillis:  a.timeout.load(),
 		ClientDeadline: a.deadline,
-		ClientGoneAt:   goneAt(a.client),
+		DisconnectedAt: disconnectedAt(a.client),
 		CutAt:          a.edge.cutAt.load(),
 		InactiveSince:  a.edge.dispatcher.InactiveSince(a.decision.Host),
 	}) {
@@ -34,8 +34,8 @@
 	}
 }
 
-// goneAt is when the front read the client's end; 0: it did not, or that is not known.
-func goneAt(client context.Context) float64 {
+// disconnectedAt is when the front read the client's end; 0: it did not, or that is not known.
+func disconnectedAt(client context.Context) float64 {
 	var gone *DisconnectedError
 	if errors.As(context.Cause(client), &gone) {
 		return gone.AtMillis
--- a/internal/edge/check_test.go
+++ b/internal/edge/check_test.go
@@ -98,10 +98,10 @@
 		statement string
 		prepare   func(s *setup)
 	}{
-		{lifecycle.AttemptAfterClientGone, anyRead, func(s *setup) {
+		{lifecycle.AttemptAfterDisconnect, anyRead, func(s *setup) {
 			s.b.around = func() {
 				s.cancel(&DisconnectedError{AtMillis: s.clock.Now()})
-				s.clock.Advance(lifecycle.GoneGraceMillis + 1)
+				s.clock.Advance(lifecycle.DisconnectGraceMillis + 1)
 			}
 		}},
 		{lifecycle.AttemptAfterCut, anyRead, func(s *setup) {
--- a/internal/lifecycle/decision.go
+++ b/internal/lifecycle/decision.go
@@ -5,21 +5,21 @@
 
 // The reasons.
 const (
-	Allowed           Reason = iota
-	NotReady                 // no list of hosts is held
-	ProcessCutting           // the process is about to end
-	ClientGone               // the client has closed its connection or cancelled the request
-	TimeIsUp                 // nothing is left of the client's time
-	HostNotEligible          // the host drains, was removed, lost the role or fell behind since it was chosen
-	RequestInFlight          // a request of the connection has no answer yet
-	CommandsWait             // commands were read and have no answer yet
-	PartOfMessageRead        // a message has begun to arrive
-	BytesUnread              // bytes lie in the kernel: closed over them, the connection would be reset
-	BytesUnsent              // a part of an answer is not with the kernel yet
+	Allowed            Reason = iota
+	NotReady                  // no list of hosts is held
+	ProcessCutting            // the process is about to end
+	ClientDisconnected        // the client has closed its connection or cancelled the request
+	TimeIsUp                  // nothing is left of the client's time
+	HostNotEligible           // the host drains, was removed, lost the role or fell behind since it was chosen
+	RequestInFlight           // a request of the connection has no answer yet
+	CommandsWait              // commands were read and have no answer yet
+	PartOfMessageRead         // a message has begun to arrive
+	BytesUnread               // bytes lie in the kernel: closed over them, the connection would be reset
+	BytesUnsent               // a part of an answer is not with the kernel yet
 )
 
 var reasonNames = [...]string{
-	"allowed", "not_ready", "process_cutting", "client_gone", "time_is_up", "host_not_eligible", "request_in_flight",
+	"allowed", "not_ready", "process_cutting", "client_disconnected", "time_is_up", "host_not_eligible", "request_in_flight",
 	"commands_wait", "part_of_message_read", "bytes_unread", "bytes_unsent",
 }
 
@@ -39,16 +39,16 @@
 
 // StartFacts are what MayStart rests on.
 type StartFacts struct {
-	Phase      Phase
-	Ready      bool // a whole list of hosts is held; a process may be told to end before it has one
-	ClientGone bool // the client's end has come, if only to the kernel
+	Phase              Phase
+	Ready              bool // a whole list of hosts is held; a process may be told to end before it has one
+	ClientDisconnected bool // the client's end has come, if only to the kernel
 }
 
 // MayStart decides whether a request that was read may begin.
 func MayStart(f StartFacts) Decision {
 	switch {
-	case f.ClientGone:
-		return Decision{ClientGone}
+	case f.ClientDisconnected:
+		return Decision{ClientDisconnected}
 	case f.Phase >= Cutting:
 		return Decision{ProcessCutting}
 	case !f.Ready:
@@ -59,11 +59,11 @@
 
 // SendFacts are what MaySend rests on. They are gathered just before the write, in the same visit to the event loop.
 type SendFacts struct {
-	Phase      Phase
-	ClientGone bool
-	Now        float64
-	Deadline   float64 // until which the attempt may take
-	Eligible   bool    // routing still permits the host
+	Phase              Phase
+	ClientDisconnected bool
+	Now                float64
+	Deadline           float64 // until which the attempt may take
+	Eligible           bool    // routing still permits the host
 }
 
 // MaySend decides whether an attempt that was chosen may be written to its host.
@@ -71,8 +71,8 @@
 	switch {
 	case f.Phase >= Cutting:
 		return Decision{ProcessCutting}
-	case f.ClientGone:
-		return Decision{ClientGone}
+	case f.ClientDisconnected:
+		return Decision{ClientDisconnected}
 	case f.Deadline-f.Now <= 0:
 		return Decision{TimeIsUp}
 	case !f.Eligible:
@@ -83,8 +83,8 @@
 
 // RetryFacts are what MayRetry rests on. Whether a retry can do harm, and where it goes, is routing's decision.
 type RetryFacts struct {
-	Phase      Phase
-	ClientGone bool
+	Phase              Phase
+	ClientDisconnected bool
 }
 
 // MayRetry decides whether routing is to be asked for a further attempt.
@@ -92,8 +92,8 @@
 	switch {
 	case f.Phase >= Cutting:
 		return Decision{ProcessCutting}
-	case f.ClientGone:
-		return Decision{ClientGone}
+	case f.ClientDisconnected:
+		return Decision{ClientDisconnected}
 	}
 	return Decision{Allowed}
 }
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -26,7 +26,7 @@
 func TestMayStart(t *testing.T) {
 	for phase, want := range map[Phase]Reason{Starting: Allowed, Ready: Allowed, Draining: Allowed, Cutting: ProcessCutting, Ended: ProcessCutting} {
 		require.Equal(t, want, MayStart(StartFacts{Phase: phase, Ready: true}).Reason, phase.String())
-		require.Equal(t, ClientGone, MayStart(StartFacts{Phase: phase, Ready: true, ClientGone: true}).Reason, phase.String())
+		require.Equal(t, ClientDisconnected, MayStart(StartFacts{Phase: phase, Ready: true, ClientDisconnected: true}).Reason, phase.String())
 	}
 	for phase, want := range map[Phase]Reason{Starting: NotReady, Draining: NotReady, Cutting: ProcessCutting} {
 		require.Equal(t, want, MayStart(StartFacts{Phase: phase}).Reason, phase.String())
@@ -38,10 +38,10 @@
 	good := SendFacts{Phase: Ready, Now: 1000, Deadline: 1001, Eligible: true}
 	require.True(t, MaySend(good).OK())
 	for reason, change := range map[Reason]func(*SendFacts){
-		ProcessCutting:  func(f *SendFacts) { f.Phase = Cutting },
-		ClientGone:      func(f *SendFacts) { f.ClientGone = true },
-		TimeIsUp:        func(f *SendFacts) { f.Deadline = f.Now },
-		HostNotEligible: func(f *SendFacts) { f.Eligible = false },
+		ProcessCutting:     func(f *SendFacts) { f.Phase = Cutting },
+		ClientDisconnected: func(f *SendFacts) { f.ClientDisconnected = true },
+		TimeIsUp:           func(f *SendFacts) { f.Deadline = f.Now },
+		HostNotEligible:    func(f *SendFacts) { f.Eligible = false },
 	} {
 		f := good
 		change(&f)
@@ -51,8 +51,8 @@
 
 func TestMayRetry(t *testing.T) {
 	require.True(t, MayRetry(RetryFacts{Phase: Draining}).OK())
-	require.Equal(t, ClientGone, MayRetry(RetryFacts{Phase: Ready, ClientGone: true}).Reason)
-	require.Equal(t, ProcessCutting, MayRetry(RetryFacts{Phase: Cutting, ClientGone: true}).Reason)
+	require.Equal(t, ClientDisconnected, MayRetry(RetryFacts{Phase: Ready, ClientDisconnected: true}).Reason)
+	require.Equal(t, ProcessCutting, MayRetry(RetryFacts{Phase: Cutting, ClientDisconnected: true}).Reason)
 }
 
 func TestMayClose(t *testing.T) {
@@ -73,7 +73,7 @@
 	good := Written{At: 10_000, TimeoutMillis: 400, ClientDeadline: 10_400}
 	require.Empty(t, CheckWritten(good))
 	for rule, change := range map[Rule]func(w *Written, past float64){
-		AttemptAfterClientGone: func(w *Written, past float64) { w.ClientGoneAt = w.At - GoneGraceMillis - past },
+		AttemptAfterDisconnect: func(w *Written, past float64) { w.DisconnectedAt = w.At - DisconnectGraceMillis - past },
 		AttemptAfterCut:        func(w *Written, past float64) { w.CutAt = w.At - StallGraceMillis - past },
 		AttemptToDraining:      func(w *Written, past float64) { w.InactiveSince = w.At - StallGraceMillis - past },
 		DeadlineExceeded:       func(w *Written, past float64) { w.TimeoutMillis += StallGraceMillis + past },
--- a/internal/lifecycle/rule.go
+++ b/internal/lifecycle/rule.go
@@ -5,7 +5,7 @@
 
 // The rules. The comment says what breaks each.
 const (
-	AttemptAfterClientGone Rule = iota // an attempt was written more than GoneGraceMillis after its client's end was read
+	AttemptAfterDisconnect Rule = iota // an attempt was written more than DisconnectGraceMillis after its client's end was read
 	AttemptAfterCut                    // an attempt was written after the process gave the final answers
 	AttemptToDraining                  // an attempt was written to a host that was draining or removed before it was chosen
 	DeadlineExceeded                   // a host was told of more time than its client has left
@@ -40,9 +40,9 @@
 
 // Graces that the checks allow for, in milliseconds.
 const (
-	GoneGraceMillis  = 100 // from a client's end to the last write for it
-	StallGraceMillis = 150 // that a process may be held up between reading its clock and writing
-	LateGraceMillis  = 500 // past a request's time, up to which its answer is worthless but not lost
+	DisconnectGraceMillis = 100 // from a client's end to the last write for it
+	StallGraceMillis      = 150 // that a process may be held up between reading its clock and writing
+	LateGraceMillis       = 500 // past a request's time, up to which its answer is worthless but not lost
 )
 
 // Written is what is known of an attempt once its last byte was handed to the kernel.
@@ -50,15 +50,15 @@
 	At             float64 // when the last byte was written
 	TimeoutMillis  float64 // that the host was told
 	ClientDeadline float64 // until which the client waits
-	ClientGoneAt   float64 // when its end was read; 0: it was not
+	DisconnectedAt float64 // when its end was read; 0: it was not
 	CutAt          float64 // when the process gave the final answers; 0: it did not
 	InactiveSince  float64 // when the host was seen to drain, or as removed; 0: it is active
 }
 
 // CheckWritten returns the rules that an attempt broke.
 func CheckWritten(w Written) (broken []Rule) {
-	if w.ClientGoneAt > 0 && w.At > w.ClientGoneAt+GoneGraceMillis {
-		broken = append(broken, AttemptAfterClientGone)
+	if w.DisconnectedAt > 0 && w.At > w.DisconnectedAt+DisconnectGraceMillis {
+		broken = append(broken, AttemptAfterDisconnect)
 	}
 	if w.CutAt > 0 && w.At > w.CutAt+StallGraceMillis {
 		broken = append(broken, AttemptAfterCut)
--- a/internal/net/pg/front_client.go
+++ b/internal/net/pg/front_client.go
@@ -13,29 +13,26 @@
 // client is one connection. A request at a time is under way; what is sent ahead of its answer waits in a queue, so answers
 // come in the order of the commands.
 type client struct {
-	front            *Front
-	number           uint32
-	lastActive       float64 // it was opened, answered or sent away
-	partialSince     float64 // since when a message is not whole; 0: none is
-	parser           Parser
-	queue            commandQueue
-	hasRequested     bool // it had a request
-	requestCount     int  // how many
-	requestInFlight  bool
-	awaitingFlush    bool // no command is taken before the client has read what was answered
-	hasTerminated    bool // it sent Terminate, and closes its connection
-	closingWithError bool // it was told to go: what it still sends is not read
-	closeReason      lifecycle.CloseReason
-	hasCloseReason   bool
-	invalidRequests  int
-	unreadBytes      int
-	lingeredBytes    int
-	batching         bool // answers wait in out, to go together
-	batch            []byte
-	ctx              context.Context    // ends when the client goes away
-	disconnect       func()             // ends ctx, with when the client's end was read
-	cancelKey        uint64             // for cancel requests; 0: none was given out
-	cancelRequest    context.CancelFunc // ends the request under way alone
+	front           *Front
+	number          uint32
+	lastActive      float64 // it was opened, answered or sent away
+	partialSince    float64 // since when a message is not whole; 0: none is
+	parser          Parser
+	queue           commandQueue
+	hasRequested    bool // it had a request
+	requestCount    int  // how many
+	requestInFlight bool
+	awaitingFlush   bool // no command is taken before the client has read what was answered
+	hasTerminated   bool // it sent Terminate, and closes its connection
+	invalidRequests int
+	unreadBytes     int
+	closeState
+	batching      bool // answers wait in out, to go together
+	batch         []byte
+	ctx           context.Context    // ends when the client goes away
+	disconnect    func()             // ends ctx, with when the client's end was read
+	cancelKey     uint64             // for cancel requests; 0: none was given out
+	cancelRequest context.CancelFunc // ends the request under way alone
 }
 
 // Traffic is called on the loop.
@@ -259,8 +256,8 @@
 		h.invalidRequests++
 		h.write(c, appendReady(appendError(nil, severityError, sqlStateFeatureNotSupported, "simple queries only", "")))
 	case Query:
-		may := lifecycle.MayStart(lifecycle.StartFacts{Phase: h.front.edge.Phase(), Ready: h.front.edge.Ready(), ClientGone: hasEnded(c)})
-		if may.Reason == lifecycle.ClientGone { // it came with its client's end: nobody waits for it
+		may := lifecycle.MayStart(lifecycle.StartFacts{Phase: h.front.edge.Phase(), Ready: h.front.edge.Ready(), ClientDisconnected: hasEnded(c)})
+		if may.Reason == lifecycle.ClientDisconnected { // it came with its client's end: nobody waits for it
 			return h.closing(lifecycle.ClosedByClient)
 		}
 		h.handleQuery(c, command.Text, may)
--- a/internal/net/pg/front_close.go
+++ b/internal/net/pg/front_close.go
@@ -12,6 +12,14 @@
 // Client connections are closed here and nowhere else: the linter rejects gnet.Close and EventLoop.Close in the other files of
 // this front. Each close has a reason, and a close without a word is asked for in lifecycle.MayClose.
 
+// closeState is how a client's connection ends. The event loop owns it.
+type closeState struct {
+	closingWithError bool // the client was told to go: what it still sends is not read
+	lingeredBytes    int  // that it sent since
+	closeReason      lifecycle.CloseReason
+	hasCloseReason   bool
+}
+
 // mayClose decides whether the client's connection may be closed without a word now.
 func (h *client) mayClose(c gnet.Conn) lifecycle.Decision {
 	return lifecycle.MayClose(lifecycle.CloseFacts{
--- a/testbed/soak/client.go
+++ b/testbed/soak/client.go
@@ -30,7 +30,7 @@
 const (
 	connectTimeout = 2 * time.Second
 	readTimeout    = 25 * time.Second // past the longest deadline
-	meanPause      = 120 * time.Millisecond
+	meanInterval   = 120 * time.Millisecond
 	pipelineDepth  = 40
 	pipelinePad    = 24 << 10  // up to this, so that a deep pipeline is more than a pooler reads ahead
 	longPad        = 130 << 10 // of one request in longEvery, so that it is more than a host's window
@@ -62,15 +62,15 @@
 	defer c.drop()
 	for ctx.Err() == nil {
 		if c.conn == nil && c.connect() != nil {
-			pause(ctx, 50*time.Millisecond)
+			sleep(ctx, 50*time.Millisecond)
 			continue
 		}
 		c.step()
-		pause(ctx, time.Duration(c.rng.ExpFloat64()*float64(meanPause)))
+		sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(meanInterval)))
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
@@ -172,7 +172,7 @@
 	switch {
 	case c.habit == leaves && c.rng.IntN(4) == 0:
 		time.Sleep(time.Duration(c.rng.IntN(30)) * time.Millisecond)
-		c.leave(open)
+		c.disconnect(open)
 		return
 	case c.habit == cancels && c.rng.IntN(4) == 0:
 		c.cancel()
@@ -194,11 +194,11 @@
 	return err
 }
 
-// leave closes the connection over requests that have no answer.
-func (c *client) leave(open []*request) {
+// disconnect closes the connection over requests that have no answer.
+func (c *client) disconnect(open []*request) {
 	c.judge.mu.Lock()
 	for _, r := range open {
-		r.goneAt = time.Now()
+		r.disconnectedAt = time.Now()
 	}
 	c.judge.mu.Unlock()
 	if c.rng.IntN(2) == 0 {
@@ -300,7 +300,7 @@
 		c.judge.began(r)
 		open = append(open, r)
 	}
-	c.leave(open)
+	c.disconnect(open)
 }
 
 // stopHalfway sends a half of a message and stays.
--- a/testbed/soak/judge.go
+++ b/testbed/soak/judge.go
@@ -12,26 +12,26 @@
 
 // What the clients and hosts of a run check; the poolers' own counters stand beside these under the names of their rules.
 const (
-	unanswered       = "unanswered"        // a request that was read has no answer
-	late             = "late"              // an answer came more than half a second after its time
-	duplicateWrite   = "duplicate_write"   // a row was written more than once
-	lostCommit       = "lost_commit"       // a write that was acknowledged is not there
-	missedOwnWrite   = "missed_own_write"  // a read of a session did not see its write
-	sentAfterGone    = "sent_after_gone"   // a host got a request after its client had gone
-	sentToDraining   = "sent_to_draining"  // a host that was listed as draining got a request
-	endedLate        = "ended_late"        // a process took longer to end than the platform waits
-	crashed          = "crashed"           // a process ended that was not told to
-	notReadyInTime   = "not_ready_in_time" // a process did not serve within its time
-	poolerViolations = "pooler_violation_" // and the name of a rule
+	unanswered          = "unanswered"        // a request that was read has no answer
+	late                = "late"              // an answer came more than half a second after its time
+	duplicateWrite      = "duplicate_write"   // a row was written more than once
+	lostCommit          = "lost_commit"       // a write that was acknowledged is not there
+	missedOwnWrite      = "missed_own_write"  // a read of a session did not see its write
+	sentAfterDisconnect = "sent_after_gone"   // a host got a request after its client had gone
+	sentToDraining      = "sent_to_draining"  // a host that was listed as draining got a request
+	endedLate           = "ended_late"        // a process took longer to end than the platform waits
+	crashed             = "crashed"           // a process ended that was not told to
+	notReadyInTime      = "not_ready_in_time" // a process did not serve within its time
+	poolerViolations    = "pooler_violation_" // and the name of a rule
 )
 
 const (
-	lateGrace      = 500 * time.Millisecond  // past its time, an answer is worthless but not lost
-	machineSlack   = 250 * time.Millisecond  // of a machine that has nothing else to do
-	crossingTime   = 300 * time.Millisecond  // a request written less than this before the close may not have been read
-	goneGrace      = 100 * time.Millisecond  // from a client's end to the last write for it
-	drainGrace     = 1050 * time.Millisecond // as in the settings, and 50 ms
-	notifiedWithin = 6 * time.Second         // of discovery that can be reached
+	lateGrace       = 500 * time.Millisecond  // past its time, an answer is worthless but not lost
+	machineSlack    = 250 * time.Millisecond  // of a machine that has nothing else to do
+	unreadGrace     = 300 * time.Millisecond  // a request written less than this before the close may not have been read
+	disconnectGrace = 100 * time.Millisecond  // from a client's end to the last write for it
+	drainGrace      = 1050 * time.Millisecond // as in the settings, and 50 ms
+	notifiedWithin  = 6 * time.Second         // of discovery that can be reached
 )
 
 // request is one request as its client saw it.
@@ -43,7 +43,7 @@
 	writtenAt         time.Time // its last byte
 	dueFrom           time.Time // writtenAt, or the answer before it
 	answer            string    // "served", an SQLSTATE; "": none
-	goneAt            time.Time // when its client closed or cancelled without an answer; zero: it did not
+	disconnectedAt    time.Time // when its client closed or cancelled without an answer; zero: it did not
 }
 
 // interval is a span of time in which something was troubled.
@@ -157,7 +157,7 @@
 // closed judges requests whose connection was ended by the pooler before they had an answer.
 func (j *judge) closed(open []*request, why error) {
 	now := time.Now()
-	time.Sleep(goneGrace) // a host may see one a moment later
+	time.Sleep(disconnectGrace) // a host may see one a moment later
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, r := range open {
@@ -167,7 +167,7 @@
 			j.g.Do(func(o *report.Result) { o.Errors["killed"]++ })
 		case len(j.seen[r.id]) > 0:
 			j.g.Break(unanswered, "%s at %s: a host had it, %v after it was sent: %v", r.id, r.pooler, lay, why)
-		case lay > crossingTime+j.slack:
+		case lay > unreadGrace+j.slack:
 			j.g.Break(unanswered, "%s at %s: it lay there for %v: %v", r.id, r.pooler, lay, why)
 		default:
 			j.crossed++
@@ -221,8 +221,8 @@
 func (j *judge) judgeSighting(r *request, s sighting) {
 	link := r.pooler + ">" + s.host
 	const memory = 5 * time.Second // for which a troubled link may hold bytes back
-	if !r.goneAt.IsZero() && s.at.After(r.goneAt.Add(goneGrace+j.slack)) && !j.wasTroubled(link, s.at.Add(-memory), s.at) {
-		j.g.Break(sentAfterGone, "%s reached %s %v after its client had gone", r.id, s.host, s.at.Sub(r.goneAt))
+	if !r.disconnectedAt.IsZero() && s.at.After(r.disconnectedAt.Add(disconnectGrace+j.slack)) && !j.wasTroubled(link, s.at.Add(-memory), s.at) {
+		j.g.Break(sentAfterDisconnect, "%s reached %s %v after its client had gone", r.id, s.host, s.at.Sub(r.disconnectedAt))
 	}
 	for _, d := range j.drains[s.host] {
 		bound := d.from.Add(drainGrace + j.slack)
--- a/testbed/soak/plan.go
+++ b/testbed/soak/plan.go
@@ -17,35 +17,35 @@
 
 // The faults.
 const (
-	Terminate       Kind = "terminate"        // SIGTERM, and the next process of that name once it has ended
-	TerminateTwice  Kind = "terminate twice"  // the same with a second SIGTERM and a SIGHUP on the way
-	Reload          Kind = "reload"           // SIGHUP, with the operator's file rewritten
-	Kill            Kind = "kill"             // SIGKILL, and the next process at once
-	Halt            Kind = "halt"             // SIGSTOP, SIGCONT 0.15 s later, over and over
-	HostHang        Kind = "host hang"        // what a host is asked it answers after the fault, or never
-	HostSlow        Kind = "host slow"        // its answers take long
-	HostReset       Kind = "host reset"       // its connections are reset, again and again
-	HostCutAnswers  Kind = "host cut answers" // connections break around commits and in the middle of answers
-	HostRefuse      Kind = "host refuse"      // it refuses connections
-	HostRestart     Kind = "host restart"     // it comes back under its name with a new start time
-	HostDrain       Kind = "host drain"       // it is listed as draining
-	Failover        Kind = "failover"         // the primary's role moves
-	DiscoverySilent Kind = "discovery silent" // nothing passes between poolers and discovery
-	DiscoveryReset  Kind = "discovery reset"  // watches are reset
-	LinkSilent      Kind = "link silent"      // nothing passes between a pooler and a host, then all of it does
-	LinkDribble     Kind = "link dribble"     // a few kilobytes a second do
-	LinkReset       Kind = "link reset"       // streams between a pooler and a host are reset
-	ClientsFlood    Kind = "clients flood"    // clients send much ahead and go
-	ClientsLeave    Kind = "clients leave"    // clients leave in the middle of requests
-	ClientsHalf     Kind = "clients half"     // clients stop in the middle of a message and stay
-	ClientsBurst    Kind = "clients burst"    // many connect at once
+	Terminate         Kind = "terminate"        // SIGTERM, and the next process of that name once it has ended
+	TerminateTwice    Kind = "terminate twice"  // the same with a second SIGTERM and a SIGHUP on the way
+	Reload            Kind = "reload"           // SIGHUP, with the operator's file rewritten
+	Kill              Kind = "kill"             // SIGKILL, and the next process at once
+	Halt              Kind = "halt"             // SIGSTOP, SIGCONT 0.15 s later, over and over
+	HostHang          Kind = "host hang"        // what a host is asked it answers after the fault, or never
+	HostSlow          Kind = "host slow"        // its answers take long
+	HostReset         Kind = "host reset"       // its connections are reset, again and again
+	HostCutAnswers    Kind = "host cut answers" // connections break around commits and in the middle of answers
+	HostRefuse        Kind = "host refuse"      // it refuses connections
+	HostRestart       Kind = "host restart"     // it comes back under its name with a new start time
+	HostDrain         Kind = "host drain"       // it is listed as draining
+	Failover          Kind = "failover"         // the primary's role moves
+	DiscoverySilent   Kind = "discovery silent" // nothing passes between poolers and discovery
+	DiscoveryReset    Kind = "discovery reset"  // watches are reset
+	LinkSilent        Kind = "link silent"      // nothing passes between a pooler and a host, then all of it does
+	LinkDribble       Kind = "link dribble"     // a few kilobytes a second do
+	LinkReset         Kind = "link reset"       // streams between a pooler and a host are reset
+	ClientsFlood      Kind = "clients flood"    // clients send much ahead and go
+	ClientsDisconnect Kind = "clients leave"    // clients leave in the middle of requests
+	ClientsHalf       Kind = "clients half"     // clients stop in the middle of a message and stay
+	ClientsBurst      Kind = "clients burst"    // many connect at once
 )
 
 // Kinds are all faults.
 func Kinds() []Kind {
 	return []Kind{
 		Terminate, TerminateTwice, Reload, Kill, Halt, HostHang, HostSlow, HostReset, HostCutAnswers, HostRefuse, HostRestart, HostDrain, Failover,
-		DiscoverySilent, DiscoveryReset, LinkSilent, LinkDribble, LinkReset, ClientsFlood, ClientsLeave, ClientsHalf, ClientsBurst,
+		DiscoverySilent, DiscoveryReset, LinkSilent, LinkDribble, LinkReset, ClientsFlood, ClientsDisconnect, ClientsHalf, ClientsBurst,
 	}
 }
 
@@ -76,7 +76,7 @@
 const (
 	groupInterval = 1200 // ms from one group of overlapping faults to the next
 	groupSpread   = 300  // ms within which the faults of a group begin
-	quietEnd      = 5000 // ms without new faults, in which everything that was taken is answered
+	idleEnd       = 5000 // ms without new faults, in which everything that was taken is answered
 	hostsOfFleet  = 4
 )
 
@@ -89,7 +89,7 @@
 	if len(kinds) == 0 {
 		kinds = Kinds()
 	}
-	for at := 1000; at < int(p.Length)-quietEnd; at += groupInterval {
+	for at := 1000; at < int(p.Length)-idleEnd; at += groupInterval {
 		pooler, host := rng.IntN(poolers), rng.IntN(hostsOfFleet)
 		for range 2 + rng.IntN(2) {
 			f := Fault{
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -25,7 +25,7 @@
 		group := (f.At - 1000) / groupInterval
 		groups[group]++
 		require.Less(t, f.At-1000-group*groupInterval, Millis(groupSpread))
-		require.Less(t, f.At, p.Length-quietEnd+groupSpread)
+		require.Less(t, f.At, p.Length-idleEnd+groupSpread)
 	}
 	for _, n := range groups {
 		require.GreaterOrEqual(t, n, 2)
@@ -86,7 +86,7 @@
 			j.closed([]*request{r}, errors.New("closed"))
 		}},
 		{"it lay there", unanswered, func(j *judge, r *request) {
-			r.writtenAt = now.Add(-crossingTime - time.Second)
+			r.writtenAt = now.Add(-unreadGrace - time.Second)
 			j.closed([]*request{r}, errors.New("closed"))
 		}},
 		{"its pooler was killed", "", func(j *judge, r *request) {
@@ -103,12 +103,12 @@
 			r.ref = "none"
 			j.answered(r, "53300")
 		}},
-		{"after its client", sentAfterGone, func(j *judge, r *request) {
-			r.goneAt = now
-			j.sighted("h", "/* id=r,c=browse */", now.Add(goneGrace+machineSlack+time.Millisecond))
+		{"after its client", sentAfterDisconnect, func(j *judge, r *request) {
+			r.disconnectedAt = now
+			j.sighted("h", "/* id=r,c=browse */", now.Add(disconnectGrace+machineSlack+time.Millisecond))
 		}},
 		{"after its client, over a link that held it", "", func(j *judge, r *request) {
-			r.goneAt = now
+			r.disconnectedAt = now
 			defer j.troubled("n1>h")()
 			j.sighted("h", "/* id=r,c=browse */", now.Add(time.Second))
 		}},
