Migration's test under writes waits until a write has met the fence

Change: the migration is held after fencing until a write was rejected; every assertion stands as it was.

--- a/internal/cluster/migration/sql/migration_test.go
+++ b/internal/cluster/migration/sql/migration_test.go
@@ -16,6 +16,8 @@
 	r := newRig(t, 2, plan())
 	r.db(1).Table("entries", host.Traits{}).Seed(500)
 	w := r.startWriters(4, 200)
+	r.runToPhase(migration.PhaseVerifying) // fenced; the switch waits here until a write has met the fence
+	require.Eventually(t, func() bool { return w.rejections() > 0 }, 5*time.Second, time.Millisecond)
 	r.runToPhase(migration.PhaseSwitched)
 	r.runUntil("", func(s migration.State) bool { return s.ReverseReplicating && s.Comparison.Complete })
 	require.Equal(t, migration.Group(2), r.servingGroup())
--- a/internal/cluster/migration/sql/writers_test.go
+++ b/internal/cluster/migration/sql/writers_test.go
@@ -98,6 +98,12 @@
 	return len(w.acknowledged)
 }
 
+func (w *writers) rejections() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rejected
+}
+
 // requireAcknowledged requires that a group holds what was acknowledged, each version once since it was copied.
 func (r *rig) requireAcknowledged(w *writers, g migration.Group) {
 	r.t.Helper()
