Testbed: a host that restarts and a pooler that does are read without a race

Change: the address is written once, the listener under the host's lock, a pooler's address is noted at the start.

--- a/testbed/host/cluster.go
+++ b/testbed/host/cluster.go
@@ -285,7 +285,12 @@
 	if err != nil {
 		return fmt.Errorf("host %s: %w", h.Name, err)
 	}
-	h.listen, h.Address = l, l.Addr().String()
+	h.mu.Lock()
+	h.listen = l
+	h.mu.Unlock()
+	if h.Address == "" { // a host that starts again has the address that others read
+		h.Address = l.Addr().String()
+	}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -387,9 +392,10 @@
 func (h *Host) Stop() {
 	h.mu.Lock()
 	h.down = true
+	listen := h.listen
 	h.mu.Unlock()
 	h.off.Store(true)
-	_ = h.listen.Close()
+	_ = listen.Close()
 	h.Cut()
 }
 
--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -79,6 +79,7 @@
 // pooler is one name with its present process. Faults that end the process take turns.
 type pooler struct {
 	name    string
+	address string     // where it takes statements, the same for each process
 	mu      sync.Mutex // held while a process ends and the next starts
 	process *fleet.Pooler
 	ending  atomic.Bool // it was told to end
@@ -130,7 +131,13 @@
 		all.Go(func() { p.process, failed[i] = r.fleet.StartPooler(name) })
 	}
 	all.Wait()
-	return errors.Join(failed...)
+	if err := errors.Join(failed...); err != nil {
+		return err
+	}
+	for _, p := range r.poolers {
+		p.address = p.process.Statement
+	}
+	return nil
 }
 
 // agent is where a pooler asks for the list: behind a link of its own, with each host behind a link too.
@@ -187,7 +194,7 @@
 
 func (r *rig) newClient(p *pooler, name string, h habit, seed uint64) *client {
 	return &client{
-		name: name, pooler: p.name, address: p.process.Statement, habit: h, judge: r.judge, sent: &r.sent,
+		name: name, pooler: p.name, address: p.address, habit: h, judge: r.judge, sent: &r.sent,
 		rng: rand.New(rand.NewPCG(r.o.Plan.Seed, seed)),
 	}
 }
