--- a/testbed/soak/client.go
+++ b/testbed/soak/client.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -45,7 +44,6 @@
 	habit   habit
 	judge   *judge
 	rng     *rand.Rand
-	sent    *atomic.Int64
 
 	conn     net.Conn
 	frontend *pgproto3.Frontend
@@ -168,7 +166,6 @@
 		r.writtenAt, r.dueFrom = now, now
 		c.judge.began(r)
 	}
-	c.sent.Add(int64(len(open)))
 	switch {
 	case c.habit == leaves && c.rng.IntN(4) == 0:
 		time.Sleep(time.Duration(c.rng.IntN(30)) * time.Millisecond)
--- a/testbed/soak/faults.go
+++ b/testbed/soak/faults.go
@@ -153,12 +153,17 @@
 	}
 }
 
-// withHost lays faults on a host for a while; one such fault a host at a time.
-func (r *rig) withHost(h *host.Host, faults host.Faults, d time.Duration) {
-	held, _ := r.hostFault.LoadOrStore(h.Name, new(sync.Mutex))
+// lock takes a host's mutex of a map of them; the returned function gives it back.
+func lock(of *sync.Map, h *host.Host) (unlock func()) {
+	held, _ := of.LoadOrStore(h.Name, new(sync.Mutex))
 	mu := held.(*sync.Mutex)
 	mu.Lock()
-	defer mu.Unlock()
+	return mu.Unlock
+}
+
+// withHost lays faults on a host for a while; one such fault a host at a time.
+func (r *rig) withHost(h *host.Host, faults host.Faults, d time.Duration) {
+	defer lock(&r.hostFault, h)()
 	h.SetFaults(faults)
 	time.Sleep(d)
 	h.SetFaults(host.Faults{})
@@ -166,10 +171,7 @@
 
 // restartHost has a host come back under its name with a new start time. The primary's role goes to another first.
 func (r *rig) restartHost(h *host.Host) {
-	held, _ := r.hostFault.LoadOrStore(h.Name, new(sync.Mutex))
-	mu := held.(*sync.Mutex)
-	mu.Lock()
-	defer mu.Unlock()
+	defer lock(&r.hostFault, h)()
 	if h.Primary() {
 		others := r.fleet.Hosts
 		r.fleet.Cluster.Fail(others[(slices.Index(others, h)+1)%len(others)], haltFor, true)
@@ -184,10 +186,7 @@
 
 // drain lists a host as draining for a while; one drain a host at a time.
 func (r *rig) drain(h *host.Host, d time.Duration) {
-	held, _ := r.hostDrain.LoadOrStore(h.Name, new(sync.Mutex))
-	mu := held.(*sync.Mutex)
-	mu.Lock()
-	defer mu.Unlock()
+	defer lock(&r.hostDrain, h)()
 	over := r.judge.draining(h.Name)
 	r.fleet.Drain(h, true)
 	time.Sleep(d + drainGrace)
--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -66,9 +66,7 @@
 	mesh    *cluster.Mesh
 	names   []string
 	poolers []*pooler
-	sent    atomic.Int64
 	faults  sync.WaitGroup
-	stop    atomic.Bool
 
 	mu        sync.Mutex // guards agents
 	agents    map[string]string
@@ -189,12 +187,11 @@
 	<-watched
 	time.Sleep(clientsEnd)
 	r.watch()
-	r.stop.Store(true)
 }
 
 func (r *rig) newClient(p *pooler, name string, h habit, seed uint64) *client {
 	return &client{
-		name: name, pooler: p.name, address: p.address, habit: h, judge: r.judge, sent: &r.sent,
+		name: name, pooler: p.name, address: p.address, habit: h, judge: r.judge,
 		rng: rand.New(rand.NewPCG(r.o.Plan.Seed, seed)),
 	}
 }
