--- a/cmd/ashstand/program_test.go
+++ b/cmd/ashstand/program_test.go
@@ -106,11 +106,20 @@
 
 // launch starts the program; configure writes its configuration file anew.
 func launch(t *testing.T, discovery, known string) (listen string, cmd *exec.Cmd, logged *record, configure func(text string)) {
-	program, err := built()
-	require.NoError(t, err)
+	return launchProgram(t, "", discovery, func(listen string) string { return fmt.Sprintf(configuration, listen, discovery, known, site) })
+}
+
+// launchProgram starts a program with the configuration that configuration makes for its address. program "": the one that all
+// tests share.
+func launchProgram(t *testing.T, program, discovery string, configuration func(listen string) string) (listen string, cmd *exec.Cmd, logged *record, configure func(text string)) {
+	if program == "" {
+		var err error
+		program, err = built()
+		require.NoError(t, err)
+	}
 	listen, file := free(t), filepath.Join(t.TempDir(), "config.json")
 	configure = func(text string) { require.NoError(t, os.WriteFile(file, []byte(text), 0o600)) }
-	configure(fmt.Sprintf(configuration, listen, discovery, known, site))
+	configure(configuration(listen))
 	cmd, logged = exec.Command(program), new(record)
 	// The platform gives the address both ways, and a reload changes the file alone.
 	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+file, "EDGE_DISCOVERY="+discovery)
--- a/cmd/ashstand/standin_test.go
+++ b/cmd/ashstand/standin_test.go
@@ -50,8 +50,21 @@
 	half  // the connection breaks in the middle of the answer
 	noise // an answer that can't be read
 	hang
+	rowThenTurnAway   // the row, and an error behind it that else proves that nothing ran
+	rowThenNotPrimary // the same
+	rowThenBehind     // the same
 )
 
+// rejectionBehindRow is what follows a row: an SQLSTATE, and code and reason of a Flight SQL host.
+var rejectionBehindRow = map[act]struct {
+	sqlState, reason string
+	code             codes.Code
+}{
+	rowThenTurnAway:   {"53300", "TURNED_AWAY", codes.Unavailable},
+	rowThenNotPrimary: {"25006", "NOT_PRIMARY", codes.FailedPrecondition},
+	rowThenBehind:     {"72000", "TOO_FAR_BEHIND", codes.FailedPrecondition},
+}
+
 // host is a stand-in for a db host, on whichever wire.
 type host struct {
 	name, wire, address string
@@ -61,6 +74,7 @@
 	mu      sync.Mutex
 	primary bool
 	lag     time.Duration // of its data
+	slips   time.Duration // by how much more the data of its answers lags than its load reports say
 	odd     bool          // its load reports can't be read
 	do      func(statement string) act
 	seen    []string // the statements that reached it, probes left out
@@ -94,11 +108,19 @@
 	return len(h.seen)
 }
 
-// tells is its role, its position in Unix milliseconds, and its load report.
-func (h *host) tells() (part, position, gauges string) {
+// reports is its load report.
+func (h *host) reports() string {
+	_, _, gauges := h.describe(0)
+	return gauges
+}
+
+// tells is its role, its position in Unix milliseconds, and its load report, as they stand beside an answer.
+func (h *host) tells() (part, position, gauges string) { return h.describe(h.slips) }
+
+func (h *host) describe(slips time.Duration) (part, position, gauges string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	at, x1 := time.Now().Add(-h.lag).UnixMilli(), 0
+	at, x1 := time.Now().Add(-h.lag-slips).UnixMilli(), 0
 	if part = "replica"; h.primary {
 		part, x1 = "master", 1
 	}
@@ -182,8 +204,7 @@
 			return
 		}
 		if strings.HasPrefix(q.String, "SHOW") {
-			_, _, gauges := h.tells()
-			answer(b, gauges, 0)
+			answer(b, h.reports(), 0)
 			b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
 			continue
 		}
@@ -201,6 +222,10 @@
 			_ = b.Flush()
 			_, _ = c.Write([]byte{'D', 0, 0, 0, 90, 0, 1})
 			return
+		case rowThenTurnAway, rowThenNotPrimary, rowThenBehind:
+			b.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("payload"), DataTypeOID: 17, Format: 1}}})
+			b.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+			b.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: rejectionBehindRow[what].sqlState, Message: "after the row"})
 		case noise:
 			b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 0")})
 		case reset:
@@ -234,11 +259,13 @@
 	return &flight.FlightInfo{FlightDescriptor: d, Endpoint: []*flight.FlightEndpoint{{Ticket: &flight.Ticket{Ticket: ticket}}}}, err
 }
 
+// reject is a status by which a host says that nothing ran.
+func reject(code codes.Code, reason string) error {
+	s, _ := status.New(code, reason).WithDetails(&errdetails.ErrorInfo{Domain: "ashstand", Reason: reason})
+	return s.Err()
+}
+
 func (f *flightHost) run(ctx context.Context, what act) error {
-	reject := func(code codes.Code, reason string) error {
-		s, _ := status.New(code, reason).WithDetails(&errdetails.ErrorInfo{Domain: "ashstand", Reason: reason})
-		return s.Err()
-	}
 	part, position, gauges := f.h.tells()
 	_ = grpc.SetTrailer(ctx, metadata.Pairs("part", part, "caught_up_to", position, "gauges", gauges))
 	switch what {
@@ -260,7 +287,7 @@
 	text := string(ticket.GetStatementHandle())
 	kind, v, what := arrow.DataType(arrow.BinaryTypes.Binary), value, serve
 	if strings.HasPrefix(text, "SHOW") {
-		_, _, v = f.h.tells()
+		v = f.h.reports()
 		kind = arrow.BinaryTypes.String
 	} else {
 		what = f.h.take(text)
@@ -278,8 +305,11 @@
 	} else {
 		b.Field(0).(*array.StringBuilder).Append(v)
 	}
-	out := make(chan flight.StreamChunk, 1)
+	out := make(chan flight.StreamChunk, 2)
 	out <- flight.StreamChunk{Data: b.NewRecordBatch()}
+	if r, ok := rejectionBehindRow[what]; ok {
+		out <- flight.StreamChunk{Err: reject(r.code, r.reason)}
+	}
 	if what != half {
 		close(out)
 	} else { // the one row is out, the end of the stream never comes
@@ -388,20 +418,34 @@
 
 // update is the library's ExecuteUpdate, but reads on to the trailing metadata, where a returned value stands.
 func update(ctx context.Context, c *flightsql.Client, statement string) (string, error) {
-	stream, err := c.Client.DoPut(ctx)
+	stream, err := startUpdate(ctx, c, statement)
 	if err != nil {
 		return "", err
 	}
+	return finishUpdate(stream)
+}
+
+// startUpdate sends an update.
+func startUpdate(ctx context.Context, c *flightsql.Client, statement string) (flight.FlightService_DoPutClient, error) {
+	stream, err := c.Client.DoPut(ctx)
+	if err != nil {
+		return nil, err
+	}
 	var command anypb.Any
 	if err := command.MarshalFrom(&pb.CommandStatementUpdate{Query: statement}); err != nil {
-		return "", err
+		return nil, err
 	}
 	b, err := proto.Marshal(&command)
 	if err != nil {
-		return "", err
+		return nil, err
 	}
 	_ = stream.Send(&flight.FlightData{FlightDescriptor: &flight.FlightDescriptor{Type: flight.DescriptorCMD, Cmd: b}})
 	_ = stream.CloseSend()
+	return stream, nil
+}
+
+// finishUpdate reads the answer to an update.
+func finishUpdate(stream flight.FlightService_DoPutClient) (returned string, err error) {
 	for err == nil {
 		_, err = stream.Recv()
 	}
