--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -18,7 +18,6 @@
 
 	"ashstand/internal/admin"
 	"ashstand/internal/clock"
-	"ashstand/internal/cluster/membership"
 	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
 	"ashstand/internal/lifecycle"
@@ -29,12 +28,6 @@
 )
 
 const (
-	// killSlack is what the platform adds to the longest deadline, 3 s at the most, before it may send SIGKILL.
-	killSlack = 700 * time.Millisecond
-	// serveRest is what is left of that time when clients are sent elsewhere, for the answers that are due then.
-	serveRest = 900 * time.Millisecond
-	// lastWords is what is left of it when those get a final answer that have none yet.
-	lastWords = 150 * time.Millisecond
 	// spareDescriptors are for the listener, pollers, discovery, the log, the loop's reserve and what the runtime opens.
 	spareDescriptors = 28
 	// busyAfter is when, in milliseconds, a client may come again that found the table or the memory full.
@@ -77,15 +70,8 @@
 	case err := <-n.ended:
 		return err
 	case s := <-stop:
-		// New connections come for 0.4 s yet, and clients use those they have while they are open: until the
-		// platform starts the next process, this one serves them best.
-		log.Printf("%v: going on for %v, then closing client connections between requests", s, n.bounds.Load().grace-serveRest)
-		n.others.now(membership.Draining)
-		tail := time.Now().Add(n.bounds.Load().grace - serveRest)
-		n.others.drain(time.Until(tail))
-		time.Sleep(time.Until(tail))
-	}
-	n.drain()
+		n.shutDown(s)
+	}
 	return nil
 }
 
@@ -118,7 +104,7 @@
 	front   pg.FrontLimits
 	pool    pg.PoolLimits
 	connect time.Duration // for a probe
-	grace   time.Duration // from SIGTERM to SIGKILL, at the least
+	end     lifecycle.ShutdownSchedule
 	pooled  pg.SessionLimits
 }
 
@@ -134,10 +120,11 @@
 		front:   pg.FrontLimits{Clients: clients, Bytes: share, RetryAfterMillis: after},
 		pool:    pg.PoolLimits{Connections: connections, Bytes: share, ConnectTimeout: cfg.site.ConnectTimeout, IdleTimeout: cfg.site.ConnIdleTimeout},
 	}
+	longest := time.Duration(0)
 	for _, c := range cfg.site.Settings.Classes {
-		b.grace = max(b.grace, min(c.Deadline, 3*time.Second))
+		longest = max(longest, c.Deadline)
 	}
-	b.grace = max(b.grace+killSlack, serveRest+500*time.Millisecond)
+	b.end = lifecycle.NewShutdownSchedule(longest)
 	if b.pooled, err = cfg.sessionLimits(share, after); err != nil {
 		return nil, err
 	}
@@ -302,49 +289,6 @@
 	}
 }
 
-// drain closes client connections between requests and waits for the answers that are due.
-func (n *node) drain() {
-	n.core.Advance(lifecycle.DrainStarted)
-	n.front.Drain()
-	if n.pooled != nil {
-		n.pooled.Drain()
-	}
-	idle := make(chan struct{})
-	go func() {
-		if n.flight != nil { // first: a request ends there before the last of its answer is written
-			n.flight.Drain()
-		}
-		<-n.core.Drain()
-		for !n.front.Idle() { // of what clients send ahead or in pieces, some is still to begin
-			time.Sleep(5 * time.Millisecond)
-		}
-		for n.pooled != nil && n.pooled.Stats().Linked > 0 { // transactions finish, if they can in time
-			time.Sleep(5 * time.Millisecond)
-		}
-		close(idle)
-	}()
-	select {
-	case <-idle:
-		log.Printf("drained: every request has its answer")
-	case <-time.After(serveRest - lastWords):
-		log.Printf("drained: time is up; what is open gets an error")
-	}
-	n.core.Advance(lifecycle.CutStarted)
-	n.front.Cut()
-	if n.pooled != nil {
-		n.pooled.Cut()
-	}
-	if n.admin != nil {
-		n.admin.Stop()
-	}
-	if n.keeper != nil {
-		n.keeper.last()
-	}
-	n.others.stop()
-	time.Sleep(lastWords / 3) // the loop writes what is still to be said
-	n.core.Advance(lifecycle.ProcessExiting)
-}
-
 func (n *node) stop() {
 	n.cancel()
 	n.others.stop()
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"strconv"
 
 	"ashstand/internal/clock"
+	"ashstand/internal/faulthook"
 	"ashstand/routing"
 )
 
@@ -47,8 +49,8 @@
 	}
 	now := d.clock.Now()
 	e.TimeRemaining = clock.Duration(max(0, r.Arrived+r.TimeRemaining-now))
-	if r.MinPosition > 0 { // a token from the present or later is no reason to take it for none
-		e.CommitAge = max(1, clock.Duration(now)-roundedDuration(r.MinPosition, math.Ceil))
+	if r.MinPosition > 0 { // a token from just now is no reason to take it for none
+		e.CommitAge = cmp.Or(clock.Duration(now)-roundedDuration(r.MinPosition, math.Ceil), 1)
 	}
 	d.lastID++
 	// Ids of the program's own: two clients that send the same one must not share an answer.
@@ -99,42 +101,63 @@
 	return !c.finished && d.router.Revalidate(clock.Duration(now), c.id, c.attempt)
 }
 
-// Report gives the outcome of the attempt picked last and returns the code that counts. OK is the final answer; anything
-// else asks for Pick.
+// Report gives the outcome of the attempt picked last and returns the code that counts: StaleAnswer for an answer that is too
+// old for the request. OK is the final answer; anything else asks for Pick.
 func (c *Call) Report(o Outcome) Code {
 	d := c.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	if c.isStale(o) {
-		o.Code = Misdirected
+	e := c.ended(now, o)
+	if e.Code == OK {
+		c.finish()
+	}
+	d.step(now, e)
+	return e.Code
+}
+
+// ended is the end of the attempt picked last, as the router is told of it; d.mu is held.
+func (c *Call) ended(now float64, o Outcome) routing.AttemptEnded {
+	if c.isStale(o) && !faulthook.Active(faulthook.ServeStale) {
+		o.Code = StaleAnswer
+	}
+	if o.Code != OK && faulthook.Active(faulthook.ForgetRun) {
+		o.Execution = NotBegun
 	}
 	round := math.Floor
 	if c.class.Access == routing.Write && o.Code == OK {
 		round = math.Ceil
 	}
 	e := routing.AttemptEnded{
-		ID: c.id, Attempt: c.attempt, Code: o.Code, Role: o.Role,
+		ID: c.id, Attempt: c.attempt, Code: o.Code, Execution: o.Execution, Role: o.Role,
 		Final: o.Code == OK || c.finished, Elapsed: clock.Duration(now - c.chosenAt), Report: routingReport(o.Report),
 	}
 	if o.Position > 0 {
 		e.Position = roundedDuration(o.Position, round)
 	}
-	if o.Code == OK {
-		c.finish()
+	return e
+}
+
+// RequiredPosition returns the position that the data of an answer to the attempt picked last must have; 0: any.
+func (c *Call) RequiredPosition() float64 {
+	d := c.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return c.requiredPosition()
+}
+
+// requiredPosition is RequiredPosition. d.mu is held.
+func (c *Call) requiredPosition() float64 {
+	if c.minPosition > 0 && c.class.Access == routing.BoundedRead { // its bound counts from the write
+		return c.minPosition + c.revalidatedAt - c.chosenAt
 	}
-	d.step(now, e)
-	return o.Code
+	return c.minPosition
 }
 
 // isStale reports whether an answer is by its own stamp too old for its request: its host may have lost the role, or its
 // log, since its last report. d.mu is held.
 func (c *Call) isStale(o Outcome) bool {
-	need := c.minPosition
-	if c.class.Access == routing.BoundedRead { // its bound counts from the write
-		need += c.revalidatedAt - c.chosenAt
-	}
-	return o.Code == OK && c.minPosition > 0 && o.Role == Replica && o.Position > 0 && o.Position+positionRounding <= need
+	return o.Code == OK && c.minPosition > 0 && o.Role == Replica && o.Position > 0 && o.Position+positionRounding <= c.requiredPosition()
 }
 
 // Finish gives the outcome of the attempt picked last and ends the call with it: there is no further attempt, whatever the
@@ -142,6 +165,7 @@
 func (c *Call) Finish(o Outcome) {
 	d := c.dispatcher
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	if !c.finished {
 		c.finish()
 		select {
@@ -149,12 +173,10 @@
 		default:
 		}
 	}
-	d.mu.Unlock()
-	c.Report(o)
-	// Where no attempt was in flight the router still queues the request, and would send it later for nobody.
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.step(d.clock.Now(), routing.ClientGone{ID: c.id})
+	now := d.clock.Now()
+	// Where no attempt was in flight the router still queues the request. Both events are one step: behind the first alone, the
+	// router's tick might send the request for nobody.
+	d.step(now, c.ended(now, o), routing.ClientGone{ID: c.id})
 }
 
 // Abandon says that the client has gone. An attempt in flight must still be reported.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -200,24 +200,28 @@
 	}
 }
 
-// step gives an event to the router and carries out its actions; d.mu is held.
+// step gives events to the router and carries out its actions; d.mu is held. An attempt of a call that has ended is reported as not
+// sent: left without a word, it would count as in flight for good, and its host as silent.
 //
 // ActCancel comes only with Abandon and Finish here, which end the exchange by its context; ActSubscribe and ActFetch have
 // no meaning where discovery is watched all the time.
-func (d *Dispatcher) step(now float64, e routing.Event) {
+func (d *Dispatcher) step(now float64, events ...routing.Event) {
 	if d.timerAt > 0 && now >= d.timerAt {
 		d.timerAt = 0
 	}
-	for _, a := range d.router.Step(clock.Duration(now), []routing.Event{e}) {
+	var unsent []routing.Event
+	for _, a := range d.router.Step(clock.Duration(now), events) {
 		switch a.Kind {
 		case routing.ActSend:
 			if c := d.calls[a.ID]; c != nil {
 				c.send(now, a)
+			} else {
+				unsent = append(unsent, routing.AttemptEnded{ID: a.ID, Attempt: a.Attempt, Code: NotSent, Execution: NotBegun, Final: true})
 			}
 		case routing.ActReject:
-			d.answer(a.ID, Decision{Verdict: Reject, RetryAfter: clock.Millis(a.RetryAfter)})
+			d.answer(a.ID, Decision{Verdict: Reject, RetryAfter: clock.Millis(a.RetryAfter), Reason: a.Reason})
 		case routing.ActFail:
-			d.answer(a.ID, Decision{Verdict: Fail})
+			d.answer(a.ID, Decision{Verdict: Fail, Reason: a.Reason})
 		case routing.ActTimer:
 			d.armTimer(clock.Millis(a.At))
 		case routing.ActProbe:
@@ -230,6 +234,9 @@
 			}
 		}
 	}
+	if len(unsent) > 0 {
+		d.step(now, unsent...)
+	}
 }
 
 // answer gives a call its final decision; d.mu is held.
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -21,8 +21,24 @@
 	NotSent        = routing.NotSent
 	Misdirected    = routing.Misdirected
 	Malformed      = routing.Malformed
+	StaleAnswer    = routing.StaleAnswer
 )
 
+// Execution is what the end of an attempt proves of whether the request ran; the names are those of package routing.
+type Execution = routing.Execution
+
+// The proofs.
+const (
+	MayHaveRun         = routing.MayHaveRun
+	Ran                = routing.Ran
+	NotBegun           = routing.NotBegun
+	NotWritten         = routing.NotWritten
+	RejectedUnexecuted = routing.RejectedUnexecuted
+)
+
+// EndReason is why a request gets its final answer without having been served.
+type EndReason = routing.EndReason
+
 // Role is what a host reports of itself.
 type Role = routing.Role
 
@@ -63,18 +79,26 @@
 	Verdict    Verdict
 	Host       string
 	Attempt    int
-	Deadline   float64 // Send: when to stop waiting for the answer
-	RetryAfter float64 // Reject: advice to stay away for so long; 0: none
+	Deadline   float64   // Send: when to stop waiting for the answer
+	RetryAfter float64   // Reject: advice to stay away for so long; 0: none
+	Reason     EndReason // Reject and Fail
 }
 
 // Outcome is what came of an attempt or a probe. Positions are Unix milliseconds, 0 where none was given.
+//
+// Execution is a fact, which only the network code that saw the exchange can state; nothing behind it changes it. Code says how
+// the exchange ended, and of what use that is.
 type Outcome struct {
-	Code     Code
-	Role     Role
-	Position float64 // of the data or, for a write that succeeded, of its commit
-	Report   Report
+	Code      Code
+	Execution Execution // zero: it may have run
+	Role      Role
+	Position  float64 // of the data or, for a write that succeeded, of its commit
+	Report    Report
 }
 
+// NeverBegun is the outcome of an attempt of which no byte was written.
+func NeverBegun(code Code) Outcome { return Outcome{Code: code, Execution: NotBegun} }
+
 // Report is what a load report says of role and position.
 type Report struct {
 	Role     Role
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -1,6 +1,9 @@
 package edge
 
-import "ashstand/internal/dispatch"
+import (
+	"ashstand/internal/dispatch"
+	"ashstand/internal/lifecycle"
+)
 
 // Answer is what a database host served: one value, with what the host reported beside it.
 type Answer struct {
@@ -23,8 +26,13 @@
 	WrittenAt float64 // when the last byte of the request was handed to the kernel, in Unix milliseconds; 0: it was not, or is not known
 }
 
+// NotBegun is the reply of an attempt that ended before a byte of the request was written.
+func NotBegun(code dispatch.Code, detail string) Reply {
+	return Reply{Outcome: dispatch.NeverBegun(code), Detail: detail}
+}
+
 // NotSent is the reply where the gate did not open.
-func NotSent() Reply { return Reply{Outcome: dispatch.Outcome{Code: dispatch.NotSent}} }
+func NotSent() Reply { return NotBegun(dispatch.NotSent, "") }
 
 // Result is the one final answer to a request.
 type Result struct {
@@ -32,8 +40,13 @@
 	Answer           Answer
 	RetryAfterMillis float64 // of Rejected: when the client may try again; 0: no advice
 	Detail           string
+	// Permit is that of Rejected. A front encodes a rejection without one as a failure.
+	Permit lifecycle.RejectionPermit
 }
 
+// IsRejection reports whether the client may be told that a retry is harmless.
+func (r *Result) IsRejection() bool { return r.Verdict == Rejected && r.Permit.IsGranted() }
+
 // Verdict is the kind of a final answer.
 type Verdict uint8
 
@@ -45,4 +58,15 @@
 	Failed               // the request may have run
 	Invalid              // nothing was attempted: the request itself is at fault
 	Disconnected         // the client has closed its connection: there is nobody to answer
+	verdictCount
 )
+
+var verdictNames = [verdictCount]string{"served", "rejected", "timed_out", "failed", "invalid", "disconnected"}
+
+// String names the verdict as logs do.
+func (v Verdict) String() string {
+	if v < verdictCount {
+		return verdictNames[v]
+	}
+	return "unknown"
+}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -22,6 +22,10 @@
 // Error says that there is nobody to answer.
 func (e *DisconnectedError) Error() string { return "the client has gone" }
 
+// ErrProcessEnding is the cause with which a front ends the context of a request that is open when the process is about to end. Its
+// client is there still, and has an answer coming.
+var ErrProcessEnding = errors.New("the process is about to end")
+
 // atomicMillis is a time in Unix milliseconds that goroutines share; its zero value is 0.
 type atomicMillis struct{ bits atomic.Uint64 }
 
@@ -63,18 +67,24 @@
 // attemptUntilFinal makes the attempts that dispatch chooses until one is served or dispatch ends the request. deadline is until
 // when the client waits.
 func (e *Edge) attemptUntilFinal(ctx context.Context, call *dispatch.Call, s *sqlcomment.Statement, deadline float64) Result {
-	failure := Result{Verdict: TimedOut, Detail: "no host answered in time"}
-	history := attemptHistory{edge: e, statement: s}
+	history := newHistory(e, s, deadline)
 	for {
 		decision := call.Pick()
 		switch decision.Verdict {
 		case dispatch.Reject:
-			e.metrics.Rejected(metrics.RejectNoHost)
-			return Result{Verdict: Rejected, RetryAfterMillis: decision.RetryAfter, Detail: "no host can serve this now"}
+			return history.reject(metrics.RejectNoHost, decision.RetryAfter, "no host can serve this now", decision.Reason)
 		case dispatch.Fail:
-			return failure
+			return history.fail(decision.Reason)
 		case dispatch.ClientGone:
+			if errors.Is(context.Cause(ctx), ErrProcessEnding) {
+				return history.resultAtEnd()
+			}
 			return Result{Verdict: Disconnected}
+		case dispatch.Send:
+		}
+		if !history.mayRepeat(decision.Host) {
+			call.Finish(dispatch.NeverBegun(dispatch.NotSent))
+			return history.fail(decision.Reason)
 		}
 		a := &attempt{edge: e, call: call, decision: decision, statement: s, client: ctx, deadline: deadline}
 		reply := a.run(ctx)
@@ -84,14 +94,15 @@
 		if !may.OK() { // before the report, which would choose a further attempt for nobody
 			call.Abandon()
 		}
-		if call.Report(reply.Outcome) == dispatch.OK {
+		code := call.Report(reply.Outcome)
+		if code == dispatch.OK {
 			a.checkFreshness(&reply)
 			return Result{Verdict: Served, Answer: reply.Answer}
 		}
+		history.addUnserved(a, &reply, code)
 		if may.Reason == lifecycle.ProcessCutting {
 			return history.resultAtEnd()
 		}
-		failure.record(&reply)
 	}
 }
 
@@ -142,16 +153,16 @@
 	return conn.Exchange(ctx, a.statement, a.open)
 }
 
-// acquireFailed is the reply where no connection was acquired.
+// acquireFailed is the reply where no connection was acquired, and so no byte of the request was written.
 func acquireFailed(ctx context.Context, err error) Reply {
 	switch {
 	case errors.Is(err, ErrHostRejected), errors.Is(err, ErrPoolExhausted):
-		return Reply{Outcome: dispatch.Outcome{Code: dispatch.Rejected}, Detail: err.Error()}
+		return NotBegun(dispatch.Rejected, err.Error())
 	case errors.Is(err, ErrUnlisted):
 		return NotSent()
 	case ctx.Err() != nil: // the client disconnected or the attempt timed out: no evidence against the host
 		return NotSent()
 	default:
-		return Reply{Outcome: dispatch.Outcome{Code: dispatch.NoConnection}, Detail: err.Error()}
+		return NotBegun(dispatch.NoConnection, err.Error())
 	}
 }
--- a/internal/edge/check.go
+++ b/internal/edge/check.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 
 	"ashstand/internal/clock"
 	"ashstand/internal/dispatch"
 	"ashstand/internal/lifecycle"
-	"ashstand/internal/metrics"
-	"ashstand/internal/sqlcomment"
 	"ashstand/routing"
 )
 
@@ -68,56 +65,3 @@
 		a.violation(lifecycle.StaleRead)
 	}
 }
-
-// attemptHistory is what the attempts of one request did, for the check of its repeats.
-type attemptHistory struct {
-	edge       *Edge
-	statement  *sqlcomment.Statement
-	firstRunAt float64 // when the first attempt that may have run was written; 0: none was, or that is not known
-	mayHaveRun bool
-	lastCode   dispatch.Code
-	count      int
-}
-
-// resultAtEnd is the final answer of a request whose last attempt failed as the process ended.
-func (h *attemptHistory) resultAtEnd() Result {
-	if h.mayHaveRun {
-		return Result{Verdict: Failed, Detail: "the pooler restarts; the request may have run"}
-	}
-	h.edge.metrics.Rejected(metrics.RejectCutting)
-	return Result{Verdict: Rejected, Detail: "the pooler restarts"}
-}
-
-// add takes an attempt that has ended, and counts the rules that it broke as a repeat.
-func (h *attemptHistory) add(a *attempt, reply *Reply) {
-	if h.count > 0 {
-		h.edge.metrics.Retried(h.lastCode.String())
-	}
-	h.count++
-	h.lastCode = reply.Code
-	h.mayHaveRun = h.mayHaveRun || !reply.Code.NeverRan()
-	if debugEnabled(a.client) {
-		slog.DebugContext(a.client, "request: an attempt has ended", "request", h.statement.ID, "host", a.decision.Host, "attempt", a.decision.Attempt, "reason", reply.Code.String())
-	}
-	if reply.WrittenAt == 0 {
-		return
-	}
-	if h.firstRunAt > 0 {
-		h.checkRepeat(a, reply.WrittenAt)
-	} else if !reply.Code.NeverRan() {
-		h.firstRunAt = reply.WrittenAt
-	}
-}
-
-func (h *attemptHistory) checkRepeat(a *attempt, writtenAt float64) {
-	class, ok := h.edge.dispatcher.Class(h.statement.Class)
-	if !ok {
-		return
-	}
-	for _, rule := range lifecycle.CheckRepeat(lifecycle.Repeat{
-		At: writtenAt, FirstAt: h.firstRunAt, AtMostOnce: class.Idempotency == routing.AtMostOnce,
-		Deduplicated: class.Idempotency == routing.Deduplicated, WindowMillis: clock.Millis(class.DedupWindow),
-	}) {
-		a.violation(rule)
-	}
-}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -25,6 +25,7 @@
 	backend    Backend
 	observer   Observer // nil: attempts are not observed
 	metrics    *metrics.Metrics
+	requestLog *requestLog
 	phase      atomic.Uint32 // lifecycle.Phase
 	cutAt      atomicMillis  // when the phase became lifecycle.Cutting; 0: it did not
 
@@ -46,7 +47,8 @@
 // New returns a core that asks dispatcher for decisions and sends over backend.
 func New(dispatcher *dispatch.Dispatcher, c clock.Clock, backend Backend) *Edge {
 	return &Edge{
-		dispatcher: dispatcher, clock: c, backend: backend, metrics: metrics.New(), openIDs: map[string]struct{}{}, drained: make(chan struct{}),
+		dispatcher: dispatcher, clock: c, backend: backend, metrics: metrics.New(), requestLog: newRequestLog(),
+		openIDs: map[string]struct{}{}, drained: make(chan struct{}),
 	}
 }
 
@@ -131,9 +133,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.limits.StatementBytes > 0 && e.statementBytes+len(s.Text) > e.limits.StatementBytes {
-		e.metrics.Rejected(metrics.RejectStatementMemory)
+		e.RecordRejection(metrics.RejectStatementMemory, "request", s.ID, "class", s.Class)
 		return &Result{
-			Verdict: Rejected, RetryAfterMillis: e.limits.RetryAfterMillis,
+			Verdict: Rejected, RetryAfterMillis: e.limits.RetryAfterMillis, Permit: lifecycle.PermitUntried(),
 			Detail: "the statements under way leave no memory for one more",
 		}
 	}
@@ -173,10 +175,16 @@
 	e.mu.Unlock()
 }
 
+// invalid is the final answer to a request that makes no sense.
+func (e *Edge) invalid(s *sqlcomment.Statement, detail string) Result {
+	e.logInvalid(s, detail)
+	return Result{Verdict: Invalid, Detail: detail}
+}
+
 // Do brings a request from its arrival to its final answer. ctx ends when the client disconnects.
 func (e *Edge) Do(ctx context.Context, s *sqlcomment.Statement, arrived float64) Result {
 	if !e.registerID(s.ID) {
-		return Result{Verdict: Invalid, Detail: "id " + s.ID + " is that of a request that is open"}
+		return e.invalid(s, "id "+s.ID+" is that of a request that is open")
 	}
 	defer e.releaseID(s.ID)
 	call, err := e.dispatcher.Begin(dispatch.Request{
@@ -184,7 +192,7 @@
 		Arrived: arrived, TimeRemaining: s.TimeoutMillis, MinPosition: s.MinPosition,
 	})
 	if err != nil {
-		return Result{Verdict: Invalid, Detail: "class " + s.Class + ": " + err.Error()}
+		return e.invalid(s, "class "+s.Class+": "+err.Error())
 	}
 	defer context.AfterFunc(ctx, call.Abandon)()
 	s.IsWrite = e.dispatcher.IsWrite(s.Class)
--- /dev/null
+++ b/internal/faulthook/off.go
@@ -0,0 +1,6 @@
+//go:build !faulthooks
+
+package faulthook
+
+// Active reports whether a rule is to be broken: never in a release.
+func Active(Fault) bool { return false }
--- a/internal/lifecycle/decision.go
+++ b/internal/lifecycle/decision.go
@@ -16,11 +16,13 @@
 	PartOfMessageRead         // a message has begun to arrive
 	BytesUnread               // bytes lie in the kernel: closed over them, the connection would be reset
 	BytesUnsent               // a part of an answer is not with the kernel yet
+	RequestMayHaveRun         // some attempt of the request may have run, and its class must not be repeated
 )
 
 var reasonNames = [...]string{
 	"allowed", "not_ready", "process_cutting", "client_disconnected", "time_is_up", "host_not_eligible", "request_in_flight",
 	"commands_wait", "part_of_message_read", "bytes_unread", "bytes_unsent",
+	"request_may_have_run",
 }
 
 // String names the reason as logs and counters do.
--- a/internal/lifecycle/rule.go
+++ b/internal/lifecycle/rule.go
@@ -18,13 +18,15 @@
 	StartedUnready                     // a request began while no list of hosts was held
 	StaleRead                          // a read was answered from data older than its class or its session permits
 	BoundExceeded                      // more was retained than the limits allow
+	RejectedAfterRun                   // a rejection was decided for a request that may have run; its client was told that it failed
+	RepeatAfterRun                     // a further attempt was decided for a request that may have run; it was not made
 	ruleCount
 )
 
 var ruleNames = [ruleCount]string{
 	"attempt_after_client_gone", "attempt_after_cut", "attempt_to_draining", "deadline_exceeded_to_host", "retry_not_idempotent",
 	"retry_outside_window", "answered_twice", "closed_without_answer", "closed_with_unread_bytes", "answer_late",
-	"started_unready", "stale_read", "bound_exceeded",
+	"started_unready", "stale_read", "bound_exceeded", "rejected_after_run", "repeat_after_run",
 }
 
 // String names the rule as logs and counters do.
--- /dev/null
+++ b/internal/lifecycle/shutdown_test.go
@@ -0,0 +1,30 @@
+package lifecycle
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// For every longest deadline: the phases follow each other, the process has ended before SIGKILL may come, no connection is closed
+// while new ones come, and what was taken before the drain is due before the cut.
+func TestEveryShutdownEndsBeforeTheKill(t *testing.T) {
+	for deadline := 50 * time.Millisecond; deadline <= 20*time.Second; deadline += time.Millisecond {
+		s := NewShutdownSchedule(deadline)
+		counted := min(deadline, 3*time.Second)
+		require.Equal(t, counted+700*time.Millisecond, s.KillAt)
+		require.GreaterOrEqual(t, s.DrainAt, 450*time.Millisecond, deadline.String())
+		require.Less(t, s.DrainAt, s.CutAt, deadline.String())
+		require.Less(t, s.CutAt, s.ExitAt, deadline.String())
+		require.LessOrEqual(t, s.ExitAt, s.KillAt-100*time.Millisecond, deadline.String())
+		require.GreaterOrEqual(t, s.CutAt-s.DrainAt, min(deadline, 750*time.Millisecond), deadline.String())
+	}
+}
+
+// A new configuration may bring the end forward, and never puts it off.
+func TestAShutdownIsOnlyShortened(t *testing.T) {
+	short, long := NewShutdownSchedule(200*time.Millisecond), NewShutdownSchedule(2*time.Second)
+	require.Equal(t, short, long.Earlier(short))
+	require.Equal(t, short, short.Earlier(long))
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 
+	"ashstand/internal/faulthook"
 	"ashstand/internal/lifecycle"
 )
 
@@ -106,6 +107,9 @@
 // Violation counts a rule that did not hold, and logs it with attributes that tell the case: request, connection, host, attempt.
 // The process goes on.
 func (m *Metrics) Violation(rule lifecycle.Rule, attributes ...any) {
+	if faulthook.Active(faulthook.CountNothing) {
+		return
+	}
 	m.violations[rule].Inc()
 	m.violationAt[rule].Do(func() {
 		slog.Error("a rule did not hold", append([]any{"rule", rule.String()}, attributes...)...)
--- a/internal/net/flight/front.go
+++ b/internal/net/flight/front.go
@@ -24,6 +24,8 @@
 	flightsql.BaseServer
 	edge   *edge.Edge
 	server *grpc.Server
+	ending context.Context // ends at the cut
+	cut    context.CancelCauseFunc
 }
 
 const (
@@ -43,6 +45,7 @@
 // NewFront returns a front that brings requests to e.
 func NewFront(e *edge.Edge) *Front {
 	f := &Front{edge: e}
+	f.ending, f.cut = context.WithCancelCause(context.Background())
 	f.server = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxRequest), grpc.MaxHeaderListSize(maxRequestHead), grpc.MaxConcurrentStreams(maxStreams),
 		// Fixed and small: one core and little memory, shared with the other front. Setting the windows also
@@ -65,6 +68,9 @@
 // Drain accepts no new connection, sends clients a GOAWAY, and returns when every request has its answer.
 func (f *Front) Drain() { f.server.GracefulStop() }
 
+// Cut gives every request that is open its final answer: the process is about to end. Drain then returns soon.
+func (f *Front) Cut() { f.cut(edge.ErrProcessEnding) }
+
 // Stop closes all connections, with what is still open on them.
 func (f *Front) Stop() { f.server.Stop() }
 
@@ -163,6 +169,9 @@
 	if at, ok := ctx.Deadline(); ok {
 		s.TimeoutMillis = min(s.TimeoutMillis, float64(time.Until(at))/1e6)
 	}
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(f.ending, func() { end(context.Cause(f.ending)) })()
 	r := f.edge.Do(ctx, s, arrived)
 	if r.Verdict != edge.Served {
 		return nil, resultStatus(&r)
--- a/internal/net/flight/hosts.go
+++ b/internal/net/flight/hosts.go
@@ -227,23 +227,23 @@
 	return &flight.FlightDescriptor{Type: flight.DescriptorCMD, Cmd: b}, err
 }
 
-func failedReply(err error, trailer metadata.MD) edge.Reply {
+func failedReply(err error, trailer metadata.MD, facts exchangeFacts) edge.Reply {
 	r := edge.Reply{Detail: err.Error()}
-	code := classifyError(err)
+	code, execution := classifyError(err, facts)
 	if code != dispatch.Malformed { // which teaches nothing
 		r.Outcome = readTrailer(trailer, &r.Answer)
 	}
-	r.Code = code
+	r.Code, r.Execution = code, execution
 	return r
 }
 
 // endedReply is the reply for a stream that brought no answer. Only one that gRPC itself ended has its trailer: what was given up
 // because of its content may still be arriving.
-func endedReply(err error, stream grpc.ClientStream) edge.Reply {
-	if classifyError(err) == dispatch.Malformed {
-		return failedReply(err, nil)
+func endedReply(err error, stream grpc.ClientStream, facts exchangeFacts) edge.Reply {
+	if code, _ := classifyError(err, facts); code == dispatch.Malformed {
+		return failedReply(err, nil, facts)
 	}
-	return failedReply(err, stream.Trailer())
+	return failedReply(err, stream.Trailer(), facts)
 }
 
 // query runs a read. The ticket costs a round trip in which nothing runs, so the gate is called again after it.
@@ -254,10 +254,10 @@
 	}
 	info, err := c.client.GetFlightInfo(withSingleStream(ctx), d)
 	if err != nil {
-		return failedReply(err, nil)
+		return failedReply(err, nil, exchangeFacts{})
 	}
 	if len(info.Endpoint) != 1 || info.Endpoint[0].Ticket == nil {
-		return failedReply(errUnexpectedAnswer, nil)
+		return failedReply(errUnexpectedAnswer, nil, exchangeFacts{})
 	}
 	if _, ok := gate(); !ok {
 		return edge.NotSent()
@@ -267,13 +267,15 @@
 	var trailer metadata.MD
 	stream, err := c.client.DoGet(withSingleStream(ctx), info.Endpoint[0].Ticket, grpc.Trailer(&trailer))
 	if err != nil {
-		return failedReply(err, trailer)
+		return failedReply(err, trailer, exchangeFacts{})
 	}
 	var r edge.Reply
-	if err := readAnswer(stream, &r.Answer); err != nil {
-		return endedReply(err, stream)
+	bounded := &boundedReader{DataStreamReader: stream, remaining: maxAnswer}
+	if err := readAnswer(bounded, &r.Answer); err != nil {
+		return endedReply(err, stream, exchangeFacts{hasBegun: bounded.hasReceived})
 	}
 	r.Outcome = readTrailer(stream.Trailer(), &r.Answer)
+	r.Execution = dispatch.Ran
 	return r
 }
 
@@ -289,37 +291,38 @@
 	if ctx.Err() != nil {
 		return edge.NotSent()
 	} else if err != nil { // the stream did not open, and the statement is not yet written
-		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.NoConnection}, Detail: err.Error()}
+		return edge.NotBegun(dispatch.NoConnection, err.Error())
 	}
 	// From here on the host may have it, whatever an error says of the connection.
 	_ = stream.Send(&flight.FlightData{FlightDescriptor: d}) // its error comes from Recv, with the status
 	_ = stream.CloseSend()
-	rows, err := receiveUpdateResult(stream)
+	rows, hasBegun, err := receiveUpdateResult(stream)
 	if errors.Is(err, io.EOF) {
 		err = errUnexpectedAnswer
 	}
 	if err != nil {
-		return endedReply(err, stream)
+		return endedReply(err, stream, exchangeFacts{isWrite: true, hasBegun: hasBegun})
 	}
 	return updateReply(rows, stream.Trailer())
 }
 
 // receiveUpdateResult reads the count of rows, and the stream to its end: only the trailer proves that the write was committed.
-func receiveUpdateResult(stream pb.FlightService_DoPutClient) (rows int64, err error) {
+// hasBegun: a result came, whatever came behind it.
+func receiveUpdateResult(stream pb.FlightService_DoPutClient) (rows int64, hasBegun bool, err error) {
 	put, err := stream.Recv()
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	var result pb.DoPutUpdateResult
 	if err := proto.Unmarshal(put.GetAppMetadata(), &result); err != nil {
-		return 0, err
+		return 0, true, err
 	}
 	if _, err := stream.Recv(); err == nil {
-		return 0, errUnexpectedAnswer
+		return 0, true, errUnexpectedAnswer
 	} else if !errors.Is(err, io.EOF) {
-		return 0, err
+		return 0, true, err
 	}
-	return result.RecordCount, nil
+	return result.RecordCount, true, nil
 }
 
 // updateReply is the reply for a write that was committed.
@@ -329,12 +332,13 @@
 		Tag: fmt.Sprintf("INSERT 0 %d", rows),
 	}}
 	r.Outcome = readTrailer(trailer, &r.Answer)
+	r.Execution = dispatch.Ran
 	switch v := trailer.Get(metaReturning); len(v) {
 	case 0:
 	case 1:
 		r.Answer.Value, r.Answer.Null = []byte(v[0]), false
 	default:
-		return failedReply(errUnexpectedAnswer, nil)
+		return failedReply(errUnexpectedAnswer, nil, exchangeFacts{isWrite: true, hasBegun: true})
 	}
 	return r
 }
--- a/internal/net/flight/record.go
+++ b/internal/net/flight/record.go
@@ -51,12 +51,14 @@
 // boundedReader ends a stream that grows beyond an answer's bound.
 type boundedReader struct {
 	flight.DataStreamReader
-	remaining int
+	remaining   int
+	hasReceived bool // a message came
 }
 
 func (r *boundedReader) Recv() (*flight.FlightData, error) {
 	d, err := r.DataStreamReader.Recv()
 	if err == nil {
+		r.hasReceived = true
 		if r.remaining -= len(d.DataBody) + len(d.DataHeader) + len(d.AppMetadata); r.remaining < 0 {
 			return nil, errAnswerTooLong
 		}
@@ -66,13 +68,13 @@
 
 // readAnswer reads a stream to its end before anything of it is passed on: one that is cut off half-way is a reset, not a short
 // answer.
-func readAnswer(stream flight.DataStreamReader, a *edge.Answer) (err error) {
+func readAnswer(stream *boundedReader, a *edge.Answer) (err error) {
 	defer func() { // the library trusts some lengths of its input
 		if p := recover(); p != nil {
 			err = fmt.Errorf("the answer can't be read: %v", p)
 		}
 	}()
-	r, err := flight.NewRecordReader(&boundedReader{stream, maxAnswer})
+	r, err := flight.NewRecordReader(stream)
 	if err != nil {
 		return err
 	}
--- a/internal/net/flight/status.go
+++ b/internal/net/flight/status.go
@@ -85,7 +85,9 @@
 func resultStatus(r *edge.Result) error {
 	switch r.Verdict {
 	case edge.Rejected:
-		return newStatus(codes.Unavailable, r.Detail, reasonPoolerRejected, r.RetryAfterMillis)
+		if r.IsRejection() { // else it may have run, and has failed
+			return newStatus(codes.Unavailable, r.Detail, reasonPoolerRejected, r.RetryAfterMillis)
+		}
 	case edge.TimedOut:
 		return newStatus(codes.DeadlineExceeded, r.Detail, "", 0)
 	case edge.Invalid:
@@ -96,40 +98,56 @@
 	return newStatus(codes.Unknown, r.Detail, "", 0)
 }
 
-// classifyError returns what a host's error proves, once the request was sent.
-func classifyError(err error) dispatch.Code {
+// exchangeFacts are what is known of a request when its exchange fails.
+type exchangeFacts struct {
+	isWrite  bool
+	hasBegun bool // a message of a result came
+}
+
+// classifyError returns how an exchange ended that a host's error ended once the request was sent, and what that proves.
+func classifyError(err error, facts exchangeFacts) (dispatch.Code, dispatch.Execution) {
+	execution := dispatch.MayHaveRun
+	if facts.hasBegun {
+		execution = dispatch.Ran
+	}
 	s, ok := status.FromError(err)
 	if errors.Is(err, errUnexpectedAnswer) || !ok { // what gRPC delivered was no answer
-		return dispatch.Malformed
+		return dispatch.Malformed, execution
 	}
 	for _, d := range s.Details() {
-		if info, ok := d.(*errdetails.ErrorInfo); ok && info.Domain == domain {
-			if code, proven := nothingRan(s.Code(), info.Reason); proven {
-				return code
-			}
+		info, ok := d.(*errdetails.ErrorInfo)
+		if !ok || info.Domain != domain || facts.hasBegun { // behind a part of a result no reason proves anything
+			continue
+		}
+		if code, proof := rejection(s.Code(), info.Reason, facts.isWrite); code != dispatch.ServerError {
+			return code, proof
 		}
 	}
 	switch s.Code() {
 	case codes.DeadlineExceeded:
-		return dispatch.NoAnswer
+		return dispatch.NoAnswer, execution
 	case codes.Canceled:
-		return dispatch.Cancelled
+		return dispatch.Cancelled, execution
 	case codes.Unavailable:
-		return dispatch.ConnectionLost
+		return dispatch.ConnectionLost, execution
 	}
-	return dispatch.ServerError
+	return dispatch.ServerError, execution
 }
 
-// nothingRan reports whether a status with this reason proves that nothing ran, and the code for it.
-func nothingRan(code codes.Code, reason string) (_ dispatch.Code, proven bool) {
+// rejection returns the code for a status with a reason of the domain, and what that proves; ServerError where it is no rejection.
+// A read has nothing to do with the primary's role, and a write nothing with the age of data: such a status contradicts itself.
+func rejection(code codes.Code, reason string, isWrite bool) (dispatch.Code, dispatch.Execution) {
 	switch {
 	case code == codes.FailedPrecondition && (reason == reasonNotPrimary || reason == reasonBehind):
-		return dispatch.Misdirected, true
+		if isWrite == (reason == reasonNotPrimary) {
+			return dispatch.Misdirected, dispatch.RejectedUnexecuted
+		}
+		return dispatch.Misdirected, dispatch.MayHaveRun
 	case (code == codes.Unavailable || code == codes.ResourceExhausted) &&
 		(reason == reasonHostRejected || reason == reasonPoolerRejected):
-		return dispatch.Rejected, true
+		return dispatch.Rejected, dispatch.RejectedUnexecuted
 	}
-	return dispatch.ServerError, false
+	return dispatch.ServerError, dispatch.MayHaveRun
 }
 
 // readTrailer reads the trailing metadata into an answer and the outcome that it reports.
--- a/internal/net/pg/errors.go
+++ b/internal/net/pg/errors.go
@@ -38,7 +38,7 @@
 
 // Error names what the host answered.
 func (e *HandshakeError) Error() string {
-	if e.SQLState == sqlStateTooManyConnections {
+	if e.SQLState == string(stateTooManyConnections) {
 		return fmt.Sprintf("%v: %s", edge.ErrHostRejected, e.Text)
 	}
 	return fmt.Sprintf("the db host turned the connection away: %s %s", e.SQLState, e.Text)
@@ -46,7 +46,7 @@
 
 // Unwrap is edge.ErrHostRejected where the host has no capacity.
 func (e *HandshakeError) Unwrap() error {
-	if e.SQLState == sqlStateTooManyConnections {
+	if e.SQLState == string(stateTooManyConnections) {
 		return edge.ErrHostRejected
 	}
 	return nil
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -94,14 +94,14 @@
 	h.cancelRequest = func() {} // until it has a request
 	f.clients[h] = c
 	if f.terminating.Load() {
-		return h, nil, h.closeWithError(c, lifecycle.ClosedCutting, sqlStateCannotConnectNow, textRestarting, "")
+		return h, nil, h.closeWithRejection(c, lifecycle.ClosedCutting, stateCannotConnectNow, textRestarting, "")
 	}
 	if room {
 		return h, nil, gnet.None
 	}
 	f.clientLimitLog.Printf("front: %d client connections are open and in use, one more is sent away", len(f.clients))
-	f.edge.Metrics().Rejected(metrics.RejectTableFull)
-	return h, nil, h.closeWithError(c, lifecycle.ClosedTableFull, sqlStateTooManyConnections, "too many connections", f.retryAfter())
+	f.edge.RecordRejection(metrics.RejectTableFull, "connection", h.number)
+	return h, nil, h.closeWithRejection(c, lifecycle.ClosedTableFull, stateTooManyConnections, "too many connections", f.retryAfter())
 }
 
 func (f *Front) retryAfter() string {
@@ -150,7 +150,7 @@
 func (f *Front) Reject(c gnet.Conn) []byte {
 	b := make([]byte, maxShutdownReadBytes)
 	_, _ = syscall.Read(c.Fd(), b)
-	return appendError(nil, severityFatal, sqlStateTooManyConnections, "too many connections", f.retryAfter())
+	return encodeUntried(severityFatal, stateTooManyConnections, "too many connections", f.retryAfter())
 }
 
 // forEachClient does something on the loop for every connection.
@@ -181,7 +181,9 @@
 		case h.closingWithError:
 			if now-h.lastActive > maxLingerMillis {
 				h.close(c, h.closeReason)
+				break
 			}
+			h.finishAction(c, h.endSending(c))
 		case h.isBlocked():
 		case !h.hasRequested && now-h.lastActive > maxSilentMillis, h.partialSince > 0 && now-h.partialSince > maxSilentMillis:
 			if !hasUnreadBytes(c) {
--- a/internal/net/pg/front_client.go
+++ b/internal/net/pg/front_client.go
@@ -22,6 +22,7 @@
 	hasRequested    bool // it had a request
 	requestCount    int  // how many
 	requestInFlight bool
+	answerWritten   bool // the request in flight has its answer; the client has not taken all of it
 	awaitingFlush   bool // no command is taken before the client has read what was answered
 	hasTerminated   bool // it sent Terminate, and closes its connection
 	invalidRequests int
@@ -190,8 +191,8 @@
 	h.hasRequested = true
 	h.requestCount++
 	h.lastActive = h.front.edge.Now()
-	h.front.edge.Metrics().Rejected(metrics.RejectReadAhead)
-	h.write(c, appendReady(appendError(nil, severityError, sqlStateTooManyConnections, "too much was sent ahead of its answers", h.front.retryAfter())))
+	h.front.edge.RecordRejection(metrics.RejectReadAhead, "connection", h.number)
+	h.write(c, appendReady(encodeUntried(severityError, stateTooManyConnections, "too much was sent ahead of its answers", h.front.retryAfter())))
 }
 
 // rejectQueued rejects the requests that wait on a connection that is about to end. Of what is no request nothing is said.
@@ -267,7 +268,7 @@
 	case Malformed:
 		return h.closeWithError(c, lifecycle.ClosedProtocol, sqlStateProtocolViolation, command.Text, "")
 	case Overloaded:
-		return h.closeWithError(c, lifecycle.ClosedOverloaded, sqlStateTooManyConnections, command.Text, h.front.retryAfter())
+		return h.closeWithRejection(c, lifecycle.ClosedOverloaded, stateTooManyConnections, command.Text, h.front.retryAfter())
 	}
 	return gnet.None
 }
--- a/internal/net/pg/front_close.go
+++ b/internal/net/pg/front_close.go
@@ -15,6 +15,7 @@
 // closeState is how a client's connection ends. The event loop owns it.
 type closeState struct {
 	closingWithError bool // the client was told to go: what it still sends is not read
+	sendingEnded     bool // our side of the connection is shut down
 	lingeredBytes    int  // that it sent since
 	closeReason      lifecycle.CloseReason
 	hasCloseReason   bool
@@ -70,17 +71,27 @@
 }
 
 // closeWithError tells a client why it has to go and ends our side. The connection stays for a moment, in which what
-// the client still sends is thrown away: closed at once, it would be reset, and a reset can eat the error.
+// the client still sends is thrown away: closed at once, it would be reset, and a reset can eat the error. In the same moment a
+// client that has not taken its answers may still do so.
 func (h *client) closeWithError(c gnet.Conn, reason lifecycle.CloseReason, state, text, detail string) gnet.Action {
 	h.noteClose(reason)
 	h.checkAnswered(reason)
 	h.write(c, appendError(nil, severityFatal, state, text, detail))
 	h.flush(c)
-	if c.OutboundBuffered() > 0 || syscall.Shutdown(c.Fd(), syscall.SHUT_WR) != nil {
-		return gnet.Close
-	}
 	h.closingWithError, h.lastActive = true, h.front.edge.Now()
 	_, _ = c.Discard(-1)
+	return h.endSending(c)
+}
+
+// endSending ends our side of a connection once the client has taken what was written to it; until then Sweep comes back to it.
+func (h *client) endSending(c gnet.Conn) gnet.Action {
+	if h.sendingEnded || c.OutboundBuffered() > 0 {
+		return gnet.None
+	}
+	h.sendingEnded = true
+	if syscall.Shutdown(c.Fd(), syscall.SHUT_WR) != nil {
+		return gnet.Close
+	}
 	return gnet.None
 }
 
--- a/internal/net/pg/front_request.go
+++ b/internal/net/pg/front_request.go
@@ -49,11 +49,11 @@
 	word = strings.ToUpper(word)
 	switch {
 	case may.Reason == lifecycle.NotReady:
-		h.front.edge.Metrics().Rejected(metrics.RejectNotReady)
-		return appendError(nil, severityError, sqlStateCannotConnectNow, "no list of hosts is held yet", ""), true
+		h.front.edge.RecordRejection(metrics.RejectNotReady, "connection", h.number)
+		return encodeUntried(severityError, stateCannotConnectNow, "no list of hosts is held yet", ""), true
 	case !may.OK():
-		h.front.edge.Metrics().Rejected(metrics.RejectCutting)
-		return appendError(nil, severityError, sqlStateCannotConnectNow, textRestarting, ""), true
+		h.front.edge.RecordRejection(metrics.RejectCutting, "connection", h.number)
+		return encodeUntried(severityError, stateCannotConnectNow, textRestarting, ""), true
 	case word == "":
 		return appendEmpty(nil, serverEmptyQuery), true
 	case word == "SET" || word == "RESET" || word == "DISCARD":
@@ -101,6 +101,7 @@
 	}
 	// The next command waits until this answer is out, so a client that does not read holds up itself alone
 	// and an answer is not cut by a close.
+	h.answerWritten = true
 	h.whenFlushed(c, func() {
 		e.End(s)
 		h.finishRequest(c, verdict)
@@ -113,7 +114,7 @@
 		return
 	}
 	h.cancelRequest()
-	h.requestInFlight, h.lastActive = false, h.front.edge.Now()
+	h.requestInFlight, h.answerWritten, h.lastActive = false, false, h.front.edge.Now()
 	if h.invalidRequests++; verdict != edge.Invalid {
 		h.invalidRequests = 0
 	}
@@ -188,7 +189,7 @@
 		if r.RetryAfterMillis > 0 {
 			detail = strconv.Itoa(int(r.RetryAfterMillis + 0.999))
 		}
-		return appendError(nil, severityError, sqlStateTooManyConnections, r.Detail, detail)
+		return appendRejection(nil, r.Permit, severityError, stateTooManyConnections, r.Detail, detail)
 	case edge.TimedOut:
 		return appendError(nil, severityError, sqlStateQueryCanceled, r.Detail, "")
 	case edge.Invalid:
--- a/internal/net/pg/front_shutdown.go
+++ b/internal/net/pg/front_shutdown.go
@@ -27,7 +27,7 @@
 	})
 }
 
-// Idle reports whether no request is under way or has begun to arrive.
+// Idle reports whether no request is under way or has begun to arrive, and every answer was taken.
 func (f *Front) Idle() bool {
 	l, ok := f.eventLoop.Load().(gnet.EventLoop)
 	if !ok {
@@ -37,7 +37,7 @@
 	if l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		all := true
 		for h, c := range f.clients {
-			all = all && (h.closingWithError || h.mayClose(c).OK())
+			all = all && (h.closingWithError && c.OutboundBuffered() == 0 || h.mayClose(c).OK())
 		}
 		idle <- all
 		return nil
@@ -63,12 +63,15 @@
 func (h *client) cut(c gnet.Conn) gnet.Action {
 	h.parse(readRemaining(c))
 	if h.requestInFlight {
-		h.requestInFlight = false
+		isOwedAnswer := !h.answerWritten
+		h.requestInFlight, h.answerWritten = false, false
 		h.disconnect() // what came of the request now is written no more
-		if h.queue.isEmpty() {
+		if isOwedAnswer && h.queue.isEmpty() {
 			return h.closeWithError(c, lifecycle.ClosedCutting, sqlStateAdminShutdown, textRestartingMayRun, "")
 		}
-		h.write(c, appendReady(appendError(nil, severityError, sqlStateAdminShutdown, textRestartingMayRun, "")))
+		if isOwedAnswer {
+			h.write(c, appendReady(appendError(nil, severityError, sqlStateAdminShutdown, textRestartingMayRun, "")))
+		}
 	}
 	for {
 		command, ok := h.queue.pop()
@@ -77,16 +80,16 @@
 		}
 		h.answerAtEnd(c, command.Kind)
 	}
-	return h.closeWithError(c, lifecycle.ClosedCutting, sqlStateCannotConnectNow, textRestarting, "") // also for a request that may be on its way
+	return h.closeWithRejection(c, lifecycle.ClosedCutting, stateCannotConnectNow, textRestarting, "") // also for a request that may be on its way
 }
 
 // answerAtEnd answers a command that will not be handled any more.
 func (h *client) answerAtEnd(c gnet.Conn, kind CommandKind) {
 	switch kind {
 	case Query, Function:
-		h.write(c, appendReady(appendError(nil, severityError, sqlStateCannotConnectNow, textRestarting, "")))
+		h.write(c, appendReady(encodeUntried(severityError, stateCannotConnectNow, textRestarting, "")))
 	case Extended:
-		h.write(c, appendError(nil, severityError, sqlStateCannotConnectNow, textRestarting, ""))
+		h.write(c, encodeUntried(severityError, stateCannotConnectNow, textRestarting, ""))
 	case Sync:
 		h.write(c, appendReady(nil))
 	}
--- a/internal/net/pg/message.go
+++ b/internal/net/pg/message.go
@@ -173,3 +173,12 @@
 	}
 	return first, second, tail, ok
 }
+
+// cutTarget reads what a Describe or a Close is about: a statement or a portal, and its name.
+func cutTarget(body []byte) (target byte, name string, ok bool) {
+	if len(body) == 0 || body[0] != targetStatement && body[0] != targetPortal {
+		return 0, "", false
+	}
+	name, rest, ok := cutString(body[1:])
+	return body[0], name, ok && len(rest) == 0
+}
--- a/internal/net/pg/pipeline_end_test.go
+++ b/internal/net/pg/pipeline_end_test.go
@@ -8,6 +8,9 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/stretchr/testify/require"
+
+	"ashstand/internal/edge"
+	"ashstand/internal/sqlcomment"
 )
 
 // The end of a client whose commands are read ahead and rejected is heard as soon as that of any other, however much it sent.
@@ -87,6 +90,28 @@
 	require.LessOrEqual(t, d.count(func(*client) bool { return true }), 1)
 }
 
+// At the end of the process a client has been answered, but has not taken its answer yet: that is its request's final answer, whole,
+// and the request behind it, which never ran, is rejected. Told twice, it would take the second for the answer to the next.
+func TestAtTheEndAnAnswerThatWaitsForItsReaderIsTheOnlyOne(t *testing.T) {
+	d := listen(t, FrontLimits{Clients: 16, Bytes: 8 << 20})
+	c := d.call(t, "")
+	require.Eventually(t, func() bool { return d.count(func(h *client) bool { return h.hasRequested }) == 1 }, 10*time.Second, time.Millisecond)
+	_ = c.(*net.TCPConn).SetReadBuffer(16 << 10)
+	d.onLoop(t, func(h *client, g gnet.Conn) {
+		require.NoError(t, g.SetWriteBuffer(16<<10))
+		h.requestInFlight, h.cancelRequest = true, func() {}
+		require.True(t, h.queue.push(Command{Kind: Query, Text: report("b")}, 1<<20))
+		statement := sqlcomment.Statement{ID: "a", TimeoutMillis: 1000}
+		require.Nil(t, d.edge.Begin(&statement))
+		result := edge.Result{Verdict: edge.Served, Answer: edge.Answer{Value: make([]byte, 8<<20)}}
+		h.answer(g, &statement, &result, EncodeResult(&result), d.clock.Now())
+		require.Positive(t, g.OutboundBuffered())
+	})
+	d.Cut()
+	require.Equal(t, []string{"", "served", "FATAL 57P03"}, answersOf(t, c, 3), "the first was an empty query")
+	require.Empty(t, d.violations(t))
+}
+
 // commands is how many commands wait.
 func (q *commandQueue) commands() (n int) {
 	for _, r := range q.runs {
--- a/internal/net/pg/pool_acquire.go
+++ b/internal/net/pg/pool_acquire.go
@@ -169,7 +169,7 @@
 	if err := p.checkUsable(c); err != nil { // a handshake is work too
 		return err
 	}
-	result, _ := c.roundTrip(ctx, func() []byte { return startupMessage(p.names.User, p.names.Database) }, nil)
+	result := c.roundTrip(ctx, func() []byte { return startupMessage(p.names.User, p.names.Database) }, nil)
 	switch {
 	case result.err != nil:
 		return result.err
--- a/internal/net/pg/pool_conn.go
+++ b/internal/net/pg/pool_conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+
+	"ashstand/internal/dispatch"
 )
 
 // conn is a connection to a db host. One request owns it, or it lies in the pool.
@@ -28,18 +30,39 @@
 	onLateReply   func(*response) // who wants to know what answers the last request, should that be given up; or nil
 
 	// mu guards what follows.
-	mu             sync.Mutex
-	pending        chan exchangeResult // of the exchange under way; nil: none
-	requestWritten bool                // its last byte was handed to the kernel
-	writtenAt      float64             // when, in clock milliseconds; 0: it was not, or that is not known
-	closed         bool
-	idleSince      float64 // clock milliseconds
+	mu        sync.Mutex
+	pending   chan exchangeResult // of the exchange under way; nil: none
+	progress  writeProgress       // of its request
+	writtenAt float64             // when its last byte was handed to the kernel, in clock milliseconds; 0: it was not, or that is not known
+	closed    bool
+	idleSince float64 // clock milliseconds
+}
+
+// writeProgress is how much of a request was handed to the kernel.
+type writeProgress uint8
+
+const (
+	requestNotBegun writeProgress = iota // nothing
+	requestBegun                         // its last byte was not
+	requestWritten                       // all of it, or the event loop is about to
+)
+
+// execution is what is proven of a request whose exchange brought no answer.
+func (p writeProgress) execution() dispatch.Execution {
+	switch p {
+	case requestNotBegun:
+		return dispatch.NotBegun
+	case requestBegun:
+		return dispatch.NotWritten
+	}
+	return dispatch.MayHaveRun
 }
 
 // exchangeResult is what an exchange waits for.
 type exchangeResult struct {
-	response response
-	err      error // the connection broke or what came makes no sense
+	response  response
+	err       error              // the connection broke or what came makes no sense
+	execution dispatch.Execution // with err: what is proven of whether the request ran
 }
 
 // Traffic is called on the loop. A response stays in the connection's ring buffer until it is complete.
@@ -130,7 +153,7 @@
 	c.countUnread(0)
 	c.mu.Lock()
 	if g.OutboundBuffered() > 0 { // it broke before the last byte was written
-		c.requestWritten = false
+		c.progress = min(c.progress, requestBegun)
 	}
 	c.closed = true
 	c.mu.Unlock()
@@ -166,24 +189,25 @@
 func (c *conn) close() { _ = c.gnetConn.Close() }
 
 // roundTrip writes once what build makes, on the loop and in the moment of the write, and waits for the response. Where build
-// makes nothing, nothing is written, and the connection is as before. The second result tells whether the host may have
-// got all of it; if not, nothing ran. late, unless nil, gets a response that comes as its request is given up.
-func (c *conn) roundTrip(ctx context.Context, build func() []byte, late func(*response)) (e exchangeResult, wrote bool) {
+// makes nothing, nothing is written, and the connection is as before. late, unless nil, gets a response that comes as its
+// request is given up.
+func (c *conn) roundTrip(ctx context.Context, build func() []byte, late func(*response)) exchangeResult {
 	due := make(chan exchangeResult, 1)
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
-		return exchangeResult{err: errClosed}, false
+		return exchangeResult{err: errClosed, execution: dispatch.NotBegun}
 	}
-	c.pending, c.requestWritten, c.writtenAt = due, false, 0
+	c.pending, c.progress, c.writtenAt = due, requestNotBegun, 0
 	c.mu.Unlock()
 	if err := c.gnetConn.EventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		c.send(build, late, due)
 		return nil
 	})); err != nil {
 		c.close()
-		return exchangeResult{err: err}, false
+		return exchangeResult{err: err, execution: dispatch.NotBegun}
 	}
+	var e exchangeResult
 	select {
 	case e = <-due:
 	case <-ctx.Done():
@@ -193,14 +217,19 @@
 			e = <-due // it came at the same moment
 			break
 		}
-		c.pending = nil
+		c.pending = nil // a request that was not begun is not begun any more: send looks at this first
+		execution := dispatch.MayHaveRun
+		if c.progress == requestNotBegun {
+			execution = dispatch.NotBegun
+		}
 		c.mu.Unlock()
 		c.abandon()
-		return exchangeResult{err: ctx.Err()}, true
+		return exchangeResult{err: ctx.Err(), execution: execution}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return e, c.requestWritten
+	e.execution = c.progress.execution()
+	return e
 }
 
 // abandon ends a request that is given up: our sending at once, and the connection a little later. An answer that is on
@@ -241,7 +270,9 @@
 	var b []byte
 	c.mu.Lock()
 	if c.pending == due { // not given up meanwhile: what build asks is asked for this attempt
-		b = build()
+		if b = build(); b != nil {
+			c.progress = requestBegun
+		}
 	}
 	c.mu.Unlock()
 	if b == nil {
@@ -249,6 +280,9 @@
 		return
 	}
 	if c.gnetConn.InboundBuffered() > 0 || hasUnreadEvent(c.gnetConn) {
+		c.mu.Lock()
+		c.progress = requestNotBegun
+		c.mu.Unlock()
 		c.deliver(exchangeResult{err: errClosed})
 		_ = c.gnetConn.EventLoop().Close(c.gnetConn)
 		return
@@ -259,8 +293,10 @@
 		return
 	}
 	c.mu.Lock()
-	c.requestWritten = !c.closed // what is left of it lies in the ring buffer, which Closed looks at
-	if c.requestWritten && c.gnetConn.OutboundBuffered() == 0 {
+	if !c.closed { // what is left of it lies in the ring buffer, which Closed looks at
+		c.progress = requestWritten
+	}
+	if c.progress == requestWritten && c.gnetConn.OutboundBuffered() == 0 {
 		c.writtenAt = c.pool.clock.Now()
 	}
 	c.mu.Unlock()
--- a/internal/net/pg/pool_exchange.go
+++ b/internal/net/pg/pool_exchange.go
@@ -19,7 +19,7 @@
 // exchange is Exchange. writtenAt is when the last byte of the request was handed to the kernel; 0: it was not, or is not known.
 func (c *conn) exchange(ctx context.Context, s *sqlcomment.Statement, gate edge.Gate) (reply edge.Reply, writtenAt float64) {
 	begun, sent, write := c.pool.clock.Now(), 0.0, s.IsWrite
-	result, written := c.roundTrip(ctx, func() []byte {
+	result := c.roundTrip(ctx, func() []byte {
 		wait, ok := gate()
 		if !ok {
 			return nil
@@ -27,8 +27,8 @@
 		sent = c.pool.clock.Now()
 		return appendQuery(make([]byte, 0, len(s.Text)+16), func(b []byte) []byte { return s.AppendWithTimeout(b, wait) })
 	}, func(r *response) {
-		if late := c.pool.onLateAnswer; late != nil && outcome(r) != dispatch.Malformed {
-			late(c.name, sent, write, c.pool.outcomeOf(r))
+		if late := c.pool.onLateAnswer; late != nil && r.code() != dispatch.Malformed {
+			late(c.name, sent, write, c.pool.outcomeOf(r, write))
 		}
 	})
 	if errors.Is(result.err, errGateClosed) {
@@ -38,22 +38,22 @@
 	c.mu.Lock()
 	writtenAt = c.writtenAt
 	c.mu.Unlock()
-	if c.reused && written {
+	if c.reused && !result.execution.NeverRan() {
 		isReset := result.err != nil && !errors.Is(result.err, errMalformed) && ctx.Err() == nil
 		c.pool.mu.Lock()
 		c.pool.staleness.record(begun, begun-c.idleSince, isReset)
 		c.pool.mu.Unlock()
 	}
 	if result.err != nil {
-		code := c.failureCode(result.err, written)
-		return edge.Reply{Outcome: dispatch.Outcome{Code: code}, Detail: result.err.Error()}, writtenAt
+		code := c.failureCode(&result)
+		return edge.Reply{Outcome: dispatch.Outcome{Code: code, Execution: result.execution}, Detail: result.err.Error()}, writtenAt
 	}
 	r := &result.response
-	if outcome(r) == dispatch.Malformed { // it teaches nothing, its position least of all
+	if r.code() == dispatch.Malformed { // it teaches nothing, its position least of all
 		c.close()
-		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Malformed}, Detail: errUnexpectedMessage.Error()}, writtenAt
+		return edge.Reply{Outcome: dispatch.Outcome{Code: dispatch.Malformed, Execution: r.execution(s.IsWrite)}, Detail: errUnexpectedMessage.Error()}, writtenAt
 	}
-	reply = edge.Reply{Outcome: c.pool.outcomeOf(r), Answer: r.answer}
+	reply = edge.Reply{Outcome: c.pool.outcomeOf(r, s.IsWrite), Answer: r.answer}
 	if reply.Code != dispatch.OK {
 		reply.Detail = r.sqlState + " " + r.errorText
 	}
@@ -61,36 +61,40 @@
 	return reply, writtenAt
 }
 
-// failureCode is what an exchange that brought no answer says of its host. written: the host may have got all of the request.
-func (c *conn) failureCode(err error, written bool) dispatch.Code {
+// failureCode is what an exchange that brought no answer says of its host.
+func (c *conn) failureCode(e *exchangeResult) dispatch.Code {
+	isGivenUp := errors.Is(e.err, context.DeadlineExceeded) || errors.Is(e.err, context.Canceled)
 	switch {
-	case !written && c.reused: // it was closed while it lay in the pool, which says nothing against the host
+	case e.execution.NeverRan() && (c.reused || isGivenUp): // closed while it lay in the pool, or given up: nothing against the host
 		return dispatch.NotSent
-	case !written:
+	case e.execution.NeverRan():
 		return dispatch.NoConnection
-	case errors.Is(err, errMalformed):
+	case errors.Is(e.err, errMalformed):
 		return dispatch.Malformed
-	case errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(e.err, context.DeadlineExceeded):
 		return dispatch.NoAnswer
-	case errors.Is(err, context.Canceled):
+	case errors.Is(e.err, context.Canceled):
 		return dispatch.Cancelled
 	}
 	return dispatch.ConnectionLost
 }
 
 // outcomeOf is what a response says.
-func (p *Pool) outcomeOf(r *response) dispatch.Outcome {
+func (p *Pool) outcomeOf(r *response, isWrite bool) dispatch.Outcome {
 	return dispatch.Outcome{
-		Code: outcome(r), Role: p.role(r.answer.Role), Position: r.answer.Position,
+		Code: r.code(), Execution: r.execution(isWrite), Role: p.role(r.answer.Role), Position: r.answer.Position,
 		Report: edge.ParseLoadReport(r.answer.LoadReport),
 	}
 }
 
-func outcome(r *response) dispatch.Code {
+// code is how an exchange ended that brought this response.
+func (r *response) code() dispatch.Code {
 	switch {
+	case r.sqlState != "" && r.hasBegun(): // whatever it says, it is no rejection of something that did not run
+		return dispatch.ServerError
 	case r.sqlState == sqlStateReadOnlyTransaction || r.sqlState == sqlStateReplicaBehind:
 		return dispatch.Misdirected
-	case r.sqlState == sqlStateTooManyConnections:
+	case r.sqlState == string(stateTooManyConnections):
 		return dispatch.Rejected
 	case r.sqlState != "":
 		return dispatch.ServerError
@@ -100,6 +104,23 @@
 	return dispatch.OK
 }
 
+// hasBegun reports whether a part of a result came: then the statement ran, whatever came behind it.
+func (r *response) hasBegun() bool { return r.described || r.rows > 0 || r.completed }
+
+// execution is what the response proves of whether the statement ran. A host rejects a write since it is no primary, a read
+// since its data is too old, and anything for want of capacity. One that mixes these up contradicts itself, and proves nothing.
+func (r *response) execution(isWrite bool) dispatch.Execution {
+	switch {
+	case r.hasBegun():
+		return dispatch.Ran
+	case r.sqlState == string(stateTooManyConnections),
+		r.sqlState == sqlStateReadOnlyTransaction && isWrite,
+		r.sqlState == sqlStateReplicaBehind && !isWrite:
+		return dispatch.RejectedUnexecuted
+	}
+	return dispatch.MayHaveRun
+}
+
 func (p *Pool) role(value string) dispatch.Role {
 	switch value {
 	case p.names.Primary:
@@ -122,7 +143,7 @@
 	} else if err != nil {
 		return dispatch.Outcome{Code: dispatch.NoConnection}
 	}
-	e, _ := c.roundTrip(ctx, func() []byte {
+	e := c.roundTrip(ctx, func() []byte {
 		if !listed(name) {
 			return nil
 		}
@@ -135,7 +156,7 @@
 	if e.err != nil {
 		return dispatch.Outcome{Code: dispatch.NoAnswer}
 	}
-	code := outcome(&e.response)
+	code := e.response.code()
 	if code == dispatch.Malformed {
 		c.close()
 		return dispatch.Outcome{Code: code}
--- a/internal/net/pg/server_conn.go
+++ b/internal/net/pg/server_conn.go
@@ -278,7 +278,7 @@
 	p := s.pool
 	s.unregister()
 	s.connecting = false
-	if sqlState == sqlStateTooManyConnections {
+	if sqlState == string(stateTooManyConnections) {
 		p.connectFailed(errHostRejected)
 	} else {
 		p.connectFailed(errHostClosing)
--- a/internal/net/pg/server_pool.go
+++ b/internal/net/pg/server_pool.go
@@ -90,7 +90,7 @@
 		code = dispatch.NotSent
 	}
 	if w := p.queue.Next(0, nil); w != nil {
-		w.Owner.(*sessionClient).retryRouting(dispatch.Outcome{Code: code})
+		w.Owner.(*sessionClient).retryRouting(dispatch.NeverBegun(code))
 	}
 }
 
--- a/internal/net/pg/session_cancel.go
+++ b/internal/net/pg/session_cancel.go
@@ -40,7 +40,7 @@
 		c.routing.waiter.Dequeue()
 		call := c.routing.call
 		c.routing.call = nil
-		call.Finish(dispatch.Outcome{Code: dispatch.NotSent})
+		call.Finish(dispatch.NeverBegun(dispatch.NotSent))
 		c.dequeue()
 		c.rejectCancelled()
 		c.resume()
@@ -119,7 +119,7 @@
 	}
 	call := c.routing.call
 	c.routing.cancelRequested, c.routing.call = false, nil
-	call.Finish(dispatch.Outcome{Code: dispatch.NotSent})
+	call.Finish(dispatch.NeverBegun(dispatch.NotSent))
 	c.finishRelease()
 	c.rejectCancelled()
 	return true
--- a/internal/net/pg/session_forward.go
+++ b/internal/net/pg/session_forward.go
@@ -102,20 +102,17 @@
 
 // forwardTarget takes a Describe or a Close, of a statement or of a portal.
 func (c *sessionClient) forwardTarget(out []byte, kind byte, body, message []byte) (_ []byte, ok bool) {
-	if len(body) < 2 || body[0] != targetStatement && body[0] != targetPortal {
-		return out, false
-	}
-	name, rest, ok := cutString(body[1:])
-	if !ok || len(rest) > 0 {
+	target, name, ok := cutTarget(body)
+	if !ok {
 		return out, false
 	}
 	var action session.ClientAction
 	switch {
-	case kind == clientDescribe && body[0] == targetStatement:
+	case kind == clientDescribe && target == targetStatement:
 		action = c.pipeline.DescribeStatement(name)
 	case kind == clientDescribe:
 		action = c.pipeline.DescribePortal(name)
-	case body[0] == targetStatement:
+	case target == targetStatement:
 		action = c.pipeline.CloseStatement(name)
 	default:
 		action = c.pipeline.ClosePortal(name)
@@ -250,7 +247,7 @@
 		case c.pool.MaxSticky == 0:
 			return &session.ErrorReply{SQLState: sqlStateFeatureNotSupported, Text: "in transaction mode no session may be bound to its server connection, which this would do: " + string(s.Cause)}
 		case total >= c.pool.MaxSticky:
-			return &session.ErrorReply{SQLState: sqlStateTooManyConnections, Text: "as many sessions are bound to their server connections as may be; this would bind one more: " + string(s.Cause)}
+			return &session.ErrorReply{SQLState: string(stateTooManyConnections), Text: "as many sessions are bound to their server connections as may be; this would bind one more: " + string(s.Cause)}
 		}
 	}
 	return nil
--- a/internal/net/pg/session_front.go
+++ b/internal/net/pg/session_front.go
@@ -201,11 +201,11 @@
 			return nil, nil, gnet.Close
 		}
 		f.clients.all[c] = struct{}{}
-		return c, nil, c.closeWithError(sqlStateTooManyConnections, "too many connections", f.retryAfter())
+		return c, nil, c.closeWithRejection(stateTooManyConnections, "too many connections", f.retryAfter())
 	}
 	f.clients.all[c] = struct{}{}
 	if f.terminating || f.draining {
-		return c, nil, c.closeWithError(sqlStateCannotConnectNow, "the pooler restarts", "")
+		return c, nil, c.closeWithRejection(stateCannotConnectNow, "the pooler restarts", "")
 	}
 	return c, nil, gnet.None
 }
@@ -283,7 +283,7 @@
 // rerouteWaiters has all sessions that wait for the pool's connections choose anew.
 func (p *serverPool) rerouteWaiters() {
 	for w := p.queue.Next(0, nil); w != nil; w = p.queue.Next(0, nil) {
-		w.Owner.(*sessionClient).retryRouting(dispatch.Outcome{Code: dispatch.NotSent})
+		w.Owner.(*sessionClient).retryRouting(dispatch.NeverBegun(dispatch.NotSent))
 	}
 }
 
--- a/internal/net/pg/session_link.go
+++ b/internal/net/pg/session_link.go
@@ -14,7 +14,7 @@
 func (c *sessionClient) attach(s *serverConn) {
 	if c.routing.call != nil && !c.routing.call.Revalidate() {
 		s.returnToPool()
-		c.retryRouting(dispatch.Outcome{Code: dispatch.NotSent})
+		c.retryRouting(dispatch.NeverBegun(dispatch.NotSent))
 		return
 	}
 	if c.routing.call != nil && !c.isAssignmentCurrent() {
@@ -88,7 +88,7 @@
 	if c.routing.call != nil && !s.requestSent && !c.routing.call.Revalidate() { // nothing of the client's was sent
 		c.unlinkServer(s)
 		s.returnToPool()
-		c.retryRouting(dispatch.Outcome{Code: dispatch.NotSent})
+		c.retryRouting(dispatch.NeverBegun(dispatch.NotSent))
 		return nil
 	}
 	if c.routing.call != nil && !s.requestSent && !c.isAssignmentCurrent() {
--- a/internal/net/pg/session_lost_block.go
+++ b/internal/net/pg/session_lost_block.go
@@ -29,18 +29,19 @@
 			return messageAnswered
 		}
 	case clientDescribe:
-		if len(body) > 1 && body[0] == targetStatement {
-			c.writeClient(appendMessage(nil, serverParameterDescription, func(b []byte) []byte { return append(b, 0, 0) }))
+		target, name, ok := cutTarget(body)
+		if !ok {
+			return messageMalformed
+		}
+		if c.describeInLostBlock(target, name) {
+			return messageAnswered
 		}
-		c.writeClient(appendEmpty(nil, serverNoData))
-		return messageAnswered
 	case clientExecute:
 		if c.executeInLostBlock(body) {
 			return messageAnswered
 		}
 	case clientClose:
-		c.writeClient(appendEmpty(nil, serverCloseComplete))
-		return messageAnswered
+		return c.closeInLostBlock(body)
 	}
 	c.failInLostBlock()
 	if kind != clientFunctionCall {
@@ -105,16 +106,46 @@
 	return true
 }
 
+// mayRunInLostBlock reports whether a failed block may run a prepared statement: it ends the block, or is empty.
+func (c *sessionClient) mayRunInLostBlock(prepared *session.Prepared) bool {
+	return c.pipeline.BlockLost() && (prepared.Query.EndsBlock() || len(prepared.Query.Statements) == 0)
+}
+
+// rejectMissingStatement answers a message that names a statement which does not exist.
+func (c *sessionClient) rejectMissingStatement(name string) {
+	text := "prepared statement " + strconv.Quote(name) + " does not exist"
+	c.writeClient(appendError(nil, severityError, sqlStateInvalidStatementName, text, ""))
+	c.pipeline.SkipUntilSync()
+}
+
+// describeInLostBlock describes what a failed block may run, which takes no parameters and gives no rows. A server looks up
+// nothing else in a failed block; false: the block's error is the answer.
+func (c *sessionClient) describeInLostBlock(target byte, name string) bool {
+	if target == targetStatement {
+		prepared := c.pipeline.Find(name)
+		if prepared == nil {
+			c.rejectMissingStatement(name)
+			return true
+		}
+		if !c.mayRunInLostBlock(prepared) {
+			return false
+		}
+		c.writeClient(appendMessage(nil, serverParameterDescription, func(b []byte) []byte { return append(b, 0, 0) }))
+	} else if _, isBound := c.recovery.lostPortals[name]; !isBound {
+		return false
+	}
+	c.writeClient(appendEmpty(nil, serverNoData))
+	return true
+}
+
 // bindInLostBlock answers a Bind of a statement that does not exist, or that a failed block may run.
 func (c *sessionClient) bindInLostBlock(portal, name string) bool {
 	prepared := c.pipeline.Find(name)
 	if prepared == nil {
-		text := "prepared statement " + strconv.Quote(name) + " does not exist"
-		c.writeClient(appendError(nil, severityError, sqlStateInvalidStatementName, text, ""))
-		c.pipeline.SkipUntilSync()
+		c.rejectMissingStatement(name)
 		return true
 	}
-	if !c.pipeline.BlockLost() || !prepared.Query.EndsBlock() && len(prepared.Query.Statements) > 0 {
+	if !c.mayRunInLostBlock(prepared) {
 		return false
 	}
 	c.recovery.lostPortals = map[string]bool{portal: prepared.Query.EndsBlock()}
@@ -122,6 +153,22 @@
 	return true
 }
 
+// closeInLostBlock closes a statement or a portal, which a failed block may do.
+func (c *sessionClient) closeInLostBlock(body []byte) disposition {
+	target, name, ok := cutTarget(body)
+	if !ok {
+		return messageMalformed
+	}
+	if target == targetStatement {
+		c.pipeline.Request(name, nil)
+		c.pipeline.Confirm()
+	} else {
+		delete(c.recovery.lostPortals, name)
+	}
+	c.writeClient(appendEmpty(nil, serverCloseComplete))
+	return messageAnswered
+}
+
 // executeInLostBlock runs a portal that bindInLostBlock made.
 func (c *sessionClient) executeInLostBlock(body []byte) bool {
 	portal, _, ok := cutString(body)
--- a/internal/net/pg/session_recovery.go
+++ b/internal/net/pg/session_recovery.go
@@ -49,7 +49,7 @@
 		c.resume()
 		return
 	}
-	c.routing.call.Report(dispatch.Outcome{Code: dispatch.NotSent})
+	c.routing.call.Report(dispatch.NeverBegun(dispatch.NotSent))
 	c.phase = phaseRouting
 	c.pickHost()
 	if c.phase == phaseUnlinked || c.phase == phaseLinked {
--- a/internal/net/pg/session_replay.go
+++ b/internal/net/pg/session_replay.go
@@ -84,7 +84,7 @@
 	f := c.front
 	call := c.routing.call
 	c.routing.call = nil
-	call.Finish(dispatch.Outcome{Code: dispatch.NotSent})
+	call.Finish(dispatch.Outcome{Code: dispatch.NotSent, Execution: dispatch.RejectedUnexecuted})
 	c.finishRelease()
 	c.tenancy.entry.MarkRejected(c.tenancy.assignment)
 	f.stats.RejectedByHost++
--- a/internal/net/pg/session_routing.go
+++ b/internal/net/pg/session_routing.go
@@ -127,13 +127,16 @@
 	case dispatch.Reject:
 		c.rejectRouting("no host can serve this now", decision.RetryAfter)
 		return
-	default:
+	case dispatch.Fail:
+		c.failRouting("no host answered in time")
+		return
+	case dispatch.ClientGone:
 		c.rejectRouting("no host answered in time", f.limits.Load().RetryAfterMillis)
 		return
 	}
 	address := f.address(decision.Host)
 	if address == "" {
-		c.routing.call.Report(dispatch.Outcome{Code: dispatch.NoConnection})
+		c.routing.call.Report(dispatch.NeverBegun(dispatch.NoConnection))
 		c.pickHost()
 		return
 	}
@@ -147,21 +150,33 @@
 		}
 	}
 	if !p.queue.Add(&c.routing.waiter, c.pool.Sizes.MaxWaiting) {
-		c.routing.call.Finish(dispatch.Outcome{Code: dispatch.Rejected})
+		c.routing.call.Finish(dispatch.NeverBegun(dispatch.Rejected))
 		c.rejectRouting("all server connections are in use, and as many sessions wait as may", f.limits.Load().RetryAfterMillis)
 		return
 	}
 	p.openForWaiters(f)
 }
 
-// rejectRouting refuses the transaction that is being routed: nothing of it ran.
-func (c *sessionClient) rejectRouting(text string, after float64) {
+// endRouting gives up the transaction that is being routed.
+func (c *sessionClient) endRouting() {
 	if call := c.routing.call; call != nil {
 		c.routing.call = nil
 		call.Abandon()
 	}
 	c.finishRelease()
-	c.reject(sqlStateTooManyConnections, text, formatRetryAfter(after))
+}
+
+// failRouting ends the transaction that is being routed, of which it can't be shown that nothing ran.
+func (c *sessionClient) failRouting(text string) {
+	c.endRouting()
+	c.reject(sqlStateConnectionFailure, text, "")
+	c.consumeRejected()
+}
+
+// rejectRouting rejects the transaction that is being routed: nothing of it ran.
+func (c *sessionClient) rejectRouting(text string, after float64) {
+	c.endRouting()
+	c.rejectUntried(stateTooManyConnections, text, formatRetryAfter(after))
 	c.consumeRejected()
 }
 
@@ -172,7 +187,7 @@
 	}
 	call := c.routing.call
 	c.routing.call = nil
-	call.Finish(dispatch.Outcome{Code: dispatch.NotSent})
+	call.Finish(dispatch.NeverBegun(dispatch.NotSent))
 	c.rejectRouting("no server connection was free in time", c.front.limits.Load().RetryAfterMillis)
 	c.resume()
 }
--- a/internal/net/pg/session_startup.go
+++ b/internal/net/pg/session_startup.go
@@ -78,7 +78,7 @@
 	case replication != "" && replication != "false" && replication != "off":
 		return c.closeWithError(sqlStateFeatureNotSupported, "replication connections are not pooled", "")
 	case !f.dispatcher.Ready():
-		return c.closeWithError(sqlStateCannotConnectNow, "no list of hosts is held yet", f.retryAfter())
+		return c.closeWithRejection(stateCannotConnectNow, "no list of hosts is held yet", f.retryAfter())
 	}
 	c.identity = poolIdentity{database, user}
 	if c.pool = limits.poolFor(database, user); c.pool == nil {
--- a/internal/net/pg/sqlstate.go
+++ b/internal/net/pg/sqlstate.go
@@ -21,10 +21,8 @@
 	sqlStateInvalidCatalogName    = "3D000"
 	sqlStateDuplicateStatement    = "42P05"
 	sqlStateOutOfMemory           = "53200"
-	sqlStateTooManyConnections    = "53300" // come again later: the pooler, or a host, has no capacity
 	sqlStateQueryCanceled         = "57014"
 	sqlStateAdminShutdown         = "57P01"
-	sqlStateCannotConnectNow      = "57P03"
 	sqlStateReplicaBehind         = "72000" // of a host: it has not caught up to what the read must see
 	sqlStateInternalError         = "XX000"
 )
--- a/internal/net/pg/tenants.go
+++ b/internal/net/pg/tenants.go
@@ -200,7 +200,7 @@
 		return messageWaiting, gnet.None
 	case err != nil:
 		c.finishRelease()
-		c.reject(sqlStateTooManyConnections, err.Error(), f.retryAfter())
+		c.rejectUntried(stateTooManyConnections, err.Error(), f.retryAfter())
 		c.finishRejected(kind)
 		return messageAnswered, gnet.None
 	}
@@ -285,7 +285,7 @@
 	c.routing.waiter.Dequeue()
 	call := c.routing.call
 	c.routing.call = nil
-	call.Finish(dispatch.Outcome{Code: dispatch.NotSent})
+	call.Finish(dispatch.NeverBegun(dispatch.NotSent))
 	c.phase = phaseRouting
 	c.routeByAssignment()
 	if !c.input.handling && (c.phase == phaseLinked || c.phase == phaseUnlinked) {
--- a/internal/wire/events.go
+++ b/internal/wire/events.go
@@ -23,16 +23,22 @@
 // primaryRoleValue is the least value with which a load report names its host primary.
 const primaryRoleValue = 0.5
 
-var codes = map[string]routing.Code{
-	"served":          routing.OK,
-	"server_error":    routing.ServerError,
-	"turned_away":     routing.Rejected,
-	"no_answer":       routing.NoAnswer,
-	"no_connection":   routing.NoConnection,
-	"connection_lost": routing.ConnectionLost,
-	"called_off":      routing.Cancelled,
-	"not_sent":        routing.NotSent,
-	"not_stored":      routing.Misdirected,
+// ending is what a word of the simulator says of how an attempt ended, and of whether its request ran.
+type ending struct {
+	code      routing.Code
+	execution routing.Execution
+}
+
+var endings = map[string]ending{
+	"served":          {routing.OK, routing.Ran},
+	"server_error":    {routing.ServerError, routing.MayHaveRun},
+	"turned_away":     {routing.Rejected, routing.RejectedUnexecuted},
+	"no_answer":       {routing.NoAnswer, routing.MayHaveRun},
+	"no_connection":   {routing.NoConnection, routing.NotBegun},
+	"connection_lost": {routing.ConnectionLost, routing.MayHaveRun},
+	"called_off":      {routing.Cancelled, routing.MayHaveRun},
+	"not_sent":        {routing.NotSent, routing.NotBegun},
+	"not_stored":      {routing.Misdirected, routing.RejectedUnexecuted},
 }
 
 // item adds a message to the batch. Faults of fields stay with the message.
@@ -85,7 +91,7 @@
 		m.unsigned("nonce") // timers are not told apart, but the field has to be there
 	case "PROBE_DONE":
 		e = routing.ProbeEnded{
-			Host: m.text("host"), Code: m.code(), Report: m.report(in),
+			Host: m.text("host"), Code: m.ending().code, Report: m.report(in),
 			Elapsed: m.millis("time_taken_ms"),
 		}
 	case "DATAGRAM":
@@ -131,9 +137,10 @@
 }
 
 func (m *message) outcome(in *instance) routing.AttemptEnded {
+	ended := m.ending()
 	e := routing.AttemptEnded{
 		ID: m.text("call"), Attempt: m.integer("hop"), Host: m.text("host"),
-		Code: m.code(), Elapsed: m.millis("time_taken_ms"), Final: m.flag("final"),
+		Code: ended.code, Execution: ended.execution, Elapsed: m.millis("time_taken_ms"), Final: m.flag("final"),
 	}
 	if mark := m.optionalUnsigned("mark"); mark > 0 {
 		e.Role = routing.Role(min(mark%markRoles, maxRole))
@@ -145,12 +152,12 @@
 	return e
 }
 
-func (m *message) code() routing.Code {
-	code, ok := codes[m.text("code")]
+func (m *message) ending() ending {
+	e, ok := endings[m.text("code")]
 	if !ok {
 		m.fail("code", "%q is unknown", m.fields["code"])
 	}
-	return code
+	return e
 }
 
 func (m *message) checkHex(field string) {
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -46,7 +46,8 @@
 	}
 	k, g := &r.classes[e.Class], r.groups[e.Group]
 	if g == nil { // no list has named this group: nothing can serve it
-		r.emit(Action{Kind: ActReject, ID: e.ID, RetryAfter: min(retryBackoff, r.cfg.MaxRetryAfter)})
+		advice := min(retryBackoff, r.cfg.MaxRetryAfter)
+		r.emit(Action{Kind: ActReject, ID: e.ID, RetryAfter: advice, Reason: EndUnknownGroup})
 		return
 	}
 	req := &request{id: e.ID, class: k, group: g, sessionKey: e.SessionKey, hasSessionKey: e.HasSessionKey}
@@ -55,7 +56,7 @@
 	req.sample, req.weight, req.isRetry = r.rng.Float64(), k.PriorityWeight, e.IsRetry
 	if k.Access == SessionRead && r.cfg.TracksCommits {
 		req.minPosition = max(g.commits[e.SessionKey], g.commitFloor)
-	} else if k.Access == SessionRead && e.CommitAge > 0 {
+	} else if k.Access == SessionRead && e.CommitAge != 0 {
 		req.minPosition = r.now - e.CommitAge + positionMargin
 	}
 	r.requests[req.id] = req
@@ -76,7 +77,7 @@
 	probes := probeCostFraction / max(r.cfg.Probing.Cost, probeCostFraction/2)
 	r.probeBudget = min(probeBudgetCap, r.probeBudget+probes)
 	if req.sample > 1-g.admissions[k.part].shedFraction**mean/max(req.weight, 1e-9) {
-		r.giveUp(req)
+		r.giveUp(req, EndShed)
 		return
 	} else if req.isRetry { // its first attempt had a sample
 		req.sample++
@@ -121,7 +122,7 @@
 // slowStartRatio is how many times its part of the requests a member may get: while it warms up, some of the
 // overload that it stands at the capacity which it surely had one overload window ago.
 func (r *Router) slowStartRatio(m *member) float64 {
-	s, age := &r.cfg.SlowStart, r.now-m.startedAt
+	s, age := &r.cfg.SlowStart, r.age(m)
 	if m.startedAt == 0 || age >= s.Duration {
 		return math.Inf(1)
 	}
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -43,8 +43,15 @@
 	// So is a read that was never sent by half of its time: its client has the rest for elsewhere.
 	half := req.arrivedAt + (req.deadline-req.arrivedAt)/2 - answerMargin
 	tooLate = tooLate || k.Access != Write && len(req.attempts) == 0 && r.now >= half
-	if tooLate || len(req.attempts) >= r.cfg.MaxAttempts || !r.canRetry(req) {
-		r.giveUp(req)
+	switch {
+	case tooLate:
+		r.giveUp(req, EndTooLate)
+		return
+	case len(req.attempts) >= r.cfg.MaxAttempts:
+		r.giveUp(req, EndAttemptsUsed)
+		return
+	case !r.canRetry(req):
+		r.giveUp(req, EndNotRepeatable)
 		return
 	}
 	if m := r.chooseMember(req); m != nil {
@@ -116,7 +123,8 @@
 	a.member.inFlightByClass[req.class.index]--
 	a.member.waitingSince = r.now
 	r.recordOutcome(a, req, e)
-	if !e.Code.NeverRan() && !req.mayHaveRun {
+	neverRan := e.Execution.NeverRan()
+	if !neverRan && !req.mayHaveRun {
 		req.mayHaveRun, req.dedupDeadline = true, a.sentAt+req.class.DedupWindow-answerMargin
 	}
 	if e.Final {
@@ -130,11 +138,16 @@
 	}
 	// A retry costs what the last attempt took: quick failures are cheap, late ones add to an overload.
 	cost := min(1, minRetryCost+2*e.Elapsed.Seconds()/req.class.LatencyObjective.Seconds())
-	if e.Code == Misdirected || e.Code == NotSent || req.class.Access == Write && e.Code.NeverRan() {
-		cost = 0 // it cost no host anything; what came too late to be sent is chosen for anew
+	// Its host is sound, though no primary or behind; and what came too late to be sent is chosen for anew.
+	if e.Code.isMisplaced() || e.Code == NotSent || req.class.Access == Write && neverRan {
+		cost = 0
 	}
-	if !r.canRetry(req) || r.retryBudget < cost {
-		r.giveUp(req)
+	switch {
+	case !r.canRetry(req):
+		r.giveUp(req, EndNotRepeatable)
+		return
+	case r.retryBudget < cost:
+		r.giveUp(req, EndRetryBudget)
 		return
 	}
 	r.retryBudget -= cost
@@ -154,6 +167,9 @@
 		}
 		r.recordAnswer(m, &LateAnswer{Role: e.Role, Position: e.Position, Elapsed: e.Elapsed}, position)
 	}
+	if e.Code == StaleAnswer && e.Position > 0 { // its data went back behind what it had reported
+		m.position = min(m.position, e.Position)
+	}
 	r.recordReport(m, e.Report)
 	r.judgeAttempt(m, a, req, e)
 	if e.Code == NoConnection || e.Code == Misdirected && isWrite {
@@ -164,7 +180,7 @@
 // judgeAttempt updates the connection, score and limit of a member by how an attempt ended.
 func (r *Router) judgeAttempt(m *member, a *attempt, req *request, e *AttemptEnded) {
 	// While many attempts fail to connect at once, hosts are out of connections: most routers close theirs.
-	m.connected = m.connected || e.Code == OK || e.Code == Misdirected
+	m.connected = m.connected || e.Code == OK || e.Code.isMisplaced()
 	r.connectFailures -= r.connectFailures / connectSpan
 	if e.Code == NoConnection && e.Elapsed < minLatency {
 		r.connectFailures += 1.0 / connectSpan
@@ -176,7 +192,7 @@
 	}
 	score := e.Elapsed.Seconds() / req.class.LatencyObjective.Seconds()
 	switch e.Code {
-	case OK, Misdirected:
+	case OK, Misdirected, StaleAnswer:
 		m.answeredAt = r.now
 	case ServerError, NoConnection:
 		score, m.connected = faultScore, e.Code == ServerError
@@ -198,7 +214,7 @@
 	default:
 		return
 	}
-	if e.Code != Misdirected {
+	if !e.Code.isMisplaced() {
 		r.recordScore(m, score)
 	}
 	if e.Code == OK {
@@ -263,11 +279,10 @@
 }
 
 // giveUp gives the final answer at once: a rejection where a client's retry is harmless, else a failure.
-func (r *Router) giveUp(req *request) {
+func (r *Router) giveUp(req *request, reason EndReason) {
 	k := req.class
-	retryIsSafe := k.Idempotency == Idempotent || k.Idempotency == Deduplicated && k.Scope == ScopeAll
-	answer := Action{Kind: ActFail, ID: req.id}
-	if retryIsSafe || !req.mayHaveRun && req.inFlight == 0 {
+	answer := Action{Kind: ActFail, ID: req.id, Reason: reason}
+	if k.PermitsRejection(req.mayHaveRun || req.inFlight > 0) {
 		answer.Kind, answer.RetryAfter = ActReject, r.cfg.MaxRetryAfter
 		if k.LateFraction != 0 && (!k.needsPrimary() || req.group.primary() != nil) { // its queue may clear
 			answer.RetryAfter = min(2*max(r.meanLatency, minLatency), r.cfg.MaxRetryAfter)
--- a/routing/constants.go
+++ b/routing/constants.go
@@ -15,6 +15,11 @@
 	searchBackoff   = 500 * time.Millisecond // after a round of the search that found no primary
 	retryBackoff    = time.Second            // before a failed call to discovery is repeated
 
+	clockTolerance = 20 * time.Millisecond  // by which reports of one clock may differ
+	startTolerance = 250 * time.Millisecond // the same where start times are compared, and reports may be old
+	clockReports   = 3                      // of a primary, of which the middle one tells its clock
+	leadRetention  = 5 * time.Second        // for which a lead holds that no report confirms
+
 	commitRetention, maxCommits = 10 * time.Second, 20000 // then a commit is folded into its group's floor
 
 	faultScore, transientFaultScore = 3, 1.5                 // in latency objectives: failures; lone ones
--- a/routing/events.go
+++ b/routing/events.go
@@ -25,20 +25,22 @@
 	IsRetry       bool // the client marks it as a retry of its own
 	Group         uint64
 	TimeRemaining time.Duration // that the client will wait
-	CommitAge     time.Duration // of the session's last commit; 0: none
+	CommitAge     time.Duration // of the session's last commit; below 0: ahead of this clock; 0: none
 }
 
 // AttemptEnded is the end of one attempt of a request.
 type AttemptEnded struct {
-	ID       string // of the request
-	Attempt  int
-	Host     string
-	Code     Code
-	Elapsed  time.Duration
-	Final    bool // the request has its final answer with it
-	Role     Role
-	Position time.Duration // of the answer's data or, for a write, its commit; 0: not given
-	Report   Report
+	ID      string // of the request
+	Attempt int
+	Host    string
+	Code    Code
+	// Execution is what is proven of whether the request ran. Only what never ran is rejected, or repeated where that does harm.
+	Execution Execution
+	Elapsed   time.Duration
+	Final     bool // the request has its final answer with it
+	Role      Role
+	Position  time.Duration // of the answer's data or, for a write, its commit; 0: not given
+	Report    Report
 }
 
 // FirstByte says that an answer begins.
--- a/routing/harness_test.go
+++ b/routing/harness_test.go
@@ -63,7 +63,32 @@
 	return []Target{{Host: "p", Group: 1, Primary: true}, {Host: "a", Group: 1}, {Host: "b", Group: 1}, {Host: "c", Group: 1}}
 }
 
+// executionOf is what a host that keeps to the operators' pages proves with an ending.
+func executionOf(code Code) Execution {
+	switch code {
+	case OK, StaleAnswer:
+		return Ran
+	case Rejected, Misdirected:
+		return RejectedUnexecuted
+	case NoConnection, NotSent:
+		return NotBegun
+	}
+	return MayHaveRun
+}
+
+// proven adds to attempts that ended what their endings prove, where a test does not say so itself.
+func proven(events []Event) []Event {
+	for i, event := range events {
+		if e, ok := event.(AttemptEnded); ok && e.Execution == MayHaveRun {
+			e.Execution = executionOf(e.Code)
+			events[i] = e
+		}
+	}
+	return events
+}
+
 func (g *harness) step(events ...Event) []Action {
+	events = proven(events)
 	return append([]Action(nil), g.c.Step(g.now, events)...)
 }
 
--- a/routing/members.go
+++ b/routing/members.go
@@ -13,7 +13,8 @@
 	group                *group
 	active, probePending bool // active: the endpoint list names it, and it is not draining
 	startedAt, removedAt time.Duration
-	position, positionAt time.Duration // proven, never goes back; when it was last confirmed
+	startToldAt          time.Duration // when it was told
+	position, positionAt time.Duration // proven, until an answer disproves it; when it was last confirmed
 	roleEvidence
 	workload
 	score              float64 // smoothed outlier score
@@ -49,6 +50,7 @@
 	commitOrder                  []sessionCommit          // oldest first
 	commitFloor                  time.Duration            // for sessions without a remembered commit
 	admissions                   [2]admission             // of reads at replicas, and at the primary
+	clock                        groupClock
 }
 
 func (r *Router) applyTargets(e *TargetsChanged) {
@@ -99,12 +101,19 @@
 	if t.Draining || t.Removed {
 		return
 	}
-	// Starts only go forward. What an old process did wrong still counts for a while: it may do so again.
-	m.startedAt = max(m.startedAt, min(t.StartedAt, r.now))
+	// What an old process did wrong still counts for a while: it may do so again.
+	m.setStart(min(t.StartedAt, r.now), r.now)
 	m.active = true
 	r.restore(m)
 }
 
+// setStart takes the start of a member's process that was told now. Starts only go forward.
+func (m *member) setStart(at, now time.Duration) {
+	if at > m.startedAt {
+		m.startedAt, m.startToldAt = at, now
+	}
+}
+
 func (r *Router) addMember(t *Target) *member {
 	g := r.groups[t.Group]
 	if g == nil {
@@ -145,9 +154,13 @@
 	if role == Replica { // this makes more careful, however garbled the rest is
 		m.notPrimaryAt, m.reportedReplica = max(m.notPrimaryAt, min(at, r.now)), true
 	}
-	if position > r.now || at > r.now {
-		return // no host is ahead of the clock: garbled
+	if role == Primary && position > 0 {
+		r.observeClock(m, position)
+	}
+	if r.isFromTheFuture(m.group, position) {
+		return // no host is ahead of its group's clock: garbled
 	}
+	at = min(at, r.now)
 	if position > 0 {
 		m.position, m.positionAt = max(m.position, position), r.now
 	}
@@ -162,8 +175,9 @@
 	at := r.now
 	if e.Role == Primary {
 		at -= e.Elapsed
-		if e.Position < r.now+positionMargin { // commits are rounded up
-			at = max(at, min(e.Position, r.now))
+		lead := m.group.clock.proven
+		if e.Position < r.now+lead+positionMargin { // commits are rounded up
+			at = max(at, min(e.Position-lead, r.now))
 		}
 	}
 	r.recordEvidence(m, position, e.Role, at)
@@ -171,7 +185,7 @@
 
 // recordReport takes a load report. It may be old: its position dates it, but a replica's may stand for long.
 func (r *Router) recordReport(m *member, report Report) {
-	at := report.Position
+	at := report.Position - m.group.clock.proven
 	if at <= 0 || report.Role == Replica {
 		at = max(at, r.now-retryBackoff) // undated: older than any report
 	}
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -62,7 +62,7 @@
 	if req.class.Access == EventualRead { // a long query stops the log: run it where that costs least
 		ms := found.proven
 		slices.SortStableFunc(ms, func(a, b *member) int { return cmp.Compare(a.position, b.position) })
-		if len(ms) > 0 && ms[0].positionAt-ms[0].position >= r.tightestBound {
+		if len(ms) > 0 && ms[0].positionAt+req.group.clock.lead-ms[0].position >= r.tightestBound {
 			found.proven = ms[:1] // the furthest behind
 		}
 	}
--- a/routing/state.go
+++ b/routing/state.go
@@ -102,7 +102,7 @@
 	if h.Group != m.group.id || m.startedAt > h.Started {
 		return
 	}
-	m.startedAt = max(m.startedAt, min(h.Started, r.now))
+	m.setStart(min(h.Started, r.now), r.now)
 	if h.Score > 0 && r.now-m.scoredAt > time.Second {
 		m.score, m.scoredAt = h.Score, r.now
 	}
--- a/routing/types.go
+++ b/routing/types.go
@@ -14,6 +14,16 @@
 	Write                      // the primary
 )
 
+var accessNames = [...]string{"eventual_read", "bounded_read", "session_read", "strong_read", "write"}
+
+// String names the access as logs do.
+func (a Access) String() string {
+	if int(a) < len(accessNames) {
+		return accessNames[a]
+	}
+	return "unknown"
+}
+
 // Idempotency says whether a request may be repeated once it may have run.
 type Idempotency uint8
 
@@ -24,6 +34,16 @@
 	AtMostOnce                      // it must not be repeated
 )
 
+var idempotencyNames = [...]string{"idempotent", "deduplicated", "at_most_once"}
+
+// String names the idempotency as logs do.
+func (i Idempotency) String() string {
+	if int(i) < len(idempotencyNames) {
+		return idempotencyNames[i]
+	}
+	return "unknown"
+}
+
 // DedupScope is the set of hosts that discards repeats of a Deduplicated request.
 type DedupScope uint8
 
@@ -110,7 +130,7 @@
 // Code is how an attempt or a probe ended.
 type Code uint8
 
-// The endings. Rejected, NoConnection, NotSent and Misdirected prove that nothing ran.
+// The endings. Whether the request ran is not theirs to say: see Execution.
 const (
 	OK Code = iota
 	ServerError
@@ -121,11 +141,13 @@
 	Cancelled
 	NotSent
 	Misdirected // the host is not the primary, or lags too far
-	Malformed   // an answer came that can't be read: it ran
+	Malformed   // an answer came that can't be read
+	StaleAnswer // an answer came whose data is older than the request permits
 )
 
 var codeNames = [...]string{
 	"ok", "server_error", "rejected", "no_answer", "no_connection", "connection_lost", "cancelled", "not_sent", "misdirected", "malformed",
+	"stale_answer",
 }
 
 // String names the ending as logs and counters do.
@@ -136,10 +158,8 @@
 	return "unknown"
 }
 
-// NeverRan reports whether the ending proves that nothing ran.
-func (c Code) NeverRan() bool {
-	return c == Rejected || c == NoConnection || c == NotSent || c == Misdirected
-}
+// isMisplaced reports whether the host is sound, but not the one for the request: it is not the primary, or lags too far.
+func (c Code) isMisplaced() bool { return c == Misdirected || c == StaleAnswer }
 
 // Role is what an answer, a load report or the endpoint list says of a host.
 type Role uint8
@@ -183,6 +203,33 @@
 	ActFetch                       // the endpoint list, once
 )
 
+// EndReason is why a request gets its final answer without having been served.
+type EndReason uint8
+
+// The reasons.
+const (
+	EndUnstated      EndReason = iota
+	EndUnknownGroup            // no list has named its group
+	EndShed                    // it was shed on arrival
+	EndTooLate                 // its time is over, or too short for an answer that is worth anything
+	EndAttemptsUsed            // it had as many attempts as a request may have
+	EndNotRepeatable           // it may have run, and can't be repeated without harm
+	EndRetryBudget             // there is no retry budget left
+	endReasonCount
+)
+
+var endReasonNames = [endReasonCount]string{
+	"unstated", "unknown_group", "shed", "too_late", "attempts_used", "not_repeatable", "retry_budget",
+}
+
+// String names the reason as logs do.
+func (r EndReason) String() string {
+	if r < endReasonCount {
+		return endReasonNames[r]
+	}
+	return "unknown"
+}
+
 // Action is one thing to do; Kind says which fields count.
 type Action struct {
 	Kind        ActionKind
@@ -191,6 +238,7 @@
 	Attempt     int
 	Timeout     time.Duration // ActSend; 0: until the client gives up
 	RetryAfter  time.Duration // ActReject: advice to stay away
+	Reason      EndReason     // ActReject, ActFail
 	At          time.Duration // ActTimer
 	MinPosition time.Duration // ActSend, of a read: that the data of its answer must have; 0: any
 	Timer       uint64
