--- a/internal/cluster/migration/sql/operations_test.go
+++ b/internal/cluster/migration/sql/operations_test.go
@@ -102,6 +102,7 @@
 		if a.Operation == migration.OperationSwitch || a.Operation == migration.OperationVerify { // the switch raised one place's token, the verification none yet
 			return nil
 		}
+		r.awaitCopies()
 		before := r.stored()
 		for _, name := range operations {
 			if a.Operation == migration.OperationFence && name != a.Operation { // it was looked for at the home alone
--- a/internal/cluster/migration/sql/rig_test.go
+++ b/internal/cluster/migration/sql/rig_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -254,6 +255,19 @@
 	return out
 }
 
+// awaitCopies waits until the initial copies of all subscriptions are complete: until then, what a group stores changes by itself.
+func (r *rig) awaitCopies() {
+	r.t.Helper()
+	for g := range r.groups {
+		conn := r.dial(g)
+		isComplete := func() bool {
+			return !slices.ContainsFunc(r.exec(conn, "SELECT srsubstate FROM pg_subscription_rel"), func(row []string) bool { return row[0] != tableReady })
+		}
+		require.Eventually(r.t, isComplete, 20*time.Second, time.Millisecond)
+		fencing.Close(conn)
+	}
+}
+
 // requireEqualRows waits until both homes hold the same rows.
 func (r *rig) requireEqualRows(a, b migration.Group) {
 	r.t.Helper()
--- a/internal/net/discovery/call.go
+++ b/internal/net/discovery/call.go
@@ -29,7 +29,7 @@
 	if d := w.backoff.hedgeDelay(); d > 0 {
 		c.hedgeAt = c.first.startedAt.Add(d)
 	}
-	c.timer = w.clock.Timer(until(c.first.startedAt, c.hedgeAt, c.first.deadline))
+	c.timer = w.clock.Timer(earliest(c.hedgeAt, c.first.deadline))
 	defer c.timer.Stop()
 	return c.run(ctx, address, path)
 }
@@ -72,7 +72,7 @@
 }
 
 func (c *hedgedCall) resetTimer() {
-	c.timer.Reset(until(c.watcher.clock.Now(), c.hedgeAt, latest(c.first.deadline, c.second.deadline)))
+	c.timer.Reset(earliest(c.hedgeAt, latest(c.first.deadline, c.second.deadline)))
 }
 
 // headerArrived extends the deadline of a watch whose header is complete.
@@ -155,12 +155,12 @@
 	return s
 }
 
-// until returns how long it is from now to the earlier of two times; the first may be zero for none.
-func until(now, first, second time.Time) time.Duration {
+// earliest returns the earlier of two times; the first may be zero for none.
+func earliest(first, second time.Time) time.Time {
 	if !first.IsZero() && first.Before(second) {
-		second = first
+		return first
 	}
-	return second.Sub(now)
+	return second
 }
 
 func latest(a, b time.Time) time.Time {
--- a/internal/net/discovery/clock.go
+++ b/internal/net/discovery/clock.go
@@ -8,22 +8,23 @@
 // clock is the watcher's source of time; tests replace it.
 type clock interface {
 	Now() time.Time
-	Timer(d time.Duration) timer
+	Timer(at time.Time) timer
 	Pause(ctx context.Context, d time.Duration) // returns earlier if ctx ends
 }
 
-// timer is a time.Timer, or a test's.
+// timer is a time.Timer, or a test's. It is set to a moment, not to a span from now: the clock may advance between the
+// caller's look at it and the call.
 type timer interface {
 	C() <-chan time.Time
-	Reset(d time.Duration)
+	Reset(at time.Time)
 	Stop()
 }
 
 // system is the system's clock.
 type system struct{}
 
-func (system) Now() time.Time              { return time.Now() }
-func (system) Timer(d time.Duration) timer { return systemTimer{time.NewTimer(d)} }
+func (system) Now() time.Time           { return time.Now() }
+func (system) Timer(at time.Time) timer { return systemTimer{time.NewTimer(time.Until(at))} }
 
 func (system) Pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -36,6 +37,6 @@
 
 type systemTimer struct{ t *time.Timer }
 
-func (t systemTimer) C() <-chan time.Time   { return t.t.C }
-func (t systemTimer) Reset(d time.Duration) { t.t.Reset(d) }
-func (t systemTimer) Stop()                 { t.t.Stop() }
+func (t systemTimer) C() <-chan time.Time { return t.t.C }
+func (t systemTimer) Reset(at time.Time)  { t.t.Reset(time.Until(at)) }
+func (t systemTimer) Stop()               { t.t.Stop() }
--- a/internal/net/discovery/crossings_test.go
+++ b/internal/net/discovery/crossings_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -12,6 +11,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,21 +47,21 @@
 	return h.now
 }
 
-func (h *hand) Timer(d time.Duration) timer {
+func (h *hand) Timer(at time.Time) timer {
 	if h.held != nil {
 		<-h.held
 	}
 	t := &handTimer{h: h, c: make(chan time.Time, 1)}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	t.set(d)
+	t.set(at)
 	return t
 }
 
 func (h *hand) Pause(ctx context.Context, d time.Duration) {
 	t := &handTimer{h: h, c: make(chan time.Time, 1)}
 	h.mu.Lock()
-	t.set(d)
+	t.set(h.now.Add(d))
 	h.pausing++
 	h.mu.Unlock()
 	defer t.Stop()
@@ -71,12 +71,12 @@
 	}
 }
 
-func (t *handTimer) set(d time.Duration) {
+func (t *handTimer) set(at time.Time) {
 	select {
 	case <-t.c:
 	default:
 	}
-	if t.due = t.h.now.Add(d); d <= 0 {
+	if t.due = at; !at.After(t.h.now) {
 		t.c <- t.due
 		return
 	}
@@ -85,10 +85,10 @@
 
 func (t *handTimer) C() <-chan time.Time { return t.c }
 
-func (t *handTimer) Reset(d time.Duration) {
+func (t *handTimer) Reset(at time.Time) {
 	t.h.mu.Lock()
 	defer t.h.mu.Unlock()
-	t.set(d)
+	t.set(at)
 	t.h.resets++
 }
 
@@ -104,27 +104,61 @@
 	return h.resets, h.pausing
 }
 
-// left is how long it is until something is due. A watcher always waits for something, or is about to.
-func (h *hand) left() time.Duration {
-	for {
-		least := time.Duration(math.MaxInt64)
-		h.mu.Lock()
-		for t := range h.timers {
-			least = min(least, t.due.Sub(h.now))
-		}
-		h.mu.Unlock()
-		if least < math.MaxInt64 {
-			return least
-		}
+// whenDue calls f, with the clock locked, once a timer is set, with the moment at which the first is due. A watcher always
+// waits for something, or is about to.
+func (h *hand) whenDue(f func(first time.Time)) {
+	for !h.callIfDue(f) {
 		runtime.Gosched()
 	}
 }
 
+func (h *hand) callIfDue(f func(first time.Time)) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var first time.Time
+	for t := range h.timers {
+		if first.IsZero() || t.due.Before(first) {
+			first = t.due
+		}
+	}
+	if first.IsZero() {
+		return false
+	}
+	f(first)
+	return true
+}
+
+// due is the moment at which something is due next.
+func (h *hand) due() (first time.Time) {
+	h.whenDue(func(at time.Time) { first = at })
+	return first
+}
+
+// left is how long it is until something is due.
+func (h *hand) left() (d time.Duration) {
+	h.whenDue(func(at time.Time) { d = at.Sub(h.now) })
+	return d
+}
+
+// advance moves the clock to the moment at which something is due next. It returns how many pauses had begun by then: looked
+// up in one step with the move, so that the end of a pause is not taken for the begin of one.
+func (h *hand) advance() (pausing int) {
+	h.whenDue(func(at time.Time) {
+		pausing = h.pausing
+		h.moveTo(at)
+	})
+	return pausing
+}
+
 // move lets time pass, and what is due by then happen.
 func (h *hand) move(d time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.now = h.now.Add(d)
+	h.moveTo(h.now.Add(d))
+}
+
+func (h *hand) moveTo(now time.Time) {
+	h.now = now
 	for t := range h.timers {
 		if !t.due.After(h.now) {
 			delete(h.timers, t)
@@ -152,12 +186,13 @@
 	peer
 	beside  bool // another is not over yet
 	through chan struct{}
-	up      chan struct{} // the request was read
+	up      chan struct{}   // the request was read
+	over    <-chan struct{} // the watcher is done with it
 }
 
 // Dial is the engine's, once the test lets it.
 func (s *script) Dial(ctx context.Context, address string, h loop.Handler) (gnet.Conn, error) {
-	call := &scripted{through: make(chan struct{}), up: make(chan struct{})}
+	call := &scripted{through: make(chan struct{}), up: make(chan struct{}), over: ctx.Done()}
 	s.calls <- call
 	select {
 	case <-call.through:
@@ -194,12 +229,21 @@
 	crossingOnce sync.Once
 )
 
+var services atomic.Uint32
+
+// loopbackAddress is another address of this machine each time, with a free port: there are thousands of services, and the ports
+// of one address would run out beside other tests.
+func loopbackAddress() string {
+	n := services.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+n>>16%100, n>>8%256, 1+n%254)
+}
+
 func newScript(t *testing.T, known *EndpointList, seed uint64) *script {
 	crossingOnce.Do(func() { // for all: they are many
 		crossing = loop.New()
 		require.NoError(t, crossing.Start("127.0.0.1:0", nil))
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopbackAddress())
 	require.NoError(t, err)
 	s := &script{t: t, clock: newHand(), calls: make(chan *scripted, 16), lists: make(chan EndpointList, 4096), c: l, Engine: crossing, quit: make(chan struct{})}
 	s.w = New(crossing, l.Addr().String(), known, seed, func(l EndpointList) { s.lists <- l })
@@ -218,11 +262,11 @@
 // call waits for the next call; time passes as far as it has to.
 func (s *script) call() *scripted {
 	for {
-		_, paused := s.clock.seen()
-		s.clock.move(s.clock.left())
-		if c := s.came(paused); c != nil {
+		if c := s.came(s.clock.advance()); c != nil {
 			_, now := s.clock.seen()
-			c.beside = now == s.known
+			if c.beside = now == s.known; c.beside {
+				s.clock.due() // the watcher has set its timer for both
+			}
 			s.known = now
 			return c
 		}
@@ -253,6 +297,17 @@
 	require.Eventually(s.t, func() bool { now, _ := s.clock.seen(); return now >= resets }, 10*time.Second, 20*time.Microsecond, "it was not taken in: %s", s.name)
 }
 
+// gaveUp waits until the watcher is done with a call and waits for the other one, as long as it did before. A header in between
+// may have made it wait longer for a moment.
+func (s *script) gaveUp(call *scripted, due time.Time) {
+	select {
+	case <-call.over:
+	case <-time.After(10 * time.Second):
+		require.Fail(s.t, "the call was not given up: "+s.name)
+	}
+	require.Eventually(s.t, func() bool { return s.clock.due().Equal(due) }, 10*time.Second, 20*time.Microsecond, "the other call is not waited for: %s", s.name)
+}
+
 // kind is a way in which a call fails.
 type kind struct {
 	name string
@@ -265,14 +320,18 @@
 // atOnce writes and waits until the watcher knows.
 func atOnce(name, answer string, reset bool) kind {
 	return kind{name: name, play: func(s *script, call *scripted) time.Time {
-		resets, paused := s.clock.seen()
+		_, paused := s.clock.seen()
+		var due time.Time
+		if call.beside {
+			due = s.clock.due()
+		}
 		p := s.accept(call)
 		if p.write(answer); reset {
 			_ = p.c.(*net.TCPConn).SetLinger(0)
 		}
 		p.c.Close()
-		if call.beside { // the other one is still waited for
-			s.took(resets + 1)
+		if call.beside {
+			s.gaveUp(call, due)
 		} else {
 			s.paused(paused)
 		}
@@ -546,7 +605,7 @@
 		s.clock.held = make(chan struct{})
 		s.run()
 		p := s.accept(<-s.calls)
-		s.clock.move(2 * time.Second)
+		s.clock.move(expectedAnswer) // so long lasts a watch, and the call has time left
 		p.write("HTTP/1.1 200 OK\r\n\r\n\n")
 		_ = p.c.(*net.TCPConn).CloseWrite()
 		_, err := p.c.Read(make([]byte, 1)) // the loop has read both
@@ -581,6 +640,7 @@
 			_, err := p.c.Read(make([]byte, 1))
 			require.Error(t, err)
 		}
+		_, paused := s.clock.seen()
 		s.clock.held <- struct{}{}
 		for range min(maxPendingLists, all-from) {
 			require.Equal(t, uint64(next), s.list().Index)
@@ -589,6 +649,7 @@
 		if next > all {
 			break
 		}
+		s.paused(paused) // else time would pass for the watch, which is ending
 	}
 	took := s.clock.Now().Sub(begun)
 	require.LessOrEqual(t, took, time.Second, "on the clock")
--- a/internal/warmstate/snapshot.go
+++ b/internal/warmstate/snapshot.go
@@ -70,7 +70,7 @@
 			StartedAt:    toMillis(h.Started),
 			Limit:        math.Round(h.Limit*100) / 100,
 			FailureScore: math.Round(h.Score*1000) / 1000,
-			Lag:          max(unknownLag, toMillis(h.Lag)),
+			Lag:          lagMillis(h.Lag),
 			LagAge:       toMillis(h.LagAge),
 			IsPrimary:    h.WasPrimary,
 			RoleAge:      min(toMillis(h.RoleAge), maxAge),
@@ -82,6 +82,14 @@
 	return s
 }
 
+// lagMillis converts a lag; below 0 it is not known, however little.
+func lagMillis(lag time.Duration) float64 {
+	if lag < 0 {
+		return unknownLag
+	}
+	return toMillis(lag)
+}
+
 // toMillis converts to milliseconds, rounded to microseconds.
 func toMillis(d time.Duration) float64 { return math.Round(float64(d)/1e3) / 1e3 }
 
--- a/internal/warmstate/warmstate_test.go
+++ b/internal/warmstate/warmstate_test.go
@@ -139,6 +139,14 @@
 	require.Equal(t, s.Hosts, got.Hosts)
 }
 
+// A host that has never told its position is no less unknown after a restart.
+func TestAnUnknownLagStaysUnknown(t *testing.T) {
+	state := routing.RouterState{Hosts: []routing.HostState{{Host: "a", Group: 2, Started: time.Second, Limit: 7, Lag: -1}}}
+	snapshot := NewSnapshot(Header{"n", "s", 5e5}, state, nil, nil)
+	require.EqualValues(t, unknownLag, snapshot.Hosts[0].Lag)
+	require.Equal(t, state.Hosts, ApplyAge(snapshot, 5e5, "n", "s", false).State.Hosts)
+}
+
 // faultyFS is a file system that crashes or fails at the nth call. After a crash only what was synced is left.
 type faultyFS struct {
 	live, safe map[string][]byte
