--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"os"
@@ -19,6 +20,8 @@
 	"syscall"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"ashstand/testbed/discovery"
 	"ashstand/testbed/host"
 )
@@ -46,9 +49,10 @@
 	Plain     bool // a version that knows neither commands nor the operator's file
 
 	// Of a fleet of several poolers; nil: it has one.
-	Names []string                                                 // of all, in the order of their numbers
-	Extra func(name string) string                                 // more of a pooler's operator's file
-	Agent func(name string, r *discovery.Registry) (string, error) // where a pooler asks for the list
+	Names    []string                                                 // of all, in the order of their numbers
+	Extra    func(name string) string                                 // more of a pooler's operator's file
+	Settings func(poolers, index int) map[string]any                  // the platform's; nil: the usual ones
+	Agent    func(name string, r *discovery.Registry) (string, error) // where a pooler asks for the list
 }
 
 // Fleet is what runs.
@@ -274,6 +278,14 @@
 	}
 }
 
+// settings are those of the pooler with this number.
+func (o Options) settings(index int) map[string]any {
+	if o.Settings != nil {
+		return o.Settings(max(1, len(o.Names)), index)
+	}
+	return settings(max(1, len(o.Names)), index)
+}
+
 // StartPooler starts one more pooler of the fleet and waits until it serves. After an error it may still run.
 func (f *Fleet) StartPooler(name string) (*Pooler, error) {
 	p, err := f.Launch(name)
@@ -358,7 +370,7 @@
 	config, err := json.Marshal(map[string]any{
 		"name": name, "listen": p.Statement, "discovery": agent, "seed": strconv.FormatUint(o.Seed+1+uint64(index), 16),
 		"limits":   map[string]any{"cores": 1, "memory_mb": memory, "sockets": sockets},
-		"settings": settings(max(1, len(o.Names)), index),
+		"settings": o.settings(index),
 	})
 	if err != nil {
 		return err
@@ -470,16 +482,19 @@
 	_ = c.SetDeadline(time.Now().Add(time.Second))
 	start := "\x00\x03\x00\x00user\x00web\x00database\x00orders\x00\x00"
 	_, _ = c.Write(append([]byte{0, 0, 0, byte(len(start) + 4)}, start+"Q\x00\x00\x00\x05\x00"...))
-	var got []byte
-	b := make([]byte, 4096)
-	for !bytes.Contains(got, []byte("I\x00\x00\x00\x04")) {
-		n, err := c.Read(b)
-		if err != nil || bytes.Contains(b[:n], []byte("57P03")) {
+	f := pgproto3.NewFrontend(c, io.Discard)
+	for {
+		m, err := f.Receive()
+		if err != nil {
+			return false
+		}
+		switch m.(type) {
+		case *pgproto3.EmptyQueryResponse:
+			return true
+		case *pgproto3.ErrorResponse:
 			return false
 		}
-		got = append(got, b[:n]...)
 	}
-	return true
 }
 
 // Signal sends one to the pooler.
@@ -585,5 +600,23 @@
 	return write(path, []byte(change(string(b))))
 }
 
+// RewriteSettings changes the platform's settings in a pooler's configuration. They count once the pooler is told to read it again.
+func (f *Fleet) RewriteSettings(name string, next map[string]any) error {
+	path := filepath.Join(f.dir, name+".json")
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var config map[string]any
+	if err := json.Unmarshal(b, &config); err != nil {
+		return err
+	}
+	config["settings"] = next
+	if b, err = json.Marshal(config); err != nil {
+		return err
+	}
+	return write(path, b)
+}
+
 // SettingsJSON are the platform's settings that poolers of a fleet have.
 func SettingsJSON() ([]byte, error) { return json.Marshal(settings(1, 0)) }
--- a/testbed/host/cluster.go
+++ b/testbed/host/cluster.go
@@ -77,7 +77,9 @@
 	commits int
 	rng     *rand.Rand
 
-	observer    atomic.Pointer[Observer] // nil: nobody
+	observer    atomic.Pointer[Observer]      // nil: nobody
+	rejected    atomic.Pointer[RejectionSeen] // nil: nobody
+	readCheck   atomic.Pointer[ReadCheck]     // nil: reads are answered from what there is
 	databases   map[string]*Database
 	strict      bool
 	oids        uint32
@@ -104,6 +106,19 @@
 	}
 }
 
+// RejectionSeen is told of each query string that a host rejected before anything of it ran. It must not block.
+type RejectionSeen func(host, text string)
+
+// ObserveRejections sets who is told.
+func (c *Cluster) ObserveRejections(o RejectionSeen) { c.rejected.Store(&o) }
+
+// ReadCheck says which position a statement needs of a replica, and for how long the replica waits for it before it rejects the
+// statement with 72000. ok is false where any position will do.
+type ReadCheck func(text string) (position float64, wait time.Duration, ok bool)
+
+// CheckReads has replicas check by themselves whether they have what a read needs.
+func (c *Cluster) CheckReads(check ReadCheck) { c.readCheck.Store(&check) }
+
 // Write commits a row at the primary, as no client's.
 func (c *Cluster) Write(ref, payload string) {
 	c.mu.Lock()
@@ -130,16 +145,18 @@
 
 // Faults is what goes wrong on a host: each a chance by statement or connection, from 0 to 1.
 type Faults struct {
-	CutBefore float64       // the connection breaks before a commit takes effect
-	CutAfter  float64       // and after it did, before the answer
-	CutAnswer float64       // in the middle of an answer, at any byte
-	CutIdle   float64       // between two requests
-	CutCopy   float64       // in the middle of COPY data
-	Stall     float64       // nothing is said for StallFor
-	StallFor  time.Duration //
-	Slow      float64       // an answer takes SlowFor
-	SlowFor   time.Duration //
-	Refuse    float64       // a new connection is closed at once
+	CutBefore     float64       // the connection breaks before a commit takes effect
+	CutAfter      float64       // and after it did, before the answer
+	CutAnswer     float64       // in the middle of an answer, at any byte
+	CutIdle       float64       // between two requests
+	CutCopy       float64       // in the middle of COPY data
+	AfterRow      float64       // an error follows the whole result: the statement ran all the same
+	AfterRowState string        // its SQLSTATE
+	Stall         float64       // nothing is said for StallFor
+	StallFor      time.Duration //
+	Slow          float64       // an answer takes SlowFor
+	SlowFor       time.Duration //
+	Refuse        float64       // a new connection is closed at once
 }
 
 // Counts says how often each thing occurred.
@@ -361,6 +378,15 @@
 	h.mu.Unlock()
 }
 
+// FallBack has the host lose what it applied in the last span, as one that comes back from an old copy: its position goes back, which a
+// position never should, and it lags by so much until SetLag says otherwise. It means nothing while the host is the primary.
+func (h *Host) FallBack(by time.Duration) {
+	h.mu.Lock()
+	h.lag = by
+	h.position = min(h.position, Now()-float64(by)/1e6)
+	h.mu.Unlock()
+}
+
 // Drain says that the host was told to finish what it has, or, with false, that it serves again.
 func (h *Host) Drain(on bool) {
 	h.mu.Lock()
--- a/testbed/host/conn.go
+++ b/testbed/host/conn.go
@@ -40,20 +40,21 @@
 	in       *pgproto3.Backend
 	pid, key uint32
 
-	set       settings
-	told      map[string]string
-	tx        *transaction
-	prepared  map[string]*prepared
-	portals   map[string]*portal
-	temp      map[string]bool
-	rows      map[string]string // of temporary tables
-	listens   map[string]bool
-	committed float64
-	skip      bool // to Sync
-	dead      bool
-	cancelled atomic.Bool
-	running   atomic.Bool
-	served    int
+	set         settings
+	told        map[string]string
+	tx          *transaction
+	prepared    map[string]*prepared
+	portals     map[string]*portal
+	temp        map[string]bool
+	rows        map[string]string // of temporary tables
+	listens     map[string]bool
+	committed   float64
+	skip        bool // to Sync
+	dead        bool
+	cancelled   atomic.Bool
+	running     atomic.Bool
+	served      int
+	hasAnswered bool // a part of the result of the query string under way was sent
 
 	// Of a client that named a database:
 	db          *Database
@@ -106,6 +107,10 @@
 	if c.dead {
 		return
 	}
+	switch m.(type) {
+	case *pgproto3.RowDescription, *pgproto3.DataRow, *pgproto3.CommandComplete:
+		c.hasAnswered = true
+	}
 	b, err := m.Encode(nil)
 	if err == nil {
 		_, err = c.out.Write(b)
@@ -380,11 +385,14 @@
 	if c.replication && c.replicationCommand(text) {
 		return
 	}
+	c.hasAnswered = false
 	statements, texts, f := read(text)
 	if f != nil {
 		c.fail(f)
 	} else if len(statements) == 0 {
 		c.send(&pgproto3.EmptyQueryResponse{})
+	} else if f = c.host.checkRead(text); f != nil {
+		statements = nil
 	}
 	c.several = len(statements) > 1
 	for i, s := range statements {
@@ -392,15 +400,32 @@
 			break
 		}
 	}
+	if f == nil && !c.dead && c.hasAnswered && c.host.chance(c.host.fault().AfterRow) {
+		f = c.errAfterRow()
+	}
 	if f != nil {
 		if c.tx != nil {
 			c.tx.failed = true
 		}
+		if !c.hasAnswered {
+			c.host.cluster.observeRejection(c.host.Name, text, f)
+		}
 		c.send(&pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: f.state, Message: f.text})
 	}
 	c.sync()
 }
 
+// errAfterRow commits what the statement did, and returns the error that follows its result.
+func (c *conn) errAfterRow() *fault {
+	if c.tx != nil && !c.tx.explicit {
+		if _, f := c.commit(); f != nil {
+			return f
+		}
+	}
+	c.host.Counts.Add("error_after_row")
+	return &fault{c.host.fault().AfterRowState, "an error that follows the whole result"}
+}
+
 func (c *conn) parse(m *pgproto3.Parse) *fault {
 	statements, texts, f := read(m.Query)
 	if f != nil {
--- a/testbed/host/replicate_test.go
+++ b/testbed/host/replicate_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 )
 
@@ -375,6 +376,32 @@
 	require.Equal(t, "of the subscriber", p.b.text("SELECT payload FROM entries WHERE ref = '3'"))
 }
 
+// A publisher whose slot is still held by an earlier connection rejects the stream before anything is applied: the worker tries again.
+// disable_on_error is for what fails in the stream. ENABLE runs into this where it ends a session that has just begun.
+func TestASlotThatIsHeldDoesNotDisable(t *testing.T) {
+	p := newPair(t)
+	p.a.do("CREATE PUBLICATION all_tables FOR ALL TABLES")
+	p.subscribe("copy_data = false, disable_on_error = true")
+	p.a.do("INSERT INTO entries VALUES ('1', '')")
+	p.b.becomes("1", "SELECT count(*) FROM entries")
+	p.b.do("ALTER SUBSCRIPTION move DISABLE")
+	p.a.becomes("f", "SELECT active FROM pg_replication_slots")
+	holder, err := p.to.Cluster.dial(t.Context(), p.link.info(), "holder")
+	require.NoError(t, err)
+	t.Cleanup(func() { closeNow(holder) })
+	holder.Frontend().Send(&pgproto3.Query{String: `START_REPLICATION SLOT "move" LOGICAL 0/0 (proto_version '4', publication_names '"all_tables"')`})
+	require.NoError(t, holder.Frontend().Flush())
+	p.a.becomes("t", "SELECT active FROM pg_replication_slots")
+	failures := func() int { return p.to.hosts[0].Counts.All()["subscription_error"] }
+	before := failures()
+	p.b.do("ALTER SUBSCRIPTION move ENABLE")
+	p.a.do("INSERT INTO entries VALUES ('2', '')")
+	require.Eventually(t, func() bool { return failures() > before+1 }, 10*time.Second, time.Millisecond, "it tries again")
+	require.Equal(t, "t", p.b.text("SELECT subenabled FROM pg_subscription"))
+	closeNow(holder)
+	p.b.becomes("2", "SELECT count(*) FROM entries")
+}
+
 func TestFeedBackDoesNotEcho(t *testing.T) {
 	for _, origin := range []string{"none", "any"} {
 		p := newPair(t)
--- a/testbed/host/subscribe.go
+++ b/testbed/host/subscribe.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -13,7 +11,6 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
-	"github.com/jackc/pgx/v5/pgproto3"
 )
 
 // relation is how far a table of a subscription is, as pg_subscription_rel has it.
@@ -567,119 +564,6 @@
 	}
 }
 
-// session runs the worker once: the copies that are due, then the stream.
-func (s *subscription) session(ctx context.Context, h *Host) error {
-	cl := s.db.cluster
-	cl.mu.Lock()
-	info, slotName, pubs, origin, epoch := s.conninfo, s.slot, slices.Clone(s.publications), s.origin, cl.epoch
-	var due []*Table
-	for t, r := range s.tables {
-		if r.state == 'i' || r.state == 'd' {
-			due = append(due, t)
-		}
-	}
-	timeout := cl.replication.Timeout
-	cl.mu.Unlock()
-	slices.SortFunc(due, func(a, b *Table) int { return strings.Compare(a.Schema+"."+a.Name, b.Schema+"."+b.Name) })
-	for _, t := range due {
-		if err := s.copyFrom(ctx, h, t, info, epoch, timeout); err != nil {
-			cl.mu.Lock()
-			if ctx.Err() == nil {
-				s.copyErrors++
-			}
-			cl.mu.Unlock()
-			return err
-		}
-	}
-	if slotName == "" {
-		return errors.New("subscription has no replication slot set")
-	}
-	p, err := cl.dial(ctx, info, s.name)
-	if err != nil {
-		return err
-	}
-	defer closeNow(p)
-	cl.mu.Lock()
-	at := s.at()
-	cl.mu.Unlock()
-	var names []string
-	for _, n := range pubs {
-		names = append(names, `"`+n+`"`)
-	}
-	p.Frontend().Send(&pgproto3.Query{String: fmt.Sprintf(`START_REPLICATION SLOT "%s" LOGICAL %s (proto_version '4', origin '%s', publication_names '%s')`,
-		slotName, lsnText(at), origin, strings.ReplaceAll(strings.Join(names, ","), "'", "''"))})
-	if err = p.Frontend().Flush(); err != nil {
-		return err
-	}
-	heard := time.Now()
-	var rows []streamedRow
-	for {
-		if f := s.standing(ctx, h, epoch); f != nil {
-			return f
-		}
-		short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
-		m, err := p.ReceiveMessage(short)
-		cancel()
-		switch {
-		case pgconn.Timeout(err) && ctx.Err() == nil:
-			if timeout > 0 && time.Since(heard) > timeout {
-				return errors.New("terminating logical replication worker due to timeout")
-			}
-			continue
-		case err != nil:
-			return err
-		}
-		heard = time.Now()
-		switch m := m.(type) {
-		case *pgproto3.ErrorResponse:
-			return &fault{m.Code, "could not receive data from WAL stream: " + m.Message}
-		case *pgproto3.CopyData:
-			if len(m.Data) < 17 {
-				return errors.New("a message of the stream is too short")
-			}
-			end := binary.BigEndian.Uint64(m.Data[1:9])
-			cl.mu.Lock()
-			s.received, s.lastReceipt = max(s.received, end), heard
-			sent := m.Data[9:17]
-			if m.Data[0] == 'w' && len(m.Data) >= 25 {
-				sent = m.Data[17:25]
-			}
-			s.lastMessage = time.UnixMicro(int64(binary.BigEndian.Uint64(sent)) + epoch2000)
-			cl.mu.Unlock()
-			if m.Data[0] == 'w' {
-				var part streamed
-				if err = json.Unmarshal(m.Data[25:], &part); err != nil {
-					return fmt.Errorf("a message of the stream can not be read: %w", err)
-				}
-				if rows = append(rows, part.Rows...); !part.End {
-					continue
-				}
-				if err = s.apply(ctx, h, epoch, end, rows); err != nil {
-					cl.mu.Lock()
-					if ctx.Err() == nil {
-						s.applyErrors++
-					}
-					cl.mu.Unlock()
-					return err
-				}
-				rows = nil
-			}
-			s.reached(end)
-			b := []byte{'r'}
-			for _, n := range []uint64{end, end, end, uint64(time.Now().UnixMicro() - epoch2000)} {
-				b = binary.BigEndian.AppendUint64(b, n)
-			}
-			p.Frontend().Send(&pgproto3.CopyData{Data: append(b, 0)})
-			if timeout > 0 {
-				_ = p.Conn().SetWriteDeadline(time.Now().Add(timeout))
-			}
-			if err = p.Frontend().Flush(); err != nil {
-				return err
-			}
-		}
-	}
-}
-
 // closeNow ends a connection without waiting for the other end.
 func closeNow(p *pgconn.PgConn) {
 	_ = p.Conn().SetDeadline(time.Now())
--- a/testbed/soak/client.go
+++ b/testbed/soak/client.go
@@ -18,11 +18,12 @@
 
 // The habits.
 const (
-	oneByOne  habit = iota
-	pipelines       // many requests ahead of their answers
-	inPieces        // requests in two pieces, with a pause between them
-	leaves          // closes its connection in the middle of a request, at times
-	cancels         // sends cancel requests, at times
+	oneByOne   habit = iota
+	pipelines        // many requests ahead of their answers
+	inPieces         // requests in two pieces, with a pause between them
+	leaves           // closes its connection in the middle of a request, at times
+	cancels          // sends cancel requests, at times
+	reconnects       // makes a connection for each request, and sends it behind its startup message
 	habits
 )
 
@@ -32,6 +33,7 @@
 	meanInterval   = 120 * time.Millisecond
 	pipelineDepth  = 40
 	pipelinePad    = 24 << 10  // up to this, so that a deep pipeline is more than a pooler reads ahead
+	writePiece     = 64 << 10  // of what is sent ahead; each has a time of its own
 	longPad        = 130 << 10 // of one request in longEvery, so that it is more than a host's window
 	longEvery      = 60
 )
@@ -41,6 +43,8 @@
 	name    string
 	pooler  string
 	address string
+	classes []Class
+	group   uint64 // that it asks
 	habit   habit
 	judge   *judge
 	rng     *rand.Rand
@@ -53,12 +57,16 @@
 	written  int    // the number that its own row has, by the last write that is known
 	position string // of that write
 	doubt    bool   // a write may have run
+	starting bool   // the answer to the startup message is due first
 }
 
 // run sends requests until ctx ends.
 func (c *client) run(ctx context.Context) {
 	defer c.drop()
 	for ctx.Err() == nil {
+		if c.habit == reconnects {
+			c.drop()
+		}
 		if c.conn == nil && c.connect() != nil {
 			sleep(ctx, 50*time.Millisecond)
 			continue
@@ -87,6 +95,10 @@
 		conn.Close()
 		return err
 	}
+	if c.habit == reconnects { // its first request goes out before the pooler has said anything
+		c.conn, c.frontend, c.starting = conn, f, true
+		return nil
+	}
 	for {
 		m, err := f.Receive()
 		if err != nil {
@@ -116,9 +128,11 @@
 // next makes a request and its text.
 func (c *client) next(pad int) (*request, string) {
 	c.n++
-	r := &request{id: fmt.Sprintf("%s-%d-%x", c.name, c.n, c.rng.Uint32()), pooler: c.pooler, class: "browse", deadline: time.Second}
-	comment := func(more string) string {
-		return fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=1%s */ ", r.id, r.class, r.deadline.Milliseconds(), more)
+	class := &c.classes[c.rng.IntN(len(c.classes))]
+	r := &request{id: fmt.Sprintf("%s-%d-%x", c.name, c.n, c.rng.Uint32()), pooler: c.pooler, class: class, group: c.group}
+	more := ""
+	if class.Effect == Deduplicated {
+		more = fmt.Sprintf(",k=%d", c.rng.Uint64())
 	}
 	padding := ""
 	if c.rng.IntN(longEvery) == 0 {
@@ -126,18 +140,26 @@
 	} else if pad > 0 {
 		padding = " -- " + strings.Repeat("x", c.rng.IntN(pad))
 	}
-	switch n := c.rng.IntN(100); {
-	case n < 25:
-		r.class, r.deadline, r.ref = "donate", 3*time.Second, fmt.Sprintf("%s/%d", c.name, c.n)
-		return r, comment("") + "INSERT INTO entries (ref, payload) VALUES ('" + r.ref + "', '1') RETURNING payload" + padding
-	case n < 45 && c.habit != pipelines:
-		r.class, r.deadline, r.payload = "donate", 3*time.Second, fmt.Sprint(c.n)
-		return r, comment("") + "INSERT INTO entries (ref, payload) VALUES ('" + c.name + "', '" + r.payload + "') RETURNING payload" + padding
-	case n < 65 && c.habit != pipelines && c.written > 0 && !c.doubt:
-		r.class, r.deadline, r.ownRow = "my-library", 2*time.Second, c.name
-		return r, comment(",after="+c.position) + "SELECT payload FROM entries WHERE ref = '" + c.name + "'" + padding
+	text := fmt.Sprintf("SELECT payload FROM entries WHERE ref = 'seed-%d'", c.rng.IntN(1000))
+	switch {
+	case class.Access == Write:
+		text = c.insert(r)
+	case class.Access == Session && c.habit != pipelines && c.written > 0 && !c.doubt:
+		r.ownRow, more = c.name, more+",after="+c.position
+		text = "SELECT payload FROM entries WHERE ref = '" + c.name + "'"
+	}
+	return r, fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=%d%s */ ", r.id, class.Name, class.Deadline, c.group, more) + text + padding
+}
+
+// insert is the text of a write: of a row that is written once, or of the client's own row if no repeat of the write can come
+// later than the next one.
+func (c *client) insert(r *request) string {
+	if r.class.Effect == AtMostOnce && c.habit != pipelines && c.rng.IntN(2) == 0 {
+		r.payload = fmt.Sprint(c.n)
+		return "INSERT INTO entries (ref, payload) VALUES ('" + c.name + "', '" + r.payload + "') RETURNING payload"
 	}
-	return r, comment("") + fmt.Sprintf("SELECT payload FROM entries WHERE ref = 'seed-%d'", c.rng.IntN(1000)) + padding
+	r.ref = fmt.Sprintf("%s/%d", c.name, c.n)
+	return "INSERT INTO entries (ref, payload) VALUES ('" + r.ref + "', '1') RETURNING payload"
 }
 
 // step sends what the client's habit has it send, and reads the answers.
@@ -154,10 +176,11 @@
 		if b, err = (&pgproto3.Query{String: text}).Encode(b); err != nil {
 			return
 		}
+		r.end = len(b)
 		open = append(open, r)
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(readTimeout))
-	if err := c.write(b); err != nil {
+	if err := c.write(b, open); err != nil {
 		c.drop() // none of them is known to have come whole
 		return
 	}
@@ -177,18 +200,36 @@
 	c.readAnswers(open)
 }
 
-// write writes requests, in two pieces if that is the client's habit.
-func (c *client) write(b []byte) error {
-	if c.habit == inPieces {
-		cut := 1 + c.rng.IntN(len(b)-1)
-		if _, err := c.conn.Write(b[:cut]); err != nil {
+// write writes the bytes of requests and notes for each what its last byte can't have been sent before.
+func (c *client) write(b []byte, open []*request) error {
+	from := 0
+	for _, to := range c.pieceEnds(len(b)) {
+		if from > 0 && c.habit == inPieces {
+			time.Sleep(time.Duration(c.rng.IntN(60)) * time.Millisecond)
+		}
+		begun := time.Now()
+		if _, err := c.conn.Write(b[from:to]); err != nil {
 			return err
 		}
-		time.Sleep(time.Duration(c.rng.IntN(60)) * time.Millisecond)
-		b = b[cut:]
+		for _, r := range open {
+			if from < r.end && r.end <= to {
+				r.sentFrom = begun
+			}
+		}
+		from = to
+	}
+	return nil
+}
+
+// pieceEnds is where the pieces end in which so many bytes are written: two if that is the client's habit.
+func (c *client) pieceEnds(length int) (ends []int) {
+	if c.habit == inPieces {
+		return []int{1 + c.rng.IntN(length-1), length}
 	}
-	_, err := c.conn.Write(b)
-	return err
+	for end := writePiece; end < length; end += writePiece {
+		ends = append(ends, end)
+	}
+	return append(ends, length)
 }
 
 // disconnect closes the connection over requests that have no answer.
@@ -251,8 +292,15 @@
 		case *pgproto3.ErrorResponse:
 			answer, fatal = m.Code, m.Severity == "FATAL"
 		case *pgproto3.ReadyForQuery:
+			if c.starting {
+				c.starting = false
+				continue
+			}
 			r := open[0]
 			c.judge.answered(r, answer)
+			if answer == served {
+				c.judge.servedFrom(r, position)
+			}
 			c.after(r, answer, payload, position)
 			open = open[1:]
 			for _, next := range open {
@@ -271,7 +319,7 @@
 		c.position, c.doubt = position, position == ""
 	case r.payload != "" && answer != "53300" && answer != "57P03":
 		c.doubt = true
-	case r.class == "my-library" && answer == "served" && !c.doubt:
+	case r.ownRow != "" && answer == "served" && !c.doubt:
 		c.judge.read(r, payload, fmt.Sprint(c.written))
 	}
 }
@@ -289,6 +337,7 @@
 		if err != nil {
 			return
 		}
+		r.sentFrom = time.Now()
 		_ = c.conn.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
 		if _, err = c.conn.Write(b); err != nil {
 			break
@@ -300,6 +349,22 @@
 	c.disconnect(open)
 }
 
+// rest keeps a connection on which nothing is asked, and makes another when that ends.
+func (c *client) rest(ctx context.Context) {
+	defer c.drop()
+	for ; ctx.Err() == nil; sleep(ctx, 200*time.Millisecond) {
+		if c.connect() != nil {
+			continue
+		}
+		conn := c.conn
+		_ = conn.SetDeadline(time.Time{})
+		stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
+		_, _ = io.Copy(io.Discard, conn)
+		stop()
+		c.drop()
+	}
+}
+
 // stopHalfway sends a half of a message and stays.
 func (c *client) stopHalfway(ctx context.Context) {
 	if c.connect() != nil {
--- a/testbed/soak/faults.go
+++ b/testbed/soak/faults.go
@@ -16,7 +16,7 @@
 // restart starts the next process of a name. p.mu is held.
 func (r *rig) restart(p *pooler) {
 	p.ending.Store(false)
-	p.counted = map[string]int{}
+	p.counted, p.factor = map[string]int{}, 1 // each process starts with the deployment's settings
 	begun := time.Now()
 	process, err := r.fleet.StartPooler(p.name)
 	if process != nil {
@@ -39,12 +39,15 @@
 	}
 	r.count(p)
 	p.ending.Store(true)
+	killAfter := r.killAfter(p.factor)
 	begun := time.Now()
 	_ = p.process.Signal(syscall.SIGTERM)
 	if twice {
 		time.Sleep(haltFor)
 		_ = p.process.Signal(syscall.SIGHUP)
 		_ = p.process.Signal(syscall.SIGTERM)
+		r.changeDeadlines(p)
+		killAfter = min(killAfter, r.killAfter(p.factor))
 	}
 	for ended := false; !ended; {
 		select {
@@ -64,6 +67,32 @@
 	r.restart(p)
 }
 
+// killAfter is the earliest SIGKILL after SIGTERM where the deadlines are longer than the deployment's by a factor.
+func (r *rig) killAfter(factor float64) time.Duration {
+	serves := r.serves
+	serves.Classes = slices.Clone(serves.Classes)
+	for i := range serves.Classes {
+		serves.Classes[i].Deadline = Millis(float64(serves.Classes[i].Deadline) * factor)
+	}
+	return serves.killAfter()
+}
+
+// changeDeadlines has a process take settings whose deadlines are half or twice as long, or as they were. p.mu is held.
+func (r *rig) changeDeadlines(p *pooler) {
+	next := map[float64]float64{1: 0.5, 0.5: 2, 2: 1}[p.factor]
+	if err := r.fleet.RewriteSettings(p.name, r.serves.settings(len(r.names), slices.Index(r.names, p.name), next)); err != nil {
+		r.noteRig(err)
+		return
+	}
+	p.factor = next
+	_ = p.process.Signal(syscall.SIGHUP)
+}
+
+// noteRig notes that the rig itself could not do something.
+func (r *rig) noteRig(err error) {
+	r.g.Do(func(res *report.Result) { res.Notes = append(res.Notes, "the rig: "+err.Error()) })
+}
+
 // kill ends a process at once.
 func (r *rig) kill(ctx context.Context, p *pooler) {
 	p.mu.Lock()
@@ -79,6 +108,27 @@
 	r.restart(p)
 }
 
+// clockOffsets are how wrong a process's clock is: from less than a usual bound on the age of data to far more than any.
+var clockOffsets = []string{"-300ms", "300ms", "-2s", "2s", "-1h", "1h"}
+
+// changeClock ends a process, as the platform does, and starts the next one with a clock that is wrong, or with the right one where
+// that of the last was wrong. drawn selects the offset.
+func (r *rig) changeClock(ctx context.Context, p *pooler, drawn Millis) {
+	if _, wasWrong := r.clocks.LoadAndDelete(p.name); !wasWrong {
+		r.clocks.Store(p.name, clockOffsets[int(drawn)%len(clockOffsets)])
+	}
+	r.end(ctx, p, false)
+}
+
+// operatorBlock is what a pooler's operator's file has besides: the offset of a clock that is wrong.
+func (r *rig) operatorBlock(name string) string {
+	offset, isWrong := r.clocks.Load(name)
+	if !isWrong {
+		return ""
+	}
+	return fmt.Sprintf("lab {\n  clock_offset = %q\n}\n", offset)
+}
+
 // halt stops a process for a moment, over and over.
 func (r *rig) halt(p *pooler, d time.Duration) {
 	for till := time.Now().Add(d); time.Now().Before(till); time.Sleep(haltFor) {
@@ -104,17 +154,46 @@
 // apply makes one fault happen and takes it away again.
 func (r *rig) apply(ctx context.Context, f Fault) {
 	p, h := r.poolers[f.Pooler], r.fleet.Hosts[f.Host]
-	d := f.For.Duration()
-	link := r.mesh.Link(p.name, h.Name)
+	switch f.Kind {
+	case Terminate, TerminateTwice, Reload, ReloadDeadlines, Kill, ClockWrong, Halt:
+		r.applyToProcess(ctx, p, f)
+	case HostHang, HostSlow, HostReset, HostCutAnswers, HostRefuse, HostAfterRow:
+		r.applyToAnswers(h, f)
+	case HostRestart, HostDrain, HostBehind, Failover:
+		r.applyToRole(h, f)
+	case DiscoverySilent, DiscoveryReset, LinkSilent, LinkDribble, LinkReset:
+		r.applyToLink(p, h, f)
+	case ClientsFlood, ClientsDisconnect, ClientsHalf, ClientsBurst:
+		r.crowd(ctx, p, f)
+	}
+}
+
+// applyToProcess makes a fault of a pooler's process happen.
+func (r *rig) applyToProcess(ctx context.Context, p *pooler, f Fault) {
 	switch f.Kind {
 	case Terminate, TerminateTwice:
 		r.end(ctx, p, f.Kind == TerminateTwice)
 	case Reload:
 		r.reload(p)
+	case ReloadDeadlines:
+		if p.mu.TryLock() {
+			r.changeDeadlines(p)
+			p.mu.Unlock()
+		}
 	case Kill:
 		r.kill(ctx, p)
+	case ClockWrong:
+		r.changeClock(ctx, p, f.For)
 	case Halt:
-		r.halt(p, d)
+		r.halt(p, f.For.Duration())
+	default:
+	}
+}
+
+// applyToAnswers makes a fault happen of how a host takes connections and answers.
+func (r *rig) applyToAnswers(h *host.Host, f Fault) {
+	d := f.For.Duration()
+	switch f.Kind {
 	case HostHang:
 		r.withHost(h, host.Faults{Stall: 1, StallFor: d}, d)
 	case HostSlow:
@@ -127,32 +206,63 @@
 		for till := time.Now().Add(d); time.Now().Before(till); time.Sleep(haltFor) {
 			h.Cut()
 		}
+	case HostAfterRow:
+		state := []string{"53300", "25006", "72000"}[int(f.For)%3]
+		r.withHost(h, host.Faults{AfterRow: 0.3, AfterRowState: state}, d)
+	default:
+	}
+}
+
+// applyToRole makes a fault happen of what a host is: its process, its part in the list and in its group, its data.
+func (r *rig) applyToRole(h *host.Host, f Fault) {
+	d := f.For.Duration()
+	switch f.Kind {
 	case HostRestart:
 		r.restartHost(h)
 	case HostDrain:
 		r.drain(h, d)
+	case HostBehind:
+		defer lock(&r.hostFault, h)()
+		h.FallBack(d)
+		time.Sleep(d)
+		h.SetLag(hostLag)
 	case Failover:
-		r.fleet.Cluster.Fail(h, haltFor, f.For%2 == 0)
+		r.clusterOf(h).Fail(h, haltFor, f.For%2 == 0)
 		r.fleet.Publish()
+	default:
+	}
+}
+
+// applyToLink makes a fault happen of a pooler's link to a host or to discovery.
+func (r *rig) applyToLink(p *pooler, h *host.Host, f Fault) {
+	d := f.For.Duration()
+	switch f.Kind {
 	case DiscoverySilent:
 		r.impair(p.name, "discovery", cluster.LinkFault{Drop: true}, d)
 	case DiscoveryReset:
-		over := r.judge.troubled(p.name + ">discovery")
-		r.mesh.Link(p.name, "discovery").Reset()
-		over()
+		r.reset(p.name, "discovery")
 	case LinkSilent:
 		r.impair(p.name, h.Name, cluster.LinkFault{Stall: true}, d)
 	case LinkDribble:
 		r.impair(p.name, h.Name, cluster.LinkFault{Rate: dribbleRate, Jitter: 20 * time.Millisecond}, d)
 	case LinkReset:
-		over := r.judge.troubled(p.name + ">" + h.Name)
-		link.Reset()
-		over()
-	case ClientsFlood, ClientsDisconnect, ClientsHalf, ClientsBurst:
-		r.crowd(ctx, p, f)
+		r.reset(p.name, h.Name)
+	default:
 	}
 }
 
+// reset resets the connections of a link.
+func (r *rig) reset(from, to string) {
+	over := r.judge.troubled(from + ">" + to)
+	r.mesh.Link(from, to).Reset()
+	over()
+}
+
+// clusterOf is the group of a host.
+func (r *rig) clusterOf(h *host.Host) *host.Cluster {
+	return r.fleet.Groups[slices.Index(r.fleet.Hosts, h)/(r.serves.Replicas+1)]
+}
+
 // lock takes a host's mutex of a map of them; the returned function gives it back.
 func lock(of *sync.Map, h *host.Host) (unlock func()) {
 	held, _ := of.LoadOrStore(h.Name, new(sync.Mutex))
@@ -173,13 +283,13 @@
 func (r *rig) restartHost(h *host.Host) {
 	defer lock(&r.hostFault, h)()
 	if h.Primary() {
-		others := r.fleet.Hosts
-		r.fleet.Cluster.Fail(others[(slices.Index(others, h)+1)%len(others)], haltFor, true)
+		others := r.clusterOf(h).Hosts()
+		r.clusterOf(h).Fail(others[(slices.Index(others, h)+1)%len(others)], haltFor, true)
 	}
 	h.Stop()
 	time.Sleep(haltFor)
 	if err := h.Restart(); err != nil {
-		r.g.Do(func(res *report.Result) { res.Notes = append(res.Notes, "the rig: "+err.Error()) })
+		r.noteRig(err)
 	}
 	r.fleet.Publish()
 }
--- a/testbed/soak/plan.go
+++ b/testbed/soak/plan.go
@@ -18,9 +18,11 @@
 // The faults.
 const (
 	Terminate         Kind = "terminate"        // SIGTERM, and the next process of that name once it has ended
-	TerminateTwice    Kind = "terminate twice"  // the same with a second SIGTERM and a SIGHUP on the way
+	TerminateTwice    Kind = "terminate twice"  // the same with SIGHUP, SIGTERM and SIGHUP on the way, the deadlines changed by the last
 	Reload            Kind = "reload"           // SIGHUP, with the operator's file rewritten
+	ReloadDeadlines   Kind = "reload deadlines" // SIGHUP, with deadlines half or twice as long
 	Kill              Kind = "kill"             // SIGKILL, and the next process at once
+	ClockWrong        Kind = "clock wrong"      // the next process starts with a clock that is wrong, or right again
 	Halt              Kind = "halt"             // SIGSTOP, SIGCONT 0.15 s later, over and over
 	HostHang          Kind = "host hang"        // what a host is asked it answers after the fault, or never
 	HostSlow          Kind = "host slow"        // its answers take long
@@ -29,6 +31,8 @@
 	HostRefuse        Kind = "host refuse"      // it refuses connections
 	HostRestart       Kind = "host restart"     // it comes back under its name with a new start time
 	HostDrain         Kind = "host drain"       // it is listed as draining
+	HostBehind        Kind = "host behind"      // its position goes back, and it lags for a while
+	HostAfterRow      Kind = "host after row"   // errors follow whole results, of those that else prove that nothing ran
 	Failover          Kind = "failover"         // the primary's role moves
 	DiscoverySilent   Kind = "discovery silent" // nothing passes between poolers and discovery
 	DiscoveryReset    Kind = "discovery reset"  // watches are reset
@@ -44,7 +48,8 @@
 // Kinds are all faults.
 func Kinds() []Kind {
 	return []Kind{
-		Terminate, TerminateTwice, Reload, Kill, Halt, HostHang, HostSlow, HostReset, HostCutAnswers, HostRefuse, HostRestart, HostDrain, Failover,
+		Terminate, TerminateTwice, Reload, ReloadDeadlines, Kill, ClockWrong, Halt, HostHang, HostSlow, HostReset, HostCutAnswers, HostRefuse,
+		HostRestart, HostDrain, HostBehind, HostAfterRow, Failover,
 		DiscoverySilent, DiscoveryReset, LinkSilent, LinkDribble, LinkReset, ClientsFlood, ClientsDisconnect, ClientsHalf, ClientsBurst,
 	}
 }
@@ -71,26 +76,37 @@
 	Hosts   int     `json:"hosts"`
 	Length  Millis  `json:"length_ms"`
 	Faults  []Fault `json:"faults"`
+	// Deployment is what is served; schedules of before there was a choice have none, and play the usual one.
+	Deployment *Deployment `json:"deployment,omitempty"`
+}
+
+// deployment is what the run serves.
+func (p *Plan) deployment() Deployment {
+	if p.Deployment == nil {
+		return usual()
+	}
+	return *p.Deployment
 }
 
 const (
 	groupInterval = 1200 // ms from one group of overlapping faults to the next
 	groupSpread   = 300  // ms within which the faults of a group begin
 	idleEnd       = 5000 // ms without new faults, in which everything that was taken is answered
-	hostsOfFleet  = 4
 )
 
-// Draw makes a schedule: every groupInterval two or three faults begin within groupSpread. only, if not empty, has the kinds
-// that are drawn from.
+// Draw makes a schedule for a deployment that is drawn too: every groupInterval two or three faults begin within groupSpread. only,
+// if not empty, has the kinds that are drawn from.
 func Draw(seed uint64, poolers int, length time.Duration, only []Kind) Plan {
 	rng := rand.New(rand.NewPCG(seed, 0x50a4))
-	p := Plan{Seed: seed, Poolers: poolers, Hosts: hostsOfFleet, Length: Millis(length.Milliseconds())}
+	deployment := drawDeployment(seed)
+	hosts := deployment.hosts()
+	p := Plan{Seed: seed, Poolers: poolers, Hosts: hosts, Length: Millis(length.Milliseconds()), Deployment: &deployment}
 	kinds := only
 	if len(kinds) == 0 {
 		kinds = Kinds()
 	}
 	for at := 1000; at < int(p.Length)-idleEnd; at += groupInterval {
-		pooler, host := rng.IntN(poolers), rng.IntN(hostsOfFleet)
+		pooler, host := rng.IntN(poolers), rng.IntN(hosts)
 		for range 2 + rng.IntN(2) {
 			f := Fault{
 				Kind: kinds[rng.IntN(len(kinds))], At: Millis(at + rng.IntN(groupSpread)), For: Millis(100 + rng.IntN(1500)),
@@ -100,7 +116,7 @@
 				f.Pooler = rng.IntN(poolers)
 			}
 			if rng.IntN(3) == 0 {
-				f.Host = rng.IntN(hostsOfFleet)
+				f.Host = rng.IntN(hosts)
 			}
 			p.Faults = append(p.Faults, f)
 		}
@@ -119,8 +135,12 @@
 	if err := json.Unmarshal(b, &p); err != nil {
 		return Plan{}, fmt.Errorf("%s: %w", path, err)
 	}
-	if p.Poolers < 1 || p.Poolers > 64 || p.Hosts != hostsOfFleet {
-		return Plan{}, fmt.Errorf("%s: poolers %d, hosts %d; allowed are 1 to 64 poolers and %d hosts", path, p.Poolers, p.Hosts, hostsOfFleet)
+	deployment := p.deployment()
+	if err := deployment.check(); err != nil {
+		return Plan{}, fmt.Errorf("%s: deployment: %w", path, err)
+	}
+	if p.Poolers < 1 || p.Poolers > 64 || p.Hosts != deployment.hosts() {
+		return Plan{}, fmt.Errorf("%s: poolers %d, hosts %d; allowed are 1 to 64 poolers and the deployment's %d hosts", path, p.Poolers, p.Hosts, deployment.hosts())
 	}
 	for i, f := range p.Faults {
 		if !slices.Contains(Kinds(), f.Kind) || f.Pooler < 0 || f.Pooler >= p.Poolers || f.Host < 0 || f.Host >= p.Hosts || f.For < 0 {
--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,9 +19,11 @@
 	"ashstand/internal/admin"
 	"ashstand/internal/lifecycle"
 	"ashstand/internal/metrics"
+	"ashstand/internal/operator"
 	"ashstand/testbed/cluster"
 	"ashstand/testbed/discovery"
 	"ashstand/testbed/fleet"
+	"ashstand/testbed/host"
 	"ashstand/testbed/report"
 )
 
@@ -30,7 +33,10 @@
 	Clients int    // of each pooler
 	Pooler  string // the program; "": ashstand beside this one
 	Break   string // a rule that the run breaks by itself, so that its checker is seen to fail
-	Log     bool
+	// Env is what the poolers' environment has besides. Breaks of the pooler itself need a program that was built with the tag
+	// faulthooks, and name their faults here.
+	Env []string
+	Log bool
 	// Slack is what is allowed for a machine that does other work beside the run. Where it is more than the usual, rules that a
 	// pooler breaks by being held up are not judged; all others are.
 	Slack time.Duration
@@ -44,17 +50,19 @@
 
 // Breakable are the rules that a run can break by itself.
 func Breakable() []string {
-	return []string{unanswered, duplicateWrite, lostCommit, sentAfterDisconnect, sentToDraining, crashed, endedLate}
+	return []string{
+		unanswered, duplicateWrite, lostCommit, sentAfterDisconnect, sentToDraining, rejectedAfterRun, runTwice, unseenByCounters, crashed, endedLate,
+	}
 }
 
 const (
-	killAfter     = 3700 * time.Millisecond // from SIGTERM to SIGKILL: the longest deadline, 3 s at the most, and 0.7 s
-	readyWithin   = 10 * time.Second
-	clientsEnd    = 3 * time.Second // for what is under way at the end
-	haltFor       = 150 * time.Millisecond
-	hostLag       = 30 * time.Millisecond
-	dribbleRate   = 4000 // bytes a second
-	statsInterval = 100 * time.Millisecond
+	readyWithin    = 10 * time.Second
+	clientsEnd     = 3 * time.Second // for what is under way at the end
+	crowdedPoolers = 3               // that have a deployment's idle clients
+	haltFor        = 150 * time.Millisecond
+	hostLag        = 30 * time.Millisecond
+	dribbleRate    = 4000 // bytes a second
+	statsInterval  = 100 * time.Millisecond
 )
 
 // rig is a run.
@@ -65,6 +73,7 @@
 	fleet   *fleet.Fleet
 	mesh    *cluster.Mesh
 	names   []string
+	serves  Deployment
 	poolers []*pooler
 	faults  sync.WaitGroup
 
@@ -72,6 +81,7 @@
 	agents    map[string]string
 	hostFault sync.Map // by host name: *sync.Mutex, one fault of its own at a time
 	hostDrain sync.Map // the same for drains
+	clocks    sync.Map // by pooler name: the offset of a clock that is wrong, as the operator's file words it
 }
 
 // pooler is one name with its present process. Faults that end the process take turns.
@@ -81,14 +91,16 @@
 	mu      sync.Mutex // held while a process ends and the next starts
 	process *fleet.Pooler
 	ending  atomic.Bool // it was told to end
+	factor  float64     // by which the deadlines of its settings are longer than the deployment's; guarded by mu
 
 	counted map[string]int // rule violations of this process, as they were read last; guarded by mu
 }
 
 // Run plays a plan and returns what was found.
 func Run(ctx context.Context, o Options) (*report.Result, error) {
-	g := report.New("soak", o.Plan.Seed, unanswered, late, duplicateWrite, lostCommit, missedOwnWrite, sentAfterDisconnect, sentToDraining, endedLate, crashed, notReadyInTime)
-	r := &rig{o: o, g: g, judge: newJudge(g, max(machineSlack, o.Slack)), mesh: cluster.NewMesh(), agents: map[string]string{}}
+	g := report.New("soak", o.Plan.Seed, unanswered, late, duplicateWrite, lostCommit, missedOwnWrite, staleRead, sentAfterDisconnect, sentToDraining,
+		rejectedAfterRun, runTwice, runOutsideWindow, unseenByCounters, endedLate, crashed, notReadyInTime)
+	r := &rig{o: o, g: g, serves: o.Plan.deployment(), judge: newJudge(g, max(machineSlack, o.Slack)), mesh: cluster.NewMesh(), agents: map[string]string{}}
 	for i := range o.Plan.Poolers {
 		r.names = append(r.names, fmt.Sprint("n", i+1))
 	}
@@ -105,7 +117,8 @@
 		}
 	})
 	r.breakRule()
-	r.judge.finish(func(ref string) int { return r.fleet.Cluster.Versions("public", "entries", ref) })
+	r.judge.finish(func(group uint64, ref string) int { return r.groupOf(group).Versions("public", "entries", ref) })
+	r.compareCounters()
 	return g.Result(time.Since(begun).Seconds()), nil
 }
 
@@ -113,18 +126,26 @@
 func (r *rig) start() error {
 	var err error
 	r.fleet, err = fleet.Start(fleet.Options{
-		Pooler: r.o.Pooler, Replicas: hostsOfFleet - 1, Lag: hostLag, Seed: r.o.Plan.Seed, Clients: 10, Servers: 8, Log: r.o.Log,
-		Names: r.names, Agent: r.agent, Sockets: 256, MemoryMB: 96,
+		Pooler: r.o.Pooler, Replicas: r.serves.Replicas, Groups: r.serves.Groups, Lag: hostLag, Seed: r.o.Plan.Seed, Log: r.o.Log,
+		Names: r.names, Agent: r.agent, Sockets: 256, MemoryMB: 96, Sessions: noSessions, Extra: r.operatorBlock,
+		Env:      append(slices.Clone(r.o.Env), operator.TestbedEnv+"=1"), // ClockWrong needs it
+		Settings: func(poolers, index int) map[string]any { return r.serves.settings(poolers, index, 1) },
 	})
 	if err != nil {
 		return err
 	}
-	r.fleet.Cluster.Observe(r.judge.sighted)
-	r.judge.payloads = func(ref string) []string { return r.fleet.Cluster.Payloads("public", "entries", ref) }
+	for _, group := range r.fleet.Groups {
+		group.Observe(r.judge.sighted)
+		group.ObserveRejections(r.judge.rejectedByHost)
+		if r.serves.StalenessCheck != CheckOff {
+			group.CheckReads(r.positionNeeded)
+		}
+	}
+	r.judge.payloads = func(group uint64, ref string) []string { return r.groupOf(group).Payloads("public", "entries", ref) }
 	failed := make([]error, len(r.names))
 	var all sync.WaitGroup
 	for i, name := range r.names {
-		p := &pooler{name: name, counted: map[string]int{}}
+		p := &pooler{name: name, counted: map[string]int{}, factor: 1}
 		r.poolers = append(r.poolers, p)
 		all.Go(func() { p.process, failed[i] = r.fleet.StartPooler(name) })
 	}
@@ -138,6 +159,64 @@
 	return nil
 }
 
+// noSessions is an operator's block that opens no session front.
+const noSessions = "\n"
+
+// groupOf is the data of a group, by its number from 1.
+func (r *rig) groupOf(number uint64) *host.Cluster { return r.fleet.Groups[number-1] }
+
+// positionNeeded is what a host that checks reads by itself wants of its position for one.
+func (r *rig) positionNeeded(text string) (position float64, wait time.Duration, ok bool) {
+	class, after := r.classOf(text)
+	if class == nil {
+		return 0, 0, false
+	}
+	if r.serves.StalenessCheck == CheckWait {
+		wait = r.serves.CatchUpWait.Duration()
+	}
+	switch class.Access {
+	case Bounded:
+		return host.Now() - float64(class.Bound), wait, true
+	case Session:
+		return after, wait, after > 0
+	case Strong:
+		return host.Now(), wait, true
+	case Any, Write:
+	}
+	return 0, 0, false
+}
+
+// classOf is the class of a statement, and the position that its comment asks for.
+func (r *rig) classOf(text string) (class *Class, after float64) {
+	comment, _, _ := strings.Cut(text, "*/")
+	for _, field := range strings.Split(strings.TrimPrefix(strings.TrimSpace(comment), "/*"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		switch name {
+		case "c":
+			if i := slices.IndexFunc(r.serves.Classes, func(c Class) bool { return c.Name == value }); i >= 0 {
+				class = &r.serves.Classes[i]
+			}
+		case "after":
+			after, _ = strconv.ParseFloat(value, 64)
+		}
+	}
+	return class, after
+}
+
+// compareCounters breaks where hosts and clients saw what no pooler's counter tells of.
+func (r *rig) compareCounters() {
+	seen, counted := 0, 0
+	r.g.Do(func(res *report.Result) {
+		seen = res.Broken[rejectedAfterRun] + res.Broken[runTwice] + res.Broken[runOutsideWindow]
+		for _, rule := range []lifecycle.Rule{lifecycle.RejectedAfterRun, lifecycle.RepeatAfterRun, lifecycle.RetryNotIdempotent, lifecycle.RetryOutsideWindow} {
+			counted += res.Broken[poolerViolations+rule.String()]
+		}
+	})
+	if seen > 0 && counted == 0 {
+		r.g.Break(unseenByCounters, "%d requests were rejected or repeated though they had run, and no counter moved", seen)
+	}
+}
+
 // agent is where a pooler asks for the list: behind a link of its own, with each host behind a link too.
 func (r *rig) agent(name string, of *discovery.Registry) (string, error) {
 	r.mu.Lock()
@@ -164,6 +243,15 @@
 			clients.Go(func() { c.run(run) })
 		}
 	}
+	for i, p := range r.poolers {
+		for k := range r.serves.IdleClients {
+			if i >= crowdedPoolers {
+				break
+			}
+			c := r.newClient(p, fmt.Sprintf("i%d-%d", i, k), oneByOne, uint64(i)<<32|uint64(k))
+			clients.Go(func() { c.rest(run) })
+		}
+	}
 	watched := make(chan struct{})
 	go func() {
 		defer close(watched)
@@ -191,7 +279,7 @@
 
 func (r *rig) newClient(p *pooler, name string, h habit, seed uint64) *client {
 	return &client{
-		name: name, pooler: p.name, address: p.address, habit: h, judge: r.judge,
+		name: name, pooler: p.name, address: p.address, classes: r.serves.Classes, group: 1 + seed%uint64(r.serves.Groups), habit: h, judge: r.judge,
 		rng: rand.New(rand.NewPCG(r.o.Plan.Seed, seed)),
 	}
 }
@@ -262,11 +350,12 @@
 // breakRule breaks a rule by itself, so that its checker is seen to fail.
 func (r *rig) breakRule() {
 	now := time.Now()
-	q := &request{id: "broken-1", class: "donate", pooler: r.names[0], ref: "seed-1", deadline: time.Second, writtenAt: now, dueFrom: now}
+	class := &Class{Name: "broken", Access: Write, Effect: AtMostOnce, Deadline: 1000}
+	q := &request{id: "broken-1", class: class, group: 1, pooler: r.names[0], ref: "seed-1", writtenAt: now, dueFrom: now}
 	switch r.o.Break {
 	case unanswered:
 		r.judge.began(q)
-		r.judge.sighted(r.fleet.Hosts[0].Name, "/* id=broken-1,c=donate */", now)
+		r.judge.sighted(r.fleet.Hosts[0].Name, "/* id=broken-1,c=broken */", now)
 		r.judge.closed([]*request{q}, errors.New("--break"))
 	case duplicateWrite:
 		r.insert("twice/1")
@@ -277,14 +366,23 @@
 		q.ref = "never/1"
 		r.judge.began(q)
 		r.judge.answered(q, "served")
+	case rejectedAfterRun, unseenByCounters:
+		r.judge.sighted(r.fleet.Hosts[0].Name, "/* id=broken-1,c=broken */", now)
+		r.judge.began(q)
+		r.judge.answered(q, "53300")
+	case runTwice:
+		q.ref = ""
+		r.judge.began(q)
+		r.judge.sighted(r.fleet.Hosts[0].Name, "/* id=broken-1,c=broken */", now)
+		r.judge.sighted(r.fleet.Hosts[0].Name, "/* id=broken-1,c=broken */", now)
 	case sentAfterDisconnect:
 		q.disconnectedAt = now.Add(-time.Second)
 		r.judge.began(q)
-		r.judge.sighted("elsewhere", "/* id=broken-1,c=donate */", now)
+		r.judge.sighted("elsewhere", "/* id=broken-1,c=broken */", now)
 	case sentToDraining:
 		r.judge.drains["elsewhere"] = []interval{{from: now.Add(-time.Hour)}}
 		r.judge.began(q)
-		r.judge.sighted("elsewhere", "/* id=broken-1,c=donate */", now)
+		r.judge.sighted("elsewhere", "/* id=broken-1,c=broken */", now)
 	case crashed:
 		p := r.poolers[0]
 		_ = p.process.Signal(syscall.SIGKILL)
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -67,6 +67,26 @@
 	require.Error(t, err)
 }
 
+// A seed draws one deployment. Over many, access and effect meet in every pair, and no name comes twice.
+func TestDeploymentsAreDrawn(t *testing.T) {
+	pairs, names := map[[2]string]int{}, map[string]bool{}
+	shortest, longest := time.Hour, time.Duration(0)
+	for seed := range uint64(200) {
+		d := drawDeployment(seed)
+		require.Equal(t, d, drawDeployment(seed))
+		require.NoError(t, d.check())
+		for _, c := range d.Classes {
+			pairs[[2]string{string(c.Access), string(c.Effect)}]++
+			require.False(t, names[c.Name])
+			names[c.Name] = true
+		}
+		shortest, longest = min(shortest, d.killAfter()), max(longest, d.killAfter())
+	}
+	require.Len(t, pairs, 5*3)
+	require.Less(t, shortest, time.Second)
+	require.Equal(t, 3700*time.Millisecond, longest)
+}
+
 // Each check of the judge, at its bound and past it.
 func TestTheJudgeFindsEachBreak(t *testing.T) {
 	now := time.Now()
@@ -77,12 +97,12 @@
 	}{
 		{"in time", "", func(j *judge, r *request) { j.answered(r, "served") }},
 		{"late", late, func(j *judge, r *request) {
-			r.dueFrom = now.Add(-r.deadline - lateGrace - machineSlack - time.Second)
+			r.dueFrom = now.Add(-r.class.Deadline.Duration() - lateGrace - machineSlack - time.Second)
 			j.answered(r, "served")
 		}},
 		{"crossed a close", "", func(j *judge, r *request) { j.closed([]*request{r}, errors.New("closed")) }},
 		{"a host had it", unanswered, func(j *judge, r *request) {
-			j.sighted("h", "/* id=r,c=browse */", now)
+			j.sighted("h", "/* id=r,c=reads */", now)
 			j.closed([]*request{r}, errors.New("closed"))
 		}},
 		{"it lay there", unanswered, func(j *judge, r *request) {
@@ -90,7 +110,7 @@
 			j.closed([]*request{r}, errors.New("closed"))
 		}},
 		{"its pooler was killed", "", func(j *judge, r *request) {
-			j.sighted("h", "/* id=r,c=browse */", now)
+			j.sighted("h", "/* id=r,c=reads */", now)
 			j.kill("n1")
 			j.closed([]*request{r}, errors.New("closed"))
 		}},
@@ -105,33 +125,73 @@
 		}},
 		{"after its client", sentAfterDisconnect, func(j *judge, r *request) {
 			r.disconnectedAt = now
-			j.sighted("h", "/* id=r,c=browse */", now.Add(disconnectGrace+machineSlack+time.Millisecond))
+			j.sighted("h", "/* id=r,c=reads */", now.Add(disconnectGrace+machineSlack+time.Millisecond))
 		}},
 		{"after its client, over a link that held it", "", func(j *judge, r *request) {
 			r.disconnectedAt = now
 			defer j.troubled("n1>h")()
-			j.sighted("h", "/* id=r,c=browse */", now.Add(time.Second))
+			j.sighted("h", "/* id=r,c=reads */", now.Add(time.Second))
 		}},
 		{"an older payload than was written", missedOwnWrite, func(j *judge, r *request) { j.read(r, "2", "3") }},
 		{"a write that was given up came later", "", func(j *judge, r *request) { j.read(r, "4", "3") }},
+		{"rejected, and its host rejected it", "", func(j *judge, r *request) {
+			j.sighted("h", "/* id=r,c=reads */", now)
+			j.rejectedByHost("h", "/* id=r,c=reads */")
+			j.answered(r, "53300")
+		}},
+		{"rejected, and it ran", rejectedAfterRun, func(j *judge, r *request) {
+			j.sighted("h", "/* id=r,c=reads */", now)
+			j.answered(r, "53300")
+		}},
+		{"rejected, and it ran at the second host", rejectedAfterRun, func(j *judge, r *request) {
+			j.sighted("h", "/* id=r,c=reads */", now)
+			j.rejectedByHost("h", "/* id=r,c=reads */")
+			j.sighted("other", "/* id=r,c=reads */", now)
+			j.answered(r, "57P03")
+		}},
+		{"rejected, it ran, and it may be repeated", "", func(j *judge, r *request) {
+			r.class.Effect = Idempotent
+			j.sighted("h", "/* id=r,c=reads */", now)
+			j.answered(r, "53300")
+		}},
+		{"rejected, it ran, and one group discards repeats", rejectedAfterRun, func(j *judge, r *request) {
+			r.class.Effect, r.class.Scope = Deduplicated, ScopeCell
+			j.sighted("h", "/* id=r,c=reads */", now)
+			j.answered(r, "53300")
+		}},
+		{"run at two hosts", runTwice, func(j *judge, _ *request) {
+			j.sighted("h", "/* id=r,c=reads */", now)
+			j.sighted("other", "/* id=r,c=reads */", now)
+		}},
+		{"repeated inside its window", "", func(j *judge, r *request) {
+			r.class.Effect, r.class.Scope = Deduplicated, ScopeCell
+			j.sighted("h", "/* id=r,c=reads */", now)
+			j.sighted("other", "/* id=r,c=reads */", now.Add(500*time.Millisecond))
+		}},
+		{"repeated outside its window", runOutsideWindow, func(j *judge, r *request) {
+			r.class.Effect, r.class.Scope = Deduplicated, ScopeCell
+			j.sighted("h", "/* id=r,c=reads */", now)
+			j.sighted("other", "/* id=r,c=reads */", now.Add(501*time.Millisecond+machineSlack))
+		}},
 		{"draining", sentToDraining, func(j *judge, _ *request) {
 			j.drains["h"] = []interval{{from: now}}
-			j.sighted("h", "/* id=r,c=browse */", now.Add(drainGrace+machineSlack+time.Millisecond))
+			j.sighted("h", "/* id=r,c=reads */", now.Add(drainGrace+machineSlack+time.Millisecond))
 		}},
 		{"draining, and discovery was silent", "", func(j *judge, _ *request) {
 			j.drains["h"] = []interval{{from: now}}
 			j.troubles["n1>discovery"] = []interval{{from: now, till: now.Add(time.Second)}}
-			j.sighted("h", "/* id=r,c=browse */", now.Add(5*time.Second))
+			j.sighted("h", "/* id=r,c=reads */", now.Add(5*time.Second))
 		}},
 	} {
 		t.Run(k.name, func(t *testing.T) {
 			g := report.New("soak", 1)
 			j := newJudge(g, machineSlack)
-			j.payloads = func(string) []string { return []string{"1", "2", "3", "4"} }
-			r := &request{id: "r", class: "browse", pooler: "n1", deadline: time.Second, writtenAt: now, dueFrom: now}
+			j.payloads = func(uint64, string) []string { return []string{"1", "2", "3", "4"} }
+			class := &Class{Name: "reads", Access: Bounded, Effect: AtMostOnce, Deadline: 1000, Window: 500}
+			r := &request{id: "r", class: class, group: 1, pooler: "n1", writtenAt: now, dueFrom: now}
 			j.began(r)
 			k.play(j, r)
-			j.finish(func(ref string) int { return map[string]int{"two": 2}[ref] })
+			j.finish(func(_ uint64, ref string) int { return map[string]int{"two": 2}[ref] })
 			want := map[string]int{}
 			if k.broken != "" {
 				want[k.broken] = 1
@@ -141,11 +201,47 @@
 	}
 }
 
+// buildPooler builds the program, with build tags if there are to be any.
+func buildPooler(t *testing.T, tags string) (program string) {
+	t.Helper()
+	program = filepath.Join(t.TempDir(), "ashstand")
+	out, err := exec.Command("go", "build", "-tags", tags, "-o", program, "ashstand/cmd/ashstand").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	return program
+}
+
+// Rules are broken in the poolers themselves, and the run goes red: what clients and hosts saw, what the counters say, and that
+// they say nothing where they are broken too.
+func TestBrokenPoolersAreFound(t *testing.T) {
+	program := buildPooler(t, "faulthooks")
+	plan, err := LoadPlan(filepath.Join("testdata", "rejected-after-run.json"))
+	require.NoError(t, err)
+	for _, k := range []struct {
+		faults string
+		broken []string
+		whole  []string
+	}{
+		{"forget_run", []string{"pooler_violation_repeat_after_run"}, []string{runTwice, rejectedAfterRun, unseenByCounters}},
+		{"forget_run,carry_out", []string{runTwice, "pooler_violation_repeat_after_run"}, []string{unseenByCounters}},
+		{"serve_stale", []string{staleRead, "pooler_violation_stale_read"}, []string{runTwice, rejectedAfterRun}},
+		{"forget_run,carry_out,count_nothing", []string{runTwice, unseenByCounters}, []string{"pooler_violation_repeat_after_run"}},
+	} {
+		t.Run(k.faults, func(t *testing.T) {
+			r, err := Run(context.Background(), Options{Plan: plan, Clients: 5, Pooler: program, Slack: 3 * time.Second, Env: []string{"ASHSTAND_FAULT=" + k.faults}})
+			require.NoError(t, err)
+			for _, name := range k.broken {
+				require.NotZero(t, r.Broken[name], "%s: %v", name, r.Broken)
+			}
+			for _, name := range k.whole {
+				require.Zero(t, r.Broken[name], "%s: %v\n%v", name, r.Broken, r.Notes)
+			}
+		})
+	}
+}
+
 // Every schedule of the corpus, on a few real processes. One that fails somewhere is shrunk and put beside them.
 func TestTheCorpusHolds(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "ashstand")
-	out, err := exec.Command("go", "build", "-o", program, "ashstand/cmd/ashstand").CombinedOutput()
-	require.NoError(t, err, "%s", out)
+	program := buildPooler(t, "")
 	entries, err := os.ReadDir("testdata")
 	require.NoError(t, err)
 	require.NotEmpty(t, entries)
