Failing tests: statements are taken while the pooler's other addresses are closed

The start opens the statement front first. They occupy all addresses and look which one the start tried first.

--- a/internal/net/loop/engine_test.go
+++ b/internal/net/loop/engine_test.go
@@ -96,3 +96,20 @@
 	}
 	return -1
 }
+
+// Whoever reaches the engine's own address reaches the others too: it is opened after them. All are occupied here, and the error
+// names the one that was tried first.
+func TestItsOwnAddressIsOpenedAfterTheOthers(t *testing.T) {
+	occupied := func() string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		return l.Addr().String()
+	}
+	own, other := occupied(), occupied()
+	reject := func(gnet.Conn) (Handler, []byte, gnet.Action) { return nil, nil, gnet.Close }
+	e := New()
+	require.NoError(t, e.AddListener(other, reject))
+	err := e.Start(own, reject)
+	require.ErrorContains(t, err, "listen on "+other+":")
+}
