A start opens the address of statements last

Cause: the event loop took statements while the addresses of Flight SQL and of operators were still closed; where one of these could not be opened, the process ended over the requests it had taken. A test that waited for the first address met the second closed. Change: openListeners opens both before the event loop starts; the event loop opens the sessions' address before its own.

--- a/cmd/ashstand/golden_test.go
+++ b/cmd/ashstand/golden_test.go
@@ -119,9 +119,9 @@
 func serveAdmin(t *testing.T, views map[string]func() any, deeds map[string]admin.Command) string {
 	t.Helper()
 	address := "unix:" + filepath.Join(t.TempDir(), "admin.sock")
-	s, err := admin.Start(address, views, deeds)
+	l, err := admin.Listen(address)
 	require.NoError(t, err)
-	t.Cleanup(s.Stop)
+	t.Cleanup(admin.Serve(l, views, deeds).Stop)
 	return address
 }
 
--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log"
 	"log/slog"
-	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -206,30 +205,18 @@
 	n.core.Metrics().AddGauge("requests_open", "Requests that have begun and have no answer yet.", func() float64 { return float64(n.core.OpenRequests()) })
 	n.front = pg.NewFront(n.core, b.front)
 	n.engine.Exhaustion = loop.ExhaustionPolicy{EvictClient: n.front.EvictClient, Reject: n.front.Reject}
+	opened, err := openListeners(cfg)
+	if err != nil {
+		n.stop()
+		return nil, err
+	}
 	if err := n.engine.Start(cfg.Listen, n.front.Accept); err != nil {
+		opened.close()
 		n.stop()
 		return nil, err
 	}
 	go func() { n.ended <- endedError("the event loop", <-n.engine.Ended()) }()
-	if cfg.flight.Listen != "" {
-		l, err := net.Listen("tcp", cfg.flight.Listen)
-		if err != nil {
-			n.stop()
-			return nil, fmt.Errorf("flight: %w", err)
-		}
-		n.flight = flight.NewFront(n.core)
-		go func() {
-			n.ended <- endedError("the Flight SQL front", n.flight.Serve(l, cfg.flight.Connections))
-		}()
-		log.Printf("%s listens for Flight SQL on %s; at most %d connections", cfg.Name, l.Addr(), cfg.flight.Connections)
-	}
-	if listen := cfg.operator.Admin.Listen; listen != "" {
-		if n.admin, err = admin.Start(listen, n.views(), n.adminCommands()); err != nil {
-			n.stop()
-			return nil, err
-		}
-		log.Printf("%s answers operators at %s", cfg.Name, listen)
-	}
+	n.serve(opened, cfg)
 	if n.pooled != nil {
 		go every(ctx, pg.SweepInterval, n.pooled.Sweep)
 		log.Printf("%s pools sessions on %s; at most %d clients and %d server connections", cfg.Name, cfg.operator.Sessions.Listen,
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -11,6 +11,15 @@
 	"github.com/stretchr/testify/require"
 )
 
+// listenAndServe opens an address and serves it.
+func listenAndServe(address string, views map[string]func() any, commands map[string]Command) (*Server, error) {
+	l, err := Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return Serve(l, views, commands), nil
+}
+
 func TestAdminAnswersOnASocketOfItsOwn(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "a.sock")
 	left, err := net.Listen("unix", path) // what a process that was killed leaves behind
@@ -18,12 +27,12 @@
 	left.(*net.UnixListener).SetUnlinkOnClose(false)
 	left.Close()
 	views := map[string]func() any{"sessions": func() any { return map[string]int{"clients": 3} }, "bad": func() any { return make(chan int) }}
-	s, err := Start("unix:"+path, views, nil)
+	s, err := listenAndServe("unix:"+path, views, nil)
 	require.NoError(t, err)
 	info, err := os.Stat(path)
 	require.NoError(t, err)
 	require.Equal(t, os.FileMode(0o600), info.Mode().Perm(), "nobody else reads it")
-	_, err = Start("unix:"+path, views, nil)
+	_, err = listenAndServe("unix:"+path, views, nil)
 	require.ErrorContains(t, err, "another process answers")
 	var got map[string]int
 	require.NoError(t, Get("unix:"+path, "sessions", &got))
@@ -36,11 +45,11 @@
 	s.Stop()
 	require.NoFileExists(t, path)
 	require.ErrorContains(t, Get("unix:"+path, "sessions", &got), "no pooler answers")
-	tcp, err := Start("127.0.0.1:0", views, nil)
+	tcp, err := listenAndServe("127.0.0.1:0", views, nil)
 	require.NoError(t, err)
 	tcp.Stop()
 	require.NoError(t, os.WriteFile(path, []byte("a file of somebody's"), 0o600))
-	_, err = Start("unix:"+path, views, nil)
+	_, err = listenAndServe("unix:"+path, views, nil)
 	require.Error(t, err)
 	require.FileExists(t, path, "which is no socket, and stays")
 }
@@ -54,7 +63,7 @@
 		}
 		return map[string]int{"n": len(body)}, nil
 	}}
-	s, err := Start("unix:"+path, nil, deeds)
+	s, err := listenAndServe("unix:"+path, nil, deeds)
 	require.NoError(t, err)
 	defer s.Stop()
 	var out struct{ N int }
--- a/internal/admin/golden_test.go
+++ b/internal/admin/golden_test.go
@@ -56,7 +56,7 @@
 		"fail":  func(context.Context, []byte) (any, error) { return nil, errors.New("it went wrong") },
 		"coded": func(context.Context, []byte) (any, error) { return nil, fmt.Errorf("within: %w", codedError{}) },
 	}
-	s, err := Start("unix:"+path, views, deeds)
+	s, err := listenAndServe("unix:"+path, views, deeds)
 	require.NoError(t, err)
 	defer s.Stop()
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -3,7 +3,7 @@
 // sent with POST and accepted on a Unix socket alone, whose file mode says who may connect.
 //
 // The server's goroutine belongs to Server, whose Stop waits for it. The state that views and commands read and change belongs
-// to the caller of Start.
+// to the caller of Serve.
 package admin
 
 import (
@@ -52,21 +52,32 @@
 	return "tcp", listen
 }
 
-// Start listens at unix:PATH or host:port. It answers GET /NAME with what views[NAME] returns, as JSON, and on a Unix socket
-// POST /NAME with the result of commands[NAME].
-func Start(listen string, views map[string]func() any, commands map[string]Command) (*Server, error) {
-	network, address := splitAddress(listen)
-	l, err := openListener(network, address)
+// Listener is an address for operators that is open and not served yet: connections wait in its queue.
+type Listener struct {
+	net.Listener
+	isUnix bool
+}
+
+// Listen opens unix:PATH or host:port.
+func Listen(address string) (*Listener, error) {
+	network, path := splitAddress(address)
+	l, err := openListener(network, path)
 	if err != nil {
 		return nil, err
 	}
+	return &Listener{Listener: l, isUnix: network == unixNetwork}, nil
+}
+
+// Serve answers GET /NAME with what views[NAME] returns, as JSON, and on a Unix socket POST /NAME with the result of
+// commands[NAME]. The listener belongs to the server.
+func Serve(l *Listener, views map[string]func() any, commands map[string]Command) *Server {
 	mux := http.NewServeMux()
 	for name, view := range views {
 		mux.HandleFunc("GET /"+name, viewHandler(view))
 	}
 	s := &Server{done: make(chan struct{})}
-	if network == unixNetwork {
-		s.path = address
+	if l.isUnix {
+		s.path = l.Addr().String()
 		for name, command := range commands {
 			mux.HandleFunc("POST /"+name, commandHandler(command))
 		}
@@ -76,7 +87,7 @@
 		defer close(s.done)
 		_ = s.http.Serve(l) // ErrServerClosed after Stop; until then the listener is this process's own
 	}()
-	return s, nil
+	return s
 }
 
 func openListener(network, address string) (net.Listener, error) {
--- a/internal/net/loop/engine.go
+++ b/internal/net/loop/engine.go
@@ -11,8 +11,10 @@
 	"fmt"
 	"log"
 	"log/slog"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,13 +93,11 @@
 	return nil
 }
 
-// Start listens at address, a TCP host:port, and at those that were added, and returns once the event loop runs.
+// Start listens at the addresses that were added and then at address, a TCP host:port, and returns once the event loop runs.
+// Clients that reach address therefore reach the others.
 func (e *Engine) Start(address string, accept Accept) error {
 	e.accept = accept
-	addresses := []string{address}
-	for other := range e.listeners {
-		addresses = append(addresses, other)
-	}
+	addresses := append(slices.Sorted(maps.Keys(e.listeners)), address)
 	urls := make([]string, 0, len(addresses))
 	for _, a := range addresses {
 		if err := checkAddressFree(a); err != nil {
