Session front: one search for a statement that a failed block may run

Cause: Describe and Bind in a lost block began with the same six lines. Change: findForLostBlock; no behaviour changes. Measured: the tests of pooled sessions, lost connections and blocks are green.

--- a/internal/net/pg/session_lost_block.go
+++ b/internal/net/pg/session_lost_block.go
@@ -118,17 +118,27 @@
 	c.pipeline.SkipUntilSync()
 }
 
+// findForLostBlock returns a prepared statement that a failed block may run, else nil. isAnswered: the client has been told that there
+// is no such statement; otherwise the block's error is the answer.
+func (c *sessionClient) findForLostBlock(name string) (prepared *session.Prepared, isAnswered bool) {
+	prepared = c.pipeline.Find(name)
+	if prepared == nil {
+		c.rejectMissingStatement(name)
+		return nil, true
+	}
+	if !c.mayRunInLostBlock(prepared) {
+		return nil, false
+	}
+	return prepared, false
+}
+
 // describeInLostBlock describes what a failed block may run, which takes no parameters and gives no rows. A server looks up
 // nothing else in a failed block; false: the block's error is the answer.
 func (c *sessionClient) describeInLostBlock(target byte, name string) bool {
 	if target == targetStatement {
-		prepared := c.pipeline.Find(name)
+		prepared, isAnswered := c.findForLostBlock(name)
 		if prepared == nil {
-			c.rejectMissingStatement(name)
-			return true
-		}
-		if !c.mayRunInLostBlock(prepared) {
-			return false
+			return isAnswered
 		}
 		c.writeClient(appendMessage(nil, serverParameterDescription, func(b []byte) []byte { return append(b, 0, 0) }))
 	} else if _, isBound := c.recovery.lostPortals[name]; !isBound {
@@ -140,13 +150,9 @@
 
 // bindInLostBlock answers a Bind of a statement that does not exist, or that a failed block may run.
 func (c *sessionClient) bindInLostBlock(portal, name string) bool {
-	prepared := c.pipeline.Find(name)
+	prepared, isAnswered := c.findForLostBlock(name)
 	if prepared == nil {
-		c.rejectMissingStatement(name)
-		return true
-	}
-	if !c.mayRunInLostBlock(prepared) {
-		return false
+		return isAnswered
 	}
 	c.recovery.lostPortals = map[string]bool{portal: prepared.Query.EndsBlock()}
 	c.writeClient(appendEmpty(nil, serverBindComplete))
