Failing tests of the incident: what changes around a warming host overruns its budget

The fleet's simulation gets groups of three, hosts unlike by their speed, drains, promotions, replacements and surges while one replica of each group warms up; nothing that stood there was eased.

What was chosen for a host while it was warm is written once it is back and cold: 99 of 99.

--- a/routing/simulation_test.go
+++ b/routing/simulation_test.go
@@ -44,7 +44,8 @@
 
 const (
 	simulatedRouters = 300
-	simulatedGroups  = 30 // of four hosts
+	simulatedGroups  = 30
+	usualReplicas    = 3 // of a group
 	simulatedRate    = 3000.0
 	answerTime       = 20 * ms
 	probeTime        = 2 * ms
@@ -77,11 +78,13 @@
 	rejected      int
 	arrived       int
 	rate          float64 // requests a second
-	baseRate      float64 // the rate at which a third of a group's requests are what a warm host bears
+	baseRate      float64 // the rate at which a replica's part of a group's requests is what a warm host bears
 	groups        int
-	mix           []float64 // of the classes, of ten
-	clientRetries int       // times that a client comes again after a refusal
-	marksRetries  bool      // it says so
+	replicas      int                // of each group
+	speeds        map[string]float64 // of hosts whose capacity is not the usual one, as a part of that
+	mix           []float64          // of the classes, of ten
+	clientRetries int                // times that a client comes again after a refusal
+	marksRetries  bool               // it says so
 }
 
 // clientRequest is a client's request.
@@ -96,7 +99,13 @@
 
 // newFleetSimulationOf has routers of equal shares, unless a share is given for each. What a group is asked is the same in each crowd.
 func newFleetSimulationOf(t testing.TB, routers, groups int, seed uint64, share func(router int) float64) *fleetSimulation {
+	return newFleetSimulationWith(t, routers, groups, usualReplicas, seed, share)
+}
+
+// newFleetSimulationWith has groups of a primary and so many replicas.
+func newFleetSimulationWith(t testing.TB, routers, groups, replicas int, seed uint64, share func(router int) float64) *fleetSimulation {
 	w := &fleetSimulation{
+		replicas: replicas, speeds: map[string]float64{},
 		t: t, now: startTime, rate: simulatedRate / simulatedGroups * float64(groups), groups: groups, rng: rand.New(rand.NewPCG(3, seed-5)),
 		list: map[string]Target{}, down: map[string]bool{}, broken: map[string]bool{}, answerTimes: map[string]time.Duration{},
 		lag: map[string]time.Duration{}, idle: map[[2]string]int{}, requests: map[string]*clientRequest{},
@@ -121,7 +130,7 @@
 	}
 	var all []Target
 	for g := range groups {
-		for i := range 4 {
+		for i := range replicas + 1 {
 			all = append(all, Target{Host: fmt.Sprintf("h%d-%d", g, i), Group: uint64(g + 1), Primary: i == 0})
 		}
 	}
@@ -364,8 +373,8 @@
 // worstOverload is the most that a host which started since a moment was sent, as a share of what it stands: in any fall time,
 // whatever of it it turned away, N requests of mean work, twice their root for chance, and two. N is the multiple that the
 // settings allow, of the capacity that it is sure to have when that time begins; a warm host's is no less than the load that
-// such hosts bear, a third of what a group is asked when nobody has to come again. What came to two thirds or more from
-// routers that were not told is nobody's fault.
+// such hosts bear, a replica's part of what a group is asked when nobody has to come again. What came to two thirds or more
+// from routers that were not told is nobody's fault.
 func (w *fleetSimulation) worstOverload(since time.Duration) (worst, told float64, hosts int) {
 	s := &w.cfg
 	for h, e := range w.list {
@@ -389,7 +398,7 @@
 			if share >= 1 {
 				break
 			}
-			allowed := s.SlowStart.OverloadFactor * share * w.baseRate / float64(w.groups) / 3 * overloadWindow.Seconds()
+			allowed := s.SlowStart.OverloadFactor * share * w.capacity(h) * overloadWindow.Seconds()
 			over := sum / (allowed + 2*math.Sqrt(allowed) + 2)
 			worst = max(worst, over)
 			if sum-untold > sum*2/3 {
@@ -400,6 +409,11 @@
 	return worst, told, hosts
 }
 
+// capacity is the requests a second that a host stands once it is warm.
+func (w *fleetSimulation) capacity(host string) float64 {
+	return w.baseRate / float64(w.groups) / float64(w.replicas) * cmp.Or(w.speeds[host], 1)
+}
+
 // requireCapacity holds each host that started since a moment to what it stands.
 func (w *fleetSimulation) requireCapacity(what string, since time.Duration) {
 	w.t.Helper()
@@ -423,6 +437,50 @@
 
 func atOnce(int) time.Duration { return 0 }
 
+// drain lists hosts as draining.
+func (w *fleetSimulation) drain(hosts ...string) {
+	var entries []Target
+	for _, h := range hosts {
+		e := w.list[h]
+		e.Draining, e.Primary = true, false
+		entries = append(entries, e)
+	}
+	w.announce(entries...)
+}
+
+// add has hosts of other names join, each in the group of one that is there.
+func (w *fleetSimulation) add(beside ...string) {
+	var entries []Target
+	for _, h := range beside {
+		entries = append(entries, Target{Host: "new-" + h, Group: w.list[h].Group, StartedAt: w.now})
+	}
+	w.announce(entries...)
+}
+
+// promote makes one host of each group its primary; the one that was becomes a replica.
+func (w *fleetSimulation) promote(hosts ...string) {
+	var entries []Target
+	for _, h := range hosts {
+		for _, e := range w.entries() {
+			if e.Group == w.list[h].Group && e.Primary {
+				e.Primary = false
+				entries = append(entries, e)
+			}
+		}
+		next := w.list[h]
+		next.Primary = true
+		entries = append(entries, next)
+	}
+	w.announce(entries...)
+}
+
+// slow gives hosts a part of the usual capacity.
+func (w *fleetSimulation) slow(speed float64, hosts ...string) {
+	for _, h := range hosts {
+		w.speeds[h] = speed
+	}
+}
+
 // start begins hosts anew, whether or not they were down.
 func (w *fleetSimulation) start(late func(router int) time.Duration, hosts ...string) {
 	var entries []Target
--- /dev/null
+++ b/routing/slowstart_test.go
@@ -0,0 +1,39 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A host is chosen, its connection takes a second to come up, and meanwhile it came back from a restart: what had been
+// chosen while it was warm was written all the same. With 300 routers, 99 of 99 attempts that were chosen for a replica
+// before the list told of its new start were let through right after it, a whole fleet's worth at a host that had a fifth of
+// its capacity.
+func TestWhatWasChosenForAWarmHostIsAskedAgainOnceItWarmsUp(t *testing.T) {
+	f := newFleet(t, 300, shard())
+	type chosen struct {
+		router *Router
+		id     string
+	}
+	var waiting []chosen
+	for _, c := range f.routers {
+		f.now += ms
+		id := "waits"
+		as := c.Step(f.now, []Event{RequestArrived{ID: id, Class: eventualRead, Group: 1, TimeRemaining: 2 * time.Second}})
+		if _, host := actionsOf(ActSend, as); host == "a" {
+			waiting = append(waiting, chosen{c, id})
+		}
+	}
+	require.Greater(t, len(waiting), 60)
+	f.now += 100 * ms
+	f.list(Target{Host: "a", Group: 1, StartedAt: f.now})
+	written := 0
+	for _, w := range waiting {
+		if w.router.Revalidate(f.now+ms, w.id, 0) {
+			written++
+		}
+	}
+	require.Less(t, written, len(waiting)/10, "of %d attempts that were chosen while the host was warm", len(waiting))
+}
