A warming host gets what it surely bears, asked at the choice and at the write

Cause: a replica's part of what its group is asked was taken for its capacity. The part was one of as many replicas as were listed at that moment, and of what was asked at that moment: drains, lost members, a new primary or a surge raised it at once, in all routers together, while the host bore what it bore before. And what had been chosen for a host before it came back was written without asking slow start again.

Each warming member has one budget (routing/slowstart.go), earned at that rate times the slow start ratio, lost where it is not used in an overload window, drawn on by reads, writes and the search alike, at the choice and again at the write. At most an even part goes to it.

--- a/routing/admission.go
+++ b/routing/admission.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -70,6 +69,7 @@
 		r.offeredWeight += k.PriorityWeight
 	}
 	smooth(&r.writeFraction, float64(k.part), writeFractionSpan)
+	r.advanceHistory(g).requests++
 	mean := &r.meanWeight[k.part]
 	*mean = cmp.Or(*mean, k.PriorityWeight)
 	smooth(mean, req.weight, weightSpan)
@@ -80,7 +80,7 @@
 		r.giveUp(req, EndShed)
 		return
 	} else if req.isRetry { // its first attempt had a sample
-		req.sample++
+		req.useUpSample()
 	}
 	r.dispatch(req)
 }
@@ -118,35 +118,3 @@
 		m.limit = max(m.limit, min(m.restoredLimit, 2*m.limit))
 	}
 }
-
-// slowStartRatio is how many times its part of the requests a member may get: while it warms up, some of the
-// overload that it stands at the capacity which it surely had one overload window ago.
-func (r *Router) slowStartRatio(m *member) float64 {
-	s, age := &r.cfg.SlowStart, r.age(m)
-	if m.startedAt == 0 || age >= s.Duration {
-		return math.Inf(1)
-	}
-	capacity := s.Floor + (1-s.Floor)*float64(max(0, age-s.OverloadWindow))/float64(s.Duration)
-	return slowStartSafety * max(1, s.OverloadFactor) * capacity
-}
-
-// passesSlowStart: the far digits of a request's sample name one replica; it may go there if the sample is
-// below the ratio, so a warming member gets no more, whatever fails. At a warming primary writes go first,
-// two samples each, and reads have what they leave. Harms a group that warms up as a whole.
-func (r *Router) passesSlowStart(m *member, req *request) bool {
-	ratio, primary := r.slowStartRatio(m), req.group.primary()
-	if math.IsInf(ratio, 1) {
-		return true
-	}
-	replicas := slices.DeleteFunc(slices.Clone(req.group.members), func(o *member) bool {
-		return !o.active || o == primary // removed members are retained for a while, and take no part
-	})
-	part := 1 / float64(max(1, len(replicas)))
-	if m != primary {
-		named := int(math.Mod(req.sample, 1) * math.MaxInt32)
-		return float64((named+slices.Index(replicas, m))%len(replicas))+req.sample < ratio
-	} else if req.class.needsPrimary() {
-		return req.sample < ratio*min(1, part/2/r.writeFraction)
-	}
-	return req.sample < ratio*(part-r.writeFraction)
-}
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -20,15 +20,18 @@
 	dedupDeadline                    time.Duration // of the first such: when a retry must have ended
 	finished, queued                 bool
 	weight                           float64 // with what its tenant's quota leaves of it
-	sample                           float64 // random, see passesSlowStart; from 1 on: used up
+	sample                           float64 // random, see drawGrant; from 1 on: used up
+	grants                           []slowStartGrant
 	probed                           *member // by the last probe
 	probedAt                         time.Duration
 }
 
 type attempt struct {
-	member  *member
-	sentAt  time.Duration
-	pending bool
+	member    *member
+	sentAt    time.Duration
+	startedAt time.Duration // of the member's process, and
+	grantedAt time.Duration // when slow start let it pass
+	pending   bool
 }
 
 func (req *request) attempted(m *member) bool {
@@ -97,7 +100,12 @@
 	m.sentAt = r.now
 	m.inFlight++
 	m.inFlightByClass[req.class.index]++
-	req.attempts = append(req.attempts, attempt{member: m, sentAt: r.now, pending: true})
+	req.attempts = append(req.attempts, attempt{
+		member: m, sentAt: r.now, startedAt: m.startedAt, grantedAt: r.now, pending: true,
+	})
+	if r.isWarming(m) { // a further attempt adds nothing to what the sample stands for
+		req.useUpSample()
+	}
 	req.inFlight++
 	need := r.requiredPosition(req)
 	r.emit(Action{Kind: ActSend, ID: req.id, Host: m.host, Timeout: timeout, MinPosition: need})
@@ -228,6 +236,9 @@
 	r.meanLatency = smoothLatency(r.meanLatency, elapsed)
 	k.latency = smoothLatency(k.latency, elapsed)
 	k.serviceTime = min(elapsed, k.serviceTime+max(k.serviceTime/64, time.Millisecond))
+	if elapsed <= k.LatencyObjective {
+		r.recordBorne(m)
+	}
 	if elapsed > k.LatencyObjective*3/4 {
 		r.raiseShedding(a, 0.5)
 	} else {
--- a/routing/constants.go
+++ b/routing/constants.go
@@ -42,7 +42,15 @@
 	initialSamples, maxSamples                  = 10, 2048
 	tenantRateSpan                              = 8.0 // seconds over which a tenant's requests are counted
 
-	slowStartSafety         = 0.7  // part of the overload that a warming member stands which is used
+	slowStartSafety = 0.7 // part of the overload that a warming member stands which is used
+	writeCost       = 2.0 // requests that a write counts for in the budget of a warming primary
+	grantsPerWindow = 4   // a grant holds for this part of an overload window
+	learningSeconds = 3.0 // that warm members were seen, until what they bore is all that counts
+	minUsedFraction = 0.01
+	minHistory      = 100 * time.Millisecond
+
+	minOverloadWindow = time.Second // where the settings give none
+
 	exploreFraction         = 0.15 // of the draws that are not among connected or known members alone
 	connectFailureThreshold = 0.1  // fraction of quick failures to connect that shows full hosts
 	maxIdleConns            = 150  // that all routers together then keep open at a host
--- a/routing/members.go
+++ b/routing/members.go
@@ -11,9 +11,11 @@
 type member struct {
 	host                 string
 	group                *group
-	active, probePending bool // active: the endpoint list names it, and it is not draining
+	listed, probePending bool // listed: the endpoint list names it
+	active               bool // and it is not draining
 	startedAt, removedAt time.Duration
 	startToldAt          time.Duration // when it was told
+	budget               slowStartBudget
 	position, positionAt time.Duration // proven, until an answer disproves it; when it was last confirmed
 	roleEvidence
 	workload
@@ -51,6 +53,7 @@
 	commitFloor                  time.Duration            // for sessions without a remembered commit
 	admissions                   [2]admission             // of reads at replicas, and at the primary
 	clock                        groupClock
+	history                      loadHistory
 }
 
 func (r *Router) applyTargets(e *TargetsChanged) {
@@ -65,6 +68,7 @@
 		for host, m := range r.members {
 			if !listed[host] && !r.cfg.IgnoresRemoval {
 				r.drain(m)
+				m.listed = false
 			}
 		}
 	}
@@ -89,6 +93,7 @@
 	} else if m == nil {
 		m = r.addMember(t)
 	}
+	r.advanceHistory(m.group)
 	if t.Primary && r.cfg.ListNamesPrimary && !m.namedPrimary { // weaker than anything seen since
 		isContested := m.reportedReplica && m.primaryAt <= m.notPrimaryAt
 		m.unconfirmedPrimary = isContested && r.cfg.Probing.findsRole()
@@ -98,6 +103,7 @@
 	if t.Draining || t.Removed && !r.cfg.IgnoresRemoval { // there a list proves nothing of what runs
 		r.drain(m)
 	}
+	m.listed = !t.Removed
 	if t.Draining || t.Removed {
 		return
 	}
@@ -111,6 +117,7 @@
 func (m *member) setStart(at, now time.Duration) {
 	if at > m.startedAt {
 		m.startedAt, m.startToldAt = at, now
+		m.budget = slowStartBudget{earnedAt: now}
 	}
 }
 
@@ -143,6 +150,7 @@
 
 // drain stops all new work for a member at once, inside the grace period.
 func (r *Router) drain(m *member) {
+	r.advanceHistory(m.group)
 	if m.active {
 		m.removedAt = r.now
 	}
--- a/routing/primary.go
+++ b/routing/primary.go
@@ -25,8 +25,9 @@
 	var next *member
 	for _, i := range r.rng.Perm(len(g.members)) {
 		m := g.members[i]
-		if m.active && r.canTake(m, req) && (next == nil || m.notPrimaryAt < next.notPrimaryAt ||
-			m.notPrimaryAt == next.notPrimaryAt && m.wasPrimary) {
+		isEarlier := next == nil || m.notPrimaryAt < next.notPrimaryAt ||
+			m.notPrimaryAt == next.notPrimaryAt && m.wasPrimary
+		if m.active && isEarlier && r.canTake(m, req) {
 			next = m
 		}
 	}
@@ -47,11 +48,14 @@
 		attempt >= len(req.attempts) {
 		return false
 	}
-	m, primary := req.attempts[attempt].member, req.group.primary()
-	switch {
-	case !m.active || !r.canRetry(req):
-		return false
-	case req.class.Access == Write:
+	a := &req.attempts[attempt]
+	return a.member.active && r.canRetry(req) && r.isEligible(a.member, req) && r.mayStillBeWritten(a, req)
+}
+
+// isEligible reports whether a member has the role or the position that a request needs.
+func (r *Router) isEligible(m *member, req *request) bool {
+	primary := req.group.primary()
+	if req.class.Access == Write {
 		return m == primary || primary == nil // a write may search, a read must know
 	}
 	return m == primary && !primary.unconfirmedPrimary ||
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -22,9 +21,9 @@
 	for _, req := range r.queue {
 		switch at := r.rng.Float64() * float64(req.deadline-req.arrivedAt); {
 		case at < float64(r.tickAt-r.now) && !req.isRetry: // one more sample in its time
-			req.sample = r.rng.Float64()
+			req.redraw(r.rng.Float64())
 		case r.now >= req.probedAt+probeAnswerWait: // one that can't be used now is lost: nothing is saved up
-			req.sample = 1 + math.Mod(req.sample, 1)
+			req.useUpSample()
 		}
 		r.dispatch(req)
 	}
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -19,15 +19,20 @@
 		primary = nil // no read rests on that; it may be probed, and a write finds out by itself
 	}
 	found := r.candidates(req, primary)
-	if m := cmp.Or(r.pickOfTwo(found.proven), r.pickOfTwo(found.catchUp)); m != nil {
-		return m
+	for _, members := range [][]*member{found.proven, found.catchUp} {
+		if m := r.pickOfTwo(r.passing(members, req)); m != nil {
+			return m
+		}
 	}
 	isHealthy := primary != nil && r.isHealthy(primary)
-	if r.awaitProbe(req, found.unproven) ||
-		!isHealthy && len(found.outliers) == 0 && r.awaitProbe(req, found.doubtful) {
+	if r.awaitProbe(req, r.passing(found.unproven, req)) {
+		return nil
+	}
+	outliers := r.passing(found.outliers, req)
+	if !isHealthy && len(outliers) == 0 && r.awaitProbe(req, r.passing(found.doubtful, req)) {
 		return nil
 	}
-	outlier := r.pickOfTwo(found.outliers)
+	outlier := r.pickOfTwo(outliers)
 	if primary != nil && !r.isSilent(primary) && r.passesSlowStart(primary, req) &&
 		float64(primary.inFlight) < primaryReadFraction*primary.limit && !req.attempted(primary) &&
 		(isHealthy || outlier == nil && !found.isBusy) { // outlier or not: there may be no other
@@ -66,19 +71,21 @@
 			found.proven = ms[:1] // the furthest behind
 		}
 	}
-	lists := []*[]*member{&found.proven, &found.catchUp, &found.outliers, &found.unproven, &found.doubtful}
-	for _, list := range lists {
-		*list = slices.DeleteFunc(*list, func(m *member) bool { return !r.passesSlowStart(m, req) })
-	}
 	return found
 }
 
+// passing leaves the members that slow start lets a request go to. It draws on the budgets of those that warm
+// up, so it is asked only of members among which the request's is chosen now.
+func (r *Router) passing(members []*member, req *request) []*member {
+	return slices.DeleteFunc(members, func(m *member) bool { return !r.passesSlowStart(m, req) })
+}
+
 // pickOfTwo draws two of the members and returns the one with fewer of this router's requests in flight. No
 // host can afford a connection to each of many routers, so most draws are among members with one.
 func (r *Router) pickOfTwo(members []*member) *member {
 	if r.cfg.RouterCount > shedMinRouters && r.rng.Float64() >= exploreFraction {
 		connected := slices.DeleteFunc(slices.Clone(members), func(m *member) bool {
-			return r.slowStartRatio(m) >= 1 && (!m.connected || r.now-m.sentAt >= r.cfg.ConnIdleTimeout)
+			return !r.isWarming(m) && (!m.connected || r.now-m.sentAt >= r.cfg.ConnIdleTimeout)
 		})
 		if len(connected) > 0 {
 			members = connected
@@ -88,8 +95,8 @@
 		return append(members, nil)[0]
 	}
 	i, j := r.rng.IntN(len(members)), r.rng.IntN(len(members)-1)
-	if k := slices.IndexFunc(members, func(m *member) bool { return r.slowStartRatio(m) < 1 }); k >= 0 {
-		i = k // the request's sample has named it
+	if k := slices.IndexFunc(members, r.isWarming); k >= 0 {
+		i = k // it granted the request a part of its budget
 	}
 	if j >= i {
 		j++
--- a/routing/router.go
+++ b/routing/router.go
@@ -7,8 +7,8 @@
 // something fails; docs/design.md says how, and docs/tuning.md explains the constants.
 //
 // The decisions stand in one file a concern: members.go (host state and evidence), primary.go (the search for the
-// primary), replica.go (the choice of a replica), admission.go (admission, limits and slow start), attempts.go
-// (attempts and retries), probes.go, sessions.go (read your writes), queue.go (queued requests) and constants.go.
+// primary), replica.go (the choice of a replica), admission.go (admission and limits), capacity.go (what members
+// can bear), slowstart.go (what warming members are sent), attempts.go (attempts and retries), probes.go, sessions.go (read your writes), queue.go (queued requests) and constants.go.
 // The deploy file names them as the policy. This file holds what carries them, events.go and types.go its interface,
 // and state.go what a router gives to its next start.
 package routing
--- /dev/null
+++ b/routing/slowstart.go
@@ -0,0 +1,149 @@
+package routing
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// slowStartBudget is what a warming member may still be sent by this router. It is earned over time, at
+// the rate that the member surely bears, and what is not used within an overload window is lost:
+// nothing is saved up. The budgets of all routers add up to what the member bears, whatever is asked
+// and whoever leaves the group.
+type slowStartBudget struct {
+	requests float64
+	earnedAt time.Duration
+}
+
+// slowStartGrant is a request's answer from the budget of a member. It is drawn once for each sample of
+// the request.
+type slowStartGrant struct {
+	member    *member
+	startedAt time.Duration // of the member's process
+	granted   bool
+}
+
+// isWarming reports whether a member's capacity is not complete yet.
+func (r *Router) isWarming(m *member) bool {
+	return m.startedAt != 0 && r.age(m) < r.cfg.SlowStart.Duration
+}
+
+// slowStartRatio is how many times what a warm member bears one may get: while it warms up, some of the
+// overload that it stands at the capacity which it surely had one overload window ago.
+func (r *Router) slowStartRatio(m *member) float64 {
+	if !r.isWarming(m) {
+		return math.Inf(1)
+	}
+	s := &r.cfg.SlowStart
+	capacity := s.Floor + (1-s.Floor)*float64(max(0, r.age(m)-s.OverloadWindow))/float64(s.Duration)
+	return slowStartSafety * max(1, s.OverloadFactor) * capacity
+}
+
+// overloadWindow is the time within which a host must not be sent too much.
+func (r *Router) overloadWindow() time.Duration {
+	return max(r.cfg.SlowStart.OverloadWindow, minOverloadWindow)
+}
+
+// slowStartRate is how many requests a second this router may send to a warming member. Where requests
+// come seldom, much of the budget is lost between two of them, so it is earned faster by as much; where
+// they come close together that adds nothing, and a surge gets no more than what came before it.
+func (r *Router) slowStartRate(m *member, isForPrimary bool) float64 {
+	bears := min(1, r.slowStartRatio(m)) * r.bearableRate(m.group)
+	fraction := 1 - r.writeFraction
+	if isForPrimary {
+		fraction = r.writeFraction
+	}
+	expected := m.group.history.requestsPerSecond() * fraction * r.overloadWindow().Seconds()
+	return bears / max(1-math.Exp(-expected), minUsedFraction)
+}
+
+// earn adds to a budget what the member bore since it was asked last.
+func (r *Router) earn(m *member) {
+	rate := r.slowStartRate(m, m == m.group.primary())
+	earned := rate * (r.now - m.budget.earnedAt).Seconds()
+	m.budget.requests = min(m.budget.requests+earned, rate*r.overloadWindow().Seconds())
+	m.budget.earnedAt = r.now
+}
+
+// passesSlowStart reports whether a request may go to a member now. A warming member gets what its
+// budget has; whoever asks, for a read, a write or the search for the primary, draws on the same one.
+func (r *Router) passesSlowStart(m *member, req *request) bool {
+	if !r.isWarming(m) {
+		return true
+	}
+	known := slices.IndexFunc(req.grants, func(g slowStartGrant) bool {
+		return g.member == m && g.startedAt == m.startedAt
+	})
+	if known >= 0 {
+		return req.grants[known].granted
+	}
+	granted := req.sample < 1 && r.drawGrant(m, req)
+	req.grants = append(req.grants, slowStartGrant{member: m, startedAt: m.startedAt, granted: granted})
+	return granted
+}
+
+// drawGrant takes from a member's budget the chance that a request gets a grant. The far digits of the
+// request's sample name one replica of the group, so that of several that warm up mostly one is
+// granted. A write at the primary costs two, and reads there leave the writes their part.
+func (r *Router) drawGrant(m *member, req *request) bool {
+	r.earn(m)
+	chance, cost := min(1, m.budget.requests), 1.0
+	place := req.sample
+	switch primary := req.group.primary(); {
+	case m != primary:
+		place = r.placeAmongReplicas(m, req)
+	case req.class.needsPrimary():
+		cost = writeCost
+		chance = min(1, m.budget.requests/cost)
+	default:
+		part := 1 / float64(m.group.history.replicaCount())
+		chance = min(chance, max(0, r.slowStartRatio(m)*(part-r.writeFraction)))
+	}
+	m.budget.requests -= chance * cost
+	return place < chance
+}
+
+// placeAmongReplicas is a request's sample as one replica of its group sees it: even from 0 to 1 for
+// each, and each at another part of it.
+func (r *Router) placeAmongReplicas(m *member, req *request) float64 {
+	primary := req.group.primary()
+	count, index := 0, 0
+	for _, o := range req.group.members {
+		if o == m {
+			index = count
+		}
+		if o.active && o != primary { // removed members are retained for a while
+			count++
+		}
+	}
+	count = max(1, count)
+	named := int(req.sample * math.MaxInt32)
+	return (float64((named+index)%count) + req.sample) / float64(count)
+}
+
+// redraw gives a request another sample; what was granted to the one before is void.
+func (req *request) redraw(sample float64) {
+	req.sample = sample
+	req.grants = req.grants[:0]
+}
+
+// useUpSample leaves a request nothing to draw with until it gets another sample.
+func (req *request) useUpSample() { req.redraw(1 + math.Mod(req.sample, 1)) }
+
+// mayStillBeWritten reports whether an attempt that was chosen a while ago keeps to slow start. What
+// was chosen before the member started, or too long ago, draws anew: connections that come up slowly
+// must not bring a fleet's requests all at one time.
+func (r *Router) mayStillBeWritten(a *attempt, req *request) bool {
+	m := a.member
+	isRecent := r.now-a.grantedAt <= r.overloadWindow()/grantsPerWindow
+	if !r.isWarming(m) || a.startedAt == m.startedAt && isRecent {
+		return true
+	}
+	req.redraw(r.rng.Float64())
+	if !r.passesSlowStart(m, req) {
+		return false
+	}
+	req.useUpSample()
+	a.startedAt, a.grantedAt = m.startedAt, r.now
+	return true
+}
