Slow start: a run-time check, log lines and counters by path, and a command that adds them up

Cause: no log line told what a pooler sends to a warming host, and nobody sees the sum, which is what fells it.

Change: lifecycle.SlowStartAccount compares what was written with the rate at which a process may write (rule slow_start_overrun); dispatch counts by path (replica and primary reads, writes, search, probes, handshakes); internal/warmuplog logs beginning, changes of role and members, work and end, 64 lines a second at the most; testbed warmups adds the logs of all poolers up. Budgets: a part that is not used is kept until it makes up a request, reads and writes at a new primary are told by how often they ask, an even part is preferred and the rest is there for when others can't; slowStartSafety 0.8, since requests that are held no longer add to the budget.

--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -24,6 +24,7 @@
 	"ashstand/internal/net/flight"
 	"ashstand/internal/net/loop"
 	"ashstand/internal/net/pg"
+	"ashstand/internal/warmuplog"
 )
 
 const (
@@ -159,6 +160,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	n.pool.Listed, n.hosts.IsListed = n.facade.IsActive, n.facade.IsActive
+	n.pool.Handshaking = n.facade.SlowStartHandshake
 	apply := discovery.NewApplier(n.facade.UpdateEndpoints, backend, func(e discovery.Endpoint) edge.Backend {
 		if slices.Contains(cfg.flight.HostTypes, e.Type) {
 			return n.hosts
@@ -230,6 +232,8 @@
 	go n.watch.Run(ctx)
 	go every(ctx, time.Second, n.pool.Sweep)
 	go every(ctx, pg.SweepInterval, n.front.Sweep)
+	warming := warmuplog.New()
+	go every(ctx, warmuplog.Interval, func() { warming.Report(n.clock.Now(), n.facade.WarmingHosts()) })
 	log.Printf("%s listens on %s; at most %d clients and %d connections to hosts, idle for %v at most", cfg.Name, cfg.Listen,
 		b.front.Clients, b.pool.Connections, b.pool.IdleTimeout)
 	return n, nil
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -23,12 +23,14 @@
 	dispatcher *Dispatcher
 	id         string
 	class      *routing.Class
+	classIndex int
 	deadline   float64       // when to stop waiting for any attempt
 	decisions  chan Decision // has a place for every decision that can be due
 
 	// What follows is guarded by dispatcher.mu. Times are in milliseconds.
 	attempts      int
 	attempt       int     // the one in flight
+	host          string  // that it goes to
 	chosenAt      float64 // when that was chosen
 	revalidatedAt float64 // when Revalidate was last called for it
 	minPosition   float64 // that the data of its answer must have; 0: any
@@ -59,6 +61,7 @@
 		dispatcher: d,
 		id:         e.ID,
 		class:      &d.settings.Settings.Classes[class],
+		classIndex: class,
 		deadline:   r.Arrived + r.TimeRemaining - answerMargin,
 		// The router has one attempt of a request in flight at a time, so a send and a final verdict are all that can wait.
 		decisions: make(chan Decision, d.settings.MaxAttempts+2),
@@ -199,6 +202,7 @@
 		deadline = min(deadline, now+clock.Millis(a.Timeout))
 	}
 	c.attempt, c.chosenAt, c.revalidatedAt, c.minPosition = c.attempts, now, now, clock.Millis(a.MinPosition)
+	c.host = a.Host
 	c.attempts++
 	c.decisions <- Decision{Verdict: Send, Host: a.Host, Attempt: c.attempt, Deadline: deadline}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -29,6 +29,7 @@
 	lastID       uint64
 	timerAt      float64 // next timer; 0: none
 	hasEndpoints bool
+	slowStarts   map[string]*slowStartRecord // by host
 }
 
 // New returns a dispatcher. probe is started on a goroutine of its own for each probe that the router wants and must
@@ -46,6 +47,8 @@
 		settings:  parsed,
 		router:    router,
 		calls:     map[string]*Call{},
+
+		slowStarts: map[string]*slowStartRecord{},
 	}, nil
 }
 
@@ -225,6 +228,7 @@
 		case routing.ActTimer:
 			d.armTimer(clock.Millis(a.At))
 		case routing.ActProbe:
+			d.countSlowStart(a.Host, routing.PathProbe)
 			if d.probe != nil {
 				go d.probe(a.Host)
 			}
--- a/internal/edge/check.go
+++ b/internal/edge/check.go
@@ -29,6 +29,9 @@
 	}) {
 		a.violation(rule)
 	}
+	if a.call.Written(reply.WrittenAt) {
+		a.violation(lifecycle.SlowStartOverrun)
+	}
 }
 
 // disconnectedAt is when the front read the client's end; 0: it did not, or that is not known.
--- a/internal/faulthook/faulthook.go
+++ b/internal/faulthook/faulthook.go
@@ -15,4 +15,6 @@
 	CountNothing Fault = "count_nothing"
 	// ServeStale has an answer served though it is too old by its own stamp.
 	ServeStale Fault = "serve_stale"
+	// IgnoreSlowStart has a warming host chosen and written to as if it were warm.
+	IgnoreSlowStart Fault = "ignore_slow_start"
 )
--- a/internal/lifecycle/rule.go
+++ b/internal/lifecycle/rule.go
@@ -20,6 +20,7 @@
 	BoundExceeded                      // more was retained than the limits allow
 	RejectedAfterRun                   // a rejection was decided for a request that may have run; its client was told that it failed
 	RepeatAfterRun                     // a further attempt was decided for a request that may have run; it was not made
+	SlowStartOverrun                   // a warming host was sent more than the rate at which this process may send to it
 	ruleCount
 )
 
@@ -27,6 +28,7 @@
 	"attempt_after_client_gone", "attempt_after_cut", "attempt_to_draining", "deadline_exceeded_to_host", "retry_not_idempotent",
 	"retry_outside_window", "answered_twice", "closed_without_answer", "closed_with_unread_bytes", "answer_late",
 	"started_unready", "stale_read", "bound_exceeded", "rejected_after_run", "repeat_after_run",
+	"slow_start_overrun",
 }
 
 // String names the rule as logs and counters do.
--- /dev/null
+++ b/internal/lifecycle/slowstart_test.go
@@ -0,0 +1,34 @@
+package lifecycle
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A process that keeps to its rate is within its account; one that takes the host for warm is not, and neither is one whose
+// requests come all at one time.
+func TestASlowStartAccountTellsWhoOverruns(t *testing.T) {
+	const window, second = 1500.0, 1000.0
+	play := func(perSecond float64, burst int) (overruns int) {
+		a := SlowStartAccount{WindowMillis: window}
+		rate := 4.0
+		a.Allow(1, rate)
+		for at := 1 + second/perSecond; at < 8*second; at += second / perSecond {
+			a.Allow(at, rate)
+			if a.Write(at, 1) {
+				overruns++
+			}
+		}
+		for range burst {
+			if a.Write(8*second, 1) {
+				overruns++
+			}
+		}
+		return overruns
+	}
+	require.Zero(t, play(4, 0))
+	require.Positive(t, play(12, 0))
+	require.Zero(t, play(4, 15))
+	require.Positive(t, play(4, 50))
+}
--- a/internal/net/pg/pool.go
+++ b/internal/net/pg/pool.go
@@ -40,6 +40,8 @@
 	// Listed says whether anything new, a handshake included, may go to a host. It is to be set before the first use;
 	// nil: to every host.
 	Listed func(name string) bool
+	// Handshaking is called before each handshake with a host. It is to be set before the first use; nil: nobody is told.
+	Handshaking func(name string)
 
 	engine *loop.Engine
 	clock  clock.Clock
--- a/internal/net/pg/pool_acquire.go
+++ b/internal/net/pg/pool_acquire.go
@@ -169,6 +169,9 @@
 	if err := p.checkUsable(c); err != nil { // a handshake is work too
 		return err
 	}
+	if p.Handshaking != nil {
+		p.Handshaking(c.name)
+	}
 	result := c.roundTrip(ctx, func() []byte { return startupMessage(p.names.User, p.names.Database) }, nil)
 	switch {
 	case result.err != nil:
--- a/internal/net/pg/server_conn.go
+++ b/internal/net/pg/server_conn.go
@@ -119,6 +119,7 @@
 		p.connectFailed(errHostUnavailable)
 		return
 	}
+	f.dispatcher.SlowStartHandshake(p.host.name)
 	s.wire.Write(startupMessage(p.key.user, p.key.database))
 	time.AfterFunc(timeRemaining, func() { // a connection not up by then counts as none
 		f.onLoop(func() {
--- a/internal/net/pg/session_link.go
+++ b/internal/net/pg/session_link.go
@@ -98,6 +98,9 @@
 		return nil
 	}
 	c.routing.cancelRequested = false
+	if c.routing.call != nil && !s.requestSent {
+		c.routing.call.Written(c.front.clock.Now())
+	}
 	c.completeLink(s)
 	c.resume()
 	return nil
--- a/routing/capacity.go
+++ b/routing/capacity.go
@@ -46,29 +46,33 @@
 // usualMembers is how many members a group has by its list: those that are active, or those that were
 // there before it began to change, if they are more.
 func (r *Router) usualMembers(g *group) int {
-	active, before := 0, 0
+	before := 0
 	for _, m := range g.members {
-		if m.active {
-			active++
-		}
 		if m.listed && !r.isWarming(m) {
 			before++
 		}
 	}
-	return max(active, before)
+	return max(g.activeCount(), before)
 }
 
 // isSettled reports whether nothing changes in a group of so many members: all are there and warm.
 func (r *Router) isSettled(g *group, memberCount int) bool {
-	active := 0
 	for _, m := range g.members {
 		if m.active && r.isWarming(m) {
 			return false
-		} else if m.active {
-			active++
 		}
 	}
-	return active == memberCount && g.primary() != nil
+	return g.activeCount() == memberCount && g.primary() != nil
+}
+
+// activeCount is how many members of the group take new work.
+func (g *group) activeCount() (n int) {
+	for _, m := range g.members {
+		if m.active {
+			n++
+		}
+	}
+	return n
 }
 
 // historySpan is how far a loadHistory looks back.
@@ -118,13 +122,7 @@
 // complete.
 func (r *Router) bearableRate(g *group) float64 {
 	h := r.advanceHistory(g)
-	active := 0
-	for _, m := range g.members {
-		if m.active {
-			active++
-		}
-	}
-	evenPart := h.requestsPerSecond() / float64(max(1, active-1))
+	evenPart := h.requestsPerSecond() / float64(max(1, g.activeCount()-1))
 	usualPart := h.requestsPerSecond() / float64(h.replicaCount())
 	borne := max(h.replicas.perSecond(), h.primary.perSecond())
 	seen := min(1, (h.replicas.seconds+h.primary.seconds)/learningSeconds)
--- a/routing/constants.go
+++ b/routing/constants.go
@@ -42,12 +42,14 @@
 	initialSamples, maxSamples                  = 10, 2048
 	tenantRateSpan                              = 8.0 // seconds over which a tenant's requests are counted
 
-	slowStartSafety = 0.7 // part of the overload that a warming member stands which is used
+	slowStartSafety = 0.8 // part of the overload that a warming member stands which is used
 	writeCost       = 2.0 // requests that a write counts for in the budget of a warming primary
 	grantsPerWindow = 4   // a grant holds for this part of an overload window
 	learningSeconds = 3.0 // that warm members were seen, until what they bore is all that counts
+	keptWindows     = 4.0 // for which a budget that makes up no request is kept
 	minUsedFraction = 0.01
 	minHistory      = 100 * time.Millisecond
+	askedSpan       = 3 * time.Second
 
 	minOverloadWindow = time.Second // where the settings give none
 
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -95,8 +95,8 @@
 		return append(members, nil)[0]
 	}
 	i, j := r.rng.IntN(len(members)), r.rng.IntN(len(members)-1)
-	if k := slices.IndexFunc(members, r.isWarming); k >= 0 {
-		i = k // it granted the request a part of its budget
+	if k := slices.IndexFunc(members, r.isPreferredWhileWarming); k >= 0 {
+		i = k
 	}
 	if j >= i {
 		j++
@@ -108,3 +108,10 @@
 	}
 	return m
 }
+
+// isPreferredWhileWarming reports whether a member that granted a request a part of its budget is to
+// have it: as often as makes up an even part of the requests. What else its budget grants is there for
+// when others can't.
+func (r *Router) isPreferredWhileWarming(m *member) bool {
+	return r.isWarming(m) && r.rng.Float64()*r.slowStartRatio(m) < 1
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -1,16 +1,17 @@
-// Package routing decides for one router of a replicated database which host serves a request, whether an attempt
-// is retried and whether a request is admitted at all. It does no I/O, reads no clock and starts no goroutine:
-// events go into Step, and actions come out.
+// Package routing decides for one router of a replicated database which host serves a request, whether
+// an attempt is retried and whether a request is admitted at all. It does no I/O, reads no clock and
+// starts no goroutine: events go into Step, and actions come out.
 //
-// Writes and strong reads go to the member last seen as primary. Any other read goes to the less loaded of two
-// randomly drawn replicas that qualify, and to the primary when none does. Everything else keeps that going when
-// something fails; docs/design.md says how, and docs/tuning.md explains the constants.
+// Writes and strong reads go to the member last seen as primary. Any other read goes to the less loaded
+// of two randomly drawn replicas that qualify, and to the primary when none does. Everything else keeps
+// that going when something fails; docs/design.md says how, and docs/tuning.md explains the constants.
 //
-// The decisions stand in one file a concern: members.go (host state and evidence), primary.go (the search for the
-// primary), replica.go (the choice of a replica), admission.go (admission and limits), capacity.go (what members
-// can bear), slowstart.go (what warming members are sent), attempts.go (attempts and retries), probes.go, sessions.go (read your writes), queue.go (queued requests) and constants.go.
-// The deploy file names them as the policy. This file holds what carries them, events.go and types.go its interface,
-// and state.go what a router gives to its next start.
+// The decisions stand in one file a concern: members.go (host state and evidence), primary.go (the
+// search for the primary), replica.go (the choice of a replica), admission.go (admission and limits),
+// capacity.go (what members can bear), slowstart.go (what warming members are sent), attempts.go
+// (attempts and retries), probes.go, sessions.go (read your writes), queue.go (queued requests) and
+// constants.go. The deploy file names them as the policy. This file holds what carries them, events.go
+// and types.go its interface, and state.go what a router gives to its next start.
 package routing
 
 import (
@@ -118,8 +119,8 @@
 	return r, nil
 }
 
-// Configure takes other settings while requests are in flight, or returns a *SettingsError and changes nothing. What
-// tells one class from another has to stay.
+// Configure takes other settings while requests are in flight, or returns a *SettingsError and changes
+// nothing. What tells one class from another has to stay.
 func (r *Router) Configure(s Settings) error {
 	if err := s.validate(); err != nil {
 		return err
@@ -184,7 +185,8 @@
 	return r.actions
 }
 
-// handle gives an event to the decisions that it concerns. First bytes, timers and peers' messages concern none.
+// handle gives an event to the decisions that it concerns. First bytes, timers and peers' messages
+// concern none.
 func (r *Router) handle(event Event) {
 	switch e := event.(type) {
 	case TargetsChanged:
@@ -210,7 +212,8 @@
 
 func (r *Router) emit(a Action) { r.actions = append(r.actions, a) }
 
-// InactiveSince returns since when a host takes nothing new; ok is false for one that does, or that is not known.
+// InactiveSince returns since when a host takes nothing new; ok is false for one that does, or that is
+// not known.
 func (r *Router) InactiveSince(host string) (at time.Duration, ok bool) {
 	m := r.members[host]
 	if m == nil || m.active {
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"ashstand/internal/faulthook"
 )
 
 // slowStartBudget is what a warming member may still be sent by this router. It is earned over time, at
@@ -13,6 +15,8 @@
 type slowStartBudget struct {
 	requests float64
 	earnedAt time.Duration
+	asked    float64         // how often it was drawn on lately, smoothed over askedSpan
+	heldBack SlowStartCounts // requests that were not granted
 }
 
 // slowStartGrant is a request's answer from the budget of a member. It is drawn once for each sample of
@@ -44,31 +48,39 @@
 	return max(r.cfg.SlowStart.OverloadWindow, minOverloadWindow)
 }
 
-// slowStartRate is how many requests a second this router may send to a warming member. Where requests
-// come seldom, much of the budget is lost between two of them, so it is earned faster by as much; where
-// they come close together that adds nothing, and a surge gets no more than what came before it.
-func (r *Router) slowStartRate(m *member, isForPrimary bool) float64 {
-	bears := min(1, r.slowStartRatio(m)) * r.bearableRate(m.group)
+// slowStartRate is how many requests a second this router may send to a warming member, and for how
+// long what it earns is kept: for an overload window, or until it makes up one request, but not for
+// more than a few windows. Where requests come seldom, a part of the budget is lost between two of
+// them, so it is earned faster by as much; where they come close together that adds nothing, and a
+// surge gets no more than what came before it.
+func (r *Router) slowStartRate(m *member) (perSecond float64, kept time.Duration) {
+	bears := r.slowStartRatio(m) * r.bearableRate(m.group)
+	window := r.overloadWindow().Seconds()
+	keptSeconds := min(max(window, 1/max(bears, minUsedFraction)), keptWindows*window)
 	fraction := 1 - r.writeFraction
-	if isForPrimary {
+	if m == m.group.primary() {
 		fraction = r.writeFraction
 	}
-	expected := m.group.history.requestsPerSecond() * fraction * r.overloadWindow().Seconds()
-	return bears / max(1-math.Exp(-expected), minUsedFraction)
+	asks := max(m.group.history.requestsPerSecond()*fraction, m.budget.asked/askedSpan.Seconds())
+	expected := asks * keptSeconds
+	used := max(1-math.Exp(-expected), minUsedFraction)
+	return bears / used, time.Duration(keptSeconds * float64(time.Second))
 }
 
-// earn adds to a budget what the member bore since it was asked last.
+// earn adds to a budget what the member bore since it was drawn on last.
 func (r *Router) earn(m *member) {
-	rate := r.slowStartRate(m, m == m.group.primary())
-	earned := rate * (r.now - m.budget.earnedAt).Seconds()
-	m.budget.requests = min(m.budget.requests+earned, rate*r.overloadWindow().Seconds())
+	passed := r.now - m.budget.earnedAt
+	m.budget.asked = m.budget.asked*math.Exp(-passed.Seconds()/askedSpan.Seconds()) + 1
+	perSecond, kept := r.slowStartRate(m)
+	earned := perSecond * passed.Seconds()
+	m.budget.requests = min(m.budget.requests+earned, perSecond*kept.Seconds())
 	m.budget.earnedAt = r.now
 }
 
 // passesSlowStart reports whether a request may go to a member now. A warming member gets what its
 // budget has; whoever asks, for a read, a write or the search for the primary, draws on the same one.
 func (r *Router) passesSlowStart(m *member, req *request) bool {
-	if !r.isWarming(m) {
+	if !r.isWarming(m) || faulthook.Active(faulthook.IgnoreSlowStart) {
 		return true
 	}
 	known := slices.IndexFunc(req.grants, func(g slowStartGrant) bool {
@@ -77,7 +89,7 @@
 	if known >= 0 {
 		return req.grants[known].granted
 	}
-	granted := req.sample < 1 && r.drawGrant(m, req)
+	granted := (req.sample < 1 || r.slowStartRatio(m) >= 1) && r.drawGrant(m, req)
 	req.grants = append(req.grants, slowStartGrant{member: m, startedAt: m.startedAt, granted: granted})
 	return granted
 }
@@ -88,10 +100,14 @@
 func (r *Router) drawGrant(m *member, req *request) bool {
 	r.earn(m)
 	chance, cost := min(1, m.budget.requests), 1.0
-	place := req.sample
+	sample := req.sample
+	if sample >= 1 { // used up; one that draws again must not do so with what has failed
+		sample = r.rng.Float64()
+	}
+	place := sample
 	switch primary := req.group.primary(); {
 	case m != primary:
-		place = r.placeAmongReplicas(m, req)
+		place = m.placeAmongReplicas(sample)
 	case req.class.needsPrimary():
 		cost = writeCost
 		chance = min(1, m.budget.requests/cost)
@@ -100,15 +116,19 @@
 		chance = min(chance, max(0, r.slowStartRatio(m)*(part-r.writeFraction)))
 	}
 	m.budget.requests -= chance * cost
-	return place < chance
+	if place >= chance {
+		m.budget.heldBack[m.slowStartPath(req.class)]++
+		return false
+	}
+	return true
 }
 
-// placeAmongReplicas is a request's sample as one replica of its group sees it: even from 0 to 1 for
-// each, and each at another part of it.
-func (r *Router) placeAmongReplicas(m *member, req *request) float64 {
-	primary := req.group.primary()
+// placeAmongReplicas is a sample as one replica of its group sees it: even from 0 to 1 for each, and each at
+// another part of it.
+func (m *member) placeAmongReplicas(sample float64) float64 {
+	primary := m.group.primary()
 	count, index := 0, 0
-	for _, o := range req.group.members {
+	for _, o := range m.group.members {
 		if o == m {
 			index = count
 		}
@@ -117,8 +137,8 @@
 		}
 	}
 	count = max(1, count)
-	named := int(req.sample * math.MaxInt32)
-	return (float64((named+index)%count) + req.sample) / float64(count)
+	named := int(sample * math.MaxInt32)
+	return (float64((named+index)%count) + sample) / float64(count)
 }
 
 // redraw gives a request another sample; what was granted to the one before is void.
--- /dev/null
+++ b/testbed/warmups/sum.go
@@ -0,0 +1,119 @@
+// Package warmups adds up what the logs of many poolers tell of hosts that warm up: the sum that no pooler sees by itself.
+package warmups
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"ashstand/internal/warmuplog"
+	"ashstand/routing"
+)
+
+// heldBack is the attribute of what was not sent.
+const heldBack = "held_back"
+
+// binMillis is the time over which one line of a log adds up, and so one row of the sum.
+const binMillis = int64(warmuplog.Interval / 1e6)
+
+// Row is what all poolers together sent to one process of a host within one interval.
+type Row struct {
+	Host       string
+	StartedMS  int64 // of the host's process, Unix milliseconds
+	AgeSeconds int64 // of that process, at the beginning of the interval
+	Poolers    int   // that sent something or held something back
+	Primary    bool  // some of them take it for the primary
+	Members    int   // the fewest that one of them sees in the group
+	Sent       int   // requests, by all paths
+	ByPath     map[string]int
+	HeldBack   int
+}
+
+// key names a row.
+type key struct {
+	host         string
+	started, bin int64
+}
+
+// Sum adds up logs, one of each pooler. Rows are in the order of host, start and time.
+func Sum(logs ...io.Reader) ([]Row, error) {
+	rows := map[key]*Row{}
+	for _, log := range logs {
+		lines := bufio.NewScanner(log)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), strconv.Quote(warmuplog.MessageSent)) {
+				add(rows, attributesOf(lines.Text()))
+			}
+		}
+		if err := lines.Err(); err != nil {
+			return nil, fmt.Errorf("warmups: %w", err)
+		}
+	}
+	all := make([]Row, 0, len(rows))
+	for _, row := range rows {
+		all = append(all, *row)
+	}
+	slices.SortFunc(all, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.StartedMS, b.StartedMS), cmp.Compare(a.AgeSeconds, b.AgeSeconds))
+	})
+	return all, nil
+}
+
+// attributesOf reads the name=value pairs of a log line whose values have no spaces.
+func attributesOf(line string) map[string]string {
+	attributes := map[string]string{}
+	for _, field := range strings.Fields(line) {
+		if name, value, ok := strings.Cut(field, "="); ok {
+			attributes[name] = value
+		}
+	}
+	return attributes
+}
+
+// add takes one line.
+func add(rows map[key]*Row, attributes map[string]string) {
+	number := func(name string) int64 {
+		n, _ := strconv.ParseInt(attributes[name], 10, 64) // what is not there is 0
+		return n
+	}
+	started := number("started_ms")
+	at := key{attributes["host"], started, (number("until_ms") - started) / binMillis}
+	row := rows[at]
+	if row == nil {
+		row = &Row{Host: at.host, StartedMS: started, AgeSeconds: at.bin * binMillis / 1e3, ByPath: map[string]int{}, Members: int(number("members"))}
+		rows[at] = row
+	}
+	row.Poolers++
+	row.Primary = row.Primary || attributes["primary"] == "true"
+	row.Members = min(row.Members, int(number("members")))
+	row.HeldBack += int(number(heldBack))
+	for _, path := range routing.SlowStartPaths() {
+		n := int(number(path.String()))
+		if n == 0 {
+			continue
+		}
+		row.ByPath[path.String()] += n
+		if path != routing.PathProbe && path != routing.PathHandshake {
+			row.Sent += n
+		}
+	}
+}
+
+// Print writes rows as a table.
+func Print(w io.Writer, rows []Row) {
+	fmt.Fprintln(w, "host\tstarted_ms\tage_s\tpoolers\tprimary\tmembers\tsent\theld_back\tby path")
+	for _, row := range rows {
+		var paths []string
+		for _, name := range slices.Sorted(maps.Keys(row.ByPath)) {
+			paths = append(paths, fmt.Sprintf("%s=%d", name, row.ByPath[name]))
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%v\t%d\t%d\t%d\t%s\n", row.Host, row.StartedMS, row.AgeSeconds, row.Poolers, row.Primary, row.Members,
+			row.Sent, row.HeldBack, strings.Join(paths, " "))
+	}
+}
