An even part of a group's requests is told by role; the soak draws releases around warming hosts

Change: the even part is the reads over the replicas, or what the primary has. The soak's schedules hold releases by steps around a warming host, its usual second is the upper quartile, hosts have 0.57 to 1.1 of the mean speed at 0.45 to 0.6 of the load.

--- a/cmd/testbed/warmups.go
+++ b/cmd/testbed/warmups.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"io"
 	"os"
 	"path/filepath"
@@ -16,19 +17,17 @@
 		RunE: func(c *cobra.Command, paths []string) error {
 			var logs []io.Reader
 			for _, path := range paths {
-				f, err := os.Open(filepath.Clean(path))
+				log, err := os.ReadFile(filepath.Clean(path))
 				if err != nil {
 					return err
 				}
-				defer f.Close()
-				logs = append(logs, f)
+				logs = append(logs, bytes.NewReader(log))
 			}
 			rows, err := warmups.Sum(logs...)
 			if err != nil {
 				return err
 			}
-			warmups.Print(c.OutOrStdout(), rows)
-			return nil
+			return warmups.Print(c.OutOrStdout(), rows)
 		},
 	}
 }
--- a/internal/dispatch/slowstart.go
+++ b/internal/dispatch/slowstart.go
@@ -35,7 +35,7 @@
 		record = &slowStartRecord{startedAt: status.StartedAt}
 		d.slowStarts[host] = record
 	}
-	record.account.WindowMillis = clock.Millis(d.settings.Settings.SlowStart.OverloadWindow)
+	record.account.WindowMillis = clock.Millis(d.settings.SlowStart.OverloadWindow)
 	record.account.Allow(now, status.RatePerSecond)
 	return record
 }
--- a/routing/capacity.go
+++ b/routing/capacity.go
@@ -122,9 +122,15 @@
 // complete.
 func (r *Router) bearableRate(g *group) float64 {
 	h := r.advanceHistory(g)
-	evenPart := h.requestsPerSecond() / float64(max(1, g.activeCount()-1))
-	usualPart := h.requestsPerSecond() / float64(h.replicaCount())
 	borne := max(h.replicas.perSecond(), h.primary.perSecond())
 	seen := min(1, (h.replicas.seconds+h.primary.seconds)/learningSeconds)
-	return min(evenPart, seen*borne+(1-seen)*usualPart)
+	believed := seen*borne + (1-seen)*r.evenPart(h, h.replicaCount())
+	return min(believed, r.evenPart(h, g.activeCount()-1))
+}
+
+// evenPart is what a member bears of what comes to this router for its group: the reads are spread over
+// so many replicas, and the primary has the rest.
+func (r *Router) evenPart(h *loadHistory, replicas int) float64 {
+	reads := (1 - r.writeFraction) / float64(max(1, replicas))
+	return h.requestsPerSecond() * max(reads, r.writeFraction)
 }
--- a/testbed/soak/coldload.go
+++ b/testbed/soak/coldload.go
@@ -30,8 +30,8 @@
 
 // Bounds of what is drawn.
 const (
-	leastSpeed, mostSpeed = 0.57, 1.43
-	leastLoad, mostLoad   = 0.3, 0.6
+	leastSpeed, mostSpeed = 0.57, 1.1
+	leastLoad, mostLoad   = 0.45, 0.6 // a host of the least speed bears an even part of the most
 )
 
 // drawSlowStart draws from a sequence of its own, so that what else a seed draws stays.
@@ -105,7 +105,10 @@
 	}
 }
 
-// groupRate is the median over the seconds of a run of the requests that a group's hosts got.
+// usualSecond is which second of a run, by what a group's hosts got in it, counts as usual: in half of them something is wrong.
+const usualSecond = 0.75
+
+// groupRate is what a group's hosts got in a usual second of a run, in requests.
 func (c *coldLoad) groupRate(group int) float64 {
 	bySecond := map[int64]int{}
 	first, last := int64(math.MaxInt64), int64(0)
@@ -129,7 +132,7 @@
 		return 0
 	}
 	slices.Sort(counts)
-	return float64(counts[len(counts)/2])
+	return float64(counts[int(float64(len(counts))*usualSecond)])
 }
 
 // capacity is the requests a second that a host stands once it is warm.
--- a/testbed/soak/plan.go
+++ b/testbed/soak/plan.go
@@ -96,6 +96,7 @@
 const (
 	groupInterval = 1200 // ms from one group of overlapping faults to the next
 	groupSpread   = 300  // ms within which the faults of a group begin
+	releaseSlots  = 7    // groups of faults from one release to the next
 	idleEnd       = 5000 // ms without new faults, in which everything that was taken is answered
 )
 
@@ -126,10 +127,34 @@
 			p.Faults = append(p.Faults, f)
 		}
 	}
+	if len(only) == 0 {
+		p.addReleases()
+	}
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return p
 }
 
+// addReleases adds releases by steps, drawn from a sequence of their own: a host of a group comes back, while it warms up the others
+// drain but for the first one, and then more is asked.
+func (p *Plan) addReleases() {
+	rng := rand.New(rand.NewPCG(p.Seed, 0x4e1ea5e))
+	members := p.Deployment.Replicas + 1
+	slots := (int(p.Length) - idleEnd - 1000) / groupInterval
+	at := func(slot int) Millis { return Millis(1000 + slot*groupInterval + rng.IntN(groupSpread)) }
+	for slot := 2; slot+releaseSlots <= slots; slot += releaseSlots {
+		first := rng.IntN(p.Deployment.Groups) * members
+		back := 1 + rng.IntN(max(1, members-1))
+		p.Faults = append(p.Faults, Fault{Kind: HostRestart, At: at(slot), Host: first + back%members})
+		step := slot + 1 + rng.IntN(3)
+		for i := 1; i < members; i++ {
+			if i != back {
+				p.Faults = append(p.Faults, Fault{Kind: HostDrain, At: at(step), For: 3500, Host: first + i})
+			}
+		}
+		p.Faults = append(p.Faults, Fault{Kind: ClientsSurge, At: at(step + rng.IntN(2)), For: Millis(1500 + rng.IntN(1500)), Host: first})
+	}
+}
+
 // LoadPlan reads a schedule that a run wrote.
 func LoadPlan(path string) (Plan, error) {
 	b, err := os.ReadFile(path)
--- a/testbed/soak/release.go
+++ b/testbed/soak/release.go
@@ -13,6 +13,7 @@
 	releaseDrain  = 2000 // from the start of the host that warms up to the first drain, at the least
 	releaseStep   = 1500 // from one drain to the next
 	drainFor      = 6000
+	fastestSpeed  = 1.43 // of a host beside the slowest, as a fraction of the mean
 )
 
 // DrawRelease makes a schedule in which one replica of each group comes back and the others are replaced around it while it warms up,
@@ -24,7 +25,7 @@
 	d.Replicas = 2 + int(seed%2)
 	slowStart := usualSlowStart()
 	slowStart.Load = 0.36
-	slowStart.Speeds = []float64{1, leastSpeed, mostSpeed, 1}[:d.Replicas+1]
+	slowStart.Speeds = []float64{1, leastSpeed, fastestSpeed, 1}[:d.Replicas+1]
 	d.SlowStart = &slowStart
 	p := Plan{Seed: seed, Poolers: poolers, Hosts: d.hosts(), Length: Millis(length.Milliseconds()), OneByOne: true, Deployment: &d}
 	const warming = 1
--- a/testbed/warmups/sum.go
+++ b/testbed/warmups/sum.go
@@ -106,14 +106,17 @@
 }
 
 // Print writes rows as a table.
-func Print(w io.Writer, rows []Row) {
-	fmt.Fprintln(w, "host\tstarted_ms\tage_s\tpoolers\tprimary\tmembers\tsent\theld_back\tby path")
+func Print(w io.Writer, rows []Row) error {
+	var table strings.Builder
+	table.WriteString("host\tstarted_ms\tage_s\tpoolers\tprimary\tmembers\tsent\theld_back\tby path\n")
 	for _, row := range rows {
 		var paths []string
 		for _, name := range slices.Sorted(maps.Keys(row.ByPath)) {
 			paths = append(paths, fmt.Sprintf("%s=%d", name, row.ByPath[name]))
 		}
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%v\t%d\t%d\t%d\t%s\n", row.Host, row.StartedMS, row.AgeSeconds, row.Poolers, row.Primary, row.Members,
+		fmt.Fprintf(&table, "%s\t%d\t%d\t%d\t%v\t%d\t%d\t%d\t%s\n", row.Host, row.StartedMS, row.AgeSeconds, row.Poolers, row.Primary, row.Members,
 			row.Sent, row.HeldBack, strings.Join(paths, " "))
 	}
+	_, err := io.WriteString(w, table.String())
+	return err
 }
