Slow start: what a warming host granted and was not sent goes back to its budget

Cause: a request that was granted by several warming hosts, or by one that another was preferred to, or whose connection failed before anything was sent, took of the budget all the same.

Change: such grants are given back; a request of which no byte was written draws anew.

--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -103,6 +103,7 @@
 	req.attempts = append(req.attempts, attempt{
 		member: m, sentAt: r.now, startedAt: m.startedAt, grantedAt: r.now, pending: true,
 	})
+	r.settleGrants(req, m)
 	if r.isWarming(m) { // a further attempt adds nothing to what the sample stands for
 		req.useUpSample()
 	}
@@ -131,6 +132,10 @@
 	a.member.inFlightByClass[req.class.index]--
 	a.member.waitingSince = r.now
 	r.recordOutcome(a, req, e)
+	if e.Execution == NotBegun && a.startedAt == a.member.startedAt { // the host has seen nothing of it
+		r.refund(a.member, a.member.slowStartCost(req.class))
+		req.redraw(r.rng.Float64())
+	}
 	neverRan := e.Execution.NeverRan()
 	if !neverRan && !req.mayHaveRun {
 		req.mayHaveRun, req.dedupDeadline = true, a.sentAt+req.class.DedupWindow-answerMargin
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -25,6 +25,7 @@
 	member    *member
 	startedAt time.Duration // of the member's process
 	granted   bool
+	cost      float64 // what a request that is sent takes of the budget
 }
 
 // isWarming reports whether a member's capacity is not complete yet.
@@ -89,29 +90,55 @@
 	if known >= 0 {
 		return req.grants[known].granted
 	}
-	granted := (req.sample < 1 || r.slowStartRatio(m) >= 1) && r.drawGrant(m, req)
-	req.grants = append(req.grants, slowStartGrant{member: m, startedAt: m.startedAt, granted: granted})
-	return granted
+	grant := slowStartGrant{member: m, startedAt: m.startedAt, cost: m.slowStartCost(req.class)}
+	if req.sample < 1 || r.slowStartRatio(m) >= 1 {
+		grant.granted = r.drawGrant(m, req, grant.cost)
+	}
+	req.grants = append(req.grants, grant)
+	return grant.granted
+}
+
+// slowStartCost is what a request takes of a member's budget: a write, or a strong read, at the primary
+// counts more.
+func (m *member) slowStartCost(k *class) float64 {
+	if k.needsPrimary() && m == m.group.primary() {
+		return writeCost
+	}
+	return 1
+}
+
+// refund gives a member back what was granted and not sent.
+func (r *Router) refund(m *member, cost float64) {
+	if r.isWarming(m) {
+		perSecond, kept := r.slowStartRate(m)
+		m.budget.requests = min(m.budget.requests+cost, perSecond*kept.Seconds())
+	}
+}
+
+// settleGrants gives back what a request was granted by members that it is not sent to.
+func (r *Router) settleGrants(req *request, sentTo *member) {
+	for i := range req.grants {
+		if g := &req.grants[i]; g.granted && g.member != sentTo {
+			g.granted = false
+			r.refund(g.member, g.cost)
+		}
+	}
 }
 
 // drawGrant takes from a member's budget the chance that a request gets a grant. The far digits of the
 // request's sample name one replica of the group, so that of several that warm up mostly one is
-// granted. A write at the primary costs two, and reads there leave the writes their part.
-func (r *Router) drawGrant(m *member, req *request) bool {
+// granted. Reads at the primary leave the writes their part.
+func (r *Router) drawGrant(m *member, req *request, cost float64) bool {
 	r.earn(m)
-	chance, cost := min(1, m.budget.requests), 1.0
 	sample := req.sample
 	if sample >= 1 { // used up; one that draws again must not do so with what has failed
 		sample = r.rng.Float64()
 	}
-	place := sample
-	switch primary := req.group.primary(); {
-	case m != primary:
+	chance, place := min(1, m.budget.requests/cost), sample
+	switch isPrimary := m == m.group.primary(); {
+	case !isPrimary:
 		place = m.placeAmongReplicas(sample)
-	case req.class.needsPrimary():
-		cost = writeCost
-		chance = min(1, m.budget.requests/cost)
-	default:
+	case !req.class.needsPrimary():
 		part := 1 / float64(m.group.history.replicaCount())
 		chance = min(chance, max(0, r.slowStartRatio(m)*(part-r.writeFraction)))
 	}
--- a/routing/slowstart_status.go
+++ b/routing/slowstart_status.go
@@ -107,9 +107,5 @@
 	if m == nil || class < 0 || class >= len(r.classes) {
 		return PathReplicaRead, 1
 	}
-	path = m.slowStartPath(&r.classes[class])
-	if r.classes[class].needsPrimary() && path != PathSearch {
-		return path, writeCost
-	}
-	return path, 1
+	return m.slowStartPath(&r.classes[class]), m.slowStartCost(&r.classes[class])
 }
