A warming replica gets an even part of the reads, whatever the primary has borne

Half of the requests were writes, and the 280 a second that the primary bore were taken for what the slowest replica bears, which had 93 of reads.

Change: what is believed is also bounded by the even part of the member's role in the complete group.

--- a/routing/capacity.go
+++ b/routing/capacity.go
@@ -116,21 +116,23 @@
 	}
 }
 
-// bearableRate is how many requests a second, of those that come to this router, a warm member of the
-// group can surely bear: an even part of what comes, and no more than members have borne. A router that
-// has just started has not seen that, and takes an even part among all that the group has when it is
-// complete.
-func (r *Router) bearableRate(g *group) float64 {
-	h := r.advanceHistory(g)
+// bearableRate is how many requests a second, of those that come to this router, a member can surely
+// bear once it is warm: an even part of what its role is asked in the complete group, and no more than
+// members have borne. A router that has just started has not seen the latter.
+func (r *Router) bearableRate(m *member) float64 {
+	h := r.advanceHistory(m.group)
+	part := r.evenPart(m, max(h.replicaCount(), m.group.activeCount()-1))
 	borne := max(h.replicas.perSecond(), h.primary.perSecond())
 	seen := min(1, (h.replicas.seconds+h.primary.seconds)/learningSeconds)
-	believed := seen*borne + (1-seen)*r.evenPart(h, h.replicaCount())
-	return min(believed, r.evenPart(h, g.activeCount()-1))
+	return min(part, seen*borne+(1-seen)*part)
 }
 
-// evenPart is what a member bears of what comes to this router for its group: the reads are spread over
-// so many replicas, and the primary has the rest.
-func (r *Router) evenPart(h *loadHistory, replicas int) float64 {
-	reads := (1 - r.writeFraction) / float64(max(1, replicas))
-	return h.requestsPerSecond() * max(reads, r.writeFraction)
+// evenPart is what comes to this router for a member in its role: the reads are spread over so many
+// replicas, and the primary has the rest, and stands no less than a replica.
+func (r *Router) evenPart(m *member, replicas int) float64 {
+	fraction := (1 - r.writeFraction) / float64(max(1, replicas))
+	if m == m.group.primary() {
+		fraction = max(fraction, r.writeFraction)
+	}
+	return m.group.history.requestsPerSecond() * fraction
 }
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -55,7 +55,7 @@
 // them, so it is earned faster by as much; where they come close together that adds nothing, and a
 // surge gets no more than what came before it.
 func (r *Router) slowStartRate(m *member) (perSecond float64, kept time.Duration) {
-	bears := r.slowStartRatio(m) * r.bearableRate(m.group)
+	bears := r.slowStartRatio(m) * r.bearableRate(m)
 	window := r.overloadWindow().Seconds()
 	keptSeconds := min(max(window, 1/max(bears, minUsedFraction)), keptWindows*window)
 	fraction := 1 - r.writeFraction
--- a/testbed/soak/client.go
+++ b/testbed/soak/client.go
@@ -307,6 +307,7 @@
 				next.dueFrom = time.Now()
 			}
 			payload, answer, position = "", "", ""
+			_ = c.conn.SetDeadline(time.Now().Add(readTimeout)) // a deep pipeline may take longer as a whole
 		}
 	}
 }
--- a/testbed/soak/coldload.go
+++ b/testbed/soak/coldload.go
@@ -108,14 +108,20 @@
 // usualSecond is which second of a run, by what a group's hosts got in it, counts as usual: in half of them something is wrong.
 const usualSecond = 0.75
 
-// groupRate is what a group's hosts got in a usual second of a run, in requests.
+// groupRate is what a group's hosts got in a usual second of a run, in requests. What they got while one of them warmed up shows what
+// slow start let through, and not what they bear.
 func (c *coldLoad) groupRate(group int) float64 {
-	bySecond := map[int64]int{}
+	bySecond, warming := map[int64]int{}, map[int64]bool{}
 	first, last := int64(math.MaxInt64), int64(0)
 	for _, h := range c.hosts {
 		if c.groupOf[h] != group {
 			continue
 		}
+		for _, started := range c.starts[h] {
+			for second := started.Unix(); second <= started.Add(c.settings.Ramp.Duration()).Unix(); second++ {
+				warming[second] = true
+			}
+		}
 		for _, w := range c.work[h] {
 			if w.id != "" {
 				second := w.at.Unix()
@@ -126,7 +132,9 @@
 	}
 	var counts []int
 	for second := first + 1; second < last; second++ { // the first and the last are not whole
-		counts = append(counts, bySecond[second])
+		if !warming[second] {
+			counts = append(counts, bySecond[second])
+		}
 	}
 	if len(counts) == 0 {
 		return 0
