The account of slow start takes the highest rate of the last windows

Change: the highest rate of the last three windows counts.

Measured: the new test is red without the change.

--- a/internal/lifecycle/slowstart.go
+++ b/internal/lifecycle/slowstart.go
@@ -10,6 +10,8 @@
 	allowed       float64 // by the rates so far
 	ratePerSecond float64
 	ratedAt       float64
+	peakRate      float64 // the highest lately: a host that lost the primary's role got its writes before
+	peakAt        float64
 	written       float64
 	recent        []slowStartWrite // of the last window
 }
@@ -29,6 +31,9 @@
 		a.allowed += max(a.ratePerSecond, ratePerSecond) * (now - a.ratedAt) / 1e3
 	}
 	a.ratePerSecond, a.ratedAt = ratePerSecond, max(now, a.ratedAt)
+	if ratePerSecond >= a.peakRate || now-a.peakAt > (1+savedWindows)*a.WindowMillis {
+		a.peakRate, a.peakAt = ratePerSecond, now
+	}
 }
 
 // Write notes a request that was written, at what it takes of the host's budget, and reports whether that was more than allowed:
@@ -44,7 +49,7 @@
 		}
 	}
 	a.recent = kept
-	perWindow := a.ratePerSecond * a.WindowMillis / 1e3
+	perWindow := a.peakRate * a.WindowMillis / 1e3
 	return a.written > withChance(a.allowed+savedWindows*perWindow) || inWindow > withChance((1+savedWindows)*perWindow)
 }
 
--- a/internal/lifecycle/slowstart_test.go
+++ b/internal/lifecycle/slowstart_test.go
@@ -32,3 +32,20 @@
 	require.Zero(t, play(4, 15))
 	require.Positive(t, play(4, 50))
 }
+
+// A host loses the primary's role, and with it the rate at which it got writes a moment ago: what was written then was allowed.
+func TestARateThatDropsBlamesNothingOfBefore(t *testing.T) {
+	a := SlowStartAccount{WindowMillis: 1500}
+	a.Allow(1, 40)
+	for at := 25.0; at < 6000; at += 25 {
+		a.Allow(at, 40)
+		require.False(t, a.Write(at, 1))
+	}
+	a.Allow(6000, 0)
+	require.False(t, a.Write(6000, 1))
+	for range 400 {
+		a.Allow(6001, 0)
+		a.Write(6001, 1)
+	}
+	require.True(t, a.Write(6001, 1))
+}
