Soak's judge: the greater of two usual seconds counts, so that a short run has one

Traced: hosts start from the run's first seconds on and warm up to its end, 8 s, so next to no second was left from which the judge takes what is usual, and the capacity came out as nearly nothing.

Change: what hosts got in a usual one of all seconds, or of those in which none warmed up, whichever is more.

--- a/testbed/soak/coldload.go
+++ b/testbed/soak/coldload.go
@@ -108,8 +108,8 @@
 // usualSecond is which second of a run, by what a group's hosts got in it, counts as usual: in half of them something is wrong.
 const usualSecond = 0.75
 
-// groupRate is what a group's hosts got in a usual second of a run, in requests. What they got while one of them warmed up shows what
-// slow start let through, and not what they bear.
+// groupRate is what a group's hosts got in a usual second of a run, in requests. What they got while one of them warmed up may show what
+// slow start let through and not what they bear, and in the rest of a short run there may be next to nothing: the greater one counts.
 func (c *coldLoad) groupRate(group int) float64 {
 	bySecond, warming := map[int64]int{}, map[int64]bool{}
 	first, last := int64(math.MaxInt64), int64(0)
@@ -130,12 +130,18 @@
 			}
 		}
 	}
-	var counts []int
+	var all, undisturbed []int
 	for second := first + 1; second < last; second++ { // the first and the last are not whole
+		all = append(all, bySecond[second])
 		if !warming[second] {
-			counts = append(counts, bySecond[second])
+			undisturbed = append(undisturbed, bySecond[second])
 		}
 	}
+	return max(usualOf(all), usualOf(undisturbed))
+}
+
+// usualOf is the usual one of some counts; 0 where there are none.
+func usualOf(counts []int) float64 {
 	if len(counts) == 0 {
 		return 0
 	}
