Fleet simulation: work by class; a warming host fails under few heavy requests (known red)

The rule on cold hosts counts requests of mean work; the simulation counted each request as 1, as the router does, and was green.

Requests now have a class's work (ratios 1 to 60, constant, lognormal, exponential), answer times follow it, handshakes cost work, restarted hosts have no idle connections left, a tenth of the routers may be new at any time.

--- a/routing/simulation_test.go
+++ b/routing/simulation_test.go
@@ -85,12 +85,17 @@
 	mix           []float64          // weight of each class among the requests
 	clientRetries int                // how often a client retries after a rejection
 	marksRetries  bool               // clients mark their retries as such
+	turnovers     int
+	turnover      time.Duration                 // each tenth of the routers restarts once in ten such times; 0: none does
+	work          *fleetWork                    // nil: each request is one request of mean work
+	withstands    func(allowed float64) float64 // the work that a host withstands in a window, of which so much is allowed
 }
 
 // clientRequest is a client's request, with its attempts and the client's retries so far.
 type clientRequest struct {
 	class, group, router, attempts, retries int
 	deadline                                time.Duration
+	work                                    float64 // in requests of mean work
 }
 
 func newFleetSimulation(t testing.TB) *fleetSimulation {
@@ -111,7 +116,7 @@
 		list: map[string]Target{}, down: map[string]bool{}, broken: map[string]bool{}, answerTimes: map[string]time.Duration{},
 		lag: map[string]time.Duration{}, idle: map[[2]string]int{}, requests: map[string]*clientRequest{},
 		counted: map[string]map[time.Duration]float64{}, mix: []float64{eventualRead: 4.5, boundedRead: 4.5, atMostOnceWrite: 1, deduplicatedWrite: 0},
-		incarnations: make([]int, routers),
+		incarnations: make([]int, routers), withstands: func(allowed float64) float64 { return allowed + 2*math.Sqrt(allowed) + 2 },
 	}
 	w.baseRate = w.rate
 	w.cfg = settings()
@@ -236,8 +241,24 @@
 	return n
 }
 
-// play runs the simulation for a time, with requests drawn at random over routers, groups and classes.
+// play runs the simulation for a time. With a turnover, one tenth of the routers after the other restarts.
 func (w *fleetSimulation) play(d time.Duration) {
+	for w.turnover > 0 && d > w.turnover {
+		w.playWithoutTurnover(w.turnover)
+		d -= w.turnover
+		w.turnovers++
+		for i := range w.routers {
+			if i%10 == w.turnovers%10 {
+				w.restartRouter(i, nil)
+			}
+		}
+	}
+	w.playWithoutTurnover(d)
+}
+
+// playWithoutTurnover runs the simulation for a time, with requests drawn at random over routers, groups and
+// classes.
+func (w *fleetSimulation) playWithoutTurnover(d time.Duration) {
 	end := w.now + d
 	var classes []float64
 	sum := 0.0
@@ -247,10 +268,12 @@
 	}
 	for at := w.now; at < end; at += time.Duration(w.rng.ExpFloat64() / w.rate * float64(time.Second)) {
 		class := w.draw(classes)
-		w.arrive(at-w.now, w.draw(w.shares), &clientRequest{
+		q := &clientRequest{
 			class: class, group: 1 + w.rng.IntN(w.groups),
 			deadline: at + w.cfg.Classes[class].Deadline,
-		})
+		}
+		q.work = w.work.draw(class)
+		w.arrive(at-w.now, w.draw(w.shares), q)
 	}
 	for len(w.queue) > 0 && w.queue[0].at < end {
 		x := heap.Pop(&w.queue).(scheduledEvent)
@@ -292,14 +315,14 @@
 	case ActSend:
 		m, q := w.list[a.Host], w.requests[a.ID]
 		require.False(w.t, m.Removed || m.Draining, "work for %s, which was removed or is draining", a.Host)
-		w.countWork(router, a.Host, 1)
+		w.countWork(router, a.Host, q.work)
 		if w.isWarming(router, a.Host) {
 			w.count("cold", 1)
 			w.count("cold "+a.Host, 1)
 		}
 		e := AttemptEnded{
 			ID: a.ID, Attempt: q.attempts, Host: a.Host, Code: OK, Role: w.role(a.Host), Final: true,
-			Elapsed: cmp.Or(w.answerTimes[a.Host], answerTime),
+			Elapsed: cmp.Or(w.answerTimes[a.Host], w.work.answerTime(q.work, cmp.Or(w.speeds[a.Host], 1))),
 		}
 		q.attempts++
 		if link := [2]string{fmt.Sprint(router), a.Host}; w.idle[link] > 0 {
@@ -307,6 +330,7 @@
 		} else {
 			w.count("connects", 1)
 			w.count("connects "+a.Host, 1)
+			w.countWork(router, a.Host, w.work.handshake())
 		}
 		if w.down[a.Host] || w.broken[a.Host] {
 			e.Code, e.Role, e.Final, e.Elapsed = NoConnection, Unknown, false, ms
@@ -378,8 +402,8 @@
 
 // worstOverload returns the largest load of any host that started since a time, as a fraction of what the
 // host withstands. The load is what the host was sent in any overload window, including what it rejected. It
-// withstands N requests of mean work, plus twice the root of N for chance, plus two. N is the multiple that
-// the settings allow of the capacity that the host surely has when that window begins. The capacity of a warm
+// withstands N requests of mean work and, unless w.withstands is set otherwise, twice the root of N for chance and
+// two. N is the multiple that the settings allow of the capacity that the host surely has when that window begins. The capacity of a warm
 // host is a replica's share of the requests for its group while no client has to retry. worstInformed counts
 // only the windows in which more than two thirds of the work came from routers that had been told of the
 // host's start.
@@ -407,7 +431,7 @@
 				break
 			}
 			allowed := s.SlowStart.OverloadFactor * share * w.capacity(h) * overloadWindow.Seconds()
-			over := sum / (allowed + 2*math.Sqrt(allowed) + 2)
+			over := sum / w.withstands(allowed)
 			worst = max(worst, over)
 			if sum-untold > sum*2/3 {
 				worstInformed = max(worstInformed, over)
@@ -505,6 +529,7 @@
 func (w *fleetSimulation) restartHosts(d time.Duration, hosts ...string) {
 	for _, h := range hosts {
 		w.down[h] = true
+		maps.DeleteFunc(w.idle, func(link [2]string, _ int) bool { return link[1] == h })
 	}
 	w.play(d)
 	w.startHosts(withoutDelay, hosts...)
