Slow start log: what was sent to a warming host, by class and in cost

The lines on warming hosts counted requests by path. A host falls by work, so they did not show which class made it up. Each line now has the requests and the cost to the budget by class, and testbed warmups adds both up over all poolers. No decision changes. Tests: a line of each form, names with separators read back, the sum of two logs.

--- a/internal/dispatch/slowstart.go
+++ b/internal/dispatch/slowstart.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"ashstand/internal/clock"
@@ -15,6 +16,14 @@
 	StartedAtMillis  float64 // Unix milliseconds
 	NotifiedAtMillis float64
 	Sent             routing.SlowStartCounts
+	SentByClass      []ClassSent // in the order of the classes
+}
+
+// ClassSent is what this process has sent to a warming host of one class.
+type ClassSent struct {
+	Class    string
+	Requests int
+	Cost     float64 // of these requests to the host's slow start budget
 }
 
 // slowStartRecord counts what was sent to a warming host since its process started.
@@ -22,6 +31,7 @@
 	startedAt time.Duration
 	audit     lifecycle.SlowStartAudit
 	sent      routing.SlowStartCounts
+	byClass   []ClassSent
 }
 
 // slowStartRecordOf returns the record of a warming host, or nil if the host is not warming. A restart of the
@@ -35,6 +45,9 @@
 	record := d.slowStarts[host]
 	if record == nil || record.startedAt != status.StartedAt {
 		record = &slowStartRecord{startedAt: status.StartedAt}
+		for i := range d.settings.Settings.Classes {
+			record.byClass = append(record.byClass, ClassSent{Class: d.settings.Settings.Classes[i].Name})
+		}
 		d.slowStarts[host] = record
 	}
 	record.audit.WindowMillis = clock.Millis(d.settings.SlowStart.OverloadWindow)
@@ -67,7 +80,7 @@
 			SlowStartStatus: status, StartedAtMillis: clock.Millis(status.StartedAt), NotifiedAtMillis: clock.Millis(status.NotifiedAt),
 		}
 		if record := d.slowStartRecordOf(now, status.Host); record != nil {
-			view.Sent = record.sent
+			view.Sent, view.SentByClass = record.sent, slices.Clone(record.byClass)
 		}
 		all = append(all, view)
 	}
@@ -87,5 +100,7 @@
 	}
 	path, cost := d.router.SlowStartPathOf(c.host, c.classIndex)
 	record.sent[path]++
+	record.byClass[c.classIndex].Requests++
+	record.byClass[c.classIndex].Cost += cost
 	return record.audit.RecordWrite(at, cost)
 }
--- a/internal/warmuplog/reporter.go
+++ b/internal/warmuplog/reporter.go
@@ -5,7 +5,11 @@
 package warmuplog
 
 import (
+	"fmt"
 	"log/slog"
+	"net/url"
+	"strconv"
+	"strings"
 	"time"
 
 	"ashstand/internal/dispatch"
@@ -59,7 +63,10 @@
 	r.lastViews = present
 }
 
-// reportWork logs what was sent and held back since the last call, by path.
+// AttributeClasses names the attribute with what was sent of each class; see FormatClass.
+const AttributeClasses = "classes"
+
+// reportWork logs what was sent and held back since the last call, by path and by class.
 func (r *Reporter) reportWork(nowMillis float64, previous, view *dispatch.SlowStartView) {
 	attributes := []any{"until_ms", int64(nowMillis)}
 	for _, path := range routing.SlowStartPaths() {
@@ -67,6 +74,13 @@
 			attributes = append(attributes, path.String(), n)
 		}
 	}
+	if classes := sentSince(previous.SentByClass, view.SentByClass); len(classes) > 0 {
+		var parts []string
+		for _, class := range classes {
+			parts = append(parts, FormatClass(class))
+		}
+		attributes = append(attributes, AttributeClasses, strings.Join(parts, ","))
+	}
 	heldBack := 0
 	for _, path := range routing.SlowStartPaths() {
 		heldBack += view.HeldBack[path] - previous.HeldBack[path]
@@ -79,6 +93,42 @@
 	}
 }
 
+// sentSince returns what was sent of each class since an earlier view, which may hold nothing.
+func sentSince(previous, now []dispatch.ClassSent) (sent []dispatch.ClassSent) {
+	for i, class := range now {
+		if i < len(previous) {
+			class.Requests -= previous[i].Requests
+			class.Cost -= previous[i].Cost
+		}
+		if class.Requests > 0 {
+			sent = append(sent, class)
+		}
+	}
+	return sent
+}
+
+// FormatClass returns name:requests:cost with a name that has no separators.
+func FormatClass(class dispatch.ClassSent) string {
+	return fmt.Sprintf("%s:%d:%.2f", url.QueryEscape(class.Class), class.Requests, class.Cost)
+}
+
+// ParseClasses reads the attribute AttributeClasses. What is not of its form is left out.
+func ParseClasses(text string) (classes []dispatch.ClassSent) {
+	for part := range strings.SplitSeq(text, ",") {
+		fields := strings.Split(part, ":")
+		if len(fields) != 3 {
+			continue
+		}
+		name, nameErr := url.QueryUnescape(fields[0])
+		requests, requestsErr := strconv.Atoi(fields[1])
+		cost, costErr := strconv.ParseFloat(fields[2], 64)
+		if nameErr == nil && requestsErr == nil && costErr == nil {
+			classes = append(classes, dispatch.ClassSent{Class: name, Requests: requests, Cost: cost})
+		}
+	}
+	return classes
+}
+
 // log writes a line with the attributes that every line about a warming host has, unless maxLinesPerReport is
 // reached.
 func (r *Reporter) log(message string, view *dispatch.SlowStartView, attributes ...any) {
--- a/internal/warmuplog/reporter_test.go
+++ b/internal/warmuplog/reporter_test.go
@@ -33,6 +33,9 @@
 	view.Sent[routing.PathWrite], view.HeldBack[routing.PathReplicaRead] = 3, 2
 	require.Contains(t, reportOutput(view), `host=a group=3 started_ms=5000 primary=false members=4 ratio=0.42 rate=0 until_ms=9000 write=3 held_back=2`)
 	require.Empty(t, reportOutput(view))
+	view.Sent[routing.PathReplicaRead] = 4
+	view.SentByClass = []dispatch.ClassSent{{Class: "a read, quick"}, {Class: "report", Requests: 4, Cost: 51.25}}
+	require.Contains(t, reportOutput(view), `replica_read=4 classes=report:4:51.25`)
 	view.IsPrimary, view.Members = true, 2
 	require.Contains(t, reportOutput(view), "was_primary=false had_members=4")
 	view.StartedAt++
@@ -45,3 +48,12 @@
 	}
 	require.Equal(t, maxLinesPerReport, strings.Count(reportOutput(many...), "\n"))
 }
+
+// Class names may hold what separates classes and their figures.
+func TestClassesAreReadBack(t *testing.T) {
+	classes := []dispatch.ClassSent{{Class: "a, b:c=d", Requests: 3, Cost: 2.5}, {Class: "report", Requests: 1, Cost: 12.75}}
+	text := FormatClass(classes[0]) + "," + FormatClass(classes[1])
+	require.NotContains(t, text, " ")
+	require.Equal(t, classes, ParseClasses(text))
+	require.Empty(t, ParseClasses("report:x:1,report:1"))
+}
--- a/testbed/warmups/sum.go
+++ b/testbed/warmups/sum.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 
+	"ashstand/internal/dispatch"
 	"ashstand/internal/warmuplog"
 	"ashstand/routing"
 )
@@ -31,6 +32,8 @@
 	Members    int   // the fewest that one of them sees in the group
 	Sent       int   // requests, by all paths
 	ByPath     map[string]int
+	Cost       float64 // of the requests, to the budgets
+	ByClass    map[string]dispatch.ClassSent
 	HeldBack   int
 }
 
@@ -86,13 +89,18 @@
 	at := key{attributes["host"], started, (number("until_ms") - started) / binMillis}
 	row := rows[at]
 	if row == nil {
-		row = &Row{Host: at.host, StartedMS: started, AgeSeconds: at.bin * binMillis / 1e3, ByPath: map[string]int{}, Members: int(number("members"))}
+		row = &Row{Host: at.host, StartedMS: started, AgeSeconds: at.bin * binMillis / 1e3, ByPath: map[string]int{}, ByClass: map[string]dispatch.ClassSent{}, Members: int(number("members"))}
 		rows[at] = row
 	}
 	row.Poolers++
 	row.Primary = row.Primary || attributes["primary"] == "true"
 	row.Members = min(row.Members, int(number("members")))
 	row.HeldBack += int(number(heldBack))
+	for _, class := range warmuplog.ParseClasses(attributes[warmuplog.AttributeClasses]) {
+		sum := row.ByClass[class.Class]
+		row.ByClass[class.Class] = dispatch.ClassSent{Class: class.Class, Requests: sum.Requests + class.Requests, Cost: sum.Cost + class.Cost}
+		row.Cost += class.Cost
+	}
 	for _, path := range routing.SlowStartPaths() {
 		n := int(number(path.String()))
 		if n == 0 {
@@ -108,14 +116,18 @@
 // Print writes rows as a table.
 func Print(w io.Writer, rows []Row) error {
 	var table strings.Builder
-	table.WriteString("host\tstarted_ms\tage_s\tpoolers\tprimary\tmembers\tsent\theld_back\tby path\n")
+	table.WriteString("host\tstarted_ms\tage_s\tpoolers\tprimary\tmembers\tsent\tcost\theld_back\tby path\tby class\n")
 	for _, row := range rows {
 		var paths []string
 		for _, name := range slices.Sorted(maps.Keys(row.ByPath)) {
 			paths = append(paths, fmt.Sprintf("%s=%d", name, row.ByPath[name]))
 		}
-		fmt.Fprintf(&table, "%s\t%d\t%d\t%d\t%v\t%d\t%d\t%d\t%s\n", row.Host, row.StartedMS, row.AgeSeconds, row.Poolers, row.Primary, row.Members,
-			row.Sent, row.HeldBack, strings.Join(paths, " "))
+		var classes []string
+		for _, name := range slices.Sorted(maps.Keys(row.ByClass)) {
+			classes = append(classes, warmuplog.FormatClass(row.ByClass[name]))
+		}
+		fmt.Fprintf(&table, "%s\t%d\t%d\t%d\t%v\t%d\t%d\t%.2f\t%d\t%s\t%s\n", row.Host, row.StartedMS, row.AgeSeconds, row.Poolers, row.Primary, row.Members,
+			row.Sent, row.Cost, row.HeldBack, strings.Join(paths, " "), strings.Join(classes, " "))
 	}
 	_, err := io.WriteString(w, table.String())
 	return err
