--- a/cmd/testbed/soak.go
+++ b/cmd/testbed/soak.go
@@ -21,7 +21,7 @@
 	only             string
 	plan, keep       string
 	shrink           bool
-	release          bool
+	release, warmUps bool
 	logs             string
 }
 
@@ -36,6 +36,9 @@
 	if m.release {
 		return soak.DrawRelease(m.seed, m.poolers, m.duration), nil
 	}
+	if m.warmUps {
+		return soak.DrawWarmUps(m.seed, m.poolers, m.duration), nil
+	}
 	var only []soak.Kind
 	for _, name := range strings.FieldsFunc(m.only, func(r rune) bool { return r == ',' }) {
 		kind := soak.Kind(strings.TrimSpace(name))
@@ -95,6 +98,7 @@
 	c.Flags().IntVar(&m.clients, "clients", 6, "of each pooler")
 	c.Flags().StringVar(&m.only, "only", "", "faults to draw from, with commas between; all if it is empty")
 	c.Flags().BoolVar(&m.release, "release", false, "play a release by steps around a host that warms up instead")
+	c.Flags().BoolVar(&m.warmUps, "warm-ups", false, "play hosts that come back under ordinary traffic with few heavy requests instead")
 	c.Flags().StringVar(&m.plan, "plan", "", "play this schedule instead of drawing from the seed")
 	c.Flags().StringVar(&m.keep, "keep", "failed-soak.json", "where the schedule of a run that fails goes")
 	c.Flags().StringVar(&m.logs, "logs", "", "a folder for the logs of the poolers' last processes")
--- a/testbed/host/cluster.go
+++ b/testbed/host/cluster.go
@@ -80,6 +80,7 @@
 	observer    atomic.Pointer[Observer]      // nil: nobody
 	rejected    atomic.Pointer[RejectionSeen] // nil: nobody
 	handshakes  atomic.Pointer[HandshakeSeen] // nil: nobody
+	serviceTime atomic.Pointer[ServiceTime]   // nil: none
 	readCheck   atomic.Pointer[ReadCheck]     // nil: reads are answered from what there is
 	databases   map[string]*Database
 	strict      bool
@@ -125,6 +126,12 @@
 // ObserveRejections sets who is told.
 func (c *Cluster) ObserveRejections(o RejectionSeen) { c.rejected.Store(&o) }
 
+// ServiceTime is how long a host works on a query string.
+type ServiceTime func(host, text string) time.Duration
+
+// SetServiceTimes has hosts take their time for each query string. A write at a replica is rejected at once.
+func (c *Cluster) SetServiceTimes(of ServiceTime) { c.serviceTime.Store(&of) }
+
 // ReadCheck says which position a statement needs of a replica, and for how long the replica waits for it before it rejects the
 // statement with 72000. ok is false where any position will do.
 type ReadCheck func(text string) (position float64, wait time.Duration, ok bool)
--- a/testbed/host/conn.go
+++ b/testbed/host/conn.go
@@ -394,6 +394,8 @@
 		c.send(&pgproto3.EmptyQueryResponse{})
 	} else if f = c.host.checkRead(text); f != nil {
 		statements = nil
+	} else if f = c.work(statements[0], text); f != nil {
+		statements = nil
 	}
 	c.several = len(statements) > 1
 	for i, s := range statements {
@@ -416,6 +418,15 @@
 	c.sync()
 }
 
+// work waits for as long as the host works on a query string, unless the host rejects it.
+func (c *conn) work(first []lexeme, text string) *fault {
+	of := c.host.cluster.serviceTime.Load()
+	if of == nil || first[0].text == "insert" && !c.host.Primary() {
+		return nil
+	}
+	return c.wait((*of)(c.host.Name, text))
+}
+
 // errAfterRow commits what the statement did, and returns the error that follows its result.
 func (c *conn) errAfterRow() *fault {
 	if c.tx != nil && !c.tx.explicit {
--- a/testbed/soak/client.go
+++ b/testbed/soak/client.go
@@ -128,7 +128,7 @@
 // next makes a request and its text.
 func (c *client) next(pad int) (*request, string) {
 	c.n++
-	class := &c.classes[c.rng.IntN(len(c.classes))]
+	class := drawClass(c.classes, c.rng)
 	r := &request{id: fmt.Sprintf("%s-%d-%x", c.name, c.n, c.rng.Uint32()), pooler: c.pooler, class: class, group: c.group}
 	more := ""
 	if class.Effect == Deduplicated {
--- a/testbed/soak/coldload.go
+++ b/testbed/soak/coldload.go
@@ -1,10 +1,13 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"ashstand/testbed/report"
@@ -21,6 +24,9 @@
 	Window   Millis    `json:"window_ms"`
 	Load     float64   `json:"load"`   // of a replica of the mean capacity, as a fraction
 	Speeds   []float64 `json:"speeds"` // of the hosts in turn, as fractions of the mean capacity
+	// Probe and Handshake are the work of each, in requests of mean work; 0: the usual one.
+	Probe     float64 `json:"probe,omitempty"`
+	Handshake float64 `json:"handshake,omitempty"`
 }
 
 // usualSlowStart is that of schedules that name none.
@@ -56,21 +62,32 @@
 	return *d.SlowStart
 }
 
-// Work at a host in requests of mean work, beside requests.
+// The usual work at a host in requests of mean work, beside requests.
 const (
-	probeWork     = 0.01
-	handshakeWork = 0.05
+	usualProbeWork     = 0.01
+	usualHandshakeWork = 0.05
 )
 
+func (s *SlowStart) probeWork() float64     { return cmp.Or(s.Probe, usualProbeWork) }
+func (s *SlowStart) handshakeWork() float64 { return cmp.Or(s.Handshake, usualHandshakeWork) }
+
 // hostWork is something that a host had to do.
 type hostWork struct {
 	at   time.Time
-	id   string // of the request; "": none
-	work float64
+	id   string  // of the request; "": none
+	kind string  // the name of its class, or what else it is
+	work float64 // in requests of mean work
 }
 
+// What else a host has to do, beside requests.
+const (
+	probeKind     = "probe"
+	handshakeKind = "handshake"
+)
+
 // coldLoad collects what hosts got, and judges at the end of a run what they got while they warmed up. It is guarded by judge.mu.
 type coldLoad struct {
+	serves   *Deployment
 	settings SlowStart
 	replicas int // of a group
 	hosts    []string
@@ -80,7 +97,7 @@
 }
 
 func newColdLoad(d *Deployment, hosts []string) *coldLoad {
-	c := &coldLoad{settings: d.slowStart(), replicas: d.Replicas, hosts: hosts, groupOf: map[string]int{}, work: map[string][]hostWork{}, starts: map[string][]time.Time{}}
+	c := &coldLoad{serves: d, settings: d.slowStart(), replicas: d.Replicas, hosts: hosts, groupOf: map[string]int{}, work: map[string][]hostWork{}, starts: map[string][]time.Time{}}
 	for i, h := range hosts {
 		c.groupOf[h] = i / (d.Replicas + 1)
 	}
@@ -101,7 +118,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.cold != nil {
-		j.cold.work[host] = append(j.cold.work[host], hostWork{at: at, work: handshakeWork})
+		j.cold.work[host] = append(j.cold.work[host], hostWork{at: at, kind: handshakeKind, work: j.cold.settings.handshakeWork()})
 	}
 }
 
@@ -130,6 +147,9 @@
 			}
 		}
 	}
+	if first > last { // nothing was asked of it
+		return 0
+	}
 	var all, undisturbed []int
 	for second := first + 1; second < last; second++ { // the first and the last are not whole
 		all = append(all, bySecond[second])
@@ -149,10 +169,38 @@
 	return float64(counts[int(float64(len(counts))*usualSecond)])
 }
 
-// capacity is the requests a second that a host stands once it is warm.
+// speed is the capacity of a host as a fraction of the mean capacity.
+func (c *coldLoad) speed(host string) float64 {
+	return c.settings.Speeds[slices.Index(c.hosts, host)%len(c.settings.Speeds)]
+}
+
+// capacity is the requests of mean work a second that a host stands once it is warm.
 func (c *coldLoad) capacity(host string) float64 {
-	speed := c.settings.Speeds[slices.Index(c.hosts, host)%len(c.settings.Speeds)]
-	return c.groupRate(c.groupOf[host]) / float64(max(1, c.replicas)) / c.settings.Load * speed
+	return c.groupRate(c.groupOf[host]) / float64(max(1, c.replicas)) / c.settings.Load * c.speed(host)
+}
+
+// workOf is what a statement is to a host.
+func (c *coldLoad) workOf(text, id string, at time.Time) hostWork {
+	name := classNameOf(text)
+	work := 1.0
+	if i := slices.IndexFunc(c.serves.Classes, func(k Class) bool { return k.Name == name }); i >= 0 {
+		work = c.serves.workOf(&c.serves.Classes[i], id)
+	}
+	return hostWork{at: at, id: id, kind: name, work: work}
+}
+
+// byKind is a part of a host's work, added up by what it was.
+func byKind(work []hostWork) string {
+	count, sum := map[string]int{}, map[string]float64{}
+	for _, w := range work {
+		count[w.kind]++
+		sum[w.kind] += w.work
+	}
+	var parts []string
+	for _, kind := range slices.Sorted(maps.Keys(count)) {
+		parts = append(parts, fmt.Sprintf("%d %s of %.1f", count[kind], kind, sum[kind]))
+	}
+	return strings.Join(parts, ", ")
 }
 
 // allowed is what a host stands in a window that begins so long after its start, with the slack for chance.
@@ -204,8 +252,8 @@
 			continue
 		}
 		if worst <= 1 && share > 1 {
-			j.g.Break(coldOverload, "%s, %v after its start: %.1f of work in %v, more than it stands; %.1f of it from poolers that knew",
-				host, work[i].at.Sub(started), sum, s.Window.Duration(), informed)
+			j.g.Break(coldOverload, "%s, %v after its start: %.1f of work in %v, more than the %.1f that it stands; %.1f of it from poolers that knew; %s",
+				host, work[i].at.Sub(started), sum, s.Window.Duration(), j.cold.allowed(capacity, age), informed, byKind(work[from:i+1]))
 		}
 		worst = share
 	}
--- a/testbed/soak/deployment.go
+++ b/testbed/soak/deployment.go
@@ -60,6 +60,10 @@
 	Deadline  Millis `json:"deadline_ms"`
 	Window    Millis `json:"window_ms"` // in which hosts discard repeats
 	Bound     Millis `json:"bound_ms"`  // of a bounded read
+	// Share and Work are relative to those of the other classes, and 1 where they are 0. Where no class has work, hosts answer at once.
+	Share  float64 `json:"share,omitempty"`
+	Work   float64 `json:"work,omitempty"` // mean work of a request
+	Spread Spread  `json:"spread,omitempty"`
 }
 
 // rejectionIsHarmless reports whether the class may be rejected though a request of it may have run.
@@ -140,6 +144,7 @@
 		d.Classes = append(d.Classes, c)
 	}
 	d.SlowStart = drawSlowStart(seed, d.hosts())
+	d.drawWork(seed)
 	return d
 }
 
@@ -166,6 +171,9 @@
 			!slices.Contains([]Effect{Idempotent, Deduplicated, AtMostOnce}, c.Effect) || c.Deadline <= 0 || c.Objective <= 0 {
 			return fmt.Errorf("class %q: access %q, effect %q, objective %d, deadline %d", c.Name, c.Access, c.Effect, c.Objective, c.Deadline)
 		}
+		if c.Share < 0 || c.Work < 0 || !slices.Contains([]Spread{"", SpreadConstant, SpreadLognormal, SpreadExponential}, c.Spread) {
+			return fmt.Errorf("class %q: share %v, work %v, spread %q", c.Name, c.Share, c.Work, c.Spread)
+		}
 	}
 	return nil
 }
--- a/testbed/soak/judge.go
+++ b/testbed/soak/judge.go
@@ -97,9 +97,9 @@
 		j.seen[id] = append(j.seen[id], sighting{host, at})
 	}
 	if j.cold != nil {
-		work := hostWork{at: at, id: id, work: 1}
-		if !ok {
-			work = hostWork{at: at, work: probeWork}
+		work := hostWork{at: at, kind: probeKind, work: j.cold.settings.probeWork()}
+		if ok {
+			work = j.cold.workOf(text, id, at)
 		}
 		j.cold.work[host] = append(j.cold.work[host], work)
 	}
@@ -112,6 +112,14 @@
 	return id, ok
 }
 
+// classNameOf is the class in the comment of a statement.
+func classNameOf(text string) string {
+	comment, _, _ := strings.Cut(text, "*/")
+	_, rest, _ := strings.Cut(comment, ",c=")
+	name, _, _ := strings.Cut(rest, ",")
+	return strings.TrimSpace(name)
+}
+
 // rejectedByHost notes that a host rejected a statement before anything of it ran.
 func (j *judge) rejectedByHost(host, text string) {
 	id, ok := idOf(text)
--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -150,6 +150,9 @@
 		group.Observe(r.judge.sighted)
 		group.ObserveHandshakes(r.judge.handshaken)
 		group.ObserveRejections(r.judge.rejectedByHost)
+		if r.serves.hasWork() {
+			group.SetServiceTimes(r.serviceTime)
+		}
 		if r.serves.StalenessCheck != CheckOff {
 			group.CheckReads(r.positionNeeded)
 		}
