Count the budget of a warming host in work, and keep heavy requests from it

Cause: the promise is in requests of mean work; a budget's token was one request of any class. A class of few heavy requests (3 % of them, 13 times the mean work each) can make up a host's whole load while its budget hardly moves, and a read that any replica may answer goes to the replica furthest behind, which is the one that has come back.

Change: routing/classcost.go learns what a request of a class costs from the answer times of warm members, beside the shares of the classes. Before four answers were seen, a class costs what its latency objective lets expect, and at the least what it would if it made up all the work. A draw takes that cost, at least 1 as before. A heavy class (over 2) goes to a warm replica if one can take it, takes more tokens than it costs, since few such requests vary much, and none at all where four of them would fill what a host tolerates beyond its budget. The refill is as before, so like classes pay nothing once they are known.

Why it works: the sum over all routers is now bounded in the unit in which the host counts, and the part whose sum chance makes large is kept away.

--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -233,7 +233,7 @@
 	go every(ctx, time.Second, n.pool.Sweep)
 	go every(ctx, pg.SweepInterval, n.front.Sweep)
 	warming := warmuplog.New()
-	go every(ctx, warmuplog.Interval, func() { warming.Report(n.clock.Now(), n.facade.WarmingHosts()) })
+	go every(ctx, warmuplog.Interval, func() { warming.Report(n.clock.Now(), n.facade.WarmingHosts(), n.facade.ClassCosts()) })
 	log.Printf("%s listens on %s; at most %d clients and %d connections to hosts, idle for %v at most", cfg.Name, cfg.Listen,
 		b.front.MaxClients, b.pool.Connections, b.pool.IdleTimeout)
 	return n, nil
--- a/internal/dispatch/slowstart.go
+++ b/internal/dispatch/slowstart.go
@@ -19,6 +19,13 @@
 	SentByClass      []ClassSent // in the order of the classes
 }
 
+// ClassCosts returns what this process takes a request of each class to cost a host.
+func (d *Dispatcher) ClassCosts() []routing.ClassCost {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.router.ClassCosts()
+}
+
 // ClassSent is what this process has sent to a warming host of one class.
 type ClassSent struct {
 	Class    string
@@ -98,7 +105,10 @@
 	if record == nil || clock.Millis(record.startedAt) > at { // the attempt was written before the host restarted
 		return false
 	}
-	path, cost := d.router.SlowStartPathOf(c.host, c.classIndex)
+	path, cost, ok := d.router.SlowStartPathOf(c.id, c.attempt)
+	if !ok {
+		return false
+	}
 	record.sent[path]++
 	record.byClass[c.classIndex].Requests++
 	record.byClass[c.classIndex].Cost += cost
--- a/internal/lifecycle/slowstart.go
+++ b/internal/lifecycle/slowstart.go
@@ -16,6 +16,7 @@
 	peakRate     float64
 	peakAt       float64          // when peakRate was set
 	writtenCost  float64          // cost of all writes
+	largestCost  float64          // of a single write
 	recentWrites []slowStartWrite // the writes of the last window
 }
 
@@ -29,7 +30,7 @@
 	// toleratedDeviations is the number of standard deviations by which randomly drawn requests may exceed
 	// their mean.
 	toleratedDeviations = 4
-	// smallSumTolerance is a fixed cost that is tolerated in addition. It matters for small sums.
+	// smallSumTolerance is the number of writes whose cost is tolerated in addition. It matters for small sums.
 	smallSumTolerance = 4
 )
 
@@ -49,6 +50,7 @@
 // writes since the start of the audit, or those within the last window, now exceed what is permitted.
 func (a *SlowStartAudit) RecordWrite(at, cost float64) (isOverrun bool) {
 	a.writtenCost += cost
+	a.largestCost = max(a.largestCost, cost, 1)
 	a.recentWrites = append(a.recentWrites, slowStartWrite{at, cost})
 	inWindow, kept := 0.0, a.recentWrites[:0]
 	for _, w := range a.recentWrites {
@@ -59,10 +61,11 @@
 	}
 	a.recentWrites = kept
 	perWindow := a.peakRate * a.WindowMillis / 1e3
-	return a.writtenCost > toleratedSum(a.allowance+burstWindows*perWindow) || inWindow > toleratedSum((1+burstWindows)*perWindow)
+	return a.writtenCost > a.toleratedSum(a.allowance+burstWindows*perWindow) || inWindow > a.toleratedSum((1+burstWindows)*perWindow)
 }
 
-// toleratedSum returns the greatest sum of randomly drawn costs that is accepted for a given mean.
-func toleratedSum(mean float64) float64 {
-	return mean + toleratedDeviations*math.Sqrt(mean) + smallSumTolerance
+// toleratedSum returns the greatest sum of randomly drawn costs that is accepted for a given mean. The variance
+// of such a sum is at most its mean times the largest cost.
+func (a *SlowStartAudit) toleratedSum(mean float64) float64 {
+	return mean + toleratedDeviations*math.Sqrt(mean*a.largestCost) + smallSumTolerance*a.largestCost
 }
--- a/internal/lifecycle/slowstart_test.go
+++ b/internal/lifecycle/slowstart_test.go
@@ -33,6 +33,25 @@
 	require.Positive(t, countOverruns(4, 50))
 }
 
+// Heavy requests as far apart as the rate permits are no overrun; two a second go far beyond it.
+func TestSlowStartAuditAcceptsAHeavyRequest(t *testing.T) {
+	const window, second, heavy = 1500.0, 1000.0, 13.0
+	a := SlowStartAudit{WindowMillis: window}
+	a.SetRate(1, 1)
+	for at := second; at < 40*second; at += heavy * second {
+		a.SetRate(at, 1)
+		require.False(t, a.RecordWrite(at, heavy))
+	}
+	overruns := 0
+	for at := 40 * second; at < 50*second; at += second / 2 {
+		a.SetRate(at, 1)
+		if a.RecordWrite(at, heavy) {
+			overruns++
+		}
+	}
+	require.Positive(t, overruns)
+}
+
 // Guards against a false overrun when a host loses the primary role and with it the rate for writes: the
 // writes of a moment before were permitted.
 func TestSlowStartAuditAcceptsWritesBeforeRateDrop(t *testing.T) {
--- a/internal/warmuplog/reporter.go
+++ b/internal/warmuplog/reporter.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"ashstand/internal/clock"
 	"ashstand/internal/dispatch"
 	"ashstand/routing"
 )
@@ -41,7 +42,8 @@
 func New() *Reporter { return &Reporter{lastViews: map[string]dispatch.SlowStartView{}} }
 
 // Report logs what has changed since the last call.
-func (r *Reporter) Report(nowMillis float64, warming []dispatch.SlowStartView) {
+// costs is what the process takes a request of each class to cost; it is logged when a host begins to warm up.
+func (r *Reporter) Report(nowMillis float64, warming []dispatch.SlowStartView, costs []routing.ClassCost) {
 	r.linesLogged = 0
 	present := make(map[string]dispatch.SlowStartView, len(warming))
 	for _, view := range warming {
@@ -49,7 +51,7 @@
 		previous, known := r.lastViews[view.Host]
 		if !known || previous.StartedAt != view.StartedAt {
 			previous = dispatch.SlowStartView{}
-			r.log(MessageBegins, &view, "notified_ms", int64(view.NotifiedAtMillis))
+			r.log(MessageBegins, &view, "notified_ms", int64(view.NotifiedAtMillis), "costs", formatCosts(costs))
 		} else if previous.IsPrimary != view.IsPrimary || previous.Members != view.Members {
 			r.log(MessageChanged, &view, "was_primary", previous.IsPrimary, "had_members", previous.Members)
 		}
@@ -93,6 +95,20 @@
 	}
 }
 
+// formatCosts returns name:cost:mean answer time in milliseconds of each class, with a question mark where the
+// work is not known yet.
+func formatCosts(costs []routing.ClassCost) string {
+	var parts []string
+	for _, class := range costs {
+		part := fmt.Sprintf("%s:%.2f:%.1f", url.QueryEscape(class.Class), class.Cost, clock.Millis(class.AnswerTime))
+		if !class.IsKnown {
+			part += "?"
+		}
+		parts = append(parts, part)
+	}
+	return strings.Join(parts, ",")
+}
+
 // sentSince returns what was sent of each class since an earlier view, which may hold nothing.
 func sentSince(previous, now []dispatch.ClassSent) (sent []dispatch.ClassSent) {
 	for i, class := range now {
--- a/internal/warmuplog/reporter_test.go
+++ b/internal/warmuplog/reporter_test.go
@@ -23,12 +23,13 @@
 	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
 	r := New()
 	view := dispatch.SlowStartView{StartedAtMillis: 5000, SlowStartStatus: routing.SlowStartStatus{Host: "a", Group: 3, StartedAt: 5 * time.Second, Members: 4, Ratio: 0.42}}
+	costs := []routing.ClassCost{{Class: "read", Cost: 0.5, AnswerTime: 4 * time.Millisecond, IsKnown: true}, {Class: "report", Cost: 16}}
 	reportOutput := func(views ...dispatch.SlowStartView) string {
 		log.Reset()
-		r.Report(9000, views)
+		r.Report(9000, views, costs)
 		return log.String()
 	}
-	require.Contains(t, reportOutput(view), MessageBegins)
+	require.Regexp(t, MessageBegins+`.* notified_ms=0 costs=read:0.50:4.0,report:16.00:0.0\?`, reportOutput(view))
 	require.Empty(t, reportOutput(view))
 	view.Sent[routing.PathWrite], view.HeldBack[routing.PathReplicaRead] = 3, 2
 	require.Contains(t, reportOutput(view), `host=a group=3 started_ms=5000 primary=false members=4 ratio=0.42 rate=0 until_ms=9000 write=3 held_back=2`)
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -74,6 +74,7 @@
 		r.offeredWeight += k.PriorityWeight
 	}
 	smooth(&r.writeFraction, float64(k.servingRole), writeFractionSpan)
+	r.recordRequest(k)
 	r.advanceHistory(g).requests++
 	mean := &r.meanWeight[k.servingRole]
 	*mean = cmp.Or(*mean, k.PriorityWeight)
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -32,6 +32,7 @@
 	sentAt          time.Duration
 	memberStartedAt time.Duration // when the member's process started, as known at grantedAt
 	grantedAt       time.Duration // when slow start allowed the attempt
+	cost            float64       // tokens that it took from the member's slow start budget
 	pending         bool
 }
 
@@ -105,7 +106,8 @@
 	m.inFlight++
 	m.inFlightByClass[req.class.index]++
 	req.attempts = append(req.attempts, attempt{
-		member: m, sentAt: r.now, memberStartedAt: m.startedAt, grantedAt: r.now, pending: true,
+		member: m, sentAt: r.now, memberStartedAt: m.startedAt, grantedAt: r.now, cost: req.grantedCost(m),
+		pending: true,
 	})
 	r.refundUnusedGrants(req, m)
 	if r.isWarming(m) { // the sample covers one attempt: a retry draws no grant with it
@@ -137,7 +139,7 @@
 	a.member.waitingSince = r.now
 	r.recordOutcome(a, req, e)
 	if e.Execution == NotBegun && a.memberStartedAt == a.member.startedAt { // nothing was written to the host
-		r.refund(a.member, a.member.slowStartCost(req.class))
+		r.refund(a.member, a.cost)
 		req.redraw(r.rng.Float64())
 	}
 	neverRan := e.Execution.NeverRan()
@@ -171,98 +173,6 @@
 	r.dispatch(req)
 }
 
-// recordOutcome updates a member's role, position, load report and health by how an attempt ended.
-func (r *Router) recordOutcome(a *attempt, req *request, e *AttemptEnded) {
-	m, isWrite := a.member, req.class.Access == Write
-	if e.Role != Unknown {
-		position := e.Position
-		if isWrite && e.Code == OK { // a commit's position is rounded up, so it is not proven
-			if r.cfg.TracksCommits && req.hasSessionKey && e.Position > 0 {
-				r.recordCommit(req.group, req.sessionKey, e.Position)
-			}
-			position = 0
-		}
-		r.recordAnswer(m, &LateAnswer{Role: e.Role, Position: e.Position, Elapsed: e.Elapsed}, position)
-	}
-	if e.Code == StaleAnswer && e.Position > 0 { // its data is older than it had reported
-		m.position = min(m.position, e.Position)
-	}
-	r.recordReport(m, e.Report)
-	r.updateHealth(m, a, req, e)
-	if e.Code == NoConnection || e.Code == Misdirected && isWrite {
-		m.notPrimaryAt = r.now
-	}
-}
-
-// updateHealth updates the connection state, score and limit of a member by how an attempt ended.
-func (r *Router) updateHealth(m *member, a *attempt, req *request, e *AttemptEnded) {
-	// Many immediate connect failures show that hosts are out of connections: most routers close idle ones.
-	m.connected = m.connected || e.Code == OK || e.Code.isMisrouted()
-	r.connectFailures -= r.connectFailures / connectSpan
-	if e.Code == NoConnection && e.Elapsed < minLatency {
-		r.connectFailures += 1.0 / connectSpan
-	}
-	if m.connected && m.inFlight == 0 && r.connectFailures > connectFailureThreshold &&
-		r.rng.Float64() > maxIdleConns/float64(r.cfg.RouterCount) {
-		m.connected = false
-		r.emit(Action{Kind: ActCloseIdle, Host: m.host})
-	}
-	score := e.Elapsed.Seconds() / req.class.LatencyObjective.Seconds()
-	switch e.Code {
-	case OK, Misdirected, StaleAnswer:
-		m.answeredAt = r.now
-	case ServerError, NoConnection:
-		score, m.connected = faultScore, e.Code == ServerError
-	case ConnectionLost: // if the host is down, the next attempt will not even connect
-		score, m.connected = transientFaultScore, false
-	case Malformed:
-		score, m.answeredAt = transientFaultScore, r.now
-	case NoAnswer:
-		// A single one may be due to a costly request, at a slow host often; a host that is down stays
-		// silent, or refuses the next connection.
-		if score = max(1, score); m.answeredAt <= a.sentAt { // else it answered others meanwhile: it is busy
-			score = transientFaultScore
-		}
-		r.recordLost(m, req)
-	case Rejected: // a rejection costs the host work too: back off for one to two mean latencies
-		m.backoffUntil = r.now + time.Duration((1+r.rng.Float64())*float64(max(r.meanLatency, minLatency)))
-		r.adjustLimit(m, -limitDecrease)
-		r.raiseShedding(req.admission(m), 0.5)
-		return
-	default:
-		return
-	}
-	if !e.Code.isMisrouted() {
-		r.recordScore(m, score)
-	}
-	if e.Code == OK {
-		r.recordLatency(m, req, e.Elapsed)
-	}
-}
-
-// recordLatency applies an answer's latency: slow answers lower the limit and shed more, fast ones undo that.
-func (r *Router) recordLatency(m *member, req *request, elapsed time.Duration) {
-	k, a, inTime := req.class, req.admission(m), 0.0
-	r.meanLatency = smoothLatency(r.meanLatency, elapsed)
-	k.latency = smoothLatency(k.latency, elapsed)
-	k.serviceTime = min(elapsed, k.serviceTime+max(k.serviceTime/64, time.Millisecond))
-	if elapsed <= k.LatencyObjective {
-		r.recordTimelyAnswer(m)
-	}
-	if elapsed > k.LatencyObjective*3/4 {
-		r.raiseShedding(a, 0.5)
-	} else {
-		inTime = 1
-		a.shedFraction = max(0, a.shedFraction-shedDecrease)
-	}
-	smooth(&a.inTimeFraction, inTime, inTimeSpan)
-	if elapsed > k.LatencyObjective/2 {
-		r.adjustLimit(m, -limitDecrease)
-	} else if float64(m.inFlight+1) >= m.limit/2 {
-		r.adjustLimit(m, limitIncrease)
-	}
-}
-
 // handleClientGone ends a request whose client is gone. Pending attempts count as lost: they took too long.
 func (r *Router) handleClientGone(id string) {
 	req := r.requests[id]
--- /dev/null
+++ b/routing/classcost.go
@@ -0,0 +1,97 @@
+package routing
+
+import "time"
+
+// classWork is what a router knows of the work that a request of a class costs a host, and how often such
+// requests come.
+type classWork struct {
+	answerTime time.Duration // mean time of answers by warm members; outliers count less
+	answers    float64       // number of answers that answerTime is the mean of, at most workSpan
+	requests   float64       // number of recent requests, of traffic.recentRequests
+}
+
+// isKnown reports whether enough answers have shown the work.
+func (w *classWork) isKnown() bool { return w.answers >= minWorkAnswers }
+
+// recordRequest counts a request of a class.
+func (r *Router) recordRequest(k *class) {
+	k.work.requests++
+	r.recentRequests++
+	if r.recentRequests > maxRecentRequests {
+		r.recentRequests /= 2
+		for i := range r.classes {
+			r.classes[i].work.requests /= 2
+		}
+	}
+}
+
+// recordWork records the time of an answer. A time of more than workOutlier times the mean counts as that: it
+// is due to a connection or a host that is slow, rather than to the work. Answers of warming members, which
+// are slower, count only until the work is known.
+func (r *Router) recordWork(m *member, k *class, elapsed time.Duration) {
+	w := &k.work
+	if r.isWarming(m) && w.isKnown() {
+		return
+	}
+	w.answers = min(w.answers+1, workSpan)
+	if w.answers > 1 {
+		elapsed = min(elapsed, workOutlier*w.answerTime)
+	}
+	w.answerTime += time.Duration(float64(elapsed-w.answerTime) / w.answers)
+}
+
+// classCost returns what a request of a class costs a host, in requests of mean work. Before there were many
+// requests, most of them are taken to be of the lightest class.
+func (r *Router) classCost(k *class) float64 {
+	perObjective := r.workPerObjective()
+	lightest := r.classes[0].workSeconds(perObjective)
+	sum := 0.0
+	for i := range r.classes {
+		other := &r.classes[i]
+		work := other.workSeconds(perObjective)
+		lightest = min(lightest, work)
+		sum += work * other.work.requests
+	}
+	mean := (sum + lightest*initialLightRequests) / (r.recentRequests + initialLightRequests)
+	return k.workSeconds(perObjective) / mean
+}
+
+// workSeconds returns the time that the work of a request takes. Until that is known, the work is taken to be
+// at least as large a part of the latency objective as that of the other classes.
+func (k *class) workSeconds(perObjective float64) float64 {
+	observed := k.work.answerTime.Seconds()
+	if k.work.isKnown() {
+		return observed
+	}
+	return max(observed, k.LatencyObjective.Seconds()*perObjective)
+}
+
+// workPerObjective returns the work of the classes whose work is known, as a fraction of their latency
+// objectives; 1 if there is no such class.
+func (r *Router) workPerObjective() float64 {
+	work, objectives := 0.0, 0.0
+	for i := range r.classes {
+		if k := &r.classes[i]; k.work.isKnown() {
+			work += k.work.requests * k.work.answerTime.Seconds()
+			objectives += k.work.requests * k.LatencyObjective.Seconds()
+		}
+	}
+	if work <= 0 || objectives <= 0 {
+		return 1
+	}
+	return work / objectives
+}
+
+// highestCost returns what a request of a class costs a host at most, in requests of mean work. A class whose
+// work is not known may make up all the work, however few its requests are.
+func (r *Router) highestCost(k *class) float64 {
+	cost := r.classCost(k)
+	if !k.work.isKnown() {
+		requests := r.recentRequests + initialClassRequests*float64(len(r.classes))
+		cost = max(cost, requests/(k.work.requests+initialClassRequests))
+	}
+	return cost
+}
+
+// isHeavy reports whether a request of a class costs a host much more than the others, or may do so.
+func (r *Router) isHeavy(k *class) bool { return r.highestCost(k) > ordinaryCost }
--- a/routing/constants.go
+++ b/routing/constants.go
@@ -43,7 +43,7 @@
 	tenantRateSpan                              = 8.0 // seconds over which a tenant's rate is smoothed
 
 	slowStartSafety = 0.8 // used fraction of the overload that a warming member withstands
-	writeCost       = 2.0 // tokens that a write takes from the budget of a warming primary
+	writeCost       = 2.0 // least number of tokens that a write takes from the budget of a warming primary
 	grantsPerWindow = 4   // a grant is valid for an overload window divided by this
 	learningSeconds = 3.0 // observed time after which the rate that warm members served counts in full
 	maxBurstWindows = 4.0 // the longest burst window of a slow start budget, in overload windows
@@ -51,6 +51,14 @@
 	minHistory      = 100 * time.Millisecond
 	demandSpan      = 3 * time.Second
 
+	ordinaryCost          = 2.0    // in requests of mean work; a class that costs more is heavy
+	heavyRequestsInMargin = 4.0    // requests of a heavy class that fit into the overload margin
+	initialLightRequests  = 50.0   // requests of the lightest class, taken to have come before any
+	initialClassRequests  = 0.5    // the same of each class, where the work of a class is not known
+	maxRecentRequests     = 1024.0 // beyond these, earlier requests count half
+	minWorkAnswers        = 4      // answers that show the work of a class
+	workOutlier           = 4      // an answer counts for at most so many times the mean
+
 	minOverloadWindow = time.Second // also where the settings give none
 
 	exploreFraction         = 0.15 // of the draws that are not limited to connected or known members
@@ -59,4 +67,5 @@
 
 	// The number of samples over which each figure is smoothed.
 	latencySpan, inTimeSpan, scoreSpan, connectSpan, weightSpan, writeFractionSpan = 8, 8, 16, 16, 32, 64
+	workSpan                                                                       = 16
 )
--- a/routing/fleetwork_test.go
+++ b/routing/fleetwork_test.go
@@ -165,7 +165,7 @@
 		p.scenario.change(w)
 	}
 	w.play(7 * time.Second)
-	_, worst, started := w.worstOverload(since)
+	worst, started := w.worstOverload(since)
 	require.Equal(t, groups*restarts, started)
 	return worst, float64(w.rejected-rejected) / float64(w.arrived-arrived)
 }
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -70,6 +70,9 @@
 			found.doubtful = append(found.doubtful, m)
 		}
 	}
+	if r.isHeavy(req.class) {
+		found.proven, found.catchUp = r.preferWarm(found.proven), r.preferWarm(found.catchUp)
+	}
 	// A long query stops a replica's log replay. An eventual read may be one, so it runs where that costs
 	// least: on the replica furthest behind, if that one lags by the tightest staleness bound or more.
 	if req.class.Access == EventualRead {
@@ -82,6 +85,14 @@
 	return found
 }
 
+// preferWarm returns the members that are not warming or, if there are none, all of them.
+func (r *Router) preferWarm(members []*member) []*member {
+	if !slices.ContainsFunc(members, func(m *member) bool { return !r.isWarming(m) }) {
+		return members
+	}
+	return slices.DeleteFunc(members, r.isWarming)
+}
+
 // allowedBySlowStart returns the members that slow start lets a request go to. It draws on the budgets of
 // warming members, so it is called only for members among which the request's member is chosen now.
 func (r *Router) allowedBySlowStart(members []*member, req *request) []*member {
--- a/routing/router.go
+++ b/routing/router.go
@@ -9,10 +9,11 @@
 //
 // Each concern of the decisions has its own file: members.go (host state and evidence), primary.go (the
 // search for the primary), replica.go (the choice of a replica), admission.go (admission and limits),
-// capacity.go (the load that members can take), slowstart.go (what warming members are sent),
-// slowstart_status.go (status and counters of slow start), attempts.go (attempts and retries), execution.go
-// (what is proven about whether a request ran), groupclock.go (the clock of a group), probes.go, sessions.go
-// (read your writes), queue.go (queued requests) and constants.go. The deploy file lists them as the policy.
+// capacity.go (the load that members can take), classcost.go (the work of a request), slowstart.go (what
+// warming members are sent), slowstart_status.go (status and counters of slow start), attempts.go (attempts
+// and retries), health.go (what the end of an attempt shows of its member), execution.go (what is proven about
+// whether a request ran), groupclock.go (the clock of a group), probes.go, sessions.go (read your writes),
+// queue.go (queued requests) and constants.go. The deploy file lists them as the policy.
 //
 // This file holds the Router with its settings and the handling of events. events.go and types.go define the
 // interface, and state.go the state that a router hands to its next start.
@@ -68,6 +69,7 @@
 	offeredWeight   float64       // total weight of all requests except retries
 	meanWeight      [2]float64    // smoothed, of requests for replicas and for the primary
 	writeFraction   float64       // smoothed fraction of the requests for the primary
+	recentRequests  float64       // number of recent requests of all classes
 }
 
 // class is a request class with the statistics of its requests.
@@ -80,6 +82,7 @@
 	offeredWeight  float64       // total weight of its requests except retries
 	inTimeFraction float64       // fraction of its recent requests that were answered in time
 	samples        float64       // number of requests that inTimeFraction is the mean of, at most maxSamples
+	work           classWork     // that a request costs a host
 }
 
 // SettingsError reports a setting that the router can't work with.
--- a/routing/simulation_test.go
+++ b/routing/simulation_test.go
@@ -402,12 +402,12 @@
 
 // worstOverload returns the largest load of any host that started since a time, as a fraction of what the
 // host withstands. The load is what the host was sent in any overload window, including what it rejected. It
-// withstands N requests of mean work and, unless w.withstands is set otherwise, twice the root of N for chance and
-// two. N is the multiple that the settings allow of the capacity that the host surely has when that window begins. The capacity of a warm
-// host is a replica's share of the requests for its group while no client has to retry. worstInformed counts
-// only the windows in which more than two thirds of the work came from routers that had been told of the
-// host's start.
-func (w *fleetSimulation) worstOverload(since time.Duration) (worst, worstInformed float64, hosts int) {
+// withstands N requests of mean work and, unless w.withstands is set otherwise, twice the root of N for chance
+// and two. N is the multiple that the settings allow of the capacity that the host surely has when that window
+// begins. The capacity of a warm host is a replica's share of the requests for its group while no client has
+// to retry. It counts only the windows in which more than two thirds of the work came from routers that had
+// been told of the host's start.
+func (w *fleetSimulation) worstOverload(since time.Duration) (worst float64, hosts int) {
 	s := &w.cfg
 	for h, e := range w.list {
 		if e.StartedAt < since || e.Removed {
@@ -431,14 +431,12 @@
 				break
 			}
 			allowed := s.SlowStart.OverloadFactor * share * w.capacity(h) * overloadWindow.Seconds()
-			over := sum / w.withstands(allowed)
-			worst = max(worst, over)
 			if sum-untold > sum*2/3 {
-				worstInformed = max(worstInformed, over)
+				worst = max(worst, sum/w.withstands(allowed))
 			}
 		}
 	}
-	return worst, worstInformed, hosts
+	return worst, hosts
 }
 
 // capacity returns the requests a second that a host bears once it is warm.
@@ -449,7 +447,7 @@
 // requireCapacity requires that no host that started since a time was sent more than it withstands.
 func (w *fleetSimulation) requireCapacity(what string, since time.Duration) {
 	w.t.Helper()
-	_, worst, n := w.worstOverload(since)
+	worst, n := w.worstOverload(since)
 	require.Positive(w.t, n, "%s: hosts started", what)
 	require.Positive(w.t, worst, "%s: warming hosts get some of the work", what)
 	w.t.Logf("%s: a warming host was sent at most %.0f%% of what it withstands in %v; rejected: %.0f%%", what, 100*worst, overloadWindow,
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -9,9 +9,10 @@
 )
 
 // slowStartBudget is a token bucket that limits the requests which this router sends to one warming member.
-// It refills at the rate that the member can surely bear. The burst capacity is what it earns within one
-// overload window, or a few at a low rate, so tokens that are not used by then are lost. The budgets of all
-// routers add up to what the member bears, however many requests arrive and whichever members leave.
+// A token stands for one request of mean work. The budget refills at the rate that the member can surely
+// bear. The burst capacity is what it earns within one overload window, or a few at a low rate, so tokens
+// that are not used by then are lost. The budgets of all routers add up to what the member bears, however
+// many requests arrive and whichever members leave.
 type slowStartBudget struct {
 	tokens      float64
 	refilledAt  time.Duration
@@ -51,10 +52,9 @@
 	return max(r.cfg.SlowStart.OverloadWindow, minOverloadWindow)
 }
 
-// slowStartRate returns the refill rate of a warming member's budget, in requests a second of this router,
-// and its burst window: the budget holds at most what it earns in that time. The burst window is one
-// overload window, or the time to earn one token if that is longer,
-// but at most maxBurstWindows overload windows.
+// slowStartRate returns the refill rate of a warming member's budget, in tokens a second, and its burst
+// window: the budget holds at most what it earns in that time. The burst window is one overload window, or
+// the time to earn one token if that is longer, but at most maxBurstWindows overload windows.
 //
 // With few requests the budget is often full between two of them, and what it would earn then is lost. The
 // refill rate is raised to make up for that: it is divided by the fraction of the tokens that is expected
@@ -97,7 +97,7 @@
 	if grantIndex >= 0 {
 		return req.grants[grantIndex].granted
 	}
-	grant := slowStartGrant{member: m, startedAt: m.startedAt, cost: m.slowStartCost(req.class)}
+	grant := slowStartGrant{member: m, startedAt: m.startedAt, cost: r.slowStartCost(m, req.class)}
 	if req.sample < 1 || r.slowStartRatio(m) >= 1 {
 		grant.granted = r.drawGrant(m, req, grant.cost)
 	}
@@ -105,13 +105,33 @@
 	return grant.granted
 }
 
-// slowStartCost returns how many tokens a request takes from a member's budget. A write or a strong read at
-// the primary takes more than one.
-func (m *member) slowStartCost(k *class) float64 {
+// slowStartCost returns how many tokens a request takes from a member's budget: what it costs a host, at
+// least 1 and, for a write or a strong read at the primary, at least writeCost. Heavy requests take more
+// than they cost, because the load that few of them make varies much. The result is infinite for a class of
+// which a few requests might be too much for the member.
+func (r *Router) slowStartCost(m *member, k *class) float64 {
+	cost := max(1, r.highestCost(k))
 	if k.needsPrimary() && m == m.group.primary() {
-		return writeCost
+		cost = max(cost, writeCost)
 	}
-	return 1
+	if cost <= ordinaryCost {
+		return cost
+	}
+	limit := r.overloadMargin(m) / heavyRequestsInMargin
+	if cost >= limit {
+		return math.Inf(1)
+	}
+	return cost / (1 - cost/limit)
+}
+
+// overloadMargin returns how much more work than their budgets permit all routers together may send a warming
+// member within one overload window. The rule on cold hosts tolerates twice the root of what it allows, for
+// chance.
+func (r *Router) overloadMargin(m *member) float64 {
+	perSecond := r.slowStartRatio(m) * r.sustainableRate(m) * float64(r.cfg.RouterCount)
+	budget := perSecond * r.overloadWindow().Seconds()
+	allowed := budget / slowStartSafety
+	return allowed - budget + 2*math.Sqrt(allowed) + 2
 }
 
 // refund returns the tokens of a request that was granted but not sent to a member's budget, up to the
@@ -138,6 +158,10 @@
 // sample select one replica of the group, so that of several warming replicas mostly one grants the request.
 // Reads at the primary leave the writes their share.
 func (r *Router) drawGrant(m *member, req *request, cost float64) bool {
+	if math.IsInf(cost, 1) {
+		m.budget.heldBack[m.slowStartPath(req.class)]++
+		return false
+	}
 	r.refill(m)
 	sample := req.sample
 	if sample >= 1 { // used up: a further draw needs a new sample, not the one that has failed
@@ -180,6 +204,16 @@
 	return (float64((offset+index)%count) + sample) / float64(count)
 }
 
+// grantedCost returns the tokens that the grant of a member took; 0 if there is none.
+func (req *request) grantedCost(m *member) float64 {
+	for _, g := range req.grants {
+		if g.member == m && g.granted {
+			return g.cost
+		}
+	}
+	return 0
+}
+
 // redraw gives a request a new sample and discards the grants of the previous one without a refund.
 func (req *request) redraw(sample float64) {
 	req.sample = sample
@@ -203,7 +237,7 @@
 	if !r.passesSlowStart(m, req) {
 		return false
 	}
+	a.memberStartedAt, a.grantedAt, a.cost = m.startedAt, r.now, req.grantedCost(m)
 	req.useUpSample()
-	a.memberStartedAt, a.grantedAt = m.startedAt, r.now
 	return true
 }
--- a/routing/slowstart_status.go
+++ b/routing/slowstart_status.go
@@ -52,7 +52,7 @@
 	IsPrimary     bool
 	Members       int             // number of active members of its group
 	Ratio         float64         // load it may get, as a multiple of what it bears when it is warm
-	RatePerSecond float64         // requests that this router may send it
+	RatePerSecond float64         // requests of mean work that this router may send it
 	HeldBack      SlowStartCounts // requests that its budget has not granted since its start
 }
 
@@ -100,12 +100,31 @@
 	return PathReplicaRead
 }
 
-// SlowStartPathOf returns the path by which a request of a class would reach a host now, and how many tokens
-// it takes from the host's slow start budget. A token stands for one request.
-func (r *Router) SlowStartPathOf(host string, class int) (path SlowStartPath, cost float64) {
-	m := r.members[host]
-	if m == nil || class < 0 || class >= len(r.classes) {
-		return PathReplicaRead, 1
+// SlowStartPathOf returns the path by which an attempt of a request reaches its host, and how many tokens
+// it took from the host's slow start budget or, where it took none, what it costs. A token stands for one
+// request of mean work. ok is false for an attempt that has ended.
+func (r *Router) SlowStartPathOf(id string, attempt int) (path SlowStartPath, cost float64, ok bool) {
+	req := r.requests[id]
+	if req == nil || attempt < 0 || attempt >= len(req.attempts) || !req.attempts[attempt].pending {
+		return 0, 0, false
 	}
-	return m.slowStartPath(&r.classes[class]), m.slowStartCost(&r.classes[class])
+	a := &req.attempts[attempt]
+	return a.member.slowStartPath(req.class), cmp.Or(a.cost, r.highestCost(req.class)), true
+}
+
+// ClassCost is what a router takes a request of a class to cost a host.
+type ClassCost struct {
+	Class      string
+	Cost       float64       // in requests of mean work
+	AnswerTime time.Duration // mean time of answers by warm members
+	IsKnown    bool          // enough answers have shown the work
+}
+
+// ClassCosts returns the costs of all classes, in the order of Settings.Classes.
+func (r *Router) ClassCosts() (all []ClassCost) {
+	for i := range r.classes {
+		k := &r.classes[i]
+		all = append(all, ClassCost{k.Name, r.highestCost(k), k.work.answerTime, k.work.isKnown()})
+	}
+	return all
 }
--- a/routing/state.go
+++ b/routing/state.go
@@ -88,6 +88,7 @@
 		for i := range r.classes {
 			if k := &r.classes[i]; k.Name == saved.Name && k.latency == 0 {
 				k.latency, k.serviceTime = saved.Latency, saved.ServiceTime
+				k.work.answerTime, k.work.answers = saved.Latency, minWorkAnswers-1 // one answer confirms it
 			}
 		}
 	}
