Slow start budget: hold half of an overload window, since a window may take what it earns too

Cause: the budget held what it earns in one overload window. Where more is asked at once, one window takes all of that and what is earned meanwhile, up to twice what is meant. Change: it holds half of a window, or one request if that is more, as before.

--- a/routing/constants.go
+++ b/routing/constants.go
@@ -47,6 +47,7 @@
 	grantsPerWindow = 4   // a grant is valid for an overload window divided by this
 	learningSeconds = 3.0 // observed time after which the rate that warm members served counts in full
 	maxBurstWindows = 4.0 // the longest burst window of a slow start budget, in overload windows
+	burstFraction   = 0.5 // the usual burst window of a slow start budget, in overload windows
 	minUsedFraction = 0.01
 	minHistory      = 100 * time.Millisecond
 	demandSpan      = 3 * time.Second
--- a/routing/heavyrequests_test.go
+++ b/routing/heavyrequests_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -68,6 +69,38 @@
 	}
 }
 
+// Budgets that are full when more is asked let a burst pass, and what they earn meanwhile behind it.
+func TestFullBudgetsDoNotAddUpToAnOverload(t *testing.T) {
+	mix := trafficMix{name: "like", heavyShare: 0.03, heavyRatio: 1, writeRatio: 1, heavyObjective: 300 * ms}
+	late := func(w *fleetSimulation) { // 7 s after the start
+		w.play(5500 * ms)
+		w.drain(w.hosts(2, 3)...)
+	}
+	for _, scenario := range []workScenario{
+		{name: "the others drain late", change: late},
+		{name: "the others drain late, and a surge", change: func(w *fleetSimulation) {
+			late(w)
+			surge(w, 2)
+		}},
+		{name: "the others drain early, and a surge", change: func(w *fleetSimulation) {
+			w.drain(w.hosts(2, 3)...)
+			surge(w, 2)
+		}},
+	} {
+		for _, routers := range []int{1, 3, 60, 219} {
+			for seed := range uint64(8) {
+				t.Run(fmt.Sprintf("%s, %d routers, seed %d", scenario.name, routers, seed), func(t *testing.T) {
+					t.Parallel()
+					p := workPlay{mix: mix, scenario: scenario, routers: routers, hostRate: 50, load: 1, seed: seed}
+					worst, _ := p.run(t)
+					t.Logf("at most %.0f%%", 100*worst)
+					require.LessOrEqual(t, worst, 1.0)
+				})
+			}
+		}
+	}
+}
+
 // requireWorkWithinBound plays a scenario in small and large fleets, at small and large hosts.
 func requireWorkWithinBound(t *testing.T, mix trafficMix, scenario workScenario) {
 	over, plays, worstOfAll, refusedOfAll := 0, 0, 0.0, 0.0
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -10,9 +10,9 @@
 
 // slowStartBudget is a token bucket that limits the requests which this router sends to one warming member.
 // A token stands for one request of mean work. The budget refills at the rate that the member can surely
-// bear. The burst capacity is what it earns within one overload window, or a few at a low rate, so tokens
-// that are not used by then are lost. The budgets of all routers add up to what the member bears, however
-// many requests arrive and whichever members leave.
+// bear. The burst capacity is what it earns within a part of an overload window, or in a few windows at a
+// low rate, so tokens that are not used by then are lost. The budgets of all routers add up to what the
+// member bears, however many requests arrive and whichever members leave.
 type slowStartBudget struct {
 	tokens      float64
 	refilledAt  time.Duration
@@ -53,8 +53,10 @@
 }
 
 // slowStartRate returns the refill rate of a warming member's budget, in tokens a second, and its burst
-// window: the budget holds at most what it earns in that time. The burst window is one overload window, or
-// the time to earn one token if that is longer, but at most maxBurstWindows overload windows.
+// window: the budget holds at most what it earns in that time. The burst window is a part of an overload
+// window, since the requests of one overload window may take what the budget holds and what it earns
+// meanwhile. It is the time to earn one token if that is longer, but at most maxBurstWindows overload
+// windows.
 //
 // With few requests the budget is often full between two of them, and what it would earn then is lost. The
 // refill rate is raised to make up for that: it is divided by the fraction of the tokens that is expected
@@ -63,7 +65,8 @@
 func (r *Router) slowStartRate(m *member) (perSecond float64, burstWindow time.Duration) {
 	allowedRate := r.slowStartRatio(m) * r.sustainableRate(m)
 	window := r.overloadWindow().Seconds()
-	burstSeconds := min(max(window, 1/max(allowedRate, minUsedFraction)), maxBurstWindows*window)
+	secondsPerToken := 1 / max(allowedRate, minUsedFraction)
+	burstSeconds := min(max(burstFraction*window, secondsPerToken), maxBurstWindows*window)
 	fraction := 1 - r.writeFraction
 	if m == m.group.primary() {
 		fraction = r.writeFraction
