Slow start: costs count on both sides of the budget, and follow time where hosts are slow

Cause: only the draw was in work; the refill still counted requests.

Change: what members bore is kept by class and converted at the present cost, so a budget permits as many requests of a class as were borne, whatever its cost is believed to be; of a heavy class half counts. Answer times are averaged over the time of one slow start, alike for all classes. The cost of a heavy request grows from what it exceeds an ordinary one by, without a step. A class that only the primary serves is not taken for all the work before it is known, since nobody else could show its work.

--- a/routing/admission.go
+++ b/routing/admission.go
@@ -75,7 +75,7 @@
 	}
 	smooth(&r.writeFraction, float64(k.servingRole), writeFractionSpan)
 	r.recordRequest(k)
-	r.advanceHistory(g).requests++
+	r.advanceHistory(g).requests.events[k.index]++
 	mean := &r.meanWeight[k.servingRole]
 	*mean = cmp.Or(*mean, k.PriorityWeight)
 	smooth(mean, req.weight, weightSpan)
--- a/routing/capacity.go
+++ b/routing/capacity.go
@@ -5,21 +5,38 @@
 	"time"
 )
 
-// demonstratedLoad is the load that the members in one role have served in time.
-type demonstratedLoad struct {
-	answers float64 // number of timely answers, decayed
-	seconds float64 // observed time, decayed, added up over all members in the role
+// eventRate counts events of each class, exponentially smoothed, and the time in which they came.
+type eventRate struct {
+	events  []float64 // by the index of the class, decayed
+	seconds float64   // observed time, decayed
 }
 
-// perSecond returns the rate at which one such member has answered in time.
-func (d *demonstratedLoad) perSecond() float64 {
-	return d.answers / max(d.seconds, minHistory.Seconds())
+// advance decays what was observed so far and adds observed time.
+func (e *eventRate) advance(decay, seconds float64) {
+	for class := range e.events {
+		e.events[class] *= decay
+	}
+	e.seconds = e.seconds*decay + seconds
 }
 
-// advance decays what was observed so far and adds observed time.
-func (d *demonstratedLoad) advance(decay, seconds float64) {
-	d.answers *= decay
-	d.seconds = d.seconds*decay + seconds
+// perSecond returns the number of events a second.
+func (e *eventRate) perSecond() (sum float64) {
+	for _, events := range e.events {
+		sum += events
+	}
+	return sum / max(e.seconds, minHistory.Seconds())
+}
+
+// workPerSecond returns the work a second of the requests that the events are about, as far as it is sure.
+// The cost of a class is the present one, so that a budget in work permits as many requests of that class
+// as there were, whatever its cost is believed to be.
+func (r *Router) workPerSecond(e *eventRate) (sum float64) {
+	for class, events := range e.events {
+		if events > 0 {
+			sum += events * r.sureCost(&r.classes[class])
+		}
+	}
+	return sum / max(e.seconds, minHistory.Seconds())
 }
 
 // loadHistory is what one router knows of the load of a group, exponentially smoothed over about the duration
@@ -27,17 +44,18 @@
 // have served while the group was settled: neither the present request rate, nor a small number of remaining
 // members, nor the load that the other members take over shows that a host can bear more.
 type loadHistory struct {
-	replicas, primary demonstratedLoad
-	requests          float64       // requests of this router for the group, decayed
-	seconds           float64       // time in which they arrived, decayed
+	replicas, primary eventRate     // timely answers; the time is added up over all members in the role
+	requests          eventRate     // requests of this router for the group
 	memberCount       int           // the largest recent value of usualMemberCount
 	memberCountAt     time.Duration // when the group last had that many members
 	updatedAt         time.Duration
 }
 
-// requestsPerSecond returns the rate of this router's requests for the group.
-func (h *loadHistory) requestsPerSecond() float64 {
-	return h.requests / max(h.seconds, minHistory.Seconds())
+// init prepares a history for requests of so many classes.
+func (h *loadHistory) init(classes int) {
+	for _, rate := range []*eventRate{&h.replicas, &h.primary, &h.requests} {
+		rate.events = make([]float64, classes)
+	}
 }
 
 // replicaCount returns the number of replicas of the complete group.
@@ -96,8 +114,7 @@
 	decay := math.Exp(-(r.now - h.updatedAt).Seconds() / span.Seconds())
 	effectiveSeconds := span.Seconds() * (1 - decay)
 	h.updatedAt = r.now
-	h.requests *= decay
-	h.seconds = h.seconds*decay + effectiveSeconds
+	h.requests.advance(decay, effectiveSeconds)
 	if r.isSettled(g, h.memberCount) {
 		h.primary.advance(decay, effectiveSeconds)
 		h.replicas.advance(decay, effectiveSeconds*float64(h.memberCount-1))
@@ -106,36 +123,36 @@
 }
 
 // recordTimelyAnswer counts a timely answer of a member, if its group is settled.
-func (r *Router) recordTimelyAnswer(m *member) {
+func (r *Router) recordTimelyAnswer(m *member, k *class) {
 	h := r.advanceHistory(m.group)
 	switch {
 	case !r.isSettled(m.group, h.memberCount):
 	case m == m.group.primary():
-		h.primary.answers++
+		h.primary.events[k.index]++
 	default:
-		h.replicas.answers++
+		h.replicas.events[k.index]++
 	}
 }
 
-// sustainableRate returns how many requests a second, of those that arrive at this router, a member can
-// surely bear once it is warm. This is an even share of the requests for its role in the complete group, but
-// no more than members were seen to serve. A router that has just started has not observed the latter, so it
-// counts in full only after learningSeconds of observation.
+// sustainableRate returns how much work a second, of what arrives at this router, a member can surely bear
+// once it is warm. This is an even share of the work for its role in the complete group, but no more than
+// members were seen to serve. A router that has just started has not observed the latter, so it counts in
+// full only after learningSeconds of observation.
 func (r *Router) sustainableRate(m *member) float64 {
 	h := r.advanceHistory(m.group)
 	share := r.evenShare(m, max(h.replicaCount(), m.group.activeCount()-1))
-	observedRate := max(h.replicas.perSecond(), h.primary.perSecond())
+	observedRate := max(r.workPerSecond(&h.replicas), r.workPerSecond(&h.primary))
 	confidence := min(1, (h.replicas.seconds+h.primary.seconds)/learningSeconds)
 	return min(share, confidence*observedRate+(1-confidence)*share)
 }
 
-// evenShare returns the rate of this router's requests for a member in its role. The reads are spread evenly
-// over the given number of replicas. The primary gets the other requests, and is taken to bear at least as
-// much as a replica.
+// evenShare returns the work a second of this router's requests for a member in its role. The reads are
+// spread evenly over the given number of replicas. The primary gets the other requests, and is taken to
+// bear at least as much as a replica.
 func (r *Router) evenShare(m *member, replicas int) float64 {
 	fraction := (1 - r.writeFraction) / float64(max(1, replicas))
 	if m == m.group.primary() {
 		fraction = max(fraction, r.writeFraction)
 	}
-	return m.group.history.requestsPerSecond() * fraction
+	return r.workPerSecond(&m.group.history.requests) * fraction
 }
--- a/routing/classcost.go
+++ b/routing/classcost.go
@@ -1,12 +1,16 @@
 package routing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // classWork is what a router knows of the work that a request of a class costs a host, and how often such
 // requests come.
 type classWork struct {
 	answerTime time.Duration // mean time of answers by warm members; outliers count less
-	answers    float64       // number of answers that answerTime is the mean of, at most workSpan
+	answers    float64       // number of answers that answerTime is the mean of, decaying over a slow start
+	answeredAt time.Duration // the last of them
 	requests   float64       // number of recent requests, of traffic.recentRequests
 }
 
@@ -27,13 +31,16 @@
 
 // recordWork records the time of an answer. A time of more than workOutlier times the mean counts as that: it
 // is due to a connection or a host that is slow, rather than to the work. Answers of warming members, which
-// are slower, count only until the work is known.
+// are slower, count only until the work is known. The mean follows by time and not by the number of answers:
+// where hosts are slow for a while, that changes the means of all classes alike.
 func (r *Router) recordWork(m *member, k *class, elapsed time.Duration) {
 	w := &k.work
 	if r.isWarming(m) && w.isKnown() {
 		return
 	}
-	w.answers = min(w.answers+1, workSpan)
+	decay := math.Exp(-(r.now - w.answeredAt).Seconds() / r.historySpan().Seconds())
+	w.answers = max(w.answers*decay, min(w.answers, minWorkAnswers)) + 1
+	w.answeredAt = r.now
 	if w.answers > 1 {
 		elapsed = min(elapsed, workOutlier*w.answerTime)
 	}
@@ -82,11 +89,12 @@
 	return work / objectives
 }
 
-// highestCost returns what a request of a class costs a host at most, in requests of mean work. A class whose
-// work is not known may make up all the work, however few its requests are.
+// highestCost returns what a request of a class costs a host at most, in requests of mean work. A class of
+// reads whose work is not known may make up all the work, however few its requests are. One that needs the
+// primary is not suspected of that, since no other member could serve it and so show its work.
 func (r *Router) highestCost(k *class) float64 {
 	cost := r.classCost(k)
-	if !k.work.isKnown() {
+	if !k.work.isKnown() && !k.needsPrimary() {
 		requests := r.recentRequests + initialClassRequests*float64(len(r.classes))
 		cost = max(cost, requests/(k.work.requests+initialClassRequests))
 	}
@@ -95,3 +103,16 @@
 
 // isHeavy reports whether a request of a class costs a host much more than the others, or may do so.
 func (r *Router) isHeavy(k *class) bool { return r.highestCost(k) > ordinaryCost }
+
+// sureCost returns what a request of a class costs a host at least, in requests of mean work. Of a heavy
+// class half counts: what few answers show may be too much.
+func (r *Router) sureCost(k *class) float64 {
+	cost := r.classCost(k)
+	switch {
+	case !k.work.isKnown():
+		return min(1, cost)
+	case cost > ordinaryCost:
+		return max(ordinaryCost, cost/2)
+	}
+	return cost
+}
--- a/routing/classcost_test.go
+++ b/routing/classcost_test.go
@@ -45,7 +45,7 @@
 	}
 	require.InDelta(t, 1, cost(sessionRead), 0.2)
 	require.Greater(t, cost(eventualRead), 12.0)
-	require.Greater(t, cost(strongRead), 12.0, "it has not come yet, and may make up all the work")
+	require.Greater(t, cost(boundedRead), 12.0, "none has come yet, and they may make up all the work")
 	g.serve(strongRead, 10, 5*ms)
 	require.InDelta(t, 1, cost(strongRead), 0.2)
 	g.serve(eventualRead, minWorkAnswers, 128*ms)
@@ -56,6 +56,21 @@
 	require.True(t, r.isHeavy(&r.classes[strongRead]), "it has become heavy")
 }
 
+// Where hosts are slow for a while, the costs of classes stay as they are beside each other.
+func TestSlowHostsDoNotChangeClassCosts(t *testing.T) {
+	g := costHarness(t)
+	light, other := &g.router.classes[sessionRead], &g.router.classes[strongRead]
+	for range 200 {
+		g.serve(sessionRead, 4, 20*ms)
+		g.serve(strongRead, 1, 20*ms)
+	}
+	for range 10 {
+		g.serve(sessionRead, 4, 350*ms)
+		g.serve(strongRead, 1, 350*ms)
+		require.InDelta(t, 1, g.router.classCost(light)/g.router.classCost(other), 0.2)
+	}
+}
+
 // A slow connection or host does not make a class heavy.
 func TestOutliersDoNotMakeAClassHeavy(t *testing.T) {
 	g := costHarness(t)
@@ -86,7 +101,7 @@
 		g.step(AttemptEnded{ID: id, Host: host, Code: OK, Role: Replica, Final: true, Elapsed: 128 * ms})
 	}
 	a := r.members["a"]
-	require.InDelta(t, 1, r.slowStartCost(a, &r.classes[sessionRead]), 0.01)
+	require.InDelta(t, r.classCost(&r.classes[sessionRead]), r.slowStartCost(a, &r.classes[sessionRead]), 0)
 	heavy := r.slowStartCost(a, &r.classes[eventualRead])
 	require.Greater(t, heavy, r.classCost(&r.classes[eventualRead]))
 	r.cfg.RouterCount = 1 // its load is too small for a heavy request
--- a/routing/constants.go
+++ b/routing/constants.go
@@ -58,7 +58,7 @@
 	initialClassRequests  = 0.5    // the same of each class, where the work of a class is not known
 	maxRecentRequests     = 1024.0 // beyond these, earlier requests count half
 	minWorkAnswers        = 4      // answers that show the work of a class
-	workOutlier           = 4      // an answer counts for at most so many times the mean
+	workOutlier           = 10     // an answer counts for at most so many times the mean
 
 	minOverloadWindow = time.Second // also where the settings give none
 
@@ -68,5 +68,4 @@
 
 	// The number of samples over which each figure is smoothed.
 	latencySpan, inTimeSpan, scoreSpan, connectSpan, weightSpan, writeFractionSpan = 8, 8, 16, 16, 32, 64
-	workSpan                                                                       = 16
 )
--- a/routing/health.go
+++ b/routing/health.go
@@ -79,7 +79,7 @@
 	r.recordWork(m, k, elapsed)
 	k.serviceTime = min(elapsed, k.serviceTime+max(k.serviceTime/64, time.Millisecond))
 	if elapsed <= k.LatencyObjective {
-		r.recordTimelyAnswer(m)
+		r.recordTimelyAnswer(m, k)
 	}
 	if elapsed > k.LatencyObjective*3/4 {
 		r.raiseShedding(a, 0.5)
--- a/routing/heavyrequests_test.go
+++ b/routing/heavyrequests_test.go
@@ -27,6 +27,12 @@
 	{name: "another replica lags", before: func(w *fleetSimulation) { w.lagBehind(w.hosts(2)...) }},
 	{name: "it is a slow host", before: func(w *fleetSimulation) { w.setSpeed(0.57, w.hosts(1)...) }},
 	{name: "handshakes cost half a request", before: func(w *fleetSimulation) { w.work.handshakeWork = 0.5 }},
+	{name: "the class becomes heavy only then", before: func(w *fleetSimulation) {
+		w.heavyWork = w.work.mean[eventualRead]
+		w.work.mean[eventualRead] = w.work.mean[boundedRead]
+	}, change: func(w *fleetSimulation) { w.work.mean[eventualRead] = w.heavyWork }},
+	{name: "all heavy requests are for one group", before: func(w *fleetSimulation) { w.oneGroupClass = eventualRead + 1 }},
+	{name: "clients retry", before: func(w *fleetSimulation) { w.clientRetries = 2 }},
 	{name: "requests wait at hosts for half of the mean work", before: func(w *fleetSimulation) { w.work.queueTime = meanWorkTime / 2 }},
 	{name: "two others drain", change: func(w *fleetSimulation) { w.drain(w.hosts(2, 3)...) }},
 	{name: "all routers restart, and twice as much is asked", change: func(w *fleetSimulation) {
--- a/routing/members.go
+++ b/routing/members.go
@@ -134,6 +134,7 @@
 	g := r.groups[t.Group]
 	if g == nil {
 		g = &group{id: t.Group, commits: map[uint64]time.Duration{}, commitFloor: r.commitFloor}
+		g.history.init(len(r.classes))
 		g.admissions[forReplicas].inTimeFraction = initialInTimeFraction
 		g.admissions[forPrimary].inTimeFraction = initialInTimeFraction
 		r.groups[t.Group] = g
--- a/routing/simulation_test.go
+++ b/routing/simulation_test.go
@@ -87,6 +87,8 @@
 	marksRetries  bool               // clients mark their retries as such
 	turnovers     int
 	turnover      time.Duration                 // each tenth of the routers restarts once in ten such times; 0: none does
+	heavyWork     float64                       // work of a class that becomes heavy
+	oneGroupClass int                           // a class, counted from 1, whose requests are all for the first group; 0: none
 	work          *fleetWork                    // nil: each request is one request of mean work
 	withstands    func(allowed float64) float64 // the work that a host withstands in a window, of which so much is allowed
 }
@@ -272,6 +274,9 @@
 			class: class, group: 1 + w.rng.IntN(w.groups),
 			deadline: at + w.cfg.Classes[class].Deadline,
 		}
+		if class+1 == w.oneGroupClass {
+			q.group = 1
+		}
 		q.work = w.work.draw(class)
 		w.arrive(at-w.now, w.draw(w.shares), q)
 	}
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -71,8 +71,9 @@
 	if m == m.group.primary() {
 		fraction = r.writeFraction
 	}
-	demandRate := max(m.group.history.requestsPerSecond()*fraction, m.budget.recentDraws/demandSpan.Seconds())
-	expectedRequests := demandRate * burstSeconds
+	requestRate := m.group.history.requests.perSecond() * fraction
+	drawRate := m.budget.recentDraws / demandSpan.Seconds()
+	expectedRequests := max(requestRate, drawRate) * burstSeconds
 	usedFraction := max(1-math.Exp(-expectedRequests), minUsedFraction)
 	return allowedRate / usedFraction, time.Duration(burstSeconds * float64(time.Second))
 }
@@ -108,23 +109,23 @@
 	return grant.granted
 }
 
-// slowStartCost returns how many tokens a request takes from a member's budget: what it costs a host, at
-// least 1 and, for a write or a strong read at the primary, at least writeCost. Heavy requests take more
-// than they cost, because the load that few of them make varies much. The result is infinite for a class of
-// which a few requests might be too much for the member.
+// slowStartCost returns how many tokens a request takes from a member's budget: what it costs a host or,
+// for a write or a strong read at the primary, at least writeCost. Heavy requests take more than they cost,
+// because the load that few of them make varies much. The result is infinite for a class of which a few
+// requests might be too much for the member.
 func (r *Router) slowStartCost(m *member, k *class) float64 {
-	cost := max(1, r.highestCost(k))
+	cost := r.highestCost(k)
 	if k.needsPrimary() && m == m.group.primary() {
 		cost = max(cost, writeCost)
 	}
 	if cost <= ordinaryCost {
 		return cost
 	}
-	limit := r.overloadMargin(m) / heavyRequestsInMargin
-	if cost >= limit {
+	excess, limit := cost-ordinaryCost, r.overloadMargin(m)/heavyRequestsInMargin
+	if excess >= limit {
 		return math.Inf(1)
 	}
-	return cost / (1 - cost/limit)
+	return cost / (1 - excess/limit)
 }
 
 // overloadMargin returns how much more work than their budgets permit all routers together may send a warming
