Eviction: ask again whether the client has sent something, right before the close

Cause: evictLeastUseful looked at the unread bytes of each client while it went through all of them, and closed the one it had chosen at the end without another look: what arrived meanwhile was closed over. The log names no more than the reason; of the two places that close with it the other one looks right before.

Change: the choice (leastUseful) and the close (evict, by closeIfIdle) are apart, and a client that has sent something since is kept. Test: a client that sends between the two; red without the second look (Should be false), green with it.

--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -142,7 +142,30 @@
 // second. A client whose next request crosses the close sends it again, whereas a client that finds no free
 // connection slot has lost its request.
 func (f *Front) evictLeastUseful(now float64) bool {
-	var least *client
+	for range len(f.clients) {
+		least := f.leastUseful(now)
+		if least == nil {
+			return false
+		}
+		if f.evict(least) {
+			return true
+		}
+	}
+	return false
+}
+
+// evict closes a connection to make room, unless its client has sent something since it was selected.
+func (f *Front) evict(h *client) bool {
+	c := f.clients[h]
+	if h.closingWithError {
+		h.close(c, lifecycle.ClosedIdle)
+		return true
+	}
+	return h.closeIfIdle(c, lifecycle.ClosedIdle)
+}
+
+// leastUseful returns the client that evictLeastUseful closes next, or nil if there is none.
+func (f *Front) leastUseful(now float64) (least *client) {
 	rank := 0
 	for h, c := range f.clients {
 		r, age := 0, now-h.lastActive
@@ -161,11 +184,7 @@
 			least, rank = h, r
 		}
 	}
-	if least == nil {
-		return false
-	}
-	least.close(f.clients[least], lifecycle.ClosedIdle)
-	return true
+	return least
 }
 
 // EvictClient is called as part of the loop.ExhaustionPolicy. It closes the least useful client connection, and
--- a/internal/net/pg/front_test.go
+++ b/internal/net/pg/front_test.go
@@ -351,6 +351,23 @@
 	require.Equal(t, map[string]int{"closed_with_unread_bytes": 1}, d.violations(t))
 }
 
+// A client that was selected for eviction and then sent a request was closed over it.
+func TestAClientThatSendsWhileItIsSelectedIsNotEvicted(t *testing.T) {
+	d := startFront(t, FrontLimits{MaxClients: 16, MaxUnreadBytes: 1 << 20})
+	clientConn := d.connect(t, "")
+	require.Equal(t, []string{"empty"}, readReplies(t, clientConn, 1))
+	d.clock.Advance(minIdleMillis)
+	d.onLoop(t, func(h *client, c gnet.Conn) {
+		require.Equal(t, h, d.leastUseful(d.clock.Now()))
+		_, err := clientConn.Write(appendQuery(nil, func(b []byte) []byte { return b }))
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return hasUnreadBytes(c) }, 10*time.Second, time.Millisecond)
+		require.False(t, d.evict(h))
+	})
+	require.Equal(t, []string{"empty"}, readReplies(t, clientConn, 1))
+	require.Empty(t, d.violations(t))
+}
+
 // Requests sent behind too many invalid ones must be answered before the connection is closed, and the close
 // has its reason.
 func TestRequestsBehindMalformedOnesAreAnswered(t *testing.T) {
