Class costs: learn from the time since the write, and let no request draw less than a quarter

What callers see: nothing yet; found by rereading the change. Cause: the answer time of an attempt counts from its choice, so it holds the time that its connection took. With the first answer of a class behind a dial of 0.5 s the class counted as heavy for seconds, and the others as next to nothing beside it.

Change: an attempt's end tells the time since its write as well, and class costs take that. An estimate that is far too low lets at most four times as many requests pass: a draw takes a quarter of a token at the least.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -141,6 +141,7 @@
 	e := routing.AttemptEnded{
 		ID: c.id, Attempt: c.attempt, Code: o.Code, Execution: o.Execution, Role: o.Role,
 		Final: o.Code == OK || c.finished, Elapsed: clock.Duration(now - c.chosenAt), Report: routingReport(o.Report),
+		SinceWrite: clock.Duration(now - c.revalidatedAt),
 	}
 	if o.Position > 0 {
 		e.Position = roundedDuration(o.Position, round)
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -222,3 +222,19 @@
 		}
 	}
 }
+
+// A slow dial made a light class look heavy: the cost of a class is learned from the time since the write.
+func TestSlowDialDoesNotMakeAClassHeavy(t *testing.T) {
+	d, c := newTestDispatcher(t)
+	for range 5 {
+		call := beginCall(t, d, "library", 0)
+		require.Equal(t, Send, call.Pick().Verdict)
+		c.Advance(500)
+		require.True(t, call.Revalidate())
+		c.Advance(5)
+		require.Equal(t, OK, call.Report(Outcome{Code: OK, Execution: Ran, Role: Replica, Position: c.Now()}))
+	}
+	library := d.ClassCosts()[2]
+	require.True(t, library.IsKnown)
+	require.InDelta(t, 5, clock.Millis(library.AnswerTime), 0.01)
+}
--- a/routing/constants.go
+++ b/routing/constants.go
@@ -52,6 +52,7 @@
 	minHistory      = 100 * time.Millisecond
 	demandSpan      = 3 * time.Second
 
+	leastCost             = 0.25   // tokens that a request takes at the least
 	ordinaryCost          = 2.0    // in requests of mean work; a class that costs more is heavy
 	heavyRequestsInMargin = 4.0    // requests of a heavy class that fit into the overload margin
 	initialLightRequests  = 50.0   // requests of the lightest class, taken to have come before any
--- a/routing/events.go
+++ b/routing/events.go
@@ -38,10 +38,13 @@
 	// that never ran is rejected or repeated.
 	Execution Execution
 	Elapsed   time.Duration
-	Final     bool // the request gets its final answer with this
-	Role      Role
-	Position  time.Duration // of the answer's data or, for a write, of its commit; 0: not given
-	Report    Report
+	// SinceWrite is the part of Elapsed since the request was written to the host, without the time that its
+	// connection took; 0: not known.
+	SinceWrite time.Duration
+	Final      bool // the request gets its final answer with this
+	Role       Role
+	Position   time.Duration // of the answer's data or, for a write, of its commit; 0: not given
+	Report     Report
 }
 
 // FirstByte reports that an answer has begun.
--- a/routing/health.go
+++ b/routing/health.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // recordOutcome updates a member's role, position, load report and health by how an attempt ended.
 func (r *Router) recordOutcome(a *attempt, req *request, e *AttemptEnded) {
@@ -68,6 +71,7 @@
 	}
 	if e.Code == OK {
 		r.recordLatency(m, req, e.Elapsed)
+		r.recordWork(m, req.class, cmp.Or(e.SinceWrite, e.Elapsed))
 	}
 }
 
@@ -76,7 +80,6 @@
 	k, a, inTime := req.class, req.admission(m), 0.0
 	r.meanLatency = smoothLatency(r.meanLatency, elapsed)
 	k.latency = smoothLatency(k.latency, elapsed)
-	r.recordWork(m, k, elapsed)
 	k.serviceTime = min(elapsed, k.serviceTime+max(k.serviceTime/64, time.Millisecond))
 	if elapsed <= k.LatencyObjective {
 		r.recordTimelyAnswer(m, k)
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -114,7 +114,7 @@
 // because the load that few of them make varies much. The result is infinite for a class of which a few
 // requests might be too much for the member.
 func (r *Router) slowStartCost(m *member, k *class) float64 {
-	cost := r.highestCost(k)
+	cost := max(leastCost, r.highestCost(k))
 	if k.needsPrimary() && m == m.group.primary() {
 		cost = max(cost, writeCost)
 	}
