--- a/testbed/soak/warmup.go
+++ b/testbed/soak/warmup.go
@@ -13,12 +13,12 @@
 	warmUpWithin = 1500 // of each other, one host of each group restarts
 	warmUpLag    = 5000 // for which some of these hosts lag
 	warmUpGroups = 4
-	warmUpAim    = 300  // objective of the light classes
-	warmUpLoad   = 0.75 // of a replica of the mean capacity
+	warmUpAim    = 300 // objective of the light classes
+	warmUpLoad   = 0.9 // of a replica of the mean capacity
 )
 
 // DrawWarmUps makes a schedule in which one replica of each group comes back under ordinary traffic: many light reads and a few heavy ones,
-// which any replica may answer. Of half of the groups it also lags, so that reads that tolerate that prefer it. By the seed groups have
+// which any replica may answer. Of all groups but the first it also lags, so that reads that tolerate that prefer it. By the seed groups have
 // two or three replicas, heavy reads are more or less heavy, and the restart of a tenth of the poolers comes with that.
 func DrawWarmUps(seed uint64, poolers int, length time.Duration) Plan {
 	rng := rand.New(rand.NewPCG(seed, 0x3a13))
@@ -29,7 +29,7 @@
 		host := group*members + 1 + rng.IntN(d.Replicas)
 		at := Millis(warmUpSteady + rng.IntN(warmUpWithin))
 		p.Faults = append(p.Faults, Fault{Kind: HostRestart, At: at, Host: host})
-		if group%2 == 0 {
+		if group > 0 {
 			p.Faults = append(p.Faults, Fault{Kind: HostBehind, At: at + Millis(2*haltFor.Milliseconds()), For: warmUpLag, Host: host})
 		}
 	}
@@ -44,8 +44,8 @@
 
 // warmUpDeployment draws the deployment of DrawWarmUps.
 func warmUpDeployment(rng *rand.Rand, replicas int) Deployment {
-	heavyShare := 0.03 + 0.03*rng.Float64()
-	ratio := 20 + 10*rng.Float64()
+	heavyShare := 0.05 + 0.02*rng.Float64()
+	ratio := 25 + 5*rng.Float64()
 	slowStart := usualSlowStart()
 	slowStart.Load = warmUpLoad
 	slowStart.Handshake, slowStart.Probe = 0.05+0.4*rng.Float64(), 0.02
