Review case 3: a restart cuts answers that clients take slowly

Cause: an answer counts as received once the pooler's own buffer is empty, so its connection is closed while the kernel still holds it. Change: the case takes the place of the slow discovery, whose play stays in the rig: an answer that is lost weighs more than a send to a draining host.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -23,7 +23,7 @@
 	case r.broken != nil:
 		return "no whole answer: " + r.broken.Error()
 	case r.served:
-		return fmt.Sprintf("served %q, position %.0f", r.value, r.position)
+		return fmt.Sprintf("served %q, position %.0f", short(r.value), r.position)
 	}
 	return "error " + r.state + " " + r.text
 }
@@ -43,7 +43,12 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &client{record: r, conn: c, in: bufio.NewReader(c), name: name}
+	return start(r, name, c)
+}
+
+// start sends the startup message on a connection, and reads the answer.
+func start(r *record, name string, c net.Conn) (*client, error) {
+	k := &client{record: r, conn: c, in: bufio.NewReaderSize(c, 512), name: name}
 	if _, err := c.Write(startupMessage()); err != nil {
 		return nil, err
 	}
@@ -102,7 +107,7 @@
 	var b []byte
 	for _, t := range texts {
 		b = append(b, queryMessage(t)...)
-		k.record.printf("%s: sends %s", k.name, t)
+		k.record.printf("%s: sends %s", k.name, short(t))
 	}
 	if _, err := k.conn.Write(b); err != nil {
 		k.record.printf("%s: can't write: %v", k.name, err)
--- a/review/rig/host.go
+++ b/review/rig/host.go
@@ -209,7 +209,7 @@
 	case word == "INSERT":
 		position := math.Ceil(nowMillis())
 		g.rows[args[0]] = append(g.rows[args[0]], version{position: position, payload: args[1], id: fields["id"]})
-		g.record.printf("%s (%s): id=%s c=%s: ran INSERT ref=%s payload=%s, commit %.0f", h.name, part, fields["id"], fields["c"], args[0], args[1], position)
+		g.record.printf("%s (%s): id=%s c=%s: ran INSERT ref=%s payload=%s, commit %.0f", h.name, part, fields["id"], fields["c"], args[0], short(args[1]), position)
 		if g.fault != nil && g.fault(h, fields) {
 			g.record.printf("%s: the connection is reset after the commit of id=%s, before its answer", h.name, fields["id"])
 			return nil, true
@@ -228,7 +228,7 @@
 			payload = v.payload
 		}
 	}
-	g.record.printf("%s (%s): id=%s c=%s after=%s: ran SELECT ref=%s -> %q, caught up to %.0f", h.name, part, fields["id"], fields["c"], fields["after"], args[0], payload, seen)
+	g.record.printf("%s (%s): id=%s c=%s after=%s: ran SELECT ref=%s -> %q, caught up to %.0f", h.name, part, fields["id"], fields["c"], fields["after"], args[0], short(payload), seen)
 	out = appendRow(nil, []byte(payload), "SELECT 1")
 	out = appendParameter(appendParameter(out, "part", part), "caught_up_to", strconv.FormatFloat(seen, 'f', -1, 64))
 	return appendReady(out), false
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -43,6 +43,7 @@
 var cases = map[string]func(*rig) (broken []string, err error){
 	"wrong-group":    wrongGroup,
 	"donated-twice":  donatedTwice,
+	"cut-answer":     cutAnswer,
 	"slow-discovery": slowDiscovery,
 }
 
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -31,3 +31,12 @@
 
 // nowMillis is the present as positions on sockets give it: a Unix time in milliseconds.
 func nowMillis() float64 { return float64(time.Now().UnixNano()) / 1e6 }
+
+// short cuts a long text for the record.
+func short(text string) string {
+	const most = 220
+	if len(text) <= most {
+		return text
+	}
+	return fmt.Sprintf("%s... (%d bytes)", text[:most], len(text))
+}
