Review: plays of what was shown beside the three cases

Cause: the report names faults that are not among the cases; whoever mends them should be able to play them. Change: gone-client and slow-readers beside slow-discovery in the review's rig.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -45,6 +45,8 @@
 	"donated-twice":  donatedTwice,
 	"cut-answer":     cutAnswer,
 	"slow-discovery": slowDiscovery,
+	"gone-client":    goneClient,
+	"slow-readers":   slowReaders,
 }
 
 // The pooler ends with the thread that started it, should this process be killed.
