--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -47,6 +47,7 @@
 	"slow-discovery": slowDiscovery,
 	"gone-client":    goneClient,
 	"slow-readers":   slowReaders,
+	"stale-read":     staleRead,
 }
 
 // The pooler ends with the thread that started it, should this process be killed.
--- a/review/rig/plays.go
+++ b/review/rig/plays.go
@@ -136,3 +136,63 @@
 	all.Wait()
 	return broken, nil
 }
+
+const (
+	staleRounds   = 10
+	gapAfterWrite = 500 * time.Millisecond // from a listener's write to the read, inside the site's 240 to 700 ms
+	slowApplyFor  = 10 * time.Second       // inside the site's 8.4 to 22 s
+)
+
+// staleRead: an app server holds one session for two listeners and sends a read of each in one go. The replicas apply the log more
+// slowly for ten seconds. Listener b writes half a second before each pair of reads, listener a has not written for a while. Each read
+// carries the position of its listener's last commit.
+func staleRead(r *rig) (broken []string, err error) {
+	if err := r.prepare(1, sessionPool); err != nil {
+		return nil, err
+	}
+	if err := r.pooler.start(r.root); err != nil {
+		return nil, err
+	}
+	app, err := connect(r.record, "app", r.pooler.sessions)
+	if err != nil {
+		return nil, err
+	}
+	defer app.close()
+	writer, err := connect(r.record, "writer", r.pooler.listen)
+	if err != nil {
+		return nil, err
+	}
+	defer writer.close()
+	write := func(ref, payload string) (reply, error) {
+		a := writer.ask(fmt.Sprintf("/* id=%s,c=donate,d=2000,cluster=1 */ INSERT INTO entries (ref, payload) VALUES ('%s', '%s') RETURNING payload", r.id(), ref, payload))[0]
+		if !a.served {
+			return a, fmt.Errorf("a write failed: %v", a)
+		}
+		return a, nil
+	}
+	read := func(ref string, after float64) string {
+		return fmt.Sprintf("/* id=%s,c=my-library,d=750,cluster=1,after=%.0f */ SELECT payload FROM entries WHERE ref = '%s'", r.id(), after, ref)
+	}
+	a, err := write("listener-a", "a0")
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
+	if r.trouble {
+		r.groups[0].setSlow(true)
+		time.AfterFunc(slowApplyFor, func() { r.groups[0].setSlow(false) })
+	}
+	for i := range staleRounds {
+		payload := fmt.Sprintf("b%d", i)
+		b, err := write("listener-b", payload)
+		if err != nil {
+			return nil, err
+		}
+		time.Sleep(gapAfterWrite)
+		if got := app.ask(read("listener-a", a.position), read("listener-b", b.position))[1]; got.served && got.value != payload {
+			broken = append(broken, fmt.Sprintf("round %d: listener b wrote %q at %.0f, and a read with that in after was served %q", i, payload, b.position, got.value))
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	return broken, nil
+}
