Sessions: a transaction that is sent ahead of an answer is routed by itself

Cause: handleMessage routed only where the client was linked to no server connection, and the connection was released only once no reply was outstanding. What was sent before that went to the connection of the transaction before. The claim's place is the right one; the decision that was missing is "does this message begin a transaction", for which the session had only the server's last status.

Change: session.Pipeline.NextTurn decides it from what was sent (internal/session/boundary.go, no I/O). A message goes ahead of a reply only where it is certain that it belongs to the open transaction: in a pipeline without its Sync, or in a block that the server has confirmed and that nothing outstanding can end. Anything else waits in the input until the replies say so, and is then routed with every check of a transaction that came alone. Behind a COMMIT in a pipeline the pooler sends a Sync of its own, since the server tells no status before one. Messages of COPY never wait; how many ends of COPY data were sent is counted, as data and its Sync may come before the server asks for it (that left the session out of step before).

A connection whose reads are paused kept what was written to it until the reads went on. With input that waits for its own answers this was a deadlock (TestTenantQueueRejections, red for it): a paused connection now writes on.

Before the change the new tests failed: TestTransactionSentAheadIsRoutedByItself (q2 in group 1), and of TestTransactionBehindAnEndedBlockIsRoutedByItself at least "a savepoint", "an error that skips to Sync" and "COMMIT in a pipeline" (the output was cut there).

--- a/internal/net/loop/pausableconn.go
+++ b/internal/net/loop/pausableconn.go
@@ -10,7 +10,7 @@
 )
 
 // PausableConn is a connection on the event loop that can be paused. While it is paused, nothing is read from it, so that the
-// kernel applies back pressure to the peer, and writes are buffered. gnet always reads what arrives; the only way to stop it is to
+// kernel applies back pressure to the peer; writes go on, and Flush has to be called for what the kernel did not take. gnet always reads what arrives; the only way to stop it is to
 // take the descriptor away from it and to register it again later. All methods must be called on the event loop.
 type PausableConn struct {
 	// Conn is nil while the connection is paused.
@@ -25,7 +25,7 @@
 	detaching bool
 	// unread holds bytes that were read before the pause and are not consumed yet.
 	unread []byte
-	// pendingWrites holds bytes that were written during the pause.
+	// pendingWrites holds bytes that were written during the pause and that the kernel has not taken.
 	pendingWrites []byte
 	closed        bool
 }
@@ -90,17 +90,41 @@
 	return n
 }
 
-// Write sends b, or buffers it until the connection is resumed.
+// Write sends b, and buffers what the kernel does not take.
 func (p *PausableConn) Write(b []byte) {
 	switch {
 	case len(b) == 0 || p.closed:
 	case p.Conn == nil:
 		p.pendingWrites = append(p.pendingWrites, b...)
+		p.Flush()
 	default:
 		_, _ = p.Conn.Write(b)
 	}
 }
 
+// Flush sends what was written during a pause, as far as the kernel takes it. An error is left to the end of the pause, which
+// finds the connection broken.
+func (p *PausableConn) Flush() {
+	c, ok := p.parked.(*net.TCPConn)
+	if !ok || len(p.pendingWrites) == 0 {
+		return
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		for len(p.pendingWrites) > 0 {
+			n, err := unix.SendmsgN(int(fd), p.pendingWrites, nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+			if n <= 0 || err != nil {
+				return
+			}
+			p.pendingWrites = p.pendingWrites[n:]
+		}
+		p.pendingWrites = nil
+	})
+}
+
 // UnsentBytes returns the number of written bytes that the kernel has not accepted yet.
 func (p *PausableConn) UnsentBytes() int {
 	n := len(p.pendingWrites)
--- a/internal/net/pg/session_client.go
+++ b/internal/net/pg/session_client.go
@@ -196,13 +196,15 @@
 }
 
 // isWaiting reports whether the client has a transaction that waits here and of which nothing was sent to a
-// host.
+// host: for its own server connection, or for the replies to the transaction before it.
 func (c *sessionClient) isWaiting() bool {
 	switch c.phase {
 	case phaseRouting, phaseQueued, phaseTenantPaused, phaseRejectedByHost:
 		return !c.disconnected
 	case phaseRestoring:
 		return !c.disconnected && c.server != nil && !c.server.requestSent
+	case phaseLinked:
+		return !c.disconnected && c.input.blocked
 	}
 	return false
 }
--- a/internal/net/pg/session_forward.go
+++ b/internal/net/pg/session_forward.go
@@ -14,14 +14,15 @@
 		c.routing.query = nil
 	}
 	switch kind {
-	case clientCopyData, clientCopyDone, clientCopyFail, clientFlush: // a server ignores COPY data that comes after its error
+	case clientCopyDone, clientCopyFail:
+		c.pipeline.CopyEnd()
+		return append(out, message...), true
+	case clientCopyData, clientFlush: // a server ignores COPY data that comes after its error
 		return append(out, message...), true
 	case clientPassword:
 		return out, true
 	case clientSync:
-		if action := c.pipeline.Sync(); action.Drop && !c.pipeline.CopyIn() {
-			return out, true
-		}
+		c.pipeline.Sync()
 		return append(out, message...), true
 	case clientQuery:
 		return c.forwardQuery(out, body, message)
--- a/internal/net/pg/session_messages.go
+++ b/internal/net/pg/session_messages.go
@@ -30,19 +30,17 @@
 		c.writeServer(out)
 		return out[:0], false, gnet.Close
 	}
-	if s := c.server; c.beginsTransaction(kind) && !c.isHostListed(s) {
-		out = c.writeServer(out)
-		c.abandonDrainingHost(s) // a new transaction must not begin on a draining host
-	}
-	if c.tenancy.tenant != nil && !c.retention.transactionBegun && c.beginsTransaction(kind) {
-		out = c.writeServer(out)
-		switch result, action := c.checkRetainedServer(kind); result {
+	if c.server != nil && mayBeginTransaction(kind) {
+		var next disposition
+		var action gnet.Action
+		switch out, next, action = c.prepareLinked(out, kind); next {
 		case messageAnswered:
 			return out, false, action
+		case messageMalformed:
+			return out, false, c.closeMalformed(kind)
 		case messageWaiting:
 			return out, true, gnet.None
 		}
-		c.retention.transactionBegun = c.server != nil
 	}
 	if c.server == nil {
 		switch c.handleUnlinked(kind, body) {
@@ -83,10 +81,50 @@
 	return out, false, gnet.None
 }
 
-// beginsTransaction reports whether a message begins a transaction on the connection to which the client is
-// linked.
-func (c *sessionClient) beginsTransaction(kind byte) bool {
-	return c.server != nil && c.routing.call == nil && c.pipeline.Idle() && kind != clientSync && kind != clientFlush
+// mayBeginTransaction reports whether a message of this kind begins a transaction if none is open.
+func mayBeginTransaction(kind byte) bool {
+	switch kind {
+	case clientSync, clientFlush, clientCopyData, clientCopyDone, clientCopyFail, clientPassword:
+		return false
+	}
+	return true
+}
+
+// prepareLinked decides whether a message of a linked client may go to the server connection. A message of which it
+// is not certain that it belongs to the open transaction waits until the replies say so: each transaction is routed
+// by itself. A transaction that begins on a connection which the session keeps is checked first.
+func (c *sessionClient) prepareLinked(out []byte, kind byte) ([]byte, disposition, gnet.Action) {
+	switch c.pipeline.NextTurn() {
+	case session.TurnUnknown:
+		c.input.blocked = true
+		return c.writeServer(out), messageWaiting, gnet.None
+	case session.TurnNeedsSync:
+		c.pipeline.SyncBoundary()
+		c.input.blocked = true
+		return c.writeServer(appendEmpty(out, clientSync)), messageWaiting, gnet.None
+	case session.TurnBegins:
+		if c.routing.call == nil {
+			out = c.writeServer(out)
+			next, action := c.beginOnKeptServer(kind)
+			return out, next, action
+		}
+	}
+	return out, messageLinked, gnet.None
+}
+
+// beginOnKeptServer handles the first message of a transaction that would begin on the connection which the session
+// keeps. It returns messageLinked if the transaction proceeds, on this connection or on another one.
+func (c *sessionClient) beginOnKeptServer(kind byte) (disposition, gnet.Action) {
+	if !c.isHostListed(c.server) {
+		c.abandonDrainingHost(c.server) // a new transaction must not begin on a draining host
+		return messageLinked, gnet.None
+	}
+	if c.tenancy.tenant == nil || c.retention.transactionBegun {
+		return messageLinked, gnet.None
+	}
+	next, action := c.checkRetainedServer(kind)
+	c.retention.transactionBegun = next == messageLinked && c.server != nil
+	return next, action
 }
 
 // closeMalformed disconnects a client that sent a malformed message of a known kind.
--- a/internal/session/pipeline.go
+++ b/internal/session/pipeline.go
@@ -24,6 +24,10 @@
 	local bool
 	// hidden is set if the pooler sent the request itself: the answer is not passed on to the client.
 	hidden bool
+	// isBoundary is set for a hidden Sync between two transactions of one pipeline; see Pipeline.SyncBoundary.
+	isBoundary bool
+	// copyEndsSent is, for Sync, how many ends of COPY data were sent before it.
+	copyEndsSent int
 	// changesNames is set if the request was recorded with StatementNames.Request.
 	changesNames bool
 	// prepared is, for Parse, the statement being prepared; for Bind, Describe and Execute, the statement
@@ -78,7 +82,7 @@
 type ServerAction struct {
 	// Drop is set if the message answers a request of the pooler and is not passed on to the client.
 	Drop bool
-	// Ready is set for a ReadyForQuery that is passed on to the client.
+	// Ready is set for a ReadyForQuery that is passed on to the client, and for the hidden one of SyncBoundary.
 	Ready bool
 	// Unexpected is set if the message answers no outstanding request: the pipeline and the server are out of
 	// sync.
@@ -108,6 +112,8 @@
 	skipping bool
 	// copyIn is set while the server waits for the client's COPY data.
 	copyIn bool
+	// boundary tells where transactions end in what was sent.
+	boundary boundaryState
 	// status is the transaction status of the last ReadyForQuery that was passed on to the client.
 	status byte
 	// blockLost is set while the client is in a block whose connection was lost. The block has failed, and
@@ -154,7 +160,7 @@
 // Idle reports whether no reply is outstanding and no transaction is open, so that the connection may serve
 // another session.
 func (p *Pipeline) Idle() bool {
-	return p.head == len(p.expected) && !p.skipping && p.status == 'I' && !p.copyIn
+	return p.head == len(p.expected) && !p.skipping && p.status == 'I' && !p.copyIn && !p.boundary.pipelineOpen
 }
 
 // TakeWrote reports whether a statement that may write has run since the last call, and resets this.
@@ -200,7 +206,10 @@
 func (p *Pipeline) Skipping() bool { return p.skipping }
 
 // SyncLocally records a Sync that the pooler answers itself.
-func (p *Pipeline) SyncLocally() { p.skipping = false }
+func (p *Pipeline) SyncLocally() {
+	p.skipping = false
+	p.endPipeline()
+}
 
 func (p *Pipeline) push(e expectedReply) {
 	if p.head > 0 && p.head == len(p.expected) {
--- a/internal/session/pipeline_client.go
+++ b/internal/session/pipeline_client.go
@@ -7,6 +7,7 @@
 		p.catalogue.Release(prepared)
 		return ClientAction{Drop: true}
 	}
+	p.extendPipeline(nil)
 	p.Request(name, prepared)
 	e := expectedReply{kind: replyParse, changesNames: true, prepared: prepared}
 	if name == "" {
@@ -63,6 +64,7 @@
 	if p.skipping {
 		return ClientAction{Drop: true}
 	}
+	p.extendPipeline(nil)
 	prepared := p.Find(name)
 	if prepared != nil {
 		p.ensurePrepared(name, prepared, &out)
@@ -80,6 +82,7 @@
 	if p.skipping {
 		return ClientAction{Drop: true}
 	}
+	p.extendPipeline(nil)
 	prepared := p.Find(name)
 	if prepared != nil {
 		p.ensurePrepared(name, prepared, &out)
@@ -93,6 +96,7 @@
 	if p.skipping {
 		return ClientAction{Drop: true}
 	}
+	p.extendPipeline(nil)
 	p.push(expectedReply{kind: replyDescribe})
 	return ClientAction{}
 }
@@ -106,6 +110,7 @@
 	if prepared := p.portals[portal]; prepared != nil {
 		e.prepared, e.statements = prepared, prepared.Query.Statements
 	}
+	p.extendPipeline(e.statements)
 	p.push(e)
 	return ClientAction{}
 }
@@ -116,6 +121,7 @@
 	if p.skipping {
 		return ClientAction{Drop: true}
 	}
+	p.extendPipeline(nil)
 	p.Request(name, nil)
 	p.push(expectedReply{kind: replyClose, changesNames: true, local: true})
 	return ClientAction{Drop: true}
@@ -126,17 +132,19 @@
 	if p.skipping {
 		return ClientAction{Drop: true}
 	}
+	p.extendPipeline(nil)
 	p.push(expectedReply{kind: replyClose})
 	return ClientAction{}
 }
 
 // Sync handles a Sync. The server ignores a Sync while it receives COPY data.
 func (p *Pipeline) Sync() ClientAction {
-	if p.copyIn {
+	if p.awaitsCopyData() {
 		return ClientAction{Drop: true}
 	}
 	p.skipping = false
-	p.push(expectedReply{kind: replySync})
+	p.endPipeline()
+	p.push(expectedReply{kind: replySync, copyEndsSent: p.boundary.copyEndsSent})
 	return ClientAction{}
 }
 
@@ -163,6 +171,7 @@
 	if len(out.Before) > 0 { // an error in an injected message must not be followed by the query
 		p.push(expectedReply{kind: replySync, hidden: true})
 	}
+	p.endPipeline()
 	p.push(expectedReply{kind: replyQuery, statements: query.Statements})
 	return out
 }
@@ -176,6 +185,9 @@
 	e := expectedReply{kind: replyBind, replacement: &reply}
 	if isQuery {
 		e.kind = replyQuery
+		p.endPipeline()
+	} else {
+		p.extendPipeline(nil)
 	}
 	p.push(e)
 	return false
@@ -186,6 +198,7 @@
 	if p.skipping {
 		return ClientAction{Drop: true}
 	}
+	p.endPipeline()
 	p.push(expectedReply{kind: replyFunction})
 	return ClientAction{}
 }
--- a/internal/session/pipeline_loss.go
+++ b/internal/session/pipeline_loss.go
@@ -34,11 +34,13 @@
 	}
 	var open bool
 	loss.PendingReadyForQuery, open = p.expectedCycles()
+	open = open || p.boundary.pipelineOpen
 	loss.Silent = loss.PendingReadyForQuery == 0 && !open && !inBlock && !p.skipping
 	p.DiscardLast(len(p.requested))
 	p.inImplicitTransaction, p.commitSeen, p.wrote = false, false, false
 	p.expected, p.head, p.portals, p.server = nil, 0, nil, nil
 	p.copyIn, p.staleStatements, p.stickyCause = false, nil, ""
+	p.boundary = boundaryState{}
 	p.skipping = open || p.skipping
 	p.DiscardUncommitted()
 	if p.status = 'I'; inBlock {
--- a/internal/session/pipeline_server.go
+++ b/internal/session/pipeline_server.go
@@ -111,12 +111,13 @@
 // beginCopyIn handles the server's request for COPY data.
 func (p *Pipeline) beginCopyIn(e *expectedReply) {
 	p.copyIn = true
+	p.boundary.copiesBegun++
 	if e.kind != replyExecute {
 		return
 	}
-	// Syncs that were sent before the data are not answered, because the server reads them as part of the
-	// COPY.
-	for p.head+1 < len(p.expected) && p.expected[p.head+1].kind == replySync {
+	// Syncs that were sent before the end of the data are not answered, because the server reads them as part of
+	// the COPY.
+	for p.head+1 < len(p.expected) && p.expected[p.head+1].kind == replySync && p.expected[p.head+1].copyEndsSent < p.boundary.copiesBegun {
 		p.expected = append(p.expected[:p.head+1], p.expected[p.head+2:]...)
 	}
 }
@@ -181,7 +182,7 @@
 		p.pop()
 		return ServerAction{Drop: true, SettingsApplied: true, Failed: failed}
 	case replySync:
-		if e.hidden {
+		if e.hidden && !e.isBoundary {
 			p.pop()
 			return ServerAction{Drop: true}
 		}
@@ -189,14 +190,16 @@
 	default:
 		return ServerAction{Unexpected: true}
 	}
+	isBoundary := e.isBoundary
 	p.pop()
 	p.copyIn, p.inImplicitTransaction, p.commitSeen = false, false, false
 	p.status = status[0]
 	p.Ready(p.status)
 	if p.status == 'I' {
 		clear(p.portals)
+		p.boundary.copyEndsSent, p.boundary.copiesBegun = 0, 0
 	}
-	return ServerAction{Ready: true}
+	return ServerAction{Ready: true, Drop: isBoundary}
 }
 
 // handleError handles an ErrorResponse. In a pipeline the server skips everything up to Sync, so that the
@@ -217,10 +220,12 @@
 	p.invalidateStale(e, code)
 	// Names that were requested after the Sync, in later pipelines, stay.
 	p.discardFirst(p.discardUntilSync())
-	if p.head == len(p.expected) {
+	next := p.front()
+	if next == nil || next.isBoundary { // the client has not sent its Sync
 		p.skipping = true
+		return out
 	}
-	if next := p.front(); next != nil && next.kind == replySync && next.hidden {
+	if next.kind == replySync && next.hidden {
 		// The pooler sent this Sync before a query with an EXECUTE. That query fails by itself.
 		p.failed = false
 		return ServerAction{Drop: true}
