Front: a close waits until the client has confirmed its answers

The log said "drained: every request has its answer".

Cause: a connection counted as between requests once gnet's buffer was empty; the kernel held up to all of an answer. Closing a socket is only safe for what the peer's kernel has confirmed: a reset throws the rest away.

Change: loop.ConfirmedCloser. A close shuts down the sending direction, reads nothing more, and gives the descriptor back once everything is confirmed, or after 20 s. A request that crosses it stays unread, and the reset says so, as before; where all is confirmed, which is the usual case, the close is the same as it was. Eviction spares connections with unconfirmed answers, and those that wait count as open: a newcomer gets 53300 instead. The end of a linger, and sessions that get a final error (they were closed at once where bytes were unsent), wait in the same way. Idle asks the kernel.

That alone left answers that take longer than the 0.75 s of the drain: from 0.45 s after SIGTERM, when no new connections come, connections of clients that have not confirmed within a look (50 ms) what was written before it are closed between requests, and nothing further is started for them (57P03). The schedule and the kill are as they were.

ASHSTAND_BREAK=confirm and =ahead switch the guarantees off; both checks are seen to count.

--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -204,8 +204,12 @@
 		n.core.Observe(n.costs)
 	}
 	n.core.SetLimits(b.core)
+	if n.pooled != nil {
+		n.pooled.CountViolations(n.core.Metrics())
+	}
 	n.core.Metrics().AddGauge("requests_open", "Requests that have begun and have no answer yet.", func() float64 { return float64(n.core.OpenRequests()) })
 	n.front = pg.NewFront(n.core, b.front)
+	n.front.DisableGuarantee(os.Getenv("ASHSTAND_BREAK"))
 	n.engine.Exhaustion = loop.ExhaustionPolicy{EvictClient: n.front.EvictClient, Reject: n.front.Reject}
 	opened, err := openListeners(cfg)
 	if err != nil {
@@ -263,6 +267,9 @@
 	} else {
 		n.bounds.Store(b)
 		n.core.SetLimits(b.core)
+		if n.pooled != nil {
+			n.pooled.CountViolations(n.core.Metrics())
+		}
 		n.front.SetLimits(b.front)
 		n.pool.SetLimits(b.pool)
 		if n.pooled != nil {
--- a/cmd/ashstand/shutdown.go
+++ b/cmd/ashstand/shutdown.go
@@ -28,7 +28,10 @@
 	log.Printf("%v: going on for %v, then closing client connections between requests; the platform may kill after %v",
 		signal, s.schedule.DrainAt, s.schedule.KillAt)
 	n.others.now(membership.Draining)
+	n.front.WatchReaders()
 	n.others.drain(s.schedule.DrainAt)
+	s.wait(func(schedule lifecycle.ShutdownSchedule) time.Duration { return schedule.DrainSlowAt }, nil)
+	n.front.DrainSlowReaders()
 	s.wait(func(schedule lifecycle.ShutdownSchedule) time.Duration { return schedule.DrainAt }, nil)
 	s.drain()
 	s.cut()
@@ -73,7 +76,7 @@
 		<-n.core.Drain()
 		pollUntil(n.front.Idle) // of what clients send ahead or in pieces, some is still to begin
 		if n.pooled != nil {
-			pollUntil(func() bool { return n.pooled.Stats().Linked == 0 }) // transactions finish, if they can in time
+			pollUntil(func() bool { return n.pooled.Stats().Linked == 0 && !n.pooled.HasUnconfirmed() }) // transactions finish, if they can in time
 		}
 		close(idle)
 	}()
--- a/internal/lifecycle/decision.go
+++ b/internal/lifecycle/decision.go
@@ -5,24 +5,25 @@
 
 // The reasons.
 const (
-	Allowed            Reason = iota
-	NotReady                  // no complete endpoint list has been received
-	ProcessTerminating        // the process is giving the final answers or is about to exit
-	ClientDisconnected        // the client has closed its connection or cancelled the request
-	TimeIsUp                  // the deadline has passed
-	HostNotEligible           // since it was chosen, the host began to drain, was removed, lost the role or fell behind
-	RequestInFlight           // a request of the connection has no answer yet
-	CommandsWait              // commands were read and have no answer yet
-	PartOfMessageRead         // a part of a message has been read
-	BytesUnread               // the kernel holds unread bytes, so that a close would reset the connection
-	BytesUnsent               // a part of an answer has not been handed to the kernel yet
-	RequestMayHaveRun         // some attempt of the request may have run, and its class must not be repeated
+	Allowed             Reason = iota
+	NotReady                   // no complete endpoint list has been received
+	ProcessTerminating         // the process is giving the final answers or is about to exit
+	ClientDisconnected         // the client has closed its connection or cancelled the request
+	TimeIsUp                   // the deadline has passed
+	HostNotEligible            // since it was chosen, the host began to drain, was removed, lost the role or fell behind
+	RequestInFlight            // a request of the connection has no answer yet
+	CommandsWait               // commands were read and have no answer yet
+	PartOfMessageRead          // a part of a message has been read
+	BytesUnread                // the kernel holds unread bytes, so that a close would reset the connection
+	BytesUnsent                // a part of an answer has not been handed to the kernel yet
+	AnswerUndeliverable        // the process ends, and the client takes its answers too slowly to receive another one
+	RequestMayHaveRun          // some attempt of the request may have run, and its class must not be repeated
 )
 
 var reasonNames = [...]string{
 	"allowed", "not_ready", "process_cutting", "client_disconnected", "time_is_up", "host_not_eligible", "request_in_flight",
 	"commands_wait", "part_of_message_read", "bytes_unread", "bytes_unsent",
-	"request_may_have_run",
+	"answer_undeliverable", "request_may_have_run",
 }
 
 // String returns the reason's name in logs and metrics.
@@ -44,6 +45,7 @@
 	Phase              Phase
 	Ready              bool // a complete endpoint list has been received; the process may start to drain without one
 	ClientDisconnected bool // the end of the client's stream has arrived, at least in the kernel
+	SlowReaderDrained  bool // the process closes connections of slow readers, and this client is one
 }
 
 // MayStart decides whether a request that has been read may start.
@@ -53,6 +55,8 @@
 		return Decision{ClientDisconnected}
 	case f.Phase >= Terminating:
 		return Decision{ProcessTerminating}
+	case f.SlowReaderDrained:
+		return Decision{AnswerUndeliverable}
 	case !f.Ready:
 		return Decision{NotReady}
 	}
--- a/internal/lifecycle/rule.go
+++ b/internal/lifecycle/rule.go
@@ -20,6 +20,8 @@
 	BoundExceeded                       // more was retained than the limits allow
 	RejectedAfterRun                    // routing rejected a request that may have run; its client was told that it failed
 	RepeatAfterRun                      // routing chose another attempt for a request that may have run; it was not made
+	TransactionUnrouted                 // a session's transaction ran on a connection without a routing decision of its own
+	ClosedUnconfirmed                   // a connection was closed for good over answers that its client had not confirmed
 	SlowStartOverrun                    // this process sent a warming host more than slow start permits
 	ruleCount
 )
@@ -28,7 +30,7 @@
 	"attempt_after_client_gone", "attempt_after_cut", "attempt_to_draining", "deadline_exceeded_to_host", "retry_not_idempotent",
 	"retry_outside_window", "answered_twice", "closed_without_answer", "closed_with_unread_bytes", "answer_late",
 	"started_unready", "stale_read", "bound_exceeded", "rejected_after_run", "repeat_after_run",
-	"slow_start_overrun",
+	"transaction_unrouted", "closed_unconfirmed", "slow_start_overrun",
 }
 
 // String returns the rule's name in logs and metrics.
--- a/internal/lifecycle/shutdown.go
+++ b/internal/lifecycle/shutdown.go
@@ -27,6 +27,9 @@
 // time that the platform grants. A request that was accepted before DrainAt can still be answered until
 // TerminateAt: the time between the two is at least the longest deadline, or drainTime if that is shorter.
 type ShutdownSchedule struct {
+	// DrainSlowAt is when connections are closed between requests whose clients take their answers slowly: nothing that
+	// is written from then on is sure to be received before the end.
+	DrainSlowAt time.Duration
 	DrainAt     time.Duration // client connections are closed between requests; until then they are served as usual
 	TerminateAt time.Duration // each open request gets its final answer
 	ExitAt      time.Duration // the process ends
@@ -38,6 +41,7 @@
 	killAt := min(longestDeadline, MaxKillDeadline) + KillSlack
 	cutAt := killAt - killMargin
 	return ShutdownSchedule{
+		DrainSlowAt: newConnectionsEnd,
 		DrainAt:     max(newConnectionsEnd, cutAt-drainTime),
 		TerminateAt: cutAt,
 		ExitAt:      cutAt + flushTime,
--- a/internal/net/pg/front.go
+++ b/internal/net/pg/front.go
@@ -72,10 +72,15 @@
 	edge        *edge.Edge
 	limits      atomic.Pointer[FrontLimits]
 	draining    atomic.Bool
+	watching    atomic.Bool     // Sweep looks which clients take their answers slowly
+	slowDrain   atomic.Bool     // connections of such clients are closed between requests
 	terminating atomic.Bool     // the process is about to exit
 	eventLoop   atomic.Value    // gnet.EventLoop, set when the first client connects
 	answers     *loop.TaskQueue // delivers answers of requests to the event loop; set together with eventLoop
 
+	closer            loop.ConfirmedCloser // keeps closed connections until their clients have confirmed their answers
+	disabledGuarantee string
+
 	clients     map[*client]gnet.Conn
 	cancelKeys  map[uint64]*client // clients by the key that a cancel request contains
 	unreadBytes int                // total of all clients' unreadBytes
@@ -105,11 +110,11 @@
 	f.lastNumber++
 	h := &client{front: f, number: f.lastNumber, lastActive: f.edge.Now()}
 	maxServed := f.limits.Load().MaxClients * 7 / 8
-	for len(f.clients) >= maxServed && f.evictLeastUseful(h.lastActive) {
+	for f.openConnections() >= maxServed && f.evictLeastUseful(h.lastActive) {
 	}
-	hasRoom := len(f.clients) < maxServed
-	if !hasRoom && len(f.clients) >= f.limits.Load().MaxClients {
-		f.clientLimitLog.Printf("front: %d client connections are open, closing a new one", len(f.clients))
+	hasRoom := f.openConnections() < maxServed
+	if !hasRoom && f.openConnections() >= f.limits.Load().MaxClients {
+		f.clientLimitLog.Printf("front: %d client connections are open, closing a new one", f.openConnections())
 		return nil, nil, f.rejectConnection()
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -127,6 +132,13 @@
 	return h, nil, h.closeWithRejection(c, lifecycle.ClosedTableFull, stateTooManyConnections, "too many connections", f.retryAfter())
 }
 
+// DisableGuarantee disables a guarantee: confirm. It lets a test show that the checker of the guarantee detects the
+// violation. It must be called before the first client connects.
+func (f *Front) DisableGuarantee(guarantee string) { f.disabledGuarantee = guarantee }
+
+// openConnections is the number of client connections that hold a descriptor.
+func (f *Front) openConnections() int { return len(f.clients) + f.closer.Pending() }
+
 func (f *Front) retryAfter() string {
 	after := f.limits.Load().RetryAfterMillis
 	if after <= 0 {
@@ -170,6 +182,7 @@
 	for h, c := range f.clients {
 		r, age := 0, now-h.lastActive
 		switch {
+		case h.closingWithError && h.unconfirmedBytes(c) > 0:
 		case h.closingWithError:
 			r = 3
 		case !h.parser.started && age >= minSilentMillis && !h.isBusy(c):
@@ -178,7 +191,7 @@
 			r = 1
 		}
 		if r > rank || r > 0 && r == rank && h.lastActive < least.lastActive {
-			if r < 3 && hasUnreadBytes(c) {
+			if r < 3 && (hasUnreadBytes(c) || h.unconfirmedBytes(c) > 0) {
 				continue
 			}
 			least, rank = h, r
@@ -221,13 +234,17 @@
 	pressureThreshold := f.limits.Load().MaxClients / pressureFraction
 	f.forEachClient(func(h *client, c gnet.Conn) {
 		idle := now - h.lastActive
+		if f.watching.Load() {
+			h.readerWatch.observe(h.unconfirmedBytes(c))
+		}
 		switch {
+		case f.isSlowReaderDrained(h) && h.hasRequested && !h.closingWithError && h.closeIfIdle(c, lifecycle.ClosedDraining):
 		case f.draining.Load() && h.hasRequested && !h.closingWithError && h.closeIfIdle(c, lifecycle.ClosedDraining):
 		case h.hasRequested && len(f.clients) > pressureThreshold && !h.isBusy(c) &&
 			(idle >= maxIdleUnderPressureMillis || h.requestCount == 1 && idle >= maxIdleUsedOnceMillis):
 			h.closeIfIdle(c, lifecycle.ClosedIdle)
 		case h.closingWithError:
-			if now-h.lastActive > maxLingerMillis {
+			if h.hasLingered(c, now) {
 				h.close(c, h.closeReason)
 				break
 			}
--- a/internal/net/pg/front_client.go
+++ b/internal/net/pg/front_client.go
@@ -27,6 +27,7 @@
 	hasTerminated   bool // the client sent Terminate
 	invalidRequests int
 	unreadBytes     int
+	readerWatch     readerWatch
 	closeState
 	batching      bool // replies are gathered in batch, for one write
 	batch         []byte
@@ -233,6 +234,7 @@
 		return
 	}
 	_, _ = c.Write(b)
+	h.readerWatch.written += len(b)
 }
 
 // flush ends the current batch and writes it.
@@ -241,6 +243,7 @@
 	h.batching, h.batch = false, nil
 	if len(out) > 0 {
 		_, _ = c.Write(out)
+		h.readerWatch.written += len(out)
 	}
 }
 
@@ -263,7 +266,7 @@
 		h.invalidRequests++
 		h.write(c, appendReady(appendError(nil, severityError, sqlStateFeatureNotSupported, "simple queries only", "")))
 	case Query:
-		decision := lifecycle.MayStart(lifecycle.StartFacts{Phase: h.front.edge.Phase(), Ready: h.front.edge.Ready(), ClientDisconnected: hasEnded(c)})
+		decision := lifecycle.MayStart(lifecycle.StartFacts{Phase: h.front.edge.Phase(), Ready: h.front.edge.Ready(), ClientDisconnected: hasEnded(c), SlowReaderDrained: h.front.isSlowReaderDrained(h)})
 		if decision.Reason == lifecycle.ClientDisconnected { // the disconnect arrived with the query: no client waits for the answer
 			return h.closeAction(lifecycle.ClosedByClient)
 		}
--- a/internal/net/pg/front_close.go
+++ b/internal/net/pg/front_close.go
@@ -3,10 +3,12 @@
 import (
 	"log/slog"
 	"syscall"
+	"time"
 
 	"github.com/panjf2000/gnet/v2"
 
 	"ashstand/internal/lifecycle"
+	"ashstand/internal/net/loop"
 )
 
 // Only this file closes client connections: the linter rejects gnet.Close and EventLoop.Close in the other
@@ -22,7 +24,26 @@
 	hasCloseReason   bool
 }
 
-// mayClose decides whether the client's connection may be closed now without an error message.
+// disableConfirmGuarantee closes connections over answers that their clients have not confirmed; see
+// Front.DisableGuarantee.
+const disableConfirmGuarantee = "confirm"
+
+// unconfirmedBytes returns how many bytes of answers the client has not confirmed.
+func (h *client) unconfirmedBytes(c gnet.Conn) int {
+	if h.sendingEnded {
+		return loop.UnconfirmedBytesBeforeEnd(c.Fd())
+	}
+	return unconfirmedBytes(c)
+}
+
+// hasLingered reports whether a client that got its final error has had the time to receive it.
+func (h *client) hasLingered(c gnet.Conn, now float64) bool {
+	lingered := now - h.lastActive
+	return lingered > maxLingerMillis && h.unconfirmedBytes(c) == 0 || lingered > maxUnsentMillis
+}
+
+// mayClose decides whether the client's connection may be closed now without an error message. The close itself waits
+// until the client has confirmed its answers; see closeUnconfirmed.
 func (h *client) mayClose(c gnet.Conn) lifecycle.Decision {
 	return lifecycle.MayClose(lifecycle.CloseFacts{
 		RequestInFlight: h.isBlocked(),
@@ -71,8 +92,8 @@
 	}
 }
 
-// closeWithError writes a final error and shuts down the sending direction. The connection stays open for up to
-// maxLingerMillis, and the client's further input is discarded: closing it at once could reset it, and the
+// closeWithError writes a final error and shuts down the sending direction. The connection stays open until the client
+// has confirmed everything and for maxLingerMillis, for up to maxUnsentMillis in all, and the client's further input is discarded: closing it at once could reset it, and the
 // client's kernel may drop a received error on a reset. During this time the client can also receive answers
 // that are still unsent.
 func (h *client) closeWithError(c gnet.Conn, reason lifecycle.CloseReason, state, text, detail string) gnet.Action {
@@ -85,8 +106,8 @@
 	return h.endSending(c)
 }
 
-// endSending shuts down the sending direction once the client has received everything written to it. Until
-// then, Sweep calls it again.
+// endSending shuts down the sending direction once the kernel has taken everything written to the client. Until then,
+// Sweep calls it again.
 func (h *client) endSending(c gnet.Conn) gnet.Action {
 	if h.sendingEnded || c.OutboundBuffered() > 0 {
 		return gnet.None
@@ -104,7 +125,7 @@
 		h.handleLateCancel(c)
 	}
 	h.lingeredBytes += c.InboundBuffered()
-	if _, _ = c.Discard(-1); h.lingeredBytes > maxLingerBytes {
+	if _, _ = c.Discard(-1); h.lingeredBytes > maxLingerBytes && h.unconfirmedBytes(c) == 0 {
 		return gnet.Close
 	}
 	return gnet.None
@@ -116,6 +137,15 @@
 	return gnet.Close
 }
 
+// closeUnconfirmed keeps the connection, which is being closed, until the client has confirmed its answers, and reports
+// whether none of them can be cut.
+func (h *client) closeUnconfirmed(c gnet.Conn) bool {
+	if h.front.disabledGuarantee == disableConfirmGuarantee {
+		return h.unconfirmedBytes(c) == 0
+	}
+	return h.sendingEnded && h.unconfirmedBytes(c) == 0 || h.front.closer.Close(c, maxUnsentMillis*time.Millisecond)
+}
+
 // Closed implements loop.Handler. It is called on the event loop. err is what gnet met while it read or wrote,
 // including the end of the client's stream; it is nil if this process closed the connection. A reason recorded
 // before the close stays; one is only derived from err if none was recorded.
@@ -133,6 +163,9 @@
 			h.violation(lifecycle.ClosedWithUnreadBytes)
 		}
 	}
+	if h.closeReason.RequiresAnswers() && !h.closeUnconfirmed(c) {
+		h.violation(lifecycle.ClosedUnconfirmed)
+	}
 	f.edge.Metrics().Closed(h.closeReason)
 	slog.Debug("front: a client connection has ended", "connection", h.number, "reason", h.closeReason.String(), "requests", h.requestCount)
 	h.disconnect()
--- a/internal/net/pg/front_shutdown.go
+++ b/internal/net/pg/front_shutdown.go
@@ -29,17 +29,47 @@
 	})
 }
 
-// Idle reports whether no request is in flight or has begun to arrive, and clients have received all answers.
+// WatchReaders begins to look which clients take their answers slowly. Sweep does so from then on.
+func (f *Front) WatchReaders() { f.watching.Store(true) }
+
+// DrainSlowReaders closes connections that are between requests and whose clients take their answers slowly, at once
+// and from then on. No further request of such a client is started: its answer might be cut by the end of the process.
+func (f *Front) DrainSlowReaders() { f.slowDrain.Store(true) }
+
+// isSlowReaderDrained reports whether no further request of the client may start because it is a slow reader.
+func (f *Front) isSlowReaderDrained(h *client) bool {
+	return f.slowDrain.Load() && h.readerWatch.isSlow
+}
+
+// readerWatch tells whether a client takes its answers slowly: what was written before the last look is not confirmed
+// at the next one. A look each SweepInterval leaves a client's kernel the time to confirm. It is confined to the event
+// loop.
+type readerWatch struct {
+	written           int // bytes written to the client
+	writtenAtLastLook int
+	isSlow            bool
+}
+
+// observe looks at the client, which has not confirmed the last unconfirmed bytes written to it.
+func (w *readerWatch) observe(unconfirmed int) {
+	w.isSlow = w.written-unconfirmed < w.writtenAtLastLook
+	w.writtenAtLastLook = w.written
+}
+
+// Idle reports whether no request is in flight or has begun to arrive, and clients have confirmed all answers.
 func (f *Front) Idle() bool {
 	l, ok := f.eventLoop.Load().(gnet.EventLoop)
 	if !ok {
 		return true
 	}
+	if f.closer.Pending() > 0 {
+		return false
+	}
 	idle := make(chan bool, 1)
 	if l.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		allIdle := true
 		for h, c := range f.clients {
-			allIdle = allIdle && (h.closingWithError && c.OutboundBuffered() == 0 || h.mayClose(c).OK())
+			allIdle = allIdle && (h.closingWithError || h.mayClose(c).OK()) && h.unconfirmedBytes(c) == 0
 		}
 		idle <- allIdle
 		return nil
--- a/internal/net/pg/server_relay.go
+++ b/internal/net/pg/server_relay.go
@@ -181,6 +181,9 @@
 	r.consumed += m.size
 	r.passLocalReplies()
 	if action.Ready {
+		if !action.Empty {
+			c.checkDecided(r.server, m.detail[0])
+		}
 		c.transactionReady(r.server, m.detail[0])
 		r.idle = c.pipeline.Idle()
 	}
--- a/internal/net/pg/session_client.go
+++ b/internal/net/pg/session_client.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/panjf2000/gnet/v2"
 
 	"ashstand/internal/dispatch"
+	"ashstand/internal/lifecycle"
 	"ashstand/internal/net/loop"
 	"ashstand/internal/session"
 )
@@ -62,7 +64,8 @@
 	// or being closed. After such an error the client may stay connected for up to maxLingerMillis; its further
 	// input is discarded.
 	disconnected bool
-	closedAt     float64 // clock milliseconds at which our side of the connection was shut down
+	closedAt     float64 // clock milliseconds at which the final error was written
+	sendingEnded bool    // our side of the connection was shut down
 }
 
 // inputState is the progress of processing a client's input. The event loop owns it.
@@ -89,6 +92,7 @@
 	readOnly        bool
 	writeClass      bool    // the request class is one of writes
 	misdirected     bool    // the host rejected a write because it is read-only
+	decided         bool    // the transaction on the server connection has a decision of its own, or none has begun there
 	cancelRequested bool    // a cancel request came when it could not be handled at once
 	minPosition     float64 // minimum position for the session's reads
 }
@@ -121,11 +125,14 @@
 
 // Closed releases everything that the client holds once its connection is closed. It is called on the event
 // loop.
-func (c *sessionClient) Closed(gnet.Conn, error) {
+func (c *sessionClient) Closed(g gnet.Conn, err error) {
 	if !c.wire.ConfirmClosed() {
 		return
 	}
 	f := c.front
+	if g != nil && err == nil && c.closedAt > 0 && !c.closeUnconfirmed(g) && f.clock.Now()-c.closedAt < maxUnsentMillis {
+		f.violation(lifecycle.ClosedUnconfirmed, "session", c.number)
+	}
 	delete(f.clients.all, c)
 	delete(f.clients.byCancelKey, c.cancelKey)
 	delete(f.backpressure.paused, &c.wire)
@@ -141,26 +148,49 @@
 	}
 }
 
+// closeUnconfirmed keeps the connection, which is being closed, until the client has confirmed what was written to it,
+// and reports whether none of that can be cut.
+func (c *sessionClient) closeUnconfirmed(g gnet.Conn) bool {
+	if c.sendingEnded && loop.UnconfirmedBytesBeforeEnd(g.Fd()) == 0 {
+		return true
+	}
+	return c.front.closer.Close(g, maxUnsentMillis*time.Millisecond)
+}
+
 // closeWithError sends the client a fatal error and shuts down our side of the connection. The periodic
-// sweep (see sessionClient.sweep) closes the connection after maxLingerMillis unless the client does so first.
+// sweep (see sessionClient.sweep) closes the connection after maxLingerMillis unless the client does so first, and
+// gives the client up to maxUnsentMillis to take what was written to it before.
 func (c *sessionClient) closeWithError(state, text, detail string) gnet.Action {
 	if c.disconnected {
 		return gnet.None
 	}
 	c.disconnected = true
 	c.detach()
-	if c.wire.Conn == nil {
-		return gnet.Close
-	}
 	c.wire.Write(appendError(nil, severityFatal, state, text, detail))
-	if c.wire.UnsentBytes() > 0 || shutdownWrite(c.wire.Conn) != nil {
-		return gnet.Close
-	}
 	c.closedAt = c.front.clock.Now()
 	c.wire.Discard(c.wire.BufferedBytes())
+	return c.endSending()
+}
+
+// endSending shuts down our side of the connection once the kernel has taken everything written to the client. Until
+// then, sweep calls it again. A paused connection is resumed first, since its client is disconnected (see mayResume).
+func (c *sessionClient) endSending() gnet.Action {
+	if c.sendingEnded || c.wire.Conn == nil || c.wire.UnsentBytes() > 0 {
+		return gnet.None
+	}
+	c.sendingEnded = true
+	if shutdownWrite(c.wire.Conn) != nil {
+		return gnet.Close
+	}
 	return gnet.None
 }
 
+// hasLingered reports whether a client that got its final error has had the time to receive it.
+func (c *sessionClient) hasLingered(now float64) bool {
+	lingered := now - c.closedAt
+	return lingered > maxLingerMillis && c.wire.UnsentBytes() == 0 || lingered > maxUnsentMillis
+}
+
 // Traffic processes what the client sent, and pauses its reads at the bounds on unread bytes. It is called on
 // the event loop.
 func (c *sessionClient) Traffic(g gnet.Conn) gnet.Action {
@@ -203,10 +233,25 @@
 		return !c.disconnected
 	case phaseRestoring:
 		return !c.disconnected && c.server != nil && !c.server.requestSent
-	case phaseLinked:
-		return !c.disconnected && c.input.blocked
 	}
-	return false
+	return c.isHeld()
+}
+
+// isHeld reports whether the next transaction of the client waits for the replies to the one before it.
+func (c *sessionClient) isHeld() bool {
+	return c.phase == phaseLinked && c.server != nil && c.input.blocked && !c.disconnected
+}
+
+// closeHeldAtShutdown ends a session that waits with a transaction behind a running one: the running one may have run,
+// and what waits has not.
+func (c *sessionClient) closeHeldAtShutdown() gnet.Action {
+	var out []byte
+	for range c.pipeline.PendingCycles() {
+		out = appendError(out, severityError, sqlStateAdminShutdown, "the pooler restarts; what was under way may have run", "")
+		out = appendReadyForQuery(out, statusIdle)
+	}
+	c.writeClient(out)
+	return c.closeWithRejection(stateCannotConnectNow, "the pooler restarts; what waited did not run", "")
 }
 
 // isBlocked reports whether the client's next message can't be processed now.
@@ -365,7 +410,7 @@
 func (c *sessionClient) sweep(now float64) {
 	switch {
 	case c.disconnected:
-		if now-c.closedAt > maxLingerMillis {
+		if c.hasLingered(now) || c.endSending() == gnet.Close {
 			c.wire.Close()
 		}
 	case c.phase == phaseStarting && now-c.lastActive > maxSilentMillis:
--- a/internal/net/pg/session_front.go
+++ b/internal/net/pg/session_front.go
@@ -11,6 +11,8 @@
 
 	"ashstand/internal/clock"
 	"ashstand/internal/dispatch"
+	"ashstand/internal/lifecycle"
+	"ashstand/internal/metrics"
 	"ashstand/internal/net/loop"
 	"ashstand/internal/session"
 )
@@ -37,6 +39,8 @@
 	parameters   parameterRegistry
 	buffers      relayBuffers
 	backpressure backpressureState
+	closer       loop.ConfirmedCloser // keeps closed connections until their clients have confirmed what was written
+	metrics      *metrics.Metrics     // nil: violations of rules are not counted
 	tenancy      tenantQueues
 	stats        SessionStats
 	draining     bool // clients are disconnected between transactions
@@ -119,10 +123,23 @@
 	return f
 }
 
-// DisableGuarantee disables a guarantee: settings, statements, cancel or position. It lets a test show that the checker
+// DisableGuarantee disables a guarantee: settings, statements, cancel, position or ahead. It lets a test show that the checker
 // of the guarantee detects the violation.
 func (f *SessionFront) DisableGuarantee(guarantee string) { f.disabledGuarantee.Store(guarantee) }
 
+// CountViolations sets where violations of rules are counted. It must be called before the first client connects.
+func (f *SessionFront) CountViolations(m *metrics.Metrics) { f.metrics = m }
+
+// violation counts a rule that did not hold.
+func (f *SessionFront) violation(rule lifecycle.Rule, attributes ...any) {
+	if f.metrics != nil {
+		f.metrics.Violation(rule, attributes...)
+	}
+}
+
+// HasUnconfirmed reports whether a connection that was closed waits for its client to confirm what was written to it.
+func (f *SessionFront) HasUnconfirmed() bool { return f.closer.Pending() > 0 }
+
 // SetLimits replaces the limits and pools from now on.
 func (f *SessionFront) SetLimits(limits SessionLimits) {
 	f.limits.Store(&limits)
@@ -246,7 +263,16 @@
 			if c.phase == phaseTenantPaused {
 				text = "the pooler restarts; what waited did not run"
 			}
-			if !c.disconnected && c.closeWithError(sqlStateAdminShutdown, text, "") == gnet.Close {
+			if c.disconnected {
+				continue
+			}
+			var action gnet.Action
+			if c.isHeld() && c.server.stream.remaining == 0 {
+				action = c.closeHeldAtShutdown()
+			} else {
+				action = c.closeWithError(sqlStateAdminShutdown, text, "")
+			}
+			if action == gnet.Close {
 				c.wire.Close()
 			}
 		}
--- a/internal/net/pg/session_link.go
+++ b/internal/net/pg/session_link.go
@@ -7,6 +7,7 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"ashstand/internal/dispatch"
+	"ashstand/internal/lifecycle"
 	"ashstand/internal/session"
 )
 
@@ -25,7 +26,7 @@
 	}
 	c.server, s.session = s, c
 	s.requestSent, s.report.position, s.report.role = false, 0, ""
-	c.routing.misdirected = false
+	c.routing.misdirected, c.routing.decided = false, true
 	c.pipeline.Link(s.prepared, c.routing.readOnly)
 	if c.front.disabledGuarantee.Load() == "statements" {
 		c.pipeline.AssumePrepared()
@@ -128,6 +129,14 @@
 	c.writeClient(out)
 }
 
+// checkDecided counts a violation if a transaction, which now has this status, runs without a routing decision of its own.
+func (c *sessionClient) checkDecided(s *serverConn, status byte) {
+	if !c.routing.decided {
+		c.front.violation(lifecycle.TransactionUnrouted, "session", c.number, "host", s.pool.host.name)
+	}
+	c.routing.decided = status != statusIdle
+}
+
 // transactionReady handles a ReadyForQuery. The first one of a transaction ends its routing call with the
 // outcome; one after a write raises the session's minimum position.
 func (c *sessionClient) transactionReady(s *serverConn, status byte) {
--- a/internal/net/pg/session_messages.go
+++ b/internal/net/pg/session_messages.go
@@ -30,7 +30,7 @@
 		c.writeServer(out)
 		return out[:0], false, gnet.Close
 	}
-	if c.server != nil && mayBeginTransaction(kind) {
+	if c.server != nil && mayBeginTransaction(kind) && !c.sendsAheadUnchecked() {
 		var next disposition
 		var action gnet.Action
 		switch out, next, action = c.prepareLinked(out, kind); next {
@@ -106,12 +106,21 @@
 		if c.routing.call == nil {
 			out = c.writeServer(out)
 			next, action := c.beginOnKeptServer(kind)
+			c.routing.decided = next == messageLinked
 			return out, next, action
 		}
 	}
 	return out, messageLinked, gnet.None
 }
 
+// disableAheadGuarantee sends transactions ahead of answers without a decision; see SessionFront.DisableGuarantee.
+const disableAheadGuarantee = "ahead"
+
+// sendsAheadUnchecked reports whether the guarantee that each transaction is routed by itself is disabled.
+func (c *sessionClient) sendsAheadUnchecked() bool {
+	return c.front.disabledGuarantee.Load() == disableAheadGuarantee && c.pipeline.ExpectedReplies() > 0
+}
+
 // beginOnKeptServer handles the first message of a transaction that would begin on the connection which the session
 // keeps. It returns messageLinked if the transaction proceeds, on this connection or on another one.
 func (c *sessionClient) beginOnKeptServer(kind byte) (disposition, gnet.Action) {
--- a/internal/net/pg/socket.go
+++ b/internal/net/pg/socket.go
@@ -6,6 +6,8 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
+
+	"ashstand/internal/net/loop"
 )
 
 // hasUnreadBytes reports whether the kernel's receive buffer holds unread bytes.
@@ -44,7 +46,7 @@
 
 // unconfirmedBytes returns how many written bytes the peer has not acknowledged. The kernel retransmits them
 // until it has.
-func unconfirmedBytes(g gnet.Conn) int { return g.OutboundBuffered() + socketQueue(g, unix.SIOCOUTQ) }
+func unconfirmedBytes(g gnet.Conn) int { return g.OutboundBuffered() + loop.UnconfirmedBytes(g.Fd()) }
 
 // socketQueue asks the kernel for the length of a socket's queue. It returns 0 if the kernel reports an error.
 func socketQueue(g gnet.Conn, request uint) int {
--- a/internal/session/pipeline.go
+++ b/internal/session/pipeline.go
@@ -26,6 +26,8 @@
 	hidden bool
 	// isBoundary is set for a hidden Sync between two transactions of one pipeline; see Pipeline.SyncBoundary.
 	isBoundary bool
+	// isEmpty is set for a Sync with no message of a pipeline before it.
+	isEmpty bool
 	// copyEndsSent is, for Sync, how many ends of COPY data were sent before it.
 	copyEndsSent int
 	// changesNames is set if the request was recorded with StatementNames.Request.
@@ -84,6 +86,8 @@
 	Drop bool
 	// Ready is set for a ReadyForQuery that is passed on to the client, and for the hidden one of SyncBoundary.
 	Ready bool
+	// Empty is set, with Ready, if the ReadyForQuery answers a Sync by itself, which runs nothing.
+	Empty bool
 	// Unexpected is set if the message answers no outstanding request: the pipeline and the server are out of
 	// sync.
 	Unexpected bool
--- a/internal/session/pipeline_client.go
+++ b/internal/session/pipeline_client.go
@@ -142,9 +142,10 @@
 	if p.awaitsCopyData() {
 		return ClientAction{Drop: true}
 	}
+	isEmpty := !p.boundary.pipelineOpen && !p.skipping
 	p.skipping = false
 	p.endPipeline()
-	p.push(expectedReply{kind: replySync, copyEndsSent: p.boundary.copyEndsSent})
+	p.push(expectedReply{kind: replySync, isEmpty: isEmpty, copyEndsSent: p.boundary.copyEndsSent})
 	return ClientAction{}
 }
 
--- a/internal/session/pipeline_loss.go
+++ b/internal/session/pipeline_loss.go
@@ -106,6 +106,12 @@
 	return e.kind == replySync || e.kind == replyQuery || e.kind == replyFunction
 }
 
+// PendingCycles returns how many ReadyForQuery messages the client waits for.
+func (p *Pipeline) PendingCycles() int {
+	cycles, _ := p.expectedCycles()
+	return cycles
+}
+
 // expectedCycles counts the ReadyForQuery messages that the client waits for. open is set if the client has
 // sent messages of a pipeline whose Sync has not come.
 func (p *Pipeline) expectedCycles() (cycles int, open bool) {
--- a/internal/session/pipeline_server.go
+++ b/internal/session/pipeline_server.go
@@ -190,7 +190,7 @@
 	default:
 		return ServerAction{Unexpected: true}
 	}
-	isBoundary := e.isBoundary
+	isBoundary, isEmpty := e.isBoundary, e.isEmpty
 	p.pop()
 	p.copyIn, p.inImplicitTransaction, p.commitSeen = false, false, false
 	p.status = status[0]
@@ -199,7 +199,7 @@
 		clear(p.portals)
 		p.boundary.copyEndsSent, p.boundary.copiesBegun = 0, 0
 	}
-	return ServerAction{Ready: true, Drop: isBoundary}
+	return ServerAction{Ready: true, Drop: isBoundary, Empty: isEmpty}
 }
 
 // handleError handles an ErrorResponse. In a pipeline the server skips everything up to Sync, so that the
