Sessions: a transaction on a connection that the session keeps goes by its own route

What callers saw: in session mode, and in a session that is sticky, only the first transaction was routed. One that named another group ran on the connection's host and was answered as served; an unknown class or a comment that is no number passed unseen. A write behind a read that was committed and then lost its connection was told 40001, "safe to run again".

One that names another group leaves the connection where the session can be moved; a sticky session is told 0A000, and nothing runs. A transaction without cluster= stays where it is.

Evidence: on TestKeptConnectionIsLeftForAnotherGroup (row in group 1), TestStickySessionRejectsAnotherGroup (INSERT 0 1 for 0A000) and the session-mode case of TestCommittedWriteBehindAReadIsInDoubt (40001) fail; green with this, with the tests of tenants and sticky sessions.

--- a/internal/net/pg/session_ahead_test.go
+++ b/internal/net/pg/session_ahead_test.go
@@ -22,8 +22,8 @@
 	c     *lab.Host // the primary of group 2
 }
 
-func startTwoGroups(t testing.TB) *groupsFixture {
-	w := &groupsFixture{poolerFixture: startPooler(t, nil), other: lab.NewCluster(2, 2)}
+func startTwoGroups(t testing.TB, change func(l *SessionLimits)) *groupsFixture {
+	w := &groupsFixture{poolerFixture: startPooler(t, change), other: lab.NewCluster(2, 2)}
 	var err error
 	w.c, err = w.other.Add("c", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -109,7 +109,7 @@
 
 // A transaction that a client sent before the answer to the one before ran on that one's host, in another group.
 func TestTransactionSentAheadIsRoutedByItself(t *testing.T) {
-	w := startTwoGroups(t)
+	w := startTwoGroups(t, nil)
 	s := w.rawConnect()
 	s.send(query(insertInto(1, "q1")), query(insertInto(2, "q2")), query(insertInto(1, "q3")), query(insertInto(2, "q4")))
 	require.Equal(t, "INSERT 0 1 I INSERT 0 1 I INSERT 0 1 I INSERT 0 1 I", s.replies(4))
@@ -183,7 +183,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := startTwoGroups(t)
+			w := startTwoGroups(t, nil)
 			s := w.rawConnect()
 			s.send(c.ahead...)
 			require.Equal(t, c.want, s.replies(c.readies))
@@ -196,7 +196,7 @@
 
 // COPY data that was sent before the host asked for it, and the Sync behind it, left the session out of step.
 func TestCopyDataSentAheadIsFollowedByAnotherGroup(t *testing.T) {
-	w := startTwoGroups(t)
+	w := startTwoGroups(t, nil)
 	s := w.rawConnect()
 	copyIn := "/* c=donate,cluster=1 */ COPY entries (ref, payload) FROM STDIN"
 	data := func(ref string) *pgproto3.CopyData { return &pgproto3.CopyData{Data: []byte(ref + "\t1\n")} }
--- a/internal/net/pg/session_messages.go
+++ b/internal/net/pg/session_messages.go
@@ -33,7 +33,7 @@
 	if c.server != nil && mayBeginTransaction(kind) && !c.sendsAheadUnchecked() {
 		var next disposition
 		var action gnet.Action
-		switch out, next, action = c.prepareLinked(out, kind); next {
+		switch out, next, action = c.prepareLinked(out, kind, body); next {
 		case messageAnswered:
 			return out, false, action
 		case messageMalformed:
@@ -93,7 +93,7 @@
 // prepareLinked decides whether a message of a linked client may go to the server connection. A message of which it
 // is not certain that it belongs to the open transaction waits until the replies say so: each transaction is routed
 // by itself. A transaction that begins on a connection which the session keeps is checked first.
-func (c *sessionClient) prepareLinked(out []byte, kind byte) ([]byte, disposition, gnet.Action) {
+func (c *sessionClient) prepareLinked(out []byte, kind byte, body []byte) ([]byte, disposition, gnet.Action) {
 	switch c.pipeline.NextTurn() {
 	case session.TurnUnknown:
 		c.input.blocked = true
@@ -105,7 +105,7 @@
 	case session.TurnBegins:
 		if c.routing.call == nil {
 			out = c.writeServer(out)
-			next, action := c.beginOnKeptServer(kind)
+			next, action := c.beginOnKeptServer(kind, body)
 			c.routing.decided = next == messageLinked
 			return out, next, action
 		}
@@ -123,17 +123,19 @@
 
 // beginOnKeptServer handles the first message of a transaction that would begin on the connection which the session
 // keeps. It returns messageLinked if the transaction proceeds, on this connection or on another one.
-func (c *sessionClient) beginOnKeptServer(kind byte) (disposition, gnet.Action) {
+func (c *sessionClient) beginOnKeptServer(kind byte, body []byte) (disposition, gnet.Action) {
 	if !c.isHostListed(c.server) {
 		c.abandonDrainingHost(c.server) // a new transaction must not begin on a draining host
 		return messageLinked, gnet.None
 	}
-	if c.tenancy.tenant == nil || c.retention.transactionBegun {
-		return messageLinked, gnet.None
+	if c.tenancy.tenant != nil && !c.retention.transactionBegun {
+		next, action := c.checkRetainedServer(kind)
+		c.retention.transactionBegun = next == messageLinked && c.server != nil
+		if next != messageLinked || c.server == nil {
+			return next, action
+		}
 	}
-	next, action := c.checkRetainedServer(kind)
-	c.retention.transactionBegun = next == messageLinked && c.server != nil
-	return next, action
+	return c.routeOnKeptServer(kind, body), gnet.None
 }
 
 // closeMalformed disconnects a client that sent a malformed message of a known kind.
--- a/internal/net/pg/unconfirmed_test.go
+++ b/internal/net/pg/unconfirmed_test.go
@@ -150,7 +150,7 @@
 // The run-time check of a transaction without a routing decision was missing: with the guarantee switched off it counts.
 func TestTransactionWithoutDecisionIsCounted(t *testing.T) {
 	for _, isBroken := range []bool{true, false} {
-		w := startTwoGroups(t)
+		w := startTwoGroups(t, nil)
 		m := metrics.New()
 		w.front.CountViolations(m)
 		if isBroken {
--- a/internal/session/pipeline.go
+++ b/internal/session/pipeline.go
@@ -147,6 +147,9 @@
 // transaction was routed as read-only.
 func (p *Pipeline) Link(s *ServerStatements, readOnly bool) { p.server, p.readOnly = s, readOnly }
 
+// SetReadOnly records whether the transaction that begins on the linked connection was routed as read-only.
+func (p *Pipeline) SetReadOnly(readOnly bool) { p.readOnly = readOnly }
+
 // AssumePrepared makes the pipeline assume that all statements of the session are prepared on the linked
 // connection. It serves to show that the check of prepared statements can fail.
 func (p *Pipeline) AssumePrepared() {
