Testbed and tests: transactions that are sent ahead for other groups, and what crosses them

Cause: no rig drew a client that sends transactions for two groups before an answer, so all were green over the fault.

Change: testbed sessions plays two groups, and one operation in a hundred sends two to four writes for drawn groups ahead.

--- a/internal/net/pg/session_ahead_test.go
+++ b/internal/net/pg/session_ahead_test.go
@@ -211,3 +211,28 @@
 		w.requireOnly(2, ref)
 	}
 }
+
+// BenchmarkTransactionsSentAhead measures a statement of a client that sends many single transactions in one go.
+func BenchmarkTransactionsSentAhead(b *testing.B) {
+	const ahead = 50
+	w := startTwoGroups(b, nil)
+	s := w.rawConnect()
+	var one, block []pgproto3.FrontendMessage
+	for range ahead {
+		one = append(append(one, extended("SELECT 1")...), &pgproto3.Sync{})
+	}
+	block = append(block, query("BEGIN"))
+	for range ahead - 2 {
+		block = append(block, query("SELECT 1"))
+	}
+	block = append(block, query("COMMIT"))
+	for name, messages := range map[string][]pgproto3.FrontendMessage{"single": one, "block": block} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				s.send(messages...)
+				s.replies(ahead)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*ahead), "ns/statement")
+		})
+	}
+}
--- a/testbed/load/sessions.go
+++ b/testbed/load/sessions.go
@@ -27,18 +27,18 @@
 }
 
 // Breakable are the guarantees that the pooler can be told to break.
-var Breakable = []string{"settings", "statements", "cancel", "position"}
+var Breakable = []string{"settings", "statements", "cancel", "position", "ahead"}
 
 // Sessions plays many sessions over few server connections, with failures, and checks what each finds.
 func Sessions(ctx context.Context, o SessionOptions) (*report.Result, error) {
 	g := report.New("sessions", o.Seed, "missing_statement", "wrong_statement", "leaked_setting", "duplicate_write", "lost_commit", "stale_read",
-		"sent_to_draining", "misdirected_cancel", "client_ended")
+		"sent_to_draining", "misdirected_cancel", "client_ended", wrongGroup, unroutedTransaction)
 	var env []string
 	if o.Break != "" {
 		env = append(env, "ASHSTAND_BREAK="+o.Break)
 	}
 	f, err := fleet.Start(fleet.Options{
-		Pooler: o.Pooler, Replicas: 2, Lag: 150 * time.Millisecond, Seed: o.Seed, MemoryMB: 192,
+		Pooler: o.Pooler, Replicas: 2, Groups: 2, Lag: 150 * time.Millisecond, Seed: o.Seed, MemoryMB: 192,
 		Sockets: o.Sessions + o.Sessions/8 + o.Servers + 200, Clients: o.Sessions, Servers: o.Servers, Env: env, Log: o.Log,
 	})
 	if err != nil {
@@ -93,6 +93,7 @@
 		return nil, died
 	}
 	seconds := time.Since(begun).Seconds()
+	countUnrouted(f, g)
 	cpu, rss := f.Pooler.Usage()
 	g.Do(func(r *report.Result) {
 		for _, h := range f.Hosts {
@@ -156,9 +157,10 @@
 			return true
 		}
 	}
+	hosts := f.Cluster.Hosts()
 	other := func() *host.Host {
 		for {
-			if h := f.Hosts[rng.IntN(len(f.Hosts))]; h != f.Cluster.Leader() {
+			if h := hosts[rng.IntN(len(hosts))]; h != f.Cluster.Leader() {
 				return h
 			}
 		}
--- a/testbed/load/worker.go
+++ b/testbed/load/worker.go
@@ -173,7 +173,8 @@
 	{"copy", 3, (*worker).copy},
 	{"cancel", 3, (*worker).cancel},
 	{"sleep", 3, (*worker).sleep},
-	{"pipeline", 2, (*worker).pipeline},
+	{"pipeline", 1, (*worker).pipeline},
+	{"ahead", 1, (*worker).ahead},
 	{"pin", 1, (*worker).pin},
 }
 
