Reload: leave the counter of session violations as it was set at the start

Cause: also put CountViolations into the reload on SIGHUP, by a slip. It must be called before the first client connects; there it wrote a field, from the reload's goroutine, that the event loop reads.

Change: the second call goes. The first, before the fronts open, stays. Nothing else.

Measured: by reading, not by a run that showed a race.

--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -267,9 +267,6 @@
 	} else {
 		n.bounds.Store(b)
 		n.core.SetLimits(b.core)
-		if n.pooled != nil {
-			n.pooled.CountViolations(n.core.Metrics())
-		}
 		n.front.SetLimits(b.front)
 		n.pool.SetLimits(b.pool)
 		if n.pooled != nil {
