--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x bin/ashstand ] && [ -x bin/review-2 ] || { echo "build first: the deploy file's build, then review/build-2.sh" >&2; exit 2; }
-exec bin/review-2 kept-stale review/8
+exec bin/review-2 silent-host review/8
--- a/review/rig-2/fleet.go
+++ b/review/rig-2/fleet.go
@@ -69,13 +69,14 @@
 
 // host is a stand-in for a db host.
 type host struct {
-	name    string
-	address string
-	primary bool
-	group   *group
-	rec     *record
-	work    time.Duration // of a statement
-	long    int           // bytes of a value whose key begins with "long"
+	name       string
+	address    string
+	primary    bool
+	group      *group
+	rec        *record
+	work       time.Duration // of a statement
+	reportWork time.Duration // of a report; 0: as of any
+	long       int           // bytes of a value whose key begins with "long"
 
 	mu       sync.Mutex
 	silent   chan struct{} // closed when the host speaks again; nil: it does
@@ -284,7 +285,11 @@
 		h.rec.say("%s: id %s is a write, and this is no primary: 25006", h.name, id)
 		return append(h.report(0), errorResponse("ERROR", "25006", "cannot execute INSERT in a read-only transaction")...)
 	}
-	time.Sleep(h.work)
+	work := h.work
+	if h.reportWork > 0 && strings.Contains(text, "c=report") {
+		work = h.reportWork
+	}
+	time.Sleep(work)
 	h.mu.Lock()
 	h.runs[id]++
 	h.mu.Unlock()
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -33,6 +33,9 @@
 	"kept-stale":     keptStale,
 	"silent-readers": silentReaders,
 	"bad-put":        badPut,
+	"sends-ahead":    sendsAhead,
+	"flight-crowd":   flightCrowd,
+	"slow-readers":   slowReaders,
 	"capture-twice":  captureTwice,
 }
 
