--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -35,7 +35,6 @@
 	"bad-put":        badPut,
 	"sends-ahead":    sendsAhead,
 	"flight-crowd":   flightCrowd,
-	"slow-readers":   slowReaders,
 	"capture-twice":  captureTwice,
 }
 
