--- a/review/rig-2/fleet.go
+++ b/review/rig-2/fleet.go
@@ -269,6 +269,10 @@
 	if m := idPattern.FindStringSubmatch(text); m != nil {
 		id = m[1]
 	}
+	if strings.Contains(bare, "nextval(") || strings.Contains(bare, "lastval(") {
+		time.Sleep(h.work)
+		return h.draw(state, strings.Contains(bare, "nextval("))
+	}
 	if m := refPattern.FindStringSubmatch(bare); m != nil {
 		ref = m[1]
 	}
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -33,6 +33,7 @@
 	"kept-stale":     keptStale,
 	"silent-readers": silentReaders,
 	"bad-put":        badPut,
+	"foreign-number": foreignNumber,
 	"sends-ahead":    sendsAhead,
 	"flight-crowd":   flightCrowd,
 	"capture-twice":  captureTwice,
