A panic ends the request, call or connection that led to it, not the process

The answer is 'may have run', without a reason. The call's end, id, place at the host and the observer are given back. The router, the dispatcher and the pool of PostgreSQL hosts escalate instead: their state may be half changed or locked, and the process ends. Tests fail before: without the change each ends in its panic. A test panics in Acquire, before and behind the write, in handlers, in a connection's bytes and in the deciding code.

--- a/cmd/ashstand/main.go
+++ b/cmd/ashstand/main.go
@@ -19,10 +19,12 @@
 	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
 	"ashstand/internal/lifecycle"
+	"ashstand/internal/metrics"
 	"ashstand/internal/net/discovery"
 	"ashstand/internal/net/flight"
 	"ashstand/internal/net/loop"
 	"ashstand/internal/net/pg"
+	"ashstand/internal/panics"
 	"ashstand/internal/warmuplog"
 )
 
@@ -152,11 +154,8 @@
 		n.facade.LateAnswer(host, sent, write, o)
 	})
 	backend := new(edge.BackendMux)
-	probe := func(host string) {
-		ctx, cancel := context.WithTimeout(ctx, n.bounds.Load().connect)
-		defer cancel()
-		n.facade.ProbeDone(host, backend.Probe(ctx, host, n.facade.IsActive))
-	}
+	registry := metrics.New()
+	probe := func(host string) { n.facade.ProbeDone(host, n.probe(ctx, registry, backend, host)) }
 	if n.facade, err = dispatch.New(cfg.site, cfg.seed, now, probe, backend.CloseIdle); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -201,6 +200,7 @@
 	}
 	n.others.startJobs(n, cfg, now)
 	n.core = edge.New(n.facade, now, backend)
+	n.core.SetMetrics(registry)
 	if n.costs = newCostCollector(cfg, n, now); n.costs != nil {
 		n.core.Observe(n.costs)
 	}
@@ -211,6 +211,7 @@
 	n.core.Metrics().AddGauge("requests_open", "Requests that have begun and have no answer yet.", func() float64 { return float64(n.core.OpenRequests()) })
 	n.front = pg.NewFront(n.engine, n.core, b.front)
 	n.front.DisableGuarantee(os.Getenv("ASHSTAND_BREAK"))
+	n.engine.OnPanic = n.core.Metrics().PanicRecovered
 	n.engine.Exhaustion = loop.ExhaustionPolicy{EvictClient: n.front.EvictClient, Reject: n.front.Reject}
 	opened, err := openListeners(cfg)
 	if err != nil {
@@ -246,6 +247,20 @@
 	return n, nil
 }
 
+// probe requests a load report from a host. A panic at what the host sent ends the probe alone.
+func (n *node) probe(ctx context.Context, registry *metrics.Metrics, backend edge.Backend, host string) (outcome dispatch.Outcome) {
+	defer func() {
+		if value := recover(); value != nil {
+			panics.Check(value)
+			registry.PanicRecovered("probe", value)
+			outcome = dispatch.Outcome{Code: dispatch.Malformed}
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, n.bounds.Load().connect)
+	defer cancel()
+	return backend.Probe(ctx, host, n.facade.IsActive)
+}
+
 // reload takes from a new configuration what can change while requests are under way, and names what can't.
 func (n *node) reload(old, next *config) {
 	var wait []string
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -7,6 +7,7 @@
 
 	"ashstand/internal/clock"
 	"ashstand/internal/faulthook"
+	"ashstand/internal/panics"
 	"ashstand/routing"
 )
 
@@ -102,6 +103,7 @@
 // Revalidate reports whether the attempt picked last may still be sent to its host; it is called just before
 // the attempt is written. If it returns false, the caller reports NotSent and picks again.
 func (c *Call) Revalidate() bool {
+	defer panics.Escalate()
 	d := c.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ashstand/internal/clock"
+	"ashstand/internal/panics"
 	"ashstand/internal/settings"
 	"ashstand/routing"
 )
@@ -215,7 +216,10 @@
 //
 // ActCancel needs no handling: it occurs only after Abandon and Finish, whose callers end the exchange
 // through its context. ActSubscribe and ActFetch are ignored because discovery is watched continuously.
+//
+// A panic in the router ends the process: its state may be half changed.
 func (d *Dispatcher) step(now float64, events ...routing.Event) {
+	defer panics.Escalate()
 	if d.timerAt > 0 && now >= d.timerAt {
 		d.timerAt = 0
 	}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -129,14 +129,21 @@
 	}
 	observed := Attempt{Statement: a.statement, Host: a.decision.Host, ConcurrentAttempts: e.observer.AttemptStarted(a.decision.Host)}
 	startedAt := e.clock.Now()
-	reply := a.exchange(ctx)
+	reply := Reply{Outcome: dispatch.Outcome{Code: dispatch.ServerError, Execution: dispatch.MayHaveRun}} // unless exchange returns
+	defer func() { a.notifyFinished(observed, startedAt, &reply) }()
+	reply = a.exchange(ctx)
+	return reply
+}
+
+// notifyFinished notifies the observer of the attempt's end.
+func (a *attempt) notifyFinished(observed Attempt, startedAt float64, reply *Reply) {
+	e := a.edge
 	observed.FinishedAtMillis, observed.Outcome, observed.ResponseBytes = e.clock.Now(), reply.Outcome, len(reply.Answer.Value)
 	observed.AcquireMillis = observed.FinishedAtMillis - startedAt
 	if writeAllowedAt := a.gateOpenedAt.load(); writeAllowedAt > 0 {
 		observed.AcquireMillis, observed.ExecuteMillis = writeAllowedAt-startedAt, observed.FinishedAtMillis-writeAllowedAt
 	}
 	e.observer.AttemptFinished(observed)
-	return reply
 }
 
 // exchange acquires a connection and exchanges the request over it, unless the attempt's time is over.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,6 +16,7 @@
 	"ashstand/internal/dispatch"
 	"ashstand/internal/lifecycle"
 	"ashstand/internal/metrics"
+	"ashstand/internal/panics"
 	"ashstand/internal/sqlcomment"
 )
 
@@ -183,9 +184,19 @@
 	return Result{Verdict: Invalid, Detail: detail}
 }
 
+// textPanicked is the answer to a request that a panic ended.
+const textPanicked = "internal error; the request may have run"
+
 // Do runs a request, which arrived at the given time, until it has its final answer. ctx ends when the client
-// disconnects.
-func (e *Edge) Do(ctx context.Context, s *sqlcomment.Statement, arrived float64) Result {
+// disconnects. A panic on the way ends the request alone, and it may have run.
+func (e *Edge) Do(ctx context.Context, s *sqlcomment.Statement, arrived float64) (result Result) {
+	defer func() {
+		if value := recover(); value != nil {
+			panics.Check(value)
+			e.metrics.PanicRecovered("edge.Do", value)
+			result = Result{Verdict: Failed, Detail: textPanicked}
+		}
+	}()
 	if !e.registerID(s.ID) {
 		return e.invalidResult(s, "id "+s.ID+" is that of a request that is open")
 	}
@@ -197,7 +208,15 @@
 	if err != nil {
 		return e.invalidResult(s, "class "+s.Class+": "+err.Error())
 	}
+	hasEnded := false
+	defer func() {
+		if !hasEnded { // by a panic: nothing else would give back the attempt in flight
+			call.Finish(dispatch.Outcome{Code: dispatch.ServerError, Execution: dispatch.MayHaveRun})
+		}
+	}()
 	defer context.AfterFunc(ctx, call.Abandon)()
 	s.IsWrite = e.dispatcher.IsWrite(s.Class)
-	return e.attemptUntilFinal(ctx, call, s, arrived+s.TimeoutMillis)
+	result = e.attemptUntilFinal(ctx, call, s, arrived+s.TimeoutMillis)
+	hasEnded = true
+	return result
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -9,6 +9,9 @@
 
 	"ashstand/internal/clock"
 	"ashstand/internal/dispatch"
+	"ashstand/internal/lifecycle"
+	"ashstand/internal/metrics"
+	"ashstand/internal/panics"
 	"ashstand/internal/settings"
 	"ashstand/internal/sqlcomment"
 	"ashstand/routing"
@@ -107,3 +110,76 @@
 
 func (noopObserver) AttemptStarted(string) int { return 0 }
 func (noopObserver) AttemptFinished(Attempt)   {}
+
+// panickingBackend panics at one point of an attempt. Its zero value answers each request.
+type panickingBackend struct {
+	fakeBackend
+	at string
+}
+
+func (b *panickingBackend) Acquire(ctx context.Context, host string) (Conn, error) {
+	if b.at == "acquire" {
+		panic("in Acquire")
+	}
+	_, err := b.fakeBackend.Acquire(ctx, host)
+	return b, err
+}
+
+func (b *panickingBackend) Exchange(ctx context.Context, s *sqlcomment.Statement, gate Gate) Reply {
+	if b.at == "before the write" {
+		panic("before the gate")
+	}
+	reply := b.fakeBackend.Exchange(ctx, s, gate)
+	if b.at == "after the write" {
+		panic("after the exchange")
+	}
+	return reply
+}
+
+// Guards against a panic that ends the process, and with it the requests of all clients: it ends its own request, which is never
+// told that nothing ran, and gives back its id, its place at the host and what observers count.
+func TestPanicInAnAttemptEndsItsRequestAlone(t *testing.T) {
+	const moreThanAHostTakes = 200
+	for _, at := range []string{"acquire", "before the write", "after the write"} {
+		e, s := newTestEdge(t, 0)
+		backend := &panickingBackend{fakeBackend: fakeBackend{clock: e.clock.(*clock.Manual)}, at: at}
+		e.backend = backend
+		observer := &recordingObserver{}
+		e.Observe(observer)
+		for range moreThanAHostTakes {
+			require.Nil(t, e.Begin(s))
+			result := e.Do(context.Background(), s, e.Now())
+			e.End(s)
+			require.Equal(t, Failed, result.Verdict, at)
+			require.False(t, result.IsRejection(), at)
+		}
+		require.Zero(t, observer.inFlight, at)
+		require.Empty(t, e.openIDs, at)
+		broken, err := e.Metrics().Snapshot()
+		require.NoError(t, err)
+		require.Equal(t, moreThanAHostTakes, metrics.Violations(broken)[lifecycle.PanicRecovered.String()], at)
+		backend.at = ""
+		require.Equal(t, Served, e.Do(context.Background(), s, e.Now()).Verdict, "%s: the hosts' places were not given back", at)
+		select {
+		case <-e.Drain():
+		default:
+			require.Fail(t, "the drain does not end", at)
+		}
+	}
+}
+
+// Guards against going on with a router that a panic left half changed.
+func TestPanicInDecidingCodeIsNotRecovered(t *testing.T) {
+	e, s := newTestEdge(t, 0)
+	backend := &panickingBackend{fakeBackend: fakeBackend{clock: e.clock.(*clock.Manual)}}
+	e.backend = decisionPanic{backend}
+	require.Panics(t, func() { e.Do(context.Background(), s, e.Now()) })
+}
+
+// decisionPanic is a backend whose gate fails as the deciding code would.
+type decisionPanic struct{ *panickingBackend }
+
+func (d decisionPanic) Acquire(context.Context, string) (Conn, error) {
+	defer panics.Escalate()
+	panic("in the router")
+}
--- a/internal/lifecycle/rule.go
+++ b/internal/lifecycle/rule.go
@@ -24,6 +24,7 @@
 	ClosedUnconfirmed                   // a connection was closed for good over answers that its client had not confirmed
 	SlowStartOverrun                    // this process sent a warming host more than slow start permits
 	TurnExceeded                        // the event loop handled more messages of clients than their shares permit while an answer waited
+	PanicRecovered                      // a panic ended a request, a call or a connection
 	ruleCount
 )
 
@@ -31,7 +32,7 @@
 	"attempt_after_client_gone", "attempt_after_cut", "attempt_to_draining", "deadline_exceeded_to_host", "retry_not_idempotent",
 	"retry_outside_window", "answered_twice", "closed_without_answer", "closed_with_unread_bytes", "answer_late",
 	"started_unready", "stale_read", "bound_exceeded", "rejected_after_run", "repeat_after_run",
-	"transaction_unrouted", "closed_unconfirmed", "slow_start_overrun", "turn_exceeded",
+	"transaction_unrouted", "closed_unconfirmed", "slow_start_overrun", "turn_exceeded", "panic_recovered",
 }
 
 // String returns the rule's name in logs and metrics.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"time"
@@ -56,6 +57,7 @@
 	transitions *prometheus.CounterVec
 	violations  []prometheus.Counter // by lifecycle.Rule
 	violationAt []rate.Sometimes     // when a rule's violation may be logged
+	panics      *prometheus.CounterVec
 }
 
 // New returns a registry on which nothing was counted.
@@ -71,6 +73,7 @@
 	}
 	m.retries = m.addCounters("request_retries_total", "Attempts after the first, by the end of the attempt before.", "reason")
 	m.transitions = m.addCounters("process_transitions_total", "Phases that the process went through.", "from", "to")
+	m.panics = m.addCounters("panics_recovered_total", "Panics that ended a request, a call or a connection, by where they were recovered.", "in")
 	violations := m.addCounters("rule_violations_total", "Rules that did not hold, by rule. Each is a fault.", "rule")
 	for _, r := range lifecycle.Rules() {
 		m.violations = append(m.violations, violations.WithLabelValues(r.String()))
@@ -118,6 +121,18 @@
 	})
 }
 
+// maxLoggedStackBytes bounds the stack that a log line on a panic holds.
+const maxLoggedStackBytes = 4 << 10
+
+// PanicRecovered counts a panic that ended a request, a call or a connection, and logs it with its stack. It has to be called by
+// the deferred function that recovered the panic, as the stack is read here. in is the name of the function that recovered it: one
+// of a fixed set.
+func (m *Metrics) PanicRecovered(in string, value any) {
+	m.panics.WithLabelValues(in).Inc()
+	stack := debug.Stack()
+	m.Violation(lifecycle.PanicRecovered, "in", in, "panic", fmt.Sprint(value), "stack", string(stack[:min(len(stack), maxLoggedStackBytes)]))
+}
+
 // Figure is one counter or gauge.
 type Figure struct {
 	Name   string            `json:"name"`
--- a/internal/net/loop/engine.go
+++ b/internal/net/loop/engine.go
@@ -22,6 +22,8 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
+
+	"ashstand/internal/panics"
 )
 
 // Handler owns one connection. Its methods run on the event loop and must not block.
@@ -52,6 +54,9 @@
 	gnet.BuiltinEventEngine
 	// Exhaustion defines what to do while no descriptor is free. It must be set before Start.
 	Exhaustion ExhaustionPolicy
+	// OnPanic is told of each panic that ended one connection: in which function it was recovered, and its value. It must be set
+	// before Start. If it is nil, a panic ends the process.
+	OnPanic func(in string, value any)
 
 	accept        Accept
 	listeners     map[string]Accept // the listeners of AddListener, by address
@@ -84,10 +89,12 @@
 
 // New returns an engine that does not run yet.
 func New() *Engine {
-	return &Engine{
+	e := &Engine{
 		started: make(chan struct{}), stopped: make(chan error, 1), loopEnded: make(chan struct{}),
 		registrations: make(chan struct{}, MaxRegistrations),
 	}
+	e.shares.panicked = e.panicked
+	return e
 }
 
 // AddListener adds a further address to listen on. It must be called before Start. The same event loop serves it.
@@ -291,14 +298,30 @@
 	return e.accept
 }
 
-// OnTraffic implements gnet.EventHandler.
-func (e *Engine) OnTraffic(c gnet.Conn) gnet.Action {
+// OnTraffic implements gnet.EventHandler. A panic closes the connection whose bytes led to it. One in a handler's Closed method or
+// in a task ends the process, since it leaves what connections share half changed.
+func (e *Engine) OnTraffic(c gnet.Conn) (action gnet.Action) {
+	defer func() {
+		if value := recover(); value != nil {
+			e.panicked("loop.OnTraffic", value)
+			action = gnet.Close
+		}
+	}()
 	if h, ok := c.Context().(Handler); ok {
 		return h.Traffic(c)
 	}
 	return gnet.Close
 }
 
+// panicked reports a panic that ends one connection, unless it has to end the process.
+func (e *Engine) panicked(in string, value any) {
+	panics.Check(value)
+	if e.OnPanic == nil {
+		panic(value)
+	}
+	e.OnPanic(in, value)
+}
+
 // OnClose implements gnet.EventHandler.
 func (e *Engine) OnClose(c gnet.Conn, err error) gnet.Action {
 	if h, ok := c.Context().(Handler); ok {
--- a/internal/net/loop/fairqueue.go
+++ b/internal/net/loop/fairqueue.go
@@ -29,6 +29,8 @@
 type Worker interface {
 	// Work handles a share of the input, settles with the queue, and returns the units that it took.
 	Work() (units int)
+	// Abort closes the connection, whose input led to a panic.
+	Abort()
 }
 
 // FairQueue holds the connections whose input waits for its turn, in a cycle: each has a share of the event loop, and after
@@ -38,6 +40,7 @@
 	waiting   list.List
 	elements  map[Worker]*list.Element
 	scheduled bool
+	panicked  func(in string, value any) // nil: a panic is not recovered
 }
 
 // Len returns how many connections wait.
@@ -101,6 +104,20 @@
 		}
 		w := q.waiting.Remove(e).(Worker)
 		delete(q.elements, w)
-		units += w.Work()
+		units += q.work(w)
 	}
 }
+
+// work gives a connection its share. A panic closes that connection.
+func (q *FairQueue) work(w Worker) (units int) {
+	defer func() {
+		if q.panicked == nil {
+			return
+		}
+		if value := recover(); value != nil {
+			q.panicked("loop.FairQueue", value)
+			w.Abort()
+		}
+	}()
+	return w.Work()
+}
--- a/internal/net/loop/fairqueue_test.go
+++ b/internal/net/loop/fairqueue_test.go
@@ -20,7 +20,12 @@
 	trace *[]string
 }
 
+func (w *countedWorker) Abort() { *w.trace = append(*w.trace, w.name+" aborted") }
+
 func (w *countedWorker) Work() (units int) {
+	if w.left < 0 {
+		panic("a worker's input")
+	}
 	units = min(ShareUnits, w.left)
 	w.left -= units
 	*w.trace = append(*w.trace, w.name)
@@ -59,6 +64,48 @@
 	require.NotContains(t, trace[turnUnits/ShareUnits:], "a", "it was taken out")
 }
 
+// Guards against the input of one connection whose handler panics ending the turn of all others.
+func TestPanicInAShareClosesItsConnectionAlone(t *testing.T) {
+	var trace []string
+	e := New()
+	q := e.Shares()
+	q.scheduled = true // turns are run by hand
+	q.Add(&countedWorker{q, "bad", -1, &trace}, nil)
+	require.Panics(t, q.runTurn, "nobody would see it")
+	e.OnPanic = func(in string, _ any) { trace = append(trace, "recovered in "+in) }
+	q.Add(&countedWorker{q, "bad", -1, &trace}, nil)
+	q.Add(&countedWorker{q, "sound", 1, &trace}, nil)
+	q.runTurn()
+	require.Equal(t, []string{"recovered in loop.FairQueue", "bad aborted", "sound"}, trace)
+}
+
+// panickingHandler panics with the first bytes of its connection.
+type panickingHandler struct{ closed chan struct{} }
+
+func (panickingHandler) Traffic(gnet.Conn) gnet.Action { panic("at a client's bytes") }
+func (h panickingHandler) Closed(gnet.Conn, error)     { close(h.closed) }
+
+// Guards against the bytes of one connection ending the process: that connection is closed.
+func TestPanicAtAConnectionsBytesClosesItAlone(t *testing.T) {
+	e := New()
+	var recovered atomic.Int64
+	e.OnPanic = func(string, any) { recovered.Add(1) }
+	h := panickingHandler{make(chan struct{})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	listener.Close()
+	require.NoError(t, e.Start(address, func(gnet.Conn) (Handler, []byte, gnet.Action) { return h, nil, gnet.None }))
+	defer e.Stop()
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	_, err = c.Write([]byte("x"))
+	require.NoError(t, err)
+	_, _ = io.ReadAll(c)
+	<-h.closed
+	require.EqualValues(t, 1, recovered.Load())
+}
+
 // collector is a handler that pauses its connection with its first bytes and counts what it reads.
 type collector struct {
 	wire   PausableConn
--- a/internal/net/pg/front_client.go
+++ b/internal/net/pg/front_client.go
@@ -71,6 +71,9 @@
 	return loop.ShareUnits - h.units
 }
 
+// Abort implements loop.Worker.
+func (h *client) Abort() { _ = h.wire.Conn.EventLoop().Close(h.wire.Conn) }
+
 // settleShare has the client wait for its next turn if its share is used up and more commands can be handled.
 func (h *client) settleShare() {
 	h.front.engine.Shares().Settle(h, &h.wire, h.yielded && h.ctx.Err() == nil && !h.closingWithError)
--- a/internal/net/pg/pool_acquire.go
+++ b/internal/net/pg/pool_acquire.go
@@ -7,6 +7,7 @@
 
 	"ashstand/internal/edge"
 	"ashstand/internal/net/loop"
+	"ashstand/internal/panics"
 )
 
 // Acquire takes an idle connection from the pool, or dials a new one and waits until the host is ready for a
@@ -20,6 +21,7 @@
 }
 
 func (p *Pool) acquire(ctx context.Context, name string) (c *conn, err error) {
+	defer panics.Escalate() // it would leave the pool locked, or a connection counted as open
 	// If the host's address changes during the dial, the next iteration dials the new address.
 	for err = errAddressChanged; errors.Is(err, errAddressChanged); {
 		c, err = p.acquireOnce(ctx, name)
--- a/internal/net/pg/pool_exchange.go
+++ b/internal/net/pg/pool_exchange.go
@@ -6,11 +6,13 @@
 
 	"ashstand/internal/dispatch"
 	"ashstand/internal/edge"
+	"ashstand/internal/panics"
 	"ashstand/internal/sqlcomment"
 )
 
-// Exchange implements edge.Conn.
+// Exchange implements edge.Conn. A panic here ends the process: it would leave the pool locked, or the connection counted as open.
 func (c *conn) Exchange(ctx context.Context, s *sqlcomment.Statement, gate edge.Gate) edge.Reply {
+	defer panics.Escalate()
 	reply, writtenAt := c.exchange(ctx, s, gate)
 	reply.WrittenAt = writtenAt
 	return reply
--- a/internal/net/pg/session_input.go
+++ b/internal/net/pg/session_input.go
@@ -167,6 +167,9 @@
 	return loop.ShareUnits - c.input.units
 }
 
+// Abort implements loop.Worker.
+func (c *sessionClient) Abort() { c.wire.Close() }
+
 // readRound is one round of readMessages. It collects what goes to the server and writes it at once, so that
 // a pipeline of five messages takes one system call.
 func (c *sessionClient) readRound() gnet.Action {
