A DoPut without a descriptor is InvalidArgument, and never reaches the library

Cause: the Arrow library's handler reads the descriptor of the first message without a check. Its other nine methods do not. Change: checkDescriptor, a stream interceptor, ends such a call before the handler has the message. Evidence: TestDoPutWithoutDescriptorEndsItsCallAlone ends in the library's panic (server.go:975) without the interceptors; with the recovery alone it fails, since the panic is counted.

--- a/cmd/ashstand/flight_cut_test.go
+++ b/cmd/ashstand/flight_cut_test.go
@@ -108,3 +108,21 @@
 	require.Equal(t, "REFUSED", rejectionReason(writeEnd), "%v", writeEnd)
 	require.NoError(t, wait(), "it was killed")
 }
+
+// Guards against one message of a Flight SQL client, a DoPut without a descriptor, ending the process of all clients.
+func TestDoPutWithoutDescriptorLeavesTheProcess(t *testing.T) {
+	replica := &host{name: "a", wire: "postgresql"}
+	replica.do = func(string) act { return serve }
+	replica.serve(t)
+	address, _, _ := launchWithFlight(t, replica)
+	client := dialFlight(t, address)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	require.NoError(t, readFlight(ctx, client, fmt.Sprintf(browse, 1)))
+	stream, err := client.Client.DoPut(ctx)
+	require.NoError(t, err)
+	require.NoError(t, stream.Send(&flight.FlightData{}))
+	_, err = stream.Recv()
+	require.Equal(t, codes.InvalidArgument, status.Code(err), "%v", err)
+	require.NoError(t, readFlight(ctx, client, fmt.Sprintf(browse, 2)))
+}
--- a/internal/net/flight/front.go
+++ b/internal/net/flight/front.go
@@ -56,7 +56,7 @@
 		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize),
 		grpc.InitialWindowSize(streamWindow), grpc.InitialConnWindowSize(connWindow),
 		grpc.ConnectionTimeout(connectTimeout),
-		grpc.ChainUnaryInterceptor(f.recoverUnary), grpc.ChainStreamInterceptor(f.recoverStream),
+		grpc.ChainUnaryInterceptor(f.recoverUnary), grpc.ChainStreamInterceptor(f.recoverStream, checkDescriptor),
 		// Clients on poor links disappear without closing their connections.
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: maxIdle, Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveMinInterval, PermitWithoutStream: true}))
--- a/internal/net/flight/recovery_test.go
+++ b/internal/net/flight/recovery_test.go
@@ -104,6 +104,21 @@
 	return &flight.FlightData{FlightDescriptor: d}
 }
 
+// Guards against one Flight SQL client's DoPut without a descriptor ending the process, and with it the requests of all clients.
+func TestDoPutWithoutDescriptorEndsItsCallAlone(t *testing.T) {
+	front, connection := startFront(t, &scriptedBackend{})
+	command := donationMessage(t).FlightDescriptor.Cmd
+	for _, message := range []*flight.FlightData{
+		{}, {AppMetadata: command}, {DataHeader: command}, {DataBody: command}, {DataHeader: []byte{0xff, 0xff, 0xff, 0xff}, DataBody: make([]byte, 1<<10)},
+	} {
+		err := put(t, connection, message)
+		require.Equal(t, codes.InvalidArgument, status.Code(err), "%v", err)
+		require.Contains(t, err.Error(), "descriptor")
+	}
+	require.NoError(t, put(t, connection, donationMessage(t)))
+	require.Zero(t, recoveredPanics(t, front), "the library's panic was recovered, not avoided")
+}
+
 // Guards against a panic of a handler being everybody's end, and against an answer that promises that a write which was sent never
 // ran: such a reason would have it sent again.
 func TestPanicBehindAWriteMayHaveRun(t *testing.T) {
