Sessions: what a client sends ahead is bounded by the memory that it holds

Cause: input and unsent bytes were bounded, and not what each message leaves behind: an expected reply of over 100 bytes for 5 on the wire, in a queue that never gave room back; alike portals, savepoints with their names and settings, parsed statements, texts behind names. Change: a message waits unread while the replies of its session hold as much as a dynamic threshold allows; a Flush goes to the host where the client's Sync is still to come, COPY data never wait. Portals, savepoints and query strings of very many statements are refused in bytes held. Totals are gauges, and bound_exceeded counts a total over its bound.

--- a/internal/net/pg/server_relay.go
+++ b/internal/net/pg/server_relay.go
@@ -257,11 +257,13 @@
 	if c.wire.UnsentBytes() > highWaterBytes {
 		f.pauseReadsUntil(&s.wire, s, func() bool { return c.disconnected || c.wire.UnsentBytes() < lowWaterBytes })
 	}
+	c.countHeld()
 	if r.idle {
 		c.releaseServer(s)
 	} else if c.input.blocked {
 		c.resume()
 	}
+	c.readOn()
 	return s.readRemaining()
 }
 
--- a/internal/net/pg/session_ahead_test.go
+++ b/internal/net/pg/session_ahead_test.go
@@ -236,3 +236,32 @@
 		})
 	}
 }
+
+// BenchmarkHonestSessions measures a statement of a session that sends so many ahead, in a block or in a pipeline.
+func BenchmarkHonestSessions(b *testing.B) {
+	for _, mode := range []Mode{TransactionMode, SessionMode} {
+		w := startPooler(b, func(l *SessionLimits) { l.Pools[0].Mode = mode })
+		for _, ahead := range []int{1, 16, 256} {
+			block, pipeline := []pgproto3.FrontendMessage{query("BEGIN")}, []pgproto3.FrontendMessage{}
+			for range ahead {
+				block, pipeline = append(block, query("SELECT 1")), append(pipeline, extended("SELECT 1")...)
+			}
+			block, pipeline = append(block, query("COMMIT")), append(pipeline, &pgproto3.Sync{})
+			for name, messages := range map[string][]pgproto3.FrontendMessage{"block": block, "pipeline": pipeline} {
+				b.Run(fmt.Sprintf("%s/%s/%d", mode, name, ahead), func(b *testing.B) {
+					s := w.rawConnect()
+					defer s.conn.Close()
+					readies := 1
+					if name == "block" {
+						readies = len(messages)
+					}
+					for b.Loop() {
+						s.send(messages...)
+						s.replies(readies)
+					}
+					b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*ahead), "ns/statement")
+				})
+			}
+		}
+	}
+}
--- a/internal/net/pg/session_cancel.go
+++ b/internal/net/pg/session_cancel.go
@@ -18,6 +18,7 @@
 	neverDelivered     = -1 << 30
 	brokenCancelDelay  = 10 * time.Millisecond
 	maxCancelReplyRead = 1024 // bytes that a host may answer to a cancel request
+	maxPendingCancels  = 8    // cancel requests under way for one server connection
 )
 
 // assignCancelKey gives the client a random cancel key that no other client has.
@@ -66,6 +67,9 @@
 // before the host has handled the request, so that the request can't cancel that session's query.
 func (f *SessionFront) forwardCancel(s *serverConn) {
 	f.stats.Cancels++
+	if s.cancellation.pending >= maxPendingCancels {
+		return // one of those that are under way cancels the query too
+	}
 	s.cancellation.pending++
 	if f.disabledGuarantee.Load() == disableCancelGuarantee {
 		s.cancellation.pending = neverDelivered
--- a/internal/net/pg/session_client.go
+++ b/internal/net/pg/session_client.go
@@ -53,7 +53,8 @@
 
 	server        *serverConn // nil: the client is linked to no server connection
 	settingsBytes int         // that clientRegistry.settingsBytes includes for this client
-	batch         []byte      // replies that are gathered while input is processed
+	held          heldBySession
+	batch         []byte // replies that are gathered while input is processed
 	input         inputState
 	routing       routingState
 	retention     retentionState
@@ -134,6 +135,7 @@
 	c.settingsBytes = 0
 	if c.pipeline != nil {
 		c.pipeline.Close()
+		c.forgetHeld()
 	}
 }
 
@@ -196,7 +198,7 @@
 
 // isHeld reports whether the next transaction of the client waits for the replies to the one before it.
 func (c *sessionClient) isHeld() bool {
-	return c.phase == phaseLinked && c.server != nil && c.input.blocked && !c.disconnected
+	return c.phase == phaseLinked && c.server != nil && c.input.blocked && !c.input.behindReplies && !c.disconnected
 }
 
 // closeHeldAtShutdown ends a session that waits with a transaction behind a running one: the running one may have run,
--- a/internal/net/pg/session_forward.go
+++ b/internal/net/pg/session_forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"fmt"
 	"strconv"
 
 	"ashstand/internal/session"
@@ -38,6 +37,9 @@
 		if !ok || len(rest) != 4 {
 			return out, false
 		}
+		if reply := c.checkSavepoints(c.pipeline.PortalStatements(portal)); reply != nil {
+			return c.rejectOnServer(out, reply), true
+		}
 		return appendUnlessDropped(out, c.pipeline.Execute(portal), message), true
 	case clientFunctionCall:
 		return appendUnlessDropped(out, c.pipeline.FunctionCall(), message), true
@@ -94,6 +96,9 @@
 	if !ok || !isValidBindTail(tail) {
 		return out, false
 	}
+	if reply := c.checkPortal(portal); reply != nil {
+		return c.rejectOnServer(out, reply), true
+	}
 	action := c.pipeline.Bind(portal, name)
 	if action.Drop {
 		return out, true
@@ -182,10 +187,7 @@
 	prepared := c.front.catalogue.Acquire(text, types, p.Settings())
 	if reply := c.checkPrepared(name, prepared); reply != nil {
 		c.front.catalogue.Release(prepared)
-		p.Reject(false, *reply)
-		return appendMessage(out, clientBind, func(b []byte) []byte {
-			return append(appendCString(appendCString(b, ""), session.FailingStatement), 0, 0, 0, 0, 0, 0)
-		}), true
+		return c.rejectOnServer(out, reply), true
 	}
 	action := p.Parse(name, prepared)
 	if action.Drop {
@@ -198,6 +200,17 @@
 	return appendParse(out, action.Rename, prepared), true
 }
 
+// rejectOnServer appends a message that fails on the server in place of one that is rejected, so that the server's transaction fails
+// too.
+func (c *sessionClient) rejectOnServer(out []byte, reply *session.ErrorReply) []byte {
+	if c.pipeline.Reject(false, *reply) {
+		return out
+	}
+	return appendMessage(out, clientBind, func(b []byte) []byte {
+		return append(appendCString(appendCString(b, ""), session.FailingStatement), 0, 0, 0, 0, 0, 0)
+	})
+}
+
 // checkPrepared returns the error with which a Parse under this name is rejected, or nil. prepared is nil if
 // there is no memory for the statement.
 func (c *sessionClient) checkPrepared(name string, prepared *session.PreparedStatement) *session.ErrorReply {
@@ -216,36 +229,12 @@
 
 // checkQuery returns the error with which a query is rejected because of what the session would keep of it, or nil.
 func (c *sessionClient) checkQuery(q *session.Query) *session.ErrorReply {
-	if reply := c.checkRetainedState(q); reply != nil {
+	if reply := c.checkRetained(q); reply != nil {
 		return reply
 	}
 	return c.checkSticky(q)
 }
 
-// checkRetainedState returns the error with which a query is rejected whose settings or savepoints there is no memory for, or nil.
-func (c *sessionClient) checkRetainedState(q *session.Query) *session.ErrorReply {
-	settings := 0
-	for i := range q.Statements {
-		switch s := &q.Statements[i]; s.Kind {
-		case session.Set:
-			settings += len(s.Name) + len(s.Rendering)
-		case session.Savepoint:
-			if c.pipeline.Savepoints() >= maxSavepoints {
-				return &session.ErrorReply{SQLState: sqlStateOutOfMemory, Text: fmt.Sprintf("the transaction has %d savepoints; there is no memory for one more", maxSavepoints)}
-			}
-		default:
-		}
-	}
-	if settings == 0 {
-		return nil
-	}
-	total, limit := c.front.clients.settingsBytes+settings, c.front.limits.Load().MaxBytes
-	if c.pipeline.Settings().Bytes()+settings > maxSettingsBytes || limit > 0 && total > limit {
-		return &session.ErrorReply{SQLState: sqlStateOutOfMemory, Text: "there is no memory for one more setting of the session"}
-	}
-	return nil
-}
-
 // countSettings updates the memory of the session's settings in the front's total.
 func (c *sessionClient) countSettings() {
 	bytes := c.pipeline.Settings().Bytes()
--- a/internal/net/pg/session_front.go
+++ b/internal/net/pg/session_front.go
@@ -56,6 +56,8 @@
 	lastNumber    uint32
 	unreadBytes   int                         // memory of what all clients sent and waits here
 	settingsBytes int                         // memory of all sessions' settings
+	ahead         heldBytes                   // for replies that sessions wait for
+	retained      heldBytes                   // for portals and savepoints
 	stickyCounts  map[session.StickyCause]int // sticky sessions by cause
 }
 
@@ -129,7 +131,11 @@
 func (f *SessionFront) DisableGuarantee(guarantee string) { f.disabledGuarantee.Store(guarantee) }
 
 // CountViolations sets where violations of rules are counted. It must be called before the first client connects.
-func (f *SessionFront) CountViolations(m *metrics.Metrics) { f.metrics = m }
+func (f *SessionFront) CountViolations(m *metrics.Metrics) {
+	f.metrics = m
+	f.clients.ahead.addGauges(m, "ahead")
+	f.clients.retained.addGauges(m, "retained")
+}
 
 // violation counts a rule that did not hold.
 func (f *SessionFront) violation(rule lifecycle.Rule, attributes ...any) {
--- a/internal/net/pg/session_input.go
+++ b/internal/net/pg/session_input.go
@@ -14,8 +14,11 @@
 	reading     bool // readMessages is running
 	readAgain   bool // readMessages has to make another round
 	blocked     bool // the next message waits until an operation under way is done
-	units       int  // what is left of the client's share of the event loop
-	yielded     bool // the share was used up before the input was
+	// behindReplies is set, with blocked, if the next message waits because of the memory of the replies that are outstanding;
+	// flushed is set if a Flush was sent for them.
+	behindReplies, flushed bool
+	units                  int  // what is left of the client's share of the event loop
+	yielded                bool // the share was used up before the input was
 	// routingPending is set while handleUnlinked routes the pending message. Its caller continues with the input
 	// afterwards, so resume is not called meanwhile.
 	routingPending bool
@@ -111,7 +114,7 @@
 
 // resume continues with the client's input. It is called from outside of the client's own Traffic.
 func (c *sessionClient) resume() {
-	c.input.blocked = false
+	c.input.blocked, c.input.behindReplies = false, false
 	if c.disconnected {
 		return
 	}
@@ -126,10 +129,13 @@
 	c.countUnread()
 }
 
-// countUnread updates the count of the client's unread bytes in the front's total, and returns the client's
-// count.
+// countUnread updates the memory of the client's input that was not processed in the front's total, and returns
+// the client's.
 func (c *sessionClient) countUnread() int {
-	n := c.wire.HeldBytes()
+	n := c.wire.HeldBytes() + cap(c.record.replay)
+	if c.routing.query != nil {
+		n += c.routing.query.Bytes()
+	}
 	c.front.clients.unreadBytes += n - c.input.unreadBytes
 	c.input.unreadBytes = n
 	return n
@@ -180,6 +186,10 @@
 		if out, more = c.awaitServer(out); !more {
 			break
 		}
+		var holds bool
+		if out, holds, action = c.holdBehindReplies(out); holds {
+			break
+		}
 		if c.wire.UnsentBytes() > maxUnsentReplyBytes {
 			c.front.pauseReadsUntil(&c.wire, c, func() bool { return c.disconnected || c.wire.UnsentBytes() == 0 })
 			break
@@ -246,6 +256,7 @@
 	c.input.units -= loop.Units(used)
 	c.lastActive = f.clock.Now()
 	out, wait, action := c.handleMessage(out, kind, body, b[:used])
+	c.countHeld()
 	if wait {
 		return out, false, action
 	}
--- a/internal/net/pg/session_messages.go
+++ b/internal/net/pg/session_messages.go
@@ -69,6 +69,7 @@
 // relayMessage appends a message of a linked client in the form in which it goes to the server, and sends the
 // replies that are the pooler's to give.
 func (c *sessionClient) relayMessage(out []byte, kind byte, body, message []byte) (_ []byte, wait bool, _ gnet.Action) {
+	c.input.flushed = false
 	before := len(out)
 	out, ok := c.forwardMessage(out, kind, body, message)
 	if !ok {
@@ -186,6 +187,7 @@
 			return nil, messageMalformed
 		}
 		*query = session.ParseQuery(text)
+		query.Detach()
 		if c.answerLocally(query) {
 			return nil, messageAnswered
 		}
@@ -195,6 +197,7 @@
 			return nil, messageMalformed
 		}
 		*query = session.ParseQuery(text)
+		query.Detach()
 	case clientBind:
 		_, name, _, ok := cutTwoStrings(body)
 		if !ok {
--- a/internal/net/pg/session_recovery.go
+++ b/internal/net/pg/session_recovery.go
@@ -33,6 +33,7 @@
 		c.routing.call = nil
 		call.Finish(dispatch.Outcome{Code: dispatch.ConnectionLost})
 	}
+	c.countHeld()
 	c.countLoss(&loss)
 	if cutWithinMessage { // no error can be sent in the middle of a message
 		c.disconnected = true
--- a/internal/net/pg/sqlstate.go
+++ b/internal/net/pg/sqlstate.go
@@ -21,6 +21,7 @@
 	sqlStateInvalidCatalogName    = "3D000"
 	sqlStateDuplicateStatement    = "42P05"
 	sqlStateOutOfMemory           = "53200"
+	sqlStateProgramLimit          = "54000"
 	sqlStateQueryCanceled         = "57014"
 	sqlStateAdminShutdown         = "57P01"
 	sqlStateReplicaBehind         = "72000" // sent by a host that has not reached the read's minimum position
--- a/internal/session/boundary.go
+++ b/internal/session/boundary.go
@@ -22,6 +22,8 @@
 	pipelineOpen bool
 	// pipelineEnds is set if one of them executes a statement that may end the transaction.
 	pipelineEnds bool
+	// rejected is set if one of them was rejected: the server skips what follows it, up to Sync.
+	rejected bool
 	// copyEndsSent counts the CopyDone and CopyFail messages that were sent since the connection was last idle.
 	copyEndsSent int
 	// copiesBegun counts the server's requests for COPY data since then.
@@ -74,7 +76,7 @@
 // SyncBoundary records a Sync that the pooler sends by itself after TurnNeedsSync. Its ReadyForQuery is not passed on.
 func (p *Pipeline) SyncBoundary() {
 	p.push(expectedReply{kind: replySync, hidden: true, isBoundary: true})
-	p.boundary.pipelineOpen, p.boundary.pipelineEnds = false, false
+	p.endPipeline()
 }
 
 // CopyEnd records a CopyDone or CopyFail of the client. Outside of a COPY the server ignores them.
@@ -99,4 +101,6 @@
 }
 
 // endPipeline records a Sync, or a message that the server ends with a ReadyForQuery as it does a Sync.
-func (p *Pipeline) endPipeline() { p.boundary.pipelineOpen, p.boundary.pipelineEnds = false, false }
+func (p *Pipeline) endPipeline() {
+	p.boundary.pipelineOpen, p.boundary.pipelineEnds, p.boundary.rejected = false, false, false
+}
--- a/internal/session/memory_test.go
+++ b/internal/session/memory_test.go
@@ -73,3 +73,66 @@
 	require.LessOrEqual(t, heapBytes()-before, s.Bytes())
 	require.NotNil(t, s.renderings)
 }
+
+// Guards against outstanding replies, portals and savepoints that count for less than they hold.
+func TestWhatAPipelineHoldsIsCountedAsItIsHeld(t *testing.T) {
+	const rounds = 5000
+	for name, act := range map[string]func(p *Pipeline, i int){
+		"Sync":     func(p *Pipeline, _ int) { p.Sync() },
+		"Describe": func(p *Pipeline, _ int) { p.DescribePortal("") },
+		"Close":    func(p *Pipeline, _ int) { p.CloseStatement("") },
+		"Query": func(p *Pipeline, i int) {
+			text := fmt.Sprintf("SET app.n%d TO 1; %0300d", i, 0)
+			p.Query(text, ParseQuery(text))
+		},
+		"Parse": func(p *Pipeline, i int) {
+			p.Parse("", p.catalogue.Acquire(fmt.Sprintf("SELECT %d", i), []byte{0, 0}, NoSettings))
+		},
+		"Bind": func(p *Pipeline, i int) { p.Bind(fmt.Sprint("portal", i), "") },
+		"Reject": func(p *Pipeline, i int) {
+			p.Reject(true, ErrorReply{SQLState: "53200", Text: fmt.Sprintf("there is no memory for one more of %d", i)})
+		},
+		"savepoint": func(p *Pipeline, i int) {
+			p.Completed(&Statement{Kind: Savepoint, Name: fmt.Sprint("s", i)}, "SAVEPOINT")
+		},
+		"savepoint with settings": func(p *Pipeline, i int) {
+			if i < 200 {
+				p.Completed(&Statement{Kind: Set, Name: fmt.Sprint("app.n", i), Rendering: fmt.Sprintf("SET app.n%d TO 1", i)}, "SET")
+				p.Completed(&Statement{Kind: Savepoint, Name: "s"}, "SAVEPOINT")
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := NewCatalogue(0)
+			before := heapBytes()
+			p := NewPipeline(NoSettings, c)
+			p.Link(NewServerStatements(10), false)
+			p.Parse("", c.Acquire("SELECT 1", []byte{0, 0}, NoSettings))
+			for i := range rounds {
+				act(p, i)
+			}
+			held := heapBytes() - before
+			const fixed = 8 << 10 // of an empty pipeline and its connection's statements
+			require.LessOrEqual(t, held, p.AheadBytes()+p.RetainedBytes()+p.Settings().Bytes()+fixed)
+			p.HandleConnectionLoss(true)
+			require.Zero(t, p.AheadBytes()+p.RetainedBytes()+p.PendingSettingBytes()+p.SavepointBytes(nil))
+			p.Close()
+			require.Zero(t, c.Len())
+		})
+	}
+}
+
+// Guards against a queue of replies that grows with all that was ever sent, where it is never empty.
+func TestQueueOfRepliesTakesTheRoomOfThoseThatArrived(t *testing.T) {
+	p := NewPipeline(NoSettings, NewCatalogue(0))
+	p.Link(NewServerStatements(10), false)
+	for range 10 {
+		p.Sync()
+	}
+	for range 100000 {
+		p.Sync()
+		require.True(t, p.HandleServerMessage(serverReadyForQuery, "T").Ready)
+	}
+	require.Equal(t, 10, p.ExpectedReplies())
+	require.Less(t, cap(p.expected), 100)
+}
--- a/internal/session/pipeline.go
+++ b/internal/session/pipeline.go
@@ -30,6 +30,8 @@
 	isEmpty bool
 	// copyEndsSent is, for Sync, how many ends of COPY data were sent before it.
 	copyEndsSent int
+	// bytes and savepointBytes are what Pipeline.aheadBytes and pendingSavepointBytes include for it.
+	bytes, savepointBytes int
 	// changesNames is set if the request was recorded with StatementNames.Request.
 	changesNames bool
 	// prepared is, for Parse, the statement being prepared; for Bind, Describe and Execute, the statement
@@ -110,8 +112,11 @@
 	// expected holds the outstanding replies, from index head on.
 	expected []expectedReply
 	head     int
-	// portals maps each portal to the statement that is bound to it.
-	portals map[string]*PreparedStatement
+	// aheadBytes is the memory that the outstanding replies use.
+	aheadBytes int
+	// pendingSettingBytes and pendingSavepointBytes are what outstanding statements will make the session keep.
+	pendingSettingBytes, pendingSavepointBytes int
+	portals                                    portalSet
 	// skipping is set after an error in a pipeline: what the client sends up to Sync is not run.
 	skipping bool
 	// copyIn is set while the server waits for the client's COPY data.
@@ -219,14 +224,20 @@
 }
 
 func (p *Pipeline) push(e expectedReply) {
-	if p.head > 0 && p.head == len(p.expected) {
-		p.expected, p.head = p.expected[:0], 0
+	p.expect(&e)
+	// In place of growing, the queue takes the room of replies that have arrived.
+	if p.head > 0 && len(p.expected) == cap(p.expected) && p.head >= len(p.expected)/2 {
+		n := copy(p.expected, p.expected[p.head:])
+		clear(p.expected[n:])
+		p.expected, p.head = p.expected[:n], 0
 	}
 	p.expected = append(p.expected, e)
 }
 
 func (p *Pipeline) pop() {
-	p.expected[p.head] = expectedReply{}
+	e := &p.expected[p.head]
+	p.forget(e)
+	*e = expectedReply{}
 	if p.head++; p.head == len(p.expected) {
 		p.expected, p.head = p.expected[:0], 0
 		// Memory that one long pipeline needed is not retained.
--- a/internal/session/pipeline_client.go
+++ b/internal/session/pipeline_client.go
@@ -68,10 +68,7 @@
 	prepared := p.Find(name)
 	if prepared != nil {
 		p.ensurePrepared(name, prepared, &out)
-		if p.portals == nil {
-			p.portals = map[string]*PreparedStatement{}
-		}
-		p.portals[portal] = prepared
+		p.portals.bind(p.catalogue, portal, prepared)
 	}
 	p.push(expectedReply{kind: replyBind, prepared: prepared})
 	return out
@@ -107,7 +104,7 @@
 		return ClientAction{Drop: true}
 	}
 	e := expectedReply{kind: replyExecute}
-	if prepared := p.portals[portal]; prepared != nil {
+	if prepared := p.portals.find(portal); prepared != nil {
 		e.prepared, e.statements = prepared, prepared.Query.Statements
 	}
 	p.extendPipeline(e.statements)
@@ -128,10 +125,11 @@
 }
 
 // ClosePortal handles a Close of a portal.
-func (p *Pipeline) ClosePortal(string) ClientAction {
+func (p *Pipeline) ClosePortal(name string) ClientAction {
 	if p.skipping {
 		return ClientAction{Drop: true}
 	}
+	p.portals.close(p.catalogue, name)
 	p.extendPipeline(nil)
 	p.push(expectedReply{kind: replyClose})
 	return ClientAction{}
@@ -173,6 +171,7 @@
 		p.push(expectedReply{kind: replySync, hidden: true})
 	}
 	p.endPipeline()
+	query.Detach()
 	p.push(expectedReply{kind: replyQuery, statements: query.Statements})
 	return out
 }
@@ -189,6 +188,7 @@
 		p.endPipeline()
 	} else {
 		p.extendPipeline(nil)
+		p.boundary.rejected = true
 	}
 	p.push(e)
 	return false
--- a/internal/session/pipeline_loss.go
+++ b/internal/session/pipeline_loss.go
@@ -38,7 +38,9 @@
 	loss.Silent = loss.PendingReadyForQuery == 0 && !open && !inBlock && !p.skipping
 	p.DiscardLast(len(p.requested))
 	p.inImplicitTransaction, p.commitSeen, p.wrote = false, false, false
-	p.expected, p.head, p.portals, p.server = nil, 0, nil, nil
+	p.expected, p.head, p.server = nil, 0, nil
+	p.aheadBytes, p.pendingSettingBytes, p.pendingSavepointBytes = 0, 0, 0
+	p.portals.clear(p.catalogue)
 	p.copyIn, p.staleStatements, p.stickyCause = false, nil, ""
 	p.boundary = boundaryState{}
 	p.skipping = open || p.skipping
--- a/internal/session/pipeline_server.go
+++ b/internal/session/pipeline_server.go
@@ -1,5 +1,7 @@
 package session
 
+import "slices"
+
 // The type bytes of the server's messages.
 const (
 	serverParseComplete        byte = '1'
@@ -118,7 +120,8 @@
 	// Syncs that were sent before the end of the data are not answered, because the server reads them as part of
 	// the COPY.
 	for p.head+1 < len(p.expected) && p.expected[p.head+1].kind == replySync && p.expected[p.head+1].copyEndsSent < p.boundary.copiesBegun {
-		p.expected = append(p.expected[:p.head+1], p.expected[p.head+2:]...)
+		p.forget(&p.expected[p.head+1])
+		p.expected = slices.Delete(p.expected, p.head+1, p.head+2)
 	}
 }
 
@@ -127,7 +130,7 @@
 	p.copyIn = false
 	switch {
 	case kind == serverCommandComplete && e.nextStatement < len(e.statements):
-		p.handleCompletedStatement(&e.statements[e.nextStatement], tag)
+		p.handleCompletedStatement(e, &e.statements[e.nextStatement], tag)
 	case kind != serverEmptyQuery:
 		p.inImplicitTransaction, p.wrote = p.inImplicitTransaction || !p.inBlock, true
 	}
@@ -138,7 +141,7 @@
 }
 
 // handleCompletedStatement handles a statement that the server completed with this tag.
-func (p *Pipeline) handleCompletedStatement(statement *Statement, tag string) {
+func (p *Pipeline) handleCompletedStatement(e *expectedReply, statement *Statement, tag string) {
 	wasInBlock := p.inBlock
 	p.Completed(statement, tag)
 	switch statement.Kind {
@@ -149,6 +152,9 @@
 		p.commitSeen = p.commitSeen || tag != "ROLLBACK"
 	}
 	switch statement.Kind {
+	case Savepoint: // those of its query count among the transaction's from now on
+		p.pendingSavepointBytes -= e.savepointBytes
+		e.savepointBytes = 0
 	case MakesSticky:
 		if p.stickyCause == "" {
 			p.stickyCause = statement.Cause
@@ -196,7 +202,7 @@
 	p.status = status[0]
 	p.Ready(p.status)
 	if p.status == 'I' {
-		clear(p.portals)
+		p.portals.clear(p.catalogue)
 		p.boundary.copyEndsSent, p.boundary.copiesBegun = 0, 0
 	}
 	return ServerAction{Ready: true, Drop: isBoundary, Empty: isEmpty}
--- a/internal/session/route.go
+++ b/internal/session/route.go
@@ -53,7 +53,7 @@
 		value = strings.TrimSpace(value)
 		switch strings.TrimSpace(name) {
 		case "c":
-			r.Class = value
+			r.Class = strings.Clone(value) // the route outlives the query's text
 		case "cluster":
 			r.Group, err = strconv.ParseUint(value, 10, 64)
 			r.HasGroup = true
@@ -62,7 +62,7 @@
 		case "after":
 			r.MinPosition, err = parseMillis(value)
 		case "k":
-			r.SessionKey = value
+			r.SessionKey = strings.Clone(value)
 		}
 		if err != nil {
 			return r, &CommentError{Name: strings.TrimSpace(name), Value: value}
--- a/internal/session/settings.go
+++ b/internal/session/settings.go
@@ -144,6 +144,7 @@
 type savepoint struct {
 	name     string
 	settings *Settings
+	bytes    int // that SettingsTracker.savepointBytes includes for it
 }
 
 // SettingsTracker tracks the settings of one session through its transactions. Its zero value is not usable; see
@@ -158,7 +159,9 @@
 	// atBegin are the settings at the beginning of the transaction.
 	atBegin    *Settings
 	savepoints []savepoint
-	inBlock    bool
+	// savepointBytes is the approximate memory of the savepoints and of the settings that they remember.
+	savepointBytes int
+	inBlock        bool
 	// failed is set if an error came after the last ReadyForQuery.
 	failed bool
 	// stateUnknown is set if the statements seen do not explain the server's status.
@@ -205,23 +208,23 @@
 		// status that follows.
 		t.endTransaction(s.Kind == Commit && tag != "ROLLBACK")
 	case Savepoint:
-		t.savepoints = append(t.savepoints, savepoint{s.Name, t.current})
+		t.addSavepoint(strings.Clone(s.Name))
 	case RollbackTo:
 		if i := t.findSavepoint(s.Name); i >= 0 {
 			t.current = t.savepoints[i].settings
-			t.savepoints = t.savepoints[:i+1]
+			t.keepSavepoints(i + 1)
 			t.failed = false
 		} else {
 			t.stateUnknown = true
 		}
 	case Release:
 		if i := t.findSavepoint(s.Name); i >= 0 {
-			t.savepoints = t.savepoints[:i]
+			t.keepSavepoints(i)
 		} else {
 			t.stateUnknown = true
 		}
 	case Set:
-		t.current = t.current.With(s.Name, s.Rendering)
+		t.current = t.current.With(strings.Clone(s.Name), strings.Clone(s.Rendering))
 	case Reset:
 		t.reset(s.Name)
 	case ResetAll:
@@ -255,6 +258,34 @@
 // Savepoints returns how many savepoints the transaction has.
 func (t *SettingsTracker) Savepoints() int { return len(t.savepoints) }
 
+// maxIdleSavepoints is for how many savepoints room is kept between transactions.
+const maxIdleSavepoints = 16
+
+// addSavepoint adds a savepoint. The settings count for it unless what came before it remembers them too.
+func (t *SettingsTracker) addSavepoint(name string) {
+	before := t.atBegin
+	if n := len(t.savepoints); n > 0 {
+		before = t.savepoints[n-1].settings
+	}
+	added := savepoint{name: name, settings: t.current, bytes: savepointOverheadBytes + len(name)}
+	if t.current != before {
+		added.bytes += t.current.Bytes()
+	}
+	t.savepoints = append(t.savepoints, added)
+	t.savepointBytes += added.bytes
+}
+
+// keepSavepoints forgets all savepoints but the first n.
+func (t *SettingsTracker) keepSavepoints(n int) {
+	for i := n; i < len(t.savepoints); i++ {
+		t.savepointBytes -= t.savepoints[i].bytes
+	}
+	clear(t.savepoints[n:])
+	if t.savepoints = t.savepoints[:n]; n == 0 && cap(t.savepoints) > maxIdleSavepoints {
+		t.savepoints = nil
+	}
+}
+
 // findSavepoint returns the index of the latest savepoint of that name, or -1.
 func (t *SettingsTracker) findSavepoint(name string) int {
 	for i := len(t.savepoints) - 1; i >= 0; i-- {
@@ -270,7 +301,8 @@
 	if !commit {
 		t.current = t.atBegin
 	}
-	t.atBegin, t.savepoints, t.inBlock = t.current, t.savepoints[:0], false
+	t.keepSavepoints(0)
+	t.atBegin, t.inBlock = t.current, false
 }
 
 // Failed records an error of the server.
--- a/internal/session/statement.go
+++ b/internal/session/statement.go
@@ -67,6 +67,8 @@
 	Statements []Statement
 	// Comment is the text of the comment /* ... */ with which the query begins, if it does.
 	Comment string
+	// TooMany is set if the query has more than MaxStatements statements, of which only so many were parsed.
+	TooMany bool
 }
 
 // EndsBlock reports whether the first statement of a query is a COMMIT or ROLLBACK.
@@ -92,6 +94,10 @@
 			q.Statements = append(q.Statements, unreadable())
 			return q
 		}
+		if len(tokens) > 0 && len(q.Statements) == MaxStatements {
+			q.TooMany = true
+			return q
+		}
 		if len(tokens) > 0 {
 			q.Statements = append(q.Statements, classify(text, tokens))
 		}
--- a/testbed/flood/flood_test.go
+++ b/testbed/flood/flood_test.go
@@ -12,6 +12,9 @@
 	"ashstand/testbed/report"
 )
 
+// boundExceeded is the pooler's own check of what it holds.
+const boundExceeded = violations + "bound_exceeded"
+
 // buildPrograms builds the pooler and the testbed into one folder.
 func buildPrograms(t *testing.T) (folder string) {
 	t.Helper()
@@ -82,6 +85,22 @@
 	playWaves(t, 64, []Wave{{NewSettings, Sessions, 6}, {NewParses, Sessions, 6}}, overMemory, crashed)
 }
 
+// Guards against messages that clients send ahead of an answer, which are counted by their bytes on the wire and hold many times as
+// much.
+func TestMessagesSentAheadStayWithinTheMemoryLimit(t *testing.T) {
+	var waves []Wave
+	for _, kind := range AheadKinds() {
+		waves = append(waves, Wave{kind, Sessions, 6})
+	}
+	playWaves(t, 192, waves, overMemory, crashed)
+	playWaves(t, 64, []Wave{{AheadSyncs, Sessions, 300}, {AheadBinds, Sessions, 6}, {AheadSavepoints, Sessions, 300}}, overMemory, crashed, boundExceeded)
+}
+
+// Guards against hundreds of sessions whose long messages are scanned in turn while the answers of others wait.
+func TestLongMessagesOfHundredsOfSessionsLoseNoAnswer(t *testing.T) {
+	playWaves(t, 64, []Wave{{AheadSavepoints, Sessions, 390}, {AheadStatements, Sessions, 390}}, lost)
+}
+
 // Guards against requests that are sent on after their client has closed its connection, beside a flood.
 func TestNothingIsSentForClientsThatLeftBesideAFlood(t *testing.T) {
 	programs := buildPrograms(t)
--- a/testbed/flood/flooder.go
+++ b/testbed/flood/flooder.go
@@ -15,17 +15,19 @@
 )
 
 const (
-	writeSize        = 16 << 10  // of a flooding client's writes
-	halfRequestBytes = 130 << 10 // of the request of which a slow client writes a half
-	startupBytes     = 9 << 10   // of a startup message of short fields
-	slowPieceBytes   = 4 << 10   // of a slow client's writes
-	slowPause        = 20 * time.Millisecond
-	slowReconnect    = 500 * time.Millisecond // of a slow client that the pooler has disconnected
-	requestsAhead    = 800                    // of a client that then leaves, more than one read of the pooler
-	leaveAfter       = 320 * time.Millisecond // at the latest
-	leaveSteps       = 16                     // times between 0 and leaveAfter
-	unknownKeyBytes  = 8
-	answerBytes      = 64 // read of an answer before the connection is closed
+	writeSize          = 16 << 10  // of a flooding client's writes
+	halfRequestBytes   = 130 << 10 // of the request of which a slow client writes a half
+	startupBytes       = 9 << 10   // of a startup message of short fields
+	slowPieceBytes     = 4 << 10   // of a slow client's writes
+	slowPause          = 20 * time.Millisecond
+	slowReconnect      = 500 * time.Millisecond // of a slow client that the pooler has disconnected
+	requestsAhead      = 800                    // of a client that then leaves, more than one read of the pooler
+	leaveAfter         = 320 * time.Millisecond // at the latest
+	leaveSteps         = 16                     // times between 0 and leaveAfter
+	unknownKeyBytes    = 8
+	savepointNameBytes = 60 << 10
+	statementsAhead    = 250 << 10
+	answerBytes        = 64 // read of an answer before the connection is closed
 )
 
 // flooder is one connection of a wave, over and over where the pooler closes it.
@@ -89,11 +91,26 @@
 		f.leave(ctx, conn)
 	case HalfRequests, ShortFields, LongComments:
 		f.writeSlowly(ctx, conn)
+	case AheadSyncs, AheadDescribes, AheadCloses, AheadParses, AheadBinds, AheadSavepoints, AheadStatements:
+		f.sendAhead(conn)
 	default:
 		f.sendAtFullSpeed(conn)
 	}
 }
 
+// sendAhead begins a transaction and a query that lasts for the whole run, and sends messages behind it at full speed.
+func (f *flooder) sendAhead(conn net.Conn) {
+	b := append(startup(), query("/* c=report,d=15000,cluster=1 */ BEGIN READ ONLY")...)
+	if f.wave.Kind != AheadSavepoints {
+		b = append(b, query("SELECT pg_sleep(15)")...)
+	}
+	if _, err := conn.Write(b); err != nil {
+		return
+	}
+	go func() { _, _ = io.Copy(io.Discard, conn) }()
+	f.writeCommands(conn)
+}
+
 // sendOnce writes one message and waits for the first bytes of its answer, or for the end.
 func (f *flooder) sendOnce(conn net.Conn, b []byte) {
 	n, _ := conn.Write(b)
@@ -109,6 +126,11 @@
 	if f.wave.Kind != Unread {
 		go func() { _, _ = io.Copy(io.Discard, conn) }()
 	}
+	f.writeCommands(conn)
+}
+
+// writeCommands writes commands until the connection ends.
+func (f *flooder) writeCommands(conn net.Conn) {
 	for {
 		var b []byte
 		for len(b) < writeSize {
@@ -127,7 +149,22 @@
 	f.n++
 	name := fmt.Sprintf("n%d_%d", f.number, f.n)
 	switch f.wave.Kind {
-	case Syncs:
+	case AheadDescribes:
+		return message('D', "P\x00")
+	case AheadCloses:
+		return message('C', "P\x00")
+	case AheadParses:
+		return message('P', "\x00\x00\x00\x00")
+	case AheadBinds:
+		if f.n == 1 {
+			return message('P', "\x00SELECT 1\x00\x00\x00")
+		}
+		return message('B', name+"\x00\x00\x00\x00\x00\x00\x00\x00")
+	case AheadSavepoints:
+		return query("SAVEPOINT " + name + strings.Repeat("s", savepointNameBytes))
+	case AheadStatements:
+		return query(strings.Repeat("a;", statementsAhead))
+	case Syncs, AheadSyncs:
 		return []byte{'S', 0, 0, 0, 4}
 	case NewSettings:
 		return query("SET app." + name + " TO 'v'")
--- a/testbed/flood/plan.go
+++ b/testbed/flood/plan.go
@@ -56,6 +56,23 @@
 	}
 }
 
+// The kinds of sessions that send messages ahead of the answer to a long query, which hold more in the pooler than they take on the
+// wire.
+const (
+	AheadSyncs      Kind = "ahead syncs"
+	AheadDescribes  Kind = "ahead describes"
+	AheadCloses     Kind = "ahead closes"
+	AheadParses     Kind = "ahead parses"     // of the unnamed statement
+	AheadBinds      Kind = "ahead binds"      // ever new portals
+	AheadSavepoints Kind = "ahead savepoints" // of long names, not ahead of anything
+	AheadStatements Kind = "ahead statements" // query strings of very many statements
+)
+
+// AheadKinds are the kinds of sessions that send ahead. Draw has them only where it is told to.
+func AheadKinds() []Kind {
+	return []Kind{AheadSyncs, AheadDescribes, AheadCloses, AheadParses, AheadBinds, AheadSavepoints, AheadStatements}
+}
+
 // isSlow reports whether clients of this kind write slowly; there are hundreds of them.
 func (k Kind) isSlow() bool { return k == HalfRequests || k == ShortFields || k == LongComments }
 
@@ -113,7 +130,7 @@
 // check refuses a plan that can't be played.
 func (p *Plan) check() error {
 	for _, w := range p.Waves {
-		if !slices.Contains(Kinds(), w.Kind) || !slices.Contains(Fronts(), w.Front) || w.Connections < 1 || w.Connections > maxSlowWriters {
+		if !slices.Contains(append(Kinds(), AheadKinds()...), w.Kind) || !slices.Contains(Fronts(), w.Front) || w.Connections < 1 || w.Connections > maxSlowWriters {
 			return fmt.Errorf("%d connections of %q at %q: there are the kinds %v and the fronts %v, with up to %d connections",
 				w.Connections, w.Kind, w.Front, Kinds(), Fronts(), maxSlowWriters)
 		}
--- a/testbed/host/conn.go
+++ b/testbed/host/conn.go
@@ -364,6 +364,7 @@
 // stumble is an error in a pipeline: what follows is skipped up to Sync.
 func (c *conn) stumble(f *fault) {
 	c.fail(f)
+	c.flush() // as a server does: it keeps replies in its buffer, but no error
 	c.skip = true
 }
 
