Sessions: each transaction on a kept connection is decided on like any other

Cause: routeOnKeptServer asked for group and class alone; position, role, slow start, limit and record were decided for the connection. Change: each such transaction is a call of the dispatcher, which prefers the connection's host (routing/kept.go) or, for a sticky session, permits no other. A session that can be moved is; a sticky one waits within its time and is told 53300 by a text that names host, cause and remedy, with its state kept. stale_read is checked for sessions too.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -52,6 +52,7 @@
 	e := routing.RequestArrived{
 		Class: class, Group: r.Group, IsRetry: r.IsRetry,
 		HasSessionKey: r.Session != "", SessionKey: sessionKey(r.Session),
+		Host: r.Host, HostRequired: r.HostRequired,
 	}
 	now := d.clock.Now()
 	e.TimeRemaining = clock.Duration(max(0, r.Arrived+r.TimeRemaining-now))
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -62,6 +62,10 @@
 	Arrived       float64
 	TimeRemaining float64 // how long after Arrived the client waits for the answer
 	MinPosition   float64 // minimum position of the data that a read returns; 0: none
+	// Host is the host that the session keeps a connection to; "": none. The request goes there if the host may serve it, and with
+	// HostRequired nowhere else.
+	Host         string
+	HostRequired bool
 }
 
 // Verdict says what happens next with a request.
--- a/internal/net/pg/front_client.go
+++ b/internal/net/pg/front_client.go
@@ -72,7 +72,7 @@
 }
 
 // Abort implements loop.Worker.
-func (h *client) Abort() { _ = h.wire.Conn.EventLoop().Close(h.wire.Conn) }
+func (h *client) Abort() { h.close(h.wire.Conn, lifecycle.ClosedEngineFailure) }
 
 // settleShare has the client wait for its next turn if its share is used up and more commands can be handled.
 func (h *client) settleShare() {
--- a/internal/net/pg/session_client.go
+++ b/internal/net/pg/session_client.go
@@ -80,8 +80,10 @@
 	request         dispatch.Request
 	readOnly        bool
 	writeClass      bool    // the request class is one of writes
+	failed          bool    // the host answered a statement of the transaction with an error
 	misdirected     bool    // the host rejected a write because it is read-only
 	decided         bool    // the transaction on the server connection has a decision of its own, or none has begun there
+	kept            bool    // the transaction was sent to a connection that the session had kept
 	cancelRequested bool    // a cancel request came when it could not be handled at once
 	minPosition     float64 // minimum position for the session's reads
 }
@@ -91,6 +93,7 @@
 type retentionState struct {
 	counted          bool                // the session is included in its pool's stickyConns
 	stickyCause      session.StickyCause // the cause under which clientRegistry.stickyCounts counts the session; "": none
+	class            string              // the class by which a sticky session's connection was chosen
 	transactionBegun bool                // a transaction has begun on the retained connection, perhaps with no reply due yet
 }
 
--- a/internal/net/pg/session_front.go
+++ b/internal/net/pg/session_front.go
@@ -41,6 +41,8 @@
 	backpressure backpressureState
 	closer       loop.ConfirmedCloser // keeps closed connections until their clients have confirmed what was written
 	metrics      *metrics.Metrics     // nil: violations of rules are not counted
+	keptLeft     atomic.Int64         // transactions that left the connection that their session kept, for another host
+	keptRejected atomic.Int64         // transactions of sticky sessions that were rejected, as their host could not serve them
 	tenancy      tenantQueues
 	stats        SessionStats
 	draining     bool // clients are disconnected between transactions
@@ -126,7 +128,7 @@
 	return f
 }
 
-// DisableGuarantee disables a guarantee: settings, statements, cancel, position or ahead. It lets a test show that the checker
+// DisableGuarantee disables a guarantee: settings, statements, cancel, position, ahead or kept. It lets a test show that the checker
 // of the guarantee detects the violation.
 func (f *SessionFront) DisableGuarantee(guarantee string) { f.disabledGuarantee.Store(guarantee) }
 
@@ -135,6 +137,8 @@
 	f.metrics = m
 	f.clients.ahead.addGauges(m, "ahead")
 	f.clients.retained.addGauges(m, "retained")
+	m.AddGauge("sessions_kept_left_total", "Transactions that left the connection that their session kept, for another host.", func() float64 { return float64(f.keptLeft.Load()) })
+	m.AddGauge("sessions_kept_rejected_total", "Transactions of sticky sessions that their host could not serve.", func() float64 { return float64(f.keptRejected.Load()) })
 }
 
 // violation counts a rule that did not hold.
--- a/internal/net/pg/session_link.go
+++ b/internal/net/pg/session_link.go
@@ -26,7 +26,7 @@
 	}
 	c.server, s.session = s, c
 	s.requestSent, s.report.position, s.report.role = false, 0, ""
-	c.routing.misdirected, c.routing.decided = false, true
+	c.routing.misdirected, c.routing.failed, c.routing.decided, c.routing.kept = false, false, true, false
 	c.pipeline.Link(s.prepared, c.routing.readOnly)
 	if c.front.disabledGuarantee.Load() == "statements" {
 		c.pipeline.AssumePrepared()
@@ -37,6 +37,9 @@
 		c.restoreSettings(s)
 		return
 	}
+	if c.routing.call != nil {
+		c.recordWrite(s)
+	}
 	c.completeLink(s)
 	if !c.input.routingPending {
 		c.resume()
@@ -82,6 +85,10 @@
 	}
 	s.settings = c.pipeline.Settings()
 	c.pipeline.Restored()
+	if c.routing.kept && c.routing.call != nil && !s.requestSent {
+		c.settingsRestoredOnKept(s)
+		return nil
+	}
 	// A cancel is handled before the cases below, which would route the transaction again.
 	if c.routing.cancelRequested && c.routing.call != nil && !s.requestSent {
 		c.unlinkServer(s)
@@ -104,13 +111,20 @@
 	}
 	c.routing.cancelRequested = false
 	if c.routing.call != nil && !s.requestSent {
-		c.routing.call.RecordWrite(c.front.clock.Now())
+		c.recordWrite(s)
 	}
 	c.completeLink(s)
 	c.resume()
 	return nil
 }
 
+// recordWrite records that the transaction is written to its host now.
+func (c *sessionClient) recordWrite(s *serverConn) {
+	if c.routing.call.RecordWrite(c.front.clock.Now()) {
+		c.front.violation(lifecycle.SlowStartOverrun, "session", c.number, "host", s.pool.host.name)
+	}
+}
+
 // completeLink marks the client as linked and reports the server parameters that differ on this connection to
 // it.
 func (c *sessionClient) completeLink(s *serverConn) {
@@ -145,6 +159,7 @@
 	c.countSettings()
 	if call := c.routing.call; call != nil {
 		c.routing.call = nil
+		c.checkFreshness(s, call)
 		code := dispatch.OK
 		if c.routing.misdirected {
 			code = dispatch.Misdirected
@@ -167,6 +182,17 @@
 	s.report.position, s.report.role = 0, ""
 }
 
+// positionRounding is the rounding error of positions, in milliseconds.
+const positionRounding = 2.0
+
+// checkFreshness counts a violation if the position that a replica reported with its answer is older than the transaction had to see.
+func (c *sessionClient) checkFreshness(s *serverConn, call *dispatch.Call) {
+	position, required := s.report.position, call.RequiredPosition()
+	if !c.routing.failed && s.report.role == c.front.names.Replica && position > 0 && position+positionRounding < required {
+		c.front.violation(lifecycle.StaleRead, "session", c.number, "host", s.pool.host.name, "position", position, "required", required)
+	}
+}
+
 // releaseServer returns the connection to its pool after a transaction, unless the session keeps it.
 func (c *sessionClient) releaseServer(s *serverConn) {
 	f := c.front
@@ -272,6 +298,7 @@
 func (c *sessionClient) countRetained(s *serverConn) {
 	cause := c.pipeline.StickyCause()
 	if cause != "" && c.retention.stickyCause == "" {
+		c.retention.class = c.routing.request.Class
 		c.retention.stickyCause = cause
 		c.front.clients.stickyCounts[cause]++
 	}
--- a/internal/net/pg/session_messages.go
+++ b/internal/net/pg/session_messages.go
@@ -107,7 +107,7 @@
 		if c.routing.call == nil {
 			out = c.writeServer(out)
 			next, action := c.beginOnKeptServer(kind, body)
-			c.routing.decided = next == messageLinked
+			c.routing.decided = c.routing.decided || next == messageLinked
 			return out, next, action
 		}
 	}
--- a/internal/net/pg/session_recovery.go
+++ b/internal/net/pg/session_recovery.go
@@ -23,7 +23,7 @@
 	sticky := c.pipeline.StickyCause()
 	restoring := c.phase == phaseRestoring
 	c.phase = phaseUnlinked
-	if restoring && !c.pipeline.InBlock() && c.routing.call != nil { // nothing from the client was sent
+	if restoring && !c.pipeline.InBlock() && c.routing.call != nil && sticky == "" { // nothing from the client was sent
 		c.rerouteRestoring()
 		return
 	}
--- a/internal/net/pg/session_routing.go
+++ b/internal/net/pg/session_routing.go
@@ -50,7 +50,6 @@
 		c.finishRejected(kind)
 		return
 	}
-	now := f.clock.Now()
 	deadline, ok := f.dispatcher.Deadline(route.Class)
 	if !ok {
 		text := "class " + strconv.Quote(route.Class) + ": " + dispatch.ErrUnknownClass.Error()
@@ -58,31 +57,39 @@
 		c.finishRejected(kind)
 		return
 	}
+	if len(c.record.replay) == 0 {
+		c.tenancy.entry.Reset()
+	}
+	c.setRoute(&route, query, kind, deadline)
+	c.tenancy.entry.Deadline = c.routing.waiter.Deadline
+	c.routeByAssignment()
+}
+
+// setRoute sets the request by which a transaction is routed. deadline is that of its class.
+func (c *sessionClient) setRoute(route *session.Route, query *session.Query, kind byte, deadline float64) {
+	f := c.front
 	if route.WaitMillis > 0 {
 		deadline = route.WaitMillis
 	}
 	timeout := session.WaitTimeout(route.WaitMillis, c.pool.WaitTimeoutMillis, replyMarginMillis)
 	c.routing.readOnly, c.routing.writeClass = route.ReadOnly, f.dispatcher.IsWrite(route.Class)
+	arrived := f.clock.Now()
 	if len(c.record.replay) > 0 { // a host rejected it before: its deadlines still count from its first arrival
-		now = c.routing.request.Arrived
-	} else {
-		c.tenancy.entry.Reset()
+		arrived = c.routing.request.Arrived
 	}
-	c.routing.waiter.Deadline = now + timeout
-	c.tenancy.entry.Deadline = c.routing.waiter.Deadline
+	c.routing.waiter.Deadline = arrived + timeout
 	c.routing.query = query
 	c.phase = phaseRouting
 	c.input.pendingKind = kind
-	c.routing.route = route
+	c.routing.route = *route
 	c.routing.request = dispatch.Request{
 		Class:         route.Class,
 		Group:         route.Group,
-		Session:       c.sessionKey(&route),
-		Arrived:       now,
+		Session:       c.sessionKey(route),
+		Arrived:       arrived,
 		TimeRemaining: max(deadline, timeout),
 		MinPosition:   max(route.MinPosition, c.routing.minPosition),
 	}
-	c.routeByAssignment()
 }
 
 // isReadOnlyByDefault reports whether default_transaction_read_only is on in the session.
@@ -128,7 +135,7 @@
 	switch decision.Verdict {
 	case dispatch.Send:
 	case dispatch.Reject:
-		c.rejectRouting("no host can serve this now", decision.RetryAfter)
+		c.rejectRouting(c.rejectionText(textNoHost), decision.RetryAfter)
 		return
 	case dispatch.Fail:
 		c.failRouting("no host answered in time")
@@ -137,6 +144,9 @@
 		c.rejectRouting("no host answered in time", f.limits.Load().RetryAfterMillis)
 		return
 	}
+	if c.server != nil && c.pickedWhileKept(decision) {
+		return
+	}
 	address := f.address(decision.Host)
 	if address == "" {
 		c.routing.call.Report(dispatch.NotBegunOutcome(dispatch.NoConnection))
--- a/internal/net/pg/tenants.go
+++ b/internal/net/pg/tenants.go
@@ -289,7 +289,12 @@
 		c.discardRecorded()
 		c.record.active = assignment.HasGroup && len(c.record.replay) == 0
 	}
-	call, err := f.dispatcher.Begin(c.routing.request)
+	c.beginCall()
+}
+
+// beginCall asks the router for a decision on the transaction whose request was set, and carries it out.
+func (c *sessionClient) beginCall() {
+	call, err := c.front.dispatcher.Begin(c.routing.request)
 	if err != nil {
 		c.finishRelease()
 		c.reject(sqlStateProtocolViolation, err.Error(), "")
--- a/internal/session/route.go
+++ b/internal/session/route.go
@@ -10,8 +10,8 @@
 	// Class is the request class.
 	Class string
 	Group uint64
-	// HasGroup is set if the comment names the group.
-	HasGroup bool
+	// HasGroup is set if the comment names the group, and HasClass if it names the class.
+	HasGroup, HasClass bool
 	// WaitMillis is how long the client waits for a server connection, in milliseconds; 0: not specified.
 	WaitMillis float64
 	// MinPosition is the minimum position, in Unix milliseconds, that a read must see; 0: not specified.
@@ -54,6 +54,7 @@
 		switch strings.TrimSpace(name) {
 		case "c":
 			r.Class = strings.Clone(value) // the route outlives the query's text
+			r.HasClass = true
 		case "cluster":
 			r.Group, err = strconv.ParseUint(value, 10, 64)
 			r.HasGroup = true
--- a/internal/session/statement.go
+++ b/internal/session/statement.go
@@ -76,6 +76,19 @@
 	return len(q.Statements) > 0 && (q.Statements[0].Kind == Commit || q.Statements[0].Kind == Rollback)
 }
 
+// ChangesSessionAlone reports whether a query outside of a block reads and writes nothing but the state of the session, on whatever
+// host that is.
+func (q *Query) ChangesSessionAlone() bool {
+	for i := range q.Statements {
+		switch q.Statements[i].Kind {
+		case Set, SetLocal, Reset, ResetAll, DiscardAll, Deallocate, DeallocateAll, Commit, Rollback:
+		default:
+			return false
+		}
+	}
+	return true
+}
+
 // MayRunInFailedBlock reports whether a query may run in a failed block: it ends the block, rolls back to a
 // savepoint, or is empty.
 func (q *Query) MayRunInFailedBlock() bool {
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -55,6 +55,7 @@
 		return
 	}
 	req := &request{id: e.ID, class: k, group: g, sessionKey: e.SessionKey, hasSessionKey: e.HasSessionKey}
+	req.host, req.hostRequired = e.Host, e.HostRequired
 	req.arrivedAt, req.deadline, req.dedupDeadline = r.now, r.now+e.TimeRemaining, math.MaxInt64
 	req.objectiveAt = r.now + min(k.LatencyObjective, e.TimeRemaining)
 	req.sample, req.weight, req.isRetry = r.rng.Float64(), k.PriorityWeight, e.IsRetry
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -11,7 +11,9 @@
 	class                            *class
 	group                            *group
 	sessionKey                       uint64
-	hasSessionKey, isRetry           bool // isRetry: the client marks it as a retry
+	hasSessionKey, isRetry           bool   // isRetry: the client marks it as a retry
+	host                             string // that its session keeps a connection to; "": none
+	hostRequired                     bool
 	arrivedAt, objectiveAt, deadline time.Duration
 	minPosition                      time.Duration // least log position that a member must have; 0: none
 	attempts                         []attempt
@@ -72,6 +74,11 @@
 
 // chooseMember returns the member that a request is sent to now, or nil if the request has to wait.
 func (r *Router) chooseMember(req *request) *member {
+	if req.host != "" {
+		if m, waits := r.chooseKept(req); m != nil || waits {
+			return m
+		}
+	}
 	primary, isWrite := req.group.primary(), req.class.Access == Write
 	switch {
 	case !req.class.needsPrimary():
--- a/routing/events.go
+++ b/routing/events.go
@@ -26,6 +26,10 @@
 	Group         uint64
 	TimeRemaining time.Duration // for which the client still waits
 	CommitAge     time.Duration // of the session's last commit; negative: ahead of this clock; 0: none
+	// Host is the host that the request's session keeps a connection to; "": none. The request goes there if the host may serve it,
+	// and with HostRequired nowhere else.
+	Host         string
+	HostRequired bool
 }
 
 // AttemptEnded is the end of one attempt of a request.
--- a/routing/router.go
+++ b/routing/router.go
@@ -9,11 +9,12 @@
 //
 // Each concern of the decisions has its own file: members.go (host state and evidence), primary.go (the
 // search for the primary), replica.go (the choice of a replica), admission.go (admission and limits),
-// capacity.go (the load that members can take), classcost.go (the work of a request), slowstart.go (what
-// warming members are sent), slowstart_status.go (status and counters of slow start), attempts.go (attempts
-// and retries), health.go (what the end of an attempt shows of its member), execution.go (what is proven about
-// whether a request ran), groupclock.go (the clock of a group), probes.go, sessions.go (read your writes),
-// queue.go (queued requests) and constants.go. The deploy file lists them as the policy.
+// kept.go (connections that sessions keep), capacity.go (the load that members can take), classcost.go (the
+// work of a request), slowstart.go (what warming members are sent), slowstart_status.go (status and counters
+// of slow start), attempts.go (attempts and retries), health.go (what the end of an attempt shows of its
+// member), execution.go (what is proven about whether a request ran), groupclock.go (the clock of a group),
+// probes.go, sessions.go (read your writes), queue.go (queued requests) and constants.go. The deploy file
+// lists them as the policy.
 //
 // This file holds the Router with its settings and the handling of events. events.go and types.go define the
 // interface, and state.go the state that a router hands to its next start.
--- a/testbed/load/sessions.go
+++ b/testbed/load/sessions.go
@@ -27,7 +27,7 @@
 }
 
 // Breakable are the guarantees that the pooler can be told to break.
-var Breakable = []string{"settings", "statements", "cancel", "position", "ahead"}
+var Breakable = []string{"settings", "statements", "cancel", "position", "ahead", "kept"}
 
 // Sessions plays many sessions over few server connections, with failures, and checks what each finds.
 func Sessions(ctx context.Context, o SessionOptions) (*report.Result, error) {
--- a/testbed/load/worker.go
+++ b/testbed/load/worker.go
@@ -163,7 +163,7 @@
 	share int
 	do    func(w *worker)
 }{
-	{"read", 22, (*worker).read},
+	{"read", 20, (*worker).read},
 	{"write", 14, (*worker).write},
 	{"auto_write", 8, (*worker).autoWrite},
 	{"prepared", 18, (*worker).statement},
@@ -176,6 +176,7 @@
 	{"pipeline", 1, (*worker).pipeline},
 	{"ahead", 1, (*worker).ahead},
 	{"pin", 1, (*worker).pin},
+	{"kept", 2, (*worker).kept},
 }
 
 func (w *worker) step() {
