Sessions: the Sync behind a pipeline that was rejected counts no missing decision

Operators saw: rule transaction_unrouted counted and logged where a sticky session's transaction was rejected and sent by the extended protocol; nothing had run without a decision. Cause: the Sync behind a rejection goes to the host, and its ReadyForQuery was taken for a transaction's end since the pipeline was skipping. Change: a Sync is empty where no message of its pipeline was sent, whether the pipeline is skipped or not. Evidence: TestStickySessionKeepsItsStateBehindARejectedWrite, with the counters looked at, fails before (1) and passes after.

--- a/internal/net/pg/session_kept_test.go
+++ b/internal/net/pg/session_kept_test.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 
+	"ashstand/internal/metrics"
 	lab "ashstand/testbed/host"
 )
 
@@ -158,6 +159,8 @@
 // Guards against a sticky session at a replica that loses its state by a write that can't run there, or that can't give it up.
 func TestStickySessionKeepsItsStateBehindARejectedWrite(t *testing.T) {
 	w := startPooler(t, nil)
+	counted := metrics.New()
+	w.front.CountViolations(counted)
 	s := w.keepReplica(listenAtReplica)
 	donation := strings.Replace(insertInto(1, "sticky"), "cluster=1", "cluster=1,d=300", 1)
 	s.send(query(donation))
@@ -167,6 +170,9 @@
 	w.requireOnLoop(func(c *sessionClient) bool { return c.pipeline.StickyCause() != "" })
 	s.send(query("SET app.mine TO 1"), query("SHOW app.mine"), query("DISCARD ALL"))
 	require.Equal(t, "SET I =1 SHOW I DISCARD ALL I", s.replies(3))
+	figures, err := counted.Snapshot()
+	require.NoError(t, err)
+	require.Empty(t, metrics.Violations(figures), "the Sync behind a rejected pipeline runs nothing")
 }
 
 // Guards against reads of sound replicas that are rejected or moved because the position that is known of a replica lags behind its
--- a/internal/session/pipeline_client.go
+++ b/internal/session/pipeline_client.go
@@ -140,7 +140,7 @@
 	if p.awaitsCopyData() {
 		return ClientAction{Drop: true}
 	}
-	isEmpty := !p.boundary.pipelineOpen && !p.skipping
+	isEmpty := !p.boundary.pipelineOpen // also where a message was rejected before any of the pipeline was sent
 	p.skipping = false
 	p.endPipeline()
 	p.push(expectedReply{kind: replySync, isEmpty: isEmpty, copyEndsSent: p.boundary.copyEndsSent})
