Sessions: settings that a savepoint remembers behind a RESET are counted when it is sent

A session that sends RESET and SAVEPOINT ahead, in turn, has each savepoint remember settings of its own that are counted only when its reply comes: 1.8 MB held where 512 KiB are allowed. Cause: of what was sent and has no reply, SET alone counted as a change of the settings. Change: RESET, RESET ALL and DISCARD ALL count too. Evidence: the case 'resets' of TestSavepointsAreBoundedByWhatTheyHold fails before and passes after.

--- a/internal/net/pg/session_held_test.go
+++ b/internal/net/pg/session_held_test.go
@@ -202,18 +202,25 @@
 // Guards against savepoints whose number is bounded, but neither their names nor the settings that each remembers; also where the
 // savepoints are prepared, or sent ahead.
 func TestSavepointsAreBoundedByWhatTheyHold(t *testing.T) {
-	setting := query("SET app.big TO '" + strings.Repeat("v", 40<<10) + "'")
+	set := "SET app.big TO '" + strings.Repeat("v", 40<<10) + "'"
+	var resets []pgproto3.FrontendMessage
+	for i := range 40 {
+		set += fmt.Sprintf(";SET app.n%d TO 1", i)
+		resets = append(resets, query(fmt.Sprintf("RESET app.n%d; SAVEPOINT s", i)))
+	}
+	setting := query(set)
 	long := strings.Repeat("s", 30<<10)
 	for name, messages := range map[string][]pgproto3.FrontendMessage{
 		"long names": {query("SAVEPOINT " + long)},
 		"settings":   {query("SET app.small TO 1; SAVEPOINT s"), query("SET app.small TO 2; SAVEPOINT s")},
+		"resets":     resets,
 		"prepared":   {&pgproto3.Parse{Query: "SAVEPOINT " + long}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := startPooler(t, nil)
 			s := w.rawConnect()
-			s.send(query("/* c=donate,cluster=1 */ BEGIN"), setting)
-			s.replies(2)
+			s.send(query("/* c=donate,cluster=1 */ BEGIN"), setting, query("SAVEPOINT first"))
+			s.replies(3)
 			s.sendAll(append(repeat(40, messages...), query("ROLLBACK")))
 			replies := ""
 			for !strings.HasSuffix(replies, "I") {
--- a/internal/session/pipeline_memory.go
+++ b/internal/session/pipeline_memory.go
@@ -79,7 +79,7 @@
 	haveChanged, settings := p.pendingSettingBytes > 0 || remembered != p.current, p.current.Bytes()+p.pendingSettingBytes
 	for i := range statements {
 		switch s := &statements[i]; s.Kind {
-		case Set:
+		case Set, Reset, ResetAll, DiscardAll:
 			haveChanged, settings = true, settings+settingBytes(s)
 		case Savepoint:
 			if bytes += savepointOverheadBytes + len(s.Name); haveChanged {
@@ -91,11 +91,14 @@
 	return bytes
 }
 
-// settingsOf returns the approximate memory of the settings that statements set.
+// settingsOf returns the approximate memory of the settings that statements set. One that resets some counts too: savepoints behind it
+// remember settings of their own.
 func settingsOf(statements []Statement) (bytes int) {
 	for i := range statements {
-		if s := &statements[i]; s.Kind == Set {
+		switch s := &statements[i]; s.Kind {
+		case Set, Reset, ResetAll, DiscardAll:
 			bytes += settingBytes(s)
+		default:
 		}
 	}
 	return bytes
--- a/internal/session/scan_test.go
+++ b/internal/session/scan_test.go
@@ -109,7 +109,7 @@
 	d.SelectsAsRead = true
 	require.Equal(t, Route{Class: "browse", ReadOnly: true}, route("SELECT 1", false))
 	require.Equal(t, Route{Class: "donate"}, route("SELECT 1; DELETE FROM a", false))
-	require.Equal(t, Route{Class: "report", Group: 3, HasGroup: true, WaitMillis: 250, MinPosition: 12.5}, route("/* c=report,cluster=3, d=250,after=12.5 */ BEGIN", false))
+	require.Equal(t, Route{Class: "report", Group: 3, HasGroup: true, HasClass: true, WaitMillis: 250, MinPosition: 12.5}, route("/* c=report,cluster=3, d=250,after=12.5 */ BEGIN", false))
 	require.Equal(t, Route{Class: "donate"}, route("/* mind the gap = wide */ BEGIN", false))
 	for _, bad := range []string{"d=x", "after=-1", "cluster=1e9", "d=1e999"} {
 		q := ParseQuery("/* " + bad + " */ BEGIN")
