--- a/review/rig-2/fleet.go
+++ b/review/rig-2/fleet.go
@@ -383,10 +383,8 @@
 }
 
 func entry(h *host, status string) map[string]any {
-	return map[string]any{
-		"name": h.name, "address": h.address, "zone": "hall-a", "type": "std-4core", "group": 1,
-		"status": status, "weight": 1.0, "since_ms": 0, "part": h.part(),
-	}
+	return map[string]any{"name": h.name, "address": h.address, "zone": "hall-a", "type": "std-4core", "group": 1,
+		"status": status, "weight": 1.0, "since_ms": 0, "part": h.part()}
 }
 
 func (a *agent) set(entries ...map[string]any) {
