--- a/cmd/testbed/flood.go
+++ b/cmd/testbed/flood.go
@@ -31,8 +31,8 @@
 	if m.front != "" {
 		fronts = append(fronts, flood.Front(m.front))
 	}
-	if all := append(flood.Kinds(), flood.AheadKinds()...); m.kind != "" && !slices.Contains(all, kinds[0]) {
-		return flood.Plan{}, fmt.Errorf("--kind %s: there are %q", m.kind, all)
+	if m.kind != "" && !slices.Contains(flood.AllKinds(), kinds[0]) {
+		return flood.Plan{}, fmt.Errorf("--kind %s: there are %q", m.kind, flood.AllKinds())
 	}
 	if m.front != "" && !slices.Contains(flood.Fronts(), fronts[0]) {
 		return flood.Plan{}, fmt.Errorf("--front %s: there are %q", m.front, flood.Fronts())
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -168,6 +168,14 @@
 	return c.minPosition
 }
 
+// IsStale reports whether the position stamped on the answer to the attempt picked last is too old for the request.
+func (c *Call) IsStale(o Outcome) bool {
+	d := c.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return c.isStale(o)
+}
+
 // isStale reports whether the position stamped on an answer is too old for the request. The host may have
 // lost the primary role, or a part of its log, since its last report. d.mu is held.
 func (c *Call) isStale(o Outcome) bool {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -184,8 +184,8 @@
 	return Result{Verdict: Invalid, Detail: detail}
 }
 
-// textPanicked is the answer to a request that a panic ended.
-const textPanicked = "internal error; the request may have run"
+// PanickedResult is the final answer to a request that a panic ended.
+var PanickedResult = Result{Verdict: Failed, Detail: "internal error; the request may have run"}
 
 // Do runs a request, which arrived at the given time, until it has its final answer. ctx ends when the client
 // disconnects. A panic on the way ends the request alone, and it may have run.
@@ -194,7 +194,7 @@
 		if value := recover(); value != nil {
 			panics.Check(value)
 			e.metrics.PanicRecovered("edge.Do", value)
-			result = Result{Verdict: Failed, Detail: textPanicked}
+			result = PanickedResult
 		}
 	}()
 	if !e.registerID(s.ID) {
--- a/internal/net/flight/recovery.go
+++ b/internal/net/flight/recovery.go
@@ -4,14 +4,11 @@
 	"context"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
 
+	"ashstand/internal/edge"
 	"ashstand/internal/panics"
 )
 
-// textPanicked is the answer to a call that a panic ended. What the call had begun may have run.
-const textPanicked = "internal error; the request may have run"
-
 // recoverUnary is a gRPC interceptor. It ends a call whose handler panics with an error of that call alone: gRPC runs handlers on
 // goroutines of its own and recovers nothing.
 func (f *Front) recoverUnary(ctx context.Context, request any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (reply any, err error) {
@@ -34,5 +31,5 @@
 	}
 	panics.Check(value)
 	f.edge.Metrics().PanicRecovered(method, value)
-	*err = newStatus(codes.Unknown, textPanicked, "", 0)
+	*err = resultStatus(&edge.PanickedResult)
 }
--- a/internal/net/pg/server_relay.go
+++ b/internal/net/pg/server_relay.go
@@ -193,7 +193,8 @@
 // recordHostError records what else an error from the host means, besides being a response. ofSettings tells
 // whether it is the response to the session's settings.
 func (c *sessionClient) recordHostError(m *hostMessage, ofSettings bool) {
-	if c.routing.failed = true; ofSettings {
+	c.routing.failed = true
+	if ofSettings {
 		c.recovery.settingsError = m.detail + " " + m.text
 	}
 	if m.detail == sqlStateReadOnlyTransaction {
--- a/internal/net/pg/session_ahead_crossings_test.go
+++ b/internal/net/pg/session_ahead_crossings_test.go
@@ -21,7 +21,7 @@
 }
 
 // requireOnLoop waits until a condition holds for the only session.
-func (w *groupsFixture) requireOnLoop(holds func(*sessionClient) bool) {
+func (w *poolerFixture) requireOnLoop(holds func(*sessionClient) bool) {
 	w.t.Helper()
 	require.Eventually(w.t, func() bool {
 		out := make(chan bool, 1)
--- a/internal/net/pg/session_ahead_test.go
+++ b/internal/net/pg/session_ahead_test.go
@@ -54,14 +54,19 @@
 // send sends messages in one write.
 func (s *rawSession) send(messages ...pgproto3.FrontendMessage) {
 	s.t.Helper()
-	var out []byte
+	_, err := s.conn.Write(s.encode(messages))
+	require.NoError(s.t, err)
+}
+
+// encode returns the bytes of messages.
+func (s *rawSession) encode(messages []pgproto3.FrontendMessage) (out []byte) {
+	s.t.Helper()
 	for _, m := range messages {
 		var err error
 		out, err = m.Encode(out)
 		require.NoError(s.t, err)
 	}
-	_, err := s.conn.Write(out)
-	require.NoError(s.t, err)
+	return out
 }
 
 // replies reads up to the ReadyForQuery of the given number, and returns command tags, values, SQLSTATEs and statuses.
--- a/internal/net/pg/session_held_test.go
+++ b/internal/net/pg/session_held_test.go
@@ -23,12 +23,7 @@
 // sendAll sends messages on another goroutine, since the pooler reads them only as replies arrive.
 func (s *rawSession) sendAll(messages []pgproto3.FrontendMessage) {
 	s.t.Helper()
-	var out []byte
-	for _, m := range messages {
-		var err error
-		out, err = m.Encode(out)
-		require.NoError(s.t, err)
-	}
+	out := s.encode(messages)
 	go func() { _, _ = s.conn.Write(out) }()
 }
 
@@ -43,12 +38,6 @@
 	return s
 }
 
-// requireOnLoop waits until a condition holds for the only session.
-func (w *poolerFixture) requireOnLoop(holds func(*sessionClient) bool) {
-	w.t.Helper()
-	(&groupsFixture{poolerFixture: w}).requireOnLoop(holds)
-}
-
 // Guards against replies that a session has the pooler expect and that nobody bounds, in bytes held, and against a refusal of what is
 // legal: each message that was sent ahead gets its reply.
 func TestMessagesSentAheadAreBoundedAndAnswered(t *testing.T) {
--- a/internal/net/pg/session_kept.go
+++ b/internal/net/pg/session_kept.go
@@ -94,15 +94,12 @@
 		return false
 	}
 	if !c.routing.call.Revalidate() {
-		c.routing.call.Report(dispatch.NotBegunOutcome(dispatch.NotSent))
-		c.pickHost()
+		c.retryRouting(dispatch.NotBegunOutcome(dispatch.NotSent))
 		return true
 	}
 	c.phase = phaseLinked
-	s.requestSent, s.report.position, s.report.role = false, 0, ""
-	c.routing.misdirected, c.routing.failed, c.routing.decided, c.routing.kept = false, false, true, true
+	c.beginTransaction(s, true)
 	c.pipeline.SetReadOnly(c.routing.readOnly)
-	f.stats.Transactions++
 	if !c.pipeline.NeedsRestore() {
 		c.recordWrite(s)
 	}
@@ -130,15 +127,12 @@
 	switch {
 	case c.applyCancel():
 	case !c.routing.call.Revalidate():
-		c.phase = phaseRouting
-		c.routing.call.Report(dispatch.NotBegunOutcome(dispatch.NotSent))
-		c.pickHost()
+		c.retryRouting(dispatch.NotBegunOutcome(dispatch.NotSent))
+		return
 	default:
 		c.recordWrite(s)
 	}
-	if c.phase == phaseLinked || c.phase == phaseUnlinked {
-		c.resume()
-	}
+	c.resume()
 }
 
 // rejectOnKeptServer rejects a transaction of which nothing was sent; the session keeps its connection.
@@ -156,12 +150,10 @@
 	case clientQuery:
 		text, _, ok := cutString(body)
 		parsed := session.ParseQuery(text)
-		parsed.Detach()
 		return &parsed, ok
 	case clientParse:
 		_, text, _, ok := cutTwoStrings(body)
 		parsed := session.ParseQuery(text)
-		parsed.Detach()
 		return &parsed, ok
 	case clientBind:
 		_, name, _, ok := cutTwoStrings(body)
--- a/internal/net/pg/session_link.go
+++ b/internal/net/pg/session_link.go
@@ -25,13 +25,11 @@
 		return
 	}
 	c.server, s.session = s, c
-	s.requestSent, s.report.position, s.report.role = false, 0, ""
-	c.routing.misdirected, c.routing.failed, c.routing.decided, c.routing.kept = false, false, true, false
+	c.beginTransaction(s, false)
 	c.pipeline.Link(s.prepared, c.routing.readOnly)
 	if c.front.disabledGuarantee.Load() == "statements" {
 		c.pipeline.AssumePrepared()
 	}
-	c.front.stats.Transactions++
 	c.countRetained(s)
 	if !s.settings.Equal(c.pipeline.Settings()) && c.front.disabledGuarantee.Load() != "settings" {
 		c.restoreSettings(s)
@@ -46,6 +44,13 @@
 	}
 }
 
+// beginTransaction resets what is known of the transaction on the server connection. kept: the session had kept the connection.
+func (c *sessionClient) beginTransaction(s *serverConn, kept bool) {
+	s.requestSent, s.report.position, s.report.role = false, 0, ""
+	c.routing.misdirected, c.routing.failed, c.routing.decided, c.routing.kept = false, false, true, kept
+	c.front.stats.Transactions++
+}
+
 // restoreSettings applies the session's settings to the server connection, in one round trip.
 func (c *sessionClient) restoreSettings(s *serverConn) {
 	current := s.settings
@@ -182,14 +187,10 @@
 	s.report.position, s.report.role = 0, ""
 }
 
-// positionRounding is the rounding error of positions, in milliseconds.
-const positionRounding = 2.0
-
 // checkFreshness counts a violation if the position that a replica reported with its answer is older than the transaction had to see.
 func (c *sessionClient) checkFreshness(s *serverConn, call *dispatch.Call) {
-	position, required := s.report.position, call.RequiredPosition()
-	if !c.routing.failed && s.report.role == c.front.names.Replica && position > 0 && position+positionRounding < required {
-		c.front.violation(lifecycle.StaleRead, "session", c.number, "host", s.pool.host.name, "position", position, "required", required)
+	if !c.routing.failed && call.IsStale(s.outcome(dispatch.OK)) {
+		c.front.violation(lifecycle.StaleRead, "session", c.number, "host", s.pool.host.name, "position", s.report.position, "required", call.RequiredPosition())
 	}
 }
 
--- a/internal/net/pg/session_messages.go
+++ b/internal/net/pg/session_messages.go
@@ -187,7 +187,6 @@
 			return nil, messageMalformed
 		}
 		*query = session.ParseQuery(text)
-		query.Detach()
 		if c.answerLocally(query) {
 			return nil, messageAnswered
 		}
@@ -197,7 +196,6 @@
 			return nil, messageMalformed
 		}
 		*query = session.ParseQuery(text)
-		query.Detach()
 	case clientBind:
 		_, name, _, ok := cutTwoStrings(body)
 		if !ok {
--- a/internal/session/pipeline_client.go
+++ b/internal/session/pipeline_client.go
@@ -171,7 +171,6 @@
 		p.push(expectedReply{kind: replySync, hidden: true})
 	}
 	p.endPipeline()
-	query.Detach()
 	p.push(expectedReply{kind: replyQuery, statements: query.Statements})
 	return out
 }
--- a/internal/session/pipeline_memory.go
+++ b/internal/session/pipeline_memory.go
@@ -25,8 +25,8 @@
 	return bytes
 }
 
-// Detach copies what the query refers to in its text, so that the text is not held with it.
-func (q *Query) Detach() {
+// detach copies what the query refers to in its text, so that the text is not held with it.
+func (q *Query) detach() {
 	q.Comment = strings.Clone(q.Comment)
 	for i := range q.Statements {
 		s := &q.Statements[i]
@@ -72,11 +72,7 @@
 // SavepointBytes returns the approximate memory that the statements' savepoints take beside those that there are, with
 // the settings that each remembers.
 func (p *Pipeline) SavepointBytes(statements []Statement) (bytes int) {
-	remembered := p.atBegin
-	if n := len(p.savepoints); n > 0 {
-		remembered = p.savepoints[n-1].settings
-	}
-	haveChanged, settings := p.pendingSettingBytes > 0 || remembered != p.current, p.current.Bytes()+p.pendingSettingBytes
+	haveChanged, settings := p.pendingSettingBytes > 0 || p.remembered() != p.current, p.current.Bytes()+p.pendingSettingBytes
 	for i := range statements {
 		switch s := &statements[i]; s.Kind {
 		case Set, Reset, ResetAll, DiscardAll:
--- a/internal/session/settings.go
+++ b/internal/session/settings.go
@@ -208,7 +208,7 @@
 		// status that follows.
 		t.endTransaction(s.Kind == Commit && tag != "ROLLBACK")
 	case Savepoint:
-		t.addSavepoint(strings.Clone(s.Name))
+		t.addSavepoint(s.Name)
 	case RollbackTo:
 		if i := t.findSavepoint(s.Name); i >= 0 {
 			t.current = t.savepoints[i].settings
@@ -224,7 +224,7 @@
 			t.stateUnknown = true
 		}
 	case Set:
-		t.current = t.current.With(strings.Clone(s.Name), strings.Clone(s.Rendering))
+		t.current = t.current.With(s.Name, s.Rendering)
 	case Reset:
 		t.reset(s.Name)
 	case ResetAll:
@@ -261,14 +261,19 @@
 // maxIdleSavepoints is for how many savepoints room is kept between transactions.
 const maxIdleSavepoints = 16
 
-// addSavepoint adds a savepoint. The settings count for it unless what came before it remembers them too.
-func (t *SettingsTracker) addSavepoint(name string) {
-	before := t.atBegin
+// remembered returns the settings to which the latest savepoint or, without one, the whole transaction rolls back.
+func (t *SettingsTracker) remembered() *Settings {
 	if n := len(t.savepoints); n > 0 {
-		before = t.savepoints[n-1].settings
+		return t.savepoints[n-1].settings
 	}
+	return t.atBegin
+}
+
+// addSavepoint adds a savepoint. The settings count for it unless what came before it remembers them too.
+func (t *SettingsTracker) addSavepoint(name string) {
+	remembered := t.remembered()
 	added := savepoint{name: name, settings: t.current, bytes: savepointOverheadBytes + len(name)}
-	if t.current != before {
+	if t.current != remembered {
 		added.bytes += t.current.Bytes()
 	}
 	t.savepoints = append(t.savepoints, added)
--- a/internal/session/statement.go
+++ b/internal/session/statement.go
@@ -96,8 +96,15 @@
 }
 
 // ParseQuery parses a query string. It never fails: for a text that it cannot parse, it returns a statement that
-// makes the session sticky, since the effect of the text is unknown.
+// makes the session sticky, since the effect of the text is unknown. The result does not hold the text.
 func ParseQuery(text string) Query {
+	q := parseQuery(text)
+	q.detach()
+	return q
+}
+
+// parseQuery is ParseQuery with a result that refers to the text.
+func parseQuery(text string) Query {
 	var q Query
 	s := scanner{text: text}
 	s.readLeadingComment(&q)
--- a/testbed/flood/plan.go
+++ b/testbed/flood/plan.go
@@ -73,6 +73,9 @@
 	return []Kind{AheadSyncs, AheadDescribes, AheadCloses, AheadParses, AheadBinds, AheadSavepoints, AheadStatements}
 }
 
+// AllKinds are Kinds and AheadKinds.
+func AllKinds() []Kind { return append(Kinds(), AheadKinds()...) }
+
 // isSlow reports whether clients of this kind write slowly; there are hundreds of them.
 func (k Kind) isSlow() bool { return k == HalfRequests || k == ShortFields || k == LongComments }
 
@@ -130,9 +133,9 @@
 // check refuses a plan that can't be played.
 func (p *Plan) check() error {
 	for _, w := range p.Waves {
-		if !slices.Contains(append(Kinds(), AheadKinds()...), w.Kind) || !slices.Contains(Fronts(), w.Front) || w.Connections < 1 || w.Connections > maxSlowWriters {
+		if !slices.Contains(AllKinds(), w.Kind) || !slices.Contains(Fronts(), w.Front) || w.Connections < 1 || w.Connections > maxSlowWriters {
 			return fmt.Errorf("%d connections of %q at %q: there are the kinds %v and the fronts %v, with up to %d connections",
-				w.Connections, w.Kind, w.Front, Kinds(), Fronts(), maxSlowWriters)
+				w.Connections, w.Kind, w.Front, AllKinds(), Fronts(), maxSlowWriters)
 		}
 	}
 	return nil
--- a/testbed/load/kept.go
+++ b/testbed/load/kept.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"context"
 	"fmt"
 	"time"
 )
@@ -25,9 +24,5 @@
 			w.g.Break("stale_read", "%s read %q on the connection that it keeps, behind a commit of %q", w.name, a.one(), payload)
 		}
 	}
-	if a := w.simple("kept", "DISCARD ALL"); a.state == "" {
-		w.named, w.setting = map[string]string{}, ""
-	} else {
-		_ = w.c.Close(context.Background())
-	}
+	w.release("kept")
 }
--- a/testbed/load/worker.go
+++ b/testbed/load/worker.go
@@ -472,7 +472,12 @@
 			w.g.Break("wrong_statement", "%s: its temporary table holds %q", w.name, a.rows)
 		}
 	}
-	if a := w.simple("pin", "DISCARD ALL"); a.state == "" {
+	w.release("pin")
+}
+
+// release ends what binds the session to its connection.
+func (w *worker) release(class string) {
+	if a := w.simple(class, "DISCARD ALL"); a.state == "" {
 		w.named, w.setting = map[string]string{}, ""
 	} else {
 		_ = w.c.Close(context.Background())
